--- /dev/null
+++ b/packages/decisions/sycamoreloft_decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions of the router."""
--- /dev/null
+++ b/packages/proof/sycamoreloft_proof/__init__.py
@@ -0,0 +1,1 @@
+"""Fuzzing oracle, history checker, demo, benchmark and capacity slopes."""
--- /dev/null
+++ b/packages/standins/sycamoreloft_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the platform and of upstreams for tests."""
--- /dev/null
+++ b/packages/wire/sycamoreloft_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between hosts."""
