--- /dev/null
+++ b/packages/wire/sycamoreloft_wire/_codec.py
@@ -0,0 +1,214 @@
+"""Encodes messages as msgpack and decodes them with type checks."""
+
+from collections import abc
+import dataclasses
+import functools
+import operator
+import types
+import typing
+
+import msgpack
+from returns import result
+
+from sycamoreloft_wire import _messages
+
+#: Version of the protocol; hosts refuse frames of any other version.
+PROTOCOL_VERSION = 1
+
+#: Type codes on the wire. A code is never given to another message, so that
+#: hosts of two releases can talk during an upgrade.
+MESSAGE_TYPES: abc.Mapping[int, type] = {
+    1: _messages.GossipDigest,
+    2: _messages.PromiseRequest,
+    3: _messages.PromiseAnswer,
+    4: _messages.StepDownRequest,
+    5: _messages.StepDownAnswer,
+    6: _messages.PermitRequest,
+    7: _messages.PermitGrant,
+    8: _messages.PermitRefusal,
+    9: _messages.PermitReturn,
+    10: _messages.PermitReport,
+    11: _messages.ClaimRequest,
+    12: _messages.ClaimAnswer,
+    13: _messages.ClaimResult,
+    14: _messages.GenerationRequest,
+    15: _messages.GenerationAnswer,
+    16: _messages.SuspectNotice,
+    17: _messages.Acknowledgement,
+}
+
+_CODES: abc.Mapping[type[typing.Any], int] = {
+    message_type: code for code, message_type in MESSAGE_TYPES.items()
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Envelope:
+    """A decoded frame."""
+
+    #: Matches an answer with its request; 0 where no answer is expected.
+    correlation: int
+    #: The message.
+    message: _messages.Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DecodeError:
+    """A frame that is not a valid message."""
+
+    #: What is wrong, and what to do about it.
+    text: str
+
+    def __str__(self) -> str:
+        return self.text
+
+
+class _FieldError(Exception):
+    """A field has the wrong type."""
+
+
+_Converter = abc.Callable[[typing.Any], typing.Any]
+
+
+def _require(*accepted: type) -> _Converter:
+    """Returns a converter that accepts values of exactly these types."""
+
+    def convert(value: typing.Any) -> typing.Any:
+        if type(value) not in accepted:
+            raise _FieldError(
+                f"expected {accepted[0].__name__}, got {type(value).__name__}"
+            )
+        return value
+
+    return convert
+
+
+def _make_sequence_converter(item: _Converter) -> _Converter:
+    def convert(value: typing.Any) -> typing.Any:
+        if type(value) is not list:
+            raise _FieldError(f"expected list, got {type(value).__name__}")
+        return tuple(item(entry) for entry in value)
+
+    return convert
+
+
+def _make_mapping_converter(key: _Converter, item: _Converter) -> _Converter:
+    def convert(value: typing.Any) -> typing.Any:
+        if type(value) is not dict:
+            raise _FieldError(f"expected map, got {type(value).__name__}")
+        return {key(name): item(entry) for name, entry in value.items()}
+
+    return convert
+
+
+def _make_converter(annotation: typing.Any) -> _Converter:
+    """Builds the type check of one field from its annotation."""
+    origin = typing.get_origin(annotation)
+    arguments = typing.get_args(annotation)
+    if origin is abc.Sequence:
+        return _make_sequence_converter(_make_converter(arguments[0]))
+    if origin is abc.Mapping:
+        return _make_mapping_converter(
+            _make_converter(arguments[0]), _make_converter(arguments[1])
+        )
+    if dataclasses.is_dataclass(annotation):
+        nested = typing.cast(type, annotation)
+        return lambda value: _build(nested, value)
+    if annotation is float:
+        return _require(float, int)
+    return _require(annotation)
+
+
+@functools.cache
+def _list_converters(message_type: abc.Hashable) -> abc.Sequence[_Converter]:
+    cls = typing.cast(type, message_type)
+    hints = typing.get_type_hints(cls)
+    return tuple(
+        _make_converter(hints[field.name]) for field in dataclasses.fields(cls)
+    )
+
+
+@functools.cache
+def _make_getter(
+    message_type: abc.Hashable,
+) -> abc.Callable[[typing.Any], abc.Sequence[typing.Any]]:
+    cls = typing.cast(type, message_type)
+    names = [field.name for field in dataclasses.fields(cls)]
+    if not names:
+        return lambda message: ()
+    if len(names) == 1:
+        getter = operator.attrgetter(names[0])
+        return lambda message: (getter(message),)
+    return operator.attrgetter(*names)
+
+
+def _build(message_type: type, values: typing.Any) -> typing.Any:
+    converters = _list_converters(typing.cast(abc.Hashable, message_type))
+    if type(values) is not list or len(values) != len(converters):
+        raise _FieldError(
+            f"{message_type.__name__} needs {len(converters)} fields"
+        )
+    return message_type(
+        *[
+            convert(value)
+            for convert, value in zip(converters, values, strict=True)
+        ]
+    )
+
+
+def _pack_nested(value: typing.Any) -> typing.Any:
+    """Turns nested data classes and mapping views into plain values."""
+    if isinstance(value, types.MappingProxyType):
+        return dict(value)
+    return list(_make_getter(typing.cast(abc.Hashable, type(value)))(value))
+
+
+def encode_message(correlation: int, message: _messages.Message) -> bytes:
+    """Encodes a message; the result has no length prefix."""
+    message_type = type(message)
+    fields = _make_getter(typing.cast(abc.Hashable, message_type))(message)
+    packed: bytes = msgpack.packb(
+        (PROTOCOL_VERSION, _CODES[message_type], correlation, fields),
+        default=_pack_nested,
+    )
+    return packed
+
+
+def decode_message(data: bytes) -> result.Result[Envelope, DecodeError]:
+    """Decodes the content of one frame.
+
+    Args:
+        data: The frame without its length prefix.
+
+    Returns:
+        The envelope, or why the frame is refused.
+    """
+    try:
+        content = msgpack.unpackb(data, strict_map_key=False)
+    except (ValueError, msgpack.UnpackException) as error:
+        return result.Failure(DecodeError(f"frame is not msgpack: {error}"))
+    if type(content) is not list or len(content) != 4:
+        return result.Failure(DecodeError("frame is not an array of 4 items"))
+    version, code, correlation, values = content
+    if version != PROTOCOL_VERSION:
+        return result.Failure(
+            DecodeError(
+                f"protocol version {version!r} is not {PROTOCOL_VERSION};"
+                " run the same release on all hosts"
+            )
+        )
+    message_type = MESSAGE_TYPES.get(code) if type(code) is int else None
+    if message_type is None or type(correlation) is not int:
+        return result.Failure(DecodeError(f"unknown message type {code!r}"))
+    try:
+        return result.Success(
+            Envelope(correlation, _build(message_type, values))
+        )
+    except _FieldError as error:
+        return result.Failure(
+            DecodeError(f"{message_type.__name__} is malformed: {error}")
+        )
+    except TypeError as error:
+        return result.Failure(
+            DecodeError(f"{message_type.__name__} has a bad map key: {error}")
+        )
