--- a/packages/config/sycamoreloft_config/__init__.py
+++ b/packages/config/sycamoreloft_config/__init__.py
@@ -1,5 +1,7 @@
 """Fleet and merge files and process settings."""
 
+from sycamoreloft_config._differences import is_alike, list_differences
+from sycamoreloft_config._generations import build_generation, name_file
 from sycamoreloft_config._hashing import (
     find_group,
     find_partition,
@@ -8,6 +10,12 @@
     list_groups,
     rank_by_rendezvous,
 )
+from sycamoreloft_config._names import (
+    ServiceReference,
+    find_operation,
+    list_active_upstreams,
+    resolve_service,
+)
 from sycamoreloft_config._nodes import (
     FailureDomain,
     Fleet,
@@ -23,25 +31,48 @@
     Weights,
     parse_group_name,
 )
+from sycamoreloft_config._parsing import parse_file
+from sycamoreloft_config._problems import FileProblem, NameProblem
+from sycamoreloft_config._settings import (
+    Secret,
+    Settings,
+    TlsFiles,
+    load_settings,
+)
 
 __all__ = [
     "FailureDomain",
+    "FileProblem",
     "Fleet",
     "Generation",
     "GroupName",
     "Merge",
+    "NameProblem",
     "Operation",
     "Priority",
     "SameService",
     "SameUpstream",
+    "Secret",
     "Service",
+    "ServiceReference",
+    "Settings",
+    "TlsFiles",
     "Upstream",
     "Weights",
+    "build_generation",
     "find_group",
+    "find_operation",
     "find_partition",
     "hash_text",
+    "is_alike",
+    "list_active_upstreams",
+    "list_differences",
     "list_group_upstreams",
     "list_groups",
+    "load_settings",
+    "name_file",
+    "parse_file",
     "parse_group_name",
     "rank_by_rendezvous",
+    "resolve_service",
 ]
--- /dev/null
+++ b/packages/config/sycamoreloft_config/_settings.py
@@ -0,0 +1,90 @@
+"""Settings of one router process."""
+
+from collections import abc
+import dataclasses
+
+from returns import result
+
+from sycamoreloft_config import _problems
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Secret:
+    """A shared key with an identifier, so that keys can be rotated."""
+
+    #: Identifier that is sent along with a signature.
+    id: str
+    #: The key itself; never printed.
+    secret: str = dataclasses.field(repr=False)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TlsFiles:
+    """Paths of the TLS files of one port."""
+
+    #: Path of the certificate chain, PEM.
+    certificate: str
+    #: Path of the private key, PEM.
+    key: str
+    #: Path of the authorities that sign the other side, PEM; empty for none.
+    ca: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Settings of one router process."""
+
+    #: Name of the host, unique among all hosts.
+    host: str
+    #: Address for other hosts, as "ip:port".
+    peer_address: str
+    #: Address for callers, as "ip:port".
+    caller_address: str
+    #: Address for operators, as "ip:port".
+    admin_address: str
+    #: Failure domain of the host by fleet name.
+    failure_domains: abc.Mapping[str, str]
+    #: URL of the table service, without a trailing slash.
+    table_url: str
+    #: URL of the object store, without a trailing slash.
+    object_store_url: str
+    #: URL of the host list, without a trailing slash; empty for none.
+    host_list_url: str
+    #: Keys of the messages between hosts: the first signs, all verify.
+    peer_keys: abc.Sequence[Secret]
+    #: Key that signs grants.
+    grant_key: Secret
+    #: Bearer tokens of operators, all valid at once; never printed.
+    admin_tokens: abc.Sequence[str] = dataclasses.field(repr=False)
+    #: TLS of the caller port, if set.
+    caller_tls: TlsFiles | None = None
+    #: TLS of the peer port, if set.
+    peer_tls: TlsFiles | None = None
+    #: TLS of the admin port, if set.
+    admin_tls: TlsFiles | None = None
+    #: Seconds between reporting unhealthy and closing the caller port.
+    stop_announce_s: float = 2.0
+    #: Longest time of a planned stop, in seconds.
+    stop_bound_s: float = 30.0
+    #: Peer addresses of hosts to contact first, as "ip:port".
+    seeds: abc.Sequence[str] = ()
+    #: "debug", "info", "warning" or "error".
+    log_level: str = "info"
+
+
+def load_settings(
+    path: str, environment: abc.Mapping[str, str]
+) -> result.Result[Settings, abc.Sequence[_problems.FileProblem]]:
+    """Reads process settings from a TOML file and the environment.
+
+    Variables SYCAMORELOFT_<FIELD> take precedence over the file.
+
+    Args:
+        path: Path of the TOML file; empty for settings from the environment
+            only.
+        environment: Environment variables.
+
+    Returns:
+        The settings, or every problem found.
+    """
+    raise NotImplementedError
