--- /dev/null
+++ b/packages/router/sycamoreloft_router/_store_client.py
@@ -0,0 +1,228 @@
+"""Client of the platform's table service, object store and host list."""
+
+from collections import abc
+import dataclasses
+import hashlib
+import json
+import typing
+import uuid
+
+from returns import result
+from tornado import curl_httpclient, httpclient
+
+#: Time for one call, in seconds.
+CALL_TIMEOUT_S = 1.0
+
+#: Calls at once from one host.
+MAXIMUM_CALLS = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredRow:
+    """A row of the table service."""
+
+    #: Version that the next conditional write must name; 0 for no row.
+    version: int
+    #: Content.
+    value: abc.Mapping[str, typing.Any]
+    #: Identifier of the transaction that wrote it.
+    request: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreConflict:
+    """A condition of the transaction did not hold; nothing was written."""
+
+    #: Present version of each row whose condition did not hold.
+    versions: abc.Mapping[str, int]
+
+    def __str__(self) -> str:
+        return f"rows changed: {', '.join(self.versions)}; read them again"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreUnavailable:
+    """The store did not answer; a write may still have taken effect."""
+
+    #: Identifier of the transaction, empty for a read.
+    request: str
+    #: What was seen.
+    text: str
+
+    def __str__(self) -> str:
+        return f"the store did not answer ({self.text}); try again later"
+
+
+StoreError = StoreConflict | StoreUnavailable
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedHost:
+    """A host in the platform's list."""
+
+    #: Name of the host.
+    name: str
+    #: Peer address, as "ip:port".
+    peer_address: str
+    #: Whether the platform is about to stop it.
+    leaving: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreAddresses:
+    """Base addresses of the platform's services."""
+
+    #: Table service, such as "http://127.0.0.1:7000".
+    table_url: str
+    #: Object store.
+    object_url: str
+    #: Host list.
+    host_list_url: str
+
+
+class StoreClient:
+    """Calls the platform's services.
+
+    Args:
+        addresses: Base addresses.
+        host: Name of this host, sent with each call.
+    """
+
+    def __init__(self, addresses: StoreAddresses, host: str) -> None:
+        self._addresses = addresses
+        self._host = host
+        self._client = curl_httpclient.CurlAsyncHTTPClient(
+            force_instance=True, max_clients=MAXIMUM_CALLS
+        )
+        #: Counts calls by kind, for the metrics.
+        self.call_counts = {"read": 0, "write": 0, "failed": 0}
+
+    async def _fetch(
+        self, method: str, url: str, body: bytes | None
+    ) -> httpclient.HTTPResponse | None:
+        request = httpclient.HTTPRequest(
+            url,
+            method=method,
+            body=body,
+            headers={"Sycamoreloft-Host": self._host, "Expect": ""},
+            connect_timeout=CALL_TIMEOUT_S,
+            request_timeout=CALL_TIMEOUT_S,
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except OSError:
+            response = None
+        if response is None or response.code in (500, 502, 503, 504, 599):
+            self.call_counts["failed"] += 1
+            return None
+        return response
+
+    async def transact(
+        self,
+        conditions: abc.Mapping[str, int],
+        puts: abc.Mapping[str, abc.Mapping[str, typing.Any]],
+        deletes: abc.Sequence[str] = (),
+        request: str = "",
+    ) -> result.Result[abc.Mapping[str, int], StoreError]:
+        """Writes rows if all conditions hold.
+
+        Args:
+            conditions: Expected version by row key; 0 for no row.
+            puts: New content by row key.
+            deletes: Keys of rows to delete.
+            request: Identifier that the written rows keep, so that a later
+                read settles a lost answer; a new one if empty.
+
+        Returns:
+            New versions by row key.
+        """
+        request = request or uuid.uuid4().hex
+        self.call_counts["write"] += 1
+        body = {
+            "request": request,
+            "conditions": list(conditions.items()),
+            "puts": list(puts.items()),
+            "deletes": list(deletes),
+        }
+        response = await self._fetch(
+            "POST",
+            f"{self._addresses.table_url}/table/transact",
+            json.dumps(body).encode(),
+        )
+        if response is None:
+            return result.Failure(StoreUnavailable(request, "transact"))
+        answer = json.loads(response.body)
+        if answer.get("applied"):
+            return result.Success(answer["versions"])
+        return result.Failure(StoreConflict(answer.get("conflicts", {})))
+
+    async def read(
+        self, keys: abc.Sequence[str] = (), prefixes: abc.Sequence[str] = ()
+    ) -> result.Result[abc.Mapping[str, StoredRow], StoreUnavailable]:
+        """Reads rows by key and by prefix in one consistent view."""
+        self.call_counts["read"] += 1
+        body = {"keys": list(keys), "prefixes": list(prefixes)}
+        response = await self._fetch(
+            "POST",
+            f"{self._addresses.table_url}/table/read",
+            json.dumps(body).encode(),
+        )
+        if response is None or response.code != 200:
+            return result.Failure(StoreUnavailable("", "read"))
+        return result.Success(
+            {
+                key: StoredRow(row["version"], row["value"], row["request"])
+                for key, row in json.loads(response.body)["rows"].items()
+            }
+        )
+
+    async def put_object(
+        self, text: str
+    ) -> result.Result[str, StoreUnavailable]:
+        """Stores an immutable object and returns its name."""
+        data = text.encode()
+        name = hashlib.sha256(data).hexdigest()
+        self.call_counts["write"] += 1
+        response = await self._fetch(
+            "PUT", f"{self._addresses.object_url}/objects/{name}", data
+        )
+        if response is None or response.code >= 300:
+            return result.Failure(StoreUnavailable(name, "put object"))
+        return result.Success(name)
+
+    async def get_object(
+        self, name: str
+    ) -> result.Result[str, StoreUnavailable]:
+        """Returns the text of an object and checks it against its name."""
+        self.call_counts["read"] += 1
+        response = await self._fetch(
+            "GET", f"{self._addresses.object_url}/objects/{name}", None
+        )
+        if response is None or response.code != 200:
+            return result.Failure(StoreUnavailable("", "get object"))
+        if hashlib.sha256(response.body).hexdigest() != name:
+            return result.Failure(
+                StoreUnavailable("", "object does not match its name")
+            )
+        return result.Success(response.body.decode())
+
+    async def list_hosts(
+        self,
+    ) -> result.Result[abc.Sequence[ListedHost], StoreUnavailable]:
+        """Returns the platform's list of hosts, which may lag."""
+        self.call_counts["read"] += 1
+        response = await self._fetch(
+            "GET", f"{self._addresses.host_list_url}/hosts", None
+        )
+        if response is None or response.code != 200:
+            return result.Failure(StoreUnavailable("", "host list"))
+        return result.Success(
+            [
+                ListedHost(item["name"], item["peer_address"], item["leaving"])
+                for item in json.loads(response.body)["hosts"]
+            ]
+        )
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        self._client.close()
--- /dev/null
+++ b/packages/router/tests/test_supervisor.py
@@ -0,0 +1,93 @@
+"""Tests of the supervisor tree."""
+
+import asyncio
+
+import pytest
+
+from sycamoreloft_router import _supervisor
+
+
+class FakeTime:
+    """A clock that moves only when a task sleeps."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.delays = []
+
+    def read(self):
+        return self.now
+
+    async def sleep(self, delay):
+        self.delays.append(delay)
+        self.now += delay
+        await asyncio.sleep(0)
+
+
+@pytest.fixture
+def fake_time():
+    """A fake clock and its sleep."""
+    return FakeTime()
+
+
+async def fail():
+    raise ValueError("broken")
+
+
+def run_failing_child(fake_time, on_give_up):
+    """Starts a child that always fails; returns its state at the end."""
+
+    async def run():
+        tree = _supervisor.Supervisor(fake_time.read, fake_time.sleep)
+        waiter = asyncio.ensure_future(tree.wait_for_failure())
+        await asyncio.sleep(0)
+        tree.start(_supervisor.ChildSpecification("child", fail, on_give_up))
+        for _ in range(200):
+            await asyncio.sleep(0)
+        if waiter.done():
+            waiter.result()
+        waiter.cancel()
+        return tree.list_states()[0]
+
+    return asyncio.run(run())
+
+
+def test_backoff_doubles_and_is_bounded(fake_time):
+    """Guards against a task that is restarted in a busy loop."""
+    run_failing_child(fake_time, lambda: None)
+    assert fake_time.delays[:4] == [0.05, 0.1, 0.2, 0.4]
+    assert max(fake_time.delays) == _supervisor.LONGEST_BACKOFF_S
+
+
+def test_a_task_is_given_up_after_its_restarts(fake_time):
+    """Guards against a group that is kept by a host that cannot serve it."""
+    given_up = []
+    state = run_failing_child(fake_time, lambda: given_up.append(1))
+    assert given_up == [1]
+    assert state.status == "given-up"
+    assert state.restarts == _supervisor.MAXIMUM_RESTARTS
+
+
+def test_the_tree_fails_with_a_task_that_it_needs(fake_time):
+    """Guards against a process that stays up without its caller server."""
+    with pytest.raises(_supervisor.SupervisorFailed, match="child"):
+        run_failing_child(fake_time, None)
+
+
+def test_stop_waits_for_the_task(fake_time):
+    """Guards against work that goes on after its task was stopped."""
+    ended = []
+
+    async def run():
+        try:
+            await asyncio.Event().wait()
+        finally:
+            ended.append(1)
+
+    async def main():
+        tree = _supervisor.Supervisor(fake_time.read, fake_time.sleep)
+        tree.start(_supervisor.ChildSpecification("child", run))
+        await asyncio.sleep(0)
+        await tree.stop_all()
+
+    asyncio.run(main())
+    assert ended == [1]
