--- /dev/null
+++ b/packages/decisions/sycamoreloft_decisions/_placement_groups.py
@@ -0,0 +1,102 @@
+"""Division of partitions among the groups of a fleet."""
+
+import math
+
+import sycamoreloft_config
+
+
+class PartitionDirectory:
+    """Finds the group of each partition in one generation.
+
+    Every host computes the same answer from the generation alone. It is
+    rendezvous hashing weighted by the slots of the service's usable upstreams
+    of each group, so a change of one group moves only its own share.
+
+    Args:
+        generation: The accepted generation.
+    """
+
+    def __init__(self, generation: sycamoreloft_config.Generation) -> None:
+        self._generation = generation
+        self._weights: dict[
+            tuple[str, str], list[tuple[sycamoreloft_config.GroupName, int]]
+        ] = {}
+        self._found: dict[
+            tuple[str, str, int], sycamoreloft_config.GroupName | None
+        ] = {}
+
+    def find_group(
+        self, fleet: str, service: str, partition: int
+    ) -> sycamoreloft_config.GroupName | None:
+        """Returns the group of a partition, None if no group can serve it.
+
+        A service that a merge file makes an alias has no partitions of its
+        own; its holders release what they recorded.
+        """
+        key = (fleet, service, partition)
+        if key not in self._found:
+            self._found[key] = self._choose(fleet, service, partition)
+        return self._found[key]
+
+    def _choose(
+        self, fleet: str, service: str, partition: int
+    ) -> sycamoreloft_config.GroupName | None:
+        best: tuple[float, sycamoreloft_config.GroupName] | None = None
+        for group, slots in self._list_weights(fleet, service):
+            drawn = sycamoreloft_config.hash_text(
+                service, str(partition), str(group)
+            )
+            # The smallest of exponential draws with rate `slots` falls on
+            # each group in proportion to its slots.
+            draw = -math.log((drawn + 1) / (2**64 + 1)) / slots
+            if best is None or (draw, group) < best:
+                best = (draw, group)
+        return best[1] if best else None
+
+    def _list_weights(
+        self, fleet: str, service: str
+    ) -> list[tuple[sycamoreloft_config.GroupName, int]]:
+        if (fleet, service) not in self._weights:
+            self._weights[fleet, service] = self._compute_weights(
+                fleet, service
+            )
+        return self._weights[fleet, service]
+
+    def _compute_weights(
+        self, fleet_name: str, service_name: str
+    ) -> list[tuple[sycamoreloft_config.GroupName, int]]:
+        fleet = self._generation.fleets.get(fleet_name)
+        if fleet is None:
+            return []
+        service = fleet.services.get(service_name)
+        if service is None or not service.keyed:
+            return []
+        if self._is_alias(fleet_name, service_name):
+            return []
+        slots: dict[sycamoreloft_config.GroupName, int] = {}
+        for upstream in fleet.upstreams.values():
+            domain = fleet.failure_domains[upstream.failure_domain]
+            if upstream.service != service_name or domain.lost:
+                continue
+            if upstream.lost or upstream.leaving:
+                continue
+            group = sycamoreloft_config.find_group(fleet, upstream.name)
+            slots[group] = slots.get(group, 0) + max(1, upstream.slots)
+        return sorted(slots.items())
+
+    def _is_alias(self, fleet: str, service: str) -> bool:
+        return any(
+            item.alias == f"{fleet}/{service}"
+            for item in self._generation.merge.same_services
+        )
+
+
+def find_partition_group(
+    generation: sycamoreloft_config.Generation,
+    fleet: str,
+    service: str,
+    partition: int,
+) -> sycamoreloft_config.GroupName | None:
+    """Returns the group of one partition; see `PartitionDirectory`."""
+    directory = PartitionDirectory(generation)
+    return directory.find_group(fleet, service, partition)
