--- a/packages/standins/sycamoreloft_standins/__init__.py
+++ b/packages/standins/sycamoreloft_standins/__init__.py
@@ -4,12 +4,25 @@
 two processes; both can also be served inside a test by `make_application`.
 """
 
+from sycamoreloft_standins._echo import (
+    check_echo,
+    check_stream,
+    hash_bytes,
+    make_echo,
+)
+from sycamoreloft_standins._grants import sign_body
 from sycamoreloft_standins._platform_faults import (
     PlatformCounters,
     PlatformFaults,
     UnknownFaultError,
     change_faults,
 )
+from sycamoreloft_standins._specs import (
+    UpstreamFaults,
+    UpstreamSpec,
+    format_spec,
+    parse_spec,
+)
 from sycamoreloft_standins._table import Applied, Conflicted, Row, Table
 
 __all__ = [
@@ -20,5 +33,14 @@
     "Row",
     "Table",
     "UnknownFaultError",
+    "UpstreamFaults",
+    "UpstreamSpec",
     "change_faults",
+    "check_echo",
+    "check_stream",
+    "format_spec",
+    "hash_bytes",
+    "make_echo",
+    "parse_spec",
+    "sign_body",
 ]
--- /dev/null
+++ b/packages/standins/sycamoreloft_standins/_specs.py
@@ -0,0 +1,127 @@
+"""Settings of stand-in upstreams, given by argument."""
+
+import argparse
+from collections import abc
+import dataclasses
+import typing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamFaults:
+    """Misbehaviours; `POST /_standin/faults` changes the fields it names.
+
+    A share is a number from 0 to 1; times are seconds or milliseconds as the
+    name says.
+    """
+
+    #: Added to the service time of each request.
+    slow_ms: float = 0.0
+    #: Share of connections that are reset before the request runs.
+    reset_before_share: float = 0.0
+    #: Share of connections that are reset after the request ran.
+    reset_after_share: float = 0.0
+    #: Share of answers that end in the middle of the body.
+    truncate_share: float = 0.0
+    #: Share of answers that come late, after the slot is free.
+    late_share: float = 0.0
+    #: Delay of a late answer.
+    late_ms: float = 0.0
+    #: Share of answers that are sent twice on the connection.
+    twice_share: float = 0.0
+    #: Age of what the health and load endpoints show.
+    hints_lag_s: float = 0.0
+    #: What the health endpoint claims, None for the truth.
+    health: bool | None = None
+    #: What the load endpoint claims, None for the truth.
+    load: float | None = None
+    #: Whether new work is refused as draining.
+    draining: bool = False
+
+
+def change_faults(
+    faults: UpstreamFaults, changes: abc.Mapping[str, typing.Any]
+) -> UpstreamFaults:
+    """Returns the faults with some fields changed.
+
+    Raises:
+        ValueError: A field does not exist; the message lists all.
+    """
+    known = {field.name for field in dataclasses.fields(UpstreamFaults)}
+    unknown = sorted(set(changes) - known)
+    if unknown:
+        raise ValueError(
+            f"unknown faults {unknown}; use some of {sorted(known)}"
+        )
+    return dataclasses.replace(faults, **changes)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamSpec:
+    """Settings of one upstream."""
+
+    #: Name, unique inside its fleet.
+    name: str
+    #: Port on loopback.
+    port: int
+    #: Requests that it runs at once.
+    slots: int
+    #: Fleet; with the name it identifies the upstream in the log.
+    fleet: str = ""
+    #: Whether a request must bring a partition that a grant covers.
+    keyed: bool = True
+    #: Requests that wait for a slot; further ones are shed.
+    queue: int = 4
+    #: Service time of a request that names none.
+    work_ms: float = 2.0
+    #: Whether it rejects old epochs, versions and fences.
+    checks_fences: bool = True
+    #: Whether it verifies the signature of a grant.
+    checks_sender: bool = True
+    #: Speed of its own clock relative to the machine's.
+    clock_rate: float = 1.0
+    #: Time after the start during which it is cold.
+    cold_s: float = 0.0
+    #: Added to the service time while it is cold.
+    cold_ms: float = 0.0
+
+
+def _parse_value(text: str, present: typing.Any) -> typing.Any:
+    """Converts an option to the type of its present value."""
+    if isinstance(present, bool):
+        if text not in ("0", "1"):
+            raise ValueError(f"{text!r} is neither 0 nor 1")
+        return text == "1"
+    return type(present)(text)
+
+
+def parse_spec(text: str) -> UpstreamSpec:
+    """Reads "name:port:slots[:option=value[:option=value...]]".
+
+    Raises:
+        argparse.ArgumentTypeError: The text is malformed; says how.
+    """
+    try:
+        name, port, slots, *options = text.split(":")
+        spec = UpstreamSpec(name, int(port), int(slots))
+        changes = {}
+        for option in options:
+            field, _, value = option.partition("=")
+            changes[field] = _parse_value(value, getattr(spec, field))
+        return dataclasses.replace(spec, **changes)
+    except (AttributeError, TypeError, ValueError) as error:
+        fields = [field.name for field in dataclasses.fields(UpstreamSpec)]
+        raise argparse.ArgumentTypeError(
+            f"{error}; write name:port:slots:option=value with options"
+            f" {fields[3:]}"
+        ) from error
+
+
+def format_spec(spec: UpstreamSpec) -> str:
+    """Writes settings so that `parse_spec` reads them back."""
+    parts = [spec.name, str(spec.port), str(spec.slots)]
+    for field in dataclasses.fields(UpstreamSpec)[3:]:
+        value = getattr(spec, field.name)
+        if value != field.default:
+            shown = int(value) if isinstance(value, bool) else value
+            parts.append(f"{field.name}={shown}")
+    return ":".join(parts)
--- /dev/null
+++ b/packages/standins/sycamoreloft_standins/_work_handler.py
@@ -0,0 +1,270 @@
+"""Runs requests of an upstream, with the misbehaviours asked for."""
+
+import asyncio
+import contextlib
+import hashlib
+import json
+import os
+import socket
+import struct
+import time
+import typing
+
+import tornado.iostream
+import tornado.web
+
+from sycamoreloft_standins import _echo, _upstream_state
+
+_DEFAULT_DEADLINE_MS = 60_000
+#: SO_LINGER with zero seconds: close sends a reset.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+#: Exit code of a process that a crash request ended.
+_CRASH_EXIT_CODE = 86
+
+
+@tornado.web.stream_request_body
+class WorkHandler(tornado.web.RequestHandler):
+    """Any path that is not a control path.
+
+    A request counts as started when it gets its slot, before its body is
+    read; this is the strictest reading of "ran".
+    """
+
+    def initialize(self, state: _upstream_state.UpstreamState) -> None:
+        """Prepares the counters of one request."""
+        self.state = state
+        self._arrived_at = time.monotonic()
+        self._run = ""
+        self._has_slot = False
+        self._received = 0
+        self._digest = hashlib.sha256()
+        self._peer_closed = asyncio.Event()
+
+    def _header(self, name: str) -> str:
+        return self.request.headers.get(name, "")
+
+    def _number(self, name: str, default: float) -> float:
+        text = self._header(name)
+        try:
+            return float(text) if text else default
+        except ValueError as error:
+            raise tornado.web.HTTPError(
+                400, reason=f"{name} is not a number"
+            ) from error
+
+    @property
+    def _stream(self) -> tornado.iostream.IOStream:
+        connection = typing.cast(typing.Any, self.request.connection)
+        return typing.cast(tornado.iostream.IOStream, connection.stream)
+
+    async def prepare(self) -> None:
+        """Refuses the request by contract, or starts to run it."""
+        # The connection reports a close only after the body was read.
+        self._stream.set_close_callback(self._peer_closed.set)
+        await self.state.pass_gate()
+        if self.state.draw(self.state.faults.reset_before_share):
+            self._reset()
+            return
+        if self.state.faults.draining:
+            self._refuse(503, "draining")
+            return
+        deadline_ms = self._number(
+            "Sycamoreloft-Deadline-Ms", _DEFAULT_DEADLINE_MS
+        )
+        if deadline_ms <= 0:
+            self._refuse(503, "expired")
+            return
+        turn = await self.state.desk.take(deadline_ms / 1000.0)
+        if turn is None:
+            self._refuse(503, "expired")
+        elif not turn:
+            self._refuse(503, "shed")
+        else:
+            self._has_slot = True
+            await self.state.pass_gate()
+            self._start()
+
+    def _start(self) -> None:
+        """Starts the run if the grant is in force at this moment."""
+        if self._peer_closed.is_set():
+            # The sender cancelled while the request waited for a slot.
+            self._free_slot()
+            self._finished = True
+        elif not self._is_owned():
+            self._free_slot()
+            self._refuse(421, "not-owner")
+        else:
+            self._run = self.state.make_run_name()
+            self.state.record("start", **self._describe())
+
+    def _is_owned(self) -> bool:
+        if not self.state.spec.keyed:
+            return True
+        return self.state.grants.may_run(
+            self._header("Sycamoreloft-Group"),
+            self._header("Sycamoreloft-Service"),
+            self._header("Sycamoreloft-Key"),
+            int(self._number("Sycamoreloft-Partition", -1)),
+            int(self._number("Sycamoreloft-Fence", 0)),
+            self.state.read_clock(),
+        )
+
+    def _describe(self) -> dict[str, typing.Any]:
+        return {
+            "run": self._run,
+            "arrived": self._arrived_at,
+            "method": self.request.method,
+            "path": self.request.path,
+            "request": self._header("X-Standin-Request"),
+            "idempotency_key": self._header("Idempotency-Key"),
+            "group": self._header("Sycamoreloft-Group"),
+            "service": self._header("Sycamoreloft-Service"),
+            "key": self._header("Sycamoreloft-Key"),
+            "partition": int(self._number("Sycamoreloft-Partition", -1)),
+            "fence": int(self._number("Sycamoreloft-Fence", 0)),
+            "epoch": int(self._number("Sycamoreloft-Epoch", 0)),
+            "attempt": self._header("Sycamoreloft-Attempt"),
+        }
+
+    def _refuse(self, status: int, reason: str) -> None:
+        self.state.record(
+            "refused",
+            reason=reason,
+            request=self._header("X-Standin-Request"),
+        )
+        self.set_status(status)
+        self.set_header("Sycamoreloft-Refused", reason)
+        self.finish({"refused": reason})
+
+    def data_received(self, chunk: bytes) -> None:
+        """Counts a part of the request's body."""
+        self._received += len(chunk)
+        self._digest.update(chunk)
+
+    async def _work(self) -> None:
+        """Runs the request and answers it."""
+        asked = self._header("X-Standin-Work-Ms")
+        asked_ms = self._number("X-Standin-Work-Ms", 0.0) if asked else None
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(
+                self._peer_closed.wait(),
+                self.state.count_work_ms(asked_ms) / 1000.0,
+            )
+        await self.state.pass_gate()
+        if self._header("X-Standin-Crash") == "1":
+            self.state.record("crashed", run=self._run)
+            os._exit(_CRASH_EXIT_CODE)
+        if not self._peer_closed.is_set():
+            await self._answer()
+
+    async def _answer(self) -> None:
+        faults = self.state.faults
+        if self.state.draw(faults.reset_after_share):
+            self._end_run()
+            self._reset()
+            return
+        if self.state.draw(faults.late_share):
+            # The slot is free although the answer is still to come.
+            self._end_run()
+            await asyncio.sleep(faults.late_ms / 1000.0)
+        size = int(self._number("X-Standin-Size", 0))
+        if self.state.draw(faults.truncate_share):
+            self._truncate(max(size, 1000))
+        elif size:
+            await self._stream_answer(size)
+        else:
+            self._echo()
+
+    def _echo(self) -> None:
+        """Answers with the echo, once or twice."""
+        body = json.dumps(
+            {
+                **_echo.make_echo(
+                    self._header("X-Standin-Request"),
+                    self._header("X-Standin-Caller"),
+                    self.state.spec.fleet,
+                    self._header("Sycamoreloft-Service"),
+                    self._header("Sycamoreloft-Key"),
+                ),
+                "upstream": self.state.spec.name,
+                "received": self._received,
+                "digest": self._digest.hexdigest(),
+            }
+        ).encode()
+        stream = self._stream
+        twice = self.state.draw(self.state.faults.twice_share)
+        self._end_run()
+        self.set_header("Content-Type", "application/json")
+        self.finish(body)
+        if twice and not stream.closed():
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+            stream.write(head.encode() + body)
+
+    async def _stream_answer(self, size: int) -> None:
+        self.set_header("Content-Length", str(size))
+        self.set_header("Content-Type", "application/octet-stream")
+        self.set_header("X-Standin-Upstream", self.state.spec.name)
+        sent = 0
+        parts = _echo.make_stream(
+            self._header("X-Standin-Request"), self.state.spec.name, size
+        )
+        try:
+            for part in parts:
+                sent += len(part)
+                if sent == size:
+                    self._end_run()
+                self.write(part)
+                await self.flush()
+                await self.state.pass_gate()
+        except tornado.iostream.StreamClosedError:
+            self._finished = True
+            return
+        self.finish()
+
+    def _truncate(self, size: int) -> None:
+        """Announces more bytes than are sent, then closes."""
+        stream = self._stream
+        self._end_run()
+        self._finished = True
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n"
+        stream.write(head.encode() + b"x" * (size // 2))
+        stream.close()
+
+    def _reset(self) -> None:
+        stream = self._stream
+        self._finished = True
+        if stream.socket is not None:
+            stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+        stream.close()
+
+    async def get(self) -> None:
+        """Runs the request."""
+        await self._work()
+
+    post = put = delete = patch = get
+
+    def on_connection_close(self) -> None:
+        """Ends the run early, because the sender cancelled it."""
+        self._peer_closed.set()
+        self._end_run()
+
+    def on_finish(self) -> None:
+        """Frees the slot if the answer did not."""
+        self._end_run()
+
+    def _end_run(self) -> None:
+        if self._run and self._has_slot:
+            self.state.record(
+                "end",
+                run=self._run,
+                cancelled=self._peer_closed.is_set(),
+                received=self._received,
+            )
+        self._free_slot()
+
+    def _free_slot(self) -> None:
+        if self._has_slot:
+            self._has_slot = False
+            self.state.desk.give_back()
