Add the group runtime

Cause: the ownership, permit and claim machines need adapters. Change: performs their commands against the store, upstreams and hosts. Conclusion: none until the whole path runs.

--- /dev/null
+++ b/packages/router/sycamoreloft_router/_group_runtime.py
@@ -0,0 +1,476 @@
+"""Part of this host in the life of one group: performs its commands."""
+
+import asyncio
+from collections import abc
+import functools
+import logging
+import time
+import typing
+
+import sycamoreloft_config
+import sycamoreloft_decisions
+from sycamoreloft_router import (
+    _group_claims,
+    _group_permits,
+    _logs,
+    _peer_server,
+)
+import sycamoreloft_wire
+
+_LOGGER = logging.getLogger(__name__)
+
+#: Time between two ticks, in seconds.
+TICK_S = 0.05
+
+#: Ticks between two reports of observed keys.
+KEY_REPORT_TICKS = 20
+
+
+class GroupRuntime:
+    """Runs one group holder machine with its permit desk and claim book."""
+
+    def __init__(
+        self,
+        environment: _group_calls.GroupEnvironment,
+        group: sycamoreloft_config.GroupName,
+        accepted: sycamoreloft_config.Generation,
+        pending: sycamoreloft_config.Generation | None,
+    ) -> None:
+        self.group = group
+        self._environment = environment
+        self._accepted = accepted
+        self._pending = pending
+        self._machine = sycamoreloft_decisions.GroupHolder(
+            environment.host,
+            environment.incarnation,
+            group,
+            accepted,
+            time.monotonic(),
+        )
+        self._calls = _group_calls.GroupCalls(
+            environment, group, self._feed, self._observe_grant
+        )
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._ticks = 0
+        self._permits: _group_permits.GroupPermits | None = None
+        self._claims: _group_claims.GroupClaims | None = None
+        if pending is not None:
+            self.change_generation(accepted, pending)
+
+    async def run(self) -> None:
+        """Ticks until it is cancelled."""
+        try:
+            while True:
+                self._tick()
+                await asyncio.sleep(TICK_S)
+        finally:
+            for task in list(self._tasks):
+                task.cancel()
+            self._close("task ended")
+
+    def _tick(self) -> None:
+        self._ticks += 1
+        self._feed(self._environment.directory.observe_members(self.group))
+        self._feed(sycamoreloft_decisions.Tick())
+        if self._permits is not None:
+            self._permits.tick()
+            if self._ticks % KEY_REPORT_TICKS == 0:
+                for service, counts in self._permits.take_key_counts().items():
+                    self._feed(
+                        sycamoreloft_decisions.KeysObserved(service, counts)
+                    )
+        if self._claims is not None:
+            self._claims.tick()
+
+    @property
+    def epoch(self) -> int:
+        """Epoch in which this host holds the group, 0 if it does not."""
+        return self._machine.get_epoch() if self._permits else 0
+
+    def change_generation(
+        self,
+        accepted: sycamoreloft_config.Generation,
+        pending: sycamoreloft_config.Generation | None,
+    ) -> None:
+        """Applies another accepted or pending generation."""
+        old_fleet = self._accepted.fleets.get(self.group.fleet)
+        self._accepted, self._pending = accepted, pending
+        fleet = accepted.fleets.get(self.group.fleet)
+        if fleet is not None and self._permits is not None:
+            self._permits.change_fleet(fleet)
+        if (
+            self._claims is not None
+            and fleet is not None
+            and old_fleet is not None
+            and sycamoreloft_config.list_groups(fleet)
+            != sycamoreloft_config.list_groups(old_fleet)
+        ):
+            self._claims.reload()
+        self._feed(sycamoreloft_decisions.GenerationChanged(accepted, pending))
+
+    def request_stop(self) -> None:
+        """Hands the group over, or resigns as its standby."""
+        self._feed(sycamoreloft_decisions.StopRequested())
+
+    # Messages of other hosts.
+
+    def ask_permit(
+        self,
+        message: sycamoreloft_wire.PermitRequest,
+        reply: _peer_server.Reply,
+    ) -> None:
+        """Answers a permit request, perhaps later."""
+        reason, retry_after_ms = self._check_request(
+            message.generation, message.fleet, message.service
+        )
+        if reason or self._permits is None:
+            reply(
+                sycamoreloft_wire.PermitRefusal(
+                    message.permit, reason or "no-holder", retry_after_ms
+                )
+            )
+            return
+        self._permits.ask(message, reply)
+
+    def _check_request(
+        self, generation: int, fleet: str, service: str
+    ) -> tuple[str, int]:
+        """Returns why a request cannot be served now, and when to retry."""
+        if self._permits is None or not self._machine.may_act(time.monotonic()):
+            return "no-holder", 50
+        if generation < self._accepted.number:
+            return "stale-generation", 0
+        if generation > self._accepted.number:
+            return "configuration-pending", 100
+        if self._pending is not None and not sycamoreloft_config.is_alike(
+            self._accepted, self._pending, fleet, service
+        ):
+            return "configuration-pending", 100
+        return "", 0
+
+    def return_permit(self, message: sycamoreloft_wire.PermitReturn) -> None:
+        """Takes a permit back."""
+        if self._permits is not None:
+            self._permits.return_permit(message)
+
+    def report_permits(
+        self,
+        message: sycamoreloft_wire.PermitReport,
+        reply: _peer_server.Reply,
+    ) -> None:
+        """Renews the permits of a host; only a holder acknowledges."""
+        if self._permits is not None:
+            self._permits.report_permits(message)
+            reply(sycamoreloft_wire.Acknowledgement())
+
+    def ask_claim(
+        self,
+        message: sycamoreloft_wire.ClaimRequest,
+        reply: _peer_server.Reply,
+    ) -> None:
+        """Answers a claim request once the claim is durable."""
+        if self._claims is None or not self._machine.may_act(time.monotonic()):
+            reply(sycamoreloft_wire.ClaimAnswer("unavailable"))
+        elif message.generation < self._accepted.number:
+            reply(sycamoreloft_wire.ClaimAnswer("stale-generation"))
+        elif message.generation > self._accepted.number or (
+            self._changes_claim_holders()
+        ):
+            reply(sycamoreloft_wire.ClaimAnswer("unavailable"))
+        else:
+            self._claims.ask(message, reply)
+
+    def _changes_claim_holders(self) -> bool:
+        """Tells whether the pending generation changes the fleet's groups.
+
+        The holder of a request id may then be another one, so no claim is
+        taken until it is known which generation is in force.
+        """
+        if self._pending is None:
+            return False
+        before = self._accepted.fleets.get(self.group.fleet)
+        after = self._pending.fleets.get(self.group.fleet)
+        if before is None or after is None:
+            return True
+        return sycamoreloft_config.list_groups(
+            before
+        ) != sycamoreloft_config.list_groups(after)
+
+    def report_claim_result(
+        self, message: sycamoreloft_wire.ClaimResult
+    ) -> None:
+        """Takes the result of a claimed attempt."""
+        if self._claims is not None:
+            self._claims.report(message)
+
+    def ask_promise(
+        self,
+        sender: str,
+        message: sycamoreloft_wire.PromiseRequest,
+        reply: _peer_server.Reply,
+    ) -> None:
+        """Answers the holder's request for a promise."""
+        self._feed(
+            sycamoreloft_decisions.PromiseAsked(
+                sender, message.epoch, message.duration_ms
+            ),
+            reply,
+        )
+
+    def ask_step_down(
+        self,
+        message: sycamoreloft_wire.StepDownRequest,
+        reply: _peer_server.Reply,
+    ) -> None:
+        """Answers a new holder."""
+        self._feed(sycamoreloft_decisions.StepDownAsked(message.epoch), reply)
+
+    def observe_suspects(
+        self, message: sycamoreloft_wire.SuspectNotice
+    ) -> None:
+        """Takes suspects of another group."""
+        if self._permits is not None:
+            self._permits.observe_suspects(message)
+
+    # State for operators.
+
+    def explain_key(
+        self, service: str, key: str, partition: int
+    ) -> tuple[str, abc.Sequence[str]]:
+        """Returns the owner of a key, empty for none, and the reasons."""
+        owner = self._machine.find_owner(
+            service, key, partition, time.monotonic()
+        )
+        reasons = list(reversed(self._machine.list_explanations()))
+        if isinstance(owner, sycamoreloft_decisions.NoOwner):
+            return "", [f"no owner now: {owner.reason}", *reasons]
+        return owner.upstream, reasons
+
+    def dump_state(self) -> dict[str, typing.Any]:
+        """Returns the state of the group for the state dump."""
+        now = time.monotonic()
+        state: dict[str, typing.Any] = {
+            "group": str(self.group),
+            "epoch": self.epoch,
+            "may_act": self._machine.may_act(now),
+            "decisions": list(self._machine.list_explanations())[-20:],
+        }
+        if self._permits is not None:
+            state["permits"] = self._permits.list_states()
+        if self._claims is not None:
+            state["claims"] = dict(self._claims.counts)
+        return state
+
+    # Commands of the machine.
+
+    def _feed(
+        self,
+        event: sycamoreloft_decisions.Event,
+        reply: _peer_server.Reply | None = None,
+    ) -> None:
+        commands = self._machine.handle(event, time.monotonic())
+        for command in commands:
+            self._perform(command, reply)
+
+    def _spawn(
+        self, coroutine: abc.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._end_task)
+
+    def _end_task(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _logs.log_event(
+                _LOGGER,
+                logging.ERROR,
+                "group-call-failed",
+                group=str(self.group),
+                error=repr(task.exception()),
+            )
+
+    @functools.singledispatchmethod
+    def _perform(
+        self,
+        command: sycamoreloft_decisions.Command,
+        reply: _peer_server.Reply | None,
+    ) -> None:
+        raise TypeError(f"unknown command {type(command).__name__}")
+
+    @_perform.register
+    def _(
+        self,
+        command: sycamoreloft_decisions.ReadRows,
+        reply: _peer_server.Reply | None,
+    ) -> None:
+        self._spawn(self._calls.read_rows(command))
+
+    @_perform.register
+    def _(
+        self,
+        command: sycamoreloft_decisions.WriteRows,
+        reply: _peer_server.Reply | None,
+    ) -> None:
+        self._spawn(self._calls.write_rows(command))
+
+    @_perform.register
+    def _(
+        self,
+        command: sycamoreloft_decisions.SendGrant,
+        reply: _peer_server.Reply | None,
+    ) -> None:
+        upstream = self._find_upstream(command.upstream)
+        self._spawn(self._calls.send_grant(upstream, command))
+
+    @_perform.register
+    def _(
+        self,
+        command: sycamoreloft_decisions.AskPromise,
+        reply: _peer_server.Reply | None,
+    ) -> None:
+        self._spawn(self._calls.ask_promise(command))
+
+    @_perform.register
+    def _(
+        self,
+        command: sycamoreloft_decisions.AskStepDown,
+        reply: _peer_server.Reply | None,
+    ) -> None:
+        self._spawn(self._calls.ask_step_down(command))
+
+    @_perform.register
+    def _(
+        self,
+        command: sycamoreloft_decisions.AnswerPromise,
+        reply: _peer_server.Reply | None,
+    ) -> None:
+        if reply is not None:
+            reply(
+                sycamoreloft_wire.PromiseAnswer(command.promised, command.final)
+            )
+
+    @_perform.register
+    def _(
+        self,
+        command: sycamoreloft_decisions.AnswerStepDown,
+        reply: _peer_server.Reply | None,
+    ) -> None:
+        if reply is not None:
+            reply(sycamoreloft_wire.StepDownAnswer(command.stopped))
+
+    @_perform.register
+    def _(
+        self,
+        command: sycamoreloft_decisions.HoldUnit,
+        reply: _peer_server.Reply | None,
+    ) -> None:
+        if self._permits is not None:
+            self._permits.hold_unit(command.unit)
+
+    @_perform.register
+    def _(
+        self,
+        command: sycamoreloft_decisions.ReleaseUnit,
+        reply: _peer_server.Reply | None,
+    ) -> None:
+        if self._permits is not None:
+            self._permits.release_unit(command.unit)
+
+    @_perform.register
+    def _(
+        self,
+        command: sycamoreloft_decisions.BecomeHolder,
+        reply: _peer_server.Reply | None,
+    ) -> None:
+        self._open(command.epoch)
+
+    @_perform.register
+    def _(
+        self,
+        command: sycamoreloft_decisions.StepDown,
+        reply: _peer_server.Reply | None,
+    ) -> None:
+        self._close(command.reason)
+
+    @_perform.register
+    def _(
+        self,
+        command: sycamoreloft_decisions.RecordDecision,
+        reply: _peer_server.Reply | None,
+    ) -> None:
+        _logs.log_event(
+            _LOGGER,
+            logging.INFO,
+            "ownership-decision",
+            group=str(self.group),
+            decision=command.sentence,
+        )
+
+    def _find_upstream(self, name: str) -> sycamoreloft_config.Upstream | None:
+        """Finds an upstream, also one that only the pending file has left."""
+        for generation in (self._accepted, self._pending):
+            fleet = (
+                generation.fleets.get(self.group.fleet) if generation else None
+            )
+            if fleet is not None and name in fleet.upstreams:
+                return fleet.upstreams[name]
+        return None
+
+    def _observe_grant(
+        self,
+        upstream: sycamoreloft_config.Upstream,
+        answer: sycamoreloft_decisions.GrantAnswered,
+    ) -> None:
+        if self._permits is not None:
+            self._permits.observe_grant(upstream, answer)
+
+    def _open(self, epoch: int) -> None:
+        fleet = self._accepted.fleets[self.group.fleet]
+        self._permits = _group_permits.GroupPermits(
+            fleet,
+            self.group,
+            self._machine,
+            epoch == 1,
+            self._share_suspects,
+            lambda unit: self._feed(sycamoreloft_decisions.UnitDrained(unit)),
+        )
+        self._claims = _group_claims.GroupClaims(
+            self.group,
+            epoch,
+            fleet.claim_window_s,
+            self._environment.store,
+            self._spawn,
+        )
+        self._claims.start()
+        _logs.log_event(
+            _LOGGER,
+            logging.INFO,
+            "group-taken",
+            group=str(self.group),
+            epoch=epoch,
+        )
+
+    def _close(self, reason: str) -> None:
+        permits, self._permits = self._permits, None
+        claims, self._claims = self._claims, None
+        if permits is not None:
+            permits.close()
+            _logs.log_event(
+                _LOGGER,
+                logging.INFO,
+                "group-given-up",
+                group=str(self.group),
+                reason=reason,
+            )
+        if claims is not None:
+            claims.close()
+
+    def _share_suspects(
+        self, command: sycamoreloft_decisions.ShareSuspects
+    ) -> None:
+        self._environment.directory.share_suspects(
+            sycamoreloft_wire.SuspectNotice(
+                self.group.fleet, command.fingerprints, command.guilty
+            )
+        )
