--- a/packages/proof/sycamoreloft_proof/_history.py
+++ b/packages/proof/sycamoreloft_proof/_history.py
@@ -160,6 +160,8 @@
     run: str
     #: Whether the sender closed the connection before the end.
     cancelled: bool
+    #: Whether the upstream broke its answer on purpose.
+    broken: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -194,7 +196,7 @@
 class AssignmentsRead:
     """A driver read all assignments from the table."""
 
-    #: Time.
+    #: Time at which the question was sent.
     at: float
     #: Upstream ("fleet/name") and fence by (service, partition or hot key).
     owners: abc.Mapping[tuple[str, int | str], tuple[str, int]]
--- a/packages/standins/sycamoreloft_standins/_control_handlers.py
+++ b/packages/standins/sycamoreloft_standins/_control_handlers.py
@@ -39,9 +39,10 @@
             raise tornado.web.HTTPError(
                 400, reason="malformed grant"
             ) from error
-        accepted = self.state.grants.accept(call, self.state.read_clock())
+        clock = self.state.read_clock()
+        accepted = self.state.grants.accept(call, clock)
         if accepted:
-            self.state.record_grant(call.group)
+            self.state.record_grant(call.group, clock)
         self.finish(
             {
                 "accepted": accepted,
--- a/packages/standins/sycamoreloft_standins/_upstream_state.py
+++ b/packages/standins/sycamoreloft_standins/_upstream_state.py
@@ -97,8 +97,8 @@
             },
         )
 
-    def record_grant(self, group: str) -> None:
-        """Writes the grant that was just accepted.
+    def record_grant(self, group: str, clock: float) -> None:
+        """Writes the grant that was accepted at a reading of the own clock.
 
         The content is written only when it changed, because renewals come
         five times a second.
@@ -111,6 +111,7 @@
         self._logged_contents[group] = content
         self.record(
             "grant",
+            at=self.convert_to_shared(clock),
             group=group,
             epoch=grant.epoch,
             version=grant.version,
--- a/packages/standins/sycamoreloft_standins/_work_handler.py
+++ b/packages/standins/sycamoreloft_standins/_work_handler.py
@@ -90,14 +90,19 @@
             # The sender cancelled while the request waited for a slot.
             self._free_slot()
             self._finished = True
-        elif not self._is_owned():
+            return
+        # One reading decides and is logged, so that a pause between the two
+        # does not look like a run without ownership.
+        clock = self.state.read_clock()
+        if not self._is_owned(clock):
             self._free_slot()
             self._refuse(421, "not-owner")
         else:
             self._run = self.state.make_run_name()
-            self.state.record("start", **self._describe())
+            at = self.state.convert_to_shared(clock)
+            self.state.record("start", at=at, **self._describe())
 
-    def _is_owned(self) -> bool:
+    def _is_owned(self, clock: float) -> bool:
         if not self.state.spec.keyed:
             return True
         return self.state.grants.may_run(
@@ -106,7 +111,7 @@
             self._header("Sycamoreloft-Key"),
             int(self._number("Sycamoreloft-Partition", -1)),
             int(self._number("Sycamoreloft-Fence", 0)),
-            self.state.read_clock(),
+            clock,
         )
 
     def _describe(self) -> dict[str, typing.Any]:
@@ -160,7 +165,7 @@
     async def _answer(self) -> None:
         faults = self.state.faults
         if self.state.draw(faults.reset_after_share):
-            self._end_run()
+            self._end_run(broken=True)
             self._reset()
             return
         if self.state.draw(faults.late_share):
@@ -224,7 +229,7 @@
     def _truncate(self, size: int) -> None:
         """Announces more bytes than are sent, then closes."""
         stream = self._stream
-        self._end_run()
+        self._end_run(broken=True)
         self._finished = True
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n"
         stream.write(head.encode() + b"x" * (size // 2))
@@ -254,12 +259,14 @@
         """Frees the slot if the answer did not."""
         self._end_run()
 
-    def _end_run(self) -> None:
+    def _end_run(self, broken: bool = False) -> None:
+        """Logs the end and frees the slot; `broken`: no whole answer."""
         if self._run and self._has_slot:
             self.state.record(
                 "end",
                 run=self._run,
                 cancelled=self._peer_closed.is_set(),
+                broken=broken,
                 received=self._received,
             )
         self._free_slot()
