--- a/packages/config/sycamoreloft_config/__init__.py
+++ b/packages/config/sycamoreloft_config/__init__.py
@@ -10,6 +10,7 @@
     list_groups,
     rank_by_rendezvous,
 )
+from sycamoreloft_config._loading import load_settings
 from sycamoreloft_config._names import (
     ServiceReference,
     find_operation,
@@ -37,7 +38,6 @@
     Secret,
     Settings,
     TlsFiles,
-    load_settings,
 )
 
 __all__ = [
--- a/packages/config/sycamoreloft_config/_differences.py
+++ b/packages/config/sycamoreloft_config/_differences.py
@@ -1,8 +1,14 @@
 """Comparison of two generations."""
 
 from collections import abc
+import dataclasses
+import enum
+import functools
+import typing
 
-from sycamoreloft_config import _nodes
+from returns import result
+
+from sycamoreloft_config import _names, _nodes
 
 
 def is_alike(
@@ -13,6 +19,9 @@
 ) -> bool:
     """Tells whether two generations treat a service alike.
 
+    The time grows with the number of upstreams of the fleets concerned, so a
+    caller keeps the answer for each pair of generations.
+
     Args:
         accepted: One generation.
         pending: The other generation.
@@ -21,13 +30,149 @@
 
     Returns:
         True if nothing that affects routing, ownership or rules of the
-        service differs.
+        service differs. A name that denotes no service in both generations
+        is treated alike.
     """
-    raise NotImplementedError
+    first = _names.resolve_service(accepted, fleet, service)
+    second = _names.resolve_service(pending, fleet, service)
+    match first, second:
+        case result.Success(reference), result.Success(other):
+            return bool(reference == other) and _describe(
+                accepted, reference
+            ) == _describe(pending, reference)
+        case result.Failure(), result.Failure():
+            return True
+    return False
+
+
+def _describe(
+    generation: _nodes.Generation, reference: _names.ServiceReference
+) -> tuple[typing.Any, ...]:
+    """Returns all that affects one service, in a comparable form."""
+    merge = generation.merge
+    aliases = frozenset(
+        item.alias
+        for item in merge.same_services
+        if item.canonical == str(reference)
+    )
+    fleet = generation.fleets[reference.fleet]
+    upstreams = {
+        name: upstream
+        for name, upstream in fleet.upstreams.items()
+        if upstream.service == reference.service
+        and f"{fleet.name}/{name}" not in merge.upstream_canonicals
+    }
+    equated = frozenset(
+        item
+        for item in merge.same_upstreams
+        if item.canonical.split("/")[0] == fleet.name
+        and item.canonical.split("/")[1] in upstreams
+    )
+    # Claim holders depend on the group list of the fleet that a request
+    # names, which can be the fleet of an alias.
+    rules = {
+        name: _describe_fleet(generation.fleets[name])
+        for name in {
+            reference.fleet,
+            *(alias.split("/")[0] for alias in aliases),
+        }
+    }
+    return (
+        fleet.services[reference.service],
+        upstreams,
+        aliases,
+        equated,
+        rules,
+    )
+
+
+def _describe_fleet(fleet: _nodes.Fleet) -> tuple[typing.Any, ...]:
+    return (
+        fleet.weights,
+        fleet.offline_limit_s,
+        fleet.claim_window_s,
+        dict(fleet.failure_domains),
+    )
 
 
 def list_differences(
     accepted: _nodes.Generation, pending: _nodes.Generation
 ) -> abc.Sequence[str]:
     """Lists what differs between two generations, one readable line each."""
-    raise NotImplementedError
+    return [
+        *_compare(dict(accepted.fleets), dict(pending.fleets), "fleet"),
+        *_compare_statements("same_service", accepted, pending),
+        *_compare_statements("same_upstream", accepted, pending),
+    ]
+
+
+def _compare_statements(
+    kind: str, accepted: _nodes.Generation, pending: _nodes.Generation
+) -> abc.Iterator[str]:
+    before, after = (
+        {
+            f"{item.alias} is {item.canonical}"
+            for item in (
+                generation.merge.same_services
+                if kind == "same_service"
+                else generation.merge.same_upstreams
+            )
+        }
+        for generation in (accepted, pending)
+    )
+    yield from (f"merge {kind} {x}: removed" for x in sorted(before - after))
+    yield from (f"merge {kind} {x}: added" for x in sorted(after - before))
+
+
+@functools.singledispatch
+def _compare(
+    before: typing.Any, after: typing.Any, place: str
+) -> abc.Iterator[str]:
+    """Yields the differences of two values of one type."""
+    if dataclasses.is_dataclass(before):
+        for field in dataclasses.fields(before):
+            yield from _compare(
+                getattr(before, field.name),
+                getattr(after, field.name),
+                f"{place} {field.name}",
+            )
+    elif before != after:
+        yield f"{place}: {_show(before)} -> {_show(after)}"
+
+
+@_compare.register
+def _(
+    before: dict,  # type: ignore[type-arg]
+    after: dict[str, typing.Any],
+    place: str,
+) -> abc.Iterator[str]:
+    for name in sorted(before.keys() | after.keys()):
+        if name not in after:
+            yield f"{place} {name}: removed"
+        elif name not in before:
+            yield f"{place} {name}: added"
+        else:
+            yield from _compare(before[name], after[name], f"{place} {name}")
+
+
+@_compare.register
+def _(
+    before: tuple,  # type: ignore[type-arg]
+    after: tuple[_nodes.Operation, ...],
+    place: str,
+) -> abc.Iterator[str]:
+    first, second = (
+        {f"{item.method} {item.path_prefix}": item for item in items}
+        for items in (before, after)
+    )
+    yield from _compare(first, second, place)
+    # The first matching rule applies, so the order is a difference too.
+    kept = [name for name in first if name in second]
+    if kept != [name for name in second if name in first]:
+        yield f"{place}: in another order"
+
+
+def _show(value: typing.Any) -> str:
+    if isinstance(value, enum.Enum):
+        return value.name.lower()
+    return str(value).lower() if isinstance(value, bool) else str(value)
--- a/packages/config/sycamoreloft_config/_nodes.py
+++ b/packages/config/sycamoreloft_config/_nodes.py
@@ -148,6 +148,22 @@
     same_services: abc.Sequence[SameService] = ()
     #: Upstreams that are the same.
     same_upstreams: abc.Sequence[SameUpstream] = ()
+    #: Canonical service by alias, both as "fleet/service"; derived, because
+    #: every request looks a name up.
+    service_canonicals: abc.Mapping[str, str] = dataclasses.field(
+        init=False, repr=False, compare=False
+    )
+    #: Canonical upstream by alias, both as "fleet/upstream"; derived.
+    upstream_canonicals: abc.Mapping[str, str] = dataclasses.field(
+        init=False, repr=False, compare=False
+    )
+
+    def __post_init__(self) -> None:
+        services = {item.alias: item.canonical for item in self.same_services}
+        upstreams = {item.alias: item.canonical for item in self.same_upstreams}
+        # A frozen class sets derived fields through its base class.
+        object.__setattr__(self, "service_canonicals", services)
+        object.__setattr__(self, "upstream_canonicals", upstreams)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/config/sycamoreloft_config/_settings.py
+++ b/packages/config/sycamoreloft_config/_settings.py
@@ -3,10 +3,6 @@
 from collections import abc
 import dataclasses
 
-from returns import result
-
-from sycamoreloft_config import _problems
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Secret:
@@ -70,21 +66,3 @@
     seeds: abc.Sequence[str] = ()
     #: "debug", "info", "warning" or "error".
     log_level: str = "info"
-
-
-def load_settings(
-    path: str, environment: abc.Mapping[str, str]
-) -> result.Result[Settings, abc.Sequence[_problems.FileProblem]]:
-    """Reads process settings from a TOML file and the environment.
-
-    Variables SYCAMORELOFT_<FIELD> take precedence over the file.
-
-    Args:
-        path: Path of the TOML file; empty for settings from the environment
-            only.
-        environment: Environment variables.
-
-    Returns:
-        The settings, or every problem found.
-    """
-    raise NotImplementedError
