Add the upstream client

tornado's curl client buffers uploads, cannot cancel a transfer and lets libcurl repeat a request whose reused connection breaks. The subclass runs transfers with easy handles of its own: uploads and downloads pause at a bounded buffer, a cancel takes the handle out of the multi handle, and the second connection of a transfer is refused, so that a request is sent once.

HTTP/1.1 answers do not name their request. A test with a doubled answer showed that a second answer which arrives after the next request is taken for its answer.

--- a/packages/router/sycamoreloft_router/_exchange.py
+++ b/packages/router/sycamoreloft_router/_exchange.py
@@ -8,8 +8,8 @@
 import typing
 
 from returns import result
-import sycamoreloft_config
 
+import sycamoreloft_config
 from sycamoreloft_wire import _messages
 
 
--- /dev/null
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -0,0 +1,442 @@
+"""HTTP client for upstreams: streaming, cancellation and a hard deadline.
+
+HTTP/1.1 does not tell which request an answer belongs to: a second answer to
+the request before looks like the answer to the next one. A connection is
+therefore used again only if the upstream repeats `Sycamoreloft-Attempt` in
+its answers; other upstreams get a connection for each request.
+
+Transfers run on the multi handle of tornado's curl client. Its own fetch
+builds every option anew and buffers uploads, so transfers have easy handles
+of their own, with the fixed options set once.
+"""
+
+import asyncio
+from collections import abc
+import dataclasses
+import enum
+import typing
+
+import pycurl
+from tornado import curl_httpclient
+
+from sycamoreloft_router import _answer_heads, _body_streams
+
+#: Easy handles of each mode that are kept for the next requests.
+SPARE_HANDLES = 64
+
+#: Seconds for which an idle connection is reused. Upstreams that close idle
+#: connections earlier would turn the next request into an unknown outcome.
+IDLE_CONNECTION_S = 15
+
+#: Seconds within which a connection must be made; a connection inside a
+#: region takes about 1 ms.
+CONNECT_TIMEOUT_S = 1.0
+
+#: Upstreams that are remembered to repeat the identifier of the attempt.
+MAXIMUM_ECHOING = 8192
+
+#: Connections kept open in all.
+MAXIMUM_CONNECTIONS = 1024
+
+
+class FailureKind(enum.Enum):
+    """Why a transfer has no whole answer."""
+
+    #: No connection could be made.
+    CONNECT = "connect-failed"
+    #: The deadline passed.
+    DEADLINE = "deadline"
+    #: The answer is missing, truncated or malformed.
+    BROKEN = "broken-answer"
+    #: The caller stopped in the middle of the request body.
+    UPLOAD = "broken-request-body"
+    #: The router cancelled the transfer.
+    CANCELLED = "cancelled"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """Why a transfer has no whole answer, with the details."""
+
+    #: Kind of the failure.
+    kind: FailureKind
+    #: Message of libcurl or of the check that failed.
+    text: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamRequest:
+    """A request to one upstream."""
+
+    #: Address of the upstream, as "ip:port".
+    address: str
+    #: HTTP method.
+    method: str
+    #: Path and query, as received.
+    target: str
+    #: Header lines without line ends, in libcurl's form.
+    header_lines: abc.Sequence[bytes]
+    #: The whole body, a stream, or None for a request without one.
+    body: bytes | _body_streams.UploadBuffer | None
+    #: Length of a streamed body, in bytes; -1 if unknown.
+    length: int
+    #: Seconds until the hard deadline.
+    timeout_s: float
+    #: Identifier of the attempt, which the answer may repeat.
+    attempt: str
+
+
+class _Mode(enum.Enum):
+    """How a handle sends a request body."""
+
+    NO_BODY = 0
+    HEAD = 1
+    WHOLE = 2
+    STREAM = 3
+
+
+class Transfer:
+    """One request to an upstream, and its answer as it arrives."""
+
+    __slots__ = (
+        "_client",
+        "_handle",
+        "_paused",
+        "_threshold",
+        "_waiter",
+        "body",
+        "ended",
+        "failure",
+        "head",
+        "request",
+        "started",
+    )
+
+    def __init__(
+        self, client: "UpstreamClient", request: UpstreamRequest
+    ) -> None:
+        self._client = client
+        self._handle: _Handle | None = None
+        self._paused = False
+        self._threshold = 0
+        self._waiter: asyncio.Future[None] | None = None
+        #: The request.
+        self.request = request
+        #: Status and headers of the answer.
+        self.head = _answer_heads.AnswerHead(request.method, request.attempt)
+        #: Part of the answer body that nobody has taken yet.
+        self.body = _body_streams.DownloadBuffer()
+        #: Whether a byte of the request may have reached the upstream. It is
+        #: set as soon as libcurl has a connection for the request.
+        self.started = False
+        #: Whether no more of the answer will come.
+        self.ended = False
+        #: Why the answer is not whole; None as long as it may become whole.
+        self.failure: Failure | None = None
+
+    async def wait(self, size: int) -> None:
+        """Waits until the answer ended or `size` bytes of it are held."""
+        if self.ended or self.body.size >= size:
+            return
+        self._threshold = size
+        self._waiter = self._client.create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+    def take(self) -> bytes:
+        """Takes the bytes that are held and lets libcurl continue."""
+        chunk = self.body.take_all()
+        if self._paused:
+            self._paused = False
+            self._client.resume(self._handle)
+        return chunk
+
+    def cancel(self, kind: FailureKind = FailureKind.CANCELLED) -> None:
+        """Ends the transfer; libcurl closes its connection."""
+        if not self.ended:
+            self._client.remove(self._handle)
+            self.end(Failure(kind, "the router ended the transfer"))
+
+    def attach(self, handle: "_Handle") -> None:
+        """Notes the handle that runs the transfer."""
+        self._handle = handle
+
+    def receive_body(self, chunk: bytes) -> int | None:
+        """Takes a part of the answer body from libcurl."""
+        if self.body.is_full():
+            self._paused = True
+            return int(pycurl.WRITEFUNC_PAUSE)
+        self.body.add(chunk)
+        if self._waiter is not None and self.body.size >= self._threshold:
+            self._wake()
+        return None
+
+    def end(self, failure: Failure | None) -> None:
+        """Notes the end of the transfer."""
+        self.ended = True
+        self.failure = failure
+        self._handle = None
+        self._paused = False
+        if isinstance(self.request.body, _body_streams.UploadBuffer):
+            self.request.body.set_on_change(None)
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+class _Handle:
+    """An easy handle of libcurl with callbacks that are set once."""
+
+    __slots__ = (
+        "address",
+        "curl",
+        "is_connection_new",
+        "method",
+        "mode",
+        "reuse",
+        "transfer",
+        "upload",
+    )
+
+    def __init__(self, curl: pycurl.Curl, mode: _Mode) -> None:
+        self.curl = curl
+        self.mode = mode
+        self.transfer: Transfer | None = None
+        self.upload: _body_streams.UploadBuffer | None = None
+        self.address = ""
+        self.method = ""
+        self.reuse = True
+        self.is_connection_new = False
+        curl.info = self
+        self._set_fixed_options()
+
+    def prepare(self, transfer: Transfer, reuse: bool) -> None:
+        """Sets the options of one request."""
+        request = transfer.request
+        curl = self.curl
+        self.transfer = transfer
+        self.is_connection_new = False
+        if self.reuse != reuse:
+            self.reuse = reuse
+            curl.setopt(pycurl.FRESH_CONNECT, not reuse)
+            curl.setopt(pycurl.FORBID_REUSE, not reuse)
+        if self.address != request.address:
+            self.address = request.address
+            curl.setopt(pycurl.URL, f"http://{request.address}/")
+        if self.method != request.method and self.mode is not _Mode.HEAD:
+            self.method = request.method
+            curl.setopt(pycurl.CUSTOMREQUEST, request.method)
+        curl.setopt(pycurl.REQUEST_TARGET, request.target)
+        curl.setopt(pycurl.HTTPHEADER, request.header_lines)
+        # libcurl takes 0 for "no limit".
+        curl.setopt(pycurl.TIMEOUT_MS, max(1, round(request.timeout_s * 1000)))
+        if self.mode is _Mode.WHOLE:
+            curl.setopt(pycurl.POSTFIELDS, request.body)
+        elif self.mode is _Mode.STREAM:
+            self.upload = typing.cast(_body_streams.UploadBuffer, request.body)
+            curl.setopt(pycurl.INFILESIZE_LARGE, request.length)
+
+    def release(self) -> None:
+        """Drops what belongs to the request that ended."""
+        self.transfer = None
+        self.upload = None
+
+    def _set_fixed_options(self) -> None:
+        curl = self.curl
+        # The proxy variables of the environment must not apply.
+        curl.setopt(pycurl.PROXY, "")
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.PROTOCOLS, pycurl.PROTO_HTTP)
+        curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        curl.setopt(pycurl.PATH_AS_IS, 1)
+        curl.setopt(pycurl.CONNECTTIMEOUT_MS, round(CONNECT_TIMEOUT_S * 1000))
+        curl.setopt(pycurl.MAXAGE_CONN, IDLE_CONNECTION_S)
+        curl.setopt(pycurl.SOCKOPTFUNCTION, self._on_socket)
+        curl.setopt(pycurl.PREREQFUNCTION, self._on_connection)
+        curl.setopt(pycurl.HEADERFUNCTION, self._on_header)
+        curl.setopt(pycurl.WRITEFUNCTION, self._on_body)
+        if self.mode is _Mode.NO_BODY:
+            curl.setopt(pycurl.HTTPGET, 1)
+        elif self.mode is _Mode.HEAD:
+            curl.setopt(pycurl.NOBODY, 1)
+        elif self.mode is _Mode.WHOLE:
+            curl.setopt(pycurl.POST, 1)
+        else:
+            curl.setopt(pycurl.UPLOAD, 1)
+            curl.setopt(pycurl.UPLOAD_BUFFERSIZE, 2 * 65_536)
+            curl.setopt(pycurl.READFUNCTION, self._on_read)
+
+    def _on_socket(self, _descriptor: int, _purpose: int) -> int:
+        self.is_connection_new = True
+        return int(pycurl.SOCKOPT_OK)
+
+    def _on_connection(self, *_addresses: typing.Any) -> int:
+        # libcurl sends a request again by itself when a reused connection
+        # breaks before the answer. The upstream may have run it by then, so
+        # the second connection of a transfer is refused.
+        if self.transfer is None or self.transfer.started:
+            return int(pycurl.PREREQFUNC_ABORT)
+        self.transfer.started = True
+        self.transfer.head.needs_echo = not self.is_connection_new
+        return int(pycurl.PREREQFUNC_OK)
+
+    def _on_header(self, line: bytes) -> int | None:
+        if self.transfer is not None and self.transfer.head.add_line(line):
+            return None
+        return -1
+
+    def _on_body(self, chunk: bytes) -> int | None:
+        if self.transfer is None:
+            return -1
+        return self.transfer.receive_body(chunk)
+
+    def _on_read(self, size: int) -> bytes | int:
+        if self.upload is None or self.upload.broken:
+            return int(pycurl.READFUNC_ABORT)
+        chunk = self.upload.take(size)
+        return int(pycurl.READFUNC_PAUSE) if chunk is None else chunk
+
+
+class UpstreamClient(curl_httpclient.CurlAsyncHTTPClient):
+    """Runs transfers to upstreams.
+
+    Create it with `force_instance=True`; the base class otherwise returns
+    one instance for each event loop.
+    """
+
+    def initialize(  # type: ignore[override]
+        self, connections_per_upstream: int = 12
+    ) -> None:
+        """Creates the multi handle.
+
+        Args:
+            connections_per_upstream: Connections to one address, idle ones
+                included. Further transfers wait inside libcurl, within their
+                deadline.
+        """
+        super().initialize(max_clients=1)
+        self._multi.setopt(
+            pycurl.M_MAX_HOST_CONNECTIONS, connections_per_upstream
+        )
+        self._multi.setopt(pycurl.M_MAXCONNECTS, MAXIMUM_CONNECTIONS)
+        # Without pipelining and multiplexing a connection carries one
+        # request at a time.
+        self._multi.setopt(pycurl.M_PIPELINING, 0)
+        self._spare: dict[_Mode, list[_Handle]] = {mode: [] for mode in _Mode}
+        self._active: set[_Handle] = set()
+        self._echoing: set[str] = set()
+
+    def create_future(self) -> asyncio.Future[None]:
+        """Creates a future on the client's event loop."""
+        return asyncio.get_running_loop().create_future()
+
+    def start(self, request: UpstreamRequest) -> Transfer:
+        """Starts a transfer."""
+        transfer = Transfer(self, request)
+        mode = _choose_mode(request)
+        spare = self._spare[mode]
+        handle = spare.pop() if spare else _Handle(pycurl.Curl(), mode)
+        handle.prepare(transfer, request.address in self._echoing)
+        transfer.attach(handle)
+        self._active.add(handle)
+        if isinstance(request.body, _body_streams.UploadBuffer):
+            request.body.set_on_change(lambda: self.resume(handle))
+        self._multi.add_handle(handle.curl)
+        return transfer
+
+    def resume(self, handle: _Handle | None) -> None:
+        """Lets a paused transfer continue."""
+        if handle is None or handle.transfer is None:
+            return
+        if handle.upload is not None and handle.upload.broken:
+            handle.transfer.cancel(FailureKind.UPLOAD)
+            return
+        try:
+            handle.curl.pause(pycurl.PAUSE_CONT)
+        except pycurl.error as error:
+            # libcurl reports here what broke while the transfer was paused,
+            # and reports it again when the transfer ends.
+            curl_httpclient.curl_log.debug("resume failed: %s", error)
+
+    def remove(self, handle: _Handle | None) -> None:
+        """Takes a running handle out of the multi handle.
+
+        libcurl closes the connection of a transfer that is not complete.
+        """
+        if handle is not None and handle in self._active:
+            self._multi.remove_handle(handle.curl)
+            self._recycle(handle)
+
+    def close(self) -> None:
+        """Ends all transfers and closes all connections."""
+        for handle in list(self._active):
+            if handle.transfer is not None:
+                handle.transfer.cancel()
+        for spare in self._spare.values():
+            for handle in spare:
+                handle.curl.close()
+            spare.clear()
+        super().close()
+
+    def _recycle(self, handle: _Handle) -> None:
+        self._active.discard(handle)
+        handle.release()
+        spare = self._spare[handle.mode]
+        if len(spare) < SPARE_HANDLES:
+            spare.append(handle)
+        else:
+            handle.curl.close()
+
+    def _finish(
+        self,
+        curl: pycurl.Curl,
+        curl_error: int | None = None,
+        curl_message: str | None = None,
+    ) -> None:
+        handle = curl.info
+        if not isinstance(handle, _Handle):
+            super()._finish(curl, curl_error, curl_message)
+            return
+        transfer = handle.transfer
+        self._multi.remove_handle(curl)
+        self._recycle(handle)
+        if transfer is not None:
+            self._learn_echo(transfer)
+            transfer.end(
+                _find_failure(transfer, curl_error, curl_message or "")
+            )
+
+    def _learn_echo(self, transfer: Transfer) -> None:
+        if transfer.head.complete:
+            address = transfer.request.address
+            if not transfer.head.echoed:
+                self._echoing.discard(address)
+            elif len(self._echoing) < MAXIMUM_ECHOING:
+                self._echoing.add(address)
+
+
+def _choose_mode(request: UpstreamRequest) -> _Mode:
+    if isinstance(request.body, _body_streams.UploadBuffer):
+        return _Mode.STREAM
+    if request.body is not None:
+        return _Mode.WHOLE
+    return _Mode.HEAD if request.method == "HEAD" else _Mode.NO_BODY
+
+
+def _find_failure(
+    transfer: Transfer, error: int | None, message: str
+) -> Failure | None:
+    """Tells why the answer of a transfer that ended is not whole."""
+    if not error:
+        problem = transfer.head.find_problem()
+        return Failure(FailureKind.BROKEN, problem) if problem else None
+    if error == pycurl.E_OPERATION_TIMEDOUT:
+        kind = FailureKind.DEADLINE if transfer.started else FailureKind.CONNECT
+        return Failure(kind, message)
+    if not transfer.started:
+        return Failure(FailureKind.CONNECT, message)
+    return Failure(FailureKind.BROKEN, transfer.head.problem or message)
--- /dev/null
+++ b/packages/router/tests/raw_peers.py
@@ -0,0 +1,86 @@
+"""Raw TCP upstreams for the tests of the data path."""
+
+import asyncio
+import contextlib
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class Received:
+    """One request as a raw upstream received it."""
+
+    #: Request line and headers.
+    head: bytes
+    #: Body, decoded if it was chunked.
+    body: bytes
+    #: Number of the connection, from 0.
+    connection: int
+
+
+async def read_message(reader, connection=0):
+    """Reads one request; raises IncompleteReadError at the end."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    lower = head.lower()
+    body = b""
+    if b"transfer-encoding: chunked" in lower:
+        while True:
+            size = int(await reader.readuntil(b"\r\n"), 16)
+            body += (await reader.readexactly(size + 2))[:-2]
+            if size == 0:
+                break
+    elif b"content-length:" in lower:
+        value = lower.split(b"content-length:")[1].split(b"\r\n")[0]
+        body = await reader.readexactly(int(value))
+    return Received(head, body, connection)
+
+
+class RawUpstream:
+    """A TCP server that runs a script for each request.
+
+    The script gets the request, the writer and the reader, and writes
+    whatever bytes the test needs. It returns False to close the connection.
+    """
+
+    def __init__(self, script):
+        self.requests = []
+        self.connections = 0
+        self.closed = 0
+        self._script = script
+        self._server = None
+        self.address = ""
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+        return self
+
+    async def __aexit__(self, *_):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        number = self.connections
+        self.connections += 1
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                request = await read_message(reader, number)
+                self.requests.append(request)
+                if await self._script(request, writer, reader) is False:
+                    break
+        self.closed += 1
+        writer.close()
+
+
+def answer(body=b"ok", status=b"200 OK", headers=b""):
+    """Builds a framed answer."""
+    return (
+        b"HTTP/1.1 %s\r\nContent-Length: %d\r\n%s\r\n%s"
+        % (status, len(body), headers, body)
+    )  # fmt: skip
+
+
+async def wait_until(condition, seconds=5.0):
+    """Waits for a condition; fails the test if it does not come true."""
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.002)
