--- a/packages/standins/sycamoreloft_standins/_specs.py
+++ b/packages/standins/sycamoreloft_standins/_specs.py
@@ -77,6 +77,8 @@
     checks_fences: bool = True
     #: Whether it verifies the signature of a grant.
     checks_sender: bool = True
+    #: Whether answers repeat the Sycamoreloft-Attempt of their request.
+    echoes_attempt: bool = False
     #: Speed of its own clock relative to the machine's.
     clock_rate: float = 1.0
     #: Time after the start during which it is cold.
--- a/packages/standins/sycamoreloft_standins/_work_handler.py
+++ b/packages/standins/sycamoreloft_standins/_work_handler.py
@@ -61,6 +61,9 @@
         """Refuses the request by contract, or starts to run it."""
         # The connection reports a close only after the body was read.
         self._stream.set_close_callback(self._peer_closed.set)
+        if self.state.spec.echoes_attempt:
+            attempt = self._header("Sycamoreloft-Attempt")
+            self.set_header("Sycamoreloft-Attempt", attempt)
         await self.state.pass_gate()
         if self.state.draw(self.state.faults.reset_before_share):
             self._reset()
