--- a/packages/router/sycamoreloft_router/_logs.py
+++ b/packages/router/sycamoreloft_router/_logs.py
@@ -1,11 +1,116 @@
-"""Structured logs: one JSON object a line, with stable event names."""
+"""Structured logs: one JSON object a line, with stable event names.
 
+Lines of the same event are rate limited, so that a fault which hits every
+request does not fill the log; the next line of the event says how many were
+left out.
+"""
+
+import dataclasses
+import datetime
+import json
 import logging
+import sys
+import time
 import typing
 
+#: Lines of one event that may follow each other at once.
+BURST = 20
+
+#: Lines of one event in a second, over a longer time.
+LINES_PER_SECOND = 5.0
+
+#: Events that are limited each by itself; further ones share one limit.
+MAXIMUM_EVENTS = 256
+
+#: Longest text of a field, in characters.
+MAXIMUM_TEXT = 2_000
+
+_LEVELS = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
+
+
+@dataclasses.dataclass(slots=True)
+class _Allowance:
+    tokens: float
+    refilled_at: float
+    suppressed: int = 0
+
+
+class RateLimiter:
+    """Limits the log lines of each event with a token bucket."""
+
+    def __init__(self) -> None:
+        self._allowances: dict[str, _Allowance] = {}
+        #: Lines left out since the start of the process.
+        self.suppressed_total = 0
+
+    def admit(self, event: str, now: float) -> int | None:
+        """Decides whether a line may be written.
+
+        Args:
+            event: Name of the event.
+            now: Time in seconds, from a monotonic clock.
+
+        Returns:
+            None if not, or the number of lines of the event that were left
+            out since the last one written.
+        """
+        allowance = self._allowances.get(event)
+        if allowance is None:
+            if len(self._allowances) >= MAXIMUM_EVENTS:
+                event = ""
+            allowance = self._allowances.setdefault(
+                event, _Allowance(BURST, now)
+            )
+        allowance.tokens = min(
+            BURST,
+            allowance.tokens + (now - allowance.refilled_at) * LINES_PER_SECOND,
+        )
+        allowance.refilled_at = now
+        if allowance.tokens < 1:
+            allowance.suppressed += 1
+            self.suppressed_total += 1
+            return None
+        allowance.tokens -= 1
+        suppressed, allowance.suppressed = allowance.suppressed, 0
+        return suppressed
+
+
+#: Shared by all loggers of the process.
+LIMITER = RateLimiter()
+
+
+class JsonFormatter(logging.Formatter):
+    """Formats records as JSON objects with sorted fields."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Formats one record."""
+        moment = datetime.datetime.fromtimestamp(
+            record.created, datetime.UTC
+        ).isoformat(timespec="milliseconds")
+        line: dict[str, typing.Any] = {
+            "time": moment,
+            "level": record.levelname.lower(),
+            "logger": record.name,
+        }
+        fields = getattr(record, "event_fields", None)
+        if fields is None:
+            line |= {"event": "message", "message": _clip(record.getMessage())}
+        else:
+            line |= {"event": record.msg}
+            # Fields cannot replace the ones above.
+            line = {key: _clip(value) for key, value in fields.items()} | line
+        if record.exc_info:
+            line["exception"] = _clip(self.formatException(record.exc_info))
+        return json.dumps(line, sort_keys=True, default=str)
+
 
 def log_event(
-    logger: logging.Logger, level: int, event: str, **fields: typing.Any
+    logger: logging.Logger, level: int, event: str, /, **fields: typing.Any
 ) -> None:
     """Logs an event.
 
@@ -13,9 +118,18 @@
         logger: Logger of the module.
         level: Level of the logging package.
         event: Stable name, such as "upstream-broke-answer".
-        **fields: Values that JSON can represent.
+        **fields: Values that JSON can represent; `exc_info=True` adds the
+            exception that is being handled.
     """
-    raise NotImplementedError
+    if not logger.isEnabledFor(level):
+        return
+    suppressed = LIMITER.admit(event, time.monotonic())
+    if suppressed is None:
+        return
+    if suppressed:
+        fields["suppressed"] = suppressed
+    exc_info = fields.pop("exc_info", None)
+    logger.log(level, event, exc_info=exc_info, extra={"event_fields": fields})
 
 
 def set_up_logging(level: str) -> None:
@@ -24,4 +138,16 @@
     Args:
         level: "debug", "info", "warning" or "error".
     """
-    raise NotImplementedError
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(JsonFormatter())
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(_LEVELS[level])
+    # tornado logs every malformed request of a caller at this level.
+    logging.getLogger("tornado.general").setLevel(logging.ERROR)
+
+
+def _clip(value: typing.Any) -> typing.Any:
+    if isinstance(value, str) and len(value) > MAXIMUM_TEXT:
+        return value[:MAXIMUM_TEXT] + "..."
+    return value
--- a/packages/router/sycamoreloft_router/_metrics.py
+++ b/packages/router/sycamoreloft_router/_metrics.py
@@ -1,9 +1,217 @@
-"""Metrics of the process; docs/metrics.md lists them with their units."""
+"""Metrics of the process; docs/metrics.md lists them with their units.
+
+Values are counted in plain dictionaries and copied into the registry when
+they are rendered: a labelled counter of aioprometheus encodes its labels as
+JSON on each call, which is too slow for the request path.
+"""
+
+from collections import abc
+import dataclasses
+import enum
+import typing
+
+from aioprometheus import collectors, formats, histogram
+
+#: Label combinations of all metrics together. Further ones are counted under
+#: the label value "other", so that callers cannot fill the memory.
+MAXIMUM_SERIES = 4096
+
+_TIME_BUCKETS = (
+    0.0005,
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    10.0,
+    float("inf"),
+)
+
+
+class Kind(enum.Enum):
+    """Type of a metric."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    HISTOGRAM = "histogram"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Definition:
+    """A metric."""
+
+    #: Name, as in docs/metrics.md.
+    name: str
+    #: Type.
+    kind: Kind
+    #: Description.
+    help: str
+    #: Names of the labels.
+    labels: abc.Sequence[str] = ()
+
+
+#: All metrics of the process.
+DEFINITIONS = (
+    Definition(
+        "sycamoreloft_requests_total",
+        Kind.COUNTER,
+        "Requests of callers that ended",
+        ("outcome", "reason"),
+    ),
+    Definition(
+        "sycamoreloft_requests_in_flight",
+        Kind.GAUGE,
+        "Requests of callers that have not ended",
+    ),
+    Definition(
+        "sycamoreloft_request_seconds",
+        Kind.HISTOGRAM,
+        "Time from the headers of a request to the end of its answer",
+    ),
+    Definition(
+        "sycamoreloft_permit_wait_seconds",
+        Kind.HISTOGRAM,
+        "Time from asking for a permit to the answer",
+    ),
+    Definition(
+        "sycamoreloft_upstream_seconds",
+        Kind.HISTOGRAM,
+        "Time from sending a request to the end of the upstream's answer",
+    ),
+    Definition(
+        "sycamoreloft_upstream_failures_total",
+        Kind.COUNTER,
+        "Attempts without a whole answer of the upstream",
+        ("kind",),
+    ),
+    Definition(
+        "sycamoreloft_retries_total", Kind.COUNTER, "Attempts after the first"
+    ),
+    Definition(
+        "sycamoreloft_retries_refused_total",
+        Kind.COUNTER,
+        "Retries that the retry budget refused",
+    ),
+    Definition(
+        "sycamoreloft_answers_cut_total",
+        Kind.COUNTER,
+        "Answers that broke after their headers were sent",
+    ),
+    Definition(
+        "sycamoreloft_callers_gone_total",
+        Kind.COUNTER,
+        "Requests whose caller closed the connection before the answer",
+    ),
+    Definition(
+        "sycamoreloft_request_body_bytes_total",
+        Kind.COUNTER,
+        "Bytes of request bodies received",
+    ),
+    Definition(
+        "sycamoreloft_answer_body_bytes_total",
+        Kind.COUNTER,
+        "Bytes of answer bodies sent",
+    ),
+    Definition(
+        "sycamoreloft_load_imbalance_ratio",
+        Kind.GAUGE,
+        "Load of the busiest upstream of a group over the mean",
+        ("group",),
+    ),
+    Definition(
+        "sycamoreloft_moved_partitions_total",
+        Kind.COUNTER,
+        "Partitions and hot keys that got another owner",
+        ("group",),
+    ),
+    Definition(
+        "sycamoreloft_unavailable_partition_seconds_total",
+        Kind.COUNTER,
+        "Time without an owner, summed over partitions",
+        ("group",),
+    ),
+    Definition(
+        "sycamoreloft_groups_held",
+        Kind.GAUGE,
+        "Groups whose holder is this host",
+    ),
+    Definition(
+        "sycamoreloft_generation", Kind.GAUGE, "Generation that is in force"
+    ),
+    Definition(
+        "sycamoreloft_log_lines_suppressed_total",
+        Kind.COUNTER,
+        "Log lines left out by the rate limit",
+    ),
+)
+
+_COLLECTORS: abc.Mapping[Kind, typing.Any] = {
+    Kind.COUNTER: collectors.Counter,
+    Kind.GAUGE: collectors.Gauge,
+    Kind.HISTOGRAM: collectors.Histogram,
+}
 
 
 class Metrics:
     """The metrics of one process, in a registry of its own."""
 
+    def __init__(self) -> None:
+        self._definitions = {item.name: item for item in DEFINITIONS}
+        self._values: dict[tuple[str, ...], float] = {}
+        self._histograms: dict[str, histogram.Histogram] = {}
+        self._registry = collectors.Registry()
+        self._collectors: dict[str, typing.Any] = {}
+        for item in DEFINITIONS:
+            collector = _COLLECTORS[item.kind](
+                item.name, item.help, registry=self._registry
+            )
+            self._collectors[item.name] = collector
+            if item.kind is Kind.HISTOGRAM:
+                values = histogram.Histogram(*_TIME_BUCKETS)
+                collector.set_value({}, values)
+                self._histograms[item.name] = values
+            elif not item.labels:
+                self._values[(item.name,)] = 0.0
+
+    def count(self, name: str, *labels: str, amount: float = 1.0) -> None:
+        """Adds to a counter or gauge.
+
+        Args:
+            name: Name of the metric.
+            *labels: Values of its labels, in the order of its definition.
+            amount: What is added.
+        """
+        key = self._choose_key((name, *labels))
+        self._values[key] = self._values.get(key, 0.0) + amount
+
+    def set(self, name: str, *labels: str, value: float) -> None:
+        """Sets a gauge, or a counter that is counted elsewhere."""
+        self._values[self._choose_key((name, *labels))] = value
+
+    def observe(self, name: str, value: float) -> None:
+        """Adds an observation to a histogram."""
+        self._histograms[name].observe(value)
+
+    def read(self, name: str, *labels: str) -> float:
+        """Returns the value of a counter or gauge, 0 if there is none."""
+        return self._values.get((name, *labels), 0.0)
+
     def render(self) -> bytes:
         """Renders all metrics in the Prometheus text format."""
-        raise NotImplementedError
+        for (name, *labels), value in self._values.items():
+            definition = self._definitions[name]
+            pairs = dict(zip(definition.labels, labels, strict=True))
+            self._collectors[name].set_value(pairs, value)
+        text = formats.text.TextFormatter().marshall(self._registry)
+        return bytes(text)
+
+    def _choose_key(self, key: tuple[str, ...]) -> tuple[str, ...]:
+        if key in self._values or len(self._values) < MAXIMUM_SERIES:
+            return key
+        return (key[0], *("other" for _ in key[1:]))
