--- /dev/null
+++ b/packages/decisions/sycamoreloft_decisions/_quarantine.py
@@ -0,0 +1,261 @@
+"""Record of requests that may crash the upstreams that run them.
+
+A request is marked once for each upstream that was lost while running it.
+A broken connection marks it at once, before the loss of the upstream is
+confirmed, because a caller can repeat a crashing request several times in
+the second that the confirmation takes. A request that ended as unknown on an
+unbroken connection (the upstream may have frozen) is only remembered; it has
+to wait when that happened on two upstreams within the same few seconds.
+"""
+
+from collections import abc
+import dataclasses
+import enum
+
+from sycamoreloft_decisions import _permit_events, _recent_set
+
+
+class Standing(enum.IntEnum):
+    """How a request with a given fingerprint may be run."""
+
+    #: Without restriction.
+    CLEAR = 0
+    #: Only while no other suspect is running.
+    SUSPECT = 1
+    #: Not before the loss of its upstreams is confirmed or disproved.
+    UNRESOLVED = 2
+    #: Not at all.
+    GUILTY = 3
+
+
+#: Losses after which a request is not run any more.
+MAXIMUM_LOSSES = 2
+
+#: Seconds after which a broken connection no longer counts as a loss if the
+#: upstream was not lost. The holder notices a loss within 1.02 s.
+CONFIRMATION_S = 3.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Mark:
+    """One upstream that was, or seems, lost while it ran the request."""
+
+    upstream: str
+    at: float
+    confirmed: bool
+
+
+@dataclasses.dataclass(slots=True)
+class _Record:
+    """What is known of one fingerprint; marks end with the record."""
+
+    since: float
+    marks: list[_Mark]
+    guilty: bool = False
+
+
+class Quarantine:
+    """Bounded record of suspects and guilty requests of one group."""
+
+    def __init__(self, options: _permit_events.DeskOptions) -> None:
+        """Starts an empty record."""
+        self._options = options
+        self._records: dict[bytes, _Record] = {}
+        self._unconfirmed: dict[str, set[bytes]] = {}
+        self._known_good = _recent_set.RecentSet[bytes](options.known_good)
+        self._unshared: dict[bytes, bool] = {}
+        self._doubtful: dict[bytes, dict[str, float]] = {}
+
+    def is_empty(self) -> bool:
+        """Tells whether every request is clear."""
+        return not self._records and not self._doubtful
+
+    def is_suspect(self, fingerprint: bytes) -> bool:
+        """Tells whether a request counts as a running suspect."""
+        return fingerprint in self._records
+
+    def is_known_good(self, fingerprint: bytes) -> bool:
+        """Tells whether such a request completed recently."""
+        return fingerprint in self._known_good
+
+    def judge(self, fingerprint: bytes, now: float) -> Standing:
+        """Tells how a request may be run."""
+        record = self._records.get(fingerprint)
+        if record is not None and record.guilty:
+            return Standing.GUILTY
+        if record is None and fingerprint not in self._doubtful:
+            return Standing.CLEAR
+        marks = record.marks if record is not None else []
+        upstreams = {mark.upstream for mark in marks}
+        losses = len(marks) + sum(
+            at + CONFIRMATION_S > now and upstream not in upstreams
+            for upstream, at in self._doubtful.get(fingerprint, {}).items()
+        )
+        if losses >= self._count_allowed(fingerprint):
+            return Standing.UNRESOLVED
+        return Standing.CLEAR if record is None else Standing.SUSPECT
+
+    def record_completion(self, fingerprint: bytes) -> None:
+        """Clears a suspect: a crashing request cannot complete."""
+        record = self._records.get(fingerprint)
+        if record is not None and not record.guilty:
+            self._remove(fingerprint)
+        if self._doubtful:
+            self._doubtful.pop(fingerprint, None)
+        self._known_good.add(fingerprint)
+
+    def record_break(
+        self, fingerprint: bytes, upstream: str, issued_at: float, now: float
+    ) -> None:
+        """Marks a request whose connection broke before the answer ended."""
+        if self._mark(fingerprint, upstream, issued_at, now, False):
+            self._unconfirmed.setdefault(upstream, set()).add(fingerprint)
+
+    def record_unknown(
+        self, fingerprint: bytes, upstream: str, now: float
+    ) -> None:
+        """Remembers a request that may have frozen its upstream."""
+        found = self._doubtful.pop(fingerprint, {})
+        found[upstream] = now
+        self._doubtful[fingerprint] = found
+        if len(self._doubtful) > self._options.suspects:
+            del self._doubtful[next(iter(self._doubtful))]
+
+    def record_loss(
+        self,
+        upstream: str,
+        running: abc.Iterable[tuple[bytes, float]],
+        now: float,
+    ) -> None:
+        """Marks the requests that were running on a lost upstream.
+
+        Args:
+            upstream: Name of the lost upstream.
+            running: Fingerprints with the times when their permits were
+                issued.
+            now: Time.
+        """
+        for fingerprint in self._unconfirmed.pop(upstream, ()):
+            record = self._records.get(fingerprint)
+            if record is not None:
+                for mark in record.marks:
+                    mark.confirmed |= mark.upstream == upstream
+                self._decide(fingerprint, record)
+        for fingerprint, found in list(self._doubtful.items()):
+            at = found.get(upstream)
+            if at is not None and at + CONFIRMATION_S > now:
+                del found[upstream]
+                self._mark(fingerprint, upstream, at, now, True)
+        for fingerprint, issued_at in running:
+            self._mark(fingerprint, upstream, issued_at, now, True)
+
+    def learn(
+        self, fingerprints: abc.Iterable[bytes], guilty: bool, now: float
+    ) -> None:
+        """Takes over what another group found; own findings are kept."""
+        for fingerprint in fingerprints:
+            record = self._records.get(fingerprint)
+            if record is None:
+                mark = _Mark("", now, True)
+                record = self._add(fingerprint, _Record(now, [mark]))
+            record.guilty |= guilty
+
+    def take_unshared(self) -> abc.Sequence[_permit_events.ShareSuspects]:
+        """Returns what other groups have not been told yet."""
+        if not self._unshared:
+            return ()
+        commands = []
+        for guilty in (False, True):
+            found = tuple(
+                fingerprint
+                for fingerprint, is_guilty in self._unshared.items()
+                if is_guilty is guilty
+            )
+            if found:
+                commands.append(_permit_events.ShareSuspects(found, guilty))
+        self._unshared = {}
+        return commands
+
+    def expire(self, now: float) -> None:
+        """Forgets old records and breaks that no loss has confirmed."""
+        for fingerprint, record in list(self._records.items()):
+            if record.since + self._options.suspect_s <= now:
+                self._remove(fingerprint)
+            elif not record.guilty:
+                self._expire_marks(fingerprint, record, now)
+        for fingerprint, found in list(self._doubtful.items()):
+            if all(at + CONFIRMATION_S <= now for at in found.values()):
+                del self._doubtful[fingerprint]
+
+    def _expire_marks(
+        self, fingerprint: bytes, record: _Record, now: float
+    ) -> None:
+        kept = []
+        for mark in record.marks:
+            if mark.confirmed or mark.at + CONFIRMATION_S > now:
+                kept.append(mark)
+            else:
+                found = self._unconfirmed.get(mark.upstream, set())
+                found.discard(fingerprint)
+                if not found:
+                    self._unconfirmed.pop(mark.upstream, None)
+        record.marks = kept
+        if not kept:
+            self._remove(fingerprint)
+
+    def _mark(
+        self,
+        fingerprint: bytes,
+        upstream: str,
+        issued_at: float,
+        now: float,
+        confirmed: bool,
+    ) -> bool:
+        """Adds a mark; returns whether it still needs a confirmation."""
+        record = self._records.get(fingerprint)
+        if record is None:
+            record = self._add(fingerprint, _Record(now, []))
+        for mark in record.marks:
+            # Copies of one request that ran on the same upstream at the same
+            # time took it down once.
+            if mark.upstream == upstream and issued_at <= mark.at:
+                mark.confirmed |= confirmed
+                break
+        else:
+            record.marks.append(_Mark(upstream, now, confirmed))
+        self._decide(fingerprint, record)
+        return not confirmed
+
+    def _decide(self, fingerprint: bytes, record: _Record) -> None:
+        confirmed = sum(mark.confirmed for mark in record.marks)
+        allowed = self._count_allowed(fingerprint)
+        if confirmed >= allowed and not record.guilty:
+            record.guilty = True
+            self._unshared[fingerprint] = True
+
+    def _count_allowed(self, fingerprint: bytes) -> int:
+        # A request that has completed before is not the cause of a loss,
+        # unless one more upstream is lost to it when it runs alone.
+        return MAXIMUM_LOSSES + (fingerprint in self._known_good)
+
+    def _add(self, fingerprint: bytes, record: _Record) -> _Record:
+        if len(self._records) >= self._options.suspects:
+            oldest = next(
+                (key for key, old in self._records.items() if not old.guilty),
+                next(iter(self._records)),
+            )
+            self._remove(oldest)
+        self._records[fingerprint] = record
+        if not record.marks:
+            self._unshared[fingerprint] = False
+        return record
+
+    def _remove(self, fingerprint: bytes) -> None:
+        record = self._records.pop(fingerprint)
+        self._unshared.pop(fingerprint, None)
+        for mark in record.marks:
+            found = self._unconfirmed.get(mark.upstream)
+            if found is not None:
+                found.discard(fingerprint)
+                if not found:
+                    del self._unconfirmed[mark.upstream]
--- /dev/null
+++ b/packages/decisions/tests/test_permits.py
@@ -0,0 +1,289 @@
+"""Tests of the permit desk."""
+
+import random
+
+import pytest
+
+from sycamoreloft_config import _nodes
+from sycamoreloft_decisions import _balancing, _concurrency, _permits
+from sycamoreloft_decisions import _permit_events as events
+
+
+class Driver:
+    """Drives one desk and collects its commands."""
+
+    def __init__(self, *, fresh=True):
+        self.desk = _permits.PermitDesk(random.Random(7), 0.0, fresh=fresh)
+        self.now = 0.0
+        self.count = 0
+
+    def send(self, event):
+        return list(self.desk.handle(event, self.now))
+
+    def open(self, *names, slots=2, queue=0, cold=False):
+        for name in names:
+            self.send(events.UpstreamAvailable(name, slots, queue, cold))
+
+    def ask(self, *candidates, **changes):
+        self.count += 1
+        fields = {
+            "permit": f"h/{self.count}",
+            "host": "h",
+            "fleet": "sledworks",
+            "service": "tally-board",
+            "key": "k",
+            "partition": 3 if len(candidates) == 1 else -1,
+            "fingerprint": self.count.to_bytes(16, "big"),
+            "caller": "c",
+            "priority": _nodes.Priority.NORMAL,
+            "deadline": self.now + 10.0,
+            "candidates": candidates,
+        } | changes
+        return self.send(events.PermitAsked(**fields))
+
+    def end(self, permit, outcome="completed", **changes):
+        return self.send(
+            events.PermitReturned(permit, outcome, 0.01, **changes)
+        )
+
+    def tick(self, seconds):
+        self.now += seconds
+        return self.send(events.DeskTick())
+
+
+def used(permit, upstream="a", partition=3, deadline=None):
+    return events.UsedPermit(
+        permit,
+        upstream,
+        "sledworks",
+        "tally-board",
+        partition,
+        b"f" * 16,
+        deadline,
+    )
+
+
+def list_issued(commands):
+    return [c.permit for c in commands if isinstance(c, events.IssuePermit)]
+
+
+def list_refused(commands):
+    return [
+        (c.permit, c.reason)
+        for c in commands
+        if isinstance(c, events.RefusePermit)
+    ]
+
+
+@pytest.fixture
+def driver():
+    return Driver()
+
+
+def test_slots_bound_permits_and_returns_start_queued_requests(driver):
+    """Guards against more permits than slots and against a stuck queue."""
+    driver.open("a")
+    assert [len(list_issued(driver.ask("a"))) for _ in range(4)] == [1, 1, 0, 0]
+    assert list_issued(driver.end("h/1")) == ["h/3"]
+    assert driver.end("h/1") == []
+    assert driver.desk.count_in_use("a") == 2
+
+
+def test_full_queue_refuses_and_sheds_the_lowest_class(driver):
+    """Guards against an unbounded queue and against shedding a high class."""
+    driver.open("a", slots=1, queue=2)
+    driver.ask("a")
+    driver.ask("a", priority=_nodes.Priority.BACKGROUND)
+    driver.ask("a")
+    refused = list_refused(driver.ask("a"))
+    assert refused == [("h/2", events.Reason.SHED)]
+    assert list_refused(driver.ask("a")) == [("h/5", events.Reason.OVERLOADED)]
+
+
+def test_refuses_at_once_what_cannot_start_before_its_deadline(driver):
+    """Guards against queueing a request that is certain to be late."""
+    driver.open("a", slots=1, queue=10)
+    driver.ask("a")
+    driver.send(events.PermitReturned("h/1", "completed", 1.0))
+    driver.ask("a")
+    driver.ask("a", deadline=driver.now + 1.5)
+    assert list_refused(driver.ask("a", deadline=driver.now + 1.5)) == [
+        ("h/4", events.Reason.DEADLINE)
+    ]
+
+
+def test_expired_request_is_refused_and_not_issued(driver):
+    """Guards against a permit after the deadline of a queued request."""
+    driver.open("a", slots=1)
+    driver.ask("a")
+    driver.ask("a", deadline=0.5)
+    driver.now = 1.0
+    assert list_refused(driver.end("h/1")) == [("h/2", events.Reason.DEADLINE)]
+
+
+def test_cancelled_request_leaves_the_queue(driver):
+    """Guards against a permit for a host that has given up."""
+    driver.open("a", slots=1)
+    driver.ask("a")
+    driver.ask("a")
+    driver.end("h/2", "did-not-run")
+    assert driver.end("h/1") == []
+
+
+def test_silent_host_keeps_its_slot_until_validity_and_deadline(driver):
+    """Guards against reusing a slot while a paused host may still send."""
+    driver.open("a", slots=1)
+    driver.ask("a", deadline=5.0)
+    driver.ask("a", deadline=20.0)
+    assert driver.tick(5.9) == []
+    assert list_issued(driver.tick(0.3)) == ["h/2"]
+
+
+def test_renewed_permit_is_kept_after_its_deadline(driver):
+    """Guards against ending a permit that its host still reports."""
+    driver.open("a", slots=1)
+    driver.ask("a", deadline=1.0)
+    for _ in range(20):
+        driver.send(events.PermitsReported("h", [used("h/1")]))
+        driver.tick(0.5)
+    assert driver.desk.count_in_use("a") == 1
+
+
+def test_takeover_issues_only_slots_that_are_accounted_for():
+    """Guards against issuing a slot whose holder has not reported yet."""
+    driver = Driver(fresh=False)
+    driver.open("a", slots=2)
+    assert list_issued(driver.ask("a")) == []
+    driver.send(events.PermitsReported("x", [used("x/1")]))
+    assert list_issued(driver.end("x/1")) == ["h/1"]
+    driver.send(events.PermitsReported("x", [used("x/1")]))
+    assert driver.desk.count_in_use("a") == 1
+    driver.ask("a")
+    assert list_issued(driver.tick(0.9)) == []
+    assert list_issued(driver.tick(0.2)) == ["h/2"]
+
+
+def test_late_report_never_leads_to_more_permits_than_slots(driver):
+    """Guards against ignoring a permit that is reported after the wait."""
+    driver.open("a", slots=2)
+    driver.send(events.PermitsReported("x", [used("x/1"), used("x/2")]))
+    assert list_issued(driver.ask("a")) == []
+
+
+def test_held_partition_drains_and_its_requests_follow_the_new_owner(driver):
+    """Guards against a permit during a move, and a lost waiting request."""
+    driver.open("a", "b")
+    driver.ask("a")
+    place = ("sledworks", "tally-board", 3)
+    assert driver.send(events.PartitionHeld(*place)) == []
+    assert driver.ask("a") == []
+    assert driver.end("h/1") == [events.PartitionDrained(*place, "")]
+    commands = driver.send(events.PartitionReleased(*place, "b"))
+    assert [(c.permit, c.upstream) for c in commands] == [("h/2", "b")]
+
+
+def test_held_key_leaves_the_rest_of_its_partition_alone(driver):
+    """Guards against delaying every key when one hot key moves."""
+    driver.open("a")
+    held = events.PartitionHeld("sledworks", "tally-board", 3, "hot")
+    assert len(driver.send(held)) == 1
+    assert list_issued(driver.ask("a")) == ["h/1"]
+    assert driver.ask("a", key="hot") == []
+
+
+def test_drain_waits_for_unknown_permits_after_a_takeover():
+    """Guards against moving a partition that an unreported permit uses."""
+    driver = Driver(fresh=False)
+    driver.open("a")
+    place = ("sledworks", "tally-board", 3)
+    assert driver.send(events.PartitionHeld(*place)) == []
+    driver.send(events.PermitsReported("x", [used("x/1")]))
+    assert driver.tick(1.1) == []
+    assert driver.end("x/1") == [events.PartitionDrained(*place, "")]
+
+
+def test_leaving_upstream_gets_no_new_permits(driver):
+    """Guards against new work for a draining upstream."""
+    driver.open("a", "b", slots=1)
+    driver.send(events.UpstreamUnavailable("a"))
+    assert [c.upstream for c in driver.ask("a", "b")] == ["b"]
+    assert list_issued(driver.ask("a", "b")) == []
+    assert list_issued(driver.end("h/1")) == ["h/2"]
+
+
+def test_no_upstream_is_told_at_once(driver):
+    """Guards against an unkeyed request that waits for nothing."""
+    assert list_refused(driver.ask("a", "b")) == [
+        ("h/1", events.Reason.NO_UPSTREAM)
+    ]
+
+
+def test_upstream_that_lost_its_memory_frees_its_slots(driver):
+    """Guards against slots that stay taken after a crash."""
+    driver.open("a", slots=1)
+    driver.ask("a")
+    driver.ask("a")
+    driver.send(events.UpstreamLost("a", ended=True))
+    commands = driver.send(events.UpstreamAvailable("a", 1, cold=True))
+    assert list_issued(commands) == ["h/2"]
+
+
+def test_frozen_upstream_keeps_its_permits(driver):
+    """Guards against overloading an upstream that was only frozen."""
+    driver.open("a", slots=1)
+    driver.ask("a")
+    driver.send(events.UpstreamLost("a", ended=False))
+    driver.open("a", slots=1)
+    assert list_issued(driver.ask("a")) == []
+
+
+def test_closed_desk_refuses_everything(driver):
+    """Guards against permits of a host that no longer holds the group."""
+    driver.open("a", slots=1)
+    driver.ask("a")
+    driver.ask("a")
+    reason = events.Reason.NOT_HOLDER
+    assert list_refused(driver.send(events.DeskClosed())) == [("h/2", reason)]
+    assert list_refused(driver.ask("a")) == [("h/3", reason)]
+
+
+def test_cold_upstream_starts_with_one_request_and_rises(driver):
+    """Guards against flooding an upstream after its start."""
+    driver.open("a", slots=4, cold=True)
+    in_use = []
+    for _ in range(12):
+        driver.ask("a")
+        driver.ask("a")
+        in_use.append(driver.desk.count_in_use("a"))
+        driver.end(next(iter(driver.desk._permits)))
+    assert (in_use[0], max(in_use)) == (1, 4)
+
+
+def test_limit_falls_when_latency_rises_and_recovers():
+    """Guards against keeping an upstream that slows down fully loaded."""
+    limiter = _concurrency.ConcurrencyLimit(8, False)
+    for _ in range(50):
+        limiter.observe(0.01)
+    for _ in range(30):
+        limiter.observe(0.1)
+    assert limiter.limit < 4
+    for _ in range(100):
+        limiter.observe(0.01)
+    assert limiter.limit == 8
+
+
+def test_ejection_prefers_others_and_never_empties_the_set(driver):
+    """Guards against refusing everybody when every upstream fails."""
+    driver.open("a", "b", slots=1)
+    for name in ("a", "b"):
+        for _ in range(_balancing.EJECTION_FAILURES):
+            permit = list_issued(driver.ask(name))[0]
+            driver.end(permit, "did-not-run", refused=True)
+        if name == "a":
+            chosen = []
+            for _ in range(20):
+                command = driver.ask("a", "b")[0]
+                chosen.append(command.upstream)
+                driver.end(command.permit)
+            assert set(chosen) == {"b"}
+    assert len(list_issued(driver.ask("a", "b"))) == 1
--- /dev/null
+++ b/packages/decisions/tests/test_quarantine.py
@@ -0,0 +1,166 @@
+"""Tests of the quarantine, alone and inside the permit desk."""
+
+import random
+
+import pytest
+
+from sycamoreloft_config import _nodes
+from sycamoreloft_decisions import _permit_events as events
+from sycamoreloft_decisions import _permits, _quarantine
+
+CRASHER = b"c" * 16
+BYSTANDER = b"b" * 16
+NAMES = ("u1", "u2", "u3", "u4")
+
+
+def ask(desk, permit, fingerprint, now=0.0, candidates=NAMES):
+    return list(
+        desk.handle(
+            events.PermitAsked(
+                permit=permit,
+                host="h",
+                fleet="sledworks",
+                service="paddock-ledger",
+                key="",
+                partition=-1,
+                fingerprint=fingerprint,
+                caller="c",
+                priority=_nodes.Priority.NORMAL,
+                deadline=now + 10.0,
+                candidates=candidates,
+            ),
+            now,
+        )
+    )
+
+
+def break_connection(desk, permit, now=0.0):
+    return desk.handle(
+        events.PermitReturned(permit, "unknown", 0.01, connection_lost=True),
+        now,
+    )
+
+
+@pytest.fixture
+def desk():
+    desk = _permits.PermitDesk(random.Random(1), 0.0, fresh=True)
+    for name in NAMES:
+        desk.handle(events.UpstreamAvailable(name, 4), 0.0)
+    return desk
+
+
+@pytest.fixture
+def record():
+    return _quarantine.Quarantine(events.DeskOptions(suspects=4))
+
+
+def test_request_lost_on_two_upstreams_is_refused(desk):
+    """Guards against a third upstream lost to one request."""
+    for number in range(2):
+        (issued,) = ask(desk, f"p{number}", CRASHER)
+        commands = desk.handle(events.UpstreamLost(issued.upstream, True), 0.0)
+        expected = events.ShareSuspects((CRASHER,), number == 1)
+        assert expected in commands
+    (refused,) = ask(desk, "p2", CRASHER)
+    assert refused.reason is events.Reason.QUARANTINED
+
+
+def test_broken_connections_count_before_the_loss_is_confirmed(desk):
+    """Guards against a fast caller that repeats a crash in milliseconds."""
+    upstreams = []
+    for number in range(2):
+        (issued,) = ask(desk, f"p{number}", CRASHER)
+        upstreams.append(issued.upstream)
+        break_connection(desk, f"p{number}")
+    assert ask(desk, "p2", CRASHER) == []
+    commands = []
+    for upstream in upstreams:
+        commands += desk.handle(events.UpstreamLost(upstream, True), 0.9)
+    assert [c.reason for c in commands if hasattr(c, "reason")] == [
+        events.Reason.QUARANTINED
+    ]
+
+
+def test_broken_connections_of_live_upstreams_are_forgotten(desk):
+    """Guards against refusing a request for faults of the network."""
+    for number in range(2):
+        ask(desk, f"p{number}", BYSTANDER)
+        break_connection(desk, f"p{number}")
+    assert ask(desk, "p2", BYSTANDER) == []
+    commands = desk.handle(events.DeskTick(), _quarantine.CONFIRMATION_S + 0.1)
+    assert [type(command) for command in commands] == [events.IssuePermit]
+
+
+def test_copies_in_flight_reach_at_most_two_upstreams(desk):
+    """Guards against copies of an untried request on many upstreams."""
+    upstreams = {
+        command.upstream
+        for number in range(20)
+        for command in ask(desk, f"p{number}", CRASHER)
+    }
+    assert len(upstreams) == 2
+
+
+def test_a_request_that_completes_may_use_every_upstream(desk):
+    """Guards against throttling a popular request."""
+    ask(desk, "p", BYSTANDER)
+    desk.handle(events.PermitReturned("p", "completed", 0.01), 0.0)
+    upstreams = {
+        command.upstream
+        for number in range(16)
+        for command in ask(desk, f"p{number}", BYSTANDER)
+    }
+    assert upstreams == set(NAMES)
+
+
+def test_suspects_run_one_at_a_time_and_bystanders_are_cleared(desk):
+    """Guards against two suspects on one upstream, which hides the cause."""
+    ask(desk, "p1", CRASHER, candidates=("u1",))
+    ask(desk, "p2", BYSTANDER, candidates=("u1",))
+    desk.handle(events.UpstreamLost("u1", True), 0.0)
+    assert len(ask(desk, "p3", BYSTANDER)) == 1
+    assert ask(desk, "p4", CRASHER) == []
+    commands = desk.handle(events.PermitReturned("p3", "completed", 0.01), 0.1)
+    assert [command.permit for command in commands] == ["p4"]
+    assert len(ask(desk, "p5", BYSTANDER, 0.1)) == 1
+
+
+def test_guilt_is_learned_from_other_groups(desk):
+    """Guards against each group losing its own two upstreams."""
+    desk.handle(events.SuspectsReported([CRASHER], True), 0.0)
+    (refused,) = ask(desk, "p", CRASHER)
+    assert refused.reason is events.Reason.QUARANTINED
+
+
+def test_popular_request_on_two_lost_upstreams_is_spared(record):
+    """Guards against blaming a request that completes all the time."""
+    record.record_completion(BYSTANDER)
+    for name in NAMES[:2]:
+        record.record_loss(name, [(BYSTANDER, 0.0), (CRASHER, 0.0)], 0.0)
+    assert record.judge(BYSTANDER, 0.0) is _quarantine.Standing.SUSPECT
+    assert record.judge(CRASHER, 0.0) is _quarantine.Standing.GUILTY
+
+
+def test_timeouts_on_frozen_upstreams_count_once_they_are_lost(record):
+    """Guards against a request that freezes upstreams instead."""
+    record.record_unknown(CRASHER, "u1", 0.0)
+    assert record.judge(CRASHER, 0.0) is _quarantine.Standing.CLEAR
+    record.record_unknown(CRASHER, "u2", 0.5)
+    assert record.judge(CRASHER, 0.6) is _quarantine.Standing.UNRESOLVED
+    record.record_loss("u1", [], 1.0)
+    record.record_loss("u2", [], 1.5)
+    assert record.judge(CRASHER, 1.5) is _quarantine.Standing.GUILTY
+
+
+def test_record_is_bounded_and_ends_by_time(record):
+    """Guards against a record that grows, or refuses for ever."""
+    record.record_loss("u1", [(CRASHER, 0.0)], 0.0)
+    record.record_loss("u2", [(CRASHER, 0.0)], 0.0)
+    for number in range(10):
+        record.record_loss("u1", [(bytes([number]), 1.0)], 1.0)
+    assert len(record._records) == 4
+    assert record.judge(CRASHER, 1.0) is _quarantine.Standing.GUILTY
+    record.expire(600.5)
+    assert record.judge(CRASHER, 600.5) is _quarantine.Standing.CLEAR
+    record.expire(700.0)
+    assert record.is_empty()
