--- /dev/null
+++ b/packages/router/sycamoreloft_router/_backend.py
@@ -0,0 +1,193 @@
+"""Answers the calls of operators."""
+
+from collections import abc
+import typing
+
+from returns import pipeline, result
+
+import sycamoreloft_config
+from sycamoreloft_decisions import _acceptance
+from sycamoreloft_router import (
+    _admin,
+    _configuration,
+    _directory,
+    _group_tree,
+    _metrics,
+    _names,
+)
+
+
+class RouterBackend:
+    """Implements `_admin.AdminBackend` over the parts of the router.
+
+    Args:
+        configuration: The generations.
+        names: Resolution of names.
+        groups: Groups of this host.
+        directory: Other hosts.
+        metrics: Metrics of the process.
+        dump: Returns the state of the process.
+        is_ready: Tells whether the host accepts callers.
+    """
+
+    def __init__(
+        self,
+        configuration: _configuration.ConfigurationKeeper,
+        names: _names.RequestNames,
+        groups: _group_tree.GroupTree,
+        directory: _directory.Directory,
+        metrics: _metrics.Metrics,
+        dump: abc.Callable[[], abc.Mapping[str, typing.Any]],
+        is_ready: abc.Callable[[], bool],
+    ) -> None:
+        self._configuration = configuration
+        self._names = names
+        self._groups = groups
+        self._directory = directory
+        self._metrics = metrics
+        self._dump = dump
+        self._is_ready = is_ready
+
+    async def submit_file(
+        self, submission: _admin.Submission
+    ) -> result.Result[_admin.SubmissionAnswer, _admin.AdminProblem]:
+        """Checks and records files; waits for acceptance for a while."""
+        outcome = await self._configuration.submit_file(submission)
+        if not pipeline.is_successful(outcome):
+            return result.Failure(outcome.failure())
+        return _present_answer(outcome.unwrap())
+
+    async def read_generation(
+        self,
+    ) -> result.Result[_admin.GenerationView, _admin.AdminProblem]:
+        """Returns what this host applies."""
+        accepted = self._configuration.accepted
+        pending = self._configuration.pending
+        differences: abc.Sequence[str] = ()
+        waiting: abc.Sequence[str] = ()
+        if pending is not None:
+            differences = sycamoreloft_config.list_differences(
+                accepted, pending
+            )
+            waiting = self._configuration.list_waiting_domains()
+        return result.Success(
+            _admin.GenerationView(
+                accepted.number,
+                self._configuration.accepted_texts,
+                pending.number if pending else 0,
+                differences,
+                waiting,
+            )
+        )
+
+    async def explain_key(
+        self, fleet: str, service: str, key: str
+    ) -> result.Result[_admin.Explanation, _admin.AdminProblem]:
+        """Explains which upstream owns a key, as far as this host knows."""
+        found = self._names.resolve_service(fleet, service)
+        if not pipeline.is_successful(found):
+            problem = found.failure()
+            return result.Failure(
+                _admin.AdminProblem(
+                    404, problem.reason, problem.problem, problem.remedy
+                )
+            )
+        reference = found.unwrap()
+        definition = self._names.generation.fleets[reference.fleet].services[
+            reference.service
+        ]
+        if not definition.keyed:
+            return result.Success(
+                _admin.Explanation(
+                    reference.fleet,
+                    reference.service,
+                    key,
+                    -1,
+                    "",
+                    "",
+                    "",
+                    ["the service has no keys; any of its upstreams serves"],
+                )
+            )
+        partition = sycamoreloft_config.find_partition(
+            reference.fleet, reference.service, key, definition.partitions
+        )
+        group = self._names.find_partition_group(
+            reference.fleet, reference.service, partition
+        )
+        return result.Success(
+            self._explain_partition(reference, key, partition, group or "")
+        )
+
+    def _explain_partition(
+        self,
+        reference: sycamoreloft_config.ServiceReference,
+        key: str,
+        partition: int,
+        group: str,
+    ) -> _admin.Explanation:
+        holder = self._directory.find_holder(group) or ""
+        upstream, reasons = "", [f"partition {partition} of group {group}"]
+        runtime = self._groups.runtimes.get(group)
+        if runtime is not None and runtime.epoch:
+            upstream, found = runtime.explain_key(
+                reference.service, key, partition
+            )
+            reasons += found
+        elif holder:
+            reasons.append(f"ask host {holder}, which holds the group")
+        else:
+            reasons.append("no holder of the group is known at the moment")
+        return _admin.Explanation(
+            reference.fleet,
+            reference.service,
+            key,
+            partition,
+            group,
+            holder,
+            upstream,
+            reasons,
+        )
+
+    async def dump_state(self) -> abc.Mapping[str, typing.Any]:
+        """Returns the state of the process, ready for JSON."""
+        return self._dump()
+
+    async def render_metrics(self) -> tuple[bytes, str]:
+        """Returns metrics and their content type."""
+        return self._metrics.render(), "text/plain; version=0.0.4"
+
+    async def is_ready(self) -> bool:
+        """Tells whether the balancer may send callers to this host."""
+        return self._is_ready()
+
+
+def _present_answer(
+    answer: _acceptance.Answer,
+) -> result.Result[_admin.SubmissionAnswer, _admin.AdminProblem]:
+    if answer.verdict is _acceptance.Verdict.CONFLICT:
+        return result.Failure(
+            _admin.AdminProblem(
+                409,
+                "conflict",
+                f"the newest generation is {answer.newest}; another file was"
+                " submitted first",
+                f"look at what changed, then submit again with --base"
+                f" {answer.newest}",
+                [f"changed: {name}" for name in answer.changed_files],
+            )
+        )
+    if answer.verdict is _acceptance.Verdict.UNKNOWN:
+        return result.Failure(
+            _admin.AdminProblem(
+                503,
+                "outcome-unknown",
+                "the store did not tell whether the files were recorded",
+                "submit again with the same request id; it is recorded once",
+            )
+        )
+    return result.Success(
+        _admin.SubmissionAnswer(
+            answer.number, str(answer.verdict.value), answer.waiting_domains
+        )
+    )
--- /dev/null
+++ b/packages/router/sycamoreloft_router/_directory.py
@@ -0,0 +1,264 @@
+"""Other hosts: gossip, locations of groups, newer generations."""
+
+import asyncio
+from collections import abc
+import logging
+import random
+import time
+import typing
+
+from returns import pipeline
+import sycamoreloft_config
+import sycamoreloft_decisions
+from sycamoreloft_decisions import _membership
+from sycamoreloft_router import _configuration
+from sycamoreloft_router import _group_tree
+from sycamoreloft_router import _logs
+from sycamoreloft_router import _peer_links
+from sycamoreloft_router import _store_client
+import sycamoreloft_wire
+
+_LOGGER = logging.getLogger(__name__)
+
+#: Time between two gossip rounds, in seconds.
+GOSSIP_S = 0.5
+
+#: Gossip rounds between two reads of the platform's host list.
+LIST_ROUNDS = 20
+
+#: Hosts that are told at once of a change; others learn it by gossip.
+MAXIMUM_ANNOUNCEMENTS = 64
+
+#: Time to wait for the answer to a generation request, in seconds.
+FETCH_TIMEOUT_S = 2.0
+
+
+class Directory:
+    """Keeps what this host knows of other hosts.
+
+    Args:
+        settings: Settings of the process.
+        incarnation: Random identifier of this process.
+        links: Connections to other hosts.
+        store: The store, for the platform's host list.
+        configuration: The generations.
+    """
+
+    def __init__(
+        self,
+        settings: sycamoreloft_config.Settings,
+        incarnation: str,
+        links: _peer_links.PeerLinks,
+        store: _store_client.StoreClient,
+        configuration: _configuration.ConfigurationKeeper,
+    ) -> None:
+        self._settings = settings
+        self._incarnation = incarnation
+        self._links = links
+        self._store = store
+        self._configuration = configuration
+        self._groups: _group_tree.GroupTree | None = None
+        self._leaving = False
+        self._counter = 0
+        self._rounds = 0
+        self._contacts: set[str] = set(settings.seeds)
+        self._fetching: asyncio.Task[None] | None = None
+        self._posts: set[asyncio.Task[bool]] = set()
+        self._random = random.Random()
+        self._membership = _membership.Membership(
+            self._make_entry(), self._random
+        )
+
+    def follow_groups(self, groups: _group_tree.GroupTree) -> None:
+        """Takes the groups whose epochs this host announces."""
+        self._groups = groups
+
+    def _make_entry(self) -> sycamoreloft_wire.MemberEntry:
+        settings = self._settings
+        return sycamoreloft_wire.MemberEntry(
+            host=settings.host,
+            incarnation=self._incarnation,
+            counter=self._counter,
+            peer_address=settings.peer_address,
+            caller_address=settings.caller_address,
+            admin_address=settings.admin_address,
+            failure_domains=dict(settings.failure_domains),
+            leaving=self._leaving,
+            groups=self._groups.list_held() if self._groups else {},
+            generation=self._configuration.accepted.number,
+        )
+
+    # Gossip.
+
+    async def run_gossip(self) -> None:
+        """Sends a digest twice a second until it is cancelled."""
+        while True:
+            self._rounds += 1
+            if self._rounds % LIST_ROUNDS == 1:
+                await self._read_host_list()
+            self._announce(self._choose_targets())
+            await asyncio.sleep(GOSSIP_S * self._random.uniform(0.9, 1.1))
+
+    def _choose_targets(self) -> list[str]:
+        targets = [
+            entry.peer_address
+            for entry in self._membership.choose_targets(time.monotonic())
+        ]
+        strangers = self._contacts - {
+            entry.peer_address
+            for entry in self._membership.list_entries(time.monotonic())
+        }
+        strangers.discard(self._settings.peer_address)
+        if strangers:
+            targets.append(self._random.choice(sorted(strangers)))
+        return targets
+
+    def _announce(self, addresses: abc.Iterable[str]) -> None:
+        """Sends this host's present entry and some others to hosts."""
+        now = time.monotonic()
+        self._counter += 1
+        self._membership.update_own(self._make_entry(), now)
+        digest = sycamoreloft_wire.GossipDigest(
+            self._membership.make_digest(now)
+        )
+        for address in addresses:
+            self._post(address, digest)
+
+    def _post(self, address: str, message: sycamoreloft_wire.Message) -> None:
+        if self._links.try_post(address, message):
+            return
+        task = asyncio.get_running_loop().create_task(
+            self._links.post(address, message)
+        )
+        self._posts.add(task)
+        task.add_done_callback(self._posts.discard)
+
+    async def _read_host_list(self) -> None:
+        hosts = await self._store.list_hosts()
+        if pipeline.is_successful(hosts):
+            self._contacts.update(
+                host.peer_address
+                for host in hosts.unwrap()
+                if not host.leaving
+            )
+
+    def take_digest(self, message: sycamoreloft_wire.GossipDigest) -> None:
+        """Takes the entries of another host."""
+        now = time.monotonic()
+        self._membership.merge(message.entries, now)
+        newest = self._membership.find_newest_generation(now)
+        if newest > self._configuration.accepted.number:
+            self._start_fetch()
+
+    def announce_change(self) -> None:
+        """Tells some hosts at once that this host's groups changed.
+
+        Callers wait for the new holder, so the news does not wait for the
+        next rounds. Hosts beyond the bound learn it by gossip.
+        """
+        members = [
+            entry.peer_address
+            for entry in self._membership.list_entries(time.monotonic())
+            if entry.host != self._settings.host
+        ]
+        self._random.shuffle(members)
+        self._announce(members[:MAXIMUM_ANNOUNCEMENTS])
+
+    def announce_leaving(self) -> None:
+        """Tells other hosts that this one is stopping."""
+        self._leaving = True
+        self.announce_change()
+
+    # Generations.
+
+    def _start_fetch(self) -> None:
+        if self._fetching is None or self._fetching.done():
+            self._fetching = asyncio.get_running_loop().create_task(
+                self.fetch_generation()
+            )
+
+    async def fetch_generation(self) -> None:
+        """Asks a host that has a newer generation for its files."""
+        known = self._configuration.accepted.number
+        sources = [
+            entry
+            for entry in self._membership.list_entries(time.monotonic())
+            if entry.generation > known
+        ]
+        if not sources:
+            return
+        source = self._random.choice(sources)
+        answer = await self._links.call(
+            source.peer_address,
+            sycamoreloft_wire.GenerationRequest(known),
+            FETCH_TIMEOUT_S,
+        )
+        message = answer.value_or(None)
+        if isinstance(message, sycamoreloft_wire.GenerationAnswer):
+            await self._configuration.adopt_answer(message)
+
+    # Locations.
+
+    def find_holder(self, group: str) -> str | None:
+        """Returns the name of the host that holds a group."""
+        entry = self._membership.find_group_holder(group, time.monotonic())
+        return entry.host if entry else None
+
+    def find_holder_address(self, group: str) -> str | None:
+        """Returns the peer address of a group's holder, None if unknown."""
+        entry = self._membership.find_group_holder(group, time.monotonic())
+        return entry.peer_address if entry else None
+
+    def find_peer_address(self, host: str) -> str | None:
+        """Returns the peer address of a host."""
+        entry = self._membership.find_entry(host)
+        return entry.peer_address if entry else None
+
+    def observe_members(
+        self, group: sycamoreloft_config.GroupName
+    ) -> sycamoreloft_decisions.MembersObserved:
+        """Returns what gossip says of the hosts of the group's domain."""
+        now = time.monotonic()
+        heard: dict[str, float] = {}
+        claims: dict[str, int] = {}
+        name = str(group)
+        for entry in self._membership.list_entries(now):
+            if (
+                entry.failure_domains.get(group.fleet)
+                != group.failure_domain
+            ):
+                continue
+            if entry.host == self._settings.host:
+                if not self._leaving:
+                    heard[entry.host] = now
+                continue
+            if not entry.leaving:
+                heard[entry.host] = self._membership.find_progress(entry.host)
+            if name in entry.groups:
+                claims[entry.host] = entry.groups[name]
+        return sycamoreloft_decisions.MembersObserved(heard, claims)
+
+    def share_suspects(
+        self, message: sycamoreloft_wire.SuspectNotice
+    ) -> None:
+        """Passes suspects to the other holders of the fleet's groups."""
+        prefix = f"{message.fleet}/"
+        for entry in self._membership.list_entries(time.monotonic()):
+            if any(name.startswith(prefix) for name in entry.groups):
+                self._post(entry.peer_address, message)
+
+    def list_states(self) -> list[dict[str, typing.Any]]:
+        """Returns the known hosts for the state dump."""
+        now = time.monotonic()
+        return [
+            {
+                "host": entry.host,
+                "leaving": entry.leaving,
+                "generation": entry.generation,
+                "groups": dict(entry.groups),
+                "silent_s": round(
+                    now - self._membership.find_progress(entry.host), 3
+                ),
+            }
+            for entry in self._membership.list_entries(now)
+        ]
--- a/packages/router/sycamoreloft_router/_group_runtime.py
+++ b/packages/router/sycamoreloft_router/_group_runtime.py
@@ -10,6 +10,7 @@
 import sycamoreloft_config
 import sycamoreloft_decisions
 from sycamoreloft_router import (
+    _group_calls,
     _group_claims,
     _group_permits,
     _logs,
@@ -443,6 +444,7 @@
             self._spawn,
         )
         self._claims.start()
+        self._environment.directory.announce_change()
         _logs.log_event(
             _LOGGER,
             logging.INFO,
--- /dev/null
+++ b/packages/router/sycamoreloft_router/_group_tree.py
@@ -0,0 +1,94 @@
+"""The groups in which this host takes part, each a supervised task."""
+
+from collections import abc
+import logging
+
+import sycamoreloft_config
+from sycamoreloft_router import _group_calls, _group_runtime, _logs, _supervisor
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class GroupTree:
+    """Starts a runtime for each group of the host's failure domains.
+
+    Args:
+        environment: What all groups share.
+        failure_domains: Failure domain of this host by fleet name.
+        supervisor: Runs the groups' tasks.
+    """
+
+    def __init__(
+        self,
+        environment: _group_calls.GroupEnvironment,
+        failure_domains: abc.Mapping[str, str],
+        supervisor: _supervisor.Supervisor,
+    ) -> None:
+        self._environment = environment
+        self._failure_domains = failure_domains
+        self._supervisor = supervisor
+        self._stopping = False
+        #: Runtimes by group name.
+        self.runtimes: dict[str, _group_runtime.GroupRuntime] = {}
+
+    def apply_generations(
+        self,
+        accepted: sycamoreloft_config.Generation,
+        pending: sycamoreloft_config.Generation | None,
+    ) -> None:
+        """Starts groups that are new and tells the others of the change.
+
+        A group that the accepted generation no longer has goes on, so that
+        its machine can transfer what it still records.
+        """
+        if self._stopping:
+            return
+        for fleet_name, domain in self._failure_domains.items():
+            fleet = accepted.fleets.get(fleet_name)
+            if fleet is None:
+                continue
+            for group in sycamoreloft_config.list_groups(fleet):
+                if group.failure_domain == domain:
+                    self._start(group, accepted, pending)
+        for runtime in self.runtimes.values():
+            runtime.change_generation(accepted, pending)
+
+    def _start(
+        self,
+        group: sycamoreloft_config.GroupName,
+        accepted: sycamoreloft_config.Generation,
+        pending: sycamoreloft_config.Generation | None,
+    ) -> None:
+        name = str(group)
+        if name in self.runtimes:
+            return
+        runtime = _group_runtime.GroupRuntime(
+            self._environment, group, accepted, pending
+        )
+        self.runtimes[name] = runtime
+        self._supervisor.start(
+            _supervisor.ChildSpecification(
+                f"group {name}", runtime.run, lambda: self._give_up(name)
+            )
+        )
+
+    def _give_up(self, name: str) -> None:
+        """Drops a group whose task keeps failing; another host takes it."""
+        self.runtimes.pop(name, None)
+        _logs.log_event(
+            _LOGGER, logging.ERROR, "group-task-given-up", group=name
+        )
+
+    def list_held(self) -> dict[str, int]:
+        """Returns the epochs of the groups that this host holds."""
+        return {
+            name: runtime.epoch
+            for name, runtime in self.runtimes.items()
+            if runtime.epoch
+        }
+
+    def request_stop(self) -> None:
+        """Hands all groups over."""
+        self._stopping = True
+        for runtime in self.runtimes.values():
+            runtime.request_stop()
--- /dev/null
+++ b/packages/router/sycamoreloft_router/_head_rows.py
@@ -0,0 +1,38 @@
+"""Encodes the row `config/head` as a JSON object."""
+
+from collections import abc
+import dataclasses
+import typing
+
+from sycamoreloft_decisions import _acceptance
+
+
+def encode_head(row: _acceptance.HeadRow) -> dict[str, typing.Any]:
+    """Encodes the head row."""
+    return {
+        "accepted": dataclasses.asdict(row.accepted),
+        "pending": dataclasses.asdict(row.pending) if row.pending else None,
+        "history": [dataclasses.asdict(item) for item in row.history],
+    }
+
+
+def decode_head(value: abc.Mapping[str, typing.Any]) -> _acceptance.HeadRow:
+    """Decodes the head row."""
+    pending = value["pending"]
+    return _acceptance.HeadRow(
+        accepted=_decode_entry(value["accepted"]),
+        pending=_decode_entry(pending) if pending else None,
+        history=tuple(
+            _acceptance.PastSubmission(**item) for item in value["history"]
+        ),
+    )
+
+
+def _decode_entry(value: abc.Mapping[str, typing.Any]) -> _acceptance.Entry:
+    return _acceptance.Entry(
+        number=value["number"],
+        request=value["request"],
+        files=dict(value["files"]),
+        groups=tuple(value["groups"]),
+        lost_groups=tuple(value["lost_groups"]),
+    )
--- /dev/null
+++ b/packages/router/sycamoreloft_router/_names.py
@@ -0,0 +1,108 @@
+"""Names and locations for the request path."""
+
+import asyncio
+from collections import abc
+import typing
+
+from returns import result
+
+import sycamoreloft_config
+import sycamoreloft_decisions
+from sycamoreloft_router import _configuration
+
+#: Longest wait for a newer generation, in seconds.
+REFRESH_S = 1.0
+
+#: Time between two looks at the generation, in seconds.
+LOOK_S = 0.02
+
+
+class GenerationFetcher(typing.Protocol):
+    """Fetches newer files from other hosts."""
+
+    async def fetch_generation(self) -> None:
+        """Asks a host that has a newer generation for its files."""
+
+
+class RequestNames:
+    """Implements the name and group sources of the request path.
+
+    Args:
+        configuration: The generation in force.
+        fetcher: Fetches newer files.
+        failure_domains: Failure domain of this host by fleet name.
+    """
+
+    def __init__(
+        self,
+        configuration: _configuration.ConfigurationKeeper,
+        fetcher: GenerationFetcher,
+        failure_domains: abc.Mapping[str, str],
+    ) -> None:
+        self._configuration = configuration
+        self._fetcher = fetcher
+        self._failure_domains = failure_domains
+        self._directory = sycamoreloft_decisions.PartitionDirectory(
+            configuration.accepted
+        )
+        self._near: dict[tuple[str, str], list[str]] = {}
+        self._far: dict[tuple[str, str], list[str]] = {}
+
+    @property
+    def generation(self) -> sycamoreloft_config.Generation:
+        """The accepted generation that this host applies."""
+        return self._configuration.accepted
+
+    def apply_generation(
+        self, generation: sycamoreloft_config.Generation
+    ) -> None:
+        """Recomputes locations for another accepted generation."""
+        self._directory = sycamoreloft_decisions.PartitionDirectory(generation)
+        self._near, self._far = {}, {}
+        for fleet in generation.fleets.values():
+            own_domain = self._failure_domains.get(fleet.name)
+            for upstream in fleet.upstreams.values():
+                domain = fleet.failure_domains[upstream.failure_domain]
+                if upstream.lost or upstream.leaving or domain.lost:
+                    continue
+                side = self._near if domain.name == own_domain else self._far
+                groups = side.setdefault((fleet.name, upstream.service), [])
+                group = str(
+                    sycamoreloft_config.find_group(fleet, upstream.name)
+                )
+                if group not in groups:
+                    groups.append(group)
+
+    def resolve_service(
+        self, fleet: str, service: str
+    ) -> result.Result[
+        sycamoreloft_config.ServiceReference, sycamoreloft_config.NameProblem
+    ]:
+        """Finds the service that a request names."""
+        return sycamoreloft_config.resolve_service(
+            self.generation, fleet, service
+        )
+
+    async def refresh_generation(self, known: int) -> None:
+        """Waits until this host applies a generation newer than `known`."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + REFRESH_S
+        while self.generation.number <= known and loop.time() < deadline:
+            await self._fetcher.fetch_generation()
+            if self.generation.number <= known:
+                await asyncio.sleep(LOOK_S)
+
+    def find_partition_group(
+        self, fleet: str, service: str, partition: int
+    ) -> str | None:
+        """Returns the group that a partition is assigned to."""
+        group = self._directory.find_group(fleet, service, partition)
+        return str(group) if group else None
+
+    def list_near_groups(self, fleet: str, service: str) -> abc.Sequence[str]:
+        """Lists the groups of the own domain that have upstreams."""
+        return self._near.get((fleet, service), ())
+
+    def list_far_groups(self, fleet: str, service: str) -> abc.Sequence[str]:
+        """Lists the groups of other domains that have upstreams."""
+        return self._far.get((fleet, service), ())
--- a/packages/router/sycamoreloft_router/_peer_links.py
+++ b/packages/router/sycamoreloft_router/_peer_links.py
@@ -257,6 +257,16 @@
         """
         return await self._find(address).call(message, timeout_s)
 
+    def try_post(
+        self, address: str, message: sycamoreloft_wire.Message
+    ) -> bool:
+        """Sends a message if the connection is open; tells whether it was."""
+        link = self._links.get(address)
+        try:
+            return link is not None and link.post(message)
+        except iostream.StreamClosedError:
+            return False
+
     async def post(
         self, address: str, message: sycamoreloft_wire.Message
     ) -> bool:
--- /dev/null
+++ b/packages/router/sycamoreloft_router/main.py
@@ -0,0 +1,69 @@
+"""Command line of the router process."""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import sys
+import typing
+
+from returns import pipeline
+import typer
+
+import sycamoreloft_config
+from sycamoreloft_router import _host, _logs, _supervisor
+
+#: Exit code for wrong settings.
+EXIT_SETTINGS = 78
+
+#: Exit code when a part of the process keeps failing.
+EXIT_FAILED = 70
+
+_APPLICATION = typer.Typer(add_completion=False)
+
+
+@_APPLICATION.command()
+def serve(
+    settings: typing.Annotated[
+        pathlib.Path,
+        typer.Option(help="Settings file of the process, TOML."),
+    ],
+) -> None:
+    """Runs a router host until SIGTERM or SIGINT.
+
+    SIGUSR1 writes the state dump to standard error. Exit codes: 0 after a
+    graceful stop, 78 for wrong settings, 70 if a part keeps failing.
+    """
+    loaded = sycamoreloft_config.load_settings(str(settings), os.environ)
+    if not pipeline.is_successful(loaded):
+        for problem in loaded.failure():
+            typer.echo(str(problem), err=True)
+        raise typer.Exit(EXIT_SETTINGS)
+    _logs.set_up_logging(loaded.unwrap().log_level)
+    raise typer.Exit(asyncio.run(_serve(loaded.unwrap())))
+
+
+async def _serve(settings: sycamoreloft_config.Settings) -> int:
+    host = _host.Host(settings)
+    stop_requested = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop_requested.set)
+    loop.add_signal_handler(signal.SIGUSR1, _print_state, host)
+    try:
+        await host.run(stop_requested)
+    except _supervisor.SupervisorFailed as error:
+        typer.echo(str(error), err=True)
+        return EXIT_FAILED
+    return 0
+
+
+def _print_state(host: _host.Host) -> None:
+    json.dump(host.dump_state(), sys.stderr)
+    sys.stderr.write("\n")
+
+
+def run() -> None:
+    """Runs the command line."""
+    _APPLICATION()
