--- a/Makefile
+++ b/Makefile
@@ -25,14 +25,14 @@
 	$(BIN)/python -m pytest
 
 lint: install
-	$(BIN)/ruff format --check packages tools
-	$(BIN)/ruff check packages tools
+	$(BIN)/ruff format --check packages tools conftest.py
+	$(BIN)/ruff check packages tools conftest.py
 	$(BIN)/python tools/check_source.py
 	$(BIN)/mypy $(SOURCES)
 
 format: install
-	$(BIN)/ruff format packages tools
-	$(BIN)/ruff check --fix packages tools
+	$(BIN)/ruff format packages tools conftest.py
+	$(BIN)/ruff check --fix packages tools conftest.py
 
 bench: install
 	$(BIN)/python -m sycamoreloft_proof.bench
--- a/conftest.py
+++ b/conftest.py
@@ -7,7 +7,7 @@
 _LIST = pathlib.Path(__file__).with_name("KNOWN-RED.txt")
 
 
-def _read_known_red():
+def _read_known_red() -> set[str]:
     """Returns node ids of entries, each a line "test: <node id>"."""
     return {
         line.removeprefix("test:").strip()
@@ -16,7 +16,7 @@
     }
 
 
-def pytest_collection_modifyitems(items):
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Lets listed tests run without failing the run."""
     known = _read_known_red()
     for item in items:
@@ -24,7 +24,9 @@
             item.add_marker(pytest.mark.xfail(reason="listed in KNOWN-RED.txt"))
 
 
-def pytest_terminal_summary(terminalreporter):
+def pytest_terminal_summary(
+    terminalreporter: pytest.TerminalReporter,
+) -> None:
     """Prints the listed tests with every run."""
     for node in sorted(_read_known_red()):
         terminalreporter.write_line(f"KNOWN-RED: {node}")
