--- a/packages/proof/sycamoreloft_proof/_callers.py
+++ b/packages/proof/sycamoreloft_proof/_callers.py
@@ -64,6 +64,10 @@
         """Replaces the routers to choose from."""
         self._ready = list(routers)
 
+    def count_ready(self) -> int:
+        """Returns the number of routers to choose from."""
+        return len(self._ready)
+
     def choose(self) -> Router | None:
         """Returns a router, None if none is ready."""
         return self._random.choice(self._ready) if self._ready else None
--- a/packages/proof/sycamoreloft_proof/_history_checks.py
+++ b/packages/proof/sycamoreloft_proof/_history_checks.py
@@ -52,9 +52,20 @@
     return dict(runs)
 
 
+def _find_operations(events: _Events) -> dict[str, tuple[str, str]]:
+    """Returns the identities of at-most-once operations by request."""
+    return {
+        event.request: (event.fleet, event.idempotency_key)
+        for event in events
+        if isinstance(event, _history.RequestSent) and event.at_most_once
+    }
+
+
 def _check_answers(events: _Events) -> _Violations:
     """Compares each answer with what the upstreams ran."""
     runs = _find_runs(events)
+    operations = _find_operations(events)
+    ran_operations = {operations[name] for name in runs if name in operations}
     for event in events:
         if not isinstance(event, _history.AnswerReceived):
             continue
@@ -83,7 +94,8 @@
                 f"{event.request} counts as completed, but its answer"
                 f" ended as {event.ending}",
             )
-        elif not ran:
+        # A repeated operation is answered with what its first run brought.
+        elif not ran and operations.get(event.request) not in ran_operations:
             yield _history.Violation(
                 _history.Condition.OWN_WHOLE_ANSWER,
                 event.at,
@@ -94,11 +106,7 @@
 
 def _check_at_most_once(events: _Events) -> _Violations:
     """Counts the runs of each operation that must not be repeated."""
-    operations = {
-        event.request: (event.fleet, event.idempotency_key)
-        for event in events
-        if isinstance(event, _history.RequestSent) and event.at_most_once
-    }
+    operations = _find_operations(events)
     first_runs: dict[tuple[str, str], _history.RunStarted] = {}
     for event in events:
         if not isinstance(event, _history.RunStarted):
--- /dev/null
+++ b/packages/proof/sycamoreloft_proof/_summary.py
@@ -0,0 +1,104 @@
+"""Counts of a history, for the tables of the demo and the soak."""
+
+import collections
+from collections import abc
+import dataclasses
+
+from sycamoreloft_proof import _history, _ownership_checks
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Summary:
+    """What a run did, in numbers."""
+
+    #: Requests that callers sent, each sending counted.
+    requests_sent: int
+    #: Requests answered whole, by the upstream or for a repeated operation.
+    whole_answers: int
+    #: Requests whose caller was told that they did not run.
+    did_not_run: int
+    #: Requests whose caller does not know whether they ran.
+    unknown: int
+    #: Runs on upstreams.
+    runs: int
+    #: Partitions that changed their owner.
+    partitions_moved: int
+    #: Hot keys that were placed apart from their partition.
+    hot_keys_placed: int
+    #: Violations by condition.
+    violations: abc.Mapping[_history.Condition, int]
+
+    @property
+    def wrong_answers(self) -> int:
+        """Answers that were not the caller's own and whole."""
+        return self.violations.get(_history.Condition.OWN_WHOLE_ANSWER, 0)
+
+    @property
+    def repeated_runs(self) -> int:
+        """Runs of an operation that had already run."""
+        return self.violations.get(_history.Condition.AT_MOST_ONCE, 0)
+
+    @property
+    def false_did_not_run(self) -> int:
+        """Requests that ran although their caller was told otherwise."""
+        return self.violations.get(_history.Condition.DID_NOT_RUN, 0)
+
+    @property
+    def slots_exceeded(self) -> int:
+        """Requests that came to an upstream whose slots were all taken."""
+        return self.violations.get(_history.Condition.SLOTS, 0)
+
+
+def summarize(
+    events: abc.Iterable[_history.Event],
+    violations: abc.Iterable[_history.Violation],
+) -> Summary:
+    """Counts what a history shows."""
+    ordered = sorted(events, key=lambda event: event.at)
+    kinds = collections.Counter(type(event) for event in ordered)
+    outcomes = collections.Counter(
+        event.outcome
+        for event in ordered
+        if isinstance(event, _history.AnswerReceived)
+    )
+    moved, hot_keys = _ownership_checks.count_moved_keys(ordered)
+    return Summary(
+        requests_sent=kinds[_history.RequestSent],
+        whole_answers=outcomes[_history.Outcome.COMPLETED],
+        did_not_run=outcomes[_history.Outcome.DID_NOT_RUN],
+        unknown=outcomes[_history.Outcome.UNKNOWN],
+        runs=kinds[_history.RunStarted],
+        partitions_moved=moved,
+        hot_keys_placed=hot_keys,
+        violations=dict(
+            collections.Counter(item.condition for item in violations)
+        ),
+    )
+
+
+def format_table(rows: abc.Iterable[tuple[str, object]]) -> str:
+    """Formats rows of a name and a value as aligned lines."""
+    listed = [(name, str(value)) for name, value in rows]
+    name_width = max(len(name) for name, _ in listed)
+    value_width = max(len(value) for _, value in listed)
+    return "\n".join(
+        f"  {name:<{name_width}}  {value:>{value_width}}"
+        for name, value in listed
+    )
+
+
+def list_rows(summary: Summary) -> list[tuple[str, object]]:
+    """Returns the rows that every table has."""
+    return [
+        ("requests sent", summary.requests_sent),
+        ("whole answers", summary.whole_answers),
+        ("did not run", summary.did_not_run),
+        ("unknown", summary.unknown),
+        ("runs on upstreams", summary.runs),
+        ("wrong answers", summary.wrong_answers),
+        ("repeated runs", summary.repeated_runs),
+        ("false did-not-run", summary.false_did_not_run),
+        ("slots exceeded", summary.slots_exceeded),
+        ("partitions moved", summary.partitions_moved),
+        ("hot keys placed apart", summary.hot_keys_placed),
+    ]
