--- /dev/null
+++ b/packages/decisions/sycamoreloft_decisions/_grants.py
@@ -0,0 +1,283 @@
+"""What one holder granted to one upstream, and when it certainly ended."""
+
+from collections import abc
+import dataclasses
+import itertools
+
+from sycamoreloft_decisions import _ownership, _timing
+
+#: Fences of granted units. Replaced, never changed in place, because calls
+#: in flight refer to it.
+Content = abc.Mapping[_ownership.Unit, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Removal:
+    """A unit was taken out of the content of an upstream's grants."""
+
+    #: First version without the unit.
+    version: int
+    #: Time at which every grant sent with the unit has certainly ended.
+    end: float
+    #: Incarnation of the upstream at that time, empty if unknown.
+    incarnation: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Call:
+    """A grant in flight."""
+
+    number: int
+    sent_at: float
+    version: int
+    #: Sending time of the call that brought the reading, None without one.
+    reading_sent_at: float | None
+    content: Content
+
+
+class GrantBook:
+    """The grants of one epoch to one upstream.
+
+    Only one call is in flight at a time, and the answer to a call that timed
+    out is ignored. So answers are handled in the order in which the upstream
+    gave them, and an old incarnation cannot pass for a new one.
+
+    Args:
+        upstream: Name of the upstream.
+        checks_fences: Whether the upstream rejects old epochs.
+        epoch: Epoch of the holder.
+        calls: Numbers for calls, shared by all books of the host.
+        now: Clock reading in seconds.
+    """
+
+    def __init__(
+        self,
+        upstream: str,
+        checks_fences: bool,
+        epoch: int,
+        calls: "itertools.count[int]",
+        now: float,
+    ) -> None:
+        self.upstream = upstream
+        self.checks_fences = checks_fences
+        self.draining = False
+        #: Whether an answer named an epoch above this holder's.
+        self.is_superseded = False
+        self._epoch = epoch
+        self._calls = calls
+        self._incarnation = ""
+        self._is_confirmed = False
+        self._reading: float | None = None
+        self._reading_at = 0.0
+        self._reading_sent_at = 0.0
+        self._content: Content = {}
+        self._version = 1
+        self._sent_version = 0
+        self._acked_version = 0
+        self._acked_content: Content = {}
+        self._in_force_until = 0.0
+        self._call: _Call | None = None
+        self._next_send_at = now
+        self._started_at = now
+        self._answered_at: float | None = None
+        # Certain end of all grants that were sent, and of those whose answer
+        # is missing.
+        self._sent_end = 0.0
+        self._doubtful_end = 0.0
+
+    def needs_confirmation(self) -> bool:
+        """Tells whether grants wait until the store confirms the row.
+
+        A restarted upstream has forgotten the highest epoch it has seen, so
+        a holder that was replaced could have its grants accepted again. A
+        new incarnation is therefore granted nothing before a write of the
+        row, sent after the incarnation was learned, has succeeded.
+        """
+        return bool(self._incarnation) and not self._is_confirmed
+
+    def get_incarnation(self) -> str:
+        """Returns the incarnation of the latest answer, empty if unknown."""
+        return self._incarnation
+
+    def confirm(self, incarnation: str) -> None:
+        """Notes that the row is still this holder's.
+
+        Args:
+            incarnation: Incarnation that was known when the write that has
+                now succeeded was sent first.
+        """
+        if incarnation and incarnation == self._incarnation:
+            self._is_confirmed = True
+
+    def is_reachable(self, now: float) -> bool:
+        """Tells whether the upstream answers."""
+        if self._answered_at is None:
+            return now < self._started_at + _timing.FIRST_CONTACT_S
+        return now < self._answered_at + _timing.GRANT_CERTAIN_END_S
+
+    def has_answered(self) -> bool:
+        """Tells whether the upstream answered in this epoch."""
+        return self._answered_at is not None
+
+    def change(
+        self, added: Content, removed: abc.Iterable[_ownership.Unit]
+    ) -> Removal:
+        """Changes the content of later grants.
+
+        Returns:
+            The proof obligation for the removed units, for `is_released`.
+        """
+        content = dict(self._content)
+        for unit in removed:
+            content.pop(unit, None)
+        content.update(added)
+        self._content = content
+        self._version += 1
+        return Removal(self._version, self._sent_end, self._incarnation)
+
+    def is_released(
+        self, removal: Removal, now: float, earlier_end: float
+    ) -> bool:
+        """Tells whether the upstream certainly owns a removed unit no more.
+
+        Args:
+            removal: What `change` returned.
+            now: Clock reading in seconds.
+            earlier_end: Time at which all grants of earlier holders have
+                certainly ended.
+        """
+        if now >= max(removal.end, earlier_end):
+            return True
+        # A new incarnation that was learned in this epoch started after the
+        # row was taken, so no earlier holder can confirm it and grant it.
+        if removal.incarnation and removal.incarnation != self._incarnation:
+            return True
+        return (
+            self.checks_fences
+            and self._acked_version >= removal.version
+            and now >= self._doubtful_end
+        )
+
+    def is_granted(self, unit: _ownership.Unit, fence: int, now: float) -> bool:
+        """Tells whether an acknowledged grant of a unit is in force."""
+        return (
+            now < self._in_force_until
+            and self._acked_content.get(unit) == fence
+            and self._content.get(unit) == fence
+        )
+
+    def is_in_force(self, now: float) -> bool:
+        """Tells whether any acknowledged grant is in force."""
+        return now < self._in_force_until
+
+    def tick(
+        self, now: float, may_act: bool
+    ) -> abc.Sequence[_ownership.SendGrant]:
+        """Sends a grant if one is due and the holder may act."""
+        call = self._call
+        if call and now >= call.sent_at + _timing.GRANT_TIMEOUT_S:
+            self._give_up_call(call)
+        if self._call or not may_act:
+            return ()
+        is_changed = self._is_confirmed and (
+            self._sent_version != self._version
+        )
+        if now >= self._next_send_at or is_changed:
+            return (self._send(now),)
+        return ()
+
+    def fail(self, number: int) -> None:
+        """Notes that a call had no answer; it may still arrive."""
+        if self._call and self._call.number == number:
+            self._give_up_call(self._call)
+
+    def answer(self, event: _ownership.GrantAnswered, now: float) -> None:
+        """Notes the answer of the upstream."""
+        call = self._call
+        if call is None or call.number != event.call:
+            return
+        self._call = None
+        self._answered_at = now
+        self.draining = event.draining
+        self.is_superseded = event.highest_epoch > self._epoch
+        if event.incarnation != self._incarnation:
+            self._meet_incarnation(event.incarnation)
+        elif event.accepted and call.reading_sent_at is not None:
+            self._acked_version = call.version
+            self._acked_content = call.content
+            # The upstream gave the reading after the call that brought it
+            # was sent; a fast upstream clock shortens the lifetime.
+            self._in_force_until = (
+                call.reading_sent_at
+                + _timing.GRANT_LIFETIME_S / (1 + _timing.CLOCK_DRIFT)
+            )
+        else:
+            self._acked_version = 0
+        is_late = (
+            call.reading_sent_at is None
+            or call.sent_at - call.reading_sent_at > _timing.LATE_READING_S
+        )
+        if is_late and self._is_confirmed and not self.is_superseded:
+            self._next_send_at = now
+        self._reading = event.clock_reading
+        self._reading_at = now
+        self._reading_sent_at = call.sent_at
+
+    def _meet_incarnation(self, incarnation: str) -> None:
+        self._incarnation = incarnation
+        self._is_confirmed = False
+        self._sent_version = 0
+        self._acked_version = 0
+        self._acked_content = {}
+        self._in_force_until = 0.0
+        # Grants to an earlier incarnation are rejected.
+        self._doubtful_end = 0.0
+
+    def _give_up_call(self, call: _Call) -> None:
+        self._call = None
+        self._doubtful_end = self._sent_end
+
+    def _send(self, now: float) -> _ownership.SendGrant:
+        reading = self._reading if self._is_confirmed else None
+        content: Content = {} if reading is None else self._content
+        number = next(self._calls)
+        self._call = _Call(
+            number,
+            now,
+            self._version,
+            None if reading is None else self._reading_sent_at,
+            content,
+        )
+        self._next_send_at = now + _timing.RENEWAL_INTERVAL_S
+        if reading is not None:
+            self._sent_end = self._reading_at + _timing.GRANT_CERTAIN_END_S
+            self._sent_version = self._version
+        is_known = reading is not None and (
+            self._acked_version == self._version
+        )
+        partitions, hot_keys = split_content(content)
+        return _ownership.SendGrant(
+            upstream=self.upstream,
+            call=number,
+            epoch=self._epoch,
+            version=self._version if reading is not None else 0,
+            incarnation=self._incarnation,
+            clock_reading=reading,
+            lifetime_ms=_timing.GRANT_LIFETIME_MS,
+            partitions=None if is_known else partitions,
+            hot_keys=hot_keys,
+        )
+
+
+def split_content(
+    content: Content,
+) -> tuple[dict[str, dict[int, int]], dict[str, dict[str, int]]]:
+    """Splits the content of a grant into partitions and hot keys."""
+    partitions: dict[str, dict[int, int]] = {}
+    hot_keys: dict[str, dict[str, int]] = {}
+    for unit, fence in content.items():
+        if unit.key:
+            hot_keys.setdefault(unit.service, {})[unit.key] = fence
+        else:
+            partitions.setdefault(unit.service, {})[unit.partition] = fence
+    return partitions, hot_keys
--- /dev/null
+++ b/packages/decisions/sycamoreloft_decisions/_move_steps.py
@@ -0,0 +1,230 @@
+"""Takes moves from one step to the next."""
+
+import dataclasses
+
+from sycamoreloft_decisions import (
+    _holding_state,
+    _moves,
+    _owners,
+    _ownership,
+    _placement,
+    _planning,
+    _rows,
+)
+
+Commands = list[_ownership.Command]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Batch:
+    """Changes of one write, with the moves that they complete."""
+
+    #: Changed records.
+    changes: dict[_ownership.Unit, _rows.Assignment | None]
+    #: The moves.
+    moves: list[_moves.Move]
+
+
+def progress(state: _holding_state.HoldingState, now: float) -> Commands:
+    """Releases old owners and ends moves whose new owner is granted."""
+    commands: Commands = []
+    releasing = state.moves.list_in(_moves.Phase.RELEASING)
+    for move in releasing:
+        if move.kind is _moves.Kind.TAKE_OUT and move.removal is None:
+            commands += _refence_partition(state, move)
+    _remove_from_grants(state, releasing)
+    for move in releasing:
+        if _is_released(state, move, now):
+            move.phase = _moves.Phase.READY
+    for move in state.moves.list_in(_moves.Phase.GRANTING):
+        if _is_granted(state, move, now):
+            commands += state.moves.finish(move)
+    return commands
+
+
+def _refence_partition(
+    state: _holding_state.HoldingState, move: _moves.Move
+) -> Commands:
+    """Starts to give the partition of a hot key a new fence."""
+    unit = _ownership.Unit(move.unit.service, move.unit.partition)
+    owner = state.owners.get(unit)
+    other = state.moves.get(unit)
+    if other and other.kind is _moves.Kind.REFENCE:
+        return []
+    if other or owner is None or owner != move.source:
+        return list(state.moves.finish(move))
+    return list(
+        state.moves.add(
+            _moves.Move(
+                unit,
+                _moves.Kind.REFENCE,
+                _moves.Phase.READY,
+                owner,
+                owner.upstream,
+            )
+        )
+    )
+
+
+def _remove_from_grants(
+    state: _holding_state.HoldingState, releasing: list[_moves.Move]
+) -> None:
+    by_upstream: dict[str, list[_moves.Move]] = {}
+    for move in releasing:
+        if move.removal is None and move.kind is not _moves.Kind.TAKE_OUT:
+            assert move.source is not None
+            by_upstream.setdefault(move.source.upstream, []).append(move)
+    for name, moves in by_upstream.items():
+        removal = state.books[name].change({}, [move.unit for move in moves])
+        for move in moves:
+            move.removal = removal
+
+
+def _is_released(
+    state: _holding_state.HoldingState, move: _moves.Move, now: float
+) -> bool:
+    if move.is_vouched:
+        return move.kind is not _moves.Kind.TAKE_OUT
+    if move.removal is None or move.source is None:
+        return False
+    book = state.books[move.source.upstream]
+    return book.is_released(move.removal, now, state.get_earlier_end())
+
+
+def _is_granted(
+    state: _holding_state.HoldingState, move: _moves.Move, now: float
+) -> bool:
+    """Tells whether the new owner runs the unit, or is lost in its turn."""
+    if move.planned is None:
+        return True
+    unit = move.unit
+    if move.kind is _moves.Kind.GIVE_BACK:
+        unit = _ownership.Unit(unit.service, unit.partition)
+    if state.owners.get(unit) != move.planned:
+        return True
+    book = state.books[move.planned.upstream]
+    return not book.is_reachable(now) or book.is_granted(
+        unit, move.planned.fence, now
+    )
+
+
+def collect_batch(state: _holding_state.HoldingState, now: float) -> Batch:
+    """Plans the records of all moves whose old owner is released."""
+    batch = Batch({}, [])
+    views: dict[str, _placement.LoadView] = {}
+    for move in state.moves.list_in(_moves.Phase.READY):
+        if _plan_record(state, move, views, batch, now):
+            move.phase = _moves.Phase.WRITING
+            batch.moves.append(move)
+    return batch
+
+
+def _plan_record(
+    state: _holding_state.HoldingState,
+    move: _moves.Move,
+    views: dict[str, _placement.LoadView],
+    batch: Batch,
+    now: float,
+) -> bool:
+    """Adds the record of one move; returns whether it can be written."""
+    if move.kind is _moves.Kind.AWAY:
+        batch.changes[move.unit] = None
+        return True
+    if move.kind is _moves.Kind.GIVE_BACK:
+        return _plan_give_back(state, move, batch)
+    if move.kind is _moves.Kind.REFENCE:
+        target = move.target
+    else:
+        if _restore_source(state, move, now):
+            return False
+        target = _choose_target(state, move, views, now)
+    if not target:
+        return False
+    move.planned = _rows.Assignment(target, state.owners.choose_fence())
+    batch.changes[move.unit] = move.planned
+    return True
+
+
+def _plan_give_back(
+    state: _holding_state.HoldingState, move: _moves.Move, batch: Batch
+) -> bool:
+    partition = _ownership.Unit(move.unit.service, move.unit.partition)
+    owner = state.owners.get(partition)
+    if owner is None or state.moves.get(partition):
+        return False
+    if partition in batch.changes:
+        return False
+    move.planned = _rows.Assignment(owner.upstream, state.owners.choose_fence())
+    batch.changes[move.unit] = None
+    batch.changes[partition] = move.planned
+    return True
+
+
+def _restore_source(
+    state: _holding_state.HoldingState, move: _moves.Move, now: float
+) -> bool:
+    """Gives a unit back to its recorded owner if that owner has returned."""
+    source = move.source
+    if source is None or move.kind is not _moves.Kind.ANYWHERE:
+        return False
+    if state.owners.get(move.unit) != source:
+        return False
+    if not state.is_usable(source.upstream, move.unit.service, now):
+        return False
+    state.books[source.upstream].change({move.unit: source.fence}, ())
+    move.planned = source
+    move.phase = _moves.Phase.GRANTING
+    return True
+
+
+def _choose_target(
+    state: _holding_state.HoldingState,
+    move: _moves.Move,
+    views: dict[str, _placement.LoadView],
+    now: float,
+) -> str:
+    service = move.unit.service
+    if move.target and state.is_usable(move.target, service, now):
+        return move.target
+    if not state.is_settled(now):
+        return ""
+    if service not in views:
+        views[service] = _planning.make_view(state, service, now)
+    load = state.get_loads(service).get_load(move.unit)
+    return views[service].choose_target(move.unit, load)
+
+
+def apply_batch(state: _holding_state.HoldingState, batch: Batch) -> Commands:
+    """Grants what the store has acknowledged."""
+    commands: Commands = []
+    state.owners.apply(batch.changes)
+    state.unassigned.difference_update(batch.changes)
+    added: dict[str, dict[_ownership.Unit, int]] = {}
+    refenced: dict[_ownership.Unit, str] = {}
+    for unit, assignment in batch.changes.items():
+        if assignment is not None:
+            units = added.setdefault(assignment.upstream, {})
+            units[unit] = assignment.fence
+    removals = {
+        name: state.books[name].change(units, ())
+        for name, units in added.items()
+    }
+    for move in batch.moves:
+        move.phase = _moves.Phase.GRANTING
+        if move.kind is _moves.Kind.AWAY:
+            commands += state.moves.finish(move)
+        elif move.kind is _moves.Kind.REFENCE:
+            refenced[move.unit] = move.target
+            commands += state.moves.finish(move)
+    for move in state.moves.list_in(_moves.Phase.RELEASING):
+        unit = _ownership.Unit(move.unit.service, move.unit.partition)
+        if move.kind is _moves.Kind.TAKE_OUT and unit in refenced:
+            move.removal = removals[refenced[unit]]
+    return commands
+
+
+def drop_superseded(
+    state: _holding_state.HoldingState,
+) -> _owners.Changes:
+    """Lists records to remove because another group has later ones."""
+    return dict.fromkeys(state.owners.list_superseded())
--- /dev/null
+++ b/packages/decisions/sycamoreloft_decisions/_planning.py
@@ -0,0 +1,377 @@
+"""Decides which units must or should move."""
+
+from collections import abc
+
+from sycamoreloft_decisions import (
+    _holding_state,
+    _moves,
+    _ownership,
+    _placement,
+    _rows,
+)
+
+#: Planned moves of one group under way at once. Each holds back the requests
+#: of its unit for a moment.
+MAXIMUM_PLANNED = 16
+#: Individually placed keys of one service in one group.
+MAXIMUM_HOT_KEYS = 256
+#: Load of a key, in shares of the mean load of an upstream, above which it is
+#: placed by itself.
+HOT_SHARE = 0.25
+#: Share of that load below which the key returns to its partition; the gap
+#: keeps a key from going back and forth.
+COLD_SHARE = 0.25
+
+Commands = list[_ownership.Command]
+
+
+def plan_forced(state: _holding_state.HoldingState, now: float) -> Commands:
+    """Starts the moves that a loss, a file or a leaving upstream forces."""
+    commands: Commands = []
+    for name in state.owners.list_upstreams():
+        book = state.books[name]
+        if state.is_vouched_lost(name):
+            commands += _start_forced(state, name, "a file declares it lost")
+        elif name not in state.upstreams:
+            commands += _start_forced(
+                state, name, "no accepted file has it in this group"
+            )
+        elif not book.is_reachable(now):
+            commands += _start_forced(state, name, "it does not answer")
+        elif state.is_leaving(name):
+            commands += _start_leaving(state, name)
+    return commands
+
+
+def _start_forced(
+    state: _holding_state.HoldingState, name: str, cause: str
+) -> Commands:
+    """Takes the units of an upstream that cannot be drained.
+
+    A move that was waiting for the drain goes on without it: the permits of
+    a lost upstream end with its connections.
+    """
+    commands: Commands = []
+    removed = []
+    is_vouched = state.is_vouched_lost(name)
+    for unit in list(state.owners.list_owned(name)):
+        move = state.moves.get(unit)
+        if move is None:
+            move = _moves.Move(
+                unit,
+                _moves.Kind.ANYWHERE,
+                _moves.Phase.RELEASING,
+                state.owners.get(unit),
+            )
+            commands += state.moves.add(move)
+            removed.append(move)
+        elif move.phase is _moves.Phase.DRAINING:
+            move.phase = _moves.Phase.RELEASING
+        elif move.kind is _moves.Kind.REFENCE:
+            commands += _abandon_refence(state, move)
+            continue
+        move.is_vouched = is_vouched
+    if removed:
+        commands.append(
+            state.explain(
+                f"{len(removed)} units leave upstream {name}: {cause}."
+            )
+        )
+    return commands
+
+
+def _abandon_refence(
+    state: _holding_state.HoldingState, move: _moves.Move
+) -> Commands:
+    """Gives up taking out hot keys of a partition whose owner is lost."""
+    if move.phase is not _moves.Phase.READY:
+        return []
+    commands: Commands = list(state.moves.finish(move))
+    for other in state.moves.list_all():
+        if (
+            other.kind is _moves.Kind.TAKE_OUT
+            and other.unit.service == move.unit.service
+            and other.unit.partition == move.unit.partition
+        ):
+            commands += state.moves.finish(other)
+    return commands
+
+
+def _start_leaving(state: _holding_state.HoldingState, name: str) -> Commands:
+    """Moves all units of a leaving upstream at once, with draining.
+
+    There is no bound on the number, because holding a unit back is what
+    keeps new work away from the upstream.
+    """
+    commands: Commands = []
+    started = 0
+    for unit in list(state.owners.list_owned(name)):
+        if state.moves.get(unit) is None and not _is_key_moving(state, unit):
+            commands += _start_planned(state, unit, _moves.Kind.ANYWHERE, "")
+            started += 1
+    if started:
+        commands.append(
+            state.explain(f"{started} units leave upstream {name}: it leaves.")
+        )
+    return commands
+
+
+def _start_planned(
+    state: _holding_state.HoldingState,
+    unit: _ownership.Unit,
+    kind: _moves.Kind,
+    target: str,
+) -> Commands:
+    source = state.owners.get(unit)
+    move = _moves.Move(unit, kind, _moves.Phase.DRAINING, source, target)
+    return list(state.moves.add(move))
+
+
+def plan_away(state: _holding_state.HoldingState) -> Commands:
+    """Starts the release of units that belong to another group now."""
+    commands: Commands = []
+    for unit in list(state.owners.list_all()):
+        if state.moves.get(unit) or state.belongs(unit):
+            continue
+        if _is_key_moving(state, unit):
+            continue
+        commands += _start_planned(state, unit, _moves.Kind.AWAY, "")
+    if commands:
+        count = len(commands)
+        commands.append(
+            state.explain(
+                f"{count} units leave the group: the accepted files give"
+                " them to another group."
+            )
+        )
+    return commands
+
+
+def plan_unassigned(state: _holding_state.HoldingState) -> None:
+    """Starts the assignment of partitions that have no recorded owner."""
+    if not state.is_foreign_known:
+        return
+    for unit in state.unassigned:
+        if state.moves.get(unit) or state.owners.is_foreign(unit):
+            continue
+        if not state.belongs_in_pending(unit):
+            continue
+        state.moves.add(
+            _moves.Move(unit, _moves.Kind.ANYWHERE, _moves.Phase.READY, None)
+        )
+
+
+def make_view(
+    state: _holding_state.HoldingState, service: str, now: float
+) -> _placement.LoadView:
+    """Sums up the loads of a service's upstreams."""
+    loads = state.get_loads(service)
+    owned = [
+        (unit, assignment.upstream)
+        for unit, assignment in state.owners.list_all().items()
+        if unit.service == service
+    ]
+    loads.unit_count = max(1, sum(not unit.key for unit, _ in owned))
+    hot = list_hot_by_partition(state, service)
+    sums: dict[str, float] = {}
+    for unit, name in owned:
+        move = state.moves.get(unit)
+        if move and move.planned:
+            name = move.planned.upstream
+        load = loads.get_load(
+            unit, () if unit.key else hot.get(unit.partition, ())
+        )
+        sums[name] = sums.get(name, 0.0) + load
+    candidates = [
+        _placement.Candidate(name, upstream.slots)
+        for name, upstream in state.upstreams.items()
+        if state.is_usable(name, service, now)
+    ]
+    fleet = state.generation.fleets[state.group.fleet]
+    return _placement.LoadView(
+        candidates, sums, fleet.weights, loads.unit_count
+    )
+
+
+def list_hot_by_partition(
+    state: _holding_state.HoldingState, service: str
+) -> dict[int, list[str]]:
+    """Lists the individually placed keys of each partition."""
+    found: dict[int, list[str]] = {}
+    for unit in state.owners.list_all():
+        if unit.key and unit.service == service:
+            found.setdefault(unit.partition, []).append(unit.key)
+    return found
+
+
+def plan_placement(state: _holding_state.HoldingState, now: float) -> Commands:
+    """Starts the moves that lower the cost of the placement."""
+    if len(state.moves):
+        return []
+    commands: Commands = []
+    services = {item.service for item in state.upstreams.values()}
+    for service in sorted(services):
+        view = make_view(state, service, now)
+        commands += _plan_hot_keys(state, service, view)
+        commands += _plan_rebalance(state, service, view)
+    return commands
+
+
+def _plan_rebalance(
+    state: _holding_state.HoldingState,
+    service: str,
+    view: _placement.LoadView,
+) -> Commands:
+    commands: Commands = []
+    loads = state.get_loads(service)
+    hot = list_hot_by_partition(state, service)
+    for _ in range(MAXIMUM_PLANNED - len(state.moves)):
+        proposal, load = _find_best(state, service, view, hot)
+        if proposal is None:
+            break
+        view.move(proposal, load)
+        commands += _start_planned(
+            state, proposal.unit, _moves.Kind.CHOSEN, proposal.target
+        )
+        commands.append(
+            state.explain(
+                f"{describe_unit(proposal.unit)} moves from"
+                f" {proposal.source} to {proposal.target}: it lowers the cost"
+                f" by {proposal.gain:.5f} at load"
+                f" {loads.get_load(proposal.unit):.2f}."
+            )
+        )
+    return commands
+
+
+def _find_best(
+    state: _holding_state.HoldingState,
+    service: str,
+    view: _placement.LoadView,
+    hot: abc.Mapping[int, abc.Sequence[str]],
+) -> tuple[_placement.Proposal | None, float]:
+    """Finds the move from the most loaded upstream that pays best."""
+    loads = state.get_loads(service)
+    best: _placement.Proposal | None = None
+    best_load = 0.0
+    for source in view.list_by_load()[:1]:
+        for unit in sorted(state.owners.list_owned(source)):
+            if state.moves.get(unit) or _is_key_moving(state, unit):
+                continue
+            load = loads.get_load(
+                unit, () if unit.key else hot.get(unit.partition, ())
+            )
+            proposal = view.propose(unit, source, load)
+            if proposal and (best is None or proposal.gain > best.gain):
+                best, best_load = proposal, load
+    return best, best_load
+
+
+def _plan_hot_keys(
+    state: _holding_state.HoldingState,
+    service: str,
+    view: _placement.LoadView,
+) -> Commands:
+    loads = state.get_loads(service)
+    if not loads.is_known():
+        return []
+    upstreams = sum(
+        item.service == service for item in state.upstreams.values()
+    )
+    threshold = HOT_SHARE * loads.unit_count / max(1, upstreams)
+    return _give_back_cold_keys(
+        state, service, threshold * COLD_SHARE
+    ) + _take_out_hot_keys(state, service, view, threshold)
+
+
+def _give_back_cold_keys(
+    state: _holding_state.HoldingState, service: str, threshold: float
+) -> Commands:
+    commands: Commands = []
+    loads = state.get_loads(service)
+    for unit in list(state.owners.list_all()):
+        if not unit.key or unit.service != service:
+            continue
+        if loads.get_load(unit) >= threshold or state.moves.get(unit):
+            continue
+        commands += _start_planned(state, unit, _moves.Kind.GIVE_BACK, "")
+        commands.append(
+            state.explain(
+                f"{describe_unit(unit)} returns to its partition: its load"
+                f" {loads.get_load(unit):.2f} is below {threshold:.2f}."
+            )
+        )
+    return commands
+
+
+def _take_out_hot_keys(
+    state: _holding_state.HoldingState,
+    service: str,
+    view: _placement.LoadView,
+    threshold: float,
+) -> Commands:
+    commands: Commands = []
+    loads = state.get_loads(service)
+    placed = sum(
+        bool(unit.key) and unit.service == service
+        for unit in state.owners.list_all()
+    )
+    for key, load in loads.list_hot_keys():
+        if load < threshold or placed >= MAXIMUM_HOT_KEYS:
+            break
+        unit = state.owners.make_hot_unit(service, key)
+        partition = _ownership.Unit(service, unit.partition)
+        owner = state.owners.get(partition)
+        if not owner or state.owners.get(unit) or state.moves.get(unit):
+            continue
+        if state.moves.get(partition) or _is_key_moving(state, partition):
+            continue
+        # An owner that compares no fences would still run requests of the
+        # key that were issued before it was taken out.
+        if not state.books[owner.upstream].checks_fences:
+            continue
+        proposal = view.propose(unit, owner.upstream, load)
+        if proposal is None:
+            continue
+        view.move(proposal, load)
+        placed += 1
+        commands += _start_take_out(state, unit, owner, proposal.target)
+        commands.append(
+            state.explain(
+                f"{describe_unit(unit)} is placed by itself on"
+                f" {proposal.target}: its load {load:.2f} exceeds"
+                f" {threshold:.2f}."
+            )
+        )
+    return commands
+
+
+def _start_take_out(
+    state: _holding_state.HoldingState,
+    unit: _ownership.Unit,
+    owner: _rows.Assignment,
+    target: str,
+) -> Commands:
+    move = _moves.Move(
+        unit, _moves.Kind.TAKE_OUT, _moves.Phase.DRAINING, owner, target
+    )
+    return list(state.moves.add(move))
+
+
+def _is_key_moving(
+    state: _holding_state.HoldingState, unit: _ownership.Unit
+) -> bool:
+    """Tells whether a hot key of the same partition is under way."""
+    return any(
+        move.unit.key
+        and move.unit.service == unit.service
+        and move.unit.partition == unit.partition
+        for move in state.moves.list_all()
+    )
+
+
+def describe_unit(unit: _ownership.Unit) -> str:
+    """Names a unit in a sentence."""
+    if unit.key:
+        return f"Hot key {unit.key!r} of {unit.service}"
+    return f"Partition {unit.partition} of {unit.service}"
--- a/packages/decisions/sycamoreloft_decisions/_rows.py
+++ b/packages/decisions/sycamoreloft_decisions/_rows.py
@@ -22,6 +22,8 @@
     epoch: int
     #: Name of the host.
     host: str
+    #: Offline limit that it follows, in seconds.
+    offline_limit_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +45,9 @@
     staged: int = 0
     #: Grows with each write of the row in an epoch.
     heartbeat: int = 0
+    #: Seconds after the last write for which the holder may act. Recorded
+    #: because a holder that is cut off follows the file that it knew.
+    offline_limit_s: float = 3_900.0
     #: Former holders not known to have stopped. A standby may rely on an
     #: expired promise only if there are none: the promise says nothing of
     #: the holders before the one that asked for it.
@@ -113,7 +118,11 @@
         "standby": row.standby,
         "staged": row.staged,
         "heartbeat": row.heartbeat,
-        "earlier": [[item.epoch, item.host] for item in row.earlier],
+        "offline_limit_s": row.offline_limit_s,
+        "earlier": [
+            [item.epoch, item.host, item.offline_limit_s]
+            for item in row.earlier
+        ],
     }
 
 
@@ -127,8 +136,10 @@
         standby=value["standby"],
         staged=value["staged"],
         heartbeat=value["heartbeat"],
+        offline_limit_s=value["offline_limit_s"],
         earlier=tuple(
-            EarlierHolder(epoch, host) for epoch, host in value["earlier"]
+            EarlierHolder(epoch, host, limit)
+            for epoch, host, limit in value["earlier"]
         ),
     )
 
--- a/packages/decisions/sycamoreloft_decisions/_timing.py
+++ b/packages/decisions/sycamoreloft_decisions/_timing.py
@@ -6,8 +6,9 @@
 GRANT_LIFETIME_MS = 1_000
 #: Time between two grants to one upstream.
 RENEWAL_INTERVAL_S = 0.2
-#: Time after which a grant without an answer counts as failed.
-GRANT_TIMEOUT_S = 0.25
+#: Time after which a grant without an answer counts as failed. Two calls fit
+#: in the lifetime of a grant; an upstream slower than this is unreachable.
+GRANT_TIMEOUT_S = 0.45
 #: Largest difference between the rates of two clocks.
 CLOCK_DRIFT = 0.02
 #: Time on the holder's clock, from the receipt of the last reading that it
@@ -44,3 +45,11 @@
 #: Time for which a host is not asked again to be the standby after it failed
 #: to give a promise.
 STANDBY_RETRY_S = 2.0
+#: Time within which an upstream must answer a new holder before its units may
+#: be given to others; two calls fit in it.
+FIRST_CONTACT_S = 0.6
+#: Age of a reading above which the next grant follows at once, because the
+#: one sent with the reading is about to expire.
+LATE_READING_S = 0.5
+#: Time without an answer after which another host is asked to be the standby.
+CANDIDATE_TIMEOUT_S = 0.3
