--- a/packages/proof/sycamoreloft_proof/_callers.py
+++ b/packages/proof/sycamoreloft_proof/_callers.py
@@ -78,7 +78,8 @@
 
     def __init__(self, history: list[_history.Event]) -> None:
         self._history = history
-        self._numbers = itertools.count(1)
+        #: Requests sent so far.
+        self.sent = 0
         # A connection is made for each request, so that a broken one can
         # belong to no other request.
         self._client = tornado.simple_httpclient.SimpleAsyncHTTPClient(
@@ -87,8 +88,8 @@
 
     async def send(self, call: Call, router: Router) -> _history.AnswerReceived:
         """Sends one request to one router."""
-        number = next(self._numbers)
-        request = f"{call.caller}-{number}"
+        self.sent += 1
+        request = f"{call.caller}-{self.sent}"
         upload = _make_upload(request, call.operation.upload_bytes)
         self._history.append(
             _history.RequestSent(
--- a/packages/proof/sycamoreloft_proof/_history_checks.py
+++ b/packages/proof/sycamoreloft_proof/_history_checks.py
@@ -156,28 +156,34 @@
     return set(requests.values())
 
 
-def _check_planned_stops(events: _Events) -> _Violations:
-    """Finds requests that were cut while their router stopped as planned."""
-    began: dict[str, float] = {}
-    ended: dict[str, float] = {}
+def _find_stops(
+    events: _Events,
+) -> dict[str, list[tuple[float, float]]]:
+    """Returns the begin and end of each planned stop by router."""
+    stops: dict[str, list[tuple[float, float]]] = collections.defaultdict(list)
     for event in events:
         if isinstance(event, _history.StopBegan):
-            began[event.router] = event.at
-        elif isinstance(event, _history.StopEnded):
-            ended[event.router] = event.at
-            if event.exit_code != 0:
-                yield _history.Violation(
-                    _history.Condition.PLANNED_STOP,
-                    event.at,
-                    f"{event.router} ended with exit code {event.exit_code}",
-                )
+            stops[event.router].append((event.at, math.inf))
+        elif isinstance(event, _history.StopEnded) and stops[event.router]:
+            began, _ = stops[event.router].pop()
+            stops[event.router].append((began, event.at))
+    return dict(stops)
+
+
+def _check_planned_stops(events: _Events) -> _Violations:
+    """Finds requests that were cut while their router stopped as planned."""
+    stops = _find_stops(events)
     faulty = _find_faulty_requests(events)
-    sent = {
-        event.request: event
-        for event in events
-        if isinstance(event, _history.RequestSent)
-    }
+    sent: dict[str, _history.RequestSent] = {}
     for event in events:
+        if isinstance(event, _history.RequestSent):
+            sent[event.request] = event
+        elif isinstance(event, _history.StopEnded) and event.exit_code != 0:
+            yield _history.Violation(
+                _history.Condition.PLANNED_STOP,
+                event.at,
+                f"{event.router} ended with exit code {event.exit_code}",
+            )
         if (
             not isinstance(event, _history.AnswerReceived)
             or event.ending != _history.Ending.CUT
@@ -186,15 +192,15 @@
         ):
             continue
         request = sent[event.request]
-        start = began.get(request.router, math.inf)
-        end = ended.get(request.router, math.inf)
-        if event.at >= start and request.at <= end:
-            yield _history.Violation(
-                _history.Condition.PLANNED_STOP,
-                event.at,
-                f"{event.request}, sent {request.at - start:+.3f} s from the"
-                f" begin of the planned stop of {request.router}, was cut",
-            )
+        for began, ended in stops.get(request.router, ()):
+            if event.at >= began and request.at <= ended:
+                yield _history.Violation(
+                    _history.Condition.PLANNED_STOP,
+                    event.at,
+                    f"{event.request}, sent {request.at - began:+.3f} s from"
+                    f" the begin of the planned stop of {request.router},"
+                    " was cut",
+                )
 
 
 def _check_files(events: _Events) -> _Violations:
--- a/packages/proof/tests/test_history.py
+++ b/packages/proof/tests/test_history.py
@@ -189,6 +189,16 @@
             C.PLANNED_STOP,
             [sent(10.9, "rx"), answer(11.5, "rx", "unknown", "cut")],
         ),
+        # The same in an earlier one of two stops of the router.
+        (
+            C.PLANNED_STOP,
+            [
+                sent(8.5, "rx"),
+                answer(8.6, "rx", "unknown", "cut"),
+                proof.StopBegan(8.0, "router-1"),
+                proof.StopEnded(9.0, "router-1", 0),
+            ],
+        ),
         (C.PLANNED_STOP, [proof.StopEnded(12.0, "router-2", 70)]),
         # A host stays behind; a host goes back.
         (C.FILE_IN_FORCE, [read_generation(17.1, 1)]),
