Measure the slopes of the capacity page

Cause: docs/CAPACITY.md needs costs at several sizes with their fit. Change: make capacity drives the decision code at four or more sizes; the directory of hosts uses the membership machine.

--- /dev/null
+++ b/packages/proof/sycamoreloft_proof/capacity.py
@@ -0,0 +1,53 @@
+"""Measures the slopes of docs/CAPACITY.md and draws them.
+
+Run by `make capacity`. Writes `docs/capacity/slopes.json` and one plot a slope.
+"""
+
+import dataclasses
+import json
+import pathlib
+
+import matplotlib
+
+matplotlib.use("Agg")
+
+from matplotlib import pyplot
+
+from sycamoreloft_proof import _capacity_models, _slopes
+
+#: Folder of the results, from the root of the repository.
+FOLDER = pathlib.Path("docs/capacity")
+
+
+def draw_slope(slope: _slopes.Slope, path: pathlib.Path) -> None:
+    """Draws the measured values and the fitted line."""
+    figure, axes = pyplot.subplots(figsize=(5, 3.2))
+    axes.plot(slope.sizes, slope.values, "o", label="measured")
+    ends = [0.0, max(slope.sizes)]
+    axes.plot(ends, [slope.predict(end) for end in ends], "-", label="fit")
+    axes.set_xlabel(slope.size_of)
+    axes.set_ylabel(f"{slope.name} ({slope.unit})")
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path, dpi=90, metadata={"Software": None})
+    pyplot.close(figure)
+
+
+def main() -> None:
+    """Measures every slope, prints it, and writes the results."""
+    FOLDER.mkdir(parents=True, exist_ok=True)
+    results = []
+    for measure in _capacity_models.MEASUREMENTS:
+        slope = measure()
+        results.append(dataclasses.asdict(slope))
+        draw_slope(slope, FOLDER / f"{slope.name}.png")
+        print(
+            f"{slope.name:22} {slope.fixed:12.4g} + {slope.per_unit:10.4g}"
+            f" {slope.unit} per {slope.size_of}, error {slope.error:.1%}",
+            flush=True,
+        )
+    (FOLDER / "slopes.json").write_text(json.dumps(results, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/router/sycamoreloft_router/_directory.py
+++ b/packages/router/sycamoreloft_router/_directory.py
@@ -8,14 +8,16 @@
 import typing
 
 from returns import pipeline
+
 import sycamoreloft_config
 import sycamoreloft_decisions
 from sycamoreloft_decisions import _membership
-from sycamoreloft_router import _configuration
-from sycamoreloft_router import _group_tree
-from sycamoreloft_router import _logs
-from sycamoreloft_router import _peer_links
-from sycamoreloft_router import _store_client
+from sycamoreloft_router import (
+    _configuration,
+    _group_tree,
+    _peer_links,
+    _store_client,
+)
 import sycamoreloft_wire
 
 _LOGGER = logging.getLogger(__name__)
@@ -66,7 +68,7 @@
         self._posts: set[asyncio.Task[bool]] = set()
         self._random = random.Random()
         self._membership = _membership.Membership(
-            self._make_entry(), self._random
+            self._make_entry(), self._random, _measure_entry
         )
 
     def follow_groups(self, groups: _group_tree.GroupTree) -> None:
@@ -96,33 +98,36 @@
             self._rounds += 1
             if self._rounds % LIST_ROUNDS == 1:
                 await self._read_host_list()
-            self._announce(self._choose_targets())
+            now = time.monotonic()
+            self._membership.expire(now)
+            self._announce(
+                self._membership.choose_targets(now), self._choose_strangers()
+            )
             await asyncio.sleep(GOSSIP_S * self._random.uniform(0.9, 1.1))
 
-    def _choose_targets(self) -> list[str]:
-        targets = [
-            entry.peer_address
-            for entry in self._membership.choose_targets(time.monotonic())
-        ]
-        strangers = self._contacts - {
-            entry.peer_address
-            for entry in self._membership.list_entries(time.monotonic())
-        }
-        strangers.discard(self._settings.peer_address)
-        if strangers:
-            targets.append(self._random.choice(sorted(strangers)))
-        return targets
-
-    def _announce(self, addresses: abc.Iterable[str]) -> None:
+    def _choose_strangers(self) -> list[str]:
+        """Returns the address of one contact that is not a member yet."""
+        known = {entry.peer_address for entry in self._membership.list_known()}
+        strangers = self._contacts - known - {self._settings.peer_address}
+        return [self._random.choice(sorted(strangers))] if strangers else []
+
+    def _announce(
+        self,
+        targets: abc.Iterable[sycamoreloft_wire.MemberEntry],
+        strangers: abc.Iterable[str] = (),
+    ) -> None:
         """Sends this host's present entry and some others to hosts."""
         now = time.monotonic()
         self._counter += 1
-        self._membership.update_own(self._make_entry(), now)
-        digest = sycamoreloft_wire.GossipDigest(
-            self._membership.make_digest(now)
-        )
-        for address in addresses:
-            self._post(address, digest)
+        self._membership.update_own(self._make_entry())
+        for target in targets:
+            entries = self._membership.choose_digest(now, target)
+            self._post(
+                target.peer_address, sycamoreloft_wire.GossipDigest(entries)
+            )
+        for address in strangers:
+            entries = self._membership.choose_digest(now)
+            self._post(address, sycamoreloft_wire.GossipDigest(entries))
 
     def _post(self, address: str, message: sycamoreloft_wire.Message) -> None:
         if self._links.try_post(address, message):
@@ -137,16 +142,14 @@
         hosts = await self._store.list_hosts()
         if pipeline.is_successful(hosts):
             self._contacts.update(
-                host.peer_address
-                for host in hosts.unwrap()
-                if not host.leaving
+                host.peer_address for host in hosts.unwrap() if not host.leaving
             )
 
     def take_digest(self, message: sycamoreloft_wire.GossipDigest) -> None:
         """Takes the entries of another host."""
         now = time.monotonic()
         self._membership.merge(message.entries, now)
-        newest = self._membership.find_newest_generation(now)
+        newest = self._membership.highest_generation
         if newest > self._configuration.accepted.number:
             self._start_fetch()
 
@@ -156,11 +159,7 @@
         Callers wait for the new holder, so the news does not wait for the
         next rounds. Hosts beyond the bound learn it by gossip.
         """
-        members = [
-            entry.peer_address
-            for entry in self._membership.list_entries(time.monotonic())
-            if entry.host != self._settings.host
-        ]
+        members = self._membership.list_known()
         self._random.shuffle(members)
         self._announce(members[:MAXIMUM_ANNOUNCEMENTS])
 
@@ -182,7 +181,7 @@
         known = self._configuration.accepted.number
         sources = [
             entry
-            for entry in self._membership.list_entries(time.monotonic())
+            for entry in self._membership.list_known()
             if entry.generation > known
         ]
         if not sources:
@@ -201,17 +200,17 @@
 
     def find_holder(self, group: str) -> str | None:
         """Returns the name of the host that holds a group."""
-        entry = self._membership.find_group_holder(group, time.monotonic())
-        return entry.host if entry else None
+        location = self._membership.locate_group(group)
+        return location.entry.host if location else None
 
     def find_holder_address(self, group: str) -> str | None:
         """Returns the peer address of a group's holder, None if unknown."""
-        entry = self._membership.find_group_holder(group, time.monotonic())
-        return entry.peer_address if entry else None
+        location = self._membership.locate_group(group)
+        return location.entry.peer_address if location else None
 
     def find_peer_address(self, host: str) -> str | None:
         """Returns the peer address of a host."""
-        entry = self._membership.find_entry(host)
+        entry = self._membership.find(host)
         return entry.peer_address if entry else None
 
     def observe_members(
@@ -222,28 +221,22 @@
         heard: dict[str, float] = {}
         claims: dict[str, int] = {}
         name = str(group)
-        for entry in self._membership.list_entries(now):
-            if (
-                entry.failure_domains.get(group.fleet)
-                != group.failure_domain
-            ):
-                continue
-            if entry.host == self._settings.host:
-                if not self._leaving:
-                    heard[entry.host] = now
+        if not self._leaving:
+            heard[self._settings.host] = now
+        for entry in self._membership.list_known():
+            if entry.failure_domains.get(group.fleet) != group.failure_domain:
                 continue
             if not entry.leaving:
-                heard[entry.host] = self._membership.find_progress(entry.host)
+                silence = self._membership.measure_silence(entry.host, now)
+                heard[entry.host] = now - silence
             if name in entry.groups:
                 claims[entry.host] = entry.groups[name]
         return sycamoreloft_decisions.MembersObserved(heard, claims)
 
-    def share_suspects(
-        self, message: sycamoreloft_wire.SuspectNotice
-    ) -> None:
+    def share_suspects(self, message: sycamoreloft_wire.SuspectNotice) -> None:
         """Passes suspects to the other holders of the fleet's groups."""
         prefix = f"{message.fleet}/"
-        for entry in self._membership.list_entries(time.monotonic()):
+        for entry in self._membership.list_known():
             if any(name.startswith(prefix) for name in entry.groups):
                 self._post(entry.peer_address, message)
 
@@ -257,8 +250,14 @@
                 "generation": entry.generation,
                 "groups": dict(entry.groups),
                 "silent_s": round(
-                    now - self._membership.find_progress(entry.host), 3
+                    self._membership.measure_silence(entry.host, now), 3
                 ),
             }
-            for entry in self._membership.list_entries(now)
+            for entry in self._membership.list_known()
         ]
+
+
+def _measure_entry(entry: sycamoreloft_wire.MemberEntry) -> int:
+    """Returns the bytes of an entry on the wire."""
+    digest = sycamoreloft_wire.GossipDigest((entry,))
+    return len(sycamoreloft_wire.encode_message(0, digest))
