Add the caller server and the request path

An answer below 64 KiB is held until it is whole; a longer one is streamed and cut without the last chunk if it breaks.

--- /dev/null
+++ b/packages/router/sycamoreloft_router/_attempts.py
@@ -0,0 +1,454 @@
+"""One attempt of a request: permit, claim, transfer, decision."""
+
+import asyncio
+from collections import abc
+import dataclasses
+import hashlib
+import typing
+
+import sycamoreloft_config
+from sycamoreloft_decisions import _outcomes
+from sycamoreloft_router import (
+    _answers,
+    _body_streams,
+    _caller_requests,
+    _exchange,
+    _headers,
+    _metrics,
+    _upstream_client,
+)
+from sycamoreloft_wire import _messages
+
+_KIND = _upstream_client.FailureKind
+
+#: Statuses of a refusal by contract.
+_REFUSAL_STATUSES = frozenset((421, 503))
+
+#: Verdicts after which the claim holder may keep a claim of this attempt.
+_CLAIM_MAY_EXIST = frozenset(("", "claimed", "unavailable"))
+
+
+class AnswerSink(typing.Protocol):
+    """Where the answer to a caller goes."""
+
+    def send_whole(self, answer: _answers.UpstreamAnswer, body: bytes) -> None:
+        """Sends an answer whose body is complete."""
+
+    async def begin(self, answer: _answers.UpstreamAnswer) -> None:
+        """Sends the head of an answer that is streamed."""
+
+    async def write(self, chunk: bytes) -> None:
+        """Sends a part of the body and waits until there is room for more."""
+
+    def end(self) -> None:
+        """Marks the end of a streamed answer."""
+
+    def cut(self) -> None:
+        """Closes the connection without the last chunk."""
+
+
+@dataclasses.dataclass(slots=True)
+class Services:
+    """What all requests of the process share."""
+
+    #: Name of this host.
+    host: str
+    #: Random identifier of this process.
+    incarnation: str
+    #: The generation in force.
+    names: _exchange.NameSource
+    #: Source of permits.
+    permits: _exchange.PermitSource
+    #: Source of claims.
+    claims: _exchange.ClaimSource
+    #: Runs the transfers.
+    client: _upstream_client.UpstreamClient
+    #: Metrics of the process.
+    metrics: _metrics.Metrics
+    #: Number of the latest attempt of this process.
+    latest_attempt: int = 0
+
+    def create_attempt_id(self) -> str:
+        """Returns an identifier that no other attempt has."""
+        self.latest_attempt += 1
+        return f"{self.incarnation}-{self.latest_attempt}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptInput:
+    """A request, as every attempt of it needs it."""
+
+    #: The request.
+    request: _caller_requests.CallerRequest
+    #: The whole body, a stream, or None.
+    body: bytes | _body_streams.UploadBuffer | None
+    #: Length of the body, -1 if unknown.
+    length: int
+    #: Hash of the request, 16 bytes.
+    fingerprint: bytes
+    #: Deadline on the clock of the event loop.
+    deadline: float
+    #: Where the answer goes.
+    sink: AnswerSink
+
+
+class AttemptRun:
+    """Runs one attempt.
+
+    Args:
+        services: Shared parts of the process.
+        given: The request.
+        group: Group that is asked for the permit, None if there is none.
+    """
+
+    __slots__ = (
+        "_claim",
+        "_claim_verdict",
+        "_decision",
+        "_given",
+        "_group",
+        "_id",
+        "_loop",
+        "_machine",
+        "_services",
+        "_transfer",
+        "answered",
+        "claim_answer",
+        "failure",
+        "refusal",
+        "stop_event",
+    )
+
+    def __init__(
+        self, services: Services, given: AttemptInput, group: str | None
+    ) -> None:
+        operation = given.request.operation
+        self._services = services
+        self._given = given
+        self._group = group
+        self._id = services.create_attempt_id()
+        self._loop = asyncio.get_running_loop()
+        self._machine = _outcomes.Attempt(
+            _outcomes.AttemptRules(
+                operation.at_most_once,
+                operation.repeatable,
+                given.request.service.deduplicates,
+            ),
+            given.deadline,
+        )
+        self._transfer: _upstream_client.Transfer | None = None
+        self._claim: _messages.ClaimRequest | None = None
+        self._claim_verdict = ""
+        self._decision: _outcomes.Decision | None = None
+        #: Whether the answer went to the caller, or was cut.
+        self.answered = False
+        #: The claim holder's answer, if one was asked.
+        self.claim_answer: _messages.ClaimAnswer | None = None
+        #: Why the transfer has no whole answer.
+        self.failure: _upstream_client.Failure | None = None
+        #: The holder's refusal, if it refused.
+        self.refusal: _messages.PermitRefusal | None = None
+        #: Why the attempt is being stopped; set before its task is cancelled.
+        self.stop_event: _outcomes.AttemptEvent | None = None
+
+    @property
+    def is_sent(self) -> bool:
+        """Whether the upstream may have received bytes of the request."""
+        return self._transfer is not None and self._transfer.started
+
+    async def perform(self) -> _outcomes.Decision:
+        """Runs the attempt to its decision.
+
+        Raises:
+            asyncio.CancelledError: The task was cancelled without a
+                `stop_event`. The permit has been returned.
+        """
+        if self._group is None:
+            return self._decide(_outcomes.PermitDenied("no-group"))
+        try:
+            answer = await self._ask_permit(self._group)
+        except asyncio.CancelledError:
+            if self.stop_event is None:
+                raise
+            return self._decide(self.stop_event)
+        if isinstance(answer, _messages.PermitRefusal):
+            self.refusal = answer
+            return self._decide(_outcomes.PermitDenied(answer.reason))
+        return await self._use_permit(self._group, answer)
+
+    async def _ask_permit(
+        self, group: str
+    ) -> _messages.PermitGrant | _messages.PermitRefusal:
+        request = self._given.request
+        asked_at = self._loop.time()
+        try:
+            return await self._services.permits.ask_permit(
+                _messages.PermitRequest(
+                    group,
+                    self._id,
+                    self._services.host,
+                    request.generation.number,
+                    request.reference.fleet,
+                    request.reference.service,
+                    request.key,
+                    request.partition,
+                    self._given.fingerprint,
+                    request.caller,
+                    int(request.operation.priority),
+                    self._find_remaining_ms(asked_at),
+                )
+            )
+        finally:
+            self._services.metrics.observe(
+                "sycamoreloft_permit_wait_seconds",
+                self._loop.time() - asked_at,
+            )
+
+    def _find_remaining_ms(self, now: float) -> int:
+        return max(1, int((self._given.deadline - now) * 1000))
+
+    async def _use_permit(
+        self, group: str, grant: _messages.PermitGrant
+    ) -> _outcomes.Decision:
+        granted_at = self._loop.time()
+        decision: _outcomes.Decision | None = None
+        try:
+            decision = await self._perform_with_permit(group, grant)
+        except asyncio.CancelledError:
+            decision = self._decide_cancelled()
+            if self.stop_event is None:
+                raise
+        finally:
+            if decision is None:
+                decision = self._decide_cancelled()
+            self._settle(group, decision, self._loop.time() - granted_at)
+        return decision
+
+    async def _perform_with_permit(
+        self, group: str, grant: _messages.PermitGrant
+    ) -> _outcomes.Decision:
+        valid_until = self._loop.time() + grant.valid_ms / 1000
+        self._handle(_outcomes.PermitReceived(valid_until))
+        if self._given.request.operation.at_most_once:
+            decision = await self._ask_claim()
+            if decision is not None:
+                return decision
+        now = self._loop.time()
+        if not self._machine.may_send(now):
+            return self._decide(_outcomes.ConnectionBroken())
+        transfer = self._start_transfer(group, grant, valid_until, now)
+        await transfer.wait(_body_streams.PREFIX_BYTES)
+        self._note_sent(transfer)
+        if transfer.failure is not None:
+            return self._decide_failure(transfer.failure)
+        return await self._pass_on(transfer)
+
+    def _start_transfer(
+        self,
+        group: str,
+        grant: _messages.PermitGrant,
+        send_by: float,
+        now: float,
+    ) -> _upstream_client.Transfer:
+        given = self._given
+        lines = _caller_requests.build_upstream_lines(
+            given.request,
+            group,
+            grant.epoch,
+            grant.fence,
+            self._find_remaining_ms(now),
+            self._id,
+        )
+        self._transfer = self._services.client.start(
+            _upstream_client.UpstreamRequest(
+                grant.address,
+                given.request.method,
+                given.request.target,
+                lines,
+                given.body,
+                given.length,
+                given.deadline - now,
+                self._id,
+                send_by,
+            )
+        )
+        return self._transfer
+
+    def _note_sent(self, transfer: _upstream_client.Transfer) -> None:
+        if transfer.started:
+            body = self._given.body
+            self._handle(_outcomes.ConnectionMade())
+            self._handle(
+                _outcomes.BytesSent(
+                    not isinstance(body, _body_streams.UploadBuffer)
+                    or body.taken == 0
+                )
+            )
+
+    async def _pass_on(
+        self, transfer: _upstream_client.Transfer
+    ) -> _outcomes.Decision:
+        """Passes an answer on that is whole, or longer than the prefix."""
+        head = transfer.head
+        refused = b""
+        if head.status in _REFUSAL_STATUSES:
+            refused = head.find(b"sycamoreloft-refused")
+        decision = self._handle(
+            _outcomes.HeadersReceived(head.status, refused.decode("latin1"))
+        )
+        if decision is not None:
+            transfer.cancel()
+            return decision
+        answer = _answers.UpstreamAnswer(
+            head.status_line,
+            head.status,
+            _headers.list_answer_lines(head.lines),
+            head.find(b"content-length")
+            if transfer.request.method == "HEAD"
+            else b"",
+        )
+        if not transfer.ended:
+            return await self._stream(transfer, answer)
+        decision = self._decide(_outcomes.AnswerEnded())
+        if decision.outcome is _outcomes.Outcome.COMPLETED:
+            self.answered = True
+            self._given.sink.send_whole(answer, transfer.take())
+        return decision
+
+    async def _stream(
+        self,
+        transfer: _upstream_client.Transfer,
+        answer: _answers.UpstreamAnswer,
+    ) -> _outcomes.Decision:
+        sink = self._given.sink
+        self.answered = True
+        await sink.begin(answer)
+        self._handle(_outcomes.BodyPartReceived())
+        while transfer.failure is None:
+            chunk = transfer.take()
+            if chunk:
+                await sink.write(chunk)
+            elif transfer.ended:
+                sink.end()
+                return self._decide(_outcomes.AnswerEnded())
+            else:
+                await transfer.wait(1)
+        sink.cut()
+        return self._decide_failure(transfer.failure)
+
+    def _decide_failure(
+        self, failure: _upstream_client.Failure
+    ) -> _outcomes.Decision:
+        self.failure = failure
+        self._services.metrics.count(
+            "sycamoreloft_upstream_failures_total", failure.kind.value
+        )
+        if failure.kind is _KIND.DEADLINE:
+            return self._decide(_outcomes.DeadlinePassed())
+        return self._decide(_outcomes.ConnectionBroken())
+
+    def _decide_cancelled(self) -> _outcomes.Decision:
+        """Ends the transfer and decides from what it had done."""
+        transfer = self._transfer
+        if transfer is not None:
+            transfer.cancel()
+            self._note_sent(transfer)
+        if self.answered:
+            self._given.sink.cut()
+        return self._decide(self.stop_event or _outcomes.CallerGone())
+
+    async def _ask_claim(self) -> _outcomes.Decision | None:
+        given = self._given
+        request = given.request
+        id_hash = hashlib.sha256(
+            "\0".join(
+                (
+                    request.reference.fleet,
+                    request.reference.service,
+                    request.request_id,
+                )
+            ).encode("utf-8", "surrogateescape")
+        ).digest()[:16]
+        self._claim = _messages.ClaimRequest(
+            find_claim_group(request, id_hash),
+            request.generation.number,
+            id_hash,
+            given.fingerprint,
+            self._id,
+        )
+        answer = await self._services.claims.ask_claim(self._claim)
+        self.claim_answer = answer
+        self._claim_verdict = answer.verdict
+        return self._handle(
+            _outcomes.ClaimAnswered(
+                answer.verdict, answer.outcome, answer.status
+            )
+        )
+
+    def _settle(
+        self, group: str, decision: _outcomes.Decision, seconds: float
+    ) -> None:
+        """Returns the permit and reports the claim's result."""
+        services = self._services
+        outcome = decision.outcome
+        if self._claim_verdict == "repeated":
+            # The outcome is that of the first attempt; this one was not sent.
+            outcome = _outcomes.Outcome.DID_NOT_RUN
+        lost = self.failure is not None and self.failure.kind in (
+            _KIND.CONNECT,
+            _KIND.BROKEN,
+        )
+        transfer = self._transfer
+        refused = (
+            transfer is not None
+            and transfer.head.complete
+            and outcome is _outcomes.Outcome.DID_NOT_RUN
+        )
+        services.permits.return_permit(
+            _messages.PermitReturn(
+                group,
+                self._id,
+                outcome.value,
+                seconds * 1000,
+                lost,
+                refused,
+            )
+        )
+        if transfer is not None:
+            services.metrics.observe("sycamoreloft_upstream_seconds", seconds)
+        if self._claim is not None and self._claim_verdict in _CLAIM_MAY_EXIST:
+            status = transfer.head.status if transfer is not None else 0
+            completed = outcome is _outcomes.Outcome.COMPLETED
+            services.claims.report_result(
+                _messages.ClaimResult(
+                    self._claim.group,
+                    self._claim.id_hash,
+                    self._id,
+                    decision.claim_result or outcome.value,
+                    status if completed else 0,
+                )
+            )
+
+    def _handle(
+        self, event: _outcomes.AttemptEvent
+    ) -> _outcomes.Decision | None:
+        if self._decision is None:
+            self._decision = self._machine.handle(event, self._loop.time())
+        return self._decision
+
+    def _decide(self, event: _outcomes.AttemptEvent) -> _outcomes.Decision:
+        decision = self._handle(event)
+        if decision is None:
+            raise RuntimeError(f"{type(event).__name__} decided nothing")
+        return decision
+
+
+def find_claim_group(
+    request: _caller_requests.CallerRequest, id_hash: bytes
+) -> str:
+    """Returns the group whose holder keeps the claims of a request id."""
+    fleet = request.generation.fleets[request.reference.fleet]
+    names: abc.Sequence[str] = [
+        str(group) for group in sycamoreloft_config.list_groups(fleet)
+    ]
+    return sycamoreloft_config.rank_by_rendezvous(id_hash.hex(), names)[0]
--- /dev/null
+++ b/packages/router/sycamoreloft_router/_caller_connections.py
@@ -0,0 +1,212 @@
+"""Connections of callers: typed answers to malformed input, idle limit."""
+
+import asyncio
+from collections import abc
+import contextlib
+import logging
+import ssl
+import typing
+
+from tornado import http1connection, httpserver, httputil, iostream
+
+from sycamoreloft_router import _answers, _logs
+
+_LOGGER = logging.getLogger(__name__)
+
+#: Longest head that is read at all, in bytes. tornado closes the connection
+#: without an answer above it; heads between the limit of the server and this
+#: one get a typed answer.
+READ_HEADER_BYTES = 65_536
+
+
+class Rejected(iostream.StreamClosedError):
+    """The connection answered malformed input itself and must close."""
+
+
+class BodyRejecter(typing.Protocol):
+    """A delegate that answers a malformed body itself."""
+
+    def reject_body(
+        self, refusal: _answers.Refusal
+    ) -> asyncio.Task[None] | None:
+        """Ends the request; returns the task that still answers it."""
+
+
+class CallerConnection(http1connection.HTTP1Connection):
+    """Reads one request, and answers malformed ones with a remedy."""
+
+    #: Longest request line and headers, in bytes; set by the server.
+    header_bytes = READ_HEADER_BYTES
+
+    @property
+    def keeps_open(self) -> bool:
+        """Whether the connection stays open after the answer."""
+        return not self._disconnect_on_finish
+
+    def close_after_answer(self) -> None:
+        """Closes the connection after the answer of this request."""
+        self._disconnect_on_finish = True
+
+    def _parse_headers(self, data: bytes) -> tuple[str, httputil.HTTPHeaders]:
+        if len(data) > self.header_bytes:
+            self._reject(
+                _answers.Refusal(
+                    431,
+                    "long-headers",
+                    f"the request line and headers have {len(data)} bytes",
+                    f"send at most {self.header_bytes} bytes of them",
+                )
+            )
+        try:
+            start_line, headers = super()._parse_headers(data)
+        except httputil.HTTPInputError as error:
+            self._reject(
+                _answers.Refusal(
+                    400,
+                    "malformed-headers",
+                    str(error),
+                    "send header lines as RFC 9112 defines them",
+                )
+            )
+        # tornado parses the line once more and answers a malformed one
+        # without any header.
+        try:
+            httputil.parse_request_start_line(start_line)
+        except httputil.HTTPInputError as error:
+            self._reject(
+                _answers.Refusal(
+                    400,
+                    "malformed-request-line",
+                    str(error),
+                    "send method, path and version, as in GET / HTTP/1.1",
+                )
+            )
+        return start_line, headers
+
+    async def _read_chunked_body(
+        self, delegate: httputil.HTTPMessageDelegate
+    ) -> None:
+        try:
+            await super()._read_chunked_body(delegate)
+        except httputil.HTTPInputError as error:
+            answering = typing.cast(BodyRejecter, delegate).reject_body(
+                _answers.Refusal(
+                    400,
+                    "malformed-body",
+                    str(error),
+                    "send the body in well-formed chunks, within the limit",
+                )
+            )
+            if answering is not None:
+                await asyncio.wait([answering])
+            raise Rejected from error
+
+    def _reject(self, refusal: _answers.Refusal) -> typing.NoReturn:
+        with contextlib.suppress(iostream.StreamClosedError):
+            self.stream.write(refusal.encode(False))
+        raise Rejected
+
+
+class ServerConnection(http1connection.HTTP1ServerConnection):
+    """Serves the requests of one connection one after the other."""
+
+    #: Whether the connection waits for the head of a request.
+    is_waiting = True
+
+    #: When it began to wait, on the clock of the event loop.
+    waiting_since = 0.0
+
+    #: Longest request line and headers, in bytes; set by the server.
+    header_bytes = READ_HEADER_BYTES
+
+    async def _server_request_loop(
+        self, delegate: httputil.HTTPServerConnectionDelegate
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            while True:
+                self.is_waiting = True
+                self.waiting_since = loop.time()
+                connection = CallerConnection(
+                    self.stream, False, self.params, self.context
+                )
+                connection.header_bytes = self.header_bytes
+                request = delegate.start_request(self, connection)
+                if not await connection.read_response(request):
+                    return
+                # Other connections get their turn between two requests.
+                await asyncio.sleep(0)
+        except (Rejected, asyncio.CancelledError):
+            # The answer is in the socket buffer by now, unless the caller
+            # does not read.
+            self.stream.close()
+        except (iostream.StreamClosedError, iostream.UnsatisfiableReadError):
+            pass
+        except Exception:
+            _logs.log_event(
+                _LOGGER,
+                logging.ERROR,
+                "caller-connection-failed",
+                exc_info=True,
+            )
+            self.stream.close()
+        finally:
+            delegate.on_close(self)
+
+
+class ConnectionServer(httpserver.HTTPServer):
+    """Accepts connections of callers.
+
+    Args:
+        delegate: Gets the requests.
+        header_bytes: Longest request line and headers, in bytes.
+        body_bytes: Longest request body, in bytes.
+        tls: Context of a TLS server, or None for plain TCP.
+    """
+
+    def initialize(  # type: ignore[override]
+        self,
+        delegate: httputil.HTTPServerConnectionDelegate,
+        header_bytes: int,
+        body_bytes: int,
+        tls: ssl.SSLContext | None,
+    ) -> None:
+        """Sets the limits; `Configurable` calls it in place of __init__."""
+        super().initialize(
+            delegate,
+            ssl_options=tls,
+            chunk_size=65_536,
+            max_header_size=READ_HEADER_BYTES,
+            max_body_size=body_bytes,
+            max_buffer_size=4 * 65_536,
+        )
+        self._header_bytes = header_bytes
+        # tornado starts a timer for the head of each request; the server
+        # looks for idle connections from time to time instead.
+        self.conn_params.header_timeout = None
+
+    def handle_stream(
+        self, stream: iostream.IOStream, address: tuple[typing.Any, ...]
+    ) -> None:
+        """Serves a new connection."""
+        connection = ServerConnection(stream, self.conn_params, address[0])
+        connection.header_bytes = self._header_bytes
+        self._connections.add(connection)
+        connection.start_serving(self)
+
+    def list_connections(self) -> abc.Sequence[ServerConnection]:
+        """Lists the open connections."""
+        return [
+            connection
+            for connection in self._connections
+            if isinstance(connection, ServerConnection)
+        ]
+
+    def close_idle(self, waiting_before: float) -> None:
+        """Closes connections that have waited since before a time."""
+        for connection in self.list_connections():
+            if (
+                connection.is_waiting
+                and connection.waiting_since < waiting_before
+            ):
+                connection.stream.close()
--- /dev/null
+++ b/packages/router/sycamoreloft_router/_caller_exchange.py
@@ -0,0 +1,429 @@
+"""One request of a caller on its connection: reading it and answering it."""
+
+import asyncio
+import logging
+import typing
+
+from returns import result
+from tornado import httputil, iostream
+
+from sycamoreloft_decisions import _outcomes
+from sycamoreloft_router import (
+    _answers,
+    _attempts,
+    _body_streams,
+    _caller_connections,
+    _caller_requests,
+    _logs,
+    _request_path,
+)
+
+_LOGGER = logging.getLogger(__name__)
+
+#: Seconds for which the rest of a body is read after an early answer. Closing
+#: at once would reset the connection, and the caller might lose the answer.
+DISCARD_S = 1.0
+
+#: Methods whose requests have no body unless they announce one.
+_BODILESS_METHODS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
+
+
+class Shared:
+    """What all exchanges of the server share.
+
+    Args:
+        path: The request path.
+        body_bytes: Longest request body, in bytes.
+    """
+
+    def __init__(
+        self, path: _request_path.RequestPath, body_bytes: int
+    ) -> None:
+        #: The request path.
+        self.path = path
+        #: Longest request body, in bytes.
+        self.body_bytes = body_bytes
+        #: Requests that have not ended.
+        self.exchanges: set[CallerExchange] = set()
+        #: Whether answers close the connection.
+        self.is_draining = False
+
+    async def cancel_all(self) -> None:
+        """Cancels all requests and waits until they have ended."""
+        tasks = [
+            exchange.task
+            for exchange in self.exchanges
+            if exchange.task is not None
+        ]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+class CallerExchange(httputil.HTTPMessageDelegate):
+    """Reads a request, runs it, and sends the answer.
+
+    Args:
+        shared: What all exchanges share.
+        server_connection: The connection over all its requests.
+        connection: The connection as it serves this request.
+    """
+
+    __slots__ = (
+        "_body_ended",
+        "_connection",
+        "_deadline",
+        "_ended",
+        "_head_only",
+        "_headers",
+        "_is_rejected",
+        "_length",
+        "_path",
+        "_prefix",
+        "_prefix_size",
+        "_received_at",
+        "_request",
+        "_run",
+        "_server_connection",
+        "_shared",
+        "_timer",
+        "_upload",
+        "task",
+    )
+
+    def __init__(
+        self,
+        shared: Shared,
+        server_connection: object,
+        connection: httputil.HTTPConnection,
+    ) -> None:
+        self._shared = shared
+        self._path = shared.path
+        self._server_connection = typing.cast(
+            _caller_connections.ServerConnection, server_connection
+        )
+        self._connection = typing.cast(
+            _caller_connections.CallerConnection, connection
+        )
+        self._body_ended = False
+        self._deadline = 0.0
+        self._ended = False
+        self._head_only = False
+        self._headers: httputil.HTTPHeaders | None = None
+        self._is_rejected = False
+        self._length = -1
+        self._prefix: list[bytes] = []
+        self._prefix_size = 0
+        self._received_at = 0.0
+        self._request: _caller_requests.CallerRequest | None = None
+        self._run: _request_path.RequestRun | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._upload: _body_streams.UploadBuffer | None = None
+        #: Task that runs the request, once its prefix has been read.
+        self.task: asyncio.Task[None] | None = None
+
+    # Reading the request.
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        """Parses the head of the request."""
+        assert isinstance(start_line, httputil.RequestStartLine)
+        loop = asyncio.get_running_loop()
+        self._server_connection.is_waiting = False
+        self._received_at = loop.time()
+        self._headers = headers
+        self._head_only = start_line.method == "HEAD"
+        self._shared.exchanges.add(self)
+        self._connection.set_close_callback(self._on_caller_gone)
+        if self._shared.is_draining:
+            self._connection.close_after_answer()
+        problem = self._check_framing(start_line, headers)
+        if problem is not None:
+            self._refuse(problem, True)
+            return
+        parsed = self._path.parser.parse(
+            start_line.method,
+            start_line.path,
+            headers,
+            str(self._connection.context),
+        )
+        if isinstance(parsed, result.Failure):
+            self._refuse(parsed.failure(), "Expect" in headers)
+            return
+        self._request = parsed.unwrap()
+        self._deadline = self._received_at + self._request.deadline_ms / 1000
+        self._timer = loop.call_at(self._deadline, self._on_deadline)
+
+    def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
+        """Takes a part of the body; the future is done when there is room."""
+        if self._ended or self._request is None:
+            return None
+        if self._upload is not None:
+            return self._upload.feed(chunk)
+        self._prefix.append(chunk)
+        self._prefix_size += len(chunk)
+        if self._prefix_size < _body_streams.PREFIX_BYTES:
+            return None
+        self._upload = _body_streams.UploadBuffer()
+        room = None
+        for part in self._prefix:
+            room = self._upload.feed(part)
+        # tornado notices a close by itself only after the whole body.
+        self._connection.stream.set_close_callback(self._on_caller_gone)
+        self._start(self._upload)
+        return room
+
+    def finish(self) -> None:
+        """Notes the end of the body."""
+        self._body_ended = True
+        if self._ended:
+            self._connection.finish()
+        elif self._upload is not None:
+            self._upload.finish()
+        elif self._request is not None:
+            self._start(self._join_prefix())
+
+    def on_connection_close(self) -> None:
+        """Notes that the connection closed in the middle of the body."""
+        self._on_caller_gone()
+
+    def reject_body(
+        self, refusal: _answers.Refusal
+    ) -> asyncio.Task[None] | None:
+        """Ends the request because its body is malformed.
+
+        Returns:
+            The task that still answers the request, if there is one.
+        """
+        self._is_rejected = True
+        if self._upload is not None:
+            # The attempt ends as a broken body, and answers what is known.
+            self._upload.fail()
+        elif not self._ended:
+            self._refuse(refusal, True)
+        return self.task
+
+    def _check_framing(
+        self,
+        start_line: httputil.RequestStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> _answers.Refusal | None:
+        """Checks the version and how the end of the body is found."""
+        if start_line.version != "HTTP/1.1":
+            # HTTP/1.0 has no chunks, so that the caller could not tell a
+            # broken answer from a whole one.
+            return _answers.Refusal(
+                505,
+                "old-http-version",
+                f"the version {start_line.version} is not supported",
+                "use HTTP/1.1",
+            )
+        encoding = headers.get("Transfer-Encoding")
+        text = headers.get("Content-Length")
+        if encoding is not None and (
+            text is not None or encoding.lower() != "chunked"
+        ):
+            return _answers.Refusal(
+                400,
+                "bad-framing",
+                "the transfer encoding is unsupported, or a length is given"
+                " as well",
+                "send either Content-Length or Transfer-Encoding: chunked",
+            )
+        if text is not None:
+            if not (text.isascii() and text.isdigit()) or len(text) > 15:
+                return _answers.Refusal(
+                    400,
+                    "bad-framing",
+                    "Content-Length is not one whole number",
+                    "send the length of the body in bytes, once",
+                )
+            self._length = int(text)
+        elif encoding is None:
+            self._length = 0
+        if self._length > self._shared.body_bytes:
+            return _answers.Refusal(
+                413,
+                "long-body",
+                f"the body has {self._length} bytes",
+                f"send at most {self._shared.body_bytes} bytes",
+            )
+        if self._head_only and self._length != 0:
+            return _answers.Refusal(
+                400,
+                "bad-framing",
+                "a HEAD request has a body",
+                "send HEAD without a body",
+            )
+        return None
+
+    def _join_prefix(self) -> bytes | None:
+        if self._prefix_size:
+            return b"".join(self._prefix)
+        request = self._request
+        assert request is not None and self._headers is not None
+        if request.method in _BODILESS_METHODS and (
+            self._head_only
+            or (
+                "Content-Length" not in self._headers
+                and "Transfer-Encoding" not in self._headers
+            )
+        ):
+            return None
+        return b""
+
+    # Running it.
+
+    def _start(self, body: bytes | _body_streams.UploadBuffer | None) -> None:
+        request, headers = self._request, self._headers
+        assert request is not None and headers is not None
+        if self._body_ended:
+            self._length = self._prefix_size
+        prefix = b"".join(self._prefix)[: _body_streams.PREFIX_BYTES]
+        self._prefix.clear()
+        given = _attempts.AttemptInput(
+            request,
+            body,
+            self._length,
+            _caller_requests.compute_fingerprint(request, self._length, prefix),
+            self._deadline,
+            self,
+        )
+        self._run = _request_path.RequestRun(self._path, given, headers)
+        self.task = asyncio.get_running_loop().create_task(
+            self._run_request(self._run)
+        )
+
+    async def _run_request(self, run: _request_path.RequestRun) -> None:
+        refusal: _answers.Refusal | None = None
+        try:
+            refusal = await run.run()
+        except asyncio.CancelledError:
+            # The drain bound was reached.
+            self.cut()
+            raise
+        except iostream.StreamClosedError:
+            self._on_caller_gone()
+        except Exception:
+            _logs.log_event(
+                _LOGGER, logging.ERROR, "request-failed", exc_info=True
+            )
+            refusal = _answers.Refusal(
+                500,
+                "internal-error",
+                "the router failed",
+                "look at the router's log; the request may have run",
+                _answers.UNKNOWN,
+            )
+        finally:
+            if refusal is not None and not self._ended:
+                self._refuse(refusal, False)
+            self._end("completed", "")
+
+    def _on_deadline(self) -> None:
+        if self._run is not None:
+            self._run.stop(_outcomes.DeadlinePassed())
+        elif not self._ended:
+            self._refuse(
+                _answers.Refusal(
+                    408,
+                    "slow-body",
+                    "the deadline passed before the body arrived",
+                    "send the body sooner, or set a later deadline",
+                ),
+                True,
+            )
+
+    def _on_caller_gone(self) -> None:
+        if self._ended:
+            return
+        self._path.services.metrics.count("sycamoreloft_callers_gone_total")
+        if self._upload is not None and not self._body_ended:
+            self._upload.fail()
+        if self._run is None:
+            self._end("did-not-run", "caller-gone")
+        else:
+            self._run.stop(_outcomes.CallerGone())
+
+    # Answering it; see `_attempts.AnswerSink`.
+
+    def send_whole(self, answer: _answers.UpstreamAnswer, body: bytes) -> None:
+        """Sends an answer whose body is complete."""
+        self._send_last(answer.encode_whole(body, self._keeps_open()))
+        self._end(answer.outcome, answer.reason)
+
+    async def begin(self, answer: _answers.UpstreamAnswer) -> None:
+        """Sends the head of an answer that is streamed."""
+        await self._write(answer.encode_head(self._keeps_open()))
+
+    async def write(self, chunk: bytes) -> None:
+        """Sends a part of the body and waits until there is room for more."""
+        await self._write(b"%x\r\n%b\r\n" % (len(chunk), chunk))
+
+    def end(self) -> None:
+        """Marks the end of a streamed answer."""
+        self._send_last(b"0\r\n\r\n")
+        self._end(_answers.COMPLETED, "")
+
+    def cut(self) -> None:
+        """Closes the connection without the last chunk."""
+        if not self._ended:
+            self._path.services.metrics.count("sycamoreloft_answers_cut_total")
+            self._end(_answers.UNKNOWN, "broken-answer")
+            self._connection.close()
+
+    def _keeps_open(self) -> bool:
+        if self._shared.is_draining or not (
+            self._body_ended or self._length == 0
+        ):
+            self._connection.close_after_answer()
+        return self._connection.keeps_open
+
+    async def _write(self, data: bytes) -> None:
+        # The caller of an operation that must not be cancelled may be gone.
+        if not self._connection.stream.closed():
+            await self._connection.write(data)
+
+    def _refuse(self, refusal: _answers.Refusal, close_now: bool) -> None:
+        """Sends an answer of the router itself."""
+        if close_now:
+            self._connection.close_after_answer()
+        data = refusal.encode(self._keeps_open(), not self._head_only)
+        self._end(refusal.outcome, refusal.reason)
+        self._send_last(data, close_now)
+
+    def _send_last(self, data: bytes, close_now: bool = False) -> None:
+        """Sends the end of the answer and finishes the request."""
+        connection = self._connection
+        if connection.stream.closed():
+            return
+        connection.write(data)
+        if self._body_ended or close_now or self._is_rejected:
+            connection.finish()
+        else:
+            asyncio.get_running_loop().call_later(DISCARD_S, self._finish_early)
+
+    def _finish_early(self) -> None:
+        if not self._body_ended and not self._connection.stream.closed():
+            self._connection.finish()
+
+    def _end(self, outcome: str, reason: str) -> None:
+        """Counts the request once, and lets its resources go."""
+        if self._ended:
+            return
+        self._ended = True
+        self._shared.exchanges.discard(self)
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._upload is not None and not self._body_ended:
+            # Releases the reader, which drops the rest of the body.
+            self._upload.fail()
+        metrics = self._path.services.metrics
+        metrics.count("sycamoreloft_requests_total", outcome, reason)
+        metrics.observe(
+            "sycamoreloft_request_seconds",
+            asyncio.get_running_loop().time() - self._received_at,
+        )
--- a/packages/router/sycamoreloft_router/_caller_server.py
+++ b/packages/router/sycamoreloft_router/_caller_server.py
@@ -1,9 +1,33 @@
 """The HTTP server for callers."""
 
+import asyncio
 import dataclasses
+import logging
+import random
 import ssl
 
-from sycamoreloft_router import _exchange
+from tornado import httputil, netutil
+
+from sycamoreloft_router import (
+    _attempts,
+    _caller_connections,
+    _caller_exchange,
+    _caller_requests,
+    _exchange,
+    _group_choice,
+    _logs,
+    _metrics,
+    _request_path,
+    _upstream_client,
+)
+
+_LOGGER = logging.getLogger(__name__)
+
+#: Seconds between two looks for idle connections.
+SWEEP_S = 5.0
+
+#: Seconds between two looks at the connections while the server drains.
+DRAIN_LOOK_S = 0.01
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -21,7 +45,7 @@
     connections_per_upstream: int = 12
 
 
-class CallerServer:
+class CallerServer(httputil.HTTPServerConnectionDelegate):
     """Accepts requests of callers and forwards them to upstreams.
 
     Args:
@@ -32,6 +56,7 @@
         permits: Source of permits.
         claims: Source of claims.
         limits: Bounds.
+        metrics: Metrics of the process.
     """
 
     def __init__(
@@ -43,8 +68,32 @@
         permits: _exchange.PermitSource,
         claims: _exchange.ClaimSource,
         limits: CallerLimits | None = None,
+        metrics: _metrics.Metrics | None = None,
     ) -> None:
-        raise NotImplementedError
+        self._limits = limits or CallerLimits()
+        generator = random.Random()
+        services = _attempts.Services(
+            host,
+            incarnation,
+            names,
+            permits,
+            claims,
+            _upstream_client.UpstreamClient(
+                force_instance=True,
+                connections_per_upstream=self._limits.connections_per_upstream,
+            ),
+            metrics or _metrics.Metrics(),
+        )
+        path = _request_path.RequestPath(
+            services,
+            _caller_requests.RequestParser(names),
+            _group_choice.GroupChooser(groups, generator),
+            generator,
+        )
+        self._client = services.client
+        self._shared = _caller_exchange.Shared(path, self._limits.body_bytes)
+        self._server: _caller_connections.ConnectionServer | None = None
+        self._sweep: asyncio.TimerHandle | None = None
 
     def listen(self, address: str, tls: ssl.SSLContext | None = None) -> str:
         """Starts to accept connections.
@@ -57,18 +106,36 @@
         Returns:
             The address that the server listens on.
         """
-        raise NotImplementedError
+        ip, _, port = address.rpartition(":")
+        ip = ip.strip("[]")
+        sockets = netutil.bind_sockets(int(port), ip, backlog=1024)
+        self._server = _caller_connections.ConnectionServer(
+            self, self._limits.header_bytes, self._limits.body_bytes, tls
+        )
+        self._server.add_sockets(sockets)
+        self._close_idle()
+        return f"{ip}:{sockets[0].getsockname()[1]}"
+
+    def start_request(
+        self, server_conn: object, request_conn: httputil.HTTPConnection
+    ) -> httputil.HTTPMessageDelegate:
+        """Creates the exchange of the next request of a connection."""
+        return _caller_exchange.CallerExchange(
+            self._shared, server_conn, request_conn
+        )
 
     def count_requests(self) -> int:
         """Returns the number of requests in flight."""
-        raise NotImplementedError
+        return len(self._shared.exchanges)
 
     def stop_accepting(self) -> None:
         """Closes the listening sockets; connections stay open.
 
         Answers from now on close the connection of the caller.
         """
-        raise NotImplementedError
+        self._shared.is_draining = True
+        if self._server is not None:
+            self._server.stop()
 
     async def drain(self, bound_s: float) -> int:
         """Waits for the requests in flight and closes all connections.
@@ -79,4 +146,42 @@
         Returns:
             The number of requests that were cut off at the bound.
         """
-        raise NotImplementedError
+        self.stop_accepting()
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + bound_s
+        while loop.time() < deadline:
+            if not self._shared.exchanges:
+                if self._server is None:
+                    break
+                self._server.close_idle(loop.time())
+                if not self._server.list_connections():
+                    break
+            await asyncio.sleep(DRAIN_LOOK_S)
+        cut_off = self.count_requests()
+        if cut_off:
+            _logs.log_event(
+                _LOGGER,
+                logging.ERROR,
+                "drain-bound-reached",
+                bound_s=bound_s,
+                requests=cut_off,
+            )
+        await self._close()
+        return cut_off
+
+    async def _close(self) -> None:
+        if self._sweep is not None:
+            self._sweep.cancel()
+        await self._shared.cancel_all()
+        if self._server is not None:
+            for connection in self._server.list_connections():
+                connection.stream.close()
+        self._client.close()
+
+    def _close_idle(self) -> None:
+        loop = asyncio.get_running_loop()
+        if self._server is not None:
+            self._server.close_idle(
+                loop.time() - self._limits.idle_connection_s
+            )
+        self._sweep = loop.call_later(SWEEP_S, self._close_idle)
--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -14,6 +14,7 @@
 from collections import abc
 import dataclasses
 import enum
+import math
 import typing
 
 import pycurl
@@ -44,6 +45,10 @@
 
     #: No connection could be made.
     CONNECT = "connect-failed"
+    #: The permit expired before a connection was ready.
+    EXPIRED = "permit-expired"
+    #: All connections to the upstream stayed in use.
+    LIMIT = "connection-limit"
     #: The deadline passed.
     DEADLINE = "deadline"
     #: The answer is missing, truncated or malformed.
@@ -84,6 +89,8 @@
     timeout_s: float
     #: Identifier of the attempt, which the answer may repeat.
     attempt: str
+    #: Time on the clock of the event loop after which nothing may be sent.
+    send_by: float = math.inf
 
 
 class _Mode(enum.Enum):
@@ -108,6 +115,8 @@
         "ended",
         "failure",
         "head",
+        "is_connecting",
+        "is_expired",
         "request",
         "started",
     )
@@ -129,6 +138,10 @@
         #: Whether a byte of the request may have reached the upstream. It is
         #: set as soon as libcurl has a connection for the request.
         self.started = False
+        #: Whether libcurl opened a socket for the transfer.
+        self.is_connecting = False
+        #: Whether the permit expired before a connection was ready.
+        self.is_expired = False
         #: Whether no more of the answer will come.
         self.ended = False
         #: Why the answer is not whole; None as long as it may become whole.
@@ -272,16 +285,22 @@
 
     def _on_socket(self, _descriptor: int, _purpose: int) -> int:
         self.is_connection_new = True
+        if self.transfer is not None:
+            self.transfer.is_connecting = True
         return int(pycurl.SOCKOPT_OK)
 
     def _on_connection(self, *_addresses: typing.Any) -> int:
         # libcurl sends a request again by itself when a reused connection
         # breaks before the answer. The upstream may have run it by then, so
         # the second connection of a transfer is refused.
-        if self.transfer is None or self.transfer.started:
+        transfer = self.transfer
+        if transfer is None or transfer.started:
             return int(pycurl.PREREQFUNC_ABORT)
-        self.transfer.started = True
-        self.transfer.head.needs_echo = not self.is_connection_new
+        if asyncio.get_running_loop().time() > transfer.request.send_by:
+            transfer.is_expired = True
+            return int(pycurl.PREREQFUNC_ABORT)
+        transfer.started = True
+        transfer.head.needs_echo = not self.is_connection_new
         return int(pycurl.PREREQFUNC_OK)
 
     def _on_header(self, line: bytes) -> int | None:
@@ -373,6 +392,8 @@
 
     def close(self) -> None:
         """Ends all transfers and closes all connections."""
+        if self._multi is None:
+            return
         for handle in list(self._active):
             if handle.transfer is not None:
                 handle.transfer.cancel()
@@ -434,9 +455,16 @@
     if not error:
         problem = transfer.head.find_problem()
         return Failure(FailureKind.BROKEN, problem) if problem else None
-    if error == pycurl.E_OPERATION_TIMEDOUT:
-        kind = FailureKind.DEADLINE if transfer.started else FailureKind.CONNECT
-        return Failure(kind, message)
-    if not transfer.started:
+    if transfer.started:
+        kind = FailureKind.BROKEN
+        if error == pycurl.E_OPERATION_TIMEDOUT:
+            kind = FailureKind.DEADLINE
+        return Failure(kind, transfer.head.problem or message)
+    if transfer.is_expired:
+        return Failure(
+            FailureKind.EXPIRED, "the permit expired before the send"
+        )
+    if transfer.is_connecting:
         return Failure(FailureKind.CONNECT, message)
-    return Failure(FailureKind.BROKEN, transfer.head.problem or message)
+    # libcurl held the transfer back until a timeout.
+    return Failure(FailureKind.LIMIT, message)
--- a/packages/router/tests/conftest.py
+++ b/packages/router/tests/conftest.py
@@ -35,3 +35,24 @@
         return asyncio.run(main())
 
     return run_scenario
+
+
+@pytest.fixture
+def serve():
+    """Runs a scenario with a caller server before a raw upstream."""
+    import fake_sources
+    import raw_peers
+
+    def run_scenario(scenario: abc.Callable, script=None, limits=None):
+        async def main():
+            async with (
+                asyncio.timeout(20),
+                raw_peers.RawUpstream(script or raw_peers.echo()) as upstream,
+            ):
+                sources = fake_sources.FakeSources(upstream.address)
+                async with fake_sources.open_server(sources, limits) as bench:
+                    await scenario(bench, upstream)
+
+        asyncio.run(main())
+
+    return run_scenario
--- a/packages/router/tests/raw_peers.py
+++ b/packages/router/tests/raw_peers.py
@@ -16,18 +16,43 @@
     #: Number of the connection, from 0.
     connection: int
 
-
-async def read_message(reader, connection=0):
+    @property
+    def status(self):
+        """Status of an answer."""
+        return int(self.head.split(b" ")[1])
+
+    def find(self, name):
+        """Returns the value of a header, or None."""
+        for line in self.head.decode("latin1").split("\r\n")[1:]:
+            key, _, value = line.partition(":")
+            if key.lower() == name.lower():
+                return value.strip()
+        return None
+
+    @property
+    def outcome(self):
+        """Value of Sycamoreloft-Outcome."""
+        return self.find("Sycamoreloft-Outcome")
+
+    @property
+    def reason(self):
+        """Value of Sycamoreloft-Reason."""
+        return self.find("Sycamoreloft-Reason")
+
+
+async def read_message(reader, connection=0, has_body=True):
     """Reads one request; raises IncompleteReadError at the end."""
     head = await reader.readuntil(b"\r\n\r\n")
     lower = head.lower()
     body = b""
+    if not has_body:
+        return Received(head, body, connection)
     if b"transfer-encoding: chunked" in lower:
-        while True:
+        size, parts = -1, []
+        while size:
             size = int(await reader.readuntil(b"\r\n"), 16)
-            body += (await reader.readexactly(size + 2))[:-2]
-            if size == 0:
-                break
+            parts.append((await reader.readexactly(size + 2))[:-2])
+        body = b"".join(parts)
     elif b"content-length:" in lower:
         value = lower.split(b"content-length:")[1].split(b"\r\n")[0]
         body = await reader.readexactly(int(value))
@@ -79,6 +104,18 @@
     )  # fmt: skip
 
 
+def echo(body=b"ok", status=b"200 OK", headers=b""):
+    """Builds a script that answers and repeats the attempt identifier."""
+
+    async def script(request, writer, _reader):
+        attempt = request.find("Sycamoreloft-Attempt").encode()
+        line = b"Sycamoreloft-Attempt: %s\r\n" % attempt
+        writer.write(answer(body, status, line + headers))
+        await writer.drain()
+
+    return script
+
+
 async def wait_until(condition, seconds=5.0):
     """Waits for a condition; fails the test if it does not come true."""
     async with asyncio.timeout(seconds):
