Start a group's machine afresh when its task restarts

Cause: after a failed tick the restarted task kept a machine that believed it held the group while its permit desk was closed, so every request was refused. Change: each run of the task makes a new machine with its own incarnation; all modules log through log_event.

--- a/packages/router/sycamoreloft_router/_directory.py
+++ b/packages/router/sycamoreloft_router/_directory.py
@@ -101,7 +101,7 @@
             now = time.monotonic()
             self._membership.expire(now)
             self._announce(
-                self._membership.choose_targets(now), self._choose_strangers()
+                self._membership.choose_targets(), self._choose_strangers()
             )
             await asyncio.sleep(GOSSIP_S * self._random.uniform(0.9, 1.1))
 
--- a/packages/router/sycamoreloft_router/_group_calls.py
+++ b/packages/router/sycamoreloft_router/_group_calls.py
@@ -34,6 +34,9 @@
     ) -> sycamoreloft_decisions.MembersObserved:
         """Returns what gossip says of the hosts of the group's domain."""
 
+    def announce_change(self) -> None:
+        """Tells other hosts that the groups of this host changed."""
+
     def share_suspects(self, message: sycamoreloft_wire.SuspectNotice) -> None:
         """Passes suspects to the other holders of the fleet's groups."""
 
--- a/packages/router/sycamoreloft_router/_group_runtime.py
+++ b/packages/router/sycamoreloft_router/_group_runtime.py
@@ -41,13 +41,8 @@
         self._environment = environment
         self._accepted = accepted
         self._pending = pending
-        self._machine = sycamoreloft_decisions.GroupHolder(
-            environment.host,
-            environment.incarnation,
-            group,
-            accepted,
-            time.monotonic(),
-        )
+        self._starts = 0
+        self._machine = self._make_machine()
         self._calls = _group_calls.GroupCalls(
             environment, group, self._feed, self._observe_grant
         )
@@ -55,11 +50,33 @@
         self._ticks = 0
         self._permits: _group_permits.GroupPermits | None = None
         self._claims: _group_claims.GroupClaims | None = None
-        if pending is not None:
-            self.change_generation(accepted, pending)
+
+    def _make_machine(self) -> sycamoreloft_decisions.GroupHolder:
+        """Makes a machine that knows nothing of earlier runs of the task.
+
+        Its incarnation differs, so that a row which an earlier run wrote is
+        treated like that of an earlier process.
+        """
+        self._starts += 1
+        machine = sycamoreloft_decisions.GroupHolder(
+            self._environment.host,
+            f"{self._environment.incarnation}.{self._starts}",
+            self.group,
+            self._accepted,
+            time.monotonic(),
+        )
+        if self._pending is not None:
+            machine.handle(
+                sycamoreloft_decisions.GenerationChanged(
+                    self._accepted, self._pending
+                ),
+                time.monotonic(),
+            )
+        return machine
 
     async def run(self) -> None:
-        """Ticks until it is cancelled."""
+        """Ticks until it is cancelled or fails; starts afresh each time."""
+        self._machine = self._make_machine()
         try:
             while True:
                 self._tick()
--- a/packages/router/sycamoreloft_router/_peer_links.py
+++ b/packages/router/sycamoreloft_router/_peer_links.py
@@ -11,6 +11,7 @@
 from returns import pipeline, result
 from tornado import iostream, tcpclient
 
+from sycamoreloft_router import _logs
 import sycamoreloft_wire
 
 _LOGGER = logging.getLogger(__name__)
@@ -103,13 +104,12 @@
                 stream.close()
             self._closed_until = time.monotonic() + self._backoff
             self._backoff = min(self._backoff * 2, LONGEST_BACKOFF_S)
-            _LOGGER.info(
-                "no connection to the peer",
-                extra={
-                    "event": "peer_unreachable",
-                    "peer": self._address,
-                    "error": str(error),
-                },
+            _logs.log_event(
+                _LOGGER,
+                logging.INFO,
+                "peer-unreachable",
+                peer=self._address,
+                error=str(error),
             )
             return False
         finally:
--- a/packages/router/sycamoreloft_router/_peer_server.py
+++ b/packages/router/sycamoreloft_router/_peer_server.py
@@ -10,7 +10,7 @@
 from returns import pipeline
 from tornado import iostream, tcpserver
 
-from sycamoreloft_router import _peer_links
+from sycamoreloft_router import _logs, _peer_links
 import sycamoreloft_wire
 
 _LOGGER = logging.getLogger(__name__)
@@ -61,13 +61,12 @@
             iostream.StreamClosedError,
             sycamoreloft_wire.FrameTooLong,
         ) as error:
-            _LOGGER.warning(
-                "refused a peer connection",
-                extra={
-                    "event": "peer_refused",
-                    "peer": str(address[0]),
-                    "error": str(error),
-                },
+            _logs.log_event(
+                _LOGGER,
+                logging.WARNING,
+                "peer-refused",
+                peer=str(address[0]),
+                error=str(error),
             )
             stream.close()
             return
@@ -151,7 +150,10 @@
 
 
 def _log_bad_frame(sender: str, error: str) -> None:
-    _LOGGER.warning(
-        "closed a peer connection after a bad frame",
-        extra={"event": "peer_bad_frame", "peer": sender, "error": error},
+    _logs.log_event(
+        _LOGGER,
+        logging.WARNING,
+        "peer-bad-frame",
+        peer=sender,
+        error=error,
     )
--- a/packages/router/sycamoreloft_router/_supervisor.py
+++ b/packages/router/sycamoreloft_router/_supervisor.py
@@ -6,6 +6,9 @@
 import dataclasses
 import logging
 import time
+import traceback
+
+from sycamoreloft_router import _logs
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -138,12 +141,13 @@
             except Exception as error:  # noqa: BLE001
                 # A supervisor must survive whatever a child raises.
                 child.last_failure = f"{type(error).__name__}: {error}"
-                _LOGGER.exception(
-                    "task failed",
-                    extra={
-                        "event": "task_failed",
-                        "task": child.specification.name,
-                    },
+                _logs.log_event(
+                    _LOGGER,
+                    logging.ERROR,
+                    "task-failed",
+                    task=child.specification.name,
+                    error=child.last_failure,
+                    traceback=traceback.format_exc(limit=-6),
                 )
             now = self._clock()
             if child.count_failure(now) > MAXIMUM_RESTARTS:
@@ -159,16 +163,13 @@
     def _give_up(self, child: _Child) -> None:
         child.status = "given-up"
         name = child.specification.name
-        _LOGGER.error(
-            "task used up its restarts",
-            extra={"event": "task_given_up", "task": name},
-        )
+        _logs.log_event(_LOGGER, logging.ERROR, "task-given-up", task=name)
         if child.specification.on_give_up is not None:
             child.specification.on_give_up()
         elif self._failed is not None and not self._failed.done():
             self._failed.set_exception(
                 SupervisorFailed(
                     f"task {name} failed {MAXIMUM_RESTARTS + 1} times in"
-                    f" {RESTART_WINDOW_S:.0f} s; see its task_failed log lines"
+                    f" {RESTART_WINDOW_S:.0f} s; see its task-failed log lines"
                 )
             )
