Report every broken condition and find owners in one pass

Cause: in a trial with a toy router, one fault broke a condition hundreds of times and hid the others in the report; finding the owners of 60 keys took about 5 s, because the logs were read for each key. Change: the report gives the number and three examples of each condition; owners are found with one reading of the logs.

--- a/packages/proof/sycamoreloft_proof/_summary.py
+++ b/packages/proof/sycamoreloft_proof/_summary.py
@@ -76,6 +76,24 @@
     )
 
 
+def describe_violations(
+    violations: abc.Iterable[_history.Violation], examples: int = 3
+) -> str:
+    """Lists the number and the first few violations of each condition.
+
+    One fault may break a condition hundreds of times, which must not hide
+    the other conditions.
+    """
+    by_condition = collections.defaultdict(list)
+    for violation in violations:
+        by_condition[violation.condition].append(violation.detail)
+    return "".join(
+        f"violated {len(details)} times: {condition}\n"
+        + "".join(f"  {detail}\n" for detail in details[:examples])
+        for condition, details in by_condition.items()
+    )
+
+
 def format_table(rows: abc.Iterable[tuple[str, object]]) -> str:
     """Formats rows of a name and a value as aligned lines."""
     listed = [(name, str(value)) for name, value in rows]
--- a/packages/proof/sycamoreloft_proof/demo.py
+++ b/packages/proof/sycamoreloft_proof/demo.py
@@ -180,13 +180,10 @@
         """Crashes one upstream by a request; returns its identity."""
         fleet = self._deployment.fleets[0]
         service = fleet.services[0]
-        victim = await self._find_owner(fleet, service, "heat-crash")
         keys = [f"heat-{number}" for number in range(60)]
-        owned = [
-            key
-            for key in keys
-            if await self._find_owner(fleet, service, key) == victim
-        ]
+        owners = await self._find_owners(fleet, service, keys)
+        victim = owners[keys[0]]
+        owned = [key for key in keys if owners[key] == victim]
         operation = next(
             item
             for item in service.operations
@@ -196,7 +193,7 @@
             fleet.name,
             service.name,
             operation,
-            "heat-crash",
+            keys[0],
             "demo-crash",
             "",
             {"X-Standin-Crash": "1"},
@@ -218,26 +215,32 @@
         await self._record_recovery("upstream crash", calls)
         return victim
 
-    async def _find_owner(
+    async def _find_owners(
         self,
         fleet: _fleets.FleetPlan,
         service: _fleets.ServicePlan,
-        key: str,
-    ) -> str:
-        """Sends a request for a key and returns the upstream that ran it."""
-        router = self._deployment.balancer.choose()
-        if router is None:
-            raise DemoError("no router is ready")
-        answer = await self._sender.send(
-            _make_probe(fleet, service, key), router
-        )
-        for event in self._deployment.read_run_logs():
-            if (
-                isinstance(event, _history.RunStarted)
-                and event.request == answer.request
-            ):
-                return event.upstream
-        raise DemoError(f"key {key!r} was not served: {answer.reason}")
+        keys: abc.Sequence[str],
+    ) -> dict[str, str]:
+        """Sends a request for each key; returns which upstream ran it."""
+        requests = {}
+        for key in keys:
+            router = self._deployment.balancer.choose()
+            if router is None:
+                raise DemoError("no router is ready")
+            answer = await self._sender.send(
+                _make_probe(fleet, service, key), router
+            )
+            requests[answer.request] = key
+        owners = {
+            requests[event.request]: event.upstream
+            for event in self._deployment.read_run_logs()
+            if isinstance(event, _history.RunStarted)
+            and event.request in requests
+        }
+        missing = sorted(set(keys) - set(owners))
+        if missing:
+            raise DemoError(f"keys that no upstream served: {missing}")
+        return owners
 
     async def _record_recovery(
         self, name: str, calls: abc.Sequence[_callers.Call]
@@ -367,8 +370,7 @@
         for name, elapsed in demo.recoveries.items()
     ]
     print(_summary.format_table(rows))
-    for violation in violations[:20]:
-        print(f"violated: {violation.condition}: {violation.detail}")
+    print(_summary.describe_violations(violations), end="")
     if problem:
         print(f"not reached: {problem}")
     held = not violations and not problem
--- a/packages/proof/sycamoreloft_proof/soak.py
+++ b/packages/proof/sycamoreloft_proof/soak.py
@@ -367,8 +367,7 @@
     rows += [(f"fault: {name}", n) for name, n in result.faults.items()]
     rows.append(("duration", f"{result.duration_s:.1f} s"))
     print(_summary.format_table(rows))
-    for violation in result.violations[:20]:
-        print(f"violated: {violation.condition}: {violation.detail}")
+    print(_summary.describe_violations(result.violations), end="")
     if result.violations:
         print(f"logs are in {folder}")
         return 1
--- a/packages/proof/tests/test_demo.py
+++ b/packages/proof/tests/test_demo.py
@@ -270,6 +270,22 @@
     assert summary.wrong_answers == 0
 
 
+def test_many_violations_do_not_hide_another_kind():
+    """Guards against a report that one fault fills."""
+    slots = [
+        proof.Violation(proof.Condition.SLOTS, 1.0, f"s{n}") for n in range(100)
+    ]
+    other = proof.Violation(proof.Condition.ONE_OWNER, 2.0, "owners")
+    text = _summary.describe_violations([*slots, other], examples=2)
+    assert text.splitlines() == [
+        "violated 100 times: slots",
+        "  s0",
+        "  s1",
+        "violated 1 times: one-owner",
+        "  owners",
+    ]
+
+
 def test_documents_are_toml():
     """Guards against values that TOML reads differently."""
     document = {"a": 'x"y', "b": [{"c": True, "d": [1, 2.5]}]}
