--- a/packages/router/sycamoreloft_router/_grant_client.py
+++ b/packages/router/sycamoreloft_router/_grant_client.py
@@ -10,6 +10,7 @@
 
 import sycamoreloft_config
 import sycamoreloft_decisions
+from sycamoreloft_router import _traffic
 
 #: Time for one call, in seconds. It is shorter than two renewal periods, so
 #: that a frozen upstream is noticed before its grant has ended.
@@ -50,6 +51,8 @@
         self._client = curl_httpclient.CurlAsyncHTTPClient(
             force_instance=True, max_clients=MAXIMUM_CALLS
         )
+        #: Bytes of grants and their answers.
+        self.traffic = _traffic.Traffic()
 
     async def send_grant(
         self,
@@ -78,6 +81,7 @@
             response = await self._client.fetch(request, raise_error=False)
         except OSError:
             return None
+        self.traffic.count_http(len(body), len(response.body or b""))
         if response.code != 200:
             return None
         return _decode_reply(response.body)
--- a/packages/router/sycamoreloft_router/_host.py
+++ b/packages/router/sycamoreloft_router/_host.py
@@ -127,6 +127,7 @@
             self._names,
             self._permits,
             self._claims,
+            metrics=self._metrics,
         )
         self._backend = _backend.RouterBackend(
             self._configuration,
@@ -236,6 +237,15 @@
             "requests_in_flight": self._caller_server.count_requests(),
             "permits_in_use": self._permits.count_uses(),
             "store_calls": dict(self._store.call_counts),
+            "control_bytes": {
+                name: [traffic.sent, traffic.received]
+                for name, traffic in (
+                    ("peer_calls", self._links.traffic),
+                    ("peer_server", self._peer_server.traffic),
+                    ("grants", self._grants.traffic),
+                    ("store", self._store.traffic),
+                )
+            },
             "members": self._directory.list_states(),
             "groups": [
                 runtime.dump_state()
--- a/packages/router/sycamoreloft_router/_peer_links.py
+++ b/packages/router/sycamoreloft_router/_peer_links.py
@@ -11,7 +11,7 @@
 from returns import pipeline, result
 from tornado import iostream, tcpclient
 
-from sycamoreloft_router import _logs
+from sycamoreloft_router import _logs, _traffic
 import sycamoreloft_wire
 
 _LOGGER = logging.getLogger(__name__)
@@ -57,8 +57,11 @@
 class _Link:
     """One connection to one address, opened when it is needed."""
 
-    def __init__(self, address: str, identity: PeerIdentity) -> None:
+    def __init__(
+        self, address: str, identity: PeerIdentity, traffic: _traffic.Traffic
+    ) -> None:
         self._address = address
+        self._traffic = traffic
         self._identity = identity
         self._stream: iostream.IOStream | None = None
         self._opening: asyncio.Task[bool] | None = None
@@ -145,6 +148,7 @@
         try:
             while True:
                 data = await stream.read_bytes(READ_BYTES, partial=True)
+                self._traffic.received += len(data)
                 for frame in decoder.feed(data):
                     self._settle(frame)
         except iostream.StreamClosedError:
@@ -184,6 +188,7 @@
     ) -> None:
         assert self._stream is not None
         content = sycamoreloft_wire.encode_message(correlation, message)
+        self._traffic.sent += len(content) + 4
         future = self._stream.write(sycamoreloft_wire.encode_frame(content))
         future.add_done_callback(lambda done: done.exception())
 
@@ -232,11 +237,15 @@
     def __init__(self, identity: PeerIdentity) -> None:
         self._identity = identity
         self._links: dict[str, _Link] = {}
+        #: Bytes of messages sent and answers received.
+        self.traffic = _traffic.Traffic()
 
     def _find(self, address: str) -> _Link:
         link = self._links.get(address)
         if link is None:
-            link = self._links[address] = _Link(address, self._identity)
+            link = self._links[address] = _Link(
+                address, self._identity, self.traffic
+            )
         return link
 
     async def call(
--- a/packages/router/sycamoreloft_router/_peer_server.py
+++ b/packages/router/sycamoreloft_router/_peer_server.py
@@ -10,7 +10,7 @@
 from returns import pipeline
 from tornado import iostream, tcpserver
 
-from sycamoreloft_router import _logs, _peer_links
+from sycamoreloft_router import _logs, _peer_links, _traffic
 import sycamoreloft_wire
 
 _LOGGER = logging.getLogger(__name__)
@@ -46,6 +46,8 @@
         self._identity = identity
         self._handler = handler
         self._streams: set[iostream.IOStream] = set()
+        #: Bytes of messages received and answers sent.
+        self.traffic = _traffic.Traffic()
 
     async def handle_stream(
         self, stream: iostream.IOStream, address: typing.Any
@@ -116,6 +118,7 @@
                 data = await stream.read_bytes(
                     _peer_links.READ_BYTES, partial=True
                 )
+                self.traffic.received += len(data)
                 for frame in decoder.feed(data):
                     if not self._dispatch(stream, sender, frame):
                         return
@@ -137,6 +140,7 @@
         def reply(message: sycamoreloft_wire.Message) -> None:
             if correlation and not stream.closed():
                 content = sycamoreloft_wire.encode_message(correlation, message)
+                self.traffic.sent += len(content) + 4
                 future = stream.write(sycamoreloft_wire.encode_frame(content))
                 future.add_done_callback(lambda done: done.exception())
 
--- a/packages/router/sycamoreloft_router/_store_client.py
+++ b/packages/router/sycamoreloft_router/_store_client.py
@@ -10,6 +10,8 @@
 from returns import result
 from tornado import curl_httpclient, httpclient
 
+from sycamoreloft_router import _traffic
+
 #: Time for one call, in seconds.
 CALL_TIMEOUT_S = 1.0
 
@@ -94,6 +96,8 @@
         self._client = curl_httpclient.CurlAsyncHTTPClient(
             force_instance=True, max_clients=MAXIMUM_CALLS
         )
+        #: Bytes of calls and their answers.
+        self.traffic = _traffic.Traffic()
         #: Counts calls by kind, for the metrics.
         self.call_counts = {"read": 0, "write": 0, "failed": 0}
 
@@ -112,6 +116,8 @@
             response = await self._client.fetch(request, raise_error=False)
         except OSError:
             response = None
+        if response is not None:
+            self.traffic.count_http(len(body or b""), len(response.body or b""))
         if response is None or response.code in (500, 502, 503, 504, 599):
             self.call_counts["failed"] += 1
             return None
--- /dev/null
+++ b/packages/router/tests/test_group_permits.py
@@ -0,0 +1,134 @@
+"""Tests of the adapter of the permit desk."""
+
+import pytest
+
+import sycamoreloft_config
+import sycamoreloft_decisions
+from sycamoreloft_router import _group_permits
+import sycamoreloft_wire
+
+GROUP = sycamoreloft_config.GroupName("f", "d", 0)
+
+
+def make_fleet(slots=1):
+    return sycamoreloft_config.Fleet(
+        "f",
+        sycamoreloft_config.Weights(),
+        3900.0,
+        600.0,
+        {"d": sycamoreloft_config.FailureDomain("d")},
+        {"s": sycamoreloft_config.Service("s", True, 4)},
+        {
+            name: sycamoreloft_config.Upstream(
+                name, "s", "d", f"127.0.0.1:{port}", slots
+            )
+            for port, name in enumerate(("u1", "u2"), 9001)
+        },
+    )
+
+
+class FakeOwners:
+    """Owners that a test changes."""
+
+    def __init__(self):
+        self.owner = sycamoreloft_decisions.Owner("u1", 5, 3)
+
+    def find_owner(self, service, key, partition, now):
+        return self.owner
+
+    def get_epoch(self):
+        return 3
+
+
+@pytest.fixture
+def owners():
+    """Owners; u1 owns every key at first."""
+    return FakeOwners()
+
+
+@pytest.fixture
+def permits(owners):
+    """A desk with two upstreams of one slot each."""
+    desk = _group_permits.GroupPermits(
+        make_fleet(), GROUP, owners, True, lambda command: None, print
+    )
+    for upstream in make_fleet().upstreams.values():
+        desk.observe_grant(
+            upstream,
+            sycamoreloft_decisions.GrantAnswered(
+                upstream.name, 1, True, "inc", 1.0, 3, 1
+            ),
+        )
+    return desk
+
+
+def ask(permits, permit):
+    """Asks for a permit and returns the list that answers go into."""
+    answers = []
+    message = sycamoreloft_wire.PermitRequest(
+        "f/d/0", permit, "h", 1, "f", "s", "k", 2, permit.encode(), "c", 1, 5000
+    )
+    permits.ask(message, answers.append)
+    return answers
+
+
+def give_back(permits, permit):
+    permits.return_permit(
+        sycamoreloft_wire.PermitReturn(
+            "f/d/0", permit, "completed", 1.0, False, False
+        )
+    )
+
+
+def test_a_permit_names_owner_epoch_and_fence(permits):
+    """Guards against a request that an upstream cannot check."""
+    (grant,) = ask(permits, "p1")
+    assert (grant.upstream, grant.address) == ("u1", "127.0.0.1:9001")
+    assert (grant.epoch, grant.fence) == (3, 5)
+
+
+def test_a_request_waits_for_an_owner(permits, owners):
+    """Guards against errors that callers see while a key moves."""
+    owners.owner = sycamoreloft_decisions.NoOwner(
+        sycamoreloft_decisions.WaitReason.MOVING
+    )
+    answers = ask(permits, "p1")
+    permits.tick()
+    assert answers == []
+    owners.owner = sycamoreloft_decisions.Owner("u2", 6, 3)
+    permits.tick()
+    assert answers[0].upstream == "u2"
+
+
+def test_a_request_of_a_host_without_the_group_is_refused(permits, owners):
+    """Guards against waiting at a host that will never have the owner."""
+    owners.owner = sycamoreloft_decisions.NoOwner(
+        sycamoreloft_decisions.WaitReason.OTHER_GROUP
+    )
+    (answer,) = ask(permits, "p1")
+    assert answer.reason == "other-group"
+
+
+def test_a_queued_request_follows_its_key(permits, owners):
+    """Guards against a permit for an upstream that lost the key meanwhile."""
+    ask(permits, "p1")
+    queued = ask(permits, "p2")
+    owners.owner = sycamoreloft_decisions.Owner("u2", 6, 3)
+    give_back(permits, "p1")
+    assert [(grant.upstream, grant.fence) for grant in queued] == [("u2", 6)]
+
+
+def test_closing_answers_everything_that_waits(permits, owners):
+    """Guards against callers that wait for a holder that was replaced."""
+    ask(permits, "p1")
+    queued = ask(permits, "p2")
+    owners.owner = sycamoreloft_decisions.NoOwner(
+        sycamoreloft_decisions.WaitReason.UNASSIGNED
+    )
+    waiting = ask(permits, "p3")
+    permits.close()
+    assert {answer.reason for answer in queued + waiting} <= {
+        "no-holder",
+        "not-holder",
+    }
+    assert len(queued) == len(waiting) == 1
