Give each call a body of its own and test the crash of a stand-in

Cause: the router tells requests apart by a hash of path, key and body, so callers' posts without a body looked like one request to its quarantine. An answer to an operation that was sent only once passed without its echo if it gave a reason. Change: bodies depend on the call and stay the same when it is sent again; only an operation that was sent before may lack its echo.

--- a/packages/proof/sycamoreloft_proof/_callers.py
+++ b/packages/proof/sycamoreloft_proof/_callers.py
@@ -21,6 +21,7 @@
 #: Sendings of one operation, the first included.
 _MAXIMUM_SENDINGS = 4
 _PAUSE_BEFORE_RESEND_S = 0.1
+_SHORTEST_UPLOAD_BYTES = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,6 +40,9 @@
     caller: str
     #: Identity of an operation that runs at most once, else "".
     idempotency_key: str
+    #: What the upload is made of; sending a call again sends the same body,
+    #: and two calls with the same body look like one to the router.
+    content: str = ""
     #: Further headers.
     headers: abc.Mapping[str, str] = dataclasses.field(default_factory=dict)
 
@@ -80,6 +84,7 @@
         self._history = history
         #: Requests sent so far.
         self.sent = 0
+        self._sent_operations: set[str] = set()
         # A connection is made for each request, so that a broken one can
         # belong to no other request.
         self._client = tornado.simple_httpclient.SimpleAsyncHTTPClient(
@@ -90,7 +95,10 @@
         """Sends one request to one router."""
         self.sent += 1
         request = f"{call.caller}-{self.sent}"
-        upload = _make_upload(request, call.operation.upload_bytes)
+        upload = _make_upload(call)
+        repeats = call.idempotency_key in self._sent_operations
+        if call.idempotency_key:
+            self._sent_operations.add(call.idempotency_key)
         self._history.append(
             _history.RequestSent(
                 time.monotonic(),
@@ -104,12 +112,17 @@
                 call.caller,
             )
         )
-        answer = await self._fetch(call, router, request, upload)
+        answer = await self._fetch(call, router, request, upload, repeats)
         self._history.append(answer)
         return answer
 
     async def _fetch(
-        self, call: Call, router: Router, request: str, upload: bytes
+        self,
+        call: Call,
+        router: Router,
+        request: str,
+        upload: bytes,
+        repeats: bool,
     ) -> _history.AnswerReceived:
         response: tornado.httpclient.HTTPResponse | None = None
         ending = _history.Ending.WHOLE
@@ -119,7 +132,7 @@
                 f"http://{router.caller_address}{call.operation.path}",
                 method=call.operation.method,
                 headers=_make_headers(call, request),
-                body=None if call.operation.method == "GET" else upload,
+                body=upload or None,
                 connect_timeout=_CONNECT_TIMEOUT_S,
                 request_timeout=_CALLER_TIMEOUT_S,
                 raise_error=False,
@@ -139,7 +152,7 @@
             return _history.AnswerReceived(
                 at, request, ending, outcome, 0, reason, False, False
             )
-        return _judge_response(at, call, request, upload, response)
+        return _judge_response(at, call, request, upload, repeats, response)
 
 
 def classify_ending(error: Exception) -> _history.Ending:
@@ -153,9 +166,12 @@
     return _history.Ending.CUT
 
 
-def _make_upload(request: str, size: int) -> bytes:
-    """Returns an upload that belongs to one request only."""
-    block = hashlib.sha256(request.encode()).digest()
+def _make_upload(call: Call) -> bytes:
+    """Returns the body of a call, empty for a GET."""
+    if call.operation.method == "GET":
+        return b""
+    size = max(call.operation.upload_bytes, _SHORTEST_UPLOAD_BYTES)
+    block = hashlib.sha256(call.content.encode()).digest()
     return (block * (size // len(block) + 1))[:size]
 
 
@@ -182,9 +198,20 @@
     call: Call,
     request: str,
     upload: bytes,
+    repeats: bool,
     response: tornado.httpclient.HTTPResponse,
 ) -> _history.AnswerReceived:
-    """Compares a whole answer with the one that the request must get."""
+    """Compares a whole answer with the one that the request must get.
+
+    Args:
+        at: Time of the answer.
+        call: What was sent.
+        request: Name of the sending.
+        upload: Body that was sent.
+        repeats: Whether the operation was sent before; only then may the
+            answer say just what became of the first sending.
+        response: The answer.
+    """
     reason = response.headers.get("Sycamoreloft-Reason", "")
     try:
         outcome = _history.Outcome(
@@ -193,9 +220,8 @@
     except ValueError:
         outcome = _history.Outcome.UNKNOWN
         reason = reason or "the answer states no outcome"
-    # The answer to a repeated operation says only what became of the first.
     expected = outcome == _history.Outcome.COMPLETED and not (
-        call.operation.at_most_once and reason
+        repeats and reason
     )
     return _history.AnswerReceived(
         at,
@@ -264,16 +290,15 @@
         service, operation = self._random.choices(
             self._operations, self._weights
         )[0]
-        identity = ""
-        if operation.at_most_once:
-            identity = f"{caller}-op-{next(self._numbers)}"
+        content = f"{caller}-op-{next(self._numbers)}"
         return Call(
             self._fleet.name,
             service.name,
             operation,
             self._choose_key(service),
             caller,
-            identity,
+            content if operation.at_most_once else "",
+            content,
         )
 
     def _choose_key(self, service: _fleets.ServicePlan) -> str:
--- a/packages/proof/sycamoreloft_proof/demo.py
+++ b/packages/proof/sycamoreloft_proof/demo.py
@@ -196,6 +196,7 @@
             keys[0],
             "demo-crash",
             "",
+            "crash",
             {"X-Standin-Crash": "1"},
         )
         router = self._deployment.balancer.choose()
--- a/packages/proof/sycamoreloft_proof/soak.py
+++ b/packages/proof/sycamoreloft_proof/soak.py
@@ -167,6 +167,7 @@
             key,
             "soak-crash",
             "",
+            key,
             {"X-Standin-Crash": "1"},
         )
         for _ in range(2):
--- a/packages/proof/tests/test_demo.py
+++ b/packages/proof/tests/test_demo.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import dataclasses
+import io
 import tomllib
 
 import pytest
+from tornado import httputil
+import tornado.httpclient
 import tornado.httpserver
 import tornado.testing
 import tornado.web
@@ -240,6 +243,36 @@
     assert len(set(ids)) == len(ids) > 100
 
 
+@pytest.mark.parametrize(("sendings", "expected"), [(1, True), (2, False)])
+def test_only_a_repeated_operation_may_lack_its_echo(sendings, expected):
+    """Guards against a wrong answer that passes as a repetition."""
+    history = []
+    sender = _callers.Sender(history)
+    operation = _fleets.OperationPlan("POST", "/x", at_most_once=True)
+    call = make_call(operation=operation, idempotency_key="op-1")
+    headers = {
+        "Sycamoreloft-Outcome": "completed",
+        "Sycamoreloft-Reason": "repeated",
+    }
+
+    async def run():
+        async def fetch(url, **options):
+            return tornado.httpclient.HTTPResponse(
+                tornado.httpclient.HTTPRequest(url),
+                200,
+                headers=httputil.HTTPHeaders(headers),
+                buffer=io.BytesIO(b"{}"),
+            )
+
+        sender._client.fetch = fetch
+        for _ in range(sendings):
+            await sender.send(call, _callers.Router("r", "127.0.0.1:1"))
+
+    asyncio.run(run())
+    assert history[-1].echo_expected == expected
+    assert not history[-1].echo_matches
+
+
 def test_failed_demo_is_shown_as_failed(capsys):
     """Guards against a demo that prints success over a violation."""
     answer = _history.AnswerReceived(
--- a/packages/standins/tests/test_upstream.py
+++ b/packages/standins/tests/test_upstream.py
@@ -3,6 +3,8 @@
 import argparse
 import asyncio
 import json
+import subprocess
+import sys
 
 import pytest
 import tornado.httpclient
@@ -358,3 +360,37 @@
         assert client.state.observe().running == 0
 
     run_with_upstream(scenario, tmp_path)
+
+
+def test_crash_request_ends_the_process(tmp_path):
+    """Guards against a crash that leaves no trace of what ran."""
+    log = tmp_path / "log"
+    bound, port = tornado.testing.bind_unused_port()
+    bound.close()
+    process = subprocess.Popen(
+        [
+            sys.executable,
+            "-m",
+            "sycamoreloft_standins.upstream",
+            f"--spec=u:{port}:1:keyed=0",
+            f"--log={log}",
+        ]
+    )
+
+    async def crash():
+        for _ in range(1000):
+            if log.exists() and log.read_text():
+                break
+            await asyncio.sleep(0.01)
+        answer = await Client(None, port).send(headers={"X-Standin-Crash": "1"})
+        assert answer.code == 599
+
+    try:
+        asyncio.run(crash())
+        assert process.wait(10) == 86
+    finally:
+        process.kill()
+        process.wait()
+    lines = [json.loads(line) for line in log.read_text().splitlines()]
+    assert [line["kind"] for line in lines] == ["started", "start", "crashed"]
+    assert lines[2]["run"] == lines[1]["run"]
