--- a/packages/decisions/sycamoreloft_decisions/_claims.py
+++ b/packages/decisions/sycamoreloft_decisions/_claims.py
@@ -1,190 +1,71 @@
-"""Claim book: at-most-once operations, durable before they are answered."""
+"""Claim book: at-most-once operations, durable before they are answered.
+
+An attempt may send its request only after its claim was stored. An attempt
+that was told "unavailable" never sends, so a claim of it that is stored after
+all is free again; other attempts of the same id wait until that is settled.
+"""
 
 from collections import abc
 import dataclasses
-import enum
 import functools
 
-
-class Verdict(enum.StrEnum):
-    """Answers to a claim, as in the message `ClaimAnswer`."""
-
-    #: The attempt may send the request, once.
-    CLAIMED = "claimed"
-    #: An earlier attempt has the claim.
-    REPEATED = "repeated"
-    #: The id was claimed for a request with another body.
-    CONFLICT = "conflict"
-    #: The claim could not be made durable; the attempt must not send.
-    UNAVAILABLE = "unavailable"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimAsked:
-    """An attempt asks for the claim of a request id."""
-
-    #: Hash of fleet, service and request id.
-    id_hash: bytes
-    #: Fingerprint of the request.
-    fingerprint: bytes
-    #: Identifier of the attempt, never used for a second send.
-    attempt: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimResulted:
-    """An attempt reports what became of it, also if it gave up waiting."""
-
-    #: As in the claim.
-    id_hash: bytes
-    #: As in the claim.
-    attempt: str
-    #: "completed", "did-not-run" (frees the claim) or "unknown".
-    outcome: str
-    #: HTTP status when completed.
-    status: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimEntry:
-    """What a row says of one attempt: its claim, or what became of it."""
-
-    #: Hash of fleet, service and request id.
-    id_hash: bytes
-    #: Fingerprint of the request.
-    fingerprint: bytes
-    #: Identifier of the attempt.
-    attempt: str
-    #: Empty for a claim; otherwise "completed", "did-not-run" or "unknown".
+from sycamoreloft_decisions import _claim_events, _claim_rows
+
+# The events and commands belong to the interface of this module; they are in
+# a file of their own because of its length.
+AnswerClaim = _claim_events.AnswerClaim
+BatchRead = _claim_events.BatchRead
+BatchRefused = _claim_events.BatchRefused
+BatchStored = _claim_events.BatchStored
+BatchUnanswered = _claim_events.BatchUnanswered
+ClaimAsked = _claim_events.ClaimAsked
+ClaimCommand = _claim_events.ClaimCommand
+ClaimEntry = _claim_events.ClaimEntry
+ClaimEvent = _claim_events.ClaimEvent
+ClaimOptions = _claim_events.ClaimOptions
+ClaimResulted = _claim_events.ClaimResulted
+ClaimTick = _claim_events.ClaimTick
+GroupsChanged = _claim_events.GroupsChanged
+ReadBatch = _claim_events.ReadBatch
+RowsLoaded = _claim_events.RowsLoaded
+Verdict = _claim_events.Verdict
+WriteBatch = _claim_events.WriteBatch
+
+_Commands = list[ClaimCommand]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Claim:
+    """The latest claim of one id."""
+
+    asked: ClaimAsked
+    at: float
+    durable: bool = False
+    #: Whether the attempt certainly does not send: it was told so, or it
+    #: reported that it gave up.
+    void: bool = False
     outcome: str = ""
-    #: HTTP status when completed.
     status: int = 0
+    #: Batch that contains the claim, 0 while it is being collected.
+    sequence: int = 0
+    #: Attempts of the same id that wait until the claim is settled.
+    followers: list[tuple[ClaimAsked, float]] = dataclasses.field(
+        default_factory=list
+    )
+    #: Claim of another group that holds the id once this one is void.
+    successor: "_Claim | None" = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class BatchStored:
-    """The store acknowledged a batch."""
-
-    #: Sequence number of the batch.
-    sequence: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class BatchRefused:
-    """The store refused a batch because the epoch of the group is over."""
-
-    #: Sequence number of the batch.
-    sequence: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class BatchUnanswered:
-    """A write or read of a batch failed; the write may have taken effect."""
-
-    #: Sequence number of the batch.
-    sequence: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class BatchRead:
-    """The store was read to settle a batch whose answer was lost."""
-
-    #: Sequence number of the batch.
-    sequence: int
-    #: Request id that the row keeps; empty if there is no row.
-    request: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RowsLoaded:
-    """All claim rows of the window, in any order, were read.
-
-    The read must have started after the write of the group row that made
-    this host the holder, so that no earlier holder can add rows any more.
-    """
-
-    #: Entries of the rows.
-    entries: abc.Sequence[ClaimEntry]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class GroupsChanged:
-    """A generation changed the set of groups: rows must be loaded again."""
-
+@dataclasses.dataclass(slots=True)
+class _Batch:
+    """A batch whose write has not been settled."""
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimTick:
-    """Time passes; sent about every 5 ms while claims are waiting."""
-
-
-ClaimEvent = (
-    ClaimAsked
-    | ClaimResulted
-    | BatchStored
-    | BatchRefused
-    | BatchUnanswered
-    | BatchRead
-    | RowsLoaded
-    | GroupsChanged
-    | ClaimTick
-)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AnswerClaim:
-    """Answers an attempt."""
-
-    #: Identifier of the attempt.
-    attempt: str
-    #: Answer.
-    verdict: Verdict
-    #: For "repeated": outcome of the first attempt.
-    outcome: str = ""
-    #: For "repeated" and completed: HTTP status of the first answer.
-    status: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class WriteBatch:
-    """Writes one row, on condition that it is absent and of the epoch."""
-
-    #: Sequence number, unique in the epoch.
-    sequence: int
-    #: Request id of the write, alike when the write is repeated.
-    request: str
-    #: Contents of the row.
-    entries: tuple[ClaimEntry, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReadBatch:
-    """Reads the row of a batch whose answer was lost."""
-
-    #: Sequence number.
-    sequence: int
-
-
-ClaimCommand = AnswerClaim | WriteBatch | ReadBatch
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimOptions:
-    """Limits of a claim book."""
-
-    #: Seconds for which claims are collected before they are written.
-    collect_s: float = 0.010
-    #: Claims in one row.
-    batch_entries: int = 256
-    #: Seconds after which an attempt without a durable claim is refused.
-    patience_s: float = 1.0
-    #: Seconds for which a claim is remembered.
-    window_s: float = 600.0
-    #: Claims in memory; more are refused, never forgotten inside the window.
-    remembered: int = 1_000_000
-    #: Seconds after which results are written without further claims.
-    results_s: float = 1.0
-    #: Seconds before a batch that could not be settled is tried again.
-    settle_again_s: float = 0.100
+    command: WriteBatch
+    claims: list[_Claim]
+    written_at: float
+    reading: bool = False
+    #: Time of the next read, if one has failed.
+    read_at: float | None = None
 
 
 class ClaimBook:
@@ -194,6 +75,24 @@
         """Starts a book that answers nothing before `RowsLoaded`."""
         self._epoch = epoch
         self._options = options or ClaimOptions()
+        self._loaded = False
+        self._closed = False
+        self._sequence = 0
+        self._claims: dict[bytes, _Claim] = {}
+        self._collected: dict[_Claim, None] = {}
+        self._results: list[ClaimEntry] = []
+        self._results_since = 0.0
+        self._batches: dict[int, _Batch] = {}
+        self._early: list[tuple[ClaimAsked, float]] = []
+        self._follower_count = 0
+
+    def count_claims(self) -> int:
+        """Returns the number of ids in memory."""
+        return len(self._claims)
+
+    def is_closed(self) -> bool:
+        """Tells whether the epoch is over."""
+        return self._closed
 
     @functools.singledispatchmethod
     def handle(
@@ -201,3 +100,353 @@
     ) -> abc.Sequence[ClaimCommand]:
         """Applies an event and returns the commands that follow from it."""
         raise TypeError(f"unknown event {type(event).__name__}")
+
+    @handle.register
+    def _handle_asked(
+        self, event: _claim_events.ClaimAsked, now: float
+    ) -> abc.Sequence[ClaimCommand]:
+        commands: _Commands = []
+        self._ask(event, now, now, commands)
+        return commands
+
+    @handle.register
+    def _handle_resulted(
+        self, event: _claim_events.ClaimResulted, now: float
+    ) -> abc.Sequence[ClaimCommand]:
+        commands: _Commands = []
+        claim = self._claims.get(event.id_hash)
+        if claim is None or claim.asked.attempt != event.attempt:
+            return commands
+        if event.outcome == "did-not-run":
+            if not claim.outcome:
+                claim.void = True
+                self._settle_void(claim, now, commands)
+        elif claim.durable and claim.outcome != "completed":
+            claim.outcome = event.outcome
+            claim.status = event.status
+            self._add_result(claim, now)
+        return commands
+
+    @handle.register
+    def _handle_stored(
+        self, event: _claim_events.BatchStored, now: float
+    ) -> abc.Sequence[ClaimCommand]:
+        commands: _Commands = []
+        batch = self._batches.pop(event.sequence, None)
+        if batch is None or self._closed:
+            return commands
+        for claim in batch.claims:
+            claim.durable = True
+            if claim.void:
+                self._settle_void(claim, now, commands)
+                continue
+            commands.append(AnswerClaim(claim.asked.attempt, Verdict.CLAIMED))
+            self._ask_followers(claim, now, commands)
+        return commands
+
+    @handle.register
+    def _handle_refused(
+        self, event: _claim_events.BatchRefused, now: float
+    ) -> abc.Sequence[ClaimCommand]:
+        commands: _Commands = []
+        if event.sequence in self._batches:
+            self._close(commands)
+        return commands
+
+    @handle.register
+    def _handle_unanswered(
+        self, event: _claim_events.BatchUnanswered, now: float
+    ) -> abc.Sequence[ClaimCommand]:
+        batch = self._batches.get(event.sequence)
+        if batch is None:
+            return ()
+        if batch.reading:
+            batch.reading = False
+            batch.read_at = now + self._options.settle_again_s
+            return ()
+        batch.reading = True
+        return (ReadBatch(event.sequence),)
+
+    @handle.register
+    def _handle_read(
+        self, event: _claim_events.BatchRead, now: float
+    ) -> abc.Sequence[ClaimCommand]:
+        batch = self._batches.get(event.sequence)
+        if batch is None:
+            return ()
+        batch.reading = False
+        if event.request == batch.command.request:
+            return self._handle_stored(BatchStored(event.sequence), now)
+        if event.request:
+            return self._handle_refused(BatchRefused(event.sequence), now)
+        # The first write may still arrive. Both have the same contents and
+        # request id, and the row can only be created once.
+        return (batch.command,)
+
+    @handle.register
+    def _handle_loaded(
+        self, event: _claim_events.RowsLoaded, now: float
+    ) -> abc.Sequence[ClaimCommand]:
+        # What became of an attempt that is known here is known better here.
+        known_attempts = {
+            claim.asked.attempt for claim in self._claims.values()
+        }
+        for entry in _claim_rows.reduce_entries(
+            entry
+            for entry in event.entries
+            if entry.attempt not in known_attempts
+        ):
+            asked = ClaimAsked(entry.id_hash, entry.fingerprint, entry.attempt)
+            claim = _Claim(asked, now, durable=True)
+            claim.outcome = entry.outcome
+            claim.status = entry.status
+            known = self._claims.get(entry.id_hash)
+            if known is None:
+                self._claims[entry.id_hash] = claim
+            else:
+                known.successor = claim
+        self._loaded = True
+        early, self._early = self._early, []
+        commands: _Commands = []
+        for asked, asked_at in early:
+            self._ask(asked, asked_at, now, commands)
+        return commands
+
+    @handle.register
+    def _handle_groups(
+        self, event: _claim_events.GroupsChanged, now: float
+    ) -> abc.Sequence[ClaimCommand]:
+        """Stops answering until the rows of the other groups are known.
+
+        A claim that is being written may have been given by another group,
+        so its attempt is told that it must not send.
+        """
+        commands: _Commands = []
+        self._loaded = False
+        for claim in list(self._claims.values()):
+            if not claim.durable:
+                self._refuse(claim, now, commands)
+        return commands
+
+    @handle.register
+    def _handle_tick(
+        self, event: _claim_events.ClaimTick, now: float
+    ) -> abc.Sequence[ClaimCommand]:
+        commands: _Commands = []
+        self._refuse_late(now, commands)
+        self._expire(now)
+        if self._collected:
+            first = next(iter(self._collected))
+            if first.at + self._options.collect_s <= now:
+                self._write(now, commands)
+        elif (
+            self._results
+            and self._results_since + self._options.results_s <= now
+        ):
+            self._write(now, commands)
+        for batch in self._batches.values():
+            if batch.read_at is not None and batch.read_at <= now:
+                batch.read_at = None
+                batch.reading = True
+                commands.append(ReadBatch(batch.command.sequence))
+        return commands
+
+    def _ask(
+        self,
+        asked: ClaimAsked,
+        asked_at: float,
+        now: float,
+        commands: _Commands,
+    ) -> None:
+        if self._closed:
+            commands.append(_answer_unavailable(asked))
+        elif not self._loaded:
+            if len(self._early) >= self._options.waiting:
+                commands.append(_answer_unavailable(asked))
+            else:
+                self._early.append((asked, asked_at))
+        else:
+            claim = self._claims.get(asked.id_hash)
+            if claim is None:
+                self._start(asked, asked_at, now, commands)
+            else:
+                self._ask_again(claim, asked, asked_at, commands)
+
+    def _ask_again(
+        self,
+        claim: _Claim,
+        asked: ClaimAsked,
+        asked_at: float,
+        commands: _Commands,
+    ) -> None:
+        """Answers an attempt whose id has a claim."""
+        same_attempt = claim.asked.attempt == asked.attempt
+        if not claim.durable and same_attempt:
+            if claim.void:
+                commands.append(_answer_unavailable(asked))
+        elif not claim.durable:
+            if self._follower_count >= self._options.waiting:
+                commands.append(_answer_unavailable(asked))
+                return
+            self._follower_count += 1
+            claim.followers.append((asked, asked_at))
+        elif claim.asked.fingerprint != asked.fingerprint:
+            commands.append(AnswerClaim(asked.attempt, Verdict.CONFLICT))
+        elif same_attempt and not claim.outcome:
+            commands.append(AnswerClaim(asked.attempt, Verdict.CLAIMED))
+        else:
+            commands.append(
+                AnswerClaim(
+                    asked.attempt,
+                    Verdict.REPEATED,
+                    claim.outcome or "unknown",
+                    claim.status,
+                )
+            )
+
+    def _start(
+        self,
+        asked: ClaimAsked,
+        asked_at: float,
+        now: float,
+        commands: _Commands,
+    ) -> None:
+        """Collects a new claim, unless it would be refused anyway."""
+        patience = self._options.patience_s
+        oldest = next(iter(self._batches.values()), None)
+        if (
+            len(self._claims) >= self._options.remembered
+            or len(self._collected) >= self._options.waiting
+            or asked_at + patience <= now
+            # The store has not answered for as long as an attempt waits.
+            or (oldest is not None and oldest.written_at + patience <= now)
+        ):
+            commands.append(_answer_unavailable(asked))
+            return
+        claim = _Claim(asked, asked_at)
+        self._claims[asked.id_hash] = claim
+        self._collected[claim] = None
+        if len(self._collected) >= self._options.batch_entries:
+            self._write(now, commands)
+
+    def _write(self, now: float, commands: _Commands) -> None:
+        """Writes one row: results first, then claims."""
+        if len(self._batches) >= self._options.unsettled_batches:
+            return
+        room = self._options.batch_entries
+        claims = list(self._collected)[:room]
+        for claim in claims:
+            del self._collected[claim]
+        # Results take the room that claims leave, and at least a quarter of
+        # the row, so that they are written under a steady load as well.
+        count = max(room - len(claims), room // 4)
+        results, self._results = self._results[:count], self._results[count:]
+        self._results_since = now
+        self._sequence += 1
+        entries = [
+            ClaimEntry(
+                claim.asked.id_hash,
+                claim.asked.fingerprint,
+                claim.asked.attempt,
+            )
+            for claim in claims
+        ]
+        command = WriteBatch(
+            self._sequence,
+            f"claims-{self._epoch}-{self._sequence}",
+            (*results, *entries),
+        )
+        for claim in claims:
+            claim.sequence = self._sequence
+        self._batches[self._sequence] = _Batch(command, claims, now)
+        commands.append(command)
+
+    def _refuse(self, claim: _Claim, now: float, commands: _Commands) -> None:
+        """Tells an attempt that it must not send."""
+        if not claim.void:
+            claim.void = True
+            commands.append(_answer_unavailable(claim.asked))
+            self._settle_void(claim, now, commands)
+
+    def _settle_void(
+        self, claim: _Claim, now: float, commands: _Commands
+    ) -> None:
+        """Frees the id of a void claim once it is known where it is."""
+        if not claim.durable and claim.sequence:
+            return
+        if claim.durable:
+            claim.outcome = "did-not-run"
+            self._add_result(claim, now)
+        self._collected.pop(claim, None)
+        del self._claims[claim.asked.id_hash]
+        if claim.successor is not None:
+            self._claims[claim.asked.id_hash] = claim.successor
+        self._ask_followers(claim, now, commands)
+
+    def _ask_followers(
+        self, claim: _Claim, now: float, commands: _Commands
+    ) -> None:
+        followers, claim.followers = claim.followers, []
+        self._follower_count -= len(followers)
+        for asked, asked_at in followers:
+            self._ask(asked, asked_at, now, commands)
+
+    def _add_result(self, claim: _Claim, now: float) -> None:
+        if not self._results:
+            self._results_since = now
+        # A result that is not stored only makes later answers less precise,
+        # so results are dropped when the store cannot take them.
+        if len(self._results) < self._options.waiting:
+            self._results.append(
+                ClaimEntry(
+                    claim.asked.id_hash,
+                    claim.asked.fingerprint,
+                    claim.asked.attempt,
+                    claim.outcome,
+                    claim.status,
+                )
+            )
+
+    def _refuse_late(self, now: float, commands: _Commands) -> None:
+        due = now - self._options.patience_s
+        late = [asked for asked, at in self._early if at <= due]
+        self._early = [item for item in self._early if item[1] > due]
+        commands += map(_answer_unavailable, late)
+        pending = list(self._collected)
+        for batch in self._batches.values():
+            pending += batch.claims
+        for claim in pending:
+            kept = [item for item in claim.followers if item[1] > due]
+            self._follower_count -= len(claim.followers) - len(kept)
+            for asked, at in claim.followers:
+                if at <= due:
+                    commands.append(_answer_unavailable(asked))
+            claim.followers = kept
+            if claim.at <= due:
+                self._refuse(claim, now, commands)
+
+    def _expire(self, now: float) -> None:
+        while self._claims:
+            claim = next(iter(self._claims.values()))
+            if not claim.durable or claim.at + self._options.window_s > now:
+                return
+            del self._claims[claim.asked.id_hash]
+
+    def _close(self, commands: _Commands) -> None:
+        """Ends the book: another holder may take claims from now on."""
+        self._closed = True
+        waiting = [asked for asked, _ in self._early]
+        for claim in self._claims.values():
+            waiting += [asked for asked, _ in claim.followers]
+            if not claim.durable and not claim.void:
+                waiting.append(claim.asked)
+        commands += map(_answer_unavailable, waiting)
+        self._early = []
+        self._claims = {}
+        self._collected = {}
+        self._batches = {}
+        self._results = []
+
+
+def _answer_unavailable(asked: ClaimAsked) -> AnswerClaim:
+    return AnswerClaim(asked.attempt, Verdict.UNAVAILABLE)
--- a/packages/decisions/sycamoreloft_decisions/_permit_admission.py
+++ b/packages/decisions/sycamoreloft_decisions/_permit_admission.py
@@ -13,8 +13,8 @@
 
 Commands = list[_permit_events.DeskCommand]
 
-#: Permits whose end is remembered, so that a late report or a late request
-#: does not bring them back.
+#: Permits whose end is remembered, so that a late report does not bring them
+#: back.
 ENDED_PERMITS = 8192
 
 #: Sets of candidates whose upstreams are looked up once.
--- a/packages/decisions/sycamoreloft_decisions/_permits.py
+++ b/packages/decisions/sycamoreloft_decisions/_permits.py
@@ -67,7 +67,7 @@
                     event, _permit_events.Reason.NOT_HOLDER
                 ),
             )
-        if permit in self._ended or permit in self._waiting.tickets:
+        if permit in self._waiting.tickets:
             return ()
         if permit in self._permits:
             known = self._permits[permit]
--- a/packages/decisions/tests/test_membership.py
+++ b/packages/decisions/tests/test_membership.py
@@ -10,6 +10,8 @@
 
 @dataclasses.dataclass(frozen=True)
 class Entry:
+    """A member entry with the fields of the wire's."""
+
     host: str
     incarnation: str = "i1"
     counter: int = 0
