Decide acceptance of configuration in a pure state machine

Racing operators, lost answers and paused holders must neither produce two winners nor a revert.

Generation numbers are consecutive, and a submission is recorded only on the newest generation, be it accepted or pending; one that replaces a pending generation therefore builds on it. A lost write is repeated on the same version only. Groups of failure domains that the candidate declares lost need not stage it, or a file that declares a loss could never be accepted. Reads are limited to one in 0.1 s per host and become rarer while a generation stays pending.

--- a/packages/decisions/sycamoreloft_decisions/_acceptance.py
+++ b/packages/decisions/sycamoreloft_decisions/_acceptance.py
@@ -8,223 +8,82 @@
 
 from collections import abc
 import dataclasses
-import enum
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Entry:
-    """A generation as the head row names it."""
-
-    #: Number, never used twice.
-    number: int
-    #: Request id of the submission.
-    request: str
-    #: SHA-256 of each file of the generation, by "fleet/<name>" or "merge".
-    files: abc.Mapping[str, str]
-    #: Groups of the generation, as "fleet/domain/index".
-    groups: abc.Sequence[str] = ()
-    #: Those whose failure domain the generation declares lost.
-    lost_groups: abc.Sequence[str] = ()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PastSubmission:
-    """A submission that took effect, kept to settle lost answers."""
-
-    #: Number of the generation.
-    number: int
-    #: Request id of the submission.
-    request: str
-    #: SHA-256 of each file, so that a loser learns what changed.
-    files: abc.Mapping[str, str]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class HeadRow:
-    """Value of `config/head`."""
-
-    #: The generation in force.
-    accepted: Entry
-    #: The candidate, if any.
-    pending: Entry | None = None
-    #: Latest submissions, oldest first.
-    history: abc.Sequence[PastSubmission] = ()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class GroupRow:
-    """What acceptance needs of a group row."""
-
-    #: Version of the row in the table.
-    version: int
-    #: Name of the holder.
-    holder: str
-    #: Generation that the holder has staged, 0 for none.
-    staged: int = 0
-
-
-class WriteResult(enum.Enum):
-    """What is known of a transaction."""
-
-    APPLIED = "applied"
-    CONFLICT = "conflict"
-    #: The answer was lost; the write may take effect later.
-    UNKNOWN = "unknown"
-
-
-# Events.
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class FileSubmitted:
-    """An operator submits checked files whose objects are stored."""
-
-    #: Request id, unique.
-    request: str
-    #: Generation that the operator names as the base.
-    base: int
-    #: All files of the candidate: those of the base with the new ones.
-    files: abc.Mapping[str, str]
-    #: Groups of the candidate.
-    groups: abc.Sequence[str]
-    #: Groups of the candidate in failure domains that it declares lost.
-    lost_groups: abc.Sequence[str] = ()
-    #: Longest time to wait for acceptance before answering, in seconds.
-    wait_s: float = 5.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class HeadRead:
-    """`config/head` was read."""
-
-    #: Version of the row, 0 if it is absent.
-    version: int
-    #: Value, None if the row is absent.
-    row: HeadRow | None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class GroupRowsRead:
-    """All group rows were read in the same call as the head."""
-
-    #: Version of the head in that call.
-    head_version: int
-    #: Rows by "fleet/domain/index"; an absent row has no entry.
-    rows: abc.Mapping[str, GroupRow]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class WriteSettled:
-    """A write head, stage or accept command was answered, or not."""
-
-    #: Request id of the command.
-    request: str
-    #: What is known of it.
-    result: WriteResult
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Tick:
-    """Time passed."""
-
-
-Event = FileSubmitted | HeadRead | GroupRowsRead | WriteSettled | Tick
-
-
-# Commands.
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReadRows:
-    """Read `config/head` and all group rows in one call."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class UseHead:
-    """Serve from now on only what both generations treat alike.
-
-    Must be carried out before the commands that follow it.
-    """
-
-    #: Number of the accepted generation.
-    accepted: int
-    #: Number of the pending generation, 0 for none.
-    pending: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class WriteHead:
-    """Put `config/head`, conditional on its version."""
-
-    #: Request id of the write.
-    request: str
-    #: Version that the row must have, 0 for absent.
-    version: int
-    #: New value.
-    row: HeadRow
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Stage:
-    """Set `staged` of a group row, conditional on its version."""
-
-    #: Request id of the write.
-    request: str
-    #: Group as "fleet/domain/index".
-    group: str
-    #: Version that the group row must have.
-    version: int
-    #: Generation to record.
-    staged: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Accept:
-    """Put `config/head`, conditional on it and on every group row."""
-
-    #: Request id of the write.
-    request: str
-    #: Version that the head must have.
-    version: int
-    #: Versions that the group rows must have, 0 for absent.
-    group_versions: abc.Mapping[str, int]
-    #: New value.
-    row: HeadRow
-
-
-class Verdict(enum.Enum):
-    """Final answer to an operator."""
-
-    ACCEPTED = "accepted"
-    #: Recorded; some group has not staged it yet.
-    PENDING = "pending"
-    #: Recorded, then replaced by a later submission that builds on it.
-    REPLACED = "replaced"
-    #: Not recorded: the base is not the newest generation.
-    CONFLICT = "conflict"
-    #: Not known whether it was recorded.
-    UNKNOWN = "unknown"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Answer:
-    """Answer to a submission."""
-
-    #: Request id of the submission.
-    request: str
-    #: Outcome.
-    verdict: Verdict
-    #: Number of the submitted generation; 0 if it was not recorded.
-    number: int
-    #: Newest generation, on which the next submission must be based.
-    newest: int
-    #: Failure domains, as "fleet/domain", that have not staged it.
-    waiting_domains: abc.Sequence[str] = ()
-    #: Names of files that changed between the named base and `newest`.
-    changed_files: abc.Sequence[str] = ()
-
-
-Command = ReadRows | UseHead | WriteHead | Stage | Accept | Answer
+import functools
+
+import sycamoreloft_config
+from sycamoreloft_decisions import _acceptance_events, _acceptance_rows
+
+#: Time between two reads while a submission of this host is open.
+SUBMISSION_POLL_S = 0.25
+
+#: Time between two reads while a generation is pending. It grows with the
+#: age of the generation, because an unreachable failure domain can keep it
+#: pending for hours, while all group holders read.
+PENDING_POLL_S = 0.5
+LONGEST_PENDING_POLL_S = 2.0
+
+#: Time between two reads of a group holder when nothing is pending.
+IDLE_POLL_S = 1.0
+
+#: Least time between two reads. Answered writes ask for a read at once, and
+#: a write that always fails must not read in a loop.
+MINIMUM_POLL_S = 0.1
+
+#: Age of a pending generation at which hosts without a submission try to
+#: accept it too, in case the host of the submitter is lost.
+ASSIST_AFTER_S = 2.0
+
+#: Hosts start to assist at different times within this span, so that they do
+#: not all send the same transaction.
+ASSIST_SPREAD_S = 4.0
+
+#: Time after which a stage or accept write counts as lost if it was not
+#: settled. Both are conditional, so repeating one is harmless.
+WRITE_LIMIT_S = 5.0
+
+#: Time to record a submission, however short its operator wants to wait for
+#: acceptance.
+RECORDING_S = 3.0
+
+
+# The names of this module are its interface; the classes are defined in the
+# two modules that it builds on.
+Entry = _acceptance_rows.Entry
+PastSubmission = _acceptance_rows.PastSubmission
+HeadRow = _acceptance_rows.HeadRow
+GroupRow = _acceptance_rows.GroupRow
+EMPTY_HEAD = _acceptance_rows.EMPTY_HEAD
+WriteResult = _acceptance_events.WriteResult
+FileSubmitted = _acceptance_events.FileSubmitted
+HeadRead = _acceptance_events.HeadRead
+GroupRowsRead = _acceptance_events.GroupRowsRead
+WriteSettled = _acceptance_events.WriteSettled
+Tick = _acceptance_events.Tick
+GroupsHeld = _acceptance_events.GroupsHeld
+ReadRows = _acceptance_events.ReadRows
+UseHead = _acceptance_events.UseHead
+WriteHead = _acceptance_events.WriteHead
+Stage = _acceptance_events.Stage
+Accept = _acceptance_events.Accept
+Verdict = _acceptance_events.Verdict
+Answer = _acceptance_events.Answer
+Event = _acceptance_events.Event
+Command = _acceptance_events.Command
+
+
+@dataclasses.dataclass(slots=True)
+class _Submission:
+    """An open submission of this host."""
+
+    event: FileSubmitted
+    #: Clock reading of the submission.
+    started: float
+    #: Whether the head was read since the submission.
+    is_fresh: bool = False
+    #: Version on which a write is in flight or was refused, None for none.
+    written_version: int | None = None
+    #: Whether any write was sent.
+    was_sent: bool = False
 
 
 class Acceptance:
@@ -240,11 +99,284 @@
     ) -> None:
         self._host = host
         self._make_request_id = make_request_id
+        self._version = -1
+        self._row = EMPTY_HEAD
+        self._used = (-1, -1)
+        self._rows: abc.Mapping[str, GroupRow] = {}
+        self._held: abc.Collection[str] | None = None
+        self._submissions: dict[str, _Submission] = {}
+        # Request id and start of each stage or accept write in flight.
+        self._in_flight: dict[str, tuple[str, float]] = {}
+        self._pending_since = 0.0
+        self._last_read = float("-inf")
+        self._wants_read = True
 
     def handle(self, event: Event, now: float) -> abc.Sequence[Command]:
         """Takes an event at a clock reading and returns what to do."""
-        raise NotImplementedError
+        commands = [*self._take(event, now), *self._advance(now)]
+        if self._should_read(now):
+            self._last_read, self._wants_read = now, False
+            commands.append(ReadRows(self._needs_groups(now)))
+        return commands
 
     def list_waiting_domains(self) -> abc.Sequence[str]:
         """Lists "fleet/domain" that have not staged the pending generation."""
-        raise NotImplementedError
+        groups = _acceptance_rows.list_waiting_groups(self._row, self._rows)
+        return sorted({group.rsplit("/", 1)[0] for group in groups})
+
+    @functools.singledispatchmethod
+    def _take(self, event: Event, now: float) -> abc.Sequence[Command]:
+        raise TypeError(f"unknown event {type(event).__name__}")
+
+    @_take.register
+    def _(self, event: Tick, now: float) -> abc.Sequence[Command]:
+        return ()
+
+    @_take.register
+    def _(self, event: GroupsHeld, now: float) -> abc.Sequence[Command]:
+        self._held = frozenset(event.groups)
+        self._wants_read = True
+        return ()
+
+    @_take.register
+    def _(self, event: FileSubmitted, now: float) -> abc.Sequence[Command]:
+        known = self._submissions.get(event.request)
+        if known is not None:
+            known.started = now
+        else:
+            self._submissions[event.request] = _Submission(event, now)
+        self._wants_read = True
+        return ()
+
+    @_take.register
+    def _(self, event: HeadRead, now: float) -> abc.Sequence[Command]:
+        row = event.row or EMPTY_HEAD
+        # Answers of concurrent reads can arrive out of order.
+        if event.version < self._version:
+            return ()
+        self._mark_fresh()
+        is_known = event.version == self._version
+        if is_known or row.accepted.number < self._row.accepted.number:
+            return ()
+        if row.pending and row.pending != self._row.pending:
+            self._pending_since = now
+            self._wants_read = True
+        self._version, self._row = event.version, row
+        pending = row.pending.number if row.pending else 0
+        numbers = (row.accepted.number, pending)
+        if numbers == self._used:
+            return ()
+        self._used = numbers
+        return (UseHead(*numbers),)
+
+    @_take.register
+    def _(self, event: GroupRowsRead, now: float) -> abc.Sequence[Command]:
+        if event.head_version != self._version:
+            return ()
+        self._mark_fresh()
+        self._rows = event.rows
+        return (*self._stage(now), *self._accept(now))
+
+    @_take.register
+    def _(self, event: WriteSettled, now: float) -> abc.Sequence[Command]:
+        for subject, (request, _) in list(self._in_flight.items()):
+            if request == event.request:
+                del self._in_flight[subject]
+        submission = self._submissions.get(event.request)
+        if submission and event.result is WriteResult.UNKNOWN:
+            # The write is repeated on the same version, so that at most one
+            # of the two can take effect.
+            submission.written_version = None
+            submission.is_fresh = False
+        if self._submissions or event.result is WriteResult.APPLIED:
+            self._wants_read = True
+        return ()
+
+    def _mark_fresh(self) -> None:
+        for submission in self._submissions.values():
+            submission.is_fresh = True
+
+    def _stage(self, now: float) -> abc.Iterator[Command]:
+        """Stages the pending generation in the rows of this host's groups."""
+        pending = self._row.pending
+        if pending is None:
+            return
+        for group, row in self._rows.items():
+            is_staged = row.staged >= pending.number
+            if row.holder == self._host and not is_staged:
+                request = self._start(f"{group} {pending.number}", now)
+                if request:
+                    yield Stage(request, group, row.version, pending.number)
+
+    def _accept(self, now: float) -> abc.Iterator[Command]:
+        """Accepts the pending generation once every group has staged it."""
+        row = self._row
+        if row.pending is None:
+            return
+        if _acceptance_rows.list_waiting_groups(row, self._rows):
+            return
+        request = self._start(f"head {self._version}", now)
+        if request:
+            versions = {
+                group: self._rows[group].version if group in self._rows else 0
+                for group in _acceptance_rows.list_required_groups(row)
+            }
+            accepted = HeadRow(row.pending, None, row.history)
+            yield Accept(request, self._version, versions, accepted)
+
+    def _start(self, subject: str, now: float) -> str:
+        """Returns a request id, or empty while such a write is in flight."""
+        if subject in self._in_flight:
+            _, started = self._in_flight[subject]
+            if now < started + WRITE_LIMIT_S:
+                return ""
+        request = self._make_request_id()
+        self._in_flight[subject] = (request, now)
+        return request
+
+    def _advance(self, now: float) -> abc.Iterator[Command]:
+        """Writes or answers the open submissions."""
+        for submission in list(self._submissions.values()):
+            verdict = self._judge(submission) or self._judge_late(
+                submission, now
+            )
+            if verdict is not None:
+                del self._submissions[submission.event.request]
+                yield self._answer(submission, verdict)
+            elif self._may_write(submission):
+                submission.written_version = self._version
+                submission.was_sent = True
+                yield WriteHead(
+                    submission.event.request,
+                    self._version,
+                    _acceptance_rows.record_candidate(
+                        self._row, _make_entry(submission.event)
+                    ),
+                )
+
+    def _may_write(self, submission: _Submission) -> bool:
+        return (
+            submission.is_fresh
+            and submission.written_version != self._version
+            and _acceptance_rows.is_based_on_newest(
+                self._row, submission.event.base
+            )
+        )
+
+    def _find_recorded(self, number: int) -> PastSubmission | None:
+        for item in self._row.history:
+            if item.number == number:
+                return item
+        return None
+
+    def _is_recorded(self, submission: _Submission) -> bool:
+        recorded = self._find_recorded(submission.event.base + 1)
+        return (
+            recorded is not None
+            and recorded.request == submission.event.request
+        )
+
+    def _judge(self, submission: _Submission) -> Verdict | None:
+        """Returns the verdict as far as the head row decides it."""
+        base = submission.event.base
+        if not submission.is_fresh or _acceptance_rows.is_based_on_newest(
+            self._row, base
+        ):
+            return None
+        recorded = self._find_recorded(base + 1)
+        if _acceptance_rows.find_newest(self._row).number < base:
+            return Verdict.CONFLICT
+        if recorded is None:
+            # The history no longer reaches back to the submission, which
+            # may be the repetition of one that was recorded.
+            return Verdict.UNKNOWN
+        if recorded.request != submission.event.request:
+            return Verdict.CONFLICT
+        if recorded.replaced:
+            return Verdict.REPLACED
+        is_accepted = self._row.accepted.number > base
+        return Verdict.ACCEPTED if is_accepted else None
+
+    def _judge_late(
+        self, submission: _Submission, now: float
+    ) -> Verdict | None:
+        """Returns the verdict of a submission whose time has passed."""
+        limit = submission.event.wait_s
+        if self._is_recorded(submission):
+            is_late = now >= submission.started + limit
+            return Verdict.PENDING if is_late else None
+        if now < submission.started + max(limit, RECORDING_S):
+            return None
+        return Verdict.UNKNOWN if submission.was_sent else Verdict.UNAVAILABLE
+
+    def _answer(self, submission: _Submission, verdict: Verdict) -> Answer:
+        base = submission.event.base
+        newest = _acceptance_rows.find_newest(self._row)
+        waiting: abc.Sequence[str] = ()
+        if verdict is Verdict.PENDING:
+            waiting = self.list_waiting_domains()
+        changed: abc.Sequence[str] = ()
+        if verdict is Verdict.CONFLICT:
+            past = self._find_recorded(base)
+            files = past.files if past else {}
+            changed = sorted(
+                name
+                for name in files.keys() | newest.files.keys()
+                if files.get(name) != newest.files.get(name)
+            )
+        return Answer(
+            submission.event.request,
+            verdict,
+            base + 1 if self._is_recorded(submission) else 0,
+            newest.number,
+            waiting,
+            changed,
+        )
+
+    def _needs_groups(self, now: float) -> bool:
+        """Tells whether the next read should include the group rows."""
+        pending = self._row.pending
+        if self._submissions or pending is None:
+            return bool(self._submissions)
+        held = self._held
+        if held is None:
+            held = [
+                group
+                for group, row in self._rows.items()
+                if row.holder == self._host
+            ]
+        must_stage = any(
+            group not in self._rows or self._rows[group].staged < pending.number
+            for group in held
+        )
+        share = sycamoreloft_config.hash_text(self._host) / 2**64
+        delay = ASSIST_AFTER_S + ASSIST_SPREAD_S * share
+        is_old = now >= self._pending_since + delay
+        return must_stage or is_old or not self._rows
+
+    def _should_read(self, now: float) -> bool:
+        age = now - self._last_read
+        if age < MINIMUM_POLL_S:
+            return False
+        if self._wants_read:
+            return True
+        if self._submissions:
+            return age >= SUBMISSION_POLL_S
+        if self._held is not None and not self._held:
+            return False
+        if self._row.pending is None:
+            return age >= IDLE_POLL_S
+        return age >= min(
+            LONGEST_PENDING_POLL_S,
+            max(PENDING_POLL_S, (now - self._pending_since) / 10),
+        )
+
+
+def _make_entry(event: FileSubmitted) -> _acceptance_rows.Entry:
+    return Entry(
+        event.base + 1,
+        event.request,
+        event.files,
+        tuple(event.groups),
+        tuple(event.lost_groups),
+    )
