Serve the admin port behind a typed backend

Operators and the load balancer need one port whose answers are typed and whose callers are checked before anything is read from them.

A token is compared in constant time with all valid ones, before the body is read. Bodies, headers, idle time and the time of a call are limited. Errors are JSON with code, message, remedy and details; an exception inside the router is answered without its text, which may contain secrets. One submission carries one or several files, because a fleet that shares an address with another one is only valid together with its merge file.

--- a/packages/router/sycamoreloft_router/_admin.py
+++ b/packages/router/sycamoreloft_router/_admin.py
@@ -1,10 +1,38 @@
 """Handlers of the admin port."""
 
+import asyncio
 from collections import abc
 import dataclasses
+import hmac
+import json
+import re
+import ssl
 import typing
 
 from returns import result
+from tornado import httpserver, web
+
+#: Largest body of a call. One submission can carry a few files of 1 MiB.
+MAXIMUM_BODY_BYTES = 4 * 1024 * 1024
+
+#: Largest header block of a call.
+MAXIMUM_HEADER_BYTES = 16 * 1024
+
+#: Most files of one submission.
+MAXIMUM_FILES = 64
+
+#: Time that a submission waits for acceptance, in seconds.
+DEFAULT_WAIT_S = 5.0
+LONGEST_WAIT_S = 60.0
+
+#: Time after which a call is given up, beyond its own wait, in seconds.
+CALL_LIMIT_S = 15.0
+
+#: Time to send a body, and time until an idle connection is closed.
+BODY_LIMIT_S = 30.0
+IDLE_LIMIT_S = 120.0
+
+_REQUEST = re.compile(r"[!-~]{1,128}")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,6 +115,36 @@
     details: abc.Sequence[str] = ()
 
 
+_UNAUTHORIZED = AdminProblem(
+    401,
+    "unauthorized",
+    "the call has no valid bearer token",
+    "send Authorization: Bearer with one of the host's admin_tokens",
+)
+
+_TOO_LONG = AdminProblem(
+    413,
+    "body-too-long",
+    f"the body has more than {MAXIMUM_BODY_BYTES} bytes",
+    "submit fewer files at once, or remove what is not needed",
+)
+
+_NO_SERVICE = AdminProblem(
+    400,
+    "no-service",
+    "the call names no service",
+    "add ?service=NAME, and fleet= and key= as needed",
+)
+
+_TIMED_OUT = AdminProblem(
+    504,
+    "timed-out",
+    "the call took too long; it is not known whether it took effect",
+    "look with sycamoreloftctl show, then repeat the call with the same"
+    " request id",
+)
+
+
 class AdminBackend(typing.Protocol):
     """What the admin port needs of the router."""
 
@@ -113,3 +171,326 @@
 
     async def is_ready(self) -> bool:
         """Tells whether the balancer may send callers to this host."""
+
+
+class _Handler(web.RequestHandler):
+    """Checks the token and writes JSON and typed errors."""
+
+    #: Whether a call needs a bearer token.
+    needs_token = True
+
+    def initialize(
+        self, backend: AdminBackend, tokens: abc.Sequence[str]
+    ) -> None:
+        """Keeps what the application was made with."""
+        self.backend = backend
+        self.tokens = tokens
+
+    def set_default_headers(self) -> None:
+        """Names no server version and forbids caches."""
+        self.clear_header("Server")
+        self.set_header("Cache-Control", "no-store")
+
+    def prepare(self) -> None:
+        """Refuses a call without a valid token before its body is read."""
+        if self.needs_token and not self._has_token():
+            self.set_header("WWW-Authenticate", "Bearer")
+            self.finish_problem(_UNAUTHORIZED)
+
+    def _has_token(self) -> bool:
+        scheme, _, token = self.request.headers.get(
+            "Authorization", ""
+        ).partition(" ")
+        given = token.strip().encode(errors="surrogateescape")
+        # All tokens are compared in constant time, so that the time of an
+        # answer says nothing of a token.
+        matches = [
+            hmac.compare_digest(given, valid.encode()) for valid in self.tokens
+        ]
+        return scheme.lower() == "bearer" and any(matches)
+
+    def finish_json(self, value: typing.Any, status: int = 200) -> None:
+        """Ends the call with a JSON body."""
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(value, default=_encode))
+
+    def finish_problem(self, problem: AdminProblem) -> None:
+        """Ends the call with a typed error."""
+        value = dataclasses.asdict(problem)
+        value.pop("status")
+        self.finish_json(value, problem.status)
+
+    def finish_result(
+        self, outcome: result.Result[typing.Any, AdminProblem]
+    ) -> None:
+        """Ends the call with the value or the error of a backend call."""
+        match outcome:
+            case result.Success(value):
+                self.finish_json(value)
+            case result.Failure(problem):
+                self.finish_problem(problem)
+
+    def write_error(self, status_code: int, **kwargs: typing.Any) -> None:
+        """Ends a call that raised, without a stack trace in the answer."""
+        self.finish_problem(_describe_status(status_code, kwargs))
+
+    async def limit_time(
+        self,
+        call: abc.Awaitable[result.Result[typing.Any, AdminProblem]],
+        limit_s: float = CALL_LIMIT_S,
+    ) -> result.Result[typing.Any, AdminProblem]:
+        """Awaits a backend call for a limited time."""
+        try:
+            async with asyncio.timeout(limit_s):
+                return await call
+        except TimeoutError:
+            return result.Failure(_TIMED_OUT)
+
+
+@web.stream_request_body
+class _FilesHandler(_Handler):
+    """POST /v1/files: submits files."""
+
+    def prepare(self) -> None:
+        """Refuses a call without a token, or with a body that is too long."""
+        self._body = bytearray()
+        super().prepare()
+        length = self.request.headers.get("Content-Length", "0")
+        is_long = length.isdecimal() and int(length) > MAXIMUM_BODY_BYTES
+        if is_long and not self._finished:
+            self.finish_problem(_TOO_LONG)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Collects the body; the server limits its length."""
+        self._body += chunk
+
+    async def post(self) -> None:
+        """Submits files."""
+        match parse_submission(bytes(self._body)):
+            case result.Failure(problem):
+                self.finish_problem(problem)
+            case result.Success(submission):
+                self.finish_result(
+                    await self.limit_time(
+                        self.backend.submit_file(submission),
+                        submission.wait_s + CALL_LIMIT_S,
+                    )
+                )
+
+
+class _GenerationHandler(_Handler):
+    """GET /v1/generation: the accepted and the pending generation."""
+
+    async def get(self) -> None:
+        """Answers with the generation."""
+        self.finish_result(
+            await self.limit_time(self.backend.read_generation())
+        )
+
+
+class _ExplainHandler(_Handler):
+    """GET /v1/explain?fleet=&service=&key=: why a key is where it is."""
+
+    async def get(self) -> None:
+        """Answers with the explanation."""
+        service = self.get_query_argument("service", "")
+        if not service:
+            self.finish_problem(_NO_SERVICE)
+            return
+        self.finish_result(
+            await self.limit_time(
+                self.backend.explain_key(
+                    self.get_query_argument("fleet", ""),
+                    service,
+                    self.get_query_argument("key", "", strip=False),
+                )
+            )
+        )
+
+
+class _StateHandler(_Handler):
+    """GET /v1/state: the state of the process."""
+
+    async def get(self) -> None:
+        """Answers with the state."""
+        self.finish_json(await self.backend.dump_state())
+
+
+class _MetricsHandler(_Handler):
+    """GET /metrics: metrics in the format of the backend."""
+
+    async def get(self) -> None:
+        """Answers with the metrics."""
+        content, content_type = await self.backend.render_metrics()
+        self.set_header("Content-Type", content_type)
+        self.finish(content)
+
+
+class _ReadyHandler(_Handler):
+    """GET /ready: for the load balancer, which has no token."""
+
+    needs_token = False
+
+    async def get(self) -> None:
+        """Answers 200 or 503."""
+        is_ready = await self.backend.is_ready()
+        self.finish_json({"ready": is_ready}, 200 if is_ready else 503)
+
+    async def head(self) -> None:
+        """Answers as to GET; some balancers probe with HEAD."""
+        await self.get()
+
+
+class _UnknownHandler(_Handler):
+    """Any other path."""
+
+    def prepare(self) -> None:
+        """Answers 404 to callers with a token, else 401."""
+        super().prepare()
+        if not self._finished:
+            raise web.HTTPError(404)
+
+
+def make_application(
+    backend: AdminBackend, tokens: abc.Sequence[str]
+) -> web.Application:
+    """Returns the admin application.
+
+    Args:
+        backend: What the handlers call.
+        tokens: Bearer tokens, all valid at once.
+    """
+    arguments = {"backend": backend, "tokens": tuple(tokens)}
+    routes = {
+        "/v1/files": _FilesHandler,
+        "/v1/generation": _GenerationHandler,
+        "/v1/explain": _ExplainHandler,
+        "/v1/state": _StateHandler,
+        "/metrics": _MetricsHandler,
+        "/ready": _ReadyHandler,
+    }
+    return web.Application(
+        [(path, handler, arguments) for path, handler in routes.items()],
+        default_handler_class=_UnknownHandler,
+        default_handler_args=arguments,
+        # Access lines are written by the router's own log, if at all.
+        log_function=lambda handler: None,
+    )
+
+
+def make_admin_server(
+    backend: AdminBackend,
+    tokens: abc.Sequence[str],
+    tls: ssl.SSLContext | None = None,
+) -> httpserver.HTTPServer:
+    """Returns a server for the admin port that is not yet listening."""
+    return httpserver.HTTPServer(
+        make_application(backend, tokens),
+        ssl_options=tls,
+        max_header_size=MAXIMUM_HEADER_BYTES,
+        max_body_size=MAXIMUM_BODY_BYTES,
+        idle_connection_timeout=IDLE_LIMIT_S,
+        body_timeout=BODY_LIMIT_S,
+    )
+
+
+def parse_submission(
+    body: bytes,
+) -> result.Result[Submission, AdminProblem]:
+    """Parses the body of POST /v1/files.
+
+    Args:
+        body: JSON object with `request`, `base`, `files` (texts by file name)
+            and, if wanted, `wait_s`.
+
+    Returns:
+        The submission, or every problem of the body.
+    """
+    try:
+        value = json.loads(body)
+    except (ValueError, RecursionError):
+        value = None
+    if not isinstance(value, dict):
+        return result.Failure(_make_body_problem(["the body is not an object"]))
+    request = value.pop("request", None)
+    base = value.pop("base", None)
+    files = value.pop("files", None)
+    wait_s = value.pop("wait_s", DEFAULT_WAIT_S)
+    details = [f"{name}: the field is not known" for name in sorted(value)]
+    if not (isinstance(request, str) and _REQUEST.fullmatch(request)):
+        details.append("request: not 1 to 128 visible ASCII characters")
+    if not _is_number(base, int) or not 0 <= base < 2**53:
+        details.append("base: not the number of a generation")
+    if (
+        not _is_number(wait_s, (int, float))
+        or not 0 <= wait_s <= LONGEST_WAIT_S
+    ):
+        details.append(f"wait_s: not from 0 to {LONGEST_WAIT_S:g} seconds")
+    details += _check_texts(files)
+    if details:
+        return result.Failure(_make_body_problem(details))
+    return result.Success(Submission(request, base, files, float(wait_s)))
+
+
+def _is_number(value: typing.Any, kind: typing.Any) -> bool:
+    return isinstance(value, kind) and not isinstance(value, bool)
+
+
+def _check_texts(files: typing.Any) -> abc.Sequence[str]:
+    if not isinstance(files, dict) or not 1 <= len(files) <= MAXIMUM_FILES:
+        return [f"files: not an object with 1 to {MAXIMUM_FILES} texts"]
+    return [
+        f"files: {name[:80]!r} has a wrong name or is not a text"
+        for name, text in files.items()
+        if not isinstance(text, str)
+        or not 0 < len(name) <= 255
+        or not name.isprintable()
+    ]
+
+
+def _make_body_problem(details: abc.Sequence[str]) -> AdminProblem:
+    return AdminProblem(
+        400,
+        "invalid-body",
+        "the body is not a submission",
+        'send {"request": id, "base": number, "files": {name: text}}, or use'
+        " sycamoreloftctl submit",
+        details,
+    )
+
+
+def _describe_status(
+    status: int, details: abc.Mapping[str, typing.Any]
+) -> AdminProblem:
+    """Returns the typed error of a status that tornado raised."""
+    if status >= 500:
+        # The exception itself is in the log; it may contain secrets.
+        return AdminProblem(
+            status,
+            "internal-error",
+            "the call failed inside the router",
+            "look for the error in the host's log, or ask another host",
+        )
+    remedies = {
+        404: "see the list of paths in docs/operators.md",
+        405: "use GET, or POST for /v1/files",
+    }
+    error = details.get("exc_info", (None, None, None))[1]
+    message = getattr(error, "log_message", None)
+    return AdminProblem(
+        status,
+        {404: "unknown-path", 405: "wrong-method"}.get(status, "bad-request"),
+        message or "the call is wrong",
+        remedies.get(status, "correct the call"),
+    )
+
+
+def _encode(value: typing.Any) -> typing.Any:
+    """Encodes what json does not know."""
+    if dataclasses.is_dataclass(value):
+        fields = dataclasses.fields(value)
+        return {field.name: getattr(value, field.name) for field in fields}
+    if isinstance(value, abc.Mapping):
+        return dict(value)
+    return list(value) if isinstance(value, abc.Iterable) else str(value)
