Submit files as the admin port takes them; count reasons

Cause: the admin port came with a request id, a base and files by name. The tables did not say why requests were not completed. Change: the driver submits in that form, with a new request id for each base; the tables list the reasons of requests that were not completed; logs can be kept after a success.

--- a/packages/proof/sycamoreloft_proof/_deployment.py
+++ b/packages/proof/sycamoreloft_proof/_deployment.py
@@ -8,6 +8,7 @@
 import sys
 import time
 import typing
+import uuid
 
 import tornado.httpclient
 
@@ -323,17 +324,22 @@
         while time.monotonic() < deadline:
             base, answer = await self._read_accepted()
             if base is not None:
+                # A new id for each base: the same id means the same call.
                 body = {
-                    "name": f"{fleet.name}.toml",
-                    "text": text,
-                    "base_generation": base,
+                    "request": uuid.uuid4().hex,
+                    "base": base,
+                    "files": {f"{fleet.name}.toml": text},
+                    "wait_s": 5.0,
                 }
                 status, answer = await self._ask_any("POST", "files", body)
                 if status in (200, 202):
                     return await self._wait_accepted(
-                        base + 1, submitted_at, deadline, leaving
+                        find_number(answer, "number"),
+                        submitted_at,
+                        deadline,
+                        leaving,
                     )
-                if status == 400:
+                if status in (400, 422):
                     break
             await asyncio.sleep(_POLL_S)
         raise OperatorError(f"{fleet.name}.toml was not accepted: {answer}")
--- a/packages/proof/sycamoreloft_proof/_summary.py
+++ b/packages/proof/sycamoreloft_proof/_summary.py
@@ -27,6 +27,8 @@
     hot_keys_placed: int
     #: Violations by condition.
     violations: abc.Mapping[_history.Condition, int]
+    #: Requests that were not completed, by outcome and reason.
+    reasons: abc.Mapping[str, int]
 
     @property
     def wrong_answers(self) -> int:
@@ -61,6 +63,12 @@
         for event in ordered
         if isinstance(event, _history.AnswerReceived)
     )
+    reasons = collections.Counter(
+        f"{event.outcome}: {event.reason or event.ending}"
+        for event in ordered
+        if isinstance(event, _history.AnswerReceived)
+        and event.outcome != _history.Outcome.COMPLETED
+    )
     moved, hot_keys = _ownership_checks.count_moved_keys(ordered)
     return Summary(
         requests_sent=kinds[_history.RequestSent],
@@ -73,6 +81,7 @@
         violations=dict(
             collections.Counter(item.condition for item in violations)
         ),
+        reasons=dict(reasons.most_common()),
     )
 
 
@@ -119,4 +128,5 @@
         ("slots exceeded", summary.slots_exceeded),
         ("partitions moved", summary.partitions_moved),
         ("hot keys placed apart", summary.hot_keys_placed),
+        *((f"  {name[:60]}", n) for name, n in summary.reasons.items()),
     ]
--- a/packages/proof/sycamoreloft_proof/demo.py
+++ b/packages/proof/sycamoreloft_proof/demo.py
@@ -384,13 +384,16 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--routers", type=int, default=7)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--keep-logs", action="store_true", help="also after a success"
+    )
     arguments = parser.parse_args()
     folder = pathlib.Path(tempfile.mkdtemp(prefix="sycamoreloft-demo-"))
     demo, events, problem = asyncio.run(
         run_demo(folder, arguments.routers, arguments.seed)
     )
     held = print_result(demo, events, problem)
-    if held:
+    if held and not arguments.keep_logs:
         shutil.rmtree(folder)
     else:
         print(f"logs are in {folder}")
--- a/packages/proof/sycamoreloft_proof/soak.py
+++ b/packages/proof/sycamoreloft_proof/soak.py
@@ -354,6 +354,9 @@
     parser.add_argument("--callers", type=int, default=40)
     parser.add_argument("--longest-s", type=float, default=600.0)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--keep-logs", action="store_true", help="also after a success"
+    )
     arguments = parser.parse_args()
     folder = pathlib.Path(tempfile.mkdtemp(prefix="sycamoreloft-soak-"))
     result = run_soak(
@@ -369,11 +372,11 @@
     rows.append(("duration", f"{result.duration_s:.1f} s"))
     print(_summary.format_table(rows))
     print(_summary.describe_violations(result.violations), end="")
-    if result.violations:
+    if result.violations or arguments.keep_logs:
         print(f"logs are in {folder}")
-        return 1
-    shutil.rmtree(folder)
-    return 0
+    else:
+        shutil.rmtree(folder)
+    return 1 if result.violations else 0
 
 
 if __name__ == "__main__":
