Reduce the cost of a request in the caller server

At half load the 99th percentile of the router was 57 ms against 20 ms of the bare forwarder. Each request left a reference cycle of about 35 objects, and the garbage collector paused the process for up to 30 ms.

Well-formed heads are parsed with one expression instead of three for each header; a test compares the result with tornado's parser. Timers of libcurl skip tornado's wrapper.

--- a/packages/router/sycamoreloft_router/_caller_connections.py
+++ b/packages/router/sycamoreloft_router/_caller_connections.py
@@ -4,6 +4,7 @@
 from collections import abc
 import contextlib
 import logging
+import re
 import ssl
 import typing
 
@@ -18,6 +19,32 @@
 #: one get a typed answer.
 READ_HEADER_BYTES = 65_536
 
+#: Header lines as RFC 9112 defines them: a token, a colon, and a value
+#: without control characters other than the tab.
+_HEADER_BLOCK = re.compile(
+    r"(?:[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\x00-\x08\x0a-\x1f\x7f]*\r\n)*"
+)
+
+
+def parse_head(data: bytes) -> tuple[str, httputil.HTTPHeaders] | None:
+    """Parses a well-formed head; tornado's parser gets all others.
+
+    tornado matches three expressions for each header, which was a tenth of
+    the time of a request.
+    """
+    start_line, _, block = data.decode("latin1").partition("\r\n")
+    block = block[:-2]
+    if not start_line or _HEADER_BLOCK.fullmatch(block) is None:
+        return None
+    headers = httputil.HTTPHeaders()
+    for line in block.split("\r\n")[:-1]:
+        name, _, value = line.partition(":")
+        if name in headers:
+            headers.add(name, value.strip(" \t"))
+        else:
+            headers[name] = value.strip(" \t")
+    return start_line, headers
+
 
 class Rejected(iostream.StreamClosedError):
     """The connection answered malformed input itself and must close."""
@@ -58,7 +85,8 @@
                 )
             )
         try:
-            start_line, headers = super()._parse_headers(data)
+            parsed = parse_head(data)
+            start_line, headers = parsed or super()._parse_headers(data)
         except httputil.HTTPInputError as error:
             self._reject(
                 _answers.Refusal(
--- a/packages/router/sycamoreloft_router/_caller_exchange.py
+++ b/packages/router/sycamoreloft_router/_caller_exchange.py
@@ -421,6 +421,10 @@
             return
         self._ended = True
         self._shared.exchanges.discard(self)
+        # The run refers to this object. Without the cycle the memory of a
+        # request is free at once; the garbage collector paused the process
+        # for up to 30 ms otherwise.
+        self._run = None
         if self._timer is not None:
             self._timer.cancel()
         if self._upload is not None and not self._body_ended:
--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -327,6 +327,9 @@
     one instance for each event loop.
     """
 
+    #: Timer of libcurl; tornado declares it as an object.
+    _timeout: asyncio.Handle | None
+
     def initialize(  # type: ignore[override]
         self, connections_per_upstream: int = 12
     ) -> None:
@@ -403,6 +406,21 @@
             spare.clear()
         super().close()
 
+    def _set_timeout(self, msecs: int) -> None:
+        """Schedules libcurl's next timeout.
+
+        tornado also schedules -1, which means that there is none, and goes
+        through the timer queue for 0, which comes with every transfer.
+        """
+        if self._timeout is not None:
+            self._timeout.cancel()
+            self._timeout = None
+        loop = asyncio.get_running_loop()
+        if msecs == 0:
+            self._timeout = loop.call_soon(self._handle_timeout)
+        elif msecs > 0:
+            self._timeout = loop.call_later(msecs / 1000, self._handle_timeout)
+
     def _recycle(self, handle: _Handle) -> None:
         self._active.discard(handle)
         handle.release()
--- a/packages/router/tests/test_caller_server.py
+++ b/packages/router/tests/test_caller_server.py
@@ -1,6 +1,7 @@
 """The caller server: parsing, limits, streaming and draining."""
 
 import asyncio
+import gc
 import json
 
 import fake_sources
@@ -253,6 +254,33 @@
     serve(scenario, script)
 
 
+def test_requests_leave_nothing_to_the_garbage_collector(serve):
+    """Guards against reference cycles, which pause the process for 30 ms."""
+
+    async def scenario(bench, upstream):
+        caller = await bench.connect()
+        await caller.ask(build_head())
+        gc.collect()
+        gc.disable()
+        try:
+            for _ in range(10):
+                await caller.ask(build_head())
+            gc.set_debug(gc.DEBUG_SAVEALL)
+            gc.collect()
+            left = [
+                item
+                for item in gc.garbage
+                if type(item).__module__.startswith("sycamoreloft")
+            ]
+        finally:
+            gc.set_debug(0)
+            gc.garbage.clear()
+            gc.enable()
+        assert left == []
+
+    serve(scenario)
+
+
 def test_closes_idle_connections(serve, monkeypatch):
     """Guards against connections that are kept for ever."""
     monkeypatch.setattr(_caller_server, "SWEEP_S", 0.02)
--- a/packages/router/tests/test_headers.py
+++ b/packages/router/tests/test_headers.py
@@ -5,7 +5,7 @@
 import pytest
 from tornado import httputil
 
-from sycamoreloft_router import _answer_heads, _headers
+from sycamoreloft_router import _answer_heads, _caller_connections, _headers
 
 TOKEN = strategies.text("abcXYZ-_", min_size=1, max_size=12)
 VALUE = strategies.text("abc ,;:=\u00e9", max_size=12).map(str.strip)
@@ -28,6 +28,25 @@
         assert line.encode("latin1") in lines
 
 
+HEAD_PARTS = strategies.sampled_from(
+    ["A", "b-C", ":", " ", "\t", "\r", "\n", "\r\n", "x", "\x00", "\xe9", "a:1"]
+)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=500)
+@hypothesis.given(strategies.lists(HEAD_PARTS, max_size=12).map("".join))
+def test_quick_parser_agrees_with_tornado(block):
+    """Guards against heads that the two parsers read differently."""
+    data = f"GET / HTTP/1.1\r\n{block}\r\n\r\n"
+    parsed = _caller_connections.parse_head(data.encode("latin1"))
+    if parsed is not None:
+        start_line, headers = parsed
+        assert start_line == "GET / HTTP/1.1"
+        expected = httputil.HTTPHeaders.parse(data.partition("\n")[2])
+        assert list(headers.get_all()) == list(expected.get_all())
+        assert dict(headers) == dict(expected)
+
+
 def test_connection_headers_are_dropped_both_ways():
     """Guards against headers that concern one connection only."""
     headers = httputil.HTTPHeaders(
