--- /dev/null
+++ b/packages/proof/sycamoreloft_proof/_bench_router.py
@@ -0,0 +1,140 @@
+"""A caller server with in-process sources, for the benchmark.
+
+`python -m ..._bench_router UPSTREAM` prints its address and forwards every
+request to the upstream ("ip:port"), with a permit for each.
+"""
+
+import asyncio
+from collections import abc
+import contextlib
+import cProfile
+import os
+import pstats
+import sys
+
+from returns import result
+
+import sycamoreloft_config
+from sycamoreloft_router import _caller_server
+from sycamoreloft_wire import _messages
+
+#: Set to a number of seconds to profile the process for that long.
+PROFILE_VARIABLE = "SYCAMORELOFT_BENCH_PROFILE_S"
+
+
+def build_generation() -> sycamoreloft_config.Generation:
+    """Builds the Sledworks fleet with its keyed service."""
+    service = sycamoreloft_config.Service(
+        "tally-board",
+        keyed=True,
+        deadline_ms=60_000,
+        operations=(
+            sycamoreloft_config.Operation("POST", "/wagers", at_most_once=True),
+            sycamoreloft_config.Operation("GET", "/", repeatable=True),
+        ),
+    )
+    fleet = sycamoreloft_config.Fleet(
+        "sledworks",
+        sycamoreloft_config.Weights(),
+        3_900,
+        600,
+        {"baleyard-north": sycamoreloft_config.FailureDomain("baleyard-north")},
+        {service.name: service},
+        {},
+    )
+    return sycamoreloft_config.Generation(1, {fleet.name: fleet})
+
+
+class InProcessSources:
+    """Grants every permit at once.
+
+    Args:
+        upstream: Address of the upstream, as "ip:port".
+    """
+
+    def __init__(self, upstream: str) -> None:
+        self._upstream = upstream
+        #: The generation in force.
+        self.generation = build_generation()
+
+    def resolve_service(
+        self, fleet: str, service: str
+    ) -> result.Result[
+        sycamoreloft_config.ServiceReference, sycamoreloft_config.NameProblem
+    ]:
+        """Resolves a name of the one fleet."""
+        return sycamoreloft_config.resolve_service(
+            self.generation, fleet, service
+        )
+
+    async def refresh_generation(self, known: int) -> None:
+        """Does nothing: there is one generation."""
+
+    def find_partition_group(
+        self, fleet: str, service: str, partition: int
+    ) -> str:
+        """Returns the one group."""
+        return "sledworks/baleyard-north/0"
+
+    def list_near_groups(self, fleet: str, service: str) -> abc.Sequence[str]:
+        """Lists the one group."""
+        return ("sledworks/baleyard-north/0",)
+
+    def list_far_groups(self, fleet: str, service: str) -> abc.Sequence[str]:
+        """Lists no group."""
+        return ()
+
+    async def ask_permit(
+        self, request: _messages.PermitRequest
+    ) -> _messages.PermitGrant:
+        """Grants the permit."""
+        return _messages.PermitGrant(
+            request.permit, "tally-1", self._upstream, 1, 1, 1_000
+        )
+
+    def return_permit(self, returned: _messages.PermitReturn) -> None:
+        """Takes a permit back."""
+
+    async def ask_claim(
+        self, request: _messages.ClaimRequest
+    ) -> _messages.ClaimAnswer:
+        """Gives the claim."""
+        return _messages.ClaimAnswer("claimed")
+
+    def report_result(self, claim_result: _messages.ClaimResult) -> None:
+        """Takes a result."""
+
+
+async def main(upstream: str) -> None:
+    """Serves until the process is ended."""
+    sources = InProcessSources(upstream)
+    server = _caller_server.CallerServer(
+        "host-1",
+        "i1",
+        sources,
+        sources,
+        sources,
+        sources,
+        # As many connections as the bare forwarder may open.
+        _caller_server.CallerLimits(connections_per_upstream=256),
+    )
+    print(server.listen("127.0.0.1:0"), flush=True)
+    seconds = float(os.environ.get(PROFILE_VARIABLE, "0"))
+    if seconds:
+        await _profile(seconds)
+    await asyncio.Event().wait()
+
+
+async def _profile(seconds: float) -> None:
+    """Profiles the process and prints the costliest functions."""
+    await asyncio.sleep(1.0)
+    profile = cProfile.Profile()
+    profile.enable()
+    await asyncio.sleep(seconds)
+    profile.disable()
+    with contextlib.redirect_stdout(sys.stderr):
+        pstats.Stats(profile).sort_stats("tottime").print_stats(45)
+
+
+if __name__ == "__main__":
+    asyncio.run(main(sys.argv[1]))
