--- a/packages/decisions/sycamoreloft_decisions/_balancing.py
+++ b/packages/decisions/sycamoreloft_decisions/_balancing.py
@@ -82,12 +82,6 @@
         self._accounted += 1
         self.update_capacity()
 
-    def restart(self) -> None:
-        """Forgets everything in use: the upstream lost its memory."""
-        self.in_use = 0
-        self.recovering = False
-        self.update_capacity()
-
     def update_capacity(self) -> None:
         """Computes the capacity after one of its parts changed."""
         capacity = int(self.limiter.limit)
--- a/packages/decisions/sycamoreloft_decisions/_permit_records.py
+++ b/packages/decisions/sycamoreloft_decisions/_permit_records.py
@@ -40,6 +40,13 @@
         #: Whether a loss of its upstream has been counted against it.
         self.blamed = False
 
+    def has_lapsed(
+        self, options: _permit_events.DeskOptions, now: float
+    ) -> bool:
+        """Tells whether its host may no longer start to send."""
+        valid_s = options.validity_s * (1 + options.clock_drift)
+        return self.renewed_at + valid_s <= now
+
     def compute_end(self, options: _permit_events.DeskOptions) -> float:
         """Returns the time from which a silent host cannot use it any more.
 
--- a/packages/decisions/sycamoreloft_decisions/_permits.py
+++ b/packages/decisions/sycamoreloft_decisions/_permits.py
@@ -5,8 +5,8 @@
 * An upstream never has more permits than slots. After a takeover, a slot is
   free only once its permit was reported and returned, or when the validity
   of permits has passed.
-* A permit ends when it is returned, when its upstream lost its memory, or
-  when a silent host cannot use it any more (`_permit_records.Permit`).
+* A permit ends when it is returned, or when a silent host cannot use it any
+  more (`_permit_records.Permit`).
 * A request that may crash upstreams never runs on more than two of them, as
   long as the upstreams belong to one desk.
 * A queue never holds more requests than its bound.
@@ -157,10 +157,10 @@
         for permit in permits:
             self._stop_running(permit)
             permit.blamed = True
-            if event.ended:
+            # What had started has ended. A permit that is still valid may yet
+            # be used for the restarted upstream, so it keeps its slot.
+            if event.ended and permit.has_lapsed(self._options, now):
                 self._end(permit, now, commands)
-        if event.ended:
-            upstream.restart()
         self._retry_waiting(now, commands)
         commands += self._quarantine.take_unshared()
         return commands
--- /dev/null
+++ b/packages/decisions/tests/test_permit_fuzz.py
@@ -0,0 +1,240 @@
+"""Random histories of permits and crashing requests."""
+
+import collections
+import random
+
+import pytest
+
+from sycamoreloft_config import _nodes
+from sycamoreloft_decisions import _permit_events as events
+from sycamoreloft_decisions import _permits
+from sycamoreloft_proof import _random_histories, _request_oracle
+
+SLOTS = {"a": 2, "b": 1}
+VALIDITY_S = 1.0
+
+
+class Host:
+    """An entry host; its two links to a holder keep the order of messages."""
+
+    def __init__(self, name, epoch):
+        self.name = name
+        self.epoch = epoch
+        self.to_desk = collections.deque()
+        self.to_host = collections.deque()
+        self.asked = {}
+        self.held = {}
+        self.running = {}
+        self.valid_from = -10.0
+
+
+class PermitMachine(_random_histories.Machine):
+    """Hosts, holders and upstreams with delays, pauses and losses."""
+
+    actions = {
+        "ask": 6,
+        "deliver_everything": 5,
+        "deliver_to_desk": 3,
+        "deliver_to_host": 3,
+        "start": 6,
+        "finish": 3,
+        "report": 3,
+        "advance": 4,
+        "tick": 3,
+        "restart_upstream": 1,
+        "take_over": 1,
+        "find_holder": 2,
+        "lose_host": 1,
+    }
+    takeover_waits = True
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.oracle = _request_oracle.SlotOracle(SLOTS)
+        self.epoch = 1
+        self.count = 0
+        self.issued = 0
+        self.hosts = [Host(f"h{number}", 1) for number in range(3)]
+        self.lost_hosts = []
+        self.open_desk(fresh=True)
+
+    def open_desk(self, fresh):
+        self.opened_at = self.now
+        self.desk = _permits.PermitDesk(random.Random(5), self.now, fresh=fresh)
+        for name, slots in SLOTS.items():
+            self.send(events.UpstreamAvailable(name, slots))
+
+    def send(self, event):
+        for command in self.desk.handle(event, self.now):
+            if isinstance(command, events.IssuePermit):
+                for host in self.hosts:
+                    if host.name == command.host:
+                        host.to_host.append((self.epoch, command))
+
+    def ask(self, generator):
+        host = _random_histories.choose(self.hosts, generator)
+        self.count += 1
+        permit = f"{host.name}/{self.count}"
+        patience_s = generator.choice([0.5, 2.0, 5.0])
+        asked = events.PermitAsked(
+            permit=permit,
+            host=host.name,
+            fleet="sledworks",
+            service="tally-board",
+            key="",
+            partition=-1,
+            fingerprint=self.count.to_bytes(16, "big"),
+            caller="c",
+            priority=_nodes.Priority.NORMAL,
+            deadline=self.now + patience_s,
+            candidates=generator.choice([("a",), ("b",), ("a", "b")]),
+        )
+        host.asked[permit] = (self.now, asked.deadline)
+        host.to_desk.append(asked)
+
+    def report(self, generator):
+        self.report_host(_random_histories.choose(self.hosts, generator))
+
+    def report_host(self, host):
+        # A host gives up a permit that lapsed before it was used.
+        usable = {
+            permit: upstream
+            for permit, upstream in host.held.items()
+            if host.asked[permit][0] > self.now
+        }
+        used = [
+            events.UsedPermit(
+                permit, upstream, "sledworks", "tally-board", -1, b"f" * 16
+            )
+            for permit, upstream in (usable | host.running).items()
+        ]
+        host.to_desk.append((self.now, used))
+
+    def deliver_to_desk(self, generator):
+        ready = [h for h in self.hosts if h.to_desk and h.epoch == self.epoch]
+        host = _random_histories.choose(ready, generator)
+        if host is None:
+            return
+        message = host.to_desk.popleft()
+        if not isinstance(message, tuple):
+            self.send(message)
+            return
+        sent_at, used = message
+        self.send(events.PermitsReported(host.name, used))
+        if self.now < self.opened_at + VALIDITY_S:
+            for item in used:
+                self.oracle.renew(item.permit, self.epoch)
+        host.to_host.append((self.epoch, sent_at))
+
+    def deliver_to_host(self, generator):
+        host = _random_histories.choose(
+            [h for h in self.hosts if h.to_host], generator
+        )
+        if host is None:
+            return
+        epoch, message = host.to_host.popleft()
+        if isinstance(message, float):
+            if epoch == host.epoch:
+                host.valid_from = max(host.valid_from, message)
+            return
+        permit = message.permit
+        asked_at, deadline = host.asked.pop(permit, (-10.0, -10.0))
+        valid_from = max(asked_at, host.valid_from)
+        usable_until = min(valid_from + VALIDITY_S, deadline)
+        if epoch != host.epoch or usable_until <= self.now:
+            host.to_desk.append(events.PermitReturned(permit, "did-not-run"))
+            return
+        self.issued += 1
+        host.held[permit] = message.upstream
+        host.asked[permit] = (usable_until, deadline)
+        self.oracle.receive(permit, message.upstream, usable_until, epoch)
+
+    def deliver_everything(self, generator):
+        """Models a quiet network, so that histories get far."""
+        while any(h.to_desk and h.epoch == self.epoch for h in self.hosts):
+            self.deliver_to_desk(generator)
+        while any(h.to_host for h in self.hosts):
+            self.deliver_to_host(generator)
+
+    def start(self, generator):
+        host = _random_histories.choose(
+            [host for host in self.hosts if host.held], generator
+        )
+        permit = (
+            _random_histories.choose(host.held, generator) if host else None
+        )
+        if permit is not None and host.asked[permit][0] > self.now:
+            host.running[permit] = host.held.pop(permit)
+            self.oracle.start(permit, self.now)
+
+    def finish(self, generator):
+        busy = [host for host in self.hosts if host.held or host.running]
+        host = _random_histories.choose(busy, generator)
+        if host is None:
+            return
+        permit = _random_histories.choose(host.running or host.held, generator)
+        ran = host.running.pop(permit, None)
+        host.held.pop(permit, None)
+        self.oracle.end(permit)
+        outcome = "completed" if ran else "did-not-run"
+        host.to_desk.append(events.PermitReturned(permit, outcome, 0.01))
+
+    def advance(self, generator):
+        self.now += generator.choice([0.02, 0.1, 0.3, 1.0])
+        for host in self.hosts + self.lost_hosts:
+            for permit in host.running:
+                if host.asked[permit][1] <= self.now:
+                    self.oracle.end(permit)
+
+    def tick(self, generator):
+        self.send(events.DeskTick())
+
+    def restart_upstream(self, generator):
+        name = _random_histories.choose(SLOTS, generator)
+        self.oracle.crash(name)
+        self.send(events.UpstreamLost(name, ended=True))
+        self.send(events.UpstreamAvailable(name, SLOTS[name], cold=True))
+
+    def take_over(self, generator):
+        self.epoch = self.oracle.change_holder()
+        self.open_desk(fresh=not self.takeover_waits)
+
+    def find_holder(self, generator):
+        late = [host for host in self.hosts if host.epoch != self.epoch]
+        host = _random_histories.choose(late, generator)
+        if host is not None:
+            host.epoch = self.epoch
+            host.to_desk.clear()
+            host.valid_from = -10.0
+            self.report_host(host)
+
+    def lose_host(self, generator):
+        lost = _random_histories.choose(self.hosts, generator)
+        for permit in lost.held:
+            self.oracle.end(permit)
+        self.count += 1
+        number = self.hosts.index(lost)
+        self.hosts[number] = Host(f"h{number}-{self.count}", self.epoch)
+        # The upstream goes on with what runs until the deadline.
+        self.lost_hosts.append(lost)
+
+    def check(self):
+        self.oracle.check(self.now)
+
+
+class HastyTakeover(PermitMachine):
+    """Fault: the new holder issues slots that it cannot account for."""
+
+    takeover_waits = False
+
+
+def test_no_upstream_ever_has_more_permits_than_slots():
+    """Guards the bound across takeovers, pauses, losses and late reports."""
+    _random_histories.run_histories(PermitMachine, 60, 20)
+
+
+def test_fuzzer_finds_a_takeover_without_waiting():
+    """Guards against a fuzzer that cannot see an early reuse of slots."""
+    with pytest.raises(_request_oracle.OracleError):
+        _random_histories.run_histories(HastyTakeover, 60, 20, shrink=False)
--- a/packages/decisions/tests/test_permits.py
+++ b/packages/decisions/tests/test_permits.py
@@ -218,14 +218,25 @@
     ]
 
 
-def test_upstream_that_lost_its_memory_frees_its_slots(driver):
-    """Guards against slots that stay taken after a crash."""
+def test_restarted_upstream_keeps_permits_that_may_yet_be_used(driver):
+    """Guards against a late start on a restarted upstream beyond its slots."""
     driver.open("a", slots=1)
     driver.ask("a")
+    driver.now = 0.5
+    driver.send(events.UpstreamLost("a", ended=True))
+    driver.open("a", slots=1, cold=True)
+    assert list_issued(driver.ask("a")) == []
+    assert list_issued(driver.end("h/1", "unknown")) == ["h/2"]
+
+
+def test_restarted_upstream_frees_the_slots_of_silent_hosts(driver):
+    """Guards against slots that stay taken after a crash."""
+    driver.open("a", slots=1)
     driver.ask("a")
+    driver.now = 1.1
     driver.send(events.UpstreamLost("a", ended=True))
-    commands = driver.send(events.UpstreamAvailable("a", 1, cold=True))
-    assert list_issued(commands) == ["h/2"]
+    driver.open("a", slots=1, cold=True)
+    assert list_issued(driver.ask("a")) == ["h/2"]
 
 
 def test_frozen_upstream_keeps_its_permits(driver):
