Accept a file that declares a lost failure domain running again

A trial with six router processes left a generation pending for good: it declared a domain running again whose groups had no holder, because holders step down from groups that the accepted file declares lost, and it waited for these groups to stage it.

Groups that the accepted generation declares lost are no longer required, as those of the pending one were already. A submission whose write was never settled is written again after 5 s.

--- a/packages/decisions/sycamoreloft_decisions/_acceptance.py
+++ b/packages/decisions/sycamoreloft_decisions/_acceptance.py
@@ -37,8 +37,8 @@
 #: not all send the same transaction.
 ASSIST_SPREAD_S = 4.0
 
-#: Time after which a stage or accept write counts as lost if it was not
-#: settled. Both are conditional, so repeating one is harmless.
+#: Time after which a write counts as lost if it was not settled. All of them
+#: are conditional, so repeating one is harmless.
 WRITE_LIMIT_S = 5.0
 
 #: Time to record a submission, however short its operator wants to wait for
@@ -82,6 +82,8 @@
     is_fresh: bool = False
     #: Version on which a write is in flight or was refused, None for none.
     written_version: int | None = None
+    #: Clock reading of that write.
+    written_at: float = 0.0
     #: Whether any write was sent.
     was_sent: bool = False
 
@@ -243,8 +245,9 @@
             if verdict is not None:
                 del self._submissions[submission.event.request]
                 yield self._answer(submission, verdict)
-            elif self._may_write(submission):
+            elif self._may_write(submission, now):
                 submission.written_version = self._version
+                submission.written_at = now
                 submission.was_sent = True
                 yield WriteHead(
                     submission.event.request,
@@ -254,10 +257,14 @@
                     ),
                 )
 
-    def _may_write(self, submission: _Submission) -> bool:
+    def _may_write(self, submission: _Submission, now: float) -> bool:
+        is_written = (
+            submission.written_version == self._version
+            and now < submission.written_at + WRITE_LIMIT_S
+        )
         return (
             submission.is_fresh
-            and submission.written_version != self._version
+            and not is_written
             and _acceptance_rows.is_based_on_newest(
                 self._row, submission.event.base
             )
--- a/packages/decisions/sycamoreloft_decisions/_acceptance_rows.py
+++ b/packages/decisions/sycamoreloft_decisions/_acceptance_rows.py
@@ -103,12 +103,16 @@
 def list_required_groups(row: HeadRow) -> abc.Sequence[str]:
     """Lists the groups that must stage the pending generation.
 
-    Only groups of the accepted generation can have a holder. Those that the
-    pending generation declares lost cannot answer; the operator vouches that
-    they no longer run.
+    Only groups of the accepted generation can have a holder, unless it
+    declares them lost: then no host holds them, and they could never stage
+    the generation that declares them running again. Those that the pending
+    generation declares lost cannot answer; the operator vouches that they no
+    longer run.
     """
-    lost = row.pending.lost_groups if row.pending else ()
-    return [group for group in row.accepted.groups if group not in set(lost)]
+    lost = set(row.accepted.lost_groups)
+    if row.pending:
+        lost.update(row.pending.lost_groups)
+    return [group for group in row.accepted.groups if group not in lost]
 
 
 def list_waiting_groups(
