Answer requests that are on their way when the server drains

A connection that waits in the listening socket, or whose request had not been read, was reset when the server stopped; a new test showed it. The server now accepts what is pending before it closes the listening sockets, and closes a connection only after it was idle for 50 ms.

A connection attempt that the caller's deadline cuts short no longer counts as a lost upstream.

--- a/packages/router/sycamoreloft_router/_caller_connections.py
+++ b/packages/router/sycamoreloft_router/_caller_connections.py
@@ -19,6 +19,9 @@
 #: one get a typed answer.
 READ_HEADER_BYTES = 65_536
 
+#: Connections that wait in a listening socket.
+MAXIMUM_PENDING = 1_024
+
 #: Header lines as RFC 9112 defines them: a token, a colon, and a value
 #: without control characters other than the tab.
 _HEADER_BLOCK = re.compile(
@@ -222,6 +225,21 @@
         self._connections.add(connection)
         connection.start_serving(self)
 
+    def accept_pending(self) -> None:
+        """Accepts connections that wait in the listening sockets.
+
+        Closing a listening socket resets them, although their callers may
+        have sent a request.
+        """
+        for listener in self._sockets.values():
+            for _ in range(MAXIMUM_PENDING):
+                try:
+                    connection, address = listener.accept()
+                except OSError:
+                    break
+                connection.setblocking(False)
+                self._handle_connection(connection, address)
+
     def list_connections(self) -> abc.Sequence[ServerConnection]:
         """Lists the open connections."""
         return [
--- a/packages/router/sycamoreloft_router/_caller_server.py
+++ b/packages/router/sycamoreloft_router/_caller_server.py
@@ -29,6 +29,10 @@
 #: Seconds between two looks at the connections while the server drains.
 DRAIN_LOOK_S = 0.01
 
+#: Seconds for which a connection must have been idle before a drain closes
+#: it. A request that the caller sent before may still be on its way.
+DRAIN_IDLE_S = 0.05
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerLimits:
@@ -107,8 +111,11 @@
             The address that the server listens on.
         """
         ip, _, port = address.rpartition(":")
-        ip = ip.strip("[]")
-        sockets = netutil.bind_sockets(int(port), ip, backlog=1024)
+        sockets = netutil.bind_sockets(
+            int(port),
+            ip.strip("[]"),
+            backlog=_caller_connections.MAXIMUM_PENDING,
+        )
         self._server = _caller_connections.ConnectionServer(
             self, self._limits.header_bytes, self._limits.body_bytes, tls
         )
@@ -135,6 +142,7 @@
         """
         self._shared.is_draining = True
         if self._server is not None:
+            self._server.accept_pending()
             self._server.stop()
 
     async def drain(self, bound_s: float) -> int:
@@ -149,11 +157,12 @@
         self.stop_accepting()
         loop = asyncio.get_running_loop()
         deadline = loop.time() + bound_s
+        await asyncio.sleep(min(DRAIN_IDLE_S, bound_s))
         while loop.time() < deadline:
             if not self._shared.exchanges:
                 if self._server is None:
                     break
-                self._server.close_idle(loop.time())
+                self._server.close_idle(loop.time() - DRAIN_IDLE_S)
                 if not self._server.list_connections():
                     break
             await asyncio.sleep(DRAIN_LOOK_S)
--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -482,6 +482,12 @@
         return Failure(
             FailureKind.EXPIRED, "the permit expired before the send"
         )
+    if (
+        error == pycurl.E_OPERATION_TIMEDOUT
+        and transfer.request.timeout_s < CONNECT_TIMEOUT_S
+    ):
+        # Too little time was left to blame the upstream.
+        return Failure(FailureKind.DEADLINE, message)
     if transfer.is_connecting:
         return Failure(FailureKind.CONNECT, message)
     # libcurl held the transfer back until a timeout.
--- a/packages/router/tests/test_caller_server.py
+++ b/packages/router/tests/test_caller_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import json
+import socket
 
 import fake_sources
 import pytest
@@ -338,6 +339,20 @@
     serve(scenario, script)
 
 
+def test_drain_answers_connections_that_are_not_yet_accepted(serve):
+    """Guards against a reset of connections in the listening socket."""
+
+    async def scenario(bench, upstream):
+        host, port = bench.address.split(":")
+        with socket.create_connection((host, int(port)), 5) as caller:
+            # The event loop has not run since the connection was made.
+            caller.sendall(build_head())
+            assert await bench.server.drain(5.0) == 0
+            assert caller.recv(100).startswith(b"HTTP/1.1 200")
+
+    serve(scenario)
+
+
 def test_drain_is_bounded_and_reports_what_it_cut(serve):
     """Guards against a stop that never ends."""
 
--- a/packages/router/tests/test_upstream_client.py
+++ b/packages/router/tests/test_upstream_client.py
@@ -201,6 +201,25 @@
     run(scenario)
 
 
+def test_deadline_ends_a_paused_transfer(run):
+    """Guards against a slow caller that keeps a slot beyond the deadline."""
+
+    async def script(_request, writer, reader):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n")
+        writer.write(b"x" * 9_000_000)
+        assert await reader.read(1) == b""
+        return False
+
+    async def scenario(client):
+        async with raw_peers.RawUpstream(script) as upstream:
+            transfer = client.start(build(upstream, timeout_s=0.1))
+            await raw_peers.wait_until(lambda: transfer.ended)
+            assert transfer.failure.kind is KIND.DEADLINE
+            await raw_peers.wait_until(lambda: upstream.closed == 1)
+
+    run(scenario)
+
+
 def test_cancel_closes_the_connection(run):
     """Guards against work that goes on for a caller that is gone."""
 
@@ -394,6 +413,32 @@
     run(scenario)
 
 
+def test_handle_of_a_paused_transfer_serves_the_next_one(run):
+    """Guards against a pause that outlives a cancelled transfer."""
+
+    async def script(request, writer, reader):
+        if b"/long" in request.head:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n")
+            writer.write(b"x" * 9_000_000)
+            assert await reader.read(1) == b""
+            return False
+        writer.write(raw_peers.answer(b"whole"))
+        return True
+
+    async def scenario(client):
+        async with raw_peers.RawUpstream(script) as upstream:
+            for _ in range(3):
+                transfer = client.start(build(upstream, target="/long"))
+                await transfer.wait(200_000)
+                await asyncio.sleep(0.02)
+                transfer.cancel()
+                transfer, body = await fetch(client, upstream)
+                assert (transfer.failure, body) == (None, b"whole")
+            assert sum(map(len, client._spare.values())) == 1
+
+    run(scenario)
+
+
 @pytest.mark.parametrize("headers", [b"", ECHO])
 def test_limits_the_connections_to_one_upstream(run, headers):
     """Guards against more connections than an upstream accepts."""
