Cut hosts off from the store in the soak

Cause: a host that alone cannot reach the platform was not among the faults of the soak; nothing tested that each fault is undone. Change: a ninth kind of fault; a test makes all kinds against recorded processes and looks for what stays.

--- a/packages/proof/sycamoreloft_proof/soak.py
+++ b/packages/proof/sycamoreloft_proof/soak.py
@@ -125,6 +125,7 @@
             "host kill": self._kill_host,
             "host freeze": self._freeze_host,
             "host stop": self._stop_host,
+            "host cut from store": self._cut_host,
             "store fault": self._fail_store,
         }
 
@@ -247,6 +248,15 @@
                 )
             await asyncio.sleep(_POLL_S)
 
+    async def _cut_host(self) -> None:
+        async with self._host_lock:
+            host = self._random.choice(self._deployment.hosts)
+            await self._deployment.set_platform_faults(
+                rejected_hosts=[host.router.name]
+            )
+            await self._pause(0.5, 4.0)
+            await self._deployment.set_platform_faults(rejected_hosts=[])
+
     async def _fail_store(self) -> None:
         async with self._store_lock:
             faults = self._random.choice(_STORE_FAULTS)
--- a/packages/proof/tests/test_demo.py
+++ b/packages/proof/tests/test_demo.py
@@ -4,6 +4,7 @@
 import dataclasses
 import io
 import tomllib
+import types
 
 import pytest
 from tornado import httputil
@@ -22,6 +23,7 @@
     _processes,
     _summary,
     demo,
+    soak,
 )
 import sycamoreloft_standins
 
@@ -323,3 +325,103 @@
     """Guards against values that TOML reads differently."""
     document = {"a": 'x"y', "b": [{"c": True, "d": [1, 2.5]}]}
     assert tomllib.loads(_fleets.write_document(document)) == document
+
+
+class RecordingDeployment:
+    """Records what the soak does to processes and to the platform."""
+
+    def __init__(self):
+        self.upstreams = _fleets.plan_upstreams(_fleets.FLEETS, PORTS)
+        self.hosts = [
+            _deployment.Host(
+                _callers.Router(f"h{number}", "127.0.0.1:1"), "", "", number
+            )
+            for number in range(3)
+        ]
+        self.children = {
+            host.router.name: self.make_child(host.router.name)
+            for host in self.hosts
+        }
+        self.by_upstream = {
+            item.identity: self.make_child(item.identity)
+            for item in self.upstreams
+        }
+        self.balancer = _callers.Balancer(1)
+        self.balancer.set_ready(host.router for host in self.hosts)
+        self.platform_faults = {}
+        self.upstream_faults = {}
+
+    def make_child(self, name):
+        child = types.SimpleNamespace(name=name, running=True, frozen=False)
+
+        def change(field, value):
+            return lambda: setattr(child, field, value)
+
+        child.kill = change("running", False)
+        child.freeze = change("frozen", True)
+        child.resume = change("frozen", False)
+        return child
+
+    def find_process(self, upstream):
+        return self.by_upstream[upstream]
+
+    def kill_upstream(self, upstream):
+        self.by_upstream[upstream].kill()
+
+    async def restart(self, name):
+        {**self.children, **self.by_upstream}[name].running = True
+
+    async def read_ready(self, host):
+        return self.children[host.router.name].running
+
+    async def stop_router(self, host, timeout_s):
+        self.children[host.router.name].kill()
+
+    async def set_upstream_faults(self, upstream, **faults):
+        self.upstream_faults.setdefault(upstream, {}).update(faults)
+
+    async def set_platform_faults(self, **faults):
+        self.platform_faults.update(faults)
+
+
+def test_soak_makes_every_fault_and_undoes_it(monkeypatch):
+    """Guards against a fault that stays, or a kind that never comes up."""
+    monkeypatch.setattr(soak, "_FAULT_PERIOD_S", 0.0)
+    system = RecordingDeployment()
+    crashes = []
+
+    class Sender:
+        async def send(self, call, router):
+            crashes.append(call)
+            owner = next(
+                item.identity
+                for item in system.upstreams
+                if item.service.name == call.service
+            )
+            system.kill_upstream(owner)
+
+    async def run():
+        maker = soak.FaultMaker(system, Sender(), 1)
+
+        async def skip(shortest_s, longest_s):
+            await asyncio.sleep(0)
+
+        monkeypatch.setattr(maker, "_pause", skip)
+        stopping = asyncio.Event()
+        running = asyncio.create_task(maker.run(stopping))
+        while sum(maker.made.values()) < 60:
+            await asyncio.sleep(0)
+        stopping.set()
+        await running
+        return maker.made
+
+    made = asyncio.run(run())
+    assert len(made) == 9
+    assert [call.headers for call in crashes[:2]] == [
+        {"X-Standin-Crash": "1"}
+    ] * 2
+    for child in (*system.children.values(), *system.by_upstream.values()):
+        assert child.running
+        assert not child.frozen
+    for faults in (system.platform_faults, *system.upstream_faults.values()):
+        assert not any(faults.values())
