Add the operators' guide

Operators had no description of files, submissions and errors.

The guide covers the first install, settings, both fleets' files, a merge step by step, the loss of a failure domain, exit codes, errors with remedies and the reasons in answers to callers. A test parses the files that the guide shows.

--- a/packages/config/tests/test_parsing.py
+++ b/packages/config/tests/test_parsing.py
@@ -1,5 +1,8 @@
 """Tests of the fleet and merge file reader."""
 
+import pathlib
+import re
+
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -54,6 +57,16 @@
     }
 
 
+def test_the_files_of_the_guide_are_valid():
+    """Guards against a guide whose examples the router refuses."""
+    guide = pathlib.Path(__file__).parents[3] / "docs" / "operators.md"
+    blocks = re.findall(r"```toml\n(.*?)```", guide.read_text(), re.DOTALL)
+    files = [block for block in blocks if "kind =" in block]
+    assert len(files) == 3
+    for text in files:
+        sycamoreloft_config.parse_file(text, "guide").unwrap()
+
+
 def test_one_pass_reports_every_problem():
     """Guards against a reader that stops at the first problem."""
     text = (
