Test the request path against an upstream with many faults

Each fault had a test of its own; combinations did not. Eight callers send seeded requests to an upstream that doubles, swaps, truncates, delays, resets and refuses its answers. Completed answers must be the caller's own, did-not-run must not have run, and nothing that is not repeatable runs twice.

--- /dev/null
+++ b/packages/router/tests/test_exchange_faults.py
@@ -0,0 +1,134 @@
+"""The request path against an upstream with many faults at once."""
+
+import asyncio
+import collections
+import random
+
+import fake_sources
+import pytest
+import raw_peers
+
+FAULTS = (
+    *("none", "none", "none", "none", "no-echo", "partial", "partial-chunk"),
+    *("doubled", "doubled-no-echo", "doubled-late", "late", "reset"),
+    *("silent", "swapped", "refused"),
+)
+
+
+class FaultyUpstream:
+    """Answers with the request's target, spoiled by a random fault."""
+
+    def __init__(self, generator):
+        self.generator = generator
+        self.runs = collections.Counter()
+        self.swaps = []
+
+    async def __call__(self, request, writer, _reader):
+        """Runs one request; the script of a raw upstream."""
+        target = request.head.split(b" ")[1]
+        self.runs[target] += 1
+        attempt = request.find("Sycamoreloft-Attempt").encode()
+        echo = b"Sycamoreloft-Attempt: %b\r\n" % attempt
+        body = target + b"#" + b"x" * self.generator.choice([0, 1_000, 90_000])
+        whole = raw_peers.answer(body, headers=echo)
+        fault = self.generator.choice(FAULTS)
+        if fault == "refused":
+            self.runs[target] -= 1
+            refusal = echo + b"Sycamoreloft-Refused: shed\r\n"
+            writer.write(raw_peers.answer(b"", b"503 Busy", refusal))
+        elif fault == "swapped":
+            self.swap(writer, whole)
+        elif fault == "reset":
+            writer.transport.abort()
+        else:
+            await self.write_spoiled(fault, writer, whole, body)
+        return fault not in ("partial", "partial-chunk", "reset", "silent")
+
+    async def write_spoiled(self, fault, writer, whole, body):
+        """Writes a whole answer, or what the fault makes of it."""
+        bare = raw_peers.answer(body)
+        if fault == "late":
+            await asyncio.sleep(0.25)
+        data = {
+            "no-echo": bare,
+            "partial": whole[: self.generator.randrange(len(whole))],
+            "partial-chunk": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+            b"\r\n\r\n%x\r\n%b\r\n" % (len(body), body),
+            "doubled": whole + whole,
+            "doubled-no-echo": whole + bare,
+            "silent": b"",
+        }.get(fault, whole)
+        writer.write(data)
+        await writer.drain()
+        if fault == "doubled-late":
+            await asyncio.sleep(self.generator.random() * 0.01)
+            writer.write(self.generator.choice([whole, bare]))
+
+    def swap(self, writer, whole):
+        """Answers two requests, each on the connection of the other."""
+        self.swaps.append((writer, whole))
+        if len(self.swaps) == 2:
+            (first, answer_1), (second, answer_2) = self.swaps
+            first.write(answer_2)
+            second.write(answer_1)
+            self.swaps.clear()
+
+
+def build_request(generator, target):
+    """Builds a random request of one of four kinds."""
+    kind = generator.choice(["GET", "DELETE", "upload", "wager"])
+    headers = {"Sycamoreloft_Deadline_Ms": "200"}
+    if kind == "upload":
+        headers["Content_Length"] = "150000"
+        return fake_sources.build_head("PUT", target, **headers), b"z" * 150_000
+    if kind == "wager":
+        headers |= {"Content_Length": "1", "Idempotency_Key": target}
+        target = "/wager" + target
+        return fake_sources.build_head("POST", target, **headers), b"1"
+    return fake_sources.build_head(kind, target, **headers), b""
+
+
+async def send_requests(bench, upstream, generator, name, counts):
+    """Sends requests one after the other and checks what is answered."""
+    caller = await bench.connect()
+    for number in range(40):
+        head, body = build_request(generator, f"/{name}-{number}")
+        target = head.split(b" ")[1]
+        try:
+            answer = await caller.ask(head, body)
+        except asyncio.IncompleteReadError:
+            counts["cut"] += 1
+            caller = await bench.connect()
+            continue
+        counts[answer.outcome] += 1
+        if answer.outcome == "completed":
+            assert answer.body.startswith(target + b"#")
+        elif answer.outcome == "did-not-run":
+            assert upstream.runs[target] == 0
+        if not head.startswith((b"GET", b"PUT")):
+            assert upstream.runs[target] <= 1
+        if answer.find("Connection") == "close":
+            caller = await bench.connect()
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_answers_are_true_whatever_the_upstream_does(serve, seed):
+    """Guards against wrong answers, false did-not-run and second runs."""
+    generator = random.Random(seed)
+    script = FaultyUpstream(generator)
+    counts = collections.Counter()
+
+    async def scenario(bench, _upstream):
+        await asyncio.gather(
+            *(
+                send_requests(bench, script, generator, name, counts)
+                for name in range(8)
+            )
+        )
+        assert counts["completed"] > 50
+        assert counts["unknown"] > 20
+        assert len(bench.sources.returned) == len(bench.sources.asked)
+        assert len(bench.sources.results) == len(bench.sources.claims)
+        assert bench.server.count_requests() == 0
+
+    serve(scenario, script)
