Hold the quarantine's bound for copies, freezes and late permits

Cause: random histories lost three upstreams to one request when a copy that was issued before a loss reached the restarted upstream, and when a request froze an upstream that it was already suspected of. Change: marks are ordered by number instead of time; at most two copies of a request that has never completed may be in flight or in doubt; a suspect waits while a permit of it may yet be used; a doubt after a mark counts as a loss. 256 instead of 64 requests may wait for the quarantine. Conclusion: the bound of two holds inside one desk if a restart takes at least the validity of a permit. Bystanders are proven only for callers that repeat after a broken connection; copies in flight on two lost upstreams at once can hide the cause.

--- a/packages/decisions/sycamoreloft_decisions/_permit_admission.py
+++ b/packages/decisions/sycamoreloft_decisions/_permit_admission.py
@@ -20,9 +20,9 @@
 #: Sets of candidates whose upstreams are looked up once.
 CANDIDATE_SETS = 1024
 
-#: Upstreams on which identical requests may run at the same time before one
-#: of them has completed.
-UNTRIED_UPSTREAMS = 2
+#: Copies of a request that may be in flight, or may have frozen an upstream,
+#: before one of them has completed. Each may take down an upstream.
+UNTRIED_COPIES = 2
 
 #: Least time after which a refused request is worth repeating, in seconds.
 LEAST_RETRY_AFTER_S = 0.05
@@ -125,20 +125,17 @@
         ):
             self._wait_as_suspect(asked, commands)
             return None
-        running = self._running.get(asked.fingerprint)
-        if (
-            running is None
-            or self._quarantine.is_known_good(asked.fingerprint)
-            or len(set(running)) < UNTRIED_UPSTREAMS
-        ):
+        if self._quarantine.is_known_good(asked.fingerprint):
             return candidates
-        allowed = [
-            upstream for upstream in candidates if upstream.name in running
-        ]
-        if not any(upstream.is_free() for upstream in allowed):
+        running = self._running.get(asked.fingerprint, ())
+        doubtful = self._quarantine.list_doubtful(asked.fingerprint, now)
+        if len(running) + len(doubtful) >= UNTRIED_COPIES:
             self._wait_as_suspect(asked, commands)
             return None
-        return allowed
+        others = [
+            upstream for upstream in candidates if upstream.name not in doubtful
+        ]
+        return others or candidates
 
     def _wait_as_suspect(
         self, asked: _permit_events.PermitAsked, commands: Commands
@@ -209,7 +206,7 @@
         commands: Commands,
     ) -> None:
         self._permits[asked.permit] = _permit_records.Permit(
-            asked, upstream, now
+            asked, upstream, now, self._quarantine.order
         )
         upstream.in_use += 1
         running = self._running.get(asked.fingerprint)
@@ -273,8 +270,9 @@
             self._drain(upstream, now, commands)
 
     def _stop_running(self, permit: _permit_records.Permit) -> None:
-        if permit.blamed:
+        if not permit.running:
             return
+        permit.running = False
         fingerprint = permit.asked.fingerprint
         running = self._running[fingerprint]
         if len(running) == 1:
@@ -292,10 +290,12 @@
         upstream = permit.upstream.name
         if connection_lost:
             self._quarantine.record_break(
-                fingerprint, upstream, permit.issued_at, now
+                fingerprint, upstream, permit.order, now
             )
         else:
-            self._quarantine.record_unknown(fingerprint, upstream, now)
+            self._quarantine.record_unknown(
+                fingerprint, upstream, permit.order, now
+            )
 
     def _learn(
         self, used: _permit_events.UsedPermit, host: str, now: float
@@ -304,7 +304,9 @@
             used, host, now + self._options.longest_deadline_s
         )
         upstream = self._find_upstream(used.upstream)
-        permit = _permit_records.Permit(asked, upstream, now, learned=True)
+        permit = _permit_records.Permit(
+            asked, upstream, now, self._quarantine.order, learned=True
+        )
         self._permits[used.permit] = permit
         upstream.account()
         self._running.setdefault(used.fingerprint, []).append(used.upstream)
--- a/packages/decisions/sycamoreloft_decisions/_permit_events.py
+++ b/packages/decisions/sycamoreloft_decisions/_permit_events.py
@@ -271,7 +271,7 @@
     #: Longest deadline of a request, for reports that do not tell theirs.
     longest_deadline_s: float = 60.0
     #: Requests that wait because another suspect is running.
-    waiting_suspects: int = 64
+    waiting_suspects: int = 256
     #: Requests that wait because their partition is held.
     held_requests: int = 4096
     #: Requests in the record of suspects.
--- a/packages/decisions/sycamoreloft_decisions/_permit_records.py
+++ b/packages/decisions/sycamoreloft_decisions/_permit_records.py
@@ -15,7 +15,9 @@
         "blamed",
         "issued_at",
         "learned",
+        "order",
         "renewed_at",
+        "running",
         "upstream",
     )
 
@@ -24,6 +26,7 @@
         asked: _permit_events.PermitAsked,
         upstream: _balancing.UpstreamState,
         now: float,
+        order: int,
         learned: bool = False,
     ) -> None:
         """Starts a permit that is issued or learned now."""
@@ -33,12 +36,16 @@
         self.upstream = upstream
         #: Time of the issue.
         self.issued_at = now
+        #: Order of the quarantine at the issue.
+        self.order = order
         #: Time of the last report that contains it.
         self.renewed_at = now
         #: Whether another holder issued it, so that its key is not known.
         self.learned = learned
         #: Whether a loss of its upstream has been counted against it.
         self.blamed = False
+        #: Whether the request may still take down an upstream.
+        self.running = True
 
     def has_lapsed(
         self, options: _permit_events.DeskOptions, now: float
@@ -47,6 +54,16 @@
         valid_s = options.validity_s * (1 + options.clock_drift)
         return self.renewed_at + valid_s <= now
 
+    def has_started(
+        self, options: _permit_events.DeskOptions, now: float
+    ) -> bool:
+        """Tells whether its request has started, if it ever does.
+
+        A host gives up a permit that it has not used within the validity.
+        """
+        valid_s = options.validity_s * (1 + options.clock_drift)
+        return self.issued_at + valid_s <= now
+
     def compute_end(self, options: _permit_events.DeskOptions) -> float:
         """Returns the time from which a silent host cannot use it any more.
 
--- a/packages/decisions/sycamoreloft_decisions/_permits.py
+++ b/packages/decisions/sycamoreloft_decisions/_permits.py
@@ -147,7 +147,7 @@
         self._quarantine.record_loss(
             event.upstream,
             [
-                (permit.asked.fingerprint, permit.issued_at)
+                (permit.asked.fingerprint, permit.order)
                 for permit in permits
                 if not permit.blamed
             ],
@@ -155,8 +155,9 @@
         )
         commands: _permit_admission.Commands = []
         for permit in permits:
-            self._stop_running(permit)
             permit.blamed = True
+            if permit.has_started(self._options, now):
+                self._stop_running(permit)
             # What had started has ended. A permit that is still valid may yet
             # be used for the restarted upstream, so it keeps its slot.
             if event.ended and permit.has_lapsed(self._options, now):
@@ -228,6 +229,8 @@
         for permit in list(self._permits.values()):
             if permit.compute_end(self._options) <= now:
                 self._end(permit, now, commands)
+            elif permit.blamed and permit.has_started(self._options, now):
+                self._stop_running(permit)
         if self._recovering and now >= self._recovered_at:
             self._finish_recovery(now, commands)
         if not self._quarantine.is_empty():
--- a/packages/decisions/sycamoreloft_decisions/_quarantine.py
+++ b/packages/decisions/sycamoreloft_decisions/_quarantine.py
@@ -42,8 +42,15 @@
 
     upstream: str
     at: float
+    #: Order in which marks were made; a permit remembers the last one before
+    #: it was issued.
+    order: int
     confirmed: bool
 
+    def covers(self, upstream: str, order: int) -> bool:
+        """Tells whether a permit of that order belongs to the same loss."""
+        return upstream == self.upstream and order < self.order
+
 
 @dataclasses.dataclass(slots=True)
 class _Record:
@@ -60,11 +67,13 @@
     def __init__(self, options: _permit_events.DeskOptions) -> None:
         """Starts an empty record."""
         self._options = options
+        #: Number of marks made so far.
+        self.order = 0
         self._records: dict[bytes, _Record] = {}
         self._unconfirmed: dict[str, set[bytes]] = {}
         self._known_good = _recent_set.RecentSet[bytes](options.known_good)
         self._unshared: dict[bytes, bool] = {}
-        self._doubtful: dict[bytes, dict[str, float]] = {}
+        self._doubtful: dict[bytes, dict[str, tuple[float, int]]] = {}
 
     def is_empty(self) -> bool:
         """Tells whether every request is clear."""
@@ -86,15 +95,28 @@
         if record is None and fingerprint not in self._doubtful:
             return Standing.CLEAR
         marks = record.marks if record is not None else []
-        upstreams = {mark.upstream for mark in marks}
         losses = len(marks) + sum(
-            at + CONFIRMATION_S > now and upstream not in upstreams
-            for upstream, at in self._doubtful.get(fingerprint, {}).items()
+            at + CONFIRMATION_S > now
+            and not any(mark.covers(upstream, order) for mark in marks)
+            for upstream, (at, order) in self._doubtful.get(
+                fingerprint, {}
+            ).items()
         )
         if losses >= self._count_allowed(fingerprint):
             return Standing.UNRESOLVED
         return Standing.CLEAR if record is None else Standing.SUSPECT
 
+    def list_doubtful(self, fingerprint: bytes, now: float) -> set[str]:
+        """Returns the upstreams that such a request may have frozen."""
+        found = self._doubtful.get(fingerprint)
+        if found is None:
+            return set()
+        return {
+            upstream
+            for upstream, (at, _) in found.items()
+            if at + CONFIRMATION_S > now
+        }
+
     def record_completion(self, fingerprint: bytes) -> None:
         """Clears a suspect: a crashing request cannot complete."""
         record = self._records.get(fingerprint)
@@ -105,18 +127,25 @@
         self._known_good.add(fingerprint)
 
     def record_break(
-        self, fingerprint: bytes, upstream: str, issued_at: float, now: float
+        self, fingerprint: bytes, upstream: str, order: int, now: float
     ) -> None:
-        """Marks a request whose connection broke before the answer ended."""
-        if self._mark(fingerprint, upstream, issued_at, now, False):
+        """Marks a request whose connection broke before the answer ended.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            upstream: Name of the upstream.
+            order: Value of `order` when the permit was issued.
+            now: Time.
+        """
+        if self._mark(fingerprint, upstream, order, now, False):
             self._unconfirmed.setdefault(upstream, set()).add(fingerprint)
 
     def record_unknown(
-        self, fingerprint: bytes, upstream: str, now: float
+        self, fingerprint: bytes, upstream: str, order: int, now: float
     ) -> None:
         """Remembers a request that may have frozen its upstream."""
         found = self._doubtful.pop(fingerprint, {})
-        found[upstream] = now
+        found[upstream] = (now, order)
         self._doubtful[fingerprint] = found
         if len(self._doubtful) > self._options.suspects:
             del self._doubtful[next(iter(self._doubtful))]
@@ -124,15 +153,15 @@
     def record_loss(
         self,
         upstream: str,
-        running: abc.Iterable[tuple[bytes, float]],
+        running: abc.Iterable[tuple[bytes, int]],
         now: float,
     ) -> None:
         """Marks the requests that were running on a lost upstream.
 
         Args:
             upstream: Name of the lost upstream.
-            running: Fingerprints with the times when their permits were
-                issued.
+            running: Fingerprints with the values of `order` when their
+                permits were issued.
             now: Time.
         """
         for fingerprint in self._unconfirmed.pop(upstream, ()):
@@ -142,12 +171,11 @@
                     mark.confirmed |= mark.upstream == upstream
                 self._decide(fingerprint, record)
         for fingerprint, found in list(self._doubtful.items()):
-            at = found.get(upstream)
-            if at is not None and at + CONFIRMATION_S > now:
-                del found[upstream]
-                self._mark(fingerprint, upstream, at, now, True)
-        for fingerprint, issued_at in running:
-            self._mark(fingerprint, upstream, issued_at, now, True)
+            at, order = found.pop(upstream, (-CONFIRMATION_S, 0))
+            if at + CONFIRMATION_S > now:
+                self._mark(fingerprint, upstream, order, now, True)
+        for fingerprint, order in running:
+            self._mark(fingerprint, upstream, order, now, True)
 
     def learn(
         self, fingerprints: abc.Iterable[bytes], guilty: bool, now: float
@@ -156,7 +184,7 @@
         for fingerprint in fingerprints:
             record = self._records.get(fingerprint)
             if record is None:
-                mark = _Mark("", now, True)
+                mark = self._make_mark("", now, True)
                 record = self._add(fingerprint, _Record(now, [mark]))
             record.guilty |= guilty
 
@@ -184,7 +212,7 @@
             elif not record.guilty:
                 self._expire_marks(fingerprint, record, now)
         for fingerprint, found in list(self._doubtful.items()):
-            if all(at + CONFIRMATION_S <= now for at in found.values()):
+            if all(at + CONFIRMATION_S <= now for at, _ in found.values()):
                 del self._doubtful[fingerprint]
 
     def _expire_marks(
@@ -207,7 +235,7 @@
         self,
         fingerprint: bytes,
         upstream: str,
-        issued_at: float,
+        order: int,
         now: float,
         confirmed: bool,
     ) -> bool:
@@ -218,14 +246,18 @@
         for mark in record.marks:
             # Copies of one request that ran on the same upstream at the same
             # time took it down once.
-            if mark.upstream == upstream and issued_at <= mark.at:
+            if mark.covers(upstream, order):
                 mark.confirmed |= confirmed
                 break
         else:
-            record.marks.append(_Mark(upstream, now, confirmed))
+            record.marks.append(self._make_mark(upstream, now, confirmed))
         self._decide(fingerprint, record)
         return not confirmed
 
+    def _make_mark(self, upstream: str, now: float, confirmed: bool) -> _Mark:
+        self.order += 1
+        return _Mark(upstream, now, self.order, confirmed)
+
     def _decide(self, fingerprint: bytes, record: _Record) -> None:
         confirmed = sum(mark.confirmed for mark in record.marks)
         allowed = self._count_allowed(fingerprint)
--- a/packages/decisions/tests/test_permit_fuzz.py
+++ b/packages/decisions/tests/test_permit_fuzz.py
@@ -238,3 +238,174 @@
     """Guards against a fuzzer that cannot see an early reuse of slots."""
     with pytest.raises(_request_oracle.OracleError):
         _random_histories.run_histories(HastyTakeover, 60, 20, shrink=False)
+
+
+class LossMachine(_random_histories.Machine):
+    """A caller repeats a request that takes down each upstream it runs on."""
+
+    actions = {
+        "ask_crasher": 3,
+        "ask_innocent": 4,
+        "progress": 10,
+        "return_broken": 4,
+        "notice": 2,
+        "restart": 1,
+        "advance": 3,
+    }
+    names = ("a", "b", "c", "d", "e")
+    repeats_early = True
+    freezes = True
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.count = 0
+        self.completed = 0
+        self.oracle = _request_oracle.LossOracle()
+        self.desk = _permits.PermitDesk(random.Random(2), 0.0, fresh=True)
+        self.open = {}
+        self.broken = {}
+        self.down = {}
+        self.issued_at = {}
+        self.waiting = {}
+        for name in self.names:
+            self.send(events.UpstreamAvailable(name, 2))
+
+    def send(self, event):
+        for command in self.desk.handle(event, self.now):
+            if isinstance(command, events.IssuePermit):
+                fingerprint = self.waiting.pop(command.permit)
+                self.open[command.permit] = (fingerprint, command.upstream)
+                self.issued_at[command.permit] = self.now
+            elif isinstance(command, events.RefusePermit):
+                fingerprint = self.waiting.pop(command.permit)
+                if command.reason is events.Reason.QUARANTINED:
+                    self.judge_refusal(fingerprint)
+
+    def judge_refusal(self, fingerprint):
+        """Copies in flight at once hide which request was the cause."""
+
+    def ask(self, fingerprint):
+        self.count += 1
+        permit = f"p{self.count}"
+        self.waiting[permit] = fingerprint
+        self.send(
+            events.PermitAsked(
+                permit=permit,
+                host="h",
+                fleet="sledworks",
+                service="paddock-ledger",
+                key="",
+                partition=-1,
+                fingerprint=fingerprint,
+                caller="c",
+                priority=_nodes.Priority.NORMAL,
+                deadline=self.now + 10.0,
+                candidates=self.names,
+            )
+        )
+
+    def ask_crasher(self, generator):
+        known = [*self.open.values(), *self.broken.values()]
+        busy = b"crash" in self.waiting.values() or any(
+            item[0] == b"crash" for item in known
+        )
+        if self.repeats_early or not busy:
+            self.ask(b"crash")
+
+    def ask_innocent(self, generator):
+        self.ask(b"%d" % self.count)
+
+    def progress(self, generator):
+        """Lets a request reach its upstream, and end or crash it."""
+        permit = _random_histories.choose(self.open, generator)
+        if permit is None:
+            return
+        fingerprint, upstream = self.open[permit]
+        lapsed = self.issued_at[permit] + VALIDITY_S <= self.now
+        if lapsed or upstream in self.down:
+            # The host does not send, or the connection is refused.
+            del self.open[permit]
+            self.send(
+                events.PermitReturned(
+                    permit, "did-not-run", connection_lost=not lapsed
+                )
+            )
+        elif fingerprint == b"crash":
+            self.oracle.lose(fingerprint)
+            self.down[upstream] = self.now
+            frozen = self.freezes and generator.random() < 0.3
+            for name, item in list(self.open.items()):
+                if item[1] == upstream:
+                    del self.open[name]
+                    self.broken[name] = (item[0], not frozen)
+        else:
+            del self.open[permit]
+            self.completed += 1
+            self.send(events.PermitReturned(permit, "completed", 0.01))
+
+    def return_broken(self, generator):
+        permit = _random_histories.choose(self.broken, generator)
+        if permit is not None:
+            fingerprint, lost = self.broken.pop(permit)
+            self.send(
+                events.PermitReturned(
+                    permit, "unknown", 0.01, connection_lost=lost
+                )
+            )
+            if fingerprint != b"crash" or generator.random() < 0.5:
+                self.ask(fingerprint)
+
+    def notice(self, generator):
+        name = _random_histories.choose(self.down, generator)
+        if name is not None:
+            self.send(events.UpstreamLost(name, ended=False))
+
+    def restart(self, generator):
+        # A restart takes longer than a permit is valid.
+        name = _random_histories.choose(self.down, generator)
+        if name and self.down[name] + VALIDITY_S < self.now:
+            del self.down[name]
+            self.send(events.UpstreamLost(name, ended=True))
+            self.send(events.UpstreamAvailable(name, 2, cold=True))
+
+    def advance(self, generator):
+        self.now += generator.choice([0.05, 0.3])
+        for name, at in self.down.items():
+            # The holder notices a loss within the lifetime of a grant.
+            if at + VALIDITY_S <= self.now:
+                self.send(events.UpstreamLost(name, ended=False))
+        self.send(events.DeskTick())
+
+
+class BystanderMachine(LossMachine):
+    """The caller repeats its request only after a connection broke."""
+
+    repeats_early = False
+    freezes = False
+
+    def judge_refusal(self, fingerprint):
+        self.oracle.refuse(fingerprint, fingerprint == b"crash")
+
+
+class SecondLossForgiven(LossMachine):
+    """Fault: the quarantine refuses only after a third loss."""
+
+    actions = LossMachine.actions | {"forgive": 2}
+
+    def forgive(self, generator):
+        self.desk._quarantine.record_completion(b"crash")
+
+
+@pytest.mark.parametrize("machine", [LossMachine, BystanderMachine])
+def test_at_most_two_upstreams_are_lost_to_one_request(machine):
+    """Guards the bound, and bystanders, whatever the order of events."""
+    _random_histories.run_histories(machine, 100, 20)
+
+
+def test_fuzzer_finds_a_quarantine_that_forgives():
+    """Guards against a fuzzer that cannot see a third loss."""
+    with pytest.raises(_request_oracle.OracleError):
+        _random_histories.run_histories(
+            SecondLossForgiven, 100, 20, shrink=False
+        )
