Treat connection errors of the curl client as lost answers

Cause: tornado's curl client raises errors of the connection even with raise_error=False, so a store that reset a connection failed the acceptance commands and a submission ended with 500. Change: store and grant clients return a failure; an unavailable store and an unknown outcome are errors for the operator; only group holders poll the store.

--- a/packages/proof/sycamoreloft_proof/_capacity_models.py
+++ b/packages/proof/sycamoreloft_proof/_capacity_models.py
@@ -67,7 +67,7 @@
     """Runs one round: expiry, choice, and the encoding of two digests."""
     members.expire(1.0)
     digests = []
-    for target in members.choose_targets(1.0):
+    for target in members.choose_targets():
         entries = members.choose_digest(1.0, target)
         digests.append(
             sycamoreloft_wire.encode_message(
--- a/packages/router/sycamoreloft_router/_backend.py
+++ b/packages/router/sycamoreloft_router/_backend.py
@@ -186,6 +186,15 @@
                 "submit again with the same request id; it is recorded once",
             )
         )
+    if answer.verdict is _acceptance.Verdict.UNAVAILABLE:
+        return result.Failure(
+            _admin.AdminProblem(
+                503,
+                "store-unavailable",
+                "the store did not answer, and nothing was recorded",
+                "submit again when the store is back",
+            )
+        )
     return result.Success(
         _admin.SubmissionAnswer(
             answer.number, str(answer.verdict.value), answer.waiting_domains
--- a/packages/router/sycamoreloft_router/_configuration.py
+++ b/packages/router/sycamoreloft_router/_configuration.py
@@ -69,6 +69,7 @@
         self._head: _acceptance.HeadRow | None = None
         self._head_version = -1
         self._applied = (0, 0)
+        self._held: abc.Collection[str] = ("",)
         self._submissions: dict[str, asyncio.Future[_acceptance.Answer]] = {}
         #: The accepted generation.
         self.accepted = EMPTY_GENERATION
@@ -116,6 +117,12 @@
 
     # What peers and operators need.
 
+    def observe_groups(self, groups: abc.Collection[str]) -> None:
+        """Takes the groups that this host holds; only holders poll."""
+        if groups != self._held:
+            self._held = groups
+            self._feed(_acceptance.GroupsHeld(groups))
+
     async def adopt_answer(
         self, answer: sycamoreloft_wire.GenerationAnswer
     ) -> None:
@@ -172,7 +179,7 @@
             async with asyncio.timeout(submission.wait_s + SUBMISSION_MARGIN_S):
                 return result.Success(await future)
         except TimeoutError:
-            return result.Failure(_store_problem("recording the files"))
+            return result.Failure(_UNKNOWN_OUTCOME)
         finally:
             self._submissions.pop(submission.request, None)
 
@@ -263,13 +270,16 @@
 
     @_perform.register
     async def _(self, command: _acceptance.ReadRows) -> None:
-        rows = await self._store.read([_group_calls.HEAD_KEY], ["group/"])
+        prefixes = ["group/"] if command.with_groups else []
+        rows = await self._store.read([_group_calls.HEAD_KEY], prefixes)
         if not pipeline.is_successful(rows):
             return
         found = dict(rows.unwrap())
         head = found.pop(_group_calls.HEAD_KEY, None)
         version = head.version if head else 0
         self.observe_head(head)
+        if not command.with_groups:
+            return
         self._feed(
             _acceptance.GroupRowsRead(
                 version,
@@ -403,6 +413,14 @@
     ]
 
 
+_UNKNOWN_OUTCOME = _admin.AdminProblem(
+    503,
+    "outcome-unknown",
+    "the store did not tell in time whether the files were recorded",
+    "submit again with the same request id; it is recorded once",
+)
+
+
 def _store_problem(action: str) -> _admin.AdminProblem:
     return _admin.AdminProblem(
         503,
--- a/packages/router/sycamoreloft_router/_directory.py
+++ b/packages/router/sycamoreloft_router/_directory.py
@@ -119,7 +119,12 @@
         """Sends this host's present entry and some others to hosts."""
         now = time.monotonic()
         self._counter += 1
-        self._membership.update_own(self._make_entry())
+        entry = self._make_entry()
+        self._membership.update_own(entry)
+        if entry.generation > 0:
+            # A host without any generation reads the store until it has one:
+            # after a restart of all hosts there is no holder to ask.
+            self._configuration.observe_groups(frozenset(entry.groups))
         for target in targets:
             entries = self._membership.choose_digest(now, target)
             self._post(
--- a/packages/router/sycamoreloft_router/_grant_client.py
+++ b/packages/router/sycamoreloft_router/_grant_client.py
@@ -79,7 +79,9 @@
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
-        except OSError:
+        except (OSError, httpclient.HTTPError):
+            # The curl client raises errors of the connection even when it
+            # is told not to raise for statuses.
             return None
         self.traffic.count_http(len(body), len(response.body or b""))
         if response.code != 200:
--- a/packages/router/sycamoreloft_router/_store_client.py
+++ b/packages/router/sycamoreloft_router/_store_client.py
@@ -114,7 +114,9 @@
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
-        except OSError:
+        except (OSError, httpclient.HTTPError):
+            # The curl client raises errors of the connection even when it
+            # is told not to raise for statuses.
             response = None
         if response is not None:
             self.traffic.count_http(len(body or b""), len(response.body or b""))
