--- a/packages/proof/sycamoreloft_proof/_ownership_fakes.py
+++ b/packages/proof/sycamoreloft_proof/_ownership_fakes.py
@@ -203,6 +203,10 @@
             self._oracle.note_record(unit, upstream, fence)
         return self._rows[row_key][0]
 
+    def put(self, key: str, value: typing.Any) -> None:
+        """Puts a row as another group's holder would."""
+        self._rows[key] = (next(self._versions), value)
+
     def list_records(self) -> Records:
         """Lists the recorded owners and fences by unit."""
         records: Records = {}
