--- a/packages/proof/sycamoreloft_proof/_processes.py
+++ b/packages/proof/sycamoreloft_proof/_processes.py
@@ -89,6 +89,11 @@
     #: Ports on which it listens; ready when all accept connections.
     ports: abc.Sequence[int]
 
+    @property
+    def pid(self) -> int:
+        """Identifier of the process."""
+        return self.process.pid
+
     @property
     def running(self) -> bool:
         """Whether the process has not ended."""
