Decide when the aliases of a service are released

Cause: nothing made the holders of a canonical service wait until the holders of its aliases had recorded the release of their partitions, so two upstreams could hold a grant for what a merge makes one key.

Change: a pure machine that reads the assignments of alias fleets while this host holds a group, at most once a second, until none is recorded. Records of a domain that is declared lost do not count, but the service waits again as soon as a pending generation lets the domain run.

Conclusion: interface only; the router does not use it yet.

--- a/packages/decisions/sycamoreloft_decisions/__init__.py
+++ b/packages/decisions/sycamoreloft_decisions/__init__.py
@@ -1,5 +1,12 @@
 """Pure decisions of the router."""
 
+from sycamoreloft_decisions._alias_release import (
+    ALIAS_READ_INTERVAL_S,
+    AliasEvent,
+    AliasRelease,
+    AliasRowsRead,
+    ReadAliasRows,
+)
 from sycamoreloft_decisions._claims import (
     AnswerClaim,
     BatchRead,
@@ -133,6 +140,10 @@
 )
 
 __all__ = [
+    "ALIAS_READ_INTERVAL_S",
+    "AliasEvent",
+    "AliasRelease",
+    "AliasRowsRead",
     "AnswerClaim",
     "AnswerEnded",
     "AnswerPromise",
@@ -202,6 +213,7 @@
     "PermitsReported",
     "PromiseAsked",
     "PromiseReceived",
+    "ReadAliasRows",
     "ReadBatch",
     "ReadFailed",
     "ReadRows",
--- /dev/null
+++ b/packages/decisions/sycamoreloft_decisions/_alias_release.py
@@ -0,0 +1,220 @@
+"""Wait of a canonical service until the partitions of its aliases are free.
+
+After a merge file, a key of the alias is a key of the canonical service. An
+upstream of the alias may own it until the holders of the alias's groups have
+recorded the release. Until then no permit of the canonical service is issued.
+"""
+
+from collections import abc
+import dataclasses
+import functools
+import itertools
+import typing
+
+import sycamoreloft_config
+from sycamoreloft_decisions import _ownership, _rows, _timing
+
+#: Shortest time between two reads of one host, in seconds.
+ALIAS_READ_INTERVAL_S = 1.0
+
+_Reference: typing.TypeAlias = sycamoreloft_config.ServiceReference
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadAliasRows:
+    """Read the assignment rows of the fleets whose aliases are not released."""
+
+    #: Number of the read.
+    call: int
+    #: Prefixes of the rows.
+    prefixes: abc.Sequence[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AliasRowsRead:
+    """Answer to `ReadAliasRows`; all rows come from one read of the table."""
+
+    #: Number of the read.
+    call: int
+    #: Assignments by group.
+    tables: abc.Mapping[sycamoreloft_config.GroupName, _rows.AssignmentTable]
+
+
+AliasEvent = (
+    _ownership.GenerationChanged
+    | AliasRowsRead
+    | _ownership.ReadFailed
+    | _ownership.Tick
+)
+
+
+class AliasRelease:
+    """Knows which canonical services may be served.
+
+    A `Tick` arrives while the host holds a group; reads follow ticks only.
+    """
+
+    def __init__(self) -> None:
+        self._calls = itertools.count(1)
+        self._number = 0
+        self._canonicals: dict[_Reference, _Reference] = {}
+        self._accepted: sycamoreloft_config.Generation | None = None
+        self._pending: sycamoreloft_config.Generation | None = None
+        # Released aliases, with the groups of lost domains whose records
+        # were passed over.
+        self._released: dict[
+            _Reference, frozenset[sycamoreloft_config.GroupName]
+        ] = {}
+        self._waiting: dict[tuple[str, str], list[str]] = {}
+        self._read: tuple[int, float] | None = None
+        self._read_again_at = 0.0
+
+    def is_released(self, fleet: str, service: str) -> bool:
+        """Tells whether no alias of a canonical service has partitions.
+
+        Args:
+            fleet: Fleet of the canonical service.
+            service: Name of the canonical service.
+        """
+        return (fleet, service) not in self._waiting
+
+    def list_waiting(self) -> abc.Mapping[str, abc.Sequence[str]]:
+        """Returns the unreleased aliases by canonical service."""
+        return {
+            f"{fleet}/{service}": tuple(aliases)
+            for (fleet, service), aliases in self._waiting.items()
+        }
+
+    @functools.singledispatchmethod
+    def handle(
+        self, event: AliasEvent, now: float
+    ) -> abc.Sequence[ReadAliasRows]:
+        """Handles an event; `now` is a clock reading in seconds."""
+        raise TypeError(f"unknown event {event!r}")
+
+    @handle.register
+    def _(
+        self, event: _ownership.GenerationChanged, now: float
+    ) -> abc.Sequence[ReadAliasRows]:
+        accepted = event.generation
+        if accepted.number != self._number:
+            known = _list_canonicals(accepted)
+            # A generation that this host has not seen may have given an
+            # alias partitions of its own again.
+            is_next = accepted.number == self._number + 1
+            self._released = {
+                alias: passed
+                for alias, passed in self._released.items()
+                if is_next and alias in known and _are_lost(accepted, passed)
+            }
+            self._canonicals = known
+            self._number = accepted.number
+            # Rows read under an earlier generation prove nothing: its
+            # holders may have assigned partitions after the read.
+            self._read = None
+        self._accepted, self._pending = accepted, event.pending
+        self._refresh()
+        return ()
+
+    @handle.register
+    def _(
+        self, event: AliasRowsRead, now: float
+    ) -> abc.Sequence[ReadAliasRows]:
+        if self._finish_read(event.call) and self._accepted is not None:
+            for alias in self._canonicals.keys() - self._released.keys():
+                groups = _list_recording(alias, event.tables)
+                if _are_lost(self._accepted, groups):
+                    self._released[alias] = groups
+            self._refresh()
+        return ()
+
+    @handle.register
+    def _(
+        self, event: _ownership.ReadFailed, now: float
+    ) -> abc.Sequence[ReadAliasRows]:
+        self._finish_read(event.call)
+        return ()
+
+    @handle.register
+    def _(
+        self, event: _ownership.Tick, now: float
+    ) -> abc.Sequence[ReadAliasRows]:
+        if self._read and now >= self._read[1] + _timing.TABLE_TIMEOUT_S:
+            self._read = None
+        unreleased = self._canonicals.keys() - self._released.keys()
+        if not unreleased or self._read or now < self._read_again_at:
+            return ()
+        self._read = (next(self._calls), now)
+        self._read_again_at = now + ALIAS_READ_INTERVAL_S
+        fleets = sorted({alias.fleet for alias in unreleased})
+        return (
+            ReadAliasRows(
+                self._read[0],
+                tuple(_rows.format_fleet_prefix(fleet) for fleet in fleets),
+            ),
+        )
+
+    def _finish_read(self, call: int) -> bool:
+        if self._read is None or self._read[0] != call:
+            return False
+        self._read = None
+        return True
+
+    def _refresh(self) -> None:
+        """Lists what waits; permit requests look it up.
+
+        A pending generation that lets a lost domain run again makes the
+        service wait before it takes effect, because the domain's holder
+        starts with the records that were passed over.
+        """
+        self._waiting = {}
+        for alias, canonical in sorted(self._canonicals.items()):
+            passed = self._released.get(alias)
+            if passed is not None and (
+                self._pending is None or _are_lost(self._pending, passed)
+            ):
+                continue
+            key = (canonical.fleet, canonical.service)
+            self._waiting.setdefault(key, []).append(str(alias))
+
+
+def _list_canonicals(
+    generation: sycamoreloft_config.Generation,
+) -> dict[_Reference, _Reference]:
+    """Returns the canonical service of each alias; keyed services only."""
+    found = {}
+    for name, canonical_name in generation.merge.service_canonicals.items():
+        alias = _Reference(*name.split("/"))
+        canonical = _Reference(*canonical_name.split("/"))
+        if generation.fleets[canonical.fleet].services[canonical.service].keyed:
+            found[alias] = canonical
+    return found
+
+
+def _list_recording(
+    alias: _Reference,
+    tables: abc.Mapping[sycamoreloft_config.GroupName, _rows.AssignmentTable],
+) -> frozenset[sycamoreloft_config.GroupName]:
+    """Returns the groups that record an owner of a key of the alias."""
+    return frozenset(
+        group
+        for group, table in tables.items()
+        if group.fleet == alias.fleet
+        and (
+            table.partitions.get(alias.service)
+            or table.hot_keys.get(alias.service)
+        )
+    )
+
+
+def _are_lost(
+    generation: sycamoreloft_config.Generation,
+    groups: abc.Iterable[sycamoreloft_config.GroupName],
+) -> bool:
+    """Tells whether all groups are in failure domains declared lost."""
+    for group in groups:
+        fleet = generation.fleets.get(group.fleet)
+        domain = fleet and fleet.failure_domains.get(group.failure_domain)
+        if not domain or not domain.lost:
+            return False
+    return True
