--- a/packages/router/sycamoreloft_router/_caller_exchange.py
+++ b/packages/router/sycamoreloft_router/_caller_exchange.py
@@ -36,10 +36,11 @@
     Args:
         path: The request path.
         body_bytes: Longest request body, in bytes.
+        requests: Requests in flight.
     """
 
     def __init__(
-        self, path: _request_path.RequestPath, body_bytes: int
+        self, path: _request_path.RequestPath, body_bytes: int, requests: int
     ) -> None:
         #: The request path.
         self.path = path
@@ -47,6 +48,8 @@
         self.loop = asyncio.get_running_loop()
         #: Longest request body, in bytes.
         self.body_bytes = body_bytes
+        #: Requests in flight at most.
+        self.requests = requests
         #: Requests that have not ended.
         self.exchanges: set[CallerExchange] = set()
         #: Whether answers close the connection.
@@ -144,7 +147,9 @@
         self._connection.set_close_callback(self._on_caller_gone)
         if self._shared.is_draining:
             self._connection.close_after_answer()
-        problem = self._check_framing(start_line, fields.values)
+        problem = self._check_load() or self._check_framing(
+            start_line, fields.values
+        )
         if problem is not None:
             self._refuse(problem, True)
             return
@@ -213,6 +218,17 @@
             self._refuse(refusal, True)
         return self.task
 
+    def _check_load(self) -> _answers.Refusal | None:
+        if len(self._shared.exchanges) <= self._shared.requests:
+            return None
+        return _answers.Refusal(
+            503,
+            "host-overloaded",
+            f"this host has {self._shared.requests} requests in flight",
+            "send the request again, to another host if there is one",
+            retry_after_ms=1_000,
+        )
+
     def _check_framing(
         self,
         start_line: httputil.RequestStartLine,
--- a/packages/router/sycamoreloft_router/_caller_requests.py
+++ b/packages/router/sycamoreloft_router/_caller_requests.py
@@ -18,6 +18,9 @@
 #: Longest key and request id, in bytes.
 MAXIMUM_KEY_BYTES = 1_024
 
+#: Characters of a caller's name that count; holders keep a queue by name.
+MAXIMUM_CALLER = 128
+
 #: Names that are kept resolved.
 MAXIMUM_CACHED_NAMES = 4_096
 
@@ -129,7 +132,7 @@
                 key,
                 partition,
                 deadline_ms,
-                headers.get(_headers.CALLER, "") or caller,
+                (headers.get(_headers.CALLER, "") or caller)[:MAXIMUM_CALLER],
                 request_id,
                 fields.lines,
             )
--- a/packages/router/sycamoreloft_router/_caller_server.py
+++ b/packages/router/sycamoreloft_router/_caller_server.py
@@ -42,6 +42,9 @@
     header_bytes: int = 16_384
     #: Longest request body, in bytes.
     body_bytes: int = 4 << 30
+    #: Requests in flight. Each holds at most 0.4 MB of bodies, and most
+    #: hold less than 64 KiB.
+    requests: int = 2_000
     #: Seconds for which an idle connection of a caller is kept.
     idle_connection_s: float = 75.0
     #: Connections to one upstream, idle ones included. 300 connections
@@ -96,7 +99,9 @@
             generator,
         )
         self._client = services.client
-        self._shared = _caller_exchange.Shared(path, self._limits.body_bytes)
+        self._shared = _caller_exchange.Shared(
+            path, self._limits.body_bytes, self._limits.requests
+        )
         self._server: _caller_connections.ConnectionServer | None = None
         self._sweep: asyncio.TimerHandle | None = None
 
--- a/packages/router/tests/test_caller_server.py
+++ b/packages/router/tests/test_caller_server.py
@@ -282,6 +282,22 @@
     serve(scenario)
 
 
+def test_bounds_the_requests_in_flight(serve):
+    """Guards against memory that grows with the number of callers."""
+
+    async def script(request, writer, _reader):
+        await asyncio.sleep(0.1)
+        writer.write(raw_peers.answer())
+
+    async def scenario(bench, upstream):
+        answers = await asyncio.gather(*(bench.ask() for _ in range(6)))
+        reasons = sorted(str(answer.reason) for answer in answers)
+        assert reasons == ["None"] * 4 + ["host-overloaded"] * 2
+        assert (await bench.ask()).status == 200
+
+    serve(scenario, script, _caller_server.CallerLimits(requests=4))
+
+
 def test_closes_idle_connections(serve, monkeypatch):
     """Guards against connections that are kept for ever."""
     monkeypatch.setattr(_caller_server, "SWEEP_S", 0.02)
