Hold a merged service until its aliases are released

Cause: the holder of a canonical service issued permits as soon as the merge was in force, while an upstream of the alias could still hold a grant for what is now the same key.

Change: holders refuse permit requests of a service with an unreleased alias with configuration-pending, and hide its owners from the permit desk, so that requests which were queued before the merge wait too. The state dump names the aliases that are waited for.

--- a/packages/router/sycamoreloft_router/_group_calls.py
+++ b/packages/router/sycamoreloft_router/_group_calls.py
@@ -11,7 +11,12 @@
 
 import sycamoreloft_config
 import sycamoreloft_decisions
-from sycamoreloft_router import _grant_client, _peer_links, _store_client
+from sycamoreloft_router import (
+    _alias_releases,
+    _grant_client,
+    _peer_links,
+    _store_client,
+)
 import sycamoreloft_wire
 
 #: Time to wait for a promise or a step-down, in seconds.
@@ -72,6 +77,8 @@
     directory: HostDirectory
     #: The configuration row.
     head: HeadSource
+    #: The wait of merged services for their aliases.
+    aliases: _alias_releases.AliasReleases
 
 
 class GroupCalls:
--- a/packages/router/sycamoreloft_router/_group_runtime.py
+++ b/packages/router/sycamoreloft_router/_group_runtime.py
@@ -91,6 +91,7 @@
         self._feed(self._environment.directory.observe_members(self.group))
         self._feed(sycamoreloft_decisions.Tick())
         if self._permits is not None:
+            self._environment.aliases.tick()
             self._permits.tick()
             if self._ticks % KEY_REPORT_TICKS == 0:
                 for service, counts in self._permits.take_key_counts().items():
@@ -164,6 +165,8 @@
             self._accepted, self._pending, fleet, service
         ):
             return "configuration-pending", 100
+        if not self._environment.aliases.is_released(fleet, service):
+            return "configuration-pending", 100
         return "", 0
 
     def return_permit(self, message: sycamoreloft_wire.PermitReturn) -> None:
@@ -448,7 +451,7 @@
         self._permits = _group_permits.GroupPermits(
             fleet,
             self.group,
-            self._machine,
+            self._environment.aliases.guard(fleet.name, self._machine),
             epoch == 1,
             self._share_suspects,
             lambda unit: self._feed(sycamoreloft_decisions.UnitDrained(unit)),
--- a/packages/router/sycamoreloft_router/_host.py
+++ b/packages/router/sycamoreloft_router/_host.py
@@ -10,6 +10,7 @@
 import sycamoreloft_config
 from sycamoreloft_router import (
     _admin,
+    _alias_releases,
     _backend,
     _caller_server,
     _configuration,
@@ -93,6 +94,7 @@
         )
 
     def _build_groups(self) -> None:
+        self._aliases = _alias_releases.AliasReleases(self._store)
         environment = _group_calls.GroupEnvironment(
             self._settings.host,
             self._incarnation,
@@ -101,6 +103,7 @@
             self._grants,
             self._directory,
             self._configuration,
+            self._aliases,
         )
         self._groups = _group_tree.GroupTree(
             environment, self._settings.failure_domains, self._supervisor
@@ -151,6 +154,8 @@
     ) -> None:
         """Passes a change of the generations to all parts."""
         self._names.apply_generation(accepted)
+        # Before the groups, so that none serves a merged service early.
+        self._aliases.apply_generations(accepted, pending)
         self._groups.apply_generations(accepted, pending)
 
     async def run(self, stop_requested: asyncio.Event) -> None:
@@ -246,6 +251,7 @@
                     ("store", self._store.traffic),
                 )
             },
+            "unreleased_aliases": self._aliases.list_waiting(),
             "members": self._directory.list_states(),
             "groups": [
                 runtime.dump_state()
