Trace overload, retries and choice, and fix the concurrency limit

One fast sample at the start became the usual latency, so the limit of most upstreams stayed at 1. Change: the usual latency starts as the mean of 32 samples and follows while the limit is 1; a mean over 32 samples lowers the limit; a request that was given up counts as a sample if it took longer than the mean.

--- a/packages/decisions/sycamoreloft_decisions/_balancing.py
+++ b/packages/decisions/sycamoreloft_decisions/_balancing.py
@@ -107,6 +107,16 @@
         self.update_capacity()
         return True
 
+    def observe_unfinished(self, latency_s: float) -> None:
+        """Counts a request that was given up after some time.
+
+        Its service time would have been longer, so it is a sample only if it
+        is above the mean.
+        """
+        if latency_s > self.limiter.recent_s > 0:
+            self.limiter.observe(latency_s)
+            self.update_capacity()
+
     def observe_failure(self, now: float) -> None:
         """Counts a refusal or a lost connection."""
         self.limiter.decrease()
--- a/packages/decisions/sycamoreloft_decisions/_concurrency.py
+++ b/packages/decisions/sycamoreloft_decisions/_concurrency.py
@@ -1,23 +1,29 @@
 """Concurrency limit of one upstream, from the latency that hosts observe."""
 
-#: Latency relative to the usual one at which the limit is lowered. Ordinary
-#: variation of the mean over about eight requests stays below twice.
+#: Latency relative to the usual one at which the limit is lowered. With
+#: exponential service times, the mean over `STEADY_SAMPLES` requests stays
+#: below twice the usual latency.
 SLOW_RATIO = 2.0
 
 #: Factor by which the limit is lowered, at most once for each round of
 #: requests, so that one slow round is not punished several times.
 DECREASE = 0.75
 
-#: Weight of a new sample in the recent latency.
+#: Weight of a new sample in the recent latency, for choices and estimates.
 RECENT_WEIGHT = 0.125
 
-#: Weights by which the usual latency follows the recent one. It falls quickly
-#: and rises slowly, so that an overloaded upstream does not appear usual.
-USUAL_FALL = 0.05
-USUAL_RISE = 0.0005
+#: Samples in the steady latency, which lowers the limit.
+STEADY_SAMPLES = 32
 
-#: Samples needed before the limit is lowered.
-LEAST_SAMPLES = 16
+#: Weights by which the usual latency follows the steady one. It falls faster
+#: than it rises, so that an overloaded upstream does not appear usual.
+USUAL_FALL = 0.02
+USUAL_RISE = 0.001
+
+#: Weight by which the usual latency follows while the limit is 1: latency
+#: that remains then does not come from concurrency. Without this, one fast
+#: sample at the start kept the limit at 1 for good.
+UNLOADED_WEIGHT = 0.05
 
 
 class ConcurrencyLimit:
@@ -25,6 +31,7 @@
 
     __slots__ = (
         "_since_decrease",
+        "_steady_s",
         "limit",
         "recent_s",
         "samples",
@@ -44,6 +51,7 @@
         self.usual_s = 0.0
         #: Number of samples since the start of the upstream.
         self.samples = 0
+        self._steady_s = 0.0
         self._since_decrease = 0
 
     def resize(self, slots: int) -> None:
@@ -52,27 +60,38 @@
         self.slots = slots
 
     def observe(self, latency_s: float) -> None:
-        """Counts a completed request."""
+        """Counts a request that ended after some time."""
         self._since_decrease += 1
         self.samples += 1
-        if self.samples == 1:
-            self.recent_s = self.usual_s = latency_s
-        else:
-            self.recent_s += RECENT_WEIGHT * (latency_s - self.recent_s)
-            difference = self.recent_s - self.usual_s
-            self.usual_s += difference * (
-                USUAL_FALL if difference < 0 else USUAL_RISE
+        if self.samples <= STEADY_SAMPLES:
+            # Until there are enough samples, all count alike.
+            weight = 1.0 / self.samples
+            self.recent_s += max(weight, RECENT_WEIGHT) * (
+                latency_s - self.recent_s
             )
-        if (
-            self.recent_s > SLOW_RATIO * self.usual_s
-            and self.samples >= LEAST_SAMPLES
-        ):
+            self._steady_s += weight * (latency_s - self._steady_s)
+            self.usual_s = self._steady_s
+            self._increase()
+            return
+        self.recent_s += RECENT_WEIGHT * (latency_s - self.recent_s)
+        self._steady_s += (latency_s - self._steady_s) / STEADY_SAMPLES
+        difference = self._steady_s - self.usual_s
+        if self._steady_s > SLOW_RATIO * self.usual_s:
+            if self.limit <= 1.0:
+                self.usual_s += UNLOADED_WEIGHT * difference
             self.decrease()
-        elif self.limit < self.slots:
-            self.limit = min(self.limit + 1.0 / self.limit, self.slots)
+            return
+        self.usual_s += difference * (
+            USUAL_FALL if difference < 0 else USUAL_RISE
+        )
+        self._increase()
 
     def decrease(self) -> None:
         """Lowers the limit, also when the upstream sheds load."""
         if self._since_decrease >= self.limit:
             self.limit = max(1.0, self.limit * DECREASE)
             self._since_decrease = 0
+
+    def _increase(self) -> None:
+        if self.limit < self.slots:
+            self.limit = min(self.limit + 1.0 / self.limit, self.slots)
--- a/packages/decisions/sycamoreloft_decisions/_permits.py
+++ b/packages/decisions/sycamoreloft_decisions/_permits.py
@@ -96,6 +96,8 @@
             self._waiting.observe(asked, event.latency_s)
         elif event.refused or event.connection_lost:
             upstream.observe_failure(now)
+        else:
+            upstream.observe_unfinished(event.latency_s)
         if event.outcome == "unknown" and not permit.blamed:
             self._record_unknown(permit, event.connection_lost, now)
         commands: _permit_admission.Commands = []
--- /dev/null
+++ b/packages/decisions/tests/test_request_traces.py
@@ -0,0 +1,29 @@
+"""Tests of the figures that the request traces must reach."""
+
+import pytest
+
+from sycamoreloft_proof import _overload_trace
+
+
+@pytest.mark.parametrize("keyed", [False, True])
+def test_goodput_survives_three_times_the_capacity(keyed):
+    """Guards against work for requests that end after their deadline."""
+    assert _overload_trace.measure_overload(keyed).ratio >= 0.9
+
+
+@pytest.mark.parametrize(
+    "measure",
+    [_overload_trace.measure_retries, _overload_trace.measure_keyed_retries],
+)
+def test_retries_add_at_most_a_tenth_when_half_of_the_upstreams_fail(measure):
+    """Guards against retries that make an outage worse."""
+    figures = measure()
+    assert figures.asks_per_request <= 1.1
+    assert figures.sends_per_request <= 1.1
+
+
+def test_a_slow_instance_gets_little_work():
+    """Guards against a choice that ignores load and latency."""
+    figures = _overload_trace.measure_choice()
+    assert figures.two_random.p99_s < figures.rotation.p99_s / 2
+    assert figures.two_random.goodput_per_s > figures.rotation.goodput_per_s
