Trace a crashing request

Cause: the bound of two lost upstreams for each failure domain, and the treatment of bystanders, need figures. Change: trace of three domains with six upstreams each; a caller repeats a crashing request every 50 ms; 5 % of the innocent requests differ from it only by the body.

--- a/packages/decisions/tests/test_request_traces.py
+++ b/packages/decisions/tests/test_request_traces.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sycamoreloft_proof import _overload_trace
+from sycamoreloft_proof import _overload_trace, _quarantine_trace
 
 
 @pytest.mark.parametrize("keyed", [False, True])
@@ -27,3 +27,16 @@
     figures = _overload_trace.measure_choice()
     assert figures.two_random.p99_s < figures.rotation.p99_s / 2
     assert figures.two_random.goodput_per_s > figures.rotation.goodput_per_s
+
+
+@pytest.mark.parametrize(("seed", "copies"), [(1, 1), (2, 9)])
+def test_crashing_request_costs_two_upstreams_and_nobody_else(seed, copies):
+    """Guards against a third loss and against refusing look-alikes."""
+    figures = _quarantine_trace.measure_quarantine(
+        _quarantine_trace.Scenario(seed=seed, copies=copies, seconds=10.0)
+    )
+    assert max(figures.losses.values()) <= 2
+    assert figures.crashing_refusals > 100
+    assert (figures.look_alikes > 100, figures.bystanders > 0) == (True, True)
+    assert figures.innocent_refusals == 0
+    assert figures.innocent_completions == figures.innocent_requests
