Test that merged services never have two owners

Cause: the wait for aliases needs a proof over the whole path, from the table to the permit.

Change: two hosts with their group machines, upstreams that follow the grant protocol and a table in memory run in virtual time. At each permit of the canonical service, no upstream of the alias may own a unit. The adapter reads the clock when it needs it, like the other adapters.

--- a/packages/router/sycamoreloft_router/_alias_releases.py
+++ b/packages/router/sycamoreloft_router/_alias_releases.py
@@ -19,16 +19,10 @@
 
     Args:
         store: The store.
-        read_clock: Returns a monotonic time in seconds.
     """
 
-    def __init__(
-        self,
-        store: _store_client.StoreClient,
-        read_clock: abc.Callable[[], float] = time.monotonic,
-    ) -> None:
+    def __init__(self, store: _store_client.StoreClient) -> None:
         self._store = store
-        self._read_clock = read_clock
         self._machine = sycamoreloft_decisions.AliasRelease()
         self._logged: abc.Mapping[str, abc.Sequence[str]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -60,7 +54,7 @@
         return self._machine.list_waiting()
 
     def _feed(self, event: sycamoreloft_decisions.AliasEvent) -> None:
-        for command in self._machine.handle(event, self._read_clock()):
+        for command in self._machine.handle(event, time.monotonic()):
             task = asyncio.get_running_loop().create_task(self._read(command))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/packages/router/tests/test_alias_releases.py
@@ -0,0 +1,344 @@
+"""Tests of the adapter that waits for aliases, with two hosts."""
+
+import asyncio
+import pathlib
+import selectors
+import sys
+import time
+
+import pytest
+
+import sycamoreloft_config
+import sycamoreloft_decisions
+from sycamoreloft_proof import _ownership_fakes
+from sycamoreloft_router import (
+    _alias_releases,
+    _grant_client,
+    _group_calls,
+    _group_runtime,
+)
+import sycamoreloft_wire
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent))
+
+import fake_store
+
+PARTITIONS = 4
+KEYS = [f"heat-{number}" for number in range(8)]
+
+
+@pytest.fixture
+def run_virtual(monkeypatch):
+    """Runs a coroutine in a loop whose time passes only when it is idle."""
+    clock = [1_000.0]
+
+    class IdleSelector(selectors.SelectSelector):
+        def select(self, timeout=None):
+            assert timeout is not None, "the scenario waits for ever"
+            clock[0] += max(timeout, 0)
+            return super().select(0)
+
+    monkeypatch.setattr(time, "monotonic", lambda: clock[0])
+
+    def run(coroutine):
+        def make_loop():
+            return asyncio.SelectorEventLoop(IdleSelector())
+
+        with asyncio.Runner(loop_factory=make_loop) as runner:
+            runner.run(coroutine)
+
+    return run
+
+
+def make_generation(number, is_merged):
+    merge = sycamoreloft_config.Merge(
+        (sycamoreloft_config.SameService("f/board", "g/board"),)
+        if is_merged
+        else ()
+    )
+    fleets = {
+        fleet: sycamoreloft_config.Fleet(
+            fleet,
+            sycamoreloft_config.Weights(),
+            60.0,
+            600.0,
+            {"d": sycamoreloft_config.FailureDomain("d")},
+            {"board": sycamoreloft_config.Service("board", True, PARTITIONS)},
+            {
+                name: sycamoreloft_config.Upstream(
+                    name, "board", "d", f"{fleet}/{name}", 4
+                )
+                for name in ("u0", "u1")
+            },
+        )
+        for fleet in ("f", "g")
+    }
+    return sycamoreloft_config.Generation(number, fleets, merge)
+
+
+BEFORE, MERGED = make_generation(1, False), make_generation(2, True)
+
+
+class Platform:
+    """Store and upstreams; knows what each upstream may run now."""
+
+    def __init__(self):
+        self.store = fake_store.FakeStore()
+        self.upstreams = {}
+        self._grants = {}
+
+    def note_grant(self, name, content, now, until):
+        self._grants[name] = (content, until)
+
+    async def send_grant(self, address, group, command):
+        await asyncio.sleep(0.002)
+        upstream = self.upstreams.setdefault(
+            address,
+            _ownership_fakes.FakeUpstream(address, True, self, 1.0, 0.0),
+        )
+        answer = upstream.receive_grant(command, time.monotonic())
+        return _grant_client.GrantReply(*answer)
+
+    def list_owned(self, fleet):
+        """Lists what the fleet's upstreams own at this moment."""
+        return [
+            unit
+            for name, (content, until) in self._grants.items()
+            if name.startswith(f"{fleet}/") and time.monotonic() < until
+            for unit in content
+        ]
+
+    # What the groups need to know of other hosts and of the configuration.
+
+    def find_peer_address(self, host):
+        return None
+
+    def observe_members(self, group):
+        return sycamoreloft_decisions.MembersObserved({}, {})
+
+    def announce_change(self):
+        pass
+
+    def observe_head(self, row):
+        pass
+
+    def find_head_version(self):
+        return self.store.get_version("config/head")
+
+
+class Host:
+    """A host that takes part in the one group of a fleet."""
+
+    def __init__(self, platform, fleet, accepted):
+        self.accepted = accepted
+        self.releases = _alias_releases.AliasReleases(platform.store)
+        self.releases.apply_generations(accepted, None)
+        environment = _group_calls.GroupEnvironment(
+            f"host-{fleet}",
+            "process",
+            platform.store,
+            None,
+            platform,
+            platform,
+            platform,
+            self.releases,
+        )
+        group = sycamoreloft_config.GroupName(fleet, "d", 0)
+        self.runtime = _group_runtime.GroupRuntime(
+            environment, group, accepted, None
+        )
+        self.task = asyncio.ensure_future(self.runtime.run())
+        self.answers = []
+
+    def apply(self, accepted, pending=None):
+        self.accepted = accepted
+        self.releases.apply_generations(accepted, pending)
+        self.runtime.change_generation(accepted, pending)
+
+    def ask(self, key, reply):
+        fleet = self.runtime.group.fleet
+        partition = sycamoreloft_config.find_partition(
+            fleet, "board", key, PARTITIONS
+        )
+        permit = f"{key}-{time.monotonic()}"
+        message = sycamoreloft_wire.PermitRequest(
+            str(self.runtime.group),
+            permit,
+            "h",
+            self.accepted.number,
+            fleet,
+            "board",
+            key,
+            partition,
+            permit.encode(),
+            "c",
+            1,
+            5_000,
+        )
+        self.runtime.ask_permit(message, reply)
+
+    def give_back(self, grant):
+        self.runtime.return_permit(
+            sycamoreloft_wire.PermitReturn(
+                str(self.runtime.group),
+                grant.permit,
+                "completed",
+                1.0,
+                False,
+                False,
+            )
+        )
+
+
+async def serve(platform, host, seconds):
+    """Asks for permits; returns the owned units of "g" at each grant."""
+    seen, refused = [], set()
+
+    def take(answer):
+        if isinstance(answer, sycamoreloft_wire.PermitGrant):
+            seen.append(platform.list_owned("g"))
+            host.give_back(answer)
+        else:
+            refused.add((answer.reason, answer.retry_after_ms))
+
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        for key in KEYS:
+            host.ask(key, take)
+        await asyncio.sleep(0.02)
+    return seen, refused
+
+
+async def start(platform):
+    """Starts both hosts and waits until both services are served."""
+    hosts = [Host(platform, fleet, BEFORE) for fleet in ("f", "g")]
+    await asyncio.sleep(3)
+    for host in hosts:
+        seen, _ = await serve(platform, host, 0.1)
+        assert len(seen) >= len(KEYS)
+    return hosts
+
+
+async def stop(*hosts):
+    for host in hosts:
+        host.task.cancel()
+    await asyncio.gather(*(host.task for host in hosts), return_exceptions=True)
+
+
+def count_assignments(store):
+    return sum(
+        len(units)
+        for key, row in store.rows.items()
+        if key.startswith("assign/g/")
+        for units in row.value["units"]
+    )
+
+
+@pytest.mark.parametrize("lag_s", [-0.5, 0.0, 0.5, 3.0])
+@pytest.mark.parametrize("outage_s", [0.0, 2.0])
+def test_merged_services_never_have_two_owners(run_virtual, lag_s, outage_s):
+    """Guards against a key that both fleets' upstreams own after a merge."""
+
+    async def scenario():
+        platform = Platform()
+        canonical, alias = hosts = await start(platform)
+        for host in hosts:
+            host.apply(BEFORE, MERGED)
+        await asyncio.sleep(0.2)
+        assert platform.list_owned("g")
+        platform.store.down = outage_s > 0
+        first, second = hosts if lag_s >= 0 else reversed(hosts)
+        first.apply(MERGED)
+        early, reasons = await serve(platform, canonical, abs(lag_s))
+        second.apply(MERGED)
+        late, more = await serve(platform, canonical, outage_s + 0.1)
+        platform.store.down = False
+        served, _ = await serve(platform, canonical, 5)
+        assert not any(early + late + served)
+        assert reasons | more == {("configuration-pending", 100)}
+        assert len(served) > 100 * len(KEYS)
+        assert count_assignments(platform.store) == 0
+        await stop(*hosts)
+
+    run_virtual(scenario())
+
+
+def test_a_host_that_takes_the_group_after_the_merge_waits(run_virtual):
+    """Guards against a new holder that knows the merge but not the rows."""
+
+    async def scenario():
+        platform = Platform()
+        canonical, alias = await start(platform)
+        for host in (canonical, alias):
+            host.apply(BEFORE, MERGED)
+        await asyncio.sleep(0.2)
+        await stop(canonical)
+        successor = Host(platform, "f", MERGED)
+        await asyncio.sleep(5)
+        early, reasons = await serve(platform, successor, 1)
+        assert (early, reasons) == ([], {("configuration-pending", 100)})
+        assert platform.list_owned("g")
+        alias.apply(MERGED)
+        await asyncio.sleep(3)
+        served, _ = await serve(platform, successor, 1)
+        assert len(served) >= len(KEYS)
+        assert not any(served)
+        await stop(successor, alias)
+
+    run_virtual(scenario())
+
+
+def test_requests_queued_before_the_merge_wait_too(run_virtual):
+    """Guards against a queued permit that is issued before the release."""
+
+    async def scenario():
+        platform = Platform()
+        canonical, alias = await start(platform)
+        answers = []
+        for _ in range(4):
+            for key in KEYS:
+                canonical.ask(key, answers.append)
+        issued = len(answers)
+        assert 0 < issued < 4 * len(KEYS)
+        canonical.apply(MERGED)
+        for grant in answers[:issued]:
+            canonical.give_back(grant)
+        await asyncio.sleep(0.5)
+        assert len(answers) == issued
+        alias.apply(MERGED)
+        await asyncio.sleep(2)
+        later = answers[issued:]
+        assert any(
+            isinstance(answer, sycamoreloft_wire.PermitGrant)
+            for answer in later
+        )
+        await stop(canonical, alias)
+
+    run_virtual(scenario())
+
+
+def test_released_aliases_cost_no_reads(run_virtual):
+    """Guards against reads that go on after the release was recorded."""
+
+    async def scenario():
+        platform = Platform()
+        prefixes = []
+        read = platform.store.read
+
+        async def count_read(keys=(), prefixes_read=()):
+            prefixes.extend(prefixes_read if not keys else ())
+            return await read(keys, prefixes_read)
+
+        platform.store.read = count_read
+        hosts = await start(platform)
+        assert prefixes == []
+        for host in hosts:
+            host.apply(MERGED)
+        await asyncio.sleep(10)
+        # Both hosts hold a group, and each reads for itself.
+        assert prefixes == ["assign/g/"] * len(prefixes)
+        assert 2 <= len(prefixes) <= 6
+        assert not any(host.releases.list_waiting() for host in hosts)
+        await stop(*hosts)
+
+    run_virtual(scenario())
