Keep members of other failure domains known at any size

Cause: a member of another domain was heard of at first hand only, about every 12 s at 24 hosts and every half hour at 4,100, against a removal after 60 s. Change: digests to other domains carry heartbeats of drawn members; members of other domains are forgotten after 900 s.

--- a/packages/decisions/sycamoreloft_decisions/_membership.py
+++ b/packages/decisions/sycamoreloft_decisions/_membership.py
@@ -9,10 +9,18 @@
 #: Seconds without progress after which a member is suspected.
 SUSPICION_S = 2.0
 
-#: Seconds without progress after which a member is forgotten.
+#: Seconds without progress after which a member of an own failure domain is
+#: forgotten.
 REMOVAL_S = 60.0
 
-#: Entries without progress for longer are not passed on, so that a member
+#: The same for members of other domains. News of them travels through members
+#: drawn from all: at 4,100 hosts and 16 heartbeats a second it takes minutes.
+FAR_REMOVAL_S = 900.0
+
+#: Members drawn for a digest to another failure domain.
+DRAWN = 32
+
+#: Members without progress for longer are not passed on, so that a member
 #: which some hosts have forgotten does not come back from others.
 RECENT_S = 10.0
 
@@ -171,6 +179,7 @@
         self._changed_at = 0.0
         self._turns: collections.deque[str] = collections.deque()
         self._turn_at = -TURN_S
+        self._drawn: list[str] = []
         self._near_round: list[str] = []
         self._round: list[str] = []
 
@@ -262,7 +271,7 @@
             target: Receiver; None for a host that is not known yet.
         """
         heartbeats: list[Progress] = []
-        if target is not None and self._is_near(target):
+        if target is not None:
             heartbeats = self._choose_heartbeats(now, target)
         entries: list[EntryType] = []
         left = DIGEST_BYTES
@@ -280,11 +289,19 @@
     def _choose_heartbeats(
         self, now: float, target: EntryType
     ) -> list[Progress]:
-        """Chooses members of the target's domain, in turn."""
+        """Chooses members to report, in turn.
+
+        A target of an own domain is told of that domain, whose hosts watch
+        each other. Others are told of any members, so that these are not
+        forgotten.
+        """
+        members = self._near.values()
+        if not self._is_near(target):
+            members = self._draw_members().values()
         recent = [
             member
-            for member in self._near.values()
-            if member.progress_at + SUSPICION_S > now
+            for member in members
+            if member.progress_at + RECENT_S > now
             and member.entry.host != target.host
             and member.counter >= 0
         ]
@@ -299,6 +316,16 @@
             for member in chosen
         ]
 
+    def _draw_members(self) -> dict[str, _Member[EntryType]]:
+        """Draws a few members, so that a round does not visit all."""
+        if not self._drawn:
+            self._drawn.extend(self._members)
+            self._generator.shuffle(self._drawn)
+        hosts, self._drawn = self._drawn[:DRAWN], self._drawn[DRAWN:]
+        return {
+            host: self._members[host] for host in hosts if host in self._members
+        }
+
     def _choose_members(
         self, now: float, target: EntryType | None
     ) -> list[_Member[EntryType]]:
@@ -340,8 +367,9 @@
         bring a forgotten member back.
         """
         for host, member in list(self._members.items()):
-            member.removed = member.progress_at + REMOVAL_S <= now
-            if member.progress_at + 2 * REMOVAL_S <= now:
+            limit = REMOVAL_S if host in self._near else FAR_REMOVAL_S
+            member.removed = member.progress_at + limit <= now
+            if member.progress_at + 2 * limit <= now:
                 del self._members[host]
                 self._near.pop(host, None)
 
--- a/packages/proof/sycamoreloft_proof/_bench_control.py
+++ b/packages/proof/sycamoreloft_proof/_bench_control.py
@@ -72,9 +72,12 @@
     host: _deployment.Host,
 ) -> abc.Mapping[str, typing.Any]:
     """Reads the state dump of a router."""
-    _, state = await _deployment.call(
-        "GET", f"http://{host.admin_address}/v1/state"
-    )
+    for _ in range(5):
+        status, state = await _deployment.call(
+            "GET", f"http://{host.admin_address}/v1/state"
+        )
+        if status == 200:
+            break
     return typing.cast(abc.Mapping[str, typing.Any], state)
 
 
