Give each permit of the alias test its own identifier

Cause: requests of one key that were sent at the same virtual time had the same identifier, so the desk answered them as repetitions and sometimes none was left in the queue: the test of queued requests failed in 4 of 18 runs.

Change: identifiers are counted; refusals are not given back.

--- a/packages/router/tests/test_alias_releases.py
+++ b/packages/router/tests/test_alias_releases.py
@@ -1,6 +1,7 @@
 """Tests of the adapter that waits for aliases, with two hosts."""
 
 import asyncio
+import itertools
 import pathlib
 import selectors
 import sys
@@ -148,7 +149,7 @@
             environment, group, accepted, None
         )
         self.task = asyncio.ensure_future(self.runtime.run())
-        self.answers = []
+        self.permits = itertools.count()
 
     def apply(self, accepted, pending=None):
         self.accepted = accepted
@@ -160,7 +161,7 @@
         partition = sycamoreloft_config.find_partition(
             fleet, "board", key, PARTITIONS
         )
-        permit = f"{key}-{time.monotonic()}"
+        permit = f"permit-{next(self.permits)}"
         message = sycamoreloft_wire.PermitRequest(
             str(self.runtime.group),
             permit,
@@ -301,8 +302,9 @@
         issued = len(answers)
         assert 0 < issued < 4 * len(KEYS)
         canonical.apply(MERGED)
-        for grant in answers[:issued]:
-            canonical.give_back(grant)
+        for answer in answers[:issued]:
+            if isinstance(answer, sycamoreloft_wire.PermitGrant):
+                canonical.give_back(answer)
         await asyncio.sleep(0.5)
         assert len(answers) == issued
         alias.apply(MERGED)
