Prove transfers between groups and cut the cost of renewals

Cause: a group whose upstreams all leave kept its partitions, because the moves inside the group came first and found no target. A partition that came back while its release was being written was never assigned again. A host that took a group with an older generation could assign what another group owns. Change: releases to other groups come first and redirect moves that are not written; a returned partition is assigned anew after the other groups' records were read again; nothing is assigned below the staged generation or before those records were read in this epoch. An answer to a renewal is handled for its upstream alone. Conclusion: a transfer is two writes, a release and an assignment, not one transaction; between them the partition has no owner.

--- a/packages/decisions/sycamoreloft_decisions/_group_holder.py
+++ b/packages/decisions/sycamoreloft_decisions/_group_holder.py
@@ -61,7 +61,7 @@
         """Handles an event and returns what to do, in order."""
         commands = self._dispatch(event, now)
         if self._holding:
-            commands += self._holding.advance(now)
+            commands += self._holding.advance_after(event, now)
             commands += self._notice_end(now)
         return commands
 
--- a/packages/decisions/sycamoreloft_decisions/_holding.py
+++ b/packages/decisions/sycamoreloft_decisions/_holding.py
@@ -220,6 +220,7 @@
             state.is_foreign_known = False
             self._read = None
             self._read_again_at = now
+            self._place_again_at = now
             if not state.is_group_declared():
                 self.end("no accepted file has the group, or it is lost")
                 return []
@@ -271,8 +272,26 @@
             return list(self._writer.read(now))
         return []
 
+    def advance_after(self, event: _ownership.Event, now: float) -> Commands:
+        """Does what is due after an event.
+
+        Most events are answers to renewals, which concern one upstream only;
+        the rest is looked at with the next tick.
+        """
+        if isinstance(event, _ownership.GrantAnswered):
+            book = self._state.books.get(event.upstream)
+            if (
+                book is not None
+                and event.upstream in self._state.upstreams
+                and not self._end_reason
+                and not len(self._state.moves)
+                and not book.needs_confirmation()
+            ):
+                return list(book.tick(now, self.may_act(now)))
+        return self.advance(now)
+
     def advance(self, now: float) -> Commands:
-        """Does what is due; called after each event."""
+        """Does what is due."""
         if self._end_reason:
             return []
         state = self._state
@@ -291,13 +310,16 @@
 
     def _plan(self, now: float) -> Commands:
         state = self._state
-        commands = _planning.plan_forced(state, now)
+        commands: Commands = []
+        is_due = now >= self._place_again_at
+        if is_due:
+            self._place_again_at = now + _timing.PLACEMENT_INTERVAL_S
+            commands += _planning.plan_away(state)
+        commands += _planning.plan_forced(state, now)
         if not state.is_settled(now):
             return commands
         _planning.plan_unassigned(state)
-        if now >= self._place_again_at:
-            self._place_again_at = now + _timing.PLACEMENT_INTERVAL_S
-            commands += _planning.plan_away(state)
+        if is_due:
             commands += _planning.plan_placement(state, now)
         return commands
 
--- a/packages/decisions/sycamoreloft_decisions/_holding_state.py
+++ b/packages/decisions/sycamoreloft_decisions/_holding_state.py
@@ -69,9 +69,9 @@
     )
     #: Partitions of this group that have no recorded owner.
     unassigned: set[_ownership.Unit] = dataclasses.field(default_factory=set)
-    #: Whether the records of the other groups are those of the accepted
-    #: generation or later.
-    is_foreign_known: bool = True
+    #: Whether the records of the other groups were read under the accepted
+    #: generation. Those read before the group was taken may be older.
+    is_foreign_known: bool = False
 
     def get_fleet(self) -> sycamoreloft_config.Fleet | None:
         """Returns the group's fleet, None if no file declares it now."""
@@ -98,6 +98,15 @@
         ]
         return min(limits, default=math.inf)
 
+    def is_generation_current(self) -> bool:
+        """Tells whether this host knows the generation that was staged.
+
+        A generation that a predecessor staged may be in force already, and
+        its partitions may have an owner in another group.
+        """
+        known = self.pending or self.generation
+        return known.number >= self.authority.get_row().staged
+
     def get_earlier_end(self) -> float:
         """Returns when all grants of earlier holders have certainly ended."""
         return min(self.earlier_end, self.offline_end)
--- a/packages/decisions/sycamoreloft_decisions/_move_steps.py
+++ b/packages/decisions/sycamoreloft_decisions/_move_steps.py
@@ -213,6 +213,7 @@
         move.phase = _moves.Phase.GRANTING
         if move.kind is _moves.Kind.AWAY:
             commands += state.moves.finish(move)
+            _reclaim(state, move.unit)
         elif move.kind is _moves.Kind.REFENCE:
             refenced[move.unit] = move.target
             commands += state.moves.finish(move)
@@ -223,6 +224,17 @@
     return commands
 
 
+def _reclaim(state: _holding_state.HoldingState, unit: _ownership.Unit) -> None:
+    """Assigns a partition anew that came back while its release was written.
+
+    Another group may have recorded it meanwhile, so the records are read
+    again first.
+    """
+    if not unit.key and state.belongs(unit):
+        state.unassigned.add(unit)
+        state.is_foreign_known = False
+
+
 def drop_superseded(
     state: _holding_state.HoldingState,
 ) -> _owners.Changes:
--- a/packages/decisions/sycamoreloft_decisions/_planning.py
+++ b/packages/decisions/sycamoreloft_decisions/_planning.py
@@ -130,26 +130,40 @@
 def plan_away(state: _holding_state.HoldingState) -> Commands:
     """Starts the release of units that belong to another group now."""
     commands: Commands = []
+    started = 0
     for unit in list(state.owners.list_all()):
-        if state.moves.get(unit) or state.belongs(unit):
-            continue
-        if _is_key_moving(state, unit):
-            continue
-        commands += _start_planned(state, unit, _moves.Kind.AWAY, "")
-    if commands:
-        count = len(commands)
+        move = state.moves.get(unit)
+        if move is not None:
+            _redirect(move, state.belongs(unit))
+        elif not state.belongs(unit) and not _is_key_moving(state, unit):
+            commands += _start_planned(state, unit, _moves.Kind.AWAY, "")
+            started += 1
+    if started:
         commands.append(
             state.explain(
-                f"{count} units leave the group: the accepted files give"
+                f"{started} units leave the group: the accepted files give"
                 " them to another group."
             )
         )
     return commands
 
 
+def _redirect(move: _moves.Move, belongs: bool) -> None:
+    """Adapts a move whose unit changed its group before it was written."""
+    if move.phase in (_moves.Phase.WRITING, _moves.Phase.GRANTING):
+        return
+    if belongs and move.kind is _moves.Kind.AWAY:
+        move.kind = _moves.Kind.ANYWHERE
+    elif not belongs and move.kind in (
+        _moves.Kind.ANYWHERE,
+        _moves.Kind.CHOSEN,
+    ):
+        move.kind = _moves.Kind.AWAY
+
+
 def plan_unassigned(state: _holding_state.HoldingState) -> None:
     """Starts the assignment of partitions that have no recorded owner."""
-    if not state.is_foreign_known:
+    if not state.is_foreign_known or not state.is_generation_current():
         return
     for unit in state.unassigned:
         if state.moves.get(unit) or state.owners.is_foreign(unit):
--- a/packages/decisions/tests/test_grants.py
+++ b/packages/decisions/tests/test_grants.py
@@ -9,6 +9,9 @@
 
 UNIT = sycamoreloft_decisions.Unit("board", 1)
 NEVER = float("inf")
+#: Times of the first two renewals after the grant at 0.02 s.
+FIRST = 0.05 + _timing.RENEWAL_INTERVAL_S
+SECOND = FIRST + 0.05 + _timing.RENEWAL_INTERVAL_S
 
 
 class Caller:
@@ -74,10 +77,10 @@
 
 def test_delayed_renewal_after_a_move_keeps_the_unit(caller):
     """Guards against a late grant that brings the unit back."""
-    delayed = caller.send(0.25)
+    delayed = caller.send(FIRST)
     caller.book.fail(delayed.call)
     removal = caller.book.change({}, [UNIT])
-    caller.answer(caller.send(0.3), 0.31)
+    caller.answer(caller.send(FIRST + 0.01), FIRST + 0.02)
     end = 0.03 + _timing.GRANT_CERTAIN_END_S
     assert not caller.book.is_released(removal, end - 0.01, NEVER)
     assert caller.book.is_released(removal, end, NEVER)
@@ -85,18 +88,18 @@
 
 def test_lost_answer_counts_as_granted(caller):
     """Guards against a wait that forgets a grant without an answer."""
-    caller.answer(caller.send(0.25), 0.26)
-    lost = caller.send(0.5)
+    caller.answer(caller.send(FIRST), FIRST + 0.01)
+    lost = caller.send(SECOND)
     caller.book.fail(lost.call)
     removal = caller.book.change({}, [UNIT])
-    end = 0.26 + _timing.GRANT_CERTAIN_END_S
+    end = FIRST + 0.01 + _timing.GRANT_CERTAIN_END_S
     assert not caller.book.is_released(removal, end - 0.01, 0.0)
     assert caller.book.is_released(removal, end, 0.0)
 
 
 def test_late_answer_of_an_abandoned_call_is_ignored(caller):
     """Guards against an old incarnation that passes for a new one."""
-    old = caller.send(0.25)
+    old = caller.send(FIRST)
     caller.book.fail(old.call)
     removal = caller.book.change({}, [UNIT])
     caller.answer(old, 0.5, incarnation="i0")
@@ -113,10 +116,10 @@
 def test_restarted_upstream_is_released_and_waits_for_confirmation(caller):
     """Guards against grants of a replaced holder after a restart."""
     removal = caller.book.change({}, [UNIT])
-    caller.answer(caller.send(0.3), 0.31, False, "i2")
-    assert caller.book.is_released(removal, 0.31, NEVER)
+    caller.answer(caller.send(FIRST), FIRST + 0.01, False, "i2")
+    assert caller.book.is_released(removal, FIRST + 0.01, NEVER)
     assert caller.book.needs_confirmation()
-    assert caller.send(0.6).clock_reading is None
+    assert caller.send(SECOND).clock_reading is None
     caller.book.confirm("i1")
     assert caller.book.needs_confirmation()
     caller.book.confirm("i2")
@@ -137,8 +140,8 @@
 
 def test_renewal_sends_the_latest_reading_and_no_content(caller):
     """Guards against renewals that are counted from an old reading."""
-    renewal = caller.send(0.25)
+    renewal = caller.send(FIRST)
     assert renewal.clock_reading == pytest.approx(100.03)
     assert renewal.partitions is None
-    caller.answer(renewal, 0.26, accepted=False)
-    assert caller.send(0.5).partitions == {"board": {1: 3}}
+    caller.answer(renewal, FIRST + 0.01, accepted=False)
+    assert caller.send(SECOND).partitions == {"board": {1: 3}}
--- a/packages/decisions/tests/test_group_holder.py
+++ b/packages/decisions/tests/test_group_holder.py
@@ -264,7 +264,10 @@
     generation = make_generation(2, ("d", "e"))
     world.change_generation(generation)
     world.run(2.0)
-    released = [partition for _, partition, _ in world.list_unserved()]
+    records = world.store.list_records()
+    released = [
+        item for item in range(12) if ("board", item, "") not in records
+    ]
     foreign = {
         "upstreams": ["e-u0"],
         "units": [released],
--- a/packages/decisions/tests/test_ownership_fuzz.py
+++ b/packages/decisions/tests/test_ownership_fuzz.py
@@ -111,7 +111,7 @@
         self.world.heal()
         self.world.run(1.0)
         link = (self.world.find_standby(), self.world.find_holder())
-        self.world.link_delays[link] = 0.45
+        self.world.link_delays[link] = 0.58
         self.world.run(0.6)
         self.world.cut_off_holder({self.focus}, with_standby=False)
         self.world.run(2.5)
--- a/packages/proof/sycamoreloft_proof/_ownership_adapter.py
+++ b/packages/proof/sycamoreloft_proof/_ownership_adapter.py
@@ -37,10 +37,8 @@
     is_alive: bool = True
     #: True time until which it is paused.
     paused_until: float = 0.0
-    #: Units held back, with the true time at which they are drained.
-    held: set[sycamoreloft_decisions.Unit] = dataclasses.field(
-        default_factory=set
-    )
+    #: Numbers of the accepted and the pending generation that it applies.
+    head: tuple[int, int] = (0, 0)
 
 
 class OwnershipAdapter:
@@ -51,6 +49,7 @@
         group: The group.
         host_names: Hosts of the group's failure domain.
         seed: Seed of delays and clocks.
+        store: Store that other groups use too, None for an own one.
     """
 
     def __init__(
@@ -59,13 +58,18 @@
         group: sycamoreloft_config.GroupName,
         host_names: abc.Sequence[str],
         seed: int,
+        store: _ownership_fakes.FakeStore | None = None,
     ) -> None:
         self.generation = generation
+        #: The pending generation, None for none.
+        self.pending: sycamoreloft_config.Generation | None = None
         self.group = group
         self.random = random.Random(seed)
         self.now = 0.0
-        self.oracle = _ownership_oracle.OwnershipOracle()
-        self.store = _ownership_fakes.FakeStore(self.oracle)
+        self.store = store or _ownership_fakes.FakeStore(
+            _ownership_oracle.OwnershipOracle()
+        )
+        self.oracle = self.store.oracle
         #: Longest one-way delay of the network, in seconds.
         self.maximum_delay_s = 0.002
         #: Share of messages that are lost.
@@ -124,6 +128,7 @@
         )
         host = Host(name, machine, rate, offset, process)
         self.hosts[name] = host
+        self.deliver(host, self._make_head_event())
         self.schedule(self.random.uniform(0, TICK_S), lambda: self._tick(host))
 
     def schedule(self, delay: float, action: abc.Callable[[], None]) -> None:
@@ -187,6 +192,12 @@
 
     def deliver(self, host: Host, event: sycamoreloft_decisions.Event) -> None:
         """Lets a host handle an event and send its commands later."""
+        if isinstance(event, sycamoreloft_decisions.GenerationChanged):
+            pending = event.pending.number if event.pending else 0
+            head = (event.generation.number, pending)
+            if head < host.head:
+                return
+            host.head = head
         if isinstance(event, sycamoreloft_decisions.WriteStored):
             key = (host.name, host.process, event.call)
             for unit, (_, fence) in self._expected.pop(key, {}).items():
@@ -249,10 +260,7 @@
             case sycamoreloft_decisions.AskStepDown():
                 self._ask_step_down(command, host)
             case sycamoreloft_decisions.HoldUnit(unit):
-                host.held.add(unit)
                 self.schedule(0.01, lambda: self._drain(host, unit))
-            case sycamoreloft_decisions.ReleaseUnit(unit):
-                host.held.discard(unit)
             case _:
                 pass
 
@@ -298,6 +306,7 @@
                 version,
                 sycamoreloft_decisions.decode_tables(rows),
             )
+            self._answer_store(host, self._make_head_event())
             self._answer_store(host, event)
 
         self._call_store(host, arrive)
@@ -307,6 +316,7 @@
     def _write_rows(
         self, command: sycamoreloft_decisions.WriteRows, host: Host
     ) -> None:
+        head = host.head
         puts: dict[str, typing.Any] = dict(command.puts)
         puts[command.row_key] = sycamoreloft_decisions.encode_group_row(
             command.row
@@ -315,9 +325,12 @@
         def arrive() -> None:
             if self.store.is_down:
                 return
-            version = self.store.write(
-                command.row_key, command.row_version, puts
-            )
+            version = None
+            # Taking a group is conditional on the generations, too.
+            if command.row.heartbeat > 1 or head == self.get_head():
+                version = self.store.write(
+                    command.row_key, command.row_version, puts
+                )
             event: sycamoreloft_decisions.Event
             if version is None:
                 event = sycamoreloft_decisions.WriteRefused(command.call)
@@ -334,6 +347,16 @@
         unanswered = sycamoreloft_decisions.WriteUnanswered(command.call)
         self._report_later(host, unanswered)
 
+    def get_head(self) -> tuple[int, int]:
+        """Returns the numbers of the accepted and the pending generation."""
+        pending = self.pending.number if self.pending else 0
+        return (self.generation.number, pending)
+
+    def _make_head_event(self) -> sycamoreloft_decisions.GenerationChanged:
+        return sycamoreloft_decisions.GenerationChanged(
+            self.generation, self.pending
+        )
+
     def _call_store(self, host: Host, action: abc.Callable[[], None]) -> None:
         if self.is_cut(host.name, "store"):
             return
--- a/packages/proof/sycamoreloft_proof/_ownership_fakes.py
+++ b/packages/proof/sycamoreloft_proof/_ownership_fakes.py
@@ -163,7 +163,7 @@
     """
 
     def __init__(self, oracle: _ownership_oracle.OwnershipOracle) -> None:
-        self._oracle = oracle
+        self.oracle = oracle
         self._rows: dict[str, tuple[int, typing.Any]] = {}
         self._versions = itertools.count(1)
         self.is_down = False
@@ -200,7 +200,7 @@
         for key, value in puts.items():
             self._rows[key] = (next(self._versions), value)
         for unit, (upstream, fence) in self.list_records().items():
-            self._oracle.note_record(unit, upstream, fence)
+            self.oracle.note_record(unit, upstream, fence)
         return self._rows[row_key][0]
 
     def put(self, key: str, value: typing.Any) -> None:
--- a/packages/proof/sycamoreloft_proof/_ownership_world.py
+++ b/packages/proof/sycamoreloft_proof/_ownership_world.py
@@ -1,6 +1,7 @@
 """One group in virtual time, with faults, requests and questions."""
 
 from collections import abc
+import functools
 
 import sycamoreloft_config
 import sycamoreloft_decisions
@@ -66,16 +67,36 @@
         self, generation: sycamoreloft_config.Generation
     ) -> None:
         """Brings a generation into force on hosts that reach the store."""
+        self.adopt_generation(generation, None)
+        event = sycamoreloft_decisions.GenerationChanged(generation)
+        for host in self.hosts.values():
+            if not self.is_cut(host.name, "store"):
+                self._deliver_later(host, event)
+
+    def adopt_generation(
+        self,
+        generation: sycamoreloft_config.Generation,
+        pending: sycamoreloft_config.Generation | None,
+    ) -> None:
+        """Makes a generation the one that hosts start with."""
         self.generation = generation
+        self.pending = pending
         self.fleet = generation.fleets[self.group.fleet]
         for upstream in sycamoreloft_config.list_group_upstreams(
             self.fleet, self.group
         ):
             self.add_upstream(upstream)
-        event = sycamoreloft_decisions.GenerationChanged(generation)
+
+    def announce_generation(self, longest_delay_s: float) -> None:
+        """Tells each host of the generations, at a time of its own."""
+        event = sycamoreloft_decisions.GenerationChanged(
+            self.generation, self.pending
+        )
         for host in self.hosts.values():
-            if not self.is_cut(host.name, "store"):
-                self._deliver_later(host, event)
+            self.schedule(
+                self.random.uniform(0, longest_delay_s),
+                functools.partial(self._deliver_later, host, event),
+            )
 
     def _deliver_later(
         self, host: Host, event: sycamoreloft_decisions.Event
@@ -156,7 +177,9 @@
         )
         if accepting is None:
             return False
-        upstream = self.upstreams[accepting.upstream]
+        upstream = self.upstreams.get(accepting.upstream)
+        if upstream is None:
+            return False
         if not upstream.is_alive or upstream.frozen_until > self.now:
             return False
         for host in self.hosts.values():
