Add an answer that names the permits of lost upstreams

Cause: a request in flight on a frozen upstream waits until its deadline, although the holder of the group knows that the upstream is lost. Change: the message PermitReportAnswer (code 18) answers a permit report whose permits belong to lost upstreams; other reports are still answered by Acknowledgement, so hosts of the earlier layout see the new code only after a loss. Conclusion: the interface only; holder and permit source follow.

--- a/packages/wire/sycamoreloft_wire/_codec.py
+++ b/packages/wire/sycamoreloft_wire/_codec.py
@@ -35,6 +35,7 @@
     15: _messages.GenerationAnswer,
     16: _messages.SuspectNotice,
     17: _messages.Acknowledgement,
+    18: _messages.PermitReportAnswer,
 }
 
 _CODES: abc.Mapping[type[typing.Any], int] = {
--- a/packages/wire/sycamoreloft_wire/_messages.py
+++ b/packages/wire/sycamoreloft_wire/_messages.py
@@ -201,6 +201,18 @@
     permits: abc.Sequence[PermitInUse]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitReportAnswer:
+    """Answer to a permit report that names permits of lost upstreams.
+
+    A report without such permits is answered by `Acknowledgement`.
+    """
+
+    #: Permits of the report whose upstream is lost: their requests get no
+    #: answer and may have run.
+    lost: abc.Sequence[str]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimRequest:
     """Asks for the right to run an operation at most once."""
@@ -291,6 +303,7 @@
     | PermitRefusal
     | PermitReturn
     | PermitReport
+    | PermitReportAnswer
     | ClaimRequest
     | ClaimAnswer
     | ClaimResult
