Account for slots only by unlapsed permits, and fuzz drained partitions

A permit that had lapsed before the last but one takeover was reported late; its return freed a slot that the holder in between had issued again. Change: a report tells whether a permit is unlapsed, and only then does its return free a slot before the validity has passed since the takeover. The default is the safe one. Histories hold and release partitions, and an oracle checks that nothing of a drained partition is in use.

--- a/packages/decisions/sycamoreloft_decisions/_balancing.py
+++ b/packages/decisions/sycamoreloft_decisions/_balancing.py
@@ -76,18 +76,18 @@
         self.available = True
         self.update_capacity()
 
-    def account(self) -> None:
+    def account(self, unlapsed: bool) -> None:
         """Counts a permit of an earlier holder that a host reported."""
         self.in_use += 1
-        self._accounted += 1
+        self._accounted += unlapsed
         self.update_capacity()
 
     def update_capacity(self) -> None:
         """Computes the capacity after one of its parts changed."""
         capacity = int(self.limiter.limit)
         if self.recovering:
-            # Only a slot whose permit was reported, and then returned, is
-            # known to be free.
+            # Only a slot whose unlapsed permit was reported, and then
+            # returned, is known to be free.
             capacity = min(capacity, self._accounted)
         self.capacity = min(capacity, self.slots)
 
--- a/packages/decisions/sycamoreloft_decisions/_permit_admission.py
+++ b/packages/decisions/sycamoreloft_decisions/_permit_admission.py
@@ -314,7 +314,7 @@
             asked, upstream, now, self._quarantine.order, learned=True
         )
         self._permits[used.permit] = permit
-        upstream.account()
+        upstream.account(used.unlapsed)
         self._running.setdefault(used.fingerprint, []).append(used.upstream)
         for hold in self._waiting.holds:
             if hold.concerns(permit):
--- a/packages/decisions/sycamoreloft_decisions/_permit_events.py
+++ b/packages/decisions/sycamoreloft_decisions/_permit_events.py
@@ -87,6 +87,12 @@
     #: Deadline of the request on the clock of the holder; None if the report
     #: does not tell, then the longest deadline of the options counts.
     deadline: float | None = None
+    #: Whether less than the validity has passed between the sending of the
+    #: last acknowledged report of the permit (or the time from which its grant
+    #: is valid) and the sending of this report. Only then is it certain that
+    #: no holder in between has issued the slot again, so that the slot is
+    #: free once the permit is returned.
+    unlapsed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/decisions/tests/test_permit_fuzz.py
+++ b/packages/decisions/tests/test_permit_fuzz.py
@@ -12,6 +12,8 @@
 
 SLOTS = {"a": 2, "b": 1}
 VALIDITY_S = 1.0
+#: Partitions by candidates; a request for either upstream is unkeyed.
+PARTITIONS = {("a",): 1, ("b",): 2, ("a", "b"): -1}
 
 
 class Host:
@@ -26,6 +28,7 @@
         self.held = {}
         self.running = {}
         self.valid_from = -10.0
+        self.renewed_at = {}
 
 
 class PermitMachine(_random_histories.Machine):
@@ -45,6 +48,8 @@
         "take_over": 1,
         "find_holder": 2,
         "lose_host": 1,
+        "hold": 1,
+        "release": 1,
     }
     takeover_waits = True
 
@@ -55,6 +60,8 @@
         self.epoch = 1
         self.count = 0
         self.issued = 0
+        self.drained = 0
+        self.partitions = {}
         self.hosts = [Host(f"h{number}", 1) for number in range(3)]
         self.lost_hosts = []
         self.open_desk(fresh=True)
@@ -71,24 +78,34 @@
                 for host in self.hosts:
                     if host.name == command.host:
                         host.to_host.append((self.epoch, command))
+            elif isinstance(command, events.PartitionDrained):
+                self.drained += 1
+                permits = {
+                    permit
+                    for permit, partition in self.partitions.items()
+                    if partition == command.partition
+                }
+                self.oracle.check_drained(permits, self.now)
 
     def ask(self, generator):
         host = _random_histories.choose(self.hosts, generator)
         self.count += 1
         permit = f"{host.name}/{self.count}"
         patience_s = generator.choice([0.5, 2.0, 5.0])
+        candidates = generator.choice(list(PARTITIONS))
+        self.partitions[permit] = PARTITIONS[candidates]
         asked = events.PermitAsked(
             permit=permit,
             host=host.name,
             fleet="sledworks",
             service="tally-board",
             key="",
-            partition=-1,
+            partition=PARTITIONS[candidates],
             fingerprint=self.count.to_bytes(16, "big"),
             caller="c",
             priority=_nodes.Priority.NORMAL,
             deadline=self.now + patience_s,
-            candidates=generator.choice([("a",), ("b",), ("a", "b")]),
+            candidates=candidates,
         )
         host.asked[permit] = (self.now, asked.deadline)
         host.to_desk.append(asked)
@@ -105,7 +122,14 @@
         }
         used = [
             events.UsedPermit(
-                permit, upstream, "sledworks", "tally-board", -1, b"f" * 16
+                permit,
+                upstream,
+                "sledworks",
+                "tally-board",
+                self.partitions[permit],
+                b"f" * 16,
+                None,
+                host.renewed_at[permit] + VALIDITY_S > self.now,
             )
             for permit, upstream in (usable | host.running).items()
         ]
@@ -124,8 +148,10 @@
         self.send(events.PermitsReported(host.name, used))
         if self.now < self.opened_at + VALIDITY_S:
             for item in used:
-                self.oracle.renew(item.permit, self.epoch)
-        host.to_host.append((self.epoch, sent_at))
+                if item.unlapsed:
+                    self.oracle.renew(item.permit, self.epoch)
+        permits = [item.permit for item in used]
+        host.to_host.append((self.epoch, (sent_at, permits)))
 
     def deliver_to_host(self, generator):
         host = _random_histories.choose(
@@ -134,9 +160,11 @@
         if host is None:
             return
         epoch, message = host.to_host.popleft()
-        if isinstance(message, float):
+        if isinstance(message, tuple):
+            sent_at, permits = message
             if epoch == host.epoch:
-                host.valid_from = max(host.valid_from, message)
+                host.valid_from = max(host.valid_from, sent_at)
+                host.renewed_at.update(dict.fromkeys(permits, sent_at))
             return
         permit = message.permit
         asked_at, deadline = host.asked.pop(permit, (-10.0, -10.0))
@@ -147,6 +175,7 @@
             return
         self.issued += 1
         host.held[permit] = message.upstream
+        host.renewed_at[permit] = valid_from
         host.asked[permit] = (usable_until, deadline)
         self.oracle.receive(permit, message.upstream, usable_until, epoch)
 
@@ -200,6 +229,14 @@
         self.epoch = self.oracle.change_holder()
         self.open_desk(fresh=not self.takeover_waits)
 
+    def hold(self, generator):
+        number = generator.choice([1, 2])
+        self.send(events.PartitionHeld("sledworks", "tally-board", number))
+
+    def release(self, generator):
+        number = generator.choice([1, 2])
+        self.send(events.PartitionReleased("sledworks", "tally-board", number))
+
     def find_holder(self, generator):
         late = [host for host in self.hosts if host.epoch != self.epoch]
         host = _random_histories.choose(late, generator)
--- a/packages/decisions/tests/test_permits.py
+++ b/packages/decisions/tests/test_permits.py
@@ -51,7 +51,7 @@
         return self.send(events.DeskTick())
 
 
-def used(permit, upstream="a", partition=3, deadline=None):
+def used(permit, upstream="a", partition=3, deadline=None, unlapsed=True):
     return events.UsedPermit(
         permit,
         upstream,
@@ -60,6 +60,7 @@
         partition,
         b"f" * 16,
         deadline,
+        unlapsed,
     )
 
 
@@ -163,6 +164,16 @@
     assert list_issued(driver.tick(0.2)) == ["h/2"]
 
 
+def test_lapsed_permit_does_not_account_for_a_slot():
+    """Guards against a slot that a holder in between has issued again."""
+    driver = Driver(fresh=False)
+    driver.open("a", slots=1)
+    report = [used("x/1", unlapsed=False)]
+    driver.send(events.PermitsReported("x", report))
+    driver.end("x/1")
+    assert list_issued(driver.ask("a")) == []
+
+
 @pytest.mark.parametrize("candidates", [("a",), ("a", "b")])
 def test_requests_wait_for_upstreams_right_after_a_takeover(candidates):
     """Guards against errors until the upstreams answer the new holder."""
--- a/packages/proof/sycamoreloft_proof/_request_oracle.py
+++ b/packages/proof/sycamoreloft_proof/_request_oracle.py
@@ -77,16 +77,9 @@
 
     def check(self, now: float) -> None:
         """Raises if an upstream has more permits than slots."""
-        counts: collections.Counter[str] = collections.Counter()
-        lapsed = 0
-        for use in self._uses.values():
-            if not use.running and use.usable_until <= now:
-                continue
-            if use.renewed_epoch < self._epoch and use.usable_until <= now:
-                lapsed += 1
-                continue
-            counts[use.upstream] += 1
-        self.lapsed = max(self.lapsed, lapsed)
+        counts = collections.Counter(
+            self._uses[permit].upstream for permit in self._list_active(now)
+        )
         for upstream, count in counts.items():
             if count > self._slots[upstream]:
                 raise OracleError(
@@ -94,6 +87,28 @@
                     f" {self._slots[upstream]} slots at {now:.3f} s"
                 )
 
+    def check_drained(self, permits: abc.Container[str], now: float) -> None:
+        """Raises if one of the permits is in use or may still be used."""
+        for permit in self._list_active(now):
+            if permit in permits:
+                raise OracleError(
+                    f"the permit {permit} of a drained partition is in use"
+                    f" at {now:.3f} s"
+                )
+
+    def _list_active(self, now: float) -> list[str]:
+        active = []
+        lapsed = 0
+        for permit, use in self._uses.items():
+            if not use.running and use.usable_until <= now:
+                continue
+            if use.renewed_epoch < self._epoch and use.usable_until <= now:
+                lapsed += 1
+            else:
+                active.append(permit)
+        self.lapsed = max(self.lapsed, lapsed)
+        return active
+
 
 class RunOracle:
     """Counts the runs of each request id, and compares what callers hear."""
