Keep overflow away from ejected upstreams and bound ejections

Cause: an upstream that failed fast attracted what the others had no slot for, and the duration of its ejection overflowed after 1,024 ejections, which stopped the desk with an OverflowError. Change: ejected upstreams are used only if all available ones are ejected, and leave shared queues to the others; failures during an ejection do not make it longer; one failure after it is enough for the next.

--- a/packages/decisions/sycamoreloft_decisions/_balancing.py
+++ b/packages/decisions/sycamoreloft_decisions/_balancing.py
@@ -14,6 +14,10 @@
 #: Longest ejection, in seconds.
 LONGEST_EJECTION_S = 60.0
 
+#: Ejections in a row that are counted; more of them made the computation of
+#: the duration overflow.
+MOST_EJECTIONS = 10
+
 #: Seconds after which the latency of an idle upstream is no longer trusted,
 #: so that an upstream that was slow once is tried again.
 STALE_S = 5.0
@@ -122,11 +126,15 @@
         self.limiter.decrease()
         self.update_capacity()
         self._failures += 1
-        if self._failures >= EJECTION_FAILURES:
-            self._failures = 0
-            duration_s = EJECTION_S * 2.0**self._ejections
-            self._ejections += 1
-            self.ejected_until = now + min(duration_s, LONGEST_EJECTION_S)
+        # A keyed upstream is used while it is ejected, which must not make
+        # its ejection longer.
+        if self._failures < EJECTION_FAILURES or self.ejected_until > now:
+            return
+        # One more failure after the ejection is enough for the next one.
+        self._failures = EJECTION_FAILURES - 1
+        duration_s = min(EJECTION_S * 2.0**self._ejections, LONGEST_EJECTION_S)
+        self._ejections = min(self._ejections + 1, MOST_EJECTIONS)
+        self.ejected_until = now + duration_s
 
     def compute_score(self, now: float) -> float:
         """Returns the expected delay of one more request; less is better."""
@@ -142,8 +150,9 @@
 ) -> UpstreamState | None:
     """Chooses a free upstream: the better one of two random candidates.
 
-    Ejected upstreams are used only when no other one is free; ejection
-    therefore never empties the set.
+    Ejected upstreams are used only when no other one is available; ejection
+    therefore never empties the set. They are not used when the others are
+    full, because an upstream that fails fast would attract what overflows.
     """
     count = len(candidates)
     if count == 1:
@@ -172,10 +181,10 @@
 def _choose_best(
     candidates: abc.Sequence[UpstreamState], now: float
 ) -> UpstreamState | None:
-    free = [upstream for upstream in candidates if upstream.is_free()]
-    healthy = [upstream for upstream in free if upstream.ejected_until <= now]
+    usable = [upstream for upstream in candidates if upstream.available]
+    healthy = [each for each in usable if each.ejected_until <= now]
     return min(
-        healthy or free,
+        (each for each in healthy or usable if each.is_free()),
         key=lambda upstream: upstream.compute_score(now),
         default=None,
     )
--- a/packages/decisions/sycamoreloft_decisions/_permit_admission.py
+++ b/packages/decisions/sycamoreloft_decisions/_permit_admission.py
@@ -238,8 +238,13 @@
         commands: Commands,
     ) -> None:
         """Starts queued requests while the upstream has free slots."""
+        # Others serve what waits for several upstreams, unless all are ejected.
+        own_only = upstream.ejected_until > now and any(
+            each.available and each.ejected_until <= now
+            for each in self._upstreams.values()
+        )
         while upstream.is_free():
-            ticket = self._waiting.take_next(upstream.name)
+            ticket = self._waiting.take_next(upstream.name, own_only)
             if ticket is None:
                 return
             asked = ticket.asked
--- a/packages/decisions/sycamoreloft_decisions/_permit_waiting.py
+++ b/packages/decisions/sycamoreloft_decisions/_permit_waiting.py
@@ -117,14 +117,22 @@
         else:
             del self.suspects[ticket]
 
-    def take_next(self, upstream: str) -> _permit_records.Ticket | None:
+    def take_next(
+        self, upstream: str, own_only: bool
+    ) -> _permit_records.Ticket | None:
         """Removes the next queued request for an upstream.
 
         Lanes that share an upstream are served in turn.
+
+        Args:
+            upstream: Name of the upstream.
+            own_only: Whether requests that others may run are left to them.
         """
         lanes = self._lanes_of.get(upstream, [])
         for index, lane in enumerate(lanes):
-            ticket = lane.pop(upstream) if lane.size else None
+            if not lane.size or (own_only and lane.shared):
+                continue
+            ticket = lane.pop(upstream)
             if ticket is not None:
                 lanes.append(lanes.pop(index))
                 del self.tickets[ticket.asked.permit]
--- a/packages/decisions/tests/test_permits.py
+++ b/packages/decisions/tests/test_permits.py
@@ -312,6 +312,21 @@
     assert limiter.limit == 8
 
 
+def test_ejected_upstream_gets_no_overflow_and_endless_failures_do_no_harm():
+    """Guards against an upstream that fails fast and attracts requests."""
+    driver = Driver()
+    driver.open("a", "b", slots=1)
+    for _ in range(6000):
+        permit = list_issued(driver.ask("a"))[0]
+        driver.end(permit, "did-not-run", connection_lost=True)
+        driver.now += 0.1
+    driver.ask("b", deadline=driver.now + 10.0)
+    assert list_issued(driver.ask("a", "b", fingerprint=b"g")) == []
+    driver.now += 2 * _balancing.LONGEST_EJECTION_S
+    asked = driver.ask("a", "b", deadline=driver.now + 1.0, fingerprint=b"h")
+    assert [command.upstream for command in asked] == ["a"]
+
+
 def test_ejection_prefers_others_and_never_empties_the_set(driver):
     """Guards against refusing everybody when every upstream fails."""
     driver.open("a", "b", slots=1)
