Let requests wait while a generation is pending

Change: the holder keeps such requests for at most 2 s and asks again when the generation is settled; comparisons of generations have a module of their own. Conclusion: a submission costs callers a delay, not an error.

--- a/packages/router/sycamoreloft_router/_group_runtime.py
+++ b/packages/router/sycamoreloft_router/_group_runtime.py
@@ -10,10 +10,12 @@
 import sycamoreloft_config
 import sycamoreloft_decisions
 from sycamoreloft_router import (
+    _generation_checks,
     _group_calls,
     _group_claims,
     _group_permits,
     _logs,
+    _parked_requests,
     _peer_server,
 )
 import sycamoreloft_wire
@@ -41,6 +43,7 @@
         self._environment = environment
         self._accepted = accepted
         self._pending = pending
+        self._parked = _parked_requests.ParkedRequests()
         self._starts = 0
         self._machine = self._make_machine()
         self._calls = _group_calls.GroupCalls(
@@ -90,6 +93,12 @@
         self._ticks += 1
         self._feed(self._environment.directory.observe_members(self.group))
         self._feed(sycamoreloft_decisions.Tick())
+        self._parked.retry(
+            lambda message: self._is_unsettled(
+                message.generation, message.fleet, message.service
+            ),
+            self._ask_now,
+        )
         if self._permits is not None:
             self._environment.aliases.tick()
             self._permits.tick()
@@ -112,18 +121,14 @@
         pending: sycamoreloft_config.Generation | None,
     ) -> None:
         """Applies another accepted or pending generation."""
-        old_fleet = self._accepted.fleets.get(self.group.fleet)
+        has_other_groups = _generation_checks.changes_groups(
+            self._accepted, accepted, self.group.fleet
+        )
         self._accepted, self._pending = accepted, pending
         fleet = accepted.fleets.get(self.group.fleet)
         if fleet is not None and self._permits is not None:
             self._permits.change_fleet(fleet)
-        if (
-            self._claims is not None
-            and fleet is not None
-            and old_fleet is not None
-            and sycamoreloft_config.list_groups(fleet)
-            != sycamoreloft_config.list_groups(old_fleet)
-        ):
+        if has_other_groups and self._claims is not None:
             self._claims.reload()
         self._feed(sycamoreloft_decisions.GenerationChanged(accepted, pending))
 
@@ -139,6 +144,18 @@
         reply: _peer_server.Reply,
     ) -> None:
         """Answers a permit request, perhaps later."""
+        waits = self._permits is not None and self._is_unsettled(
+            message.generation, message.fleet, message.service
+        )
+        if not waits or not self._parked.add(message, reply):
+            self._ask_now(message, reply)
+
+    def _ask_now(
+        self,
+        message: sycamoreloft_wire.PermitRequest,
+        reply: _peer_server.Reply,
+    ) -> None:
+        """Passes a request to the permit desk, or refuses it."""
         reason, retry_after_ms = self._check_request(
             message.generation, message.fleet, message.service
         )
@@ -159,18 +176,23 @@
             return "no-holder", 50
         if generation < self._accepted.number:
             return "stale-generation", 0
-        if generation > self._accepted.number:
-            return "configuration-pending", 100
-        if self._pending is not None and not sycamoreloft_config.is_alike(
-            self._accepted, self._pending, fleet, service
-        ):
+        if self._is_unsettled(generation, fleet, service):
             return "configuration-pending", 100
         if not self._environment.aliases.is_released(fleet, service):
             return "configuration-pending", 100
         return "", 0
 
+    def _is_unsettled(self, generation: int, fleet: str, service: str) -> bool:
+        """Tells whether it is open which generation a request falls under."""
+        if generation > self._accepted.number:
+            return True
+        return self._pending is not None and not sycamoreloft_config.is_alike(
+            self._accepted, self._pending, fleet, service
+        )
+
     def return_permit(self, message: sycamoreloft_wire.PermitReturn) -> None:
         """Takes a permit back."""
+        self._parked.forget(message.permit)
         if self._permits is not None:
             self._permits.return_permit(message)
 
@@ -195,28 +217,15 @@
         elif message.generation < self._accepted.number:
             reply(sycamoreloft_wire.ClaimAnswer("stale-generation"))
         elif message.generation > self._accepted.number or (
-            self._changes_claim_holders()
+            self._pending is not None
+            and _generation_checks.changes_groups(
+                self._accepted, self._pending, self.group.fleet
+            )
         ):
             reply(sycamoreloft_wire.ClaimAnswer("unavailable"))
         else:
             self._claims.ask(message, reply)
 
-    def _changes_claim_holders(self) -> bool:
-        """Tells whether the pending generation changes the fleet's groups.
-
-        The holder of a request id may then be another one, so no claim is
-        taken until it is known which generation is in force.
-        """
-        if self._pending is None:
-            return False
-        before = self._accepted.fleets.get(self.group.fleet)
-        after = self._pending.fleets.get(self.group.fleet)
-        if before is None or after is None:
-            return True
-        return sycamoreloft_config.list_groups(
-            before
-        ) != sycamoreloft_config.list_groups(after)
-
     def report_claim_result(
         self, message: sycamoreloft_wire.ClaimResult
     ) -> None:
@@ -341,7 +350,9 @@
         command: sycamoreloft_decisions.SendGrant,
         reply: _peer_server.Reply | None,
     ) -> None:
-        upstream = self._find_upstream(command.upstream)
+        upstream = _generation_checks.find_upstream(
+            self.group.fleet, command.upstream, self._accepted, self._pending
+        )
         self._spawn(self._calls.send_grant(upstream, command))
 
     @_perform.register
@@ -428,16 +439,6 @@
             decision=command.sentence,
         )
 
-    def _find_upstream(self, name: str) -> sycamoreloft_config.Upstream | None:
-        """Finds an upstream, also one that only the pending file has left."""
-        for generation in (self._accepted, self._pending):
-            fleet = (
-                generation.fleets.get(self.group.fleet) if generation else None
-            )
-            if fleet is not None and name in fleet.upstreams:
-                return fleet.upstreams[name]
-        return None
-
     def _observe_grant(
         self,
         upstream: sycamoreloft_config.Upstream,
@@ -487,6 +488,7 @@
             )
         if claims is not None:
             claims.close()
+        self._parked.retry(lambda message: False, self._ask_now)
 
     def _share_suspects(
         self, command: sycamoreloft_decisions.ShareSuspects
