Measure the slopes of holders, claims and acceptance

Cause: the capacity page needs the cost of every role. Change: a settled holder, claim books and acceptance reads at four sizes.

--- a/packages/proof/sycamoreloft_proof/capacity.py
+++ b/packages/proof/sycamoreloft_proof/capacity.py
@@ -13,7 +13,7 @@
 
 from matplotlib import pyplot
 
-from sycamoreloft_proof import _capacity_models, _slopes
+from sycamoreloft_proof import _capacity_holder, _capacity_models, _slopes
 
 #: Folder of the results, from the root of the repository.
 FOLDER = pathlib.Path("docs/capacity")
@@ -37,7 +37,11 @@
     """Measures every slope, prints it, and writes the results."""
     FOLDER.mkdir(parents=True, exist_ok=True)
     results = []
-    for measure in _capacity_models.MEASUREMENTS:
+    measurements = (
+        *_capacity_models.MEASUREMENTS,
+        *_capacity_holder.MEASUREMENTS,
+    )
+    for measure in measurements:
         slope = measure()
         results.append(dataclasses.asdict(slope))
         draw_slope(slope, FOLDER / f"{slope.name}.png")
