Locate groups by an index of the announced epochs

Cause: hosts locate a group for each request, and each call visited every member. Change: membership keeps the epochs by group and host.

--- a/packages/decisions/sycamoreloft_decisions/_membership.py
+++ b/packages/decisions/sycamoreloft_decisions/_membership.py
@@ -175,6 +175,10 @@
         # Members of the own failure domains. Only these are visited in each
         # round, so that its cost does not grow with the whole fleet.
         self._near: dict[str, _Member[EntryType]] = {}
+        # Epochs by host for each group. A host locates a group for each
+        # request, which must not visit all members.
+        self._holders: dict[str, dict[str, int]] = {}
+        self._index(own.host, {}, own.groups)
         self._generation = own.generation
         self._changed_at = 0.0
         self._turns: collections.deque[str] = collections.deque()
@@ -192,6 +196,7 @@
         """Replaces the own entry, which has the next version if it differs."""
         if own.version != self._own.version:
             self._changed_at = now
+        self._index(own.host, self._own.groups, own.groups)
         self._own = own
         self._generation = max(self._generation, own.generation)
 
@@ -372,6 +377,7 @@
             if member.progress_at + 2 * limit <= now:
                 del self._members[host]
                 self._near.pop(host, None)
+                self._index(host, member.entry.groups, {})
 
     def list_known(self) -> list[EntryType]:
         """Lists the entries of all members but the own one."""
@@ -410,9 +416,9 @@
     def locate_group(self, group: str) -> Location[EntryType] | None:
         """Returns the holder of a group with the highest announced epoch."""
         best: Location[EntryType] | None = None
-        for entry in (self._own, *self.list_known()):
-            epoch = entry.groups.get(group)
-            if epoch is not None and (best is None or epoch > best.epoch):
+        for host, epoch in self._holders.get(group, {}).items():
+            entry = self.find(host)
+            if entry is not None and (best is None or epoch > best.epoch):
                 best = Location(entry, epoch)
         return best
 
@@ -425,6 +431,7 @@
             self._add(_Member(entry, now, now))
         elif entry.incarnation == member.entry.incarnation:
             if entry.version > member.entry.version:
+                self._index(entry.host, member.entry.groups, entry.groups)
                 member.entry = entry
                 member.changed_at = now
         # Incarnations are random and have no order. Another one is the newer
@@ -437,7 +444,24 @@
                 _Member(entry, now, now, replaced=replaced[-INCARNATIONS:])
             )
 
+    def _index(
+        self,
+        host: str,
+        before: abc.Mapping[str, int],
+        after: abc.Mapping[str, int],
+    ) -> None:
+        for group in before:
+            holders = self._holders.get(group, {})
+            holders.pop(host, None)
+            if not holders:
+                self._holders.pop(group, None)
+        for group, epoch in after.items():
+            self._holders.setdefault(group, {})[host] = epoch
+
     def _add(self, member: _Member[EntryType]) -> None:
+        known = self._members.get(member.entry.host)
+        before = known.entry.groups if known is not None else {}
+        self._index(member.entry.host, before, member.entry.groups)
         self._members[member.entry.host] = member
         if self._is_near(member.entry):
             self._near[member.entry.host] = member
--- a/packages/decisions/tests/test_membership.py
+++ b/packages/decisions/tests/test_membership.py
@@ -190,3 +190,22 @@
     assert (location.entry.host, location.epoch) == ("b", 5)
     assert membership.locate_group("other") is None
     assert membership.highest_generation == 9
+
+
+def test_a_group_that_was_given_up_or_whose_host_is_gone_is_not_located(
+    membership,
+):
+    """Guards against asking a host that no longer holds the group."""
+    membership.update_own(Entry("own", groups={"g": 3}), 0.0)
+    tell(membership, 0.0, Entry("a", version=1, groups={"g": 4, "h": 1}))
+    tell(membership, 0.1, Entry("a", version=2, groups={"h": 2}))
+    assert membership.locate_group("g").entry.host == "own"
+    assert membership.locate_group("h").epoch == 2
+    tell(membership, 0.2, Entry("a", "new", groups={"g": 6}))
+    assert membership.locate_group("h") is None
+    assert membership.locate_group("g").epoch == 6
+    membership.expire(61.0)
+    assert membership.locate_group("g").epoch == 3
+    membership.expire(2000.0)
+    membership.update_own(Entry("own"), 2000.0)
+    assert membership.locate_group("g") is None
