Look at waiting attempts only where there are some

Cause: each tick copied the followers of every claim that is being written. Change: claims without followers are skipped.

--- a/packages/decisions/sycamoreloft_decisions/_claims.py
+++ b/packages/decisions/sycamoreloft_decisions/_claims.py
@@ -423,15 +423,23 @@
         for batch in self._batches.values():
             pending += batch.claims
         for claim in pending:
-            kept = [item for item in claim.followers if item[1] > due]
-            self._follower_count -= len(claim.followers) - len(kept)
-            for asked, at in claim.followers:
-                if at <= due:
-                    commands.append(_answer_unavailable(asked))
-            claim.followers = kept
+            if claim.followers:
+                self._refuse_followers(claim, due, commands)
             if claim.at <= due:
                 self._refuse(claim, now, commands)
 
+    def _refuse_followers(
+        self, claim: _Claim, due: float, commands: _Commands
+    ) -> None:
+        kept = []
+        for asked, at in claim.followers:
+            if at <= due:
+                self._follower_count -= 1
+                commands.append(_answer_unavailable(asked))
+            else:
+                kept.append((asked, at))
+        claim.followers = kept
+
     def _expire(self, now: float) -> None:
         while self._claims:
             claim = next(iter(self._claims.values()))
