--- a/packages/router/sycamoreloft_router/_caller_connections.py
+++ b/packages/router/sycamoreloft_router/_caller_connections.py
@@ -222,6 +222,9 @@
         """Serves a new connection."""
         connection = ServerConnection(stream, self.conn_params, address[0])
         connection.header_bytes = self._header_bytes
+        # The task that serves the connection starts one turn of the loop
+        # later; a sweep in between closed the connection as idle.
+        connection.waiting_since = asyncio.get_running_loop().time()
         self._connections.add(connection)
         connection.start_serving(self)
 
--- a/packages/router/tests/test_caller_server.py
+++ b/packages/router/tests/test_caller_server.py
@@ -8,8 +8,9 @@
 import fake_sources
 import pytest
 import raw_peers
+from tornado import iostream
 
-from sycamoreloft_router import _caller_server
+from sycamoreloft_router import _caller_connections, _caller_server
 
 build_head = fake_sources.build_head
 
@@ -385,3 +386,26 @@
         assert bench.sources.returned[0].outcome == "unknown"
 
     serve(scenario, script)
+
+
+def test_a_new_connection_is_not_idle(serve):
+    """Guards against a reset of a connection that was just accepted.
+
+    The task of a connection starts one turn of the event loop after the
+    connection, and the sweep of idle connections may run in between.
+    """
+
+    async def scenario(bench, upstream):
+        server = _caller_connections.ConnectionServer(
+            bench.server, 16_384, 1_000, None
+        )
+        near, far = socket.socketpair()
+        with far:
+            stream = iostream.IOStream(near)
+            server.handle_stream(stream, ("127.0.0.1", 1))
+            server.close_idle(asyncio.get_running_loop().time() - 1.0)
+            assert not stream.closed()
+            stream.close()
+            await asyncio.sleep(0)
+
+    serve(scenario)
