Measure decisions, claims and the soak in the benchmark

Cause: the benchmark ran the data path only. Change: new modules report what the virtual-clock traces, real claims and the soak give; the modules of recovery and control are listed as well. Targets stand beside their origin in docs/design.md.

--- /dev/null
+++ b/packages/proof/sycamoreloft_proof/_bench_decisions.py
@@ -0,0 +1,127 @@
+"""Measures of the decisions, from traces with a virtual clock."""
+
+from collections import abc
+
+from sycamoreloft_proof import (
+    _bench_registry,
+    _overload_trace,
+    _placement_traces,
+    _quarantine_trace,
+)
+
+#: Least goodput at three times the capacity, as a share of the goodput at
+#: capacity: overload must not collapse (docs/design.md 7.5).
+GOODPUT_RATIO_TARGET = 0.9
+
+#: Most requests sent for each one that arrived. The retry budget is 10 % of
+#: recent requests (docs/design.md 7.3).
+RETRY_AMPLIFICATION_TARGET = 1.1
+
+#: Most upstreams that a crashing request takes down in a failure domain
+#: (docs/design.md 7.6).
+CRASH_LOSSES_TARGET = 2.0
+
+#: Most innocent requests that are refused as quarantined. Only a suspect
+#: that was lost twice is refused (docs/design.md 7.6).
+BYSTANDERS_REFUSED_TARGET = 0.0
+
+#: Seeds of the placement traces; the mean of their figures is reported.
+PLACEMENT_SEEDS = (1, 2)
+
+#: Units of the figures of a placement.
+_PLACEMENT_UNITS = {
+    "imbalance": "ratio",
+    "churn_ratio": "ratio",
+    "unavailable_key_seconds": "key-s",
+}
+
+
+@_bench_registry.register("overload")
+def bench_overload() -> abc.Sequence[_bench_registry.Measure]:
+    """Compares three times the capacity with the capacity."""
+    return [
+        _bench_registry.Measure(
+            f"goodput_at_3x_ratio{suffix}",
+            _overload_trace.measure_overload(keyed).ratio,
+            "ratio",
+            GOODPUT_RATIO_TARGET,
+            ">=",
+        )
+        for suffix, keyed in (("", False), ("_keyed", True))
+    ]
+
+
+@_bench_registry.register("retries")
+def bench_retries() -> abc.Sequence[_bench_registry.Measure]:
+    """Lets half of the upstreams refuse connections."""
+    return [
+        _bench_registry.Measure(
+            f"retry_amplification{suffix}",
+            figures.sends_per_request,
+            "ratio",
+            RETRY_AMPLIFICATION_TARGET,
+        )
+        for suffix, figures in (
+            ("", _overload_trace.measure_retries()),
+            ("_keyed", _overload_trace.measure_keyed_retries()),
+        )
+    ]
+
+
+@_bench_registry.register("choice")
+def bench_choice() -> abc.Sequence[_bench_registry.Measure]:
+    """Compares two random candidates with each upstream in turn."""
+    figures = _overload_trace.measure_choice()
+    return [
+        _bench_registry.Measure(
+            "p2c_p99_ratio",
+            figures.two_random.p99_s / figures.rotation.p99_s,
+            "ratio",
+        )
+    ]
+
+
+@_bench_registry.register("quarantine")
+def bench_quarantine() -> abc.Sequence[_bench_registry.Measure]:
+    """Lets a caller send a crashing request again and again."""
+    figures = _quarantine_trace.measure_quarantine()
+    return [
+        _bench_registry.Measure(
+            "crash_request_upstreams_lost",
+            max(figures.losses.values(), default=0),
+            "upstreams",
+            CRASH_LOSSES_TARGET,
+        ),
+        _bench_registry.Measure(
+            "bystanders_refused",
+            figures.innocent_refusals,
+            "requests",
+            BYSTANDERS_REFUSED_TARGET,
+        ),
+    ]
+
+
+@_bench_registry.register("placement")
+def bench_placement() -> abc.Sequence[_bench_registry.Measure]:
+    """Compares placement with consistent hashing and never moving.
+
+    The simpler ways run on the same traces; each fleet has weights of its
+    own, so no figure has a target for both.
+    """
+    measures = []
+    for shape in (_placement_traces.SLEDWORKS, _placement_traces.ISUKU):
+        runs = [
+            _placement_traces.compare_placements(shape, seed)
+            for seed in PLACEMENT_SEEDS
+        ]
+        for figure, unit in _PLACEMENT_UNITS.items():
+            for way in runs[0]:
+                values = [getattr(run[way], figure) for run in runs]
+                measures.append(
+                    _bench_registry.Measure(
+                        f"{figure}_{shape.name}_{way.replace(' ', '_')}",
+                        sum(values) / len(values),
+                        unit,
+                    )
+                )
+    return measures
--- a/packages/proof/sycamoreloft_proof/bench.py
+++ b/packages/proof/sycamoreloft_proof/bench.py
@@ -15,7 +15,14 @@
 from sycamoreloft_proof import _bench_registry
 
 #: Modules that register benchmarks.
-MODULES = ("sycamoreloft_proof._bench_forward",)
+MODULES = (
+    "sycamoreloft_proof._bench_forward",
+    "sycamoreloft_proof._bench_decisions",
+    "sycamoreloft_proof._bench_claims",
+    "sycamoreloft_proof._bench_recovery",
+    "sycamoreloft_proof._bench_control",
+    "sycamoreloft_proof._bench_soak",
+)
 
 #: File that gets the results, below the working directory.
 RESULTS = pathlib.Path("bench/results.jsonl")
--- a/packages/proof/tests/test_bench.py
+++ b/packages/proof/tests/test_bench.py
@@ -1,10 +1,18 @@
 """The benchmark's registry and output."""
 
+import importlib
 import json
 
 import pytest
 
-from sycamoreloft_proof import _bench_registry, bench
+from sycamoreloft_proof import (
+    _bench_registry,
+    _bench_soak,
+    _history,
+    _summary,
+    bench,
+    soak,
+)
 
 
 @pytest.mark.parametrize(
@@ -47,3 +55,46 @@
     assert [json.loads(line)["ok"] for line in lines] == [False, True]
     assert bench.main(["good"]) == 0
     assert bench.main(["unknown"]) == 2
+
+
+def test_benchmark_of_decisions_has_each_measure_once():
+    """Guards against a measure that is left out or hides another one."""
+    importlib.import_module("sycamoreloft_proof._bench_decisions")
+    names = [
+        measure.name
+        for benchmark in ("overload", "retries", "choice", "quarantine")
+        for measure in _bench_registry.BENCHMARKS[benchmark]()
+    ]
+    assert len(set(names)) == len(names)
+    assert {
+        "goodput_at_3x_ratio",
+        "retry_amplification",
+        "p2c_p99_ratio",
+        "crash_request_upstreams_lost",
+        "bystanders_refused",
+    } <= set(names)
+
+
+def test_soak_that_breaks_an_invariant_misses_its_target(monkeypatch):
+    """Guards against violations that the benchmark does not report."""
+    summary = _summary.Summary(
+        requests_sent=60_000,
+        whole_answers=0,
+        did_not_run=0,
+        unknown=0,
+        runs=0,
+        partitions_moved=0,
+        hot_keys_placed=0,
+        violations={_history.Condition.SLOTS: 1},
+        reasons={},
+    )
+    result = soak.SoakResult(summary, {}, (), 1.0, 0)
+    monkeypatch.setattr(soak, "run_soak", lambda *_, **__: result)
+    measures = {each.name: each.is_ok for each in _bench_soak.bench_soak()}
+    assert measures == {
+        "wrong_answers": True,
+        "repeated_runs": True,
+        "false_did_not_run": True,
+        "slots_exceeded": False,
+        "soak_requests": True,
+    }
