Return typed errors for numbers, tokens and answers that raised

Cause: a probe of the entrances with bad input found exceptions: an integer of 400 digits in a file or a setting (OverflowError, seen by operators as an internal error whose outcome is unknown), a null byte in the path of the settings, a token or URL with a line break or characters outside ASCII, arguments in another encoding, and answers of a server that is no admin port.

Change: integers are compared without conversion to float; paths, tokens and URLs are checked before they are used; the command checks the fields of an answer before it prints them.

--- a/packages/config/sycamoreloft_config/_fields.py
+++ b/packages/config/sycamoreloft_config/_fields.py
@@ -2,7 +2,6 @@
 
 from collections import abc
 import difflib
-import math
 import re
 import tomllib
 import typing
@@ -299,7 +298,9 @@
     ) -> float:
         if value is None:
             return low
-        if not math.isfinite(value) or not low <= value <= high:
+        # Also refuses nan. An integer may be too large for a float, so it is
+        # compared as it is.
+        if not low <= value <= high:
             shown = str(value)[:40] if abs(value) < 1e18 else "the value"
             self.report(
                 name,
--- a/packages/config/sycamoreloft_config/_loading.py
+++ b/packages/config/sycamoreloft_config/_loading.py
@@ -68,7 +68,8 @@
         with open(path, "rb") as file:
             content = file.read(_fields.MAXIMUM_FILE_BYTES + 1)
         text = content.decode()
-    except (OSError, UnicodeDecodeError) as error:
+    except (OSError, ValueError) as error:
+        # A wrong encoding and a null byte in the path are value errors.
         problem = _problems.FileProblem(
             path,
             "",
--- a/packages/config/tests/test_settings.py
+++ b/packages/config/tests/test_settings.py
@@ -55,6 +55,11 @@
         ("GRANT_KEY", '{ id = "g", secret = "short" }', "grant_key.secret"),
         ("PEER_TLS", '{ key = "k" }', "peer_tls"),
         ("STOP_ANNOUNCE_S", "30", "stop_announce_s"),
+        ("STOP_BOUND_S", "1" + "0" * 400, "stop_bound_s"),
+        ("STOP_BOUND_S", "nan", "stop_bound_s"),
+        ("HOST", "h/x", "host"),
+        ("TABLE_URL", "http://127.0.0.1:x", "table_url"),
+        ("PEER_KEYS", "{ id = 1 }", "peer_keys"),
         ("SEEDS", '["seed:1"]', "seeds[0]"),
         ("SEEDS", "127.0.0.1:1", "SYCAMORELOFT_SEEDS"),
         ("SEEDS", "[]\nhost = 1", "SYCAMORELOFT_SEEDS"),
@@ -73,9 +78,11 @@
     assert not any("short" in str(problem) for problem in problems)
 
 
-def test_an_unreadable_file_is_a_problem(tmp_path):
+@pytest.mark.parametrize("name", ["none.toml", "", "a\0b", "latin.toml"])
+def test_an_unreadable_file_is_a_problem(tmp_path, name):
     """Guards against a stack trace instead of a remedy."""
+    (tmp_path / "latin.toml").write_bytes(b'host = "\xe9"')
     problems = sycamoreloft_config.load_settings(
-        str(tmp_path / "none.toml"), {}
+        f"{tmp_path}/{name}", {}
     ).failure()
     assert "cannot be read" in problems[0].problem
--- a/packages/ctl/sycamoreloft_ctl/_client.py
+++ b/packages/ctl/sycamoreloft_ctl/_client.py
@@ -55,12 +55,39 @@
 def get_json(
     target: Target,
     path: str,
+    fields: abc.Mapping[str, type],
     arguments: abc.Mapping[str, str] | None = None,
 ) -> result.Result[typing.Any, _problems.Problem]:
-    """Reads a path of the admin port."""
-    query = f"?{parse.urlencode(arguments)}" if arguments else ""
-    request = _make_request(target, path + query)
-    return _check_target(target).bind(lambda _: _call(request))
+    """Reads a path of the admin port.
+
+    Args:
+        target: The admin port.
+        path: The path.
+        fields: Types of the fields that the answer must have; the values of
+            a dict must be texts.
+        arguments: Arguments of the query.
+    """
+    # Arguments that are not UTF-8 are sent as they are; the host refuses them.
+    query = parse.urlencode(arguments or {}, errors="surrogateescape")
+    request = _make_request(target, f"{path}?{query}" if query else path)
+    return (
+        _check_target(target)
+        .bind(lambda _: _call(request))
+        .bind(lambda value: _check_fields(value, fields))
+    )
+
+
+def _check_fields(
+    value: abc.Mapping[str, typing.Any], fields: abc.Mapping[str, type]
+) -> result.Result[typing.Any, _problems.Problem]:
+    for name, kind in fields.items():
+        found = value.get(name)
+        items = found.values() if isinstance(found, dict) else ()
+        if not isinstance(found, kind) or not all(
+            isinstance(item, str) for item in items
+        ):
+            return result.Failure(_describe_answer(200, None))
+    return result.Success(value)
 
 
 def post_submission(
@@ -82,11 +109,21 @@
 
 
 def _check_target(target: Target) -> result.Result[Target, _problems.Problem]:
+    if not _is_header_text(target.token):
+        return result.Failure(
+            _problems.Problem(
+                _problems.ExitCode.USAGE,
+                "bad-token",
+                "the token contains spaces or characters outside ASCII",
+                "give one of the host's admin_tokens, without a line break",
+            )
+        )
     try:
         parts = parse.urlsplit(target.url)
     except ValueError:
         parts = parse.urlsplit("")
-    if parts.scheme in ("http", "https") and parts.netloc:
+    is_http = parts.scheme in ("http", "https") and bool(parts.netloc)
+    if is_http and _is_header_text(target.url):
         return result.Success(target)
     return result.Failure(
         _problems.Problem(
@@ -98,6 +135,11 @@
     )
 
 
+def _is_header_text(text: str) -> bool:
+    """Tells whether a text can be sent in the head of a request."""
+    return text.isascii() and text.isprintable() and " " not in text
+
+
 def _make_request(
     target: Target, path: str, **options: typing.Any
 ) -> httpclient.HTTPRequest:
--- a/packages/ctl/sycamoreloft_ctl/_files.py
+++ b/packages/ctl/sycamoreloft_ctl/_files.py
@@ -54,7 +54,8 @@
     try:
         with path.open("rb") as file:
             text = file.read(_READ_BYTES).decode()
-    except (OSError, UnicodeDecodeError) as error:
+    except (OSError, ValueError) as error:
+        # A wrong encoding and a null byte in the path are value errors.
         return result.Failure(
             [f"{path}: the file cannot be read: {error}; check its path"]
         )
--- a/packages/ctl/sycamoreloft_ctl/main.py
+++ b/packages/ctl/sycamoreloft_ctl/main.py
@@ -54,6 +54,25 @@
     bool, typer.Option("--json", help="Print JSON instead of tables.")
 ]
 
+#: Fields of the answers of the admin port that the commands print.
+_GENERATION = {
+    "accepted": int,
+    "files": dict,
+    "pending": int,
+    "differences": list,
+    "waiting_domains": list,
+}
+_EXPLANATION = {
+    "fleet": str,
+    "service": str,
+    "key": str,
+    "partition": int,
+    "group": str,
+    "holder": str,
+    "upstream": str,
+    "reasons": list,
+}
+
 Outcome: typing.TypeAlias = result.Result[typing.Any, _problems.Problem]
 
 
@@ -101,7 +120,9 @@
     accepted: dict[str, str] = {}
     if against_accepted:
         target = _client.Target(admin, token, ca)
-        view = _unwrap(_client.get_json(target, "/v1/generation"), as_json)
+        view = _unwrap(
+            _client.get_json(target, "/v1/generation", _GENERATION), as_json
+        )
         accepted = view["files"]
     generation = _unwrap(_files.check_together(files, accepted), as_json)
     if as_json:
@@ -235,7 +256,9 @@
 ) -> None:
     """Show the accepted and the pending generation."""
     target = _client.Target(admin, token, ca)
-    view = _unwrap(_client.get_json(target, "/v1/generation"), as_json)
+    view = _unwrap(
+        _client.get_json(target, "/v1/generation", _GENERATION), as_json
+    )
     if file:
         _show_file(view["files"], file, as_json)
         return
@@ -302,7 +325,10 @@
     arguments = {"fleet": fleet, "service": service, "key": key}
     found = _unwrap(
         _client.get_json(
-            _client.Target(admin, token, ca), "/v1/explain", arguments
+            _client.Target(admin, token, ca),
+            "/v1/explain",
+            _EXPLANATION,
+            arguments,
         ),
         as_json,
     )
@@ -332,7 +358,7 @@
 ) -> None:
     """Print the state of one host."""
     target = _client.Target(admin, token, ca)
-    state = _unwrap(_client.get_json(target, "/v1/state"), as_json)
+    state = _unwrap(_client.get_json(target, "/v1/state", {}), as_json)
     if as_json:
         _output.print_json(state)
     else:
--- a/packages/ctl/tests/test_command.py
+++ b/packages/ctl/tests/test_command.py
@@ -247,3 +247,73 @@
     assert all(word in text for word in ("a/d/0", "entry-01", "because"))
     lines = call("dump").stdout.splitlines()
     assert lines[1].split() == ["groups", "a/d/0", "epoch", "3"]
+
+
+@pytest.mark.parametrize(
+    ("variable", "value"),
+    [
+        ("TOKEN", "a\nB: c"),
+        ("TOKEN", "\u20ac"),
+        ("TOKEN", "\udcff"),
+        ("ADMIN", "http://\u20ac"),
+        ("ADMIN", "http://[::1"),
+        ("ADMIN", "http://a b"),
+        ("ADMIN", "ftp://127.0.0.1"),
+    ],
+)
+def test_a_token_or_url_that_cannot_be_sent_is_a_wrong_option(
+    call, variable, value
+):
+    """Guards against a stack trace, and a token that adds a header."""
+    outcome = call("show", **{f"SYCAMORELOFTCTL_{variable}": value})
+    assert outcome.exit_code == 2
+    assert "remedy: " in outcome.stderr
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"{}",
+        b"[]",
+        b"\xff",
+        b'{"accepted": 1}',
+        b'{"accepted": 1, "pending": 0, "files": {"a": 1}, "differences": [],'
+        b' "waiting_domains": []}',
+    ],
+)
+@pytest.mark.parametrize(
+    "command",
+    [
+        ["show"],
+        ["show", "--file", "a"],
+        ["explain", "s"],
+        ["check", "--against-accepted", MERGE],
+    ],
+)
+def test_an_answer_of_another_server_is_a_problem(call, answer, command):
+    """Guards against a stack trace when --admin names another port."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+
+        def serve():
+            connection, _ = listener.accept()
+            connection.recv(10_000)
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(answer)}\r\n\r\n"
+            connection.sendall(head.encode() + answer)
+            connection.close()
+
+        thread = threading.Thread(target=serve)
+        thread.start()
+        url = f"http://127.0.0.1:{listener.getsockname()[1]}"
+        outcome = call(*command, SYCAMORELOFTCTL_ADMIN=url)
+        thread.join(timeout=5)
+    assert outcome.exit_code == 1
+    assert "not that of an admin port" in outcome.stderr
+
+
+def test_arguments_that_are_not_utf8_are_problems(call, tmp_path):
+    """Guards against a stack trace for names typed in another encoding."""
+    assert call("explain", "s\udcff").exit_code == 1
+    assert call("check", str(tmp_path)).exit_code == 3
+    name = tmp_path / "n\udcff.toml"
+    name.write_bytes(pathlib.Path(ISUKU).read_bytes())
+    assert call("submit", "--base", "1", str(name)).exit_code == 1
