Keep the quarantine's bound across a takeover

A break was shared at the next tick only, and two breaks looked like one to the next holder. Change: breaks are shared at once, each of them; a second notice counts as a second loss until it would have been confirmed, and any loss confirms it. The bound does not hold for copies in flight across a takeover.

--- a/packages/decisions/sycamoreloft_decisions/_permits.py
+++ b/packages/decisions/sycamoreloft_decisions/_permits.py
@@ -88,6 +88,9 @@
         self._end(permit, now, commands)
         if grown:
             self._drain(upstream, now, commands)
+        if event.connection_lost:
+            # The next holder must know of the break, if this one is lost too.
+            commands += self._quarantine.take_unshared()
         return commands
 
     @_handle.register
--- a/packages/decisions/sycamoreloft_decisions/_quarantine.py
+++ b/packages/decisions/sycamoreloft_decisions/_quarantine.py
@@ -164,12 +164,10 @@
                 permits were issued.
             now: Time.
         """
-        for fingerprint in self._unconfirmed.pop(upstream, ()):
-            record = self._records.get(fingerprint)
-            if record is not None:
-                for mark in record.marks:
-                    mark.confirmed |= mark.upstream == upstream
-                self._decide(fingerprint, record)
+        # A notice does not name the upstream, so any loss confirms it.
+        for name in (upstream, ""):
+            for fingerprint in self._unconfirmed.pop(name, ()):
+                self._confirm(fingerprint, name)
         for fingerprint, found in list(self._doubtful.items()):
             at, order = found.pop(upstream, (-CONFIRMATION_S, 0))
             if at + CONFIRMATION_S > now:
@@ -180,12 +178,19 @@
     def learn(
         self, fingerprints: abc.Iterable[bytes], guilty: bool, now: float
     ) -> None:
-        """Takes over what another group found; own findings are kept."""
+        """Takes over what another group or holder found.
+
+        Own findings count instead, if there are any. A second notice tells of
+        a second loss, which counts until it would have been confirmed.
+        """
         for fingerprint in fingerprints:
             record = self._records.get(fingerprint)
             if record is None:
                 mark = self._make_mark("", now, True)
                 record = self._add(fingerprint, _Record(now, [mark]))
+            elif not any(mark.upstream for mark in record.marks):
+                record.marks.append(self._make_mark("", now, False))
+                self._unconfirmed.setdefault("", set()).add(fingerprint)
             record.guilty |= guilty
 
     def take_unshared(self) -> abc.Sequence[_permit_events.ShareSuspects]:
@@ -251,9 +256,17 @@
                 break
         else:
             record.marks.append(self._make_mark(upstream, now, confirmed))
+            self._unshared.setdefault(fingerprint, False)
         self._decide(fingerprint, record)
         return not confirmed
 
+    def _confirm(self, fingerprint: bytes, upstream: str) -> None:
+        record = self._records.get(fingerprint)
+        if record is not None:
+            for mark in record.marks:
+                mark.confirmed |= mark.upstream == upstream
+            self._decide(fingerprint, record)
+
     def _make_mark(self, upstream: str, now: float, confirmed: bool) -> _Mark:
         self.order += 1
         return _Mark(upstream, now, self.order, confirmed)
--- a/packages/decisions/tests/test_quarantine.py
+++ b/packages/decisions/tests/test_quarantine.py
@@ -142,6 +142,23 @@
     assert refused.reason is events.Reason.QUARANTINED
 
 
+def test_losses_at_an_earlier_holder_count_after_a_takeover(desk):
+    """Guards against a third loss when the holder changes after the second."""
+    for _ in range(2):
+        desk.handle(events.SuspectsReported([CRASHER], False), 0.0)
+    assert ask(desk, "p", CRASHER) == []
+    (refused, _) = desk.handle(events.UpstreamLost("u1", False), 0.5)
+    assert refused.reason is events.Reason.QUARANTINED
+
+
+def test_breaks_are_shared_at_once(desk):
+    """Guards against a holder that is lost before it tells of a break."""
+    ask(desk, "p", CRASHER)
+    assert events.ShareSuspects((CRASHER,), False) in break_connection(
+        desk, "p"
+    )
+
+
 def test_popular_request_on_two_lost_upstreams_is_spared(record):
     """Guards against blaming a request that completes all the time."""
     record.record_completion(BYSTANDER)
