--- a/packages/router/sycamoreloft_router/_admin.py
+++ b/packages/router/sycamoreloft_router/_admin.py
@@ -33,6 +33,8 @@
 IDLE_LIMIT_S = 120.0
 
 _REQUEST = re.compile(r"[!-~]{1,128}")
+#: JSON can contain half a pair, which UTF-8 and so the store cannot.
+_SURROGATE = re.compile("[\ud800-\udfff]")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -446,6 +448,7 @@
         if not isinstance(text, str)
         or not 0 < len(name) <= 255
         or not name.isprintable()
+        or _SURROGATE.search(text)
     ]
 
 
