End requests on a frozen upstream when its grants have expired

Cause: a request in flight on an upstream that freezes waited until its deadline, although the holder knows after about a second that the upstream is lost. Change: the answer to a permit report names the permits whose upstream has been silent for 1.02 s, the lifetime of its grants. The permit source tells the request path, which ends the transfer; the attempt then counts as one whose connection broke. It is retried only if the operation is repeatable and budget and deadline allow it. A request that still waits for its claim is not sent. The eight new tests failed before. A holder that took the group over after the upstream froze never heard it, and does not name its permits.

--- a/packages/proof/sycamoreloft_proof/_bench_router.py
+++ b/packages/proof/sycamoreloft_proof/_bench_router.py
@@ -92,6 +92,11 @@
             request.permit, "tally-1", self._upstream, 1, 1, 1_000
         )
 
+    def watch_permit(
+        self, group: str, permit: str, on_lost: abc.Callable[[], None]
+    ) -> None:
+        """Does nothing: no upstream is ever lost."""
+
     def return_permit(self, returned: _messages.PermitReturn) -> None:
         """Takes a permit back."""
 
--- a/packages/router/sycamoreloft_router/_attempts.py
+++ b/packages/router/sycamoreloft_router/_attempts.py
@@ -113,6 +113,7 @@
         "_given",
         "_group",
         "_id",
+        "_is_upstream_lost",
         "_loop",
         "_machine",
         "_observe",
@@ -149,6 +150,7 @@
         self._claim: _messages.ClaimRequest | None = None
         self._claim_verdict = ""
         self._decision: _outcomes.Decision | None = None
+        self._is_upstream_lost = False
         #: Whether the answer went to the caller, or was cut.
         self.answered = False
         #: The claim holder's answer, if one was asked.
@@ -220,6 +222,9 @@
         self, group: str, grant: _messages.PermitGrant
     ) -> _outcomes.Decision:
         granted_at = self._loop.time()
+        self._services.permits.watch_permit(
+            group, self._id, self._on_upstream_lost
+        )
         decision: _outcomes.Decision | None = None
         try:
             decision = await self._perform_with_permit(group, grant)
@@ -243,7 +248,7 @@
             if decision is not None:
                 return decision
         now = self._loop.time()
-        if not self._machine.may_send(now):
+        if self._is_upstream_lost or not self._machine.may_send(now):
             return self._decide(_BROKEN)
         transfer = self._start_transfer(group, grant, valid_until, now)
         await transfer.wait(_body_streams.PREFIX_BYTES)
@@ -254,6 +259,12 @@
             return self._decide_failure(transfer.failure)
         return await self._pass_on(transfer)
 
+    def _on_upstream_lost(self) -> None:
+        """Ends the transfer, which then fails like a broken connection."""
+        self._is_upstream_lost = True
+        if self._transfer is not None:
+            self._transfer.cancel(_KIND.LOST)
+
     def _start_transfer(
         self,
         group: str,
@@ -401,6 +412,7 @@
         lost = self.failure is not None and self.failure.kind in (
             _KIND.CONNECT,
             _KIND.BROKEN,
+            _KIND.LOST,
         )
         transfer = self._transfer
         refused = (
--- a/packages/router/sycamoreloft_router/_exchange.py
+++ b/packages/router/sycamoreloft_router/_exchange.py
@@ -81,6 +81,18 @@
             deadline.
         """
 
+    def watch_permit(
+        self, group: str, permit: str, on_lost: abc.Callable[[], None]
+    ) -> None:
+        """Calls a function once if the upstream of a permit is lost.
+
+        Args:
+            group: Group that gave the permit.
+            permit: Identifier of the permit.
+            on_lost: Called on the event loop; not after the permit was
+                returned.
+        """
+
     def return_permit(self, returned: _messages.PermitReturn) -> None:
         """Returns a permit to its holder; queues the message at once."""
 
--- a/packages/router/sycamoreloft_router/_group_permits.py
+++ b/packages/router/sycamoreloft_router/_group_permits.py
@@ -198,8 +198,13 @@
             time.monotonic(),
         )
 
-    def report_permits(self, message: sycamoreloft_wire.PermitReport) -> None:
-        """Renews the permits of a host."""
+    def report_permits(
+        self,
+        message: sycamoreloft_wire.PermitReport,
+        reply: _peer_server.Reply,
+    ) -> None:
+        """Renews the permits of a host and names those on lost upstreams."""
+        now = time.monotonic()
         used = [
             sycamoreloft_decisions.UsedPermit(
                 item.permit,
@@ -212,8 +217,17 @@
             for item in message.permits
         ]
         self._handle(
-            sycamoreloft_decisions.PermitsReported(message.host, used),
-            time.monotonic(),
+            sycamoreloft_decisions.PermitsReported(message.host, used), now
+        )
+        lost = [
+            item.permit
+            for item in message.permits
+            if self._watch.is_given_up(item.upstream, now)
+        ]
+        reply(
+            sycamoreloft_wire.PermitReportAnswer(lost)
+            if lost
+            else sycamoreloft_wire.Acknowledgement()
         )
 
     def observe_grant(
--- a/packages/router/sycamoreloft_router/_group_runtime.py
+++ b/packages/router/sycamoreloft_router/_group_runtime.py
@@ -203,8 +203,7 @@
     ) -> None:
         """Renews the permits of a host; only a holder acknowledges."""
         if self._permits is not None:
-            self._permits.report_permits(message)
-            reply(sycamoreloft_wire.Acknowledgement())
+            self._permits.report_permits(message, reply)
 
     def ask_claim(
         self,
--- a/packages/router/sycamoreloft_router/_permit_source.py
+++ b/packages/router/sycamoreloft_router/_permit_source.py
@@ -1,6 +1,7 @@
 """Asks the holders of groups for permits and claims."""
 
 import asyncio
+from collections import abc
 import dataclasses
 import time
 
@@ -29,6 +30,7 @@
     #: Identifier of the present try; each try has its own.
     permit: str
     upstream: str = ""
+    on_lost: abc.Callable[[], None] | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -124,6 +126,14 @@
             ),
         )
 
+    def watch_permit(
+        self, group: str, permit: str, on_lost: abc.Callable[[], None]
+    ) -> None:
+        """Calls a function if the holder says that the upstream is lost."""
+        use = self._groups[group].uses.get(permit)
+        if use is not None:
+            use.on_lost = on_lost
+
     def return_permit(self, returned: sycamoreloft_wire.PermitReturn) -> None:
         """Returns a permit to the group's present holder."""
         group = self._groups.get(returned.group)
@@ -164,14 +174,28 @@
             ],
         )
         answer = await self._calls.call(name, report, REPORT_S)
-        if isinstance(answer, sycamoreloft_wire.Acknowledgement):
+        if isinstance(
+            answer,
+            sycamoreloft_wire.Acknowledgement
+            | sycamoreloft_wire.PermitReportAnswer,
+        ):
             group.reported_at = sent_at
+        if isinstance(answer, sycamoreloft_wire.PermitReportAnswer):
+            _tell_losses(group, frozenset(answer.lost))
 
     def count_uses(self) -> int:
         """Returns the number of permits asked for or in use."""
         return sum(len(group.uses) for group in self._groups.values())
 
 
+def _tell_losses(group: _GroupUse, lost: abc.Set[str]) -> None:
+    """Tells each request once that the upstream of its permit is lost."""
+    for use in list(group.uses.values()):
+        if use.permit in lost and use.on_lost is not None:
+            on_lost, use.on_lost = use.on_lost, None
+            on_lost()
+
+
 class HolderClaims:
     """Claim source that finds the holder of each group."""
 
--- a/packages/router/sycamoreloft_router/_transfer_types.py
+++ b/packages/router/sycamoreloft_router/_transfer_types.py
@@ -23,6 +23,8 @@
     BROKEN = "broken-answer"
     #: The caller stopped in the middle of the request body.
     UPLOAD = "broken-request-body"
+    #: The holder of the group says that the upstream is lost.
+    LOST = "upstream-lost"
     #: The router cancelled the transfer.
     CANCELLED = "cancelled"
 
--- a/packages/router/sycamoreloft_router/_upstream_watch.py
+++ b/packages/router/sycamoreloft_router/_upstream_watch.py
@@ -9,12 +9,19 @@
 #: seconds. It leaves one renewal of 0.2 s to fail by chance.
 LOST_AFTER_S = 0.5
 
+#: Time for which an upstream must have counted as lost before its requests
+#: are given up, in seconds. With `LOST_AFTER_S` these are the 1,000 ms and
+#: 2 % after which its grants have expired, so that a short pause of an
+#: upstream turns no request into an unknown outcome.
+GIVE_UP_AFTER_S = 0.52
+
 
 @dataclasses.dataclass(slots=True)
 class _Watched:
     incarnation: str
     heard_at: float
     status: str
+    lost_at: float = 0.0
 
 
 class UpstreamWatch:
@@ -65,11 +72,26 @@
             silent = now - watched.heard_at > LOST_AFTER_S
             if silent and watched.status != "lost":
                 watched.status = "lost"
+                watched.lost_at = now
                 events.append(
                     sycamoreloft_decisions.UpstreamLost(name, ended=False)
                 )
         return events
 
+    def is_given_up(self, name: str, now: float) -> bool:
+        """Tells whether requests on an upstream no longer get an answer.
+
+        The time counts from when the loss was noticed and not from the last
+        answer: after a pause of this process, the answers of all upstreams
+        are old.
+        """
+        watched = self._watched.get(name)
+        return (
+            watched is not None
+            and watched.status == "lost"
+            and now - watched.lost_at >= GIVE_UP_AFTER_S
+        )
+
     def list_states(self, now: float) -> dict[str, dict[str, object]]:
         """Returns the state of each upstream for the state dump."""
         return {
--- a/packages/router/tests/fake_sources.py
+++ b/packages/router/tests/fake_sources.py
@@ -62,6 +62,8 @@
         self.returned = []
         self.claims = []
         self.results = []
+        #: What tells the request path that an upstream is lost, by permit.
+        self.watched = {}
         self.near = ["sledworks/north/0"]
         self.far = ["sledworks/south/0"]
 
@@ -98,6 +100,13 @@
     def return_permit(self, returned):
         self.returned.append(returned)
 
+    def watch_permit(self, group, permit, on_lost):
+        self.watched[permit] = on_lost
+
+    def lose_upstream(self):
+        """Reports that the upstream of the latest permit is lost."""
+        self.watched[self.asked[-1].permit]()
+
     async def ask_claim(self, request):
         self.claims.append(request)
         if self.verdicts:
--- a/packages/router/tests/test_exchange.py
+++ b/packages/router/tests/test_exchange.py
@@ -391,3 +391,98 @@
         assert upstream.requests[0].body == body
 
     serve(scenario)
+
+
+async def keep_silent(request, writer, reader):
+    """Answers nothing, as an upstream that froze."""
+    await reader.read(1)
+    return False
+
+
+async def ask_and_lose(bench, silent, head, body=b""):
+    """Sends a request, and reports its upstream as lost once it is there."""
+    asking = asyncio.ensure_future(bench.ask(head, body))
+    await raw_peers.wait_until(lambda: silent.requests)
+    bench.sources.lose_upstream()
+    return await asking
+
+
+def test_repeatable_request_leaves_a_lost_upstream(serve):
+    """Guards against a wait for the deadline on a frozen upstream."""
+
+    async def scenario(bench, upstream):
+        async with raw_peers.RawUpstream(keep_silent) as silent:
+            bench.sources.addresses = [silent.address]
+            answer = await ask_and_lose(bench, silent, build_head())
+            assert answer.outcome == "completed"
+            assert outcomes(bench) == ["unknown", "completed"]
+            assert bench.sources.returned[0].connection_lost
+            await raw_peers.wait_until(lambda: silent.closed == 1)
+
+    serve(scenario)
+
+
+@pytest.mark.parametrize(
+    ("head", "body"), [(WAGER, b"1"), (build_head("DELETE"), b"")]
+)
+def test_other_request_on_a_lost_upstream_is_unknown(serve, head, body):
+    """Guards against a second run of what must not be repeated."""
+
+    async def scenario(bench, upstream):
+        async with raw_peers.RawUpstream(keep_silent) as silent:
+            bench.sources.addresses = [silent.address]
+            answer = await ask_and_lose(bench, silent, head, body)
+            assert answer.outcome == "unknown"
+            assert outcomes(bench) == ["unknown"]
+            assert len(silent.requests) == 1
+            assert upstream.requests == []
+            results = [item.outcome for item in bench.sources.results]
+            assert results == (["unknown"] if body else [])
+
+    serve(scenario)
+
+
+def test_lost_upstream_gets_nothing_after_the_claim(serve):
+    """Guards against a send to an upstream that was lost meanwhile."""
+
+    async def scenario(bench, upstream):
+        claim = asyncio.Event()
+        ask_claim = bench.sources.ask_claim
+
+        async def ask_late(request):
+            await claim.wait()
+            return await ask_claim(request)
+
+        bench.sources.ask_claim = ask_late
+        asking = asyncio.ensure_future(bench.ask(WAGER, b"1"))
+        await raw_peers.wait_until(lambda: bench.sources.watched)
+        bench.sources.lose_upstream()
+        claim.set()
+        assert (await asking).outcome == "completed"
+        assert outcomes(bench) == ["did-not-run", "completed"]
+        assert len(upstream.requests) == 1
+
+    serve(scenario)
+
+
+def test_streamed_answer_of_a_lost_upstream_is_cut(serve):
+    """Guards against a caller that waits for the rest of an answer."""
+
+    async def stall(request, writer, reader):
+        attempt = request.find("Sycamoreloft-Attempt").encode()
+        line = b"Sycamoreloft-Attempt: %s\r\n" % attempt
+        writer.write(raw_peers.answer(b"x" * 200_000, headers=line)[:-1])
+        await reader.read(1)
+        return False
+
+    async def scenario(bench, upstream):
+        asking = asyncio.ensure_future(bench.ask())
+        await raw_peers.wait_until(lambda: bench.sources.watched)
+        await raw_peers.wait_until(lambda: upstream.requests)
+        await asyncio.sleep(0.1)
+        bench.sources.lose_upstream()
+        with pytest.raises(asyncio.IncompleteReadError):
+            await asking
+        assert outcomes(bench) == ["unknown"]
+
+    serve(scenario, stall)
--- a/packages/router/tests/test_group_permits.py
+++ b/packages/router/tests/test_group_permits.py
@@ -1,5 +1,7 @@
 """Tests of the adapter of the permit desk."""
 
+import types
+
 import pytest
 
 import sycamoreloft_config
@@ -132,3 +134,61 @@
         "not-holder",
     }
     assert len(queued) == len(waiting) == 1
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    """A clock that a test sets; it starts when the desk does."""
+    times = [100.0]
+    monkeypatch.setattr(
+        _group_permits,
+        "time",
+        types.SimpleNamespace(monotonic=lambda: times[0]),
+    )
+    return times
+
+
+def report(permits, *names):
+    """Reports permits of u1 and returns those that are lost."""
+    answers = []
+    permits.report_permits(
+        sycamoreloft_wire.PermitReport(
+            "f/d/0",
+            "h",
+            [
+                sycamoreloft_wire.PermitInUse(name, "u1", "s", 2, b"x")
+                for name in names
+            ],
+        ),
+        answers.append,
+    )
+    (answer,) = answers
+    return getattr(answer, "lost", [])
+
+
+def observe_answer(permits, name):
+    permits.observe_grant(
+        make_fleet().upstreams[name],
+        sycamoreloft_decisions.GrantAnswered(name, 1, True, "inc", 1.0, 3, 1),
+    )
+
+
+def test_a_report_names_permits_of_a_silent_upstream(clock, permits):
+    """Guards against requests that wait on a frozen upstream."""
+    ask(permits, "p1")
+    for passed, lost in ((0.4, []), (0.6, []), (1.0, []), (1.2, ["p1"])):
+        clock[0] = 100.0 + passed
+        observe_answer(permits, "u2")
+        permits.tick()
+        assert list(report(permits, "p1")) == lost
+    observe_answer(permits, "u1")
+    assert list(report(permits, "p1")) == []
+
+
+def test_a_pause_of_the_holder_loses_no_permits(clock, permits):
+    """Guards against cancelled requests when the holder was paused itself."""
+    ask(permits, "p1")
+    permits.tick()
+    clock[0] += 5.0
+    permits.tick()
+    assert list(report(permits, "p1")) == []
--- a/packages/router/tests/test_permit_source.py
+++ b/packages/router/tests/test_permit_source.py
@@ -133,3 +133,32 @@
     answer = asyncio.run(claims.ask_claim(message))
     assert answer.verdict == "unavailable"
     assert len(calls.asked) == 1
+
+
+def test_a_report_tells_of_lost_upstreams(request_message, monkeypatch):
+    """Guards against requests that wait on an upstream that is lost.
+
+    The holder knows the identifier of the second try.
+    """
+    monkeypatch.setattr(_permit_source, "REPORT_S", 0.001)
+    told = []
+    calls = FakeCalls(
+        NO_HOLDER,
+        grant_asked,
+        sycamoreloft_wire.Acknowledgement(),
+        sycamoreloft_wire.PermitReportAnswer(["p1"]),
+        sycamoreloft_wire.PermitReportAnswer(["p1~1", "p9"]),
+        sycamoreloft_wire.PermitReportAnswer(["p1~1"]),
+    )
+
+    async def run():
+        source = _permit_source.HolderPermits("h1", calls)
+        await source.ask_permit(request_message)
+        source.watch_permit(
+            "f/d/0", "p1", lambda: told.append(len(calls.asked))
+        )
+        with pytest.raises(IndexError):
+            await source.run_reports()
+
+    asyncio.run(run())
+    assert told == [5]
