Forget old requests of the retry budget without a retry

Cause: the counts of first attempts were trimmed only when a retry was taken, so a host whose requests do not fail kept one entry a second. Change: recording a request forgets the counts outside the window. Conclusion: the new test failed before and passes now.

--- a/packages/decisions/sycamoreloft_decisions/_retries.py
+++ b/packages/decisions/sycamoreloft_decisions/_retries.py
@@ -36,6 +36,9 @@
 
     def record_request(self, now: float) -> None:
         """Counts the first attempt of a request."""
+        # A host whose requests do not fail never takes a retry, so that the
+        # old counts have to go here as well.
+        _forget_until(self._requests, int(now) - self._window_s)
         _count(self._requests, now)
 
     def take(self, now: float) -> bool:
@@ -77,6 +80,11 @@
 
 def _sum_since(counts: collections.deque[list[int]], oldest: int) -> int:
     """Sums the counts after the second `oldest`, and forgets earlier ones."""
+    _forget_until(counts, oldest)
+    return sum(count for _, count in counts)
+
+
+def _forget_until(counts: collections.deque[list[int]], oldest: int) -> None:
+    """Forgets the counts up to the second `oldest`."""
     while counts and counts[0][0] <= oldest:
         counts.popleft()
-    return sum(count for _, count in counts)
--- a/packages/decisions/tests/test_retries.py
+++ b/packages/decisions/tests/test_retries.py
@@ -1,5 +1,6 @@
 """Tests of the retry budget."""
 
+import pickle
 import random
 
 import pytest
@@ -28,6 +29,16 @@
     assert sum(budget.take(27.0) for _ in range(500)) == 3
 
 
+def test_requests_without_retries_take_no_memory(budget):
+    """Guards against a host that grows as long as nothing fails."""
+    for second in range(100):
+        budget.record_request(float(second))
+    size = len(pickle.dumps(budget))
+    for second in range(100, 200):
+        budget.record_request(float(second))
+    assert len(pickle.dumps(budget)) == size
+
+
 def test_backoff_grows_has_jitter_and_stays_inside_the_deadline():
     """Guards against synchronised retries and retries after the deadline."""
     generator = random.Random(1)
