Test an undone merge and the release of lost upstreams

Cause: a merge that is undone and made again must wait for the release again, and upstreams that a file declares lost must not hold it up.

Change: two tests over both hosts in virtual time. Before a trial of the second one failed when all upstreams of the alias in a group were declared lost: their partitions waited for another upstream of the alias, and the records stayed.

--- a/packages/router/tests/test_alias_releases.py
+++ b/packages/router/tests/test_alias_releases.py
@@ -1,6 +1,7 @@
 """Tests of the adapter that waits for aliases, with two hosts."""
 
 import asyncio
+import dataclasses
 import itertools
 import pathlib
 import selectors
@@ -86,6 +87,8 @@
     def __init__(self):
         self.store = fake_store.FakeStore()
         self.upstreams = {}
+        #: Addresses of upstreams that no longer run.
+        self.lost = set()
         self._grants = {}
 
     def note_grant(self, name, content, now, until):
@@ -93,6 +96,8 @@
 
     async def send_grant(self, address, group, command):
         await asyncio.sleep(0.002)
+        if address in self.lost:
+            return None
         upstream = self.upstreams.setdefault(
             address,
             _ownership_fakes.FakeUpstream(address, True, self, 1.0, 0.0),
@@ -349,3 +354,60 @@
         await stop(*hosts)
 
     run_virtual(scenario())
+
+
+def test_a_merge_can_be_undone_and_made_again(run_virtual):
+    """Guards against a release that is older than the next assignment."""
+
+    async def scenario():
+        platform = Platform()
+        canonical, alias = hosts = await start(platform)
+        for number, is_merged in ((2, True), (3, False), (4, True)):
+            generation = make_generation(number, is_merged)
+            for host in hosts:
+                host.apply(host.accepted, generation)
+            await asyncio.sleep(0.2)
+            for host in hosts:
+                host.apply(generation)
+            seen, reasons = await serve(platform, canonical, 4)
+            assert len(seen) > 50 * len(KEYS)
+            if is_merged:
+                assert not any(seen)
+                assert reasons == {("configuration-pending", 100)}
+                assert count_assignments(platform.store) == 0
+            else:
+                assert reasons == set()
+                assert count_assignments(platform.store) == PARTITIONS
+                assert len((await serve(platform, alias, 0.1))[0]) >= len(KEYS)
+        await stop(*hosts)
+
+    run_virtual(scenario())
+
+
+@pytest.mark.parametrize("lost", [("u0",), ("u0", "u1")])
+def test_the_release_of_lost_upstreams_is_recorded(run_virtual, lost):
+    """Guards against a wait for ever for upstreams that no longer run."""
+
+    async def scenario():
+        platform = Platform()
+        hosts = await start(platform)
+        platform.lost = {f"g/{name}" for name in lost}
+        await asyncio.sleep(3)
+        fleet = MERGED.fleets["g"]
+        upstreams = {
+            name: dataclasses.replace(upstream, lost=name in lost)
+            for name, upstream in fleet.upstreams.items()
+        }
+        fleet = dataclasses.replace(fleet, upstreams=upstreams)
+        generation = dataclasses.replace(
+            MERGED, fleets={**MERGED.fleets, "g": fleet}
+        )
+        for host in hosts:
+            host.apply(generation)
+        seen, _ = await serve(platform, hosts[0], 4)
+        assert len(seen) > 50 * len(KEYS)
+        assert not any(seen)
+        assert count_assignments(platform.store) == 0
+        await stop(*hosts)
+
+    run_virtual(scenario())
