--- a/packages/router/tests/fake_sources.py
+++ b/packages/router/tests/fake_sources.py
@@ -196,13 +196,13 @@
 
 
 @contextlib.asynccontextmanager
-async def open_server(sources, limits=None):
+async def open_server(sources, limits=None, tls=None):
     """Opens a caller server; afterwards, all permits must be returned."""
     metrics = _metrics.Metrics()
     server = _caller_server.CallerServer(
         "host-1", "i1", sources, sources, sources, sources, limits, metrics
     )
-    bench = Bench(sources, server, server.listen("127.0.0.1:0"), metrics)
+    bench = Bench(sources, server, server.listen("127.0.0.1:0", tls), metrics)
     try:
         yield bench
     finally:
