Tell a new holder the deadline and the continuity of each permit

Cause: a report did not carry the deadline of a permit, so a new holder kept the slot of a silent host for about 62 s; a grant's validity was counted from its receipt; suspects were forgotten at a takeover. Conclusion: slots are free one validity after the deadline at the latest.

--- a/packages/router/sycamoreloft_router/_group_permits.py
+++ b/packages/router/sycamoreloft_router/_group_permits.py
@@ -213,6 +213,8 @@
                 item.service,
                 item.partition,
                 item.fingerprint,
+                now + item.remaining_ms / 1000,
+                item.unlapsed,
             )
             for item in message.permits
         ]
@@ -294,10 +296,13 @@
             self._admit(asked, now)
         self._handle(sycamoreloft_decisions.DeskTick(), now)
 
-    def take_key_counts(self) -> dict[str, collections.Counter[str]]:
+    def take_observed_keys(self) -> list[sycamoreloft_decisions.KeysObserved]:
         """Returns the requests by service and key since the last call."""
         counts, self._key_counts = self._key_counts, {}
-        return counts
+        return [
+            sycamoreloft_decisions.KeysObserved(service, counter)
+            for service, counter in counts.items()
+        ]
 
     def close(self) -> None:
         """Refuses everything that waits: the holder has changed."""
--- a/packages/router/sycamoreloft_router/_group_runtime.py
+++ b/packages/router/sycamoreloft_router/_group_runtime.py
@@ -17,6 +17,7 @@
     _logs,
     _parked_requests,
     _peer_server,
+    _suspect_record,
 )
 import sycamoreloft_wire
 
@@ -44,6 +45,7 @@
         self._accepted = accepted
         self._pending = pending
         self._parked = _parked_requests.ParkedRequests()
+        self._suspects = _suspect_record.SuspectRecord()
         self._starts = 0
         self._machine = self._make_machine()
         self._calls = _group_calls.GroupCalls(
@@ -68,13 +70,12 @@
             self._accepted,
             time.monotonic(),
         )
-        if self._pending is not None:
-            machine.handle(
-                sycamoreloft_decisions.GenerationChanged(
-                    self._accepted, self._pending
-                ),
-                time.monotonic(),
-            )
+        machine.handle(
+            sycamoreloft_decisions.GenerationChanged(
+                self._accepted, self._pending
+            ),
+            time.monotonic(),
+        )
         return machine
 
     async def run(self) -> None:
@@ -103,10 +104,8 @@
             self._environment.aliases.tick()
             self._permits.tick()
             if self._ticks % KEY_REPORT_TICKS == 0:
-                for service, counts in self._permits.take_key_counts().items():
-                    self._feed(
-                        sycamoreloft_decisions.KeysObserved(service, counts)
-                    )
+                for observed in self._permits.take_observed_keys():
+                    self._feed(observed)
         if self._claims is not None:
             self._claims.tick()
 
@@ -258,6 +257,7 @@
         self, message: sycamoreloft_wire.SuspectNotice
     ) -> None:
         """Takes suspects of another group."""
+        self._suspects.add(message)
         if self._permits is not None:
             self._permits.observe_suspects(message)
 
@@ -284,9 +284,8 @@
             "may_act": self._machine.may_act(now),
             "decisions": list(self._machine.list_explanations())[-20:],
         }
-        if self._permits is not None:
+        if self._permits is not None and self._claims is not None:
             state["permits"] = self._permits.list_states()
-        if self._claims is not None:
             state["claims"] = dict(self._claims.counts)
         return state
 
@@ -463,6 +462,7 @@
             self._environment.store,
             self._spawn,
         )
+        self._suspects.replay(self._permits.observe_suspects)
         self._claims.start()
         self._environment.directory.announce_change()
         _logs.log_event(
--- a/packages/router/sycamoreloft_router/_permit_source.py
+++ b/packages/router/sycamoreloft_router/_permit_source.py
@@ -30,6 +30,13 @@
     #: Identifier of the present try; each try has its own.
     permit: str
     upstream: str = ""
+    #: Time of the deadline.
+    deadline: float = 0.0
+    #: Length of the validity, in seconds.
+    valid_s: float = 0.0
+    #: From when the permit is certainly valid for `valid_s`: the sending of
+    #: the latest acknowledged report that names it, or that of its grant.
+    confirmed_at: float = -1e9
     on_lost: abc.Callable[[], None] | None = None
 
 
@@ -62,7 +69,7 @@
         group = self._groups.setdefault(request.group, _GroupUse())
         deadline = time.monotonic() + request.remaining_ms / 1000
         tries = 0
-        use = _Use(request, request.permit)
+        use = _Use(request, request.permit, deadline=deadline)
         group.uses[request.permit] = use
         granted = False
         try:
@@ -112,8 +119,11 @@
             # acknowledged, so the validity is counted from there.
             group = self._groups[request.group]
             valid_from = max(asked_at, group.reported_at)
-            if time.monotonic() < valid_from + answer.valid_ms / 1000:
-                return answer
+            left_s = valid_from + answer.valid_ms / 1000 - time.monotonic()
+            if left_s > 0:
+                use.confirmed_at = valid_from
+                use.valid_s = answer.valid_ms / 1000
+                return dataclasses.replace(answer, valid_ms=int(left_s * 1000))
             self._give_back(request.group, use.permit)
         return sycamoreloft_wire.PermitRefusal(use.permit, "no-holder", 100)
 
@@ -158,6 +168,7 @@
 
     async def _report(self, name: str, group: _GroupUse) -> None:
         sent_at = time.monotonic()
+        reported = [use for use in group.uses.values() if use.upstream]
         report = sycamoreloft_wire.PermitReport(
             name,
             self._host,
@@ -168,9 +179,10 @@
                     use.request.service,
                     use.request.partition,
                     use.request.fingerprint,
+                    max(int((use.deadline - sent_at) * 1000), 0),
+                    sent_at < use.confirmed_at + use.valid_s,
                 )
-                for use in group.uses.values()
-                if use.upstream
+                for use in reported
             ],
         )
         answer = await self._calls.call(name, report, REPORT_S)
@@ -180,6 +192,8 @@
             | sycamoreloft_wire.PermitReportAnswer,
         ):
             group.reported_at = sent_at
+            for use in reported:
+                use.confirmed_at = sent_at
         if isinstance(answer, sycamoreloft_wire.PermitReportAnswer):
             _tell_losses(group, frozenset(answer.lost))
 
--- a/packages/wire/sycamoreloft_wire/_messages.py
+++ b/packages/wire/sycamoreloft_wire/_messages.py
@@ -184,6 +184,11 @@
     partition: int
     #: Fingerprint of the request.
     fingerprint: bytes
+    #: Time left until the deadline of the request, in milliseconds.
+    remaining_ms: int
+    #: Whether the permit has been valid without a gap; see
+    #: `sycamoreloft_decisions.UsedPermit`.
+    unlapsed: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
