Tell every host that may take a group of suspects

Cause: notices went to present holders only, and a host that took a group knew none of them; in a soak one request then ended 4 upstreams of a domain. Conclusion: the bound of 2 a failure domain should hold over a takeover.

--- a/packages/router/sycamoreloft_router/_directory.py
+++ b/packages/router/sycamoreloft_router/_directory.py
@@ -268,11 +268,19 @@
         return sycamoreloft_decisions.MembersObserved(heard, claims)
 
     def share_suspects(self, message: sycamoreloft_wire.SuspectNotice) -> None:
-        """Passes suspects to the other holders of the fleet's groups."""
+        """Passes suspects to all hosts that may decide about them.
+
+        These are the holders of the fleet's groups, and the hosts of the own
+        failure domain, of which one may take a group at any moment.
+        """
+        own_domain = self._settings.failure_domains.get(message.fleet)
         prefix = f"{message.fleet}/"
         for entry in self._membership.list_known():
-            if any(name.startswith(prefix) for name in entry.groups):
+            is_near = entry.failure_domains.get(message.fleet) == own_domain
+            if is_near or any(name.startswith(prefix) for name in entry.groups):
                 self._post(entry.peer_address, message)
+        if self._groups is not None:
+            self._groups.observe_suspects(message)
 
     def list_states(self) -> list[dict[str, typing.Any]]:
         """Returns the known hosts for the state dump."""
--- a/packages/router/sycamoreloft_router/_group_tree.py
+++ b/packages/router/sycamoreloft_router/_group_tree.py
@@ -5,6 +5,7 @@
 
 import sycamoreloft_config
 from sycamoreloft_router import _group_calls, _group_runtime, _logs, _supervisor
+import sycamoreloft_wire
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -87,6 +88,14 @@
             if runtime.epoch
         }
 
+    def observe_suspects(
+        self, message: sycamoreloft_wire.SuspectNotice
+    ) -> None:
+        """Tells all groups of the fleet of suspects."""
+        for runtime in self.runtimes.values():
+            if runtime.group.fleet == message.fleet:
+                runtime.observe_suspects(message)
+
     def request_stop(self) -> None:
         """Hands all groups over."""
         self._stopping = True
--- a/packages/router/sycamoreloft_router/_host.py
+++ b/packages/router/sycamoreloft_router/_host.py
@@ -350,6 +350,4 @@
         sender: str,
         reply: _peer_server.Reply,
     ) -> None:
-        for runtime in self._groups.runtimes.values():
-            if runtime.group.fleet == message.fleet:
-                runtime.observe_suspects(message)
+        self._groups.observe_suspects(message)
