Issue no queued permit after the holder's promise has lapsed

Cause: a request that was queued at a holder got its permit when a slot became free, also after the promise had lapsed; the new holder could have issued the same slot. Found by reading; unkeyed services were affected. Change: each permit is checked against the holder's authority when it is issued. Measured: the new test failed before the change and passes after it. Conclusion: two holders never issue the slots of a group at once.

--- a/packages/router/sycamoreloft_router/_alias_releases.py
+++ b/packages/router/sycamoreloft_router/_alias_releases.py
@@ -35,9 +35,15 @@
         """Applies another accepted or pending generation."""
         self._feed(sycamoreloft_decisions.GenerationChanged(accepted, pending))
 
-    def tick(self) -> None:
-        """Lets time pass; called while this host holds a group."""
-        self._feed(sycamoreloft_decisions.Tick())
+    def tick(self, fleet: str) -> None:
+        """Lets time pass; called while this host holds a group of a fleet.
+
+        Only holders of a canonical service read, because the load on the
+        table would otherwise grow with all hosts while one alias waits.
+        """
+        waiting = self._machine.list_waiting()
+        if any(name.split("/")[0] == fleet for name in waiting):
+            self._feed(sycamoreloft_decisions.Tick())
 
     def is_released(self, fleet: str, service: str) -> bool:
         """Tells whether a canonical service may be served."""
@@ -120,3 +126,7 @@
     def get_epoch(self) -> int:
         """Returns the epoch of the holder."""
         return self._owners.get_epoch()
+
+    def may_act(self, now: float) -> bool:
+        """Tells whether this host may issue permits now."""
+        return self._owners.may_act(now)
--- a/packages/router/sycamoreloft_router/_group_permits.py
+++ b/packages/router/sycamoreloft_router/_group_permits.py
@@ -42,6 +42,9 @@
     def get_epoch(self) -> int:
         """Returns the epoch of this holder."""
 
+    def may_act(self, now: float) -> bool:
+        """Tells whether this host may issue permits now."""
+
 
 @dataclasses.dataclass(slots=True)
 class _Asked:
@@ -343,6 +346,11 @@
         if asked is None:
             self._give_back(command.permit, now)
             return
+        if not self._owners.may_act(now):
+            # A queued request must not start once a standby may have taken
+            # the group and counts the slots itself.
+            self._refuse_issued(asked, "no-holder", now)
+            return
         message = asked.message
         if message.partition >= 0 and not self._is_owner(
             asked, command.upstream, now
@@ -353,12 +361,7 @@
             return
         upstream = self._fleet.upstreams.get(command.upstream)
         if upstream is None:
-            self._give_back(command.permit, now)
-            asked.reply(
-                sycamoreloft_wire.PermitRefusal(
-                    command.permit, "no-upstream", 200
-                )
-            )
+            self._refuse_issued(asked, "no-upstream", now)
             return
         self.counts["issued"] += 1
         asked.reply(
@@ -417,6 +420,13 @@
         asked.fence = owner.fence
         return True
 
+    def _refuse_issued(self, asked: _Asked, reason: str, now: float) -> None:
+        """Refuses a request for which the desk has just issued a permit."""
+        permit = asked.message.permit
+        self._give_back(permit, now)
+        self.counts["refused"] += 1
+        asked.reply(sycamoreloft_wire.PermitRefusal(permit, reason, 100))
+
     def _give_back(self, permit: str, now: float) -> None:
         self._handle(
             sycamoreloft_decisions.PermitReturned(permit, "did-not-run"), now
--- a/packages/router/tests/test_group_permits.py
+++ b/packages/router/tests/test_group_permits.py
@@ -34,6 +34,7 @@
 
     def __init__(self):
         self.owner = sycamoreloft_decisions.Owner("u1", 5, 3)
+        self.acts = True
 
     def find_owner(self, service, key, partition, now):
         return self.owner
@@ -41,6 +42,9 @@
     def get_epoch(self):
         return 3
 
+    def may_act(self, now):
+        return self.acts
+
 
 @pytest.fixture
 def owners():
@@ -194,3 +198,14 @@
     clock[0] += 5.0
     permits.tick()
     assert list(report(permits, "p1")) == []
+
+
+def test_a_queued_request_is_refused_once_the_promise_has_lapsed(
+    permits, owners
+):
+    """Guards against slots issued by two holders of one group at once."""
+    ask(permits, "p1")
+    queued = ask(permits, "p2")
+    owners.acts = False
+    give_back(permits, "p1")
+    assert [answer.reason for answer in queued] == ["no-holder"]
