Read the rows of aliases on holders of the canonical fleet only

Cause: every host that held any group read the rows of an unreleased alias once a second, so a wait that lasts, as for a cut-off domain, would load the table with reads that grow with the number of hosts.

Change: a tick names the fleet of the held group, and only holders of a fleet with a waiting service read.

--- a/packages/router/sycamoreloft_router/_group_runtime.py
+++ b/packages/router/sycamoreloft_router/_group_runtime.py
@@ -101,7 +101,7 @@
             self._ask_now,
         )
         if self._permits is not None:
-            self._environment.aliases.tick()
+            self._environment.aliases.tick(self.group.fleet)
             self._permits.tick()
             if self._ticks % KEY_REPORT_TICKS == 0:
                 for observed in self._permits.take_observed_keys():
