Refuse permit requests that do not fit the files

Cause: a priority out of range raised in the permit desk and cost the host its connection; a keyed request without its partition got a permit without a fence; a NaN latency was accepted; a port in use ended the process with a stack trace. Conclusion: a host of another release cannot obtain an unfenced permit.

--- a/packages/router/sycamoreloft_router/_generation_checks.py
+++ b/packages/router/sycamoreloft_router/_generation_checks.py
@@ -1,6 +1,7 @@
 """Comparisons of two generations that group runtimes need."""
 
 import sycamoreloft_config
+import sycamoreloft_wire
 
 
 def changes_groups(
@@ -20,6 +21,30 @@
     ) != sycamoreloft_config.list_groups(new)
 
 
+#: Values that the priority of a request may have.
+_PRIORITIES = frozenset(map(int, sycamoreloft_config.Priority))
+
+
+def is_well_formed(
+    generation: sycamoreloft_config.Generation,
+    message: sycamoreloft_wire.PermitRequest,
+) -> bool:
+    """Tells whether a permit request fits the files of its generation.
+
+    A request without its partition would get a permit without a fence.
+    """
+    fleet = generation.fleets.get(message.fleet)
+    service = fleet.services.get(message.service) if fleet else None
+    if service is None or message.priority not in _PRIORITIES:
+        return False
+    if not service.keyed:
+        return message.partition == -1
+    expected = sycamoreloft_config.find_partition(
+        message.fleet, message.service, message.key, service.partitions
+    )
+    return message.partition == expected
+
+
 def find_upstream(
     fleet_name: str,
     upstream_name: str,
--- a/packages/router/sycamoreloft_router/_group_runtime.py
+++ b/packages/router/sycamoreloft_router/_group_runtime.py
@@ -94,12 +94,7 @@
         self._ticks += 1
         self._feed(self._environment.directory.observe_members(self.group))
         self._feed(sycamoreloft_decisions.Tick())
-        self._parked.retry(
-            lambda message: self._is_unsettled(
-                message.generation, message.fleet, message.service
-            ),
-            self._ask_now,
-        )
+        self._parked.retry(self._is_unsettled, self._ask_now)
         if self._permits is not None:
             self._environment.aliases.tick(self.group.fleet)
             self._permits.tick()
@@ -143,9 +138,7 @@
         reply: _peer_server.Reply,
     ) -> None:
         """Answers a permit request, perhaps later."""
-        waits = self._permits is not None and self._is_unsettled(
-            message.generation, message.fleet, message.service
-        )
+        waits = self._permits is not None and self._is_unsettled(message)
         if not waits or not self._parked.add(message, reply):
             self._ask_now(message, reply)
 
@@ -155,9 +148,7 @@
         reply: _peer_server.Reply,
     ) -> None:
         """Passes a request to the permit desk, or refuses it."""
-        reason, retry_after_ms = self._check_request(
-            message.generation, message.fleet, message.service
-        )
+        reason, retry_after_ms = self._check_request(message)
         if reason or self._permits is None:
             reply(
                 sycamoreloft_wire.PermitRefusal(
@@ -168,25 +159,29 @@
         self._permits.ask(message, reply)
 
     def _check_request(
-        self, generation: int, fleet: str, service: str
+        self, message: sycamoreloft_wire.PermitRequest
     ) -> tuple[str, int]:
         """Returns why a request cannot be served now, and when to retry."""
         if self._permits is None or not self._machine.may_act(time.monotonic()):
             return "no-holder", 50
-        if generation < self._accepted.number:
+        if message.generation < self._accepted.number:
             return "stale-generation", 0
-        if self._is_unsettled(generation, fleet, service):
+        if self._is_unsettled(message):
             return "configuration-pending", 100
-        if not self._environment.aliases.is_released(fleet, service):
+        if not _generation_checks.is_well_formed(self._accepted, message):
+            return "malformed-request", 0
+        if not self._environment.aliases.is_released(
+            message.fleet, message.service
+        ):
             return "configuration-pending", 100
         return "", 0
 
-    def _is_unsettled(self, generation: int, fleet: str, service: str) -> bool:
+    def _is_unsettled(self, message: sycamoreloft_wire.PermitRequest) -> bool:
         """Tells whether it is open which generation a request falls under."""
-        if generation > self._accepted.number:
+        if message.generation > self._accepted.number:
             return True
         return self._pending is not None and not sycamoreloft_config.is_alike(
-            self._accepted, self._pending, fleet, service
+            self._accepted, self._pending, message.fleet, message.service
         )
 
     def return_permit(self, message: sycamoreloft_wire.PermitReturn) -> None:
--- a/packages/router/sycamoreloft_router/main.py
+++ b/packages/router/sycamoreloft_router/main.py
@@ -41,7 +41,17 @@
             typer.echo(str(problem), err=True)
         raise typer.Exit(EXIT_SETTINGS)
     _logs.set_up_logging(loaded.unwrap().log_level)
-    raise typer.Exit(asyncio.run(_serve(loaded.unwrap())))
+    try:
+        code = asyncio.run(_serve(loaded.unwrap()))
+    except OSError as error:
+        # A port in use, or TLS files that are missing or do not fit.
+        typer.echo(
+            f"the host cannot start: {error}; check the addresses and the TLS"
+            f" files in {settings}",
+            err=True,
+        )
+        raise typer.Exit(EXIT_SETTINGS) from error
+    raise typer.Exit(code)
 
 
 async def _serve(settings: sycamoreloft_config.Settings) -> int:
--- a/packages/wire/sycamoreloft_wire/_codec.py
+++ b/packages/wire/sycamoreloft_wire/_codec.py
@@ -3,6 +3,7 @@
 from collections import abc
 import dataclasses
 import functools
+import math
 import operator
 import types
 import typing
@@ -84,6 +85,13 @@
     return convert
 
 
+def _convert_number(value: typing.Any) -> float:
+    """Accepts finite numbers; a NaN would make every comparison false."""
+    if type(value) not in (float, int) or not math.isfinite(value):
+        raise _FieldError(f"expected a finite number, got {value!r}")
+    return typing.cast(float, value)
+
+
 def _make_sequence_converter(item: _Converter) -> _Converter:
     def convert(value: typing.Any) -> typing.Any:
         if type(value) is not list:
@@ -116,7 +124,7 @@
         nested = typing.cast(type, annotation)
         return lambda value: _build(nested, value)
     if annotation is float:
-        return _require(float, int)
+        return _convert_number
     return _require(annotation)
 
 
--- a/packages/wire/tests/test_wire.py
+++ b/packages/wire/tests/test_wire.py
@@ -143,3 +143,12 @@
     """Guards against a peer that knows the key's name only."""
     forged = (sycamoreloft_wire.SharedKey("old", b"guess"),)
     assert not run_handshake(forged, KEYS[1:])
+
+
+@pytest.mark.parametrize("latency", [float("nan"), float("inf"), True, "1"])
+def test_a_latency_that_is_no_number_is_refused(latency):
+    """Guards against a limit that follows a NaN."""
+    fields = ["g", "p", "completed", latency, False, False]
+    data = msgpack.packb([1, 9, 0, fields])
+    outcome = sycamoreloft_wire.decode_message(data)
+    assert "number" in str(outcome.failure())
