--- a/packages/router/sycamoreloft_router/_backend.py
+++ b/packages/router/sycamoreloft_router/_backend.py
@@ -155,8 +155,34 @@
 
     async def render_metrics(self) -> tuple[bytes, str]:
         """Returns metrics and their content type."""
+        self._update_metrics()
         return self._metrics.render(), "text/plain; version=0.0.4"
 
+    def _update_metrics(self) -> None:
+        """Copies what other parts count."""
+        metrics = self._metrics
+        metrics.set(
+            "sycamoreloft_generation",
+            value=float(self._configuration.accepted.number),
+        )
+        metrics.set(
+            "sycamoreloft_groups_held",
+            value=float(len(self._groups.list_held())),
+        )
+        for name, runtime in self._groups.runtimes.items():
+            permits = runtime.permits
+            if permits is None:
+                continue
+            for metric, value in (
+                ("load_imbalance_ratio", permits.compute_imbalance()),
+                ("moved_partitions_total", float(permits.measures.moves)),
+                (
+                    "unavailable_partition_seconds_total",
+                    permits.measures.unavailable_s,
+                ),
+            ):
+                metrics.set(f"sycamoreloft_{metric}", name, value=value)
+
     async def is_ready(self) -> bool:
         """Tells whether the balancer may send callers to this host."""
         return self._is_ready()
--- a/packages/router/sycamoreloft_router/_group_permits.py
+++ b/packages/router/sycamoreloft_router/_group_permits.py
@@ -10,7 +10,11 @@
 
 import sycamoreloft_config
 import sycamoreloft_decisions
-from sycamoreloft_router import _peer_server, _upstream_watch
+from sycamoreloft_router import (
+    _group_measures,
+    _peer_server,
+    _upstream_watch,
+)
 import sycamoreloft_wire
 
 #: Requests that wait for an owner of their key; more are refused at once.
@@ -88,10 +92,13 @@
         self._watch = _upstream_watch.UpstreamWatch()
         self._asked: dict[str, _Asked] = {}
         self._waiting: dict[str, _Asked] = {}
+        self._ticked_at = time.monotonic()
         self._key_counts: dict[str, collections.Counter[str]] = {}
         self._fleet = fleet
         self._candidates: dict[str, tuple[str, ...]] = {}
         self.change_fleet(fleet)
+        #: The users' measures.
+        self.measures = _group_measures.GroupMeasures()
         #: Counters for the metrics.
         self.counts: collections.Counter[str] = collections.Counter()
 
@@ -269,6 +276,7 @@
 
     def release_unit(self, unit: sycamoreloft_decisions.Unit) -> None:
         """Lets the requests of a held unit go on, at its present owner."""
+        self.measures.moves += 1
         now = time.monotonic()
         owner = self._owners.find_owner(
             unit.service, unit.key, unit.partition, now
@@ -295,6 +303,14 @@
         for event in self._watch.list_losses(now):
             self._handle(event, now)
         waiting, self._waiting = self._waiting, {}
+        self.measures.count_waiting(
+            {
+                (asked.message.service, asked.message.partition)
+                for asked in waiting.values()
+            },
+            now - self._ticked_at,
+        )
+        self._ticked_at = now
         for asked in waiting.values():
             self._admit(asked, now)
         self._handle(sycamoreloft_decisions.DeskTick(), now)
@@ -318,6 +334,10 @@
             )
         self._handle(sycamoreloft_decisions.DeskClosed(), time.monotonic())
 
+    def compute_imbalance(self) -> float:
+        """Returns the largest load of an upstream over its service's mean."""
+        return self.measures.compute_imbalance(self._candidates)
+
     def list_states(self) -> dict[str, object]:
         """Returns counters and upstreams for the state dump."""
         return {
@@ -364,6 +384,7 @@
             self._refuse_issued(asked, "no-upstream", now)
             return
         self.counts["issued"] += 1
+        self.measures.count_permit(message.service, command.upstream)
         asked.reply(
             sycamoreloft_wire.PermitGrant(
                 command.permit,
--- a/packages/router/sycamoreloft_router/_group_runtime.py
+++ b/packages/router/sycamoreloft_router/_group_runtime.py
@@ -109,6 +109,11 @@
         """Epoch in which this host holds the group, 0 if it does not."""
         return self._machine.get_epoch() if self._permits else 0
 
+    @property
+    def permits(self) -> _group_permits.GroupPermits | None:
+        """The permit desk, None unless this host holds the group."""
+        return self._permits
+
     def change_generation(
         self,
         accepted: sycamoreloft_config.Generation,
--- /dev/null
+++ b/packages/router/tests/test_group_measures.py
@@ -0,0 +1,38 @@
+"""Tests of the users' measures."""
+
+import pytest
+
+from sycamoreloft_router import _group_measures
+
+
+@pytest.fixture
+def measures():
+    """Measures of a group without requests."""
+    return _group_measures.GroupMeasures()
+
+
+def test_imbalance_counts_idle_upstreams(measures):
+    """Guards against a group that looks balanced while one server idles."""
+    candidates = {"s": ("u1", "u2"), "other": ("u3",)}
+    assert measures.compute_imbalance(candidates) == 1.0
+    for _ in range(10):
+        measures.count_permit("s", "u1")
+        measures.count_permit("other", "u3")
+    assert measures.compute_imbalance(candidates) == 2.0
+
+
+def test_imbalance_follows_the_load(measures):
+    """Guards against a measure that an old load dominates for ever."""
+    candidates = {"s": ("u1", "u2")}
+    for _ in range(_group_measures.WINDOW_PERMITS):
+        measures.count_permit("s", "u1")
+    for _ in range(4 * _group_measures.WINDOW_PERMITS):
+        measures.count_permit("s", "u2")
+    assert measures.compute_imbalance(candidates) > 1.9
+
+
+def test_waiting_time_is_counted_by_partition(measures):
+    """Guards against an outage that looks longer with more callers."""
+    measures.count_waiting({("s", 1), ("s", 2)}, 0.05)
+    measures.count_waiting(set(), 0.05)
+    assert measures.unavailable_s == pytest.approx(0.1)
