Divide an upstream's connections among all hosts

Cause: each host kept up to 12 connections to an upstream, whatever the number of hosts: 24 hosts fit in 300, 4,100 would need 49,200. Change: the share follows the number of known hosts; if it is below the slots, no idle connection is kept, so connections are bounded by the permits.

--- a/packages/router/sycamoreloft_router/_caller_server.py
+++ b/packages/router/sycamoreloft_router/_caller_server.py
@@ -193,6 +193,15 @@
                 connection.stream.close()
         self._client.close()
 
+    def limit_connections(self, connections: int, keeps_idle: bool) -> None:
+        """Changes the limit of connections to each upstream.
+
+        Args:
+            connections: Connections at once, idle ones included.
+            keeps_idle: Whether a connection may be kept for the next request.
+        """
+        self._client.limit_connections(connections, keeps_idle)
+
     def _close_idle(self) -> None:
         loop = asyncio.get_running_loop()
         if self._server is not None:
--- a/packages/router/sycamoreloft_router/_directory.py
+++ b/packages/router/sycamoreloft_router/_directory.py
@@ -282,6 +282,10 @@
         if self._groups is not None:
             self._groups.observe_suspects(message)
 
+    def count_hosts(self) -> int:
+        """Returns the number of known hosts, this one included."""
+        return 1 + len(self._membership.list_known())
+
     def list_states(self) -> list[dict[str, typing.Any]]:
         """Returns the known hosts for the state dump."""
         now = time.monotonic()
--- a/packages/router/sycamoreloft_router/_host.py
+++ b/packages/router/sycamoreloft_router/_host.py
@@ -14,6 +14,7 @@
     _backend,
     _caller_server,
     _configuration,
+    _connection_share,
     _directory,
     _grant_client,
     _group_calls,
@@ -33,6 +34,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+#: Time between two looks at the number of hosts, in seconds.
+SHARE_S = 5.0
+
 #: Time that a stop gives groups to be handed over, in seconds.
 HAND_OVER_S = 1.5
 
@@ -202,9 +206,21 @@
             ("acceptance commands", self._configuration.run_commands),
             ("gossip", self._directory.run_gossip),
             ("permit reports", self._permits.run_reports),
+            ("connection shares", self._share_connections),
         ):
             self._supervisor.start(_supervisor.ChildSpecification(name, run))
 
+    async def _share_connections(self) -> None:
+        """Follows the number of hosts until it is cancelled."""
+        while True:
+            share = _connection_share.compute_share(
+                self._configuration.accepted, self._directory.count_hosts()
+            )
+            self._caller_server.limit_connections(
+                share.connections, share.keeps_idle
+            )
+            await asyncio.sleep(SHARE_S)
+
     async def _stop(self) -> None:
         """Stops: balancer first, then groups, then requests in flight."""
         settings = self._settings
--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -313,6 +313,17 @@
         self._spare: dict[_Mode, list[_Handle]] = {mode: [] for mode in _Mode}
         self._active: set[_Handle] = set()
         self._echoing: set[str] = set()
+        self._keeps_idle = True
+
+    def limit_connections(self, connections: int, keeps_idle: bool) -> None:
+        """Changes the limit of connections to one address.
+
+        Args:
+            connections: Connections at once, idle ones included.
+            keeps_idle: Whether a connection may be kept for the next request.
+        """
+        self._multi.setopt(pycurl.M_MAX_HOST_CONNECTIONS, connections)
+        self._keeps_idle = keeps_idle
 
     def create_future(self) -> asyncio.Future[None]:
         """Creates a future on the client's event loop."""
@@ -328,7 +339,8 @@
         mode = _choose_mode(request)
         spare = self._spare[mode]
         handle = spare.pop() if spare else _Handle(pycurl.Curl(), mode)
-        handle.prepare(transfer, request.address in self._echoing)
+        reuse = self._keeps_idle and request.address in self._echoing
+        handle.prepare(transfer, reuse)
         transfer.attach(handle)
         self._active.add(handle)
         if isinstance(request.body, _body_streams.UploadBuffer):
--- a/packages/router/tests/test_upstream_client.py
+++ b/packages/router/tests/test_upstream_client.py
@@ -462,3 +462,23 @@
             assert upstream.connections >= (4 if headers else 20)
 
     run(scenario, 3)
+
+
+def test_keeps_no_connection_when_there_are_too_many_hosts(run):
+    """Guards against idle connections that fill an upstream."""
+
+    async def scenario(client):
+        async with raw_peers.RawUpstream(
+            scripted(raw_peers.answer(b"hello", headers=ECHO))
+        ) as upstream:
+            client.limit_connections(6, keeps_idle=False)
+            for _ in range(3):
+                transfer, _ = await fetch(client, upstream)
+                assert transfer.failure is None
+            assert upstream.connections == 3
+            client.limit_connections(6, keeps_idle=True)
+            for _ in range(3):
+                await fetch(client, upstream)
+            assert upstream.connections == 4
+
+    run(scenario)
