--- a/packages/decisions/sycamoreloft_decisions/__init__.py
+++ b/packages/decisions/sycamoreloft_decisions/__init__.py
@@ -1,4 +1,8 @@
-"""Pure decisions of the router."""
+"""Pure decisions of the router.
+
+The names of acceptance and membership stand in the public modules
+`acceptance` and `membership`, since several are also names of ownership.
+"""
 
 from sycamoreloft_decisions._alias_release import (
     ALIAS_READ_INTERVAL_S,
@@ -31,6 +35,8 @@
     GroupHolder,
 )
 from sycamoreloft_decisions._outcomes import (
+    REFUSAL_STATUSES,
+    REFUSALS,
     AnswerEnded,
     Attempt,
     AttemptEvent,
@@ -140,6 +146,8 @@
 )
 
 __all__ = [
+    "REFUSALS",
+    "REFUSAL_STATUSES",
     "ALIAS_READ_INTERVAL_S",
     "AliasEvent",
     "AliasRelease",
--- a/packages/decisions/sycamoreloft_decisions/_permit_events.py
+++ b/packages/decisions/sycamoreloft_decisions/_permit_events.py
@@ -4,7 +4,7 @@
 import dataclasses
 import enum
 
-from sycamoreloft_config import _nodes
+import sycamoreloft_config
 
 
 class Reason(enum.StrEnum):
@@ -45,7 +45,7 @@
     #: Caller, for fairness.
     caller: str
     #: Class of the operation.
-    priority: _nodes.Priority
+    priority: sycamoreloft_config.Priority
     #: Time of the caller's deadline on the clock of the holder.
     deadline: float
     #: Upstreams that may run the request; one for a keyed service.
--- a/packages/decisions/sycamoreloft_decisions/_permit_records.py
+++ b/packages/decisions/sycamoreloft_decisions/_permit_records.py
@@ -3,7 +3,7 @@
 from collections import abc
 import dataclasses
 
-from sycamoreloft_config import _nodes
+import sycamoreloft_config
 from sycamoreloft_decisions import _balancing, _fair_queue, _permit_events
 
 
@@ -92,7 +92,7 @@
         self.size = 0
         self._queues = {
             priority: _fair_queue.FairQueue[Ticket]()
-            for priority in sorted(_nodes.Priority, reverse=True)
+            for priority in sorted(sycamoreloft_config.Priority, reverse=True)
         }
 
     def __iter__(self) -> abc.Iterator["Ticket"]:
@@ -126,7 +126,9 @@
         queue.remove(list_flow(ticket.asked), ticket)
         self._take(ticket)
 
-    def evict_below(self, priority: _nodes.Priority) -> "Ticket | None":
+    def evict_below(
+        self, priority: sycamoreloft_config.Priority
+    ) -> "Ticket | None":
         """Removes a request of the lowest class below the given one."""
         for each in sorted(self._queues):
             if each >= priority:
@@ -229,7 +231,7 @@
         partition=used.partition,
         fingerprint=used.fingerprint,
         caller="",
-        priority=_nodes.Priority.NORMAL,
+        priority=sycamoreloft_config.Priority.NORMAL,
         deadline=longest if used.deadline is None else used.deadline,
         candidates=(used.upstream,),
     )
--- a/packages/decisions/sycamoreloft_decisions/_permit_waiting.py
+++ b/packages/decisions/sycamoreloft_decisions/_permit_waiting.py
@@ -2,7 +2,7 @@
 
 from collections import abc
 
-from sycamoreloft_config import _nodes
+import sycamoreloft_config
 from sycamoreloft_decisions import (
     _balancing,
     _permit_events,
@@ -12,7 +12,7 @@
 #: Weight of a new sample in the mean service time of a kind of request.
 SERVICE_TIME_WEIGHT = 0.1
 
-_Kind = tuple[str, str, _nodes.Priority]
+_Kind = tuple[str, str, sycamoreloft_config.Priority]
 
 
 class WaitingRequests:
--- a/packages/decisions/tests/test_acceptance.py
+++ b/packages/decisions/tests/test_acceptance.py
@@ -6,7 +6,7 @@
 from hypothesis import stateful, strategies
 import pytest
 
-from sycamoreloft_decisions import _acceptance, _acceptance_rows
+from sycamoreloft_decisions import _acceptance_rows, acceptance
 
 HOSTS = ("h0", "h1", "h2")
 GROUPS = ("a/d0/0", "a/d1/0", "b/d0/0")
@@ -31,7 +31,7 @@
 class Host:
     """One machine and what its interpreter has done."""
 
-    machine: _acceptance.Acceptance
+    machine: acceptance.Acceptance
     #: Numbers of the latest UseHead.
     used: tuple = (0, 0)
     answers: list = dataclasses.field(default_factory=list)
@@ -44,11 +44,11 @@
         super().__init__()
         self.now = 0.0
         # An installation in which every group has a holder.
-        first = _acceptance.Entry(1, "id-0", {"fleet/a": "id-0"}, GROUPS)
-        past = _acceptance.PastSubmission(1, "id-0", first.files)
-        self.head = (1, _acceptance.HeadRow(first, None, (past,)))
+        first = acceptance.Entry(1, "id-0", {"fleet/a": "id-0"}, GROUPS)
+        past = acceptance.PastSubmission(1, "id-0", first.files)
+        self.head = (1, acceptance.HeadRow(first, None, (past,)))
         self.rows = {
-            group: _acceptance.GroupRow(1, name)
+            group: acceptance.GroupRow(1, name)
             for group, name in zip(GROUPS, HOSTS, strict=True)
         }
         self.queue = []
@@ -62,11 +62,11 @@
         self.accepted = [1]
         self.ids = 0
         self.hosts = {
-            name: Host(_acceptance.Acceptance(name, self.make_id))
+            name: Host(acceptance.Acceptance(name, self.make_id))
             for name in HOSTS
         }
         for name in HOSTS:
-            self.feed(name, _acceptance.HeadRead(*self.head))
+            self.feed(name, acceptance.HeadRead(*self.head))
 
     def make_id(self):
         self.ids += 1
@@ -78,9 +78,9 @@
         host = self.hosts[name]
         for command in host.machine.handle(event, self.now):
             match command:
-                case _acceptance.UseHead():
+                case acceptance.UseHead():
                     host.used = (command.accepted, command.pending)
-                case _acceptance.Answer():
+                case acceptance.Answer():
                     host.answers.append(command)
                     self.check_answer(command)
                 case _:
@@ -88,18 +88,18 @@
 
     def deliver(self, name, snapshot, with_groups):
         (version, row), rows = snapshot
-        self.feed(name, _acceptance.HeadRead(version, row))
+        self.feed(name, acceptance.HeadRead(version, row))
         if with_groups:
-            self.feed(name, _acceptance.GroupRowsRead(version, rows))
+            self.feed(name, acceptance.GroupRowsRead(version, rows))
 
     def get_head(self):
-        return self.head[1] or _acceptance.EMPTY_HEAD
+        return self.head[1] or acceptance.EMPTY_HEAD
 
     # The table.
 
     def apply(self, command):
         """Applies a write and returns whether its conditions held."""
-        if isinstance(command, _acceptance.Stage):
+        if isinstance(command, acceptance.Stage):
             row = self.rows.get(command.group)
             if row is None or row.version != command.version:
                 return False
@@ -109,7 +109,7 @@
             return True
         if self.head[0] != command.version:
             return False
-        if isinstance(command, _acceptance.Accept):
+        if isinstance(command, acceptance.Accept):
             for group, version in command.group_versions.items():
                 row = self.rows.get(group)
                 if (row.version if row else 0) != version:
@@ -148,13 +148,13 @@
         recorded = answer.request in self.recorded.values()
         number = self.bases[answer.request] + 1
         match answer.verdict:
-            case _acceptance.Verdict.ACCEPTED:
+            case acceptance.Verdict.ACCEPTED:
                 assert recorded
                 assert number in self.accepted
-            case _acceptance.Verdict.REPLACED:
+            case acceptance.Verdict.REPLACED:
                 assert recorded
                 assert number not in self.accepted
-            case _acceptance.Verdict.PENDING:
+            case acceptance.Verdict.PENDING:
                 assert recorded
 
     @stateful.invariant()
@@ -176,8 +176,8 @@
         for host in self.hosts.values():
             for answer in host.answers:
                 if answer.verdict in (
-                    _acceptance.Verdict.CONFLICT,
-                    _acceptance.Verdict.UNAVAILABLE,
+                    acceptance.Verdict.CONFLICT,
+                    acceptance.Verdict.UNAVAILABLE,
                 ):
                     is_recorded = answer.request in self.recorded.values()
                     assert not is_recorded, "recorded all the same"
@@ -203,7 +203,7 @@
         self.bases[request] = max(base, 0)
         self.feed(
             name,
-            _acceptance.FileSubmitted(
+            acceptance.FileSubmitted(
                 request,
                 max(base, 0),
                 {"fleet/a": request},
@@ -219,7 +219,7 @@
     )
     def tick(self, name, seconds):
         self.now += seconds
-        self.feed(name, _acceptance.Tick())
+        self.feed(name, acceptance.Tick())
 
     @stateful.precondition(lambda self: self.queue)
     @stateful.rule(
@@ -228,7 +228,7 @@
     )
     def serve(self, position, fate):
         name, command = self.queue.pop(position % len(self.queue))
-        if isinstance(command, _acceptance.ReadRows):
+        if isinstance(command, acceptance.ReadRows):
             if fate == "late":
                 snapshot = (self.head, dict(self.rows))
                 self.queue.append((name, (snapshot, command.with_groups)))
@@ -248,23 +248,23 @@
         for _ in range(rounds):
             self.now += 0.3
             for name in HOSTS:
-                self.feed(name, _acceptance.Tick())
+                self.feed(name, acceptance.Tick())
             for _ in range(len(self.queue)):
                 self.serve(0, "answered")
 
     def write(self, name, command, fate):
-        result = _acceptance.WriteResult.UNKNOWN
+        result = acceptance.WriteResult.UNKNOWN
         if fate == "late":
             self.queue.append((None, command))
         elif fate != "dropped":
             applied = self.apply(command)
             if fate == "answered":
                 result = (
-                    _acceptance.WriteResult.APPLIED
+                    acceptance.WriteResult.APPLIED
                     if applied
-                    else _acceptance.WriteResult.CONFLICT
+                    else acceptance.WriteResult.CONFLICT
                 )
-        self.feed(name, _acceptance.WriteSettled(command.request, result))
+        self.feed(name, acceptance.WriteSettled(command.request, result))
 
     @stateful.rule(
         group=strategies.sampled_from(GROUPS),
@@ -275,13 +275,13 @@
         if group not in self.groups[self.get_head().accepted.number]:
             return
         self.vouched.discard(group)
-        self.feed(name, _acceptance.HeadRead(*self.head))
+        self.feed(name, acceptance.HeadRead(*self.head))
         old = self.rows.get(group)
-        self.rows[group] = _acceptance.GroupRow(
+        self.rows[group] = acceptance.GroupRow(
             old.version + 1 if old else 1, name, old.staged if old else 0
         )
         held = [key for key, row in self.rows.items() if row.holder == name]
-        self.feed(name, _acceptance.GroupsHeld(held))
+        self.feed(name, acceptance.GroupsHeld(held))
 
     @stateful.precondition(lambda self: self.rows)
     @stateful.rule(position=strategies.integers(0, 2))
@@ -296,7 +296,7 @@
         for _ in range(60):
             self.now += 0.7
             for name in HOSTS:
-                self.feed(name, _acceptance.Tick())
+                self.feed(name, acceptance.Tick())
             while self.queue:
                 self.serve(0, "answered")
         requests = [
@@ -338,14 +338,14 @@
 
 def test_the_fuzzer_finds_a_lost_answer_taken_for_a_refusal(monkeypatch):
     """Guards against an oracle that believes a wrong not-recorded answer."""
-    judge = _acceptance.Acceptance._judge
+    judge = acceptance.Acceptance._judge
 
     def judge_wrongly(machine, submission):
         if submission.was_sent and submission.written_version is None:
-            return _acceptance.Verdict.CONFLICT
+            return acceptance.Verdict.CONFLICT
         return judge(machine, submission)
 
-    monkeypatch.setattr(_acceptance.Acceptance, "_judge", judge_wrongly)
+    monkeypatch.setattr(acceptance.Acceptance, "_judge", judge_wrongly)
     with pytest.raises(AssertionError, match="recorded all the same"):
         run_world()
 
@@ -357,92 +357,88 @@
 
 def test_a_domain_that_runs_again_need_not_stage_what_says_so():
     """Guards against a generation that waits for a group without holder."""
-    machine = _acceptance.Acceptance("h9", iter("wxyz").__next__)
-    lost = _acceptance.Entry(1, "r1", {}, GROUPS, ("a/d1/0",))
-    found = _acceptance.Entry(2, "r2", {}, GROUPS)
-    row = _acceptance.HeadRow(lost, found)
-    machine.handle(_acceptance.HeadRead(1, row), 0.0)
-    rows = {group: _acceptance.GroupRow(7, "h0", 2) for group in GROUPS}
-    rows["a/d1/0"] = _acceptance.GroupRow(5, "h1", 0)
-    commands = machine.handle(_acceptance.GroupRowsRead(1, rows), 1.1)
-    (accept,) = find(commands, _acceptance.Accept)
+    machine = acceptance.Acceptance("h9", iter("wxyz").__next__)
+    lost = acceptance.Entry(1, "r1", {}, GROUPS, ("a/d1/0",))
+    found = acceptance.Entry(2, "r2", {}, GROUPS)
+    row = acceptance.HeadRow(lost, found)
+    machine.handle(acceptance.HeadRead(1, row), 0.0)
+    rows = {group: acceptance.GroupRow(7, "h0", 2) for group in GROUPS}
+    rows["a/d1/0"] = acceptance.GroupRow(5, "h1", 0)
+    commands = machine.handle(acceptance.GroupRowsRead(1, rows), 1.1)
+    (accept,) = find(commands, acceptance.Accept)
     assert accept.row.accepted == found
 
 
 @pytest.mark.parametrize("lost", [(), ("a/d1/0",)])
 def test_an_unreachable_domain_is_named_unless_declared_lost(lost):
     """Guards against an operator who cannot see what the wait is for."""
-    machine = _acceptance.Acceptance("h9", iter("wxyz").__next__)
-    first = _acceptance.Entry(1, "r1", {"fleet/a": "old"}, GROUPS)
+    machine = acceptance.Acceptance("h9", iter("wxyz").__next__)
+    first = acceptance.Entry(1, "r1", {"fleet/a": "old"}, GROUPS)
+    machine.handle(acceptance.HeadRead(1, acceptance.HeadRow(first, None)), 0.0)
     machine.handle(
-        _acceptance.HeadRead(1, _acceptance.HeadRow(first, None)), 0.0
-    )
-    machine.handle(
-        _acceptance.FileSubmitted(
+        acceptance.FileSubmitted(
             "r2", 1, {"fleet/a": "new"}, GROUPS, lost, wait_s=4.0
         ),
         1.0,
     )
-    rows = {group: _acceptance.GroupRow(7, "h0", 2) for group in GROUPS}
-    rows["a/d1/0"] = _acceptance.GroupRow(5, "h1", 0)
-    commands = machine.handle(_acceptance.GroupRowsRead(1, rows), 1.1)
-    (write,) = find(commands, _acceptance.WriteHead)
-    machine.handle(_acceptance.HeadRead(2, write.row), 1.2)
-    commands = machine.handle(_acceptance.GroupRowsRead(2, rows), 1.2)
-    accepts = find(commands, _acceptance.Accept)
+    rows = {group: acceptance.GroupRow(7, "h0", 2) for group in GROUPS}
+    rows["a/d1/0"] = acceptance.GroupRow(5, "h1", 0)
+    commands = machine.handle(acceptance.GroupRowsRead(1, rows), 1.1)
+    (write,) = find(commands, acceptance.WriteHead)
+    machine.handle(acceptance.HeadRead(2, write.row), 1.2)
+    commands = machine.handle(acceptance.GroupRowsRead(2, rows), 1.2)
+    accepts = find(commands, acceptance.Accept)
     if lost:
         assert accepts[0].group_versions == {"a/d0/0": 7, "b/d0/0": 7}
         return
     assert not accepts
-    (answer,) = find(
-        machine.handle(_acceptance.Tick(), 5.1), _acceptance.Answer
-    )
-    assert answer.verdict is _acceptance.Verdict.PENDING
+    (answer,) = find(machine.handle(acceptance.Tick(), 5.1), acceptance.Answer)
+    assert answer.verdict is acceptance.Verdict.PENDING
     assert answer.waiting_domains == ["a/d1"]
 
 
 def test_the_loser_of_a_race_learns_what_changed():
     """Guards against a refusal that does not say what to look at."""
-    machine = _acceptance.Acceptance("h9", iter("wxyz").__next__)
+    machine = acceptance.Acceptance("h9", iter("wxyz").__next__)
     past = tuple(
-        _acceptance.PastSubmission(number, f"r{number}", {"merge": str(number)})
+        acceptance.PastSubmission(number, f"r{number}", {"merge": str(number)})
         for number in (1, 2)
     )
-    entry = _acceptance.Entry(2, "r2", past[1].files)
-    row = _acceptance.HeadRow(entry, None, past)
-    submitted = _acceptance.FileSubmitted("r3", 1, {"merge": "3"}, ())
+    entry = acceptance.Entry(2, "r2", past[1].files)
+    row = acceptance.HeadRow(entry, None, past)
+    submitted = acceptance.FileSubmitted("r3", 1, {"merge": "3"}, ())
     machine.handle(submitted, 0.0)
     (answer,) = find(
-        machine.handle(_acceptance.HeadRead(9, row), 0.1), _acceptance.Answer
+        machine.handle(acceptance.HeadRead(9, row), 0.1), acceptance.Answer
     )
-    assert answer.verdict is _acceptance.Verdict.CONFLICT
+    assert answer.verdict is acceptance.Verdict.CONFLICT
     assert (answer.number, answer.newest) == (0, 2)
     assert answer.changed_files == ["merge"]
 
 
 def test_a_write_that_always_fails_does_not_read_in_a_loop():
     """Guards against a group holder that overloads the store."""
-    machine = _acceptance.Acceptance("h0", iter(map(str, range(999))).__next__)
-    first = _acceptance.Entry(1, "r1", {}, GROUPS)
-    pending = _acceptance.Entry(2, "r2", {}, GROUPS)
-    row = _acceptance.HeadRow(first, pending)
-    rows = {"a/d0/0": _acceptance.GroupRow(1, "h0")}
+    machine = acceptance.Acceptance("h0", iter(map(str, range(999))).__next__)
+    first = acceptance.Entry(1, "r1", {}, GROUPS)
+    pending = acceptance.Entry(2, "r2", {}, GROUPS)
+    row = acceptance.HeadRow(first, pending)
+    rows = {"a/d0/0": acceptance.GroupRow(1, "h0")}
     reads = []
-    queue = [_acceptance.HeadRead(1, row)]
+    queue = [acceptance.HeadRead(1, row)]
     for step in range(1_000):
         commands = [
             command
-            for event in [*queue, _acceptance.Tick()]
+            for event in [*queue, acceptance.Tick()]
             for command in machine.handle(event, step / 100)
         ]
-        reads += find(commands, _acceptance.ReadRows)
+        reads += find(commands, acceptance.ReadRows)
         queue = [
-            _acceptance.GroupRowsRead(1, rows)
-            if isinstance(command, _acceptance.ReadRows)
-            else _acceptance.WriteSettled(
-                command.request, _acceptance.WriteResult.CONFLICT
+            acceptance.GroupRowsRead(1, rows)
+            if isinstance(command, acceptance.ReadRows)
+            else acceptance.WriteSettled(
+                command.request, acceptance.WriteResult.CONFLICT
             )
             for command in commands
-            if not isinstance(command, _acceptance.UseHead)
+            if not isinstance(command, acceptance.UseHead)
         ]
     assert 10 < len(reads) < 30
--- a/packages/decisions/tests/test_permit_fuzz.py
+++ b/packages/decisions/tests/test_permit_fuzz.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from sycamoreloft_config import _nodes
+import sycamoreloft_config
 from sycamoreloft_decisions import _permit_events as events
 from sycamoreloft_decisions import _permits
 from sycamoreloft_proof import _random_histories, _request_oracle
@@ -103,7 +103,7 @@
             partition=PARTITIONS[candidates],
             fingerprint=self.count.to_bytes(16, "big"),
             caller="c",
-            priority=_nodes.Priority.NORMAL,
+            priority=sycamoreloft_config.Priority.NORMAL,
             deadline=self.now + patience_s,
             candidates=candidates,
         )
@@ -336,7 +336,7 @@
                 partition=-1,
                 fingerprint=fingerprint,
                 caller="c",
-                priority=_nodes.Priority.NORMAL,
+                priority=sycamoreloft_config.Priority.NORMAL,
                 deadline=self.now + 10.0,
                 candidates=self.names,
             )
--- a/packages/decisions/tests/test_permits.py
+++ b/packages/decisions/tests/test_permits.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sycamoreloft_config import _nodes
+import sycamoreloft_config
 from sycamoreloft_decisions import _balancing, _concurrency, _permits
 from sycamoreloft_decisions import _permit_events as events
 
@@ -35,7 +35,7 @@
             "partition": 3 if len(candidates) == 1 else -1,
             "fingerprint": self.count.to_bytes(16, "big"),
             "caller": "c",
-            "priority": _nodes.Priority.NORMAL,
+            "priority": sycamoreloft_config.Priority.NORMAL,
             "deadline": self.now + 10.0,
             "candidates": candidates,
         } | changes
@@ -94,7 +94,7 @@
     """Guards against an unbounded queue and against shedding a high class."""
     driver.open("a", slots=1, queue=2)
     driver.ask("a")
-    driver.ask("a", priority=_nodes.Priority.BACKGROUND)
+    driver.ask("a", priority=sycamoreloft_config.Priority.BACKGROUND)
     driver.ask("a")
     refused = list_refused(driver.ask("a"))
     assert refused == [("h/2", events.Reason.SHED)]
--- a/packages/decisions/tests/test_quarantine.py
+++ b/packages/decisions/tests/test_quarantine.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sycamoreloft_config import _nodes
+import sycamoreloft_config
 from sycamoreloft_decisions import _permit_events as events
 from sycamoreloft_decisions import _permits, _quarantine
 
@@ -25,7 +25,7 @@
                 partition=-1,
                 fingerprint=fingerprint,
                 caller="c",
-                priority=_nodes.Priority.NORMAL,
+                priority=sycamoreloft_config.Priority.NORMAL,
                 deadline=now + 10.0,
                 candidates=candidates,
             ),
--- a/packages/proof/sycamoreloft_proof/_bench_router.py
+++ b/packages/proof/sycamoreloft_proof/_bench_router.py
@@ -16,7 +16,7 @@
 
 import sycamoreloft_config
 from sycamoreloft_router import _caller_server
-from sycamoreloft_wire import _messages
+import sycamoreloft_wire
 
 #: Set to a number of seconds to profile the process for that long.
 PROFILE_VARIABLE = "SYCAMORELOFT_BENCH_PROFILE_S"
@@ -85,10 +85,10 @@
         return ()
 
     async def ask_permit(
-        self, request: _messages.PermitRequest
-    ) -> _messages.PermitGrant:
+        self, request: sycamoreloft_wire.PermitRequest
+    ) -> sycamoreloft_wire.PermitGrant:
         """Grants the permit."""
-        return _messages.PermitGrant(
+        return sycamoreloft_wire.PermitGrant(
             request.permit, "tally-1", self._upstream, 1, 1, 1_000
         )
 
@@ -97,16 +97,18 @@
     ) -> None:
         """Does nothing: no upstream is ever lost."""
 
-    def return_permit(self, returned: _messages.PermitReturn) -> None:
+    def return_permit(self, returned: sycamoreloft_wire.PermitReturn) -> None:
         """Takes a permit back."""
 
     async def ask_claim(
-        self, request: _messages.ClaimRequest
-    ) -> _messages.ClaimAnswer:
+        self, request: sycamoreloft_wire.ClaimRequest
+    ) -> sycamoreloft_wire.ClaimAnswer:
         """Gives the claim."""
-        return _messages.ClaimAnswer("claimed")
+        return sycamoreloft_wire.ClaimAnswer("claimed")
 
-    def report_result(self, claim_result: _messages.ClaimResult) -> None:
+    def report_result(
+        self, claim_result: sycamoreloft_wire.ClaimResult
+    ) -> None:
         """Takes a result."""
 
 
--- a/packages/proof/sycamoreloft_proof/_capacity_holder.py
+++ b/packages/proof/sycamoreloft_proof/_capacity_holder.py
@@ -6,7 +6,7 @@
 
 import sycamoreloft_config
 import sycamoreloft_decisions
-from sycamoreloft_decisions import _acceptance
+from sycamoreloft_decisions import acceptance
 from sycamoreloft_proof import _capacity_models, _slopes
 
 #: Upstreams of one group.
@@ -207,13 +207,13 @@
     values = []
     for groups in GROUP_SIZES:
         names = [f"sledworks/domain-{number}/0" for number in range(groups)]
-        rows = {name: _acceptance.GroupRow(3, "host-0001", 1) for name in names}
-        head = _acceptance.HeadRow(
-            _acceptance.Entry(1, "r", {"fleet/sledworks": "0" * 64}, names)
+        rows = {name: acceptance.GroupRow(3, "host-0001", 1) for name in names}
+        head = acceptance.HeadRow(
+            acceptance.Entry(1, "r", {"fleet/sledworks": "0" * 64}, names)
         )
-        machine = _acceptance.Acceptance("host-0001", lambda: "r2")
-        machine.handle(_acceptance.HeadRead(5, head), 0.0)
-        read = _acceptance.GroupRowsRead(5, rows)
+        machine = acceptance.Acceptance("host-0001", lambda: "r2")
+        machine.handle(acceptance.HeadRead(5, head), 0.0)
+        read = acceptance.GroupRowsRead(5, rows)
         values.append(
             _slopes.measure_time(
                 functools.partial(machine.handle, read, 1.0), 50
--- a/packages/proof/sycamoreloft_proof/_capacity_models.py
+++ b/packages/proof/sycamoreloft_proof/_capacity_models.py
@@ -10,7 +10,7 @@
 
 import sycamoreloft_config
 import sycamoreloft_decisions
-from sycamoreloft_decisions import _membership
+from sycamoreloft_decisions import membership
 from sycamoreloft_proof import _slopes
 import sycamoreloft_wire
 
@@ -42,8 +42,8 @@
 
 def _make_membership(
     hosts: int,
-) -> _membership.Membership[sycamoreloft_wire.MemberEntry]:
-    members = _membership.Membership(make_entry(0), random.Random(1))
+) -> membership.Membership[sycamoreloft_wire.MemberEntry]:
+    members = membership.Membership(make_entry(0), random.Random(1))
     entries = [make_entry(number) for number in range(1, hosts)]
     members.merge([], entries, 0.0)
     members.merge(
@@ -71,7 +71,7 @@
 
 
 def run_round(
-    members: _membership.Membership[sycamoreloft_wire.MemberEntry],
+    members: membership.Membership[sycamoreloft_wire.MemberEntry],
 ) -> list[bytes]:
     """Runs one round: the choice and the encoding of two digests."""
     digests = []
--- a/packages/router/sycamoreloft_router/_attempts.py
+++ b/packages/router/sycamoreloft_router/_attempts.py
@@ -7,7 +7,7 @@
 import typing
 
 import sycamoreloft_config
-from sycamoreloft_decisions import _outcomes
+import sycamoreloft_decisions
 from sycamoreloft_router import (
     _answer_heads,
     _answers,
@@ -19,16 +19,16 @@
     _transfer_types,
     _upstream_client,
 )
-from sycamoreloft_wire import _messages
+import sycamoreloft_wire
 
 _KIND = _transfer_types.FailureKind
 
 # Events without fields of their own; one of each serves all attempts.
-_CONNECTION_MADE = _outcomes.ConnectionMade()
-_SENT_REPLAYABLE = _outcomes.BytesSent(True)
-_SENT_ONCE = _outcomes.BytesSent(False)
-_ANSWER_ENDED = _outcomes.AnswerEnded()
-_BROKEN = _outcomes.ConnectionBroken()
+_CONNECTION_MADE = sycamoreloft_decisions.ConnectionMade()
+_SENT_REPLAYABLE = sycamoreloft_decisions.BytesSent(True)
+_SENT_ONCE = sycamoreloft_decisions.BytesSent(False)
+_ANSWER_ENDED = sycamoreloft_decisions.AnswerEnded()
+_BROKEN = sycamoreloft_decisions.ConnectionBroken()
 
 
 class AnswerSink(typing.Protocol):
@@ -135,8 +135,8 @@
         self._group = group
         self._id = services.create_attempt_id()
         self._loop = services.loop
-        self._machine = machine = _outcomes.Attempt(
-            _outcomes.AttemptRules(
+        self._machine = machine = sycamoreloft_decisions.Attempt(
+            sycamoreloft_decisions.AttemptRules(
                 operation.at_most_once,
                 operation.repeatable,
                 given.request.service.deduplicates,
@@ -147,27 +147,27 @@
         # done once for the attempt and not for each event.
         self._observe = machine.handle
         self._transfer: _upstream_client.Transfer | None = None
-        self._claim: _messages.ClaimRequest | None = None
+        self._claim: sycamoreloft_wire.ClaimRequest | None = None
         self._claim_verdict = ""
-        self._decision: _outcomes.Decision | None = None
+        self._decision: sycamoreloft_decisions.Decision | None = None
         self._is_upstream_lost = False
         #: Whether the answer went to the caller, or was cut.
         self.answered = False
         #: The claim holder's answer, if one was asked.
-        self.claim_answer: _messages.ClaimAnswer | None = None
+        self.claim_answer: sycamoreloft_wire.ClaimAnswer | None = None
         #: Why the transfer has no whole answer.
         self.failure: _transfer_types.Failure | None = None
         #: The holder's refusal, if it refused.
-        self.refusal: _messages.PermitRefusal | None = None
+        self.refusal: sycamoreloft_wire.PermitRefusal | None = None
         #: Why the attempt is being stopped; set before its task is cancelled.
-        self.stop_event: _outcomes.AttemptEvent | None = None
+        self.stop_event: sycamoreloft_decisions.AttemptEvent | None = None
 
     @property
     def is_sent(self) -> bool:
         """Whether the upstream may have received bytes of the request."""
         return self._transfer is not None and self._transfer.started
 
-    async def perform(self) -> _outcomes.Decision:
+    async def perform(self) -> sycamoreloft_decisions.Decision:
         """Runs the attempt to its decision.
 
         Raises:
@@ -175,26 +175,28 @@
                 `stop_event`. The permit has been returned.
         """
         if self._group is None:
-            return self._decide(_outcomes.PermitDenied("no-group"))
+            return self._decide(sycamoreloft_decisions.PermitDenied("no-group"))
         try:
             answer = await self._ask_permit(self._group)
         except asyncio.CancelledError:
             if self.stop_event is None:
                 raise
             return self._decide(self.stop_event)
-        if isinstance(answer, _messages.PermitRefusal):
+        if isinstance(answer, sycamoreloft_wire.PermitRefusal):
             self.refusal = answer
-            return self._decide(_outcomes.PermitDenied(answer.reason))
+            return self._decide(
+                sycamoreloft_decisions.PermitDenied(answer.reason)
+            )
         return await self._use_permit(self._group, answer)
 
     async def _ask_permit(
         self, group: str
-    ) -> _messages.PermitGrant | _messages.PermitRefusal:
+    ) -> sycamoreloft_wire.PermitGrant | sycamoreloft_wire.PermitRefusal:
         request = self._given.request
         asked_at = self._loop.time()
         try:
             return await self._services.permits.ask_permit(
-                _messages.PermitRequest(
+                sycamoreloft_wire.PermitRequest(
                     group,
                     self._id,
                     self._services.host,
@@ -219,13 +221,13 @@
         return max(1, int((self._given.deadline - now) * 1000))
 
     async def _use_permit(
-        self, group: str, grant: _messages.PermitGrant
-    ) -> _outcomes.Decision:
+        self, group: str, grant: sycamoreloft_wire.PermitGrant
+    ) -> sycamoreloft_decisions.Decision:
         granted_at = self._loop.time()
         self._services.permits.watch_permit(
             group, self._id, self._on_upstream_lost
         )
-        decision: _outcomes.Decision | None = None
+        decision: sycamoreloft_decisions.Decision | None = None
         try:
             decision = await self._perform_with_permit(group, grant)
         except asyncio.CancelledError:
@@ -239,10 +241,10 @@
         return decision
 
     async def _perform_with_permit(
-        self, group: str, grant: _messages.PermitGrant
-    ) -> _outcomes.Decision:
+        self, group: str, grant: sycamoreloft_wire.PermitGrant
+    ) -> sycamoreloft_decisions.Decision:
         valid_until = self._loop.time() + grant.valid_ms / 1000
-        self._handle(_outcomes.PermitReceived(valid_until))
+        self._handle(sycamoreloft_decisions.PermitReceived(valid_until))
         if self._given.request.operation.at_most_once:
             decision = await self._ask_claim()
             if decision is not None:
@@ -268,7 +270,7 @@
     def _start_transfer(
         self,
         group: str,
-        grant: _messages.PermitGrant,
+        grant: sycamoreloft_wire.PermitGrant,
         send_by: float,
         now: float,
     ) -> _upstream_client.Transfer:
@@ -308,7 +310,7 @@
 
     async def _pass_on(
         self, transfer: _upstream_client.Transfer
-    ) -> _outcomes.Decision:
+    ) -> sycamoreloft_decisions.Decision:
         """Passes an answer on that is whole, or longer than the prefix."""
         head = transfer.head
         self._handle(_read_head(head))
@@ -335,7 +337,7 @@
         self,
         transfer: _upstream_client.Transfer,
         answer: _answers.UpstreamAnswer,
-    ) -> _outcomes.Decision:
+    ) -> sycamoreloft_decisions.Decision:
         sink = self._given.sink
         self.answered = True
         await sink.begin(answer)
@@ -353,16 +355,16 @@
 
     def _decide_failure(
         self, failure: _transfer_types.Failure
-    ) -> _outcomes.Decision:
+    ) -> sycamoreloft_decisions.Decision:
         self.failure = failure
         self._services.metrics.count(
             "sycamoreloft_upstream_failures_total", failure.kind.value
         )
         if failure.kind is _KIND.DEADLINE:
-            return self._decide(_outcomes.DeadlinePassed())
+            return self._decide(sycamoreloft_decisions.DeadlinePassed())
         return self._decide(_BROKEN)
 
-    def _decide_cancelled(self) -> _outcomes.Decision:
+    def _decide_cancelled(self) -> sycamoreloft_decisions.Decision:
         """Ends the transfer and decides from what it had done."""
         transfer = self._transfer
         if transfer is not None:
@@ -370,9 +372,11 @@
             self._note_sent(transfer)
         if self.answered:
             self._given.sink.cut()
-        return self._decide(self.stop_event or _outcomes.CallerGone())
+        return self._decide(
+            self.stop_event or sycamoreloft_decisions.CallerGone()
+        )
 
-    async def _ask_claim(self) -> _outcomes.Decision | None:
+    async def _ask_claim(self) -> sycamoreloft_decisions.Decision | None:
         given = self._given
         request = given.request
         id_hash = hashlib.sha256(
@@ -384,7 +388,7 @@
                 )
             ).encode("utf-8", "surrogateescape")
         ).digest()[:16]
-        self._claim = _messages.ClaimRequest(
+        self._claim = sycamoreloft_wire.ClaimRequest(
             find_claim_group(request, id_hash),
             request.generation.number,
             id_hash,
@@ -395,20 +399,23 @@
         self.claim_answer = answer
         self._claim_verdict = answer.verdict
         return self._handle(
-            _outcomes.ClaimAnswered(
+            sycamoreloft_decisions.ClaimAnswered(
                 answer.verdict, answer.outcome, answer.status
             )
         )
 
     def _settle(
-        self, group: str, decision: _outcomes.Decision, seconds: float
+        self,
+        group: str,
+        decision: sycamoreloft_decisions.Decision,
+        seconds: float,
     ) -> None:
         """Returns the permit and reports the claim's result."""
         services = self._services
         outcome = decision.outcome
         if self._claim_verdict == "repeated":
             # The outcome is that of the first attempt; this one was not sent.
-            outcome = _outcomes.Outcome.DID_NOT_RUN
+            outcome = sycamoreloft_decisions.Outcome.DID_NOT_RUN
         lost = self.failure is not None and self.failure.kind in (
             _KIND.CONNECT,
             _KIND.BROKEN,
@@ -418,10 +425,10 @@
         refused = (
             transfer is not None
             and transfer.head.complete
-            and outcome is _outcomes.Outcome.DID_NOT_RUN
+            and outcome is sycamoreloft_decisions.Outcome.DID_NOT_RUN
         )
         services.permits.return_permit(
-            _messages.PermitReturn(
+            sycamoreloft_wire.PermitReturn(
                 group,
                 self._id,
                 outcome.value,
@@ -434,9 +441,9 @@
             services.metrics.observe("sycamoreloft_upstream_seconds", seconds)
         if self._claim is not None and decision.claim_result:
             status = transfer.head.status if transfer is not None else 0
-            completed = outcome is _outcomes.Outcome.COMPLETED
+            completed = outcome is sycamoreloft_decisions.Outcome.COMPLETED
             services.claims.report_result(
-                _messages.ClaimResult(
+                sycamoreloft_wire.ClaimResult(
                     self._claim.group,
                     self._claim.id_hash,
                     self._id,
@@ -446,13 +453,15 @@
             )
 
     def _handle(
-        self, event: _outcomes.AttemptEvent
-    ) -> _outcomes.Decision | None:
+        self, event: sycamoreloft_decisions.AttemptEvent
+    ) -> sycamoreloft_decisions.Decision | None:
         if self._decision is None:
             self._decision = self._observe(event, self._loop.time())
         return self._decision
 
-    def _decide(self, event: _outcomes.AttemptEvent) -> _outcomes.Decision:
+    def _decide(
+        self, event: sycamoreloft_decisions.AttemptEvent
+    ) -> sycamoreloft_decisions.Decision:
         decision = self._handle(event)
         if decision is None:
             raise RuntimeError(f"{type(event).__name__} decided nothing")
@@ -462,19 +471,19 @@
 def _is_refused(head: _answer_heads.AnswerHead) -> bool:
     """Tells whether the upstream refused the request by contract."""
     return (
-        head.status in _outcomes.REFUSAL_STATUSES
+        head.status in sycamoreloft_decisions.REFUSAL_STATUSES
         and head.complete
-        and _read_head(head).refused in _outcomes.REFUSALS
+        and _read_head(head).refused in sycamoreloft_decisions.REFUSALS
     )
 
 
 def _read_head(
     head: _answer_heads.AnswerHead,
-) -> _outcomes.HeadersReceived:
+) -> sycamoreloft_decisions.HeadersReceived:
     refused = ""
-    if head.status in _outcomes.REFUSAL_STATUSES:
+    if head.status in sycamoreloft_decisions.REFUSAL_STATUSES:
         refused = head.find(b"sycamoreloft-refused").decode("latin1")
-    return _outcomes.HeadersReceived(head.status, refused)
+    return sycamoreloft_decisions.HeadersReceived(head.status, refused)
 
 
 def find_claim_group(
--- a/packages/router/sycamoreloft_router/_backend.py
+++ b/packages/router/sycamoreloft_router/_backend.py
@@ -6,7 +6,7 @@
 from returns import pipeline, result
 
 import sycamoreloft_config
-from sycamoreloft_decisions import _acceptance
+from sycamoreloft_decisions import acceptance
 from sycamoreloft_router import (
     _admin,
     _configuration,
@@ -189,9 +189,9 @@
 
 
 def _present_answer(
-    answer: _acceptance.Answer,
+    answer: acceptance.Answer,
 ) -> result.Result[_admin.SubmissionAnswer, _admin.AdminProblem]:
-    if answer.verdict is _acceptance.Verdict.CONFLICT:
+    if answer.verdict is acceptance.Verdict.CONFLICT:
         return result.Failure(
             _admin.AdminProblem(
                 409,
@@ -203,7 +203,7 @@
                 [f"changed: {name}" for name in answer.changed_files],
             )
         )
-    if answer.verdict is _acceptance.Verdict.UNKNOWN:
+    if answer.verdict is acceptance.Verdict.UNKNOWN:
         return result.Failure(
             _admin.AdminProblem(
                 503,
@@ -212,7 +212,7 @@
                 "submit again with the same request id; it is recorded once",
             )
         )
-    if answer.verdict is _acceptance.Verdict.UNAVAILABLE:
+    if answer.verdict is acceptance.Verdict.UNAVAILABLE:
         return result.Failure(
             _admin.AdminProblem(
                 503,
--- a/packages/router/sycamoreloft_router/_caller_exchange.py
+++ b/packages/router/sycamoreloft_router/_caller_exchange.py
@@ -8,7 +8,7 @@
 from returns import result
 from tornado import httputil, iostream
 
-from sycamoreloft_decisions import _outcomes
+import sycamoreloft_decisions
 from sycamoreloft_router import (
     _answers,
     _attempts,
@@ -346,7 +346,7 @@
 
     def _on_deadline(self) -> None:
         if self._run is not None:
-            self._run.stop(_outcomes.DeadlinePassed())
+            self._run.stop(sycamoreloft_decisions.DeadlinePassed())
         elif not self._ended:
             self._refuse(
                 _answers.Refusal(
@@ -367,7 +367,7 @@
         if self._run is None:
             self._end("did-not-run", "caller-gone")
         else:
-            self._run.stop(_outcomes.CallerGone())
+            self._run.stop(sycamoreloft_decisions.CallerGone())
 
     # Answering it; see `_attempts.AnswerSink`.
 
--- a/packages/router/sycamoreloft_router/_configuration.py
+++ b/packages/router/sycamoreloft_router/_configuration.py
@@ -11,7 +11,7 @@
 from returns import pipeline, result
 
 import sycamoreloft_config
-from sycamoreloft_decisions import _acceptance
+from sycamoreloft_decisions import acceptance
 from sycamoreloft_router import (
     _admin,
     _group_calls,
@@ -63,14 +63,14 @@
     ) -> None:
         self._store = store
         self._observer = observer
-        self._machine = _acceptance.Acceptance(host, lambda: uuid.uuid4().hex)
-        self._commands: asyncio.Queue[_acceptance.Command] = asyncio.Queue()
+        self._machine = acceptance.Acceptance(host, lambda: uuid.uuid4().hex)
+        self._commands: asyncio.Queue[acceptance.Command] = asyncio.Queue()
         self._texts: dict[str, str] = {}
-        self._head: _acceptance.HeadRow | None = None
+        self._head: acceptance.HeadRow | None = None
         self._head_version = -1
         self._applied = (0, 0)
         self._held: abc.Collection[str] = ("",)
-        self._submissions: dict[str, asyncio.Future[_acceptance.Answer]] = {}
+        self._submissions: dict[str, asyncio.Future[acceptance.Answer]] = {}
         #: The accepted generation.
         self.accepted = EMPTY_GENERATION
         #: The pending generation, if any.
@@ -83,7 +83,7 @@
     async def run_ticks(self) -> None:
         """Lets the machine see time pass until it is cancelled."""
         while True:
-            self._feed(_acceptance.Tick())
+            self._feed(acceptance.Tick())
             await asyncio.sleep(TICK_S)
 
     async def run_commands(self) -> None:
@@ -104,7 +104,7 @@
             return
         self._head_version = version
         self._head = _head_rows.decode_head(row.value) if row else None
-        self._feed(_acceptance.HeadRead(version, self._head))
+        self._feed(acceptance.HeadRead(version, self._head))
 
     def find_head_version(self) -> int | None:
         """Returns the version whose generations this host applies."""
@@ -121,7 +121,7 @@
         """Takes the groups that this host holds; only holders poll."""
         if groups != self._held:
             self._held = groups
-            self._feed(_acceptance.GroupsHeld(groups))
+            self._feed(acceptance.GroupsHeld(groups))
 
     async def adopt_answer(
         self, answer: sycamoreloft_wire.GenerationAnswer
@@ -151,18 +151,18 @@
 
     async def submit_file(
         self, submission: _admin.Submission
-    ) -> result.Result[_acceptance.Answer, _admin.AdminProblem]:
+    ) -> result.Result[acceptance.Answer, _admin.AdminProblem]:
         """Checks files against those of the base and records them."""
         checked = await self._check(submission)
         if not pipeline.is_successful(checked):
             return result.Failure(checked.failure())
         files, generation = checked.unwrap()
-        future: asyncio.Future[_acceptance.Answer] = (
+        future: asyncio.Future[acceptance.Answer] = (
             asyncio.get_running_loop().create_future()
         )
         self._submissions[submission.request] = future
         self._feed(
-            _acceptance.FileSubmitted(
+            acceptance.FileSubmitted(
                 submission.request,
                 submission.base,
                 files,
@@ -260,16 +260,16 @@
 
     # The acceptance machine.
 
-    def _feed(self, event: _acceptance.Event) -> None:
+    def _feed(self, event: acceptance.Event) -> None:
         for command in self._machine.handle(event, time.monotonic()):
             self._commands.put_nowait(command)
 
     @functools.singledispatchmethod
-    async def _perform(self, command: _acceptance.Command) -> None:
+    async def _perform(self, command: acceptance.Command) -> None:
         raise TypeError(f"unknown command {type(command).__name__}")
 
     @_perform.register
-    async def _(self, command: _acceptance.ReadRows) -> None:
+    async def _(self, command: acceptance.ReadRows) -> None:
         prefixes = ["group/"] if command.with_groups else []
         rows = await self._store.read([_group_calls.HEAD_KEY], prefixes)
         if not pipeline.is_successful(rows):
@@ -281,10 +281,10 @@
         if not command.with_groups:
             return
         self._feed(
-            _acceptance.GroupRowsRead(
+            acceptance.GroupRowsRead(
                 version,
                 {
-                    key.removeprefix("group/"): _acceptance.GroupRow(
+                    key.removeprefix("group/"): acceptance.GroupRow(
                         row.version, row.value["holder"], row.value["staged"]
                     )
                     for key, row in found.items()
@@ -293,12 +293,12 @@
         )
 
     @_perform.register
-    async def _(self, command: _acceptance.UseHead) -> None:
+    async def _(self, command: acceptance.UseHead) -> None:
         while not await self._use_head(command):
             await asyncio.sleep(FETCH_AGAIN_S)
 
     @_perform.register
-    async def _(self, command: _acceptance.WriteHead) -> None:
+    async def _(self, command: acceptance.WriteHead) -> None:
         written = await self._store.transact(
             {_group_calls.HEAD_KEY: command.version},
             {_group_calls.HEAD_KEY: _head_rows.encode_head(command.row)},
@@ -307,18 +307,18 @@
         self._settle(command.request, written)
 
     @_perform.register
-    async def _(self, command: _acceptance.Stage) -> None:
+    async def _(self, command: acceptance.Stage) -> None:
         # The group holder machine owns the group row and records `staged`
         # itself once it is told of the pending generation, which the
         # preceding UseHead has done. The next read of the rows shows it.
         self._feed(
-            _acceptance.WriteSettled(
-                command.request, _acceptance.WriteResult.CONFLICT
+            acceptance.WriteSettled(
+                command.request, acceptance.WriteResult.CONFLICT
             )
         )
 
     @_perform.register
-    async def _(self, command: _acceptance.Accept) -> None:
+    async def _(self, command: acceptance.Accept) -> None:
         conditions = {
             f"group/{group}": version
             for group, version in command.group_versions.items()
@@ -332,7 +332,7 @@
         self._settle(command.request, written)
 
     @_perform.register
-    async def _(self, command: _acceptance.Answer) -> None:
+    async def _(self, command: acceptance.Answer) -> None:
         future = self._submissions.get(command.request)
         if future is not None and not future.done():
             future.set_result(command)
@@ -342,17 +342,17 @@
         request: str,
         written: result.Result[abc.Mapping[str, int], _store_client.StoreError],
     ) -> None:
-        settled = _acceptance.WriteResult.APPLIED
+        settled = acceptance.WriteResult.APPLIED
         if not pipeline.is_successful(written):
             lost = isinstance(written.failure(), _store_client.StoreUnavailable)
             settled = (
-                _acceptance.WriteResult.UNKNOWN
+                acceptance.WriteResult.UNKNOWN
                 if lost
-                else _acceptance.WriteResult.CONFLICT
+                else acceptance.WriteResult.CONFLICT
             )
-        self._feed(_acceptance.WriteSettled(request, settled))
+        self._feed(acceptance.WriteSettled(request, settled))
 
-    async def _use_head(self, command: _acceptance.UseHead) -> bool:
+    async def _use_head(self, command: acceptance.UseHead) -> bool:
         """Applies the named generations; False if files are missing yet."""
         if self._head is None:
             return True
--- a/packages/router/sycamoreloft_router/_directory.py
+++ b/packages/router/sycamoreloft_router/_directory.py
@@ -12,7 +12,7 @@
 
 import sycamoreloft_config
 import sycamoreloft_decisions
-from sycamoreloft_decisions import _membership
+from sycamoreloft_decisions import membership
 from sycamoreloft_router import (
     _configuration,
     _group_tree,
@@ -73,7 +73,7 @@
         self._posts: set[asyncio.Task[bool]] = set()
         self._random = random.Random()
         self._entry = self._make_entry()
-        self._membership = _membership.Membership(
+        self._membership = membership.Membership(
             self._entry, self._random, _measure_entry
         )
 
--- a/packages/router/sycamoreloft_router/_exchange.py
+++ b/packages/router/sycamoreloft_router/_exchange.py
@@ -10,7 +10,7 @@
 from returns import result
 
 import sycamoreloft_config
-from sycamoreloft_wire import _messages
+import sycamoreloft_wire
 
 
 class NameSource(typing.Protocol):
@@ -66,8 +66,8 @@
     """Asks the holders of groups for permits."""
 
     async def ask_permit(
-        self, request: _messages.PermitRequest
-    ) -> _messages.PermitGrant | _messages.PermitRefusal:
+        self, request: sycamoreloft_wire.PermitRequest
+    ) -> sycamoreloft_wire.PermitGrant | sycamoreloft_wire.PermitRefusal:
         """Asks the holder of `request.group` for a permit.
 
         Waits for a holder that is being replaced, within
@@ -93,7 +93,7 @@
                 returned.
         """
 
-    def return_permit(self, returned: _messages.PermitReturn) -> None:
+    def return_permit(self, returned: sycamoreloft_wire.PermitReturn) -> None:
         """Returns a permit to its holder; queues the message at once."""
 
 
@@ -101,15 +101,17 @@
     """Asks claim holders for claims of operations that run at most once."""
 
     async def ask_claim(
-        self, request: _messages.ClaimRequest
-    ) -> _messages.ClaimAnswer:
+        self, request: sycamoreloft_wire.ClaimRequest
+    ) -> sycamoreloft_wire.ClaimAnswer:
         """Asks the claim holder of `request.group` for a claim.
 
         Returns:
             The answer; verdict "unavailable" if none came within 1 s.
         """
 
-    def report_result(self, claim_result: _messages.ClaimResult) -> None:
+    def report_result(
+        self, claim_result: sycamoreloft_wire.ClaimResult
+    ) -> None:
         """Reports what became of an attempt; queues the message at once.
 
         Outcome "did-not-run" abandons the claim. It is also reported for an
--- a/packages/router/sycamoreloft_router/_head_rows.py
+++ b/packages/router/sycamoreloft_router/_head_rows.py
@@ -4,10 +4,10 @@
 import dataclasses
 import typing
 
-from sycamoreloft_decisions import _acceptance
+from sycamoreloft_decisions import acceptance
 
 
-def encode_head(row: _acceptance.HeadRow) -> dict[str, typing.Any]:
+def encode_head(row: acceptance.HeadRow) -> dict[str, typing.Any]:
     """Encodes the head row."""
     return {
         "accepted": dataclasses.asdict(row.accepted),
@@ -16,20 +16,20 @@
     }
 
 
-def decode_head(value: abc.Mapping[str, typing.Any]) -> _acceptance.HeadRow:
+def decode_head(value: abc.Mapping[str, typing.Any]) -> acceptance.HeadRow:
     """Decodes the head row."""
     pending = value["pending"]
-    return _acceptance.HeadRow(
+    return acceptance.HeadRow(
         accepted=_decode_entry(value["accepted"]),
         pending=_decode_entry(pending) if pending else None,
         history=tuple(
-            _acceptance.PastSubmission(**item) for item in value["history"]
+            acceptance.PastSubmission(**item) for item in value["history"]
         ),
     )
 
 
-def _decode_entry(value: abc.Mapping[str, typing.Any]) -> _acceptance.Entry:
-    return _acceptance.Entry(
+def _decode_entry(value: abc.Mapping[str, typing.Any]) -> acceptance.Entry:
+    return acceptance.Entry(
         number=value["number"],
         request=value["request"],
         files=dict(value["files"]),
--- a/packages/router/sycamoreloft_router/_request_path.py
+++ b/packages/router/sycamoreloft_router/_request_path.py
@@ -7,7 +7,7 @@
 
 from returns import result
 
-from sycamoreloft_decisions import _outcomes, _retries
+import sycamoreloft_decisions
 from sycamoreloft_router import (
     _answers,
     _attempts,
@@ -39,7 +39,7 @@
     "no-group": "the operator has to add upstreams of the service to a file",
 }
 
-_DID_NOT_RUN = _outcomes.Outcome.DID_NOT_RUN
+_DID_NOT_RUN = sycamoreloft_decisions.Outcome.DID_NOT_RUN
 
 _DID_NOT_RUN_REMEDY = "nothing ran; send the request again"
 
@@ -75,7 +75,7 @@
         #: Source of the jitter of retries.
         self.generator = generator
         #: Retries that are allowed.
-        self.budget = _retries.RetryBudget()
+        self.budget = sycamoreloft_decisions.RetryBudget()
 
 
 class RequestRun:
@@ -115,11 +115,11 @@
         self._may_have_run = False
         self._refreshes = 0
         self._refused_groups: set[str] = set()
-        self._stop_event: _outcomes.AttemptEvent | None = None
+        self._stop_event: sycamoreloft_decisions.AttemptEvent | None = None
         self._task: asyncio.Task[None] | None = None
         self._tries = 0
 
-    def stop(self, event: _outcomes.AttemptEvent) -> None:
+    def stop(self, event: sycamoreloft_decisions.AttemptEvent) -> None:
         """Stops the request because of its deadline or its caller.
 
         An operation that runs at most once is not cancelled for a caller
@@ -129,7 +129,7 @@
         if self._stop_event is not None:
             return
         if (
-            isinstance(event, _outcomes.CallerGone)
+            isinstance(event, sycamoreloft_decisions.CallerGone)
             and self._given.request.operation.at_most_once
             and self._attempt is not None
             and self._attempt.is_sent
@@ -158,7 +158,7 @@
             )
         while True:
             attempt, decision = await self._run_attempt()
-            if decision.outcome is _outcomes.Outcome.UNKNOWN:
+            if decision.outcome is sycamoreloft_decisions.Outcome.UNKNOWN:
                 self._may_have_run = True
             if attempt.answered:
                 return None
@@ -176,7 +176,7 @@
 
     async def _run_attempt(
         self,
-    ) -> tuple[_attempts.AttemptRun, _outcomes.Decision]:
+    ) -> tuple[_attempts.AttemptRun, sycamoreloft_decisions.Decision]:
         path = self._path
         group = path.chooser.choose(self._given.request, self._refused_groups)
         attempt = _attempts.AttemptRun(path.services, self._given, group)
@@ -196,7 +196,7 @@
         self,
         failure: _transfer_types.Failure,
         group: str | None,
-        decision: _outcomes.Decision,
+        decision: sycamoreloft_decisions.Decision,
     ) -> None:
         reference = self._given.request.reference
         _logs.log_event(
@@ -212,7 +212,9 @@
         )
 
     def _choose_delay(
-        self, attempt: _attempts.AttemptRun, decision: _outcomes.Decision
+        self,
+        attempt: _attempts.AttemptRun,
+        decision: sycamoreloft_decisions.Decision,
     ) -> float | None:
         """Returns the wait before the next attempt, None for no attempt."""
         if not self._is_replayable():
@@ -229,7 +231,7 @@
             return 0.0
         if not decision.retry_allowed:
             return None
-        delay = _retries.choose_backoff(
+        delay = sycamoreloft_decisions.choose_backoff(
             self._tries, now, self._given.deadline, self._path.generator
         )
         if delay is None:
@@ -294,14 +296,16 @@
             case _:
                 raise TypeError("parse returned no Result")
 
-    def _find_outcome(self, outcome: _outcomes.Outcome) -> str:
+    def _find_outcome(self, outcome: sycamoreloft_decisions.Outcome) -> str:
         """Returns what is known of all attempts together."""
         if self._may_have_run and outcome is _DID_NOT_RUN:
             return _answers.UNKNOWN
         return outcome.value
 
     def _refuse(
-        self, attempt: _attempts.AttemptRun, decision: _outcomes.Decision
+        self,
+        attempt: _attempts.AttemptRun,
+        decision: sycamoreloft_decisions.Decision,
     ) -> _answers.Refusal:
         outcome = self._find_outcome(decision.outcome)
         default = (
--- a/packages/router/tests/test_configuration.py
+++ b/packages/router/tests/test_configuration.py
@@ -9,7 +9,7 @@
 import pytest
 from returns import pipeline, result
 
-from sycamoreloft_decisions import _acceptance
+from sycamoreloft_decisions import acceptance
 from sycamoreloft_router import _admin, _configuration, _store_client
 import sycamoreloft_wire
 
@@ -110,7 +110,7 @@
             open_keeper(store, "h2") as (_, observer),
         ):
             answer = (await submit(first, 0)).unwrap()
-            assert answer.verdict is _acceptance.Verdict.ACCEPTED
+            assert answer.verdict is acceptance.Verdict.ACCEPTED
             await wait_applied(observer, (answer.number, 0))
 
     asyncio.run(run())
@@ -123,7 +123,7 @@
         async with open_keeper(store) as (keeper, _):
             await submit(keeper, 0)
             late = (await submit(keeper, 0, port=9002)).unwrap()
-            assert late.verdict is _acceptance.Verdict.CONFLICT
+            assert late.verdict is acceptance.Verdict.CONFLICT
             assert late.changed_files
 
     asyncio.run(run())
