Let a host that starts ask for all members

The probed host had itself restarted seconds ago and did not know the group's holder: since gossip sends entries only when they change and one in turn each second, a new host learned them slowly. Change: a host asks two others for all members when it starts, and one other each minute.

--- a/packages/decisions/sycamoreloft_decisions/membership.py
+++ b/packages/decisions/sycamoreloft_decisions/membership.py
@@ -17,6 +17,9 @@
 #: drawn from all: at 4,100 hosts and 16 heartbeats a second it takes minutes.
 FAR_REMOVAL_S = 900.0
 
+#: Members in the answer to a host that asks for all; about 300 KB.
+LISTED_MEMBERS = 1_000
+
 #: Members drawn for a digest to another failure domain.
 DRAWN = 32
 
@@ -291,6 +294,30 @@
                 entries.append(member.entry)
         return Digest(heartbeats, entries)
 
+    def list_members(self, now: float) -> Digest[EntryType]:
+        """Lists members for a host that asks for all of them.
+
+        A host that has just started would otherwise learn one entry a second
+        from each sender, and know no holder of a group for many seconds.
+        Holders and members of the own domains go first.
+        """
+        members = sorted(
+            (member for member in self._members.values() if not member.removed),
+            key=lambda member: (
+                not member.entry.groups,
+                member.entry.host not in self._near,
+            ),
+        )[:LISTED_MEMBERS]
+        heartbeats = [
+            Progress(
+                member.entry.host, member.entry.incarnation, member.counter
+            )
+            for member in members
+            if member.counter >= 0 and member.progress_at + RECENT_S > now
+        ]
+        entries = [member.entry for member in members]
+        return Digest(heartbeats, [self._own, *entries])
+
     def _choose_heartbeats(
         self, now: float, target: EntryType
     ) -> list[Progress]:
--- a/packages/decisions/tests/test_membership.py
+++ b/packages/decisions/tests/test_membership.py
@@ -209,3 +209,30 @@
     members.expire(2000.0)
     members.update_own(Entry("own"), 2000.0)
     assert members.locate_group("g") is None
+
+
+def test_a_new_host_gets_all_members_at_once(members):
+    """Guards against a restarted host that knows no holder for seconds."""
+    far = {"sledworks": "fernrun-east"}
+    for number in range(20):
+        beats = [Beat(f"host-{number}")]
+        tell(members, 0.0, Entry(f"host-{number}"), beats=beats)
+    holder = Entry("holder", failure_domains=far, groups={"g": 4})
+    tell(members, 0.0, holder, beats=[Beat("holder")])
+    digest = members.list_members(1.0)
+    new = membership.Membership(Entry("new"), random.Random(1))
+    new.merge([Beat("own", counter=5), *digest.heartbeats], digest.entries, 1.0)
+    assert new.locate_group("g").entry.host == "holder"
+    assert len(new.list_known()) == 22
+    assert not new.is_suspected("host-7", 1.5)
+
+
+def test_holders_are_listed_first(members, monkeypatch):
+    """Guards against a bounded list that leaves out what callers need."""
+    monkeypatch.setattr(membership, "LISTED_MEMBERS", 2)
+    for name in ("a", "b", "c"):
+        tell(members, 0.0, Entry(name))
+    tell(members, 0.0, Entry("z", groups={"g": 1}))
+    listed = [entry.host for entry in members.list_members(0.0).entries]
+    assert listed[:2] == ["own", "z"]
+    assert len(listed) == 3
--- a/packages/router/sycamoreloft_router/_directory.py
+++ b/packages/router/sycamoreloft_router/_directory.py
@@ -32,6 +32,13 @@
 #: Gossip rounds between two searches for members that have gone.
 EXPIRY_ROUNDS = 10
 
+#: Answered requests for all members after the start; a second one, since the
+#: first may have reached a host that has just started as well.
+FIRST_PULLS = 2
+
+#: Gossip rounds between two later requests for all members; a minute.
+PULL_ROUNDS = 120
+
 #: Hosts that are told at once of a change; others learn it by gossip.
 MAXIMUM_ANNOUNCEMENTS = 64
 
@@ -68,6 +75,7 @@
         self._counter = 0
         self._version = 0
         self._rounds = 0
+        self._pulls = 0
         self._contacts: set[str] = set(settings.seeds)
         self._fetching: asyncio.Task[None] | None = None
         self._posts: set[asyncio.Task[bool]] = set()
@@ -104,6 +112,7 @@
             self._rounds += 1
             if self._rounds % LIST_ROUNDS == 1:
                 await self._read_host_list()
+            self._pull_members()
             now = time.monotonic()
             if self._rounds % EXPIRY_ROUNDS == 0:
                 self._membership.expire(now)
@@ -151,7 +160,16 @@
     def _make_digest(
         self, now: float, target: sycamoreloft_wire.MemberEntry | None
     ) -> sycamoreloft_wire.GossipDigest:
-        digest = self._membership.choose_digest(now, target)
+        return self._encode(self._membership.choose_digest(now, target))
+
+    def list_members(self) -> sycamoreloft_wire.GossipDigest:
+        """Returns all members for a host that asks for them."""
+        return self._encode(self._membership.list_members(time.monotonic()))
+
+    def _encode(
+        self, digest: membership.Digest[sycamoreloft_wire.MemberEntry]
+    ) -> sycamoreloft_wire.GossipDigest:
+        """Puts the own heartbeat before what a digest contains."""
         own = sycamoreloft_wire.Heartbeat(
             self._settings.host, self._incarnation, self._counter
         )
@@ -163,6 +181,34 @@
         ]
         return sycamoreloft_wire.GossipDigest([own, *others], digest.entries)
 
+    def _pull_members(self) -> None:
+        """Asks a random host for all members, at the start and now and then.
+
+        The later calls repair what was lost with a dropped digest.
+        """
+        is_due = self._rounds % PULL_ROUNDS == 0
+        if self._pulls >= FIRST_PULLS and not is_due:
+            return
+        addresses = self._contacts | {
+            entry.peer_address for entry in self._membership.list_known()
+        }
+        addresses.discard(self._settings.peer_address)
+        if addresses:
+            address = self._random.choice(sorted(addresses))
+            task = asyncio.get_running_loop().create_task(self._pull(address))
+            self._posts.add(task)
+            task.add_done_callback(self._posts.discard)
+
+    async def _pull(self, address: str) -> bool:
+        answer = await self._links.call(
+            address, sycamoreloft_wire.MembersRequest(), FETCH_TIMEOUT_S
+        )
+        message = answer.value_or(None)
+        if isinstance(message, sycamoreloft_wire.GossipDigest):
+            self._pulls += 1
+            self.take_digest(message)
+        return True
+
     def _post(self, address: str, message: sycamoreloft_wire.Message) -> None:
         if self._links.try_post(address, message):
             return
--- a/packages/router/sycamoreloft_router/_host.py
+++ b/packages/router/sycamoreloft_router/_host.py
@@ -321,6 +321,15 @@
     ) -> None:
         self._directory.take_digest(message)
 
+    @_act.register
+    def _(
+        self,
+        message: sycamoreloft_wire.MembersRequest,
+        sender: str,
+        reply: _peer_server.Reply,
+    ) -> None:
+        reply(self._directory.list_members())
+
     @_act.register
     def _(
         self,
--- a/packages/wire/sycamoreloft_wire/_codec.py
+++ b/packages/wire/sycamoreloft_wire/_codec.py
@@ -37,6 +37,7 @@
     16: _messages.SuspectNotice,
     17: _messages.Acknowledgement,
     18: _messages.PermitReportAnswer,
+    19: _messages.MembersRequest,
 }
 
 _CODES: abc.Mapping[type[typing.Any], int] = {
--- a/packages/wire/sycamoreloft_wire/_messages.py
+++ b/packages/wire/sycamoreloft_wire/_messages.py
@@ -52,6 +52,11 @@
     entries: abc.Sequence[MemberEntry]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class MembersRequest:
+    """Asks a host for all members that it knows; answered by a digest."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromiseRequest:
     """Asks the standby not to take a group for a while."""
@@ -299,6 +304,7 @@
 
 Message = (
     GossipDigest
+    | MembersRequest
     | PromiseRequest
     | PromiseAnswer
     | StepDownRequest
