Replay only recent suspects into a new holder's desk

Cause: a desk clears a suspect that completes, but other hosts do not hear of it; a replay of ten minutes of notices could hold back or refuse requests that have proved harmless.

--- a/packages/router/sycamoreloft_router/_suspect_record.py
+++ b/packages/router/sycamoreloft_router/_suspect_record.py
@@ -6,10 +6,16 @@
 
 import sycamoreloft_wire
 
-#: Time for which notices are kept, in seconds; as long as the permit desk
-#: keeps a suspect.
+#: Time for which notices of guilty requests are kept, in seconds; as long as
+#: the permit desk keeps them.
 KEPT_S = 600.0
 
+#: Time for which notices of suspects are replayed, in seconds. The desk that
+#: saw a suspect clears it when it completes, which other hosts do not hear of;
+#: an old notice would hold back, or even refuse, what has proved harmless. A
+#: caller that sends a crashing request again does so within seconds.
+SUSPECTED_S = 20.0
+
 #: Notices that are kept; the oldest are dropped first.
 MAXIMUM_NOTICES = 256
 
@@ -30,7 +36,7 @@
         self, take: abc.Callable[[sycamoreloft_wire.SuspectNotice], None]
     ) -> None:
         """Passes on the notices that still count, oldest first."""
-        oldest = time.monotonic() - KEPT_S
+        now = time.monotonic()
         for at, notice in self._notices:
-            if at >= oldest:
+            if now - at <= (KEPT_S if notice.guilty else SUSPECTED_S):
                 take(notice)
--- a/packages/router/tests/test_suspects.py
+++ b/packages/router/tests/test_suspects.py
@@ -1,5 +1,6 @@
 """Tests of suspects that outlive the holder that saw them."""
 
+import dataclasses
 import types
 
 import pytest
@@ -19,17 +20,27 @@
     return now
 
 
-def test_notices_are_replayed_until_they_expire(clock):
-    """Guards against a takeover that forgets a crashing request."""
+@pytest.mark.parametrize(
+    ("notice", "kept_s"),
+    [
+        (NOTICE, _suspect_record.SUSPECTED_S),
+        (dataclasses.replace(NOTICE, guilty=True), _suspect_record.KEPT_S),
+    ],
+)
+def test_notices_are_replayed_until_they_expire(clock, notice, kept_s):
+    """Guards against a takeover that forgets a crashing request.
+
+    It must not revive suspects either that have completed since.
+    """
     record = _suspect_record.SuspectRecord()
-    record.add(NOTICE)
+    record.add(notice)
     taken = []
-    clock[0] += _suspect_record.KEPT_S
+    clock[0] += kept_s
     record.replay(taken.append)
-    assert taken == [NOTICE]
+    assert taken == [notice]
     clock[0] += 1
     record.replay(taken.append)
-    assert taken == [NOTICE]
+    assert taken == [notice]
 
 
 def test_every_group_of_the_fleet_is_told():
