Never repeat an unanswered grant under its fencing token

Cause: the fuzz of key ownership (real duties against a world that applies orders late, loses answers, freezes and kills hosts) found that a grant sent again after an upstream had restarted under its identifier gave the new run the keys under the token of the run before. It also sent orders that had been decided before a freeze. Change: an unanswered grant is repeated with a new token; orders older than 0.25 s are dropped; moves follow load within 0.25 s.

--- a/packages/direct/sycamoreloft_direct/_key_coordinator.py
+++ b/packages/direct/sycamoreloft_direct/_key_coordinator.py
@@ -30,13 +30,13 @@
 FENCES_PER_EPOCH = 1 << 24
 
 #: Seconds between two plans.
-PLAN_INTERVAL_S = 0.5
+PLAN_INTERVAL_S = 0.25
 
 #: Seconds of work that the decayed loads stand for, in the steady state.
 LOAD_WINDOW_S = PLAN_INTERVAL_S / (1 - _key_loads.DECAY)
 
 #: Moves for balance that may be under way at once.
-MAXIMUM_MOVES = 4
+MAXIMUM_MOVES = 8
 
 #: Orders without an answer after which a move waits for the lease to end.
 MAXIMUM_FAILURES = 3
@@ -190,6 +190,9 @@
         else:
             segment.failures += 1
             segment.due_at = now + self._times.retry_s
+            # The upstream may have restarted under its identifier, and a new
+            # run must get the keys with a higher token than the one before.
+            segment.fence = self._create_fence()
             if segment.owner is not None:
                 self._silent_until[segment.owner] = now + SILENT_S
 
--- a/packages/direct/sycamoreloft_direct/_key_loads.py
+++ b/packages/direct/sycamoreloft_direct/_key_loads.py
@@ -6,7 +6,7 @@
 from sycamoreloft_direct import _nodes
 
 #: Share of the work that still counts after one decay.
-DECAY = 0.7
+DECAY = 0.75
 
 #: Work below which a key is forgotten, in seconds.
 LEAST_WORK_S = 0.005
--- a/packages/direct/sycamoreloft_direct/_key_planning.py
+++ b/packages/direct/sycamoreloft_direct/_key_planning.py
@@ -9,7 +9,10 @@
 IMBALANCE = 1.3
 
 #: Busy share of an upstream's slots below which nothing moves.
-LEAST_PRESSURE = 0.25
+LEAST_PRESSURE = 0.55
+
+#: Load over the mean that a move may give to the upstream that gets keys.
+FILL = 1.15
 
 #: Share of the capacity that an upstream has while it warms up.
 WARM_UP_CAPACITY = 0.5
@@ -118,7 +121,7 @@
             return None
         amount = min(
             (high - mean) * self._capacity[busiest],
-            (mean - low) * self._capacity[calmest],
+            (mean * FILL - low) * self._capacity[calmest],
         )
         if is_new:
             amount = min(
--- a/packages/router/sycamoreloft_router/_coordinator_duty.py
+++ b/packages/router/sycamoreloft_router/_coordinator_duty.py
@@ -27,7 +27,7 @@
 HEARTBEAT_S = 0.4
 
 #: Seconds between two reports of a host.
-REPORT_S = 0.5
+REPORT_S = 0.25
 
 #: Seconds without a heartbeat after which a host asks the store.
 HEARTBEAT_LOST_S = 1.1
@@ -37,6 +37,10 @@
 LEAST_ASK_S = 0.25
 MOST_ASK_S = 1.2
 
+#: Seconds between the decision for an order and its sending above which it is
+#: not sent. What it was based on may have changed while the process slept.
+STALE_S = 0.25
+
 #: Seconds that orders under way may take when the duty ends.
 STOP_S = 0.5
 
@@ -95,6 +99,9 @@
         directory: Map of keys that requests use.
         metrics: Metrics of the process.
         times: Durations of key leases.
+        clock: Clock that also runs while the host is suspended, in seconds.
+        socket: Sends datagrams; None for a socket of the settings' address.
+        generator: Source of random choices.
     """
 
     def __init__(
@@ -106,6 +113,9 @@
         directory: _key_directory.KeyDirectory,
         metrics: _metrics.Metrics,
         times: sycamoreloft_direct.HoldTimes | None = None,
+        clock: abc.Callable[[], float] = _coordinator_lease.read_boot_clock,
+        socket: _direct_peers.Sender | None = None,
+        generator: random.Random | None = None,
     ) -> None:
         self._settings = settings
         self._platform = platform
@@ -114,9 +124,11 @@
         self._directory = directory
         self._metrics = metrics
         self._times = times or sycamoreloft_direct.HoldTimes()
-        self._clock = _coordinator_lease.read_boot_clock
-        self._generator = random.Random()
-        self._socket = _direct_peers.PeerSocket(self._receive)
+        self._clock = clock
+        self._generator = generator or random.Random()
+        self._socket = socket or _direct_peers.PeerSocket(
+            settings.peer_address, self.receive
+        )
         self._tenure: _Tenure | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._hosts: dict[_direct_peers.Address, _KnownHost] = {}
@@ -148,12 +160,12 @@
 
     async def open(self) -> None:
         """Opens the socket for datagrams."""
-        await self._socket.open(self._settings.peer_address)
+        await self._socket.open()
 
     async def run(self) -> None:
         """Does what is due until it is cancelled."""
         while True:
-            await self._step()
+            await self.step()
             await asyncio.sleep(TICK_S)
 
     async def stop(self) -> None:
@@ -193,7 +205,8 @@
         """Closes the socket."""
         self._socket.close()
 
-    async def _step(self) -> None:
+    async def step(self) -> None:
+        """Does what is due now."""
         now = self._clock()
         if now >= self._report_at:
             self._report_at = now + REPORT_S
@@ -353,7 +366,7 @@
         )
         coordinator.update_speeds(self._compute_speeds())
         for command in coordinator.tick(now, may_change, True):
-            self._spawn(self._execute(tenure, command))
+            self._spawn(self._execute(tenure, command, now))
         moving = self._list_moving(coordinator)
         if moving != self._moving or now >= self._beat_at:
             self._moving = moving
@@ -432,12 +445,18 @@
             )
 
     async def _execute(
-        self, tenure: _Tenure, command: sycamoreloft_direct.Command
+        self,
+        tenure: _Tenure,
+        command: sycamoreloft_direct.Command,
+        decided_at: float,
     ) -> None:
         if isinstance(command, sycamoreloft_direct.WriteMap):
             await self._write_map(tenure, command.key_map)
             return
         upstream = self._upstreams.find(command.run)
+        if self._clock() > decided_at + STALE_S:
+            # The process stood still since; the order counts as not sent.
+            upstream = None
         coordinator = tenure.coordinator
         if isinstance(command, sycamoreloft_direct.SendGrant):
             result = sycamoreloft_direct.GrantResult.UNKNOWN
@@ -560,9 +579,10 @@
 
     # Datagrams.
 
-    def _receive(
+    def receive(
         self, message: _direct_peers.Datagram, sender: _direct_peers.Address
     ) -> None:
+        """Takes a datagram of another host."""
         if isinstance(message, _direct_peers.Report):
             self._receive_report(message, sender)
         elif message.epoch >= self._directory.key_map.epoch:
--- a/packages/router/sycamoreloft_router/_direct_peers.py
+++ b/packages/router/sycamoreloft_router/_direct_peers.py
@@ -112,24 +112,41 @@
         return None
 
 
+class Sender(typing.Protocol):
+    """Sends datagrams to other hosts."""
+
+    async def open(self) -> None:
+        """Makes the sender ready."""
+
+    def send(self, message: Datagram, address: Address) -> None:
+        """Sends a message; it may be lost."""
+
+    def close(self) -> None:
+        """Lets the sender go."""
+
+
 class PeerSocket(asyncio.DatagramProtocol):
     """Sends and receives datagrams.
 
     Args:
+        address: Address to bind, as "ip:port".
         on_message: Called with each message and its sender.
     """
 
     def __init__(
-        self, on_message: abc.Callable[[Datagram, Address], None]
+        self,
+        address: str,
+        on_message: abc.Callable[[Datagram, Address], None],
     ) -> None:
+        self._address = address
         self._on_message = on_message
         self._transport: asyncio.DatagramTransport | None = None
 
-    async def open(self, address: str) -> None:
-        """Binds the socket to "ip:port"."""
+    async def open(self) -> None:
+        """Binds the socket."""
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(
-            lambda: self, local_addr=parse_address(address)
+            lambda: self, local_addr=parse_address(self._address)
         )
 
     def send(self, message: Datagram, address: Address) -> None:
--- a/packages/router/sycamoreloft_router/_direct_run.py
+++ b/packages/router/sycamoreloft_router/_direct_run.py
@@ -40,6 +40,11 @@
 #: less, and a loss takes longer than most callers wait.
 OWNER_WAIT_S = 0.6
 
+#: Wait before a full owner is asked again, in seconds, at least and at most:
+#: about the time of one request at a fast upstream.
+LEAST_SHED_WAIT_S = 0.06
+MOST_SHED_WAIT_S = 0.12
+
 #: Time after which a caller may try again, in milliseconds, at least and at
 #: most: callers that were refused together should not return together.
 LEAST_RETRY_MS = 150
@@ -126,8 +131,8 @@
 
     __slots__ = (
         "_began_at",
-        "_is_stopped",
         "_may_have_run",
+        "_misdirected",
         "_path",
         "_received",
         "_reason",
@@ -156,6 +161,7 @@
         self._sink = sink
         self._began_at = path.services.loop.time()
         self._may_have_run = False
+        self._misdirected = ""
         self._reason = "no-upstream"
         self._sent = 0
         self._stop_event: sycamoreloft_decisions.AttemptEvent | None = None
@@ -247,13 +253,18 @@
         """Finds the owner of the key, and waits a little if it changes."""
         services, request = self._services, self._request
         until = min(now + OWNER_WAIT_S, self._received.deadline - LEAST_LEFT_S)
-        misdirected = self._tried[-1] if self._tried else ""
+        if self._tried and not self._misdirected:
+            # The owner is full: what it has may end soon.
+            await asyncio.sleep(
+                services.generator.uniform(LEAST_SHED_WAIT_S, MOST_SHED_WAIT_S)
+            )
+            now = services.loop.time()
         while True:
             owner = services.directory.find_owner(
                 request.service, request.key, now
             )
             record = services.book.find(owner) if owner is not None else None
-            if record is not None and record.entry.id != misdirected:
+            if record is not None and record.entry.id != self._misdirected:
                 if services.book.is_avoided(record, now):
                     # It is known not to answer; a probe goes through.
                     self._reason = "owner-silent"
@@ -348,6 +359,8 @@
             self._sent += 1
         if head.complete and self._is_refusal(head):
             self._reason = f"upstream-refused-{head.status}"
+            is_misdirected = head.status == MISDIRECTED
+            self._misdirected = self._tried[-1] if is_misdirected else ""
             return _RESULT.REFUSED
         failure = transfer.failure
         if failure is None:
--- a/packages/router/sycamoreloft_router/_direct_views.py
+++ b/packages/router/sycamoreloft_router/_direct_views.py
@@ -19,7 +19,7 @@
 
 #: Seconds after a change in which further changes are collected before the
 #: table is read again. Each change wakes every host, and calls are limited.
-COLLECT_S = 0.25
+COLLECT_S = 0.6
 
 #: Seconds after the store's return for which a missing entry may come back.
 RETURN_GRACE_S = 2.2
--- /dev/null
+++ b/packages/router/tests/key_world.py
@@ -0,0 +1,374 @@
+"""Upstreams, a store and hosts for the fuzz of key ownership.
+
+The world applies orders late, loses answers, freezes and kills hosts, crashes
+upstreams and brings them back under their identifier. The oracle looks at
+what the upstreams hold, not at what any host believes.
+"""
+
+import asyncio
+import dataclasses
+import random
+
+import sycamoreloft_direct
+from sycamoreloft_router import (
+    _coordinator_duty,
+    _direct_ports,
+    _direct_views,
+    _key_directory,
+    _metrics,
+)
+
+SERVICE = "boards"
+
+#: How much longer than granted an upstream with a slow clock holds keys.
+SLOWEST_CLOCK = 1.02
+
+#: Time after a thaw in which an order that was on its way may arrive.
+THAW_S = 0.3
+
+RESULT = sycamoreloft_direct.GrantResult
+WRITE = _direct_ports.WriteResult
+
+
+@dataclasses.dataclass
+class Hold:
+    """Keys that an upstream holds under one grant."""
+
+    first: int
+    last: int
+    fence: int
+    until: float
+    excused: bool
+
+
+class FakeUpstream:
+    """One run of an upstream with the rules of grants."""
+
+    def __init__(self, world, name, started_ms):
+        self.world = world
+        self.name = name
+        self.started_ms = started_ms
+        self.slow = world.generator.choice((1.0, SLOWEST_CLOCK))
+        self.up = True
+        self.listed = True
+        self.draining = False
+        self.holds = []
+        self.seen = []
+
+    def grant(self, order, arrived_at, excused):
+        if not self.up:
+            return RESULT.UNKNOWN
+        for first, last, fence in self.seen:
+            if first <= order.last and order.first <= last:
+                if fence > order.fence:
+                    return RESULT.FENCED
+        self.cut(order.first, order.last)
+        self.seen.append((order.first, order.last, order.fence))
+        until = arrived_at + order.hold_s * self.slow
+        if until > self.world.now():
+            hold = Hold(order.first, order.last, order.fence, until, excused)
+            self.holds.append(hold)
+            self.world.check(self, hold)
+        return RESULT.ACCEPTED
+
+    def cut(self, first, last):
+        rest = []
+        for hold in self.holds:
+            if hold.first < first:
+                rest.append(
+                    dataclasses.replace(hold, last=min(hold.last, first - 1))
+                )
+            if hold.last > last:
+                rest.append(
+                    dataclasses.replace(hold, first=max(hold.first, last + 1))
+                )
+        self.holds = rest
+
+    def list_live(self):
+        now = self.world.now()
+        return [hold for hold in self.holds if self.up and hold.until > now]
+
+
+class FakeStore:
+    """Rows under conditions, with outages and lost answers."""
+
+    def __init__(self, world):
+        self.world = world
+        self.records = {}
+        self.version = 0
+        self.lose_share = 0.0
+        self.down = False
+
+    def apply(self, values, expected):
+        for key, version in expected.items():
+            known = self.records.get(key)
+            if (known.version if known else 0) != version:
+                return _direct_ports.WriteOutcome(WRITE.CONFLICT)
+        self.version += 1
+        for key, value in values.items():
+            self.records[key] = _direct_ports.Record(value, self.version)
+        return _direct_ports.WriteOutcome(
+            WRITE.WRITTEN, self.version, self.world.now()
+        )
+
+
+class HostStore:
+    """The store as one host reaches it."""
+
+    def __init__(self, world, host):
+        self.world = world
+        self.host = host
+
+    async def read(self):
+        await self.host.pause()
+        store = self.world.store
+        await asyncio.sleep(0.004)
+        if store.down or self.host.cut_from_store:
+            await asyncio.sleep(self.world.generator.choice((0.0, 0.5)))
+            return _direct_ports.ReadProblem.UNAVAILABLE
+        return _direct_ports.Records(dict(store.records), self.world.now())
+
+    async def write(self, values, expected):
+        await self.host.pause()
+        world, store = self.world, self.world.store
+        await asyncio.sleep(0.004)
+        if store.down or self.host.cut_from_store:
+            await asyncio.sleep(world.generator.choice((0.0, 0.5)))
+            return _direct_ports.WriteOutcome(WRITE.REFUSED)
+        if world.generator.random() < store.lose_share:
+            delay = world.generator.choice((0.0, 1.0, 3.0, 6.0))
+            world.loop.call_later(delay, store.apply, values, expected)
+            await asyncio.sleep(1.5)
+            return _direct_ports.WriteOutcome(WRITE.UNKNOWN)
+        outcome = store.apply(values, expected)
+        await self.host.pause()
+        return outcome
+
+
+class HostOrders:
+    """Orders of one host to upstreams."""
+
+    def __init__(self, world, host):
+        self.world = world
+        self.host = host
+
+    async def _reach(self, run):
+        await asyncio.sleep(self.world.generator.uniform(0.001, 0.005))
+        upstream = self.world.upstreams.get(run.id)
+        if (
+            upstream is None
+            or not upstream.up
+            or run.id in self.host.unreachable
+        ):
+            await asyncio.sleep(0.5)
+            return None
+        return upstream
+
+    async def grant(self, address, order):
+        was_frozen = await self.host.pause()
+        upstream = await self._reach(order.run)
+        world = self.world
+        if upstream is None:
+            return RESULT.UNKNOWN
+        arrived_at = world.now()
+        draw = world.generator.random()
+        if draw < world.late_share:
+            world.loop.call_later(
+                world.generator.uniform(2, 12),
+                upstream.grant,
+                order,
+                arrived_at,
+                was_frozen,
+            )
+            await asyncio.sleep(0.6)
+            return RESULT.UNKNOWN
+        result = upstream.grant(order, arrived_at, was_frozen)
+        if draw < world.late_share * 2:
+            await asyncio.sleep(0.6)
+            return RESULT.UNKNOWN
+        return result
+
+    async def release(self, address, order):
+        await self.host.pause()
+        upstream = await self._reach(order.run)
+        if upstream is None:
+            return None
+        upstream.cut(order.first, order.last)
+        await asyncio.sleep(self.world.generator.uniform(0.0, 0.3))
+        if self.world.generator.random() < self.world.late_share:
+            return None
+        return "handover"
+
+
+class HostSocket:
+    """Datagrams between the hosts of the world."""
+
+    def __init__(self, world, host):
+        self.world = world
+        self.host = host
+
+    async def open(self):
+        """Nothing to open."""
+
+    def close(self):
+        """Nothing to close."""
+
+    def send(self, message, address):
+        target = self.world.hosts.get(address[0])
+        if target is None or self.world.generator.random() < 0.05:
+            return
+        sender = (self.host.name, 1)
+        self.world.loop.call_later(0.002, target.receive, message, sender)
+
+
+class Host:
+    """One host; a restart replaces its process and all it knew."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+        self.frozen_until = 0.0
+        self.cut_from_store = False
+        self.unreachable = set()
+        self.task = None
+        self.start()
+
+    def start(self):
+        settings = _direct_ports.HostSettings(
+            self.name, "z", "", "", "", f"{self.name}:1", 6, 2, 10, 0.2
+        )
+        states = _direct_views.StateView()
+        states.state = self.world.state
+        self.view = _direct_views.UpstreamView(2.0, lambda: None)
+        platform = _direct_ports.Platform(
+            None,
+            None,
+            HostStore(self.world, self),
+            HostOrders(self.world, self),
+            None,
+        )
+        self.duty = _coordinator_duty.CoordinatorDuty(
+            settings,
+            platform,
+            states,
+            self.view,
+            _key_directory.KeyDirectory(),
+            _metrics.Metrics(),
+            clock=self.world.now,
+            socket=HostSocket(self.world, self),
+            generator=random.Random(self.world.generator.random()),
+        )
+        self.task = self.world.loop.create_task(self._run(self.duty))
+
+    async def _run(self, duty):
+        while True:
+            await self.pause()
+            if not self.cut_from_store and not self.world.store.down:
+                self.view.take_all(self.world.list_entries(), self.world.now())
+            self.view.sweep(self.world.now())
+            await duty.step()
+            await asyncio.sleep(_coordinator_duty.TICK_S)
+
+    def kill(self):
+        self.task.cancel()
+        for task in list(self.duty._tasks):
+            task.cancel()
+
+    def receive(self, message, sender):
+        if self.world.now() >= self.frozen_until and not self.task.done():
+            self.duty.receive(message, sender)
+
+    async def pause(self):
+        """Waits while the host is frozen; tells whether it was."""
+        was_frozen = False
+        while self.world.now() < self.frozen_until:
+            was_frozen = True
+            await asyncio.sleep(self.frozen_until - self.world.now())
+        return was_frozen or self.world.now() < self.frozen_until + THAW_S
+
+
+class World:
+    """Everything, and the oracle."""
+
+    def __init__(self, seed, upstreams=5, hosts=3):
+        self.loop = asyncio.get_running_loop()
+        self.generator = random.Random(seed)
+        self.late_share = 0.0
+        self.problems = []
+        self.store = FakeStore(self)
+        self.upstreams = {}
+        self.all_runs = []
+        service = sycamoreloft_direct.Service(SERVICE, True, 100, "/")
+        self.state = sycamoreloft_direct.DesiredState(
+            1,
+            (),
+            {SERVICE: service},
+            sycamoreloft_direct.CallerBounds(1, 1, 1.0),
+        )
+        for number in range(upstreams):
+            self.start_upstream(f"u{number}")
+        self.hosts = {}
+        for number in range(hosts):
+            self.hosts[f"h{number}"] = Host(self, f"h{number}")
+
+    def now(self):
+        return self.loop.time()
+
+    def start_upstream(self, name):
+        upstream = FakeUpstream(self, name, int(self.now() * 1000))
+        self.upstreams[name] = upstream
+        self.all_runs.append(upstream)
+
+    def list_entries(self):
+        return {
+            item.name: sycamoreloft_direct.Upstream(
+                item.name,
+                item.started_ms,
+                f"{item.name}:1",
+                SERVICE,
+                "z",
+                4,
+                item.draining,
+            )
+            for item in self.upstreams.values()
+            if item.listed
+        }
+
+    def check(self, taker, hold):
+        """The oracle: runs whenever an upstream takes keys."""
+        for other in self.all_runs:
+            if other is taker:
+                continue
+            for held in other.list_live():
+                overlaps = held.first <= hold.last and hold.first <= held.last
+                if overlaps and not (held.excused or hold.excused):
+                    self.problems.append(
+                        f"{self.now():.2f}: {taker.name} and {other.name} hold"
+                        f" {hold.first}-{hold.last} {hold.fence}"
+                        f" and {held.first}-{held.last} {held.fence}"
+                    )
+            for first, last, fence in other.seen:
+                overlaps = first <= hold.last and hold.first <= last
+                if overlaps and fence >= hold.fence and not hold.excused:
+                    self.problems.append(
+                        f"{self.now():.2f}: {taker.name} takes {hold.first}-"
+                        f"{hold.last} with {hold.fence}, {other.name} had"
+                        f" {fence}"
+                    )
+
+    def count_served(self):
+        """Returns the keys that some upstream holds."""
+        return sum(
+            hold.last - hold.first + 1
+            for upstream in self.upstreams.values()
+            for hold in upstream.list_live()
+        )
+
+    def calm(self):
+        """Ends all faults."""
+        self.late_share = 0.0
+        self.store.down = False
+        self.store.lose_share = 0.0
+        for host in self.hosts.values():
+            host.cut_from_store = False
+            host.unreachable = set()
