--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := config decisions direct wire router ctl standins proof
-SOURCES := $(wildcard packages/*/sycamoreloft_*)
+SOURCES := $(wildcard packages/*/sycamoreloft_*) platform/sycamoreloft_platform
 SECONDS ?= 60
 SEED ?= 1
 
@@ -25,14 +25,14 @@
 	$(BIN)/python -m pytest
 
 lint: install
-	$(BIN)/ruff format --check packages tools conftest.py
-	$(BIN)/ruff check packages tools conftest.py
+	$(BIN)/ruff format --check packages platform deploy tools conftest.py
+	$(BIN)/ruff check packages platform deploy tools conftest.py
 	$(BIN)/python tools/check_source.py
 	$(BIN)/mypy $(SOURCES)
 
 format: install
-	$(BIN)/ruff format packages tools conftest.py
-	$(BIN)/ruff check --fix packages tools conftest.py
+	$(BIN)/ruff format packages platform deploy tools conftest.py
+	$(BIN)/ruff check --fix packages platform deploy tools conftest.py
 
 bench: install
 	$(BIN)/python -m sycamoreloft_proof.bench
--- a/packages/direct/sycamoreloft_direct/_key_coordinator.py
+++ b/packages/direct/sycamoreloft_direct/_key_coordinator.py
@@ -384,16 +384,25 @@
             owner = segment.owner
             if owner is None or segment.phase is _PHASE.RECORDING:
                 continue
-            if self._is_replaced(owner):
-                # A new run under the same identifier knows of no grant.
-                segment.safe_at = min(segment.safe_at, now)
-            elif owner in self._upstreams and segment.failures == 0:
+            follower = self._find_follower(owner)
+            if follower is not None:
+                # Orders for the run that ended may have reached the new one.
+                # It becomes the owner, with a token above all of them.
+                self._record(segment, follower)
+                continue
+            if owner in self._upstreams and segment.failures == 0:
                 continue
             if now >= segment.safe_at:
                 self._vacate(segment)
 
-    def _is_replaced(self, run: _nodes.UpstreamRun) -> bool:
-        return self._latest_start.get(run.id, 0) > run.started_ms
+    def _find_follower(
+        self, run: _nodes.UpstreamRun
+    ) -> _nodes.UpstreamRun | None:
+        """Returns the run that replaced one under its identifier."""
+        latest = self._latest_start.get(run.id, 0)
+        if latest <= run.started_ms:
+            return None
+        return _nodes.UpstreamRun(run.id, latest)
 
     def _plan_service(self, service: str, now: float) -> None:
         owners = [
--- a/packages/router/sycamoreloft_router/_coordinator_duty.py
+++ b/packages/router/sycamoreloft_router/_coordinator_duty.py
@@ -213,12 +213,16 @@
             self._report()
         if self._tenure is not None:
             self._act(self._tenure, now)
-        elif not self._is_stopping and self._has_sharded():
-            if now > self._heard_at + HEARTBEAT_LOST_S and now >= self._ask_at:
-                await self._ask(now)
-                self._ask_at = self._clock() + self._generator.uniform(
-                    LEAST_ASK_S, MOST_ASK_S
-                )
+        elif (
+            not self._is_stopping
+            and self._has_sharded()
+            and now > self._heard_at + HEARTBEAT_LOST_S
+            and now >= self._ask_at
+        ):
+            await self._ask(now)
+            self._ask_at = self._clock() + self._generator.uniform(
+                LEAST_ASK_S, MOST_ASK_S
+            )
 
     def _has_sharded(self) -> bool:
         return bool(self._list_sharded())
@@ -282,6 +286,7 @@
             self._settings.peer_address,
             epoch,
             reference.estimate(sent_at) + _coordinator_lease.LEASE_S,
+            self._find_earlier_until(lease),
         )
         new_map = dataclasses.replace(key_map, epoch=epoch, revision=1)
         outcome = await self._platform.records.write(
@@ -303,10 +308,7 @@
         if outcome.result is not _direct_ports.WriteResult.WRITTEN:
             return
         now = self._clock()
-        earlier_until = now
-        if lease is not None and not self._has_surely_ended(lease):
-            since = max(0.0, reference.clock_s - lease.expires_at)
-            earlier_until = now + max(0.0, self._times.blind_s - since)
+        earlier_until = now + max(0.0, taken.earlier_until - reference.clock_s)
         self._tenure = _Tenure(
             taken,
             outcome.version,
@@ -331,12 +333,18 @@
             ranges=sum(len(k.ranges) for k in new_map.services.values()),
         )
 
-    def _has_surely_ended(self, lease: _coordinator_lease.Lease) -> bool:
-        """Tells whether the holder of a lease renews nothing any more."""
+    def _find_earlier_until(
+        self, lease: _coordinator_lease.Lease | None
+    ) -> float:
+        """Returns until when, on the store's clock, others may renew keys."""
+        if lease is None:
+            return 0.0
         # An earlier process at this host's own address is not running.
-        return lease.is_resigned or (
+        if lease.is_resigned or (
             lease.peer_address == self._settings.peer_address
-        )
+        ):
+            return lease.earlier_until
+        return max(lease.earlier_until, lease.expires_at + self._times.blind_s)
 
     # Being the coordinator.
 
--- a/packages/router/sycamoreloft_router/_coordinator_lease.py
+++ b/packages/router/sycamoreloft_router/_coordinator_lease.py
@@ -34,6 +34,9 @@
     epoch: int
     #: End of the lease on the store's clock, in seconds.
     expires_at: float
+    #: Time on the store's clock until which earlier coordinators, cut off
+    #: from the store, may still renew leases of keys.
+    earlier_until: float = 0.0
     #: Whether the coordinator stopped and renews nothing any more.
     is_resigned: bool = False
 
@@ -64,14 +67,20 @@
         ValueError: The bytes are not an encoded lease.
     """
     try:
-        host, peer_address, epoch, expires_at, is_resigned = msgpack.unpackb(
-            data
-        )
+        (
+            host,
+            peer_address,
+            epoch,
+            expires_at,
+            earlier_until,
+            is_resigned,
+        ) = msgpack.unpackb(data)
         return Lease(
             str(host),
             str(peer_address),
             int(epoch),
             float(expires_at),
+            float(earlier_until),
             bool(is_resigned),
         )
     except (msgpack.UnpackException, TypeError, ValueError) as error:
--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -14,6 +14,7 @@
 import dataclasses
 import enum
 import socket
+import struct
 import typing
 
 import pycurl
@@ -479,12 +480,18 @@
 def limit_silence(descriptor: int, seconds: float) -> None:
     """Lets the system close a connection whose peer acknowledges nothing.
 
+    Closing the connection also drops what was not delivered: a request that
+    was given up would otherwise arrive when a partition heals.
+
     Args:
         descriptor: The socket.
         seconds: Longest time without an acknowledgement.
     """
     connection = socket.socket(fileno=descriptor)
     try:
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
         options = (
             (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
             (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, max(1, int(seconds / 2))),
--- a/packages/router/tests/key_world.py
+++ b/packages/router/tests/key_world.py
@@ -59,9 +59,9 @@
         if not self.up:
             return RESULT.UNKNOWN
         for first, last, fence in self.seen:
-            if first <= order.last and order.first <= last:
-                if fence > order.fence:
-                    return RESULT.FENCED
+            overlaps = first <= order.last and order.first <= last
+            if overlaps and fence > order.fence:
+                return RESULT.FENCED
         self.cut(order.first, order.last)
         self.seen.append((order.first, order.last, order.fence))
         until = arrived_at + order.hold_s * self.slow
--- a/tools/check_source.py
+++ b/tools/check_source.py
@@ -58,7 +58,7 @@
 def main() -> int:
     """Checks every source file of the workspace."""
     problems = []
-    for folder in ("packages", "tools"):
+    for folder in ("packages", "platform", "tools"):
         for path in sorted(pathlib.Path(folder).rglob("*.py")):
             problems += check_file(path)
     print("\n".join(problems))
