--- a/packages/router/sycamoreloft_router/_direct_run.py
+++ b/packages/router/sycamoreloft_router/_direct_run.py
@@ -223,7 +223,9 @@
             result = await self._attempt(record)
             if result is None:
                 return None
-            if not self._may_retry(result):
+            # For a failure of the upstream, the attempt has decided: without
+            # another attempt its answer would have been passed on.
+            if result is not _RESULT.FAILED and not self._may_retry(result):
                 return self._refuse()
             self._services.metrics.count("sycamoreloft_retries_total")
 
