Make the adapter's tests a package

Cause: pytest named their modules after the folder and put an empty module in the place of the standard library's platform; hypothesis then failed at exit. Change: platform/tests has an __init__.

--- a/conftest.py
+++ b/conftest.py
@@ -2,10 +2,6 @@
 
 import pathlib
 
-# pytest names the modules of platform/tests after their folders, and would
-# put an empty module in the place of the standard library's.
-import platform  # noqa: F401
-
 import pytest
 
 _LIST = pathlib.Path(__file__).with_name("KNOWN-RED.txt")
