Give up a call for changes that hangs, and drop the refusal by ratio

Change: heartbeats and reports tell how new the sender's copies are; a host that is behind for 0.9 s reads the table again. The ratio is gone. Tests that failed before: test_direct_views.py (a call that hangs; the end of an outage).

--- a/packages/direct/sycamoreloft_direct/_key_coordinator.py
+++ b/packages/direct/sycamoreloft_direct/_key_coordinator.py
@@ -91,10 +91,6 @@
             or (item.phase is not _PHASE.HELD and item.is_handed_over)
         ]
 
-    def list_overloads(self) -> abc.Mapping[_nodes.UpstreamRun, float]:
-        """Returns work over capacity of upstreams that have too much."""
-        return self._rebalancer.list_overloads()
-
     def _adopt(
         self,
         service: str,
--- a/packages/direct/sycamoreloft_direct/_key_planning.py
+++ b/packages/direct/sycamoreloft_direct/_key_planning.py
@@ -135,18 +135,6 @@
                 return PlannedMove(part.first, part.last, calmest)
         return None
 
-    def list_overloads(self) -> dict[_nodes.UpstreamRun, float]:
-        """Returns upstreams that have more work than time, and how much.
-
-        Returns:
-            Work over capacity by upstream, for values above 1.
-        """
-        return {
-            run: self._get_pressure(run)
-            for run in self._work
-            if self._get_pressure(run) > 1.0
-        }
-
     def _choose_amount(
         self,
         busiest: _nodes.UpstreamRun,
--- a/packages/direct/sycamoreloft_direct/_key_rebalancing.py
+++ b/packages/direct/sycamoreloft_direct/_key_rebalancing.py
@@ -61,7 +61,6 @@
         self._speeds: abc.Mapping[str, float] = {}
         self._silent_until: dict[_nodes.UpstreamRun, float] = {}
         self._upstreams: abc.Mapping[_nodes.UpstreamRun, _nodes.Upstream] = {}
-        self._overloads: dict[_nodes.UpstreamRun, float] = {}
         self._listed_since = now
         self._plan_at = now
 
@@ -91,10 +90,6 @@
         """Notes that an upstream took an order."""
         self._silent_until.pop(run, None)
 
-    def list_overloads(self) -> abc.Mapping[_nodes.UpstreamRun, float]:
-        """Returns work over capacity of upstreams that have too much."""
-        return self._overloads
-
     def plan(self, revision: int, now: float) -> None:
         """Begins what is due.
 
@@ -106,7 +101,6 @@
         if now < self._plan_at:
             return
         self._plan_at = now + PLAN_INTERVAL_S
-        self._overloads = {}
         for service in self._table.list_services():
             self._plan_service(service, revision, now)
             self._find_loads(service).decay()
@@ -150,7 +144,6 @@
             )
             for item in segments
         )
-        self._overloads |= planner.list_overloads()
         runs = {item.run for item in owners}
         plan = _ServicePlan(service, planner, runs, revision, now)
         for segment in segments:
--- a/packages/router/sycamoreloft_router/_coordinator_duty.py
+++ b/packages/router/sycamoreloft_router/_coordinator_duty.py
@@ -51,6 +51,17 @@
     order: tuple[int, int]
 
 
+class Freshness:
+    """How new this host's copies of the platform's tables are."""
+
+    def read(self) -> _direct_peers.SeenVersions:
+        """Returns the versions that this host has."""
+        return _direct_peers.SeenVersions()
+
+    def hear(self, seen: _direct_peers.SeenVersions) -> None:
+        """Takes the versions that another host has."""
+
+
 class CoordinatorDuty:
     """Runs beside the requests of a host.
 
@@ -62,6 +73,7 @@
         directory: Map of keys that requests use.
         metrics: Metrics of the process.
         times: Durations of key leases.
+        freshness: Tells and hears how new the copies of tables are.
         clock: Clock that also runs while the host is suspended, in seconds.
         socket: Sends datagrams; None for a socket of the settings' address.
         generator: Source of random choices.
@@ -76,6 +88,7 @@
         directory: _key_directory.KeyDirectory,
         metrics: _metrics.Metrics,
         times: sycamoreloft_direct.HoldTimes | None = None,
+        freshness: Freshness | None = None,
         clock: abc.Callable[[], float] = _coordinator_lease.read_boot_clock,
         socket: _direct_peers.Sender | None = None,
         generator: random.Random | None = None,
@@ -88,6 +101,9 @@
         self._metrics = metrics
         self._times = times or sycamoreloft_direct.HoldTimes()
         self._clock = clock
+        freshness = freshness or Freshness()
+        self._seen = freshness.read
+        self._on_seen = freshness.hear
         self._generator = generator or random.Random()
         self._socket = socket or _direct_peers.PeerSocket(
             settings.peer_address, self.receive
@@ -137,7 +153,7 @@
         self._tenure = None
         await tenure.resign()
         beat = _direct_peers.Heartbeat(
-            tenure.epoch, tenure.key_map.revision, True, (), {}
+            tenure.epoch, tenure.key_map.revision, True, (), self._seen()
         )
         for address in self._hosts:
             self._socket.send(beat, address)
@@ -309,14 +325,14 @@
         self._beat_at = now + HEARTBEAT_S
         key_map = tenure.key_map
         order = key_map.order
-        overloads = tenure.list_overloads()
         self._directory.take_notice(
             key_map.epoch,
             self._moving,
-            overloads,
             asyncio.get_running_loop().time(),
         )
-        short = _direct_peers.Heartbeat(*order, False, self._moving, overloads)
+        short = _direct_peers.Heartbeat(
+            *order, False, self._moving, self._seen()
+        )
         full = dataclasses.replace(
             short, key_map=sycamoreloft_direct.encode_key_map(key_map)
         )
@@ -332,6 +348,7 @@
         self, message: _direct_peers.Datagram, sender: _direct_peers.Address
     ) -> None:
         """Takes a datagram of another host."""
+        self._on_seen(message.seen)
         if isinstance(message, _direct_peers.Report):
             self._receive_report(message, sender)
         elif message.epoch >= self._directory.key_map.epoch:
@@ -370,7 +387,6 @@
         self._directory.take_notice(
             message.epoch,
             message.moving,
-            message.overloads,
             asyncio.get_running_loop().time(),
         )
 
@@ -392,6 +408,7 @@
         report = _direct_peers.Report(
             self._settings.name,
             *self._directory.key_map.order,
+            self._seen(),
             _direct_peers.summarize_requests(self._observed),
             self._answers,
         )
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -15,6 +15,7 @@
     _caller_server,
     _connection_rules,
     _coordinator_duty,
+    _direct_peers,
     _direct_ports,
     _direct_run,
     _direct_views,
@@ -96,11 +97,14 @@
             self._upstreams,
             self._directory,
             metrics,
+            freshness=_HostFreshness(self),
         )
-        self._state_follower = _direct_views.TableFollower(
+        #: Follows the desired state.
+        self.state_follower = _direct_views.TableFollower(
             "states", platform.states, self._take_states, self._take_states
         )
-        self._upstream_follower = _direct_views.TableFollower(
+        #: Follows the upstreams.
+        self.upstream_follower = _direct_views.TableFollower(
             "upstreams",
             platform.upstreams,
             self._take_all_upstreams,
@@ -173,8 +177,8 @@
         self._listen(self._settings.readiness_address)
         self._listen(self._settings.metrics_address)
         for name, run in (
-            ("states", self._state_follower.run),
-            ("upstreams", self._upstream_follower.run),
+            ("states", self.state_follower.run),
+            ("upstreams", self.upstream_follower.run),
             ("coordinator", self._duty.run),
             ("sweep", self._sweep),
         ):
@@ -252,7 +256,7 @@
         self._upstreams.take_changes(values, self._loop.time())
 
     def _extend_grace(self) -> None:
-        returned_at = self._upstream_follower.returned_at
+        returned_at = self.upstream_follower.returned_at
         if returned_at:
             self._upstreams.extend_grace(
                 returned_at + _direct_views.RETURN_GRACE_S
@@ -262,6 +266,23 @@
         self._book.update(self._upstreams.list_all(), self._loop.time())
 
 
+class _HostFreshness(_coordinator_duty.Freshness):
+    """Versions of the tables that a host follows."""
+
+    def __init__(self, host: DirectHost) -> None:
+        self._host = host
+
+    def read(self) -> _direct_peers.SeenVersions:
+        return _direct_peers.SeenVersions(
+            self._host.state_follower.newest,
+            self._host.upstream_follower.newest,
+        )
+
+    def hear(self, seen: _direct_peers.SeenVersions) -> None:
+        self._host.state_follower.hear(seen.state)
+        self._host.upstream_follower.hear(seen.upstreams)
+
+
 class _ReadinessHandler(web.RequestHandler):
     """Tells the load balancer whether to send new connections."""
 
--- a/packages/router/sycamoreloft_router/_direct_peers.py
+++ b/packages/router/sycamoreloft_router/_direct_peers.py
@@ -26,6 +26,20 @@
 Address = tuple[str, int]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SeenVersions:
+    """How new a host's copies of the platform's tables are.
+
+    A host that hears of a newer version reads the table again: its own call
+    that waits for changes may hang.
+    """
+
+    #: Version of the newest row of a desired state.
+    state: int = 0
+    #: Version of the newest row of an upstream.
+    upstreams: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
     """The coordinator tells the other hosts that it is alive."""
@@ -38,8 +52,8 @@
     is_leaving: bool
     #: Keys that are being moved.
     moving: tuple[_key_directory.MovingKeys, ...]
-    #: Work over capacity by upstream, for those that have too much.
-    overloads: abc.Mapping[str, float]
+    #: What the sender has read of the platform's tables.
+    seen: SeenVersions
     #: The recorded map, encoded; empty if the receiver has it.
     key_map: bytes = b""
 
@@ -53,6 +67,8 @@
     #: Epoch and revision of the map that the host has.
     epoch: int
     revision: int
+    #: What the sender has read of the platform's tables.
+    seen: SeenVersions
     #: Requests by service and key.
     requests: abc.Mapping[str, abc.Mapping[int, int]]
     #: Answers and their summed time in seconds, by upstream.
@@ -72,7 +88,7 @@
             message.revision,
             message.is_leaving,
             [(item.service, item.first, item.last) for item in message.moving],
-            message.overloads,
+            dataclasses.astuple(message.seen),
             message.key_map,
         )
     else:
@@ -82,6 +98,7 @@
             message.host,
             message.epoch,
             message.revision,
+            dataclasses.astuple(message.seen),
             message.requests,
             message.answers,
         )
@@ -95,20 +112,21 @@
         if version != _VERSION:
             return None
         if kind == "heartbeat":
-            epoch, revision, is_leaving, moving, overloads, key_map = fields
+            epoch, revision, is_leaving, moving, seen, key_map = fields
             return Heartbeat(
                 int(epoch),
                 int(revision),
                 bool(is_leaving),
                 tuple(_key_directory.MovingKeys(*item) for item in moving),
-                {str(name): float(r) for name, r in overloads.items()},
+                SeenVersions(*map(int, seen)),
                 bytes(key_map),
             )
-        host, epoch, revision, requests, answers = fields
+        host, epoch, revision, seen, requests, answers = fields
         return Report(
             str(host),
             int(epoch),
             int(revision),
+            SeenVersions(*map(int, seen)),
             {name: dict(keys) for name, keys in requests.items()},
             {name: (int(n), float(s)) for name, (n, s) in answers.items()},
         )
--- a/packages/router/sycamoreloft_router/_direct_ports.py
+++ b/packages/router/sycamoreloft_router/_direct_ports.py
@@ -31,6 +31,8 @@
     values: abc.Mapping[str, Value | None]
     #: Version up to which the changes are complete.
     version: int
+    #: Version of the newest of these entries, 0 if there are none.
+    newest: int = 0
 
 
 class Watched(typing.Protocol[Value]):
--- a/packages/router/sycamoreloft_router/_direct_run.py
+++ b/packages/router/sycamoreloft_router/_direct_run.py
@@ -265,9 +265,6 @@
             )
             record = services.book.find(owner) if owner is not None else None
             if record is not None and self._may_send(record, now):
-                if not self._is_admitted(record, now):
-                    self._reason = "owner-overloaded"
-                    return None
                 if services.book.is_avoided(record, now):
                     # It is known not to answer; a probe goes through.
                     self._reason = "owner-silent"
@@ -288,18 +285,6 @@
             return False
         return now - record.leaving_since < self._services.leaving_s
 
-    def _is_admitted(
-        self, record: sycamoreloft_direct.UpstreamRecord, now: float
-    ) -> bool:
-        """Draws whether a full owner gets the request.
-
-        What it cannot serve would wait in its queue until the deadline, and
-        keep others waiting that it could.
-        """
-        services = self._services
-        share = services.directory.find_share(record.entry.id, now)
-        return share >= 1.0 or services.generator.random() < share
-
     # One attempt.
 
     async def _attempt(
--- a/packages/router/sycamoreloft_router/_direct_views.py
+++ b/packages/router/sycamoreloft_router/_direct_views.py
@@ -24,6 +24,11 @@
 #: Seconds after the store's return for which a missing entry may come back.
 RETURN_GRACE_S = 2.2
 
+#: Seconds after which a host that heard of a newer version reads the table
+#: again: longer than it collects changes, and well within the bounds for
+#: desired states and leaving upstreams.
+BEHIND_S = 0.9
+
 #: Failed calls in a row after which the store counts as lost.
 FAILURES_TO_LOSE = 2
 
@@ -51,6 +56,10 @@
         self._on_changes = on_changes
         self._failures = 0
         self._version = -1
+        self._call: asyncio.Task[typing.Any] | None = None
+        self._behind: asyncio.TimerHandle | None = None
+        #: Version of the newest entry that was read.
+        self.newest = 0
         #: When the store answered last, on the clock of the event loop.
         self.answered_at = 0.0
         #: When the store came back last.
@@ -64,22 +73,59 @@
     async def run(self) -> None:
         """Follows the table until it is cancelled."""
         while True:
-            if self._version < 0:
-                answer = await self._table.read()
-            else:
-                answer = await self._table.follow(self._version)
+            answer = await self._ask()
             if isinstance(answer, _direct_ports.ReadProblem):
                 await self._handle_problem(answer)
                 continue
             self._note_answer()
             is_read = self._version < 0
             self._version = answer.version
+            self.newest = max(self.newest, answer.newest)
             if is_read:
                 self._on_read(answer.values)
             elif answer.values:
                 self._on_changes(answer.values)
                 await asyncio.sleep(COLLECT_S)
 
+    def hear(self, newest: int) -> None:
+        """Takes the version that another host has.
+
+        If this host does not have it soon, its call hangs: it is given up,
+        and the table is read again.
+        """
+        if newest <= self.newest or self._behind is not None:
+            return
+        loop = asyncio.get_running_loop()
+        self._behind = loop.call_later(BEHIND_S, self._check_behind, newest)
+
+    def _check_behind(self, newest: int) -> None:
+        self._behind = None
+        if newest <= self.newest or self._call is None:
+            return
+        _logs.log_event(
+            _LOGGER,
+            logging.WARNING,
+            "table-behind",
+            table=self._name,
+            newest=self.newest,
+            heard=newest,
+        )
+        self._version = -1
+        self._call.cancel()
+
+    async def _ask(self) -> typing.Any:
+        """Reads or follows the table; a call that is behind is repeated."""
+        while True:
+            loop = asyncio.get_running_loop()
+            if self._version < 0:
+                self._call = loop.create_task(self._table.read())
+            else:
+                self._call = loop.create_task(self._table.follow(self._version))
+            await asyncio.wait([self._call])
+            call, self._call = self._call, None
+            if not call.cancelled():
+                return call.result()
+
     async def _handle_problem(self, problem: _direct_ports.ReadProblem) -> None:
         if problem is _direct_ports.ReadProblem.HISTORY_LOST:
             _logs.log_event(
@@ -87,6 +133,8 @@
             )
             self._version = -1
             return
+        # A full read answers at once, which tells when the store is back.
+        self._version = -1
         self._failures += 1
         if self._failures == FAILURES_TO_LOSE:
             _logs.log_event(
--- a/packages/router/sycamoreloft_router/_key_directory.py
+++ b/packages/router/sycamoreloft_router/_key_directory.py
@@ -32,7 +32,6 @@
         self._moving: tuple[MovingKeys, ...] = ()
         self._moving_epoch = 0
         self._notice_until = 0.0
-        self._overloads: abc.Mapping[str, float] = {}
         self._waiters: set[asyncio.Future[None]] = set()
 
     def take(self, key_map: sycamoreloft_direct.KeyMap) -> bool:
@@ -47,7 +46,6 @@
         self,
         epoch: int,
         moving: abc.Iterable[MovingKeys],
-        overloads: abc.Mapping[str, float],
         now: float,
     ) -> None:
         """Takes what a coordinator tells with its heartbeat.
@@ -55,13 +53,11 @@
         Args:
             epoch: Epoch of the coordinator.
             moving: Ranges that it is moving.
-            overloads: Work over capacity of upstreams that have too much.
             now: Time, in seconds.
         """
         if epoch < self._moving_epoch:
             return
         self._notice_until = now + NOTICE_S
-        self._overloads = overloads
         self._moving_epoch = epoch
         changed = tuple(moving)
         if changed != self._moving:
@@ -77,12 +73,6 @@
                 return None
         return self.key_map.find_owner(service, key)
 
-    def find_share(self, upstream: str, now: float) -> float:
-        """Returns the share of its requests that an owner can serve."""
-        if now >= self._notice_until:
-            return 1.0
-        return 1.0 / max(1.0, self._overloads.get(upstream, 1.0))
-
     async def wait_for_change(self, seconds: float) -> None:
         """Waits for the next change, at most some seconds."""
         waiter = asyncio.get_running_loop().create_future()
--- a/packages/router/sycamoreloft_router/_tenure.py
+++ b/packages/router/sycamoreloft_router/_tenure.py
@@ -118,11 +118,6 @@
         """Lists services and ranges whose owner has to give them up."""
         return self._coordinator.list_moving()
 
-    def list_overloads(self) -> dict[str, float]:
-        """Returns work over capacity of upstreams that have too much."""
-        overloads = self._coordinator.list_overloads()
-        return {run.id: ratio for run, ratio in overloads.items()}
-
     def act(self, now: float, sharded: set[str]) -> None:
         """Sends what is due.
 
@@ -185,10 +180,8 @@
 
     def take_observations(self, report: _direct_peers.Report) -> None:
         """Takes what a host observed."""
-        overloads = self.list_overloads()
         for upstream, (count, total) in report.answers.items():
-            # Answers of a full upstream tell its queue and not its speed.
-            if count > 0 and upstream not in overloads:
+            if count > 0:
                 self._learn_answer_time(upstream, total / count)
         for load in _direct_peers.convert_load(report.requests, self._answer_s):
             self._coordinator.record_load(load)
--- /dev/null
+++ b/packages/router/tests/test_direct_views.py
@@ -0,0 +1,156 @@
+"""Followers and views of the platform's tables."""
+
+import asyncio
+
+import virtual_time
+
+import sycamoreloft_direct
+from sycamoreloft_router import _direct_ports, _direct_views
+
+
+class FakeTable:
+    """A table whose calls for changes may hang."""
+
+    def __init__(self):
+        self.values = {}
+        self.version = 1
+        self.newest = 1
+        self.hangs = False
+        self.problem = None
+        self.reads = 0
+
+    async def read(self):
+        self.reads += 1
+        await asyncio.sleep(0.004)
+        if self.problem is not None:
+            return self.problem
+        return _direct_ports.Changes(
+            dict(self.values), self.version, self.newest
+        )
+
+    async def follow(self, version):
+        while self.hangs or (version >= self.version and not self.problem):
+            await asyncio.sleep(0.05)
+        if self.problem is not None:
+            return self.problem
+        return _direct_ports.Changes(
+            dict(self.values), self.version, self.newest
+        )
+
+    def put(self, key, value):
+        self.version += 1
+        self.newest = self.version
+        self.values[key] = value
+
+
+def build_upstream(name="u1", started_ms=1, draining=False):
+    return sycamoreloft_direct.Upstream(
+        name, started_ms, "10.0.0.1:1", "ledger", "z", 4, draining
+    )
+
+
+def follow(scenario):
+    async def main():
+        table = FakeTable()
+        seen = {}
+        follower = _direct_views.TableFollower(
+            "t", table, seen.update, seen.update
+        )
+        task = asyncio.get_running_loop().create_task(follower.run())
+        await asyncio.sleep(0.1)
+        try:
+            await scenario(table, follower, seen)
+        finally:
+            task.cancel()
+
+    virtual_time.run(main())
+
+
+def test_a_call_that_hangs_is_given_up_when_another_host_knows_more():
+    async def scenario(table, follower, seen):
+        table.hangs = True
+        table.put("a", 7)
+        follower.hear(table.newest)
+        await asyncio.sleep(1.5)
+        assert seen == {"a": 7}
+
+    follow(scenario)
+
+
+def test_hearing_of_what_is_known_reads_nothing():
+    async def scenario(table, follower, seen):
+        table.put("a", 7)
+        await asyncio.sleep(0.5)
+        follower.hear(table.newest)
+        await asyncio.sleep(3.0)
+        assert seen == {"a": 7} and table.reads == 1
+
+    follow(scenario)
+
+
+def test_lost_history_is_read_again():
+    async def scenario(table, follower, seen):
+        table.problem = _direct_ports.ReadProblem.HISTORY_LOST
+        await asyncio.sleep(0.3)
+        table.problem = None
+        table.put("a", 1)
+        await asyncio.sleep(1.0)
+        assert seen == {"a": 1} and not follower.is_lost
+
+    follow(scenario)
+
+
+def test_an_outage_is_noticed_and_its_end_as_well():
+    async def scenario(table, follower, seen):
+        table.problem = _direct_ports.ReadProblem.UNAVAILABLE
+        await asyncio.sleep(2.0)
+        assert follower.is_lost
+        table.problem = None
+        await asyncio.sleep(1.0)
+        assert not follower.is_lost
+        assert follower.returned_at > 0
+
+    follow(scenario)
+
+
+def test_a_gone_upstream_is_kept_as_leaving_for_a_time():
+    view = _direct_views.UpstreamView(2.0, lambda: None)
+    view.take_all({"u1": build_upstream()}, 0.0)
+    view.take_changes({"u1": None}, 5.0)
+    assert [item.is_draining for item in view.list_all()] == [True]
+    view.sweep(6.9)
+    assert view.find(build_upstream().run) is not None
+    view.sweep(7.1)
+    assert not view.list_all()
+
+
+def test_entries_that_lapsed_in_an_outage_may_come_back():
+    view = _direct_views.UpstreamView(2.0, lambda: None)
+    view.take_all({"u1": build_upstream()}, 0.0)
+    view.extend_grace(12.0)
+    view.take_all({}, 10.0)
+    assert [item.is_draining for item in view.list_all()] == [False]
+    view.sweep(12.1)
+    assert [item.is_draining for item in view.list_all()] == [True]
+
+
+def test_a_new_run_replaces_the_old_one_at_once():
+    view = _direct_views.UpstreamView(2.0, lambda: None)
+    view.take_all({"u1": build_upstream(started_ms=1)}, 0.0)
+    view.take_changes({"u1": build_upstream(started_ms=9)}, 1.0)
+    assert [item.started_ms for item in view.list_all()] == [9]
+    assert view.find(sycamoreloft_direct.UpstreamRun("u1", 1)) is None
+
+
+def test_an_older_desired_state_is_ignored():
+    view = _direct_views.StateView()
+    bounds = sycamoreloft_direct.CallerBounds(1, 1, 1.0)
+    for version in (7, 5, 6):
+        view.take(
+            {
+                "config": sycamoreloft_direct.DesiredState(
+                    version, (), {}, bounds
+                )
+            }
+        )
+    assert view.state.version == 7
