--- a/packages/direct/sycamoreloft_direct/_key_map.py
+++ b/packages/direct/sycamoreloft_direct/_key_map.py
@@ -127,7 +127,7 @@
                 for name, rows in services.items()
             },
         )
-    except (msgpack.UnpackException, TypeError, IndexError) as error:
+    except (ValueError, TypeError, IndexError) as error:
         raise ValueError(f"not an encoded map of keys: {error}") from error
 
 
--- a/packages/direct/sycamoreloft_direct/_upstream_book.py
+++ b/packages/direct/sycamoreloft_direct/_upstream_book.py
@@ -24,10 +24,10 @@
 LONGEST_EJECTION_S = 4.0
 
 #: Preference for the own failure domain, as a factor of the weight.
-LOCAL_PREFERENCE = 1.5
+LOCAL_PREFERENCE = 2.0
 
 #: The same for large bodies, whose bytes between domains cost more.
-LOCAL_UPLOAD_PREFERENCE = 3.0
+LOCAL_UPLOAD_PREFERENCE = 6.0
 
 #: An upstream whose oldest request is older than this many of its usual
 #: answer times, and which answered nothing since, is thought to hang.
@@ -49,6 +49,16 @@
 SHED_WEIGHT = 0.3
 
 
+#: Factor of the share of requests that a full owner of keys gets, after a
+#: refusal or a silence, and what each answer adds. The share settles where
+#: about one request in eight is refused.
+SHARE_BACK_OFF = 0.85
+SHARE_RECOVERY = 0.02
+
+#: Least share.
+LEAST_SHARE = 0.2
+
+
 class AttemptResult(enum.Enum):
     """How an attempt at an upstream ended."""
 
@@ -94,6 +104,8 @@
     ejection_s: float = 0.0
     #: When the upstream answered anything last.
     answered_at: float = 0.0
+    #: Share of the requests for its keys that the upstream gets at present.
+    share: float = 1.0
     #: When the upstream refused a request last.
     refused_at: float = -1e9
 
@@ -180,6 +192,14 @@
         """Tells whether an upstream is ejected or seems to hang."""
         return now < record.ejected_until or _is_stalled(record, now)
 
+    def admit(self, record: UpstreamRecord) -> bool:
+        """Draws whether the owner of a key gets the next request.
+
+        What a full owner cannot serve waits in its queue until the deadline,
+        and keeps requests waiting that it could serve.
+        """
+        return record.share >= 1.0 or self._generator.random() < record.share
+
     def begin(
         self, record: UpstreamRecord, attempt: object, now: float
     ) -> None:
@@ -197,6 +217,7 @@
         started_at = record.in_flight.pop(attempt, now)
         if result is AttemptResult.CANCELLED:
             return
+        _adapt_share(record, result)
         if result is AttemptResult.REFUSED:
             record.refused_at = now
             record.answered_at = now
@@ -250,3 +271,10 @@
     oldest = next(iter(record.in_flight.values()))
     limit = max(LEAST_STALL_S, STALL_FACTOR * record.latency_s)
     return now - max(oldest, record.answered_at) > limit
+
+
+def _adapt_share(record: UpstreamRecord, result: AttemptResult) -> None:
+    if result in (AttemptResult.REFUSED, AttemptResult.SILENT):
+        record.share = max(LEAST_SHARE, record.share * SHARE_BACK_OFF)
+    elif result is AttemptResult.ANSWERED:
+        record.share = min(1.0, record.share + SHARE_RECOVERY)
--- /dev/null
+++ b/packages/direct/tests/test_key_map.py
@@ -0,0 +1,46 @@
+"""Maps of keys: lookups, changes, encoding."""
+
+import random
+
+import pytest
+
+import sycamoreloft_direct
+
+RUNS = [sycamoreloft_direct.UpstreamRun(f"u{n}", n + 1) for n in range(4)]
+
+
+def test_changes_agree_with_a_plain_list():
+    generator = random.Random(3)
+    keys = sycamoreloft_direct.create_unowned("boards")
+    plain = [None] * sycamoreloft_direct.KEY_COUNT
+    for _ in range(200):
+        first = generator.randrange(sycamoreloft_direct.KEY_COUNT)
+        last = min(first + generator.randrange(9_000), 65_535)
+        owner = generator.choice([*RUNS, None])
+        keys = keys.assign(first, last, owner)
+        plain[first : last + 1] = [owner] * (last - first + 1)
+    for key in range(0, sycamoreloft_direct.KEY_COUNT, 37):
+        assert keys.find(key).owner == plain[key]
+    assert keys.ranges[0].first == 0
+    assert keys.ranges[-1].last == 65_535
+    for left, right in zip(keys.ranges, keys.ranges[1:], strict=False):
+        assert left.last + 1 == right.first
+        assert left.owner != right.owner
+
+
+def test_encoding_keeps_everything():
+    keys = sycamoreloft_direct.create_unowned("boards")
+    keys = keys.assign(10, 20, RUNS[0]).assign(15, 70, RUNS[1])
+    known = sycamoreloft_direct.KeyMap(7, 3, {"boards": keys})
+    data = sycamoreloft_direct.encode_key_map(known)
+    assert sycamoreloft_direct.decode_key_map(data) == known
+
+
+@pytest.mark.parametrize("data", [b"", b"\xc1", b"\x01", b"\x93\x01\x02\x03"])
+def test_other_bytes_are_refused(data):
+    with pytest.raises(ValueError, match="encoded map"):
+        sycamoreloft_direct.decode_key_map(data)
+
+
+def test_an_unknown_service_has_no_owner():
+    assert sycamoreloft_direct.KeyMap(1, 1, {}).find_owner("x", 5) is None
--- /dev/null
+++ b/packages/direct/tests/test_upstream_book.py
@@ -0,0 +1,120 @@
+"""Choice of upstreams by observation."""
+
+import collections
+import random
+
+import pytest
+
+import sycamoreloft_direct
+
+RESULT = sycamoreloft_direct.AttemptResult
+
+
+@pytest.fixture
+def book():
+    """A book of a host in domain "a", with a fixed seed."""
+    return sycamoreloft_direct.UpstreamBook("a", random.Random(1))
+
+
+def build(name, domain="a", **changes):
+    values = {
+        "id": name,
+        "started_ms": 1,
+        "address": f"{name}:1",
+        "service": "ledger",
+        "failure_domain": domain,
+        "slots": 4,
+        "is_draining": False,
+    }
+    return sycamoreloft_direct.Upstream(**(values | changes))
+
+
+def count_choices(book, now, is_upload=False, rounds=2_000):
+    counts = collections.Counter()
+    for _ in range(rounds):
+        counts[book.choose("ledger", now, is_upload).entry.id] += 1
+    return counts
+
+
+def finish(book, record, result, now, seconds=0.1):
+    attempt = object()
+    book.begin(record, attempt, now)
+    book.finish(record, attempt, result, now + seconds)
+
+
+def find(book, name):
+    return book.find(sycamoreloft_direct.UpstreamRun(name, 1))
+
+
+def test_leaving_upstreams_are_not_chosen(book):
+    book.update([build("u1"), build("u2", is_draining=True)], 0.0)
+    assert set(count_choices(book, 0.0)) == {"u1"}
+
+
+def test_no_upstream_is_chosen_if_all_were_tried(book):
+    book.update([build("u1")], 0.0)
+    assert book.choose("ledger", 0.0, False, ["u1"]) is None
+
+
+def test_slow_upstreams_get_fewer_requests(book):
+    book.update([build("u1"), build("u2")], 0.0)
+    for _ in range(40):
+        finish(book, find(book, "u1"), RESULT.ANSWERED, 0.0, 0.1)
+        finish(book, find(book, "u2"), RESULT.ANSWERED, 0.0, 0.8)
+    counts = count_choices(book, 1.0)
+    assert counts["u1"] > 4 * counts["u2"] > 0
+
+
+def test_an_unreachable_upstream_is_avoided_and_tried_again(book):
+    book.update([build("u1"), build("u2")], 0.0)
+    finish(book, find(book, "u1"), RESULT.UNREACHABLE, 0.0)
+    assert count_choices(book, 0.5)["u1"] < 20
+    assert count_choices(book, 5.0)["u1"] > 200
+
+
+def test_an_ejection_never_leaves_a_service_without_upstreams(book):
+    book.update([build("u1")], 0.0)
+    finish(book, find(book, "u1"), RESULT.UNREACHABLE, 0.0)
+    assert count_choices(book, 0.5)["u1"] == 2_000
+
+
+def test_an_upstream_that_hangs_is_avoided_before_its_deadline(book):
+    book.update([build("u1"), build("u2")], 0.0)
+    book.begin(find(book, "u1"), object(), 0.0)
+    assert count_choices(book, 2.0)["u1"] < 20
+
+
+def test_an_upstream_with_failures_behind_a_good_probe_gets_less(book):
+    book.update([build("u1"), build("u2")], 0.0)
+    for number in range(40):
+        result = RESULT.FAILED if number % 2 else RESULT.ANSWERED
+        finish(book, find(book, "u1"), result, 0.0)
+        finish(book, find(book, "u2"), RESULT.ANSWERED, 0.0)
+    counts = count_choices(book, 1.0)
+    assert counts["u2"] > 2 * counts["u1"]
+
+
+def test_large_bodies_stay_in_the_failure_domain(book):
+    book.update([build("u1", "a"), build("u2", "b")], 0.0)
+    near = count_choices(book, 0.0, True)["u1"]
+    assert near > count_choices(book, 0.0, False)["u1"] > 1_000
+
+
+def test_a_full_owner_gets_a_share_that_comes_back(book):
+    book.update([build("u1")], 0.0)
+    record = find(book, "u1")
+    for _ in range(10):
+        finish(book, record, RESULT.REFUSED, 0.0)
+    admitted = sum(book.admit(record) for _ in range(1_000))
+    assert 150 < admitted < 300
+    for _ in range(50):
+        finish(book, record, RESULT.ANSWERED, 1.0)
+    assert all(book.admit(record) for _ in range(100))
+
+
+def test_a_new_run_starts_without_a_record(book):
+    book.update([build("u1")], 0.0)
+    finish(book, find(book, "u1"), RESULT.UNREACHABLE, 0.0)
+    book.update([build("u1", started_ms=2)], 0.1)
+    record = book.find(sycamoreloft_direct.UpstreamRun("u1", 2))
+    assert not book.is_avoided(record, 0.2)
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -119,6 +119,7 @@
                 ),
                 CONNECT_TIMEOUT_S,
                 IDLE_CONNECTION_S,
+                True,
                 SILENCE_S,
             ),
         )
--- a/packages/router/sycamoreloft_router/_direct_run.py
+++ b/packages/router/sycamoreloft_router/_direct_run.py
@@ -135,7 +135,7 @@
         "_received",
         "_reason",
         "_request",
-        "_sent",
+        "_sent_to",
         "_services",
         "_sink",
         "_stop_event",
@@ -161,7 +161,7 @@
         self._may_have_run = False
         self._misdirected = ""
         self._reason = "no-upstream"
-        self._sent = 0
+        self._sent_to: set[str] = set()
         self._stop_event: sycamoreloft_decisions.AttemptEvent | None = None
         self._task: asyncio.Task[None] | None = None
         self._transfer: _upstream_client.Transfer | None = None
@@ -265,6 +265,9 @@
             )
             record = services.book.find(owner) if owner is not None else None
             if record is not None and self._may_send(record, now):
+                if not self._tried and not services.book.admit(record):
+                    self._reason = "owner-full"
+                    return None
                 if services.book.is_avoided(record, now):
                     # It is known not to answer; a probe goes through.
                     self._reason = "owner-silent"
@@ -364,7 +367,7 @@
     ) -> sycamoreloft_direct.AttemptResult:
         head = transfer.head
         if transfer.started:
-            self._sent += 1
+            self._sent_to.add(self._tried[-1])
         if head.complete and self._is_refusal(head):
             self._reason = f"upstream-refused-{head.status}"
             is_misdirected = head.status == MISDIRECTED
@@ -430,7 +433,11 @@
             return False
         if result is not _RESULT.REFUSED and not self._is_idempotent:
             return False
-        if self._sent >= self._request.route.attempts:
+        is_full_owner = result is _RESULT.REFUSED and self._request.key >= 0
+        if (
+            len(self._sent_to) >= self._request.route.attempts
+            and not is_full_owner
+        ):
             return False
         if not self._services.budget.take(now):
             self._services.metrics.count("sycamoreloft_retries_refused_total")
--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -357,7 +357,9 @@
         handle = (
             spare.pop() if spare else _Handle(pycurl.Curl(), mode, self.rules)
         )
-        reuse = self._keeps_idle and request.address in self._echoing
+        reuse = self._keeps_idle and (
+            self.rules.assumes_echo or request.address in self._echoing
+        )
         handle.prepare(transfer, reuse)
         transfer.attach(handle)
         self._active.add(handle)
