Give a key that is too hot to the fastest upstream, alone

Its owner's speed decides how much of it is served. Change: such a key moves to an upstream that is at least a quarter faster; speeds are learned from calm answers; only silence lowers an owner's share. Test: test_hot_keys.py.

--- a/packages/direct/sycamoreloft_direct/_key_loads.py
+++ b/packages/direct/sycamoreloft_direct/_key_loads.py
@@ -62,6 +62,17 @@
         even = self._density * (last - first + 1)
         return self._sums[high] - self._sums[low] + even
 
+    def find_busiest(self, first: int, last: int) -> tuple[int, float]:
+        """Returns the key of a range with the most work, and its work."""
+        low = bisect.bisect_left(self._keys, first)
+        high = bisect.bisect_right(self._keys, last)
+        best, most = first, 0.0
+        for index in range(low, high):
+            work = self._sums[index + 1] - self._sums[index]
+            if work > most:
+                best, most = self._keys[index], work
+        return best, most
+
     def find_cut(self, first: int, last: int, work_s: float) -> int:
         """Returns the last key of a part of a range that has some work.
 
--- a/packages/direct/sycamoreloft_direct/_key_planning.py
+++ b/packages/direct/sycamoreloft_direct/_key_planning.py
@@ -15,6 +15,10 @@
 #: Load over the mean that a move may give to the upstream that gets keys.
 FILL = 1.15
 
+#: Share of an upstream's capacity that one key has to use, and how much faster
+#: another upstream has to be, for the key to move there.
+FULL, FASTER = 0.8, 1.25
+
 #: Work of a part that moves, as shares of the wanted work.
 LEAST_PART, MOST_PART = 0.1, 1.5
 
@@ -118,6 +122,9 @@
         """
         if len(self._capacity) < 2:
             return None
+        move = self._find_faster(pieces)
+        if move is not None:
+            return move
         mean = sum(self._work.values()) / sum(self._capacity.values())
         calmest = min(self._work, key=self._get_pressure)
         is_new = self._work[calmest] == 0.0
@@ -135,6 +142,23 @@
                 return PlannedMove(part.first, part.last, calmest)
         return None
 
+    def _find_faster(self, pieces: abc.Sequence[Piece]) -> PlannedMove | None:
+        """Moves a key that fills its owner to a much faster upstream."""
+        fastest = max(self._capacity, key=self._capacity.__getitem__)
+        for piece in pieces:
+            owner = piece.owner
+            if owner is None or owner not in self._capacity:
+                continue
+            capacity = self._capacity[owner]
+            if self._capacity[fastest] < FASTER * capacity:
+                continue
+            key, work = self._profile.find_busiest(piece.first, piece.last)
+            if work > FULL * capacity:
+                self._work[owner] -= work
+                self._work[fastest] += work
+                return PlannedMove(key, key, fastest)
+        return None
+
     def _choose_amount(
         self,
         busiest: _nodes.UpstreamRun,
--- a/packages/direct/sycamoreloft_direct/_upstream_book.py
+++ b/packages/direct/sycamoreloft_direct/_upstream_book.py
@@ -49,9 +49,9 @@
 SHED_WEIGHT = 0.3
 
 
-#: Factor of the share of requests that a full owner of keys gets, after a
-#: refusal or a silence, and what each answer adds. The share settles where
-#: about one request in eight is refused.
+#: Factor of the share of requests that an owner of keys gets after a silence,
+#: and what each answer adds. An owner that refuses what it cannot queue needs
+#: no such share: its refusals are quick, and tell that nothing ran.
 SHARE_BACK_OFF = 0.85
 SHARE_RECOVERY = 0.02
 
@@ -195,8 +195,8 @@
     def admit(self, record: UpstreamRecord) -> bool:
         """Draws whether the owner of a key gets the next request.
 
-        What a full owner cannot serve waits in its queue until the deadline,
-        and keeps requests waiting that it could serve.
+        An owner that never answers what it cannot queue would keep the
+        request until its deadline.
         """
         return record.share >= 1.0 or self._generator.random() < record.share
 
@@ -274,7 +274,7 @@
 
 
 def _adapt_share(record: UpstreamRecord, result: AttemptResult) -> None:
-    if result in (AttemptResult.REFUSED, AttemptResult.SILENT):
+    if result is AttemptResult.SILENT:
         record.share = max(LEAST_SHARE, record.share * SHARE_BACK_OFF)
     elif result is AttemptResult.ANSWERED:
         record.share = min(1.0, record.share + SHARE_RECOVERY)
--- a/packages/direct/tests/test_hot_keys.py
+++ b/packages/direct/tests/test_hot_keys.py
@@ -135,3 +135,14 @@
     busy = play.measure(700)
     slow = [busy[item.run] for item in play.owners[:4]]
     assert max(slow) < 0.5 * 0.95 * 1.2
+
+
+def test_a_key_that_is_too_hot_goes_to_the_fastest_upstream():
+    play = Play()
+    speeds = {f"u{number}": 0.6 for number in range(18)} | {"u7": 1.5}
+    play.coordinator.update_speeds(speeds)
+    play.run(4.0, 300)
+    play.hot = (3, 1, 0.4)
+    play.run(1.0, 300)
+    keys = play.coordinator.key_map.services[SERVICE]
+    assert keys.find(3).owner.id == "u7"
--- a/packages/router/sycamoreloft_router/_tenure.py
+++ b/packages/router/sycamoreloft_router/_tenure.py
@@ -34,6 +34,9 @@
 #: Share of a new observation in the moving averages of answer times.
 ANSWER_GAIN = 0.2
 
+#: The same for observations that are slower than the average.
+SLOWER_GAIN = 0.03
+
 #: Bounds of the relative speed of an upstream.
 LEAST_SPEED, MOST_SPEED = 0.3, 2.5
 
@@ -188,7 +191,10 @@
 
     def _learn_answer_time(self, upstream: str, mean: float) -> None:
         known = self._answer_times.get(upstream, mean)
-        self._answer_times[upstream] = known + ANSWER_GAIN * (mean - known)
+        # A full upstream answers late because of its queue; its speed is what
+        # it shows when it is calm.
+        gain = ANSWER_GAIN if mean < known else SLOWER_GAIN
+        self._answer_times[upstream] = known + gain * (mean - known)
         self._answer_s += ANSWER_GAIN / 10 * (mean - self._answer_s)
 
     def _compute_speeds(self) -> dict[str, float]:
