Publish a new owner when it has taken the keys, and move without pauses

Each step of a move also waited for the next tick. Change: keys count as moving until their owner accepted the grant; the next step of a move follows at once; the same owner is asked again after 0.15 s. Test: test_hot_keys.py (keys count as moving ...).

--- a/packages/direct/sycamoreloft_direct/_key_coordinator.py
+++ b/packages/direct/sycamoreloft_direct/_key_coordinator.py
@@ -80,15 +80,14 @@
     def list_moving(
         self,
     ) -> abc.Sequence[tuple[str, _key_map.KeyRange]]:
-        """Lists services and ranges whose owner has to give them up."""
+        """Lists services and ranges that are on their way to an owner."""
         return [
             (
                 item.service,
                 _key_map.KeyRange(item.first, item.last, item.owner),
             )
             for item in self._table
-            if item.phase in (_PHASE.SEALING, _PHASE.RELEASING)
-            or (item.phase is not _PHASE.HELD and item.is_handed_over)
+            if item.is_moving
         ]
 
     def _adopt(
@@ -106,6 +105,8 @@
         if item.owner is not None:
             segment.phase = _PHASE.HELD
             segment.owner = item.owner
+            # The earlier coordinator granted the keys, as far as is known.
+            segment.is_taken = True
             segment.safe_at = self._add_lease(earlier_until)
             segment.fence = self._table.create_fence()
             segment.due_at = now
@@ -193,7 +194,6 @@
         segment.handover = handover
         segment.safe_at = now
         self._table.vacate(segment)
-        segment.is_handed_over = True
 
     def finish_write(self, is_recorded: bool) -> None:
         """Takes the result of writing the map.
@@ -319,6 +319,7 @@
             segment.phase = _PHASE.RELEASING
             segment.due_at = now
         else:
+            segment.is_taken = True
             segment.handover = ""
             # The lease can only end later than this if an order is late.
             segment.safe_at = self._add_lease(now)
--- a/packages/direct/sycamoreloft_direct/_key_segments.py
+++ b/packages/direct/sycamoreloft_direct/_key_segments.py
@@ -44,8 +44,8 @@
     fence: int = 0
     #: State handed over by the last owner, empty for none.
     handover: str = ""
-    #: Whether the last owner gave the keys up itself.
-    is_handed_over: bool = False
+    #: Whether the owner has taken the keys.
+    is_taken: bool = False
     #: Time after which nobody can hold the keys, unless granted again.
     safe_at: float = 0.0
     #: When the next order is due.
@@ -59,6 +59,13 @@
     #: Whether a later coordinator was seen; nothing more is sent then.
     is_superseded: bool = False
 
+    @property
+    def is_moving(self) -> bool:
+        """Whether requests for the keys have to wait for a moment."""
+        if self.phase is Phase.HELD:
+            return not self.is_taken
+        return self.phase is not Phase.VACANT or self.target is not None
+
     @property
     def is_calm(self) -> bool:
         """Whether the owner holds the keys and nothing is under way."""
@@ -121,6 +128,7 @@
     ) -> None:
         """Gives the keys to an owner, once a revision is in the store."""
         segment.phase = Phase.RECORDING
+        segment.is_taken = False
         segment.owner = owner
         segment.target = None
         segment.order = 0
@@ -133,7 +141,6 @@
     ) -> None:
         """Begins to move the keys to another upstream."""
         segment.phase = Phase.SEALING
-        segment.is_handed_over = False
         segment.target = target
         segment.fence = self.create_fence()
         # A renewal that is under way no longer matters.
--- a/packages/direct/tests/test_hot_keys.py
+++ b/packages/direct/tests/test_hot_keys.py
@@ -146,3 +146,28 @@
     play.run(1.0, 300)
     keys = play.coordinator.key_map.services[SERVICE]
     assert keys.find(3).owner.id == "u7"
+
+
+def test_keys_count_as_moving_until_their_new_owner_has_taken_them():
+    play = Play()
+    play.run(2.0, 100)
+    leaving = play.owners.pop()
+    play.owners.append(
+        sycamoreloft_direct.Upstream(
+            leaving.id, 1, leaving.address, SERVICE, "z", SLOTS, True
+        )
+    )
+    states = []
+
+    def answer(command):
+        moving = len(play.coordinator.list_moving())
+        states.append((type(command).__name__, moving))
+        Play.answer(play, command)
+
+    play.answer = answer
+    play.run(1.0, 100)
+    kinds = [kind for kind, _ in states]
+    first_write = kinds.index("WriteMap")
+    grant = kinds.index("SendGrant", first_write)
+    assert all(moving for _, moving in states[: grant + 1])
+    assert not play.coordinator.list_moving()
--- a/packages/router/sycamoreloft_router/_direct_run.py
+++ b/packages/router/sycamoreloft_router/_direct_run.py
@@ -38,6 +38,10 @@
 #: less, and a loss takes longer than most callers wait.
 OWNER_WAIT_S = 0.6
 
+#: Longest wait before an owner is asked again that did not have the key, in
+#: seconds: it may just be getting it.
+MISDIRECTED_WAIT_S = 0.15
+
 #: Wait before a full owner is asked again, in seconds, at least and at most:
 #: about the time of one request at a fast upstream.
 LEAST_SHED_WAIT_S = 0.06
@@ -277,7 +281,11 @@
             self._reason = "no-owner"
             if now >= until:
                 return None
-            await services.directory.wait_for_change(until - now)
+            await services.directory.wait_for_change(
+                min(until - now, MISDIRECTED_WAIT_S)
+            )
+            # The same owner may have the keys by now.
+            self._misdirected = ""
             now = services.loop.time()
 
     def _may_send(
--- a/packages/router/sycamoreloft_router/_key_directory.py
+++ b/packages/router/sycamoreloft_router/_key_directory.py
@@ -64,13 +64,19 @@
             self._moving = changed
             self._wake()
 
+    def is_moving(self, service: str, key: int, now: float) -> bool:
+        """Tells whether the owner of a key is giving it up."""
+        return now < self._notice_until and any(
+            item.service == service and item.first <= key <= item.last
+            for item in self._moving
+        )
+
     def find_owner(
         self, service: str, key: int, now: float
     ) -> sycamoreloft_direct.UpstreamRun | None:
         """Returns the owner, or None if there is none or it is changing."""
-        for item in self._moving if now < self._notice_until else ():
-            if item.service == service and item.first <= key <= item.last:
-                return None
+        if self.is_moving(service, key, now):
+            return None
         return self.key_map.find_owner(service, key)
 
     async def wait_for_change(self, seconds: float) -> None:
--- a/packages/router/sycamoreloft_router/_tenure.py
+++ b/packages/router/sycamoreloft_router/_tenure.py
@@ -118,7 +118,7 @@
     def list_moving(
         self,
     ) -> abc.Sequence[tuple[str, sycamoreloft_direct.KeyRange]]:
-        """Lists services and ranges whose owner has to give them up."""
+        """Lists services and ranges that are on their way to an owner."""
         return self._coordinator.list_moving()
 
     def act(self, now: float, sharded: set[str]) -> None:
@@ -147,6 +147,11 @@
             now,
         )
         self._coordinator.update_speeds(self._compute_speeds())
+        self._send_due(now)
+
+    def _send_due(self, now: float) -> None:
+        if self.is_over:
+            return
         may_change = now < self._valid_until
         for command in self._coordinator.tick(now, may_change, True):
             self._spawn(self._execute(command, now))
@@ -278,7 +283,17 @@
     ) -> None:
         if isinstance(command, sycamoreloft_direct.WriteMap):
             await self._write_map(command.key_map)
-            return
+        else:
+            await self._send_order(command, decided_at)
+        # The next step of a move follows at once.
+        self._send_due(self._clock())
+
+    async def _send_order(
+        self,
+        command: sycamoreloft_direct.SendGrant
+        | sycamoreloft_direct.SendRelease,
+        decided_at: float,
+    ) -> None:
         upstream = self._upstreams.find(command.run)
         if self._clock() > decided_at + STALE_S:
             # The process stood still since; the order counts as not sent.
--- /dev/null
+++ b/packages/router/tests/test_direct_peers.py
@@ -0,0 +1,79 @@
+"""Datagrams between hosts, the coordinator's record, non-blocking logs."""
+
+import logging
+import os
+
+import pytest
+
+from sycamoreloft_router import (
+    _coordinator_lease,
+    _direct_peers,
+    _key_directory,
+    _logs,
+)
+
+HEARTBEAT = _direct_peers.Heartbeat(
+    3,
+    9,
+    False,
+    (_key_directory.MovingKeys("boards", 5, 9),),
+    _direct_peers.SeenVersions(4, 8),
+    b"map",
+)
+
+REPORT = _direct_peers.Report(
+    "host-1",
+    3,
+    9,
+    _direct_peers.SeenVersions(4, 8),
+    {"boards": {5: 2, 9: 1}},
+    {"u1": (3, 0.25)},
+)
+
+
+@pytest.mark.parametrize("message", [HEARTBEAT, REPORT])
+def test_messages_survive_the_way(message):
+    assert _direct_peers.decode(_direct_peers.encode(message)) == message
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"", b"\xc1", b"\x80", b"hello", _direct_peers.encode(REPORT)[:-3]],
+)
+def test_other_bytes_are_no_message(data):
+    assert _direct_peers.decode(data) is None
+
+
+def test_a_lease_survives_the_store():
+    lease = _coordinator_lease.Lease("h", "10.0.0.1:1", 4, 7.5, 3.25, True)
+    data = _coordinator_lease.encode_lease(lease)
+    assert _coordinator_lease.decode_lease(data) == lease
+
+
+@pytest.mark.parametrize("data", [b"", b"\x01", b"\x91\x01", b"\xc1"])
+def test_other_bytes_are_no_lease(data):
+    with pytest.raises(ValueError, match="encoded lease"):
+        _coordinator_lease.decode_lease(data)
+
+
+def test_a_notice_of_moving_keys_lapses():
+    directory = _key_directory.KeyDirectory()
+    directory.take_notice(1, HEARTBEAT.moving, 10.0)
+    assert directory.is_moving("boards", 7, 10.5)
+    assert not directory.is_moving("boards", 10, 10.5)
+    assert not directory.is_moving("boards", 7, 12.0)
+
+
+def test_logging_never_waits_for_a_reader():
+    reader, writer = os.pipe()
+    handler = _logs.NonBlockingHandler(writer)
+    handler.setFormatter(_logs.JsonFormatter())
+    record = logging.LogRecord("x", 20, "", 0, "event", (), None)
+    record.event_fields = {"text": "y" * 1_000}
+    for _ in range(200):
+        handler.emit(record)
+    os.read(reader, 1 << 20)
+    handler.emit(record)
+    assert b'"dropped"' in os.read(reader, 1 << 20)
+    os.close(reader)
+    os.close(writer)
