Learn the speed of upstreams while they are calm, and hear of leaving sooner

Change: only answers of upstreams below 0.65 of their slots count, with a gain of 0.02; 0.4 s of collecting, 0.5 s until a host that is behind looks again.

--- a/packages/direct/sycamoreloft_direct/_key_coordinator.py
+++ b/packages/direct/sycamoreloft_direct/_key_coordinator.py
@@ -150,6 +150,10 @@
         """Takes the relative speeds of upstreams by identifier."""
         self._rebalancer.update_speeds(speeds)
 
+    def is_busy(self, upstream: str) -> bool:
+        """Tells whether an upstream is so busy that requests queue."""
+        return self._rebalancer.is_busy(upstream)
+
     def finish_grant(
         self, order: int, result: _key_commands.GrantResult, now: float
     ) -> None:
--- a/packages/direct/sycamoreloft_direct/_key_planning.py
+++ b/packages/direct/sycamoreloft_direct/_key_planning.py
@@ -12,6 +12,9 @@
 #: Busy share of an upstream's slots below which nothing moves.
 LEAST_PRESSURE = 0.55
 
+#: Busy share of the slots above which requests queue often.
+QUEUEING = 0.65
+
 #: Load over the mean that a move may give to the upstream that gets keys.
 FILL = 1.15
 
@@ -142,6 +145,12 @@
                 return PlannedMove(part.first, part.last, calmest)
         return None
 
+    def list_busy(self) -> list[_nodes.UpstreamRun]:
+        """Returns the upstreams whose requests have to queue."""
+        return [
+            run for run in self._work if self._get_pressure(run) >= QUEUEING
+        ]
+
     def _find_faster(self, pieces: abc.Sequence[Piece]) -> PlannedMove | None:
         """Moves a key that fills its owner to a much faster upstream."""
         fastest = max(self._capacity, key=self._capacity.__getitem__)
--- a/packages/direct/sycamoreloft_direct/_key_rebalancing.py
+++ b/packages/direct/sycamoreloft_direct/_key_rebalancing.py
@@ -61,6 +61,7 @@
         self._speeds: abc.Mapping[str, float] = {}
         self._silent_until: dict[_nodes.UpstreamRun, float] = {}
         self._upstreams: abc.Mapping[_nodes.UpstreamRun, _nodes.Upstream] = {}
+        self._busy: set[str] = set()
         self._listed_since = now
         self._plan_at = now
 
@@ -90,6 +91,10 @@
         """Notes that an upstream took an order."""
         self._silent_until.pop(run, None)
 
+    def is_busy(self, upstream: str) -> bool:
+        """Tells whether an upstream is so busy that requests queue."""
+        return upstream in self._busy
+
     def plan(self, revision: int, now: float) -> None:
         """Begins what is due.
 
@@ -101,6 +106,7 @@
         if now < self._plan_at:
             return
         self._plan_at = now + PLAN_INTERVAL_S
+        self._busy = set()
         for service in self._table.list_services():
             self._plan_service(service, revision, now)
             self._find_loads(service).decay()
@@ -144,6 +150,7 @@
             )
             for item in segments
         )
+        self._busy |= {run.id for run in planner.list_busy()}
         runs = {item.run for item in owners}
         plan = _ServicePlan(service, planner, runs, revision, now)
         for segment in segments:
--- a/packages/router/sycamoreloft_router/_direct_views.py
+++ b/packages/router/sycamoreloft_router/_direct_views.py
@@ -19,7 +19,7 @@
 
 #: Seconds after a change in which further changes are collected before the
 #: table is read again. Each change wakes every host, and calls are limited.
-COLLECT_S = 0.6
+COLLECT_S = 0.4
 
 #: Seconds after the store's return for which a missing entry may come back.
 RETURN_GRACE_S = 2.2
@@ -27,7 +27,7 @@
 #: Seconds after which a host that heard of a newer version reads the table
 #: again: longer than it collects changes, and well within the bounds for
 #: desired states and leaving upstreams.
-BEHIND_S = 0.9
+BEHIND_S = 0.5
 
 #: Failed calls in a row after which the store counts as lost.
 FAILURES_TO_LOSE = 2
--- a/packages/router/sycamoreloft_router/_tenure.py
+++ b/packages/router/sycamoreloft_router/_tenure.py
@@ -31,11 +31,9 @@
 #: Answer time of a request that is assumed at first, in seconds.
 FIRST_ANSWER_S = 0.1
 
-#: Share of a new observation in the moving averages of answer times.
-ANSWER_GAIN = 0.2
-
-#: The same for observations that are slower than the average.
-SLOWER_GAIN = 0.03
+#: Share of a new observation in the moving averages of answer times. Reports
+#: of all hosts together bring some tens for each upstream in a second.
+ANSWER_GAIN = 0.02
 
 #: Bounds of the relative speed of an upstream.
 LEAST_SPEED, MOST_SPEED = 0.3, 2.5
@@ -189,17 +187,15 @@
     def take_observations(self, report: _direct_peers.Report) -> None:
         """Takes what a host observed."""
         for upstream, (count, total) in report.answers.items():
-            if count > 0:
+            # Answers of a busy upstream tell its queue and not its speed.
+            if count > 0 and not self._coordinator.is_busy(upstream):
                 self._learn_answer_time(upstream, total / count)
         for load in _direct_peers.convert_load(report.requests, self._answer_s):
             self._coordinator.record_load(load)
 
     def _learn_answer_time(self, upstream: str, mean: float) -> None:
         known = self._answer_times.get(upstream, mean)
-        # A full upstream answers late because of its queue; its speed is what
-        # it shows when it is calm.
-        gain = ANSWER_GAIN if mean < known else SLOWER_GAIN
-        self._answer_times[upstream] = known + gain * (mean - known)
+        self._answer_times[upstream] = known + ANSWER_GAIN * (mean - known)
         self._answer_s += ANSWER_GAIN / 10 * (mean - self._answer_s)
 
     def _compute_speeds(self) -> dict[str, float]:
