Believe a removal that comes after the store is back

An instance whose entry was removed at 15.007 s was kept as ready until 17.1 s, since missing entries may come back for 2.2 s after an outage; a request went to it 2.312 s later. Change: the time to come back is for entries that the first full read lacks; a removal that is reported afterwards counts at once. Test that failed before: test_direct_views.py (removed after the store came back).

--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -249,19 +249,15 @@
             )
 
     def _take_all_upstreams(self, values: abc.Mapping[str, object]) -> None:
-        self._extend_grace()
-        self._upstreams.take_all(values, self._loop.time())
-
-    def _take_upstreams(self, values: abc.Mapping[str, object]) -> None:
-        self._extend_grace()
-        self._upstreams.take_changes(values, self._loop.time())
-
-    def _extend_grace(self) -> None:
         returned_at = self.upstream_follower.returned_at
         if returned_at:
             self._upstreams.extend_grace(
                 returned_at + _direct_views.RETURN_GRACE_S
             )
+        self._upstreams.take_all(values, self._loop.time())
+
+    def _take_upstreams(self, values: abc.Mapping[str, object]) -> None:
+        self._upstreams.take_changes(values, self._loop.time())
 
     def _update_book(self) -> None:
         self._book.update(self._upstreams.list_all(), self._loop.time())
--- a/packages/router/sycamoreloft_router/_direct_views.py
+++ b/packages/router/sycamoreloft_router/_direct_views.py
@@ -225,15 +225,18 @@
         return upstream if upstream and upstream.run == run else None
 
     def extend_grace(self, until: float) -> None:
-        """Keeps entries that are missing until a time as they were."""
+        """Keeps entries that a full read lacks as they were until a time."""
         self._grace_until = max(self._grace_until, until)
 
     def take_all(
         self, values: abc.Mapping[str, typing.Any], now: float
     ) -> None:
         """Takes a full read of the table."""
-        gone = {key: None for key in self._listed if key not in values}
-        self.take_changes({**values, **gone}, now)
+        for key in self._listed:
+            if key not in values:
+                # It may have lapsed while the store was away.
+                self._missing.setdefault(key, max(self._grace_until, now))
+        self.take_changes(values, now)
 
     def take_changes(
         self, values: abc.Mapping[str, typing.Any], now: float
@@ -241,7 +244,7 @@
         """Takes changed entries of the table."""
         for key, upstream in values.items():
             if upstream is None:
-                self._note_missing(key, now)
+                self._missing[key] = now
             else:
                 self._missing.pop(key, None)
                 self._note_listed(key, upstream)
@@ -251,13 +254,14 @@
     def sweep(self, now: float) -> None:
         """Drops entries whose time is over; call it now and then."""
         is_changed = False
-        if now >= self._grace_until:
-            for key in list(self._missing):
-                del self._missing[key]
-                upstream = self._listed.pop(key, None)
-                if upstream is not None:
-                    self._depart(upstream, now)
-                    is_changed = True
+        for key, until in list(self._missing.items()):
+            if now < until:
+                continue
+            del self._missing[key]
+            upstream = self._listed.pop(key, None)
+            if upstream is not None:
+                self._depart(upstream, now)
+                is_changed = True
         for key, (_, until) in list(self._departed.items()):
             if now >= until:
                 del self._departed[key]
@@ -265,10 +269,6 @@
         if is_changed:
             self._on_change()
 
-    def _note_missing(self, key: str, now: float) -> None:
-        if key in self._listed:
-            self._missing.setdefault(key, now)
-
     def _note_listed(
         self, key: str, upstream: sycamoreloft_direct.Upstream
     ) -> None:
--- a/packages/router/tests/test_direct_views.py
+++ b/packages/router/tests/test_direct_views.py
@@ -154,3 +154,13 @@
             }
         )
     assert view.state.version == 7
+
+
+def test_an_entry_removed_after_the_store_came_back_is_gone_at_once():
+    view = _direct_views.UpstreamView(2.0, lambda: None)
+    view.take_all({"u1": build_upstream(), "u2": build_upstream("u2")}, 0.0)
+    view.extend_grace(12.0)
+    view.take_all({"u1": build_upstream()}, 10.0)
+    view.take_changes({"u1": None}, 10.2)
+    leaving = {item.id: item.is_draining for item in view.list_all()}
+    assert leaving == {"u1": True, "u2": False}
