--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -18,6 +18,7 @@
     _direct_peers,
     _direct_ports,
     _direct_run,
+    _direct_services,
     _direct_views,
     _key_directory,
     _logs,
@@ -124,7 +125,7 @@
             ),
         )
         path = _direct_run.DirectPath(
-            _direct_run.DirectServices(
+            _direct_services.DirectServices(
                 settings.name,
                 self._states,
                 self._upstreams,
--- a/packages/router/sycamoreloft_router/_direct_run.py
+++ b/packages/router/sycamoreloft_router/_direct_run.py
@@ -1,8 +1,6 @@
 """Runs one request of a caller on a direct host."""
 
 import asyncio
-import dataclasses
-import random
 
 import sycamoreloft_decisions
 import sycamoreloft_direct
@@ -10,16 +8,12 @@
     _answer_heads,
     _answers,
     _body_streams,
-    _coordinator_duty,
     _direct_answers,
     _direct_logs,
-    _direct_ports,
     _direct_requests,
-    _direct_views,
+    _direct_services,
     _exchange,
     _headers,
-    _key_directory,
-    _metrics,
     _transfer_types,
     _upstream_client,
 )
@@ -59,39 +53,6 @@
 LEAST_LEFT_S = 0.03
 
 
-@dataclasses.dataclass(slots=True)
-class DirectServices:
-    """What all requests of the process share."""
-
-    #: Name of this host.
-    host: str
-    #: The desired state.
-    states: _direct_views.StateView
-    #: Upstreams.
-    upstreams: _direct_views.UpstreamView
-    #: What was observed of each upstream.
-    book: sycamoreloft_direct.UpstreamBook
-    #: Owners of keys.
-    directory: _key_directory.KeyDirectory
-    #: Seconds after which an upstream that is seen to leave gets no requests
-    #: for the keys that it still owns.
-    leaving_s: float
-    #: Counts requests and answers for the coordinator.
-    duty: _coordinator_duty.CoordinatorDuty
-    #: Retries that are allowed.
-    budget: sycamoreloft_decisions.RetryBudget
-    #: Runs the transfers.
-    client: _upstream_client.UpstreamClient
-    #: Headers of the protocol.
-    names: _direct_ports.HeaderNames
-    #: Metrics of the process.
-    metrics: _metrics.Metrics
-    #: Event loop of the process.
-    loop: asyncio.AbstractEventLoop
-    #: Source of random choices.
-    generator: random.Random
-
-
 class DirectPath:
     """Creates the runs of requests; see `_exchange.RequestPath`.
 
@@ -99,7 +60,7 @@
         services: What all requests share.
     """
 
-    def __init__(self, services: DirectServices) -> None:
+    def __init__(self, services: _direct_services.DirectServices) -> None:
         #: What all requests share.
         self.services = services
         #: Metrics of the process.
@@ -307,46 +268,55 @@
             None if the upstream's answer was passed on, else how the attempt
             ended.
         """
-        services = self._services
-        begun = services.loop.time()
+        begun = self._services.loop.time()
         result = _RESULT.CANCELLED
-        services.book.begin(record, self, begun)
+        self._services.book.begin(record, self, begun)
         try:
             transfer = self._start(record.entry, begun)
             await transfer.wait(_body_streams.PREFIX_BYTES)
             result = self._classify(transfer)
-            if result in (_RESULT.ANSWERED, _RESULT.FAILED):
-                self._may_have_run = True
-                if result is _RESULT.FAILED and self._may_retry(result):
-                    return result
-                await self._pass_on(transfer)
-                return None
-            return result
+            if result not in (_RESULT.ANSWERED, _RESULT.FAILED):
+                return result
+            self._may_have_run = True
+            if result is _RESULT.FAILED and self._may_retry(result):
+                return result
+            await self._pass_on(transfer)
+            return None
         finally:
-            transfer_ = self._transfer
-            if transfer_ is not None:
-                if transfer_.started and result is _RESULT.CANCELLED:
-                    self._may_have_run = True
-                if not transfer_.ended:
-                    transfer_.cancel()
-            now = services.loop.time()
-            if (
-                result is _RESULT.CANCELLED
-                and isinstance(
-                    self._stop_event, sycamoreloft_decisions.DeadlinePassed
-                )
-                and now - begun > sycamoreloft_direct.LEAST_STALL_S
-            ):
-                result = _RESULT.SILENT
-            services.book.finish(record, self, result, now)
-            if result is _RESULT.ANSWERED:
-                services.metrics.observe(
-                    "sycamoreloft_upstream_seconds", now - begun
-                )
-                if self._request.key >= 0:
-                    services.duty.observe_answer(record.entry.id, now - begun)
-            elif result is not _RESULT.CANCELLED:
-                self._log_attempt(record, result, now)
+            self._settle(record, result, begun)
+
+    def _settle(
+        self,
+        record: sycamoreloft_direct.UpstreamRecord,
+        result: sycamoreloft_direct.AttemptResult,
+        begun: float,
+    ) -> None:
+        """Ends the transfer and notes how the attempt went."""
+        services = self._services
+        now = services.loop.time()
+        transfer = self._transfer
+        if transfer is not None:
+            if transfer.started and result is _RESULT.CANCELLED:
+                self._may_have_run = True
+            if not transfer.ended:
+                transfer.cancel()
+        if result is _RESULT.CANCELLED and self._was_silent(now - begun):
+            result = _RESULT.SILENT
+        services.book.finish(record, self, result, now)
+        if result is _RESULT.ANSWERED:
+            services.metrics.observe(
+                "sycamoreloft_upstream_seconds", now - begun
+            )
+            if self._request.key >= 0:
+                services.duty.observe_answer(record.entry.id, now - begun)
+        elif result is not _RESULT.CANCELLED:
+            self._log_attempt(record, result, now)
+
+    def _was_silent(self, elapsed_s: float) -> bool:
+        """Tells whether the deadline ended an attempt without an answer."""
+        return elapsed_s > sycamoreloft_direct.LEAST_STALL_S and isinstance(
+            self._stop_event, sycamoreloft_decisions.DeadlinePassed
+        )
 
     def _start(
         self, upstream: sycamoreloft_direct.Upstream, now: float
