--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import dataclasses
 import logging
 import random
 
@@ -98,6 +99,7 @@
             self._upstreams,
             self._directory,
             metrics,
+            times=_choose_times(settings),
             freshness=_HostFreshness(self),
         )
         #: Follows the desired state.
@@ -264,6 +266,16 @@
         self._book.update(self._upstreams.list_all(), self._loop.time())
 
 
+def _choose_times(
+    settings: _direct_ports.HostSettings,
+) -> sycamoreloft_direct.HoldTimes:
+    """Returns durations of leases that upstreams accept."""
+    times = sycamoreloft_direct.HoldTimes()
+    return dataclasses.replace(
+        times, hold_s=min(times.hold_s, settings.longest_hold_s)
+    )
+
+
 class _HostFreshness(_coordinator_duty.Freshness):
     """Versions of the tables that a host follows."""
 
