Keep callers from giving orders about keys

Cause: with a route for "/", a caller could send grant and release to an upstream through the router; the direct mode checked only the form of paths. Change: one module checks start lines for both modes, with the reserved paths of each. Test that failed before: test_callers_cannot_give_orders_about_keys.

--- a/packages/router/sycamoreloft_router/_caller_requests.py
+++ b/packages/router/sycamoreloft_router/_caller_requests.py
@@ -3,14 +3,17 @@
 from collections import abc
 import dataclasses
 import hashlib
-import re
 import typing
-from urllib import parse
 
 from returns import result
 
 import sycamoreloft_config
-from sycamoreloft_router import _answers, _exchange, _headers
+from sycamoreloft_router import (
+    _answers,
+    _exchange,
+    _headers,
+    _request_lines,
+)
 
 #: Longest deadline that a caller may set, in milliseconds.
 MAXIMUM_DEADLINE_MS = 3_600_000
@@ -27,13 +30,6 @@
 #: Start of the paths that belong to the upstream protocol.
 _RESERVED_PATH = "/_sycamoreloft"
 
-#: Bytes of a target that may spell a reserved path in another way.
-_UNUSUAL_PATH = re.compile(r"%|//|/\.|\\|;", re.ASCII)
-
-_TARGET = re.compile(r"/[!-\"$-~]*", re.ASCII)
-
-_METHOD = re.compile(r"[A-Z][A-Z-]{0,31}", re.ASCII)
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerRequest:
@@ -98,7 +94,9 @@
             fields: Headers of the caller.
             caller: Address of the caller, used if it gives no name.
         """
-        problem = _check_start_line(method, target) or _check_headers(fields)
+        problem = _request_lines.check_start_line(
+            method, target, _RESERVED_PATH
+        ) or _check_headers(fields)
         headers = fields.values
         if problem is not None:
             return result.Failure(problem)
@@ -210,40 +208,6 @@
     return digest.digest()[:16]
 
 
-def _check_start_line(method: str, target: str) -> _answers.Refusal | None:
-    if _METHOD.fullmatch(method) is None or method in ("CONNECT", "TRACE"):
-        return _answers.Refusal(
-            400,
-            "bad-method",
-            f"the method {method[:40]!r} is not supported",
-            "use an upper-case HTTP method other than CONNECT and TRACE",
-        )
-    if _TARGET.fullmatch(target) is None:
-        return _answers.Refusal(
-            400,
-            "bad-path",
-            "the request target is not a path",
-            'send a target that starts with "/", without spaces or "#"',
-        )
-    if _is_reserved(target):
-        return _answers.Refusal(
-            400,
-            "reserved-path",
-            f"paths below {_RESERVED_PATH}/ belong to the upstream protocol",
-            "use another path",
-        )
-    return None
-
-
-def _is_reserved(target: str) -> bool:
-    if _UNUSUAL_PATH.search(target) is None:
-        return target.startswith(_RESERVED_PATH)
-    # An upstream may decode and shorten the path, so that any spelling of
-    # the reserved segment counts, wherever it stands.
-    path = parse.unquote(parse.unquote(target.partition("?")[0]))
-    return _RESERVED_PATH[1:] in path.lower()
-
-
 def _check_headers(fields: _headers.RequestFields) -> _answers.Refusal | None:
     repeated = fields.repeated
     if repeated:
--- a/packages/router/sycamoreloft_router/_direct_ports.py
+++ b/packages/router/sycamoreloft_router/_direct_ports.py
@@ -129,7 +129,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeaderNames:
-    """Headers of the protocol with callers and upstreams, in usual case."""
+    """Names of the protocol with callers and upstreams.
+
+    Headers are in usual case.
+    """
 
     #: Identifier of the request; each attempt of a caller has its own.
     request_id: str
@@ -141,6 +144,8 @@
     not_executed: str
     #: Key of a request for a sharded service.
     key: str
+    #: Start of the paths of orders to upstreams; callers may not use them.
+    orders_path: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/router/sycamoreloft_router/_direct_requests.py
+++ b/packages/router/sycamoreloft_router/_direct_requests.py
@@ -12,6 +12,7 @@
     _direct_ports,
     _direct_views,
     _headers,
+    _request_lines,
 )
 
 #: Longest time that a caller may ask for, in milliseconds.
@@ -23,10 +24,6 @@
 #: Time after which a caller may try again while no desired state is known.
 STATE_RETRY_MS = 400
 
-_TARGET = re.compile(r"/[!-\"$-~]*", re.ASCII)
-
-_METHOD = re.compile(r"[A-Z][A-Z-]{0,31}", re.ASCII)
-
 _IDENTIFIER = re.compile(r"[!-~]{1,200}", re.ASCII)
 
 
@@ -156,13 +153,11 @@
         fields: _headers.RequestFields,
         bounds: sycamoreloft_direct.CallerBounds,
     ) -> _answers.Refusal | None:
-        if not _METHOD.fullmatch(method) or not _TARGET.fullmatch(target):
-            return _answers.Refusal(
-                400,
-                "malformed-request-line",
-                "the method or the path has characters that are not allowed",
-                "send method, path and version, as in GET / HTTP/1.1",
-            )
+        problem = _request_lines.check_start_line(
+            method, target, self._names.orders_path
+        )
+        if problem is not None:
+            return problem
         identifier = fields.values.get(self._names.request_id, "")
         if not _IDENTIFIER.fullmatch(identifier):
             return _refuse_header(
