--- a/packages/direct/tests/test_hot_keys.py
+++ b/packages/direct/tests/test_hot_keys.py
@@ -88,7 +88,7 @@
     play.run(4.0, 550)
     play.hot = (first, count, 0.4)
     # Half of the shortest spell of hot keys that the users describe.
-    play.run(2.5, 550)
+    play.run(2.0, 550)
     assert max(play.measure(550).values()) < 0.95
 
 
--- a/packages/direct/tests/test_upstream_book.py
+++ b/packages/direct/tests/test_upstream_book.py
@@ -69,7 +69,7 @@
     book.update([build("u1"), build("u2")], 0.0)
     finish(book, find(book, "u1"), RESULT.UNREACHABLE, 0.0)
     assert count_choices(book, 0.5)["u1"] < 20
-    assert count_choices(book, 5.0)["u1"] > 200
+    assert count_choices(book, 5.0)["u1"] > 400
 
 
 def test_an_ejection_never_leaves_a_service_without_upstreams(book):
--- a/packages/router/tests/test_key_fuzz.py
+++ b/packages/router/tests/test_key_fuzz.py
@@ -14,8 +14,6 @@
 
 async def _crash(world, seconds, gone):
     upstream = world.generator.choice(list(world.upstreams.values()))
-    # A restart takes longer than the time between two renewals.
-    seconds += 1.0
     upstream.up = False
     await asyncio.sleep(min(seconds, 2.6))
     upstream.listed = False
