Count keys' work once, so that hot ranges move sooner

Cause: work assumed to be spread evenly (0.3 of what was observed) was added on top of the observed work. It raised the mean, and with it the step at which keys move, for every upstream, but hardly the load of a narrow hot range. Change: the assumed part is 0.05.

--- a/packages/direct/sycamoreloft_direct/_key_loads.py
+++ b/packages/direct/sycamoreloft_direct/_key_loads.py
@@ -12,7 +12,7 @@
 LEAST_WORK_S = 0.005
 
 #: Share of the work that is assumed to be spread evenly over all keys.
-EVEN_SHARE = 0.3
+EVEN_SHARE = 0.05
 
 #: Work assumed for all keys together when nothing was observed, in seconds.
 EVEN_FLOOR_S = 0.1
