End the use of an address that answers as another upstream

Change: a 421 that names another upstream leaves the address out for 4 s or until the entry names another one; keyed requests for it are refused at once. Retry budgets are one for each service; what is allowed besides is divided by the number of hosts, which the coordinator's heartbeat carries. The stand-in echoes Request-Id also in refusals, as the protocol says.

--- a/packages/decisions/sycamoreloft_decisions/__init__.py
+++ b/packages/decisions/sycamoreloft_decisions/__init__.py
@@ -122,6 +122,7 @@
 )
 from sycamoreloft_decisions._retries import (
     RetryBudget,
+    ServiceRetryBudgets,
     choose_backoff,
 )
 from sycamoreloft_decisions._rows import (
@@ -230,6 +231,7 @@
     "RefusePermit",
     "ReleaseUnit",
     "RetryBudget",
+    "ServiceRetryBudgets",
     "RowsLoaded",
     "RowsRead",
     "SendGrant",
--- a/packages/decisions/sycamoreloft_decisions/_retries.py
+++ b/packages/decisions/sycamoreloft_decisions/_retries.py
@@ -14,11 +14,16 @@
 LEAST_LEFT_S = 0.010
 
 
+#: Retries for a service that a host allows before it knows how many hosts
+#: there are. That takes about a second after its start.
+FIRST_RESERVE = 1.0
+
+
 class RetryBudget:
     """Allows retries up to a share of the recent requests."""
 
     def __init__(
-        self, share: float = 0.1, window_s: int = 10, reserve: int = 3
+        self, share: float = 0.1, window_s: int = 10, reserve: float = 3
     ) -> None:
         """Starts an empty budget.
 
@@ -34,6 +39,10 @@
         self._requests: collections.deque[list[int]] = collections.deque()
         self._retries: collections.deque[list[int]] = collections.deque()
 
+    def change_reserve(self, reserve: float) -> None:
+        """Changes the retries allowed in a window with few requests."""
+        self._reserve = reserve
+
     def record_request(self, now: float) -> None:
         """Counts the first attempt of a request."""
         # A host whose requests do not fail never takes a retry, so that the
@@ -52,6 +61,55 @@
         return True
 
 
+class ServiceRetryBudgets:
+    """Retry budgets of one host, one for each service.
+
+    The limit holds for each service and for all hosts together. Each host
+    retries in proportion to its own requests, so that the sum keeps the limit
+    without a word between the hosts, whichever of them come and go. What is
+    allowed besides is divided by the number of hosts.
+
+    Args:
+        share: Retries as a share of the requests for a service.
+        window_s: Whole seconds that count as recent.
+        slack: Retries for a service allowed besides, for all hosts together.
+    """
+
+    def __init__(self, share: float, window_s: int, slack: float) -> None:
+        self._share = share
+        self._window_s = window_s
+        self._slack = slack
+        #: Most hosts ever noted, 0 before the first note.
+        self.hosts = 0
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def note_hosts(self, count: int) -> None:
+        """Notes how many hosts there are; the most ever noted counts."""
+        if count <= self.hosts:
+            return
+        self.hosts = count
+        for budget in self._budgets.values():
+            budget.change_reserve(self._slack / count)
+
+    def record_request(self, service: str, now: float) -> None:
+        """Counts the first attempt of a request."""
+        self._find(service).record_request(now)
+
+    def take(self, service: str, now: float) -> bool:
+        """Takes one retry from a budget; False if it is used up."""
+        return self._find(service).take(now)
+
+    def _find(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            reserve = FIRST_RESERVE
+            if self.hosts:
+                reserve = self._slack / self.hosts
+            budget = RetryBudget(self._share, self._window_s, reserve)
+            self._budgets[service] = budget
+        return budget
+
+
 def choose_backoff(
     attempt: int, now: float, deadline: float, generator: random.Random
 ) -> float | None:
--- a/packages/decisions/tests/test_retries.py
+++ b/packages/decisions/tests/test_retries.py
@@ -51,3 +51,25 @@
         assert len(delays) == 20
         assert all(longest / 2 <= delay <= longest for delay in delays)
     assert _retries.choose_backoff(8, 9.5, 10.0, generator) is None
+
+
+def test_each_service_has_a_budget_of_its_own():
+    budgets = _retries.ServiceRetryBudgets(0.2, 10, 0.0)
+    for _ in range(1_000):
+        budgets.record_request("busy", 1.0)
+    for _ in range(100):
+        budgets.record_request("calm", 1.0)
+    assert sum(budgets.take("calm", 2.0) for _ in range(500)) == 20
+    assert sum(budgets.take("busy", 2.0) for _ in range(500)) == 200
+
+
+def test_hosts_divide_the_slack_of_a_service():
+    hosts = [_retries.ServiceRetryBudgets(0.2, 10, 56.0) for _ in range(25)]
+    for budgets in hosts:
+        budgets.record_request("calm", 1.0)
+        assert budgets.take("calm", 1.0)
+        assert not budgets.take("calm", 1.0)
+        budgets.note_hosts(25)
+        budgets.note_hosts(3)
+    further = sum(b.take("calm", 2.0) for b in hosts for _ in range(20))
+    assert 25 <= 25 + further <= 56 + 25 * 0.2
--- a/packages/direct/sycamoreloft_direct/_upstream_book.py
+++ b/packages/direct/sycamoreloft_direct/_upstream_book.py
@@ -36,6 +36,10 @@
 #: Least age of that request, in seconds.
 LEAST_STALL_S = 0.6
 
+#: Seconds for which an address that answered as another upstream is not used.
+#: The other one keeps it; the entry that names the former one lapses.
+REPLACED_S = 4.0
+
 #: Factor of the weight of an upstream that hangs or is ejected.
 AVOIDED = 0.001
 
@@ -68,6 +72,8 @@
     FAILED = "failed"
     #: The upstream refused; the request did not run.
     REFUSED = "refused"
+    #: Another upstream answered at the address; the request did not run.
+    REPLACED = "replaced"
     #: No connection could be made.
     UNREACHABLE = "unreachable"
     #: The connection broke, or the answer was no valid one.
@@ -100,6 +106,8 @@
     failures: int = 0
     #: Time until which the upstream is left out.
     ejected_until: float = 0.0
+    #: Time until which another upstream is taken to have the address.
+    replaced_until: float = 0.0
     #: Length of the last ejection, in seconds.
     ejection_s: float = 0.0
     #: When the upstream answered anything last.
@@ -131,6 +139,8 @@
         records: dict[_nodes.UpstreamRun, UpstreamRecord] = {}
         for entry in upstreams:
             record = self._records.get(entry.run) or UpstreamRecord(entry, now)
+            if entry.address != record.entry.address:
+                record.replaced_until = 0.0
             record.entry = entry
             if not entry.is_draining:
                 record.leaving_since = math.inf
@@ -172,7 +182,9 @@
         candidates = [
             record
             for record in self._by_service.get(service, ())
-            if not record.entry.is_draining and record.entry.id not in excluded
+            if not record.entry.is_draining
+            and record.entry.id not in excluded
+            and not self.is_replaced(record, now)
         ]
         if not candidates:
             return None
@@ -188,6 +200,10 @@
         )
         return candidates[best]
 
+    def is_replaced(self, record: UpstreamRecord, now: float) -> bool:
+        """Tells whether another upstream has the address."""
+        return now < record.replaced_until
+
     def is_avoided(self, record: UpstreamRecord, now: float) -> bool:
         """Tells whether an upstream is ejected or seems to hang."""
         return now < record.ejected_until or _is_stalled(record, now)
@@ -217,6 +233,9 @@
         started_at = record.in_flight.pop(attempt, now)
         if result is AttemptResult.CANCELLED:
             return
+        if result is AttemptResult.REPLACED:
+            record.replaced_until = now + REPLACED_S
+            return
         _adapt_share(record, result)
         if result is AttemptResult.REFUSED:
             record.refused_at = now
@@ -224,7 +243,10 @@
             record.failures = 0
             return
         is_bad = result is not AttemptResult.ANSWERED
-        record.failure_share += GAIN * (is_bad - record.failure_share)
+        if result is not AttemptResult.UNREACHABLE:
+            # The share is for upstreams that fail part of what they take; one
+            # that took nothing is left out for a time, and then begins anew.
+            record.failure_share += GAIN * (is_bad - record.failure_share)
         if result in (AttemptResult.ANSWERED, AttemptResult.FAILED):
             record.answered_at = now
             record.failures = 0
--- a/packages/router/sycamoreloft_router/_coordinator_duty.py
+++ b/packages/router/sycamoreloft_router/_coordinator_duty.py
@@ -61,6 +61,9 @@
     def hear(self, seen: _direct_peers.SeenVersions) -> None:
         """Takes the versions that another host has."""
 
+    def hear_hosts(self, count: int) -> None:
+        """Takes how many hosts the coordinator knows."""
+
 
 class CoordinatorDuty:
     """Runs beside the requests of a host.
@@ -104,6 +107,7 @@
         freshness = freshness or Freshness()
         self._seen = freshness.read
         self._on_seen = freshness.hear
+        self._on_hosts = freshness.hear_hosts
         self._generator = generator or random.Random()
         self._socket = socket or _direct_peers.PeerSocket(
             settings.peer_address, self.receive
@@ -330,8 +334,10 @@
             self._moving,
             asyncio.get_running_loop().time(),
         )
+        count = len(self._hosts) + 1
+        self._on_hosts(count)
         short = _direct_peers.Heartbeat(
-            *order, False, self._moving, self._seen()
+            *order, False, self._moving, self._seen(), count
         )
         full = dataclasses.replace(
             short, key_map=sycamoreloft_direct.encode_key_map(key_map)
@@ -384,6 +390,7 @@
                 self._report_at = 0.0
         self._heard_at = self._clock()
         self._coordinator_address = sender
+        self._on_hosts(message.hosts)
         self._directory.take_notice(
             message.epoch,
             message.moving,
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -59,9 +59,14 @@
 #: was seen to leave. The rest is for hearing of it, and for the way.
 LEAVING_SHARE = 0.4
 
-#: Share of the platform's retry budget that this host uses. The rest is for
-#: the moments in which hosts come and go and the shares do not add up.
-BUDGET_SHARE = 0.6
+#: Share of the platform's retry budget that hosts use. Their window counts
+#: whole seconds, one of which may be missing; and an upstream that repeats a
+#: call of its own draws on the same budget.
+BUDGET_SHARE = 0.75
+
+#: Share of the slack of that budget that hosts use. The rest is for the time
+#: until a host hears how many hosts there are.
+SLACK_SHARE = 0.4
 
 
 class DirectHost:
@@ -126,6 +131,11 @@
                 SILENCE_S,
             ),
         )
+        self._budgets = sycamoreloft_decisions.ServiceRetryBudgets(
+            settings.retry_share * BUDGET_SHARE,
+            int(settings.retry_window_s),
+            settings.retry_slack * SLACK_SHARE,
+        )
         path = _direct_run.DirectPath(
             _direct_services.DirectServices(
                 settings.name,
@@ -135,9 +145,7 @@
                 self._directory,
                 settings.drain_s * LEAVING_SHARE,
                 self._duty,
-                sycamoreloft_decisions.RetryBudget(
-                    settings.retry_share * BUDGET_SHARE
-                ),
+                self._budgets,
                 client,
                 platform.headers,
                 metrics,
@@ -158,6 +166,11 @@
             and bool(self._upstreams.list_all())
         )
 
+    @property
+    def known_hosts(self) -> int:
+        """Hosts that there were at most, as the coordinators told; 0 before."""
+        return self._budgets.hosts
+
     async def run(self, stop_requested: asyncio.Event) -> None:
         """Serves until a stop is requested, then drains.
 
@@ -241,6 +254,10 @@
             )
             await asyncio.sleep(SWEEP_S)
 
+    def note_hosts(self, count: int) -> None:
+        """Notes how many hosts there are."""
+        self._budgets.note_hosts(count)
+
     def _take_states(self, values: abc.Mapping[str, object]) -> None:
         self._states.take(values)
         state = self._states.state
@@ -292,6 +309,9 @@
         self._host.state_follower.hear(seen.state)
         self._host.upstream_follower.hear(seen.upstreams)
 
+    def hear_hosts(self, count: int) -> None:
+        self._host.note_hosts(count)
+
 
 class _ReadinessHandler(web.RequestHandler):
     """Tells the load balancer whether to send new connections."""
--- a/packages/router/sycamoreloft_router/_direct_peers.py
+++ b/packages/router/sycamoreloft_router/_direct_peers.py
@@ -18,7 +18,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 #: Version of the encoding; other versions are ignored.
-_VERSION = 1
+_VERSION = 2
 
 #: Longest datagram that is read, in bytes.
 MAXIMUM_DATAGRAM_BYTES = 60_000
@@ -54,6 +54,8 @@
     moving: tuple[_key_directory.MovingKeys, ...]
     #: What the sender has read of the platform's tables.
     seen: SeenVersions
+    #: Hosts that the coordinator knows, itself among them.
+    hosts: int = 0
     #: The recorded map, encoded; empty if the receiver has it.
     key_map: bytes = b""
 
@@ -89,6 +91,7 @@
             message.is_leaving,
             [(item.service, item.first, item.last) for item in message.moving],
             dataclasses.astuple(message.seen),
+            message.hosts,
             message.key_map,
         )
     else:
@@ -112,13 +115,14 @@
         if version != _VERSION:
             return None
         if kind == "heartbeat":
-            epoch, revision, is_leaving, moving, seen, key_map = fields
+            epoch, revision, is_leaving, moving, seen, hosts, key_map = fields
             return Heartbeat(
                 int(epoch),
                 int(revision),
                 bool(is_leaving),
                 tuple(_key_directory.MovingKeys(*item) for item in moving),
                 SeenVersions(*map(int, seen)),
+                int(hosts),
                 bytes(key_map),
             )
         host, epoch, revision, seen, requests, answers = fields
--- a/packages/router/sycamoreloft_router/_direct_ports.py
+++ b/packages/router/sycamoreloft_router/_direct_ports.py
@@ -140,6 +140,8 @@
     deadline_ms: str
     #: Upstream that a request is meant for; any other one refuses it.
     expected_upstream: str
+    #: Upstream that refuses a request meant for another one.
+    answering_upstream: str
     #: Present in a refusal of an upstream that did not run the request.
     not_executed: str
     #: Key of a request for a sharded service.
@@ -190,5 +192,9 @@
     longest_hold_s: float
     #: Retries that the platform allows, as a share of the requests.
     retry_share: float
+    #: Retries that it allows besides, for all hosts together.
+    retry_slack: float = 0.0
+    #: Window in which it counts requests and retries, in seconds.
+    retry_window_s: float = 10.0
     #: Least level of log lines.
     log_level: str = "info"
--- a/packages/router/sycamoreloft_router/_direct_run.py
+++ b/packages/router/sycamoreloft_router/_direct_run.py
@@ -162,7 +162,9 @@
         """Runs the attempts; see `_exchange.RequestRun`."""
         self._task = asyncio.current_task()
         services = self._services
-        services.budget.record_request(services.loop.time())
+        services.budgets.record_request(
+            self._request.service, services.loop.time()
+        )
         if self._request.key >= 0:
             services.duty.observe_request(
                 self._request.service, self._request.key
@@ -229,6 +231,10 @@
                 request.service, request.key, now
             )
             record = services.book.find(owner) if owner is not None else None
+            if record is not None and services.book.is_replaced(record, now):
+                # Nobody can take the key until its lease has ended.
+                self._reason = "owner-replaced"
+                return None
             if record is not None and self._may_send(record, now):
                 if not self._tried and not services.book.admit(record):
                     self._reason = "owner-full"
@@ -350,6 +356,8 @@
             self._reason = f"upstream-refused-{head.status}"
             is_misdirected = head.status == MISDIRECTED
             self._misdirected = self._tried[-1] if is_misdirected else ""
+            if is_misdirected and self._is_from_another(head):
+                return _RESULT.REPLACED
             return _RESULT.REFUSED
         failure = transfer.failure
         if failure is None:
@@ -370,6 +378,12 @@
         name = self._services.names.not_executed.lower().encode("latin1")
         return head.status == MISDIRECTED or head.find(name) != b""
 
+    def _is_from_another(self, head: _answer_heads.AnswerHead) -> bool:
+        """Tells whether an answer names another upstream than was asked."""
+        name = self._services.names.answering_upstream.lower().encode("latin1")
+        answering = head.find(name)
+        return answering not in (b"", self._tried[-1].encode("latin1"))
+
     async def _pass_on(self, transfer: _upstream_client.Transfer) -> None:
         head = transfer.head
         answer = _answers.UpstreamAnswer(
@@ -407,9 +421,10 @@
         if result is _RESULT.UNREACHABLE:
             # Nothing was sent, so that it costs the upstreams nothing.
             return True
-        if result not in (_RESULT.REFUSED, _RESULT.BROKEN, _RESULT.FAILED):
+        is_unrun = result in (_RESULT.REFUSED, _RESULT.REPLACED)
+        if not is_unrun and result not in (_RESULT.BROKEN, _RESULT.FAILED):
             return False
-        if result is not _RESULT.REFUSED and not self._is_idempotent:
+        if not is_unrun and not self._is_idempotent:
             return False
         is_full_owner = result is _RESULT.REFUSED and self._request.key >= 0
         if (
@@ -417,7 +432,7 @@
             and not is_full_owner
         ):
             return False
-        if not self._services.budget.take(now):
+        if not self._services.budgets.take(self._request.service, now):
             self._services.metrics.count("sycamoreloft_retries_refused_total")
             return False
         return True
--- a/packages/router/sycamoreloft_router/_direct_services.py
+++ b/packages/router/sycamoreloft_router/_direct_services.py
@@ -36,7 +36,7 @@
     #: Counts requests and answers for the coordinator.
     duty: _coordinator_duty.CoordinatorDuty
     #: Retries that are allowed.
-    budget: sycamoreloft_decisions.RetryBudget
+    budgets: sycamoreloft_decisions.ServiceRetryBudgets
     #: Runs the transfers.
     client: _upstream_client.UpstreamClient
     #: Headers of the protocol.
--- a/packages/router/tests/test_direct_peers.py
+++ b/packages/router/tests/test_direct_peers.py
@@ -18,6 +18,7 @@
     False,
     (_key_directory.MovingKeys("boards", 5, 9),),
     _direct_peers.SeenVersions(4, 8),
+    7,
     b"map",
 )
 
--- a/packages/standins/sycamoreloft_standins/instances.py
+++ b/packages/standins/sycamoreloft_standins/instances.py
@@ -47,6 +47,7 @@
         self.sheds = False
         self.fails = False
         self.hangs = False
+        self.misdirected_requests = 0
         self.active = 0
         self.most_active = 0
 
@@ -94,6 +95,9 @@
     def refuse(self, status: int) -> None:
         """Answers that the request did not run."""
         self.set_header("Not-Executed", "1")
+        request_id = self.request.headers.get("Request-Id", "")
+        if request_id:
+            self.set_header("Request-Id", request_id)
         self.set_status(status)
         self.finish()
 
@@ -101,6 +105,8 @@
         expected = self.request.headers.get("Expected-Instance")
         if expected not in (None, self.instance.name):
             self.set_header("Instance-Id", self.instance.name)
+            if isinstance(self, _WorkHandler):
+                self.instance.misdirected_requests += 1
             self.refuse(421)
 
 
