Stop requests that crash upstreams, on all hosts

Change: a request (method, target, caller, start of the body) whose connection broke three times within 30 s before any answer, without being answered meanwhile, is refused as quarantined for ten minutes. Hosts report what they saw; the coordinator counts over all hosts and lists it with its heartbeat.

--- a/packages/direct/sycamoreloft_direct/__init__.py
+++ b/packages/direct/sycamoreloft_direct/__init__.py
@@ -3,6 +3,7 @@
 Nothing here does I/O or reads a clock; times are passed in, in seconds.
 """
 
+from sycamoreloft_direct._crash_guard import CrashGuard, identify_request
 from sycamoreloft_direct._key_commands import (
     Command,
     GrantResult,
@@ -46,6 +47,7 @@
     "AttemptResult",
     "CallerBounds",
     "Command",
+    "CrashGuard",
     "DesiredState",
     "GrantResult",
     "HoldTimes",
@@ -69,4 +71,5 @@
     "create_unowned",
     "decode_key_map",
     "encode_key_map",
+    "identify_request",
 ]
--- a/packages/router/sycamoreloft_router/_coordinator_duty.py
+++ b/packages/router/sycamoreloft_router/_coordinator_duty.py
@@ -80,6 +80,7 @@
         clock: Clock that also runs while the host is suspended, in seconds.
         socket: Sends datagrams; None for a socket of the settings' address.
         generator: Source of random choices.
+        guard: Requests that crash upstreams.
     """
 
     def __init__(
@@ -95,6 +96,7 @@
         clock: abc.Callable[[], float] = _coordinator_lease.read_boot_clock,
         socket: _direct_peers.Sender | None = None,
         generator: random.Random | None = None,
+        guard: sycamoreloft_direct.CrashGuard | None = None,
     ) -> None:
         self._settings = settings
         self._platform = platform
@@ -109,6 +111,7 @@
         self._on_seen = freshness.hear
         self._on_hosts = freshness.hear_hosts
         self._generator = generator or random.Random()
+        self._guard = guard or sycamoreloft_direct.CrashGuard()
         self._socket = socket or _direct_peers.PeerSocket(
             settings.peer_address, self.receive
         )
@@ -337,7 +340,12 @@
         count = len(self._hosts) + 1
         self._on_hosts(count)
         short = _direct_peers.Heartbeat(
-            *order, False, self._moving, self._seen(), count
+            *order,
+            False,
+            self._moving,
+            self._seen(),
+            count,
+            self._guard.list_stopped(asyncio.get_running_loop().time()),
         )
         full = dataclasses.replace(
             short, key_map=sycamoreloft_direct.encode_key_map(key_map)
@@ -391,6 +399,9 @@
         self._heard_at = self._clock()
         self._coordinator_address = sender
         self._on_hosts(message.hosts)
+        self._guard.take_stopped(
+            message.stopped, asyncio.get_running_loop().time()
+        )
         self._directory.take_notice(
             message.epoch,
             message.moving,
@@ -410,6 +421,9 @@
         if known is None:
             self._beat_at = 0.0
         tenure.take_observations(message)
+        self._guard.take_report(
+            message.host, message.crashes, asyncio.get_running_loop().time()
+        )
 
     def _report(self) -> None:
         report = _direct_peers.Report(
@@ -418,6 +432,7 @@
             self._seen(),
             _direct_peers.summarize_requests(self._observed),
             self._answers,
+            self._guard.list_own(asyncio.get_running_loop().time()),
         )
         if self._tenure is not None:
             self._tenure.take_observations(report)
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -97,6 +97,8 @@
             settings.reuse_after_s, self._update_book
         )
         self._directory = _key_directory.KeyDirectory()
+        #: Requests that crash upstreams.
+        self.crash_guard = sycamoreloft_direct.CrashGuard()
         self._duty = _coordinator_duty.CoordinatorDuty(
             settings,
             platform,
@@ -106,6 +108,7 @@
             metrics,
             times=_choose_times(settings),
             freshness=_HostFreshness(self),
+            guard=self.crash_guard,
         )
         #: Follows the desired state.
         self.state_follower = _direct_views.TableFollower(
@@ -146,6 +149,7 @@
                 settings.drain_s * LEAVING_SHARE,
                 self._duty,
                 self._budgets,
+                self.crash_guard,
                 client,
                 platform.headers,
                 metrics,
--- a/packages/router/sycamoreloft_router/_direct_peers.py
+++ b/packages/router/sycamoreloft_router/_direct_peers.py
@@ -56,6 +56,8 @@
     seen: SeenVersions
     #: Hosts that the coordinator knows, itself among them.
     hosts: int = 0
+    #: Requests that crash upstreams and must not be sent.
+    stopped: tuple[int, ...] = ()
     #: The recorded map, encoded; empty if the receiver has it.
     key_map: bytes = b""
 
@@ -75,6 +77,8 @@
     requests: abc.Mapping[str, abc.Mapping[int, int]]
     #: Answers and their summed time in seconds, by upstream.
     answers: abc.Mapping[str, tuple[int, float]]
+    #: Recent connections that broke before an answer, by request.
+    crashes: abc.Mapping[int, int] = dataclasses.field(default_factory=dict)
 
 
 Datagram = Heartbeat | Report
@@ -92,6 +96,7 @@
             [(item.service, item.first, item.last) for item in message.moving],
             dataclasses.astuple(message.seen),
             message.hosts,
+            message.stopped,
             message.key_map,
         )
     else:
@@ -104,6 +109,7 @@
             dataclasses.astuple(message.seen),
             message.requests,
             message.answers,
+            message.crashes,
         )
     return bytes(msgpack.packb(fields))
 
@@ -115,7 +121,8 @@
         if version != _VERSION:
             return None
         if kind == "heartbeat":
-            epoch, revision, is_leaving, moving, seen, hosts, key_map = fields
+            epoch, revision, is_leaving, moving, seen, *rest = fields
+            hosts, stopped, key_map = rest
             return Heartbeat(
                 int(epoch),
                 int(revision),
@@ -123,9 +130,10 @@
                 tuple(_key_directory.MovingKeys(*item) for item in moving),
                 SeenVersions(*map(int, seen)),
                 int(hosts),
+                tuple(map(int, stopped)),
                 bytes(key_map),
             )
-        host, epoch, revision, seen, requests, answers = fields
+        host, epoch, revision, seen, requests, answers, crashes = fields
         return Report(
             str(host),
             int(epoch),
@@ -133,6 +141,7 @@
             SeenVersions(*map(int, seen)),
             {name: dict(keys) for name, keys in requests.items()},
             {name: (int(n), float(s)) for name, (n, s) in answers.items()},
+            {int(request): int(count) for request, count in crashes.items()},
         )
     except (ValueError, TypeError, AttributeError, msgpack.UnpackException):
         return None
--- a/packages/router/sycamoreloft_router/_direct_requests.py
+++ b/packages/router/sycamoreloft_router/_direct_requests.py
@@ -47,6 +47,8 @@
     request_id: str
     #: Time from the headers to the deadline, in milliseconds.
     deadline_ms: int
+    #: Address of the caller.
+    caller: str
     #: Header lines that are sent on, without those of the system.
     header_lines: list[bytes]
 
@@ -87,14 +89,17 @@
         caller: str,
     ) -> result.Result[DirectRequest, _answers.Refusal]:
         """Parses the head of a request; see `_exchange.RequestParser`."""
-        del caller
-        found = self._find(method, target, fields)
+        found = self._find(method, target, fields, caller)
         if isinstance(found, _answers.Refusal):
             return result.Failure(found)
         return result.Success(found)
 
     def _find(
-        self, method: str, target: str, fields: _headers.RequestFields
+        self,
+        method: str,
+        target: str,
+        fields: _headers.RequestFields,
+        caller: str,
     ) -> DirectRequest | _answers.Refusal:
         state = self._states.state
         if state is None:
@@ -143,6 +148,7 @@
             key,
             values[self._names.request_id],
             min(deadline_ms, round(route.timeout_s * 1000)),
+            caller,
             self._choose_lines(fields),
         )
 
--- a/packages/router/sycamoreloft_router/_direct_run.py
+++ b/packages/router/sycamoreloft_router/_direct_run.py
@@ -8,6 +8,7 @@
     _answer_heads,
     _answers,
     _body_streams,
+    _crash_watch,
     _direct_answers,
     _direct_logs,
     _direct_requests,
@@ -94,6 +95,7 @@
 
     __slots__ = (
         "_began_at",
+        "_crash_watch",
         "_may_have_run",
         "_misdirected",
         "_path",
@@ -123,6 +125,9 @@
         self._received = received
         self._sink = sink
         self._began_at = path.services.loop.time()
+        self._crash_watch = _crash_watch.CrashWatch(
+            path.services, request, received
+        )
         self._may_have_run = False
         self._misdirected = ""
         self._reason = "no-upstream"
@@ -186,6 +191,9 @@
             record = await self._find_upstream()
             if record is None:
                 return self._refuse()
+            if self._crash_watch.is_stopped():
+                self._reason = "quarantined"
+                return self._refuse()
             self._tries += 1
             result = await self._attempt(record)
             if result is None:
@@ -309,6 +317,7 @@
         if result is _RESULT.CANCELLED and self._was_silent(now - begun):
             result = _RESULT.SILENT
         services.book.finish(record, self, result, now)
+        self._crash_watch.take(result, transfer, now)
         if result is _RESULT.ANSWERED:
             services.metrics.observe(
                 "sycamoreloft_upstream_seconds", now - begun
--- a/packages/router/sycamoreloft_router/_direct_services.py
+++ b/packages/router/sycamoreloft_router/_direct_services.py
@@ -37,6 +37,8 @@
     duty: _coordinator_duty.CoordinatorDuty
     #: Retries that are allowed.
     budgets: sycamoreloft_decisions.ServiceRetryBudgets
+    #: Requests that crash upstreams.
+    guard: sycamoreloft_direct.CrashGuard
     #: Runs the transfers.
     client: _upstream_client.UpstreamClient
     #: Headers of the protocol.
--- a/packages/router/tests/test_direct_peers.py
+++ b/packages/router/tests/test_direct_peers.py
@@ -19,6 +19,7 @@
     (_key_directory.MovingKeys("boards", 5, 9),),
     _direct_peers.SeenVersions(4, 8),
     7,
+    (2**64 - 1, 5),
     b"map",
 )
 
@@ -29,6 +30,7 @@
     _direct_peers.SeenVersions(4, 8),
     {"boards": {5: 2, 9: 1}},
     {"u1": (3, 0.25)},
+    {2**64 - 1: 2},
 )
 
 
--- a/packages/standins/sycamoreloft_standins/instances.py
+++ b/packages/standins/sycamoreloft_standins/instances.py
@@ -47,6 +47,8 @@
         self.sheds = False
         self.fails = False
         self.hangs = False
+        self.crashing_path = ""
+        self.crashes = 0
         self.misdirected_requests = 0
         self.active = 0
         self.most_active = 0
@@ -138,6 +140,10 @@
         ):
             self.refuse(421)
             return
+        if self.request.path == instance.crashing_path:
+            instance.crashes += 1
+            self.detach().close()
+            return
         instance.ran.append(request_id)
         instance.bodies.append(self.request.body)
         instance.active += 1
