Let callers get the 431 for long headers, and hold the state's limits

Cause: a head above 64 KiB made tornado close the connection at once, and a refused one was closed while bytes waited unread, so that the reset took the answer along (found by hand: 200 KB, and 20,000 lines). The header limit of the desired state was not applied, and chunks above the limit got 400. Change: a stream of the callers answers before tornado closes it and reads on for 1 s or 1 MiB; limits for heads and bodies follow the desired state; chunks above the limit get 413. The test of a chunk of 40 hexadecimal digits expected 400; it is a well-formed size above the limit, and each reason now has exactly one status in that test, where two were allowed. Tests: 5 long heads each of three kinds; a reset before, the answer after.

--- a/packages/router/sycamoreloft_router/_caller_connections.py
+++ b/packages/router/sycamoreloft_router/_caller_connections.py
@@ -10,15 +10,21 @@
 
 from tornado import http1connection, httpserver, httputil, iostream
 
-from sycamoreloft_router import _answers, _logs
+from sycamoreloft_router import _answers, _caller_streams, _logs
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Longest head that is read at all, in bytes. tornado closes the connection
-#: without an answer above it; heads between the limit of the server and this
-#: one get a typed answer.
+#: Longest head that is read as one, in bytes. Heads between the limit of the
+#: server and this one are counted in their answer; longer ones are refused
+#: where they pass it.
 READ_HEADER_BYTES = 65_536
 
+#: Bytes from a caller that tornado holds before the server takes them.
+READ_BUFFER_BYTES = 4 * 65_536
+
+#: What tornado says of a chunked body that is longer than the limit.
+_LONG_CHUNKED_BODY = "chunked body too large"
+
 #: Connections that wait in a listening socket.
 MAXIMUM_PENDING = 1_024
 
@@ -121,17 +127,27 @@
             await super()._read_chunked_body(delegate)
         except httputil.HTTPInputError as error:
             answering = typing.cast(BodyRejecter, delegate).reject_body(
-                _answers.Refusal(
-                    400,
-                    "malformed-body",
-                    str(error),
-                    "send the body in well-formed chunks, within the limit",
-                )
+                self._describe_body_problem(str(error))
             )
             if answering is not None:
                 await asyncio.wait([answering])
             raise Rejected from error
 
+    def _describe_body_problem(self, problem: str) -> _answers.Refusal:
+        if problem == _LONG_CHUNKED_BODY:
+            return _answers.Refusal(
+                413,
+                "long-body",
+                "the chunks of the body are longer than the limit",
+                f"send at most {self.params.max_body_size} bytes",
+            )
+        return _answers.Refusal(
+            400,
+            "malformed-body",
+            problem,
+            "send the body in well-formed chunks",
+        )
+
     def _reject(self, refusal: _answers.Refusal) -> typing.NoReturn:
         with contextlib.suppress(iostream.StreamClosedError):
             self.stream.write(refusal.encode(False))
@@ -167,7 +183,10 @@
                     return
                 # Other connections get their turn between two requests.
                 await asyncio.sleep(0)
-        except (Rejected, asyncio.CancelledError):
+        except Rejected:
+            await _caller_streams.linger(self.stream)
+            self.stream.close()
+        except asyncio.CancelledError:
             # The answer is in the socket buffer by now, unless the caller
             # does not read.
             self.stream.close()
@@ -209,7 +228,7 @@
             chunk_size=65_536,
             max_header_size=READ_HEADER_BYTES,
             max_body_size=body_bytes,
-            max_buffer_size=4 * 65_536,
+            max_buffer_size=READ_BUFFER_BYTES,
         )
         self._header_bytes = header_bytes
         # tornado starts a timer for the head of each request; the server
@@ -220,6 +239,13 @@
         self, stream: iostream.IOStream, address: tuple[typing.Any, ...]
     ) -> None:
         """Serves a new connection."""
+        if type(stream) is iostream.IOStream:
+            # Nothing has been read from it; streams of TLS stay as they are.
+            stream = _caller_streams.CallerStream(
+                stream.socket,
+                max_buffer_size=READ_BUFFER_BYTES,
+                read_chunk_size=stream.read_chunk_size,
+            )
         connection = ServerConnection(stream, self.conn_params, address[0])
         connection.header_bytes = self._header_bytes
         # The task that serves the connection starts one turn of the loop
@@ -228,6 +254,18 @@
         self._connections.add(connection)
         connection.start_serving(self)
 
+    def limit_sizes(self, header_bytes: int, body_bytes: int) -> None:
+        """Changes the longest head and body, for the next requests.
+
+        Args:
+            header_bytes: Longest request line and headers, in bytes.
+            body_bytes: Longest request body, in bytes.
+        """
+        self._header_bytes = min(header_bytes, READ_HEADER_BYTES)
+        self.conn_params.max_body_size = body_bytes
+        for connection in self.list_connections():
+            connection.header_bytes = self._header_bytes
+
     def accept_pending(self) -> None:
         """Accepts connections that wait in the listening sockets.
 
--- a/packages/router/sycamoreloft_router/_caller_server.py
+++ b/packages/router/sycamoreloft_router/_caller_server.py
@@ -173,9 +173,20 @@
         """
         self._client.limit_connections(connections, keeps_idle)
 
-    def limit_idle(self, seconds: float) -> None:
-        """Changes how long an idle connection of a caller is kept."""
-        self._idle_s = seconds
+    def limit_callers(
+        self, header_bytes: int, body_bytes: int, idle_s: float
+    ) -> None:
+        """Changes what callers may send, for the next requests.
+
+        Args:
+            header_bytes: Longest request line and headers, in bytes.
+            body_bytes: Longest request body, in bytes.
+            idle_s: Seconds for which an idle connection is kept.
+        """
+        self._idle_s = idle_s
+        self._shared.body_bytes = body_bytes
+        if self._server is not None:
+            self._server.limit_sizes(header_bytes, body_bytes)
 
     def announce_stop(self) -> None:
         """Closes each connection with its next answer."""
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -266,7 +266,11 @@
         self._states.take(values)
         state = self._states.state
         if state is not None:
-            self._server.limit_idle(state.bounds.idle_s)
+            self._server.limit_callers(
+                state.bounds.header_bytes,
+                state.bounds.body_bytes,
+                state.bounds.idle_s,
+            )
             self._metrics.set(
                 "sycamoreloft_desired_state_version",
                 value=float(state.version),
--- a/packages/router/sycamoreloft_router/_direct_requests.py
+++ b/packages/router/sycamoreloft_router/_direct_requests.py
@@ -111,7 +111,7 @@
                 retry_after_ms=STATE_RETRY_MS,
                 allows_fractions=True,
             )
-        problem = self._check(method, target, fields, state.bounds)
+        problem = self._check(method, target, fields)
         if problem is not None:
             return problem
         values = fields.values
@@ -157,7 +157,6 @@
         method: str,
         target: str,
         fields: _headers.RequestFields,
-        bounds: sycamoreloft_direct.CallerBounds,
     ) -> _answers.Refusal | None:
         problem = _request_lines.check_start_line(
             method, target, self._names.orders_path
@@ -176,14 +175,6 @@
                 "a header that the router acts on is there twice",
                 "send each of these headers once",
             )
-        length = _read_number(fields.values.get("Content-Length", "0"), 0)
-        if length > bounds.body_bytes:
-            return _answers.Refusal(
-                413,
-                "long-body",
-                f"the body has {length} bytes",
-                f"send at most {bounds.body_bytes} bytes",
-            )
         return None
 
     def _is_repeated(self, lines: abc.Iterable[bytes]) -> bool:
--- a/packages/router/tests/test_bad_input.py
+++ b/packages/router/tests/test_bad_input.py
@@ -76,7 +76,7 @@
         (send_chunks(b"zz\r\n"), "malformed-body"),
         (send_chunks(b"-1\r\n"), "malformed-body"),
         (send_chunks(b"1_0\r\n"), "malformed-body"),
-        (send_chunks(b"f" * 40 + b"\r\n"), "malformed-body"),
+        (send_chunks(b"f" * 40 + b"\r\n"), "long-body"),
         (send_chunks(b"1\r\nab\r\n0\r\n\r\n"), "malformed-body"),
         (send_chunks(b"0\r\nbad\r\n\r\n"), "malformed-body"),
     ],
@@ -88,10 +88,35 @@
         caller = await bench.connect()
         caller.writer.write(data)
         answer = await caller.read()
-        assert answer.status in (400, 431)
+        expected = {"long-headers": 431, "long-body": 413}
+        assert answer.status == expected.get(reason, 400)
         assert (answer.outcome, answer.reason) == ("did-not-run", reason)
         # No upstream has seen the whole of it, and the next caller is served.
-        assert not bench.sources.asked or reason == "malformed-body"
+        assert not bench.sources.asked or reason.endswith("-body")
+        assert (await bench.ask()).status == 200
+
+    serve(scenario)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        add(b"X: " + b"y" * 200_000),
+        add(*[b"X-%d: y" % number for number in range(20_000)]),
+        add(*[b"X-%d: %s" % (number, b"y" * 30) for number in range(20_000)]),
+    ],
+)
+def test_long_headers_are_refused_and_the_answer_is_not_lost(serve, data):
+    """Guards against a reset by bytes that wait unread."""
+
+    async def scenario(bench, upstream):
+        for _ in range(5):
+            caller = await bench.connect()
+            caller.writer.write(data)
+            await caller.writer.drain()
+            await asyncio.sleep(0.05)
+            answer = await caller.read()
+            assert (answer.status, answer.reason) == (431, "long-headers")
         assert (await bench.ask()).status == 200
 
     serve(scenario)
