Reload settings on SIGHUP and when the file changes, and log rejected heads

Cause: SIGHUP was accepted and changed nothing, without a line; a request that was refused by its head alone left no line with its id. Change: the file is read and checked again; what a running host can take is put into force, the rest is named as needing a restart, and a bad file leaves the old settings in force. request-rejected names the id, path, version and reason. What keeps a request from another attempt stands in request-refused.

--- a/packages/decisions/sycamoreloft_decisions/_retries.py
+++ b/packages/decisions/sycamoreloft_decisions/_retries.py
@@ -95,6 +95,17 @@
         for budget in self._budgets.values():
             budget.change_reserve(self._slack / count)
 
+    def change_limits(self, share: float, window_s: int, slack: float) -> None:
+        """Changes the limits, if they are others; counting starts anew."""
+        if (share, window_s, slack) == (
+            self._share,
+            self._window_s,
+            self._slack,
+        ):
+            return
+        self._share, self._window_s, self._slack = share, window_s, slack
+        self._budgets.clear()
+
     def record_request(self, service: str, now: float) -> None:
         """Counts the first attempt of a request."""
         self._find(service).record_request(now)
--- a/packages/router/sycamoreloft_router/__init__.py
+++ b/packages/router/sycamoreloft_router/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from sycamoreloft_router._connection_rules import limit_silence
-from sycamoreloft_router._direct_host import DirectHost
+from sycamoreloft_router._direct_host import RELOADABLE, DirectHost
 from sycamoreloft_router._direct_ports import (
     Changes,
     HeaderNames,
@@ -22,9 +22,11 @@
 )
 from sycamoreloft_router._logs import log_event, set_up_logging
 from sycamoreloft_router._metrics import Metrics
+from sycamoreloft_router._settings_watch import SettingsSource, SettingsWatch
 from sycamoreloft_router._supervisor import SupervisorFailed
 
 __all__ = [
+    "RELOADABLE",
     "Changes",
     "DirectHost",
     "HeaderNames",
@@ -36,6 +38,8 @@
     "Record",
     "RecordStore",
     "Records",
+    "SettingsSource",
+    "SettingsWatch",
     "SupervisorFailed",
     "Watched",
     "WriteOutcome",
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -5,6 +5,7 @@
 import dataclasses
 import logging
 import random
+import typing
 
 from tornado import httpserver, netutil, web
 
@@ -25,6 +26,7 @@
     _logs,
     _metrics,
     _process_measures,
+    _settings_watch,
     _supervisor,
     _upstream_client,
 )
@@ -70,6 +72,19 @@
 SLACK_SHARE = 0.4
 
 
+#: Settings that a running host takes; the others need a restart.
+RELOADABLE = frozenset(
+    (
+        "drain_s",
+        "grace_s",
+        "reuse_after_s",
+        "retry_share",
+        "retry_slack",
+        "retry_window_s",
+    )
+)
+
+
 class DirectHost:
     """Runs the process of a direct host.
 
@@ -136,29 +151,27 @@
             ),
         )
         self._budgets = sycamoreloft_decisions.ServiceRetryBudgets(
-            settings.retry_share * BUDGET_SHARE,
-            int(settings.retry_window_s),
-            settings.retry_slack * SLACK_SHARE,
+            *_choose_budget(settings)
         )
-        path = _direct_run.DirectPath(
-            _direct_services.DirectServices(
-                settings.name,
-                self._states,
-                self._upstreams,
-                self._book,
-                self._directory,
-                settings.drain_s * LEAVING_SHARE,
-                self._duty,
-                self._budgets,
-                self.crash_guard,
-                client,
-                platform.headers,
-                metrics,
-                self._loop,
-                generator,
-            )
+        self._services = _direct_services.DirectServices(
+            settings.name,
+            self._states,
+            self._upstreams,
+            self._book,
+            self._directory,
+            settings.drain_s * LEAVING_SHARE,
+            self._duty,
+            self._budgets,
+            self.crash_guard,
+            client,
+            platform.headers,
+            metrics,
+            self._loop,
+            generator,
+        )
+        self._server = _caller_server.CallerServer(
+            _direct_run.DirectPath(self._services), client
         )
-        self._server = _caller_server.CallerServer(path, client)
         self._supervisor = _supervisor.Supervisor()
         self._http_servers: list[httpserver.HTTPServer] = []
 
@@ -176,14 +189,32 @@
         """Hosts that there were at most, as the coordinators told; 0 before."""
         return self._budgets.hosts
 
-    async def run(self, stop_requested: asyncio.Event) -> None:
+    def apply_settings(self, settings: _direct_ports.HostSettings) -> None:
+        """Puts the reloadable ones of changed settings into force."""
+        self._settings = dataclasses.replace(
+            self._settings,
+            **{name: getattr(settings, name) for name in RELOADABLE},
+        )
+        self._services.leaving_s = settings.drain_s * LEAVING_SHARE
+        self._upstreams.keep_s = settings.reuse_after_s
+        self._budgets.change_limits(*_choose_budget(settings))
+
+    async def run(
+        self,
+        stop_requested: asyncio.Event,
+        watch: _settings_watch.SettingsWatch[typing.Any] | None = None,
+    ) -> None:
         """Serves until a stop is requested, then drains.
 
+        Args:
+            stop_requested: Set to request a stop.
+            watch: Takes changed settings, if they can change.
+
         Raises:
             OSError: A port is in use.
             SupervisorFailed: A task that the process needs keeps failing.
         """
-        await self._start()
+        await self._start(watch)
         failure = self._loop.create_task(self._supervisor.wait_for_failure())
         stop = self._loop.create_task(stop_requested.wait())
         await asyncio.wait((failure, stop), return_when=asyncio.FIRST_COMPLETED)
@@ -193,7 +224,9 @@
         failure.cancel()
         await self._stop()
 
-    async def _start(self) -> None:
+    async def _start(
+        self, watch: _settings_watch.SettingsWatch[typing.Any] | None
+    ) -> None:
         await self._duty.open()
         self._server.listen(self._settings.caller_address)
         self._listen(self._settings.readiness_address)
@@ -205,6 +238,10 @@
             ("sweep", self._sweep),
         ):
             self._supervisor.start(_supervisor.ChildSpecification(name, run))
+        if watch is not None:
+            self._supervisor.start(
+                _supervisor.ChildSpecification("settings", watch.run)
+            )
         _logs.log_event(
             _LOGGER,
             logging.INFO,
@@ -333,6 +370,17 @@
     )
 
 
+def _choose_budget(
+    settings: _direct_ports.HostSettings,
+) -> tuple[float, int, float]:
+    """Returns the share, window and slack of the retry budgets."""
+    return (
+        settings.retry_share * BUDGET_SHARE,
+        int(settings.retry_window_s),
+        settings.retry_slack * SLACK_SHARE,
+    )
+
+
 class _HostFreshness(_coordinator_duty.Freshness):
     """Versions of the tables that a host follows."""
 
--- a/packages/router/sycamoreloft_router/_direct_logs.py
+++ b/packages/router/sycamoreloft_router/_direct_logs.py
@@ -3,23 +3,26 @@
 from collections import abc
 import logging
 import random
+import typing
 
 import sycamoreloft_direct
-from sycamoreloft_router import (
-    _answers,
-    _direct_requests,
-    _logs,
-    _upstream_client,
-)
+from sycamoreloft_router import _answers, _logs, _upstream_client
+
+if typing.TYPE_CHECKING:
+    # It logs rejected requests here.
+    from sycamoreloft_router import _direct_requests
 
 _LOGGER = logging.getLogger(__name__)
 
+#: Characters of an identifier or path of a rejected request that are kept.
+MAXIMUM_IDENTIFIER = 200
+
 #: One in this many requests that were served in time leaves a line.
 SAMPLE = 256
 
 
 def log_attempt(
-    request: _direct_requests.DirectRequest,
+    request: "_direct_requests.DirectRequest",
     upstream: sycamoreloft_direct.Upstream,
     result: sycamoreloft_direct.AttemptResult,
     transfer: _upstream_client.Transfer | None,
@@ -53,10 +56,38 @@
     )
 
 
+def log_rejection(
+    request_id: str,
+    target: str,
+    version: int,
+    refusal: _answers.Refusal,
+) -> None:
+    """Logs a request that was refused by its head alone.
+
+    Args:
+        request_id: Identifier that the caller sent; may be anything.
+        target: Path and query.
+        version: Version of the desired state, 0 before the first.
+        refusal: The answer.
+    """
+    _logs.log_event(
+        _LOGGER,
+        logging.WARNING,
+        "request-rejected",
+        request=request_id[:MAXIMUM_IDENTIFIER],
+        target=target[:MAXIMUM_IDENTIFIER],
+        version=version,
+        status=refusal.status,
+        reason=refusal.reason,
+        outcome=refusal.outcome,
+    )
+
+
 def log_request(
-    request: _direct_requests.DirectRequest,
+    request: "_direct_requests.DirectRequest",
     tried: abc.Sequence[str],
     refusal: _answers.Refusal | None,
+    obstacle: str,
     elapsed_s: float,
     generator: random.Random,
 ) -> None:
@@ -69,6 +100,7 @@
         request: The request.
         tried: Identifiers of the upstreams that it was sent to.
         refusal: The router's own answer, None for an upstream's.
+        obstacle: What kept it from another attempt; empty if nothing did.
         elapsed_s: Seconds since the request began.
         generator: Draws the sample.
     """
@@ -80,6 +112,7 @@
             "reason": refusal.reason,
             "outcome": refusal.outcome,
             "retry_after_ms": refusal.retry_after_ms,
+            "obstacle": obstacle,
         }
     elif elapsed_s > request.route.latency_target_s:
         event = "request-late"
--- a/packages/router/sycamoreloft_router/_direct_requests.py
+++ b/packages/router/sycamoreloft_router/_direct_requests.py
@@ -9,6 +9,7 @@
 import sycamoreloft_direct
 from sycamoreloft_router import (
     _answers,
+    _direct_logs,
     _direct_ports,
     _direct_views,
     _headers,
@@ -91,6 +92,13 @@
         """Parses the head of a request; see `_exchange.RequestParser`."""
         found = self._find(method, target, fields, caller)
         if isinstance(found, _answers.Refusal):
+            state = self._states.state
+            _direct_logs.log_rejection(
+                fields.values.get(self._names.request_id, ""),
+                target,
+                state.version if state is not None else 0,
+                found,
+            )
             return result.Failure(found)
         return result.Success(found)
 
--- a/packages/router/sycamoreloft_router/_direct_run.py
+++ b/packages/router/sycamoreloft_router/_direct_run.py
@@ -83,6 +83,7 @@
         "_choice",
         "_crash_watch",
         "_may_have_run",
+        "_obstacle",
         "_path",
         "_received",
         "_request",
@@ -115,6 +116,7 @@
             path.services, request, received
         )
         self._may_have_run = False
+        self._obstacle = ""
         self._sent_to: set[str] = set()
         self._stop_event: sycamoreloft_decisions.AttemptEvent | None = None
         self._task: asyncio.Task[None] | None = None
@@ -340,29 +342,37 @@
 
     def _may_retry(self, result: sycamoreloft_direct.AttemptResult) -> bool:
         """Decides whether another attempt is made."""
+        self._obstacle = self._find_obstacle(result)
+        return self._obstacle == ""
+
+    def _find_obstacle(self, result: sycamoreloft_direct.AttemptResult) -> str:
+        """Tells what keeps a request from another attempt; empty if nothing."""
         now = self._services.loop.time()
         if now + _upstream_choice.LEAST_LEFT_S >= self._received.deadline:
-            return False
-        if self._tries >= MAXIMUM_TRIES or not self._is_replayable():
-            return False
+            return "time"
+        if self._tries >= MAXIMUM_TRIES:
+            return "tries"
+        if not self._is_replayable():
+            return "body-sent"
         if result is _RESULT.UNREACHABLE:
             # Nothing was sent, so that it costs the upstreams nothing.
-            return True
+            return ""
         is_unrun = result in (_RESULT.REFUSED, _RESULT.REPLACED)
-        if not is_unrun and result not in (_RESULT.BROKEN, _RESULT.FAILED):
-            return False
-        if not is_unrun and not self._is_idempotent:
-            return False
+        if not is_unrun and (
+            result not in (_RESULT.BROKEN, _RESULT.FAILED)
+            or not self._is_idempotent
+        ):
+            return "may-have-run"
         is_full_owner = result is _RESULT.REFUSED and self._request.key >= 0
         if (
             len(self._sent_to) >= self._request.route.attempts
             and not is_full_owner
         ):
-            return False
+            return "attempts"
         if not self._services.budgets.take(self._request.service, now):
             self._services.metrics.count("sycamoreloft_retries_refused_total")
-            return False
-        return True
+            return "retry-budget"
+        return ""
 
     def _is_replayable(self) -> bool:
         body = self._received.body
@@ -432,6 +442,7 @@
             self._request,
             self._choice.tried,
             refusal,
+            self._obstacle,
             services.loop.time() - self._began_at,
             services.generator,
         )
--- a/packages/router/sycamoreloft_router/_direct_views.py
+++ b/packages/router/sycamoreloft_router/_direct_views.py
@@ -201,7 +201,8 @@
     def __init__(
         self, keep_s: float, on_change: abc.Callable[[], None]
     ) -> None:
-        self._keep_s = keep_s
+        #: Seconds for which a gone upstream is kept as draining.
+        self.keep_s = keep_s
         self._on_change = on_change
         self._listed: dict[str, sycamoreloft_direct.Upstream] = {}
         self._departed: dict[
@@ -307,5 +308,5 @@
                 upstream.slots,
                 True,
             ),
-            now + self._keep_s,
+            now + self.keep_s,
         )
