Spread the hosts' calls to the store by the store's rate

Cause: a change wakes all hosts at once, and each calls the store again the same time later. Change: after a change a host waits besides for a random time, at most 0.6 s, that keeps all hosts together at half of the rate.

--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -72,12 +72,24 @@
 SLACK_SHARE = 0.4
 
 
+#: Calls to the store of each host that a change brings: one for each table.
+READS_OF_A_CHANGE = 2
+
+#: Share of the store's rate of reads that hosts use after a change.
+READ_SHARE = 0.5
+
+#: Longest time by which a host calls the store later than it might, in
+#: seconds: with what it collects, and with the time for which a leaving owner
+#: still gets requests, it stays below the bound of 2 s.
+LONGEST_SPREAD_S = 0.6
+
 #: Settings that a running host takes; the others need a restart.
 RELOADABLE = frozenset(
     (
         "drain_s",
         "grace_s",
         "reuse_after_s",
+        "store_reads_per_s",
         "retry_share",
         "retry_slack",
         "retry_window_s",
@@ -128,7 +140,11 @@
         )
         #: Follows the desired state.
         self.state_follower = _direct_views.TableFollower(
-            "states", platform.states, self._take_states, self._take_states
+            "states",
+            platform.states,
+            self._take_states,
+            self._take_states,
+            self._choose_spread_s,
         )
         #: Follows the upstreams.
         self.upstream_follower = _direct_views.TableFollower(
@@ -136,6 +152,7 @@
             platform.upstreams,
             self._take_all_upstreams,
             self._take_upstreams,
+            self._choose_spread_s,
         )
         client = _upstream_client.UpstreamClient(
             force_instance=True,
@@ -327,6 +344,14 @@
         for service, left in self._budgets.list_left(now).items():
             metrics.set("sycamoreloft_retries_left", service, value=left)
 
+    def _choose_spread_s(self) -> float:
+        """Draws how much later than others this host calls the store."""
+        reads_per_s = max(self._settings.store_reads_per_s, 1.0)
+        needed_s = READS_OF_A_CHANGE * self.known_hosts / reads_per_s
+        return self._services.generator.uniform(
+            0.0, min(needed_s / READ_SHARE, LONGEST_SPREAD_S)
+        )
+
     def note_hosts(self, count: int) -> None:
         """Notes how many hosts there are."""
         self._budgets.note_hosts(count)
--- a/packages/router/sycamoreloft_router/_direct_ports.py
+++ b/packages/router/sycamoreloft_router/_direct_ports.py
@@ -196,5 +196,7 @@
     retry_slack: float = 0.0
     #: Window in which it counts requests and retries, in seconds.
     retry_window_s: float = 10.0
+    #: Reads that the store allows all hosts together in a second.
+    store_reads_per_s: float = 1_000.0
     #: Least level of log lines.
     log_level: str = "info"
--- a/packages/router/sycamoreloft_router/_direct_views.py
+++ b/packages/router/sycamoreloft_router/_direct_views.py
@@ -41,6 +41,8 @@
         table: The table.
         on_read: Called with all entries after a full read.
         on_changes: Called with the changed entries.
+        spread_s: Returns how long a host waits besides after a change, in
+            seconds, so that not all hosts call the store at once.
     """
 
     def __init__(
@@ -49,7 +51,9 @@
         table: _direct_ports.Watched[typing.Any],
         on_read: abc.Callable[[abc.Mapping[str, typing.Any]], None],
         on_changes: abc.Callable[[abc.Mapping[str, typing.Any]], None],
+        spread_s: abc.Callable[[], float] = lambda: 0.0,
     ) -> None:
+        self._spread_s = spread_s
         self._name = name
         self._table = table
         self._on_read = on_read
@@ -85,7 +89,7 @@
                 self._on_read(answer.values)
             elif answer.values:
                 self._on_changes(answer.values)
-                await asyncio.sleep(COLLECT_S)
+                await asyncio.sleep(COLLECT_S + self._spread_s())
 
     def hear(self, newest: int) -> None:
         """Takes the version that another host has.
--- a/packages/router/tests/test_direct_views.py
+++ b/packages/router/tests/test_direct_views.py
@@ -49,12 +49,12 @@
     )
 
 
-def follow(scenario):
+def follow(scenario, spread_s=0.0):
     async def main():
         table = FakeTable()
         seen = {}
         follower = _direct_views.TableFollower(
-            "t", table, seen.update, seen.update
+            "t", table, seen.update, seen.update, lambda: spread_s
         )
         task = asyncio.get_running_loop().create_task(follower.run())
         await asyncio.sleep(0.1)
@@ -88,6 +88,19 @@
     follow(scenario)
 
 
+def test_hosts_call_the_store_at_different_times_after_a_change():
+    async def scenario(table, follower, seen):
+        table.put("a", 1)
+        await asyncio.sleep(0.2)
+        table.put("a", 2)
+        await asyncio.sleep(0.7)
+        assert seen == {"a": 1}
+        await asyncio.sleep(0.4)
+        assert seen == {"a": 2}
+
+    follow(scenario, spread_s=0.5)
+
+
 def test_lost_history_is_read_again():
     async def scenario(table, follower, seen):
         table.problem = _direct_ports.ReadProblem.HISTORY_LOST
