--- /dev/null
+++ b/packages/ctl/sycamoreloft_ctl/_request_causes.py
@@ -0,0 +1,128 @@
+"""Why requests fail, with what an operator can do about it."""
+
+import enum
+
+
+class Cause(enum.Enum):
+    """Why a request was not served in time.
+
+    Each value holds a stable name, the meaning, and the remedy.
+    """
+
+    NOT_FOUND = (
+        "not-found",
+        "no line names the request",
+        "pass the files of all hosts and of the whole time; a line that was"
+        " left out is counted in `suppressed` of a later one",
+    )
+    SERVED = (
+        "served",
+        "the request was answered in time",
+        "look at the caller and at the way to it",
+    )
+    LATE = (
+        "slow-upstream",
+        "the upstream answered after the latency target of the route",
+        "look at the upstream's load and speed",
+    )
+    BAD_REQUEST = (
+        "bad-request",
+        "the host refused the head of the request",
+        "the body of the answer says what the caller has to change",
+    )
+    NO_STATE = (
+        "no-desired-state",
+        "the host had read no desired state yet",
+        "look for store-call-failed on that host",
+    )
+    CALLER_LEFT = (
+        "caller-left",
+        "the caller closed its connection before the answer",
+        "compare `elapsed_s` with the time that callers wait",
+    )
+    HOT_KEY = (
+        "hot-key",
+        "one key got more requests than its owner can serve",
+        "one key cannot be divided: a faster upstream or fewer requests help",
+    )
+    OWNER_FULL = (
+        "owner-full",
+        "the owner of the key had no room",
+        "look at the load of the service; keys of a full owner move within"
+        " seconds if others have room",
+    )
+    SERVICE_FULL = (
+        "service-full",
+        "the upstreams that were asked had no room",
+        "add upstreams to the service, or send it fewer requests",
+    )
+    UPSTREAM_LOST = (
+        "upstream-lost",
+        "the upstream ended or was cut off while it had the request, or"
+        " before it was reached",
+        "look at the upstream; its keys move when their lease has ended",
+    )
+    UPSTREAM_SILENT = (
+        "upstream-silent",
+        "the upstream took the request and did not answer in time",
+        "look at the upstream; some never answer what they cannot queue",
+    )
+    UPSTREAM_FAILED = (
+        "upstream-failed",
+        "the upstream answered with a failure of its own",
+        "look at the upstream's own logs",
+    )
+    CONNECTION_BROKE = (
+        "connection-broke",
+        "the connection to an upstream that goes on broke",
+        "look at the network, and at the upstream's limit of connections",
+    )
+    ANSWER_SPOILED = (
+        "answer-spoiled",
+        "the upstream's answer was not a valid one of this request",
+        "look at the upstream; `detail` of the attempt says what was wrong",
+    )
+    ADDRESS_REUSED = (
+        "address-reused",
+        "another upstream has the address of the one that was asked",
+        "nothing: the keys move when the lease of the former one has ended",
+    )
+    COORDINATOR_CHANGED = (
+        "coordinator-changed",
+        "the key had no owner while the coordinator changed",
+        "look for the end of the former coordinator",
+    )
+    OWNER_UNREACHABLE = (
+        "owner-unreachable",
+        "the owner did not take the coordinator's orders, so that its lease"
+        " ended",
+        "look at the way from the coordinator to the upstream",
+    )
+    KEY_MOVED = (
+        "key-moved",
+        "the key was changing its owner",
+        "look at key-map-recorded: moves take some tenths of a second",
+    )
+    QUARANTINED = (
+        "quarantined",
+        "the request crashed upstreams before and is not sent any more",
+        "look for crash-suspected with the same fingerprint",
+    )
+    NO_UPSTREAM = (
+        "no-upstream",
+        "no upstream of the service was listed and not leaving",
+        "look for upstream-gone of the service",
+    )
+    HOST_STOPPED = (
+        "host-stopped",
+        "the host ended while it had the request",
+        "look for host-stopping, or for the loss of the host",
+    )
+
+    def __init__(self, code: str, meaning: str, remedy: str) -> None:
+        #: Stable name.
+        self.code = code
+        #: What it means.
+        self.meaning = meaning
+        #: What an operator can do.
+        self.remedy = remedy
--- a/packages/ctl/sycamoreloft_ctl/main.py
+++ b/packages/ctl/sycamoreloft_ctl/main.py
@@ -8,7 +8,13 @@
 import typer
 
 import sycamoreloft_config
-from sycamoreloft_ctl import _client, _files, _output, _problems
+from sycamoreloft_ctl import (
+    _client,
+    _files,
+    _output,
+    _problems,
+    _request_explanation,
+)
 
 _EPILOG = """\
 Exit codes: 0 done; 1 failed, nothing was recorded; 2 wrong options; 3 the
@@ -365,6 +371,37 @@
         _output.print_table(("state", "value"), _output.flatten(state))
 
 
+@application.command(
+    "explain-request",
+    epilog=_list_examples(
+        "explain-request 5bb33f7b0b5e entry-*.log",
+        "explain-request --json 5bb33f7b0b5e entry-*.log",
+    ),
+)
+def explain_request(
+    request: typing.Annotated[
+        str, typer.Argument(help="Identifier of the request.")
+    ],
+    paths: typing.Annotated[
+        list[pathlib.Path],
+        typer.Argument(help="Log files of all hosts that may have had it."),
+    ],
+    as_json: AsJson = False,
+) -> None:
+    """Explain from log files why a request failed.
+
+    Lists what touched the request (*) and what happened around it, and names
+    the cause. Exits with 1 if no line names the request.
+    """
+    story = _unwrap(_request_explanation.explain(request, paths), as_json)
+    if as_json:
+        _output.print_json(_request_explanation.convert_to_json(story))
+    else:
+        _request_explanation.print_story(story)
+    if not story.own:
+        raise typer.Exit(int(_problems.ExitCode.FAILED))
+
+
 def run() -> None:
     """Runs the command."""
     application()
