Log a lost peer once, and its return

Cause: each failed try to reach a peer wrote a line, one a second for ever. Change: one line at the loss, one at the return. Test: five tries, five lines before, one after.

--- a/packages/router/sycamoreloft_router/_peer_links.py
+++ b/packages/router/sycamoreloft_router/_peer_links.py
@@ -73,6 +73,7 @@
         self._correlation = 0
         self._backoff = FIRST_BACKOFF_S
         self._closed_until = 0.0
+        self._is_lost = False
 
     async def open(self) -> bool:
         """Opens the connection unless it is open; tells whether it is."""
@@ -107,23 +108,37 @@
                 stream.close()
             self._closed_until = time.monotonic() + self._backoff
             self._backoff = min(self._backoff * 2, LONGEST_BACKOFF_S)
-            _logs.log_event(
-                _LOGGER,
-                logging.INFO,
-                "peer-unreachable",
-                peer=self._address,
-                error=str(error),
-            )
+            self._note_loss(str(error))
             return False
         finally:
             self._opening = None
         self._backoff = FIRST_BACKOFF_S
+        self._note_return()
         self._stream = stream
         self._reader = asyncio.get_running_loop().create_task(
             self._read(stream)
         )
         return True
 
+    def _note_loss(self, error: str) -> None:
+        """Logs the first of the failures in a row."""
+        if not self._is_lost:
+            self._is_lost = True
+            _logs.log_event(
+                _LOGGER,
+                logging.INFO,
+                "peer-unreachable",
+                peer=self._address,
+                error=error,
+            )
+
+    def _note_return(self) -> None:
+        if self._is_lost:
+            self._is_lost = False
+            _logs.log_event(
+                _LOGGER, logging.INFO, "peer-regained", peer=self._address
+            )
+
     async def _authenticate(self, stream: iostream.IOStream) -> None:
         keys = self._identity.keys
         hello = sycamoreloft_wire.ClientHello(
--- a/packages/router/tests/test_peers.py
+++ b/packages/router/tests/test_peers.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import contextlib
+import logging
 import socket
 
 import pytest
 from returns import pipeline
+from tornado import testing
 
 from sycamoreloft_router import _peer_links, _peer_server
 import sycamoreloft_wire
@@ -124,3 +126,31 @@
         links.close()
 
     asyncio.run(run())
+
+
+def test_a_lost_peer_leaves_a_line_at_its_loss_and_one_at_its_return(
+    caplog, monkeypatch
+):
+    """Guards against a line every second while a peer is away."""
+    caplog.set_level(logging.INFO)
+    monkeypatch.setattr(_peer_links, "FIRST_BACKOFF_S", 0.0)
+    monkeypatch.setattr(_peer_links, "LONGEST_BACKOFF_S", 0.0)
+
+    async def run():
+        async with open_peers() as (handler, address, links):
+            away = testing.bind_unused_port()
+            away[0].close()
+            link = links._find(address)
+            link._address = f"127.0.0.1:{away[1]}"
+            for _ in range(5):
+                assert not await links.post(address, make_claim("a"))
+            link._address = address
+            for _ in range(3):
+                assert await links.post(address, make_claim("a"))
+
+    asyncio.run(run())
+    assert [
+        record.message
+        for record in caplog.records
+        if record.message.startswith("peer-")
+    ] == ["peer-unreachable", "peer-regained"]
