--- a/packages/direct/sycamoreloft_direct/_upstream_book.py
+++ b/packages/direct/sycamoreloft_direct/_upstream_book.py
@@ -156,10 +156,6 @@
         """Returns the record of a run, or None if it is not listed."""
         return self._records.get(run)
 
-    def list_records(self) -> abc.Collection[UpstreamRecord]:
-        """Returns all records."""
-        return self._records.values()
-
     def choose(
         self,
         service: str,
--- a/packages/standins/sycamoreloft_standins/instances.py
+++ b/packages/standins/sycamoreloft_standins/instances.py
@@ -11,9 +11,10 @@
 import typing
 
 import tornado.httpserver
-import tornado.netutil
 import tornado.web
 
+from sycamoreloft_standins import _serving
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeldKeys:
@@ -170,16 +171,11 @@
     Returns:
         The server, and its address as "ip:port".
     """
-    arguments = {"instance": instance}
-    application = tornado.web.Application(
+    return _serving.serve(
         [
-            ("/sycamoreloft/grant", _GrantHandler, arguments),
-            ("/sycamoreloft/release", _ReleaseHandler, arguments),
-            ("/.*", _WorkHandler, arguments),
+            ("/sycamoreloft/grant", _GrantHandler),
+            ("/sycamoreloft/release", _ReleaseHandler),
+            ("/.*", _WorkHandler),
         ],
-        log_function=lambda handler: None,
+        {"instance": instance},
     )
-    server = tornado.httpserver.HTTPServer(application)
-    sockets = tornado.netutil.bind_sockets(0, "127.0.0.1")
-    server.add_sockets(sockets)
-    return server, f"127.0.0.1:{sockets[0].getsockname()[1]}"
--- a/packages/standins/sycamoreloft_standins/rows.py
+++ b/packages/standins/sycamoreloft_standins/rows.py
@@ -12,9 +12,10 @@
 import typing
 
 import tornado.httpserver
-import tornado.netutil
 import tornado.web
 
+from sycamoreloft_standins import _serving
+
 #: Longest wait of a call for changes, in milliseconds.
 _LONGEST_WAIT_MS = 30_000
 
@@ -205,16 +206,11 @@
     Returns:
         The server, and its address as "ip:port".
     """
-    arguments = {"store": store}
-    application = tornado.web.Application(
+    return _serving.serve(
         [
-            ("/sycamoreloft/rows-tx", _TransactionHandler, arguments),
-            ("/sycamoreloft/rows-get", _ReadHandler, arguments),
-            ("/sycamoreloft/rows-feed", _FeedHandler, arguments),
+            ("/sycamoreloft/rows-tx", _TransactionHandler),
+            ("/sycamoreloft/rows-get", _ReadHandler),
+            ("/sycamoreloft/rows-feed", _FeedHandler),
         ],
-        log_function=lambda handler: None,
+        {"store": store},
     )
-    server = tornado.httpserver.HTTPServer(application)
-    sockets = tornado.netutil.bind_sockets(0, "127.0.0.1")
-    server.add_sockets(sockets)
-    return server, f"127.0.0.1:{sockets[0].getsockname()[1]}"
