Close idle connections while a drain waits for others

A drain closed idle connections only in moments without any request in flight; under load there is none, so that callers sent requests on kept connections until the bound, 4.9 s after SIGTERM, and those were cut off. Change: idle connections are closed in every look of the drain. Test: an idle connection ends while a slow request goes on; before, it stayed open until the slow one had ended.

--- a/packages/router/sycamoreloft_router/_caller_server.py
+++ b/packages/router/sycamoreloft_router/_caller_server.py
@@ -136,12 +136,16 @@
         deadline = loop.time() + bound_s
         await asyncio.sleep(min(DRAIN_IDLE_S, bound_s))
         while loop.time() < deadline:
-            if not self._shared.exchanges:
-                if self._server is None:
-                    break
-                self._server.close_idle(loop.time() - DRAIN_IDLE_S)
-                if not self._server.list_connections():
-                    break
+            if self._server is None:
+                break
+            # Also while others are in flight: a connection that stayed open
+            # would bring requests until the end, which then are cut off.
+            self._server.close_idle(loop.time() - DRAIN_IDLE_S)
+            if (
+                not self._shared.exchanges
+                and not self._server.list_connections()
+            ):
+                break
             await asyncio.sleep(DRAIN_LOOK_S)
         cut_off = self.count_requests()
         if cut_off:
--- a/packages/router/tests/test_caller_server.py
+++ b/packages/router/tests/test_caller_server.py
@@ -356,6 +356,32 @@
     serve(scenario, script)
 
 
+def test_drain_closes_idle_connections_while_others_work(serve):
+    """Guards against requests that are taken until the drain cuts them."""
+    held = asyncio.Event()
+
+    async def script(request, writer, _reader):
+        if b" /slow " in request.head:
+            await held.wait()
+        writer.write(raw_peers.answer(b"whole"))
+
+    async def scenario(bench, upstream):
+        idle = await bench.connect()
+        assert (await idle.ask(build_head())).body == b"whole"
+        slow = await bench.connect()
+        slow.writer.write(build_head(target="/slow"))
+        await raw_peers.wait_until(lambda: len(upstream.requests) == 2)
+        draining = asyncio.ensure_future(bench.server.drain(20.0))
+        async with asyncio.timeout(10.0):
+            assert await idle.reader.read() == b""
+        assert not draining.done()
+        held.set()
+        assert (await slow.read()).body == b"whole"
+        assert await draining == 0
+
+    serve(scenario, script)
+
+
 def test_drain_answers_connections_that_are_not_yet_accepted(serve):
     """Guards against a reset of connections in the listening socket."""
 
