Give up calls that began before the store was away

Change: the coordinator's heartbeat says how long ago the store answered it; when that was long ago and is not any more, hosts give their waiting calls up and read the tables again, with the time for lapsed entries to come back. Tests: a call that hangs for 8 s, and what counts as a return of the store.

--- a/packages/router/sycamoreloft_router/_coordinator_duty.py
+++ b/packages/router/sycamoreloft_router/_coordinator_duty.py
@@ -343,6 +343,7 @@
         )
         count = len(self._hosts) + 1
         self._on_hosts(count)
+        self._on_store_age(tenure.read_store_age(now))
         short = _direct_peers.Heartbeat(
             *order,
             False,
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -356,7 +356,10 @@
 
     def note_store(self, answered_ago_s: float) -> None:
         """Notes that the store answered the coordinator some time ago."""
-        self._witness.hear(answered_ago_s, self._loop.time())
+        if self._witness.hear(answered_ago_s, self._loop.time()):
+            _logs.log_event(_LOGGER, logging.INFO, "store-back")
+            self.state_follower.ask_again()
+            self.upstream_follower.ask_again()
 
     def note_hosts(self, count: int) -> None:
         """Notes how many hosts there are."""
--- a/packages/router/sycamoreloft_router/_direct_views.py
+++ b/packages/router/sycamoreloft_router/_direct_views.py
@@ -102,6 +102,18 @@
         loop = asyncio.get_running_loop()
         self._behind = loop.call_later(BEHIND_S, self._check_behind, newest)
 
+    def ask_again(self) -> None:
+        """Gives a call up that began before the store was away.
+
+        The store may never answer it; and what lapsed meanwhile may come
+        back, as after a loss that this host noticed itself.
+        """
+        if self._call is None or self._version < 0:
+            return
+        self.returned_at = asyncio.get_running_loop().time()
+        self._version = -1
+        self._call.cancel()
+
     def _check_behind(self, newest: int) -> None:
         self._behind = None
         if newest <= self.newest or self._call is None:
--- a/packages/router/sycamoreloft_router/_store_witness.py
+++ b/packages/router/sycamoreloft_router/_store_witness.py
@@ -14,26 +14,41 @@
 #: to which the store counts as there. It renews its lease more often.
 FRESH_S = 1.0
 
+#: Age of that call from which the store counts as away, in seconds: the
+#: coordinator's lease has ended by then.
+AWAY_S = 2.0
+
+#: Time without such a heartbeat after which the store may have been away, in
+#: seconds: longer than a change of the coordinator.
+LONG_GAP_S = 4.0
+
 
 class StoreWitness:
     """What the coordinators told of the store."""
 
     def __init__(self) -> None:
+        self._is_away = False
         self._since = 0.0
         self._heard_at = -GAP_S - 1.0
 
-    def hear(self, answered_ago_s: float, now: float) -> None:
-        """Takes a heartbeat.
+    def hear(self, answered_ago_s: float, now: float) -> bool:
+        """Takes a heartbeat, and tells whether the store is back with it.
 
         Args:
             answered_ago_s: Seconds since the store answered the coordinator.
             now: Time, in seconds.
         """
         if answered_ago_s > FRESH_S:
-            return
+            self._is_away = self._is_away or answered_ago_s > AWAY_S
+            return False
+        is_back = self._is_away or (
+            self._since > 0.0 and now > self._heard_at + LONG_GAP_S
+        )
         if now > self._heard_at + GAP_S:
             self._since = now
+        self._is_away = False
         self._heard_at = now
+        return is_back
 
     def find_return(self, own_return: float) -> float:
         """Returns since when the store has answered.
--- a/packages/router/tests/test_direct_views.py
+++ b/packages/router/tests/test_direct_views.py
@@ -77,6 +77,21 @@
     follow(scenario)
 
 
+def test_a_call_that_hangs_is_given_up_when_the_store_is_back():
+    """As hunted: the store never answers the calls of before its outage."""
+
+    async def scenario(table, follower, seen):
+        table.hangs = True
+        table.put("a", 7)
+        await asyncio.sleep(8.0)
+        assert seen == {}
+        follower.ask_again()
+        await asyncio.sleep(0.5)
+        assert seen == {"a": 7} and follower.returned_at > 0
+
+    follow(scenario)
+
+
 def test_hearing_of_what_is_known_reads_nothing():
     async def scenario(table, follower, seen):
         table.put("a", 7)
--- a/packages/router/tests/test_store_witness.py
+++ b/packages/router/tests/test_store_witness.py
@@ -57,3 +57,19 @@
     view.take_all({}, 14.6)
     (left,) = view.list_all()
     assert left.is_draining
+
+
+def test_the_return_of_the_store_is_told_once():
+    witness = _store_witness.StoreWitness()
+    assert not witness.hear(0.2, 1.0)
+    assert not witness.hear(0.6, 1.4)
+    assert not witness.hear(3.0, 4.0)
+    assert witness.hear(0.1, 9.0)
+    assert not witness.hear(0.3, 9.4)
+
+
+def test_a_change_of_the_coordinator_is_no_return_but_a_long_silence_is():
+    witness = _store_witness.StoreWitness()
+    witness.hear(0.2, 1.0)
+    assert not witness.hear(0.2, 3.5)
+    assert witness.hear(0.2, 9.0)
