--- a/packages/router/sycamoreloft_router/__init__.py
+++ b/packages/router/sycamoreloft_router/__init__.py
@@ -7,6 +7,7 @@
 from sycamoreloft_router._connection_rules import limit_silence
 from sycamoreloft_router._direct_host import RELOADABLE, DirectHost
 from sycamoreloft_router._direct_ports import (
+    CallProgress,
     Changes,
     HeaderNames,
     HostSettings,
@@ -27,6 +28,7 @@
 
 __all__ = [
     "RELOADABLE",
+    "CallProgress",
     "Changes",
     "DirectHost",
     "HeaderNames",
--- a/packages/router/sycamoreloft_router/_direct_views.py
+++ b/packages/router/sycamoreloft_router/_direct_views.py
@@ -29,6 +29,9 @@
 #: desired states and leaving upstreams.
 BEHIND_S = 0.5
 
+#: Seconds of loading an answer from which on it leaves a log line.
+SLOW_LOAD_S = 0.25
+
 #: Failed calls in a row after which the store counts as lost.
 FAILURES_TO_LOSE = 2
 
@@ -61,6 +64,7 @@
         self._failures = 0
         self._version = -1
         self._call: asyncio.Task[typing.Any] | None = None
+        self._progress = _direct_ports.CallProgress(0.0)
         self._behind: asyncio.TimerHandle | None = None
         #: Version of the newest entry that was read.
         self.newest = 0
@@ -85,10 +89,13 @@
             is_read = self._version < 0
             self._version = answer.version
             self.newest = max(self.newest, answer.newest)
+            read_at = asyncio.get_running_loop().time()
             if is_read:
                 self._on_read(answer.values)
             elif answer.values:
                 self._on_changes(answer.values)
+            self._log_read(answer, is_read, read_at)
+            if answer.values and not is_read:
                 await asyncio.sleep(COLLECT_S + self._spread_s())
 
     def hear(self, newest: int) -> None:
@@ -125,6 +132,11 @@
             table=self._name,
             newest=self.newest,
             heard=newest,
+            call="read" if self._version < 0 else "follow",
+            age_s=round(
+                asyncio.get_running_loop().time() - self._progress.began_at, 3
+            ),
+            bytes=self._progress.bytes,
         )
         self._version = -1
         self._call.cancel()
@@ -133,14 +145,43 @@
         """Reads or follows the table; a call that is behind is repeated."""
         while True:
             loop = asyncio.get_running_loop()
+            self._progress = _direct_ports.CallProgress(loop.time())
             if self._version < 0:
-                self._call = loop.create_task(self._table.read())
+                call = self._table.read(self._progress)
             else:
-                self._call = loop.create_task(self._table.follow(self._version))
+                call = self._table.follow(self._version, self._progress)
+            self._call = loop.create_task(call)
             await asyncio.wait([self._call])
-            call, self._call = self._call, None
-            if not call.cancelled():
-                return call.result()
+            ended, self._call = self._call, None
+            if not ended.cancelled():
+                return ended.result()
+
+    def _log_read(
+        self,
+        answer: _direct_ports.Changes[typing.Any],
+        is_read: bool,
+        read_at: float,
+    ) -> None:
+        """Tells how long each part of a full or slow read took."""
+        progress = self._progress
+        loading_s = progress.last_at - progress.first_at
+        if not is_read and loading_s < SLOW_LOAD_S:
+            return
+        now = asyncio.get_running_loop().time()
+        _logs.log_event(
+            _LOGGER,
+            logging.INFO,
+            "table-read",
+            table=self._name,
+            call="read" if is_read else "follow",
+            newest=self.newest,
+            rows=len(answer.values),
+            bytes=progress.bytes,
+            waited_s=round(progress.first_at - progress.began_at, 3),
+            loading_s=round(loading_s, 3),
+            decoding_s=round(read_at - progress.last_at, 3),
+            applying_s=round(now - read_at, 3),
+        )
 
     async def _handle_problem(self, problem: _direct_ports.ReadProblem) -> None:
         if problem is _direct_ports.ReadProblem.HISTORY_LOST:
--- a/packages/router/sycamoreloft_router/_metrics.py
+++ b/packages/router/sycamoreloft_router/_metrics.py
@@ -153,6 +153,12 @@
         "Calls to the platform's store",
         ("call", "result"),
     ),
+    Definition(
+        "sycamoreloft_store_bytes_total",
+        Kind.COUNTER,
+        "Bytes of answers of the platform's store",
+        ("call",),
+    ),
     Definition(
         "sycamoreloft_is_coordinator",
         Kind.GAUGE,
--- a/packages/router/tests/test_direct_views.py
+++ b/packages/router/tests/test_direct_views.py
@@ -1,7 +1,9 @@
 """Followers and views of the platform's tables."""
 
 import asyncio
+import logging
 
+import pytest
 import virtual_time
 
 import sycamoreloft_direct
@@ -19,7 +21,7 @@
         self.problem = None
         self.reads = 0
 
-    async def read(self):
+    async def read(self, progress):
         self.reads += 1
         await asyncio.sleep(0.004)
         if self.problem is not None:
@@ -28,7 +30,7 @@
             dict(self.values), self.version, self.newest
         )
 
-    async def follow(self, version):
+    async def follow(self, version, progress):
         while self.hangs or (version >= self.version and not self.problem):
             await asyncio.sleep(0.05)
         if self.problem is not None:
@@ -192,3 +194,24 @@
     view.take_changes({"u1": None}, 10.2)
     leaving = {item.id: item.is_draining for item in view.list_all()}
     assert leaving == {"u1": True, "u2": False}
+
+
+def test_a_call_that_is_given_up_says_how_far_it_came(caplog):
+    """Without it, a long load and a call that hangs leave the same line."""
+    caplog.set_level(logging.INFO)
+
+    async def scenario(table, follower, _seen):
+        table.hangs = True
+        table.put("a", 7)
+        follower.hear(table.newest)
+        await asyncio.sleep(1.5)
+
+    follow(scenario)
+    behind, read = [
+        record.event_fields
+        for record in caplog.records
+        if record.getMessage() in ("table-behind", "table-read")
+    ][-2:]
+    assert (behind["call"], behind["bytes"]) == ("follow", 0)
+    assert behind["age_s"] == pytest.approx(0.6, abs=0.05)
+    assert (read["call"], read["rows"]) == ("read", 1)
