--- a/packages/router/tests/test_direct_views.py
+++ b/packages/router/tests/test_direct_views.py
@@ -20,24 +20,27 @@
         self.hangs = False
         self.problem = None
         self.reads = 0
+        self.load_s = 0.004
 
     async def read(self, progress):
         self.reads += 1
-        await asyncio.sleep(0.004)
-        if self.problem is not None:
-            return self.problem
-        return _direct_ports.Changes(
-            dict(self.values), self.version, self.newest
-        )
+        return await self._load(progress)
 
     async def follow(self, version, progress):
         while self.hangs or (version >= self.version and not self.problem):
             await asyncio.sleep(0.05)
-        if self.problem is not None:
-            return self.problem
-        return _direct_ports.Changes(
+        return await self._load(progress)
+
+    async def _load(self, progress):
+        """Answers with what there is now, in ten parts."""
+        problem = self.problem
+        answer = _direct_ports.Changes(
             dict(self.values), self.version, self.newest
         )
+        for _ in range(10):
+            await asyncio.sleep(self.load_s / 10)
+            progress.note(1, asyncio.get_running_loop().time())
+        return problem or answer
 
     def put(self, key, value):
         self.version += 1
@@ -79,6 +82,44 @@
     follow(scenario)
 
 
+async def tell_of_newest(table, follower, seconds):
+    """Tells a follower what others have, four times a second."""
+    for _ in range(round(seconds / 0.25)):
+        follower.hear(table.newest)
+        await asyncio.sleep(0.25)
+
+
+@pytest.mark.parametrize("load_s", [0.8, 2.0, 6.0])
+def test_a_long_change_arrives_while_others_have_it(load_s):
+    """Guards against a long desired state that is loaded anew for ever."""
+
+    async def scenario(table, follower, seen):
+        table.load_s = load_s
+        table.put("a", 7)
+        await tell_of_newest(table, follower, load_s + 1.0)
+        assert seen == {"a": 7}
+        assert table.reads == 1
+
+    follow(scenario)
+
+
+@pytest.mark.parametrize("load_s", [0.8, 2.0])
+def test_a_long_read_arrives_while_others_know_more(load_s):
+    """Guards against the same after a start, with changes all the while."""
+
+    async def scenario(table, follower, seen):
+        table.load_s = load_s
+        table.hangs = True
+        for value in range(8):
+            table.put("a", value)
+            await tell_of_newest(table, follower, 0.5)
+        table.hangs = False
+        await tell_of_newest(table, follower, 3 * load_s + 1.0)
+        assert seen == {"a": 7}
+
+    follow(scenario)
+
+
 def test_a_call_that_hangs_is_given_up_when_the_store_is_back():
     """As hunted: the store never answers the calls of before its outage."""
 
--- a/packages/standins/sycamoreloft_standins/rows.py
+++ b/packages/standins/sycamoreloft_standins/rows.py
@@ -35,6 +35,10 @@
     loses_answers: bool = False
     #: Seconds added to each answer.
     delay_s: float = 0.0
+    #: Bytes of an answer that are sent at once, 0 for all of them.
+    part_bytes: int = 0
+    #: Seconds between two parts of an answer.
+    part_pause_s: float = 0.0
 
 
 class RowStore:
@@ -47,6 +51,8 @@
         self.oldest = 0
         self.faults = RowFaults()
         self.calls: dict[str, int] = {}
+        #: Calls whose callers still wait, by name.
+        self.waiting: list[str] = []
         self._changed = asyncio.Event()
 
     def put(self, table: str, key: str, value: bytes | None) -> None:
@@ -152,11 +158,38 @@
     async def prepare(self) -> None:
         name = self.request.path.rpartition("/")[2]
         self.store.calls[name] = self.store.calls.get(name, 0) + 1
+        self._waiting = name
+        self.store.waiting.append(name)
         await asyncio.sleep(self.store.faults.delay_s)
         if self.store.faults.status:
             self.set_status(self.store.faults.status)
             self.finish()
 
+    async def answer(self, fields: dict[str, typing.Any]) -> None:
+        """Sends an answer, in parts if the faults say so."""
+        faults = self.store.faults
+        body = json.dumps(fields).encode()
+        self.set_header("Content-Type", "application/json")
+        self.set_header("Content-Length", len(body))
+        step = faults.part_bytes or len(body)
+        for start in range(0, len(body), step):
+            if start:
+                await asyncio.sleep(faults.part_pause_s)
+            self.write(body[start : start + step])
+            await self.flush()
+        self.finish()
+
+    def on_finish(self) -> None:
+        self._leave()
+
+    def on_connection_close(self) -> None:
+        self._leave()
+
+    def _leave(self) -> None:
+        if self._waiting:
+            self.store.waiting.remove(self._waiting)
+            self._waiting = ""
+
 
 class _TransactionHandler(_Handler):
     """POST rows-tx."""
@@ -178,7 +211,7 @@
             self.get_query_argument("from", ""),
             int(self.get_query_argument("limit", str(_PAGE_ROWS))),
         )
-        self.finish(
+        await self.answer(
             {"rows": rows, "hasMore": has_more, **self.store.describe()}
         )
 
@@ -197,7 +230,7 @@
             self.set_status(410)
             self.finish()
             return
-        self.finish({"rows": rows, **self.store.describe()})
+        await self.answer({"rows": rows, **self.store.describe()})
 
 
 def serve(store: RowStore) -> tuple[tornado.httpserver.HTTPServer, str]:
