End calls by silence and size, and close those that are given up

Cause, two parts of one: the adapter had no hold on a call under way. It ended each call after 1.5 s in all, however much of the answer was still coming; and a call that was given up was shielded and loaded on in the background, beside the call that replaced it.

Change: a call client on the upstream client, whose transfers can be cancelled. A call that is cancelled closes its connection. Only idempotent calls may be sent again by libcurl; a conditional write may not.

Why it works: progress is what tells a slow answer from none, and a closed connection is what keeps its bytes off the link.

--- a/packages/router/sycamoreloft_router/__init__.py
+++ b/packages/router/sycamoreloft_router/__init__.py
@@ -4,6 +4,13 @@
 public here; see docs/decisions/platform.md.
 """
 
+from sycamoreloft_router._call_client import (
+    NO_ANSWER,
+    Call,
+    CallAnswer,
+    CallClient,
+    CallLimits,
+)
 from sycamoreloft_router._connection_rules import limit_silence
 from sycamoreloft_router._direct_host import RELOADABLE, DirectHost
 from sycamoreloft_router._direct_ports import (
@@ -27,7 +34,12 @@
 from sycamoreloft_router._supervisor import SupervisorFailed
 
 __all__ = [
+    "NO_ANSWER",
     "RELOADABLE",
+    "Call",
+    "CallAnswer",
+    "CallClient",
+    "CallLimits",
     "CallProgress",
     "Changes",
     "DirectHost",
--- a/packages/router/sycamoreloft_router/_answer_heads.py
+++ b/packages/router/sycamoreloft_router/_answer_heads.py
@@ -16,7 +16,8 @@
 class AnswerRules:
     """What the upstreams' protocol says of answers."""
 
-    #: Lower-case name of the header that repeats the attempt's identifier.
+    #: Lower-case name of the header that repeats the attempt's identifier;
+    #: empty if the protocol has none.
     echo_header: bytes = ECHO_HEADER
     #: Whether an answer may end with its connection.
     accepts_unframed: bool = False
--- /dev/null
+++ b/packages/router/sycamoreloft_router/_call_client.py
@@ -0,0 +1,175 @@
+"""Short HTTP calls with a bounded answer, and real cancellation.
+
+A long answer on a slow link takes a while; that is no reason to end a call as
+long as more of it arrives. What ends a call is silence, or more bytes than
+any answer has.
+"""
+
+import asyncio
+from collections import abc
+import dataclasses
+
+from sycamoreloft_router import (
+    _answer_heads,
+    _connection_rules,
+    _direct_ports,
+    _transfer_types,
+    _upstream_client,
+)
+
+#: Seconds without an acknowledgement after which a connection is given up.
+SILENCE_S = 2.0
+
+#: Status of a call that got no whole answer.
+NO_ANSWER = 599
+
+#: Connections to one address; libcurl takes 0 for any number.
+_ANY_NUMBER = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallLimits:
+    """When a call is ended without its answer."""
+
+    #: Seconds until the answer's body begins.
+    first_byte_s: float
+    #: Seconds between two parts of the body.
+    silence_s: float
+    #: Seconds in all: an answer that comes a byte at a time ends as well.
+    whole_s: float
+    #: Longest body, in bytes.
+    body_bytes: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """One call."""
+
+    #: Address of the server, as "ip:port".
+    address: str
+    #: HTTP method.
+    method: str
+    #: Path and query.
+    target: str
+    #: When the call is ended without its answer.
+    limits: CallLimits
+    #: Body, None for a call without one.
+    body: bytes | None = None
+    #: Whether it may reach the server twice: a kept connection may break
+    #: before the answer.
+    is_idempotent: bool = True
+    #: Header lines without line ends.
+    header_lines: abc.Sequence[bytes] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallAnswer:
+    """How a call ended."""
+
+    #: Status of the answer, `NO_ANSWER` if none came whole.
+    status: int
+    #: Body of the answer.
+    body: bytes = b""
+    #: Lower-case names of headers and their values.
+    headers: abc.Mapping[str, str] = dataclasses.field(default_factory=dict)
+    #: What went wrong; empty if nothing.
+    error: str = ""
+
+
+class CallClient:
+    """Makes calls; create it inside the running loop.
+
+    Args:
+        connect_timeout_s: Seconds within which a connection must be made.
+    """
+
+    def __init__(self, connect_timeout_s: float) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._client = _upstream_client.UpstreamClient(
+            force_instance=True,
+            connections_per_upstream=_ANY_NUMBER,
+            rules=_connection_rules.ConnectionRules(
+                _answer_heads.AnswerRules(
+                    echo_header=b"", accepts_unframed=True
+                ),
+                connect_timeout_s,
+                assumes_echo=True,
+                silence_s=SILENCE_S,
+            ),
+        )
+
+    async def make(
+        self, call: Call, progress: _direct_ports.CallProgress
+    ) -> CallAnswer:
+        """Makes a call; if it is cancelled, its connection is closed.
+
+        Args:
+            call: The call.
+            progress: Is told of each part of the answer.
+        """
+        transfer = self._client.start(
+            _transfer_types.UpstreamRequest(
+                call.address,
+                call.method,
+                call.target,
+                [b"Expect:", *call.header_lines],
+                call.body,
+                len(call.body or b""),
+                call.limits.whole_s,
+                attempt="",
+                may_resend=call.is_idempotent,
+            )
+        )
+        try:
+            return await self._load(transfer, call.limits, progress)
+        finally:
+            if not transfer.ended:
+                transfer.cancel()
+
+    def close(self) -> None:
+        """Ends all calls and closes all connections."""
+        self._client.close()
+
+    async def _load(
+        self,
+        transfer: _upstream_client.Transfer,
+        limits: CallLimits,
+        progress: _direct_ports.CallProgress,
+    ) -> CallAnswer:
+        """Collects the answer."""
+        chunks: list[bytes] = []
+        size = 0
+        limit_s = limits.first_byte_s
+        while True:
+            try:
+                async with asyncio.timeout(limit_s):
+                    await transfer.wait(1)
+            except TimeoutError:
+                return CallAnswer(
+                    NO_ANSWER, error=f"nothing arrived for {limit_s} s"
+                )
+            chunk = transfer.take()
+            if chunk:
+                chunks.append(chunk)
+                size += len(chunk)
+                progress.note(len(chunk), self._loop.time())
+                limit_s = limits.silence_s
+            if size > limits.body_bytes:
+                return CallAnswer(
+                    NO_ANSWER,
+                    error=f"the answer has over {limits.body_bytes} bytes",
+                )
+            if transfer.ended:
+                return _build_answer(transfer, b"".join(chunks))
+
+
+def _build_answer(
+    transfer: _upstream_client.Transfer, body: bytes
+) -> CallAnswer:
+    if transfer.failure is not None:
+        return CallAnswer(NO_ANSWER, error=transfer.failure.text)
+    headers = {
+        name.decode("latin1"): line.partition(b":")[2].strip().decode("latin1")
+        for name, line in reversed(transfer.head.lines)
+    }
+    return CallAnswer(transfer.head.status, body, headers)
--- a/packages/router/sycamoreloft_router/_transfer_types.py
+++ b/packages/router/sycamoreloft_router/_transfer_types.py
@@ -61,3 +61,6 @@
     attempt: str
     #: Time on the clock of the event loop after which nothing may be sent.
     send_by: float = math.inf
+    #: Whether libcurl may send the request again by itself, on another
+    #: connection, when a kept one breaks before the answer.
+    may_resend: bool = False
--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -264,14 +264,19 @@
     def _on_connection(self, *_addresses: typing.Any) -> int:
         # libcurl sends a request again by itself when a reused connection
         # breaks before the answer. The upstream may have run it by then, so
-        # the second connection of a transfer is refused.
+        # the second connection of a transfer is refused, unless the request
+        # may run twice.
         transfer = self.transfer
-        if transfer is None or transfer.started:
+        if transfer is None or (
+            transfer.started and not transfer.request.may_resend
+        ):
             return int(pycurl.PREREQFUNC_ABORT)
         if transfer.check_expired():
             return int(pycurl.PREREQFUNC_ABORT)
         transfer.started = True
-        transfer.head.needs_echo = not self.is_connection_new
+        transfer.head.needs_echo = (
+            bool(self.rules.answers.echo_header) and not self.is_connection_new
+        )
         return int(pycurl.PREREQFUNC_OK)
 
     def _on_header(self, line: bytes) -> int | None:
@@ -474,6 +479,7 @@
         return (
             _transfer_types.Failure(_KIND.BROKEN, problem) if problem else None
         )
+    message = message or f"libcurl ended the transfer with error {error}"
     if transfer.started:
         kind = _KIND.BROKEN
         if error == pycurl.E_OPERATION_TIMEDOUT:
--- /dev/null
+++ b/packages/router/tests/test_call_client.py
@@ -0,0 +1,170 @@
+"""Short calls: answers that are long, stuck or without end."""
+
+import asyncio
+
+import pytest
+import raw_peers
+
+from sycamoreloft_router import _call_client, _direct_ports
+
+#: Limits of the calls here; the silence is far longer than any pause.
+LIMITS = _call_client.CallLimits(5.0, 5.0, 20.0, 1 << 20)
+
+#: Bytes that a peer may have written when its call is over: the limits above
+#: and what the buffers of the system hold.
+MOST_BYTES = 32 << 20
+
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+CHUNK = b"2000\r\n" + b"x" * 8192 + b"\r\n"
+
+
+@pytest.fixture
+def call():
+    """Runs a scenario with a raw server and a function that calls it."""
+
+    def run_scenario(scenario, script):
+        async def main():
+            client = _call_client.CallClient(1.0)
+
+            async def make(upstream, limits=LIMITS):
+                progress = _direct_ports.CallProgress(0.0)
+                return await client.make(
+                    _call_client.Call(
+                        upstream.address, "POST", "/order", limits, b"{}"
+                    ),
+                    progress,
+                )
+
+            try:
+                async with (
+                    asyncio.timeout(40),
+                    raw_peers.RawUpstream(script) as upstream,
+                ):
+                    await scenario(upstream, make)
+            finally:
+                client.close()
+
+        asyncio.run(main())
+
+    return run_scenario
+
+
+class EndlessScript:
+    """Writes the same bytes until the caller closes."""
+
+    def __init__(self, start, piece):
+        self._start = start
+        self._piece = piece
+        self.written = 0
+
+    async def __call__(self, _request, writer, _reader):
+        writer.write(self._start)
+        while True:
+            writer.write(self._piece)
+            await writer.drain()
+            self.written += len(self._piece)
+
+
+@pytest.mark.parametrize(
+    ("start", "piece"),
+    [
+        (b"", b"x" * 8192),
+        (b"", b"x\r\n" * 2048),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 300),
+        (OK, b"x" * 8192),
+        (OK, b"X-More: 1\r\n" * 700),
+        (OK + b"X-More: ", b"1" * 8192),
+        (CHUNKED, CHUNK),
+        (CHUNKED + b"0\r\n", b"X-More: 1\r\n" * 700),
+        (CHUNKED, b"1" * 8192),
+        (OK + b"Content-Length: 99999999999\r\n\r\n", b"x" * 8192),
+        (OK + b"Connection: close\r\n\r\n", b"x" * 8192),
+    ],
+    ids=[
+        "noise",
+        "lines",
+        "interim-answers",
+        "line-in-head",
+        "headers",
+        "long-header",
+        "chunks",
+        "trailers",
+        "chunk-size",
+        "length",
+        "until-close",
+    ],
+)
+def test_an_answer_without_end_is_given_up(call, start, piece):
+    """Guards against answers that fill the memory until the time is over."""
+    script = EndlessScript(start, piece)
+
+    async def scenario(upstream, make):
+        answer = await make(upstream)
+        assert answer.status == _call_client.NO_ANSWER
+        assert answer.error
+        await raw_peers.wait_until(lambda: upstream.closed == 1)
+        assert script.written < MOST_BYTES
+
+    call(scenario, script)
+
+
+def test_bytes_after_a_whole_answer_reach_no_other_call(call):
+    """Guards against noise after an answer that is taken for the next one."""
+    script = EndlessScript(raw_peers.answer(b"first"), b"x" * 8192)
+
+    async def scenario(upstream, make):
+        for _ in range(2):
+            answer = await make(upstream)
+            assert (answer.status, answer.body) == (200, b"first")
+        await raw_peers.wait_until(lambda: upstream.closed == 2)
+
+    call(scenario, script)
+
+
+def test_an_answer_that_stops_midway_is_given_up(call):
+    """Guards against calls that wait for a silenced connection."""
+
+    async def script(_request, writer, reader):
+        writer.write(OK + b"Content-Length: 10\r\n\r\nhalf")
+        await reader.read()
+
+    async def scenario(upstream, make):
+        limits = _call_client.CallLimits(5.0, 0.2, 20.0, 100)
+        answer = await make(upstream, limits)
+        assert answer.status == _call_client.NO_ANSWER
+        await raw_peers.wait_until(lambda: upstream.closed == 1)
+
+    call(scenario, script)
+
+
+def test_a_cancelled_call_closes_its_connection(call):
+    """Guards against answers that load on after nobody waits for them."""
+
+    async def script(_request, _writer, reader):
+        await reader.read()
+
+    async def scenario(upstream, make):
+        task = asyncio.create_task(make(upstream))
+        await raw_peers.wait_until(lambda: upstream.requests)
+        task.cancel()
+        await raw_peers.wait_until(lambda: upstream.closed == 1)
+
+    call(scenario, script)
+
+
+def test_an_answer_without_body_has_its_headers(call):
+    """Guards against handovers that get lost."""
+
+    async def script(_request, writer, _reader):
+        writer.write(raw_peers.answer(b"", headers=b"Lease-Handover: h1\r\n"))
+        await writer.drain()
+
+    async def scenario(upstream, make):
+        for _ in range(2):
+            answer = await make(upstream)
+            assert answer.status == 200
+            assert answer.headers["lease-handover"] == "h1"
+        assert upstream.connections == 1
+
+    call(scenario, script)
