--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -29,6 +29,7 @@
     _settings_watch,
     _store_witness,
     _supervisor,
+    _table_follower,
     _upstream_client,
 )
 
@@ -140,7 +141,7 @@
             guard=self.crash_guard,
         )
         #: Follows the desired state.
-        self.state_follower = _direct_views.TableFollower(
+        self.state_follower = _table_follower.TableFollower(
             "states",
             platform.states,
             self._take_states,
@@ -148,7 +149,7 @@
             self._choose_spread_s,
         )
         #: Follows the upstreams.
-        self.upstream_follower = _direct_views.TableFollower(
+        self.upstream_follower = _table_follower.TableFollower(
             "upstreams",
             platform.upstreams,
             self._take_all_upstreams,
