Give up only calls from which nothing has come

Cause: a host that heard of a newer version gave its call up after 0.5 s, whatever it was doing, and began again from nothing. A state of 379 KB loads in 0.63 to 0.77 s on such a link. Class: a limit on elapsed time ends work that makes progress, and it starts over.

Change: only a call that waits for changes and has got no byte is given up. One that loads is left alone, and a full read follows it if one is due; a read that is silent ends by the call client's limit.

Why it works: an answer that is arriving is the newest that this host can get at that speed; the one after it is asked for right away.

--- a/packages/router/sycamoreloft_router/_table_follower.py
+++ b/packages/router/sycamoreloft_router/_table_follower.py
@@ -20,9 +20,9 @@
 #: table is read again. Each change wakes every host, and calls are limited.
 COLLECT_S = 0.4
 
-#: Seconds after which a host that heard of a newer version reads the table
-#: again: longer than it collects changes, and well within the bounds for
-#: desired states and leaving upstreams.
+#: Seconds after which a host that heard of a newer version, and got nothing
+#: from the store, reads the table again: longer than it collects changes, and
+#: well within the bounds for desired states and leaving upstreams.
 BEHIND_S = 0.5
 
 #: Seconds of loading an answer from which on it leaves a log line.
@@ -58,7 +58,11 @@
         self._on_read = on_read
         self._on_changes = on_changes
         self._failures = 0
+        #: Version up to which the changes are known.
         self._version = -1
+        #: Whether the next call reads the whole table.
+        self._must_read = True
+        self._is_reading = False
         self._call: asyncio.Task[typing.Any] | None = None
         self._progress = _direct_ports.CallProgress(0.0)
         self._behind: asyncio.TimerHandle | None = None
@@ -82,23 +86,22 @@
                 await self._handle_problem(answer)
                 continue
             self._note_answer()
-            is_read = self._version < 0
             self._version = answer.version
             self.newest = max(self.newest, answer.newest)
             read_at = asyncio.get_running_loop().time()
-            if is_read:
+            if self._is_reading:
                 self._on_read(answer.values)
             elif answer.values:
                 self._on_changes(answer.values)
-            self._log_read(answer, is_read, read_at)
-            if answer.values and not is_read:
+            self._log_read(answer, read_at)
+            if answer.values and not self._is_reading:
                 await asyncio.sleep(COLLECT_S + self._spread_s())
 
     def hear(self, newest: int) -> None:
         """Takes the version that another host has.
 
-        If this host does not have it soon, its call hangs: it is given up,
-        and the table is read again.
+        If the store says nothing to this host for a while, the call that
+        waits for changes hangs: it is given up, and the table is read again.
         """
         if newest <= self.newest or self._behind is not None:
             return
@@ -111,15 +114,14 @@
         The store may never answer it; and what lapsed meanwhile may come
         back, as after a loss that this host noticed itself.
         """
-        if self._call is None or self._version < 0:
+        if self._call is None or self._is_reading:
             return
         self.returned_at = asyncio.get_running_loop().time()
-        self._version = -1
-        self._call.cancel()
+        self._read_again()
 
     def _check_behind(self, newest: int) -> None:
         self._behind = None
-        if newest <= self.newest or self._call is None:
+        if newest <= self.newest or self._call is None or self._is_loading:
             return
         _logs.log_event(
             _LOGGER,
@@ -128,21 +130,34 @@
             table=self._name,
             newest=self.newest,
             heard=newest,
-            call="read" if self._version < 0 else "follow",
             age_s=round(
                 asyncio.get_running_loop().time() - self._progress.began_at, 3
             ),
-            bytes=self._progress.bytes,
         )
-        self._version = -1
-        self._call.cancel()
+        self._read_again()
+
+    @property
+    def _is_loading(self) -> bool:
+        """Whether the store is answering: silence ends such a call by itself.
+
+        An answer to a read that is late is no different, since a new read
+        would have to wait as long.
+        """
+        return self._is_reading or self._progress.bytes > 0
+
+    def _read_again(self) -> None:
+        """Lets a full read follow the present call, at once if it is silent."""
+        self._must_read = True
+        if self._call is not None and not self._is_loading:
+            self._call.cancel()
 
     async def _ask(self) -> typing.Any:
         """Reads or follows the table; a call that is behind is repeated."""
         while True:
             loop = asyncio.get_running_loop()
             self._progress = _direct_ports.CallProgress(loop.time())
-            if self._version < 0:
+            self._is_reading, self._must_read = self._must_read, False
+            if self._is_reading:
                 call = self._table.read(self._progress)
             else:
                 call = self._table.follow(self._version, self._progress)
@@ -155,13 +170,12 @@
     def _log_read(
         self,
         answer: _direct_ports.Changes[typing.Any],
-        is_read: bool,
         read_at: float,
     ) -> None:
         """Tells how long each part of a full or slow read took."""
         progress = self._progress
         loading_s = progress.last_at - progress.first_at
-        if not is_read and loading_s < SLOW_LOAD_S:
+        if not self._is_reading and loading_s < SLOW_LOAD_S:
             return
         now = asyncio.get_running_loop().time()
         _logs.log_event(
@@ -169,7 +183,7 @@
             logging.INFO,
             "table-read",
             table=self._name,
-            call="read" if is_read else "follow",
+            call="read" if self._is_reading else "follow",
             newest=self.newest,
             rows=len(answer.values),
             bytes=progress.bytes,
@@ -184,10 +198,10 @@
             _logs.log_event(
                 _LOGGER, logging.WARNING, "history-lost", table=self._name
             )
-            self._version = -1
+            self._must_read = True
             return
         # A full read answers at once, which tells when the store is back.
-        self._version = -1
+        self._must_read = True
         self._failures += 1
         if self._failures == FAILURES_TO_LOSE:
             _logs.log_event(
