--- a/packages/router/sycamoreloft_router/__init__.py
+++ b/packages/router/sycamoreloft_router/__init__.py
@@ -11,7 +11,6 @@
     CallClient,
     CallLimits,
 )
-from sycamoreloft_router._connection_rules import limit_silence
 from sycamoreloft_router._direct_host import RELOADABLE, DirectHost
 from sycamoreloft_router._direct_ports import (
     CallProgress,
@@ -58,7 +57,6 @@
     "Watched",
     "WriteOutcome",
     "WriteResult",
-    "limit_silence",
     "log_event",
     "set_up_logging",
 ]
