--- a/packages/standins/sycamoreloft_standins/rows.py
+++ b/packages/standins/sycamoreloft_standins/rows.py
@@ -206,9 +206,11 @@
     """GET rows-get."""
 
     async def get(self) -> None:
+        # tornado's own reader of arguments takes control characters out.
+        start = self.request.query_arguments.get("from", [b""])[0].decode()
         rows, has_more = self.store.list_rows(
             self.get_query_argument("table"),
-            self.get_query_argument("from", ""),
+            start,
             int(self.get_query_argument("limit", str(_PAGE_ROWS))),
         )
         await self.answer(
