Bound what an upstream may answer to a grant in the permit mode

What callers saw: nothing; the same fault as with orders on the platform, found by looking for it elsewhere.

Cause: the permit mode's grant client collected whatever came for 0.35 s.

Change: it uses the call client, and the progress of a call gets a module of its own, since both modes use it. Grants are idempotent: the same call again renews.

--- a/packages/router/sycamoreloft_router/__init__.py
+++ b/packages/router/sycamoreloft_router/__init__.py
@@ -11,9 +11,9 @@
     CallClient,
     CallLimits,
 )
+from sycamoreloft_router._call_progress import CallProgress
 from sycamoreloft_router._direct_host import RELOADABLE, DirectHost
 from sycamoreloft_router._direct_ports import (
-    CallProgress,
     Changes,
     HeaderNames,
     HostSettings,
--- a/packages/router/sycamoreloft_router/_call_client.py
+++ b/packages/router/sycamoreloft_router/_call_client.py
@@ -11,8 +11,8 @@
 
 from sycamoreloft_router import (
     _answer_heads,
+    _call_progress,
     _connection_rules,
-    _direct_ports,
     _transfer_types,
     _upstream_client,
 )
@@ -99,7 +99,7 @@
         )
 
     async def make(
-        self, call: Call, progress: _direct_ports.CallProgress
+        self, call: Call, progress: _call_progress.CallProgress
     ) -> CallAnswer:
         """Makes a call; if it is cancelled, its connection is closed.
 
@@ -134,7 +134,7 @@
         self,
         transfer: _upstream_client.Transfer,
         limits: CallLimits,
-        progress: _direct_ports.CallProgress,
+        progress: _call_progress.CallProgress,
     ) -> CallAnswer:
         """Collects the answer."""
         chunks: list[bytes] = []
--- a/packages/router/sycamoreloft_router/_direct_ports.py
+++ b/packages/router/sycamoreloft_router/_direct_ports.py
@@ -10,6 +10,7 @@
 import typing
 
 import sycamoreloft_direct
+from sycamoreloft_router import _call_progress
 
 Value = typing.TypeVar("Value", covariant=True)
 
@@ -35,42 +36,16 @@
     newest: int = 0
 
 
-class CallProgress:
-    """What has arrived of the answer to one call; the caller may look.
-
-    Args:
-        now: Time at which the call begins, on the clock of the event loop.
-    """
-
-    __slots__ = ("began_at", "bytes", "first_at", "last_at")
-
-    def __init__(self, now: float) -> None:
-        #: When the call began.
-        self.began_at = now
-        #: Bytes of the answer so far.
-        self.bytes = 0
-        #: When the first of them arrived; 0 before that.
-        self.first_at = 0.0
-        #: When the last of them so far arrived.
-        self.last_at = 0.0
-
-    def note(self, size: int, now: float) -> None:
-        """Notes that a part of the answer arrived."""
-        self.first_at = self.first_at or now
-        self.last_at = now
-        self.bytes += size
-
-
 class Watched(typing.Protocol[Value]):
     """A table that others write and this process follows."""
 
     async def read(
-        self, progress: CallProgress
+        self, progress: _call_progress.CallProgress
     ) -> Changes[Value] | ReadProblem:
         """Reads all entries."""
 
     async def follow(
-        self, version: int, progress: CallProgress
+        self, version: int, progress: _call_progress.CallProgress
     ) -> Changes[Value] | ReadProblem:
         """Waits for changes after a version.
 
--- a/packages/router/sycamoreloft_router/_grant_client.py
+++ b/packages/router/sycamoreloft_router/_grant_client.py
@@ -1,23 +1,26 @@
 """Sends grants to upstreams."""
 
+import asyncio
 import dataclasses
 import hashlib
 import hmac
 import json
 import typing
 
-from tornado import curl_httpclient, httpclient
-
 import sycamoreloft_config
 import sycamoreloft_decisions
-from sycamoreloft_router import _traffic
+from sycamoreloft_router import _call_client, _call_progress, _traffic
 
 #: Time for one call, in seconds. It is shorter than two renewal periods, so
 #: that a frozen upstream is noticed before its grant has ended.
 CALL_TIMEOUT_S = 0.35
 
-#: Calls at once from one host.
-MAXIMUM_CALLS = 64
+#: Longest answer to a grant, in bytes.
+ANSWER_BYTES = 65_536
+
+_LIMITS = _call_client.CallLimits(
+    CALL_TIMEOUT_S, CALL_TIMEOUT_S, CALL_TIMEOUT_S, ANSWER_BYTES
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,9 +51,7 @@
 
     def __init__(self, key: sycamoreloft_config.Secret) -> None:
         self._key = key
-        self._client = curl_httpclient.CurlAsyncHTTPClient(
-            force_instance=True, max_clients=MAXIMUM_CALLS
-        )
+        self._client = _call_client.CallClient(CALL_TIMEOUT_S)
         #: Bytes of grants and their answers.
         self.traffic = _traffic.Traffic()
 
@@ -65,28 +66,25 @@
         signature = hmac.new(
             self._key.secret.encode(), body, hashlib.sha256
         ).hexdigest()
-        request = httpclient.HTTPRequest(
-            f"http://{address}/_sycamoreloft/grant",
-            method="POST",
-            body=body,
-            headers={
-                "Content-Type": "application/json",
-                "Expect": "",
-                "Sycamoreloft-Signature": f"{self._key.id}:{signature}",
-            },
-            connect_timeout=CALL_TIMEOUT_S,
-            request_timeout=CALL_TIMEOUT_S,
+        answer = await self._client.make(
+            _call_client.Call(
+                address,
+                "POST",
+                "/_sycamoreloft/grant",
+                _LIMITS,
+                body,
+                header_lines=(
+                    b"Content-Type: application/json",
+                    b"Sycamoreloft-Signature: "
+                    + f"{self._key.id}:{signature}".encode(),
+                ),
+            ),
+            _call_progress.CallProgress(asyncio.get_running_loop().time()),
         )
-        try:
-            response = await self._client.fetch(request, raise_error=False)
-        except (OSError, httpclient.HTTPError):
-            # The curl client raises errors of the connection even when it
-            # is told not to raise for statuses.
-            return None
-        self.traffic.count_http(len(body), len(response.body or b""))
-        if response.code != 200:
+        self.traffic.count_http(len(body), len(answer.body))
+        if answer.status != 200:
             return None
-        return _decode_reply(response.body)
+        return _decode_reply(answer.body)
 
     def close(self) -> None:
         """Closes idle connections."""
--- a/packages/router/sycamoreloft_router/_table_follower.py
+++ b/packages/router/sycamoreloft_router/_table_follower.py
@@ -5,7 +5,7 @@
 import logging
 import typing
 
-from sycamoreloft_router import _direct_ports, _logs
+from sycamoreloft_router import _call_progress, _direct_ports, _logs
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -64,7 +64,7 @@
         self._must_read = True
         self._is_reading = False
         self._call: asyncio.Task[typing.Any] | None = None
-        self._progress = _direct_ports.CallProgress(0.0)
+        self._progress = _call_progress.CallProgress(0.0)
         self._behind: asyncio.TimerHandle | None = None
         #: Version of the newest entry that was read.
         self.newest = 0
@@ -155,7 +155,7 @@
         """Reads or follows the table; a call that is behind is repeated."""
         while True:
             loop = asyncio.get_running_loop()
-            self._progress = _direct_ports.CallProgress(loop.time())
+            self._progress = _call_progress.CallProgress(loop.time())
             self._is_reading, self._must_read = self._must_read, False
             if self._is_reading:
                 call = self._table.read(self._progress)
--- a/packages/router/tests/test_call_client.py
+++ b/packages/router/tests/test_call_client.py
@@ -5,7 +5,7 @@
 import pytest
 import raw_peers
 
-from sycamoreloft_router import _call_client, _direct_ports
+from sycamoreloft_router import _call_client, _call_progress
 
 #: Limits of the calls here; the silence is far longer than any pause.
 LIMITS = _call_client.CallLimits(5.0, 5.0, 20.0, 1 << 20)
@@ -28,7 +28,7 @@
             client = _call_client.CallClient(1.0)
 
             async def make(upstream, limits=LIMITS):
-                progress = _direct_ports.CallProgress(0.0)
+                progress = _call_progress.CallProgress(0.0)
                 return await client.make(
                     _call_client.Call(
                         upstream.address, "POST", "/order", limits, b"{}"
