Tell hosts what changed in the map of keys, not the whole map

What callers saw: nothing traced to it.

Cause: each change of the map went whole to every host, with each heartbeat until the host had reported it.

Change: heartbeats carry the changes since the map that the host reported; it gets the whole map only if the coordinator does not know that one any more. Both sides keep their last 32 maps. An order of epoch and revision names one map only, since each attempt to record raises the revision.

Why it works: a host applies changes only to the very map they start from, and otherwise says what it has.

--- a/packages/direct/sycamoreloft_direct/__init__.py
+++ b/packages/direct/sycamoreloft_direct/__init__.py
@@ -4,6 +4,13 @@
 """
 
 from sycamoreloft_direct._crash_guard import CrashGuard, identify_request
+from sycamoreloft_direct._key_changes import (
+    KeyChanges,
+    apply_changes,
+    decode_changes,
+    encode_changes,
+    find_changes,
+)
 from sycamoreloft_direct._key_commands import (
     Command,
     GrantResult,
@@ -51,6 +58,7 @@
     "DesiredState",
     "GrantResult",
     "HoldTimes",
+    "KeyChanges",
     "KeyCoordinator",
     "KeyLoad",
     "KeyMap",
@@ -68,8 +76,12 @@
     "UpstreamRecord",
     "UpstreamRun",
     "WriteMap",
+    "apply_changes",
     "create_unowned",
+    "decode_changes",
     "decode_key_map",
+    "encode_changes",
     "encode_key_map",
+    "find_changes",
     "identify_request",
 ]
--- a/packages/router/sycamoreloft_router/_coordinator_duty.py
+++ b/packages/router/sycamoreloft_router/_coordinator_duty.py
@@ -351,14 +351,26 @@
             store_age_s,
             self._guard.list_stopped(loop_time),
         )
-        full = dataclasses.replace(
-            short, key_map=sycamoreloft_direct.encode_key_map(key_map)
-        )
+        beats = {order: short}
         for address, host in list(self._hosts.items()):
             if now > host.reported_at + FORGET_HOST_S:
                 del self._hosts[address]
                 continue
-            self._socket.send(short if host.order == order else full, address)
+            if host.order not in beats:
+                beats[host.order] = self._add_map(short, host.order)
+            self._socket.send(beats[host.order], address)
+
+    def _add_map(
+        self, beat: _direct_peers.Heartbeat, known: tuple[int, int]
+    ) -> _direct_peers.Heartbeat:
+        """Adds to a heartbeat what a host lacks that has another map."""
+        changes = self._directory.encode_since(known)
+        if changes:
+            return dataclasses.replace(beat, key_changes=changes)
+        return dataclasses.replace(
+            beat,
+            key_map=sycamoreloft_direct.encode_key_map(self._directory.key_map),
+        )
 
     # Datagrams.
 
@@ -386,20 +398,19 @@
             self._ask_at = 0.0
             self._coordinator_address = None
             return
-        if message.key_map:
-            try:
-                key_map = sycamoreloft_direct.decode_key_map(message.key_map)
-            except ValueError as error:
-                _logs.log_event(
-                    _LOGGER,
-                    logging.WARNING,
-                    "datagram-ignored",
-                    peer=sender[0],
-                    error=str(error),
-                )
-                return
-            if self._directory.take(key_map):
-                self._report_at = 0.0
+        try:
+            is_newer = self._take_owners(message)
+        except ValueError as error:
+            _logs.log_event(
+                _LOGGER,
+                logging.WARNING,
+                "datagram-ignored",
+                peer=sender[0],
+                error=str(error),
+            )
+            return
+        if is_newer:
+            self._report_at = 0.0
         self._heard_at = self._clock()
         self._coordinator_address = sender
         self._on_hosts(message.hosts)
@@ -408,6 +419,20 @@
         self._guard.take_stopped(message.stopped, loop_time)
         self._directory.take_notice(message.epoch, message.moving, loop_time)
 
+    def _take_owners(self, message: _direct_peers.Heartbeat) -> bool:
+        """Takes the map of a heartbeat, and tells whether it is newer.
+
+        Raises:
+            ValueError: It is malformed, or changes another map.
+        """
+        if message.key_changes:
+            return self._directory.take_changes(message.key_changes)
+        if not message.key_map:
+            return False
+        return self._directory.take(
+            sycamoreloft_direct.decode_key_map(message.key_map)
+        )
+
     def _receive_report(
         self, message: _direct_peers.Report, sender: _direct_peers.Address
     ) -> None:
--- a/packages/router/sycamoreloft_router/_direct_peers.py
+++ b/packages/router/sycamoreloft_router/_direct_peers.py
@@ -18,7 +18,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 #: Version of the encoding; other versions are ignored.
-_VERSION = 2
+_VERSION = 3
 
 #: Longest datagram that is read, in bytes.
 MAXIMUM_DATAGRAM_BYTES = 60_000
@@ -60,8 +60,11 @@
     store_age_s: float = 3600.0
     #: Requests that crash upstreams and must not be sent.
     stopped: tuple[int, ...] = ()
-    #: The recorded map, encoded; empty if the receiver has it.
+    #: The recorded map, encoded; empty if the receiver needs less.
     key_map: bytes = b""
+    #: What changed since the receiver's map, encoded; empty if it needs
+    #: nothing or the whole map.
+    key_changes: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,6 +104,7 @@
             message.store_age_s,
             message.stopped,
             message.key_map,
+            message.key_changes,
         )
     else:
         fields = (
@@ -125,7 +129,7 @@
             return None
         if kind == "heartbeat":
             epoch, revision, is_leaving, moving, seen, *rest = fields
-            hosts, store_age_s, stopped, key_map = rest
+            hosts, store_age_s, stopped, key_map, key_changes = rest
             return Heartbeat(
                 int(epoch),
                 int(revision),
@@ -136,6 +140,7 @@
                 float(store_age_s),
                 tuple(map(int, stopped)),
                 bytes(key_map),
+                bytes(key_changes),
             )
         host, epoch, revision, seen, requests, answers, crashes = fields
         return Report(
--- a/packages/router/sycamoreloft_router/_key_directory.py
+++ b/packages/router/sycamoreloft_router/_key_directory.py
@@ -11,6 +11,11 @@
 NOTICE_S = 1.2
 
 
+#: Earlier maps that a host keeps: those that others may have, or that changes
+#: under way apply to.
+KEPT_MAPS = 32
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class MovingKeys:
     """Keys whose owner is giving them up at present."""
@@ -29,6 +34,7 @@
     def __init__(self) -> None:
         #: The map.
         self.key_map = sycamoreloft_direct.KeyMap(0, 0, {})
+        self._earlier: dict[tuple[int, int], sycamoreloft_direct.KeyMap] = {}
         self._moving: tuple[MovingKeys, ...] = ()
         self._moving_epoch = 0
         self._notice_until = 0.0
@@ -38,10 +44,47 @@
         """Takes a map; an older one is ignored."""
         if key_map.order <= self.key_map.order:
             return False
+        self._earlier[self.key_map.order] = self.key_map
+        if len(self._earlier) > KEPT_MAPS:
+            del self._earlier[min(self._earlier)]
         self.key_map = key_map
         self._wake()
         return True
 
+    def encode_since(self, order: tuple[int, int]) -> bytes:
+        """Encodes what changed since the map of another host.
+
+        Args:
+            order: Epoch and revision of its map.
+
+        Returns:
+            The changes; nothing if they are not known.
+        """
+        old = self._earlier.get(order)
+        changes = (
+            sycamoreloft_direct.find_changes(old, self.key_map)
+            if old is not None
+            else None
+        )
+        if changes is None:
+            return b""
+        return sycamoreloft_direct.encode_changes(changes)
+
+    def take_changes(self, data: bytes) -> bool:
+        """Takes the changes since a map that this host has, or had.
+
+        Returns:
+            Whether the map is a newer one now.
+
+        Raises:
+            ValueError: The changes are malformed, or for another map.
+        """
+        changes = sycamoreloft_direct.decode_changes(data)
+        if changes.order <= self.key_map.order:
+            return False
+        base = self._earlier.get(changes.base, self.key_map)
+        return self.take(sycamoreloft_direct.apply_changes(base, changes))
+
     def take_notice(
         self,
         epoch: int,
--- a/packages/router/tests/test_direct_peers.py
+++ b/packages/router/tests/test_direct_peers.py
@@ -22,6 +22,7 @@
     0.25,
     (2**64 - 1, 5),
     b"map",
+    b"changes",
 )
 
 REPORT = _direct_peers.Report(
