Replace a coordinator that the store no longer answers

Nobody took its place, since it went on sending heartbeats. At 13.7 s its first fresh heartbeat told all hosts that the store was back. Hosts that had been cut off read a table without 24 upstreams that had left since 4.0 s, took them for lapsed by the outage, and kept them in use for the 2.2 s in which lapsed entries may come back: edge-kicukiro-16 until 16.03 s.

Cause: a hint from one host that is cut off was taken for the state of the store.

Change: heartbeats that tell of no answer for 2.5 s do not keep others from asking the store; a host takes over if it sees the ended lease not renewed for 2 s (so that an outage for all changes no coordinator). The successor tells its predecessor, which ends its duty and names the hosts that reported to it, so that those which miss the store hear the successor, and with it that the store answers.

Why it works: taking over was always safe, by the lease on the store's clock, the new epoch's tokens, and the wait for what the earlier coordinator may still renew; only nobody asked.

--- a/packages/router/sycamoreloft_router/_coordinator_duty.py
+++ b/packages/router/sycamoreloft_router/_coordinator_duty.py
@@ -12,6 +12,7 @@
     _direct_peers,
     _direct_ports,
     _direct_views,
+    _host_roster,
     _key_directory,
     _logs,
     _metrics,
@@ -32,24 +33,23 @@
 #: Seconds without a heartbeat after which a host asks the store.
 HEARTBEAT_LOST_S = 1.1
 
+#: Seconds since the store answered the coordinator from which on hosts that
+#: reach the store take its place: its lease has ended by then.
+BLIND_COORDINATOR_S = 2.5
+
+#: Seconds for which a host watches the ended lease of such a coordinator: if
+#: the store was away for all, the coordinator renews it within this time.
+CONFIRM_BLIND_S = 2.0
+
+#: Factor for the time until a host asks again that did not reach the store
+#: itself, while the coordinator still renews the leases of keys.
+BLIND_ASK_FACTOR = 4.0
+
 #: Seconds between two such questions, at least and at most: hosts that lost
 #: the coordinator together do not ask together.
 LEAST_ASK_S = 0.25
 MOST_ASK_S = 1.2
 
-#: Seconds after which a host that reported nothing gets no heartbeats.
-FORGET_HOST_S = 10.0
-
-
-@dataclasses.dataclass(slots=True)
-class _KnownHost:
-    """A host that reports to the coordinator."""
-
-    #: When it reported last, on the boot clock.
-    reported_at: float
-    #: Order of the map that it has.
-    order: tuple[int, int]
-
 
 class Freshness:
     """How new this host's copies of the platform's tables are."""
@@ -120,9 +120,12 @@
             settings.peer_address, self.receive
         )
         self._tenure: _tenure.Tenure | None = None
-        self._hosts: dict[_direct_peers.Address, _KnownHost] = {}
+        self._roster = _host_roster.HostRoster(self._socket, directory)
         self._coordinator_address: _direct_peers.Address | None = None
         self._heard_at = -1e9
+        self._blind_heard_at = -1e9
+        self._ended_version = -1
+        self._ended_since = 0.0
         self._ask_at = 0.0
         self._beat_at = 0.0
         self._report_at = 0.0
@@ -166,8 +169,7 @@
         beat = _direct_peers.Heartbeat(
             tenure.epoch, tenure.key_map.revision, True, (), self._seen()
         )
-        for address in self._hosts:
-            self._socket.send(beat, address)
+        self._roster.tell_leaving(beat)
 
     def close(self) -> None:
         """Closes the socket."""
@@ -187,10 +189,11 @@
             and now > self._heard_at + HEARTBEAT_LOST_S
             and now >= self._ask_at
         ):
-            await self._ask(now)
-            self._ask_at = self._clock() + self._generator.uniform(
-                LEAST_ASK_S, MOST_ASK_S
-            )
+            reached = await self._ask(now)
+            pause_s = self._generator.uniform(LEAST_ASK_S, MOST_ASK_S)
+            if not reached and self._hears_blind(now):
+                pause_s *= BLIND_ASK_FACTOR
+            self._ask_at = self._clock() + pause_s
 
     def _has_sharded(self) -> bool:
         return bool(self._list_sharded())
@@ -207,11 +210,15 @@
 
     # Becoming the coordinator.
 
-    async def _ask(self, now: float) -> None:
-        """Asks the store who is the coordinator, and takes over if nobody."""
+    async def _ask(self, now: float) -> bool:
+        """Asks the store who is the coordinator, and takes over if nobody.
+
+        Returns:
+            Whether the store answered.
+        """
         records = await self._platform.records.read()
         if isinstance(records, _direct_ports.ReadProblem):
-            return
+            return False
         reference = _coordinator_lease.ClockReference(now, records.clock_s)
         lease_record = records.records.get(_coordinator_lease.LEASE_KEY)
         map_record = records.records.get(_coordinator_lease.MAP_KEY)
@@ -230,7 +237,11 @@
                     lease.peer_address
                 )
                 self._report()
-                return
+                return True
+            if self._hears_blind(now) and not self._is_confirmed(
+                lease_record.version, now
+            ):
+                return True
         await self._take_over(
             reference,
             lease,
@@ -238,6 +249,18 @@
             lease_record.version if lease_record else 0,
             map_record.version if map_record else 0,
         )
+        return True
+
+    def _hears_blind(self, now: float) -> bool:
+        """Tells whether a coordinator without the store is there."""
+        return now <= self._blind_heard_at + HEARTBEAT_LOST_S
+
+    def _is_confirmed(self, version: int, now: float) -> bool:
+        """Tells whether an ended lease was not renewed for a while."""
+        if version != self._ended_version:
+            self._ended_version = version
+            self._ended_since = now
+        return now >= self._ended_since + CONFIRM_BLIND_S
 
     async def _take_over(
         self,
@@ -287,6 +310,10 @@
             self._take_map,
         )
         self._coordinator_address = None
+        if lease is not None and not lease.is_resigned:
+            # It may be there still, and know hosts that miss the store.
+            before = _direct_peers.parse_address(lease.peer_address)
+            self._roster.add((before,), self._clock())
         self._directory.take(new_map)
         self._beat_at = 0.0
         _logs.log_event(
@@ -338,11 +365,11 @@
         order = key_map.order
         loop_time = asyncio.get_running_loop().time()
         self._directory.take_notice(key_map.epoch, self._moving, loop_time)
-        count = len(self._hosts) + 1
+        count = len(self._roster.addresses) + 1
         store_age_s = tenure.read_store_age(now)
         self._on_hosts(count)
         self._on_store_age(store_age_s)
-        short = _direct_peers.Heartbeat(
+        beat = _direct_peers.Heartbeat(
             *order,
             False,
             self._moving,
@@ -351,26 +378,7 @@
             store_age_s,
             self._guard.list_stopped(loop_time),
         )
-        beats = {order: short}
-        for address, host in list(self._hosts.items()):
-            if now > host.reported_at + FORGET_HOST_S:
-                del self._hosts[address]
-                continue
-            if host.order not in beats:
-                beats[host.order] = self._add_map(short, host.order)
-            self._socket.send(beats[host.order], address)
-
-    def _add_map(
-        self, beat: _direct_peers.Heartbeat, known: tuple[int, int]
-    ) -> _direct_peers.Heartbeat:
-        """Adds to a heartbeat what a host lacks that has another map."""
-        changes = self._directory.encode_since(known)
-        if changes:
-            return dataclasses.replace(beat, key_changes=changes)
-        return dataclasses.replace(
-            beat,
-            key_map=sycamoreloft_direct.encode_key_map(self._directory.key_map),
-        )
+        self._roster.tell(beat, now)
 
     # Datagrams.
 
@@ -381,6 +389,8 @@
         self._on_seen(message.seen)
         if isinstance(message, _direct_peers.Report):
             self._receive_report(message, sender)
+        elif isinstance(message, _direct_peers.Introduction):
+            self._receive_introduction(message)
         elif message.epoch >= self._directory.key_map.epoch:
             self._receive_heartbeat(message, sender)
 
@@ -390,9 +400,9 @@
         sender: _direct_peers.Address,
     ) -> None:
         if self._tenure is not None:
-            if message.epoch > self._tenure.epoch:
-                self._tenure.end("superseded")
-            return
+            if message.epoch <= self._tenure.epoch:
+                return
+            self._yield_to(sender)
         if message.is_leaving:
             self._heard_at = -1e9
             self._ask_at = 0.0
@@ -411,7 +421,10 @@
             return
         if is_newer:
             self._report_at = 0.0
-        self._heard_at = self._clock()
+        if message.store_age_s > BLIND_COORDINATOR_S:
+            self._blind_heard_at = self._clock()
+        else:
+            self._heard_at = self._clock()
         self._coordinator_address = sender
         self._on_hosts(message.hosts)
         self._on_store_age(message.store_age_s)
@@ -419,6 +432,28 @@
         self._guard.take_stopped(message.stopped, loop_time)
         self._directory.take_notice(message.epoch, message.moving, loop_time)
 
+    def _yield_to(self, successor: _direct_peers.Address) -> None:
+        """Ends the own duty because another host has it by now."""
+        if self._tenure is not None:
+            self._tenure.end("superseded")
+            self._tenure = None
+        hosts = tuple(
+            item for item in self._roster.addresses if item != successor
+        )
+        self._roster.clear()
+        self._socket.send(
+            _direct_peers.Introduction(self._seen(), hosts), successor
+        )
+
+    def _receive_introduction(
+        self, message: _direct_peers.Introduction
+    ) -> None:
+        """Tells hosts of another coordinator that this host replaced it."""
+        if self._tenure is None:
+            return
+        self._roster.add(message.hosts, self._clock())
+        self._beat_at = 0.0
+
     def _take_owners(self, message: _direct_peers.Heartbeat) -> bool:
         """Takes the map of a heartbeat, and tells whether it is newer.
 
@@ -439,11 +474,8 @@
         tenure = self._tenure
         if tenure is None:
             return
-        now = self._clock()
-        known = self._hosts.get(sender)
         order = (message.epoch, message.revision)
-        self._hosts[sender] = _KnownHost(now, order)
-        if known is None:
+        if self._roster.note_report(sender, order, self._clock()):
             self._beat_at = 0.0
         tenure.take_observations(message)
         self._guard.take_report(
--- a/packages/router/sycamoreloft_router/_direct_peers.py
+++ b/packages/router/sycamoreloft_router/_direct_peers.py
@@ -86,7 +86,20 @@
     crashes: abc.Mapping[int, int] = dataclasses.field(default_factory=dict)
 
 
-Datagram = Heartbeat | Report
+@dataclasses.dataclass(frozen=True, slots=True)
+class Introduction:
+    """A coordinator that was replaced tells its successor of the hosts.
+
+    Hosts that do not reach the store hear of the successor in no other way.
+    """
+
+    #: What the sender has read of the platform's tables.
+    seen: SeenVersions
+    #: Addresses of the hosts that reported to the sender.
+    hosts: tuple[Address, ...]
+
+
+Datagram = Heartbeat | Report | Introduction
 
 
 def encode(message: Datagram) -> bytes:
@@ -106,6 +119,13 @@
             message.key_map,
             message.key_changes,
         )
+    elif isinstance(message, Introduction):
+        fields = (
+            _VERSION,
+            "introduction",
+            dataclasses.astuple(message.seen),
+            message.hosts,
+        )
     else:
         fields = (
             _VERSION,
@@ -142,6 +162,12 @@
                 bytes(key_map),
                 bytes(key_changes),
             )
+        if kind == "introduction":
+            seen, hosts = fields
+            return Introduction(
+                SeenVersions(*map(int, seen)),
+                tuple((str(ip), int(port)) for ip, port in hosts),
+            )
         host, epoch, revision, seen, requests, answers, crashes = fields
         return Report(
             str(host),
--- /dev/null
+++ b/packages/router/tests/test_blind_coordinator.py
@@ -0,0 +1,66 @@
+"""A coordinator that is cut off from a store which others reach."""
+
+import asyncio
+
+import key_world
+import pytest
+import virtual_time
+
+import sycamoreloft_direct
+
+#: Seconds within which a host that reaches the store has to take over. The
+#: coordinator itself gives up after 12 s, and cuts take some seconds.
+TAKEOVER_S = 8.0
+
+
+def find_coordinator(world):
+    return next(
+        host for host in world.hosts.values() if host.duty.is_coordinator
+    )
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_blind_coordinator_is_replaced_also_for_hosts_that_are_cut(seed):
+    """Guards against hosts that take the coordinator's cut for an outage."""
+
+    async def main():
+        world = key_world.World(seed, hosts=5)
+        await asyncio.sleep(6.0)
+        blind = find_coordinator(world)
+        epoch = blind.duty._tenure.epoch
+        others = [item for item in world.hosts.values() if item is not blind]
+        cut = others[0]
+        blind.cut_from_store = cut.cut_from_store = True
+        ages = []
+        cut.duty._on_store_age = ages.append
+        await asyncio.sleep(TAKEOVER_S)
+        ages.clear()
+        await asyncio.sleep(2.0)
+        assert not blind.duty.is_coordinator
+        assert find_coordinator(world).duty._tenure.epoch > epoch
+        assert ages, "the cut host hears nobody"
+        assert max(ages) < 1.0, "the cut host takes the store for away"
+        world.calm()
+        await asyncio.sleep(6.0)
+        assert not world.problems, world.problems[:3]
+        assert world.count_served() == sycamoreloft_direct.KEY_COUNT
+
+    virtual_time.run(main())
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_coordinator_keeps_its_duty_through_an_outage_for_all(seed):
+    """Guards against a new coordinator at each return of the store."""
+
+    async def main():
+        world = key_world.World(seed, hosts=5)
+        await asyncio.sleep(6.0)
+        coordinator = find_coordinator(world)
+        world.store.down = True
+        await asyncio.sleep(8.0)
+        world.store.down = False
+        await asyncio.sleep(4.0)
+        assert find_coordinator(world) is coordinator
+        assert not world.problems, world.problems[:3]
+
+    virtual_time.run(main())
