Give the bid for the coordinator's duty a module of its own

The bid asks the store, watches ended leases and takes the records, and answers with a typed outcome; the duty acts on it.

--- /dev/null
+++ b/packages/router/sycamoreloft_router/_coordinator_bid.py
@@ -0,0 +1,165 @@
+"""Asks the store who is the coordinator, and takes the duty if nobody is."""
+
+from collections import abc
+import dataclasses
+
+import sycamoreloft_direct
+from sycamoreloft_router import _coordinator_lease, _direct_ports, _tenure
+
+#: Seconds for which a host watches the ended lease of a coordinator that
+#: still sends heartbeats: if the store was away for all, the coordinator
+#: renews the lease within this time.
+CONFIRM_BLIND_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unreached:
+    """The store did not answer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deferred:
+    """The duty is another host's, or may be."""
+
+    #: The map of keys as it is recorded.
+    key_map: sycamoreloft_direct.KeyMap
+    #: Address of the coordinator, as "ip:port"; empty if it is not sure.
+    peer_address: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Won:
+    """This host is the coordinator now."""
+
+    #: The map of keys as it was recorded before.
+    key_map: sycamoreloft_direct.KeyMap
+    #: The records that it wrote.
+    taken: _tenure.TakenRecords
+    #: Lease of the coordinator before, None for the first one.
+    before: _coordinator_lease.Lease | None
+
+
+Outcome = Unreached | Deferred | Won
+
+
+class CoordinatorBid:
+    """Bids for the duty, and remembers which ended lease it watches.
+
+    Args:
+        settings: Settings of the host.
+        records: Records of the store.
+        blind_s: Seconds for which a coordinator renews leases of keys without
+            the store.
+        clock: Clock that also runs while the host is suspended, in seconds.
+    """
+
+    def __init__(
+        self,
+        settings: _direct_ports.HostSettings,
+        records: _direct_ports.RecordStore,
+        blind_s: float,
+        clock: abc.Callable[[], float],
+    ) -> None:
+        self._settings = settings
+        self._records = records
+        self._blind_s = blind_s
+        self._clock = clock
+        self._ended_version = -1
+        self._ended_since = 0.0
+
+    async def make(self, hears_blind: bool) -> Outcome:
+        """Asks the store, and takes the duty if it is nobody's.
+
+        Args:
+            hears_blind: Whether a coordinator is there that the store does
+                not answer.
+        """
+        now = self._clock()
+        records = await self._records.read()
+        if isinstance(records, _direct_ports.ReadProblem):
+            return Unreached()
+        lease_record = records.records.get(_coordinator_lease.LEASE_KEY)
+        map_record = records.records.get(_coordinator_lease.MAP_KEY)
+        key_map = sycamoreloft_direct.KeyMap(0, 0, {})
+        if map_record is not None:
+            key_map = sycamoreloft_direct.decode_key_map(map_record.value)
+        lease: _coordinator_lease.Lease | None = None
+        if lease_record is not None:
+            lease = _coordinator_lease.decode_lease(lease_record.value)
+            if (
+                lease.expires_at > records.clock_s
+                and lease.peer_address != self._settings.peer_address
+            ):
+                return Deferred(key_map, lease.peer_address)
+            if hears_blind and not self._is_confirmed(
+                lease_record.version, now
+            ):
+                return Deferred(key_map)
+        versions = {
+            _coordinator_lease.LEASE_KEY: lease_record.version
+            if lease_record
+            else 0,
+            _coordinator_lease.MAP_KEY: map_record.version if map_record else 0,
+        }
+        reference = _coordinator_lease.ClockReference(now, records.clock_s)
+        return await self._take(reference, lease, key_map, versions)
+
+    def _is_confirmed(self, version: int, now: float) -> bool:
+        """Tells whether an ended lease was not renewed for a while."""
+        if version != self._ended_version:
+            self._ended_version = version
+            self._ended_since = now
+        return now >= self._ended_since + CONFIRM_BLIND_S
+
+    async def _take(
+        self,
+        reference: _coordinator_lease.ClockReference,
+        before: _coordinator_lease.Lease | None,
+        key_map: sycamoreloft_direct.KeyMap,
+        versions: abc.Mapping[str, int],
+    ) -> Outcome:
+        epoch = max(before.epoch if before else 0, key_map.epoch) + 1
+        sent_at = self._clock()
+        lease = _coordinator_lease.Lease(
+            self._settings.name,
+            self._settings.peer_address,
+            epoch,
+            reference.estimate(sent_at) + _coordinator_lease.LEASE_S,
+            self._find_earlier_until(before),
+        )
+        new_map = dataclasses.replace(key_map, epoch=epoch, revision=1)
+        outcome = await self._records.write(
+            {
+                _coordinator_lease.LEASE_KEY: _coordinator_lease.encode_lease(
+                    lease
+                ),
+                # Writing the map as well makes writes of an earlier
+                # coordinator fail that are still on their way.
+                _coordinator_lease.MAP_KEY: sycamoreloft_direct.encode_key_map(
+                    new_map
+                ),
+            },
+            versions,
+        )
+        if outcome.result is not _direct_ports.WriteResult.WRITTEN:
+            return Deferred(key_map)
+        return Won(
+            key_map,
+            _tenure.TakenRecords(
+                lease, new_map, outcome.version, reference, sent_at
+            ),
+            before,
+        )
+
+    def _find_earlier_until(
+        self, lease: _coordinator_lease.Lease | None
+    ) -> float:
+        """Returns until when, on the store's clock, others may renew keys."""
+        if lease is None:
+            return 0.0
+        # An earlier process at this host's own address is not running.
+        if lease.is_resigned or (
+            lease.peer_address == self._settings.peer_address
+        ):
+            return lease.earlier_until
+        return max(lease.earlier_until, lease.expires_at + self._blind_s)
--- a/packages/router/sycamoreloft_router/_coordinator_duty.py
+++ b/packages/router/sycamoreloft_router/_coordinator_duty.py
@@ -2,12 +2,12 @@
 
 import asyncio
 from collections import abc
-import dataclasses
 import logging
 import random
 
 import sycamoreloft_direct
 from sycamoreloft_router import (
+    _coordinator_bid,
     _coordinator_lease,
     _direct_peers,
     _direct_ports,
@@ -37,10 +37,6 @@
 #: reach the store take its place: its lease has ended by then.
 BLIND_COORDINATOR_S = 2.5
 
-#: Seconds for which a host watches the ended lease of such a coordinator: if
-#: the store was away for all, the coordinator renews it within this time.
-CONFIRM_BLIND_S = 2.0
-
 #: Factor for the time until a host asks again that did not reach the store
 #: itself, while the coordinator still renews the leases of keys.
 BLIND_ASK_FACTOR = 4.0
@@ -121,11 +117,12 @@
         )
         self._tenure: _tenure.Tenure | None = None
         self._roster = _host_roster.HostRoster(self._socket, directory)
+        self._bid = _coordinator_bid.CoordinatorBid(
+            settings, platform.records, self._times.blind_s, clock
+        )
         self._coordinator_address: _direct_peers.Address | None = None
         self._heard_at = -1e9
         self._blind_heard_at = -1e9
-        self._ended_version = -1
-        self._ended_since = 0.0
         self._ask_at = 0.0
         self._beat_at = 0.0
         self._report_at = 0.0
@@ -189,9 +186,10 @@
             and now > self._heard_at + HEARTBEAT_LOST_S
             and now >= self._ask_at
         ):
-            reached = await self._ask(now)
+            hears_blind = now <= self._blind_heard_at + HEARTBEAT_LOST_S
+            reached = await self._ask(hears_blind)
             pause_s = self._generator.uniform(LEAST_ASK_S, MOST_ASK_S)
-            if not reached and self._hears_blind(now):
+            if hears_blind and not reached:
                 pause_s *= BLIND_ASK_FACTOR
             self._ask_at = self._clock() + pause_s
 
@@ -210,141 +208,70 @@
 
     # Becoming the coordinator.
 
-    async def _ask(self, now: float) -> bool:
+    async def _ask(self, hears_blind: bool) -> bool:
         """Asks the store who is the coordinator, and takes over if nobody.
 
+        Args:
+            hears_blind: Whether a coordinator is there that the store does
+                not answer.
+
         Returns:
             Whether the store answered.
         """
-        records = await self._platform.records.read()
-        if isinstance(records, _direct_ports.ReadProblem):
+        outcome = await self._bid.make(hears_blind)
+        if isinstance(outcome, _coordinator_bid.Unreached):
             return False
-        reference = _coordinator_lease.ClockReference(now, records.clock_s)
-        lease_record = records.records.get(_coordinator_lease.LEASE_KEY)
-        map_record = records.records.get(_coordinator_lease.MAP_KEY)
-        key_map = sycamoreloft_direct.KeyMap(0, 0, {})
-        if map_record is not None:
-            key_map = sycamoreloft_direct.decode_key_map(map_record.value)
-            self._directory.take(key_map)
-        lease: _coordinator_lease.Lease | None = None
-        if lease_record is not None:
-            lease = _coordinator_lease.decode_lease(lease_record.value)
-            if (
-                lease.expires_at > records.clock_s
-                and lease.peer_address != self._settings.peer_address
-            ):
-                self._coordinator_address = _direct_peers.parse_address(
-                    lease.peer_address
-                )
-                self._report()
-                return True
-            if self._hears_blind(now) and not self._is_confirmed(
-                lease_record.version, now
-            ):
-                return True
-        await self._take_over(
-            reference,
-            lease,
-            key_map,
-            lease_record.version if lease_record else 0,
-            map_record.version if map_record else 0,
-        )
+        self._directory.take(outcome.key_map)
+        if isinstance(outcome, _coordinator_bid.Won):
+            self._begin(outcome)
+            return True
+        if outcome.peer_address:
+            self._coordinator_address = _direct_peers.parse_address(
+                outcome.peer_address
+            )
+            self._report()
         return True
 
-    def _hears_blind(self, now: float) -> bool:
-        """Tells whether a coordinator without the store is there."""
-        return now <= self._blind_heard_at + HEARTBEAT_LOST_S
-
-    def _is_confirmed(self, version: int, now: float) -> bool:
-        """Tells whether an ended lease was not renewed for a while."""
-        if version != self._ended_version:
-            self._ended_version = version
-            self._ended_since = now
-        return now >= self._ended_since + CONFIRM_BLIND_S
-
-    async def _take_over(
-        self,
-        reference: _coordinator_lease.ClockReference,
-        lease: _coordinator_lease.Lease | None,
-        key_map: sycamoreloft_direct.KeyMap,
-        lease_version: int,
-        map_version: int,
-    ) -> None:
-        epoch = max(lease.epoch if lease else 0, key_map.epoch) + 1
-        sent_at = self._clock()
-        taken = _coordinator_lease.Lease(
-            self._settings.name,
-            self._settings.peer_address,
-            epoch,
-            reference.estimate(sent_at) + _coordinator_lease.LEASE_S,
-            self._find_earlier_until(lease),
-        )
-        new_map = dataclasses.replace(key_map, epoch=epoch, revision=1)
-        outcome = await self._platform.records.write(
-            {
-                _coordinator_lease.LEASE_KEY: _coordinator_lease.encode_lease(
-                    taken
-                ),
-                # Writing the map as well makes writes of an earlier
-                # coordinator fail that are still on their way.
-                _coordinator_lease.MAP_KEY: sycamoreloft_direct.encode_key_map(
-                    new_map
-                ),
-            },
-            {
-                _coordinator_lease.LEASE_KEY: lease_version,
-                _coordinator_lease.MAP_KEY: map_version,
-            },
-        )
-        if outcome.result is not _direct_ports.WriteResult.WRITTEN:
-            return
+    def _begin(self, won: _coordinator_bid.Won) -> None:
+        """Begins to act as the coordinator."""
+        taken, before = won.taken, won.before
         self._tenure = _tenure.Tenure(
             self._platform,
             self._upstreams,
             self._metrics,
-            _tenure.TakenRecords(
-                taken, new_map, outcome.version, reference, sent_at
-            ),
+            taken,
             self._times,
             self._clock,
             self._take_map,
         )
         self._coordinator_address = None
-        if lease is not None and not lease.is_resigned:
+        if before is not None and not before.is_resigned:
             # It may be there still, and know hosts that miss the store.
-            before = _direct_peers.parse_address(lease.peer_address)
-            self._roster.add((before,), self._clock())
-        self._directory.take(new_map)
+            self._roster.add(
+                (_direct_peers.parse_address(before.peer_address),),
+                self._clock(),
+            )
+        self._directory.take(taken.key_map)
         self._beat_at = 0.0
         _logs.log_event(
             _LOGGER,
             logging.INFO,
             "coordinator-began",
-            epoch=epoch,
-            before=lease.host if lease else "",
+            epoch=taken.lease.epoch,
+            before=before.host if before else "",
             earlier_s=round(
-                max(0.0, taken.earlier_until - reference.clock_s), 3
+                max(0.0, taken.lease.earlier_until - taken.reference.clock_s),
+                3,
+            ),
+            ranges=sum(
+                len(keys.ranges) for keys in taken.key_map.services.values()
             ),
-            ranges=sum(len(k.ranges) for k in new_map.services.values()),
         )
 
     def _take_map(self, key_map: sycamoreloft_direct.KeyMap) -> None:
         self._directory.take(key_map)
         self._beat_at = 0.0
 
-    def _find_earlier_until(
-        self, lease: _coordinator_lease.Lease | None
-    ) -> float:
-        """Returns until when, on the store's clock, others may renew keys."""
-        if lease is None:
-            return 0.0
-        # An earlier process at this host's own address is not running.
-        if lease.is_resigned or (
-            lease.peer_address == self._settings.peer_address
-        ):
-            return lease.earlier_until
-        return max(lease.earlier_until, lease.expires_at + self._times.blind_s)
-
     def _act(self, tenure: _tenure.Tenure, now: float) -> None:
         """Acts as the coordinator, and tells the other hosts."""
         tenure.act(now, self._list_sharded())
