Let operators' files load as long as they keep coming

Cause: every call to the store ended after 1.0 s in all. A file of operators that takes longer to load or to store never arrived, however often it was asked for.

Change: calls that move an object end after 1 s without a byte, or 30 s in all; calls of the table, whose rows are small, keep their limit.

Evidence: test_a_long_file_that_keeps_coming_is_awaited (200 KB over 2 s) failed before and passes; a file that stops coming is given up.

Why it works: libcurl ends a transfer by its speed, and not by its length.

--- a/packages/router/sycamoreloft_router/_store_client.py
+++ b/packages/router/sycamoreloft_router/_store_client.py
@@ -7,6 +7,7 @@
 import typing
 import uuid
 
+import pycurl
 from returns import result
 from tornado import curl_httpclient, httpclient
 
@@ -15,6 +16,12 @@
 #: Time for one call, in seconds.
 CALL_TIMEOUT_S = 1.0
 
+#: Time for loading or storing an object, in seconds.
+OBJECT_TIMEOUT_S = 30.0
+
+#: Time without a byte after which such a call ends, in whole seconds.
+OBJECT_SILENCE_S = 1
+
 #: Calls at once from one host.
 MAXIMUM_CALLS = 16
 
@@ -102,15 +109,32 @@
         self.call_counts = {"read": 0, "write": 0, "failed": 0}
 
     async def _fetch(
-        self, method: str, url: str, body: bytes | None
+        self,
+        method: str,
+        url: str,
+        body: bytes | None,
+        is_object: bool = False,
     ) -> httpclient.HTTPResponse | None:
+        """Makes a call.
+
+        Args:
+            method: HTTP method.
+            url: Where to.
+            body: Body, None for a call without one.
+            is_object: Whether an object is moved, which may take long: the
+                call ends by silence.
+
+        Returns:
+            The answer, None if the service did not give one.
+        """
         request = httpclient.HTTPRequest(
             url,
             method=method,
             body=body,
             headers={"Sycamoreloft-Host": self._host, "Expect": ""},
             connect_timeout=CALL_TIMEOUT_S,
-            request_timeout=CALL_TIMEOUT_S,
+            request_timeout=OBJECT_TIMEOUT_S if is_object else CALL_TIMEOUT_S,
+            prepare_curl_callback=_end_by_silence if is_object else None,
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
@@ -192,7 +216,7 @@
         name = hashlib.sha256(data).hexdigest()
         self.call_counts["write"] += 1
         response = await self._fetch(
-            "PUT", f"{self._addresses.object_url}/objects/{name}", data
+            "PUT", f"{self._addresses.object_url}/objects/{name}", data, True
         )
         if response is None or response.code >= 300:
             return result.Failure(StoreUnavailable(name, "put object"))
@@ -204,7 +228,7 @@
         """Returns the text of an object and checks it against its name."""
         self.call_counts["read"] += 1
         response = await self._fetch(
-            "GET", f"{self._addresses.object_url}/objects/{name}", None
+            "GET", f"{self._addresses.object_url}/objects/{name}", None, True
         )
         if response is None or response.code != 200:
             return result.Failure(StoreUnavailable("", "get object"))
@@ -234,3 +258,8 @@
     def close(self) -> None:
         """Closes idle connections."""
         self._client.close()
+
+
+def _end_by_silence(curl: pycurl.Curl) -> None:
+    curl.setopt(pycurl.LOW_SPEED_LIMIT, 1)
+    curl.setopt(pycurl.LOW_SPEED_TIME, OBJECT_SILENCE_S)
--- /dev/null
+++ b/packages/router/tests/test_store_client.py
@@ -0,0 +1,69 @@
+"""Calls of the permit mode to the platform's services."""
+
+import asyncio
+import hashlib
+
+from returns import pipeline
+
+from sycamoreloft_router import _store_client
+
+#: A file of operators, and how much of it arrives at once.
+TEXT = "x" * 200_000
+PART_BYTES = 5_000
+PAUSE_S = 0.05
+
+
+def test_a_long_file_that_keeps_coming_is_awaited():
+    """Guards against accepted files that never arrive over slow links."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        data = TEXT.encode()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" % len(data))
+        writer.write(b"\r\n")
+        for start in range(0, len(data), PART_BYTES):
+            writer.write(data[start : start + PART_BYTES])
+            await asyncio.sleep(PAUSE_S)
+        writer.close()
+
+    async def main():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        ip, port = server.sockets[0].getsockname()
+        base = f"http://{ip}:{port}"
+        client = _store_client.StoreClient(
+            _store_client.StoreAddresses(base, base, base), "host-1"
+        )
+        read = await client.get_object(
+            hashlib.sha256(TEXT.encode()).hexdigest()
+        )
+        assert pipeline.is_successful(read), read.failure()
+        assert read.unwrap() == TEXT
+        client.close()
+        server.close()
+
+    asyncio.run(main())
+
+
+def test_a_file_that_stops_coming_is_given_up():
+    """Guards against files that are awaited on a silenced connection."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+        await reader.read()
+        writer.close()
+
+    async def main():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        ip, port = server.sockets[0].getsockname()
+        base = f"http://{ip}:{port}"
+        client = _store_client.StoreClient(
+            _store_client.StoreAddresses(base, base, base), "host-1"
+        )
+        async with asyncio.timeout(_store_client.OBJECT_TIMEOUT_S - 5):
+            read = await client.get_object("0" * 64)
+        assert not pipeline.is_successful(read)
+        client.close()
+        server.close()
+
+    asyncio.run(main())
