Give transfers to upstreams a module of their own

The transfer and the reasons of its failure moved; the transfer names what it needs of its client in a protocol.

--- a/packages/router/sycamoreloft_router/_attempts.py
+++ b/packages/router/sycamoreloft_router/_attempts.py
@@ -16,6 +16,7 @@
     _headers,
     _metrics,
     _transfer_types,
+    _transfers,
     _upstream_client,
 )
 import sycamoreloft_wire
@@ -126,7 +127,7 @@
         # A method of singledispatch is costly to look up, so that this is
         # done once for the attempt and not for each event.
         self._observe = machine.handle
-        self._transfer: _upstream_client.Transfer | None = None
+        self._transfer: _transfers.Transfer | None = None
         self._claim: sycamoreloft_wire.ClaimRequest | None = None
         self._claim_verdict = ""
         self._decision: sycamoreloft_decisions.Decision | None = None
@@ -253,7 +254,7 @@
         grant: sycamoreloft_wire.PermitGrant,
         send_by: float,
         now: float,
-    ) -> _upstream_client.Transfer:
+    ) -> _transfers.Transfer:
         given = self._given
         lines = _caller_requests.build_upstream_lines(
             given.request,
@@ -278,7 +279,7 @@
         )
         return self._transfer
 
-    def _note_sent(self, transfer: _upstream_client.Transfer) -> None:
+    def _note_sent(self, transfer: _transfers.Transfer) -> None:
         if transfer.started:
             body = self._given.body
             is_replayable = (
@@ -289,7 +290,7 @@
             self._handle(_SENT_REPLAYABLE if is_replayable else _SENT_ONCE)
 
     async def _pass_on(
-        self, transfer: _upstream_client.Transfer
+        self, transfer: _transfers.Transfer
     ) -> sycamoreloft_decisions.Decision:
         """Passes an answer on that is whole, or longer than the prefix."""
         head = transfer.head
@@ -315,7 +316,7 @@
 
     async def _stream(
         self,
-        transfer: _upstream_client.Transfer,
+        transfer: _transfers.Transfer,
         answer: _answers.UpstreamAnswer,
     ) -> sycamoreloft_decisions.Decision:
         sink = self._given.sink
--- a/packages/router/sycamoreloft_router/_call_client.py
+++ b/packages/router/sycamoreloft_router/_call_client.py
@@ -14,6 +14,7 @@
     _call_progress,
     _connection_rules,
     _transfer_types,
+    _transfers,
     _upstream_client,
 )
 
@@ -132,7 +133,7 @@
 
     async def _load(
         self,
-        transfer: _upstream_client.Transfer,
+        transfer: _transfers.Transfer,
         limits: CallLimits,
         progress: _call_progress.CallProgress,
     ) -> CallAnswer:
@@ -163,9 +164,7 @@
                 return _build_answer(transfer, b"".join(chunks))
 
 
-def _build_answer(
-    transfer: _upstream_client.Transfer, body: bytes
-) -> CallAnswer:
+def _build_answer(transfer: _transfers.Transfer, body: bytes) -> CallAnswer:
     if transfer.failure is not None:
         return CallAnswer(NO_ANSWER, error=transfer.failure.text)
     headers = {
--- a/packages/router/sycamoreloft_router/_crash_watch.py
+++ b/packages/router/sycamoreloft_router/_crash_watch.py
@@ -8,7 +8,7 @@
     _direct_services,
     _exchange,
     _logs,
-    _upstream_client,
+    _transfers,
 )
 
 _LOGGER = logging.getLogger(__name__)
@@ -47,7 +47,7 @@
     def take(
         self,
         result: sycamoreloft_direct.AttemptResult,
-        transfer: _upstream_client.Transfer | None,
+        transfer: _transfers.Transfer | None,
         now: float,
     ) -> None:
         """Takes how an attempt ended.
--- a/packages/router/sycamoreloft_router/_direct_logs.py
+++ b/packages/router/sycamoreloft_router/_direct_logs.py
@@ -6,7 +6,7 @@
 import typing
 
 import sycamoreloft_direct
-from sycamoreloft_router import _answers, _logs, _upstream_client
+from sycamoreloft_router import _answers, _logs, _transfers
 
 if typing.TYPE_CHECKING:
     # It logs rejected requests here.
@@ -25,7 +25,7 @@
     request: "_direct_requests.DirectRequest",
     upstream: sycamoreloft_direct.Upstream,
     result: sycamoreloft_direct.AttemptResult,
-    transfer: _upstream_client.Transfer | None,
+    transfer: _transfers.Transfer | None,
     map_order: tuple[int, int],
     elapsed_s: float,
 ) -> None:
--- a/packages/router/sycamoreloft_router/_direct_run.py
+++ b/packages/router/sycamoreloft_router/_direct_run.py
@@ -16,8 +16,8 @@
     _exchange,
     _headers,
     _transfer_types,
+    _transfers,
     _upstream_choice,
-    _upstream_client,
 )
 
 _KIND = _transfer_types.FailureKind
@@ -120,7 +120,7 @@
         self._sent_to: set[str] = set()
         self._stop_event: sycamoreloft_decisions.AttemptEvent | None = None
         self._task: asyncio.Task[None] | None = None
-        self._transfer: _upstream_client.Transfer | None = None
+        self._transfer: _transfers.Transfer | None = None
         self._tries = 0
 
     @property
@@ -253,7 +253,7 @@
 
     def _start(
         self, upstream: sycamoreloft_direct.Upstream, now: float
-    ) -> _upstream_client.Transfer:
+    ) -> _transfers.Transfer:
         request = self._request
         left_s = self._received.deadline - now
         self._choice.tried.append(upstream.id)
@@ -274,7 +274,7 @@
         return self._transfer
 
     def _classify(
-        self, transfer: _upstream_client.Transfer
+        self, transfer: _transfers.Transfer
     ) -> sycamoreloft_direct.AttemptResult:
         head = transfer.head
         if transfer.started:
@@ -313,7 +313,7 @@
         answering = head.find(name)
         return answering not in (b"", self._choice.tried[-1].encode("latin1"))
 
-    async def _pass_on(self, transfer: _upstream_client.Transfer) -> None:
+    async def _pass_on(self, transfer: _transfers.Transfer) -> None:
         head = transfer.head
         answer = _answers.UpstreamAnswer(
             head.status_line,
--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -18,10 +18,10 @@
 from tornado import curl_httpclient
 
 from sycamoreloft_router import (
-    _answer_heads,
     _body_streams,
     _connection_rules,
     _transfer_types,
+    _transfers,
 )
 
 #: Easy handles of each mode that are kept for the next requests.
@@ -46,122 +46,6 @@
     STREAM = 3
 
 
-class Transfer:
-    """One request to an upstream, and its answer as it arrives."""
-
-    __slots__ = (
-        "_client",
-        "_handle",
-        "_paused",
-        "_threshold",
-        "_waiter",
-        "body",
-        "ended",
-        "failure",
-        "head",
-        "is_connecting",
-        "is_expired",
-        "request",
-        "started",
-    )
-
-    def __init__(
-        self, client: "UpstreamClient", request: _transfer_types.UpstreamRequest
-    ) -> None:
-        self._client = client
-        self._handle: _Handle | None = None
-        self._paused = False
-        self._threshold = 0
-        self._waiter: asyncio.Future[None] | None = None
-        #: The request.
-        self.request = request
-        #: Status and headers of the answer.
-        self.head = _answer_heads.AnswerHead(
-            request.method, request.attempt, client.rules.answers
-        )
-        #: Part of the answer body that nobody has taken yet.
-        self.body = _body_streams.DownloadBuffer()
-        #: Whether a byte of the request may have reached the upstream. It is
-        #: set as soon as libcurl has a connection for the request.
-        self.started = False
-        #: Whether libcurl opened a socket for the transfer.
-        self.is_connecting = False
-        #: Whether the permit expired before a connection was ready.
-        self.is_expired = False
-        #: Whether no more of the answer will come.
-        self.ended = False
-        #: Why the answer is not whole; None as long as it may become whole.
-        self.failure: _transfer_types.Failure | None = None
-
-    @property
-    def connect_timeout_s(self) -> float:
-        """Seconds within which the connection must be made."""
-        return self._client.rules.connect_timeout_s
-
-    async def wait(self, size: int) -> None:
-        """Waits until the answer ended or `size` bytes of it are held."""
-        if self.ended or self.body.size >= size:
-            return
-        self._threshold = size
-        self._waiter = self._client.create_future()
-        try:
-            await self._waiter
-        finally:
-            self._waiter = None
-
-    def take(self) -> bytes:
-        """Takes the bytes that are held and lets libcurl continue."""
-        chunk = self.body.take_all()
-        if self._paused:
-            self._paused = False
-            self._client.resume(self._handle)
-        return chunk
-
-    def cancel(
-        self,
-        kind: _transfer_types.FailureKind = _KIND.CANCELLED,
-    ) -> None:
-        """Ends the transfer; libcurl closes its connection."""
-        if not self.ended:
-            self._client.remove(self._handle)
-            self.end(
-                _transfer_types.Failure(kind, "the router ended the transfer")
-            )
-
-    def check_expired(self) -> bool:
-        """Tells whether it is too late to send the request."""
-        self.is_expired = self._client.read_clock() > self.request.send_by
-        return self.is_expired
-
-    def attach(self, handle: "_Handle") -> None:
-        """Notes the handle that runs the transfer."""
-        self._handle = handle
-
-    def receive_body(self, chunk: bytes) -> int | None:
-        """Takes a part of the answer body from libcurl."""
-        if self.body.is_full():
-            self._paused = True
-            return int(pycurl.WRITEFUNC_PAUSE)
-        self.body.add(chunk)
-        if self._waiter is not None and self.body.size >= self._threshold:
-            self._wake()
-        return None
-
-    def end(self, failure: _transfer_types.Failure | None) -> None:
-        """Notes the end of the transfer."""
-        self.ended = True
-        self.failure = failure
-        self._handle = None
-        self._paused = False
-        if isinstance(self.request.body, _body_streams.UploadBuffer):
-            self.request.body.set_on_change(None)
-        self._wake()
-
-    def _wake(self) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
-
 class _Handle:
     """An easy handle of libcurl with callbacks that are set once."""
 
@@ -186,7 +70,7 @@
         self.curl = curl
         self.rules = rules
         self.mode = mode
-        self.transfer: Transfer | None = None
+        self.transfer: _transfers.Transfer | None = None
         self.upload: _body_streams.UploadBuffer | None = None
         self.address = ""
         self.method = ""
@@ -195,7 +79,7 @@
         curl.info = self
         self._set_fixed_options()
 
-    def prepare(self, transfer: Transfer, reuse: bool) -> None:
+    def prepare(self, transfer: _transfers.Transfer, reuse: bool) -> None:
         """Sets the options of one request."""
         request = transfer.request
         curl = self.curl
@@ -354,9 +238,11 @@
         """Returns the time of the client's event loop."""
         return self._loop.time()
 
-    def start(self, request: _transfer_types.UpstreamRequest) -> Transfer:
+    def start(
+        self, request: _transfer_types.UpstreamRequest
+    ) -> _transfers.Transfer:
         """Starts a transfer."""
-        transfer = Transfer(self, request)
+        transfer = _transfers.Transfer(self, request)
         mode = _choose_mode(request)
         spare = self._spare[mode]
         handle = (
@@ -450,10 +336,12 @@
         if transfer is not None:
             self._learn_echo(transfer)
             transfer.end(
-                _find_failure(transfer, curl_error, curl_message or "")
+                _transfers.find_failure(
+                    transfer, curl_error, curl_message or ""
+                )
             )
 
-    def _learn_echo(self, transfer: Transfer) -> None:
+    def _learn_echo(self, transfer: _transfers.Transfer) -> None:
         if transfer.head.complete:
             address = transfer.request.address
             if not transfer.head.echoed:
@@ -468,35 +356,3 @@
     if request.body is not None:
         return _Mode.WHOLE
     return _Mode.HEAD if request.method == "HEAD" else _Mode.NO_BODY
-
-
-def _find_failure(
-    transfer: Transfer, error: int | None, message: str
-) -> _transfer_types.Failure | None:
-    """Tells why the answer of a transfer that ended is not whole."""
-    if not error:
-        problem = transfer.head.find_problem()
-        return (
-            _transfer_types.Failure(_KIND.BROKEN, problem) if problem else None
-        )
-    message = message or f"libcurl ended the transfer with error {error}"
-    if transfer.started:
-        kind = _KIND.BROKEN
-        if error == pycurl.E_OPERATION_TIMEDOUT:
-            kind = _KIND.DEADLINE
-        return _transfer_types.Failure(kind, transfer.head.problem or message)
-    if transfer.is_expired:
-        return _transfer_types.Failure(
-            _KIND.EXPIRED,
-            "the permit expired before the send",
-        )
-    if (
-        error == pycurl.E_OPERATION_TIMEDOUT
-        and transfer.request.timeout_s < transfer.connect_timeout_s
-    ):
-        # Too little time was left to blame the upstream.
-        return _transfer_types.Failure(_KIND.DEADLINE, message)
-    if transfer.is_connecting:
-        return _transfer_types.Failure(_KIND.CONNECT, message)
-    # libcurl held the transfer back until a timeout.
-    return _transfer_types.Failure(_KIND.LIMIT, message)
