Let hosts with wide links take the coordinator's duty first

A trace: edge-nyarugenge-14, link of 10 Mbit/s, began at 9.09 s; 157 of its orders failed in 2.5 s (connections timed out after 0.3 s, nothing arrived for 0.6 s); it could not renew its lease, and was superseded at 11.6 s by another narrow host. Replacing blind coordinators made it worse: before, such a host kept the duty and did nothing.

Cause: who has the duty was a matter of chance, and a narrow link does not carry the heartbeats to 135 hosts and the orders to 131 owners.

Why it works: the order of the bids follows the links on any fleet; where all links are alike, all wait alike.

--- a/packages/router/sycamoreloft_router/_coordinator_bid.py
+++ b/packages/router/sycamoreloft_router/_coordinator_bid.py
@@ -25,6 +25,8 @@
     key_map: sycamoreloft_direct.KeyMap
     #: Address of the coordinator, as "ip:port"; empty if it is not sure.
     peer_address: str = ""
+    #: Seconds until the duty may be nobody's; 0 if that is not known.
+    wait_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +52,7 @@
         records: Records of the store.
         blind_s: Seconds for which a coordinator renews leases of keys without
             the store.
+        yield_s: Seconds for which this host leaves an ended lease to others.
         clock: Clock that also runs while the host is suspended, in seconds.
     """
 
@@ -58,11 +61,13 @@
         settings: _direct_ports.HostSettings,
         records: _direct_ports.RecordStore,
         blind_s: float,
+        yield_s: float,
         clock: abc.Callable[[], float],
     ) -> None:
         self._settings = settings
         self._records = records
         self._blind_s = blind_s
+        self._yield_s = yield_s
         self._clock = clock
         self._ended_version = -1
         self._ended_since = 0.0
@@ -86,15 +91,12 @@
         lease: _coordinator_lease.Lease | None = None
         if lease_record is not None:
             lease = _coordinator_lease.decode_lease(lease_record.value)
-            if (
-                lease.expires_at > records.clock_s
-                and lease.peer_address != self._settings.peer_address
-            ):
-                return Deferred(key_map, lease.peer_address)
-            if hears_blind and not self._is_confirmed(
-                lease_record.version, now
-            ):
-                return Deferred(key_map)
+            wait_s = lease.expires_at + self._yield_s - records.clock_s
+            if wait_s > 0 and lease.peer_address != self._settings.peer_address:
+                return Deferred(key_map, lease.peer_address, wait_s)
+            watch_s = self._find_watch_s(lease_record.version, now)
+            if hears_blind and watch_s > 0:
+                return Deferred(key_map, wait_s=watch_s)
         versions = {
             _coordinator_lease.LEASE_KEY: lease_record.version
             if lease_record
@@ -104,12 +106,12 @@
         reference = _coordinator_lease.ClockReference(now, records.clock_s)
         return await self._take(reference, lease, key_map, versions)
 
-    def _is_confirmed(self, version: int, now: float) -> bool:
-        """Tells whether an ended lease was not renewed for a while."""
+    def _find_watch_s(self, version: int, now: float) -> float:
+        """Returns for how much longer an ended lease is to be watched."""
         if version != self._ended_version:
             self._ended_version = version
             self._ended_since = now
-        return now >= self._ended_since + CONFIRM_BLIND_S
+        return self._ended_since + CONFIRM_BLIND_S - now
 
     async def _take(
         self,
--- a/packages/router/sycamoreloft_router/_coordinator_duty.py
+++ b/packages/router/sycamoreloft_router/_coordinator_duty.py
@@ -33,6 +33,18 @@
 #: Seconds without a heartbeat after which a host asks the store.
 HEARTBEAT_LOST_S = 1.1
 
+#: Time by which a host waits longer before it asks, in seconds times its
+#: bandwidth in megabits a second. The coordinator talks to every host and to
+#: every owner of keys, so hosts with wide links go first.
+YIELD_S_MBPS = 5.0
+
+#: Longest such time, in seconds.
+LONGEST_YIELD_S = 0.5
+
+#: Longest random time besides, in seconds: hosts with links alike do not ask
+#: together.
+ASK_JITTER_S = 0.2
+
 #: Seconds since the store answered the coordinator from which on hosts that
 #: reach the store take its place: its lease has ended by then.
 BLIND_COORDINATOR_S = 2.5
@@ -116,14 +128,21 @@
             settings.peer_address, self.receive
         )
         self._tenure: _tenure.Tenure | None = None
+        self._yield_s = min(
+            LONGEST_YIELD_S, YIELD_S_MBPS / max(settings.link_mbps, 0.1)
+        )
         self._roster = _host_roster.HostRoster(self._socket, directory)
         self._bid = _coordinator_bid.CoordinatorBid(
-            settings, platform.records, self._times.blind_s, clock
+            settings,
+            platform.records,
+            self._times.blind_s,
+            self._yield_s,
+            clock,
         )
         self._coordinator_address: _direct_peers.Address | None = None
         self._heard_at = -1e9
         self._blind_heard_at = -1e9
-        self._ask_at = 0.0
+        self._ask_at = self._clock() + self._yield_s
         self._beat_at = 0.0
         self._report_at = 0.0
         self._observed: list[tuple[str, int]] = []
@@ -183,14 +202,11 @@
         elif (
             not self._is_stopping
             and self._has_sharded()
-            and now > self._heard_at + HEARTBEAT_LOST_S
+            and now > self._heard_at + HEARTBEAT_LOST_S + self._yield_s
             and now >= self._ask_at
         ):
             hears_blind = now <= self._blind_heard_at + HEARTBEAT_LOST_S
-            reached = await self._ask(hears_blind)
-            pause_s = self._generator.uniform(LEAST_ASK_S, MOST_ASK_S)
-            if hears_blind and not reached:
-                pause_s *= BLIND_ASK_FACTOR
+            pause_s = await self._ask(hears_blind)
             self._ask_at = self._clock() + pause_s
 
     def _has_sharded(self) -> bool:
@@ -208,7 +224,7 @@
 
     # Becoming the coordinator.
 
-    async def _ask(self, hears_blind: bool) -> bool:
+    async def _ask(self, hears_blind: bool) -> float:
         """Asks the store who is the coordinator, and takes over if nobody.
 
         Args:
@@ -216,21 +232,26 @@
                 not answer.
 
         Returns:
-            Whether the store answered.
+            Seconds until this host may ask again.
         """
         outcome = await self._bid.make(hears_blind)
+        pause_s = self._generator.uniform(LEAST_ASK_S, MOST_ASK_S)
         if isinstance(outcome, _coordinator_bid.Unreached):
-            return False
+            return pause_s * BLIND_ASK_FACTOR if hears_blind else pause_s
         self._directory.take(outcome.key_map)
         if isinstance(outcome, _coordinator_bid.Won):
             self._begin(outcome)
-            return True
+            return pause_s
         if outcome.peer_address:
             self._coordinator_address = _direct_peers.parse_address(
                 outcome.peer_address
             )
             self._report()
-        return True
+        if outcome.wait_s:
+            # All hosts see the same end; those with wide links come first.
+            jitter_s = self._generator.uniform(0.0, ASK_JITTER_S)
+            return outcome.wait_s + jitter_s
+        return pause_s
 
     def _begin(self, won: _coordinator_bid.Won) -> None:
         """Begins to act as the coordinator."""
@@ -332,20 +353,22 @@
             self._yield_to(sender)
         if message.is_leaving:
             self._heard_at = -1e9
-            self._ask_at = 0.0
+            self._ask_at = self._clock() + self._yield_s
             self._coordinator_address = None
             return
         try:
             is_newer = self._take_owners(message)
         except ValueError as error:
+            # The coordinator does not know that this host has started anew,
+            # or took another map; the report tells it.
+            is_newer = True
             _logs.log_event(
                 _LOGGER,
                 logging.WARNING,
-                "datagram-ignored",
+                "key-changes-ignored",
                 peer=sender[0],
                 error=str(error),
             )
-            return
         if is_newer:
             self._report_at = 0.0
         if message.store_age_s > BLIND_COORDINATOR_S:
--- a/packages/router/sycamoreloft_router/_direct_ports.py
+++ b/packages/router/sycamoreloft_router/_direct_ports.py
@@ -201,6 +201,8 @@
     retry_slack: float = 0.0
     #: Window in which it counts requests and retries, in seconds.
     retry_window_s: float = 10.0
+    #: Bandwidth of this host's link, in megabits a second.
+    link_mbps: float = 1_000.0
     #: Reads that the store allows all hosts together in a second.
     store_reads_per_s: float = 1_000.0
     #: Least level of log lines.
--- a/packages/router/tests/key_world.py
+++ b/packages/router/tests/key_world.py
@@ -235,7 +235,18 @@
 
     def start(self):
         settings = _direct_ports.HostSettings(
-            self.name, "z", "", "", "", f"{self.name}:1", 6, 2, 2, 10, 0.2
+            self.name,
+            "z",
+            "",
+            "",
+            "",
+            f"{self.name}:1",
+            6,
+            2,
+            2,
+            10,
+            0.2,
+            link_mbps=self.world.links.get(self.name, 1_000.0),
         )
         states = _direct_views.StateView()
         states.state = self.world.state
@@ -290,7 +301,8 @@
 class World:
     """Everything, and the oracle."""
 
-    def __init__(self, seed, upstreams=5, hosts=3):
+    def __init__(self, seed, upstreams=5, hosts=3, links=()):
+        self.links = dict(links)
         self.loop = asyncio.get_running_loop()
         self.generator = random.Random(seed)
         self.late_share = 0.0
--- a/packages/router/tests/test_blind_coordinator.py
+++ b/packages/router/tests/test_blind_coordinator.py
@@ -64,3 +64,29 @@
         assert not world.problems, world.problems[:3]
 
     virtual_time.run(main())
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_host_with_a_wide_link_replaces_a_lost_coordinator(seed):
+    """Guards against coordinators whose link cannot carry their heartbeats."""
+
+    async def main():
+        links = {f"h{number}": 10.0 for number in range(8)} | {"h5": 200.0}
+        world = key_world.World(seed, hosts=8, links=links)
+        await asyncio.sleep(6.0)
+        assert find_coordinator(world).name == "h5"
+        world.hosts["h5"].kill()
+        await asyncio.sleep(8.0)
+        narrow = next(
+            host
+            for host in world.hosts.values()
+            if host.duty.is_coordinator and not host.task.done()
+        )
+        world.hosts["h5"].start()
+        await asyncio.sleep(3.0)
+        narrow.kill()
+        await asyncio.sleep(8.0)
+        assert world.hosts["h5"].duty.is_coordinator
+        assert not world.problems, world.problems[:3]
+
+    virtual_time.run(main())
