--- a/packages/router/sycamoreloft_router/_coordinator_duty.py
+++ b/packages/router/sycamoreloft_router/_coordinator_duty.py
@@ -391,9 +391,12 @@
             item for item in self._roster.addresses if item != successor
         )
         self._roster.clear()
-        self._socket.send(
-            _direct_peers.Introduction(self._seen(), hosts), successor
-        )
+        step = _direct_peers.HOSTS_PER_INTRODUCTION
+        for start in range(0, len(hosts), step):
+            part = hosts[start : start + step]
+            self._socket.send(
+                _direct_peers.Introduction(self._seen(), part), successor
+            )
 
     def _receive_introduction(
         self, message: _direct_peers.Introduction
--- a/packages/router/sycamoreloft_router/_direct_peers.py
+++ b/packages/router/sycamoreloft_router/_direct_peers.py
@@ -23,6 +23,9 @@
 #: Longest datagram that is read, in bytes.
 MAXIMUM_DATAGRAM_BYTES = 60_000
 
+#: Hosts that one introduction names at most, so that it fits a datagram.
+HOSTS_PER_INTRODUCTION = 1_000
+
 Address = tuple[str, int]
 
 
--- a/packages/router/tests/test_blind_coordinator.py
+++ b/packages/router/tests/test_coordinator_changes.py
@@ -1,4 +1,4 @@
-"""A coordinator that is cut off from a store which others reach."""
+"""Who replaces a coordinator that is lost, or cut off from the store."""
 
 import asyncio
 
--- a/packages/router/tests/test_direct_peers.py
+++ b/packages/router/tests/test_direct_peers.py
@@ -36,14 +36,29 @@
 )
 
 
-@pytest.mark.parametrize("message", [HEARTBEAT, REPORT])
+INTRODUCTION = _direct_peers.Introduction(
+    _direct_peers.SeenVersions(4, 8),
+    (("255.255.255.255", 65_535),) * _direct_peers.HOSTS_PER_INTRODUCTION,
+)
+
+
+@pytest.mark.parametrize("message", [HEARTBEAT, REPORT, INTRODUCTION])
 def test_messages_survive_the_way(message):
-    assert _direct_peers.decode(_direct_peers.encode(message)) == message
+    data = _direct_peers.encode(message)
+    assert _direct_peers.decode(data) == message
+    assert len(data) < _direct_peers.MAXIMUM_DATAGRAM_BYTES
 
 
 @pytest.mark.parametrize(
     "data",
-    [b"", b"\xc1", b"\x80", b"hello", _direct_peers.encode(REPORT)[:-3]],
+    [
+        b"",
+        b"\xc1",
+        b"\x80",
+        b"hello",
+        _direct_peers.encode(REPORT)[:-3],
+        _direct_peers.encode(INTRODUCTION)[:-3],
+    ],
 )
 def test_other_bytes_are_no_message(data):
     assert _direct_peers.decode(data) is None
