Do not begin requests whose connection has closed

Cause: tornado tells of a close only while it waits for an answer. If the connection closes between the arrival of a head and the head's turn on the loop, nobody hears of it: the request ran, and its answer was dropped without a line.

Change: a request whose connection has closed is not begun. It leaves the line request-dropped, and an answer that finds its connection closed leaves answer-dropped.

Why it works: the check stands where every request begins, on the same turn of the loop.

--- a/packages/router/sycamoreloft_router/_caller_exchange.py
+++ b/packages/router/sycamoreloft_router/_caller_exchange.py
@@ -301,6 +301,11 @@
     def _start(self, body: bytes | _body_streams.UploadBuffer | None) -> None:
         request, fields = self._request, self._fields
         assert request is not None and fields is not None
+        if self._connection.stream.closed():
+            # tornado tells of a close only while it waits for the answer.
+            self._log_closed("request-dropped")
+            self._on_caller_gone()
+            return
         if self._body_ended:
             self._length = self._prefix_size
         prefix = b"".join(self._prefix)[: _body_streams.PREFIX_BYTES]
@@ -417,6 +422,7 @@
         """Sends the end of the answer and finishes the request."""
         connection = self._connection
         if connection.stream.closed():
+            self._log_closed("answer-dropped")
             return
         connection.write(data)
         if self._body_ended or close_now or self._is_rejected:
@@ -424,6 +430,17 @@
         else:
             asyncio.get_running_loop().call_later(DISCARD_S, self._finish_early)
 
+    def _log_closed(self, event: str) -> None:
+        """Logs that the connection was closed before an event's subject."""
+        request = self._request
+        _logs.log_event(
+            _LOGGER,
+            logging.INFO,
+            event,
+            request=request.request_id if request is not None else "",
+            elapsed_s=round(self._shared.loop.time() - self._received_at, 4),
+        )
+
     def _finish_early(self) -> None:
         if not self._body_ended and not self._connection.stream.closed():
             self._connection.finish()
--- a/packages/router/sycamoreloft_router/_exchange.py
+++ b/packages/router/sycamoreloft_router/_exchange.py
@@ -182,6 +182,10 @@
     def deadline_ms(self) -> int:
         """Time from the headers to the deadline, in milliseconds."""
 
+    @property
+    def request_id(self) -> str:
+        """Identifier that the caller sent, empty if it sent none."""
+
 
 class RequestParser(typing.Protocol):
     """Finds the route of a request."""
--- a/packages/router/tests/test_exchange_callers.py
+++ b/packages/router/tests/test_exchange_callers.py
@@ -6,6 +6,8 @@
 import pytest
 import raw_peers
 
+from sycamoreloft_router import _caller_connections
+
 build_head = fake_sources.build_head
 outcomes = fake_sources.list_outcomes
 WAGER = fake_sources.WAGER
@@ -31,6 +33,34 @@
     serve(scenario, script)
 
 
+def test_a_request_on_a_closed_connection_is_not_begun(serve, monkeypatch):
+    """Guards against requests that run though nobody can get the answer.
+
+    As seen on a slow host: the connection closes between the arrival of a
+    head and its turn on the event loop.
+    """
+    parse = _caller_connections.CallerConnection._parse_headers
+
+    def parse_late(connection, data):
+        connection.stream.close()
+        return parse(connection, data)
+
+    monkeypatch.setattr(
+        _caller_connections.CallerConnection, "_parse_headers", parse_late
+    )
+
+    async def scenario(bench, upstream):
+        caller = await bench.connect()
+        caller.writer.write(build_head())
+        assert await caller.reader.read() == b""
+        gone = "sycamoreloft_callers_gone_total"
+        await raw_peers.wait_until(lambda: bench.metrics.read(gone) == 1)
+        await raw_peers.wait_until(lambda: bench.server.count_requests() == 0)
+        assert not upstream.requests
+
+    serve(scenario)
+
+
 def test_at_most_once_goes_on_when_its_caller_leaves(serve):
     """Guards against an unknown outcome that waiting would have settled."""
 
