Share one fixture between the tests of long and stuck files

They share a fixture; the assertions are the same, and the first test has the second one's limit in time as well. No code outside this test file changed.

--- a/packages/router/tests/test_store_client.py
+++ b/packages/router/tests/test_store_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 
+import pytest
 from returns import pipeline
 
 from sycamoreloft_router import _store_client
@@ -13,7 +14,27 @@
 PAUSE_S = 0.05
 
 
-def test_a_long_file_that_keeps_coming_is_awaited():
+@pytest.fixture
+def read_object():
+    """Reads an object from a raw server, well before its limit in all."""
+
+    async def read(serve, name):
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        ip, port = server.sockets[0].getsockname()
+        base = f"http://{ip}:{port}"
+        client = _store_client.StoreClient(
+            _store_client.StoreAddresses(base, base, base), "host-1"
+        )
+        async with asyncio.timeout(_store_client.OBJECT_TIMEOUT_S - 5):
+            found = await client.get_object(name)
+        client.close()
+        server.close()
+        return found
+
+    return lambda serve, name: asyncio.run(read(serve, name))
+
+
+def test_a_long_file_that_keeps_coming_is_awaited(read_object):
     """Guards against accepted files that never arrive over slow links."""
 
     async def serve(reader, writer):
@@ -26,25 +47,12 @@
             await asyncio.sleep(PAUSE_S)
         writer.close()
 
-    async def main():
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        ip, port = server.sockets[0].getsockname()
-        base = f"http://{ip}:{port}"
-        client = _store_client.StoreClient(
-            _store_client.StoreAddresses(base, base, base), "host-1"
-        )
-        read = await client.get_object(
-            hashlib.sha256(TEXT.encode()).hexdigest()
-        )
-        assert pipeline.is_successful(read), read.failure()
-        assert read.unwrap() == TEXT
-        client.close()
-        server.close()
-
-    asyncio.run(main())
+    read = read_object(serve, hashlib.sha256(TEXT.encode()).hexdigest())
+    assert pipeline.is_successful(read), read.failure()
+    assert read.unwrap() == TEXT
 
 
-def test_a_file_that_stops_coming_is_given_up():
+def test_a_file_that_stops_coming_is_given_up(read_object):
     """Guards against files that are awaited on a silenced connection."""
 
     async def serve(reader, writer):
@@ -53,17 +61,4 @@
         await reader.read()
         writer.close()
 
-    async def main():
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        ip, port = server.sockets[0].getsockname()
-        base = f"http://{ip}:{port}"
-        client = _store_client.StoreClient(
-            _store_client.StoreAddresses(base, base, base), "host-1"
-        )
-        async with asyncio.timeout(_store_client.OBJECT_TIMEOUT_S - 5):
-            read = await client.get_object("0" * 64)
-        assert not pipeline.is_successful(read)
-        client.close()
-        server.close()
-
-    asyncio.run(main())
+    assert not pipeline.is_successful(read_object(serve, "0" * 64))
