Decode datagrams into checked types, and send long maps in parts

What could happen: an infinite number in a heartbeat raised OverflowError out of the datagram handler; texts for keys, ranges beyond the last key or in the wrong order, negative counts and times that are no numbers were taken as good; a whole map over 60,000 bytes was sent, ignored by every receiver and sent again for ever; a heartbeat of any higher epoch ended the duty of a coordinator.

Cause: the decoder converted fields without looking at them, and maps had no bound. Now each field is checked for its type and bounds before use (DatagramError with the kind and the reason, one line a second for each kind and peer), whole maps go compressed in parts, once in 0.4 s to a host, and changes and moving ranges in a heartbeat are bounded. A coordinator whose lease the store confirms asks the store instead of believing a higher epoch; a host that finds a lower epoch in the store goes back to it.

The types, the codec and the socket are modules of their own now.

--- a/packages/direct/sycamoreloft_direct/_key_changes.py
+++ b/packages/direct/sycamoreloft_direct/_key_changes.py
@@ -91,7 +91,15 @@
                 for name, rows in ranges.items()
             },
         )
-    except (ValueError, TypeError, IndexError, AttributeError) as error:
+    except (
+        ValueError,
+        TypeError,
+        IndexError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+        msgpack.UnpackException,
+    ) as error:
         raise ValueError(f"not encoded changes of keys: {error}") from error
 
 
--- a/packages/direct/sycamoreloft_direct/_key_map.py
+++ b/packages/direct/sycamoreloft_direct/_key_map.py
@@ -118,30 +118,51 @@
     """
     try:
         epoch, revision, pairs, services = msgpack.unpackb(data)
-        runs = [_nodes.UpstreamRun(*pair) for pair in pairs]
+        runs = [_nodes.UpstreamRun(str(run), int(born)) for run, born in pairs]
         return KeyMap(
-            epoch,
-            revision,
+            int(epoch),
+            int(revision),
             {
-                name: ServiceKeys(name, _decode_ranges(rows, runs))
+                str(name): ServiceKeys(str(name), _decode_ranges(rows, runs))
                 for name, rows in services.items()
             },
         )
-    except (ValueError, TypeError, IndexError) as error:
+    except (
+        ValueError,
+        TypeError,
+        IndexError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+        msgpack.UnpackException,
+    ) as error:
         raise ValueError(f"not an encoded map of keys: {error}") from error
 
 
 def _decode_ranges(
     rows: typing.Any, runs: abc.Sequence[_nodes.UpstreamRun]
 ) -> tuple[KeyRange, ...]:
-    firsts = [first for first, _ in rows]
-    lasts = [first - 1 for first in firsts[1:]] + [_nodes.KEY_COUNT - 1]
+    firsts = [int(first) for first, _ in rows]
+    ends = [*firsts[1:], _nodes.KEY_COUNT]
+    is_sorted = all(
+        first < end for first, end in zip(firsts, ends, strict=True)
+    )
+    if not firsts or firsts[0] != 0 or not is_sorted:
+        raise ValueError("the ranges do not cover every key once")
     return tuple(
-        KeyRange(first, last, runs[number] if number >= 0 else None)
-        for (first, number), last in zip(rows, lasts, strict=True)
+        KeyRange(first, end - 1, _find_run(runs, number))
+        for first, end, (_, number) in zip(firsts, ends, rows, strict=True)
     )
 
 
+def _find_run(
+    runs: abc.Sequence[_nodes.UpstreamRun], number: int
+) -> _nodes.UpstreamRun | None:
+    if number < -1:
+        raise ValueError(f"an owner has the number {number}")
+    return runs[number] if number >= 0 else None
+
+
 def _merge_neighbours(ranges: abc.Iterable[KeyRange]) -> tuple[KeyRange, ...]:
     merged: list[KeyRange] = []
     for item in ranges:
--- a/packages/router/sycamoreloft_router/_coordinator_duty.py
+++ b/packages/router/sycamoreloft_router/_coordinator_duty.py
@@ -9,12 +9,14 @@
 from sycamoreloft_router import (
     _coordinator_bid,
     _coordinator_lease,
+    _datagrams,
     _direct_peers,
     _direct_ports,
     _direct_views,
     _host_roster,
     _key_directory,
     _logs,
+    _map_parts,
     _metrics,
     _tenure,
 )
@@ -62,11 +64,11 @@
 class Freshness:
     """How new this host's copies of the platform's tables are."""
 
-    def read(self) -> _direct_peers.SeenVersions:
+    def read(self) -> _datagrams.SeenVersions:
         """Returns the versions that this host has."""
-        return _direct_peers.SeenVersions()
+        return _datagrams.SeenVersions()
 
-    def hear(self, seen: _direct_peers.SeenVersions) -> None:
+    def hear(self, seen: _datagrams.SeenVersions) -> None:
         """Takes the versions that another host has."""
 
     def hear_hosts(self, count: int) -> None:
@@ -131,6 +133,7 @@
         self._yield_s = min(
             LONGEST_YIELD_S, YIELD_S_MBPS / max(settings.link_mbps, 0.1)
         )
+        self._assembler = _map_parts.MapAssembler()
         self._roster = _host_roster.HostRoster(self._socket, directory)
         self._bid = _coordinator_bid.CoordinatorBid(
             settings,
@@ -139,7 +142,7 @@
             self._yield_s,
             clock,
         )
-        self._coordinator_address: _direct_peers.Address | None = None
+        self._coordinator_address: _datagrams.Address | None = None
         self._heard_at = -1e9
         self._blind_heard_at = -1e9
         self._ask_at = self._clock() + self._yield_s
@@ -182,7 +185,7 @@
             return
         self._tenure = None
         await tenure.resign()
-        beat = _direct_peers.Heartbeat(
+        beat = _datagrams.Heartbeat(
             tenure.epoch, tenure.key_map.revision, True, (), self._seen()
         )
         self._roster.tell_leaving(beat)
@@ -234,10 +237,14 @@
         Returns:
             Seconds until this host may ask again.
         """
+        heard = self._directory.key_map.order
         outcome = await self._bid.make(hears_blind)
         pause_s = self._generator.uniform(LEAST_ASK_S, MOST_ASK_S)
         if isinstance(outcome, _coordinator_bid.Unreached):
             return pause_s * BLIND_ASK_FACTOR if hears_blind else pause_s
+        if outcome.key_map.epoch < heard[0]:
+            self._log_unconfirmed(heard[0], outcome.key_map.epoch)
+            self._directory.replace(outcome.key_map)
         self._directory.take(outcome.key_map)
         if isinstance(outcome, _coordinator_bid.Won):
             self._begin(outcome)
@@ -253,6 +260,15 @@
             return outcome.wait_s + jitter_s
         return pause_s
 
+    def _log_unconfirmed(self, heard: int, recorded: int) -> None:
+        _logs.log_event(
+            _LOGGER,
+            logging.WARNING,
+            "epoch-unconfirmed",
+            heard=heard,
+            recorded=recorded,
+        )
+
     def _begin(self, won: _coordinator_bid.Won) -> None:
         """Begins to act as the coordinator."""
         taken, before = won.taken, won.before
@@ -311,16 +327,18 @@
         self._beat_at = now + HEARTBEAT_S
         key_map = tenure.key_map
         order = key_map.order
+        # Hints only: requests for further moving keys wait at their owners.
+        moving = self._moving[: _datagrams.MOST_MOVING]
         loop_time = asyncio.get_running_loop().time()
         self._directory.take_notice(key_map.epoch, self._moving, loop_time)
         count = len(self._roster.addresses) + 1
         store_age_s = tenure.read_store_age(now)
         self._on_hosts(count)
         self._on_store_age(store_age_s)
-        beat = _direct_peers.Heartbeat(
+        beat = _datagrams.Heartbeat(
             *order,
             False,
-            self._moving,
+            moving,
             self._seen(),
             count,
             store_age_s,
@@ -331,25 +349,31 @@
     # Datagrams.
 
     def receive(
-        self, message: _direct_peers.Datagram, sender: _direct_peers.Address
+        self, message: _datagrams.Datagram, sender: _datagrams.Address
     ) -> None:
         """Takes a datagram of another host."""
         self._on_seen(message.seen)
-        if isinstance(message, _direct_peers.Report):
+        if isinstance(message, _datagrams.Report):
             self._receive_report(message, sender)
-        elif isinstance(message, _direct_peers.Introduction):
+        elif isinstance(message, _datagrams.Introduction):
             self._receive_introduction(message)
+        elif isinstance(message, _datagrams.MapPart):
+            self._receive_map_part(message, sender)
         elif message.epoch >= self._directory.key_map.epoch:
             self._receive_heartbeat(message, sender)
 
     def _receive_heartbeat(
         self,
-        message: _direct_peers.Heartbeat,
-        sender: _direct_peers.Address,
+        message: _datagrams.Heartbeat,
+        sender: _datagrams.Address,
     ) -> None:
         if self._tenure is not None:
             if message.epoch <= self._tenure.epoch:
                 return
+            if self._tenure.is_confirmed(self._clock()):
+                # Nobody can have taken the duty yet, as far as is known.
+                self._tenure.doubt(self._clock())
+                return
             self._yield_to(sender)
         if message.is_leaving:
             self._heard_at = -1e9
@@ -362,13 +386,7 @@
             # The coordinator does not know that this host has started anew,
             # or took another map; the report tells it.
             is_newer = True
-            _logs.log_event(
-                _LOGGER,
-                logging.WARNING,
-                "key-changes-ignored",
-                peer=sender[0],
-                error=str(error),
-            )
+            self._log_ignored(sender, error)
         if is_newer:
             self._report_at = 0.0
         if message.store_age_s > BLIND_COORDINATOR_S:
@@ -382,7 +400,33 @@
         self._guard.take_stopped(message.stopped, loop_time)
         self._directory.take_notice(message.epoch, message.moving, loop_time)
 
-    def _yield_to(self, successor: _direct_peers.Address) -> None:
+    def _receive_map_part(
+        self, part: _datagrams.MapPart, sender: _datagrams.Address
+    ) -> None:
+        """Takes a part of the map of the coordinator."""
+        order = (part.epoch, part.revision)
+        if self._tenure is not None or order <= self._directory.key_map.order:
+            return
+        try:
+            key_map = self._assembler.add(part)
+        except ValueError as error:
+            self._log_ignored(sender, error)
+            return
+        if key_map is not None and self._directory.take(key_map):
+            self._report_at = 0.0
+
+    def _log_ignored(
+        self, sender: _datagrams.Address, error: ValueError
+    ) -> None:
+        _logs.log_event(
+            _LOGGER,
+            logging.WARNING,
+            "key-changes-ignored",
+            peer=sender[0],
+            error=str(error),
+        )
+
+    def _yield_to(self, successor: _datagrams.Address) -> None:
         """Ends the own duty because another host has it by now."""
         if self._tenure is not None:
             self._tenure.end("superseded")
@@ -391,38 +435,32 @@
             item for item in self._roster.addresses if item != successor
         )
         self._roster.clear()
-        step = _direct_peers.HOSTS_PER_INTRODUCTION
+        step = _datagrams.HOSTS_PER_INTRODUCTION
         for start in range(0, len(hosts), step):
             part = hosts[start : start + step]
             self._socket.send(
-                _direct_peers.Introduction(self._seen(), part), successor
+                _datagrams.Introduction(self._seen(), part), successor
             )
 
-    def _receive_introduction(
-        self, message: _direct_peers.Introduction
-    ) -> None:
+    def _receive_introduction(self, message: _datagrams.Introduction) -> None:
         """Tells hosts of another coordinator that this host replaced it."""
         if self._tenure is None:
             return
         self._roster.add(message.hosts, self._clock())
         self._beat_at = 0.0
 
-    def _take_owners(self, message: _direct_peers.Heartbeat) -> bool:
-        """Takes the map of a heartbeat, and tells whether it is newer.
+    def _take_owners(self, message: _datagrams.Heartbeat) -> bool:
+        """Takes the changes of a heartbeat; tells whether the map is newer.
 
         Raises:
             ValueError: It is malformed, or changes another map.
         """
-        if message.key_changes:
-            return self._directory.take_changes(message.key_changes)
-        if not message.key_map:
+        if not message.key_changes:
             return False
-        return self._directory.take(
-            sycamoreloft_direct.decode_key_map(message.key_map)
-        )
+        return self._directory.take_changes(message.key_changes)
 
     def _receive_report(
-        self, message: _direct_peers.Report, sender: _direct_peers.Address
+        self, message: _datagrams.Report, sender: _datagrams.Address
     ) -> None:
         tenure = self._tenure
         if tenure is None:
@@ -436,11 +474,11 @@
         )
 
     def _report(self) -> None:
-        report = _direct_peers.Report(
+        report = _datagrams.Report(
             self._settings.name,
             *self._directory.key_map.order,
             self._seen(),
-            _direct_peers.summarize_requests(self._observed),
+            _datagrams.summarize_requests(self._observed),
             self._answers,
             self._guard.list_own(asyncio.get_running_loop().time()),
         )
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -17,7 +17,7 @@
     _caller_server,
     _connection_rules,
     _coordinator_duty,
-    _direct_peers,
+    _datagrams,
     _direct_ports,
     _direct_run,
     _direct_services,
@@ -422,13 +422,13 @@
     def __init__(self, host: DirectHost) -> None:
         self._host = host
 
-    def read(self) -> _direct_peers.SeenVersions:
-        return _direct_peers.SeenVersions(
+    def read(self) -> _datagrams.SeenVersions:
+        return _datagrams.SeenVersions(
             self._host.state_follower.newest,
             self._host.upstream_follower.newest,
         )
 
-    def hear(self, seen: _direct_peers.SeenVersions) -> None:
+    def hear(self, seen: _datagrams.SeenVersions) -> None:
         self._host.state_follower.hear(seen.state)
         self._host.upstream_follower.hear(seen.upstreams)
 
--- a/packages/router/sycamoreloft_router/_direct_peers.py
+++ b/packages/router/sycamoreloft_router/_direct_peers.py
@@ -1,188 +1,19 @@
-"""Datagrams between hosts: heartbeats of the coordinator, reports to it.
-
-The datagrams carry hints and copies only. What a host acts on alone, such as
-being the coordinator, it learns from the store.
-"""
+"""The socket for datagrams between hosts."""
 
 import asyncio
 from collections import abc
-import dataclasses
 import logging
 import typing
 
-import msgpack
-
-import sycamoreloft_direct
-from sycamoreloft_router import _key_directory, _logs
+from sycamoreloft_router import _datagram_codec, _datagrams, _logs
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Version of the encoding; other versions are ignored.
-_VERSION = 3
-
-#: Longest datagram that is read, in bytes.
-MAXIMUM_DATAGRAM_BYTES = 60_000
-
-#: Hosts that one introduction names at most, so that it fits a datagram.
-HOSTS_PER_INTRODUCTION = 1_000
-
-Address = tuple[str, int]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SeenVersions:
-    """How new a host's copies of the platform's tables are.
-
-    A host that hears of a newer version reads the table again: its own call
-    that waits for changes may hang.
-    """
-
-    #: Version of the newest row of a desired state.
-    state: int = 0
-    #: Version of the newest row of an upstream.
-    upstreams: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Heartbeat:
-    """The coordinator tells the other hosts that it is alive."""
-
-    #: Epoch of the coordinator.
-    epoch: int
-    #: Revision of the recorded map.
-    revision: int
-    #: Whether the coordinator is about to stop.
-    is_leaving: bool
-    #: Keys that are being moved.
-    moving: tuple[_key_directory.MovingKeys, ...]
-    #: What the sender has read of the platform's tables.
-    seen: SeenVersions
-    #: Hosts that the coordinator knows, itself among them.
-    hosts: int = 0
-    #: Seconds since the store answered the coordinator.
-    store_age_s: float = 3600.0
-    #: Requests that crash upstreams and must not be sent.
-    stopped: tuple[int, ...] = ()
-    #: The recorded map, encoded; empty if the receiver needs less.
-    key_map: bytes = b""
-    #: What changed since the receiver's map, encoded; empty if it needs
-    #: nothing or the whole map.
-    key_changes: bytes = b""
-
+#: Seconds between two lines about bad datagrams of a kind and a peer.
+LOG_PAUSE_S = 1.0
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Report:
-    """A host tells the coordinator what it observed."""
-
-    #: Name of the host.
-    host: str
-    #: Epoch and revision of the map that the host has.
-    epoch: int
-    revision: int
-    #: What the sender has read of the platform's tables.
-    seen: SeenVersions
-    #: Requests by service and key.
-    requests: abc.Mapping[str, abc.Mapping[int, int]]
-    #: Answers and their summed time in seconds, by upstream.
-    answers: abc.Mapping[str, tuple[int, float]]
-    #: Recent connections that broke before an answer, by request.
-    crashes: abc.Mapping[int, int] = dataclasses.field(default_factory=dict)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Introduction:
-    """A coordinator that was replaced tells its successor of the hosts.
-
-    Hosts that do not reach the store hear of the successor in no other way.
-    """
-
-    #: What the sender has read of the platform's tables.
-    seen: SeenVersions
-    #: Addresses of the hosts that reported to the sender.
-    hosts: tuple[Address, ...]
-
-
-Datagram = Heartbeat | Report | Introduction
-
-
-def encode(message: Datagram) -> bytes:
-    """Encodes a datagram."""
-    if isinstance(message, Heartbeat):
-        fields: tuple[typing.Any, ...] = (
-            _VERSION,
-            "heartbeat",
-            message.epoch,
-            message.revision,
-            message.is_leaving,
-            [(item.service, item.first, item.last) for item in message.moving],
-            dataclasses.astuple(message.seen),
-            message.hosts,
-            message.store_age_s,
-            message.stopped,
-            message.key_map,
-            message.key_changes,
-        )
-    elif isinstance(message, Introduction):
-        fields = (
-            _VERSION,
-            "introduction",
-            dataclasses.astuple(message.seen),
-            message.hosts,
-        )
-    else:
-        fields = (
-            _VERSION,
-            "report",
-            message.host,
-            message.epoch,
-            message.revision,
-            dataclasses.astuple(message.seen),
-            message.requests,
-            message.answers,
-            message.crashes,
-        )
-    return bytes(msgpack.packb(fields))
-
-
-def decode(data: bytes) -> Datagram | None:
-    """Decodes a datagram; None for anything else."""
-    try:
-        version, kind, *fields = msgpack.unpackb(data, strict_map_key=False)
-        if version != _VERSION:
-            return None
-        if kind == "heartbeat":
-            epoch, revision, is_leaving, moving, seen, *rest = fields
-            hosts, store_age_s, stopped, key_map, key_changes = rest
-            return Heartbeat(
-                int(epoch),
-                int(revision),
-                bool(is_leaving),
-                tuple(_key_directory.MovingKeys(*item) for item in moving),
-                SeenVersions(*map(int, seen)),
-                int(hosts),
-                float(store_age_s),
-                tuple(map(int, stopped)),
-                bytes(key_map),
-                bytes(key_changes),
-            )
-        if kind == "introduction":
-            seen, hosts = fields
-            return Introduction(
-                SeenVersions(*map(int, seen)),
-                tuple((str(ip), int(port)) for ip, port in hosts),
-            )
-        host, epoch, revision, seen, requests, answers, crashes = fields
-        return Report(
-            str(host),
-            int(epoch),
-            int(revision),
-            SeenVersions(*map(int, seen)),
-            {name: dict(keys) for name, keys in requests.items()},
-            {name: (int(n), float(s)) for name, (n, s) in answers.items()},
-            {int(request): int(count) for request, count in crashes.items()},
-        )
-    except (ValueError, TypeError, AttributeError, msgpack.UnpackException):
-        return None
+#: Kinds and peers that are remembered for this.
+MOST_LOGGED_SOURCES = 1_000
 
 
 class Sender(typing.Protocol):
@@ -191,7 +22,9 @@
     async def open(self) -> None:
         """Makes the sender ready."""
 
-    def send(self, message: Datagram, address: Address) -> None:
+    def send(
+        self, message: _datagrams.Datagram, address: _datagrams.Address
+    ) -> None:
         """Sends a message; it may be lost."""
 
     def close(self) -> None:
@@ -209,11 +42,14 @@
     def __init__(
         self,
         address: str,
-        on_message: abc.Callable[[Datagram, Address], None],
+        on_message: abc.Callable[
+            [_datagrams.Datagram, _datagrams.Address], None
+        ],
     ) -> None:
         self._address = address
         self._on_message = on_message
         self._transport: asyncio.DatagramTransport | None = None
+        self._log_again_at: dict[tuple[str, str], float] = {}
 
     async def open(self) -> None:
         """Binds the socket."""
@@ -222,11 +58,24 @@
             lambda: self, local_addr=parse_address(self._address)
         )
 
-    def send(self, message: Datagram, address: Address) -> None:
+    def send(
+        self, message: _datagrams.Datagram, address: _datagrams.Address
+    ) -> None:
         """Sends a message; it may be lost."""
         if self._transport is None or self._transport.is_closing():
             return
-        self._transport.sendto(encode(message), address)
+        data = _datagram_codec.encode(message)
+        if len(data) > _datagrams.MAXIMUM_DATAGRAM_BYTES:
+            _logs.log_event(
+                _LOGGER,
+                logging.ERROR,
+                "datagram-too-long",
+                peer=address[0],
+                kind=type(message).__name__,
+                bytes=len(data),
+            )
+            return
+        self._transport.sendto(data, address)
 
     def close(self) -> None:
         """Closes the socket."""
@@ -239,18 +88,34 @@
 
     def datagram_received(self, data: bytes, addr: typing.Any) -> None:
         """Passes a message on."""
-        message = decode(data[:MAXIMUM_DATAGRAM_BYTES])
-        if message is None:
-            _logs.log_event(
-                _LOGGER,
-                logging.WARNING,
-                "datagram-ignored",
-                peer=str(addr[0]),
-                bytes=len(data),
-            )
+        try:
+            message = _datagram_codec.decode(data)
+        except _datagram_codec.DatagramError as error:
+            self._log_ignored(str(addr[0]), error, len(data))
             return
         self._on_message(message, (str(addr[0]), int(addr[1])))
 
+    def _log_ignored(
+        self, peer: str, error: _datagram_codec.DatagramError, size: int
+    ) -> None:
+        """Logs a bad datagram, one line a second for each kind and peer."""
+        now = asyncio.get_running_loop().time()
+        source = (peer, error.kind)
+        if now < self._log_again_at.get(source, now):
+            return
+        if len(self._log_again_at) >= MOST_LOGGED_SOURCES:
+            self._log_again_at.clear()
+        self._log_again_at[source] = now + LOG_PAUSE_S
+        _logs.log_event(
+            _LOGGER,
+            logging.WARNING,
+            "datagram-ignored",
+            peer=peer,
+            kind=error.kind,
+            reason=error.reason,
+            bytes=size,
+        )
+
     def error_received(self, exc: Exception) -> None:
         """Logs an error; a host that is gone answers with one."""
         _logs.log_event(
@@ -258,30 +123,7 @@
         )
 
 
-def parse_address(address: str) -> Address:
+def parse_address(address: str) -> _datagrams.Address:
     """Splits "ip:port"."""
     ip, _, port = address.rpartition(":")
     return ip, int(port)
-
-
-def summarize_requests(
-    keys: abc.Iterable[tuple[str, int]],
-) -> dict[str, dict[int, int]]:
-    """Counts requests by service and key."""
-    counts: dict[str, dict[int, int]] = {}
-    for service, key in keys:
-        by_key = counts.setdefault(service, {})
-        by_key[key] = by_key.get(key, 0) + 1
-    return counts
-
-
-def convert_load(
-    requests: abc.Mapping[str, abc.Mapping[int, int]], answer_s: float
-) -> list[sycamoreloft_direct.KeyLoad]:
-    """Converts counts of requests to work, at a time per request."""
-    return [
-        sycamoreloft_direct.KeyLoad(
-            service, {key: count * answer_s for key, count in keys.items()}
-        )
-        for service, keys in requests.items()
-    ]
--- a/packages/router/sycamoreloft_router/_host_roster.py
+++ b/packages/router/sycamoreloft_router/_host_roster.py
@@ -2,13 +2,25 @@
 
 from collections import abc
 import dataclasses
+import logging
 
-import sycamoreloft_direct
-from sycamoreloft_router import _direct_peers, _key_directory
+from sycamoreloft_router import (
+    _datagrams,
+    _direct_peers,
+    _key_directory,
+    _logs,
+    _map_parts,
+)
+
+_LOGGER = logging.getLogger(__name__)
 
 #: Seconds after which a host that reported nothing gets no heartbeats.
 FORGET_HOST_S = 10.0
 
+#: Seconds between two whole maps to one host: it has to receive the first one
+#: and report.
+MAP_PAUSE_S = 0.4
+
 #: Epoch and revision of the map of a host that has none.
 NO_MAP = (0, 0)
 
@@ -23,6 +35,16 @@
     order: tuple[int, int]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Needs:
+    """What hosts lack of a map."""
+
+    #: Encoded changes by address, empty for none.
+    changes: dict[_datagrams.Address, bytes]
+    #: Addresses that need the whole map.
+    whole: list[_datagrams.Address]
+
+
 class HostRoster:
     """Remembers the hosts, and sends them heartbeats.
 
@@ -38,15 +60,16 @@
     ) -> None:
         self._socket = socket
         self._directory = directory
-        self._hosts: dict[_direct_peers.Address, _KnownHost] = {}
+        self._hosts: dict[_datagrams.Address, _KnownHost] = {}
+        self._map_due_at: dict[_datagrams.Address, float] = {}
 
     @property
-    def addresses(self) -> tuple[_direct_peers.Address, ...]:
+    def addresses(self) -> tuple[_datagrams.Address, ...]:
         """Addresses of the hosts."""
         return tuple(self._hosts)
 
     def note_report(
-        self, address: _direct_peers.Address, order: tuple[int, int], now: float
+        self, address: _datagrams.Address, order: tuple[int, int], now: float
     ) -> bool:
         """Notes a host's report, and tells whether the host is new.
 
@@ -60,7 +83,7 @@
         return is_new
 
     def add(
-        self, addresses: abc.Iterable[_direct_peers.Address], now: float
+        self, addresses: abc.Iterable[_datagrams.Address], now: float
     ) -> None:
         """Adds hosts that may be there, and have not reported yet."""
         for address in addresses:
@@ -69,36 +92,75 @@
     def clear(self) -> None:
         """Forgets all hosts."""
         self._hosts.clear()
+        self._map_due_at.clear()
 
-    def tell_leaving(self, beat: _direct_peers.Heartbeat) -> None:
+    def tell_leaving(self, beat: _datagrams.Heartbeat) -> None:
         """Sends the last heartbeat of a coordinator."""
         for address in self._hosts:
             self._socket.send(beat, address)
 
-    def tell(self, beat: _direct_peers.Heartbeat, now: float) -> None:
+    def tell(self, beat: _datagrams.Heartbeat, now: float) -> None:
         """Sends a heartbeat, with what each host lacks of the map.
 
         Args:
             beat: The heartbeat, without a map.
             now: Time on the boot clock, in seconds.
         """
-        beats = {(beat.epoch, beat.revision): beat}
         for address, host in list(self._hosts.items()):
             if now > host.reported_at + FORGET_HOST_S:
-                del self._hosts[address]
-                continue
-            if host.order not in beats:
-                beats[host.order] = self._add_map(beat, host.order)
-            self._socket.send(beats[host.order], address)
-
-    def _add_map(
-        self, beat: _direct_peers.Heartbeat, known: tuple[int, int]
-    ) -> _direct_peers.Heartbeat:
-        """Adds to a heartbeat what a host lacks that has another map."""
-        changes = self._directory.encode_since(known)
-        if changes:
-            return dataclasses.replace(beat, key_changes=changes)
-        return dataclasses.replace(
-            beat,
-            key_map=sycamoreloft_direct.encode_key_map(self._directory.key_map),
-        )
+                self._forget(address)
+        needs = self._sort_by_need(beat)
+        for address, changes in needs.changes.items():
+            message = dataclasses.replace(beat, key_changes=changes)
+            self._socket.send(message, address)
+        due = [
+            address
+            for address in needs.whole
+            if now >= self._map_due_at.get(address, now)
+        ]
+        if due:
+            self._send_map(due, beat.seen, now)
+
+    def _forget(self, address: _datagrams.Address) -> None:
+        del self._hosts[address]
+        self._map_due_at.pop(address, None)
+
+    def _sort_by_need(self, beat: _datagrams.Heartbeat) -> _Needs:
+        """Tells what each host lacks of the map that a heartbeat is about."""
+        order = (beat.epoch, beat.revision)
+        changes_since: dict[tuple[int, int], bytes | None] = {order: b""}
+        needs = _Needs({}, [])
+        for address, host in self._hosts.items():
+            if host.order not in changes_since:
+                changes_since[host.order] = self._encode_since(host.order)
+            changes = changes_since[host.order]
+            needs.changes[address] = changes or b""
+            if changes is None:
+                needs.whole.append(address)
+        return needs
+
+    def _encode_since(self, order: tuple[int, int]) -> bytes | None:
+        """Encodes what changed; None where the whole map has to be sent."""
+        changes = self._directory.encode_since(order)
+        if not 0 < len(changes) <= _datagrams.MOST_CHANGES_BYTES:
+            return None
+        return changes
+
+    def _send_map(
+        self,
+        addresses: abc.Iterable[_datagrams.Address],
+        seen: _datagrams.SeenVersions,
+        now: float,
+    ) -> None:
+        """Sends the whole map."""
+        try:
+            parts = _map_parts.split_map(self._directory.key_map, seen)
+        except ValueError as error:
+            _logs.log_event(
+                _LOGGER, logging.ERROR, "key-map-not-sent", reason=str(error)
+            )
+            return
+        for address in addresses:
+            self._map_due_at[address] = now + MAP_PAUSE_S
+            for part in parts:
+                self._socket.send(part, address)
--- a/packages/router/sycamoreloft_router/_key_directory.py
+++ b/packages/router/sycamoreloft_router/_key_directory.py
@@ -51,6 +51,14 @@
         self._wake()
         return True
 
+    def replace(self, key_map: sycamoreloft_direct.KeyMap) -> None:
+        """Takes the map that is recorded in place of one that never was."""
+        self._earlier.clear()
+        self._moving = ()
+        self._moving_epoch = key_map.epoch
+        self.key_map = key_map
+        self._wake()
+
     def encode_since(self, order: tuple[int, int]) -> bytes:
         """Encodes what changed since the map of another host.
 
--- a/packages/router/sycamoreloft_router/_tenure.py
+++ b/packages/router/sycamoreloft_router/_tenure.py
@@ -9,7 +9,7 @@
 import sycamoreloft_direct
 from sycamoreloft_router import (
     _coordinator_lease,
-    _direct_peers,
+    _datagrams,
     _direct_ports,
     _direct_views,
     _logs,
@@ -85,6 +85,7 @@
         self._map_version = taken.version
         self._reference = taken.reference
         self._is_renewing = False
+        self._renew_at = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
         self._answer_s = FIRST_ANSWER_S
         self._answer_times: dict[str, float] = {}
@@ -158,6 +159,18 @@
         for command in self._coordinator.tick(now, may_change, True):
             self._spawn(self._execute(command, now))
 
+    def is_confirmed(self, now: float) -> bool:
+        """Tells whether the store's lease is this host's at a time."""
+        return now < self._valid_until
+
+    def doubt(self, now: float) -> None:
+        """Asks the store soon whether this host is the coordinator.
+
+        Args:
+            now: Time on the boot clock, in seconds.
+        """
+        self._renew_at = min(self._renew_at, now + RETRY_S)
+
     def end(self, reason: str) -> None:
         """Stops acting."""
         if self.is_over:
@@ -188,14 +201,19 @@
             result=outcome.result.value,
         )
 
-    def take_observations(self, report: _direct_peers.Report) -> None:
+    def take_observations(self, report: _datagrams.Report) -> None:
         """Takes what a host observed."""
         for upstream, (count, total) in report.answers.items():
             # Answers of a busy upstream tell its queue and not its speed.
             if count > 0 and not self._coordinator.is_busy(upstream):
                 self._learn_answer_time(upstream, total / count)
-        for load in _direct_peers.convert_load(report.requests, self._answer_s):
-            self._coordinator.record_load(load)
+        for service, keys in report.requests.items():
+            work_s = {
+                key: count * self._answer_s for key, count in keys.items()
+            }
+            self._coordinator.record_load(
+                sycamoreloft_direct.KeyLoad(service, work_s)
+            )
 
     def _learn_answer_time(self, upstream: str, mean: float) -> None:
         known = self._answer_times.get(upstream, mean)
--- a/packages/router/tests/key_world.py
+++ b/packages/router/tests/key_world.py
@@ -29,6 +29,9 @@
 #: Time limit of a grant, in seconds; it may arrive until then.
 GRANT_LIMIT_S = 0.6
 
+#: Longest time after the last fault until all keys are held again, seconds.
+RECOVERY_S = 20.0
+
 #: Longest time between the decision for an order and its sending, in seconds.
 DISPATCH_LIMIT_S = 0.24
 
--- a/packages/router/tests/test_direct_peers.py
+++ b/packages/router/tests/test_direct_peers.py
@@ -7,46 +7,51 @@
 
 from sycamoreloft_router import (
     _coordinator_lease,
-    _direct_peers,
+    _datagram_codec,
+    _datagrams,
     _key_directory,
     _logs,
 )
 
-HEARTBEAT = _direct_peers.Heartbeat(
+HEARTBEAT = _datagrams.Heartbeat(
     3,
     9,
     False,
     (_key_directory.MovingKeys("boards", 5, 9),),
-    _direct_peers.SeenVersions(4, 8),
+    _datagrams.SeenVersions(4, 8),
     7,
     0.25,
     (2**64 - 1, 5),
-    b"map",
     b"changes",
 )
 
-REPORT = _direct_peers.Report(
+REPORT = _datagrams.Report(
     "host-1",
     3,
     9,
-    _direct_peers.SeenVersions(4, 8),
+    _datagrams.SeenVersions(4, 8),
     {"boards": {5: 2, 9: 1}},
     {"u1": (3, 0.25)},
     {2**64 - 1: 2},
 )
 
 
-INTRODUCTION = _direct_peers.Introduction(
-    _direct_peers.SeenVersions(4, 8),
-    (("255.255.255.255", 65_535),) * _direct_peers.HOSTS_PER_INTRODUCTION,
+INTRODUCTION = _datagrams.Introduction(
+    _datagrams.SeenVersions(4, 8),
+    (("255.255.255.255", 65_535),) * _datagrams.HOSTS_PER_INTRODUCTION,
 )
 
 
-@pytest.mark.parametrize("message", [HEARTBEAT, REPORT, INTRODUCTION])
+MAP_PART = _datagrams.MapPart(
+    _datagrams.SeenVersions(4, 8), 3, 9, 1, 2, b"x" * _datagrams.MAP_PART_BYTES
+)
+
+
+@pytest.mark.parametrize("message", [HEARTBEAT, REPORT, INTRODUCTION, MAP_PART])
 def test_messages_survive_the_way(message):
-    data = _direct_peers.encode(message)
-    assert _direct_peers.decode(data) == message
-    assert len(data) < _direct_peers.MAXIMUM_DATAGRAM_BYTES
+    data = _datagram_codec.encode(message)
+    assert _datagram_codec.decode(data) == message
+    assert len(data) < _datagrams.MAXIMUM_DATAGRAM_BYTES
 
 
 @pytest.mark.parametrize(
@@ -56,12 +61,13 @@
         b"\xc1",
         b"\x80",
         b"hello",
-        _direct_peers.encode(REPORT)[:-3],
-        _direct_peers.encode(INTRODUCTION)[:-3],
+        _datagram_codec.encode(REPORT)[:-3],
+        _datagram_codec.encode(INTRODUCTION)[:-3],
     ],
 )
 def test_other_bytes_are_no_message(data):
-    assert _direct_peers.decode(data) is None
+    with pytest.raises(_datagram_codec.DatagramError):
+        _datagram_codec.decode(data)
 
 
 def test_a_lease_survives_the_store():
--- a/packages/router/tests/test_key_fuzz.py
+++ b/packages/router/tests/test_key_fuzz.py
@@ -8,9 +8,6 @@
 
 import sycamoreloft_direct
 
-#: Longest time after the last fault until all keys are held again, seconds.
-RECOVERY_S = 20.0
-
 
 async def _crash(world, seconds, gone):
     upstream = world.generator.choice(list(world.upstreams.values()))
@@ -126,7 +123,7 @@
     await asyncio.gather(*running)
     world.calm()
     load.cancel()
-    await asyncio.sleep(RECOVERY_S)
+    await asyncio.sleep(key_world.RECOVERY_S)
     assert not world.problems, world.problems[:3]
     assert world.count_served() == sycamoreloft_direct.KEY_COUNT
 
--- a/packages/router/tests/test_key_lease_ends.py
+++ b/packages/router/tests/test_key_lease_ends.py
@@ -10,9 +10,6 @@
 import pytest
 import virtual_time
 
-#: Longest time after the last fault until all keys are held again, seconds.
-RECOVERY_S = 20.0
-
 
 async def _lose_owner(world):
     """Cuts an upstream from all hosts; it lives on, and its entry lapses."""
@@ -86,7 +83,7 @@
         await asyncio.sleep(world.generator.uniform(0.0, 3.0))
     world.calm()
     load.cancel()
-    await asyncio.sleep(RECOVERY_S)
+    await asyncio.sleep(key_world.RECOVERY_S)
     assert not world.problems, world.problems[:3]
 
 
