--- a/deploy/router.py
+++ b/deploy/router.py
@@ -5,14 +5,7 @@
 
 _ROOT = pathlib.Path(__file__).resolve().parents[1]
 
-for _folder in (
-    "packages/config",
-    "packages/decisions",
-    "packages/direct",
-    "packages/wire",
-    "packages/router",
-    "platform",
-):
+for _folder in ("packages/direct", "packages/router", "platform"):
     sys.path.insert(0, str(_ROOT / _folder))
 
 from sycamoreloft_platform import main  # noqa: E402
--- a/packages/decisions/sycamoreloft_decisions/__init__.py
+++ b/packages/decisions/sycamoreloft_decisions/__init__.py
@@ -120,11 +120,7 @@
     PartitionDirectory,
     find_partition_group,
 )
-from sycamoreloft_decisions._retries import (
-    RetryBudget,
-    ServiceRetryBudgets,
-    choose_backoff,
-)
+from sycamoreloft_decisions._retries import choose_backoff
 from sycamoreloft_decisions._rows import (
     EMPTY_TABLE,
     HOT_KEYS_ROW,
@@ -230,11 +226,9 @@
     "RecordDecision",
     "RefusePermit",
     "ReleaseUnit",
-    "RetryBudget",
     "RowsLoaded",
     "RowsRead",
     "SendGrant",
-    "ServiceRetryBudgets",
     "ShareSuspects",
     "StepDown",
     "StepDownAnswered",
--- a/packages/direct/sycamoreloft_direct/__init__.py
+++ b/packages/direct/sycamoreloft_direct/__init__.py
@@ -41,6 +41,10 @@
     Upstream,
     UpstreamRun,
 )
+from sycamoreloft_direct._retry_budgets import (
+    RetryBudget,
+    ServiceRetryBudgets,
+)
 from sycamoreloft_direct._routes import RouteTable
 from sycamoreloft_direct._upstream_book import (
     LEAST_STALL_S,
@@ -65,6 +69,7 @@
     "KeyLoad",
     "KeyMap",
     "KeyRange",
+    "RetryBudget",
     "Route",
     "RouteKind",
     "RouteTable",
@@ -72,6 +77,7 @@
     "SendRelease",
     "Service",
     "ServiceKeys",
+    "ServiceRetryBudgets",
     "Target",
     "Upstream",
     "UpstreamBook",
--- a/packages/proof/sycamoreloft_proof/_bench_router.py
+++ b/packages/proof/sycamoreloft_proof/_bench_router.py
@@ -15,7 +15,7 @@
 from returns import result
 
 import sycamoreloft_config
-from sycamoreloft_router import _caller_server
+from sycamoreloft_router import _caller_server, _permit_server
 import sycamoreloft_wire
 
 #: Set to a number of seconds to profile the process for that long.
@@ -115,7 +115,7 @@
 async def main(upstream: str) -> None:
     """Serves until the process is ended."""
     sources = InProcessSources(upstream)
-    server = _caller_server.create_permit_server(
+    server = _permit_server.create_server(
         "host-1",
         "i1",
         sources,
--- a/packages/router/sycamoreloft_router/_attempts.py
+++ b/packages/router/sycamoreloft_router/_attempts.py
@@ -15,6 +15,7 @@
     _exchange,
     _headers,
     _metrics,
+    _permit_ports,
     _transfer_types,
     _transfers,
     _upstream_client,
@@ -40,11 +41,11 @@
     #: Random identifier of this process.
     incarnation: str
     #: The generation in force.
-    names: _exchange.NameSource
+    names: _permit_ports.NameSource
     #: Source of permits.
-    permits: _exchange.PermitSource
+    permits: _permit_ports.PermitSource
     #: Source of claims.
-    claims: _exchange.ClaimSource
+    claims: _permit_ports.ClaimSource
     #: Runs the transfers.
     client: _upstream_client.UpstreamClient
     #: Metrics of the process.
--- a/packages/router/sycamoreloft_router/_caller_exchange.py
+++ b/packages/router/sycamoreloft_router/_caller_exchange.py
@@ -8,7 +8,6 @@
 from returns import result
 from tornado import httputil, iostream
 
-import sycamoreloft_decisions
 from sycamoreloft_router import (
     _answers,
     _body_streams,
@@ -348,7 +347,7 @@
 
     def _on_deadline(self) -> None:
         if self._run is not None:
-            self._run.stop(sycamoreloft_decisions.DeadlinePassed())
+            self._run.stop(_exchange.StopReason.DEADLINE_PASSED)
         elif not self._ended:
             self._refuse(
                 _answers.Refusal(
@@ -369,7 +368,7 @@
         if self._run is None:
             self._end("did-not-run", "caller-gone")
         else:
-            self._run.stop(sycamoreloft_decisions.CallerGone())
+            self._run.stop(_exchange.StopReason.CALLER_GONE)
 
     # Answering it; see `_exchange.AnswerSink`.
 
--- a/packages/router/sycamoreloft_router/_caller_requests.py
+++ b/packages/router/sycamoreloft_router/_caller_requests.py
@@ -10,8 +10,8 @@
 import sycamoreloft_config
 from sycamoreloft_router import (
     _answers,
-    _exchange,
     _headers,
+    _permit_ports,
     _request_lines,
 )
 
@@ -68,7 +68,7 @@
         names: The generation in force.
     """
 
-    def __init__(self, names: _exchange.NameSource) -> None:
+    def __init__(self, names: _permit_ports.NameSource) -> None:
         self._names = names
         self._generation = names.generation
         self._cache: dict[
--- a/packages/router/sycamoreloft_router/_caller_server.py
+++ b/packages/router/sycamoreloft_router/_caller_server.py
@@ -3,21 +3,15 @@
 import asyncio
 import dataclasses
 import logging
-import random
 import ssl
 
 from tornado import httputil, netutil
 
 from sycamoreloft_router import (
-    _attempts,
     _caller_connections,
     _caller_exchange,
-    _caller_requests,
     _exchange,
-    _group_choice,
     _logs,
-    _metrics,
-    _request_path,
     _upstream_client,
 )
 
@@ -201,49 +195,3 @@
         if self._server is not None:
             self._server.close_idle(loop.time() - self._idle_s)
         self._sweep = loop.call_later(SWEEP_S, self._close_idle)
-
-
-def create_permit_server(
-    host: str,
-    incarnation: str,
-    names: _exchange.NameSource,
-    groups: _exchange.GroupSource,
-    permits: _exchange.PermitSource,
-    claims: _exchange.ClaimSource,
-    limits: CallerLimits | None = None,
-    metrics: _metrics.Metrics | None = None,
-) -> CallerServer:
-    """Creates a server whose requests need a permit of a group's holder.
-
-    Args:
-        host: Name of this host.
-        incarnation: Random identifier of this process.
-        names: The generation in force.
-        groups: Location of partitions and groups.
-        permits: Source of permits.
-        claims: Source of claims.
-        limits: Bounds.
-        metrics: Metrics of the process.
-    """
-    limits = limits or CallerLimits()
-    generator = random.Random()
-    services = _attempts.Services(
-        host,
-        incarnation,
-        names,
-        permits,
-        claims,
-        _upstream_client.UpstreamClient(
-            force_instance=True,
-            connections_per_upstream=limits.connections_per_upstream,
-        ),
-        metrics or _metrics.Metrics(),
-        asyncio.get_running_loop(),
-    )
-    path = _request_path.RequestPath(
-        services,
-        _caller_requests.RequestParser(names),
-        _group_choice.GroupChooser(groups, generator),
-        generator,
-    )
-    return CallerServer(path, services.client, limits)
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -9,7 +9,6 @@
 
 from tornado import httpserver, netutil, web
 
-import sycamoreloft_decisions
 import sycamoreloft_direct
 from sycamoreloft_router import (
     _answer_heads,
@@ -169,7 +168,7 @@
                 SILENCE_S,
             ),
         )
-        self._budgets = sycamoreloft_decisions.ServiceRetryBudgets(
+        self._budgets = sycamoreloft_direct.ServiceRetryBudgets(
             *_choose_budget(settings)
         )
         self._services = _direct_services.DirectServices(
--- a/packages/router/sycamoreloft_router/_direct_run.py
+++ b/packages/router/sycamoreloft_router/_direct_run.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-import sycamoreloft_decisions
 import sycamoreloft_direct
 from sycamoreloft_router import (
     _answer_heads,
@@ -21,6 +20,7 @@
 )
 
 _KIND = _transfer_types.FailureKind
+_STOP = _exchange.StopReason
 _RESULT = sycamoreloft_direct.AttemptResult
 
 #: Statuses by which an upstream may say that a request did not run.
@@ -90,7 +90,7 @@
         "_sent_to",
         "_services",
         "_sink",
-        "_stop_event",
+        "_stop_reason",
         "_task",
         "_transfer",
         "_tries",
@@ -118,7 +118,7 @@
         self._may_have_run = False
         self._obstacle = ""
         self._sent_to: set[str] = set()
-        self._stop_event: sycamoreloft_decisions.AttemptEvent | None = None
+        self._stop_reason: _exchange.StopReason | None = None
         self._task: asyncio.Task[None] | None = None
         self._transfer: _transfers.Transfer | None = None
         self._tries = 0
@@ -129,22 +129,22 @@
             self._request.route.kind is sycamoreloft_direct.RouteKind.IDEMPOTENT
         )
 
-    def stop(self, event: sycamoreloft_decisions.AttemptEvent) -> None:
+    def stop(self, reason: _exchange.StopReason) -> None:
         """Stops the request because of its deadline or its caller.
 
         A request that must not be repeated runs on without its caller: to
         break it off would leave its effect unknown.
         """
-        if self._stop_event is not None:
+        if self._stop_reason is not None:
             return
         is_running = self._transfer is not None and self._transfer.started
         if (
-            isinstance(event, sycamoreloft_decisions.CallerGone)
+            reason is _STOP.CALLER_GONE
             and is_running
             and not self._is_idempotent
         ):
             return
-        self._stop_event = event
+        self._stop_reason = reason
         if self._task is not None:
             self._task.cancel()
 
@@ -161,12 +161,12 @@
             )
         refusal: _answers.Refusal | None = None
         try:
-            if self._stop_event is None:
+            if self._stop_reason is None:
                 refusal = await self._run_attempts()
         except asyncio.CancelledError:
-            if self._stop_event is None:
+            if self._stop_reason is None:
                 raise
-        if self._stop_event is not None:
+        if self._stop_reason is not None:
             refusal = self._end_stopped()
         self._log(refusal)
         return refusal
@@ -247,8 +247,9 @@
 
     def _was_silent(self, elapsed_s: float) -> bool:
         """Tells whether the deadline ended an attempt without an answer."""
-        return elapsed_s > sycamoreloft_direct.LEAST_STALL_S and isinstance(
-            self._stop_event, sycamoreloft_decisions.DeadlinePassed
+        return (
+            elapsed_s > sycamoreloft_direct.LEAST_STALL_S
+            and self._stop_reason is _STOP.DEADLINE_PASSED
         )
 
     def _start(
@@ -389,7 +390,7 @@
         )
 
     def _end_stopped(self) -> _answers.Refusal:
-        if isinstance(self._stop_event, sycamoreloft_decisions.CallerGone):
+        if self._stop_reason is _STOP.CALLER_GONE:
             return _direct_answers.answer_gone(self._may_have_run)
         if not self._may_have_run:
             self._choice.reason = "deadline-before-start"
--- a/packages/router/sycamoreloft_router/_direct_services.py
+++ b/packages/router/sycamoreloft_router/_direct_services.py
@@ -4,7 +4,6 @@
 import dataclasses
 import random
 
-import sycamoreloft_decisions
 import sycamoreloft_direct
 from sycamoreloft_router import (
     _coordinator_duty,
@@ -36,7 +35,7 @@
     #: Counts requests and answers for the coordinator.
     duty: _coordinator_duty.CoordinatorDuty
     #: Retries that are allowed.
-    budgets: sycamoreloft_decisions.ServiceRetryBudgets
+    budgets: sycamoreloft_direct.ServiceRetryBudgets
     #: Requests that crash upstreams.
     guard: sycamoreloft_direct.CrashGuard
     #: Runs the transfers.
--- a/packages/router/sycamoreloft_router/_group_choice.py
+++ b/packages/router/sycamoreloft_router/_group_choice.py
@@ -3,7 +3,7 @@
 from collections import abc
 import random
 
-from sycamoreloft_router import _caller_requests, _exchange
+from sycamoreloft_router import _caller_requests, _permit_ports
 
 #: Weight of the latest observation in the mean delay of a group.
 _LATEST_WEIGHT = 0.1
@@ -21,7 +21,7 @@
     """
 
     def __init__(
-        self, groups: _exchange.GroupSource, generator: random.Random
+        self, groups: _permit_ports.GroupSource, generator: random.Random
     ) -> None:
         self._groups = groups
         self._generator = generator
--- a/packages/router/sycamoreloft_router/_host.py
+++ b/packages/router/sycamoreloft_router/_host.py
@@ -12,7 +12,6 @@
     _admin,
     _alias_releases,
     _backend,
-    _caller_server,
     _configuration,
     _connection_share,
     _directory,
@@ -25,6 +24,7 @@
     _names,
     _peer_links,
     _peer_server,
+    _permit_server,
     _permit_source,
     _store_client,
     _supervisor,
@@ -127,7 +127,7 @@
         )
 
     def _build_servers(self) -> None:
-        self._caller_server = _caller_server.create_permit_server(
+        self._caller_server = _permit_server.create_server(
             self._settings.host,
             self._incarnation,
             self._names,
--- a/packages/router/sycamoreloft_router/_permit_source.py
+++ b/packages/router/sycamoreloft_router/_permit_source.py
@@ -65,7 +65,7 @@
     async def ask_permit(
         self, request: sycamoreloft_wire.PermitRequest
     ) -> sycamoreloft_wire.PermitGrant | sycamoreloft_wire.PermitRefusal:
-        """Asks the holder of the group; see `_exchange.PermitSource`."""
+        """Asks the holder of the group; see `_permit_ports.PermitSource`."""
         group = self._groups.setdefault(request.group, _GroupUse())
         deadline = time.monotonic() + request.remaining_ms / 1000
         tries = 0
@@ -219,7 +219,7 @@
     async def ask_claim(
         self, request: sycamoreloft_wire.ClaimRequest
     ) -> sycamoreloft_wire.ClaimAnswer:
-        """Asks the claim holder; see `_exchange.ClaimSource`."""
+        """Asks the claim holder; see `_permit_ports.ClaimSource`."""
         deadline = time.monotonic() + CLAIM_TIMEOUT_S
         while True:
             left = deadline - time.monotonic()
--- a/packages/router/sycamoreloft_router/_request_path.py
+++ b/packages/router/sycamoreloft_router/_request_path.py
@@ -1,6 +1,7 @@
 """The path of one request: attempts, retries and the router's own answers."""
 
 import asyncio
+from collections import abc
 import dataclasses
 import logging
 import random
@@ -8,6 +9,7 @@
 from returns import result
 
 import sycamoreloft_decisions
+import sycamoreloft_direct
 from sycamoreloft_router import (
     _answers,
     _attempts,
@@ -40,6 +42,16 @@
     "no-group": "the operator has to add upstreams of the service to a file",
 }
 
+#: Events of an attempt by the reason to stop its request.
+_EVENTS: abc.Mapping[
+    _exchange.StopReason, sycamoreloft_decisions.AttemptEvent
+] = {
+    _exchange.StopReason.DEADLINE_PASSED: (
+        sycamoreloft_decisions.DeadlinePassed()
+    ),
+    _exchange.StopReason.CALLER_GONE: sycamoreloft_decisions.CallerGone(),
+}
+
 _DID_NOT_RUN = sycamoreloft_decisions.Outcome.DID_NOT_RUN
 
 _DID_NOT_RUN_REMEDY = "nothing ran; send the request again"
@@ -76,7 +88,7 @@
         #: Source of the jitter of retries.
         self.generator = generator
         #: Retries that are allowed.
-        self.budget = sycamoreloft_decisions.RetryBudget()
+        self.budget = sycamoreloft_direct.RetryBudget()
         #: Metrics of the process.
         self.metrics = services.metrics
 
@@ -142,7 +154,7 @@
         self._task: asyncio.Task[None] | None = None
         self._tries = 0
 
-    def stop(self, event: sycamoreloft_decisions.AttemptEvent) -> None:
+    def stop(self, reason: _exchange.StopReason) -> None:
         """Stops the request because of its deadline or its caller.
 
         An operation that runs at most once is not cancelled for a caller
@@ -151,6 +163,7 @@
         """
         if self._stop_event is not None:
             return
+        event = _EVENTS[reason]
         if (
             isinstance(event, sycamoreloft_decisions.CallerGone)
             and self._given.request.operation.at_most_once
