Keep connections open whose next request has arrived

Before a request of the second kind was then passed on to an upstream although its connection was closed, which is what was seen.

A connection whose request has arrived is not idle now; a head that takes over 10 s longer ends that. test_a_request_that_has_arrived_ends_the_idle_time fails before in three of four cases (no byte came back) and passes now.

--- a/packages/router/sycamoreloft_router/_caller_connections.py
+++ b/packages/router/sycamoreloft_router/_caller_connections.py
@@ -59,6 +59,14 @@
     """The connection answered malformed input itself and must close."""
 
 
+#: Seconds that a head may take to come after the connection was idle for too
+#: long.
+LONGEST_HEAD_S = 10.0
+
+#: Seconds within which a head that was read gets its turn on the event loop.
+TURN_S = 1.0
+
+
 class BodyRejecter(typing.Protocol):
     """A delegate that answers a malformed body itself."""
 
@@ -166,6 +174,28 @@
     #: Longest request line and headers, in bytes; set by the server.
     header_bytes = READ_HEADER_BYTES
 
+    def is_idle(self, waiting_before: float) -> bool:
+        """Tells whether the connection has waited since before a time.
+
+        A request that has arrived and not had its turn on the event loop
+        ends the wait, unless its head takes too long to come.
+        """
+        if not self.is_waiting or self.waiting_since >= waiting_before:
+            return False
+        return (
+            self.waiting_since < waiting_before - LONGEST_HEAD_S
+            or not self._has_arrived()
+        )
+
+    def _has_arrived(self) -> bool:
+        """Tells whether bytes of a request arrived just now."""
+        stream = self.stream
+        if not isinstance(stream, _caller_streams.CallerStream):
+            return False
+        read_since = asyncio.get_running_loop().time() - TURN_S
+        is_read = stream.received_at > max(read_since, self.waiting_since)
+        return is_read or stream.has_unread()
+
     async def _server_request_loop(
         self, delegate: httputil.HTTPServerConnectionDelegate
     ) -> None:
@@ -292,8 +322,5 @@
     def close_idle(self, waiting_before: float) -> None:
         """Closes connections that have waited since before a time."""
         for connection in self.list_connections():
-            if (
-                connection.is_waiting
-                and connection.waiting_since < waiting_before
-            ):
+            if connection.is_idle(waiting_before):
                 connection.stream.close()
--- a/packages/router/sycamoreloft_router/_caller_streams.py
+++ b/packages/router/sycamoreloft_router/_caller_streams.py
@@ -29,6 +29,23 @@
 
     _farewell: asyncio.Task[None] | None = None
 
+    #: When bytes were read last, on the clock of the event loop.
+    received_at = 0.0
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Reads what is there; see the base class."""
+        size = super().read_from_fd(buf)
+        if size:
+            self.received_at = asyncio.get_running_loop().time()
+        return size
+
+    def has_unread(self) -> bool:
+        """Tells whether bytes wait in the socket."""
+        try:
+            return self.socket.recv(1, socket.MSG_PEEK) != b""
+        except OSError:
+            return False
+
     def close(self, exc_info: typing.Any = False) -> None:
         """Closes the stream; see the base class."""
         if (
--- a/packages/router/tests/test_exchange_callers.py
+++ b/packages/router/tests/test_exchange_callers.py
@@ -61,6 +61,37 @@
     serve(scenario)
 
 
+# Guards against a LOST: the sweep for idle connections closed one whose request
+# was in the socket already, or was read and waited for its turn.
+@pytest.mark.parametrize("turns", [0, 1, 2, 3])
+def test_a_request_that_has_arrived_ends_the_idle_time(serve, turns):
+    async def scenario(bench, upstream):
+        caller = await bench.connect()
+        connections = bench.server._server.list_connections
+        await raw_peers.wait_until(connections)
+        await asyncio.sleep(0.05)
+        caller.writer.write(build_head())
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        bench.server._server.close_idle(asyncio.get_running_loop().time() + 1)
+        answer = await raw_peers.read_message(caller.reader)
+        assert answer.status == 200
+        assert len(upstream.requests) == 1
+
+    serve(scenario)
+
+
+def test_an_idle_connection_is_closed(serve):
+    async def scenario(bench, _upstream):
+        caller = await bench.connect()
+        await raw_peers.wait_until(bench.server._server.list_connections)
+        await asyncio.sleep(0.05)
+        bench.server._server.close_idle(asyncio.get_running_loop().time() + 1)
+        assert await caller.reader.read() == b""
+
+    serve(scenario)
+
+
 def test_at_most_once_goes_on_when_its_caller_leaves(serve):
     """Guards against an unknown outcome that waiting would have settled."""
 
