Take keys at once from an owner whose address another upstream has

Cause: the coordinator and six owners were lost together, and its successor waits 12 s and a lease for what the predecessor may have renewed; each further change of the coordinator begins this wait anew. The addresses of these six were in use by other upstreams from 4.6 s on, which the platform does only after an upstream has ended.

A coordinator that gets the answer of another upstream to a request of its own takes the keys of the run that had the address; LeaseEnds does not count its leases any more. Only what the host saw itself counts, since reports are not authenticated.

--- a/packages/direct/sycamoreloft_direct/_key_coordinator.py
+++ b/packages/direct/sycamoreloft_direct/_key_coordinator.py
@@ -115,6 +115,7 @@
                 service,
                 item.first,
                 item.last,
+                item.owner,
                 self._epoch * FENCES_PER_EPOCH,
                 earlier_until,
             )
@@ -158,6 +159,14 @@
         """Takes the relative speeds of upstreams by identifier."""
         self._rebalancer.update_speeds(speeds)
 
+    def end_run(self, run: _nodes.UpstreamRun) -> None:
+        """Takes all keys from a run that has surely ended."""
+        self._leases.end_run(run)
+        for segment in self._table:
+            if segment.owner == run and segment.phase is not _PHASE.RECORDING:
+                segment.leased_until = 0.0
+                self._table.vacate(segment)
+
     def is_busy(self, upstream: str) -> bool:
         """Tells whether an upstream is so busy that requests queue."""
         return self._rebalancer.is_busy(upstream)
--- a/packages/direct/sycamoreloft_direct/_lease_ends.py
+++ b/packages/direct/sycamoreloft_direct/_lease_ends.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 
-from sycamoreloft_direct import _key_commands
+from sycamoreloft_direct import _key_commands, _nodes
 
 #: End of leases whose grant may still arrive.
 OPEN = float("inf")
@@ -26,6 +26,8 @@
     last: int
     #: Fencing token of the grant.
     fence: int
+    #: Run of the upstream that it was sent to.
+    run: _nodes.UpstreamRun
 
     def concerns(
         self, service: str, first: int, last: int, above_fence: int
@@ -50,10 +52,17 @@
         self._times = times
         self._open: dict[int, tuple[_Claim, float]] = {}
         self._ends: dict[_Claim, float] = {}
+        self._ended_runs: set[_nodes.UpstreamRun] = set()
         self._sweep_at = 0.0
 
     def assume(
-        self, service: str, first: int, last: int, fence: int, sent_until: float
+        self,
+        service: str,
+        first: int,
+        last: int,
+        run: _nodes.UpstreamRun,
+        fence: int,
+        sent_until: float,
     ) -> None:
         """Counts with grants of an earlier coordinator.
 
@@ -61,16 +70,19 @@
             service: Name of the service.
             first: First key.
             last: Last key, inclusive.
+            run: Run of the owner.
             fence: Highest token that the grants may have.
             sent_until: Time until which it may have decided for a grant.
         """
-        claim = _Claim(service, first, last, fence)
+        claim = _Claim(service, first, last, fence, run)
         arrived_at = sent_until + self._times.grant_travel_s
         self._ends[claim] = arrived_at + self._find_length(self._times.hold_s)
 
     def open(self, order: _key_commands.SendGrant) -> None:
         """Notes a grant that is about to be sent."""
-        claim = _Claim(order.service, order.first, order.last, order.fence)
+        claim = _Claim(
+            order.service, order.first, order.last, order.fence, order.run
+        )
         self._open[order.order] = (claim, order.hold_s)
 
     def close(self, order: int, now: float, may_have_arrived: bool) -> None:
@@ -88,7 +100,11 @@
             self._ends[claim] = max(end, self._ends.get(claim, end))
         if now >= self._sweep_at:
             self._sweep_at = now + self._times.hold_s
-            self._drop_ended(now)
+            self._drop_over(now)
+
+    def end_run(self, run: _nodes.UpstreamRun) -> None:
+        """Notes that a run has ended: it holds nothing, and never will."""
+        self._ended_runs.add(run)
 
     def find_end(
         self, service: str, first: int, last: int, above_fence: int
@@ -105,10 +121,14 @@
             A time in seconds; `OPEN` while a grant may still arrive.
         """
         keys = (service, first, last, above_fence)
-        if any(claim.concerns(*keys) for claim, _ in self._open.values()):
+        if any(self._may_hold(claim, keys) for claim, _ in self._open.values()):
             return OPEN
         return max(
-            (end for claim, end in self._ends.items() if claim.concerns(*keys)),
+            (
+                end
+                for claim, end in self._ends.items()
+                if self._may_hold(claim, keys)
+            ),
             default=0.0,
         )
 
@@ -117,11 +137,14 @@
         arrived_at = now + self._times.grant_travel_s
         return (end - arrived_at) / (1 + self._times.drift)
 
+    def _may_hold(self, claim: _Claim, keys: tuple[str, int, int, int]) -> bool:
+        return claim.run not in self._ended_runs and claim.concerns(*keys)
+
     def _find_length(self, hold_s: float) -> float:
         """Returns how long a lease may last by an upstream's clock."""
         return hold_s * (1 + self._times.drift)
 
-    def _drop_ended(self, now: float) -> None:
+    def _drop_over(self, now: float) -> None:
         self._ends = {
             claim: end for claim, end in self._ends.items() if end > now
         }
--- a/packages/direct/tests/test_lease_ends.py
+++ b/packages/direct/tests/test_lease_ends.py
@@ -66,7 +66,17 @@
 
 
 def test_earlier_coordinator_is_counted_with_its_last_order(ends):
-    ends.assume("boards", 0, 99, 5, 7.0)
+    ends.assume("boards", 0, 99, RUN, 5, 7.0)
     expected = 7.0 + TIMES.grant_travel_s + LEASE_S
     assert ends.find_end("boards", 0, 99, 0) == pytest.approx(expected)
     assert ends.find_end("boards", 0, 99, 5) == 0.0
+
+
+def test_run_that_ended_holds_nothing(ends):
+    ends.assume("boards", 0, 99, RUN, 5, 7.0)
+    ends.open(build_grant(1))
+    ends.open(build_grant(2, fence=11))
+    ends.end_run(RUN)
+    assert ends.find_end("boards", 0, 99, 0) == 0.0
+    ends.close(2, 9.0, True)
+    assert ends.find_end("boards", 0, 99, 0) == 0.0
--- /dev/null
+++ b/packages/direct/tests/test_lost_owners.py
@@ -0,0 +1,86 @@
+"""Keys of owners that are gone, and what shortens the wait for them.
+
+The pattern: the coordinator and some owners are lost together, so that the
+successor waits for what the predecessor may have granted, and all requests for
+the keys of these owners are refused meanwhile.
+"""
+
+import pytest
+
+import sycamoreloft_direct
+
+SERVICE = "boards"
+TICK_S = 0.05
+
+#: Time for which an earlier coordinator may renew, in seconds.
+EARLIER_S = 12.0
+
+
+def build(number):
+    return sycamoreloft_direct.Upstream(
+        f"u{number}", 1, f"10.0.0.{number}:1", SERVICE, "z", 6, False
+    )
+
+
+class Succession:
+    """A coordinator that succeeds a lost one; the first owner is gone."""
+
+    def __init__(self):
+        self.upstreams = [build(number) for number in range(4)]
+        self.lost = self.upstreams[0].run
+        width = sycamoreloft_direct.KEY_COUNT // 4
+        ranges = tuple(
+            sycamoreloft_direct.KeyRange(
+                number * width, (number + 1) * width - 1, entry.run
+            )
+            for number, entry in enumerate(self.upstreams)
+        )
+        keys = sycamoreloft_direct.ServiceKeys(SERVICE, ranges)
+        self.now = 0.0
+        self.coordinator = sycamoreloft_direct.KeyCoordinator(
+            sycamoreloft_direct.KeyMap(2, 1, {SERVICE: keys}),
+            self.now,
+            self.now + EARLIER_S,
+            sycamoreloft_direct.HoldTimes(),
+        )
+
+    def run(self, seconds):
+        """Answers all orders but those to the lost owner."""
+        until = self.now + seconds
+        results = sycamoreloft_direct.GrantResult
+        while self.now < until:
+            self.now += TICK_S
+            self.coordinator.update_upstreams(
+                self.upstreams[1:], {SERVICE}, self.now
+            )
+            for command in self.coordinator.tick(self.now, True, True):
+                if isinstance(command, sycamoreloft_direct.WriteMap):
+                    self.coordinator.finish_write(True)
+                    continue
+                is_lost = command.run == self.lost
+                result = results.UNREACHED if is_lost else results.ACCEPTED
+                self.coordinator.finish_grant(command.order, result, self.now)
+
+    def is_lost_recorded(self):
+        """Tells whether the lost owner still has the first key."""
+        owner = self.coordinator.key_map.find_owner(SERVICE, 0)
+        return owner == self.lost
+
+
+@pytest.fixture
+def succession():
+    return Succession()
+
+
+def test_keys_of_a_silent_owner_wait_for_the_predecessor(succession):
+    succession.run(EARLIER_S)
+    assert succession.is_lost_recorded()
+    succession.run(6.0)
+    assert not succession.is_lost_recorded()
+
+
+def test_keys_of_an_owner_that_surely_ended_do_not_wait(succession):
+    succession.run(1.0)
+    succession.coordinator.end_run(succession.lost)
+    succession.run(1.0)
+    assert not succession.is_lost_recorded()
--- a/packages/router/sycamoreloft_router/_coordinator_duty.py
+++ b/packages/router/sycamoreloft_router/_coordinator_duty.py
@@ -13,6 +13,7 @@
     _direct_peers,
     _direct_ports,
     _direct_views,
+    _host_reports,
     _host_roster,
     _key_directory,
     _logs,
@@ -148,8 +149,9 @@
         self._ask_at = self._clock() + self._yield_s
         self._beat_at = 0.0
         self._report_at = 0.0
-        self._observed: list[tuple[str, int]] = []
-        self._answers: dict[str, tuple[int, float]] = {}
+        self._reports = _host_reports.HostReports(
+            settings.name, directory, self._seen, self._guard
+        )
         self._is_stopping = False
         self._moving: tuple[_key_directory.MovingKeys, ...] = ()
 
@@ -160,12 +162,23 @@
 
     def observe_request(self, service: str, key: int) -> None:
         """Counts a request for a key."""
-        self._observed.append((service, key))
+        self._reports.observe_request(service, key)
 
     def observe_answer(self, upstream: str, seconds: float) -> None:
         """Counts an answer of an upstream that owns keys."""
-        count, total = self._answers.get(upstream, (0, 0.0))
-        self._answers[upstream] = (count + 1, total + seconds)
+        self._reports.observe_answer(upstream, seconds)
+
+    def observe_replacement(self, run: sycamoreloft_direct.UpstreamRun) -> None:
+        """Takes that another upstream answers at the address of a run.
+
+        Addresses are assigned again after their upstreams have ended. Only
+        what this host saw itself counts: a datagram could be forged.
+        """
+        if self._tenure is not None:
+            self._tenure.end_run(run)
+            _logs.log_event(
+                _LOGGER, logging.INFO, "upstream-replaced", upstream=run.id
+            )
 
     async def open(self) -> None:
         """Opens the socket for datagrams."""
@@ -474,17 +487,8 @@
         )
 
     def _report(self) -> None:
-        report = _datagrams.Report(
-            self._settings.name,
-            *self._directory.key_map.order,
-            self._seen(),
-            _datagrams.summarize_requests(self._observed),
-            self._answers,
-            self._guard.list_own(asyncio.get_running_loop().time()),
-        )
+        report = self._reports.take()
         if self._tenure is not None:
             self._tenure.take_observations(report)
         elif self._coordinator_address is not None:
             self._socket.send(report, self._coordinator_address)
-        self._observed = []
-        self._answers = {}
--- a/packages/router/sycamoreloft_router/_direct_run.py
+++ b/packages/router/sycamoreloft_router/_direct_run.py
@@ -236,6 +236,8 @@
             result = _RESULT.SILENT
         services.book.finish(record, self, result, now)
         self._crash_watch.take(result, transfer, now)
+        if result is _RESULT.REPLACED:
+            services.duty.observe_replacement(record.entry.run)
         if result is _RESULT.ANSWERED:
             services.metrics.observe(
                 "sycamoreloft_upstream_seconds", now - begun
--- a/packages/router/sycamoreloft_router/_tenure.py
+++ b/packages/router/sycamoreloft_router/_tenure.py
@@ -201,6 +201,10 @@
             result=outcome.result.value,
         )
 
+    def end_run(self, run: sycamoreloft_direct.UpstreamRun) -> None:
+        """Takes all keys from a run of an upstream that has ended."""
+        self._coordinator.end_run(run)
+
     def take_observations(self, report: _datagrams.Report) -> None:
         """Takes what a host observed."""
         for upstream, (count, total) in report.answers.items():
--- a/packages/router/tests/key_world.py
+++ b/packages/router/tests/key_world.py
@@ -254,6 +254,8 @@
         target = self.world.hosts.get(address[0])
         if target is None or self.world.generator.random() < 0.05:
             return
+        if self.host.is_isolated != target.is_isolated:
+            return
         sender = (self.host.name, 1)
         self.world.loop.call_later(0.002, target.receive, message, sender)
 
@@ -266,6 +268,8 @@
         self.name = name
         self.frozen_until = 0.0
         self.cut_from_store = False
+        #: Whether the host is on the far side of a cut.
+        self.is_isolated = False
         self.unreachable = set()
         self.task = None
         self.start()
--- a/packages/router/tests/test_key_lease_ends.py
+++ b/packages/router/tests/test_key_lease_ends.py
@@ -59,6 +59,40 @@
     await asyncio.gather(_lose_owner(world), _change_coordinator(world))
 
 
+async def _roll(world):
+    """Stops and starts the hosts in turn, each gracefully."""
+    for host in list(world.hosts.values()):
+        await host.duty.stop()
+        await asyncio.sleep(world.generator.uniform(0.1, 0.6))
+        host.kill()
+        await asyncio.sleep(world.generator.uniform(0.2, 0.8))
+        host.start()
+
+
+async def _cut_failure_domain(world, with_coordinator=True):
+    """Cuts a host and two upstreams from the store and from all others."""
+    hosts = list(world.hosts.values())
+    inside = [host for host in hosts if host.duty.is_coordinator][:1]
+    if not inside or not with_coordinator:
+        inside = [world.generator.choice(hosts)]
+    near = set(world.generator.sample(sorted(world.upstreams), 2))
+    for host in hosts:
+        is_inside = host in inside
+        host.is_isolated = host.cut_from_store = is_inside
+        host.unreachable = set(world.upstreams) - near if is_inside else near
+    await asyncio.sleep(world.generator.uniform(3.0, 6.0))
+    for host in hosts:
+        host.is_isolated = host.cut_from_store = False
+        host.unreachable = set()
+
+
+async def _cut_failure_domain_while_rolling(world):
+    rolling = asyncio.create_task(_roll(world))
+    await asyncio.sleep(world.generator.uniform(0.0, 2.0))
+    await _cut_failure_domain(world, world.generator.random() < 0.7)
+    await rolling
+
+
 async def _move_keys(world):
     """Makes keys of all upstreams hot in turn, so that keys move."""
     while True:
@@ -97,6 +131,8 @@
         _change_coordinator,
         _stop_coordinator,
         _lose_owner_and_coordinator,
+        _cut_failure_domain,
+        _cut_failure_domain_while_rolling,
     ],
 )
 @pytest.mark.parametrize("seed", range(8))
