Look at all segments only when a step follows an order

Nothing follows an accepted renewal; finish_grant tells whether something does, and the tick every 50 ms finds the rest.

--- a/packages/direct/sycamoreloft_direct/_key_coordinator.py
+++ b/packages/direct/sycamoreloft_direct/_key_coordinator.py
@@ -173,17 +173,24 @@
 
     def finish_grant(
         self, order: int, result: _key_commands.GrantResult, now: float
-    ) -> None:
-        """Takes the result of a grant."""
+    ) -> bool:
+        """Takes the result of a grant.
+
+        Returns:
+            Whether another step follows at once. Nothing follows a renewal,
+            and a look at all segments after each would cost the square of
+            their number.
+        """
         may_have_arrived = result in _key_commands.ARRIVED_RESULTS
         self._leases.close(order, now, may_have_arrived)
         segment = self._orders.pop(order)
         if segment.order != order:
-            return
+            return False
         segment.order = 0
         if result is _key_commands.GrantResult.ACCEPTED:
             self._accept(segment, now)
-        elif result is _key_commands.GrantResult.FENCED:
+            return segment.phase is not _PHASE.HELD
+        if result is _key_commands.GrantResult.FENCED:
             segment.fence = 0
             segment.due_at = now
             segment.failures += 1
@@ -197,6 +204,7 @@
             segment.fence = self._table.create_fence()
             if segment.owner is not None:
                 self._rebalancer.note_silence(segment.owner, now)
+        return True
 
     def finish_release(
         self, order: int, handover: str | None, now: float
--- a/packages/router/sycamoreloft_router/_tenure.py
+++ b/packages/router/sycamoreloft_router/_tenure.py
@@ -303,48 +303,58 @@
         command: sycamoreloft_direct.Command,
         decided_at: float,
     ) -> None:
+        follows = True
         if isinstance(command, sycamoreloft_direct.WriteMap):
             await self._write_map(command.key_map)
+        elif isinstance(command, sycamoreloft_direct.SendGrant):
+            follows = await self._send_grant(command, decided_at)
         else:
-            await self._send_order(command, decided_at)
-        # The next step of a move follows at once.
-        self._send_due(self._clock())
+            await self._send_release(command, decided_at)
+        if follows:
+            self._send_due(self._clock())
 
-    async def _send_order(
-        self,
-        command: sycamoreloft_direct.SendGrant
-        | sycamoreloft_direct.SendRelease,
-        decided_at: float,
+    def _is_stale(self, decided_at: float) -> bool:
+        """Tells whether the process slept since it decided for an order.
+
+        What the order was based on may have changed meanwhile.
+        """
+        return self._clock() > decided_at + self._times.dispatch_s
+
+    async def _send_grant(
+        self, command: sycamoreloft_direct.SendGrant, decided_at: float
+    ) -> bool:
+        """Sends a grant; tells whether another step follows at once."""
+        upstream = self._upstreams.find(command.run)
+        result = sycamoreloft_direct.GrantResult.UNREACHED
+        if self._is_stale(decided_at):
+            result = sycamoreloft_direct.GrantResult.UNSENT
+        elif upstream is not None:
+            began = self._clock()
+            result = await self._platform.orders.grant(
+                upstream.address, command
+            )
+            self._metrics.observe(
+                "sycamoreloft_grant_seconds", self._clock() - began
+            )
+        self._metrics.count("sycamoreloft_grants_total", result.value)
+        if result is not sycamoreloft_direct.GrantResult.ACCEPTED:
+            self._log_order("grant-failed", command, result.value)
+        return self._coordinator.finish_grant(
+            command.order, result, self._clock()
+        )
+
+    async def _send_release(
+        self, command: sycamoreloft_direct.SendRelease, decided_at: float
     ) -> None:
         upstream = self._upstreams.find(command.run)
-        # What the order was based on may have changed while the process slept.
-        is_stale = self._clock() > decided_at + self._times.dispatch_s
-        coordinator = self._coordinator
-        if isinstance(command, sycamoreloft_direct.SendGrant):
-            result = sycamoreloft_direct.GrantResult.UNREACHED
-            if is_stale:
-                result = sycamoreloft_direct.GrantResult.UNSENT
-            elif upstream is not None:
-                began = self._clock()
-                result = await self._platform.orders.grant(
-                    upstream.address, command
-                )
-                self._metrics.observe(
-                    "sycamoreloft_grant_seconds", self._clock() - began
-                )
-            self._metrics.count("sycamoreloft_grants_total", result.value)
-            if result is not sycamoreloft_direct.GrantResult.ACCEPTED:
-                self._log_order("grant-failed", command, result.value)
-            coordinator.finish_grant(command.order, result, self._clock())
-            return
         handover = None
-        if upstream is not None and not is_stale:
+        if upstream is not None and not self._is_stale(decided_at):
             handover = await self._platform.orders.release(
                 upstream.address, command
             )
         if handover is None:
             self._log_order("release-failed", command, "no answer")
-        coordinator.finish_release(command.order, handover, self._clock())
+        self._coordinator.finish_release(command.order, handover, self._clock())
 
     def _log_order(
         self,
