Encode a heartbeat once for all hosts that need the same

Cause: the coordinator encoded each heartbeat once for each host, 13 to 18 times a second while keys are hot, so that this part of its work grew with hosts times changes.

--- a/packages/router/sycamoreloft_router/_direct_peers.py
+++ b/packages/router/sycamoreloft_router/_direct_peers.py
@@ -23,9 +23,9 @@
         """Makes the sender ready."""
 
     def send(
-        self, message: _datagrams.Datagram, address: _datagrams.Address
+        self, message: _datagrams.Datagram, *addresses: _datagrams.Address
     ) -> None:
-        """Sends a message; it may be lost."""
+        """Sends a message to some hosts; it may be lost."""
 
     def close(self) -> None:
         """Lets the sender go."""
@@ -59,9 +59,9 @@
         )
 
     def send(
-        self, message: _datagrams.Datagram, address: _datagrams.Address
+        self, message: _datagrams.Datagram, *addresses: _datagrams.Address
     ) -> None:
-        """Sends a message; it may be lost."""
+        """Sends a message to some hosts; it may be lost."""
         if self._transport is None or self._transport.is_closing():
             return
         data = _datagram_codec.encode(message)
@@ -70,12 +70,13 @@
                 _LOGGER,
                 logging.ERROR,
                 "datagram-too-long",
-                peer=address[0],
+                peers=len(addresses),
                 kind=type(message).__name__,
                 bytes=len(data),
             )
             return
-        self._transport.sendto(data, address)
+        for address in addresses:
+            self._transport.sendto(data, address)
 
     def close(self) -> None:
         """Closes the socket."""
--- a/packages/router/sycamoreloft_router/_host_roster.py
+++ b/packages/router/sycamoreloft_router/_host_roster.py
@@ -39,8 +39,8 @@
 class _Needs:
     """What hosts lack of a map."""
 
-    #: Encoded changes by address, empty for none.
-    changes: dict[_datagrams.Address, bytes]
+    #: Addresses by the encoded changes that they need, empty for none.
+    changes: dict[bytes, list[_datagrams.Address]]
     #: Addresses that need the whole map.
     whole: list[_datagrams.Address]
 
@@ -96,8 +96,7 @@
 
     def tell_leaving(self, beat: _datagrams.Heartbeat) -> None:
         """Sends the last heartbeat of a coordinator."""
-        for address in self._hosts:
-            self._socket.send(beat, address)
+        self._socket.send(beat, *self._hosts)
 
     def tell(self, beat: _datagrams.Heartbeat, now: float) -> None:
         """Sends a heartbeat, with what each host lacks of the map.
@@ -110,9 +109,9 @@
             if now > host.reported_at + FORGET_HOST_S:
                 self._forget(address)
         needs = self._sort_by_need(beat)
-        for address, changes in needs.changes.items():
+        for changes, addresses in needs.changes.items():
             message = dataclasses.replace(beat, key_changes=changes)
-            self._socket.send(message, address)
+            self._socket.send(message, *addresses)
         due = [
             address
             for address in needs.whole
@@ -134,7 +133,7 @@
             if host.order not in changes_since:
                 changes_since[host.order] = self._encode_since(host.order)
             changes = changes_since[host.order]
-            needs.changes[address] = changes or b""
+            needs.changes.setdefault(changes or b"", []).append(address)
             if changes is None:
                 needs.whole.append(address)
         return needs
@@ -148,7 +147,7 @@
 
     def _send_map(
         self,
-        addresses: abc.Iterable[_datagrams.Address],
+        addresses: abc.Sequence[_datagrams.Address],
         seen: _datagrams.SeenVersions,
         now: float,
     ) -> None:
@@ -162,5 +161,5 @@
             return
         for address in addresses:
             self._map_due_at[address] = now + MAP_PAUSE_S
-            for part in parts:
-                self._socket.send(part, address)
+        for part in parts:
+            self._socket.send(part, *addresses)
--- a/packages/router/tests/key_world.py
+++ b/packages/router/tests/key_world.py
@@ -250,7 +250,11 @@
     def close(self):
         """Nothing to close."""
 
-    def send(self, message, address):
+    def send(self, message, *addresses):
+        for address in addresses:
+            self._send_one(message, address)
+
+    def _send_one(self, message, address):
         target = self.world.hosts.get(address[0])
         if target is None or self.world.generator.random() < 0.05:
             return
