--- a/packages/direct/sycamoreloft_direct/_key_changes.py
+++ b/packages/direct/sycamoreloft_direct/_key_changes.py
@@ -91,15 +91,7 @@
                 for name, rows in ranges.items()
             },
         )
-    except (
-        ValueError,
-        TypeError,
-        IndexError,
-        AttributeError,
-        OverflowError,
-        RecursionError,
-        msgpack.UnpackException,
-    ) as error:
+    except _key_map.DECODING_ERRORS as error:
         raise ValueError(f"not encoded changes of keys: {error}") from error
 
 
--- a/packages/direct/sycamoreloft_direct/_key_coordinator.py
+++ b/packages/direct/sycamoreloft_direct/_key_coordinator.py
@@ -225,7 +225,7 @@
             segment.due_at = now
             return
         segment.handover = handover
-        self._table.refuse_below(segment, segment.fence)
+        self._table.note_refused(segment, segment.fence)
         self._table.vacate(segment)
 
     def finish_write(self, is_recorded: bool) -> None:
@@ -352,7 +352,7 @@
         segment.failures = 0
         # The upstream refuses lower tokens now, also those of an earlier
         # coordinator; grants with this one are renewals.
-        self._table.refuse_below(segment, segment.fence - 1)
+        self._table.note_refused(segment, segment.fence - 1)
         if segment.owner is not None:
             self._rebalancer.note_answer(segment.owner)
         if segment.phase is _PHASE.SEALING:
--- a/packages/direct/sycamoreloft_direct/_key_map.py
+++ b/packages/direct/sycamoreloft_direct/_key_map.py
@@ -9,6 +9,17 @@
 
 from sycamoreloft_direct import _nodes
 
+#: What decoding raises where bytes are not what they should be.
+DECODING_ERRORS = (
+    ValueError,
+    TypeError,
+    IndexError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+    msgpack.UnpackException,
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyRange:
@@ -127,15 +138,7 @@
                 for name, rows in services.items()
             },
         )
-    except (
-        ValueError,
-        TypeError,
-        IndexError,
-        AttributeError,
-        OverflowError,
-        RecursionError,
-        msgpack.UnpackException,
-    ) as error:
+    except DECODING_ERRORS as error:
         raise ValueError(f"not an encoded map of keys: {error}") from error
 
 
--- a/packages/direct/sycamoreloft_direct/_key_segments.py
+++ b/packages/direct/sycamoreloft_direct/_key_segments.py
@@ -136,7 +136,7 @@
         segment.leased_until = end
         return now >= end
 
-    def refuse_below(self, segment: Segment, fence: int) -> None:
+    def note_refused(self, segment: Segment, fence: int) -> None:
         """Notes that the upstream refuses grants up to a token."""
         segment.refused_fence = fence
         segment.leased_until = 0.0
--- a/packages/direct/tests/test_key_map.py
+++ b/packages/direct/tests/test_key_map.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgpack
 import pytest
 
 import sycamoreloft_direct
@@ -44,3 +45,22 @@
 
 def test_an_unknown_service_has_no_owner():
     assert sycamoreloft_direct.KeyMap(1, 1, {}).find_owner("x", 5) is None
+
+
+# Guards against maps whose ranges leave keys without a place, or overlap.
+@pytest.mark.parametrize(
+    "value",
+    [
+        (1, 1, [], []),
+        (1, 1, [], {"boards": []}),
+        (1, 1, [], {"boards": [(5, -1)]}),
+        (1, 1, [], {"boards": [(0, -1), (0, -1)]}),
+        (1, 1, [], {"boards": [(0, -1), (70_000, -1)]}),
+        (1, 1, [], {"boards": [(0, -2)]}),
+        (1, 1, [("u1", 1)], {"boards": [(0, 1)]}),
+        (1, 1, [("u1", float("inf"))], {"boards": [(0, 0)]}),
+    ],
+)
+def test_ranges_that_are_no_map_are_refused(value):
+    with pytest.raises(ValueError, match="map of keys"):
+        sycamoreloft_direct.decode_key_map(msgpack.packb(value))
