Refuse requests for lost owners at once

Cause: the wait that is meant for a move was made for every request anew. An owner that has been missing for longer than a move takes, with the same map, is known to be lost: requests for its keys are refused at once, with a Retry-After of 0.5 to 1 s in place of 0.15 to 0.45 s, so that their callers return over the same span as before.

test_upstream_choice.py fails before (0.6 s instead of none).

--- a/packages/router/sycamoreloft_router/_direct_run.py
+++ b/packages/router/sycamoreloft_router/_direct_run.py
@@ -35,6 +35,11 @@
 LEAST_RETRY_MS = 150
 MOST_RETRY_MS = 450
 
+#: The same where the owner of the key is lost: its lease has to end before
+#: another upstream gets the key.
+LEAST_LOST_RETRY_MS = 500
+MOST_LOST_RETRY_MS = 1_000
+
 #: Attempts that did not reach any upstream, or were refused, in one request.
 MAXIMUM_TRIES = 5
 
@@ -400,7 +405,10 @@
         return _direct_answers.answer_late()
 
     def _choose_retry_ms(self) -> int:
-        return self._services.generator.randint(LEAST_RETRY_MS, MOST_RETRY_MS)
+        generator = self._services.generator
+        if self._choice.is_owner_lost:
+            return generator.randint(LEAST_LOST_RETRY_MS, MOST_LOST_RETRY_MS)
+        return generator.randint(LEAST_RETRY_MS, MOST_RETRY_MS)
 
     # Metrics and logs.
 
--- a/packages/router/sycamoreloft_router/_key_directory.py
+++ b/packages/router/sycamoreloft_router/_key_directory.py
@@ -39,6 +39,7 @@
         self._moving_epoch = 0
         self._notice_until = 0.0
         self._waiters: set[asyncio.Future[None]] = set()
+        self._missing_since: dict[sycamoreloft_direct.UpstreamRun, float] = {}
 
     def take(self, key_map: sycamoreloft_direct.KeyMap) -> bool:
         """Takes a map; an older one is ignored."""
@@ -48,6 +49,7 @@
         if len(self._earlier) > KEPT_MAPS:
             del self._earlier[min(self._earlier)]
         self.key_map = key_map
+        self._missing_since.clear()
         self._wake()
         return True
 
@@ -130,6 +132,16 @@
             return None
         return self.key_map.find_owner(service, key)
 
+    def note_missing(
+        self, owner: sycamoreloft_direct.UpstreamRun, now: float
+    ) -> float:
+        """Notes that an owner is not there to take requests.
+
+        Returns:
+            Seconds since this was noted first for the present map.
+        """
+        return now - self._missing_since.setdefault(owner, now)
+
     async def wait_for_change(self, seconds: float) -> None:
         """Waits for the next change, at most some seconds."""
         waiter = asyncio.get_running_loop().create_future()
--- a/packages/router/sycamoreloft_router/_upstream_choice.py
+++ b/packages/router/sycamoreloft_router/_upstream_choice.py
@@ -35,6 +35,7 @@
         "_received",
         "_request",
         "_services",
+        "is_owner_lost",
         "misdirected",
         "reason",
         "tried",
@@ -53,6 +54,8 @@
         self.misdirected = ""
         #: Why the last attempt failed, or there is no upstream.
         self.reason = "no-upstream"
+        #: Whether the owner has been gone for longer than a move takes.
+        self.is_owner_lost = False
         #: Upstreams of the attempts so far, in their order.
         self.tried: list[str] = []
 
@@ -107,7 +110,10 @@
                         return None
                 return record
             self.reason = "no-owner"
-            if now >= until:
+            if owner is not None and owner.id != self.misdirected:
+                missing_s = services.directory.note_missing(owner, now)
+                self.is_owner_lost = missing_s > OWNER_WAIT_S
+            if self.is_owner_lost or now >= until:
                 return None
             await services.directory.wait_for_change(
                 min(until - now, MISDIRECTED_WAIT_S)
--- /dev/null
+++ b/packages/router/tests/test_upstream_choice.py
@@ -0,0 +1,97 @@
+"""Which upstream gets a request, and how long a request waits for an owner."""
+
+import asyncio
+import dataclasses
+import random
+import types
+
+import pytest
+import virtual_time
+
+import sycamoreloft_direct
+from sycamoreloft_router import (
+    _exchange,
+    _key_directory,
+    _upstream_choice,
+)
+
+SERVICE = "boards"
+OWNER = sycamoreloft_direct.UpstreamRun("u0", 1)
+
+
+@dataclasses.dataclass
+class Request:
+    """A request for a key."""
+
+    service: str = SERVICE
+    key: int = 7
+
+
+@pytest.fixture
+def services():
+    """What requests share, with a map whose only owner is not listed."""
+    directory = _key_directory.KeyDirectory()
+    ranges = (
+        sycamoreloft_direct.KeyRange(
+            0, sycamoreloft_direct.KEY_COUNT - 1, OWNER
+        ),
+    )
+    keys = sycamoreloft_direct.ServiceKeys(SERVICE, ranges)
+    directory.take(sycamoreloft_direct.KeyMap(1, 1, {SERVICE: keys}))
+    generator = random.Random(1)
+    return types.SimpleNamespace(
+        directory=directory,
+        generator=generator,
+        book=sycamoreloft_direct.UpstreamBook("z", generator),
+        leaving_s=1.0,
+        loop=None,
+    )
+
+
+async def _find(services, deadline_s=5.0):
+    """Finds an upstream; returns it, the choice and the seconds it took."""
+    services.loop = asyncio.get_running_loop()
+    began = services.loop.time()
+    received = _exchange.ReceivedRequest(None, 0, b"", began + deadline_s)
+    choice = _upstream_choice.UpstreamChoice(services, Request(), received)
+    record = await choice.find()
+    return record, choice, services.loop.time() - began
+
+
+# Guards against requests that are held though nobody can serve them soon.
+def test_a_request_for_a_lost_owner_is_refused_at_once(services):
+    async def main():
+        _, _, first_s = await _find(services)
+        _, choice, second_s = await _find(services)
+        assert first_s >= _upstream_choice.OWNER_WAIT_S
+        assert second_s == 0.0
+        assert choice.is_owner_lost
+        assert choice.reason == "no-owner"
+
+    virtual_time.run(main())
+
+
+def test_a_change_of_the_map_lets_requests_wait_again(services):
+    async def main():
+        await _find(services)
+        changed = dataclasses.replace(services.directory.key_map, revision=2)
+        services.directory.take(changed)
+        _, _, seconds = await _find(services)
+        assert seconds >= _upstream_choice.OWNER_WAIT_S
+
+    virtual_time.run(main())
+
+
+def test_an_owner_that_is_listed_again_gets_requests(services):
+    async def main():
+        await _find(services)
+        now = services.loop.time()
+        entry = sycamoreloft_direct.Upstream(
+            "u0", 1, "10.0.0.1:1", SERVICE, "z", 6, False
+        )
+        services.book.update([entry], now)
+        record, _, seconds = await _find(services)
+        assert record.entry == entry
+        assert seconds == 0.0
+
+    virtual_time.run(main())
