Go on where a record of the store cannot be read

What could happen: one malformed row of the coordinator or of the keys raised ValueError out of the duty of every host; the supervisor restarts it a few times and then ends the process, on all hosts at once. Now the record leaves a line, nobody takes the duty while it stands (to take it could give keys a second owner), and a coordinator that finds one ends its duty. test_hosts_go_on_where_a_record_is_malformed fails before.

--- a/packages/router/sycamoreloft_router/_coordinator_bid.py
+++ b/packages/router/sycamoreloft_router/_coordinator_bid.py
@@ -2,9 +2,17 @@
 
 from collections import abc
 import dataclasses
+import logging
 
 import sycamoreloft_direct
-from sycamoreloft_router import _coordinator_lease, _direct_ports, _tenure
+from sycamoreloft_router import (
+    _coordinator_lease,
+    _direct_ports,
+    _logs,
+    _tenure,
+)
+
+_LOGGER = logging.getLogger(__name__)
 
 #: Seconds for which a host watches the ended lease of a coordinator that
 #: still sends heartbeats: if the store was away for all, the coordinator
@@ -14,7 +22,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unreached:
-    """The store did not answer."""
+    """The store did not answer, or its records cannot be read."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,11 +94,20 @@
         lease_record = records.records.get(_coordinator_lease.LEASE_KEY)
         map_record = records.records.get(_coordinator_lease.MAP_KEY)
         key_map = sycamoreloft_direct.KeyMap(0, 0, {})
-        if map_record is not None:
-            key_map = sycamoreloft_direct.decode_key_map(map_record.value)
         lease: _coordinator_lease.Lease | None = None
-        if lease_record is not None:
-            lease = _coordinator_lease.decode_lease(lease_record.value)
+        try:
+            if map_record is not None:
+                key_map = sycamoreloft_direct.decode_key_map(map_record.value)
+            if lease_record is not None:
+                lease = _coordinator_lease.decode_lease(lease_record.value)
+        except ValueError as error:
+            # Who has the duty or the keys is not known: to take them could
+            # give keys a second owner.
+            _logs.log_event(
+                _LOGGER, logging.ERROR, "record-malformed", error=str(error)
+            )
+            return Unreached()
+        if lease_record is not None and lease is not None:
             wait_s = lease.expires_at + self._yield_s - records.clock_s
             if wait_s > 0 and lease.peer_address != self._settings.peer_address:
                 return Deferred(key_map, lease.peer_address, wait_s)
--- a/packages/router/sycamoreloft_router/_tenure.py
+++ b/packages/router/sycamoreloft_router/_tenure.py
@@ -283,9 +283,16 @@
             self._renew_at = self._clock() + RETRY_S
             return
         record = records.records.get(_coordinator_lease.LEASE_KEY)
-        lease = (
-            _coordinator_lease.decode_lease(record.value) if record else None
-        )
+        try:
+            lease = (
+                _coordinator_lease.decode_lease(record.value)
+                if record
+                else None
+            )
+        except ValueError as error:
+            # Somebody else wrote it, so it is not this host's lease.
+            self._log_malformed(error)
+            lease = None
         if (
             record is not None
             and lease is not None
@@ -409,6 +416,11 @@
             await asyncio.sleep(RETRY_S)
         self._coordinator.finish_write(written)
 
+    def _log_malformed(self, error: ValueError) -> None:
+        _logs.log_event(
+            _LOGGER, logging.ERROR, "record-malformed", error=str(error)
+        )
+
     async def _resolve_map(self, key_map: sycamoreloft_direct.KeyMap) -> bool:
         """Tells whether an earlier, unanswered write recorded the map."""
         records = await self._platform.records.read()
@@ -417,7 +429,12 @@
         record = records.records.get(_coordinator_lease.MAP_KEY)
         if record is None:
             return False
-        stored = sycamoreloft_direct.decode_key_map(record.value)
+        try:
+            stored = sycamoreloft_direct.decode_key_map(record.value)
+        except ValueError as error:
+            self._log_malformed(error)
+            self.end("superseded")
+            return False
         if stored.epoch != self._lease.epoch:
             self.end("superseded")
             return False
--- a/packages/router/tests/test_coordinator_changes.py
+++ b/packages/router/tests/test_coordinator_changes.py
@@ -7,6 +7,7 @@
 import virtual_time
 
 import sycamoreloft_direct
+from sycamoreloft_router import _coordinator_lease
 
 #: Seconds within which a host that reaches the store has to take over. The
 #: coordinator itself gives up after 12 s, and cuts take some seconds.
@@ -90,3 +91,20 @@
         assert not world.problems, world.problems[:3]
 
     virtual_time.run(main())
+
+
+# Guards against hosts that end because of a record that they cannot read.
+@pytest.mark.parametrize(
+    "key", [_coordinator_lease.LEASE_KEY, _coordinator_lease.MAP_KEY]
+)
+def test_hosts_go_on_where_a_record_is_malformed(key):
+    async def main():
+        world = key_world.World(1)
+        await asyncio.sleep(6.0)
+        assert find_coordinator(world) is not None
+        world.store.apply({key: b"no record"}, {})
+        await asyncio.sleep(20.0)
+        assert not any(host.task.done() for host in world.hosts.values())
+        assert not world.problems
+
+    virtual_time.run(main())
