Change only the records of upstreams whose entries changed

Cause: each change of one row built the book of all upstreams anew on every host, and hashing a run is slow. Entries that are the same object keep their record untouched, and records are found by identifier and start.

--- a/packages/direct/sycamoreloft_direct/_upstream_book.py
+++ b/packages/direct/sycamoreloft_direct/_upstream_book.py
@@ -129,32 +129,36 @@
     def __init__(self, failure_domain: str, generator: random.Random) -> None:
         self._failure_domain = failure_domain
         self._generator = generator
-        self._records: dict[_nodes.UpstreamRun, UpstreamRecord] = {}
+        #: Records by identifier and start: hashing a run is much slower.
+        self._records: dict[tuple[str, int], UpstreamRecord] = {}
         self._by_service: dict[str, list[UpstreamRecord]] = {}
 
     def update(
         self, upstreams: abc.Iterable[_nodes.Upstream], now: float
     ) -> None:
-        """Takes the present entries of service discovery."""
-        records: dict[_nodes.UpstreamRun, UpstreamRecord] = {}
+        """Takes the present entries of service discovery.
+
+        An entry that is the same object as before has not changed, and costs
+        next to nothing: tables change often, and few of their rows do.
+        """
+        records: dict[tuple[str, int], UpstreamRecord] = {}
+        by_service: dict[str, list[UpstreamRecord]] = {}
         for entry in upstreams:
-            record = self._records.get(entry.run) or UpstreamRecord(entry, now)
-            if entry.address != record.entry.address:
-                record.replaced_until = 0.0
-            record.entry = entry
-            if not entry.is_draining:
-                record.leaving_since = math.inf
-            elif record.leaving_since > now:
-                record.leaving_since = now
-            records[entry.run] = record
+            key = (entry.id, entry.started_ms)
+            record = self._records.get(key)
+            if record is None:
+                record = UpstreamRecord(entry, now)
+                _note_leaving(record, now)
+            elif record.entry is not entry:
+                _change_entry(record, entry, now)
+            records[key] = record
+            by_service.setdefault(entry.service, []).append(record)
         self._records = records
-        self._by_service = {}
-        for record in records.values():
-            self._by_service.setdefault(record.entry.service, []).append(record)
+        self._by_service = by_service
 
     def find(self, run: _nodes.UpstreamRun) -> UpstreamRecord | None:
         """Returns the record of a run, or None if it is not listed."""
-        return self._records.get(run)
+        return self._records.get((run.id, run.started_ms))
 
     def choose(
         self,
@@ -283,6 +287,22 @@
         return weight
 
 
+def _change_entry(
+    record: UpstreamRecord, entry: _nodes.Upstream, now: float
+) -> None:
+    if entry.address != record.entry.address:
+        record.replaced_until = 0.0
+    record.entry = entry
+    _note_leaving(record, now)
+
+
+def _note_leaving(record: UpstreamRecord, now: float) -> None:
+    if not record.entry.is_draining:
+        record.leaving_since = math.inf
+    elif record.leaving_since > now:
+        record.leaving_since = now
+
+
 def _is_stalled(record: UpstreamRecord, now: float) -> bool:
     if not record.in_flight:
         return False
--- a/packages/direct/tests/test_upstream_book.py
+++ b/packages/direct/tests/test_upstream_book.py
@@ -1,6 +1,7 @@
 """Choice of upstreams by observation."""
 
 import collections
+import dataclasses
 import random
 
 import pytest
@@ -118,3 +119,24 @@
     book.update([build("u1", started_ms=2)], 0.1)
     record = book.find(sycamoreloft_direct.UpstreamRun("u1", 2))
     assert not book.is_avoided(record, 0.2)
+
+
+# Guards against a book that is built anew at each change of one entry.
+def test_an_entry_that_did_not_change_keeps_its_record():
+    book = sycamoreloft_direct.UpstreamBook("z", random.Random(1))
+    entries = [
+        sycamoreloft_direct.Upstream(
+            f"u{number}", 1, f"10.0.0.{number}:1", "boards", "z", 6, False
+        )
+        for number in range(3)
+    ]
+    book.update(entries, 0.0)
+    before = [book.find(entry.run) for entry in entries]
+    leaving = dataclasses.replace(entries[0], is_draining=True)
+    book.update([leaving, *entries[1:]], 1.0)
+    after = [book.find(entry.run) for entry in entries]
+    assert all(old is new for old, new in zip(before, after, strict=True))
+    assert after[0].leaving_since == 1.0
+    book.update([leaving, *entries[1:]], 2.0)
+    assert after[0].leaving_since == 1.0
+    assert after[1].leaving_since == float("inf")
