Wait again for an owner that is lost a second time

Seen in the last read-through: the time since which an owner is missing was kept when it came back, so that requests were refused at once when it was lost again with the same map, where a short wait may serve them. The time is forgotten when the owner is found; the choice has a step of its own for an owner that is there. test_an_owner_that_is_lost_again_is_waited_for_again fails before.

--- a/packages/router/sycamoreloft_router/_key_directory.py
+++ b/packages/router/sycamoreloft_router/_key_directory.py
@@ -138,10 +138,16 @@
         """Notes that an owner is not there to take requests.
 
         Returns:
-            Seconds since this was noted first for the present map.
+            Seconds since this was noted first for the present map, or since
+            it was there last.
         """
         return now - self._missing_since.setdefault(owner, now)
 
+    def note_found(self, owner: sycamoreloft_direct.UpstreamRun) -> None:
+        """Notes that an owner is there to take requests."""
+        if self._missing_since:
+            self._missing_since.pop(owner, None)
+
     async def wait_for_change(self, seconds: float) -> None:
         """Waits for the next change, at most some seconds."""
         waiter = asyncio.get_running_loop().create_future()
--- a/packages/router/sycamoreloft_router/_upstream_choice.py
+++ b/packages/router/sycamoreloft_router/_upstream_choice.py
@@ -100,15 +100,8 @@
                 self.reason = "owner-replaced"
                 return None
             if record is not None and self._may_send(record, now):
-                if not self.tried and not services.book.admit(record):
-                    self.reason = "owner-full"
-                    return None
-                if services.book.is_avoided(record, now):
-                    # It is known not to answer; a probe goes through.
-                    self.reason = "owner-silent"
-                    if record.in_flight:
-                        return None
-                return record
+                services.directory.note_found(record.entry.run)
+                return self._admit(record, now)
             self.reason = "no-owner"
             if owner is not None and owner.id != self.misdirected:
                 missing_s = services.directory.note_missing(owner, now)
@@ -122,6 +115,21 @@
             self.misdirected = ""
             now = services.loop.time()
 
+    def _admit(
+        self, record: sycamoreloft_direct.UpstreamRecord, now: float
+    ) -> sycamoreloft_direct.UpstreamRecord | None:
+        """Returns the owner if the request should be sent there now."""
+        book = self._services.book
+        if not self.tried and not book.admit(record):
+            self.reason = "owner-full"
+            return None
+        if book.is_avoided(record, now):
+            # It is known not to answer; a probe goes through.
+            self.reason = "owner-silent"
+            if record.in_flight:
+                return None
+        return record
+
     def _may_send(
         self, record: sycamoreloft_direct.UpstreamRecord, now: float
     ) -> bool:
--- a/packages/router/tests/test_upstream_choice.py
+++ b/packages/router/tests/test_upstream_choice.py
@@ -95,3 +95,19 @@
         assert seconds == 0.0
 
     virtual_time.run(main())
+
+
+# Guards against a second loss that counts from the first one.
+def test_an_owner_that_is_lost_again_is_waited_for_again(services):
+    async def main():
+        await _find(services)
+        entry = sycamoreloft_direct.Upstream(
+            "u0", 1, "10.0.0.1:1", SERVICE, "z", 6, False
+        )
+        services.book.update([entry], services.loop.time())
+        await _find(services)
+        services.book.update([], services.loop.time())
+        _, _, seconds = await _find(services)
+        assert seconds >= _upstream_choice.OWNER_WAIT_S
+
+    virtual_time.run(main())
