Tell why and from what leases keys get another owner

When two upstreams held the same keys, nothing told afterwards why the coordinator took the keys for free: which grants it waited for, which it set aside because their token was refused, and whether an earlier coordinator's were assumed.

The segment table now notes each change of owner as `OwnerChange`, with the cause, both runs, the tokens and the lease end that was used, and `LeaseEnds.list_claims` describes the grants behind it. The coordinator hands them out after each tick and neither logs nor decides anything else: leases that are over are kept for 5 s more, and an end in the past frees keys as no lease does.

--- a/packages/direct/sycamoreloft_direct/__init__.py
+++ b/packages/direct/sycamoreloft_direct/__init__.py
@@ -41,6 +41,12 @@
     Upstream,
     UpstreamRun,
 )
+from sycamoreloft_direct._owner_changes import (
+    ChangeCause,
+    ClaimState,
+    LeaseClaim,
+    OwnerChange,
+)
 from sycamoreloft_direct._retry_budgets import (
     RetryBudget,
     ServiceRetryBudgets,
@@ -59,6 +65,8 @@
     "LEAST_STALL_S",
     "AttemptResult",
     "CallerBounds",
+    "ChangeCause",
+    "ClaimState",
     "Command",
     "CrashGuard",
     "DesiredState",
@@ -69,6 +77,8 @@
     "KeyLoad",
     "KeyMap",
     "KeyRange",
+    "LeaseClaim",
+    "OwnerChange",
     "RetryBudget",
     "Route",
     "RouteKind",
--- a/packages/direct/sycamoreloft_direct/_key_coordinator.py
+++ b/packages/direct/sycamoreloft_direct/_key_coordinator.py
@@ -23,6 +23,7 @@
     _key_segments,
     _lease_ends,
     _nodes,
+    _owner_changes,
 )
 
 #: Fencing tokens of one epoch.
@@ -36,6 +37,7 @@
 SEAL_HOLD_S = 1.0
 
 _PHASE = _key_segments.Phase
+_CAUSE = _owner_changes.ChangeCause
 
 
 class KeyCoordinator:
@@ -92,6 +94,41 @@
             if item.is_moving
         ]
 
+    # What logs and metrics tell.
+
+    @property
+    def owner_changes(self) -> abc.Sequence[_owner_changes.OwnerChange]:
+        """Changes of owner that the last call of `tick` decided."""
+        return self._table.changes
+
+    def list_claims(
+        self, change: _owner_changes.OwnerChange
+    ) -> abc.Sequence[_owner_changes.LeaseClaim]:
+        """Lists the grants of keys that get another owner.
+
+        Grants whose leases have been over for some seconds are left out.
+        """
+        return self._leases.list_claims(
+            change.service, change.first, change.last, change.refused_fence
+        )
+
+    def is_first_grant(self, grant: _key_commands.SendGrant) -> bool:
+        """Tells whether no grant with such a token was accepted before.
+
+        Args:
+            grant: A grant whose result has not been reported.
+        """
+        segment = self._orders[grant.order]
+        return not segment.is_taken or segment.refused_fence < grant.fence - 1
+
+    def count_unheld(self) -> int:
+        """Counts the keys that no upstream is known to hold."""
+        return sum(
+            segment.last - segment.first + 1
+            for segment in self._table
+            if segment.owner is None or not segment.is_taken or segment.failures
+        )
+
     def _adopt(
         self,
         service: str,
@@ -165,7 +202,7 @@
         for segment in self._table:
             if segment.owner == run and segment.phase is not _PHASE.RECORDING:
                 segment.leased_until = 0.0
-                self._table.vacate(segment)
+                self._table.vacate(segment, _CAUSE.RUN_ENDED)
 
     def is_busy(self, upstream: str) -> bool:
         """Tells whether an upstream is so busy that requests queue."""
@@ -226,7 +263,7 @@
             return
         segment.handover = handover
         self._table.note_refused(segment, segment.fence)
-        self._table.vacate(segment)
+        self._table.vacate(segment, _CAUSE.RELEASED)
 
     def finish_write(self, is_recorded: bool) -> None:
         """Takes the result of writing the map.
@@ -255,6 +292,7 @@
             may_renew: Whether recorded owners may be renewed.
         """
         commands: list[_key_commands.Command] = []
+        self._table.changes = []
         if may_change:
             self._drop_lost(now)
             self._rebalancer.plan(self._revision + 1, now)
@@ -280,7 +318,7 @@
         if segment.phase in (_PHASE.SEALING, _PHASE.RELEASING):
             if segment.failures >= MAXIMUM_FAILURES:
                 if self._table.is_free(segment, now):
-                    self._table.vacate(segment)
+                    self._table.vacate(segment, _CAUSE.LEASE_OVER)
                 return None
             if segment.phase is _PHASE.SEALING:
                 return self._grant(segment, SEAL_HOLD_S)
@@ -373,12 +411,13 @@
             if follower is not None:
                 # Orders for the run that ended may have reached the new one.
                 # It becomes the owner, with a token above all of them.
+                self._table.note_freed(segment, _CAUSE.FOLLOWER)
                 self._table.record(segment, follower, self._revision + 1)
                 continue
             if owner in self._upstreams and segment.failures == 0:
                 continue
             if self._table.is_free(segment, now):
-                self._table.vacate(segment)
+                self._table.vacate(segment, _CAUSE.LEASE_OVER)
 
     def _find_follower(
         self, run: _nodes.UpstreamRun
--- a/packages/direct/sycamoreloft_direct/_key_segments.py
+++ b/packages/direct/sycamoreloft_direct/_key_segments.py
@@ -5,7 +5,9 @@
 import enum
 import itertools
 
-from sycamoreloft_direct import _lease_ends, _nodes
+from sycamoreloft_direct import _lease_ends, _nodes, _owner_changes
+
+_CAUSE = _owner_changes.ChangeCause
 
 
 class Phase(enum.Enum):
@@ -60,6 +62,12 @@
     revision: int = 0
     #: Whether a later coordinator was seen; nothing more is sent then.
     is_superseded: bool = False
+    #: Run that the keys were taken from last; None for none.
+    old_owner: _nodes.UpstreamRun | None = None
+    #: Token of the last order to it.
+    old_fence: int = 0
+    #: Why the keys could be taken from it.
+    cause: _owner_changes.ChangeCause = _CAUSE.UNOWNED
 
     @property
     def is_moving(self) -> bool:
@@ -95,6 +103,8 @@
         self._fence = fence
         self._leases = leases
         self._segments: list[Segment] = []
+        #: Changes of owner since the list was replaced.
+        self.changes: list[_owner_changes.OwnerChange] = []
 
     def __iter__(self) -> abc.Iterator[Segment]:
         return iter(self._segments)
@@ -141,8 +151,19 @@
         segment.refused_fence = fence
         segment.leased_until = 0.0
 
-    def vacate(self, segment: Segment) -> None:
+    def note_freed(
+        self, segment: Segment, cause: _owner_changes.ChangeCause
+    ) -> None:
+        """Notes why the owner has the keys no more."""
+        segment.old_owner = segment.owner
+        segment.old_fence = segment.fence
+        segment.cause = cause
+
+    def vacate(
+        self, segment: Segment, cause: _owner_changes.ChangeCause
+    ) -> None:
         """Takes the keys from their owner."""
+        self.note_freed(segment, cause)
         segment.phase = Phase.VACANT
         segment.owner = None
         segment.order = 0
@@ -164,6 +185,21 @@
         segment.fence = self.create_fence()
         segment.revision = revision
         segment.due_at = 0.0
+        has_waited = segment.cause is not _CAUSE.FOLLOWER
+        self.changes.append(
+            _owner_changes.OwnerChange(
+                segment.service,
+                segment.first,
+                segment.last,
+                segment.old_owner,
+                owner,
+                segment.cause,
+                segment.old_fence,
+                segment.fence,
+                segment.refused_fence,
+                segment.leased_until if has_waited else 0.0,
+            )
+        )
 
     def begin_move(
         self, segment: Segment, target: _nodes.UpstreamRun, now: float
--- a/packages/direct/sycamoreloft_direct/_lease_ends.py
+++ b/packages/direct/sycamoreloft_direct/_lease_ends.py
@@ -8,11 +8,15 @@
 
 import dataclasses
 
-from sycamoreloft_direct import _key_commands, _nodes
+from sycamoreloft_direct import _key_commands, _nodes, _owner_changes
 
 #: End of leases whose grant may still arrive.
 OPEN = float("inf")
 
+#: Seconds for which a lease that is over is remembered, so that the logs can
+#: tell what a change of owner waited for.
+KEEP_S = 5.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Claim:
@@ -41,6 +45,18 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _End:
+    """The end of the lease of a claim, and where it comes from."""
+
+    #: When the lease is over.
+    at: float
+    #: When the call ended, or the earlier coordinator's last decision.
+    closed_at: float
+    #: Whether the grant is an earlier coordinator's.
+    is_assumed: bool = False
+
+
 class LeaseEnds:
     """Remembers the grants whose leases may not be over.
 
@@ -51,7 +67,7 @@
     def __init__(self, times: _key_commands.HoldTimes) -> None:
         self._times = times
         self._open: dict[int, tuple[_Claim, float]] = {}
-        self._ends: dict[_Claim, float] = {}
+        self._ends: dict[_Claim, _End] = {}
         self._ended_runs: set[_nodes.UpstreamRun] = set()
         self._sweep_at = 0.0
 
@@ -76,7 +92,11 @@
         """
         claim = _Claim(service, first, last, fence, run)
         arrived_at = sent_until + self._times.grant_travel_s
-        self._ends[claim] = arrived_at + self._find_length(self._times.hold_s)
+        self._ends[claim] = _End(
+            arrived_at + self._find_length(self._times.hold_s),
+            sent_until,
+            is_assumed=True,
+        )
 
     def open(self, order: _key_commands.SendGrant) -> None:
         """Notes a grant that is about to be sent."""
@@ -97,7 +117,9 @@
         claim, hold_s = self._open.pop(order)
         if may_have_arrived:
             end = now + self._times.margin_s + self._find_length(hold_s)
-            self._ends[claim] = max(end, self._ends.get(claim, end))
+            known = self._ends.get(claim)
+            if known is None or known.at <= end:
+                self._ends[claim] = _End(end, now)
         if now >= self._sweep_at:
             self._sweep_at = now + self._times.hold_s
             self._drop_over(now)
@@ -125,13 +147,38 @@
             return OPEN
         return max(
             (
-                end
+                end.at
                 for claim, end in self._ends.items()
                 if self._may_hold(claim, keys)
             ),
             default=0.0,
         )
 
+    def list_claims(
+        self, service: str, first: int, last: int, above_fence: int
+    ) -> list[_owner_changes.LeaseClaim]:
+        """Lists the known grants of some keys, also those that do not count.
+
+        Takes the same arguments as `find_end`.
+
+        Returns:
+            Those that a change of owner waits for first, then by the end of
+            the lease, the latest first.
+        """
+        claims = [
+            self._describe(claim, None, above_fence)
+            for claim, _ in self._open.values()
+            if claim.concerns(service, first, last, 0)
+        ] + [
+            self._describe(claim, end, above_fence)
+            for claim, end in self._ends.items()
+            if claim.concerns(service, first, last, 0)
+        ]
+        counted = _owner_changes.ClaimState.COUNTED
+        return sorted(
+            claims, key=lambda item: (item.state is not counted, -item.end)
+        )
+
     def find_hold(self, now: float, end: float) -> float:
         """Returns the longest lease, decided now, that is over at a time."""
         arrived_at = now + self._times.grant_travel_s
@@ -140,11 +187,32 @@
     def _may_hold(self, claim: _Claim, keys: tuple[str, int, int, int]) -> bool:
         return claim.run not in self._ended_runs and claim.concerns(*keys)
 
+    def _describe(
+        self, claim: _Claim, end: _End | None, above_fence: int
+    ) -> _owner_changes.LeaseClaim:
+        state = _owner_changes.ClaimState.COUNTED
+        if claim.run in self._ended_runs:
+            state = _owner_changes.ClaimState.RUN_ENDED
+        elif claim.fence <= above_fence:
+            state = _owner_changes.ClaimState.REFUSED
+        return _owner_changes.LeaseClaim(
+            claim.first,
+            claim.last,
+            claim.fence,
+            claim.run,
+            end is not None and end.is_assumed,
+            end.closed_at if end is not None else None,
+            end.at if end is not None else OPEN,
+            state,
+        )
+
     def _find_length(self, hold_s: float) -> float:
         """Returns how long a lease may last by an upstream's clock."""
         return hold_s * (1 + self._times.drift)
 
     def _drop_over(self, now: float) -> None:
         self._ends = {
-            claim: end for claim, end in self._ends.items() if end > now
+            claim: end
+            for claim, end in self._ends.items()
+            if end.at + KEEP_S > now
         }
--- /dev/null
+++ b/packages/direct/tests/test_owner_changes.py
@@ -0,0 +1,252 @@
+"""What a coordinator tells of changes of owner."""
+
+import pytest
+
+import sycamoreloft_direct
+from sycamoreloft_direct import _lease_ends
+
+SERVICE = "boards"
+CAUSE = sycamoreloft_direct.ChangeCause
+RESULT = sycamoreloft_direct.GrantResult
+STATE = sycamoreloft_direct.ClaimState
+TIMES = sycamoreloft_direct.HoldTimes()
+TICK_S = 0.05
+
+#: Time for which an earlier coordinator may renew, in seconds.
+EARLIER_S = 2.0
+
+#: Keys of each upstream at first.
+WIDTH = sycamoreloft_direct.KEY_COUNT // 4
+
+
+def build(number, started_ms=1):
+    return sycamoreloft_direct.Upstream(
+        f"u{number}", started_ms, "10.0.0.1:1", SERVICE, "z", 6, False
+    )
+
+
+class Bench:
+    """A coordinator that took over keys of four upstreams, or none."""
+
+    def __init__(self, is_owned=True):
+        self.upstreams = [build(number) for number in range(4)]
+        self.now = 0.0
+        self.silent = set()
+        self.changes = []
+        self.claims = []
+        self.orders = []
+        services = {}
+        if is_owned:
+            ranges = tuple(
+                sycamoreloft_direct.KeyRange(
+                    number * WIDTH, (number + 1) * WIDTH - 1, entry.run
+                )
+                for number, entry in enumerate(self.upstreams)
+            )
+            services[SERVICE] = sycamoreloft_direct.ServiceKeys(SERVICE, ranges)
+        self.coordinator = sycamoreloft_direct.KeyCoordinator(
+            sycamoreloft_direct.KeyMap(2, 1, services), 0.0, EARLIER_S, TIMES
+        )
+
+    def step(self):
+        """Answers the orders of one tick, but those to silent upstreams."""
+        self.now += TICK_S
+        self.coordinator.update_upstreams(self.upstreams, {SERVICE}, self.now)
+        commands = self.coordinator.tick(self.now, True, True)
+        for change in self.coordinator.owner_changes:
+            self.changes.append(change)
+            self.claims.append(self.coordinator.list_claims(change))
+        for command in commands:
+            self._answer(command)
+
+    def _answer(self, command):
+        if isinstance(command, sycamoreloft_direct.WriteMap):
+            self.coordinator.finish_write(True)
+            return
+        self.orders.append(command)
+        is_silent = command.run in self.silent
+        if isinstance(command, sycamoreloft_direct.SendRelease):
+            handover = None if is_silent else "handover"
+            self.coordinator.finish_release(command.order, handover, self.now)
+            return
+        result = RESULT.UNKNOWN if is_silent else RESULT.ACCEPTED
+        self.coordinator.finish_grant(command.order, result, self.now)
+
+    def run(self, seconds):
+        until = self.now + seconds
+        while self.now < until:
+            self.step()
+
+
+@pytest.fixture
+def bench():
+    return Bench()
+
+
+def find_grant(bench, change):
+    """Finds the first grant that follows a change of owner."""
+    return next(
+        order
+        for order in bench.orders
+        if isinstance(order, sycamoreloft_direct.SendGrant)
+        and order.first == change.first
+        and order.run == change.new
+    )
+
+
+# Guards against a change of owner whose inputs nobody can tell afterwards.
+def test_change_after_a_lease_names_the_grants_that_it_waited_for(bench):
+    bench.run(1.0)
+    lost = bench.upstreams[0].run
+    accepted_at = bench.now
+    bench.silent = {lost}
+    bench.run(4.5)
+    assert bench.changes
+    for change, claims in zip(bench.changes, bench.claims, strict=True):
+        assert change.cause is CAUSE.LEASE_OVER
+        assert change.old == lost != change.new
+        assert change.new_fence == find_grant(bench, change).fence
+        counted = [item for item in claims if item.state is STATE.COUNTED]
+        assert counted == claims[: len(counted)]
+        assert counted[0].end == change.lease_end
+        assert counted[0].run == lost
+        assert counted[0].closed_at < accepted_at + TIMES.hold_s
+        assert not any(item.is_assumed for item in counted)
+        assumed = [item for item in claims if item.is_assumed]
+        assert [item.state for item in assumed] == [STATE.REFUSED]
+        assert change.refused_fence >= assumed[0].fence
+    first, last = bench.changes[0].first, bench.changes[-1].last
+    assert (first, last) == (0, WIDTH - 1)
+
+
+# Guards against a wait for the predecessor that is not told from others.
+def test_change_after_a_takeover_names_the_assumed_grant(bench):
+    bench.silent = {bench.upstreams[0].run}
+    bench.run(EARLIER_S + TIMES.grant_travel_s + 5.0)
+    change, claims = bench.changes[0], bench.claims[0]
+    assert change.cause is CAUSE.LEASE_OVER
+    assert claims[0].is_assumed
+    assert claims[0].closed_at == EARLIER_S
+    assert claims[0].end == change.lease_end
+
+
+def test_change_after_the_end_of_a_run_does_not_count_its_grants(bench):
+    bench.run(1.0)
+    lost = bench.upstreams.pop(0).run
+    bench.coordinator.end_run(lost)
+    bench.run(1.0)
+    assert {change.cause for change in bench.changes} == {CAUSE.RUN_ENDED}
+    for change, claims in zip(bench.changes, bench.claims, strict=True):
+        assert change.old == lost
+        assert change.lease_end == 0.0
+        assert {item.state for item in claims} == {STATE.RUN_ENDED}
+
+
+def test_change_to_the_next_run_of_an_upstream_names_both(bench):
+    bench.run(1.0)
+    before = bench.upstreams[0].run
+    bench.upstreams[0] = build(0, started_ms=2)
+    bench.run(1.0)
+    (change,) = bench.changes
+    assert change.cause is CAUSE.FOLLOWER
+    assert (change.old, change.new) == (before, bench.upstreams[0].run)
+    assert change.lease_end == 0.0
+
+
+def test_keys_without_an_owner_have_a_change_without_an_old_one():
+    bench = Bench(is_owned=False)
+    bench.run(2.0)
+    assert {change.cause for change in bench.changes} == {CAUSE.UNOWNED}
+    assert {change.old for change in bench.changes} == {None}
+    assert not any(bench.claims)
+
+
+def test_change_after_a_release_tells_its_token(bench):
+    bench.run(1.0)
+    leaving = bench.upstreams[0].run
+    bench.upstreams[0] = sycamoreloft_direct.Upstream(
+        "u0", 1, "10.0.0.1:1", SERVICE, "z", 6, True
+    )
+    bench.run(2.0)
+    releases = {
+        order.first: order.fence
+        for order in bench.orders
+        if isinstance(order, sycamoreloft_direct.SendRelease)
+    }
+    assert bench.changes
+    for change in bench.changes:
+        assert change.cause is CAUSE.RELEASED
+        assert change.old == leaving
+        assert change.old_fence == releases[change.first]
+        assert change.refused_fence == change.old_fence < change.new_fence
+
+
+# Guards against changes that are told twice, or pile up without a reader.
+def test_a_change_is_told_once(bench):
+    bench.run(1.0)
+    bench.coordinator.end_run(bench.upstreams.pop(0).run)
+    bench.run(2.0)
+    keys = [(change.first, change.last) for change in bench.changes]
+    assert len(keys) == len(set(keys)) > 0
+    bench.step()
+    assert not bench.coordinator.owner_changes
+
+
+def test_open_calls_stand_first_among_the_claims():
+    ends = _lease_ends.LeaseEnds(TIMES)
+    run = sycamoreloft_direct.UpstreamRun("u0", 1)
+    ends.assume(SERVICE, 0, 9, run, 5, 100.0)
+    ends.open(sycamoreloft_direct.SendGrant(1, run, SERVICE, 0, 9, 10, 3.0, ""))
+    claims = ends.list_claims(SERVICE, 5, 6, 0)
+    assert [item.fence for item in claims] == [10, 5]
+    assert claims[0].closed_at is None
+    assert claims[0].end == _lease_ends.OPEN
+    assert not ends.list_claims(SERVICE, 10, 19, 0)
+    assert not ends.list_claims("other", 0, 9, 0)
+
+
+# Guards against memory that grows with every grant of a tenure.
+def test_leases_that_are_long_over_are_forgotten():
+    ends = _lease_ends.LeaseEnds(TIMES)
+    run = sycamoreloft_direct.UpstreamRun("u0", 1)
+    for order in range(1, 1_000):
+        ends.open(
+            sycamoreloft_direct.SendGrant(
+                order, run, SERVICE, 0, 9, order, 3.0, ""
+            )
+        )
+        ends.close(order, order * 0.5, True)
+    kept_s = _lease_ends.KEEP_S + 2 * TIMES.hold_s + 1.0
+    assert len(ends.list_claims(SERVICE, 0, 9, 0)) < kept_s / 0.5
+
+
+# Guards against a line for each renewal.
+def test_only_the_first_grant_under_a_token_is_told_apart(bench):
+    first = []
+
+    def answer(command):
+        if isinstance(command, sycamoreloft_direct.SendGrant):
+            first.append(bench.coordinator.is_first_grant(command))
+        Bench._answer(bench, command)
+
+    bench._answer = answer
+    bench.run(TIMES.renew_s / 2)
+    assert first == [True] * 4
+    bench.run(5.0)
+    assert not any(first[4:])
+    del first[:]
+    bench.silent = {bench.upstreams[0].run}
+    bench.run(1.2)
+    bench.silent = set()
+    bench.run(2.0)
+    assert True in first
+
+
+def test_keys_of_a_silent_owner_count_as_unheld(bench):
+    assert bench.coordinator.count_unheld() == 0
+    bench.run(1.0)
+    bench.silent = {bench.upstreams[0].run}
+    bench.run(1.0)
+    assert bench.coordinator.count_unheld() == WIDTH
+    bench.run(4.5)
+    assert bench.coordinator.count_unheld() == 0
