Tell which connection carried a call

An order whose answer was not the upstream's answer to it can only come from a connection that was used before, and neither the answer nor a log line said whether there was one. `CallAnswer.connection` tells a new connection, a reused one, and a new one after a reused one broke and libcurl sent the call again.

--- a/packages/router/sycamoreloft_router/_call_client.py
+++ b/packages/router/sycamoreloft_router/_call_client.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections import abc
 import dataclasses
+import enum
 
 from sycamoreloft_router import (
     _answer_heads,
@@ -63,6 +64,19 @@
     header_lines: abc.Sequence[bytes] = ()
 
 
+class Connection(enum.Enum):
+    """Which connection carried a call."""
+
+    #: None was made.
+    NONE = "none"
+    #: One that was made for the call.
+    NEW = "new"
+    #: One that an earlier call had used.
+    REUSED = "reused"
+    #: A new one, after a reused one broke before the answer.
+    RESENT = "resent"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallAnswer:
     """How a call ended."""
@@ -77,6 +91,8 @@
     error: str = ""
     #: Whether any byte of the call may have reached the server.
     was_sent: bool = True
+    #: Which connection carried the call.
+    connection: Connection = Connection.NONE
 
 
 class CallClient:
@@ -124,7 +140,10 @@
             )
         )
         try:
-            return await self._load(transfer, call.limits, progress)
+            answer = await self._load(transfer, call.limits, progress)
+            return dataclasses.replace(
+                answer, connection=_find_connection(transfer)
+            )
         finally:
             if not transfer.ended:
                 transfer.cancel()
@@ -180,3 +199,11 @@
         for name, line in reversed(transfer.head.lines)
     }
     return CallAnswer(transfer.head.status, body, headers)
+
+
+def _find_connection(transfer: _transfers.Transfer) -> Connection:
+    if not transfer.started:
+        return Connection.NONE
+    if not transfer.is_connecting:
+        return Connection.REUSED
+    return Connection.RESENT if transfer.sends > 1 else Connection.NEW
--- a/packages/router/sycamoreloft_router/_transfers.py
+++ b/packages/router/sycamoreloft_router/_transfers.py
@@ -50,6 +50,7 @@
         "is_connecting",
         "is_expired",
         "request",
+        "sends",
         "started",
     )
 
@@ -72,6 +73,8 @@
         #: Whether a byte of the request may have reached the upstream. It is
         #: set as soon as libcurl has a connection for the request.
         self.started = False
+        #: How many connections libcurl sent the request on.
+        self.sends = 0
         #: Whether libcurl opened a socket for the transfer.
         self.is_connecting = False
         #: Whether the permit expired before a connection was ready.
--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -158,6 +158,7 @@
         if transfer.check_expired():
             return int(pycurl.PREREQFUNC_ABORT)
         transfer.started = True
+        transfer.sends += 1
         transfer.head.needs_echo = (
             bool(self.rules.answers.echo_header) and not self.is_connection_new
         )
--- a/packages/router/tests/test_call_client.py
+++ b/packages/router/tests/test_call_client.py
@@ -190,3 +190,40 @@
         assert not refused.was_sent
 
     call(scenario, script)
+
+
+# Guards against answers whose connection nobody can tell afterwards: a reused
+# one may bring the late answer to an earlier call.
+def test_an_answer_tells_which_connection_carried_the_call(call):
+    async def script(request, writer, _reader):
+        if request.connection == 0 and len(upstreams[0].requests) == 3:
+            return False
+        writer.write(raw_peers.answer())
+        await writer.drain()
+        return True
+
+    upstreams = []
+
+    async def scenario(upstream, make):
+        upstreams.append(upstream)
+        kinds = [(await make(upstream)).connection for _ in range(4)]
+        expected = _call_client.Connection
+        assert kinds == [
+            expected.NEW,
+            expected.REUSED,
+            # The third call broke on the kept connection.
+            expected.RESENT,
+            expected.REUSED,
+        ]
+
+    call(scenario, script)
+
+
+def test_a_call_without_a_connection_says_so(call):
+    async def scenario(upstream, make):
+        await upstream.__aexit__()
+        answer = await make(upstream)
+        assert answer.status == _call_client.NO_ANSWER
+        assert answer.connection is _call_client.Connection.NONE
+
+    call(scenario, raw_peers.echo())
