--- a/packages/router/sycamoreloft_router/_tenure.py
+++ b/packages/router/sycamoreloft_router/_tenure.py
@@ -8,6 +8,7 @@
 
 import sycamoreloft_direct
 from sycamoreloft_router import (
+    _answer_times,
     _coordinator_lease,
     _datagrams,
     _direct_ports,
@@ -24,16 +25,6 @@
 #: Seconds before a write that the store refused is tried again.
 RETRY_S = 0.2
 
-#: Answer time of a request that is assumed at first, in seconds.
-FIRST_ANSWER_S = 0.1
-
-#: Share of a new observation in the moving averages of answer times. Reports
-#: of all hosts together bring some tens for each upstream in a second.
-ANSWER_GAIN = 0.02
-
-#: Bounds of the relative speed of an upstream.
-LEAST_SPEED, MOST_SPEED = 0.3, 2.5
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TakenRecords:
@@ -87,8 +78,7 @@
         self._is_renewing = False
         self._renew_at = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
-        self._answer_s = FIRST_ANSWER_S
-        self._answer_times: dict[str, float] = {}
+        self._answer_times = _answer_times.AnswerTimes()
         self._set_valid(taken.sent_at)
         now = clock()
         self._coordinator = sycamoreloft_direct.KeyCoordinator(
@@ -149,7 +139,7 @@
             sharded,
             now,
         )
-        self._coordinator.update_speeds(self._compute_speeds())
+        self._coordinator.update_speeds(self._answer_times.compute_speeds())
         self._send_due(now)
 
     def _send_due(self, now: float) -> None:
@@ -210,28 +200,16 @@
         for upstream, (count, total) in report.answers.items():
             # Answers of a busy upstream tell its queue and not its speed.
             if count > 0 and not self._coordinator.is_busy(upstream):
-                self._learn_answer_time(upstream, total / count)
+                self._answer_times.learn(upstream, total / count)
         for service, keys in report.requests.items():
             work_s = {
-                key: count * self._answer_s for key, count in keys.items()
+                key: count * self._answer_times.mean_s
+                for key, count in keys.items()
             }
             self._coordinator.record_load(
                 sycamoreloft_direct.KeyLoad(service, work_s)
             )
 
-    def _learn_answer_time(self, upstream: str, mean: float) -> None:
-        known = self._answer_times.get(upstream, mean)
-        self._answer_times[upstream] = known + ANSWER_GAIN * (mean - known)
-        self._answer_s += ANSWER_GAIN / 10 * (mean - self._answer_s)
-
-    def _compute_speeds(self) -> dict[str, float]:
-        return {
-            upstream: min(
-                MOST_SPEED, max(LEAST_SPEED, self._answer_s / max(mean, 0.001))
-            )
-            for upstream, mean in self._answer_times.items()
-        }
-
     def _spawn(self, work: abc.Coroutine[typing.Any, typing.Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
