Log changes of owner, orders and coordinators with their inputs

- `owner-changed` and `keys-moved`: each change of owner with the runs, tokens, cause, and the leases that were waited for or set aside.
- `grant-accepted` for the first grant under a token, `release-answered`, and more fields in `grant-failed`, `release-failed` and `order-failed`: order, epoch, run, address, times, connection, age of the store's last answer, and whether the tenure was over.
- `coordinator-began` tells the predecessor's lease, `coordinator-ended` and `coordinator-resigned` what is still under way; `epoch-followed` is written by hosts that hear another coordinator.
- `sycamoreloft_owner_changes_total` and `sycamoreloft_keys_without_owner`.

Renewals leave no line. The rate limit of each event bounds the volume; the claims of a change are listed only for a line that is written.

--- a/packages/router/sycamoreloft_router/_coordinator_duty.py
+++ b/packages/router/sycamoreloft_router/_coordinator_duty.py
@@ -13,6 +13,7 @@
     _direct_peers,
     _direct_ports,
     _direct_views,
+    _duty_logs,
     _host_reports,
     _host_roster,
     _key_directory,
@@ -144,6 +145,7 @@
             clock,
         )
         self._coordinator_address: _datagrams.Address | None = None
+        self._followed = _duty_logs.FollowedCoordinator()
         self._heard_at = -1e9
         self._blind_heard_at = -1e9
         self._ask_at = self._clock() + self._yield_s
@@ -160,6 +162,14 @@
         """Whether this host acts as the coordinator."""
         return self._tenure is not None
 
+    def count_unheld_keys(self) -> int:
+        """Counts the keys that no upstream is known to hold.
+
+        Returns:
+            The number; 0 if this host is not the coordinator.
+        """
+        return self._tenure.count_unheld_keys() if self._tenure else 0
+
     def observe_request(self, service: str, key: int) -> None:
         """Counts a request for a key."""
         self._reports.observe_request(service, key)
@@ -256,7 +266,7 @@
         if isinstance(outcome, _coordinator_bid.Unreached):
             return pause_s * BLIND_ASK_FACTOR if hears_blind else pause_s
         if outcome.key_map.epoch < heard[0]:
-            self._log_unconfirmed(heard[0], outcome.key_map.epoch)
+            _duty_logs.log_unconfirmed(heard[0], outcome.key_map.epoch)
             self._directory.replace(outcome.key_map)
         self._directory.take(outcome.key_map)
         if isinstance(outcome, _coordinator_bid.Won):
@@ -273,15 +283,6 @@
             return outcome.wait_s + jitter_s
         return pause_s
 
-    def _log_unconfirmed(self, heard: int, recorded: int) -> None:
-        _logs.log_event(
-            _LOGGER,
-            logging.WARNING,
-            "epoch-unconfirmed",
-            heard=heard,
-            recorded=recorded,
-        )
-
     def _begin(self, won: _coordinator_bid.Won) -> None:
         """Begins to act as the coordinator."""
         taken, before = won.taken, won.before
@@ -303,20 +304,7 @@
             )
         self._directory.take(taken.key_map)
         self._beat_at = 0.0
-        _logs.log_event(
-            _LOGGER,
-            logging.INFO,
-            "coordinator-began",
-            epoch=taken.lease.epoch,
-            before=before.host if before else "",
-            earlier_s=round(
-                max(0.0, taken.lease.earlier_until - taken.reference.clock_s),
-                3,
-            ),
-            ranges=sum(
-                len(keys.ranges) for keys in taken.key_map.services.values()
-            ),
-        )
+        _duty_logs.log_beginning(won, self._settings.peer_address)
 
     def _take_map(self, key_map: sycamoreloft_direct.KeyMap) -> None:
         self._directory.take(key_map)
@@ -399,13 +387,14 @@
             # The coordinator does not know that this host has started anew,
             # or took another map; the report tells it.
             is_newer = True
-            self._log_ignored(sender, error)
+            _duty_logs.log_ignored_changes(sender, error)
         if is_newer:
             self._report_at = 0.0
         if message.store_age_s > BLIND_COORDINATOR_S:
             self._blind_heard_at = self._clock()
         else:
             self._heard_at = self._clock()
+        self._followed.note(message.epoch, sender, self._clock())
         self._coordinator_address = sender
         self._on_hosts(message.hosts)
         self._on_store_age(message.store_age_s)
@@ -423,22 +412,11 @@
         try:
             key_map = self._assembler.add(part)
         except ValueError as error:
-            self._log_ignored(sender, error)
+            _duty_logs.log_ignored_changes(sender, error)
             return
         if key_map is not None and self._directory.take(key_map):
             self._report_at = 0.0
 
-    def _log_ignored(
-        self, sender: _datagrams.Address, error: ValueError
-    ) -> None:
-        _logs.log_event(
-            _LOGGER,
-            logging.WARNING,
-            "key-changes-ignored",
-            peer=sender[0],
-            error=str(error),
-        )
-
     def _yield_to(self, successor: _datagrams.Address) -> None:
         """Ends the own duty because another host has it by now."""
         if self._tenure is not None:
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -325,6 +325,10 @@
             "sycamoreloft_is_coordinator",
             value=float(self._duty.is_coordinator),
         )
+        metrics.set(
+            "sycamoreloft_keys_without_owner",
+            value=float(self._duty.count_unheld_keys()),
+        )
         metrics.set(
             "sycamoreloft_key_map_revision",
             value=float(self._directory.key_map.revision),
--- a/packages/router/sycamoreloft_router/_direct_ports.py
+++ b/packages/router/sycamoreloft_router/_direct_ports.py
@@ -118,16 +118,37 @@
         """
 
 
+class OrderTrace:
+    """How the call of an order went; the client of orders fills it for logs."""
+
+    __slots__ = ("connection", "error", "status")
+
+    def __init__(self) -> None:
+        #: Status of the answer; 0 if no call was made.
+        self.status = 0
+        #: What went wrong; empty if nothing.
+        self.error = ""
+        #: "new", "reused", "resent" for a new one after a reused one broke,
+        #: or "none".
+        self.connection = "none"
+
+
 class KeyOrders(typing.Protocol):
     """Orders about keys to upstreams."""
 
     async def grant(
-        self, address: str, order: sycamoreloft_direct.SendGrant
+        self,
+        address: str,
+        order: sycamoreloft_direct.SendGrant,
+        trace: OrderTrace,
     ) -> sycamoreloft_direct.GrantResult:
         """Grants keys."""
 
     async def release(
-        self, address: str, order: sycamoreloft_direct.SendRelease
+        self,
+        address: str,
+        order: sycamoreloft_direct.SendRelease,
+        trace: OrderTrace,
     ) -> str | None:
         """Takes keys back; returns the handover, None without an answer."""
 
--- a/packages/router/sycamoreloft_router/_logs.py
+++ b/packages/router/sycamoreloft_router/_logs.py
@@ -5,6 +5,7 @@
 left out.
 """
 
+from collections import abc
 import dataclasses
 import datetime
 import json
@@ -136,15 +137,34 @@
         **fields: Values that JSON can represent; `exc_info=True` adds the
             exception that is being handled.
     """
+    log_built_event(logger, level, event, lambda: fields)
+
+
+def log_built_event(
+    logger: logging.Logger,
+    level: int,
+    event: str,
+    build: abc.Callable[[], dict[str, typing.Any]],
+) -> None:
+    """Logs an event whose fields are worth building only for a written line.
+
+    Args:
+        logger: Logger of the module.
+        level: Level of the logging package.
+        event: Stable name, such as "upstream-broke-answer".
+        build: Returns the fields, as for `log_event`; it is not called for a
+            line that is left out.
+    """
     if not logger.isEnabledFor(level):
         return
     suppressed = LIMITER.admit(event, time.monotonic())
     if suppressed is None:
         return
+    began = time.thread_time()
+    fields = build()
     if suppressed:
         fields["suppressed"] = suppressed
     exc_info = fields.pop("exc_info", None)
-    began = time.thread_time()
     logger.log(level, event, exc_info=exc_info, extra={"event_fields": fields})
     COST.seconds += time.thread_time() - began
 
--- a/packages/router/sycamoreloft_router/_metrics.py
+++ b/packages/router/sycamoreloft_router/_metrics.py
@@ -147,6 +147,17 @@
         "Grants of keys that this host sent as the coordinator",
         ("result",),
     ),
+    Definition(
+        "sycamoreloft_owner_changes_total",
+        Kind.COUNTER,
+        "Ranges of keys that this host as the coordinator gave another owner",
+        ("cause",),
+    ),
+    Definition(
+        "sycamoreloft_keys_without_owner",
+        Kind.GAUGE,
+        "Keys that no upstream is known to hold, on the coordinator",
+    ),
     Definition(
         "sycamoreloft_store_calls_total",
         Kind.COUNTER,
--- a/packages/router/sycamoreloft_router/_tenure.py
+++ b/packages/router/sycamoreloft_router/_tenure.py
@@ -15,6 +15,7 @@
     _direct_views,
     _logs,
     _metrics,
+    _order_logs,
 )
 
 _LOGGER = logging.getLogger(__name__)
@@ -78,6 +79,8 @@
         self._is_renewing = False
         self._renew_at = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
+        # Orders under way and until when they may give an upstream keys.
+        self._arrivals: dict[int, float] = {}
         self._answer_times = _answer_times.AnswerTimes()
         self._set_valid(taken.sent_at)
         now = clock()
@@ -146,9 +149,35 @@
         if self.is_over:
             return
         may_change = now < self._valid_until
-        for command in self._coordinator.tick(now, may_change, True):
+        commands = self._coordinator.tick(now, may_change, True)
+        for change in self._coordinator.owner_changes:
+            self._note_change(change, now)
+        for command in commands:
+            self._note_order(command, now)
             self._spawn(self._execute(command, now))
 
+    def _note_change(
+        self, change: sycamoreloft_direct.OwnerChange, now: float
+    ) -> None:
+        self._metrics.count(
+            "sycamoreloft_owner_changes_total", change.cause.value
+        )
+        _order_logs.log_owner_change(
+            change, self._coordinator.list_claims, self.epoch, now
+        )
+
+    def _note_order(
+        self, command: sycamoreloft_direct.Command, now: float
+    ) -> None:
+        if isinstance(command, sycamoreloft_direct.SendGrant):
+            self._arrivals[command.order] = now + self._times.grant_travel_s
+        elif isinstance(command, sycamoreloft_direct.SendRelease):
+            self._arrivals[command.order] = now
+
+    def count_unheld_keys(self) -> int:
+        """Counts the keys that no upstream is known to hold."""
+        return self._coordinator.count_unheld()
+
     def is_confirmed(self, now: float) -> bool:
         """Tells whether the store's lease is this host's at a time."""
         return now < self._valid_until
@@ -166,13 +195,7 @@
         if self.is_over:
             return
         self.is_over = True
-        _logs.log_event(
-            _LOGGER,
-            logging.WARNING,
-            "coordinator-ended",
-            epoch=self.epoch,
-            reason=reason,
-        )
+        self._log_end(logging.WARNING, "coordinator-ended", reason=reason)
 
     async def resign(self) -> None:
         """Stops acting and lets another host take over at once."""
@@ -183,14 +206,28 @@
             self._lease, is_resigned=True, expires_at=0.0
         )
         outcome = await self._write_lease(lease)
-        _logs.log_event(
-            _LOGGER,
+        self._log_end(
             logging.INFO,
             "coordinator-resigned",
-            epoch=self.epoch,
+            reason="stopping",
             result=outcome.result.value,
         )
 
+    def _log_end(self, level: int, event: str, **fields: str) -> None:
+        now = self._clock()
+        lease_end = self._valid_until + _coordinator_lease.SAFETY_S
+        latest = max(self._arrivals.values(), default=now)
+        _logs.log_event(
+            _LOGGER,
+            level,
+            event,
+            epoch=self.epoch,
+            lease_s=round(lease_end - now, 3),
+            orders=len(self._arrivals),
+            last_arrival_s=round(max(0.0, latest - now), 3),
+            **fields,
+        )
+
     def end_run(self, run: sycamoreloft_direct.UpstreamRun) -> None:
         """Takes all keys from a run of an upstream that has ended."""
         self._coordinator.end_run(run)
@@ -310,20 +347,27 @@
     ) -> bool:
         """Sends a grant; tells whether another step follows at once."""
         upstream = self._upstreams.find(command.run)
+        trace = _direct_ports.OrderTrace()
+        sent_at = self._clock()
         result = sycamoreloft_direct.GrantResult.UNREACHED
         if self._is_stale(decided_at):
             result = sycamoreloft_direct.GrantResult.UNSENT
         elif upstream is not None:
-            began = self._clock()
             result = await self._platform.orders.grant(
-                upstream.address, command
+                upstream.address, command, trace
             )
             self._metrics.observe(
-                "sycamoreloft_grant_seconds", self._clock() - began
+                "sycamoreloft_grant_seconds", self._clock() - sent_at
             )
         self._metrics.count("sycamoreloft_grants_total", result.value)
-        if result is not sycamoreloft_direct.GrantResult.ACCEPTED:
-            self._log_order("grant-failed", command, result.value)
+        del self._arrivals[command.order]
+        if (
+            result is not sycamoreloft_direct.GrantResult.ACCEPTED
+            or self.is_over
+            or self._coordinator.is_first_grant(command)
+        ):
+            call = self._describe_call(upstream, decided_at, sent_at, trace)
+            _order_logs.log_grant(command, result, call)
         return self._coordinator.finish_grant(
             command.order, result, self._clock()
         )
@@ -332,32 +376,35 @@
         self, command: sycamoreloft_direct.SendRelease, decided_at: float
     ) -> None:
         upstream = self._upstreams.find(command.run)
+        trace = _direct_ports.OrderTrace()
+        sent_at = self._clock()
         handover = None
         if upstream is not None and not self._is_stale(decided_at):
             handover = await self._platform.orders.release(
-                upstream.address, command
+                upstream.address, command, trace
             )
-        if handover is None:
-            self._log_order("release-failed", command, "no answer")
+        del self._arrivals[command.order]
+        call = self._describe_call(upstream, decided_at, sent_at, trace)
+        _order_logs.log_release(command, handover is not None, call)
         self._coordinator.finish_release(command.order, handover, self._clock())
 
-    def _log_order(
+    def _describe_call(
         self,
-        event: str,
-        command: sycamoreloft_direct.SendGrant
-        | sycamoreloft_direct.SendRelease,
-        result: str,
-    ) -> None:
-        _logs.log_event(
-            _LOGGER,
-            logging.WARNING,
-            event,
-            upstream=command.run.id,
-            service=command.service,
-            first=command.first,
-            last=command.last,
-            fence=command.fence,
-            result=result,
+        upstream: sycamoreloft_direct.Upstream | None,
+        decided_at: float,
+        sent_at: float,
+        trace: _direct_ports.OrderTrace,
+    ) -> _order_logs.OrderCall:
+        now = self._clock()
+        return _order_logs.OrderCall(
+            self.epoch,
+            upstream.address if upstream is not None else "",
+            decided_at,
+            sent_at,
+            now,
+            trace,
+            self.read_store_age(now),
+            self.is_over,
         )
 
     async def _write_map(self, key_map: sycamoreloft_direct.KeyMap) -> None:
--- a/packages/router/tests/conftest.py
+++ b/packages/router/tests/conftest.py
@@ -2,18 +2,54 @@
 
 import asyncio
 from collections import abc
+import json
+import logging
 import pathlib
 import sys
 
 import pytest
 
-from sycamoreloft_router import _upstream_client
+from sycamoreloft_router import _logs, _upstream_client
 
 # Test files import the helper module raw_peers from this folder, which
 # pytest's importlib mode does not put on the path.
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 
 
+def _refuse_constant(name):
+    raise ValueError(f"{name} is not JSON")
+
+
+class LineRecorder(logging.Handler):
+    """Keeps the log lines of the process as they are written."""
+
+    def __init__(self):
+        super().__init__()
+        self.lines = []
+
+    def emit(self, record):
+        text = _logs.JsonFormatter().format(record)
+        self.lines.append(json.loads(text, parse_constant=_refuse_constant))
+
+    def list(self, *events):
+        """Lists the lines of some events."""
+        return [line for line in self.lines if line["event"] in events]
+
+
+@pytest.fixture
+def recorder(monkeypatch):
+    """Records all lines from the level "info" on, with a fresh rate limit."""
+    monkeypatch.setattr(_logs, "LIMITER", _logs.RateLimiter())
+    root = logging.getLogger()
+    level = root.level
+    handler = LineRecorder()
+    root.addHandler(handler)
+    root.setLevel(logging.INFO)
+    yield handler
+    root.removeHandler(handler)
+    root.setLevel(level)
+
+
 @pytest.fixture
 def run():
     """Runs a coroutine function with an upstream client, then closes it."""
--- a/packages/router/tests/key_world.py
+++ b/packages/router/tests/key_world.py
@@ -173,7 +173,7 @@
             return None
         return upstream
 
-    async def grant(self, address, order):
+    async def grant(self, address, order, trace=None):
         was_frozen = await self.host.pause()
         if self.world.slow_share:
             return await self._grant_slowly(order, was_frozen)
@@ -225,7 +225,7 @@
             return RESULT.UNKNOWN
         return result
 
-    async def release(self, address, order):
+    async def release(self, address, order, trace=None):
         await self.host.pause()
         upstream = await self._reach(order.run)
         if upstream is None:
--- /dev/null
+++ b/packages/router/tests/test_order_logs.py
@@ -0,0 +1,324 @@
+"""Log lines that tell how keys came to have two owners.
+
+The lines of whole hosts in the virtual world, compared with what its upstreams
+saw.
+"""
+
+import asyncio
+
+import key_world
+import pytest
+import virtual_time
+
+import sycamoreloft_direct
+from sycamoreloft_router import _logs, _order_logs
+
+#: Seconds until the first owners hold their keys.
+SETTLE_S = 6.0
+
+#: Events that a change of owner may write.
+EVENTS = (
+    "grant-accepted",
+    "grant-failed",
+    "release-answered",
+    "release-failed",
+    "owner-changed",
+    "keys-moved",
+    "coordinator-began",
+    "coordinator-ended",
+    "epoch-followed",
+)
+
+
+@pytest.fixture
+def play():
+    """Runs a scenario in a world whose first owners hold their keys."""
+
+    def run_scenario(scenario, **options):
+        async def main():
+            world = key_world.World(1, **options)
+            await asyncio.sleep(SETTLE_S)
+            await scenario(world)
+
+        virtual_time.run(main())
+
+    return run_scenario
+
+
+def find_coordinator(world):
+    return next(
+        host for host in world.hosts.values() if host.duty.is_coordinator
+    )
+
+
+def list_seen(world):
+    """Lists the upstreams and tokens that grants brought."""
+    return {
+        (upstream.name, fence)
+        for upstream in world.all_runs
+        for _, _, fence in upstream.seen
+    }
+
+
+def make_keys_hot(world):
+    async def request():
+        while True:
+            for host in world.hosts.values():
+                for number in range(60):
+                    host.duty.observe_request(key_world.SERVICE, number * 9)
+            await asyncio.sleep(0.1)
+
+    return world.loop.create_task(request())
+
+
+# Guards against a log that grows with each renewal.
+def test_renewals_leave_no_lines(play, recorder):
+    async def scenario(world):
+        recorder.lines.clear()
+        await asyncio.sleep(20.0)
+        assert not recorder.list(*EVENTS)
+
+    play(scenario)
+
+
+# Guards against owners whose first grant nobody can find in the logs.
+def test_first_grants_name_token_run_and_times(play, recorder):
+    async def scenario(world):
+        lines = recorder.list("grant-accepted")
+        seen = {(line["upstream"], line["fence"]) for line in lines}
+        assert seen == list_seen(world)
+        assert len(lines) == len(seen)
+        for line in lines:
+            upstream = world.upstreams[line["upstream"]]
+            assert line["started_ms"] == upstream.started_ms
+            assert line["address"] == f"{upstream.name}:1"
+            assert line["hold_s"] == 3.0
+            assert 0.0 <= line["wait_s"] < 0.3
+            assert 0.0 < line["call_s"] < 0.7
+            assert line["epoch"] == 1
+            assert line["result"] == "accepted"
+            assert line["store_age_s"] < 2.0
+            assert not line["tenure_over"]
+        assert len({line["order"] for line in lines}) == len(lines)
+
+    play(scenario)
+
+
+# Guards against a lost owner whose keys were given away for a reason that the
+# logs do not tell.
+def test_keys_of_a_silent_owner_name_the_grant_that_was_waited_for(
+    play, recorder
+):
+    async def scenario(world):
+        lost = world.upstreams["u1"]
+        fences = {
+            line["fence"]
+            for line in recorder.list("grant-accepted")
+            if line["upstream"] == lost.name
+        }
+        for host in world.hosts.values():
+            host.unreachable = {lost.name}
+        await asyncio.sleep(3.0)
+        failed = recorder.list("grant-failed")
+        assert failed
+        for line in failed:
+            assert line["upstream"] == lost.name
+            assert line["result"] == "unknown"
+            assert line["call_s"] == pytest.approx(0.5, abs=0.01)
+        assert find_coordinator(world).duty.count_unheld_keys() > 0
+        await asyncio.sleep(2.5)
+        changes = recorder.list("owner-changed")
+        changes = [line for line in changes if line["cause"] != "unowned"]
+        assert changes
+        for line in changes:
+            assert line["cause"] == "lease-over"
+            assert line["level"] == "warning"
+            assert line["old_upstream"] == lost.name != line["upstream"]
+            assert (line["upstream"], line["fence"]) in list_seen(world)
+            assert line["lease_over_s"] >= 0.0
+            claim = line["claims"][0]
+            assert claim["upstream"] == lost.name
+            assert claim["state"] == "counted"
+            assert claim["over_s"] == line["lease_over_s"]
+            assert claim["closed_ago_s"] > claim["over_s"]
+            tokens = {item["fence"] for item in line["claims"]}
+            assert tokens & (fences | {item["fence"] for item in failed})
+        count = find_coordinator(world).duty._metrics.read(
+            "sycamoreloft_owner_changes_total", "lease-over"
+        )
+        assert count == len(changes)
+        assert find_coordinator(world).duty.count_unheld_keys() == 0
+
+    play(scenario)
+
+
+# Guards against planned moves that cannot be followed from token to token.
+def test_a_move_is_told_by_its_tokens(play, recorder):
+    async def scenario(world):
+        load = make_keys_hot(world)
+        await asyncio.sleep(6.0)
+        load.cancel()
+        moves = recorder.list("keys-moved")
+        assert moves
+        released = {
+            (line["upstream"], line["fence"])
+            for line in recorder.list("release-answered")
+        }
+        granted = {
+            (line["upstream"], line["fence"])
+            for line in recorder.list("grant-accepted")
+        }
+        for line in moves[:-5]:
+            assert line["cause"] == "released"
+            assert (line["old_upstream"], line["old_fence"]) in released
+            assert line["refused_fence"] == line["old_fence"]
+            assert (line["upstream"], line["fence"]) in granted
+            states = {item["state"] for item in line["claims"]}
+            assert states <= {"refused"}
+
+    play(scenario)
+
+
+# Guards against a change of the coordinator whose wait cannot be recomputed.
+def test_a_lost_coordinator_and_its_successor_tell_their_times(play, recorder):
+    async def scenario(world):
+        lost = find_coordinator(world)
+        (first,) = recorder.list("coordinator-began")
+        assert first["before"] == ""
+        assert first["before_expires_at"] is None
+        recorder.lines.clear()
+        lost.cut_from_store = True
+        for host in world.hosts.values():
+            host.unreachable = {"u1"}
+        await asyncio.sleep(8.0)
+        (began,) = recorder.list("coordinator-began")
+        assert began["before"] == lost.name
+        assert began["before_epoch"] == first["epoch"] == began["epoch"] - 1
+        assert not began["before_resigned"]
+        assert not began["before_own_address"]
+        assert began["before_expires_at"] < began["store_clock_s"]
+        blind_s = sycamoreloft_direct.HoldTimes().blind_s
+        assert began["earlier_until"] == pytest.approx(
+            began["before_expires_at"] + blind_s, abs=0.002
+        )
+        assert began["earlier_s"] == pytest.approx(
+            began["earlier_until"] - began["store_clock_s"], abs=0.002
+        )
+        (ended,) = recorder.list("coordinator-ended")
+        assert ended["reason"] == "superseded"
+        assert ended["epoch"] == first["epoch"]
+        assert ended["lease_s"] < 0.0
+        assert ended["orders"] >= 0
+        assert 0.0 <= ended["last_arrival_s"] < 1.0
+        followed = recorder.list("epoch-followed")
+        assert len(followed) == len(world.hosts) - 1
+        others = [line for line in followed if line["peer_before"]]
+        assert others
+        for line in others:
+            assert line["peer_before"] == lost.name
+            assert line["epoch_before"] == first["epoch"]
+            assert line["epoch"] == began["epoch"]
+            assert 0.0 < line["heard_ago_s"] < 8.0
+
+    play(scenario)
+
+
+# Guards against a successor whose predecessor's last orders nobody knows.
+def test_a_coordinator_that_resigns_tells_what_is_under_way(play, recorder):
+    async def scenario(world):
+        first = find_coordinator(world)
+        # Calls take up to 0.84 s, and a coordinator that stops waits for 0.5 s.
+        world.slow_share = 1.0
+        while not first.duty._tenure._arrivals:
+            await asyncio.sleep(0.01)
+        await first.duty.stop()
+        (resigned,) = recorder.list("coordinator-resigned")
+        assert resigned["reason"] == "stopping"
+        assert resigned["result"] == "written"
+        recorder.lines.clear()
+        await asyncio.sleep(resigned["last_arrival_s"])
+        late = [
+            line
+            for line in recorder.list("grant-accepted", "grant-failed")
+            if line["tenure_over"]
+        ]
+        assert len(late) == resigned["orders"] > 0
+        first.kill()
+        world.calm()
+        await asyncio.sleep(3.0)
+        (began,) = recorder.list("coordinator-began")
+        assert began["before"] == first.name
+        assert began["before_resigned"]
+
+    play(scenario)
+
+
+# Guards against a loss of many owners that fills the log or takes the time to
+# describe what is not written.
+def test_lines_of_many_changes_are_bounded(recorder):
+    described = []
+
+    def list_claims(change):
+        described.append(change)
+        run = sycamoreloft_direct.UpstreamRun("u0", 1)
+        counted = sycamoreloft_direct.ClaimState.COUNTED
+        return [
+            sycamoreloft_direct.LeaseClaim(
+                0, 9, fence, run, False, 1.0, 2.0, counted
+            )
+            for fence in range(50)
+        ]
+
+    for number in range(10_000):
+        run = sycamoreloft_direct.UpstreamRun(f"u{number}", 1)
+        change = sycamoreloft_direct.OwnerChange(
+            key_world.SERVICE,
+            number,
+            number,
+            run,
+            run,
+            sycamoreloft_direct.ChangeCause.LEASE_OVER,
+            1,
+            2,
+            0,
+            2.0,
+        )
+        _order_logs.log_owner_change(change, list_claims, 1, 5.0)
+    lines = recorder.list("owner-changed")
+    assert len(described) == len(lines)
+    assert _logs.BURST <= len(lines) < _logs.BURST * 2
+    assert lines[0]["claims_left_out"] == 50 - _order_logs.MAXIMUM_CLAIMS
+    assert len(lines[0]["claims"]) == _order_logs.MAXIMUM_CLAIMS
+    assert _logs.LIMITER.suppressed_total == 10_000 - len(lines)
+
+
+# Guards against the infinite end of an open call, which JSON does not have.
+def test_an_open_call_has_no_end(recorder):
+    run = sycamoreloft_direct.UpstreamRun("u0", 1)
+    change = sycamoreloft_direct.OwnerChange(
+        key_world.SERVICE,
+        0,
+        9,
+        run,
+        sycamoreloft_direct.UpstreamRun("u0", 2),
+        sycamoreloft_direct.ChangeCause.FOLLOWER,
+        1,
+        2,
+        0,
+        0.0,
+    )
+    claim = sycamoreloft_direct.LeaseClaim(
+        0,
+        9,
+        1,
+        run,
+        False,
+        None,
+        float("inf"),
+        sycamoreloft_direct.ClaimState.COUNTED,
+    )
+    _order_logs.log_owner_change(change, lambda _: [claim], 1, 5.0)
+    (line,) = recorder.list("owner-changed")
+    assert line["lease_over_s"] is None
+    assert line["claims"][0]["closed_ago_s"] is None
+    assert line["claims"][0]["over_s"] is None
