--- a/packages/ctl/sycamoreloft_ctl/_request_story.py
+++ b/packages/ctl/sycamoreloft_ctl/_request_story.py
@@ -31,6 +31,7 @@
         "coordinator-ended",
         "coordinator-resigned",
         "desired-state-applied",
+        "epoch-followed",
         "history-lost",
         "host-started",
         "host-stopping",
@@ -41,6 +42,11 @@
     )
 )
 
+#: Events that tell of a range of keys.
+_RANGE_EVENTS = frozenset(
+    ("grant-failed", "keys-moved", "owner-changed", "release-failed")
+)
+
 #: Words in the detail of an attempt that tell of a broken connection; others
 #: tell of an answer that was not valid.
 _BREAK_WORDS = ("recv", "send", "connect", "reset", "closed", "empty", "timed")
@@ -144,7 +150,7 @@
                 line.host == self._host
                 and line.get_text("upstream") in self._upstreams
             )
-        if line.event in ("grant-failed", "release-failed"):
+        if line.event in _RANGE_EVENTS:
             return self._covers_key(line)
         if line.event.startswith("coordinator-"):
             return True
--- a/packages/ctl/tests/test_request_story.py
+++ b/packages/ctl/tests/test_request_story.py
@@ -125,6 +125,9 @@
         build("upstream-gone", -1.0, upstream="u9"),
         build("grant-failed", -1.0, "h2", service="boards", first=8, last=9),
         FAILED_GRANT,
+        build("owner-changed", -0.5, "h2", service="boards", first=0, last=9),
+        build("epoch-followed", -0.4, "h1"),
+        build("epoch-followed", -0.4, "h3"),
         attempt("refused", status=421),
         refuse("no-owner"),
         GONE,
@@ -141,6 +144,8 @@
     ]
     assert [(line.event, line.host) for line in story.around] == [
         ("grant-failed", "h2"),
+        ("owner-changed", "h2"),
+        ("epoch-followed", "h1"),
         ("upstream-gone", "h1"),
         ("store-lost", "h1"),
     ]
