Fence upstreams that lost their keys without answering

Cause, as far as the record tells: an upstream in the cut domain takes a grant from before the cut 0.5 s and 1.9 s after the cut, under the first token that had not failed before. Every wait for a silent owner counts from the end of the call of its last grant; what arrives later is bounded by no wait.

Change: whoever takes keys from an owner without its answer sends it a release with a newer token, again and again, until it answers; it gets no keys until then. A new coordinator does so for upstreams that own nothing, because its predecessor may not have got an answer. An owner that falls silent and answers just before its lease ends gives its keys up at once. A release has a token of its own, above that of the grant that sealed the keys.

--- a/packages/direct/sycamoreloft_direct/_key_commands.py
+++ b/packages/direct/sycamoreloft_direct/_key_commands.py
@@ -46,8 +46,11 @@
     first: int
     #: Last key, inclusive.
     last: int
-    #: Fencing token under which the upstream holds the keys.
+    #: Fencing token; the upstream refuses grants up to it from then on.
     fence: int
+    #: Address, as "ip:port", for a run that discovery may list no more;
+    #: empty for the one that it lists.
+    address: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/direct/sycamoreloft_direct/_key_coordinator.py
+++ b/packages/direct/sycamoreloft_direct/_key_coordinator.py
@@ -24,11 +24,15 @@
     _lease_ends,
     _nodes,
     _owner_changes,
+    _revocations,
 )
 
 #: Fencing tokens of one epoch.
 FENCES_PER_EPOCH = 1 << 24
 
+#: Epoch before which nobody granted keys.
+FIRST_EPOCH = 1
+
 #: Orders without an answer after which a move waits for the lease to end.
 MAXIMUM_FAILURES = 3
 
@@ -67,7 +71,14 @@
         self._table = _key_segments.SegmentTable(
             key_map.epoch * FENCES_PER_EPOCH, self._leases
         )
-        self._rebalancer = _key_rebalancing.Rebalancer(self._table, now)
+        self._revocations = _revocations.Revocations(
+            self._table.create_fence,
+            self._count_order,
+            has_predecessor=self._epoch > FIRST_EPOCH,
+        )
+        self._rebalancer = _key_rebalancing.Rebalancer(
+            self._table, now, self._revocations.is_pending
+        )
         self._order = 0
         self._orders: dict[int, _key_segments.Segment] = {}
         self._upstreams: dict[_nodes.UpstreamRun, _nodes.Upstream] = {}
@@ -178,6 +189,8 @@
             self._latest_start = {
                 run.id: run.started_ms for run in sorted(listed)
             }
+            owners = {segment.owner for segment in self._table}
+            self._revocations.update_upstreams(listed, owners, now)
         self._upstreams = listed
         self._rebalancer.update_upstreams(listed, now)
         known = {segment.service for segment in self._table}
@@ -199,6 +212,7 @@
     def end_run(self, run: _nodes.UpstreamRun) -> None:
         """Takes all keys from a run that has surely ended."""
         self._leases.end_run(run)
+        self._revocations.end_run(run)
         for segment in self._table:
             if segment.owner == run and segment.phase is not _PHASE.RECORDING:
                 segment.leased_until = 0.0
@@ -253,13 +267,16 @@
             handover: State of the keys, or None if there was no answer.
             now: Time, in seconds.
         """
+        if self._revocations.finish(order, handover is not None, now):
+            return
         segment = self._orders.pop(order, None)
         if segment is None or segment.order != order:
             return
         segment.order = 0
         if handover is None:
             segment.failures += 1
-            segment.due_at = now
+            is_held = segment.phase is _PHASE.HELD
+            segment.due_at = now + (self._times.retry_s if is_held else 0.0)
             return
         segment.handover = handover
         self._table.note_refused(segment, segment.fence)
@@ -299,6 +316,7 @@
             write = self._prepare_write()
             if write is not None:
                 commands.append(write)
+            commands.extend(self._revocations.list_due(now))
         if may_change or may_renew:
             for segment in self._table:
                 command = self._choose_order(segment, now, may_change)
@@ -318,7 +336,7 @@
         if segment.phase in (_PHASE.SEALING, _PHASE.RELEASING):
             if segment.failures >= MAXIMUM_FAILURES:
                 if self._table.is_free(segment, now):
-                    self._table.vacate(segment, _CAUSE.LEASE_OVER)
+                    self._take_from_silent(segment, now)
                 return None
             if segment.phase is _PHASE.SEALING:
                 return self._grant(segment, SEAL_HOLD_S)
@@ -348,7 +366,8 @@
                 return None
             hold_s = min(hold_s, self._leases.find_hold(now, lease_end))
             if hold_s < self._times.retry_s:
-                return None
+                # An owner that answers by now gives the keys up at once.
+                return self._release(segment, now) if may_change else None
         return self._grant(segment, hold_s)
 
     def _grant(
@@ -375,6 +394,9 @@
         self, segment: _key_segments.Segment, now: float
     ) -> _key_commands.SendRelease:
         assert segment.owner is not None
+        # An earlier grant that is still on its way may have the token of the
+        # latest one.
+        segment.fence = self._table.create_fence()
         segment.order = self._create_order(segment)
         segment.due_at = now
         return _key_commands.SendRelease(
@@ -417,7 +439,18 @@
             if owner in self._upstreams and segment.failures == 0:
                 continue
             if self._table.is_free(segment, now):
-                self._table.vacate(segment, _CAUSE.LEASE_OVER)
+                self._take_from_silent(segment, now)
+
+    def _take_from_silent(
+        self, segment: _key_segments.Segment, now: float
+    ) -> None:
+        """Takes keys from an owner whose lease is over without its answer."""
+        assert segment.owner is not None
+        keys = _revocations.LostKeys(
+            segment.service, segment.first, segment.last
+        )
+        self._revocations.add(segment.owner, keys, now)
+        self._table.vacate(segment, _CAUSE.LEASE_OVER)
 
     def _find_follower(
         self, run: _nodes.UpstreamRun
@@ -456,7 +489,11 @@
 
     # Small helpers.
 
-    def _create_order(self, segment: _key_segments.Segment) -> int:
+    def _count_order(self) -> int:
         self._order += 1
-        self._orders[self._order] = segment
         return self._order
+
+    def _create_order(self, segment: _key_segments.Segment) -> int:
+        order = self._count_order()
+        self._orders[order] = segment
+        return order
--- a/packages/direct/sycamoreloft_direct/_key_rebalancing.py
+++ b/packages/direct/sycamoreloft_direct/_key_rebalancing.py
@@ -53,10 +53,18 @@
     Args:
         table: The segments, which the plans change.
         now: Time, in seconds.
+        is_revoked: Tells whether a run has yet to release keys that it lost;
+            it gets no others until then.
     """
 
-    def __init__(self, table: _key_segments.SegmentTable, now: float) -> None:
+    def __init__(
+        self,
+        table: _key_segments.SegmentTable,
+        now: float,
+        is_revoked: abc.Callable[[_nodes.UpstreamRun], bool],
+    ) -> None:
         self._table = table
+        self._is_revoked = is_revoked
         self._loads: dict[str, _key_loads.KeyLoads] = {}
         self._speeds: abc.Mapping[str, float] = {}
         self._silent_until: dict[_nodes.UpstreamRun, float] = {}
@@ -134,6 +142,7 @@
             if item.service == service
             and not item.is_draining
             and self._silent_until.get(item.run, now) <= now
+            and not self._is_revoked(item.run)
         ]
         if not owners:
             return
--- /dev/null
+++ b/packages/direct/sycamoreloft_direct/_revocations.py
@@ -0,0 +1,204 @@
+"""Releases keys at owners that lost them without answering.
+
+A grant that was on its way when a network cut began may arrive when the cut
+ends, however long that is after the wait for its lease. The upstream would
+hold keys that another one has by then. A release with a newer fencing token
+makes it refuse such a grant, or ends what it already took. The release is
+therefore repeated until the upstream answers it.
+"""
+
+from collections import abc
+import dataclasses
+
+from sycamoreloft_direct import _key_commands, _nodes
+
+#: Seconds between the end of a try and the next one. A cut can end at any
+#: moment, and the release should arrive as soon as a late grant can.
+RETRY_S = 0.1
+
+#: Seconds after which tries become rare: most cuts and restarts are over.
+PROMPT_S = 10.0
+
+#: Seconds between two tries after that.
+RARE_RETRY_S = 1.0
+
+#: Tries under way at once while no upstream answers.
+MOST_AT_ONCE = 8
+
+#: Seconds after an answer for which all upstreams are tried: a cut that ended
+#: for one has ended for others.
+ANSWERED_S = 1.0
+
+#: Seconds after which an upstream that never answered is given up.
+GIVE_UP_S = 600.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LostKeys:
+    """Keys that were taken from an owner without its answer."""
+
+    #: Name of the service.
+    service: str
+    #: First key.
+    first: int
+    #: Last key, inclusive.
+    last: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Revocation:
+    """What is left to be released at one upstream."""
+
+    #: The upstream as it was listed last.
+    upstream: _nodes.Upstream
+    #: When the first keys were taken, in seconds.
+    since: float
+    #: When the next try is due, in seconds.
+    due_at: float
+    #: Keys that it has not released.
+    keys: list[LostKeys]
+    #: Order that has not ended; 0 for none.
+    order: int = 0
+
+
+class Revocations:
+    """Remembers which owners still have to release lost keys.
+
+    Args:
+        create_fence: Returns a fencing token above all earlier ones.
+        create_order: Returns a number for an order.
+        has_predecessor: Whether an earlier coordinator may have taken keys
+            from upstreams that did not answer it.
+    """
+
+    def __init__(
+        self,
+        create_fence: abc.Callable[[], int],
+        create_order: abc.Callable[[], int],
+        *,
+        has_predecessor: bool,
+    ) -> None:
+        self._create_fence = create_fence
+        self._create_order = create_order
+        self._has_predecessor = has_predecessor
+        # Entries of owners, also of those that discovery lists no more.
+        self._entries: dict[_nodes.UpstreamRun, _nodes.Upstream] = {}
+        self._listed: abc.Set[_nodes.UpstreamRun] = frozenset()
+        self._pending: dict[_nodes.UpstreamRun, _Revocation] = {}
+        self._answered_until = 0.0
+
+    def update_upstreams(
+        self,
+        listed: abc.Mapping[_nodes.UpstreamRun, _nodes.Upstream],
+        owners: abc.Set[_nodes.UpstreamRun | None],
+        now: float,
+    ) -> None:
+        """Takes the upstreams of sharded services when they have changed.
+
+        Args:
+            listed: Entries that discovery lists.
+            owners: Runs that own keys.
+            now: Time, in seconds.
+        """
+        self._entries = {
+            run: entry
+            for run, entry in {**self._entries, **listed}.items()
+            if run in owners or run in listed
+        }
+        if self._has_predecessor:
+            for run in sorted(listed.keys() - self._listed - owners):
+                service = listed[run].service
+                everything = LostKeys(service, 0, _nodes.KEY_COUNT - 1)
+                self.add(run, everything, now)
+        self._listed = listed.keys()
+
+    def add(self, run: _nodes.UpstreamRun, keys: LostKeys, now: float) -> None:
+        """Notes that a run lost keys without its answer.
+
+        Args:
+            run: The run.
+            keys: The keys.
+            now: Time, in seconds.
+        """
+        entry = self._entries.get(run)
+        if entry is None:
+            # Adopted from the map, and never listed since: no address.
+            return
+        pending = self._pending.setdefault(
+            run, _Revocation(entry, now, now, [])
+        )
+        pending.keys.append(keys)
+
+    def is_pending(self, run: _nodes.UpstreamRun) -> bool:
+        """Tells whether a run has yet to release keys that it lost."""
+        return run in self._pending
+
+    def end_run(self, run: _nodes.UpstreamRun) -> None:
+        """Notes that a run has ended, and with it all that it holds."""
+        self._pending.pop(run, None)
+
+    def list_due(self, now: float) -> abc.Sequence[_key_commands.SendRelease]:
+        """Returns the releases that are due, one for each upstream.
+
+        Args:
+            now: Time, in seconds.
+        """
+        for run, item in list(self._pending.items()):
+            if now > item.since + GIVE_UP_S:
+                del self._pending[run]
+        due = [
+            item
+            for item in self._pending.values()
+            if item.order == 0 and now >= item.due_at
+        ]
+        if now >= self._answered_until:
+            open_count = sum(item.order != 0 for item in self._pending.values())
+            due.sort(key=lambda item: item.due_at)
+            due = due[: max(0, MOST_AT_ONCE - open_count)]
+        return [self._send(item) for item in due]
+
+    def finish(self, order: int, is_answered: bool, now: float) -> bool:
+        """Takes the result of a release.
+
+        Args:
+            order: The order.
+            is_answered: Whether the upstream answered.
+            now: Time, in seconds.
+
+        Returns:
+            Whether the order is one of these releases.
+        """
+        item = next(
+            (item for item in self._pending.values() if item.order == order),
+            None,
+        )
+        if item is None:
+            return False
+        item.order = 0
+        if is_answered:
+            item.keys.pop(0)
+            if not item.keys:
+                del self._pending[item.upstream.run]
+            self._try_all(now)
+        else:
+            is_prompt = now < item.since + PROMPT_S
+            item.due_at = now + (RETRY_S if is_prompt else RARE_RETRY_S)
+        return True
+
+    def _try_all(self, now: float) -> None:
+        self._answered_until = now + ANSWERED_S
+        for item in self._pending.values():
+            item.due_at = min(item.due_at, now)
+
+    def _send(self, item: _Revocation) -> _key_commands.SendRelease:
+        item.order = self._create_order()
+        keys = item.keys[0]
+        return _key_commands.SendRelease(
+            item.order,
+            item.upstream.run,
+            keys.service,
+            keys.first,
+            keys.last,
+            self._create_fence(),
+            item.upstream.address,
+        )
--- a/packages/router/sycamoreloft_router/_tenure.py
+++ b/packages/router/sycamoreloft_router/_tenure.py
@@ -366,7 +366,8 @@
             or self.is_over
             or self._coordinator.is_first_grant(command)
         ):
-            call = self._describe_call(upstream, decided_at, sent_at, trace)
+            address = upstream.address if upstream else ""
+            call = self._describe_call(address, decided_at, sent_at, trace)
             _order_logs.log_grant(command, result, call)
         return self._coordinator.finish_grant(
             command.order, result, self._clock()
@@ -376,21 +377,22 @@
         self, command: sycamoreloft_direct.SendRelease, decided_at: float
     ) -> None:
         upstream = self._upstreams.find(command.run)
+        address = upstream.address if upstream else command.address
         trace = _direct_ports.OrderTrace()
         sent_at = self._clock()
         handover = None
-        if upstream is not None and not self._is_stale(decided_at):
+        if address and not self._is_stale(decided_at):
             handover = await self._platform.orders.release(
-                upstream.address, command, trace
+                address, command, trace
             )
         del self._arrivals[command.order]
-        call = self._describe_call(upstream, decided_at, sent_at, trace)
+        call = self._describe_call(address, decided_at, sent_at, trace)
         _order_logs.log_release(command, handover is not None, call)
         self._coordinator.finish_release(command.order, handover, self._clock())
 
     def _describe_call(
         self,
-        upstream: sycamoreloft_direct.Upstream | None,
+        address: str,
         decided_at: float,
         sent_at: float,
         trace: _direct_ports.OrderTrace,
@@ -398,7 +400,7 @@
         now = self._clock()
         return _order_logs.OrderCall(
             self.epoch,
-            upstream.address if upstream is not None else "",
+            address,
             decided_at,
             sent_at,
             now,
--- a/packages/router/tests/key_world.py
+++ b/packages/router/tests/key_world.py
@@ -32,6 +32,9 @@
 #: Longest time after the last fault until all keys are held again, seconds.
 RECOVERY_S = 20.0
 
+#: When a grant that a cut held up is delivered after the cut, in seconds.
+HELD_UP_S = (0.6, 2.0)
+
 #: Longest time between the decision for an order and its sending, in seconds.
 DISPATCH_LIMIT_S = 0.24
 
@@ -63,11 +66,13 @@
         self.draining = False
         self.holds = []
         self.seen = []
+        #: Keys and tokens of releases, which count as seen.
+        self.released = []
 
     def grant(self, order, arrived_at, excused):
         if not self.up:
             return RESULT.UNKNOWN
-        for first, last, fence in self.seen:
+        for first, last, fence in [*self.seen, *self.released]:
             overlaps = first <= order.last and order.first <= last
             if overlaps and fence > order.fence:
                 return RESULT.FENCED
@@ -217,6 +222,8 @@
             or upstream is None
             or not upstream.up
         ):
+            if world.generator.random() < world.held_share:
+                world.loop.create_task(self._deliver_after_cut(order))
             await asyncio.sleep(max(0.0, deadline - world.now()))
             return RESULT.UNKNOWN
         result = upstream.grant(order, world.now(), was_frozen)
@@ -225,12 +232,23 @@
             return RESULT.UNKNOWN
         return result
 
+    async def _deliver_after_cut(self, order):
+        """Delivers a grant that was on its way when a cut began."""
+        world = self.world
+        upstream = world.upstreams.get(order.run.id)
+        while order.run.id in self.host.unreachable:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(world.generator.uniform(*HELD_UP_S))
+        if upstream is not None:
+            upstream.grant(order, world.now(), False)
+
     async def release(self, address, order, trace=None):
         await self.host.pause()
         upstream = await self._reach(order.run)
         if upstream is None:
             return None
         upstream.cut(order.first, order.last)
+        upstream.released.append((order.first, order.last, order.fence))
         await asyncio.sleep(self.world.generator.uniform(0.0, 0.3))
         if self.world.generator.random() < self.world.late_share:
             return None
@@ -352,6 +370,8 @@
         self.generator = random.Random(seed)
         self.late_share = 0.0
         self.slow_share = 0.0
+        #: Share of the grants into a cut that are delivered when it ends.
+        self.held_share = 0.0
         self.problems = []
         self.store = FakeStore(self)
         self.upstreams = {}
@@ -431,6 +451,7 @@
         """Ends all faults."""
         self.late_share = 0.0
         self.slow_share = 0.0
+        self.held_share = 0.0
         self.store.down = False
         self.store.lose_share = 0.0
         for host in self.hosts.values():
