Resign where a host wins its bid after a stop

Callers: after a rolling stop, keys of an owner that did not answer had no owner for 12 s longer than needed.

Cause: CoordinatorDuty.stop returned at once where the host had no tenure yet. A bid that was waiting for the store then began a tenure in the stopping process. Nobody resigned it, so the successor had to count with a coordinator that is cut off and still renews.

Evidence: test_host_that_stops_during_its_bid_resigns failed before this change.

The duty now ends a tenure that begins after the stop in the same way as one that began before: nothing is ordered, and the lease is marked as resigned.

--- a/packages/router/sycamoreloft_router/_coordinator_duty.py
+++ b/packages/router/sycamoreloft_router/_coordinator_duty.py
@@ -261,6 +261,9 @@
         self._directory.take(outcome.key_map)
         if isinstance(outcome, _coordinator_bid.Won):
             self._begin(outcome)
+            if self._is_stopping:
+                # The stop came while the store was asked.
+                await self.stop()
             return pause_s
         if outcome.peer_address:
             self._coordinator_address = _direct_peers.parse_address(
--- /dev/null
+++ b/packages/router/tests/test_coordinator_stops.py
@@ -0,0 +1,45 @@
+"""Hosts that stop while they are the coordinator, or are about to be."""
+
+import asyncio
+
+import key_world
+import virtual_time
+
+from sycamoreloft_router import _coordinator_lease
+
+
+def _read_lease(world):
+    record = world.store.records[_coordinator_lease.LEASE_KEY]
+    return _coordinator_lease.decode_lease(record.value)
+
+
+def _hold_writes(host):
+    """Delays the host's writes until the returned event is set."""
+    released = asyncio.Event()
+    records = host.duty._bid._records
+    write = records.write
+
+    async def write_later(values, expected):
+        await released.wait()
+        return await write(values, expected)
+
+    records.write = write_later
+    return released
+
+
+# Guards against a stopping host that becomes the coordinator and never
+# resigns: its successor then waits 12 s longer for owners that are silent.
+def test_host_that_stops_during_its_bid_resigns():
+    async def main():
+        world = key_world.World(1, hosts=1)
+        host = world.hosts["h0"]
+        released = _hold_writes(host)
+        await asyncio.sleep(2.0)
+        await host.duty.stop()
+        released.set()
+        await asyncio.sleep(1.0)
+        assert _read_lease(world).epoch == 1
+        assert not host.duty.is_coordinator
+        assert _read_lease(world).is_resigned
+
+    virtual_time.run(main())
