Let no order be under way when a coordinator has resigned

Callers: none is known to have seen it; two upstreams could hold a key.

Cause: a coordinator that stopped waited 0.5 s for its orders and then marked its lease as resigned, while calls of 0.6 s, or longer where timers fire late, were still open. A successor of a resigned coordinator counts the leases of keys from its own beginning, so a grant that arrives later outlasts its wait.

Evidence: test_resigned_coordinator_has_no_order_under_way failed before this change with five orders under way.

Calls that take longer are cancelled now, and the lease is marked only afterwards. A cancelled call closes its connection, which drops what was not delivered.

--- a/packages/router/sycamoreloft_router/_tenure.py
+++ b/packages/router/sycamoreloft_router/_tenure.py
@@ -187,8 +187,7 @@
     async def resign(self) -> None:
         """Stops acting and lets another host take over at once."""
         self.is_over = True
-        if self._tasks:
-            await asyncio.wait(self._tasks, timeout=STOP_S)
+        await self._end_tasks()
         lease = dataclasses.replace(
             self._lease, is_resigned=True, expires_at=0.0
         )
@@ -201,6 +200,20 @@
             result=outcome.result.value,
         )
 
+    async def _end_tasks(self) -> None:
+        """Waits for what is under way, and cancels what takes longer.
+
+        An order that is cancelled closes its connection, so that nothing of
+        it arrives once a successor counts the leases of keys.
+        """
+        if not self._tasks:
+            return
+        _, late = await asyncio.wait(self._tasks, timeout=STOP_S)
+        for task in late:
+            task.cancel()
+        if late:
+            await asyncio.wait(late)
+
     def end_run(self, run: sycamoreloft_direct.UpstreamRun) -> None:
         """Takes all keys from a run of an upstream that has ended."""
         self._coordinator.end_run(run)
--- a/packages/router/tests/test_coordinator_stops.py
+++ b/packages/router/tests/test_coordinator_stops.py
@@ -5,7 +5,13 @@
 import key_world
 import virtual_time
 
-from sycamoreloft_router import _coordinator_lease
+from sycamoreloft_router import _coordinator_lease, _tenure
+
+
+def _find_coordinator(world):
+    return next(
+        host for host in world.hosts.values() if host.duty.is_coordinator
+    )
 
 
 def _read_lease(world):
@@ -43,3 +49,31 @@
         assert _read_lease(world).is_resigned
 
     virtual_time.run(main())
+
+
+# Guards against orders that arrive after their coordinator has resigned: its
+# successor counts the leases of keys from then on.
+def test_resigned_coordinator_has_no_order_under_way():
+    async def main():
+        world = key_world.World(1)
+        await asyncio.sleep(6.0)
+        host = _find_coordinator(world)
+        under_way = set()
+
+        async def grant_slowly(address, order):
+            del address
+            under_way.add(order.order)
+            try:
+                await asyncio.sleep(_tenure.STOP_S + 3.0)
+            finally:
+                under_way.discard(order.order)
+            return key_world.RESULT.UNKNOWN
+
+        host.duty._platform.orders.grant = grant_slowly
+        await asyncio.sleep(1.0)
+        assert under_way
+        await host.duty.stop()
+        assert _read_lease(world).is_resigned
+        assert not under_way
+
+    virtual_time.run(main())
