--- /dev/null
+++ b/packages/router/tests/domain_faults.py
@@ -0,0 +1,421 @@
+"""Faults of the world with failure domains, and patterns of them."""
+
+import asyncio
+
+import domain_upstreams
+import domain_world
+import key_world
+
+#: Seconds until all keys are held for the first time.
+START_S = 6.0
+
+
+# Hosts.
+
+
+async def stop_in_turn(world, gap_s=1.5):
+    """Stops all hosts in turn, as a rolling restart does."""
+    hosts = list(world.hosts.values())
+    world.generator.shuffle(hosts)
+    stops = []
+    for host in hosts:
+        world.log(f"stop {host.name}{' (leads)' * host.is_coordinator}")
+        stops.append(world.loop.create_task(host.stop()))
+        await asyncio.sleep(gap_s)
+    await asyncio.gather(*stops)
+
+
+async def stop_coordinators(world, count=3):
+    """Stops the host that is the coordinator, and its successors."""
+    stops = []
+    for _ in range(count):
+        for host in world.find_coordinators():
+            world.log(f"stop {host.name} (leads)")
+            stops.append(world.loop.create_task(host.stop()))
+        await asyncio.sleep(world.generator.uniform(0.05, 3.0))
+    await asyncio.gather(*stops)
+
+
+async def stop_bidders(world, seconds=6.0):
+    """Stops the coordinator, and then hosts that bid for its duty."""
+    stops = []
+    ends_at = world.now() + seconds
+    for host in world.find_coordinators():
+        world.log(f"stop {host.name} (leads)")
+        stops.append(world.loop.create_task(host.stop()))
+    while world.now() < ends_at:
+        for host in world.hosts.values():
+            if (
+                host.process.is_bidding
+                and not host.is_coordinator
+                and not host.is_stopping
+            ):
+                world.log(f"stop {host.name} (bids)")
+                stops.append(world.loop.create_task(host.stop()))
+                await asyncio.sleep(world.generator.uniform(0.0, 1.5))
+        await asyncio.sleep(0.004)
+    await asyncio.gather(*stops)
+
+
+async def kill_hosts(world):
+    """Kills some hosts, often the coordinator."""
+    hosts = world.find_coordinators()
+    if not hosts or world.generator.random() < 0.3:
+        hosts = world.generator.sample(list(world.hosts.values()), 3)
+    for host in hosts:
+        world.log(f"kill {host.name}")
+    await asyncio.gather(
+        *(host.kill(world.generator.uniform(0.2, 4.0)) for host in hosts)
+    )
+
+
+async def freeze_hosts(world):
+    """Lets a host stand still, often the coordinator."""
+    hosts = world.find_coordinators()
+    if not hosts or world.generator.random() < 0.3:
+        hosts = [world.generator.choice(list(world.hosts.values()))]
+    seconds = world.generator.uniform(0.3, 9.0)
+    for host in hosts:
+        world.log(f"freeze {host.name} {seconds:.2f}")
+        host.frozen_until = world.now() + seconds
+    await asyncio.sleep(seconds)
+
+
+async def starve_hosts(world):
+    """Lets timers of all hosts fire late, and orders leave late."""
+    world.log("starve")
+    world.dispatch_delay_s = key_world.DISPATCH_LIMIT_S
+    for host in world.hosts.values():
+        host.timer_lag_s = world.generator.choice((0.0, 0.3, 1.0))
+    await asyncio.sleep(world.generator.uniform(2.0, 10.0))
+    world.dispatch_delay_s = 0.0
+    for host in world.hosts.values():
+        host.timer_lag_s = 0.0
+
+
+# Links.
+
+
+async def cut_domain(world, seconds=None, ways=None, domain=None):
+    """Cuts a domain from the store and all other domains."""
+    coordinators = world.find_coordinators()
+    if domain is None:
+        domain = world.generator.choice(world.domains)
+        if coordinators and world.generator.random() < 0.5:
+            domain = coordinators[0].domain
+    seconds = seconds or world.generator.uniform(0.5, 9.0)
+    ways = ways or world.generator.choice(("both", "both", "in", "out"))
+    world.log(f"cut {domain} {ways} for {seconds:.2f}")
+    world.cut_domain(domain, ways)
+    await asyncio.sleep(seconds)
+    world.heal_domain(domain)
+    world.log(f"heal {domain}")
+
+
+async def cut_host(world):
+    """Cuts a host from the store, some upstreams, or both."""
+    generator = world.generator
+    hosts = world.find_coordinators() or list(world.hosts.values())
+    host = generator.choice(hosts)
+    labels = [item.name for item in world.list_up()]
+    targets = generator.sample(labels, min(3, len(labels)))
+    if generator.random() < 0.7:
+        targets.append("store")
+    if generator.random() < 0.3:
+        targets += [name for name in world.hosts if name != host.name]
+    world.log(f"cut {host.name} from {targets}")
+    world.links.block([host.name], targets)
+    if generator.random() < 0.7:
+        world.links.block(targets, [host.name])
+    await asyncio.sleep(generator.uniform(0.3, 8.0))
+    world.links.unblock([host.name], targets)
+    world.links.unblock(targets, [host.name])
+    world.log(f"heal {host.name}")
+
+
+async def cut_upstream(world):
+    """Cuts an upstream from all hosts and the store."""
+    upstream = world.generator.choice(world.list_up())
+    others = [*world.domains, "store"]
+    world.log(f"cut {upstream.name}")
+    world.links.block([upstream.name], others)
+    world.links.block(others, [upstream.name])
+    await asyncio.sleep(world.generator.uniform(0.2, 6.0))
+    world.links.unblock([upstream.name], others)
+    world.links.unblock(others, [upstream.name])
+    world.log(f"heal {upstream.name}")
+
+
+async def lose_segments(world):
+    """Loses some bytes from and to a domain."""
+    domain = world.generator.choice(world.domains)
+    world.log(f"lossy {domain}")
+    world.links.loss[domain] = world.generator.choice((0.05, 0.2, 0.5))
+    await asyncio.sleep(world.generator.uniform(2.0, 8.0))
+    world.links.loss.pop(domain, None)
+
+
+# The store.
+
+
+async def disturb_store(world):
+    """Takes the store away, loses answers, delays them, or turns hosts away."""
+    generator, store = world.generator, world.store
+    seconds = generator.uniform(0.5, 9.0)
+    kind = generator.choice(("down", "lose", "slow", "refuse"))
+    refused = [
+        host for host in world.hosts.values() if generator.random() < 0.5
+    ]
+    world.log(f"store {kind} for {seconds:.2f}")
+    if kind == "down":
+        store.down = True
+    elif kind == "lose":
+        store.lose_share = generator.choice((0.1, 0.3, 0.6))
+    elif kind == "slow":
+        world.store_delay_s = generator.choice((0.3, 1.2, 2.0))
+    else:
+        for host in (*refused, *world.find_coordinators()):
+            host.is_turned_away = True
+    await asyncio.sleep(seconds)
+    store.down = False
+    store.lose_share = 0.0
+    world.store_delay_s = 0.0
+    for host in world.hosts.values():
+        host.is_turned_away = False
+
+
+# Upstreams.
+
+
+def _choose_upstream(world):
+    """Chooses an upstream that no other fault ends."""
+    upstream = world.generator.choice(
+        [item for item in world.list_up() if not item.is_ending]
+    )
+    upstream.is_ending = True
+    return upstream
+
+
+async def restart_upstream(world):
+    """Crashes an upstream; it returns at its address, elsewhere, or renamed."""
+    generator = world.generator
+    upstream = _choose_upstream(world)
+    kind = generator.choice(("same", "same", "moved", "renamed"))
+    world.log(f"crash {upstream.name} ({kind})")
+    upstream.stop()
+    await asyncio.sleep(generator.choice((1.0, generator.uniform(1.0, 5.0))))
+    name, address = upstream.name, upstream.address
+    if kind == "renamed":
+        name = f"{name}x"
+        await asyncio.sleep(2.0)
+    elif kind == "moved":
+        address = f"{address}m"
+    world.log(f"start {name} at {address}")
+    world.start_upstream(name, upstream.domain, address)
+
+
+async def drain_upstream(world):
+    """Lets an upstream leave; another one takes its place or address."""
+    generator = world.generator
+    upstream = _choose_upstream(world)
+    reports = generator.random() < 0.6
+    world.log(f"drain {upstream.name}{' silently' * (not reports)}")
+    await domain_upstreams.drain(world, upstream, reports)
+    await asyncio.sleep(generator.uniform(0.1, 3.0))
+    name = f"{upstream.name}d"
+    is_reused = generator.random() < 0.5
+    if is_reused:
+        await asyncio.sleep(2.0)
+    address = upstream.address if is_reused else f"{name}:1"
+    world.log(f"start {name} at {address}")
+    world.start_upstream(name, upstream.domain, address)
+
+
+async def apply_late(world):
+    """Lets upstreams carry grants out seconds later, without an answer."""
+    world.log("late orders")
+    world.late_share = world.generator.choice((0.1, 0.3, 0.5))
+    await asyncio.sleep(world.generator.uniform(1.0, 9.0))
+    world.late_share = 0.0
+
+
+# Load.
+
+
+async def send_requests(world):
+    """Sends requests through all hosts; the busy keys change."""
+    generator = world.generator
+    first = 0
+    while True:
+        if generator.random() < 0.05:
+            first = generator.randrange(65_000)
+        for host in world.hosts.values():
+            for _ in range(4):
+                _send_request(world, host, first + generator.randrange(400))
+        await asyncio.sleep(0.1)
+
+
+def _send_request(world, host, key):
+    process = host.process
+    if process.task.done() or world.now() < host.frozen_until:
+        return
+    process.duty.observe_request(key_world.SERVICE, key)
+    owner = process.directory.find_owner(key_world.SERVICE, key, world.now())
+    entry = process.view.find(owner) if owner is not None else None
+    if entry is None:
+        return
+    upstream = world.find_at(entry.address)
+    if upstream is None or not world.links.is_open(
+        host.labels, upstream.labels
+    ):
+        return
+    if upstream.name != entry.id:
+        if world.links.is_open(upstream.labels, host.labels):
+            process.duty.observe_replacement(entry.run)
+        return
+    upstream.begin_work(key, world.generator.choice((0.05, 0.2, 0.2, 0.8, 2.5)))
+
+
+# Patterns.
+
+
+async def _cut_while_rolling(world):
+    """The pattern of the incident: hosts are stopped in turn around a cut."""
+    generator = world.generator
+
+    async def cut():
+        await asyncio.sleep(generator.uniform(0.0, 6.0))
+        await cut_domain(world, generator.uniform(2.5, 5.0), "both")
+        await asyncio.sleep(generator.uniform(0.0, 3.0))
+        await lose_segments(world)
+
+    await asyncio.gather(
+        stop_in_turn(world, generator.choice((0.4, 0.8, 1.5))), cut()
+    )
+
+
+async def _cut_while_coordinators_stop(world):
+    generator = world.generator
+
+    async def cut():
+        await asyncio.sleep(generator.uniform(0.0, 3.0))
+        await cut_domain(world)
+
+    await asyncio.gather(
+        stop_coordinators(world, generator.randint(1, 6)), cut()
+    )
+
+
+async def _cut_while_bidders_stop(world):
+    generator = world.generator
+
+    async def cut():
+        await asyncio.sleep(generator.uniform(0.0, 4.0))
+        domain = generator.choice(world.domains)
+        await cut_domain(world, generator.uniform(2.5, 6.0), "both", domain)
+
+    world.store_delay_s = generator.choice((0.0, 0.1, 0.4))
+    await asyncio.gather(stop_bidders(world), cut())
+
+
+async def _change_coordinators(world):
+    """Coordinators end in all ways while upstreams come and go."""
+    await _overlap(
+        world,
+        (
+            stop_coordinators,
+            kill_hosts,
+            freeze_hosts,
+            cut_host,
+            cut_domain,
+            disturb_store,
+            restart_upstream,
+            drain_upstream,
+        ),
+        6,
+    )
+
+
+async def _mix(world):
+    await _overlap(
+        world,
+        (
+            stop_in_turn,
+            stop_coordinators,
+            kill_hosts,
+            freeze_hosts,
+            starve_hosts,
+            cut_domain,
+            cut_domain,
+            cut_host,
+            cut_upstream,
+            lose_segments,
+            disturb_store,
+            restart_upstream,
+            drain_upstream,
+            apply_late,
+        ),
+        7,
+    )
+
+
+async def _stop_beside_store_faults(world):
+    await _overlap(
+        world,
+        (stop_coordinators, stop_in_turn, disturb_store, starve_hosts),
+        5,
+    )
+
+
+async def _restart_upstreams_beside_changes(world):
+    await _overlap(
+        world,
+        (
+            stop_coordinators,
+            restart_upstream,
+            restart_upstream,
+            restart_upstream,
+            cut_domain,
+            kill_hosts,
+        ),
+        7,
+    )
+
+
+async def _overlap(world, faults, count):
+    running = []
+    for _ in range(count):
+        fault = world.generator.choice(faults)
+        running.append(world.loop.create_task(fault(world)))
+        await asyncio.sleep(world.generator.uniform(0.0, 2.5))
+    await asyncio.gather(*running)
+
+
+PATTERNS = {
+    "cut-while-rolling": _cut_while_rolling,
+    "cut-while-coordinators-stop": _cut_while_coordinators_stop,
+    "cut-while-bidders-stop": _cut_while_bidders_stop,
+    "coordinator-changes": _change_coordinators,
+    "mix": _mix,
+    "stops-beside-store-faults": _stop_beside_store_faults,
+    "upstream-restarts": _restart_upstreams_beside_changes,
+}
+
+
+async def play(seed, pattern, exit_resets=True):
+    """Plays a pattern, and returns the world after it.
+
+    Args:
+        seed: Seed of all choices.
+        pattern: Name of the pattern.
+        exit_resets: Whether the end of a process drops the bytes that it sent
+            and that a cut holds up.
+    """
+    world = domain_world.World(seed, exit_resets=exit_resets)
+    await asyncio.sleep(START_S)
+    load = world.loop.create_task(send_requests(world))
+    await PATTERNS[pattern](world)
+    world.calm()
+    load.cancel()
+    await asyncio.sleep(key_world.RECOVERY_S)
+    return world
