Tie the answer to an order about keys to its order

What callers saw: nothing yet; operators of similar systems reported that a server's late second answer was read as the answer to the next call on the connection. Here the coordinator would have believed that keys were granted or released that were not, and given them to a second owner.

Cause: orders share kept connections and carried no identifier, so nothing tied an answer to its order.

Fix: each order carries an identifier in Request-Id. An answer with another one, or with none on a kept connection, is no answer: the order counts as unanswered, which the leases already allow for. An upstream that answers without the identifier gets a new connection for each order from then on. The same now holds for requests: an upstream that does not repeat the identifier broke every second request on a kept connection before.

--- a/packages/router/sycamoreloft_router/_call_client.py
+++ b/packages/router/sycamoreloft_router/_call_client.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections import abc
 import dataclasses
+import secrets
 
 from sycamoreloft_router import (
     _answer_heads,
@@ -24,6 +25,9 @@
 #: Status of a call that got no whole answer.
 NO_ANSWER = 599
 
+#: Bytes of the identifier of a call.
+_IDENTIFIER_BYTES = 8
+
 #: Connections to one address; libcurl takes 0 for any number.
 _ANY_NUMBER = 0
 
@@ -84,16 +88,22 @@
 
     Args:
         connect_timeout_s: Seconds within which a connection must be made.
+        id_header: Name of the header that carries a call's identifier and
+            that servers may repeat. Those that do not get a connection for
+            each call: a late second answer to the call before would look
+            like the answer to the next one. If it is empty, connections are
+            kept, and the caller has to tell whose answer it got.
     """
 
-    def __init__(self, connect_timeout_s: float) -> None:
+    def __init__(self, connect_timeout_s: float, id_header: str = "") -> None:
         self._loop = asyncio.get_running_loop()
+        self._id_header = id_header
         self._client = _upstream_client.UpstreamClient(
             force_instance=True,
             connections_per_upstream=_ANY_NUMBER,
             rules=_connection_rules.ConnectionRules(
                 _answer_heads.AnswerRules(
-                    echo_header=b"", accepts_unframed=True
+                    id_header.lower().encode("latin1"), accepts_unframed=True
                 ),
                 connect_timeout_s,
                 assumes_echo=True,
@@ -110,16 +120,20 @@
             call: The call.
             progress: Is told of each part of the answer.
         """
+        identifier = secrets.token_hex(_IDENTIFIER_BYTES)
+        lines = [b"Expect:", *call.header_lines]
+        if self._id_header:
+            lines.append(f"{self._id_header}: {identifier}".encode("latin1"))
         transfer = self._client.start(
             _transfer_types.UpstreamRequest(
                 call.address,
                 call.method,
                 call.target,
-                [b"Expect:", *call.header_lines],
+                lines,
                 call.body,
                 len(call.body or b""),
                 call.limits.whole_s,
-                attempt="",
+                identifier,
                 may_resend=call.is_idempotent,
             )
         )
--- a/packages/router/sycamoreloft_router/_connection_rules.py
+++ b/packages/router/sycamoreloft_router/_connection_rules.py
@@ -25,8 +25,8 @@
     connect_timeout_s: float = CONNECT_TIMEOUT_S
     #: Whole seconds for which an idle connection is reused.
     idle_connection_s: int = IDLE_CONNECTION_S
-    #: Whether every upstream repeats the identifier of the attempt, so that
-    #: the first connection to it is kept as well.
+    #: Whether an upstream counts as repeating the identifier of the attempt
+    #: until it answers without it: its first connection is kept as well.
     assumes_echo: bool = False
     #: Seconds after which a peer that acknowledges nothing is given up; 0
     #: leaves that to the deadline of the request.
--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -2,8 +2,8 @@
 
 HTTP/1.1 does not tell which request an answer belongs to: a second answer to
 the request before looks like the answer to the next one. A connection is
-therefore used again only if the upstream repeats `Sycamoreloft-Attempt` in
-its answers; other upstreams get a connection for each request.
+therefore used again only if the upstream repeats the identifier of the request
+in its answers; other upstreams get a connection for each request.
 
 Transfers run on the multi handle of tornado's curl client. Its own fetch
 builds every option anew and buffers uploads, so transfers have easy handles
@@ -27,8 +27,9 @@
 #: Easy handles of each mode that are kept for the next requests.
 SPARE_HANDLES = 64
 
-#: Upstreams that are remembered to repeat the identifier of the attempt.
-MAXIMUM_ECHOING = 8192
+#: Upstreams that are remembered to repeat the identifier of the attempt, or
+#: not to.
+MAXIMUM_KNOWN_ECHOES = 8192
 
 #: Connections kept open in all.
 MAXIMUM_CONNECTIONS = 1024
@@ -217,7 +218,8 @@
         self._multi.setopt(pycurl.M_PIPELINING, 0)
         self._spare: dict[_Mode, list[_Handle]] = {mode: [] for mode in _Mode}
         self._active: set[_Handle] = set()
-        self._echoing: set[str] = set()
+        #: Whether the last answer from an address repeated the identifier.
+        self._echoes: dict[str, bool] = {}
         self._keeps_idle = True
 
     def limit_connections(self, connections: int, keeps_idle: bool) -> None:
@@ -248,8 +250,8 @@
         handle = (
             spare.pop() if spare else _Handle(pycurl.Curl(), mode, self.rules)
         )
-        reuse = self._keeps_idle and (
-            self.rules.assumes_echo or request.address in self._echoing
+        reuse = self._keeps_idle and self._echoes.get(
+            request.address, self.rules.assumes_echo
         )
         handle.prepare(transfer, reuse)
         transfer.attach(handle)
@@ -342,12 +344,11 @@
             )
 
     def _learn_echo(self, transfer: _transfers.Transfer) -> None:
-        if transfer.head.complete:
-            address = transfer.request.address
-            if not transfer.head.echoed:
-                self._echoing.discard(address)
-            elif len(self._echoing) < MAXIMUM_ECHOING:
-                self._echoing.add(address)
+        if not self.rules.answers.echo_header or not transfer.head.complete:
+            return
+        address = transfer.request.address
+        if address in self._echoes or len(self._echoes) < MAXIMUM_KNOWN_ECHOES:
+            self._echoes[address] = transfer.head.echoed
 
 
 def _choose_mode(request: _transfer_types.UpstreamRequest) -> _Mode:
--- a/packages/standins/sycamoreloft_standins/instances.py
+++ b/packages/standins/sycamoreloft_standins/instances.py
@@ -98,11 +98,15 @@
     def refuse(self, status: int) -> None:
         """Answers that the request did not run."""
         self.set_header("Not-Executed", "1")
+        self.echo_id()
+        self.set_status(status)
+        self.finish()
+
+    def echo_id(self) -> None:
+        """Repeats the identifier of the request, if it has one."""
         request_id = self.request.headers.get("Request-Id", "")
         if request_id:
             self.set_header("Request-Id", request_id)
-        self.set_status(status)
-        self.finish()
 
     def prepare(self) -> None:
         expected = self.request.headers.get("Expected-Instance")
@@ -115,12 +119,14 @@
 
 class _GrantHandler(_Handler):
     def post(self) -> None:
+        self.echo_id()
         accepted = self.instance.grant(json.loads(self.request.body))
         self.set_status(200 if accepted else 409)
 
 
 class _ReleaseHandler(_Handler):
     def post(self) -> None:
+        self.echo_id()
         body = json.loads(self.request.body)
         self.instance.release(body["from"], body["to"])
         self.set_header("Lease-Handover", f"state-{body['fence']}")
