Send nothing on a kept connection with unread bytes

What callers saw: on a connection that an upstream or the store had used for a late second answer, the next call read that answer as its own. Where answers carry identifiers, the request failed instead, and one that must not be repeated ended with an unknown outcome.

Cause: libcurl looks whether a kept connection is alive and silent only after it was idle for about a second; until then it is used as it is.

Fix: the socket of a kept connection is polled before a request is sent on it. If there are bytes, or the peer closed, the connection is closed and the request goes out on a new one; nothing of it was sent before.

Evidence: test_a_second_answer_on_an_idle_connection_reaches_no_call failed before: the second call got the body "late" instead of its own.

--- a/packages/router/sycamoreloft_router/_connection_rules.py
+++ b/packages/router/sycamoreloft_router/_connection_rules.py
@@ -1,6 +1,7 @@
 """How connections to other processes are made, kept and given up."""
 
 import dataclasses
+import select
 import socket
 import struct
 
@@ -10,10 +11,17 @@
 #: connections earlier would turn the next request into an unknown outcome.
 IDLE_CONNECTION_S = 15
 
+#: Connections whose sockets are remembered; those that were not used for
+#: longest are forgotten.
+MAXIMUM_SOCKETS = 4096
+
 #: Seconds within which a connection must be made; a connection inside a
 #: region takes about 1 ms.
 CONNECT_TIMEOUT_S = 1.0
 
+#: Addresses and ports of the peer and of this host, as libcurl tells them.
+Endpoints = tuple[str | int, ...]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConnectionRules:
@@ -33,6 +41,37 @@
     silence_s: float = 0.0
 
 
+class KeptSockets:
+    """Tells whether a kept connection has bytes that nobody asked for.
+
+    libcurl looks at a connection again only if it was idle for a while. A
+    second answer to the request before would be read as the answer to the
+    next one, and the end of the connection as an unknown outcome.
+    """
+
+    def __init__(self) -> None:
+        # A connection that ends stays here until its addresses come again
+        # or it is forgotten; nobody asks for it meanwhile.
+        self._descriptors: dict[Endpoints, int] = {}
+
+    def add(self, endpoints: Endpoints, descriptor: int) -> None:
+        """Notes the socket of a new connection."""
+        self._descriptors.pop(endpoints, None)
+        self._descriptors[endpoints] = descriptor
+        if len(self._descriptors) > MAXIMUM_SOCKETS:
+            del self._descriptors[next(iter(self._descriptors))]
+
+    def is_readable(self, endpoints: Endpoints) -> bool:
+        """Tells whether there are bytes, or the peer closed."""
+        descriptor = self._descriptors.pop(endpoints, None)
+        if descriptor is None:
+            return False
+        self._descriptors[endpoints] = descriptor
+        poll = select.poll()
+        poll.register(descriptor, select.POLLIN)
+        return bool(poll.poll(0))
+
+
 def limit_silence(descriptor: int, seconds: float) -> None:
     """Lets the system close a connection whose peer acknowledges nothing.
 
--- a/packages/router/sycamoreloft_router/_transfers.py
+++ b/packages/router/sycamoreloft_router/_transfers.py
@@ -39,6 +39,7 @@
 
     __slots__ = (
         "_client",
+        "_deadline",
         "_handle",
         "_paused",
         "_threshold",
@@ -57,6 +58,7 @@
         self, client: Runner, request: _transfer_types.UpstreamRequest
     ) -> None:
         self._client = client
+        self._deadline = client.read_clock() + request.timeout_s
         self._handle: typing.Any = None
         self._paused = False
         self._threshold = 0
@@ -86,6 +88,10 @@
         """Seconds within which the connection must be made."""
         return self._client.rules.connect_timeout_s
 
+    def find_left_s(self) -> float:
+        """Returns the seconds until the hard deadline."""
+        return self._deadline - self._client.read_clock()
+
     async def wait(self, size: int) -> None:
         """Waits until the answer ended or `size` bytes of it are held."""
         if self.ended or self.body.size >= size:
--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -53,11 +53,14 @@
     __slots__ = (
         "address",
         "curl",
+        "descriptor",
+        "has_unread",
         "is_connection_new",
         "method",
         "mode",
         "reuse",
         "rules",
+        "sockets",
         "transfer",
         "upload",
     )
@@ -67,16 +70,21 @@
         curl: pycurl.Curl,
         mode: _Mode,
         rules: _connection_rules.ConnectionRules,
+        sockets: _connection_rules.KeptSockets,
     ) -> None:
         self.curl = curl
         self.rules = rules
+        self.sockets = sockets
         self.mode = mode
         self.transfer: _transfers.Transfer | None = None
         self.upload: _body_streams.UploadBuffer | None = None
         self.address = ""
         self.method = ""
-        self.reuse = True
+        #: Whether connections are kept; None if the options are unknown.
+        self.reuse: bool | None = True
         self.is_connection_new = False
+        self.descriptor = -1
+        self.has_unread = False
         curl.info = self
         self._set_fixed_options()
 
@@ -86,6 +94,7 @@
         curl = self.curl
         self.transfer = transfer
         self.is_connection_new = False
+        self.has_unread = False
         if self.reuse != reuse:
             self.reuse = reuse
             curl.setopt(pycurl.FRESH_CONNECT, not reuse)
@@ -98,14 +107,29 @@
             curl.setopt(pycurl.CUSTOMREQUEST, request.method)
         curl.setopt(pycurl.REQUEST_TARGET, request.target)
         curl.setopt(pycurl.HTTPHEADER, request.header_lines)
-        # libcurl takes 0 for "no limit".
-        curl.setopt(pycurl.TIMEOUT_MS, max(1, round(request.timeout_s * 1000)))
+        self._set_timeout(request.timeout_s)
         if self.mode is _Mode.WHOLE:
             curl.setopt(pycurl.POSTFIELDS, request.body)
         elif self.mode is _Mode.STREAM:
             self.upload = typing.cast(_body_streams.UploadBuffer, request.body)
             curl.setopt(pycurl.INFILESIZE_LARGE, request.length)
 
+    def prepare_again(self, left_s: float) -> None:
+        """Sets the options for a new connection, as the kept one was unfit.
+
+        Args:
+            left_s: Seconds until the hard deadline.
+        """
+        self.has_unread = False
+        # The next request sets the options of reuse anew.
+        self.reuse = None
+        self.curl.setopt(pycurl.FRESH_CONNECT, 1)
+        self._set_timeout(left_s)
+
+    def _set_timeout(self, seconds: float) -> None:
+        # libcurl takes 0 for "no limit".
+        self.curl.setopt(pycurl.TIMEOUT_MS, max(1, round(seconds * 1000)))
+
     def release(self) -> None:
         """Drops what belongs to the request that ended."""
         self.transfer = None
@@ -140,13 +164,14 @@
 
     def _on_socket(self, descriptor: int, _purpose: int) -> int:
         self.is_connection_new = True
+        self.descriptor = descriptor
         if self.rules.silence_s:
             _connection_rules.limit_silence(descriptor, self.rules.silence_s)
         if self.transfer is not None:
             self.transfer.is_connecting = True
         return int(pycurl.SOCKOPT_OK)
 
-    def _on_connection(self, *_addresses: typing.Any) -> int:
+    def _on_connection(self, *endpoints: typing.Any) -> int:
         # libcurl sends a request again by itself when a reused connection
         # breaks before the answer. The upstream may have run it by then, so
         # the second connection of a transfer is refused, unless the request
@@ -158,6 +183,11 @@
             return int(pycurl.PREREQFUNC_ABORT)
         if transfer.check_expired():
             return int(pycurl.PREREQFUNC_ABORT)
+        if self.is_connection_new:
+            self.sockets.add(endpoints, self.descriptor)
+        elif self.sockets.is_readable(endpoints):
+            self.has_unread = True
+            return int(pycurl.PREREQFUNC_ABORT)
         transfer.started = True
         transfer.head.needs_echo = (
             bool(self.rules.answers.echo_header) and not self.is_connection_new
@@ -221,6 +251,7 @@
         #: Whether the last answer from an address repeated the identifier.
         self._echoes: dict[str, bool] = {}
         self._keeps_idle = True
+        self._sockets = _connection_rules.KeptSockets()
 
     def limit_connections(self, connections: int, keeps_idle: bool) -> None:
         """Changes the limit of connections to one address.
@@ -248,7 +279,9 @@
         mode = _choose_mode(request)
         spare = self._spare[mode]
         handle = (
-            spare.pop() if spare else _Handle(pycurl.Curl(), mode, self.rules)
+            spare.pop()
+            if spare
+            else _Handle(pycurl.Curl(), mode, self.rules, self._sockets)
         )
         reuse = self._keeps_idle and self._echoes.get(
             request.address, self.rules.assumes_echo
@@ -334,6 +367,10 @@
             return
         transfer = handle.transfer
         self._multi.remove_handle(curl)
+        if transfer is not None and handle.has_unread:
+            handle.prepare_again(transfer.find_left_s())
+            self._multi.add_handle(curl)
+            return
         self._recycle(handle)
         if transfer is not None:
             self._learn_echo(transfer)
--- a/packages/router/tests/test_call_client.py
+++ b/packages/router/tests/test_call_client.py
@@ -122,6 +122,29 @@
     call(scenario, script)
 
 
+def test_a_second_answer_on_an_idle_connection_reaches_no_call(call):
+    """Guards against connections that are kept with unread bytes."""
+    repeated = asyncio.Event()
+
+    async def script(request, writer, _reader):
+        writer.write(raw_peers.answer(b"%d" % request.connection))
+        await writer.drain()
+        # The first answer has to be read before the second one arrives.
+        await asyncio.sleep(0.05)
+        writer.write(raw_peers.answer(b"late"))
+        await writer.drain()
+        repeated.set()
+
+    async def scenario(upstream, make):
+        for number in range(3):
+            answer = await make(upstream)
+            assert (answer.status, answer.body) == (200, b"%d" % number)
+            await repeated.wait()
+            repeated.clear()
+
+    call(scenario, script)
+
+
 def test_an_answer_that_stops_midway_is_given_up(call):
     """Guards against calls that wait for a silenced connection."""
 
