Send a refused request again on a new connection

What callers saw: nothing yet. A request that must not be repeated, whose owner was full, could run twice, or be reported as not run although it ran.

Cause: the owner of a key is asked again with the same Request-Id, and mostly on the same connection. A late second copy of the first refusal bears the identifier of the second attempt as well and was taken for its answer.

Fix: a request that must not be repeated is sent to the same upstream again on a new connection only. Requests that may run twice keep their connection: another attempt of theirs does no harm. The cost is one connection for each such attempt.

Evidence: test_a_second_refusal_is_not_the_answer_to_the_next_attempt failed before: each of three requests ran twice.

--- a/packages/router/sycamoreloft_router/_direct_run.py
+++ b/packages/router/sycamoreloft_router/_direct_run.py
@@ -264,6 +264,11 @@
     ) -> _transfers.Transfer:
         request = self._request
         left_s = self._received.deadline - now
+        # A second copy of the refusal before bears the same identifier, and
+        # would tell of an attempt that runs that it did not.
+        needs_new_connection = (
+            upstream.id in self._choice.tried and not self._is_idempotent
+        )
         self._choice.tried.append(upstream.id)
         self._transfer = self._services.client.start(
             _transfer_types.UpstreamRequest(
@@ -277,6 +282,7 @@
                 self._received.length,
                 max(left_s, 0.001),
                 request.request_id,
+                needs_new_connection=needs_new_connection,
             )
         )
         return self._transfer
--- a/packages/router/sycamoreloft_router/_transfer_types.py
+++ b/packages/router/sycamoreloft_router/_transfer_types.py
@@ -64,3 +64,5 @@
     #: Whether libcurl may send the request again by itself, on another
     #: connection, when a kept one breaks before the answer.
     may_resend: bool = False
+    #: Whether no kept connection may be used.
+    needs_new_connection: bool = False
--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -107,6 +107,8 @@
             curl.setopt(pycurl.CUSTOMREQUEST, request.method)
         curl.setopt(pycurl.REQUEST_TARGET, request.target)
         curl.setopt(pycurl.HTTPHEADER, request.header_lines)
+        if request.needs_new_connection:
+            self._force_new_connection()
         self._set_timeout(request.timeout_s)
         if self.mode is _Mode.WHOLE:
             curl.setopt(pycurl.POSTFIELDS, request.body)
@@ -121,10 +123,13 @@
             left_s: Seconds until the hard deadline.
         """
         self.has_unread = False
+        self._force_new_connection()
+        self._set_timeout(left_s)
+
+    def _force_new_connection(self) -> None:
         # The next request sets the options of reuse anew.
         self.reuse = None
         self.curl.setopt(pycurl.FRESH_CONNECT, 1)
-        self._set_timeout(left_s)
 
     def _set_timeout(self, seconds: float) -> None:
         # libcurl takes 0 for "no limit".
