--- a/packages/direct/sycamoreloft_direct/_key_commands.py
+++ b/packages/direct/sycamoreloft_direct/_key_commands.py
@@ -30,6 +30,8 @@
     hold_s: float
     #: State handed over by the last owner; empty for none.
     handover: str
+    #: Whether the upstream has accepted a grant with the token before.
+    is_renewal: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/direct/sycamoreloft_direct/_key_coordinator.py
+++ b/packages/direct/sycamoreloft_direct/_key_coordinator.py
@@ -123,15 +123,6 @@
             change.service, change.first, change.last, change.refused_fence
         )
 
-    def is_first_grant(self, grant: _key_commands.SendGrant) -> bool:
-        """Tells whether no grant with such a token was accepted before.
-
-        Args:
-            grant: A grant whose result has not been reported.
-        """
-        segment = self._orders[grant.order]
-        return not segment.is_taken or segment.refused_fence < grant.fence - 1
-
     def count_unheld(self) -> int:
         """Counts the keys that no upstream is known to hold."""
         return sum(
@@ -386,6 +377,7 @@
             segment.fence,
             hold_s,
             segment.handover if segment.phase is _PHASE.HELD else "",
+            segment.is_taken and segment.refused_fence >= segment.fence - 1,
         )
         self._leases.open(command)
         return command
--- a/packages/direct/tests/test_owner_changes.py
+++ b/packages/direct/tests/test_owner_changes.py
@@ -226,7 +226,7 @@
 
     def answer(command):
         if isinstance(command, sycamoreloft_direct.SendGrant):
-            first.append(bench.coordinator.is_first_grant(command))
+            first.append(not command.is_renewal)
         Bench._answer(bench, command)
 
     bench._answer = answer
--- a/packages/router/sycamoreloft_router/_tenure.py
+++ b/packages/router/sycamoreloft_router/_tenure.py
@@ -377,7 +377,7 @@
         if (
             result is not sycamoreloft_direct.GrantResult.ACCEPTED
             or self.is_over
-            or self._coordinator.is_first_grant(command)
+            or not command.is_renewal
         ):
             address = upstream.address if upstream else ""
             call = self._describe_call(address, decided_at, sent_at, trace)
--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -2,8 +2,8 @@
 
 HTTP/1.1 does not tell which request an answer belongs to: a second answer to
 the request before looks like the answer to the next one. A connection is
-therefore used again only if the upstream repeats `Sycamoreloft-Attempt` in
-its answers; other upstreams get a connection for each request.
+therefore used again only if the upstream repeats the identifier of the request
+in its answers; other upstreams get a connection for each request.
 
 Transfers run on the multi handle of tornado's curl client. Its own fetch
 builds every option anew and buffers uploads, so transfers have easy handles
@@ -27,8 +27,9 @@
 #: Easy handles of each mode that are kept for the next requests.
 SPARE_HANDLES = 64
 
-#: Upstreams that are remembered to repeat the identifier of the attempt.
-MAXIMUM_ECHOING = 8192
+#: Upstreams that are remembered to repeat the identifier of the attempt, or
+#: not to.
+MAXIMUM_KNOWN_ECHOES = 8192
 
 #: Connections kept open in all.
 MAXIMUM_CONNECTIONS = 1024
@@ -52,11 +53,14 @@
     __slots__ = (
         "address",
         "curl",
+        "descriptor",
+        "has_unread",
         "is_connection_new",
         "method",
         "mode",
         "reuse",
         "rules",
+        "sockets",
         "transfer",
         "upload",
     )
@@ -66,16 +70,21 @@
         curl: pycurl.Curl,
         mode: _Mode,
         rules: _connection_rules.ConnectionRules,
+        sockets: _connection_rules.KeptSockets,
     ) -> None:
         self.curl = curl
         self.rules = rules
+        self.sockets = sockets
         self.mode = mode
         self.transfer: _transfers.Transfer | None = None
         self.upload: _body_streams.UploadBuffer | None = None
         self.address = ""
         self.method = ""
-        self.reuse = True
+        #: Whether connections are kept; None if the options are unknown.
+        self.reuse: bool | None = True
         self.is_connection_new = False
+        self.descriptor = -1
+        self.has_unread = False
         curl.info = self
         self._set_fixed_options()
 
@@ -85,6 +94,7 @@
         curl = self.curl
         self.transfer = transfer
         self.is_connection_new = False
+        self.has_unread = False
         if self.reuse != reuse:
             self.reuse = reuse
             curl.setopt(pycurl.FRESH_CONNECT, not reuse)
@@ -97,14 +107,34 @@
             curl.setopt(pycurl.CUSTOMREQUEST, request.method)
         curl.setopt(pycurl.REQUEST_TARGET, request.target)
         curl.setopt(pycurl.HTTPHEADER, request.header_lines)
-        # libcurl takes 0 for "no limit".
-        curl.setopt(pycurl.TIMEOUT_MS, max(1, round(request.timeout_s * 1000)))
+        if request.needs_new_connection:
+            self._force_new_connection()
+        self._set_timeout(request.timeout_s)
         if self.mode is _Mode.WHOLE:
             curl.setopt(pycurl.POSTFIELDS, request.body)
         elif self.mode is _Mode.STREAM:
             self.upload = typing.cast(_body_streams.UploadBuffer, request.body)
             curl.setopt(pycurl.INFILESIZE_LARGE, request.length)
 
+    def prepare_again(self, left_s: float) -> None:
+        """Sets the options for a new connection, as the kept one was unfit.
+
+        Args:
+            left_s: Seconds until the hard deadline.
+        """
+        self.has_unread = False
+        self._force_new_connection()
+        self._set_timeout(left_s)
+
+    def _force_new_connection(self) -> None:
+        # The next request sets the options of reuse anew.
+        self.reuse = None
+        self.curl.setopt(pycurl.FRESH_CONNECT, 1)
+
+    def _set_timeout(self, seconds: float) -> None:
+        # libcurl takes 0 for "no limit".
+        self.curl.setopt(pycurl.TIMEOUT_MS, max(1, round(seconds * 1000)))
+
     def release(self) -> None:
         """Drops what belongs to the request that ended."""
         self.transfer = None
@@ -139,13 +169,14 @@
 
     def _on_socket(self, descriptor: int, _purpose: int) -> int:
         self.is_connection_new = True
+        self.descriptor = descriptor
         if self.rules.silence_s:
             _connection_rules.limit_silence(descriptor, self.rules.silence_s)
         if self.transfer is not None:
             self.transfer.is_connecting = True
         return int(pycurl.SOCKOPT_OK)
 
-    def _on_connection(self, *_addresses: typing.Any) -> int:
+    def _on_connection(self, *endpoints: typing.Any) -> int:
         # libcurl sends a request again by itself when a reused connection
         # breaks before the answer. The upstream may have run it by then, so
         # the second connection of a transfer is refused, unless the request
@@ -157,6 +188,11 @@
             return int(pycurl.PREREQFUNC_ABORT)
         if transfer.check_expired():
             return int(pycurl.PREREQFUNC_ABORT)
+        if self.is_connection_new:
+            self.sockets.add(endpoints, self.descriptor)
+        elif self.sockets.is_readable(endpoints):
+            self.has_unread = True
+            return int(pycurl.PREREQFUNC_ABORT)
         transfer.started = True
         transfer.sends += 1
         transfer.head.needs_echo = (
@@ -218,8 +254,10 @@
         self._multi.setopt(pycurl.M_PIPELINING, 0)
         self._spare: dict[_Mode, list[_Handle]] = {mode: [] for mode in _Mode}
         self._active: set[_Handle] = set()
-        self._echoing: set[str] = set()
+        #: Whether the last answer from an address repeated the identifier.
+        self._echoes: dict[str, bool] = {}
         self._keeps_idle = True
+        self._sockets = _connection_rules.KeptSockets()
 
     def limit_connections(self, connections: int, keeps_idle: bool) -> None:
         """Changes the limit of connections to one address.
@@ -247,10 +285,12 @@
         mode = _choose_mode(request)
         spare = self._spare[mode]
         handle = (
-            spare.pop() if spare else _Handle(pycurl.Curl(), mode, self.rules)
+            spare.pop()
+            if spare
+            else _Handle(pycurl.Curl(), mode, self.rules, self._sockets)
         )
-        reuse = self._keeps_idle and (
-            self.rules.assumes_echo or request.address in self._echoing
+        reuse = self._keeps_idle and self._echoes.get(
+            request.address, self.rules.assumes_echo
         )
         handle.prepare(transfer, reuse)
         transfer.attach(handle)
@@ -333,6 +373,10 @@
             return
         transfer = handle.transfer
         self._multi.remove_handle(curl)
+        if transfer is not None and handle.has_unread:
+            handle.prepare_again(transfer.find_left_s())
+            self._multi.add_handle(curl)
+            return
         self._recycle(handle)
         if transfer is not None:
             self._learn_echo(transfer)
@@ -343,12 +387,11 @@
             )
 
     def _learn_echo(self, transfer: _transfers.Transfer) -> None:
-        if transfer.head.complete:
-            address = transfer.request.address
-            if not transfer.head.echoed:
-                self._echoing.discard(address)
-            elif len(self._echoing) < MAXIMUM_ECHOING:
-                self._echoing.add(address)
+        if not self.rules.answers.echo_header or not transfer.head.complete:
+            return
+        address = transfer.request.address
+        if address in self._echoes or len(self._echoes) < MAXIMUM_KNOWN_ECHOES:
+            self._echoes[address] = transfer.head.echoed
 
 
 def _choose_mode(request: _transfer_types.UpstreamRequest) -> _Mode:
