Build only the touched ranges of a map that changes

Every host applies each change of the map of keys, and a change built all ranges anew and compared all neighbours: with 160 ranges that was most of what a heartbeat cost.

--- a/packages/direct/sycamoreloft_direct/_key_map.py
+++ b/packages/direct/sycamoreloft_direct/_key_map.py
@@ -47,26 +47,41 @@
 
     def find(self, key: int) -> KeyRange:
         """Returns the range that contains a key."""
-        index = bisect.bisect_right(self.ranges, key, key=_get_first) - 1
-        return self.ranges[index]
+        return self.ranges[self._find_index(key)]
 
     def assign(
         self, first: int, last: int, owner: _nodes.UpstreamRun | None
     ) -> "ServiceKeys":
-        """Returns the ownership after a change of one range."""
-        changed: list[KeyRange] = []
-        for item in self.ranges:
-            if item.first < first:
-                changed.append(
-                    KeyRange(item.first, min(item.last, first - 1), item.owner)
-                )
-            if item.first <= first <= item.last:
-                changed.append(KeyRange(first, last, owner))
-            if item.last > last:
-                changed.append(
-                    KeyRange(max(item.first, last + 1), item.last, item.owner)
-                )
-        return ServiceKeys(self.service, _merge_neighbours(changed))
+        """Returns the ownership after a change of one range.
+
+        Only the ranges that the change touches, and their neighbours, are
+        built anew: maps are long, and every host applies every change.
+        """
+        low = self._find_index(first)
+        high = self._find_index(last)
+        head, tail = self.ranges[low], self.ranges[high]
+        changed = [KeyRange(first, last, owner)]
+        if head.first < first:
+            changed.insert(0, KeyRange(head.first, first - 1, head.owner))
+        elif low > 0:
+            low -= 1
+            changed.insert(0, self.ranges[low])
+        if last < tail.last:
+            changed.append(KeyRange(last + 1, tail.last, tail.owner))
+        elif high + 1 < len(self.ranges):
+            high += 1
+            changed.append(self.ranges[high])
+        return ServiceKeys(
+            self.service,
+            (
+                *self.ranges[:low],
+                *_merge_neighbours(changed),
+                *self.ranges[high + 1 :],
+            ),
+        )
+
+    def _find_index(self, key: int) -> int:
+        return bisect.bisect_right(self.ranges, key, key=_get_first) - 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/direct/tests/test_key_map.py
+++ b/packages/direct/tests/test_key_map.py
@@ -29,6 +29,35 @@
         assert left.owner != right.owner
 
 
+# Guards against a cost of each change that grows with the length of the map.
+def test_a_change_keeps_the_ranges_that_it_does_not_touch():
+    keys = sycamoreloft_direct.create_unowned("boards")
+    for number in range(200):
+        keys = keys.assign(number * 100, number * 100 + 99, RUNS[number % 4])
+    changed = keys.assign(10_030, 10_150, None)
+    known = {id(item) for item in keys.ranges}
+    built = [item for item in changed.ranges if id(item) not in known]
+    assert [(item.first, item.last) for item in built] == [
+        (10_000, 10_029),
+        (10_030, 10_150),
+        (10_151, 10_199),
+    ]
+
+
+def test_a_range_takes_the_place_of_many():
+    keys = sycamoreloft_direct.create_unowned("boards")
+    for number in range(200):
+        keys = keys.assign(number * 100, number * 100 + 99, RUNS[number % 4])
+    whole = keys.assign(0, sycamoreloft_direct.KEY_COUNT - 1, RUNS[0])
+    assert whole.ranges == (
+        sycamoreloft_direct.KeyRange(
+            0, sycamoreloft_direct.KEY_COUNT - 1, RUNS[0]
+        ),
+    )
+    same = keys.assign(100, 199, RUNS[1])
+    assert same == keys
+
+
 def test_encoding_keeps_everything():
     keys = sycamoreloft_direct.create_unowned("boards")
     keys = keys.assign(10, 20, RUNS[0]).assign(15, 70, RUNS[1])
