Let a host sleep over the ticks at which nothing is due

A host that is not the coordinator woke each 50 ms to find nothing due four times in five. It sleeps until its next report or its next question to the store now, or until a datagram brings something to report. The sleep ends at a tick that is counted from its beginning, so that reactions come when they came before, and hosts that hear the same heartbeat do not answer it together. A host that was suspended notices the time that passed with its next report, at most 0.25 s after it goes on, and not with its next tick. A coordinator looks at each tick, as before.

--- a/packages/router/sycamoreloft_router/_coordinator_duty.py
+++ b/packages/router/sycamoreloft_router/_coordinator_duty.py
@@ -13,6 +13,7 @@
     _direct_peers,
     _direct_ports,
     _direct_views,
+    _freshness,
     _host_reports,
     _host_roster,
     _key_directory,
@@ -20,6 +21,7 @@
     _map_parts,
     _metrics,
     _tenure,
+    _ticks,
 )
 
 _LOGGER = logging.getLogger(__name__)
@@ -62,23 +64,6 @@
 MOST_ASK_S = 1.2
 
 
-class Freshness:
-    """How new this host's copies of the platform's tables are."""
-
-    def read(self) -> _datagrams.SeenVersions:
-        """Returns the versions that this host has."""
-        return _datagrams.SeenVersions()
-
-    def hear(self, seen: _datagrams.SeenVersions) -> None:
-        """Takes the versions that another host has."""
-
-    def hear_hosts(self, count: int) -> None:
-        """Takes how many hosts the coordinator knows."""
-
-    def hear_store(self, answered_ago_s: float) -> None:
-        """Takes how long ago the store answered the coordinator."""
-
-
 class CoordinatorDuty:
     """Runs beside the requests of a host.
 
@@ -106,7 +91,7 @@
         directory: _key_directory.KeyDirectory,
         metrics: _metrics.Metrics,
         times: sycamoreloft_direct.HoldTimes | None = None,
-        freshness: Freshness | None = None,
+        freshness: _freshness.Freshness | None = None,
         clock: abc.Callable[[], float] = _coordinator_lease.read_boot_clock,
         socket: _direct_peers.Sender | None = None,
         generator: random.Random | None = None,
@@ -120,7 +105,7 @@
         self._metrics = metrics
         self._times = times or sycamoreloft_direct.HoldTimes()
         self._clock = clock
-        freshness = freshness or Freshness()
+        freshness = freshness or _freshness.Freshness()
         self._seen = freshness.read
         self._on_seen = freshness.hear
         self._on_hosts = freshness.hear_hosts
@@ -149,6 +134,7 @@
         self._ask_at = self._clock() + self._yield_s
         self._beat_at = 0.0
         self._report_at = 0.0
+        self._ticks = _ticks.Ticks(TICK_S)
         self._reports = _host_reports.HostReports(
             settings.name, directory, self._seen, self._guard
         )
@@ -188,7 +174,18 @@
         """Does what is due until it is cancelled."""
         while True:
             await self.step()
-            await asyncio.sleep(TICK_S)
+            await self._ticks.sleep(self._find_due() - self._clock())
+
+    def _find_due(self) -> float:
+        """Returns when something is due, unless a datagram changes it."""
+        if self._tenure is not None:
+            return 0.0
+        lost_at = self._heard_at + HEARTBEAT_LOST_S + self._yield_s
+        return min(self._report_at, max(lost_at, self._ask_at))
+
+    def _report_soon(self) -> None:
+        self._report_at = 0.0
+        self._ticks.wake()
 
     async def stop(self) -> None:
         """Gives the duty up, so that another host takes it at once."""
@@ -392,6 +389,7 @@
             self._heard_at = -1e9
             self._ask_at = self._clock() + self._yield_s
             self._coordinator_address = None
+            self._ticks.wake()
             return
         try:
             is_newer = self._take_owners(message)
@@ -401,7 +399,7 @@
             is_newer = True
             self._log_ignored(sender, error)
         if is_newer:
-            self._report_at = 0.0
+            self._report_soon()
         if message.store_age_s > BLIND_COORDINATOR_S:
             self._blind_heard_at = self._clock()
         else:
@@ -426,7 +424,7 @@
             self._log_ignored(sender, error)
             return
         if key_map is not None and self._directory.take(key_map):
-            self._report_at = 0.0
+            self._report_soon()
 
     def _log_ignored(
         self, sender: _datagrams.Address, error: ValueError
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -21,6 +21,7 @@
     _direct_run,
     _direct_services,
     _direct_views,
+    _freshness,
     _key_directory,
     _logs,
     _metrics,
@@ -415,7 +416,7 @@
     )
 
 
-class _HostFreshness(_coordinator_duty.Freshness):
+class _HostFreshness(_freshness.Freshness):
     """Versions of the tables that a host follows."""
 
     def __init__(self, host: DirectHost) -> None:
--- /dev/null
+++ b/packages/router/sycamoreloft_router/_ticks.py
@@ -0,0 +1,64 @@
+"""Sleep that ends at a tick at which something is due."""
+
+import asyncio
+import math
+
+#: Part of a tick that two readings of a clock may differ by.
+_TOLERANCE = 1e-6
+
+
+class Ticks:
+    """Lets one task sleep over the ticks at which nothing is due.
+
+    Ticks are counted from the beginning of each sleep. Hosts begin at
+    different times, so that they do not act at the same moment on what all of
+    them hear at once.
+
+    Args:
+        tick_s: Seconds between two ticks.
+    """
+
+    def __init__(self, tick_s: float) -> None:
+        self._tick_s = tick_s
+        self._began_at = 0.0
+        self._waiter: asyncio.Future[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def sleep(self, seconds: float) -> None:
+        """Sleeps until the first tick after some seconds.
+
+        Args:
+            seconds: Seconds until something is due; the sleep takes one tick
+                at least.
+        """
+        loop = asyncio.get_running_loop()
+        self._waiter = loop.create_future()
+        self._began_at = loop.time()
+        self._set_timer(self._began_at + seconds)
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+            if self._timer is not None:
+                self._timer.cancel()
+                self._timer = None
+
+    def wake(self) -> None:
+        """Ends the sleep at the next tick, if there is one."""
+        if self._waiter is not None:
+            self._set_timer(self._waiter.get_loop().time())
+
+    def _set_timer(self, due_at: float) -> None:
+        assert self._waiter is not None
+        ticks = (due_at - self._began_at) / self._tick_s
+        count = max(1, math.ceil(ticks - _TOLERANCE))
+        when = self._began_at + count * self._tick_s
+        if self._timer is not None:
+            if self._timer.when() <= when:
+                return
+            self._timer.cancel()
+        self._timer = self._waiter.get_loop().call_at(when, self._end)
+
+    def _end(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
--- /dev/null
+++ b/packages/router/tests/test_ticks.py
@@ -0,0 +1,95 @@
+"""Sleep over ticks at which nothing is due."""
+
+import asyncio
+
+import key_world
+import pytest
+import virtual_time
+
+from sycamoreloft_router import _coordinator_duty, _ticks
+
+
+async def measure_sleep(ticks, seconds, wake_after=None):
+    """Returns how long a sleep takes that may be woken."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    if wake_after is not None:
+        loop.call_later(wake_after, ticks.wake)
+    await ticks.sleep(seconds)
+    return loop.time() - began
+
+
+@pytest.mark.parametrize(
+    ("seconds", "wake_after", "expected"),
+    [
+        (-1.0, None, 0.05),
+        (0.02, None, 0.05),
+        (0.1, None, 0.1),
+        (0.12, None, 0.15),
+        (10.0, 0.01, 0.05),
+        (10.0, 0.26, 0.3),
+        (0.1, 0.09, 0.1),
+    ],
+)
+def test_a_sleep_ends_at_a_tick(seconds, wake_after, expected):
+    """Guards against reactions later than those of a tick each time."""
+    ticks = _ticks.Ticks(0.05)
+    took = virtual_time.run(measure_sleep(ticks, seconds, wake_after))
+    assert took == pytest.approx(expected)
+
+
+def test_a_wake_between_two_sleeps_is_no_error():
+    async def main():
+        ticks = _ticks.Ticks(0.05)
+        ticks.wake()
+        await ticks.sleep(0.2)
+        ticks.wake()
+        return await measure_sleep(ticks, 0.2)
+
+    assert virtual_time.run(main()) == pytest.approx(0.2)
+
+
+def run_by_itself(host):
+    """Lets a host of the world wake by its own timers; counts its steps."""
+    steps = []
+    step = host.duty.step
+
+    async def count_step():
+        steps.append(asyncio.get_running_loop().time())
+        await step()
+
+    host.duty.step = count_step
+    host.task.cancel()
+    host.task = asyncio.get_running_loop().create_task(host.duty.run())
+    return steps
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_host_wakes_only_for_what_is_due(seed):
+    """Guards against idle hosts that use processor time for nothing.
+
+    Also against a host that sleeps when the coordinator is lost, or when it
+    leaves.
+    """
+
+    async def main():
+        world = key_world.World(seed, hosts=2)
+        await asyncio.sleep(6.0)
+        first, second = sorted(
+            world.hosts.values(), key=lambda host: not host.duty.is_coordinator
+        )
+        steps = run_by_itself(second)
+        await asyncio.sleep(4.0)
+        assert 4.0 / _coordinator_duty.REPORT_S * 0.7 < len(steps) < 24
+        assert first.duty.is_coordinator and not second.duty.is_coordinator
+        await first.duty.stop()
+        first.kill()
+        await asyncio.sleep(_coordinator_duty.LONGEST_YIELD_S + 0.5)
+        assert second.duty.is_coordinator
+        # A coordinator looks at each tick.
+        steps.clear()
+        await asyncio.sleep(2.0)
+        assert len(steps) > 2.0 / _coordinator_duty.TICK_S * 0.8
+        assert not world.problems, world.problems[:3]
+
+    virtual_time.run(main())
