--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -7,7 +7,7 @@
 import random
 import typing
 
-from tornado import httpserver, netutil, web
+from tornado import httpserver, netutil
 
 import sycamoreloft_direct
 from sycamoreloft_router import (
@@ -25,6 +25,7 @@
     _key_directory,
     _logs,
     _metrics,
+    _probe_server,
     _process_measures,
     _settings_watch,
     _store_witness,
@@ -291,18 +292,9 @@
 
     def _listen(self, address: str) -> None:
         ip, _, port = address.rpartition(":")
-        application = web.Application(
-            [
-                (
-                    r"/metrics",
-                    _MetricsHandler,
-                    {"host": self, "metrics": self._metrics},
-                ),
-                (r"/.*", _ReadinessHandler, {"host": self}),
-            ],
-            log_function=lambda handler: None,
+        server = _probe_server.create_server(
+            lambda: self.is_ready, self._render_metrics
         )
-        server = httpserver.HTTPServer(application)
         server.add_sockets(
             netutil.bind_sockets(
                 int(port), ip, backlog=_caller_connections.MAXIMUM_PENDING
@@ -318,8 +310,8 @@
             self._metrics.observe("sycamoreloft_loop_lag_seconds", now - due)
             self._upstreams.sweep(now)
 
-    def update_metrics(self) -> None:
-        """Sets the metrics that are read when they are rendered."""
+    def _render_metrics(self) -> bytes:
+        """Renders all metrics, and sets before what is read only then."""
         metrics, now = self._metrics, self._loop.time()
         _process_measures.update(metrics)
         metrics.set(
@@ -345,6 +337,7 @@
             )
         for service, left in self._budgets.list_left(now).items():
             metrics.set("sycamoreloft_retries_left", service, value=left)
+        return metrics.render()
 
     def _choose_spread_s(self) -> float:
         """Draws how much later than others this host calls the store."""
@@ -437,30 +430,3 @@
 
     def hear_store(self, answered_ago_s: float) -> None:
         self._host.note_store(answered_ago_s)
-
-
-class _ReadinessHandler(web.RequestHandler):
-    """Tells the load balancer whether to send new connections."""
-
-    def initialize(self, host: DirectHost) -> None:
-        """Takes the host."""
-        self._host = host
-
-    def get(self) -> None:
-        """Answers a probe."""
-        self.set_status(200 if self._host.is_ready else 503)
-
-
-class _MetricsHandler(web.RequestHandler):
-    """Metrics in the Prometheus text format."""
-
-    def initialize(self, host: DirectHost, metrics: _metrics.Metrics) -> None:
-        """Takes the host and its metrics."""
-        self._host = host
-        self._metrics = metrics
-
-    def get(self) -> None:
-        """Renders all metrics."""
-        self._host.update_metrics()
-        self.set_header("Content-Type", "text/plain; version=0.0.4")
-        self.write(self._metrics.render())
--- /dev/null
+++ b/packages/router/sycamoreloft_router/_metric_text.py
@@ -0,0 +1,56 @@
+"""Writes metrics in the Prometheus text format.
+
+The library is slow to import, and many processes are never asked for their
+metrics; `_metrics` imports this module when it is needed.
+"""
+
+from collections import abc
+import itertools
+import typing
+
+from aioprometheus import collectors, formats, histogram
+
+from sycamoreloft_router import _metrics
+
+_COLLECTORS: abc.Mapping[_metrics.Kind, typing.Any] = {
+    _metrics.Kind.COUNTER: collectors.Counter,
+    _metrics.Kind.GAUGE: collectors.Gauge,
+    _metrics.Kind.HISTOGRAM: collectors.Histogram,
+}
+
+
+def render(
+    values: abc.Mapping[tuple[str, ...], float],
+    histograms: abc.Mapping[tuple[str, ...], _metrics.TimeHistogram],
+) -> bytes:
+    """Renders metrics.
+
+    Args:
+        values: Counters and gauges, by name and values of the labels.
+        histograms: Histograms, by the same.
+    """
+    registry = collectors.Registry()
+    definitions = {item.name: item for item in _metrics.DEFINITIONS}
+    known = {
+        item.name: _COLLECTORS[item.kind](
+            item.name, item.help, registry=registry
+        )
+        for item in _metrics.DEFINITIONS
+    }
+    for (name, *labels), value in values.items():
+        pairs = dict(zip(definitions[name].labels, labels, strict=True))
+        known[name].set_value(pairs, value)
+    for (name, *labels), item in histograms.items():
+        pairs = dict(zip(definitions[name].labels, labels, strict=True))
+        known[name].set_value(pairs, _convert(item))
+    return bytes(formats.text.TextFormatter().marshall(registry))
+
+
+def _convert(item: _metrics.TimeHistogram) -> histogram.Histogram:
+    """Copies the counts, which the format wants cumulative."""
+    target = histogram.Histogram(*_metrics.TIME_BUCKETS)
+    cumulative = list(itertools.accumulate(item.counts))
+    target.buckets.update(zip(_metrics.TIME_BUCKETS, cumulative, strict=True))
+    target.sum = item.total
+    target.observations = cumulative[-1]
+    return target
--- a/packages/router/sycamoreloft_router/_metrics.py
+++ b/packages/router/sycamoreloft_router/_metrics.py
@@ -1,18 +1,14 @@
 """Metrics of the process; docs/metrics.md lists them with their units.
 
-Values are counted in plain dictionaries and copied into the registry when
-they are rendered: a labelled counter of aioprometheus encodes its labels as
-JSON on each call, which is too slow for the request path.
+Values are counted in plain dictionaries and copied into a registry when they
+are rendered: a labelled counter of aioprometheus encodes its labels as JSON on
+each call, which is too slow for the request path.
 """
 
 import bisect
 from collections import abc
 import dataclasses
 import enum
-import itertools
-import typing
-
-from aioprometheus import collectors, formats, histogram
 
 #: Label combinations of all metrics together. Further ones are counted under
 #: the label value "other", so that callers cannot fill the memory.
@@ -21,7 +17,8 @@
 #: Label combinations of all histograms together, each with 14 buckets.
 MAXIMUM_HISTOGRAMS = 256
 
-_TIME_BUCKETS = (
+#: Upper bounds of the buckets of a histogram, in seconds.
+TIME_BUCKETS = (
     0.0005,
     0.001,
     0.0025,
@@ -244,14 +241,8 @@
     ),
 )
 
-_COLLECTORS: abc.Mapping[Kind, typing.Any] = {
-    Kind.COUNTER: collectors.Counter,
-    Kind.GAUGE: collectors.Gauge,
-    Kind.HISTOGRAM: collectors.Histogram,
-}
-
 
-class _Histogram:
+class TimeHistogram:
     """Counts observations by bucket.
 
     The histogram of aioprometheus visits all buckets for each observation.
@@ -260,39 +251,28 @@
     __slots__ = ("counts", "total")
 
     def __init__(self) -> None:
-        self.counts = [0] * len(_TIME_BUCKETS)
+        #: Observations by bucket.
+        self.counts = [0] * len(TIME_BUCKETS)
+        #: Sum of the observations, in seconds.
         self.total = 0.0
 
     def observe(self, value: float) -> None:
-        self.counts[bisect.bisect_left(_TIME_BUCKETS, value)] += 1
+        """Adds an observation, in seconds."""
+        self.counts[bisect.bisect_left(TIME_BUCKETS, value)] += 1
         self.total += value
 
-    def fill(self, target: histogram.Histogram) -> None:
-        """Copies the counts, which the format wants cumulative."""
-        cumulative = list(itertools.accumulate(self.counts))
-        target.buckets.update(zip(_TIME_BUCKETS, cumulative, strict=True))
-        target.sum = self.total
-        target.observations = cumulative[-1]
-
 
 class Metrics:
-    """The metrics of one process, in a registry of its own."""
+    """The metrics of one process."""
 
     def __init__(self) -> None:
-        self._definitions = {item.name: item for item in DEFINITIONS}
         self._values: dict[tuple[str, ...], float] = {}
-        self._histograms: dict[tuple[str, ...], _Histogram] = {}
-        self._registry = collectors.Registry()
-        self._collectors: dict[str, typing.Any] = {}
+        self._histograms: dict[tuple[str, ...], TimeHistogram] = {}
         for item in DEFINITIONS:
-            collector = _COLLECTORS[item.kind](
-                item.name, item.help, registry=self._registry
-            )
-            self._collectors[item.name] = collector
             if item.labels:
                 continue
             if item.kind is Kind.HISTOGRAM:
-                self._histograms[(item.name,)] = _Histogram()
+                self._histograms[(item.name,)] = TimeHistogram()
             else:
                 self._values[(item.name,)] = 0.0
 
@@ -324,7 +304,7 @@
         if values is None:
             if len(self._histograms) >= MAXIMUM_HISTOGRAMS:
                 key = (name, *("other" for _ in labels))
-            values = self._histograms.setdefault(key, _Histogram())
+            values = self._histograms.setdefault(key, TimeHistogram())
         values.observe(value)
 
     def read(self, name: str, *labels: str) -> float:
@@ -333,19 +313,11 @@
 
     def render(self) -> bytes:
         """Renders all metrics in the Prometheus text format."""
-        for (name, *labels), value in self._values.items():
-            definition = self._definitions[name]
-            pairs = dict(zip(definition.labels, labels, strict=True))
-            self._collectors[name].set_value(pairs, value)
-        for (name, *labels), values in self._histograms.items():
-            pairs = dict(
-                zip(self._definitions[name].labels, labels, strict=True)
-            )
-            target = histogram.Histogram(*_TIME_BUCKETS)
-            values.fill(target)
-            self._collectors[name].set_value(pairs, target)
-        text = formats.text.TextFormatter().marshall(self._registry)
-        return bytes(text)
+        # The library that writes the format is slow to import, and many
+        # processes are never asked.
+        from sycamoreloft_router import _metric_text
+
+        return _metric_text.render(self._values, self._histograms)
 
     def _choose_key(self, key: tuple[str, ...]) -> tuple[str, ...]:
         if key in self._values or len(self._values) < MAXIMUM_SERIES:
--- /dev/null
+++ b/packages/router/sycamoreloft_router/_probe_server.py
@@ -0,0 +1,68 @@
+"""Answers the load balancer's probes, and the reader of metrics.
+
+It has one path and one method, for which the parts of tornado that make up
+web applications are not needed; they take time to import in every process.
+"""
+
+from collections import abc
+import dataclasses
+
+from tornado import httpserver, httputil
+
+#: Path of the metrics; every other path is a probe.
+METRICS_PATH = "/metrics"
+
+_PHRASES = {200: "OK", 405: "Method Not Allowed", 503: "Service Unavailable"}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """An answer to a probe."""
+
+    #: Status.
+    status: int
+    #: Type of the body, empty for none.
+    content_type: str = ""
+    #: Body.
+    body: bytes = b""
+
+
+def create_server(
+    is_ready: abc.Callable[[], bool],
+    render_metrics: abc.Callable[[], bytes],
+) -> httpserver.HTTPServer:
+    """Creates a server that answers probes and renders metrics.
+
+    Args:
+        is_ready: Tells whether the load balancer may send new connections.
+        render_metrics: Returns all metrics in the Prometheus text format.
+    """
+
+    def answer(request: httputil.HTTPServerRequest) -> None:
+        if request.method != "GET":
+            _send(request, _Answer(405))
+        elif request.path == METRICS_PATH:
+            _send(
+                request,
+                _Answer(200, "text/plain; version=0.0.4", render_metrics()),
+            )
+        else:
+            _send(request, _Answer(200 if is_ready() else 503))
+
+    return httpserver.HTTPServer(answer)
+
+
+def _send(request: httputil.HTTPServerRequest, answer: _Answer) -> None:
+    headers = httputil.HTTPHeaders({"Content-Length": str(len(answer.body))})
+    if answer.content_type:
+        headers["Content-Type"] = answer.content_type
+    connection = request.connection
+    assert connection is not None
+    connection.write_headers(
+        httputil.ResponseStartLine(
+            "HTTP/1.1", answer.status, _PHRASES[answer.status]
+        ),
+        headers,
+        answer.body,
+    )
+    connection.finish()
--- /dev/null
+++ b/packages/router/tests/test_probe_server.py
@@ -0,0 +1,51 @@
+"""Answers to probes and to the reader of metrics."""
+
+import asyncio
+
+import pytest
+from tornado import netutil
+
+from sycamoreloft_router import _probe_server
+
+
+async def ask(port, *requests):
+    """Sends requests on one connection; returns status and body of each."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    answers = []
+    for request in requests:
+        writer.write(f"{request} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+        length = int(head.partition("content-length: ")[2].split("\r\n")[0])
+        body = await reader.readexactly(length)
+        answers.append((int(head.split(" ")[1]), body))
+    writer.close()
+    return answers
+
+
+# Guards against a load balancer that is told the wrong state, and against
+# readers that get no metrics.
+@pytest.mark.parametrize(("is_ready", "status"), [(True, 200), (False, 503)])
+def test_probes_and_metrics_are_answered_on_one_connection(is_ready, status):
+    async def main():
+        server = _probe_server.create_server(lambda: is_ready, lambda: b"m 1\n")
+        sockets = netutil.bind_sockets(0, "127.0.0.1")
+        server.add_sockets(sockets)
+        try:
+            return await ask(
+                sockets[0].getsockname()[1],
+                "GET /",
+                "GET /metrics",
+                "GET /any?x=1",
+                "POST /metrics",
+                "GET /",
+            )
+        finally:
+            server.stop()
+
+    assert asyncio.run(main()) == [
+        (status, b""),
+        (200, b"m 1\n"),
+        (status, b""),
+        (405, b""),
+        (status, b""),
+    ]
