Ask the system and the loop less often for each request

- A transfer begins in the turn of the loop in which it is started; libcurl asked for another turn by a timeout of 0.
- A socket is not asked for its family, type and protocol, which are known.
- The option against delays is set once for a connection of a caller, and not set and taken back with each answer.
- The event loop is looked up less often, which costs a system call each time.
- A choice of an upstream without a key looks at each candidate in one pass, and asks only those with requests whether they hang.
Weights are the same.
- The hash of a run is that of its identifier.

--- a/packages/direct/sycamoreloft_direct/_nodes.py
+++ b/packages/direct/sycamoreloft_direct/_nodes.py
@@ -129,3 +129,7 @@
     id: str
     #: When the run started, in milliseconds since 1970.
     started_ms: int
+
+    def __hash__(self) -> int:
+        # Runs are keys of many lookups, and few share an identifier.
+        return hash(self.id)
--- a/packages/direct/sycamoreloft_direct/_upstream_book.py
+++ b/packages/direct/sycamoreloft_direct/_upstream_book.py
@@ -14,6 +14,11 @@
 #: Time of an answer that is assumed of an unknown upstream, in seconds.
 DEFAULT_LATENCY_S = 0.15
 
+#: Least time of an answer, and least share of successes, that a choice is
+#: made by.
+LEAST_LATENCY_S = 0.001
+LEAST_SUCCESS = 0.05
+
 #: Failures in a row after which an upstream is left out for a time.
 FAILURES_TO_EJECT = 2
 
@@ -179,16 +184,19 @@
             is_upload: Whether the request has a large body.
             excluded: Identifiers of upstreams not to choose.
         """
-        candidates = [
-            record
-            for record in self._by_service.get(service, ())
-            if not record.entry.is_draining
-            and record.entry.id not in excluded
-            and not self.is_replaced(record, now)
-        ]
+        candidates: list[UpstreamRecord] = []
+        weights: list[float] = []
+        for record in self._by_service.get(service, ()):
+            entry = record.entry
+            if (
+                not entry.is_draining
+                and now >= record.replaced_until
+                and entry.id not in excluded
+            ):
+                candidates.append(record)
+                weights.append(self._weigh(record, now, is_upload))
         if not candidates:
             return None
-        weights = [self._weigh(record, now, is_upload) for record in candidates]
         first, second = self._generator.choices(
             range(len(candidates)), weights, k=2
         )
@@ -274,15 +282,23 @@
     def _weigh(
         self, record: UpstreamRecord, now: float, is_upload: bool
     ) -> float:
-        weight = max(record.entry.slots, 1) / max(record.latency_s, 0.001)
-        if record.entry.failure_domain == self._failure_domain:
+        # It runs for every upstream of the service with each request, so that
+        # what does not apply must cost next to nothing.
+        entry, latency_s = record.entry, record.latency_s
+        weight = (entry.slots if entry.slots > 1 else 1) / (
+            latency_s if latency_s > LEAST_LATENCY_S else LEAST_LATENCY_S
+        )
+        if entry.failure_domain == self._failure_domain:
             weight *= LOCAL_UPLOAD_PREFERENCE if is_upload else LOCAL_PREFERENCE
-        weight *= max(1.0 - record.failure_share, 0.05) ** 2
-        if record.entry.warm_up_s > now - record.seen_at:
+        if record.failure_share:
+            weight *= max(1.0 - record.failure_share, LEAST_SUCCESS) ** 2
+        if entry.warm_up_s > now - record.seen_at:
             weight *= WARM_UP_WEIGHT
         if now - record.refused_at < SHED_MEMORY_S:
             weight *= SHED_WEIGHT
-        if self.is_avoided(record, now):
+        if now < record.ejected_until or (
+            record.in_flight and _is_stalled(record, now)
+        ):
             weight *= AVOIDED
         return weight
 
--- a/packages/direct/tests/test_upstream_book.py
+++ b/packages/direct/tests/test_upstream_book.py
@@ -7,6 +7,7 @@
 import pytest
 
 import sycamoreloft_direct
+from sycamoreloft_direct import _upstream_book
 
 RESULT = sycamoreloft_direct.AttemptResult
 
@@ -140,3 +141,21 @@
     book.update([leaving, *entries[1:]], 2.0)
     assert after[0].leaving_since == 1.0
     assert after[1].leaving_since == float("inf")
+
+
+# Guards against a choice that looks closer at each upstream than it needs to:
+# it is made with every request, and services are large.
+def test_upstreams_without_requests_are_not_asked_whether_they_hang(
+    book, monkeypatch
+):
+    asked = []
+
+    def is_stalled(record, now):
+        asked.append(record.entry.id)
+        return False
+
+    monkeypatch.setattr(_upstream_book, "_is_stalled", is_stalled)
+    book.update([build(f"u{n}") for n in range(100)], 0.0)
+    book.begin(find(book, "u7"), object(), 0.0)
+    assert book.choose("ledger", 0.1, False) is not None
+    assert asked == ["u7"]
--- a/packages/router/sycamoreloft_router/_caller_streams.py
+++ b/packages/router/sycamoreloft_router/_caller_streams.py
@@ -32,11 +32,29 @@
     #: When bytes were read last, on the clock of the event loop.
     received_at = 0.0
 
+    def __init__(
+        self, connection: socket.socket, *arguments: int, **options: int
+    ) -> None:
+        super().__init__(connection, *arguments, **options)
+        # Each call of get_running_loop costs a system call on Python 3.11.
+        self._loop = asyncio.get_running_loop()
+        self._sends_at_once = False
+
+    def set_nodelay(self, value: bool) -> None:
+        """Lets the system send without delay, from the first time on.
+
+        tornado sets the option at the end of each answer and takes it back;
+        answers are written in large parts, so that it can stay.
+        """
+        if value and not self._sends_at_once:
+            self._sends_at_once = True
+            super().set_nodelay(True)
+
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Reads what is there; see the base class."""
         size = super().read_from_fd(buf)
         if size:
-            self.received_at = asyncio.get_running_loop().time()
+            self.received_at = self._loop.time()
         return size
 
     def has_unread(self) -> bool:
@@ -54,9 +72,7 @@
         ):
             second = self.socket.dup()
             second.setblocking(False)
-            self._farewell = asyncio.get_running_loop().create_task(
-                _refuse(second)
-            )
+            self._farewell = self._loop.create_task(_refuse(second))
         super().close(exc_info)
 
 
--- a/packages/router/sycamoreloft_router/_connection_rules.py
+++ b/packages/router/sycamoreloft_router/_connection_rules.py
@@ -43,7 +43,13 @@
         descriptor: The socket.
         seconds: Longest time without an acknowledgement.
     """
-    connection = socket.socket(fileno=descriptor)
+    # Without these arguments it would ask the system for each of them.
+    connection = socket.socket(
+        socket.AF_INET,
+        socket.SOCK_STREAM,
+        socket.IPPROTO_TCP,
+        fileno=descriptor,
+    )
     try:
         connection.setsockopt(
             socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
--- a/packages/router/sycamoreloft_router/_direct_run.py
+++ b/packages/router/sycamoreloft_router/_direct_run.py
@@ -155,8 +155,8 @@
 
     async def run(self) -> _answers.Refusal | None:
         """Runs the attempts; see `_exchange.RequestRun`."""
-        self._task = asyncio.current_task()
         services = self._services
+        self._task = asyncio.current_task(services.loop)
         services.budgets.record_request(
             self._request.service, services.loop.time()
         )
--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -257,8 +257,18 @@
         if isinstance(request.body, _body_streams.UploadBuffer):
             request.body.set_on_change(lambda: self.resume(handle))
         self._multi.add_handle(handle.curl)
+        self._begin()
         return transfer
 
+    def _begin(self) -> None:
+        """Lets libcurl act on a new transfer in this turn of the loop.
+
+        It asks for that with a timeout of 0.
+        """
+        if self._timeout is not None:
+            self._timeout.cancel()
+        self._handle_timeout()
+
     def resume(self, handle: _Handle | None) -> None:
         """Lets a paused transfer continue."""
         if handle is None or handle.transfer is None:
