--- a/packages/router/sycamoreloft_router/_coordinator_duty.py
+++ b/packages/router/sycamoreloft_router/_coordinator_duty.py
@@ -14,6 +14,7 @@
     _direct_ports,
     _direct_views,
     _duty_logs,
+    _freshness,
     _host_reports,
     _host_roster,
     _key_directory,
@@ -21,6 +22,7 @@
     _map_parts,
     _metrics,
     _tenure,
+    _ticks,
 )
 
 _LOGGER = logging.getLogger(__name__)
@@ -63,23 +65,6 @@
 MOST_ASK_S = 1.2
 
 
-class Freshness:
-    """How new this host's copies of the platform's tables are."""
-
-    def read(self) -> _datagrams.SeenVersions:
-        """Returns the versions that this host has."""
-        return _datagrams.SeenVersions()
-
-    def hear(self, seen: _datagrams.SeenVersions) -> None:
-        """Takes the versions that another host has."""
-
-    def hear_hosts(self, count: int) -> None:
-        """Takes how many hosts the coordinator knows."""
-
-    def hear_store(self, answered_ago_s: float) -> None:
-        """Takes how long ago the store answered the coordinator."""
-
-
 class CoordinatorDuty:
     """Runs beside the requests of a host.
 
@@ -107,7 +92,7 @@
         directory: _key_directory.KeyDirectory,
         metrics: _metrics.Metrics,
         times: sycamoreloft_direct.HoldTimes | None = None,
-        freshness: Freshness | None = None,
+        freshness: _freshness.Freshness | None = None,
         clock: abc.Callable[[], float] = _coordinator_lease.read_boot_clock,
         socket: _direct_peers.Sender | None = None,
         generator: random.Random | None = None,
@@ -121,7 +106,7 @@
         self._metrics = metrics
         self._times = times or sycamoreloft_direct.HoldTimes()
         self._clock = clock
-        freshness = freshness or Freshness()
+        freshness = freshness or _freshness.Freshness()
         self._seen = freshness.read
         self._on_seen = freshness.hear
         self._on_hosts = freshness.hear_hosts
@@ -151,6 +136,7 @@
         self._ask_at = self._clock() + self._yield_s
         self._beat_at = 0.0
         self._report_at = 0.0
+        self._ticks = _ticks.Ticks(TICK_S)
         self._reports = _host_reports.HostReports(
             settings.name, directory, self._seen, self._guard
         )
@@ -198,7 +184,18 @@
         """Does what is due until it is cancelled."""
         while True:
             await self.step()
-            await asyncio.sleep(TICK_S)
+            await self._ticks.sleep(self._find_due() - self._clock())
+
+    def _find_due(self) -> float:
+        """Returns when something is due, unless a datagram changes it."""
+        if self._tenure is not None:
+            return 0.0
+        lost_at = self._heard_at + HEARTBEAT_LOST_S + self._yield_s
+        return min(self._report_at, max(lost_at, self._ask_at))
+
+    def _report_soon(self) -> None:
+        self._report_at = 0.0
+        self._ticks.wake()
 
     async def stop(self) -> None:
         """Gives the duty up, so that another host takes it at once."""
@@ -383,6 +380,7 @@
             self._heard_at = -1e9
             self._ask_at = self._clock() + self._yield_s
             self._coordinator_address = None
+            self._ticks.wake()
             return
         try:
             is_newer = self._take_owners(message)
@@ -392,7 +390,7 @@
             is_newer = True
             _duty_logs.log_ignored_changes(sender, error)
         if is_newer:
-            self._report_at = 0.0
+            self._report_soon()
         if message.store_age_s > BLIND_COORDINATOR_S:
             self._blind_heard_at = self._clock()
         else:
@@ -418,7 +416,7 @@
             _duty_logs.log_ignored_changes(sender, error)
             return
         if key_map is not None and self._directory.take(key_map):
-            self._report_at = 0.0
+            self._report_soon()
 
     def _yield_to(self, successor: _datagrams.Address) -> None:
         """Ends the own duty because another host has it by now."""
