Wait for a restarted owner as for any other

Callers: none is known to have seen it; two upstreams could hold a key.

Cause: once an owner has accepted a token, orders with lower tokens do not count for the end of its lease, since it refuses them. Where the owner restarted under its identifier, the new run became the owner, but the keys kept the note that lower tokens are refused. The new run has forgotten them. If it did not answer, its keys were free at once, although an earlier coordinator that is cut off could still grant them to it.

Evidence: test_restarted_owner_that_is_silent_is_waited_for failed before this change: another upstream was recorded 10 s too early.

The note is dropped when the new run becomes the owner, and made again when it accepts a token. The wait is longer only where the new run does not answer.

--- a/packages/direct/sycamoreloft_direct/_key_coordinator.py
+++ b/packages/direct/sycamoreloft_direct/_key_coordinator.py
@@ -372,7 +372,9 @@
             follower = self._find_follower(owner)
             if follower is not None:
                 # Orders for the run that ended may have reached the new one.
-                # It becomes the owner, with a token above all of them.
+                # It becomes the owner, with a token above all of them. Until
+                # it has seen that token, it refuses nothing.
+                self._table.note_refused(segment, 0)
                 self._table.record(segment, follower, self._revision + 1)
                 continue
             if owner in self._upstreams and segment.failures == 0:
--- /dev/null
+++ b/packages/direct/tests/test_restarted_owners.py
@@ -0,0 +1,93 @@
+"""Owners that restart under their identifier, and forget higher tokens."""
+
+import pytest
+
+import sycamoreloft_direct
+
+SERVICE = "boards"
+TICK_S = 0.05
+
+#: Time for which an earlier coordinator may renew, in seconds.
+EARLIER_S = 12.0
+
+RESULTS = sycamoreloft_direct.GrantResult
+
+
+def build(name, started_ms):
+    return sycamoreloft_direct.Upstream(
+        name, started_ms, f"{name}:1", SERVICE, "z", 6, False
+    )
+
+
+class Coordination:
+    """A coordinator that succeeds another one; two upstreams own all keys."""
+
+    def __init__(self):
+        self.upstreams = [build("u0", 1), build("u1", 1)]
+        half = sycamoreloft_direct.KEY_COUNT // 2
+        last = sycamoreloft_direct.KEY_COUNT - 1
+        ranges = (
+            sycamoreloft_direct.KeyRange(0, half - 1, self.upstreams[0].run),
+            sycamoreloft_direct.KeyRange(half, last, self.upstreams[1].run),
+        )
+        keys = sycamoreloft_direct.ServiceKeys(SERVICE, ranges)
+        self.now = 0.0
+        self.unreachable = set()
+        self.is_confirmed = True
+        self.grants = []
+        self.coordinator = sycamoreloft_direct.KeyCoordinator(
+            sycamoreloft_direct.KeyMap(2, 1, {SERVICE: keys}),
+            self.now,
+            self.now + EARLIER_S,
+            sycamoreloft_direct.HoldTimes(),
+        )
+
+    def run(self, seconds):
+        """Answers all orders but those to upstreams that are not reached."""
+        until = self.now + seconds
+        while self.now < until:
+            self.now += TICK_S
+            self.coordinator.update_upstreams(
+                self.upstreams, {SERVICE}, self.now
+            )
+            for command in self.coordinator.tick(
+                self.now, self.is_confirmed, True
+            ):
+                self._execute(command)
+
+    def _execute(self, command):
+        if isinstance(command, sycamoreloft_direct.WriteMap):
+            self.coordinator.finish_write(True)
+            return
+        if isinstance(command, sycamoreloft_direct.SendRelease):
+            self.coordinator.finish_release(command.order, "state", self.now)
+            return
+        self.grants.append(command)
+        is_reached = command.run.id not in self.unreachable
+        self.coordinator.finish_grant(
+            command.order,
+            RESULTS.ACCEPTED if is_reached else RESULTS.UNREACHED,
+            self.now,
+        )
+
+    def find_first_owner(self):
+        """Returns the identifier of the recorded owner of the first key."""
+        owner = self.coordinator.key_map.find_owner(SERVICE, 0)
+        return owner.id if owner is not None else ""
+
+
+@pytest.fixture
+def coordination():
+    return Coordination()
+
+
+# Guards against a second owner: the run before had refused the orders of an
+# earlier coordinator, but the new run may take them.
+def test_restarted_owner_that_is_silent_is_waited_for(coordination):
+    coordination.run(1.0)
+    coordination.upstreams[0] = build("u0", 2)
+    coordination.unreachable.add("u0")
+    coordination.run(EARLIER_S - 1.0)
+    assert coordination.find_first_owner() == "u0"
+    coordination.run(6.0)
+    assert coordination.find_first_owner() == "u1"
