Renew no silent owner without the store's confirmation

Callers: none is known to have seen it; two upstreams could hold a key, and a new run of an upstream took keys with a lower token than the run before.

Cause: a coordinator that was cut from the store tried owners again that did not answer. Such an owner may have restarted. The run before may have taken a token of a later coordinator, which the new run has forgotten, so that it accepts the lower one.

A coordinator without confirmation now renews an owner only as long as it accepts every order, and tries again once the store confirms its lease. Where the store is away and an order is lost besides, the keys of that owner are not served until the store is back. A restart between two renewals that are both answered is not noticed.

--- a/packages/direct/sycamoreloft_direct/_key_coordinator.py
+++ b/packages/direct/sycamoreloft_direct/_key_coordinator.py
@@ -303,6 +303,10 @@
             segment.is_superseded = True
             return None
         hold_s = self._times.hold_s
+        if segment.failures and not may_change:
+            # The upstream may have restarted, and forgotten the token of a
+            # later coordinator.
+            return None
         if segment.failures:
             # Tries at a silent upstream must not lengthen its lease.
             lease_end = self._table.find_lease_end(segment)
--- a/packages/direct/tests/test_restarted_owners.py
+++ b/packages/direct/tests/test_restarted_owners.py
@@ -91,3 +91,21 @@
     assert coordination.find_first_owner() == "u0"
     coordination.run(6.0)
     assert coordination.find_first_owner() == "u1"
+
+
+# Guards against a grant of an earlier coordinator to a run that has forgotten
+# the tokens of a later one: what does not answer may have restarted.
+def test_unconfirmed_coordinator_does_not_try_a_silent_owner_again(
+    coordination,
+):
+    coordination.run(2.0)
+    coordination.is_confirmed = False
+    coordination.unreachable.add("u0")
+    coordination.run(1.0)
+    coordination.unreachable.clear()
+    coordination.grants.clear()
+    coordination.run(0.5)
+    assert "u0" not in {command.run.id for command in coordination.grants}
+    coordination.is_confirmed = True
+    coordination.run(0.2)
+    assert "u0" in {command.run.id for command in coordination.grants}
