--- a/packages/direct/sycamoreloft_direct/_key_coordinator.py
+++ b/packages/direct/sycamoreloft_direct/_key_coordinator.py
@@ -125,11 +125,7 @@
 
     def count_unheld(self) -> int:
         """Counts the keys that no upstream is known to hold."""
-        return sum(
-            segment.last - segment.first + 1
-            for segment in self._table
-            if segment.owner is None or not segment.is_taken or segment.failures
-        )
+        return self._table.count_unheld()
 
     def _adopt(
         self,
@@ -350,6 +346,10 @@
             segment.is_superseded = True
             return None
         hold_s = self._times.hold_s
+        if segment.failures and not may_change:
+            # The upstream may have restarted, and forgotten the token of a
+            # later coordinator.
+            return None
         if segment.failures:
             # Tries at a silent upstream must not lengthen its lease.
             lease_end = self._table.find_lease_end(segment)
@@ -424,8 +424,10 @@
             follower = self._find_follower(owner)
             if follower is not None:
                 # Orders for the run that ended may have reached the new one.
-                # It becomes the owner, with a token above all of them.
+                # It becomes the owner, with a token above all of them. Until
+                # it has seen that token, it refuses nothing.
                 self._table.note_freed(segment, _CAUSE.FOLLOWER)
+                self._table.note_refused(segment, 0)
                 self._table.record(segment, follower, self._revision + 1)
                 continue
             if owner in self._upstreams and segment.failures == 0:
--- a/packages/direct/sycamoreloft_direct/_key_segments.py
+++ b/packages/direct/sycamoreloft_direct/_key_segments.py
@@ -117,6 +117,14 @@
         """Returns the names of the services."""
         return sorted({item.service for item in self._segments})
 
+    def count_unheld(self) -> int:
+        """Counts the keys that no upstream is known to hold."""
+        return sum(
+            segment.last - segment.first + 1
+            for segment in self._segments
+            if segment.owner is None or not segment.is_taken or segment.failures
+        )
+
     def add(self, segment: Segment) -> None:
         """Adds a segment."""
         self._segments.append(segment)
