End a coordinator's duty at an unexpected error

What callers saw: nothing yet. After an error in one order, requests for its keys would have been refused until the coordinator changed.

Cause: an exception in a task of Tenure left its order or its write open for ever, and with it the keys; nobody awaits these tasks. An exception in a decision was raised to the supervisor while the lease of the coordinator went on being renewed, until the process ended.

Fix: an unexpected error in a task or a decision ends the duty. Any host, this one as well, begins anew with what is recorded, as after a loss.

--- a/packages/router/sycamoreloft_router/_coordinator_duty.py
+++ b/packages/router/sycamoreloft_router/_coordinator_duty.py
@@ -324,7 +324,11 @@
 
     def _act(self, tenure: _tenure.Tenure, now: float) -> None:
         """Acts as the coordinator, and tells the other hosts."""
-        tenure.act(now, self._list_sharded())
+        try:
+            tenure.act(now, self._list_sharded())
+        except Exception as error:  # noqa: BLE001
+            # It would go on renewing its lease, and no leases of keys.
+            tenure.fail(error)
         if tenure.is_over:
             self._tenure = None
             return
--- a/packages/router/sycamoreloft_router/_tenure.py
+++ b/packages/router/sycamoreloft_router/_tenure.py
@@ -4,6 +4,7 @@
 from collections import abc
 import dataclasses
 import logging
+import traceback
 import typing
 
 import sycamoreloft_direct
@@ -233,10 +234,35 @@
         }
 
     def _spawn(self, work: abc.Coroutine[typing.Any, typing.Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
+        task = asyncio.get_running_loop().create_task(self._perform(work))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def _perform(
+        self, work: abc.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        """Does a part of the duty, and ends the duty if it fails."""
+        try:
+            await work
+        except Exception as error:  # noqa: BLE001
+            self.fail(error)
+
+    def fail(self, error: Exception) -> None:
+        """Stops acting after an unexpected error.
+
+        An order or a write would stay open for ever, and its keys with it.
+        The next coordinator begins with what is recorded.
+        """
+        _logs.log_event(
+            _LOGGER,
+            logging.ERROR,
+            "coordinator-failed",
+            epoch=self.epoch,
+            error=f"{type(error).__name__}: {error}",
+            traceback="".join(traceback.format_tb(error.__traceback__, -6)),
+        )
+        self.end("failed")
+
     async def _renew_lease(self) -> None:
         sent_at = self._clock()
         lease = dataclasses.replace(
--- /dev/null
+++ b/packages/router/tests/test_failing_duties.py
@@ -0,0 +1,79 @@
+"""Unexpected errors in the duty of the coordinator."""
+
+import asyncio
+
+import key_world
+import pytest
+import virtual_time
+
+import sycamoreloft_direct
+
+
+def find_coordinator(world):
+    return next(
+        host for host in world.hosts.values() if host.duty.is_coordinator
+    )
+
+
+def fail(*_arguments):
+    raise RuntimeError("unexpected")
+
+
+def fail_once(target, name):
+    """Lets the next call of a method raise."""
+    method = getattr(target, name)
+
+    def fail_now(*arguments):
+        setattr(target, name, method)
+        fail()
+
+    setattr(target, name, fail_now)
+
+
+async def check_recovery(world):
+    """Fails if not all keys are held again, also those of a lost owner."""
+    await asyncio.sleep(key_world.RECOVERY_S)
+    assert world.count_served() == sycamoreloft_direct.KEY_COUNT
+    world.upstreams["u0"].up = world.upstreams["u0"].listed = False
+    await asyncio.sleep(key_world.RECOVERY_S)
+    assert world.count_served() == sycamoreloft_direct.KEY_COUNT
+    assert not world.problems, world.problems[:3]
+
+
+@pytest.mark.parametrize("port", ["grant", "release", "write"])
+@pytest.mark.parametrize("seed", range(3))
+def test_an_error_in_a_call_leaves_no_keys_without_an_owner(port, seed):
+    """Guards against orders and writes that stay open for ever."""
+
+    async def main():
+        world = key_world.World(seed, hosts=3)
+        await asyncio.sleep(6.0)
+        for host in world.hosts.values():
+            platform = host.duty._platform
+            target = (
+                platform.orders
+                if port in ("grant", "release")
+                else platform.records
+            )
+            fail_once(target, port)
+        # Keys move, so that every port is used.
+        world.start_upstream("u9")
+        world.upstreams["u1"].draining = True
+        await check_recovery(world)
+
+    virtual_time.run(main())
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_coordinator_that_cannot_decide_is_replaced(seed):
+    """Guards against hosts that end because of one state of the keys."""
+
+    async def main():
+        world = key_world.World(seed, hosts=3)
+        await asyncio.sleep(6.0)
+        broken = find_coordinator(world)
+        broken.duty._tenure._coordinator.tick = fail
+        await check_recovery(world)
+        assert not broken.task.done()
+
+    virtual_time.run(main())
