--- a/packages/router/sycamoreloft_router/_caller_streams.py
+++ b/packages/router/sycamoreloft_router/_caller_streams.py
@@ -41,6 +41,8 @@
 
     def has_unread(self) -> bool:
         """Tells whether bytes wait in the socket."""
+        if self.closed():
+            return False
         try:
             return self.socket.recv(1, socket.MSG_PEEK) != b""
         except OSError:
--- a/packages/router/tests/test_caller_server.py
+++ b/packages/router/tests/test_caller_server.py
@@ -435,3 +435,40 @@
             await asyncio.sleep(0)
 
     serve(scenario)
+
+
+def test_a_sweep_passes_over_a_connection_that_just_closed(serve):
+    """Guards against a sweep that fails, after which none follows.
+
+    The task of a connection notices the close one turn of the event loop
+    later, and the sweep of idle connections may run in between.
+    """
+
+    async def scenario(bench, upstream):
+        caller = await bench.connect()
+        server = bench.server._server
+        await raw_peers.wait_until(server.list_connections)
+        await asyncio.sleep(0.01)
+        [connection] = server.list_connections()
+        connection.stream.close()
+        server.close_idle(asyncio.get_running_loop().time())
+        await raw_peers.wait_until(lambda: not server.list_connections())
+        caller.writer.close()
+
+    serve(scenario)
+
+
+def test_a_request_that_came_with_the_one_before_survives_a_sweep(serve):
+    """Guards against pipelined requests whose connection counts as idle."""
+
+    async def scenario(bench, upstream):
+        caller = await bench.connect()
+        caller.writer.write(build_head() + build_head())
+        server = bench.server._server
+        for number in (1, 2):
+            while len(upstream.requests) < number:
+                server.close_idle(asyncio.get_running_loop().time())
+                await asyncio.sleep(0)
+            assert (await caller.read()).body == b"ok"
+
+    serve(scenario)
