Keep a direct host up when one of its tasks keeps failing

What callers saw: nothing yet. A table, a settings file or a state of the keys that makes a task fail each time would have ended every host after eleven failures, without a drain: all hosts read the same.

Cause: the supervisor gives the process up after ten restarts of a task.

Fix: the tasks of a direct host are restarted however often they fail, at most each 2 s. Requests go on with what the host knows.

Evidence: test_a_kept_task_is_restarted_however_often_it_fails; the supervisor had no such choice before.

--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -255,10 +255,16 @@
             ("coordinator", self._duty.run),
             ("sweep", self._sweep),
         ):
-            self._supervisor.start(_supervisor.ChildSpecification(name, run))
+            # What makes one of them fail, a row of the store for example,
+            # reaches every host: all would end. Requests go on without it.
+            self._supervisor.start(
+                _supervisor.ChildSpecification(name, run, is_kept=True)
+            )
         if watch is not None:
             self._supervisor.start(
-                _supervisor.ChildSpecification("settings", watch.run)
+                _supervisor.ChildSpecification(
+                    "settings", watch.run, is_kept=True
+                )
             )
         _logs.log_event(
             _LOGGER,
--- a/packages/router/sycamoreloft_router/_supervisor.py
+++ b/packages/router/sycamoreloft_router/_supervisor.py
@@ -36,6 +36,8 @@
     #: Called once when the restarts are used up; the task is then given up.
     #: Without it the whole tree fails.
     on_give_up: abc.Callable[[], None] | None = None
+    #: Whether it is restarted however often it fails.
+    is_kept: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -150,7 +152,8 @@
                     traceback=traceback.format_exc(limit=-6),
                 )
             now = self._clock()
-            if child.count_failure(now) > MAXIMUM_RESTARTS:
+            failures = child.count_failure(now)
+            if failures > MAXIMUM_RESTARTS and not child.specification.is_kept:
                 self._give_up(child)
                 return
             if now - started > RESTART_WINDOW_S:
--- a/packages/router/tests/test_supervisor.py
+++ b/packages/router/tests/test_supervisor.py
@@ -33,14 +33,16 @@
     raise ValueError("broken")
 
 
-def run_failing_child(fake_time, on_give_up):
+def run_failing_child(fake_time, on_give_up, **changes):
     """Starts a child that always fails; returns its state at the end."""
 
     async def run():
         tree = _supervisor.Supervisor(fake_time.read, fake_time.sleep)
         waiter = asyncio.ensure_future(tree.wait_for_failure())
         await asyncio.sleep(0)
-        tree.start(_supervisor.ChildSpecification("child", fail, on_give_up))
+        tree.start(
+            _supervisor.ChildSpecification("child", fail, on_give_up, **changes)
+        )
         for _ in range(200):
             await asyncio.sleep(0)
         if waiter.done():
@@ -73,6 +75,13 @@
         run_failing_child(fake_time, None)
 
 
+def test_a_kept_task_is_restarted_however_often_it_fails(fake_time):
+    """Guards against hosts that all end because of what all of them read."""
+    state = run_failing_child(fake_time, None, is_kept=True)
+    assert state.restarts > 2 * _supervisor.MAXIMUM_RESTARTS
+    assert max(fake_time.delays) == _supervisor.LONGEST_BACKOFF_S
+
+
 def test_stop_waits_for_the_task(fake_time):
     """Guards against work that goes on after its task was stopped."""
     ended = []
