Move the record of the map of keys into a module of its own

No change of behaviour. The stand-in of a slow grant in test_coordinator_stops.py takes the trace of an order, as KeyOrders does.

--- a/packages/router/sycamoreloft_router/_tenure.py
+++ b/packages/router/sycamoreloft_router/_tenure.py
@@ -15,6 +15,7 @@
     _direct_ports,
     _direct_views,
     _logs,
+    _map_record,
     _metrics,
     _order_logs,
 )
@@ -75,7 +76,12 @@
         self._on_map = on_map
         self._lease = taken.lease
         self._lease_version = taken.version
-        self._map_version = taken.version
+        self._map_record = _map_record.MapRecord(
+            platform.records,
+            taken.lease.epoch,
+            taken.version,
+            lambda: self.end("superseded"),
+        )
         self._reference = taken.reference
         self._is_renewing = False
         self._renew_at = 0.0
@@ -345,7 +351,9 @@
             )
         except ValueError as error:
             # Somebody else wrote it, so it is not this host's lease.
-            self._log_malformed(error)
+            _logs.log_event(
+                _LOGGER, logging.ERROR, "record-malformed", error=str(error)
+            )
             lease = None
         if (
             record is not None
@@ -449,61 +457,9 @@
         )
 
     async def _write_map(self, key_map: sycamoreloft_direct.KeyMap) -> None:
-        outcome = await self._platform.records.write(
-            {
-                _coordinator_lease.MAP_KEY: sycamoreloft_direct.encode_key_map(
-                    key_map
-                )
-            },
-            {_coordinator_lease.MAP_KEY: self._map_version},
-        )
-        written = outcome.result is _direct_ports.WriteResult.WRITTEN
-        if written:
-            self._map_version = outcome.version
-        elif outcome.result is _direct_ports.WriteResult.CONFLICT:
-            written = await self._resolve_map(key_map)
+        written = await self._map_record.write(key_map)
         if written:
             self._on_map(key_map)
-            _logs.log_event(
-                _LOGGER,
-                logging.INFO,
-                "key-map-recorded",
-                epoch=key_map.epoch,
-                revision=key_map.revision,
-            )
         else:
-            _logs.log_event(
-                _LOGGER,
-                logging.WARNING,
-                "key-map-not-recorded",
-                revision=key_map.revision,
-                result=outcome.result.value,
-            )
             await asyncio.sleep(RETRY_S)
         self._coordinator.finish_write(written)
-
-    def _log_malformed(self, error: ValueError) -> None:
-        _logs.log_event(
-            _LOGGER, logging.ERROR, "record-malformed", error=str(error)
-        )
-
-    async def _resolve_map(self, key_map: sycamoreloft_direct.KeyMap) -> bool:
-        """Tells whether an earlier, unanswered write recorded the map."""
-        records = await self._platform.records.read()
-        if isinstance(records, _direct_ports.ReadProblem):
-            return False
-        record = records.records.get(_coordinator_lease.MAP_KEY)
-        if record is None:
-            return False
-        try:
-            stored = sycamoreloft_direct.decode_key_map(record.value)
-        except ValueError as error:
-            self._log_malformed(error)
-            self.end("superseded")
-            return False
-        if stored.epoch != self._lease.epoch:
-            self.end("superseded")
-            return False
-        # The next write builds on what is stored.
-        self._map_version = record.version
-        return stored == key_map
--- a/packages/router/tests/test_coordinator_stops.py
+++ b/packages/router/tests/test_coordinator_stops.py
@@ -60,8 +60,8 @@
         host = _find_coordinator(world)
         under_way = set()
 
-        async def grant_slowly(address, order):
-            del address
+        async def grant_slowly(address, order, trace=None):
+            del address, trace
             under_way.add(order.order)
             try:
                 await asyncio.sleep(_tenure.STOP_S + 3.0)
