Wait for a killed coordinator at its own address as well

Callers: two upstreams could hold a key and run its requests.

Cause: the next process of a coordinator's host took the duty at once and counted one lease from its own beginning, since the process before it no longer runs. What that process had sent can still arrive, if a cut holds it up and the end of the process does not reset its connections.

A bid of this process that was not answered is not waited for, since nobody acted on it.

--- a/packages/router/sycamoreloft_router/_coordinator_bid.py
+++ b/packages/router/sycamoreloft_router/_coordinator_bid.py
@@ -79,6 +79,8 @@
         self._clock = clock
         self._ended_version = -1
         self._ended_since = 0.0
+        #: Epoch of the last bid that was not seen to win; nobody acts in it.
+        self._unwon_epoch = 0
 
     async def make(self, hears_blind: bool) -> Outcome:
         """Asks the store, and takes the duty if it is nobody's.
@@ -139,13 +141,15 @@
     ) -> Outcome:
         epoch = max(before.epoch if before else 0, key_map.epoch) + 1
         sent_at = self._clock()
+        earlier_until = self._find_earlier_until(before)
         lease = _coordinator_lease.Lease(
             self._settings.name,
             self._settings.peer_address,
             epoch,
             reference.estimate(sent_at) + _coordinator_lease.LEASE_S,
-            self._find_earlier_until(before),
+            earlier_until,
         )
+        self._unwon_epoch = epoch
         new_map = dataclasses.replace(key_map, epoch=epoch, revision=1)
         outcome = await self._records.write(
             {
@@ -162,6 +166,7 @@
         )
         if outcome.result is not _direct_ports.WriteResult.WRITTEN:
             return Deferred(key_map)
+        self._unwon_epoch = 0
         return Won(
             key_map,
             _tenure.TakenRecords(
@@ -176,9 +181,9 @@
         """Returns until when, on the store's clock, others may renew keys."""
         if lease is None:
             return 0.0
-        # An earlier process at this host's own address is not running.
-        if lease.is_resigned or (
-            lease.peer_address == self._settings.peer_address
-        ):
+        is_own = lease.peer_address == self._settings.peer_address
+        if lease.is_resigned or (is_own and lease.epoch == self._unwon_epoch):
             return lease.earlier_until
+        # That also holds for an earlier process of this host: it has ended,
+        # but a cut may hold up what it sent.
         return max(lease.earlier_until, lease.expires_at + self._blind_s)
--- a/packages/router/tests/domain_faults.py
+++ b/packages/router/tests/domain_faults.py
@@ -318,6 +318,20 @@
     await asyncio.gather(stop_bidders(world), cut())
 
 
+async def _cut_while_coordinators_are_killed(world):
+    generator = world.generator
+    domain = generator.choice(world.domains)
+    cut = asyncio.create_task(
+        cut_domain(world, generator.uniform(2.0, 6.0), "both", domain)
+    )
+    await asyncio.sleep(generator.uniform(0.3, 2.0))
+    for host in world.find_coordinators():
+        if host.domain != domain:
+            world.log(f"kill {host.name}")
+            await host.kill(generator.uniform(0.2, 0.9))
+    await cut
+
+
 async def _change_coordinators(world):
     """Coordinators end in all ways while upstreams come and go."""
     await _overlap(
@@ -395,6 +409,7 @@
     "cut-while-rolling": _cut_while_rolling,
     "cut-while-coordinators-stop": _cut_while_coordinators_stop,
     "cut-while-bidders-stop": _cut_while_bidders_stop,
+    "cut-while-coordinators-are-killed": _cut_while_coordinators_are_killed,
     "coordinator-changes": _change_coordinators,
     "mix": _mix,
     "stops-beside-store-faults": _stop_beside_store_faults,
--- a/packages/router/tests/test_coordinator_stops.py
+++ b/packages/router/tests/test_coordinator_stops.py
@@ -5,6 +5,7 @@
 import key_world
 import virtual_time
 
+import sycamoreloft_direct
 from sycamoreloft_router import _coordinator_lease, _tenure
 
 
@@ -77,3 +78,36 @@
         assert not under_way
 
     virtual_time.run(main())
+
+
+# Guards against grants of a killed process that a cut holds up: its successor
+# at the same address has to wait for them like any other successor.
+def test_killed_coordinator_is_waited_for_at_its_own_address():
+    async def main():
+        world = key_world.World(1, hosts=1)
+        await asyncio.sleep(6.0)
+        host = world.hosts["h0"]
+        before = _read_lease(world)
+        host.kill()
+        host.start()
+        await asyncio.sleep(2.0)
+        after = _read_lease(world)
+        assert after.epoch > before.epoch
+        blind_s = sycamoreloft_direct.HoldTimes().blind_s
+        assert after.earlier_until >= before.expires_at + blind_s
+
+    virtual_time.run(main())
+
+
+# Guards against a long wait for a coordinator that there never was.
+def test_unanswered_bid_is_not_waited_for():
+    async def main():
+        world = key_world.World(1, hosts=1)
+        world.store.lose_share = 1.0
+        await asyncio.sleep(0.5)
+        world.store.lose_share = 0.0
+        await asyncio.sleep(6.0)
+        assert world.hosts["h0"].duty.is_coordinator
+        assert _read_lease(world).earlier_until == 0.0
+
+    virtual_time.run(main())
--- a/packages/router/tests/test_key_domains.py
+++ b/packages/router/tests/test_key_domains.py
@@ -18,6 +18,17 @@
     assert not world.problems, world.problems[:3]
 
 
+# Guards against the same after a coordinator was killed.
+@pytest.mark.parametrize("seed", [12, 14])
+def test_orders_of_a_killed_process_give_keys_no_second_owner(seed):
+    world = virtual_time.run(
+        domain_faults.play(
+            seed, "cut-while-coordinators-are-killed", exit_resets=False
+        )
+    )
+    assert not world.problems, world.problems[:3]
+
+
 # Guards against keys with two owners, or requests that two upstreams work on,
 # where coordinators change while domains are cut.
 @pytest.mark.parametrize("pattern", sorted(domain_faults.PATTERNS))
