Send no release to a run that takes over the keys of the run before it

Callers: keys of an upstream that restarted under its identifier could be unserved for about a second more.

Cause: a coordinator with a predecessor releases all keys at upstreams that own nothing, and a new run owned nothing when it was listed. It became the owner in the next step, while the release was open; one that arrives after the grant takes the keys away again, until the renewal is refused and sent under a new token.

Evidence: test_restarted_owner_gets_its_keys_without_a_release failed before: a release of all keys was ordered. The grant under a new token fences the new run, so the release is not needed.

--- a/packages/direct/sycamoreloft_direct/_key_coordinator.py
+++ b/packages/direct/sycamoreloft_direct/_key_coordinator.py
@@ -199,7 +199,7 @@
     def end_run(self, run: _nodes.UpstreamRun) -> None:
         """Takes all keys from a run that has surely ended."""
         self._leases.end_run(run)
-        self._revocations.end_run(run)
+        self._revocations.forget(run)
         for segment in self._table:
             if segment.owner == run and segment.phase is not _PHASE.RECORDING:
                 segment.leased_until = 0.0
@@ -428,6 +428,7 @@
                 # it has seen that token, it refuses nothing.
                 self._table.note_freed(segment, _CAUSE.FOLLOWER)
                 self._table.note_refused(segment, 0)
+                self._revocations.forget(follower)
                 self._table.record(segment, follower, self._revision + 1)
                 continue
             if owner in self._upstreams and segment.failures == 0:
--- a/packages/direct/sycamoreloft_direct/_revocations.py
+++ b/packages/direct/sycamoreloft_direct/_revocations.py
@@ -133,8 +133,8 @@
         """Tells whether a run has yet to release keys that it lost."""
         return run in self._pending
 
-    def end_run(self, run: _nodes.UpstreamRun) -> None:
-        """Notes that a run has ended, and with it all that it holds."""
+    def forget(self, run: _nodes.UpstreamRun) -> None:
+        """Forgets a run that has ended, or owns keys again."""
         self._pending.pop(run, None)
 
     def list_due(self, now: float) -> abc.Sequence[_key_commands.SendRelease]:
--- a/packages/direct/tests/test_restarted_owners.py
+++ b/packages/direct/tests/test_restarted_owners.py
@@ -35,6 +35,7 @@
         self.unreachable = set()
         self.is_confirmed = True
         self.grants = []
+        self.releases = []
         self.coordinator = sycamoreloft_direct.KeyCoordinator(
             sycamoreloft_direct.KeyMap(2, 1, {SERVICE: keys}),
             self.now,
@@ -60,6 +61,7 @@
             self.coordinator.finish_write(True)
             return
         if isinstance(command, sycamoreloft_direct.SendRelease):
+            self.releases.append(command)
             self.coordinator.finish_release(command.order, "state", self.now)
             return
         self.grants.append(command)
@@ -109,3 +111,14 @@
     coordination.is_confirmed = True
     coordination.run(0.2)
     assert "u0" in {command.run.id for command in coordination.grants}
+
+
+# Guards against a release that arrives after the grant to the new run, and
+# takes the keys from it again.
+def test_restarted_owner_gets_its_keys_without_a_release(coordination):
+    coordination.run(1.0)
+    coordination.releases.clear()
+    coordination.upstreams[0] = build("u0", 2)
+    coordination.run(1.0)
+    assert coordination.find_first_owner() == "u0"
+    assert not coordination.releases
