Release all keys at once at an owner that owns nothing any more

Callers: none is known to have seen it. An upstream that lost several ranges was fenced one range after the other, and a release is answered when the work on its keys has ended; a late grant for the next range could be taken meanwhile.

Change: an owner that owns nothing any more gets one release of all keys.

--- a/packages/direct/sycamoreloft_direct/_key_coordinator.py
+++ b/packages/direct/sycamoreloft_direct/_key_coordinator.py
@@ -444,8 +444,10 @@
         keys = _revocations.LostKeys(
             segment.service, segment.first, segment.last
         )
-        self._revocations.add(segment.owner, keys, now)
+        owner = segment.owner
         self._table.vacate(segment, _CAUSE.LEASE_OVER)
+        owns_nothing = all(item.owner != owner for item in self._table)
+        self._revocations.add(owner, keys, now, owns_nothing=owns_nothing)
 
     def _find_follower(
         self, run: _nodes.UpstreamRun
--- a/packages/direct/sycamoreloft_direct/_key_rebalancing.py
+++ b/packages/direct/sycamoreloft_direct/_key_rebalancing.py
@@ -131,6 +131,7 @@
             if (
                 target is not None
                 and not target.is_draining
+                and not self._is_revoked(target.run)
                 and self._table.is_free(segment, now)
             ):
                 self._table.record(segment, target.run, revision)
--- a/packages/direct/sycamoreloft_direct/_revocations.py
+++ b/packages/direct/sycamoreloft_direct/_revocations.py
@@ -107,18 +107,25 @@
         }
         if self._has_predecessor:
             for run in sorted(listed.keys() - self._listed - owners):
-                service = listed[run].service
-                everything = LostKeys(service, 0, _nodes.KEY_COUNT - 1)
-                self.add(run, everything, now)
+                self.add(run, _list_all(listed[run].service), now)
         self._listed = listed.keys()
 
-    def add(self, run: _nodes.UpstreamRun, keys: LostKeys, now: float) -> None:
+    def add(
+        self,
+        run: _nodes.UpstreamRun,
+        keys: LostKeys,
+        now: float,
+        *,
+        owns_nothing: bool = True,
+    ) -> None:
         """Notes that a run lost keys without its answer.
 
         Args:
             run: The run.
             keys: The keys.
             now: Time, in seconds.
+            owns_nothing: Whether the run owns no other keys; one release of
+                all keys is enough then.
         """
         entry = self._entries.get(run)
         if entry is None:
@@ -127,6 +134,10 @@
         pending = self._pending.setdefault(
             run, _Revocation(entry, now, now, [])
         )
+        if owns_nothing:
+            keys = _list_all(keys.service)
+            # The first keys belong to the order that is under way, if any.
+            del pending.keys[1 if pending.order else 0 :]
         pending.keys.append(keys)
 
     def is_pending(self, run: _nodes.UpstreamRun) -> bool:
@@ -202,3 +213,7 @@
             self._create_fence(),
             item.upstream.address,
         )
+
+
+def _list_all(service: str) -> LostKeys:
+    return LostKeys(service, 0, _nodes.KEY_COUNT - 1)
