Bound releases at upstreams that are not known to have lost keys

Callers: keys could have had no owner for 600 s after a change of the coordinator, where upstreams that own nothing answer releases with anything but 200; and a run that restarted under its identifier could lose its keys to a release that was meant for the run before.

Cause: such releases are a precaution of a new coordinator, but blocked an upstream as long as a known loss does. A revocation of an ended run went on, and the new run answers at its address.

Change: a precaution is dropped after 5 s, and a revocation with its run. A later loss begins the time of a revocation anew.

--- a/packages/direct/sycamoreloft_direct/_key_coordinator.py
+++ b/packages/direct/sycamoreloft_direct/_key_coordinator.py
@@ -30,7 +30,7 @@
 #: Fencing tokens of one epoch.
 FENCES_PER_EPOCH = 1 << 24
 
-#: Epoch before which nobody granted keys.
+#: Epoch of the first coordinator, which has no predecessor.
 FIRST_EPOCH = 1
 
 #: Orders without an answer after which a move waits for the lease to end.
@@ -357,7 +357,8 @@
                 return None
             hold_s = min(hold_s, self._leases.find_hold(now, lease_end))
             if hold_s < self._times.retry_s:
-                # An owner that answers by now gives the keys up at once.
+                # Too little of the lease is left for a grant. A release frees
+                # the keys as soon as the owner answers.
                 return self._release(segment, now) if may_change else None
         return self._grant(segment, hold_s)
 
--- a/packages/direct/sycamoreloft_direct/_revocations.py
+++ b/packages/direct/sycamoreloft_direct/_revocations.py
@@ -4,7 +4,7 @@
 ends, however long that is after the wait for its lease. The upstream would
 hold keys that another one has by then. A release with a newer fencing token
 makes it refuse such a grant, or ends what it already took. The release is
-therefore repeated until the upstream answers it.
+therefore repeated until the upstream answers it, or for `GIVE_UP_S`.
 """
 
 from collections import abc
@@ -16,14 +16,15 @@
 #: moment, and the release should arrive as soon as a late grant can.
 RETRY_S = 0.1
 
-#: Seconds after which tries become rare: most cuts and restarts are over.
-PROMPT_S = 10.0
+#: Seconds for which tries follow each other so closely: most cuts and
+#: restarts are over then.
+FAST_RETRY_PERIOD_S = 10.0
 
 #: Seconds between two tries after that.
-RARE_RETRY_S = 1.0
+SLOW_RETRY_S = 1.0
 
-#: Tries under way at once while no upstream answers.
-MOST_AT_ONCE = 8
+#: Releases under way at once, unless an upstream answered a moment ago.
+MAXIMUM_OPEN_ORDERS = 8
 
 #: Seconds after an answer for which all upstreams are tried: a cut that ended
 #: for one has ended for others.
@@ -32,6 +33,10 @@
 #: Seconds after which an upstream that never answered is given up.
 GIVE_UP_S = 600.0
 
+#: The same for one that is not known to have lost keys. It gets none until
+#: then, although it may be sound.
+PRECAUTION_S = 5.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LostKeys:
@@ -51,8 +56,10 @@
 
     #: The upstream as it was listed last.
     upstream: _nodes.Upstream
-    #: When the first keys were taken, in seconds.
+    #: When keys were taken last, in seconds.
     since: float
+    #: When the upstream is given up, in seconds.
+    until: float
     #: When the next try is due, in seconds.
     due_at: float
     #: Keys that it has not released.
@@ -105,9 +112,20 @@
             for run, entry in {**self._entries, **listed}.items()
             if run in owners or run in listed
         }
+        latest = {run.id: run.started_ms for run in sorted(listed)}
+        for run in list(self._pending):
+            if latest.get(run.id, 0) > run.started_ms:
+                # Another run has its identifier, and would get its releases.
+                del self._pending[run]
         if self._has_predecessor:
             for run in sorted(listed.keys() - self._listed - owners):
-                self.add(run, _list_all(listed[run].service), now)
+                self._pending[run] = _Revocation(
+                    listed[run],
+                    now,
+                    now + PRECAUTION_S,
+                    now,
+                    [_list_all(listed[run].service)],
+                )
         self._listed = listed.keys()
 
     def add(
@@ -132,8 +150,9 @@
             # Adopted from the map, and never listed since: no address.
             return
         pending = self._pending.setdefault(
-            run, _Revocation(entry, now, now, [])
+            run, _Revocation(entry, now, now, now, [])
         )
+        pending.since, pending.until = now, now + GIVE_UP_S
         if owns_nothing:
             keys = _list_all(keys.service)
             # The first keys belong to the order that is under way, if any.
@@ -155,7 +174,7 @@
             now: Time, in seconds.
         """
         for run, item in list(self._pending.items()):
-            if now > item.since + GIVE_UP_S:
+            if now > item.until:
                 del self._pending[run]
         due = [
             item
@@ -165,7 +184,7 @@
         if now >= self._answered_until:
             open_count = sum(item.order != 0 for item in self._pending.values())
             due.sort(key=lambda item: item.due_at)
-            due = due[: max(0, MOST_AT_ONCE - open_count)]
+            due = due[: max(0, MAXIMUM_OPEN_ORDERS - open_count)]
         return [self._send(item) for item in due]
 
     def finish(self, order: int, is_answered: bool, now: float) -> bool:
@@ -190,13 +209,13 @@
             item.keys.pop(0)
             if not item.keys:
                 del self._pending[item.upstream.run]
-            self._try_all(now)
+            self._make_all_due(now)
         else:
-            is_prompt = now < item.since + PROMPT_S
-            item.due_at = now + (RETRY_S if is_prompt else RARE_RETRY_S)
+            is_recent = now < item.since + FAST_RETRY_PERIOD_S
+            item.due_at = now + (RETRY_S if is_recent else SLOW_RETRY_S)
         return True
 
-    def _try_all(self, now: float) -> None:
+    def _make_all_due(self, now: float) -> None:
         self._answered_until = now + ANSWERED_S
         for item in self._pending.values():
             item.due_at = min(item.due_at, now)
--- a/packages/direct/tests/test_revocations.py
+++ b/packages/direct/tests/test_revocations.py
@@ -1,5 +1,6 @@
 """Releases at owners that lost their keys without answering."""
 
+import dataclasses
 import itertools
 
 import pytest
@@ -60,7 +61,7 @@
     for number in range(20):
         lose(revocations, number, 0, 9)
     first = revocations.list_due(0.0)
-    assert len(first) == _revocations.MOST_AT_ONCE
+    assert len(first) == _revocations.MAXIMUM_OPEN_ORDERS
     assert not revocations.list_due(0.1)
     revocations.finish(first[0].order, True, 0.2)
     assert len(revocations.list_due(0.2)) == 20 - len(first)
@@ -79,3 +80,35 @@
     assert (release.first, release.last) == (0, LAST)
     revocations.finish(release.order, True, 0.2)
     assert not revocations.is_pending(release.run)
+
+
+def build_successor():
+    """Returns the revocations of a coordinator that has a predecessor."""
+    numbers = itertools.count(1)
+    item = _revocations.Revocations(
+        lambda: next(numbers), lambda: next(numbers), has_predecessor=True
+    )
+    item.update_upstreams({build(0).run: build(0)}, set(), 0.0)
+    return item
+
+
+# Guards against upstreams that get no keys because they refuse releases.
+def test_an_upstream_that_lost_nothing_is_not_kept_waiting(revocations):
+    item = build_successor()
+    run = build(0).run
+    (release,) = item.list_due(0.0)
+    item.finish(release.order, False, 0.1)
+    assert item.is_pending(run)
+    item.list_due(_revocations.PRECAUTION_S + 0.1)
+    assert not item.is_pending(run)
+    lose(revocations, 0, 0, 9)
+    revocations.list_due(_revocations.PRECAUTION_S + 0.1)
+    assert revocations.is_pending(run)
+
+
+# Guards against a release of an ended run that takes the keys of the next one.
+def test_a_later_run_gets_no_release_of_the_one_before(revocations):
+    lose(revocations, 0, 0, 9)
+    later = dataclasses.replace(build(0), started_ms=2)
+    revocations.update_upstreams({later.run: later}, {later.run}, 1.0)
+    assert not revocations.list_due(1.0)
