Wait for the lease of a renewal that was refused

Callers: two upstreams could hold a key.

Cause: renewals share connections and carry no identifier that upstreams repeat, so that a refusal may belong to another renewal on the connection. It counted as proof that the renewal was not taken, and if the owner fell silent then, its lease counted from the renewal before.

Evidence: test_a_refused_renewal_is_waited_for failed before. It costs at most one lease more where an owner refuses and falls silent.

--- a/packages/direct/sycamoreloft_direct/_key_commands.py
+++ b/packages/direct/sycamoreloft_direct/_key_commands.py
@@ -50,7 +50,7 @@
     last: int
     #: Fencing token; the upstream refuses grants up to it from then on.
     fence: int
-    #: Address, as "ip:port", for a run that discovery may list no more;
+    #: Address, as "ip:port", for a run that discovery may no longer list;
     #: empty for the one that it lists.
     address: str = ""
 
@@ -81,8 +81,11 @@
     UNSENT = "unsent"
 
 
-#: Results of grants that the upstream may hold keys under.
-ARRIVED_RESULTS = frozenset({GrantResult.ACCEPTED, GrantResult.UNKNOWN})
+#: Results of grants that the upstream may hold keys under. Renewals share
+#: connections, so that a refusal may be that of another one.
+ARRIVED_RESULTS = frozenset(
+    {GrantResult.ACCEPTED, GrantResult.FENCED, GrantResult.UNKNOWN}
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/direct/tests/test_restarted_owners.py
+++ b/packages/direct/tests/test_restarted_owners.py
@@ -33,6 +33,7 @@
         keys = sycamoreloft_direct.ServiceKeys(SERVICE, ranges)
         self.now = 0.0
         self.unreachable = set()
+        self.refusing = set()
         self.is_confirmed = True
         self.grants = []
         self.releases = []
@@ -62,15 +63,20 @@
             return
         if isinstance(command, sycamoreloft_direct.SendRelease):
             self.releases.append(command)
-            self.coordinator.finish_release(command.order, "state", self.now)
+            is_reached = command.run.id not in self.unreachable
+            handover = "state" if is_reached else None
+            self.coordinator.finish_release(command.order, handover, self.now)
             return
         self.grants.append(command)
-        is_reached = command.run.id not in self.unreachable
-        self.coordinator.finish_grant(
-            command.order,
-            RESULTS.ACCEPTED if is_reached else RESULTS.UNREACHED,
-            self.now,
-        )
+        result = RESULTS.ACCEPTED
+        if command.run.id in self.refusing:
+            # Its next orders are not answered.
+            result = RESULTS.FENCED
+            self.unreachable.add(command.run.id)
+            self.refusing.clear()
+        elif command.run.id in self.unreachable:
+            result = RESULTS.UNREACHED
+        self.coordinator.finish_grant(command.order, result, self.now)
 
     def find_first_owner(self):
         """Returns the identifier of the recorded owner of the first key."""
@@ -122,3 +128,16 @@
     coordination.run(1.0)
     assert coordination.find_first_owner() == "u0"
     assert not coordination.releases
+
+
+# Guards against a second owner: the refusal may be the answer to another
+# renewal on the connection, and the renewal may have been taken.
+def test_a_refused_renewal_is_waited_for(coordination):
+    coordination.run(EARLIER_S + 2.0)
+    coordination.refusing.add("u0")
+    while coordination.refusing:
+        coordination.run(TICK_S)
+    coordination.run(sycamoreloft_direct.HoldTimes().hold_s)
+    assert coordination.find_first_owner() == "u0"
+    coordination.run(6.0)
+    assert coordination.find_first_owner() == "u1"
