Let only this process give up the connection of an order

A connection that the system gives up is not reset by its sender, and what it held up is delivered when the cut ends; the platform drops only what a sender resets or loses power with.

--- a/packages/router/sycamoreloft_router/_call_client.py
+++ b/packages/router/sycamoreloft_router/_call_client.py
@@ -20,7 +20,8 @@
     _upstream_client,
 )
 
-#: Seconds without an acknowledgement after which a connection is given up.
+#: Seconds without an acknowledgement after which a connection is given up
+#: whose calls may wait long for their answers.
 SILENCE_S = 2.0
 
 #: Status of a call that got no whole answer.
@@ -109,9 +110,18 @@
             each call: a late second answer to the call before would look
             like the answer to the next one. If it is empty, connections are
             kept, and the caller has to tell whose answer it got.
+        silence_s: Seconds without an acknowledgement after which the system
+            closes a connection; 0 if nothing of a call may arrive once it has
+            ended. What the system gives up by itself may still arrive; what
+            this process gives up may not.
     """
 
-    def __init__(self, connect_timeout_s: float, id_header: str = "") -> None:
+    def __init__(
+        self,
+        connect_timeout_s: float,
+        id_header: str = "",
+        silence_s: float = SILENCE_S,
+    ) -> None:
         self._loop = asyncio.get_running_loop()
         self._id_header = id_header
         self._client = _upstream_client.UpstreamClient(
@@ -123,7 +133,8 @@
                 ),
                 connect_timeout_s,
                 assumes_echo=True,
-                silence_s=SILENCE_S,
+                silence_s=silence_s,
+                drops_unsent=True,
             ),
         )
 
--- a/packages/router/sycamoreloft_router/_connection_rules.py
+++ b/packages/router/sycamoreloft_router/_connection_rules.py
@@ -39,6 +39,8 @@
     #: Seconds after which a peer that acknowledges nothing is given up; 0
     #: leaves that to the deadline of the request.
     silence_s: float = 0.0
+    #: Whether closing a connection drops what was not delivered.
+    drops_unsent: bool = False
 
 
 class KeptSockets:
@@ -72,16 +74,19 @@
         return bool(poll.poll(0))
 
 
-def limit_silence(descriptor: int, seconds: float) -> None:
-    """Lets the system close a connection whose peer acknowledges nothing.
+def set_options(descriptor: int, rules: ConnectionRules) -> None:
+    """Sets the options of a new socket.
 
-    Closing the connection also drops what was not delivered: a request that
-    was given up would otherwise arrive when a partition heals.
+    If closing a connection drops what was not delivered, a request that was
+    given up does not arrive when a partition heals. That holds only if this
+    process closes the connection, and not the system because of silence.
 
     Args:
         descriptor: The socket.
-        seconds: Longest time without an acknowledgement.
+        rules: How its connection is kept and given up.
     """
+    if not (rules.silence_s or rules.drops_unsent):
+        return
     # Without these arguments it would ask the system for each of them.
     connection = socket.socket(
         socket.AF_INET,
@@ -90,21 +95,28 @@
         fileno=descriptor,
     )
     try:
-        connection.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-        )
-        options = (
-            (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, max(1, int(seconds / 2))),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, max(1, int(seconds / 2))),
-            (
-                socket.IPPROTO_TCP,
-                socket.TCP_USER_TIMEOUT,
-                round(seconds * 1000),
-            ),
-        )
-        for level, option, value in options:
-            connection.setsockopt(level, option, value)
+        if rules.drops_unsent:
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+        if rules.silence_s:
+            _limit_silence(connection, rules.silence_s)
     finally:
         connection.detach()
+
+
+def _limit_silence(connection: socket.socket, seconds: float) -> None:
+    """Lets the system close a connection whose peer acknowledges nothing."""
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, max(1, int(seconds / 2))),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, max(1, int(seconds / 2))),
+        (
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            round(seconds * 1000),
+        ),
+    )
+    for level, option, value in options:
+        connection.setsockopt(level, option, value)
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -171,6 +171,7 @@
                 IDLE_CONNECTION_S,
                 True,
                 SILENCE_S,
+                drops_unsent=True,
             ),
         )
         self._budgets = sycamoreloft_direct.ServiceRetryBudgets(
--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -170,8 +170,7 @@
     def _on_socket(self, descriptor: int, _purpose: int) -> int:
         self.is_connection_new = True
         self.descriptor = descriptor
-        if self.rules.silence_s:
-            _connection_rules.limit_silence(descriptor, self.rules.silence_s)
+        _connection_rules.set_options(descriptor, self.rules)
         if self.transfer is not None:
             self.transfer.is_connecting = True
         return int(pycurl.SOCKOPT_OK)
--- a/packages/router/tests/test_socket_options.py
+++ b/packages/router/tests/test_socket_options.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 
 import pytest
 import raw_peers
@@ -28,7 +29,8 @@
 
 def test_the_limits_of_a_silence_leave_the_socket_open(connection):
     """Guards against connections that stay silent for good."""
-    _connection_rules.limit_silence(connection.fileno(), 2.0)
+    rules = _connection_rules.ConnectionRules(silence_s=2.0)
+    _connection_rules.set_options(connection.fileno(), rules)
     options = [
         connection.getsockopt(socket.IPPROTO_TCP, option)
         for option in (
@@ -42,6 +44,19 @@
     assert connection.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
 
 
+# Guards against requests that arrive after they were given up: what the system
+# closes because of silence may still be delivered, what is reset may not.
+def test_only_this_process_gives_up_a_connection_that_drops(connection):
+    rules = _connection_rules.ConnectionRules(drops_unsent=True)
+    _connection_rules.set_options(connection.fileno(), rules)
+    linger = connection.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)
+    assert struct.unpack("ii", linger) == (1, 0)
+    assert not connection.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+    assert not connection.getsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+    )
+
+
 def test_answers_are_sent_without_delay_by_one_call(connection, monkeypatch):
     """Guards against system calls for each answer of a kept connection."""
     connection.setblocking(False)
