Give releases at lost owners events of their own

Each try wrote release-failed and order-failed, 20 lines a second in a cut, which share the limit of lines with other orders.

--- a/packages/direct/sycamoreloft_direct/_key_commands.py
+++ b/packages/direct/sycamoreloft_direct/_key_commands.py
@@ -53,6 +53,8 @@
     #: Address, as "ip:port", for a run that discovery may no longer list;
     #: empty for the one that it lists.
     address: str = ""
+    #: Whether it is repeated until an owner answers that lost its keys.
+    is_revocation: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/direct/sycamoreloft_direct/_revocations.py
+++ b/packages/direct/sycamoreloft_direct/_revocations.py
@@ -231,6 +231,7 @@
             keys.last,
             self._create_fence(),
             item.upstream.address,
+            is_revocation=True,
         )
 
 
--- a/packages/router/sycamoreloft_router/_order_logs.py
+++ b/packages/router/sycamoreloft_router/_order_logs.py
@@ -67,10 +67,14 @@
     is_answered: bool,
     call: OrderCall,
 ) -> None:
-    """Logs a release that ended."""
-    level, event, result = logging.WARNING, "release-failed", "no answer"
+    """Logs a release that ended.
+
+    Revocations have events of their own, since many are tried in a cut.
+    """
+    name = "revocation" if release.is_revocation else "release"
+    level, event, result = logging.WARNING, f"{name}-failed", "no answer"
     if is_answered:
-        level, event, result = logging.INFO, "release-answered", "released"
+        level, event, result = logging.INFO, f"{name}-answered", "released"
     _log_order(level, event, release, result, 0.0, call)
 
 
--- a/packages/router/tests/test_order_logs.py
+++ b/packages/router/tests/test_order_logs.py
@@ -319,3 +319,21 @@
     assert line["lease_over_s"] is None
     assert line["claims"][0]["closed_ago_s"] is None
     assert line["claims"][0]["over_s"] is None
+
+
+# Guards against tries during a cut that use up the lines of other orders.
+def test_revocations_have_events_of_their_own(play, recorder):
+    async def scenario(world):
+        name = min(world.upstreams)
+        for host in world.hosts.values():
+            host.unreachable = {name}
+        await asyncio.sleep(7.0)
+        tries = recorder.list("revocation-failed")
+        assert {line["upstream"] for line in tries} == {name}
+        recorder.lines.clear()
+        world.calm()
+        await asyncio.sleep(2.0)
+        (answered,) = recorder.list("revocation-answered")
+        assert answered["upstream"] == name
+
+    play(scenario)
