Name calls to another host requests

Methods that send or receive a permit, claim, promise or step-down request were called ask_*; they are now request_* at the sender and handle_*_request at the holder.

--- a/packages/proof/sycamoreloft_proof/_bench_router.py
+++ b/packages/proof/sycamoreloft_proof/_bench_router.py
@@ -84,7 +84,7 @@
         """Lists no group."""
         return ()
 
-    async def ask_permit(
+    async def request_permit(
         self, request: sycamoreloft_wire.PermitRequest
     ) -> sycamoreloft_wire.PermitGrant:
         """Grants the permit."""
@@ -100,7 +100,7 @@
     def return_permit(self, returned: sycamoreloft_wire.PermitReturn) -> None:
         """Takes a permit back."""
 
-    async def ask_claim(
+    async def request_claim(
         self, request: sycamoreloft_wire.ClaimRequest
     ) -> sycamoreloft_wire.ClaimAnswer:
         """Gives the claim."""
--- a/packages/router/sycamoreloft_router/_attempts.py
+++ b/packages/router/sycamoreloft_router/_attempts.py
@@ -159,7 +159,7 @@
         if self._group is None:
             return self._decide(sycamoreloft_decisions.PermitDenied("no-group"))
         try:
-            answer = await self._ask_permit(self._group)
+            answer = await self._request_permit(self._group)
         except asyncio.CancelledError:
             if self.stop_event is None:
                 raise
@@ -171,13 +171,13 @@
             )
         return await self._use_permit(self._group, answer)
 
-    async def _ask_permit(
+    async def _request_permit(
         self, group: str
     ) -> sycamoreloft_wire.PermitGrant | sycamoreloft_wire.PermitRefusal:
         request = self._given.request
         asked_at = self._loop.time()
         try:
-            return await self._services.permits.ask_permit(
+            return await self._services.permits.request_permit(
                 sycamoreloft_wire.PermitRequest(
                     group,
                     self._id,
@@ -228,7 +228,7 @@
         valid_until = self._loop.time() + grant.valid_ms / 1000
         self._handle(sycamoreloft_decisions.PermitReceived(valid_until))
         if self._given.request.operation.at_most_once:
-            decision = await self._ask_claim()
+            decision = await self._request_claim()
             if decision is not None:
                 return decision
         now = self._loop.time()
@@ -358,7 +358,7 @@
             self.stop_event or sycamoreloft_decisions.CallerGone()
         )
 
-    async def _ask_claim(self) -> sycamoreloft_decisions.Decision | None:
+    async def _request_claim(self) -> sycamoreloft_decisions.Decision | None:
         given = self._given
         request = given.request
         id_hash = hashlib.sha256(
@@ -377,7 +377,7 @@
             given.fingerprint,
             self._id,
         )
-        answer = await self._services.claims.ask_claim(self._claim)
+        answer = await self._services.claims.request_claim(self._claim)
         self.claim_answer = answer
         self._claim_verdict = answer.verdict
         return self._handle(
--- a/packages/router/sycamoreloft_router/_group_calls.py
+++ b/packages/router/sycamoreloft_router/_group_calls.py
@@ -196,7 +196,7 @@
         self._feed(answer)
         self._observe_grant(upstream, answer)
 
-    async def ask_promise(
+    async def request_promise(
         self, command: sycamoreloft_decisions.AskPromise
     ) -> None:
         """Asks the standby for a promise."""
@@ -213,7 +213,7 @@
                 )
             )
 
-    async def ask_step_down(
+    async def request_step_down(
         self, command: sycamoreloft_decisions.AskStepDown
     ) -> None:
         """Asks an earlier holder to stop acting."""
--- a/packages/router/sycamoreloft_router/_group_runtime.py
+++ b/packages/router/sycamoreloft_router/_group_runtime.py
@@ -137,7 +137,7 @@
 
     # Messages of other hosts.
 
-    def ask_permit(
+    def handle_permit_request(
         self,
         message: sycamoreloft_wire.PermitRequest,
         reply: _peer_server.Reply,
@@ -204,7 +204,7 @@
         if self._permits is not None:
             self._permits.report_permits(message, reply)
 
-    def ask_claim(
+    def handle_claim_request(
         self,
         message: sycamoreloft_wire.ClaimRequest,
         reply: _peer_server.Reply,
@@ -231,7 +231,7 @@
         if self._claims is not None:
             self._claims.report(message)
 
-    def ask_promise(
+    def handle_promise_request(
         self,
         sender: str,
         message: sycamoreloft_wire.PromiseRequest,
@@ -245,7 +245,7 @@
             reply,
         )
 
-    def ask_step_down(
+    def handle_step_down_request(
         self,
         message: sycamoreloft_wire.StepDownRequest,
         reply: _peer_server.Reply,
@@ -359,7 +359,7 @@
         command: sycamoreloft_decisions.AskPromise,
         reply: _peer_server.Reply | None,
     ) -> None:
-        self._spawn(self._calls.ask_promise(command))
+        self._spawn(self._calls.request_promise(command))
 
     @_perform.register
     def _(
@@ -367,7 +367,7 @@
         command: sycamoreloft_decisions.AskStepDown,
         reply: _peer_server.Reply | None,
     ) -> None:
-        self._spawn(self._calls.ask_step_down(command))
+        self._spawn(self._calls.request_step_down(command))
 
     @_perform.register
     def _(
--- a/packages/router/sycamoreloft_router/_holder_calls.py
+++ b/packages/router/sycamoreloft_router/_holder_calls.py
@@ -126,7 +126,7 @@
     runtime: _group_runtime.GroupRuntime,
     reply: _peer_server.Reply,
 ) -> None:
-    runtime.ask_permit(message, reply)
+    runtime.handle_permit_request(message, reply)
 
 
 @deliver.register
@@ -153,7 +153,7 @@
     runtime: _group_runtime.GroupRuntime,
     reply: _peer_server.Reply,
 ) -> None:
-    runtime.ask_claim(message, reply)
+    runtime.handle_claim_request(message, reply)
 
 
 @deliver.register
--- a/packages/router/sycamoreloft_router/_host.py
+++ b/packages/router/sycamoreloft_router/_host.py
@@ -355,7 +355,7 @@
     ) -> None:
         runtime = self._groups.runtimes.get(message.group)
         if runtime is not None:
-            runtime.ask_promise(sender, message, reply)
+            runtime.handle_promise_request(sender, message, reply)
 
     @_act.register
     def _(
@@ -366,7 +366,7 @@
     ) -> None:
         runtime = self._groups.runtimes.get(message.group)
         if runtime is not None:
-            runtime.ask_step_down(message, reply)
+            runtime.handle_step_down_request(message, reply)
 
     @_act.register
     def _(
--- a/packages/router/sycamoreloft_router/_permit_ports.py
+++ b/packages/router/sycamoreloft_router/_permit_ports.py
@@ -64,7 +64,7 @@
 class PermitSource(typing.Protocol):
     """Asks the holders of groups for permits."""
 
-    async def ask_permit(
+    async def request_permit(
         self, request: sycamoreloft_wire.PermitRequest
     ) -> sycamoreloft_wire.PermitGrant | sycamoreloft_wire.PermitRefusal:
         """Asks the holder of `request.group` for a permit.
@@ -99,7 +99,7 @@
 class ClaimSource(typing.Protocol):
     """Asks claim holders for claims of operations that run at most once."""
 
-    async def ask_claim(
+    async def request_claim(
         self, request: sycamoreloft_wire.ClaimRequest
     ) -> sycamoreloft_wire.ClaimAnswer:
         """Asks the claim holder of `request.group` for a claim.
--- a/packages/router/sycamoreloft_router/_permit_source.py
+++ b/packages/router/sycamoreloft_router/_permit_source.py
@@ -62,7 +62,7 @@
         self._calls = calls
         self._groups: dict[str, _GroupUse] = {}
 
-    async def ask_permit(
+    async def request_permit(
         self, request: sycamoreloft_wire.PermitRequest
     ) -> sycamoreloft_wire.PermitGrant | sycamoreloft_wire.PermitRefusal:
         """Asks the holder of the group; see `_permit_ports.PermitSource`."""
@@ -216,7 +216,7 @@
     def __init__(self, calls: _holder_calls.HolderCalls) -> None:
         self._calls = calls
 
-    async def ask_claim(
+    async def request_claim(
         self, request: sycamoreloft_wire.ClaimRequest
     ) -> sycamoreloft_wire.ClaimAnswer:
         """Asks the claim holder; see `_permit_ports.ClaimSource`."""
--- a/packages/router/tests/fake_sources.py
+++ b/packages/router/tests/fake_sources.py
@@ -85,7 +85,7 @@
     def list_far_groups(self, fleet, service):
         return self.far
 
-    async def ask_permit(self, request):
+    async def request_permit(self, request):
         self.asked.append(request)
         await asyncio.sleep(self.delay_s)
         if self.refusals:
@@ -107,7 +107,7 @@
         """Reports that the upstream of the latest permit is lost."""
         self.watched[self.asked[-1].permit]()
 
-    async def ask_claim(self, request):
+    async def request_claim(self, request):
         self.claims.append(request)
         if self.verdicts:
             verdict = self.verdicts.pop(0)
--- a/packages/router/tests/test_alias_releases.py
+++ b/packages/router/tests/test_alias_releases.py
@@ -181,7 +181,7 @@
             1,
             5_000,
         )
-        self.runtime.ask_permit(message, reply)
+        self.runtime.handle_permit_request(message, reply)
 
     def give_back(self, grant):
         self.runtime.return_permit(
--- a/packages/router/tests/test_exchange.py
+++ b/packages/router/tests/test_exchange.py
@@ -447,13 +447,13 @@
 
     async def scenario(bench, upstream):
         claim = asyncio.Event()
-        ask_claim = bench.sources.ask_claim
+        request_claim = bench.sources.request_claim
 
         async def ask_late(request):
             await claim.wait()
-            return await ask_claim(request)
+            return await request_claim(request)
 
-        bench.sources.ask_claim = ask_late
+        bench.sources.request_claim = ask_late
         asking = asyncio.ensure_future(bench.ask(WAGER, b"1"))
         await raw_peers.wait_until(lambda: bench.sources.watched)
         bench.sources.lose_upstream()
--- a/packages/router/tests/test_permit_source.py
+++ b/packages/router/tests/test_permit_source.py
@@ -53,7 +53,7 @@
 
 def ask(calls, message):
     source = _permit_source.HolderPermits("h1", calls)
-    return source, asyncio.run(source.ask_permit(message))
+    return source, asyncio.run(source.request_permit(message))
 
 
 @pytest.mark.parametrize("first", [NO_HOLDER, LOST, UNSENT])
@@ -95,7 +95,7 @@
     source = _permit_source.HolderPermits("h1", calls)
 
     async def run():
-        task = asyncio.ensure_future(source.ask_permit(request_message))
+        task = asyncio.ensure_future(source.request_permit(request_message))
         await asyncio.sleep(0)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
@@ -132,7 +132,7 @@
     calls = FakeCalls(LOST)
     claims = _permit_source.HolderClaims(calls)
     message = sycamoreloft_wire.ClaimRequest("f/d/0", 1, b"i", b"f", "a1")
-    answer = asyncio.run(claims.ask_claim(message))
+    answer = asyncio.run(claims.request_claim(message))
     assert answer.verdict == "unavailable"
     assert len(calls.asked) == 1
 
@@ -155,7 +155,7 @@
 
     async def run():
         source = _permit_source.HolderPermits("h1", calls)
-        await source.ask_permit(request_message)
+        await source.request_permit(request_message)
         source.watch_permit(
             "f/d/0", "p1", lambda: told.append(len(calls.asked))
         )
@@ -171,7 +171,7 @@
 
     async def run():
         source = _permit_source.HolderPermits("h1", calls)
-        await source.ask_permit(message)
+        await source.request_permit(message)
         task = asyncio.ensure_future(source.run_reports())
         while len(calls.asked) < 2:
             await asyncio.sleep(0.01)
