--- a/packages/decisions/sycamoreloft_decisions/_claim_events.py
+++ b/packages/decisions/sycamoreloft_decisions/_claim_events.py
@@ -19,7 +19,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ClaimAsked:
+class ClaimRequested:
     """An attempt asks for the claim of a request id."""
 
     #: Hash of fleet, service and request id.
@@ -31,7 +31,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ClaimResulted:
+class ClaimResultReported:
     """An attempt reports what became of it, also if it gave up waiting."""
 
     #: As in the claim.
@@ -77,7 +77,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class BatchUnanswered:
+class BatchOutcomeUnknown:
     """A write or read of a batch failed; the write may have taken effect."""
 
     #: Sequence number of the batch.
@@ -117,11 +117,11 @@
 
 
 ClaimEvent = (
-    ClaimAsked
-    | ClaimResulted
+    ClaimRequested
+    | ClaimResultReported
     | BatchStored
     | BatchRefused
-    | BatchUnanswered
+    | BatchOutcomeUnknown
     | BatchRead
     | RowsLoaded
     | GroupsChanged
--- a/packages/decisions/sycamoreloft_decisions/_claims.py
+++ b/packages/decisions/sycamoreloft_decisions/_claims.py
@@ -17,13 +17,13 @@
 BatchRead = _claim_events.BatchRead
 BatchRefused = _claim_events.BatchRefused
 BatchStored = _claim_events.BatchStored
-BatchUnanswered = _claim_events.BatchUnanswered
-ClaimAsked = _claim_events.ClaimAsked
+BatchOutcomeUnknown = _claim_events.BatchOutcomeUnknown
+ClaimRequested = _claim_events.ClaimRequested
 ClaimCommand = _claim_events.ClaimCommand
 ClaimEntry = _claim_events.ClaimEntry
 ClaimEvent = _claim_events.ClaimEvent
 ClaimOptions = _claim_events.ClaimOptions
-ClaimResulted = _claim_events.ClaimResulted
+ClaimResultReported = _claim_events.ClaimResultReported
 ClaimTick = _claim_events.ClaimTick
 GroupsChanged = _claim_events.GroupsChanged
 ReadBatch = _claim_events.ReadBatch
@@ -38,7 +38,7 @@
 class _Claim:
     """The latest claim of one id."""
 
-    asked: ClaimAsked
+    asked: ClaimRequested
     at: float
     durable: bool = False
     #: Whether the attempt certainly does not send: it was told so, or it
@@ -49,7 +49,7 @@
     #: Batch that contains the claim, 0 while it is being collected.
     sequence: int = 0
     #: Attempts of the same id that wait until the claim is settled.
-    followers: list[tuple[ClaimAsked, float]] = dataclasses.field(
+    followers: list[tuple[ClaimRequested, float]] = dataclasses.field(
         default_factory=list
     )
     #: Claim of another group that holds the id once this one is void.
@@ -68,7 +68,7 @@
     read_at: float | None = None
 
 
-class ClaimBook:
+class ClaimRegistry:
     """Claims of one holder in one epoch."""
 
     def __init__(self, epoch: int, options: ClaimOptions | None = None) -> None:
@@ -83,7 +83,7 @@
         self._results: list[ClaimEntry] = []
         self._results_since = 0.0
         self._batches: dict[int, _Batch] = {}
-        self._early: list[tuple[ClaimAsked, float]] = []
+        self._early: list[tuple[ClaimRequested, float]] = []
         self._follower_count = 0
 
     def count_claims(self) -> int:
@@ -110,7 +110,7 @@
 
     @_handle.register
     def _handle_asked(
-        self, event: _claim_events.ClaimAsked, now: float
+        self, event: _claim_events.ClaimRequested, now: float
     ) -> abc.Sequence[ClaimCommand]:
         commands: _Commands = []
         self._ask(event, now, now, commands)
@@ -118,7 +118,7 @@
 
     @_handle.register
     def _handle_resulted(
-        self, event: _claim_events.ClaimResulted, now: float
+        self, event: _claim_events.ClaimResultReported, now: float
     ) -> abc.Sequence[ClaimCommand]:
         commands: _Commands = []
         claim = self._claims.get(event.id_hash)
@@ -162,7 +162,7 @@
 
     @_handle.register
     def _handle_unanswered(
-        self, event: _claim_events.BatchUnanswered, now: float
+        self, event: _claim_events.BatchOutcomeUnknown, now: float
     ) -> abc.Sequence[ClaimCommand]:
         batch = self._batches.get(event.sequence)
         if batch is None:
@@ -203,7 +203,9 @@
             for entry in event.entries
             if entry.attempt not in known_attempts
         ):
-            asked = ClaimAsked(entry.id_hash, entry.fingerprint, entry.attempt)
+            asked = ClaimRequested(
+                entry.id_hash, entry.fingerprint, entry.attempt
+            )
             claim = _Claim(asked, now, durable=True)
             claim.outcome = entry.outcome
             claim.status = entry.status
@@ -260,7 +262,7 @@
 
     def _ask(
         self,
-        asked: ClaimAsked,
+        asked: ClaimRequested,
         asked_at: float,
         now: float,
         commands: _Commands,
@@ -282,7 +284,7 @@
     def _ask_again(
         self,
         claim: _Claim,
-        asked: ClaimAsked,
+        asked: ClaimRequested,
         asked_at: float,
         commands: _Commands,
     ) -> None:
@@ -313,7 +315,7 @@
 
     def _start(
         self,
-        asked: ClaimAsked,
+        asked: ClaimRequested,
         asked_at: float,
         now: float,
         commands: _Commands,
@@ -463,10 +465,10 @@
         self._results = []
 
 
-def _answer_unavailable(asked: ClaimAsked) -> AnswerClaim:
+def _answer_unavailable(asked: ClaimRequested) -> AnswerClaim:
     return AnswerClaim(asked.attempt, Verdict.UNAVAILABLE)
 
 
 # An access to a singledispatchmethod builds a new function and took 2 to 4 us;
 # a look-up in its table took 0.3 us.
-_find_handler = vars(ClaimBook)["_handle"].dispatcher.dispatch
+_find_handler = vars(ClaimRegistry)["_handle"].dispatcher.dispatch
--- a/packages/decisions/sycamoreloft_decisions/_permit_admission.py
+++ b/packages/decisions/sycamoreloft_decisions/_permit_admission.py
@@ -11,7 +11,7 @@
     _recent_set,
 )
 
-Commands = list[_permit_events.DeskCommand]
+Commands = list[_permit_events.PermitCommand]
 
 #: Permits whose end is remembered, so that a late report does not bring them
 #: back.
@@ -40,7 +40,7 @@
         now: float,
         *,
         fresh: bool = False,
-        options: _permit_events.DeskOptions | None = None,
+        options: _permit_events.PermitOptions | None = None,
     ) -> None:
         """Starts a desk.
 
@@ -52,7 +52,7 @@
             options: Limits.
         """
         self._generator = generator
-        self._options = options or _permit_events.DeskOptions()
+        self._options = options or _permit_events.PermitOptions()
         self._recovering = not fresh
         self._recovered_at = now + self._options.recovery_s
         self._closed = False
@@ -84,12 +84,14 @@
 
     def _admit(
         self,
-        asked: _permit_events.PermitAsked,
+        asked: _permit_events.PermitRequested,
         now: float,
         commands: Commands,
     ) -> None:
         if asked.deadline <= now:
-            commands.append(refuse(asked, _permit_events.Reason.DEADLINE))
+            commands.append(
+                refuse(asked, _permit_events.RefusalReason.DEADLINE)
+            )
             return
         if self._waiting.holds:
             hold = self._waiting.find_hold(asked)
@@ -112,7 +114,7 @@
 
     def _restrict(
         self,
-        asked: _permit_events.PermitAsked,
+        asked: _permit_events.PermitRequested,
         candidates: list[_balancing.UpstreamState],
         now: float,
         commands: Commands,
@@ -120,7 +122,9 @@
         """Returns where a request may run; None if it waits or is refused."""
         standing = self._quarantine.judge(asked.fingerprint, now)
         if standing is _quarantine.Standing.GUILTY:
-            commands.append(refuse(asked, _permit_events.Reason.QUARANTINED))
+            commands.append(
+                refuse(asked, _permit_events.RefusalReason.QUARANTINED)
+            )
             return None
         if standing is _quarantine.Standing.UNRESOLVED or (
             standing is _quarantine.Standing.SUSPECT
@@ -141,23 +145,27 @@
         return others or candidates
 
     def _wait_as_suspect(
-        self, asked: _permit_events.PermitAsked, commands: Commands
+        self, asked: _permit_events.PermitRequested, commands: Commands
     ) -> None:
         if not self._waiting.add_suspect(asked):
-            commands.append(refuse(asked, _permit_events.Reason.OVERLOADED))
+            commands.append(
+                refuse(asked, _permit_events.RefusalReason.OVERLOADED)
+            )
 
     def _wait_for_hold(
         self,
-        asked: _permit_events.PermitAsked,
+        asked: _permit_events.PermitRequested,
         hold: _permit_records.Hold,
         commands: Commands,
     ) -> None:
         if not self._waiting.add_held(asked, hold):
-            commands.append(refuse(asked, _permit_events.Reason.OVERLOADED))
+            commands.append(
+                refuse(asked, _permit_events.RefusalReason.OVERLOADED)
+            )
 
     def _enqueue(
         self,
-        asked: _permit_events.PermitAsked,
+        asked: _permit_events.PermitRequested,
         candidates: list[_balancing.UpstreamState],
         now: float,
         commands: Commands,
@@ -173,7 +181,9 @@
             or (self._recovering and not upstream.slots)
         ]
         if not usable:
-            commands.append(refuse(asked, _permit_events.Reason.NO_UPSTREAM))
+            commands.append(
+                refuse(asked, _permit_events.RefusalReason.NO_UPSTREAM)
+            )
             return
         lane = self._waiting.find_lane(asked)
         bound = sum(upstream.queue or FIRST_QUEUE for upstream in usable)
@@ -182,15 +192,17 @@
             wait_s = max(wait_s, self._find_recovery_wait(usable, now))
         reason = None
         if now + wait_s >= asked.deadline:
-            reason = _permit_events.Reason.DEADLINE
+            reason = _permit_events.RefusalReason.DEADLINE
         elif lane.size >= bound:
             victim = lane.evict_below(asked.priority)
             if victim is None:
-                reason = _permit_events.Reason.OVERLOADED
+                reason = _permit_events.RefusalReason.OVERLOADED
             else:
                 del self._waiting.tickets[victim.asked.permit]
                 commands.append(
-                    refuse(victim.asked, _permit_events.Reason.SHED, wait_s)
+                    refuse(
+                        victim.asked, _permit_events.RefusalReason.SHED, wait_s
+                    )
                 )
         if reason is None:
             self._waiting.add_queued(asked, lane)
@@ -206,7 +218,7 @@
 
     def _issue(
         self,
-        asked: _permit_events.PermitAsked,
+        asked: _permit_events.PermitRequested,
         upstream: _balancing.UpstreamState,
         now: float,
         commands: Commands,
@@ -224,7 +236,7 @@
 
     def _grant(
         self,
-        asked: _permit_events.PermitAsked,
+        asked: _permit_events.PermitRequested,
         upstream: _balancing.UpstreamState,
     ) -> _permit_events.IssuePermit:
         return _permit_events.IssuePermit(
@@ -249,7 +261,9 @@
                 return
             asked = ticket.asked
             if now + self._waiting.find_service_time(asked) > asked.deadline:
-                commands.append(refuse(asked, _permit_events.Reason.DEADLINE))
+                commands.append(
+                    refuse(asked, _permit_events.RefusalReason.DEADLINE)
+                )
                 continue
             if asked.fingerprint in self._running or not (
                 self._quarantine.is_empty()
@@ -309,7 +323,7 @@
             )
 
     def _learn(
-        self, used: _permit_events.UsedPermit, host: str, now: float
+        self, used: _permit_events.ReportedPermit, host: str, now: float
     ) -> None:
         asked = _permit_records.describe_learned(
             used, host, now + self._options.longest_deadline_s
@@ -361,7 +375,7 @@
         return upstream
 
     def _find_candidates(
-        self, asked: _permit_events.PermitAsked
+        self, asked: _permit_events.PermitRequested
     ) -> list[_balancing.UpstreamState]:
         names = asked.candidates
         found = self._candidates.get(names)
@@ -381,8 +395,8 @@
 
 
 def refuse(
-    asked: _permit_events.PermitAsked,
-    reason: _permit_events.Reason,
+    asked: _permit_events.PermitRequested,
+    reason: _permit_events.RefusalReason,
     retry_after_s: float = LEAST_RETRY_AFTER_S,
 ) -> _permit_events.RefusePermit:
     """Returns the refusal of a request."""
--- a/packages/decisions/sycamoreloft_decisions/_permit_events.py
+++ b/packages/decisions/sycamoreloft_decisions/_permit_events.py
@@ -7,7 +7,7 @@
 import sycamoreloft_config
 
 
-class Reason(enum.StrEnum):
+class RefusalReason(enum.StrEnum):
     """Stable reasons of a refused permit."""
 
     #: The queue is full of requests of the same or a higher class.
@@ -25,7 +25,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PermitAsked:
+class PermitRequested:
     """A host asks for the right to send one request."""
 
     #: Identifier, unique among all hosts and their incarnations.
@@ -69,7 +69,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class UsedPermit:
+class ReportedPermit:
     """One permit that a host still uses."""
 
     #: Identifier of the permit.
@@ -102,7 +102,7 @@
     #: Name of the reporting host.
     host: str
     #: Permits in use.
-    permits: abc.Sequence[UsedPermit]
+    permits: abc.Sequence[ReportedPermit]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,7 +139,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PartitionHeld:
+class PartitionPaused:
     """New permits of a partition or key must wait."""
 
     #: Fleet of the service.
@@ -153,7 +153,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PartitionReleased:
+class PartitionResumed:
     """The requests of a held partition or key may go on."""
 
     #: Fleet of the service.
@@ -164,7 +164,7 @@
     partition: int
     #: Owner from now on; empty if the waiting requests keep their candidates.
     upstream: str = ""
-    #: Key, as in `PartitionHeld`.
+    #: Key, as in `PartitionPaused`.
     key: str = ""
 
 
@@ -179,27 +179,27 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class DeskClosed:
+class PermitIssuerClosed:
     """The host no longer holds the group; everything queued is refused."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class DeskTick:
+class PermitTick:
     """Time passes; sent about every 50 ms."""
 
 
-DeskEvent = (
-    PermitAsked
+PermitEvent = (
+    PermitRequested
     | PermitReturned
     | PermitsReported
     | UpstreamAvailable
     | UpstreamUnavailable
     | UpstreamLost
-    | PartitionHeld
-    | PartitionReleased
+    | PartitionPaused
+    | PartitionResumed
     | SuspectsReported
-    | DeskClosed
-    | DeskTick
+    | PermitIssuerClosed
+    | PermitTick
 )
 
 
@@ -231,7 +231,7 @@
     #: Host that asked.
     host: str
     #: Why.
-    reason: Reason
+    reason: RefusalReason
     #: Seconds after which a retry makes sense; 0 for unknown.
     retry_after_s: float = 0.0
 
@@ -246,7 +246,7 @@
     service: str
     #: Partition.
     partition: int
-    #: Key, as in `PartitionHeld`.
+    #: Key, as in `PartitionPaused`.
     key: str
 
 
@@ -260,11 +260,11 @@
     guilty: bool
 
 
-DeskCommand = IssuePermit | RefusePermit | PartitionDrained | ShareSuspects
+PermitCommand = IssuePermit | RefusePermit | PartitionDrained | ShareSuspects
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class DeskOptions:
+class PermitOptions:
     """Limits of a permit desk."""
 
     #: Seconds for which a permit is valid unless renewed.
--- a/packages/decisions/sycamoreloft_decisions/_permit_records.py
+++ b/packages/decisions/sycamoreloft_decisions/_permit_records.py
@@ -23,7 +23,7 @@
 
     def __init__(
         self,
-        asked: _permit_events.PermitAsked,
+        asked: _permit_events.PermitRequested,
         upstream: _balancing.UpstreamState,
         now: float,
         order: int,
@@ -48,14 +48,14 @@
         self.running = True
 
     def has_lapsed(
-        self, options: _permit_events.DeskOptions, now: float
+        self, options: _permit_events.PermitOptions, now: float
     ) -> bool:
         """Tells whether its host may no longer start to send."""
         valid_s = options.validity_s * (1 + options.clock_drift)
         return self.renewed_at + valid_s <= now
 
     def has_started(
-        self, options: _permit_events.DeskOptions, now: float
+        self, options: _permit_events.PermitOptions, now: float
     ) -> bool:
         """Tells whether its request has started, if it ever does.
 
@@ -64,7 +64,7 @@
         valid_s = options.validity_s * (1 + options.clock_drift)
         return self.issued_at + valid_s <= now
 
-    def compute_end(self, options: _permit_events.DeskOptions) -> float:
+    def compute_end(self, options: _permit_events.PermitOptions) -> float:
         """Returns the time from which a silent host cannot use it any more.
 
         A host starts to send while the permit is valid, and never after the
@@ -138,7 +138,7 @@
                 return self._take(ticket)
         return None
 
-    def count_ahead(self, asked: _permit_events.PermitAsked) -> int:
+    def count_ahead(self, asked: _permit_events.PermitRequested) -> int:
         """Estimates how many requests are started before a new one."""
         ahead = 0
         for priority, queue in self._queues.items():
@@ -158,7 +158,7 @@
 
     __slots__ = ("asked", "hold", "lane")
 
-    def __init__(self, asked: _permit_events.PermitAsked) -> None:
+    def __init__(self, asked: _permit_events.PermitRequested) -> None:
         """Starts a ticket that waits nowhere yet."""
         #: The request.
         self.asked = asked
@@ -187,7 +187,7 @@
     #: Whether the end of the last permit was told.
     told: bool = False
 
-    def covers(self, asked: _permit_events.PermitAsked) -> bool:
+    def covers(self, asked: _permit_events.PermitRequested) -> bool:
         """Tells whether a request must wait for this hold."""
         return (
             self.partition == asked.partition
@@ -207,14 +207,14 @@
         )
 
 
-def list_flow(asked: _permit_events.PermitAsked) -> tuple[str, str, str]:
+def list_flow(asked: _permit_events.PermitRequested) -> tuple[str, str, str]:
     """Returns the path of a request in a fair queue."""
     return asked.fleet, asked.service, asked.caller
 
 
 def describe_learned(
-    used: _permit_events.UsedPermit, host: str, longest: float
-) -> _permit_events.PermitAsked:
+    used: _permit_events.ReportedPermit, host: str, longest: float
+) -> _permit_events.PermitRequested:
     """Returns the request of a permit that another holder issued.
 
     Args:
@@ -222,7 +222,7 @@
         host: Name of the host.
         longest: Deadline that is assumed if the report does not tell it.
     """
-    return _permit_events.PermitAsked(
+    return _permit_events.PermitRequested(
         permit=used.permit,
         host=host,
         fleet=used.fleet,
--- a/packages/decisions/sycamoreloft_decisions/_permit_waiting.py
+++ b/packages/decisions/sycamoreloft_decisions/_permit_waiting.py
@@ -18,7 +18,7 @@
 class WaitingRequests:
     """Every request that has neither a permit nor a refusal yet."""
 
-    def __init__(self, options: _permit_events.DeskOptions) -> None:
+    def __init__(self, options: _permit_events.PermitOptions) -> None:
         """Starts without requests."""
         self._options = options
         #: Waiting requests by permit.
@@ -34,7 +34,7 @@
         self._mean_service_time = 0.0
 
     def observe(
-        self, asked: _permit_events.PermitAsked, latency_s: float
+        self, asked: _permit_events.PermitRequested, latency_s: float
     ) -> None:
         """Learns the service time of a kind of request."""
         kind = (asked.fleet, asked.service, asked.priority)
@@ -46,7 +46,7 @@
             latency_s - self._mean_service_time
         )
 
-    def find_service_time(self, asked: _permit_events.PermitAsked) -> float:
+    def find_service_time(self, asked: _permit_events.PermitRequested) -> float:
         """Returns the mean service time of such requests; 0 if not known."""
         kind = (asked.fleet, asked.service, asked.priority)
         return self._service_times.get(kind, 0.0)
@@ -54,7 +54,7 @@
     def estimate_wait(
         self,
         lane: _permit_records.Lane,
-        asked: _permit_events.PermitAsked,
+        asked: _permit_events.PermitRequested,
         upstreams: abc.Iterable[_balancing.UpstreamState],
     ) -> float:
         """Estimates the seconds until a new request could start."""
@@ -65,7 +65,7 @@
         return (lane.count_ahead(asked) + 1) / rate if rate else 0.0
 
     def find_lane(
-        self, asked: _permit_events.PermitAsked
+        self, asked: _permit_events.PermitRequested
     ) -> _permit_records.Lane:
         """Returns the lane of a request: of its owner, or of its service."""
         shared = len(asked.candidates) > 1
@@ -76,7 +76,7 @@
         return lane
 
     def add_queued(
-        self, asked: _permit_events.PermitAsked, lane: _permit_records.Lane
+        self, asked: _permit_events.PermitRequested, lane: _permit_records.Lane
     ) -> None:
         """Queues a request; the caller has checked the bound of the lane."""
         mean = self._mean_service_time
@@ -87,7 +87,7 @@
             if lane not in lanes:
                 lanes.append(lane)
 
-    def add_suspect(self, asked: _permit_events.PermitAsked) -> bool:
+    def add_suspect(self, asked: _permit_events.PermitRequested) -> bool:
         """Lets a request wait for the quarantine; False if it is full."""
         if len(self.suspects) >= self._options.waiting_suspects:
             return False
@@ -95,7 +95,7 @@
         return True
 
     def add_held(
-        self, asked: _permit_events.PermitAsked, hold: _permit_records.Hold
+        self, asked: _permit_events.PermitRequested, hold: _permit_records.Hold
     ) -> bool:
         """Lets a request wait for a hold; False if too many do."""
         if self._held_count >= self._options.held_requests:
@@ -139,7 +139,7 @@
                 return ticket
         return None
 
-    def take_late(self, now: float) -> list[_permit_events.PermitAsked]:
+    def take_late(self, now: float) -> list[_permit_events.PermitRequested]:
         """Removes the requests whose deadline has passed."""
         late = [
             ticket
@@ -150,7 +150,7 @@
             self.discard(ticket)
         return [ticket.asked for ticket in late]
 
-    def take_unkeyed(self) -> list[_permit_events.PermitAsked]:
+    def take_unkeyed(self) -> list[_permit_events.PermitRequested]:
         """Removes the queued requests of unkeyed services."""
         tickets = [
             ticket
@@ -161,7 +161,7 @@
             self.discard(ticket)
         return [ticket.asked for ticket in tickets]
 
-    def take_suspects(self) -> list[_permit_events.PermitAsked]:
+    def take_suspects(self) -> list[_permit_events.PermitRequested]:
         """Removes the requests that wait because of the quarantine."""
         tickets = list(self.suspects)
         for ticket in tickets:
@@ -169,7 +169,7 @@
         return [ticket.asked for ticket in tickets]
 
     def find_hold(
-        self, asked: _permit_events.PermitAsked
+        self, asked: _permit_events.PermitRequested
     ) -> _permit_records.Hold | None:
         """Returns the hold for which a request must wait, if any."""
         for hold in self.holds:
@@ -200,8 +200,8 @@
         return hold
 
     def remove_hold(
-        self, released: _permit_events.PartitionReleased
-    ) -> list[_permit_events.PermitAsked]:
+        self, released: _permit_events.PartitionResumed
+    ) -> list[_permit_events.PermitRequested]:
         """Ends a hold and returns the requests that waited for it."""
         for hold in self.holds:
             if (hold.fleet, hold.service, hold.partition, hold.key) == (
@@ -222,7 +222,9 @@
         for hold in self.holds:
             hold.outstanding.discard(permit)
 
-    def _add(self, asked: _permit_events.PermitAsked) -> _permit_records.Ticket:
+    def _add(
+        self, asked: _permit_events.PermitRequested
+    ) -> _permit_records.Ticket:
         ticket = _permit_records.Ticket(asked)
         self.tickets[asked.permit] = ticket
         return ticket
--- a/packages/decisions/sycamoreloft_decisions/_permits.py
+++ b/packages/decisions/sycamoreloft_decisions/_permits.py
@@ -23,32 +23,32 @@
 )
 
 
-class PermitDesk(_permit_admission.Admission):
+class PermitIssuer(_permit_admission.Admission):
     """Issues at most as many permits for an upstream as it has slots."""
 
     def handle(
-        self, event: _permit_events.DeskEvent, now: float
-    ) -> abc.Sequence[_permit_events.DeskCommand]:
+        self, event: _permit_events.PermitEvent, now: float
+    ) -> abc.Sequence[_permit_events.PermitCommand]:
         """Applies an event and returns the commands that follow from it."""
-        commands: abc.Sequence[_permit_events.DeskCommand]
+        commands: abc.Sequence[_permit_events.PermitCommand]
         commands = _find_handler(type(event))(self, event, now)
         return commands
 
     @functools.singledispatchmethod
     def _handle(
-        self, event: _permit_events.DeskEvent, now: float
-    ) -> abc.Sequence[_permit_events.DeskCommand]:
+        self, event: _permit_events.PermitEvent, now: float
+    ) -> abc.Sequence[_permit_events.PermitCommand]:
         raise TypeError(f"unknown event {type(event).__name__}")
 
     @_handle.register
     def _handle_asked(
-        self, event: _permit_events.PermitAsked, now: float
-    ) -> abc.Sequence[_permit_events.DeskCommand]:
+        self, event: _permit_events.PermitRequested, now: float
+    ) -> abc.Sequence[_permit_events.PermitCommand]:
         permit = event.permit
         if self._closed:
             return (
                 _permit_admission.refuse(
-                    event, _permit_events.Reason.NOT_HOLDER
+                    event, _permit_events.RefusalReason.NOT_HOLDER
                 ),
             )
         if permit in self._waiting.tickets:
@@ -63,7 +63,7 @@
     @_handle.register
     def _handle_returned(
         self, event: _permit_events.PermitReturned, now: float
-    ) -> abc.Sequence[_permit_events.DeskCommand]:
+    ) -> abc.Sequence[_permit_events.PermitCommand]:
         permit = self._permits.get(event.permit)
         if permit is None:
             self._ended.add(event.permit)
@@ -96,7 +96,7 @@
     @_handle.register
     def _handle_reported(
         self, event: _permit_events.PermitsReported, now: float
-    ) -> abc.Sequence[_permit_events.DeskCommand]:
+    ) -> abc.Sequence[_permit_events.PermitCommand]:
         for used in event.permits:
             permit = self._permits.get(used.permit)
             if permit is not None:
@@ -108,7 +108,7 @@
     @_handle.register
     def _handle_available(
         self, event: _permit_events.UpstreamAvailable, now: float
-    ) -> abc.Sequence[_permit_events.DeskCommand]:
+    ) -> abc.Sequence[_permit_events.PermitCommand]:
         upstream = self._find_upstream(event.upstream)
         upstream.open(event.slots, event.queue, event.cold)
         commands: _permit_admission.Commands = []
@@ -118,14 +118,14 @@
     @_handle.register
     def _handle_unavailable(
         self, event: _permit_events.UpstreamUnavailable, now: float
-    ) -> abc.Sequence[_permit_events.DeskCommand]:
+    ) -> abc.Sequence[_permit_events.PermitCommand]:
         self._find_upstream(event.upstream).available = False
         return ()
 
     @_handle.register
     def _handle_lost(
         self, event: _permit_events.UpstreamLost, now: float
-    ) -> abc.Sequence[_permit_events.DeskCommand]:
+    ) -> abc.Sequence[_permit_events.PermitCommand]:
         upstream = self._find_upstream(event.upstream)
         upstream.available = False
         permits = [
@@ -157,8 +157,8 @@
 
     @_handle.register
     def _handle_held(
-        self, event: _permit_events.PartitionHeld, now: float
-    ) -> abc.Sequence[_permit_events.DeskCommand]:
+        self, event: _permit_events.PartitionPaused, now: float
+    ) -> abc.Sequence[_permit_events.PermitCommand]:
         hold = _permit_records.Hold(
             event.fleet, event.service, event.partition, event.key, set(), {}
         )
@@ -175,8 +175,8 @@
 
     @_handle.register
     def _handle_released(
-        self, event: _permit_events.PartitionReleased, now: float
-    ) -> abc.Sequence[_permit_events.DeskCommand]:
+        self, event: _permit_events.PartitionResumed, now: float
+    ) -> abc.Sequence[_permit_events.PermitCommand]:
         commands: _permit_admission.Commands = []
         for asked in self._waiting.remove_hold(event):
             if event.upstream:
@@ -187,33 +187,35 @@
     @_handle.register
     def _handle_suspects(
         self, event: _permit_events.SuspectsReported, now: float
-    ) -> abc.Sequence[_permit_events.DeskCommand]:
+    ) -> abc.Sequence[_permit_events.PermitCommand]:
         self._quarantine.learn(event.fingerprints, event.guilty, now)
         return ()
 
     @_handle.register
     def _handle_closed(
-        self, event: _permit_events.DeskClosed, now: float
-    ) -> abc.Sequence[_permit_events.DeskCommand]:
+        self, event: _permit_events.PermitIssuerClosed, now: float
+    ) -> abc.Sequence[_permit_events.PermitCommand]:
         self._closed = True
         commands: _permit_admission.Commands = []
         for ticket in list(self._waiting.tickets.values()):
             self._waiting.discard(ticket)
             commands.append(
                 _permit_admission.refuse(
-                    ticket.asked, _permit_events.Reason.NOT_HOLDER
+                    ticket.asked, _permit_events.RefusalReason.NOT_HOLDER
                 )
             )
         return commands
 
     @_handle.register
     def _handle_tick(
-        self, event: _permit_events.DeskTick, now: float
-    ) -> abc.Sequence[_permit_events.DeskCommand]:
+        self, event: _permit_events.PermitTick, now: float
+    ) -> abc.Sequence[_permit_events.PermitCommand]:
         commands: _permit_admission.Commands = []
         for ticket in self._waiting.take_late(now):
             commands.append(
-                _permit_admission.refuse(ticket, _permit_events.Reason.DEADLINE)
+                _permit_admission.refuse(
+                    ticket, _permit_events.RefusalReason.DEADLINE
+                )
             )
         for permit in list(self._permits.values()):
             if permit.compute_end(self._options) <= now:
@@ -231,4 +233,4 @@
 
 # An access to a singledispatchmethod builds a new function and took 2 to 4 us;
 # a look-up in its table took 0.3 us.
-_find_handler = vars(PermitDesk)["_handle"].dispatcher.dispatch
+_find_handler = vars(PermitIssuer)["_handle"].dispatcher.dispatch
--- a/packages/decisions/sycamoreloft_decisions/_quarantine.py
+++ b/packages/decisions/sycamoreloft_decisions/_quarantine.py
@@ -64,7 +64,7 @@
 class Quarantine:
     """Bounded record of suspects and guilty requests of one group."""
 
-    def __init__(self, options: _permit_events.DeskOptions) -> None:
+    def __init__(self, options: _permit_events.PermitOptions) -> None:
         """Starts an empty record."""
         self._options = options
         #: Number of marks made so far.
--- a/packages/decisions/sycamoreloft_decisions/_retries.py
+++ b/packages/decisions/sycamoreloft_decisions/_retries.py
@@ -13,7 +13,7 @@
 LEAST_LEFT_S = 0.010
 
 
-def choose_backoff(
+def compute_backoff(
     attempt: int, now: float, deadline: float, generator: random.Random
 ) -> float | None:
     """Returns the seconds to wait before a retry, None if it is too late.
--- a/packages/decisions/tests/test_claims.py
+++ b/packages/decisions/tests/test_claims.py
@@ -13,7 +13,7 @@
     """Drives one book; the store does what the test says."""
 
     def __init__(self, loaded=True, **options):
-        self.book = _claims.ClaimBook(3, _claims.ClaimOptions(**options))
+        self.book = _claims.ClaimRegistry(3, _claims.ClaimOptions(**options))
         self.now = 0.0
         if loaded:
             self.send(_claims.RowsLoaded([]))
@@ -22,7 +22,7 @@
         return list(self.book.handle(event, self.now))
 
     def ask(self, attempt, id_hash=ID, body=BODY):
-        return self.send(_claims.ClaimAsked(id_hash, body, attempt))
+        return self.send(_claims.ClaimRequested(id_hash, body, attempt))
 
     def tick(self, seconds=0.02):
         self.now += seconds
@@ -32,7 +32,9 @@
         return self.send(_claims.BatchStored(sequence))
 
     def end(self, attempt, outcome, status=0):
-        return self.send(_claims.ClaimResulted(ID, attempt, outcome, status))
+        return self.send(
+            _claims.ClaimResultReported(ID, attempt, outcome, status)
+        )
 
 
 def list_answers(commands):
@@ -163,11 +165,11 @@
     """Guards against guessing whether a write took effect."""
     driver.ask("a")
     (write,) = driver.tick()
-    assert driver.send(_claims.BatchUnanswered(1)) == [_claims.ReadBatch(1)]
-    assert driver.send(_claims.BatchUnanswered(1)) == []
+    assert driver.send(_claims.BatchOutcomeUnknown(1)) == [_claims.ReadBatch(1)]
+    assert driver.send(_claims.BatchOutcomeUnknown(1)) == []
     assert _claims.ReadBatch(1) in driver.tick(0.2)
     assert driver.send(_claims.BatchRead(1, "")) == [write]
-    driver.send(_claims.BatchUnanswered(1))
+    driver.send(_claims.BatchOutcomeUnknown(1))
     commands = driver.send(_claims.BatchRead(1, write.request))
     assert list_answers(commands) == [("a", "claimed", "")]
 
--- a/packages/decisions/tests/test_permit_fuzz.py
+++ b/packages/decisions/tests/test_permit_fuzz.py
@@ -68,7 +68,9 @@
 
     def open_desk(self, fresh):
         self.opened_at = self.now
-        self.desk = _permits.PermitDesk(random.Random(5), self.now, fresh=fresh)
+        self.desk = _permits.PermitIssuer(
+            random.Random(5), self.now, fresh=fresh
+        )
         for name, slots in SLOTS.items():
             self.send(events.UpstreamAvailable(name, slots))
 
@@ -94,7 +96,7 @@
         patience_s = generator.choice([0.5, 2.0, 5.0])
         candidates = generator.choice(list(PARTITIONS))
         self.partitions[permit] = PARTITIONS[candidates]
-        asked = events.PermitAsked(
+        asked = events.PermitRequested(
             permit=permit,
             host=host.name,
             fleet="sledworks",
@@ -121,7 +123,7 @@
             if host.asked[permit][0] > self.now
         }
         used = [
-            events.UsedPermit(
+            events.ReportedPermit(
                 permit,
                 upstream,
                 "sledworks",
@@ -217,7 +219,7 @@
                     self.oracle.end(permit)
 
     def tick(self, generator):
-        self.send(events.DeskTick())
+        self.send(events.PermitTick())
 
     def restart_upstream(self, generator):
         name = _random_histories.choose(SLOTS, generator)
@@ -231,11 +233,11 @@
 
     def hold(self, generator):
         number = generator.choice([1, 2])
-        self.send(events.PartitionHeld("sledworks", "tally-board", number))
+        self.send(events.PartitionPaused("sledworks", "tally-board", number))
 
     def release(self, generator):
         number = generator.choice([1, 2])
-        self.send(events.PartitionReleased("sledworks", "tally-board", number))
+        self.send(events.PartitionResumed("sledworks", "tally-board", number))
 
     def find_holder(self, generator):
         late = [host for host in self.hosts if host.epoch != self.epoch]
@@ -299,7 +301,7 @@
         self.count = 0
         self.completed = 0
         self.oracle = _request_oracle.LossOracle()
-        self.desk = _permits.PermitDesk(random.Random(2), 0.0, fresh=True)
+        self.desk = _permits.PermitIssuer(random.Random(2), 0.0, fresh=True)
         self.open = {}
         self.broken = {}
         self.down = {}
@@ -316,7 +318,7 @@
                 self.issued_at[command.permit] = self.now
             elif isinstance(command, events.RefusePermit):
                 fingerprint = self.waiting.pop(command.permit)
-                if command.reason is events.Reason.QUARANTINED:
+                if command.reason is events.RefusalReason.QUARANTINED:
                     self.judge_refusal(fingerprint)
 
     def judge_refusal(self, fingerprint):
@@ -327,7 +329,7 @@
         permit = f"p{self.count}"
         self.waiting[permit] = fingerprint
         self.send(
-            events.PermitAsked(
+            events.PermitRequested(
                 permit=permit,
                 host="h",
                 fleet="sledworks",
@@ -412,7 +414,7 @@
             # The holder notices a loss within the lifetime of a grant.
             if at + VALIDITY_S <= self.now:
                 self.send(events.UpstreamLost(name, ended=False))
-        self.send(events.DeskTick())
+        self.send(events.PermitTick())
 
 
 class BystanderMachine(LossMachine):
--- a/packages/decisions/tests/test_permits.py
+++ b/packages/decisions/tests/test_permits.py
@@ -13,7 +13,7 @@
     """Drives one desk and collects its commands."""
 
     def __init__(self, *, fresh=True):
-        self.desk = _permits.PermitDesk(random.Random(7), 0.0, fresh=fresh)
+        self.desk = _permits.PermitIssuer(random.Random(7), 0.0, fresh=fresh)
         self.now = 0.0
         self.count = 0
 
@@ -39,7 +39,7 @@
             "deadline": self.now + 10.0,
             "candidates": candidates,
         } | changes
-        return self.send(events.PermitAsked(**fields))
+        return self.send(events.PermitRequested(**fields))
 
     def end(self, permit, outcome="completed", **changes):
         return self.send(
@@ -48,11 +48,11 @@
 
     def tick(self, seconds):
         self.now += seconds
-        return self.send(events.DeskTick())
+        return self.send(events.PermitTick())
 
 
 def used(permit, upstream="a", partition=3, deadline=None, unlapsed=True):
-    return events.UsedPermit(
+    return events.ReportedPermit(
         permit,
         upstream,
         "sledworks",
@@ -97,8 +97,10 @@
     driver.ask("a", priority=sycamoreloft_config.Priority.BACKGROUND)
     driver.ask("a")
     refused = list_refused(driver.ask("a"))
-    assert refused == [("h/2", events.Reason.SHED)]
-    assert list_refused(driver.ask("a")) == [("h/5", events.Reason.OVERLOADED)]
+    assert refused == [("h/2", events.RefusalReason.SHED)]
+    assert list_refused(driver.ask("a")) == [
+        ("h/5", events.RefusalReason.OVERLOADED)
+    ]
 
 
 def test_refuses_at_once_what_cannot_start_before_its_deadline(driver):
@@ -109,7 +111,7 @@
     driver.ask("a")
     driver.ask("a", deadline=driver.now + 1.5)
     assert list_refused(driver.ask("a", deadline=driver.now + 1.5)) == [
-        ("h/4", events.Reason.DEADLINE)
+        ("h/4", events.RefusalReason.DEADLINE)
     ]
 
 
@@ -119,7 +121,9 @@
     driver.ask("a")
     driver.ask("a", deadline=0.5)
     driver.now = 1.0
-    assert list_refused(driver.end("h/1")) == [("h/2", events.Reason.DEADLINE)]
+    assert list_refused(driver.end("h/1")) == [
+        ("h/2", events.RefusalReason.DEADLINE)
+    ]
 
 
 def test_cancelled_request_leaves_the_queue(driver):
@@ -188,7 +192,7 @@
     driver = Driver(fresh=False)
     assert driver.ask("a", "b") == []
     assert list_refused(driver.tick(1.1)) == [
-        ("h/1", events.Reason.NO_UPSTREAM)
+        ("h/1", events.RefusalReason.NO_UPSTREAM)
     ]
 
 
@@ -204,17 +208,17 @@
     driver.open("a", "b")
     driver.ask("a")
     place = ("sledworks", "tally-board", 3)
-    assert driver.send(events.PartitionHeld(*place)) == []
+    assert driver.send(events.PartitionPaused(*place)) == []
     assert driver.ask("a") == []
     assert driver.end("h/1") == [events.PartitionDrained(*place, "")]
-    commands = driver.send(events.PartitionReleased(*place, "b"))
+    commands = driver.send(events.PartitionResumed(*place, "b"))
     assert [(c.permit, c.upstream) for c in commands] == [("h/2", "b")]
 
 
 def test_held_key_leaves_the_rest_of_its_partition_alone(driver):
     """Guards against delaying every key when one hot key moves."""
     driver.open("a")
-    held = events.PartitionHeld("sledworks", "tally-board", 3, "hot")
+    held = events.PartitionPaused("sledworks", "tally-board", 3, "hot")
     assert len(driver.send(held)) == 1
     assert list_issued(driver.ask("a")) == ["h/1"]
     assert driver.ask("a", key="hot") == []
@@ -225,7 +229,7 @@
     driver = Driver(fresh=False)
     driver.open("a")
     place = ("sledworks", "tally-board", 3)
-    assert driver.send(events.PartitionHeld(*place)) == []
+    assert driver.send(events.PartitionPaused(*place)) == []
     driver.send(events.PermitsReported("x", [used("x/1")]))
     assert driver.tick(1.1) == []
     assert driver.end("x/1") == [events.PartitionDrained(*place, "")]
@@ -243,7 +247,7 @@
 def test_no_upstream_is_told_at_once(driver):
     """Guards against an unkeyed request that waits for nothing."""
     assert list_refused(driver.ask("a", "b")) == [
-        ("h/1", events.Reason.NO_UPSTREAM)
+        ("h/1", events.RefusalReason.NO_UPSTREAM)
     ]
 
 
@@ -282,8 +286,10 @@
     driver.open("a", slots=1)
     driver.ask("a")
     driver.ask("a")
-    reason = events.Reason.NOT_HOLDER
-    assert list_refused(driver.send(events.DeskClosed())) == [("h/2", reason)]
+    reason = events.RefusalReason.NOT_HOLDER
+    assert list_refused(driver.send(events.PermitIssuerClosed())) == [
+        ("h/2", reason)
+    ]
     assert list_refused(driver.ask("a")) == [("h/3", reason)]
 
 
--- a/packages/decisions/tests/test_quarantine.py
+++ b/packages/decisions/tests/test_quarantine.py
@@ -16,7 +16,7 @@
 def ask(desk, permit, fingerprint, now=0.0, candidates=NAMES):
     return list(
         desk.handle(
-            events.PermitAsked(
+            events.PermitRequested(
                 permit=permit,
                 host="h",
                 fleet="sledworks",
@@ -43,7 +43,7 @@
 
 @pytest.fixture
 def desk():
-    desk = _permits.PermitDesk(random.Random(1), 0.0, fresh=True)
+    desk = _permits.PermitIssuer(random.Random(1), 0.0, fresh=True)
     for name in NAMES:
         desk.handle(events.UpstreamAvailable(name, 4), 0.0)
     return desk
@@ -51,7 +51,7 @@
 
 @pytest.fixture
 def record():
-    return _quarantine.Quarantine(events.DeskOptions(suspects=4))
+    return _quarantine.Quarantine(events.PermitOptions(suspects=4))
 
 
 def test_request_lost_on_two_upstreams_is_refused(desk):
@@ -63,7 +63,7 @@
         expected = events.ShareSuspects((CRASHER,), number == 1)
         assert expected in commands
     (refused,) = ask(desk, "p2", CRASHER)
-    assert refused.reason is events.Reason.QUARANTINED
+    assert refused.reason is events.RefusalReason.QUARANTINED
 
 
 def test_broken_connections_count_before_the_loss_is_confirmed(desk):
@@ -78,7 +78,7 @@
     for upstream in upstreams:
         commands += desk.handle(events.UpstreamLost(upstream, True), 0.9)
     assert [c.reason for c in commands if hasattr(c, "reason")] == [
-        events.Reason.QUARANTINED
+        events.RefusalReason.QUARANTINED
     ]
 
 
@@ -88,7 +88,9 @@
         ask(desk, f"p{number}", BYSTANDER)
         break_connection(desk, f"p{number}")
     assert ask(desk, "p2", BYSTANDER) == []
-    commands = desk.handle(events.DeskTick(), _quarantine.CONFIRMATION_S + 0.1)
+    commands = desk.handle(
+        events.PermitTick(), _quarantine.CONFIRMATION_S + 0.1
+    )
     assert [type(command) for command in commands] == [events.IssuePermit]
 
 
@@ -131,7 +133,7 @@
     ask(desk, "p1", CRASHER, candidates=("u1",))
     desk.handle(events.UpstreamLost("u1", True), 0.5)
     assert ask(desk, "p2", CRASHER, 0.9) == []
-    (issued,) = desk.handle(events.DeskTick(), 1.1)
+    (issued,) = desk.handle(events.PermitTick(), 1.1)
     assert issued.permit == "p2"
 
 
@@ -139,7 +141,7 @@
     """Guards against each group losing its own two upstreams."""
     desk.handle(events.SuspectsReported([CRASHER], True), 0.0)
     (refused,) = ask(desk, "p", CRASHER)
-    assert refused.reason is events.Reason.QUARANTINED
+    assert refused.reason is events.RefusalReason.QUARANTINED
 
 
 def test_losses_at_an_earlier_holder_count_after_a_takeover(desk):
@@ -148,7 +150,7 @@
         desk.handle(events.SuspectsReported([CRASHER], False), 0.0)
     assert ask(desk, "p", CRASHER) == []
     (refused, _) = desk.handle(events.UpstreamLost("u1", False), 0.5)
-    assert refused.reason is events.Reason.QUARANTINED
+    assert refused.reason is events.RefusalReason.QUARANTINED
 
 
 def test_breaks_are_shared_at_once(desk):
--- a/packages/decisions/tests/test_request_fuzz.py
+++ b/packages/decisions/tests/test_request_fuzz.py
@@ -43,7 +43,7 @@
         "change_groups": 0.3,
         "advance": 5,
     }
-    make_book = _claims.ClaimBook
+    make_book = _claims.ClaimRegistry
     make_attempt = _outcomes.Attempt
     loads_rows = True
     sends_again = False
@@ -90,7 +90,7 @@
         attempt.handle(permit, self.now)
         name = f"t{self.count}"
         self.attempts[name] = (id_hash, attempt)
-        self.asks.append(_claims.ClaimAsked(id_hash, b"f", name))
+        self.asks.append(_claims.ClaimRequested(id_hash, b"f", name))
 
     def deliver_ask(self, generator):
         ask = _random_histories.take(self.asks, generator)
@@ -124,7 +124,7 @@
                 continue
             if decision.claim_result:
                 self.results.append(
-                    _claims.ClaimResulted(
+                    _claims.ClaimResultReported(
                         id_hash, name, decision.claim_result, decision.status
                     )
                 )
@@ -178,7 +178,7 @@
         if fate == "delayed":
             self.calls.append(call)
         if fate in ("lost", "delayed"):
-            self.send(index, _claims.BatchUnanswered(sequence))
+            self.send(index, _claims.BatchOutcomeUnknown(sequence))
         elif isinstance(command, _claims.ReadBatch):
             row = self.store.rows.get((index + 1, sequence))
             request = row.request if row else ""
@@ -186,7 +186,7 @@
         else:
             stored = self.store.write(index + 1, command)
             if fate == "answer lost":
-                self.send(index, _claims.BatchUnanswered(sequence))
+                self.send(index, _claims.BatchOutcomeUnknown(sequence))
             elif stored:
                 self.send(index, _claims.BatchStored(sequence))
             else:
--- a/packages/decisions/tests/test_retries.py
+++ b/packages/decisions/tests/test_retries.py
@@ -11,9 +11,9 @@
     for attempt in range(1, 12):
         longest = min(0.01 * 2 ** (attempt - 1), 1.0)
         delays = {
-            _retries.choose_backoff(attempt, 0.0, 60.0, generator)
+            _retries.compute_backoff(attempt, 0.0, 60.0, generator)
             for _ in range(20)
         }
         assert len(delays) == 20
         assert all(longest / 2 <= delay <= longest for delay in delays)
-    assert _retries.choose_backoff(8, 9.5, 10.0, generator) is None
+    assert _retries.compute_backoff(8, 9.5, 10.0, generator) is None
--- a/packages/direct/sycamoreloft_direct/__init__.py
+++ b/packages/direct/sycamoreloft_direct/__init__.py
@@ -7,16 +7,16 @@
 from sycamoreloft_direct._key_changes import (
     KeyChanges,
     apply_changes,
+    compute_changes,
     decode_changes,
     encode_changes,
-    find_changes,
 )
 from sycamoreloft_direct._key_commands import (
     GRANT_CALL_S,
     Command,
     GrantResult,
-    HoldTimes,
     KeyLoad,
+    LeaseTimes,
     SendGrant,
     SendRelease,
     WriteMap,
@@ -32,7 +32,7 @@
 )
 from sycamoreloft_direct._nodes import (
     KEY_COUNT,
-    CallerBounds,
+    CallerLimits,
     DesiredState,
     Route,
     RouteKind,
@@ -52,26 +52,26 @@
     ServiceRetryBudgets,
 )
 from sycamoreloft_direct._routes import RouteTable
-from sycamoreloft_direct._upstream_book import (
-    LEAST_STALL_S,
+from sycamoreloft_direct._upstream_pool import (
+    MINIMUM_STALL_S,
     AttemptResult,
-    UpstreamBook,
+    UpstreamPool,
     UpstreamRecord,
 )
 
 __all__ = [
     "GRANT_CALL_S",
     "KEY_COUNT",
-    "LEAST_STALL_S",
+    "MINIMUM_STALL_S",
     "AttemptResult",
-    "CallerBounds",
+    "CallerLimits",
     "ChangeCause",
     "ClaimState",
     "Command",
     "CrashGuard",
     "DesiredState",
     "GrantResult",
-    "HoldTimes",
+    "LeaseTimes",
     "KeyChanges",
     "KeyCoordinator",
     "KeyLoad",
@@ -90,7 +90,7 @@
     "ServiceRetryBudgets",
     "Target",
     "Upstream",
-    "UpstreamBook",
+    "UpstreamPool",
     "UpstreamRecord",
     "UpstreamRun",
     "WriteMap",
@@ -100,6 +100,6 @@
     "decode_key_map",
     "encode_changes",
     "encode_key_map",
-    "find_changes",
+    "compute_changes",
     "identify_request",
 ]
--- a/packages/direct/sycamoreloft_direct/_crash_guard.py
+++ b/packages/direct/sycamoreloft_direct/_crash_guard.py
@@ -71,7 +71,7 @@
         """Tells whether a request must not be sent."""
         return now < self._stopped.get(request, now)
 
-    def list_own(self, now: float) -> dict[int, int]:
+    def list_own_crashes(self, now: float) -> dict[int, int]:
         """Returns the recent crashes that this host saw, by request."""
         counts = {}
         for request in list(self._own):
@@ -82,7 +82,7 @@
                 del self._own[request]
         return counts
 
-    def take_report(
+    def record_report(
         self, host: str, crashes: abc.Mapping[int, int], now: float
     ) -> None:
         """Takes what another host saw; for the coordinator.
@@ -107,7 +107,7 @@
                 del self._stopped[request]
         return tuple(self._stopped)
 
-    def take_stopped(self, requests: abc.Iterable[int], now: float) -> None:
+    def add_stopped(self, requests: abc.Iterable[int], now: float) -> None:
         """Takes the requests that the coordinator stops."""
         for request in requests:
             if request not in self._stopped:
--- a/packages/direct/sycamoreloft_direct/_key_changes.py
+++ b/packages/direct/sycamoreloft_direct/_key_changes.py
@@ -17,14 +17,14 @@
     """Ranges whose owner differs between two maps."""
 
     #: Epoch and revision of the map that they apply to.
-    base: tuple[int, int]
+    base_version: tuple[int, int]
     #: Epoch and revision of the map that they lead to.
-    order: tuple[int, int]
+    version: tuple[int, int]
     #: Changed ranges by service.
     ranges: abc.Mapping[str, tuple[_key_map.KeyRange, ...]]
 
 
-def find_changes(
+def compute_changes(
     old: _key_map.KeyMap, new: _key_map.KeyMap
 ) -> KeyChanges | None:
     """Returns what changed, or None if the services are others."""
@@ -35,7 +35,7 @@
         for name, keys in new.services.items()
         if old.services[name] != keys
     }
-    return KeyChanges(old.order, new.order, ranges)
+    return KeyChanges(old.version, new.version, ranges)
 
 
 def apply_changes(old: _key_map.KeyMap, changes: KeyChanges) -> _key_map.KeyMap:
@@ -44,9 +44,10 @@
     Raises:
         ValueError: The changes are for another map.
     """
-    if old.order != changes.base:
+    if old.version != changes.base_version:
         raise ValueError(
-            f"the changes are for the map {changes.base}, not {old.order}"
+            f"the changes apply to map version {changes.base_version},"
+            f" not to version {old.version}"
         )
     services = dict(old.services)
     for name, ranges in changes.ranges.items():
@@ -56,7 +57,7 @@
         for item in ranges:
             keys = keys.assign(item.first, item.last, item.owner)
         services[name] = keys
-    return _key_map.KeyMap(*changes.order, services)
+    return _key_map.KeyMap(*changes.version, services)
 
 
 def encode_changes(changes: KeyChanges) -> bytes:
@@ -64,8 +65,8 @@
     return bytes(
         msgpack.packb(
             (
-                changes.base,
-                changes.order,
+                changes.base_version,
+                changes.version,
                 {
                     name: [_encode_range(item) for item in ranges]
                     for name, ranges in changes.ranges.items()
@@ -82,10 +83,10 @@
         ValueError: The bytes are no encoded changes.
     """
     try:
-        base, order, ranges = msgpack.unpackb(data)
+        base_version, version, ranges = msgpack.unpackb(data)
         return KeyChanges(
-            (int(base[0]), int(base[1])),
-            (int(order[0]), int(order[1])),
+            (int(base_version[0]), int(base_version[1])),
+            (int(version[0]), int(version[1])),
             {
                 name: tuple(_decode_range(*row) for row in rows)
                 for name, rows in ranges.items()
--- a/packages/direct/sycamoreloft_direct/_key_commands.py
+++ b/packages/direct/sycamoreloft_direct/_key_commands.py
@@ -91,7 +91,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class HoldTimes:
+class LeaseTimes:
     """Durations of key leases, in seconds."""
 
     #: Lease that a grant asks for.
--- a/packages/direct/sycamoreloft_direct/_key_coordinator.py
+++ b/packages/direct/sycamoreloft_direct/_key_coordinator.py
@@ -8,7 +8,7 @@
 end instead.
 
 A coordinator that lost contact with the store changes nothing but goes on
-renewing for `HoldTimes.blind_s`, so that an outage of the store costs nobody
+renewing for `LeaseTimes.blind_s`, so that an outage of the store costs nobody
 its keys. A successor therefore waits that long, and one lease more, before
 it takes keys from an upstream that does not answer. An upstream that does
 answer gets a fencing token of the new epoch at once.
@@ -60,7 +60,7 @@
         key_map: _key_map.KeyMap,
         now: float,
         earlier_until: float,
-        times: _key_commands.HoldTimes,
+        times: _key_commands.LeaseTimes,
     ) -> None:
         self._times = times
         self._epoch = key_map.epoch
--- a/packages/direct/sycamoreloft_direct/_key_map.py
+++ b/packages/direct/sycamoreloft_direct/_key_map.py
@@ -97,7 +97,7 @@
     services: abc.Mapping[str, ServiceKeys]
 
     @property
-    def order(self) -> tuple[int, int]:
+    def version(self) -> tuple[int, int]:
         """Sorts maps from old to new."""
         return (self.epoch, self.revision)
 
--- a/packages/direct/sycamoreloft_direct/_lease_ends.py
+++ b/packages/direct/sycamoreloft_direct/_lease_ends.py
@@ -64,7 +64,7 @@
         times: Durations of key leases.
     """
 
-    def __init__(self, times: _key_commands.HoldTimes) -> None:
+    def __init__(self, times: _key_commands.LeaseTimes) -> None:
         self._times = times
         self._open: dict[int, tuple[_Claim, float]] = {}
         self._ends: dict[_Claim, _End] = {}
--- a/packages/direct/sycamoreloft_direct/_nodes.py
+++ b/packages/direct/sycamoreloft_direct/_nodes.py
@@ -68,7 +68,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class CallerBounds:
+class CallerLimits:
     """What a caller may send."""
 
     #: Longest request line and headers together, in bytes.
@@ -90,7 +90,7 @@
     #: Services by name.
     services: abc.Mapping[str, Service]
     #: What callers may send.
-    bounds: CallerBounds
+    bounds: CallerLimits
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/direct/sycamoreloft_direct/_retry_budgets.py
+++ b/packages/direct/sycamoreloft_direct/_retry_budgets.py
@@ -38,7 +38,7 @@
         _forget_until(self._requests, int(now) - self._window_s)
         _count(self._requests, now)
 
-    def take(self, now: float) -> bool:
+    def try_spend(self, now: float) -> bool:
         """Takes one retry from the budget; False if it is used up."""
         if self.count_left(now) < 1:
             return False
@@ -72,18 +72,18 @@
         self._window_s = window_s
         self._slack = slack
         #: Most hosts ever noted, 0 before the first note.
-        self.hosts = 0
+        self.host_count = 0
         self._budgets: dict[str, RetryBudget] = {}
 
-    def note_hosts(self, count: int) -> None:
+    def update_host_count(self, count: int) -> None:
         """Notes how many hosts there are; the most ever noted counts."""
-        if count <= self.hosts:
+        if count <= self.host_count:
             return
-        self.hosts = count
+        self.host_count = count
         for budget in self._budgets.values():
             budget.change_reserve(self._slack / count)
 
-    def change_limits(self, share: float, window_s: int, slack: float) -> None:
+    def set_limits(self, share: float, window_s: int, slack: float) -> None:
         """Changes the limits, if they are others; counting starts anew."""
         if (share, window_s, slack) == (
             self._share,
@@ -98,11 +98,11 @@
         """Counts the first attempt of a request."""
         self._find(service).record_request(now)
 
-    def take(self, service: str, now: float) -> bool:
+    def try_spend(self, service: str, now: float) -> bool:
         """Takes one retry from a budget; False if it is used up."""
-        return self._find(service).take(now)
+        return self._find(service).try_spend(now)
 
-    def list_left(self, now: float) -> dict[str, float]:
+    def list_remaining(self, now: float) -> dict[str, float]:
         """Returns how many retries are allowed at present, by service."""
         return {
             service: budget.count_left(now)
@@ -113,8 +113,8 @@
         budget = self._budgets.get(service)
         if budget is None:
             reserve = FIRST_RESERVE
-            if self.hosts:
-                reserve = self._slack / self.hosts
+            if self.host_count:
+                reserve = self._slack / self.host_count
             budget = RetryBudget(self._share, self._window_s, reserve)
             self._budgets[service] = budget
         return budget
--- a/packages/direct/sycamoreloft_direct/_upstream_book.py
+++ b/packages/direct/sycamoreloft_direct/_upstream_pool.py
@@ -39,7 +39,7 @@
 STALL_FACTOR = 5.0
 
 #: Least age of that request, in seconds.
-LEAST_STALL_S = 0.6
+MINIMUM_STALL_S = 0.6
 
 #: Seconds for which an address that answered as another upstream is not used.
 #: The other one keeps it; the entry that names the former one lapses.
@@ -123,7 +123,7 @@
     refused_at: float = -1e9
 
 
-class UpstreamBook:
+class UpstreamPool:
     """Records of all upstreams of all services.
 
     Args:
@@ -323,7 +323,7 @@
     if not record.in_flight:
         return False
     oldest = next(iter(record.in_flight.values()))
-    limit = max(LEAST_STALL_S, STALL_FACTOR * record.latency_s)
+    limit = max(MINIMUM_STALL_S, STALL_FACTOR * record.latency_s)
     return now - max(oldest, record.answered_at) > limit
 
 
--- a/packages/direct/tests/test_crash_guard.py
+++ b/packages/direct/tests/test_crash_guard.py
@@ -37,10 +37,12 @@
         host.record_crash(POISON, 1.0)
         for _ in range(5):
             # Reports are repeated, and replace what was told before.
-            coordinator.take_report(str(number), host.list_own(2.0), 2.0)
+            coordinator.record_report(
+                str(number), host.list_own_crashes(2.0), 2.0
+            )
         assert coordinator.is_stopped(POISON, 2.0) == (number == 2)
     for host in hosts:
-        host.take_stopped(coordinator.list_stopped(3.0), 3.0)
+        host.add_stopped(coordinator.list_stopped(3.0), 3.0)
         assert host.is_stopped(POISON, 3.0)
 
 
@@ -58,12 +60,12 @@
     for now in (0.0, 100.0, 200.0, 300.0):
         guard.record_crash(POISON, now)
     assert not guard.is_stopped(POISON, 300.0)
-    assert guard.list_own(400.0) == {}
+    assert guard.list_own_crashes(400.0) == {}
 
 
 def test_a_successor_of_the_coordinator_goes_on_stopping():
     successor = sycamoreloft_direct.CrashGuard()
-    successor.take_stopped([POISON], 1.0)
+    successor.add_stopped([POISON], 1.0)
     assert successor.list_stopped(2.0) == (POISON,)
 
 
@@ -71,7 +73,7 @@
     guard = sycamoreloft_direct.CrashGuard()
     for request in range(10_000):
         guard.record_crash(request, 1.0)
-        guard.take_stopped([request], 1.0)
-    assert len(guard.list_own(1.0)) <= 128
+        guard.add_stopped([request], 1.0)
+    assert len(guard.list_own_crashes(1.0)) <= 128
     assert len(guard.list_stopped(1.0)) <= 128
     assert guard.is_stopped(9_999, 1.0)
--- a/packages/direct/tests/test_hot_keys.py
+++ b/packages/direct/tests/test_hot_keys.py
@@ -27,7 +27,7 @@
             sycamoreloft_direct.KeyMap(1, 0, {}),
             0.0,
             0.0,
-            sycamoreloft_direct.HoldTimes(),
+            sycamoreloft_direct.LeaseTimes(),
         )
         self.hot = None
         self.moved = 0
--- a/packages/direct/tests/test_key_changes.py
+++ b/packages/direct/tests/test_key_changes.py
@@ -28,7 +28,7 @@
 def send(old, new):
     """Returns the later map as a host has it that knew the old one."""
     data = sycamoreloft_direct.encode_changes(
-        sycamoreloft_direct.find_changes(old, new)
+        sycamoreloft_direct.compute_changes(old, new)
     )
     changes = sycamoreloft_direct.decode_changes(data)
     return sycamoreloft_direct.apply_changes(old, changes), len(data)
@@ -60,14 +60,16 @@
 def test_other_services_need_the_whole_map():
     old = sycamoreloft_direct.KeyMap(4, 1, {})
     assert (
-        sycamoreloft_direct.find_changes(old, build_map(2, share_keys()))
+        sycamoreloft_direct.compute_changes(old, build_map(2, share_keys()))
         is None
     )
 
 
 def test_changes_for_another_map_are_refused():
     old, later = build_map(1, share_keys()), build_map(2, share_keys())
-    changes = sycamoreloft_direct.find_changes(old, build_map(3, share_keys()))
+    changes = sycamoreloft_direct.compute_changes(
+        old, build_map(3, share_keys())
+    )
     with pytest.raises(ValueError, match="another map|not"):
         sycamoreloft_direct.apply_changes(later, changes)
 
--- a/packages/direct/tests/test_lease_ends.py
+++ b/packages/direct/tests/test_lease_ends.py
@@ -5,7 +5,7 @@
 import sycamoreloft_direct
 from sycamoreloft_direct import _lease_ends
 
-TIMES = sycamoreloft_direct.HoldTimes()
+TIMES = sycamoreloft_direct.LeaseTimes()
 LEASE_S = TIMES.hold_s * (1 + TIMES.drift)
 RUN = sycamoreloft_direct.UpstreamRun("u0", 1)
 
--- a/packages/direct/tests/test_lost_owners.py
+++ b/packages/direct/tests/test_lost_owners.py
@@ -41,7 +41,7 @@
             sycamoreloft_direct.KeyMap(2, 1, {SERVICE: keys}),
             self.now,
             self.now + EARLIER_S,
-            sycamoreloft_direct.HoldTimes(),
+            sycamoreloft_direct.LeaseTimes(),
         )
 
     def run(self, seconds):
--- a/packages/direct/tests/test_owner_changes.py
+++ b/packages/direct/tests/test_owner_changes.py
@@ -9,7 +9,7 @@
 CAUSE = sycamoreloft_direct.ChangeCause
 RESULT = sycamoreloft_direct.GrantResult
 STATE = sycamoreloft_direct.ClaimState
-TIMES = sycamoreloft_direct.HoldTimes()
+TIMES = sycamoreloft_direct.LeaseTimes()
 TICK_S = 0.05
 
 #: Time for which an earlier coordinator may renew, in seconds.
--- a/packages/direct/tests/test_renewals.py
+++ b/packages/direct/tests/test_renewals.py
@@ -29,7 +29,7 @@
         sycamoreloft_direct.KeyMap(2, 1, {SERVICE: keys}),
         0.0,
         0.0,
-        sycamoreloft_direct.HoldTimes(),
+        sycamoreloft_direct.LeaseTimes(),
     )
     coordinator.update_upstreams(entries, {SERVICE}, 0.0)
     return coordinator
--- a/packages/direct/tests/test_restarted_owners.py
+++ b/packages/direct/tests/test_restarted_owners.py
@@ -41,7 +41,7 @@
             sycamoreloft_direct.KeyMap(2, 1, {SERVICE: keys}),
             self.now,
             self.now + EARLIER_S,
-            sycamoreloft_direct.HoldTimes(),
+            sycamoreloft_direct.LeaseTimes(),
         )
 
     def run(self, seconds):
@@ -137,7 +137,7 @@
     coordination.refusing.add("u0")
     while coordination.refusing:
         coordination.run(TICK_S)
-    coordination.run(sycamoreloft_direct.HoldTimes().hold_s)
+    coordination.run(sycamoreloft_direct.LeaseTimes().hold_s)
     assert coordination.find_first_owner() == "u0"
     coordination.run(6.0)
     assert coordination.find_first_owner() == "u1"
--- a/packages/direct/tests/test_retry_budgets.py
+++ b/packages/direct/tests/test_retry_budgets.py
@@ -16,16 +16,16 @@
     """Guards against load that retries add to an overload."""
     for _ in range(1000):
         budget.record_request(5.0)
-    assert sum(budget.take(5.5) for _ in range(500)) == 100
-    assert not budget.take(14.9)
+    assert sum(budget.try_spend(5.5) for _ in range(500)) == 100
+    assert not budget.try_spend(14.9)
 
 
 def test_old_requests_and_retries_no_longer_count(budget):
     """Guards against a budget saved up in quiet hours."""
     for _ in range(1000):
         budget.record_request(5.0)
-    assert sum(budget.take(16.0) for _ in range(500)) == 3
-    assert sum(budget.take(27.0) for _ in range(500)) == 3
+    assert sum(budget.try_spend(16.0) for _ in range(500)) == 3
+    assert sum(budget.try_spend(27.0) for _ in range(500)) == 3
 
 
 def test_requests_without_retries_take_no_memory(budget):
@@ -44,8 +44,8 @@
         budgets.record_request("busy", 1.0)
     for _ in range(100):
         budgets.record_request("calm", 1.0)
-    assert sum(budgets.take("calm", 2.0) for _ in range(500)) == 20
-    assert sum(budgets.take("busy", 2.0) for _ in range(500)) == 200
+    assert sum(budgets.try_spend("calm", 2.0) for _ in range(500)) == 20
+    assert sum(budgets.try_spend("busy", 2.0) for _ in range(500)) == 200
 
 
 def test_hosts_divide_the_slack_of_a_service():
@@ -54,9 +54,9 @@
     ]
     for budgets in hosts:
         budgets.record_request("calm", 1.0)
-        assert budgets.take("calm", 1.0)
-        assert not budgets.take("calm", 1.0)
-        budgets.note_hosts(25)
-        budgets.note_hosts(3)
-    further = sum(b.take("calm", 2.0) for b in hosts for _ in range(20))
+        assert budgets.try_spend("calm", 1.0)
+        assert not budgets.try_spend("calm", 1.0)
+        budgets.update_host_count(25)
+        budgets.update_host_count(3)
+    further = sum(b.try_spend("calm", 2.0) for b in hosts for _ in range(20))
     assert 25 <= 25 + further <= 56 + 25 * 0.2
--- a/packages/direct/tests/test_upstream_book.py
+++ b/packages/direct/tests/test_upstream_pool.py
@@ -7,7 +7,7 @@
 import pytest
 
 import sycamoreloft_direct
-from sycamoreloft_direct import _upstream_book
+from sycamoreloft_direct import _upstream_pool
 
 RESULT = sycamoreloft_direct.AttemptResult
 
@@ -15,7 +15,7 @@
 @pytest.fixture
 def book():
     """A book of a host in domain "a", with a fixed seed."""
-    return sycamoreloft_direct.UpstreamBook("a", random.Random(1))
+    return sycamoreloft_direct.UpstreamPool("a", random.Random(1))
 
 
 def build(name, domain="a", **changes):
@@ -124,7 +124,7 @@
 
 # Guards against a book that is built anew at each change of one entry.
 def test_an_entry_that_did_not_change_keeps_its_record():
-    book = sycamoreloft_direct.UpstreamBook("z", random.Random(1))
+    book = sycamoreloft_direct.UpstreamPool("z", random.Random(1))
     entries = [
         sycamoreloft_direct.Upstream(
             f"u{number}", 1, f"10.0.0.{number}:1", "boards", "z", 6, False
@@ -154,7 +154,7 @@
         asked.append(record.entry.id)
         return False
 
-    monkeypatch.setattr(_upstream_book, "_is_stalled", is_stalled)
+    monkeypatch.setattr(_upstream_pool, "_is_stalled", is_stalled)
     book.update([build(f"u{n}") for n in range(100)], 0.0)
     book.begin(find(book, "u7"), object(), 0.0)
     assert book.choose("ledger", 0.1, False) is not None
--- a/packages/proof/sycamoreloft_proof/_capacity_holder.py
+++ b/packages/proof/sycamoreloft_proof/_capacity_holder.py
@@ -146,8 +146,8 @@
     ]
 
 
-def _load_claims(count: int) -> sycamoreloft_decisions.ClaimBook:
-    book = sycamoreloft_decisions.ClaimBook(1)
+def _load_claims(count: int) -> sycamoreloft_decisions.ClaimRegistry:
+    book = sycamoreloft_decisions.ClaimRegistry(1)
     book.handle(sycamoreloft_decisions.RowsLoaded(make_entries(count)), 0.0)
     return book
 
--- a/packages/proof/sycamoreloft_proof/_capacity_models.py
+++ b/packages/proof/sycamoreloft_proof/_capacity_models.py
@@ -148,7 +148,7 @@
     """Processor time of one permit against the upstreams of the group."""
     values = []
     for upstreams in UPSTREAM_SIZES:
-        desk = sycamoreloft_decisions.PermitDesk(
+        desk = sycamoreloft_decisions.PermitIssuer(
             random.Random(1), 0.0, fresh=True
         )
         for number in range(upstreams):
@@ -164,7 +164,7 @@
 
 
 def _make_permit_loop(
-    desk: sycamoreloft_decisions.PermitDesk, upstreams: int
+    desk: sycamoreloft_decisions.PermitIssuer, upstreams: int
 ) -> abc.Callable[[], object]:
     numbers = iter(range(10**9))
 
@@ -173,7 +173,7 @@
         permit = f"p{number}"
         now = number * 1e-4
         desk.handle(
-            sycamoreloft_decisions.PermitAsked(
+            sycamoreloft_decisions.PermitRequested(
                 permit,
                 "host-1",
                 "sledworks",
--- a/packages/proof/sycamoreloft_proof/_overload_trace.py
+++ b/packages/proof/sycamoreloft_proof/_overload_trace.py
@@ -123,7 +123,7 @@
         self._generator = random.Random(scenario.seed)
         self._queue = EventQueue()
         self._names = tuple(f"u{each}" for each in range(scenario.upstreams))
-        self._desk = sycamoreloft_decisions.PermitDesk(
+        self._desk = sycamoreloft_decisions.PermitIssuer(
             random.Random(scenario.seed + 1), 0.0, fresh=True
         )
         for name in self._names:
@@ -160,7 +160,7 @@
     def _is_measured(self, request: _Request) -> bool:
         return request.arrived_at >= self._scenario.seconds * WARM_UP
 
-    def _handle(self, event: sycamoreloft_decisions.DeskEvent) -> None:
+    def _handle(self, event: sycamoreloft_decisions.PermitEvent) -> None:
         for command in self._desk.handle(event, self._queue.now):
             if isinstance(command, sycamoreloft_decisions.IssuePermit):
                 self._send(command)
@@ -172,7 +172,7 @@
                 )
 
     def _tick(self) -> None:
-        self._handle(sycamoreloft_decisions.DeskTick())
+        self._handle(sycamoreloft_decisions.PermitTick())
         self._queue.call_at(self._queue.now + TICK_S, self._tick)
 
     def _arrive(self) -> None:
@@ -206,7 +206,7 @@
         permit = f"{request.number}/{request.attempts}"
         self._open[permit] = request
         self._handle(
-            sycamoreloft_decisions.PermitAsked(
+            sycamoreloft_decisions.PermitRequested(
                 permit=permit,
                 host=f"h{request.number % HOSTS}",
                 fleet="sledworks",
@@ -274,10 +274,10 @@
         if (
             decision is None
             or not decision.retry_allowed
-            or not request.budget.take(now)
+            or not request.budget.try_spend(now)
         ):
             return
-        delay = sycamoreloft_decisions.choose_backoff(
+        delay = sycamoreloft_decisions.compute_backoff(
             request.attempts, now, request.deadline, self._generator
         )
         if delay is not None:
--- a/packages/proof/sycamoreloft_proof/_quarantine_trace.py
+++ b/packages/proof/sycamoreloft_proof/_quarantine_trace.py
@@ -104,7 +104,7 @@
         self._numbers = itertools.count()
         self._names = tuple(f"u{each}" for each in range(scenario.upstreams))
         self._desks = [
-            sycamoreloft_decisions.PermitDesk(
+            sycamoreloft_decisions.PermitIssuer(
                 random.Random(scenario.seed + domain + 1), 0.0, fresh=True
             )
             for domain in range(scenario.domains)
@@ -147,7 +147,7 @@
         )
 
     def _handle(
-        self, domain: int, event: sycamoreloft_decisions.DeskEvent
+        self, domain: int, event: sycamoreloft_decisions.PermitEvent
     ) -> None:
         for command in self._desks[domain].handle(event, self._queue.now):
             if isinstance(command, sycamoreloft_decisions.IssuePermit):
@@ -172,7 +172,7 @@
 
     def _tick(self) -> None:
         for domain in range(self._scenario.domains):
-            self._handle(domain, sycamoreloft_decisions.DeskTick())
+            self._handle(domain, sycamoreloft_decisions.PermitTick())
         self._queue.call_at(
             self._queue.now + _overload_trace.TICK_S, self._tick
         )
@@ -206,7 +206,7 @@
         self._open[permit] = request
         self._handle(
             request.domain,
-            sycamoreloft_decisions.PermitAsked(
+            sycamoreloft_decisions.PermitRequested(
                 permit=permit,
                 host="h",
                 fleet="sledworks",
@@ -228,7 +228,7 @@
 
     def _refuse(self, command: sycamoreloft_decisions.RefusePermit) -> None:
         request = self._open.pop(command.permit)
-        if command.reason is sycamoreloft_decisions.Reason.QUARANTINED:
+        if command.reason is sycamoreloft_decisions.RefusalReason.QUARANTINED:
             kind = "crashing" if request.crashes else "innocent"
             self._counts[f"{kind} refusals"] += 1
         self._ask_later(request)
--- a/packages/router/sycamoreloft_router/_coordinator_duty.py
+++ b/packages/router/sycamoreloft_router/_coordinator_duty.py
@@ -91,7 +91,7 @@
         upstreams: _direct_views.UpstreamView,
         directory: _key_directory.KeyDirectory,
         metrics: _metrics.Metrics,
-        times: sycamoreloft_direct.HoldTimes | None = None,
+        times: sycamoreloft_direct.LeaseTimes | None = None,
         freshness: _freshness.Freshness | None = None,
         clock: abc.Callable[[], float] = _coordinator_lease.read_boot_clock,
         socket: _direct_peers.Sender | None = None,
@@ -104,7 +104,7 @@
         self._upstreams = upstreams
         self._directory = directory
         self._metrics = metrics
-        self._times = times or sycamoreloft_direct.HoldTimes()
+        self._times = times or sycamoreloft_direct.LeaseTimes()
         self._clock = clock
         freshness = freshness or _freshness.Freshness()
         self._seen = freshness.read
@@ -257,7 +257,7 @@
         Returns:
             Seconds until this host may ask again.
         """
-        heard = self._directory.key_map.order
+        heard = self._directory.key_map.version
         outcome = await self._bid.make(hears_blind)
         pause_s = self._generator.uniform(LEAST_ASK_S, MOST_ASK_S)
         if isinstance(outcome, _coordinator_bid.Unreached):
@@ -331,7 +331,7 @@
     def _beat(self, tenure: _tenure.Tenure, now: float) -> None:
         self._beat_at = now + HEARTBEAT_S
         key_map = tenure.key_map
-        order = key_map.order
+        order = key_map.version
         # Hints only: requests for further moving keys wait at their owners.
         moving = self._moving[: _datagrams.MOST_MOVING]
         loop_time = asyncio.get_running_loop().time()
@@ -404,7 +404,7 @@
         self._on_hosts(message.hosts)
         self._on_store_age(message.store_age_s)
         loop_time = asyncio.get_running_loop().time()
-        self._guard.take_stopped(message.stopped, loop_time)
+        self._guard.add_stopped(message.stopped, loop_time)
         self._directory.take_notice(message.epoch, message.moving, loop_time)
 
     def _receive_map_part(
@@ -412,7 +412,7 @@
     ) -> None:
         """Takes a part of the map of the coordinator."""
         order = (part.epoch, part.revision)
-        if self._tenure is not None or order <= self._directory.key_map.order:
+        if self._tenure is not None or order <= self._directory.key_map.version:
             return
         try:
             key_map = self._assembler.add(part)
@@ -465,7 +465,7 @@
         if self._roster.note_report(sender, order, self._clock()):
             self._beat_at = 0.0
         tenure.take_observations(message)
-        self._guard.take_report(
+        self._guard.record_report(
             message.host, message.crashes, asyncio.get_running_loop().time()
         )
 
--- a/packages/router/sycamoreloft_router/_crash_watch.py
+++ b/packages/router/sycamoreloft_router/_crash_watch.py
@@ -77,7 +77,7 @@
             "crash-suspected",
             request=self._request.request_id,
             fingerprint=f"{fingerprint:016x}",
-            crashes=guard.list_own(now).get(fingerprint, 0),
+            crashes=guard.list_own_crashes(now).get(fingerprint, 0),
             quarantined=guard.is_stopped(fingerprint, now),
         )
 
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -122,7 +122,7 @@
         self._is_stopping = False
         generator = random.Random()
         self._states = _direct_views.StateView()
-        self._book = sycamoreloft_direct.UpstreamBook(
+        self._book = sycamoreloft_direct.UpstreamPool(
             settings.failure_domain, generator
         )
         self._upstreams = _direct_views.UpstreamView(
@@ -211,7 +211,7 @@
     @property
     def known_hosts(self) -> int:
         """Hosts that there were at most, as the coordinators told; 0 before."""
-        return self._budgets.hosts
+        return self._budgets.host_count
 
     def apply_settings(self, settings: _direct_ports.HostSettings) -> None:
         """Puts the reloadable ones of changed settings into force."""
@@ -221,7 +221,7 @@
         )
         self._services.leaving_s = settings.drain_s * LEAVING_SHARE
         self._upstreams.keep_s = settings.reuse_after_s
-        self._budgets.change_limits(*_choose_budget(settings))
+        self._budgets.set_limits(*_choose_budget(settings))
 
     async def run(
         self,
@@ -356,7 +356,7 @@
                 table,
                 value=now - follower.answered_at,
             )
-        for service, left in self._budgets.list_left(now).items():
+        for service, left in self._budgets.list_remaining(now).items():
             metrics.set("sycamoreloft_retries_left", service, value=left)
         return metrics.render()
 
@@ -377,7 +377,7 @@
 
     def note_hosts(self, count: int) -> None:
         """Notes how many hosts there are."""
-        self._budgets.note_hosts(count)
+        self._budgets.update_host_count(count)
 
     def _take_states(self, values: abc.Mapping[str, object]) -> None:
         self._states.take(values)
@@ -415,9 +415,9 @@
 
 def _choose_times(
     settings: _direct_ports.HostSettings,
-) -> sycamoreloft_direct.HoldTimes:
+) -> sycamoreloft_direct.LeaseTimes:
     """Returns durations of leases that upstreams accept."""
-    times = sycamoreloft_direct.HoldTimes()
+    times = sycamoreloft_direct.LeaseTimes()
     return dataclasses.replace(
         times, hold_s=min(times.hold_s, settings.longest_hold_s)
     )
--- a/packages/router/sycamoreloft_router/_direct_run.py
+++ b/packages/router/sycamoreloft_router/_direct_run.py
@@ -255,7 +255,7 @@
     def _was_silent(self, elapsed_s: float) -> bool:
         """Tells whether the deadline ended an attempt without an answer."""
         return (
-            elapsed_s > sycamoreloft_direct.LEAST_STALL_S
+            elapsed_s > sycamoreloft_direct.MINIMUM_STALL_S
             and self._stop_reason is _STOP.DEADLINE_PASSED
         )
 
@@ -383,7 +383,7 @@
             and not is_full_owner
         ):
             return "attempts"
-        if not self._services.budgets.take(self._request.service, now):
+        if not self._services.budgets.try_spend(self._request.service, now):
             self._services.metrics.count("sycamoreloft_retries_refused_total")
             return "retry-budget"
         return ""
@@ -448,7 +448,7 @@
             record.entry,
             result,
             self._transfer,
-            self._services.directory.key_map.order,
+            self._services.directory.key_map.version,
             now - self._began_at,
         )
 
--- a/packages/router/sycamoreloft_router/_direct_services.py
+++ b/packages/router/sycamoreloft_router/_direct_services.py
@@ -26,7 +26,7 @@
     #: Upstreams.
     upstreams: _direct_views.UpstreamView
     #: What was observed of each upstream.
-    book: sycamoreloft_direct.UpstreamBook
+    book: sycamoreloft_direct.UpstreamPool
     #: Owners of keys.
     directory: _key_directory.KeyDirectory
     #: Seconds after which an upstream that is seen to leave gets no requests
--- a/packages/router/sycamoreloft_router/_group_claims.py
+++ b/packages/router/sycamoreloft_router/_group_claims.py
@@ -58,7 +58,7 @@
         self._window_s = window_s
         self._store = store
         self._spawn = spawn
-        self._book = sycamoreloft_decisions.ClaimBook(
+        self._book = sycamoreloft_decisions.ClaimRegistry(
             epoch, sycamoreloft_decisions.ClaimOptions(window_s=window_s)
         )
         self._replies: dict[str, _peer_server.Reply] = {}
@@ -85,7 +85,7 @@
         self.counts["claims"] += 1
         self._replies[message.attempt] = reply
         self._handle(
-            sycamoreloft_decisions.ClaimAsked(
+            sycamoreloft_decisions.ClaimRequested(
                 message.id_hash, message.fingerprint, message.attempt
             )
         )
@@ -98,7 +98,7 @@
         too early, and leave them to the next tick of the group.
         """
         self._handle(
-            sycamoreloft_decisions.ClaimResulted(
+            sycamoreloft_decisions.ClaimResultReported(
                 message.id_hash,
                 message.attempt,
                 message.outcome,
@@ -199,14 +199,14 @@
                 return
             if isinstance(written.failure(), _store_client.StoreUnavailable):
                 break
-        self._handle(sycamoreloft_decisions.BatchUnanswered(sequence))
+        self._handle(sycamoreloft_decisions.BatchOutcomeUnknown(sequence))
 
     async def _read(self, command: sycamoreloft_decisions.ReadBatch) -> None:
         key = self._find_row_key(command.sequence)
         rows = await self._store.read([key])
         if not pipeline.is_successful(rows):
             event: sycamoreloft_decisions.ClaimEvent = (
-                sycamoreloft_decisions.BatchUnanswered(command.sequence)
+                sycamoreloft_decisions.BatchOutcomeUnknown(command.sequence)
             )
         else:
             row = rows.unwrap().get(key)
--- a/packages/router/sycamoreloft_router/_group_permits.py
+++ b/packages/router/sycamoreloft_router/_group_permits.py
@@ -86,7 +86,7 @@
         self._owners = owners
         self._share_suspects = share_suspects
         self._report_drained = report_drained
-        self._desk = sycamoreloft_decisions.PermitDesk(
+        self._desk = sycamoreloft_decisions.PermitIssuer(
             random.Random(), time.monotonic(), fresh=fresh
         )
         self._watch = _upstream_watch.UpstreamWatch()
@@ -177,7 +177,7 @@
         message = asked.message
         self._asked[message.permit] = asked
         self._handle(
-            sycamoreloft_decisions.PermitAsked(
+            sycamoreloft_decisions.PermitRequested(
                 message.permit,
                 message.host,
                 message.fleet,
@@ -216,7 +216,7 @@
         """Renews the permits of a host and names those on lost upstreams."""
         now = time.monotonic()
         used = [
-            sycamoreloft_decisions.UsedPermit(
+            sycamoreloft_decisions.ReportedPermit(
                 item.permit,
                 item.upstream,
                 self._group.fleet,
@@ -268,7 +268,7 @@
     def hold_unit(self, unit: sycamoreloft_decisions.Unit) -> None:
         """Holds new permits of a unit."""
         self._handle(
-            sycamoreloft_decisions.PartitionHeld(
+            sycamoreloft_decisions.PartitionPaused(
                 self._group.fleet, unit.service, unit.partition, unit.key
             ),
             time.monotonic(),
@@ -287,7 +287,7 @@
             else ""
         )
         self._handle(
-            sycamoreloft_decisions.PartitionReleased(
+            sycamoreloft_decisions.PartitionResumed(
                 self._group.fleet,
                 unit.service,
                 unit.partition,
@@ -313,7 +313,7 @@
         self._ticked_at = now
         for asked in waiting.values():
             self._admit(asked, now)
-        self._handle(sycamoreloft_decisions.DeskTick(), now)
+        self._handle(sycamoreloft_decisions.PermitTick(), now)
 
     def take_observed_keys(self) -> list[sycamoreloft_decisions.KeysObserved]:
         """Returns the requests by service and key since the last call."""
@@ -332,7 +332,9 @@
                     asked.message.permit, "no-holder", 50
                 )
             )
-        self._handle(sycamoreloft_decisions.DeskClosed(), time.monotonic())
+        self._handle(
+            sycamoreloft_decisions.PermitIssuerClosed(), time.monotonic()
+        )
 
     def compute_imbalance(self) -> float:
         """Returns the largest load of an upstream over its service's mean."""
@@ -347,14 +349,14 @@
         }
 
     def _handle(
-        self, event: sycamoreloft_decisions.DeskEvent, now: float
+        self, event: sycamoreloft_decisions.PermitEvent, now: float
     ) -> None:
         for command in self._desk.handle(event, now):
             self._perform(command, now)
 
     @functools.singledispatchmethod
     def _perform(
-        self, command: sycamoreloft_decisions.DeskCommand, now: float
+        self, command: sycamoreloft_decisions.PermitCommand, now: float
     ) -> None:
         raise TypeError(f"unknown command {type(command).__name__}")
 
--- a/packages/router/sycamoreloft_router/_host_reports.py
+++ b/packages/router/sycamoreloft_router/_host_reports.py
@@ -44,11 +44,11 @@
         """Returns a report of what was observed since the last one."""
         report = _datagrams.Report(
             self._host,
-            *self._directory.key_map.order,
+            *self._directory.key_map.version,
             self._seen(),
             _datagrams.summarize_requests(self._requests),
             self._answers,
-            self._guard.list_own(asyncio.get_running_loop().time()),
+            self._guard.list_own_crashes(asyncio.get_running_loop().time()),
         )
         self._requests = []
         self._answers = {}
--- a/packages/router/sycamoreloft_router/_key_directory.py
+++ b/packages/router/sycamoreloft_router/_key_directory.py
@@ -43,9 +43,9 @@
 
     def take(self, key_map: sycamoreloft_direct.KeyMap) -> bool:
         """Takes a map; an older one is ignored."""
-        if key_map.order <= self.key_map.order:
+        if key_map.version <= self.key_map.version:
             return False
-        self._earlier[self.key_map.order] = self.key_map
+        self._earlier[self.key_map.version] = self.key_map
         if len(self._earlier) > KEPT_MAPS:
             del self._earlier[min(self._earlier)]
         self.key_map = key_map
@@ -72,7 +72,7 @@
         """
         old = self._earlier.get(order)
         changes = (
-            sycamoreloft_direct.find_changes(old, self.key_map)
+            sycamoreloft_direct.compute_changes(old, self.key_map)
             if old is not None
             else None
         )
@@ -90,9 +90,9 @@
             ValueError: The changes are malformed, or for another map.
         """
         changes = sycamoreloft_direct.decode_changes(data)
-        if changes.order <= self.key_map.order:
+        if changes.version <= self.key_map.version:
             return False
-        base = self._earlier.get(changes.base, self.key_map)
+        base = self._earlier.get(changes.base_version, self.key_map)
         return self.take(sycamoreloft_direct.apply_changes(base, changes))
 
     def take_notice(
--- a/packages/router/sycamoreloft_router/_map_parts.py
+++ b/packages/router/sycamoreloft_router/_map_parts.py
@@ -39,7 +39,7 @@
     return tuple(
         _datagrams.MapPart(
             seen,
-            *key_map.order,
+            *key_map.version,
             index,
             count,
             data[index * size : (index + 1) * size],
@@ -81,8 +81,8 @@
         self._order = (0, 0)
         self._parts = {}
         key_map = sycamoreloft_direct.decode_key_map(_decompress(data))
-        if key_map.order != order:
-            raise ValueError(f"the map {key_map.order} came as {order}")
+        if key_map.version != order:
+            raise ValueError(f"the map {key_map.version} came as {order}")
         return key_map
 
 
--- a/packages/router/sycamoreloft_router/_request_path.py
+++ b/packages/router/sycamoreloft_router/_request_path.py
@@ -267,13 +267,13 @@
             return 0.0
         if not decision.retry_allowed:
             return None
-        delay = sycamoreloft_decisions.choose_backoff(
+        delay = sycamoreloft_decisions.compute_backoff(
             self._tries, now, self._given.deadline, self._path.generator
         )
         if delay is None:
             return None
         metrics = self._path.services.metrics
-        if not self._path.budget.take(now):
+        if not self._path.budget.try_spend(now):
             metrics.count("sycamoreloft_retries_refused_total")
             return None
         metrics.count("sycamoreloft_retries_total")
--- a/packages/router/sycamoreloft_router/_tenure.py
+++ b/packages/router/sycamoreloft_router/_tenure.py
@@ -64,7 +64,7 @@
         upstreams: _direct_views.UpstreamView,
         metrics: _metrics.Metrics,
         taken: TakenRecords,
-        times: sycamoreloft_direct.HoldTimes,
+        times: sycamoreloft_direct.LeaseTimes,
         clock: abc.Callable[[], float],
         on_map: abc.Callable[[sycamoreloft_direct.KeyMap], None],
     ) -> None:
--- a/packages/router/sycamoreloft_router/_upstream_watch.py
+++ b/packages/router/sycamoreloft_router/_upstream_watch.py
@@ -36,9 +36,9 @@
         queue: int,
         answer: sycamoreloft_decisions.GrantAnswered,
         now: float,
-    ) -> list[sycamoreloft_decisions.DeskEvent]:
+    ) -> list[sycamoreloft_decisions.PermitEvent]:
         """Takes a grant answer and returns events for the permit desk."""
-        events: list[sycamoreloft_decisions.DeskEvent] = []
+        events: list[sycamoreloft_decisions.PermitEvent] = []
         watched = self._watched.get(upstream.name)
         restarted = (
             watched is not None and watched.incarnation != answer.incarnation
@@ -65,9 +65,11 @@
             )
         return events
 
-    def list_losses(self, now: float) -> list[sycamoreloft_decisions.DeskEvent]:
+    def list_losses(
+        self, now: float
+    ) -> list[sycamoreloft_decisions.PermitEvent]:
         """Returns a loss for each upstream that has gone silent."""
-        events: list[sycamoreloft_decisions.DeskEvent] = []
+        events: list[sycamoreloft_decisions.PermitEvent] = []
         for name, watched in self._watched.items():
             silent = now - watched.heard_at > LOST_AFTER_S
             if silent and watched.status != "lost":
--- a/packages/router/tests/domain_world.py
+++ b/packages/router/tests/domain_world.py
@@ -47,7 +47,7 @@
                     key_world.SERVICE, True, 100, "/"
                 )
             },
-            sycamoreloft_direct.CallerBounds(1, 1, 1.0),
+            sycamoreloft_direct.CallerLimits(1, 1, 1.0),
         )
         self.domains = [f"z{number}" for number in range(domains)]
         self.hosts = {}
--- a/packages/router/tests/key_world.py
+++ b/packages/router/tests/key_world.py
@@ -381,7 +381,7 @@
             1,
             (),
             {SERVICE: service},
-            sycamoreloft_direct.CallerBounds(1, 1, 1.0),
+            sycamoreloft_direct.CallerLimits(1, 1, 1.0),
         )
         for number in range(upstreams):
             self.start_upstream(f"u{number}")
--- a/packages/router/tests/test_coordinator_stops.py
+++ b/packages/router/tests/test_coordinator_stops.py
@@ -93,7 +93,7 @@
         await asyncio.sleep(2.0)
         after = _read_lease(world)
         assert after.epoch > before.epoch
-        blind_s = sycamoreloft_direct.HoldTimes().blind_s
+        blind_s = sycamoreloft_direct.LeaseTimes().blind_s
         assert after.earlier_until >= before.expires_at + blind_s
 
     virtual_time.run(main())
--- a/packages/router/tests/test_direct_views.py
+++ b/packages/router/tests/test_direct_views.py
@@ -43,7 +43,7 @@
 
 def test_an_older_desired_state_is_ignored():
     view = _direct_views.StateView()
-    bounds = sycamoreloft_direct.CallerBounds(1, 1, 1.0)
+    bounds = sycamoreloft_direct.CallerLimits(1, 1, 1.0)
     for version in (7, 5, 6):
         view.take(
             {
--- a/packages/router/tests/test_order_logs.py
+++ b/packages/router/tests/test_order_logs.py
@@ -197,7 +197,7 @@
         assert not began["before_resigned"]
         assert not began["before_own_address"]
         assert began["before_expires_at"] < began["store_clock_s"]
-        blind_s = sycamoreloft_direct.HoldTimes().blind_s
+        blind_s = sycamoreloft_direct.LeaseTimes().blind_s
         assert began["earlier_until"] == pytest.approx(
             began["before_expires_at"] + blind_s, abs=0.002
         )
--- a/packages/router/tests/test_upstream_choice.py
+++ b/packages/router/tests/test_upstream_choice.py
@@ -42,7 +42,7 @@
     return types.SimpleNamespace(
         directory=directory,
         generator=generator,
-        book=sycamoreloft_direct.UpstreamBook("z", generator),
+        book=sycamoreloft_direct.UpstreamPool("z", generator),
         leaving_s=1.0,
         loop=None,
     )
--- a/packages/wire/sycamoreloft_wire/_messages.py
+++ b/packages/wire/sycamoreloft_wire/_messages.py
@@ -192,7 +192,7 @@
     #: Time left until the deadline of the request, in milliseconds.
     remaining_ms: int
     #: Whether the permit has been valid without a gap; see
-    #: `sycamoreloft_decisions.UsedPermit`.
+    #: `sycamoreloft_decisions.ReportedPermit`.
     unlapsed: bool
 
 
