Name body reads, timeouts and config look-ups by the terms of the field

'take', 'make', 'note', 'silence' and 'find' stood for reading a buffer, sending a call, counting bytes, timeouts and computed values; the names now say that. A request's run is its execution, as a run is an upstream's.

--- a/packages/config/sycamoreloft_config/__init__.py
+++ b/packages/config/sycamoreloft_config/__init__.py
@@ -1,10 +1,13 @@
 """Fleet and merge files and process settings."""
 
-from sycamoreloft_config._differences import is_alike, list_differences
-from sycamoreloft_config._generations import build_generation, name_file
+from sycamoreloft_config._differences import (
+    is_alike,
+    list_differences,
+)
+from sycamoreloft_config._generations import build_file_name, build_generation
 from sycamoreloft_config._hashing import (
-    find_group,
-    find_partition,
+    compute_group,
+    compute_partition,
     hash_text,
     list_group_upstreams,
     list_groups,
@@ -13,8 +16,8 @@
 from sycamoreloft_config._loading import load_settings
 from sycamoreloft_config._names import (
     ServiceReference,
-    find_operation,
     list_active_upstreams,
+    match_operation,
     resolve_service,
 )
 from sycamoreloft_config._nodes import (
@@ -59,10 +62,10 @@
     "TlsFiles",
     "Upstream",
     "Weights",
+    "build_file_name",
     "build_generation",
-    "find_group",
-    "find_operation",
-    "find_partition",
+    "compute_group",
+    "compute_partition",
     "hash_text",
     "is_alike",
     "list_active_upstreams",
@@ -70,7 +73,7 @@
     "list_group_upstreams",
     "list_groups",
     "load_settings",
-    "name_file",
+    "match_operation",
     "parse_file",
     "parse_group_name",
     "rank_by_rendezvous",
--- a/packages/config/sycamoreloft_config/_generations.py
+++ b/packages/config/sycamoreloft_config/_generations.py
@@ -26,7 +26,7 @@
 ]
 
 
-def name_file(node: _nodes.Fleet | _nodes.Merge) -> str:
+def build_file_name(node: _nodes.Fleet | _nodes.Merge) -> str:
     """Returns "fleet/<name>" or "merge", the name of a file in the store."""
     if isinstance(node, _nodes.Fleet):
         return f"fleet/{node.name}"
@@ -79,12 +79,12 @@
 def _check_name(
     name: str, node: _nodes.Fleet | _nodes.Merge
 ) -> abc.Iterator[_problems.FileProblem]:
-    if name != name_file(node):
+    if name != build_file_name(node):
         yield _problems.FileProblem(
             name,
             "name" if isinstance(node, _nodes.Fleet) else "kind",
-            f"the content is that of {name_file(node)!r}",
-            f"submit it as {name_file(node)!r}, or correct the field",
+            f"the content is that of {build_file_name(node)!r}",
+            f"submit it as {build_file_name(node)!r}, or correct the field",
         )
 
 
--- a/packages/config/sycamoreloft_config/_hashing.py
+++ b/packages/config/sycamoreloft_config/_hashing.py
@@ -12,7 +12,9 @@
     return int.from_bytes(digest[:8], "big")
 
 
-def find_partition(fleet: str, service: str, key: str, partitions: int) -> int:
+def compute_partition(
+    fleet: str, service: str, key: str, partitions: int
+) -> int:
     """Returns the partition number of a key, from 0 to `partitions` - 1."""
     return hash_text(fleet, service, key) % partitions
 
@@ -35,7 +37,7 @@
     ]
 
 
-def find_group(fleet: _nodes.Fleet, upstream_name: str) -> _nodes.GroupName:
+def compute_group(fleet: _nodes.Fleet, upstream_name: str) -> _nodes.GroupName:
     """Returns the group that an upstream of the fleet belongs to."""
     upstream = fleet.upstreams[upstream_name]
     domain = fleet.failure_domains[upstream.failure_domain]
@@ -53,7 +55,7 @@
             for upstream in fleet.upstreams.values()
             # Most upstreams are in other domains, and a hash costs more.
             if upstream.failure_domain == group.failure_domain
-            and find_group(fleet, upstream.name) == group
+            and compute_group(fleet, upstream.name) == group
         ),
         key=lambda upstream: upstream.name,
     )
--- a/packages/config/sycamoreloft_config/_names.py
+++ b/packages/config/sycamoreloft_config/_names.py
@@ -110,7 +110,7 @@
     return ", ".join(ordered[:8]) + more
 
 
-def find_operation(
+def match_operation(
     service: _nodes.Service, method: str, path: str
 ) -> _nodes.Operation:
     """Returns the first rule that matches, or one without any promise.
--- a/packages/config/tests/test_generations.py
+++ b/packages/config/tests/test_generations.py
@@ -192,7 +192,7 @@
     """Guards against a wager that runs twice under another spelling."""
     wager = sycamoreloft_config.Operation("POST", "/wagers", at_most_once=True)
     service = sycamoreloft_config.Service("s", False, operations=(wager,))
-    find = sycamoreloft_config.find_operation
+    find = sycamoreloft_config.match_operation
     assert find(service, "POST", path) == wager
     assert not find(service, "GET", path).at_most_once
     assert not find(service, "POST", "/x" + "/wagers").at_most_once
--- a/packages/config/tests/test_hashing.py
+++ b/packages/config/tests/test_hashing.py
@@ -6,7 +6,7 @@
 def test_partitions_of_equal_keys_differ_between_fleets():
     """Guards against two fleets' equal names being taken for one key."""
     numbers = {
-        sycamoreloft_config.find_partition(fleet, "board", "heat-7", 2**32)
+        sycamoreloft_config.compute_partition(fleet, "board", "heat-7", 2**32)
         for fleet in ("sledworks", "isuku")
     }
     assert len(numbers) == 2
--- a/packages/ctl/sycamoreloft_ctl/_files.py
+++ b/packages/ctl/sycamoreloft_ctl/_files.py
@@ -61,7 +61,7 @@
         )
     match sycamoreloft_config.parse_file(text, str(path)):
         case result.Success(node):
-            name = sycamoreloft_config.name_file(node)
+            name = sycamoreloft_config.build_file_name(node)
             return result.Success(LocalFile(str(path), text, name))
         case result.Failure(found):
             return result.Failure([str(item) for item in found])
--- a/packages/decisions/sycamoreloft_decisions/_loads.py
+++ b/packages/decisions/sycamoreloft_decisions/_loads.py
@@ -45,7 +45,7 @@
         """Counts requests by key."""
         self._decay(now)
         for key, count in counts.items():
-            partition = sycamoreloft_config.find_partition(
+            partition = sycamoreloft_config.compute_partition(
                 self._fleet, self._service, key, self._partitions
             )
             self._counts[partition] = self._counts.get(partition, 0.0) + count
--- a/packages/decisions/sycamoreloft_decisions/_owners.py
+++ b/packages/decisions/sycamoreloft_decisions/_owners.py
@@ -161,7 +161,7 @@
         fleet = self._generation.fleets.get(self._group.fleet)
         found = fleet.services.get(service) if fleet else None
         count = found.partitions if found else 1
-        partition = sycamoreloft_config.find_partition(
+        partition = sycamoreloft_config.compute_partition(
             self._group.fleet, service, key, count
         )
         return _ownership.Unit(service, partition, key)
--- a/packages/decisions/sycamoreloft_decisions/_placement_groups.py
+++ b/packages/decisions/sycamoreloft_decisions/_placement_groups.py
@@ -80,7 +80,7 @@
                 continue
             if upstream.lost or upstream.leaving:
                 continue
-            group = sycamoreloft_config.find_group(fleet, upstream.name)
+            group = sycamoreloft_config.compute_group(fleet, upstream.name)
             slots[group] = slots.get(group, 0) + max(1, upstream.slots)
         return sorted(slots.items())
 
--- a/packages/decisions/tests/test_group_holder.py
+++ b/packages/decisions/tests/test_group_holder.py
@@ -134,7 +134,7 @@
 
 def _find_owner(world, holder, key, partitions=12):
     host = world.hosts[holder]
-    partition = sycamoreloft_config.find_partition(
+    partition = sycamoreloft_config.compute_partition(
         "f", "board", key, partitions
     )
     owner = host.machine.find_owner(
--- a/packages/proof/sycamoreloft_proof/_bench_recovery.py
+++ b/packages/proof/sycamoreloft_proof/_bench_recovery.py
@@ -85,7 +85,7 @@
         keys: dict[tuple[str, str], list[str]] = {}
         for index in range(400):
             key = f"heat-{index}"
-            number = sycamoreloft_config.find_partition(
+            number = sycamoreloft_config.compute_partition(
                 FLEET.name, SERVICE, key, 256
             )
             keys.setdefault(owners[number], []).append(key)
--- a/packages/proof/sycamoreloft_proof/_ownership_world.py
+++ b/packages/proof/sycamoreloft_proof/_ownership_world.py
@@ -151,7 +151,7 @@
         self.transmit(name, owner.upstream, arrive)
 
     def _find_partition(self, service: str, key: str) -> int:
-        return sycamoreloft_config.find_partition(
+        return sycamoreloft_config.compute_partition(
             self.group.fleet,
             service,
             key,
--- a/packages/proof/sycamoreloft_proof/_placement_traces.py
+++ b/packages/proof/sycamoreloft_proof/_placement_traces.py
@@ -245,7 +245,7 @@
     keys: dict[int, list[str]] = {number: [] for number in range(PARTITIONS)}
     for index in range(KEYS):
         key = f"key-{index}"
-        number = sycamoreloft_config.find_partition(
+        number = sycamoreloft_config.compute_partition(
             GROUP.fleet, "board", key, PARTITIONS
         )
         keys[number].append(key)
--- a/packages/router/sycamoreloft_router/_answer_heads.py
+++ b/packages/router/sycamoreloft_router/_answer_heads.py
@@ -99,7 +99,7 @@
                 self._end()
         return not self.problem
 
-    def find(self, name: bytes) -> bytes:
+    def get_header(self, name: bytes) -> bytes:
         """Returns the value of the first header of a lower-case name."""
         for known, line in self.lines:
             if known == name:
--- a/packages/router/sycamoreloft_router/_answer_times.py
+++ b/packages/router/sycamoreloft_router/_answer_times.py
@@ -19,7 +19,7 @@
         self.mean_s = FIRST_ANSWER_S
         self._times: dict[str, float] = {}
 
-    def learn(self, upstream: str, mean_s: float) -> None:
+    def record_mean(self, upstream: str, mean_s: float) -> None:
         """Takes the mean of some answer times of an upstream."""
         known = self._times.get(upstream, mean_s)
         self._times[upstream] = known + ANSWER_GAIN * (mean_s - known)
--- a/packages/router/sycamoreloft_router/_attempts.py
+++ b/packages/router/sycamoreloft_router/_attempts.py
@@ -147,7 +147,7 @@
     @property
     def is_sent(self) -> bool:
         """Whether the upstream may have received bytes of the request."""
-        return self._transfer is not None and self._transfer.started
+        return self._transfer is not None and self._transfer.maybe_sent
 
     async def perform(self) -> sycamoreloft_decisions.Decision:
         """Runs the attempt to its decision.
@@ -281,11 +281,11 @@
         return self._transfer
 
     def _note_sent(self, transfer: _transfers.Transfer) -> None:
-        if transfer.started:
+        if transfer.maybe_sent:
             body = self._given.body
             is_replayable = (
                 not isinstance(body, _body_streams.UploadBuffer)
-                or body.taken == 0
+                or body.bytes_read == 0
             )
             self._handle(_CONNECTION_MADE)
             self._handle(_SENT_REPLAYABLE if is_replayable else _SENT_ONCE)
@@ -303,8 +303,8 @@
         answer = _answers.UpstreamAnswer(
             head.status_line,
             head.status,
-            _headers.list_answer_lines(head.lines),
-            head.find(b"content-length")
+            _headers.filter_answer_lines(head.lines),
+            head.get_header(b"content-length")
             if transfer.request.method == "HEAD"
             else b"",
         )
@@ -312,7 +312,7 @@
             return await self._stream(transfer, answer)
         decision = self._decide(_ANSWER_ENDED)
         self.answered = True
-        self._given.sink.send_whole(answer, transfer.take())
+        self._given.sink.send_complete(answer, transfer.read_available())
         return decision
 
     async def _stream(
@@ -324,7 +324,7 @@
         self.answered = True
         await sink.begin(answer)
         while transfer.failure is None:
-            chunk = transfer.take()
+            chunk = transfer.read_available()
             if chunk:
                 await sink.write(chunk)
             elif transfer.ended:
@@ -332,7 +332,7 @@
                 return self._decide(_ANSWER_ENDED)
             else:
                 await transfer.wait(1)
-        sink.cut()
+        sink.abort()
         return self._decide_failure(transfer.failure)
 
     def _decide_failure(
@@ -353,7 +353,7 @@
             transfer.cancel()
             self._note_sent(transfer)
         if self.answered:
-            self._given.sink.cut()
+            self._given.sink.abort()
         return self._decide(
             self.stop_event or sycamoreloft_decisions.CallerGone()
         )
@@ -464,7 +464,7 @@
 ) -> sycamoreloft_decisions.HeadersReceived:
     refused = ""
     if head.status in sycamoreloft_decisions.REFUSAL_STATUSES:
-        refused = head.find(b"sycamoreloft-refused").decode("latin1")
+        refused = head.get_header(b"sycamoreloft-refused").decode("latin1")
     return sycamoreloft_decisions.HeadersReceived(head.status, refused)
 
 
--- a/packages/router/sycamoreloft_router/_backend.py
+++ b/packages/router/sycamoreloft_router/_backend.py
@@ -110,7 +110,7 @@
                     ["the service has no keys; any of its upstreams serves"],
                 )
             )
-        partition = sycamoreloft_config.find_partition(
+        partition = sycamoreloft_config.compute_partition(
             reference.fleet, reference.service, key, definition.partitions
         )
         group = self._names.find_partition_group(
--- a/packages/router/sycamoreloft_router/_body_streams.py
+++ b/packages/router/sycamoreloft_router/_body_streams.py
@@ -27,7 +27,7 @@
         "_room",
         "_size",
         "broken",
-        "taken",
+        "bytes_read",
     )
 
     def __init__(self, limit: int = BUFFER_BYTES) -> None:
@@ -41,7 +41,7 @@
         self.broken = False
         #: Bytes that libcurl has taken; a body that was touched cannot be
         #: sent a second time.
-        self.taken = 0
+        self.bytes_read = 0
 
     @property
     def size(self) -> int:
@@ -80,7 +80,7 @@
         self._release()
         self._notify()
 
-    def take(self, size: int) -> bytes | None:
+    def read(self, size: int) -> bytes | None:
         """Takes at most `size` bytes.
 
         Returns:
@@ -93,7 +93,7 @@
             self._chunks.appendleft(chunk[size:])
             chunk = chunk[:size]
         self._size -= len(chunk)
-        self.taken += len(chunk)
+        self.bytes_read += len(chunk)
         if self._size * 2 <= self._limit:
             self._release()
         return chunk
@@ -128,7 +128,7 @@
         self._chunks.append(chunk)
         self.size += len(chunk)
 
-    def take_all(self) -> bytes:
+    def read_all(self) -> bytes:
         """Takes everything that is held."""
         chunks = self._chunks
         if not chunks:
--- a/packages/router/sycamoreloft_router/_call_client.py
+++ b/packages/router/sycamoreloft_router/_call_client.py
@@ -22,7 +22,7 @@
 
 #: Seconds without an acknowledgement after which a connection is given up
 #: whose calls may wait long for their answers.
-SILENCE_S = 2.0
+ACK_TIMEOUT_S = 2.0
 
 #: Status of a call that got no whole answer.
 NO_ANSWER = 599
@@ -39,13 +39,13 @@
     """When a call is ended without its answer."""
 
     #: Seconds until the answer's body begins.
-    first_byte_s: float
+    first_byte_timeout_s: float
     #: Seconds between two parts of the body.
-    silence_s: float
+    idle_timeout_s: float
     #: Seconds in all: an answer that comes a byte at a time ends as well.
-    whole_s: float
+    total_timeout_s: float
     #: Longest body, in bytes.
-    body_bytes: int
+    max_body_bytes: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,7 +110,7 @@
             each call: a late second answer to the call before would look
             like the answer to the next one. If it is empty, connections are
             kept, and the caller has to tell whose answer it got.
-        silence_s: Seconds without an acknowledgement after which the system
+        ack_timeout_s: Seconds without an acknowledgement after which the system
             closes a connection; 0 if nothing of a call may arrive once it has
             ended. What the system gives up by itself may still arrive; what
             this process gives up may not.
@@ -120,7 +120,7 @@
         self,
         connect_timeout_s: float,
         id_header: str = "",
-        silence_s: float = SILENCE_S,
+        ack_timeout_s: float = ACK_TIMEOUT_S,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._id_header = id_header
@@ -133,12 +133,12 @@
                 ),
                 connect_timeout_s,
                 assumes_echo=True,
-                silence_s=silence_s,
-                drops_unsent=True,
+                ack_timeout_s=ack_timeout_s,
+                resets_on_close=True,
             ),
         )
 
-    async def make(
+    async def send(
         self, call: Call, progress: _call_progress.CallProgress
     ) -> CallAnswer:
         """Makes a call; if it is cancelled, its connection is closed.
@@ -159,7 +159,7 @@
                 lines,
                 call.body,
                 len(call.body or b""),
-                call.limits.whole_s,
+                call.limits.total_timeout_s,
                 identifier,
                 may_resend=call.is_idempotent,
             )
@@ -186,7 +186,7 @@
         """Collects the answer."""
         chunks: list[bytes] = []
         size = 0
-        limit_s = limits.first_byte_s
+        limit_s = limits.first_byte_timeout_s
         while True:
             try:
                 async with asyncio.timeout(limit_s):
@@ -195,18 +195,18 @@
                 return CallAnswer(
                     NO_ANSWER,
                     error=f"nothing arrived for {limit_s} s",
-                    was_sent=transfer.started,
+                    was_sent=transfer.maybe_sent,
                 )
-            chunk = transfer.take()
+            chunk = transfer.read_available()
             if chunk:
                 chunks.append(chunk)
                 size += len(chunk)
-                progress.note(len(chunk), self._loop.time())
-                limit_s = limits.silence_s
-            if size > limits.body_bytes:
+                progress.record_bytes(len(chunk), self._loop.time())
+                limit_s = limits.idle_timeout_s
+            if size > limits.max_body_bytes:
                 return CallAnswer(
                     NO_ANSWER,
-                    error=f"the answer has over {limits.body_bytes} bytes",
+                    error=f"the answer has over {limits.max_body_bytes} bytes",
                 )
             if transfer.ended:
                 return _build_answer(transfer, b"".join(chunks))
@@ -217,7 +217,7 @@
         return CallAnswer(
             NO_ANSWER,
             error=transfer.failure.text,
-            was_sent=transfer.started,
+            was_sent=transfer.maybe_sent,
         )
     headers = {
         name.decode("latin1"): line.partition(b":")[2].strip().decode("latin1")
@@ -227,7 +227,7 @@
 
 
 def _find_connection(transfer: _transfers.Transfer) -> Connection:
-    if not transfer.started:
+    if not transfer.maybe_sent:
         return Connection.NONE
     if not transfer.is_connecting:
         return Connection.REUSED
--- a/packages/router/sycamoreloft_router/_call_progress.py
+++ b/packages/router/sycamoreloft_router/_call_progress.py
@@ -8,7 +8,7 @@
         now: Time at which the call begins, on the clock of the event loop.
     """
 
-    __slots__ = ("began_at", "bytes", "first_at", "last_at")
+    __slots__ = ("began_at", "bytes", "first_byte_at", "last_byte_at")
 
     def __init__(self, now: float) -> None:
         #: When the call began.
@@ -16,12 +16,12 @@
         #: Bytes of the answer so far.
         self.bytes = 0
         #: When the first of them arrived; 0 before that.
-        self.first_at = 0.0
+        self.first_byte_at = 0.0
         #: When the last of them so far arrived.
-        self.last_at = 0.0
+        self.last_byte_at = 0.0
 
-    def note(self, size: int, now: float) -> None:
+    def record_bytes(self, size: int, now: float) -> None:
         """Notes that a part of the answer arrived."""
-        self.first_at = self.first_at or now
-        self.last_at = now
+        self.first_byte_at = self.first_byte_at or now
+        self.last_byte_at = now
         self.bytes += size
--- a/packages/router/sycamoreloft_router/_caller_exchange.py
+++ b/packages/router/sycamoreloft_router/_caller_exchange.py
@@ -120,7 +120,7 @@
         self._prefix_size = 0
         self._received_at = 0.0
         self._request: _exchange.ParsedRequest | None = None
-        self._run: _exchange.RequestRun | None = None
+        self._run: _exchange.RequestExecution | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._upload: _body_streams.UploadBuffer | None = None
         #: Task that runs the request, once its prefix has been read.
@@ -309,7 +309,7 @@
             self._length = self._prefix_size
         prefix = b"".join(self._prefix)[: _body_streams.PREFIX_BYTES]
         self._prefix.clear()
-        self._run = self._path.create_run(
+        self._run = self._path.create_execution(
             request,
             _exchange.ReceivedRequest(
                 body, self._length, prefix, self._deadline
@@ -319,13 +319,13 @@
         )
         self.task = self._shared.loop.create_task(self._run_request(self._run))
 
-    async def _run_request(self, run: _exchange.RequestRun) -> None:
+    async def _run_request(self, run: _exchange.RequestExecution) -> None:
         refusal: _answers.Refusal | None = None
         try:
             refusal = await run.run()
         except asyncio.CancelledError:
             # The drain bound was reached.
-            self.cut()
+            self.abort()
             raise
         except iostream.StreamClosedError:
             self._on_caller_gone()
@@ -372,7 +372,9 @@
 
     # Answering it; see `_exchange.AnswerSink`.
 
-    def send_whole(self, answer: _answers.UpstreamAnswer, body: bytes) -> None:
+    def send_complete(
+        self, answer: _answers.UpstreamAnswer, body: bytes
+    ) -> None:
         """Sends an answer whose body is complete."""
         self._send_last(answer.encode_whole(body, self._keeps_open()))
         self._end(answer.outcome, answer.reason)
@@ -390,7 +392,7 @@
         self._send_last(b"0\r\n\r\n")
         self._end(_answers.COMPLETED, "")
 
-    def cut(self) -> None:
+    def abort(self) -> None:
         """Closes the connection without the last chunk."""
         if not self._ended:
             self._path.metrics.count("sycamoreloft_answers_cut_total")
--- a/packages/router/sycamoreloft_router/_caller_requests.py
+++ b/packages/router/sycamoreloft_router/_caller_requests.py
@@ -104,7 +104,7 @@
         if isinstance(found, _answers.Refusal):
             return result.Failure(found)
         reference, service = found
-        operation = sycamoreloft_config.find_operation(service, method, target)
+        operation = sycamoreloft_config.match_operation(service, method, target)
         key = _read_key(headers, service)
         if isinstance(key, _answers.Refusal):
             return result.Failure(key)
@@ -116,7 +116,7 @@
             return result.Failure(_refuse_missing_id(method, target))
         partition = -1
         if service.keyed:
-            partition = sycamoreloft_config.find_partition(
+            partition = sycamoreloft_config.compute_partition(
                 reference.fleet, reference.service, key, service.partitions
             )
         return result.Success(
@@ -136,7 +136,7 @@
             )
         )
 
-    def resolve_again(
+    def resolve_names_again(
         self, request: CallerRequest, fields: _headers.RequestFields
     ) -> result.Result[CallerRequest, _answers.Refusal]:
         """Resolves the names of a request under a newer generation."""
--- a/packages/router/sycamoreloft_router/_configuration.py
+++ b/packages/router/sycamoreloft_router/_configuration.py
@@ -205,7 +205,7 @@
         for file_name, text in submission.texts.items():
             node = sycamoreloft_config.parse_file(text, file_name)
             if pipeline.is_successful(node):
-                texts[sycamoreloft_config.name_file(node.unwrap())] = text
+                texts[sycamoreloft_config.build_file_name(node.unwrap())] = text
             else:
                 problems += [str(item) for item in node.failure()]
         if not problems:
--- a/packages/router/sycamoreloft_router/_connection_rules.py
+++ b/packages/router/sycamoreloft_router/_connection_rules.py
@@ -38,9 +38,9 @@
     assumes_echo: bool = False
     #: Seconds after which a peer that acknowledges nothing is given up; 0
     #: leaves that to the deadline of the request.
-    silence_s: float = 0.0
+    ack_timeout_s: float = 0.0
     #: Whether closing a connection drops what was not delivered.
-    drops_unsent: bool = False
+    resets_on_close: bool = False
 
 
 class KeptSockets:
@@ -85,7 +85,7 @@
         descriptor: The socket.
         rules: How its connection is kept and given up.
     """
-    if not (rules.silence_s or rules.drops_unsent):
+    if not (rules.ack_timeout_s or rules.resets_on_close):
         return
     # Without these arguments it would ask the system for each of them.
     connection = socket.socket(
@@ -95,12 +95,12 @@
         fileno=descriptor,
     )
     try:
-        if rules.drops_unsent:
+        if rules.resets_on_close:
             connection.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
             )
-        if rules.silence_s:
-            _limit_silence(connection, rules.silence_s)
+        if rules.ack_timeout_s:
+            _limit_silence(connection, rules.ack_timeout_s)
     finally:
         connection.detach()
 
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -171,7 +171,7 @@
                 IDLE_CONNECTION_S,
                 True,
                 SILENCE_S,
-                drops_unsent=True,
+                resets_on_close=True,
             ),
         )
         self._budgets = sycamoreloft_direct.ServiceRetryBudgets(
@@ -264,12 +264,12 @@
             # What makes one of them fail, a row of the store for example,
             # reaches every host: all would end. Requests go on without it.
             self._supervisor.start(
-                _supervisor.ChildSpecification(name, run, is_kept=True)
+                _supervisor.ChildSpecification(name, run, always_restarts=True)
             )
         if watch is not None:
             self._supervisor.start(
                 _supervisor.ChildSpecification(
-                    "settings", watch.run, is_kept=True
+                    "settings", watch.run, always_restarts=True
                 )
             )
         _logs.log_event(
--- a/packages/router/sycamoreloft_router/_direct_run.py
+++ b/packages/router/sycamoreloft_router/_direct_run.py
@@ -61,7 +61,7 @@
             services.states, services.names
         )
 
-    def create_run(
+    def create_execution(
         self,
         request: _direct_requests.DirectRequest,
         received: _exchange.ReceivedRequest,
@@ -142,7 +142,7 @@
         """
         if self._stop_reason is not None:
             return
-        is_running = self._transfer is not None and self._transfer.started
+        is_running = self._transfer is not None and self._transfer.maybe_sent
         if (
             reason is _STOP.CALLER_GONE
             and is_running
@@ -154,7 +154,7 @@
             self._task.cancel()
 
     async def run(self) -> _answers.Refusal | None:
-        """Runs the attempts; see `_exchange.RequestRun`."""
+        """Runs the attempts; see `_exchange.RequestExecution`."""
         services = self._services
         self._task = asyncio.current_task(services.loop)
         services.budgets.record_request(
@@ -233,7 +233,7 @@
         now = services.loop.time()
         transfer = self._transfer
         if transfer is not None:
-            if transfer.started and result is _RESULT.CANCELLED:
+            if transfer.maybe_sent and result is _RESULT.CANCELLED:
                 self._may_have_run = True
             if not transfer.ended:
                 transfer.cancel()
@@ -291,7 +291,7 @@
         self, transfer: _transfers.Transfer
     ) -> sycamoreloft_direct.AttemptResult:
         head = transfer.head
-        if transfer.started:
+        if transfer.maybe_sent:
             self._sent_to.add(self._choice.tried[-1])
         if head.complete and self._is_refusal(head):
             self._choice.reason = f"upstream-refused-{head.status}"
@@ -306,7 +306,7 @@
         if failure is None:
             return _RESULT.FAILED if head.status >= 500 else _RESULT.ANSWERED
         self._choice.reason = failure.kind.value
-        if not transfer.started:
+        if not transfer.maybe_sent:
             return _RESULT.UNREACHABLE
         self._may_have_run = True
         if failure.kind is _KIND.UPLOAD:
@@ -319,12 +319,12 @@
         if head.problem or head.status not in REFUSAL_STATUSES:
             return False
         name = self._services.names.not_executed.lower().encode("latin1")
-        return head.status == MISDIRECTED or head.find(name) != b""
+        return head.status == MISDIRECTED or head.get_header(name) != b""
 
     def _is_from_another(self, head: _answer_heads.AnswerHead) -> bool:
         """Tells whether an answer names another upstream than was asked."""
         name = self._services.names.answering_upstream.lower().encode("latin1")
-        answering = head.find(name)
+        answering = head.get_header(name)
         return answering not in (b"", self._choice.tried[-1].encode("latin1"))
 
     async def _pass_on(self, transfer: _transfers.Transfer) -> None:
@@ -332,17 +332,17 @@
         answer = _answers.UpstreamAnswer(
             head.status_line,
             head.status,
-            _headers.list_answer_lines(head.lines),
-            head.find(b"content-length")
+            _headers.filter_answer_lines(head.lines),
+            head.get_header(b"content-length")
             if transfer.request.method == "HEAD"
             else b"",
         )
         if transfer.ended:
-            self._sink.send_whole(answer, transfer.take())
+            self._sink.send_complete(answer, transfer.read_available())
             return
         await self._sink.begin(answer)
         while transfer.failure is None:
-            chunk = transfer.take()
+            chunk = transfer.read_available()
             if chunk:
                 await self._sink.write(chunk)
             elif transfer.ended:
@@ -350,7 +350,7 @@
                 return
             else:
                 await transfer.wait(1)
-        self._sink.cut()
+        self._sink.abort()
 
     # After an attempt.
 
@@ -391,7 +391,7 @@
     def _is_replayable(self) -> bool:
         body = self._received.body
         return not isinstance(body, _body_streams.UploadBuffer) or (
-            body.taken == 0 and not body.broken
+            body.bytes_read == 0 and not body.broken
         )
 
     def _refuse(self) -> _answers.Refusal:
--- a/packages/router/sycamoreloft_router/_exchange.py
+++ b/packages/router/sycamoreloft_router/_exchange.py
@@ -16,7 +16,9 @@
 class AnswerSink(typing.Protocol):
     """Where the answer to a caller goes."""
 
-    def send_whole(self, answer: _answers.UpstreamAnswer, body: bytes) -> None:
+    def send_complete(
+        self, answer: _answers.UpstreamAnswer, body: bytes
+    ) -> None:
         """Sends an answer whose body is complete."""
 
     async def begin(self, answer: _answers.UpstreamAnswer) -> None:
@@ -28,7 +30,7 @@
     def end(self) -> None:
         """Marks the end of a streamed answer."""
 
-    def cut(self) -> None:
+    def abort(self) -> None:
         """Closes the connection without the last chunk."""
 
 
@@ -55,7 +57,7 @@
     CALLER_GONE = "caller-gone"
 
 
-class RequestRun(typing.Protocol):
+class RequestExecution(typing.Protocol):
     """A request that is being served."""
 
     async def run(self) -> _answers.Refusal | None:
@@ -120,13 +122,13 @@
     def parser(self) -> RequestParser:
         """Finds the routes of requests."""
 
-    def create_run(
+    def create_execution(
         self,
         request: typing.Any,
         received: ReceivedRequest,
         fields: _headers.RequestFields,
         sink: AnswerSink,
-    ) -> RequestRun:
+    ) -> RequestExecution:
         """Creates the run of a request.
 
         Args:
--- a/packages/router/sycamoreloft_router/_generation_checks.py
+++ b/packages/router/sycamoreloft_router/_generation_checks.py
@@ -39,7 +39,7 @@
         return False
     if not service.keyed:
         return message.partition == -1
-    expected = sycamoreloft_config.find_partition(
+    expected = sycamoreloft_config.compute_partition(
         message.fleet, message.service, message.key, service.partitions
     )
     return message.partition == expected
--- a/packages/router/sycamoreloft_router/_grant_client.py
+++ b/packages/router/sycamoreloft_router/_grant_client.py
@@ -66,7 +66,7 @@
         signature = hmac.new(
             self._key.secret.encode(), body, hashlib.sha256
         ).hexdigest()
-        answer = await self._client.make(
+        answer = await self._client.send(
             _call_client.Call(
                 address,
                 "POST",
--- a/packages/router/sycamoreloft_router/_headers.py
+++ b/packages/router/sycamoreloft_router/_headers.py
@@ -108,7 +108,9 @@
     return RequestFields(values, repeated, lines)
 
 
-def list_answer_lines(lines: abc.Sequence[tuple[bytes, bytes]]) -> list[bytes]:
+def filter_answer_lines(
+    lines: abc.Sequence[tuple[bytes, bytes]],
+) -> list[bytes]:
     """Lists the upstream's header lines that are sent back to the caller."""
     dropped: abc.Container[bytes] = _ANSWER_DROPPED
     for name, line in lines:
--- a/packages/router/sycamoreloft_router/_logs.py
+++ b/packages/router/sycamoreloft_router/_logs.py
@@ -137,10 +137,10 @@
         **fields: Values that JSON can represent; `exc_info=True` adds the
             exception that is being handled.
     """
-    log_built_event(logger, level, event, lambda: fields)
+    log_event_lazily(logger, level, event, lambda: fields)
 
 
-def log_built_event(
+def log_event_lazily(
     logger: logging.Logger,
     level: int,
     event: str,
--- a/packages/router/sycamoreloft_router/_names.py
+++ b/packages/router/sycamoreloft_router/_names.py
@@ -68,7 +68,7 @@
                 side = self._near if domain.name == own_domain else self._far
                 groups = side.setdefault((fleet.name, upstream.service), [])
                 group = str(
-                    sycamoreloft_config.find_group(fleet, upstream.name)
+                    sycamoreloft_config.compute_group(fleet, upstream.name)
                 )
                 if group not in groups:
                     groups.append(group)
--- a/packages/router/sycamoreloft_router/_order_logs.py
+++ b/packages/router/sycamoreloft_router/_order_logs.py
@@ -100,7 +100,7 @@
         now: Time of the decision on the boot clock, in seconds.
     """
     level, event = _EVENTS.get(change.cause, (logging.WARNING, "owner-changed"))
-    _logs.log_built_event(
+    _logs.log_event_lazily(
         _LOGGER,
         level,
         event,
--- a/packages/router/sycamoreloft_router/_request_path.py
+++ b/packages/router/sycamoreloft_router/_request_path.py
@@ -92,13 +92,13 @@
         #: Metrics of the process.
         self.metrics = services.metrics
 
-    def create_run(
+    def create_execution(
         self,
         request: _caller_requests.CallerRequest,
         received: _exchange.ReceivedRequest,
         fields: _headers.RequestFields,
         sink: _exchange.AnswerSink,
-    ) -> "RequestRun":
+    ) -> "RequestExecution":
         """Creates the run of a request; see `_exchange.RequestPath`."""
         given = _attempts.AttemptInput(
             request,
@@ -110,10 +110,10 @@
             received.deadline,
             sink,
         )
-        return RequestRun(self, given, fields)
+        return RequestExecution(self, given, fields)
 
 
-class RequestRun:
+class RequestExecution:
     """Runs one request of a caller.
 
     Args:
@@ -284,7 +284,7 @@
     def _is_replayable(self) -> bool:
         body = self._given.body
         return not isinstance(body, _body_streams.UploadBuffer) or (
-            body.taken == 0 and not body.broken
+            body.bytes_read == 0 and not body.broken
         )
 
     async def _sleep(self, delay: float) -> bool:
@@ -316,7 +316,7 @@
             if self._stop_event is None:
                 raise
             return None
-        parsed = self._path.parser.resolve_again(
+        parsed = self._path.parser.resolve_names_again(
             self._given.request, self._fields
         )
         match parsed:
--- a/packages/router/sycamoreloft_router/_supervisor.py
+++ b/packages/router/sycamoreloft_router/_supervisor.py
@@ -13,10 +13,10 @@
 _LOGGER = logging.getLogger(__name__)
 
 #: Delay before the first restart of a task, in seconds; it doubles each time.
-FIRST_BACKOFF_S = 0.05
+INITIAL_BACKOFF_S = 0.05
 
 #: Longest delay before a restart, in seconds.
-LONGEST_BACKOFF_S = 2.0
+MAXIMUM_BACKOFF_S = 2.0
 
 #: Restarts that a task may use up inside the window.
 MAXIMUM_RESTARTS = 10
@@ -37,7 +37,7 @@
     #: Without it the whole tree fails.
     on_give_up: abc.Callable[[], None] | None = None
     #: Whether it is restarted however often it fails.
-    is_kept: bool = False
+    always_restarts: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,7 +133,7 @@
         ]
 
     async def _run(self, child: _Child) -> None:
-        backoff = FIRST_BACKOFF_S
+        backoff = INITIAL_BACKOFF_S
         while True:
             child.status = "running"
             started = self._clock()
@@ -153,14 +153,17 @@
                 )
             now = self._clock()
             failures = child.count_failure(now)
-            if failures > MAXIMUM_RESTARTS and not child.specification.is_kept:
+            if (
+                failures > MAXIMUM_RESTARTS
+                and not child.specification.always_restarts
+            ):
                 self._give_up(child)
                 return
             if now - started > RESTART_WINDOW_S:
-                backoff = FIRST_BACKOFF_S
+                backoff = INITIAL_BACKOFF_S
             child.status = "backing-off"
             await self._sleep(backoff)
-            backoff = min(backoff * 2, LONGEST_BACKOFF_S)
+            backoff = min(backoff * 2, MAXIMUM_BACKOFF_S)
             child.restarts += 1
 
     def _give_up(self, child: _Child) -> None:
--- a/packages/router/sycamoreloft_router/_table_follower.py
+++ b/packages/router/sycamoreloft_router/_table_follower.py
@@ -96,7 +96,7 @@
             self._log_read(answer, read_at)
             if answer.values and not self._is_reading:
                 # While a long answer was loading, changes were collected.
-                loading_s = read_at - self._progress.first_at
+                loading_s = read_at - self._progress.first_byte_at
                 await asyncio.sleep(
                     max(0.0, COLLECT_S + self._spread_s() - loading_s)
                 )
@@ -178,7 +178,7 @@
     ) -> None:
         """Tells how long each part of a full or slow read took."""
         progress = self._progress
-        loading_s = progress.last_at - progress.first_at
+        loading_s = progress.last_byte_at - progress.first_byte_at
         if not self._is_reading and loading_s < SLOW_LOAD_S:
             return
         now = asyncio.get_running_loop().time()
@@ -191,9 +191,9 @@
             newest=self.newest,
             rows=len(answer.values),
             bytes=progress.bytes,
-            waited_s=round(progress.first_at - progress.began_at, 3),
+            waited_s=round(progress.first_byte_at - progress.began_at, 3),
             loading_s=round(loading_s, 3),
-            decoding_s=round(read_at - progress.last_at, 3),
+            decoding_s=round(read_at - progress.last_byte_at, 3),
             applying_s=round(now - read_at, 3),
         )
 
--- a/packages/router/sycamoreloft_router/_tenure.py
+++ b/packages/router/sycamoreloft_router/_tenure.py
@@ -257,7 +257,7 @@
         for upstream, (count, total) in report.answers.items():
             # Answers of a busy upstream tell its queue and not its speed.
             if count > 0 and not self._coordinator.is_busy(upstream):
-                self._answer_times.learn(upstream, total / count)
+                self._answer_times.record_mean(upstream, total / count)
         for service, keys in report.requests.items():
             work_s = {
                 key: count * self._answer_times.mean_s
--- a/packages/router/sycamoreloft_router/_transfers.py
+++ b/packages/router/sycamoreloft_router/_transfers.py
@@ -50,9 +50,9 @@
         "head",
         "is_connecting",
         "is_expired",
+        "maybe_sent",
         "request",
         "sends",
-        "started",
     )
 
     def __init__(
@@ -74,7 +74,7 @@
         self.body = _body_streams.DownloadBuffer()
         #: Whether a byte of the request may have reached the upstream. It is
         #: set as soon as libcurl has a connection for the request.
-        self.started = False
+        self.maybe_sent = False
         #: How many connections libcurl sent the request on.
         self.sends = 0
         #: Whether libcurl opened a socket for the transfer.
@@ -106,9 +106,9 @@
         finally:
             self._waiter = None
 
-    def take(self) -> bytes:
+    def read_available(self) -> bytes:
         """Takes the bytes that are held and lets libcurl continue."""
-        chunk = self.body.take_all()
+        chunk = self.body.read_all()
         if self._paused:
             self._paused = False
             self._client.resume(self._handle)
@@ -169,7 +169,7 @@
             _transfer_types.Failure(_KIND.BROKEN, problem) if problem else None
         )
     message = message or f"libcurl ended the transfer with error {error}"
-    if transfer.started:
+    if transfer.maybe_sent:
         kind = _KIND.BROKEN
         if error == pycurl.E_OPERATION_TIMEDOUT:
             kind = _KIND.DEADLINE
--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -182,7 +182,7 @@
         # may run twice.
         transfer = self.transfer
         if transfer is None or (
-            transfer.started and not transfer.request.may_resend
+            transfer.maybe_sent and not transfer.request.may_resend
         ):
             return int(pycurl.PREREQFUNC_ABORT)
         if transfer.check_expired():
@@ -192,7 +192,7 @@
         elif self.sockets.is_readable(endpoints):
             self.has_unread = True
             return int(pycurl.PREREQFUNC_ABORT)
-        transfer.started = True
+        transfer.maybe_sent = True
         transfer.sends += 1
         transfer.head.needs_echo = (
             bool(self.rules.answers.echo_header) and not self.is_connection_new
@@ -212,7 +212,7 @@
     def _on_read(self, size: int) -> bytes | int:
         if self.upload is None or self.upload.broken:
             return int(pycurl.READFUNC_ABORT)
-        chunk = self.upload.take(size)
+        chunk = self.upload.read(size)
         return int(pycurl.READFUNC_PAUSE) if chunk is None else chunk
 
 
--- a/packages/router/tests/test_alias_releases.py
+++ b/packages/router/tests/test_alias_releases.py
@@ -163,7 +163,7 @@
 
     def ask(self, key, reply):
         fleet = self.runtime.group.fleet
-        partition = sycamoreloft_config.find_partition(
+        partition = sycamoreloft_config.compute_partition(
             fleet, "board", key, PARTITIONS
         )
         permit = f"permit-{next(self.permits)}"
--- a/packages/router/tests/test_call_client.py
+++ b/packages/router/tests/test_call_client.py
@@ -27,9 +27,9 @@
         async def main():
             client = _call_client.CallClient(1.0)
 
-            async def make(upstream, limits=LIMITS):
+            async def send(upstream, limits=LIMITS):
                 progress = _call_progress.CallProgress(0.0)
-                return await client.make(
+                return await client.send(
                     _call_client.Call(
                         upstream.address, "POST", "/order", limits, b"{}"
                     ),
@@ -41,7 +41,7 @@
                     asyncio.timeout(40),
                     raw_peers.RawUpstream(script) as upstream,
                 ):
-                    await scenario(upstream, make)
+                    await scenario(upstream, send)
             finally:
                 client.close()
 
@@ -99,8 +99,8 @@
     """Guards against answers that fill the memory until the time is over."""
     script = EndlessScript(start, piece)
 
-    async def scenario(upstream, make):
-        answer = await make(upstream)
+    async def scenario(upstream, send):
+        answer = await send(upstream)
         assert answer.status == _call_client.NO_ANSWER
         assert answer.error
         await raw_peers.wait_until(lambda: upstream.closed == 1)
@@ -113,9 +113,9 @@
     """Guards against noise after an answer that is taken for the next one."""
     script = EndlessScript(raw_peers.answer(b"first"), b"x" * 8192)
 
-    async def scenario(upstream, make):
+    async def scenario(upstream, send):
         for _ in range(2):
-            answer = await make(upstream)
+            answer = await send(upstream)
             assert (answer.status, answer.body) == (200, b"first")
         await raw_peers.wait_until(lambda: upstream.closed == 2)
 
@@ -135,9 +135,9 @@
         await writer.drain()
         repeated.set()
 
-    async def scenario(upstream, make):
+    async def scenario(upstream, send):
         for number in range(3):
-            answer = await make(upstream)
+            answer = await send(upstream)
             assert (answer.status, answer.body) == (200, b"%d" % number)
             await repeated.wait()
             repeated.clear()
@@ -152,9 +152,9 @@
         writer.write(OK + b"Content-Length: 10\r\n\r\nhalf")
         await reader.read()
 
-    async def scenario(upstream, make):
+    async def scenario(upstream, send):
         limits = _call_client.CallLimits(5.0, 0.2, 20.0, 100)
-        answer = await make(upstream, limits)
+        answer = await send(upstream, limits)
         assert answer.status == _call_client.NO_ANSWER
         await raw_peers.wait_until(lambda: upstream.closed == 1)
 
@@ -167,8 +167,8 @@
     async def script(_request, _writer, reader):
         await reader.read()
 
-    async def scenario(upstream, make):
-        task = asyncio.create_task(make(upstream))
+    async def scenario(upstream, send):
+        task = asyncio.create_task(send(upstream))
         await raw_peers.wait_until(lambda: upstream.requests)
         task.cancel()
         await raw_peers.wait_until(lambda: upstream.closed == 1)
@@ -183,9 +183,9 @@
         writer.write(raw_peers.answer(b"", headers=b"Lease-Handover: h1\r\n"))
         await writer.drain()
 
-    async def scenario(upstream, make):
+    async def scenario(upstream, send):
         for _ in range(2):
-            answer = await make(upstream)
+            answer = await send(upstream)
             assert answer.status == 200
             assert answer.headers["lease-handover"] == "h1"
         assert upstream.connections == 1
@@ -199,15 +199,15 @@
     async def script(_request, writer, _reader):
         writer.close()
 
-    async def scenario(upstream, make):
-        broken = await make(upstream)
+    async def scenario(upstream, send):
+        broken = await send(upstream)
         assert (broken.status, broken.was_sent) == (
             _call_client.NO_ANSWER,
             True,
         )
         address = upstream.address
         await upstream.__aexit__()
-        refused = await make(upstream)
+        refused = await send(upstream)
         assert upstream.address == address
         assert refused.status == _call_client.NO_ANSWER
         assert not refused.was_sent
@@ -227,9 +227,9 @@
 
     upstreams = []
 
-    async def scenario(upstream, make):
+    async def scenario(upstream, send):
         upstreams.append(upstream)
-        kinds = [(await make(upstream)).connection for _ in range(4)]
+        kinds = [(await send(upstream)).connection for _ in range(4)]
         expected = _call_client.Connection
         assert kinds == [
             expected.NEW,
@@ -243,9 +243,9 @@
 
 
 def test_a_call_without_a_connection_says_so(call):
-    async def scenario(upstream, make):
+    async def scenario(upstream, send):
         await upstream.__aexit__()
-        answer = await make(upstream)
+        answer = await send(upstream)
         assert answer.status == _call_client.NO_ANSWER
         assert answer.connection is _call_client.Connection.NONE
 
--- a/packages/router/tests/test_generation_checks.py
+++ b/packages/router/tests/test_generation_checks.py
@@ -27,7 +27,7 @@
 @pytest.fixture
 def keyed_request():
     """A request that fits the files."""
-    partition = sycamoreloft_config.find_partition("f", "keyed", "k", 16)
+    partition = sycamoreloft_config.compute_partition("f", "keyed", "k", 16)
     return sycamoreloft_wire.PermitRequest(
         "f/d/0", "p", "h", 1, "f", "keyed", "k", partition, b"x", "c", 1, 500
     )
--- a/packages/router/tests/test_headers.py
+++ b/packages/router/tests/test_headers.py
@@ -54,7 +54,7 @@
     )
     lines = _headers.read_fields(headers).lines
     assert [line for line in lines if line[-1:] != b":"] == [b"X-Own: 1"]
-    assert _headers.list_answer_lines(
+    assert _headers.filter_answer_lines(
         [
             (b"connection", b"Connection: X-Hop"),
             (b"x-hop", b"X-Hop: 1"),
--- a/packages/router/tests/test_socket_options.py
+++ b/packages/router/tests/test_socket_options.py
@@ -29,7 +29,7 @@
 
 def test_the_limits_of_a_silence_leave_the_socket_open(connection):
     """Guards against connections that stay silent for good."""
-    rules = _connection_rules.ConnectionRules(silence_s=2.0)
+    rules = _connection_rules.ConnectionRules(ack_timeout_s=2.0)
     _connection_rules.set_options(connection.fileno(), rules)
     options = [
         connection.getsockopt(socket.IPPROTO_TCP, option)
@@ -47,7 +47,7 @@
 # Guards against requests that arrive after they were given up: what the system
 # closes because of silence may still be delivered, what is reset may not.
 def test_only_this_process_gives_up_a_connection_that_drops(connection):
-    rules = _connection_rules.ConnectionRules(drops_unsent=True)
+    rules = _connection_rules.ConnectionRules(resets_on_close=True)
     _connection_rules.set_options(connection.fileno(), rules)
     linger = connection.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)
     assert struct.unpack("ii", linger) == (1, 0)
@@ -100,6 +100,6 @@
             )
             assert transfer.is_connecting
             await transfer.wait(1)
-            assert transfer.take() == b"x"
+            assert transfer.read_available() == b"x"
 
     run(scenario)
--- a/packages/router/tests/test_supervisor.py
+++ b/packages/router/tests/test_supervisor.py
@@ -57,7 +57,7 @@
     """Guards against a task that is restarted in a busy loop."""
     run_failing_child(fake_time, lambda: None)
     assert fake_time.delays[:4] == [0.05, 0.1, 0.2, 0.4]
-    assert max(fake_time.delays) == _supervisor.LONGEST_BACKOFF_S
+    assert max(fake_time.delays) == _supervisor.MAXIMUM_BACKOFF_S
 
 
 def test_a_task_is_given_up_after_its_restarts(fake_time):
@@ -77,9 +77,9 @@
 
 def test_a_kept_task_is_restarted_however_often_it_fails(fake_time):
     """Guards against hosts that all end because of what all of them read."""
-    state = run_failing_child(fake_time, None, is_kept=True)
+    state = run_failing_child(fake_time, None, always_restarts=True)
     assert state.restarts > 2 * _supervisor.MAXIMUM_RESTARTS
-    assert max(fake_time.delays) == _supervisor.LONGEST_BACKOFF_S
+    assert max(fake_time.delays) == _supervisor.MAXIMUM_BACKOFF_S
 
 
 def test_stop_waits_for_the_task(fake_time):
--- a/packages/router/tests/test_table_follower.py
+++ b/packages/router/tests/test_table_follower.py
@@ -38,7 +38,7 @@
         )
         for _ in range(100):
             await asyncio.sleep(self.load_s / 100)
-            progress.note(1, asyncio.get_running_loop().time())
+            progress.record_bytes(1, asyncio.get_running_loop().time())
         return problem or answer
 
     def put(self, key, value):
--- a/packages/router/tests/test_upstream_client.py
+++ b/packages/router/tests/test_upstream_client.py
@@ -31,8 +31,8 @@
     body = b""
     while not transfer.ended:
         await transfer.wait(1)
-        body += transfer.take()
-    return transfer, body + transfer.take()
+        body += transfer.read_available()
+    return transfer, body + transfer.read_available()
 
 
 def scripted(data, keep=True):
@@ -129,7 +129,7 @@
         async with raw_peers.RawUpstream(scripted(data, False)) as upstream:
             transfer, _ = await fetch(client, upstream)
             assert transfer.failure.kind is KIND.BROKEN
-            assert transfer.started
+            assert transfer.maybe_sent
             await fetch(client, upstream)
             assert upstream.connections == 2
 
@@ -155,7 +155,7 @@
             await fetch(client, upstream)
             transfer, _ = await fetch(client, upstream, method, body)
             assert transfer.failure.kind is KIND.BROKEN
-            assert transfer.started
+            assert transfer.maybe_sent
             await asyncio.sleep(0.05)
             assert [one.connection for one in upstream.requests] == [0, 1, 1]
 
@@ -171,7 +171,7 @@
             host, port = unused.getsockname()
             transfer, _ = await fetch(client, f"{host}:{port}")
         assert transfer.failure.kind is KIND.CONNECT
-        assert not transfer.started
+        assert not transfer.maybe_sent
 
     run(scenario)
 
@@ -192,7 +192,7 @@
                 client, upstream, target="/slow", timeout_s=0.05
             )
             assert transfer.failure.kind is KIND.DEADLINE
-            assert transfer.started
+            assert transfer.maybe_sent
             for _ in range(5):
                 _, body = await fetch(client, upstream)
                 assert body == b"own"
@@ -406,8 +406,8 @@
             total = 0
             while not transfer.ended:
                 await transfer.wait(1)
-                total += len(transfer.take())
-            assert total + len(transfer.take()) == size
+                total += len(transfer.read_available())
+            assert total + len(transfer.read_available()) == size
             assert transfer.failure is None
 
     run(scenario)
