Name the direct mode's shared classes by the terms of the field

The duty, the bid and the witness of a host are its coordinator role, the election and the store's availability; tables and records say what they hold.

--- a/packages/router/sycamoreloft_router/__init__.py
+++ b/packages/router/sycamoreloft_router/__init__.py
@@ -14,23 +14,23 @@
 from sycamoreloft_router._call_progress import CallProgress
 from sycamoreloft_router._direct_host import RELOADABLE, DirectHost
 from sycamoreloft_router._direct_ports import (
-    Changes,
     HeaderNames,
     HostSettings,
-    KeyOrders,
+    KeyOrderClient,
     OrderTrace,
     Platform,
     ReadProblem,
     Record,
-    Records,
+    RecordSnapshot,
     RecordStore,
-    Watched,
+    TableEntries,
+    WatchedTable,
     WriteOutcome,
     WriteResult,
 )
 from sycamoreloft_router._logs import log_event, set_up_logging
 from sycamoreloft_router._metrics import Metrics
-from sycamoreloft_router._settings_watch import SettingsSource, SettingsWatch
+from sycamoreloft_router._settings_watch import SettingsSource, SettingsWatcher
 from sycamoreloft_router._supervisor import SupervisorFailed
 
 __all__ = [
@@ -41,22 +41,22 @@
     "CallClient",
     "CallLimits",
     "CallProgress",
-    "Changes",
+    "TableEntries",
     "DirectHost",
     "HeaderNames",
     "HostSettings",
-    "KeyOrders",
+    "KeyOrderClient",
     "Metrics",
     "OrderTrace",
     "Platform",
     "ReadProblem",
     "Record",
     "RecordStore",
-    "Records",
+    "RecordSnapshot",
     "SettingsSource",
-    "SettingsWatch",
+    "SettingsWatcher",
     "SupervisorFailed",
-    "Watched",
+    "WatchedTable",
     "WriteOutcome",
     "WriteResult",
     "log_event",
--- a/packages/router/sycamoreloft_router/_coordinator_bid.py
+++ b/packages/router/sycamoreloft_router/_coordinator_election.py
@@ -52,7 +52,7 @@
 Outcome = Unreached | Deferred | Won
 
 
-class CoordinatorBid:
+class CoordinatorElection:
     """Bids for the duty, and remembers which ended lease it watches.
 
     Args:
--- a/packages/router/sycamoreloft_router/_duty_logs.py
+++ b/packages/router/sycamoreloft_router/_coordinator_logs.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from sycamoreloft_router import _coordinator_bid, _datagrams, _logs
+from sycamoreloft_router import _coordinator_election, _datagrams, _logs
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -40,7 +40,7 @@
         self._epoch, self._sender, self._heard_at = epoch, sender, now
 
 
-def log_beginning(won: _coordinator_bid.Won, own_address: str) -> None:
+def log_beginning(won: _coordinator_election.Won, own_address: str) -> None:
     """Logs that this host is the coordinator.
 
     Args:
--- a/packages/router/sycamoreloft_router/_coordinator_duty.py
+++ b/packages/router/sycamoreloft_router/_coordinator_role.py
@@ -7,13 +7,13 @@
 
 import sycamoreloft_direct
 from sycamoreloft_router import (
-    _coordinator_bid,
+    _coordinator_election,
     _coordinator_lease,
+    _coordinator_logs,
     _datagrams,
     _direct_peers,
     _direct_ports,
     _direct_views,
-    _duty_logs,
     _freshness,
     _host_reports,
     _host_roster,
@@ -65,7 +65,7 @@
 MOST_ASK_S = 1.2
 
 
-class CoordinatorDuty:
+class CoordinatorRole:
     """Runs beside the requests of a host.
 
     Args:
@@ -122,7 +122,7 @@
         )
         self._assembler = _map_parts.MapAssembler()
         self._roster = _host_roster.HostRoster(self._socket, directory)
-        self._bid = _coordinator_bid.CoordinatorBid(
+        self._bid = _coordinator_election.CoordinatorElection(
             settings,
             platform.records,
             self._times.blind_s,
@@ -130,13 +130,13 @@
             clock,
         )
         self._coordinator_address: _datagrams.Address | None = None
-        self._followed = _duty_logs.FollowedCoordinator()
+        self._followed = _coordinator_logs.FollowedCoordinator()
         self._heard_at = -1e9
         self._blind_heard_at = -1e9
         self._ask_at = self._clock() + self._yield_s
         self._beat_at = 0.0
         self._report_at = 0.0
-        self._ticks = _ticks.Ticks(TICK_S)
+        self._ticks = _ticks.TickTimer(TICK_S)
         self._reports = _host_reports.HostReports(
             settings.name, directory, self._seen, self._guard
         )
@@ -260,13 +260,13 @@
         heard = self._directory.key_map.version
         outcome = await self._bid.make(hears_blind)
         pause_s = self._generator.uniform(LEAST_ASK_S, MOST_ASK_S)
-        if isinstance(outcome, _coordinator_bid.Unreached):
+        if isinstance(outcome, _coordinator_election.Unreached):
             return pause_s * BLIND_ASK_FACTOR if hears_blind else pause_s
         if outcome.key_map.epoch < heard[0]:
-            _duty_logs.log_unconfirmed(heard[0], outcome.key_map.epoch)
+            _coordinator_logs.log_unconfirmed(heard[0], outcome.key_map.epoch)
             self._directory.replace(outcome.key_map)
         self._directory.take(outcome.key_map)
-        if isinstance(outcome, _coordinator_bid.Won):
+        if isinstance(outcome, _coordinator_election.Won):
             self._begin(outcome)
             if self._is_stopping:
                 # The stop came while the store was asked.
@@ -283,7 +283,7 @@
             return outcome.wait_s + jitter_s
         return pause_s
 
-    def _begin(self, won: _coordinator_bid.Won) -> None:
+    def _begin(self, won: _coordinator_election.Won) -> None:
         """Begins to act as the coordinator."""
         taken, before = won.taken, won.before
         self._tenure = _tenure.Tenure(
@@ -304,7 +304,7 @@
             )
         self._directory.take(taken.key_map)
         self._beat_at = 0.0
-        _duty_logs.log_beginning(won, self._settings.peer_address)
+        _coordinator_logs.log_beginning(won, self._settings.peer_address)
 
     def _take_map(self, key_map: sycamoreloft_direct.KeyMap) -> None:
         self._directory.take(key_map)
@@ -392,7 +392,7 @@
             # The coordinator does not know that this host has started anew,
             # or took another map; the report tells it.
             is_newer = True
-            _duty_logs.log_ignored_changes(sender, error)
+            _coordinator_logs.log_ignored_changes(sender, error)
         if is_newer:
             self._report_soon()
         if message.store_age_s > BLIND_COORDINATOR_S:
@@ -417,7 +417,7 @@
         try:
             key_map = self._assembler.add(part)
         except ValueError as error:
-            _duty_logs.log_ignored_changes(sender, error)
+            _coordinator_logs.log_ignored_changes(sender, error)
             return
         if key_map is not None and self._directory.take(key_map):
             self._report_soon()
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -15,7 +15,7 @@
     _caller_connections,
     _caller_server,
     _connection_rules,
-    _coordinator_duty,
+    _coordinator_role,
     _datagrams,
     _direct_ports,
     _direct_run,
@@ -28,7 +28,7 @@
     _probe_server,
     _process_measures,
     _settings_watch,
-    _store_witness,
+    _store_availability,
     _supervisor,
     _table_follower,
     _ticks,
@@ -128,12 +128,12 @@
         self._upstreams = _direct_views.UpstreamView(
             settings.reuse_after_s, self._update_book
         )
-        self._sweeps = _ticks.Ticks(SWEEP_S)
+        self._sweeps = _ticks.TickTimer(SWEEP_S)
         self._directory = _key_directory.KeyDirectory()
-        self._witness = _store_witness.StoreWitness()
+        self._witness = _store_availability.StoreAvailability()
         #: Requests that crash upstreams.
         self.crash_guard = sycamoreloft_direct.CrashGuard()
-        self._duty = _coordinator_duty.CoordinatorDuty(
+        self._role = _coordinator_role.CoordinatorRole(
             settings,
             platform,
             self._states,
@@ -184,7 +184,7 @@
             self._book,
             self._directory,
             settings.drain_s * LEAVING_SHARE,
-            self._duty,
+            self._role,
             self._budgets,
             self.crash_guard,
             client,
@@ -209,7 +209,7 @@
         )
 
     @property
-    def known_hosts(self) -> int:
+    def known_host_count(self) -> int:
         """Hosts that there were at most, as the coordinators told; 0 before."""
         return self._budgets.host_count
 
@@ -226,7 +226,7 @@
     async def run(
         self,
         stop_requested: asyncio.Event,
-        watch: _settings_watch.SettingsWatch[typing.Any] | None = None,
+        watch: _settings_watch.SettingsWatcher[typing.Any] | None = None,
     ) -> None:
         """Serves until a stop is requested, then drains.
 
@@ -249,16 +249,16 @@
         await self._stop()
 
     async def _start(
-        self, watch: _settings_watch.SettingsWatch[typing.Any] | None
+        self, watch: _settings_watch.SettingsWatcher[typing.Any] | None
     ) -> None:
-        await self._duty.open()
+        await self._role.open()
         self._server.listen(self._settings.caller_address)
         self._listen(self._settings.readiness_address)
         self._listen(self._settings.metrics_address)
         for name, run in (
             ("states", self.state_follower.run),
             ("upstreams", self.upstream_follower.run),
-            ("coordinator", self._duty.run),
+            ("coordinator", self._role.run),
             ("sweep", self._sweep),
         ):
             # What makes one of them fail, a row of the store for example,
@@ -290,12 +290,12 @@
             requests=self._server.count_requests(),
         )
         self._server.announce_stop()
-        await self._duty.stop()
+        await self._role.stop()
         await asyncio.sleep(started + UNREADY_S - self._loop.time())
         left = started + self._settings.grace_s - self._loop.time()
         cut_off = await self._server.drain(max(0.1, left - GRACE_RESERVE_S))
         await self._supervisor.stop_all()
-        self._duty.close()
+        self._role.close()
         for server in self._http_servers:
             server.stop()
         _logs.log_event(_LOGGER, logging.INFO, "host-stopped", requests=cut_off)
@@ -333,11 +333,11 @@
         _process_measures.update(metrics)
         metrics.set(
             "sycamoreloft_is_coordinator",
-            value=float(self._duty.is_coordinator),
+            value=float(self._role.is_coordinator),
         )
         metrics.set(
             "sycamoreloft_keys_without_owner",
-            value=float(self._duty.count_unheld_keys()),
+            value=float(self._role.count_unheld_keys()),
         )
         metrics.set(
             "sycamoreloft_key_map_revision",
@@ -363,7 +363,7 @@
     def _choose_spread_s(self) -> float:
         """Draws how much later than others this host calls the store."""
         reads_per_s = max(self._settings.store_reads_per_s, 1.0)
-        needed_s = READS_OF_A_CHANGE * self.known_hosts / reads_per_s
+        needed_s = READS_OF_A_CHANGE * self.known_host_count / reads_per_s
         return self._services.generator.uniform(
             0.0, min(needed_s / READ_SHARE, LONGEST_SPREAD_S)
         )
--- a/packages/router/sycamoreloft_router/_direct_ports.py
+++ b/packages/router/sycamoreloft_router/_direct_ports.py
@@ -25,7 +25,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Changes(typing.Generic[Value]):
+class TableEntries(typing.Generic[Value]):
     """Entries of a watched table."""
 
     #: Values by key; None for an entry that was removed or cannot be used.
@@ -36,17 +36,17 @@
     newest: int = 0
 
 
-class Watched(typing.Protocol[Value]):
+class WatchedTable(typing.Protocol[Value]):
     """A table that others write and this process follows."""
 
     async def read(
         self, progress: _call_progress.CallProgress
-    ) -> Changes[Value] | ReadProblem:
+    ) -> TableEntries[Value] | ReadProblem:
         """Reads all entries."""
 
     async def follow(
         self, version: int, progress: _call_progress.CallProgress
-    ) -> Changes[Value] | ReadProblem:
+    ) -> TableEntries[Value] | ReadProblem:
         """Waits for changes after a version.
 
         Returns:
@@ -65,7 +65,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Records:
+class RecordSnapshot:
     """All records of this project at one moment."""
 
     #: Records by key.
@@ -102,7 +102,7 @@
 class RecordStore(typing.Protocol):
     """Records of this project in the store."""
 
-    async def read(self) -> Records | ReadProblem:
+    async def read(self) -> RecordSnapshot | ReadProblem:
         """Reads all records."""
 
     async def write(
@@ -133,7 +133,7 @@
         self.connection = "none"
 
 
-class KeyOrders(typing.Protocol):
+class KeyOrderClient(typing.Protocol):
     """Orders about keys to upstreams."""
 
     async def grant(
@@ -181,13 +181,13 @@
     """The platform as a whole."""
 
     #: Desired states by a fixed key; at most one entry.
-    states: Watched[sycamoreloft_direct.DesiredState]
+    states: WatchedTable[sycamoreloft_direct.DesiredState]
     #: Upstreams by identifier.
-    upstreams: Watched[sycamoreloft_direct.Upstream]
+    upstreams: WatchedTable[sycamoreloft_direct.Upstream]
     #: Records of this project.
     records: RecordStore
     #: Orders about keys.
-    orders: KeyOrders
+    orders: KeyOrderClient
     #: Headers of the protocol with callers and upstreams.
     headers: HeaderNames
 
--- a/packages/router/sycamoreloft_router/_direct_run.py
+++ b/packages/router/sycamoreloft_router/_direct_run.py
@@ -161,7 +161,7 @@
             self._request.service, services.loop.time()
         )
         if self._request.key >= 0:
-            services.duty.observe_request(
+            services.coordinator_role.observe_request(
                 self._request.service, self._request.key
             )
         refusal: _answers.Refusal | None = None
@@ -242,13 +242,15 @@
         services.book.finish(record, self, result, now)
         self._crash_watch.take(result, transfer, now)
         if result is _RESULT.REPLACED:
-            services.duty.observe_replacement(record.entry.run)
+            services.coordinator_role.observe_replacement(record.entry.run)
         if result is _RESULT.ANSWERED:
             services.metrics.observe(
                 "sycamoreloft_upstream_seconds", now - begun
             )
             if self._request.key >= 0:
-                services.duty.observe_answer(record.entry.id, now - begun)
+                services.coordinator_role.observe_answer(
+                    record.entry.id, now - begun
+                )
         elif result is not _RESULT.CANCELLED:
             self._log_attempt(record, result, now)
 
--- a/packages/router/sycamoreloft_router/_direct_services.py
+++ b/packages/router/sycamoreloft_router/_direct_services.py
@@ -6,7 +6,7 @@
 
 import sycamoreloft_direct
 from sycamoreloft_router import (
-    _coordinator_duty,
+    _coordinator_role,
     _direct_ports,
     _direct_views,
     _key_directory,
@@ -33,7 +33,7 @@
     #: for the keys that it still owns.
     leaving_s: float
     #: Counts requests and answers for the coordinator.
-    duty: _coordinator_duty.CoordinatorDuty
+    coordinator_role: _coordinator_role.CoordinatorRole
     #: Retries that are allowed.
     budgets: sycamoreloft_direct.ServiceRetryBudgets
     #: Requests that crash upstreams.
--- a/packages/router/sycamoreloft_router/_group_permits.py
+++ b/packages/router/sycamoreloft_router/_group_permits.py
@@ -13,7 +13,7 @@
 from sycamoreloft_router import (
     _group_measures,
     _peer_server,
-    _upstream_watch,
+    _upstream_monitor,
 )
 import sycamoreloft_wire
 
@@ -89,7 +89,7 @@
         self._desk = sycamoreloft_decisions.PermitIssuer(
             random.Random(), time.monotonic(), fresh=fresh
         )
-        self._watch = _upstream_watch.UpstreamWatch()
+        self._watch = _upstream_monitor.UpstreamMonitor()
         self._asked: dict[str, _Asked] = {}
         self._waiting: dict[str, _Asked] = {}
         self._ticked_at = time.monotonic()
@@ -234,7 +234,7 @@
         lost = [
             item.permit
             for item in message.permits
-            if self._watch.is_given_up(item.upstream, now)
+            if self._watch.is_abandoned(item.upstream, now)
         ]
         reply(
             sycamoreloft_wire.PermitReportAnswer(lost)
--- a/packages/router/sycamoreloft_router/_group_runtime.py
+++ b/packages/router/sycamoreloft_router/_group_runtime.py
@@ -191,7 +191,7 @@
 
     def return_permit(self, message: sycamoreloft_wire.PermitReturn) -> None:
         """Takes a permit back."""
-        self._parked.forget(message.permit)
+        self._parked.discard(message.permit)
         if self._permits is not None:
             self._permits.return_permit(message)
 
--- a/packages/router/sycamoreloft_router/_parked_requests.py
+++ b/packages/router/sycamoreloft_router/_parked_requests.py
@@ -44,7 +44,7 @@
         self._parked.append(_Parked(message, reply, deadline, until))
         return True
 
-    def forget(self, permit: str) -> None:
+    def discard(self, permit: str) -> None:
         """Drops a request whose host has given up."""
         if self._parked:
             self._parked = [
@@ -56,15 +56,17 @@
     def retry(
         self,
         must_wait: abc.Callable[[sycamoreloft_wire.PermitRequest], bool],
-        ask: abc.Callable[
+        resubmit: abc.Callable[
             [sycamoreloft_wire.PermitRequest, _peer_server.Reply], None
         ],
     ) -> None:
-        """Asks again for every request that need not wait any longer.
+        """Resubmits every request that need not wait any longer.
 
         Args:
-            must_wait: Tells whether the generation of a request is still open.
-            ask: Takes requests that can be served, or have waited too long.
+            must_wait: Returns whether the generation of a request is still
+                pending.
+            resubmit: Handles a request that can be served or has waited for
+                the maximum time, with the remaining time until its deadline.
         """
         if not self._parked:
             return
@@ -75,7 +77,7 @@
                 self._parked.append(item)
                 continue
             left_ms = max(int((item.deadline - now) * 1000), 0)
-            ask(
+            resubmit(
                 dataclasses.replace(item.message, remaining_ms=left_ms),
                 item.reply,
             )
--- a/packages/router/sycamoreloft_router/_settings_watch.py
+++ b/packages/router/sycamoreloft_router/_settings_watch.py
@@ -37,7 +37,7 @@
     apply: abc.Callable[[Settings], None]
 
 
-class SettingsWatch(typing.Generic[Settings]):
+class SettingsWatcher(typing.Generic[Settings]):
     """Loads the settings again when asked to, or when the file changes.
 
     Args:
@@ -54,7 +54,7 @@
         self._signature = (0, 0, 0)
         self._signature = self._read_signature()
 
-    def ask(self) -> None:
+    def request_reload(self) -> None:
         """Asks for a reload, as SIGHUP does."""
         self._asked.set()
 
--- a/packages/router/sycamoreloft_router/_store_witness.py
+++ b/packages/router/sycamoreloft_router/_store_availability.py
@@ -23,7 +23,7 @@
 LONG_GAP_S = 4.0
 
 
-class StoreWitness:
+class StoreAvailability:
     """What the coordinators told of the store."""
 
     def __init__(self) -> None:
--- a/packages/router/sycamoreloft_router/_table_follower.py
+++ b/packages/router/sycamoreloft_router/_table_follower.py
@@ -47,7 +47,7 @@
     def __init__(
         self,
         name: str,
-        table: _direct_ports.Watched[typing.Any],
+        table: _direct_ports.WatchedTable[typing.Any],
         on_read: abc.Callable[[abc.Mapping[str, typing.Any]], None],
         on_changes: abc.Callable[[abc.Mapping[str, typing.Any]], None],
         spread_s: abc.Callable[[], float] = lambda: 0.0,
@@ -173,7 +173,7 @@
 
     def _log_read(
         self,
-        answer: _direct_ports.Changes[typing.Any],
+        answer: _direct_ports.TableEntries[typing.Any],
         read_at: float,
     ) -> None:
         """Tells how long each part of a full or slow read took."""
--- a/packages/router/sycamoreloft_router/_ticks.py
+++ b/packages/router/sycamoreloft_router/_ticks.py
@@ -7,7 +7,7 @@
 _TOLERANCE = 1e-6
 
 
-class Ticks:
+class TickTimer:
     """Lets one task sleep over the ticks at which nothing is due.
 
     Ticks are counted from the beginning of each sleep. Hosts begin at
--- a/packages/router/sycamoreloft_router/_upstream_watch.py
+++ b/packages/router/sycamoreloft_router/_upstream_monitor.py
@@ -24,7 +24,7 @@
     lost_at: float = 0.0
 
 
-class UpstreamWatch:
+class UpstreamMonitor:
     """Follows the upstreams of one held group."""
 
     def __init__(self) -> None:
@@ -80,7 +80,7 @@
                 )
         return events
 
-    def is_given_up(self, name: str, now: float) -> bool:
+    def is_abandoned(self, name: str, now: float) -> bool:
         """Tells whether requests on an upstream no longer get an answer.
 
         The time counts from when the loss was noticed and not from the last
--- a/packages/router/tests/domain_faults.py
+++ b/packages/router/tests/domain_faults.py
@@ -259,7 +259,7 @@
     process = host.process
     if process.task.done() or world.now() < host.frozen_until:
         return
-    process.duty.observe_request(key_world.SERVICE, key)
+    process.coordinator_role.observe_request(key_world.SERVICE, key)
     owner = process.directory.find_owner(key_world.SERVICE, key, world.now())
     entry = process.view.find(owner) if owner is not None else None
     if entry is None:
@@ -271,7 +271,7 @@
         return
     if upstream.name != entry.id:
         if world.links.is_open(upstream.labels, host.labels):
-            process.duty.observe_replacement(entry.run)
+            process.coordinator_role.observe_replacement(entry.run)
         return
     upstream.begin_work(key, world.generator.choice((0.05, 0.2, 0.2, 0.8, 2.5)))
 
--- a/packages/router/tests/domain_hosts.py
+++ b/packages/router/tests/domain_hosts.py
@@ -7,7 +7,7 @@
 import key_world
 
 from sycamoreloft_router import (
-    _coordinator_duty,
+    _coordinator_role,
     _direct_ports,
     _direct_views,
     _key_directory,
@@ -79,7 +79,7 @@
             if problem is WRITE.UNKNOWN:
                 await self.process.wait_until(limit)
             return _direct_ports.ReadProblem.UNAVAILABLE
-        records = _direct_ports.Records(
+        records = _direct_ports.RecordSnapshot(
             dict(self.world.store.records), self.world.now()
         )
         if not await self._return(limit):
@@ -310,7 +310,7 @@
         )
         states = _direct_views.StateView()
         states.state = world.state
-        self.duty = _coordinator_duty.CoordinatorDuty(
+        self.coordinator_role = _coordinator_role.CoordinatorRole(
             settings,
             _direct_ports.Platform(
                 None, None, HostStore(self), HostOrders(self), None
@@ -334,12 +334,12 @@
         while True:
             await self.pause()
             self._follow_upstreams()
-            await self.duty.step()
+            await self.coordinator_role.step()
             self._note_tenure()
-            await asyncio.sleep(_coordinator_duty.TICK_S)
+            await asyncio.sleep(_coordinator_role.TICK_S)
 
     def _note_tenure(self):
-        tenure = self.duty._tenure
+        tenure = self.coordinator_role._tenure
         if tenure is not None and tenure not in self.tenures:
             self.tenures.add(tenure)
             state = " after its stop" * self.host.is_stopping
@@ -416,7 +416,7 @@
     @property
     def is_coordinator(self):
         """Whether the process acts as the coordinator."""
-        return self.process.duty.is_coordinator
+        return self.process.coordinator_role.is_coordinator
 
     def receive(self, message, sender):
         """Takes a datagram."""
@@ -424,7 +424,7 @@
             self.world.now() >= self.frozen_until
             and not self.process.task.done()
         ):
-            self.process.duty.receive(message, sender)
+            self.process.coordinator_role.receive(message, sender)
 
     async def stop(self):
         """Stops the process as SIGTERM does, and starts the next one."""
@@ -436,7 +436,7 @@
             LEAST_STOP_S, MOST_STOP_S
         )
         await process.pause()
-        await process.duty.stop()
+        await process.coordinator_role.stop()
         await process.wait_until(ends_at)
         process.end()
         await asyncio.sleep(generator.uniform(0.2, 1.0))
--- a/packages/router/tests/key_world.py
+++ b/packages/router/tests/key_world.py
@@ -11,7 +11,7 @@
 
 import sycamoreloft_direct
 from sycamoreloft_router import (
-    _coordinator_duty,
+    _coordinator_role,
     _direct_ports,
     _direct_views,
     _key_directory,
@@ -140,7 +140,9 @@
         if store.down or self.host.cut_from_store:
             await asyncio.sleep(self.world.generator.choice((0.0, 0.5)))
             return _direct_ports.ReadProblem.UNAVAILABLE
-        return _direct_ports.Records(dict(store.records), self.world.now())
+        return _direct_ports.RecordSnapshot(
+            dict(store.records), self.world.now()
+        )
 
     async def write(self, values, expected):
         await self.host.pause()
@@ -321,7 +323,7 @@
             HostOrders(self.world, self),
             None,
         )
-        self.duty = _coordinator_duty.CoordinatorDuty(
+        self.coordinator_role = _coordinator_role.CoordinatorRole(
             settings,
             platform,
             states,
@@ -332,25 +334,31 @@
             socket=HostSocket(self.world, self),
             generator=random.Random(self.world.generator.random()),
         )
-        self.task = self.world.loop.create_task(self._run(self.duty))
+        self.task = self.world.loop.create_task(
+            self._run(self.coordinator_role)
+        )
 
-    async def _run(self, duty):
+    async def _run(self, coordinator_role):
         while True:
             await self.pause()
             if not self.cut_from_store and not self.world.store.down:
                 self.view.take_all(self.world.list_entries(), self.world.now())
             self.view.sweep(self.world.now())
-            await duty.step()
-            await asyncio.sleep(_coordinator_duty.TICK_S)
+            await coordinator_role.step()
+            await asyncio.sleep(_coordinator_role.TICK_S)
 
     def kill(self):
         self.task.cancel()
-        for task in list(self.duty._tenure._tasks if self.duty._tenure else ()):
+        for task in list(
+            self.coordinator_role._tenure._tasks
+            if self.coordinator_role._tenure
+            else ()
+        ):
             task.cancel()
 
     def receive(self, message, sender):
         if self.world.now() >= self.frozen_until and not self.task.done():
-            self.duty.receive(message, sender)
+            self.coordinator_role.receive(message, sender)
 
     async def pause(self):
         """Waits while the host is frozen; tells whether it was."""
--- a/packages/router/tests/test_coordinator_changes.py
+++ b/packages/router/tests/test_coordinator_changes.py
@@ -16,7 +16,9 @@
 
 def find_coordinator(world):
     return next(
-        host for host in world.hosts.values() if host.duty.is_coordinator
+        host
+        for host in world.hosts.values()
+        if host.coordinator_role.is_coordinator
     )
 
 
@@ -28,17 +30,17 @@
         world = key_world.World(seed, hosts=5)
         await asyncio.sleep(6.0)
         blind = find_coordinator(world)
-        epoch = blind.duty._tenure.epoch
+        epoch = blind.coordinator_role._tenure.epoch
         others = [item for item in world.hosts.values() if item is not blind]
         cut = others[0]
         blind.cut_from_store = cut.cut_from_store = True
         ages = []
-        cut.duty._on_store_age = ages.append
+        cut.coordinator_role._on_store_age = ages.append
         await asyncio.sleep(TAKEOVER_S)
         ages.clear()
         await asyncio.sleep(2.0)
-        assert not blind.duty.is_coordinator
-        assert find_coordinator(world).duty._tenure.epoch > epoch
+        assert not blind.coordinator_role.is_coordinator
+        assert find_coordinator(world).coordinator_role._tenure.epoch > epoch
         assert ages, "the cut host hears nobody"
         assert max(ages) < 1.0, "the cut host takes the store for away"
         world.calm()
@@ -81,13 +83,13 @@
         narrow = next(
             host
             for host in world.hosts.values()
-            if host.duty.is_coordinator and not host.task.done()
+            if host.coordinator_role.is_coordinator and not host.task.done()
         )
         world.hosts["h5"].start()
         await asyncio.sleep(3.0)
         narrow.kill()
         await asyncio.sleep(8.0)
-        assert world.hosts["h5"].duty.is_coordinator
+        assert world.hosts["h5"].coordinator_role.is_coordinator
         assert not world.problems, world.problems[:3]
 
     virtual_time.run(main())
--- a/packages/router/tests/test_failing_duties.py
+++ b/packages/router/tests/test_coordinator_failures.py
@@ -11,7 +11,9 @@
 
 def find_coordinator(world):
     return next(
-        host for host in world.hosts.values() if host.duty.is_coordinator
+        host
+        for host in world.hosts.values()
+        if host.coordinator_role.is_coordinator
     )
 
 
@@ -49,7 +51,7 @@
         world = key_world.World(seed, hosts=3)
         await asyncio.sleep(6.0)
         for host in world.hosts.values():
-            platform = host.duty._platform
+            platform = host.coordinator_role._platform
             target = (
                 platform.orders
                 if port in ("grant", "release")
@@ -72,7 +74,7 @@
         world = key_world.World(seed, hosts=3)
         await asyncio.sleep(6.0)
         broken = find_coordinator(world)
-        broken.duty._tenure._coordinator.tick = fail
+        broken.coordinator_role._tenure._coordinator.tick = fail
         await check_recovery(world)
         assert not broken.task.done()
 
--- a/packages/router/tests/test_coordinator_stops.py
+++ b/packages/router/tests/test_coordinator_stops.py
@@ -11,7 +11,9 @@
 
 def _find_coordinator(world):
     return next(
-        host for host in world.hosts.values() if host.duty.is_coordinator
+        host
+        for host in world.hosts.values()
+        if host.coordinator_role.is_coordinator
     )
 
 
@@ -23,7 +25,7 @@
 def _hold_writes(host):
     """Delays the host's writes until the returned event is set."""
     released = asyncio.Event()
-    records = host.duty._bid._records
+    records = host.coordinator_role._bid._records
     write = records.write
 
     async def write_later(values, expected):
@@ -42,11 +44,11 @@
         host = world.hosts["h0"]
         released = _hold_writes(host)
         await asyncio.sleep(2.0)
-        await host.duty.stop()
+        await host.coordinator_role.stop()
         released.set()
         await asyncio.sleep(1.0)
         assert _read_lease(world).epoch == 1
-        assert not host.duty.is_coordinator
+        assert not host.coordinator_role.is_coordinator
         assert _read_lease(world).is_resigned
 
     virtual_time.run(main())
@@ -70,10 +72,10 @@
                 under_way.discard(order.order)
             return key_world.RESULT.UNKNOWN
 
-        host.duty._platform.orders.grant = grant_slowly
+        host.coordinator_role._platform.orders.grant = grant_slowly
         await asyncio.sleep(1.0)
         assert under_way
-        await host.duty.stop()
+        await host.coordinator_role.stop()
         assert _read_lease(world).is_resigned
         assert not under_way
 
@@ -107,7 +109,7 @@
         await asyncio.sleep(0.5)
         world.store.lose_share = 0.0
         await asyncio.sleep(6.0)
-        assert world.hosts["h0"].duty.is_coordinator
+        assert world.hosts["h0"].coordinator_role.is_coordinator
         assert _read_lease(world).earlier_until == 0.0
 
     virtual_time.run(main())
--- a/packages/router/tests/test_datagram_fuzz.py
+++ b/packages/router/tests/test_datagram_fuzz.py
@@ -153,9 +153,11 @@
     generator = random.Random(seed)
     await asyncio.sleep(6.0)
     coordinator = next(
-        host for host in world.hosts.values() if host.duty.is_coordinator
+        host
+        for host in world.hosts.values()
+        if host.coordinator_role.is_coordinator
     )
-    epoch = coordinator.duty._tenure.epoch
+    epoch = coordinator.coordinator_role._tenure.epoch
     for _ in range(400):
         host = generator.choice(list(world.hosts.values()))
         message = generator.choice(list(MESSAGES.values()))
@@ -168,7 +170,7 @@
     await asyncio.sleep(key_world.RECOVERY_S)
     assert not world.problems, world.problems[:3]
     assert world.count_served() == sycamoreloft_direct.KEY_COUNT
-    return coordinator.duty.is_coordinator, epoch, world
+    return coordinator.coordinator_role.is_coordinator, epoch, world
 
 
 # Guards against heartbeats of an epoch that the store does not know: they must
@@ -178,7 +180,7 @@
     is_coordinator, epoch, world = virtual_time.run(_play_any_order(seed))
     assert is_coordinator
     for host in world.hosts.values():
-        assert host.duty._directory.key_map.epoch == epoch
+        assert host.coordinator_role._directory.key_map.epoch == epoch
 
 
 def _build_map(ranges, revision=2):
--- a/packages/router/tests/test_held_up_grants.py
+++ b/packages/router/tests/test_held_up_grants.py
@@ -32,8 +32,8 @@
     """Stops the coordinator while its lost owners are still cut off."""
     await asyncio.sleep(CUT_S - 1.0)
     for host in world.hosts.values():
-        if host.duty.is_coordinator:
-            await host.duty.stop()
+        if host.coordinator_role.is_coordinator:
+            await host.coordinator_role.stop()
             host.kill()
             return
 
--- a/packages/router/tests/test_key_fuzz.py
+++ b/packages/router/tests/test_key_fuzz.py
@@ -105,7 +105,7 @@
             hot = world.generator.randrange(65_000)
         for host in world.hosts.values():
             for _ in range(6):
-                host.duty.observe_request(
+                host.coordinator_role.observe_request(
                     key_world.SERVICE, hot + world.generator.randrange(200)
                 )
         await asyncio.sleep(0.1)
--- a/packages/router/tests/test_key_lease_ends.py
+++ b/packages/router/tests/test_key_lease_ends.py
@@ -38,7 +38,7 @@
 
 async def _change_coordinator(world):
     for host in world.hosts.values():
-        if host.duty.is_coordinator:
+        if host.coordinator_role.is_coordinator:
             host.cut_from_store = True
             await asyncio.sleep(world.generator.uniform(1.0, 7.0))
             host.cut_from_store = False
@@ -46,8 +46,8 @@
 
 async def _stop_coordinator(world):
     for host in world.hosts.values():
-        if host.duty.is_coordinator:
-            await host.duty.stop()
+        if host.coordinator_role.is_coordinator:
+            await host.coordinator_role.stop()
             await asyncio.sleep(0.2)
             host.kill()
             await asyncio.sleep(0.8)
@@ -62,7 +62,7 @@
 async def _roll(world):
     """Stops and starts the hosts in turn, each gracefully."""
     for host in list(world.hosts.values()):
-        await host.duty.stop()
+        await host.coordinator_role.stop()
         await asyncio.sleep(world.generator.uniform(0.1, 0.6))
         host.kill()
         await asyncio.sleep(world.generator.uniform(0.2, 0.8))
@@ -72,7 +72,9 @@
 async def _cut_failure_domain(world, with_coordinator=True):
     """Cuts a host and two upstreams from the store and from all others."""
     hosts = list(world.hosts.values())
-    inside = [host for host in hosts if host.duty.is_coordinator][:1]
+    inside = [host for host in hosts if host.coordinator_role.is_coordinator][
+        :1
+    ]
     if not inside or not with_coordinator:
         inside = [world.generator.choice(hosts)]
     near = set(world.generator.sample(sorted(world.upstreams), 2))
@@ -100,7 +102,7 @@
         for _ in range(20):
             for host in world.hosts.values():
                 for _ in range(6):
-                    host.duty.observe_request(
+                    host.coordinator_role.observe_request(
                         key_world.SERVICE,
                         first + world.generator.randrange(400),
                     )
--- a/packages/router/tests/test_order_logs.py
+++ b/packages/router/tests/test_order_logs.py
@@ -47,7 +47,9 @@
 
 def find_coordinator(world):
     return next(
-        host for host in world.hosts.values() if host.duty.is_coordinator
+        host
+        for host in world.hosts.values()
+        if host.coordinator_role.is_coordinator
     )
 
 
@@ -65,7 +67,9 @@
         while True:
             for host in world.hosts.values():
                 for number in range(60):
-                    host.duty.observe_request(key_world.SERVICE, number * 9)
+                    host.coordinator_role.observe_request(
+                        key_world.SERVICE, number * 9
+                    )
             await asyncio.sleep(0.1)
 
     return world.loop.create_task(request())
@@ -125,7 +129,7 @@
             assert line["upstream"] == lost.name
             assert line["result"] == "unknown"
             assert line["call_s"] == pytest.approx(0.5, abs=0.01)
-        assert find_coordinator(world).duty.count_unheld_keys() > 0
+        assert find_coordinator(world).coordinator_role.count_unheld_keys() > 0
         await asyncio.sleep(2.5)
         changes = recorder.list("owner-changed")
         changes = [line for line in changes if line["cause"] != "unowned"]
@@ -143,11 +147,11 @@
             assert claim["closed_ago_s"] > claim["over_s"]
             tokens = {item["fence"] for item in line["claims"]}
             assert tokens & (fences | {item["fence"] for item in failed})
-        count = find_coordinator(world).duty._metrics.read(
+        count = find_coordinator(world).coordinator_role._metrics.read(
             "sycamoreloft_owner_changes_total", "lease-over"
         )
         assert count == len(changes)
-        assert find_coordinator(world).duty.count_unheld_keys() == 0
+        assert find_coordinator(world).coordinator_role.count_unheld_keys() == 0
 
     play(scenario)
 
@@ -230,9 +234,9 @@
         # Calls take up to 0.84 s; a coordinator that stops waits for 0.5 s and
         # gives up those that take longer.
         world.slow_share = 1.0
-        while not first.duty._tenure._arrivals:
+        while not first.coordinator_role._tenure._arrivals:
             await asyncio.sleep(0.01)
-        await first.duty.stop()
+        await first.coordinator_role.stop()
         (resigned,) = recorder.list("coordinator-resigned")
         assert resigned["reason"] == "stopping"
         assert resigned["result"] == "written"
--- a/packages/router/tests/test_parked_requests.py
+++ b/packages/router/tests/test_parked_requests.py
@@ -64,5 +64,5 @@
     """Guards against a permit that nobody waits for."""
     parked = _parked_requests.ParkedRequests()
     parked.add(make_request("p1"), print)
-    parked.forget("p1")
+    parked.discard("p1")
     assert retry(parked, False) == []
--- a/packages/router/tests/test_settings_watch.py
+++ b/packages/router/tests/test_settings_watch.py
@@ -26,7 +26,7 @@
         self.applied = []
         self.stamp = 0
         self.write("6 a:1")
-        self.watch = _settings_watch.SettingsWatch(
+        self.watch = _settings_watch.SettingsWatcher(
             _settings_watch.SettingsSource(
                 path,
                 self.load,
@@ -82,7 +82,7 @@
 
 def test_a_signal_reloads_an_unchanged_file(file, caplog):
     caplog.set_level(logging.INFO)
-    file.watch.ask()
+    file.watch.request_reload()
     file.watch.look()
     assert file.applied == [Settings(6.0, "a:1")]
     assert list_events(caplog) == [
--- a/packages/router/tests/test_table_follower.py
+++ b/packages/router/tests/test_table_follower.py
@@ -33,7 +33,7 @@
     async def _load(self, progress):
         """Answers with what there is now, in a hundred parts."""
         problem = self.problem
-        answer = _direct_ports.Changes(
+        answer = _direct_ports.TableEntries(
             dict(self.values), self.version, self.newest
         )
         for _ in range(100):
--- a/packages/router/tests/test_ticks.py
+++ b/packages/router/tests/test_ticks.py
@@ -6,7 +6,7 @@
 import pytest
 import virtual_time
 
-from sycamoreloft_router import _coordinator_duty, _ticks
+from sycamoreloft_router import _coordinator_role, _ticks
 
 
 async def measure_sleep(ticks, seconds, wake_after=None):
@@ -33,14 +33,14 @@
 )
 def test_a_sleep_ends_at_a_tick(seconds, wake_after, expected):
     """Guards against reactions later than those of a tick each time."""
-    ticks = _ticks.Ticks(0.05)
+    ticks = _ticks.TickTimer(0.05)
     took = virtual_time.run(measure_sleep(ticks, seconds, wake_after))
     assert took == pytest.approx(expected)
 
 
 def test_a_sleep_tells_how_late_it_ended():
     async def main():
-        ticks = _ticks.Ticks(0.05)
+        ticks = _ticks.TickTimer(0.05)
         loop = asyncio.get_running_loop()
         loop.call_later(0.12, setattr, loop._jumping, "now", loop.time() + 0.5)
         return await ticks.sleep(0.2)
@@ -50,7 +50,7 @@
 
 def test_a_wake_between_two_sleeps_is_no_error():
     async def main():
-        ticks = _ticks.Ticks(0.05)
+        ticks = _ticks.TickTimer(0.05)
         ticks.wake()
         await ticks.sleep(0.2)
         ticks.wake()
@@ -62,15 +62,17 @@
 def run_by_itself(host):
     """Lets a host of the world wake by its own timers; counts its steps."""
     steps = []
-    step = host.duty.step
+    step = host.coordinator_role.step
 
     async def count_step():
         steps.append(asyncio.get_running_loop().time())
         await step()
 
-    host.duty.step = count_step
+    host.coordinator_role.step = count_step
     host.task.cancel()
-    host.task = asyncio.get_running_loop().create_task(host.duty.run())
+    host.task = asyncio.get_running_loop().create_task(
+        host.coordinator_role.run()
+    )
     return steps
 
 
@@ -86,20 +88,24 @@
         world = key_world.World(seed, hosts=2)
         await asyncio.sleep(6.0)
         first, second = sorted(
-            world.hosts.values(), key=lambda host: not host.duty.is_coordinator
+            world.hosts.values(),
+            key=lambda host: not host.coordinator_role.is_coordinator,
         )
         steps = run_by_itself(second)
         await asyncio.sleep(4.0)
-        assert 4.0 / _coordinator_duty.REPORT_S * 0.7 < len(steps) < 24
-        assert first.duty.is_coordinator and not second.duty.is_coordinator
-        await first.duty.stop()
+        assert 4.0 / _coordinator_role.REPORT_S * 0.7 < len(steps) < 24
+        assert (
+            first.coordinator_role.is_coordinator
+            and not second.coordinator_role.is_coordinator
+        )
+        await first.coordinator_role.stop()
         first.kill()
-        await asyncio.sleep(_coordinator_duty.LONGEST_YIELD_S + 0.5)
-        assert second.duty.is_coordinator
+        await asyncio.sleep(_coordinator_role.LONGEST_YIELD_S + 0.5)
+        assert second.coordinator_role.is_coordinator
         # A coordinator looks at each tick.
         steps.clear()
         await asyncio.sleep(2.0)
-        assert len(steps) > 2.0 / _coordinator_duty.TICK_S * 0.8
+        assert len(steps) > 2.0 / _coordinator_role.TICK_S * 0.8
         assert not world.problems, world.problems[:3]
 
     virtual_time.run(main())
