--- a/packages/decisions/sycamoreloft_decisions/_acceptance_events.py
+++ b/packages/decisions/sycamoreloft_decisions/_acceptance_events.py
@@ -62,7 +62,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class WriteSettled:
+class WriteFinished:
     """A write head, stage or accept command was answered, or not."""
 
     #: Request id of the command.
@@ -77,7 +77,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class GroupsHeld:
+class HeldGroupsChanged:
     """This host holds other groups than before.
 
     Only group holders read the store periodically. Until the first of these
@@ -89,7 +89,12 @@
 
 
 Event = (
-    FileSubmitted | HeadRead | GroupRowsRead | WriteSettled | Tick | GroupsHeld
+    FileSubmitted
+    | HeadRead
+    | GroupRowsRead
+    | WriteFinished
+    | Tick
+    | HeldGroupsChanged
 )
 
 
@@ -101,11 +106,11 @@
     """Read `config/head`, and all group rows in the same call."""
 
     #: Whether the group rows are needed.
-    with_groups: bool = True
+    with_group_rows: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class UseHead:
+class ApplyGenerations:
     """Serve from now on only what both generations treat alike.
 
     Must be carried out before the commands that follow it.
@@ -130,7 +135,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Stage:
+class StageGeneration:
     """Set `staged` of a group row, conditional on its version."""
 
     #: Request id of the write.
@@ -144,7 +149,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Accept:
+class AcceptGeneration:
     """Put `config/head`, conditional on it and on every group row."""
 
     #: Request id of the write.
@@ -174,7 +179,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Answer:
+class SubmissionResult:
     """Answer to a submission."""
 
     #: Request id of the submission.
@@ -191,4 +196,11 @@
     changed_files: abc.Sequence[str] = ()
 
 
-Command = ReadRows | UseHead | WriteHead | Stage | Accept | Answer
+Command = (
+    ReadRows
+    | ApplyGenerations
+    | WriteHead
+    | StageGeneration
+    | AcceptGeneration
+    | SubmissionResult
+)
--- a/packages/decisions/sycamoreloft_decisions/_acceptance_rows.py
+++ b/packages/decisions/sycamoreloft_decisions/_acceptance_rows.py
@@ -9,7 +9,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Entry:
+class GenerationRecord:
     """A generation as the head row names it."""
 
     #: Number, never used twice.
@@ -43,9 +43,9 @@
     """Value of `config/head`."""
 
     #: The generation in force.
-    accepted: Entry
+    accepted: GenerationRecord
     #: The candidate, if any.
-    pending: Entry | None = None
+    pending: GenerationRecord | None = None
     #: Latest submissions, oldest first.
     history: abc.Sequence[PastSubmission] = ()
 
@@ -63,7 +63,7 @@
 
 
 #: The row before the first submission.
-EMPTY_HEAD = HeadRow(Entry(0, "", {}))
+EMPTY_HEAD = HeadRow(GenerationRecord(0, "", {}))
 
 
 def is_based_on_newest(row: HeadRow, base: int) -> bool:
@@ -75,12 +75,12 @@
     return find_newest(row).number == base
 
 
-def find_newest(row: HeadRow) -> Entry:
+def find_newest(row: HeadRow) -> GenerationRecord:
     """Returns the generation on which the next submission must be based."""
     return row.pending or row.accepted
 
 
-def record_candidate(row: HeadRow, candidate: Entry) -> HeadRow:
+def record_candidate(row: HeadRow, candidate: GenerationRecord) -> HeadRow:
     """Returns the head with a candidate as its pending generation.
 
     A pending generation is replaced by one that builds on it, so that no
--- a/packages/decisions/sycamoreloft_decisions/_authority.py
+++ b/packages/decisions/sycamoreloft_decisions/_authority.py
@@ -94,7 +94,7 @@
         if self._candidate == row.standby:
             self._candidate = ""
 
-    def receive(self, event: _ownership.PromiseReceived, now: float) -> None:
+    def receive(self, event: _ownership.PromiseAnswered, now: float) -> None:
         """Counts a promise from the time at which it was asked for."""
         peer = self._peers.get(event.host)
         asked_at = peer.requests.pop(event.call, None) if peer else None
@@ -108,7 +108,7 @@
         if not event.promised:
             self._avoided[event.host] = now + _timing.STANDBY_RETRY_S
 
-    def ask(self, now: float) -> abc.Sequence[_ownership.AskPromise]:
+    def ask(self, now: float) -> abc.Sequence[_ownership.RequestPromise]:
         """Asks every host for a promise that is needed and due."""
         hosts = {*self._list_standbys(), self._candidate} - {""}
         # A later process of the same host must not inherit a promise.
@@ -124,7 +124,7 @@
 
     def choose_candidate(
         self,
-        heard: abc.Mapping[str, float],
+        last_progress: abc.Mapping[str, float],
         group: sycamoreloft_config.GroupName,
         now: float,
     ) -> None:
@@ -144,7 +144,7 @@
             ):
                 self._drop_silent_candidate(asked, now)
         if not self._candidate:
-            self._candidate = self._pick(heard, group, now)
+            self._candidate = self._pick(last_progress, group, now)
 
     def build_row(
         self,
@@ -196,7 +196,7 @@
             return False
         return now >= peer.asked_at + _timing.PROMISE_INTERVAL_S
 
-    def _ask_host(self, host: str, now: float) -> _ownership.AskPromise:
+    def _ask_host(self, host: str, now: float) -> _ownership.RequestPromise:
         peer = self._peers.setdefault(host, _Peer())
         call = next(self._calls)
         peer.asked_at = now
@@ -204,7 +204,7 @@
         for number, asked_at in list(peer.requests.items()):
             if now >= asked_at + _timing.PROMISE_S:
                 del peer.requests[number]
-        return _ownership.AskPromise(
+        return _ownership.RequestPromise(
             call, host, self._row.epoch, _timing.PROMISE_MS
         )
 
@@ -216,14 +216,14 @@
 
     def _pick(
         self,
-        heard: abc.Mapping[str, float],
+        last_progress: abc.Mapping[str, float],
         group: sycamoreloft_config.GroupName,
         now: float,
     ) -> str:
         standby = self._row.standby
         hosts = [
             host
-            for host, heard_at in heard.items()
+            for host, heard_at in last_progress.items()
             if host not in (self._host, standby)
             and now < heard_at + _timing.TAKEOVER_SILENCE_S
             and self._avoided.get(host, 0.0) <= now
--- a/packages/decisions/sycamoreloft_decisions/_group_holder.py
+++ b/packages/decisions/sycamoreloft_decisions/_group_holder.py
@@ -110,7 +110,7 @@
     @_dispatch.register(_ownership.ReadFailed)
     @_dispatch.register(_ownership.WriteStored)
     @_dispatch.register(_ownership.WriteRefused)
-    @_dispatch.register(_ownership.WriteUnanswered)
+    @_dispatch.register(_ownership.WriteOutcomeUnknown)
     def _(self, event: _ownership.Event, now: float) -> Commands:
         if self._holding:
             if isinstance(event, _ownership.RowsRead):
@@ -122,13 +122,13 @@
         return self._begin_holding(taken, now)
 
     @_dispatch.register
-    def _(self, event: _ownership.PromiseAsked, now: float) -> Commands:
+    def _(self, event: _ownership.PromiseRequested, now: float) -> Commands:
         if event.epoch <= self.get_epoch():
             return [_ownership.AnswerPromise(False)]
         return [self._standby.answer(event, now)]
 
     @_dispatch.register
-    def _(self, event: _ownership.StepDownAsked, now: float) -> Commands:
+    def _(self, event: _ownership.StepDownRequested, now: float) -> Commands:
         if self._holding and self._holding.get_epoch() < event.epoch:
             self._holding.end(f"epoch {event.epoch} has begun")
         self._ended_below = max(self._ended_below, event.epoch)
--- a/packages/decisions/sycamoreloft_decisions/_holding.py
+++ b/packages/decisions/sycamoreloft_decisions/_holding.py
@@ -162,11 +162,11 @@
 
     @handle.register
     def _(self, event: _ownership.MembersObserved, now: float) -> Commands:
-        self._heard = event.heard
+        self._heard = event.last_progress
         return []
 
     @handle.register
-    def _(self, event: _ownership.PromiseReceived, now: float) -> Commands:
+    def _(self, event: _ownership.PromiseAnswered, now: float) -> Commands:
         self._state.authority.receive(event, now)
         return []
 
@@ -267,7 +267,7 @@
         return []
 
     @handle.register
-    def _(self, event: _ownership.WriteUnanswered, now: float) -> Commands:
+    def _(self, event: _ownership.WriteOutcomeUnknown, now: float) -> Commands:
         if self._writer.owns_call(event.call):
             return list(self._writer.read(now))
         return []
@@ -405,14 +405,14 @@
         if not row.standby:
             return []
         call = next(self._calls)
-        return [_ownership.AskPromise(call, row.standby, row.epoch, 0)]
+        return [_ownership.RequestPromise(call, row.standby, row.epoch, 0)]
 
     def _ask_earlier(self, now: float) -> Commands:
         if not self._state.earlier or now < self._ask_again_at:
             return []
         self._ask_again_at = now + _timing.STEP_DOWN_INTERVAL_S
         return [
-            _ownership.AskStepDown(item.host, self.get_epoch())
+            _ownership.RequestStepDown(item.host, self.get_epoch())
             for item in self._state.earlier
         ]
 
--- a/packages/decisions/sycamoreloft_decisions/_holding_state.py
+++ b/packages/decisions/sycamoreloft_decisions/_holding_state.py
@@ -174,7 +174,7 @@
 
     def belongs(self, unit: _ownership.Unit) -> bool:
         """Tells whether a unit belongs to this group."""
-        found = self.directory.find_group(
+        found = self.directory.get_group(
             self.group.fleet, unit.service, unit.partition
         )
         return found == self.group
@@ -183,7 +183,7 @@
         """Tells whether the pending generation leaves a unit here."""
         if self.pending_directory is None:
             return True
-        found = self.pending_directory.find_group(
+        found = self.pending_directory.get_group(
             self.group.fleet, unit.service, unit.partition
         )
         return found == self.group
--- a/packages/decisions/sycamoreloft_decisions/_moves.py
+++ b/packages/decisions/sycamoreloft_decisions/_moves.py
@@ -86,14 +86,14 @@
         if move.source is None or move.kind is Kind.REFENCE:
             return ()
         move.is_held = True
-        return (_ownership.HoldUnit(move.unit),)
+        return (_ownership.PauseUnit(move.unit),)
 
     def finish(self, move: Move) -> abc.Sequence[_ownership.Command]:
         """Ends a move and issues permits for its unit again."""
         del self._moves[move.unit]
         if not move.is_held:
             return ()
-        return (_ownership.ReleaseUnit(move.unit),)
+        return (_ownership.ResumeUnit(move.unit),)
 
     def drop_unassigned(self) -> None:
         """Forgets assignments of units without an owner, unless written."""
--- a/packages/decisions/sycamoreloft_decisions/_ownership.py
+++ b/packages/decisions/sycamoreloft_decisions/_ownership.py
@@ -108,7 +108,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class WriteUnanswered:
+class WriteOutcomeUnknown:
     """The answer to a write was lost; the write may still take effect."""
 
     #: Number of the write.
@@ -116,7 +116,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PromiseReceived:
+class PromiseAnswered:
     """A host answered a promise request."""
 
     #: Number of the request.
@@ -130,7 +130,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PromiseAsked:
+class PromiseRequested:
     """The holder asks this host for a promise."""
 
     #: Host that asks.
@@ -142,7 +142,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class StepDownAsked:
+class StepDownRequested:
     """A new holder asks this host to stop acting below an epoch."""
 
     #: Epoch of the new holder.
@@ -151,7 +151,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StepDownAnswered:
-    """An earlier holder answered `AskStepDown`."""
+    """An earlier holder answered `RequestStepDown`."""
 
     #: Host that answered.
     host: str
@@ -197,7 +197,7 @@
 class UnitDrained:
     """No permit of a held unit is outstanding any more."""
 
-    #: The unit of `HoldUnit`.
+    #: The unit of `PauseUnit`.
     unit: Unit
 
 
@@ -228,9 +228,9 @@
 
     #: Time on this host's clock of the last progress, by host; leaving hosts
     #: are left out.
-    heard: abc.Mapping[str, float]
+    last_progress: abc.Mapping[str, float]
     #: Epoch in which a host says that it holds this group, by host.
-    claims: abc.Mapping[str, int]
+    announced_epochs: abc.Mapping[str, int]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -244,10 +244,10 @@
     | ReadFailed
     | WriteStored
     | WriteRefused
-    | WriteUnanswered
-    | PromiseReceived
-    | PromiseAsked
-    | StepDownAsked
+    | WriteOutcomeUnknown
+    | PromiseAnswered
+    | PromiseRequested
+    | StepDownRequested
     | StepDownAnswered
     | GrantAnswered
     | GrantFailed
@@ -314,7 +314,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class AskPromise:
+class RequestPromise:
     """Ask a host for a promise."""
 
     #: Number of the request, for its answer.
@@ -329,7 +329,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerPromise:
-    """Answer to the `PromiseAsked` that is being handled."""
+    """Answer to the `PromiseRequested` that is being handled."""
 
     #: Whether the promise is given.
     promised: bool
@@ -338,7 +338,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class AskStepDown:
+class RequestStepDown:
     """Ask an earlier holder to stop acting."""
 
     #: Host to ask.
@@ -349,14 +349,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerStepDown:
-    """Answer to the `StepDownAsked` that is being handled."""
+    """Answer to the `StepDownRequested` that is being handled."""
 
     #: Whether this host acts no more below the epoch.
     stopped: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class HoldUnit:
+class PauseUnit:
     """Issue no new permits for a unit; report when it is drained."""
 
     #: The unit.
@@ -364,7 +364,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ReleaseUnit:
+class ResumeUnit:
     """Issue permits for a unit again."""
 
     #: The unit.
@@ -401,12 +401,12 @@
     ReadRows
     | WriteRows
     | SendGrant
-    | AskPromise
+    | RequestPromise
     | AnswerPromise
-    | AskStepDown
+    | RequestStepDown
     | AnswerStepDown
-    | HoldUnit
-    | ReleaseUnit
+    | PauseUnit
+    | ResumeUnit
     | BecomeHolder
     | StepDown
     | RecordDecision
--- a/packages/decisions/sycamoreloft_decisions/_placement_groups.py
+++ b/packages/decisions/sycamoreloft_decisions/_placement_groups.py
@@ -25,7 +25,7 @@
             tuple[str, str, int], sycamoreloft_config.GroupName | None
         ] = {}
 
-    def find_group(
+    def get_group(
         self, fleet: str, service: str, partition: int
     ) -> sycamoreloft_config.GroupName | None:
         """Returns the group of a partition, None if no group can serve it.
@@ -91,7 +91,7 @@
         )
 
 
-def find_partition_group(
+def compute_partition_group(
     generation: sycamoreloft_config.Generation,
     fleet: str,
     service: str,
@@ -99,4 +99,4 @@
 ) -> sycamoreloft_config.GroupName | None:
     """Returns the group of one partition; see `PartitionDirectory`."""
     directory = PartitionDirectory(generation)
-    return directory.find_group(fleet, service, partition)
+    return directory.get_group(fleet, service, partition)
--- a/packages/decisions/sycamoreloft_decisions/_standby.py
+++ b/packages/decisions/sycamoreloft_decisions/_standby.py
@@ -18,7 +18,7 @@
         self._taking = 0
 
     def answer(
-        self, event: _ownership.PromiseAsked, now: float
+        self, event: _ownership.PromiseRequested, now: float
     ) -> _ownership.AnswerPromise:
         """Gives or refuses a promise."""
         if self._is_resigned:
--- a/packages/decisions/sycamoreloft_decisions/_takeover.py
+++ b/packages/decisions/sycamoreloft_decisions/_takeover.py
@@ -80,8 +80,8 @@
 
     def observe(self, event: _ownership.MembersObserved) -> None:
         """Notes who was heard and who says that it holds the group."""
-        self._heard = event.heard
-        self._claims = event.claims
+        self._heard = event.last_progress
+        self._claims = event.announced_epochs
 
     def note_row(self, event: _ownership.RowsRead, now: float) -> None:
         """Remembers the row that a read returned."""
@@ -128,7 +128,7 @@
             case _ownership.WriteStored(call, version):
                 if self._writer.owns_call(call):
                     return self._finish(version), ()
-            case _ownership.WriteRefused(call) | _ownership.WriteUnanswered(
+            case _ownership.WriteRefused(call) | _ownership.WriteOutcomeUnknown(
                 call
             ):
                 if self._writer.owns_call(call):
--- a/packages/decisions/sycamoreloft_decisions/acceptance.py
+++ b/packages/decisions/sycamoreloft_decisions/acceptance.py
@@ -48,7 +48,7 @@
 
 # The names of this module are its interface; the classes are defined in the
 # two modules that it builds on.
-Entry = _acceptance_rows.Entry
+GenerationRecord = _acceptance_rows.GenerationRecord
 PastSubmission = _acceptance_rows.PastSubmission
 HeadRow = _acceptance_rows.HeadRow
 GroupRow = _acceptance_rows.GroupRow
@@ -57,16 +57,16 @@
 FileSubmitted = _acceptance_events.FileSubmitted
 HeadRead = _acceptance_events.HeadRead
 GroupRowsRead = _acceptance_events.GroupRowsRead
-WriteSettled = _acceptance_events.WriteSettled
+WriteFinished = _acceptance_events.WriteFinished
 Tick = _acceptance_events.Tick
-GroupsHeld = _acceptance_events.GroupsHeld
+HeldGroupsChanged = _acceptance_events.HeldGroupsChanged
 ReadRows = _acceptance_events.ReadRows
-UseHead = _acceptance_events.UseHead
+ApplyGenerations = _acceptance_events.ApplyGenerations
 WriteHead = _acceptance_events.WriteHead
-Stage = _acceptance_events.Stage
-Accept = _acceptance_events.Accept
+StageGeneration = _acceptance_events.StageGeneration
+AcceptGeneration = _acceptance_events.AcceptGeneration
 Verdict = _acceptance_events.Verdict
-Answer = _acceptance_events.Answer
+SubmissionResult = _acceptance_events.SubmissionResult
 Event = _acceptance_events.Event
 Command = _acceptance_events.Command
 
@@ -135,7 +135,7 @@
         return ()
 
     @_take.register
-    def _(self, event: GroupsHeld, now: float) -> abc.Sequence[Command]:
+    def _(self, event: HeldGroupsChanged, now: float) -> abc.Sequence[Command]:
         self._held = frozenset(event.groups)
         self._wants_read = True
         return ()
@@ -169,7 +169,7 @@
         if numbers == self._used:
             return ()
         self._used = numbers
-        return (UseHead(*numbers),)
+        return (ApplyGenerations(*numbers),)
 
     @_take.register
     def _(self, event: GroupRowsRead, now: float) -> abc.Sequence[Command]:
@@ -180,7 +180,7 @@
         return (*self._stage(now), *self._accept(now))
 
     @_take.register
-    def _(self, event: WriteSettled, now: float) -> abc.Sequence[Command]:
+    def _(self, event: WriteFinished, now: float) -> abc.Sequence[Command]:
         for subject, (request, _) in list(self._in_flight.items()):
             if request == event.request:
                 del self._in_flight[subject]
@@ -208,7 +208,9 @@
             if row.holder == self._host and not is_staged:
                 request = self._start(f"{group} {pending.number}", now)
                 if request:
-                    yield Stage(request, group, row.version, pending.number)
+                    yield StageGeneration(
+                        request, group, row.version, pending.number
+                    )
 
     def _accept(self, now: float) -> abc.Iterator[Command]:
         """Accepts the pending generation once every group has staged it."""
@@ -224,7 +226,7 @@
                 for group in _acceptance_rows.list_required_groups(row)
             }
             accepted = HeadRow(row.pending, None, row.history)
-            yield Accept(request, self._version, versions, accepted)
+            yield AcceptGeneration(request, self._version, versions, accepted)
 
     def _start(self, subject: str, now: float) -> str:
         """Returns a request id, or empty while such a write is in flight."""
@@ -316,7 +318,9 @@
             return None
         return Verdict.UNKNOWN if submission.was_sent else Verdict.UNAVAILABLE
 
-    def _answer(self, submission: _Submission, verdict: Verdict) -> Answer:
+    def _answer(
+        self, submission: _Submission, verdict: Verdict
+    ) -> SubmissionResult:
         base = submission.event.base
         newest = _acceptance_rows.find_newest(self._row)
         waiting: abc.Sequence[str] = ()
@@ -331,7 +335,7 @@
                 for name in files.keys() | newest.files.keys()
                 if files.get(name) != newest.files.get(name)
             )
-        return Answer(
+        return SubmissionResult(
             submission.event.request,
             verdict,
             base + 1 if self._is_recorded(submission) else 0,
@@ -379,8 +383,8 @@
         )
 
 
-def _make_entry(event: FileSubmitted) -> _acceptance_rows.Entry:
-    return Entry(
+def _make_entry(event: FileSubmitted) -> _acceptance_rows.GenerationRecord:
+    return GenerationRecord(
         event.base + 1,
         event.request,
         event.files,
--- a/packages/decisions/sycamoreloft_decisions/membership.py
+++ b/packages/decisions/sycamoreloft_decisions/membership.py
@@ -55,7 +55,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Location(typing.Generic[EntryType]):
+class HolderLocation(typing.Generic[EntryType]):
     """Where the holder of a group is."""
 
     #: Entry of the holder.
@@ -141,7 +141,7 @@
         """Highest accepted generation that any host announced."""
         return self._generation
 
-    def update_own(self, own: EntryType, now: float) -> None:
+    def update_own_entry(self, own: EntryType, now: float) -> None:
         """Replaces the own entry, which has the next version if it differs."""
         if own.version != self._own.version:
             self._changed_at = now
@@ -208,14 +208,14 @@
     ) -> EntryType | None:
         for _ in range(2):
             while waiting:
-                entry = self.find(waiting.pop())
+                entry = self.get_entry(waiting.pop())
                 if entry is not None and entry not in chosen:
                     return entry
             waiting[:] = sorted(members)
             self._generator.shuffle(waiting)
         return None
 
-    def choose_digest(
+    def build_digest(
         self, now: float, target: EntryType | None = None
     ) -> Digest[EntryType]:
         """Chooses what to send besides the own heartbeat.
@@ -240,7 +240,7 @@
                 entries.append(member.entry)
         return Digest(heartbeats, entries)
 
-    def list_members(self, now: float) -> Digest[EntryType]:
+    def build_full_digest(self, now: float) -> Digest[EntryType]:
         """Lists members for a host that asks for all of them.
 
         A host that has just started would otherwise learn one entry a second
@@ -352,7 +352,7 @@
                 self._near.pop(host, None)
                 self._index(host, member.entry.groups, {})
 
-    def list_known(self) -> list[EntryType]:
+    def list_other_members(self) -> list[EntryType]:
         """Lists the entries of all members but the own one."""
         return [
             member.entry
@@ -360,7 +360,7 @@
             if not member.removed
         ]
 
-    def list_near(self) -> list[EntryType]:
+    def list_domain_members(self) -> list[EntryType]:
         """Lists the entries of members that share a failure domain."""
         return [
             member.entry for member in self._near.values() if not member.removed
@@ -374,7 +374,7 @@
             if member.progress_at + SUSPICION_S > now
         ]
 
-    def find(self, host: str) -> EntryType | None:
+    def get_entry(self, host: str) -> EntryType | None:
         """Returns the entry of a host, if it is known."""
         if host == self._own.host:
             return self._own
@@ -392,13 +392,13 @@
         member = self._members.get(host)
         return float("inf") if member is None else now - member.progress_at
 
-    def locate_group(self, group: str) -> Location[EntryType] | None:
+    def locate_group(self, group: str) -> HolderLocation[EntryType] | None:
         """Returns the holder of a group with the highest announced epoch."""
-        best: Location[EntryType] | None = None
+        best: HolderLocation[EntryType] | None = None
         for host, epoch in self._holders.get(group, {}).items():
-            entry = self.find(host)
+            entry = self.get_entry(host)
             if entry is not None and (best is None or epoch > best.epoch):
-                best = Location(entry, epoch)
+                best = HolderLocation(entry, epoch)
         return best
 
     def _merge_entry(
--- a/packages/decisions/tests/test_acceptance.py
+++ b/packages/decisions/tests/test_acceptance.py
@@ -44,7 +44,9 @@
         super().__init__()
         self.now = 0.0
         # An installation in which every group has a holder.
-        first = acceptance.Entry(1, "id-0", {"fleet/a": "id-0"}, GROUPS)
+        first = acceptance.GenerationRecord(
+            1, "id-0", {"fleet/a": "id-0"}, GROUPS
+        )
         past = acceptance.PastSubmission(1, "id-0", first.files)
         self.head = (1, acceptance.HeadRow(first, None, (past,)))
         self.rows = {
@@ -78,18 +80,18 @@
         host = self.hosts[name]
         for command in host.machine.handle(event, self.now):
             match command:
-                case acceptance.UseHead():
+                case acceptance.ApplyGenerations():
                     host.used = (command.accepted, command.pending)
-                case acceptance.Answer():
+                case acceptance.SubmissionResult():
                     host.answers.append(command)
                     self.check_answer(command)
                 case _:
                     self.queue.append((name, command))
 
-    def deliver(self, name, snapshot, with_groups):
+    def deliver(self, name, snapshot, with_group_rows):
         (version, row), rows = snapshot
         self.feed(name, acceptance.HeadRead(version, row))
-        if with_groups:
+        if with_group_rows:
             self.feed(name, acceptance.GroupRowsRead(version, rows))
 
     def get_head(self):
@@ -99,7 +101,7 @@
 
     def apply(self, command):
         """Applies a write and returns whether its conditions held."""
-        if isinstance(command, acceptance.Stage):
+        if isinstance(command, acceptance.StageGeneration):
             row = self.rows.get(command.group)
             if row is None or row.version != command.version:
                 return False
@@ -109,7 +111,7 @@
             return True
         if self.head[0] != command.version:
             return False
-        if isinstance(command, acceptance.Accept):
+        if isinstance(command, acceptance.AcceptGeneration):
             for group, version in command.group_versions.items():
                 row = self.rows.get(group)
                 if (row.version if row else 0) != version:
@@ -231,10 +233,10 @@
         if isinstance(command, acceptance.ReadRows):
             if fate == "late":
                 snapshot = (self.head, dict(self.rows))
-                self.queue.append((name, (snapshot, command.with_groups)))
+                self.queue.append((name, (snapshot, command.with_group_rows)))
             elif fate != "dropped":
                 snapshot = (self.head, dict(self.rows))
-                self.deliver(name, snapshot, command.with_groups)
+                self.deliver(name, snapshot, command.with_group_rows)
         elif isinstance(command, tuple):
             self.deliver(name, *command)
         elif name is None:
@@ -264,7 +266,7 @@
                     if applied
                     else acceptance.WriteResult.CONFLICT
                 )
-        self.feed(name, acceptance.WriteSettled(command.request, result))
+        self.feed(name, acceptance.WriteFinished(command.request, result))
 
     @stateful.rule(
         group=strategies.sampled_from(GROUPS),
@@ -281,7 +283,7 @@
             old.version + 1 if old else 1, name, old.staged if old else 0
         )
         held = [key for key, row in self.rows.items() if row.holder == name]
-        self.feed(name, acceptance.GroupsHeld(held))
+        self.feed(name, acceptance.HeldGroupsChanged(held))
 
     @stateful.precondition(lambda self: self.rows)
     @stateful.rule(position=strategies.integers(0, 2))
@@ -358,14 +360,14 @@
 def test_a_domain_that_runs_again_need_not_stage_what_says_so():
     """Guards against a generation that waits for a group without holder."""
     machine = acceptance.Acceptance("h9", iter("wxyz").__next__)
-    lost = acceptance.Entry(1, "r1", {}, GROUPS, ("a/d1/0",))
-    found = acceptance.Entry(2, "r2", {}, GROUPS)
+    lost = acceptance.GenerationRecord(1, "r1", {}, GROUPS, ("a/d1/0",))
+    found = acceptance.GenerationRecord(2, "r2", {}, GROUPS)
     row = acceptance.HeadRow(lost, found)
     machine.handle(acceptance.HeadRead(1, row), 0.0)
     rows = {group: acceptance.GroupRow(7, "h0", 2) for group in GROUPS}
     rows["a/d1/0"] = acceptance.GroupRow(5, "h1", 0)
     commands = machine.handle(acceptance.GroupRowsRead(1, rows), 1.1)
-    (accept,) = find(commands, acceptance.Accept)
+    (accept,) = find(commands, acceptance.AcceptGeneration)
     assert accept.row.accepted == found
 
 
@@ -373,7 +375,7 @@
 def test_an_unreachable_domain_is_named_unless_declared_lost(lost):
     """Guards against an operator who cannot see what the wait is for."""
     machine = acceptance.Acceptance("h9", iter("wxyz").__next__)
-    first = acceptance.Entry(1, "r1", {"fleet/a": "old"}, GROUPS)
+    first = acceptance.GenerationRecord(1, "r1", {"fleet/a": "old"}, GROUPS)
     machine.handle(acceptance.HeadRead(1, acceptance.HeadRow(first, None)), 0.0)
     machine.handle(
         acceptance.FileSubmitted(
@@ -387,12 +389,14 @@
     (write,) = find(commands, acceptance.WriteHead)
     machine.handle(acceptance.HeadRead(2, write.row), 1.2)
     commands = machine.handle(acceptance.GroupRowsRead(2, rows), 1.2)
-    accepts = find(commands, acceptance.Accept)
+    accepts = find(commands, acceptance.AcceptGeneration)
     if lost:
         assert accepts[0].group_versions == {"a/d0/0": 7, "b/d0/0": 7}
         return
     assert not accepts
-    (answer,) = find(machine.handle(acceptance.Tick(), 5.1), acceptance.Answer)
+    (answer,) = find(
+        machine.handle(acceptance.Tick(), 5.1), acceptance.SubmissionResult
+    )
     assert answer.verdict is acceptance.Verdict.PENDING
     assert answer.waiting_domains == ["a/d1"]
 
@@ -404,12 +408,13 @@
         acceptance.PastSubmission(number, f"r{number}", {"merge": str(number)})
         for number in (1, 2)
     )
-    entry = acceptance.Entry(2, "r2", past[1].files)
+    entry = acceptance.GenerationRecord(2, "r2", past[1].files)
     row = acceptance.HeadRow(entry, None, past)
     submitted = acceptance.FileSubmitted("r3", 1, {"merge": "3"}, ())
     machine.handle(submitted, 0.0)
     (answer,) = find(
-        machine.handle(acceptance.HeadRead(9, row), 0.1), acceptance.Answer
+        machine.handle(acceptance.HeadRead(9, row), 0.1),
+        acceptance.SubmissionResult,
     )
     assert answer.verdict is acceptance.Verdict.CONFLICT
     assert (answer.number, answer.newest) == (0, 2)
@@ -419,8 +424,8 @@
 def test_a_write_that_always_fails_does_not_read_in_a_loop():
     """Guards against a group holder that overloads the store."""
     machine = acceptance.Acceptance("h0", iter(map(str, range(999))).__next__)
-    first = acceptance.Entry(1, "r1", {}, GROUPS)
-    pending = acceptance.Entry(2, "r2", {}, GROUPS)
+    first = acceptance.GenerationRecord(1, "r1", {}, GROUPS)
+    pending = acceptance.GenerationRecord(2, "r2", {}, GROUPS)
     row = acceptance.HeadRow(first, pending)
     rows = {"a/d0/0": acceptance.GroupRow(1, "h0")}
     reads = []
@@ -435,10 +440,10 @@
         queue = [
             acceptance.GroupRowsRead(1, rows)
             if isinstance(command, acceptance.ReadRows)
-            else acceptance.WriteSettled(
+            else acceptance.WriteFinished(
                 command.request, acceptance.WriteResult.CONFLICT
             )
             for command in commands
-            if not isinstance(command, acceptance.UseHead)
+            if not isinstance(command, acceptance.ApplyGenerations)
         ]
     assert 10 < len(reads) < 30
--- a/packages/decisions/tests/test_authority.py
+++ b/packages/decisions/tests/test_authority.py
@@ -32,7 +32,7 @@
 def promise(authority, asked_at, answered_at, promised=True, final=False):
     for command in authority.ask(asked_at):
         authority.receive(
-            sycamoreloft_decisions.PromiseReceived(
+            sycamoreloft_decisions.PromiseAnswered(
                 command.call, command.host, promised, final
             ),
             answered_at,
@@ -112,7 +112,7 @@
 def test_standby_takes_over_when_its_promise_has_expired():
     """Guards against a standby that waits longer than the promise."""
     standby, takeover = make_takeover()
-    asked = sycamoreloft_decisions.PromiseAsked("h0", 4, 600)
+    asked = sycamoreloft_decisions.PromiseRequested("h0", 4, 600)
     assert standby.answer(asked, 1.0).promised
     assert not read_row(takeover, make_row(), 1.5)
     taken = take(takeover, make_row(), 1.75)
@@ -125,7 +125,7 @@
 def test_standby_refuses_promises_while_it_takes_the_group():
     """Guards against a holder that acts on a promise given too late."""
     standby, takeover = make_takeover()
-    asked = sycamoreloft_decisions.PromiseAsked("h0", 4, 600)
+    asked = sycamoreloft_decisions.PromiseRequested("h0", 4, 600)
     standby.answer(asked, 1.0)
     assert read_row(takeover, make_row(), 1.75)
     assert not standby.answer(asked, 1.76).promised
@@ -143,7 +143,7 @@
 def test_expired_promise_says_nothing_of_earlier_holders():
     """Guards against a chain of takeovers that forgets the first holder."""
     standby, takeover = make_takeover()
-    standby.answer(sycamoreloft_decisions.PromiseAsked("h0", 4, 600), 1.0)
+    standby.answer(sycamoreloft_decisions.PromiseRequested("h0", 4, 600), 1.0)
     earlier = (sycamoreloft_decisions.EarlierHolder(3, "h9", 90.0),)
     taken = take(takeover, make_row(earlier=earlier), 1.75)
     assert taken.row.earlier == earlier
--- a/packages/decisions/tests/test_group_holder.py
+++ b/packages/decisions/tests/test_group_holder.py
@@ -250,7 +250,7 @@
     world.change_generation(generation)
     world.run(3.0)
     for service, partition, _ in world.store.list_records():
-        group = sycamoreloft_decisions.find_partition_group(
+        group = sycamoreloft_decisions.compute_partition_group(
             generation, "f", service, partition
         )
         assert group == GROUP
--- a/packages/decisions/tests/test_membership.py
+++ b/packages/decisions/tests/test_membership.py
@@ -52,9 +52,9 @@
     """Guards against an old digest that hides a newer entry."""
     tell(members, 0.0, Entry("a", version=5, leaving=True))
     tell(members, 1.0, Entry("a", version=4), sender="s")
-    assert members.find("a").leaving
+    assert members.get_entry("a").leaving
     tell(members, 1.0, Entry("a", version=6), sender="s")
-    assert not members.find("a").leaving
+    assert not members.get_entry("a").leaving
 
 
 def test_only_new_heartbeats_are_progress(members):
@@ -72,9 +72,9 @@
     tell(members, 0.0, Entry("a", "old", 900))
     tell(members, 0.1, Entry("a", "new", 1))
     tell(members, 0.2, Entry("a", "old", 900), sender="s")
-    assert members.find("a").incarnation == "new"
+    assert members.get_entry("a").incarnation == "new"
     tell(members, 5.0, Entry("a", "old", 901), sender="s")
-    assert members.find("a").incarnation == "new"
+    assert members.get_entry("a").incarnation == "new"
 
 
 def test_hearsay_of_a_restart_counts_once_the_old_process_is_silent(
@@ -83,9 +83,9 @@
     """Guards against waiting for a direct word that may never come."""
     tell(members, 0.0, Entry("a", "old", 900))
     tell(members, 1.0, Entry("a", "new", 1), sender="s")
-    assert members.find("a").incarnation == "old"
+    assert members.get_entry("a").incarnation == "old"
     tell(members, 2.5, Entry("a", "new", 4), sender="s")
-    assert members.find("a").incarnation == "new"
+    assert members.get_entry("a").incarnation == "new"
 
 
 def test_suspicion_removal_and_no_return_by_old_news(members):
@@ -95,13 +95,13 @@
     assert members.is_suspected("a", 2.0)
     assert members.is_suspected("unknown", 0.0)
     members.expire(59.0)
-    assert members.find("a") is not None
+    assert members.get_entry("a") is not None
     members.expire(60.0)
     beats = [Beat("a", counter=7)]
     tell(members, 61.0, Entry("a"), sender="s", beats=beats)
-    assert members.find("a") is None
+    assert members.get_entry("a") is None
     tell(members, 62.0, sender="s", beats=[Beat("a", counter=8)])
-    assert members.find("a") is not None
+    assert members.get_entry("a") is not None
 
 
 def test_contact_of_the_same_process_is_a_sign_of_life(members):
@@ -122,7 +122,7 @@
         now = 3.0 + number
         beats = [Beat(name, counter=number + 1) for name in names]
         tell(members, now, sender="s", beats=beats)
-        digest = members.choose_digest(now, Entry("s"))
+        digest = members.build_digest(now, Entry("s"))
         sizes = sum(map(membership.estimate_size, digest.entries))
         assert sizes <= membership.DIGEST_BYTES
         assert len(digest.heartbeats) <= membership.HEARTBEATS
@@ -137,7 +137,7 @@
         tell(members, 0.0, Entry(name), beats=[Beat(name)])
     seen = set()
     for number in range(3):
-        digest = members.choose_digest(0.1 * number, Entry("s"))
+        digest = members.build_digest(0.1 * number, Entry("s"))
         seen.update(beat.host for beat in digest.heartbeats)
     assert seen == set(names)
 
@@ -145,20 +145,20 @@
 def test_a_changed_entry_is_sent_for_some_rounds(members):
     """Guards against a new holder that only its first targets know."""
     tell(members, 0.0, Entry("a"))
-    members.choose_digest(9.0, Entry("s"))
+    members.build_digest(9.0, Entry("s"))
     tell(members, 10.0, Entry("a", version=1, groups={"g": 2}))
-    members.update_own(Entry("own", version=1), 10.0)
-    digest = members.choose_digest(10.1, Entry("s"))
+    members.update_own_entry(Entry("own", version=1), 10.0)
+    digest = members.build_digest(10.1, Entry("s"))
     assert [entry.host for entry in digest.entries] == ["own", "a"]
-    later = members.choose_digest(13.0, Entry("s"))
+    later = members.build_digest(13.0, Entry("s"))
     assert "own" not in [entry.host for entry in later.entries]
 
 
 def test_silent_members_are_not_passed_on(members):
     """Guards against keeping a lost host alive by hearsay."""
     tell(members, 0.0, Entry("a"), beats=[Beat("a")])
-    assert members.choose_digest(1.0, Entry("s")).heartbeats
-    late = members.choose_digest(10.5, Entry("s"))
+    assert members.build_digest(1.0, Entry("s")).heartbeats
+    late = members.build_digest(10.5, Entry("s"))
     assert (late.heartbeats, late.entries) == ([], [])
 
 
@@ -185,7 +185,7 @@
     """Guards against asking a holder that was replaced."""
     tell(members, 0.0, Entry("a", groups={"g": 4}, generation=9))
     tell(members, 0.0, Entry("b", groups={"g": 5}, generation=3))
-    members.update_own(Entry("own", groups={"g": 3}), 0.0)
+    members.update_own_entry(Entry("own", groups={"g": 3}), 0.0)
     location = members.locate_group("g")
     assert (location.entry.host, location.epoch) == ("b", 5)
     assert members.locate_group("other") is None
@@ -196,7 +196,7 @@
     members,
 ):
     """Guards against asking a host that no longer holds the group."""
-    members.update_own(Entry("own", groups={"g": 3}), 0.0)
+    members.update_own_entry(Entry("own", groups={"g": 3}), 0.0)
     tell(members, 0.0, Entry("a", version=1, groups={"g": 4, "h": 1}))
     tell(members, 0.1, Entry("a", version=2, groups={"h": 2}))
     assert members.locate_group("g").entry.host == "own"
@@ -207,7 +207,7 @@
     members.expire(61.0)
     assert members.locate_group("g").epoch == 3
     members.expire(2000.0)
-    members.update_own(Entry("own"), 2000.0)
+    members.update_own_entry(Entry("own"), 2000.0)
     assert members.locate_group("g") is None
 
 
@@ -219,11 +219,11 @@
         tell(members, 0.0, Entry(f"host-{number}"), beats=beats)
     holder = Entry("holder", failure_domains=far, groups={"g": 4})
     tell(members, 0.0, holder, beats=[Beat("holder")])
-    digest = members.list_members(1.0)
+    digest = members.build_full_digest(1.0)
     new = membership.Membership(Entry("new"), random.Random(1))
     new.merge([Beat("own", counter=5), *digest.heartbeats], digest.entries, 1.0)
     assert new.locate_group("g").entry.host == "holder"
-    assert len(new.list_known()) == 22
+    assert len(new.list_other_members()) == 22
     assert not new.is_suspected("host-7", 1.5)
 
 
@@ -233,6 +233,6 @@
     for name in ("a", "b", "c"):
         tell(members, 0.0, Entry(name))
     tell(members, 0.0, Entry("z", groups={"g": 1}))
-    listed = [entry.host for entry in members.list_members(0.0).entries]
+    listed = [entry.host for entry in members.build_full_digest(0.0).entries]
     assert listed[:2] == ["own", "z"]
     assert len(listed) == 3
--- a/packages/decisions/tests/test_placement.py
+++ b/packages/decisions/tests/test_placement.py
@@ -42,7 +42,7 @@
 def divide(generation):
     directory = sycamoreloft_decisions.PartitionDirectory(generation)
     return [
-        directory.find_group("f", "board", partition).failure_domain
+        directory.get_group("f", "board", partition).failure_domain
         for partition in range(2_000)
     ]
 
@@ -72,7 +72,7 @@
         {"a": 4, "b": 4}, a0=lost, a1={"leaving": True}
     )
     assert set(divide(generation)) == {"b"}
-    find = sycamoreloft_decisions.find_partition_group
+    find = sycamoreloft_decisions.compute_partition_group
     assert find(generation, "f", "film", 0) is None
 
 
@@ -82,7 +82,7 @@
         (sycamoreloft_config.SameService("g/board", "f/board"),)
     )
     generation = dataclasses.replace(make_generation({"a": 4}), merge=merge)
-    find = sycamoreloft_decisions.find_partition_group
+    find = sycamoreloft_decisions.compute_partition_group
     assert find(generation, "f", "board", 0) is None
 
 
--- a/packages/proof/sycamoreloft_proof/_bench_router.py
+++ b/packages/proof/sycamoreloft_proof/_bench_router.py
@@ -70,7 +70,7 @@
     async def refresh_generation(self, known: int) -> None:
         """Does nothing: there is one generation."""
 
-    def find_partition_group(
+    def compute_partition_group(
         self, fleet: str, service: str, partition: int
     ) -> str:
         """Returns the one group."""
--- a/packages/proof/sycamoreloft_proof/_capacity_holder.py
+++ b/packages/proof/sycamoreloft_proof/_capacity_holder.py
@@ -93,7 +93,7 @@
         )
 
     @_answer.register
-    def _(self, command: sycamoreloft_decisions.HoldUnit) -> None:
+    def _(self, command: sycamoreloft_decisions.PauseUnit) -> None:
         self._feed(sycamoreloft_decisions.UnitDrained(command.unit))
 
 
@@ -209,7 +209,9 @@
         names = [f"sledworks/domain-{number}/0" for number in range(groups)]
         rows = {name: acceptance.GroupRow(3, "host-0001", 1) for name in names}
         head = acceptance.HeadRow(
-            acceptance.Entry(1, "r", {"fleet/sledworks": "0" * 64}, names)
+            acceptance.GenerationRecord(
+                1, "r", {"fleet/sledworks": "0" * 64}, names
+            )
         )
         machine = acceptance.Acceptance("host-0001", lambda: "r2")
         machine.handle(acceptance.HeadRead(5, head), 0.0)
--- a/packages/proof/sycamoreloft_proof/_capacity_models.py
+++ b/packages/proof/sycamoreloft_proof/_capacity_models.py
@@ -76,7 +76,7 @@
     """Runs one round: the choice and the encoding of two digests."""
     digests = []
     for target in members.choose_targets():
-        digest = members.choose_digest(11.0, target)
+        digest = members.build_digest(11.0, target)
         heartbeats = [
             sycamoreloft_wire.Heartbeat(
                 item.host, item.incarnation, item.counter
@@ -254,7 +254,7 @@
     directory: sycamoreloft_decisions.PartitionDirectory,
     partitions: abc.Iterator[int],
 ) -> object:
-    return directory.find_group("sledworks", "tally-board", next(partitions))
+    return directory.get_group("sledworks", "tally-board", next(partitions))
 
 
 def measure_directory_memory() -> _slopes.Slope:
@@ -275,7 +275,7 @@
     generation = sycamoreloft_config.Generation(1, {fleet.name: fleet})
     directory = sycamoreloft_decisions.PartitionDirectory(generation)
     for number in range(partitions):
-        directory.find_group("sledworks", "tally-board", number)
+        directory.get_group("sledworks", "tally-board", number)
     return directory
 
 
--- a/packages/proof/sycamoreloft_proof/_ownership_adapter.py
+++ b/packages/proof/sycamoreloft_proof/_ownership_adapter.py
@@ -257,11 +257,11 @@
                 self._read_rows(command, host)
             case sycamoreloft_decisions.WriteRows():
                 self._write_rows(command, host)
-            case sycamoreloft_decisions.AskPromise():
+            case sycamoreloft_decisions.RequestPromise():
                 self._ask_promise(command, host)
-            case sycamoreloft_decisions.AskStepDown():
+            case sycamoreloft_decisions.RequestStepDown():
                 self._ask_step_down(command, host)
-            case sycamoreloft_decisions.HoldUnit(unit):
+            case sycamoreloft_decisions.PauseUnit(unit):
                 self.schedule(0.01, lambda: self._drain(host, unit))
             case _:
                 pass
@@ -346,7 +346,7 @@
             self._answer_store(host, event)
 
         self._call_store(host, arrive)
-        unanswered = sycamoreloft_decisions.WriteUnanswered(command.call)
+        unanswered = sycamoreloft_decisions.WriteOutcomeUnknown(command.call)
         self._report_later(host, unanswered)
 
     def get_head(self) -> tuple[int, int]:
@@ -388,9 +388,9 @@
         )
 
     def _ask_promise(
-        self, command: sycamoreloft_decisions.AskPromise, host: Host
+        self, command: sycamoreloft_decisions.RequestPromise, host: Host
     ) -> None:
-        asked = sycamoreloft_decisions.PromiseAsked(
+        asked = sycamoreloft_decisions.PromiseRequested(
             host.name, command.epoch, command.duration_ms
         )
 
@@ -398,7 +398,7 @@
             for answer in self._take_answer(
                 target, asked, sycamoreloft_decisions.AnswerPromise
             ):
-                event = sycamoreloft_decisions.PromiseReceived(
+                event = sycamoreloft_decisions.PromiseAnswered(
                     command.call, target.name, answer.promised, answer.final
                 )
                 self._answer(target.name, host, event)
@@ -406,9 +406,9 @@
         self._ask_host(host, command.host, handle)
 
     def _ask_step_down(
-        self, command: sycamoreloft_decisions.AskStepDown, host: Host
+        self, command: sycamoreloft_decisions.RequestStepDown, host: Host
     ) -> None:
-        asked = sycamoreloft_decisions.StepDownAsked(command.epoch)
+        asked = sycamoreloft_decisions.StepDownRequested(command.epoch)
 
         def handle(target: Host) -> None:
             for answer in self._take_answer(
--- a/packages/router/sycamoreloft_router/_backend.py
+++ b/packages/router/sycamoreloft_router/_backend.py
@@ -113,7 +113,7 @@
         partition = sycamoreloft_config.compute_partition(
             reference.fleet, reference.service, key, definition.partitions
         )
-        group = self._names.find_partition_group(
+        group = self._names.compute_partition_group(
             reference.fleet, reference.service, partition
         )
         return result.Success(
@@ -191,7 +191,7 @@
 
 
 def _present_answer(
-    answer: acceptance.Answer,
+    answer: acceptance.SubmissionResult,
 ) -> result.Result[_admin.SubmissionAnswer, _admin.AdminProblem]:
     if answer.verdict is acceptance.Verdict.CONFLICT:
         return result.Failure(
--- a/packages/router/sycamoreloft_router/_configuration.py
+++ b/packages/router/sycamoreloft_router/_configuration.py
@@ -70,7 +70,9 @@
         self._head_version = -1
         self._applied = (0, 0)
         self._held: abc.Collection[str] = ("",)
-        self._submissions: dict[str, asyncio.Future[acceptance.Answer]] = {}
+        self._submissions: dict[
+            str, asyncio.Future[acceptance.SubmissionResult]
+        ] = {}
         #: The accepted generation.
         self.accepted = EMPTY_GENERATION
         #: The pending generation, if any.
@@ -121,7 +123,7 @@
         """Takes the groups that this host holds; only holders poll."""
         if groups != self._held:
             self._held = groups
-            self._feed(acceptance.GroupsHeld(groups))
+            self._feed(acceptance.HeldGroupsChanged(groups))
 
     async def adopt_answer(
         self, answer: sycamoreloft_wire.GenerationAnswer
@@ -151,13 +153,13 @@
 
     async def submit_file(
         self, submission: _admin.Submission
-    ) -> result.Result[acceptance.Answer, _admin.AdminProblem]:
+    ) -> result.Result[acceptance.SubmissionResult, _admin.AdminProblem]:
         """Checks files against those of the base and records them."""
         checked = await self._check(submission)
         if not pipeline.is_successful(checked):
             return result.Failure(checked.failure())
         files, generation = checked.unwrap()
-        future: asyncio.Future[acceptance.Answer] = (
+        future: asyncio.Future[acceptance.SubmissionResult] = (
             asyncio.get_running_loop().create_future()
         )
         self._submissions[submission.request] = future
@@ -270,7 +272,7 @@
 
     @_perform.register
     async def _(self, command: acceptance.ReadRows) -> None:
-        prefixes = ["group/"] if command.with_groups else []
+        prefixes = ["group/"] if command.with_group_rows else []
         rows = await self._store.read([_group_calls.HEAD_KEY], prefixes)
         if not pipeline.is_successful(rows):
             return
@@ -278,7 +280,7 @@
         head = found.pop(_group_calls.HEAD_KEY, None)
         version = head.version if head else 0
         self.observe_head(head)
-        if not command.with_groups:
+        if not command.with_group_rows:
             return
         self._feed(
             acceptance.GroupRowsRead(
@@ -293,7 +295,7 @@
         )
 
     @_perform.register
-    async def _(self, command: acceptance.UseHead) -> None:
+    async def _(self, command: acceptance.ApplyGenerations) -> None:
         while not await self._use_head(command):
             await asyncio.sleep(FETCH_AGAIN_S)
 
@@ -307,18 +309,18 @@
         self._settle(command.request, written)
 
     @_perform.register
-    async def _(self, command: acceptance.Stage) -> None:
+    async def _(self, command: acceptance.StageGeneration) -> None:
         # The group holder machine owns the group row and records `staged`
         # itself once it is told of the pending generation, which the
         # preceding UseHead has done. The next read of the rows shows it.
         self._feed(
-            acceptance.WriteSettled(
+            acceptance.WriteFinished(
                 command.request, acceptance.WriteResult.CONFLICT
             )
         )
 
     @_perform.register
-    async def _(self, command: acceptance.Accept) -> None:
+    async def _(self, command: acceptance.AcceptGeneration) -> None:
         conditions = {
             f"group/{group}": version
             for group, version in command.group_versions.items()
@@ -332,7 +334,7 @@
         self._settle(command.request, written)
 
     @_perform.register
-    async def _(self, command: acceptance.Answer) -> None:
+    async def _(self, command: acceptance.SubmissionResult) -> None:
         future = self._submissions.get(command.request)
         if future is not None and not future.done():
             future.set_result(command)
@@ -350,9 +352,9 @@
                 if lost
                 else acceptance.WriteResult.CONFLICT
             )
-        self._feed(acceptance.WriteSettled(request, settled))
+        self._feed(acceptance.WriteFinished(request, settled))
 
-    async def _use_head(self, command: acceptance.UseHead) -> bool:
+    async def _use_head(self, command: acceptance.ApplyGenerations) -> bool:
         """Applies the named generations; False if files are missing yet."""
         if self._head is None:
             return True
--- a/packages/router/sycamoreloft_router/_directory.py
+++ b/packages/router/sycamoreloft_router/_directory.py
@@ -123,7 +123,10 @@
 
     def _choose_strangers(self) -> list[str]:
         """Returns the address of one contact that is not a member yet."""
-        known = {entry.peer_address for entry in self._membership.list_known()}
+        known = {
+            entry.peer_address
+            for entry in self._membership.list_other_members()
+        }
         strangers = self._contacts - known - {self._settings.peer_address}
         return [self._random.choice(sorted(strangers))] if strangers else []
 
@@ -154,17 +157,19 @@
             self._entry = entry = dataclasses.replace(
                 entry, version=self._version
             )
-        self._membership.update_own(entry, now)
+        self._membership.update_own_entry(entry, now)
         return entry
 
     def _make_digest(
         self, now: float, target: sycamoreloft_wire.MemberEntry | None
     ) -> sycamoreloft_wire.GossipDigest:
-        return self._encode(self._membership.choose_digest(now, target))
+        return self._encode(self._membership.build_digest(now, target))
 
     def list_members(self) -> sycamoreloft_wire.GossipDigest:
         """Returns all members for a host that asks for them."""
-        return self._encode(self._membership.list_members(time.monotonic()))
+        return self._encode(
+            self._membership.build_full_digest(time.monotonic())
+        )
 
     def _encode(
         self, digest: membership.Digest[sycamoreloft_wire.MemberEntry]
@@ -190,7 +195,8 @@
         if self._pulls >= FIRST_PULLS and not is_due:
             return
         addresses = self._contacts | {
-            entry.peer_address for entry in self._membership.list_known()
+            entry.peer_address
+            for entry in self._membership.list_other_members()
         }
         addresses.discard(self._settings.peer_address)
         if addresses:
@@ -239,7 +245,7 @@
         Callers wait for the new holder, so the news does not wait for the
         next rounds. Hosts beyond the bound learn it by gossip.
         """
-        members = self._membership.list_known()
+        members = self._membership.list_other_members()
         self._random.shuffle(members)
         self._announce(members[:MAXIMUM_ANNOUNCEMENTS])
 
@@ -261,7 +267,7 @@
         known = self._configuration.accepted.number
         sources = [
             entry
-            for entry in self._membership.list_known()
+            for entry in self._membership.list_other_members()
             if entry.generation > known
         ]
         if not sources:
@@ -290,7 +296,7 @@
 
     def find_peer_address(self, host: str) -> str | None:
         """Returns the peer address of a host."""
-        entry = self._membership.find(host)
+        entry = self._membership.get_entry(host)
         return entry.peer_address if entry else None
 
     def observe_members(
@@ -303,7 +309,7 @@
         name = str(group)
         if not self._leaving:
             heard[self._settings.host] = now
-        for entry in self._membership.list_near():
+        for entry in self._membership.list_domain_members():
             if entry.failure_domains.get(group.fleet) != group.failure_domain:
                 continue
             if not entry.leaving:
@@ -321,7 +327,7 @@
         """
         own_domain = self._settings.failure_domains.get(message.fleet)
         prefix = f"{message.fleet}/"
-        for entry in self._membership.list_known():
+        for entry in self._membership.list_other_members():
             is_near = entry.failure_domains.get(message.fleet) == own_domain
             if is_near or any(name.startswith(prefix) for name in entry.groups):
                 self._post(entry.peer_address, message)
@@ -330,7 +336,7 @@
 
     def count_hosts(self) -> int:
         """Returns the number of known hosts, this one included."""
-        return 1 + len(self._membership.list_known())
+        return 1 + len(self._membership.list_other_members())
 
     def list_states(self) -> list[dict[str, typing.Any]]:
         """Returns the known hosts for the state dump."""
@@ -345,7 +351,7 @@
                     self._membership.measure_silence(entry.host, now), 3
                 ),
             }
-            for entry in self._membership.list_known()
+            for entry in self._membership.list_other_members()
         ]
 
 
--- a/packages/router/sycamoreloft_router/_group_calls.py
+++ b/packages/router/sycamoreloft_router/_group_calls.py
@@ -163,7 +163,7 @@
         elif isinstance(written.failure(), _store_client.StoreConflict):
             self._feed(sycamoreloft_decisions.WriteRefused(command.call))
         else:
-            self._feed(sycamoreloft_decisions.WriteUnanswered(command.call))
+            self._feed(sycamoreloft_decisions.WriteOutcomeUnknown(command.call))
 
     async def send_grant(
         self,
@@ -197,7 +197,7 @@
         self._observe_grant(upstream, answer)
 
     async def request_promise(
-        self, command: sycamoreloft_decisions.AskPromise
+        self, command: sycamoreloft_decisions.RequestPromise
     ) -> None:
         """Asks the standby for a promise."""
         answer = await self._call_host(
@@ -208,13 +208,13 @@
         )
         if isinstance(answer, sycamoreloft_wire.PromiseAnswer):
             self._feed(
-                sycamoreloft_decisions.PromiseReceived(
+                sycamoreloft_decisions.PromiseAnswered(
                     command.call, command.host, answer.promised, answer.final
                 )
             )
 
     async def request_step_down(
-        self, command: sycamoreloft_decisions.AskStepDown
+        self, command: sycamoreloft_decisions.RequestStepDown
     ) -> None:
         """Asks an earlier holder to stop acting."""
         answer = await self._call_host(
--- a/packages/router/sycamoreloft_router/_group_choice.py
+++ b/packages/router/sycamoreloft_router/_group_choice.py
@@ -44,7 +44,7 @@
         """
         fleet, service = request.reference.fleet, request.reference.service
         if request.service.keyed:
-            return self._groups.find_partition_group(
+            return self._groups.compute_partition_group(
                 fleet, service, request.partition
             )
         near = self._groups.list_near_groups(fleet, service)
--- a/packages/router/sycamoreloft_router/_group_runtime.py
+++ b/packages/router/sycamoreloft_router/_group_runtime.py
@@ -57,10 +57,9 @@
         self._claims: _group_claims.GroupClaims | None = None
 
     def _make_machine(self) -> sycamoreloft_decisions.GroupHolder:
-        """Makes a machine that knows nothing of earlier runs of the task.
+        """Creates a state machine without the state of earlier task runs.
 
-        Its incarnation differs, so that a row which an earlier run wrote is
-        treated like that of an earlier process.
+        A new incarnation marks rows of earlier runs as another process's.
         """
         self._starts += 1
         machine = sycamoreloft_decisions.GroupHolder(
@@ -239,7 +238,7 @@
     ) -> None:
         """Answers the holder's request for a promise."""
         self._feed(
-            sycamoreloft_decisions.PromiseAsked(
+            sycamoreloft_decisions.PromiseRequested(
                 sender, message.epoch, message.duration_ms
             ),
             reply,
@@ -251,7 +250,9 @@
         reply: _peer_server.Reply,
     ) -> None:
         """Answers a new holder."""
-        self._feed(sycamoreloft_decisions.StepDownAsked(message.epoch), reply)
+        self._feed(
+            sycamoreloft_decisions.StepDownRequested(message.epoch), reply
+        )
 
     def observe_suspects(
         self, message: sycamoreloft_wire.SuspectNotice
@@ -356,7 +357,7 @@
     @_perform.register
     def _(
         self,
-        command: sycamoreloft_decisions.AskPromise,
+        command: sycamoreloft_decisions.RequestPromise,
         reply: _peer_server.Reply | None,
     ) -> None:
         self._spawn(self._calls.request_promise(command))
@@ -364,7 +365,7 @@
     @_perform.register
     def _(
         self,
-        command: sycamoreloft_decisions.AskStepDown,
+        command: sycamoreloft_decisions.RequestStepDown,
         reply: _peer_server.Reply | None,
     ) -> None:
         self._spawn(self._calls.request_step_down(command))
@@ -392,7 +393,7 @@
     @_perform.register
     def _(
         self,
-        command: sycamoreloft_decisions.HoldUnit,
+        command: sycamoreloft_decisions.PauseUnit,
         reply: _peer_server.Reply | None,
     ) -> None:
         if self._permits is not None:
@@ -401,7 +402,7 @@
     @_perform.register
     def _(
         self,
-        command: sycamoreloft_decisions.ReleaseUnit,
+        command: sycamoreloft_decisions.ResumeUnit,
         reply: _peer_server.Reply | None,
     ) -> None:
         if self._permits is not None:
--- a/packages/router/sycamoreloft_router/_head_rows.py
+++ b/packages/router/sycamoreloft_router/_head_rows.py
@@ -28,8 +28,10 @@
     )
 
 
-def _decode_entry(value: abc.Mapping[str, typing.Any]) -> acceptance.Entry:
-    return acceptance.Entry(
+def _decode_entry(
+    value: abc.Mapping[str, typing.Any],
+) -> acceptance.GenerationRecord:
+    return acceptance.GenerationRecord(
         number=value["number"],
         request=value["request"],
         files=dict(value["files"]),
--- a/packages/router/sycamoreloft_router/_host.py
+++ b/packages/router/sycamoreloft_router/_host.py
@@ -339,7 +339,7 @@
     ) -> None:
         accepted = self._configuration.accepted
         texts = self._configuration.accepted_texts
-        newer = accepted.number > message.known
+        newer = accepted.number > message.known_generation
         reply(
             sycamoreloft_wire.GenerationAnswer(
                 accepted.number, dict(texts) if newer else {}
--- a/packages/router/sycamoreloft_router/_names.py
+++ b/packages/router/sycamoreloft_router/_names.py
@@ -92,11 +92,11 @@
             if self.generation.number <= known:
                 await asyncio.sleep(LOOK_S)
 
-    def find_partition_group(
+    def compute_partition_group(
         self, fleet: str, service: str, partition: int
     ) -> str | None:
         """Returns the group that a partition is assigned to."""
-        group = self._directory.find_group(fleet, service, partition)
+        group = self._directory.get_group(fleet, service, partition)
         return str(group) if group else None
 
     def list_near_groups(self, fleet: str, service: str) -> abc.Sequence[str]:
--- a/packages/router/sycamoreloft_router/_peer_links.py
+++ b/packages/router/sycamoreloft_router/_peer_links.py
@@ -177,7 +177,7 @@
         envelope = sycamoreloft_wire.decode_message(frame).value_or(None)
         if envelope is None:
             return
-        future = self._calls.pop(envelope.correlation, None)
+        future = self._calls.pop(envelope.correlation_id, None)
         if future is not None and not future.done():
             future.set_result(result.Success(envelope.message))
 
--- a/packages/router/sycamoreloft_router/_peer_server.py
+++ b/packages/router/sycamoreloft_router/_peer_server.py
@@ -135,7 +135,7 @@
         if not pipeline.is_successful(envelope):
             _log_bad_frame(sender, str(envelope.failure()))
             return False
-        correlation = envelope.unwrap().correlation
+        correlation = envelope.unwrap().correlation_id
 
         def reply(message: sycamoreloft_wire.Message) -> None:
             if correlation and not stream.closed():
--- a/packages/router/sycamoreloft_router/_permit_ports.py
+++ b/packages/router/sycamoreloft_router/_permit_ports.py
@@ -44,7 +44,7 @@
 class GroupSource(typing.Protocol):
     """Which groups can serve a request, and how far away they are."""
 
-    def find_partition_group(
+    def compute_partition_group(
         self, fleet: str, service: str, partition: int
     ) -> str | None:
         """Returns the group that a partition is assigned to.
--- a/packages/router/tests/fake_sources.py
+++ b/packages/router/tests/fake_sources.py
@@ -76,7 +76,7 @@
         if self.newer is not None:
             self.generation = self.newer
 
-    def find_partition_group(self, fleet, service, partition):
+    def compute_partition_group(self, fleet, service, partition):
         return self.near[0] if self.near else None
 
     def list_near_groups(self, fleet, service):
--- a/packages/wire/sycamoreloft_wire/__init__.py
+++ b/packages/wire/sycamoreloft_wire/__init__.py
@@ -53,6 +53,7 @@
 )
 
 __all__ = [
+    "NONCE_BYTES",
     "Acknowledgement",
     "AuthenticationError",
     "ClaimAnswer",
@@ -71,7 +72,6 @@
     "MemberEntry",
     "MembersRequest",
     "Message",
-    "NONCE_BYTES",
     "PermitGrant",
     "PermitInUse",
     "PermitRefusal",
--- a/packages/wire/sycamoreloft_wire/_codec.py
+++ b/packages/wire/sycamoreloft_wire/_codec.py
@@ -50,7 +50,7 @@
     """A decoded frame."""
 
     #: Matches an answer with its request; 0 where no answer is expected.
-    correlation: int
+    correlation_id: int
     #: The message.
     message: _messages.Message
 
@@ -173,12 +173,12 @@
     return list(_make_getter(typing.cast(abc.Hashable, type(value)))(value))
 
 
-def encode_message(correlation: int, message: _messages.Message) -> bytes:
+def encode_message(correlation_id: int, message: _messages.Message) -> bytes:
     """Encodes a message; the result has no length prefix."""
     message_type = type(message)
     fields = _make_getter(typing.cast(abc.Hashable, message_type))(message)
     packed: bytes = msgpack.packb(
-        (PROTOCOL_VERSION, _CODES[message_type], correlation, fields),
+        (PROTOCOL_VERSION, _CODES[message_type], correlation_id, fields),
         default=_pack_nested,
     )
     return packed
@@ -199,7 +199,7 @@
         return result.Failure(DecodeError(f"frame is not msgpack: {error}"))
     if type(content) is not list or len(content) != 4:
         return result.Failure(DecodeError("frame is not an array of 4 items"))
-    version, code, correlation, values = content
+    version, code, correlation_id, values = content
     if version != PROTOCOL_VERSION:
         return result.Failure(
             DecodeError(
@@ -208,11 +208,11 @@
             )
         )
     message_type = MESSAGE_TYPES.get(code) if type(code) is int else None
-    if message_type is None or type(correlation) is not int:
+    if message_type is None or type(correlation_id) is not int:
         return result.Failure(DecodeError(f"unknown message type {code!r}"))
     try:
         return result.Success(
-            Envelope(correlation, _build(message_type, values))
+            Envelope(correlation_id, _build(message_type, values))
         )
     except _FieldError as error:
         return result.Failure(
--- a/packages/wire/sycamoreloft_wire/_messages.py
+++ b/packages/wire/sycamoreloft_wire/_messages.py
@@ -272,7 +272,7 @@
     """Asks a host for the files that it has in force."""
 
     #: Generation that the asking host has.
-    known: int
+    known_generation: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
