--- a/deploy/router.py
+++ b/deploy/router.py
@@ -1,17 +1,18 @@
-"""Starts a host from a checkout, without installing the packages."""
+"""Starts a host from a source checkout, without installing the packages."""
 
 import gc
 import pathlib
 import sys
 
-# What the imports create stays: the collector would look at all of it again
-# and again, during the start and later.
+# Objects created by imports live as long as the process. Collection is off
+# during the imports, and `gc.freeze` below excludes these objects from later
+# collections, which would otherwise visit all of them each time.
 gc.disable()
 
 _ROOT = pathlib.Path(__file__).resolve().parents[1]
 
-# At the end, so that modules of the standard library are not looked for in
-# these folders.
+# Appended, not prepended: imports of the standard library are found first,
+# without a search in these folders.
 for _folder in ("packages/direct", "packages/router", "platform"):
     sys.path.append(str(_ROOT / _folder))
 
--- a/tools/check_source.py
+++ b/tools/check_source.py
@@ -1,7 +1,7 @@
-"""Checks house rules that the linter cannot express.
+"""Checks style rules that the linter cannot express.
 
-Modules are imported, not names, and no source file is longer than 500 lines
-unless it is listed with a reason.
+Files import modules rather than names from modules, and no source file is
+longer than `MAXIMUM_LINES`, unless `LONG_FILES` lists it.
 """
 
 import ast
@@ -9,23 +9,23 @@
 import pathlib
 import sys
 
-#: Longest source file, in lines.
+#: Maximum length of a source file.
 MAXIMUM_LINES = 500
 
-#: Files that may be longer, with the reason.
+#: Reason by path for each file that may be longer.
 LONG_FILES: dict[str, str] = {}
 
 
 def is_module(name: str) -> bool:
-    """Tells whether a dotted name can be imported as a module."""
+    """Returns whether a dotted name can be imported as a module."""
     try:
         return importlib.util.find_spec(name) is not None
     except (ImportError, AttributeError, ValueError):
         return False
 
 
-def find_name_imports(path: pathlib.Path) -> list[str]:
-    """Lists the imports of a file that bring in names instead of modules."""
+def list_name_imports(path: pathlib.Path) -> list[str]:
+    """Returns a problem for each import of a name that is not a module."""
     problems = []
     for node in ast.walk(ast.parse(path.read_text())):
         if not isinstance(node, ast.ImportFrom) or node.module is None:
@@ -44,19 +44,24 @@
 def check_file(path: pathlib.Path) -> list[str]:
     """Returns the problems of one source file."""
     problems = []
-    # A package's __init__ lists its public names, which is its purpose.
+    # A package's __init__ re-exports the public names of the package.
     if path.name != "__init__.py":
-        problems += find_name_imports(path)
+        problems += list_name_imports(path)
     line_count = len(path.read_text().splitlines())
     if line_count > MAXIMUM_LINES and str(path) not in LONG_FILES:
         problems.append(
-            f"{path}: {line_count} lines; split it, or list it with a reason"
+            f"{path}: has {line_count} lines, above the maximum of"
+            f" {MAXIMUM_LINES}; split it, or add it to LONG_FILES with a reason"
         )
     return problems
 
 
 def main() -> int:
-    """Checks every source file of the workspace."""
+    """Checks all source files and prints their problems.
+
+    Returns:
+        The exit code.
+    """
     problems = []
     for folder in ("packages", "platform", "tools"):
         for path in sorted(pathlib.Path(folder).rglob("*.py")):
