--- a/tools/check_source.py
+++ b/tools/check_source.py
@@ -50,8 +50,8 @@
     line_count = len(path.read_text().splitlines())
     if line_count > MAXIMUM_LINES and str(path) not in LONG_FILES:
         problems.append(
-            f"{path}: has {line_count} lines, above the maximum of"
-            f" {MAXIMUM_LINES}; split it, or add it to LONG_FILES with a reason"
+            f"{path}: too long with {line_count} lines; split it, or add it to"
+            " LONG_FILES with a reason"
         )
     return problems
 
