--- a/packages/router/sycamoreloft_router/_directory.py
+++ b/packages/router/sycamoreloft_router/_directory.py
@@ -165,7 +165,7 @@
     ) -> sycamoreloft_wire.GossipDigest:
         return self._encode(self._membership.build_digest(now, target))
 
-    def list_members(self) -> sycamoreloft_wire.GossipDigest:
+    def build_full_digest(self) -> sycamoreloft_wire.GossipDigest:
         """Returns all members for a host that asks for them."""
         return self._encode(
             self._membership.build_full_digest(time.monotonic())
--- a/packages/router/sycamoreloft_router/_host.py
+++ b/packages/router/sycamoreloft_router/_host.py
@@ -328,7 +328,7 @@
         sender: str,
         reply: _peer_server.Reply,
     ) -> None:
-        reply(self._directory.list_members())
+        reply(self._directory.build_full_digest())
 
     @_act.register
     def _(
--- a/packages/router/sycamoreloft_router/_peer_server.py
+++ b/packages/router/sycamoreloft_router/_peer_server.py
@@ -135,11 +135,13 @@
         if not pipeline.is_successful(envelope):
             _log_bad_frame(sender, str(envelope.failure()))
             return False
-        correlation = envelope.unwrap().correlation_id
+        correlation_id = envelope.unwrap().correlation_id
 
         def reply(message: sycamoreloft_wire.Message) -> None:
-            if correlation and not stream.closed():
-                content = sycamoreloft_wire.encode_message(correlation, message)
+            if correlation_id and not stream.closed():
+                content = sycamoreloft_wire.encode_message(
+                    correlation_id, message
+                )
                 self.traffic.sent += len(content) + 4
                 future = stream.write(sycamoreloft_wire.encode_frame(content))
                 future.add_done_callback(lambda done: done.exception())
