--- a/packages/router/sycamoreloft_router/_admin.py
+++ b/packages/router/sycamoreloft_router/_admin.py
@@ -1,4 +1,4 @@
-"""Handlers of the admin port."""
+"""HTTP handlers of the admin port, which operators call."""
 
 import asyncio
 from collections import abc
@@ -12,28 +12,28 @@
 from returns import result
 from tornado import httpserver, web
 
-#: Largest body of a call. One submission can carry a few files of 1 MiB.
+#: Maximum body of a call; a submission may contain a few files of 1 MiB.
 MAXIMUM_BODY_BYTES = 4 * 1024 * 1024
 
-#: Largest header block of a call.
+#: Maximum size of the headers of a call.
 MAXIMUM_HEADER_BYTES = 16 * 1024
 
-#: Most files of one submission.
+#: Maximum number of files in one submission.
 MAXIMUM_FILES = 64
 
-#: Time that a submission waits for acceptance, in seconds.
+#: Time that a submission waits for acceptance: default and maximum.
 DEFAULT_WAIT_S = 5.0
-LONGEST_WAIT_S = 60.0
+MAXIMUM_WAIT_S = 60.0
 
-#: Time after which a call is given up, beyond its own wait, in seconds.
-CALL_LIMIT_S = 15.0
+#: Timeout of a call, in addition to its wait for acceptance.
+CALL_TIMEOUT_S = 15.0
 
-#: Time to send a body, and time until an idle connection is closed.
-BODY_LIMIT_S = 30.0
-IDLE_LIMIT_S = 120.0
+#: Time to receive a body, and time until an idle connection is closed.
+BODY_TIMEOUT_S = 30.0
+IDLE_TIMEOUT_S = 120.0
 
-_REQUEST = re.compile(r"[!-~]{1,128}")
-#: JSON can contain half a pair, which UTF-8 and so the store cannot.
+_REQUEST_ID = re.compile(r"[!-~]{1,128}")
+#: JSON can contain unpaired surrogates, which UTF-8 cannot encode.
 _SURROGATE = re.compile("[\ud800-\udfff]")
 
 
@@ -41,13 +41,13 @@
 class Submission:
     """Files that an operator submits to take effect together."""
 
-    #: Request id; a repeated call with the same id is one submission.
+    #: Request id; repeated calls with the same id are recorded only once.
     request: str
-    #: Generation that the operator bases the files on.
+    #: Number of the generation that the operator's changes are based on.
     base: int
-    #: Texts by the operator's file name, in the order given.
+    #: Texts by the operator's file name, in the order of the call.
     texts: abc.Mapping[str, str]
-    #: Longest time to wait for acceptance, in seconds.
+    #: Maximum time to wait for acceptance, in seconds.
     wait_s: float
 
 
@@ -55,11 +55,11 @@
 class SubmissionAnswer:
     """A submission that was recorded."""
 
-    #: Number of the generation.
+    #: Number of the generation that contains the files.
     number: int
     #: "accepted", "pending" or "replaced".
     status: str
-    #: Failure domains, as "fleet/domain", that have not staged it yet.
+    #: Failure domains as "fleet/domain" that have not staged it yet.
     waiting_domains: abc.Sequence[str] = ()
 
 
@@ -73,21 +73,21 @@
     files: abc.Mapping[str, str]
     #: Number of the pending generation, 0 for none.
     pending: int = 0
-    #: Readable differences from the accepted to the pending generation.
+    #: Changes from the accepted to the pending generation, as sentences.
     differences: abc.Sequence[str] = ()
-    #: Failure domains that have not staged the pending generation.
+    #: Failure domains that have not staged the pending generation yet.
     waiting_domains: abc.Sequence[str] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Explanation:
-    """Why a key is where it is."""
+    """Owner of a key, and the decisions that led to it."""
 
     #: Fleet after aliases are resolved.
     fleet: str
     #: Service after aliases are resolved.
     service: str
-    #: The key.
+    #: Key as the operator wrote it.
     key: str
     #: Partition, -1 for an unkeyed service.
     partition: int
@@ -95,9 +95,9 @@
     group: str
     #: Host that holds the group, empty if none is known.
     holder: str
-    #: Owning upstream, empty if there is none.
+    #: Upstream that owns the key, empty if none does or it is not known.
     upstream: str
-    #: Sentences that explain the decisions, latest first.
+    #: Sentences on the decisions behind the owner, latest first.
     reasons: abc.Sequence[str] = ()
 
 
@@ -105,15 +105,15 @@
 class AdminProblem:
     """Why a call of an operator failed."""
 
-    #: HTTP status.
+    #: HTTP status of the answer.
     status: int
     #: Stable code, such as "conflict" or "invalid-files".
     code: str
-    #: What is wrong.
+    #: Description of the problem.
     message: str
     #: What the operator can do about it.
     remedy: str
-    #: Further lines, such as each problem in a file.
+    #: Further sentences, such as one for each problem in a file.
     details: abc.Sequence[str] = ()
 
 
@@ -148,17 +148,17 @@
 
 
 class AdminBackend(typing.Protocol):
-    """What the admin port needs of the router."""
+    """Operations of the router that the admin port offers."""
 
     async def submit_file(
         self, submission: Submission
     ) -> result.Result[SubmissionAnswer, AdminProblem]:
-        """Checks and records files; waits for acceptance for a while."""
+        """Validates and records files; waits a limited time for acceptance."""
 
     async def read_generation(
         self,
     ) -> result.Result[GenerationView, AdminProblem]:
-        """Reads the accepted and the pending generation."""
+        """Returns the accepted and the pending generation of this host."""
 
     async def explain_key(
         self, fleet: str, service: str, key: str
@@ -172,11 +172,11 @@
         """Returns metrics and their content type."""
 
     async def is_ready(self) -> bool:
-        """Tells whether the balancer may send callers to this host."""
+        """Returns whether the load balancer may send callers to this host."""
 
 
 class _Handler(web.RequestHandler):
-    """Checks the token and writes JSON and typed errors."""
+    """Base class: checks the token, answers with JSON and typed errors."""
 
     #: Whether a call needs a bearer token.
     needs_token = True
@@ -184,12 +184,12 @@
     def initialize(
         self, backend: AdminBackend, tokens: abc.Sequence[str]
     ) -> None:
-        """Keeps what the application was made with."""
+        """Stores the arguments of the application; called by tornado."""
         self.backend = backend
         self.tokens = tokens
 
     def set_default_headers(self) -> None:
-        """Names no server version and forbids caches."""
+        """Removes the server version and forbids caching."""
         self.clear_header("Server")
         self.set_header("Cache-Control", "no-store")
 
@@ -203,22 +203,23 @@
         scheme, _, token = self.request.headers.get(
             "Authorization", ""
         ).partition(" ")
-        given = token.strip().encode(errors="surrogateescape")
-        # All tokens are compared in constant time, so that the time of an
-        # answer says nothing of a token.
+        received = token.strip().encode(errors="surrogateescape")
+        # All tokens are compared in constant time, so that the duration of
+        # a call does not reveal any part of a token.
         matches = [
-            hmac.compare_digest(given, valid.encode()) for valid in self.tokens
+            hmac.compare_digest(received, valid.encode())
+            for valid in self.tokens
         ]
         return scheme.lower() == "bearer" and any(matches)
 
     def finish_json(self, value: typing.Any, status: int = 200) -> None:
-        """Ends the call with a JSON body."""
+        """Answers the call with a JSON body."""
         self.set_status(status)
         self.set_header("Content-Type", "application/json")
         self.finish(json.dumps(value, default=_encode))
 
     def finish_problem(self, problem: AdminProblem) -> None:
-        """Ends the call with a typed error."""
+        """Answers the call with a typed error."""
         value = dataclasses.asdict(problem)
         value.pop("status")
         self.finish_json(value, problem.status)
@@ -226,7 +227,7 @@
     def finish_result(
         self, outcome: result.Result[typing.Any, AdminProblem]
     ) -> None:
-        """Ends the call with the value or the error of a backend call."""
+        """Answers the call with the value or error of a backend operation."""
         match outcome:
             case result.Success(value):
                 self.finish_json(value)
@@ -234,15 +235,15 @@
                 self.finish_problem(problem)
 
     def write_error(self, status_code: int, **kwargs: typing.Any) -> None:
-        """Ends a call that raised, without a stack trace in the answer."""
+        """Answers a call that raised, without a stack trace in the answer."""
         self.finish_problem(_describe_status(status_code, kwargs))
 
-    async def limit_time(
+    async def await_operation(
         self,
         call: abc.Awaitable[result.Result[typing.Any, AdminProblem]],
-        limit_s: float = CALL_LIMIT_S,
+        limit_s: float = CALL_TIMEOUT_S,
     ) -> result.Result[typing.Any, AdminProblem]:
-        """Awaits a backend call for a limited time."""
+        """Awaits a backend operation; fails with `_TIMED_OUT` after a limit."""
         try:
             async with asyncio.timeout(limit_s):
                 return await call
@@ -264,7 +265,7 @@
             self.finish_problem(_TOO_LONG)
 
     def data_received(self, chunk: bytes) -> None:
-        """Collects the body; the server limits its length."""
+        """Appends a part of the body; the server limits its length."""
         self._body += chunk
 
     async def post(self) -> None:
@@ -274,9 +275,9 @@
                 self.finish_problem(problem)
             case result.Success(submission):
                 self.finish_result(
-                    await self.limit_time(
+                    await self.await_operation(
                         self.backend.submit_file(submission),
-                        submission.wait_s + CALL_LIMIT_S,
+                        submission.wait_s + CALL_TIMEOUT_S,
                     )
                 )
 
@@ -287,12 +288,12 @@
     async def get(self) -> None:
         """Answers with the generation."""
         self.finish_result(
-            await self.limit_time(self.backend.read_generation())
+            await self.await_operation(self.backend.read_generation())
         )
 
 
 class _ExplainHandler(_Handler):
-    """GET /v1/explain?fleet=&service=&key=: why a key is where it is."""
+    """GET /v1/explain?fleet=&service=&key=: which upstream owns a key, why."""
 
     async def get(self) -> None:
         """Answers with the explanation."""
@@ -301,7 +302,7 @@
             self.finish_problem(_NO_SERVICE)
             return
         self.finish_result(
-            await self.limit_time(
+            await self.await_operation(
                 self.backend.explain_key(
                     self.get_query_argument("fleet", ""),
                     service,
@@ -320,7 +321,7 @@
 
 
 class _MetricsHandler(_Handler):
-    """GET /metrics: metrics in the format of the backend."""
+    """GET /metrics: metrics in the content type that the backend names."""
 
     async def get(self) -> None:
         """Answers with the metrics."""
@@ -340,7 +341,7 @@
         self.finish_json({"ready": is_ready}, 200 if is_ready else 503)
 
     async def head(self) -> None:
-        """Answers as to GET; some balancers probe with HEAD."""
+        """Answers like GET, since some load balancers probe with HEAD."""
         await self.get()
 
 
@@ -360,8 +361,8 @@
     """Returns the admin application.
 
     Args:
-        backend: What the handlers call.
-        tokens: Bearer tokens, all valid at once.
+        backend: Implements the operations of the admin port.
+        tokens: Valid bearer tokens; several allow a rotation of tokens.
     """
     arguments = {"backend": backend, "tokens": tuple(tokens)}
     routes = {
@@ -376,7 +377,7 @@
         [(path, handler, arguments) for path, handler in routes.items()],
         default_handler_class=_UnknownHandler,
         default_handler_args=arguments,
-        # Access lines are written by the router's own log, if at all.
+        # Disables tornado's access log: the router has logs of its own.
         log_function=lambda handler: None,
     )
 
@@ -392,8 +393,8 @@
         ssl_options=tls,
         max_header_size=MAXIMUM_HEADER_BYTES,
         max_body_size=MAXIMUM_BODY_BYTES,
-        idle_connection_timeout=IDLE_LIMIT_S,
-        body_timeout=BODY_LIMIT_S,
+        idle_connection_timeout=IDLE_TIMEOUT_S,
+        body_timeout=BODY_TIMEOUT_S,
     )
 
 
@@ -404,7 +405,7 @@
 
     Args:
         body: JSON object with `request`, `base`, `files` (texts by file name)
-            and, if wanted, `wait_s`.
+            and, optionally, `wait_s`.
 
     Returns:
         The submission, or every problem of the body.
@@ -420,15 +421,15 @@
     files = value.pop("files", None)
     wait_s = value.pop("wait_s", DEFAULT_WAIT_S)
     details = [f"{name}: the field is not known" for name in sorted(value)]
-    if not (isinstance(request, str) and _REQUEST.fullmatch(request)):
+    if not (isinstance(request, str) and _REQUEST_ID.fullmatch(request)):
         details.append("request: not 1 to 128 visible ASCII characters")
     if not _is_number(base, int) or not 0 <= base < 2**53:
         details.append("base: not the number of a generation")
     if (
         not _is_number(wait_s, (int, float))
-        or not 0 <= wait_s <= LONGEST_WAIT_S
+        or not 0 <= wait_s <= MAXIMUM_WAIT_S
     ):
-        details.append(f"wait_s: not from 0 to {LONGEST_WAIT_S:g} seconds")
+        details.append(f"wait_s: not from 0 to {MAXIMUM_WAIT_S:g} seconds")
     details += _check_texts(files)
     if details:
         return result.Failure(_make_body_problem(details))
@@ -466,9 +467,9 @@
 def _describe_status(
     status: int, details: abc.Mapping[str, typing.Any]
 ) -> AdminProblem:
-    """Returns the typed error of a status that tornado raised."""
+    """Returns the typed error for a status that tornado raised."""
     if status >= 500:
-        # The exception itself is in the log; it may contain secrets.
+        # The exception may contain secrets, so that only the log has it.
         return AdminProblem(
             status,
             "internal-error",
@@ -490,7 +491,7 @@
 
 
 def _encode(value: typing.Any) -> typing.Any:
-    """Encodes what json does not know."""
+    """Encodes values of types that `json` does not support."""
     if dataclasses.is_dataclass(value):
         fields = dataclasses.fields(value)
         return {field.name: getattr(value, field.name) for field in fields}
--- a/packages/router/sycamoreloft_router/_alias_releases.py
+++ b/packages/router/sycamoreloft_router/_alias_releases.py
@@ -1,4 +1,8 @@
-"""Adapter of the wait for aliases, shared by all groups of one host."""
+"""Blocks merged services until their aliases are released.
+
+After a merge, the upstreams of an alias must release its keys before the
+canonical service may be served. All groups of one host share this state.
+"""
 
 import asyncio
 from collections import abc
@@ -15,16 +19,16 @@
 
 
 class AliasReleases:
-    """Reads the table until the aliases of merged services are released.
+    """Polls the table until the aliases of merged services are released.
 
     Args:
-        store: The store.
+        store: Client of the table that holds the assignments.
     """
 
     def __init__(self, store: _store_client.StoreClient) -> None:
         self._store = store
         self._machine = sycamoreloft_decisions.AliasRelease()
-        self._logged: abc.Mapping[str, abc.Sequence[str]] = {}
+        self._logged_waiting: abc.Mapping[str, abc.Sequence[str]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     def apply_generations(
@@ -32,31 +36,32 @@
         accepted: sycamoreloft_config.Generation,
         pending: sycamoreloft_config.Generation | None,
     ) -> None:
-        """Applies another accepted or pending generation."""
+        """Applies a new accepted or pending generation."""
         self._feed(sycamoreloft_decisions.GenerationChanged(accepted, pending))
 
     def tick(self, fleet: str) -> None:
-        """Lets time pass; called while this host holds a group of a fleet.
+        """Polls the table if a service of the fleet waits.
 
-        Only holders of a canonical service read, because the load on the
-        table would otherwise grow with all hosts while one alias waits.
+        Called periodically while this host holds a group of the fleet. Other
+        hosts do not poll, so that the load on the table does not grow with
+        the number of hosts while an alias is not released.
         """
         waiting = self._machine.list_waiting()
         if any(name.split("/")[0] == fleet for name in waiting):
             self._feed(sycamoreloft_decisions.Tick())
 
     def is_released(self, fleet: str, service: str) -> bool:
-        """Tells whether a canonical service may be served."""
+        """Returns whether all aliases of a canonical service are released."""
         return self._machine.is_released(fleet, service)
 
-    def guard(
+    def wrap_owners(
         self, fleet: str, owners: _group_permits.OwnerSource
     ) -> "ReleasedOwners":
-        """Returns owners that are hidden while their service waits."""
+        """Wraps the owners of a fleet; services that wait have no owners."""
         return ReleasedOwners(fleet, owners, self)
 
     def list_waiting(self) -> abc.Mapping[str, abc.Sequence[str]]:
-        """Returns the unreleased aliases by canonical service."""
+        """Returns the aliases that are not released, by canonical service."""
         return self._machine.list_waiting()
 
     def _feed(self, event: sycamoreloft_decisions.AliasEvent) -> None:
@@ -80,27 +85,28 @@
 
     def _log_changes(self) -> None:
         waiting = self._machine.list_waiting()
-        if waiting == self._logged:
+        if waiting == self._logged_waiting:
             return
-        self._logged = waiting
+        self._logged_waiting = waiting
         _logs.log_event(
             _LOGGER,
             logging.INFO,
             "alias-releases",
-            waiting={name: list(found) for name, found in waiting.items()},
+            waiting={name: list(aliases) for name, aliases in waiting.items()},
         )
 
 
 class ReleasedOwners:
-    """Hides the owners of a service whose aliases are not released.
+    """Owners of keys; a service with unreleased aliases has none.
 
-    The permit desk asks for the owner again when it issues a queued permit,
-    so requests that were queued before the merge wait too.
+    The owner is looked up again when a permit is issued for a queued request.
+    Requests that were queued before the merge therefore wait for the release,
+    too.
 
     Args:
-        fleet: Fleet of the group.
-        owners: Owners by the group's records.
-        releases: The wait for aliases.
+        fleet: Name of the group's fleet.
+        owners: Owners of keys, regardless of aliases.
+        releases: Services whose aliases are released.
     """
 
     def __init__(
@@ -116,7 +122,7 @@
     def find_owner(
         self, service: str, key: str, partition: int, now: float
     ) -> sycamoreloft_decisions.Owner | sycamoreloft_decisions.NoOwner:
-        """Returns the owner of a key, or why it has none now."""
+        """Returns the owner of a key, or why the key has no owner now."""
         if not self._releases.is_released(self._fleet, service):
             return sycamoreloft_decisions.NoOwner(
                 sycamoreloft_decisions.WaitReason.TRANSFER_PENDING
@@ -124,9 +130,9 @@
         return self._owners.find_owner(service, key, partition, now)
 
     def get_epoch(self) -> int:
-        """Returns the epoch of the holder."""
+        """Returns the epoch in which this host holds the group."""
         return self._owners.get_epoch()
 
     def may_act(self, now: float) -> bool:
-        """Tells whether this host may issue permits now."""
+        """Returns whether this host may issue permits now."""
         return self._owners.may_act(now)
--- a/packages/router/sycamoreloft_router/_attempts.py
+++ b/packages/router/sycamoreloft_router/_attempts.py
@@ -24,81 +24,81 @@
 
 _KIND = _transfer_types.FailureKind
 
-# Events without fields of their own; one of each serves all attempts.
+# Events without fields that vary; all attempts share one instance of each.
 _CONNECTION_MADE = sycamoreloft_decisions.ConnectionMade()
 _SENT_REPLAYABLE = sycamoreloft_decisions.BytesSent(True)
 _SENT_ONCE = sycamoreloft_decisions.BytesSent(False)
 _ANSWER_ENDED = sycamoreloft_decisions.AnswerEnded()
-_BROKEN = sycamoreloft_decisions.ConnectionBroken()
+_CONNECTION_BROKEN = sycamoreloft_decisions.ConnectionBroken()
 
 
 @dataclasses.dataclass(slots=True)
-class Services:
-    """What all requests of the process share."""
+class SharedServices:
+    """Parts of the process that all requests share."""
 
-    #: Name of this host.
+    #: Name of this host, which permit requests carry.
     host: str
-    #: Random identifier of this process.
+    #: Random identifier of this process; part of attempt identifiers.
     incarnation: str
-    #: The generation in force.
+    #: The generation in force and the names that it defines.
     names: _permit_ports.NameSource
-    #: Source of permits.
+    #: Obtains permits from group holders.
     permits: _permit_ports.PermitSource
-    #: Source of claims.
+    #: Obtains claims from group holders.
     claims: _permit_ports.ClaimSource
-    #: Runs the transfers.
+    #: Sends requests to upstreams.
     client: _upstream_client.UpstreamClient
-    #: Metrics of the process.
+    #: Metrics that the process exports.
     metrics: _metrics.Metrics
-    #: Event loop of the process.
+    #: Event loop whose clock deadlines refer to.
     loop: asyncio.AbstractEventLoop
-    #: Number of the latest attempt of this process.
+    #: Number of the latest attempt of this process; the first one is 1.
     latest_attempt: int = 0
 
     def create_attempt_id(self) -> str:
-        """Returns an identifier that no other attempt has."""
+        """Returns an identifier that is unique among all hosts' attempts."""
         self.latest_attempt += 1
         return f"{self.incarnation}-{self.latest_attempt}"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptInput:
-    """A request, as every attempt of it needs it."""
+    """A request with its body and deadline, the same for all its attempts."""
 
-    #: The request.
+    #: The request, with its names resolved in one generation.
     request: _caller_requests.CallerRequest
-    #: The whole body, a stream, or None.
+    #: The whole body, a stream of it, or None without a body.
     body: bytes | _body_streams.UploadBuffer | None
-    #: Length of the body, -1 if unknown.
+    #: Length of the body in bytes, -1 if unknown.
     length: int
-    #: Hash of the request, 16 bytes.
+    #: Hash of the request, 16 bytes; equal requests have equal ones.
     fingerprint: bytes
-    #: Deadline on the clock of the event loop.
+    #: Deadline of the request, on the clock of the event loop.
     deadline: float
-    #: Where the answer goes.
+    #: Receives the upstream's answer for the caller.
     sink: _exchange.AnswerSink
 
 
-class AttemptRun:
-    """Runs one attempt.
+class AttemptExecution:
+    """Runs one attempt to serve a request at an upstream.
 
     Args:
-        services: Shared parts of the process.
-        given: The request.
-        group: Group that is asked for the permit, None if there is none.
+        services: Parts of the process that all requests share.
+        given: Request that the attempt serves.
+        group: Group whose holder issues the permit, None if no group is known.
     """
 
     __slots__ = (
         "_claim",
         "_claim_verdict",
         "_decision",
-        "_given",
+        "_input",
         "_group",
         "_id",
         "_is_upstream_lost",
         "_loop",
         "_machine",
-        "_observe",
+        "_handle_event",
         "_services",
         "_transfer",
         "answered",
@@ -109,11 +109,14 @@
     )
 
     def __init__(
-        self, services: Services, given: AttemptInput, group: str | None
+        self,
+        services: SharedServices,
+        attempt_input: AttemptInput,
+        group: str | None,
     ) -> None:
-        operation = given.request.operation
+        operation = attempt_input.request.operation
         self._services = services
-        self._given = given
+        self._input = attempt_input
         self._group = group
         self._id = services.create_attempt_id()
         self._loop = services.loop
@@ -121,27 +124,28 @@
             sycamoreloft_decisions.AttemptRules(
                 operation.at_most_once,
                 operation.repeatable,
-                given.request.service.deduplicates,
+                attempt_input.request.service.deduplicates,
             ),
-            given.deadline,
+            attempt_input.deadline,
         )
-        # A method of singledispatch is costly to look up, so that this is
-        # done once for the attempt and not for each event.
-        self._observe = machine.handle
+        # Binding a singledispatch method is expensive, so it is done once for
+        # each attempt and not for each event.
+        self._handle_event = machine.handle
         self._transfer: _transfers.Transfer | None = None
         self._claim: sycamoreloft_wire.ClaimRequest | None = None
         self._claim_verdict = ""
         self._decision: sycamoreloft_decisions.Decision | None = None
         self._is_upstream_lost = False
-        #: Whether the answer went to the caller, or was cut.
+        #: Whether at least the head of the upstream's answer was sent to the
+        #: caller.
         self.answered = False
-        #: The claim holder's answer, if one was asked.
+        #: Answer of the claim holder, None if no claim was requested.
         self.claim_answer: sycamoreloft_wire.ClaimAnswer | None = None
-        #: Why the transfer has no whole answer.
+        #: Why the transfer has no complete answer, None if it has one.
         self.failure: _transfer_types.Failure | None = None
-        #: The holder's refusal, if it refused.
+        #: Refusal of the permit, None if it was not refused.
         self.refusal: sycamoreloft_wire.PermitRefusal | None = None
-        #: Why the attempt is being stopped; set before its task is cancelled.
+        #: Why the attempt is stopped; set before its task is cancelled.
         self.stop_event: sycamoreloft_decisions.AttemptEvent | None = None
 
     @property
@@ -150,11 +154,11 @@
         return self._transfer is not None and self._transfer.maybe_sent
 
     async def perform(self) -> sycamoreloft_decisions.Decision:
-        """Runs the attempt to its decision.
+        """Runs the attempt until its outcome is decided.
 
         Raises:
-            asyncio.CancelledError: The task was cancelled without a
-                `stop_event`. The permit has been returned.
+            asyncio.CancelledError: The task was cancelled and `stop_event` is
+                not set. The permit has been returned.
         """
         if self._group is None:
             return self._decide(sycamoreloft_decisions.PermitDenied("no-group"))
@@ -174,7 +178,7 @@
     async def _request_permit(
         self, group: str
     ) -> sycamoreloft_wire.PermitGrant | sycamoreloft_wire.PermitRefusal:
-        request = self._given.request
+        request = self._input.request
         asked_at = self._loop.time()
         try:
             return await self._services.permits.request_permit(
@@ -187,10 +191,10 @@
                     request.reference.service,
                     request.key,
                     request.partition,
-                    self._given.fingerprint,
+                    self._input.fingerprint,
                     request.caller,
                     int(request.operation.priority),
-                    self._find_remaining_ms(asked_at),
+                    self._compute_remaining_ms(asked_at),
                 )
             )
         finally:
@@ -199,8 +203,8 @@
                 self._loop.time() - asked_at,
             )
 
-    def _find_remaining_ms(self, now: float) -> int:
-        return max(1, int((self._given.deadline - now) * 1000))
+    def _compute_remaining_ms(self, now: float) -> int:
+        return max(1, int((self._input.deadline - now) * 1000))
 
     async def _use_permit(
         self, group: str, grant: sycamoreloft_wire.PermitGrant
@@ -219,7 +223,7 @@
         finally:
             if decision is None:
                 decision = self._decide_cancelled()
-            self._settle(group, decision, self._loop.time() - granted_at)
+            self._return_permit(group, decision, self._loop.time() - granted_at)
         return decision
 
     async def _perform_with_permit(
@@ -227,24 +231,24 @@
     ) -> sycamoreloft_decisions.Decision:
         valid_until = self._loop.time() + grant.valid_ms / 1000
         self._handle(sycamoreloft_decisions.PermitReceived(valid_until))
-        if self._given.request.operation.at_most_once:
+        if self._input.request.operation.at_most_once:
             decision = await self._request_claim()
             if decision is not None:
                 return decision
         now = self._loop.time()
         if self._is_upstream_lost or not self._machine.may_send(now):
-            return self._decide(_BROKEN)
+            return self._decide(_CONNECTION_BROKEN)
         transfer = self._start_transfer(group, grant, valid_until, now)
         await transfer.wait(_body_streams.PREFIX_BYTES)
-        self._note_sent(transfer)
+        self._record_sent(transfer)
         if transfer.failure is not None:
             if _is_refused(transfer.head):
                 self._handle(_read_head(transfer.head))
             return self._decide_failure(transfer.failure)
-        return await self._pass_on(transfer)
+        return await self._forward(transfer)
 
     def _on_upstream_lost(self) -> None:
-        """Ends the transfer, which then fails like a broken connection."""
+        """Cancels the transfer, which then fails like a broken connection."""
         self._is_upstream_lost = True
         if self._transfer is not None:
             self._transfer.cancel(_KIND.LOST)
@@ -256,33 +260,33 @@
         send_by: float,
         now: float,
     ) -> _transfers.Transfer:
-        given = self._given
+        attempt_input = self._input
         lines = _caller_requests.build_upstream_lines(
-            given.request,
+            attempt_input.request,
             group,
             grant.epoch,
             grant.fence,
-            self._find_remaining_ms(now),
+            self._compute_remaining_ms(now),
             self._id,
         )
         self._transfer = self._services.client.start(
             _transfer_types.UpstreamRequest(
                 grant.address,
-                given.request.method,
-                given.request.target,
+                attempt_input.request.method,
+                attempt_input.request.target,
                 lines,
-                given.body,
-                given.length,
-                given.deadline - now,
+                attempt_input.body,
+                attempt_input.length,
+                attempt_input.deadline - now,
                 self._id,
                 send_by,
             )
         )
         return self._transfer
 
-    def _note_sent(self, transfer: _transfers.Transfer) -> None:
+    def _record_sent(self, transfer: _transfers.Transfer) -> None:
         if transfer.maybe_sent:
-            body = self._given.body
+            body = self._input.body
             is_replayable = (
                 not isinstance(body, _body_streams.UploadBuffer)
                 or body.bytes_read == 0
@@ -290,14 +294,14 @@
             self._handle(_CONNECTION_MADE)
             self._handle(_SENT_REPLAYABLE if is_replayable else _SENT_ONCE)
 
-    async def _pass_on(
+    async def _forward(
         self, transfer: _transfers.Transfer
     ) -> sycamoreloft_decisions.Decision:
-        """Passes an answer on that is whole, or longer than the prefix."""
+        """Forwards an answer that is complete, or longer than the prefix."""
         head = transfer.head
         self._handle(_read_head(head))
         if _is_refused(head):
-            # Nothing of a refusal is passed on, however long it is.
+            # A refusal is never forwarded, whatever its length.
             transfer.cancel()
             return self._decide(_ANSWER_ENDED)
         answer = _answers.UpstreamAnswer(
@@ -312,7 +316,7 @@
             return await self._stream(transfer, answer)
         decision = self._decide(_ANSWER_ENDED)
         self.answered = True
-        self._given.sink.send_complete(answer, transfer.read_available())
+        self._input.sink.send_complete(answer, transfer.read_available())
         return decision
 
     async def _stream(
@@ -320,7 +324,7 @@
         transfer: _transfers.Transfer,
         answer: _answers.UpstreamAnswer,
     ) -> sycamoreloft_decisions.Decision:
-        sink = self._given.sink
+        sink = self._input.sink
         self.answered = True
         await sink.begin(answer)
         while transfer.failure is None:
@@ -344,23 +348,23 @@
         )
         if failure.kind is _KIND.DEADLINE:
             return self._decide(sycamoreloft_decisions.DeadlinePassed())
-        return self._decide(_BROKEN)
+        return self._decide(_CONNECTION_BROKEN)
 
     def _decide_cancelled(self) -> sycamoreloft_decisions.Decision:
-        """Ends the transfer and decides from what it had done."""
+        """Cancels the transfer and decides by its state at this moment."""
         transfer = self._transfer
         if transfer is not None:
             transfer.cancel()
-            self._note_sent(transfer)
+            self._record_sent(transfer)
         if self.answered:
-            self._given.sink.abort()
+            self._input.sink.abort()
         return self._decide(
             self.stop_event or sycamoreloft_decisions.CallerGone()
         )
 
     async def _request_claim(self) -> sycamoreloft_decisions.Decision | None:
-        given = self._given
-        request = given.request
+        attempt_input = self._input
+        request = attempt_input.request
         id_hash = hashlib.sha256(
             "\0".join(
                 (
@@ -371,10 +375,10 @@
             ).encode("utf-8", "surrogateescape")
         ).digest()[:16]
         self._claim = sycamoreloft_wire.ClaimRequest(
-            find_claim_group(request, id_hash),
+            choose_claim_group(request, id_hash),
             request.generation.number,
             id_hash,
-            given.fingerprint,
+            attempt_input.fingerprint,
             self._id,
         )
         answer = await self._services.claims.request_claim(self._claim)
@@ -386,7 +390,7 @@
             )
         )
 
-    def _settle(
+    def _return_permit(
         self,
         group: str,
         decision: sycamoreloft_decisions.Decision,
@@ -396,7 +400,8 @@
         services = self._services
         outcome = decision.outcome
         if self._claim_verdict == "repeated":
-            # The outcome is that of the first attempt; this one was not sent.
+            # The decision carries the outcome of an earlier attempt; this
+            # attempt sent nothing.
             outcome = sycamoreloft_decisions.Outcome.DID_NOT_RUN
         lost = self.failure is not None and self.failure.kind in (
             _KIND.CONNECT,
@@ -438,7 +443,7 @@
         self, event: sycamoreloft_decisions.AttemptEvent
     ) -> sycamoreloft_decisions.Decision | None:
         if self._decision is None:
-            self._decision = self._observe(event, self._loop.time())
+            self._decision = self._handle_event(event, self._loop.time())
         return self._decision
 
     def _decide(
@@ -451,7 +456,10 @@
 
 
 def _is_refused(head: _answer_heads.AnswerHead) -> bool:
-    """Tells whether the upstream refused the request by contract."""
+    """Returns whether the answer is a refusal that rules out an execution.
+
+    Such an answer has a refusal status and names its reason in a header.
+    """
     return (
         head.status in sycamoreloft_decisions.REFUSAL_STATUSES
         and head.complete
@@ -468,10 +476,15 @@
     return sycamoreloft_decisions.HeadersReceived(head.status, refused)
 
 
-def find_claim_group(
+def choose_claim_group(
     request: _caller_requests.CallerRequest, id_hash: bytes
 ) -> str:
-    """Returns the group whose holder keeps the claims of a request id."""
+    """Returns the group whose holder decides on the claims of a request id.
+
+    Args:
+        request: Request whose fleet and generation apply.
+        id_hash: Hash of fleet, service and request id.
+    """
     fleet = request.generation.fleets[request.reference.fleet]
     names: abc.Sequence[str] = [
         str(group) for group in sycamoreloft_config.list_groups(fleet)
--- a/packages/router/sycamoreloft_router/_backend.py
+++ b/packages/router/sycamoreloft_router/_backend.py
@@ -1,4 +1,4 @@
-"""Answers the calls of operators."""
+"""Implements the operations of the admin port."""
 
 from collections import abc
 import typing
@@ -19,26 +19,26 @@
 
 
 class RouterBackend:
-    """Implements `_admin.AdminBackend` over the parts of the router.
+    """Implements `_admin.AdminBackend` with the parts of the process.
 
     Args:
-        configuration: The generations.
-        names: Resolution of names.
-        groups: Groups of this host.
-        directory: Other hosts.
+        configuration: Generations that this host applies.
+        names: Resolves services and finds their groups.
+        groups: Groups in which this host takes part.
+        directory: Locations of group holders.
         metrics: Metrics of the process.
-        dump: Returns the state of the process.
-        is_ready: Tells whether the host accepts callers.
+        dump: Returns the state of the process, ready for JSON.
+        is_ready: Returns whether the host accepts callers.
     """
 
     def __init__(
         self,
-        configuration: _configuration.ConfigurationKeeper,
-        names: _names.RequestNames,
+        configuration: _configuration.ConfigurationManager,
+        names: _names.NameResolver,
         groups: _group_tree.GroupTree,
         directory: _directory.Directory,
         metrics: _metrics.Metrics,
-        dump: abc.Callable[[], abc.Mapping[str, typing.Any]],
+        dump_state: abc.Callable[[], abc.Mapping[str, typing.Any]],
         is_ready: abc.Callable[[], bool],
     ) -> None:
         self._configuration = configuration
@@ -46,22 +46,22 @@
         self._groups = groups
         self._directory = directory
         self._metrics = metrics
-        self._dump = dump
+        self._dump_state = dump_state
         self._is_ready = is_ready
 
     async def submit_file(
         self, submission: _admin.Submission
     ) -> result.Result[_admin.SubmissionAnswer, _admin.AdminProblem]:
-        """Checks and records files; waits for acceptance for a while."""
+        """Validates and records files; waits a limited time for acceptance."""
         outcome = await self._configuration.submit_file(submission)
         if not pipeline.is_successful(outcome):
             return result.Failure(outcome.failure())
-        return _present_answer(outcome.unwrap())
+        return _make_submission_answer(outcome.unwrap())
 
     async def read_generation(
         self,
     ) -> result.Result[_admin.GenerationView, _admin.AdminProblem]:
-        """Returns what this host applies."""
+        """Returns the accepted and the pending generation of this host."""
         accepted = self._configuration.accepted
         pending = self._configuration.pending
         differences: abc.Sequence[str] = ()
@@ -84,16 +84,20 @@
     async def explain_key(
         self, fleet: str, service: str, key: str
     ) -> result.Result[_admin.Explanation, _admin.AdminProblem]:
-        """Explains which upstream owns a key, as far as this host knows."""
-        found = self._names.resolve_service(fleet, service)
-        if not pipeline.is_successful(found):
-            problem = found.failure()
+        """Explains which upstream owns a key.
+
+        Only the holder of the key's group knows the owner; other hosts name
+        the holder.
+        """
+        resolved = self._names.resolve_service(fleet, service)
+        if not pipeline.is_successful(resolved):
+            problem = resolved.failure()
             return result.Failure(
                 _admin.AdminProblem(
                     404, problem.reason, problem.problem, problem.remedy
                 )
             )
-        reference = found.unwrap()
+        reference = resolved.unwrap()
         definition = self._names.generation.fleets[reference.fleet].services[
             reference.service
         ]
@@ -131,10 +135,10 @@
         upstream, reasons = "", [f"partition {partition} of group {group}"]
         runtime = self._groups.runtimes.get(group)
         if runtime is not None and runtime.epoch:
-            upstream, found = runtime.explain_key(
+            upstream, decisions = runtime.explain_key(
                 reference.service, key, partition
             )
-            reasons += found
+            reasons += decisions
         elif holder:
             reasons.append(f"ask host {holder}, which holds the group")
         else:
@@ -152,7 +156,7 @@
 
     async def dump_state(self) -> abc.Mapping[str, typing.Any]:
         """Returns the state of the process, ready for JSON."""
-        return self._dump()
+        return self._dump_state()
 
     async def render_metrics(self) -> tuple[bytes, str]:
         """Returns metrics and their content type."""
@@ -161,7 +165,7 @@
         return self._metrics.render(), "text/plain; version=0.0.4"
 
     def _update_metrics(self) -> None:
-        """Copies what other parts count."""
+        """Copies the counters of other parts into the metrics."""
         metrics = self._metrics
         metrics.set(
             "sycamoreloft_generation",
@@ -186,11 +190,11 @@
                 metrics.set(f"sycamoreloft_{metric}", name, value=value)
 
     async def is_ready(self) -> bool:
-        """Tells whether the balancer may send callers to this host."""
+        """Returns whether the load balancer may send callers to this host."""
         return self._is_ready()
 
 
-def _present_answer(
+def _make_submission_answer(
     answer: acceptance.SubmissionResult,
 ) -> result.Result[_admin.SubmissionAnswer, _admin.AdminProblem]:
     if answer.verdict is acceptance.Verdict.CONFLICT:
@@ -210,8 +214,9 @@
             _admin.AdminProblem(
                 503,
                 "outcome-unknown",
-                "the store did not tell whether the files were recorded",
-                "submit again with the same request id; it is recorded once",
+                "the store did not confirm whether the files were recorded",
+                "submit again with the same request id; it is recorded only"
+                " once",
             )
         )
     if answer.verdict is acceptance.Verdict.UNAVAILABLE:
@@ -220,7 +225,7 @@
                 503,
                 "store-unavailable",
                 "the store did not answer, and nothing was recorded",
-                "submit again when the store is back",
+                "submit again when the store answers",
             )
         )
     return result.Success(
--- a/packages/router/sycamoreloft_router/_configuration.py
+++ b/packages/router/sycamoreloft_router/_configuration.py
@@ -1,4 +1,4 @@
-"""The generations that this host applies, and their acceptance."""
+"""Submits, accepts and applies generations of the configuration."""
 
 import asyncio
 from collections import abc
@@ -23,36 +23,43 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Time between two ticks of the acceptance machine, in seconds.
-TICK_S = 0.1
+#: Time between two ticks of the acceptance state machine, in seconds.
+TICK_INTERVAL_S = 0.1
 
-#: Delay before a failed fetch of files is repeated, in seconds.
-FETCH_AGAIN_S = 0.2
+#: Delay before a failed fetch of files is retried, in seconds.
+FETCH_RETRY_DELAY_S = 0.2
 
-#: Time to wait for a file submission beyond the operator's own wait.
+#: Time to wait for the result of a submission beyond the time that the
+#: operator waits for its acceptance, in seconds.
 SUBMISSION_MARGIN_S = 5.0
 
 EMPTY_GENERATION = sycamoreloft_config.Generation(0, {})
 
 
 class GenerationObserver(typing.Protocol):
-    """Is told when the host applies another generation."""
+    """Receives each change of the generations that this host applies."""
 
     def apply_generations(
         self,
         accepted: sycamoreloft_config.Generation,
         pending: sycamoreloft_config.Generation | None,
     ) -> None:
-        """Applies the accepted and the pending generation."""
+        """Applies the accepted and the pending generation.
+
+        Args:
+            accepted: Accepted generation.
+            pending: Generation that waits for acceptance, None if there is
+                none.
+        """
 
 
-class ConfigurationKeeper:
-    """Runs the acceptance machine and keeps the files in force.
+class ConfigurationManager:
+    """Runs the acceptance state machine and keeps the generations in force.
 
     Args:
         host: Name of this host.
-        store: The store.
-        observer: Is told of each change.
+        store: Client of the table and of the object store.
+        observer: Receives each change of the generations.
     """
 
     def __init__(
@@ -68,39 +75,45 @@
         self._texts: dict[str, str] = {}
         self._head: acceptance.HeadRow | None = None
         self._head_version = -1
-        self._applied = (0, 0)
-        self._held: abc.Collection[str] = ("",)
+        self._applied_numbers = (0, 0)
+        self._held_groups: abc.Collection[str] = ("",)
         self._submissions: dict[
             str, asyncio.Future[acceptance.SubmissionResult]
         ] = {}
-        #: The accepted generation.
+        #: Accepted generation that this host applies; number 0 until one is
+        #: known.
         self.accepted = EMPTY_GENERATION
-        #: The pending generation, if any.
+        #: Generation that waits for acceptance, None if there is none.
         self.pending: sycamoreloft_config.Generation | None = None
-        #: Texts of the accepted files by name.
+        #: Texts of the accepted generation's files by file name.
         self.accepted_texts: abc.Mapping[str, str] = {}
 
     # Tasks for the supervisor.
 
     async def run_ticks(self) -> None:
-        """Lets the machine see time pass until it is cancelled."""
+        """Ticks the state machine until it is cancelled."""
         while True:
             self._feed(acceptance.Tick())
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(TICK_INTERVAL_S)
 
     async def run_commands(self) -> None:
-        """Performs the machine's commands in order until it is cancelled.
+        """Performs the commands of the state machine in order until cancelled.
 
-        The order matters: a group is staged only after this host has stopped
-        serving what the generations treat differently.
+        The order matters: this host may record a generation as staged only
+        after it has stopped serving what the two generations treat
+        differently.
         """
         while True:
             await self._perform(await self._commands.get())
 
-    # What groups need.
+    # Methods for the groups of this host.
 
     def observe_head(self, row: _store_client.StoredRow | None) -> None:
-        """Takes `config/head` as some read has seen it."""
+        """Records the row `config/head` as it was read; ignores older versions.
+
+        Args:
+            row: The row, None if it does not exist.
+        """
         version = row.version if row else 0
         if version <= self._head_version:
             return
@@ -108,29 +121,38 @@
         self._head = _head_rows.decode_head(row.value) if row else None
         self._feed(acceptance.HeadRead(version, self._head))
 
-    def find_head_version(self) -> int | None:
-        """Returns the version whose generations this host applies."""
+    def get_applied_head_version(self) -> int | None:
+        """Returns the version of the row whose generations this host applies.
+
+        Returns:
+            The version, 0 if the row does not exist, or None while this host
+            does not yet apply the latest known version.
+        """
         if self._head is None:
             return 0 if self._head_version == 0 else None
         pending = self._head.pending.number if self._head.pending else 0
-        if self._applied != (self._head.accepted.number, pending):
+        if self._applied_numbers != (self._head.accepted.number, pending):
             return None
         return self._head_version
 
-    # What peers and operators need.
+    # Methods for other hosts and operators.
 
     def observe_groups(self, groups: abc.Collection[str]) -> None:
-        """Takes the groups that this host holds; only holders poll."""
-        if groups != self._held:
-            self._held = groups
+        """Records the groups that this host holds.
+
+        Only hosts that hold a group poll the store for new generations.
+        """
+        if groups != self._held_groups:
+            self._held_groups = groups
             self._feed(acceptance.HeldGroupsChanged(groups))
 
-    async def adopt_answer(
+    async def apply_answer(
         self, answer: sycamoreloft_wire.GenerationAnswer
     ) -> None:
-        """Applies a newer accepted generation that a peer has sent.
+        """Applies a newer accepted generation that another host has sent.
 
-        An accepted generation never reverts, so a newer number is enough.
+        An accepted generation is never revoked, so that comparing the numbers
+        is sufficient.
         """
         if answer.number <= self.accepted.number:
             return
@@ -154,8 +176,13 @@
     async def submit_file(
         self, submission: _admin.Submission
     ) -> result.Result[acceptance.SubmissionResult, _admin.AdminProblem]:
-        """Checks files against those of the base and records them."""
-        checked = await self._check(submission)
+        """Submits files of an operator.
+
+        Validates them together with the files of the newest generation,
+        records them as the next generation, and waits for its acceptance for
+        the time that the submission names.
+        """
+        checked = await self._check_submission(submission)
         if not pipeline.is_successful(checked):
             return result.Failure(checked.failure())
         files, generation = checked.unwrap()
@@ -185,16 +212,23 @@
         finally:
             self._submissions.pop(submission.request, None)
 
-    async def _check(
+    async def _check_submission(
         self, submission: _admin.Submission
     ) -> result.Result[
         tuple[abc.Mapping[str, str], sycamoreloft_config.Generation],
         _admin.AdminProblem,
     ]:
-        """Builds the candidate and stores its files as objects."""
+        """Builds the submitted generation and stores its files as objects.
+
+        Returns:
+            The digests of the files by file name and the generation, or why
+            the submission is refused.
+        """
         rows = await self._store.read([_group_calls.HEAD_KEY])
         if not pipeline.is_successful(rows):
-            return result.Failure(_store_problem("reading the configuration"))
+            return result.Failure(
+                _make_store_problem("reading the configuration")
+            )
         self.observe_head(rows.unwrap().get(_group_calls.HEAD_KEY))
         base: abc.Mapping[str, str] = {}
         if self._head is not None:
@@ -202,7 +236,9 @@
             base = entry.files
         texts = await self._fetch_texts(base)
         if texts is None:
-            return result.Failure(_store_problem("reading the present files"))
+            return result.Failure(
+                _make_store_problem("reading the present files")
+            )
         problems: list[str] = []
         for file_name, text in submission.texts.items():
             node = sycamoreloft_config.parse_file(text, file_name)
@@ -217,7 +253,9 @@
             if pipeline.is_successful(generation):
                 files = await self._put_texts(texts)
                 if files is None:
-                    return result.Failure(_store_problem("storing the files"))
+                    return result.Failure(
+                        _make_store_problem("storing the files")
+                    )
                 return result.Success((files, generation.unwrap()))
             problems = [str(item) for item in generation.failure()]
         return result.Failure(
@@ -245,7 +283,11 @@
     async def _fetch_texts(
         self, files: abc.Mapping[str, str]
     ) -> dict[str, str] | None:
-        """Returns texts by file name, or None if the store did not answer."""
+        """Returns texts by file name, None if the store did not answer.
+
+        Args:
+            files: Digests of the texts by file name.
+        """
         texts = {}
         for name, digest in files.items():
             if digest not in self._texts:
@@ -257,10 +299,10 @@
         return texts
 
     def list_waiting_domains(self) -> abc.Sequence[str]:
-        """Lists failure domains that have not staged what is pending."""
+        """Lists the failure domains that have not staged the generation."""
         return self._machine.list_waiting_domains()
 
-    # The acceptance machine.
+    # Commands of the acceptance state machine.
 
     def _feed(self, event: acceptance.Event) -> None:
         for command in self._machine.handle(event, time.monotonic()):
@@ -296,8 +338,8 @@
 
     @_perform.register
     async def _(self, command: acceptance.ApplyGenerations) -> None:
-        while not await self._use_head(command):
-            await asyncio.sleep(FETCH_AGAIN_S)
+        while not await self._apply_head(command):
+            await asyncio.sleep(FETCH_RETRY_DELAY_S)
 
     @_perform.register
     async def _(self, command: acceptance.WriteHead) -> None:
@@ -306,13 +348,14 @@
             {_group_calls.HEAD_KEY: _head_rows.encode_head(command.row)},
             request=command.request,
         )
-        self._settle(command.request, written)
+        self._report_write(command.request, written)
 
     @_perform.register
     async def _(self, command: acceptance.StageGeneration) -> None:
-        # The group holder machine owns the group row and records `staged`
-        # itself once it is told of the pending generation, which the
-        # preceding UseHead has done. The next read of the rows shows it.
+        # Nothing is written here: only the group's own state machine writes
+        # its row. It records `staged` itself once it knows the pending
+        # generation, which the preceding UseHead has passed to it. The next
+        # read of the group rows returns the result.
         self._feed(
             acceptance.WriteFinished(
                 command.request, acceptance.WriteResult.CONFLICT
@@ -331,7 +374,7 @@
             {_group_calls.HEAD_KEY: _head_rows.encode_head(command.row)},
             request=command.request,
         )
-        self._settle(command.request, written)
+        self._report_write(command.request, written)
 
     @_perform.register
     async def _(self, command: acceptance.SubmissionResult) -> None:
@@ -339,23 +382,28 @@
         if future is not None and not future.done():
             future.set_result(command)
 
-    def _settle(
+    def _report_write(
         self,
         request: str,
         written: result.Result[abc.Mapping[str, int], _store_client.StoreError],
     ) -> None:
-        settled = acceptance.WriteResult.APPLIED
+        outcome = acceptance.WriteResult.APPLIED
         if not pipeline.is_successful(written):
             lost = isinstance(written.failure(), _store_client.StoreUnavailable)
-            settled = (
+            outcome = (
                 acceptance.WriteResult.UNKNOWN
                 if lost
                 else acceptance.WriteResult.CONFLICT
             )
-        self._feed(acceptance.WriteFinished(request, settled))
+        self._feed(acceptance.WriteFinished(request, outcome))
 
-    async def _use_head(self, command: acceptance.ApplyGenerations) -> bool:
-        """Applies the named generations; False if files are missing yet."""
+    async def _apply_head(self, command: acceptance.ApplyGenerations) -> bool:
+        """Applies the generations that a command names.
+
+        Returns:
+            Whether the command is done; False if the store did not return all
+            files.
+        """
         if self._head is None:
             return True
         entry = self._head.accepted
@@ -365,7 +413,8 @@
             entry.number,
             pending_number,
         ):
-            # A newer head was read meanwhile; its own command follows.
+            # A newer version of the row was read meanwhile. The command that
+            # it caused follows.
             return True
         texts = await self._fetch_texts(entry.files)
         pending_texts = (
@@ -383,7 +432,7 @@
             ).value_or(None)
         if entry.number >= self.accepted.number:
             self._apply(accepted.value_or(self.accepted), texts, pending)
-        self._applied = (entry.number, pending_number)
+        self._applied_numbers = (entry.number, pending_number)
         return True
 
     def _apply(
@@ -418,16 +467,16 @@
 _UNKNOWN_OUTCOME = _admin.AdminProblem(
     503,
     "outcome-unknown",
-    "the store did not tell in time whether the files were recorded",
-    "submit again with the same request id; it is recorded once",
+    "the store did not confirm in time whether the files were recorded",
+    "submit again with the same request id; it is recorded only once",
 )
 
 
-def _store_problem(action: str) -> _admin.AdminProblem:
+def _make_store_problem(action: str) -> _admin.AdminProblem:
     return _admin.AdminProblem(
         503,
         "store-unavailable",
         f"the store did not answer while {action}",
-        "submit the files again when the store is back; a repeated request id"
-        " is one submission",
+        "submit the files again when the store answers; submissions with the"
+        " same request id are recorded only once",
     )
--- a/packages/router/sycamoreloft_router/_directory.py
+++ b/packages/router/sycamoreloft_router/_directory.py
@@ -1,4 +1,4 @@
-"""Other hosts: gossip, locations of groups, newer generations."""
+"""Gossip with other hosts: membership, group holders, newer generations."""
 
 import asyncio
 from collections import abc
@@ -23,38 +23,40 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Time between two gossip rounds, in seconds.
-GOSSIP_S = 0.5
+#: Mean time between two gossip rounds, in seconds.
+GOSSIP_INTERVAL_S = 0.5
 
-#: Gossip rounds between two reads of the platform's host list.
-LIST_ROUNDS = 20
+#: Number of gossip rounds between two reads of the platform's host list.
+HOST_LIST_ROUNDS = 20
 
-#: Gossip rounds between two searches for members that have gone.
+#: Number of gossip rounds between two removals of silent members.
 EXPIRY_ROUNDS = 10
 
-#: Answered requests for all members after the start; a second one, since the
-#: first may have reached a host that has just started as well.
-FIRST_PULLS = 2
+#: Number of full member lists that a host pulls after its start. A second one
+#: is needed because the first may come from a host that has just started, too.
+INITIAL_PULLS = 2
 
-#: Gossip rounds between two later requests for all members; a minute.
+#: Number of gossip rounds between two later pulls of all members; one minute.
 PULL_ROUNDS = 120
 
-#: Hosts that are told at once of a change; others learn it by gossip.
-MAXIMUM_ANNOUNCEMENTS = 64
+#: Maximum number of hosts to which a change is announced at once; other hosts
+#: learn of it by gossip.
+MAXIMUM_ANNOUNCED_HOSTS = 64
 
-#: Time to wait for the answer to a generation request, in seconds.
+#: Timeout of a request for members or for a generation, in seconds.
 FETCH_TIMEOUT_S = 2.0
 
 
 class Directory:
-    """Keeps what this host knows of other hosts.
+    """Exchanges gossip with other hosts and looks up what they announce.
 
     Args:
         settings: Settings of the process.
         incarnation: Random identifier of this process.
         links: Connections to other hosts.
-        store: The store, for the platform's host list.
-        configuration: The generations.
+        store: Client of the platform, for its host list.
+        configuration: Generations that this host applies; receives newer ones
+            from other hosts.
     """
 
     def __init__(
@@ -63,7 +65,7 @@
         incarnation: str,
         links: _peer_links.PeerLinks,
         store: _store_client.StoreClient,
-        configuration: _configuration.ConfigurationKeeper,
+        configuration: _configuration.ConfigurationManager,
     ) -> None:
         self._settings = settings
         self._incarnation = incarnation
@@ -72,21 +74,25 @@
         self._configuration = configuration
         self._groups: _group_tree.GroupTree | None = None
         self._leaving = False
-        self._counter = 0
+        self._heartbeat_counter = 0
         self._version = 0
         self._rounds = 0
         self._pulls = 0
         self._contacts: set[str] = set(settings.seeds)
-        self._fetching: asyncio.Task[None] | None = None
-        self._posts: set[asyncio.Task[bool]] = set()
+        self._fetch_task: asyncio.Task[None] | None = None
+        self._post_tasks: set[asyncio.Task[bool]] = set()
         self._random = random.Random()
         self._entry = self._make_entry()
         self._membership = membership.Membership(
-            self._entry, self._random, _measure_entry
+            self._entry, self._random, _compute_entry_bytes
         )
 
-    def follow_groups(self, groups: _group_tree.GroupTree) -> None:
-        """Takes the groups whose epochs this host announces."""
+    def set_groups(self, groups: _group_tree.GroupTree) -> None:
+        """Sets the groups whose epochs this host announces.
+
+        The groups need this directory themselves, so that they are not yet
+        known to its constructor.
+        """
         self._groups = groups
 
     def _make_entry(self) -> sycamoreloft_wire.MemberEntry:
@@ -107,50 +113,58 @@
     # Gossip.
 
     async def run_gossip(self) -> None:
-        """Sends a digest twice a second until it is cancelled."""
+        """Sends digests to a few hosts each round until it is cancelled."""
         while True:
             self._rounds += 1
-            if self._rounds % LIST_ROUNDS == 1:
+            if self._rounds % HOST_LIST_ROUNDS == 1:
                 await self._read_host_list()
             self._pull_members()
             now = time.monotonic()
             if self._rounds % EXPIRY_ROUNDS == 0:
                 self._membership.expire(now)
             self._announce(
-                self._membership.choose_targets(), self._choose_strangers()
+                self._membership.choose_targets(), self._choose_contacts()
+            )
+            await asyncio.sleep(
+                GOSSIP_INTERVAL_S * self._random.uniform(0.9, 1.1)
             )
-            await asyncio.sleep(GOSSIP_S * self._random.uniform(0.9, 1.1))
 
-    def _choose_strangers(self) -> list[str]:
-        """Returns the address of one contact that is not a member yet."""
+    def _choose_contacts(self) -> list[str]:
+        """Returns the address of one random contact that is not a member."""
         known = {
             entry.peer_address
             for entry in self._membership.list_other_members()
         }
-        strangers = self._contacts - known - {self._settings.peer_address}
-        return [self._random.choice(sorted(strangers))] if strangers else []
+        contacts = self._contacts - known - {self._settings.peer_address}
+        return [self._random.choice(sorted(contacts))] if contacts else []
 
     def _announce(
         self,
         targets: abc.Iterable[sycamoreloft_wire.MemberEntry],
-        strangers: abc.Iterable[str] = (),
+        contacts: abc.Iterable[str] = (),
     ) -> None:
-        """Sends this host's present entry and some others to hosts."""
+        """Sends a digest with this host's present entry to other hosts.
+
+        Args:
+            targets: Members that receive a digest.
+            contacts: Peer addresses of further hosts that are not members.
+        """
         now = time.monotonic()
-        self._counter += 1
+        self._heartbeat_counter += 1
         entry = self._update_entry(now)
         if entry.generation > 0:
-            # A host without any generation reads the store until it has one:
-            # after a restart of all hosts there is no holder to ask.
+            # Only holders poll the store for generations. A host without any
+            # generation polls as well, because after a restart of all hosts
+            # no holder exists that it could fetch one from.
             self._configuration.observe_groups(frozenset(entry.groups))
         for target in targets:
             digest = self._make_digest(now, target)
             self._post(target.peer_address, digest)
-        for address in strangers:
+        for address in contacts:
             self._post(address, self._make_digest(now, None))
 
     def _update_entry(self, now: float) -> sycamoreloft_wire.MemberEntry:
-        """Returns the own entry, with a new version if it has changed."""
+        """Returns this host's entry, with a new version if it has changed."""
         entry = self._make_entry()
         if entry != self._entry:
             self._version += 1
@@ -166,7 +180,7 @@
         return self._encode(self._membership.build_digest(now, target))
 
     def build_full_digest(self) -> sycamoreloft_wire.GossipDigest:
-        """Returns all members for a host that asks for them."""
+        """Returns a digest of all members, for a host that pulls them."""
         return self._encode(
             self._membership.build_full_digest(time.monotonic())
         )
@@ -174,9 +188,9 @@
     def _encode(
         self, digest: membership.Digest[sycamoreloft_wire.MemberEntry]
     ) -> sycamoreloft_wire.GossipDigest:
-        """Puts the own heartbeat before what a digest contains."""
+        """Encodes a digest, with this host's heartbeat as the first one."""
         own = sycamoreloft_wire.Heartbeat(
-            self._settings.host, self._incarnation, self._counter
+            self._settings.host, self._incarnation, self._heartbeat_counter
         )
         others = [
             sycamoreloft_wire.Heartbeat(
@@ -187,12 +201,12 @@
         return sycamoreloft_wire.GossipDigest([own, *others], digest.entries)
 
     def _pull_members(self) -> None:
-        """Asks a random host for all members, at the start and now and then.
+        """Pulls all members from a random host, at the start and each minute.
 
-        The later calls repair what was lost with a dropped digest.
+        The periodic pulls recover entries that were lost with a digest.
         """
         is_due = self._rounds % PULL_ROUNDS == 0
-        if self._pulls >= FIRST_PULLS and not is_due:
+        if self._pulls >= INITIAL_PULLS and not is_due:
             return
         addresses = self._contacts | {
             entry.peer_address
@@ -202,8 +216,8 @@
         if addresses:
             address = self._random.choice(sorted(addresses))
             task = asyncio.get_running_loop().create_task(self._pull(address))
-            self._posts.add(task)
-            task.add_done_callback(self._posts.discard)
+            self._post_tasks.add(task)
+            task.add_done_callback(self._post_tasks.discard)
 
     async def _pull(self, address: str) -> bool:
         answer = await self._links.call(
@@ -212,7 +226,7 @@
         message = answer.value_or(None)
         if isinstance(message, sycamoreloft_wire.GossipDigest):
             self._pulls += 1
-            self.take_digest(message)
+            self.merge_digest(message)
         return True
 
     def _post(self, address: str, message: sycamoreloft_wire.Message) -> None:
@@ -221,8 +235,8 @@
         task = asyncio.get_running_loop().create_task(
             self._links.post(address, message)
         )
-        self._posts.add(task)
-        task.add_done_callback(self._posts.discard)
+        self._post_tasks.add(task)
+        task.add_done_callback(self._post_tasks.discard)
 
     async def _read_host_list(self) -> None:
         hosts = await self._store.list_hosts()
@@ -231,8 +245,8 @@
                 host.peer_address for host in hosts.unwrap() if not host.leaving
             )
 
-    def take_digest(self, message: sycamoreloft_wire.GossipDigest) -> None:
-        """Takes the entries of another host."""
+    def merge_digest(self, message: sycamoreloft_wire.GossipDigest) -> None:
+        """Merges a digest; fetches files if it names a newer generation."""
         now = time.monotonic()
         self._membership.merge(message.heartbeats, message.entries, now)
         newest = self._membership.highest_generation
@@ -240,30 +254,31 @@
             self._start_fetch()
 
     def announce_change(self) -> None:
-        """Tells some hosts at once that this host's groups changed.
+        """Announces at once to some hosts that this host's groups changed.
 
-        Callers wait for the new holder, so the news does not wait for the
-        next rounds. Hosts beyond the bound learn it by gossip.
+        Requests of callers wait for the new holder, so that the change must
+        not wait for the next rounds. Hosts beyond the limit learn of it by
+        gossip.
         """
         members = self._membership.list_other_members()
         self._random.shuffle(members)
-        self._announce(members[:MAXIMUM_ANNOUNCEMENTS])
+        self._announce(members[:MAXIMUM_ANNOUNCED_HOSTS])
 
     def announce_leaving(self) -> None:
-        """Tells other hosts that this one is stopping."""
+        """Announces to other hosts that this host is stopping."""
         self._leaving = True
         self.announce_change()
 
     # Generations.
 
     def _start_fetch(self) -> None:
-        if self._fetching is None or self._fetching.done():
-            self._fetching = asyncio.get_running_loop().create_task(
+        if self._fetch_task is None or self._fetch_task.done():
+            self._fetch_task = asyncio.get_running_loop().create_task(
                 self.fetch_generation()
             )
 
     async def fetch_generation(self) -> None:
-        """Asks a host that has a newer generation for its files."""
+        """Fetches the files of a newer generation from a host that has it."""
         known = self._configuration.accepted.number
         sources = [
             entry
@@ -280,12 +295,12 @@
         )
         message = answer.value_or(None)
         if isinstance(message, sycamoreloft_wire.GenerationAnswer):
-            await self._configuration.adopt_answer(message)
+            await self._configuration.apply_answer(message)
 
     # Locations.
 
     def find_holder(self, group: str) -> str | None:
-        """Returns the name of the host that holds a group."""
+        """Returns the name of the host that holds a group, None if unknown."""
         location = self._membership.locate_group(group)
         return location.entry.host if location else None
 
@@ -295,14 +310,18 @@
         return location.entry.peer_address if location else None
 
     def find_peer_address(self, host: str) -> str | None:
-        """Returns the peer address of a host."""
+        """Returns the peer address of a host, None if it is not a member."""
         entry = self._membership.get_entry(host)
         return entry.peer_address if entry else None
 
     def observe_members(
         self, group: sycamoreloft_config.GroupName
     ) -> sycamoreloft_decisions.MembersObserved:
-        """Returns what gossip says of the hosts of the group's domain."""
+        """Returns the gossip state of the hosts in the group's domain.
+
+        It consists of the time of the latest heartbeat of each host that is
+        not leaving, and of the epoch that each host announces for the group.
+        """
         now = time.monotonic()
         heard: dict[str, float] = {}
         claims: dict[str, int] = {}
@@ -320,10 +339,11 @@
         return sycamoreloft_decisions.MembersObserved(heard, claims)
 
     def share_suspects(self, message: sycamoreloft_wire.SuspectNotice) -> None:
-        """Passes suspects to all hosts that may decide about them.
+        """Sends suspects to all hosts that may have to issue permits for them.
 
-        These are the holders of the fleet's groups, and the hosts of the own
-        failure domain, of which one may take a group at any moment.
+        These are the holders of the fleet's groups, and the hosts of this
+        host's failure domain, since each of them may take over a group at any
+        moment.
         """
         own_domain = self._settings.failure_domains.get(message.fleet)
         prefix = f"{message.fleet}/"
@@ -335,11 +355,11 @@
             self._groups.observe_suspects(message)
 
     def count_hosts(self) -> int:
-        """Returns the number of known hosts, this one included."""
+        """Returns the number of members, this host included."""
         return 1 + len(self._membership.list_other_members())
 
     def list_states(self) -> list[dict[str, typing.Any]]:
-        """Returns the known hosts for the state dump."""
+        """Returns the other members for the state dump."""
         now = time.monotonic()
         return [
             {
@@ -355,7 +375,7 @@
         ]
 
 
-def _measure_entry(entry: sycamoreloft_wire.MemberEntry) -> int:
-    """Returns the bytes of an entry on the wire."""
+def _compute_entry_bytes(entry: sycamoreloft_wire.MemberEntry) -> int:
+    """Returns the encoded size of an entry, in bytes."""
     digest = sycamoreloft_wire.GossipDigest((), (entry,))
     return len(sycamoreloft_wire.encode_message(0, digest))
--- a/packages/router/sycamoreloft_router/_generation_checks.py
+++ b/packages/router/sycamoreloft_router/_generation_checks.py
@@ -1,4 +1,4 @@
-"""Comparisons of two generations that group runtimes need."""
+"""Checks of generations and of permit requests against them."""
 
 import sycamoreloft_config
 import sycamoreloft_wire
@@ -9,9 +9,9 @@
     after: sycamoreloft_config.Generation,
     fleet_name: str,
 ) -> bool:
-    """Tells whether a fleet has other groups in another generation.
+    """Returns whether the groups of a fleet differ between two generations.
 
-    The holder of a request id depends on the groups.
+    If they do, the claims of a request id may belong to another group.
     """
     old, new = before.fleets.get(fleet_name), after.fleets.get(fleet_name)
     if old is None or new is None:
@@ -21,7 +21,7 @@
     ) != sycamoreloft_config.list_groups(new)
 
 
-#: Values that the priority of a request may have.
+#: Valid values of the priority of a request.
 _PRIORITIES = frozenset(map(int, sycamoreloft_config.Priority))
 
 
@@ -29,9 +29,10 @@
     generation: sycamoreloft_config.Generation,
     message: sycamoreloft_wire.PermitRequest,
 ) -> bool:
-    """Tells whether a permit request fits the files of its generation.
+    """Returns whether a permit request agrees with the generation in force.
 
-    A request without its partition would get a permit without a fence.
+    The partition must be that of the key: a keyed request without a partition
+    would get a permit without a fence.
     """
     fleet = generation.fleets.get(message.fleet)
     service = fleet.services.get(message.service) if fleet else None
@@ -50,7 +51,7 @@
     upstream_name: str,
     *generations: sycamoreloft_config.Generation | None,
 ) -> sycamoreloft_config.Upstream | None:
-    """Finds an upstream in the first generation that has it."""
+    """Returns an upstream of the first generation that has it, else None."""
     for generation in generations:
         fleet = generation.fleets.get(fleet_name) if generation else None
         if fleet is not None and upstream_name in fleet.upstreams:
--- a/packages/router/sycamoreloft_router/_grant_client.py
+++ b/packages/router/sycamoreloft_router/_grant_client.py
@@ -11,15 +11,15 @@
 import sycamoreloft_decisions
 from sycamoreloft_router import _call_client, _call_progress, _traffic
 
-#: Time for one call, in seconds. It is shorter than two renewal periods, so
-#: that a frozen upstream is noticed before its grant has ended.
+#: Timeout of one call, in seconds. It is shorter than two renewal periods, so
+#: that a frozen upstream is detected before its grant ends.
 CALL_TIMEOUT_S = 0.35
 
-#: Longest answer to a grant, in bytes.
-ANSWER_BYTES = 65_536
+#: Maximum length of the answer to a grant, in bytes.
+MAXIMUM_ANSWER_BYTES = 65_536
 
 _LIMITS = _call_client.CallLimits(
-    CALL_TIMEOUT_S, CALL_TIMEOUT_S, CALL_TIMEOUT_S, ANSWER_BYTES
+    CALL_TIMEOUT_S, CALL_TIMEOUT_S, CALL_TIMEOUT_S, MAXIMUM_ANSWER_BYTES
 )
 
 
@@ -27,17 +27,17 @@
 class GrantReply:
     """Answer of an upstream to a grant."""
 
-    #: Whether the grant is in force.
+    #: Whether the upstream has put the grant into force.
     accepted: bool
-    #: Incarnation of the upstream.
+    #: Incarnation of the upstream, another one after each start.
     incarnation: str
     #: Reading of the upstream's monotonic clock, in seconds.
     clock_reading: float
-    #: Highest epoch that it has seen for the group.
+    #: Highest epoch that the upstream has seen for the group.
     highest_epoch: int
-    #: Version that it has.
+    #: Version of the grant that the upstream has in force.
     version: int
-    #: Whether it asks for no new work.
+    #: Whether the upstream wants no new requests.
     draining: bool
 
 
@@ -45,8 +45,8 @@
     """Calls the grant endpoint of upstreams.
 
     Args:
-        key: Key that signs grants; an upstream that checks the sender must
-            have the same.
+        key: Key that signs grants. An upstream that verifies signatures must
+            have the same key.
     """
 
     def __init__(self, key: sycamoreloft_config.Secret) -> None:
@@ -61,7 +61,16 @@
         group: sycamoreloft_config.GroupName,
         grant: sycamoreloft_decisions.SendGrant,
     ) -> GrantReply | None:
-        """Sends a grant; returns None if no usable answer came in time."""
+        """Sends a grant to an upstream and waits for its answer.
+
+        Args:
+            address: Address of the upstream, as "ip:port".
+            group: Group whose holder issues the grant.
+            grant: Content of the grant.
+
+        Returns:
+            The answer, None if no valid one came within `CALL_TIMEOUT_S`.
+        """
         body = json.dumps(_encode_grant(group, grant)).encode()
         signature = hmac.new(
             self._key.secret.encode(), body, hashlib.sha256
--- a/packages/router/sycamoreloft_router/_group_calls.py
+++ b/packages/router/sycamoreloft_router/_group_calls.py
@@ -1,6 +1,7 @@
 """Calls of one group to the store, to upstreams and to other hosts.
 
-Each call ends with one event for the group holder machine.
+The result of each call becomes one event for the group's state machine. An
+unanswered request for a promise or a step-down produces no event.
 """
 
 from collections import abc
@@ -19,76 +20,79 @@
 )
 import sycamoreloft_wire
 
-#: Time to wait for a promise or a step-down, in seconds.
+#: Timeout of a promise or step-down request to another host, in seconds.
 PEER_TIMEOUT_S = 0.4
 
-#: Key of the row that names the accepted and the pending generation.
+#: Key of the table row that names the accepted and the pending generation.
 HEAD_KEY = "config/head"
 
 Feed = abc.Callable[[sycamoreloft_decisions.Event], None]
 
 
 class HostDirectory(typing.Protocol):
-    """What the group needs to know of other hosts."""
+    """Other hosts: their addresses, their state and messages to them."""
 
     def find_peer_address(self, host: str) -> str | None:
-        """Returns the peer address of a host."""
+        """Returns the peer address of a host, None if it is not known."""
 
     def observe_members(
         self, group: sycamoreloft_config.GroupName
     ) -> sycamoreloft_decisions.MembersObserved:
-        """Returns what gossip says of the hosts of the group's domain."""
+        """Returns the gossip state of the hosts in the group's domain."""
 
     def announce_change(self) -> None:
-        """Tells other hosts that the groups of this host changed."""
+        """Announces to other hosts that the groups of this host changed."""
 
     def share_suspects(self, message: sycamoreloft_wire.SuspectNotice) -> None:
-        """Passes suspects to the other holders of the fleet's groups."""
+        """Sends suspects to the other holders of the fleet's groups."""
 
 
 class HeadSource(typing.Protocol):
-    """What the group needs to know of `config/head`."""
+    """The latest known version of the row `config/head`."""
 
     def observe_head(self, row: _store_client.StoredRow | None) -> None:
-        """Takes a newer version of the row."""
+        """Records the row as it was read; None if it does not exist."""
 
-    def find_head_version(self) -> int | None:
-        """Returns the version whose generations this host applies.
+    def get_applied_head_version(self) -> int | None:
+        """Returns the version of the row whose generations this host applies.
 
-        None while files of the latest version are still being fetched.
+        Returns:
+            The version, or None while this host still fetches the files that
+            the latest known version names.
         """
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GroupEnvironment:
-    """What all groups of one host share."""
+    """Parts of a host that all of its groups share."""
 
-    #: Name of this host.
+    #: Name of this host, as the group rows record it.
     host: str
-    #: Random identifier of this process.
+    #: Random identifier of this process, another one after each restart.
     incarnation: str
-    #: The store.
+    #: Client of the table that holds group rows, assignments and claims.
     store: _store_client.StoreClient
     #: Connections to other hosts.
     links: _peer_links.PeerLinks
-    #: Sends grants.
+    #: Sends grants to upstreams.
     grants: _grant_client.GrantClient
-    #: Other hosts.
+    #: Addresses and state of other hosts, from gossip.
     directory: HostDirectory
-    #: The configuration row.
+    #: Row that names the accepted and the pending generation.
     head: HeadSource
-    #: The wait of merged services for their aliases.
+    #: Merged services that wait until their aliases are released.
     aliases: _alias_releases.AliasReleases
 
 
 class GroupCalls:
-    """Performs the calls of one group.
+    """Performs the calls that the state machine of one group commands.
 
     Args:
-        environment: What all groups of the host share.
-        group: The group.
-        feed: Takes the events that the calls end with.
-        observe_grant: Takes each upstream's answer, for the permit desk.
+        environment: Parts that all groups of the host share.
+        group: Group in whose name the calls are made.
+        feed: Receives the event that results from a call.
+        observe_grant: Receives each answer of an upstream to a grant, for
+            the permit issuer.
     """
 
     def __init__(
@@ -118,15 +122,15 @@
         if not pipeline.is_successful(rows):
             self._feed(sycamoreloft_decisions.ReadFailed(command.call))
             return
-        found = dict(rows.unwrap())
-        self._environment.head.observe_head(found.pop(HEAD_KEY, None))
-        stored = found.pop(command.row_key, None)
+        stored_rows = dict(rows.unwrap())
+        self._environment.head.observe_head(stored_rows.pop(HEAD_KEY, None))
+        stored = stored_rows.pop(command.row_key, None)
         row = None
         if stored is not None:
             row = sycamoreloft_decisions.decode_group_row(stored.value)
         self._recorded_epoch = row.epoch if row else 0
         tables = sycamoreloft_decisions.decode_tables(
-            {key: item.value for key, item in found.items()}
+            {key: item.value for key, item in stored_rows.items()}
         )
         self._feed(
             sycamoreloft_decisions.RowsRead(
@@ -137,14 +141,15 @@
     async def write_rows(
         self, command: sycamoreloft_decisions.WriteRows
     ) -> None:
-        """Writes rows; taking a group also depends on the configuration.
+        """Writes the group row and assignments under their conditions.
 
-        A holder must know the generations in force when it takes a group,
-        or it could serve an older one than its predecessor has staged.
+        A write that changes the epoch takes over the group; it also depends
+        on the version of `config/head`. Without this condition, the new
+        holder could serve an older generation than its predecessor staged.
         """
         conditions = {command.row_key: command.row_version}
         if command.row.epoch != self._recorded_epoch:
-            version = self._environment.head.find_head_version()
+            version = self._environment.head.get_applied_head_version()
             if version is None:
                 self._feed(sycamoreloft_decisions.WriteRefused(command.call))
                 return
@@ -170,7 +175,7 @@
         upstream: sycamoreloft_config.Upstream | None,
         command: sycamoreloft_decisions.SendGrant,
     ) -> None:
-        """Sends a grant to an upstream that a generation describes."""
+        """Sends a grant to an upstream; None if no generation names it."""
         reply = None
         if upstream is not None:
             reply = await self._environment.grants.send_grant(
@@ -199,7 +204,7 @@
     async def request_promise(
         self, command: sycamoreloft_decisions.RequestPromise
     ) -> None:
-        """Asks the standby for a promise."""
+        """Requests a promise from the standby."""
         answer = await self._call_host(
             command.host,
             sycamoreloft_wire.PromiseRequest(
@@ -216,7 +221,7 @@
     async def request_step_down(
         self, command: sycamoreloft_decisions.RequestStepDown
     ) -> None:
-        """Asks an earlier holder to stop acting."""
+        """Requests that an earlier holder stops issuing permits and grants."""
         answer = await self._call_host(
             command.host,
             sycamoreloft_wire.StepDownRequest(str(self._group), command.epoch),
--- a/packages/router/sycamoreloft_router/_group_choice.py
+++ b/packages/router/sycamoreloft_router/_group_choice.py
@@ -1,22 +1,22 @@
-"""Choice of the group that is asked for a permit."""
+"""Choice of the group whose holder issues the permit for an attempt."""
 
 from collections import abc
 import random
 
 from sycamoreloft_router import _caller_requests, _permit_ports
 
-#: Weight of the latest observation in the mean delay of a group.
+#: Weight of the latest delay in the moving average of a group.
 _LATEST_WEIGHT = 0.1
 
-#: Groups whose delay is remembered.
+#: Maximum number of groups whose mean delay is stored.
 MAXIMUM_GROUPS = 4_096
 
 
 class GroupChooser:
-    """Finds a group for each attempt.
+    """Chooses a group for each attempt.
 
     Args:
-        groups: Location of partitions and groups.
+        groups: Groups that serve partitions and unkeyed services.
         generator: Source of the random choices.
     """
 
@@ -25,7 +25,7 @@
     ) -> None:
         self._groups = groups
         self._generator = generator
-        self._delays: dict[str, float] = {}
+        self._mean_durations_s: dict[str, float] = {}
 
     def choose(
         self,
@@ -34,13 +34,17 @@
     ) -> str | None:
         """Chooses the group for an attempt.
 
-        A partition has one group. For an unkeyed service the better of two
-        random groups of the own domain is taken, and groups of other domains
-        only when all of the own domain refused.
+        A partition belongs to exactly one group. For an unkeyed service, two
+        random groups of the host's own failure domain are compared and the
+        one with the lower mean delay is chosen. Groups of other failure
+        domains are used only after all groups of the own one have refused.
 
         Args:
-            request: The request.
-            refused: Groups that refused a permit for it.
+            request: Request that the attempt serves.
+            refused: Groups that have refused a permit for this request.
+
+        Returns:
+            The group as "fleet/domain/index", or None if none is known.
         """
         fleet, service = request.reference.fleet, request.reference.service
         if request.service.keyed:
@@ -53,23 +57,27 @@
             far = self._groups.list_far_groups(fleet, service)
             candidates = [name for name in far if name not in refused]
         if not candidates:
-            # Every group refused; a retry may still find a free slot.
+            # Every group has refused, but a slot may be free by now.
             candidates = list(near)
-        return self._choose_better(candidates)
+        return self._choose_faster(candidates)
 
-    def observe(self, group: str, delay_s: float) -> None:
-        """Notes how long a request took, from asking for the permit."""
-        known = self._delays.get(group)
-        if known is not None:
-            self._delays[group] = known + _LATEST_WEIGHT * (delay_s - known)
-        elif len(self._delays) < MAXIMUM_GROUPS:
-            self._delays[group] = delay_s
+    def record_duration(self, group: str, duration_s: float) -> None:
+        """Records the duration of an attempt, permit request included."""
+        mean_s = self._mean_durations_s.get(group)
+        if mean_s is not None:
+            self._mean_durations_s[group] = mean_s + _LATEST_WEIGHT * (
+                duration_s - mean_s
+            )
+        elif len(self._mean_durations_s) < MAXIMUM_GROUPS:
+            self._mean_durations_s[group] = duration_s
 
-    def _choose_better(self, candidates: abc.Sequence[str]) -> str | None:
+    def _choose_faster(self, candidates: abc.Sequence[str]) -> str | None:
         if len(candidates) < 2:
             return candidates[0] if candidates else None
         first, second = self._generator.sample(candidates, 2)
-        delays = self._delays
+        durations_s = self._mean_durations_s
         return min(
-            first, second, key=lambda group: (delays.get(group, 0.0), group)
+            first,
+            second,
+            key=lambda group: (durations_s.get(group, 0.0), group),
         )
--- a/packages/router/sycamoreloft_router/_group_claims.py
+++ b/packages/router/sycamoreloft_router/_group_claims.py
@@ -1,4 +1,4 @@
-"""Adapter of the claim book of one held group."""
+"""Connects the claim registry of one held group to hosts and the store."""
 
 import asyncio
 from collections import abc
@@ -16,31 +16,34 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Length of a bucket of claim rows, in seconds; old buckets are deleted whole.
-BUCKET_S = 60
+#: Time span of a bucket of claim rows, in seconds. A bucket is part of the row
+#: key, and all rows of an expired bucket are deleted together.
+BUCKET_SPAN_S = 60
 
-#: Delay before a failed load of the rows is repeated, in seconds.
-LOAD_AGAIN_S = 0.2
+#: Delay before a failed load of the claim rows is retried, in seconds.
+LOAD_RETRY_DELAY_S = 0.2
 
-#: Attempts to write a batch whose group row changed meanwhile for another
-#: reason than a new holder.
-WRITE_ATTEMPTS = 5
+#: Maximum number of attempts to write a batch. An attempt fails if the group
+#: row changes between its read and the write, even without a new holder.
+MAXIMUM_WRITE_ATTEMPTS = 5
 
-#: Delay until collected claims are written, in seconds. It is a little longer
-#: than the book collects: a timer that fires too early leaves the claims to
-#: the next tick of the group, 50 ms later.
-COLLECT_S = 0.011
+#: Delay between the first claim of a batch and its write, in seconds. It is
+#: slightly longer than the batching time of the claim registry: a timer that
+#: fires too early leaves the claims to the next tick of the group, 50 ms later.
+BATCH_DELAY_S = 0.011
 
 
 class GroupClaims:
-    """Runs a claim book: performs its writes and answers its callers.
+    """Runs the claim registry of one group.
+
+    Writes its batches to the store and sends its answers to the hosts.
 
     Args:
-        group: The group.
-        epoch: Epoch of this holder.
-        window_s: Time for which a request id is remembered, in seconds.
-        store: The store.
-        spawn: Starts a task that ends with the group.
+        group: Group that this host holds.
+        epoch: Epoch in which this host holds the group.
+        window_s: Time for which a claimed request id is kept, in seconds.
+        store: Client of the table that holds the claim rows.
+        spawn: Starts a task that is cancelled when the group's task ends.
     """
 
     def __init__(
@@ -58,30 +61,30 @@
         self._window_s = window_s
         self._store = store
         self._spawn = spawn
-        self._book = sycamoreloft_decisions.ClaimRegistry(
+        self._registry = sycamoreloft_decisions.ClaimRegistry(
             epoch, sycamoreloft_decisions.ClaimOptions(window_s=window_s)
         )
         self._replies: dict[str, _peer_server.Reply] = {}
         self._row_keys: dict[int, str] = {}
         self._timer: asyncio.TimerHandle | None = None
-        #: Counters for the metrics.
+        #: Number of claim requests and of batch writes, for the state dump.
         self.counts = {"claims": 0, "batches": 0}
 
     def start(self) -> None:
-        """Loads the rows of the window; no claim is answered before."""
-        self._spawn(self._load())
+        """Loads the claim rows; no claim is answered before they are loaded."""
+        self._spawn(self._load_claims())
 
     def reload(self) -> None:
-        """Loads the rows again after a change of the fleet's groups."""
+        """Loads the claim rows again after the fleet's groups have changed."""
         self._handle(sycamoreloft_decisions.GroupsChanged())
-        self._spawn(self._load())
+        self._spawn(self._load_claims())
 
-    def ask(
+    def handle_request(
         self,
         message: sycamoreloft_wire.ClaimRequest,
         reply: _peer_server.Reply,
     ) -> None:
-        """Takes a claim request."""
+        """Handles a claim request; `reply` is called once it is decided."""
         self.counts["claims"] += 1
         self._replies[message.attempt] = reply
         self._handle(
@@ -89,13 +92,14 @@
                 message.id_hash, message.fingerprint, message.attempt
             )
         )
-        self._schedule()
+        self._schedule_flush()
 
-    def report(self, message: sycamoreloft_wire.ClaimResult) -> None:
-        """Takes the result of an attempt; it rides in a later row.
+    def handle_result(self, message: sycamoreloft_wire.ClaimResult) -> None:
+        """Records the result of a claimed attempt.
 
-        A timer for it would end the collection of claims that come after it
-        too early, and leave them to the next tick of the group.
+        The result is written with a later batch. It starts no timer, which
+        would close the batch of the claims that follow too early and leave
+        them to the next tick of the group.
         """
         self._handle(
             sycamoreloft_decisions.ClaimResultReported(
@@ -107,13 +111,13 @@
         )
 
     def tick(self) -> None:
-        """Lets time pass; called about every 50 ms."""
+        """Processes timeouts and due batches; called about every 50 ms."""
         self._handle(sycamoreloft_decisions.ClaimTick())
 
-    def _schedule(self) -> None:
+    def _schedule_flush(self) -> None:
         if self._timer is None:
             self._timer = asyncio.get_running_loop().call_later(
-                COLLECT_S, self._flush
+                BATCH_DELAY_S, self._flush
             )
 
     def _flush(self) -> None:
@@ -121,7 +125,7 @@
         self.tick()
 
     def close(self) -> None:
-        """Answers every waiting attempt: the claim holder has changed."""
+        """Answers all waiting attempts "unavailable" and stops the timer."""
         if self._timer is not None:
             self._timer.cancel()
         replies, self._replies = self._replies, {}
@@ -129,7 +133,7 @@
             reply(sycamoreloft_wire.ClaimAnswer("unavailable"))
 
     def _handle(self, event: sycamoreloft_decisions.ClaimEvent) -> None:
-        for command in self._book.handle(event, time.monotonic()):
+        for command in self._registry.handle(event, time.monotonic()):
             self._perform(command)
 
     @functools.singledispatchmethod
@@ -148,34 +152,40 @@
 
     @_perform.register
     def _(self, command: sycamoreloft_decisions.WriteBatch) -> None:
-        self._spawn(self._write(command))
+        self._spawn(self._write_batch(command))
 
     @_perform.register
     def _(self, command: sycamoreloft_decisions.ReadBatch) -> None:
-        self._spawn(self._read(command))
+        self._spawn(self._read_batch(command))
 
-    def _find_row_key(self, sequence: int) -> str:
-        """Returns the key of a batch, alike when its write is repeated."""
+    def _get_row_key(self, sequence: int) -> str:
+        """Returns the row key of a batch; a repeated write uses the same."""
         key = self._row_keys.get(sequence)
         if key is None:
-            bucket = int(time.time()) // BUCKET_S
+            bucket = int(time.time()) // BUCKET_SPAN_S
             key = f"claims/{self._group}/{bucket}/{self._epoch}-{sequence}"
             self._row_keys[sequence] = key
         return key
 
-    async def _write(self, command: sycamoreloft_decisions.WriteBatch) -> None:
-        """Writes a batch, on condition that the epoch has not ended.
+    async def _write_batch(
+        self, command: sycamoreloft_decisions.WriteBatch
+    ) -> None:
+        """Writes a batch under the condition that the epoch has not changed.
 
         The condition names the version of the group row, which also changes
-        with a heartbeat or a move; the row is then read again, and the batch
-        is refused only if its epoch is another one.
+        with each heartbeat and each move. The row is therefore read again
+        after a conflict, and the batch is refused only if another epoch has
+        begun.
         """
         self.counts["batches"] += 1
         sequence = command.sequence
-        row_key = self._find_row_key(sequence)
+        row_key = self._get_row_key(sequence)
         group_key = sycamoreloft_decisions.format_group_key(self._group)
-        value = {"epoch": self._epoch, "entries": _encode(command.entries)}
-        for _ in range(WRITE_ATTEMPTS):
+        value = {
+            "epoch": self._epoch,
+            "entries": _encode_entries(command.entries),
+        }
+        for _ in range(MAXIMUM_WRITE_ATTEMPTS):
             rows = await self._store.read([group_key, row_key])
             if not pipeline.is_successful(rows):
                 break
@@ -194,15 +204,17 @@
             )
             if pipeline.is_successful(written):
                 self._handle(sycamoreloft_decisions.BatchStored(sequence))
-                # Claims may have waited for the number of open batches.
+                # Claims may have waited because too many batches were open.
                 self.tick()
                 return
             if isinstance(written.failure(), _store_client.StoreUnavailable):
                 break
         self._handle(sycamoreloft_decisions.BatchOutcomeUnknown(sequence))
 
-    async def _read(self, command: sycamoreloft_decisions.ReadBatch) -> None:
-        key = self._find_row_key(command.sequence)
+    async def _read_batch(
+        self, command: sycamoreloft_decisions.ReadBatch
+    ) -> None:
+        key = self._get_row_key(command.sequence)
         rows = await self._store.read([key])
         if not pipeline.is_successful(rows):
             event: sycamoreloft_decisions.ClaimEvent = (
@@ -215,27 +227,28 @@
             )
         self._handle(event)
 
-    async def _load(self) -> None:
-        """Reads the claim rows of the whole fleet.
+    async def _load_claims(self) -> None:
+        """Loads the claim rows of the whole fleet.
 
-        The claim holder of an id depends on the fleet's groups; reading the
-        fleet's rows keeps the ids of groups that a file has removed.
+        The group of a request id depends on the list of the fleet's groups.
+        After a generation has removed a group, its request ids belong to
+        other groups, so that each holder reads the rows of all groups.
         """
         prefix = f"claims/{self._group.fleet}/"
         while True:
             rows = await self._store.read(prefixes=[prefix])
             if pipeline.is_successful(rows):
                 break
-            await asyncio.sleep(LOAD_AGAIN_S)
+            await asyncio.sleep(LOAD_RETRY_DELAY_S)
         entries: list[sycamoreloft_decisions.ClaimEntry] = []
-        oldest = time.time() - self._window_s - 2 * BUCKET_S
+        oldest = time.time() - self._window_s - 2 * BUCKET_SPAN_S
         old_keys = []
         for key, row in rows.unwrap().items():
             bucket = int(key.split("/")[4])
-            if (bucket + 1) * BUCKET_S < oldest:
+            if (bucket + 1) * BUCKET_SPAN_S < oldest:
                 old_keys.append(key)
                 continue
-            entries += _decode(row.value["entries"])
+            entries += _decode_entries(row.value["entries"])
         self._handle(sycamoreloft_decisions.RowsLoaded(entries))
         _logs.log_event(
             _LOGGER,
@@ -248,7 +261,7 @@
             await self._store.transact({}, {}, old_keys)
 
 
-def _encode(
+def _encode_entries(
     entries: abc.Sequence[sycamoreloft_decisions.ClaimEntry],
 ) -> list[list[typing.Any]]:
     return [
@@ -263,7 +276,7 @@
     ]
 
 
-def _decode(
+def _decode_entries(
     rows: abc.Sequence[abc.Sequence[typing.Any]],
 ) -> list[sycamoreloft_decisions.ClaimEntry]:
     return [
--- a/packages/router/sycamoreloft_router/_group_measures.py
+++ b/packages/router/sycamoreloft_router/_group_measures.py
@@ -1,33 +1,33 @@
-"""The users' three measures of one held group: imbalance, churn, outage."""
+"""Measures of one held group: load imbalance, moves and unavailability."""
 
 import collections
 from collections import abc
 
-#: Permits over which the imbalance is computed. Older ones are halved, so
-#: that the measure follows the load.
-WINDOW_PERMITS = 10_000
+#: Number of permits over which the imbalance is computed. All counts are halved
+#: when their sum reaches it, so that the measure follows the present load.
+MAXIMUM_COUNTED_PERMITS = 10_000
 
 
 class GroupMeasures:
-    """Counts what a holder does for its group."""
+    """Counts the permits, moves and waiting times of one group."""
 
     def __init__(self) -> None:
         self._issued: dict[str, collections.Counter[str]] = {}
         self._total = 0
-        #: Moves of partitions and hot keys.
+        #: Number of finished moves of partitions and hot keys.
         self.moves = 0
-        #: Time in which requests waited for an owner, summed over their
-        #: partitions, in seconds.
+        #: Time during which requests waited for an owner, in seconds, summed
+        #: over their partitions.
         self.unavailable_s = 0.0
 
     def count_permit(self, service: str, upstream: str) -> None:
-        """Counts a permit for an upstream."""
+        """Counts a permit that was issued for an upstream."""
         counter = self._issued.get(service)
         if counter is None:
             counter = self._issued[service] = collections.Counter()
         counter[upstream] += 1
         self._total += 1
-        if self._total >= WINDOW_PERMITS:
+        if self._total >= MAXIMUM_COUNTED_PERMITS:
             self._halve()
 
     def _halve(self) -> None:
@@ -40,22 +40,34 @@
     def count_waiting(
         self, partitions: abc.Set[tuple[str, int]], seconds: float
     ) -> None:
-        """Counts time in which partitions had waiting requests."""
+        """Adds the time since the previous call for partitions that wait.
+
+        Args:
+            partitions: Service and number of each partition that has waiting
+                requests.
+            seconds: Time since the previous call, in seconds.
+        """
         self.unavailable_s += len(partitions) * seconds
 
     def compute_imbalance(
         self, candidates: abc.Mapping[str, abc.Sequence[str]]
     ) -> float:
-        """Returns the largest load of an upstream over its service's mean.
+        """Returns the highest ratio of an upstream's load to the mean.
+
+        The mean is that of the upstreams of the same service; a load is the
+        number of permits issued.
 
         Args:
-            candidates: Upstreams by service; those without permits count.
+            candidates: Upstreams by service, also those without permits.
+
+        Returns:
+            The ratio, 1.0 for a perfect balance or if no permits were issued.
         """
-        worst = 1.0
+        highest = 1.0
         for service, counter in self._issued.items():
             upstreams = candidates.get(service, ())
             total = sum(counter[name] for name in upstreams)
             if total:
                 largest = max(counter[name] for name in upstreams)
-                worst = max(worst, largest * len(upstreams) / total)
-        return worst
+                highest = max(highest, largest * len(upstreams) / total)
+        return highest
--- a/packages/router/sycamoreloft_router/_group_permits.py
+++ b/packages/router/sycamoreloft_router/_group_permits.py
@@ -1,4 +1,4 @@
-"""Adapter of the permit desk of one held group."""
+"""Connects the permit issuer of one held group to hosts and upstreams."""
 
 import collections
 from collections import abc
@@ -17,15 +17,18 @@
 )
 import sycamoreloft_wire
 
-#: Requests that wait for an owner of their key; more are refused at once.
-MAXIMUM_WAITING = 4_096
+#: Maximum number of requests that wait for an owner of their key; further
+#: requests are refused at once.
+MAXIMUM_WAITING_REQUESTS = 4_096
 
-#: Longest wait for an owner, in seconds: the bound on a loss is 2 s, and a
-#: request that waits longer only takes a place.
-LONGEST_WAIT_S = 3.0
+#: Maximum time that a request waits for an owner, in seconds. Keys of a lost
+#: upstream have a new owner within 2 s, so that a longer wait would only
+#: occupy a place.
+MAXIMUM_WAIT_S = 3.0
 
-#: Reasons of a missing owner that pass by themselves, so waiting helps.
-PASSING_REASONS = frozenset(
+#: Reasons for a missing owner that end without intervention, so that a
+#: request waits for the owner instead of being refused.
+TRANSIENT_REASONS = frozenset(
     {
         sycamoreloft_decisions.WaitReason.TRANSFER_PENDING,
         sycamoreloft_decisions.WaitReason.UNASSIGNED,
@@ -36,39 +39,48 @@
 
 
 class OwnerSource(typing.Protocol):
-    """What the adapter needs of the group holder."""
+    """Owners of the group's keys, and the state of its holder."""
 
     def find_owner(
         self, service: str, key: str, partition: int, now: float
     ) -> sycamoreloft_decisions.Owner | sycamoreloft_decisions.NoOwner:
-        """Returns the owner of a key, or why it has none now."""
+        """Returns the owner of a key, or why the key has no owner now."""
 
     def get_epoch(self) -> int:
-        """Returns the epoch of this holder."""
+        """Returns the epoch in which this host holds the group."""
 
     def may_act(self, now: float) -> bool:
-        """Tells whether this host may issue permits now."""
+        """Returns whether this host may issue permits now."""
 
 
 @dataclasses.dataclass(slots=True)
-class _Asked:
+class _PendingRequest:
+    """A permit request that has not been answered."""
+
     message: sycamoreloft_wire.PermitRequest
     reply: _peer_server.Reply
+    #: Deadline of the caller's request, on this host's monotonic clock.
     deadline: float
+    #: End of the wait for an owner, on this host's monotonic clock.
     wait_until: float
+    #: Fence of the owner, as of its latest look-up; 0 for an unkeyed service.
     fence: int = 0
 
 
 class GroupPermits:
-    """Runs a permit desk: resolves owners, answers hosts, keeps waiters.
+    """Runs the permit issuer of one group.
+
+    Looks up the owner of a requested key, sends the issuer's answers to the
+    hosts, and queues requests whose key has no owner for the moment.
 
     Args:
-        fleet: The fleet, as the group's generation describes it.
-        group: The group.
+        fleet: The fleet, as the accepted generation describes it.
+        group: Group that this host holds.
         owners: Owners of keys.
         fresh: Whether no earlier holder can have issued permits.
-        share_suspects: Tells other groups of suspects.
-        report_drained: Tells the group holder that a unit is drained.
+        share_suspects: Sends suspects to other groups.
+        report_drained: Reports to the group holder that no permit of a paused
+            unit is in use any more.
     """
 
     def __init__(
@@ -86,24 +98,24 @@
         self._owners = owners
         self._share_suspects = share_suspects
         self._report_drained = report_drained
-        self._desk = sycamoreloft_decisions.PermitIssuer(
+        self._issuer = sycamoreloft_decisions.PermitIssuer(
             random.Random(), time.monotonic(), fresh=fresh
         )
-        self._watch = _upstream_monitor.UpstreamMonitor()
-        self._asked: dict[str, _Asked] = {}
-        self._waiting: dict[str, _Asked] = {}
+        self._monitor = _upstream_monitor.UpstreamMonitor()
+        self._at_issuer: dict[str, _PendingRequest] = {}
+        self._waiting: dict[str, _PendingRequest] = {}
         self._ticked_at = time.monotonic()
         self._key_counts: dict[str, collections.Counter[str]] = {}
         self._fleet = fleet
         self._candidates: dict[str, tuple[str, ...]] = {}
-        self.change_fleet(fleet)
-        #: The users' measures.
+        self.apply_fleet(fleet)
+        #: Measures of load balance and availability, for the metrics.
         self.measures = _group_measures.GroupMeasures()
-        #: Counters for the metrics.
+        #: Number of permit requests, permits and refusals, for the state dump.
         self.counts: collections.Counter[str] = collections.Counter()
 
-    def change_fleet(self, fleet: sycamoreloft_config.Fleet) -> None:
-        """Applies another generation of the fleet's file."""
+    def apply_fleet(self, fleet: sycamoreloft_config.Fleet) -> None:
+        """Applies the fleet's definition in a new accepted generation."""
         self._fleet = fleet
         candidates: dict[str, list[str]] = {}
         for upstream in sycamoreloft_config.list_group_upstreams(
@@ -117,17 +129,23 @@
             service: tuple(names) for service, names in candidates.items()
         }
 
-    def ask(
+    def request_permit(
         self,
         message: sycamoreloft_wire.PermitRequest,
         reply: _peer_server.Reply,
     ) -> None:
-        """Takes a permit request; the reply may come later."""
+        """Handles a permit request of a host.
+
+        Args:
+            message: The request.
+            reply: Called once with the answer, possibly after this method
+                has returned.
+        """
         now = time.monotonic()
         self.counts["asked"] += 1
         deadline = now + message.remaining_ms / 1000
-        asked = _Asked(
-            message, reply, deadline, min(deadline, now + LONGEST_WAIT_S)
+        pending = _PendingRequest(
+            message, reply, deadline, min(deadline, now + MAXIMUM_WAIT_S)
         )
         if message.key:
             counter = self._key_counts.get(message.service)
@@ -135,47 +153,47 @@
                 counter = collections.Counter()
                 self._key_counts[message.service] = counter
             counter[message.key] += 1
-        self._admit(asked, now)
+        self._admit(pending, now)
 
-    def _admit(self, asked: _Asked, now: float) -> None:
-        message = asked.message
+    def _admit(self, pending: _PendingRequest, now: float) -> None:
+        message = pending.message
         if message.partition < 0:
             candidates = self._candidates.get(message.service, ())
-            self._pass_to_desk(asked, candidates, now)
+            self._pass_to_issuer(pending, candidates, now)
             return
         owner = self._owners.find_owner(
             message.service, message.key, message.partition, now
         )
         if isinstance(owner, sycamoreloft_decisions.NoOwner):
-            self._wait_or_refuse(asked, owner, now)
+            self._wait_or_refuse(pending, owner, now)
             return
-        asked.fence = owner.fence
-        self._pass_to_desk(asked, (owner.upstream,), now)
+        pending.fence = owner.fence
+        self._pass_to_issuer(pending, (owner.upstream,), now)
 
     def _wait_or_refuse(
         self,
-        asked: _Asked,
-        owner: sycamoreloft_decisions.NoOwner,
+        pending: _PendingRequest,
+        no_owner: sycamoreloft_decisions.NoOwner,
         now: float,
     ) -> None:
-        permit = asked.message.permit
+        permit = pending.message.permit
         if (
-            owner.reason in PASSING_REASONS
-            and now < asked.wait_until
-            and len(self._waiting) < MAXIMUM_WAITING
+            no_owner.reason in TRANSIENT_REASONS
+            and now < pending.wait_until
+            and len(self._waiting) < MAXIMUM_WAITING_REQUESTS
         ):
-            self._waiting[permit] = asked
+            self._waiting[permit] = pending
             return
         self.counts["refused"] += 1
-        asked.reply(
-            sycamoreloft_wire.PermitRefusal(permit, str(owner.reason), 200)
+        pending.reply(
+            sycamoreloft_wire.PermitRefusal(permit, str(no_owner.reason), 200)
         )
 
-    def _pass_to_desk(
-        self, asked: _Asked, candidates: tuple[str, ...], now: float
+    def _pass_to_issuer(
+        self, pending: _PendingRequest, candidates: tuple[str, ...], now: float
     ) -> None:
-        message = asked.message
-        self._asked[message.permit] = asked
+        message = pending.message
+        self._at_issuer[message.permit] = pending
         self._handle(
             sycamoreloft_decisions.PermitRequested(
                 message.permit,
@@ -187,16 +205,16 @@
                 message.fingerprint,
                 message.caller,
                 sycamoreloft_config.Priority(message.priority),
-                asked.deadline,
+                pending.deadline,
                 candidates,
             ),
             now,
         )
 
     def return_permit(self, message: sycamoreloft_wire.PermitReturn) -> None:
-        """Takes a permit back, also one that was never issued."""
+        """Ends a permit or a request for one, whether issued or not."""
         self._waiting.pop(message.permit, None)
-        self._asked.pop(message.permit, None)
+        self._at_issuer.pop(message.permit, None)
         self._handle(
             sycamoreloft_decisions.PermitReturned(
                 message.permit,
@@ -213,7 +231,7 @@
         message: sycamoreloft_wire.PermitReport,
         reply: _peer_server.Reply,
     ) -> None:
-        """Renews the permits of a host and names those on lost upstreams."""
+        """Renews the permits of a host; the answer lists the lost ones."""
         now = time.monotonic()
         used = [
             sycamoreloft_decisions.ReportedPermit(
@@ -234,7 +252,7 @@
         lost = [
             item.permit
             for item in message.permits
-            if self._watch.is_abandoned(item.upstream, now)
+            if self._monitor.is_abandoned(item.upstream, now)
         ]
         reply(
             sycamoreloft_wire.PermitReportAnswer(lost)
@@ -247,17 +265,17 @@
         upstream: sycamoreloft_config.Upstream,
         answer: sycamoreloft_decisions.GrantAnswered,
     ) -> None:
-        """Takes an upstream's answer to a grant."""
+        """Records that an upstream is alive and has answered a grant."""
         now = time.monotonic()
         service = self._fleet.services.get(upstream.service)
         queue = service.queue if service else 0
-        for event in self._watch.observe_answer(upstream, queue, answer, now):
+        for event in self._monitor.observe_answer(upstream, queue, answer, now):
             self._handle(event, now)
 
     def observe_suspects(
         self, message: sycamoreloft_wire.SuspectNotice
     ) -> None:
-        """Takes a notice of another group."""
+        """Records suspects that another group has reported."""
         self._handle(
             sycamoreloft_decisions.SuspectsReported(
                 message.fingerprints, message.guilty
@@ -265,8 +283,8 @@
             time.monotonic(),
         )
 
-    def hold_unit(self, unit: sycamoreloft_decisions.Unit) -> None:
-        """Holds new permits of a unit."""
+    def pause_unit(self, unit: sycamoreloft_decisions.Unit) -> None:
+        """Stops issuing permits for a unit that moves."""
         self._handle(
             sycamoreloft_decisions.PartitionPaused(
                 self._group.fleet, unit.service, unit.partition, unit.key
@@ -274,8 +292,8 @@
             time.monotonic(),
         )
 
-    def release_unit(self, unit: sycamoreloft_decisions.Unit) -> None:
-        """Lets the requests of a held unit go on, at its present owner."""
+    def resume_unit(self, unit: sycamoreloft_decisions.Unit) -> None:
+        """Issues permits for a paused unit again, at its present owner."""
         self.measures.moves += 1
         now = time.monotonic()
         owner = self._owners.find_owner(
@@ -298,25 +316,25 @@
         )
 
     def tick(self) -> None:
-        """Lets time pass: losses, expiry, and requests that wait."""
+        """Processes lost upstreams, waiting requests and expired permits."""
         now = time.monotonic()
-        for event in self._watch.list_losses(now):
+        for event in self._monitor.list_losses(now):
             self._handle(event, now)
         waiting, self._waiting = self._waiting, {}
         self.measures.count_waiting(
             {
-                (asked.message.service, asked.message.partition)
-                for asked in waiting.values()
+                (pending.message.service, pending.message.partition)
+                for pending in waiting.values()
             },
             now - self._ticked_at,
         )
         self._ticked_at = now
-        for asked in waiting.values():
-            self._admit(asked, now)
+        for pending in waiting.values():
+            self._admit(pending, now)
         self._handle(sycamoreloft_decisions.PermitTick(), now)
 
-    def take_observed_keys(self) -> list[sycamoreloft_decisions.KeysObserved]:
-        """Returns the requests by service and key since the last call."""
+    def pop_observed_keys(self) -> list[sycamoreloft_decisions.KeysObserved]:
+        """Returns the requests by service and key since the previous call."""
         counts, self._key_counts = self._key_counts, {}
         return [
             sycamoreloft_decisions.KeysObserved(service, counter)
@@ -324,12 +342,12 @@
         ]
 
     def close(self) -> None:
-        """Refuses everything that waits: the holder has changed."""
+        """Refuses all waiting requests: this host lost the group."""
         waiting, self._waiting = self._waiting, {}
-        for asked in waiting.values():
-            asked.reply(
+        for pending in waiting.values():
+            pending.reply(
                 sycamoreloft_wire.PermitRefusal(
-                    asked.message.permit, "no-holder", 50
+                    pending.message.permit, "no-holder", 50
                 )
             )
         self._handle(
@@ -337,21 +355,21 @@
         )
 
     def compute_imbalance(self) -> float:
-        """Returns the largest load of an upstream over its service's mean."""
+        """Returns the highest ratio of a load to the mean of its service."""
         return self.measures.compute_imbalance(self._candidates)
 
     def list_states(self) -> dict[str, object]:
-        """Returns counters and upstreams for the state dump."""
+        """Returns the counters and upstream states, for the state dump."""
         return {
             "counts": dict(self.counts),
             "waiting": len(self._waiting),
-            "upstreams": self._watch.list_states(time.monotonic()),
+            "upstreams": self._monitor.list_states(time.monotonic()),
         }
 
     def _handle(
         self, event: sycamoreloft_decisions.PermitEvent, now: float
     ) -> None:
-        for command in self._desk.handle(event, now):
+        for command in self._issuer.handle(event, now):
             self._perform(command, now)
 
     @functools.singledispatchmethod
@@ -364,36 +382,36 @@
     def _(
         self, command: sycamoreloft_decisions.IssuePermit, now: float
     ) -> None:
-        asked = self._asked.pop(command.permit, None)
-        if asked is None:
-            self._give_back(command.permit, now)
+        pending = self._at_issuer.pop(command.permit, None)
+        if pending is None:
+            self._return_unused(command.permit, now)
             return
         if not self._owners.may_act(now):
-            # A queued request must not start once a standby may have taken
-            # the group and counts the slots itself.
-            self._refuse_issued(asked, "no-holder", now)
+            # A standby may have taken over the group and may issue permits
+            # for the same slots, so a queued request must not start.
+            self._refuse_issued(pending, "no-holder", now)
             return
-        message = asked.message
-        if message.partition >= 0 and not self._is_owner(
-            asked, command.upstream, now
+        message = pending.message
+        if message.partition >= 0 and not self._confirm_owner(
+            pending, command.upstream, now
         ):
-            # The key moved while the request was queued.
-            self._give_back(command.permit, now)
-            self._admit(asked, now)
+            # The key moved to another upstream while the request was queued.
+            self._return_unused(command.permit, now)
+            self._admit(pending, now)
             return
         upstream = self._fleet.upstreams.get(command.upstream)
         if upstream is None:
-            self._refuse_issued(asked, "no-upstream", now)
+            self._refuse_issued(pending, "no-upstream", now)
             return
         self.counts["issued"] += 1
         self.measures.count_permit(message.service, command.upstream)
-        asked.reply(
+        pending.reply(
             sycamoreloft_wire.PermitGrant(
                 command.permit,
                 command.upstream,
                 upstream.address,
                 self._owners.get_epoch(),
-                asked.fence,
+                pending.fence,
                 int(command.valid_s * 1000),
             )
         )
@@ -402,11 +420,11 @@
     def _(
         self, command: sycamoreloft_decisions.RefusePermit, now: float
     ) -> None:
-        asked = self._asked.pop(command.permit, None)
-        if asked is None:
+        pending = self._at_issuer.pop(command.permit, None)
+        if pending is None:
             return
         self.counts["refused"] += 1
-        asked.reply(
+        pending.reply(
             sycamoreloft_wire.PermitRefusal(
                 command.permit,
                 str(command.reason),
@@ -430,8 +448,14 @@
     ) -> None:
         self._share_suspects(command)
 
-    def _is_owner(self, asked: _Asked, upstream: str, now: float) -> bool:
-        message = asked.message
+    def _confirm_owner(
+        self, pending: _PendingRequest, upstream: str, now: float
+    ) -> bool:
+        """Returns whether an upstream still owns the key of a request.
+
+        Also records the owner's present fence, which the grant names.
+        """
+        message = pending.message
         owner = self._owners.find_owner(
             message.service, message.key, message.partition, now
         )
@@ -440,17 +464,19 @@
             or owner.upstream != upstream
         ):
             return False
-        asked.fence = owner.fence
+        pending.fence = owner.fence
         return True
 
-    def _refuse_issued(self, asked: _Asked, reason: str, now: float) -> None:
-        """Refuses a request for which the desk has just issued a permit."""
-        permit = asked.message.permit
-        self._give_back(permit, now)
+    def _refuse_issued(
+        self, pending: _PendingRequest, reason: str, now: float
+    ) -> None:
+        """Returns a permit that was just issued and refuses its request."""
+        permit = pending.message.permit
+        self._return_unused(permit, now)
         self.counts["refused"] += 1
-        asked.reply(sycamoreloft_wire.PermitRefusal(permit, reason, 100))
+        pending.reply(sycamoreloft_wire.PermitRefusal(permit, reason, 100))
 
-    def _give_back(self, permit: str, now: float) -> None:
+    def _return_unused(self, permit: str, now: float) -> None:
         self._handle(
             sycamoreloft_decisions.PermitReturned(permit, "did-not-run"), now
         )
--- a/packages/router/sycamoreloft_router/_group_runtime.py
+++ b/packages/router/sycamoreloft_router/_group_runtime.py
@@ -1,4 +1,4 @@
-"""Part of this host in the life of one group: performs its commands."""
+"""Runs one group on this host, as its holder, its standby or neither."""
 
 import asyncio
 from collections import abc
@@ -24,14 +24,14 @@
 _LOGGER = logging.getLogger(__name__)
 
 #: Time between two ticks, in seconds.
-TICK_S = 0.05
+TICK_INTERVAL_S = 0.05
 
-#: Ticks between two reports of observed keys.
+#: Number of ticks between two reports of request counts by key.
 KEY_REPORT_TICKS = 20
 
 
 class GroupRuntime:
-    """Runs one group holder machine with its permit desk and claim book."""
+    """Runs a group's state machine and, as its holder, permits and claims."""
 
     def __init__(
         self,
@@ -46,7 +46,7 @@
         self._pending = pending
         self._parked = _parked_requests.ParkedRequests()
         self._suspects = _suspect_record.SuspectRecord()
-        self._starts = 0
+        self._task_count = 0
         self._machine = self._make_machine()
         self._calls = _group_calls.GroupCalls(
             environment, group, self._feed, self._observe_grant
@@ -61,10 +61,10 @@
 
         A new incarnation marks rows of earlier runs as another process's.
         """
-        self._starts += 1
+        self._task_count += 1
         machine = sycamoreloft_decisions.GroupHolder(
             self._environment.host,
-            f"{self._environment.incarnation}.{self._starts}",
+            f"{self._environment.incarnation}.{self._task_count}",
             self.group,
             self._accepted,
             time.monotonic(),
@@ -78,27 +78,27 @@
         return machine
 
     async def run(self) -> None:
-        """Ticks until it is cancelled or fails; starts afresh each time."""
+        """Ticks a new state machine until the task is cancelled or fails."""
         self._machine = self._make_machine()
         try:
             while True:
                 self._tick()
-                await asyncio.sleep(TICK_S)
+                await asyncio.sleep(TICK_INTERVAL_S)
         finally:
             for task in list(self._tasks):
                 task.cancel()
-            self._close("task ended")
+            self._stop_holding("task ended")
 
     def _tick(self) -> None:
         self._ticks += 1
         self._feed(self._environment.directory.observe_members(self.group))
         self._feed(sycamoreloft_decisions.Tick())
-        self._parked.retry(self._is_unsettled, self._ask_now)
+        self._parked.retry(self._is_undecided, self._process_request)
         if self._permits is not None:
             self._environment.aliases.tick(self.group.fleet)
             self._permits.tick()
             if self._ticks % KEY_REPORT_TICKS == 0:
-                for observed in self._permits.take_observed_keys():
+                for observed in self._permits.pop_observed_keys():
                     self._feed(observed)
         if self._claims is not None:
             self._claims.tick()
@@ -110,7 +110,7 @@
 
     @property
     def permits(self) -> _group_permits.GroupPermits | None:
-        """The permit desk, None unless this host holds the group."""
+        """Permit issuer of the group, None unless this host holds the group."""
         return self._permits
 
     def change_generation(
@@ -118,20 +118,20 @@
         accepted: sycamoreloft_config.Generation,
         pending: sycamoreloft_config.Generation | None,
     ) -> None:
-        """Applies another accepted or pending generation."""
-        has_other_groups = _generation_checks.changes_groups(
+        """Applies a new accepted or pending generation."""
+        groups_changed = _generation_checks.changes_groups(
             self._accepted, accepted, self.group.fleet
         )
         self._accepted, self._pending = accepted, pending
         fleet = accepted.fleets.get(self.group.fleet)
         if fleet is not None and self._permits is not None:
-            self._permits.change_fleet(fleet)
-        if has_other_groups and self._claims is not None:
+            self._permits.apply_fleet(fleet)
+        if groups_changed and self._claims is not None:
             self._claims.reload()
         self._feed(sycamoreloft_decisions.GenerationChanged(accepted, pending))
 
     def request_stop(self) -> None:
-        """Hands the group over, or resigns as its standby."""
+        """Starts to hand the group over, or to resign as its standby."""
         self._feed(sycamoreloft_decisions.StopRequested())
 
     # Messages of other hosts.
@@ -141,17 +141,17 @@
         message: sycamoreloft_wire.PermitRequest,
         reply: _peer_server.Reply,
     ) -> None:
-        """Answers a permit request, perhaps later."""
-        waits = self._permits is not None and self._is_unsettled(message)
-        if not waits or not self._parked.add(message, reply):
-            self._ask_now(message, reply)
+        """Handles a permit request; `reply` may be called later."""
+        must_wait = self._permits is not None and self._is_undecided(message)
+        if not must_wait or not self._parked.add(message, reply):
+            self._process_request(message, reply)
 
-    def _ask_now(
+    def _process_request(
         self,
         message: sycamoreloft_wire.PermitRequest,
         reply: _peer_server.Reply,
     ) -> None:
-        """Passes a request to the permit desk, or refuses it."""
+        """Passes a request to the permit issuer, or refuses it."""
         reason, retry_after_ms = self._check_request(message)
         if reason or self._permits is None:
             reply(
@@ -160,17 +160,17 @@
                 )
             )
             return
-        self._permits.ask(message, reply)
+        self._permits.request_permit(message, reply)
 
     def _check_request(
         self, message: sycamoreloft_wire.PermitRequest
     ) -> tuple[str, int]:
-        """Returns why a request cannot be served now, and when to retry."""
+        """Returns why to refuse a request, or "", and the retry delay in ms."""
         if self._permits is None or not self._machine.may_act(time.monotonic()):
             return "no-holder", 50
         if message.generation < self._accepted.number:
             return "stale-generation", 0
-        if self._is_unsettled(message):
+        if self._is_undecided(message):
             return "configuration-pending", 100
         if not _generation_checks.is_well_formed(self._accepted, message):
             return "malformed-request", 0
@@ -180,8 +180,8 @@
             return "configuration-pending", 100
         return "", 0
 
-    def _is_unsettled(self, message: sycamoreloft_wire.PermitRequest) -> bool:
-        """Tells whether it is open which generation a request falls under."""
+    def _is_undecided(self, message: sycamoreloft_wire.PermitRequest) -> bool:
+        """Returns whether the generation that applies is not yet decided."""
         if message.generation > self._accepted.number:
             return True
         return self._pending is not None and not sycamoreloft_config.is_alike(
@@ -189,7 +189,7 @@
         )
 
     def return_permit(self, message: sycamoreloft_wire.PermitReturn) -> None:
-        """Takes a permit back."""
+        """Ends a permit or a request for one."""
         self._parked.discard(message.permit)
         if self._permits is not None:
             self._permits.return_permit(message)
@@ -199,7 +199,7 @@
         message: sycamoreloft_wire.PermitReport,
         reply: _peer_server.Reply,
     ) -> None:
-        """Renews the permits of a host; only a holder acknowledges."""
+        """Renews the permits of a host; only a holder answers."""
         if self._permits is not None:
             self._permits.report_permits(message, reply)
 
@@ -208,7 +208,7 @@
         message: sycamoreloft_wire.ClaimRequest,
         reply: _peer_server.Reply,
     ) -> None:
-        """Answers a claim request once the claim is durable."""
+        """Handles a claim request; answered once the claim is durable."""
         if self._claims is None or not self._machine.may_act(time.monotonic()):
             reply(sycamoreloft_wire.ClaimAnswer("unavailable"))
         elif message.generation < self._accepted.number:
@@ -221,14 +221,14 @@
         ):
             reply(sycamoreloft_wire.ClaimAnswer("unavailable"))
         else:
-            self._claims.ask(message, reply)
+            self._claims.handle_request(message, reply)
 
-    def report_claim_result(
+    def handle_claim_result(
         self, message: sycamoreloft_wire.ClaimResult
     ) -> None:
-        """Takes the result of a claimed attempt."""
+        """Records the result of a claimed attempt."""
         if self._claims is not None:
-            self._claims.report(message)
+            self._claims.handle_result(message)
 
     def handle_promise_request(
         self,
@@ -236,7 +236,7 @@
         message: sycamoreloft_wire.PromiseRequest,
         reply: _peer_server.Reply,
     ) -> None:
-        """Answers the holder's request for a promise."""
+        """Handles a request of the group's holder for a promise."""
         self._feed(
             sycamoreloft_decisions.PromiseRequested(
                 sender, message.epoch, message.duration_ms
@@ -249,7 +249,7 @@
         message: sycamoreloft_wire.StepDownRequest,
         reply: _peer_server.Reply,
     ) -> None:
-        """Answers a new holder."""
+        """Handles a request of a new holder that this host steps down."""
         self._feed(
             sycamoreloft_decisions.StepDownRequested(message.epoch), reply
         )
@@ -257,7 +257,7 @@
     def observe_suspects(
         self, message: sycamoreloft_wire.SuspectNotice
     ) -> None:
-        """Takes suspects of another group."""
+        """Records suspects that another group has reported."""
         self._suspects.add(message)
         if self._permits is not None:
             self._permits.observe_suspects(message)
@@ -267,7 +267,7 @@
     def explain_key(
         self, service: str, key: str, partition: int
     ) -> tuple[str, abc.Sequence[str]]:
-        """Returns the owner of a key, empty for none, and the reasons."""
+        """Returns the owner of a key, or "", and sentences that explain it."""
         owner = self._machine.find_owner(
             service, key, partition, time.monotonic()
         )
@@ -290,7 +290,7 @@
             state["claims"] = dict(self._claims.counts)
         return state
 
-    # Commands of the machine.
+    # Commands of the state machine.
 
     def _feed(
         self,
@@ -397,7 +397,7 @@
         reply: _peer_server.Reply | None,
     ) -> None:
         if self._permits is not None:
-            self._permits.hold_unit(command.unit)
+            self._permits.pause_unit(command.unit)
 
     @_perform.register
     def _(
@@ -406,7 +406,7 @@
         reply: _peer_server.Reply | None,
     ) -> None:
         if self._permits is not None:
-            self._permits.release_unit(command.unit)
+            self._permits.resume_unit(command.unit)
 
     @_perform.register
     def _(
@@ -414,7 +414,7 @@
         command: sycamoreloft_decisions.BecomeHolder,
         reply: _peer_server.Reply | None,
     ) -> None:
-        self._open(command.epoch)
+        self._become_holder(command.epoch)
 
     @_perform.register
     def _(
@@ -422,7 +422,7 @@
         command: sycamoreloft_decisions.StepDown,
         reply: _peer_server.Reply | None,
     ) -> None:
-        self._close(command.reason)
+        self._stop_holding(command.reason)
 
     @_perform.register
     def _(
@@ -446,12 +446,12 @@
         if self._permits is not None:
             self._permits.observe_grant(upstream, answer)
 
-    def _open(self, epoch: int) -> None:
+    def _become_holder(self, epoch: int) -> None:
         fleet = self._accepted.fleets[self.group.fleet]
         self._permits = _group_permits.GroupPermits(
             fleet,
             self.group,
-            self._environment.aliases.guard(fleet.name, self._machine),
+            self._environment.aliases.wrap_owners(fleet.name, self._machine),
             epoch == 1,
             self._share_suspects,
             lambda unit: self._feed(sycamoreloft_decisions.UnitDrained(unit)),
@@ -474,7 +474,7 @@
             epoch=epoch,
         )
 
-    def _close(self, reason: str) -> None:
+    def _stop_holding(self, reason: str) -> None:
         permits, self._permits = self._permits, None
         claims, self._claims = self._claims, None
         if permits is not None:
@@ -488,7 +488,7 @@
             )
         if claims is not None:
             claims.close()
-        self._parked.retry(lambda message: False, self._ask_now)
+        self._parked.retry(lambda message: False, self._process_request)
 
     def _share_suspects(
         self, command: sycamoreloft_decisions.ShareSuspects
--- a/packages/router/sycamoreloft_router/_group_tree.py
+++ b/packages/router/sycamoreloft_router/_group_tree.py
@@ -1,4 +1,4 @@
-"""The groups in which this host takes part, each a supervised task."""
+"""Supervision tree of the groups in which this host takes part."""
 
 from collections import abc
 import logging
@@ -11,12 +11,12 @@
 
 
 class GroupTree:
-    """Starts a runtime for each group of the host's failure domains.
+    """Runs each group of the host's failure domains as a supervised task.
 
     Args:
-        environment: What all groups share.
+        environment: Parts that all groups of the host share.
         failure_domains: Failure domain of this host by fleet name.
-        supervisor: Runs the groups' tasks.
+        supervisor: Runs the groups' tasks and restarts failed ones.
     """
 
     def __init__(
@@ -37,10 +37,10 @@
         accepted: sycamoreloft_config.Generation,
         pending: sycamoreloft_config.Generation | None,
     ) -> None:
-        """Starts groups that are new and tells the others of the change.
+        """Starts new groups and applies the generations to all groups.
 
-        A group that the accepted generation no longer has goes on, so that
-        its machine can transfer what it still records.
+        A group that the accepted generation no longer contains keeps running,
+        so that its state machine can move away the units it still records.
         """
         if self._stopping:
             return
@@ -50,11 +50,11 @@
                 continue
             for group in sycamoreloft_config.list_groups(fleet):
                 if group.failure_domain == domain:
-                    self._start(group, accepted, pending)
+                    self._start_group(group, accepted, pending)
         for runtime in self.runtimes.values():
             runtime.change_generation(accepted, pending)
 
-    def _start(
+    def _start_group(
         self,
         group: sycamoreloft_config.GroupName,
         accepted: sycamoreloft_config.Generation,
@@ -69,19 +69,19 @@
         self.runtimes[name] = runtime
         self._supervisor.start(
             _supervisor.ChildSpecification(
-                f"group {name}", runtime.run, lambda: self._give_up(name)
+                f"group {name}", runtime.run, lambda: self._drop_group(name)
             )
         )
 
-    def _give_up(self, name: str) -> None:
-        """Drops a group whose task keeps failing; another host takes it."""
+    def _drop_group(self, name: str) -> None:
+        """Drops a group whose task keeps failing; another host takes over."""
         self.runtimes.pop(name, None)
         _logs.log_event(
             _LOGGER, logging.ERROR, "group-task-given-up", group=name
         )
 
     def list_held(self) -> dict[str, int]:
-        """Returns the epochs of the groups that this host holds."""
+        """Returns the epoch of each group that this host holds, by name."""
         return {
             name: runtime.epoch
             for name, runtime in self.runtimes.items()
@@ -91,13 +91,13 @@
     def observe_suspects(
         self, message: sycamoreloft_wire.SuspectNotice
     ) -> None:
-        """Tells all groups of the fleet of suspects."""
+        """Passes suspects to all groups of their fleet on this host."""
         for runtime in self.runtimes.values():
             if runtime.group.fleet == message.fleet:
                 runtime.observe_suspects(message)
 
     def request_stop(self) -> None:
-        """Hands all groups over."""
+        """Starts to hand all groups over; no group is started any more."""
         self._stopping = True
         for runtime in self.runtimes.values():
             runtime.request_stop()
--- a/packages/router/sycamoreloft_router/_head_rows.py
+++ b/packages/router/sycamoreloft_router/_head_rows.py
@@ -1,4 +1,4 @@
-"""Encodes the row `config/head` as a JSON object."""
+"""Encodes and decodes the row `config/head` as a JSON object."""
 
 from collections import abc
 import dataclasses
@@ -8,7 +8,7 @@
 
 
 def encode_head(row: acceptance.HeadRow) -> dict[str, typing.Any]:
-    """Encodes the head row."""
+    """Returns the JSON object of a head row."""
     return {
         "accepted": dataclasses.asdict(row.accepted),
         "pending": dataclasses.asdict(row.pending) if row.pending else None,
@@ -17,7 +17,7 @@
 
 
 def decode_head(value: abc.Mapping[str, typing.Any]) -> acceptance.HeadRow:
-    """Decodes the head row."""
+    """Returns the head row that a JSON object encodes."""
     pending = value["pending"]
     return acceptance.HeadRow(
         accepted=_decode_entry(value["accepted"]),
--- a/packages/router/sycamoreloft_router/_holder_calls.py
+++ b/packages/router/sycamoreloft_router/_holder_calls.py
@@ -1,4 +1,4 @@
-"""Sends messages to the holder of a group, wherever it is."""
+"""Sends messages to group holders, on this host or on others."""
 
 import asyncio
 from collections import abc
@@ -10,23 +10,23 @@
 from sycamoreloft_router import _group_runtime, _peer_links, _peer_server
 import sycamoreloft_wire
 
-#: Error text of a call to a group whose holder is not known.
+#: Error text of a call to a group whose holder is unknown.
 NO_HOLDER = "no holder of the group is known"
 
 
 class HolderDirectory(typing.Protocol):
-    """Tells where groups are held."""
+    """Locations of group holders."""
 
     def find_holder_address(self, group: str) -> str | None:
         """Returns the peer address of a group's holder, None if unknown."""
 
 
 class HolderCalls:
-    """Calls holders: in this process directly, elsewhere by message.
+    """Calls group holders, directly if this host holds the group.
 
     Args:
         runtimes: Groups in which this host takes part, by name.
-        directory: Locations of groups.
+        directory: Locations of group holders.
         links: Connections to other hosts.
     """
 
@@ -39,18 +39,30 @@
         self._runtimes = runtimes
         self._directory = directory
         self._links = links
-        self._posts: set[asyncio.Task[bool]] = set()
+        self._post_tasks: set[asyncio.Task[bool]] = set()
 
-    def find_local(self, group: str) -> _group_runtime.GroupRuntime | None:
-        """Returns the group's runtime if this host holds the group."""
+    def get_local_runtime(
+        self, group: str
+    ) -> _group_runtime.GroupRuntime | None:
+        """Returns the group's runtime, None if this host does not hold it."""
         runtime = self._runtimes.get(group)
         return runtime if runtime is not None and runtime.epoch else None
 
     async def call(
         self, group: str, message: sycamoreloft_wire.Message, timeout_s: float
     ) -> sycamoreloft_wire.Message | _peer_links.PeerError:
-        """Sends a message to a group's holder and waits for the answer."""
-        runtime = self.find_local(group)
+        """Sends a message to a group's holder and waits for the answer.
+
+        Args:
+            group: The group as "fleet/domain/index".
+            message: Message to send.
+            timeout_s: Time to wait for the answer, in seconds.
+
+        Returns:
+            The answer, or an error that says whether the message may have
+            reached the holder.
+        """
+        runtime = self.get_local_runtime(group)
         if runtime is not None:
             return await self._call_local(runtime, message, timeout_s)
         address = self._directory.find_holder_address(group)
@@ -77,7 +89,7 @@
         deliver(message, runtime, reply)
         if future.done():
             return future.result()
-        timer = loop.call_later(timeout_s, _expire, future)
+        timer = loop.call_later(timeout_s, _fail_with_timeout, future)
         try:
             return await future
         except TimeoutError:
@@ -86,10 +98,13 @@
             timer.cancel()
 
     def post(self, group: str, message: sycamoreloft_wire.Message) -> None:
-        """Sends a message that has no answer to a group's holder."""
-        runtime = self.find_local(group)
+        """Sends a message to a group's holder without waiting for an answer.
+
+        The message is dropped if the holder is unknown or unreachable.
+        """
+        runtime = self.get_local_runtime(group)
         if runtime is not None:
-            deliver(message, runtime, _ignore)
+            deliver(message, runtime, _discard_answer)
             return
         address = self._directory.find_holder_address(group)
         if address is None or self._links.try_post(address, message):
@@ -97,17 +112,19 @@
         task = asyncio.get_running_loop().create_task(
             self._links.post(address, message)
         )
-        self._posts.add(task)
-        task.add_done_callback(self._posts.discard)
+        self._post_tasks.add(task)
+        task.add_done_callback(self._post_tasks.discard)
 
 
-def _expire(future: asyncio.Future[sycamoreloft_wire.Message]) -> None:
+def _fail_with_timeout(
+    future: asyncio.Future[sycamoreloft_wire.Message],
+) -> None:
     if not future.done():
         future.set_exception(TimeoutError())
 
 
-def _ignore(answer: sycamoreloft_wire.Message) -> None:
-    """Drops an answer that nobody waits for."""
+def _discard_answer(answer: sycamoreloft_wire.Message) -> None:
+    """Discards the answer to a posted message."""
 
 
 @functools.singledispatch
@@ -116,7 +133,11 @@
     runtime: _group_runtime.GroupRuntime,
     reply: _peer_server.Reply,
 ) -> None:
-    """Passes a message for a group's holder to the group's runtime."""
+    """Passes a message for a group's holder to the group's runtime.
+
+    Raises:
+        TypeError: The message is not one that hosts send to holders.
+    """
     raise TypeError(f"{type(message).__name__} is not for a group holder")
 
 
@@ -162,4 +183,4 @@
     runtime: _group_runtime.GroupRuntime,
     reply: _peer_server.Reply,
 ) -> None:
-    runtime.report_claim_result(message)
+    runtime.handle_claim_result(message)
--- a/packages/router/sycamoreloft_router/_host.py
+++ b/packages/router/sycamoreloft_router/_host.py
@@ -34,15 +34,16 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Time between two looks at the number of hosts, in seconds.
-SHARE_S = 5.0
+#: Time between two computations of this host's share of connections, in
+#: seconds.
+SHARE_INTERVAL_S = 5.0
 
-#: Time that a stop gives groups to be handed over, in seconds.
-HAND_OVER_S = 1.5
+#: Maximum time that a stop waits for groups to be handed over, in seconds.
+MAXIMUM_HAND_OVER_S = 1.5
 
 
 class Host:
-    """All parts of one router process.
+    """Builds, runs and stops all parts of one router process.
 
     Args:
         settings: Settings of the process.
@@ -86,7 +87,7 @@
         self._peer_server = _peer_server.PeerServer(
             identity, self, _tls.make_server_context(settings.peer_tls)
         )
-        self._configuration = _configuration.ConfigurationKeeper(
+        self._configuration = _configuration.ConfigurationManager(
             settings.host, self._store, self
         )
         self._directory = _directory.Directory(
@@ -112,15 +113,15 @@
         self._groups = _group_tree.GroupTree(
             environment, self._settings.failure_domains, self._supervisor
         )
-        self._directory.follow_groups(self._groups)
+        self._directory.set_groups(self._groups)
         self._calls = _holder_calls.HolderCalls(
             self._groups.runtimes, self._directory, self._links
         )
-        self._permits = _permit_source.HolderPermits(
+        self._permits = _permit_source.HolderPermitSource(
             self._settings.host, self._calls
         )
-        self._claims = _permit_source.HolderClaims(self._calls)
-        self._names = _names.RequestNames(
+        self._claims = _permit_source.HolderClaimSource(self._calls)
+        self._names = _names.NameResolver(
             self._configuration,
             self._directory,
             self._settings.failure_domains,
@@ -158,7 +159,8 @@
     ) -> None:
         """Passes a change of the generations to all parts."""
         self._names.apply_generation(accepted)
-        # Before the groups, so that none serves a merged service early.
+        # Precedes the groups, so that no group serves a merged service before
+        # its aliases are released.
         self._aliases.apply_generations(accepted, pending)
         self._groups.apply_generations(accepted, pending)
 
@@ -166,7 +168,7 @@
         """Serves until a stop is requested, then stops gracefully.
 
         Raises:
-            SupervisorFailed: A part that the process needs keeps failing.
+            SupervisorFailed: A task that the process needs keeps failing.
         """
         self._listen()
         self._start_tasks()
@@ -211,7 +213,7 @@
             self._supervisor.start(_supervisor.ChildSpecification(name, run))
 
     async def _share_connections(self) -> None:
-        """Follows the number of hosts until it is cancelled."""
+        """Adapts the connection limits to the number of hosts periodically."""
         while True:
             share = _connection_share.compute_share(
                 self._configuration.accepted, self._directory.count_hosts()
@@ -219,10 +221,14 @@
             self._caller_server.limit_connections(
                 share.connections, share.keeps_idle
             )
-            await asyncio.sleep(SHARE_S)
+            await asyncio.sleep(SHARE_INTERVAL_S)
 
     async def _stop(self) -> None:
-        """Stops: balancer first, then groups, then requests in flight."""
+        """Stops gracefully.
+
+        Waits until the load balancer has stopped sending callers, then hands
+        the groups over, then waits for the requests in flight.
+        """
         settings = self._settings
         deadline = time.monotonic() + settings.stop_bound_s
         self._ready = False
@@ -231,7 +237,7 @@
         await asyncio.sleep(settings.stop_announce_s)
         self._caller_server.stop_accepting()
         self._groups.request_stop()
-        hand_over_by = min(time.monotonic() + HAND_OVER_S, deadline)
+        hand_over_by = min(time.monotonic() + MAXIMUM_HAND_OVER_S, deadline)
         while self._groups.list_held() and time.monotonic() < hand_over_by:
             await asyncio.sleep(0.02)
         cut_off = await self._caller_server.drain(
@@ -256,7 +262,7 @@
             "ready": self._ready,
             "accepted_generation": self._configuration.accepted.number,
             "requests_in_flight": self._caller_server.count_requests(),
-            "permits_in_use": self._permits.count_uses(),
+            "permits_in_use": self._permits.count_permits(),
             "store_calls": dict(self._store.call_counts),
             "control_bytes": {
                 name: [traffic.sent, traffic.received]
@@ -290,17 +296,20 @@
         message: sycamoreloft_wire.Message,
         reply: _peer_server.Reply,
     ) -> None:
-        """Acts on a message of another host."""
-        self._act(message, sender, reply)
+        """Handles a message of another host; see `_peer_server`."""
+        self._dispatch(message, sender, reply)
 
     @functools.singledispatchmethod
-    def _act(
+    def _dispatch(
         self,
         message: sycamoreloft_wire.Message,
         sender: str,
         reply: _peer_server.Reply,
     ) -> None:
-        """Passes a message for a group holder to the group's runtime."""
+        """Passes a message for a group's holder to the group's runtime.
+
+        Refuses a request if this host does not take part in the group.
+        """
         group = getattr(message, "group", None)
         runtime = self._groups.runtimes.get(group or "")
         if runtime is not None:
@@ -312,16 +321,16 @@
         elif isinstance(message, sycamoreloft_wire.ClaimRequest):
             reply(sycamoreloft_wire.ClaimAnswer("unavailable"))
 
-    @_act.register
+    @_dispatch.register
     def _(
         self,
         message: sycamoreloft_wire.GossipDigest,
         sender: str,
         reply: _peer_server.Reply,
     ) -> None:
-        self._directory.take_digest(message)
+        self._directory.merge_digest(message)
 
-    @_act.register
+    @_dispatch.register
     def _(
         self,
         message: sycamoreloft_wire.MembersRequest,
@@ -330,7 +339,7 @@
     ) -> None:
         reply(self._directory.build_full_digest())
 
-    @_act.register
+    @_dispatch.register
     def _(
         self,
         message: sycamoreloft_wire.GenerationRequest,
@@ -346,7 +355,7 @@
             )
         )
 
-    @_act.register
+    @_dispatch.register
     def _(
         self,
         message: sycamoreloft_wire.PromiseRequest,
@@ -357,7 +366,7 @@
         if runtime is not None:
             runtime.handle_promise_request(sender, message, reply)
 
-    @_act.register
+    @_dispatch.register
     def _(
         self,
         message: sycamoreloft_wire.StepDownRequest,
@@ -368,7 +377,7 @@
         if runtime is not None:
             runtime.handle_step_down_request(message, reply)
 
-    @_act.register
+    @_dispatch.register
     def _(
         self,
         message: sycamoreloft_wire.SuspectNotice,
--- a/packages/router/sycamoreloft_router/_names.py
+++ b/packages/router/sycamoreloft_router/_names.py
@@ -1,4 +1,4 @@
-"""Names and locations for the request path."""
+"""Resolution of services and look-up of groups for the request path."""
 
 import asyncio
 from collections import abc
@@ -10,32 +10,32 @@
 import sycamoreloft_decisions
 from sycamoreloft_router import _configuration
 
-#: Longest wait for a newer generation, in seconds.
-REFRESH_S = 1.0
+#: Maximum time to wait for a newer generation, in seconds.
+REFRESH_TIMEOUT_S = 1.0
 
-#: Time between two looks at the generation, in seconds.
-LOOK_S = 0.02
+#: Delay between two attempts to fetch a newer generation, in seconds.
+FETCH_RETRY_DELAY_S = 0.02
 
 
 class GenerationFetcher(typing.Protocol):
-    """Fetches newer files from other hosts."""
+    """Fetches newer generations from other hosts."""
 
     async def fetch_generation(self) -> None:
-        """Asks a host that has a newer generation for its files."""
+        """Fetches the files of a newer generation from a host that has it."""
 
 
-class RequestNames:
-    """Implements the name and group sources of the request path.
+class NameResolver:
+    """Implements `NameSource` and `GroupSource` of the request path.
 
     Args:
-        configuration: The generation in force.
-        fetcher: Fetches newer files.
+        configuration: Generations that this host applies.
+        fetcher: Fetches newer generations from other hosts.
         failure_domains: Failure domain of this host by fleet name.
     """
 
     def __init__(
         self,
-        configuration: _configuration.ConfigurationKeeper,
+        configuration: _configuration.ConfigurationManager,
         fetcher: GenerationFetcher,
         failure_domains: abc.Mapping[str, str],
     ) -> None:
@@ -50,13 +50,13 @@
 
     @property
     def generation(self) -> sycamoreloft_config.Generation:
-        """The accepted generation that this host applies."""
+        """Accepted generation that this host applies."""
         return self._configuration.accepted
 
     def apply_generation(
         self, generation: sycamoreloft_config.Generation
     ) -> None:
-        """Recomputes locations for another accepted generation."""
+        """Recomputes the groups of all services for a new generation."""
         self._directory = sycamoreloft_decisions.PartitionDirectory(generation)
         self._near, self._far = {}, {}
         for fleet in generation.fleets.values():
@@ -78,31 +78,34 @@
     ) -> result.Result[
         sycamoreloft_config.ServiceReference, sycamoreloft_config.NameProblem
     ]:
-        """Finds the service that a request names."""
+        """Resolves the fleet and service that a request names."""
         return sycamoreloft_config.resolve_service(
             self.generation, fleet, service
         )
 
     async def refresh_generation(self, known: int) -> None:
-        """Waits until this host applies a generation newer than `known`."""
+        """Waits until this host applies a generation newer than `known`.
+
+        Returns after `REFRESH_TIMEOUT_S` even if there is no newer generation.
+        """
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + REFRESH_S
+        deadline = loop.time() + REFRESH_TIMEOUT_S
         while self.generation.number <= known and loop.time() < deadline:
             await self._fetcher.fetch_generation()
             if self.generation.number <= known:
-                await asyncio.sleep(LOOK_S)
+                await asyncio.sleep(FETCH_RETRY_DELAY_S)
 
     def compute_partition_group(
         self, fleet: str, service: str, partition: int
     ) -> str | None:
-        """Returns the group that a partition is assigned to."""
+        """Returns the group of a partition, None if it is unknown."""
         group = self._directory.get_group(fleet, service, partition)
         return str(group) if group else None
 
     def list_near_groups(self, fleet: str, service: str) -> abc.Sequence[str]:
-        """Lists the groups of the own domain that have upstreams."""
+        """Lists groups with upstreams in this host's failure domain."""
         return self._near.get((fleet, service), ())
 
     def list_far_groups(self, fleet: str, service: str) -> abc.Sequence[str]:
-        """Lists the groups of other domains that have upstreams."""
+        """Lists groups with upstreams in other failure domains."""
         return self._far.get((fleet, service), ())
--- a/packages/router/sycamoreloft_router/_peer_links.py
+++ b/packages/router/sycamoreloft_router/_peer_links.py
@@ -16,24 +16,25 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Time for connecting and the handshake, in seconds.
+#: Timeout of a connection attempt, handshake included, in seconds.
 CONNECT_TIMEOUT_S = 1.0
 
-#: Delay after a failed connection, in seconds; it doubles each time.
-FIRST_BACKOFF_S = 0.05
+#: Delay after the first failed connection attempt, in seconds. It doubles with
+#: each further failure.
+INITIAL_BACKOFF_S = 0.05
 
-#: Longest delay between two connections, in seconds.
-LONGEST_BACKOFF_S = 1.0
+#: Maximum delay between two connection attempts, in seconds.
+MAXIMUM_BACKOFF_S = 1.0
 
-#: Bytes read at once.
-READ_BYTES = 65_536
+#: Maximum number of bytes that one read returns.
+MAXIMUM_READ_BYTES = 65_536
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerError:
-    """A call to another host failed."""
+    """Why a call to another host failed."""
 
-    #: What happened.
+    #: Description of the failure, for logs.
     text: str
     #: Whether the message may have reached the other host.
     sent: bool
@@ -44,18 +45,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerIdentity:
-    """How a host presents itself to other hosts."""
+    """Name and keys with which a host authenticates to other hosts."""
 
-    #: Name of the host.
+    #: Name of this host, which other hosts take as the sender of its messages.
     host: str
-    #: Keys; the first one that both sides have is used.
+    #: Keys that this host knows; the first one that both hosts know is used.
     keys: abc.Sequence[sycamoreloft_wire.SharedKey]
-    #: TLS settings for outgoing connections, or none for plain TCP.
+    #: TLS settings of outgoing connections, None for plain TCP.
     client_tls: ssl.SSLContext | None = None
 
 
 class _Link:
-    """One connection to one address, opened when it is needed."""
+    """Connection to one address, opened on demand and again after a loss."""
 
     def __init__(
         self, address: str, identity: PeerIdentity, traffic: _traffic.Traffic
@@ -71,15 +72,20 @@
             asyncio.Future[result.Result[sycamoreloft_wire.Message, PeerError]],
         ] = {}
         self._correlation = 0
-        self._backoff = FIRST_BACKOFF_S
-        self._closed_until = 0.0
-        self._is_lost = False
+        self._backoff = INITIAL_BACKOFF_S
+        self._retry_at = 0.0
+        self._is_failing = False
 
     async def open(self) -> bool:
-        """Opens the connection unless it is open; tells whether it is."""
+        """Opens the connection unless it is open already.
+
+        Returns:
+            Whether the connection is open; False also during the delay after
+            a failed attempt.
+        """
         if self._stream is not None:
             return True
-        if time.monotonic() < self._closed_until:
+        if time.monotonic() < self._retry_at:
             return False
         if self._opening is None:
             self._opening = asyncio.get_running_loop().create_task(
@@ -106,24 +112,24 @@
         ) as error:
             if stream is not None:
                 stream.close()
-            self._closed_until = time.monotonic() + self._backoff
-            self._backoff = min(self._backoff * 2, LONGEST_BACKOFF_S)
-            self._note_loss(str(error))
+            self._retry_at = time.monotonic() + self._backoff
+            self._backoff = min(self._backoff * 2, MAXIMUM_BACKOFF_S)
+            self._log_first_failure(str(error))
             return False
         finally:
             self._opening = None
-        self._backoff = FIRST_BACKOFF_S
-        self._note_return()
+        self._backoff = INITIAL_BACKOFF_S
+        self._log_recovery()
         self._stream = stream
         self._reader = asyncio.get_running_loop().create_task(
             self._read(stream)
         )
         return True
 
-    def _note_loss(self, error: str) -> None:
-        """Logs the first of the failures in a row."""
-        if not self._is_lost:
-            self._is_lost = True
+    def _log_first_failure(self, error: str) -> None:
+        """Logs the first of several consecutive failures."""
+        if not self._is_failing:
+            self._is_failing = True
             _logs.log_event(
                 _LOGGER,
                 logging.INFO,
@@ -132,9 +138,9 @@
                 error=error,
             )
 
-    def _note_return(self) -> None:
-        if self._is_lost:
-            self._is_lost = False
+    def _log_recovery(self) -> None:
+        if self._is_failing:
+            self._is_failing = False
             _logs.log_event(
                 _LOGGER, logging.INFO, "peer-regained", peer=self._address
             )
@@ -162,10 +168,10 @@
         text = "the peer closed the connection"
         try:
             while True:
-                data = await stream.read_bytes(READ_BYTES, partial=True)
+                data = await stream.read_bytes(MAXIMUM_READ_BYTES, partial=True)
                 self._traffic.received += len(data)
                 for frame in decoder.feed(data):
-                    self._settle(frame)
+                    self._resolve_call(frame)
         except iostream.StreamClosedError:
             pass
         except sycamoreloft_wire.FrameTooLong as error:
@@ -173,7 +179,7 @@
         finally:
             self.close(text)
 
-    def _settle(self, frame: bytes) -> None:
+    def _resolve_call(self, frame: bytes) -> None:
         envelope = sycamoreloft_wire.decode_message(frame).value_or(None)
         if envelope is None:
             return
@@ -182,7 +188,11 @@
             future.set_result(result.Success(envelope.message))
 
     def close(self, text: str) -> None:
-        """Closes the connection; calls that wait for answers fail."""
+        """Closes the connection and fails the calls that wait for answers.
+
+        Args:
+            text: Description of the reason, for the errors of these calls.
+        """
         if self._stream is not None:
             self._stream.close()
             self._stream = None
@@ -192,7 +202,11 @@
                 future.set_result(result.Failure(PeerError(text, sent=True)))
 
     def post(self, message: sycamoreloft_wire.Message) -> bool:
-        """Sends a message that has no answer; tells whether it was sent."""
+        """Sends a message without an answer if the connection is open.
+
+        Returns:
+            Whether the message was sent.
+        """
         if self._stream is None:
             return False
         self._write(0, message)
@@ -228,15 +242,17 @@
         except iostream.StreamClosedError:
             self._calls.pop(correlation, None)
             return result.Failure(PeerError("connection closed", sent=False))
-        left = max(timeout_s - (time.monotonic() - started), 0.0)
-        timer = loop.call_later(left, self._expire, correlation)
+        remaining_s = max(timeout_s - (time.monotonic() - started), 0.0)
+        timer = loop.call_later(
+            remaining_s, self._fail_with_timeout, correlation
+        )
         try:
             return await future
         finally:
             timer.cancel()
             self._calls.pop(correlation, None)
 
-    def _expire(self, correlation: int) -> None:
+    def _fail_with_timeout(self, correlation: int) -> None:
         future = self._calls.pop(correlation, None)
         if future is not None and not future.done():
             future.set_result(
@@ -247,7 +263,11 @@
 
 
 class PeerLinks:
-    """Connections to other hosts by address."""
+    """Connections to other hosts, one for each address.
+
+    Args:
+        identity: Name and keys of this host.
+    """
 
     def __init__(self, identity: PeerIdentity) -> None:
         self._identity = identity
@@ -255,7 +275,7 @@
         #: Bytes of messages sent and answers received.
         self.traffic = _traffic.Traffic()
 
-    def _find(self, address: str) -> _Link:
+    def _get_link(self, address: str) -> _Link:
         link = self._links.get(address)
         if link is None:
             link = self._links[address] = _Link(
@@ -273,18 +293,22 @@
 
         Args:
             address: Peer address of the host, as "ip:port".
-            message: The message.
-            timeout_s: Time to wait in seconds, connecting included.
+            message: Message to send.
+            timeout_s: Timeout in seconds, connecting included.
 
         Returns:
-            The answer, or why there is none.
+            The answer, or why the call failed.
         """
-        return await self._find(address).call(message, timeout_s)
+        return await self._get_link(address).call(message, timeout_s)
 
     def try_post(
         self, address: str, message: sycamoreloft_wire.Message
     ) -> bool:
-        """Sends a message if the connection is open; tells whether it was."""
+        """Sends a message without an answer if the connection is open.
+
+        Returns:
+            Whether the message was sent.
+        """
         link = self._links.get(address)
         try:
             return link is not None and link.post(message)
@@ -294,8 +318,12 @@
     async def post(
         self, address: str, message: sycamoreloft_wire.Message
     ) -> bool:
-        """Sends a message that has no answer; tells whether it was sent."""
-        link = self._find(address)
+        """Sends a message without an answer; opens the connection if needed.
+
+        Returns:
+            Whether the message was sent.
+        """
+        link = self._get_link(address)
         if not await link.open():
             return False
         try:
@@ -303,7 +331,7 @@
         except iostream.StreamClosedError:
             return False
 
-    def forget(self, address: str) -> None:
+    def close_link(self, address: str) -> None:
         """Closes the connection to a host that has left."""
         link = self._links.pop(address, None)
         if link is not None:
@@ -312,7 +340,7 @@
     def close(self) -> None:
         """Closes all connections."""
         for address in list(self._links):
-            self.forget(address)
+            self.close_link(address)
 
 
 async def write_frame(stream: iostream.IOStream, content: bytes) -> None:
@@ -321,7 +349,11 @@
 
 
 async def read_frame(stream: iostream.IOStream) -> bytes:
-    """Reads one frame of the handshake, at most 4 KiB long."""
+    """Reads one frame of the handshake.
+
+    Raises:
+        FrameTooLong: The frame is longer than 4 KiB.
+    """
     length = int.from_bytes(await stream.read_bytes(4), "big")
     if length > 4096:
         raise sycamoreloft_wire.FrameTooLong("handshake frame is too long")
--- a/packages/router/sycamoreloft_router/_peer_server.py
+++ b/packages/router/sycamoreloft_router/_peer_server.py
@@ -15,14 +15,14 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Time for the handshake, in seconds.
+#: Timeout of the handshake of an accepted connection, in seconds.
 HANDSHAKE_TIMEOUT_S = 2.0
 
 Reply = abc.Callable[[sycamoreloft_wire.Message], None]
 
 
 class MessageHandler(typing.Protocol):
-    """Acts on messages of other hosts."""
+    """Handles messages of other hosts."""
 
     def handle_message(
         self,
@@ -30,11 +30,24 @@
         message: sycamoreloft_wire.Message,
         reply: Reply,
     ) -> None:
-        """Acts on a message; `reply` may be called later, at most once."""
+        """Handles a message of another host.
+
+        Args:
+            sender: Name of the host that sent the message.
+            message: The message.
+            reply: Sends the answer. It may be called at most once, also after
+                this method has returned.
+        """
 
 
 class PeerServer(tcpserver.TCPServer):
-    """Accepts connections of hosts that prove a shared key."""
+    """Accepts connections of hosts that prove knowledge of a shared key.
+
+    Args:
+        identity: Name and keys of this host.
+        handler: Handles the messages that other hosts send.
+        server_tls: TLS settings of accepted connections, None for plain TCP.
+    """
 
     def __init__(
         self,
@@ -116,7 +129,7 @@
         try:
             while True:
                 data = await stream.read_bytes(
-                    _peer_links.READ_BYTES, partial=True
+                    _peer_links.MAXIMUM_READ_BYTES, partial=True
                 )
                 self.traffic.received += len(data)
                 for frame in decoder.feed(data):
@@ -130,7 +143,11 @@
     def _dispatch(
         self, stream: iostream.IOStream, sender: str, frame: bytes
     ) -> bool:
-        """Passes one message on; tells whether the connection is usable."""
+        """Decodes one message and passes it to the handler.
+
+        Returns:
+            Whether the connection is still usable.
+        """
         envelope = sycamoreloft_wire.decode_message(frame)
         if not pipeline.is_successful(envelope):
             _log_bad_frame(sender, str(envelope.failure()))
--- a/packages/router/sycamoreloft_router/_permit_ports.py
+++ b/packages/router/sycamoreloft_router/_permit_ports.py
@@ -1,6 +1,6 @@
-"""What the permit mode of the request path needs from the process.
+"""Interfaces through which the request path of the permit mode uses the host.
 
-All calls are made on the event loop of the process.
+All methods are called on the event loop of the process.
 """
 
 from collections import abc
@@ -17,7 +17,7 @@
 
     @property
     def generation(self) -> sycamoreloft_config.Generation:
-        """The accepted generation that this host applies."""
+        """Accepted generation that this host applies."""
 
     def resolve_service(
         self, fleet: str, service: str
@@ -25,24 +25,29 @@
         sycamoreloft_config.ServiceReference,
         sycamoreloft_config.NameProblem,
     ]:
-        """Finds the service that a request names.
+        """Resolves the fleet and service that a request names.
 
         Args:
             fleet: Name of the fleet, or empty if the request names none.
             service: Name of the service.
+
+        Returns:
+            The fleet and service after aliases are resolved, or why the names
+            are not valid.
         """
 
     async def refresh_generation(self, known: int) -> None:
-        """Fetches newer files after a holder answered `stale-generation`.
+        """Fetches a newer generation after a holder refused `stale-generation`.
+
+        Returns at once if this host already applies a newer generation.
 
         Args:
-            known: Number of the generation that the holder refused. Returns
-                at once if the host already applies a newer one.
+            known: Number of the generation that the holder refused.
         """
 
 
 class GroupSource(typing.Protocol):
-    """Which groups can serve a request, and how far away they are."""
+    """Groups that can serve a request, by failure domain."""
 
     def compute_partition_group(
         self, fleet: str, service: str, partition: int
@@ -50,70 +55,71 @@
         """Returns the group that a partition is assigned to.
 
         Returns:
-            The group as "fleet/domain/index", or None if no assignment of
-            the partition is known.
+            The group as "fleet/domain/index", or None if no group is known
+            for the partition.
         """
 
     def list_near_groups(self, fleet: str, service: str) -> abc.Sequence[str]:
-        """Lists the groups of the own failure domain that have upstreams."""
+        """Lists groups with upstreams in this host's failure domain."""
 
     def list_far_groups(self, fleet: str, service: str) -> abc.Sequence[str]:
-        """Lists the groups of other failure domains that have upstreams."""
+        """Lists groups with upstreams in other failure domains."""
 
 
 class PermitSource(typing.Protocol):
-    """Asks the holders of groups for permits."""
+    """Obtains permits from group holders and returns them."""
 
     async def request_permit(
         self, request: sycamoreloft_wire.PermitRequest
     ) -> sycamoreloft_wire.PermitGrant | sycamoreloft_wire.PermitRefusal:
-        """Asks the holder of `request.group` for a permit.
+        """Requests a permit from the holder of `request.group`.
 
-        Waits for a holder that is being replaced, within
-        `request.remaining_ms`. The call may be cancelled; a grant that
-        arrives afterwards must be returned as did-not-run by the source.
+        While the holder is being replaced, waits for the new one for up to
+        `request.remaining_ms`. If the call is cancelled, the source returns a
+        permit that arrives later as did-not-run.
 
         Returns:
-            The grant, or a refusal. Reason "stale-generation" makes the
-            caller refresh its generation; "no-holder", "not-owner",
-            "holder-lost" and "configuration-pending" may pass within the
-            deadline.
+            The grant, or a refusal. After "stale-generation" the request path
+            fetches a newer generation; "no-holder", "not-owner",
+            "holder-lost" and "configuration-pending" may end within the
+            deadline of the request.
         """
 
     def watch_permit(
         self, group: str, permit: str, on_lost: abc.Callable[[], None]
     ) -> None:
-        """Calls a function once if the upstream of a permit is lost.
+        """Registers a function to call if the upstream of a permit is lost.
 
         Args:
-            group: Group that gave the permit.
+            group: Group whose holder issued the permit.
             permit: Identifier of the permit.
-            on_lost: Called on the event loop; not after the permit was
-                returned.
+            on_lost: Called on the event loop at most once, and not after the
+                permit was returned.
         """
 
     def return_permit(self, returned: sycamoreloft_wire.PermitReturn) -> None:
-        """Returns a permit to its holder; queues the message at once."""
+        """Sends a permit back to its holder without waiting."""
 
 
 class ClaimSource(typing.Protocol):
-    """Asks claim holders for claims of operations that run at most once."""
+    """Obtains claims for operations that must run at most once."""
 
     async def request_claim(
         self, request: sycamoreloft_wire.ClaimRequest
     ) -> sycamoreloft_wire.ClaimAnswer:
-        """Asks the claim holder of `request.group` for a claim.
+        """Requests a claim from the holder of `request.group`.
 
         Returns:
-            The answer; verdict "unavailable" if none came within 1 s.
+            The answer; its verdict is "unavailable" if the holder did not
+            answer within 1 s.
         """
 
     def report_result(
         self, claim_result: sycamoreloft_wire.ClaimResult
     ) -> None:
-        """Reports what became of an attempt; queues the message at once.
+        """Sends the result of an attempt to its claim holder without waiting.
 
-        Outcome "did-not-run" abandons the claim. It is also reported for an
-        attempt whose claim was not answered, since the claim may have become
-        durable all the same.
+        Outcome "did-not-run" releases the claim. It is also reported for an
+        attempt whose claim request was not answered, because the claim may
+        have become durable nevertheless.
         """
--- a/packages/router/sycamoreloft_router/_permit_server.py
+++ b/packages/router/sycamoreloft_router/_permit_server.py
@@ -1,4 +1,4 @@
-"""The server for callers in the permit mode."""
+"""Composition of the server for callers in the permit mode."""
 
 import asyncio
 import random
@@ -25,21 +25,22 @@
     limits: _caller_server.CallerLimits | None = None,
     metrics: _metrics.Metrics | None = None,
 ) -> _caller_server.CallerServer:
-    """Creates a server whose requests need a permit of a group's holder.
+    """Creates a server that obtains a permit for each attempt of a request.
 
     Args:
-        host: Name of this host.
-        incarnation: Random identifier of this process.
-        names: The generation in force.
-        groups: Location of partitions and groups.
-        permits: Source of permits.
-        claims: Source of claims.
-        limits: Bounds.
-        metrics: Metrics of the process.
+        host: Name of this host, which permit requests carry.
+        incarnation: Random identifier of this process; part of the
+            identifiers of attempts.
+        names: The generation in force and the names that it defines.
+        groups: Groups that serve partitions and unkeyed services.
+        permits: Obtains permits from group holders.
+        claims: Obtains claims from group holders.
+        limits: Limits on callers and connections; None for the defaults.
+        metrics: Metrics of the process; None for metrics of the server alone.
     """
     limits = limits or _caller_server.CallerLimits()
     generator = random.Random()
-    services = _attempts.Services(
+    services = _attempts.SharedServices(
         host,
         incarnation,
         names,
--- a/packages/router/sycamoreloft_router/_request_path.py
+++ b/packages/router/sycamoreloft_router/_request_path.py
@@ -1,4 +1,4 @@
-"""The path of one request: attempts, retries and the router's own answers."""
+"""Serves one request: attempts, retries and the router's own answers."""
 
 import asyncio
 from collections import abc
@@ -24,11 +24,12 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Newer generations that are fetched for one request. A holder asks for one
-#: only while files are being accepted.
+#: Maximum number of newer generations that are fetched for one request. A
+#: holder refuses an older generation only while a new one is being accepted.
 MAXIMUM_REFRESHES = 3
 
-#: Remedies of the router's own answers by reason.
+#: Remedies in the router's own answers, by reason. Other reasons have a remedy
+#: that depends on the outcome.
 _REMEDIES = {
     "quarantined": "this request is suspected of crashing upstreams; change"
     " it, or ask the operator to look at the quarantine",
@@ -42,8 +43,8 @@
     "no-group": "the operator has to add upstreams of the service to a file",
 }
 
-#: Events of an attempt by the reason to stop its request.
-_EVENTS: abc.Mapping[
+#: Event that stops an attempt, by the reason to stop its request.
+_STOP_EVENTS: abc.Mapping[
     _exchange.StopReason, sycamoreloft_decisions.AttemptEvent
 ] = {
     _exchange.StopReason.DEADLINE_PASSED: (
@@ -63,33 +64,33 @@
 
 
 class RequestPath:
-    """What the requests of one process share.
+    """Creates the executions of requests and holds what they share.
 
     Args:
-        services: Shared parts of the process.
-        parser: Parses requests.
-        chooser: Chooses groups.
+        services: Parts of the process that all requests share.
+        parser: Parses and resolves requests.
+        chooser: Chooses the group for each attempt.
         generator: Source of the jitter of retries.
     """
 
     def __init__(
         self,
-        services: _attempts.Services,
+        services: _attempts.SharedServices,
         parser: _caller_requests.RequestParser,
         chooser: _group_choice.GroupChooser,
         generator: random.Random,
     ) -> None:
-        #: Shared parts of the process.
+        #: Parts of the process that all requests share.
         self.services = services
-        #: Parses requests.
+        #: Parses requests and resolves their names.
         self.parser = parser
-        #: Chooses groups.
+        #: Chooses the group for each attempt.
         self.chooser = chooser
         #: Source of the jitter of retries.
         self.generator = generator
-        #: Retries that are allowed.
+        #: Limits the retries of all requests together.
         self.budget = sycamoreloft_direct.RetryBudget()
-        #: Metrics of the process.
+        #: Metrics that the process exports.
         self.metrics = services.metrics
 
     def create_execution(
@@ -100,7 +101,7 @@
         sink: _exchange.AnswerSink,
     ) -> "RequestExecution":
         """Creates the run of a request; see `_exchange.RequestPath`."""
-        given = _attempts.AttemptInput(
+        attempt_input = _attempts.AttemptInput(
             request,
             received.body,
             received.length,
@@ -110,63 +111,64 @@
             received.deadline,
             sink,
         )
-        return RequestExecution(self, given, fields)
+        return RequestExecution(self, attempt_input, fields)
 
 
 class RequestExecution:
-    """Runs one request of a caller.
+    """Executes one request of a caller.
 
     Args:
-        path: What all requests share.
-        given: The request as every attempt needs it.
-        fields: Headers of the caller, to resolve the names again.
+        path: Parts that all requests share.
+        given: The request with its body and deadline.
+        fields: Headers of the caller, to resolve the names again in a newer
+            generation.
     """
 
     __slots__ = (
         "_attempt",
         "_fields",
-        "_given",
+        "_input",
         "_loop",
         "_may_have_run",
         "_path",
-        "_refreshes",
+        "_refresh_count",
         "_refused_groups",
         "_stop_event",
         "_task",
-        "_tries",
+        "_attempt_count",
     )
 
     def __init__(
         self,
         path: RequestPath,
-        given: _attempts.AttemptInput,
+        attempt_input: _attempts.AttemptInput,
         fields: _headers.RequestFields,
     ) -> None:
         self._path = path
-        self._given = given
+        self._input = attempt_input
         self._fields = fields
         self._loop = path.services.loop
-        self._attempt: _attempts.AttemptRun | None = None
+        self._attempt: _attempts.AttemptExecution | None = None
         self._may_have_run = False
-        self._refreshes = 0
+        self._refresh_count = 0
         self._refused_groups: set[str] = set()
         self._stop_event: sycamoreloft_decisions.AttemptEvent | None = None
         self._task: asyncio.Task[None] | None = None
-        self._tries = 0
+        self._attempt_count = 0
 
     def stop(self, reason: _exchange.StopReason) -> None:
-        """Stops the request because of its deadline or its caller.
+        """Stops the request because its deadline passed or its caller is gone.
 
-        An operation that runs at most once is not cancelled for a caller
-        that is gone once it was sent: its true outcome answers a later
-        request with the same id.
+        An at-most-once operation that was sent to an upstream continues when
+        the caller is gone, because its outcome answers later requests with
+        the same id.
         """
         if self._stop_event is not None:
             return
-        event = _EVENTS[reason]
+        event = _STOP_EVENTS[reason]
         if (
             isinstance(event, sycamoreloft_decisions.CallerGone)
-            and self._given.request.operation.at_most_once
+            and self._input.request.operation.at_most_once
             and self._attempt is not None
             and self._attempt.is_sent
         ):
@@ -181,14 +183,14 @@
         """Runs the attempts.
 
         Returns:
-            None if an upstream's answer was passed on or cut, else the
-            router's own answer.
+            The router's own answer, or None if an upstream's answer was
+            forwarded, completely or in part.
         """
         self._task = asyncio.current_task()
         now = self._loop.time()
         self._path.budget.record_request(now)
         if self._stop_event is not None:
-            # The event came before the task ran for the first time.
+            # `stop` was called before the task ran for the first time.
             return _answers.Refusal(
                 504, "stopped", "the request was stopped", _DID_NOT_RUN_REMEDY
             )
@@ -201,27 +203,27 @@
             if self._stop_event is not None:
                 return self._refuse(attempt, decision)
             if decision.reason == "stale-generation":
-                problem = await self._refresh()
+                problem = await self._refresh_generation()
                 if problem is not None:
                     return problem
                 if self._stop_event is None:
                     continue
             delay = self._choose_delay(attempt, decision)
-            if delay is None or not await self._sleep(delay):
+            if delay is None or not await self._wait(delay):
                 return self._refuse(attempt, decision)
 
     async def _run_attempt(
         self,
-    ) -> tuple[_attempts.AttemptRun, sycamoreloft_decisions.Decision]:
+    ) -> tuple[_attempts.AttemptExecution, sycamoreloft_decisions.Decision]:
         path = self._path
-        group = path.chooser.choose(self._given.request, self._refused_groups)
-        attempt = _attempts.AttemptRun(path.services, self._given, group)
+        group = path.chooser.choose(self._input.request, self._refused_groups)
+        attempt = _attempts.AttemptExecution(path.services, self._input, group)
         self._attempt = attempt
-        self._tries += 1
+        self._attempt_count += 1
         started_at = self._loop.time()
         decision = await attempt.perform()
         if group is not None:
-            path.chooser.observe(group, self._loop.time() - started_at)
+            path.chooser.record_duration(group, self._loop.time() - started_at)
             if attempt.refusal is not None:
                 self._refused_groups.add(group)
         if attempt.failure is not None:
@@ -234,7 +236,7 @@
         group: str | None,
         decision: sycamoreloft_decisions.Decision,
     ) -> None:
-        reference = self._given.request.reference
+        reference = self._input.request.reference
         _logs.log_event(
             _LOGGER,
             logging.WARNING,
@@ -249,26 +251,29 @@
 
     def _choose_delay(
         self,
-        attempt: _attempts.AttemptRun,
+        attempt: _attempts.AttemptExecution,
         decision: sycamoreloft_decisions.Decision,
     ) -> float | None:
-        """Returns the wait before the next attempt, None for no attempt."""
+        """Returns the delay before the next attempt, None for no attempt.
+
+        The delay is in seconds.
+        """
         if not self._is_replayable():
             return None
         now = self._loop.time()
         if (
             attempt.refusal is not None
-            and not self._given.request.service.keyed
-            and self._tries == 1
+            and not self._input.request.service.keyed
+            and self._attempt_count == 1
             and decision.reason != "quarantined"
         ):
-            # Another group may have a free slot. Asking it for a permit
-            # sends no work anywhere, so that it needs no retry budget.
+            # Another group may have a free slot. A permit request puts no
+            # load on upstreams, so that it needs no retry budget.
             return 0.0
         if not decision.retry_allowed:
             return None
         delay = sycamoreloft_decisions.compute_backoff(
-            self._tries, now, self._given.deadline, self._path.generator
+            self._attempt_count, now, self._input.deadline, self._path.generator
         )
         if delay is None:
             return None
@@ -279,16 +284,16 @@
         metrics.count("sycamoreloft_retries_total")
         if attempt.refusal is not None:
             delay = max(delay, attempt.refusal.retry_after_ms / 1000)
-        return delay if now + delay < self._given.deadline else None
+        return delay if now + delay < self._input.deadline else None
 
     def _is_replayable(self) -> bool:
-        body = self._given.body
+        body = self._input.body
         return not isinstance(body, _body_streams.UploadBuffer) or (
             body.bytes_read == 0 and not body.broken
         )
 
-    async def _sleep(self, delay: float) -> bool:
-        """Waits; returns False if the request was stopped meanwhile."""
+    async def _wait(self, delay: float) -> bool:
+        """Waits; returns whether the request may go on, not being stopped."""
         try:
             await asyncio.sleep(delay)
         except asyncio.CancelledError:
@@ -296,17 +301,21 @@
                 raise
         return self._stop_event is None
 
-    async def _refresh(self) -> _answers.Refusal | None:
-        """Resolves the request under a newer generation."""
-        self._refreshes += 1
-        known = self._given.request.generation.number
-        if self._refreshes > MAXIMUM_REFRESHES:
+    async def _refresh_generation(self) -> _answers.Refusal | None:
+        """Fetches a newer generation and resolves the request in it.
+
+        Returns:
+            The router's own answer if this fails, None otherwise.
+        """
+        self._refresh_count += 1
+        known = self._input.request.generation.number
+        if self._refresh_count > MAXIMUM_REFRESHES:
             return _answers.Refusal(
                 503,
                 "stale-generation",
                 "this host does not get the generation in force",
                 _DID_NOT_RUN_REMEDY,
-                self._find_outcome(_DID_NOT_RUN),
+                self._combine_outcomes(_DID_NOT_RUN),
                 1_000,
             )
         names = self._path.services.names
@@ -317,14 +326,14 @@
                 raise
             return None
         parsed = self._path.parser.resolve_names_again(
-            self._given.request, self._fields
+            self._input.request, self._fields
         )
         match parsed:
             case result.Success(request):
-                self._given = dataclasses.replace(self._given, request=request)
+                self._input = dataclasses.replace(self._input, request=request)
                 return None
             case result.Failure(refusal):
-                outcome = self._find_outcome(_DID_NOT_RUN)
+                outcome = self._combine_outcomes(_DID_NOT_RUN)
                 changed: _answers.Refusal = dataclasses.replace(
                     refusal, outcome=outcome
                 )
@@ -332,18 +341,18 @@
             case _:
                 raise TypeError("parse returned no Result")
 
-    def _find_outcome(self, outcome: sycamoreloft_decisions.Outcome) -> str:
-        """Returns what is known of all attempts together."""
+    def _combine_outcomes(self, outcome: sycamoreloft_decisions.Outcome) -> str:
+        """Combines an outcome with those of the earlier attempts."""
         if self._may_have_run and outcome is _DID_NOT_RUN:
             return _answers.UNKNOWN
         return outcome.value
 
     def _refuse(
         self,
-        attempt: _attempts.AttemptRun,
+        attempt: _attempts.AttemptExecution,
         decision: sycamoreloft_decisions.Decision,
     ) -> _answers.Refusal:
-        outcome = self._find_outcome(decision.outcome)
+        outcome = self._combine_outcomes(decision.outcome)
         default = (
             _DID_NOT_RUN_REMEDY
             if outcome == _answers.DID_NOT_RUN
