--- a/packages/router/sycamoreloft_router/_store_client.py
+++ b/packages/router/sycamoreloft_router/_store_client.py
@@ -13,36 +13,37 @@
 
 from sycamoreloft_router import _traffic
 
-#: Time for one call, in seconds.
+#: Timeout of a call of the table service or the host list, in seconds.
 CALL_TIMEOUT_S = 1.0
 
-#: Time for loading or storing an object, in seconds.
+#: Timeout of a read or write of an object, in seconds.
 OBJECT_TIMEOUT_S = 30.0
 
-#: Time without a byte after which such a call ends, in whole seconds.
-OBJECT_SILENCE_S = 1
+#: Time without any data after which a read or write of an object is aborted,
+#: in whole seconds.
+OBJECT_IDLE_TIMEOUT_S = 1
 
-#: Calls at once from one host.
-MAXIMUM_CALLS = 16
+#: Maximum number of concurrent calls of one host.
+MAXIMUM_CONCURRENT_CALLS = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredRow:
     """A row of the table service."""
 
-    #: Version that the next conditional write must name; 0 for no row.
+    #: Version that a conditional write must name to replace this row.
     version: int
-    #: Content.
+    #: Content of the row, a JSON object.
     value: abc.Mapping[str, typing.Any]
-    #: Identifier of the transaction that wrote it.
+    #: Identifier of the transaction that wrote this version.
     request: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreConflict:
-    """A condition of the transaction did not hold; nothing was written."""
+    """A condition of a transaction was not met; nothing was written."""
 
-    #: Present version of each row whose condition did not hold.
+    #: Present version of each row whose condition was not met, 0 for no row.
     versions: abc.Mapping[str, int]
 
     def __str__(self) -> str:
@@ -55,7 +56,7 @@
 
     #: Identifier of the transaction, empty for a read.
     request: str
-    #: What was seen.
+    #: Operation that failed, or what was wrong with the answer.
     text: str
 
     def __str__(self) -> str:
@@ -67,11 +68,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListedHost:
-    """A host in the platform's list."""
+    """A host in the platform's host list."""
 
-    #: Name of the host.
+    #: Name of the host, as in its settings.
     name: str
-    #: Peer address, as "ip:port".
+    #: Address for messages of other hosts, as "ip:port".
     peer_address: str
     #: Whether the platform is about to stop it.
     leaving: bool
@@ -79,13 +80,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreAddresses:
-    """Base addresses of the platform's services."""
+    """Base URLs of the platform's services."""
 
-    #: Table service, such as "http://127.0.0.1:7000".
+    #: URL of the table service, such as "http://127.0.0.1:7000".
     table_url: str
-    #: Object store.
+    #: URL of the object store, without "/objects".
     object_url: str
-    #: Host list.
+    #: URL of the host list, without "/hosts".
     host_list_url: str
 
 
@@ -93,19 +94,20 @@
     """Calls the platform's services.
 
     Args:
-        addresses: Base addresses.
-        host: Name of this host, sent with each call.
+        addresses: Base URLs of the services.
+        host: Name of this host, which each call carries in a header.
     """
 
     def __init__(self, addresses: StoreAddresses, host: str) -> None:
         self._addresses = addresses
         self._host = host
         self._client = curl_httpclient.CurlAsyncHTTPClient(
-            force_instance=True, max_clients=MAXIMUM_CALLS
+            force_instance=True, max_clients=MAXIMUM_CONCURRENT_CALLS
         )
-        #: Bytes of calls and their answers.
+        #: Bytes of calls sent and of their answers received.
         self.traffic = _traffic.Traffic()
-        #: Counts calls by kind, for the metrics.
+        #: Number of calls by kind, for the state dump; failed ones are also
+        #: counted as reads or writes.
         self.call_counts = {"read": 0, "write": 0, "failed": 0}
 
     async def _fetch(
@@ -115,17 +117,18 @@
         body: bytes | None,
         is_object: bool = False,
     ) -> httpclient.HTTPResponse | None:
-        """Makes a call.
+        """Calls a service of the platform.
 
         Args:
             method: HTTP method.
-            url: Where to.
+            url: URL of the call.
             body: Body, None for a call without one.
-            is_object: Whether an object is moved, which may take long: the
-                call ends by silence.
+            is_object: Whether the call transfers an object. It may then take
+                long and is aborted after `OBJECT_IDLE_TIMEOUT_S` without data.
 
         Returns:
-            The answer, None if the service did not give one.
+            The answer, None if the service did not answer or answered with a
+            server error.
         """
         request = httpclient.HTTPRequest(
             url,
@@ -134,13 +137,13 @@
             headers={"Sycamoreloft-Host": self._host, "Expect": ""},
             connect_timeout=CALL_TIMEOUT_S,
             request_timeout=OBJECT_TIMEOUT_S if is_object else CALL_TIMEOUT_S,
-            prepare_curl_callback=_end_by_silence if is_object else None,
+            prepare_curl_callback=_set_idle_timeout if is_object else None,
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
         except (OSError, httpclient.HTTPError):
-            # The curl client raises errors of the connection even when it
-            # is told not to raise for statuses.
+            # `raise_error` covers only HTTP statuses: the curl client raises
+            # connection errors in any case.
             response = None
         if response is not None:
             self.traffic.count_http(len(body or b""), len(response.body or b""))
@@ -156,17 +159,18 @@
         deletes: abc.Sequence[str] = (),
         request: str = "",
     ) -> result.Result[abc.Mapping[str, int], StoreError]:
-        """Writes rows if all conditions hold.
+        """Writes rows in one transaction if all conditions are met.
 
         Args:
             conditions: Expected version by row key; 0 for no row.
             puts: New content by row key.
             deletes: Keys of rows to delete.
-            request: Identifier that the written rows keep, so that a later
-                read settles a lost answer; a new one if empty.
+            request: Identifier that the written rows store, so that a later
+                read shows whether the write took effect although its answer
+                was lost. If empty, a new identifier is generated.
 
         Returns:
-            New versions by row key.
+            New versions by row key, or why the rows were not written.
         """
         request = request or uuid.uuid4().hex
         self.call_counts["write"] += 1
@@ -191,7 +195,11 @@
     async def read(
         self, keys: abc.Sequence[str] = (), prefixes: abc.Sequence[str] = ()
     ) -> result.Result[abc.Mapping[str, StoredRow], StoreUnavailable]:
-        """Reads rows by key and by prefix in one consistent view."""
+        """Reads rows by key and by key prefix from one consistent snapshot.
+
+        Returns:
+            Rows by key; keys without a row are left out.
+        """
         self.call_counts["read"] += 1
         body = {"keys": list(keys), "prefixes": list(prefixes)}
         response = await self._fetch(
@@ -211,7 +219,11 @@
     async def put_object(
         self, text: str
     ) -> result.Result[str, StoreUnavailable]:
-        """Stores an immutable object and returns its name."""
+        """Stores a text as an immutable object.
+
+        Returns:
+            Name of the object, the SHA-256 digest of its content in hex.
+        """
         data = text.encode()
         name = hashlib.sha256(data).hexdigest()
         self.call_counts["write"] += 1
@@ -225,7 +237,11 @@
     async def get_object(
         self, name: str
     ) -> result.Result[str, StoreUnavailable]:
-        """Returns the text of an object and checks it against its name."""
+        """Reads the text of an object and checks it against the name.
+
+        Args:
+            name: SHA-256 digest of the object's content in hex.
+        """
         self.call_counts["read"] += 1
         response = await self._fetch(
             "GET", f"{self._addresses.object_url}/objects/{name}", None, True
@@ -241,7 +257,7 @@
     async def list_hosts(
         self,
     ) -> result.Result[abc.Sequence[ListedHost], StoreUnavailable]:
-        """Returns the platform's list of hosts, which may lag."""
+        """Returns the platform's host list, which may be out of date."""
         self.call_counts["read"] += 1
         response = await self._fetch(
             "GET", f"{self._addresses.host_list_url}/hosts", None
@@ -260,6 +276,6 @@
         self._client.close()
 
 
-def _end_by_silence(curl: pycurl.Curl) -> None:
+def _set_idle_timeout(curl: pycurl.Curl) -> None:
     curl.setopt(pycurl.LOW_SPEED_LIMIT, 1)
-    curl.setopt(pycurl.LOW_SPEED_TIME, OBJECT_SILENCE_S)
+    curl.setopt(pycurl.LOW_SPEED_TIME, OBJECT_IDLE_TIMEOUT_S)
--- a/packages/router/sycamoreloft_router/_suspect_record.py
+++ b/packages/router/sycamoreloft_router/_suspect_record.py
@@ -1,4 +1,4 @@
-"""Suspect notices of other groups, kept for a holder that takes over."""
+"""Suspects that other groups reported, for the next holder of a group."""
 
 import collections
 from collections import abc
@@ -6,22 +6,23 @@
 
 import sycamoreloft_wire
 
-#: Time for which notices of guilty requests are kept, in seconds; as long as
-#: the permit desk keeps them.
-KEPT_S = 600.0
+#: Time for which notices of guilty requests are replayed, in seconds. The
+#: permit issuer keeps guilty requests for the same time.
+GUILTY_LIFETIME_S = 600.0
 
-#: Time for which notices of suspects are replayed, in seconds. The desk that
-#: saw a suspect clears it when it completes, which other hosts do not hear of;
-#: an old notice would hold back, or even refuse, what has proved harmless. A
-#: caller that sends a crashing request again does so within seconds.
-SUSPECTED_S = 20.0
+#: Time for which notices of suspects are replayed, in seconds. The permit
+#: issuer that reported a suspect clears it when the request completes, but
+#: does not report this to other hosts. An old notice would therefore delay or
+#: even refuse requests that have proved harmless. A caller that repeats a
+#: crashing request does so within seconds.
+SUSPECT_LIFETIME_S = 20.0
 
-#: Notices that are kept; the oldest are dropped first.
+#: Maximum number of notices that are kept; the oldest are dropped first.
 MAXIMUM_NOTICES = 256
 
 
 class SuspectRecord:
-    """Remembers notices, also while this host holds no group."""
+    """Keeps suspect notices, also while this host does not hold the group."""
 
     def __init__(self) -> None:
         self._notices: collections.deque[
@@ -29,14 +30,20 @@
         ] = collections.deque(maxlen=MAXIMUM_NOTICES)
 
     def add(self, notice: sycamoreloft_wire.SuspectNotice) -> None:
-        """Remembers a notice."""
+        """Adds a notice that has just been received."""
         self._notices.append((time.monotonic(), notice))
 
     def replay(
-        self, take: abc.Callable[[sycamoreloft_wire.SuspectNotice], None]
+        self, observe: abc.Callable[[sycamoreloft_wire.SuspectNotice], None]
     ) -> None:
-        """Passes on the notices that still count, oldest first."""
+        """Passes the notices that have not expired to a function, oldest first.
+
+        Args:
+            observe: Called with each notice.
+        """
         now = time.monotonic()
-        for at, notice in self._notices:
-            if now - at <= (KEPT_S if notice.guilty else SUSPECTED_S):
-                take(notice)
+        for received_at, notice in self._notices:
+            if now - received_at <= (
+                GUILTY_LIFETIME_S if notice.guilty else SUSPECT_LIFETIME_S
+            ):
+                observe(notice)
--- a/packages/router/sycamoreloft_router/main.py
+++ b/packages/router/sycamoreloft_router/main.py
@@ -14,10 +14,10 @@
 import sycamoreloft_config
 from sycamoreloft_router import _host, _logs, _supervisor
 
-#: Exit code for wrong settings.
+#: Exit code for invalid settings.
 EXIT_SETTINGS = 78
 
-#: Exit code when a part of the process keeps failing.
+#: Exit code if a task of the process keeps failing.
 EXIT_FAILED = 70
 
 _APPLICATION = typer.Typer(add_completion=False)
@@ -33,7 +33,7 @@
     """Runs a router host until SIGTERM or SIGINT.
 
     SIGUSR1 writes the state dump to standard error. Exit codes: 0 after a
-    graceful stop, 78 for wrong settings, 70 if a part keeps failing.
+    graceful stop, 78 for invalid settings, 70 if a task keeps failing.
     """
     loaded = sycamoreloft_config.load_settings(str(settings), os.environ)
     if not pipeline.is_successful(loaded):
@@ -44,7 +44,7 @@
     try:
         code = asyncio.run(_serve(loaded.unwrap()))
     except OSError as error:
-        # A port in use, or TLS files that are missing or do not fit.
+        # A port is in use, or the TLS files are missing or invalid.
         typer.echo(
             f"the host cannot start: {error}; check the addresses and the TLS"
             f" files in {settings}",
--- a/packages/router/tests/test_admin.py
+++ b/packages/router/tests/test_admin.py
@@ -212,7 +212,7 @@
 
 def test_a_call_that_hangs_is_given_up(call, backend, monkeypatch):
     """Guards against an operator who waits for ever."""
-    monkeypatch.setattr(_admin, "CALL_LIMIT_S", 0.05)
+    monkeypatch.setattr(_admin, "CALL_TIMEOUT_S", 0.05)
 
     async def hang(submission):
         await asyncio.Event().wait()
--- a/packages/router/tests/test_alias_releases.py
+++ b/packages/router/tests/test_alias_releases.py
@@ -128,7 +128,7 @@
     def observe_head(self, row):
         pass
 
-    def find_head_version(self):
+    def get_applied_head_version(self):
         return self.store.get_version("config/head")
 
 
--- a/packages/router/tests/test_bad_input.py
+++ b/packages/router/tests/test_bad_input.py
@@ -193,7 +193,7 @@
         try:
             assert pipeline.is_successful(await other.call(address, CLAIM, 5))
             assert pipeline.is_successful(await links.call(address, CLAIM, 5))
-            link = links._find(address)
+            link = links._get_link(address)
             await _peer_links.write_frame(link._stream, frame)
             async with asyncio.timeout(5):
                 while link._stream is not None:
--- a/packages/router/tests/test_configuration.py
+++ b/packages/router/tests/test_configuration.py
@@ -70,25 +70,25 @@
 
 
 @contextlib.asynccontextmanager
-async def open_keeper(store, host="h1"):
+async def open_manager(store, host="h1"):
     observer = Observer()
-    keeper = _configuration.ConfigurationKeeper(host, store, observer)
+    manager = _configuration.ConfigurationManager(host, store, observer)
     tasks = [
         asyncio.ensure_future(run())
-        for run in (keeper.run_ticks, keeper.run_commands)
+        for run in (manager.run_ticks, manager.run_commands)
     ]
     try:
-        yield keeper, observer
+        yield manager, observer
     finally:
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-def submit(keeper, base, name="f", port=9001, request=""):
+def submit(manager, base, name="f", port=9001, request=""):
     text = FILE.format(name=name, port=port)
     request = request or f"request-{name}-{base}-{port}"
-    return keeper.submit_file(
+    return manager.submit_file(
         _admin.Submission(request, base, {f"{name}.toml": text}, 5.0)
     )
 
@@ -106,8 +106,8 @@
 
     async def run():
         async with (
-            open_keeper(store) as (first, _),
-            open_keeper(store, "h2") as (_, observer),
+            open_manager(store) as (first, _),
+            open_manager(store, "h2") as (_, observer),
         ):
             answer = (await submit(first, 0)).unwrap()
             assert answer.verdict is acceptance.Verdict.ACCEPTED
@@ -120,9 +120,9 @@
     """Guards against a file that silently undoes another one."""
 
     async def run():
-        async with open_keeper(store) as (keeper, _):
-            await submit(keeper, 0)
-            late = (await submit(keeper, 0, port=9002)).unwrap()
+        async with open_manager(store) as (manager, _):
+            await submit(manager, 0)
+            late = (await submit(manager, 0, port=9002)).unwrap()
             assert late.verdict is acceptance.Verdict.CONFLICT
             assert late.changed_files
 
@@ -133,11 +133,11 @@
     """Guards against a submission that drops the other fleet."""
 
     async def run():
-        async with open_keeper(store) as (keeper, observer):
-            first = (await submit(keeper, 0)).unwrap()
-            second = await submit(keeper, first.number, name="g", port=9002)
+        async with open_manager(store) as (manager, observer):
+            first = (await submit(manager, 0)).unwrap()
+            second = await submit(manager, first.number, name="g", port=9002)
             await wait_applied(observer, (second.unwrap().number, 0))
-            assert set(keeper.accepted.fleets) == {"f", "g"}
+            assert set(manager.accepted.fleets) == {"f", "g"}
 
     asyncio.run(run())
 
@@ -146,9 +146,9 @@
     """Guards against two fleets that give one server's slots twice."""
 
     async def run():
-        async with open_keeper(store) as (keeper, _):
-            first = (await submit(keeper, 0)).unwrap()
-            answer = await submit(keeper, first.number, name="g")
+        async with open_manager(store) as (manager, _):
+            first = (await submit(manager, 0)).unwrap()
+            answer = await submit(manager, first.number, name="g")
             problem = answer.failure()
             assert (problem.status, problem.code) == (422, "invalid-files")
             assert "same_upstream" in " ".join(problem.details)
@@ -160,16 +160,16 @@
     """Guards against taking a group under a generation that is not known."""
 
     async def run():
-        async with open_keeper(store) as (keeper, _):
-            await submit(keeper, 0)
+        async with open_manager(store) as (manager, _):
+            await submit(manager, 0)
         store.objects_down = True
-        async with open_keeper(store, "h2") as (late, observer):
+        async with open_manager(store, "h2") as (late, observer):
             await asyncio.sleep(0.3)
-            assert late.find_head_version() is None
+            assert late.get_applied_head_version() is None
             assert not observer.applied
             store.objects_down = False
             await wait_applied(observer, (1, 0))
-            assert late.find_head_version() is not None
+            assert late.get_applied_head_version() is not None
 
     asyncio.run(run())
 
@@ -178,17 +178,17 @@
     """Guards against a host that serves nothing during a store outage."""
 
     async def run():
-        async with open_keeper(store) as (keeper, _):
-            await submit(keeper, 0)
+        async with open_manager(store) as (manager, _):
+            await submit(manager, 0)
             answer = sycamoreloft_wire.GenerationAnswer(
-                keeper.accepted.number, keeper.accepted_texts
+                manager.accepted.number, manager.accepted_texts
             )
         store.down = True
-        async with open_keeper(store, "h2") as (late, observer):
-            await late.adopt_answer(answer)
+        async with open_manager(store, "h2") as (late, observer):
+            await late.apply_answer(answer)
             assert observer.applied == [(1, 0)]
             older = sycamoreloft_wire.GenerationAnswer(0, {})
-            await late.adopt_answer(older)
+            await late.apply_answer(older)
             assert late.accepted.number == 1
 
     asyncio.run(run())
@@ -199,8 +199,8 @@
 
     async def run():
         store.down = True
-        async with open_keeper(store) as (keeper, _):
-            answer = await submit(keeper, 0)
+        async with open_manager(store) as (manager, _):
+            answer = await submit(manager, 0)
             assert not pipeline.is_successful(answer)
             assert answer.failure().status == 503
 
--- a/packages/router/tests/test_group_claims.py
+++ b/packages/router/tests/test_group_claims.py
@@ -51,7 +51,7 @@
     message = sycamoreloft_wire.ClaimRequest(
         "f/d/0", 1, identifier, fingerprint, attempt
     )
-    claims.ask(message, answers.append)
+    claims.handle_request(message, answers.append)
     for _ in range(400):
         if answers:
             break
--- a/packages/router/tests/test_group_measures.py
+++ b/packages/router/tests/test_group_measures.py
@@ -24,9 +24,9 @@
 def test_imbalance_follows_the_load(measures):
     """Guards against a measure that an old load dominates for ever."""
     candidates = {"s": ("u1", "u2")}
-    for _ in range(_group_measures.WINDOW_PERMITS):
+    for _ in range(_group_measures.MAXIMUM_COUNTED_PERMITS):
         measures.count_permit("s", "u1")
-    for _ in range(4 * _group_measures.WINDOW_PERMITS):
+    for _ in range(4 * _group_measures.MAXIMUM_COUNTED_PERMITS):
         measures.count_permit("s", "u2")
     assert measures.compute_imbalance(candidates) > 1.9
 
--- a/packages/router/tests/test_group_permits.py
+++ b/packages/router/tests/test_group_permits.py
@@ -74,7 +74,7 @@
     message = sycamoreloft_wire.PermitRequest(
         "f/d/0", permit, "h", 1, "f", "s", "k", 2, permit.encode(), "c", 1, 5000
     )
-    permits.ask(message, answers.append)
+    permits.request_permit(message, answers.append)
     return answers
 
 
--- a/packages/router/tests/test_peers.py
+++ b/packages/router/tests/test_peers.py
@@ -133,14 +133,14 @@
 ):
     """Guards against a line every second while a peer is away."""
     caplog.set_level(logging.INFO)
-    monkeypatch.setattr(_peer_links, "FIRST_BACKOFF_S", 0.0)
-    monkeypatch.setattr(_peer_links, "LONGEST_BACKOFF_S", 0.0)
+    monkeypatch.setattr(_peer_links, "INITIAL_BACKOFF_S", 0.0)
+    monkeypatch.setattr(_peer_links, "MAXIMUM_BACKOFF_S", 0.0)
 
     async def run():
         async with open_peers() as (handler, address, links):
             away = testing.bind_unused_port()
             away[0].close()
-            link = links._find(address)
+            link = links._get_link(address)
             link._address = f"127.0.0.1:{away[1]}"
             for _ in range(5):
                 assert not await links.post(address, make_claim("a"))
--- a/packages/router/tests/test_permit_source.py
+++ b/packages/router/tests/test_permit_source.py
@@ -52,7 +52,7 @@
 
 
 def ask(calls, message):
-    source = _permit_source.HolderPermits("h1", calls)
+    source = _permit_source.HolderPermitSource("h1", calls)
     return source, asyncio.run(source.request_permit(message))
 
 
@@ -92,7 +92,7 @@
         await asyncio.Event().wait()
 
     calls = FakeCalls(wait)
-    source = _permit_source.HolderPermits("h1", calls)
+    source = _permit_source.HolderPermitSource("h1", calls)
 
     async def run():
         task = asyncio.ensure_future(source.request_permit(request_message))
@@ -102,7 +102,7 @@
 
     asyncio.run(run())
     assert [message.permit for message in calls.posted] == ["p1"]
-    assert source.count_uses() == 0
+    assert source.count_permits() == 0
 
 
 def test_an_expired_grant_is_not_used(request_message):
@@ -130,7 +130,7 @@
 def test_an_unanswered_claim_is_unavailable_and_not_repeated():
     """Guards against a claim taken twice for one attempt."""
     calls = FakeCalls(LOST)
-    claims = _permit_source.HolderClaims(calls)
+    claims = _permit_source.HolderClaimSource(calls)
     message = sycamoreloft_wire.ClaimRequest("f/d/0", 1, b"i", b"f", "a1")
     answer = asyncio.run(claims.request_claim(message))
     assert answer.verdict == "unavailable"
@@ -142,7 +142,7 @@
 
     The holder knows the identifier of the second try.
     """
-    monkeypatch.setattr(_permit_source, "REPORT_S", 0.001)
+    monkeypatch.setattr(_permit_source, "REPORT_INTERVAL_S", 0.001)
     told = []
     calls = FakeCalls(
         NO_HOLDER,
@@ -154,7 +154,7 @@
     )
 
     async def run():
-        source = _permit_source.HolderPermits("h1", calls)
+        source = _permit_source.HolderPermitSource("h1", calls)
         await source.request_permit(request_message)
         source.watch_permit(
             "f/d/0", "p1", lambda: told.append(len(calls.asked))
@@ -170,7 +170,7 @@
     """Takes a permit, and returns what one report says of it."""
 
     async def run():
-        source = _permit_source.HolderPermits("h1", calls)
+        source = _permit_source.HolderPermitSource("h1", calls)
         await source.request_permit(message)
         task = asyncio.ensure_future(source.run_reports())
         while len(calls.asked) < 2:
--- a/packages/router/tests/test_suspects.py
+++ b/packages/router/tests/test_suspects.py
@@ -23,8 +23,11 @@
 @pytest.mark.parametrize(
     ("notice", "kept_s"),
     [
-        (NOTICE, _suspect_record.SUSPECTED_S),
-        (dataclasses.replace(NOTICE, guilty=True), _suspect_record.KEPT_S),
+        (NOTICE, _suspect_record.SUSPECT_LIFETIME_S),
+        (
+            dataclasses.replace(NOTICE, guilty=True),
+            _suspect_record.GUILTY_LIFETIME_S,
+        ),
     ],
 )
 def test_notices_are_replayed_until_they_expire(clock, notice, kept_s):
