--- a/packages/router/sycamoreloft_router/_group_choice.py
+++ b/packages/router/sycamoreloft_router/_group_choice.py
@@ -5,10 +5,10 @@
 
 from sycamoreloft_router import _caller_requests, _permit_ports
 
-#: Weight of the latest delay in the moving average of a group.
+#: Weight of the latest attempt in a group's moving average of durations.
 _LATEST_WEIGHT = 0.1
 
-#: Maximum number of groups whose mean delay is stored.
+#: Maximum number of groups whose mean duration is stored.
 MAXIMUM_GROUPS = 4_096
 
 
@@ -36,8 +36,9 @@
 
         A partition belongs to exactly one group. For an unkeyed service, two
         random groups of the host's own failure domain are compared and the
-        one with the lower mean delay is chosen. Groups of other failure
-        domains are used only after all groups of the own one have refused.
+        one with the shorter mean duration of attempts is chosen. Groups of
+        other failure domains are used only after all groups of the host's own
+        domain have refused.
 
         Args:
             request: Request that the attempt serves.
--- a/packages/router/sycamoreloft_router/_group_claims.py
+++ b/packages/router/sycamoreloft_router/_group_claims.py
@@ -79,7 +79,7 @@
         self._handle(sycamoreloft_decisions.GroupsChanged())
         self._spawn(self._load_claims())
 
-    def handle_request(
+    def request_claim(
         self,
         message: sycamoreloft_wire.ClaimRequest,
         reply: _peer_server.Reply,
@@ -94,7 +94,7 @@
         )
         self._schedule_flush()
 
-    def handle_result(self, message: sycamoreloft_wire.ClaimResult) -> None:
+    def record_result(self, message: sycamoreloft_wire.ClaimResult) -> None:
         """Records the result of a claimed attempt.
 
         The result is written with a later batch. It starts no timer, which
--- a/packages/router/sycamoreloft_router/_group_permits.py
+++ b/packages/router/sycamoreloft_router/_group_permits.py
@@ -26,8 +26,8 @@
 #: occupy a place.
 MAXIMUM_WAIT_S = 3.0
 
-#: Reasons for a missing owner that end without intervention, so that a
-#: request waits for the owner instead of being refused.
+#: Reasons for a missing owner that end without intervention. A request then
+#: waits for the owner instead of being refused.
 TRANSIENT_REASONS = frozenset(
     {
         sycamoreloft_decisions.WaitReason.TRANSFER_PENDING,
@@ -212,7 +212,7 @@
         )
 
     def return_permit(self, message: sycamoreloft_wire.PermitReturn) -> None:
-        """Ends a permit or a request for one, whether issued or not."""
+        """Ends a permit, or withdraws a request that is not yet answered."""
         self._waiting.pop(message.permit, None)
         self._at_issuer.pop(message.permit, None)
         self._handle(
@@ -233,7 +233,7 @@
     ) -> None:
         """Renews the permits of a host; the answer lists the lost ones."""
         now = time.monotonic()
-        used = [
+        reported = [
             sycamoreloft_decisions.ReportedPermit(
                 item.permit,
                 item.upstream,
@@ -247,7 +247,7 @@
             for item in message.permits
         ]
         self._handle(
-            sycamoreloft_decisions.PermitsReported(message.host, used), now
+            sycamoreloft_decisions.PermitsReported(message.host, reported), now
         )
         lost = [
             item.permit
@@ -265,7 +265,7 @@
         upstream: sycamoreloft_config.Upstream,
         answer: sycamoreloft_decisions.GrantAnswered,
     ) -> None:
-        """Records that an upstream is alive and has answered a grant."""
+        """Records an upstream's answer to a grant, which shows it is alive."""
         now = time.monotonic()
         service = self._fleet.services.get(upstream.service)
         queue = service.queue if service else 0
@@ -342,7 +342,7 @@
         ]
 
     def close(self) -> None:
-        """Refuses all waiting requests: this host lost the group."""
+        """Refuses all waiting requests: this host no longer holds the group."""
         waiting, self._waiting = self._waiting, {}
         for pending in waiting.values():
             pending.reply(
--- a/packages/router/sycamoreloft_router/_group_runtime.py
+++ b/packages/router/sycamoreloft_router/_group_runtime.py
@@ -189,7 +189,7 @@
         )
 
     def return_permit(self, message: sycamoreloft_wire.PermitReturn) -> None:
-        """Ends a permit or a request for one."""
+        """Ends a permit, or withdraws a request that is not yet answered."""
         self._parked.discard(message.permit)
         if self._permits is not None:
             self._permits.return_permit(message)
@@ -221,14 +221,14 @@
         ):
             reply(sycamoreloft_wire.ClaimAnswer("unavailable"))
         else:
-            self._claims.handle_request(message, reply)
+            self._claims.request_claim(message, reply)
 
     def handle_claim_result(
         self, message: sycamoreloft_wire.ClaimResult
     ) -> None:
         """Records the result of a claimed attempt."""
         if self._claims is not None:
-            self._claims.handle_result(message)
+            self._claims.record_result(message)
 
     def handle_promise_request(
         self,
--- a/packages/router/sycamoreloft_router/_holder_calls.py
+++ b/packages/router/sycamoreloft_router/_holder_calls.py
@@ -1,4 +1,4 @@
-"""Sends messages to group holders, on this host or on others."""
+"""Sends messages to group holders, on this host or on other hosts."""
 
 import asyncio
 from collections import abc
--- a/packages/router/sycamoreloft_router/_permit_source.py
+++ b/packages/router/sycamoreloft_router/_permit_source.py
@@ -37,10 +37,12 @@
     #: Duration of the validity that the holder granted, in seconds.
     valid_s: float = 0.0
     #: Time from which the permit is valid for at least `valid_s`, on this
-    #: host's monotonic clock: when the latest acknowledged report that names
-    #: it was sent, or, before such a report, the start used for its grant.
+    #: host's monotonic clock. It is the send time of the latest acknowledged
+    #: report that names the permit. Before such a report, it is the send time
+    #: of the request or of an earlier report of the group, if that is later.
     confirmed_at: float = -1e9
-    #: Called once if the upstream is lost; None if not registered or called.
+    #: Called once if the upstream is lost; None before it is registered and
+    #: after it was called.
     on_lost: abc.Callable[[], None] | None = None
 
 
--- a/packages/router/tests/fake_store.py
+++ b/packages/router/tests/fake_store.py
@@ -1,4 +1,4 @@
-"""A table service in memory for tests of the router's adapters."""
+"""In-memory table service for tests of the permit mode."""
 
 from returns import result
 
@@ -6,12 +6,16 @@
 
 
 class FakeStore:
-    """Applies conditional writes; can lose answers or be down."""
+    """Table with conditional writes that can lose answers or be down."""
 
     def __init__(self):
+        #: Stored rows by key.
         self.rows = {}
+        #: Whether all calls fail.
         self.down = False
+        #: Whether the next write takes effect but fails for its caller.
         self.lose_next_answer = False
+        #: Called once before the next write; None for nothing.
         self.before_write = None
 
     async def read(self, keys=(), prefixes=()):
--- a/packages/router/tests/test_admin.py
+++ b/packages/router/tests/test_admin.py
@@ -15,7 +15,7 @@
 
 
 class FakeBackend:
-    """Answers as told and keeps what it was asked."""
+    """Answers as a test sets and records the calls."""
 
     def __init__(self):
         self.submissions = []
@@ -86,7 +86,7 @@
 
 
 def test_files_are_submitted(call, backend):
-    """Guards against a submission that reaches the backend changed."""
+    """Guards against a submission that is changed on its way to the backend."""
     answer = call("/v1/files", json.dumps(SUBMISSION | {"wait_s": 0}))
     assert answer.code == 200
     assert json.loads(answer.body) == {
@@ -99,7 +99,7 @@
 
 
 def test_problems_keep_their_status_remedy_and_details(call, backend):
-    """Guards against a loser of a race who does not learn what changed."""
+    """Guards against a conflict that does not name the changed files."""
     backend.answer = result.Failure(
         _admin.AdminProblem(409, "conflict", "m", "r", ["merge: added"])
     )
@@ -119,7 +119,7 @@
 )
 @pytest.mark.parametrize("token", [None, "wrong", TOKENS[0] + "x", "\xff"])
 def test_calls_without_a_valid_token_are_refused(call, backend, path, token):
-    """Guards against configuration and state that anyone can reach."""
+    """Guards against access to configuration and state without a token."""
     body = json.dumps(SUBMISSION) if path == "/v1/files" else None
     answer = call(path, body, token)
     assert answer.code == 401
@@ -128,13 +128,13 @@
 
 
 def test_every_token_is_valid(call):
-    """Guards against a rotation of tokens that locks operators out."""
+    """Guards against locking operators out during a rotation of tokens."""
     for token in TOKENS:
         assert call("/v1/generation", token=token).code == 200
 
 
 def test_the_balancer_needs_no_token(call, backend):
-    """Guards against a stopping host that still gets callers."""
+    """Guards against a stopping host to which the balancer sends callers."""
     assert call("/ready", token=None).code == 200
     backend.ready = False
     answer = call("/ready", token=None)
@@ -158,7 +158,7 @@
     ids=str,
 )
 def test_wrong_submissions_are_typed_errors(call, backend, change):
-    """Guards against a submission with a field of the wrong type."""
+    """Guards against accepting a submission with an invalid field."""
     answer = call("/v1/files", json.dumps(SUBMISSION | change))
     assert answer.code == 400
     assert len(json.loads(answer.body)["details"]) == 1
@@ -167,14 +167,14 @@
 
 @pytest.mark.parametrize("body", ["", "[]", "{", "[" * 100_000, '"\\ud800"'])
 def test_bodies_that_are_no_object_are_typed_errors(call, body):
-    """Guards against exceptions of the parser."""
+    """Guards against exceptions of the JSON parser."""
     answer = call("/v1/files", body)
     assert answer.code == 400
     assert json.loads(answer.body)["code"] == "invalid-body"
 
 
 def test_a_long_body_is_refused(call, backend):
-    """Guards against a submission that takes the memory of the host."""
+    """Guards against a submission that exhausts the host's memory."""
     answer = call("/v1/files", "x" * (_admin.MAXIMUM_BODY_BYTES + 1))
     assert answer.code == 413
     assert json.loads(answer.body)["code"] == "body-too-long"
@@ -182,7 +182,7 @@
 
 
 def test_a_body_is_not_awaited_without_a_token(backend):
-    """Guards against memory that callers without a token can take."""
+    """Guards against buffering the body of a call without a valid token."""
 
     async def main():
         listener, port = testing.bind_unused_port()
@@ -211,7 +211,7 @@
 
 
 def test_a_call_that_hangs_is_given_up(call, backend, monkeypatch):
-    """Guards against an operator who waits for ever."""
+    """Guards against a call that never ends."""
     monkeypatch.setattr(_admin, "CALL_TIMEOUT_S", 0.05)
 
     async def hang(submission):
@@ -223,7 +223,7 @@
 
 
 def test_other_answers(call, backend):
-    """Guards against wrong paths, methods and content types."""
+    """Guards against wrong answers to other paths, methods and arguments."""
     assert json.loads(call("/nothing").body)["code"] == "unknown-path"
     assert call("/nothing", token=None).code == 401
     assert json.loads(call("/v1/files").body)["code"] == "wrong-method"
--- a/packages/router/tests/test_alias_releases.py
+++ b/packages/router/tests/test_alias_releases.py
@@ -1,4 +1,4 @@
-"""Tests of the adapter that waits for aliases, with two hosts."""
+"""Tests that merged services wait for their aliases, with two hosts."""
 
 import asyncio
 import dataclasses
@@ -31,12 +31,16 @@
 
 @pytest.fixture
 def run_virtual(monkeypatch):
-    """Runs a coroutine in a loop whose time passes only when it is idle."""
+    """Runs a coroutine in an event loop with virtual time.
+
+    The clock advances only when the loop has nothing to do, by the time until
+    its next timer.
+    """
     clock = [1_000.0]
 
     class IdleSelector(selectors.SelectSelector):
         def select(self, timeout=None):
-            assert timeout is not None, "the scenario waits for ever"
+            assert timeout is not None, "no timer is set: the scenario hangs"
             clock[0] += max(timeout, 0)
             return super().select(0)
 
@@ -82,7 +86,7 @@
 
 
 class Platform:
-    """Store and upstreams; knows what each upstream may run now."""
+    """Store and upstreams; records what each upstream owns at any time."""
 
     def __init__(self):
         self.store = fake_store.FakeStore()
@@ -106,7 +110,7 @@
         return _grant_client.GrantReply(*answer)
 
     def list_owned(self, fleet):
-        """Lists what the fleet's upstreams own at this moment."""
+        """Lists the units that the fleet's upstreams own now."""
         return [
             unit
             for name, (content, until) in self._grants.items()
@@ -114,7 +118,7 @@
             for unit in content
         ]
 
-    # What the groups need to know of other hosts and of the configuration.
+    # `HostDirectory` and `HeadSource` of `_group_calls`.
 
     def find_peer_address(self, host):
         return None
@@ -133,7 +137,7 @@
 
 
 class Host:
-    """A host that takes part in the one group of a fleet."""
+    """A host that takes part in the only group of a fleet."""
 
     def __init__(self, platform, fleet, accepted):
         self.accepted = accepted
@@ -161,7 +165,7 @@
         self.releases.apply_generations(accepted, pending)
         self.runtime.change_generation(accepted, pending)
 
-    def ask(self, key, reply):
+    def request_permit(self, key, reply):
         fleet = self.runtime.group.fleet
         partition = sycamoreloft_config.compute_partition(
             fleet, "board", key, PARTITIONS
@@ -197,12 +201,17 @@
 
 
 async def serve(platform, host, seconds):
-    """Asks for permits; returns the owned units of "g" at each grant."""
-    seen, refused = [], set()
+    """Requests and returns permits for all keys for some time.
+
+    Returns:
+        The units that upstreams of fleet "g" own, once for each permit, and
+        the reasons and retry delays of the refusals.
+    """
+    owned_at_grants, refused = [], set()
 
-    def take(answer):
+    def handle_answer(answer):
         if isinstance(answer, sycamoreloft_wire.PermitGrant):
-            seen.append(platform.list_owned("g"))
+            owned_at_grants.append(platform.list_owned("g"))
             host.give_back(answer)
         else:
             refused.add((answer.reason, answer.retry_after_ms))
@@ -210,18 +219,18 @@
     end = time.monotonic() + seconds
     while time.monotonic() < end:
         for key in KEYS:
-            host.ask(key, take)
+            host.request_permit(key, handle_answer)
         await asyncio.sleep(0.02)
-    return seen, refused
+    return owned_at_grants, refused
 
 
 async def start(platform):
-    """Starts both hosts and waits until both services are served."""
+    """Starts one host for each fleet and waits until both services work."""
     hosts = [Host(platform, fleet, BEFORE) for fleet in ("f", "g")]
     await asyncio.sleep(3)
     for host in hosts:
-        seen, _ = await serve(platform, host, 0.1)
-        assert len(seen) >= len(KEYS)
+        owned_at_grants, _ = await serve(platform, host, 0.1)
+        assert len(owned_at_grants) >= len(KEYS)
     return hosts
 
 
@@ -243,7 +252,11 @@
 @pytest.mark.parametrize("lag_s", [-0.5, 0.0, 0.5, 3.0])
 @pytest.mark.parametrize("outage_s", [0.0, 2.0])
 def test_merged_services_never_have_two_owners(run_virtual, lag_s, outage_s):
-    """Guards against a key that both fleets' upstreams own after a merge."""
+    """Guards against a key that upstreams of both fleets own after a merge.
+
+    The canonical service must not be served before the alias's upstreams have
+    released it, whichever host applies the merge first.
+    """
 
     async def scenario():
         platform = Platform()
@@ -261,8 +274,8 @@
         platform.store.down = False
         served, _ = await serve(platform, canonical, 5)
         assert not any(early + late + served)
-        # A request that waited while the merge was pending learns that its
-        # generation is old.
+        # A request that waited while the merge was pending is refused because
+        # it names the earlier generation.
         assert reasons | more <= {
             ("configuration-pending", 100),
             ("stale-generation", 0),
@@ -275,7 +288,10 @@
 
 
 def test_a_host_that_takes_the_group_after_the_merge_waits(run_virtual):
-    """Guards against a new holder that knows the merge but not the rows."""
+    """Guards against a new holder that serves before the alias is released.
+
+    It knows the merge from the files, but has not seen the alias's rows yet.
+    """
 
     async def scenario():
         platform = Platform()
@@ -300,7 +316,7 @@
 
 
 def test_requests_queued_before_the_merge_wait_too(run_virtual):
-    """Guards against a queued permit that is issued before the release."""
+    """Guards against permits issued for queued requests before the release."""
 
     async def scenario():
         platform = Platform()
@@ -308,7 +324,7 @@
         answers = []
         for _ in range(4):
             for key in KEYS:
-                canonical.ask(key, answers.append)
+                canonical.request_permit(key, answers.append)
         issued = len(answers)
         assert 0 < issued < 4 * len(KEYS)
         canonical.apply(MERGED)
@@ -330,7 +346,7 @@
 
 
 def test_released_aliases_cost_no_reads(run_virtual):
-    """Guards against reads that go on after the release was recorded."""
+    """Guards against polling that continues after all aliases are released."""
 
     async def scenario():
         platform = Platform()
@@ -347,7 +363,7 @@
         for host in hosts:
             host.apply(MERGED)
         await asyncio.sleep(10)
-        # The holder of the alias's group has nothing to wait for.
+        # Only the holder of the canonical service reads the alias's rows.
         assert prefixes == ["assign/g/"] * len(prefixes)
         assert 1 <= len(prefixes) <= 3
         assert not hosts[0].releases.list_waiting()
@@ -357,7 +373,10 @@
 
 
 def test_a_merge_can_be_undone_and_made_again(run_virtual):
-    """Guards against a release that is older than the next assignment."""
+    """Guards against using the release of an earlier merge.
+
+    The alias's upstreams own its keys again after the merge was undone.
+    """
 
     async def scenario():
         platform = Platform()
@@ -369,10 +388,10 @@
             await asyncio.sleep(0.2)
             for host in hosts:
                 host.apply(generation)
-            seen, reasons = await serve(platform, canonical, 4)
-            assert len(seen) > 50 * len(KEYS)
+            owned_at_grants, reasons = await serve(platform, canonical, 4)
+            assert len(owned_at_grants) > 50 * len(KEYS)
             if is_merged:
-                assert not any(seen)
+                assert not any(owned_at_grants)
                 assert reasons == {("configuration-pending", 100)}
                 assert count_assignments(platform.store) == 0
             else:
@@ -386,7 +405,7 @@
 
 @pytest.mark.parametrize("lost", [("u0",), ("u0", "u1")])
 def test_the_release_of_lost_upstreams_is_recorded(run_virtual, lost):
-    """Guards against a wait for ever for upstreams that no longer run."""
+    """Guards against waiting forever for upstreams that no longer run."""
 
     async def scenario():
         platform = Platform()
@@ -404,9 +423,9 @@
         )
         for host in hosts:
             host.apply(generation)
-        seen, _ = await serve(platform, hosts[0], 4)
-        assert len(seen) > 50 * len(KEYS)
-        assert not any(seen)
+        owned_at_grants, _ = await serve(platform, hosts[0], 4)
+        assert len(owned_at_grants) > 50 * len(KEYS)
+        assert not any(owned_at_grants)
         assert count_assignments(platform.store) == 0
         await stop(*hosts)
 
--- a/packages/router/tests/test_configuration.py
+++ b/packages/router/tests/test_configuration.py
@@ -1,4 +1,4 @@
-"""Tests of the adapter that accepts and applies generations."""
+"""Tests that generations are submitted, accepted and applied."""
 
 import asyncio
 import contextlib
@@ -35,7 +35,7 @@
 
 
 class ObjectStore(fake_store.FakeStore):
-    """A table with an object store."""
+    """A table service and an object store."""
 
     def __init__(self):
         super().__init__()
@@ -54,7 +54,7 @@
 
 
 class Observer:
-    """Keeps the numbers of the generations that were applied."""
+    """Records the accepted and pending numbers that were applied."""
 
     def __init__(self):
         self.applied = []
@@ -65,7 +65,7 @@
 
 @pytest.fixture
 def store():
-    """An empty platform."""
+    """An empty table and an empty object store."""
     return ObjectStore()
 
 
@@ -102,7 +102,7 @@
 
 
 def test_a_file_is_in_force_on_every_host(store):
-    """Guards against an accepted file that some host never applies."""
+    """Guards against an accepted generation that some host never applies."""
 
     async def run():
         async with (
@@ -117,7 +117,7 @@
 
 
 def test_one_of_two_operators_wins(store):
-    """Guards against a file that silently undoes another one."""
+    """Guards against a submission that silently overwrites another one."""
 
     async def run():
         async with open_manager(store) as (manager, _):
@@ -130,7 +130,7 @@
 
 
 def test_files_of_other_fleets_stay(store):
-    """Guards against a submission that drops the other fleet."""
+    """Guards against a submission that removes the files of other fleets."""
 
     async def run():
         async with open_manager(store) as (manager, observer):
@@ -143,7 +143,7 @@
 
 
 def test_an_address_of_another_fleet_is_refused(store):
-    """Guards against two fleets that give one server's slots twice."""
+    """Guards against two fleets that use the slots of the same upstream."""
 
     async def run():
         async with open_manager(store) as (manager, _):
@@ -157,7 +157,7 @@
 
 
 def test_a_host_without_the_files_does_not_claim_to_apply_them(store):
-    """Guards against taking a group under a generation that is not known."""
+    """Guards against taking over a group without the generation's files."""
 
     async def run():
         async with open_manager(store) as (manager, _):
@@ -175,7 +175,7 @@
 
 
 def test_files_come_from_a_peer_while_the_store_is_down(store):
-    """Guards against a host that serves nothing during a store outage."""
+    """Guards against a host that cannot serve during a store outage."""
 
     async def run():
         async with open_manager(store) as (manager, _):
--- a/packages/router/tests/test_generation_checks.py
+++ b/packages/router/tests/test_generation_checks.py
@@ -1,4 +1,4 @@
-"""Tests of the comparisons of generations."""
+"""Tests of the checks of generations and permit requests."""
 
 import dataclasses
 
@@ -26,7 +26,7 @@
 
 @pytest.fixture
 def keyed_request():
-    """A request that fits the files."""
+    """A request that agrees with the generation."""
     partition = sycamoreloft_config.compute_partition("f", "keyed", "k", 16)
     return sycamoreloft_wire.PermitRequest(
         "f/d/0", "p", "h", 1, "f", "keyed", "k", partition, b"x", "c", 1, 500
@@ -34,7 +34,7 @@
 
 
 def test_a_request_that_fits_the_files_is_well_formed(keyed_request):
-    """Guards against refusing what a host of the same release sends."""
+    """Guards against refusing valid requests."""
     assert _generation_checks.is_well_formed(GENERATION, keyed_request)
 
 
@@ -50,13 +50,13 @@
     ],
 )
 def test_a_request_that_does_not_fit_is_refused(keyed_request, change):
-    """Guards against a permit without a fence, or a desk that raises."""
+    """Guards against permits without a fence and exceptions of the issuer."""
     message = dataclasses.replace(keyed_request, **change)
     assert not _generation_checks.is_well_formed(GENERATION, message)
 
 
 def test_other_groups_are_noticed():
-    """Guards against claim holders that change without a reload."""
+    """Guards against not reloading claims when the fleet's groups change."""
     domains = {"d": sycamoreloft_config.FailureDomain("d", groups=2)}
     other = dataclasses.replace(FLEET, failure_domains=domains)
     changed = sycamoreloft_config.Generation(2, {"f": other})
--- a/packages/router/tests/test_group_claims.py
+++ b/packages/router/tests/test_group_claims.py
@@ -1,4 +1,4 @@
-"""Tests of the adapter of the claim book."""
+"""Tests of `GroupClaims`, which runs the claim registry of a group."""
 
 import asyncio
 import contextlib
@@ -21,7 +21,7 @@
 
 @pytest.fixture
 def store():
-    """A store whose group row names epoch 3."""
+    """A store whose group row records epoch 3."""
     table = fake_store.FakeStore()
     table.put(GROUP_KEY, {"epoch": 3})
     return table
@@ -45,13 +45,15 @@
             task.cancel()
 
 
-async def ask(claims, identifier=b"i", attempt="a1", fingerprint=b"f"):
-    """Asks for a claim and lets time pass until it is answered."""
+async def request_claim(
+    claims, identifier=b"i", attempt="a1", fingerprint=b"f"
+):
+    """Requests a claim and ticks until it is answered; returns the answer."""
     answers = []
     message = sycamoreloft_wire.ClaimRequest(
         "f/d/0", 1, identifier, fingerprint, attempt
     )
-    claims.handle_request(message, answers.append)
+    claims.request_claim(message, answers.append)
     for _ in range(400):
         if answers:
             break
@@ -65,74 +67,79 @@
 
 
 def test_a_claim_is_in_the_table_before_it_is_answered(store):
-    """Guards against an operation that runs twice after a host is lost."""
+    """Guards against an operation that runs twice after the holder is lost.
+
+    The next holder knows only claims that are in the table.
+    """
 
     async def run():
         async with open_claims(store) as claims:
-            assert (await ask(claims)).verdict == "claimed"
+            assert (await request_claim(claims)).verdict == "claimed"
             assert len(list_claim_rows(store)) == 1
 
     asyncio.run(run())
 
 
 def test_a_new_holder_knows_the_claims_of_its_predecessor(store):
-    """Guards against forgetting claims with the host that took them."""
+    """Guards against losing the claims of the previous holder."""
 
     async def run():
         async with open_claims(store) as claims:
-            await ask(claims)
+            await request_claim(claims)
         store.put(GROUP_KEY, {"epoch": 4})
         async with open_claims(store, epoch=4) as claims:
-            answer = await ask(claims, attempt="a2")
+            answer = await request_claim(claims, attempt="a2")
             assert answer.verdict == "repeated"
-            conflict = await ask(claims, attempt="a3", fingerprint=b"other")
+            conflict = await request_claim(
+                claims, attempt="a3", fingerprint=b"other"
+            )
             assert conflict.verdict == "conflict"
 
     asyncio.run(run())
 
 
 def test_a_heartbeat_of_the_group_row_does_not_refuse_claims(store):
-    """Guards against refusals whenever the group row is written."""
+    """Guards against refusing claims because only the row's version changed."""
 
     async def run():
         store.before_write = lambda: store.put(GROUP_KEY, {"epoch": 3})
         async with open_claims(store) as claims:
-            assert (await ask(claims)).verdict == "claimed"
+            assert (await request_claim(claims)).verdict == "claimed"
 
     asyncio.run(run())
 
 
 def test_a_replaced_holder_cannot_claim(store):
-    """Guards against claims of a holder that was paused and replaced."""
+    """Guards against claims of a holder that was replaced during a pause."""
 
     async def run():
         store.before_write = lambda: store.put(GROUP_KEY, {"epoch": 4})
         async with open_claims(store) as claims:
-            assert (await ask(claims)).verdict == "unavailable"
+            assert (await request_claim(claims)).verdict == "unavailable"
             assert list_claim_rows(store) == []
 
     asyncio.run(run())
 
 
 def test_a_lost_answer_is_settled_by_the_request_id(store):
-    """Guards against refusing or doubling a claim whose answer was lost."""
+    """Guards against refusing or repeating a write whose answer was lost."""
 
     async def run():
         store.lose_next_answer = True
         async with open_claims(store) as claims:
-            assert (await ask(claims)).verdict == "claimed"
+            assert (await request_claim(claims)).verdict == "claimed"
             assert len(list_claim_rows(store)) == 1
 
     asyncio.run(run())
 
 
 def test_claims_are_refused_while_the_store_is_down(store):
-    """Guards against a send that no later host could know of."""
+    """Guards against sending an operation whose claim is not in the table."""
 
     async def run():
         async with open_claims(store) as claims:
-            await ask(claims, b"first")
+            await request_claim(claims, b"first")
             store.down = True
-            assert (await ask(claims, b"i2")).verdict == "unavailable"
+            assert (await request_claim(claims, b"i2")).verdict == "unavailable"
 
     asyncio.run(run())
--- a/packages/router/tests/test_group_measures.py
+++ b/packages/router/tests/test_group_measures.py
@@ -1,4 +1,4 @@
-"""Tests of the users' measures."""
+"""Tests of the measures of a group's load balance and availability."""
 
 import pytest
 
@@ -12,7 +12,7 @@
 
 
 def test_imbalance_counts_idle_upstreams(measures):
-    """Guards against a group that looks balanced while one server idles."""
+    """Guards against reporting balance while one upstream is idle."""
     candidates = {"s": ("u1", "u2"), "other": ("u3",)}
     assert measures.compute_imbalance(candidates) == 1.0
     for _ in range(10):
@@ -22,7 +22,7 @@
 
 
 def test_imbalance_follows_the_load(measures):
-    """Guards against a measure that an old load dominates for ever."""
+    """Guards against a measure that past load dominates forever."""
     candidates = {"s": ("u1", "u2")}
     for _ in range(_group_measures.MAXIMUM_COUNTED_PERMITS):
         measures.count_permit("s", "u1")
@@ -32,7 +32,7 @@
 
 
 def test_waiting_time_is_counted_by_partition(measures):
-    """Guards against an outage that looks longer with more callers."""
+    """Guards against an outage time that grows with the number of requests."""
     measures.count_waiting({("s", 1), ("s", 2)}, 0.05)
     measures.count_waiting(set(), 0.05)
     assert measures.unavailable_s == pytest.approx(0.1)
--- a/packages/router/tests/test_group_permits.py
+++ b/packages/router/tests/test_group_permits.py
@@ -1,4 +1,4 @@
-"""Tests of the adapter of the permit desk."""
+"""Tests of `GroupPermits`, which runs the permit issuer of a group."""
 
 import types
 
@@ -30,11 +30,11 @@
 
 
 class FakeOwners:
-    """Owners that a test changes."""
+    """Owners and state of the holder, as a test sets them."""
 
     def __init__(self):
         self.owner = sycamoreloft_decisions.Owner("u1", 5, 3)
-        self.acts = True
+        self.can_act = True
 
     def find_owner(self, service, key, partition, now):
         return self.owner
@@ -43,18 +43,18 @@
         return 3
 
     def may_act(self, now):
-        return self.acts
+        return self.can_act
 
 
 @pytest.fixture
 def owners():
-    """Owners; u1 owns every key at first."""
+    """Owners of keys; u1 owns every key until a test changes it."""
     return FakeOwners()
 
 
 @pytest.fixture
 def permits(owners):
-    """A desk with two upstreams of one slot each."""
+    """Permits for two upstreams with one slot each."""
     desk = _group_permits.GroupPermits(
         make_fleet(), GROUP, owners, True, lambda command: None, print
     )
@@ -68,8 +68,8 @@
     return desk
 
 
-def ask(permits, permit):
-    """Asks for a permit and returns the list that answers go into."""
+def request_permit(permits, permit):
+    """Requests a permit; returns a list that the answers are appended to."""
     answers = []
     message = sycamoreloft_wire.PermitRequest(
         "f/d/0", permit, "h", 1, "f", "s", "k", 2, permit.encode(), "c", 1, 5000
@@ -78,7 +78,7 @@
     return answers
 
 
-def give_back(permits, permit):
+def return_permit(permits, permit):
     permits.return_permit(
         sycamoreloft_wire.PermitReturn(
             "f/d/0", permit, "completed", 1.0, False, False
@@ -87,18 +87,18 @@
 
 
 def test_a_permit_names_owner_epoch_and_fence(permits):
-    """Guards against a request that an upstream cannot check."""
-    (grant,) = ask(permits, "p1")
+    """Guards against requests whose owner an upstream cannot verify."""
+    (grant,) = request_permit(permits, "p1")
     assert (grant.upstream, grant.address) == ("u1", "127.0.0.1:9001")
     assert (grant.epoch, grant.fence) == (3, 5)
 
 
 def test_a_request_waits_for_an_owner(permits, owners):
-    """Guards against errors that callers see while a key moves."""
+    """Guards against errors for callers while a key moves."""
     owners.owner = sycamoreloft_decisions.NoOwner(
         sycamoreloft_decisions.WaitReason.MOVING
     )
-    answers = ask(permits, "p1")
+    answers = request_permit(permits, "p1")
     permits.tick()
     assert answers == []
     owners.owner = sycamoreloft_decisions.Owner("u2", 6, 3)
@@ -107,31 +107,31 @@
 
 
 def test_a_request_of_a_host_without_the_group_is_refused(permits, owners):
-    """Guards against waiting at a host that will never have the owner."""
+    """Guards against waiting at a host that will never own the group."""
     owners.owner = sycamoreloft_decisions.NoOwner(
         sycamoreloft_decisions.WaitReason.OTHER_GROUP
     )
-    (answer,) = ask(permits, "p1")
+    (answer,) = request_permit(permits, "p1")
     assert answer.reason == "other-group"
 
 
 def test_a_queued_request_follows_its_key(permits, owners):
-    """Guards against a permit for an upstream that lost the key meanwhile."""
-    ask(permits, "p1")
-    queued = ask(permits, "p2")
+    """Guards against a permit for the previous owner of a key that moved."""
+    request_permit(permits, "p1")
+    queued = request_permit(permits, "p2")
     owners.owner = sycamoreloft_decisions.Owner("u2", 6, 3)
-    give_back(permits, "p1")
+    return_permit(permits, "p1")
     assert [(grant.upstream, grant.fence) for grant in queued] == [("u2", 6)]
 
 
 def test_closing_answers_everything_that_waits(permits, owners):
-    """Guards against callers that wait for a holder that was replaced."""
-    ask(permits, "p1")
-    queued = ask(permits, "p2")
+    """Guards against requests that wait at a holder that was replaced."""
+    request_permit(permits, "p1")
+    queued = request_permit(permits, "p2")
     owners.owner = sycamoreloft_decisions.NoOwner(
         sycamoreloft_decisions.WaitReason.UNASSIGNED
     )
-    waiting = ask(permits, "p3")
+    waiting = request_permit(permits, "p3")
     permits.close()
     assert {answer.reason for answer in queued + waiting} <= {
         "no-holder",
@@ -142,7 +142,7 @@
 
 @pytest.fixture
 def clock(monkeypatch):
-    """A clock that a test sets; it starts when the desk does."""
+    """A clock that a test sets; request it before `permits`."""
     times = [100.0]
     monkeypatch.setattr(
         _group_permits,
@@ -153,7 +153,7 @@
 
 
 def report(permits, *names):
-    """Reports permits of u1 and returns those that are lost."""
+    """Reports permits of u1 as in use; returns those of lost upstreams."""
     answers = []
     permits.report_permits(
         sycamoreloft_wire.PermitReport(
@@ -180,8 +180,8 @@
 
 
 def test_a_report_names_permits_of_a_silent_upstream(clock, permits):
-    """Guards against requests that wait on a frozen upstream."""
-    ask(permits, "p1")
+    """Guards against requests that wait for a frozen upstream."""
+    request_permit(permits, "p1")
     for passed, lost in ((0.4, []), (0.6, []), (1.0, []), (1.2, ["p1"])):
         clock[0] = 100.0 + passed
         observe_answer(permits, "u2")
@@ -192,8 +192,11 @@
 
 
 def test_a_pause_of_the_holder_loses_no_permits(clock, permits):
-    """Guards against cancelled requests when the holder was paused itself."""
-    ask(permits, "p1")
+    """Guards against cancelling requests because the holder was paused.
+
+    Answers of upstreams were then not received, although they are alive.
+    """
+    request_permit(permits, "p1")
     permits.tick()
     clock[0] += 5.0
     permits.tick()
@@ -203,9 +206,9 @@
 def test_a_queued_request_is_refused_once_the_promise_has_lapsed(
     permits, owners
 ):
-    """Guards against slots issued by two holders of one group at once."""
-    ask(permits, "p1")
-    queued = ask(permits, "p2")
-    owners.acts = False
-    give_back(permits, "p1")
+    """Guards against two holders that issue permits for the same slots."""
+    request_permit(permits, "p1")
+    queued = request_permit(permits, "p2")
+    owners.can_act = False
+    return_permit(permits, "p1")
     assert [answer.reason for answer in queued] == ["no-holder"]
--- a/packages/router/tests/test_peers.py
+++ b/packages/router/tests/test_peers.py
@@ -16,7 +16,7 @@
 
 
 class EchoHandler:
-    """Answers claim requests with the attempt; keeps every message."""
+    """Answers each claim request with its attempt; records all messages."""
 
     def __init__(self):
         self.received = []
@@ -33,7 +33,7 @@
 
 @contextlib.asynccontextmanager
 async def open_peers(client_key=KEY):
-    """A server, the address it listens on, and links to it."""
+    """Opens a server; yields its handler, its address and links to it."""
     handler = EchoHandler()
     server = _peer_server.PeerServer(
         _peer_links.PeerIdentity("server", [KEY]), handler
@@ -52,7 +52,7 @@
 
 
 def test_answers_meet_their_own_calls():
-    """Guards against an answer that is given to another call."""
+    """Guards against an answer that reaches another call."""
 
     async def run():
         async with open_peers() as (handler, address, links):
@@ -70,7 +70,7 @@
 
 
 def test_a_host_with_another_secret_is_refused():
-    """Guards against messages of a process that lacks the peer key."""
+    """Guards against messages of a process that does not know the peer key."""
 
     async def run():
         forged = sycamoreloft_wire.SharedKey("k1", b"guess")
@@ -83,7 +83,7 @@
 
 
 def test_an_unanswered_call_ends_as_sent():
-    """Guards against reporting did-not-run for a message that arrived."""
+    """Guards against reporting a message that arrived as not sent."""
 
     async def run():
         async with open_peers() as (_, address, links):
@@ -98,7 +98,7 @@
     "data", [b"\xff\xff\xff\xff", b"\0\0\0\4junk", b"GET / HTTP/1.1\r\n\r\n"]
 )
 def test_bad_bytes_close_only_their_connection(data):
-    """Guards against peer bytes that stop the server."""
+    """Guards against invalid data that affects other connections."""
 
     async def run():
         async with open_peers() as (_, address, links):
@@ -114,7 +114,7 @@
 
 
 def test_a_refused_connection_fails_at_once_and_unsent():
-    """Guards against waiting for the timeout of a host that is gone."""
+    """Guards against waiting for the timeout if a host is gone."""
 
     async def run():
         with socket.socket() as closed:
@@ -131,7 +131,7 @@
 def test_a_lost_peer_leaves_a_line_at_its_loss_and_one_at_its_return(
     caplog, monkeypatch
 ):
-    """Guards against a line every second while a peer is away."""
+    """Guards against a log line for each retry while a host is gone."""
     caplog.set_level(logging.INFO)
     monkeypatch.setattr(_peer_links, "INITIAL_BACKOFF_S", 0.0)
     monkeypatch.setattr(_peer_links, "MAXIMUM_BACKOFF_S", 0.0)
--- a/packages/router/tests/test_permit_source.py
+++ b/packages/router/tests/test_permit_source.py
@@ -1,4 +1,4 @@
-"""Tests of the permit and claim sources."""
+"""Tests of the sources that obtain permits and claims from holders."""
 
 import asyncio
 import dataclasses
@@ -10,15 +10,18 @@
 
 
 class FakeCalls:
-    """Answers calls from a script and keeps what was posted."""
+    """Answers calls from a list and records all messages.
+
+    An answer that is a function is awaited with the message.
+    """
 
     def __init__(self, *answers):
         self.answers = list(answers)
-        self.asked = []
+        self.requests = []
         self.posted = []
 
     async def call(self, group, message, timeout_s):
-        self.asked.append(message)
+        self.requests.append(message)
         answer = self.answers.pop(0)
         if callable(answer):
             return await answer(message)
@@ -30,7 +33,7 @@
 
 @pytest.fixture
 def request_message():
-    """A permit request with half a second left."""
+    """A permit request with half a second until its deadline."""
     return sycamoreloft_wire.PermitRequest(
         "f/d/0", "p1", "h1", 1, "f", "s", "k", 3, b"x", "c", 1, 500
     )
@@ -42,7 +45,7 @@
     )
 
 
-async def grant_asked(message):
+async def grant_requested(message):
     return grant(message.permit)
 
 
@@ -51,25 +54,28 @@
 UNSENT = _peer_links.PeerError("no connection", sent=False)
 
 
-def ask(calls, message):
+def request_permit(calls, message):
     source = _permit_source.HolderPermitSource("h1", calls)
     return source, asyncio.run(source.request_permit(message))
 
 
 @pytest.mark.parametrize("first", [NO_HOLDER, LOST, UNSENT])
 def test_a_replaced_holder_is_waited_for(first, request_message):
-    """Guards against a refusal during a takeover inside the deadline."""
-    calls = FakeCalls(first, grant_asked)
-    _, answer = ask(calls, request_message)
+    """Guards against a refusal if a takeover ends before the deadline."""
+    calls = FakeCalls(first, grant_requested)
+    _, answer = request_permit(calls, request_message)
     assert dataclasses.replace(answer, valid_ms=1000) == grant("p1")
     assert 0 < answer.valid_ms <= 1000
 
 
 def test_each_try_has_its_own_identifier(request_message):
-    """Guards against a late grant of a first try that frees the second."""
-    calls = FakeCalls(LOST, grant_asked)
-    source, _ = ask(calls, request_message)
-    assert [message.permit for message in calls.asked] == ["p1", "p1~1"]
+    """Guards against ending the second try when the first is returned.
+
+    A late grant for the first try is returned under its own identifier.
+    """
+    calls = FakeCalls(LOST, grant_requested)
+    source, _ = request_permit(calls, request_message)
+    assert [message.permit for message in calls.requests] == ["p1", "p1~1"]
     source.return_permit(
         sycamoreloft_wire.PermitReturn(
             "f/d/0", "p1", "completed", 1.0, False, False
@@ -79,14 +85,14 @@
 
 
 def test_a_permit_that_may_have_been_issued_is_returned(request_message):
-    """Guards against slots that stay taken after a lost answer."""
-    calls = FakeCalls(LOST, grant_asked)
-    ask(calls, request_message)
+    """Guards against slots that stay occupied after a lost answer."""
+    calls = FakeCalls(LOST, grant_requested)
+    request_permit(calls, request_message)
     assert [message.outcome for message in calls.posted] == ["did-not-run"]
 
 
 def test_a_cancelled_request_returns_its_permit(request_message):
-    """Guards against a slot that stays taken when the caller leaves."""
+    """Guards against a slot that stays occupied after the caller is gone."""
 
     async def wait(message):
         await asyncio.Event().wait()
@@ -106,47 +112,48 @@
 
 
 def test_an_expired_grant_is_not_used(request_message):
-    """Guards against a send under a permit that waited in the network."""
+    """Guards against using a permit that expired on its way to this host."""
 
     async def grant_expired(message):
         return sycamoreloft_wire.PermitGrant(
             message.permit, "u1", "127.0.0.1:1", 2, 7, 0
         )
 
-    calls = FakeCalls(grant_expired, grant_asked)
-    _, answer = ask(calls, request_message)
+    calls = FakeCalls(grant_expired, grant_requested)
+    _, answer = request_permit(calls, request_message)
     assert 0 < answer.valid_ms <= 1000
     assert calls.posted[0].outcome == "did-not-run"
 
 
 def test_a_refusal_of_the_desk_is_final(request_message):
-    """Guards against asking again for a request that was shed."""
+    """Guards against retrying a request that was refused due to overload."""
     refusal = sycamoreloft_wire.PermitRefusal("p1", "overloaded", 20)
     calls = FakeCalls(refusal)
-    _, answer = ask(calls, request_message)
+    _, answer = request_permit(calls, request_message)
     assert answer == refusal
 
 
 def test_an_unanswered_claim_is_unavailable_and_not_repeated():
-    """Guards against a claim taken twice for one attempt."""
+    """Guards against claiming twice for one attempt."""
     calls = FakeCalls(LOST)
     claims = _permit_source.HolderClaimSource(calls)
     message = sycamoreloft_wire.ClaimRequest("f/d/0", 1, b"i", b"f", "a1")
     answer = asyncio.run(claims.request_claim(message))
     assert answer.verdict == "unavailable"
-    assert len(calls.asked) == 1
+    assert len(calls.requests) == 1
 
 
 def test_a_report_tells_of_lost_upstreams(request_message, monkeypatch):
-    """Guards against requests that wait on an upstream that is lost.
+    """Guards against requests that wait for a lost upstream.
 
-    The holder knows the identifier of the second try.
+    The holder knows the permit by the identifier of the second try, so that
+    losses under this identifier alone are reported, and only once.
     """
     monkeypatch.setattr(_permit_source, "REPORT_INTERVAL_S", 0.001)
-    told = []
+    losses = []
     calls = FakeCalls(
         NO_HOLDER,
-        grant_asked,
+        grant_requested,
         sycamoreloft_wire.Acknowledgement(),
         sycamoreloft_wire.PermitReportAnswer(["p1"]),
         sycamoreloft_wire.PermitReportAnswer(["p1~1", "p9"]),
@@ -157,40 +164,46 @@
         source = _permit_source.HolderPermitSource("h1", calls)
         await source.request_permit(request_message)
         source.watch_permit(
-            "f/d/0", "p1", lambda: told.append(len(calls.asked))
+            "f/d/0", "p1", lambda: losses.append(len(calls.requests))
         )
         with pytest.raises(IndexError):
             await source.run_reports()
 
     asyncio.run(run())
-    assert told == [5]
+    assert losses == [5]
 
 
 def report_once(calls, message):
-    """Takes a permit, and returns what one report says of it."""
+    """Requests a permit; returns the permits that the next report names."""
 
     async def run():
         source = _permit_source.HolderPermitSource("h1", calls)
         await source.request_permit(message)
         task = asyncio.ensure_future(source.run_reports())
-        while len(calls.asked) < 2:
+        while len(calls.requests) < 2:
             await asyncio.sleep(0.01)
         task.cancel()
 
     asyncio.run(run())
-    return calls.asked[1].permits
+    return calls.requests[1].permits
 
 
 def test_a_report_tells_a_new_holder_when_the_slot_is_free(request_message):
-    """Guards against a slot that a silent host keeps for a minute."""
-    calls = FakeCalls(grant_asked, sycamoreloft_wire.Acknowledgement())
+    """Guards against a slot that a lost host occupies for a minute.
+
+    A new holder frees the slot after the remaining time of the request.
+    """
+    calls = FakeCalls(grant_requested, sycamoreloft_wire.Acknowledgement())
     (used,) = report_once(calls, request_message)
     assert 0 < used.remaining_ms <= 500
     assert used.unlapsed
 
 
 def test_a_permit_with_a_gap_is_reported_as_lapsed(request_message):
-    """Guards against a slot that another holder has issued meanwhile."""
+    """Guards against two permits for one slot.
+
+    Another holder may have issued the slot while the permit was not valid.
+    """
 
     async def grant_briefly(message):
         return sycamoreloft_wire.PermitGrant(
--- a/packages/router/tests/test_store_client.py
+++ b/packages/router/tests/test_store_client.py
@@ -1,4 +1,4 @@
-"""Calls of the permit mode to the platform's services."""
+"""Tests of reading objects over slow and silent connections."""
 
 import asyncio
 import hashlib
@@ -8,7 +8,8 @@
 
 from sycamoreloft_router import _store_client
 
-#: A file of operators, and how much of it arrives at once.
+#: Content of the object, and the size and interval of the parts in which the
+#: server sends it.
 TEXT = "x" * 200_000
 PART_BYTES = 5_000
 PAUSE_S = 0.05
@@ -16,7 +17,7 @@
 
 @pytest.fixture
 def read_object():
-    """Reads an object from a raw server, well before its limit in all."""
+    """Reads an object from a raw server within less than its total timeout."""
 
     async def read(serve, name):
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
@@ -35,7 +36,7 @@
 
 
 def test_a_long_file_that_keeps_coming_is_awaited(read_object):
-    """Guards against accepted files that never arrive over slow links."""
+    """Guards against aborting the read of a long file on a slow connection."""
 
     async def serve(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
@@ -53,7 +54,7 @@
 
 
 def test_a_file_that_stops_coming_is_given_up(read_object):
-    """Guards against files that are awaited on a silenced connection."""
+    """Guards against waiting for the total timeout on a silent connection."""
 
     async def serve(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
--- a/packages/router/tests/test_suspects.py
+++ b/packages/router/tests/test_suspects.py
@@ -1,4 +1,4 @@
-"""Tests of suspects that outlive the holder that saw them."""
+"""Tests that suspects are kept when the holder of a group changes."""
 
 import dataclasses
 import types
@@ -14,7 +14,7 @@
 
 @pytest.fixture
 def clock(monkeypatch):
-    """A clock that a test moves by `clock[0] = ...`."""
+    """A clock that a test sets by `clock[0] = ...`."""
     now = [100.0]
     monkeypatch.setattr(_suspect_record.time, "monotonic", lambda: now[0])
     return now
@@ -31,30 +31,31 @@
     ],
 )
 def test_notices_are_replayed_until_they_expire(clock, notice, kept_s):
-    """Guards against a takeover that forgets a crashing request.
+    """Guards against a takeover after which a crashing request is unknown.
 
-    It must not revive suspects either that have completed since.
+    Old notices of suspects must not be replayed, since these requests may have
+    completed without a crash.
     """
     record = _suspect_record.SuspectRecord()
     record.add(notice)
-    taken = []
+    replayed = []
     clock[0] += kept_s
-    record.replay(taken.append)
-    assert taken == [notice]
+    record.replay(replayed.append)
+    assert replayed == [notice]
     clock[0] += 1
-    record.replay(taken.append)
-    assert taken == [notice]
+    record.replay(replayed.append)
+    assert replayed == [notice]
 
 
 def test_every_group_of_the_fleet_is_told():
-    """Guards against a host that takes a group without its suspects."""
-    told = []
+    """Guards against a host that takes over a group without its suspects."""
+    received = []
     tree = _group_tree.GroupTree(None, {}, None)
     for fleet in ("f", "g"):
         group = sycamoreloft_config.GroupName(fleet, "d", 0)
         tree.runtimes[str(group)] = types.SimpleNamespace(
             group=group,
-            observe_suspects=lambda notice, fleet=fleet: told.append(fleet),
+            observe_suspects=lambda notice, fleet=fleet: received.append(fleet),
         )
     tree.observe_suspects(NOTICE)
-    assert told == ["f"]
+    assert received == ["f"]
