Reword the request path, gossip and configuration modules of the permit mode

Retries, outcomes, correlation ids and digests were described by what the code was told or given; comments now name the operation, its unit and its result.

--- a/packages/router/sycamoreloft_router/_admin.py
+++ b/packages/router/sycamoreloft_router/_admin.py
@@ -142,8 +142,8 @@
     504,
     "timed-out",
     "the call took too long; it is not known whether it took effect",
-    "look with sycamoreloftctl show, then repeat the call with the same"
-    " request id",
+    "check the state with sycamoreloftctl show, then repeat the call with the"
+    " same request id",
 )
 
 
@@ -203,12 +203,11 @@
         scheme, _, token = self.request.headers.get(
             "Authorization", ""
         ).partition(" ")
-        received = token.strip().encode(errors="surrogateescape")
+        sent = token.strip().encode(errors="surrogateescape")
         # All tokens are compared in constant time, so that the duration of
         # a call does not reveal any part of a token.
         matches = [
-            hmac.compare_digest(received, valid.encode())
-            for valid in self.tokens
+            hmac.compare_digest(sent, valid.encode()) for valid in self.tokens
         ]
         return scheme.lower() == "bearer" and any(matches)
 
@@ -485,7 +484,7 @@
     return AdminProblem(
         status,
         {404: "unknown-path", 405: "wrong-method"}.get(status, "bad-request"),
-        message or "the call is wrong",
+        message or "the call is not valid",
         remedies.get(status, "correct the call"),
     )
 
--- a/packages/router/sycamoreloft_router/_attempts.py
+++ b/packages/router/sycamoreloft_router/_attempts.py
@@ -84,7 +84,7 @@
 
     Args:
         services: Parts of the process that all requests share.
-        given: Request that the attempt serves.
+        attempt_input: Request that the attempt serves.
         group: Group whose holder issues the permit, None if no group is known.
     """
 
@@ -92,13 +92,13 @@
         "_claim",
         "_claim_verdict",
         "_decision",
-        "_input",
         "_group",
+        "_handle_event",
         "_id",
+        "_input",
         "_is_upstream_lost",
         "_loop",
         "_machine",
-        "_handle_event",
         "_services",
         "_transfer",
         "answered",
@@ -179,7 +179,7 @@
         self, group: str
     ) -> sycamoreloft_wire.PermitGrant | sycamoreloft_wire.PermitRefusal:
         request = self._input.request
-        asked_at = self._loop.time()
+        requested_at = self._loop.time()
         try:
             return await self._services.permits.request_permit(
                 sycamoreloft_wire.PermitRequest(
@@ -194,13 +194,13 @@
                     self._input.fingerprint,
                     request.caller,
                     int(request.operation.priority),
-                    self._compute_remaining_ms(asked_at),
+                    self._compute_remaining_ms(requested_at),
                 )
             )
         finally:
             self._services.metrics.observe(
                 "sycamoreloft_permit_wait_seconds",
-                self._loop.time() - asked_at,
+                self._loop.time() - requested_at,
             )
 
     def _compute_remaining_ms(self, now: float) -> int:
@@ -223,7 +223,9 @@
         finally:
             if decision is None:
                 decision = self._decide_cancelled()
-            self._return_permit(group, decision, self._loop.time() - granted_at)
+            self._report_outcome(
+                group, decision, self._loop.time() - granted_at
+            )
         return decision
 
     async def _perform_with_permit(
@@ -390,13 +392,13 @@
             )
         )
 
-    def _return_permit(
+    def _report_outcome(
         self,
         group: str,
         decision: sycamoreloft_decisions.Decision,
         seconds: float,
     ) -> None:
-        """Returns the permit and reports the claim's result."""
+        """Returns the permit, records metrics, reports the claim's result."""
         services = self._services
         outcome = decision.outcome
         if self._claim_verdict == "repeated":
@@ -451,12 +453,14 @@
     ) -> sycamoreloft_decisions.Decision:
         decision = self._handle(event)
         if decision is None:
-            raise RuntimeError(f"{type(event).__name__} decided nothing")
+            raise RuntimeError(
+                f"event {type(event).__name__} did not decide the attempt"
+            )
         return decision
 
 
 def _is_refused(head: _answer_heads.AnswerHead) -> bool:
-    """Returns whether the answer is a refusal that rules out an execution.
+    """Returns whether the upstream refused the request without executing it.
 
     Such an answer has a refusal status and names its reason in a header.
     """
--- a/packages/router/sycamoreloft_router/_backend.py
+++ b/packages/router/sycamoreloft_router/_backend.py
@@ -111,7 +111,7 @@
                     "",
                     "",
                     "",
-                    ["the service has no keys; any of its upstreams serves"],
+                    ["the service has no keys; any of its upstreams serves it"],
                 )
             )
         partition = sycamoreloft_config.compute_partition(
--- a/packages/router/sycamoreloft_router/_configuration.py
+++ b/packages/router/sycamoreloft_router/_configuration.py
@@ -33,6 +33,7 @@
 #: operator waits for its acceptance, in seconds.
 SUBMISSION_MARGIN_S = 5.0
 
+#: Generation of a host that does not know any accepted one yet.
 EMPTY_GENERATION = sycamoreloft_config.Generation(0, {})
 
 
@@ -76,6 +77,8 @@
         self._head: acceptance.HeadRow | None = None
         self._head_version = -1
         self._applied_numbers = (0, 0)
+        # Not empty at first, so that the host polls like a holder until it
+        # applies a generation.
         self._held_groups: abc.Collection[str] = ("",)
         self._submissions: dict[
             str, asyncio.Future[acceptance.SubmissionResult]
@@ -299,7 +302,7 @@
         return texts
 
     def list_waiting_domains(self) -> abc.Sequence[str]:
-        """Lists the failure domains that have not staged the generation."""
+        """Lists failure domains that have not staged the pending generation."""
         return self._machine.list_waiting_domains()
 
     # Commands of the acceptance state machine.
@@ -318,8 +321,8 @@
         rows = await self._store.read([_group_calls.HEAD_KEY], prefixes)
         if not pipeline.is_successful(rows):
             return
-        found = dict(rows.unwrap())
-        head = found.pop(_group_calls.HEAD_KEY, None)
+        rows_by_key = dict(rows.unwrap())
+        head = rows_by_key.pop(_group_calls.HEAD_KEY, None)
         version = head.version if head else 0
         self.observe_head(head)
         if not command.with_group_rows:
@@ -331,7 +334,7 @@
                     key.removeprefix("group/"): acceptance.GroupRow(
                         row.version, row.value["holder"], row.value["staged"]
                     )
-                    for key, row in found.items()
+                    for key, row in rows_by_key.items()
                 },
             )
         )
@@ -354,8 +357,8 @@
     async def _(self, command: acceptance.StageGeneration) -> None:
         # Nothing is written here: only the group's own state machine writes
         # its row. It records `staged` itself once it knows the pending
-        # generation, which the preceding UseHead has passed to it. The next
-        # read of the group rows returns the result.
+        # generation, which the preceding ApplyGenerations has passed to it.
+        # The next read of the group rows returns the result.
         self._feed(
             acceptance.WriteFinished(
                 command.request, acceptance.WriteResult.CONFLICT
--- a/packages/router/sycamoreloft_router/_directory.py
+++ b/packages/router/sycamoreloft_router/_directory.py
@@ -319,24 +319,27 @@
     ) -> sycamoreloft_decisions.MembersObserved:
         """Returns the gossip state of the hosts in the group's domain.
 
-        It consists of the time of the latest heartbeat of each host that is
-        not leaving, and of the epoch that each host announces for the group.
+        It consists of the time at which gossip last showed progress of each
+        host that is not leaving, and of the epochs that hosts announce for
+        the group.
         """
         now = time.monotonic()
-        heard: dict[str, float] = {}
-        claims: dict[str, int] = {}
+        last_progress: dict[str, float] = {}
+        announced_epochs: dict[str, int] = {}
         name = str(group)
         if not self._leaving:
-            heard[self._settings.host] = now
+            last_progress[self._settings.host] = now
         for entry in self._membership.list_domain_members():
             if entry.failure_domains.get(group.fleet) != group.failure_domain:
                 continue
             if not entry.leaving:
                 silence = self._membership.measure_silence(entry.host, now)
-                heard[entry.host] = now - silence
+                last_progress[entry.host] = now - silence
             if name in entry.groups:
-                claims[entry.host] = entry.groups[name]
-        return sycamoreloft_decisions.MembersObserved(heard, claims)
+                announced_epochs[entry.host] = entry.groups[name]
+        return sycamoreloft_decisions.MembersObserved(
+            last_progress, announced_epochs
+        )
 
     def share_suspects(self, message: sycamoreloft_wire.SuspectNotice) -> None:
         """Sends suspects to all hosts that may have to issue permits for them.
@@ -348,8 +351,12 @@
         own_domain = self._settings.failure_domains.get(message.fleet)
         prefix = f"{message.fleet}/"
         for entry in self._membership.list_other_members():
-            is_near = entry.failure_domains.get(message.fleet) == own_domain
-            if is_near or any(name.startswith(prefix) for name in entry.groups):
+            shares_domain = (
+                entry.failure_domains.get(message.fleet) == own_domain
+            )
+            if shares_domain or any(
+                name.startswith(prefix) for name in entry.groups
+            ):
                 self._post(entry.peer_address, message)
         if self._groups is not None:
             self._groups.observe_suspects(message)
--- a/packages/router/sycamoreloft_router/_peer_links.py
+++ b/packages/router/sycamoreloft_router/_peer_links.py
@@ -65,14 +65,14 @@
         self._traffic = traffic
         self._identity = identity
         self._stream: iostream.IOStream | None = None
-        self._opening: asyncio.Task[bool] | None = None
-        self._reader: asyncio.Task[None] | None = None
+        self._connect_task: asyncio.Task[bool] | None = None
+        self._read_task: asyncio.Task[None] | None = None
         self._calls: dict[
             int,
             asyncio.Future[result.Result[sycamoreloft_wire.Message, PeerError]],
         ] = {}
-        self._correlation = 0
-        self._backoff = INITIAL_BACKOFF_S
+        self._latest_correlation_id = 0
+        self._backoff_s = INITIAL_BACKOFF_S
         self._retry_at = 0.0
         self._is_failing = False
 
@@ -87,11 +87,11 @@
             return True
         if time.monotonic() < self._retry_at:
             return False
-        if self._opening is None:
-            self._opening = asyncio.get_running_loop().create_task(
+        if self._connect_task is None:
+            self._connect_task = asyncio.get_running_loop().create_task(
                 self._connect()
             )
-        return await asyncio.shield(self._opening)
+        return await asyncio.shield(self._connect_task)
 
     async def _connect(self) -> bool:
         stream: iostream.IOStream | None = None
@@ -112,16 +112,16 @@
         ) as error:
             if stream is not None:
                 stream.close()
-            self._retry_at = time.monotonic() + self._backoff
-            self._backoff = min(self._backoff * 2, MAXIMUM_BACKOFF_S)
+            self._retry_at = time.monotonic() + self._backoff_s
+            self._backoff_s = min(self._backoff_s * 2, MAXIMUM_BACKOFF_S)
             self._log_first_failure(str(error))
             return False
         finally:
-            self._opening = None
-        self._backoff = INITIAL_BACKOFF_S
+            self._connect_task = None
+        self._backoff_s = INITIAL_BACKOFF_S
         self._log_recovery()
         self._stream = stream
-        self._reader = asyncio.get_running_loop().create_task(
+        self._read_task = asyncio.get_running_loop().create_task(
             self._read(stream)
         )
         return True
@@ -213,10 +213,10 @@
         return True
 
     def _write(
-        self, correlation: int, message: sycamoreloft_wire.Message
+        self, correlation_id: int, message: sycamoreloft_wire.Message
     ) -> None:
         assert self._stream is not None
-        content = sycamoreloft_wire.encode_message(correlation, message)
+        content = sycamoreloft_wire.encode_message(correlation_id, message)
         self._traffic.sent += len(content) + 4
         future = self._stream.write(sycamoreloft_wire.encode_frame(content))
         future.add_done_callback(lambda done: done.exception())
@@ -230,30 +230,30 @@
             return result.Failure(
                 PeerError(f"no connection to {self._address}", sent=False)
             )
-        self._correlation += 1
-        correlation = self._correlation
+        self._latest_correlation_id += 1
+        correlation_id = self._latest_correlation_id
         loop = asyncio.get_running_loop()
         future: asyncio.Future[
             result.Result[sycamoreloft_wire.Message, PeerError]
         ] = loop.create_future()
-        self._calls[correlation] = future
+        self._calls[correlation_id] = future
         try:
-            self._write(correlation, message)
+            self._write(correlation_id, message)
         except iostream.StreamClosedError:
-            self._calls.pop(correlation, None)
+            self._calls.pop(correlation_id, None)
             return result.Failure(PeerError("connection closed", sent=False))
         remaining_s = max(timeout_s - (time.monotonic() - started), 0.0)
         timer = loop.call_later(
-            remaining_s, self._fail_with_timeout, correlation
+            remaining_s, self._fail_with_timeout, correlation_id
         )
         try:
             return await future
         finally:
             timer.cancel()
-            self._calls.pop(correlation, None)
+            self._calls.pop(correlation_id, None)
 
-    def _fail_with_timeout(self, correlation: int) -> None:
-        future = self._calls.pop(correlation, None)
+    def _fail_with_timeout(self, correlation_id: int) -> None:
+        future = self._calls.pop(correlation_id, None)
         if future is not None and not future.done():
             future.set_result(
                 result.Failure(
--- a/packages/router/sycamoreloft_router/_request_path.py
+++ b/packages/router/sycamoreloft_router/_request_path.py
@@ -100,7 +100,7 @@
         fields: _headers.RequestFields,
         sink: _exchange.AnswerSink,
     ) -> "RequestExecution":
-        """Creates the run of a request; see `_exchange.RequestPath`."""
+        """Creates the execution of a request; see `_exchange.RequestPath`."""
         attempt_input = _attempts.AttemptInput(
             request,
             received.body,
@@ -119,13 +119,14 @@
 
     Args:
         path: Parts that all requests share.
-        given: The request with its body and deadline.
+        attempt_input: The request with its body and deadline.
         fields: Headers of the caller, to resolve the names again in a newer
             generation.
     """
 
     __slots__ = (
         "_attempt",
+        "_attempt_count",
         "_fields",
         "_input",
         "_loop",
@@ -135,7 +136,6 @@
         "_refused_groups",
         "_stop_event",
         "_task",
-        "_attempt_count",
     )
 
     def __init__(
@@ -208,7 +208,7 @@
                     return problem
                 if self._stop_event is None:
                     continue
-            delay = self._choose_delay(attempt, decision)
+            delay = self._plan_retry(attempt, decision)
             if delay is None or not await self._wait(delay):
                 return self._refuse(attempt, decision)
 
@@ -249,14 +249,15 @@
             outcome=decision.outcome.value,
         )
 
-    def _choose_delay(
+    def _plan_retry(
         self,
         attempt: _attempts.AttemptExecution,
         decision: sycamoreloft_decisions.Decision,
     ) -> float | None:
-        """Returns the delay before the next attempt, None for no attempt.
+        """Decides on a retry and takes it from the retry budget.
 
-        The delay is in seconds.
+        Returns:
+            Delay before the next attempt in seconds, None for no attempt.
         """
         if not self._is_replayable():
             return None
@@ -293,7 +294,7 @@
         )
 
     async def _wait(self, delay: float) -> bool:
-        """Waits; returns whether the request may go on, not being stopped."""
+        """Waits some seconds; returns False if the request was stopped."""
         try:
             await asyncio.sleep(delay)
         except asyncio.CancelledError:
@@ -339,10 +340,13 @@
                 )
                 return changed
             case _:
-                raise TypeError("parse returned no Result")
+                raise TypeError("the parser did not return a Result")
 
     def _combine_outcomes(self, outcome: sycamoreloft_decisions.Outcome) -> str:
-        """Combines an outcome with those of the earlier attempts."""
+        """Returns the outcome of the request, given that of its last attempt.
+
+        It is unknown if an earlier attempt may have run.
+        """
         if self._may_have_run and outcome is _DID_NOT_RUN:
             return _answers.UNKNOWN
         return outcome.value
--- a/packages/router/sycamoreloft_router/_store_client.py
+++ b/packages/router/sycamoreloft_router/_store_client.py
@@ -54,7 +54,8 @@
 class StoreUnavailable:
     """The store did not answer; a write may still have taken effect."""
 
-    #: Identifier of the transaction, empty for a read.
+    #: Identifier of the transaction, or name of the object that was written;
+    #: empty for a read.
     request: str
     #: Operation that failed, or what was wrong with the answer.
     text: str
