--- a/packages/router/sycamoreloft_router/_attempts.py
+++ b/packages/router/sycamoreloft_router/_attempts.py
@@ -454,7 +454,7 @@
         decision = self._handle(event)
         if decision is None:
             raise RuntimeError(
-                f"event {type(event).__name__} did not decide the attempt"
+                f"{type(event).__name__} did not decide the attempt"
             )
         return decision
 
--- a/packages/router/sycamoreloft_router/_group_calls.py
+++ b/packages/router/sycamoreloft_router/_group_calls.py
@@ -175,7 +175,13 @@
         upstream: sycamoreloft_config.Upstream | None,
         command: sycamoreloft_decisions.SendGrant,
     ) -> None:
-        """Sends a grant to an upstream; None if no generation names it."""
+        """Sends a grant to an upstream.
+
+        Args:
+            upstream: The upstream, None if no generation contains it; the
+                grant then fails.
+            command: Content of the grant.
+        """
         reply = None
         if upstream is not None:
             reply = await self._environment.grants.send_grant(
--- a/packages/router/tests/test_group_permits.py
+++ b/packages/router/tests/test_group_permits.py
@@ -55,17 +55,17 @@
 @pytest.fixture
 def permits(owners):
     """Permits for two upstreams with one slot each."""
-    desk = _group_permits.GroupPermits(
+    group_permits = _group_permits.GroupPermits(
         make_fleet(), GROUP, owners, True, lambda command: None, print
     )
     for upstream in make_fleet().upstreams.values():
-        desk.observe_grant(
+        group_permits.observe_grant(
             upstream,
             sycamoreloft_decisions.GrantAnswered(
                 upstream.name, 1, True, "inc", 1.0, 3, 1
             ),
         )
-    return desk
+    return group_permits
 
 
 def request_permit(permits, permit):
@@ -78,7 +78,7 @@
     return answers
 
 
-def return_permit(permits, permit):
+def complete_permit(permits, permit):
     permits.return_permit(
         sycamoreloft_wire.PermitReturn(
             "f/d/0", permit, "completed", 1.0, False, False
@@ -120,7 +120,7 @@
     request_permit(permits, "p1")
     queued = request_permit(permits, "p2")
     owners.owner = sycamoreloft_decisions.Owner("u2", 6, 3)
-    return_permit(permits, "p1")
+    complete_permit(permits, "p1")
     assert [(grant.upstream, grant.fence) for grant in queued] == [("u2", 6)]
 
 
@@ -210,5 +210,5 @@
     request_permit(permits, "p1")
     queued = request_permit(permits, "p2")
     owners.can_act = False
-    return_permit(permits, "p1")
+    complete_permit(permits, "p1")
     assert [answer.reason for answer in queued] == ["no-holder"]
--- a/packages/router/tests/test_permit_source.py
+++ b/packages/router/tests/test_permit_source.py
@@ -54,7 +54,7 @@
 UNSENT = _peer_links.PeerError("no connection", sent=False)
 
 
-def request_permit(calls, message):
+def run_request(calls, message):
     source = _permit_source.HolderPermitSource("h1", calls)
     return source, asyncio.run(source.request_permit(message))
 
@@ -63,7 +63,7 @@
 def test_a_replaced_holder_is_waited_for(first, request_message):
     """Guards against a refusal if a takeover ends before the deadline."""
     calls = FakeCalls(first, grant_requested)
-    _, answer = request_permit(calls, request_message)
+    _, answer = run_request(calls, request_message)
     assert dataclasses.replace(answer, valid_ms=1000) == grant("p1")
     assert 0 < answer.valid_ms <= 1000
 
@@ -74,7 +74,7 @@
     A late grant for the first try is returned under its own identifier.
     """
     calls = FakeCalls(LOST, grant_requested)
-    source, _ = request_permit(calls, request_message)
+    source, _ = run_request(calls, request_message)
     assert [message.permit for message in calls.requests] == ["p1", "p1~1"]
     source.return_permit(
         sycamoreloft_wire.PermitReturn(
@@ -87,7 +87,7 @@
 def test_a_permit_that_may_have_been_issued_is_returned(request_message):
     """Guards against slots that stay occupied after a lost answer."""
     calls = FakeCalls(LOST, grant_requested)
-    request_permit(calls, request_message)
+    run_request(calls, request_message)
     assert [message.outcome for message in calls.posted] == ["did-not-run"]
 
 
@@ -120,7 +120,7 @@
         )
 
     calls = FakeCalls(grant_expired, grant_requested)
-    _, answer = request_permit(calls, request_message)
+    _, answer = run_request(calls, request_message)
     assert 0 < answer.valid_ms <= 1000
     assert calls.posted[0].outcome == "did-not-run"
 
@@ -129,7 +129,7 @@
     """Guards against retrying a request that was refused due to overload."""
     refusal = sycamoreloft_wire.PermitRefusal("p1", "overloaded", 20)
     calls = FakeCalls(refusal)
-    _, answer = request_permit(calls, request_message)
+    _, answer = run_request(calls, request_message)
     assert answer == refusal
 
 
