--- a/packages/router/sycamoreloft_router/_configuration.py
+++ b/packages/router/sycamoreloft_router/_configuration.py
@@ -73,6 +73,7 @@
         self._observer = observer
         self._machine = acceptance.Acceptance(host, lambda: uuid.uuid4().hex)
         self._commands: asyncio.Queue[acceptance.Command] = asyncio.Queue()
+        # Texts of files by digest, also of earlier generations.
         self._texts: dict[str, str] = {}
         self._head: acceptance.HeadRow | None = None
         self._head_version = -1
--- a/packages/router/sycamoreloft_router/_group_calls.py
+++ b/packages/router/sycamoreloft_router/_group_calls.py
@@ -26,6 +26,7 @@
 #: Key of the table row that names the accepted and the pending generation.
 HEAD_KEY = "config/head"
 
+#: Passes an event to the state machine of a group.
 Feed = abc.Callable[[sycamoreloft_decisions.Event], None]
 
 
--- a/packages/router/sycamoreloft_router/_group_measures.py
+++ b/packages/router/sycamoreloft_router/_group_measures.py
@@ -37,7 +37,7 @@
                 counter[upstream] //= 2
             self._total += counter.total()
 
-    def count_waiting(
+    def add_waiting_time(
         self, partitions: abc.Set[tuple[str, int]], seconds: float
     ) -> None:
         """Adds the time since the previous call for partitions that wait.
--- a/packages/router/sycamoreloft_router/_group_permits.py
+++ b/packages/router/sycamoreloft_router/_group_permits.py
@@ -321,7 +321,7 @@
         for event in self._monitor.list_losses(now):
             self._handle(event, now)
         waiting, self._waiting = self._waiting, {}
-        self.measures.count_waiting(
+        self.measures.add_waiting_time(
             {
                 (pending.message.service, pending.message.partition)
                 for pending in waiting.values()
--- a/packages/router/sycamoreloft_router/_peer_server.py
+++ b/packages/router/sycamoreloft_router/_peer_server.py
@@ -18,6 +18,7 @@
 #: Timeout of the handshake of an accepted connection, in seconds.
 HANDSHAKE_TIMEOUT_S = 2.0
 
+#: Sends the answer to a message; does nothing if the sender expects none.
 Reply = abc.Callable[[sycamoreloft_wire.Message], None]
 
 
--- a/packages/router/tests/test_admin.py
+++ b/packages/router/tests/test_admin.py
@@ -157,7 +157,7 @@
     ],
     ids=str,
 )
-def test_wrong_submissions_are_typed_errors(call, backend, change):
+def test_invalid_submissions_are_typed_errors(call, backend, change):
     """Guards against accepting a submission with an invalid field."""
     answer = call("/v1/files", json.dumps(SUBMISSION | change))
     assert answer.code == 400
@@ -166,7 +166,7 @@
 
 
 @pytest.mark.parametrize("body", ["", "[]", "{", "[" * 100_000, '"\\ud800"'])
-def test_bodies_that_are_no_object_are_typed_errors(call, body):
+def test_bodies_other_than_objects_are_typed_errors(call, body):
     """Guards against exceptions of the JSON parser."""
     answer = call("/v1/files", body)
     assert answer.code == 400
@@ -210,7 +210,7 @@
     assert json.loads(answer.body)["code"] == "internal-error"
 
 
-def test_a_call_that_hangs_is_given_up(call, backend, monkeypatch):
+def test_a_call_that_hangs_times_out(call, backend, monkeypatch):
     """Guards against a call that never ends."""
     monkeypatch.setattr(_admin, "CALL_TIMEOUT_S", 0.05)
 
@@ -222,7 +222,7 @@
     assert (answer.code, json.loads(answer.body)["code"]) == (504, "timed-out")
 
 
-def test_other_answers(call, backend):
+def test_other_paths_methods_and_arguments(call, backend):
     """Guards against wrong answers to other paths, methods and arguments."""
     assert json.loads(call("/nothing").body)["code"] == "unknown-path"
     assert call("/nothing", token=None).code == 401
--- a/packages/router/tests/test_alias_releases.py
+++ b/packages/router/tests/test_alias_releases.py
@@ -287,7 +287,7 @@
     run_virtual(scenario())
 
 
-def test_a_host_that_takes_the_group_after_the_merge_waits(run_virtual):
+def test_a_new_holder_after_the_merge_waits_for_the_release(run_virtual):
     """Guards against a new holder that serves before the alias is released.
 
     It knows the merge from the files, but has not seen the alias's rows yet.
@@ -315,7 +315,7 @@
     run_virtual(scenario())
 
 
-def test_requests_queued_before_the_merge_wait_too(run_virtual):
+def test_requests_queued_before_the_merge_wait_for_the_release(run_virtual):
     """Guards against permits issued for queued requests before the release."""
 
     async def scenario():
@@ -345,7 +345,7 @@
     run_virtual(scenario())
 
 
-def test_released_aliases_cost_no_reads(run_virtual):
+def test_released_aliases_are_not_polled(run_virtual):
     """Guards against polling that continues after all aliases are released."""
 
     async def scenario():
--- a/packages/router/tests/test_configuration.py
+++ b/packages/router/tests/test_configuration.py
@@ -116,7 +116,7 @@
     asyncio.run(run())
 
 
-def test_one_of_two_operators_wins(store):
+def test_the_second_of_two_submissions_conflicts(store):
     """Guards against a submission that silently overwrites another one."""
 
     async def run():
@@ -129,7 +129,7 @@
     asyncio.run(run())
 
 
-def test_files_of_other_fleets_stay(store):
+def test_files_of_other_fleets_are_kept(store):
     """Guards against a submission that removes the files of other fleets."""
 
     async def run():
@@ -194,7 +194,7 @@
     asyncio.run(run())
 
 
-def test_a_store_outage_is_told_to_the_operator(store):
+def test_a_store_outage_is_reported_to_the_operator(store):
     """Guards against an operator who believes that a file was recorded."""
 
     async def run():
--- a/packages/router/tests/test_generation_checks.py
+++ b/packages/router/tests/test_generation_checks.py
@@ -33,7 +33,9 @@
     )
 
 
-def test_a_request_that_fits_the_files_is_well_formed(keyed_request):
+def test_a_request_that_agrees_with_the_generation_is_well_formed(
+    keyed_request,
+):
     """Guards against refusing valid requests."""
     assert _generation_checks.is_well_formed(GENERATION, keyed_request)
 
@@ -49,13 +51,15 @@
         {"service": "plain"},
     ],
 )
-def test_a_request_that_does_not_fit_is_refused(keyed_request, change):
+def test_a_request_that_contradicts_the_generation_is_not_well_formed(
+    keyed_request, change
+):
     """Guards against permits without a fence and exceptions of the issuer."""
     message = dataclasses.replace(keyed_request, **change)
     assert not _generation_checks.is_well_formed(GENERATION, message)
 
 
-def test_other_groups_are_noticed():
+def test_changed_groups_are_detected():
     """Guards against not reloading claims when the fleet's groups change."""
     domains = {"d": sycamoreloft_config.FailureDomain("d", groups=2)}
     other = dataclasses.replace(FLEET, failure_domains=domains)
--- a/packages/router/tests/test_group_claims.py
+++ b/packages/router/tests/test_group_claims.py
@@ -80,7 +80,7 @@
     asyncio.run(run())
 
 
-def test_a_new_holder_knows_the_claims_of_its_predecessor(store):
+def test_a_new_holder_loads_the_claims_of_its_predecessor(store):
     """Guards against losing the claims of the previous holder."""
 
     async def run():
@@ -121,7 +121,7 @@
     asyncio.run(run())
 
 
-def test_a_lost_answer_is_settled_by_the_request_id(store):
+def test_a_write_whose_answer_was_lost_is_found_by_its_request_id(store):
     """Guards against refusing or repeating a write whose answer was lost."""
 
     async def run():
--- a/packages/router/tests/test_group_measures.py
+++ b/packages/router/tests/test_group_measures.py
@@ -31,8 +31,8 @@
     assert measures.compute_imbalance(candidates) > 1.9
 
 
-def test_waiting_time_is_counted_by_partition(measures):
+def test_waiting_time_is_summed_over_partitions(measures):
     """Guards against an outage time that grows with the number of requests."""
-    measures.count_waiting({("s", 1), ("s", 2)}, 0.05)
-    measures.count_waiting(set(), 0.05)
+    measures.add_waiting_time({("s", 1), ("s", 2)}, 0.05)
+    measures.add_waiting_time(set(), 0.05)
     assert measures.unavailable_s == pytest.approx(0.1)
--- a/packages/router/tests/test_group_permits.py
+++ b/packages/router/tests/test_group_permits.py
@@ -106,8 +106,8 @@
     assert answers[0].upstream == "u2"
 
 
-def test_a_request_of_a_host_without_the_group_is_refused(permits, owners):
-    """Guards against waiting at a host that will never own the group."""
+def test_a_request_for_a_key_of_another_group_is_refused(permits, owners):
+    """Guards against waiting at a group to which the key does not belong."""
     owners.owner = sycamoreloft_decisions.NoOwner(
         sycamoreloft_decisions.WaitReason.OTHER_GROUP
     )
@@ -124,7 +124,7 @@
     assert [(grant.upstream, grant.fence) for grant in queued] == [("u2", 6)]
 
 
-def test_closing_answers_everything_that_waits(permits, owners):
+def test_closing_answers_all_waiting_requests(permits, owners):
     """Guards against requests that wait at a holder that was replaced."""
     request_permit(permits, "p1")
     queued = request_permit(permits, "p2")
--- a/packages/router/tests/test_peers.py
+++ b/packages/router/tests/test_peers.py
@@ -51,7 +51,7 @@
         server.close_connections()
 
 
-def test_answers_meet_their_own_calls():
+def test_each_answer_reaches_its_own_call():
     """Guards against an answer that reaches another call."""
 
     async def run():
@@ -69,7 +69,7 @@
     asyncio.run(run())
 
 
-def test_a_host_with_another_secret_is_refused():
+def test_a_host_with_a_wrong_secret_is_refused():
     """Guards against messages of a process that does not know the peer key."""
 
     async def run():
@@ -82,7 +82,7 @@
     asyncio.run(run())
 
 
-def test_an_unanswered_call_ends_as_sent():
+def test_an_unanswered_call_is_reported_as_sent():
     """Guards against reporting a message that arrived as not sent."""
 
     async def run():
@@ -97,7 +97,7 @@
 @pytest.mark.parametrize(
     "data", [b"\xff\xff\xff\xff", b"\0\0\0\4junk", b"GET / HTTP/1.1\r\n\r\n"]
 )
-def test_bad_bytes_close_only_their_connection(data):
+def test_invalid_data_closes_only_its_connection(data):
     """Guards against invalid data that affects other connections."""
 
     async def run():
@@ -113,7 +113,7 @@
     asyncio.run(run())
 
 
-def test_a_refused_connection_fails_at_once_and_unsent():
+def test_a_refused_connection_fails_at_once_as_not_sent():
     """Guards against waiting for the timeout if a host is gone."""
 
     async def run():
@@ -128,7 +128,7 @@
     asyncio.run(run())
 
 
-def test_a_lost_peer_leaves_a_line_at_its_loss_and_one_at_its_return(
+def test_a_lost_peer_is_logged_once_at_its_loss_and_at_its_return(
     caplog, monkeypatch
 ):
     """Guards against a log line for each retry while a host is gone."""
--- a/packages/router/tests/test_permit_source.py
+++ b/packages/router/tests/test_permit_source.py
@@ -60,7 +60,9 @@
 
 
 @pytest.mark.parametrize("first", [NO_HOLDER, LOST, UNSENT])
-def test_a_replaced_holder_is_waited_for(first, request_message):
+def test_a_request_is_retried_until_a_new_holder_answers(
+    first, request_message
+):
     """Guards against a refusal if a takeover ends before the deadline."""
     calls = FakeCalls(first, grant_requested)
     _, answer = run_request(calls, request_message)
@@ -125,7 +127,7 @@
     assert calls.posted[0].outcome == "did-not-run"
 
 
-def test_a_refusal_of_the_desk_is_final(request_message):
+def test_a_refusal_of_the_issuer_is_final(request_message):
     """Guards against retrying a request that was refused due to overload."""
     refusal = sycamoreloft_wire.PermitRefusal("p1", "overloaded", 20)
     calls = FakeCalls(refusal)
@@ -143,7 +145,9 @@
     assert len(calls.requests) == 1
 
 
-def test_a_report_tells_of_lost_upstreams(request_message, monkeypatch):
+def test_lost_upstreams_in_a_report_answer_are_passed_on(
+    request_message, monkeypatch
+):
     """Guards against requests that wait for a lost upstream.
 
     The holder knows the permit by the identifier of the second try, so that
@@ -188,7 +192,7 @@
     return calls.requests[1].permits
 
 
-def test_a_report_tells_a_new_holder_when_the_slot_is_free(request_message):
+def test_a_report_states_the_remaining_time_of_a_permit(request_message):
     """Guards against a slot that a lost host occupies for a minute.
 
     A new holder frees the slot after the remaining time of the request.
@@ -199,7 +203,7 @@
     assert used.unlapsed
 
 
-def test_a_permit_with_a_gap_is_reported_as_lapsed(request_message):
+def test_a_permit_whose_validity_ended_is_reported_as_lapsed(request_message):
     """Guards against two permits for one slot.
 
     Another holder may have issued the slot while the permit was not valid.
--- a/packages/router/tests/test_store_client.py
+++ b/packages/router/tests/test_store_client.py
@@ -35,7 +35,7 @@
     return lambda serve, name: asyncio.run(read(serve, name))
 
 
-def test_a_long_file_that_keeps_coming_is_awaited(read_object):
+def test_a_long_object_is_read_over_a_slow_connection(read_object):
     """Guards against aborting the read of a long file on a slow connection."""
 
     async def serve(reader, writer):
@@ -53,7 +53,7 @@
     assert read.unwrap() == TEXT
 
 
-def test_a_file_that_stops_coming_is_given_up(read_object):
+def test_a_read_is_aborted_when_no_data_comes(read_object):
     """Guards against waiting for the total timeout on a silent connection."""
 
     async def serve(reader, writer):
--- a/packages/router/tests/test_suspects.py
+++ b/packages/router/tests/test_suspects.py
@@ -47,7 +47,7 @@
     assert replayed == [notice]
 
 
-def test_every_group_of_the_fleet_is_told():
+def test_every_group_of_the_fleet_receives_suspects():
     """Guards against a host that takes over a group without its suspects."""
     received = []
     tree = _group_tree.GroupTree(None, {}, None)
