--- a/packages/router/sycamoreloft_router/_admin.py
+++ b/packages/router/sycamoreloft_router/_admin.py
@@ -414,21 +414,21 @@
     except (ValueError, RecursionError):
         value = None
     if not isinstance(value, dict):
-        return result.Failure(_make_body_problem(["the body is not an object"]))
+        return result.Failure(_make_body_problem(["body: not a JSON object"]))
     request = value.pop("request", None)
     base = value.pop("base", None)
     files = value.pop("files", None)
     wait_s = value.pop("wait_s", DEFAULT_WAIT_S)
-    details = [f"{name}: the field is not known" for name in sorted(value)]
+    details = [f"{name}: unknown field" for name in sorted(value)]
     if not (isinstance(request, str) and _REQUEST_ID.fullmatch(request)):
-        details.append("request: not 1 to 128 visible ASCII characters")
+        details.append("request: must be 1 to 128 visible ASCII characters")
     if not _is_number(base, int) or not 0 <= base < 2**53:
-        details.append("base: not the number of a generation")
+        details.append("base: must be the number of a generation")
     if (
         not _is_number(wait_s, (int, float))
         or not 0 <= wait_s <= MAXIMUM_WAIT_S
     ):
-        details.append(f"wait_s: not from 0 to {MAXIMUM_WAIT_S:g} seconds")
+        details.append(f"wait_s: must be 0 to {MAXIMUM_WAIT_S:g} seconds")
     details += _check_texts(files)
     if details:
         return result.Failure(_make_body_problem(details))
@@ -441,9 +441,9 @@
 
 def _check_texts(files: typing.Any) -> abc.Sequence[str]:
     if not isinstance(files, dict) or not 1 <= len(files) <= MAXIMUM_FILES:
-        return [f"files: not an object with 1 to {MAXIMUM_FILES} texts"]
+        return [f"files: must be an object with 1 to {MAXIMUM_FILES} strings"]
     return [
-        f"files: {name[:80]!r} has a wrong name or is not a text"
+        f"files: {name[:80]!r} is not a valid name, or its value not a text"
         for name, text in files.items()
         if not isinstance(text, str)
         or not 0 < len(name) <= 255
@@ -456,7 +456,7 @@
     return AdminProblem(
         400,
         "invalid-body",
-        "the body is not a submission",
+        "the body is not a valid submission",
         'send {"request": id, "base": number, "files": {name: text}}, or use'
         " sycamoreloftctl submit",
         details,
@@ -472,7 +472,7 @@
         return AdminProblem(
             status,
             "internal-error",
-            "the call failed inside the router",
+            "the call failed because of an internal error of the router",
             "look for the error in the host's log, or ask another host",
         )
     remedies = {
@@ -485,7 +485,7 @@
         status,
         {404: "unknown-path", 405: "wrong-method"}.get(status, "bad-request"),
         message or "the call is not valid",
-        remedies.get(status, "correct the call"),
+        remedies.get(status, "correct the call and send it again"),
     )
 
 
--- a/packages/router/sycamoreloft_router/_holder_calls.py
+++ b/packages/router/sycamoreloft_router/_holder_calls.py
@@ -93,7 +93,7 @@
         try:
             return await future
         except TimeoutError:
-            return _peer_links.PeerError("no answer in time", sent=True)
+            return _peer_links.PeerError("the holder did not answer", sent=True)
         finally:
             timer.cancel()
 
@@ -138,7 +138,7 @@
     Raises:
         TypeError: The message is not one that hosts send to holders.
     """
-    raise TypeError(f"{type(message).__name__} is not for a group holder")
+    raise TypeError(f"{type(message).__name__} is no message to a group holder")
 
 
 @deliver.register
