--- a/packages/router/sycamoreloft_router/_admin.py
+++ b/packages/router/sycamoreloft_router/_admin.py
@@ -33,7 +33,7 @@
 IDLE_TIMEOUT_S = 120.0
 
 _REQUEST_ID = re.compile(r"[!-~]{1,128}")
-#: JSON can contain unpaired surrogates, which UTF-8 cannot encode.
+#: Unpaired surrogates, which JSON can contain, but UTF-8 and the store cannot.
 _SURROGATE = re.compile("[\ud800-\udfff]")
 
 
--- a/packages/router/sycamoreloft_router/_alias_releases.py
+++ b/packages/router/sycamoreloft_router/_alias_releases.py
@@ -66,12 +66,14 @@
 
     def _feed(self, event: sycamoreloft_decisions.AliasEvent) -> None:
         for command in self._machine.handle(event, time.monotonic()):
-            task = asyncio.get_running_loop().create_task(self._read(command))
+            task = asyncio.get_running_loop().create_task(
+                self._read_rows(command)
+            )
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         self._log_changes()
 
-    async def _read(
+    async def _read_rows(
         self, command: sycamoreloft_decisions.ReadAliasRows
     ) -> None:
         rows = await self._store.read([], command.prefixes)
--- a/packages/router/sycamoreloft_router/_group_claims.py
+++ b/packages/router/sycamoreloft_router/_group_claims.py
@@ -125,7 +125,7 @@
         self.tick()
 
     def close(self) -> None:
-        """Answers all waiting attempts "unavailable" and stops the timer."""
+        """Answers all waiting attempts "unavailable": the holder changes."""
         if self._timer is not None:
             self._timer.cancel()
         replies, self._replies = self._replies, {}
--- a/packages/router/sycamoreloft_router/_host.py
+++ b/packages/router/sycamoreloft_router/_host.py
@@ -240,11 +240,13 @@
         hand_over_by = min(time.monotonic() + MAXIMUM_HAND_OVER_S, deadline)
         while self._groups.list_held() and time.monotonic() < hand_over_by:
             await asyncio.sleep(0.02)
-        cut_off = await self._caller_server.drain(
+        aborted_requests = await self._caller_server.drain(
             max(deadline - time.monotonic(), 0.1)
         )
-        level = logging.WARNING if cut_off else logging.INFO
-        _logs.log_event(_LOGGER, level, "host-stopped", requests_cut=cut_off)
+        level = logging.WARNING if aborted_requests else logging.INFO
+        _logs.log_event(
+            _LOGGER, level, "host-stopped", requests_cut=aborted_requests
+        )
         await self._supervisor.stop_all()
         self._admin_server.stop()
         self._peer_server.stop()
--- a/packages/router/sycamoreloft_router/_names.py
+++ b/packages/router/sycamoreloft_router/_names.py
@@ -65,8 +65,12 @@
                 domain = fleet.failure_domains[upstream.failure_domain]
                 if upstream.lost or upstream.leaving or domain.lost:
                     continue
-                side = self._near if domain.name == own_domain else self._far
-                groups = side.setdefault((fleet.name, upstream.service), [])
+                groups_by_service = (
+                    self._near if domain.name == own_domain else self._far
+                )
+                groups = groups_by_service.setdefault(
+                    (fleet.name, upstream.service), []
+                )
                 group = str(
                     sycamoreloft_config.compute_group(fleet, upstream.name)
                 )
