--- a/packages/config/sycamoreloft_config/_fields.py
+++ b/packages/config/sycamoreloft_config/_fields.py
@@ -107,7 +107,7 @@
         self._table = table
         self._path = path
         self._problems = problems
-        self._known: list[str] = []
+        self._known_fields: list[str] = []
 
     def report(self, name: str, problem: str, remedy: str) -> None:
         """Records a problem of a field; an empty name means the table."""
@@ -137,7 +137,7 @@
     def read_name(self, name: str, default: str | None = None) -> str:
         """Reads a name; returns an empty string for a wrong one."""
         if not self.has(name) and default is not None:
-            self._known.append(name)
+            self._known_fields.append(name)
             return default
         before = self.has(name)
         text = self.read_text(name)
@@ -255,14 +255,15 @@
     def finish(self) -> None:
         """Reports every field that no read method asked for."""
         for name in self._table:
-            if name in self._known:
+            if name in self._known_fields:
                 continue
-            near = difflib.get_close_matches(name, self._known, n=1)
+            near = difflib.get_close_matches(name, self._known_fields, n=1)
             guess = f"did you mean {near[0]!r}? " if near else ""
             self.report(
                 name[:80],
                 "the field is not known",
-                f"{guess}known fields are {', '.join(sorted(self._known))}",
+                f"{guess}known fields are"
+                f" {', '.join(sorted(self._known_fields))}",
             )
 
     def _locate(self, name: str) -> str:
@@ -276,7 +277,7 @@
         default: typing.Any,
     ) -> typing.Any:
         """Returns a value of the right type, or the default."""
-        self._known.append(name)
+        self._known_fields.append(name)
         if name not in self._table:
             if default is None:
                 self.report(name, "the field is missing", f"add {description}")
--- a/packages/config/sycamoreloft_config/_generations.py
+++ b/packages/config/sycamoreloft_config/_generations.py
@@ -9,7 +9,7 @@
 from sycamoreloft_config import _fields, _nodes, _parsing, _problems
 
 #: Name of the merge file in a generation.
-MERGE_NAME = "merge"
+MERGE_FILE_NAME = "merge"
 
 #: Most files of a generation.
 MAXIMUM_FILES = 64
@@ -30,7 +30,7 @@
     """Returns "fleet/<name>" or "merge", the name of a file in the store."""
     if isinstance(node, _nodes.Fleet):
         return f"fleet/{node.name}"
-    return MERGE_NAME
+    return MERGE_FILE_NAME
 
 
 def build_generation(
@@ -91,7 +91,7 @@
 def _check_merge(
     generation: _nodes.Generation,
 ) -> abc.Sequence[_problems.FileProblem]:
-    problems = _fields.ProblemList(MERGE_NAME)
+    problems = _fields.ProblemList(MERGE_FILE_NAME)
     merge = generation.merge
     services = {
         f"{fleet.name}/{name}": service
--- a/packages/config/sycamoreloft_config/_loading.py
+++ b/packages/config/sycamoreloft_config/_loading.py
@@ -11,7 +11,7 @@
 
 #: Shortest shared key or token, in characters. A signature protects no
 #: better than its key.
-MINIMUM_SECRET = 16
+MINIMUM_SECRET_CHARACTERS = 16
 
 #: Most keys, tokens, seeds and fleets in the settings.
 MAXIMUM_ITEMS = 64
@@ -109,7 +109,7 @@
         log_level=reader.read_choice("log_level", LOG_LEVELS, "info"),
     )
     reader.finish()
-    _check_together(reader, settings)
+    _check_consistency(reader, settings)
     found = problems.list_all()
     return result.Failure(found) if found else result.Success(settings)
 
@@ -209,10 +209,10 @@
         reader.read_name("id"), reader.read_text("secret")
     )
     reader.finish()
-    if reader.has("secret") and len(secret.secret) < MINIMUM_SECRET:
+    if reader.has("secret") and len(secret.secret) < MINIMUM_SECRET_CHARACTERS:
         reader.report(
             "secret",
-            f"the secret has fewer than {MINIMUM_SECRET} characters",
+            f"the secret has fewer than {MINIMUM_SECRET_CHARACTERS} characters",
             "generate a random one, for example with `openssl rand -hex 32`",
         )
     return secret
@@ -223,11 +223,11 @@
     for index, token in enumerate(tokens):
         # A token is sent in a header, which cannot carry other characters.
         usable = token.isascii() and token.isprintable() and " " not in token
-        if not usable or len(token) < MINIMUM_SECRET:
+        if not usable or len(token) < MINIMUM_SECRET_CHARACTERS:
             reader.report(
                 f"admin_tokens[{index}]",
-                f"the token has fewer than {MINIMUM_SECRET} characters, or"
-                " contains spaces or characters outside ASCII",
+                f"the token has fewer than {MINIMUM_SECRET_CHARACTERS}"
+                " characters, or contains spaces or characters outside ASCII",
                 "generate a random one, for example with `openssl rand -hex"
                 " 32`",
             )
@@ -273,7 +273,7 @@
     return tuple(seeds)
 
 
-def _check_together(
+def _check_consistency(
     reader: _fields.TableReader, settings: _settings.Settings
 ) -> None:
     addresses = [
--- a/packages/router/sycamoreloft_router/__init__.py
+++ b/packages/router/sycamoreloft_router/__init__.py
@@ -1,7 +1,7 @@
 """The router process.
 
-What a platform's adapter needs to run a host that chooses upstreams itself is
-public here; see docs/decisions/platform.md.
+The public names are those that the adapter of a platform needs to run a host
+that chooses upstreams itself; see docs/decisions/platform.md.
 """
 
 from sycamoreloft_router._call_client import (
--- a/packages/router/sycamoreloft_router/_answer_heads.py
+++ b/packages/router/sycamoreloft_router/_answer_heads.py
@@ -1,26 +1,27 @@
-"""Status line and headers of an upstream's answer, as libcurl delivers them."""
+"""Status lines and headers of upstreams' answers, as libcurl delivers them."""
 
 import dataclasses
 
-#: Longest status line and headers of an answer together, in bytes.
+#: Maximum length of the status line and headers together, in bytes.
 MAXIMUM_HEAD_BYTES = 65_536
 
 #: Header in which an upstream repeats the identifier of the attempt.
 ECHO_HEADER = b"sycamoreloft-attempt"
 
-#: Statuses whose answers have no body.
+#: Statuses whose answers have no body, and thus no Content-Length.
 BODILESS_STATUSES = frozenset((204, 304))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerRules:
-    """What the upstreams' protocol says of answers."""
+    """Rules by which the answers of a protocol are checked."""
 
-    #: Lower-case name of the header that repeats the attempt's identifier;
-    #: empty if the protocol has none.
+    #: Name of the header that repeats the identifier of the attempt, in lower
+    #: case; empty if the protocol has no such header.
     echo_header: bytes = ECHO_HEADER
-    #: Whether an answer may end with its connection.
-    accepts_unframed: bool = False
+    #: Whether the close of the connection may mark the end of an answer. Such
+    #: an answer cannot be told from a truncated one.
+    accepts_close_delimited: bool = False
 
 
 class AnswerHead:
@@ -28,9 +29,9 @@
 
     Args:
         method: Method of the request.
-        attempt: Identifier of the attempt. An answer that repeats another
-            one belongs to another request.
-        rules: What the upstreams' protocol says of answers.
+        attempt: Identifier of the attempt. An answer with another identifier
+            belongs to another request and is rejected.
+        rules: Rules of the upstreams' protocol.
     """
 
     __slots__ = (
@@ -61,30 +62,32 @@
         self._framed = False
         self._length = b""
         self._size = 0
-        #: Whether all headers have arrived.
+        #: Whether all headers of the final answer have arrived.
         self.complete = False
         #: Whether the answer repeats the identifier of the attempt.
         self.echoed = False
-        #: Whether the connection carried an earlier request. An answer that
-        #: repeats no identifier may then be a second answer to that one.
+        #: Whether an answer without the identifier is rejected. Set for a
+        #: reused connection, where it may be a second answer to an earlier
+        #: request.
         self.needs_echo = False
-        #: Lower-case names and whole lines without line ends.
+        #: Headers in order: name in lower case, and complete line without its
+        #: line end.
         self.lines: list[tuple[bytes, bytes]] = []
-        #: What is wrong with the head; empty if nothing.
+        #: Why the answer is rejected; empty as long as it is valid.
         self.problem = ""
-        #: Status of the answer, 0 before it arrived.
+        #: HTTP status; 0 before the status line has arrived.
         self.status = 0
-        #: Reason phrase and status, as "200 OK".
+        #: Status and reason phrase, as "200 OK".
         self.status_line = b""
 
     def add_line(self, line: bytes) -> bool:
-        """Takes a line of the head from libcurl.
+        """Adds a line of the head; called by libcurl.
 
         Returns:
-            False if the answer must not be used; `problem` says why.
+            False if the answer is rejected; `problem` then says why.
         """
         if self.complete:
-            # Lines after the head are trailers, which are not passed on.
+            # Lines after the head are trailers, which are not forwarded.
             return True
         self._size += len(line)
         if self._size > MAXIMUM_HEAD_BYTES:
@@ -100,19 +103,27 @@
         return not self.problem
 
     def get_header(self, name: bytes) -> bytes:
-        """Returns the value of the first header of a lower-case name."""
+        """Returns the value of the first header with a name, or empty bytes.
+
+        Args:
+            name: Name of the header, in lower case.
+        """
         for known, line in self.lines:
             if known == name:
                 return line.partition(b":")[2].strip()
         return b""
 
-    def find_problem(self) -> str:
-        """Tells why an answer that ended cannot be taken for whole."""
+    def describe_problem(self) -> str:
+        """Returns why an answer that ended is invalid or incomplete.
+
+        Returns:
+            A description for logs, or an empty string for a complete answer.
+        """
         if self.problem or not self.complete:
             return self.problem or "the answer has no headers"
         if (
             self._framed
-            or self._rules.accepts_unframed
+            or self._rules.accepts_close_delimited
             or self._method == "HEAD"
             or self.status in BODILESS_STATUSES
         ):
@@ -120,7 +131,8 @@
         return "the answer has no length, so that its end cannot be checked"
 
     def _start(self, line: bytes) -> None:
-        # "HTTP/1.1 200 OK": a new status line follows an interim answer.
+        # Parses "HTTP/1.1 200 OK". The status line of the final answer follows
+        # the headers of an interim answer (1xx), which are dropped.
         self.lines = []
         self.echoed = False
         self._framed = False
--- a/packages/router/sycamoreloft_router/_answers.py
+++ b/packages/router/sycamoreloft_router/_answers.py
@@ -1,4 +1,4 @@
-"""Answers to callers, as bytes: the router's own and those of upstreams."""
+"""Encodes answers to callers: the router's own and those of upstreams."""
 
 from collections import abc
 import dataclasses
@@ -7,7 +7,7 @@
 
 from sycamoreloft_router import _answer_heads
 
-#: Outcomes, as in the header Sycamoreloft-Outcome.
+#: Values of the header Sycamoreloft-Outcome.
 COMPLETED = "completed"
 DID_NOT_RUN = "did-not-run"
 UNKNOWN = "unknown"
@@ -20,25 +20,25 @@
 class Refusal:
     """An answer of the router itself."""
 
-    #: HTTP status.
+    #: HTTP status code.
     status: int
-    #: Stable reason, for the header Sycamoreloft-Reason.
+    #: Machine-readable reason, for the header Sycamoreloft-Reason.
     reason: str
-    #: What is wrong.
+    #: What is wrong, in words.
     problem: str
     #: What the caller or the operator can do about it.
     remedy: str
     #: Outcome, for the header Sycamoreloft-Outcome.
     outcome: str = DID_NOT_RUN
-    #: Time after which a retry makes sense, in milliseconds; 0 for unknown.
+    #: Time to wait before a retry, in milliseconds; 0 if unknown.
     retry_after_ms: int = 0
-    #: Status of the first answer to a repeated request id, 0 for none.
+    #: Status of the first answer to a repeated request id; 0 if there is none.
     first_status: int = 0
-    #: Whether callers read Retry-After with fractions of a second.
+    #: Whether callers accept fractions of a second in Retry-After.
     allows_fractions: bool = False
 
     def encode(self, keep_open: bool, has_body: bool = True) -> bytes:
-        """Encodes the whole answer.
+        """Encodes the complete answer.
 
         Args:
             keep_open: Whether the caller's connection stays open.
@@ -64,7 +64,7 @@
         if self.retry_after_ms and self.allows_fractions:
             lines.append(f"Retry-After: {self.retry_after_ms / 1000:.3f}")
         elif self.retry_after_ms:
-            # The header counts whole seconds.
+            # HTTP defines Retry-After in whole seconds; rounds up.
             seconds = -(-self.retry_after_ms // 1000)
             lines.append(f"Retry-After: {seconds}")
         if not keep_open:
@@ -75,19 +75,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamAnswer:
-    """The head of an upstream's answer that is passed on."""
+    """The head of an upstream's answer that is forwarded to the caller."""
 
     #: Status and reason phrase, as "200 OK".
     status_line: bytes
-    #: HTTP status.
+    #: HTTP status code.
     status: int
-    #: Header lines without line ends, already filtered.
+    #: Header lines without line ends, filtered for forwarding.
     lines: abc.Sequence[bytes]
-    #: Value of Content-Length for an answer to a HEAD request, or empty.
+    #: Content-Length of an answer to a HEAD request; empty for other answers.
     head_length: bytes = b""
     #: Outcome, for the header Sycamoreloft-Outcome.
     outcome: str = COMPLETED
-    #: Stable reason, for the header Sycamoreloft-Reason; empty for none.
+    #: Reason, for the header Sycamoreloft-Reason; empty for no header.
     reason: str = ""
 
     def encode_whole(self, body: bytes, keep_open: bool) -> bytes:
--- a/packages/router/sycamoreloft_router/_body_streams.py
+++ b/packages/router/sycamoreloft_router/_body_streams.py
@@ -4,19 +4,22 @@
 import collections
 from collections import abc
 
-#: Bytes at which the producer of a body is paused.
+#: Buffered bytes of a body at which its producer is paused.
 BUFFER_BYTES = 262_144
 
-#: Bytes of an answer that are collected before its headers are sent on, and
-#: of a request before it is forwarded.
+#: Bytes of a body that are collected before its head is forwarded. A shorter
+#: body is forwarded as a whole.
 PREFIX_BYTES = 65_536
 
 
 class UploadBuffer:
     """Carries a request body from the caller's connection to libcurl.
 
-    The caller server feeds it and waits while it is full; libcurl takes
-    from it and pauses while it is empty.
+    The caller server feeds the buffer and waits while it is full; libcurl
+    reads from it and pauses while it is empty.
+
+    Args:
+        limit: Buffered bytes from which on `feed` asks its caller to wait.
     """
 
     __slots__ = (
@@ -24,7 +27,7 @@
         "_finished",
         "_limit",
         "_on_change",
-        "_room",
+        "_room_waiter",
         "_size",
         "broken",
         "bytes_read",
@@ -35,37 +38,38 @@
         self._chunks: collections.deque[bytes] = collections.deque()
         self._size = 0
         self._finished = False
-        self._room: asyncio.Future[None] | None = None
+        self._room_waiter: asyncio.Future[None] | None = None
         self._on_change: abc.Callable[[], None] | None = None
-        #: Whether the caller stopped before the end of the body.
+        #: Whether the body is incomplete: the caller stopped before its end, or
+        #: it was malformed or dropped.
         self.broken = False
-        #: Bytes that libcurl has taken; a body that was touched cannot be
-        #: sent a second time.
+        #: Bytes that libcurl has read. They are not kept, so the body cannot
+        #: be sent a second time unless this is 0.
         self.bytes_read = 0
 
     @property
     def size(self) -> int:
-        """Bytes held."""
+        """Number of buffered bytes."""
         return self._size
 
     def set_on_change(self, on_change: abc.Callable[[], None] | None) -> None:
-        """Sets what is called when bytes arrive or the body ends."""
+        """Sets the callback for new bytes, and for the end of the body."""
         self._on_change = on_change
 
     def feed(self, chunk: bytes) -> asyncio.Future[None] | None:
         """Adds a part of the body.
 
         Returns:
-            None, or a future that is done when there is room again.
+            None, or a future that completes when the buffer has room again.
         """
         self._chunks.append(chunk)
         self._size += len(chunk)
         self._notify()
         if self._size < self._limit:
             return None
-        if self._room is None or self._room.done():
-            self._room = asyncio.get_running_loop().create_future()
-        return self._room
+        if self._room_waiter is None or self._room_waiter.done():
+            self._room_waiter = asyncio.get_running_loop().create_future()
+        return self._room_waiter
 
     def finish(self) -> None:
         """Marks the end of the body."""
@@ -73,18 +77,19 @@
         self._notify()
 
     def fail(self) -> None:
-        """Marks the body as broken and drops what is held."""
+        """Marks the body as broken and drops the buffered bytes."""
         self.broken = True
         self._chunks.clear()
         self._size = 0
-        self._release()
+        self._wake_producer()
         self._notify()
 
     def read(self, size: int) -> bytes | None:
-        """Takes at most `size` bytes.
+        """Removes and returns at most `size` bytes.
 
         Returns:
-            Bytes, empty at the end of the body, or None if none are there.
+            Bytes, empty at the end of the body, or None if the buffer is empty
+            and the body has not ended.
         """
         if not self._chunks:
             return b"" if self._finished else None
@@ -95,32 +100,36 @@
         self._size -= len(chunk)
         self.bytes_read += len(chunk)
         if self._size * 2 <= self._limit:
-            self._release()
+            self._wake_producer()
         return chunk
 
     def _notify(self) -> None:
         if self._on_change is not None:
             self._on_change()
 
-    def _release(self) -> None:
-        if self._room is not None and not self._room.done():
-            self._room.set_result(None)
-        self._room = None
+    def _wake_producer(self) -> None:
+        if self._room_waiter is not None and not self._room_waiter.done():
+            self._room_waiter.set_result(None)
+        self._room_waiter = None
 
 
 class DownloadBuffer:
-    """Carries an answer body from libcurl to the caller's connection."""
+    """Carries an answer body from libcurl to the caller's connection.
+
+    Args:
+        limit: Buffered bytes at which libcurl has to pause.
+    """
 
     __slots__ = ("_chunks", "_limit", "size")
 
     def __init__(self, limit: int = BUFFER_BYTES) -> None:
         self._limit = limit
         self._chunks: list[bytes] = []
-        #: Bytes held.
+        #: Number of buffered bytes.
         self.size = 0
 
     def is_full(self) -> bool:
-        """Tells whether libcurl has to pause."""
+        """Returns whether libcurl has to pause."""
         return self.size >= self._limit
 
     def add(self, chunk: bytes) -> None:
@@ -129,7 +138,7 @@
         self.size += len(chunk)
 
     def read_all(self) -> bytes:
-        """Takes everything that is held."""
+        """Removes and returns all buffered bytes."""
         chunks = self._chunks
         if not chunks:
             return b""
--- a/packages/router/sycamoreloft_router/_call_client.py
+++ b/packages/router/sycamoreloft_router/_call_client.py
@@ -1,8 +1,8 @@
-"""Short HTTP calls with a bounded answer, and real cancellation.
+"""HTTP client for short calls, with bounded answers and cancellation.
 
-A long answer on a slow link takes a while; that is no reason to end a call as
-long as more of it arrives. What ends a call is silence, or more bytes than
-any answer has.
+A long answer on a slow link takes a while, so a call goes on as long as parts
+of its answer arrive. The client gives up a call if no part arrives within a
+timeout, or if the answer or its total time exceeds a limit.
 """
 
 import asyncio
@@ -20,79 +20,81 @@
     _upstream_client,
 )
 
-#: Seconds without an acknowledgement after which a connection is given up
-#: whose calls may wait long for their answers.
+#: Default time without a TCP acknowledgement after which a connection is
+#: closed, in seconds. It detects a lost peer during calls that may wait long
+#: for their answers.
 ACK_TIMEOUT_S = 2.0
 
-#: Status of a call that got no whole answer.
+#: Status of a call without a complete answer.
 NO_ANSWER = 599
 
-#: Bytes of the identifier of a call.
+#: Length of the random identifier of a call, in bytes.
 _IDENTIFIER_BYTES = 8
 
-#: Connections to one address; libcurl takes 0 for any number.
-_ANY_NUMBER = 0
+#: Connections to one address; for libcurl, 0 means no limit.
+_UNLIMITED = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallLimits:
-    """When a call is ended without its answer."""
+    """Limits at which a call is given up without its answer."""
 
-    #: Seconds until the answer's body begins.
+    #: Maximum time until the first byte of the answer's body, in seconds.
     first_byte_timeout_s: float
-    #: Seconds between two parts of the body.
+    #: Maximum time between two parts of the body, in seconds.
     idle_timeout_s: float
-    #: Seconds in all: an answer that comes a byte at a time ends as well.
+    #: Maximum time of the whole call, in seconds; bounds also an answer that
+    #: arrives byte by byte.
     total_timeout_s: float
-    #: Longest body, in bytes.
+    #: Maximum length of the answer's body, in bytes.
     max_body_bytes: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
-    """One call."""
+    """A request to one server, and the limits of its answer."""
 
-    #: Address of the server, as "ip:port".
+    #: IP address and port of the server, as "ip:port".
     address: str
-    #: HTTP method.
+    #: HTTP method, in upper case.
     method: str
-    #: Path and query.
+    #: Path and query, starting with "/".
     target: str
-    #: When the call is ended without its answer.
+    #: Limits at which the call is given up.
     limits: CallLimits
-    #: Body, None for a call without one.
+    #: Request body; None for a call without a body.
     body: bytes | None = None
-    #: Whether it may reach the server twice: a kept connection may break
-    #: before the answer.
+    #: Whether the call may reach the server twice. It is then sent again if a
+    #: reused connection breaks before the answer.
     is_idempotent: bool = True
-    #: Header lines without line ends.
+    #: Further header lines, without line ends.
     header_lines: abc.Sequence[bytes] = ()
 
 
 class Connection(enum.Enum):
     """Which connection carried a call."""
 
-    #: None was made.
+    #: No connection was opened.
     NONE = "none"
-    #: One that was made for the call.
+    #: A connection that was opened for the call.
     NEW = "new"
-    #: One that an earlier call had used.
+    #: A connection that an earlier call had used.
     REUSED = "reused"
-    #: A new one, after a reused one broke before the answer.
+    #: A new connection, after a reused one broke before the answer.
     RESENT = "resent"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallAnswer:
-    """How a call ended."""
+    """Result of a call."""
 
-    #: Status of the answer, `NO_ANSWER` if none came whole.
+    #: HTTP status of the answer; `NO_ANSWER` if no complete answer arrived.
     status: int
-    #: Body of the answer.
+    #: Body of the answer; empty without a complete answer.
     body: bytes = b""
-    #: Lower-case names of headers and their values.
+    #: Values of headers by name in lower case; the first one of equal names.
     headers: abc.Mapping[str, str] = dataclasses.field(default_factory=dict)
-    #: What went wrong; empty if nothing.
+    #: Why there is no complete answer; empty if there is one.
     error: str = ""
     #: Whether any byte of the call may have reached the server.
     was_sent: bool = True
@@ -101,19 +103,21 @@
 
 
 class CallClient:
-    """Makes calls; create it inside the running loop.
+    """Sends calls; must be created inside the running event loop.
 
     Args:
-        connect_timeout_s: Seconds within which a connection must be made.
-        id_header: Name of the header that carries a call's identifier and
-            that servers may repeat. Those that do not get a connection for
-            each call: a late second answer to the call before would look
-            like the answer to the next one. If it is empty, connections are
-            kept, and the caller has to tell whose answer it got.
-        ack_timeout_s: Seconds without an acknowledgement after which the system
-            closes a connection; 0 if nothing of a call may arrive once it has
-            ended. What the system gives up by itself may still arrive; what
-            this process gives up may not.
+        connect_timeout_s: Maximum time to open a connection, in seconds.
+        id_header: Name of the header that carries the identifier of a call.
+            A connection is reused only if the server repeats the header in
+            its answers: a late second answer to one call would otherwise look
+            like the answer to the next call. If the name is empty,
+            connections are always reused, and the caller has to check which
+            call an answer belongs to.
+        ack_timeout_s: Time without a TCP acknowledgement after which the
+            operating system closes a connection, in seconds. 0 disables it,
+            for calls of which nothing may arrive once they have ended: unsent
+            data can still arrive after the system gave up the connection, but
+            not after this process reset it.
     """
 
     def __init__(
@@ -126,10 +130,11 @@
         self._id_header = id_header
         self._client = _upstream_client.UpstreamClient(
             force_instance=True,
-            connections_per_upstream=_ANY_NUMBER,
+            connections_per_upstream=_UNLIMITED,
             rules=_connection_rules.ConnectionRules(
                 _answer_heads.AnswerRules(
-                    id_header.lower().encode("latin1"), accepts_unframed=True
+                    id_header.lower().encode("latin1"),
+                    accepts_close_delimited=True,
                 ),
                 connect_timeout_s,
                 assumes_echo=True,
@@ -141,11 +146,13 @@
     async def send(
         self, call: Call, progress: _call_progress.CallProgress
     ) -> CallAnswer:
-        """Makes a call; if it is cancelled, its connection is closed.
+        """Sends a call and returns its answer.
+
+        If the task is cancelled, the connection of the call is closed.
 
         Args:
             call: The call.
-            progress: Is told of each part of the answer.
+            progress: Records each part of the answer as it arrives.
         """
         identifier = secrets.token_hex(_IDENTIFIER_BYTES)
         lines = [b"Expect:", *call.header_lines]
@@ -165,9 +172,9 @@
             )
         )
         try:
-            answer = await self._load(transfer, call.limits, progress)
+            answer = await self._read_answer(transfer, call.limits, progress)
             return dataclasses.replace(
-                answer, connection=_find_connection(transfer)
+                answer, connection=_classify_connection(transfer)
             )
         finally:
             if not transfer.ended:
@@ -177,13 +184,13 @@
         """Ends all calls and closes all connections."""
         self._client.close()
 
-    async def _load(
+    async def _read_answer(
         self,
         transfer: _transfers.Transfer,
         limits: CallLimits,
         progress: _call_progress.CallProgress,
     ) -> CallAnswer:
-        """Collects the answer."""
+        """Reads the answer within the limits of the call."""
         chunks: list[bytes] = []
         size = 0
         limit_s = limits.first_byte_timeout_s
@@ -226,9 +233,9 @@
     return CallAnswer(transfer.head.status, body, headers)
 
 
-def _find_connection(transfer: _transfers.Transfer) -> Connection:
+def _classify_connection(transfer: _transfers.Transfer) -> Connection:
     if not transfer.maybe_sent:
         return Connection.NONE
     if not transfer.is_connecting:
         return Connection.REUSED
-    return Connection.RESENT if transfer.sends > 1 else Connection.NEW
+    return Connection.RESENT if transfer.send_count > 1 else Connection.NEW
--- a/packages/router/sycamoreloft_router/_call_progress.py
+++ b/packages/router/sycamoreloft_router/_call_progress.py
@@ -1,27 +1,34 @@
-"""How far a call has come."""
+"""Progress of calls, for callers that watch them."""
 
 
 class CallProgress:
-    """What has arrived of the answer to one call; the caller may look.
+    """Progress of the answer to one call, readable while the call runs.
+
+    All times are in seconds, on the clock of the event loop.
 
     Args:
-        now: Time at which the call begins, on the clock of the event loop.
+        now: Time at which the call begins.
     """
 
     __slots__ = ("began_at", "bytes", "first_byte_at", "last_byte_at")
 
     def __init__(self, now: float) -> None:
-        #: When the call began.
+        #: Time at which the call began.
         self.began_at = now
-        #: Bytes of the answer so far.
+        #: Number of bytes of the answer's body that have arrived.
         self.bytes = 0
-        #: When the first of them arrived; 0 before that.
+        #: Time at which the first byte arrived; 0 if none has arrived.
         self.first_byte_at = 0.0
-        #: When the last of them so far arrived.
+        #: Time at which the latest byte arrived; 0 if none has arrived.
         self.last_byte_at = 0.0
 
     def record_bytes(self, size: int, now: float) -> None:
-        """Notes that a part of the answer arrived."""
+        """Records that a part of the answer arrived.
+
+        Args:
+            size: Length of the part, in bytes.
+            now: Time of its arrival.
+        """
         self.first_byte_at = self.first_byte_at or now
         self.last_byte_at = now
         self.bytes += size
--- a/packages/router/sycamoreloft_router/_caller_connections.py
+++ b/packages/router/sycamoreloft_router/_caller_connections.py
@@ -1,4 +1,4 @@
-"""Connections of callers: typed answers to malformed input, idle limit."""
+"""Connections of callers: answers to malformed input, and idle timeouts."""
 
 import asyncio
 from collections import abc
@@ -14,32 +14,39 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Longest head that is read as one, in bytes. Heads between the limit of the
-#: server and this one are counted in their answer; longer ones are refused
-#: where they pass it.
+#: Maximum length of a request head that is read into memory, in bytes. A head
+#: between the server's own limit and this one is refused with its length in
+#: the answer; a longer one is refused as soon as it exceeds this limit.
 READ_HEADER_BYTES = 65_536
 
-#: Bytes from a caller that tornado holds before the server takes them.
+#: Maximum number of bytes that tornado buffers for a connection.
 READ_BUFFER_BYTES = 4 * 65_536
 
-#: What tornado says of a chunked body that is longer than the limit.
+#: Error message of tornado for a chunked body that exceeds the limit.
 _LONG_CHUNKED_BODY = "chunked body too large"
 
-#: Connections that wait in a listening socket.
+#: Maximum number of connections in the backlog of a listening socket.
 MAXIMUM_PENDING = 1_024
 
-#: Header lines as RFC 9112 defines them: a token, a colon, and a value
-#: without control characters other than the tab.
+#: Header lines as in RFC 9112: a token, a colon, and a value without control
+#: characters other than the tab.
 _HEADER_BLOCK = re.compile(
     r"(?:[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\x00-\x08\x0a-\x1f\x7f]*\r\n)*"
 )
 
 
 def parse_head(data: bytes) -> tuple[str, httputil.HTTPHeaders] | None:
-    """Parses a well-formed head; tornado's parser gets all others.
+    """Parses a well-formed head faster than tornado's parser.
 
-    tornado matches three expressions for each header, which was a tenth of
-    the time of a request.
+    tornado matches three regular expressions for each header, which took a
+    tenth of the time of a request.
+
+    Args:
+        data: Request line and headers, with their line ends.
+
+    Returns:
+        Request line and headers, or None if the head is not well-formed and
+        has to be parsed by tornado.
     """
     start_line, _, block = data.decode("latin1").partition("\r\n")
     block = block[:-2]
@@ -55,31 +62,39 @@
     return start_line, headers
 
 
-class Rejected(iostream.StreamClosedError):
-    """The connection answered malformed input itself and must close."""
+class ConnectionRejected(iostream.StreamClosedError):
+    """The connection has answered malformed input and must be closed."""
 
 
-#: Seconds that a head may take to come after the connection was idle for too
-#: long.
-LONGEST_HEAD_S = 10.0
+#: Maximum time for a head that has begun to arrive after the idle timeout, in
+#: seconds.
+MAXIMUM_HEAD_S = 10.0
 
-#: Seconds within which a head that was read gets its turn on the event loop.
-TURN_S = 1.0
+#: Maximum time between reading a head and handling it on the event loop, in
+#: seconds.
+MAXIMUM_TURN_S = 1.0
 
 
 class BodyRejecter(typing.Protocol):
-    """A delegate that answers a malformed body itself."""
+    """A delegate that answers requests with a malformed body."""
 
     def reject_body(
         self, refusal: _answers.Refusal
     ) -> asyncio.Task[None] | None:
-        """Ends the request; returns the task that still answers it."""
+        """Ends the request because of its malformed body.
+
+        Args:
+            refusal: Answer to a request that no upstream has received.
+
+        Returns:
+            The task that still has to answer the request, or None.
+        """
 
 
 class CallerConnection(http1connection.HTTP1Connection):
-    """Reads one request, and answers malformed ones with a remedy."""
+    """Reads one request, and answers a malformed one with a remedy."""
 
-    #: Longest request line and headers, in bytes; set by the server.
+    #: Maximum length of request line and headers, in bytes; set by the server.
     header_bytes = READ_HEADER_BYTES
 
     @property
@@ -88,7 +103,7 @@
         return not self._disconnect_on_finish
 
     def close_after_answer(self) -> None:
-        """Closes the connection after the answer of this request."""
+        """Makes the connection close after the answer to this request."""
         self._disconnect_on_finish = True
 
     def _parse_headers(self, data: bytes) -> tuple[str, httputil.HTTPHeaders]:
@@ -113,8 +128,8 @@
                     "send header lines as RFC 9112 defines them",
                 )
             )
-        # tornado parses the line once more and answers a malformed one
-        # without any header.
+        # tornado parses the request line again, and would answer a malformed
+        # one without any headers.
         try:
             httputil.parse_request_start_line(start_line)
         except httputil.HTTPInputError as error:
@@ -139,7 +154,7 @@
             )
             if answering is not None:
                 await asyncio.wait([answering])
-            raise Rejected from error
+            raise ConnectionRejected from error
 
     def _describe_body_problem(self, problem: str) -> _answers.Refusal:
         if problem == _LONG_CHUNKED_BODY:
@@ -159,40 +174,43 @@
     def _reject(self, refusal: _answers.Refusal) -> typing.NoReturn:
         with contextlib.suppress(iostream.StreamClosedError):
             self.stream.write(refusal.encode(False))
-        raise Rejected
+        raise ConnectionRejected
 
 
 class ServerConnection(http1connection.HTTP1ServerConnection):
-    """Serves the requests of one connection one after the other."""
+    """Serves the requests of one connection, one after the other."""
 
-    #: Whether the connection waits for the head of a request.
+    #: Whether the connection waits for the head of its next request.
     is_waiting = True
 
-    #: When it began to wait, on the clock of the event loop.
+    #: Start of the latest wait, in seconds on the clock of the event loop.
     waiting_since = 0.0
 
-    #: Longest request line and headers, in bytes; set by the server.
+    #: Maximum length of request line and headers, in bytes; set by the server.
     header_bytes = READ_HEADER_BYTES
 
     def is_idle(self, waiting_before: float) -> bool:
-        """Tells whether the connection has waited since before a time.
+        """Returns whether the connection has waited since before a time.
+
+        A connection is not idle if bytes of a request have arrived that the
+        event loop has not handled yet, unless the head takes too long.
 
-        A request that has arrived and not had its turn on the event loop
-        ends the wait, unless its head takes too long to come.
+        Args:
+            waiting_before: Time on the clock of the event loop, in seconds.
         """
         if not self.is_waiting or self.waiting_since >= waiting_before:
             return False
         return (
-            self.waiting_since < waiting_before - LONGEST_HEAD_S
+            self.waiting_since < waiting_before - MAXIMUM_HEAD_S
             or not self._has_arrived()
         )
 
     def _has_arrived(self) -> bool:
-        """Tells whether bytes of a request arrived just now."""
+        """Returns whether bytes of a request have just arrived."""
         stream = self.stream
         if not isinstance(stream, _caller_streams.CallerStream):
             return False
-        read_since = asyncio.get_running_loop().time() - TURN_S
+        read_since = asyncio.get_running_loop().time() - MAXIMUM_TURN_S
         is_read = stream.received_at > max(read_since, self.waiting_since)
         return is_read or stream.has_unread()
 
@@ -211,14 +229,14 @@
                 request = delegate.start_request(self, connection)
                 if not await connection.read_response(request):
                     return
-                # Other connections get their turn between two requests.
+                # Lets other connections run between two requests.
                 await asyncio.sleep(0)
-        except Rejected:
+        except ConnectionRejected:
             await _caller_streams.linger(self.stream)
             self.stream.close()
         except asyncio.CancelledError:
-            # The answer is in the socket buffer by now, unless the caller
-            # does not read.
+            # The answer is in the socket buffer already, unless the caller
+            # does not read it.
             self.stream.close()
         except (iostream.StreamClosedError, iostream.UnsatisfiableReadError):
             pass
@@ -238,10 +256,10 @@
     """Accepts connections of callers.
 
     Args:
-        delegate: Gets the requests.
-        header_bytes: Longest request line and headers, in bytes.
-        body_bytes: Longest request body, in bytes.
-        tls: Context of a TLS server, or None for plain TCP.
+        delegate: Handles the requests.
+        header_bytes: Maximum length of request line and headers, in bytes.
+        body_bytes: Maximum length of a request body, in bytes.
+        tls: TLS context of the server, or None for plain TCP.
     """
 
     def initialize(  # type: ignore[override]
@@ -251,7 +269,7 @@
         body_bytes: int,
         tls: ssl.SSLContext | None,
     ) -> None:
-        """Sets the limits; `Configurable` calls it in place of __init__."""
+        """Sets the limits; called by the constructor of `Configurable`."""
         super().initialize(
             delegate,
             ssl_options=tls,
@@ -261,8 +279,8 @@
             max_buffer_size=READ_BUFFER_BYTES,
         )
         self._header_bytes = header_bytes
-        # tornado starts a timer for the head of each request; the server
-        # looks for idle connections from time to time instead.
+        # tornado would start a timer for the head of each request; instead,
+        # the server closes idle connections periodically.
         self.conn_params.header_timeout = None
 
     def handle_stream(
@@ -270,7 +288,8 @@
     ) -> None:
         """Serves a new connection."""
         if type(stream) is iostream.IOStream:
-            # Nothing has been read from it; streams of TLS stay as they are.
+            # Nothing has been read from the stream yet, so it can be replaced.
+            # TLS streams are kept.
             stream = _caller_streams.CallerStream(
                 stream.socket,
                 max_buffer_size=READ_BUFFER_BYTES,
@@ -278,18 +297,19 @@
             )
         connection = ServerConnection(stream, self.conn_params, address[0])
         connection.header_bytes = self._header_bytes
-        # The task that serves the connection starts one turn of the loop
-        # later; a sweep in between closed the connection as idle.
+        # The task that serves the connection starts in the next iteration of
+        # the event loop. Without a start time, a sweep in between closed the
+        # connection as idle.
         connection.waiting_since = asyncio.get_running_loop().time()
         self._connections.add(connection)
         connection.start_serving(self)
 
     def limit_sizes(self, header_bytes: int, body_bytes: int) -> None:
-        """Changes the longest head and body, for the next requests.
+        """Changes the limits of head and body, for the next requests.
 
         Args:
-            header_bytes: Longest request line and headers, in bytes.
-            body_bytes: Longest request body, in bytes.
+            header_bytes: Maximum length of request line and headers, in bytes.
+            body_bytes: Maximum length of a request body, in bytes.
         """
         self._header_bytes = min(header_bytes, READ_HEADER_BYTES)
         self.conn_params.max_body_size = body_bytes
@@ -297,10 +317,10 @@
             connection.header_bytes = self._header_bytes
 
     def accept_pending(self) -> None:
-        """Accepts connections that wait in the listening sockets.
+        """Accepts the connections in the backlog of the listening sockets.
 
-        Closing a listening socket resets them, although their callers may
-        have sent a request.
+        Closing a listening socket would reset them, although their callers
+        may have sent a request.
         """
         for listener in self._sockets.values():
             for _ in range(MAXIMUM_PENDING):
@@ -320,7 +340,11 @@
         ]
 
     def close_idle(self, waiting_before: float) -> None:
-        """Closes connections that have waited since before a time."""
+        """Closes connections that have been idle since before a time.
+
+        Args:
+            waiting_before: Time on the clock of the event loop, in seconds.
+        """
         for connection in self.list_connections():
             if connection.is_idle(waiting_before):
                 connection.stream.close()
--- a/packages/router/sycamoreloft_router/_caller_exchange.py
+++ b/packages/router/sycamoreloft_router/_caller_exchange.py
@@ -1,4 +1,4 @@
-"""One request of a caller on its connection: reading it and answering it."""
+"""Handles one request of a caller: reads it, runs it and sends the answer."""
 
 import asyncio
 from collections import abc
@@ -21,35 +21,38 @@
 
 #: Seconds for which the rest of a body is read after an early answer. Closing
 #: at once would reset the connection, and the caller might lose the answer.
-DISCARD_S = 1.0
+DISCARD_TIMEOUT_S = 1.0
 
-#: Methods whose requests have no body unless they announce one.
+#: Methods for which a request without Content-Length and Transfer-Encoding is
+#: forwarded without a body, rather than with an empty one.
 _BODILESS_METHODS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
 
 
-class Shared:
-    """What all exchanges of the server share.
+class ServerState:
+    """State that all exchanges of a caller server share.
 
     Args:
-        path: The request path.
-        body_bytes: Longest request body, in bytes.
-        requests: Requests in flight.
+        path: Parses and serves the requests.
+        body_bytes: Maximum length of a request body, in bytes.
+        max_requests: Maximum number of requests in flight.
     """
 
     def __init__(
-        self, path: _exchange.RequestPath, body_bytes: int, requests: int
+        self, path: _exchange.RequestPath, body_bytes: int, max_requests: int
     ) -> None:
-        #: The request path.
+        #: Parses and serves the requests.
         self.path = path
-        #: Event loop of the server.
+        #: Looked up once: on Python 3.11, each call of get_running_loop costs
+        #: a system call.
         self.loop = asyncio.get_running_loop()
-        #: Longest request body, in bytes.
+        #: Maximum length of a request body, in bytes.
         self.body_bytes = body_bytes
-        #: Requests in flight at most.
-        self.requests = requests
-        #: Requests that have not ended.
+        #: Maximum number of requests in flight.
+        self.max_requests = max_requests
+        #: Requests in flight: from the headers to the end of the answer.
         self.exchanges: set[CallerExchange] = set()
-        #: Whether answers close the connection.
+        #: Whether the server is stopping: each answer then closes its
+        #: connection.
         self.is_draining = False
 
     async def cancel_all(self) -> None:
@@ -68,9 +71,9 @@
     """Reads a request, runs it, and sends the answer.
 
     Args:
-        shared: What all exchanges share.
-        server_connection: The connection over all its requests.
-        connection: The connection as it serves this request.
+        server_state: State of the server.
+        server_connection: The connection, which may carry several requests.
+        connection: Reads this request from the connection.
     """
 
     __slots__ = (
@@ -87,9 +90,9 @@
         "_prefix_size",
         "_received_at",
         "_request",
-        "_run",
+        "_execution",
         "_server_connection",
-        "_shared",
+        "_server_state",
         "_timer",
         "_upload",
         "task",
@@ -97,12 +100,12 @@
 
     def __init__(
         self,
-        shared: Shared,
+        server_state: ServerState,
         server_connection: object,
         connection: httputil.HTTPConnection,
     ) -> None:
-        self._shared = shared
-        self._path = shared.path
+        self._server_state = server_state
+        self._path = server_state.path
         self._server_connection = typing.cast(
             _caller_connections.ServerConnection, server_connection
         )
@@ -120,10 +123,11 @@
         self._prefix_size = 0
         self._received_at = 0.0
         self._request: _exchange.ParsedRequest | None = None
-        self._run: _exchange.RequestExecution | None = None
+        self._execution: _exchange.RequestExecution | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._upload: _body_streams.UploadBuffer | None = None
-        #: Task that runs the request, once its prefix has been read.
+        #: Task that serves the request; None until the whole body, or its
+        #: first `_body_streams.PREFIX_BYTES` bytes, have been read.
         self.task: asyncio.Task[None] | None = None
 
     # Reading the request.
@@ -135,14 +139,14 @@
     ) -> None:
         """Parses the head of the request."""
         assert isinstance(start_line, httputil.RequestStartLine)
-        loop = self._shared.loop
+        loop = self._server_state.loop
         self._server_connection.is_waiting = False
         self._received_at = loop.time()
         self._fields = fields = _headers.read_fields(headers)
         self._head_only = start_line.method == "HEAD"
-        self._shared.exchanges.add(self)
+        self._server_state.exchanges.add(self)
         self._connection.set_close_callback(self._on_caller_gone)
-        if self._shared.is_draining:
+        if self._server_state.is_draining:
             self._connection.close_after_answer()
         problem = self._check_load() or self._check_framing(
             start_line, fields.values
@@ -167,7 +171,11 @@
         self._timer = loop.call_at(self._deadline, self._on_deadline)
 
     def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
-        """Takes a part of the body; the future is done when there is room."""
+        """Buffers a part of the body.
+
+        Returns:
+            None, or a future that completes when the buffer has room again.
+        """
         if self._ended or self._request is None:
             return None
         if self._upload is not None:
@@ -180,13 +188,13 @@
         room = None
         for part in self._prefix:
             room = self._upload.feed(part)
-        # tornado notices a close by itself only after the whole body.
+        # tornado by itself notices a closed connection only after the body.
         self._connection.stream.set_close_callback(self._on_caller_gone)
         self._start(self._upload)
         return room
 
     def finish(self) -> None:
-        """Notes the end of the body."""
+        """Handles the end of the body."""
         self._body_ended = True
         if self._ended:
             self._connection.finish()
@@ -196,7 +204,7 @@
             self._start(self._join_prefix())
 
     def on_connection_close(self) -> None:
-        """Notes that the connection closed in the middle of the body."""
+        """Handles a connection that closed in the middle of the body."""
         self._on_caller_gone()
 
     def reject_body(
@@ -205,23 +213,25 @@
         """Ends the request because its body is malformed.
 
         Returns:
-            The task that still answers the request, if there is one.
+            The task that still has to answer the request, or None.
         """
         self._is_rejected = True
         if self._upload is not None:
-            # The attempt ends as a broken body, and answers what is known.
+            # The attempt fails because its request body broke; the execution
+            # then answers with the outcome of the request so far.
             self._upload.fail()
         elif not self._ended:
             self._refuse(refusal, True)
         return self.task
 
     def _check_load(self) -> _answers.Refusal | None:
-        if len(self._shared.exchanges) <= self._shared.requests:
+        if len(self._server_state.exchanges) <= self._server_state.max_requests:
             return None
         return _answers.Refusal(
             503,
             "host-overloaded",
-            f"this host has {self._shared.requests} requests in flight",
+            f"this host has {self._server_state.max_requests} requests in"
+            " flight",
             "send the request again, to another host if there is one",
             retry_after_ms=1_000,
         )
@@ -231,10 +241,10 @@
         start_line: httputil.RequestStartLine,
         headers: abc.Mapping[str, str],
     ) -> _answers.Refusal | None:
-        """Checks the version and how the end of the body is found."""
+        """Checks the HTTP version and the headers that delimit the body."""
         if start_line.version != "HTTP/1.1":
-            # HTTP/1.0 has no chunks, so that the caller could not tell a
-            # broken answer from a whole one.
+            # HTTP/1.0 has no chunked encoding, so the caller could not tell a
+            # truncated answer from a complete one.
             return _answers.Refusal(
                 505,
                 "old-http-version",
@@ -264,12 +274,12 @@
             self._length = int(text)
         elif encoding is None:
             self._length = 0
-        if self._length > self._shared.body_bytes:
+        if self._length > self._server_state.body_bytes:
             return _answers.Refusal(
                 413,
                 "long-body",
                 f"the body has {self._length} bytes",
-                f"send at most {self._shared.body_bytes} bytes",
+                f"send at most {self._server_state.body_bytes} bytes",
             )
         if self._head_only and self._length != 0:
             return _answers.Refusal(
@@ -295,13 +305,14 @@
             return None
         return b""
 
-    # Running it.
+    # Running the request.
 
     def _start(self, body: bytes | _body_streams.UploadBuffer | None) -> None:
         request, fields = self._request, self._fields
         assert request is not None and fields is not None
         if self._connection.stream.closed():
-            # tornado tells of a close only while it waits for the answer.
+            # tornado reports a closed connection only while it waits for the
+            # answer.
             self._log_closed("request-dropped")
             self._on_caller_gone()
             return
@@ -309,7 +320,7 @@
             self._length = self._prefix_size
         prefix = b"".join(self._prefix)[: _body_streams.PREFIX_BYTES]
         self._prefix.clear()
-        self._run = self._path.create_execution(
+        self._execution = self._path.create_execution(
             request,
             _exchange.ReceivedRequest(
                 body, self._length, prefix, self._deadline
@@ -317,14 +328,16 @@
             fields,
             self,
         )
-        self.task = self._shared.loop.create_task(self._run_request(self._run))
+        self.task = self._server_state.loop.create_task(
+            self._run_request(self._execution)
+        )
 
     async def _run_request(self, run: _exchange.RequestExecution) -> None:
         refusal: _answers.Refusal | None = None
         try:
             refusal = await run.run()
         except asyncio.CancelledError:
-            # The drain bound was reached.
+            # `cancel_all` ends the requests that outlast the drain.
             self.abort()
             raise
         except iostream.StreamClosedError:
@@ -346,8 +359,8 @@
             self._end("completed", "")
 
     def _on_deadline(self) -> None:
-        if self._run is not None:
-            self._run.stop(_exchange.StopReason.DEADLINE_PASSED)
+        if self._execution is not None:
+            self._execution.stop(_exchange.StopReason.DEADLINE_PASSED)
         elif not self._ended:
             self._refuse(
                 _answers.Refusal(
@@ -365,12 +378,12 @@
         self._path.metrics.count("sycamoreloft_callers_gone_total")
         if self._upload is not None and not self._body_ended:
             self._upload.fail()
-        if self._run is None:
+        if self._execution is None:
             self._end("did-not-run", "caller-gone")
         else:
-            self._run.stop(_exchange.StopReason.CALLER_GONE)
+            self._execution.stop(_exchange.StopReason.CALLER_GONE)
 
-    # Answering it; see `_exchange.AnswerSink`.
+    # Sending the answer; see `_exchange.AnswerSink`.
 
     def send_complete(
         self, answer: _answers.UpstreamAnswer, body: bytes
@@ -388,31 +401,38 @@
         await self._write(b"%x\r\n%b\r\n" % (len(chunk), chunk))
 
     def end(self) -> None:
-        """Marks the end of a streamed answer."""
+        """Ends a streamed answer with the last chunk."""
         self._send_last(b"0\r\n\r\n")
         self._end(_answers.COMPLETED, "")
 
     def abort(self) -> None:
-        """Closes the connection without the last chunk."""
+        """Closes the connection without the last chunk of the answer."""
         if not self._ended:
             self._path.metrics.count("sycamoreloft_answers_cut_total")
             self._end(_answers.UNKNOWN, "broken-answer")
             self._connection.close()
 
     def _keeps_open(self) -> bool:
-        if self._shared.is_draining or not (
+        if self._server_state.is_draining or not (
             self._body_ended or self._length == 0
         ):
             self._connection.close_after_answer()
         return self._connection.keeps_open
 
     async def _write(self, data: bytes) -> None:
-        # The caller of an operation that must not be cancelled may be gone.
+        # An operation that must not be cancelled goes on when its caller has
+        # closed the connection; its answer is dropped.
         if not self._connection.stream.closed():
             await self._connection.write(data)
 
     def _refuse(self, refusal: _answers.Refusal, close_now: bool) -> None:
-        """Sends an answer of the router itself."""
+        """Sends an answer of the router itself.
+
+        Args:
+            refusal: The answer.
+            close_now: Whether to close the connection without reading the
+                rest of the body.
+        """
         if close_now:
             self._connection.close_after_answer()
         data = refusal.encode(self._keeps_open(), not self._head_only)
@@ -420,7 +440,12 @@
         self._send_last(data, close_now)
 
     def _send_last(self, data: bytes, close_now: bool = False) -> None:
-        """Sends the end of the answer and finishes the request."""
+        """Sends the last part of the answer and finishes the request.
+
+        Args:
+            data: The last part, or the whole answer.
+            close_now: Whether to finish without reading the rest of the body.
+        """
         connection = self._connection
         if connection.stream.closed():
             self._log_closed("answer-dropped")
@@ -429,17 +454,21 @@
         if self._body_ended or close_now or self._is_rejected:
             connection.finish()
         else:
-            asyncio.get_running_loop().call_later(DISCARD_S, self._finish_early)
+            asyncio.get_running_loop().call_later(
+                DISCARD_TIMEOUT_S, self._finish_early
+            )
 
     def _log_closed(self, event: str) -> None:
-        """Logs that the connection was closed before an event's subject."""
+        """Logs an event of a request whose connection is already closed."""
         request = self._request
         _logs.log_event(
             _LOGGER,
             logging.INFO,
             event,
             request=request.request_id if request is not None else "",
-            elapsed_s=round(self._shared.loop.time() - self._received_at, 4),
+            elapsed_s=round(
+                self._server_state.loop.time() - self._received_at, 4
+            ),
         )
 
     def _finish_early(self) -> None:
@@ -447,23 +476,24 @@
             self._connection.finish()
 
     def _end(self, outcome: str, reason: str) -> None:
-        """Counts the request once, and lets its resources go."""
+        """Counts the ended request and releases its resources; idempotent."""
         if self._ended:
             return
         self._ended = True
-        self._shared.exchanges.discard(self)
-        # The run refers to this object. Without the cycle the memory of a
-        # request is free at once; the garbage collector paused the process
-        # for up to 30 ms otherwise.
-        self._run = None
+        self._server_state.exchanges.discard(self)
+        # The execution refers back to this object. Breaking the cycle frees the
+        # memory of the request at once; collecting such cycles paused the
+        # process for up to 30 ms.
+        self._execution = None
         if self._timer is not None:
             self._timer.cancel()
         if self._upload is not None and not self._body_ended:
-            # Releases the reader, which drops the rest of the body.
+            # Wakes up the connection if it waits for room in the buffer; it
+            # then discards the rest of the body.
             self._upload.fail()
         metrics = self._path.metrics
         metrics.count("sycamoreloft_requests_total", outcome, reason)
         metrics.observe(
             "sycamoreloft_request_seconds",
-            self._shared.loop.time() - self._received_at,
+            self._server_state.loop.time() - self._received_at,
         )
--- a/packages/router/sycamoreloft_router/_caller_requests.py
+++ b/packages/router/sycamoreloft_router/_caller_requests.py
@@ -1,4 +1,4 @@
-"""Requests of callers: parsing, names, fingerprint."""
+"""Requests of callers: parsing, resolving names, and fingerprints."""
 
 from collections import abc
 import dataclasses
@@ -15,49 +15,51 @@
     _request_lines,
 )
 
-#: Longest deadline that a caller may set, in milliseconds.
+#: Maximum deadline that a caller may set, in milliseconds.
 MAXIMUM_DEADLINE_MS = 3_600_000
 
-#: Longest key and request id, in bytes.
+#: Maximum length of a key and of a request id, in bytes.
 MAXIMUM_KEY_BYTES = 1_024
 
-#: Characters of a caller's name that count; holders keep a queue by name.
-MAXIMUM_CALLER = 128
+#: Length to which the name of a caller is cut, in characters. It bounds the
+#: memory of holders, which keep a queue for each name.
+MAXIMUM_CALLER_CHARACTERS = 128
 
-#: Names that are kept resolved.
+#: Maximum number of resolved names in the cache.
 MAXIMUM_CACHED_NAMES = 4_096
 
-#: Start of the paths that belong to the upstream protocol.
+#: Prefix of the paths that are reserved for the upstream protocol.
 _RESERVED_PATH = "/_sycamoreloft"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerRequest:
-    """A request whose names are resolved."""
+    """A parsed request, with its names resolved."""
 
-    #: HTTP method.
+    #: HTTP method, in upper case.
     method: str
     #: Path and query, as received.
     target: str
     #: Generation under which the names were resolved.
     generation: sycamoreloft_config.Generation
-    #: Identity of the service.
+    #: Identity of the service, after aliases are resolved.
     reference: sycamoreloft_config.ServiceReference
-    #: The service.
+    #: The service, as in `generation`.
     service: sycamoreloft_config.Service
-    #: Rules of the operation.
+    #: Rule of the service that matches method and path.
     operation: sycamoreloft_config.Operation
-    #: Key, empty for an unkeyed service.
+    #: Key that selects the owner; empty for an unkeyed service.
     key: str
-    #: Partition of the key, -1 for an unkeyed service.
+    #: Partition of the key; -1 for an unkeyed service.
     partition: int
-    #: Time from the headers to the deadline, in milliseconds.
+    #: Time from receiving the headers to the deadline, in milliseconds.
     deadline_ms: int
-    #: Caller, for fairness.
+    #: Name or IP address of the caller; holders share slots fairly between
+    #: callers.
     caller: str
-    #: Request id, empty if there is none.
+    #: Request id that the caller sent; empty if there is none.
     request_id: str
-    #: Header lines that are sent on.
+    #: Header lines to forward, without line ends.
     header_lines: list[bytes]
 
 
@@ -65,7 +67,7 @@
     """Parses requests against the generation in force.
 
     Args:
-        names: The generation in force.
+        names: Provides the generation in force.
     """
 
     def __init__(self, names: _permit_ports.NameSource) -> None:
@@ -92,7 +94,11 @@
             method: HTTP method.
             target: Path and query.
             fields: Headers of the caller.
-            caller: Address of the caller, used if it gives no name.
+            caller: IP address of the caller, which stands for its name if the
+                request has none.
+
+        Returns:
+            The request, or the answer to a request that is refused.
         """
         problem = _request_lines.check_start_line(
             method, target, _RESERVED_PATH
@@ -100,10 +106,10 @@
         headers = fields.values
         if problem is not None:
             return result.Failure(problem)
-        found = self._find_service(headers)
-        if isinstance(found, _answers.Refusal):
-            return result.Failure(found)
-        reference, service = found
+        resolved = self._resolve_service(headers)
+        if isinstance(resolved, _answers.Refusal):
+            return result.Failure(resolved)
+        reference, service = resolved
         operation = sycamoreloft_config.match_operation(service, method, target)
         key = _read_key(headers, service)
         if isinstance(key, _answers.Refusal):
@@ -130,7 +136,9 @@
                 key,
                 partition,
                 deadline_ms,
-                (headers.get(_headers.CALLER, "") or caller)[:MAXIMUM_CALLER],
+                (headers.get(_headers.CALLER, "") or caller)[
+                    :MAXIMUM_CALLER_CHARACTERS
+                ],
                 request_id,
                 fields.lines,
             )
@@ -144,7 +152,7 @@
             request.method, request.target, fields, request.caller
         )
 
-    def _find_service(
+    def _resolve_service(
         self, headers: abc.Mapping[str, str]
     ) -> (
         tuple[sycamoreloft_config.ServiceReference, sycamoreloft_config.Service]
@@ -156,9 +164,9 @@
             self._cache.clear()
         fleet = headers.get(_headers.FLEET, "")
         service = headers.get(_headers.SERVICE, "")
-        known = self._cache.get((fleet, service))
-        if known is not None:
-            return known
+        cached = self._cache.get((fleet, service))
+        if cached is not None:
+            return cached
         if not service:
             return _answers.Refusal(
                 400,
@@ -185,12 +193,13 @@
 def compute_fingerprint(
     request: CallerRequest, length: int, prefix: bytes
 ) -> bytes:
-    """Hashes what tells requests apart, to 16 bytes.
+    """Hashes the content of a request to 16 bytes.
 
     Args:
         request: The request.
-        length: Length of the body, -1 if unknown.
-        prefix: Start of the body.
+        length: Length of the body, in bytes; -1 if unknown.
+        prefix: First bytes of the body. The rest does not count, because a
+            long body is not buffered.
     """
     names = "\0".join(
         (
@@ -293,7 +302,16 @@
     remaining_ms: int,
     attempt: str,
 ) -> typing.Sequence[bytes]:
-    """Lists all header lines of one attempt."""
+    """Builds all header lines of one attempt.
+
+    Args:
+        request: The request.
+        group: Name of the group that issued the permit.
+        epoch: Epoch of the holder of the group.
+        fence: Fencing token of the owner; sent for keyed services only.
+        remaining_ms: Time until the deadline, in milliseconds.
+        attempt: Identifier of the attempt.
+    """
     lines = [
         *request.header_lines,
         f"Sycamoreloft-Group: {group}".encode(),
--- a/packages/router/sycamoreloft_router/_caller_server.py
+++ b/packages/router/sycamoreloft_router/_caller_server.py
@@ -17,32 +17,32 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Seconds between two looks for idle connections.
-SWEEP_S = 5.0
+#: Interval at which idle connections are closed, in seconds.
+SWEEP_INTERVAL_S = 5.0
 
-#: Seconds between two looks at the connections while the server drains.
-DRAIN_LOOK_S = 0.01
+#: Interval at which a draining server checks its connections, in seconds.
+DRAIN_POLL_S = 0.01
 
-#: Seconds for which a connection must have been idle before a drain closes
-#: it. A request that the caller sent before may still be on its way.
+#: Minimum idle time before a draining server closes a connection, in seconds.
+#: A request that the caller has sent may still be on its way.
 DRAIN_IDLE_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """Bounds of the caller server."""
+    """Limits of the caller server."""
 
-    #: Longest request line and headers together, in bytes.
+    #: Maximum length of request line and headers together, in bytes.
     header_bytes: int = 16_384
-    #: Longest request body, in bytes.
+    #: Maximum length of a request body, in bytes.
     body_bytes: int = 4 << 30
-    #: Requests in flight. Each holds at most 0.4 MB of bodies, and most
-    #: hold less than 64 KiB.
+    #: Maximum number of requests in flight. Each buffers at most 0.4 MB of its
+    #: bodies, and most buffer less than 64 KiB.
     requests: int = 2_000
-    #: Seconds for which an idle connection of a caller is kept.
+    #: Idle time after which a connection of a caller is closed, in seconds.
     idle_connection_s: float = 75.0
-    #: Connections to one upstream, idle ones included. 300 connections
-    #: shared by 24 hosts are 12 each.
+    #: Maximum number of connections to one upstream, idle ones included. The
+    #: 300 connections of an upstream, divided among 24 hosts, are 12 each.
     connections_per_upstream: int = 12
 
 
@@ -50,9 +50,9 @@
     """Accepts requests of callers and forwards them to upstreams.
 
     Args:
-        path: Serves the requests.
+        path: Parses and serves the requests.
         client: Runs the transfers to upstreams; the server closes it.
-        limits: Bounds.
+        limits: Limits; None for the defaults.
     """
 
     def __init__(
@@ -64,19 +64,19 @@
         self._limits = limits or CallerLimits()
         self._idle_s = self._limits.idle_connection_s
         self._client = client
-        self._shared = _caller_exchange.Shared(
+        self._server_state = _caller_exchange.ServerState(
             path, self._limits.body_bytes, self._limits.requests
         )
         self._server: _caller_connections.ConnectionServer | None = None
-        self._sweep: asyncio.TimerHandle | None = None
+        self._sweep_timer: asyncio.TimerHandle | None = None
 
     def listen(self, address: str, tls: ssl.SSLContext | None = None) -> str:
-        """Starts to accept connections.
+        """Starts accepting connections.
 
         Args:
-            address: IP number and port, as "127.0.0.1:8080"; port 0 lets the
-                system choose.
-            tls: Context of a TLS server, or None for plain TCP.
+            address: IP address and port, as "127.0.0.1:8080"; for port 0, the
+                operating system chooses a free port.
+            tls: TLS context of the server, or None for plain TCP.
 
         Returns:
             The address that the server listens on.
@@ -97,21 +97,21 @@
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
     ) -> httputil.HTTPMessageDelegate:
-        """Creates the exchange of the next request of a connection."""
+        """Creates the exchange for the next request of a connection."""
         return _caller_exchange.CallerExchange(
-            self._shared, server_conn, request_conn
+            self._server_state, server_conn, request_conn
         )
 
     def count_requests(self) -> int:
         """Returns the number of requests in flight."""
-        return len(self._shared.exchanges)
+        return len(self._server_state.exchanges)
 
     def stop_accepting(self) -> None:
         """Closes the listening sockets; connections stay open.
 
-        Answers from now on close the connection of the caller.
+        From now on, each answer closes the connection of its caller.
         """
-        self._shared.is_draining = True
+        self._server_state.is_draining = True
         if self._server is not None:
             self._server.accept_pending()
             self._server.stop()
@@ -120,10 +120,10 @@
         """Waits for the requests in flight and closes all connections.
 
         Args:
-            bound_s: Longest wait, in seconds.
+            bound_s: Maximum time to wait, in seconds.
 
         Returns:
-            The number of requests that were cut off at the bound.
+            The number of requests that were cancelled after that time.
         """
         self.stop_accepting()
         loop = asyncio.get_running_loop()
@@ -132,15 +132,16 @@
         while loop.time() < deadline:
             if self._server is None:
                 break
-            # Also while others are in flight: a connection that stayed open
-            # would bring requests until the end, which then are cut off.
+            # Closes idle connections also while requests are in flight: they
+            # would bring further requests until the end of the drain, which
+            # would then be cancelled.
             self._server.close_idle(loop.time() - DRAIN_IDLE_S)
             if (
-                not self._shared.exchanges
+                not self._server_state.exchanges
                 and not self._server.list_connections()
             ):
                 break
-            await asyncio.sleep(DRAIN_LOOK_S)
+            await asyncio.sleep(DRAIN_POLL_S)
         cut_off = self.count_requests()
         if cut_off:
             _logs.log_event(
@@ -154,9 +155,9 @@
         return cut_off
 
     async def _close(self) -> None:
-        if self._sweep is not None:
-            self._sweep.cancel()
-        await self._shared.cancel_all()
+        if self._sweep_timer is not None:
+            self._sweep_timer.cancel()
+        await self._server_state.cancel_all()
         if self._server is not None:
             for connection in self._server.list_connections():
                 connection.stream.close()
@@ -166,32 +167,32 @@
         """Changes the limit of connections to each upstream.
 
         Args:
-            connections: Connections at once, idle ones included.
-            keeps_idle: Whether a connection may be kept for the next request.
+            connections: Maximum number of connections, idle ones included.
+            keeps_idle: Whether a connection may stay open for the next request.
         """
         self._client.limit_connections(connections, keeps_idle)
 
     def limit_callers(
         self, header_bytes: int, body_bytes: int, idle_s: float
     ) -> None:
-        """Changes what callers may send, for the next requests.
+        """Changes the limits of callers, for the next requests.
 
         Args:
-            header_bytes: Longest request line and headers, in bytes.
-            body_bytes: Longest request body, in bytes.
-            idle_s: Seconds for which an idle connection is kept.
+            header_bytes: Maximum length of request line and headers, in bytes.
+            body_bytes: Maximum length of a request body, in bytes.
+            idle_s: Idle time after which a connection is closed, in seconds.
         """
         self._idle_s = idle_s
-        self._shared.body_bytes = body_bytes
+        self._server_state.body_bytes = body_bytes
         if self._server is not None:
             self._server.limit_sizes(header_bytes, body_bytes)
 
     def announce_stop(self) -> None:
-        """Closes each connection with its next answer."""
-        self._shared.is_draining = True
+        """Makes each connection close after its next answer."""
+        self._server_state.is_draining = True
 
     def _close_idle(self) -> None:
         loop = asyncio.get_running_loop()
         if self._server is not None:
             self._server.close_idle(loop.time() - self._idle_s)
-        self._sweep = loop.call_later(SWEEP_S, self._close_idle)
+        self._sweep_timer = loop.call_later(SWEEP_INTERVAL_S, self._close_idle)
--- a/packages/router/sycamoreloft_router/_caller_streams.py
+++ b/packages/router/sycamoreloft_router/_caller_streams.py
@@ -1,4 +1,4 @@
-"""Streams of callers that get an answer to a head without an end."""
+"""Streams of callers, which also answer a request head that is too long."""
 
 import asyncio
 import contextlib
@@ -9,27 +9,27 @@
 
 from sycamoreloft_router import _answers
 
-#: Seconds for which a refused connection is read on, and bytes that are read
-#: at most: closing it while bytes wait unread resets it, and the caller might
-#: lose the answer.
+#: Maximum time, in seconds, and number of bytes for which a refused connection
+#: is read before it is closed. Closing it with unread bytes resets it, and the
+#: caller might lose the answer.
 LINGER_S = 1.0
 LINGER_BYTES = 1 << 20
 
-#: Bytes that are read at once while the connection lingers.
+#: Maximum number of bytes per read of a refused connection.
 _CHUNK_BYTES = 65_536
 
 
 class CallerStream(iostream.IOStream):
-    """A stream that answers before tornado closes it for a long head.
+    """A stream that answers a too long head before tornado closes it.
 
-    tornado closes a stream that finds no end of the head within the limit,
-    so that nothing can be written to it any more. The answer goes out on a
-    second descriptor of the connection.
+    If a head exceeds the limit, tornado closes the stream, and nothing can be
+    written to it any more. The answer is therefore sent on a duplicate of the
+    descriptor.
     """
 
-    _farewell: asyncio.Task[None] | None = None
+    _refusal_task: asyncio.Task[None] | None = None
 
-    #: When bytes were read last, on the clock of the event loop.
+    #: Time of the latest read, in seconds on the clock of the event loop.
     received_at = 0.0
 
     def __init__(
@@ -38,27 +38,28 @@
         super().__init__(connection, *arguments, **options)
         # Each call of get_running_loop costs a system call on Python 3.11.
         self._loop = asyncio.get_running_loop()
-        self._sends_at_once = False
+        self._has_nodelay = False
 
     def set_nodelay(self, value: bool) -> None:
-        """Lets the system send without delay, from the first time on.
+        """Sets TCP_NODELAY once and ignores all later calls.
 
-        tornado sets the option at the end of each answer and takes it back;
-        answers are written in large parts, so that it can stay.
+        tornado sets the option at the end of each answer and clears it again,
+        at a system call each. Answers are written in large parts, so the
+        option can stay set.
         """
-        if value and not self._sends_at_once:
-            self._sends_at_once = True
+        if value and not self._has_nodelay:
+            self._has_nodelay = True
             super().set_nodelay(True)
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
-        """Reads what is there; see the base class."""
+        """Reads available bytes; see the base class."""
         size = super().read_from_fd(buf)
         if size:
             self.received_at = self._loop.time()
         return size
 
     def has_unread(self) -> bool:
-        """Tells whether bytes wait in the socket."""
+        """Returns whether the socket has unread bytes."""
         if self.closed():
             return False
         try:
@@ -72,14 +73,14 @@
             isinstance(exc_info, iostream.UnsatisfiableReadError)
             and not self.closed()
         ):
-            second = self.socket.dup()
-            second.setblocking(False)
-            self._farewell = self._loop.create_task(_refuse(second))
+            duplicate = self.socket.dup()
+            duplicate.setblocking(False)
+            self._refusal_task = self._loop.create_task(_refuse(duplicate))
         super().close(exc_info)
 
 
 async def linger(stream: iostream.IOStream) -> None:
-    """Reads on for a while, so that the caller gets what was written."""
+    """Discards input for a while, so that the caller receives the answer."""
     size = 0
     with contextlib.suppress(iostream.StreamClosedError, TimeoutError):
         async with asyncio.timeout(LINGER_S):
@@ -88,7 +89,7 @@
 
 
 async def _refuse(connection: socket.socket) -> None:
-    """Answers on a connection, reads on for a while, and closes it."""
+    """Sends a refusal, discards input for a while, and then closes."""
     refusal = _answers.Refusal(
         431,
         "long-headers",
--- a/packages/router/sycamoreloft_router/_connection_rules.py
+++ b/packages/router/sycamoreloft_router/_connection_rules.py
@@ -1,4 +1,4 @@
-"""How connections to other processes are made, kept and given up."""
+"""Rules for opening, reusing and closing connections to other processes."""
 
 import dataclasses
 import select
@@ -7,64 +7,69 @@
 
 from sycamoreloft_router import _answer_heads
 
-#: Seconds for which an idle connection is reused. Upstreams that close idle
-#: connections earlier would turn the next request into an unknown outcome.
+#: Maximum idle time of a connection that is reused, in seconds. An upstream
+#: that closes idle connections earlier would give the next request an unknown
+#: outcome.
 IDLE_CONNECTION_S = 15
 
-#: Connections whose sockets are remembered; those that were not used for
-#: longest are forgotten.
+#: Maximum number of connections whose sockets are tracked; the least recently
+#: used ones are dropped first.
 MAXIMUM_SOCKETS = 4096
 
-#: Seconds within which a connection must be made; a connection inside a
-#: region takes about 1 ms.
+#: Maximum time to open a connection, in seconds. Inside a region, opening one
+#: takes about 1 ms.
 CONNECT_TIMEOUT_S = 1.0
 
-#: Addresses and ports of the peer and of this host, as libcurl tells them.
+#: IP addresses and ports of the peer and of this host, as libcurl reports them.
 Endpoints = tuple[str | int, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConnectionRules:
-    """How connections to upstreams are made and kept."""
+    """Rules for connections to upstreams."""
 
-    #: What the upstreams' protocol says of answers.
+    #: Rules for the answers on the connections.
     answers: _answer_heads.AnswerRules = _answer_heads.AnswerRules()
-    #: Seconds within which a connection must be made.
+    #: Maximum time to open a connection, in seconds.
     connect_timeout_s: float = CONNECT_TIMEOUT_S
-    #: Whole seconds for which an idle connection is reused.
+    #: Maximum idle time of a connection that is reused, in whole seconds.
     idle_connection_s: int = IDLE_CONNECTION_S
-    #: Whether an upstream counts as repeating the identifier of the attempt
-    #: until it answers without it: its first connection is kept as well.
+    #: Whether an upstream is assumed to repeat the identifier of the attempt
+    #: before its first answer, so that its first connection is reused, too.
     assumes_echo: bool = False
-    #: Seconds after which a peer that acknowledges nothing is given up; 0
-    #: leaves that to the deadline of the request.
+    #: Time without a TCP acknowledgement after which the operating system
+    #: closes a connection, in seconds. 0 disables it; the deadline of the
+    #: request then bounds the wait.
     ack_timeout_s: float = 0.0
-    #: Whether closing a connection drops what was not delivered.
+    #: Whether closing a connection resets it and drops undelivered data, so
+    #: that an abandoned request cannot arrive later.
     resets_on_close: bool = False
 
 
-class KeptSockets:
-    """Tells whether a kept connection has bytes that nobody asked for.
+class PooledSockets:
+    """Sockets of pooled connections, to check for unexpected input.
 
-    libcurl looks at a connection again only if it was idle for a while. A
-    second answer to the request before would be read as the answer to the
-    next one, and the end of the connection as an unknown outcome.
+    libcurl checks a pooled connection before its reuse only if the connection
+    was idle for a while. Without this check, a second answer to the previous
+    request would be read as the answer to the next one, and a connection that
+    the peer has closed would give the next request an unknown outcome.
     """
 
     def __init__(self) -> None:
-        # A connection that ends stays here until its addresses come again
-        # or it is forgotten; nobody asks for it meanwhile.
+        # A closed connection stays in the table until its addresses are used
+        # again or it is the least recently used one. It is never looked up in
+        # between, because libcurl does not reuse it.
         self._descriptors: dict[Endpoints, int] = {}
 
     def add(self, endpoints: Endpoints, descriptor: int) -> None:
-        """Notes the socket of a new connection."""
+        """Records the socket of a new connection."""
         self._descriptors.pop(endpoints, None)
         self._descriptors[endpoints] = descriptor
         if len(self._descriptors) > MAXIMUM_SOCKETS:
             del self._descriptors[next(iter(self._descriptors))]
 
     def is_readable(self, endpoints: Endpoints) -> bool:
-        """Tells whether there are bytes, or the peer closed."""
+        """Returns whether the peer has sent bytes or closed the connection."""
         descriptor = self._descriptors.pop(endpoints, None)
         if descriptor is None:
             return False
@@ -74,20 +79,21 @@
         return bool(poll.poll(0))
 
 
-def set_options(descriptor: int, rules: ConnectionRules) -> None:
+def set_socket_options(descriptor: int, rules: ConnectionRules) -> None:
     """Sets the options of a new socket.
 
-    If closing a connection drops what was not delivered, a request that was
-    given up does not arrive when a partition heals. That holds only if this
-    process closes the connection, and not the system because of silence.
+    If closing a connection drops undelivered data, an abandoned request does
+    not arrive when a network partition heals. This holds only if this process
+    closes the connection, not if the operating system does after the
+    acknowledgement timeout.
 
     Args:
-        descriptor: The socket.
-        rules: How its connection is kept and given up.
+        descriptor: File descriptor of the socket.
+        rules: Rules for its connection.
     """
     if not (rules.ack_timeout_s or rules.resets_on_close):
         return
-    # Without these arguments it would ask the system for each of them.
+    # Each argument that is left out would cost a system call.
     connection = socket.socket(
         socket.AF_INET,
         socket.SOCK_STREAM,
@@ -100,13 +106,18 @@
                 socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
             )
         if rules.ack_timeout_s:
-            _limit_silence(connection, rules.ack_timeout_s)
+            _set_ack_timeout(connection, rules.ack_timeout_s)
     finally:
         connection.detach()
 
 
-def _limit_silence(connection: socket.socket, seconds: float) -> None:
-    """Lets the system close a connection whose peer acknowledges nothing."""
+def _set_ack_timeout(connection: socket.socket, seconds: float) -> None:
+    """Makes the system close a connection that gets no acknowledgement.
+
+    Args:
+        connection: The connection.
+        seconds: Time without an acknowledgement.
+    """
     options = (
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
         (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, max(1, int(seconds / 2))),
--- a/packages/router/sycamoreloft_router/_connection_share.py
+++ b/packages/router/sycamoreloft_router/_connection_share.py
@@ -4,31 +4,31 @@
 
 import sycamoreloft_config
 
-#: Share until the files and the hosts are known: 300 connections of an
-#: upstream shared by 24 hosts, rounded down to whole connections.
+#: Connections before the fleet files and the number of hosts are known: the 300
+#: connections of an upstream, divided among 24 hosts.
 DEFAULT_CONNECTIONS = 12
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConnectionShare:
-    """What one host may open to one upstream."""
+    """Connections that one host may open to one upstream."""
 
-    #: Connections at once, idle ones included.
+    #: Maximum number of connections, idle ones included.
     connections: int = DEFAULT_CONNECTIONS
-    #: Whether a connection may be kept for the next request.
+    #: Whether a connection may stay open for the next request.
     keeps_idle: bool = True
 
 
 def compute_share(
     generation: sycamoreloft_config.Generation, hosts: int
 ) -> ConnectionShare:
-    """Computes the share that suits every upstream of a generation.
+    """Computes a share that fits every upstream of a generation.
 
-    A host may need as many connections as an upstream has slots, if all its
-    permits are in use there. If that many for each host are more than the
-    upstream accepts, idle connections are not kept: the connections are then
-    no more than the permits, which the slots bound whatever the number of
-    hosts.
+    A host needs as many connections as an upstream has slots if this host uses
+    all permits of the upstream. If an upstream does not accept that many
+    connections from every host, idle connections are not kept: each open
+    connection then has a permit, and the number of permits is bounded by the
+    slots, whatever the number of hosts.
 
     Args:
         generation: The accepted generation.
--- a/packages/router/sycamoreloft_router/_exchange.py
+++ b/packages/router/sycamoreloft_router/_exchange.py
@@ -1,7 +1,7 @@
-"""What the request path needs from the rest of the process.
+"""Interfaces between the caller server and the code that serves requests.
 
-`CallerServer` is given one implementation of each protocol class. All calls
-are made on the event loop of the process.
+`CallerServer` gets one implementation of `RequestPath`. All methods are called
+on the event loop of the process.
 """
 
 import dataclasses
@@ -14,7 +14,7 @@
 
 
 class AnswerSink(typing.Protocol):
-    """Where the answer to a caller goes."""
+    """Sends the answer to a caller."""
 
     def send_complete(
         self, answer: _answers.UpstreamAnswer, body: bytes
@@ -28,28 +28,34 @@
         """Sends a part of the body and waits until there is room for more."""
 
     def end(self) -> None:
-        """Marks the end of a streamed answer."""
+        """Ends a streamed answer with the last chunk."""
 
     def abort(self) -> None:
-        """Closes the connection without the last chunk."""
+        """Closes the connection without the last chunk of the answer.
+
+        The caller can tell from the missing chunk that the answer is
+        incomplete.
+        """
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReceivedRequest:
-    """What the caller's connection adds to a parsed request."""
+    """Body and deadline of a request, as the caller server received them."""
 
-    #: The whole body, a stream, or None.
+    #: The complete body, a stream for a long one, or None for a request
+    #: without a body.
     body: bytes | _body_streams.UploadBuffer | None
-    #: Length of the body, -1 if unknown.
+    #: Length of the body, in bytes; -1 if unknown.
     length: int
-    #: Start of the body, at most `_body_streams.PREFIX_BYTES` bytes.
+    #: First bytes of the body, at most `_body_streams.PREFIX_BYTES`; used for
+    #: the fingerprint of the request.
     prefix: bytes
-    #: Deadline on the clock of the event loop.
+    #: Deadline, in seconds on the clock of the event loop.
     deadline: float
 
 
 class StopReason(enum.Enum):
-    """Why a request is stopped before its answer."""
+    """Why a request is stopped before it has been answered."""
 
     #: The deadline of the request passed.
     DEADLINE_PASSED = "deadline-passed"
@@ -58,22 +64,22 @@
 
 
 class RequestExecution(typing.Protocol):
-    """A request that is being served."""
+    """Serves one request."""
 
     async def run(self) -> _answers.Refusal | None:
         """Serves the request.
 
         Returns:
-            None if an upstream's answer was passed on or cut, else the
+            None if an upstream's answer was forwarded or aborted, else the
             router's own answer.
         """
 
     def stop(self, reason: StopReason) -> None:
-        """Stops the request because of its deadline or its caller."""
+        """Stops serving the request."""
 
 
 class ParsedRequest(typing.Protocol):
-    """The head of a request whose route is known."""
+    """The head of a request, with its route resolved."""
 
     @property
     def method(self) -> str:
@@ -81,15 +87,15 @@
 
     @property
     def deadline_ms(self) -> int:
-        """Time from the headers to the deadline, in milliseconds."""
+        """Time from receiving the headers to the deadline, in milliseconds."""
 
     @property
     def request_id(self) -> str:
-        """Identifier that the caller sent, empty if it sent none."""
+        """Request id that the caller sent, or an empty string."""
 
 
 class RequestParser(typing.Protocol):
-    """Finds the route of a request."""
+    """Parses the head of a request and resolves its route."""
 
     def parse(
         self,
@@ -104,15 +110,15 @@
             method: HTTP method.
             target: Path and query.
             fields: Headers of the caller.
-            caller: Address of the caller.
+            caller: IP address of the caller.
 
         Returns:
-            A `ParsedRequest`, or the refusal that ends the request.
+            A `ParsedRequest`, or the answer to a request that is refused.
         """
 
 
 class RequestPath(typing.Protocol):
-    """What a caller server passes requests to."""
+    """Parses and serves the requests of a caller server."""
 
     @property
     def metrics(self) -> _metrics.Metrics:
@@ -120,7 +126,7 @@
 
     @property
     def parser(self) -> RequestParser:
-        """Finds the routes of requests."""
+        """Parser of request heads."""
 
     def create_execution(
         self,
@@ -129,11 +135,11 @@
         fields: _headers.RequestFields,
         sink: AnswerSink,
     ) -> RequestExecution:
-        """Creates the run of a request.
+        """Creates the execution of a request.
 
         Args:
-            request: What `parser` returned.
+            request: Request that `parser` returned.
             received: Body and deadline.
             fields: Headers of the caller.
-            sink: Where the answer goes.
+            sink: Sends the answer.
         """
--- a/packages/router/sycamoreloft_router/_headers.py
+++ b/packages/router/sycamoreloft_router/_headers.py
@@ -1,4 +1,4 @@
-"""Header fields: what is taken from callers, sent on, and sent back."""
+"""Filters the header fields of requests and of upstreams' answers."""
 
 from collections import abc
 import dataclasses
@@ -12,7 +12,7 @@
 CALLER = "Sycamoreloft-Caller"
 REQUEST_ID = "Idempotency-Key"
 
-#: Headers of a request that may appear once: those that the router acts on.
+#: Request headers that the router interprets, which must not be repeated.
 SINGLE_HEADERS = frozenset(
     (
         FLEET,
@@ -26,13 +26,13 @@
     )
 )
 
-#: Start of the names of system headers. Some servers take "_" for "-", so
-#: the names are compared without what follows the first word.
+#: Prefix of the headers of the router. Some servers treat "_" in a name like
+#: "-", so all names that start with this word are dropped.
 _SYSTEM_PREFIX = "Sycamoreloft"
 
-#: Headers of a request that concern one connection only, or that libcurl
-#: sets itself. "Expect" would make libcurl wait for an interim answer.
-_REQUEST_DROPPED = frozenset(
+#: Request headers that are not forwarded: hop-by-hop headers, and those that
+#: libcurl sets. "Expect" would make libcurl wait for an interim answer.
+_DROPPED_REQUEST_HEADERS = frozenset(
     (
         "Connection",
         "Content-Length",
@@ -48,7 +48,9 @@
     )
 )
 
-_ANSWER_DROPPED = frozenset(
+#: Answer headers that are not forwarded, in lower case: hop-by-hop headers, and
+#: the length, which the caller server sets.
+_DROPPED_ANSWER_HEADERS = frozenset(
     (
         b"connection",
         b"content-length",
@@ -62,7 +64,8 @@
     )
 )
 
-#: Headers that libcurl adds unless the request has them or switches them off.
+#: Headers that libcurl adds unless the request has them, and the lines that
+#: disable them.
 _LIBCURL_DEFAULTS = (
     ("Accept", b"Accept:"),
     ("Content-Type", b"Content-Type:"),
@@ -72,23 +75,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestFields:
-    """Header fields of a request, read in one pass."""
+    """Header fields of a request."""
 
-    #: First value of each header by its name in usual case.
+    #: First value of each header, by name with capitalized words.
     values: abc.Mapping[str, str]
-    #: Name of a header in `SINGLE_HEADERS` that is repeated, or empty.
+    #: Name of a repeated header of `SINGLE_HEADERS`; empty if there is none.
     repeated: str
-    #: Header lines that are sent on, in libcurl's form.
+    #: Header lines to forward, in the notation of libcurl.
     lines: list[bytes]
 
 
 def read_fields(headers: httputil.HTTPHeaders) -> RequestFields:
-    """Reads the caller's headers and lists those that are sent on."""
+    """Reads the headers of a request, and builds the lines to forward."""
     values: dict[str, str] = {}
     repeated = ""
-    dropped: abc.Container[str] = _REQUEST_DROPPED
+    dropped: abc.Container[str] = _DROPPED_REQUEST_HEADERS
     if "Connection" in headers:
-        dropped = _REQUEST_DROPPED | _list_connection_names(
+        dropped = _DROPPED_REQUEST_HEADERS | _list_connection_names(
             headers["Connection"]
         )
     lines = [b"Expect:"]
@@ -99,7 +102,7 @@
             repeated = name
         if name in dropped or name.startswith(_SYSTEM_PREFIX):
             continue
-        # libcurl reads "name:" as "leave it out", and "name;" as "empty".
+        # For libcurl, "Name:" leaves a header out, and "Name;" is an empty one.
         text = f"{name}: {value}" if value else f"{name};"
         lines.append(text.encode("latin1"))
     for name, line in _LIBCURL_DEFAULTS:
@@ -111,14 +114,18 @@
 def filter_answer_lines(
     lines: abc.Sequence[tuple[bytes, bytes]],
 ) -> list[bytes]:
-    """Lists the upstream's header lines that are sent back to the caller."""
-    dropped: abc.Container[bytes] = _ANSWER_DROPPED
+    """Returns the header lines of an answer that are forwarded.
+
+    Args:
+        lines: Headers: name in lower case, and complete line.
+    """
+    dropped: abc.Container[bytes] = _DROPPED_ANSWER_HEADERS
     for name, line in lines:
         if name == b"connection":
             names = _list_connection_names(
                 line.partition(b":")[2].decode("latin1")
             )
-            dropped = _ANSWER_DROPPED | {
+            dropped = _DROPPED_ANSWER_HEADERS | {
                 item.lower().encode("latin1") for item in names
             }
     return [
@@ -129,7 +136,7 @@
 
 
 def _list_connection_names(value: str) -> set[str]:
-    """Lists the headers that a Connection header declares hop-by-hop."""
+    """Lists the headers that a Connection header names as hop-by-hop."""
     return {
         "-".join(part.capitalize() for part in item.strip().split("-"))
         for item in value.split(",")
--- a/packages/router/sycamoreloft_router/_logs.py
+++ b/packages/router/sycamoreloft_router/_logs.py
@@ -1,8 +1,7 @@
-"""Structured logs: one JSON object a line, with stable event names.
+"""Structured logs: one JSON object per line, with stable event names.
 
-Lines of the same event are rate limited, so that a fault which hits every
-request does not fill the log; the next line of the event says how many were
-left out.
+The lines of each event are rate limited, so that a fault of every request does
+not fill the log. The next line of the event reports how many were suppressed.
 """
 
 from collections import abc
@@ -15,19 +14,19 @@
 import time
 import typing
 
-#: Lines of one event that may follow each other at once: the requests of a
-#: host that fail together when an upstream is lost.
-BURST = 100
+#: Maximum number of lines of one event in a burst: enough for the requests of
+#: a host that fail together when an upstream is lost.
+BURST_LINES = 100
 
-#: Lines of one event in a second, over a longer time. A line took 0.04 ms
-#: of a processor, so that an event takes about 0.1 % of one.
+#: Sustained rate of one event, in lines per second. A line took 0.04 ms of
+#: processor time, so an event takes about 0.1 % of a processor.
 LINES_PER_SECOND = 30.0
 
-#: Events that are limited each by itself; further ones share one limit.
+#: Maximum number of events with a limit of their own; further events share one.
 MAXIMUM_EVENTS = 256
 
-#: Longest text of a field, in characters.
-MAXIMUM_TEXT = 2_000
+#: Length to which texts in fields are cut, in characters.
+MAXIMUM_TEXT_CHARACTERS = 2_000
 
 _LEVELS = {
     "debug": logging.DEBUG,
@@ -38,7 +37,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Allowance:
+class _TokenBucket:
     tokens: float
     refilled_at: float
     suppressed: int = 0
@@ -48,8 +47,8 @@
     """Limits the log lines of each event with a token bucket."""
 
     def __init__(self) -> None:
-        self._allowances: dict[str, _Allowance] = {}
-        #: Lines left out since the start of the process.
+        self._buckets: dict[str, _TokenBucket] = {}
+        #: Lines suppressed since the process started.
         self.suppressed_total = 0
 
     def admit(self, event: str, now: float) -> int | None:
@@ -57,30 +56,30 @@
 
         Args:
             event: Name of the event.
-            now: Time in seconds, from a monotonic clock.
+            now: Time on a monotonic clock, in seconds.
 
         Returns:
-            None if not, or the number of lines of the event that were left
-            out since the last one written.
+            None if the line is suppressed; otherwise, the number of lines of
+            the event that were suppressed since its last written line.
         """
-        allowance = self._allowances.get(event)
-        if allowance is None:
-            if len(self._allowances) >= MAXIMUM_EVENTS:
+        bucket = self._buckets.get(event)
+        if bucket is None:
+            if len(self._buckets) >= MAXIMUM_EVENTS:
                 event = ""
-            allowance = self._allowances.setdefault(
-                event, _Allowance(BURST, now)
+            bucket = self._buckets.setdefault(
+                event, _TokenBucket(BURST_LINES, now)
             )
-        allowance.tokens = min(
-            BURST,
-            allowance.tokens + (now - allowance.refilled_at) * LINES_PER_SECOND,
+        bucket.tokens = min(
+            BURST_LINES,
+            bucket.tokens + (now - bucket.refilled_at) * LINES_PER_SECOND,
         )
-        allowance.refilled_at = now
-        if allowance.tokens < 1:
-            allowance.suppressed += 1
+        bucket.refilled_at = now
+        if bucket.tokens < 1:
+            bucket.suppressed += 1
             self.suppressed_total += 1
             return None
-        allowance.tokens -= 1
-        suppressed, allowance.suppressed = allowance.suppressed, 0
+        bucket.tokens -= 1
+        suppressed, bucket.suppressed = bucket.suppressed, 0
         return suppressed
 
 
@@ -89,10 +88,10 @@
 
 
 class LogCost:
-    """Processor time that log lines took."""
+    """Processor time spent on log lines."""
 
     def __init__(self) -> None:
-        #: Processor time of the thread, in seconds.
+        #: Processor time of the logging threads, in seconds.
         self.seconds = 0.0
 
 
@@ -118,7 +117,7 @@
             line |= {"event": "message", "message": _clip(record.getMessage())}
         else:
             line |= {"event": record.msg}
-            # Fields cannot replace the ones above.
+            # Fields of the event must not replace those of the record.
             line = {key: _clip(value) for key, value in fields.items()} | line
         if record.exc_info:
             line["exception"] = _clip(self.formatException(record.exc_info))
@@ -134,7 +133,7 @@
         logger: Logger of the module.
         level: Level of the logging package.
         event: Stable name, such as "upstream-broke-answer".
-        **fields: Values that JSON can represent; `exc_info=True` adds the
+        **fields: Values that can be encoded as JSON; `exc_info=True` adds the
             exception that is being handled.
     """
     log_event_lazily(logger, level, event, lambda: fields)
@@ -144,16 +143,16 @@
     logger: logging.Logger,
     level: int,
     event: str,
-    build: abc.Callable[[], dict[str, typing.Any]],
+    build_fields: abc.Callable[[], dict[str, typing.Any]],
 ) -> None:
-    """Logs an event whose fields are worth building only for a written line.
+    """Logs an event, building its fields only if the line is written.
 
     Args:
         logger: Logger of the module.
         level: Level of the logging package.
         event: Stable name, such as "upstream-broke-answer".
-        build: Returns the fields, as for `log_event`; it is not called for a
-            line that is left out.
+        build_fields: Returns the fields, as for `log_event`. Not called for a
+            line that is suppressed.
     """
     if not logger.isEnabledFor(level):
         return
@@ -161,7 +160,7 @@
     if suppressed is None:
         return
     began = time.thread_time()
-    fields = build()
+    fields = build_fields()
     if suppressed:
         fields["suppressed"] = suppressed
     exc_info = fields.pop("exc_info", None)
@@ -170,13 +169,13 @@
 
 
 class NonBlockingHandler(logging.Handler):
-    """Writes lines to a descriptor and drops those that do not fit.
+    """Writes lines to a descriptor, and drops lines that would block.
 
-    A handler on a stream would stop the event loop while nobody reads the
-    other end of a pipe.
+    A handler that writes to a stream would block the event loop while nobody
+    reads from the other end of a pipe.
 
     Args:
-        descriptor: Where lines go; it is made non-blocking.
+        descriptor: File descriptor to write to; it is made non-blocking.
     """
 
     def __init__(self, descriptor: int) -> None:
@@ -195,17 +194,18 @@
             os.write(self._descriptor, line.encode("utf-8", "replace"))
             self._dropped = 0
         except OSError:
-            # Nobody reads, or the pipe is closed; the next line counts it.
+            # The pipe is full or closed. The next line reports the number of
+            # dropped lines.
             self._dropped += 1
 
 
 def set_up_logging(level: str, descriptor: int | None = None) -> None:
-    """Sends log lines as JSON to standard error, or to a descriptor.
+    """Configures the process to write log lines as JSON.
 
     Args:
         level: "debug", "info", "warning" or "error".
-        descriptor: Where lines go without ever waiting; None for standard
-            error.
+        descriptor: File descriptor to write to without blocking; None for
+            standard error, whose writes may block.
     """
     handler: logging.Handler = logging.StreamHandler(sys.stderr)
     if descriptor is not None:
@@ -214,11 +214,11 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(_LEVELS[level])
-    # tornado logs every malformed request of a caller at this level.
+    # tornado logs every malformed request of a caller below this level.
     logging.getLogger("tornado.general").setLevel(logging.ERROR)
 
 
 def _clip(value: typing.Any) -> typing.Any:
-    if isinstance(value, str) and len(value) > MAXIMUM_TEXT:
-        return value[:MAXIMUM_TEXT] + "..."
+    if isinstance(value, str) and len(value) > MAXIMUM_TEXT_CHARACTERS:
+        return value[:MAXIMUM_TEXT_CHARACTERS] + "..."
     return value
--- a/packages/router/sycamoreloft_router/_metric_text.py
+++ b/packages/router/sycamoreloft_router/_metric_text.py
@@ -1,7 +1,7 @@
-"""Writes metrics in the Prometheus text format.
+"""Renders metrics in the Prometheus text format.
 
-The library is slow to import, and many processes are never asked for their
-metrics; `_metrics` imports this module when it is needed.
+The library is slow to import, and the metrics of many processes are never
+read, so `_metrics` imports this module only when it renders them.
 """
 
 from collections import abc
@@ -26,8 +26,8 @@
     """Renders metrics.
 
     Args:
-        values: Counters and gauges, by name and values of the labels.
-        histograms: Histograms, by the same.
+        values: Counters and gauges, by name and label values.
+        histograms: Histograms, by name and label values.
     """
     registry = collectors.Registry()
     definitions = {item.name: item for item in _metrics.DEFINITIONS}
@@ -47,7 +47,7 @@
 
 
 def _convert(item: _metrics.TimeHistogram) -> histogram.Histogram:
-    """Copies the counts, which the format wants cumulative."""
+    """Converts to a histogram of the library, whose counts are cumulative."""
     target = histogram.Histogram(*_metrics.TIME_BUCKETS)
     cumulative = list(itertools.accumulate(item.counts))
     target.buckets.update(zip(_metrics.TIME_BUCKETS, cumulative, strict=True))
--- a/packages/router/sycamoreloft_router/_metrics.py
+++ b/packages/router/sycamoreloft_router/_metrics.py
@@ -1,8 +1,8 @@
 """Metrics of the process; docs/metrics.md lists them with their units.
 
-Values are counted in plain dictionaries and copied into a registry when they
-are rendered: a labelled counter of aioprometheus encodes its labels as JSON on
-each call, which is too slow for the request path.
+Values are kept in plain dictionaries and copied into a registry for rendering:
+a labelled counter of aioprometheus encodes its labels as JSON on each call,
+which is too slow for the request path.
 """
 
 import bisect
@@ -10,11 +10,13 @@
 import dataclasses
 import enum
 
-#: Label combinations of all metrics together. Further ones are counted under
-#: the label value "other", so that callers cannot fill the memory.
+#: Maximum number of label combinations of all counters and gauges together.
+#: Further ones are counted under the label value "other", so that callers
+#: cannot exhaust the memory.
 MAXIMUM_SERIES = 4096
 
-#: Label combinations of all histograms together, each with 14 buckets.
+#: Maximum number of label combinations of all histograms together, each with
+#: 14 buckets.
 MAXIMUM_HISTOGRAMS = 256
 
 #: Upper bounds of the buckets of a histogram, in seconds.
@@ -46,15 +48,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Definition:
-    """A metric."""
+    """Definition of a metric."""
 
-    #: Name, as in docs/metrics.md.
+    #: Name, as listed in docs/metrics.md.
     name: str
-    #: Type.
+    #: Type, which decides on the methods of `Metrics` that apply.
     kind: Kind
-    #: Description.
+    #: Description that is rendered with the metric.
     help: str
-    #: Names of the labels.
+    #: Names of the labels, in the order in which their values are passed.
     labels: abc.Sequence[str] = ()
 
 
@@ -254,15 +256,16 @@
 
 
 class TimeHistogram:
-    """Counts observations by bucket.
+    """Histogram of times with the buckets `TIME_BUCKETS`.
 
-    The histogram of aioprometheus visits all buckets for each observation.
+    The histogram of aioprometheus is slower: it updates all buckets for each
+    observation.
     """
 
     __slots__ = ("counts", "total")
 
     def __init__(self) -> None:
-        #: Observations by bucket.
+        #: Number of observations in each bucket, not cumulative.
         self.counts = [0] * len(TIME_BUCKETS)
         #: Sum of the observations, in seconds.
         self.total = 0.0
@@ -279,13 +282,13 @@
     def __init__(self) -> None:
         self._values: dict[tuple[str, ...], float] = {}
         self._histograms: dict[tuple[str, ...], TimeHistogram] = {}
-        for item in DEFINITIONS:
-            if item.labels:
+        for definition in DEFINITIONS:
+            if definition.labels:
                 continue
-            if item.kind is Kind.HISTOGRAM:
-                self._histograms[(item.name,)] = TimeHistogram()
+            if definition.kind is Kind.HISTOGRAM:
+                self._histograms[(definition.name,)] = TimeHistogram()
             else:
-                self._values[(item.name,)] = 0.0
+                self._values[(definition.name,)] = 0.0
 
     def count(self, name: str, *labels: str, amount: float = 1.0) -> None:
         """Adds to a counter or gauge.
@@ -293,13 +296,13 @@
         Args:
             name: Name of the metric.
             *labels: Values of its labels, in the order of its definition.
-            amount: What is added.
+            amount: Value to add.
         """
         key = self._choose_key((name, *labels))
         self._values[key] = self._values.get(key, 0.0) + amount
 
     def set(self, name: str, *labels: str, value: float) -> None:
-        """Sets a gauge, or a counter that is counted elsewhere."""
+        """Sets a gauge, or a counter whose value is kept elsewhere."""
         self._values[self._choose_key((name, *labels))] = value
 
     def observe(self, name: str, value: float, *labels: str) -> None:
@@ -307,7 +310,7 @@
 
         Args:
             name: Name of the metric.
-            value: What was observed, in seconds.
+            value: Observed time, in seconds.
             *labels: Values of its labels, in the order of its definition.
         """
         key = (name, *labels)
@@ -319,13 +322,13 @@
         values.observe(value)
 
     def read(self, name: str, *labels: str) -> float:
-        """Returns the value of a counter or gauge, 0 if there is none."""
+        """Returns the value of a counter or gauge, or 0 if it has none."""
         return self._values.get((name, *labels), 0.0)
 
     def render(self) -> bytes:
         """Renders all metrics in the Prometheus text format."""
-        # The library that writes the format is slow to import, and many
-        # processes are never asked.
+        # The library for the format is slow to import, and the metrics of many
+        # processes are never read.
         from sycamoreloft_router import _metric_text
 
         return _metric_text.render(self._values, self._histograms)
--- a/packages/router/sycamoreloft_router/_process_measures.py
+++ b/packages/router/sycamoreloft_router/_process_measures.py
@@ -1,4 +1,4 @@
-"""Measures of the process as a whole, read when the metrics are rendered."""
+"""Metrics of the process as a whole, updated before metrics are rendered."""
 
 import pathlib
 import resource
@@ -9,7 +9,7 @@
 
 
 def update(metrics: _metrics.Metrics) -> None:
-    """Sets the metrics of memory and logging."""
+    """Updates the metrics of memory and logging."""
     metrics.set("sycamoreloft_resident_bytes", value=float(read_memory()))
     metrics.set(
         "sycamoreloft_log_lines_suppressed_total",
@@ -21,7 +21,7 @@
 def read_memory() -> int:
     """Returns the resident memory of the process, in bytes.
 
-    Where the system does not tell the present size, the peak is returned.
+    Returns the peak size on systems that do not report the current size.
     """
     try:
         pages = int(_STATM.read_text().split()[1])
--- a/packages/router/sycamoreloft_router/_request_lines.py
+++ b/packages/router/sycamoreloft_router/_request_lines.py
@@ -5,9 +5,11 @@
 
 from sycamoreloft_router import _answers
 
-#: Bytes of a target that may spell a reserved path in another way.
+#: Characters in a target that allow other spellings of a reserved path: percent
+#: encoding, empty or dot segments, backslashes and path parameters.
 _UNUSUAL_PATH = re.compile(r"%|//|/\.|\\|;", re.ASCII)
 
+#: Path and query: starts with "/", printable ASCII without "#".
 _TARGET = re.compile(r"/[!-\"$-~]*", re.ASCII)
 
 _METHOD = re.compile(r"[A-Z][A-Z-]{0,31}", re.ASCII)
@@ -16,13 +18,16 @@
 def check_start_line(
     method: str, target: str, reserved_path: str
 ) -> _answers.Refusal | None:
-    """Returns what is wrong with the start line of a request, if anything.
+    """Checks the method and the target of a request.
 
     Args:
         method: HTTP method.
         target: Path and query.
-        reserved_path: Start of the paths by which hosts give orders to
-            upstreams, without a slash at the end.
+        reserved_path: Prefix of the paths on which hosts send orders to
+            upstreams, without a trailing slash.
+
+    Returns:
+        The answer to a request that is refused, or None.
     """
     if _METHOD.fullmatch(method) is None or method in ("CONNECT", "TRACE"):
         return _answers.Refusal(
@@ -51,7 +56,7 @@
 def _is_reserved(target: str, reserved_path: str) -> bool:
     if _UNUSUAL_PATH.search(target) is None:
         return target.startswith(reserved_path)
-    # An upstream may decode and shorten the path, so that any spelling of
-    # the reserved segment counts, wherever it stands.
+    # The upstream may decode and normalize the path, so the reserved segment
+    # is refused in any spelling and at any place.
     path = parse.unquote(parse.unquote(target.partition("?")[0]))
     return reserved_path[1:] in path.lower()
--- a/packages/router/sycamoreloft_router/_supervisor.py
+++ b/packages/router/sycamoreloft_router/_supervisor.py
@@ -1,4 +1,4 @@
-"""Supervisor tree: starts, restarts and stops the long-lived tasks."""
+"""Supervisor of the long-lived tasks: starts, restarts and stops them."""
 
 import asyncio
 import collections
@@ -12,50 +12,51 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Delay before the first restart of a task, in seconds; it doubles each time.
+#: Delay before the first restart of a task, in seconds. It doubles each time.
 INITIAL_BACKOFF_S = 0.05
 
-#: Longest delay before a restart, in seconds.
+#: Maximum delay before a restart, in seconds.
 MAXIMUM_BACKOFF_S = 2.0
 
-#: Restarts that a task may use up inside the window.
+#: Maximum number of restarts of a task within the window.
 MAXIMUM_RESTARTS = 10
 
-#: Length of the window, in seconds.
+#: Length of the sliding window for counting restarts, in seconds.
 RESTART_WINDOW_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ChildSpecification:
-    """A task of the tree."""
+    """Specification of a supervised task."""
 
-    #: Name in logs and in the state dump.
+    #: Name in logs and in the state dump; unique in the supervisor.
     name: str
-    #: Runs until it is cancelled; returning or raising counts as a failure.
+    #: Runs until it is cancelled; returning or raising is counted as a failure.
     run: abc.Callable[[], abc.Awaitable[None]]
-    #: Called once when the restarts are used up; the task is then given up.
-    #: Without it the whole tree fails.
+    #: Called once if the task exceeds its restarts; the task then stays
+    #: stopped. If None, the whole supervisor fails instead.
     on_give_up: abc.Callable[[], None] | None = None
-    #: Whether it is restarted however often it fails.
+    #: Whether the task is restarted without a limit.
     always_restarts: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ChildState:
-    """What the state dump shows of a task."""
+    """State of a task, for the state dump."""
 
-    #: Name of the task.
+    #: Name, as in its specification.
     name: str
     #: "running", "backing-off", "stopped" or "given-up".
     status: str
-    #: Restarts since the process started.
+    #: Number of restarts since the task was started.
     restarts: int
-    #: Last failure, empty if there was none.
+    #: Type and message of the latest exception, or "returned"; empty if the
+    #: task has not failed.
     last_failure: str
 
 
 class SupervisorFailed(Exception):
-    """A task that the process cannot do without used up its restarts."""
+    """A task without which the process cannot run exceeded its restarts."""
 
 
 class _Child:
@@ -68,7 +69,7 @@
         self.failure_times: collections.deque[float] = collections.deque()
 
     def count_failure(self, now: float) -> int:
-        """Records a failure and returns how many are inside the window."""
+        """Records a failure and returns the number of those in the window."""
         self.failure_times.append(now)
         while self.failure_times[0] < now - RESTART_WINDOW_S:
             self.failure_times.popleft()
@@ -76,11 +77,11 @@
 
 
 class Supervisor:
-    """Runs child tasks and restarts them one for one with back-off.
+    """Runs tasks and restarts each one that fails, with exponential backoff.
 
     Args:
         clock: Monotonic clock, in seconds.
-        sleep: Waits for a number of seconds; tests pass a fake.
+        sleep: Waits for a number of seconds; replaced in tests.
     """
 
     def __init__(
@@ -91,10 +92,10 @@
         self._clock = clock
         self._sleep = sleep
         self._children: dict[str, _Child] = {}
-        self._failed: asyncio.Future[None] | None = None
+        self._failure: asyncio.Future[None] | None = None
 
     def start(self, specification: ChildSpecification) -> None:
-        """Starts a task; a running task of the same name is kept."""
+        """Starts a task, unless a task of the same name is running."""
         child = self._children.get(specification.name)
         if child is not None and child.status in ("running", "backing-off"):
             return
@@ -112,21 +113,21 @@
         await asyncio.gather(child.task, return_exceptions=True)
 
     async def stop_all(self) -> None:
-        """Stops every task, the last one started first."""
+        """Stops all tasks, in the reverse order of their start."""
         for name in reversed(list(self._children)):
             await self.stop(name)
 
     async def wait_for_failure(self) -> None:
-        """Returns never, or raises when the tree cannot go on.
+        """Waits until the supervisor fails; never returns without an error.
 
         Raises:
-            SupervisorFailed: A task without `on_give_up` used up its restarts.
+            SupervisorFailed: A task without `on_give_up` exceeded its restarts.
         """
-        self._failed = asyncio.get_running_loop().create_future()
-        await self._failed
+        self._failure = asyncio.get_running_loop().create_future()
+        await self._failure
 
     def list_states(self) -> list[ChildState]:
-        """Returns the state of each task for the state dump."""
+        """Returns the state of each task, for the state dump."""
         return [
             ChildState(name, child.status, child.restarts, child.last_failure)
             for name, child in self._children.items()
@@ -141,7 +142,7 @@
                 await child.specification.run()
                 child.last_failure = "returned"
             except Exception as error:  # noqa: BLE001
-                # A supervisor must survive whatever a child raises.
+                # Any exception of a task must not stop the supervisor.
                 child.last_failure = f"{type(error).__name__}: {error}"
                 _logs.log_event(
                     _LOGGER,
@@ -172,8 +173,8 @@
         _logs.log_event(_LOGGER, logging.ERROR, "task-given-up", task=name)
         if child.specification.on_give_up is not None:
             child.specification.on_give_up()
-        elif self._failed is not None and not self._failed.done():
-            self._failed.set_exception(
+        elif self._failure is not None and not self._failure.done():
+            self._failure.set_exception(
                 SupervisorFailed(
                     f"task {name} failed {MAXIMUM_RESTARTS + 1} times in"
                     f" {RESTART_WINDOW_S:.0f} s; see its task-failed log lines"
--- a/packages/router/sycamoreloft_router/_tls.py
+++ b/packages/router/sycamoreloft_router/_tls.py
@@ -1,4 +1,4 @@
-"""TLS contexts from the files that the settings name."""
+"""Creates TLS contexts from the files in the settings."""
 
 import ssl
 
@@ -8,7 +8,15 @@
 def make_server_context(
     files: sycamoreloft_config.TlsFiles | None,
 ) -> ssl.SSLContext | None:
-    """Returns a context for accepting connections, None for plain TCP."""
+    """Creates a context for accepting connections.
+
+    Args:
+        files: TLS files of the port, or None for plain TCP. If they include
+            authorities, clients need a certificate of one of them.
+
+    Returns:
+        The context, or None for plain TCP.
+    """
     if files is None:
         return None
     context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
@@ -22,10 +30,17 @@
 def make_client_context(
     files: sycamoreloft_config.TlsFiles | None,
 ) -> ssl.SSLContext | None:
-    """Returns a context for opening connections, None for plain TCP.
+    """Creates a context for opening connections to other hosts.
+
+    Host names are not checked: hosts connect to IP addresses, which
+    certificates rarely contain. The certificate authority is checked here, and
+    the shared key by the protocol between hosts.
+
+    Args:
+        files: TLS files of the port, or None for plain TCP.
 
-    Hosts are reached by IP number, which certificates rarely name, so the
-    name is not checked; the authority and the shared key are.
+    Returns:
+        The context, or None for plain TCP.
     """
     if files is None:
         return None
--- a/packages/router/sycamoreloft_router/_transfer_types.py
+++ b/packages/router/sycamoreloft_router/_transfer_types.py
@@ -1,4 +1,4 @@
-"""Requests to upstreams, and why a transfer may fail."""
+"""Requests to upstreams, and the kinds of failed transfers."""
 
 from collections import abc
 import dataclasses
@@ -9,21 +9,21 @@
 
 
 class FailureKind(enum.Enum):
-    """Why a transfer has no whole answer."""
+    """Why a transfer has no complete answer."""
 
-    #: No connection could be made.
+    #: No connection to the upstream could be opened.
     CONNECT = "connect-failed"
     #: The permit expired before a connection was ready.
     EXPIRED = "permit-expired"
-    #: All connections to the upstream stayed in use.
+    #: All connections allowed to the upstream were in use until the timeout.
     LIMIT = "connection-limit"
-    #: The deadline passed.
+    #: The deadline of the request passed.
     DEADLINE = "deadline"
     #: The answer is missing, truncated or malformed.
     BROKEN = "broken-answer"
-    #: The caller stopped in the middle of the request body.
+    #: The caller stopped sending in the middle of the request body.
     UPLOAD = "broken-request-body"
-    #: The holder of the group says that the upstream is lost.
+    #: The holder of the group reported the upstream as lost.
     LOST = "upstream-lost"
     #: The router cancelled the transfer.
     CANCELLED = "cancelled"
@@ -31,11 +31,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failure:
-    """Why a transfer has no whole answer, with the details."""
+    """Failure of a transfer, with its details."""
 
-    #: Kind of the failure.
+    #: Decides on the outcome of the attempt, and on a retry.
     kind: FailureKind
-    #: Message of libcurl or of the check that failed.
+    #: Description for logs: message of libcurl, or of the check that failed.
     text: str
 
 
@@ -45,24 +45,27 @@
 
     #: Address of the upstream, as "ip:port".
     address: str
-    #: HTTP method.
+    #: HTTP method, in upper case.
     method: str
-    #: Path and query, as received.
+    #: Path and query, as received from the caller.
     target: str
-    #: Header lines without line ends, in libcurl's form.
+    #: Header lines without line ends. In libcurl's notation "Name:" leaves a
+    #: header out and "Name;" sends an empty one.
     header_lines: abc.Sequence[bytes]
-    #: The whole body, a stream, or None for a request without one.
+    #: The complete body, a stream, or None for a request without a body.
     body: bytes | _body_streams.UploadBuffer | None
     #: Length of a streamed body, in bytes; -1 if unknown.
     length: int
-    #: Seconds until the hard deadline.
+    #: Time from the start until the transfer is ended, in seconds.
     timeout_s: float
-    #: Identifier of the attempt, which the answer may repeat.
+    #: Identifier of the attempt. An answer that repeats another identifier
+    #: is rejected.
     attempt: str
-    #: Time on the clock of the event loop after which nothing may be sent.
+    #: End of the permit, on the clock of the event loop, in seconds; nothing
+    #: may be sent after it. Infinite for a request without a permit.
     send_by: float = math.inf
-    #: Whether libcurl may send the request again by itself, on another
-    #: connection, when a kept one breaks before the answer.
+    #: Whether libcurl may send the request again on another connection when
+    #: a reused one breaks before the answer.
     may_resend: bool = False
-    #: Whether no kept connection may be used.
+    #: Whether the request must not use an idle connection of the pool.
     needs_new_connection: bool = False
--- a/packages/router/sycamoreloft_router/_transfers.py
+++ b/packages/router/sycamoreloft_router/_transfers.py
@@ -1,4 +1,4 @@
-"""One request to an upstream, and its answer as it arrives."""
+"""Transfers: one request to an upstream each, and its streamed answer."""
 
 import asyncio
 import typing
@@ -15,27 +15,32 @@
 _KIND = _transfer_types.FailureKind
 
 
-class Runner(typing.Protocol):
-    """What a transfer needs of the client that runs it."""
+class TransferClient(typing.Protocol):
+    """The part of the upstream client that its transfers use."""
 
-    #: How connections are made and kept.
+    #: Rules for opening, reusing and closing connections.
     rules: _connection_rules.ConnectionRules
 
     def create_future(self) -> asyncio.Future[None]:
         """Creates a future on the client's event loop."""
 
     def read_clock(self) -> float:
-        """Returns the time of the client's event loop."""
+        """Returns the time of the client's event loop, in seconds."""
 
     def resume(self, handle: typing.Any) -> None:
         """Lets a paused transfer continue."""
 
     def remove(self, handle: typing.Any) -> None:
-        """Takes a running handle out of the multi handle."""
+        """Removes a running handle from the multi handle."""
 
 
 class Transfer:
-    """One request to an upstream, and its answer as it arrives."""
+    """One request to an upstream, and its answer as it arrives.
+
+    Args:
+        client: Client that runs the transfer.
+        request: The request.
+    """
 
     __slots__ = (
         "_client",
@@ -52,11 +57,11 @@
         "is_expired",
         "maybe_sent",
         "request",
-        "sends",
+        "send_count",
     )
 
     def __init__(
-        self, client: Runner, request: _transfer_types.UpstreamRequest
+        self, client: TransferClient, request: _transfer_types.UpstreamRequest
     ) -> None:
         self._client = client
         self._deadline = client.read_clock() + request.timeout_s
@@ -64,39 +69,40 @@
         self._paused = False
         self._threshold = 0
         self._waiter: asyncio.Future[None] | None = None
-        #: The request.
+        #: The request, as passed to the client.
         self.request = request
         #: Status and headers of the answer.
         self.head = _answer_heads.AnswerHead(
             request.method, request.attempt, client.rules.answers
         )
-        #: Part of the answer body that nobody has taken yet.
+        #: Part of the answer body that has arrived and not been read yet.
         self.body = _body_streams.DownloadBuffer()
-        #: Whether a byte of the request may have reached the upstream. It is
-        #: set as soon as libcurl has a connection for the request.
+        #: Whether a byte of the request may have reached the upstream; set as
+        #: soon as libcurl has a connection for the request.
         self.maybe_sent = False
-        #: How many connections libcurl sent the request on.
-        self.sends = 0
-        #: Whether libcurl opened a socket for the transfer.
+        #: Number of connections on which libcurl sent the request.
+        self.send_count = 0
+        #: Whether libcurl opened a new socket for the transfer.
         self.is_connecting = False
         #: Whether the permit expired before a connection was ready.
         self.is_expired = False
-        #: Whether no more of the answer will come.
+        #: Whether the transfer has ended, completely or with a failure.
         self.ended = False
-        #: Why the answer is not whole; None as long as it may become whole.
+        #: Why the answer is incomplete; None for a complete answer and while
+        #: the transfer runs.
         self.failure: _transfer_types.Failure | None = None
 
     @property
     def connect_timeout_s(self) -> float:
-        """Seconds within which the connection must be made."""
+        """Maximum time to open a connection, in seconds."""
         return self._client.rules.connect_timeout_s
 
-    def find_left_s(self) -> float:
+    def compute_remaining_s(self) -> float:
         """Returns the seconds until the hard deadline."""
         return self._deadline - self._client.read_clock()
 
     async def wait(self, size: int) -> None:
-        """Waits until the answer ended or `size` bytes of it are held."""
+        """Waits for the end of the answer or for `size` bytes of its body."""
         if self.ended or self.body.size >= size:
             return
         self._threshold = size
@@ -107,7 +113,7 @@
             self._waiter = None
 
     def read_available(self) -> bytes:
-        """Takes the bytes that are held and lets libcurl continue."""
+        """Returns the buffered bytes and resumes the transfer if it paused."""
         chunk = self.body.read_all()
         if self._paused:
             self._paused = False
@@ -126,16 +132,21 @@
             )
 
     def check_expired(self) -> bool:
-        """Tells whether it is too late to send the request."""
+        """Returns whether it is too late to send the request."""
         self.is_expired = self._client.read_clock() > self.request.send_by
         return self.is_expired
 
     def attach(self, handle: typing.Any) -> None:
-        """Notes the handle that runs the transfer."""
+        """Sets the handle that runs the transfer."""
         self._handle = handle
 
     def receive_body(self, chunk: bytes) -> int | None:
-        """Takes a part of the answer body from libcurl."""
+        """Buffers a part of the answer body; called by libcurl.
+
+        Returns:
+            `WRITEFUNC_PAUSE` if the buffer is full; libcurl then delivers the
+            same part again after the transfer is resumed. None otherwise.
+        """
         if self.body.is_full():
             self._paused = True
             return int(pycurl.WRITEFUNC_PAUSE)
@@ -145,7 +156,11 @@
         return None
 
     def end(self, failure: _transfer_types.Failure | None) -> None:
-        """Notes the end of the transfer."""
+        """Marks the transfer as ended and wakes up `wait`.
+
+        Args:
+            failure: Why the answer is incomplete; None if it is complete.
+        """
         self.ended = True
         self.failure = failure
         self._handle = None
@@ -159,12 +174,21 @@
             self._waiter.set_result(None)
 
 
-def find_failure(
+def classify_failure(
     transfer: Transfer, error: int | None, message: str
 ) -> _transfer_types.Failure | None:
-    """Tells why the answer of a transfer that ended is not whole."""
+    """Classifies the result of a transfer that libcurl ended.
+
+    Args:
+        transfer: The transfer.
+        error: Error code of libcurl, 0 or None if it reports none.
+        message: Error message of libcurl, may be empty.
+
+    Returns:
+        Why the answer is incomplete, or None if it is complete.
+    """
     if not error:
-        problem = transfer.head.find_problem()
+        problem = transfer.head.describe_problem()
         return (
             _transfer_types.Failure(_KIND.BROKEN, problem) if problem else None
         )
@@ -183,9 +207,11 @@
         error == pycurl.E_OPERATION_TIMEDOUT
         and transfer.request.timeout_s < transfer.connect_timeout_s
     ):
-        # Too little time was left to blame the upstream.
+        # The time left was less than a connection may take, so the upstream
+        # is not at fault.
         return _transfer_types.Failure(_KIND.DEADLINE, message)
     if transfer.is_connecting:
         return _transfer_types.Failure(_KIND.CONNECT, message)
-    # libcurl held the transfer back until a timeout.
+    # libcurl opened no socket: the transfer waited until its timeout for one
+    # of the connections to the upstream.
     return _transfer_types.Failure(_KIND.LIMIT, message)
--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -1,13 +1,14 @@
 """HTTP client for upstreams: streaming, cancellation and a hard deadline.
 
-HTTP/1.1 does not tell which request an answer belongs to: a second answer to
-the request before looks like the answer to the next one. A connection is
-therefore used again only if the upstream repeats the identifier of the request
-in its answers; other upstreams get a connection for each request.
-
-Transfers run on the multi handle of tornado's curl client. Its own fetch
-builds every option anew and buffers uploads, so transfers have easy handles
-of their own, with the fixed options set once.
+HTTP/1.1 does not say which request an answer belongs to: a second answer to
+one request looks like the answer to the next request on the connection. A
+connection is therefore reused only if the upstream repeats the identifier of
+the attempt in its answers; for other upstreams, each request opens a new
+connection.
+
+Transfers run on the multi handle of tornado's curl client. The `fetch` method
+of that client sets all options for each request and buffers uploads, so
+transfers use easy handles of their own, whose fixed options are set once.
 """
 
 import asyncio
@@ -24,21 +25,21 @@
     _transfers,
 )
 
-#: Easy handles of each mode that are kept for the next requests.
-SPARE_HANDLES = 64
+#: Maximum number of idle easy handles that are kept for each body mode.
+MAXIMUM_SPARE_HANDLES = 64
 
-#: Upstreams that are remembered to repeat the identifier of the attempt, or
-#: not to.
+#: Maximum number of upstreams for which the client remembers whether they
+#: repeat the identifier of the attempt.
 MAXIMUM_KNOWN_ECHOES = 8192
 
-#: Connections kept open in all.
+#: Maximum number of connections in the pool of libcurl, to all upstreams.
 MAXIMUM_CONNECTIONS = 1024
 
 
 _KIND = _transfer_types.FailureKind
 
 
-class _Mode(enum.Enum):
+class _BodyMode(enum.Enum):
     """How a handle sends a request body."""
 
     NO_BODY = 0
@@ -48,13 +49,13 @@
 
 
 class _Handle:
-    """An easy handle of libcurl with callbacks that are set once."""
+    """An easy handle of libcurl, reused for transfers with one body mode."""
 
     __slots__ = (
         "address",
         "curl",
         "descriptor",
-        "has_unread",
+        "has_unread_bytes",
         "is_connection_new",
         "method",
         "mode",
@@ -68,9 +69,9 @@
     def __init__(
         self,
         curl: pycurl.Curl,
-        mode: _Mode,
+        mode: _BodyMode,
         rules: _connection_rules.ConnectionRules,
-        sockets: _connection_rules.KeptSockets,
+        sockets: _connection_rules.PooledSockets,
     ) -> None:
         self.curl = curl
         self.rules = rules
@@ -80,21 +81,28 @@
         self.upload: _body_streams.UploadBuffer | None = None
         self.address = ""
         self.method = ""
-        #: Whether connections are kept; None if the options are unknown.
+        #: Whether the options let libcurl reuse connections; None after a
+        #: request that forced a new connection.
         self.reuse: bool | None = True
         self.is_connection_new = False
         self.descriptor = -1
-        self.has_unread = False
+        self.has_unread_bytes = False
         curl.info = self
         self._set_fixed_options()
 
     def prepare(self, transfer: _transfers.Transfer, reuse: bool) -> None:
-        """Sets the options of one request."""
+        """Sets the options of one request.
+
+        Args:
+            transfer: Transfer of the request.
+            reuse: Whether libcurl may use an idle connection and keep the
+                connection afterwards.
+        """
         request = transfer.request
         curl = self.curl
         self.transfer = transfer
         self.is_connection_new = False
-        self.has_unread = False
+        self.has_unread_bytes = False
         if self.reuse != reuse:
             self.reuse = reuse
             curl.setopt(pycurl.FRESH_CONNECT, not reuse)
@@ -102,7 +110,7 @@
         if self.address != request.address:
             self.address = request.address
             curl.setopt(pycurl.URL, f"http://{request.address}/")
-        if self.method != request.method and self.mode is not _Mode.HEAD:
+        if self.method != request.method and self.mode is not _BodyMode.HEAD:
             self.method = request.method
             curl.setopt(pycurl.CUSTOMREQUEST, request.method)
         curl.setopt(pycurl.REQUEST_TARGET, request.target)
@@ -110,39 +118,39 @@
         if request.needs_new_connection:
             self._force_new_connection()
         self._set_timeout(request.timeout_s)
-        if self.mode is _Mode.WHOLE:
+        if self.mode is _BodyMode.WHOLE:
             curl.setopt(pycurl.POSTFIELDS, request.body)
-        elif self.mode is _Mode.STREAM:
+        elif self.mode is _BodyMode.STREAM:
             self.upload = typing.cast(_body_streams.UploadBuffer, request.body)
             curl.setopt(pycurl.INFILESIZE_LARGE, request.length)
 
-    def prepare_again(self, left_s: float) -> None:
-        """Sets the options for a new connection, as the kept one was unfit.
+    def prepare_again(self, remaining_s: float) -> None:
+        """Sets the options to repeat the transfer on a new connection.
 
         Args:
-            left_s: Seconds until the hard deadline.
+            remaining_s: Time until the hard deadline, in seconds.
         """
-        self.has_unread = False
+        self.has_unread_bytes = False
         self._force_new_connection()
-        self._set_timeout(left_s)
+        self._set_timeout(remaining_s)
 
     def _force_new_connection(self) -> None:
-        # The next request sets the options of reuse anew.
+        # Makes `prepare` set both options again for the next request.
         self.reuse = None
         self.curl.setopt(pycurl.FRESH_CONNECT, 1)
 
     def _set_timeout(self, seconds: float) -> None:
-        # libcurl takes 0 for "no limit".
+        # For libcurl, 0 means no timeout.
         self.curl.setopt(pycurl.TIMEOUT_MS, max(1, round(seconds * 1000)))
 
     def release(self) -> None:
-        """Drops what belongs to the request that ended."""
+        """Drops the references to the ended request."""
         self.transfer = None
         self.upload = None
 
     def _set_fixed_options(self) -> None:
         curl = self.curl
-        # The proxy variables of the environment must not apply.
+        # Ignores the proxy variables of the environment.
         curl.setopt(pycurl.PROXY, "")
         curl.setopt(pycurl.NOSIGNAL, 1)
         curl.setopt(pycurl.PROTOCOLS, pycurl.PROTO_HTTP)
@@ -156,11 +164,11 @@
         curl.setopt(pycurl.PREREQFUNCTION, self._on_connection)
         curl.setopt(pycurl.HEADERFUNCTION, self._on_header)
         curl.setopt(pycurl.WRITEFUNCTION, self._on_body)
-        if self.mode is _Mode.NO_BODY:
+        if self.mode is _BodyMode.NO_BODY:
             curl.setopt(pycurl.HTTPGET, 1)
-        elif self.mode is _Mode.HEAD:
+        elif self.mode is _BodyMode.HEAD:
             curl.setopt(pycurl.NOBODY, 1)
-        elif self.mode is _Mode.WHOLE:
+        elif self.mode is _BodyMode.WHOLE:
             curl.setopt(pycurl.POST, 1)
         else:
             curl.setopt(pycurl.UPLOAD, 1)
@@ -170,16 +178,15 @@
     def _on_socket(self, descriptor: int, _purpose: int) -> int:
         self.is_connection_new = True
         self.descriptor = descriptor
-        _connection_rules.set_options(descriptor, self.rules)
+        _connection_rules.set_socket_options(descriptor, self.rules)
         if self.transfer is not None:
             self.transfer.is_connecting = True
         return int(pycurl.SOCKOPT_OK)
 
     def _on_connection(self, *endpoints: typing.Any) -> int:
-        # libcurl sends a request again by itself when a reused connection
-        # breaks before the answer. The upstream may have run it by then, so
-        # the second connection of a transfer is refused, unless the request
-        # may run twice.
+        # libcurl by itself resends a request when a reused connection breaks
+        # before the answer. The upstream may have run the request by then, so
+        # a second connection is refused unless the request may run twice.
         transfer = self.transfer
         if transfer is None or (
             transfer.maybe_sent and not transfer.request.may_resend
@@ -190,10 +197,10 @@
         if self.is_connection_new:
             self.sockets.add(endpoints, self.descriptor)
         elif self.sockets.is_readable(endpoints):
-            self.has_unread = True
+            self.has_unread_bytes = True
             return int(pycurl.PREREQFUNC_ABORT)
         transfer.maybe_sent = True
-        transfer.sends += 1
+        transfer.send_count += 1
         transfer.head.needs_echo = (
             bool(self.rules.answers.echo_header) and not self.is_connection_new
         )
@@ -231,15 +238,15 @@
         connections_per_upstream: int = 12,
         rules: _connection_rules.ConnectionRules | None = None,
     ) -> None:
-        """Creates the multi handle.
+        """Creates the multi handle; called by the constructor.
 
         Args:
-            connections_per_upstream: Connections to one address, idle ones
-                included. Further transfers wait inside libcurl, within their
-                deadline.
-            rules: How connections are made and kept.
+            connections_per_upstream: Maximum number of connections to one
+                address, idle ones included. Further transfers wait inside
+                libcurl until their deadline. 0 means no limit.
+            rules: Rules for opening, reusing and closing connections.
         """
-        #: How connections are made and kept.
+        #: Rules for opening, reusing and closing connections.
         self.rules = rules or _connection_rules.ConnectionRules()
         # Each call of get_running_loop costs a system call on Python 3.11.
         self._loop = asyncio.get_running_loop()
@@ -248,22 +255,25 @@
             pycurl.M_MAX_HOST_CONNECTIONS, connections_per_upstream
         )
         self._multi.setopt(pycurl.M_MAXCONNECTS, MAXIMUM_CONNECTIONS)
-        # Without pipelining and multiplexing a connection carries one
+        # Disables pipelining and multiplexing: each connection carries one
         # request at a time.
         self._multi.setopt(pycurl.M_PIPELINING, 0)
-        self._spare: dict[_Mode, list[_Handle]] = {mode: [] for mode in _Mode}
+        self._spare_handles: dict[_BodyMode, list[_Handle]] = {
+            mode: [] for mode in _BodyMode
+        }
         self._active: set[_Handle] = set()
-        #: Whether the last answer from an address repeated the identifier.
+        #: Whether the latest answer from an address repeated the identifier of
+        #: the attempt.
         self._echoes: dict[str, bool] = {}
         self._keeps_idle = True
-        self._sockets = _connection_rules.KeptSockets()
+        self._sockets = _connection_rules.PooledSockets()
 
     def limit_connections(self, connections: int, keeps_idle: bool) -> None:
         """Changes the limit of connections to one address.
 
         Args:
-            connections: Connections at once, idle ones included.
-            keeps_idle: Whether a connection may be kept for the next request.
+            connections: Maximum number of connections, idle ones included.
+            keeps_idle: Whether a connection may stay open for the next request.
         """
         self._multi.setopt(pycurl.M_MAX_HOST_CONNECTIONS, connections)
         self._keeps_idle = keeps_idle
@@ -273,7 +283,7 @@
         return self._loop.create_future()
 
     def read_clock(self) -> float:
-        """Returns the time of the client's event loop."""
+        """Returns the time of the client's event loop, in seconds."""
         return self._loop.time()
 
     def start(
@@ -282,7 +292,7 @@
         """Starts a transfer."""
         transfer = _transfers.Transfer(self, request)
         mode = _choose_mode(request)
-        spare = self._spare[mode]
+        spare = self._spare_handles[mode]
         handle = (
             spare.pop()
             if spare
@@ -297,13 +307,14 @@
         if isinstance(request.body, _body_streams.UploadBuffer):
             request.body.set_on_change(lambda: self.resume(handle))
         self._multi.add_handle(handle.curl)
-        self._begin()
+        self._process_now()
         return transfer
 
-    def _begin(self) -> None:
-        """Lets libcurl act on a new transfer in this turn of the loop.
+    def _process_now(self) -> None:
+        """Starts new transfers in the current iteration of the event loop.
 
-        It asks for that with a timeout of 0.
+        libcurl requests that with a timeout of 0, which would otherwise be
+        handled in the next iteration.
         """
         if self._timeout is not None:
             self._timeout.cancel()
@@ -319,14 +330,14 @@
         try:
             handle.curl.pause(pycurl.PAUSE_CONT)
         except pycurl.error as error:
-            # libcurl reports here what broke while the transfer was paused,
-            # and reports it again when the transfer ends.
+            # libcurl raises errors of the paused time here, and reports them
+            # again when the transfer ends.
             curl_httpclient.curl_log.debug("resume failed: %s", error)
 
     def remove(self, handle: _Handle | None) -> None:
-        """Takes a running handle out of the multi handle.
+        """Removes a running handle from the multi handle.
 
-        libcurl closes the connection of a transfer that is not complete.
+        libcurl closes the connection if the transfer is incomplete.
         """
         if handle is not None and handle in self._active:
             self._multi.remove_handle(handle.curl)
@@ -339,7 +350,7 @@
         for handle in list(self._active):
             if handle.transfer is not None:
                 handle.transfer.cancel()
-        for spare in self._spare.values():
+        for spare in self._spare_handles.values():
             for handle in spare:
                 handle.curl.close()
             spare.clear()
@@ -348,8 +359,11 @@
     def _set_timeout(self, msecs: int) -> None:
         """Schedules libcurl's next timeout.
 
-        tornado also schedules -1, which means that there is none, and goes
-        through the timer queue for 0, which comes with every transfer.
+        Overrides the method of tornado, which also schedules -1 (no timeout)
+        and uses a timer for 0, which libcurl requests for every transfer.
+
+        Args:
+            msecs: Time until the timeout, in milliseconds; -1 for none.
         """
         if self._timeout is not None:
             self._timeout.cancel()
@@ -364,8 +378,8 @@
     def _recycle(self, handle: _Handle) -> None:
         self._active.discard(handle)
         handle.release()
-        spare = self._spare[handle.mode]
-        if len(spare) < SPARE_HANDLES:
+        spare = self._spare_handles[handle.mode]
+        if len(spare) < MAXIMUM_SPARE_HANDLES:
             spare.append(handle)
         else:
             handle.curl.close()
@@ -382,20 +396,20 @@
             return
         transfer = handle.transfer
         self._multi.remove_handle(curl)
-        if transfer is not None and handle.has_unread:
-            handle.prepare_again(transfer.find_left_s())
+        if transfer is not None and handle.has_unread_bytes:
+            handle.prepare_again(transfer.compute_remaining_s())
             self._multi.add_handle(curl)
             return
         self._recycle(handle)
         if transfer is not None:
-            self._learn_echo(transfer)
+            self._record_echo(transfer)
             transfer.end(
-                _transfers.find_failure(
+                _transfers.classify_failure(
                     transfer, curl_error, curl_message or ""
                 )
             )
 
-    def _learn_echo(self, transfer: _transfers.Transfer) -> None:
+    def _record_echo(self, transfer: _transfers.Transfer) -> None:
         if not self.rules.answers.echo_header or not transfer.head.complete:
             return
         address = transfer.request.address
@@ -403,9 +417,9 @@
             self._echoes[address] = transfer.head.echoed
 
 
-def _choose_mode(request: _transfer_types.UpstreamRequest) -> _Mode:
+def _choose_mode(request: _transfer_types.UpstreamRequest) -> _BodyMode:
     if isinstance(request.body, _body_streams.UploadBuffer):
-        return _Mode.STREAM
+        return _BodyMode.STREAM
     if request.body is not None:
-        return _Mode.WHOLE
-    return _Mode.HEAD if request.method == "HEAD" else _Mode.NO_BODY
+        return _BodyMode.WHOLE
+    return _BodyMode.HEAD if request.method == "HEAD" else _BodyMode.NO_BODY
--- a/packages/router/tests/test_caller_server.py
+++ b/packages/router/tests/test_caller_server.py
@@ -301,7 +301,7 @@
 
 def test_closes_idle_connections(serve, monkeypatch):
     """Guards against connections that are kept for ever."""
-    monkeypatch.setattr(_caller_server, "SWEEP_S", 0.02)
+    monkeypatch.setattr(_caller_server, "SWEEP_INTERVAL_S", 0.02)
 
     async def scenario(bench, upstream):
         caller = await bench.connect()
--- a/packages/router/tests/test_headers.py
+++ b/packages/router/tests/test_headers.py
@@ -80,4 +80,4 @@
     head = _answer_heads.AnswerHead("GET", "a")
     assert head.add_line(b"HTTP/1.1 200 OK\r\n")
     assert not head.add_line(line)
-    assert head.find_problem()
+    assert head.describe_problem()
--- a/packages/router/tests/test_logs.py
+++ b/packages/router/tests/test_logs.py
@@ -45,17 +45,19 @@
     """Guards against a caller's text that fills the log."""
     logger, written = lines
     _logs.log_event(logger, logging.INFO, "e", text="x" * 1_000_000)
-    assert len(written[0]["text"]) < 2 * _logs.MAXIMUM_TEXT
+    assert len(written[0]["text"]) < 2 * _logs.MAXIMUM_TEXT_CHARACTERS
 
 
 def test_limits_each_event_by_itself_and_counts_what_is_left_out():
     """Guards against a log full of one event, and against silent gaps."""
     limiter = _logs.RateLimiter()
     admitted = [limiter.admit("a", 0.0) for _ in range(100)]
-    assert admitted == [0] * _logs.BURST + [None] * (100 - _logs.BURST)
+    assert admitted == [0] * _logs.BURST_LINES + [None] * (
+        100 - _logs.BURST_LINES
+    )
     assert limiter.admit("b", 0.0) == 0
-    assert limiter.admit("a", 1.0) == 100 - _logs.BURST
-    assert limiter.suppressed_total == 100 - _logs.BURST
+    assert limiter.admit("a", 1.0) == 100 - _logs.BURST_LINES
+    assert limiter.suppressed_total == 100 - _logs.BURST_LINES
 
 
 def test_bounds_the_memory_of_the_limit():
@@ -63,4 +65,4 @@
     limiter = _logs.RateLimiter()
     for number in range(10_000):
         limiter.admit(f"event-{number}", 0.0)
-    assert len(limiter._allowances) <= _logs.MAXIMUM_EVENTS + 1
+    assert len(limiter._buckets) <= _logs.MAXIMUM_EVENTS + 1
--- a/packages/router/tests/test_order_logs.py
+++ b/packages/router/tests/test_order_logs.py
@@ -283,7 +283,7 @@
         _order_logs.log_owner_change(change, list_claims, 1, 5.0)
     lines = recorder.list("owner-changed")
     assert len(described) == len(lines)
-    assert _logs.BURST <= len(lines) < _logs.BURST * 2
+    assert _logs.BURST_LINES <= len(lines) < _logs.BURST_LINES * 2
     assert lines[0]["claims_left_out"] == 50 - _order_logs.MAXIMUM_CLAIMS
     assert len(lines[0]["claims"]) == _order_logs.MAXIMUM_CLAIMS
     assert _logs.LIMITER.suppressed_total == 10_000 - len(lines)
--- a/packages/router/tests/test_socket_options.py
+++ b/packages/router/tests/test_socket_options.py
@@ -30,7 +30,7 @@
 def test_the_limits_of_a_silence_leave_the_socket_open(connection):
     """Guards against connections that stay silent for good."""
     rules = _connection_rules.ConnectionRules(ack_timeout_s=2.0)
-    _connection_rules.set_options(connection.fileno(), rules)
+    _connection_rules.set_socket_options(connection.fileno(), rules)
     options = [
         connection.getsockopt(socket.IPPROTO_TCP, option)
         for option in (
@@ -48,7 +48,7 @@
 # closes because of silence may still be delivered, what is reset may not.
 def test_only_this_process_gives_up_a_connection_that_drops(connection):
     rules = _connection_rules.ConnectionRules(resets_on_close=True)
-    _connection_rules.set_options(connection.fileno(), rules)
+    _connection_rules.set_socket_options(connection.fileno(), rules)
     linger = connection.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)
     assert struct.unpack("ii", linger) == (1, 0)
     assert not connection.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
--- a/packages/router/tests/test_upstream_client.py
+++ b/packages/router/tests/test_upstream_client.py
@@ -434,7 +434,7 @@
                 transfer.cancel()
                 transfer, body = await fetch(client, upstream)
                 assert (transfer.failure, body) == (None, b"whole")
-            assert sum(map(len, client._spare.values())) == 1
+            assert sum(map(len, client._spare_handles.values())) == 1
 
     run(scenario)
 
