--- a/packages/router/tests/conftest.py
+++ b/packages/router/tests/conftest.py
@@ -11,8 +11,8 @@
 
 from sycamoreloft_router import _logs, _upstream_client
 
-# Test files import the helper module raw_peers from this folder, which
-# pytest's importlib mode does not put on the path.
+# Test files import helper modules, such as raw_peers, from this folder. The
+# importlib mode of pytest does not add it to the path.
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 
 
@@ -21,7 +21,7 @@
 
 
 class LineRecorder(logging.Handler):
-    """Keeps the log lines of the process as they are written."""
+    """Records the log lines of the process, decoded from JSON."""
 
     def __init__(self):
         super().__init__()
@@ -32,13 +32,13 @@
         self.lines.append(json.loads(text, parse_constant=_refuse_constant))
 
     def list(self, *events):
-        """Lists the lines of some events."""
+        """Lists the lines of the given events."""
         return [line for line in self.lines if line["event"] in events]
 
 
 @pytest.fixture
 def recorder(monkeypatch):
-    """Records all lines from the level "info" on, with a fresh rate limit."""
+    """Records log lines from level "info" on, with a new rate limiter."""
     monkeypatch.setattr(_logs, "LIMITER", _logs.RateLimiter())
     root = logging.getLogger()
     level = root.level
@@ -52,7 +52,7 @@
 
 @pytest.fixture
 def run():
-    """Runs a coroutine function with an upstream client, then closes it."""
+    """Runs a coroutine function with an upstream client."""
 
     def run_scenario(
         scenario: abc.Callable, connections_per_upstream: int = 12
@@ -75,7 +75,7 @@
 
 @pytest.fixture
 def serve():
-    """Runs a scenario with a caller server before a raw upstream."""
+    """Runs a scenario with a caller server in front of a raw upstream."""
     import fake_sources
     import raw_peers
 
@@ -86,8 +86,8 @@
                 raw_peers.RawUpstream(script or raw_peers.echo()) as upstream,
             ):
                 sources = fake_sources.FakeSources(upstream.address)
-                async with fake_sources.open_server(sources, limits) as bench:
-                    await scenario(bench, upstream)
+                async with fake_sources.open_server(sources, limits) as harness:
+                    await scenario(harness, upstream)
 
         asyncio.run(main())
 
--- a/packages/router/tests/fake_sources.py
+++ b/packages/router/tests/fake_sources.py
@@ -1,4 +1,4 @@
-"""In-process sources for the request path, and a raw caller."""
+"""Fakes of the holder and of the names for the request path; a raw caller."""
 
 import asyncio
 import contextlib
@@ -11,7 +11,7 @@
 
 
 def build_generation(number=1, services=("tally-board", "ledger")):
-    """One fleet with a keyed and an unkeyed service."""
+    """Builds a generation: a fleet with a keyed and an unkeyed service."""
     operation = sycamoreloft_config.Operation
     keyed = sycamoreloft_config.Service(
         "tally-board",
@@ -44,28 +44,32 @@
 
 
 class FakeSources:
-    """All sources of the request path, answering at once.
+    """Fakes all sources of the request path in the process.
 
-    `refusals` and `verdicts` are used up first, one for each call.
+    A permit request gets the next entry of `refusals`, or a permit if there is
+    none; a claim request gets the next entry of `verdicts`, or "claimed".
+
+    Args:
+        address: Address of the upstream for which permits are granted.
     """
 
     def __init__(self, address=""):
         self.address = address
         self.addresses = []
         self.generation = build_generation()
-        self.newer = None
+        self.next_generation = None
         self.refusals = []
         self.verdicts = []
         self.valid_ms = 1_000
         self.delay_s = 0.0
-        self.asked = []
+        self.requested = []
         self.returned = []
-        self.claims = []
-        self.results = []
-        #: What tells the request path that an upstream is lost, by permit.
-        self.watched = {}
-        self.near = ["sledworks/north/0"]
-        self.far = ["sledworks/south/0"]
+        self.claim_requests = []
+        self.reported_results = []
+        #: Callbacks for the loss of the upstream, by permit.
+        self.loss_callbacks = {}
+        self.near_groups = ["sledworks/north/0"]
+        self.far_groups = ["sledworks/south/0"]
 
     def resolve_service(self, fleet, service):
         return sycamoreloft_config.resolve_service(
@@ -73,20 +77,20 @@
         )
 
     async def refresh_generation(self, known):
-        if self.newer is not None:
-            self.generation = self.newer
+        if self.next_generation is not None:
+            self.generation = self.next_generation
 
     def find_partition_group(self, fleet, service, partition):
-        return self.near[0] if self.near else None
+        return self.near_groups[0] if self.near_groups else None
 
     def list_near_groups(self, fleet, service):
-        return self.near
+        return self.near_groups
 
     def list_far_groups(self, fleet, service):
-        return self.far
+        return self.far_groups
 
     async def request_permit(self, request):
-        self.asked.append(request)
+        self.requested.append(request)
         await asyncio.sleep(self.delay_s)
         if self.refusals:
             return _messages.PermitRefusal(
@@ -101,14 +105,14 @@
         self.returned.append(returned)
 
     def watch_permit(self, group, permit, on_lost):
-        self.watched[permit] = on_lost
+        self.loss_callbacks[permit] = on_lost
 
     def lose_upstream(self):
         """Reports that the upstream of the latest permit is lost."""
-        self.watched[self.asked[-1].permit]()
+        self.loss_callbacks[self.requested[-1].permit]()
 
     async def request_claim(self, request):
-        self.claims.append(request)
+        self.claim_requests.append(request)
         if self.verdicts:
             verdict = self.verdicts.pop(0)
             if verdict == ("hang",):
@@ -117,14 +121,14 @@
         return _messages.ClaimAnswer("claimed")
 
     def report_result(self, claim_result):
-        self.results.append(claim_result)
+        self.reported_results.append(claim_result)
 
     def check_settled(self):
-        """Asserts that every permit given was returned exactly once."""
+        """Asserts that no permit was returned twice, or without a request."""
         returned = [item.permit for item in self.returned]
         assert len(set(returned)) == len(returned)
-        asked = {item.permit for item in self.asked}
-        assert set(returned) <= asked
+        requested = {item.permit for item in self.requested}
+        assert set(returned) <= requested
 
 
 class RawCaller:
@@ -134,13 +138,13 @@
         self.reader = reader
         self.writer = writer
 
-    async def ask(self, head, body=b"", method=None):
-        """Sends a request and reads the answer."""
+    async def send(self, head, body=b"", method=None):
+        """Sends a request and returns its answer."""
         self.writer.write(head + body)
         return await self.read(head.split(b" ")[0])
 
     async def read(self, method=b"GET"):
-        """Reads an answer; raises IncompleteReadError if it is cut."""
+        """Reads an answer; raises IncompleteReadError if it is truncated."""
         return await raw_peers.read_message(
             self.reader, has_body=method != b"HEAD"
         )
@@ -152,7 +156,7 @@
 def build_head(
     method="GET", target="/x", service="tally-board", version="1.1", **headers
 ):
-    """Builds the head of a request; `_` in names stands for `-`."""
+    """Builds the head of a request; `_` in header names is replaced by `-`."""
     values = {
         "Sycamoreloft-Fleet": "sledworks",
         "Sycamoreloft-Service": service,
@@ -167,13 +171,13 @@
 WAGER = build_head("POST", "/wager", Idempotency_Key="id-1", Content_Length="1")
 
 
-def list_outcomes(bench):
-    """Lists the outcomes of the permits that were returned."""
-    return [item.outcome for item in bench.sources.returned]
+def list_outcomes(harness):
+    """Lists the outcomes of the returned permits."""
+    return [item.outcome for item in harness.sources.returned]
 
 
-class Bench:
-    """A caller server between a raw upstream and raw callers."""
+class ServerHarness:
+    """A caller server with fake sources, and raw callers of it."""
 
     def __init__(self, sources, server, address, metrics):
         self.sources = sources
@@ -189,24 +193,26 @@
         self.callers.append(caller)
         return caller
 
-    async def ask(self, head=None, body=b""):
-        """Sends one request on a connection of its own."""
+    async def send(self, head=None, body=b""):
+        """Sends one request on a new connection and returns its answer."""
         caller = await self.connect()
-        return await caller.ask(head or build_head(), body)
+        return await caller.send(head or build_head(), body)
 
 
 @contextlib.asynccontextmanager
 async def open_server(sources, limits=None, tls=None):
-    """Opens a caller server; afterwards, all permits must be returned."""
+    """Opens a caller server; at the end, drains it and checks the permits."""
     metrics = _metrics.Metrics()
     server = _permit_server.create_server(
         "host-1", "i1", sources, sources, sources, sources, limits, metrics
     )
-    bench = Bench(sources, server, server.listen("127.0.0.1:0", tls), metrics)
+    harness = ServerHarness(
+        sources, server, server.listen("127.0.0.1:0", tls), metrics
+    )
     try:
-        yield bench
+        yield harness
     finally:
-        for caller in bench.callers:
+        for caller in harness.callers:
             caller.close()
         await server.drain(1.0)
         sources.check_settled()
--- a/packages/router/tests/raw_peers.py
+++ b/packages/router/tests/raw_peers.py
@@ -1,4 +1,4 @@
-"""Raw TCP upstreams for the tests of the data path."""
+"""Raw TCP upstreams for tests of the HTTP clients and servers."""
 
 import asyncio
 import contextlib
@@ -6,23 +6,23 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Received:
-    """One request as a raw upstream received it."""
+class RawMessage:
+    """A request or an answer, as received by a raw peer."""
 
-    #: Request line and headers.
+    #: Request or status line, and headers.
     head: bytes
-    #: Body, decoded if it was chunked.
+    #: Body, with the chunks joined.
     body: bytes
-    #: Number of the connection, from 0.
+    #: Number of the upstream's connection, from 0; 0 for answers.
     connection: int
 
     @property
     def status(self):
-        """Status of an answer."""
+        """Status code of an answer."""
         return int(self.head.split(b" ")[1])
 
-    def find(self, name):
-        """Returns the value of a header, or None."""
+    def get_header(self, name):
+        """Returns the value of a header, or None if there is none."""
         for line in self.head.decode("latin1").split("\r\n")[1:]:
             key, _, value = line.partition(":")
             if key.lower() == name.lower():
@@ -32,21 +32,25 @@
     @property
     def outcome(self):
         """Value of Sycamoreloft-Outcome."""
-        return self.find("Sycamoreloft-Outcome")
+        return self.get_header("Sycamoreloft-Outcome")
 
     @property
     def reason(self):
         """Value of Sycamoreloft-Reason."""
-        return self.find("Sycamoreloft-Reason")
+        return self.get_header("Sycamoreloft-Reason")
 
 
 async def read_message(reader, connection=0, has_body=True):
-    """Reads one request; raises IncompleteReadError at the end."""
+    """Reads one request or answer.
+
+    Raises:
+        IncompleteReadError: The peer closed the connection before the end.
+    """
     head = await reader.readuntil(b"\r\n\r\n")
     lower = head.lower()
     body = b""
     if not has_body:
-        return Received(head, body, connection)
+        return RawMessage(head, body, connection)
     if b"transfer-encoding: chunked" in lower:
         size, parts = -1, []
         while size:
@@ -56,14 +60,16 @@
     elif b"content-length:" in lower:
         value = lower.split(b"content-length:")[1].split(b"\r\n")[0]
         body = await reader.readexactly(int(value))
-    return Received(head, body, connection)
+    return RawMessage(head, body, connection)
 
 
 class RawUpstream:
     """A TCP server that runs a script for each request.
 
-    The script gets the request, the writer and the reader, and writes
-    whatever bytes the test needs. It returns False to close the connection.
+    Args:
+        script: Coroutine function that gets the request, the writer and the
+            reader, and writes the bytes that the test needs. It returns False
+            to close the connection.
     """
 
     def __init__(self, script):
@@ -97,7 +103,7 @@
 
 
 def answer(body=b"ok", status=b"200 OK", headers=b""):
-    """Builds a framed answer."""
+    """Builds an answer with a Content-Length."""
     return (
         b"HTTP/1.1 %s\r\nContent-Length: %d\r\n%s\r\n%s"
         % (status, len(body), headers, body)
@@ -105,10 +111,10 @@
 
 
 def echo(body=b"ok", status=b"200 OK", headers=b""):
-    """Builds a script that answers and repeats the attempt identifier."""
+    """Returns a script whose answers repeat the identifier of the attempt."""
 
     async def script(request, writer, _reader):
-        attempt = request.find("Sycamoreloft-Attempt").encode()
+        attempt = request.get_header("Sycamoreloft-Attempt").encode()
         line = b"Sycamoreloft-Attempt: %s\r\n" % attempt
         writer.write(answer(body, status, line + headers))
         await writer.drain()
@@ -117,7 +123,7 @@
 
 
 async def wait_until(condition, seconds=5.0):
-    """Waits for a condition; fails the test if it does not come true."""
+    """Waits for a condition; raises TimeoutError if it stays false."""
     async with asyncio.timeout(seconds):
         while not condition():
             await asyncio.sleep(0.002)
--- a/packages/router/tests/test_bad_input.py
+++ b/packages/router/tests/test_bad_input.py
@@ -1,4 +1,4 @@
-"""Tests that bad input at any port gets a typed error and nothing stops."""
+"""Tests that invalid input gets a typed error at each port."""
 
 import asyncio
 import json
@@ -23,24 +23,24 @@
 TOKEN = "token-of-the-operators"
 
 
-def add(*lines, method="GET"):
-    """Adds header lines to a good request."""
+def add_header_lines(*lines, method="GET"):
+    """Builds a valid request with additional header lines."""
     head = fake_sources.build_head(method)[:-2]
     return head + b"".join(line + b"\r\n" for line in lines) + b"\r\n"
 
 
-def send_chunks(data):
-    return add(b"Transfer-Encoding: chunked", method="PUT") + data
+def build_chunked_request(data):
+    return add_header_lines(b"Transfer-Encoding: chunked", method="PUT") + data
 
 
 @pytest.mark.parametrize(
     ("data", "reason"),
     [
-        (add(b"A: b\x00c"), "malformed-headers"),
-        (add(b"A : b"), "malformed-headers"),
-        (add(b"A: b", b" folded"), "malformed-headers"),
-        (add(b": v"), "malformed-headers"),
-        (add(b"\xff: v"), "malformed-headers"),
+        (add_header_lines(b"A: b\x00c"), "malformed-headers"),
+        (add_header_lines(b"A : b"), "malformed-headers"),
+        (add_header_lines(b"A: b", b" folded"), "malformed-headers"),
+        (add_header_lines(b": v"), "malformed-headers"),
+        (add_header_lines(b"\xff: v"), "malformed-headers"),
         (HEAD.replace(b"\r\n", b"\n") + b"\r\n\r\n", "malformed-request-line"),
         (b"PRI * HTTP/2.0\r\n\r\n", "malformed-request-line"),
         (b"\x16\x03\x01\x02\x00\x01\r\n\r\n", "malformed-request-line"),
@@ -54,46 +54,60 @@
         (fake_sources.build_head(target="/x#f"), "bad-path"),
         (fake_sources.build_head("get"), "bad-method"),
         (fake_sources.build_head(target="/" + "a" * 20_000), "long-headers"),
-        (add(b"Sycamoreloft-Deadline-Ms: 1e3"), "bad-deadline"),
-        (add(b"Sycamoreloft-Deadline-Ms: 1_0"), "bad-deadline"),
-        (add(b"Sycamoreloft-Deadline-Ms: " + b"9" * 5_000), "bad-deadline"),
-        (add("Sycamoreloft-Deadline-Ms: ٣".encode()), "bad-deadline"),
-        (add(b"Content-Length: +1"), "bad-framing"),
-        (add(b"Content-Length: 1_0"), "bad-framing"),
-        (add(b"Content-Length: -1"), "bad-framing"),
-        (add(b"Content-Length: " + b"9" * 5_000), "bad-framing"),
-        (add(b"Content-Length: 1", b"Content-Length: 2"), "repeated-header"),
+        (add_header_lines(b"Sycamoreloft-Deadline-Ms: 1e3"), "bad-deadline"),
+        (add_header_lines(b"Sycamoreloft-Deadline-Ms: 1_0"), "bad-deadline"),
         (
-            add(b"Content-Length: 1", b"Transfer-Encoding: chunked"),
+            add_header_lines(b"Sycamoreloft-Deadline-Ms: " + b"9" * 5_000),
+            "bad-deadline",
+        ),
+        (
+            add_header_lines("Sycamoreloft-Deadline-Ms: ٣".encode()),
+            "bad-deadline",
+        ),
+        (add_header_lines(b"Content-Length: +1"), "bad-framing"),
+        (add_header_lines(b"Content-Length: 1_0"), "bad-framing"),
+        (add_header_lines(b"Content-Length: -1"), "bad-framing"),
+        (add_header_lines(b"Content-Length: " + b"9" * 5_000), "bad-framing"),
+        (
+            add_header_lines(b"Content-Length: 1", b"Content-Length: 2"),
+            "repeated-header",
+        ),
+        (
+            add_header_lines(
+                b"Content-Length: 1", b"Transfer-Encoding: chunked"
+            ),
             "bad-framing",
         ),
-        (add(b"Transfer-Encoding: gzip, chunked"), "bad-framing"),
+        (add_header_lines(b"Transfer-Encoding: gzip, chunked"), "bad-framing"),
         (
-            add(*[b"Transfer-Encoding: chunked"] * 2),
+            add_header_lines(*[b"Transfer-Encoding: chunked"] * 2),
             "repeated-header",
         ),
-        (add(b"Idempotency-Key: a", b"Idempotency-Key: b"), "repeated-header"),
-        (send_chunks(b"zz\r\n"), "malformed-body"),
-        (send_chunks(b"-1\r\n"), "malformed-body"),
-        (send_chunks(b"1_0\r\n"), "malformed-body"),
-        (send_chunks(b"f" * 40 + b"\r\n"), "long-body"),
-        (send_chunks(b"1\r\nab\r\n0\r\n\r\n"), "malformed-body"),
-        (send_chunks(b"0\r\nbad\r\n\r\n"), "malformed-body"),
+        (
+            add_header_lines(b"Idempotency-Key: a", b"Idempotency-Key: b"),
+            "repeated-header",
+        ),
+        (build_chunked_request(b"zz\r\n"), "malformed-body"),
+        (build_chunked_request(b"-1\r\n"), "malformed-body"),
+        (build_chunked_request(b"1_0\r\n"), "malformed-body"),
+        (build_chunked_request(b"f" * 40 + b"\r\n"), "long-body"),
+        (build_chunked_request(b"1\r\nab\r\n0\r\n\r\n"), "malformed-body"),
+        (build_chunked_request(b"0\r\nbad\r\n\r\n"), "malformed-body"),
     ],
 )
 def test_bad_requests_did_not_run(serve, data, reason):
-    """Guards against smuggled requests, and exceptions of the parser."""
+    """Guards against request smuggling, and exceptions in the parser."""
 
-    async def scenario(bench, upstream):
-        caller = await bench.connect()
+    async def scenario(harness, upstream):
+        caller = await harness.connect()
         caller.writer.write(data)
         answer = await caller.read()
         expected = {"long-headers": 431, "long-body": 413}
         assert answer.status == expected.get(reason, 400)
         assert (answer.outcome, answer.reason) == ("did-not-run", reason)
-        # No upstream has seen the whole of it, and the next caller is served.
-        assert not bench.sources.asked or reason.endswith("-body")
-        assert (await bench.ask()).status == 200
+        # No complete request reached an upstream, and the next one succeeds.
+        assert not harness.sources.requested or reason.endswith("-body")
+        assert (await harness.send()).status == 200
 
     serve(scenario)
 
@@ -101,54 +115,57 @@
 @pytest.mark.parametrize(
     "data",
     [
-        add(b"X: " + b"y" * 200_000),
-        add(*[b"X-%d: y" % number for number in range(20_000)]),
-        add(*[b"X-%d: %s" % (number, b"y" * 30) for number in range(20_000)]),
+        add_header_lines(b"X: " + b"y" * 200_000),
+        add_header_lines(*[b"X-%d: y" % number for number in range(20_000)]),
+        add_header_lines(
+            *[b"X-%d: %s" % (number, b"y" * 30) for number in range(20_000)]
+        ),
     ],
 )
 def test_long_headers_are_refused_and_the_answer_is_not_lost(serve, data):
-    """Guards against a reset by bytes that wait unread."""
+    """Guards against a reset that unread bytes of the request cause."""
 
-    async def scenario(bench, upstream):
+    async def scenario(harness, upstream):
         for _ in range(5):
-            caller = await bench.connect()
+            caller = await harness.connect()
             caller.writer.write(data)
             await caller.writer.drain()
             await asyncio.sleep(0.05)
             answer = await caller.read()
             assert (answer.status, answer.reason) == (431, "long-headers")
-        assert (await bench.ask()).status == 200
+        assert (await harness.send()).status == 200
 
     serve(scenario)
 
 
 @pytest.mark.parametrize(
-    "data", [b"A" * 70_000, send_chunks(b"1" * 100_000), b"\xff" * 70_000]
+    "data",
+    [b"A" * 70_000, build_chunked_request(b"1" * 100_000), b"\xff" * 70_000],
 )
 def test_endless_lines_close_their_connection_only(serve, data):
-    """Guards against a line without an end that takes memory."""
+    """Guards against a line without an end that fills the memory."""
 
-    async def scenario(bench, upstream):
-        caller = await bench.connect()
+    async def scenario(harness, upstream):
+        caller = await harness.connect()
         caller.writer.write(data)
         with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
             while await caller.read():
                 pass
-        assert (await bench.ask()).status == 200
+        assert (await harness.send()).status == 200
 
     serve(scenario)
 
 
 class Handler:
-    """Answers claims; fails on other messages, as a fault of ours would."""
+    """Answers claims; raises for other messages, like a bug in a handler."""
 
     def handle_message(self, sender, message, reply):
         if not isinstance(message, sycamoreloft_wire.ClaimRequest):
-            raise ValueError("a field that no test foresaw")
+            raise ValueError("unexpected message")
         reply(sycamoreloft_wire.ClaimAnswer(message.attempt))
 
 
-def encode(*fields):
+def encode_frame(*fields):
     return msgpack.packb(list(fields))
 
 
@@ -163,13 +180,13 @@
     [
         b"",
         b"\xc1",
-        encode(),
-        encode(1),
-        encode(1, 10_000, 1, []),
-        encode(1, 1, -1, []),
-        encode("1", 1, 1, []),
-        encode(1, 1, 1, {}),
-        encode(1, 1, 1, [[]] * 100),
+        encode_frame(),
+        encode_frame(1),
+        encode_frame(1, 10_000, 1, []),
+        encode_frame(1, 1, -1, []),
+        encode_frame("1", 1, 1, []),
+        encode_frame(1, 1, 1, {}),
+        encode_frame(1, 1, 1, [[]] * 100),
         b"\xdd\xff\xff\xff\xff",
         b"\x91" * 5_000,
         sycamoreloft_wire.encode_message(1, CLAIM)[:-1],
@@ -178,7 +195,7 @@
     ],
 )
 def test_bad_frames_of_a_known_host_close_its_connection_only(frame):
-    """Guards against a host of another release that stops the others."""
+    """Guards against a host of another release that takes the others down."""
 
     async def run():
         server = _peer_server.PeerServer(
@@ -212,7 +229,10 @@
 
 
 class Backend:
-    """Encodes what it is given, as the store client and the names do."""
+    """Encodes texts as UTF-8, as the store client and the hashing of names do.
+
+    A text with a surrogate would raise an exception.
+    """
 
     async def submit_file(self, submission):
         for text in submission.texts.values():
@@ -225,7 +245,7 @@
         return result.Failure(problem)
 
 
-def submit(body, *lines):
+def build_submission(body, *lines):
     return b"\r\n".join(
         [
             b"POST /v1/files HTTP/1.1",
@@ -237,20 +257,20 @@
     )
 
 
-def name_file(name, text="x"):
+def build_file_submission(name, text="x"):
     files = json.dumps({name: text}).encode()
-    return submit(b'{"request": "r", "base": 1, "files": %s}' % files)
+    return build_submission(b'{"request": "r", "base": 1, "files": %s}' % files)
 
 
 @pytest.mark.parametrize(
     ("data", "code"),
     [
-        (name_file("a", "\udcff"), "invalid-body"),
-        (name_file("\udcff"), "invalid-body"),
-        (submit(b'{"base": 1%s}' % (b"0" * 5_000)), "invalid-body"),
-        (submit(b"\xff\xfe"), "invalid-body"),
-        (submit(b'{"wait_s": 1e999}'), "invalid-body"),
-        (submit(b'{"\\udcff": 1}'), "invalid-body"),
+        (build_file_submission("a", "\udcff"), "invalid-body"),
+        (build_file_submission("\udcff"), "invalid-body"),
+        (build_submission(b'{"base": 1%s}' % (b"0" * 5_000)), "invalid-body"),
+        (build_submission(b"\xff\xfe"), "invalid-body"),
+        (build_submission(b'{"wait_s": 1e999}'), "invalid-body"),
+        (build_submission(b'{"\\udcff": 1}'), "invalid-body"),
         (b"GET /v1/explain?service=%ff HTTP/1.1\r\n", "bad-request"),
         (b"GET /v1/explain?service=s&key=%ff HTTP/1.1\r\n", "bad-request"),
         (b"GET /v1/explain?service=%00 HTTP/1.1\r\n", "no-service"),
@@ -261,7 +281,7 @@
     ],
 )
 def test_bad_calls_of_operators_are_typed_errors(data, code):
-    """Guards against an operator who gets a stack trace or no answer."""
+    """Guards against a stack trace, or no answer, for an operator's call."""
 
     async def run():
         listener, port = testing.bind_unused_port()
--- a/packages/router/tests/test_call_client.py
+++ b/packages/router/tests/test_call_client.py
@@ -1,4 +1,4 @@
-"""Short calls: answers that are long, stuck or without end."""
+"""Tests of the call client: long, stalled and endless answers."""
 
 import asyncio
 
@@ -7,12 +7,12 @@
 
 from sycamoreloft_router import _call_client, _call_progress
 
-#: Limits of the calls here; the silence is far longer than any pause.
+#: Limits of the calls; the idle timeout is far longer than any pause here.
 LIMITS = _call_client.CallLimits(5.0, 5.0, 20.0, 1 << 20)
 
-#: Bytes that a peer may have written when its call is over: the limits above
-#: and what the buffers of the system hold.
-MOST_BYTES = 32 << 20
+#: Maximum number of bytes that a server can write before its call ends: the
+#: limits above, and the buffers of the operating system.
+MAXIMUM_BYTES = 32 << 20
 
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -21,7 +21,7 @@
 
 @pytest.fixture
 def call():
-    """Runs a scenario with a raw server and a function that calls it."""
+    """Runs a scenario with a raw server and a function that sends calls."""
 
     def run_scenario(scenario, script):
         async def main():
@@ -51,7 +51,7 @@
 
 
 class EndlessScript:
-    """Writes the same bytes until the caller closes."""
+    """Writes the same bytes until the connection is closed."""
 
     def __init__(self, start, piece):
         self._start = start
@@ -96,7 +96,7 @@
     ],
 )
 def test_an_answer_without_end_is_given_up(call, start, piece):
-    """Guards against answers that fill the memory until the time is over."""
+    """Guards against answers that fill the memory until the timeout."""
     script = EndlessScript(start, piece)
 
     async def scenario(upstream, send):
@@ -104,13 +104,13 @@
         assert answer.status == _call_client.NO_ANSWER
         assert answer.error
         await raw_peers.wait_until(lambda: upstream.closed == 1)
-        assert script.written < MOST_BYTES
+        assert script.written < MAXIMUM_BYTES
 
     call(scenario, script)
 
 
 def test_bytes_after_a_whole_answer_reach_no_other_call(call):
-    """Guards against noise after an answer that is taken for the next one."""
+    """Guards against trailing bytes that are read as the next answer."""
     script = EndlessScript(raw_peers.answer(b"first"), b"x" * 8192)
 
     async def scenario(upstream, send):
@@ -123,13 +123,13 @@
 
 
 def test_a_second_answer_on_an_idle_connection_reaches_no_call(call):
-    """Guards against connections that are kept with unread bytes."""
+    """Guards against reuse of a connection with unread bytes."""
     repeated = asyncio.Event()
 
     async def script(request, writer, _reader):
         writer.write(raw_peers.answer(b"%d" % request.connection))
         await writer.drain()
-        # The first answer has to be read before the second one arrives.
+        # Lets the client read the first answer before the second one arrives.
         await asyncio.sleep(0.05)
         writer.write(raw_peers.answer(b"late"))
         await writer.drain()
@@ -146,7 +146,7 @@
 
 
 def test_an_answer_that_stops_midway_is_given_up(call):
-    """Guards against calls that wait for a silenced connection."""
+    """Guards against calls that wait for a stalled connection."""
 
     async def script(_request, writer, reader):
         writer.write(OK + b"Content-Length: 10\r\n\r\nhalf")
@@ -162,7 +162,7 @@
 
 
 def test_a_cancelled_call_closes_its_connection(call):
-    """Guards against answers that load on after nobody waits for them."""
+    """Guards against answers that are received although nobody waits."""
 
     async def script(_request, _writer, reader):
         await reader.read()
@@ -177,7 +177,7 @@
 
 
 def test_an_answer_without_body_has_its_headers(call):
-    """Guards against handovers that get lost."""
+    """Guards against lost handovers, which are headers of empty answers."""
 
     async def script(_request, writer, _reader):
         writer.write(raw_peers.answer(b"", headers=b"Lease-Handover: h1\r\n"))
@@ -194,7 +194,7 @@
 
 
 def test_an_answer_tells_whether_the_call_was_sent(call):
-    """Guards against waits for leases of orders that never left the host."""
+    """Guards against a wait for the lease of an order that was not sent."""
 
     async def script(_request, writer, _reader):
         writer.close()
@@ -215,8 +215,8 @@
     call(scenario, script)
 
 
-# Guards against answers whose connection nobody can tell afterwards: a reused
-# one may bring the late answer to an earlier call.
+# Guards against a late answer to an earlier call that is read as the answer to
+# this one: that can happen only on a reused connection.
 def test_an_answer_tells_which_connection_carried_the_call(call):
     async def script(request, writer, _reader):
         if request.connection == 0 and len(upstreams[0].requests) == 3:
--- a/packages/router/tests/test_caller_server.py
+++ b/packages/router/tests/test_caller_server.py
@@ -1,4 +1,4 @@
-"""The caller server: parsing, limits, streaming and draining."""
+"""Tests of the caller server: parsing, limits, streaming and draining."""
 
 import asyncio
 import gc
@@ -18,10 +18,10 @@
 def test_forwards_a_request_and_its_answer(serve):
     """Guards against altered requests and answers, and leaked headers."""
 
-    async def scenario(bench, upstream):
-        caller = await bench.connect()
+    async def scenario(harness, upstream):
+        caller = await harness.connect()
         for _ in range(3):
-            answer = await caller.ask(
+            answer = await caller.send(
                 build_head(
                     "PUT",
                     "/a/../b?q=%20",
@@ -38,26 +38,29 @@
             )
             assert (answer.status, answer.body) == (201, b"made")
             assert answer.outcome == "completed"
-            assert answer.find("X-Answer") == "1"
-            assert answer.find("Sycamoreloft-Attempt") is None
-            assert answer.find("Keep-Alive") is None
+            assert answer.get_header("X-Answer") == "1"
+            assert answer.get_header("Sycamoreloft-Attempt") is None
+            assert answer.get_header("Keep-Alive") is None
         request = upstream.requests[-1]
         assert request.head.startswith(b"PUT /a/../b?q=%20 HTTP/1.1\r\n")
         assert request.body == b"abc"
-        assert request.find("X-Own") == "kept"
-        assert request.find("X-Empty") == ""
-        assert request.find("X-Hop") is None
-        assert request.find("Sycamoreloft-Secret") is None
-        assert request.find("User-Agent") is None
+        assert request.get_header("X-Own") == "kept"
+        assert request.get_header("X-Empty") == ""
+        assert request.get_header("X-Hop") is None
+        assert request.get_header("Sycamoreloft-Secret") is None
+        assert request.get_header("User-Agent") is None
         assert request.head.count(b"Sycamoreloft-Epoch") == 1
-        assert request.find("Sycamoreloft-Epoch") == "7"
-        assert request.find("Sycamoreloft-Group") == "sledworks/north/0"
-        assert request.find("Sycamoreloft-Key") == "heat-7"
-        assert request.find("Sycamoreloft-Fence") == "42"
-        asked = bench.sources.asked[-1]
-        assert int(request.find("Sycamoreloft-Partition")) == asked.partition
-        assert asked.caller == "c1"
-        assert [item.outcome for item in bench.sources.returned] == [
+        assert request.get_header("Sycamoreloft-Epoch") == "7"
+        assert request.get_header("Sycamoreloft-Group") == "sledworks/north/0"
+        assert request.get_header("Sycamoreloft-Key") == "heat-7"
+        assert request.get_header("Sycamoreloft-Fence") == "42"
+        requested = harness.sources.requested[-1]
+        assert (
+            int(request.get_header("Sycamoreloft-Partition"))
+            == requested.partition
+        )
+        assert requested.caller == "c1"
+        assert [item.outcome for item in harness.sources.returned] == [
             "completed"
         ] * 3
 
@@ -110,15 +113,15 @@
 def test_refuses_bad_requests_with_a_remedy(serve, head, status, reason):
     """Guards against untyped refusals, and against running bad requests."""
 
-    async def scenario(bench, upstream):
-        caller = await bench.connect()
-        answer = await caller.ask(head)
+    async def scenario(harness, upstream):
+        caller = await harness.connect()
+        answer = await caller.send(head)
         assert (answer.status, answer.reason) == (status, reason)
         assert answer.outcome == "did-not-run"
         if not head.startswith(b"HEAD"):
             assert json.loads(answer.body)["remedy"]
         assert upstream.requests == []
-        assert bench.sources.asked == []
+        assert harness.sources.requested == []
 
     serve(scenario)
 
@@ -126,11 +129,11 @@
 def test_keeps_the_connection_after_a_refusal(serve):
     """Guards against a refusal that desynchronizes the connection."""
 
-    async def scenario(bench, upstream):
-        caller = await bench.connect()
-        refused = await caller.ask(build_head(service="none"))
+    async def scenario(harness, upstream):
+        caller = await harness.connect()
+        refused = await caller.send(build_head(service="none"))
         assert refused.status == 400
-        assert (await caller.ask(build_head())).status == 200
+        assert (await caller.send(build_head())).status == 200
 
     serve(scenario)
 
@@ -138,8 +141,8 @@
 def test_answers_before_the_body_and_reads_the_rest(serve):
     """Guards against a reset that destroys an early answer."""
 
-    async def scenario(bench, upstream):
-        caller = await bench.connect()
+    async def scenario(harness, upstream):
+        caller = await harness.connect()
         size = 3_000_000
         caller.writer.write(
             build_head("PUT", service="none", Content_Length=str(size))
@@ -157,8 +160,8 @@
     """Guards against lost, altered or buffered parts of a long body."""
     parts = [bytes([number]) * 100_000 for number in range(50)]
 
-    async def scenario(bench, upstream):
-        caller = await bench.connect()
+    async def scenario(harness, upstream):
+        caller = await harness.connect()
         if chunked:
             head = build_head("PUT", Transfer_Encoding="chunked")
             data = [b"%x\r\n%b\r\n" % (len(part), part) for part in parts]
@@ -172,14 +175,14 @@
             await caller.writer.drain()
         assert (await caller.read()).status == 200
         assert upstream.requests[0].body == b"".join(parts)
-        # The connection is still in step.
-        assert (await caller.ask(build_head())).status == 200
+        # The connection is still synchronized.
+        assert (await caller.send(build_head())).status == 200
 
     serve(scenario)
 
 
 def test_streams_a_long_answer_to_a_slow_caller(serve):
-    """Guards against answers that are held in memory as a whole."""
+    """Guards against answers that are buffered completely in memory."""
     size = 40_000_000
     sent = []
 
@@ -190,8 +193,8 @@
             await writer.drain()
             sent.append(number)
 
-    async def scenario(bench, upstream):
-        caller = await bench.connect()
+    async def scenario(harness, upstream):
+        caller = await harness.connect()
         caller.writer.write(build_head())
         await asyncio.sleep(0.3)
         assert len(sent) < 30
@@ -199,7 +202,7 @@
         assert answer.body == b"".join(
             bytes([number]) * 1_000_000 for number in range(40)
         )
-        assert bench.sources.returned[0].outcome == "completed"
+        assert harness.sources.returned[0].outcome == "completed"
 
     serve(scenario, script)
 
@@ -213,12 +216,12 @@
     async def script(request, writer, _reader):
         writer.write(b"HTTP/1.1 %s\r\nETag: x\r\n\r\n" % status)
 
-    async def scenario(bench, upstream):
-        caller = await bench.connect()
+    async def scenario(harness, upstream):
+        caller = await harness.connect()
         for _ in range(2):
-            answer = await caller.ask(build_head())
+            answer = await caller.send(build_head())
             assert answer.status == int(status[:3])
-            assert answer.find("Content-Length") is None
+            assert answer.get_header("Content-Length") is None
 
     serve(scenario, script)
 
@@ -229,11 +232,11 @@
     async def script(request, writer, _reader):
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n")
 
-    async def scenario(bench, upstream):
-        caller = await bench.connect()
+    async def scenario(harness, upstream):
+        caller = await harness.connect()
         for _ in range(2):
-            answer = await caller.ask(build_head("HEAD"))
-            assert answer.find("Content-Length") == "500"
+            answer = await caller.send(build_head("HEAD"))
+            assert answer.get_header("Content-Length") == "500"
 
     serve(scenario, script)
 
@@ -246,8 +249,8 @@
         await asyncio.sleep(0.05 if target == b"/1" else 0)
         writer.write(raw_peers.answer(target))
 
-    async def scenario(bench, upstream):
-        caller = await bench.connect()
+    async def scenario(harness, upstream):
+        caller = await harness.connect()
         for number in range(1, 5):
             caller.writer.write(build_head(target=f"/{number}"))
         bodies = [(await caller.read()).body for _ in range(4)]
@@ -259,14 +262,14 @@
 def test_requests_leave_nothing_to_the_garbage_collector(serve):
     """Guards against reference cycles, which pause the process for 30 ms."""
 
-    async def scenario(bench, upstream):
-        caller = await bench.connect()
-        await caller.ask(build_head())
+    async def scenario(harness, upstream):
+        caller = await harness.connect()
+        await caller.send(build_head())
         gc.collect()
         gc.disable()
         try:
             for _ in range(10):
-                await caller.ask(build_head())
+                await caller.send(build_head())
             gc.set_debug(gc.DEBUG_SAVEALL)
             gc.collect()
             left = [
@@ -284,27 +287,27 @@
 
 
 def test_bounds_the_requests_in_flight(serve):
-    """Guards against memory that grows with the number of callers."""
+    """Guards against memory use that grows with the number of requests."""
 
     async def script(request, writer, _reader):
         await asyncio.sleep(0.1)
         writer.write(raw_peers.answer())
 
-    async def scenario(bench, upstream):
-        answers = await asyncio.gather(*(bench.ask() for _ in range(6)))
+    async def scenario(harness, upstream):
+        answers = await asyncio.gather(*(harness.send() for _ in range(6)))
         reasons = sorted(str(answer.reason) for answer in answers)
         assert reasons == ["None"] * 4 + ["host-overloaded"] * 2
-        assert (await bench.ask()).status == 200
+        assert (await harness.send()).status == 200
 
     serve(scenario, script, _caller_server.CallerLimits(requests=4))
 
 
 def test_closes_idle_connections(serve, monkeypatch):
-    """Guards against connections that are kept for ever."""
+    """Guards against connections that stay open for ever."""
     monkeypatch.setattr(_caller_server, "SWEEP_INTERVAL_S", 0.02)
 
-    async def scenario(bench, upstream):
-        caller = await bench.connect()
+    async def scenario(harness, upstream):
+        caller = await harness.connect()
         caller.writer.write(b"GET /half")
         assert await caller.reader.read() == b""
 
@@ -315,8 +318,8 @@
 def test_slow_body_ends_at_the_deadline(serve):
     """Guards against a request that waits for its body for ever."""
 
-    async def scenario(bench, upstream):
-        answer = await bench.ask(
+    async def scenario(harness, upstream):
+        answer = await harness.send(
             build_head(
                 "PUT", Content_Length="10", Sycamoreloft_Deadline_Ms="50"
             ),
@@ -324,40 +327,43 @@
         )
         assert (answer.status, answer.reason) == (408, "slow-body")
         assert answer.outcome == "did-not-run"
-        assert bench.sources.asked == []
+        assert harness.sources.requested == []
 
     serve(scenario)
 
 
 def test_drain_completes_requests_in_flight(serve):
-    """Guards against requests cut off by a planned stop."""
+    """Guards against requests that a planned stop cancels."""
 
     async def script(request, writer, _reader):
         await asyncio.sleep(0.1)
         writer.write(raw_peers.answer(b"whole"))
 
-    async def scenario(bench, upstream):
-        idle = await bench.connect()
-        assert (await idle.ask(build_head())).body == b"whole"
-        caller = await bench.connect()
+    async def scenario(harness, upstream):
+        idle = await harness.connect()
+        assert (await idle.send(build_head())).body == b"whole"
+        caller = await harness.connect()
         caller.writer.write(build_head())
         await raw_peers.wait_until(lambda: len(upstream.requests) == 2)
-        draining = asyncio.ensure_future(bench.server.drain(5.0))
+        draining = asyncio.ensure_future(harness.server.drain(5.0))
         await asyncio.sleep(0)
         with pytest.raises(ConnectionError):
-            await bench.connect()
-        # An idle connection may still send a request that is on its way.
-        late = await idle.ask(build_head())
-        assert (late.body, late.find("Connection")) == (b"whole", "close")
+            await harness.connect()
+        # A request on an idle connection may still be on its way.
+        late = await idle.send(build_head())
+        assert (late.body, late.get_header("Connection")) == (b"whole", "close")
         answer = await caller.read()
-        assert (answer.body, answer.find("Connection")) == (b"whole", "close")
+        assert (answer.body, answer.get_header("Connection")) == (
+            b"whole",
+            "close",
+        )
         assert await draining == 0
 
     serve(scenario, script)
 
 
 def test_drain_closes_idle_connections_while_others_work(serve):
-    """Guards against requests that are taken until the drain cuts them."""
+    """Guards against new requests that the end of the drain cancels."""
     held = asyncio.Event()
 
     async def script(request, writer, _reader):
@@ -365,13 +371,13 @@
             await held.wait()
         writer.write(raw_peers.answer(b"whole"))
 
-    async def scenario(bench, upstream):
-        idle = await bench.connect()
-        assert (await idle.ask(build_head())).body == b"whole"
-        slow = await bench.connect()
+    async def scenario(harness, upstream):
+        idle = await harness.connect()
+        assert (await idle.send(build_head())).body == b"whole"
+        slow = await harness.connect()
         slow.writer.write(build_head(target="/slow"))
         await raw_peers.wait_until(lambda: len(upstream.requests) == 2)
-        draining = asyncio.ensure_future(bench.server.drain(20.0))
+        draining = asyncio.ensure_future(harness.server.drain(20.0))
         async with asyncio.timeout(10.0):
             assert await idle.reader.read() == b""
         assert not draining.done()
@@ -385,12 +391,12 @@
 def test_drain_answers_connections_that_are_not_yet_accepted(serve):
     """Guards against a reset of connections in the listening socket."""
 
-    async def scenario(bench, upstream):
-        host, port = bench.address.split(":")
+    async def scenario(harness, upstream):
+        host, port = harness.address.split(":")
         with socket.create_connection((host, int(port)), 5) as caller:
-            # The event loop has not run since the connection was made.
+            # The event loop has not run since the connection was opened.
             caller.sendall(build_head())
-            assert await bench.server.drain(5.0) == 0
+            assert await harness.server.drain(5.0) == 0
             assert caller.recv(100).startswith(b"HTTP/1.1 200")
 
     serve(scenario)
@@ -402,14 +408,14 @@
     async def script(request, writer, _reader):
         await asyncio.sleep(30)
 
-    async def scenario(bench, upstream):
-        caller = await bench.connect()
+    async def scenario(harness, upstream):
+        caller = await harness.connect()
         caller.writer.write(build_head())
         await raw_peers.wait_until(lambda: upstream.requests)
-        assert await bench.server.drain(0.05) == 1
+        assert await harness.server.drain(0.05) == 1
         with pytest.raises(asyncio.IncompleteReadError):
             await caller.read()
-        assert bench.sources.returned[0].outcome == "unknown"
+        assert harness.sources.returned[0].outcome == "unknown"
 
     serve(scenario, script)
 
@@ -417,13 +423,13 @@
 def test_a_new_connection_is_not_idle(serve):
     """Guards against a reset of a connection that was just accepted.
 
-    The task of a connection starts one turn of the event loop after the
-    connection, and the sweep of idle connections may run in between.
+    The task of a connection starts one iteration of the event loop after the
+    connection is accepted; idle connections may be closed in between.
     """
 
-    async def scenario(bench, upstream):
+    async def scenario(harness, upstream):
         server = _caller_connections.ConnectionServer(
-            bench.server, 16_384, 1_000, None
+            harness.server, 16_384, 1_000, None
         )
         near, far = socket.socketpair()
         with far:
@@ -438,15 +444,15 @@
 
 
 def test_a_sweep_passes_over_a_connection_that_just_closed(serve):
-    """Guards against a sweep that fails, after which none follows.
+    """Guards against an exception in the sweep, which ends all later sweeps.
 
-    The task of a connection notices the close one turn of the event loop
-    later, and the sweep of idle connections may run in between.
+    The task of a connection notices a close one iteration of the event loop
+    later; idle connections may be closed in between.
     """
 
-    async def scenario(bench, upstream):
-        caller = await bench.connect()
-        server = bench.server._server
+    async def scenario(harness, upstream):
+        caller = await harness.connect()
+        server = harness.server._server
         await raw_peers.wait_until(server.list_connections)
         await asyncio.sleep(0.01)
         [connection] = server.list_connections()
@@ -459,12 +465,12 @@
 
 
 def test_a_request_that_came_with_the_one_before_survives_a_sweep(serve):
-    """Guards against pipelined requests whose connection counts as idle."""
+    """Guards against a pipelined request whose connection is taken for idle."""
 
-    async def scenario(bench, upstream):
-        caller = await bench.connect()
+    async def scenario(harness, upstream):
+        caller = await harness.connect()
         caller.writer.write(build_head() + build_head())
-        server = bench.server._server
+        server = harness.server._server
         for number in (1, 2):
             while len(upstream.requests) < number:
                 server.close_idle(asyncio.get_running_loop().time())
--- a/packages/router/tests/test_connection_share.py
+++ b/packages/router/tests/test_connection_share.py
@@ -27,7 +27,7 @@
 
 @pytest.mark.parametrize("hosts", [1, 24, 50, 51, 683, 4_100])
 def test_connections_are_bounded_at_any_number_of_hosts(generation, hosts):
-    """Guards against an upstream that idle connections keep full."""
+    """Guards against idle connections that use up an upstream's limit."""
     share = _connection_share.compute_share(generation, hosts)
     idle = share.connections * hosts if share.keeps_idle else 0
     assert idle <= 300
@@ -35,7 +35,7 @@
 
 
 def test_nothing_is_limited_before_a_file_is_in_force():
-    """Guards against a division by no upstreams at the start."""
+    """Guards against an exception for a generation without upstreams."""
     empty = sycamoreloft_config.Generation(0, {})
     share = _connection_share.compute_share(empty, 24)
     assert share == _connection_share.ConnectionShare()
--- a/packages/router/tests/test_exchange.py
+++ b/packages/router/tests/test_exchange.py
@@ -1,4 +1,4 @@
-"""The request path: outcomes, retries, claims, and callers that leave."""
+"""Tests of the request path: outcomes, retries, and lost upstreams."""
 
 import asyncio
 import socket
@@ -12,7 +12,7 @@
 WAGER = fake_sources.WAGER
 
 
-def find_closed_address():
+def get_closed_address():
     """Returns an address that refuses connections."""
     with socket.socket() as unused:
         unused.bind(("127.0.0.1", 0))
@@ -23,31 +23,31 @@
 def test_refused_permit_is_did_not_run(serve):
     """Guards against work that is sent without a permit."""
 
-    async def scenario(bench, upstream):
-        bench.sources.refusals = [("quarantined", 1_500)] * 5
-        answer = await bench.ask()
+    async def scenario(harness, upstream):
+        harness.sources.refusals = [("quarantined", 1_500)] * 5
+        answer = await harness.send()
         assert (answer.outcome, answer.reason) == (
             "did-not-run",
             "quarantined",
         )
-        assert answer.find("Retry-After") == "2"
+        assert answer.get_header("Retry-After") == "2"
         assert upstream.requests == []
-        assert bench.sources.returned == []
+        assert harness.sources.returned == []
 
     serve(scenario)
 
 
 def test_no_connection_is_did_not_run(serve):
-    """Guards against `unknown` where nothing was sent."""
+    """Guards against the outcome `unknown` if nothing was sent."""
 
-    async def scenario(bench, upstream):
-        bench.sources.address = find_closed_address()
-        answer = await bench.ask(WAGER, b"1")
+    async def scenario(harness, upstream):
+        harness.sources.address = get_closed_address()
+        answer = await harness.send(WAGER, b"1")
         assert answer.outcome == "did-not-run"
-        returned = bench.sources.returned[0]
+        returned = harness.sources.returned[0]
         assert returned.outcome == "did-not-run"
         assert returned.connection_lost
-        assert {item.outcome for item in bench.sources.results} == {
+        assert {item.outcome for item in harness.sources.reported_results} == {
             "did-not-run"
         }
 
@@ -55,14 +55,14 @@
 
 
 def test_expired_permit_is_not_used(serve):
-    """Guards against a send after the slot was given to someone else."""
+    """Guards against a send after the slot was given to another request."""
 
-    async def scenario(bench, upstream):
-        bench.sources.valid_ms = 0
-        answer = await bench.ask(WAGER, b"1")
+    async def scenario(harness, upstream):
+        harness.sources.valid_ms = 0
+        answer = await harness.send(WAGER, b"1")
         assert answer.outcome == "did-not-run"
         assert upstream.requests == []
-        assert not bench.sources.returned[0].connection_lost
+        assert not harness.sources.returned[0].connection_lost
 
     serve(scenario)
 
@@ -76,27 +76,27 @@
     ],
 )
 def test_broken_small_answer_is_unknown_and_sent_once(serve, data):
-    """Guards against a truncated answer that looks whole, and a repeat."""
+    """Guards against a truncated answer that looks complete, and a retry."""
 
     async def script(request, writer, _reader):
         writer.write(data)
         await writer.drain()
         return False
 
-    async def scenario(bench, upstream):
-        answer = await bench.ask(WAGER, b"1")
+    async def scenario(harness, upstream):
+        answer = await harness.send(WAGER, b"1")
         assert answer.status >= 500
         assert answer.outcome == "unknown"
         assert len(upstream.requests) == 1
-        assert outcomes(bench) == ["unknown"]
-        assert bench.sources.results[0].outcome == "unknown"
+        assert outcomes(harness) == ["unknown"]
+        assert harness.sources.reported_results[0].outcome == "unknown"
 
     serve(scenario, script)
 
 
 @pytest.mark.parametrize("chunked", [False, True])
 def test_broken_long_answer_is_cut_without_the_last_chunk(serve, chunked):
-    """Guards against a long truncated answer that looks whole."""
+    """Guards against a long truncated answer that looks complete."""
 
     async def script(request, writer, _reader):
         part = b"x" * 200_000
@@ -110,19 +110,19 @@
         await asyncio.sleep(0.05)
         return False
 
-    async def scenario(bench, upstream):
-        caller = await bench.connect()
+    async def scenario(harness, upstream):
+        caller = await harness.connect()
         with pytest.raises(asyncio.IncompleteReadError):
-            await caller.ask(build_head())
+            await caller.send(build_head())
         assert await caller.reader.read() == b""
         assert len(upstream.requests) == 1
-        await raw_peers.wait_until(lambda: outcomes(bench) == ["unknown"])
+        await raw_peers.wait_until(lambda: outcomes(harness) == ["unknown"])
 
     serve(scenario, script)
 
 
 def test_repeatable_operation_is_tried_again(serve):
-    """Guards against errors that a safe retry hides from the caller."""
+    """Guards against errors that a safe retry would have avoided."""
 
     async def script(request, writer, _reader):
         if number.pop():
@@ -132,12 +132,12 @@
 
     number = [False, True]
 
-    async def scenario(bench, upstream):
-        answer = await bench.ask()
+    async def scenario(harness, upstream):
+        answer = await harness.send()
         assert (answer.status, answer.body) == (200, b"second")
-        assert outcomes(bench) == ["unknown", "completed"]
+        assert outcomes(harness) == ["unknown", "completed"]
         attempts = {
-            one.find("Sycamoreloft-Attempt") for one in upstream.requests
+            one.get_header("Sycamoreloft-Attempt") for one in upstream.requests
         }
         assert len(attempts) == 2
 
@@ -148,14 +148,14 @@
     """Guards against did-not-run when an earlier attempt may have run."""
 
     async def script(request, writer, _reader):
-        bench_sources[0].refusals = [("overloaded", 0)] * 20
+        harness_sources[0].refusals = [("overloaded", 0)] * 20
         return False
 
-    bench_sources = []
+    harness_sources = []
 
-    async def scenario(bench, upstream):
-        bench_sources.append(bench.sources)
-        answer = await bench.ask(build_head(Sycamoreloft_Deadline_Ms="300"))
+    async def scenario(harness, upstream):
+        harness_sources.append(harness.sources)
+        answer = await harness.send(build_head(Sycamoreloft_Deadline_Ms="300"))
         assert answer.outcome == "unknown"
         assert len(upstream.requests) == 1
 
@@ -179,16 +179,16 @@
 
     seen = []
 
-    async def scenario(bench, upstream):
-        answer = await bench.ask(WAGER, b"1")
+    async def scenario(harness, upstream):
+        answer = await harness.send(WAGER, b"1")
         assert answer.body == b"ran"
-        assert outcomes(bench) == ["did-not-run", "completed"]
-        assert [item.refused for item in bench.sources.returned] == [
+        assert outcomes(harness) == ["did-not-run", "completed"]
+        assert [item.refused for item in harness.sources.returned] == [
             True,
             False,
         ]
-        # The claim is taken anew for each attempt.
-        assert [item.outcome for item in bench.sources.results] == [
+        # Each attempt claims the request id again.
+        assert [item.outcome for item in harness.sources.reported_results] == [
             "did-not-run",
             "completed",
         ]
@@ -204,7 +204,7 @@
     ],
 )
 def test_long_or_broken_refusal_is_not_passed_on(serve, data):
-    """Guards against a refusal that is taken for an answer or a break."""
+    """Guards against a refusal that is handled as an answer or a failure."""
 
     async def script(request, writer, _reader):
         if len(seen) == 2:
@@ -218,20 +218,20 @@
 
     seen = []
 
-    async def scenario(bench, upstream):
-        answer = await bench.ask(WAGER, b"1")
+    async def scenario(harness, upstream):
+        answer = await harness.send(WAGER, b"1")
         assert answer.body == b"ran"
-        assert outcomes(bench) == ["did-not-run"] * 2 + ["completed"]
+        assert outcomes(harness) == ["did-not-run"] * 2 + ["completed"]
 
     serve(scenario, script)
 
 
 def test_503_without_the_contract_header_completed(serve):
-    """Guards against retries of an application's own errors."""
+    """Guards against retries of errors of the application itself."""
     script = raw_peers.echo(b"busy", b"503 Busy")
 
-    async def scenario(bench, upstream):
-        answer = await bench.ask(WAGER, b"1")
+    async def scenario(harness, upstream):
+        answer = await harness.send(WAGER, b"1")
         assert (answer.status, answer.outcome) == (503, "completed")
         assert len(upstream.requests) == 1
 
@@ -239,7 +239,7 @@
 
 
 def test_late_answer_is_unknown_and_reaches_nobody_else(serve):
-    """Guards against a late answer that another request gets."""
+    """Guards against a late answer that reaches another request."""
 
     async def script(request, writer, _reader):
         if b"/slow" in request.head:
@@ -248,17 +248,17 @@
         else:
             writer.write(raw_peers.answer(b"own"))
 
-    async def scenario(bench, upstream):
-        caller = await bench.connect()
+    async def scenario(harness, upstream):
+        caller = await harness.connect()
         head = build_head(
             "POST", "/slow", Sycamoreloft_Deadline_Ms="60", Content_Length="0"
         )
-        answer = await caller.ask(head)
+        answer = await caller.send(head)
         assert (answer.status, answer.outcome) == (504, "unknown")
         for _ in range(5):
-            assert (await caller.ask(build_head())).body == b"own"
+            assert (await caller.send(build_head())).body == b"own"
             await asyncio.sleep(0.05)
-        assert outcomes(bench) == ["unknown"] + ["completed"] * 5
+        assert outcomes(harness) == ["unknown"] + ["completed"] * 5
 
     serve(scenario, script)
 
@@ -266,9 +266,9 @@
 def test_deadline_before_the_permit_is_did_not_run(serve):
     """Guards against waiting for a permit beyond the deadline."""
 
-    async def scenario(bench, upstream):
-        bench.sources.delay_s = 30
-        answer = await bench.ask(build_head(Sycamoreloft_Deadline_Ms="50"))
+    async def scenario(harness, upstream):
+        harness.sources.delay_s = 30
+        answer = await harness.send(build_head(Sycamoreloft_Deadline_Ms="50"))
         assert (answer.status, answer.outcome) == (504, "did-not-run")
         assert upstream.requests == []
 
@@ -276,16 +276,16 @@
 
 
 def test_doubled_and_swapped_answers_reach_only_their_own_callers(serve):
-    """Guards against answers of an upstream that mixes connections up.
+    """Guards against answers of an upstream that mixes up its connections.
 
-    Two requests run at once; the upstream answers each twice on every
-    connection that it has, with the identifier of the attempt.
+    It answers each of the concurrent requests twice on all its connections,
+    with the identifier of the attempt.
     """
     writers = []
 
     async def script(request, writer, _reader):
         writers.append(writer)
-        attempt = request.find("Sycamoreloft-Attempt").encode()
+        attempt = request.get_header("Sycamoreloft-Attempt").encode()
         target = request.head.split(b" ")[1]
         data = raw_peers.answer(
             target, headers=b"Sycamoreloft-Attempt: %b\r\n" % attempt
@@ -293,18 +293,18 @@
         for other in list(writers):
             other.write(data + data)
 
-    async def scenario(bench, upstream):
-        async def ask(number):
-            caller = await bench.connect()
+    async def scenario(harness, upstream):
+        async def send(number):
+            caller = await harness.connect()
             for turn in range(10):
                 target = f"/{number}-{turn}"
-                answer = await caller.ask(build_head("DELETE", target=target))
+                answer = await caller.send(build_head("DELETE", target=target))
                 if answer.outcome == "completed":
                     assert answer.body == target.encode()
                 else:
                     assert answer.outcome == "unknown"
 
-        await asyncio.gather(*(ask(number) for number in range(4)))
+        await asyncio.gather(*(send(number) for number in range(4)))
         assert len(upstream.requests) == 40
 
     serve(scenario, script)
@@ -313,14 +313,16 @@
 def test_stale_generation_is_refreshed_and_resolved_again(serve):
     """Guards against requests under names that are no longer in force."""
 
-    async def scenario(bench, upstream):
-        bench.sources.refusals = [("stale-generation", 0)]
-        bench.sources.newer = fake_sources.build_generation(2)
-        assert (await bench.ask()).status == 200
-        assert [item.generation for item in bench.sources.asked] == [1, 2]
-        bench.sources.refusals = [("stale-generation", 0)]
-        bench.sources.newer = fake_sources.build_generation(3, ("ledger",))
-        answer = await bench.ask()
+    async def scenario(harness, upstream):
+        harness.sources.refusals = [("stale-generation", 0)]
+        harness.sources.next_generation = fake_sources.build_generation(2)
+        assert (await harness.send()).status == 200
+        assert [item.generation for item in harness.sources.requested] == [1, 2]
+        harness.sources.refusals = [("stale-generation", 0)]
+        harness.sources.next_generation = fake_sources.build_generation(
+            3, ("ledger",)
+        )
+        answer = await harness.send()
         assert (answer.reason, answer.outcome) == (
             "unknown-service",
             "did-not-run",
@@ -332,16 +334,19 @@
 def test_unkeyed_request_spills_over_to_another_domain(serve):
     """Guards against a refusal while another domain has free slots."""
 
-    async def scenario(bench, upstream):
-        bench.sources.refusals = [("overloaded", 0)]
-        answer = await bench.ask(build_head(service="ledger"))
+    async def scenario(harness, upstream):
+        harness.sources.refusals = [("overloaded", 0)]
+        answer = await harness.send(build_head(service="ledger"))
         assert answer.status == 200
-        assert [item.group for item in bench.sources.asked] == [
+        assert [item.group for item in harness.sources.requested] == [
             "sledworks/north/0",
             "sledworks/south/0",
         ]
-        assert [item.partition for item in bench.sources.asked] == [-1, -1]
-        assert upstream.requests[0].find("Sycamoreloft-Key") is None
+        assert [item.partition for item in harness.sources.requested] == [
+            -1,
+            -1,
+        ]
+        assert upstream.requests[0].get_header("Sycamoreloft-Key") is None
 
     serve(scenario)
 
@@ -349,12 +354,12 @@
 def test_fingerprints_differ_with_the_body(serve):
     """Guards against quarantine of requests that only look alike."""
 
-    async def scenario(bench, upstream):
+    async def scenario(harness, upstream):
         for body in (b"a", b"b", b"a"):
             head = build_head("PUT", Content_Length="1")
-            await bench.ask(head, body)
+            await harness.send(head, body)
         first, second, third = (
-            item.fingerprint for item in bench.sources.asked
+            item.fingerprint for item in harness.sources.requested
         )
         assert first == third != second
         assert len(first) == 16
@@ -363,14 +368,14 @@
 
 
 def test_streamed_body_is_not_sent_twice(serve):
-    """Guards against a retry with the rest of a body that was half sent."""
+    """Guards against a retry with the rest of a partly sent body."""
 
     async def script(request, writer, _reader):
         return False
 
-    async def scenario(bench, upstream):
-        caller = await bench.connect()
-        answer = await caller.ask(
+    async def scenario(harness, upstream):
+        caller = await harness.connect()
+        answer = await caller.send(
             build_head("PUT", Content_Length="200000"), b"x" * 200_000
         )
         assert answer.outcome == "unknown"
@@ -383,40 +388,42 @@
     """Guards against a shortened body when an attempt never connected."""
     body = bytes(range(256)) * 4_000
 
-    async def scenario(bench, upstream):
-        bench.sources.addresses = [find_closed_address()]
-        caller = await bench.connect()
+    async def scenario(harness, upstream):
+        harness.sources.addresses = [get_closed_address()]
+        caller = await harness.connect()
         head = build_head("PUT", Content_Length=str(len(body)))
-        assert (await caller.ask(head, body)).status == 200
+        assert (await caller.send(head, body)).status == 200
         assert upstream.requests[0].body == body
 
     serve(scenario)
 
 
 async def keep_silent(request, writer, reader):
-    """Answers nothing, as an upstream that froze."""
+    """Sends no answer, like a frozen upstream."""
     await reader.read(1)
     return False
 
 
-async def ask_and_lose(bench, silent, head, body=b""):
-    """Sends a request, and reports its upstream as lost once it is there."""
-    asking = asyncio.ensure_future(bench.ask(head, body))
+async def request_and_lose_upstream(harness, silent, head, body=b""):
+    """Sends a request and reports its upstream as lost after it arrived."""
+    pending_answer = asyncio.ensure_future(harness.send(head, body))
     await raw_peers.wait_until(lambda: silent.requests)
-    bench.sources.lose_upstream()
-    return await asking
+    harness.sources.lose_upstream()
+    return await pending_answer
 
 
 def test_repeatable_request_leaves_a_lost_upstream(serve):
-    """Guards against a wait for the deadline on a frozen upstream."""
+    """Guards against a wait for a frozen upstream until the deadline."""
 
-    async def scenario(bench, upstream):
+    async def scenario(harness, upstream):
         async with raw_peers.RawUpstream(keep_silent) as silent:
-            bench.sources.addresses = [silent.address]
-            answer = await ask_and_lose(bench, silent, build_head())
+            harness.sources.addresses = [silent.address]
+            answer = await request_and_lose_upstream(
+                harness, silent, build_head()
+            )
             assert answer.outcome == "completed"
-            assert outcomes(bench) == ["unknown", "completed"]
-            assert bench.sources.returned[0].connection_lost
+            assert outcomes(harness) == ["unknown", "completed"]
+            assert harness.sources.returned[0].connection_lost
             await raw_peers.wait_until(lambda: silent.closed == 1)
 
     serve(scenario)
@@ -426,40 +433,44 @@
     ("head", "body"), [(WAGER, b"1"), (build_head("DELETE"), b"")]
 )
 def test_other_request_on_a_lost_upstream_is_unknown(serve, head, body):
-    """Guards against a second run of what must not be repeated."""
+    """Guards against a retry of a request that must not be repeated."""
 
-    async def scenario(bench, upstream):
+    async def scenario(harness, upstream):
         async with raw_peers.RawUpstream(keep_silent) as silent:
-            bench.sources.addresses = [silent.address]
-            answer = await ask_and_lose(bench, silent, head, body)
+            harness.sources.addresses = [silent.address]
+            answer = await request_and_lose_upstream(
+                harness, silent, head, body
+            )
             assert answer.outcome == "unknown"
-            assert outcomes(bench) == ["unknown"]
+            assert outcomes(harness) == ["unknown"]
             assert len(silent.requests) == 1
             assert upstream.requests == []
-            results = [item.outcome for item in bench.sources.results]
-            assert results == (["unknown"] if body else [])
+            reported_results = [
+                item.outcome for item in harness.sources.reported_results
+            ]
+            assert reported_results == (["unknown"] if body else [])
 
     serve(scenario)
 
 
 def test_lost_upstream_gets_nothing_after_the_claim(serve):
-    """Guards against a send to an upstream that was lost meanwhile."""
+    """Guards against a send to an upstream that was lost during the claim."""
 
-    async def scenario(bench, upstream):
+    async def scenario(harness, upstream):
         claim = asyncio.Event()
-        request_claim = bench.sources.request_claim
+        request_claim = harness.sources.request_claim
 
         async def ask_late(request):
             await claim.wait()
             return await request_claim(request)
 
-        bench.sources.request_claim = ask_late
-        asking = asyncio.ensure_future(bench.ask(WAGER, b"1"))
-        await raw_peers.wait_until(lambda: bench.sources.watched)
-        bench.sources.lose_upstream()
+        harness.sources.request_claim = ask_late
+        pending_answer = asyncio.ensure_future(harness.send(WAGER, b"1"))
+        await raw_peers.wait_until(lambda: harness.sources.loss_callbacks)
+        harness.sources.lose_upstream()
         claim.set()
-        assert (await asking).outcome == "completed"
-        assert outcomes(bench) == ["did-not-run", "completed"]
+        assert (await pending_answer).outcome == "completed"
+        assert outcomes(harness) == ["did-not-run", "completed"]
         assert len(upstream.requests) == 1
 
     serve(scenario)
@@ -469,20 +480,20 @@
     """Guards against a caller that waits for the rest of an answer."""
 
     async def stall(request, writer, reader):
-        attempt = request.find("Sycamoreloft-Attempt").encode()
+        attempt = request.get_header("Sycamoreloft-Attempt").encode()
         line = b"Sycamoreloft-Attempt: %s\r\n" % attempt
         writer.write(raw_peers.answer(b"x" * 200_000, headers=line)[:-1])
         await reader.read(1)
         return False
 
-    async def scenario(bench, upstream):
-        asking = asyncio.ensure_future(bench.ask())
-        await raw_peers.wait_until(lambda: bench.sources.watched)
+    async def scenario(harness, upstream):
+        pending_answer = asyncio.ensure_future(harness.send())
+        await raw_peers.wait_until(lambda: harness.sources.loss_callbacks)
         await raw_peers.wait_until(lambda: upstream.requests)
         await asyncio.sleep(0.1)
-        bench.sources.lose_upstream()
+        harness.sources.lose_upstream()
         with pytest.raises(asyncio.IncompleteReadError):
-            await asking
-        assert outcomes(bench) == ["unknown"]
+            await pending_answer
+        assert outcomes(harness) == ["unknown"]
 
     serve(scenario, stall)
--- a/packages/router/tests/test_exchange_faults.py
+++ b/packages/router/tests/test_exchange_faults.py
@@ -1,4 +1,4 @@
-"""The request path against an upstream with many faults at once."""
+"""Tests of the request path with an upstream that has random faults."""
 
 import asyncio
 import collections
@@ -16,7 +16,7 @@
 
 
 class FaultyUpstream:
-    """Answers with the request's target, spoiled by a random fault."""
+    """Answers with the target of the request, and with a random fault."""
 
     def __init__(self, generator):
         self.generator = generator
@@ -24,10 +24,10 @@
         self.swaps = []
 
     async def __call__(self, request, writer, _reader):
-        """Runs one request; the script of a raw upstream."""
+        """Runs one request; called as the script of a raw upstream."""
         target = request.head.split(b" ")[1]
         self.runs[target] += 1
-        attempt = request.find("Sycamoreloft-Attempt").encode()
+        attempt = request.get_header("Sycamoreloft-Attempt").encode()
         echo = b"Sycamoreloft-Attempt: %b\r\n" % attempt
         body = target + b"#" + b"x" * self.generator.choice([0, 1_000, 90_000])
         whole = raw_peers.answer(body, headers=echo)
@@ -45,7 +45,7 @@
         return fault not in ("partial", "partial-chunk", "reset", "silent")
 
     async def write_spoiled(self, fault, writer, whole, body):
-        """Writes a whole answer, or what the fault makes of it."""
+        """Writes an answer, changed by the fault."""
         bare = raw_peers.answer(body)
         if fault == "late":
             await asyncio.sleep(0.25)
@@ -65,7 +65,7 @@
             writer.write(self.generator.choice([whole, bare]))
 
     def swap(self, writer, whole):
-        """Answers two requests, each on the connection of the other."""
+        """Swaps the answers of two requests between their connections."""
         self.swaps.append((writer, whole))
         if len(self.swaps) == 2:
             (first, answer_1), (second, answer_2) = self.swaps
@@ -88,17 +88,17 @@
     return fake_sources.build_head(kind, target, **headers), b""
 
 
-async def send_requests(bench, upstream, generator, name, counts):
-    """Sends requests one after the other and checks what is answered."""
-    caller = await bench.connect()
+async def send_requests(harness, upstream, generator, name, counts):
+    """Sends requests one after the other and checks their answers."""
+    caller = await harness.connect()
     for number in range(40):
         head, body = build_request(generator, f"/{name}-{number}")
         target = head.split(b" ")[1]
         try:
-            answer = await caller.ask(head, body)
+            answer = await caller.send(head, body)
         except asyncio.IncompleteReadError:
             counts["cut"] += 1
-            caller = await bench.connect()
+            caller = await harness.connect()
             continue
         counts[answer.outcome] += 1
         if answer.outcome == "completed":
@@ -107,28 +107,30 @@
             assert upstream.runs[target] == 0
         if not head.startswith((b"GET", b"PUT")):
             assert upstream.runs[target] <= 1
-        if answer.find("Connection") == "close":
-            caller = await bench.connect()
+        if answer.get_header("Connection") == "close":
+            caller = await harness.connect()
 
 
 @pytest.mark.parametrize("seed", [1, 2])
 def test_answers_are_true_whatever_the_upstream_does(serve, seed):
-    """Guards against wrong answers, false did-not-run and second runs."""
+    """Guards against wrong answers, false did-not-run and repeated runs."""
     generator = random.Random(seed)
     script = FaultyUpstream(generator)
     counts = collections.Counter()
 
-    async def scenario(bench, _upstream):
+    async def scenario(harness, _upstream):
         await asyncio.gather(
             *(
-                send_requests(bench, script, generator, name, counts)
+                send_requests(harness, script, generator, name, counts)
                 for name in range(8)
             )
         )
         assert counts["completed"] > 50
         assert counts["unknown"] > 20
-        assert len(bench.sources.returned) == len(bench.sources.asked)
-        assert len(bench.sources.results) == len(bench.sources.claims)
-        assert bench.server.count_requests() == 0
+        assert len(harness.sources.returned) == len(harness.sources.requested)
+        assert len(harness.sources.reported_results) == len(
+            harness.sources.claim_requests
+        )
+        assert harness.server.count_requests() == 0
 
     serve(scenario, script)
--- a/packages/router/tests/test_headers.py
+++ b/packages/router/tests/test_headers.py
@@ -1,4 +1,4 @@
-"""Header filtering as pure functions."""
+"""Tests of parsing and filtering headers."""
 
 import hypothesis
 from hypothesis import strategies
@@ -36,7 +36,7 @@
 @hypothesis.settings(derandomize=True, deadline=None, max_examples=500)
 @hypothesis.given(strategies.lists(HEAD_PARTS, max_size=12).map("".join))
 def test_quick_parser_agrees_with_tornado(block):
-    """Guards against heads that the two parsers read differently."""
+    """Guards against heads that the two parsers interpret differently."""
     data = f"GET / HTTP/1.1\r\n{block}\r\n\r\n"
     parsed = _caller_connections.parse_head(data.encode("latin1"))
     if parsed is not None:
@@ -48,7 +48,7 @@
 
 
 def test_connection_headers_are_dropped_both_ways():
-    """Guards against headers that concern one connection only."""
+    """Guards against hop-by-hop headers that are forwarded."""
     headers = httputil.HTTPHeaders(
         {"Connection": "close, x-hop", "X-Hop": "1", "Te": "x", "X-Own": "1"}
     )
@@ -76,7 +76,7 @@
     ],
 )
 def test_malformed_answer_heads_are_rejected(line):
-    """Guards against header lines that smuggle another answer."""
+    """Guards against header lines that smuggle in a second answer."""
     head = _answer_heads.AnswerHead("GET", "a")
     assert head.add_line(b"HTTP/1.1 200 OK\r\n")
     assert not head.add_line(line)
--- a/packages/router/tests/test_logs.py
+++ b/packages/router/tests/test_logs.py
@@ -1,4 +1,4 @@
-"""Structured logs: format and rate limit."""
+"""Tests of the structured logs: format and rate limit."""
 
 import json
 import logging
@@ -10,7 +10,7 @@
 
 @pytest.fixture
 def lines(monkeypatch):
-    """A logger and the lines that it wrote, with a fresh rate limit."""
+    """A logger and its written lines, with a new rate limiter."""
     monkeypatch.setattr(_logs, "LIMITER", _logs.RateLimiter())
     written = []
 
@@ -49,7 +49,7 @@
 
 
 def test_limits_each_event_by_itself_and_counts_what_is_left_out():
-    """Guards against a log full of one event, and against silent gaps."""
+    """Guards against a log full of one event, and against unreported gaps."""
     limiter = _logs.RateLimiter()
     admitted = [limiter.admit("a", 0.0) for _ in range(100)]
     assert admitted == [0] * _logs.BURST_LINES + [None] * (
@@ -61,7 +61,7 @@
 
 
 def test_bounds_the_memory_of_the_limit():
-    """Guards against event names built from request data."""
+    """Guards against memory that grows with the number of event names."""
     limiter = _logs.RateLimiter()
     for number in range(10_000):
         limiter.admit(f"event-{number}", 0.0)
--- a/packages/router/tests/test_metrics.py
+++ b/packages/router/tests/test_metrics.py
@@ -1,4 +1,4 @@
-"""Metrics: rendering, bounds and documentation."""
+"""Tests of the metrics: rendering, limits and documentation."""
 
 import pathlib
 
@@ -6,7 +6,7 @@
 
 
 def test_renders_counters_gauges_and_histograms():
-    """Guards against values that never reach the monitoring system."""
+    """Guards against values that are missing from the rendered metrics."""
     metrics = _metrics.Metrics()
     metrics.count("sycamoreloft_requests_total", "completed", "", amount=2)
     metrics.set("sycamoreloft_groups_held", value=3)
--- a/packages/router/tests/test_socket_options.py
+++ b/packages/router/tests/test_socket_options.py
@@ -1,4 +1,4 @@
-"""Options of sockets, and how often the system is asked for them."""
+"""Tests of socket options, and of the number of system calls for them."""
 
 import asyncio
 import contextlib
@@ -18,7 +18,7 @@
 
 @pytest.fixture
 def connection():
-    """A connected socket of the loopback interface."""
+    """A connected socket on the loopback interface."""
     with (
         socket.create_server(("127.0.0.1", 0)) as server,
         socket.create_connection(server.getsockname()) as client,
@@ -28,7 +28,7 @@
 
 
 def test_the_limits_of_a_silence_leave_the_socket_open(connection):
-    """Guards against connections that stay silent for good."""
+    """Guards against a lost peer whose connection stays open for ever."""
     rules = _connection_rules.ConnectionRules(ack_timeout_s=2.0)
     _connection_rules.set_socket_options(connection.fileno(), rules)
     options = [
@@ -44,8 +44,9 @@
     assert connection.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
 
 
-# Guards against requests that arrive after they were given up: what the system
-# closes because of silence may still be delivered, what is reset may not.
+# Guards against requests that arrive after they were abandoned: data of a
+# connection that the operating system gives up can still be delivered, data of
+# a connection that this process resets cannot.
 def test_only_this_process_gives_up_a_connection_that_drops(connection):
     rules = _connection_rules.ConnectionRules(resets_on_close=True)
     _connection_rules.set_socket_options(connection.fileno(), rules)
@@ -58,7 +59,7 @@
 
 
 def test_answers_are_sent_without_delay_by_one_call(connection, monkeypatch):
-    """Guards against system calls for each answer of a kept connection."""
+    """Guards against repeated system calls for each answer."""
     connection.setblocking(False)
     calls = []
     set_option = iostream.IOStream.set_nodelay
@@ -84,7 +85,7 @@
 
 
 def test_a_transfer_begins_in_the_turn_of_its_start(run):
-    """Guards against turns of the loop that each request takes for nothing."""
+    """Guards against a needless iteration of the event loop per request."""
 
     async def script(_request, writer, _reader):
         writer.write(raw_peers.answer(b"x"))
--- a/packages/router/tests/test_supervisor.py
+++ b/packages/router/tests/test_supervisor.py
@@ -1,4 +1,4 @@
-"""Tests of the supervisor tree."""
+"""Tests of the supervisor."""
 
 import asyncio
 
@@ -25,7 +25,7 @@
 
 @pytest.fixture
 def fake_time():
-    """A fake clock and its sleep."""
+    """A fake clock, and a sleep that advances it."""
     return FakeTime()
 
 
@@ -61,7 +61,7 @@
 
 
 def test_a_task_is_given_up_after_its_restarts(fake_time):
-    """Guards against a group that is kept by a host that cannot serve it."""
+    """Guards against a host that holds a group but cannot serve it."""
     given_up = []
     state = run_failing_child(fake_time, lambda: given_up.append(1))
     assert given_up == [1]
@@ -76,14 +76,14 @@
 
 
 def test_a_kept_task_is_restarted_however_often_it_fails(fake_time):
-    """Guards against hosts that all end because of what all of them read."""
+    """Guards against an input that makes all hosts exit at once."""
     state = run_failing_child(fake_time, None, always_restarts=True)
     assert state.restarts > 2 * _supervisor.MAXIMUM_RESTARTS
     assert max(fake_time.delays) == _supervisor.MAXIMUM_BACKOFF_S
 
 
 def test_stop_waits_for_the_task(fake_time):
-    """Guards against work that goes on after its task was stopped."""
+    """Guards against a task that still runs after it was stopped."""
     ended = []
 
     async def run():
--- a/packages/router/tests/test_tls.py
+++ b/packages/router/tests/test_tls.py
@@ -1,4 +1,4 @@
-"""TLS on the three ports, and the rotation of peer keys and admin tokens."""
+"""Tests of TLS on all ports, and of rotating peer keys and admin tokens."""
 
 import asyncio
 import contextlib
@@ -21,7 +21,7 @@
 
 
 def make_files(folder, name):
-    """Makes a self-signed certificate, which is its own authority."""
+    """Creates a self-signed certificate, which is its own authority."""
     certificate, key = folder / f"{name}.pem", folder / f"{name}-key.pem"
     subprocess.run(
         [
@@ -40,32 +40,32 @@
 
 @pytest.fixture(scope="module")
 def files(tmp_path_factory):
-    """Files of the hosts."""
+    """TLS files of the hosts."""
     return make_files(tmp_path_factory.mktemp("tls"), "host")
 
 
 @pytest.fixture(scope="module")
 def other_files(tmp_path_factory):
-    """Files of an authority that the hosts do not know."""
+    """TLS files of an authority that the hosts do not trust."""
     return make_files(tmp_path_factory.mktemp("tls"), "other")
 
 
 def make_caller_context(files):
-    """Returns the context of a caller that knows the host's authority."""
+    """Returns the context of a caller that trusts the host's authority."""
     context = ssl.create_default_context(cafile=files.ca)
     context.load_cert_chain(files.certificate, files.key)
     return context
 
 
 class Backend:
-    """Answers the generation; the other calls are not made."""
+    """Answers the one call of operators that these tests make."""
 
     async def read_generation(self):
         return result.Success(_admin.GenerationView(3, {}))
 
 
 class KeyedHost:
-    """The peer and admin ports of one host, which restarts with new keys."""
+    """Peer and admin ports of one host, which can restart with other keys."""
 
     def __init__(self, name, files, keys):
         self.name = name
@@ -74,7 +74,7 @@
         self.start(keys)
 
     def start(self, keys):
-        """Listens on the ports of the last start."""
+        """Starts listening, on the ports of the previous start if any."""
         identity = _peer_links.PeerIdentity(
             self.name, keys, _tls.make_client_context(self.files)
         )
@@ -90,7 +90,7 @@
         self.links = _peer_links.PeerLinks(identity)
 
     async def stop(self):
-        """Closes all connections."""
+        """Stops listening and closes all connections."""
         self.links.close()
         for server in (self.peers, self.admin):
             server.stop()
@@ -108,8 +108,8 @@
             f"127.0.0.1:{other.ports[0]}", message, 5.0
         )
 
-    async def ask_admin(self, token):
-        """Makes an operator's call and returns its status."""
+    async def call_admin(self, token):
+        """Makes a call of an operator and returns its status."""
         client = httpclient.AsyncHTTPClient(force_instance=True)
         answer = await client.fetch(
             f"https://127.0.0.1:{self.ports[1]}/v1/generation",
@@ -122,7 +122,7 @@
 
 @contextlib.asynccontextmanager
 async def open_hosts(files, other_files=None):
-    """Opens two hosts with the old key."""
+    """Starts two hosts with the old key."""
     hosts = [
         KeyedHost("h1", files, [OLD_KEY]),
         KeyedHost("h2", other_files or files, [OLD_KEY]),
@@ -135,7 +135,7 @@
 
 
 def test_bodies_pass_the_caller_port_over_tls(files):
-    """Guards against a TLS port that alters or cuts large bodies."""
+    """Guards against a TLS port that alters or truncates large bodies."""
     body = bytes(range(256)) * 2_000
 
     async def scenario():
@@ -145,8 +145,8 @@
             server = fake_sources.open_server(
                 sources, tls=_tls.make_server_context(files)
             )
-            async with server as bench:
-                ip, port = bench.address.split(":")
+            async with server as harness:
+                ip, port = harness.address.split(":")
                 caller = fake_sources.RawCaller(
                     *await asyncio.open_connection(
                         ip, int(port), ssl=make_caller_context(files)
@@ -156,7 +156,7 @@
                     "PUT", Content_Length=str(len(body))
                 )
                 for _ in range(2):
-                    answer = await caller.ask(head, body)
+                    answer = await caller.send(head, body)
                     assert answer.body == body
                     assert upstream.requests[-1].body == body
                 caller.close()
@@ -165,7 +165,7 @@
 
 
 def test_plain_caller_on_a_tls_port_reaches_no_upstream(files):
-    """Guards against requests that pass a TLS port in the clear."""
+    """Guards against a TLS port that accepts unencrypted requests."""
 
     async def scenario():
         async with raw_peers.RawUpstream(raw_peers.echo()) as upstream:
@@ -173,11 +173,11 @@
             server = fake_sources.open_server(
                 sources, tls=_tls.make_server_context(files)
             )
-            async with server as bench:
+            async with server as harness:
                 with pytest.raises(
                     (ConnectionError, asyncio.IncompleteReadError)
                 ):
-                    await bench.ask()
+                    await harness.send()
                 assert upstream.requests == []
 
     asyncio.run(scenario())
@@ -197,10 +197,11 @@
 
 
 def test_keys_and_tokens_rotate_without_a_refused_call(files):
-    """Guards against a refusal while hosts have different settings.
+    """Guards against refused calls while hosts have different settings.
 
-    Hosts restart one after the other with the new key added, then first,
-    then alone. Operators change their token once both hosts know the new one.
+    The hosts restart one after the other: first with the new key added, then
+    with the new key first, then without the old key. Operators change their
+    token once both hosts accept the new one.
     """
 
     async def check(hosts, token):
@@ -208,7 +209,7 @@
         assert pipeline.is_successful(await first.call(second))
         assert pipeline.is_successful(await second.call(first))
         for host in hosts:
-            assert await host.ask_admin(token) == 200
+            assert await host.call_admin(token) == 200
 
     async def scenario():
         async with open_hosts(files) as hosts:
@@ -222,7 +223,7 @@
                     await asyncio.sleep(0.05)
                     await check(hosts, token)
                 token = TOKENS[NEW_KEY]
-            assert await hosts[0].ask_admin(TOKENS[OLD_KEY]) == 401
+            assert await hosts[0].call_admin(TOKENS[OLD_KEY]) == 401
             stranger = KeyedHost("h3", files, [OLD_KEY])
             assert not (await stranger.call(hosts[0])).failure().sent
             await stranger.stop()
--- a/packages/router/tests/test_upstream_client.py
+++ b/packages/router/tests/test_upstream_client.py
@@ -1,4 +1,4 @@
-"""The upstream client against raw TCP servers."""
+"""Tests of the upstream client with raw TCP servers."""
 
 import asyncio
 import socket
@@ -12,7 +12,7 @@
 KIND = _transfer_types.FailureKind
 
 
-def build(upstream, method="GET", body=None, **changes):
+def build_request(upstream, method="GET", body=None, **changes):
     values = {
         "address": getattr(upstream, "address", upstream),
         "method": method,
@@ -27,7 +27,7 @@
 
 
 async def fetch(client, *arguments, **changes):
-    transfer = client.start(build(*arguments, **changes))
+    transfer = client.start(build_request(*arguments, **changes))
     body = b""
     while not transfer.ended:
         await transfer.wait(1)
@@ -35,7 +35,7 @@
     return transfer, body + transfer.read_available()
 
 
-def scripted(data, keep=True):
+def make_script(data, keep=True):
     async def script(_request, writer, _reader):
         writer.write(data)
         await writer.drain()
@@ -51,7 +51,7 @@
     async def scenario(client):
         headers = ECHO if echo else b""
         async with raw_peers.RawUpstream(
-            scripted(raw_peers.answer(b"hello", headers=headers))
+            make_script(raw_peers.answer(b"hello", headers=headers))
         ) as upstream:
             for method, body in (
                 ("GET", None),
@@ -70,8 +70,8 @@
                 )
                 assert received.body == (body or b"")
                 assert b"Expect" not in received.head
-            # The first connection is not kept, as it is not yet known that
-            # the upstream repeats the attempt identifier.
+            # The first connection is not reused: the client does not know yet
+            # that the upstream repeats the identifier of the attempt.
             assert upstream.connections == (2 if echo else 7)
 
     run(scenario)
@@ -96,10 +96,10 @@
     ],
 )
 def test_accepts_whole_answers(run, data, status, body):
-    """Guards against taking well-framed answers for broken ones."""
+    """Guards against complete answers that are reported as broken."""
 
     async def scenario(client):
-        async with raw_peers.RawUpstream(scripted(data)) as upstream:
+        async with raw_peers.RawUpstream(make_script(data)) as upstream:
             transfer, answer = await fetch(client, upstream)
             assert transfer.failure is None
             assert (transfer.head.status, answer) == (status, body)
@@ -123,10 +123,10 @@
     ],
 )
 def test_reports_partial_and_foreign_answers_as_broken(run, data):
-    """Guards against a truncated or foreign answer that looks whole."""
+    """Guards against a truncated or foreign answer that looks complete."""
 
     async def scenario(client):
-        async with raw_peers.RawUpstream(scripted(data, False)) as upstream:
+        async with raw_peers.RawUpstream(make_script(data, False)) as upstream:
             transfer, _ = await fetch(client, upstream)
             assert transfer.failure.kind is KIND.BROKEN
             assert transfer.maybe_sent
@@ -140,12 +140,12 @@
 def test_sends_a_request_once_when_a_reused_connection_breaks(
     run, method, body
 ):
-    """Guards against libcurl's own retry, which would run a request twice."""
+    """Guards against a retry by libcurl, which would run the request twice."""
 
     async def scenario(client):
         async def script(_request, writer, _reader):
             if len(upstream.requests) == 3:
-                # The upstream has the request and dies before it answers.
+                # The upstream crashes between the request and its answer.
                 return False
             writer.write(raw_peers.answer(headers=ECHO))
             return True
@@ -163,7 +163,7 @@
 
 
 def test_tells_that_nothing_was_sent_without_a_connection(run):
-    """Guards against `unknown` where no upstream could have run it."""
+    """Guards against `unknown` if no upstream can have run the request."""
 
     async def scenario(client):
         with socket.socket() as unused:
@@ -177,7 +177,7 @@
 
 
 def test_late_answer_after_the_deadline_reaches_no_other_request(run):
-    """Guards against reuse of a connection with an answer outstanding."""
+    """Guards against reuse of a connection with an outstanding answer."""
 
     async def script(request, writer, _reader):
         if b"/slow" in request.head:
@@ -202,7 +202,7 @@
 
 
 def test_deadline_ends_a_paused_transfer(run):
-    """Guards against a slow caller that keeps a slot beyond the deadline."""
+    """Guards against a slow caller that occupies a slot past the deadline."""
 
     async def script(_request, writer, reader):
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n")
@@ -212,7 +212,7 @@
 
     async def scenario(client):
         async with raw_peers.RawUpstream(script) as upstream:
-            transfer = client.start(build(upstream, timeout_s=0.1))
+            transfer = client.start(build_request(upstream, timeout_s=0.1))
             await raw_peers.wait_until(lambda: transfer.ended)
             assert transfer.failure.kind is KIND.DEADLINE
             await raw_peers.wait_until(lambda: upstream.closed == 1)
@@ -221,7 +221,7 @@
 
 
 def test_cancel_closes_the_connection(run):
-    """Guards against work that goes on for a caller that is gone."""
+    """Guards against work for a caller that has disconnected."""
 
     async def script(_request, writer, reader):
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart")
@@ -230,12 +230,12 @@
 
     async def scenario(client):
         async with raw_peers.RawUpstream(script) as upstream:
-            transfer = client.start(build(upstream))
+            transfer = client.start(build_request(upstream))
             await transfer.wait(4)
             transfer.cancel()
             assert transfer.failure.kind is KIND.CANCELLED
             await raw_peers.wait_until(lambda: upstream.closed == 1)
-            transfer = client.start(build(upstream))
+            transfer = client.start(build_request(upstream))
             await transfer.wait(4)
             assert upstream.connections == 2
 
@@ -248,9 +248,9 @@
 def test_doubled_answer_reaches_no_other_request(
     run, pause_s, delay_s, headers
 ):
-    """Guards against a second answer that is left on the connection.
+    """Guards against a second answer that is read as the next request's answer.
 
-    Without a pause the second answer arrives after the next request.
+    Without a pause, the second answer arrives after the next request.
     """
 
     async def scenario(client):
@@ -275,10 +275,10 @@
 
 
 def test_answer_for_another_attempt_is_rejected_in_flight(run):
-    """Guards against a doubled answer that arrives after the next request.
+    """Guards against a second answer that arrives after the next request.
 
-    The connection then looks idle when it is reused, so that only the
-    repeated attempt identifier tells the answers apart.
+    The connection looks idle when it is reused, so the answers can be told
+    apart only by the identifier of the attempt.
     """
 
     async def script(request, writer, _reader):
@@ -296,7 +296,7 @@
 
 
 def test_swapped_answers_of_two_connections_are_rejected(run):
-    """Guards against out-of-order answers of an upstream that mixes them."""
+    """Guards against answers that an upstream sends on a wrong connection."""
     writers = []
 
     async def script(request, writer, _reader):
@@ -337,11 +337,11 @@
 
     async def scenario(client):
         async with raw_peers.RawUpstream(
-            scripted(raw_peers.answer())
+            make_script(raw_peers.answer())
         ) as upstream:
             upload = _body_streams.UploadBuffer(100_000)
             transfer = client.start(
-                build(upstream, "POST", upload, length=length)
+                build_request(upstream, "POST", upload, length=length)
             )
             largest = 0
             for number in range(100):
@@ -350,7 +350,7 @@
                 if room is not None:
                     await room
                 if number % 40 == 0:
-                    # Leaves the buffer empty, so that libcurl pauses.
+                    # Lets the buffer run empty, so that libcurl pauses.
                     await asyncio.sleep(0.02)
             upload.finish()
             await transfer.wait(10)
@@ -364,14 +364,14 @@
 
 
 def test_broken_upload_ends_the_transfer(run):
-    """Guards against a shortened request body that looks whole."""
+    """Guards against a truncated request body that looks complete."""
 
     async def scenario(client):
         async with raw_peers.RawUpstream(
-            scripted(raw_peers.answer())
+            make_script(raw_peers.answer())
         ) as upstream:
             upload = _body_streams.UploadBuffer()
-            transfer = client.start(build(upstream, "POST", upload))
+            transfer = client.start(build_request(upstream, "POST", upload))
             upload.feed(b"part")
             await asyncio.sleep(0.02)
             upload.fail()
@@ -398,7 +398,7 @@
 
     async def scenario(client):
         async with raw_peers.RawUpstream(script) as upstream:
-            transfer = client.start(build(upstream))
+            transfer = client.start(build_request(upstream))
             await transfer.wait(1)
             await asyncio.sleep(0.2)
             assert transfer.body.size < 400_000
@@ -414,7 +414,7 @@
 
 
 def test_handle_of_a_paused_transfer_serves_the_next_one(run):
-    """Guards against a pause that outlives a cancelled transfer."""
+    """Guards against a handle that stays paused after a cancelled transfer."""
 
     async def script(request, writer, reader):
         if b"/long" in request.head:
@@ -428,7 +428,7 @@
     async def scenario(client):
         async with raw_peers.RawUpstream(script) as upstream:
             for _ in range(3):
-                transfer = client.start(build(upstream, target="/long"))
+                transfer = client.start(build_request(upstream, target="/long"))
                 await transfer.wait(200_000)
                 await asyncio.sleep(0.02)
                 transfer.cancel()
@@ -465,11 +465,11 @@
 
 
 def test_keeps_no_connection_when_there_are_too_many_hosts(run):
-    """Guards against idle connections that fill an upstream."""
+    """Guards against idle connections that use up an upstream's limit."""
 
     async def scenario(client):
         async with raw_peers.RawUpstream(
-            scripted(raw_peers.answer(b"hello", headers=ECHO))
+            make_script(raw_peers.answer(b"hello", headers=ECHO))
         ) as upstream:
             client.limit_connections(6, keeps_idle=False)
             for _ in range(3):
