--- a/packages/config/sycamoreloft_config/__init__.py
+++ b/packages/config/sycamoreloft_config/__init__.py
@@ -1,4 +1,4 @@
-"""Fleet and merge files and process settings."""
+"""Fleet files, merge files and process settings."""
 
 from sycamoreloft_config._differences import (
     is_alike,
--- a/packages/config/sycamoreloft_config/_addresses.py
+++ b/packages/config/sycamoreloft_config/_addresses.py
@@ -7,24 +7,24 @@
 
 
 def normalize_address(text: str) -> str:
-    """Returns the canonical "ip:port", or an empty string for a wrong one.
+    """Returns the canonical "ip:port", or an empty string if it is invalid.
 
-    Two texts of the same address have one canonical form, so that equal
-    upstream addresses in different files are found. The unspecified address
-    is wrong, because other hosts could not connect to it.
+    All spellings of an address have the same canonical form, so equal
+    addresses of upstreams are detected across files. The unspecified address
+    is invalid, because other hosts cannot connect to it.
     """
     match = _ADDRESS.fullmatch(text)
     if match is None:
         return ""
     try:
-        number = ipaddress.ip_address(match[1] or match[2])
+        ip = ipaddress.ip_address(match[1] or match[2])
     except ValueError:
         return ""
-    if isinstance(number, ipaddress.IPv6Address) and number.ipv4_mapped:
-        number = number.ipv4_mapped
+    if isinstance(ip, ipaddress.IPv6Address) and ip.ipv4_mapped:
+        ip = ip.ipv4_mapped
     port = int(match[3])
-    if number.is_unspecified or not 1 <= port <= 65535:
+    if ip.is_unspecified or not 1 <= port <= 65535:
         return ""
-    if isinstance(number, ipaddress.IPv6Address):
-        return f"[{number}]:{port}"
-    return f"{number}:{port}"
+    if isinstance(ip, ipaddress.IPv6Address):
+        return f"[{ip}]:{port}"
+    return f"{ip}:{port}"
--- a/packages/config/sycamoreloft_config/_differences.py
+++ b/packages/config/sycamoreloft_config/_differences.py
@@ -17,38 +17,38 @@
     fleet: str,
     service: str,
 ) -> bool:
-    """Tells whether two generations treat a service alike.
+    """Returns whether two generations treat a service alike.
 
-    The time grows with the number of upstreams of the fleets concerned, so a
-    caller keeps the answer for each pair of generations.
+    The time is linear in the number of upstreams of the fleets concerned, so
+    the result should be cached for each pair of generations.
 
     Args:
         accepted: One generation.
         pending: The other generation.
-        fleet: Name of the fleet as a request gives it, or empty.
-        service: Name of the service as a request gives it.
+        fleet: Name of the fleet in a request; may be empty.
+        service: Name of the service in a request.
 
     Returns:
-        True if nothing that affects routing, ownership or rules of the
-        service differs. A name that denotes no service in both generations
-        is treated alike.
+        False if the generations differ in anything that affects the routing,
+        ownership or rules of the service. True for a name that does not
+        denote a service in either generation.
     """
     first = _names.resolve_service(accepted, fleet, service)
     second = _names.resolve_service(pending, fleet, service)
     match first, second:
         case result.Success(reference), result.Success(other):
-            return bool(reference == other) and _describe(
+            return bool(reference == other) and _describe_service(
                 accepted, reference
-            ) == _describe(pending, reference)
+            ) == _describe_service(pending, reference)
         case result.Failure(), result.Failure():
             return True
     return False
 
 
-def _describe(
+def _describe_service(
     generation: _nodes.Generation, reference: _names.ServiceReference
 ) -> tuple[typing.Any, ...]:
-    """Returns all that affects one service, in a comparable form."""
+    """Returns everything that affects one service, in a comparable form."""
     merge = generation.merge
     aliases = frozenset(
         item.alias
@@ -68,8 +68,8 @@
         if item.canonical.split("/")[0] == fleet.name
         and item.canonical.split("/")[1] in upstreams
     )
-    # Claim holders depend on the group list of the fleet that a request
-    # names, which can be the fleet of an alias.
+    # The holder of a claim depends on the groups of the fleet in the request,
+    # which can be the fleet of an alias.
     rules = {
         name: _describe_fleet(generation.fleets[name])
         for name in {
@@ -98,7 +98,7 @@
 def list_differences(
     accepted: _nodes.Generation, pending: _nodes.Generation
 ) -> abc.Sequence[str]:
-    """Lists what differs between two generations, one readable line each."""
+    """Describes the differences of two generations, one line each."""
     return [
         *_compare(dict(accepted.fleets), dict(pending.fleets), "fleet"),
         *_compare_statements("same_service", accepted, pending),
@@ -126,53 +126,53 @@
 
 @functools.singledispatch
 def _compare(
-    before: typing.Any, after: typing.Any, place: str
+    before: typing.Any, after: typing.Any, path: str
 ) -> abc.Iterator[str]:
-    """Yields the differences of two values of one type."""
+    """Yields the differences of two values of the same type."""
     if dataclasses.is_dataclass(before):
         for field in dataclasses.fields(before):
             yield from _compare(
                 getattr(before, field.name),
                 getattr(after, field.name),
-                f"{place} {field.name}",
+                f"{path} {field.name}",
             )
     elif before != after:
-        yield f"{place}: {_show(before)} -> {_show(after)}"
+        yield f"{path}: {_format_value(before)} -> {_format_value(after)}"
 
 
 @_compare.register
 def _(
     before: dict,  # type: ignore[type-arg]
     after: dict[str, typing.Any],
-    place: str,
+    path: str,
 ) -> abc.Iterator[str]:
     for name in sorted(before.keys() | after.keys()):
         if name not in after:
-            yield f"{place} {name}: removed"
+            yield f"{path} {name}: removed"
         elif name not in before:
-            yield f"{place} {name}: added"
+            yield f"{path} {name}: added"
         elif before[name] != after[name]:
-            yield from _compare(before[name], after[name], f"{place} {name}")
+            yield from _compare(before[name], after[name], f"{path} {name}")
 
 
 @_compare.register
 def _(
     before: tuple,  # type: ignore[type-arg]
     after: tuple[_nodes.Operation, ...],
-    place: str,
+    path: str,
 ) -> abc.Iterator[str]:
     first, second = (
         {f"{item.method} {item.path_prefix}": item for item in items}
         for items in (before, after)
     )
-    yield from _compare(first, second, place)
-    # The first matching rule applies, so the order is a difference too.
+    yield from _compare(first, second, path)
+    # The first matching rule applies, so a different order is a difference.
     kept = [name for name in first if name in second]
     if kept != [name for name in second if name in first]:
-        yield f"{place}: in another order"
+        yield f"{path}: in another order"
 
 
-def _show(value: typing.Any) -> str:
+def _format_value(value: typing.Any) -> str:
     if isinstance(value, enum.Enum):
         return value.name.lower()
     return str(value).lower() if isinstance(value, bool) else str(value)
--- a/packages/config/sycamoreloft_config/_fields.py
+++ b/packages/config/sycamoreloft_config/_fields.py
@@ -1,4 +1,4 @@
-"""Typed reading of TOML tables; collects every problem instead of raising."""
+"""Typed access to TOML tables; collects all problems instead of raising."""
 
 from collections import abc
 import difflib
@@ -10,20 +10,20 @@
 
 from sycamoreloft_config import _addresses, _problems
 
-#: Largest accepted file, in bytes.
+#: Maximum length of a file, in bytes.
 MAXIMUM_FILE_BYTES = 1024 * 1024
 
-#: Names stand in row keys, "fleet/service" references and headers, so they
-#: contain no slash, space or control character.
+#: Names are part of row keys, "fleet/service" references and headers, so they
+#: must not contain slashes, spaces or control characters.
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 
-#: Says in remedies what a name may contain.
+#: Remedy for an invalid name.
 NAME_RULE = (
     "use 1 to 64 letters, digits, '.', '_' or '-', starting with a letter or"
     " a digit"
 )
 
-#: A file with more problems than this reports the rest as one line.
+#: Maximum number of reported problems of a file; one more counts the others.
 MAXIMUM_PROBLEMS = 200
 
 Table: typing.TypeAlias = abc.Mapping[str, typing.Any]
@@ -33,7 +33,7 @@
     """Collects the problems of one file.
 
     Args:
-        file_name: Name that the problems refer to.
+        file_name: Name of the file in the problems.
     """
 
     def __init__(self, file_name: str) -> None:
@@ -51,7 +51,7 @@
         )
 
     def list_all(self) -> tuple[_problems.FileProblem, ...]:
-        """Returns the problems in the order in which they were found."""
+        """Returns the problems in the order in which they were added."""
         if not self._omitted:
             return tuple(self._problems)
         return (
@@ -68,7 +68,7 @@
 def load_toml(
     text: str, file_name: str
 ) -> result.Result[Table, abc.Sequence[_problems.FileProblem]]:
-    """Parses TOML text of a limited size."""
+    """Parses TOML text, up to the maximum length of a file."""
     problems = ProblemList(file_name)
     size = len(text.encode(errors="surrogatepass"))
     if size > MAXIMUM_FILE_BYTES:
@@ -94,13 +94,13 @@
 class TableReader:
     """Reads the fields of one table.
 
-    Each read method returns a usable value even for a wrong field, so that
-    one pass finds every problem.
+    Each read method returns a usable value even if the field is invalid, so
+    that one pass finds all problems.
 
     Args:
-        table: The table.
-        path: Place of the table inside the file, empty for the top.
-        problems: Receives what is wrong.
+        table: The parsed table.
+        path: Path of the table inside the file; empty for the root table.
+        problems: List to which problems are added.
     """
 
     def __init__(self, table: Table, path: str, problems: ProblemList) -> None:
@@ -109,23 +109,23 @@
         self._problems = problems
         self._known_fields: list[str] = []
 
-    def report(self, name: str, problem: str, remedy: str) -> None:
-        """Records a problem of a field; an empty name means the table."""
-        self._problems.add(self._locate(name), problem, remedy)
+    def report_problem(self, name: str, problem: str, remedy: str) -> None:
+        """Records a problem of a field, or of the table for an empty name."""
+        self._problems.add(self._format_path(name), problem, remedy)
 
-    def has(self, name: str) -> bool:
-        """Tells whether the table sets a field."""
+    def has_field(self, name: str) -> bool:
+        """Returns whether the table sets a field."""
         return name in self._table
 
     def read_text(
         self, name: str, default: str | None = None, maximum: int = 1024
     ) -> str:
         """Reads a string; a default of None makes the field required."""
-        value = self._read(name, str, "a string", default)
+        value = self._read_value(name, str, "a string", default)
         if value is None:
             return ""
         if len(value) > maximum or not value.isprintable():
-            self.report(
+            self.report_problem(
                 name,
                 f"the text is longer than {maximum} characters or contains"
                 " control characters",
@@ -135,26 +135,28 @@
         return typing.cast(str, value)
 
     def read_name(self, name: str, default: str | None = None) -> str:
-        """Reads a name; returns an empty string for a wrong one."""
-        if not self.has(name) and default is not None:
+        """Reads a name; returns an empty string if it is invalid."""
+        if not self.has_field(name) and default is not None:
             self._known_fields.append(name)
             return default
-        before = self.has(name)
+        is_present = self.has_field(name)
         text = self.read_text(name)
         if NAME_PATTERN.fullmatch(text):
             return text
-        if before and isinstance(self._table[name], str):
-            self.report(name, f"{text[:80]!r} is not a valid name", NAME_RULE)
+        if is_present and isinstance(self._table[name], str):
+            self.report_problem(
+                name, f"{text[:80]!r} is not a valid name", NAME_RULE
+            )
         return ""
 
     def read_reference(self, name: str) -> str:
-        """Reads "fleet/name"; returns an empty string for a wrong one."""
+        """Reads "fleet/name"; returns an empty string if it is invalid."""
         text = self.read_text(name)
         parts = text.split("/")
         if len(parts) == 2 and all(map(NAME_PATTERN.fullmatch, parts)):
             return text
         if isinstance(self._table.get(name), str):
-            self.report(
+            self.report_problem(
                 name,
                 f'{text[:160]!r} is not of the form "fleet/name"',
                 "write the fleet's name, a slash and the name inside the fleet",
@@ -162,14 +164,14 @@
         return ""
 
     def read_address(self, name: str) -> str:
-        """Reads an IP address with port in its canonical form."""
+        """Reads an IP address and port; returns the canonical form."""
         text = self.read_text(name)
         address = _addresses.normalize_address(text)
         if not address and isinstance(self._table.get(name), str):
-            self.report(
+            self.report_problem(
                 name,
                 f"{text[:80]!r} is not an IP address with a port",
-                'write an IP number and a port, such as "10.1.2.3:9001" or'
+                'write an IP address and a port, such as "10.1.2.3:9001" or'
                 ' "[fd00::1]:9001"; host names are not resolved',
             )
         return address
@@ -178,29 +180,29 @@
         self, name: str, low: int, high: int, default: int | None = None
     ) -> int:
         """Reads an integer from `low` to `high`."""
-        value = self._read(name, int, "an integer", default)
-        return int(self._limit(name, value, low, high))
+        value = self._read_value(name, int, "an integer", default)
+        return int(self._check_range(name, value, low, high))
 
     def read_number(
         self, name: str, low: float, high: float, default: float | None = None
     ) -> float:
         """Reads a finite number from `low` to `high`."""
-        value = self._read(name, (int, float), "a number", default)
-        return float(self._limit(name, value, low, high))
+        value = self._read_value(name, (int, float), "a number", default)
+        return float(self._check_range(name, value, low, high))
 
-    def read_flag(self, name: str, default: bool | None = None) -> bool:
-        """Reads true or false."""
-        return bool(self._read(name, bool, "true or false", default))
+    def read_boolean(self, name: str, default: bool | None = None) -> bool:
+        """Reads a boolean."""
+        return bool(self._read_value(name, bool, "true or false", default))
 
     def read_choice(
         self, name: str, choices: abc.Sequence[str], default: str | None = None
     ) -> str:
-        """Reads one of several words."""
+        """Reads one of several strings; returns the first if it is invalid."""
         value = self.read_text(name, default)
         if value in choices:
             return value
         if isinstance(self._table.get(name), str):
-            self.report(
+            self.report_problem(
                 name,
                 f"{value[:80]!r} is not known",
                 f"use one of {', '.join(choices)}",
@@ -211,99 +213,109 @@
         self, name: str, maximum: int, *, required: bool = False
     ) -> abc.Sequence[str]:
         """Reads an array of strings."""
-        value = self._read(name, list, "an array", None if required else [])
+        value = self._read_value(
+            name, list, "an array", None if required else []
+        )
         if value is None or not self._check_length(name, value, maximum):
             return ()
         if not all(isinstance(item, str) and item for item in value):
-            self.report(
-                name, "an item is no text or empty", "use strings with content"
+            self.report_problem(
+                name,
+                "an item is not a string, or is empty",
+                "use non-empty strings",
             )
             return ()
         return tuple(value)
 
     def read_table(self, name: str) -> "TableReader":
-        """Reads a table; an absent one is empty."""
-        value = self._read(name, dict, "a table", {})
-        return TableReader(value or {}, self._locate(name), self._problems)
+        """Reads a table; a missing one is empty."""
+        value = self._read_value(name, dict, "a table", {})
+        return TableReader(value or {}, self._format_path(name), self._problems)
 
     def read_tables(
         self, name: str, maximum: int
     ) -> abc.Sequence["TableReader"]:
-        """Reads an array of tables; an absent one is empty."""
-        value = self._read(name, list, "an array of tables", [])
+        """Reads an array of tables; a missing one is empty."""
+        value = self._read_value(name, list, "an array of tables", [])
         if value is None or not self._check_length(name, value, maximum):
             return ()
         readers = []
         for index, item in enumerate(value):
-            place = f"{self._locate(name)}[{index}]"
+            path = f"{self._format_path(name)}[{index}]"
             if isinstance(item, dict):
-                readers.append(TableReader(item, place, self._problems))
+                readers.append(TableReader(item, path, self._problems))
             else:
                 self._problems.add(
-                    place, "the item is not a table", f"use [[{name}]] tables"
+                    path, "the item is not a table", f"use [[{name}]] tables"
                 )
         return readers
 
     def read_text_map(self, name: str, maximum: int) -> abc.Mapping[str, str]:
-        """Reads a table whose fields are all names."""
+        """Reads a table whose values are all names."""
         reader = self.read_table(name)
         fields = list(reader._table)
         if not self._check_length(name, fields, maximum):
             return {}
         return {field: reader.read_name(field) for field in fields}
 
-    def finish(self) -> None:
-        """Reports every field that no read method asked for."""
+    def report_unknown_fields(self) -> None:
+        """Reports every field of the table that was not read."""
         for name in self._table:
             if name in self._known_fields:
                 continue
-            near = difflib.get_close_matches(name, self._known_fields, n=1)
-            guess = f"did you mean {near[0]!r}? " if near else ""
-            self.report(
+            close_matches = difflib.get_close_matches(
+                name, self._known_fields, n=1
+            )
+            suggestion = (
+                f"did you mean {close_matches[0]!r}? " if close_matches else ""
+            )
+            self.report_problem(
                 name[:80],
                 "the field is not known",
-                f"{guess}known fields are"
+                f"{suggestion}known fields are"
                 f" {', '.join(sorted(self._known_fields))}",
             )
 
-    def _locate(self, name: str) -> str:
+    def _format_path(self, name: str) -> str:
         return ".".join(part for part in (self._path, name) if part)
 
-    def _read(
+    def _read_value(
         self,
         name: str,
         kind: type | tuple[type, ...],
         description: str,
         default: typing.Any,
     ) -> typing.Any:
-        """Returns a value of the right type, or the default."""
+        """Returns a value of the expected type, or the default."""
         self._known_fields.append(name)
         if name not in self._table:
             if default is None:
-                self.report(name, "the field is missing", f"add {description}")
+                self.report_problem(
+                    name, "the field is missing", f"add {description}"
+                )
             return default
         value = self._table[name]
         # bool is a subclass of int.
-        is_flag = isinstance(value, bool)
-        if isinstance(value, kind) and (kind is bool or not is_flag):
+        is_boolean = isinstance(value, bool)
+        if isinstance(value, kind) and (kind is bool or not is_boolean):
             return value
-        self.report(
+        self.report_problem(
             name,
             f"the value has type {type(value).__name__}",
             f"write {description}",
         )
         return default
 
-    def _limit(
+    def _check_range(
         self, name: str, value: float | None, low: float, high: float
     ) -> float:
         if value is None:
             return low
-        # Also refuses nan. An integer may be too large for a float, so it is
-        # compared as it is.
+        # Also rejects NaN. An integer may be too large for a float, so it is
+        # compared without a conversion.
         if not low <= value <= high:
             shown = str(value)[:40] if abs(value) < 1e18 else "the value"
-            self.report(
+            self.report_problem(
                 name,
                 f"{shown} is out of range",
                 f"use a number from {low} to {high}",
@@ -316,7 +328,7 @@
     ) -> bool:
         if len(items) <= maximum:
             return True
-        self.report(
+        self.report_problem(
             name,
             f"{len(items)} items; at most {maximum} are allowed",
             "remove items, or split the fleet",
--- a/packages/config/sycamoreloft_config/_generations.py
+++ b/packages/config/sycamoreloft_config/_generations.py
@@ -1,4 +1,4 @@
-"""Checks across the files of a generation."""
+"""Parses the files of a generation and checks them against each other."""
 
 from collections import abc
 import functools
@@ -11,12 +11,12 @@
 #: Name of the merge file in a generation.
 MERGE_FILE_NAME = "merge"
 
-#: Most files of a generation.
+#: Maximum number of files of a generation.
 MAXIMUM_FILES = 64
 
-#: Files whose nodes are kept. A generation is built as pending and again as
-#: accepted, usually with one new file, and reading a file of 4,100 upstreams
-#: blocks the process for more than 0.1 s.
+#: Number of files whose nodes are cached. A generation is built as pending and
+#: again as accepted, usually with one new file, and parsing a file of 4,100
+#: upstreams blocks the process for more than 0.1 s.
 CACHED_FILES = 8
 
 _parse_file = functools.lru_cache(maxsize=CACHED_FILES)(_parsing.parse_file)
@@ -27,7 +27,7 @@
 
 
 def build_file_name(node: _nodes.Fleet | _nodes.Merge) -> str:
-    """Returns "fleet/<name>" or "merge", the name of a file in the store."""
+    """Returns the name of a file in the store: "fleet/<name>" or "merge"."""
     if isinstance(node, _nodes.Fleet):
         return f"fleet/{node.name}"
     return MERGE_FILE_NAME
@@ -38,14 +38,14 @@
 ) -> result.Result[_nodes.Generation, abc.Sequence[_problems.FileProblem]]:
     """Parses all files of a generation and checks them against each other.
 
-    Nodes of texts that were parsed before are shared.
+    Texts that were parsed recently share their nodes.
 
     Args:
         number: Number of the generation.
-        texts_by_name: Texts by "fleet/<name>" or "merge".
+        texts_by_name: Texts of the files by name, as from `build_file_name`.
 
     Returns:
-        The generation, or every problem found.
+        The generation, or all problems of the files.
     """
     if len(texts_by_name) > MAXIMUM_FILES:
         problem = _problems.FileProblem(
@@ -57,23 +57,27 @@
         return result.Failure((problem,))
     fleets: dict[str, _nodes.Fleet] = {}
     merge = _nodes.Merge()
-    found: list[_problems.FileProblem] = []
+    all_problems: list[_problems.FileProblem] = []
     for name, text in sorted(texts_by_name.items()):
         match _parse_file(text, name):
             case result.Failure(problems):
-                found.extend(problems)
+                all_problems.extend(problems)
             case result.Success(node):
-                found.extend(_check_name(name, node))
+                all_problems.extend(_check_name(name, node))
                 if isinstance(node, _nodes.Fleet):
                     fleets[node.name] = node
                 else:
                     merge = node
     generation = _nodes.Generation(number, fleets, merge)
-    # With an unread file, names that exist would be reported as missing.
-    if not found:
-        found.extend(_check_merge(generation))
-        found.extend(_check_addresses(generation))
-    return result.Failure(tuple(found)) if found else result.Success(generation)
+    # If a file has not been parsed, its names would be reported as missing.
+    if not all_problems:
+        all_problems.extend(_check_merge(generation))
+        all_problems.extend(_check_addresses(generation))
+    return (
+        result.Failure(tuple(all_problems))
+        if all_problems
+        else result.Success(generation)
+    )
 
 
 def _check_name(
@@ -124,31 +128,32 @@
 ) -> None:
     """Reports unknown names, ambiguous aliases, chains and cycles."""
     canonicals = {item.alias: item.canonical for item in statements}
-    first: dict[str, int] = {}
+    first_indexes: dict[str, int] = {}
     for index, item in enumerate(statements):
-        place = f"{kind}[{index}]"
+        path = f"{kind}[{index}]"
         for field, name in (
             ("canonical", item.canonical),
             ("alias", item.alias),
         ):
             if name not in known:
                 problems.add(
-                    f"{place}.{field}",
+                    f"{path}.{field}",
                     f"no accepted fleet file contains {name!r}",
                     "correct the name, or submit the fleet file together with"
                     " the merge file",
                 )
-        if first.setdefault(item.alias, index) != index:
+        if first_indexes.setdefault(item.alias, index) != index:
             problems.add(
-                f"{place}.alias",
+                f"{path}.alias",
                 f"{item.alias!r} is already the alias of"
-                f" {kind}[{first[item.alias]}], so its meaning is ambiguous",
+                f" {kind}[{first_indexes[item.alias]}], so its meaning is"
+                " ambiguous",
                 "keep one statement for each alias",
             )
         if item.canonical in canonicals:
-            final = _follow(item.canonical, canonicals)
+            final = _resolve_chain(item.canonical, canonicals)
             problems.add(
-                f"{place}.canonical",
+                f"{path}.canonical",
                 f"{item.canonical!r} is itself an alias",
                 f"name {final!r} as the canonical one"
                 if final
@@ -156,8 +161,8 @@
             )
 
 
-def _follow(name: str, canonicals: abc.Mapping[str, str]) -> str:
-    """Returns the end of a chain of aliases, or empty for a cycle."""
+def _resolve_chain(name: str, canonicals: abc.Mapping[str, str]) -> str:
+    """Returns the end of a chain of aliases, or an empty string for a cycle."""
     for _ in range(len(canonicals) + 1):
         if name not in canonicals:
             return name
@@ -180,10 +185,10 @@
     upstreams: abc.Mapping[str, _nodes.Upstream],
     problems: _fields.ProblemList,
 ) -> None:
-    """Reports equated upstreams that do not run one service at one address.
+    """Reports equated upstreams whose addresses or services differ.
 
-    An upstream runs one service. If the services differed, the alias's
-    service would silently lose the upstream.
+    An upstream runs one service. If the services differed, the service of the
+    alias would lose the upstream without notice.
     """
     merge = generation.merge
     for index, item in enumerate(merge.same_upstreams):
@@ -191,10 +196,10 @@
         alias = upstreams.get(item.alias)
         if canonical is None or alias is None:
             continue
-        place = f"same_upstream[{index}]"
+        path = f"same_upstream[{index}]"
         if canonical.address != alias.address:
             problems.add(
-                place,
+                path,
                 f"{item.canonical!r} has the address {canonical.address}, but"
                 f" {item.alias!r} has {alias.address}",
                 "write the same address in both fleet files, or remove the"
@@ -210,7 +215,7 @@
         resolved = {merge.service_canonicals.get(name, name) for name in names}
         if len(resolved) != 1:
             problems.add(
-                place,
+                path,
                 f"{item.canonical!r} runs {names[0]!r}, but {item.alias!r}"
                 f" runs {names[1]!r}",
                 f'add [[same_service]] canonical = "{names[0]}", alias ='
@@ -221,11 +226,11 @@
 def _check_addresses(
     generation: _nodes.Generation,
 ) -> abc.Iterator[_problems.FileProblem]:
-    """Reports equal addresses of different fleets without a statement."""
+    """Reports equal addresses of upstreams that are not equated."""
     canonicals = generation.merge.upstream_canonicals
-    first: dict[str, str] = {}
+    first_names: dict[str, str] = {}
     for name, upstream in sorted(_list_upstreams(generation).items()):
-        other = first.setdefault(upstream.address, name)
+        other = first_names.setdefault(upstream.address, name)
         if canonicals.get(name, name) != canonicals.get(other, other):
             yield _problems.FileProblem(
                 f"fleet/{name.split('/')[0]}",
--- a/packages/config/sycamoreloft_config/_hashing.py
+++ b/packages/config/sycamoreloft_config/_hashing.py
@@ -1,4 +1,4 @@
-"""Stable hashes that every host computes alike."""
+"""Hashes that are equal on all hosts and in all versions."""
 
 from collections import abc
 import hashlib
@@ -7,7 +7,7 @@
 
 
 def hash_text(*parts: str) -> int:
-    """Hashes strings to 64 bits, alike on every host and in every version."""
+    """Hashes strings to 64 bits, equally on all hosts and in all versions."""
     digest = hashlib.sha256("\0".join(parts).encode()).digest()
     return int.from_bytes(digest[:8], "big")
 
@@ -53,7 +53,8 @@
         (
             upstream
             for upstream in fleet.upstreams.values()
-            # Most upstreams are in other domains, and a hash costs more.
+            # Compares the domain first: it differs for most upstreams, and
+            # computing the group needs a hash.
             if upstream.failure_domain == group.failure_domain
             and compute_group(fleet, upstream.name) == group
         ),
--- a/packages/config/sycamoreloft_config/_loading.py
+++ b/packages/config/sycamoreloft_config/_loading.py
@@ -1,4 +1,4 @@
-"""Reader of process settings."""
+"""Reads process settings from a file and the environment."""
 
 from collections import abc
 import tomllib
@@ -9,19 +9,21 @@
 
 from sycamoreloft_config import _addresses, _fields, _problems, _settings
 
-#: Shortest shared key or token, in characters. A signature protects no
-#: better than its key.
+#: Minimum length of a shared key or token, in characters. A signature is only
+#: as strong as its key.
 MINIMUM_SECRET_CHARACTERS = 16
 
-#: Most keys, tokens, seeds and fleets in the settings.
+#: Maximum number each of keys, tokens, seeds and fleets in the settings.
 MAXIMUM_ITEMS = 64
 
+#: Prefix of the environment variables that set fields.
 ENVIRONMENT_PREFIX = "SYCAMORELOFT_"
 
+#: Valid log levels; the first one is the default.
 LOG_LEVELS = ("info", "debug", "warning", "error")
 
-#: Fields whose variable holds the text itself; that of any other field holds
-#: a TOML value.
+#: Fields whose environment variable holds the plain text. The variables of all
+#: other fields hold a TOML value.
 _TEXT_FIELDS = (
     "host",
     "peer_address",
@@ -43,17 +45,16 @@
 ) -> result.Result[_settings.Settings, Problems]:
     """Reads process settings from a TOML file and the environment.
 
-    Variables SYCAMORELOFT_<FIELD> take precedence over the file. Those of
-    numbers, arrays and tables hold a TOML value, such as
+    Variables SYCAMORELOFT_<FIELD> take precedence over the file. For numbers,
+    arrays and tables, their value is a TOML value, such as
     SYCAMORELOFT_SEEDS='["10.1.2.3:7401"]'.
 
     Args:
-        path: Path of the TOML file; empty for settings from the environment
-            only.
+        path: Path of the TOML file; empty to use only the environment.
         environment: Environment variables.
 
     Returns:
-        The settings, or every problem found.
+        The settings, or all problems.
     """
     file_name = path or "environment"
     return _load_file(path).bind(
@@ -69,7 +70,7 @@
             content = file.read(_fields.MAXIMUM_FILE_BYTES + 1)
         text = content.decode()
     except (OSError, ValueError) as error:
-        # A wrong encoding and a null byte in the path are value errors.
+        # A wrong encoding, or a null byte in the path, raises ValueError.
         problem = _problems.FileProblem(
             path,
             "",
@@ -108,16 +109,23 @@
         seeds=_read_seeds(reader),
         log_level=reader.read_choice("log_level", LOG_LEVELS, "info"),
     )
-    reader.finish()
+    reader.report_unknown_fields()
     _check_consistency(reader, settings)
-    found = problems.list_all()
-    return result.Failure(found) if found else result.Success(settings)
+    all_problems = problems.list_all()
+    return (
+        result.Failure(all_problems)
+        if all_problems
+        else result.Success(settings)
+    )
 
 
 def _read_variables(
     environment: abc.Mapping[str, str], problems: _fields.ProblemList
 ) -> dict[str, typing.Any]:
-    """Returns the fields that variables set; values of secrets stay unshown."""
+    """Reads the fields that environment variables set.
+
+    Problems do not quote the values, because they may be secrets.
+    """
     fields: dict[str, typing.Any] = {}
     for variable, text in sorted(environment.items()):
         if not variable.startswith(ENVIRONMENT_PREFIX):
@@ -144,7 +152,7 @@
 def _read_domains(reader: _fields.TableReader) -> abc.Mapping[str, str]:
     domains = reader.read_text_map("failure_domains", MAXIMUM_ITEMS)
     if not domains:
-        reader.report(
+        reader.report_problem(
             "failure_domains",
             "the host is in no failure domain",
             'name one for each fleet, such as sledworks = "fernrun-east"',
@@ -155,7 +163,7 @@
 def _read_url(
     reader: _fields.TableReader, name: str, default: str | None = None
 ) -> str:
-    """Reads a base URL whose host is an IP number."""
+    """Reads a base URL whose host is an IP address."""
     text = reader.read_text(name, default).rstrip("/")
     if not text:
         return ""
@@ -173,9 +181,9 @@
         or parts.fragment
         or parts.username is not None
     ):
-        reader.report(
+        reader.report_problem(
             name,
-            f"{text[:120]!r} is not an HTTP URL with an IP number",
+            f"{text[:120]!r} is not an HTTP URL with an IP address",
             'write it as "http://10.1.2.3:8080"; host names are not resolved',
         )
         return ""
@@ -190,15 +198,15 @@
         for item in reader.read_tables("peer_keys", MAXIMUM_ITEMS)
     )
     if not keys:
-        reader.report(
+        reader.report_problem(
             "peer_keys",
-            "there is no key for messages between hosts",
+            "the list is empty, but messages between hosts need a key",
             "add a [[peer_keys]] table with id and secret",
         )
     if len({key.id for key in keys}) != len(keys):
-        reader.report(
+        reader.report_problem(
             "peer_keys",
-            "an id is used twice",
+            "two keys have the same id",
             "give every key its own id, so that both sides mean the same key",
         )
     return keys
@@ -208,9 +216,12 @@
     secret = _settings.Secret(
         reader.read_name("id"), reader.read_text("secret")
     )
-    reader.finish()
-    if reader.has("secret") and len(secret.secret) < MINIMUM_SECRET_CHARACTERS:
-        reader.report(
+    reader.report_unknown_fields()
+    if (
+        reader.has_field("secret")
+        and len(secret.secret) < MINIMUM_SECRET_CHARACTERS
+    ):
+        reader.report_problem(
             "secret",
             f"the secret has fewer than {MINIMUM_SECRET_CHARACTERS} characters",
             "generate a random one, for example with `openssl rand -hex 32`",
@@ -222,19 +233,19 @@
     tokens = reader.read_texts("admin_tokens", MAXIMUM_ITEMS, required=True)
     for index, token in enumerate(tokens):
         # A token is sent in a header, which cannot carry other characters.
-        usable = token.isascii() and token.isprintable() and " " not in token
-        if not usable or len(token) < MINIMUM_SECRET_CHARACTERS:
-            reader.report(
+        is_valid = token.isascii() and token.isprintable() and " " not in token
+        if not is_valid or len(token) < MINIMUM_SECRET_CHARACTERS:
+            reader.report_problem(
                 f"admin_tokens[{index}]",
                 f"the token has fewer than {MINIMUM_SECRET_CHARACTERS}"
                 " characters, or contains spaces or characters outside ASCII",
                 "generate a random one, for example with `openssl rand -hex"
                 " 32`",
             )
-    if not tokens and reader.has("admin_tokens"):
-        reader.report(
+    if not tokens and reader.has_field("admin_tokens"):
+        reader.report_problem(
             "admin_tokens",
-            "no operator could use the admin port",
+            "the list is empty, so no operator could use the admin port",
             "add at least one token",
         )
     return tokens
@@ -243,7 +254,7 @@
 def _read_tls(
     reader: _fields.TableReader, name: str
 ) -> _settings.TlsFiles | None:
-    if not reader.has(name):
+    if not reader.has_field(name):
         reader.read_table(name)
         return None
     table = reader.read_table(name)
@@ -252,9 +263,11 @@
         key=table.read_text("key"),
         ca=table.read_text("ca", ""),
     )
-    table.finish()
+    table.report_unknown_fields()
     if not files.certificate or not files.key:
-        reader.report(name, "a certificate or key is missing", _TLS_REMEDY)
+        reader.report_problem(
+            name, "a certificate or key is missing", _TLS_REMEDY
+        )
     return files
 
 
@@ -265,7 +278,7 @@
         if address:
             seeds.append(address)
             continue
-        reader.report(
+        reader.report_problem(
             f"seeds[{index}]",
             f"{text[:80]!r} is not an IP address with a port",
             'write the peer address of a host, such as "10.1.2.3:7401"',
@@ -282,14 +295,14 @@
         settings.admin_address,
     ]
     if all(addresses) and len(set(addresses)) != len(addresses):
-        reader.report(
+        reader.report_problem(
             "admin_address",
             "two of the peer, caller and admin addresses are equal",
             "give each its own port",
         )
     if settings.stop_announce_s >= settings.stop_bound_s:
-        reader.report(
+        reader.report_problem(
             "stop_announce_s",
-            "the announcement takes the whole time of a planned stop",
+            "the announcement takes the whole time allowed for a planned stop",
             "make stop_announce_s less than stop_bound_s",
         )
--- a/packages/config/sycamoreloft_config/_names.py
+++ b/packages/config/sycamoreloft_config/_names.py
@@ -1,4 +1,4 @@
-"""Resolution of names in a generation."""
+"""Resolves names of requests in a generation."""
 
 from collections import abc
 import dataclasses
@@ -9,7 +9,7 @@
 
 from sycamoreloft_config import _hashing, _nodes, _problems
 
-#: Applies to requests that match no rule: neither repeatable nor at most once.
+#: Rule for requests that match no other: neither repeatable nor at most once.
 _DEFAULT_OPERATION = _nodes.Operation(method="*", path_prefix="/")
 
 
@@ -17,9 +17,9 @@
 class ServiceReference:
     """Identity of a service after aliases are resolved."""
 
-    #: Name of the fleet.
+    #: Name of the fleet that defines the service.
     fleet: str
-    #: Name of the service inside the fleet.
+    #: Name of the service, unique within the fleet.
     service: str
 
     def __str__(self) -> str:
@@ -29,15 +29,15 @@
 def resolve_service(
     generation: _nodes.Generation, fleet: str, service: str
 ) -> result.Result[ServiceReference, _problems.NameProblem]:
-    """Finds the service that a request names.
+    """Resolves the service that a request names.
 
     Args:
         generation: The generation in force.
-        fleet: Name of the fleet, or empty if the request names none.
+        fleet: Name of the fleet; empty if the request names none.
         service: Name of the service.
 
     Returns:
-        The identity of the service, or why the name denotes none.
+        The identity of the service, or why the name does not denote one.
     """
     if not fleet:
         return _resolve_without_fleet(generation, service)
@@ -46,7 +46,7 @@
             _problems.NameProblem(
                 "unknown-fleet",
                 f"no accepted file describes the fleet {fleet[:80]!r}",
-                f"name one of {_join(generation.fleets)} in"
+                f"name one of {_format_names(generation.fleets)} in"
                 " Sycamoreloft-Fleet, or submit the fleet's file",
             )
         )
@@ -55,15 +55,16 @@
             _problems.NameProblem(
                 "unknown-service",
                 f"fleet {fleet!r} has no service {service[:80]!r}",
-                f"name one of {_join(generation.fleets[fleet].services)} in"
+                "name one of"
+                f" {_format_names(generation.fleets[fleet].services)} in"
                 " Sycamoreloft-Service, or add the service to the fleet's"
                 " file",
             )
         )
-    return result.Success(_follow_alias(generation, fleet, service))
+    return result.Success(_resolve_alias(generation, fleet, service))
 
 
-def _follow_alias(
+def _resolve_alias(
     generation: _nodes.Generation, fleet: str, service: str
 ) -> ServiceReference:
     canonical = generation.merge.service_canonicals.get(f"{fleet}/{service}")
@@ -75,19 +76,22 @@
 def _resolve_without_fleet(
     generation: _nodes.Generation, service: str
 ) -> result.Result[ServiceReference, _problems.NameProblem]:
-    owners = sorted(
+    owning_fleets = sorted(
         fleet.name
         for fleet in generation.fleets.values()
         if service in fleet.services
     )
-    references = {_follow_alias(generation, fleet, service) for fleet in owners}
+    references = {
+        _resolve_alias(generation, fleet, service) for fleet in owning_fleets
+    }
     if len(references) == 1:
         return result.Success(references.pop())
     if references:
         return result.Failure(
             _problems.NameProblem(
                 "ambiguous-service",
-                f"the fleets {_join(owners)} each have a service {service!r}",
+                f"the fleets {_format_names(owning_fleets)} each have a"
+                f" service {service!r}",
                 "name the fleet in Sycamoreloft-Fleet, or submit a merge file"
                 " with [[same_service]] if the services are the same",
             )
@@ -101,29 +105,29 @@
     )
 
 
-def _join(names: abc.Iterable[str]) -> str:
-    """Lists at most eight names, because the text goes into a header."""
+def _format_names(names: abc.Iterable[str]) -> str:
+    """Joins at most eight names, because the text is sent in a header."""
     ordered = sorted(names)
     if not ordered:
         return "(none)"
-    more = f" and {len(ordered) - 8} more" if len(ordered) > 8 else ""
-    return ", ".join(ordered[:8]) + more
+    suffix = f" and {len(ordered) - 8} more" if len(ordered) > 8 else ""
+    return ", ".join(ordered[:8]) + suffix
 
 
 def match_operation(
     service: _nodes.Service, method: str, path: str
 ) -> _nodes.Operation:
-    """Returns the first rule that matches, or one without any promise.
+    """Returns the first matching rule, or a default without any guarantee.
 
-    The query is ignored. The path is compared in its normal form, so that no
-    other spelling of a path evades an at_most_once rule.
+    The query is ignored. The path is normalized before the comparison, so that
+    another spelling of a path cannot evade an at_most_once rule.
     """
-    normal = _normalize_path(path)
+    normalized = _normalize_path(path)
     for operation in service.operations:
         if operation.method in (
             "*",
             method.upper(),
-        ) and normal.startswith(operation.path_prefix):
+        ) and normalized.startswith(operation.path_prefix):
             return operation
     return _DEFAULT_OPERATION
 
@@ -142,8 +146,8 @@
             del segments[-1:]
         elif part not in ("", "."):
             segments.append(part)
-    is_folder = parts[-1] in ("", ".", "..") and bool(segments)
-    return "/" + "/".join(segments) + ("/" if is_folder else "")
+    has_trailing_slash = parts[-1] in ("", ".", "..") and bool(segments)
+    return "/" + "/".join(segments) + ("/" if has_trailing_slash else "")
 
 
 def list_active_upstreams(
@@ -151,8 +155,8 @@
 ) -> abc.Sequence[_nodes.Upstream]:
     """Lists the upstreams of a group that run its fleet's own services.
 
-    Leaves out upstreams that the merge file gives to another fleet and those
-    of services that are aliases of another service.
+    Excludes upstreams that the merge file assigns to another fleet, and
+    upstreams of services that are aliases.
     """
     merge = generation.merge
     return [
--- a/packages/config/sycamoreloft_config/_nodes.py
+++ b/packages/config/sycamoreloft_config/_nodes.py
@@ -6,7 +6,7 @@
 
 
 class Priority(enum.IntEnum):
-    """Class of an operation; the lowest value is shed first."""
+    """Priority class of an operation; the lowest value is shed first."""
 
     BACKGROUND = 0
     NORMAL = 1
@@ -17,11 +17,11 @@
 class Weights:
     """Weights of the placement cost, each without a unit and at least 0."""
 
-    #: Weight of load imbalance between upstreams.
+    #: Weight of the load imbalance between upstreams.
     imbalance: float = 1.0
-    #: Weight of each moved key.
+    #: Weight of each key that gets another owner.
     churn: float = 1.0
-    #: Weight of each second that a key is not served.
+    #: Weight of each second during which a key is not served.
     unavailable: float = 1.0
 
 
@@ -31,9 +31,9 @@
 
     #: Name, unique inside the fleet.
     name: str
-    #: Number of upstream groups, each with its own holder.
+    #: Number of groups of upstreams, each with its own holder.
     groups: int = 1
-    #: Whether the operator vouches that the whole domain no longer runs.
+    #: Whether the operator guarantees that no upstream of the domain runs.
     lost: bool = False
 
 
@@ -49,17 +49,17 @@
     failure_domain: str
     #: IP address and port, as "127.0.0.1:9001".
     address: str
-    #: Requests that it runs at once.
+    #: Maximum number of requests that it runs at once.
     slots: int
-    #: Connections that it accepts at once.
+    #: Maximum number of connections that it accepts at once.
     connections: int = 300
-    #: Whether it rejects grants with an old epoch.
+    #: Whether it rejects grants with an outdated epoch.
     checks_fences: bool = True
     #: Whether it verifies the signature of a grant.
     checks_sender: bool = True
-    #: Whether it is leaving and must get no new work.
+    #: Whether it is leaving the fleet and must not get new work.
     leaving: bool = False
-    #: Whether the operator vouches that it no longer runs.
+    #: Whether the operator guarantees that it no longer runs.
     lost: bool = False
 
 
@@ -67,7 +67,7 @@
 class Operation:
     """Rules for the requests of a service that match a method and path."""
 
-    #: HTTP method, upper case, or "*" for any.
+    #: HTTP method in upper case, or "*" for any.
     method: str
     #: Prefix of the path, starting with "/".
     path_prefix: str
@@ -75,7 +75,7 @@
     at_most_once: bool = False
     #: Whether the operation is idempotent, so that it may be retried.
     repeatable: bool = False
-    #: Class for load shedding.
+    #: Requests of a lower priority are shed first under overload.
     priority: Priority = Priority.NORMAL
 
 
@@ -85,32 +85,32 @@
 
     #: Name, unique inside the fleet.
     name: str
-    #: Whether each key has one owner.
+    #: Whether requests have a key, each of which is owned by one upstream.
     keyed: bool
     #: Number of hash partitions of a keyed service.
     partitions: int = 256
     #: Default deadline of a request, in milliseconds.
     deadline_ms: int = 10_000
-    #: Requests queued for one upstream; 0 means twice its slots.
+    #: Maximum number of queued requests per upstream; 0 means twice its slots.
     queue: int = 0
-    #: Whether its upstreams deduplicate by request id themselves.
+    #: Whether its upstreams themselves deduplicate requests by request id.
     deduplicates: bool = False
-    #: Rules, the first match applies; a request with no match is neither
-    #: repeatable nor at most once.
+    #: Rules, of which the first match applies. A request without a match is
+    #: neither repeatable nor at most once.
     operations: abc.Sequence[Operation] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fleet:
-    """A fleet file."""
+    """Content of a fleet file."""
 
-    #: Name of the fleet, unique among accepted files.
+    #: Name, unique among the accepted files.
     name: str
-    #: Weights of the placement cost.
+    #: Weights of the placement cost, relative to each other.
     weights: Weights
-    #: Seconds for which a holder without the store may act.
+    #: Maximum time for which a holder may act without the store, in seconds.
     offline_limit_s: float
-    #: Seconds for which a request id is remembered.
+    #: Time for which a request id is remembered, in seconds.
     claim_window_s: float
     #: Failure domains by name.
     failure_domains: abc.Mapping[str, FailureDomain]
@@ -124,7 +124,7 @@
 class SameService:
     """States that two service names denote the same service."""
 
-    #: Identity that stays, as "fleet/service".
+    #: Name that remains the identity, as "fleet/service".
     canonical: str
     #: Name that resolves to it, as "fleet/service".
     alias: str
@@ -142,18 +142,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Merge:
-    """A merge file: which names of different fleets denote the same thing."""
+    """Content of a merge file: names in different fleets for the same thing."""
 
-    #: Services that are the same.
+    #: Pairs of names that denote the same service.
     same_services: abc.Sequence[SameService] = ()
-    #: Upstreams that are the same.
+    #: Pairs of names that denote the same upstream.
     same_upstreams: abc.Sequence[SameUpstream] = ()
-    #: Canonical service by alias, both as "fleet/service"; derived, because
-    #: every request looks a name up.
+    #: Canonical service by alias, both as "fleet/service"; an index for the
+    #: look-ups of each request, derived from `same_services`.
     service_canonicals: abc.Mapping[str, str] = dataclasses.field(
         init=False, repr=False, compare=False
     )
-    #: Canonical upstream by alias, both as "fleet/upstream"; derived.
+    #: Canonical upstream by alias, both as "fleet/upstream"; derived from
+    #: `same_upstreams`.
     upstream_canonicals: abc.Mapping[str, str] = dataclasses.field(
         init=False, repr=False, compare=False
     )
@@ -168,13 +169,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Generation:
-    """All files in force together."""
+    """The files that are in force together."""
 
-    #: Number of the generation, 0 for none accepted yet.
+    #: Number, which grows with each accepted change; 0 before the first one.
     number: int
     #: Fleets by name.
     fleets: abc.Mapping[str, Fleet]
-    #: The merge file, empty if none was accepted.
+    #: The merge file; empty if none was accepted.
     merge: Merge = Merge()
 
 
@@ -182,11 +183,11 @@
 class GroupName:
     """Identity of a group of upstreams with one holder."""
 
-    #: Fleet name.
+    #: Name of the fleet.
     fleet: str
-    #: Failure domain name inside the fleet.
+    #: Name of the failure domain, unique inside the fleet.
     failure_domain: str
-    #: Index below the failure domain's number of groups.
+    #: Index in the failure domain, from 0.
     index: int
 
     def __str__(self) -> str:
@@ -194,6 +195,6 @@
 
 
 def parse_group_name(text: str) -> GroupName:
-    """Parses "fleet/domain/index" as `GroupName` prints it."""
+    """Parses "fleet/domain/index", the string form of a `GroupName`."""
     fleet, failure_domain, index = text.split("/")
     return GroupName(fleet, failure_domain, int(index))
--- a/packages/config/sycamoreloft_config/_parsing.py
+++ b/packages/config/sycamoreloft_config/_parsing.py
@@ -1,4 +1,4 @@
-"""Reader of fleet and merge files."""
+"""Parser of fleet and merge files."""
 
 from collections import abc
 import dataclasses
@@ -8,17 +8,17 @@
 
 from sycamoreloft_config import _fields, _nodes, _problems
 
-#: Most failure domains, services and upstreams of a fleet. The design size
-#: needs 6 failure domains and 4,100 upstreams.
+#: Maximum numbers of failure domains, services and upstreams of a fleet. The
+#: design size is 6 failure domains and 4,100 upstreams.
 MAXIMUM_DOMAINS = 64
 MAXIMUM_SERVICES = 256
 MAXIMUM_UPSTREAMS = 8192
 
-#: Most operations of a service and most statements of a merge file.
+#: Maximum numbers of operations of a service and statements of a merge file.
 MAXIMUM_OPERATIONS = 256
 MAXIMUM_STATEMENTS = 1024
 
-#: Methods that an operation may name.
+#: Valid methods of an operation; "*" matches any method.
 METHODS = ("*", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 
 Named = typing.TypeVar(
@@ -35,10 +35,10 @@
 
     Args:
         text: TOML text of at most 1 MiB.
-        file_name: Name that problems refer to.
+        file_name: Name of the file in problems.
 
     Returns:
-        The node, or every problem found.
+        The node, or all problems.
     """
     return _fields.load_toml(text, file_name).bind(
         lambda table: _parse_table(table, file_name)
@@ -61,16 +61,18 @@
         reader.read_text("kind")
         node = _read_merge(reader)
     else:
-        # Without a kind it is unknown which fields are right.
+        # The kind decides which fields are valid, so nothing else is checked.
         problems.add(
             "kind",
             "the field is missing or not known",
             'write kind = "fleet" or kind = "merge"',
         )
         return result.Failure(problems.list_all())
-    reader.finish()
-    found = problems.list_all()
-    return result.Failure(found) if found else result.Success(node)
+    reader.report_unknown_fields()
+    all_problems = problems.list_all()
+    return (
+        result.Failure(all_problems) if all_problems else result.Success(node)
+    )
 
 
 def _read_fleet(reader: _fields.TableReader) -> _nodes.Fleet:
@@ -83,17 +85,17 @@
         claim_window_s=reader.read_number(
             "claim_window_s", 1.0, 86_400.0, 600.0
         ),
-        failure_domains=_index(
+        failure_domains=_read_named_tables(
             reader.read_tables("failure_domains", MAXIMUM_DOMAINS),
             _read_domain,
         ),
-        services=_index(
+        services=_read_named_tables(
             reader.read_tables("services", MAXIMUM_SERVICES), _read_service
         ),
         upstreams={},
     )
-    if not fleet.failure_domains and not reader.has("failure_domains"):
-        reader.report(
+    if not fleet.failure_domains and not reader.has_field("failure_domains"):
+        reader.report_problem(
             "failure_domains",
             "the fleet has no failure domain",
             "add a [[failure_domains]] table",
@@ -107,7 +109,7 @@
         churn=reader.read_number("churn", 0.0, 1e6, 1.0),
         unavailable=reader.read_number("unavailable", 0.0, 1e6, 1.0),
     )
-    reader.finish()
+    reader.report_unknown_fields()
     return weights
 
 
@@ -115,7 +117,7 @@
     return _nodes.FailureDomain(
         name=reader.read_name("name"),
         groups=reader.read_integer("groups", 1, 256, 1),
-        lost=reader.read_flag("lost", False),
+        lost=reader.read_boolean("lost", False),
     )
 
 
@@ -125,15 +127,15 @@
         operations.append(_read_operation(item, operations))
     service = _nodes.Service(
         name=reader.read_name("name"),
-        keyed=reader.read_flag("keyed"),
+        keyed=reader.read_boolean("keyed"),
         partitions=reader.read_integer("partitions", 1, 65_536, 256),
         deadline_ms=reader.read_integer("deadline_ms", 1, 3_600_000, 10_000),
         queue=reader.read_integer("queue", 0, 100_000, 0),
-        deduplicates=reader.read_flag("deduplicates", False),
+        deduplicates=reader.read_boolean("deduplicates", False),
         operations=tuple(operations),
     )
-    if not service.keyed and reader.has("partitions"):
-        reader.report(
+    if not service.keyed and reader.has_field("partitions"):
+        reader.report_problem(
             "partitions",
             "the service is not keyed, so it has no partitions",
             "remove the field, or set keyed = true",
@@ -148,21 +150,21 @@
     operation = _nodes.Operation(
         method=reader.read_choice("method", METHODS, "*"),
         path_prefix=reader.read_text("path_prefix"),
-        at_most_once=reader.read_flag("at_most_once", False),
-        repeatable=reader.read_flag("repeatable", False),
+        at_most_once=reader.read_boolean("at_most_once", False),
+        repeatable=reader.read_boolean("repeatable", False),
         priority=priorities[
             reader.read_choice("class", list(priorities), "normal")
         ],
     )
-    reader.finish()
+    reader.report_unknown_fields()
     if operation.path_prefix and not operation.path_prefix.startswith("/"):
-        reader.report(
+        reader.report_problem(
             "path_prefix",
             f"{operation.path_prefix[:80]!r} does not start with a slash",
             'write an absolute path, such as "/wagers"',
         )
     if operation.at_most_once and operation.repeatable:
-        reader.report(
+        reader.report_problem(
             "repeatable",
             "an operation that runs at most once cannot be repeatable",
             "set only one of at_most_once and repeatable",
@@ -176,10 +178,10 @@
     operation: _nodes.Operation,
     earlier: abc.Sequence[_nodes.Operation],
 ) -> None:
-    """Reports a rule that an earlier, wider rule makes ineffective.
+    """Reports a rule that never applies because of an earlier, wider rule.
 
-    Otherwise an at_most_once rule in the wrong place would silently not
-    apply.
+    Otherwise, an at_most_once rule in the wrong position would be ignored
+    without notice.
     """
     for index, other in enumerate(earlier):
         if (
@@ -187,7 +189,7 @@
             and other.method in ("*", operation.method)
             and operation.path_prefix.startswith(other.path_prefix)
         ):
-            reader.report(
+            reader.report_problem(
                 "path_prefix",
                 f"the rule never applies, because operations[{index}]"
                 f" ({other.method} {other.path_prefix}) matches first",
@@ -196,17 +198,17 @@
             return
 
 
-def _index(
+def _read_named_tables(
     readers: abc.Sequence[_fields.TableReader],
     read: abc.Callable[[_fields.TableReader], Named],
 ) -> dict[str, Named]:
-    """Reads named tables and reports names that occur twice."""
+    """Reads tables with names, and reports names that occur twice."""
     items: dict[str, Named] = {}
     for reader in readers:
         item = read(reader)
-        reader.finish()
+        reader.report_unknown_fields()
         if item.name in items:
-            reader.report(
+            reader.report_problem(
                 "name",
                 f"the name {item.name!r} is used twice",
                 "give every table of this kind its own name",
@@ -219,8 +221,11 @@
 def _add_upstreams(
     fleet: _nodes.Fleet, reader: _fields.TableReader
 ) -> _nodes.Fleet:
-    """Reads the upstreams, which refer to services and failure domains."""
-    owners: dict[str, str] = {}
+    """Returns the fleet with its upstreams.
+
+    They are read last because they refer to services and failure domains.
+    """
+    names_by_address: dict[str, str] = {}
 
     def read_upstream(item: _fields.TableReader) -> _nodes.Upstream:
         upstream = _nodes.Upstream(
@@ -230,16 +235,16 @@
             address=item.read_address("address"),
             slots=item.read_integer("slots", 1, 10_000),
             connections=item.read_integer("connections", 1, 1_000_000, 300),
-            checks_fences=item.read_flag("checks_fences", True),
-            checks_sender=item.read_flag("checks_sender", True),
-            leaving=item.read_flag("leaving", False),
-            lost=item.read_flag("lost", False),
+            checks_fences=item.read_boolean("checks_fences", True),
+            checks_sender=item.read_boolean("checks_sender", True),
+            leaving=item.read_boolean("leaving", False),
+            lost=item.read_boolean("lost", False),
         )
         _check_upstream(item, upstream, fleet)
-        _check_address(item, upstream, owners)
+        _check_address(item, upstream, names_by_address)
         return upstream
 
-    upstreams = _index(
+    upstreams = _read_named_tables(
         reader.read_tables("upstreams", MAXIMUM_UPSTREAMS), read_upstream
     )
     return dataclasses.replace(fleet, upstreams=upstreams)
@@ -251,20 +256,20 @@
     fleet: _nodes.Fleet,
 ) -> None:
     if upstream.service and upstream.service not in fleet.services:
-        reader.report(
+        reader.report_problem(
             "service",
             f"the file has no service {upstream.service!r}",
             "add the service, or correct the name",
         )
     domain = upstream.failure_domain
     if domain and domain not in fleet.failure_domains:
-        reader.report(
+        reader.report_problem(
             "failure_domain",
             f"the file has no failure domain {domain!r}",
             "add the failure domain, or correct the name",
         )
     if upstream.slots > upstream.connections:
-        reader.report(
+        reader.report_problem(
             "slots",
             f"{upstream.slots} slots need as many connections, but the"
             f" upstream accepts {upstream.connections}",
@@ -275,13 +280,13 @@
 def _check_address(
     reader: _fields.TableReader,
     upstream: _nodes.Upstream,
-    owners: dict[str, str],
+    names_by_address: dict[str, str],
 ) -> None:
     if not upstream.address:
         return
-    other = owners.setdefault(upstream.address, upstream.name)
+    other = names_by_address.setdefault(upstream.address, upstream.name)
     if other != upstream.name:
-        reader.report(
+        reader.report_problem(
             "address",
             f"upstream {other!r} has the same address {upstream.address}",
             "give each upstream its own address, or remove one of them",
@@ -303,9 +308,9 @@
 def _read_statement(reader: _fields.TableReader) -> tuple[str, str]:
     canonical = reader.read_reference("canonical")
     alias = reader.read_reference("alias")
-    reader.finish()
+    reader.report_unknown_fields()
     if canonical and canonical.split("/")[0] == alias.split("/")[0]:
-        reader.report(
+        reader.report_problem(
             "alias",
             "both names belong to the same fleet",
             "name things of two different fleets; within one fleet, change"
--- a/packages/config/sycamoreloft_config/_problems.py
+++ b/packages/config/sycamoreloft_config/_problems.py
@@ -1,17 +1,17 @@
-"""Typed errors of files and names."""
+"""Problems of files and of names, with their remedies."""
 
 import dataclasses
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FileProblem:
-    """One thing that is wrong in a file."""
+    """A problem in a file."""
 
-    #: Name of the file.
+    #: Name of the file in the generation, or path of a settings file.
     file_name: str
-    #: Place inside the file, as "upstreams[3].address"; empty for the file.
+    #: Path inside the file, as "upstreams[3].address"; empty for the file.
     path: str
-    #: What is wrong.
+    #: What is wrong, as part of a sentence.
     problem: str
     #: What the operator can do about it.
     remedy: str
@@ -25,11 +25,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NameProblem:
-    """A name of a request that denotes no service, or several."""
+    """A name in a request that denotes no service, or several services."""
 
     #: "unknown-fleet", "unknown-service" or "ambiguous-service".
     reason: str
-    #: What is wrong.
+    #: What is wrong, as part of a sentence.
     problem: str
     #: What the caller or the operator can do about it.
     remedy: str
--- a/packages/config/sycamoreloft_config/_settings.py
+++ b/packages/config/sycamoreloft_config/_settings.py
@@ -8,9 +8,9 @@
 class Secret:
     """A shared key with an identifier, so that keys can be rotated."""
 
-    #: Identifier that is sent along with a signature.
+    #: Identifier that is sent with each signature; unique in the settings.
     id: str
-    #: The key itself; never printed.
+    #: The key; excluded from the string form.
     secret: str = dataclasses.field(repr=False)
 
 
@@ -22,7 +22,7 @@
     certificate: str
     #: Path of the private key, PEM.
     key: str
-    #: Path of the authorities that sign the other side, PEM; empty for none.
+    #: Path of the authorities for certificates of peers, PEM; empty for none.
     ca: str = ""
 
 
@@ -46,21 +46,22 @@
     object_store_url: str
     #: URL of the host list, without a trailing slash; empty for none.
     host_list_url: str
-    #: Keys of the messages between hosts: the first signs, all verify.
+    #: Keys for messages between hosts: the first one signs, all verify.
     peer_keys: abc.Sequence[Secret]
-    #: Key that signs grants.
+    #: Key that signs grants to upstreams.
     grant_key: Secret
-    #: Bearer tokens of operators, all valid at once; never printed.
+    #: Bearer tokens of operators, all valid at once; excluded from the string
+    #: form.
     admin_tokens: abc.Sequence[str] = dataclasses.field(repr=False)
-    #: TLS of the caller port, if set.
+    #: TLS files of the caller port; None for plain TCP.
     caller_tls: TlsFiles | None = None
-    #: TLS of the peer port, if set.
+    #: TLS files of the peer port; None for plain TCP.
     peer_tls: TlsFiles | None = None
-    #: TLS of the admin port, if set.
+    #: TLS files of the admin port; None for plain TCP.
     admin_tls: TlsFiles | None = None
-    #: Seconds between reporting unhealthy and closing the caller port.
+    #: Time between reporting unhealthy and closing the caller port, in seconds.
     stop_announce_s: float = 2.0
-    #: Longest time of a planned stop, in seconds.
+    #: Maximum time of a planned stop, in seconds.
     stop_bound_s: float = 30.0
     #: Peer addresses of hosts to contact first, as "ip:port".
     seeds: abc.Sequence[str] = ()
--- a/packages/config/tests/conftest.py
+++ b/packages/config/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Shared fixtures."""
+"""Fixtures of the tests of the configuration."""
 
 from collections import abc
 import pathlib
@@ -10,7 +10,7 @@
 
 @pytest.fixture
 def example_texts() -> abc.Mapping[str, str]:
-    """Texts of the example files by their names in a generation."""
+    """Texts of the example files, by their names in a generation."""
     return {
         "fleet/sledworks": (EXAMPLES / "sledworks.toml").read_text(),
         "fleet/isuku": (EXAMPLES / "isuku.toml").read_text(),
--- a/packages/config/tests/test_generations.py
+++ b/packages/config/tests/test_generations.py
@@ -1,4 +1,4 @@
-"""Tests of checks across files, names and differences."""
+"""Tests of checks across files, of names, and of differences."""
 
 import dataclasses
 
@@ -94,7 +94,7 @@
     ids=str,
 )
 def test_wrong_statements_are_problems(statements, paths):
-    """Guards against a merge whose aliases have no or several meanings."""
+    """Guards against aliases without a meaning, or with several."""
     problems = build(make_merge(*statements), a=A, b=B, c=C).failure()
     assert [problem.path for problem in problems] == paths
     assert all(problem.remedy for problem in problems)
@@ -125,7 +125,7 @@
 
 
 def test_upstreams_of_an_alias_are_not_active():
-    """Guards against an upstream that two groups count slots of."""
+    """Guards against an upstream whose slots two groups count."""
     merge = make_merge("same_service a/s b/s")
     merged = build(merge, a=A, b=B).unwrap()
     sizes = [
@@ -177,7 +177,7 @@
 
 
 def test_a_new_fleet_is_not_alike_for_requests_without_fleet():
-    """Guards against a request whose name changes its meaning."""
+    """Guards against a name in a request that changes its meaning."""
     before = build(a=A).unwrap()
     after = build(a=A, b=B).unwrap()
     assert not sycamoreloft_config.is_alike(before, after, "", "s")
@@ -192,7 +192,7 @@
     """Guards against a wager that runs twice under another spelling."""
     wager = sycamoreloft_config.Operation("POST", "/wagers", at_most_once=True)
     service = sycamoreloft_config.Service("s", False, operations=(wager,))
-    find = sycamoreloft_config.match_operation
-    assert find(service, "POST", path) == wager
-    assert not find(service, "GET", path).at_most_once
-    assert not find(service, "POST", "/x" + "/wagers").at_most_once
+    match = sycamoreloft_config.match_operation
+    assert match(service, "POST", path) == wager
+    assert not match(service, "GET", path).at_most_once
+    assert not match(service, "POST", "/x" + "/wagers").at_most_once
--- a/packages/config/tests/test_hashing.py
+++ b/packages/config/tests/test_hashing.py
@@ -1,10 +1,10 @@
-"""Tests of the stable hashes."""
+"""Tests of hashes and rendezvous ranking."""
 
 import sycamoreloft_config
 
 
 def test_partitions_of_equal_keys_differ_between_fleets():
-    """Guards against two fleets' equal names being taken for one key."""
+    """Guards against equal keys of two fleets that share a partition."""
     numbers = {
         sycamoreloft_config.compute_partition(fleet, "board", "heat-7", 2**32)
         for fleet in ("sledworks", "isuku")
@@ -13,7 +13,7 @@
 
 
 def test_rendezvous_order_changes_little_when_a_candidate_leaves():
-    """Guards against a leave that reassigns subjects of other candidates."""
+    """Guards against reassigning subjects when another candidate leaves."""
     hosts = [f"host-{index}" for index in range(8)]
     for subject in map(str, range(200)):
         first = sycamoreloft_config.rank_by_rendezvous(subject, hosts)[0]
--- a/packages/config/tests/test_parsing.py
+++ b/packages/config/tests/test_parsing.py
@@ -1,4 +1,4 @@
-"""Tests of the fleet and merge file reader."""
+"""Tests of the parser of fleet and merge files."""
 
 import pathlib
 import re
@@ -37,7 +37,7 @@
     return [problem.path for problem in parsed.failure()]
 
 
-def test_examples_have_the_sizes_of_the_brief(example_texts):
+def test_examples_have_the_sizes_of_the_users_fleets(example_texts):
     """Guards against examples that no longer match the users' fleets."""
     sizes = {}
     for name in ("fleet/sledworks", "fleet/isuku"):
@@ -58,7 +58,7 @@
 
 
 def test_the_files_of_the_guide_are_valid():
-    """Guards against a guide whose examples the router refuses."""
+    """Guards against examples in the guide that the router refuses."""
     guide = pathlib.Path(__file__).parents[3] / "docs" / "operators.md"
     blocks = re.findall(r"```toml\n(.*?)```", guide.read_text(), re.DOTALL)
     files = [block for block in blocks if "kind =" in block]
@@ -68,7 +68,7 @@
 
 
 def test_one_pass_reports_every_problem():
-    """Guards against a reader that stops at the first problem."""
+    """Guards against a parser that stops at the first problem."""
     text = (
         SMALL.replace('name = "a"', 'name = "a/b"\noffline_limt_s = 3')
         .replace('service = "s"', 'service = "t"')
@@ -160,7 +160,7 @@
 
 
 def test_many_problems_are_cut_off():
-    """Guards against an answer that is much longer than the file."""
+    """Guards against a list of problems that is longer than the file."""
     lines = "".join(f"x{number} = 1\n" for number in range(1000))
     text = SMALL.replace("[[upstreams]]", lines + "[[upstreams]]")
     assert len(list_paths(text)) == 201
@@ -173,7 +173,7 @@
     added=strategies.text(max_size=8),
 )
 def test_any_edit_of_a_file_is_a_node_or_problems(position, removed, added):
-    """Guards against exceptions of the reader on unforeseen content."""
+    """Guards against exceptions of the parser for unexpected content."""
     text = SMALL[:position] + added + SMALL[position + removed :]
     match sycamoreloft_config.parse_file(text, "f"):
         case result.Failure(problems):
--- a/packages/config/tests/test_settings.py
+++ b/packages/config/tests/test_settings.py
@@ -6,7 +6,7 @@
 
 
 def test_variables_take_precedence(router_settings_path):
-    """Guards against a secret of the example file that stays in force."""
+    """Guards against a secret of the file that stays in force."""
     settings = sycamoreloft_config.load_settings(
         router_settings_path,
         {
@@ -30,7 +30,7 @@
 
 
 def test_secrets_are_not_printed(router_settings_path):
-    """Guards against keys and tokens in logs."""
+    """Guards against keys and tokens in log lines."""
     settings = sycamoreloft_config.load_settings(router_settings_path, {})
     assert "example-only" not in repr(settings.unwrap())
 
