--- a/packages/router/sycamoreloft_router/_answers.py
+++ b/packages/router/sycamoreloft_router/_answers.py
@@ -90,7 +90,7 @@
     #: Reason, for the header Sycamoreloft-Reason; empty for no header.
     reason: str = ""
 
-    def encode_whole(self, body: bytes, keep_open: bool) -> bytes:
+    def encode_complete(self, body: bytes, keep_open: bool) -> bytes:
         """Encodes an answer whose body is complete."""
         if self.head_length:
             framing = b"Content-Length: " + self.head_length
--- a/packages/router/sycamoreloft_router/_call_client.py
+++ b/packages/router/sycamoreloft_router/_call_client.py
@@ -236,6 +236,6 @@
 def _classify_connection(transfer: _transfers.Transfer) -> Connection:
     if not transfer.maybe_sent:
         return Connection.NONE
-    if not transfer.is_connecting:
+    if not transfer.opened_socket:
         return Connection.REUSED
     return Connection.RESENT if transfer.send_count > 1 else Connection.NEW
--- a/packages/router/sycamoreloft_router/_caller_connections.py
+++ b/packages/router/sycamoreloft_router/_caller_connections.py
@@ -23,7 +23,7 @@
 READ_BUFFER_BYTES = 4 * 65_536
 
 #: Error message of tornado for a chunked body that exceeds the limit.
-_LONG_CHUNKED_BODY = "chunked body too large"
+_LONG_BODY_MESSAGE = "chunked body too large"
 
 #: Maximum number of connections in the backlog of a listening socket.
 MAXIMUM_PENDING = 1_024
@@ -70,9 +70,9 @@
 #: seconds.
 MAXIMUM_HEAD_S = 10.0
 
-#: Maximum time between reading a head and handling it on the event loop, in
-#: seconds.
-MAXIMUM_TURN_S = 1.0
+#: Maximum time between reading bytes and handling them on the event loop, in
+#: seconds. Bytes that were read earlier do not count as pending.
+MAXIMUM_LOOP_DELAY_S = 1.0
 
 
 class BodyRejecter(typing.Protocol):
@@ -149,15 +149,15 @@
         try:
             await super()._read_chunked_body(delegate)
         except httputil.HTTPInputError as error:
-            answering = typing.cast(BodyRejecter, delegate).reject_body(
+            answer_task = typing.cast(BodyRejecter, delegate).reject_body(
                 self._describe_body_problem(str(error))
             )
-            if answering is not None:
-                await asyncio.wait([answering])
+            if answer_task is not None:
+                await asyncio.wait([answer_task])
             raise ConnectionRejected from error
 
     def _describe_body_problem(self, problem: str) -> _answers.Refusal:
-        if problem == _LONG_CHUNKED_BODY:
+        if problem == _LONG_BODY_MESSAGE:
             return _answers.Refusal(
                 413,
                 "long-body",
@@ -202,15 +202,15 @@
             return False
         return (
             self.waiting_since < waiting_before - MAXIMUM_HEAD_S
-            or not self._has_arrived()
+            or not self._has_pending_input()
         )
 
-    def _has_arrived(self) -> bool:
-        """Returns whether bytes of a request have just arrived."""
+    def _has_pending_input(self) -> bool:
+        """Returns whether bytes have arrived that may not be handled yet."""
         stream = self.stream
         if not isinstance(stream, _caller_streams.CallerStream):
             return False
-        read_since = asyncio.get_running_loop().time() - MAXIMUM_TURN_S
+        read_since = asyncio.get_running_loop().time() - MAXIMUM_LOOP_DELAY_S
         is_read = stream.received_at > max(read_since, self.waiting_since)
         return is_read or stream.has_unread()
 
--- a/packages/router/sycamoreloft_router/_caller_exchange.py
+++ b/packages/router/sycamoreloft_router/_caller_exchange.py
@@ -389,12 +389,12 @@
         self, answer: _answers.UpstreamAnswer, body: bytes
     ) -> None:
         """Sends an answer whose body is complete."""
-        self._send_last(answer.encode_whole(body, self._keeps_open()))
+        self._send_last(answer.encode_complete(body, self._decide_keep_open()))
         self._end(answer.outcome, answer.reason)
 
     async def begin(self, answer: _answers.UpstreamAnswer) -> None:
         """Sends the head of an answer that is streamed."""
-        await self._write(answer.encode_head(self._keeps_open()))
+        await self._write(answer.encode_head(self._decide_keep_open()))
 
     async def write(self, chunk: bytes) -> None:
         """Sends a part of the body and waits until there is room for more."""
@@ -412,7 +412,7 @@
             self._end(_answers.UNKNOWN, "broken-answer")
             self._connection.close()
 
-    def _keeps_open(self) -> bool:
+    def _decide_keep_open(self) -> bool:
         if self._server_state.is_draining or not (
             self._body_ended or self._length == 0
         ):
@@ -435,7 +435,7 @@
         """
         if close_now:
             self._connection.close_after_answer()
-        data = refusal.encode(self._keeps_open(), not self._head_only)
+        data = refusal.encode(self._decide_keep_open(), not self._head_only)
         self._end(refusal.outcome, refusal.reason)
         self._send_last(data, close_now)
 
--- a/packages/router/sycamoreloft_router/_transfers.py
+++ b/packages/router/sycamoreloft_router/_transfers.py
@@ -53,9 +53,9 @@
         "ended",
         "failure",
         "head",
-        "is_connecting",
         "is_expired",
         "maybe_sent",
+        "opened_socket",
         "request",
         "send_count",
     )
@@ -83,7 +83,7 @@
         #: Number of connections on which libcurl sent the request.
         self.send_count = 0
         #: Whether libcurl opened a new socket for the transfer.
-        self.is_connecting = False
+        self.opened_socket = False
         #: Whether the permit expired before a connection was ready.
         self.is_expired = False
         #: Whether the transfer has ended, completely or with a failure.
@@ -128,7 +128,9 @@
         if not self.ended:
             self._client.remove(self._handle)
             self.end(
-                _transfer_types.Failure(kind, "the router ended the transfer")
+                _transfer_types.Failure(
+                    kind, "the router cancelled the transfer"
+                )
             )
 
     def check_expired(self) -> bool:
@@ -201,7 +203,7 @@
     if transfer.is_expired:
         return _transfer_types.Failure(
             _KIND.EXPIRED,
-            "the permit expired before the send",
+            "the permit expired before a connection was ready",
         )
     if (
         error == pycurl.E_OPERATION_TIMEDOUT
@@ -210,7 +212,7 @@
         # The time left was less than a connection may take, so the upstream
         # is not at fault.
         return _transfer_types.Failure(_KIND.DEADLINE, message)
-    if transfer.is_connecting:
+    if transfer.opened_socket:
         return _transfer_types.Failure(_KIND.CONNECT, message)
     # libcurl opened no socket: the transfer waited until its timeout for one
     # of the connections to the upstream.
--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -44,8 +44,8 @@
 
     NO_BODY = 0
     HEAD = 1
-    WHOLE = 2
-    STREAM = 3
+    BUFFERED = 2
+    STREAMED = 3
 
 
 class _Handle:
@@ -79,13 +79,18 @@
         self.mode = mode
         self.transfer: _transfers.Transfer | None = None
         self.upload: _body_streams.UploadBuffer | None = None
+        #: Address and method to which the options of the handle are set.
         self.address = ""
         self.method = ""
         #: Whether the options let libcurl reuse connections; None after a
         #: request that forced a new connection.
         self.reuse: bool | None = True
+        #: Whether libcurl opened a new connection for the transfer.
         self.is_connection_new = False
+        #: File descriptor of the latest new connection; -1 if there is none.
         self.descriptor = -1
+        #: Whether a pooled connection was refused because of unread bytes; the
+        #: transfer is then repeated on a new connection.
         self.has_unread_bytes = False
         curl.info = self
         self._set_fixed_options()
@@ -118,9 +123,9 @@
         if request.needs_new_connection:
             self._force_new_connection()
         self._set_timeout(request.timeout_s)
-        if self.mode is _BodyMode.WHOLE:
+        if self.mode is _BodyMode.BUFFERED:
             curl.setopt(pycurl.POSTFIELDS, request.body)
-        elif self.mode is _BodyMode.STREAM:
+        elif self.mode is _BodyMode.STREAMED:
             self.upload = typing.cast(_body_streams.UploadBuffer, request.body)
             curl.setopt(pycurl.INFILESIZE_LARGE, request.length)
 
@@ -168,7 +173,7 @@
             curl.setopt(pycurl.HTTPGET, 1)
         elif self.mode is _BodyMode.HEAD:
             curl.setopt(pycurl.NOBODY, 1)
-        elif self.mode is _BodyMode.WHOLE:
+        elif self.mode is _BodyMode.BUFFERED:
             curl.setopt(pycurl.POST, 1)
         else:
             curl.setopt(pycurl.UPLOAD, 1)
@@ -180,7 +185,7 @@
         self.descriptor = descriptor
         _connection_rules.set_socket_options(descriptor, self.rules)
         if self.transfer is not None:
-            self.transfer.is_connecting = True
+            self.transfer.opened_socket = True
         return int(pycurl.SOCKOPT_OK)
 
     def _on_connection(self, *endpoints: typing.Any) -> int:
@@ -289,7 +294,7 @@
     def start(
         self, request: _transfer_types.UpstreamRequest
     ) -> _transfers.Transfer:
-        """Starts a transfer."""
+        """Starts a transfer; it runs until it ends or is cancelled."""
         transfer = _transfers.Transfer(self, request)
         mode = _choose_mode(request)
         spare = self._spare_handles[mode]
@@ -332,7 +337,9 @@
         except pycurl.error as error:
             # libcurl raises errors of the paused time here, and reports them
             # again when the transfer ends.
-            curl_httpclient.curl_log.debug("resume failed: %s", error)
+            curl_httpclient.curl_log.debug(
+                "cannot resume a paused transfer: %s", error
+            )
 
     def remove(self, handle: _Handle | None) -> None:
         """Removes a running handle from the multi handle.
@@ -419,7 +426,7 @@
 
 def _choose_mode(request: _transfer_types.UpstreamRequest) -> _BodyMode:
     if isinstance(request.body, _body_streams.UploadBuffer):
-        return _BodyMode.STREAM
+        return _BodyMode.STREAMED
     if request.body is not None:
-        return _BodyMode.WHOLE
+        return _BodyMode.BUFFERED
     return _BodyMode.HEAD if request.method == "HEAD" else _BodyMode.NO_BODY
--- a/packages/router/tests/fake_sources.py
+++ b/packages/router/tests/fake_sources.py
@@ -55,14 +55,20 @@
 
     def __init__(self, address=""):
         self.address = address
+        #: Addresses for the next permits, used before `address`.
         self.addresses = []
         self.generation = build_generation()
+        #: Generation after the next refresh; None if there is no newer one.
         self.next_generation = None
         self.refusals = []
         self.verdicts = []
+        #: Lifetime of the permits, in milliseconds.
         self.valid_ms = 1_000
+        #: Time to answer a permit request, in seconds.
         self.delay_s = 0.0
+        #: Permit requests that were received.
         self.requested = []
+        #: Permits that were returned, with their outcome.
         self.returned = []
         self.claim_requests = []
         self.reported_results = []
--- a/packages/router/tests/test_call_client.py
+++ b/packages/router/tests/test_call_client.py
@@ -234,7 +234,7 @@
         assert kinds == [
             expected.NEW,
             expected.REUSED,
-            # The third call broke on the kept connection.
+            # The reused connection broke during the third call.
             expected.RESENT,
             expected.REUSED,
         ]
--- a/packages/router/tests/test_socket_options.py
+++ b/packages/router/tests/test_socket_options.py
@@ -99,7 +99,7 @@
                     upstream.address, "GET", "/", [], None, 0, 5.0, "a1"
                 )
             )
-            assert transfer.is_connecting
+            assert transfer.opened_socket
             await transfer.wait(1)
             assert transfer.read_available() == b"x"
 
