--- a/packages/config/sycamoreloft_config/_differences.py
+++ b/packages/config/sycamoreloft_config/_differences.py
@@ -1,4 +1,4 @@
-"""Comparison of two generations."""
+"""Compares two generations."""
 
 from collections import abc
 import dataclasses
--- a/packages/config/sycamoreloft_config/_generations.py
+++ b/packages/config/sycamoreloft_config/_generations.py
@@ -52,7 +52,7 @@
             "",
             "",
             f"{len(texts_by_name)} files; at most {MAXIMUM_FILES} are allowed",
-            "join fleets, or run them on separate hosts",
+            "combine fleets, or run them on separate hosts",
         )
         return result.Failure((problem,))
     fleets: dict[str, _nodes.Fleet] = {}
@@ -87,7 +87,7 @@
         yield _problems.FileProblem(
             name,
             "name" if isinstance(node, _nodes.Fleet) else "kind",
-            f"the content is that of {build_file_name(node)!r}",
+            f"the file contains {build_file_name(node)!r}",
             f"submit it as {build_file_name(node)!r}, or correct the field",
         )
 
@@ -123,7 +123,7 @@
 def _check_statements(
     kind: str,
     statements: Statements,
-    known: abc.Container[str],
+    known_names: abc.Container[str],
     problems: _fields.ProblemList,
 ) -> None:
     """Reports unknown names, ambiguous aliases, chains and cycles."""
@@ -135,7 +135,7 @@
             ("canonical", item.canonical),
             ("alias", item.alias),
         ):
-            if name not in known:
+            if name not in known_names:
                 problems.add(
                     f"{path}.{field}",
                     f"no accepted fleet file contains {name!r}",
--- a/packages/router/sycamoreloft_router/_answer_heads.py
+++ b/packages/router/sycamoreloft_router/_answer_heads.py
@@ -20,7 +20,7 @@
     #: case; empty if the protocol has no such header.
     echo_header: bytes = ECHO_HEADER
     #: Whether the close of the connection may mark the end of an answer. Such
-    #: an answer cannot be told from a truncated one.
+    #: an answer cannot be distinguished from a truncated one.
     accepts_close_delimited: bool = False
 
 
--- a/packages/router/sycamoreloft_router/_metric_text.py
+++ b/packages/router/sycamoreloft_router/_metric_text.py
@@ -31,7 +31,7 @@
     """
     registry = collectors.Registry()
     definitions = {item.name: item for item in _metrics.DEFINITIONS}
-    known = {
+    collectors_by_name = {
         item.name: _COLLECTORS[item.kind](
             item.name, item.help, registry=registry
         )
@@ -39,10 +39,10 @@
     }
     for (name, *labels), value in values.items():
         pairs = dict(zip(definitions[name].labels, labels, strict=True))
-        known[name].set_value(pairs, value)
+        collectors_by_name[name].set_value(pairs, value)
     for (name, *labels), item in histograms.items():
         pairs = dict(zip(definitions[name].labels, labels, strict=True))
-        known[name].set_value(pairs, _convert(item))
+        collectors_by_name[name].set_value(pairs, _convert(item))
     return bytes(formats.text.TextFormatter().marshall(registry))
 
 
--- a/packages/router/tests/test_bad_input.py
+++ b/packages/router/tests/test_bad_input.py
@@ -30,6 +30,7 @@
 
 
 def build_chunked_request(data):
+    """Builds a request with raw bytes in place of its chunks."""
     return add_header_lines(b"Transfer-Encoding: chunked", method="PUT") + data
 
 
@@ -166,6 +167,7 @@
 
 
 def encode_frame(*fields):
+    """Encodes a frame of the protocol between hosts."""
     return msgpack.packb(list(fields))
 
 
@@ -246,6 +248,7 @@
 
 
 def build_submission(body, *lines):
+    """Builds an operator's request that submits files."""
     return b"\r\n".join(
         [
             b"POST /v1/files HTTP/1.1",
@@ -258,6 +261,7 @@
 
 
 def build_file_submission(name, text="x"):
+    """Builds an operator's request that submits one file."""
     files = json.dumps({name: text}).encode()
     return build_submission(b'{"request": "r", "base": 1, "files": %s}' % files)
 
--- a/packages/router/tests/test_exchange.py
+++ b/packages/router/tests/test_exchange.py
@@ -296,8 +296,8 @@
     async def scenario(harness, upstream):
         async def send(number):
             caller = await harness.connect()
-            for turn in range(10):
-                target = f"/{number}-{turn}"
+            for round_number in range(10):
+                target = f"/{number}-{round_number}"
                 answer = await caller.send(build_head("DELETE", target=target))
                 if answer.outcome == "completed":
                     assert answer.body == target.encode()
@@ -398,16 +398,16 @@
     serve(scenario)
 
 
-async def keep_silent(request, writer, reader):
+async def never_answer(request, writer, reader):
     """Sends no answer, like a frozen upstream."""
     await reader.read(1)
     return False
 
 
-async def request_and_lose_upstream(harness, silent, head, body=b""):
+async def request_and_lose_upstream(harness, frozen, head, body=b""):
     """Sends a request and reports its upstream as lost after it arrived."""
     pending_answer = asyncio.ensure_future(harness.send(head, body))
-    await raw_peers.wait_until(lambda: silent.requests)
+    await raw_peers.wait_until(lambda: frozen.requests)
     harness.sources.lose_upstream()
     return await pending_answer
 
@@ -416,15 +416,15 @@
     """Guards against a wait for a frozen upstream until the deadline."""
 
     async def scenario(harness, upstream):
-        async with raw_peers.RawUpstream(keep_silent) as silent:
-            harness.sources.addresses = [silent.address]
+        async with raw_peers.RawUpstream(never_answer) as frozen:
+            harness.sources.addresses = [frozen.address]
             answer = await request_and_lose_upstream(
-                harness, silent, build_head()
+                harness, frozen, build_head()
             )
             assert answer.outcome == "completed"
             assert outcomes(harness) == ["unknown", "completed"]
             assert harness.sources.returned[0].connection_lost
-            await raw_peers.wait_until(lambda: silent.closed == 1)
+            await raw_peers.wait_until(lambda: frozen.closed == 1)
 
     serve(scenario)
 
@@ -436,14 +436,14 @@
     """Guards against a retry of a request that must not be repeated."""
 
     async def scenario(harness, upstream):
-        async with raw_peers.RawUpstream(keep_silent) as silent:
-            harness.sources.addresses = [silent.address]
+        async with raw_peers.RawUpstream(never_answer) as frozen:
+            harness.sources.addresses = [frozen.address]
             answer = await request_and_lose_upstream(
-                harness, silent, head, body
+                harness, frozen, head, body
             )
             assert answer.outcome == "unknown"
             assert outcomes(harness) == ["unknown"]
-            assert len(silent.requests) == 1
+            assert len(frozen.requests) == 1
             assert upstream.requests == []
             reported_results = [
                 item.outcome for item in harness.sources.reported_results
@@ -460,11 +460,11 @@
         claim = asyncio.Event()
         request_claim = harness.sources.request_claim
 
-        async def ask_late(request):
+        async def request_claim_late(request):
             await claim.wait()
             return await request_claim(request)
 
-        harness.sources.request_claim = ask_late
+        harness.sources.request_claim = request_claim_late
         pending_answer = asyncio.ensure_future(harness.send(WAGER, b"1"))
         await raw_peers.wait_until(lambda: harness.sources.loss_callbacks)
         harness.sources.lose_upstream()
--- a/packages/router/tests/test_upstream_client.py
+++ b/packages/router/tests/test_upstream_client.py
@@ -13,6 +13,7 @@
 
 
 def build_request(upstream, method="GET", body=None, **changes):
+    """Builds a request; `changes` replace its default fields."""
     values = {
         "address": getattr(upstream, "address", upstream),
         "method": method,
@@ -27,6 +28,7 @@
 
 
 async def fetch(client, *arguments, **changes):
+    """Runs a transfer to its end; returns it and the body of its answer."""
     transfer = client.start(build_request(*arguments, **changes))
     body = b""
     while not transfer.ended:
@@ -36,6 +38,8 @@
 
 
 def make_script(data, keep=True):
+    """Returns a script that answers each request with the same bytes."""
+
     async def script(_request, writer, _reader):
         writer.write(data)
         await writer.drain()
