--- a/packages/router/tests/fake_sources.py
+++ b/packages/router/tests/fake_sources.py
@@ -86,7 +86,7 @@
         if self.next_generation is not None:
             self.generation = self.next_generation
 
-    def find_partition_group(self, fleet, service, partition):
+    def compute_partition_group(self, fleet, service, partition):
         return self.near_groups[0] if self.near_groups else None
 
     def list_near_groups(self, fleet, service):
