--- a/packages/router/sycamoreloft_router/_caller_exchange.py
+++ b/packages/router/sycamoreloft_router/_caller_exchange.py
@@ -455,7 +455,7 @@
             connection.finish()
         else:
             asyncio.get_running_loop().call_later(
-                DISCARD_TIMEOUT_S, self._finish_early
+                DISCARD_TIMEOUT_S, self._stop_discarding
             )
 
     def _log_closed(self, event: str) -> None:
@@ -471,7 +471,7 @@
             ),
         )
 
-    def _finish_early(self) -> None:
+    def _stop_discarding(self) -> None:
         if not self._body_ended and not self._connection.stream.closed():
             self._connection.finish()
 
--- a/packages/router/sycamoreloft_router/_logs.py
+++ b/packages/router/sycamoreloft_router/_logs.py
@@ -87,7 +87,7 @@
 LIMITER = RateLimiter()
 
 
-class LogCost:
+class LogTime:
     """Processor time spent on log lines."""
 
     def __init__(self) -> None:
@@ -96,7 +96,7 @@
 
 
 #: Shared by all loggers of the process.
-COST = LogCost()
+LOG_TIME = LogTime()
 
 
 class JsonFormatter(logging.Formatter):
@@ -114,13 +114,18 @@
         }
         fields = getattr(record, "event_fields", None)
         if fields is None:
-            line |= {"event": "message", "message": _clip(record.getMessage())}
+            line |= {
+                "event": "message",
+                "message": _truncate(record.getMessage()),
+            }
         else:
             line |= {"event": record.msg}
             # Fields of the event must not replace those of the record.
-            line = {key: _clip(value) for key, value in fields.items()} | line
+            line = {
+                key: _truncate(value) for key, value in fields.items()
+            } | line
         if record.exc_info:
-            line["exception"] = _clip(self.formatException(record.exc_info))
+            line["exception"] = _truncate(self.formatException(record.exc_info))
         return json.dumps(line, sort_keys=True, default=str)
 
 
@@ -165,7 +170,7 @@
         fields["suppressed"] = suppressed
     exc_info = fields.pop("exc_info", None)
     logger.log(level, event, exc_info=exc_info, extra={"event_fields": fields})
-    COST.seconds += time.thread_time() - began
+    LOG_TIME.seconds += time.thread_time() - began
 
 
 class NonBlockingHandler(logging.Handler):
@@ -218,7 +223,7 @@
     logging.getLogger("tornado.general").setLevel(logging.ERROR)
 
 
-def _clip(value: typing.Any) -> typing.Any:
+def _truncate(value: typing.Any) -> typing.Any:
     if isinstance(value, str) and len(value) > MAXIMUM_TEXT_CHARACTERS:
         return value[:MAXIMUM_TEXT_CHARACTERS] + "..."
     return value
--- a/packages/router/sycamoreloft_router/_process_measures.py
+++ b/packages/router/sycamoreloft_router/_process_measures.py
@@ -15,7 +15,7 @@
         "sycamoreloft_log_lines_suppressed_total",
         value=float(_logs.LIMITER.suppressed_total),
     )
-    metrics.set("sycamoreloft_log_seconds_total", value=_logs.COST.seconds)
+    metrics.set("sycamoreloft_log_seconds_total", value=_logs.LOG_TIME.seconds)
 
 
 def read_memory() -> int:
