--- a/packages/router/sycamoreloft_router/_metric_text.py
+++ b/packages/router/sycamoreloft_router/_metric_text.py
@@ -1,7 +1,7 @@
-"""Writes metrics in the Prometheus text format.
+"""Renders metrics in the Prometheus text format.
 
-The library is slow to import, and many processes are never asked for their
-metrics; `_metrics` imports this module when it is needed.
+The library is slow to import, and the metrics of many processes are never
+read, so `_metrics` imports this module only when it renders them.
 """
 
 from collections import abc
@@ -26,12 +26,12 @@
     """Renders metrics.
 
     Args:
-        values: Counters and gauges, by name and values of the labels.
-        histograms: Histograms, by the same.
+        values: Counters and gauges, by name and label values.
+        histograms: Histograms, by name and label values.
     """
     registry = collectors.Registry()
     definitions = {item.name: item for item in _metrics.DEFINITIONS}
-    known = {
+    collectors_by_name = {
         item.name: _COLLECTORS[item.kind](
             item.name, item.help, registry=registry
         )
@@ -39,15 +39,15 @@
     }
     for (name, *labels), value in values.items():
         pairs = dict(zip(definitions[name].labels, labels, strict=True))
-        known[name].set_value(pairs, value)
+        collectors_by_name[name].set_value(pairs, value)
     for (name, *labels), item in histograms.items():
         pairs = dict(zip(definitions[name].labels, labels, strict=True))
-        known[name].set_value(pairs, _convert(item))
+        collectors_by_name[name].set_value(pairs, _convert(item))
     return bytes(formats.text.TextFormatter().marshall(registry))
 
 
 def _convert(item: _metrics.TimeHistogram) -> histogram.Histogram:
-    """Copies the counts, which the format wants cumulative."""
+    """Converts to a histogram of the library, whose counts are cumulative."""
     target = histogram.Histogram(*_metrics.TIME_BUCKETS)
     cumulative = list(itertools.accumulate(item.counts))
     target.buckets.update(zip(_metrics.TIME_BUCKETS, cumulative, strict=True))
