--- a/packages/decisions/sycamoreloft_decisions/_acceptance_rows.py
+++ b/packages/decisions/sycamoreloft_decisions/_acceptance_rows.py
@@ -67,15 +67,15 @@
 
 
 def is_based_on_newest(row: HeadRow, base: int) -> bool:
-    """Tells whether a submission on a base may be recorded.
+    """Returns whether a submission on a base may be recorded.
 
     Otherwise the second of two racing operators would undo the change of the
     first one without having seen it.
     """
-    return find_newest(row).number == base
+    return get_newest(row).number == base
 
 
-def find_newest(row: HeadRow) -> GenerationRecord:
+def get_newest(row: HeadRow) -> GenerationRecord:
     """Returns the generation on which the next submission must be based."""
     return row.pending or row.accepted
 
--- a/packages/decisions/sycamoreloft_decisions/_alias_release.py
+++ b/packages/decisions/sycamoreloft_decisions/_alias_release.py
@@ -56,7 +56,7 @@
 
     def __init__(self) -> None:
         self._calls = itertools.count(1)
-        self._number = 0
+        self._generation_number = 0
         self._canonicals: dict[_Reference, _Reference] = {}
         self._accepted: sycamoreloft_config.Generation | None = None
         self._pending: sycamoreloft_config.Generation | None = None
@@ -67,10 +67,10 @@
         ] = {}
         self._waiting: dict[tuple[str, str], list[str]] = {}
         self._read: tuple[int, float] | None = None
-        self._read_again_at = 0.0
+        self._next_read_at = 0.0
 
     def is_released(self, fleet: str, service: str) -> bool:
-        """Tells whether no alias of a canonical service has partitions.
+        """Returns whether no alias of a canonical service has partitions.
 
         Args:
             fleet: Fleet of the canonical service.
@@ -97,23 +97,25 @@
         self, event: _ownership.GenerationChanged, now: float
     ) -> abc.Sequence[ReadAliasRows]:
         accepted = event.generation
-        if accepted.number != self._number:
-            known = _list_canonicals(accepted)
+        if accepted.number != self._generation_number:
+            canonicals = _map_aliases(accepted)
             # A generation that this host has not seen may have given an
             # alias partitions of its own again.
-            is_next = accepted.number == self._number + 1
+            is_next = accepted.number == self._generation_number + 1
             self._released = {
-                alias: passed
-                for alias, passed in self._released.items()
-                if is_next and alias in known and _are_lost(accepted, passed)
+                alias: lost_groups
+                for alias, lost_groups in self._released.items()
+                if is_next
+                and alias in canonicals
+                and _are_declared_lost(accepted, lost_groups)
             }
-            self._canonicals = known
-            self._number = accepted.number
+            self._canonicals = canonicals
+            self._generation_number = accepted.number
             # Rows read under an earlier generation prove nothing: its
             # holders may have assigned partitions after the read.
             self._read = None
         self._accepted, self._pending = accepted, event.pending
-        self._refresh()
+        self._update_waiting()
         return ()
 
     @handle.register
@@ -122,10 +124,10 @@
     ) -> abc.Sequence[ReadAliasRows]:
         if self._finish_read(event.call) and self._accepted is not None:
             for alias in self._canonicals.keys() - self._released.keys():
-                groups = _list_recording(alias, event.tables)
-                if _are_lost(self._accepted, groups):
+                groups = _list_recording_groups(alias, event.tables)
+                if _are_declared_lost(self._accepted, groups):
                     self._released[alias] = groups
-            self._refresh()
+            self._update_waiting()
         return ()
 
     @handle.register
@@ -142,10 +144,10 @@
         if self._read and now >= self._read[1] + _timing.TABLE_TIMEOUT_S:
             self._read = None
         unreleased = self._canonicals.keys() - self._released.keys()
-        if not unreleased or self._read or now < self._read_again_at:
+        if not unreleased or self._read or now < self._next_read_at:
             return ()
         self._read = (next(self._calls), now)
-        self._read_again_at = now + ALIAS_READ_INTERVAL_S
+        self._next_read_at = now + ALIAS_READ_INTERVAL_S
         fleets = sorted({alias.fleet for alias in unreleased})
         return (
             ReadAliasRows(
@@ -160,7 +162,7 @@
         self._read = None
         return True
 
-    def _refresh(self) -> None:
+    def _update_waiting(self) -> None:
         """Lists what waits; permit requests look it up.
 
         A pending generation that lets a lost domain run again makes the
@@ -169,29 +171,30 @@
         """
         self._waiting = {}
         for alias, canonical in sorted(self._canonicals.items()):
-            passed = self._released.get(alias)
-            if passed is not None and (
-                self._pending is None or _are_lost(self._pending, passed)
+            lost_groups = self._released.get(alias)
+            if lost_groups is not None and (
+                self._pending is None
+                or _are_declared_lost(self._pending, lost_groups)
             ):
                 continue
             key = (canonical.fleet, canonical.service)
             self._waiting.setdefault(key, []).append(str(alias))
 
 
-def _list_canonicals(
+def _map_aliases(
     generation: sycamoreloft_config.Generation,
 ) -> dict[_Reference, _Reference]:
     """Returns the canonical service of each alias; keyed services only."""
-    found = {}
+    canonicals = {}
     for name, canonical_name in generation.merge.service_canonicals.items():
         alias = _Reference(*name.split("/"))
         canonical = _Reference(*canonical_name.split("/"))
         if generation.fleets[canonical.fleet].services[canonical.service].keyed:
-            found[alias] = canonical
-    return found
+            canonicals[alias] = canonical
+    return canonicals
 
 
-def _list_recording(
+def _list_recording_groups(
     alias: _Reference,
     tables: abc.Mapping[sycamoreloft_config.GroupName, _rows.AssignmentTable],
 ) -> frozenset[sycamoreloft_config.GroupName]:
@@ -207,11 +210,11 @@
     )
 
 
-def _are_lost(
+def _are_declared_lost(
     generation: sycamoreloft_config.Generation,
     groups: abc.Iterable[sycamoreloft_config.GroupName],
 ) -> bool:
-    """Tells whether all groups are in failure domains declared lost."""
+    """Returns whether all groups are in failure domains declared lost."""
     for group in groups:
         fleet = generation.fleets.get(group.fleet)
         domain = fleet and fleet.failure_domains.get(group.failure_domain)
--- a/packages/decisions/sycamoreloft_decisions/_grants.py
+++ b/packages/decisions/sycamoreloft_decisions/_grants.py
@@ -35,7 +35,7 @@
     content: Content
 
 
-class GrantBook:
+class UpstreamGrants:
     """The grants of one epoch to one upstream.
 
     Only one call is in flight at a time, and the answer to a call that timed
@@ -68,7 +68,7 @@
         self._incarnation = ""
         self._is_confirmed = False
         self._reading: float | None = None
-        self._reading_at = 0.0
+        self._reading_received_at = 0.0
         self._reading_sent_at = 0.0
         self._content: Content = {}
         self._version = 1
@@ -83,10 +83,10 @@
         # Certain end of all grants that were sent, and of those whose answer
         # is missing.
         self._sent_end = 0.0
-        self._doubtful_end = 0.0
+        self._unanswered_end = 0.0
 
     def needs_confirmation(self) -> bool:
-        """Tells whether grants wait until the store confirms the row.
+        """Returns whether grants wait until the store confirms the row.
 
         A restarted upstream has forgotten the highest epoch it has seen, so
         a holder that was replaced could have its grants accepted again. A
@@ -110,16 +110,16 @@
             self._is_confirmed = True
 
     def is_reachable(self, now: float) -> bool:
-        """Tells whether the upstream answers."""
+        """Returns whether the upstream answers."""
         if self._answered_at is None:
             return now < self._started_at + _timing.FIRST_CONTACT_S
         return now < self._answered_at + _timing.GRANT_CERTAIN_END_S
 
     def has_answered(self) -> bool:
-        """Tells whether the upstream answered in this epoch."""
+        """Returns whether the upstream answered in this epoch."""
         return self._answered_at is not None
 
-    def change(
+    def update_content(
         self, added: Content, removed: abc.Iterable[_ownership.Unit]
     ) -> Removal:
         """Changes the content of later grants.
@@ -138,10 +138,10 @@
     def is_released(
         self, removal: Removal, now: float, earlier_end: float
     ) -> bool:
-        """Tells whether the upstream certainly owns a removed unit no more.
+        """Returns whether the upstream certainly owns a removed unit no more.
 
         Args:
-            removal: What `change` returned.
+            removal: What `update_content` returned.
             now: Clock reading in seconds.
             earlier_end: Time at which all grants of earlier holders have
                 certainly ended.
@@ -155,11 +155,11 @@
         return (
             self.checks_fences
             and self._acked_version >= removal.version
-            and now >= self._doubtful_end
+            and now >= self._unanswered_end
         )
 
     def is_granted(self, unit: _ownership.Unit, fence: int, now: float) -> bool:
-        """Tells whether an acknowledged grant of a unit is in force."""
+        """Returns whether an acknowledged grant of a unit is in force."""
         return (
             now < self._in_force_until
             and self._acked_content.get(unit) == fence
@@ -167,7 +167,7 @@
         )
 
     def is_in_force(self, now: float) -> bool:
-        """Tells whether any acknowledged grant is in force."""
+        """Returns whether any acknowledged grant is in force."""
         return now < self._in_force_until
 
     def tick(
@@ -176,7 +176,7 @@
         """Sends a grant if one is due and the holder may act."""
         call = self._call
         if call and now >= call.sent_at + _timing.GRANT_TIMEOUT_S:
-            self._give_up_call(call)
+            self._abandon_call(call)
         if self._call or not may_act:
             return ()
         is_changed = self._is_confirmed and (
@@ -186,12 +186,14 @@
             return (self._send(now),)
         return ()
 
-    def fail(self, number: int) -> None:
+    def record_failure(self, number: int) -> None:
         """Notes that a call had no answer; it may still arrive."""
         if self._call and self._call.number == number:
-            self._give_up_call(self._call)
+            self._abandon_call(self._call)
 
-    def answer(self, event: _ownership.GrantAnswered, now: float) -> None:
+    def record_answer(
+        self, event: _ownership.GrantAnswered, now: float
+    ) -> None:
         """Notes the answer of the upstream."""
         call = self._call
         if call is None or call.number != event.call:
@@ -201,7 +203,7 @@
         self.draining = event.draining
         self.is_superseded = event.highest_epoch > self._epoch
         if event.incarnation != self._incarnation:
-            self._meet_incarnation(event.incarnation)
+            self._reset_for_incarnation(event.incarnation)
         elif event.accepted and call.reading_sent_at is not None:
             self._acked_version = call.version
             self._acked_content = call.content
@@ -220,10 +222,10 @@
         if is_late and self._is_confirmed and not self.is_superseded:
             self._next_send_at = now
         self._reading = event.clock_reading
-        self._reading_at = now
+        self._reading_received_at = now
         self._reading_sent_at = call.sent_at
 
-    def _meet_incarnation(self, incarnation: str) -> None:
+    def _reset_for_incarnation(self, incarnation: str) -> None:
         self._incarnation = incarnation
         self._is_confirmed = False
         self._sent_version = 0
@@ -231,11 +233,11 @@
         self._acked_content = {}
         self._in_force_until = 0.0
         # Grants to an earlier incarnation are rejected.
-        self._doubtful_end = 0.0
+        self._unanswered_end = 0.0
 
-    def _give_up_call(self, call: _Call) -> None:
+    def _abandon_call(self, call: _Call) -> None:
         self._call = None
-        self._doubtful_end = self._sent_end
+        self._unanswered_end = self._sent_end
 
     def _send(self, now: float) -> _ownership.SendGrant:
         reading = self._reading if self._is_confirmed else None
@@ -250,7 +252,9 @@
         )
         self._next_send_at = now + _timing.RENEWAL_INTERVAL_S
         if reading is not None:
-            self._sent_end = self._reading_at + _timing.GRANT_CERTAIN_END_S
+            self._sent_end = (
+                self._reading_received_at + _timing.GRANT_CERTAIN_END_S
+            )
             self._sent_version = self._version
         is_known = reading is not None and (
             self._acked_version == self._version
--- a/packages/decisions/sycamoreloft_decisions/_group_holder.py
+++ b/packages/decisions/sycamoreloft_decisions/_group_holder.py
@@ -43,7 +43,7 @@
         self._pending: sycamoreloft_config.Generation | None = None
         self._calls = itertools.count(1)
         self._explanations = _explanations.Explanations()
-        self._standby = _standby.StandbyDesk(host)
+        self._standby = _standby.StandbyPromises(host)
         self._takeover = _takeover.Takeover(
             host, incarnation, group, self._standby, self._calls, now
         )
@@ -53,7 +53,7 @@
         self._is_stopping = False
         # Epochs below this one have ended for this host. The answer to a
         # write that took an earlier epoch may still arrive.
-        self._ended_below = 0
+        self._minimum_epoch = 0
 
     def handle(
         self, event: _ownership.Event, now: float
@@ -62,11 +62,11 @@
         commands = self._dispatch(event, now)
         if self._holding:
             commands += self._holding.advance_after(event, now)
-            commands += self._notice_end(now)
+            commands += self._report_end(now)
         return commands
 
     def may_act(self, now: float) -> bool:
-        """Tells whether this host may send grants and issue permits now."""
+        """Returns whether this host may send grants and issue permits now."""
         return self._holding is not None and self._holding.may_act(now)
 
     def find_owner(
@@ -114,30 +114,30 @@
     def _(self, event: _ownership.Event, now: float) -> Commands:
         if self._holding:
             if isinstance(event, _ownership.RowsRead):
-                self._takeover.note_row(event, now)
+                self._takeover.record_row(event, now)
             return self._holding.handle(event, now)
-        taken, commands = self._takeover.receive(event, now)
-        if taken is None or taken.row.epoch < self._ended_below:
+        takeover, commands = self._takeover.handle_answer(event, now)
+        if takeover is None or takeover.row.epoch < self._minimum_epoch:
             return list(commands)
-        return self._begin_holding(taken, now)
+        return self._begin_holding(takeover, now)
 
     @_dispatch.register
     def _(self, event: _ownership.PromiseRequested, now: float) -> Commands:
         if event.epoch <= self.get_epoch():
             return [_ownership.AnswerPromise(False)]
-        return [self._standby.answer(event, now)]
+        return [self._standby.answer_request(event, now)]
 
     @_dispatch.register
     def _(self, event: _ownership.StepDownRequested, now: float) -> Commands:
         if self._holding and self._holding.get_epoch() < event.epoch:
             self._holding.end(f"epoch {event.epoch} has begun")
-        self._ended_below = max(self._ended_below, event.epoch)
+        self._minimum_epoch = max(self._minimum_epoch, event.epoch)
         return [_ownership.AnswerStepDown(True)]
 
     @_dispatch.register
     def _(self, event: _ownership.MembersObserved, now: float) -> Commands:
         self._members = event
-        self._takeover.observe(event)
+        self._takeover.record_members(event)
         return self._holding.handle(event, now) if self._holding else []
 
     @_dispatch.register
@@ -153,10 +153,12 @@
         self._standby.resign()
         return self._holding.handle(event, now) if self._holding else []
 
-    def _begin_holding(self, taken: _takeover.Taken, now: float) -> Commands:
+    def _begin_holding(
+        self, takeover: _takeover.TakeoverResult, now: float
+    ) -> Commands:
         self._holding = _holding.Holding(
             self._host,
-            taken,
+            takeover,
             self._generation,
             self._pending,
             self._calls,
@@ -167,15 +169,15 @@
         if self._is_stopping:
             self._holding.handle(_ownership.StopRequested(), now)
         sentence = (
-            f"{self._host} holds {self._group} in epoch {taken.row.epoch}."
+            f"{self._host} holds {self._group} in epoch {takeover.row.epoch}."
         )
         self._explanations.add(sentence)
         return [
-            _ownership.BecomeHolder(taken.row.epoch),
+            _ownership.BecomeHolder(takeover.row.epoch),
             _ownership.RecordDecision(sentence),
         ]
 
-    def _notice_end(self, now: float) -> Commands:
+    def _report_end(self, now: float) -> Commands:
         if self._holding is None or not self._holding.get_end_reason():
             return []
         epoch = self._holding.get_epoch()
--- a/packages/decisions/sycamoreloft_decisions/_holding.py
+++ b/packages/decisions/sycamoreloft_decisions/_holding.py
@@ -41,23 +41,23 @@
     def __init__(
         self,
         host: str,
-        taken: _takeover.Taken,
+        takeover: _takeover.TakeoverResult,
         generation: sycamoreloft_config.Generation,
         pending: sycamoreloft_config.Generation | None,
         calls: "itertools.count[int]",
         explanations: _explanations.Explanations,
         now: float,
     ) -> None:
-        group = taken.row.group
+        group = takeover.row.group
         self._calls = calls
         self._writer = _table_writer.TableWriter(group, calls)
         self._batch = _move_steps.Batch({}, [])
-        self._confirming: dict[str, str] = {}
-        self._heard: abc.Mapping[str, float] = {}
-        self._read: tuple[int, float] | None = None
-        self._read_again_at = now
-        self._place_again_at = now + _timing.PLACEMENT_INTERVAL_S
-        self._ask_again_at = now
+        self._incarnations_at_write: dict[str, str] = {}
+        self._last_progress: abc.Mapping[str, float] = {}
+        self._foreign_read: tuple[int, float] | None = None
+        self._next_read_at = now
+        self._next_placement_at = now + _timing.PLACEMENT_INTERVAL_S
+        self._next_step_down_at = now
         self._is_stopping = False
         self._end_reason = ""
         self._state = _holding_state.HoldingState(
@@ -68,21 +68,25 @@
             directory=_placement_groups.PartitionDirectory(generation),
             pending_directory=_make_directory(pending),
             authority=_authority.Authority(
-                host, taken.row, taken.row_version, taken.written_at, calls
+                host,
+                takeover.row,
+                takeover.row_version,
+                takeover.written_at,
+                calls,
             ),
-            owners=_owners.OwnerBook(group, taken.tables, generation),
+            owners=_owners.OwnerRecords(group, takeover.tables, generation),
             calls=calls,
             explanations=explanations,
-            taken_at=now,
-            earlier=list(taken.row.earlier),
-            earlier_end=taken.earlier_end,
-            offline_end=taken.offline_end,
+            taken_over_at=now,
+            earlier=list(takeover.row.earlier),
+            earlier_end=takeover.earlier_end,
+            offline_end=takeover.offline_end,
         )
         state = self._state
-        self._superseded = _move_steps.drop_superseded(state)
+        self._superseded = _move_steps.build_superseded_changes(state)
         state.owners.apply(self._superseded)
-        state.refresh_books(now)
-        state.find_unassigned()
+        state.update_grants(now)
+        state.update_unassigned()
 
     def get_epoch(self) -> int:
         """Returns the epoch of this holder."""
@@ -93,7 +97,7 @@
         return self._end_reason
 
     def may_act(self, now: float) -> bool:
-        """Tells whether the holder may act now."""
+        """Returns whether the holder may act now."""
         return not self._end_reason and self._state.authority.may_act(now)
 
     def end(self, reason: str) -> None:
@@ -109,7 +113,7 @@
         if not self.may_act(now):
             return _ownership.NoOwner(_ownership.WaitReason.NOT_HOLDER)
         move = state.moves.get(unit)
-        if move and move.is_held:
+        if move and move.is_paused:
             return _ownership.NoOwner(self._explain_move(move, now))
         assignment = state.owners.get(unit)
         if unit.key and assignment is None:
@@ -117,8 +121,8 @@
             return self.find_owner(partition, now)
         if assignment is None:
             return _ownership.NoOwner(self._explain_unassigned(unit, now))
-        book = state.books[assignment.upstream]
-        if not book.is_granted(unit, assignment.fence, now):
+        grants = state.grants_by_upstream[assignment.upstream]
+        if not grants.is_granted(unit, assignment.fence, now):
             reason = _ownership.WaitReason.UPSTREAM_UNREACHABLE
             return _ownership.NoOwner(reason)
         return _ownership.Owner(
@@ -141,9 +145,12 @@
         self, unit: _ownership.Unit, now: float
     ) -> _ownership.WaitReason:
         state = self._state
-        if not state.belongs(unit):
+        if not state.belongs_to_group(unit):
             return _ownership.WaitReason.OTHER_GROUP
-        if not state.is_foreign_known or state.owners.is_foreign(unit):
+        if (
+            not state.are_foreign_records_current
+            or state.owners.has_foreign_record(unit)
+        ):
             return _ownership.WaitReason.TRANSFER_PENDING
         if not any(
             state.is_usable(name, unit.service, now) for name in state.upstreams
@@ -162,37 +169,37 @@
 
     @handle.register
     def _(self, event: _ownership.MembersObserved, now: float) -> Commands:
-        self._heard = event.last_progress
+        self._last_progress = event.last_progress
         return []
 
     @handle.register
     def _(self, event: _ownership.PromiseAnswered, now: float) -> Commands:
-        self._state.authority.receive(event, now)
+        self._state.authority.record_promise(event, now)
         return []
 
     @handle.register
     def _(self, event: _ownership.StepDownAnswered, now: float) -> Commands:
         if event.stopped and event.epoch == self.get_epoch():
-            self._state.note_stopped(event.host, now)
+            self._state.record_stopped(event.host, now)
         return []
 
     @handle.register
     def _(self, event: _ownership.GrantAnswered, now: float) -> Commands:
-        book = self._state.books.get(event.upstream)
-        if book:
-            book.answer(event, now)
+        grants = self._state.grants_by_upstream.get(event.upstream)
+        if grants:
+            grants.record_answer(event, now)
         return []
 
     @handle.register
     def _(self, event: _ownership.GrantFailed, now: float) -> Commands:
-        book = self._state.books.get(event.upstream)
-        if book:
-            book.fail(event.call)
+        grants = self._state.grants_by_upstream.get(event.upstream)
+        if grants:
+            grants.record_failure(event.call)
         return []
 
     @handle.register
     def _(self, event: _ownership.UnitDrained, now: float) -> Commands:
-        self._state.moves.note_drained(event.unit)
+        self._state.moves.record_drained(event.unit)
         return []
 
     @handle.register
@@ -217,16 +224,16 @@
             # Other groups may have recorded more under the generation
             # before; their records are read again before anything is
             # assigned under the new one.
-            state.is_foreign_known = False
-            self._read = None
-            self._read_again_at = now
-            self._place_again_at = now
+            state.are_foreign_records_current = False
+            self._foreign_read = None
+            self._next_read_at = now
+            self._next_placement_at = now
             if not state.is_group_declared():
                 self.end("no accepted file has the group, or it is lost")
                 return []
-            state.refresh_books(now)
-            state.find_unassigned()
-        state.moves.drop_unassigned()
+            state.update_grants(now)
+            state.update_unassigned()
+        state.moves.cancel_unwritten_assignments()
         state.pending = event.pending
         state.pending_directory = _make_directory(event.pending)
         return []
@@ -234,24 +241,24 @@
     @handle.register
     def _(self, event: _ownership.RowsRead, now: float) -> Commands:
         if self._writer.owns_read(event.call):
-            settled, commands = self._writer.settle(event, now)
-            if settled is _table_writer.Settled.STORED:
+            status, commands = self._writer.settle(event, now)
+            if status is _table_writer.WriteStatus.STORED:
                 return self._finish_write(event.row_version)
-            if settled is _table_writer.Settled.LOST:
+            if status is _table_writer.WriteStatus.LOST:
                 self.end("the group row names another holder")
             return list(commands)
-        if self._read and self._read[0] == event.call:
-            self._read = None
+        if self._foreign_read and self._foreign_read[0] == event.call:
+            self._foreign_read = None
             state = self._state
-            state.owners.learn_foreign(event.tables, state.generation)
-            state.is_foreign_known = True
+            state.owners.set_foreign_records(event.tables, state.generation)
+            state.are_foreign_records_current = True
         return []
 
     @handle.register
     def _(self, event: _ownership.ReadFailed, now: float) -> Commands:
         self._writer.fail_read(event.call, now)
-        if self._read and self._read[0] == event.call:
-            self._read = None
+        if self._foreign_read and self._foreign_read[0] == event.call:
+            self._foreign_read = None
         return []
 
     @handle.register
@@ -279,15 +286,15 @@
         the rest is looked at with the next tick.
         """
         if isinstance(event, _ownership.GrantAnswered):
-            book = self._state.books.get(event.upstream)
+            grants = self._state.grants_by_upstream.get(event.upstream)
             if (
-                book is not None
+                grants is not None
                 and event.upstream in self._state.upstreams
                 and not self._end_reason
                 and not len(self._state.moves)
-                and not book.needs_confirmation()
+                and not grants.needs_confirmation()
             ):
-                return list(book.tick(now, self.may_act(now)))
+                return list(grants.tick(now, self.may_act(now)))
         return self.advance(now)
 
     def advance(self, now: float) -> Commands:
@@ -295,28 +302,28 @@
         if self._end_reason:
             return []
         state = self._state
-        commands: Commands = list(state.authority.ask(now))
-        state.authority.choose_candidate(self._heard, state.group, now)
-        state.update_earlier(now)
-        commands += self._ask_earlier(now)
+        commands: Commands = list(state.authority.request_promises(now))
+        state.authority.choose_candidate(self._last_progress, state.group, now)
+        state.expire_earlier(now)
+        commands += self._request_step_downs(now)
         if state.authority.may_act(now):
             commands += self._plan(now)
-            commands += _move_steps.progress(state, now)
+            commands += _move_steps.advance_moves(state, now)
         commands += self._writer.tick(now)
         commands += self._start_write(now)
-        commands += self._read_foreign(now)
-        commands += state.list_grants(now)
+        commands += self._read_foreign_records(now)
+        commands += state.send_due_grants(now)
         return commands
 
     def _plan(self, now: float) -> Commands:
         state = self._state
         commands: Commands = []
-        is_due = now >= self._place_again_at
+        is_due = now >= self._next_placement_at
         if is_due:
-            self._place_again_at = now + _timing.PLACEMENT_INTERVAL_S
-            commands += _planning.plan_away(state)
+            self._next_placement_at = now + _timing.PLACEMENT_INTERVAL_S
+            commands += _planning.plan_transfers(state)
         commands += _planning.plan_forced(state, now)
-        if not state.is_settled(now):
+        if not state.is_first_contact_over(now):
             return commands
         _planning.plan_unassigned(state)
         if is_due:
@@ -340,7 +347,8 @@
             batch = _move_steps.collect_batch(state, now)
         changes = {**self._superseded, **batch.changes}
         unconfirmed = any(
-            state.books[name].needs_confirmation() for name in state.upstreams
+            state.grants_by_upstream[name].needs_confirmation()
+            for name in state.upstreams
         )
         if not (
             changes or unconfirmed or state.authority.is_write_due(row, now)
@@ -348,8 +356,9 @@
             return []
         self._batch = batch
         self._superseded = {}
-        self._confirming = {
-            name: book.get_incarnation() for name, book in state.books.items()
+        self._incarnations_at_write = {
+            name: grants.get_incarnation()
+            for name, grants in state.grants_by_upstream.items()
         }
         return self._write(row, changes, now)
 
@@ -393,43 +402,46 @@
         state.authority.confirm(row, row_version, written_at)
         if row.holder != state.host:
             self.end("the group was handed over as planned")
-            return self._call_standby(row)
-        for name, incarnation in self._confirming.items():
-            state.books[name].confirm(incarnation)
-        self._confirming = {}
+            return self._notify_standby(row)
+        for name, incarnation in self._incarnations_at_write.items():
+            state.grants_by_upstream[name].confirm(incarnation)
+        self._incarnations_at_write = {}
         commands = _move_steps.apply_batch(state, self._batch)
         self._batch = _move_steps.Batch({}, [])
         return commands
 
-    def _call_standby(self, row: _rows.GroupRow) -> Commands:
+    def _notify_standby(self, row: _rows.GroupRow) -> Commands:
         if not row.standby:
             return []
         call = next(self._calls)
         return [_ownership.RequestPromise(call, row.standby, row.epoch, 0)]
 
-    def _ask_earlier(self, now: float) -> Commands:
-        if not self._state.earlier or now < self._ask_again_at:
+    def _request_step_downs(self, now: float) -> Commands:
+        if not self._state.earlier or now < self._next_step_down_at:
             return []
-        self._ask_again_at = now + _timing.STEP_DOWN_INTERVAL_S
+        self._next_step_down_at = now + _timing.STEP_DOWN_INTERVAL_S
         return [
             _ownership.RequestStepDown(item.host, self.get_epoch())
             for item in self._state.earlier
         ]
 
-    def _read_foreign(self, now: float) -> Commands:
+    def _read_foreign_records(self, now: float) -> Commands:
         """Reads other groups' records while a partition waits for them."""
         state = self._state
-        if self._read and now >= self._read[1] + _timing.TABLE_TIMEOUT_S:
-            self._read = None
-        if self._read or now < self._read_again_at:
+        if (
+            self._foreign_read
+            and now >= self._foreign_read[1] + _timing.TABLE_TIMEOUT_S
+        ):
+            self._foreign_read = None
+        if self._foreign_read or now < self._next_read_at:
             return []
-        if state.is_foreign_known and not any(
-            state.owners.is_foreign(unit) for unit in state.unassigned
+        if state.are_foreign_records_current and not any(
+            state.owners.has_foreign_record(unit) for unit in state.unassigned
         ):
             return []
-        self._read_again_at = now + _timing.TABLE_TIMEOUT_S
-        self._read = (next(self._calls), now)
-        return [_table_writer.make_read(state.group, self._read[0])]
+        self._next_read_at = now + _timing.TABLE_TIMEOUT_S
+        self._foreign_read = (next(self._calls), now)
+        return [_table_writer.make_read(state.group, self._foreign_read[0])]
 
 
 def _make_directory(
--- a/packages/decisions/sycamoreloft_decisions/_holding_state.py
+++ b/packages/decisions/sycamoreloft_decisions/_holding_state.py
@@ -39,13 +39,13 @@
     #: Right to act.
     authority: _authority.Authority
     #: Recorded owners.
-    owners: _owners.OwnerBook
+    owners: _owners.OwnerRecords
     #: Numbers for calls.
     calls: "itertools.count[int]"
     #: Sentences for operators.
     explanations: _explanations.Explanations
     #: Time at which the group was taken.
-    taken_at: float
+    taken_over_at: float
     #: Former holders not known to have stopped.
     earlier: list[_rows.EarlierHolder]
     #: Time at which their grants have certainly ended.
@@ -53,10 +53,12 @@
     #: The same by the offline limit alone.
     offline_end: float
     #: Moves under way.
-    moves: _moves.MoveBook = dataclasses.field(default_factory=_moves.MoveBook)
+    moves: _moves.ActiveMoves = dataclasses.field(
+        default_factory=_moves.ActiveMoves
+    )
     #: Grants by upstream, also of upstreams that can no longer be reached but
     #: are recorded as owners.
-    books: dict[str, _grants.GrantBook] = dataclasses.field(
+    grants_by_upstream: dict[str, _grants.UpstreamGrants] = dataclasses.field(
         default_factory=dict
     )
     #: Upstreams of the group in the accepted generation that are not lost.
@@ -71,14 +73,14 @@
     unassigned: set[_ownership.Unit] = dataclasses.field(default_factory=set)
     #: Whether the records of the other groups were read under the accepted
     #: generation. Those read before the group was taken may be older.
-    is_foreign_known: bool = False
+    are_foreign_records_current: bool = False
 
     def get_fleet(self) -> sycamoreloft_config.Fleet | None:
         """Returns the group's fleet, None if no file declares it now."""
         return self.generation.fleets.get(self.group.fleet)
 
     def is_group_declared(self) -> bool:
-        """Tells whether the accepted files have the group, and not as lost."""
+        """Returns whether the accepted files have the group, and not as lost."""
         fleet = self.get_fleet()
         if fleet is None:
             return False
@@ -99,7 +101,7 @@
         return min(limits, default=math.inf)
 
     def is_generation_current(self) -> bool:
-        """Tells whether this host knows the generation that was staged.
+        """Returns whether this host knows the generation that was staged.
 
         A generation that a predecessor staged may be in force already, and
         its partitions may have an owner in another group.
@@ -111,54 +113,54 @@
         """Returns when all grants of earlier holders have certainly ended."""
         return min(self.earlier_end, self.offline_end)
 
-    def is_vouched_lost(self, upstream: str) -> bool:
-        """Tells whether a file declares that an upstream no longer runs."""
+    def is_declared_lost(self, upstream: str) -> bool:
+        """Returns whether a file declares that an upstream no longer runs."""
         fleet = self.get_fleet()
-        found = fleet.upstreams.get(upstream) if fleet else None
-        return found is not None and found.lost
+        definition = fleet.upstreams.get(upstream) if fleet else None
+        return definition is not None and definition.lost
 
     def is_leaving(self, upstream: str) -> bool:
-        """Tells whether an upstream must get no new work."""
-        found = self.upstreams.get(upstream)
-        book = self.books.get(upstream)
-        return (found is not None and found.leaving) or (
-            book is not None and book.draining
+        """Returns whether an upstream must get no new work."""
+        definition = self.upstreams.get(upstream)
+        grants = self.grants_by_upstream.get(upstream)
+        return (definition is not None and definition.leaving) or (
+            grants is not None and grants.draining
         )
 
     def is_usable(self, upstream: str, service: str, now: float) -> bool:
-        """Tells whether an upstream can be given units of a service."""
-        found = self.upstreams.get(upstream)
+        """Returns whether an upstream can be given units of a service."""
+        definition = self.upstreams.get(upstream)
         return (
-            found is not None
-            and found.service == service
+            definition is not None
+            and definition.service == service
             and not self.is_leaving(upstream)
-            and self.books[upstream].has_answered()
-            and self.books[upstream].is_reachable(now)
+            and self.grants_by_upstream[upstream].has_answered()
+            and self.grants_by_upstream[upstream].is_reachable(now)
         )
 
-    def is_settled(self, now: float) -> bool:
-        """Tells whether every upstream has had its time to answer.
+    def is_first_contact_over(self, now: float) -> bool:
+        """Returns whether every upstream has had its time to answer.
 
         Before that, the first upstreams to answer would be given the units of
         all others.
         """
         return all(
-            book.has_answered() or not book.is_reachable(now)
-            for book in self.books.values()
+            grants.has_answered() or not grants.is_reachable(now)
+            for grants in self.grants_by_upstream.values()
         )
 
     def get_loads(self, service: str) -> _loads.ServiceLoads:
         """Returns the observed loads of a service."""
         if service not in self.loads:
             fleet = self.get_fleet()
-            found = fleet.services.get(service) if fleet else None
-            count = found.partitions if found else 1
+            definition = fleet.services.get(service) if fleet else None
+            count = definition.partitions if definition else 1
             self.loads[service] = _loads.ServiceLoads(
-                self.group.fleet, service, count, self.taken_at
+                self.group.fleet, service, count, self.taken_over_at
             )
         return self.loads[service]
 
-    def find_unassigned(self) -> None:
+    def update_unassigned(self) -> None:
         """Lists the partitions of this group that have no recorded owner."""
         self.unassigned = set()
         fleet = self.get_fleet()
@@ -169,26 +171,28 @@
                 continue
             for partition in range(service.partitions):
                 unit = _ownership.Unit(service.name, partition)
-                if self.owners.get(unit) is None and self.belongs(unit):
+                if self.owners.get(unit) is None and self.belongs_to_group(
+                    unit
+                ):
                     self.unassigned.add(unit)
 
-    def belongs(self, unit: _ownership.Unit) -> bool:
-        """Tells whether a unit belongs to this group."""
+    def belongs_to_group(self, unit: _ownership.Unit) -> bool:
+        """Returns whether a unit belongs to this group."""
         found = self.directory.get_group(
             self.group.fleet, unit.service, unit.partition
         )
         return found == self.group
 
-    def belongs_in_pending(self, unit: _ownership.Unit) -> bool:
-        """Tells whether the pending generation leaves a unit here."""
+    def belongs_in_pending_generation(self, unit: _ownership.Unit) -> bool:
+        """Returns whether the pending generation leaves a unit here."""
         if self.pending_directory is None:
             return True
-        found = self.pending_directory.get_group(
+        group = self.pending_directory.get_group(
             self.group.fleet, unit.service, unit.partition
         )
-        return found == self.group
+        return group == self.group
 
-    def refresh_books(self, now: float) -> None:
+    def update_grants(self, now: float) -> None:
         """Makes a grant book for each upstream and each recorded owner."""
         fleet = self.get_fleet()
         listed = (
@@ -199,10 +203,10 @@
         self.upstreams = {item.name: item for item in listed if not item.lost}
         names = [*self.upstreams, *self.owners.list_upstreams()]
         for name in names:
-            if name in self.books:
+            if name in self.grants_by_upstream:
                 continue
             upstream = self.upstreams.get(name)
-            book = _grants.GrantBook(
+            grants = _grants.UpstreamGrants(
                 name,
                 upstream is not None and upstream.checks_fences,
                 self.authority.get_row().epoch,
@@ -211,36 +215,36 @@
             )
             owned = {
                 unit: assignment.fence
-                for unit, assignment in self.owners.list_all().items()
+                for unit, assignment in self.owners.get_records().items()
                 if assignment.upstream == name
             }
-            book.change(owned, ())
-            self.books[name] = book
+            grants.update_content(owned, ())
+            self.grants_by_upstream[name] = grants
 
     def explain(self, sentence: str) -> _ownership.RecordDecision:
         """Keeps the sentence of a decision."""
         self.explanations.add(sentence)
         return _ownership.RecordDecision(sentence)
 
-    def list_grants(
+    def send_due_grants(
         self, now: float
     ) -> "collections.abc.Iterable[_ownership.SendGrant]":
         """Sends the grants that are due."""
         may_act = self.authority.may_act(now)
         for name in self.upstreams:
-            yield from self.books[name].tick(now, may_act)
+            yield from self.grants_by_upstream[name].tick(now, may_act)
 
-    def update_earlier(self, now: float) -> None:
+    def expire_earlier(self, now: float) -> None:
         """Forgets earlier holders that the offline limit has stopped."""
         if self.earlier and now >= self.offline_end:
             self.earlier.clear()
             self.earlier_end = min(self.earlier_end, self.offline_end)
 
-    def note_stopped(self, host: str, now: float) -> None:
+    def record_stopped(self, host: str, now: float) -> None:
         """Notes that an earlier holder has stopped acting."""
-        left = [item for item in self.earlier if item.host != host]
-        if len(left) == len(self.earlier):
+        remaining = [item for item in self.earlier if item.host != host]
+        if len(remaining) == len(self.earlier):
             return
-        self.earlier[:] = left
-        if not left:
+        self.earlier[:] = remaining
+        if not remaining:
             self.earlier_end = now + _timing.GRANT_CERTAIN_END_S
--- a/packages/decisions/sycamoreloft_decisions/_move_steps.py
+++ b/packages/decisions/sycamoreloft_decisions/_move_steps.py
@@ -25,18 +25,18 @@
     moves: list[_moves.Move]
 
 
-def progress(state: _holding_state.HoldingState, now: float) -> Commands:
+def advance_moves(state: _holding_state.HoldingState, now: float) -> Commands:
     """Releases old owners and ends moves whose new owner is granted."""
     commands: Commands = []
-    releasing = state.moves.list_in(_moves.Phase.RELEASING)
+    releasing = state.moves.list_in_phases(_moves.Phase.RELEASING)
     for move in releasing:
-        if move.kind is _moves.Kind.TAKE_OUT and move.removal is None:
+        if move.kind is _moves.Kind.SPLIT_KEY and move.removal is None:
             commands += _refence_partition(state, move)
     _remove_from_grants(state, releasing)
     for move in releasing:
         if _is_released(state, move, now):
             move.phase = _moves.Phase.READY
-    for move in state.moves.list_in(_moves.Phase.GRANTING):
+    for move in state.moves.list_in_phases(_moves.Phase.GRANTING):
         if _is_granted(state, move, now):
             commands += state.moves.finish(move)
     return commands
@@ -71,11 +71,13 @@
 ) -> None:
     by_upstream: dict[str, list[_moves.Move]] = {}
     for move in releasing:
-        if move.removal is None and move.kind is not _moves.Kind.TAKE_OUT:
+        if move.removal is None and move.kind is not _moves.Kind.SPLIT_KEY:
             assert move.source is not None
             by_upstream.setdefault(move.source.upstream, []).append(move)
     for name, moves in by_upstream.items():
-        removal = state.books[name].change({}, [move.unit for move in moves])
+        removal = state.grants_by_upstream[name].update_content(
+            {}, [move.unit for move in moves]
+        )
         for move in moves:
             move.removal = removal
 
@@ -83,28 +85,28 @@
 def _is_released(
     state: _holding_state.HoldingState, move: _moves.Move, now: float
 ) -> bool:
-    if move.is_vouched:
-        return move.kind is not _moves.Kind.TAKE_OUT
+    if move.is_owner_lost:
+        return move.kind is not _moves.Kind.SPLIT_KEY
     if move.removal is None or move.source is None:
         return False
-    book = state.books[move.source.upstream]
-    return book.is_released(move.removal, now, state.get_earlier_end())
+    grants = state.grants_by_upstream[move.source.upstream]
+    return grants.is_released(move.removal, now, state.get_earlier_end())
 
 
 def _is_granted(
     state: _holding_state.HoldingState, move: _moves.Move, now: float
 ) -> bool:
-    """Tells whether the new owner runs the unit, or is lost in its turn."""
-    if move.planned is None:
+    """Returns whether the new owner runs the unit, or is lost in its turn."""
+    if move.new_assignment is None:
         return True
     unit = move.unit
-    if move.kind is _moves.Kind.GIVE_BACK:
+    if move.kind is _moves.Kind.MERGE_KEY:
         unit = _ownership.Unit(unit.service, unit.partition)
-    if state.owners.get(unit) != move.planned:
+    if state.owners.get(unit) != move.new_assignment:
         return True
-    book = state.books[move.planned.upstream]
-    return not book.is_reachable(now) or book.is_granted(
-        unit, move.planned.fence, now
+    grants = state.grants_by_upstream[move.new_assignment.upstream]
+    return not grants.is_reachable(now) or grants.is_granted(
+        unit, move.new_assignment.fence, now
     )
 
 
@@ -112,7 +114,7 @@
     """Plans the records of all moves whose old owner is released."""
     batch = Batch({}, [])
     views: dict[str, _placement.LoadView] = {}
-    for move in state.moves.list_in(_moves.Phase.READY):
+    for move in state.moves.list_in_phases(_moves.Phase.READY):
         if _plan_record(state, move, views, batch, now):
             move.phase = _moves.Phase.WRITING
             batch.moves.append(move)
@@ -127,11 +129,11 @@
     now: float,
 ) -> bool:
     """Adds the record of one move; returns whether it can be written."""
-    if move.kind is _moves.Kind.AWAY:
+    if move.kind is _moves.Kind.OTHER_GROUP:
         batch.changes[move.unit] = None
         return True
-    if move.kind is _moves.Kind.GIVE_BACK:
-        return _plan_give_back(state, move, batch)
+    if move.kind is _moves.Kind.MERGE_KEY:
+        return _plan_key_merge(state, move, batch)
     if move.kind is _moves.Kind.REFENCE:
         target = move.target
     else:
@@ -140,12 +142,14 @@
         target = _choose_target(state, move, views, now)
     if not target:
         return False
-    move.planned = _rows.Assignment(target, state.owners.choose_fence())
-    batch.changes[move.unit] = move.planned
+    move.new_assignment = _rows.Assignment(
+        target, state.owners.allocate_fence()
+    )
+    batch.changes[move.unit] = move.new_assignment
     return True
 
 
-def _plan_give_back(
+def _plan_key_merge(
     state: _holding_state.HoldingState, move: _moves.Move, batch: Batch
 ) -> bool:
     partition = _ownership.Unit(move.unit.service, move.unit.partition)
@@ -154,9 +158,11 @@
         return False
     if partition in batch.changes:
         return False
-    move.planned = _rows.Assignment(owner.upstream, state.owners.choose_fence())
+    move.new_assignment = _rows.Assignment(
+        owner.upstream, state.owners.allocate_fence()
+    )
     batch.changes[move.unit] = None
-    batch.changes[partition] = move.planned
+    batch.changes[partition] = move.new_assignment
     return True
 
 
@@ -165,14 +171,16 @@
 ) -> bool:
     """Gives a unit back to its recorded owner if that owner has returned."""
     source = move.source
-    if source is None or move.kind is not _moves.Kind.ANYWHERE:
+    if source is None or move.kind is not _moves.Kind.ANY_UPSTREAM:
         return False
     if state.owners.get(move.unit) != source:
         return False
     if not state.is_usable(source.upstream, move.unit.service, now):
         return False
-    state.books[source.upstream].change({move.unit: source.fence}, ())
-    move.planned = source
+    state.grants_by_upstream[source.upstream].update_content(
+        {move.unit: source.fence}, ()
+    )
+    move.new_assignment = source
     move.phase = _moves.Phase.GRANTING
     return True
 
@@ -186,10 +194,10 @@
     service = move.unit.service
     if move.target and state.is_usable(move.target, service, now):
         return move.target
-    if not state.is_settled(now):
+    if not state.is_first_contact_over(now):
         return ""
     if service not in views:
-        views[service] = _planning.make_view(state, service, now)
+        views[service] = _planning.build_load_view(state, service, now)
     load = state.get_loads(service).get_load(move.unit)
     return views[service].choose_target(move.unit, load)
 
@@ -202,37 +210,37 @@
     added: dict[str, dict[_ownership.Unit, int]] = {}
     refenced: dict[_ownership.Unit, str] = {}
     for unit, assignment in batch.changes.items():
-        if assignment is not None and not _is_leaving_owner(
+        if assignment is not None and not _was_removed_during_write(
             state, unit, assignment, batch
         ):
             units = added.setdefault(assignment.upstream, {})
             units[unit] = assignment.fence
     removals = {
-        name: state.books[name].change(units, ())
+        name: state.grants_by_upstream[name].update_content(units, ())
         for name, units in added.items()
     }
     for move in batch.moves:
         move.phase = _moves.Phase.GRANTING
-        if move.kind is _moves.Kind.AWAY:
+        if move.kind is _moves.Kind.OTHER_GROUP:
             commands += state.moves.finish(move)
-            _reclaim(state, move.unit)
+            _restore_unassigned(state, move.unit)
         elif move.kind is _moves.Kind.REFENCE:
             refenced[move.unit] = move.target
             commands += state.moves.finish(move)
-    for move in state.moves.list_in(_moves.Phase.RELEASING):
+    for move in state.moves.list_in_phases(_moves.Phase.RELEASING):
         unit = _ownership.Unit(move.unit.service, move.unit.partition)
-        if move.kind is _moves.Kind.TAKE_OUT and unit in refenced:
+        if move.kind is _moves.Kind.SPLIT_KEY and unit in refenced:
             move.removal = removals[refenced[unit]]
     return commands
 
 
-def _is_leaving_owner(
+def _was_removed_during_write(
     state: _holding_state.HoldingState,
     unit: _ownership.Unit,
     assignment: _rows.Assignment,
     batch: Batch,
 ) -> bool:
-    """Tells whether a unit was taken from its owner during the write.
+    """Returns whether a unit was taken from its owner during the write.
 
     The return of a hot key writes the fence of its partition, whose owner may
     be lost meanwhile. The partition must not be granted to it again.
@@ -244,18 +252,20 @@
     return move.removal is not None
 
 
-def _reclaim(state: _holding_state.HoldingState, unit: _ownership.Unit) -> None:
+def _restore_unassigned(
+    state: _holding_state.HoldingState, unit: _ownership.Unit
+) -> None:
     """Assigns a partition anew that came back while its release was written.
 
     Another group may have recorded it meanwhile, so the records are read
     again first.
     """
-    if not unit.key and state.belongs(unit):
+    if not unit.key and state.belongs_to_group(unit):
         state.unassigned.add(unit)
-        state.is_foreign_known = False
+        state.are_foreign_records_current = False
 
 
-def drop_superseded(
+def build_superseded_changes(
     state: _holding_state.HoldingState,
 ) -> _owners.Changes:
     """Lists records to remove because another group has later ones."""
--- a/packages/decisions/sycamoreloft_decisions/_moves.py
+++ b/packages/decisions/sycamoreloft_decisions/_moves.py
@@ -26,15 +26,15 @@
     """Why and to where a unit moves."""
 
     #: To any upstream of the group.
-    ANYWHERE = "anywhere"
+    ANY_UPSTREAM = "anywhere"
     #: To the upstream that placement chose.
-    CHOSEN = "chosen"
+    CHOSEN_UPSTREAM = "chosen"
     #: To another group: the record is removed.
-    AWAY = "away"
+    OTHER_GROUP = "away"
     #: A hot key leaves its partition and gets a record of its own.
-    TAKE_OUT = "take-out"
+    SPLIT_KEY = "take-out"
     #: A hot key returns to its partition.
-    GIVE_BACK = "give-back"
+    MERGE_KEY = "give-back"
     #: The partition gets a new fence, so that the owner refuses the requests
     #: of a hot key that were issued before it was taken out.
     REFENCE = "refence"
@@ -55,19 +55,19 @@
     #: Upstream that placement chose, empty for any.
     target: str = ""
     #: Whether permits are held back.
-    is_held: bool = False
+    is_paused: bool = False
     #: Whether a file vouches that the old owner no longer runs.
-    is_vouched: bool = False
+    is_owner_lost: bool = False
     #: Proof obligation of the old owner.
     removal: _grants.Removal | None = None
     #: New record while it is written and granted.
-    planned: _rows.Assignment | None = None
+    new_assignment: _rows.Assignment | None = None
     #: For a hot key: new fence of its partition, recorded before the old
     #: owner is released.
     partition_fence: int = 0
 
 
-class MoveBook:
+class ActiveMoves:
     """The moves of one group that are under way."""
 
     def __init__(self) -> None:
@@ -85,29 +85,29 @@
         self._moves[move.unit] = move
         if move.source is None or move.kind is Kind.REFENCE:
             return ()
-        move.is_held = True
+        move.is_paused = True
         return (_ownership.PauseUnit(move.unit),)
 
     def finish(self, move: Move) -> abc.Sequence[_ownership.Command]:
         """Ends a move and issues permits for its unit again."""
         del self._moves[move.unit]
-        if not move.is_held:
+        if not move.is_paused:
             return ()
         return (_ownership.ResumeUnit(move.unit),)
 
-    def drop_unassigned(self) -> None:
+    def cancel_unwritten_assignments(self) -> None:
         """Forgets assignments of units without an owner, unless written."""
-        for move in self.list_in(Phase.READY):
+        for move in self.list_in_phases(Phase.READY):
             if move.source is None:
                 del self._moves[move.unit]
 
-    def note_drained(self, unit: _ownership.Unit) -> None:
+    def record_drained(self, unit: _ownership.Unit) -> None:
         """Notes that no permit of a unit is outstanding."""
         move = self._moves.get(unit)
         if move and move.phase is Phase.DRAINING:
             move.phase = Phase.RELEASING
 
-    def list_in(self, *phases: Phase) -> list[Move]:
+    def list_in_phases(self, *phases: Phase) -> list[Move]:
         """Lists the moves in any of the phases."""
         return [move for move in self._moves.values() if move.phase in phases]
 
--- a/packages/decisions/sycamoreloft_decisions/_owners.py
+++ b/packages/decisions/sycamoreloft_decisions/_owners.py
@@ -10,7 +10,7 @@
 Changes = abc.Mapping[_ownership.Unit, _rows.Assignment | None]
 
 
-class OwnerBook:
+class OwnerRecords:
     """What the store records as the owners of one group.
 
     Args:
@@ -33,15 +33,15 @@
         self._by_upstream: dict[str, set[_ownership.Unit]] = {}
         self._rows: dict[str, dict[typing.Any, _rows.Assignment]] = {}
         self._last_fence = 0
-        self._foreign: dict[
+        self._foreign_records: dict[
             _ownership.Unit, tuple[sycamoreloft_config.GroupName, int]
         ] = {}
         self._foreign_partitions: set[tuple[str, int]] = set()
         own = tables.get(group, _rows.EMPTY_TABLE)
         self.apply(self._list_units(own))
-        self.learn_foreign(tables, generation)
+        self.set_foreign_records(tables, generation)
 
-    def learn_foreign(
+    def set_foreign_records(
         self,
         tables: abc.Mapping[
             sycamoreloft_config.GroupName, _rows.AssignmentTable
@@ -54,19 +54,19 @@
         """
         self._generation = generation
         fleet = generation.fleets.get(self._group.fleet)
-        self._foreign = {}
+        self._foreign_records = {}
         self._foreign_partitions = set()
         for group, table in tables.items():
             if group == self._group:
                 continue
             units = self._list_units(table)
-            fences = [item.fence for item in units.values()]
+            fences = [record.fence for record in units.values()]
             self._last_fence = max([self._last_fence, *fences])
             domain = fleet and fleet.failure_domains.get(group.failure_domain)
             if domain and domain.lost:
                 continue
             for unit, assignment in units.items():
-                self._foreign[unit] = (group, assignment.fence)
+                self._foreign_records[unit] = (group, assignment.fence)
                 self._foreign_partitions.add((unit.service, unit.partition))
 
     def list_superseded(self) -> list[_ownership.Unit]:
@@ -77,12 +77,12 @@
         """
         return [
             unit
-            for unit, (_, fence) in self._foreign.items()
+            for unit, (_, fence) in self._foreign_records.items()
             if unit in self._owners and self._owners[unit].fence < fence
         ]
 
-    def is_foreign(self, unit: _ownership.Unit) -> bool:
-        """Tells whether another group records a partition or its hot keys."""
+    def has_foreign_record(self, unit: _ownership.Unit) -> bool:
+        """Returns whether another group records a partition or its hot keys."""
         return (unit.service, unit.partition) in self._foreign_partitions
 
     def get(self, unit: _ownership.Unit) -> _rows.Assignment | None:
@@ -97,11 +97,11 @@
         """Lists the units of one upstream."""
         return self._by_upstream.get(upstream, set())
 
-    def list_all(self) -> abc.Mapping[_ownership.Unit, _rows.Assignment]:
+    def get_records(self) -> abc.Mapping[_ownership.Unit, _rows.Assignment]:
         """Returns all records."""
         return self._owners
 
-    def choose_fence(self) -> int:
+    def allocate_fence(self) -> int:
         """Returns a fence above all recorded ones of the fleet."""
         self._last_fence += 1
         return self._last_fence
@@ -110,7 +110,7 @@
         """Encodes the rows as they are after the changes."""
         rows: dict[str, dict[typing.Any, _rows.Assignment]] = {}
         for unit, assignment in changes.items():
-            key = self._format_key(unit)
+            key = self._format_row_key(unit)
             if key not in rows:
                 rows[key] = dict(self._rows.get(key, {}))
             name: typing.Any = unit.key or unit.partition
@@ -124,7 +124,7 @@
         """Applies changes that the store has acknowledged."""
         for unit, assignment in changes.items():
             old = self._owners.pop(unit, None)
-            row = self._rows.setdefault(self._format_key(unit), {})
+            row = self._rows.setdefault(self._format_row_key(unit), {})
             row.pop(unit.key or unit.partition, None)
             if old:
                 self._by_upstream[old.upstream].discard(unit)
@@ -136,7 +136,7 @@
             owned.add(unit)
             self._last_fence = max(self._last_fence, assignment.fence)
 
-    def _format_key(self, unit: _ownership.Unit) -> str:
+    def _format_row_key(self, unit: _ownership.Unit) -> str:
         if unit.key:
             return _rows.format_hot_keys_key(self._group, unit.service)
         return _rows.format_partition_key(
@@ -159,8 +159,8 @@
     def make_hot_unit(self, service: str, key: str) -> _ownership.Unit:
         """Builds the unit of a hot key."""
         fleet = self._generation.fleets.get(self._group.fleet)
-        found = fleet.services.get(service) if fleet else None
-        count = found.partitions if found else 1
+        definition = fleet.services.get(service) if fleet else None
+        count = definition.partitions if definition else 1
         partition = sycamoreloft_config.compute_partition(
             self._group.fleet, service, key, count
         )
--- a/packages/decisions/sycamoreloft_decisions/_placement.py
+++ b/packages/decisions/sycamoreloft_decisions/_placement.py
@@ -111,7 +111,7 @@
             key=lambda name: (-self._loads[name] / self._slots[name], name),
         )
 
-    def propose(
+    def propose_move(
         self, unit: _ownership.Unit, source: str, load: float
     ) -> Proposal | None:
         """Proposes the best move of a unit, None if no move pays."""
@@ -121,19 +121,23 @@
         if target == source:
             return None
         gain = self._compute_gain(source, target, load)
-        price = self._compute_price(source)
-        if gain <= price * (1 + HYSTERESIS):
+        move_cost = self._compute_move_cost(source)
+        if gain <= move_cost * (1 + HYSTERESIS):
             return None
-        return Proposal(unit, source, target, gain - price)
+        return Proposal(unit, source, target, gain - move_cost)
 
     def _compute_gain(self, source: str, target: str, load: float) -> float:
         if not self._total:
             return 0.0
-        before = self._square(source, 0.0) + self._square(target, 0.0)
-        after = self._square(source, -load) + self._square(target, load)
+        before = self._compute_imbalance(source, 0.0) + self._compute_imbalance(
+            target, 0.0
+        )
+        after = self._compute_imbalance(
+            source, -load
+        ) + self._compute_imbalance(target, load)
         return self._weights.imbalance * IMBALANCE_HORIZON * (before - after)
 
-    def _compute_price(self, source: str) -> float:
+    def _compute_move_cost(self, source: str) -> float:
         """Returns the cost of moving one unit."""
         share = 1 / self._unit_count
         return share * (
@@ -141,7 +145,7 @@
             + self._weights.unavailable * self._move_s[source]
         )
 
-    def _square(self, name: str, added: float) -> float:
+    def _compute_imbalance(self, name: str, added: float) -> float:
         share = self._slots[name] / self._all_slots
         fair = self._total * share
         return share * ((self._loads[name] + added) / fair - 1) ** 2
--- a/packages/decisions/sycamoreloft_decisions/_placement_groups.py
+++ b/packages/decisions/sycamoreloft_decisions/_placement_groups.py
@@ -21,7 +21,7 @@
         self._weights: dict[
             tuple[str, str], list[tuple[sycamoreloft_config.GroupName, int]]
         ] = {}
-        self._found: dict[
+        self._groups: dict[
             tuple[str, str, int], sycamoreloft_config.GroupName | None
         ] = {}
 
@@ -34,9 +34,9 @@
         own; its holders release what they recorded.
         """
         key = (fleet, service, partition)
-        if key not in self._found:
-            self._found[key] = self._choose(fleet, service, partition)
-        return self._found[key]
+        if key not in self._groups:
+            self._groups[key] = self._choose(fleet, service, partition)
+        return self._groups[key]
 
     def _choose(
         self, fleet: str, service: str, partition: int
--- a/packages/decisions/sycamoreloft_decisions/_planning.py
+++ b/packages/decisions/sycamoreloft_decisions/_planning.py
@@ -14,15 +14,15 @@
 
 #: Planned moves of one group under way at once. Each holds back the requests
 #: of its unit for a moment.
-MAXIMUM_PLANNED = 16
+MAXIMUM_PLANNED_MOVES = 16
 #: Individually placed keys of one service in one group.
 MAXIMUM_HOT_KEYS = 256
 #: Load of a key, in shares of the mean load of an upstream, above which it is
 #: placed by itself.
-HOT_SHARE = 0.25
+HOT_KEY_LOAD_SHARE = 0.25
 #: Share of that load below which the key returns to its partition; the gap
 #: keeps a key from going back and forth.
-COLD_SHARE = 0.25
+COLD_KEY_LOAD_SHARE = 0.25
 
 Commands = list[_ownership.Command]
 
@@ -31,14 +31,14 @@
     """Starts the moves that a loss, a file or a leaving upstream forces."""
     commands: Commands = []
     for name in state.owners.list_upstreams():
-        book = state.books[name]
-        if state.is_vouched_lost(name):
+        grants = state.grants_by_upstream[name]
+        if state.is_declared_lost(name):
             commands += _start_forced(state, name, "a file declares it lost")
         elif name not in state.upstreams:
             commands += _start_forced(
                 state, name, "no accepted file has it in this group"
             )
-        elif not book.is_reachable(now):
+        elif not grants.is_reachable(now):
             commands += _start_forced(state, name, "it does not answer")
         elif state.is_leaving(name):
             commands += _start_leaving(state, name)
@@ -55,13 +55,13 @@
     """
     commands: Commands = []
     removed = []
-    is_vouched = state.is_vouched_lost(name)
+    is_owner_lost = state.is_declared_lost(name)
     for unit in sorted(state.owners.list_owned(name)):
         move = state.moves.get(unit)
         if move is None:
             move = _moves.Move(
                 unit,
-                _moves.Kind.ANYWHERE,
+                _moves.Kind.ANY_UPSTREAM,
                 _moves.Phase.RELEASING,
                 state.owners.get(unit),
             )
@@ -72,7 +72,7 @@
         elif move.kind is _moves.Kind.REFENCE:
             commands += _abandon_refence(state, move)
             continue
-        move.is_vouched = is_vouched
+        move.is_owner_lost = is_owner_lost
     if removed:
         commands.append(
             state.explain(
@@ -91,7 +91,7 @@
     commands: Commands = list(state.moves.finish(move))
     for other in state.moves.list_all():
         if (
-            other.kind is _moves.Kind.TAKE_OUT
+            other.kind is _moves.Kind.SPLIT_KEY
             and other.unit.service == move.unit.service
             and other.unit.partition == move.unit.partition
         ):
@@ -109,7 +109,9 @@
     started = 0
     for unit in sorted(state.owners.list_owned(name)):
         if state.moves.get(unit) is None and not _is_key_moving(state, unit):
-            commands += _start_planned(state, unit, _moves.Kind.ANYWHERE, "")
+            commands += _start_planned(
+                state, unit, _moves.Kind.ANY_UPSTREAM, ""
+            )
             started += 1
     if started:
         commands.append(
@@ -129,16 +131,18 @@
     return list(state.moves.add(move))
 
 
-def plan_away(state: _holding_state.HoldingState) -> Commands:
+def plan_transfers(state: _holding_state.HoldingState) -> Commands:
     """Starts the release of units that belong to another group now."""
     commands: Commands = []
     started = 0
-    for unit in list(state.owners.list_all()):
+    for unit in list(state.owners.get_records()):
         move = state.moves.get(unit)
         if move is not None:
-            _redirect(move, state.belongs(unit))
-        elif not state.belongs(unit) and not _is_key_moving(state, unit):
-            commands += _start_planned(state, unit, _moves.Kind.AWAY, "")
+            _redirect(move, state.belongs_to_group(unit))
+        elif not state.belongs_to_group(unit) and not _is_key_moving(
+            state, unit
+        ):
+            commands += _start_planned(state, unit, _moves.Kind.OTHER_GROUP, "")
             started += 1
     if started:
         commands.append(
@@ -150,50 +154,55 @@
     return commands
 
 
-def _redirect(move: _moves.Move, belongs: bool) -> None:
+def _redirect(move: _moves.Move, belongs_to_group: bool) -> None:
     """Adapts a move whose unit changed its group before it was written."""
     if move.phase in (_moves.Phase.WRITING, _moves.Phase.GRANTING):
         return
-    if belongs and move.kind is _moves.Kind.AWAY:
-        move.kind = _moves.Kind.ANYWHERE
-    elif not belongs and move.kind in (
-        _moves.Kind.ANYWHERE,
-        _moves.Kind.CHOSEN,
+    if belongs_to_group and move.kind is _moves.Kind.OTHER_GROUP:
+        move.kind = _moves.Kind.ANY_UPSTREAM
+    elif not belongs_to_group and move.kind in (
+        _moves.Kind.ANY_UPSTREAM,
+        _moves.Kind.CHOSEN_UPSTREAM,
     ):
-        move.kind = _moves.Kind.AWAY
+        move.kind = _moves.Kind.OTHER_GROUP
 
 
 def plan_unassigned(state: _holding_state.HoldingState) -> None:
     """Starts the assignment of partitions that have no recorded owner."""
-    if not state.is_foreign_known or not state.is_generation_current():
+    if (
+        not state.are_foreign_records_current
+        or not state.is_generation_current()
+    ):
         return
     for unit in sorted(state.unassigned):
-        if state.moves.get(unit) or state.owners.is_foreign(unit):
+        if state.moves.get(unit) or state.owners.has_foreign_record(unit):
             continue
-        if not state.belongs_in_pending(unit):
+        if not state.belongs_in_pending_generation(unit):
             continue
         state.moves.add(
-            _moves.Move(unit, _moves.Kind.ANYWHERE, _moves.Phase.READY, None)
+            _moves.Move(
+                unit, _moves.Kind.ANY_UPSTREAM, _moves.Phase.READY, None
+            )
         )
 
 
-def make_view(
+def build_load_view(
     state: _holding_state.HoldingState, service: str, now: float
 ) -> _placement.LoadView:
     """Sums up the loads of a service's upstreams."""
     loads = state.get_loads(service)
     owned = [
         (unit, assignment.upstream)
-        for unit, assignment in state.owners.list_all().items()
+        for unit, assignment in state.owners.get_records().items()
         if unit.service == service
     ]
     loads.unit_count = max(1, sum(not unit.key for unit, _ in owned))
-    hot = list_hot_by_partition(state, service)
+    hot = group_hot_keys(state, service)
     sums: dict[str, float] = {}
     for unit, name in owned:
         move = state.moves.get(unit)
-        if move and move.planned:
-            name = move.planned.upstream
+        if move and move.new_assignment:
+            name = move.new_assignment.upstream
         load = loads.get_load(
             unit, () if unit.key else hot.get(unit.partition, ())
         )
@@ -219,15 +228,15 @@
     return _timing.GRANT_CERTAIN_END_S
 
 
-def list_hot_by_partition(
+def group_hot_keys(
     state: _holding_state.HoldingState, service: str
 ) -> dict[int, list[str]]:
     """Lists the individually placed keys of each partition."""
-    found: dict[int, list[str]] = {}
-    for unit in state.owners.list_all():
+    keys_by_partition: dict[int, list[str]] = {}
+    for unit in state.owners.get_records():
         if unit.key and unit.service == service:
-            found.setdefault(unit.partition, []).append(unit.key)
-    return found
+            keys_by_partition.setdefault(unit.partition, []).append(unit.key)
+    return keys_by_partition
 
 
 def plan_placement(state: _holding_state.HoldingState, now: float) -> Commands:
@@ -237,7 +246,7 @@
     commands: Commands = []
     services = {item.service for item in state.upstreams.values()}
     for service in sorted(services):
-        view = make_view(state, service, now)
+        view = build_load_view(state, service, now)
         commands += _plan_hot_keys(state, service, view)
         commands += _plan_rebalance(state, service, view)
     return commands
@@ -250,14 +259,14 @@
 ) -> Commands:
     commands: Commands = []
     loads = state.get_loads(service)
-    hot = list_hot_by_partition(state, service)
-    for _ in range(MAXIMUM_PLANNED - len(state.moves)):
-        proposal, load = _find_best(state, service, view, hot)
+    hot = group_hot_keys(state, service)
+    for _ in range(MAXIMUM_PLANNED_MOVES - len(state.moves)):
+        proposal, load = _choose_best_move(state, service, view, hot)
         if proposal is None:
             break
         view.move(proposal, load)
         commands += _start_planned(
-            state, proposal.unit, _moves.Kind.CHOSEN, proposal.target
+            state, proposal.unit, _moves.Kind.CHOSEN_UPSTREAM, proposal.target
         )
         commands.append(
             state.explain(
@@ -270,7 +279,7 @@
     return commands
 
 
-def _find_best(
+def _choose_best_move(
     state: _holding_state.HoldingState,
     service: str,
     view: _placement.LoadView,
@@ -287,7 +296,7 @@
             load = loads.get_load(
                 unit, () if unit.key else hot.get(unit.partition, ())
             )
-            proposal = view.propose(unit, source, load)
+            proposal = view.propose_move(unit, source, load)
             if proposal and (best is None or proposal.gain > best.gain):
                 best, best_load = proposal, load
     return best, best_load
@@ -304,23 +313,23 @@
     upstreams = sum(
         item.service == service for item in state.upstreams.values()
     )
-    threshold = HOT_SHARE * loads.unit_count / max(1, upstreams)
-    return _give_back_cold_keys(
-        state, service, threshold * COLD_SHARE
-    ) + _take_out_hot_keys(state, service, view, threshold)
+    threshold = HOT_KEY_LOAD_SHARE * loads.unit_count / max(1, upstreams)
+    return _merge_cold_keys(
+        state, service, threshold * COLD_KEY_LOAD_SHARE
+    ) + _split_hot_keys(state, service, view, threshold)
 
 
-def _give_back_cold_keys(
+def _merge_cold_keys(
     state: _holding_state.HoldingState, service: str, threshold: float
 ) -> Commands:
     commands: Commands = []
     loads = state.get_loads(service)
-    for unit in list(state.owners.list_all()):
+    for unit in list(state.owners.get_records()):
         if not unit.key or unit.service != service:
             continue
         if loads.get_load(unit) >= threshold or state.moves.get(unit):
             continue
-        commands += _start_planned(state, unit, _moves.Kind.GIVE_BACK, "")
+        commands += _start_planned(state, unit, _moves.Kind.MERGE_KEY, "")
         commands.append(
             state.explain(
                 f"{describe_unit(unit)} returns to its partition: its load"
@@ -330,7 +339,7 @@
     return commands
 
 
-def _take_out_hot_keys(
+def _split_hot_keys(
     state: _holding_state.HoldingState,
     service: str,
     view: _placement.LoadView,
@@ -340,7 +349,7 @@
     loads = state.get_loads(service)
     placed = sum(
         bool(unit.key) and unit.service == service
-        for unit in state.owners.list_all()
+        for unit in state.owners.get_records()
     )
     for key, load in loads.list_hot_keys():
         if load < threshold or placed >= MAXIMUM_HOT_KEYS:
@@ -354,14 +363,14 @@
             continue
         # An owner that compares no fences would still run requests of the
         # key that were issued before it was taken out.
-        if not state.books[owner.upstream].checks_fences:
+        if not state.grants_by_upstream[owner.upstream].checks_fences:
             continue
-        proposal = view.propose(unit, owner.upstream, load)
+        proposal = view.propose_move(unit, owner.upstream, load)
         if proposal is None:
             continue
         view.move(proposal, load)
         placed += 1
-        commands += _start_take_out(state, unit, owner, proposal.target)
+        commands += _start_split(state, unit, owner, proposal.target)
         commands.append(
             state.explain(
                 f"{describe_unit(unit)} is placed by itself on"
@@ -372,14 +381,14 @@
     return commands
 
 
-def _start_take_out(
+def _start_split(
     state: _holding_state.HoldingState,
     unit: _ownership.Unit,
     owner: _rows.Assignment,
     target: str,
 ) -> Commands:
     move = _moves.Move(
-        unit, _moves.Kind.TAKE_OUT, _moves.Phase.DRAINING, owner, target
+        unit, _moves.Kind.SPLIT_KEY, _moves.Phase.DRAINING, owner, target
     )
     return list(state.moves.add(move))
 
@@ -387,7 +396,7 @@
 def _is_key_moving(
     state: _holding_state.HoldingState, unit: _ownership.Unit
 ) -> bool:
-    """Tells whether a hot key of the same partition is under way."""
+    """Returns whether a hot key of the same partition is under way."""
     return any(
         move.unit.key
         and move.unit.service == unit.service
--- a/packages/decisions/sycamoreloft_decisions/_rows.py
+++ b/packages/decisions/sycamoreloft_decisions/_rows.py
@@ -120,8 +120,8 @@
         "heartbeat": row.heartbeat,
         "offline_limit_s": row.offline_limit_s,
         "earlier": [
-            [item.epoch, item.host, item.offline_limit_s]
-            for item in row.earlier
+            [former.epoch, former.host, former.offline_limit_s]
+            for former in row.earlier
         ],
     }
 
--- a/packages/decisions/sycamoreloft_decisions/_table_writer.py
+++ b/packages/decisions/sycamoreloft_decisions/_table_writer.py
@@ -10,7 +10,7 @@
 from sycamoreloft_decisions import _ownership, _rows, _timing
 
 
-class Settled(enum.Enum):
+class WriteStatus(enum.Enum):
     """What became of a write."""
 
     #: It is not known yet.
@@ -61,7 +61,7 @@
         self._write: _Write | None = None
 
     def is_busy(self) -> bool:
-        """Tells whether a write is in flight or not settled."""
+        """Returns whether a write is in flight or not settled."""
         return self._write is not None
 
     def get_row(self) -> _rows.GroupRow | None:
@@ -88,11 +88,11 @@
         self._write = None
 
     def owns_call(self, call: int) -> bool:
-        """Tells whether an answer belongs to the write in flight."""
+        """Returns whether an answer belongs to the write in flight."""
         return self._write is not None and call in self._write.calls
 
     def owns_read(self, call: int) -> bool:
-        """Tells whether an answer belongs to the read that settles."""
+        """Returns whether an answer belongs to the read that settles."""
         write = self._write
         return bool(write and write.read and write.read[0] == call)
 
@@ -126,17 +126,17 @@
 
     def settle(
         self, event: _ownership.RowsRead, now: float
-    ) -> tuple[Settled, abc.Sequence[_ownership.WriteRows]]:
+    ) -> tuple[WriteStatus, abc.Sequence[_ownership.WriteRows]]:
         """Compares the row that was read with the write in flight."""
         write = self._write
         if write is None:
-            return Settled.LOST, ()
+            return WriteStatus.LOST, ()
         write.read = None
         if event.row is not None and _is_same_write(event.row, write.row):
-            return Settled.STORED, ()
+            return WriteStatus.STORED, ()
         if event.row_version == write.row_version:
-            return Settled.PENDING, (self._send(write, now),)
-        return Settled.LOST, ()
+            return WriteStatus.PENDING, (self._send(write, now),)
+        return WriteStatus.LOST, ()
 
     def _send(self, write: _Write, now: float) -> _ownership.WriteRows:
         call = next(self._calls)
--- a/packages/decisions/sycamoreloft_decisions/_takeover.py
+++ b/packages/decisions/sycamoreloft_decisions/_takeover.py
@@ -16,7 +16,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Taken:
+class TakeoverResult:
     """This host's write that takes the group took effect."""
 
     #: The row as it was written.
@@ -52,7 +52,7 @@
         host: str,
         incarnation: str,
         group: sycamoreloft_config.GroupName,
-        standby: _standby.StandbyDesk,
+        standby: _standby.StandbyPromises,
         calls: "itertools.count[int]",
         now: float,
     ) -> None:
@@ -62,41 +62,41 @@
         self._standby = standby
         self._calls = calls
         self._started_at = now
-        self._heard: abc.Mapping[str, float] = {}
-        self._claims: abc.Mapping[str, int] = {}
-        self._word_at = now
-        self._known: _ownership.RowsRead | None = None
+        self._last_progress: abc.Mapping[str, float] = {}
+        self._announced_epochs: abc.Mapping[str, int] = {}
+        self._last_announced_at = now
+        self._latest_rows: _ownership.RowsRead | None = None
         # Time at which the known version of the row was read first.
-        self._seen_at = now
+        self._row_read_at = now
         self._read: tuple[int, float] | None = None
-        self._read_again_at = now
+        self._next_read_at = now
         self._writer = _table_writer.TableWriter(group, calls)
-        self._taken: Taken | None = None
+        self._pending_result: TakeoverResult | None = None
         self._offline_limit_s = 0.0
 
     def set_offline_limit(self, offline_limit_s: float) -> None:
         """Sets the offline limit of the accepted generation."""
         self._offline_limit_s = offline_limit_s
 
-    def observe(self, event: _ownership.MembersObserved) -> None:
+    def record_members(self, event: _ownership.MembersObserved) -> None:
         """Notes who was heard and who says that it holds the group."""
-        self._heard = event.last_progress
-        self._claims = event.announced_epochs
+        self._last_progress = event.last_progress
+        self._announced_epochs = event.announced_epochs
 
-    def note_row(self, event: _ownership.RowsRead, now: float) -> None:
+    def record_row(self, event: _ownership.RowsRead, now: float) -> None:
         """Remembers the row that a read returned."""
-        known = self._known
-        if known is None or known.row_version != event.row_version:
-            self._seen_at = now
-        if known is None or known.row_version <= event.row_version:
-            self._known = event
+        latest = self._latest_rows
+        if latest is None or latest.row_version != event.row_version:
+            self._row_read_at = now
+        if latest is None or latest.row_version <= event.row_version:
+            self._latest_rows = event
 
     def restart(self, now: float) -> None:
         """Starts to watch the group after this host held it."""
-        self._word_at = now
+        self._last_announced_at = now
         self._read = None
-        self._read_again_at = now
-        self._known = None
+        self._next_read_at = now
+        self._latest_rows = None
 
     def tick(self, now: float) -> abc.Sequence[_ownership.Command]:
         """Starts a read if the group may have to be taken."""
@@ -104,14 +104,18 @@
             return self._writer.tick(now)
         if self._read and now >= self._read[1] + _timing.TABLE_TIMEOUT_S:
             self._read = None
-        if self._read or now < self._read_again_at or not self._is_wanted(now):
+        if (
+            self._read
+            or now < self._next_read_at
+            or not self._is_read_needed(now)
+        ):
             return ()
         self._read = (next(self._calls), now)
         return (_table_writer.make_read(self._group, self._read[0]),)
 
-    def receive(
+    def handle_answer(
         self, event: _ownership.Event, now: float
-    ) -> tuple[Taken | None, abc.Sequence[_ownership.Command]]:
+    ) -> tuple[TakeoverResult | None, abc.Sequence[_ownership.Command]]:
         """Handles an answer of the table.
 
         Returns:
@@ -119,11 +123,11 @@
         """
         match event:
             case _ownership.RowsRead():
-                return self._receive_rows(event, now)
+                return self._handle_rows(event, now)
             case _ownership.ReadFailed(call):
                 if self._read and self._read[0] == call:
                     self._read = None
-                    self._read_again_at = now + _timing.READ_INTERVAL_S
+                    self._next_read_at = now + _timing.READ_INTERVAL_S
                 self._writer.fail_read(call, now)
             case _ownership.WriteStored(call, version):
                 if self._writer.owns_call(call):
@@ -137,50 +141,56 @@
                 pass
         return None, ()
 
-    def _receive_rows(
+    def _handle_rows(
         self, event: _ownership.RowsRead, now: float
-    ) -> tuple[Taken | None, abc.Sequence[_ownership.Command]]:
+    ) -> tuple[TakeoverResult | None, abc.Sequence[_ownership.Command]]:
         if self._writer.owns_read(event.call):
-            self.note_row(event, now)
-            settled, commands = self._writer.settle(event, now)
-            if settled is _table_writer.Settled.STORED:
+            self.record_row(event, now)
+            status, commands = self._writer.settle(event, now)
+            if status is _table_writer.WriteStatus.STORED:
                 return self._finish(event.row_version), ()
-            if settled is _table_writer.Settled.LOST:
+            if status is _table_writer.WriteStatus.LOST:
                 self._writer.finish()
-                self._standby.end_taking()
+                self._standby.end_takeover()
             return None, commands
         if self._read is None or self._read[0] != event.call:
             return None, ()
         self._read = None
-        self._read_again_at = now + _timing.READ_INTERVAL_S
-        self.note_row(event, now)
+        self._next_read_at = now + _timing.READ_INTERVAL_S
+        self.record_row(event, now)
         return None, self._decide(event, now)
 
     def _decide(
         self, event: _ownership.RowsRead, now: float
     ) -> abc.Sequence[_ownership.Command]:
         row = event.row
-        if self._standby.is_bound(now):
+        if self._standby.is_takeover_forbidden(now):
             return ()
         if row is None:
             ready_at = self._started_at + self._get_rank_delay("")
-            return self._take(event, (), now, now) if now >= ready_at else ()
-        is_proved = self._standby.may_take(row, now)
-        if not is_proved and self._standby.wants_group(now):
-            self._standby.forget()
+            return (
+                self._start_takeover(event, (), now, now)
+                if now >= ready_at
+                else ()
+            )
+        is_stop_proven = self._standby.is_holder_stopped(row, now)
+        if not is_stop_proven and self._standby.is_promise_expired(now):
+            self._standby.reset()
         is_handed_over = row.holder == "" and row.standby == self._host
-        if not (is_proved or is_handed_over or self._is_silent(row, now)):
+        if not (is_stop_proven or is_handed_over or self._is_silent(row, now)):
             return ()
-        return self._take(event, *self._judge_earlier(row, is_proved, now), now)
+        return self._start_takeover(
+            event, *self._list_active_holders(row, is_stop_proven, now), now
+        )
 
-    def _judge_earlier(
-        self, row: _rows.GroupRow, is_proved: bool, now: float
+    def _list_active_holders(
+        self, row: _rows.GroupRow, is_stop_proven: bool, now: float
     ) -> tuple[tuple[_rows.EarlierHolder, ...], float]:
         """Lists holders that may still act, and when the last one ended."""
         # An earlier process of this host ended before this one started.
         earlier = [item for item in row.earlier if item.host != self._host]
-        if is_proved:
-            ended_at = self._standby.get_end()
+        if is_stop_proven:
+            ended_at = self._standby.get_promise_end()
         elif row.holder in ("", self._host):
             # It handed over, or its process was replaced by this one.
             ended_at = now
@@ -191,7 +201,7 @@
             )
         return tuple(earlier), ended_at
 
-    def _take(
+    def _start_takeover(
         self,
         event: _ownership.RowsRead,
         earlier: tuple[_rows.EarlierHolder, ...],
@@ -209,59 +219,61 @@
             offline_limit_s=self._offline_limit_s,
             earlier=earlier,
         )
-        self._standby.begin_taking(old.epoch if old else 0)
+        self._standby.begin_takeover(old.epoch if old else 0)
         limit = max(
             (item.offline_limit_s for item in earlier), default=math.inf
         )
         wait = _timing.GRANT_CERTAIN_END_S
-        self._taken = Taken(
+        self._pending_result = TakeoverResult(
             row=row,
             row_version=0,
             written_at=now,
             tables=event.tables,
             earlier_end=math.inf if earlier else ended_at + wait,
-            offline_end=self._seen_at
+            offline_end=self._row_read_at
             + limit * (1 + _timing.CLOCK_DRIFT)
             + wait,
         )
         return (self._writer.start(row, event.row_version, {}, now),)
 
-    def _finish(self, row_version: int) -> Taken | None:
+    def _finish(self, row_version: int) -> TakeoverResult | None:
         self._writer.finish()
-        self._standby.end_taking()
-        self._standby.forget()
-        taken, self._taken = self._taken, None
-        if taken is None:
+        self._standby.end_takeover()
+        self._standby.reset()
+        takeover_result, self._pending_result = self._pending_result, None
+        if takeover_result is None:
             return None
-        return dataclasses.replace(taken, row_version=row_version)
+        return dataclasses.replace(takeover_result, row_version=row_version)
 
-    def _is_wanted(self, now: float) -> bool:
-        if self._known is None or self._known.row is None:
+    def _is_read_needed(self, now: float) -> bool:
+        if self._latest_rows is None or self._latest_rows.row is None:
             return True
-        if self._standby.wants_group(now):
+        if self._standby.is_promise_expired(now):
             return True
-        return self._is_silent(self._known.row, now)
+        return self._is_silent(self._latest_rows.row, now)
 
     def _is_silent(self, row: _rows.GroupRow, now: float) -> bool:
-        """Tells whether holder and standby have been silent long enough."""
-        for host, epoch in self._claims.items():
+        """Returns whether holder and standby have been silent long enough."""
+        for host, epoch in self._announced_epochs.items():
             if epoch >= row.epoch:
-                self._word_at = max(self._word_at, self._heard.get(host, 0.0))
+                self._last_announced_at = max(
+                    self._last_announced_at, self._last_progress.get(host, 0.0)
+                )
         silence = _timing.TAKEOVER_SILENCE_S + self._get_rank_delay(row.holder)
-        if now < self._word_at + silence:
+        if now < self._last_announced_at + silence:
             return False
-        is_standby_heard = (
+        is_standby_alive = (
             row.standby not in ("", self._host)
             and now
-            < self._heard.get(row.standby, -math.inf)
+            < self._last_progress.get(row.standby, -math.inf)
             + _timing.TAKEOVER_SILENCE_S
         )
-        if is_standby_heard:
+        if is_standby_alive:
             silence += _timing.STANDBY_PREFERENCE_S
-        return now >= self._word_at + silence
+        return now >= self._last_announced_at + silence
 
     def _get_rank_delay(self, holder: str) -> float:
-        hosts = {*self._heard, self._host} - {holder}
+        hosts = {*self._last_progress, self._host} - {holder}
         ranked = sycamoreloft_config.rank_by_rendezvous(str(self._group), hosts)
         if self._host not in ranked:
             return len(ranked) * _timing.TAKEOVER_RANK_S
--- a/packages/decisions/sycamoreloft_decisions/acceptance.py
+++ b/packages/decisions/sycamoreloft_decisions/acceptance.py
@@ -20,7 +20,7 @@
 #: age of the generation, because an unreachable failure domain can keep it
 #: pending for hours, while all group holders read.
 PENDING_POLL_S = 0.5
-LONGEST_PENDING_POLL_S = 2.0
+MAXIMUM_PENDING_POLL_S = 2.0
 
 #: Time between two reads of a group holder when nothing is pending.
 IDLE_POLL_S = 1.0
@@ -39,11 +39,11 @@
 
 #: Time after which a write counts as lost if it was not settled. All of them
 #: are conditional, so repeating one is harmless.
-WRITE_LIMIT_S = 5.0
+WRITE_TIMEOUT_S = 5.0
 
 #: Time to record a submission, however short its operator wants to wait for
 #: acceptance.
-RECORDING_S = 3.0
+MINIMUM_RECORDING_S = 3.0
 
 
 # The names of this module are its interface; the classes are defined in the
@@ -79,7 +79,7 @@
     #: Clock reading of the submission.
     started: float
     #: Whether the head was read since the submission.
-    is_fresh: bool = False
+    is_head_read: bool = False
     #: Version on which a write is in flight or was refused, None for none.
     written_version: int | None = None
     #: Clock reading of that write.
@@ -103,7 +103,7 @@
         self._make_request_id = make_request_id
         self._version = -1
         self._row = EMPTY_HEAD
-        self._used = (-1, -1)
+        self._applied_numbers = (-1, -1)
         self._rows: abc.Mapping[str, GroupRow] = {}
         self._held: abc.Collection[str] | None = None
         self._submissions: dict[str, _Submission] = {}
@@ -115,10 +115,10 @@
 
     def handle(self, event: Event, now: float) -> abc.Sequence[Command]:
         """Takes an event at a clock reading and returns what to do."""
-        commands = [*self._take(event, now), *self._advance(now)]
+        commands = [*self._dispatch(event, now), *self._advance(now)]
         if self._should_read(now):
             self._last_read, self._wants_read = now, False
-            commands.append(ReadRows(self._needs_groups(now)))
+            commands.append(ReadRows(self._needs_group_rows(now)))
         return commands
 
     def list_waiting_domains(self) -> abc.Sequence[str]:
@@ -127,20 +127,20 @@
         return sorted({group.rsplit("/", 1)[0] for group in groups})
 
     @functools.singledispatchmethod
-    def _take(self, event: Event, now: float) -> abc.Sequence[Command]:
+    def _dispatch(self, event: Event, now: float) -> abc.Sequence[Command]:
         raise TypeError(f"unknown event {type(event).__name__}")
 
-    @_take.register
+    @_dispatch.register
     def _(self, event: Tick, now: float) -> abc.Sequence[Command]:
         return ()
 
-    @_take.register
+    @_dispatch.register
     def _(self, event: HeldGroupsChanged, now: float) -> abc.Sequence[Command]:
         self._held = frozenset(event.groups)
         self._wants_read = True
         return ()
 
-    @_take.register
+    @_dispatch.register
     def _(self, event: FileSubmitted, now: float) -> abc.Sequence[Command]:
         known = self._submissions.get(event.request)
         if known is not None:
@@ -150,13 +150,13 @@
         self._wants_read = True
         return ()
 
-    @_take.register
+    @_dispatch.register
     def _(self, event: HeadRead, now: float) -> abc.Sequence[Command]:
         row = event.row or EMPTY_HEAD
         # Answers of concurrent reads can arrive out of order.
         if event.version < self._version:
             return ()
-        self._mark_fresh()
+        self._mark_head_read()
         is_known = event.version == self._version
         if is_known or row.accepted.number < self._row.accepted.number:
             return ()
@@ -166,20 +166,20 @@
         self._version, self._row = event.version, row
         pending = row.pending.number if row.pending else 0
         numbers = (row.accepted.number, pending)
-        if numbers == self._used:
+        if numbers == self._applied_numbers:
             return ()
-        self._used = numbers
+        self._applied_numbers = numbers
         return (ApplyGenerations(*numbers),)
 
-    @_take.register
+    @_dispatch.register
     def _(self, event: GroupRowsRead, now: float) -> abc.Sequence[Command]:
         if event.head_version != self._version:
             return ()
-        self._mark_fresh()
+        self._mark_head_read()
         self._rows = event.rows
         return (*self._stage(now), *self._accept(now))
 
-    @_take.register
+    @_dispatch.register
     def _(self, event: WriteFinished, now: float) -> abc.Sequence[Command]:
         for subject, (request, _) in list(self._in_flight.items()):
             if request == event.request:
@@ -189,14 +189,14 @@
             # The write is repeated on the same version, so that at most one
             # of the two can take effect.
             submission.written_version = None
-            submission.is_fresh = False
+            submission.is_head_read = False
         if self._submissions or event.result is WriteResult.APPLIED:
             self._wants_read = True
         return ()
 
-    def _mark_fresh(self) -> None:
+    def _mark_head_read(self) -> None:
         for submission in self._submissions.values():
-            submission.is_fresh = True
+            submission.is_head_read = True
 
     def _stage(self, now: float) -> abc.Iterator[Command]:
         """Stages the pending generation in the rows of this host's groups."""
@@ -206,7 +206,7 @@
         for group, row in self._rows.items():
             is_staged = row.staged >= pending.number
             if row.holder == self._host and not is_staged:
-                request = self._start(f"{group} {pending.number}", now)
+                request = self._start_write(f"{group} {pending.number}", now)
                 if request:
                     yield StageGeneration(
                         request, group, row.version, pending.number
@@ -219,7 +219,7 @@
             return
         if _acceptance_rows.list_waiting_groups(row, self._rows):
             return
-        request = self._start(f"head {self._version}", now)
+        request = self._start_write(f"head {self._version}", now)
         if request:
             versions = {
                 group: self._rows[group].version if group in self._rows else 0
@@ -228,11 +228,11 @@
             accepted = HeadRow(row.pending, None, row.history)
             yield AcceptGeneration(request, self._version, versions, accepted)
 
-    def _start(self, subject: str, now: float) -> str:
+    def _start_write(self, subject: str, now: float) -> str:
         """Returns a request id, or empty while such a write is in flight."""
         if subject in self._in_flight:
             _, started = self._in_flight[subject]
-            if now < started + WRITE_LIMIT_S:
+            if now < started + WRITE_TIMEOUT_S:
                 return ""
         request = self._make_request_id()
         self._in_flight[subject] = (request, now)
@@ -241,12 +241,12 @@
     def _advance(self, now: float) -> abc.Iterator[Command]:
         """Writes or answers the open submissions."""
         for submission in list(self._submissions.values()):
-            verdict = self._judge(submission) or self._judge_late(
-                submission, now
-            )
+            verdict = self._compute_verdict(
+                submission
+            ) or self._compute_late_verdict(submission, now)
             if verdict is not None:
                 del self._submissions[submission.event.request]
-                yield self._answer(submission, verdict)
+                yield self._make_result(submission, verdict)
             elif self._may_write(submission, now):
                 submission.written_version = self._version
                 submission.written_at = now
@@ -255,45 +255,45 @@
                     submission.event.request,
                     self._version,
                     _acceptance_rows.record_candidate(
-                        self._row, _make_entry(submission.event)
+                        self._row, _make_record(submission.event)
                     ),
                 )
 
     def _may_write(self, submission: _Submission, now: float) -> bool:
         is_written = (
             submission.written_version == self._version
-            and now < submission.written_at + WRITE_LIMIT_S
+            and now < submission.written_at + WRITE_TIMEOUT_S
         )
         return (
-            submission.is_fresh
+            submission.is_head_read
             and not is_written
             and _acceptance_rows.is_based_on_newest(
                 self._row, submission.event.base
             )
         )
 
-    def _find_recorded(self, number: int) -> PastSubmission | None:
+    def _get_past_submission(self, number: int) -> PastSubmission | None:
         for item in self._row.history:
             if item.number == number:
                 return item
         return None
 
     def _is_recorded(self, submission: _Submission) -> bool:
-        recorded = self._find_recorded(submission.event.base + 1)
+        recorded = self._get_past_submission(submission.event.base + 1)
         return (
             recorded is not None
             and recorded.request == submission.event.request
         )
 
-    def _judge(self, submission: _Submission) -> Verdict | None:
+    def _compute_verdict(self, submission: _Submission) -> Verdict | None:
         """Returns the verdict as far as the head row decides it."""
         base = submission.event.base
-        if not submission.is_fresh or _acceptance_rows.is_based_on_newest(
+        if not submission.is_head_read or _acceptance_rows.is_based_on_newest(
             self._row, base
         ):
             return None
-        recorded = self._find_recorded(base + 1)
-        if _acceptance_rows.find_newest(self._row).number < base:
+        recorded = self._get_past_submission(base + 1)
+        if _acceptance_rows.get_newest(self._row).number < base:
             return Verdict.CONFLICT
         if recorded is None:
             # The history no longer reaches back to the submission, which
@@ -306,7 +306,7 @@
         is_accepted = self._row.accepted.number > base
         return Verdict.ACCEPTED if is_accepted else None
 
-    def _judge_late(
+    def _compute_late_verdict(
         self, submission: _Submission, now: float
     ) -> Verdict | None:
         """Returns the verdict of a submission whose time has passed."""
@@ -314,21 +314,21 @@
         if self._is_recorded(submission):
             is_late = now >= submission.started + limit
             return Verdict.PENDING if is_late else None
-        if now < submission.started + max(limit, RECORDING_S):
+        if now < submission.started + max(limit, MINIMUM_RECORDING_S):
             return None
         return Verdict.UNKNOWN if submission.was_sent else Verdict.UNAVAILABLE
 
-    def _answer(
+    def _make_result(
         self, submission: _Submission, verdict: Verdict
     ) -> SubmissionResult:
         base = submission.event.base
-        newest = _acceptance_rows.find_newest(self._row)
+        newest = _acceptance_rows.get_newest(self._row)
         waiting: abc.Sequence[str] = ()
         if verdict is Verdict.PENDING:
             waiting = self.list_waiting_domains()
         changed: abc.Sequence[str] = ()
         if verdict is Verdict.CONFLICT:
-            past = self._find_recorded(base)
+            past = self._get_past_submission(base)
             files = past.files if past else {}
             changed = sorted(
                 name
@@ -344,8 +344,8 @@
             changed,
         )
 
-    def _needs_groups(self, now: float) -> bool:
-        """Tells whether the next read should include the group rows."""
+    def _needs_group_rows(self, now: float) -> bool:
+        """Returns whether the next read should include the group rows."""
         pending = self._row.pending
         if self._submissions or pending is None:
             return bool(self._submissions)
@@ -378,12 +378,12 @@
         if self._row.pending is None:
             return age >= IDLE_POLL_S
         return age >= min(
-            LONGEST_PENDING_POLL_S,
+            MAXIMUM_PENDING_POLL_S,
             max(PENDING_POLL_S, (now - self._pending_since) / 10),
         )
 
 
-def _make_entry(event: FileSubmitted) -> _acceptance_rows.GenerationRecord:
+def _make_record(event: FileSubmitted) -> _acceptance_rows.GenerationRecord:
     return GenerationRecord(
         event.base + 1,
         event.request,
--- a/packages/decisions/sycamoreloft_decisions/membership.py
+++ b/packages/decisions/sycamoreloft_decisions/membership.py
@@ -17,34 +17,34 @@
 
 #: The same for members of other domains. News of them travels through members
 #: drawn from all: at 4,100 hosts and 16 heartbeats a second it takes minutes.
-FAR_REMOVAL_S = 900.0
+REMOTE_REMOVAL_S = 900.0
 
 #: Members in the answer to a host that asks for all; about 300 KB.
-LISTED_MEMBERS = 1_000
+MAXIMUM_LISTED_MEMBERS = 1_000
 
 #: Members drawn for a digest to another failure domain.
-DRAWN = 32
+MAXIMUM_SAMPLED_MEMBERS = 32
 
 #: Members without progress for longer are not passed on, so that a member
 #: which some hosts have forgotten does not come back from others.
-RECENT_S = 10.0
+MAXIMUM_RELAY_SILENCE_S = 10.0
 
 #: Bytes of the entries of a digest.
-DIGEST_BYTES = 1024
+MAXIMUM_DIGEST_BYTES = 1024
 
 #: Heartbeats of other hosts in a digest. With two digests in each half second
 #: they cost 1 KB/s, a third of the budget of a host.
-HEARTBEATS = 8
+MAXIMUM_DIGEST_HEARTBEATS = 8
 
 #: Seconds for which a changed entry is sent to every target; five rounds.
-CHANGED_S = 2.5
+CHANGE_RELAY_S = 2.5
 
 #: Seconds between two entries that are sent without a change, in turn, so
 #: that hosts which missed a change learn it.
-TURN_S = 1.0
+REFRESH_INTERVAL_S = 1.0
 
 #: Incarnations of one host that are remembered after they were replaced.
-INCARNATIONS = 4
+MAXIMUM_REPLACED_INCARNATIONS = 4
 
 
 Entry = _member_entries.Entry
@@ -65,7 +65,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Progress:
+class RelayedHeartbeat:
     """Sign of life of a member, to be passed on."""
 
     #: Name of the host.
@@ -81,7 +81,7 @@
     """What to send to one target, besides the own heartbeat."""
 
     #: Heartbeats of other hosts.
-    heartbeats: abc.Sequence[Progress]
+    heartbeats: abc.Sequence[RelayedHeartbeat]
     #: Entries, the own one first if it is among them.
     entries: abc.Sequence[EntryType]
 
@@ -95,7 +95,7 @@
     changed_at: float
     counter: int = -1
     replaced: list[str] = dataclasses.field(default_factory=list)
-    beat_sent_at: float = -1.0
+    heartbeat_sent_at: float = -1.0
     sent_at: float = -1.0
     removed: bool = False
 
@@ -123,18 +123,18 @@
         self._members: dict[str, _Member[EntryType]] = {}
         # Members of the own failure domains. Only these are visited in each
         # round, so that its cost does not grow with the whole fleet.
-        self._near: dict[str, _Member[EntryType]] = {}
+        self._domain_members: dict[str, _Member[EntryType]] = {}
         # Epochs by host for each group. A host locates a group for each
         # request, which must not visit all members.
         self._holders: dict[str, dict[str, int]] = {}
-        self._index(own.host, {}, own.groups)
+        self._update_holders(own.host, {}, own.groups)
         self._generation = own.generation
         self._changed_at = 0.0
-        self._turns: collections.deque[str] = collections.deque()
-        self._turn_at = -TURN_S
-        self._drawn: list[str] = []
-        self._near_round: list[str] = []
-        self._round: list[str] = []
+        self._refresh_queue: collections.deque[str] = collections.deque()
+        self._refreshed_at = -REFRESH_INTERVAL_S
+        self._sample_queue: list[str] = []
+        self._domain_target_queue: list[str] = []
+        self._target_queue: list[str] = []
 
     @property
     def highest_generation(self) -> int:
@@ -145,7 +145,7 @@
         """Replaces the own entry, which has the next version if it differs."""
         if own.version != self._own.version:
             self._changed_at = now
-        self._index(own.host, self._own.groups, own.groups)
+        self._update_holders(own.host, self._own.groups, own.groups)
         self._own = own
         self._generation = max(self._generation, own.generation)
 
@@ -191,28 +191,28 @@
         may only have been cut off.
         """
         chosen: list[EntryType] = []
-        for waiting, members in (
-            (self._near_round, self._near),
-            (self._round, self._members),
+        for queue, members in (
+            (self._domain_target_queue, self._domain_members),
+            (self._target_queue, self._members),
         ):
-            target = self._take_target(waiting, members, chosen)
+            target = self._next_target(queue, members, chosen)
             if target is not None:
                 chosen.append(target)
         return chosen
 
-    def _take_target(
+    def _next_target(
         self,
-        waiting: list[str],
+        queue: list[str],
         members: abc.Mapping[str, _Member[EntryType]],
         chosen: abc.Sequence[EntryType],
     ) -> EntryType | None:
         for _ in range(2):
-            while waiting:
-                entry = self.get_entry(waiting.pop())
+            while queue:
+                entry = self.get_entry(queue.pop())
                 if entry is not None and entry not in chosen:
                     return entry
-            waiting[:] = sorted(members)
-            self._generator.shuffle(waiting)
+            queue[:] = sorted(members)
+            self._generator.shuffle(queue)
         return None
 
     def build_digest(
@@ -224,18 +224,18 @@
             now: Time.
             target: Receiver; None for a host that is not known yet.
         """
-        heartbeats: list[Progress] = []
+        heartbeats: list[RelayedHeartbeat] = []
         if target is not None:
             heartbeats = self._choose_heartbeats(now, target)
         entries: list[EntryType] = []
-        left = DIGEST_BYTES
-        if target is None or now < self._changed_at + CHANGED_S:
+        remaining_bytes = MAXIMUM_DIGEST_BYTES
+        if target is None or now < self._changed_at + CHANGE_RELAY_S:
             entries.append(self._own)
-            left -= self._measure(self._own)
+            remaining_bytes -= self._measure(self._own)
         for member in self._choose_members(now, target):
             size = self._measure(member.entry)
-            if size <= left:
-                left -= size
+            if size <= remaining_bytes:
+                remaining_bytes -= size
                 member.sent_at = now
                 entries.append(member.entry)
         return Digest(heartbeats, entries)
@@ -251,55 +251,59 @@
             (member for member in self._members.values() if not member.removed),
             key=lambda member: (
                 not member.entry.groups,
-                member.entry.host not in self._near,
+                member.entry.host not in self._domain_members,
             ),
-        )[:LISTED_MEMBERS]
+        )[:MAXIMUM_LISTED_MEMBERS]
         heartbeats = [
-            Progress(
+            RelayedHeartbeat(
                 member.entry.host, member.entry.incarnation, member.counter
             )
             for member in members
-            if member.counter >= 0 and member.progress_at + RECENT_S > now
+            if member.counter >= 0
+            and member.progress_at + MAXIMUM_RELAY_SILENCE_S > now
         ]
         entries = [member.entry for member in members]
         return Digest(heartbeats, [self._own, *entries])
 
     def _choose_heartbeats(
         self, now: float, target: EntryType
-    ) -> list[Progress]:
+    ) -> list[RelayedHeartbeat]:
         """Chooses members to report, in turn.
 
         A target of an own domain is told of that domain, whose hosts watch
         each other. Others are told of any members, so that these are not
         forgotten.
         """
-        members = self._near.values()
-        if not self._is_near(target):
-            members = self._draw_members().values()
+        members = self._domain_members.values()
+        if not self._is_in_own_domain(target):
+            members = self._sample_members().values()
         recent = [
             member
             for member in members
-            if member.progress_at + RECENT_S > now
+            if member.progress_at + MAXIMUM_RELAY_SILENCE_S > now
             and member.entry.host != target.host
             and member.counter >= 0
         ]
-        recent.sort(key=lambda member: member.beat_sent_at)
-        chosen = recent[:HEARTBEATS]
+        recent.sort(key=lambda member: member.heartbeat_sent_at)
+        chosen = recent[:MAXIMUM_DIGEST_HEARTBEATS]
         for member in chosen:
-            member.beat_sent_at = now
+            member.heartbeat_sent_at = now
         return [
-            Progress(
+            RelayedHeartbeat(
                 member.entry.host, member.entry.incarnation, member.counter
             )
             for member in chosen
         ]
 
-    def _draw_members(self) -> dict[str, _Member[EntryType]]:
+    def _sample_members(self) -> dict[str, _Member[EntryType]]:
         """Draws a few members, so that a round does not visit all."""
-        if not self._drawn:
-            self._drawn.extend(self._members)
-            self._generator.shuffle(self._drawn)
-        hosts, self._drawn = self._drawn[:DRAWN], self._drawn[DRAWN:]
+        if not self._sample_queue:
+            self._sample_queue.extend(self._members)
+            self._generator.shuffle(self._sample_queue)
+        hosts, self._sample_queue = (
+            self._sample_queue[:MAXIMUM_SAMPLED_MEMBERS],
+            self._sample_queue[MAXIMUM_SAMPLED_MEMBERS:],
+        )
         return {
             host: self._members[host] for host in hosts if host in self._members
         }
@@ -310,13 +314,13 @@
         """Chooses changed members, and one in turn now and then."""
         chosen = [
             member
-            for member in self._near.values()
-            if member.changed_at + CHANGED_S > now
-            and member.sent_at < member.changed_at + CHANGED_S / 2
+            for member in self._domain_members.values()
+            if member.changed_at + CHANGE_RELAY_S > now
+            and member.sent_at < member.changed_at + CHANGE_RELAY_S / 2
         ]
-        if now >= self._turn_at + TURN_S:
-            self._turn_at = now
-            member = self._take_turn(now)
+        if now >= self._refreshed_at + REFRESH_INTERVAL_S:
+            self._refreshed_at = now
+            member = self._next_refresh_member(now)
             if member is not None and member not in chosen:
                 chosen.append(member)
         return [
@@ -326,15 +330,18 @@
             and (target is None or member.entry.host != target.host)
         ]
 
-    def _take_turn(self, now: float) -> _Member[EntryType] | None:
+    def _next_refresh_member(self, now: float) -> _Member[EntryType] | None:
         """Returns the next recent member of a round over all members."""
-        for _ in range(len(self._turns) or 1):
-            if not self._turns:
-                self._turns.extend(sorted(self._members))
-            if not self._turns:
+        for _ in range(len(self._refresh_queue) or 1):
+            if not self._refresh_queue:
+                self._refresh_queue.extend(sorted(self._members))
+            if not self._refresh_queue:
                 return None
-            member = self._members.get(self._turns.popleft())
-            if member is not None and member.progress_at + RECENT_S > now:
+            member = self._members.get(self._refresh_queue.popleft())
+            if (
+                member is not None
+                and member.progress_at + MAXIMUM_RELAY_SILENCE_S > now
+            ):
                 return member
         return None
 
@@ -345,12 +352,14 @@
         bring a forgotten member back.
         """
         for host, member in list(self._members.items()):
-            limit = REMOVAL_S if host in self._near else FAR_REMOVAL_S
+            limit = (
+                REMOVAL_S if host in self._domain_members else REMOTE_REMOVAL_S
+            )
             member.removed = member.progress_at + limit <= now
             if member.progress_at + 2 * limit <= now:
                 del self._members[host]
-                self._near.pop(host, None)
-                self._index(host, member.entry.groups, {})
+                self._domain_members.pop(host, None)
+                self._update_holders(host, member.entry.groups, {})
 
     def list_other_members(self) -> list[EntryType]:
         """Lists the entries of all members but the own one."""
@@ -363,7 +372,9 @@
     def list_domain_members(self) -> list[EntryType]:
         """Lists the entries of members that share a failure domain."""
         return [
-            member.entry for member in self._near.values() if not member.removed
+            member.entry
+            for member in self._domain_members.values()
+            if not member.removed
         ]
 
     def list_live(self, now: float) -> list[EntryType]:
@@ -382,7 +393,7 @@
         return None if member is None or member.removed else member.entry
 
     def is_suspected(self, host: str, now: float) -> bool:
-        """Tells whether a host is unknown or has made no progress lately."""
+        """Returns whether a host is unknown or has made no progress lately."""
         return self.measure_silence(host, now) >= SUSPICION_S
 
     def measure_silence(self, host: str, now: float) -> float:
@@ -410,7 +421,9 @@
             self._add(_Member(entry, now, now))
         elif entry.incarnation == member.entry.incarnation:
             if entry.version > member.entry.version:
-                self._index(entry.host, member.entry.groups, entry.groups)
+                self._update_holders(
+                    entry.host, member.entry.groups, entry.groups
+                )
                 member.entry = entry
                 member.changed_at = now
         # Incarnations are random and have no order. Another one is the newer
@@ -420,10 +433,15 @@
         ):
             replaced = [*member.replaced, member.entry.incarnation]
             self._add(
-                _Member(entry, now, now, replaced=replaced[-INCARNATIONS:])
+                _Member(
+                    entry,
+                    now,
+                    now,
+                    replaced=replaced[-MAXIMUM_REPLACED_INCARNATIONS:],
+                )
             )
 
-    def _index(
+    def _update_holders(
         self,
         host: str,
         before: abc.Mapping[str, int],
@@ -438,16 +456,16 @@
             self._holders.setdefault(group, {})[host] = epoch
 
     def _add(self, member: _Member[EntryType]) -> None:
-        known = self._members.get(member.entry.host)
-        before = known.entry.groups if known is not None else {}
-        self._index(member.entry.host, before, member.entry.groups)
+        previous = self._members.get(member.entry.host)
+        before = previous.entry.groups if previous is not None else {}
+        self._update_holders(member.entry.host, before, member.entry.groups)
         self._members[member.entry.host] = member
-        if self._is_near(member.entry):
-            self._near[member.entry.host] = member
+        if self._is_in_own_domain(member.entry):
+            self._domain_members[member.entry.host] = member
         else:
-            self._near.pop(member.entry.host, None)
+            self._domain_members.pop(member.entry.host, None)
 
-    def _is_near(self, entry: EntryType) -> bool:
+    def _is_in_own_domain(self, entry: EntryType) -> bool:
         return _share_domain(entry, self._own)
 
 
--- a/packages/decisions/tests/test_acceptance.py
+++ b/packages/decisions/tests/test_acceptance.py
@@ -340,14 +340,16 @@
 
 def test_the_fuzzer_finds_a_lost_answer_taken_for_a_refusal(monkeypatch):
     """Guards against an oracle that believes a wrong not-recorded answer."""
-    judge = acceptance.Acceptance._judge
+    compute = acceptance.Acceptance._compute_verdict
 
-    def judge_wrongly(machine, submission):
+    def compute_wrongly(machine, submission):
         if submission.was_sent and submission.written_version is None:
             return acceptance.Verdict.CONFLICT
-        return judge(machine, submission)
+        return compute(machine, submission)
 
-    monkeypatch.setattr(acceptance.Acceptance, "_judge", judge_wrongly)
+    monkeypatch.setattr(
+        acceptance.Acceptance, "_compute_verdict", compute_wrongly
+    )
     with pytest.raises(AssertionError, match="recorded all the same"):
         run_world()
 
--- a/packages/decisions/tests/test_alias_release.py
+++ b/packages/decisions/tests/test_alias_release.py
@@ -48,7 +48,7 @@
     }
 
 
-class Bench:
+class Harness:
     """Feeds a machine; time passes only when a test says so."""
 
     def __init__(self):
@@ -78,125 +78,127 @@
 
 
 @pytest.fixture
-def bench():
+def harness():
     """A machine that knows no generation yet."""
-    return Bench()
+    return Harness()
 
 
-def test_a_service_waits_until_no_assignment_is_recorded(bench):
+def test_a_service_waits_until_no_assignment_is_recorded(harness):
     """Guards against two owners of what a merge makes one key."""
-    bench.change(make_generation(1, ()))
-    bench.change(make_generation(2))
-    assert not bench.is_served()
-    assert bench.machine.is_released("f", "other")
-    assert bench.machine.list_waiting() == {"f/board": ("g/board",)}
-    bench.read(make_tables())
-    assert not bench.is_served()
-    bench.read(make_tables(hot_keys={"board": {"k": OWNED[0]}}))
-    assert not bench.is_served()
-    bench.read(make_tables(partitions={"board": {}, "other": OWNED}))
-    assert bench.is_served()
-
-
-def test_one_read_a_second_and_none_once_released(bench):
+    harness.change(make_generation(1, ()))
+    harness.change(make_generation(2))
+    assert not harness.is_served()
+    assert harness.machine.is_released("f", "other")
+    assert harness.machine.list_waiting() == {"f/board": ("g/board",)}
+    harness.read(make_tables())
+    assert not harness.is_served()
+    harness.read(make_tables(hot_keys={"board": {"k": OWNED[0]}}))
+    assert not harness.is_served()
+    harness.read(make_tables(partitions={"board": {}, "other": OWNED}))
+    assert harness.is_served()
+
+
+def test_one_read_a_second_and_none_once_released(harness):
     """Guards against a load on the table that grows with the traffic."""
-    bench.change(make_generation(1))
+    harness.change(make_generation(1))
     calls = []
     for _ in range(100):
-        commands = bench.tick(0.05)
+        commands = harness.tick(0.05)
         calls += commands
         for command in commands:
             assert command.prefixes == ("assign/g/",)
-            bench.answer(command, make_tables())
+            harness.answer(command, make_tables())
     assert len(calls) in (5, 6)
-    bench.read({})
-    assert not any(bench.tick(0.05) for _ in range(100))
+    harness.read({})
+    assert not any(harness.tick(0.05) for _ in range(100))
 
 
-def test_a_generation_without_aliases_needs_no_read(bench):
+def test_a_generation_without_aliases_needs_no_read(harness):
     """Guards against a service that stops with the store without a merge."""
-    bench.change(make_generation(1, ()), make_generation(2))
-    assert bench.is_served()
-    assert not bench.tick(5)
+    harness.change(make_generation(1, ()), make_generation(2))
+    assert harness.is_served()
+    assert not harness.tick(5)
 
 
-def test_an_unkeyed_service_does_not_wait(bench):
+def test_an_unkeyed_service_does_not_wait(harness):
     """Guards against a wait for partitions that cannot exist."""
-    bench.change(make_generation(1, keyed=False))
-    assert bench.is_served()
-    assert not bench.tick(5)
+    harness.change(make_generation(1, keyed=False))
+    assert harness.is_served()
+    assert not harness.tick(5)
 
 
 @pytest.mark.parametrize("number", [1, 7])
-def test_a_host_that_starts_after_the_merge_checks(bench, number):
+def test_a_host_that_starts_after_the_merge_checks(harness, number):
     """Guards against a new host that trusts what it has not read."""
-    bench.change(make_generation(number))
-    assert not bench.is_served()
-    bench.read({})
-    assert bench.is_served()
+    harness.change(make_generation(number))
+    assert not harness.is_served()
+    harness.read({})
+    assert harness.is_served()
 
 
-def test_rows_of_an_earlier_generation_prove_nothing(bench):
+def test_rows_of_an_earlier_generation_prove_nothing(harness):
     """Guards against a read that was sent before partitions were assigned."""
-    bench.change(make_generation(1))
-    (early,) = bench.tick()
-    bench.change(make_generation(2, ()))
-    bench.change(make_generation(3))
-    bench.answer(early, {})
-    assert not bench.is_served()
-    bench.read({})
-    assert bench.is_served()
+    harness.change(make_generation(1))
+    (early,) = harness.tick()
+    harness.change(make_generation(2, ()))
+    harness.change(make_generation(3))
+    harness.answer(early, {})
+    assert not harness.is_served()
+    harness.read({})
+    assert harness.is_served()
 
 
-def test_a_failed_or_lost_read_is_repeated(bench):
+def test_a_failed_or_lost_read_is_repeated(harness):
     """Guards against serving, or waiting for ever, while the store fails."""
-    bench.change(make_generation(1))
-    (command,) = bench.tick()
-    bench.feed(sycamoreloft_decisions.ReadFailed(command.call))
-    assert not bench.tick(0.5)
-    (late,) = bench.tick(0.5)
-    (command,) = bench.tick(1.0)
-    bench.answer(late, {})
-    assert not bench.is_served()
-    bench.answer(command, {})
-    assert bench.is_served()
-
-
-def test_a_later_generation_keeps_the_release(bench):
+    harness.change(make_generation(1))
+    (command,) = harness.tick()
+    harness.feed(sycamoreloft_decisions.ReadFailed(command.call))
+    assert not harness.tick(0.5)
+    (late,) = harness.tick(0.5)
+    (command,) = harness.tick(1.0)
+    harness.answer(late, {})
+    assert not harness.is_served()
+    harness.answer(command, {})
+    assert harness.is_served()
+
+
+def test_a_later_generation_keeps_the_release(harness):
     """Guards against a pause of a merged service with each submission."""
-    bench.change(make_generation(1))
-    bench.read({})
-    bench.change(make_generation(1), make_generation(2, ("g/board", "h/board")))
-    assert bench.is_served()
-    bench.change(make_generation(2, ("g/board", "h/board")))
-    assert bench.machine.list_waiting() == {"f/board": ("h/board",)}
+    harness.change(make_generation(1))
+    harness.read({})
+    harness.change(
+        make_generation(1), make_generation(2, ("g/board", "h/board"))
+    )
+    assert harness.is_served()
+    harness.change(make_generation(2, ("g/board", "h/board")))
+    assert harness.machine.list_waiting() == {"f/board": ("h/board",)}
 
 
 @pytest.mark.parametrize("between", [True, False])
-def test_a_merge_that_was_undone_is_checked_again(bench, between):
+def test_a_merge_that_was_undone_is_checked_again(harness, between):
     """Guards against a release that is older than the next assignment."""
-    bench.change(make_generation(1))
-    bench.read({})
+    harness.change(make_generation(1))
+    harness.read({})
     if between:
-        bench.change(make_generation(2, ()))
-        assert bench.is_served()
-    bench.change(make_generation(3))
-    assert not bench.is_served()
-    bench.read(make_tables())
-    assert not bench.is_served()
+        harness.change(make_generation(2, ()))
+        assert harness.is_served()
+    harness.change(make_generation(3))
+    assert not harness.is_served()
+    harness.read(make_tables())
+    assert not harness.is_served()
 
 
-def test_records_of_a_lost_domain_are_passed_over_while_it_is_lost(bench):
+def test_records_of_a_lost_domain_are_passed_over_while_it_is_lost(harness):
     """Guards against a wait for ever, and against the domain's return."""
-    bench.change(make_generation(1, lost=True))
-    bench.read(make_tables())
-    assert bench.is_served()
-    bench.change(make_generation(1, lost=True), make_generation(2))
-    assert not bench.is_served()
-    bench.change(make_generation(1, lost=True))
-    assert bench.is_served()
-    bench.change(make_generation(2))
-    bench.read(make_tables())
-    assert not bench.is_served()
-    bench.read({})
-    assert bench.is_served()
+    harness.change(make_generation(1, lost=True))
+    harness.read(make_tables())
+    assert harness.is_served()
+    harness.change(make_generation(1, lost=True), make_generation(2))
+    assert not harness.is_served()
+    harness.change(make_generation(1, lost=True))
+    assert harness.is_served()
+    harness.change(make_generation(2))
+    harness.read(make_tables())
+    assert not harness.is_served()
+    harness.read({})
+    assert harness.is_served()
--- a/packages/decisions/tests/test_grants.py
+++ b/packages/decisions/tests/test_grants.py
@@ -14,20 +14,20 @@
 SECOND = FIRST + 0.05 + _timing.RENEWAL_INTERVAL_S
 
 
-class Caller:
+class FakeUpstream:
     """Plays the upstream for one book."""
 
     def __init__(self, checks_fences=True):
-        self.book = _grants.GrantBook(
+        self.grants = _grants.UpstreamGrants(
             "u", checks_fences, 5, itertools.count(1), 0.0
         )
 
     def send(self, now):
-        (command,) = self.book.tick(now, True)
+        (command,) = self.grants.tick(now, True)
         return command
 
-    def answer(self, command, now, accepted=True, incarnation="i1"):
-        self.book.answer(
+    def record_answer(self, command, now, accepted=True, incarnation="i1"):
+        self.grants.record_answer(
             sycamoreloft_decisions.GrantAnswered(
                 "u",
                 command.call,
@@ -42,106 +42,106 @@
 
     def grant(self):
         """Grants the unit; the first contact brings the reading."""
-        self.book.change({UNIT: 3}, ())
-        self.answer(self.send(0.0), 0.01, accepted=False)
-        self.book.confirm("i1")
-        self.answer(self.send(0.02), 0.03)
+        self.grants.update_content({UNIT: 3}, ())
+        self.record_answer(self.send(0.0), 0.01, accepted=False)
+        self.grants.confirm("i1")
+        self.record_answer(self.send(0.02), 0.03)
 
 
 @pytest.fixture
-def caller():
-    made = Caller()
-    made.grant()
-    return made
+def upstream():
+    fake = FakeUpstream()
+    fake.grant()
+    return fake
 
 
-def test_no_grant_goes_out_without_the_right_to_act(caller):
+def test_no_grant_goes_out_without_the_right_to_act(upstream):
     """Guards against renewals by a holder whose promise has expired."""
-    assert not caller.book.tick(5.0, False)
+    assert not upstream.grants.tick(5.0, False)
 
 
-def test_owner_is_granted_only_while_the_grant_certainly_lasts(caller):
+def test_owner_is_granted_only_while_the_grant_certainly_lasts(upstream):
     """Guards against permits for an upstream whose clock is faster."""
-    assert caller.book.is_granted(UNIT, 3, 0.97)
-    assert not caller.book.is_granted(UNIT, 3, 0.99)
-    assert not caller.book.is_granted(UNIT, 2, 0.5)
+    assert upstream.grants.is_granted(UNIT, 3, 0.97)
+    assert not upstream.grants.is_granted(UNIT, 3, 0.99)
+    assert not upstream.grants.is_granted(UNIT, 2, 0.5)
 
 
-def test_acknowledged_removal_releases_at_once(caller):
+def test_acknowledged_removal_releases_at_once(upstream):
     """Guards against planned moves that wait for a grant to end."""
-    removal = caller.book.change({}, [UNIT])
-    assert not caller.book.is_released(removal, 0.1, NEVER)
-    caller.answer(caller.send(0.1), 0.11)
-    assert caller.book.is_released(removal, 0.11, NEVER)
+    removal = upstream.grants.update_content({}, [UNIT])
+    assert not upstream.grants.is_released(removal, 0.1, NEVER)
+    upstream.record_answer(upstream.send(0.1), 0.11)
+    assert upstream.grants.is_released(removal, 0.11, NEVER)
 
 
-def test_delayed_renewal_after_a_move_keeps_the_unit(caller):
+def test_delayed_renewal_after_a_move_keeps_the_unit(upstream):
     """Guards against a late grant that brings the unit back."""
-    delayed = caller.send(FIRST)
-    caller.book.fail(delayed.call)
-    removal = caller.book.change({}, [UNIT])
-    caller.answer(caller.send(FIRST + 0.01), FIRST + 0.02)
+    delayed = upstream.send(FIRST)
+    upstream.grants.record_failure(delayed.call)
+    removal = upstream.grants.update_content({}, [UNIT])
+    upstream.record_answer(upstream.send(FIRST + 0.01), FIRST + 0.02)
     end = 0.03 + _timing.GRANT_CERTAIN_END_S
-    assert not caller.book.is_released(removal, end - 0.01, NEVER)
-    assert caller.book.is_released(removal, end, NEVER)
+    assert not upstream.grants.is_released(removal, end - 0.01, NEVER)
+    assert upstream.grants.is_released(removal, end, NEVER)
 
 
-def test_lost_answer_counts_as_granted(caller):
+def test_lost_answer_counts_as_granted(upstream):
     """Guards against a wait that forgets a grant without an answer."""
-    caller.answer(caller.send(FIRST), FIRST + 0.01)
-    lost = caller.send(SECOND)
-    caller.book.fail(lost.call)
-    removal = caller.book.change({}, [UNIT])
+    upstream.record_answer(upstream.send(FIRST), FIRST + 0.01)
+    lost = upstream.send(SECOND)
+    upstream.grants.record_failure(lost.call)
+    removal = upstream.grants.update_content({}, [UNIT])
     end = FIRST + 0.01 + _timing.GRANT_CERTAIN_END_S
-    assert not caller.book.is_released(removal, end - 0.01, 0.0)
-    assert caller.book.is_released(removal, end, 0.0)
+    assert not upstream.grants.is_released(removal, end - 0.01, 0.0)
+    assert upstream.grants.is_released(removal, end, 0.0)
 
 
-def test_late_answer_of_an_abandoned_call_is_ignored(caller):
+def test_late_answer_of_an_abandoned_call_is_ignored(upstream):
     """Guards against an old incarnation that passes for a new one."""
-    old = caller.send(FIRST)
-    caller.book.fail(old.call)
-    removal = caller.book.change({}, [UNIT])
-    caller.answer(old, 0.5, incarnation="i0")
-    assert not caller.book.is_released(removal, 0.5, NEVER)
+    old = upstream.send(FIRST)
+    upstream.grants.record_failure(old.call)
+    removal = upstream.grants.update_content({}, [UNIT])
+    upstream.record_answer(old, 0.5, incarnation="i0")
+    assert not upstream.grants.is_released(removal, 0.5, NEVER)
 
 
-def test_unreachable_upstream_waits_for_earlier_holders(caller):
+def test_unreachable_upstream_waits_for_earlier_holders(upstream):
     """Guards against a wait that covers only this holder's own grants."""
-    removal = caller.book.change({}, [UNIT])
-    assert not caller.book.is_released(removal, 50.0, 60.0)
-    assert caller.book.is_released(removal, 60.0, 60.0)
+    removal = upstream.grants.update_content({}, [UNIT])
+    assert not upstream.grants.is_released(removal, 50.0, 60.0)
+    assert upstream.grants.is_released(removal, 60.0, 60.0)
 
 
-def test_restarted_upstream_is_released_and_waits_for_confirmation(caller):
+def test_restarted_upstream_is_released_and_waits_for_confirmation(upstream):
     """Guards against grants of a replaced holder after a restart."""
-    removal = caller.book.change({}, [UNIT])
-    caller.answer(caller.send(FIRST), FIRST + 0.01, False, "i2")
-    assert caller.book.is_released(removal, FIRST + 0.01, NEVER)
-    assert caller.book.needs_confirmation()
-    assert caller.send(SECOND).clock_reading is None
-    caller.book.confirm("i1")
-    assert caller.book.needs_confirmation()
-    caller.book.confirm("i2")
-    assert not caller.book.needs_confirmation()
+    removal = upstream.grants.update_content({}, [UNIT])
+    upstream.record_answer(upstream.send(FIRST), FIRST + 0.01, False, "i2")
+    assert upstream.grants.is_released(removal, FIRST + 0.01, NEVER)
+    assert upstream.grants.needs_confirmation()
+    assert upstream.send(SECOND).clock_reading is None
+    upstream.grants.confirm("i1")
+    assert upstream.grants.needs_confirmation()
+    upstream.grants.confirm("i2")
+    assert not upstream.grants.needs_confirmation()
 
 
 def test_upstream_without_fence_checks_is_released_by_time_only():
     """Guards against trust in an upstream that accepts old epochs."""
-    caller = Caller(checks_fences=False)
-    caller.grant()
-    removal = caller.book.change({}, [UNIT])
-    caller.answer(caller.send(0.1), 0.11)
+    upstream = FakeUpstream(checks_fences=False)
+    upstream.grant()
+    removal = upstream.grants.update_content({}, [UNIT])
+    upstream.record_answer(upstream.send(0.1), 0.11)
     # The reading that the only grant used arrived at 0.01 s.
     end = 0.01 + _timing.GRANT_CERTAIN_END_S
-    assert not caller.book.is_released(removal, end - 0.01, 0.0)
-    assert caller.book.is_released(removal, end, 0.0)
+    assert not upstream.grants.is_released(removal, end - 0.01, 0.0)
+    assert upstream.grants.is_released(removal, end, 0.0)
 
 
-def test_renewal_sends_the_latest_reading_and_no_content(caller):
+def test_renewal_sends_the_latest_reading_and_no_content(upstream):
     """Guards against renewals that are counted from an old reading."""
-    renewal = caller.send(FIRST)
+    renewal = upstream.send(FIRST)
     assert renewal.clock_reading == pytest.approx(100.03)
     assert renewal.partitions is None
-    caller.answer(renewal, FIRST + 0.01, accepted=False)
-    assert caller.send(SECOND).partitions == {"board": {1: 3}}
+    upstream.record_answer(renewal, FIRST + 0.01, accepted=False)
+    assert upstream.send(SECOND).partitions == {"board": {1: 3}}
--- a/packages/decisions/tests/test_ownership_fuzz.py
+++ b/packages/decisions/tests/test_ownership_fuzz.py
@@ -390,29 +390,31 @@
 
 def test_fuzz_finds_a_promise_counted_from_the_answer(monkeypatch):
     """Guards against a fuzz that is blind to promises that last too long."""
-    receive = _authority.Authority.receive
+    record_promise = _authority.Authority.record_promise
 
-    def receive_late(self, event, now):
+    def record_late_promise(self, event, now):
         peer = self._peers.get(event.host)
         if peer and event.call in peer.requests:
             peer.requests[event.call] = now
-        receive(self, event, now)
+        record_promise(self, event, now)
 
-    monkeypatch.setattr(_authority.Authority, "receive", receive_late)
+    monkeypatch.setattr(
+        _authority.Authority, "record_promise", record_late_promise
+    )
     machine = choose_rules(SplitMachine, "cut_off_holder_with_slow_answers")
     assert "accepts" in find_violation(machine, 0)
 
 
 def test_fuzz_finds_a_missing_confirmation(monkeypatch):
     """Guards against grants of a replaced holder to a restarted upstream."""
-    meet = _grants.GrantBook._meet_incarnation
+    reset = _grants.UpstreamGrants._reset_for_incarnation
 
-    def meet_and_confirm(self, incarnation):
-        meet(self, incarnation)
+    def reset_and_confirm(self, incarnation):
+        reset(self, incarnation)
         self._is_confirmed = True
 
     monkeypatch.setattr(
-        _grants.GrantBook, "_meet_incarnation", meet_and_confirm
+        _grants.UpstreamGrants, "_reset_for_incarnation", reset_and_confirm
     )
     machine = choose_rules(SplitMachine, "split_and_leave")
     assert "accepts" in find_violation(machine, 0)
@@ -420,11 +422,11 @@
 
 def test_fuzz_finds_trust_in_an_upstream_without_fences(monkeypatch):
     """Guards against moves that believe an upstream that checks no fences."""
-    create = _grants.GrantBook.__init__
+    create = _grants.UpstreamGrants.__init__
 
     def create_trusting(self, upstream, checks_fences, *rest):
         create(self, upstream, True, *rest)
 
-    monkeypatch.setattr(_grants.GrantBook, "__init__", create_trusting)
+    monkeypatch.setattr(_grants.UpstreamGrants, "__init__", create_trusting)
     machine = choose_rules(SplitMachine, "split_and_leave")
     assert "accepts" in find_violation(machine, 0)
--- a/packages/decisions/tests/test_placement.py
+++ b/packages/decisions/tests/test_placement.py
@@ -39,7 +39,7 @@
     return sycamoreloft_config.Generation(1, {"f": fleet})
 
 
-def divide(generation):
+def list_partition_domains(generation):
     directory = sycamoreloft_decisions.PartitionDirectory(generation)
     return [
         directory.get_group("f", "board", partition).failure_domain
@@ -49,15 +49,17 @@
 
 def test_groups_share_partitions_by_slots():
     """Guards against a small group that is given as much as a large one."""
-    counts = collections.Counter(divide(make_generation({"a": 2, "b": 6})))
+    counts = collections.Counter(
+        list_partition_domains(make_generation({"a": 2, "b": 6}))
+    )
     assert counts["a"] / 2_000 == pytest.approx(0.25, abs=0.03)
 
 
 def test_lost_upstreams_move_only_the_share_of_their_group():
     """Guards against churn between groups that a file does not touch."""
     slots = {"a": 4, "b": 4, "c": 4}
-    before = divide(make_generation(slots))
-    after = divide(make_generation(slots, a0={"lost": True}))
+    before = list_partition_domains(make_generation(slots))
+    after = list_partition_domains(make_generation(slots, a0={"lost": True}))
     changed = [
         (old, new) for old, new in zip(before, after, strict=True) if old != new
     ]
@@ -71,7 +73,7 @@
     generation = make_generation(
         {"a": 4, "b": 4}, a0=lost, a1={"leaving": True}
     )
-    assert set(divide(generation)) == {"b"}
+    assert set(list_partition_domains(generation)) == {"b"}
     find = sycamoreloft_decisions.compute_partition_group
     assert find(generation, "f", "film", 0) is None
 
@@ -108,12 +110,12 @@
     """Guards against units that go back and forth between near-equals."""
     unit = sycamoreloft_decisions.Unit("board", 1)
     even = make_view({"a": 10.5, "b": 9.5})
-    assert even.propose(unit, "a", 1.0) is None
+    assert even.propose_move(unit, "a", 1.0) is None
     uneven = make_view({"a": 18.0, "b": 2.0})
-    proposal = uneven.propose(unit, "a", 1.0)
+    proposal = uneven.propose_move(unit, "a", 1.0)
     assert proposal.target == "b"
     uneven.move(proposal, 1.0)
-    assert uneven.propose(unit, "b", 1.0) is None
+    assert uneven.propose_move(unit, "b", 1.0) is None
 
 
 def test_weight_of_churn_keeps_units_in_place():
@@ -121,8 +123,8 @@
     unit = sycamoreloft_decisions.Unit("board", 1)
     loads = {"a": 13.0, "b": 7.0}
     calm = sycamoreloft_config.Weights(1.0, 8.0, 1.0)
-    assert make_view(loads).propose(unit, "a", 1.0)
-    assert make_view(loads, calm).propose(unit, "a", 1.0) is None
+    assert make_view(loads).propose_move(unit, "a", 1.0)
+    assert make_view(loads, calm).propose_move(unit, "a", 1.0) is None
 
 
 def test_few_requests_say_nothing_of_loads():
--- a/packages/wire/sycamoreloft_wire/_authentication.py
+++ b/packages/wire/sycamoreloft_wire/_authentication.py
@@ -99,24 +99,24 @@
 
 
 def prove_client(
-    keys: abc.Sequence[SharedKey], hello: ClientHello, answer: ServerHello
+    keys: abc.Sequence[SharedKey], hello: ClientHello, server_hello: ServerHello
 ) -> result.Result[ClientProof, AuthenticationError]:
     """Checks the server's proof and returns the client's."""
     for key in keys:
-        if key.key_id != answer.key_id:
+        if key.key_id != server_hello.key_id:
             continue
         expected = _compute_proof(
-            key, "server", hello, answer.host, answer.nonce
+            key, "server", hello, server_hello.host, server_hello.nonce
         )
-        if hmac.compare_digest(expected, answer.proof):
+        if hmac.compare_digest(expected, server_hello.proof):
             proof = _compute_proof(
-                key, "client", hello, answer.host, answer.nonce
+                key, "client", hello, server_hello.host, server_hello.nonce
             )
             return result.Success(ClientProof(proof))
     return result.Failure(
         AuthenticationError(
-            f"host {answer.host!r} did not prove that it holds peer key"
-            f" {answer.key_id!r}; check that the secret is the same"
+            f"host {server_hello.host!r} did not prove that it holds peer key"
+            f" {server_hello.key_id!r}; check that the secret is the same"
         )
     )
 
@@ -124,14 +124,14 @@
 def verify_client(
     keys: abc.Sequence[SharedKey],
     hello: ClientHello,
-    answer: ServerHello,
+    server_hello: ServerHello,
     proof: ClientProof,
 ) -> bool:
-    """Tells whether the client proved that it holds the picked key."""
+    """Returns whether the client proved that it holds the picked key."""
     for key in keys:
-        if key.key_id == answer.key_id:
+        if key.key_id == server_hello.key_id:
             expected = _compute_proof(
-                key, "client", hello, answer.host, answer.nonce
+                key, "client", hello, server_hello.host, server_hello.nonce
             )
             return hmac.compare_digest(expected, proof.proof)
     return False
