--- a/packages/decisions/sycamoreloft_decisions/__init__.py
+++ b/packages/decisions/sycamoreloft_decisions/__init__.py
@@ -1,7 +1,8 @@
-"""Pure decisions of the router.
+"""State machines that make the router's decisions, without input or output.
 
-The names of acceptance and membership stand in the public modules
-`acceptance` and `membership`, since several are also names of ownership.
+Each state machine handles events and returns commands for the runtime. The
+names of the modules `acceptance` and `membership` are not exported here,
+because some of them are also names of ownership events and commands.
 """
 
 from sycamoreloft_decisions._alias_release import (
--- a/packages/decisions/sycamoreloft_decisions/_acceptance_events.py
+++ b/packages/decisions/sycamoreloft_decisions/_acceptance_events.py
@@ -1,4 +1,4 @@
-"""Events and commands of the acceptance machine."""
+"""Events and commands of the state machine `Acceptance`."""
 
 from collections import abc
 import dataclasses
@@ -8,11 +8,12 @@
 
 
 class WriteResult(enum.Enum):
-    """What is known of a transaction."""
+    """Result of a conditional write, as far as it is known."""
 
     APPLIED = "applied"
+    #: A row did not have the required version; nothing was written.
     CONFLICT = "conflict"
-    #: The answer was lost; the write may take effect later.
+    #: The answer was lost; the write may be committed now or later.
     UNKNOWN = "unknown"
 
 
@@ -21,67 +22,71 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FileSubmitted:
-    """An operator submits checked files whose objects are stored."""
+    """An operator submitted files, which were checked and stored."""
 
-    #: Request id, unique.
+    #: Unique request id; a retry of the submission has the same id.
     request: str
-    #: Generation that the operator names as the base.
+    #: Number of the generation that the operator changed.
     base: int
-    #: All files of the candidate: those of the base with the new ones.
+    #: SHA-256 of each file of the new generation, by file name. Contains the
+    #: unchanged files of the base, too.
     files: abc.Mapping[str, str]
-    #: Groups of the candidate.
+    #: Groups of the new generation, as "fleet/domain/index".
     groups: abc.Sequence[str]
-    #: Groups of the candidate in failure domains that it declares lost.
+    #: Those of `groups` in failure domains that the files declare lost.
     lost_groups: abc.Sequence[str] = ()
-    #: Longest time to wait for acceptance before answering, in seconds.
+    #: Maximum time to wait for acceptance before the answer, in seconds.
     wait_s: float = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeadRead:
-    """`config/head` was read."""
+    """The row `config/head` was read."""
 
-    #: Version of the row, 0 if it is absent.
+    #: Version of the row in the store; 0 if the row is absent.
     version: int
-    #: Value, None if the row is absent.
+    #: Value of the row; None if the row is absent.
     row: _acceptance_rows.HeadRow | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GroupRowsRead:
-    """All group rows were read in the same call as the head.
+    """All group rows were read in one snapshot with the head.
 
-    Follows the `HeadRead` of the call, and is also given if the head did not
-    change. It is not given for a read without group rows.
+    Follows the `HeadRead` event of the same read, whether the head has changed
+    or not. A read without group rows does not cause this event.
     """
 
-    #: Version of the head in that call.
+    #: Version of the head in the same snapshot.
     head_version: int
-    #: Rows by "fleet/domain/index"; an absent row has no entry.
+    #: Rows by group ("fleet/domain/index"); absent rows have no entry.
     rows: abc.Mapping[str, _acceptance_rows.GroupRow]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WriteFinished:
-    """A write head, stage or accept command was answered, or not."""
+    """A write was answered or timed out.
+
+    The write is that of a `WriteHead`, `StageGeneration` or
+    `AcceptGeneration` command.
+    """
 
     #: Request id of the command.
     request: str
-    #: What is known of it.
     result: WriteResult
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tick:
-    """Time passed."""
+    """Periodic timer event."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeldGroupsChanged:
-    """This host holds other groups than before.
+    """The set of groups that this host holds has changed.
 
-    Only group holders read the store periodically. Until the first of these
-    events a host reads as if it held a group.
+    Only group holders read the store periodically. Until the first event of
+    this type, a host reads as if it held a group.
     """
 
     #: Groups as "fleet/domain/index".
@@ -103,96 +108,102 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadRows:
-    """Read `config/head`, and all group rows in the same call."""
+    """Read the row `config/head`, and the group rows in the same snapshot."""
 
-    #: Whether the group rows are needed.
+    #: Whether to read the group rows, too.
     with_group_rows: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ApplyGenerations:
-    """Serve from now on only what both generations treat alike.
+    """Apply the accepted and the pending generation on this host.
 
-    Must be carried out before the commands that follow it.
+    From then on, the host only serves requests that both generations treat
+    alike. The command must be completed before the ones that follow it.
     """
 
     #: Number of the accepted generation.
     accepted: int
-    #: Number of the pending generation, 0 for none.
+    #: Number of the pending generation; 0 if there is none.
     pending: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WriteHead:
-    """Put `config/head`, conditional on its version."""
+    """Write the row `config/head` with a new pending generation."""
 
-    #: Request id of the write.
+    #: Request id of the submission.
     request: str
-    #: Version that the row must have, 0 for absent.
+    #: The write must fail unless the row has this version; 0 for absent.
     version: int
-    #: New value.
+    #: New value of the row.
     row: _acceptance_rows.HeadRow
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StageGeneration:
-    """Set `staged` of a group row, conditional on its version."""
+    """Record in a group row that its holder has staged a generation."""
 
     #: Request id of the write.
     request: str
     #: Group as "fleet/domain/index".
     group: str
-    #: Version that the group row must have.
+    #: The write must fail unless the group row has this version.
     version: int
-    #: Generation to record.
+    #: Number of the staged generation.
     staged: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AcceptGeneration:
-    """Put `config/head`, conditional on it and on every group row."""
+    """Write the row `config/head` with the pending generation as accepted."""
 
     #: Request id of the write.
     request: str
-    #: Version that the head must have.
+    #: The write must fail unless the head has this version.
     version: int
-    #: Versions that the group rows must have, 0 for absent.
+    #: The write must fail unless each group row has this version; 0 for
+    #: absent.
     group_versions: abc.Mapping[str, int]
-    #: New value.
+    #: New value of the head.
     row: _acceptance_rows.HeadRow
 
 
 class Verdict(enum.Enum):
-    """Final answer to an operator."""
+    """Outcome of a submission."""
 
+    #: The new generation is in force.
     ACCEPTED = "accepted"
-    #: Recorded; some group has not staged it yet.
+    #: The submission is recorded; some group has not staged it yet.
     PENDING = "pending"
-    #: Recorded, then replaced by a later submission that builds on it.
+    #: The submission was recorded, and a later submission that is based on it
+    #: replaced it before it was accepted.
     REPLACED = "replaced"
-    #: Not recorded: the base is not the newest generation.
+    #: Not recorded, because the base is not the newest generation.
     CONFLICT = "conflict"
-    #: Not known whether it was recorded.
+    #: It is not known whether the submission was recorded.
     UNKNOWN = "unknown"
-    #: Not recorded: the store did not answer, and no write was sent.
+    #: Not recorded: the store did not answer, so no write was sent.
     UNAVAILABLE = "unavailable"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SubmissionResult:
-    """Answer to a submission."""
+    """Report the result of a submission to the operator."""
 
     #: Request id of the submission.
     request: str
-    #: Outcome.
     verdict: Verdict
     #: Number of the submitted generation; 0 if it was not recorded.
     number: int
-    #: Newest generation, on which the next submission must be based.
+    #: Number of the newest generation, on which the next submission must be
+    #: based.
     newest: int
-    #: Failure domains, as "fleet/domain", that have not staged it.
+    #: If pending: failure domains that have not staged the generation, as
+    #: "fleet/domain".
     waiting_domains: abc.Sequence[str] = ()
-    #: Names of files that changed between the named base and `newest`.
+    #: In a conflict: names of the files that differ between the base of the
+    #: submission and `newest`.
     changed_files: abc.Sequence[str] = ()
 
 
--- a/packages/decisions/sycamoreloft_decisions/_acceptance_rows.py
+++ b/packages/decisions/sycamoreloft_decisions/_acceptance_rows.py
@@ -1,76 +1,77 @@
-"""Rows that record the accepted and the pending generation."""
+"""Rows of the store that record the accepted and the pending generation."""
 
 from collections import abc
 import dataclasses
 
-#: Submissions that the head row remembers. At the design size of 4,500
-#: changes a day, 16 of them span five minutes.
+#: Maximum number of submissions in the history of the head row. At the design
+#: size of 4,500 changes a day, 16 of them span five minutes.
 MAXIMUM_HISTORY = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GenerationRecord:
-    """A generation as the head row names it."""
+    """A generation as the head row records it."""
 
-    #: Number, never used twice.
+    #: Unique number; each recorded submission increases it by one.
     number: int
     #: Request id of the submission.
     request: str
-    #: SHA-256 of each file of the generation, by "fleet/<name>" or "merge".
+    #: SHA-256 of each file, by file name ("fleet/<name>" or "merge").
     files: abc.Mapping[str, str]
-    #: Groups of the generation, as "fleet/domain/index".
+    #: All groups that the files declare, as "fleet/domain/index".
     groups: abc.Sequence[str] = ()
-    #: Those whose failure domain the generation declares lost.
+    #: Groups in failure domains that the files declare lost.
     lost_groups: abc.Sequence[str] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PastSubmission:
-    """A submission that took effect, kept to settle lost answers."""
+    """A recorded submission; tells a host the result after a lost answer."""
 
-    #: Number of the generation.
+    #: Number of the generation that the submission created.
     number: int
     #: Request id of the submission.
     request: str
-    #: SHA-256 of each file, so that a loser learns what changed.
+    #: SHA-256 of each file, by file name. A conflict report names the files
+    #: that differ from these.
     files: abc.Mapping[str, str]
-    #: Whether a later submission replaced it while it was pending.
+    #: Whether a later submission replaced the generation while it was pending.
     replaced: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeadRow:
-    """Value of `config/head`."""
+    """Value of the row `config/head`."""
 
     #: The generation in force.
     accepted: GenerationRecord
-    #: The candidate, if any.
+    #: The generation that the groups are to stage; None if there is none.
     pending: GenerationRecord | None = None
-    #: Latest submissions, oldest first.
+    #: The latest recorded submissions, oldest first.
     history: abc.Sequence[PastSubmission] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GroupRow:
-    """What acceptance needs of a group row."""
+    """The fields of a group row that acceptance needs."""
 
-    #: Version of the row in the table.
+    #: Version of the row in the store.
     version: int
-    #: Name of the holder.
+    #: Host that holds the group.
     holder: str
-    #: Generation that the holder has staged, 0 for none.
+    #: Number of the latest generation that the holder has staged; 0 for none.
     staged: int = 0
 
 
-#: The row before the first submission.
+#: Value of the head before the first submission, when the row is absent.
 EMPTY_HEAD = HeadRow(GenerationRecord(0, "", {}))
 
 
 def is_based_on_newest(row: HeadRow, base: int) -> bool:
     """Returns whether a submission on a base may be recorded.
 
-    Otherwise the second of two racing operators would undo the change of the
-    first one without having seen it.
+    The base must be the newest generation. Otherwise the second of two
+    concurrent submissions would silently undo the change of the first one.
     """
     return get_newest(row).number == base
 
@@ -83,8 +84,8 @@
 def record_candidate(row: HeadRow, candidate: GenerationRecord) -> HeadRow:
     """Returns the head with a candidate as its pending generation.
 
-    A pending generation is replaced by one that builds on it, so that no
-    recorded change is lost without its operator's knowledge.
+    The candidate is based on the pending generation that it replaces, so it
+    contains every change recorded before.
     """
     history = [
         dataclasses.replace(item, replaced=True)
@@ -103,11 +104,11 @@
 def list_required_groups(row: HeadRow) -> abc.Sequence[str]:
     """Lists the groups that must stage the pending generation.
 
-    Only groups of the accepted generation can have a holder, unless it
-    declares them lost: then no host holds them, and they could never stage
-    the generation that declares them running again. Those that the pending
-    generation declares lost cannot answer; the operator vouches that they no
-    longer run.
+    Only groups of the accepted generation have a holder. Groups in failure
+    domains that it declares lost have none, so they could never stage the
+    generation that declares them as running again. Groups that the pending
+    generation declares lost cannot stage it either; the operator guarantees
+    that they no longer run.
     """
     lost = set(row.accepted.lost_groups)
     if row.pending:
@@ -118,10 +119,11 @@
 def list_waiting_groups(
     row: HeadRow, rows: abc.Mapping[str, GroupRow]
 ) -> abc.Sequence[str]:
-    """Lists the required groups that have not staged what is pending.
+    """Lists the required groups that have not staged the pending generation.
 
-    A group without a row has never had a holder. Whoever takes it creates
-    the row, which conflicts with an acceptance that found it absent.
+    A group without a row has never had a holder and need not stage anything.
+    The first takeover creates the row, which makes an acceptance fail that is
+    conditional on the absence of the row.
     """
     if row.pending is None:
         return []
--- a/packages/decisions/sycamoreloft_decisions/_alias_release.py
+++ b/packages/decisions/sycamoreloft_decisions/_alias_release.py
@@ -1,8 +1,9 @@
-"""Wait of a canonical service until the partitions of its aliases are free.
+"""Delays a canonical service until the partitions of its aliases are released.
 
-After a merge file, a key of the alias is a key of the canonical service. An
-upstream of the alias may own it until the holders of the alias's groups have
-recorded the release. Until then no permit of the canonical service is issued.
+A merge file makes the keys of an alias keys of its canonical service. Upstreams
+of the alias may own such keys until the holders of the alias's groups have
+deleted their records. Until then, no permit of the canonical service is issued,
+because a key could otherwise have two owners.
 """
 
 from collections import abc
@@ -14,7 +15,7 @@
 import sycamoreloft_config
 from sycamoreloft_decisions import _ownership, _rows, _timing
 
-#: Shortest time between two reads of one host, in seconds.
+#: Minimum time between two reads of the assignment rows by one host.
 ALIAS_READ_INTERVAL_S = 1.0
 
 _Reference: typing.TypeAlias = sycamoreloft_config.ServiceReference
@@ -22,19 +23,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadAliasRows:
-    """Read the assignment rows of the fleets whose aliases are not released."""
+    """Read the assignment rows of fleets with aliases not known as released."""
 
-    #: Number of the read.
+    #: Identifier that the answer repeats.
     call: int
-    #: Prefixes of the rows.
+    #: Table key prefixes of the rows; one for each fleet.
     prefixes: abc.Sequence[str]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AliasRowsRead:
-    """Answer to `ReadAliasRows`; all rows come from one read of the table."""
+    """Answer to `ReadAliasRows`; all rows are from one consistent snapshot."""
 
-    #: Number of the read.
+    #: Identifier of the `ReadAliasRows` command.
     call: int
     #: Assignments by group.
     tables: abc.Mapping[sycamoreloft_config.GroupName, _rows.AssignmentTable]
@@ -49,9 +50,10 @@
 
 
 class AliasRelease:
-    """Knows which canonical services may be served.
+    """State machine that decides which canonical services may be served.
 
-    A `Tick` arrives while the host holds a group; reads follow ticks only.
+    Only a `Tick` event starts a read. The runtime delivers them only while
+    this host holds a group, so other hosts never read.
     """
 
     def __init__(self) -> None:
@@ -60,8 +62,8 @@
         self._canonicals: dict[_Reference, _Reference] = {}
         self._accepted: sycamoreloft_config.Generation | None = None
         self._pending: sycamoreloft_config.Generation | None = None
-        # Released aliases, with the groups of lost domains whose records
-        # were passed over.
+        # Released aliases. Their value has the groups that still record owners
+        # but are in lost failure domains, so that these records were ignored.
         self._released: dict[
             _Reference, frozenset[sycamoreloft_config.GroupName]
         ] = {}
@@ -70,7 +72,7 @@
         self._next_read_at = 0.0
 
     def is_released(self, fleet: str, service: str) -> bool:
-        """Returns whether no alias of a canonical service has partitions.
+        """Returns whether all aliases of a canonical service are released.
 
         Args:
             fleet: Fleet of the canonical service.
@@ -79,7 +81,10 @@
         return (fleet, service) not in self._waiting
 
     def list_waiting(self) -> abc.Mapping[str, abc.Sequence[str]]:
-        """Returns the unreleased aliases by canonical service."""
+        """Returns the aliases that are not released, by canonical service.
+
+        Services are named as "fleet/service".
+        """
         return {
             f"{fleet}/{service}": tuple(aliases)
             for (fleet, service), aliases in self._waiting.items()
@@ -89,7 +94,12 @@
     def handle(
         self, event: AliasEvent, now: float
     ) -> abc.Sequence[ReadAliasRows]:
-        """Handles an event; `now` is a clock reading in seconds."""
+        """Handles an event and returns reads to perform.
+
+        Args:
+            event: The event.
+            now: Clock reading in seconds.
+        """
         raise TypeError(f"unknown event {event!r}")
 
     @handle.register
@@ -99,8 +109,8 @@
         accepted = event.generation
         if accepted.number != self._generation_number:
             canonicals = _map_aliases(accepted)
-            # A generation that this host has not seen may have given an
-            # alias partitions of its own again.
+            # If this host has missed a generation, partitions may have been
+            # assigned to an alias in between.
             is_next = accepted.number == self._generation_number + 1
             self._released = {
                 alias: lost_groups
@@ -111,8 +121,8 @@
             }
             self._canonicals = canonicals
             self._generation_number = accepted.number
-            # Rows read under an earlier generation prove nothing: its
-            # holders may have assigned partitions after the read.
+            # A read that was sent under an earlier generation proves nothing:
+            # holders may have assigned partitions by it after the read.
             self._read = None
         self._accepted, self._pending = accepted, event.pending
         self._update_waiting()
@@ -163,11 +173,11 @@
         return True
 
     def _update_waiting(self) -> None:
-        """Lists what waits; permit requests look it up.
+        """Computes the aliases for which canonical services must wait.
 
-        A pending generation that lets a lost domain run again makes the
-        service wait before it takes effect, because the domain's holder
-        starts with the records that were passed over.
+        If a pending generation declares a lost domain as running again, the
+        service waits from then on, before the generation is accepted: the
+        holder in that domain starts with the records that were ignored.
         """
         self._waiting = {}
         for alias, canonical in sorted(self._canonicals.items()):
@@ -184,7 +194,7 @@
 def _map_aliases(
     generation: sycamoreloft_config.Generation,
 ) -> dict[_Reference, _Reference]:
-    """Returns the canonical service of each alias; keyed services only."""
+    """Returns the canonical service of each alias of a keyed service."""
     canonicals = {}
     for name, canonical_name in generation.merge.service_canonicals.items():
         alias = _Reference(*name.split("/"))
@@ -198,7 +208,7 @@
     alias: _Reference,
     tables: abc.Mapping[sycamoreloft_config.GroupName, _rows.AssignmentTable],
 ) -> frozenset[sycamoreloft_config.GroupName]:
-    """Returns the groups that record an owner of a key of the alias."""
+    """Returns the groups that record owners of partitions of an alias."""
     return frozenset(
         group
         for group, table in tables.items()
--- a/packages/decisions/sycamoreloft_decisions/_authority.py
+++ b/packages/decisions/sycamoreloft_decisions/_authority.py
@@ -1,4 +1,4 @@
-"""The right of a holder to act: promises, confirmation, offline limit."""
+"""Decides whether the holder of a group may act in its epoch."""
 
 from collections import abc
 import dataclasses
@@ -10,28 +10,32 @@
 
 @dataclasses.dataclass(slots=True)
 class _Peer:
-    """What one host has promised."""
+    """State of the promise of one host; times on the holder's clock."""
 
     valid_until: float = 0.0
     is_final: bool = False
     requested_at: float = -1.0
-    #: Sending times of the requests that may still be answered.
+    #: Send times of the requests that may still be answered, by identifier.
     requests: dict[int, float] = dataclasses.field(default_factory=dict)
 
 
 class Authority:
-    """Returns whether the holder of one epoch may act.
+    """The right of a holder to send grants and issue permits in one epoch.
 
-    The holder depends on the promise of every host that the table may name
-    as its standby: the one in the confirmed row and the one in a write that
-    is not settled.
+    The holder may act while both hold:
+
+    - Its last confirmed write of the group row is younger than the offline
+      limit.
+    - Every host that the stored row may name as the standby promises not to
+      take over the group. These are the standby in the confirmed row and the
+      one in a write whose outcome is not known yet.
 
     Args:
         host: Name of this host.
-        row: The row that was stored when the group was taken.
-        row_version: Its version in the table.
-        written_at: Time at which that write was sent first.
-        calls: Numbers for requests.
+        row: The group row that the takeover of this host stored.
+        row_version: Version of that row in the store.
+        written_at: When the first attempt of that write was sent.
+        calls: Source of identifiers for promise requests.
     """
 
     def __init__(
@@ -47,18 +51,18 @@
         self._row_version = row_version
         self._written_at = written_at
         self._calls = calls
-        self._unsettled_row: _rows.GroupRow | None = None
+        self._unconfirmed_row: _rows.GroupRow | None = None
         self._peers: dict[str, _Peer] = {}
         self._candidate = ""
         self._avoided_until: dict[str, float] = {}
         self._is_ended = False
 
     def get_row(self) -> _rows.GroupRow:
-        """Returns the confirmed row."""
+        """Returns the group row of the last confirmed write."""
         return self._row
 
     def get_row_version(self) -> int:
-        """Returns the table version of the confirmed row."""
+        """Returns the version of the confirmed row in the store."""
         return self._row_version
 
     def may_act(self, now: float) -> bool:
@@ -70,34 +74,37 @@
         )
 
     def end(self) -> None:
-        """Ends the authority for good."""
+        """Withdraws the right to act for the rest of the epoch."""
         self._is_ended = True
 
     def begin_write(self, row: _rows.GroupRow) -> None:
-        """Notes that a write was sent; it may take effect at any time."""
-        self._unsettled_row = row
+        """Records a write that was sent and may be committed at any time."""
+        self._unconfirmed_row = row
 
     def confirm(
         self, row: _rows.GroupRow, row_version: int, written_at: float
     ) -> None:
-        """Notes that a write took effect.
+        """Records that a write of the group row was committed.
 
         Args:
             row: The row that was written.
-            row_version: Its version in the table.
-            written_at: Time at which the write was sent first.
+            row_version: Version of that row in the store.
+            written_at: When the first attempt of the write was sent.
         """
         self._row = row
         self._row_version = row_version
         self._written_at = written_at
-        self._unsettled_row = None
+        self._unconfirmed_row = None
         if self._candidate == row.standby:
             self._candidate = ""
 
     def record_promise(
         self, event: _ownership.PromiseAnswered, now: float
     ) -> None:
-        """Counts a promise from the time at which it was asked for."""
+        """Records the answer to a promise request.
+
+        The promise counts from the time at which the request was sent.
+        """
         peer = self._peers.get(event.host)
         requested_at = peer.requests.pop(event.call, None) if peer else None
         if peer is None or requested_at is None:
@@ -113,9 +120,10 @@
     def request_promises(
         self, now: float
     ) -> abc.Sequence[_ownership.RequestPromise]:
-        """Asks every host for a promise that is needed and due."""
+        """Requests the promises that must be obtained or renewed now."""
         hosts = {*self._list_standbys(), self._candidate} - {""}
-        # A later process of the same host must not inherit a promise.
+        # A promise must not be used again if the host becomes standby a second
+        # time: its process may have restarted and forgotten the promise.
         for host in set(self._peers) - hosts:
             del self._peers[host]
         if self._is_ended:
@@ -132,7 +140,13 @@
         group: sycamoreloft_config.GroupName,
         now: float,
     ) -> None:
-        """Chooses a host to become the standby, if one is needed."""
+        """Chooses a host to become the standby, if there is no usable one.
+
+        Args:
+            last_progress: As in `MembersObserved`.
+            group: The group, for the ranking of the hosts.
+            now: Clock reading in seconds.
+        """
         standby = self._row.standby
         peer = self._peers.get(standby)
         is_final = peer is not None and peer.is_final
@@ -158,7 +172,7 @@
         earlier: abc.Sequence[_rows.EarlierHolder],
         now: float,
     ) -> _rows.GroupRow:
-        """Builds the row that the next write should store."""
+        """Builds the group row for the next write."""
         return dataclasses.replace(
             self._row,
             standby=self._choose_standby(now),
@@ -169,7 +183,7 @@
         )
 
     def is_write_due(self, row: _rows.GroupRow, now: float) -> bool:
-        """Returns whether the row must be written for its own sake."""
+        """Returns whether to write the row even if no assignment changed."""
         limit = self._row.offline_limit_s * _timing.ROW_HEARTBEAT_SHARE
         interval = min(_timing.ROW_HEARTBEAT_S, limit)
         if now >= self._written_at + interval:
@@ -179,14 +193,14 @@
 
     def _get_offline_end(self) -> float:
         limit = self._row.offline_limit_s
-        if self._unsettled_row is not None:
-            limit = min(limit, self._unsettled_row.offline_limit_s)
+        if self._unconfirmed_row is not None:
+            limit = min(limit, self._unconfirmed_row.offline_limit_s)
         return self._written_at + limit
 
     def _list_standbys(self) -> set[str]:
         hosts = {self._row.standby}
-        if self._unsettled_row is not None:
-            hosts.add(self._unsettled_row.standby)
+        if self._unconfirmed_row is not None:
+            hosts.add(self._unconfirmed_row.standby)
         return hosts - {""}
 
     def _has_valid_promise(self, host: str, now: float) -> bool:
@@ -239,10 +253,10 @@
         return ranked[0] if ranked else ""
 
     def _choose_standby(self, now: float) -> str:
-        """Names the standby for the next row.
+        """Returns the standby for the next row, empty for none.
 
-        A host is named only while its promise is valid: it could otherwise
-        take the group as soon as the row names it.
+        A host without a valid promise could take over the group as soon as
+        the stored row names it.
         """
         if self._candidate and self._has_valid_promise(self._candidate, now):
             return self._candidate
--- a/packages/decisions/sycamoreloft_decisions/_grants.py
+++ b/packages/decisions/sycamoreloft_decisions/_grants.py
@@ -1,4 +1,4 @@
-"""What one holder granted to one upstream, and when it certainly ended."""
+"""Grants of a holder to one upstream, and when they certainly expire."""
 
 from collections import abc
 import dataclasses
@@ -6,20 +6,25 @@
 
 from sycamoreloft_decisions import _ownership, _timing
 
-#: Fences of granted units. Replaced, never changed in place, because calls
-#: in flight refer to it.
+#: Fences of granted units. The mapping is replaced, never changed in place,
+#: because calls in flight refer to it.
 Content = abc.Mapping[_ownership.Unit, int]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Removal:
-    """A unit was taken out of the content of an upstream's grants."""
+    """Removal of units from the content of an upstream's grants.
 
-    #: First version without the unit.
+    `UpstreamGrants.is_released` uses it to decide when the upstream certainly
+    no longer considers itself the owner of the units.
+    """
+
+    #: First version of the content without the units.
     version: int
-    #: Time at which every grant sent with the unit has certainly ended.
+    #: When all grants that were sent before the removal have expired, on the
+    #: holder's clock.
     end: float
-    #: Incarnation of the upstream at that time, empty if unknown.
+    #: Run of the upstream at the time of the removal; empty if unknown.
     incarnation: str
 
 
@@ -30,7 +35,8 @@
     number: int
     sent_at: float
     version: int
-    #: Sending time of the call that brought the reading, None without one.
+    #: Send time of the earlier call whose answer had the clock reading that
+    #: this grant carries; None for a grant without a reading.
     reading_sent_at: float | None
     content: Content
 
@@ -39,14 +45,16 @@
     """The grants of one epoch to one upstream.
 
     Only one call is in flight at a time, and the answer to a call that timed
-    out is ignored. So answers are handled in the order in which the upstream
-    gave them, and an old incarnation cannot pass for a new one.
+    out is ignored. Answers are therefore handled in the order in which the
+    upstream sent them, and an old incarnation cannot be mistaken for a new
+    one.
 
     Args:
-        upstream: Name of the upstream.
-        checks_fences: Whether the upstream rejects old epochs.
+        upstream: Upstream name in the configuration.
+        checks_fences: Whether the upstream rejects grants with an old epoch
+            and requests with an old fence.
         epoch: Epoch of the holder.
-        calls: Numbers for calls, shared by all books of the host.
+        calls: Source of call identifiers, shared by all grants of the host.
         now: Clock reading in seconds.
     """
 
@@ -61,7 +69,7 @@
         self.upstream = upstream
         self.checks_fences = checks_fences
         self.draining = False
-        #: Whether an answer named an epoch above this holder's.
+        #: Whether the upstream has seen a higher epoch than this holder's.
         self.is_superseded = False
         self._epoch = epoch
         self._calls = calls
@@ -80,52 +88,61 @@
         self._next_send_at = now
         self._started_at = now
         self._answered_at: float | None = None
-        # Certain end of all grants that were sent, and of those whose answer
-        # is missing.
+        # When all grants sent so far have certainly expired, and when those
+        # have that were sent up to the last unanswered call.
         self._sent_end = 0.0
         self._unanswered_end = 0.0
 
     def needs_confirmation(self) -> bool:
-        """Returns whether grants wait until the store confirms the row.
+        """Returns whether grants must wait until the group row is written.
 
-        A restarted upstream has forgotten the highest epoch it has seen, so
-        a holder that was replaced could have its grants accepted again. A
-        new incarnation is therefore granted nothing before a write of the
-        row, sent after the incarnation was learned, has succeeded.
+        A restarted upstream has forgotten the highest epoch it has seen, so it
+        could accept grants of a holder that was replaced. After the holder
+        learns of a new incarnation, it grants nothing until it has written the
+        group row again, which only the current holder can do.
         """
         return bool(self._incarnation) and not self._is_confirmed
 
     def get_incarnation(self) -> str:
-        """Returns the incarnation of the latest answer, empty if unknown."""
+        """Returns the incarnation in the latest answer; empty if unknown."""
         return self._incarnation
 
     def confirm(self, incarnation: str) -> None:
-        """Notes that the row is still this holder's.
+        """Records a successful write of the group row by this holder.
 
         Args:
-            incarnation: Incarnation that was known when the write that has
-                now succeeded was sent first.
+            incarnation: Incarnation that was known when the first attempt of
+                the write was sent.
         """
         if incarnation and incarnation == self._incarnation:
             self._is_confirmed = True
 
     def is_reachable(self, now: float) -> bool:
-        """Returns whether the upstream answers."""
+        """Returns whether the upstream has answered recently.
+
+        A new holder counts an upstream as reachable for `FIRST_CONTACT_S`
+        before the first answer.
+        """
         if self._answered_at is None:
             return now < self._started_at + _timing.FIRST_CONTACT_S
         return now < self._answered_at + _timing.GRANT_CERTAIN_END_S
 
     def has_answered(self) -> bool:
-        """Returns whether the upstream answered in this epoch."""
+        """Returns whether the upstream has answered in this epoch."""
         return self._answered_at is not None
 
     def update_content(
         self, added: Content, removed: abc.Iterable[_ownership.Unit]
     ) -> Removal:
-        """Changes the content of later grants.
+        """Changes the content of the following grants.
+
+        Args:
+            added: Fences of units to add or replace.
+            removed: Units to remove.
 
         Returns:
-            The proof obligation for the removed units, for `is_released`.
+            The removal, with which `is_released` must be called before the
+            removed units may be granted to another upstream.
         """
         content = dict(self._content)
         for unit in removed:
@@ -138,18 +155,19 @@
     def is_released(
         self, removal: Removal, now: float, earlier_end: float
     ) -> bool:
-        """Returns whether the upstream certainly owns a removed unit no more.
+        """Returns whether the upstream certainly no longer owns removed units.
 
         Args:
-            removal: What `update_content` returned.
+            removal: Result of `update_content`.
             now: Clock reading in seconds.
-            earlier_end: Time at which all grants of earlier holders have
-                certainly ended.
+            earlier_end: When all grants of earlier holders have certainly
+                expired.
         """
         if now >= max(removal.end, earlier_end):
             return True
-        # A new incarnation that was learned in this epoch started after the
-        # row was taken, so no earlier holder can confirm it and grant it.
+        # An incarnation that appears in this epoch started after the takeover.
+        # No earlier holder can write the group row any more, which it would
+        # have to do before it grants units to the new incarnation.
         if removal.incarnation and removal.incarnation != self._incarnation:
             return True
         return (
@@ -159,7 +177,7 @@
         )
 
     def is_granted(self, unit: _ownership.Unit, fence: int, now: float) -> bool:
-        """Returns whether an acknowledged grant of a unit is in force."""
+        """Returns whether a grant of a unit is acknowledged and in force."""
         return (
             now < self._in_force_until
             and self._acked_content.get(unit) == fence
@@ -167,13 +185,13 @@
         )
 
     def is_in_force(self, now: float) -> bool:
-        """Returns whether any acknowledged grant is in force."""
+        """Returns whether the latest acknowledged grant is in force."""
         return now < self._in_force_until
 
     def tick(
         self, now: float, may_act: bool
     ) -> abc.Sequence[_ownership.SendGrant]:
-        """Sends a grant if one is due and the holder may act."""
+        """Returns a grant to send if one is due and the holder may act."""
         call = self._call
         if call and now >= call.sent_at + _timing.GRANT_TIMEOUT_S:
             self._abandon_call(call)
@@ -187,14 +205,18 @@
         return ()
 
     def record_failure(self, number: int) -> None:
-        """Notes that a call had no answer; it may still arrive."""
+        """Records an unanswered call; the upstream may still receive it.
+
+        Args:
+            number: Identifier of the call.
+        """
         if self._call and self._call.number == number:
             self._abandon_call(self._call)
 
     def record_answer(
         self, event: _ownership.GrantAnswered, now: float
     ) -> None:
-        """Notes the answer of the upstream."""
+        """Records an answer of the upstream."""
         call = self._call
         if call is None or call.number != event.call:
             return
@@ -207,8 +229,9 @@
         elif event.accepted and call.reading_sent_at is not None:
             self._acked_version = call.version
             self._acked_content = call.content
-            # The upstream gave the reading after the call that brought it
-            # was sent; a fast upstream clock shortens the lifetime.
+            # Counts from the earliest time at which the upstream may have read
+            # its clock, and assumes the fastest clock, which ends the grant
+            # soonest.
             self._in_force_until = (
                 call.reading_sent_at
                 + _timing.GRANT_LIFETIME_S / (1 + _timing.CLOCK_DRIFT)
@@ -232,7 +255,7 @@
         self._acked_version = 0
         self._acked_content = {}
         self._in_force_until = 0.0
-        # Grants to an earlier incarnation are rejected.
+        # The new incarnation rejects grants to an earlier one.
         self._unanswered_end = 0.0
 
     def _abandon_call(self, call: _Call) -> None:
--- a/packages/decisions/sycamoreloft_decisions/_group_holder.py
+++ b/packages/decisions/sycamoreloft_decisions/_group_holder.py
@@ -1,4 +1,4 @@
-"""The part of one host in the life of one group."""
+"""State machine of one host for one group."""
 
 from collections import abc
 import functools
@@ -17,12 +17,14 @@
 
 
 class GroupHolder:
-    """Watches a group, serves as its standby, or holds it.
+    """Decides whether this host holds a group, and acts as its holder.
 
-    Every host of the group's failure domain runs one machine for the group.
+    Every host of the group's failure domain runs one such state machine for
+    the group. A host either watches the holder, serves as the standby, or is
+    the holder itself.
 
     Args:
-        host: Name of this host; no two live hosts have the same name.
+        host: Name of this host; no two live hosts may have the same name.
         incarnation: Random identifier of this process.
         group: The group.
         generation: The accepted generation.
@@ -51,14 +53,14 @@
         self._holding: _holding.Holding | None = None
         self._members = _ownership.MembersObserved({}, {})
         self._is_stopping = False
-        # Epochs below this one have ended for this host. The answer to a
-        # write that took an earlier epoch may still arrive.
+        # This host has agreed not to act in epochs below this one. It may still
+        # receive the answer to a takeover write for such an epoch.
         self._minimum_epoch = 0
 
     def handle(
         self, event: _ownership.Event, now: float
     ) -> abc.Sequence[_ownership.Command]:
-        """Handles an event and returns what to do, in order."""
+        """Handles an event and returns commands to perform in this order."""
         commands = self._dispatch(event, now)
         if self._holding:
             commands += self._holding.advance_after(event, now)
@@ -72,11 +74,11 @@
     def find_owner(
         self, service: str, key: str, partition: int, now: float
     ) -> _ownership.Owner | _ownership.NoOwner:
-        """Returns the owner of a key, or why it has none now.
+        """Returns the owner of a key, or why it has none.
 
         Args:
-            service: Name of the service.
-            key: The key, empty to ask for the whole partition.
+            service: Service of the group's fleet.
+            key: The key; empty for the owner of the whole partition.
             partition: Partition that the key hashes to.
             now: Clock reading in seconds.
         """
@@ -86,16 +88,16 @@
         return self._holding.find_owner(unit, now)
 
     def get_epoch(self) -> int:
-        """Returns the epoch in which this host holds the group, 0 if not."""
+        """Returns the epoch in which this host holds the group, else 0."""
         return self._holding.get_epoch() if self._holding else 0
 
     def list_explanations(self) -> abc.Sequence[str]:
-        """Lists the sentences of the latest decisions, oldest first."""
+        """Lists the latest decisions as sentences, oldest first."""
         return self._explanations.list_all()
 
     @functools.singledispatchmethod
     def _dispatch(self, event: object, now: float) -> Commands:
-        """Passes an event to the part that it concerns."""
+        """Handles an event; those not registered here are for the holder."""
         if self._holding:
             return self._holding.handle(event, now)
         return []
--- a/packages/decisions/sycamoreloft_decisions/_holding.py
+++ b/packages/decisions/sycamoreloft_decisions/_holding.py
@@ -1,4 +1,4 @@
-"""The holder of a group in one epoch."""
+"""State machine of a group's holder in one epoch."""
 
 from collections import abc
 import dataclasses
@@ -26,15 +26,15 @@
 
 
 class Holding:
-    """Acts for a group in one epoch.
+    """Holds a group in one epoch: grants its units and moves them.
 
     Args:
         host: Name of this host.
-        taken: The write that took the group.
+        takeover: The takeover that started the epoch.
         generation: The accepted generation.
-        pending: The pending generation, or None.
-        calls: Numbers for calls.
-        explanations: Sentences for operators.
+        pending: The pending generation, None if there is none.
+        calls: Source of identifiers for commands.
+        explanations: Receives a sentence for each decision.
         now: Clock reading in seconds.
     """
 
@@ -93,22 +93,25 @@
         return self._state.authority.get_row().epoch
 
     def get_end_reason(self) -> str:
-        """Returns why the epoch has ended, empty if it has not."""
+        """Returns why the epoch has ended; empty if it has not."""
         return self._end_reason
 
     def may_act(self, now: float) -> bool:
-        """Returns whether the holder may act now."""
+        """Returns whether the holder may send grants and issue permits."""
         return not self._end_reason and self._state.authority.may_act(now)
 
     def end(self, reason: str) -> None:
-        """Ends the epoch."""
+        """Ends the epoch; the first reason is kept."""
         self._end_reason = self._end_reason or reason
         self._state.authority.end()
 
     def find_owner(
         self, unit: _ownership.Unit, now: float
     ) -> _ownership.Owner | _ownership.NoOwner:
-        """Returns the owner of a unit, or why it has none now."""
+        """Returns the owner of a unit, or why it has none.
+
+        A hot key without a record of its own has the owner of its partition.
+        """
         state = self._state
         if not self.may_act(now):
             return _ownership.NoOwner(_ownership.WaitReason.NOT_HOLDER)
@@ -160,7 +163,7 @@
 
     @functools.singledispatchmethod
     def handle(self, event: object, now: float) -> Commands:
-        """Handles an event; `advance` follows it."""
+        """Handles an event; the caller calls `advance_after` next."""
         raise TypeError(f"unknown event {event!r}")
 
     @handle.register
@@ -221,15 +224,15 @@
             state.directory = _placement_groups.PartitionDirectory(
                 event.generation
             )
-            # Other groups may have recorded more under the generation
-            # before; their records are read again before anything is
+            # Other groups may have recorded owners under the previous
+            # generation. Their records are read again before any partition is
             # assigned under the new one.
             state.are_foreign_records_current = False
             self._foreign_read = None
             self._next_read_at = now
             self._next_placement_at = now
             if not state.is_group_declared():
-                self.end("no accepted file has the group, or it is lost")
+                self.end("the group is not declared, or its domain is lost")
                 return []
             state.update_grants(now)
             state.update_unassigned()
@@ -241,7 +244,7 @@
     @handle.register
     def _(self, event: _ownership.RowsRead, now: float) -> Commands:
         if self._writer.owns_read(event.call):
-            status, commands = self._writer.settle(event, now)
+            status, commands = self._writer.resolve(event, now)
             if status is _table_writer.WriteStatus.STORED:
                 return self._finish_write(event.row_version)
             if status is _table_writer.WriteStatus.LOST:
@@ -280,10 +283,11 @@
         return []
 
     def advance_after(self, event: _ownership.Event, now: float) -> Commands:
-        """Does what is due after an event.
+        """Returns the commands that are due after an event.
 
-        Most events are answers to renewals, which concern one upstream only;
-        the rest is looked at with the next tick.
+        Most events are answers to grant renewals. Such an answer only affects
+        the grants of its upstream unless units are moving, so the other checks
+        wait for the next tick.
         """
         if isinstance(event, _ownership.GrantAnswered):
             grants = self._state.grants_by_upstream.get(event.upstream)
@@ -298,7 +302,7 @@
         return self.advance(now)
 
     def advance(self, now: float) -> Commands:
-        """Does what is due."""
+        """Returns all commands that are due."""
         if self._end_reason:
             return []
         state = self._state
@@ -380,10 +384,10 @@
         ]
 
     def _hand_over(self, row: _rows.GroupRow, now: float) -> Commands:
-        """Writes that this holder has stopped.
+        """Writes a row without a holder, so that the standby can take over.
 
-        The write may take effect as soon as it is sent, so the holder acts
-        no more from then on.
+        The write may be committed as soon as it is sent, so the right to act
+        ends with it.
         """
         authority = self._state.authority
         row = dataclasses.replace(
@@ -426,7 +430,7 @@
         ]
 
     def _read_foreign_records(self, now: float) -> Commands:
-        """Reads other groups' records while a partition waits for them."""
+        """Reads the records of other groups if a partition waits for them."""
         state = self._state
         if (
             self._foreign_read
--- a/packages/decisions/sycamoreloft_decisions/_holding_state.py
+++ b/packages/decisions/sycamoreloft_decisions/_holding_state.py
@@ -1,4 +1,4 @@
-"""What a holder knows in one epoch."""
+"""State of a group's holder in one epoch."""
 
 import collections.abc
 import dataclasses
@@ -22,65 +22,68 @@
 
 @dataclasses.dataclass(slots=True)
 class HoldingState:
-    """State of one epoch, shared by planning and the steps of moves."""
+    """State of one epoch, which the planning and the moves share.
 
-    #: Name of this host.
+    Times are readings of this host's clock in seconds.
+    """
+
+    #: Name of this host, which is the holder.
     host: str
-    #: The group.
     group: sycamoreloft_config.GroupName
     #: The accepted generation.
     generation: sycamoreloft_config.Generation
-    #: The pending generation.
+    #: The pending generation; None if there is none.
     pending: sycamoreloft_config.Generation | None
-    #: Division of partitions among groups in the accepted generation.
+    #: Group of each partition in the accepted generation.
     directory: _placement_groups.PartitionDirectory
-    #: The same in the pending generation.
+    #: Group of each partition in the pending generation.
     pending_directory: _placement_groups.PartitionDirectory | None
-    #: Right to act.
     authority: _authority.Authority
-    #: Recorded owners.
+    #: Owners whose records the store has committed.
     owners: _owners.OwnerRecords
-    #: Numbers for calls.
+    #: Source of identifiers for commands.
     calls: "itertools.count[int]"
-    #: Sentences for operators.
+    #: Latest decisions, for operators.
     explanations: _explanations.Explanations
-    #: Time at which the group was taken.
+    #: When the epoch began.
     taken_over_at: float
-    #: Former holders not known to have stopped.
+    #: Former holders that are not known to have stopped.
     earlier: list[_rows.EarlierHolder]
-    #: Time at which their grants have certainly ended.
+    #: When all grants of former holders have certainly expired; infinite while
+    #: `earlier` is not empty.
     earlier_end: float
-    #: The same by the offline limit alone.
+    #: When these grants have expired at the latest, because the offline limit
+    #: has stopped the former holders.
     offline_end: float
-    #: Moves under way.
     moves: _moves.ActiveMoves = dataclasses.field(
         default_factory=_moves.ActiveMoves
     )
-    #: Grants by upstream, also of upstreams that can no longer be reached but
-    #: are recorded as owners.
+    #: Grants of the group's upstreams, and of other upstreams that are still
+    #: recorded as owners, by upstream name.
     grants_by_upstream: dict[str, _grants.UpstreamGrants] = dataclasses.field(
         default_factory=dict
     )
-    #: Upstreams of the group in the accepted generation that are not lost.
+    #: Upstreams of the group in the accepted generation that are not declared
+    #: lost, by name.
     upstreams: dict[str, sycamoreloft_config.Upstream] = dataclasses.field(
         default_factory=dict
     )
-    #: Observed loads by service.
+    #: Observed loads by service name.
     loads: dict[str, _loads.ServiceLoads] = dataclasses.field(
         default_factory=dict
     )
-    #: Partitions of this group that have no recorded owner.
+    #: Partitions of this group without a recorded owner.
     unassigned: set[_ownership.Unit] = dataclasses.field(default_factory=set)
-    #: Whether the records of the other groups were read under the accepted
-    #: generation. Those read before the group was taken may be older.
+    #: Whether the records of other groups were read since the accepted
+    #: generation came into force. Those that the takeover read may be older.
     are_foreign_records_current: bool = False
 
     def get_fleet(self) -> sycamoreloft_config.Fleet | None:
-        """Returns the group's fleet, None if no file declares it now."""
+        """Returns the group's fleet, None if no accepted file declares it."""
         return self.generation.fleets.get(self.group.fleet)
 
     def is_group_declared(self) -> bool:
-        """Returns whether the accepted files have the group, and not as lost."""
+        """Returns whether the accepted files declare the group as running."""
         fleet = self.get_fleet()
         if fleet is None:
             return False
@@ -92,7 +95,11 @@
         )
 
     def get_offline_limit(self) -> float:
-        """Returns the lower offline limit of the files in force."""
+        """Returns the offline limit, in seconds.
+
+        While a generation is pending, its limit counts if it is lower. The
+        limit is infinite if no file declares the fleet.
+        """
         limits = [
             item.fleets[self.group.fleet].offline_limit_s
             for item in (self.generation, self.pending)
@@ -101,26 +108,30 @@
         return min(limits, default=math.inf)
 
     def is_generation_current(self) -> bool:
-        """Returns whether this host knows the generation that was staged.
+        """Returns whether this host knows the latest staged generation.
 
-        A generation that a predecessor staged may be in force already, and
-        its partitions may have an owner in another group.
+        A generation that an earlier holder staged may have been accepted
+        since, and another group may have assigned partitions by it.
         """
         known = self.pending or self.generation
         return known.number >= self.authority.get_row().staged
 
     def get_earlier_end(self) -> float:
-        """Returns when all grants of earlier holders have certainly ended."""
+        """Returns when all grants of former holders have certainly expired."""
         return min(self.earlier_end, self.offline_end)
 
     def is_declared_lost(self, upstream: str) -> bool:
-        """Returns whether a file declares that an upstream no longer runs."""
+        """Returns whether an accepted file declares an upstream lost."""
         fleet = self.get_fleet()
         definition = fleet.upstreams.get(upstream) if fleet else None
         return definition is not None and definition.lost
 
     def is_leaving(self, upstream: str) -> bool:
-        """Returns whether an upstream must get no new work."""
+        """Returns whether an upstream must not receive new work.
+
+        Either the configuration declares it leaving, or it reports that it is
+        draining.
+        """
         definition = self.upstreams.get(upstream)
         grants = self.grants_by_upstream.get(upstream)
         return (definition is not None and definition.leaving) or (
@@ -128,7 +139,7 @@
         )
 
     def is_usable(self, upstream: str, service: str, now: float) -> bool:
-        """Returns whether an upstream can be given units of a service."""
+        """Returns whether units of a service can be assigned to an upstream."""
         definition = self.upstreams.get(upstream)
         return (
             definition is not None
@@ -139,10 +150,10 @@
         )
 
     def is_first_contact_over(self, now: float) -> bool:
-        """Returns whether every upstream has had its time to answer.
+        """Returns whether each upstream has answered or had time to do so.
 
-        Before that, the first upstreams to answer would be given the units of
-        all others.
+        Units are only assigned after that: otherwise the first upstreams to
+        answer would receive the units of all others.
         """
         return all(
             grants.has_answered() or not grants.is_reachable(now)
@@ -161,7 +172,7 @@
         return self.loads[service]
 
     def update_unassigned(self) -> None:
-        """Lists the partitions of this group that have no recorded owner."""
+        """Computes `unassigned` from the records and the generation."""
         self.unassigned = set()
         fleet = self.get_fleet()
         if fleet is None:
@@ -177,23 +188,23 @@
                     self.unassigned.add(unit)
 
     def belongs_to_group(self, unit: _ownership.Unit) -> bool:
-        """Returns whether a unit belongs to this group."""
-        found = self.directory.get_group(
+        """Returns whether a unit belongs to this group in `generation`."""
+        owner_group = self.directory.get_group(
             self.group.fleet, unit.service, unit.partition
         )
-        return found == self.group
+        return owner_group == self.group
 
     def belongs_in_pending_generation(self, unit: _ownership.Unit) -> bool:
-        """Returns whether the pending generation leaves a unit here."""
+        """Returns whether a unit belongs to this group in `pending`."""
         if self.pending_directory is None:
             return True
-        group = self.pending_directory.get_group(
+        owner_group = self.pending_directory.get_group(
             self.group.fleet, unit.service, unit.partition
         )
-        return group == self.group
+        return owner_group == self.group
 
     def update_grants(self, now: float) -> None:
-        """Makes a grant book for each upstream and each recorded owner."""
+        """Adds grants for new upstreams and recorded owners without grants."""
         fleet = self.get_fleet()
         listed = (
             sycamoreloft_config.list_group_upstreams(fleet, self.group)
@@ -222,26 +233,26 @@
             self.grants_by_upstream[name] = grants
 
     def explain(self, sentence: str) -> _ownership.RecordDecision:
-        """Keeps the sentence of a decision."""
+        """Adds a decision to the explanations."""
         self.explanations.add(sentence)
         return _ownership.RecordDecision(sentence)
 
     def send_due_grants(
         self, now: float
     ) -> "collections.abc.Iterable[_ownership.SendGrant]":
-        """Sends the grants that are due."""
+        """Returns the grants that must be sent now."""
         may_act = self.authority.may_act(now)
         for name in self.upstreams:
             yield from self.grants_by_upstream[name].tick(now, may_act)
 
     def expire_earlier(self, now: float) -> None:
-        """Forgets earlier holders that the offline limit has stopped."""
+        """Removes earlier holders that the offline limit has stopped."""
         if self.earlier and now >= self.offline_end:
             self.earlier.clear()
             self.earlier_end = min(self.earlier_end, self.offline_end)
 
     def record_stopped(self, host: str, now: float) -> None:
-        """Notes that an earlier holder has stopped acting."""
+        """Records that an earlier holder confirmed that it has stopped."""
         remaining = [item for item in self.earlier if item.host != host]
         if len(remaining) == len(self.earlier):
             return
--- a/packages/decisions/sycamoreloft_decisions/_member_entries.py
+++ b/packages/decisions/sycamoreloft_decisions/_member_entries.py
@@ -1,35 +1,35 @@
-"""What the membership needs of member entries and heartbeats."""
+"""Interfaces of the member entries and heartbeats that membership uses."""
 
 from collections import abc
 import typing
 
 
 class Entry(typing.Protocol):
-    """Fields of a member entry; `sycamoreloft_wire.MemberEntry` has them."""
+    """Interface of `sycamoreloft_wire.MemberEntry`."""
 
     @property
     def host(self) -> str:
-        """Name of the host."""
+        """Unique name of the host."""
 
     @property
     def incarnation(self) -> str:
-        """Random identifier of the process."""
+        """Random identifier of the process, new at each start."""
 
     @property
     def version(self) -> int:
-        """Grows with each change of the other fields."""
+        """Increases with each change of the other fields."""
 
     @property
     def peer_address(self) -> str:
-        """Address for other hosts."""
+        """Address for other hosts, as "ip:port"."""
 
     @property
     def caller_address(self) -> str:
-        """Address for callers."""
+        """Address for callers, as "ip:port"."""
 
     @property
     def admin_address(self) -> str:
-        """Address for operators."""
+        """Address for operators, as "ip:port"."""
 
     @property
     def failure_domains(self) -> abc.Mapping[str, str]:
@@ -41,31 +41,31 @@
 
     @property
     def groups(self) -> abc.Mapping[str, int]:
-        """Epochs by group that the host holds."""
+        """Epochs of the groups that the host holds, by group."""
 
     @property
     def generation(self) -> int:
-        """Accepted generation that the host applies."""
+        """Number of the accepted generation that the host applies."""
 
 
 class Heartbeat(typing.Protocol):
-    """Fields of a heartbeat; `sycamoreloft_wire.Heartbeat` has them."""
+    """Interface of `sycamoreloft_wire.Heartbeat`."""
 
     @property
     def host(self) -> str:
-        """Name of the host."""
+        """Unique name of the host."""
 
     @property
     def incarnation(self) -> str:
-        """Random identifier of the process."""
+        """Random identifier of the process, new at each start."""
 
     @property
     def counter(self) -> int:
-        """Grows with each gossip round of the process."""
+        """Increases with each gossip round of the process."""
 
 
 def estimate_size(entry: Entry) -> int:
-    """Estimates the encoded size of an entry from above, in bytes.
+    """Returns an upper bound of the encoded size of an entry, in bytes.
 
     Each text and number has at most 5 bytes of overhead in msgpack, and a
     counter, generation or epoch has at most 9 bytes.
--- a/packages/decisions/sycamoreloft_decisions/_move_steps.py
+++ b/packages/decisions/sycamoreloft_decisions/_move_steps.py
@@ -1,4 +1,4 @@
-"""Takes moves from one step to the next."""
+"""Advances moves from one phase to the next."""
 
 import dataclasses
 
@@ -17,16 +17,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Batch:
-    """Changes of one write, with the moves that they complete."""
+    """Changes of records that one write contains."""
 
-    #: Changed records.
+    #: New records by unit; None deletes the record of the unit.
     changes: dict[_ownership.Unit, _rows.Assignment | None]
-    #: The moves.
+    #: Moves to which the changes belong.
     moves: list[_moves.Move]
 
 
 def advance_moves(state: _holding_state.HoldingState, now: float) -> Commands:
-    """Releases old owners and ends moves whose new owner is granted."""
+    """Advances releasing moves, and ends moves whose new owner is granted."""
     commands: Commands = []
     releasing = state.moves.list_in_phases(_moves.Phase.RELEASING)
     for move in releasing:
@@ -45,7 +45,7 @@
 def _refence_partition(
     state: _holding_state.HoldingState, move: _moves.Move
 ) -> Commands:
-    """Starts to give the partition of a hot key a new fence."""
+    """Starts the move that gives the partition of a hot key a new fence."""
     unit = _ownership.Unit(move.unit.service, move.unit.partition)
     owner = state.owners.get(unit)
     other = state.moves.get(unit)
@@ -111,7 +111,7 @@
 
 
 def collect_batch(state: _holding_state.HoldingState, now: float) -> Batch:
-    """Plans the records of all moves whose old owner is released."""
+    """Plans the new records of all moves whose old owner is released."""
     batch = Batch({}, [])
     views: dict[str, _placement.LoadView] = {}
     for move in state.moves.list_in_phases(_moves.Phase.READY):
@@ -128,7 +128,7 @@
     batch: Batch,
     now: float,
 ) -> bool:
-    """Adds the record of one move; returns whether it can be written."""
+    """Adds the new record of a move; returns whether it can be written now."""
     if move.kind is _moves.Kind.OTHER_GROUP:
         batch.changes[move.unit] = None
         return True
@@ -169,7 +169,11 @@
 def _restore_source(
     state: _holding_state.HoldingState, move: _moves.Move, now: float
 ) -> bool:
-    """Gives a unit back to its recorded owner if that owner has returned."""
+    """Grants a unit to its recorded owner again if that owner is usable.
+
+    Returns:
+        Whether it was granted; the record then does not change.
+    """
     source = move.source
     if source is None or move.kind is not _moves.Kind.ANY_UPSTREAM:
         return False
@@ -203,7 +207,7 @@
 
 
 def apply_batch(state: _holding_state.HoldingState, batch: Batch) -> Commands:
-    """Grants what the store has acknowledged."""
+    """Grants the units whose new records the store has committed."""
     commands: Commands = []
     state.owners.apply(batch.changes)
     state.unassigned.difference_update(batch.changes)
@@ -240,10 +244,11 @@
     assignment: _rows.Assignment,
     batch: Batch,
 ) -> bool:
-    """Returns whether a unit was taken from its owner during the write.
+    """Returns whether a unit was removed from its owner during the write.
 
-    The return of a hot key writes the fence of its partition, whose owner may
-    be lost meanwhile. The partition must not be granted to it again.
+    Merging a hot key writes a new fence for its partition without moving it.
+    If the owner of the partition is lost during the write, the partition moves
+    away from it and must not be granted to it again.
     """
     move = state.moves.get(unit)
     if move is None or any(move is item for item in batch.moves):
@@ -255,10 +260,11 @@
 def _restore_unassigned(
     state: _holding_state.HoldingState, unit: _ownership.Unit
 ) -> None:
-    """Assigns a partition anew that came back while its release was written.
+    """Marks a partition as unassigned if it belongs to this group again.
 
-    Another group may have recorded it meanwhile, so the records are read
-    again first.
+    A generation can return a partition to this group while the deletion of
+    its record is being written. Another group may have recorded an owner in
+    between, so the records are read again before the partition is assigned.
     """
     if not unit.key and state.belongs_to_group(unit):
         state.unassigned.add(unit)
@@ -268,5 +274,5 @@
 def build_superseded_changes(
     state: _holding_state.HoldingState,
 ) -> _owners.Changes:
-    """Lists records to remove because another group has later ones."""
+    """Builds the deletion of records that another group has superseded."""
     return dict.fromkeys(state.owners.list_superseded())
--- a/packages/decisions/sycamoreloft_decisions/_moves.py
+++ b/packages/decisions/sycamoreloft_decisions/_moves.py
@@ -1,4 +1,4 @@
-"""Changes of the owner of partitions and hot keys, step by step."""
+"""State of the moves of partitions and hot keys between owners."""
 
 from collections import abc
 import dataclasses
@@ -8,59 +8,57 @@
 
 
 class Phase(enum.Enum):
-    """Step of a move; a move passes through them in this order."""
+    """Phase of a move; the phases follow each other in this order."""
 
-    #: No new permits; outstanding ones are waited for.
+    #: No permits are issued for the unit; outstanding permits have to end.
     DRAINING = "draining"
-    #: The old owner is being released.
+    #: The old owner may still consider itself the owner.
     RELEASING = "releasing"
-    #: The old owner is released; the record can change.
+    #: The old owner no longer owns the unit; the record may be changed.
     READY = "ready"
-    #: The write of the record is in flight or not settled.
+    #: A write of the record was sent; its outcome is not known.
     WRITING = "writing"
-    #: The record has changed; the new owner must acknowledge a grant.
+    #: The record is committed; the new owner must acknowledge a grant.
     GRANTING = "granting"
 
 
 class Kind(enum.Enum):
-    """Why and to where a unit moves."""
+    """Purpose of a move."""
 
-    #: To any upstream of the group.
+    #: To any usable upstream of the group.
     ANY_UPSTREAM = "anywhere"
-    #: To the upstream that placement chose.
+    #: To the upstream that placement chose to balance the load.
     CHOSEN_UPSTREAM = "chosen"
-    #: To another group: the record is removed.
+    #: To another group; this group deletes its record.
     OTHER_GROUP = "away"
-    #: A hot key leaves its partition and gets a record of its own.
+    #: A hot key is split from its partition and gets its own record.
     SPLIT_KEY = "take-out"
-    #: A hot key returns to its partition.
+    #: A hot key is merged into its partition again.
     MERGE_KEY = "give-back"
-    #: The partition gets a new fence, so that the owner refuses the requests
-    #: of a hot key that were issued before it was taken out.
+    #: The partition of a hot key keeps its owner but gets a new fence, so that
+    #: the owner refuses requests for the key that were sent before its split.
     REFENCE = "refence"
 
 
 @dataclasses.dataclass(slots=True)
 class Move:
-    """One change of an owner."""
+    """A change of one unit's owner that is in progress."""
 
-    #: The unit.
     unit: _ownership.Unit
-    #: Why it moves.
     kind: Kind
-    #: Step that it is in.
     phase: Phase
-    #: Recorded owner, None if there is none.
+    #: Recorded owner when the move started; None if there was none.
     source: _rows.Assignment | None
-    #: Upstream that placement chose, empty for any.
+    #: Upstream that placement chose; empty for any usable upstream.
     target: str = ""
-    #: Whether permits are held back.
+    #: Whether `PauseUnit` stopped the permits of the unit.
     is_paused: bool = False
-    #: Whether a file vouches that the old owner no longer runs.
+    #: Whether a configuration file declares that the old owner is lost. Its
+    #: grants then need not expire first.
     is_owner_lost: bool = False
-    #: Proof obligation of the old owner.
+    #: Removal of the unit from the old owner's grants; None before it.
     removal: _grants.Removal | None = None
-    #: New record while it is written and granted.
+    #: The new record, from the time at which it is planned.
     new_assignment: _rows.Assignment | None = None
     #: For a hot key: new fence of its partition, recorded before the old
     #: owner is released.
@@ -68,7 +66,7 @@
 
 
 class ActiveMoves:
-    """The moves of one group that are under way."""
+    """The moves of one group that are in progress, at most one per unit."""
 
     def __init__(self) -> None:
         self._moves: dict[_ownership.Unit, Move] = {}
@@ -77,11 +75,11 @@
         return len(self._moves)
 
     def get(self, unit: _ownership.Unit) -> Move | None:
-        """Returns the move of a unit."""
+        """Returns the move of a unit, None if it does not move."""
         return self._moves.get(unit)
 
     def add(self, move: Move) -> abc.Sequence[_ownership.Command]:
-        """Starts a move and holds its unit back if it has an owner."""
+        """Starts a move; pauses the permits of its unit if it has an owner."""
         self._moves[move.unit] = move
         if move.source is None or move.kind is Kind.REFENCE:
             return ()
@@ -89,26 +87,26 @@
         return (_ownership.PauseUnit(move.unit),)
 
     def finish(self, move: Move) -> abc.Sequence[_ownership.Command]:
-        """Ends a move and issues permits for its unit again."""
+        """Ends a move and resumes the permits of its unit."""
         del self._moves[move.unit]
         if not move.is_paused:
             return ()
         return (_ownership.ResumeUnit(move.unit),)
 
     def cancel_unwritten_assignments(self) -> None:
-        """Forgets assignments of units without an owner, unless written."""
+        """Cancels moves of units without an owner that are not written yet."""
         for move in self.list_in_phases(Phase.READY):
             if move.source is None:
                 del self._moves[move.unit]
 
     def record_drained(self, unit: _ownership.Unit) -> None:
-        """Notes that no permit of a unit is outstanding."""
+        """Continues the move of a unit, whose permits have all ended."""
         move = self._moves.get(unit)
         if move and move.phase is Phase.DRAINING:
             move.phase = Phase.RELEASING
 
     def list_in_phases(self, *phases: Phase) -> list[Move]:
-        """Lists the moves in any of the phases."""
+        """Lists the moves that are in one of the phases."""
         return [move for move in self._moves.values() if move.phase in phases]
 
     def list_all(self) -> list[Move]:
--- a/packages/decisions/sycamoreloft_decisions/_owners.py
+++ b/packages/decisions/sycamoreloft_decisions/_owners.py
@@ -1,4 +1,4 @@
-"""The recorded owners of one group and the rows that change with them."""
+"""Recorded owners of one group and the encoding of their rows."""
 
 from collections import abc
 import typing
@@ -6,17 +6,18 @@
 import sycamoreloft_config
 from sycamoreloft_decisions import _ownership, _rows
 
-#: Changed owners by unit; None removes the record.
+#: New owners by unit; None deletes the record of the unit.
 Changes = abc.Mapping[_ownership.Unit, _rows.Assignment | None]
 
 
 class OwnerRecords:
-    """What the store records as the owners of one group.
+    """The owners of one group's units as the store has recorded them.
 
     Args:
         group: The group.
         tables: Assignments of all groups of the fleet.
-        generation: The accepted generation, for the partitions of hot keys.
+        generation: The accepted generation. It gives the number of
+            partitions, to which hot keys are hashed, and the lost domains.
     """
 
     def __init__(
@@ -48,9 +49,10 @@
         ],
         generation: sycamoreloft_config.Generation,
     ) -> None:
-        """Notes what the other groups of the fleet record.
+        """Replaces what is known of the records of other groups.
 
-        Records of a domain that a file declares lost do not count.
+        Records of groups in a failure domain that is declared lost are
+        ignored, since their owners no longer run.
         """
         self._generation = generation
         fleet = generation.fleets.get(self._group.fleet)
@@ -70,10 +72,10 @@
                 self._foreign_partitions.add((unit.service, unit.partition))
 
     def list_superseded(self) -> list[_ownership.Unit]:
-        """Lists own records that another group replaced.
+        """Lists units of this group that another group has recorded since.
 
-        That happens while this group's domain is declared lost; the later
-        record has the higher fence.
+        Another group takes them over while this group's failure domain is
+        declared lost. The later of the two records has the higher fence.
         """
         return [
             unit
@@ -82,32 +84,35 @@
         ]
 
     def has_foreign_record(self, unit: _ownership.Unit) -> bool:
-        """Returns whether another group records a partition or its hot keys."""
+        """Returns whether another group has recorded the unit's partition.
+
+        A record of any hot key of the partition counts as well.
+        """
         return (unit.service, unit.partition) in self._foreign_partitions
 
     def get(self, unit: _ownership.Unit) -> _rows.Assignment | None:
-        """Returns the recorded owner of a unit."""
+        """Returns the recorded owner of a unit, None if there is none."""
         return self._owners.get(unit)
 
     def list_upstreams(self) -> list[str]:
-        """Lists the upstreams that own something."""
+        """Lists the upstreams that own at least one unit."""
         return [name for name, units in self._by_upstream.items() if units]
 
     def list_owned(self, upstream: str) -> abc.Set[_ownership.Unit]:
-        """Lists the units of one upstream."""
+        """Returns the units that an upstream owns."""
         return self._by_upstream.get(upstream, set())
 
     def get_records(self) -> abc.Mapping[_ownership.Unit, _rows.Assignment]:
-        """Returns all records."""
+        """Returns the recorded owners by unit."""
         return self._owners
 
     def allocate_fence(self) -> int:
-        """Returns a fence above all recorded ones of the fleet."""
+        """Returns a fence higher than all recorded ones of the fleet."""
         self._last_fence += 1
         return self._last_fence
 
     def build_puts(self, changes: Changes) -> dict[str, dict[str, typing.Any]]:
-        """Encodes the rows as they are after the changes."""
+        """Encodes each row that the changes affect, with all its owners."""
         rows: dict[str, dict[typing.Any, _rows.Assignment]] = {}
         for unit, assignment in changes.items():
             key = self._format_row_key(unit)
@@ -121,7 +126,7 @@
         return {key: _rows.encode_chunk(row) for key, row in rows.items()}
 
     def apply(self, changes: Changes) -> None:
-        """Applies changes that the store has acknowledged."""
+        """Applies changes that the store has committed."""
         for unit, assignment in changes.items():
             old = self._owners.pop(unit, None)
             row = self._rows.setdefault(self._format_row_key(unit), {})
@@ -157,7 +162,7 @@
         return units
 
     def make_hot_unit(self, service: str, key: str) -> _ownership.Unit:
-        """Builds the unit of a hot key."""
+        """Builds the unit of a hot key from the partition that it hashes to."""
         fleet = self._generation.fleets.get(self._group.fleet)
         definition = fleet.services.get(service) if fleet else None
         count = definition.partitions if definition else 1
--- a/packages/decisions/sycamoreloft_decisions/_ownership.py
+++ b/packages/decisions/sycamoreloft_decisions/_ownership.py
@@ -1,4 +1,4 @@
-"""Events, commands and answers of the group holder."""
+"""Events and commands of the state machine `GroupHolder`."""
 
 from collections import abc
 import dataclasses
@@ -11,139 +11,142 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
 class Unit:
-    """What has one owner: a partition, or a hot key that was taken out."""
+    """A partition or a separately placed hot key; has at most one owner."""
 
-    #: Name of the service.
+    #: Service of the group's fleet, as its configuration file names it.
     service: str
-    #: Number of the partition; for a hot key, the partition it hashes to.
+    #: Partition number; for a hot key, the partition that it hashes to.
     partition: int
-    #: The hot key, empty for a whole partition.
+    #: The hot key; empty for a whole partition.
     key: str = ""
 
 
 class WaitReason(enum.StrEnum):
-    """Why a key has no owner at the moment."""
+    """Why a key has no owner to which requests can be sent."""
 
-    #: This host does not hold the group, or may not act for it now.
+    #: This host does not hold the group, or lacks a valid promise or a
+    #: recent write of the group row.
     NOT_HOLDER = "not-holder"
     #: The partition belongs to another group in this generation.
     OTHER_GROUP = "other-group"
-    #: Another group still records an owner of the partition.
+    #: The store still records an owner in another group.
     TRANSFER_PENDING = "transfer-pending"
-    #: No owner is recorded yet, or its write is not acknowledged.
+    #: No owner is recorded, or the store has not acknowledged the record.
     UNASSIGNED = "unassigned"
     #: The unit is moving to another upstream.
     MOVING = "moving"
-    #: The recorded owner has not acknowledged a grant that is in force.
+    #: The recorded owner has acknowledged no grant that is still in force.
     UPSTREAM_UNREACHABLE = "upstream-unreachable"
-    #: The recorded owner is lost, and an earlier holder may still grant.
+    #: The recorded owner is lost, but an earlier holder of the group may
+    #: still renew its grant.
     EARLIER_HOLDER_MAY_ACT = "earlier-holder-may-act"
-    #: The group has no upstream of the service that can take the unit.
+    #: No upstream of the service in this group can become the owner.
     NO_USABLE_UPSTREAM = "no-usable-upstream"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Owner:
-    """The upstream that owns a key."""
+    """The upstream that owns a key and has acknowledged its grant."""
 
-    #: Name of the upstream.
+    #: Upstream name in the configuration.
     upstream: str
-    #: Fence of the partition or hot key.
+    #: Fencing token of the partition or hot key.
     fence: int
-    #: Epoch of the holder.
+    #: Epoch of the holder that sent the grant.
     epoch: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NoOwner:
-    """No upstream owns the key at the moment."""
+    """Requests for the key must wait, because it has no usable owner."""
 
-    #: Why not.
     reason: WaitReason
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tick:
-    """Time has passed; arrives every 50 ms."""
+    """Timer event; the runtime delivers one every 50 ms."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RowsRead:
-    """Answer to `ReadRows`; both parts come from one read of the table."""
+    """Answer to `ReadRows`; all rows are from one consistent snapshot."""
 
-    #: Number of the read.
+    #: Identifier of the `ReadRows` command.
     call: int
-    #: The group row, or None if it does not exist.
+    #: None if the group row does not exist.
     row: _rows.GroupRow | None
-    #: Table version of the group row, 0 if it does not exist.
+    #: Version of the group row in the store; 0 if it does not exist.
     row_version: int
-    #: Assignments of all groups of the fleet.
+    #: Assignments of all groups of the fleet, including this one.
     tables: abc.Mapping[sycamoreloft_config.GroupName, _rows.AssignmentTable]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadFailed:
-    """A read had no answer."""
+    """The store did not answer a `ReadRows` command."""
 
-    #: Number of the read.
+    #: Identifier of the `ReadRows` command.
     call: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WriteStored:
-    """The store acknowledged a write."""
+    """The store committed a `WriteRows` command."""
 
-    #: Number of the write.
+    #: Identifier of the `WriteRows` command.
     call: int
-    #: Table version of the group row after the write.
+    #: Version of the group row in the store after the write.
     row_version: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WriteRefused:
-    """The store refused a write because the group row has changed."""
+    """The store refused a write: the group row has another version."""
 
-    #: Number of the write.
+    #: Identifier of the `WriteRows` command.
     call: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WriteOutcomeUnknown:
-    """The answer to a write was lost; the write may still take effect."""
+    """A write was not answered; it may have committed or still commit."""
 
-    #: Number of the write.
+    #: Identifier of the `WriteRows` command.
     call: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromiseAnswered:
-    """A host answered a promise request."""
+    """A host answered a promise request of this holder."""
 
-    #: Number of the request.
+    #: Identifier of the `RequestPromise` command.
     call: int
     #: Host that answered.
     host: str
-    #: Whether the promise is given.
+    #: Whether the host promises not to take over the group.
     promised: bool
-    #: Whether the host resigns: it never takes this epoch over.
+    #: Whether the host has resigned: its process never takes over this
+    #: group, so no further promise is needed.
     final: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromiseRequested:
-    """The holder asks this host for a promise."""
+    """The holder requests this host's promise not to take over."""
 
-    #: Host that asks.
+    #: The holder.
     host: str
     #: Epoch of the holder.
     epoch: int
-    #: Length of the promise; 0 ends it, because the holder hands over.
+    #: Duration of the promise from receipt of the request, in milliseconds; 0
+    #: ends a promise early, because the holder hands the group over.
     duration_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StepDownRequested:
-    """A new holder asks this host to stop acting below an epoch."""
+    """A new holder requests that this host stop acting in earlier epochs."""
 
     #: Epoch of the new holder.
     epoch: int
@@ -155,68 +158,69 @@
 
     #: Host that answered.
     host: str
-    #: Epoch of the request.
+    #: Epoch in the request, which is that of the requesting holder.
     epoch: int
-    #: Whether it no longer acts below that epoch.
+    #: Whether the host no longer acts in epochs below `epoch`.
     stopped: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GrantAnswered:
-    """An upstream answered a grant."""
+    """An upstream answered a `SendGrant` command."""
 
-    #: Name of the upstream.
+    #: Upstream name in the configuration.
     upstream: str
-    #: Number of the call.
+    #: Identifier of the `SendGrant` command.
     call: int
-    #: Whether the grant is in force.
+    #: Whether the upstream put the grant in force.
     accepted: bool
-    #: Incarnation of the upstream.
+    #: Identifier of the upstream's run; a new one after each restart.
     incarnation: str
-    #: Reading of the upstream's clock, in seconds.
+    #: Monotonic clock of the upstream when it answered, in seconds.
     clock_reading: float
-    #: Highest epoch that the upstream has seen for the group.
+    #: Highest epoch that this run of the upstream has seen for the group.
     highest_epoch: int
-    #: Version that the upstream has.
+    #: Version of the grant content that the upstream has in force.
     version: int
-    #: Whether the upstream asks for no new work.
+    #: Whether the upstream requests that no new work be sent to it.
     draining: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GrantFailed:
-    """A grant had no answer; it may still arrive."""
+    """A grant was not answered; the upstream may still receive it."""
 
-    #: Name of the upstream.
+    #: Upstream name in the configuration.
     upstream: str
-    #: Number of the call.
+    #: Identifier of the `SendGrant` command.
     call: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnitDrained:
-    """No permit of a held unit is outstanding any more."""
+    """All permits of a paused unit have ended."""
 
-    #: The unit of `PauseUnit`.
+    #: The unit of the `PauseUnit` command.
     unit: Unit
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GenerationChanged:
-    """Another generation is in force, or another one is pending."""
+    """The accepted or the pending generation has changed."""
 
-    #: The accepted generation.
+    #: The accepted generation, which is in force.
     generation: sycamoreloft_config.Generation
-    #: The pending generation, or None. The holder records its number as
-    #: staged and assigns no partition whose group it changes.
+    #: The pending generation; None if there is none. The holder records its
+    #: number as staged and assigns no partition that moves to another group
+    #: in it.
     pending: sycamoreloft_config.Generation | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeysObserved:
-    """Requests of one keyed service since the last event."""
+    """Load of one keyed service since the previous event of this type."""
 
-    #: Name of the service.
+    #: Service name in the configuration.
     service: str
     #: Number of requests by key.
     counts: abc.Mapping[str, int]
@@ -224,18 +228,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MembersObserved:
-    """What gossip says of the hosts of the group's failure domain."""
+    """Gossip state of the hosts in the group's failure domain."""
 
-    #: Time on this host's clock of the last progress, by host; leaving hosts
-    #: are left out.
+    #: When each host's heartbeat last advanced, in seconds on this host's
+    #: clock; without hosts that are leaving.
     last_progress: abc.Mapping[str, float]
-    #: Epoch in which a host says that it holds this group, by host.
+    #: Epoch in which each host announces that it holds this group; without
+    #: hosts that announce none.
     announced_epochs: abc.Mapping[str, int]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopRequested:
-    """This host stops as planned: it hands over or resigns."""
+    """Planned stop of this host: it hands the group over or resigns."""
 
 
 Event = (
@@ -261,13 +266,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadRows:
-    """Read the group row and the fleet's assignment rows in one read."""
+    """Read the group row and the fleet's assignment rows in one snapshot."""
 
-    #: Number of the read, for its answer.
+    #: Identifier that the answer repeats.
     call: int
-    #: Key of the group row.
+    #: Table key of the group row.
     row_key: str
-    #: Prefix of the assignment rows of the fleet.
+    #: Table key prefix of the assignment rows of all groups of the fleet.
     assignment_prefix: str
 
 
@@ -275,16 +280,16 @@
 class WriteRows:
     """Write the group row and changed assignment rows in one transaction."""
 
-    #: Number of the write, for its answer. A repeated write has a new number
-    #: and the same content.
+    #: Identifier that the answer repeats. A retry has a new identifier and
+    #: the same content.
     call: int
-    #: Key of the group row.
+    #: Table key of the group row.
     row_key: str
-    #: Version of the group row on which the write is conditional.
+    #: The write must fail unless the group row has this version.
     row_version: int
-    #: New group row.
+    #: New value of the group row.
     row: _rows.GroupRow
-    #: Assignment rows to put, by table key.
+    #: New values of assignment rows, by table key.
     puts: abc.Mapping[str, abc.Mapping[str, typing.Any]]
 
 
@@ -292,22 +297,24 @@
 class SendGrant:
     """Send a grant to an upstream."""
 
-    #: Name of the upstream.
+    #: Upstream name in the configuration.
     upstream: str
-    #: Number of the call, for its answer.
+    #: Identifier that the answer repeats.
     call: int
     #: Epoch of the holder.
     epoch: int
-    #: Version of the content.
+    #: Version of the content; 0 in a grant without a clock reading.
     version: int
-    #: Incarnation of the upstream, empty if unknown.
+    #: Identifier of the upstream's run; empty if unknown.
     incarnation: str
-    #: Reading that the upstream gave, None if unknown. A grant without a
-    #: reading only makes the epoch seen and asks for a reading.
+    #: Latest clock reading from the upstream, in seconds. None in a grant
+    #: that only makes the epoch known to the upstream and fetches its
+    #: incarnation and clock reading.
     clock_reading: float | None
-    #: Lifetime from the reading, in milliseconds.
+    #: Lifetime, counted from `clock_reading` on the upstream's clock.
     lifetime_ms: int
-    #: Fences by service and partition; None for "as in version".
+    #: Fences by service and partition. None if the upstream already has the
+    #: content of this version.
     partitions: abc.Mapping[str, abc.Mapping[int, int]] | None
     #: Fences by service and hot key.
     hot_keys: abc.Mapping[str, abc.Mapping[str, int]]
@@ -315,33 +322,34 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestPromise:
-    """Ask a host for a promise."""
+    """Request a host's promise not to take over the group."""
 
-    #: Number of the request, for its answer.
+    #: Identifier that the answer repeats.
     call: int
-    #: Host to ask.
+    #: Receiver of the request.
     host: str
     #: Epoch of the holder.
     epoch: int
-    #: Length of the promise, in milliseconds.
+    #: Duration of the promise from receipt of the request, in milliseconds; 0
+    #: ends a promise early, because the holder has handed the group over.
     duration_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerPromise:
-    """Answer to the `PromiseRequested` that is being handled."""
+    """Answer the `PromiseRequested` event that is being handled."""
 
-    #: Whether the promise is given.
+    #: Whether this host promises not to take over the group.
     promised: bool
-    #: Whether this host resigns as the standby.
+    #: Whether this host has resigned as a standby.
     final: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestStepDown:
-    """Ask an earlier holder to stop acting."""
+    """Request that an earlier holder stop acting for the group."""
 
-    #: Host to ask.
+    #: Receiver of the request.
     host: str
     #: Epoch of this holder.
     epoch: int
@@ -349,51 +357,49 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerStepDown:
-    """Answer to the `StepDownRequested` that is being handled."""
+    """Answer the `StepDownRequested` event that is being handled."""
 
-    #: Whether this host acts no more below the epoch.
+    #: Whether this host no longer acts in epochs below the requested one.
     stopped: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PauseUnit:
-    """Issue no new permits for a unit; report when it is drained."""
+    """Issue no permits for a unit; report `UnitDrained` when all ended."""
 
-    #: The unit.
     unit: Unit
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResumeUnit:
-    """Issue permits for a unit again."""
+    """Issue permits for a paused unit again."""
 
-    #: The unit.
     unit: Unit
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BecomeHolder:
-    """This host holds the group from now on."""
+    """Start to act as the holder of the group."""
 
-    #: Epoch of this holder.
+    #: Epoch that begins.
     epoch: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StepDown:
-    """This host no longer holds the group."""
+    """Stop acting as the holder of the group."""
 
-    #: Epoch that ended.
+    #: Epoch that ends.
     epoch: int
-    #: Why, as a sentence for the log.
+    #: Explanation for the log; a clause without a full stop.
     reason: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RecordDecision:
-    """A decision was made; its sentence is also kept for `explain`."""
+    """Log a decision; `GroupHolder.list_explanations` returns it, too."""
 
-    #: One sentence.
+    #: The decision and its cause, in one sentence.
     sentence: str
 
 
--- a/packages/decisions/sycamoreloft_decisions/_placement.py
+++ b/packages/decisions/sycamoreloft_decisions/_placement.py
@@ -1,14 +1,14 @@
-"""Decides which upstream should own which unit.
+"""Cost of a placement, and the moves that lower it.
 
-The cost of a placement is
-`imbalance weight * imbalance + churn weight * moved + unavailable weight *
-unavailable`. All three are shares of the service, so that the weights compare
-them directly:
+The cost of a placement is `imbalance weight * imbalance + churn weight *
+moved + unavailable weight * unavailable`. All three terms are shares of the
+service's units, so the weights compare them directly:
 
-- imbalance: mean square of the relative excess of load over the fair share,
-  weighted by slots, times `IMBALANCE_HORIZON`;
-- moved: share of the units that changes its owner;
-- unavailable: share of the units that is not served, times the seconds.
+- imbalance: mean square of the relative difference between an upstream's load
+  and its fair share, weighted by slots, times `IMBALANCE_HORIZON`;
+- moved: share of the units that change their owner;
+- unavailable: share of the units that are not served, times the duration in
+  seconds.
 """
 
 from collections import abc
@@ -17,13 +17,15 @@
 import sycamoreloft_config
 from sycamoreloft_decisions import _ownership
 
-#: Weight of an imbalance that lasts against one move: an imbalance costs as
-#: much as moving the same share of the units this many times.
+#: Weight of a lasting imbalance compared to a single move: an imbalance costs
+#: as much as moving the same share of the units this many times.
 IMBALANCE_HORIZON = 4.0
-#: Share of its cost by which a move must lower the total to be made. It keeps
-#: measured loads that fluctuate from moving a unit back and forth.
+#: A move must lower the imbalance cost by more than its own cost times one plus
+#: this share. The margin prevents that units move back and forth when
+#: measured loads fluctuate.
 HYSTERESIS = 0.25
-#: Time for which a planned move holds its unit, in seconds.
+#: Expected time for which a planned move makes its unit unavailable, in
+#: seconds.
 PLANNED_MOVE_S = 0.05
 
 
@@ -31,11 +33,12 @@
 class Candidate:
     """An upstream that can own units of a service."""
 
-    #: Name of the upstream.
+    #: Upstream name in the configuration.
     name: str
-    #: Requests that it runs at once.
+    #: Maximum number of requests that the upstream runs at once.
     slots: int
-    #: Time for which a planned move away from it holds the unit, in seconds.
+    #: Time for which a planned move away from the upstream makes the unit
+    #: unavailable, in seconds.
     move_s: float = PLANNED_MOVE_S
 
 
@@ -43,23 +46,22 @@
 class Proposal:
     """A move that lowers the cost."""
 
-    #: The unit.
     unit: _ownership.Unit
-    #: Present owner.
+    #: Upstream that owns the unit now.
     source: str
-    #: New owner.
+    #: Upstream that is to own the unit.
     target: str
-    #: By how much the cost falls, without a unit.
+    #: Decrease of the total cost, including the cost of the move.
     gain: float
 
 
 class LoadView:
-    """Loads of the upstreams of one service, kept up to date while planning.
+    """Loads of one service's upstreams, including moves planned so far.
 
     Args:
         candidates: The upstreams that can own units.
-        loads: Load by upstream.
-        weights: Weights of the cost.
+        loads: Load by upstream, also of upstreams that are no candidates.
+        weights: Weights of the terms of the cost.
         unit_count: Number of units of the service in the group.
     """
 
@@ -80,10 +82,13 @@
         self._unit_count = max(1, unit_count)
 
     def choose_target(self, unit: _ownership.Unit, load: float) -> str:
-        """Chooses the owner of a unit that has none, empty if there is none.
+        """Chooses an owner for a unit and adds the load to it.
 
-        Ties are broken by rendezvous hashing, so that equal loads give the
-        same answer on every host.
+        Ties are broken by rendezvous hashing, so that every host makes the
+        same choice for equal loads.
+
+        Returns:
+            Name of the upstream, empty if there is no candidate.
         """
         if not self._slots:
             return ""
@@ -100,12 +105,12 @@
         return name
 
     def move(self, proposal: Proposal, load: float) -> None:
-        """Notes a move."""
+        """Applies a planned move to the loads."""
         self._loads[proposal.source] -= load
         self._loads[proposal.target] += load
 
     def list_by_load(self) -> list[str]:
-        """Lists upstreams by their load for each slot, highest first."""
+        """Lists the candidates by load per slot, highest first."""
         return sorted(
             self._slots,
             key=lambda name: (-self._loads[name] / self._slots[name], name),
@@ -114,7 +119,11 @@
     def propose_move(
         self, unit: _ownership.Unit, source: str, load: float
     ) -> Proposal | None:
-        """Proposes the best move of a unit, None if no move pays."""
+        """Proposes to move a unit to the upstream with the least load per slot.
+
+        Returns:
+            The proposal; None if it would not lower the cost enough.
+        """
         if source not in self._slots or len(self._slots) < 2:
             return None
         target = self.list_by_load()[-1]
--- a/packages/decisions/sycamoreloft_decisions/_placement_groups.py
+++ b/packages/decisions/sycamoreloft_decisions/_placement_groups.py
@@ -1,4 +1,4 @@
-"""Division of partitions among the groups of a fleet."""
+"""Assignment of partitions to the groups of a fleet."""
 
 import math
 
@@ -6,14 +6,15 @@
 
 
 class PartitionDirectory:
-    """Finds the group of each partition in one generation.
+    """The group of each partition in one generation.
 
-    Every host computes the same answer from the generation alone. It is
-    rendezvous hashing weighted by the slots of the service's usable upstreams
-    of each group, so a change of one group moves only its own share.
+    Every host computes the same result from the generation alone, by
+    rendezvous hashing. Groups are weighted by the slots of their usable
+    upstreams of the service, so that a change of one group only moves
+    partitions from or to this group.
 
     Args:
-        generation: The accepted generation.
+        generation: The generation.
     """
 
     def __init__(self, generation: sycamoreloft_config.Generation) -> None:
@@ -30,8 +31,8 @@
     ) -> sycamoreloft_config.GroupName | None:
         """Returns the group of a partition, None if no group can serve it.
 
-        A service that a merge file makes an alias has no partitions of its
-        own; its holders release what they recorded.
+        A service that the merge file declares as an alias has no partitions
+        of its own; the holders of its groups release those that they recorded.
         """
         key = (fleet, service, partition)
         if key not in self._groups:
@@ -46,8 +47,8 @@
             drawn = sycamoreloft_config.hash_text(
                 service, str(partition), str(group)
             )
-            # The smallest of exponential draws with rate `slots` falls on
-            # each group in proportion to its slots.
+            # Among exponential variables with the rates `slots`, each is the
+            # smallest with a probability proportional to its rate.
             draw = -math.log((drawn + 1) / (2**64 + 1)) / slots
             if best is None or (draw, group) < best:
                 best = (draw, group)
--- a/packages/decisions/sycamoreloft_decisions/_planning.py
+++ b/packages/decisions/sycamoreloft_decisions/_planning.py
@@ -1,4 +1,4 @@
-"""Decides which units must or should move."""
+"""Decides which units move to another owner, and starts their moves."""
 
 from collections import abc
 
@@ -12,31 +12,32 @@
     _timing,
 )
 
-#: Planned moves of one group under way at once. Each holds back the requests
-#: of its unit for a moment.
+#: Maximum number of concurrent planned moves in one group. Each of them makes
+#: the requests for its unit wait for a moment.
 MAXIMUM_PLANNED_MOVES = 16
-#: Individually placed keys of one service in one group.
+#: Maximum number of separately placed hot keys of one service in one group.
 MAXIMUM_HOT_KEYS = 256
-#: Load of a key, in shares of the mean load of an upstream, above which it is
-#: placed by itself.
+#: Load above which a hot key is placed separately from its partition, as a
+#: share of the mean load of an upstream.
 HOT_KEY_LOAD_SHARE = 0.25
-#: Share of that load below which the key returns to its partition; the gap
-#: keeps a key from going back and forth.
+#: Share of the load in `HOT_KEY_LOAD_SHARE` below which the key is merged into
+#: its partition again. The gap prevents that a key is split and merged
+#: repeatedly.
 COLD_KEY_LOAD_SHARE = 0.25
 
 Commands = list[_ownership.Command]
 
 
 def plan_forced(state: _holding_state.HoldingState, now: float) -> Commands:
-    """Starts the moves that a loss, a file or a leaving upstream forces."""
+    """Starts moves away from lost, removed and leaving upstreams."""
     commands: Commands = []
     for name in state.owners.list_upstreams():
         grants = state.grants_by_upstream[name]
         if state.is_declared_lost(name):
-            commands += _start_forced(state, name, "a file declares it lost")
+            commands += _start_forced(state, name, "a file declares it as lost")
         elif name not in state.upstreams:
             commands += _start_forced(
-                state, name, "no accepted file has it in this group"
+                state, name, "no accepted file lists it in this group"
             )
         elif not grants.is_reachable(now):
             commands += _start_forced(state, name, "it does not answer")
@@ -48,10 +49,10 @@
 def _start_forced(
     state: _holding_state.HoldingState, name: str, cause: str
 ) -> Commands:
-    """Takes the units of an upstream that cannot be drained.
+    """Moves all units away from an upstream that cannot be drained.
 
-    A move that was waiting for the drain goes on without it: the permits of
-    a lost upstream end with its connections.
+    Moves that wait for permits to end continue without waiting: the permits
+    of a lost upstream end with its connections.
     """
     commands: Commands = []
     removed = []
@@ -85,7 +86,7 @@
 def _abandon_refence(
     state: _holding_state.HoldingState, move: _moves.Move
 ) -> Commands:
-    """Gives up taking out hot keys of a partition whose owner is lost."""
+    """Cancels the split of hot keys from a partition whose owner is lost."""
     if move.phase is not _moves.Phase.READY:
         return []
     commands: Commands = list(state.moves.finish(move))
@@ -100,10 +101,10 @@
 
 
 def _start_leaving(state: _holding_state.HoldingState, name: str) -> Commands:
-    """Moves all units of a leaving upstream at once, with draining.
+    """Moves all units away from a leaving upstream, draining them first.
 
-    There is no bound on the number, because holding a unit back is what
-    keeps new work away from the upstream.
+    The number of these moves is not limited, because pausing the permits of a
+    unit is what keeps new work away from the upstream.
     """
     commands: Commands = []
     started = 0
@@ -115,7 +116,9 @@
             started += 1
     if started:
         commands.append(
-            state.explain(f"{started} units leave upstream {name}: it leaves.")
+            state.explain(
+                f"{started} units leave upstream {name}: it is leaving."
+            )
         )
     return commands
 
@@ -132,7 +135,7 @@
 
 
 def plan_transfers(state: _holding_state.HoldingState) -> Commands:
-    """Starts the release of units that belong to another group now."""
+    """Starts to release the units that now belong to another group."""
     commands: Commands = []
     started = 0
     for unit in list(state.owners.get_records()):
@@ -147,7 +150,7 @@
     if started:
         commands.append(
             state.explain(
-                f"{started} units leave the group: the accepted files give"
+                f"{started} units leave the group: the accepted files assign"
                 " them to another group."
             )
         )
@@ -155,7 +158,10 @@
 
 
 def _redirect(move: _moves.Move, belongs_to_group: bool) -> None:
-    """Adapts a move whose unit changed its group before it was written."""
+    """Changes the target of a move if its unit changed its group.
+
+    A move whose record is already being written is left alone.
+    """
     if move.phase in (_moves.Phase.WRITING, _moves.Phase.GRANTING):
         return
     if belongs_to_group and move.kind is _moves.Kind.OTHER_GROUP:
@@ -168,7 +174,7 @@
 
 
 def plan_unassigned(state: _holding_state.HoldingState) -> None:
-    """Starts the assignment of partitions that have no recorded owner."""
+    """Starts to assign owners to partitions without a recorded owner."""
     if (
         not state.are_foreign_records_current
         or not state.is_generation_current()
@@ -189,7 +195,10 @@
 def build_load_view(
     state: _holding_state.HoldingState, service: str, now: float
 ) -> _placement.LoadView:
-    """Sums up the loads of a service's upstreams."""
+    """Computes the loads of a service's upstreams.
+
+    Units that move count for their new owner once it is planned.
+    """
     loads = state.get_loads(service)
     owned = [
         (unit, assignment.upstream)
@@ -197,7 +206,7 @@
         if unit.service == service
     ]
     loads.unit_count = max(1, sum(not unit.key for unit, _ in owned))
-    hot = group_hot_keys(state, service)
+    hot = list_hot_keys_by_partition(state, service)
     sums: dict[str, float] = {}
     for unit, name in owned:
         move = state.moves.get(unit)
@@ -219,19 +228,19 @@
 
 
 def _get_move_time(upstream: sycamoreloft_config.Upstream) -> float:
-    """Returns how long a planned move away from an upstream takes.
+    """Returns the expected time of a planned move, in seconds.
 
-    One that checks no fences is released only by the end of its grant.
+    An upstream that checks no fences is released only when its grant expires.
     """
     if upstream.checks_fences:
         return _placement.PLANNED_MOVE_S
     return _timing.GRANT_CERTAIN_END_S
 
 
-def group_hot_keys(
+def list_hot_keys_by_partition(
     state: _holding_state.HoldingState, service: str
 ) -> dict[int, list[str]]:
-    """Lists the individually placed keys of each partition."""
+    """Returns the separately placed keys of a service, by partition."""
     keys_by_partition: dict[int, list[str]] = {}
     for unit in state.owners.get_records():
         if unit.key and unit.service == service:
@@ -240,7 +249,10 @@
 
 
 def plan_placement(state: _holding_state.HoldingState, now: float) -> Commands:
-    """Starts the moves that lower the cost of the placement."""
+    """Starts moves that lower the cost of the placement.
+
+    Does nothing while other moves are in progress.
+    """
     if len(state.moves):
         return []
     commands: Commands = []
@@ -259,7 +271,7 @@
 ) -> Commands:
     commands: Commands = []
     loads = state.get_loads(service)
-    hot = group_hot_keys(state, service)
+    hot = list_hot_keys_by_partition(state, service)
     for _ in range(MAXIMUM_PLANNED_MOVES - len(state.moves)):
         proposal, load = _choose_best_move(state, service, view, hot)
         if proposal is None:
@@ -271,7 +283,7 @@
         commands.append(
             state.explain(
                 f"{describe_unit(proposal.unit)} moves from"
-                f" {proposal.source} to {proposal.target}: it lowers the cost"
+                f" {proposal.source} to {proposal.target}: this lowers the cost"
                 f" by {proposal.gain:.5f} at load"
                 f" {loads.get_load(proposal.unit):.2f}."
             )
@@ -285,7 +297,11 @@
     view: _placement.LoadView,
     hot: abc.Mapping[int, abc.Sequence[str]],
 ) -> tuple[_placement.Proposal | None, float]:
-    """Finds the move from the most loaded upstream that pays best."""
+    """Returns the move from the most loaded upstream with the largest gain.
+
+    Returns:
+        The proposal, None if no move has a gain, and the load of its unit.
+    """
     loads = state.get_loads(service)
     best: _placement.Proposal | None = None
     best_load = 0.0
@@ -361,8 +377,8 @@
             continue
         if state.moves.get(partition) or _is_key_moving(state, partition):
             continue
-        # An owner that compares no fences would still run requests of the
-        # key that were issued before it was taken out.
+        # An owner that checks no fences would still run requests for the key
+        # that were sent before the split.
         if not state.grants_by_upstream[owner.upstream].checks_fences:
             continue
         proposal = view.propose_move(unit, owner.upstream, load)
@@ -396,7 +412,7 @@
 def _is_key_moving(
     state: _holding_state.HoldingState, unit: _ownership.Unit
 ) -> bool:
-    """Returns whether a hot key of the same partition is under way."""
+    """Returns whether a hot key of the unit's partition is moving."""
     return any(
         move.unit.key
         and move.unit.service == unit.service
@@ -406,7 +422,7 @@
 
 
 def describe_unit(unit: _ownership.Unit) -> str:
-    """Names a unit in a sentence."""
+    """Returns a description of a unit for the beginning of a sentence."""
     if unit.key:
         return f"Hot key {unit.key!r} of {unit.service}"
     return f"Partition {unit.partition} of {unit.service}"
--- a/packages/decisions/sycamoreloft_decisions/_rows.py
+++ b/packages/decisions/sycamoreloft_decisions/_rows.py
@@ -1,4 +1,4 @@
-"""Rows of the table that record a group: its holder and its assignments."""
+"""Rows of the store's table that record a group's holder and assignments."""
 
 from collections import abc
 import dataclasses
@@ -6,11 +6,12 @@
 
 import sycamoreloft_config
 
-#: Partitions recorded in one row. A move rewrites one row, so the number
-#: bounds the bytes of a write; a read of 65,536 partitions takes 64 rows.
+#: Number of partitions that are recorded in one row. A move rewrites a whole
+#: row, so this bounds the bytes of a write; a service with 65,536 partitions
+#: has 64 rows.
 PARTITIONS_PER_ROW = 1_024
 
-#: Last part of the key of the row that holds the hot keys of a service.
+#: Last segment of the table key of the row that records hot keys.
 HOT_KEYS_ROW = "hot"
 
 
@@ -18,63 +19,63 @@
 class EarlierHolder:
     """A former holder that is not known to have stopped acting."""
 
-    #: Epoch in which it held the group.
+    #: Epoch in which the host held the group.
     epoch: int
-    #: Name of the host.
     host: str
-    #: Offline limit that it follows, in seconds.
+    #: Offline limit that the holder recorded and obeys, in seconds.
     offline_limit_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GroupRow:
-    """The row that records who may act for a group."""
+    """The row that records which host may act for a group."""
 
-    #: The group.
     group: sycamoreloft_config.GroupName
-    #: Grows by one with each change of the holder.
+    #: Increases by one with each takeover.
     epoch: int
-    #: Host that holds the group, empty after it handed the group over.
+    #: Host that holds the group; empty after a planned handover.
     holder: str
-    #: Random identifier of the holder's process. Tells a restarted host that
-    #: the row was written by its earlier process.
+    #: Random identifier of the holder's process. It distinguishes the row from
+    #: one that an earlier process of the same host wrote.
     incarnation: str
-    #: Host that must promise not to take the group, empty for none.
+    #: Host that must promise not to take over while the holder acts; empty if
+    #: there is no standby.
     standby: str = ""
-    #: Latest generation that the holder has staged.
+    #: Latest generation that the holder has staged; 0 for none.
     staged: int = 0
-    #: Grows with each write of the row in an epoch.
+    #: Increases with each write of the row in the same epoch.
     heartbeat: int = 0
-    #: Seconds after the last write for which the holder may act. Recorded
-    #: because a holder that is cut off follows the file that it knew.
+    #: Time after the last write for which the holder may act, in seconds. It is
+    #: recorded because a holder that cannot reach the store obeys the limit
+    #: that it knew, not that of a later generation.
     offline_limit_s: float = 3_900.0
-    #: Former holders not known to have stopped. A standby may rely on an
-    #: expired promise only if there are none: the promise says nothing of
-    #: the holders before the one that asked for it.
+    #: Former holders that are not known to have stopped. A standby may rely
+    #: on an expired promise alone only if there are none: the promise proves
+    #: that the holder which requested it has stopped, but no earlier one.
     earlier: abc.Sequence[EarlierHolder] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Assignment:
-    """Owner of a partition or of a hot key."""
+    """The recorded owner of a partition or hot key."""
 
-    #: Name of the upstream.
+    #: Upstream name in the configuration.
     upstream: str
-    #: Fencing token; grows with each change of the owner.
+    #: Fencing token; higher in each later record of the unit.
     fence: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AssignmentTable:
-    """The recorded owners of one group."""
+    """The recorded owners of one group's units."""
 
-    #: Owners by service and partition number.
+    #: Owners of partitions, by service and partition number.
     partitions: abc.Mapping[str, abc.Mapping[int, Assignment]]
-    #: Owners of individually placed keys by service and key.
+    #: Owners of separately placed hot keys, by service and key.
     hot_keys: abc.Mapping[str, abc.Mapping[str, Assignment]]
 
 
-#: The table of a group that records nothing yet.
+#: The table of a group without any record.
 EMPTY_TABLE = AssignmentTable({}, {})
 
 
@@ -84,19 +85,19 @@
 
 
 def format_assignment_prefix(group: sycamoreloft_config.GroupName) -> str:
-    """Returns the prefix of the table keys of a group's assignments."""
+    """Returns the table key prefix of a group's assignment rows."""
     return f"assign/{group}/"
 
 
 def format_fleet_prefix(fleet: str) -> str:
-    """Returns the prefix of the assignment rows of all groups of a fleet."""
+    """Returns the table key prefix of a whole fleet's assignment rows."""
     return f"assign/{fleet}/"
 
 
 def format_partition_key(
     group: sycamoreloft_config.GroupName, service: str, partition: int
 ) -> str:
-    """Returns the table key of the row that records a partition."""
+    """Returns the table key of the row that records a partition's owner."""
     prefix = format_assignment_prefix(group)
     return f"{prefix}{service}/{partition // PARTITIONS_PER_ROW}"
 
@@ -147,7 +148,7 @@
 def encode_table(
     group: sycamoreloft_config.GroupName, table: AssignmentTable
 ) -> dict[str, dict[str, typing.Any]]:
-    """Encodes a table as JSON objects by table key."""
+    """Encodes a table as rows: JSON objects by table key."""
     rows: dict[str, dict[str, typing.Any]] = {}
     for service, owners in table.partitions.items():
         chunks: dict[str, dict[int, Assignment]] = {}
@@ -165,10 +166,13 @@
 def encode_chunk(
     owners: abc.Mapping[typing.Any, Assignment],
 ) -> dict[str, typing.Any]:
-    """Encodes the owners of one row.
+    """Encodes one row, which has the owners of some partitions or hot keys.
 
-    The row lists each upstream once, followed by the numbers (or keys) and
-    fences that it owns, in three parallel lists.
+    The row has three parallel lists: the upstreams, and for each upstream the
+    partition numbers (or keys) that it owns and their fences.
+
+    Args:
+        owners: Owners by partition number or by hot key.
     """
     by_upstream: dict[str, tuple[list[typing.Any], list[int]]] = {}
     for unit in sorted(owners):
@@ -185,7 +189,7 @@
 def decode_chunk(
     value: abc.Mapping[str, typing.Any],
 ) -> dict[typing.Any, Assignment]:
-    """Decodes the owners of one row."""
+    """Decodes one row to owners by partition number or hot key."""
     return {
         unit: Assignment(upstream, fence)
         for upstream, units, fences in zip(
@@ -198,7 +202,11 @@
 def decode_tables(
     rows: abc.Mapping[str, abc.Mapping[str, typing.Any]],
 ) -> dict[sycamoreloft_config.GroupName, AssignmentTable]:
-    """Decodes assignment rows of any number of groups by their table keys."""
+    """Decodes assignment rows of any number of groups.
+
+    Args:
+        rows: Rows by table key.
+    """
     partitions: dict[sycamoreloft_config.GroupName, typing.Any] = {}
     hot_keys: dict[sycamoreloft_config.GroupName, typing.Any] = {}
     for key, value in rows.items():
--- a/packages/decisions/sycamoreloft_decisions/_standby.py
+++ b/packages/decisions/sycamoreloft_decisions/_standby.py
@@ -1,10 +1,14 @@
-"""The standby of a group: gives promises and detects the holder's loss."""
+"""Promises that a host gives to a holder as the standby of a group."""
 
 from sycamoreloft_decisions import _ownership, _rows, _timing
 
 
 class StandbyPromises:
-    """Promises of this host not to take a group.
+    """This host's promises not to take over one group.
+
+    Only the promise for the latest epoch counts. When it expires without a
+    renewal, the holder of that epoch has stopped acting, and this host may
+    take over at once.
 
     Args:
         host: Name of this host.
@@ -20,11 +24,12 @@
     def answer_request(
         self, event: _ownership.PromiseRequested, now: float
     ) -> _ownership.AnswerPromise:
-        """Gives or refuses a promise."""
+        """Gives or refuses the promise that a holder requests."""
         if self._is_resigned:
             return _ownership.AnswerPromise(False, final=True)
-        # While a write that takes the group is not settled, the group may
-        # already be this host's, so no promise may be given.
+        # While the outcome of a takeover write is unknown, this host may
+        # already hold the group in the next epoch. A promise for the replaced
+        # epoch would let the old holder act at the same time.
         if event.epoch < max(self._epoch, self._replaced_epoch + 1):
             return _ownership.AnswerPromise(False)
         if event.epoch > self._epoch:
@@ -38,11 +43,11 @@
         return _ownership.AnswerPromise(True)
 
     def resign(self) -> None:
-        """Promises for good: this host never takes the group over again."""
+        """Makes the promise final: this process never takes over the group."""
         self._is_resigned = True
 
     def is_promise_expired(self, now: float) -> bool:
-        """Returns whether the last promise has expired."""
+        """Returns whether this host gave a promise that has expired."""
         return (
             self._epoch > 0
             and not self._is_resigned
@@ -50,15 +55,16 @@
         )
 
     def is_takeover_forbidden(self, now: float) -> bool:
-        """Returns whether a promise forbids this host to take the group."""
+        """Returns whether a promise forbids this host to take over."""
         return self._is_resigned or now < self._promised_until
 
     def is_holder_stopped(self, row: _rows.GroupRow, now: float) -> bool:
-        """Returns whether the expired promise proves that the holder stopped.
+        """Returns whether an expired promise proves that the holder stopped.
 
-        It does if the row still names this host in the epoch of the promise.
-        A process that gave no promise in that epoch knows nothing: an earlier
-        process of the host may have given one.
+        The proof holds if the stored row still has the epoch of the promise
+        and names this host as the standby. A process that gave no promise in
+        that epoch has no proof, since an earlier process of this host may
+        have given one that is still valid.
         """
         return (
             self.is_promise_expired(now)
@@ -67,17 +73,21 @@
         )
 
     def get_promise_end(self) -> float:
-        """Returns when the last promise expired."""
+        """Returns when the last promise expires or expired."""
         return self._promised_until
 
     def reset(self) -> None:
-        """Ends the role: the row names another standby or a later epoch."""
+        """Discards the promise, which no longer concerns the stored row."""
         self._epoch = 0
 
     def begin_takeover(self, epoch: int) -> None:
-        """Refuses promises for an epoch while this host replaces it."""
+        """Refuses promises up to an epoch while this host tries to replace it.
+
+        Args:
+            epoch: Epoch of the stored row, 0 if there is none.
+        """
         self._replaced_epoch = epoch
 
     def end_takeover(self) -> None:
-        """The attempt to take the group is settled."""
+        """Gives promises again, once the outcome of the takeover is known."""
         self._replaced_epoch = 0
--- a/packages/decisions/sycamoreloft_decisions/_table_writer.py
+++ b/packages/decisions/sycamoreloft_decisions/_table_writer.py
@@ -1,4 +1,4 @@
-"""Writes of one machine to the table, one at a time."""
+"""Conditional writes of the group row, one at a time."""
 
 from collections import abc
 import dataclasses
@@ -11,13 +11,13 @@
 
 
 class WriteStatus(enum.Enum):
-    """What became of a write."""
+    """What is known of a write."""
 
-    #: It is not known yet.
+    #: Not known yet.
     PENDING = "pending"
-    #: It took effect.
+    #: The write was committed.
     STORED = "stored"
-    #: It did not take effect and no longer can.
+    #: The write was not committed and no longer can be.
     LOST = "lost"
 
 
@@ -28,27 +28,26 @@
     row: _rows.GroupRow
     row_version: int
     puts: abc.Mapping[str, abc.Mapping[str, typing.Any]]
-    #: Sending time of the first attempt. What is derived from a success
-    #: counts from it, because any attempt may be the one that took effect.
+    #: Send time of the first attempt. Deadlines that follow from a success
+    #: count from it, because any of the attempts may have been committed.
     first_sent_at: float
     last_sent_at: float
     calls: set[int]
-    #: Number and sending time of the read that settles a lost answer.
+    #: Identifier and send time of the read that finds out the outcome.
     read: tuple[int, float] | None = None
 
 
 class TableWriter:
-    """Keeps one write in flight and settles lost answers by reading.
+    """Keeps at most one write in flight and finds out its outcome.
 
-    Every write contains the group row and is conditional on the row's
-    version. After a lost answer, the row tells whether the write took effect.
-    If it did not, the same content is sent again with the same condition, so
-    that at most one of the attempts can take effect and it does not matter
-    which.
+    Every write contains the group row and is conditional on the version of
+    that row. If the answer is lost, the row is read to find out whether the
+    write was committed. If it was not, the same content is sent again with the
+    same condition: at most one attempt can be committed, no matter which.
 
     Args:
         group: The group.
-        calls: Numbers for reads and writes.
+        calls: Source of identifiers for reads and writes.
     """
 
     def __init__(
@@ -61,15 +60,15 @@
         self._write: _Write | None = None
 
     def is_busy(self) -> bool:
-        """Returns whether a write is in flight or not settled."""
+        """Returns whether there is a write whose outcome is not known."""
         return self._write is not None
 
     def get_row(self) -> _rows.GroupRow | None:
-        """Returns the group row of the write in flight."""
+        """Returns the group row of the write in flight, None without one."""
         return self._write.row if self._write else None
 
     def get_first_sent_at(self) -> float:
-        """Returns when the write in flight was sent first."""
+        """Returns when the first attempt of the write in flight was sent."""
         return self._write.first_sent_at if self._write else 0.0
 
     def start(
@@ -79,25 +78,36 @@
         puts: abc.Mapping[str, abc.Mapping[str, typing.Any]],
         now: float,
     ) -> _ownership.WriteRows:
-        """Starts a write; none may be in flight."""
+        """Starts a write; no other write may be in flight.
+
+        Args:
+            row: New group row.
+            row_version: Version on which the write is conditional.
+            puts: New assignment rows, by table key.
+            now: Clock reading in seconds.
+        """
         self._write = _Write(row, row_version, puts, now, now, set())
         return self._send(self._write, now)
 
     def finish(self) -> None:
-        """Forgets the write, which is settled."""
+        """Discards the write in flight, once its outcome is known."""
         self._write = None
 
     def owns_call(self, call: int) -> bool:
-        """Returns whether an answer belongs to the write in flight."""
+        """Returns whether an identifier is that of the write in flight."""
         return self._write is not None and call in self._write.calls
 
     def owns_read(self, call: int) -> bool:
-        """Returns whether an answer belongs to the read that settles."""
+        """Returns whether an identifier is that of this writer's read."""
         write = self._write
         return bool(write and write.read and write.read[0] == call)
 
     def read(self, now: float) -> abc.Sequence[_ownership.ReadRows]:
-        """Reads the row to settle a write that was refused or unanswered."""
+        """Reads the row to find out the outcome of the write.
+
+        Needed after a refusal, too: an earlier attempt of the same write may
+        have been committed and caused it.
+        """
         if self._write is None or self._write.read is not None:
             return ()
         call = next(self._calls)
@@ -105,7 +115,7 @@
         return (make_read(self._group, call),)
 
     def tick(self, now: float) -> abc.Sequence[_ownership.ReadRows]:
-        """Reads the row when an answer is overdue."""
+        """Reads the row if the answer to the write or read is overdue."""
         write = self._write
         if write is None:
             return ()
@@ -119,15 +129,19 @@
         return ()
 
     def fail_read(self, call: int, now: float) -> None:
-        """Notes that the read had no answer; it is repeated after a pause."""
+        """Schedules a retry of the read, which was not answered."""
         if self.owns_read(call) and self._write is not None:
             retry_at = now + _timing.READ_INTERVAL_S
             self._write.read = (-1, retry_at - _timing.TABLE_TIMEOUT_S)
 
-    def settle(
+    def resolve(
         self, event: _ownership.RowsRead, now: float
     ) -> tuple[WriteStatus, abc.Sequence[_ownership.WriteRows]]:
-        """Compares the row that was read with the write in flight."""
+        """Determines the outcome of the write in flight from the stored row.
+
+        Returns:
+            The status of the write, and the next attempt if it must be retried.
+        """
         write = self._write
         if write is None:
             return WriteStatus.LOST, ()
@@ -154,7 +168,7 @@
 def make_read(
     group: sycamoreloft_config.GroupName, call: int
 ) -> _ownership.ReadRows:
-    """Builds the read of a group's row and the fleet's assignments."""
+    """Builds the command that reads a group's row and all assignments."""
     return _ownership.ReadRows(
         call,
         _rows.format_group_key(group),
--- a/packages/decisions/sycamoreloft_decisions/_takeover.py
+++ b/packages/decisions/sycamoreloft_decisions/_takeover.py
@@ -1,4 +1,4 @@
-"""How a host that does not hold a group decides to take it."""
+"""Decides when a host takes over a group, and writes the group row."""
 
 from collections import abc
 import dataclasses
@@ -17,33 +17,39 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TakeoverResult:
-    """This host's write that takes the group took effect."""
+    """A committed takeover of the group by this host.
 
-    #: The row as it was written.
+    Times are readings of this host's clock in seconds.
+    """
+
+    #: The group row that was written.
     row: _rows.GroupRow
-    #: Its version in the table.
+    #: Version of the row in the store.
     row_version: int
-    #: Time at which the write was sent first.
+    #: When the first attempt of the write was sent.
     written_at: float
-    #: Assignments of all groups of the fleet at that version.
+    #: Assignments of all groups of the fleet, read before the write.
     tables: abc.Mapping[sycamoreloft_config.GroupName, _rows.AssignmentTable]
-    #: Time at which all grants of earlier holders have certainly ended,
-    #: infinite if the row lists holders that are not known to have stopped.
+    #: When all grants of earlier holders have certainly expired; infinite if
+    #: the row lists earlier holders that are not known to have stopped.
     earlier_end: float
-    #: Time at which the offline limit has certainly stopped them, with the
-    #: wait for their grants.
+    #: When the offline limit has stopped the earlier holders and their grants
+    #: have expired.
     offline_end: float
 
 
 class Takeover:
-    """Reads the row, decides, and writes the row with the next epoch.
+    """Takes over a group whose holder has stopped or makes no progress.
+
+    Reads the group row, decides whether to take over, and then writes the row
+    with the next epoch and this host as the holder.
 
     Args:
         host: Name of this host.
         incarnation: Random identifier of this process.
         group: The group.
         standby: This host's promises for the group.
-        calls: Numbers for reads and writes.
+        calls: Source of identifiers for reads and writes.
         now: Clock reading in seconds.
     """
 
@@ -66,7 +72,7 @@
         self._announced_epochs: abc.Mapping[str, int] = {}
         self._last_announced_at = now
         self._latest_rows: _ownership.RowsRead | None = None
-        # Time at which the known version of the row was read first.
+        # When the latest known version of the row was first read.
         self._row_read_at = now
         self._read: tuple[int, float] | None = None
         self._next_read_at = now
@@ -75,16 +81,16 @@
         self._offline_limit_s = 0.0
 
     def set_offline_limit(self, offline_limit_s: float) -> None:
-        """Sets the offline limit of the accepted generation."""
+        """Sets the offline limit to record at the takeover, in seconds."""
         self._offline_limit_s = offline_limit_s
 
     def record_members(self, event: _ownership.MembersObserved) -> None:
-        """Notes who was heard and who says that it holds the group."""
+        """Records the progress of hosts and the epochs that they announce."""
         self._last_progress = event.last_progress
         self._announced_epochs = event.announced_epochs
 
     def record_row(self, event: _ownership.RowsRead, now: float) -> None:
-        """Remembers the row that a read returned."""
+        """Records the group row that a read returned."""
         latest = self._latest_rows
         if latest is None or latest.row_version != event.row_version:
             self._row_read_at = now
@@ -92,14 +98,14 @@
             self._latest_rows = event
 
     def restart(self, now: float) -> None:
-        """Starts to watch the group after this host held it."""
+        """Watches the group again, after this host has held it."""
         self._last_announced_at = now
         self._read = None
         self._next_read_at = now
         self._latest_rows = None
 
     def tick(self, now: float) -> abc.Sequence[_ownership.Command]:
-        """Starts a read if the group may have to be taken."""
+        """Reads the group row if this host may have to take over."""
         if self._writer.is_busy():
             return self._writer.tick(now)
         if self._read and now >= self._read[1] + _timing.TABLE_TIMEOUT_S:
@@ -116,10 +122,11 @@
     def handle_answer(
         self, event: _ownership.Event, now: float
     ) -> tuple[TakeoverResult | None, abc.Sequence[_ownership.Command]]:
-        """Handles an answer of the table.
+        """Handles an answer of the store.
 
         Returns:
-            What was taken, if this answer settles it, and commands.
+            The takeover if this answer shows that it was committed, else None;
+            and commands to perform.
         """
         match event:
             case _ownership.RowsRead():
@@ -146,7 +153,7 @@
     ) -> tuple[TakeoverResult | None, abc.Sequence[_ownership.Command]]:
         if self._writer.owns_read(event.call):
             self.record_row(event, now)
-            status, commands = self._writer.settle(event, now)
+            status, commands = self._writer.resolve(event, now)
             if status is _table_writer.WriteStatus.STORED:
                 return self._finish(event.row_version), ()
             if status is _table_writer.WriteStatus.LOST:
@@ -186,13 +193,18 @@
     def _list_active_holders(
         self, row: _rows.GroupRow, is_stop_proven: bool, now: float
     ) -> tuple[tuple[_rows.EarlierHolder, ...], float]:
-        """Lists holders that may still act, and when the last one ended."""
+        """Lists earlier holders that may still act.
+
+        Returns:
+            These holders, and when the other ones had stopped at the latest.
+        """
         # An earlier process of this host ended before this one started.
         earlier = [item for item in row.earlier if item.host != self._host]
         if is_stop_proven:
             ended_at = self._standby.get_promise_end()
         elif row.holder in ("", self._host):
-            # It handed over, or its process was replaced by this one.
+            # The holder handed the group over, or it was an earlier process of
+            # this host.
             ended_at = now
         else:
             ended_at = now
@@ -253,7 +265,11 @@
         return self._is_silent(self._latest_rows.row, now)
 
     def _is_silent(self, row: _rows.GroupRow, now: float) -> bool:
-        """Returns whether holder and standby have been silent long enough."""
+        """Returns whether this host may take over for lack of progress.
+
+        The holder must have made no progress for a time that grows with the
+        rank of this host, and longer if the standby is alive.
+        """
         for host, epoch in self._announced_epochs.items():
             if epoch >= row.epoch:
                 self._last_announced_at = max(
--- a/packages/decisions/sycamoreloft_decisions/_timing.py
+++ b/packages/decisions/sycamoreloft_decisions/_timing.py
@@ -1,56 +1,62 @@
-"""Time constants of ownership; all in seconds unless the name says ms."""
+"""Time constants of the ownership protocol."""
 
-#: Life of a grant on the upstream's own clock.
+#: Lifetime of a grant on the upstream's clock, from the clock reading that
+#: the grant carries.
 GRANT_LIFETIME_S = 1.0
-#: The same lifetime as it is sent.
+#: `GRANT_LIFETIME_S` in the unit of the wire format.
 GRANT_LIFETIME_MS = 1_000
-#: Time between two grants to one upstream.
+#: Time between two grants to the same upstream.
 RENEWAL_INTERVAL_S = 0.2
-#: Time after which a grant without an answer counts as failed. After one lost
-#: call, the next is answered before the grant in force ends; with 0.45 s it
-#: often was not. A slower upstream counts as unreachable.
+#: Time after which an unanswered grant counts as failed. It is so short that
+#: after one lost call the next one is answered before the grant in force
+#: expires; with 0.45 s, grants often expired. An upstream that takes longer to
+#: answer counts as unreachable.
 GRANT_TIMEOUT_S = 0.3
-#: Largest difference between the rates of two clocks.
+#: Maximum relative difference between the rates of two clocks.
 CLOCK_DRIFT = 0.02
-#: Time on the holder's clock, from the receipt of the last reading that it
-#: used, after which a grant has certainly ended.
+#: Time after which a grant has certainly expired, on the holder's clock, from
+#: the receipt of the clock reading that the grant carries.
 GRANT_CERTAIN_END_S = GRANT_LIFETIME_S * (1 + CLOCK_DRIFT)
-#: Life of a promise, counted by the holder from the sending of its request.
+#: Validity of a promise on the holder's clock, from the time at which the
+#: holder sent the request.
 PROMISE_S = 0.6
-#: The same life as it is sent.
+#: `PROMISE_S` in the unit of the wire format.
 PROMISE_MS = 600
-#: Time between two promise requests.
+#: Time between two promise requests to the same host.
 PROMISE_INTERVAL_S = 0.15
-#: Time for which the standby keeps a promise, from the receipt of the request
-#: on its own clock; longer than the holder's count by the clock drift.
+#: Time for which the standby keeps a promise, on the standby's clock, from
+#: the receipt of the request. The clock drift is added, so that the promise
+#: never ends for the standby before it ends for the holder.
 PROMISE_KEPT_S = PROMISE_S * (1 + CLOCK_DRIFT)
-#: Longest time between two writes of the group row.
+#: Maximum time between two writes of the group row.
 ROW_HEARTBEAT_S = 15.0
-#: Share of the offline limit after which the row is written again.
+#: Share of the offline limit after which the row is written again, if that
+#: is earlier than `ROW_HEARTBEAT_S`.
 ROW_HEARTBEAT_SHARE = 0.25
-#: Time without word from the holder after which other hosts take a group.
+#: Time without progress of the holder after which other hosts take over.
 TAKEOVER_SILENCE_S = 2.0
-#: Additional silence for each rank of the host that takes the group.
+#: Added to `TAKEOVER_SILENCE_S` for each rank of a host, so that the hosts of
+#: a domain try one after the other.
 TAKEOVER_RANK_S = 0.25
-#: Additional silence of the holder for which a live standby is waited for;
-#: a standby without access to the store cannot take the group.
+#: Additional time that other hosts leave to a live standby. They do take over
+#: after it, because a standby without access to the store cannot.
 STANDBY_PREFERENCE_S = 2.0
-#: Time between two reads of the table by one machine.
+#: Minimum time between two reads of the group row by one host.
 READ_INTERVAL_S = 0.2
-#: Time after which a read or write without an answer is tried again.
+#: Time after which an unanswered read or write of the store is retried.
 TABLE_TIMEOUT_S = 1.0
-#: Time between two requests to an earlier holder to step down.
+#: Time between two step-down requests to the same earlier holder.
 STEP_DOWN_INTERVAL_S = 0.5
-#: Time between two placement decisions that are not forced by a loss.
+#: Time between two rounds of placement; moves that the loss of an upstream
+#: forces do not wait for them.
 PLACEMENT_INTERVAL_S = 1.0
-#: Time for which a host is not asked again to be the standby after it failed
-#: to give a promise.
+#: Time for which a host that gave no promise is not chosen as a standby.
 STANDBY_RETRY_S = 2.0
-#: Time within which an upstream must answer a new holder before its units may
-#: be given to others; two calls fit in it.
+#: Time that an upstream has to answer a new holder before its units may be
+#: assigned to others; enough for two grant calls.
 FIRST_CONTACT_S = 0.6
-#: Age of a reading above which the next grant follows at once, because the
-#: one sent with the reading is about to expire.
+#: Age of a clock reading at which the next grant is sent at once, because the
+#: grant that carries the reading is about to expire.
 LATE_READING_S = 0.5
-#: Time without an answer after which another host is asked to be the standby.
+#: Time after which an unresponsive standby candidate is replaced by another.
 CANDIDATE_TIMEOUT_S = 0.3
--- a/packages/decisions/sycamoreloft_decisions/acceptance.py
+++ b/packages/decisions/sycamoreloft_decisions/acceptance.py
@@ -1,9 +1,11 @@
-"""Acceptance of configuration: one row, one winner, no revert.
-
-`config/head` names the accepted generation and at most one pending one. Every
-group holder records in its group row that it has staged the pending
-generation. One conditional transaction over the head and all group rows then
-makes the pending generation the accepted one.
+"""State machine that records submitted configuration and accepts it.
+
+The row `config/head` has the accepted generation and at most one pending
+generation. Every group holder records in its group row that it has staged the
+pending generation. One conditional transaction over the head and all group
+rows then makes the pending generation the accepted one. The conditions ensure
+that of two concurrent submissions only one is recorded, and that an accepted
+generation is never replaced by an older one.
 """
 
 from collections import abc
@@ -13,41 +15,41 @@
 import sycamoreloft_config
 from sycamoreloft_decisions import _acceptance_events, _acceptance_rows
 
-#: Time between two reads while a submission of this host is open.
+#: Time between two reads while a submission to this host is open.
 SUBMISSION_POLL_S = 0.25
 
-#: Time between two reads while a generation is pending. It grows with the
-#: age of the generation, because an unreachable failure domain can keep it
-#: pending for hours, while all group holders read.
+#: Minimum and maximum time between two reads while a generation is pending. The
+#: time grows with the age of the generation, because all group holders read and
+#: an unreachable failure domain can keep a generation pending for hours.
 PENDING_POLL_S = 0.5
 MAXIMUM_PENDING_POLL_S = 2.0
 
-#: Time between two reads of a group holder when nothing is pending.
+#: Time between two reads of a group holder while no generation is pending.
 IDLE_POLL_S = 1.0
 
-#: Least time between two reads. Answered writes ask for a read at once, and
-#: a write that always fails must not read in a loop.
+#: Minimum time between two reads. The answer to a write makes a read due at
+#: once, so a write that always fails would otherwise cause a busy loop.
 MINIMUM_POLL_S = 0.1
 
-#: Age of a pending generation at which hosts without a submission try to
-#: accept it too, in case the host of the submitter is lost.
+#: Age of a pending generation at which other hosts try to accept it, too, in
+#: case the host that received the submission is lost.
 ASSIST_AFTER_S = 2.0
 
-#: Hosts start to assist at different times within this span, so that they do
+#: Range over which hosts spread the start of their assistance, so that they do
 #: not all send the same transaction.
 ASSIST_SPREAD_S = 4.0
 
-#: Time after which a write counts as lost if it was not settled. All of them
-#: are conditional, so repeating one is harmless.
+#: Time after which an unanswered write is repeated. All writes are conditional,
+#: so a repeated write is harmless.
 WRITE_TIMEOUT_S = 5.0
 
-#: Time to record a submission, however short its operator wants to wait for
-#: acceptance.
+#: Minimum time for recording a submission, even if the operator waits for its
+#: acceptance only briefly.
 MINIMUM_RECORDING_S = 3.0
 
 
-# The names of this module are its interface; the classes are defined in the
-# two modules that it builds on.
+# Rows, events and commands are defined in two private modules; these names are
+# their public interface.
 GenerationRecord = _acceptance_rows.GenerationRecord
 PastSubmission = _acceptance_rows.PastSubmission
 HeadRow = _acceptance_rows.HeadRow
@@ -73,23 +75,24 @@
 
 @dataclasses.dataclass(slots=True)
 class _Submission:
-    """An open submission of this host."""
+    """A submission that was received by this host and is not answered yet."""
 
     event: FileSubmitted
-    #: Clock reading of the submission.
+    #: Clock reading when the submission was last received, in seconds.
     started: float
-    #: Whether the head was read since the submission.
+    #: Whether the head was read since the submission was received.
     is_head_read: bool = False
-    #: Version on which a write is in flight or was refused, None for none.
+    #: Head version on which the latest write was conditional, whether that
+    #: write is in flight or was refused; None if a new write may be sent.
     written_version: int | None = None
-    #: Clock reading of that write.
+    #: Clock reading when that write was sent, in seconds.
     written_at: float = 0.0
-    #: Whether any write was sent.
+    #: Whether a write was ever sent for this submission.
     was_sent: bool = False
 
 
 class Acceptance:
-    """Drives submissions, staging and acceptance on one host.
+    """Records, stages and accepts generations on one host.
 
     Args:
         host: Name of this host.
@@ -107,14 +110,15 @@
         self._rows: abc.Mapping[str, GroupRow] = {}
         self._held: abc.Collection[str] | None = None
         self._submissions: dict[str, _Submission] = {}
-        # Request id and start of each stage or accept write in flight.
+        # Request id and send time of each stage or accept write in flight, by
+        # a text that identifies its content.
         self._in_flight: dict[str, tuple[str, float]] = {}
         self._pending_since = 0.0
         self._last_read = float("-inf")
         self._wants_read = True
 
     def handle(self, event: Event, now: float) -> abc.Sequence[Command]:
-        """Takes an event at a clock reading and returns what to do."""
+        """Handles an event and returns commands to perform in this order."""
         commands = [*self._dispatch(event, now), *self._advance(now)]
         if self._should_read(now):
             self._last_read, self._wants_read = now, False
@@ -122,7 +126,11 @@
         return commands
 
     def list_waiting_domains(self) -> abc.Sequence[str]:
-        """Lists "fleet/domain" that have not staged the pending generation."""
+        """Lists failure domains that have not staged the pending generation.
+
+        Returns:
+            The domains as "fleet/domain".
+        """
         groups = _acceptance_rows.list_waiting_groups(self._row, self._rows)
         return sorted({group.rsplit("/", 1)[0] for group in groups})
 
@@ -153,7 +161,7 @@
     @_dispatch.register
     def _(self, event: HeadRead, now: float) -> abc.Sequence[Command]:
         row = event.row or EMPTY_HEAD
-        # Answers of concurrent reads can arrive out of order.
+        # The answers of concurrent reads can arrive out of order.
         if event.version < self._version:
             return ()
         self._mark_head_read()
@@ -186,8 +194,8 @@
                 del self._in_flight[subject]
         submission = self._submissions.get(event.request)
         if submission and event.result is WriteResult.UNKNOWN:
-            # The write is repeated on the same version, so that at most one
-            # of the two can take effect.
+            # The write is repeated with the same condition, so that at most
+            # one of the attempts can be committed.
             submission.written_version = None
             submission.is_head_read = False
         if self._submissions or event.result is WriteResult.APPLIED:
@@ -199,7 +207,7 @@
             submission.is_head_read = True
 
     def _stage(self, now: float) -> abc.Iterator[Command]:
-        """Stages the pending generation in the rows of this host's groups."""
+        """Stages the pending generation in the rows of held groups."""
         pending = self._row.pending
         if pending is None:
             return
@@ -213,7 +221,7 @@
                     )
 
     def _accept(self, now: float) -> abc.Iterator[Command]:
-        """Accepts the pending generation once every group has staged it."""
+        """Accepts the pending generation once all groups have staged it."""
         row = self._row
         if row.pending is None:
             return
@@ -229,7 +237,15 @@
             yield AcceptGeneration(request, self._version, versions, accepted)
 
     def _start_write(self, subject: str, now: float) -> str:
-        """Returns a request id, or empty while such a write is in flight."""
+        """Registers a write in flight.
+
+        Args:
+            subject: Identifies the content of the write.
+            now: Clock reading in seconds.
+
+        Returns:
+            The request id; empty if the same write is already in flight.
+        """
         if subject in self._in_flight:
             _, started = self._in_flight[subject]
             if now < started + WRITE_TIMEOUT_S:
@@ -239,7 +255,7 @@
         return request
 
     def _advance(self, now: float) -> abc.Iterator[Command]:
-        """Writes or answers the open submissions."""
+        """Sends writes for open submissions, or their results."""
         for submission in list(self._submissions.values()):
             verdict = self._compute_verdict(
                 submission
@@ -286,7 +302,7 @@
         )
 
     def _compute_verdict(self, submission: _Submission) -> Verdict | None:
-        """Returns the verdict as far as the head row decides it."""
+        """Returns the verdict that follows from the head row, if any."""
         base = submission.event.base
         if not submission.is_head_read or _acceptance_rows.is_based_on_newest(
             self._row, base
@@ -296,8 +312,8 @@
         if _acceptance_rows.get_newest(self._row).number < base:
             return Verdict.CONFLICT
         if recorded is None:
-            # The history no longer reaches back to the submission, which
-            # may be the repetition of one that was recorded.
+            # The history is too short to tell: this may be a retry of a
+            # submission that was recorded long ago.
             return Verdict.UNKNOWN
         if recorded.request != submission.event.request:
             return Verdict.CONFLICT
@@ -309,7 +325,7 @@
     def _compute_late_verdict(
         self, submission: _Submission, now: float
     ) -> Verdict | None:
-        """Returns the verdict of a submission whose time has passed."""
+        """Returns the verdict if the time limit has passed, else None."""
         limit = submission.event.wait_s
         if self._is_recorded(submission):
             is_late = now >= submission.started + limit
@@ -345,7 +361,7 @@
         )
 
     def _needs_group_rows(self, now: float) -> bool:
-        """Returns whether the next read should include the group rows."""
+        """Returns whether the next read must include the group rows."""
         pending = self._row.pending
         if self._submissions or pending is None:
             return bool(self._submissions)
--- a/packages/decisions/sycamoreloft_decisions/membership.py
+++ b/packages/decisions/sycamoreloft_decisions/membership.py
@@ -1,4 +1,4 @@
-"""What a host knows of the others by gossip (section 8 of the design)."""
+"""Gossip membership of the hosts (section 8 of the design)."""
 
 import collections
 from collections import abc
@@ -8,42 +8,45 @@
 
 from sycamoreloft_decisions import _member_entries
 
-#: Seconds without progress after which a member is suspected.
+#: Time without progress after which a member is suspected.
 SUSPICION_S = 2.0
 
-#: Seconds without progress after which a member of an own failure domain is
-#: forgotten.
+#: Time without progress after which a member that shares a failure domain with
+#: this host is removed.
 REMOVAL_S = 60.0
 
-#: The same for members of other domains. News of them travels through members
-#: drawn from all: at 4,100 hosts and 16 heartbeats a second it takes minutes.
+#: Time without progress after which any other member is removed. Heartbeats of
+#: these members are relayed by randomly sampled members, which takes minutes
+#: at 4,100 hosts and 16 heartbeats per second.
 REMOTE_REMOVAL_S = 900.0
 
-#: Members in the answer to a host that asks for all; about 300 KB.
+#: Maximum number of members in the answer to a host that requests all of them;
+#: about 300 KB.
 MAXIMUM_LISTED_MEMBERS = 1_000
 
-#: Members drawn for a digest to another failure domain.
+#: Maximum number of members that are considered for the heartbeats in a digest
+#: to another failure domain.
 MAXIMUM_SAMPLED_MEMBERS = 32
 
-#: Members without progress for longer are not passed on, so that a member
-#: which some hosts have forgotten does not come back from others.
+#: Time without progress after which a member is no longer relayed, so that a
+#: member which some hosts have removed does not return from other hosts.
 MAXIMUM_RELAY_SILENCE_S = 10.0
 
-#: Bytes of the entries of a digest.
+#: Maximum encoded size of the entries in a digest.
 MAXIMUM_DIGEST_BYTES = 1024
 
-#: Heartbeats of other hosts in a digest. With two digests in each half second
-#: they cost 1 KB/s, a third of the budget of a host.
+#: Maximum number of heartbeats of other hosts in a digest. With two digests
+#: every half second they cost 1 KB/s, a third of the budget of a host.
 MAXIMUM_DIGEST_HEARTBEATS = 8
 
-#: Seconds for which a changed entry is sent to every target; five rounds.
+#: Time for which a changed entry is sent to every target; five gossip rounds.
 CHANGE_RELAY_S = 2.5
 
-#: Seconds between two entries that are sent without a change, in turn, so
-#: that hosts which missed a change learn it.
+#: Time between two entries that are sent although they have not changed, so
+#: that hosts which missed a change receive it later.
 REFRESH_INTERVAL_S = 1.0
 
-#: Incarnations of one host that are remembered after they were replaced.
+#: Maximum number of replaced incarnations that are remembered for each host.
 MAXIMUM_REPLACED_INCARNATIONS = 4
 
 
@@ -56,39 +59,38 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HolderLocation(typing.Generic[EntryType]):
-    """Where the holder of a group is."""
+    """The host that announces to hold a group."""
 
     #: Entry of the holder.
     entry: EntryType
-    #: Epoch that it announces.
+    #: Epoch of the group that the holder announces.
     epoch: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelayedHeartbeat:
-    """Sign of life of a member, to be passed on."""
+    """The latest known heartbeat of a member, to be relayed."""
 
-    #: Name of the host.
     host: str
     #: Random identifier of the process.
     incarnation: str
-    #: Latest counter that was heard.
+    #: Highest heartbeat counter that was received from the process.
     counter: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Digest(typing.Generic[EntryType]):
-    """What to send to one target, besides the own heartbeat."""
+    """Content of a gossip message to one target, without the own heartbeat."""
 
     #: Heartbeats of other hosts.
     heartbeats: abc.Sequence[RelayedHeartbeat]
-    #: Entries, the own one first if it is among them.
+    #: Member entries; the own entry is first if it is contained.
     entries: abc.Sequence[EntryType]
 
 
 @dataclasses.dataclass(slots=True)
 class _Member(typing.Generic[EntryType]):
-    """A known host."""
+    """Another host; times are readings of this host's clock."""
 
     entry: EntryType
     progress_at: float
@@ -101,7 +103,7 @@
 
 
 class Membership(typing.Generic[EntryType]):
-    """Members, locations of groups and the newest generation."""
+    """Known hosts, the groups that they hold and the newest generation."""
 
     def __init__(
         self,
@@ -109,23 +111,23 @@
         generator: random.Random,
         measure: abc.Callable[[EntryType], int] | None = None,
     ) -> None:
-        """Starts with the own entry only.
+        """Creates a membership that contains only this host.
 
         Args:
             own: Entry of this host.
             generator: Source of the random choices.
-            measure: Returns the encoded size of an entry in bytes; by
-                default an estimate from above.
+            measure: Returns the encoded size of an entry in bytes; by default
+                an upper bound is estimated.
         """
         self._own = own
         self._generator = generator
         self._measure = measure or estimate_size
         self._members: dict[str, _Member[EntryType]] = {}
-        # Members of the own failure domains. Only these are visited in each
-        # round, so that its cost does not grow with the whole fleet.
+        # Members that share a failure domain with this host. A round visits
+        # only these, so its cost does not grow with the number of all hosts.
         self._domain_members: dict[str, _Member[EntryType]] = {}
-        # Epochs by host for each group. A host locates a group for each
-        # request, which must not visit all members.
+        # Epochs by host, for each group. The holder of a group is looked up for
+        # each request, which must not visit all members.
         self._holders: dict[str, dict[str, int]] = {}
         self._update_holders(own.host, {}, own.groups)
         self._generation = own.generation
@@ -138,11 +140,11 @@
 
     @property
     def highest_generation(self) -> int:
-        """Highest accepted generation that any host announced."""
+        """Highest accepted generation that any host has announced."""
         return self._generation
 
     def update_own_entry(self, own: EntryType, now: float) -> None:
-        """Replaces the own entry, which has the next version if it differs."""
+        """Replaces the own entry; a changed one must have a higher version."""
         if own.version != self._own.version:
             self._changed_at = now
         self._update_holders(own.host, self._own.groups, own.groups)
@@ -155,7 +157,7 @@
         entries: abc.Sequence[EntryType],
         now: float,
     ) -> None:
-        """Takes a digest; the first heartbeat is the sender's."""
+        """Merges a received digest; the first heartbeat is the sender's."""
         sender = heartbeats[0].host if heartbeats else ""
         for entry in entries:
             if entry.host != self._own.host:
@@ -172,9 +174,10 @@
                 member.removed = False
 
     def record_contact(self, host: str, incarnation: str, now: float) -> None:
-        """Counts any authenticated message of a host as a sign of life.
+        """Records an authenticated message of a host as progress.
 
-        Gossip alone does not refresh every member within `SUSPICION_S`.
+        Heartbeats in gossip alone do not reach every member within
+        `SUSPICION_S`.
         """
         member = self._members.get(host)
         if member is not None and member.entry.incarnation == incarnation:
@@ -182,13 +185,13 @@
             member.removed = False
 
     def choose_targets(self) -> list[EntryType]:
-        """Chooses the members to which the next digest is sent.
+        """Chooses the members that receive the next digests.
 
-        The first one is of an own failure domain if there is one: the hosts
-        of a domain watch each other for takeovers, so they need fresher news.
-        Members are taken in shuffled rounds, because independent choices can
-        leave one out for long. Suspected members are chosen as well, for they
-        may only have been cut off.
+        The first target shares a failure domain with this host, if possible:
+        the hosts of a domain watch each other for takeovers, so they need more
+        recent information. Targets are chosen in shuffled rounds, because
+        independent choices can leave out a member for a long time. Suspected
+        members are chosen, too: they may only have been disconnected.
         """
         chosen: list[EntryType] = []
         for queue, members in (
@@ -218,11 +221,11 @@
     def build_digest(
         self, now: float, target: EntryType | None = None
     ) -> Digest[EntryType]:
-        """Chooses what to send besides the own heartbeat.
+        """Builds a digest, to which the caller adds the own heartbeat.
 
         Args:
-            now: Time.
-            target: Receiver; None for a host that is not known yet.
+            now: Clock reading in seconds.
+            target: Receiver; None for a host that is not a member yet.
         """
         heartbeats: list[RelayedHeartbeat] = []
         if target is not None:
@@ -241,11 +244,11 @@
         return Digest(heartbeats, entries)
 
     def build_full_digest(self, now: float) -> Digest[EntryType]:
-        """Lists members for a host that asks for all of them.
+        """Builds the digest for a host that requests all members.
 
-        A host that has just started would otherwise learn one entry a second
-        from each sender, and know no holder of a group for many seconds.
-        Holders and members of the own domains go first.
+        A host that has just started would otherwise receive one entry per
+        second from each sender, and would know no holder for many seconds.
+        Holders come first, then members that share a failure domain.
         """
         members = sorted(
             (member for member in self._members.values() if not member.removed),
@@ -268,11 +271,11 @@
     def _choose_heartbeats(
         self, now: float, target: EntryType
     ) -> list[RelayedHeartbeat]:
-        """Chooses members to report, in turn.
+        """Chooses the heartbeats to relay, least recently relayed ones first.
 
-        A target of an own domain is told of that domain, whose hosts watch
-        each other. Others are told of any members, so that these are not
-        forgotten.
+        A target in the same failure domain receives heartbeats of that domain,
+        whose hosts watch each other. Other targets receive heartbeats of any
+        members, so that these are not removed elsewhere.
         """
         members = self._domain_members.values()
         if not self._is_in_own_domain(target):
@@ -296,7 +299,10 @@
         ]
 
     def _sample_members(self) -> dict[str, _Member[EntryType]]:
-        """Draws a few members, so that a round does not visit all."""
+        """Returns a random sample, so that a round does not visit all members.
+
+        The samples of successive rounds together contain every member.
+        """
         if not self._sample_queue:
             self._sample_queue.extend(self._members)
             self._generator.shuffle(self._sample_queue)
@@ -311,7 +317,11 @@
     def _choose_members(
         self, now: float, target: EntryType | None
     ) -> list[_Member[EntryType]]:
-        """Chooses changed members, and one in turn now and then."""
+        """Chooses the members whose entries a digest may contain.
+
+        These are recently changed members that share a failure domain with
+        this host, and every `REFRESH_INTERVAL_S` one other member.
+        """
         chosen = [
             member
             for member in self._domain_members.values()
@@ -331,7 +341,7 @@
         ]
 
     def _next_refresh_member(self, now: float) -> _Member[EntryType] | None:
-        """Returns the next recent member of a round over all members."""
+        """Returns the next member with recent progress in a round over all."""
         for _ in range(len(self._refresh_queue) or 1):
             if not self._refresh_queue:
                 self._refresh_queue.extend(sorted(self._members))
@@ -346,10 +356,10 @@
         return None
 
     def expire(self, now: float) -> None:
-        """Forgets members that have made no progress for a long time.
+        """Removes members that have made no progress for a long time.
 
-        Counters are kept twice as long, so that a delayed digest does not
-        bring a forgotten member back.
+        Their heartbeat counters are kept twice as long, so that a delayed
+        digest does not add a removed member again.
         """
         for host, member in list(self._members.items()):
             limit = (
@@ -362,7 +372,7 @@
                 self._update_holders(host, member.entry.groups, {})
 
     def list_other_members(self) -> list[EntryType]:
-        """Lists the entries of all members but the own one."""
+        """Lists the entries of all members except this host."""
         return [
             member.entry
             for member in self._members.values()
@@ -378,7 +388,7 @@
         ]
 
     def list_live(self, now: float) -> list[EntryType]:
-        """Lists the own entry and those of members that are not suspected."""
+        """Lists the entries of this host and of members not suspected."""
         return [self._own] + [
             member.entry
             for member in self._members.values()
@@ -386,25 +396,25 @@
         ]
 
     def get_entry(self, host: str) -> EntryType | None:
-        """Returns the entry of a host, if it is known."""
+        """Returns the entry of a host, None if it is not a member."""
         if host == self._own.host:
             return self._own
         member = self._members.get(host)
         return None if member is None or member.removed else member.entry
 
     def is_suspected(self, host: str, now: float) -> bool:
-        """Returns whether a host is unknown or has made no progress lately."""
+        """Returns whether a host is unknown or made no recent progress."""
         return self.measure_silence(host, now) >= SUSPICION_S
 
     def measure_silence(self, host: str, now: float) -> float:
-        """Returns the seconds since a host's last progress."""
+        """Returns the time since a host's last progress, in seconds."""
         if host == self._own.host:
             return 0.0
         member = self._members.get(host)
         return float("inf") if member is None else now - member.progress_at
 
     def locate_group(self, group: str) -> HolderLocation[EntryType] | None:
-        """Returns the holder of a group with the highest announced epoch."""
+        """Returns the member that announces the highest epoch of a group."""
         best: HolderLocation[EntryType] | None = None
         for host, epoch in self._holders.get(group, {}).items():
             entry = self.get_entry(host)
@@ -426,8 +436,9 @@
                 )
                 member.entry = entry
                 member.changed_at = now
-        # Incarnations are random and have no order. Another one is the newer
-        # one if the host itself says so, or if the known one has stopped.
+        # Incarnations are random and have no order. Another incarnation counts
+        # as newer if the host itself announces it, or if the known one makes
+        # no progress.
         elif entry.incarnation not in member.replaced and (
             first_hand or member.progress_at + SUSPICION_S <= now
         ):
--- a/packages/decisions/tests/test_membership.py
+++ b/packages/decisions/tests/test_membership.py
@@ -35,12 +35,12 @@
     counter: int = 1
 
 
-def deliver_digest(members, now, *entries, sender=None, heartbeats=()):
+def deliver_digest(members, now, *entries, sender=None, received=()):
     """Gives a digest: by the first entry's host, or by another sender."""
     first = sender or entries[0].host
     incarnation = entries[0].incarnation if entries and not sender else "i1"
     own = Heartbeat(first, incarnation, -1)
-    members.merge([own, *heartbeats], entries, now)
+    members.merge([own, *received], entries, now)
 
 
 @pytest.fixture
@@ -60,15 +60,15 @@
 def test_only_new_heartbeats_are_progress(members):
     """Guards against a lost host that old digests keep alive."""
     deliver_digest(
-        members, 0.0, Entry("a"), heartbeats=[Heartbeat("a", counter=7)]
+        members, 0.0, Entry("a"), received=[Heartbeat("a", counter=7)]
     )
     deliver_digest(
-        members, 1.0, sender="s", heartbeats=[Heartbeat("a", counter=7)]
+        members, 1.0, sender="s", received=[Heartbeat("a", counter=7)]
     )
     deliver_digest(members, 1.2, Entry("a", version=9), sender="s")
     assert members.measure_silence("a", 1.5) == 1.5
     deliver_digest(
-        members, 1.5, sender="s", heartbeats=[Heartbeat("a", counter=8)]
+        members, 1.5, sender="s", received=[Heartbeat("a", counter=8)]
     )
     assert members.measure_silence("a", 1.5) == 0.0
 
@@ -97,7 +97,7 @@
 def test_suspicion_removal_and_no_return_by_old_news(members):
     """Guards against members that stay, or return from a delayed digest."""
     deliver_digest(
-        members, 0.0, Entry("a"), heartbeats=[Heartbeat("a", counter=7)]
+        members, 0.0, Entry("a"), received=[Heartbeat("a", counter=7)]
     )
     assert not members.is_suspected("a", 1.9)
     assert members.is_suspected("a", 2.0)
@@ -105,11 +105,11 @@
     members.expire(59.0)
     assert members.get_entry("a") is not None
     members.expire(60.0)
-    heartbeats = [Heartbeat("a", counter=7)]
-    deliver_digest(members, 61.0, Entry("a"), sender="s", heartbeats=heartbeats)
+    received = [Heartbeat("a", counter=7)]
+    deliver_digest(members, 61.0, Entry("a"), sender="s", received=received)
     assert members.get_entry("a") is None
     deliver_digest(
-        members, 62.0, sender="s", heartbeats=[Heartbeat("a", counter=8)]
+        members, 62.0, sender="s", received=[Heartbeat("a", counter=8)]
     )
     assert members.get_entry("a") is not None
 
@@ -130,8 +130,8 @@
         deliver_digest(members, 0.0, Entry(name))
     for number in range(60):
         now = 3.0 + number
-        heartbeats = [Heartbeat(name, counter=number + 1) for name in names]
-        deliver_digest(members, now, sender="s", heartbeats=heartbeats)
+        received = [Heartbeat(name, counter=number + 1) for name in names]
+        deliver_digest(members, now, sender="s", received=received)
         digest = members.build_digest(now, Entry("s"))
         sizes = sum(map(membership.estimate_size, digest.entries))
         assert sizes <= membership.MAXIMUM_DIGEST_BYTES
@@ -144,7 +144,7 @@
     """Guards against a member whose signs of life are never passed on."""
     names = [f"host-{number}" for number in range(20)]
     for name in names:
-        deliver_digest(members, 0.0, Entry(name), heartbeats=[Heartbeat(name)])
+        deliver_digest(members, 0.0, Entry(name), received=[Heartbeat(name)])
     seen = set()
     for number in range(3):
         digest = members.build_digest(0.1 * number, Entry("s"))
@@ -166,7 +166,7 @@
 
 def test_silent_members_are_not_passed_on(members):
     """Guards against keeping a lost host alive by hearsay."""
-    deliver_digest(members, 0.0, Entry("a"), heartbeats=[Heartbeat("a")])
+    deliver_digest(members, 0.0, Entry("a"), received=[Heartbeat("a")])
     assert members.build_digest(1.0, Entry("s")).heartbeats
     late = members.build_digest(10.5, Entry("s"))
     assert (late.heartbeats, late.entries) == ([], [])
@@ -225,12 +225,10 @@
     """Guards against a restarted host that knows no holder for seconds."""
     far = {"sledworks": "fernrun-east"}
     for number in range(20):
-        heartbeats = [Heartbeat(f"host-{number}")]
-        deliver_digest(
-            members, 0.0, Entry(f"host-{number}"), heartbeats=heartbeats
-        )
+        received = [Heartbeat(f"host-{number}")]
+        deliver_digest(members, 0.0, Entry(f"host-{number}"), received=received)
     holder = Entry("holder", failure_domains=far, groups={"g": 4})
-    deliver_digest(members, 0.0, holder, heartbeats=[Heartbeat("holder")])
+    deliver_digest(members, 0.0, holder, received=[Heartbeat("holder")])
     digest = members.build_full_digest(1.0)
     new = membership.Membership(Entry("new"), random.Random(1))
     new.merge(
--- a/packages/wire/sycamoreloft_wire/__init__.py
+++ b/packages/wire/sycamoreloft_wire/__init__.py
@@ -1,4 +1,4 @@
-"""Messages between hosts, their encoding and the handshake."""
+"""Messages between hosts, their encoding and the authentication."""
 
 from sycamoreloft_wire._authentication import (
     NONCE_BYTES,
--- a/packages/wire/sycamoreloft_wire/_authentication.py
+++ b/packages/wire/sycamoreloft_wire/_authentication.py
@@ -1,9 +1,10 @@
-"""Mutual challenge between two hosts that share a key.
+"""Mutual challenge-response authentication of two hosts by a shared key.
 
-The client names the keys that it knows, the server picks one that both have,
-and each proves that it holds the key by a MAC over both nonces and both host
-names. Several keys are valid at once, so that keys are rotated without a stop:
-add the new key everywhere, put it first everywhere, remove the old one.
+The client sends the identifiers of its keys, and the server chooses the first
+of its own keys that the client has, too. Each side then proves that it has the
+key by a MAC over both nonces and both host names. Several keys may be valid at
+the same time, so that keys are rotated without downtime: add the new key on
+all hosts, make it the first key on all hosts, then remove the old key.
 """
 
 from collections import abc
@@ -14,59 +15,59 @@
 import msgpack
 from returns import result
 
-#: Bytes of a nonce.
+#: Length of a nonce.
 NONCE_BYTES = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SharedKey:
-    """A key that all hosts hold."""
+    """A secret key that all hosts have."""
 
-    #: Name that is sent in the clear.
+    #: Identifier of the key, which is sent unencrypted.
     key_id: str
-    #: Secret bytes.
+    #: Key of the MAC; never sent.
     secret: bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClientHello:
-    """First frame of the client."""
+    """First frame of the handshake, sent by the client."""
 
-    #: Name of the client's host.
+    #: Host name of the client.
     host: str
-    #: Keys that the client knows.
+    #: Identifiers of the keys that the client has.
     key_ids: abc.Sequence[str]
-    #: Nonce of the client.
+    #: Random bytes that the client uses only once; `NONCE_BYTES` long.
     nonce: bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerHello:
-    """Answer of the server."""
+    """Second frame of the handshake, sent by the server."""
 
-    #: Name of the server's host.
+    #: Host name of the server.
     host: str
-    #: Key that the server picked.
+    #: Identifier of the key that the server chose.
     key_id: str
-    #: Nonce of the server.
+    #: Random bytes that the server uses only once; `NONCE_BYTES` long.
     nonce: bytes
-    #: Proof of the server.
+    #: MAC that proves that the server has the key.
     proof: bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClientProof:
-    """Last frame of the handshake."""
+    """Last frame of the handshake, sent by the client."""
 
-    #: Proof of the client.
+    #: MAC that proves that the client has the key.
     proof: bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AuthenticationError:
-    """The handshake failed."""
+    """Reason why a handshake failed."""
 
-    #: What is wrong, and what to change.
+    #: Cause and remedy, for the log.
     text: str
 
     def __str__(self) -> str:
@@ -85,15 +86,22 @@
 def answer_hello(
     keys: abc.Sequence[SharedKey], hello: ClientHello, host: str, nonce: bytes
 ) -> result.Result[ServerHello, AuthenticationError]:
-    """Answers a client's hello with the first key that both hosts have."""
+    """Chooses the first key that both hosts have, and proves to have it.
+
+    Args:
+        keys: Keys of the server, in the order of preference.
+        hello: First frame of the client.
+        host: Host name of the server.
+        nonce: New random bytes.
+    """
     for key in keys:
         if key.key_id in hello.key_ids:
             proof = _compute_proof(key, "server", hello, host, nonce)
             return result.Success(ServerHello(host, key.key_id, nonce, proof))
     return result.Failure(
         AuthenticationError(
-            f"host {hello.host!r} knows none of this host's peer keys; give"
-            " both hosts a common entry in peer_keys"
+            f"host {hello.host!r} has none of this host's peer keys; give both"
+            " hosts a common entry in peer_keys"
         )
     )
 
@@ -101,7 +109,7 @@
 def prove_client(
     keys: abc.Sequence[SharedKey], hello: ClientHello, server_hello: ServerHello
 ) -> result.Result[ClientProof, AuthenticationError]:
-    """Checks the server's proof and returns the client's."""
+    """Verifies the server's proof and returns the client's proof."""
     for key in keys:
         if key.key_id != server_hello.key_id:
             continue
@@ -115,8 +123,9 @@
             return result.Success(ClientProof(proof))
     return result.Failure(
         AuthenticationError(
-            f"host {server_hello.host!r} did not prove that it holds peer key"
-            f" {server_hello.key_id!r}; check that the secret is the same"
+            f"host {server_hello.host!r} did not prove that it has peer key"
+            f" {server_hello.key_id!r}; check that both hosts have the same"
+            " secret for it"
         )
     )
 
@@ -127,7 +136,7 @@
     server_hello: ServerHello,
     proof: ClientProof,
 ) -> bool:
-    """Returns whether the client proved that it holds the picked key."""
+    """Returns whether the client proved that it has the chosen key."""
     for key in keys:
         if key.key_id == server_hello.key_id:
             expected = _compute_proof(
@@ -150,11 +159,11 @@
 def decode_client_hello(
     data: bytes,
 ) -> result.Result[ClientHello, AuthenticationError]:
-    """Decodes the client's first frame."""
+    """Decodes the first frame of the handshake."""
     try:
         host, key_ids, nonce = msgpack.unpackb(data)
     except (ValueError, TypeError, msgpack.UnpackException):
-        return result.Failure(AuthenticationError("hello is malformed"))
+        return result.Failure(AuthenticationError("client hello is malformed"))
     if (
         not isinstance(host, str)
         or not isinstance(key_ids, list)
@@ -162,36 +171,36 @@
         or not isinstance(nonce, bytes)
         or len(nonce) != NONCE_BYTES
     ):
-        return result.Failure(AuthenticationError("hello is malformed"))
+        return result.Failure(AuthenticationError("client hello is malformed"))
     return result.Success(ClientHello(host, tuple(key_ids), nonce))
 
 
 def decode_server_hello(
     data: bytes,
 ) -> result.Result[ServerHello, AuthenticationError]:
-    """Decodes the server's answer."""
+    """Decodes the second frame of the handshake."""
     try:
         host, key_id, nonce, proof = msgpack.unpackb(data)
     except (ValueError, TypeError, msgpack.UnpackException):
-        return result.Failure(AuthenticationError("answer is malformed"))
+        return result.Failure(AuthenticationError("server hello is malformed"))
     if (
         not isinstance(host, str)
         or not isinstance(key_id, str)
         or not isinstance(nonce, bytes)
         or not isinstance(proof, bytes)
     ):
-        return result.Failure(AuthenticationError("answer is malformed"))
+        return result.Failure(AuthenticationError("server hello is malformed"))
     return result.Success(ServerHello(host, key_id, nonce, proof))
 
 
 def decode_client_proof(
     data: bytes,
 ) -> result.Result[ClientProof, AuthenticationError]:
-    """Decodes the client's proof."""
+    """Decodes the last frame of the handshake."""
     try:
         (proof,) = msgpack.unpackb(data)
     except (ValueError, TypeError, msgpack.UnpackException):
-        return result.Failure(AuthenticationError("proof is malformed"))
+        return result.Failure(AuthenticationError("client proof is malformed"))
     if not isinstance(proof, bytes):
-        return result.Failure(AuthenticationError("proof is malformed"))
+        return result.Failure(AuthenticationError("client proof is malformed"))
     return result.Success(ClientProof(proof))
--- a/packages/wire/sycamoreloft_wire/_codec.py
+++ b/packages/wire/sycamoreloft_wire/_codec.py
@@ -1,4 +1,4 @@
-"""Encodes messages as msgpack and decodes them with type checks."""
+"""Encodes messages as msgpack, and decodes them with type checks."""
 
 from collections import abc
 import dataclasses
@@ -13,11 +13,11 @@
 
 from sycamoreloft_wire import _messages
 
-#: Version of the protocol; hosts refuse frames of any other version.
+#: Version of the protocol; hosts reject frames of any other version.
 PROTOCOL_VERSION = 1
 
-#: Type codes on the wire. A code is never given to another message, so that
-#: hosts of two releases can talk during an upgrade.
+#: Message types by their code on the wire. A code is never reused for another
+#: message, so that hosts of two releases can communicate during an upgrade.
 MESSAGE_TYPES: abc.Mapping[int, type] = {
     1: _messages.GossipDigest,
     2: _messages.PromiseRequest,
@@ -49,17 +49,17 @@
 class Envelope:
     """A decoded frame."""
 
-    #: Matches an answer with its request; 0 where no answer is expected.
+    #: Identifier that an answer repeats from its request; 0 if no answer is
+    #: expected.
     correlation_id: int
-    #: The message.
     message: _messages.Message
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DecodeError:
-    """A frame that is not a valid message."""
+    """Reason why a frame is not a valid message."""
 
-    #: What is wrong, and what to do about it.
+    #: Cause, and the remedy if there is one, for the log.
     text: str
 
     def __str__(self) -> str:
@@ -67,14 +67,17 @@
 
 
 class _FieldError(Exception):
-    """A field has the wrong type."""
+    """A field of a message has the wrong type."""
 
 
 _Converter = abc.Callable[[typing.Any], typing.Any]
 
 
 def _require(*accepted: type) -> _Converter:
-    """Returns a converter that accepts values of exactly these types."""
+    """Returns a converter that accepts values of exactly these types.
+
+    Instances of subclasses are rejected: a bool must not pass as an int.
+    """
 
     def convert(value: typing.Any) -> typing.Any:
         if type(value) not in accepted:
@@ -87,7 +90,10 @@
 
 
 def _convert_number(value: typing.Any) -> float:
-    """Accepts finite numbers; a NaN would make every comparison false."""
+    """Accepts finite numbers only.
+
+    With a NaN, every later comparison would be false.
+    """
     if type(value) not in (float, int) or not math.isfinite(value):
         raise _FieldError(f"expected a finite number, got {value!r}")
     return typing.cast(float, value)
@@ -112,7 +118,7 @@
 
 
 def _make_converter(annotation: typing.Any) -> _Converter:
-    """Builds the type check of one field from its annotation."""
+    """Builds the type-checking converter of a field from its annotation."""
     origin = typing.get_origin(annotation)
     arguments = typing.get_args(annotation)
     if origin is abc.Sequence:
@@ -167,14 +173,19 @@
 
 
 def _pack_nested(value: typing.Any) -> typing.Any:
-    """Turns nested data classes and mapping views into plain values."""
+    """Converts nested data classes to lists and mapping views to dicts."""
     if isinstance(value, types.MappingProxyType):
         return dict(value)
     return list(_make_getter(typing.cast(abc.Hashable, type(value)))(value))
 
 
 def encode_message(correlation_id: int, message: _messages.Message) -> bytes:
-    """Encodes a message; the result has no length prefix."""
+    """Encodes a message to the content of a frame, without length prefix.
+
+    Args:
+        correlation_id: As in `Envelope`.
+        message: The message.
+    """
     message_type = type(message)
     fields = _make_getter(typing.cast(abc.Hashable, message_type))(message)
     packed: bytes = msgpack.packb(
@@ -191,7 +202,7 @@
         data: The frame without its length prefix.
 
     Returns:
-        The envelope, or why the frame is refused.
+        The envelope, or the reason why the frame is rejected.
     """
     try:
         content = msgpack.unpackb(data, strict_map_key=False)
--- a/packages/wire/sycamoreloft_wire/_framing.py
+++ b/packages/wire/sycamoreloft_wire/_framing.py
@@ -2,21 +2,22 @@
 
 import struct
 
-#: Longest frame, in bytes; a longer one is a fault or an attack.
+#: Maximum length of the content of a frame. A longer one is a fault or an
+#: attack.
 MAXIMUM_FRAME_BYTES = 1 << 20
 
 _LENGTH = struct.Struct(">I")
 
 
 class FrameTooLong(Exception):
-    """A length prefix above the limit; the connection must be closed."""
+    """A frame exceeds the length limit; the connection must be closed."""
 
 
 def encode_frame(content: bytes) -> bytes:
-    """Puts the length prefix before the content of a frame.
+    """Adds the length prefix to the content of a frame.
 
     Raises:
-        FrameTooLong: The content is longer than a frame may be.
+        FrameTooLong: The content exceeds the length limit.
     """
     if len(content) > MAXIMUM_FRAME_BYTES:
         raise FrameTooLong(
@@ -27,17 +28,17 @@
 
 
 class FrameDecoder:
-    """Collects bytes and returns complete frames."""
+    """Reassembles frames from the chunks of a byte stream."""
 
     def __init__(self, maximum_bytes: int = MAXIMUM_FRAME_BYTES) -> None:
         self._maximum_bytes = maximum_bytes
         self._buffer = bytearray()
 
     def feed(self, data: bytes) -> list[bytes]:
-        """Adds received bytes and returns the frames that are complete.
+        """Adds received bytes and returns the frames that are complete now.
 
         Raises:
-            FrameTooLong: A length prefix is above the limit.
+            FrameTooLong: A length prefix exceeds the limit.
         """
         self._buffer += data
         frames = []
