--- a/packages/wire/sycamoreloft_wire/_messages.py
+++ b/packages/wire/sycamoreloft_wire/_messages.py
@@ -1,4 +1,7 @@
-"""Messages between hosts."""
+"""Data classes of the messages between hosts.
+
+The fields of a message are encoded in the order of their definition.
+"""
 
 from collections import abc
 import dataclasses
@@ -6,13 +9,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MemberEntry:
-    """What gossip says of one host."""
+    """State that a host announces to the other hosts by gossip."""
 
-    #: Name of the host.
+    #: Unique name of the host.
     host: str
     #: Random identifier of the process, new at each start.
     incarnation: str
-    #: Grows with each change of the other fields.
+    #: Increases with each change of the other fields.
     version: int
     #: Address for other hosts, as "ip:port".
     peer_address: str
@@ -24,64 +27,76 @@
     failure_domains: abc.Mapping[str, str]
     #: Whether the host is stopping.
     leaving: bool
-    #: Epochs by group ("fleet/domain/index") that the host holds.
+    #: Epochs of the groups that the host holds, by group
+    #: ("fleet/domain/index").
     groups: abc.Mapping[str, int]
-    #: Accepted generation that the host applies.
+    #: Number of the accepted generation that the host applies.
     generation: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Sign of life of one host."""
+    """Heartbeat of one host."""
 
-    #: Name of the host.
+    #: Unique name of the host.
     host: str
-    #: Random identifier of the process.
+    #: Random identifier of the process, new at each start.
     incarnation: str
-    #: Grows with each gossip round of the process.
+    #: Increases with each gossip round of the process.
     counter: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GossipDigest:
-    """What one host tells another of itself and of others."""
+    """Gossip message about the sender and other hosts."""
 
-    #: Signs of life; the first one is the sender's.
+    #: Heartbeats; the first one is the sender's.
     heartbeats: abc.Sequence[Heartbeat]
-    #: Entries that changed, and some in turn, at most 1 KB.
+    #: Member entries. In a gossip round these are changed entries and some
+    #: unchanged ones in turn, at most 1 KB.
     entries: abc.Sequence[MemberEntry]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MembersRequest:
-    """Asks a host for all members that it knows; answered by a digest."""
+    """Requests all members that a host knows.
+
+    Answered by `GossipDigest`.
+    """
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromiseRequest:
-    """Asks the standby not to take a group for a while."""
+    """Requests the standby's promise not to take over a group for some time.
+
+    Sent by the holder; answered by `PromiseAnswer`.
+    """
 
     #: Group as "fleet/domain/index".
     group: str
     #: Epoch of the holder.
     epoch: int
-    #: Length of the promise, in milliseconds.
+    #: Duration of the promise from receipt of the request, in milliseconds; 0
+    #: ends the promise.
     duration_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromiseAnswer:
-    """Answer to a promise request."""
+    """Answer to `PromiseRequest`."""
 
-    #: Whether the promise is given.
+    #: Whether the host promises not to take over the group.
     promised: bool
-    #: Whether the standby resigns: it will never take this epoch over.
+    #: Whether the host has resigned: its process never takes over the group.
     final: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StepDownRequest:
-    """Asks an earlier holder to stop acting for a group."""
+    """Requests that an earlier holder stop acting for a group.
+
+    Sent by a new holder; answered by `StepDownAnswer`.
+    """
 
     #: Group as "fleet/domain/index".
     group: str
@@ -91,105 +106,111 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StepDownAnswer:
-    """The earlier holder no longer sends grants for the group."""
+    """Answer to `StepDownRequest`."""
 
-    #: Whether the host stopped acting, or never acted, below the epoch.
+    #: Whether the host does not act for the group in earlier epochs, either
+    #: because it has stopped or because it never did.
     stopped: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PermitRequest:
-    """Asks the holder of a group for the right to send one request."""
+    """Requests a permit from a group's holder to send one request.
+
+    Answered by `PermitGrant` or `PermitRefusal`.
+    """
 
     #: Group as "fleet/domain/index".
     group: str
-    #: Identifier chosen by the asking host, unique in its incarnation.
+    #: Identifier that the sender chooses; unique within its incarnation.
     permit: str
-    #: Name of the asking host.
+    #: Host name of the sender.
     host: str
-    #: Accepted generation of the asking host.
+    #: Number of the accepted generation that the sender applies.
     generation: int
     #: Fleet of the service.
     fleet: str
     #: Name of the service.
     service: str
-    #: Key, empty for an unkeyed service.
+    #: Key of the request; empty for an unkeyed service.
     key: str
-    #: Partition of the key, -1 for an unkeyed service.
+    #: Partition of the key; -1 for an unkeyed service.
     partition: int
-    #: Fingerprint of the request, 16 bytes.
+    #: Fingerprint of the request, 16 bytes; identifies requests that crash
+    #: upstreams.
     fingerprint: bytes
-    #: Caller, for fairness.
+    #: Caller of the request, for fair queueing.
     caller: str
-    #: Priority of the operation.
+    #: Priority of the operation in the configuration.
     priority: int
-    #: Time left until the caller's deadline, in milliseconds.
+    #: Time until the caller's deadline, in milliseconds.
     remaining_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PermitGrant:
-    """Permission to send one request to one upstream."""
+    """Permit to send one request to one upstream."""
 
-    #: Identifier from the request.
+    #: Identifier from the `PermitRequest`.
     permit: str
-    #: Name of the upstream.
+    #: Upstream name in the configuration.
     upstream: str
     #: Address of the upstream, as "ip:port".
     address: str
     #: Epoch of the holder.
     epoch: int
-    #: Fence of the partition, 0 for an unkeyed service.
+    #: Fence of the partition or hot key; 0 for an unkeyed service.
     fence: int
-    #: Time for which the permit is valid unless renewed, in milliseconds.
+    #: Time for which the permit is valid unless it is renewed, in milliseconds.
     valid_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PermitRefusal:
-    """The request must not be sent."""
+    """Refusal of a permit; the request must not be sent."""
 
-    #: Identifier from the request.
+    #: Identifier from the `PermitRequest`.
     permit: str
-    #: Stable reason, such as "overloaded" or "quarantined".
+    #: Reason code, such as "overloaded" or "quarantined".
     reason: str
-    #: Time after which a retry makes sense, in milliseconds; 0 for unknown.
+    #: Recommended time until a retry, in milliseconds; 0 if unknown.
     retry_after_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PermitReturn:
-    """The request has ended; the slot is free."""
+    """Returns a permit, because its request has ended."""
 
     #: Group as "fleet/domain/index".
     group: str
     #: Identifier of the permit.
     permit: str
-    #: "completed", "did-not-run" or "unknown".
+    #: Outcome of the request: "completed", "did-not-run" or "unknown".
     outcome: str
-    #: Time from send to end, in milliseconds.
+    #: Time from the start to the end of the request, in milliseconds.
     latency_ms: float
     #: Whether the upstream broke the connection or could not be reached.
     connection_lost: bool
-    #: Whether the upstream refused the request by contract.
+    #: Whether the upstream refused the request in the way that the protocol
+    #: between router and upstreams defines.
     refused: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PermitInUse:
-    """One permit that a host still uses."""
+    """A permit whose request has not ended; part of a `PermitReport`."""
 
     #: Identifier of the permit.
     permit: str
-    #: Name of the upstream.
+    #: Upstream name in the configuration.
     upstream: str
     #: Name of the service.
     service: str
-    #: Partition, -1 for an unkeyed service.
+    #: Partition of the key; -1 for an unkeyed service.
     partition: int
-    #: Fingerprint of the request.
+    #: Fingerprint of the request, 16 bytes.
     fingerprint: bytes
-    #: Time left until the deadline of the request, in milliseconds.
+    #: Time until the deadline of the request, in milliseconds.
     remaining_ms: int
     #: Whether the permit has been valid without a gap; see
     #: `sycamoreloft_decisions.ReportedPermit`.
@@ -198,14 +219,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PermitReport:
-    """All permits of a group that a host still uses.
+    """Reports all permits of a group that a host still uses.
 
-    Renews them, and tells a new holder what its predecessor issued.
+    The report renews the permits, and informs a new holder of the permits
+    that its predecessor issued.
     """
 
     #: Group as "fleet/domain/index".
     group: str
-    #: Name of the reporting host.
+    #: Host name of the sender.
     host: str
     #: Permits in use.
     permits: abc.Sequence[PermitInUse]
@@ -213,93 +235,103 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PermitReportAnswer:
-    """Answer to a permit report that names permits of lost upstreams.
+    """Answer to a `PermitReport` that has permits of lost upstreams.
 
     A report without such permits is answered by `Acknowledgement`.
     """
 
-    #: Permits of the report whose upstream is lost: their requests get no
-    #: answer and may have run.
+    #: Identifiers of the reported permits whose upstream is lost. Their
+    #: requests will not be answered and may have run.
     lost: abc.Sequence[str]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimRequest:
-    """Asks for the right to run an operation at most once."""
+    """Requests a claim: the right to run an operation at most once.
 
-    #: Group of the claim holder.
+    Answered by `ClaimAnswer`.
+    """
+
+    #: Group whose holder records the claim, as "fleet/domain/index".
     group: str
-    #: Accepted generation of the asking host.
+    #: Number of the accepted generation that the sender applies.
     generation: int
-    #: SHA-256 over fleet, service and request id, first 16 bytes.
+    #: First 16 bytes of a SHA-256 over fleet, service and request id.
     id_hash: bytes
-    #: Fingerprint of the request.
+    #: Fingerprint of the request. A request with the same id and another
+    #: fingerprint is a conflict.
     fingerprint: bytes
-    #: Identifier of this attempt.
+    #: Unique identifier of this attempt of the request.
     attempt: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimAnswer:
-    """Answer to a claim request."""
+    """Answer to `ClaimRequest`."""
 
     #: "claimed", "repeated", "conflict", "stale-generation" or "unavailable".
     verdict: str
-    #: For "repeated": outcome of the first attempt, "unknown" if not known.
+    #: If "repeated": outcome of the first attempt, as in `ClaimResult`.
     outcome: str = ""
-    #: For "repeated" and completed: HTTP status of the first answer.
+    #: If "repeated" and the first attempt was completed: its HTTP status.
     status: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimResult:
-    """What became of a claimed attempt."""
+    """Reports the outcome of an attempt that has a claim."""
 
-    #: Group of the claim holder.
+    #: Group whose holder recorded the claim, as "fleet/domain/index".
     group: str
-    #: As in the claim request.
+    #: As in `ClaimRequest`.
     id_hash: bytes
-    #: As in the claim request.
+    #: As in `ClaimRequest`.
     attempt: str
-    #: "completed", "did-not-run" (frees the claim) or "unknown".
+    #: "completed", "did-not-run" or "unknown". "did-not-run" releases the
+    #: claim.
     outcome: str
-    #: HTTP status when completed.
+    #: HTTP status if the attempt was completed, else 0.
     status: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GenerationRequest:
-    """Asks a host for the files that it has in force."""
+    """Requests the configuration files that a host has in force.
+
+    Answered by `GenerationAnswer`.
+    """
 
-    #: Generation that the asking host has.
+    #: Number of the generation that the sender has.
     known_generation: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GenerationAnswer:
-    """The files in force; empty if not newer than what is known."""
+    """Answer to `GenerationRequest`."""
 
     #: Number of the accepted generation.
     number: int
-    #: Texts of the files by name ("fleet/<name>" or "merge").
+    #: Texts of the files by name ("fleet/<name>" or "merge"). Empty unless
+    #: `number` is higher than the requested `known_generation`.
     files: abc.Mapping[str, str]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SuspectNotice:
-    """Fingerprints that were in flight when an upstream was lost."""
+    """Fingerprints of requests in flight to an upstream when it was lost."""
 
     #: Fleet of the upstream.
     fleet: str
-    #: Fingerprints.
+    #: Fingerprints of 16 bytes each.
     fingerprints: abc.Sequence[bytes]
-    #: Whether they are known to crash upstreams.
+    #: Whether these requests are known to crash upstreams; else they are only
+    #: suspect.
     guilty: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Acknowledgement:
-    """Empty answer."""
+    """Confirms the receipt of a message that needs no other answer."""
 
 
 Message = (
