--- a/packages/decisions/tests/test_acceptance.py
+++ b/packages/decisions/tests/test_acceptance.py
@@ -1,4 +1,4 @@
-"""Tests of acceptance: a fuzzed world of hosts, one table and an oracle."""
+"""Tests and fuzzing of acceptance on several hosts, with an oracle."""
 
 import dataclasses
 
@@ -18,21 +18,22 @@
     max_examples=150,
     stateful_step_count=60,
     suppress_health_check=list(hypothesis.HealthCheck),
-    # A planted fault needs no shortest example, which would take minutes.
+    # No shrinking: it would take minutes, and the tests with planted faults do
+    # not need a minimal example.
     phases=(hypothesis.Phase.explicit, hypothesis.Phase.generate),
 )
 
-#: What becomes of a write: applied and answered, applied with a lost answer,
-#: never applied, or applied some time after it counted as lost.
+#: Fates of a write: applied and answered, applied with a lost answer, never
+#: applied, or applied some time after it was reported as lost.
 FATES = ("answered", "lost-answer", "dropped", "late")
 
 
 @dataclasses.dataclass
 class Host:
-    """One machine and what its interpreter has done."""
+    """A host's state machine and the commands that were performed for it."""
 
     machine: acceptance.Acceptance
-    #: Numbers of the latest UseHead.
+    #: Accepted and pending number in the latest `ApplyGenerations`.
     used: tuple = (0, 0)
     answers: list = dataclasses.field(default_factory=list)
 
@@ -316,12 +317,12 @@
 
 
 def test_no_reordering_or_loss_breaks_acceptance():
-    """Guards against two winners, reverts and premature acceptance."""
+    """Guards against two submissions on one base, reverts and early accepts."""
     run_world()
 
 
 def test_the_fuzzer_finds_premature_acceptance(monkeypatch):
-    """Guards against an oracle that misses a group that has not staged."""
+    """Guards against an oracle that misses groups that have not staged."""
     monkeypatch.setattr(
         _acceptance_rows, "list_waiting_groups", lambda row, rows: []
     )
@@ -330,7 +331,7 @@
 
 
 def test_the_fuzzer_finds_an_ignored_base(monkeypatch):
-    """Guards against an oracle that misses a race with two winners."""
+    """Guards against an oracle that misses two submissions on one base."""
     monkeypatch.setattr(
         _acceptance_rows, "is_based_on_newest", lambda row, base: True
     )
@@ -339,7 +340,7 @@
 
 
 def test_the_fuzzer_finds_a_lost_answer_taken_for_a_refusal(monkeypatch):
-    """Guards against an oracle that believes a wrong not-recorded answer."""
+    """Guards against an oracle that misses a false report of a conflict."""
     compute = acceptance.Acceptance._compute_verdict
 
     def compute_wrongly(machine, submission):
@@ -360,7 +361,11 @@
 
 
 def test_a_domain_that_runs_again_need_not_stage_what_says_so():
-    """Guards against a generation that waits for a group without holder."""
+    """Guards against waiting for a group in a lost domain to stage.
+
+    The pending generation declares the domain as running again, but the group
+    has no holder before that generation is accepted.
+    """
     machine = acceptance.Acceptance("h9", iter("wxyz").__next__)
     lost = acceptance.GenerationRecord(1, "r1", {}, GROUPS, ("a/d1/0",))
     found = acceptance.GenerationRecord(2, "r2", {}, GROUPS)
@@ -375,7 +380,7 @@
 
 @pytest.mark.parametrize("lost", [(), ("a/d1/0",)])
 def test_an_unreachable_domain_is_named_unless_declared_lost(lost):
-    """Guards against an operator who cannot see what the wait is for."""
+    """Guards against a pending result that does not say what it waits for."""
     machine = acceptance.Acceptance("h9", iter("wxyz").__next__)
     first = acceptance.GenerationRecord(1, "r1", {"fleet/a": "old"}, GROUPS)
     machine.handle(acceptance.HeadRead(1, acceptance.HeadRow(first, None)), 0.0)
@@ -404,7 +409,7 @@
 
 
 def test_the_loser_of_a_race_learns_what_changed():
-    """Guards against a refusal that does not say what to look at."""
+    """Guards against a conflict that does not name the changed files."""
     machine = acceptance.Acceptance("h9", iter("wxyz").__next__)
     past = tuple(
         acceptance.PastSubmission(number, f"r{number}", {"merge": str(number)})
--- a/packages/decisions/tests/test_alias_release.py
+++ b/packages/decisions/tests/test_alias_release.py
@@ -1,4 +1,4 @@
-"""Tests of the wait of a merged service for its aliases."""
+"""Tests of the delay of a canonical service until its aliases are released."""
 
 import pytest
 
@@ -39,7 +39,7 @@
 
 
 def make_tables(service="board", **fields):
-    """Tables that record one partition, or what the fields say."""
+    """Makes tables with one recorded partition, or with the given fields."""
     contents = fields or {"partitions": {service: OWNED}}
     return {
         GROUP: sycamoreloft_decisions.AssignmentTable(
@@ -49,7 +49,7 @@
 
 
 class Harness:
-    """Feeds a machine; time passes only when a test says so."""
+    """An `AliasRelease` with a clock that only tests advance."""
 
     def __init__(self):
         self.machine = sycamoreloft_decisions.AliasRelease()
@@ -63,7 +63,7 @@
         return self.feed(sycamoreloft_decisions.Tick())
 
     def read(self, tables, seconds=1.0):
-        """Answers the read that is due."""
+        """Advances the clock and answers the read that is due then."""
         (command,) = self.tick(seconds)
         self.answer(command, tables)
 
@@ -79,12 +79,12 @@
 
 @pytest.fixture
 def harness():
-    """A machine that knows no generation yet."""
+    """A harness whose state machine has received no generation yet."""
     return Harness()
 
 
 def test_a_service_waits_until_no_assignment_is_recorded(harness):
-    """Guards against two owners of what a merge makes one key."""
+    """Guards against two owners of a key that a merge has made one."""
     harness.change(make_generation(1, ()))
     harness.change(make_generation(2))
     assert not harness.is_served()
@@ -99,7 +99,7 @@
 
 
 def test_one_read_a_second_and_none_once_released(harness):
-    """Guards against a load on the table that grows with the traffic."""
+    """Guards against reads of the store in proportion to the requests."""
     harness.change(make_generation(1))
     calls = []
     for _ in range(100):
@@ -114,7 +114,7 @@
 
 
 def test_a_generation_without_aliases_needs_no_read(harness):
-    """Guards against a service that stops with the store without a merge."""
+    """Guards against dependence on the store when there is no merge."""
     harness.change(make_generation(1, ()), make_generation(2))
     assert harness.is_served()
     assert not harness.tick(5)
@@ -129,7 +129,7 @@
 
 @pytest.mark.parametrize("number", [1, 7])
 def test_a_host_that_starts_after_the_merge_checks(harness, number):
-    """Guards against a new host that trusts what it has not read."""
+    """Guards against a new host that serves before its first read."""
     harness.change(make_generation(number))
     assert not harness.is_served()
     harness.read({})
@@ -137,7 +137,7 @@
 
 
 def test_rows_of_an_earlier_generation_prove_nothing(harness):
-    """Guards against a read that was sent before partitions were assigned."""
+    """Guards against trusting a read that precedes later assignments."""
     harness.change(make_generation(1))
     (early,) = harness.tick()
     harness.change(make_generation(2, ()))
@@ -163,7 +163,7 @@
 
 
 def test_a_later_generation_keeps_the_release(harness):
-    """Guards against a pause of a merged service with each submission."""
+    """Guards against a pause of a merged service after each submission."""
     harness.change(make_generation(1))
     harness.read({})
     harness.change(
@@ -176,7 +176,7 @@
 
 @pytest.mark.parametrize("between", [True, False])
 def test_a_merge_that_was_undone_is_checked_again(harness, between):
-    """Guards against a release that is older than the next assignment."""
+    """Guards against trusting a release that precedes later assignments."""
     harness.change(make_generation(1))
     harness.read({})
     if between:
@@ -189,7 +189,11 @@
 
 
 def test_records_of_a_lost_domain_are_passed_over_while_it_is_lost(harness):
-    """Guards against a wait for ever, and against the domain's return."""
+    """Guards against an endless wait for a failure domain declared lost.
+
+    Guards, too, against serving once the domain is declared as running again,
+    because its holder starts with the ignored records.
+    """
     harness.change(make_generation(1, lost=True))
     harness.read(make_tables())
     assert harness.is_served()
--- a/packages/decisions/tests/test_authority.py
+++ b/packages/decisions/tests/test_authority.py
@@ -1,4 +1,4 @@
-"""Tests of the right to act: promises, standby, offline limit, takeover."""
+"""Tests of the right to act, the standby's promises and takeovers."""
 
 import itertools
 
@@ -42,7 +42,7 @@
 
 
 def test_promise_counts_from_its_request(authority):
-    """Guards against a holder that outlives the promise by a slow answer."""
+    """Guards against a holder that acts too long after a slow answer."""
     assert not authority.may_act(0.0)
     exchange_promises(authority, 1.0, 1.5)
     assert authority.may_act(1.59)
@@ -50,7 +50,7 @@
 
 
 def test_host_of_an_unsettled_write_must_promise_too(authority):
-    """Guards against a new standby that takes the group at once."""
+    """Guards against a new standby that takes over before it has promised."""
     exchange_promises(authority, 1.0, 1.0)
     authority.begin_write(make_row(standby="h2", heartbeat=1))
     assert not authority.may_act(1.1)
@@ -59,7 +59,7 @@
 
 
 def test_row_without_standby_confirms_the_holder(authority):
-    """Guards against a loss of service when only the standby is lost."""
+    """Guards against an outage when only the standby is lost."""
     assert not authority.may_act(5.0)
     row = authority.build_row(0, 60.0, (), 5.0)
     assert row.standby == ""
@@ -68,14 +68,14 @@
 
 
 def test_holder_stops_at_the_offline_limit(authority):
-    """Guards against service past the time at which others may take over."""
+    """Guards against acting after the time at which others may take over."""
     exchange_promises(authority, 59.8, 59.8)
     assert authority.may_act(59.9)
     assert not authority.may_act(60.0)
 
 
 def test_lower_offline_limit_holds_while_its_write_is_unsettled(authority):
-    """Guards against a limit that others read before this host obeys it."""
+    """Guards against a recorded limit that this holder does not yet obey."""
     exchange_promises(authority, 29.9, 29.9)
     authority.begin_write(make_row(offline_limit_s=30.0, heartbeat=1))
     assert authority.may_act(29.95)
@@ -83,7 +83,7 @@
 
 
 def test_final_promise_lasts(authority):
-    """Guards against an outage when the standby stops with the store down."""
+    """Guards against an outage when a standby stops while the store is down."""
     exchange_promises(authority, 1.0, 1.0, promised=False, final=True)
     assert authority.may_act(30.0)
 
@@ -125,7 +125,7 @@
 
 
 def test_standby_refuses_promises_while_it_takes_the_group():
-    """Guards against a holder that acts on a promise given too late."""
+    """Guards against a promise that is given during a takeover."""
     standby, takeover = make_takeover()
     request = sycamoreloft_decisions.PromiseRequested("h0", 4, 600)
     standby.answer_request(request, 1.0)
@@ -134,7 +134,7 @@
 
 
 def test_restarted_standby_proves_nothing():
-    """Guards against a process that forgot the promise it gave before."""
+    """Guards against a takeover by a process that forgot its promise."""
     _, takeover = make_takeover()
     assert not read_row(takeover, make_row(), 0.5)
     takeover_result = take_over(takeover, make_row(), 4.5)
@@ -143,7 +143,7 @@
 
 
 def test_expired_promise_says_nothing_of_earlier_holders():
-    """Guards against a chain of takeovers that forgets the first holder."""
+    """Guards against a chain of takeovers that drops the first holder."""
     standby, takeover = make_takeover()
     standby.answer_request(
         sycamoreloft_decisions.PromiseRequested("h0", 4, 600), 1.0
@@ -157,7 +157,7 @@
 
 
 def test_other_hosts_wait_for_silence_by_rank():
-    """Guards against hosts that race the standby for the group."""
+    """Guards against hosts that try to take over all at the same time."""
     _, takeover = make_takeover("h2")
     takeover.record_members(
         sycamoreloft_decisions.MembersObserved({"h0": 1.0}, {"h0": 4})
--- a/packages/decisions/tests/test_grants.py
+++ b/packages/decisions/tests/test_grants.py
@@ -1,4 +1,4 @@
-"""Tests of the grant book: one test for each hazard of a grant."""
+"""Tests of the grants to one upstream."""
 
 import itertools
 
@@ -15,7 +15,7 @@
 
 
 class FakeUpstream:
-    """Plays the upstream for one book."""
+    """Answers the grants of one holder."""
 
     def __init__(self, checks_fences=True):
         self.grants = _grants.UpstreamGrants(
@@ -41,7 +41,7 @@
         )
 
     def grant(self):
-        """Grants the unit; the first contact brings the reading."""
+        """Grants the unit; the first answer only brings the clock reading."""
         self.grants.update_content({UNIT: 3}, ())
         self.record_answer(self.send(0.0), 0.01, accepted=False)
         self.grants.confirm("i1")
@@ -56,19 +56,19 @@
 
 
 def test_no_grant_goes_out_without_the_right_to_act(upstream):
-    """Guards against renewals by a holder whose promise has expired."""
+    """Guards against renewals by a holder that may not act."""
     assert not upstream.grants.tick(5.0, False)
 
 
 def test_owner_is_granted_only_while_the_grant_certainly_lasts(upstream):
-    """Guards against permits for an upstream whose clock is faster."""
+    """Guards against permits after the grant expired on a fast clock."""
     assert upstream.grants.is_granted(UNIT, 3, 0.97)
     assert not upstream.grants.is_granted(UNIT, 3, 0.99)
     assert not upstream.grants.is_granted(UNIT, 2, 0.5)
 
 
 def test_acknowledged_removal_releases_at_once(upstream):
-    """Guards against planned moves that wait for a grant to end."""
+    """Guards against planned moves that wait for a grant to expire."""
     removal = upstream.grants.update_content({}, [UNIT])
     assert not upstream.grants.is_released(removal, 0.1, NEVER)
     upstream.record_answer(upstream.send(0.1), 0.11)
@@ -76,7 +76,7 @@
 
 
 def test_delayed_renewal_after_a_move_keeps_the_unit(upstream):
-    """Guards against a late grant that brings the unit back."""
+    """Guards against a delayed grant that restores a removed unit."""
     delayed = upstream.send(FIRST)
     upstream.grants.record_failure(delayed.call)
     removal = upstream.grants.update_content({}, [UNIT])
@@ -87,7 +87,7 @@
 
 
 def test_lost_answer_counts_as_granted(upstream):
-    """Guards against a wait that forgets a grant without an answer."""
+    """Guards against a wait that ignores an unanswered grant."""
     upstream.record_answer(upstream.send(FIRST), FIRST + 0.01)
     lost = upstream.send(SECOND)
     upstream.grants.record_failure(lost.call)
@@ -98,7 +98,7 @@
 
 
 def test_late_answer_of_an_abandoned_call_is_ignored(upstream):
-    """Guards against an old incarnation that passes for a new one."""
+    """Guards against mistaking an old incarnation for a new one."""
     old = upstream.send(FIRST)
     upstream.grants.record_failure(old.call)
     removal = upstream.grants.update_content({}, [UNIT])
@@ -127,7 +127,7 @@
 
 
 def test_upstream_without_fence_checks_is_released_by_time_only():
-    """Guards against trust in an upstream that accepts old epochs."""
+    """Guards against trusting the answers of an upstream without checks."""
     upstream = FakeUpstream(checks_fences=False)
     upstream.grant()
     removal = upstream.grants.update_content({}, [UNIT])
--- a/packages/decisions/tests/test_group_holder.py
+++ b/packages/decisions/tests/test_group_holder.py
@@ -1,4 +1,4 @@
-"""Tests of whole groups in virtual time, one for each hazard."""
+"""Tests of whole groups in virtual time, with one fault or change each."""
 
 import dataclasses
 
@@ -16,7 +16,7 @@
 def make_generation(
     number=1, domains=("d",), partitions=12, offline_limit_s=6.0, **changes
 ):
-    """Makes a fleet with four upstreams in each domain; u3 checks nothing."""
+    """Makes a fleet with four upstreams per domain; u3 checks no fences."""
     upstreams = {}
     for domain in domains:
         for index in range(4):
@@ -62,7 +62,7 @@
 
 
 def measure_outage(world, seconds=3.0):
-    """Returns how long after now some partition was last not served."""
+    """Returns when a partition was last not served, in seconds from now."""
     start = world.now
     last = 0.0
     while world.now < start + seconds:
@@ -73,7 +73,7 @@
 
 
 def test_every_partition_is_assigned_and_served_at_first(world):
-    """Guards against a new group that serves only a part of its keys."""
+    """Guards against a new group that serves only some of its keys."""
     assert not world.list_unserved()
     counts = [len(list_owned(world, f"u{index}")) for index in range(4)]
     assert counts == [3, 3, 3, 3]
@@ -84,7 +84,7 @@
     "fault", ["crash", "freeze", "holder", "pause", "holder-and-upstream"]
 )
 def test_keys_are_served_again_within_two_seconds(fault, seed):
-    """Guards against an outage that exceeds the bound of the design size."""
+    """Guards against an outage that exceeds the specified 2 s."""
     world = make_world(seed)
     world.run(0.05 * seed)
     if fault in ("crash", "holder-and-upstream"):
@@ -99,7 +99,7 @@
 
 
 def test_restarted_upstream_gets_its_units_back(world):
-    """Guards against churn for an upstream that is away for a moment."""
+    """Guards against moving the units of an upstream that restarts quickly."""
     owned = list_owned(world, "u1")
     world.crash_upstream("u1")
     world.run(0.2)
@@ -110,7 +110,7 @@
 
 
 def test_frozen_upstream_refuses_the_request_in_its_hands(world):
-    """Guards against a server that returns and still believes in its keys."""
+    """Guards against an upstream that resumes and serves keys it has lost."""
     holder = world.find_holder()
     frozen = next(
         name
@@ -144,7 +144,10 @@
 
 
 def test_holder_paused_between_check_and_send_is_harmless(world):
-    """Guards against grants that leave a host long after it decided."""
+    """Guards against grants that are sent long after the decision.
+
+    The holder is paused after it has checked its right to act.
+    """
     holder = world.find_holder()
     world.send_delay_s = 0.3
     world.run(0.25)
@@ -160,7 +163,7 @@
 
 @pytest.mark.parametrize("seed", range(6))
 def test_differing_clock_rates_leave_no_overlap(seed, monkeypatch):
-    """Guards against a wait that a fast clock cuts short."""
+    """Guards against waits that end too early on a host with a fast clock."""
     rates = iter([1.0] * 4 + [1.02, 1.0, 1.02, 1.0])
     monkeypatch.setattr(
         _ownership_adapter.OwnershipAdapter,
@@ -176,7 +179,7 @@
 
 
 def test_cut_off_holder_stops_at_the_offline_limit(world):
-    """Guards against two domains that serve the same keys for ever."""
+    """Guards against a disconnected holder that serves keys for ever."""
     holder = world.find_holder()
     world.cut_off_holder({"u3"}, with_standby=True)
     world.run(4.0)
@@ -189,7 +192,7 @@
 
 
 def test_store_outage_stops_moves_but_not_service():
-    """Guards against a service that needs the store for each renewal."""
+    """Guards against grant renewals that depend on the store."""
     world = make_world(offline_limit_s=60.0)
     world.store.is_down = True
     world.run(5.0)
@@ -204,7 +207,7 @@
 
 
 def test_planned_stop_hands_over_without_an_outage(world):
-    """Guards against callers that notice a planned stop."""
+    """Guards against an outage for callers during a planned stop."""
     holder = world.find_holder()
     world.stop_host(holder)
     assert measure_outage(world) <= 0.3
@@ -212,7 +215,10 @@
 
 
 def test_standby_that_stops_resigns_while_the_store_is_down():
-    """Guards against a group that stops with its standby in an outage."""
+    """Guards against a holder that stops with its standby.
+
+    While the store is down, the holder cannot record another standby.
+    """
     world = make_world(offline_limit_s=60.0)
     world.store.is_down = True
     standby = world.find_standby()
@@ -224,7 +230,7 @@
 
 
 def test_leaving_upstream_has_no_units_after_three_seconds(world):
-    """Guards against new work for an upstream that leaves."""
+    """Guards against new work for a leaving upstream."""
     world.change_generation(make_generation(2, u2={"leaving": True}))
     world.run(3.0)
     assert not list_owned(world, "u2")
@@ -232,12 +238,12 @@
 
 
 def test_file_that_declares_an_upstream_lost_ends_the_wait(world):
-    """Guards against a wait that the operator's word should end."""
+    """Guards against waiting for grants of an upstream declared lost."""
     owned = list_owned(world, "u3")
     world.cut_off_holder({"u3"}, with_standby=True)
     world.run(2.9)
     assert list_owned(world, "u3") == owned
-    # The operator vouches only for an upstream that runs no more.
+    # An operator declares an upstream lost only after it has stopped.
     world.crash_upstream("u3")
     world.change_generation(make_generation(2, u3={"lost": True}))
     world.run(0.5)
@@ -245,7 +251,7 @@
 
 
 def test_partitions_of_another_group_are_released_and_not_served(world):
-    """Guards against a key that two groups own after a change of the file."""
+    """Guards against two groups that own the same key after a file change."""
     generation = make_generation(2, ("d", "e"))
     world.change_generation(generation)
     world.run(3.0)
@@ -258,7 +264,7 @@
 
 
 def test_partitions_wait_until_the_other_group_released_them(world):
-    """Guards against a second owner while another group still records one."""
+    """Guards against a second owner while another group records the first."""
     key = "assign/f/e/0/board/0"
     holder = world.find_holder()
     host = world.hosts[holder]
@@ -289,7 +295,7 @@
 
 
 def make_hot_world():
-    """Makes a world in which hot keys of u0 have owners of their own."""
+    """Makes a world in which hot keys of u0 are placed separately."""
     world = make_world(partitions=64)
     holder = world.find_holder()
     names = [f"hot-{index}" for index in range(200)]
@@ -305,7 +311,11 @@
 
 
 def test_owner_lost_while_the_return_of_a_hot_key_is_written():
-    """Guards against a grant of a partition that has moved meanwhile."""
+    """Guards against granting a partition to its lost owner again.
+
+    Merging a hot key writes a new fence for its partition. The owner of the
+    partition is lost while the outcome of this write is unknown.
+    """
     world, _ = make_hot_world()
     machine = world.hosts[world.find_holder()].machine
     for _ in range(400):
@@ -324,7 +334,7 @@
 
 
 def test_hot_key_is_placed_by_itself_and_given_back():
-    """Guards against hot keys that stay together on one upstream."""
+    """Guards against several hot keys that stay on the same upstream."""
     world, hot = make_hot_world()
     holder = world.find_holder()
     placed = {unit[2] for unit in world.store.list_records() if unit[2]}
--- a/packages/decisions/tests/test_membership.py
+++ b/packages/decisions/tests/test_membership.py
@@ -10,7 +10,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Entry:
-    """A member entry with the fields of the wire's."""
+    """A member entry with the fields of `sycamoreloft_wire.MemberEntry`."""
 
     host: str
     incarnation: str = "i1"
@@ -28,7 +28,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Heartbeat:
-    """A heartbeat with the fields of the wire's."""
+    """A heartbeat with the fields of `sycamoreloft_wire.Heartbeat`."""
 
     host: str
     incarnation: str = "i1"
@@ -36,7 +36,7 @@
 
 
 def deliver_digest(members, now, *entries, sender=None, received=()):
-    """Gives a digest: by the first entry's host, or by another sender."""
+    """Merges a digest from `sender`, by default the host of the first entry."""
     first = sender or entries[0].host
     incarnation = entries[0].incarnation if entries and not sender else "i1"
     own = Heartbeat(first, incarnation, -1)
@@ -74,7 +74,7 @@
 
 
 def test_restarted_host_replaces_its_earlier_incarnation(members):
-    """Guards against following a process that no longer exists."""
+    """Guards against returning to a process that no longer exists."""
     deliver_digest(members, 0.0, Entry("a", "old", 900))
     deliver_digest(members, 0.1, Entry("a", "new", 1))
     deliver_digest(members, 0.2, Entry("a", "old", 900), sender="s")
@@ -86,7 +86,7 @@
 def test_hearsay_of_a_restart_counts_once_the_old_process_is_silent(
     members,
 ):
-    """Guards against waiting for a direct word that may never come."""
+    """Guards against requiring a direct message from the new process."""
     deliver_digest(members, 0.0, Entry("a", "old", 900))
     deliver_digest(members, 1.0, Entry("a", "new", 1), sender="s")
     assert members.get_entry("a").incarnation == "old"
@@ -95,7 +95,10 @@
 
 
 def test_suspicion_removal_and_no_return_by_old_news(members):
-    """Guards against members that stay, or return from a delayed digest."""
+    """Guards against keeping lost members, or adding them again.
+
+    A delayed digest may contain an old entry or heartbeat.
+    """
     deliver_digest(
         members, 0.0, Entry("a"), received=[Heartbeat("a", counter=7)]
     )
@@ -115,7 +118,7 @@
 
 
 def test_contact_of_the_same_process_is_a_sign_of_life(members):
-    """Guards against suspecting a host that answers calls."""
+    """Guards against suspecting a host that sends messages."""
     deliver_digest(members, 0.0, Entry("a"))
     members.record_contact("a", "i1", 1.5)
     members.record_contact("a", "i2", 3.0)
@@ -141,7 +144,7 @@
 
 
 def test_heartbeats_of_the_domain_are_passed_on_in_turn(members):
-    """Guards against a member whose signs of life are never passed on."""
+    """Guards against members whose heartbeats are never relayed."""
     names = [f"host-{number}" for number in range(20)]
     for name in names:
         deliver_digest(members, 0.0, Entry(name), received=[Heartbeat(name)])
@@ -153,7 +156,7 @@
 
 
 def test_a_changed_entry_is_sent_for_some_rounds(members):
-    """Guards against a new holder that only its first targets know."""
+    """Guards against a change that only the first targets receive."""
     deliver_digest(members, 0.0, Entry("a"))
     members.build_digest(9.0, Entry("s"))
     deliver_digest(members, 10.0, Entry("a", version=1, groups={"g": 2}))
@@ -165,7 +168,7 @@
 
 
 def test_silent_members_are_not_passed_on(members):
-    """Guards against keeping a lost host alive by hearsay."""
+    """Guards against hosts that relay a lost member to each other forever."""
     deliver_digest(members, 0.0, Entry("a"), received=[Heartbeat("a")])
     assert members.build_digest(1.0, Entry("s")).heartbeats
     late = members.build_digest(10.5, Entry("s"))
@@ -173,7 +176,7 @@
 
 
 def test_targets_are_one_near_member_and_another_one(members):
-    """Guards against stale news inside the domain, and unreached members."""
+    """Guards against stale entries in the domain, and members left out."""
     far = {"sledworks": "fernrun-east"}
     for number in range(4):
         deliver_digest(members, 0.0, Entry(f"near{number}"))
@@ -185,14 +188,14 @@
 
 
 def test_a_lone_host_has_no_targets(members):
-    """Guards against an error in the first seconds of a fleet."""
+    """Guards against an error on the first host that starts."""
     assert members.choose_targets() == []
     deliver_digest(members, 0.0, Entry("a"))
     assert [entry.host for entry in members.choose_targets()] == ["a"]
 
 
 def test_highest_epoch_and_generation_win(members):
-    """Guards against asking a holder that was replaced."""
+    """Guards against sending requests to a holder that was replaced."""
     deliver_digest(members, 0.0, Entry("a", groups={"g": 4}, generation=9))
     deliver_digest(members, 0.0, Entry("b", groups={"g": 5}, generation=3))
     members.update_own_entry(Entry("own", groups={"g": 3}), 0.0)
@@ -205,7 +208,7 @@
 def test_a_group_that_was_given_up_or_whose_host_is_gone_is_not_located(
     members,
 ):
-    """Guards against asking a host that no longer holds the group."""
+    """Guards against locating a host that no longer holds the group."""
     members.update_own_entry(Entry("own", groups={"g": 3}), 0.0)
     deliver_digest(members, 0.0, Entry("a", version=1, groups={"g": 4, "h": 1}))
     deliver_digest(members, 0.1, Entry("a", version=2, groups={"h": 2}))
@@ -240,7 +243,7 @@
 
 
 def test_holders_are_listed_first(members, monkeypatch):
-    """Guards against a bounded list that leaves out what callers need."""
+    """Guards against a truncated list without the holders."""
     monkeypatch.setattr(membership, "MAXIMUM_LISTED_MEMBERS", 2)
     for name in ("a", "b", "c"):
         deliver_digest(members, 0.0, Entry(name))
--- a/packages/decisions/tests/test_ownership_fuzz.py
+++ b/packages/decisions/tests/test_ownership_fuzz.py
@@ -1,4 +1,4 @@
-"""Fuzzes the group holder of several hosts against an independent oracle."""
+"""Fuzzes `GroupHolder` on several hosts against an independent oracle."""
 
 import dataclasses
 
@@ -23,11 +23,11 @@
 HOSTS = ("h0", "h1", "h2", "h3")
 UPSTREAMS = ("u0", "u1", "u2", "u3")
 NODES = (*HOSTS, *UPSTREAMS, "store")
-# Faults that hit the same upstream again find more than faults that are spread
-# evenly, so half of the choices fall on one upstream of each example.
+# Repeated faults of the same upstream find more violations than faults that are
+# spread evenly, so half of the choices select one upstream of each example.
 NAMES = strategies.sampled_from(("focus",) * 4 + UPSTREAMS)
-#: Time in which a group recovers from any faults: the offline limit with its
-#: wait, and the silence after which hosts take a group.
+#: Maximum time in which a group recovers from any faults: the offline limit,
+#: the expiry of grants, and the silence after which hosts take over a group.
 RECOVERY_S = 11.0
 SETTINGS = hypothesis.settings(
     derandomize=True,
@@ -309,12 +309,12 @@
 
 
 def test_ownership_never_overlaps_when_the_group_is_split():
-    """Guards against two holders that both have their grants accepted."""
+    """Guards against two holders whose grants are both accepted."""
     run_fuzz(SplitMachine, 25, 10)
 
 
 def choose_rules(machine, *names):
-    """Leaves only some rules, so that few examples reach the fault."""
+    """Restricts a machine to some rules, so that few examples reach a fault."""
     every = [
         name
         for name in dir(machine)
@@ -326,7 +326,7 @@
 
 
 def find_violation(machine, seed):
-    """Runs the fuzz without shrinking until it finds a violation."""
+    """Runs the fuzz without shrinking and returns the violation it finds."""
     settings = hypothesis.settings(
         SETTINGS,
         max_examples=150,
@@ -341,7 +341,7 @@
 
 
 def test_fuzz_finds_a_skipped_fence_check(monkeypatch):
-    """Guards against a fuzz that is blind to upstreams that skip fences."""
+    """Guards against a fuzz that misses upstreams without fence checks."""
     accept = _ownership_fakes.FakeUpstream._accept
 
     def accept_any_epoch(self, call, clock):
@@ -356,7 +356,7 @@
 
 
 def test_fuzz_finds_grants_without_a_clock_reading(monkeypatch):
-    """Guards against a fuzz that is blind to grants counted from arrival."""
+    """Guards against a fuzz that misses grants counted from their arrival."""
     monkeypatch.setattr(
         _ownership_fakes.FakeUpstream, "counts_from_arrival", True
     )
@@ -367,14 +367,14 @@
 
 
 def test_fuzz_finds_a_shortened_wait(monkeypatch):
-    """Guards against a fuzz that is blind to a wait that is too short."""
+    """Guards against a fuzz that misses a wait shorter than a grant."""
     monkeypatch.setattr(_timing, "GRANT_CERTAIN_END_S", 0.5)
     machine = choose_rules(SplitMachine, "cut_off_holder_with_slow_answers")
     assert "accepts" in find_violation(machine, 2)
 
 
 def test_fuzz_finds_a_grant_before_the_record(monkeypatch):
-    """Guards against a fuzz that is blind to unrecorded grants."""
+    """Guards against a fuzz that misses grants without a committed record."""
     start_write = _holding.Holding._start_write
 
     def start_and_apply(self, now):
@@ -389,7 +389,7 @@
 
 
 def test_fuzz_finds_a_promise_counted_from_the_answer(monkeypatch):
-    """Guards against a fuzz that is blind to promises that last too long."""
+    """Guards against a fuzz that misses promises counted for too long."""
     record_promise = _authority.Authority.record_promise
 
     def record_late_promise(self, event, now):
@@ -406,7 +406,11 @@
 
 
 def test_fuzz_finds_a_missing_confirmation(monkeypatch):
-    """Guards against grants of a replaced holder to a restarted upstream."""
+    """Guards against a fuzz that misses grants to an unconfirmed incarnation.
+
+    A restarted upstream has forgotten the highest epoch, so it accepts grants
+    of a holder that was replaced.
+    """
     reset = _grants.UpstreamGrants._reset_for_incarnation
 
     def reset_and_confirm(self, incarnation):
@@ -421,7 +425,11 @@
 
 
 def test_fuzz_finds_trust_in_an_upstream_without_fences(monkeypatch):
-    """Guards against moves that believe an upstream that checks no fences."""
+    """Guards against a fuzz that misses moves without waiting for the grant.
+
+    An upstream that checks no fences may still run requests for a unit that it
+    has acknowledged as removed.
+    """
     create = _grants.UpstreamGrants.__init__
 
     def create_trusting(self, upstream, checks_fences, *rest):
--- a/packages/decisions/tests/test_placement.py
+++ b/packages/decisions/tests/test_placement.py
@@ -1,4 +1,4 @@
-"""Tests of the division among groups and of placement inside a group."""
+"""Tests of assigning partitions to groups, and of placement in a group."""
 
 import collections
 import dataclasses
@@ -48,7 +48,7 @@
 
 
 def test_groups_share_partitions_by_slots():
-    """Guards against a small group that is given as much as a large one."""
+    """Guards against small groups that get as many partitions as large ones."""
     counts = collections.Counter(
         list_partition_domains(make_generation({"a": 2, "b": 6}))
     )
@@ -56,7 +56,7 @@
 
 
 def test_lost_upstreams_move_only_the_share_of_their_group():
-    """Guards against churn between groups that a file does not touch."""
+    """Guards against moves between groups that a file does not change."""
     slots = {"a": 4, "b": 4, "c": 4}
     before = list_partition_domains(make_generation(slots))
     after = list_partition_domains(make_generation(slots, a0={"lost": True}))
@@ -68,7 +68,7 @@
 
 
 def test_group_without_usable_upstreams_gets_no_partitions():
-    """Guards against partitions that wait for a group that cannot serve."""
+    """Guards against partitions in groups that cannot serve them."""
     lost = {"lost": True}
     generation = make_generation(
         {"a": 4, "b": 4}, a0=lost, a1={"leaving": True}
@@ -79,7 +79,7 @@
 
 
 def test_alias_of_a_merged_service_has_no_partitions():
-    """Guards against two owners of a key that two names denote."""
+    """Guards against two owners of a key, one by each service name."""
     merge = sycamoreloft_config.Merge(
         (sycamoreloft_config.SameService("g/board", "f/board"),)
     )
@@ -98,7 +98,7 @@
 
 
 def test_units_without_owner_go_to_the_least_loaded():
-    """Guards against a loss that overloads one survivor."""
+    """Guards against overloading one upstream after another is lost."""
     view = make_view({"a": 5.0, "b": 1.0, "c": 4.0})
     unit = sycamoreloft_decisions.Unit("board", 1)
     chosen = [view.choose_target(unit, 1.0) for _ in range(5)]
@@ -107,7 +107,7 @@
 
 
 def test_move_must_lower_the_cost_by_a_margin():
-    """Guards against units that go back and forth between near-equals."""
+    """Guards against units that move back and forth between upstreams."""
     unit = sycamoreloft_decisions.Unit("board", 1)
     even = make_view({"a": 10.5, "b": 9.5})
     assert even.propose_move(unit, "a", 1.0) is None
@@ -119,7 +119,7 @@
 
 
 def test_weight_of_churn_keeps_units_in_place():
-    """Guards against weights of a file that have no effect."""
+    """Guards against configured weights without effect."""
     unit = sycamoreloft_decisions.Unit("board", 1)
     loads = {"a": 13.0, "b": 7.0}
     calm = sycamoreloft_config.Weights(1.0, 8.0, 1.0)
@@ -128,7 +128,7 @@
 
 
 def test_few_requests_say_nothing_of_loads():
-    """Guards against moves that a handful of requests cause."""
+    """Guards against moves that a few requests cause."""
     loads = _loads.ServiceLoads("f", "board", 8, 0.0)
     unit = sycamoreloft_decisions.Unit("board", 3)
     loads.observe({"key": 50}, 0.1)
--- a/packages/decisions/tests/test_rows.py
+++ b/packages/decisions/tests/test_rows.py
@@ -9,7 +9,7 @@
 
 
 def test_group_row_survives_json():
-    """Guards against a field that is lost between two holders."""
+    """Guards against a field that is missing in the encoded row."""
     row = sycamoreloft_decisions.GroupRow(
         GROUP,
         7,
@@ -26,7 +26,7 @@
 
 
 def test_table_survives_json_in_bounded_rows():
-    """Guards against lost owners and against rows that grow without bound."""
+    """Guards against missing owners and against rows of unbounded size."""
     owners = {
         number: sycamoreloft_decisions.Assignment(f"u{number % 3}", number)
         for number in range(3_000)
--- a/packages/decisions/tests/test_transfers.py
+++ b/packages/decisions/tests/test_transfers.py
@@ -1,4 +1,4 @@
-"""Tests of partitions that files give from one group to another."""
+"""Tests of partitions that move from one group to another."""
 
 import dataclasses
 import random
--- a/packages/wire/tests/test_wire.py
+++ b/packages/wire/tests/test_wire.py
@@ -1,4 +1,4 @@
-"""Tests of the messages between hosts."""
+"""Tests of the encoding of messages and of the authentication."""
 
 import hypothesis
 from hypothesis import strategies
@@ -44,7 +44,7 @@
 
 
 def test_another_version_is_refused():
-    """Guards against reading fields of a release with another layout."""
+    """Guards against decoding messages of a release with other fields."""
     data = msgpack.packb([2, 17, 0, []])
     error = sycamoreloft_wire.decode_message(data).failure()
     assert "same release" in str(error)
@@ -73,10 +73,10 @@
     )
 )
 def test_fields_are_refused_or_kept_exactly(values):
-    """Guards against values of the wrong type inside a known message.
+    """Guards against values of the wrong type in a message of a known type.
 
-    What is accepted encodes to the same bytes again, so no value was
-    converted; a digest without entries is the one valid example here.
+    An accepted message must encode to the same bytes again, which shows that
+    no value was converted. Only a digest without entries is valid here.
     """
     for code in (1, 6, 9, 11):
         data = msgpack.packb([1, code, 0, values])
@@ -103,7 +103,7 @@
     strategies.integers(1, 30),
 )
 def test_frames_are_found_however_the_stream_is_cut(contents, step):
-    """Guards against a frame that is lost at the border of two reads."""
+    """Guards against losing a frame that spans two reads."""
     stream = b"".join(map(sycamoreloft_wire.encode_frame, contents))
     decoder = sycamoreloft_wire.FrameDecoder()
     frames = []
@@ -119,7 +119,7 @@
 
 
 def run_handshake(client_keys, server_keys):
-    """Runs both sides and tells whether each accepted the other."""
+    """Runs both sides; returns whether each authenticated the other."""
     hello = sycamoreloft_wire.ClientHello(
         "c", tuple(key.key_id for key in client_keys), b"n" * 16
     )
@@ -133,21 +133,21 @@
 
 
 def test_hosts_agree_while_keys_are_rotated():
-    """Guards against a rotation that cuts hosts off from each other."""
+    """Guards against a key rotation that disconnects hosts."""
     assert run_handshake(KEYS, KEYS[1:])
     assert run_handshake(KEYS[1:], KEYS)
     assert not run_handshake(KEYS[:1], KEYS[1:])
 
 
 def test_a_wrong_secret_is_refused():
-    """Guards against a peer that knows the key's name only."""
+    """Guards against a peer that has the key's identifier only."""
     forged = (sycamoreloft_wire.SharedKey("old", b"guess"),)
     assert not run_handshake(forged, KEYS[1:])
 
 
 @pytest.mark.parametrize("latency", [float("nan"), float("inf"), True, "1"])
 def test_a_latency_that_is_no_number_is_refused(latency):
-    """Guards against a limit that follows a NaN."""
+    """Guards against a concurrency limit computed from a NaN."""
     fields = ["g", "p", "completed", latency, False, False]
     data = msgpack.packb([1, 9, 0, fields])
     outcome = sycamoreloft_wire.decode_message(data)
