--- a/packages/decisions/sycamoreloft_decisions/_alias_release.py
+++ b/packages/decisions/sycamoreloft_decisions/_alias_release.py
@@ -68,6 +68,7 @@
             _Reference, frozenset[sycamoreloft_config.GroupName]
         ] = {}
         self._waiting: dict[tuple[str, str], list[str]] = {}
+        # Identifier and send time of the read in flight.
         self._read: tuple[int, float] | None = None
         self._next_read_at = 0.0
 
--- a/packages/decisions/sycamoreloft_decisions/_authority.py
+++ b/packages/decisions/sycamoreloft_decisions/_authority.py
@@ -53,7 +53,9 @@
         self._calls = calls
         self._unconfirmed_row: _rows.GroupRow | None = None
         self._peers: dict[str, _Peer] = {}
+        # Host that is requested to become the standby, empty for none.
         self._candidate = ""
+        # Hosts that gave no promise, and when they may be chosen again.
         self._avoided_until: dict[str, float] = {}
         self._is_ended = False
 
--- a/packages/decisions/sycamoreloft_decisions/_holding.py
+++ b/packages/decisions/sycamoreloft_decisions/_holding.py
@@ -52,8 +52,10 @@
         self._calls = calls
         self._writer = _table_writer.TableWriter(group, calls)
         self._batch = _move_steps.Batch({}, [])
+        # Incarnations of the upstreams when the write in flight was started.
         self._incarnations_at_write: dict[str, str] = {}
         self._last_progress: abc.Mapping[str, float] = {}
+        # Identifier and send time of the read of other groups' records.
         self._foreign_read: tuple[int, float] | None = None
         self._next_read_at = now
         self._next_placement_at = now + _timing.PLACEMENT_INTERVAL_S
--- a/packages/decisions/sycamoreloft_decisions/_move_steps.py
+++ b/packages/decisions/sycamoreloft_decisions/_move_steps.py
@@ -96,7 +96,11 @@
 def _is_granted(
     state: _holding_state.HoldingState, move: _moves.Move, now: float
 ) -> bool:
-    """Returns whether the new owner runs the unit, or is lost in its turn."""
+    """Returns whether a move can end.
+
+    It ends when the new owner has acknowledged a grant of the unit, or when
+    the new owner is no longer reachable or has been replaced.
+    """
     if move.new_assignment is None:
         return True
     unit = move.unit
@@ -128,7 +132,11 @@
     batch: Batch,
     now: float,
 ) -> bool:
-    """Adds the new record of a move; returns whether it can be written now."""
+    """Adds the new record of a move to a batch.
+
+    Returns:
+        Whether the record was added; if not, the move is planned again later.
+    """
     if move.kind is _moves.Kind.OTHER_GROUP:
         batch.changes[move.unit] = None
         return True
--- a/packages/decisions/sycamoreloft_decisions/_owners.py
+++ b/packages/decisions/sycamoreloft_decisions/_owners.py
@@ -34,6 +34,7 @@
         self._by_upstream: dict[str, set[_ownership.Unit]] = {}
         self._rows: dict[str, dict[typing.Any, _rows.Assignment]] = {}
         self._last_fence = 0
+        # Records of other groups: the group and the fence of each unit.
         self._foreign_records: dict[
             _ownership.Unit, tuple[sycamoreloft_config.GroupName, int]
         ] = {}
--- a/packages/decisions/sycamoreloft_decisions/_planning.py
+++ b/packages/decisions/sycamoreloft_decisions/_planning.py
@@ -42,7 +42,7 @@
         elif not grants.is_reachable(now):
             commands += _start_forced(state, name, "it does not answer")
         elif state.is_leaving(name):
-            commands += _start_leaving(state, name)
+            commands += _start_draining(state, name)
     return commands
 
 
@@ -71,7 +71,7 @@
         elif move.phase is _moves.Phase.DRAINING:
             move.phase = _moves.Phase.RELEASING
         elif move.kind is _moves.Kind.REFENCE:
-            commands += _abandon_refence(state, move)
+            commands += _cancel_refence(state, move)
             continue
         move.is_owner_lost = is_owner_lost
     if removed:
@@ -83,7 +83,7 @@
     return commands
 
 
-def _abandon_refence(
+def _cancel_refence(
     state: _holding_state.HoldingState, move: _moves.Move
 ) -> Commands:
     """Cancels the split of hot keys from a partition whose owner is lost."""
@@ -100,7 +100,7 @@
     return commands
 
 
-def _start_leaving(state: _holding_state.HoldingState, name: str) -> Commands:
+def _start_draining(state: _holding_state.HoldingState, name: str) -> Commands:
     """Moves all units away from a leaving upstream, draining them first.
 
     The number of these moves is not limited, because pausing the permits of a
@@ -141,7 +141,7 @@
     for unit in list(state.owners.get_records()):
         move = state.moves.get(unit)
         if move is not None:
-            _redirect(move, state.belongs_to_group(unit))
+            _update_target(move, state.belongs_to_group(unit))
         elif not state.belongs_to_group(unit) and not _is_key_moving(
             state, unit
         ):
@@ -157,7 +157,7 @@
     return commands
 
 
-def _redirect(move: _moves.Move, belongs_to_group: bool) -> None:
+def _update_target(move: _moves.Move, belongs_to_group: bool) -> None:
     """Changes the target of a move if its unit changed its group.
 
     A move whose record is already being written is left alone.
--- a/packages/decisions/sycamoreloft_decisions/_takeover.py
+++ b/packages/decisions/sycamoreloft_decisions/_takeover.py
@@ -70,10 +70,13 @@
         self._started_at = now
         self._last_progress: abc.Mapping[str, float] = {}
         self._announced_epochs: abc.Mapping[str, int] = {}
+        # Last progress of a host that announced to hold the group in the epoch
+        # of the row or a later one.
         self._last_announced_at = now
         self._latest_rows: _ownership.RowsRead | None = None
         # When the latest known version of the row was first read.
         self._row_read_at = now
+        # Identifier and send time of the read in flight.
         self._read: tuple[int, float] | None = None
         self._next_read_at = now
         self._writer = _table_writer.TableWriter(group, calls)
--- a/packages/decisions/sycamoreloft_decisions/acceptance.py
+++ b/packages/decisions/sycamoreloft_decisions/acceptance.py
@@ -150,9 +150,9 @@
 
     @_dispatch.register
     def _(self, event: FileSubmitted, now: float) -> abc.Sequence[Command]:
-        known = self._submissions.get(event.request)
-        if known is not None:
-            known.started = now
+        previous = self._submissions.get(event.request)
+        if previous is not None:
+            previous.started = now
         else:
             self._submissions[event.request] = _Submission(event, now)
         self._wants_read = True
--- a/packages/decisions/sycamoreloft_decisions/membership.py
+++ b/packages/decisions/sycamoreloft_decisions/membership.py
@@ -198,12 +198,12 @@
             (self._domain_target_queue, self._domain_members),
             (self._target_queue, self._members),
         ):
-            target = self._next_target(queue, members, chosen)
+            target = self._pop_target(queue, members, chosen)
             if target is not None:
                 chosen.append(target)
         return chosen
 
-    def _next_target(
+    def _pop_target(
         self,
         queue: list[str],
         members: abc.Mapping[str, _Member[EntryType]],
@@ -330,7 +330,7 @@
         ]
         if now >= self._refreshed_at + REFRESH_INTERVAL_S:
             self._refreshed_at = now
-            member = self._next_refresh_member(now)
+            member = self._pop_refresh_member(now)
             if member is not None and member not in chosen:
                 chosen.append(member)
         return [
@@ -340,7 +340,7 @@
             and (target is None or member.entry.host != target.host)
         ]
 
-    def _next_refresh_member(self, now: float) -> _Member[EntryType] | None:
+    def _pop_refresh_member(self, now: float) -> _Member[EntryType] | None:
         """Returns the next member with recent progress in a round over all."""
         for _ in range(len(self._refresh_queue) or 1):
             if not self._refresh_queue:
--- a/packages/decisions/tests/test_grants.py
+++ b/packages/decisions/tests/test_grants.py
@@ -10,8 +10,8 @@
 UNIT = sycamoreloft_decisions.Unit("board", 1)
 NEVER = float("inf")
 #: Times of the first two renewals after the grant at 0.02 s.
-FIRST = 0.05 + _timing.RENEWAL_INTERVAL_S
-SECOND = FIRST + 0.05 + _timing.RENEWAL_INTERVAL_S
+FIRST_RENEWAL_S = 0.05 + _timing.RENEWAL_INTERVAL_S
+SECOND_RENEWAL_S = FIRST_RENEWAL_S + 0.05 + _timing.RENEWAL_INTERVAL_S
 
 
 class FakeUpstream:
@@ -77,10 +77,12 @@
 
 def test_delayed_renewal_after_a_move_keeps_the_unit(upstream):
     """Guards against a delayed grant that restores a removed unit."""
-    delayed = upstream.send(FIRST)
+    delayed = upstream.send(FIRST_RENEWAL_S)
     upstream.grants.record_failure(delayed.call)
     removal = upstream.grants.update_content({}, [UNIT])
-    upstream.record_answer(upstream.send(FIRST + 0.01), FIRST + 0.02)
+    upstream.record_answer(
+        upstream.send(FIRST_RENEWAL_S + 0.01), FIRST_RENEWAL_S + 0.02
+    )
     end = 0.03 + _timing.GRANT_CERTAIN_END_S
     assert not upstream.grants.is_released(removal, end - 0.01, NEVER)
     assert upstream.grants.is_released(removal, end, NEVER)
@@ -88,18 +90,20 @@
 
 def test_lost_answer_counts_as_granted(upstream):
     """Guards against a wait that ignores an unanswered grant."""
-    upstream.record_answer(upstream.send(FIRST), FIRST + 0.01)
-    lost = upstream.send(SECOND)
+    upstream.record_answer(
+        upstream.send(FIRST_RENEWAL_S), FIRST_RENEWAL_S + 0.01
+    )
+    lost = upstream.send(SECOND_RENEWAL_S)
     upstream.grants.record_failure(lost.call)
     removal = upstream.grants.update_content({}, [UNIT])
-    end = FIRST + 0.01 + _timing.GRANT_CERTAIN_END_S
+    end = FIRST_RENEWAL_S + 0.01 + _timing.GRANT_CERTAIN_END_S
     assert not upstream.grants.is_released(removal, end - 0.01, 0.0)
     assert upstream.grants.is_released(removal, end, 0.0)
 
 
 def test_late_answer_of_an_abandoned_call_is_ignored(upstream):
     """Guards against mistaking an old incarnation for a new one."""
-    old = upstream.send(FIRST)
+    old = upstream.send(FIRST_RENEWAL_S)
     upstream.grants.record_failure(old.call)
     removal = upstream.grants.update_content({}, [UNIT])
     upstream.record_answer(old, 0.5, incarnation="i0")
@@ -116,10 +120,12 @@
 def test_restarted_upstream_is_released_and_waits_for_confirmation(upstream):
     """Guards against grants of a replaced holder after a restart."""
     removal = upstream.grants.update_content({}, [UNIT])
-    upstream.record_answer(upstream.send(FIRST), FIRST + 0.01, False, "i2")
-    assert upstream.grants.is_released(removal, FIRST + 0.01, NEVER)
+    upstream.record_answer(
+        upstream.send(FIRST_RENEWAL_S), FIRST_RENEWAL_S + 0.01, False, "i2"
+    )
+    assert upstream.grants.is_released(removal, FIRST_RENEWAL_S + 0.01, NEVER)
     assert upstream.grants.needs_confirmation()
-    assert upstream.send(SECOND).clock_reading is None
+    assert upstream.send(SECOND_RENEWAL_S).clock_reading is None
     upstream.grants.confirm("i1")
     assert upstream.grants.needs_confirmation()
     upstream.grants.confirm("i2")
@@ -140,8 +146,8 @@
 
 def test_renewal_sends_the_latest_reading_and_no_content(upstream):
     """Guards against renewals that are counted from an old reading."""
-    renewal = upstream.send(FIRST)
+    renewal = upstream.send(FIRST_RENEWAL_S)
     assert renewal.clock_reading == pytest.approx(100.03)
     assert renewal.partitions is None
-    upstream.record_answer(renewal, FIRST + 0.01, accepted=False)
-    assert upstream.send(SECOND).partitions == {"board": {1: 3}}
+    upstream.record_answer(renewal, FIRST_RENEWAL_S + 0.01, accepted=False)
+    assert upstream.send(SECOND_RENEWAL_S).partitions == {"board": {1: 3}}
--- a/packages/decisions/tests/test_group_holder.py
+++ b/packages/decisions/tests/test_group_holder.py
@@ -10,7 +10,7 @@
 
 HOSTS = ("h0", "h1", "h2", "h3")
 GROUP = sycamoreloft_config.GroupName("f", "d", 0)
-USUAL = {f"k{index}": 10 for index in range(50)}
+USUAL_LOAD = {f"k{index}": 10 for index in range(50)}
 
 
 def make_generation(
@@ -302,7 +302,7 @@
     hot = [key for key in names if _find_owner(world, holder, key, 64) == "u0"][
         :3
     ]
-    counts = {**USUAL, **dict.fromkeys(hot, 100)}
+    counts = {**USUAL_LOAD, **dict.fromkeys(hot, 100)}
     for _ in range(12):
         world.observe_keys("board", counts)
         world.run(0.5)
@@ -319,7 +319,7 @@
     world, _ = make_hot_world()
     machine = world.hosts[world.find_holder()].machine
     for _ in range(400):
-        world.observe_keys("board", {key: 1 for key in USUAL})
+        world.observe_keys("board", {key: 1 for key in USUAL_LOAD})
         world.run(0.05)
         if "returns to its" in "".join(machine.list_explanations()):
             break
@@ -343,7 +343,7 @@
     owners = {_find_owner(world, holder, key, 64) for key in hot}
     assert len(owners) > 1
     for _ in range(160):
-        world.observe_keys("board", USUAL)
+        world.observe_keys("board", USUAL_LOAD)
         world.run(0.5)
         for key in hot:
             world.send_request(holder, "board", key)
