--- a/packages/decisions/sycamoreloft_decisions/_placement.py
+++ b/packages/decisions/sycamoreloft_decisions/_placement.py
@@ -20,9 +20,9 @@
 #: Weight of a lasting imbalance compared to a single move: an imbalance costs
 #: as much as moving the same share of the units this many times.
 IMBALANCE_HORIZON = 4.0
-#: A move must lower the imbalance cost by more than its own cost times one plus
-#: this share. The margin prevents that units move back and forth when
-#: measured loads fluctuate.
+#: Margin of a move: it must lower the cost of the imbalance by more than its
+#: own cost times one plus this share. The margin keeps units from moving back
+#: and forth when the measured loads fluctuate.
 HYSTERESIS = 0.25
 #: Expected time for which a planned move makes its unit unavailable, in
 #: seconds.
--- a/packages/decisions/sycamoreloft_decisions/_planning.py
+++ b/packages/decisions/sycamoreloft_decisions/_planning.py
@@ -20,9 +20,9 @@
 #: Load above which a hot key is placed separately from its partition, as a
 #: share of the mean load of an upstream.
 HOT_KEY_LOAD_SHARE = 0.25
-#: Share of the load in `HOT_KEY_LOAD_SHARE` below which the key is merged into
-#: its partition again. The gap prevents that a key is split and merged
-#: repeatedly.
+#: Load below which a hot key is merged into its partition again, as a share of
+#: the load at which it is split. The gap keeps a key from being split and
+#: merged repeatedly.
 COLD_KEY_LOAD_SHARE = 0.25
 
 Commands = list[_ownership.Command]
@@ -297,7 +297,7 @@
     view: _placement.LoadView,
     hot: abc.Mapping[int, abc.Sequence[str]],
 ) -> tuple[_placement.Proposal | None, float]:
-    """Returns the move from the most loaded upstream with the largest gain.
+    """Chooses the move from the most loaded upstream with the largest gain.
 
     Returns:
         The proposal, None if no move has a gain, and the load of its unit.
--- a/packages/decisions/sycamoreloft_decisions/membership.py
+++ b/packages/decisions/sycamoreloft_decisions/membership.py
@@ -15,9 +15,9 @@
 #: this host is removed.
 REMOVAL_S = 60.0
 
-#: Time without progress after which any other member is removed. Heartbeats of
-#: these members are relayed by randomly sampled members, which takes minutes
-#: at 4,100 hosts and 16 heartbeats per second.
+#: Time without progress after which any other member is removed. Their relayed
+#: heartbeats are sampled from all members, so that at 4,100 hosts and 16
+#: heartbeats per second it takes minutes until a member is included.
 REMOTE_REMOVAL_S = 900.0
 
 #: Maximum number of members in the answer to a host that requests all of them;
--- a/packages/decisions/tests/test_acceptance.py
+++ b/packages/decisions/tests/test_acceptance.py
@@ -39,7 +39,7 @@
 
 
 class World(stateful.RuleBasedStateMachine):
-    """Hosts with a table whose messages are reordered, delayed and lost."""
+    """Hosts and a table, with messages reordered, delayed and lost."""
 
     def __init__(self):
         super().__init__()
@@ -61,7 +61,7 @@
         #: Groups by number, without those declared lost.
         self.groups = {1: set(GROUPS)}
         #: Holders that an operator has declared lost.
-        self.vouched = set()
+        self.declared_lost = set()
         self.accepted = [1]
         self.ids = 0
         self.hosts = {
@@ -142,7 +142,7 @@
         number = command.row.accepted.number
         assert number == before.pending.number > self.accepted[-1]
         lost = set(before.pending.lost_groups)
-        self.vouched |= lost
+        self.declared_lost |= lost
         for group in self.groups[before.accepted.number] - lost:
             row = self.rows.get(group)
             assert row is None or row.staged == number, f"{group} not staged"
@@ -165,7 +165,7 @@
         head = self.get_head()
         accepted = head.accepted
         for group, row in self.rows.items():
-            if group in self.vouched:
+            if group in self.declared_lost:
                 continue
             used = self.hosts[row.holder].used
             # A holder serves nothing of a group that a generation which it
@@ -247,7 +247,7 @@
 
     @stateful.rule(rounds=strategies.integers(1, 3))
     def serve_all(self, rounds):
-        """Serves everything in order, so that later steps go deeper."""
+        """Serves everything in order, to reach deeper states later."""
         for _ in range(rounds):
             self.now += 0.3
             for name in HOSTS:
@@ -274,10 +274,10 @@
         name=strategies.sampled_from(HOSTS),
     )
     def take_group(self, group, name):
-        """A host reads the head and takes a group in one transaction."""
+        """Lets a host read the head and take over a group atomically."""
         if group not in self.groups[self.get_head().accepted.number]:
             return
-        self.vouched.discard(group)
+        self.declared_lost.discard(group)
         self.feed(name, acceptance.HeadRead(*self.head))
         old = self.rows.get(group)
         self.rows[group] = acceptance.GroupRow(
@@ -295,7 +295,7 @@
         self.rows[group] = dataclasses.replace(row, version=row.version + 1)
 
     def teardown(self):
-        """Once nothing is lost any more, everything is settled."""
+        """Checks that all submissions are answered once nothing is lost."""
         for _ in range(60):
             self.now += 0.7
             for name in HOSTS:
--- a/packages/decisions/tests/test_ownership_fuzz.py
+++ b/packages/decisions/tests/test_ownership_fuzz.py
@@ -116,7 +116,7 @@
 
     @stateful.rule()
     def cut_off_holder_with_slow_answers(self):
-        """Lets promises reach the holder late, then cuts it off."""
+        """Delays promises to the holder, then disconnects it."""
         self.world.heal()
         self.world.run(1.0)
         link = (self.world.find_standby(), self.world.find_holder())
@@ -127,7 +127,7 @@
 
     @stateful.rule(is_restarted=strategies.booleans())
     def split_and_leave(self, is_restarted):
-        """Moves units while the holder that was replaced goes on."""
+        """Moves units while the replaced holder continues to act."""
         self.world.heal()
         self.set_leaving(self.focus, False)
         self.world.run(1.0)
@@ -143,7 +143,7 @@
         is_answer=strategies.booleans(),
     )
     def slow_promises(self, delay, is_answer):
-        """Slows requests for promises, or the answers."""
+        """Delays either the requests for promises or the answers."""
         link = (self.world.find_holder(), self.world.find_standby())
         self.world.link_delays[link[::-1] if is_answer else link] = delay
         self.world.run(0.6)
@@ -169,7 +169,7 @@
         self.set_leaving(self.choose(name), is_leaving)
 
     def set_leaving(self, name, is_leaving):
-        """Changes the file on every host that can reach the store."""
+        """Changes the generation on every host that can reach the store."""
         self.number += 1
         changes = {name: {"leaving": is_leaving}}
         self.world.change_generation(
@@ -275,7 +275,7 @@
 
     @stateful.rule(is_hot=strategies.booleans())
     def change_load(self, is_hot):
-        """Makes keys of one upstream hot, so that they are taken out."""
+        """Makes keys of one upstream hot, so that they are split off."""
         usual = 20 if is_hot else 400
         counts = {f"other-{index}": usual for index in range(40)}
         if is_hot:
--- a/packages/wire/sycamoreloft_wire/_codec.py
+++ b/packages/wire/sycamoreloft_wire/_codec.py
@@ -99,20 +99,25 @@
     return typing.cast(float, value)
 
 
-def _make_sequence_converter(item: _Converter) -> _Converter:
+def _make_sequence_converter(convert_item: _Converter) -> _Converter:
     def convert(value: typing.Any) -> typing.Any:
         if type(value) is not list:
             raise _FieldError(f"expected list, got {type(value).__name__}")
-        return tuple(item(entry) for entry in value)
+        return tuple(convert_item(entry) for entry in value)
 
     return convert
 
 
-def _make_mapping_converter(key: _Converter, item: _Converter) -> _Converter:
+def _make_mapping_converter(
+    convert_key: _Converter, convert_item: _Converter
+) -> _Converter:
     def convert(value: typing.Any) -> typing.Any:
         if type(value) is not dict:
             raise _FieldError(f"expected map, got {type(value).__name__}")
-        return {key(name): item(entry) for name, entry in value.items()}
+        return {
+            convert_key(name): convert_item(entry)
+            for name, entry in value.items()
+        }
 
     return convert
 
