--- a/packages/decisions/sycamoreloft_decisions/_authority.py
+++ b/packages/decisions/sycamoreloft_decisions/_authority.py
@@ -174,7 +174,14 @@
         earlier: abc.Sequence[_rows.EarlierHolder],
         now: float,
     ) -> _rows.GroupRow:
-        """Builds the group row for the next write."""
+        """Builds the group row for the next write.
+
+        Args:
+            staged: Number of the pending generation, 0 if there is none.
+            offline_limit_s: Offline limit in seconds.
+            earlier: Former holders that are not known to have stopped.
+            now: Clock reading in seconds.
+        """
         return dataclasses.replace(
             self._row,
             standby=self._choose_standby(now),
--- a/packages/decisions/sycamoreloft_decisions/_move_steps.py
+++ b/packages/decisions/sycamoreloft_decisions/_move_steps.py
@@ -45,7 +45,11 @@
 def _refence_partition(
     state: _holding_state.HoldingState, move: _moves.Move
 ) -> Commands:
-    """Starts the move that gives the partition of a hot key a new fence."""
+    """Starts the move that gives the partition of a hot key a new fence.
+
+    The split of the key is cancelled if the partition is already moving or no
+    longer has the owner that it had when the split began.
+    """
     unit = _ownership.Unit(move.unit.service, move.unit.partition)
     owner = state.owners.get(unit)
     other = state.moves.get(unit)
--- a/packages/decisions/tests/test_membership.py
+++ b/packages/decisions/tests/test_membership.py
@@ -83,7 +83,7 @@
     assert members.get_entry("a").incarnation == "new"
 
 
-def test_hearsay_of_a_restart_counts_once_the_old_process_is_silent(
+def test_relayed_restart_counts_once_the_old_process_is_silent(
     members,
 ):
     """Guards against requiring a direct message from the new process."""
--- a/packages/wire/sycamoreloft_wire/_codec.py
+++ b/packages/wire/sycamoreloft_wire/_codec.py
@@ -142,6 +142,7 @@
 
 @functools.cache
 def _list_converters(message_type: abc.Hashable) -> abc.Sequence[_Converter]:
+    """Returns the converters of a data class's fields, in their order."""
     cls = typing.cast(type, message_type)
     hints = typing.get_type_hints(cls)
     return tuple(
@@ -153,6 +154,7 @@
 def _make_getter(
     message_type: abc.Hashable,
 ) -> abc.Callable[[typing.Any], abc.Sequence[typing.Any]]:
+    """Returns a function that lists the field values of an instance."""
     cls = typing.cast(type, message_type)
     names = [field.name for field in dataclasses.fields(cls)]
     if not names:
@@ -164,6 +166,7 @@
 
 
 def _build(message_type: type, values: typing.Any) -> typing.Any:
+    """Builds a message or nested data class from its decoded field values."""
     converters = _list_converters(typing.cast(abc.Hashable, message_type))
     if type(values) is not list or len(values) != len(converters):
         raise _FieldError(
