--- a/packages/decisions/tests/test_placement.py
+++ b/packages/decisions/tests/test_placement.py
@@ -14,7 +14,7 @@
 
 
 def make_generation(slots, **changes):
-    """Makes a fleet with one domain and two upstreams for each number."""
+    """Makes a fleet with two upstreams in each domain, by their slots."""
     upstreams = {
         f"{domain}{index}": sycamoreloft_config.Upstream(
             f"{domain}{index}", "board", domain, "127.0.0.1:1", count
