--- a/packages/decisions/sycamoreloft_decisions/_authority.py
+++ b/packages/decisions/sycamoreloft_decisions/_authority.py
@@ -1,4 +1,4 @@
-"""The right of a holder to act: promises, confirmation, offline limit."""
+"""Decides whether the holder of a group may act in its epoch."""
 
 from collections import abc
 import dataclasses
@@ -10,28 +10,32 @@
 
 @dataclasses.dataclass(slots=True)
 class _Peer:
-    """What one host has promised."""
+    """State of the promise of one host; times on the holder's clock."""
 
     valid_until: float = 0.0
     is_final: bool = False
-    asked_at: float = -1.0
-    #: Sending times of the requests that may still be answered.
+    requested_at: float = -1.0
+    #: Send times of the requests that may still be answered, by identifier.
     requests: dict[int, float] = dataclasses.field(default_factory=dict)
 
 
 class Authority:
-    """Tells whether the holder of one epoch may act.
+    """The right of a holder to send grants and issue permits in one epoch.
 
-    The holder depends on the promise of every host that the table may name
-    as its standby: the one in the confirmed row and the one in a write that
-    is not settled.
+    The holder may act while both hold:
+
+    - Its last confirmed write of the group row is younger than the offline
+      limit.
+    - Every host that the stored row may name as the standby promises not to
+      take over the group. These are the standby in the confirmed row and the
+      one in a write whose outcome is not known yet.
 
     Args:
         host: Name of this host.
-        row: The row that was stored when the group was taken.
-        row_version: Its version in the table.
-        written_at: Time at which that write was sent first.
-        calls: Numbers for requests.
+        row: The group row that the takeover of this host stored.
+        row_version: Version of that row in the store.
+        written_at: When the first attempt of that write was sent.
+        calls: Source of identifiers for promise requests.
     """
 
     def __init__(
@@ -47,77 +51,87 @@
         self._row_version = row_version
         self._written_at = written_at
         self._calls = calls
-        self._unsettled: _rows.GroupRow | None = None
+        self._unconfirmed_row: _rows.GroupRow | None = None
         self._peers: dict[str, _Peer] = {}
+        # Host that is requested to become the standby, empty for none.
         self._candidate = ""
-        self._avoided: dict[str, float] = {}
+        # Hosts that gave no promise, and when they may be chosen again.
+        self._avoided_until: dict[str, float] = {}
         self._is_ended = False
 
     def get_row(self) -> _rows.GroupRow:
-        """Returns the confirmed row."""
+        """Returns the group row of the last confirmed write."""
         return self._row
 
     def get_row_version(self) -> int:
-        """Returns the table version of the confirmed row."""
+        """Returns the version of the confirmed row in the store."""
         return self._row_version
 
     def may_act(self, now: float) -> bool:
-        """Tells whether the holder may send grants and issue permits."""
+        """Returns whether the holder may send grants and issue permits."""
         if self._is_ended or now >= self._get_offline_end():
             return False
         return all(
-            self._is_promised(host, now) for host in self._list_standbys()
+            self._has_valid_promise(host, now) for host in self._list_standbys()
         )
 
     def end(self) -> None:
-        """Ends the authority for good."""
+        """Withdraws the right to act for the rest of the epoch."""
         self._is_ended = True
 
     def begin_write(self, row: _rows.GroupRow) -> None:
-        """Notes that a write was sent; it may take effect at any time."""
-        self._unsettled = row
+        """Records a write that was sent and may be committed at any time."""
+        self._unconfirmed_row = row
 
     def confirm(
         self, row: _rows.GroupRow, row_version: int, written_at: float
     ) -> None:
-        """Notes that a write took effect.
+        """Records that a write of the group row was committed.
 
         Args:
             row: The row that was written.
-            row_version: Its version in the table.
-            written_at: Time at which the write was sent first.
+            row_version: Version of that row in the store.
+            written_at: When the first attempt of the write was sent.
         """
         self._row = row
         self._row_version = row_version
         self._written_at = written_at
-        self._unsettled = None
+        self._unconfirmed_row = None
         if self._candidate == row.standby:
             self._candidate = ""
 
-    def receive(self, event: _ownership.PromiseAnswered, now: float) -> None:
-        """Counts a promise from the time at which it was asked for."""
+    def record_promise(
+        self, event: _ownership.PromiseAnswered, now: float
+    ) -> None:
+        """Records the answer to a promise request.
+
+        The promise counts from the time at which the request was sent.
+        """
         peer = self._peers.get(event.host)
-        asked_at = peer.requests.pop(event.call, None) if peer else None
-        if peer is None or asked_at is None:
+        requested_at = peer.requests.pop(event.call, None) if peer else None
+        if peer is None or requested_at is None:
             return
         if event.final:
             peer.is_final = True
         elif event.promised:
-            end = asked_at + _timing.PROMISE_S
+            end = requested_at + _timing.PROMISE_S
             peer.valid_until = max(peer.valid_until, end)
         if not event.promised:
-            self._avoided[event.host] = now + _timing.STANDBY_RETRY_S
+            self._avoided_until[event.host] = now + _timing.STANDBY_RETRY_S
 
-    def ask(self, now: float) -> abc.Sequence[_ownership.RequestPromise]:
-        """Asks every host for a promise that is needed and due."""
+    def request_promises(
+        self, now: float
+    ) -> abc.Sequence[_ownership.RequestPromise]:
+        """Requests the promises that must be obtained or renewed now."""
         hosts = {*self._list_standbys(), self._candidate} - {""}
-        # A later process of the same host must not inherit a promise.
+        # A promise must not be used again if the host becomes standby a second
+        # time: its process may have restarted and forgotten the promise.
         for host in set(self._peers) - hosts:
             del self._peers[host]
         if self._is_ended:
             return ()
         return tuple(
-            self._ask_host(host, now)
+            self._request_promise(host, now)
             for host in sorted(hosts)
             if self._is_due(host, now)
         )
@@ -128,23 +142,30 @@
         group: sycamoreloft_config.GroupName,
         now: float,
     ) -> None:
-        """Chooses a host to become the standby, if one is needed."""
+        """Chooses a host to become the standby, if there is no usable one.
+
+        Args:
+            last_progress: As in `MembersObserved`.
+            group: The group, for the ranking of the hosts.
+            now: Clock reading in seconds.
+        """
         standby = self._row.standby
         peer = self._peers.get(standby)
         is_final = peer is not None and peer.is_final
-        if standby and self._is_promised(standby, now) and not is_final:
+        if standby and self._has_valid_promise(standby, now) and not is_final:
             self._candidate = ""
             return
         if self._candidate:
-            asked = self._peers.get(self._candidate, _Peer())
-            if self._avoided.get(self._candidate, 0.0) > now:
+            candidate_peer = self._peers.get(self._candidate, _Peer())
+            if self._avoided_until.get(self._candidate, 0.0) > now:
                 self._candidate = ""
-            elif asked.asked_at >= 0 and not self._is_promised(
-                self._candidate, now
+            elif (
+                candidate_peer.requested_at >= 0
+                and not self._has_valid_promise(self._candidate, now)
             ):
-                self._drop_silent_candidate(asked, now)
+                self._drop_unresponsive_candidate(candidate_peer, now)
         if not self._candidate:
-            self._candidate = self._pick(last_progress, group, now)
+            self._candidate = self._choose_host(last_progress, group, now)
 
     def build_row(
         self,
@@ -153,7 +174,14 @@
         earlier: abc.Sequence[_rows.EarlierHolder],
         now: float,
     ) -> _rows.GroupRow:
-        """Builds the row that the next write should store."""
+        """Builds the group row for the next write.
+
+        Args:
+            staged: Number of the pending generation, 0 if there is none.
+            offline_limit_s: Offline limit in seconds.
+            earlier: Former holders that are not known to have stopped.
+            now: Clock reading in seconds.
+        """
         return dataclasses.replace(
             self._row,
             standby=self._choose_standby(now),
@@ -164,7 +192,7 @@
         )
 
     def is_write_due(self, row: _rows.GroupRow, now: float) -> bool:
-        """Tells whether the row must be written for its own sake."""
+        """Returns whether to write the row even if no assignment changed."""
         limit = self._row.offline_limit_s * _timing.ROW_HEARTBEAT_SHARE
         interval = min(_timing.ROW_HEARTBEAT_S, limit)
         if now >= self._written_at + interval:
@@ -174,17 +202,17 @@
 
     def _get_offline_end(self) -> float:
         limit = self._row.offline_limit_s
-        if self._unsettled is not None:
-            limit = min(limit, self._unsettled.offline_limit_s)
+        if self._unconfirmed_row is not None:
+            limit = min(limit, self._unconfirmed_row.offline_limit_s)
         return self._written_at + limit
 
     def _list_standbys(self) -> set[str]:
         hosts = {self._row.standby}
-        if self._unsettled is not None:
-            hosts.add(self._unsettled.standby)
+        if self._unconfirmed_row is not None:
+            hosts.add(self._unconfirmed_row.standby)
         return hosts - {""}
 
-    def _is_promised(self, host: str, now: float) -> bool:
+    def _has_valid_promise(self, host: str, now: float) -> bool:
         peer = self._peers.get(host)
         return peer is not None and (peer.is_final or now < peer.valid_until)
 
@@ -194,27 +222,29 @@
             return True
         if peer.is_final:
             return False
-        return now >= peer.asked_at + _timing.PROMISE_INTERVAL_S
+        return now >= peer.requested_at + _timing.PROMISE_INTERVAL_S
 
-    def _ask_host(self, host: str, now: float) -> _ownership.RequestPromise:
+    def _request_promise(
+        self, host: str, now: float
+    ) -> _ownership.RequestPromise:
         peer = self._peers.setdefault(host, _Peer())
         call = next(self._calls)
-        peer.asked_at = now
+        peer.requested_at = now
         peer.requests[call] = now
-        for number, asked_at in list(peer.requests.items()):
-            if now >= asked_at + _timing.PROMISE_S:
+        for number, requested_at in list(peer.requests.items()):
+            if now >= requested_at + _timing.PROMISE_S:
                 del peer.requests[number]
         return _ownership.RequestPromise(
             call, host, self._row.epoch, _timing.PROMISE_MS
         )
 
-    def _drop_silent_candidate(self, peer: _Peer, now: float) -> None:
+    def _drop_unresponsive_candidate(self, peer: _Peer, now: float) -> None:
         oldest = min(peer.requests.values(), default=now)
         if now >= oldest + _timing.CANDIDATE_TIMEOUT_S:
-            self._avoided[self._candidate] = now + _timing.STANDBY_RETRY_S
+            self._avoided_until[self._candidate] = now + _timing.STANDBY_RETRY_S
             self._candidate = ""
 
-    def _pick(
+    def _choose_host(
         self,
         last_progress: abc.Mapping[str, float],
         group: sycamoreloft_config.GroupName,
@@ -223,21 +253,23 @@
         standby = self._row.standby
         hosts = [
             host
-            for host, heard_at in last_progress.items()
+            for host, progress_at in last_progress.items()
             if host not in (self._host, standby)
-            and now < heard_at + _timing.TAKEOVER_SILENCE_S
-            and self._avoided.get(host, 0.0) <= now
+            and now < progress_at + _timing.TAKEOVER_SILENCE_S
+            and self._avoided_until.get(host, 0.0) <= now
         ]
         ranked = sycamoreloft_config.rank_by_rendezvous(str(group), hosts)
         return ranked[0] if ranked else ""
 
     def _choose_standby(self, now: float) -> str:
-        """Names the standby for the next row.
+        """Returns the standby for the next row, empty for none.
 
-        A host is named only while its promise is valid: it could otherwise
-        take the group as soon as the row names it.
+        A host without a valid promise could take over the group as soon as
+        the stored row names it.
         """
-        if self._candidate and self._is_promised(self._candidate, now):
+        if self._candidate and self._has_valid_promise(self._candidate, now):
             return self._candidate
         standby = self._row.standby
-        return standby if standby and self._is_promised(standby, now) else ""
+        return (
+            standby if standby and self._has_valid_promise(standby, now) else ""
+        )
