--- a/packages/direct/sycamoreloft_direct/__init__.py
+++ b/packages/direct/sycamoreloft_direct/__init__.py
@@ -1,6 +1,7 @@
-"""Decisions of hosts that choose upstreams themselves.
+"""Decision logic of the direct mode, in which hosts choose upstreams.
 
-Nothing here does I/O or reads a clock; times are passed in, in seconds.
+Nothing in this package does I/O or reads a clock. Callers pass in the current
+time, in seconds.
 """
 
 from sycamoreloft_direct._crash_guard import CrashGuard, identify_request
@@ -30,7 +31,7 @@
     decode_key_map,
     encode_key_map,
 )
-from sycamoreloft_direct._nodes import (
+from sycamoreloft_direct._model import (
     KEY_COUNT,
     CallerLimits,
     DesiredState,
--- a/packages/direct/sycamoreloft_direct/_key_changes.py
+++ b/packages/direct/sycamoreloft_direct/_key_changes.py
@@ -1,7 +1,8 @@
-"""What turns one map of keys into a later one.
+"""Differences between two versions of the key map.
 
-A map grows with the number of upstreams, and a change of it goes to every
-host. Sent whole, a few changes a second fill the link of the sender.
+The size of a map grows with the number of upstreams, and each change is sent
+to every host. Sending whole maps would saturate the sender's link at a few
+changes per second, so only the differences are sent.
 """
 
 from collections import abc
@@ -9,25 +10,25 @@
 
 import msgpack
 
-from sycamoreloft_direct import _key_map, _nodes
+from sycamoreloft_direct import _key_map, _model
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyChanges:
     """Ranges whose owner differs between two maps."""
 
-    #: Epoch and revision of the map that they apply to.
-    base_version: tuple[int, int]
-    #: Epoch and revision of the map that they lead to.
+    #: Epoch and revision of the map that the changes apply to.
+    base: tuple[int, int]
+    #: Epoch and revision of the map after the changes.
     version: tuple[int, int]
-    #: Changed ranges by service.
+    #: Changed ranges by service, each with its new owner.
     ranges: abc.Mapping[str, tuple[_key_map.KeyRange, ...]]
 
 
 def compute_changes(
     old: _key_map.KeyMap, new: _key_map.KeyMap
 ) -> KeyChanges | None:
-    """Returns what changed, or None if the services are others."""
+    """Returns the changes; None if the maps have different services."""
     if old.services.keys() != new.services.keys():
         return None
     ranges = {
@@ -39,14 +40,14 @@
 
 
 def apply_changes(old: _key_map.KeyMap, changes: KeyChanges) -> _key_map.KeyMap:
-    """Returns the later map.
+    """Returns the map after the changes.
 
     Raises:
-        ValueError: The changes are for another map.
+        ValueError: The changes apply to another version of the map.
     """
-    if old.version != changes.base_version:
+    if old.version != changes.base:
         raise ValueError(
-            f"the changes apply to map version {changes.base_version},"
+            f"the changes apply to map version {changes.base},"
             f" not to version {old.version}"
         )
     services = dict(old.services)
@@ -54,8 +55,8 @@
         keys = services.get(name)
         if keys is None:
             raise ValueError(f"the map has no service {name}")
-        for item in ranges:
-            keys = keys.assign(item.first, item.last, item.owner)
+        for key_range in ranges:
+            keys = keys.assign(key_range.first, key_range.last, key_range.owner)
         services[name] = keys
     return _key_map.KeyMap(*changes.version, services)
 
@@ -65,10 +66,10 @@
     return bytes(
         msgpack.packb(
             (
-                changes.base_version,
+                changes.base,
                 changes.version,
                 {
-                    name: [_encode_range(item) for item in ranges]
+                    name: [_encode_range(key_range) for key_range in ranges]
                     for name, ranges in changes.ranges.items()
                 },
             )
@@ -77,15 +78,15 @@
 
 
 def decode_changes(data: bytes) -> KeyChanges:
-    """Decodes changes.
+    """Decodes changes that another host has sent.
 
     Raises:
-        ValueError: The bytes are no encoded changes.
+        ValueError: The bytes are malformed.
     """
     try:
-        base_version, version, ranges = msgpack.unpackb(data)
+        base, version, ranges = msgpack.unpackb(data)
         return KeyChanges(
-            (int(base_version[0]), int(base_version[1])),
+            (int(base[0]), int(base[1])),
             (int(version[0]), int(version[1])),
             {
                 name: tuple(_decode_range(*row) for row in rows)
@@ -99,33 +100,33 @@
 def _find_changed_ranges(
     old: _key_map.ServiceKeys, new: _key_map.ServiceKeys
 ) -> tuple[_key_map.KeyRange, ...]:
-    """Walks both lists of ranges, which cover the same keys."""
+    """Compares two lists of ranges in one pass; both cover all keys."""
     changed: list[_key_map.KeyRange] = []
     index = 0
-    for item in new.ranges:
-        first = item.first
-        while first <= item.last:
-            known = old.ranges[index]
-            last = min(item.last, known.last)
-            if known.owner != item.owner:
-                changed.append(_key_map.KeyRange(first, last, item.owner))
-            if known.last <= item.last:
+    for key_range in new.ranges:
+        first = key_range.first
+        while first <= key_range.last:
+            old_range = old.ranges[index]
+            last = min(key_range.last, old_range.last)
+            if old_range.owner != key_range.owner:
+                changed.append(_key_map.KeyRange(first, last, key_range.owner))
+            if old_range.last <= key_range.last:
                 index += 1
             first = last + 1
     return tuple(changed)
 
 
-def _encode_range(item: _key_map.KeyRange) -> tuple[int, int, str, int]:
-    owner = item.owner
+def _encode_range(key_range: _key_map.KeyRange) -> tuple[int, int, str, int]:
+    owner = key_range.owner
     if owner is None:
-        return (item.first, item.last, "", 0)
-    return (item.first, item.last, owner.id, owner.started_ms)
+        return (key_range.first, key_range.last, "", 0)
+    return (key_range.first, key_range.last, owner.id, owner.started_ms)
 
 
 def _decode_range(
     first: int, last: int, upstream: str, started_ms: int
 ) -> _key_map.KeyRange:
-    if not 0 <= first <= last < _nodes.KEY_COUNT:
-        raise ValueError(f"keys {first} to {last} do not exist")
-    owner = _nodes.UpstreamRun(upstream, started_ms) if upstream else None
+    if not 0 <= first <= last < _model.KEY_COUNT:
+        raise ValueError(f"{first} to {last} is not a valid range of keys")
+    owner = _model.UpstreamRun(upstream, started_ms) if upstream else None
     return _key_map.KeyRange(first, last, owner)
--- a/packages/direct/sycamoreloft_direct/_key_commands.py
+++ b/packages/direct/sycamoreloft_direct/_key_commands.py
@@ -1,23 +1,27 @@
-"""What the key coordinator asks the process to do."""
+"""Commands that the key coordinator returns, and parameters of leases.
+
+An order is a grant or a release that is sent to an upstream.
+"""
 
 from collections import abc
 import dataclasses
 import enum
 
-from sycamoreloft_direct import _key_map, _nodes
+from sycamoreloft_direct import _key_map, _model
 
-#: Seconds for the call of a grant, which an upstream answers at once.
+#: Timeout of the call that sends a grant, in seconds. Upstreams answer grants
+#: immediately.
 GRANT_CALL_S = 0.6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendGrant:
-    """Grant a range of keys to an upstream, or renew the grant."""
+    """Grants a range of keys to an upstream, or renews the grant."""
 
-    #: Identifies the order when its result is reported.
+    #: Number by which the result is reported to the coordinator.
     order: int
-    #: Run of the upstream that the order is meant for.
-    run: _nodes.UpstreamRun
+    #: Run of the upstream to send the order to.
+    run: _model.UpstreamRun
     #: Name of the service, for logs.
     service: str
     #: First key.
@@ -28,40 +32,41 @@
     fence: int
     #: Duration of the lease, in seconds from the arrival of the order.
     hold_s: float
-    #: State handed over by the last owner; empty for none.
+    #: State that the previous owner returned with its release; empty for none.
     handover: str
-    #: Whether the upstream has accepted a grant with the token before.
+    #: Whether the upstream has already accepted a grant with this token.
     is_renewal: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendRelease:
-    """Take a range of keys back from an upstream."""
+    """Makes an upstream release a range of keys."""
 
-    #: Identifies the order when its result is reported.
+    #: Number by which the result is reported to the coordinator.
     order: int
-    #: Run of the upstream that the order is meant for.
-    run: _nodes.UpstreamRun
+    #: Run of the upstream to send the order to.
+    run: _model.UpstreamRun
     #: Name of the service, for logs.
     service: str
     #: First key.
     first: int
     #: Last key, inclusive.
     last: int
-    #: Fencing token; the upstream refuses grants up to it from then on.
+    #: Fencing token. From then on, the upstream refuses grants with this or a
+    #: lower token.
     fence: int
-    #: Address, as "ip:port", for a run that discovery may no longer list;
-    #: empty for the one that it lists.
+    #: Address as "ip:port", for a run that service discovery may no longer
+    #: list; empty to use the listed address.
     address: str = ""
-    #: Whether it is repeated until an owner answers that lost its keys.
+    #: Whether the release goes to an owner that lost its keys without
+    #: answering. Such a release is repeated until the owner answers.
     is_revocation: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WriteMap:
-    """Record the ownership in the store, if it is still this host's."""
+    """Writes the map to the store if this host is still the coordinator."""
 
-    #: The map to write.
     key_map: _key_map.KeyMap
 
 
@@ -69,23 +74,24 @@
 
 
 class GrantResult(enum.Enum):
-    """How a grant ended."""
+    """Result of sending a grant."""
 
-    #: The upstream took the keys.
+    #: The upstream accepted the keys.
     ACCEPTED = "accepted"
     #: The upstream has seen a higher fencing token.
     FENCED = "fenced"
-    #: No answer, or one that says nothing: it may have arrived.
+    #: There was no answer, or none that shows whether the upstream accepted.
+    #: The grant may have arrived.
     UNKNOWN = "unknown"
     #: No connection to the upstream was made, so nothing arrived.
     UNREACHED = "unreached"
-    #: This host stood still and did not send the grant.
+    #: This host was paused for so long that it did not send the grant.
     UNSENT = "unsent"
 
 
-#: Results of grants that the upstream may hold keys under. Renewals share
-#: connections, so that a refusal may be that of another one.
-ARRIVED_RESULTS = frozenset(
+#: Results after which the upstream may hold the granted keys. A refusal is
+#: among them: renewals share connections, so it may answer another renewal.
+POSSIBLY_DELIVERED_RESULTS = frozenset(
     {GrantResult.ACCEPTED, GrantResult.FENCED, GrantResult.UNKNOWN}
 )
 
@@ -94,39 +100,40 @@
 class LeaseTimes:
     """Durations of key leases, in seconds."""
 
-    #: Lease that a grant asks for.
+    #: Duration of the lease that a grant requests.
     hold_s: float = 3.0
     #: Time between two renewals.
     renew_s: float = 0.9
-    #: Time between two tries at an upstream that does not answer.
+    #: Time between two attempts at an upstream that does not answer.
     retry_s: float = 0.3
-    #: How much longer a lease may last because of the upstream's clock.
+    #: Maximum drift of an upstream's clock, as a share. A lease may last
+    #: longer by this share.
     drift: float = 0.02
-    #: Added to each wait for a lease to end, for bytes that are on their way
-    #: when a call ends.
+    #: Added to each wait for the end of a lease, for bytes that are still in
+    #: transit when a call ends.
     margin_s: float = 0.1
-    #: Longest time between the decision for an order and its sending; an
-    #: order that is older is not sent.
+    #: Maximum time from the decision to send an order until it is sent. An
+    #: older order is not sent.
     dispatch_s: float = 0.25
-    #: Longest time from the sending of a grant to the end of its call.
+    #: Maximum time from the sending of a grant to the end of its call.
     grant_call_s: float = GRANT_CALL_S
 
     @property
     def grant_travel_s(self) -> float:
-        """Longest time from the decision for a grant to its arrival."""
+        """Maximum time from the decision to send a grant to its arrival."""
         return self.dispatch_s + self.grant_call_s + self.margin_s
 
-    #: Time for which a coordinator that lost contact with the store goes on
-    #: renewing what the map records. A successor waits it out before it takes
-    #: keys from an upstream that it cannot reach.
+    #: Time for which a coordinator that lost contact with the store keeps
+    #: renewing the recorded owners. A successor waits that long before it
+    #: reassigns keys of an upstream that it cannot reach.
     blind_s: float = 12.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyLoad:
-    """Work on keys of one service, as one host saw it."""
+    """Work on the keys of one service that one host observed."""
 
     #: Name of the service.
     service: str
-    #: Seconds of work per key.
+    #: Time that upstreams spent on requests, in seconds by key.
     work_s: abc.Mapping[int, float]
--- a/packages/direct/sycamoreloft_direct/_key_coordinator.py
+++ b/packages/direct/sycamoreloft_direct/_key_coordinator.py
@@ -1,17 +1,17 @@
 """Assigns the keys of sharded services to upstreams.
 
-One host at a time is the coordinator; the store decides which. It alone
-changes owners. A move takes four steps: grant the present owner a new fencing
-token (it then refuses every earlier grant, whoever sent it and however late
-it arrives), release the keys, record the new owner in the store, grant the
-keys to the new owner. If the present owner does not answer, its lease has to
-end instead.
-
-A coordinator that lost contact with the store changes nothing but goes on
-renewing for `LeaseTimes.blind_s`, so that an outage of the store costs nobody
-its keys. A successor therefore waits that long, and one lease more, before
-it takes keys from an upstream that does not answer. An upstream that does
-answer gets a fencing token of the new epoch at once.
+One host at a time is the coordinator, as the store determines. It alone
+changes owners. It moves keys in four steps: grant the current owner a new
+fencing token (the owner then refuses every earlier grant, from any coordinator
+and however late), release the keys, record the new owner in the store, and
+grant the keys to the new owner. If the current owner does not answer, the
+coordinator waits for the end of its lease instead.
+
+A coordinator that lost contact with the store changes no owners, but keeps
+renewing leases for `LeaseTimes.blind_s`, so that upstreams keep their keys
+during an outage of the store. A successor therefore waits that long, plus one
+lease, before it reassigns keys of an upstream that does not answer. An
+upstream that does answer gets a fencing token of the new epoch immediately.
 """
 
 from collections import abc
@@ -22,22 +22,22 @@
     _key_rebalancing,
     _key_segments,
     _lease_ends,
-    _nodes,
+    _model,
     _owner_changes,
     _revocations,
 )
 
-#: Fencing tokens of one epoch.
+#: Number of fencing tokens of one epoch. Tokens of a later epoch are higher.
 FENCES_PER_EPOCH = 1 << 24
 
-#: Epoch of the first coordinator, which has no predecessor.
+#: Epoch of the first coordinator, the only one without a predecessor.
 FIRST_EPOCH = 1
 
-#: Orders without an answer after which a move waits for the lease to end.
+#: Number of unanswered orders after which a move waits for the lease to end.
 MAXIMUM_FAILURES = 3
 
-#: Duration of the grant that begins a move, in seconds: long enough for the
-#: release to follow.
+#: Duration of the lease that a sealing grant requests, in seconds. It must
+#: last until the release arrives.
 SEAL_HOLD_S = 1.0
 
 _PHASE = _key_segments.Phase
@@ -45,13 +45,14 @@
 
 
 class KeyCoordinator:
-    """Decides for all sharded services.
+    """Assigns the keys of all sharded services to upstreams.
 
     Args:
-        key_map: Map as taken over; its epoch is this coordinator's.
+        key_map: The latest map in the store, with the epoch of this
+            coordinator.
         now: Time, in seconds.
         earlier_until: Time until which an earlier coordinator may still
-            renew what the map records.
+            renew the leases of the recorded owners.
         times: Durations of leases.
     """
 
@@ -66,7 +67,7 @@
         self._epoch = key_map.epoch
         self._revision = key_map.revision
         self._recorded = key_map
-        self._writing: _key_map.KeyMap | None = None
+        self._pending_map: _key_map.KeyMap | None = None
         self._leases = _lease_ends.LeaseEnds(times)
         self._table = _key_segments.SegmentTable(
             key_map.epoch * FENCES_PER_EPOCH, self._leases
@@ -81,97 +82,97 @@
         )
         self._order = 0
         self._orders: dict[int, _key_segments.Segment] = {}
-        self._upstreams: dict[_nodes.UpstreamRun, _nodes.Upstream] = {}
+        self._upstreams: dict[_model.UpstreamRun, _model.Upstream] = {}
         self._latest_start: abc.Mapping[str, int] = {}
         for keys in key_map.services.values():
-            for item in keys.ranges:
-                self._adopt(keys.service, item, now, earlier_until)
+            for key_range in keys.ranges:
+                self._adopt(keys.service, key_range, now, earlier_until)
 
     @property
     def key_map(self) -> _key_map.KeyMap:
-        """The map as it is recorded."""
+        """The latest map that is known to be in the store."""
         return self._recorded
 
     def list_moving(
         self,
     ) -> abc.Sequence[tuple[str, _key_map.KeyRange]]:
-        """Lists services and ranges that are on their way to an owner."""
+        """Returns the ranges that are being moved, each with its service."""
         return [
             (
-                item.service,
-                _key_map.KeyRange(item.first, item.last, item.owner),
+                segment.service,
+                _key_map.KeyRange(segment.first, segment.last, segment.owner),
             )
-            for item in self._table
-            if item.is_moving
+            for segment in self._table
+            if segment.is_moving
         ]
 
-    # What logs and metrics tell.
+    # Information for logs and metrics.
 
     @property
     def owner_changes(self) -> abc.Sequence[_owner_changes.OwnerChange]:
-        """Changes of owner that the last call of `tick` decided."""
+        """Changes of owner that the last call of `tick` decided on."""
         return self._table.changes
 
     def list_claims(
         self, change: _owner_changes.OwnerChange
     ) -> abc.Sequence[_owner_changes.LeaseClaim]:
-        """Lists the grants of keys that get another owner.
+        """Returns the known grants of the keys that a change of owner affects.
 
-        Grants whose leases have been over for some seconds are left out.
+        Grants whose leases ended more than a few seconds ago are left out.
         """
         return self._leases.list_claims(
             change.service, change.first, change.last, change.refused_fence
         )
 
     def count_unheld(self) -> int:
-        """Counts the keys that no upstream is known to hold."""
+        """Returns the number of keys that no upstream is known to hold."""
         return self._table.count_unheld()
 
     def _adopt(
         self,
         service: str,
-        item: _key_map.KeyRange,
+        key_range: _key_map.KeyRange,
         now: float,
         earlier_until: float,
     ) -> None:
-        # Keys without an owner may still be held by the one before, if an
-        # earlier coordinator recorded its loss; it waited before doing so.
+        # Keys without an owner may have been held by an earlier one. The
+        # earlier coordinator waited for that lease before recording the loss.
         segment = _key_segments.Segment(
-            service, item.first, item.last, _PHASE.VACANT
+            service, key_range.first, key_range.last, _PHASE.VACANT
         )
-        if item.owner is not None:
+        if key_range.owner is not None:
             segment.phase = _PHASE.HELD
-            segment.owner = item.owner
-            # The earlier coordinator granted the keys, as far as is known.
-            segment.is_taken = True
+            segment.owner = key_range.owner
+            # Assume that the earlier coordinator granted the keys.
+            segment.is_accepted = True
             segment.fence = self._table.create_fence()
             segment.due_at = now
-            self._leases.assume(
+            self._leases.assume_earlier_grants(
                 service,
-                item.first,
-                item.last,
-                item.owner,
+                key_range.first,
+                key_range.last,
+                key_range.owner,
                 self._epoch * FENCES_PER_EPOCH,
                 earlier_until,
             )
         self._table.add(segment)
 
-    # What the process reports.
+    # Events that the process reports.
 
     def update_upstreams(
         self,
-        upstreams: abc.Iterable[_nodes.Upstream],
+        upstreams: abc.Iterable[_model.Upstream],
         services: set[str],
         now: float,
     ) -> None:
-        """Takes the present entries of sharded services.
+        """Replaces the list of upstreams, and adds new services.
 
         Args:
-            upstreams: Upstreams of these services that discovery lists.
-            services: Names of the sharded services.
+            upstreams: Upstreams of sharded services in service discovery.
+            services: Names of all sharded services.
             now: Time, in seconds.
         """
-        listed = {item.run: item for item in upstreams}
+        listed = {upstream.run: upstream for upstream in upstreams}
         if listed.keys() != self._upstreams.keys():
             self._latest_start = {
                 run.id: run.started_ms for run in sorted(listed)
@@ -184,20 +185,20 @@
         for service in sorted(services - known):
             self._table.add(
                 _key_segments.Segment(
-                    service, 0, _nodes.KEY_COUNT - 1, _PHASE.VACANT
+                    service, 0, _model.KEY_COUNT - 1, _PHASE.VACANT
                 )
             )
 
     def record_load(self, load: _key_commands.KeyLoad) -> None:
-        """Takes what a host observed."""
+        """Adds the load that a host observed."""
         self._rebalancer.record_load(load)
 
     def update_speeds(self, speeds: abc.Mapping[str, float]) -> None:
-        """Takes the relative speeds of upstreams by identifier."""
+        """Replaces the relative speeds of upstreams, by identifier."""
         self._rebalancer.update_speeds(speeds)
 
-    def end_run(self, run: _nodes.UpstreamRun) -> None:
-        """Takes all keys from a run that has surely ended."""
+    def end_run(self, run: _model.UpstreamRun) -> None:
+        """Vacates all keys of a run that is certain to have ended."""
         self._leases.end_run(run)
         self._revocations.forget(run)
         for segment in self._table:
@@ -206,21 +207,21 @@
                 self._table.vacate(segment, _CAUSE.RUN_ENDED)
 
     def is_busy(self, upstream: str) -> bool:
-        """Tells whether an upstream is so busy that requests queue."""
+        """Returns whether an upstream is so busy that its requests queue."""
         return self._rebalancer.is_busy(upstream)
 
     def finish_grant(
         self, order: int, result: _key_commands.GrantResult, now: float
     ) -> bool:
-        """Takes the result of a grant.
+        """Records the result of a grant.
 
         Returns:
-            Whether another step follows at once. Nothing follows a renewal,
-            and a look at all segments after each would cost the square of
-            their number.
+            Whether `tick` has another step to take at once. There is none
+            after a renewal: `tick` visits all segments, so a call after each
+            renewal would take quadratic time.
         """
-        may_have_arrived = result in _key_commands.ARRIVED_RESULTS
-        self._leases.close(order, now, may_have_arrived)
+        may_have_arrived = result in _key_commands.POSSIBLY_DELIVERED_RESULTS
+        self._leases.close_call(order, now, may_have_arrived)
         segment = self._orders.pop(order)
         if segment.order != order:
             return False
@@ -237,20 +238,20 @@
         else:
             segment.failures += 1
             segment.due_at = now + self._times.retry_s
-            # The upstream may have restarted under its identifier, and a new
-            # run must get the keys with a higher token than the one before.
+            # The upstream may have restarted with the same identifier. A new
+            # run must get the keys with a higher token than the previous run.
             segment.fence = self._table.create_fence()
             if segment.owner is not None:
-                self._rebalancer.note_silence(segment.owner, now)
+                self._rebalancer.record_silence(segment.owner, now)
         return True
 
     def finish_release(
         self, order: int, handover: str | None, now: float
     ) -> None:
-        """Takes the result of a release.
+        """Records the result of a release.
 
         Args:
-            order: The order.
+            order: Number of the order.
             handover: State of the keys, or None if there was no answer.
             now: Time, in seconds.
         """
@@ -266,39 +267,39 @@
             segment.due_at = now + (self._times.retry_s if is_held else 0.0)
             return
         segment.handover = handover
-        self._table.note_refused(segment, segment.fence)
+        self._table.set_refused_fence(segment, segment.fence)
         self._table.vacate(segment, _CAUSE.RELEASED)
 
     def finish_write(self, is_recorded: bool) -> None:
-        """Takes the result of writing the map.
+        """Records the result of writing the map.
 
         Args:
-            is_recorded: Whether the map is in the store. If it is not, it is
-                written again.
+            is_recorded: Whether the map is in the store. If it is not, a
+                later `tick` writes it again.
         """
-        if self._writing is None:
+        if self._pending_map is None:
             return
         if is_recorded:
-            self._recorded = self._writing
-        self._writing = None
+            self._recorded = self._pending_map
+        self._pending_map = None
 
-    # What it decides.
+    # Decisions.
 
     def tick(
         self, now: float, may_change: bool, may_renew: bool
     ) -> abc.Sequence[_key_commands.Command]:
-        """Returns the orders that are due.
+        """Returns the commands that are due.
 
         Args:
             now: Time, in seconds.
             may_change: Whether the store confirms that this host is the
-                coordinator.
-            may_renew: Whether recorded owners may be renewed.
+                coordinator, so that owners may change.
+            may_renew: Whether the leases of recorded owners may be renewed.
         """
         commands: list[_key_commands.Command] = []
         self._table.changes = []
         if may_change:
-            self._drop_lost(now)
+            self._vacate_lost(now)
             self._rebalancer.plan(self._revision + 1, now)
             write = self._prepare_write()
             if write is not None:
@@ -323,7 +324,7 @@
         if segment.phase in (_PHASE.SEALING, _PHASE.RELEASING):
             if segment.failures >= MAXIMUM_FAILURES:
                 if self._table.is_free(segment, now):
-                    self._take_from_silent(segment, now)
+                    self._vacate_silent(segment, now)
                 return None
             if segment.phase is _PHASE.SEALING:
                 return self._grant(segment, SEAL_HOLD_S)
@@ -347,18 +348,19 @@
             return None
         hold_s = self._times.hold_s
         if segment.failures and not may_change:
-            # The upstream may have restarted, and forgotten the token of a
-            # later coordinator.
+            # The upstream may have restarted and lost the token of a later
+            # coordinator, so that it would accept a grant of this one.
             return None
         if segment.failures:
-            # Tries at a silent upstream must not lengthen its lease.
-            lease_end = self._table.find_lease_end(segment)
-            if lease_end == _lease_ends.OPEN:
+            # Repeated grants to an unresponsive upstream must not extend its
+            # lease, since they may arrive without an answer.
+            lease_end = self._table.compute_lease_end(segment)
+            if lease_end == _lease_ends.OPEN_END:
                 return None
-            hold_s = min(hold_s, self._leases.find_hold(now, lease_end))
+            hold_s = min(hold_s, self._leases.compute_hold_s(now, lease_end))
             if hold_s < self._times.retry_s:
-                # Too little of the lease is left for a grant. A release frees
-                # the keys as soon as the owner answers.
+                # The rest of the lease is too short for a grant. A release
+                # frees the keys as soon as the owner answers it.
                 return self._release(segment, now) if may_change else None
         return self._grant(segment, hold_s)
 
@@ -378,17 +380,17 @@
             segment.fence,
             hold_s,
             segment.handover if segment.phase is _PHASE.HELD else "",
-            segment.is_taken and segment.refused_fence >= segment.fence - 1,
+            segment.is_accepted and segment.refused_fence >= segment.fence - 1,
         )
-        self._leases.open(command)
+        self._leases.open_call(command)
         return command
 
     def _release(
         self, segment: _key_segments.Segment, now: float
     ) -> _key_commands.SendRelease:
         assert segment.owner is not None
-        # An earlier grant that is still on its way may have the token of the
-        # latest one.
+        # The release needs a new token, so that the upstream refuses grants
+        # with the previous token that are still in transit.
         segment.fence = self._table.create_fence()
         segment.order = self._create_order(segment)
         segment.due_at = now
@@ -403,89 +405,89 @@
 
     def _accept(self, segment: _key_segments.Segment, now: float) -> None:
         segment.failures = 0
-        # The upstream refuses lower tokens now, also those of an earlier
-        # coordinator; grants with this one are renewals.
-        self._table.note_refused(segment, segment.fence - 1)
+        # The upstream now refuses lower tokens, also those of an earlier
+        # coordinator. Further grants with this token are renewals.
+        self._table.set_refused_fence(segment, segment.fence - 1)
         if segment.owner is not None:
-            self._rebalancer.note_answer(segment.owner)
+            self._rebalancer.record_response(segment.owner)
         if segment.phase is _PHASE.SEALING:
             segment.phase = _PHASE.RELEASING
             segment.due_at = now
         else:
-            segment.is_taken = True
+            segment.is_accepted = True
             segment.handover = ""
             segment.due_at = now + self._times.renew_s
 
-    def _drop_lost(self, now: float) -> None:
-        """Vacates segments whose owner has ended or whose lease is over."""
+    def _vacate_lost(self, now: float) -> None:
+        """Vacates segments of lost owners, or assigns them to a later run."""
         for segment in self._table:
             owner = segment.owner
             if owner is None or segment.phase is _PHASE.RECORDING:
                 continue
             follower = self._find_follower(owner)
             if follower is not None:
-                # Orders for the run that ended may have reached the new one.
-                # It becomes the owner, with a token above all of them. Until
-                # it has seen that token, it refuses nothing.
-                self._table.note_freed(segment, _CAUSE.FOLLOWER)
-                self._table.note_refused(segment, 0)
+                # Orders for the old run may have reached the new one, so the
+                # new run becomes the owner, with a token above all of theirs.
+                # Until it has seen that token, it refuses no grant.
+                self._table.save_previous_owner(segment, _CAUSE.FOLLOWER)
+                self._table.set_refused_fence(segment, 0)
                 self._revocations.forget(follower)
-                self._table.record(segment, follower, self._revision + 1)
+                self._table.assign_owner(segment, follower, self._revision + 1)
                 continue
             if owner in self._upstreams and segment.failures == 0:
                 continue
             if self._table.is_free(segment, now):
-                self._take_from_silent(segment, now)
+                self._vacate_silent(segment, now)
 
-    def _take_from_silent(
+    def _vacate_silent(
         self, segment: _key_segments.Segment, now: float
     ) -> None:
-        """Takes keys from an owner whose lease is over without its answer."""
+        """Vacates and revokes keys whose lease ended without an answer."""
         assert segment.owner is not None
         keys = _revocations.LostKeys(
             segment.service, segment.first, segment.last
         )
         owner = segment.owner
         self._table.vacate(segment, _CAUSE.LEASE_OVER)
-        owns_nothing = all(item.owner != owner for item in self._table)
+        owns_nothing = all(other.owner != owner for other in self._table)
         self._revocations.add(owner, keys, now, owns_nothing=owns_nothing)
 
     def _find_follower(
-        self, run: _nodes.UpstreamRun
-    ) -> _nodes.UpstreamRun | None:
-        """Returns the run that replaced one under its identifier."""
+        self, run: _model.UpstreamRun
+    ) -> _model.UpstreamRun | None:
+        """Returns the later run with the same identifier; None if none."""
         latest = self._latest_start.get(run.id, 0)
         if latest <= run.started_ms:
             return None
-        return _nodes.UpstreamRun(run.id, latest)
+        return _model.UpstreamRun(run.id, latest)
 
     def _prepare_write(self) -> _key_commands.WriteMap | None:
-        """Records new owners; owners that lost keys stay until then."""
-        if self._writing is not None:
+        """Records new owners; until then, the map keeps the lost ones."""
+        if self._pending_map is not None:
             return None
         waiting = [
-            item
-            for item in self._table
-            if item.phase is _PHASE.RECORDING
-            and item.revision > self._recorded.revision
+            segment
+            for segment in self._table
+            if segment.phase is _PHASE.RECORDING
+            and segment.revision > self._recorded.revision
         ]
         if not waiting:
             return None
         services = dict(self._recorded.services)
-        for item in waiting:
-            keys = services.get(item.service) or _key_map.create_unowned(
-                item.service
+        for segment in waiting:
+            keys = services.get(segment.service) or _key_map.create_unowned(
+                segment.service
             )
-            services[item.service] = keys.assign(
-                item.first, item.last, item.owner
+            services[segment.service] = keys.assign(
+                segment.first, segment.last, segment.owner
             )
         self._revision += 1
-        for item in waiting:
-            item.revision = self._revision
-        self._writing = _key_map.KeyMap(self._epoch, self._revision, services)
-        return _key_commands.WriteMap(self._writing)
-
-    # Small helpers.
+        for segment in waiting:
+            segment.revision = self._revision
+        self._pending_map = _key_map.KeyMap(
+            self._epoch, self._revision, services
+        )
+        return _key_commands.WriteMap(self._pending_map)
 
     def _count_order(self) -> int:
         self._order += 1
--- a/packages/direct/sycamoreloft_direct/_key_loads.py
+++ b/packages/direct/sycamoreloft_direct/_key_loads.py
@@ -1,69 +1,80 @@
-"""Recent work per key, and how it sums up over ranges."""
+"""Recent work per key, and sums of it over ranges of keys."""
 
 import bisect
 from collections import abc
 
-from sycamoreloft_direct import _nodes
+from sycamoreloft_direct import _model
 
-#: Share of the work that still counts after one decay.
+#: Factor that is applied to the recorded work at each decay.
 DECAY = 0.75
 
-#: Work below which a key is forgotten, in seconds.
-LEAST_WORK_S = 0.005
+#: Keys with less recorded work than this are dropped, in seconds.
+MINIMUM_WORK_S = 0.005
 
-#: Share of the work that is assumed to be spread evenly over all keys.
-EVEN_SHARE = 0.05
+#: Work that is assumed to be spread evenly over all keys, as a share of the
+#: observed work.
+UNIFORM_SHARE = 0.05
 
-#: Work assumed for all keys together when nothing was observed, in seconds.
-EVEN_FLOOR_S = 0.1
+#: Minimum of this evenly spread work, in seconds. It applies when little or
+#: nothing was observed.
+MINIMUM_UNIFORM_WORK_S = 0.1
 
 
 class KeyLoads:
-    """Work per key of one service, decayed over time."""
+    """Work per key of one service. Older work counts less."""
 
     def __init__(self) -> None:
         self._work: dict[int, float] = {}
 
     def add(self, work_s: abc.Mapping[int, float]) -> None:
-        """Adds what a host observed."""
+        """Adds the work that a host observed, in seconds by key."""
         for key, seconds in work_s.items():
             self._work[key] = self._work.get(key, 0.0) + seconds
 
     def decay(self) -> None:
-        """Lets older observations count less."""
+        """Reduces the weight of the work recorded so far."""
         self._work = {
             key: seconds * DECAY
             for key, seconds in self._work.items()
-            if seconds * DECAY >= LEAST_WORK_S
+            if seconds * DECAY >= MINIMUM_WORK_S
         }
 
-    def freeze(self) -> "LoadProfile":
-        """Returns the present loads for planning."""
+    def create_profile(self) -> "LoadProfile":
+        """Returns the current loads in a form for planning."""
         return LoadProfile(self._work)
 
 
 class LoadProfile:
-    """Sums of work over ranges of keys."""
+    """Prefix sums of the work over the keys of a service.
+
+    Args:
+        work_s: Observed work in seconds, by key.
+    """
 
     def __init__(self, work_s: abc.Mapping[int, float]) -> None:
         self._keys = sorted(work_s)
         self._sums = [0.0]
         for key in self._keys:
             self._sums.append(self._sums[-1] + work_s[key])
-        even = max(self._sums[-1] * EVEN_SHARE, EVEN_FLOOR_S)
-        self._density = even / _nodes.KEY_COUNT
-        #: Work on all keys, in seconds.
-        self.total = self._sums[-1] + even
+        uniform = max(self._sums[-1] * UNIFORM_SHARE, MINIMUM_UNIFORM_WORK_S)
+        self._density = uniform / _model.KEY_COUNT
+        #: Work on all keys, with the evenly spread part, in seconds.
+        self.total = self._sums[-1] + uniform
 
     def sum(self, first: int, last: int) -> float:
-        """Returns the work on the keys from first to last, inclusive."""
+        """Returns the work on a range of keys, in seconds.
+
+        Args:
+            first: First key.
+            last: Last key, inclusive.
+        """
         low = bisect.bisect_left(self._keys, first)
         high = bisect.bisect_right(self._keys, last)
-        even = self._density * (last - first + 1)
-        return self._sums[high] - self._sums[low] + even
+        uniform = self._density * (last - first + 1)
+        return self._sums[high] - self._sums[low] + uniform
 
     def find_busiest(self, first: int, last: int) -> tuple[int, float]:
-        """Returns the key of a range with the most work, and its work."""
+        """Returns the key with the most observed work, and its seconds."""
         low = bisect.bisect_left(self._keys, first)
         high = bisect.bisect_right(self._keys, last)
         best, most = first, 0.0
@@ -73,14 +84,17 @@
                 best, most = self._keys[index], work
         return best, most
 
-    def find_cut(self, first: int, last: int, work_s: float) -> int:
-        """Returns the last key of a part of a range that has some work.
+    def find_split(self, first: int, last: int, work_s: float) -> int:
+        """Returns where to split a range so that its head has limited work.
 
         Args:
             first: First key of the range.
-            last: Last key of the range.
-            work_s: Work that the part should have at most, in seconds; it
-                has at least one key.
+            last: Last key of the range, inclusive.
+            work_s: Maximum work on the head, in seconds.
+
+        Returns:
+            The last key of the head, which has at least one key even if that
+            key alone exceeds `work_s`.
         """
         low, high = first, last
         while low < high:
--- a/packages/direct/sycamoreloft_direct/_key_map.py
+++ b/packages/direct/sycamoreloft_direct/_key_map.py
@@ -7,9 +7,9 @@
 
 import msgpack
 
-from sycamoreloft_direct import _nodes
+from sycamoreloft_direct import _model
 
-#: What decoding raises where bytes are not what they should be.
+#: Exceptions that decoding malformed bytes may raise.
 DECODING_ERRORS = (
     ValueError,
     TypeError,
@@ -23,26 +23,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyRange:
-    """Keys that follow each other and have one owner."""
+    """A range of consecutive keys with the same owner."""
 
     #: First key.
     first: int
     #: Last key, inclusive.
     last: int
-    #: Run of the upstream that owns the keys; None for no owner.
-    owner: _nodes.UpstreamRun | None
+    #: Run of the upstream that owns the keys; None if they have no owner.
+    owner: _model.UpstreamRun | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServiceKeys:
-    """Ownership of all keys of one service.
-
-    The ranges are sorted, do not overlap, and cover every key.
-    """
+    """Ownership of all keys of one service."""
 
     #: Name of the service.
     service: str
-    #: Ranges in ascending order.
+    #: Ranges in ascending order, which cover every key exactly once.
     ranges: tuple[KeyRange, ...]
 
     def find(self, key: int) -> KeyRange:
@@ -50,12 +47,13 @@
         return self.ranges[self._find_index(key)]
 
     def assign(
-        self, first: int, last: int, owner: _nodes.UpstreamRun | None
+        self, first: int, last: int, owner: _model.UpstreamRun | None
     ) -> "ServiceKeys":
-        """Returns the ownership after a change of one range.
+        """Returns the ownership after one range has changed its owner.
 
-        Only the ranges that the change touches, and their neighbours, are
-        built anew: maps are long, and every host applies every change.
+        Only the ranges that overlap the change, and their neighbours, are
+        created anew. Copying all would be slow: maps have many ranges, and
+        every host applies every change.
         """
         low = self._find_index(first)
         high = self._find_index(last)
@@ -88,41 +86,41 @@
 class KeyMap:
     """Ownership of the keys of all sharded services."""
 
-    #: Epoch of the coordinator that wrote the map. A new coordinator raises
-    #: it, so that its fencing tokens are above all earlier ones.
+    #: Epoch of the coordinator that wrote the map. Each new coordinator
+    #: increments it, so that its fencing tokens exceed all earlier ones.
     epoch: int
-    #: Number of the change within the epoch.
+    #: Number of the map within the epoch, counted from its first change.
     revision: int
-    #: Ownership by the name of the service.
+    #: Ownership by name of the service.
     services: abc.Mapping[str, ServiceKeys]
 
     @property
     def version(self) -> tuple[int, int]:
-        """Sorts maps from old to new."""
+        """Epoch and revision. A newer map has a greater version."""
         return (self.epoch, self.revision)
 
-    def find_owner(self, service: str, key: int) -> _nodes.UpstreamRun | None:
+    def find_owner(self, service: str, key: int) -> _model.UpstreamRun | None:
         """Returns the owner of a key, or None if it has none."""
         keys = self.services.get(service)
         return keys.find(key).owner if keys is not None else None
 
 
 def create_unowned(service: str) -> ServiceKeys:
-    """Returns the keys of a service that nobody owns."""
-    return ServiceKeys(service, (KeyRange(0, _nodes.KEY_COUNT - 1, None),))
+    """Returns the ownership of a service whose keys have no owner yet."""
+    return ServiceKeys(service, (KeyRange(0, _model.KEY_COUNT - 1, None),))
 
 
 def encode_key_map(key_map: KeyMap) -> bytes:
     """Encodes a map for the store and for other hosts."""
-    runs: dict[_nodes.UpstreamRun, int] = {}
+    runs: dict[_model.UpstreamRun, int] = {}
     services = {}
     for keys in key_map.services.values():
         rows = []
-        for item in keys.ranges:
+        for key_range in keys.ranges:
             number = -1
-            if item.owner is not None:
-                number = runs.setdefault(item.owner, len(runs))
-            rows.append((item.first, number))
+            if key_range.owner is not None:
+                number = runs.setdefault(key_range.owner, len(runs))
+            rows.append((key_range.first, number))
         services[keys.service] = rows
     return bytes(
         msgpack.packb(
@@ -137,14 +135,17 @@
 
 
 def decode_key_map(data: bytes) -> KeyMap:
-    """Decodes a map.
+    """Decodes a map from the store or from another host.
 
     Raises:
-        ValueError: The bytes are not an encoded map.
+        ValueError: The bytes are malformed.
     """
     try:
         epoch, revision, pairs, services = msgpack.unpackb(data)
-        runs = [_nodes.UpstreamRun(str(run), int(born)) for run, born in pairs]
+        runs = [
+            _model.UpstreamRun(str(upstream_id), int(started_ms))
+            for upstream_id, started_ms in pairs
+        ]
         return KeyMap(
             int(epoch),
             int(revision),
@@ -158,15 +159,15 @@
 
 
 def _decode_ranges(
-    rows: typing.Any, runs: abc.Sequence[_nodes.UpstreamRun]
+    rows: typing.Any, runs: abc.Sequence[_model.UpstreamRun]
 ) -> tuple[KeyRange, ...]:
     firsts = [int(first) for first, _ in rows]
-    ends = [*firsts[1:], _nodes.KEY_COUNT]
+    ends = [*firsts[1:], _model.KEY_COUNT]
     is_sorted = all(
         first < end for first, end in zip(firsts, ends, strict=True)
     )
     if not firsts or firsts[0] != 0 or not is_sorted:
-        raise ValueError("the ranges do not cover every key once")
+        raise ValueError("the ranges do not cover every key exactly once")
     return tuple(
         KeyRange(first, end - 1, _find_run(runs, number))
         for first, end, (_, number) in zip(firsts, ends, rows, strict=True)
@@ -174,22 +175,24 @@
 
 
 def _find_run(
-    runs: abc.Sequence[_nodes.UpstreamRun], number: int
-) -> _nodes.UpstreamRun | None:
+    runs: abc.Sequence[_model.UpstreamRun], number: int
+) -> _model.UpstreamRun | None:
     if number < -1:
-        raise ValueError(f"an owner has the number {number}")
+        raise ValueError(f"owner number {number} is less than -1")
     return runs[number] if number >= 0 else None
 
 
 def _merge_neighbours(ranges: abc.Iterable[KeyRange]) -> tuple[KeyRange, ...]:
     merged: list[KeyRange] = []
-    for item in ranges:
-        if merged and merged[-1].owner == item.owner:
-            merged[-1] = KeyRange(merged[-1].first, item.last, item.owner)
+    for key_range in ranges:
+        if merged and merged[-1].owner == key_range.owner:
+            merged[-1] = KeyRange(
+                merged[-1].first, key_range.last, key_range.owner
+            )
         else:
-            merged.append(item)
+            merged.append(key_range)
     return tuple(merged)
 
 
-def _get_first(item: KeyRange) -> int:
-    return item.first
+def _get_first(key_range: KeyRange) -> int:
+    return key_range.first
--- a/packages/direct/sycamoreloft_direct/_key_planning.py
+++ b/packages/direct/sycamoreloft_direct/_key_planning.py
@@ -1,225 +1,290 @@
-"""Chooses which upstream gets which keys."""
+"""Plans which keys of a service should move to which upstream.
+
+The utilization of an upstream is its work in the window divided by its
+capacity. Its capacity is the work that its slots can do in the window.
+"""
 
 from collections import abc
 import dataclasses
 
-from sycamoreloft_direct import _key_loads, _nodes
+from sycamoreloft_direct import _key_loads, _model
 
-#: Busy share above the mean at which keys move. Below, the difference may be
-#: chance: an upstream gets some tens of requests in the window.
-IMBALANCE = 0.25
+#: How far the utilization of an upstream must exceed the mean for its keys to
+#: move. A smaller difference may be random, because an upstream gets only
+#: some tens of requests in the window.
+IMBALANCE_THRESHOLD = 0.25
 
-#: Busy share of an upstream's slots below which nothing moves.
-LEAST_PRESSURE = 0.55
+#: Utilization below which no keys move off an upstream.
+MINIMUM_UTILIZATION = 0.55
 
-#: Busy share of the slots above which requests queue often.
-QUEUEING = 0.65
+#: Utilization above which requests often queue.
+QUEUEING_UTILIZATION = 0.65
 
-#: Load over the mean that a move may give to the upstream that gets keys.
-FILL = 1.15
+#: Maximum utilization that a move may give to the receiving upstream, as a
+#: multiple of the mean.
+MAXIMUM_FILL = 1.15
 
-#: Share of an upstream's capacity that one key has to use, and how much faster
-#: another upstream has to be, for the key to move there.
-FULL, FASTER = 0.8, 1.25
+#: A single key moves if it uses more than this share of its owner's capacity
+#: and another upstream has at least this multiple of the owner's capacity.
+HOT_KEY_SHARE, SPEED_ADVANTAGE = 0.8, 1.25
 
-#: Work of a part that moves, as shares of the wanted work.
-LEAST_PART, MOST_PART = 0.1, 1.5
+#: Minimum and maximum work of the keys that move, relative to the amount of
+#: work that should move.
+MINIMUM_PART, MAXIMUM_PART = 0.1, 1.5
 
-#: Share of the capacity that an upstream has while it warms up.
+#: Capacity of an upstream that declares a warm-up, relative to its full one.
 WARM_UP_CAPACITY = 0.5
 
-#: Parts that the keys of one lost or leaving upstream are divided into.
-PARTS = 4
+#: Maximum number of parts into which the keys of one lost or leaving upstream
+#: are divided, unless they span more parts of average width.
+USUAL_MAXIMUM_PARTS = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Piece:
-    """A range of keys and the upstream that has it."""
+class OwnedRange:
+    """A range of keys and its owner, as input of a plan."""
 
     #: First key.
     first: int
     #: Last key, inclusive.
     last: int
-    #: Run of the present owner; None for no owner.
-    owner: _nodes.UpstreamRun | None
+    #: Run of the current owner; None if there is none.
+    owner: _model.UpstreamRun | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlannedMove:
-    """A range that another upstream should get."""
+    """A range of keys that should move to another upstream."""
 
     #: First key.
     first: int
     #: Last key, inclusive.
     last: int
-    #: The upstream that gets it.
-    target: _nodes.UpstreamRun
+    #: Run of the upstream that should get the keys.
+    target: _model.UpstreamRun
 
 
 class Planner:
-    """Plans for one service at one moment.
+    """Plans the moves of one service from a snapshot of its load.
 
     Args:
         upstreams: Upstreams that may own keys.
         profile: Work on the keys in the last window.
         window_s: Length of the window that the profile covers, in seconds.
-        speeds: Relative speed of upstreams by identifier.
+        speeds: Relative speed of upstreams, by identifier. It is 1.0 for an
+            upstream that is not in the mapping.
     """
 
     def __init__(
         self,
-        upstreams: abc.Iterable[_nodes.Upstream],
+        upstreams: abc.Iterable[_model.Upstream],
         profile: _key_loads.LoadProfile,
         window_s: float,
         speeds: abc.Mapping[str, float],
     ) -> None:
         self._profile = profile
         self._capacity = {
-            item.run: max(item.slots, 1)
+            upstream.run: max(upstream.slots, 1)
             * window_s
-            * speeds.get(item.id, 1.0)
-            * (WARM_UP_CAPACITY if item.warm_up_s > 0 else 1.0)
-            for item in upstreams
+            * speeds.get(upstream.id, 1.0)
+            * (WARM_UP_CAPACITY if upstream.warm_up_s > 0 else 1.0)
+            for upstream in upstreams
         }
         self._work = dict.fromkeys(self._capacity, 0.0)
 
-    def count(self, pieces: abc.Iterable[Piece]) -> None:
+    def add_work(self, owned_ranges: abc.Iterable[OwnedRange]) -> None:
         """Adds the work of pieces to their owners."""
-        for piece in pieces:
-            if piece.owner in self._work:
-                self._work[piece.owner] += self._profile.sum(
-                    piece.first, piece.last
+        for owned_range in owned_ranges:
+            if owned_range.owner in self._work:
+                self._work[owned_range.owner] += self._profile.sum(
+                    owned_range.first, owned_range.last
                 )
 
-    def place(self, piece: Piece) -> abc.Sequence[PlannedMove]:
-        """Finds owners for a piece that must leave its present owner."""
+    def plan_placement(
+        self, owned_range: OwnedRange
+    ) -> abc.Sequence[PlannedMove]:
+        """Distributes a range that has no owner or must leave its owner.
+
+        Returns:
+            Moves in ascending order of keys, which cover the whole range;
+            nothing if no upstream may own keys.
+        """
         if not self._capacity:
             return []
-        total = self._profile.sum(piece.first, piece.last)
+        total = self._profile.sum(owned_range.first, owned_range.last)
         share = self._profile.total / len(self._capacity)
-        width = piece.last - piece.first + 1
+        width = owned_range.last - owned_range.first + 1
         parts = min(
             max(1, round(total / share * 2)),
-            max(PARTS, len(self._capacity) * width // _nodes.KEY_COUNT),
+            max(
+                USUAL_MAXIMUM_PARTS,
+                len(self._capacity) * width // _model.KEY_COUNT,
+            ),
             width,
         )
         moves = []
-        first = piece.first
+        first = owned_range.first
         for number in range(parts, 0, -1):
-            last = piece.last
+            last = owned_range.last
             if number > 1:
-                rest = self._profile.sum(first, piece.last)
+                rest = self._profile.sum(first, owned_range.last)
                 last = min(
-                    self._profile.find_cut(first, piece.last, rest / number),
-                    piece.last - number + 1,
+                    self._profile.find_split(
+                        first, owned_range.last, rest / number
+                    ),
+                    owned_range.last - number + 1,
                 )
-            moves.append(self._assign(first, last))
+            moves.append(self._assign_part(first, last))
             first = last + 1
         return moves
 
-    def balance(self, pieces: abc.Sequence[Piece]) -> PlannedMove | None:
-        """Proposes one move that relieves the busiest upstream that can be.
+    def plan_move(
+        self, owned_ranges: abc.Sequence[OwnedRange]
+    ) -> PlannedMove | None:
+        """Proposes a move off the busiest upstream that can be relieved.
 
-        One key cannot be divided. Where it alone is too much for an upstream,
-        the other keys of that upstream move away.
+        A single key cannot be split. If one key alone overloads an upstream,
+        the other keys of that upstream are moved away.
+
+        Returns:
+            The move, or None if the load is balanced well enough.
         """
         if len(self._capacity) < 2:
             return None
-        move = self._find_faster(pieces)
+        move = self._plan_hot_key_move(owned_ranges)
         if move is not None:
             return move
         mean = sum(self._work.values()) / sum(self._capacity.values())
-        calmest = min(self._work, key=self._get_pressure)
-        is_new = self._work[calmest] == 0.0
-        for busiest in sorted(self._work, key=self._get_pressure, reverse=True):
-            pressure = self._get_pressure(busiest)
-            is_busy = pressure >= max(mean + IMBALANCE, LEAST_PRESSURE)
-            if busiest == calmest or not (is_busy or is_new):
+        least_busy = min(self._work, key=self._get_utilization)
+        is_new = self._work[least_busy] == 0.0
+        for busiest in sorted(
+            self._work, key=self._get_utilization, reverse=True
+        ):
+            utilization = self._get_utilization(busiest)
+            is_busy = utilization >= max(
+                mean + IMBALANCE_THRESHOLD, MINIMUM_UTILIZATION
+            )
+            if busiest == least_busy or not (is_busy or is_new):
                 return None
-            amount = self._choose_amount(busiest, calmest, mean, is_new)
-            part = self._find_part(busiest, pieces, amount)
+            amount = self._compute_amount(busiest, least_busy, mean, is_new)
+            part = self._find_part(busiest, owned_ranges, amount)
             if part is not None:
                 work = self._get_work(part)
                 self._work[busiest] -= work
-                self._work[calmest] += work
-                return PlannedMove(part.first, part.last, calmest)
+                self._work[least_busy] += work
+                return PlannedMove(part.first, part.last, least_busy)
         return None
 
-    def list_busy(self) -> list[_nodes.UpstreamRun]:
-        """Returns the upstreams whose requests have to queue."""
+    def list_queueing(self) -> list[_model.UpstreamRun]:
+        """Returns the upstreams so busy that their requests queue."""
         return [
-            run for run in self._work if self._get_pressure(run) >= QUEUEING
+            run
+            for run in self._work
+            if self._get_utilization(run) >= QUEUEING_UTILIZATION
         ]
 
-    def _find_faster(self, pieces: abc.Sequence[Piece]) -> PlannedMove | None:
-        """Moves a key that fills its owner to a much faster upstream."""
+    def _plan_hot_key_move(
+        self, owned_ranges: abc.Sequence[OwnedRange]
+    ) -> PlannedMove | None:
+        """Moves a key that uses up its owner to a much faster upstream."""
         fastest = max(self._capacity, key=self._capacity.__getitem__)
-        for piece in pieces:
-            owner = piece.owner
+        for owned_range in owned_ranges:
+            owner = owned_range.owner
             if owner is None or owner not in self._capacity:
                 continue
             capacity = self._capacity[owner]
-            if self._capacity[fastest] < FASTER * capacity:
+            if self._capacity[fastest] < SPEED_ADVANTAGE * capacity:
                 continue
-            key, work = self._profile.find_busiest(piece.first, piece.last)
-            if work > FULL * capacity:
+            key, work = self._profile.find_busiest(
+                owned_range.first, owned_range.last
+            )
+            if work > HOT_KEY_SHARE * capacity:
                 self._work[owner] -= work
                 self._work[fastest] += work
                 return PlannedMove(key, key, fastest)
         return None
 
-    def _choose_amount(
+    def _compute_amount(
         self,
-        busiest: _nodes.UpstreamRun,
-        calmest: _nodes.UpstreamRun,
+        busiest: _model.UpstreamRun,
+        least_busy: _model.UpstreamRun,
         mean: float,
         is_new: bool,
     ) -> float:
-        """Returns how much work should move from one to the other."""
+        """Returns the work that should move between two upstreams.
+
+        Args:
+            busiest: Upstream that gives keys away.
+            least_busy: Upstream that gets them.
+            mean: Mean utilization of all upstreams.
+            is_new: Whether the least busy upstream has no work at all.
+
+        Returns:
+            Work per window, in seconds.
+        """
         if is_new:
-            return min(mean * self._capacity[calmest], self._work[busiest] / 2)
-        low = self._get_pressure(calmest)
-        high = self._get_pressure(busiest)
+            return min(
+                mean * self._capacity[least_busy], self._work[busiest] / 2
+            )
+        low = self._get_utilization(least_busy)
+        high = self._get_utilization(busiest)
         return min(
             (high - mean) * self._capacity[busiest],
-            (mean * FILL - low) * self._capacity[calmest],
+            (mean * MAXIMUM_FILL - low) * self._capacity[least_busy],
         )
 
     def _find_part(
         self,
-        owner: _nodes.UpstreamRun,
-        pieces: abc.Sequence[Piece],
+        owner: _model.UpstreamRun,
+        owned_ranges: abc.Sequence[OwnedRange],
         amount: float,
-    ) -> Piece | None:
-        """Finds keys of an owner with about the given work."""
-        least = amount * LEAST_PART
-        owned = [piece for piece in pieces if piece.owner == owner]
-        for piece in sorted(owned, key=self._get_work, reverse=True):
-            if self._get_work(piece) < least:
+    ) -> OwnedRange | None:
+        """Returns a part of an owner's ranges that has about some work.
+
+        The ranges are searched from the one with the most work down. Of the
+        suitable parts of a range, the one with the fewest keys is returned;
+        None if there is none.
+        """
+        least = amount * MINIMUM_PART
+        owned = [
+            owned_range
+            for owned_range in owned_ranges
+            if owned_range.owner == owner
+        ]
+        for owned_range in sorted(owned, key=self._get_work, reverse=True):
+            if self._get_work(owned_range) < least:
                 return None
             parts = [
                 part
-                for part in self._list_cuts(piece, amount)
-                if least <= self._get_work(part) <= amount * MOST_PART
+                for part in self._propose_parts(owned_range, amount)
+                if least <= self._get_work(part) <= amount * MAXIMUM_PART
             ]
             if parts:
                 return min(parts, key=lambda part: part.last - part.first)
         return None
 
-    def _list_cuts(self, piece: Piece, amount: float) -> abc.Iterator[Piece]:
-        """Proposes parts of a piece with about the given work."""
-        first, last, owner = piece.first, piece.last, piece.owner
-        yield Piece(first, self._profile.find_cut(first, last, amount), owner)
-        rest = self._get_work(piece) - amount
+    def _propose_parts(
+        self, owned_range: OwnedRange, amount: float
+    ) -> abc.Iterator[OwnedRange]:
+        """Yields parts of a range that have about some work."""
+        first, last, owner = (
+            owned_range.first,
+            owned_range.last,
+            owned_range.owner,
+        )
+        yield OwnedRange(
+            first, self._profile.find_split(first, last, amount), owner
+        )
+        rest = self._get_work(owned_range) - amount
         if rest > 0 and first < last:
-            head = self._profile.find_cut(first, last, rest)
-            yield Piece(min(head + 1, last), last, owner)
+            head = self._profile.find_split(first, last, rest)
+            yield OwnedRange(min(head + 1, last), last, owner)
         if first < last:
-            # Where the first or last key alone is too much.
-            yield Piece(first + 1, last, owner)
-            yield Piece(first, last - 1, owner)
+            # The first or the last key alone may be too hot: move the rest.
+            yield OwnedRange(first + 1, last, owner)
+            yield OwnedRange(first, last - 1, owner)
 
-    def _assign(self, first: int, last: int) -> PlannedMove:
+    def _assign_part(self, first: int, last: int) -> PlannedMove:
         work = self._profile.sum(first, last)
         target = min(
             self._capacity,
@@ -228,8 +293,8 @@
         self._work[target] += work
         return PlannedMove(first, last, target)
 
-    def _get_pressure(self, run: _nodes.UpstreamRun) -> float:
+    def _get_utilization(self, run: _model.UpstreamRun) -> float:
         return self._work[run] / self._capacity[run]
 
-    def _get_work(self, piece: Piece) -> float:
-        return self._profile.sum(piece.first, piece.last)
+    def _get_work(self, owned_range: OwnedRange) -> float:
+        return self._profile.sum(owned_range.first, owned_range.last)
--- a/packages/direct/sycamoreloft_direct/_key_segments.py
+++ b/packages/direct/sycamoreloft_direct/_key_segments.py
@@ -1,34 +1,34 @@
-"""State of one range of keys while a coordinator looks after it."""
+"""State of each range of keys at the coordinator."""
 
 from collections import abc
 import dataclasses
 import enum
 import itertools
 
-from sycamoreloft_direct import _lease_ends, _nodes, _owner_changes
+from sycamoreloft_direct import _lease_ends, _model, _owner_changes
 
 _CAUSE = _owner_changes.ChangeCause
 
 
 class Phase(enum.Enum):
-    """What happens to the keys of a segment."""
+    """Step in the assignment of a segment's keys."""
 
-    #: Nobody owns the keys; they can be placed once all leases are over.
+    #: The keys have no owner. They can be assigned once all leases have ended.
     VACANT = "vacant"
-    #: The new owner waits for the map to be recorded.
+    #: The keys have a new owner, which is being recorded in the store.
     RECORDING = "recording"
-    #: The owner is granted the keys again and again.
+    #: The owner is recorded, and its lease is renewed periodically.
     HELD = "held"
-    #: A move began: the owner gets a fencing token above all earlier ones, so
-    #: that it refuses every earlier grant that is still on its way.
+    #: A move began: the owner is granted a fencing token above all earlier
+    #: ones, so that it refuses every earlier grant that is still in transit.
     SEALING = "sealing"
-    #: The owner is told to stop new work on the keys.
+    #: The owner was sealed, and is ordered to release the keys.
     RELEASING = "releasing"
 
 
 @dataclasses.dataclass(slots=True)
 class Segment:
-    """A range of keys of one service."""
+    """A range of keys of one service, and the state of its assignment."""
 
     #: Name of the service.
     service: str
@@ -36,49 +36,51 @@
     first: int
     #: Last key, inclusive.
     last: int
-    #: What happens to the keys.
+    #: Current step of the assignment.
     phase: Phase
-    #: Run that owns the keys or gets them; None for no owner.
-    owner: _nodes.UpstreamRun | None = None
-    #: Run that the keys move to; None if it is to be chosen.
-    target: _nodes.UpstreamRun | None = None
-    #: Fencing token of the latest grant; 0 if a new one is needed.
+    #: Run that owns the keys or is about to own them; None for no owner.
+    owner: _model.UpstreamRun | None = None
+    #: Run that the keys are moving to; None if no target has been chosen.
+    target: _model.UpstreamRun | None = None
+    #: Fencing token of the latest grant; 0 if a new token is needed.
     fence: int = 0
-    #: State handed over by the last owner, empty for none.
+    #: State handed over by the previous owner; empty for none.
     handover: str = ""
-    #: Whether the owner has taken the keys.
-    is_taken: bool = False
-    #: Token up to which the upstream that had the keys refuses grants.
+    #: Whether the owner has accepted a grant of the keys.
+    is_accepted: bool = False
+    #: Highest token that the latest owner of the keys refuses in grants.
     refused_fence: int = 0
-    #: Time before which it is known that leases are not over.
+    #: Earliest time at which the leases on the keys can have ended, as far as
+    #: it has been computed, in seconds; 0 if it has to be computed anew.
     leased_until: float = 0.0
-    #: When the next order is due.
+    #: When the next order is due, in seconds.
     due_at: float = 0.0
-    #: Order that has not been answered; 0 for none.
+    #: Number of the unanswered order; 0 for none.
     order: int = 0
-    #: Orders in a row that were not answered.
+    #: Number of successive orders that failed.
     failures: int = 0
     #: Revision of the map that must be recorded before the first grant.
     revision: int = 0
-    #: Whether a later coordinator was seen; nothing more is sent then.
+    #: Whether the owner has seen a later coordinator. No more orders are sent
+    #: then.
     is_superseded: bool = False
-    #: Run that the keys were taken from last; None for none.
-    old_owner: _nodes.UpstreamRun | None = None
-    #: Token of the last order to it.
+    #: Run that last lost the keys; None for none.
+    old_owner: _model.UpstreamRun | None = None
+    #: Token of the last order to `old_owner`.
     old_fence: int = 0
-    #: Why the keys could be taken from it.
+    #: Why the keys of `old_owner` could be reassigned.
     cause: _owner_changes.ChangeCause = _CAUSE.UNOWNED
 
     @property
     def is_moving(self) -> bool:
-        """Whether requests for the keys have to wait for a moment."""
+        """Whether the keys are changing owners, so that requests must wait."""
         if self.phase is Phase.HELD:
-            return not self.is_taken
+            return not self.is_accepted
         return self.phase is not Phase.VACANT or self.target is not None
 
     @property
-    def is_calm(self) -> bool:
-        """Whether the owner holds the keys and nothing is under way."""
+    def is_stable(self) -> bool:
+        """Whether the owner holds the keys and no order is outstanding."""
         return (
             self.phase is Phase.HELD
             and self.order == 0
@@ -87,23 +89,23 @@
         )
 
     def copy_part(self, first: int, last: int) -> "Segment":
-        """Returns a segment for a part of the keys, in the same state."""
+        """Returns a segment for some of the keys, in the same state."""
         return dataclasses.replace(self, first=first, last=last)
 
 
 class SegmentTable:
-    """All segments of a coordinator, and the tokens of their grants.
+    """All segments of a coordinator, and the source of fencing tokens.
 
     Args:
-        fence: Fencing token below all that the table creates.
-        leases: Grants whose leases may not be over.
+        fence: Fencing token. All tokens that the table creates are higher.
+        leases: Grants whose leases may not have ended.
     """
 
     def __init__(self, fence: int, leases: _lease_ends.LeaseEnds) -> None:
         self._fence = fence
         self._leases = leases
         self._segments: list[Segment] = []
-        #: Changes of owner since the list was replaced.
+        #: Changes of owner since the coordinator last replaced this list.
         self.changes: list[_owner_changes.OwnerChange] = []
 
     def __iter__(self) -> abc.Iterator[Segment]:
@@ -111,18 +113,22 @@
 
     def list_service(self, service: str) -> list[Segment]:
         """Returns the segments of one service."""
-        return [item for item in self._segments if item.service == service]
+        return [
+            segment for segment in self._segments if segment.service == service
+        ]
 
     def list_services(self) -> list[str]:
         """Returns the names of the services."""
-        return sorted({item.service for item in self._segments})
+        return sorted({segment.service for segment in self._segments})
 
     def count_unheld(self) -> int:
-        """Counts the keys that no upstream is known to hold."""
+        """Returns the number of keys that no upstream is known to hold."""
         return sum(
             segment.last - segment.first + 1
             for segment in self._segments
-            if segment.owner is None or not segment.is_taken or segment.failures
+            if segment.owner is None
+            or not segment.is_accepted
+            or segment.failures
         )
 
     def add(self, segment: Segment) -> None:
@@ -134,35 +140,35 @@
         self._fence += 1
         return self._fence
 
-    def find_lease_end(self, segment: Segment) -> float:
-        """Returns when nobody can hold the keys, unless granted again.
+    def compute_lease_end(self, segment: Segment) -> float:
+        """Returns when all leases on the keys granted so far have ended.
 
         Returns:
-            A time in seconds; `OPEN` while a grant may still arrive.
+            A time in seconds; `OPEN_END` while a grant may still arrive.
         """
-        return self._leases.find_end(
+        return self._leases.compute_end(
             segment.service, segment.first, segment.last, segment.refused_fence
         )
 
     def is_free(self, segment: Segment, now: float) -> bool:
-        """Tells whether the keys can be given to another upstream."""
+        """Returns whether the keys can be granted to another upstream."""
         if now < segment.leased_until:
             return False
-        end = self.find_lease_end(segment)
-        if end == _lease_ends.OPEN:
+        end = self.compute_lease_end(segment)
+        if end == _lease_ends.OPEN_END:
             return False
         segment.leased_until = end
         return now >= end
 
-    def note_refused(self, segment: Segment, fence: int) -> None:
-        """Notes that the upstream refuses grants up to a token."""
+    def set_refused_fence(self, segment: Segment, fence: int) -> None:
+        """Records that the upstream refuses grants up to a token."""
         segment.refused_fence = fence
         segment.leased_until = 0.0
 
-    def note_freed(
+    def save_previous_owner(
         self, segment: Segment, cause: _owner_changes.ChangeCause
     ) -> None:
-        """Notes why the owner has the keys no more."""
+        """Records the owner that is losing the keys, and why it does."""
         segment.old_owner = segment.owner
         segment.old_fence = segment.fence
         segment.cause = cause
@@ -170,23 +176,26 @@
     def vacate(
         self, segment: Segment, cause: _owner_changes.ChangeCause
     ) -> None:
-        """Takes the keys from their owner."""
-        self.note_freed(segment, cause)
+        """Removes the owner of the keys."""
+        self.save_previous_owner(segment, cause)
         segment.phase = Phase.VACANT
         segment.owner = None
         segment.order = 0
         segment.failures = 0
         segment.due_at = 0.0
 
-    def record(
+    def assign_owner(
         self,
         segment: Segment,
-        owner: _nodes.UpstreamRun,
+        owner: _model.UpstreamRun,
         revision: int,
     ) -> None:
-        """Gives the keys to an owner, once a revision is in the store."""
+        """Assigns the keys to an owner.
+
+        They are granted once the store has recorded the revision of the map.
+        """
         segment.phase = Phase.RECORDING
-        segment.is_taken = False
+        segment.is_accepted = False
         segment.owner = owner
         segment.target = None
         segment.order = 0
@@ -210,19 +219,22 @@
         )
 
     def begin_move(
-        self, segment: Segment, target: _nodes.UpstreamRun, now: float
+        self, segment: Segment, target: _model.UpstreamRun, now: float
     ) -> None:
-        """Begins to move the keys to another upstream."""
+        """Starts moving the keys to another upstream."""
         segment.phase = Phase.SEALING
         segment.target = target
         segment.fence = self.create_fence()
-        # A renewal that is under way no longer matters.
+        # The result of an outstanding renewal no longer matters.
         segment.order = 0
         segment.due_at = min(now, segment.due_at)
         segment.failures = 0
 
-    def cut(self, segment: Segment, first: int, last: int) -> Segment:
-        """Cuts a part out of a segment; the rest stays in its state."""
+    def extract(self, segment: Segment, first: int, last: int) -> Segment:
+        """Narrows a segment to a part of its keys.
+
+        The other keys go to new segments in the same state.
+        """
         if segment.first < first:
             self._insert_part(segment.copy_part(segment.first, first - 1))
         if last < segment.last:
@@ -230,8 +242,8 @@
         segment.first, segment.last = first, last
         return segment
 
-    def cut_head(self, segment: Segment, last: int) -> Segment:
-        """Cuts the keys up to one off a segment, and returns them."""
+    def split_head(self, segment: Segment, last: int) -> Segment:
+        """Splits off the keys up to `last`, and returns their segment."""
         if last >= segment.last:
             return segment
         part = segment.copy_part(segment.first, last)
@@ -240,12 +252,12 @@
         return part
 
     def merge(self, service: str) -> None:
-        """Joins neighbours with one owner; they need one order then."""
+        """Merges adjacent segments of an owner, so that one order suffices."""
         segments = sorted(
-            self.list_service(service), key=lambda item: item.first
+            self.list_service(service), key=lambda segment: segment.first
         )
         for left, right in itertools.pairwise(segments):
-            if left.owner == right.owner and left.is_calm and right.is_calm:
+            if left.owner == right.owner and left.is_stable and right.is_stable:
                 right.first = left.first
                 right.fence = self.create_fence()
                 right.due_at = min(left.due_at, right.due_at)
@@ -256,7 +268,7 @@
                 self._segments.remove(left)
 
     def _insert_part(self, part: Segment) -> None:
-        # The answer to an order under way is not the part's.
+        # The result of an outstanding order applies to the original segment.
         if part.order:
             part.order = 0
             part.due_at = 0.0
--- a/packages/direct/sycamoreloft_direct/_lease_ends.py
+++ b/packages/direct/sycamoreloft_direct/_lease_ends.py
@@ -1,26 +1,27 @@
-"""Until when upstreams may hold keys because of grants that were sent.
+"""Tracks until when upstreams may hold keys under grants that were sent.
 
-A lease counts from the arrival of its grant. A grant may arrive as long as its
-call is open, so keys under an open call have no end yet, and a call that ended
-without an answer may have arrived at its very end. Whoever gives keys to
-another upstream asks here, and nowhere else, whether that is safe.
+A lease begins when its grant arrives, which may be at any time while the call
+is open. The end of a lease is therefore unknown until its call has ended. A
+grant whose call ended without an answer may have arrived at the very end of
+the call. This module alone determines when it is safe to grant keys to another
+upstream.
 """
 
 import dataclasses
 
-from sycamoreloft_direct import _key_commands, _nodes, _owner_changes
+from sycamoreloft_direct import _key_commands, _model, _owner_changes
 
-#: End of leases whose grant may still arrive.
-OPEN = float("inf")
+#: End of a lease whose grant may still arrive.
+OPEN_END = float("inf")
 
-#: Seconds for which a lease that is over is remembered, so that the logs can
-#: tell what a change of owner waited for.
-KEEP_S = 5.0
+#: Seconds for which an ended lease is remembered, so that the logs can show
+#: which leases a change of owner waited for.
+ENDED_LEASE_HISTORY_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Claim:
-    """Keys that a grant may have given to an upstream."""
+    """Keys that an upstream may hold because of a grant."""
 
     #: Name of the service.
     service: str
@@ -30,13 +31,16 @@
     last: int
     #: Fencing token of the grant.
     fence: int
-    #: Run of the upstream that it was sent to.
-    run: _nodes.UpstreamRun
+    #: Run of the upstream that the grant was sent to.
+    run: _model.UpstreamRun
 
-    def concerns(
+    def overlaps(
         self, service: str, first: int, last: int, above_fence: int
     ) -> bool:
-        """Tells whether the claim is for any of some keys."""
+        """Returns whether the claim covers any key of a range.
+
+        Claims with a token up to `above_fence` are ignored.
+        """
         return (
             self.fence > above_fence
             and self.service == service
@@ -46,19 +50,20 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _End:
-    """The end of the lease of a claim, and where it comes from."""
+class _LeaseEnd:
+    """The end of a claim's lease, and what it is based on."""
 
-    #: When the lease is over.
-    at: float
-    #: When the call ended, or the earlier coordinator's last decision.
+    #: When the lease ends, in seconds.
+    ends_at: float
+    #: When the call ended, or the latest time at which an earlier coordinator
+    #: may have decided to send the grant, in seconds.
     closed_at: float
-    #: Whether the grant is an earlier coordinator's.
+    #: Whether the grant is assumed to come from an earlier coordinator.
     is_assumed: bool = False
 
 
 class LeaseEnds:
-    """Remembers the grants whose leases may not be over.
+    """Remembers the grants whose leases may not have ended.
 
     Args:
         times: Durations of key leases.
@@ -67,20 +72,20 @@
     def __init__(self, times: _key_commands.LeaseTimes) -> None:
         self._times = times
         self._open: dict[int, tuple[_Claim, float]] = {}
-        self._ends: dict[_Claim, _End] = {}
-        self._ended_runs: set[_nodes.UpstreamRun] = set()
+        self._ends: dict[_Claim, _LeaseEnd] = {}
+        self._ended_runs: set[_model.UpstreamRun] = set()
         self._sweep_at = 0.0
 
-    def assume(
+    def assume_earlier_grants(
         self,
         service: str,
         first: int,
         last: int,
-        run: _nodes.UpstreamRun,
+        run: _model.UpstreamRun,
         fence: int,
         sent_until: float,
     ) -> None:
-        """Counts with grants of an earlier coordinator.
+        """Assumes that an earlier coordinator granted keys to their owner.
 
         Args:
             service: Name of the service.
@@ -88,66 +93,71 @@
             last: Last key, inclusive.
             run: Run of the owner.
             fence: Highest token that the grants may have.
-            sent_until: Time until which it may have decided for a grant.
+            sent_until: Time until which the earlier coordinator may have
+                decided to send a grant, in seconds.
         """
         claim = _Claim(service, first, last, fence, run)
         arrived_at = sent_until + self._times.grant_travel_s
-        self._ends[claim] = _End(
-            arrived_at + self._find_length(self._times.hold_s),
+        self._ends[claim] = _LeaseEnd(
+            arrived_at + self._compute_lease_s(self._times.hold_s),
             sent_until,
             is_assumed=True,
         )
 
-    def open(self, order: _key_commands.SendGrant) -> None:
-        """Notes a grant that is about to be sent."""
+    def open_call(self, order: _key_commands.SendGrant) -> None:
+        """Records a grant that is about to be sent."""
         claim = _Claim(
             order.service, order.first, order.last, order.fence, order.run
         )
         self._open[order.order] = (claim, order.hold_s)
 
-    def close(self, order: int, now: float, may_have_arrived: bool) -> None:
-        """Notes that the call of a grant ended.
+    def close_call(
+        self, order: int, now: float, may_have_arrived: bool
+    ) -> None:
+        """Records that the call of a grant has ended.
 
         Args:
-            order: The order.
-            now: Time, in seconds. What is not on its way by now never
+            order: Number of the order.
+            now: Time, in seconds. A grant that is not in transit by now never
                 arrives.
-            may_have_arrived: Whether the upstream may have got the grant.
+            may_have_arrived: Whether the upstream may have received the
+                grant.
         """
         claim, hold_s = self._open.pop(order)
         if may_have_arrived:
-            end = now + self._times.margin_s + self._find_length(hold_s)
+            end = now + self._times.margin_s + self._compute_lease_s(hold_s)
             known = self._ends.get(claim)
-            if known is None or known.at <= end:
-                self._ends[claim] = _End(end, now)
+            if known is None or known.ends_at <= end:
+                self._ends[claim] = _LeaseEnd(end, now)
         if now >= self._sweep_at:
             self._sweep_at = now + self._times.hold_s
-            self._drop_over(now)
+            self._drop_ended(now)
 
-    def end_run(self, run: _nodes.UpstreamRun) -> None:
-        """Notes that a run has ended: it holds nothing, and never will."""
+    def end_run(self, run: _model.UpstreamRun) -> None:
+        """Records that a run has ended, so that it can hold no keys."""
         self._ended_runs.add(run)
 
-    def find_end(
+    def compute_end(
         self, service: str, first: int, last: int, above_fence: int
     ) -> float:
-        """Returns when nobody can hold any of some keys any more.
+        """Returns when the last lease on any key of a range ends.
 
         Args:
             service: Name of the service.
             first: First key.
             last: Last key, inclusive.
-            above_fence: Token up to which the upstream refuses grants by now.
+            above_fence: Token up to which the upstream now refuses grants.
+                Such grants are ignored.
 
         Returns:
-            A time in seconds; `OPEN` while a grant may still arrive.
+            A time in seconds; `OPEN_END` while a grant may still arrive.
         """
         keys = (service, first, last, above_fence)
         if any(self._may_hold(claim, keys) for claim, _ in self._open.values()):
-            return OPEN
+            return OPEN_END
         return max(
             (
-                end.at
+                end.ends_at
                 for claim, end in self._ends.items()
                 if self._may_hold(claim, keys)
             ),
@@ -157,38 +167,47 @@
     def list_claims(
         self, service: str, first: int, last: int, above_fence: int
     ) -> list[_owner_changes.LeaseClaim]:
-        """Lists the known grants of some keys, also those that do not count.
+        """Lists the known grants of some keys, including ignored ones.
 
-        Takes the same arguments as `find_end`.
+        Takes the same arguments as `compute_end`.
 
         Returns:
-            Those that a change of owner waits for first, then by the end of
-            the lease, the latest first.
+            The grants, first those that a change of owner waits for. Each of
+            the two groups is sorted by the end of the lease, latest first.
         """
         claims = [
             self._describe(claim, None, above_fence)
             for claim, _ in self._open.values()
-            if claim.concerns(service, first, last, 0)
+            if claim.overlaps(service, first, last, 0)
         ] + [
             self._describe(claim, end, above_fence)
             for claim, end in self._ends.items()
-            if claim.concerns(service, first, last, 0)
+            if claim.overlaps(service, first, last, 0)
         ]
         counted = _owner_changes.ClaimState.COUNTED
         return sorted(
-            claims, key=lambda item: (item.state is not counted, -item.end)
+            claims, key=lambda claim: (claim.state is not counted, -claim.end)
         )
 
-    def find_hold(self, now: float, end: float) -> float:
-        """Returns the longest lease, decided now, that is over at a time."""
+    def compute_hold_s(self, now: float, end: float) -> float:
+        """Returns the longest lease to request so that it ends by a time.
+
+        Args:
+            now: Time of the decision to send the grant, in seconds.
+            end: When the lease must have ended, in seconds.
+
+        Returns:
+            Duration of the lease, in seconds; not positive if the grant could
+            arrive too late.
+        """
         arrived_at = now + self._times.grant_travel_s
         return (end - arrived_at) / (1 + self._times.drift)
 
     def _may_hold(self, claim: _Claim, keys: tuple[str, int, int, int]) -> bool:
-        return claim.run not in self._ended_runs and claim.concerns(*keys)
+        return claim.run not in self._ended_runs and claim.overlaps(*keys)
 
     def _describe(
-        self, claim: _Claim, end: _End | None, above_fence: int
+        self, claim: _Claim, end: _LeaseEnd | None, above_fence: int
     ) -> _owner_changes.LeaseClaim:
         state = _owner_changes.ClaimState.COUNTED
         if claim.run in self._ended_runs:
@@ -202,17 +221,17 @@
             claim.run,
             end is not None and end.is_assumed,
             end.closed_at if end is not None else None,
-            end.at if end is not None else OPEN,
+            end.ends_at if end is not None else OPEN_END,
             state,
         )
 
-    def _find_length(self, hold_s: float) -> float:
-        """Returns how long a lease may last by an upstream's clock."""
+    def _compute_lease_s(self, hold_s: float) -> float:
+        """Returns the maximum duration of a lease given clock drift."""
         return hold_s * (1 + self._times.drift)
 
-    def _drop_over(self, now: float) -> None:
+    def _drop_ended(self, now: float) -> None:
         self._ends = {
             claim: end
             for claim, end in self._ends.items()
-            if end.at + KEEP_S > now
+            if end.ends_at + ENDED_LEASE_HISTORY_S > now
         }
--- a/packages/direct/sycamoreloft_direct/_retry_budgets.py
+++ b/packages/direct/sycamoreloft_direct/_retry_budgets.py
@@ -1,14 +1,14 @@
-"""Retry budgets of one host."""
+"""Budgets that limit how many requests one host retries."""
 
 import collections
 
-#: Retries for a service that a host allows before it knows how many hosts
-#: there are. That takes about a second after its start.
-FIRST_RESERVE = 1.0
+#: Retries for a service that a host allows in each window until it knows how
+#: many hosts there are, which takes about a second after its start.
+INITIAL_RESERVE = 1.0
 
 
 class RetryBudget:
-    """Allows retries up to a share of the recent requests."""
+    """Limits retries to a share of the recent requests."""
 
     def __init__(
         self, share: float = 0.1, window_s: int = 10, reserve: float = 3
@@ -17,8 +17,8 @@
 
         Args:
             share: Retries as a share of first attempts.
-            window_s: Whole seconds that count as recent.
-            reserve: Retries allowed in a window with few requests, so that a
+            window_s: Length of the sliding window, in whole seconds.
+            reserve: Minimum number of retries allowed in a window, so that a
                 host with little traffic can retry at all.
         """
         self._share = share
@@ -28,25 +28,25 @@
         self._retries: collections.deque[list[int]] = collections.deque()
 
     def change_reserve(self, reserve: float) -> None:
-        """Changes the retries allowed in a window with few requests."""
+        """Changes the minimum number of retries allowed in a window."""
         self._reserve = reserve
 
     def record_request(self, now: float) -> None:
         """Counts the first attempt of a request."""
-        # A host whose requests do not fail never takes a retry, so that the
-        # old counts have to go here as well.
+        # Old counts must be dropped here too: a host whose requests do not
+        # fail never spends a retry, and its counts would grow without limit.
         _forget_until(self._requests, int(now) - self._window_s)
         _count(self._requests, now)
 
     def try_spend(self, now: float) -> bool:
-        """Takes one retry from the budget; False if it is used up."""
-        if self.count_left(now) < 1:
+        """Spends one retry; returns False if the budget is used up."""
+        if self.count_remaining(now) < 1:
             return False
         _count(self._retries, now)
         return True
 
-    def count_left(self, now: float) -> float:
-        """Returns how many retries are allowed at present."""
+    def count_remaining(self, now: float) -> float:
+        """Returns how many retries the budget still allows."""
         oldest = int(now) - self._window_s
         requests = _sum_since(self._requests, oldest)
         retries = _sum_since(self._retries, oldest)
@@ -56,27 +56,28 @@
 class ServiceRetryBudgets:
     """Retry budgets of one host, one for each service.
 
-    The limit holds for each service and for all hosts together. Each host
-    retries in proportion to its own requests, so that the sum keeps the limit
-    without a word between the hosts, whichever of them come and go. What is
-    allowed besides is divided by the number of hosts.
+    The limit of a service applies to all hosts together. Each host limits its
+    retries to the same share of its own requests, so the sum stays within the
+    limit without coordination, even when hosts come and go. The slack is
+    divided by the number of hosts.
 
     Args:
         share: Retries as a share of the requests for a service.
-        window_s: Whole seconds that count as recent.
-        slack: Retries for a service allowed besides, for all hosts together.
+        window_s: Length of the sliding window, in whole seconds.
+        slack: Minimum number of retries that all hosts together may send for
+            a service in a window.
     """
 
     def __init__(self, share: float, window_s: int, slack: float) -> None:
         self._share = share
         self._window_s = window_s
         self._slack = slack
-        #: Most hosts ever noted, 0 before the first note.
+        #: Highest number of hosts ever reported; 0 before the first report.
         self.host_count = 0
         self._budgets: dict[str, RetryBudget] = {}
 
     def update_host_count(self, count: int) -> None:
-        """Notes how many hosts there are; the most ever noted counts."""
+        """Sets the number of hosts that share the slack, if it is higher."""
         if count <= self.host_count:
             return
         self.host_count = count
@@ -84,7 +85,7 @@
             budget.change_reserve(self._slack / count)
 
     def set_limits(self, share: float, window_s: int, slack: float) -> None:
-        """Changes the limits, if they are others; counting starts anew."""
+        """Replaces the limits; if they changed, all counts are reset."""
         if (share, window_s, slack) == (
             self._share,
             self._window_s,
@@ -95,24 +96,24 @@
         self._budgets.clear()
 
     def record_request(self, service: str, now: float) -> None:
-        """Counts the first attempt of a request."""
-        self._find(service).record_request(now)
+        """Counts the first attempt of a request for a service."""
+        self._get_budget(service).record_request(now)
 
     def try_spend(self, service: str, now: float) -> bool:
-        """Takes one retry from a budget; False if it is used up."""
-        return self._find(service).try_spend(now)
+        """Spends one retry of a service; returns False if none is left."""
+        return self._get_budget(service).try_spend(now)
 
     def list_remaining(self, now: float) -> dict[str, float]:
-        """Returns how many retries are allowed at present, by service."""
+        """Returns how many retries each service's budget still allows."""
         return {
-            service: budget.count_left(now)
+            service: budget.count_remaining(now)
             for service, budget in self._budgets.items()
         }
 
-    def _find(self, service: str) -> RetryBudget:
+    def _get_budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            reserve = FIRST_RESERVE
+            reserve = INITIAL_RESERVE
             if self.host_count:
                 reserve = self._slack / self.host_count
             budget = RetryBudget(self._share, self._window_s, reserve)
@@ -129,12 +130,12 @@
 
 
 def _sum_since(counts: collections.deque[list[int]], oldest: int) -> int:
-    """Sums the counts after the second `oldest`, and forgets earlier ones."""
+    """Sums the counts after the second `oldest` and drops earlier ones."""
     _forget_until(counts, oldest)
     return sum(count for _, count in counts)
 
 
 def _forget_until(counts: collections.deque[list[int]], oldest: int) -> None:
-    """Forgets the counts up to the second `oldest`."""
+    """Drops the counts up to and including the second `oldest`."""
     while counts and counts[0][0] <= oldest:
         counts.popleft()
--- a/packages/direct/sycamoreloft_direct/_revocations.py
+++ b/packages/direct/sycamoreloft_direct/_revocations.py
@@ -1,46 +1,49 @@
-"""Releases keys at owners that lost them without answering.
-
-A grant that was on its way when a network cut began may arrive when the cut
-ends, however long that is after the wait for its lease. The upstream would
-hold keys that another one has by then. A release with a newer fencing token
-makes it refuse such a grant, or ends what it already took. The release is
-therefore repeated until the upstream answers it, or for `GIVE_UP_S`.
+"""Revokes keys from owners that lost them without answering.
+
+If a network partition begins while a grant is in transit, the grant may arrive
+when the partition ends, long after the coordinator waited for its lease. The
+upstream would then hold keys that another upstream owns. A release with a
+newer fencing token makes the upstream refuse such a grant, or ends the lease
+if the grant has already arrived. The release is therefore repeated until the
+upstream answers it, or until `GIVE_UP_S` has passed.
 """
 
 from collections import abc
 import dataclasses
 
-from sycamoreloft_direct import _key_commands, _nodes
+from sycamoreloft_direct import _key_commands, _model
 
-#: Seconds between the end of a try and the next one. A cut can end at any
-#: moment, and the release should arrive as soon as a late grant can.
+#: Seconds between the end of an attempt and the next one. A network partition
+#: can end at any moment, and the release should arrive as soon as a late grant
+#: can.
 RETRY_S = 0.1
 
-#: Seconds for which tries follow each other so closely: most cuts and
-#: restarts are over then.
+#: Seconds for which attempts follow at this short interval. Most partitions
+#: and restarts are over by then.
 FAST_RETRY_PERIOD_S = 10.0
 
-#: Seconds between two tries after that.
+#: Seconds between two attempts after that.
 SLOW_RETRY_S = 1.0
 
-#: Releases under way at once, unless an upstream answered a moment ago.
+#: Maximum number of concurrent releases, unless an upstream has just answered.
 MAXIMUM_OPEN_ORDERS = 8
 
-#: Seconds after an answer for which all upstreams are tried: a cut that ended
-#: for one has ended for others.
-ANSWERED_S = 1.0
+#: Seconds after an answer during which all upstreams are tried without that
+#: limit: a partition that ended for one upstream has likely ended for others.
+RECENT_ANSWER_S = 1.0
 
-#: Seconds after which an upstream that never answered is given up.
+#: Seconds after which the coordinator gives up on an upstream that lost keys
+#: and never answered.
 GIVE_UP_S = 600.0
 
-#: The same for one that is not known to have lost keys. It gets none until
-#: then, although it may be sound.
-PRECAUTION_S = 5.0
+#: The same for an upstream that is not known to have lost keys. It is shorter
+#: because the upstream gets no keys until then, although it may be healthy.
+PRECAUTION_GIVE_UP_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LostKeys:
-    """Keys that were taken from an owner without its answer."""
+    """Keys that were reassigned without an answer from their owner."""
 
     #: Name of the service.
     service: str
@@ -52,30 +55,30 @@
 
 @dataclasses.dataclass(slots=True)
 class _Revocation:
-    """What is left to be released at one upstream."""
-
-    #: The upstream as it was listed last.
-    upstream: _nodes.Upstream
-    #: When keys were taken last, in seconds.
-    since: float
-    #: When the upstream is given up, in seconds.
-    until: float
-    #: When the next try is due, in seconds.
+    """Keys that one upstream still has to release."""
+
+    #: The last entry of the upstream in service discovery.
+    upstream: _model.Upstream
+    #: When the upstream last lost keys, in seconds.
+    lost_at: float
+    #: When to give up on the upstream, in seconds.
+    give_up_at: float
+    #: When the next attempt is due, in seconds.
     due_at: float
-    #: Keys that it has not released.
+    #: Keys that the upstream has not released. An order releases the first.
     keys: list[LostKeys]
-    #: Order that has not ended; 0 for none.
+    #: Number of the outstanding order; 0 for none.
     order: int = 0
 
 
 class Revocations:
-    """Remembers which owners still have to release lost keys.
+    """Tracks which owners still have to release keys that they lost.
 
     Args:
         create_fence: Returns a fencing token above all earlier ones.
-        create_order: Returns a number for an order.
-        has_predecessor: Whether an earlier coordinator may have taken keys
-            from upstreams that did not answer it.
+        create_order: Returns the number of a new order.
+        has_predecessor: Whether an earlier coordinator may have reassigned
+            keys of upstreams that did not answer it.
     """
 
     def __init__(
@@ -88,22 +91,22 @@
         self._create_fence = create_fence
         self._create_order = create_order
         self._has_predecessor = has_predecessor
-        # Entries of owners, also of those that discovery lists no more.
-        self._entries: dict[_nodes.UpstreamRun, _nodes.Upstream] = {}
-        self._listed: abc.Set[_nodes.UpstreamRun] = frozenset()
-        self._pending: dict[_nodes.UpstreamRun, _Revocation] = {}
+        # Entries of listed upstreams, and of owners that are no longer listed.
+        self._entries: dict[_model.UpstreamRun, _model.Upstream] = {}
+        self._listed: abc.Set[_model.UpstreamRun] = frozenset()
+        self._pending: dict[_model.UpstreamRun, _Revocation] = {}
         self._answered_until = 0.0
 
     def update_upstreams(
         self,
-        listed: abc.Mapping[_nodes.UpstreamRun, _nodes.Upstream],
-        owners: abc.Set[_nodes.UpstreamRun | None],
+        listed: abc.Mapping[_model.UpstreamRun, _model.Upstream],
+        owners: abc.Set[_model.UpstreamRun | None],
         now: float,
     ) -> None:
-        """Takes the upstreams of sharded services when they have changed.
+        """Replaces the list of upstreams after it has changed.
 
         Args:
-            listed: Entries that discovery lists.
+            listed: Entries of sharded services in service discovery.
             owners: Runs that own keys.
             now: Time, in seconds.
         """
@@ -115,125 +118,133 @@
         latest = {run.id: run.started_ms for run in sorted(listed)}
         for run in list(self._pending):
             if latest.get(run.id, 0) > run.started_ms:
-                # Another run has its identifier, and would get its releases.
+                # A later run has the same identifier, and would receive the
+                # releases that are meant for this one.
                 del self._pending[run]
         if self._has_predecessor:
             for run in sorted(listed.keys() - self._listed - owners):
                 self._pending[run] = _Revocation(
                     listed[run],
                     now,
-                    now + PRECAUTION_S,
+                    now + PRECAUTION_GIVE_UP_S,
                     now,
-                    [_list_all(listed[run].service)],
+                    [_build_all_keys(listed[run].service)],
                 )
         self._listed = listed.keys()
 
     def add(
         self,
-        run: _nodes.UpstreamRun,
+        run: _model.UpstreamRun,
         keys: LostKeys,
         now: float,
         *,
         owns_nothing: bool = True,
     ) -> None:
-        """Notes that a run lost keys without its answer.
+        """Records that a run lost keys without answering.
 
         Args:
-            run: The run.
-            keys: The keys.
+            run: Run that owned the keys.
+            keys: The lost keys.
             now: Time, in seconds.
-            owns_nothing: Whether the run owns no other keys; one release of
-                all keys is enough then.
+            owns_nothing: Whether the run owns no other keys. A single release
+                of all keys suffices then.
         """
         entry = self._entries.get(run)
         if entry is None:
-            # Adopted from the map, and never listed since: no address.
+            # The owner is known from the map only: it was not listed since
+            # this coordinator took over, so its address is unknown.
             return
         pending = self._pending.setdefault(
             run, _Revocation(entry, now, now, now, [])
         )
-        pending.since, pending.until = now, now + GIVE_UP_S
+        pending.lost_at, pending.give_up_at = now, now + GIVE_UP_S
         if owns_nothing:
-            keys = _list_all(keys.service)
-            # The first keys belong to the order that is under way, if any.
+            keys = _build_all_keys(keys.service)
+            # Keep the first keys if an outstanding order is releasing them.
             del pending.keys[1 if pending.order else 0 :]
         pending.keys.append(keys)
 
-    def is_pending(self, run: _nodes.UpstreamRun) -> bool:
-        """Tells whether a run has yet to release keys that it lost."""
+    def is_pending(self, run: _model.UpstreamRun) -> bool:
+        """Returns whether a run has not yet released keys that it lost."""
         return run in self._pending
 
-    def forget(self, run: _nodes.UpstreamRun) -> None:
-        """Forgets a run that has ended, or owns keys again."""
+    def forget(self, run: _model.UpstreamRun) -> None:
+        """Drops the revocations of a run that has ended or owns keys again."""
         self._pending.pop(run, None)
 
     def list_due(self, now: float) -> abc.Sequence[_key_commands.SendRelease]:
-        """Returns the releases that are due, one for each upstream.
+        """Returns the releases that are due, at most one per upstream.
 
         Args:
             now: Time, in seconds.
         """
-        for run, item in list(self._pending.items()):
-            if now > item.until:
+        for run, revocation in list(self._pending.items()):
+            if now > revocation.give_up_at:
                 del self._pending[run]
         due = [
-            item
-            for item in self._pending.values()
-            if item.order == 0 and now >= item.due_at
+            revocation
+            for revocation in self._pending.values()
+            if revocation.order == 0 and now >= revocation.due_at
         ]
         if now >= self._answered_until:
-            open_count = sum(item.order != 0 for item in self._pending.values())
-            due.sort(key=lambda item: item.due_at)
+            open_count = sum(
+                revocation.order != 0 for revocation in self._pending.values()
+            )
+            due.sort(key=lambda revocation: revocation.due_at)
             due = due[: max(0, MAXIMUM_OPEN_ORDERS - open_count)]
-        return [self._send(item) for item in due]
+        return [self._send(revocation) for revocation in due]
 
     def finish(self, order: int, is_answered: bool, now: float) -> bool:
-        """Takes the result of a release.
+        """Records the result of a release.
 
         Args:
-            order: The order.
+            order: Number of the order.
             is_answered: Whether the upstream answered.
             now: Time, in seconds.
 
         Returns:
-            Whether the order is one of these releases.
+            Whether the order is a revocation. Otherwise nothing changes.
         """
-        item = next(
-            (item for item in self._pending.values() if item.order == order),
+        revocation = next(
+            (
+                revocation
+                for revocation in self._pending.values()
+                if revocation.order == order
+            ),
             None,
         )
-        if item is None:
+        if revocation is None:
             return False
-        item.order = 0
+        revocation.order = 0
         if is_answered:
-            item.keys.pop(0)
-            if not item.keys:
-                del self._pending[item.upstream.run]
+            revocation.keys.pop(0)
+            if not revocation.keys:
+                del self._pending[revocation.upstream.run]
             self._make_all_due(now)
         else:
-            is_recent = now < item.since + FAST_RETRY_PERIOD_S
-            item.due_at = now + (RETRY_S if is_recent else SLOW_RETRY_S)
+            is_recent = now < revocation.lost_at + FAST_RETRY_PERIOD_S
+            revocation.due_at = now + (RETRY_S if is_recent else SLOW_RETRY_S)
         return True
 
     def _make_all_due(self, now: float) -> None:
-        self._answered_until = now + ANSWERED_S
-        for item in self._pending.values():
-            item.due_at = min(item.due_at, now)
+        self._answered_until = now + RECENT_ANSWER_S
+        for revocation in self._pending.values():
+            revocation.due_at = min(revocation.due_at, now)
 
-    def _send(self, item: _Revocation) -> _key_commands.SendRelease:
-        item.order = self._create_order()
-        keys = item.keys[0]
+    def _send(self, revocation: _Revocation) -> _key_commands.SendRelease:
+        revocation.order = self._create_order()
+        keys = revocation.keys[0]
         return _key_commands.SendRelease(
-            item.order,
-            item.upstream.run,
+            revocation.order,
+            revocation.upstream.run,
             keys.service,
             keys.first,
             keys.last,
             self._create_fence(),
-            item.upstream.address,
+            revocation.upstream.address,
             is_revocation=True,
         )
 
 
-def _list_all(service: str) -> LostKeys:
-    return LostKeys(service, 0, _nodes.KEY_COUNT - 1)
+def _build_all_keys(service: str) -> LostKeys:
+    return LostKeys(service, 0, _model.KEY_COUNT - 1)
--- a/packages/direct/sycamoreloft_direct/_routes.py
+++ b/packages/direct/sycamoreloft_direct/_routes.py
@@ -1,26 +1,26 @@
-"""Finds the route of a request and the service that takes it."""
+"""Looks up the route of a request and chooses among its services."""
 
 from collections import abc
 
-from sycamoreloft_direct import _nodes
+from sycamoreloft_direct import _model
 
 
 class RouteTable:
-    """Routes by host and longest path prefix.
+    """Looks up routes by host and longest path prefix.
 
-    The cost of a lookup grows with the segments of the path and not with the
+    The cost of a lookup grows with the number of path segments, not with the
     number of routes.
 
     Args:
         routes: Routes of the desired state.
     """
 
-    def __init__(self, routes: abc.Iterable[_nodes.Route]) -> None:
+    def __init__(self, routes: abc.Iterable[_model.Route]) -> None:
         self._routes = {(route.host, route.prefix): route for route in routes}
         self._hosts = {route.host for route in self._routes.values()}
         self._splits: dict[tuple[str, str], _WeightedCycle] = {}
 
-    def find(self, host: str, path: str) -> _nodes.Route | None:
+    def find(self, host: str, path: str) -> _model.Route | None:
         """Returns the route of a request, or None if there is none.
 
         Args:
@@ -39,8 +39,8 @@
             end = path.rfind("/", 0, end - 1) + 1
         return None
 
-    def choose_target(self, route: _nodes.Route) -> str:
-        """Returns the service that takes the next request of a route."""
+    def choose_target(self, route: _model.Route) -> str:
+        """Returns the service that gets the next request of a route."""
         if len(route.targets) == 1:
             return route.targets[0].service
         cycle = self._splits.get((route.host, route.prefix))
@@ -51,14 +51,19 @@
 
 
 class _WeightedCycle:
-    """Smooth weighted round robin: exact over every cycle of weights."""
+    """Smooth weighted round robin.
 
-    def __init__(self, targets: abc.Sequence[_nodes.Target]) -> None:
-        self._targets = [item for item in targets if item.weight > 0]
-        self._total = sum(item.weight for item in self._targets)
+    Over a cycle as long as the sum of the weights, each target is returned
+    exactly as often as its weight says.
+    """
+
+    def __init__(self, targets: abc.Sequence[_model.Target]) -> None:
+        self._targets = [target for target in targets if target.weight > 0]
+        self._total = sum(target.weight for target in self._targets)
         self._credits = [0] * len(self._targets)
 
     def advance(self) -> str:
+        """Returns the service of the next target in the cycle."""
         best = 0
         for index, target in enumerate(self._targets):
             self._credits[index] += target.weight
--- a/packages/direct/tests/test_crash_guard.py
+++ b/packages/direct/tests/test_crash_guard.py
@@ -2,12 +2,14 @@
 
 import sycamoreloft_direct
 
-POISON = sycamoreloft_direct.identify_request("GET", "/bad", "10.0.0.1", b"")
+CRASHING_REQUEST = sycamoreloft_direct.identify_request(
+    "GET", "/bad", "10.0.0.1", b""
+)
 
 
 def test_a_request_is_the_same_whenever_it_comes_again():
     again = sycamoreloft_direct.identify_request("GET", "/bad", "10.0.0.1", b"")
-    others = {
+    other_requests = {
         sycamoreloft_direct.identify_request(*parts)
         for parts in (
             ("PUT", "/bad", "10.0.0.1", b""),
@@ -16,57 +18,57 @@
             ("GET", "/bad", "10.0.0.1", b"x"),
         )
     }
-    assert again == POISON
-    assert POISON not in others and len(others) == 4
+    assert again == CRASHING_REQUEST
+    assert CRASHING_REQUEST not in other_requests and len(other_requests) == 4
 
 
 def test_the_third_crash_on_one_host_stops_a_request():
     guard = sycamoreloft_direct.CrashGuard()
     for now in (1.0, 2.0):
-        guard.record_crash(POISON, now)
-        assert not guard.is_stopped(POISON, now)
-    guard.record_crash(POISON, 3.0)
-    assert guard.is_stopped(POISON, 3.0)
-    assert guard.is_stopped(POISON, 500.0)
+        guard.record_crash(CRASHING_REQUEST, now)
+        assert not guard.is_stopped(CRASHING_REQUEST, now)
+    guard.record_crash(CRASHING_REQUEST, 3.0)
+    assert guard.is_stopped(CRASHING_REQUEST, 3.0)
+    assert guard.is_stopped(CRASHING_REQUEST, 500.0)
 
 
 def test_crashes_on_different_hosts_stop_a_request_everywhere():
     hosts = [sycamoreloft_direct.CrashGuard() for _ in range(4)]
     coordinator = hosts[3]
     for number, host in enumerate(hosts[:3]):
-        host.record_crash(POISON, 1.0)
+        host.record_crash(CRASHING_REQUEST, 1.0)
         for _ in range(5):
             # Reports are repeated, and replace what was told before.
             coordinator.record_report(
                 str(number), host.list_own_crashes(2.0), 2.0
             )
-        assert coordinator.is_stopped(POISON, 2.0) == (number == 2)
+        assert coordinator.is_stopped(CRASHING_REQUEST, 2.0) == (number == 2)
     for host in hosts:
         host.add_stopped(coordinator.list_stopped(3.0), 3.0)
-        assert host.is_stopped(POISON, 3.0)
+        assert host.is_stopped(CRASHING_REQUEST, 3.0)
 
 
 def test_requests_that_are_answered_when_they_come_again_go_on():
     guard = sycamoreloft_direct.CrashGuard()
     for now in range(10):
-        guard.record_crash(POISON, float(now))
-        guard.record_answer(POISON)
-    assert not guard.is_stopped(POISON, 10.0)
+        guard.record_crash(CRASHING_REQUEST, float(now))
+        guard.record_answer(CRASHING_REQUEST)
+    assert not guard.is_stopped(CRASHING_REQUEST, 10.0)
     assert guard.is_idle
 
 
 def test_old_crashes_do_not_count():
     guard = sycamoreloft_direct.CrashGuard()
     for now in (0.0, 100.0, 200.0, 300.0):
-        guard.record_crash(POISON, now)
-    assert not guard.is_stopped(POISON, 300.0)
+        guard.record_crash(CRASHING_REQUEST, now)
+    assert not guard.is_stopped(CRASHING_REQUEST, 300.0)
     assert guard.list_own_crashes(400.0) == {}
 
 
 def test_a_successor_of_the_coordinator_goes_on_stopping():
     successor = sycamoreloft_direct.CrashGuard()
-    successor.add_stopped([POISON], 1.0)
-    assert successor.list_stopped(2.0) == (POISON,)
+    successor.add_stopped([CRASHING_REQUEST], 1.0)
+    assert successor.list_stopped(2.0) == (CRASHING_REQUEST,)
 
 
 def test_what_is_remembered_is_bounded():
--- a/packages/direct/tests/test_hot_keys.py
+++ b/packages/direct/tests/test_hot_keys.py
@@ -16,13 +16,13 @@
 TICK_S = 0.05
 
 
-class Play:
+class Simulation:
     """A coordinator and upstreams that take every order."""
 
     def __init__(self, upstreams=18, seed=1):
         self.generator = random.Random(seed)
         self.now = 0.0
-        self.owners = [self.build(number) for number in range(upstreams)]
+        self.upstreams = [self.build(number) for number in range(upstreams)]
         self.coordinator = sycamoreloft_direct.KeyCoordinator(
             sycamoreloft_direct.KeyMap(1, 0, {}),
             0.0,
@@ -55,7 +55,9 @@
             self.coordinator.record_load(
                 sycamoreloft_direct.KeyLoad(SERVICE, work)
             )
-            self.coordinator.update_upstreams(self.owners, {SERVICE}, self.now)
+            self.coordinator.update_upstreams(
+                self.upstreams, {SERVICE}, self.now
+            )
             for command in self.coordinator.tick(self.now, True, True):
                 self.answer(command)
 
@@ -72,7 +74,7 @@
     def measure(self, rate, samples=20_000):
         """Returns the busy share of each upstream's slots."""
         keys = self.coordinator.key_map.services[SERVICE]
-        busy = {item.run: 0.0 for item in self.owners}
+        busy = {upstream.run: 0.0 for upstream in self.upstreams}
         for _ in range(samples):
             busy[keys.find(self.draw_key()).owner] += 1
         return {
@@ -84,75 +86,79 @@
 @pytest.mark.parametrize("count", [200, 60, 20])
 @pytest.mark.parametrize("first", [0, 20_000, 3_600, 65_300])
 def test_neighbouring_hot_keys_are_spread_within_seconds(first, count):
-    play = Play()
-    play.run(4.0, 550)
-    play.hot = (first, count, 0.4)
+    simulation = Simulation()
+    simulation.run(4.0, 550)
+    simulation.hot = (first, count, 0.4)
     # Half of the shortest spell of hot keys that the users describe.
-    play.run(2.0, 550)
-    assert max(play.measure(550).values()) < 0.95
+    simulation.run(2.0, 550)
+    assert max(simulation.measure(550).values()) < 0.95
 
 
 def test_one_key_that_is_too_hot_keeps_its_owner_to_itself():
-    play = Play()
-    play.run(4.0, 550)
-    play.hot = (30_000, 1, 0.3)
-    play.run(3.0, 550)
-    keys = play.coordinator.key_map.services[SERVICE]
+    simulation = Simulation()
+    simulation.run(4.0, 550)
+    simulation.hot = (30_000, 1, 0.3)
+    simulation.run(3.0, 550)
+    keys = simulation.coordinator.key_map.services[SERVICE]
     owner = keys.find(30_000).owner
     width = sum(
-        item.last - item.first + 1
-        for item in keys.ranges
-        if item.owner == owner
+        key_range.last - key_range.first + 1
+        for key_range in keys.ranges
+        if key_range.owner == owner
     )
     assert width < 400
-    others = [busy for run, busy in play.measure(550).items() if run != owner]
+    others = [
+        busy for run, busy in simulation.measure(550).items() if run != owner
+    ]
     assert max(others) < 0.9
 
 
 def test_even_load_moves_no_keys():
-    play = Play()
-    play.run(2.0, 550)
-    play.moved = 0
-    play.run(10.0, 550)
-    assert play.moved < sycamoreloft_direct.KEY_COUNT / 20
+    simulation = Simulation()
+    simulation.run(2.0, 550)
+    simulation.moved = 0
+    simulation.run(10.0, 550)
+    assert simulation.moved < sycamoreloft_direct.KEY_COUNT / 20
 
 
 def test_new_upstreams_take_a_share():
-    play = Play()
-    play.run(4.0, 550)
-    play.owners += [play.build(number) for number in range(18, 23)]
-    play.run(3.0, 550)
-    busy = play.measure(550)
+    simulation = Simulation()
+    simulation.run(4.0, 550)
+    simulation.upstreams += [
+        simulation.build(number) for number in range(18, 23)
+    ]
+    simulation.run(3.0, 550)
+    busy = simulation.measure(550)
     assert min(busy.values()) > 0.0
     assert max(busy.values()) < 0.95
 
 
 def test_slow_upstreams_get_fewer_keys():
-    play = Play()
+    simulation = Simulation()
     speeds = {f"u{number}": 0.5 for number in range(4)}
-    play.coordinator.update_speeds(speeds)
-    play.run(8.0, 700)
-    busy = play.measure(700)
-    slow = [busy[item.run] for item in play.owners[:4]]
+    simulation.coordinator.update_speeds(speeds)
+    simulation.run(8.0, 700)
+    busy = simulation.measure(700)
+    slow = [busy[upstream.run] for upstream in simulation.upstreams[:4]]
     assert max(slow) < 0.5 * 0.95 * 1.2
 
 
 def test_a_key_that_is_too_hot_goes_to_the_fastest_upstream():
-    play = Play()
+    simulation = Simulation()
     speeds = {f"u{number}": 0.6 for number in range(18)} | {"u7": 1.5}
-    play.coordinator.update_speeds(speeds)
-    play.run(4.0, 300)
-    play.hot = (3, 1, 0.4)
-    play.run(1.0, 300)
-    keys = play.coordinator.key_map.services[SERVICE]
+    simulation.coordinator.update_speeds(speeds)
+    simulation.run(4.0, 300)
+    simulation.hot = (3, 1, 0.4)
+    simulation.run(1.0, 300)
+    keys = simulation.coordinator.key_map.services[SERVICE]
     assert keys.find(3).owner.id == "u7"
 
 
 def test_keys_count_as_moving_until_their_new_owner_has_taken_them():
-    play = Play()
-    play.run(2.0, 100)
-    leaving = play.owners.pop()
-    play.owners.append(
+    simulation = Simulation()
+    simulation.run(2.0, 100)
+    leaving = simulation.upstreams.pop()
+    simulation.upstreams.append(
         sycamoreloft_direct.Upstream(
             leaving.id, 1, leaving.address, SERVICE, "z", SLOTS, True
         )
@@ -160,14 +166,14 @@
     states = []
 
     def answer(command):
-        moving = len(play.coordinator.list_moving())
+        moving = len(simulation.coordinator.list_moving())
         states.append((type(command).__name__, moving))
-        Play.answer(play, command)
+        Simulation.answer(simulation, command)
 
-    play.answer = answer
-    play.run(1.0, 100)
+    simulation.answer = answer
+    simulation.run(1.0, 100)
     kinds = [kind for kind, _ in states]
     first_write = kinds.index("WriteMap")
     grant = kinds.index("SendGrant", first_write)
     assert all(moving for _, moving in states[: grant + 1])
-    assert not play.coordinator.list_moving()
+    assert not simulation.coordinator.list_moving()
--- a/packages/direct/tests/test_key_map.py
+++ b/packages/direct/tests/test_key_map.py
@@ -35,9 +35,11 @@
     for number in range(200):
         keys = keys.assign(number * 100, number * 100 + 99, RUNS[number % 4])
     changed = keys.assign(10_030, 10_150, None)
-    known = {id(item) for item in keys.ranges}
-    built = [item for item in changed.ranges if id(item) not in known]
-    assert [(item.first, item.last) for item in built] == [
+    known = {id(key_range) for key_range in keys.ranges}
+    built = [
+        key_range for key_range in changed.ranges if id(key_range) not in known
+    ]
+    assert [(key_range.first, key_range.last) for key_range in built] == [
         (10_000, 10_029),
         (10_030, 10_150),
         (10_151, 10_199),
--- a/packages/direct/tests/test_lease_ends.py
+++ b/packages/direct/tests/test_lease_ends.py
@@ -22,61 +22,61 @@
 
 
 def test_grant_under_way_has_no_end(ends):
-    ends.open(build_grant())
-    assert ends.find_end("boards", 50, 60, 0) == _lease_ends.OPEN
+    ends.open_call(build_grant())
+    assert ends.compute_end("boards", 50, 60, 0) == _lease_ends.OPEN_END
 
 
 def test_lease_counts_from_the_end_of_the_call(ends):
-    ends.open(build_grant())
-    ends.close(1, 5.0, True)
+    ends.open_call(build_grant())
+    ends.close_call(1, 5.0, True)
     expected = 5.0 + TIMES.margin_s + LEASE_S
-    assert ends.find_end("boards", 50, 60, 0) == pytest.approx(expected)
+    assert ends.compute_end("boards", 50, 60, 0) == pytest.approx(expected)
 
 
 def test_grant_that_did_not_arrive_gives_no_lease(ends):
-    ends.open(build_grant())
-    ends.close(1, 5.0, False)
-    assert ends.find_end("boards", 50, 60, 0) == 0.0
+    ends.open_call(build_grant())
+    ends.close_call(1, 5.0, False)
+    assert ends.compute_end("boards", 50, 60, 0) == 0.0
 
 
 def test_refused_tokens_and_other_keys_give_no_lease(ends):
-    ends.open(build_grant(fence=10))
-    assert ends.find_end("boards", 50, 60, 10) == 0.0
-    assert ends.find_end("boards", 100, 200, 0) == 0.0
-    assert ends.find_end("other", 50, 60, 0) == 0.0
+    ends.open_call(build_grant(fence=10))
+    assert ends.compute_end("boards", 50, 60, 10) == 0.0
+    assert ends.compute_end("boards", 100, 200, 0) == 0.0
+    assert ends.compute_end("other", 50, 60, 0) == 0.0
 
 
 def test_shorter_grant_does_not_bring_the_end_forward(ends):
-    ends.open(build_grant(1))
-    ends.close(1, 5.0, True)
-    ends.open(build_grant(2, hold_s=0.5))
-    ends.close(2, 5.5, True)
+    ends.open_call(build_grant(1))
+    ends.close_call(1, 5.0, True)
+    ends.open_call(build_grant(2, hold_s=0.5))
+    ends.close_call(2, 5.5, True)
     expected = 5.0 + TIMES.margin_s + LEASE_S
-    assert ends.find_end("boards", 0, 0, 0) == pytest.approx(expected)
+    assert ends.compute_end("boards", 0, 0, 0) == pytest.approx(expected)
 
 
 def test_hold_of_a_try_is_over_at_the_known_end(ends):
-    ends.open(build_grant(1))
-    ends.close(1, 5.0, True)
-    end = ends.find_end("boards", 0, 99, 0)
-    hold_s = ends.find_hold(5.3, end)
-    ends.open(build_grant(2, hold_s=hold_s))
-    ends.close(2, 5.3 + TIMES.dispatch_s + TIMES.grant_call_s, True)
-    assert ends.find_end("boards", 0, 99, 0) == pytest.approx(end)
+    ends.open_call(build_grant(1))
+    ends.close_call(1, 5.0, True)
+    end = ends.compute_end("boards", 0, 99, 0)
+    hold_s = ends.compute_hold_s(5.3, end)
+    ends.open_call(build_grant(2, hold_s=hold_s))
+    ends.close_call(2, 5.3 + TIMES.dispatch_s + TIMES.grant_call_s, True)
+    assert ends.compute_end("boards", 0, 99, 0) == pytest.approx(end)
 
 
 def test_earlier_coordinator_is_counted_with_its_last_order(ends):
-    ends.assume("boards", 0, 99, RUN, 5, 7.0)
+    ends.assume_earlier_grants("boards", 0, 99, RUN, 5, 7.0)
     expected = 7.0 + TIMES.grant_travel_s + LEASE_S
-    assert ends.find_end("boards", 0, 99, 0) == pytest.approx(expected)
-    assert ends.find_end("boards", 0, 99, 5) == 0.0
+    assert ends.compute_end("boards", 0, 99, 0) == pytest.approx(expected)
+    assert ends.compute_end("boards", 0, 99, 5) == 0.0
 
 
 def test_run_that_ended_holds_nothing(ends):
-    ends.assume("boards", 0, 99, RUN, 5, 7.0)
-    ends.open(build_grant(1))
-    ends.open(build_grant(2, fence=11))
+    ends.assume_earlier_grants("boards", 0, 99, RUN, 5, 7.0)
+    ends.open_call(build_grant(1))
+    ends.open_call(build_grant(2, fence=11))
     ends.end_run(RUN)
-    assert ends.find_end("boards", 0, 99, 0) == 0.0
-    ends.close(2, 9.0, True)
-    assert ends.find_end("boards", 0, 99, 0) == 0.0
+    assert ends.compute_end("boards", 0, 99, 0) == 0.0
+    ends.close_call(2, 9.0, True)
+    assert ends.compute_end("boards", 0, 99, 0) == 0.0
--- a/packages/direct/tests/test_lost_owners.py
+++ b/packages/direct/tests/test_lost_owners.py
@@ -13,7 +13,7 @@
 TICK_S = 0.05
 
 #: Time for which an earlier coordinator may renew, in seconds.
-EARLIER_S = 12.0
+PREDECESSOR_S = 12.0
 
 
 def build(number):
@@ -40,7 +40,7 @@
         self.coordinator = sycamoreloft_direct.KeyCoordinator(
             sycamoreloft_direct.KeyMap(2, 1, {SERVICE: keys}),
             self.now,
-            self.now + EARLIER_S,
+            self.now + PREDECESSOR_S,
             sycamoreloft_direct.LeaseTimes(),
         )
 
@@ -61,7 +61,7 @@
                 result = results.UNREACHED if is_lost else results.ACCEPTED
                 self.coordinator.finish_grant(command.order, result, self.now)
 
-    def is_lost_recorded(self):
+    def is_lost_owner_recorded(self):
         """Tells whether the lost owner still has the first key."""
         owner = self.coordinator.key_map.find_owner(SERVICE, 0)
         return owner == self.lost
@@ -73,14 +73,14 @@
 
 
 def test_keys_of_a_silent_owner_wait_for_the_predecessor(succession):
-    succession.run(EARLIER_S)
-    assert succession.is_lost_recorded()
+    succession.run(PREDECESSOR_S)
+    assert succession.is_lost_owner_recorded()
     succession.run(6.0)
-    assert not succession.is_lost_recorded()
+    assert not succession.is_lost_owner_recorded()
 
 
 def test_keys_of_an_owner_that_surely_ended_do_not_wait(succession):
     succession.run(1.0)
     succession.coordinator.end_run(succession.lost)
     succession.run(1.0)
-    assert not succession.is_lost_recorded()
+    assert not succession.is_lost_owner_recorded()
--- a/packages/direct/tests/test_owner_changes.py
+++ b/packages/direct/tests/test_owner_changes.py
@@ -13,7 +13,7 @@
 TICK_S = 0.05
 
 #: Time for which an earlier coordinator may renew, in seconds.
-EARLIER_S = 2.0
+PREDECESSOR_S = 2.0
 
 #: Keys of each upstream at first.
 WIDTH = sycamoreloft_direct.KEY_COUNT // 4
@@ -25,7 +25,7 @@
     )
 
 
-class Bench:
+class Simulation:
     """A coordinator that took over keys of four upstreams, or none."""
 
     def __init__(self, is_owned=True):
@@ -45,7 +45,10 @@
             )
             services[SERVICE] = sycamoreloft_direct.ServiceKeys(SERVICE, ranges)
         self.coordinator = sycamoreloft_direct.KeyCoordinator(
-            sycamoreloft_direct.KeyMap(2, 1, services), 0.0, EARLIER_S, TIMES
+            sycamoreloft_direct.KeyMap(2, 1, services),
+            0.0,
+            PREDECESSOR_S,
+            TIMES,
         )
 
     def step(self):
@@ -79,15 +82,15 @@
 
 
 @pytest.fixture
-def bench():
-    return Bench()
+def simulation():
+    return Simulation()
 
 
-def find_grant(bench, change):
+def find_grant(simulation, change):
     """Finds the first grant that follows a change of owner."""
     return next(
         order
-        for order in bench.orders
+        for order in simulation.orders
         if isinstance(order, sycamoreloft_direct.SendGrant)
         and order.first == change.first
         and order.run == change.new
@@ -95,86 +98,90 @@
 
 
 # Guards against a change of owner whose inputs nobody can tell afterwards.
-def test_change_after_a_lease_names_the_grants_that_it_waited_for(bench):
-    bench.run(1.0)
-    lost = bench.upstreams[0].run
-    accepted_at = bench.now
-    bench.silent = {lost}
-    bench.run(4.5)
-    assert bench.changes
-    for change, claims in zip(bench.changes, bench.claims, strict=True):
+def test_change_after_a_lease_names_the_grants_that_it_waited_for(simulation):
+    simulation.run(1.0)
+    lost = simulation.upstreams[0].run
+    accepted_at = simulation.now
+    simulation.silent = {lost}
+    simulation.run(4.5)
+    assert simulation.changes
+    for change, claims in zip(
+        simulation.changes, simulation.claims, strict=True
+    ):
         assert change.cause is CAUSE.LEASE_OVER
         assert change.old == lost != change.new
-        assert change.new_fence == find_grant(bench, change).fence
-        counted = [item for item in claims if item.state is STATE.COUNTED]
+        assert change.new_fence == find_grant(simulation, change).fence
+        counted = [claim for claim in claims if claim.state is STATE.COUNTED]
         assert counted == claims[: len(counted)]
         assert counted[0].end == change.lease_end
         assert counted[0].run == lost
         assert counted[0].closed_at < accepted_at + TIMES.hold_s
-        assert not any(item.is_assumed for item in counted)
-        assumed = [item for item in claims if item.is_assumed]
-        assert [item.state for item in assumed] == [STATE.REFUSED]
+        assert not any(claim.is_assumed for claim in counted)
+        assumed = [claim for claim in claims if claim.is_assumed]
+        assert [claim.state for claim in assumed] == [STATE.REFUSED]
         assert change.refused_fence >= assumed[0].fence
-    first, last = bench.changes[0].first, bench.changes[-1].last
+    first, last = simulation.changes[0].first, simulation.changes[-1].last
     assert (first, last) == (0, WIDTH - 1)
 
 
 # Guards against a wait for the predecessor that is not told from others.
-def test_change_after_a_takeover_names_the_assumed_grant(bench):
-    bench.silent = {bench.upstreams[0].run}
-    bench.run(EARLIER_S + TIMES.grant_travel_s + 5.0)
-    change, claims = bench.changes[0], bench.claims[0]
+def test_change_after_a_takeover_names_the_assumed_grant(simulation):
+    simulation.silent = {simulation.upstreams[0].run}
+    simulation.run(PREDECESSOR_S + TIMES.grant_travel_s + 5.0)
+    change, claims = simulation.changes[0], simulation.claims[0]
     assert change.cause is CAUSE.LEASE_OVER
     assert claims[0].is_assumed
-    assert claims[0].closed_at == EARLIER_S
+    assert claims[0].closed_at == PREDECESSOR_S
     assert claims[0].end == change.lease_end
 
 
-def test_change_after_the_end_of_a_run_does_not_count_its_grants(bench):
-    bench.run(1.0)
-    lost = bench.upstreams.pop(0).run
-    bench.coordinator.end_run(lost)
-    bench.run(1.0)
-    assert {change.cause for change in bench.changes} == {CAUSE.RUN_ENDED}
-    for change, claims in zip(bench.changes, bench.claims, strict=True):
+def test_change_after_the_end_of_a_run_does_not_count_its_grants(simulation):
+    simulation.run(1.0)
+    lost = simulation.upstreams.pop(0).run
+    simulation.coordinator.end_run(lost)
+    simulation.run(1.0)
+    assert {change.cause for change in simulation.changes} == {CAUSE.RUN_ENDED}
+    for change, claims in zip(
+        simulation.changes, simulation.claims, strict=True
+    ):
         assert change.old == lost
         assert change.lease_end == 0.0
-        assert {item.state for item in claims} == {STATE.RUN_ENDED}
+        assert {claim.state for claim in claims} == {STATE.RUN_ENDED}
 
 
-def test_change_to_the_next_run_of_an_upstream_names_both(bench):
-    bench.run(1.0)
-    before = bench.upstreams[0].run
-    bench.upstreams[0] = build(0, started_ms=2)
-    bench.run(1.0)
-    (change,) = bench.changes
+def test_change_to_the_next_run_of_an_upstream_names_both(simulation):
+    simulation.run(1.0)
+    before = simulation.upstreams[0].run
+    simulation.upstreams[0] = build(0, started_ms=2)
+    simulation.run(1.0)
+    (change,) = simulation.changes
     assert change.cause is CAUSE.FOLLOWER
-    assert (change.old, change.new) == (before, bench.upstreams[0].run)
+    assert (change.old, change.new) == (before, simulation.upstreams[0].run)
     assert change.lease_end == 0.0
 
 
 def test_keys_without_an_owner_have_a_change_without_an_old_one():
-    bench = Bench(is_owned=False)
-    bench.run(2.0)
-    assert {change.cause for change in bench.changes} == {CAUSE.UNOWNED}
-    assert {change.old for change in bench.changes} == {None}
-    assert not any(bench.claims)
+    simulation = Simulation(is_owned=False)
+    simulation.run(2.0)
+    assert {change.cause for change in simulation.changes} == {CAUSE.UNOWNED}
+    assert {change.old for change in simulation.changes} == {None}
+    assert not any(simulation.claims)
 
 
-def test_change_after_a_release_tells_its_token(bench):
-    bench.run(1.0)
-    leaving = bench.upstreams[0].run
-    bench.upstreams[0] = sycamoreloft_direct.Upstream(
+def test_change_after_a_release_tells_its_token(simulation):
+    simulation.run(1.0)
+    leaving = simulation.upstreams[0].run
+    simulation.upstreams[0] = sycamoreloft_direct.Upstream(
         "u0", 1, "10.0.0.1:1", SERVICE, "z", 6, True
     )
-    bench.run(2.0)
+    simulation.run(2.0)
     releases = {
         order.first: order.fence
-        for order in bench.orders
+        for order in simulation.orders
         if isinstance(order, sycamoreloft_direct.SendRelease)
     }
-    assert bench.changes
-    for change in bench.changes:
+    assert simulation.changes
+    for change in simulation.changes:
         assert change.cause is CAUSE.RELEASED
         assert change.old == leaving
         assert change.old_fence == releases[change.first]
@@ -182,25 +189,27 @@
 
 
 # Guards against changes that are told twice, or pile up without a reader.
-def test_a_change_is_told_once(bench):
-    bench.run(1.0)
-    bench.coordinator.end_run(bench.upstreams.pop(0).run)
-    bench.run(2.0)
-    keys = [(change.first, change.last) for change in bench.changes]
+def test_a_change_is_told_once(simulation):
+    simulation.run(1.0)
+    simulation.coordinator.end_run(simulation.upstreams.pop(0).run)
+    simulation.run(2.0)
+    keys = [(change.first, change.last) for change in simulation.changes]
     assert len(keys) == len(set(keys)) > 0
-    bench.step()
-    assert not bench.coordinator.owner_changes
+    simulation.step()
+    assert not simulation.coordinator.owner_changes
 
 
 def test_open_calls_stand_first_among_the_claims():
     ends = _lease_ends.LeaseEnds(TIMES)
     run = sycamoreloft_direct.UpstreamRun("u0", 1)
-    ends.assume(SERVICE, 0, 9, run, 5, 100.0)
-    ends.open(sycamoreloft_direct.SendGrant(1, run, SERVICE, 0, 9, 10, 3.0, ""))
+    ends.assume_earlier_grants(SERVICE, 0, 9, run, 5, 100.0)
+    ends.open_call(
+        sycamoreloft_direct.SendGrant(1, run, SERVICE, 0, 9, 10, 3.0, "")
+    )
     claims = ends.list_claims(SERVICE, 5, 6, 0)
-    assert [item.fence for item in claims] == [10, 5]
+    assert [claim.fence for claim in claims] == [10, 5]
     assert claims[0].closed_at is None
-    assert claims[0].end == _lease_ends.OPEN
+    assert claims[0].end == _lease_ends.OPEN_END
     assert not ends.list_claims(SERVICE, 10, 19, 0)
     assert not ends.list_claims("other", 0, 9, 0)
 
@@ -210,43 +219,43 @@
     ends = _lease_ends.LeaseEnds(TIMES)
     run = sycamoreloft_direct.UpstreamRun("u0", 1)
     for order in range(1, 1_000):
-        ends.open(
+        ends.open_call(
             sycamoreloft_direct.SendGrant(
                 order, run, SERVICE, 0, 9, order, 3.0, ""
             )
         )
-        ends.close(order, order * 0.5, True)
-    kept_s = _lease_ends.KEEP_S + 2 * TIMES.hold_s + 1.0
+        ends.close_call(order, order * 0.5, True)
+    kept_s = _lease_ends.ENDED_LEASE_HISTORY_S + 2 * TIMES.hold_s + 1.0
     assert len(ends.list_claims(SERVICE, 0, 9, 0)) < kept_s / 0.5
 
 
 # Guards against a line for each renewal.
-def test_only_the_first_grant_under_a_token_is_told_apart(bench):
+def test_only_the_first_grant_under_a_token_is_told_apart(simulation):
     first = []
 
     def answer(command):
         if isinstance(command, sycamoreloft_direct.SendGrant):
             first.append(not command.is_renewal)
-        Bench._answer(bench, command)
+        Simulation._answer(simulation, command)
 
-    bench._answer = answer
-    bench.run(TIMES.renew_s / 2)
+    simulation._answer = answer
+    simulation.run(TIMES.renew_s / 2)
     assert first == [True] * 4
-    bench.run(5.0)
+    simulation.run(5.0)
     assert not any(first[4:])
     del first[:]
-    bench.silent = {bench.upstreams[0].run}
-    bench.run(1.2)
-    bench.silent = set()
-    bench.run(2.0)
+    simulation.silent = {simulation.upstreams[0].run}
+    simulation.run(1.2)
+    simulation.silent = set()
+    simulation.run(2.0)
     assert True in first
 
 
-def test_keys_of_a_silent_owner_count_as_unheld(bench):
-    assert bench.coordinator.count_unheld() == 0
-    bench.run(1.0)
-    bench.silent = {bench.upstreams[0].run}
-    bench.run(1.0)
-    assert bench.coordinator.count_unheld() == WIDTH
-    bench.run(4.5)
-    assert bench.coordinator.count_unheld() == 0
+def test_keys_of_a_silent_owner_count_as_unheld(simulation):
+    assert simulation.coordinator.count_unheld() == 0
+    simulation.run(1.0)
+    simulation.silent = {simulation.upstreams[0].run}
+    simulation.run(1.0)
+    assert simulation.coordinator.count_unheld() == WIDTH
+    simulation.run(4.5)
+    assert simulation.coordinator.count_unheld() == 0
--- a/packages/direct/tests/test_restarted_owners.py
+++ b/packages/direct/tests/test_restarted_owners.py
@@ -8,7 +8,7 @@
 TICK_S = 0.05
 
 #: Time for which an earlier coordinator may renew, in seconds.
-EARLIER_S = 12.0
+PREDECESSOR_S = 12.0
 
 RESULTS = sycamoreloft_direct.GrantResult
 
@@ -40,7 +40,7 @@
         self.coordinator = sycamoreloft_direct.KeyCoordinator(
             sycamoreloft_direct.KeyMap(2, 1, {SERVICE: keys}),
             self.now,
-            self.now + EARLIER_S,
+            self.now + PREDECESSOR_S,
             sycamoreloft_direct.LeaseTimes(),
         )
 
@@ -95,7 +95,7 @@
     coordination.run(1.0)
     coordination.upstreams[0] = build("u0", 2)
     coordination.unreachable.add("u0")
-    coordination.run(EARLIER_S - 1.0)
+    coordination.run(PREDECESSOR_S - 1.0)
     assert coordination.find_first_owner() == "u0"
     coordination.run(6.0)
     assert coordination.find_first_owner() == "u1"
@@ -133,7 +133,7 @@
 # Guards against a second owner: the refusal may be the answer to another
 # renewal on the connection, and the renewal may have been taken.
 def test_a_refused_renewal_is_waited_for(coordination):
-    coordination.run(EARLIER_S + 2.0)
+    coordination.run(PREDECESSOR_S + 2.0)
     coordination.refusing.add("u0")
     while coordination.refusing:
         coordination.run(TICK_S)
--- a/packages/direct/tests/test_revocations.py
+++ b/packages/direct/tests/test_revocations.py
@@ -21,12 +21,12 @@
 @pytest.fixture
 def revocations():
     numbers = itertools.count(1)
-    item = _revocations.Revocations(
+    tracker = _revocations.Revocations(
         lambda: next(numbers), lambda: next(numbers), has_predecessor=False
     )
     listed = {build(number).run: build(number) for number in range(20)}
-    item.update_upstreams(listed, set(), 0.0)
-    return item
+    tracker.update_upstreams(listed, set(), 0.0)
+    return tracker
 
 
 def lose(revocations, number, first, last, owns_nothing=True):
@@ -85,24 +85,24 @@
 def build_successor():
     """Returns the revocations of a coordinator that has a predecessor."""
     numbers = itertools.count(1)
-    item = _revocations.Revocations(
+    tracker = _revocations.Revocations(
         lambda: next(numbers), lambda: next(numbers), has_predecessor=True
     )
-    item.update_upstreams({build(0).run: build(0)}, set(), 0.0)
-    return item
+    tracker.update_upstreams({build(0).run: build(0)}, set(), 0.0)
+    return tracker
 
 
 # Guards against upstreams that get no keys because they refuse releases.
 def test_an_upstream_that_lost_nothing_is_not_kept_waiting(revocations):
-    item = build_successor()
+    successor = build_successor()
     run = build(0).run
-    (release,) = item.list_due(0.0)
-    item.finish(release.order, False, 0.1)
-    assert item.is_pending(run)
-    item.list_due(_revocations.PRECAUTION_S + 0.1)
-    assert not item.is_pending(run)
+    (release,) = successor.list_due(0.0)
+    successor.finish(release.order, False, 0.1)
+    assert successor.is_pending(run)
+    successor.list_due(_revocations.PRECAUTION_GIVE_UP_S + 0.1)
+    assert not successor.is_pending(run)
     lose(revocations, 0, 0, 9)
-    revocations.list_due(_revocations.PRECAUTION_S + 0.1)
+    revocations.list_due(_revocations.PRECAUTION_GIVE_UP_S + 0.1)
     assert revocations.is_pending(run)
 
 
--- a/packages/direct/tests/test_upstream_pool.py
+++ b/packages/direct/tests/test_upstream_pool.py
@@ -13,7 +13,7 @@
 
 
 @pytest.fixture
-def book():
+def pool():
     """A book of a host in domain "a", with a fixed seed."""
     return sycamoreloft_direct.UpstreamPool("a", random.Random(1))
 
@@ -31,114 +31,114 @@
     return sycamoreloft_direct.Upstream(**(values | changes))
 
 
-def count_choices(book, now, is_upload=False, rounds=2_000):
+def count_choices(pool, now, is_upload=False, rounds=2_000):
     counts = collections.Counter()
     for _ in range(rounds):
-        counts[book.choose("ledger", now, is_upload).entry.id] += 1
+        counts[pool.choose("ledger", now, is_upload).entry.id] += 1
     return counts
 
 
-def finish(book, record, result, now, seconds=0.1):
+def finish(pool, record, result, now, seconds=0.1):
     attempt = object()
-    book.begin(record, attempt, now)
-    book.finish(record, attempt, result, now + seconds)
+    pool.begin(record, attempt, now)
+    pool.finish(record, attempt, result, now + seconds)
 
 
-def find(book, name):
-    return book.find(sycamoreloft_direct.UpstreamRun(name, 1))
+def find(pool, name):
+    return pool.find(sycamoreloft_direct.UpstreamRun(name, 1))
 
 
-def test_leaving_upstreams_are_not_chosen(book):
-    book.update([build("u1"), build("u2", is_draining=True)], 0.0)
-    assert set(count_choices(book, 0.0)) == {"u1"}
+def test_leaving_upstreams_are_not_chosen(pool):
+    pool.update([build("u1"), build("u2", is_draining=True)], 0.0)
+    assert set(count_choices(pool, 0.0)) == {"u1"}
 
 
-def test_no_upstream_is_chosen_if_all_were_tried(book):
-    book.update([build("u1")], 0.0)
-    assert book.choose("ledger", 0.0, False, ["u1"]) is None
+def test_no_upstream_is_chosen_if_all_were_tried(pool):
+    pool.update([build("u1")], 0.0)
+    assert pool.choose("ledger", 0.0, False, ["u1"]) is None
 
 
-def test_slow_upstreams_get_fewer_requests(book):
-    book.update([build("u1"), build("u2")], 0.0)
+def test_slow_upstreams_get_fewer_requests(pool):
+    pool.update([build("u1"), build("u2")], 0.0)
     for _ in range(40):
-        finish(book, find(book, "u1"), RESULT.ANSWERED, 0.0, 0.1)
-        finish(book, find(book, "u2"), RESULT.ANSWERED, 0.0, 0.8)
-    counts = count_choices(book, 1.0)
+        finish(pool, find(pool, "u1"), RESULT.ANSWERED, 0.0, 0.1)
+        finish(pool, find(pool, "u2"), RESULT.ANSWERED, 0.0, 0.8)
+    counts = count_choices(pool, 1.0)
     assert counts["u1"] > 4 * counts["u2"] > 0
 
 
-def test_an_unreachable_upstream_is_avoided_and_tried_again(book):
-    book.update([build("u1"), build("u2")], 0.0)
-    finish(book, find(book, "u1"), RESULT.UNREACHABLE, 0.0)
-    assert count_choices(book, 0.5)["u1"] < 20
-    assert count_choices(book, 5.0)["u1"] > 400
+def test_an_unreachable_upstream_is_avoided_and_tried_again(pool):
+    pool.update([build("u1"), build("u2")], 0.0)
+    finish(pool, find(pool, "u1"), RESULT.UNREACHABLE, 0.0)
+    assert count_choices(pool, 0.5)["u1"] < 20
+    assert count_choices(pool, 5.0)["u1"] > 400
 
 
-def test_an_ejection_never_leaves_a_service_without_upstreams(book):
-    book.update([build("u1")], 0.0)
-    finish(book, find(book, "u1"), RESULT.UNREACHABLE, 0.0)
-    assert count_choices(book, 0.5)["u1"] == 2_000
+def test_an_ejection_never_leaves_a_service_without_upstreams(pool):
+    pool.update([build("u1")], 0.0)
+    finish(pool, find(pool, "u1"), RESULT.UNREACHABLE, 0.0)
+    assert count_choices(pool, 0.5)["u1"] == 2_000
 
 
-def test_an_upstream_that_hangs_is_avoided_before_its_deadline(book):
-    book.update([build("u1"), build("u2")], 0.0)
-    book.begin(find(book, "u1"), object(), 0.0)
-    assert count_choices(book, 2.0)["u1"] < 20
+def test_an_upstream_that_hangs_is_avoided_before_its_deadline(pool):
+    pool.update([build("u1"), build("u2")], 0.0)
+    pool.begin(find(pool, "u1"), object(), 0.0)
+    assert count_choices(pool, 2.0)["u1"] < 20
 
 
-def test_an_upstream_with_failures_behind_a_good_probe_gets_less(book):
-    book.update([build("u1"), build("u2")], 0.0)
+def test_an_upstream_with_failures_behind_a_good_probe_gets_less(pool):
+    pool.update([build("u1"), build("u2")], 0.0)
     for number in range(40):
         result = RESULT.FAILED if number % 2 else RESULT.ANSWERED
-        finish(book, find(book, "u1"), result, 0.0)
-        finish(book, find(book, "u2"), RESULT.ANSWERED, 0.0)
-    counts = count_choices(book, 1.0)
+        finish(pool, find(pool, "u1"), result, 0.0)
+        finish(pool, find(pool, "u2"), RESULT.ANSWERED, 0.0)
+    counts = count_choices(pool, 1.0)
     assert counts["u2"] > 2 * counts["u1"]
 
 
-def test_large_bodies_stay_in_the_failure_domain(book):
-    book.update([build("u1", "a"), build("u2", "b")], 0.0)
-    near = count_choices(book, 0.0, True)["u1"]
-    assert near > count_choices(book, 0.0, False)["u1"] > 1_000
+def test_large_bodies_stay_in_the_failure_domain(pool):
+    pool.update([build("u1", "a"), build("u2", "b")], 0.0)
+    near = count_choices(pool, 0.0, True)["u1"]
+    assert near > count_choices(pool, 0.0, False)["u1"] > 1_000
 
 
-def test_a_silent_owner_gets_a_share_that_comes_back(book):
-    book.update([build("u1")], 0.0)
-    record = find(book, "u1")
+def test_a_silent_owner_gets_a_share_that_comes_back(pool):
+    pool.update([build("u1")], 0.0)
+    record = find(pool, "u1")
     for _ in range(10):
-        finish(book, record, RESULT.SILENT, 0.0)
-    admitted = sum(book.admit(record) for _ in range(1_000))
+        finish(pool, record, RESULT.SILENT, 0.0)
+    admitted = sum(pool.admit(record) for _ in range(1_000))
     assert 150 < admitted < 300
     for _ in range(50):
-        finish(book, record, RESULT.ANSWERED, 1.0)
-    assert all(book.admit(record) for _ in range(100))
+        finish(pool, record, RESULT.ANSWERED, 1.0)
+    assert all(pool.admit(record) for _ in range(100))
 
 
-def test_a_new_run_starts_without_a_record(book):
-    book.update([build("u1")], 0.0)
-    finish(book, find(book, "u1"), RESULT.UNREACHABLE, 0.0)
-    book.update([build("u1", started_ms=2)], 0.1)
-    record = book.find(sycamoreloft_direct.UpstreamRun("u1", 2))
-    assert not book.is_avoided(record, 0.2)
+def test_a_new_run_starts_without_a_record(pool):
+    pool.update([build("u1")], 0.0)
+    finish(pool, find(pool, "u1"), RESULT.UNREACHABLE, 0.0)
+    pool.update([build("u1", started_ms=2)], 0.1)
+    record = pool.find(sycamoreloft_direct.UpstreamRun("u1", 2))
+    assert not pool.is_avoided(record, 0.2)
 
 
 # Guards against a book that is built anew at each change of one entry.
 def test_an_entry_that_did_not_change_keeps_its_record():
-    book = sycamoreloft_direct.UpstreamPool("z", random.Random(1))
+    pool = sycamoreloft_direct.UpstreamPool("z", random.Random(1))
     entries = [
         sycamoreloft_direct.Upstream(
             f"u{number}", 1, f"10.0.0.{number}:1", "boards", "z", 6, False
         )
         for number in range(3)
     ]
-    book.update(entries, 0.0)
-    before = [book.find(entry.run) for entry in entries]
+    pool.update(entries, 0.0)
+    before = [pool.find(entry.run) for entry in entries]
     leaving = dataclasses.replace(entries[0], is_draining=True)
-    book.update([leaving, *entries[1:]], 1.0)
-    after = [book.find(entry.run) for entry in entries]
+    pool.update([leaving, *entries[1:]], 1.0)
+    after = [pool.find(entry.run) for entry in entries]
     assert all(old is new for old, new in zip(before, after, strict=True))
     assert after[0].leaving_since == 1.0
-    book.update([leaving, *entries[1:]], 2.0)
+    pool.update([leaving, *entries[1:]], 2.0)
     assert after[0].leaving_since == 1.0
     assert after[1].leaving_since == float("inf")
 
@@ -146,16 +146,16 @@
 # Guards against a choice that looks closer at each upstream than it needs to:
 # it is made with every request, and services are large.
 def test_upstreams_without_requests_are_not_asked_whether_they_hang(
-    book, monkeypatch
+    pool, monkeypatch
 ):
-    asked = []
+    checked = []
 
     def is_stalled(record, now):
-        asked.append(record.entry.id)
+        checked.append(record.entry.id)
         return False
 
     monkeypatch.setattr(_upstream_pool, "_is_stalled", is_stalled)
-    book.update([build(f"u{n}") for n in range(100)], 0.0)
-    book.begin(find(book, "u7"), object(), 0.0)
-    assert book.choose("ledger", 0.1, False) is not None
-    assert asked == ["u7"]
+    pool.update([build(f"u{n}") for n in range(100)], 0.0)
+    pool.begin(find(pool, "u7"), object(), 0.0)
+    assert pool.choose("ledger", 0.1, False) is not None
+    assert checked == ["u7"]
--- a/packages/router/sycamoreloft_router/_key_directory.py
+++ b/packages/router/sycamoreloft_router/_key_directory.py
@@ -92,7 +92,7 @@
         changes = sycamoreloft_direct.decode_changes(data)
         if changes.version <= self.key_map.version:
             return False
-        base = self._earlier.get(changes.base_version, self.key_map)
+        base = self._earlier.get(changes.base, self.key_map)
         return self.take(sycamoreloft_direct.apply_changes(base, changes))
 
     def take_notice(
