--- a/packages/direct/sycamoreloft_direct/_key_changes.py
+++ b/packages/direct/sycamoreloft_direct/_key_changes.py
@@ -127,6 +127,6 @@
     first: int, last: int, upstream: str, started_ms: int
 ) -> _key_map.KeyRange:
     if not 0 <= first <= last < _model.KEY_COUNT:
-        raise ValueError(f"{first} to {last} is not a valid range of keys")
+        raise ValueError(f"the keys {first} to {last} are out of range")
     owner = _model.UpstreamRun(upstream, started_ms) if upstream else None
     return _key_map.KeyRange(first, last, owner)
--- a/packages/direct/sycamoreloft_direct/_key_map.py
+++ b/packages/direct/sycamoreloft_direct/_key_map.py
@@ -178,7 +178,7 @@
     runs: abc.Sequence[_model.UpstreamRun], number: int
 ) -> _model.UpstreamRun | None:
     if number < -1:
-        raise ValueError(f"owner number {number} is less than -1")
+        raise ValueError(f"an owner has the invalid number {number}")
     return runs[number] if number >= 0 else None
 
 
--- a/packages/direct/sycamoreloft_direct/_key_rebalancing.py
+++ b/packages/direct/sycamoreloft_direct/_key_rebalancing.py
@@ -140,12 +140,12 @@
 
     def _plan_service(self, service: str, revision: int, now: float) -> None:
         owners = [
-            upstream
-            for upstream in self._upstreams.values()
-            if upstream.service == service
-            and not upstream.is_draining
-            and self._silent_until.get(upstream.run, now) <= now
-            and not self._has_pending_revocation(upstream.run)
+            item
+            for item in self._upstreams.values()
+            if item.service == service
+            and not item.is_draining
+            and self._silent_until.get(item.run, now) <= now
+            and not self._has_pending_revocation(item.run)
         ]
         if not owners:
             return
@@ -158,12 +158,12 @@
         segments = self._table.list_service(service)
         planner.add_work(
             _key_planning.OwnedRange(
-                segment.first, segment.last, segment.target or segment.owner
+                item.first, item.last, item.target or item.owner
             )
-            for segment in segments
+            for item in segments
         )
         self._busy |= {run.id for run in planner.list_queueing()}
-        runs = {upstream.run for upstream in owners}
+        runs = {item.run for item in owners}
         plan = _ServicePlan(service, planner, runs, revision, now)
         for segment in segments:
             self._place_keys(segment, plan)
@@ -213,19 +213,17 @@
 
     def _balance(self, plan: _ServicePlan) -> None:
         segments = self._table.list_service(plan.service)
-        moving = sum(segment.phase is not _PHASE.HELD for segment in segments)
+        moving = sum(item.phase is not _PHASE.HELD for item in segments)
         for _ in range(MAXIMUM_MOVES - moving):
             held = [
-                segment
-                for segment in self._table.list_service(plan.service)
-                if segment.phase is _PHASE.HELD and segment.failures == 0
+                item
+                for item in self._table.list_service(plan.service)
+                if item.phase is _PHASE.HELD and item.failures == 0
             ]
             move = plan.planner.plan_move(
                 [
-                    _key_planning.OwnedRange(
-                        segment.first, segment.last, segment.owner
-                    )
-                    for segment in held
+                    _key_planning.OwnedRange(item.first, item.last, item.owner)
+                    for item in held
                 ]
             )
             if move is None:
--- a/packages/direct/sycamoreloft_direct/_lease_ends.py
+++ b/packages/direct/sycamoreloft_direct/_lease_ends.py
@@ -186,7 +186,7 @@
         ]
         counted = _owner_changes.ClaimState.COUNTED
         return sorted(
-            claims, key=lambda claim: (claim.state is not counted, -claim.end)
+            claims, key=lambda lease: (lease.state is not counted, -lease.end)
         )
 
     def compute_hold_s(self, now: float, end: float) -> float:
--- a/packages/direct/tests/test_crash_guard.py
+++ b/packages/direct/tests/test_crash_guard.py
@@ -7,7 +7,7 @@
 )
 
 
-def test_a_request_is_the_same_whenever_it_comes_again():
+def test_repetitions_of_a_request_get_the_same_number():
     again = sycamoreloft_direct.identify_request("GET", "/bad", "10.0.0.1", b"")
     other_requests = {
         sycamoreloft_direct.identify_request(*parts)
@@ -38,7 +38,7 @@
     for number, host in enumerate(hosts[:3]):
         host.record_crash(CRASHING_REQUEST, 1.0)
         for _ in range(5):
-            # Reports are repeated, and replace what was told before.
+            # A repeated report replaces the previous one.
             coordinator.record_report(
                 str(number), host.list_own_crashes(2.0), 2.0
             )
@@ -48,7 +48,7 @@
         assert host.is_stopped(CRASHING_REQUEST, 3.0)
 
 
-def test_requests_that_are_answered_when_they_come_again_go_on():
+def test_requests_that_are_answered_when_repeated_are_not_stopped():
     guard = sycamoreloft_direct.CrashGuard()
     for now in range(10):
         guard.record_crash(CRASHING_REQUEST, float(now))
@@ -65,13 +65,13 @@
     assert guard.list_own_crashes(400.0) == {}
 
 
-def test_a_successor_of_the_coordinator_goes_on_stopping():
+def test_a_new_coordinator_keeps_requests_stopped():
     successor = sycamoreloft_direct.CrashGuard()
     successor.add_stopped([CRASHING_REQUEST], 1.0)
     assert successor.list_stopped(2.0) == (CRASHING_REQUEST,)
 
 
-def test_what_is_remembered_is_bounded():
+def test_the_number_of_remembered_requests_is_bounded():
     guard = sycamoreloft_direct.CrashGuard()
     for request in range(10_000):
         guard.record_crash(request, 1.0)
--- a/packages/direct/tests/test_hot_keys.py
+++ b/packages/direct/tests/test_hot_keys.py
@@ -1,7 +1,7 @@
-"""Load patterns of keys, played against a coordinator without a network.
+"""Rebalancing under load patterns, simulated without a network.
 
-The upstreams answer orders at once; a tick is 50 ms. What is checked is how
-soon the work is spread, not how the orders travel.
+Upstreams answer orders at once. The tests check how quickly the coordinator
+spreads the load, not how it deals with lost or late orders.
 """
 
 import random
@@ -17,12 +17,14 @@
 
 
 class Simulation:
-    """A coordinator and upstreams that take every order."""
+    """A coordinator, and upstreams that accept every order at once."""
 
-    def __init__(self, upstreams=18, seed=1):
+    def __init__(self, upstream_count=18, seed=1):
         self.generator = random.Random(seed)
         self.now = 0.0
-        self.upstreams = [self.build(number) for number in range(upstreams)]
+        self.upstreams = [
+            self.build(number) for number in range(upstream_count)
+        ]
         self.coordinator = sycamoreloft_direct.KeyCoordinator(
             sycamoreloft_direct.KeyMap(1, 0, {}),
             0.0,
@@ -89,12 +91,12 @@
     simulation = Simulation()
     simulation.run(4.0, 550)
     simulation.hot = (first, count, 0.4)
-    # Half of the shortest spell of hot keys that the users describe.
+    # Half of the shortest period of hot keys in the requirements.
     simulation.run(2.0, 550)
     assert max(simulation.measure(550).values()) < 0.95
 
 
-def test_one_key_that_is_too_hot_keeps_its_owner_to_itself():
+def test_the_owner_of_a_key_that_is_too_hot_has_few_other_keys():
     simulation = Simulation()
     simulation.run(4.0, 550)
     simulation.hot = (30_000, 1, 0.3)
@@ -154,7 +156,7 @@
     assert keys.find(3).owner.id == "u7"
 
 
-def test_keys_count_as_moving_until_their_new_owner_has_taken_them():
+def test_keys_count_as_moving_until_their_new_owner_accepts_them():
     simulation = Simulation()
     simulation.run(2.0, 100)
     leaving = simulation.upstreams.pop()
--- a/packages/direct/tests/test_key_changes.py
+++ b/packages/direct/tests/test_key_changes.py
@@ -1,4 +1,4 @@
-"""Changes of the map of keys, as hosts tell them to each other."""
+"""Differences between key maps, as hosts send them to each other."""
 
 import random
 
@@ -17,7 +17,7 @@
 
 
 def share_keys():
-    """Gives each upstream a range."""
+    """Returns keys of which each upstream owns one range."""
     keys = sycamoreloft_direct.create_unowned("boards")
     step = sycamoreloft_direct.KEY_COUNT // len(RUNS)
     for number, run in enumerate(RUNS):
@@ -26,7 +26,11 @@
 
 
 def send(old, new):
-    """Returns the later map as a host has it that knew the old one."""
+    """Sends the differences to a host that has the old map.
+
+    Returns:
+        The map that the host has then, and the size of the message in bytes.
+    """
     data = sycamoreloft_direct.encode_changes(
         sycamoreloft_direct.compute_changes(old, new)
     )
@@ -49,8 +53,8 @@
         old = new
 
 
-def test_one_moved_range_is_told_in_few_bytes():
-    """Guards against a coordinator whose link is full of whole maps."""
+def test_one_moved_range_is_encoded_in_few_bytes():
+    """Guards against a link of the coordinator saturated by whole maps."""
     old = build_map(1, share_keys())
     new = build_map(2, old.services["boards"].assign(500, 520, RUNS[7]))
     assert send(old, new)[1] < 100
--- a/packages/direct/tests/test_key_map.py
+++ b/packages/direct/tests/test_key_map.py
@@ -1,4 +1,4 @@
-"""Maps of keys: lookups, changes, encoding."""
+"""Lookups, changes and encoding of key maps."""
 
 import random
 
@@ -10,7 +10,7 @@
 RUNS = [sycamoreloft_direct.UpstreamRun(f"u{n}", n + 1) for n in range(4)]
 
 
-def test_changes_agree_with_a_plain_list():
+def test_assignments_agree_with_a_list_of_owners():
     generator = random.Random(3)
     keys = sycamoreloft_direct.create_unowned("boards")
     plain = [None] * sycamoreloft_direct.KEY_COUNT
@@ -29,7 +29,7 @@
         assert left.owner != right.owner
 
 
-# Guards against a cost of each change that grows with the length of the map.
+# Guards against changes whose cost grows with the number of ranges.
 def test_a_change_keeps_the_ranges_that_it_does_not_touch():
     keys = sycamoreloft_direct.create_unowned("boards")
     for number in range(200):
@@ -46,7 +46,7 @@
     ]
 
 
-def test_a_range_takes_the_place_of_many():
+def test_a_range_replaces_all_ranges_that_it_covers():
     keys = sycamoreloft_direct.create_unowned("boards")
     for number in range(200):
         keys = keys.assign(number * 100, number * 100 + 99, RUNS[number % 4])
@@ -60,7 +60,7 @@
     assert same == keys
 
 
-def test_encoding_keeps_everything():
+def test_a_decoded_map_equals_the_encoded_one():
     keys = sycamoreloft_direct.create_unowned("boards")
     keys = keys.assign(10, 20, RUNS[0]).assign(15, 70, RUNS[1])
     known = sycamoreloft_direct.KeyMap(7, 3, {"boards": keys})
@@ -78,7 +78,7 @@
     assert sycamoreloft_direct.KeyMap(1, 1, {}).find_owner("x", 5) is None
 
 
-# Guards against maps whose ranges leave keys without a place, or overlap.
+# Guards against maps whose ranges overlap or leave out keys.
 @pytest.mark.parametrize(
     "value",
     [
@@ -92,6 +92,6 @@
         (1, 1, [("u1", float("inf"))], {"boards": [(0, 0)]}),
     ],
 )
-def test_ranges_that_are_no_map_are_refused(value):
+def test_invalid_ranges_are_refused(value):
     with pytest.raises(ValueError, match="map of keys"):
         sycamoreloft_direct.decode_key_map(msgpack.packb(value))
--- a/packages/direct/tests/test_lease_ends.py
+++ b/packages/direct/tests/test_lease_ends.py
@@ -1,4 +1,4 @@
-"""Ends of leases, order by order."""
+"""Ends of leases after single grants."""
 
 import pytest
 
@@ -21,7 +21,7 @@
     )
 
 
-def test_grant_under_way_has_no_end(ends):
+def test_grant_with_an_open_call_has_no_end(ends):
     ends.open_call(build_grant())
     assert ends.compute_end("boards", 50, 60, 0) == _lease_ends.OPEN_END
 
@@ -55,7 +55,7 @@
     assert ends.compute_end("boards", 0, 0, 0) == pytest.approx(expected)
 
 
-def test_hold_of_a_try_is_over_at_the_known_end(ends):
+def test_computed_lease_ends_by_the_known_end(ends):
     ends.open_call(build_grant(1))
     ends.close_call(1, 5.0, True)
     end = ends.compute_end("boards", 0, 99, 0)
@@ -65,7 +65,7 @@
     assert ends.compute_end("boards", 0, 99, 0) == pytest.approx(end)
 
 
-def test_earlier_coordinator_is_counted_with_its_last_order(ends):
+def test_assumed_grant_ends_after_its_latest_arrival(ends):
     ends.assume_earlier_grants("boards", 0, 99, RUN, 5, 7.0)
     expected = 7.0 + TIMES.grant_travel_s + LEASE_S
     assert ends.compute_end("boards", 0, 99, 0) == pytest.approx(expected)
--- a/packages/direct/tests/test_lost_owners.py
+++ b/packages/direct/tests/test_lost_owners.py
@@ -1,8 +1,8 @@
-"""Keys of owners that are gone, and what shortens the wait for them.
+"""Reassignment of the keys of lost owners by a new coordinator.
 
-The pattern: the coordinator and some owners are lost together, so that the
-successor waits for what the predecessor may have granted, and all requests for
-the keys of these owners are refused meanwhile.
+If the coordinator and some owners are lost together, the successor has to wait
+for leases that the predecessor may have granted, and requests for the keys are
+refused meanwhile. Knowing that an owner's run has ended shortens the wait.
 """
 
 import pytest
@@ -12,7 +12,7 @@
 SERVICE = "boards"
 TICK_S = 0.05
 
-#: Time for which an earlier coordinator may renew, in seconds.
+#: Time for which the predecessor may still renew leases, in seconds.
 PREDECESSOR_S = 12.0
 
 
@@ -23,7 +23,7 @@
 
 
 class Succession:
-    """A coordinator that succeeds a lost one; the first owner is gone."""
+    """A coordinator that replaces a lost one; the first owner is lost too."""
 
     def __init__(self):
         self.upstreams = [build(number) for number in range(4)]
@@ -45,7 +45,7 @@
         )
 
     def run(self, seconds):
-        """Answers all orders but those to the lost owner."""
+        """Runs ticks; answers all orders except those to the lost owner."""
         until = self.now + seconds
         results = sycamoreloft_direct.GrantResult
         while self.now < until:
@@ -62,7 +62,7 @@
                 self.coordinator.finish_grant(command.order, result, self.now)
 
     def is_lost_owner_recorded(self):
-        """Tells whether the lost owner still has the first key."""
+        """Returns whether the lost owner is still recorded for key 0."""
         owner = self.coordinator.key_map.find_owner(SERVICE, 0)
         return owner == self.lost
 
--- a/packages/direct/tests/test_owner_changes.py
+++ b/packages/direct/tests/test_owner_changes.py
@@ -1,4 +1,4 @@
-"""What a coordinator tells of changes of owner."""
+"""Descriptions of changes of owner, and of the claims that they wait for."""
 
 import pytest
 
@@ -12,10 +12,10 @@
 TIMES = sycamoreloft_direct.LeaseTimes()
 TICK_S = 0.05
 
-#: Time for which an earlier coordinator may renew, in seconds.
+#: Time for which the predecessor may still renew leases, in seconds.
 PREDECESSOR_S = 2.0
 
-#: Keys of each upstream at first.
+#: Number of keys that each upstream owns at first.
 WIDTH = sycamoreloft_direct.KEY_COUNT // 4
 
 
@@ -26,7 +26,7 @@
 
 
 class Simulation:
-    """A coordinator that took over keys of four upstreams, or none."""
+    """A coordinator, and four upstreams that own all keys at first, or none."""
 
     def __init__(self, is_owned=True):
         self.upstreams = [build(number) for number in range(4)]
@@ -52,7 +52,7 @@
         )
 
     def step(self):
-        """Answers the orders of one tick, but those to silent upstreams."""
+        """Runs one tick; answers its orders, except to silent upstreams."""
         self.now += TICK_S
         self.coordinator.update_upstreams(self.upstreams, {SERVICE}, self.now)
         commands = self.coordinator.tick(self.now, True, True)
@@ -87,7 +87,7 @@
 
 
 def find_grant(simulation, change):
-    """Finds the first grant that follows a change of owner."""
+    """Returns the first grant to the new owner after a change."""
     return next(
         order
         for order in simulation.orders
@@ -97,7 +97,7 @@
     )
 
 
-# Guards against a change of owner whose inputs nobody can tell afterwards.
+# Guards against changes of owner whose reasons are missing from the logs.
 def test_change_after_a_lease_names_the_grants_that_it_waited_for(simulation):
     simulation.run(1.0)
     lost = simulation.upstreams[0].run
@@ -124,7 +124,8 @@
     assert (first, last) == (0, WIDTH - 1)
 
 
-# Guards against a wait for the predecessor that is not told from others.
+# Guards against logs that don't show that a change waited for a grant of the
+# predecessor.
 def test_change_after_a_takeover_names_the_assumed_grant(simulation):
     simulation.silent = {simulation.upstreams[0].run}
     simulation.run(PREDECESSOR_S + TIMES.grant_travel_s + 5.0)
@@ -160,7 +161,7 @@
     assert change.lease_end == 0.0
 
 
-def test_keys_without_an_owner_have_a_change_without_an_old_one():
+def test_change_of_unowned_keys_has_no_old_owner():
     simulation = Simulation(is_owned=False)
     simulation.run(2.0)
     assert {change.cause for change in simulation.changes} == {CAUSE.UNOWNED}
@@ -168,7 +169,7 @@
     assert not any(simulation.claims)
 
 
-def test_change_after_a_release_tells_its_token(simulation):
+def test_change_after_a_release_has_the_token_of_the_release(simulation):
     simulation.run(1.0)
     leaving = simulation.upstreams[0].run
     simulation.upstreams[0] = sycamoreloft_direct.Upstream(
@@ -188,8 +189,8 @@
         assert change.refused_fence == change.old_fence < change.new_fence
 
 
-# Guards against changes that are told twice, or pile up without a reader.
-def test_a_change_is_told_once(simulation):
+# Guards against changes that are reported twice or accumulate.
+def test_a_change_is_reported_once(simulation):
     simulation.run(1.0)
     simulation.coordinator.end_run(simulation.upstreams.pop(0).run)
     simulation.run(2.0)
@@ -199,7 +200,7 @@
     assert not simulation.coordinator.owner_changes
 
 
-def test_open_calls_stand_first_among_the_claims():
+def test_claims_with_open_calls_are_listed_first():
     ends = _lease_ends.LeaseEnds(TIMES)
     run = sycamoreloft_direct.UpstreamRun("u0", 1)
     ends.assume_earlier_grants(SERVICE, 0, 9, run, 5, 100.0)
@@ -214,8 +215,8 @@
     assert not ends.list_claims("other", 0, 9, 0)
 
 
-# Guards against memory that grows with every grant of a tenure.
-def test_leases_that_are_long_over_are_forgotten():
+# Guards against memory that grows with every grant of a coordinator.
+def test_leases_that_ended_long_ago_are_dropped():
     ends = _lease_ends.LeaseEnds(TIMES)
     run = sycamoreloft_direct.UpstreamRun("u0", 1)
     for order in range(1, 1_000):
@@ -229,8 +230,8 @@
     assert len(ends.list_claims(SERVICE, 0, 9, 0)) < kept_s / 0.5
 
 
-# Guards against a line for each renewal.
-def test_only_the_first_grant_under_a_token_is_told_apart(simulation):
+# Guards against logging each renewal as if it were a first grant.
+def test_only_the_first_grant_with_a_token_is_no_renewal(simulation):
     first = []
 
     def answer(command):
--- a/packages/direct/tests/test_renewals.py
+++ b/packages/direct/tests/test_renewals.py
@@ -1,4 +1,4 @@
-"""Renewals of many owners: what one of them costs must not grow with all."""
+"""Renewals of leases, whose cost must not grow with the number of owners."""
 
 import pytest
 
@@ -43,8 +43,8 @@
     ]
 
 
-# Guards against a look at all segments after each renewal.
-def test_nothing_follows_an_accepted_renewal(coordinator):
+# Guards against visiting all segments after each renewal.
+def test_no_step_follows_an_accepted_renewal(coordinator):
     grants = list_grants(coordinator, 0.0)
     assert len(grants) == 2
     for grant in grants:
--- a/packages/direct/tests/test_restarted_owners.py
+++ b/packages/direct/tests/test_restarted_owners.py
@@ -1,4 +1,4 @@
-"""Owners that restart under their identifier, and forget higher tokens."""
+"""Owners that restart with the same identifier and lose their tokens."""
 
 import pytest
 
@@ -7,7 +7,7 @@
 SERVICE = "boards"
 TICK_S = 0.05
 
-#: Time for which an earlier coordinator may renew, in seconds.
+#: Time for which the predecessor may still renew leases, in seconds.
 PREDECESSOR_S = 12.0
 
 RESULTS = sycamoreloft_direct.GrantResult
@@ -20,7 +20,7 @@
 
 
 class Coordination:
-    """A coordinator that succeeds another one; two upstreams own all keys."""
+    """A coordinator that has a predecessor; two upstreams own all keys."""
 
     def __init__(self):
         self.upstreams = [build("u0", 1), build("u1", 1)]
@@ -45,7 +45,7 @@
         )
 
     def run(self, seconds):
-        """Answers all orders but those to upstreams that are not reached."""
+        """Runs ticks; answers all orders except to unreachable upstreams."""
         until = self.now + seconds
         while self.now < until:
             self.now += TICK_S
@@ -70,7 +70,7 @@
         self.grants.append(command)
         result = RESULTS.ACCEPTED
         if command.run.id in self.refusing:
-            # Its next orders are not answered.
+            # The upstream does not answer later orders.
             result = RESULTS.FENCED
             self.unreachable.add(command.run.id)
             self.refusing.clear()
@@ -89,9 +89,9 @@
     return Coordination()
 
 
-# Guards against a second owner: the run before had refused the orders of an
-# earlier coordinator, but the new run may take them.
-def test_restarted_owner_that_is_silent_is_waited_for(coordination):
+# Guards against two owners at once. The previous run would refuse late grants
+# of the predecessor, but the new run does not know the token and accepts them.
+def test_keys_of_a_restarted_silent_owner_are_kept_for_its_lease(coordination):
     coordination.run(1.0)
     coordination.upstreams[0] = build("u0", 2)
     coordination.unreachable.add("u0")
@@ -101,9 +101,9 @@
     assert coordination.find_first_owner() == "u1"
 
 
-# Guards against a grant of an earlier coordinator to a run that has forgotten
-# the tokens of a later one: what does not answer may have restarted.
-def test_unconfirmed_coordinator_does_not_try_a_silent_owner_again(
+# Guards against two owners at once. A silent owner may have restarted and lost
+# the token of a newer coordinator, and would accept a grant of this one.
+def test_unconfirmed_coordinator_sends_no_grant_to_a_silent_owner(
     coordination,
 ):
     coordination.run(2.0)
@@ -119,8 +119,8 @@
     assert "u0" in {command.run.id for command in coordination.grants}
 
 
-# Guards against a release that arrives after the grant to the new run, and
-# takes the keys from it again.
+# Guards against a release for the previous run that arrives after the grant to
+# the new run, which would then release its keys.
 def test_restarted_owner_gets_its_keys_without_a_release(coordination):
     coordination.run(1.0)
     coordination.releases.clear()
@@ -130,9 +130,9 @@
     assert not coordination.releases
 
 
-# Guards against a second owner: the refusal may be the answer to another
-# renewal on the connection, and the renewal may have been taken.
-def test_a_refused_renewal_is_waited_for(coordination):
+# Guards against two owners at once. The refusal may answer another renewal on
+# the same connection, so this renewal may have been accepted.
+def test_keys_are_kept_for_the_lease_after_a_refused_renewal(coordination):
     coordination.run(PREDECESSOR_S + 2.0)
     coordination.refusing.add("u0")
     while coordination.refusing:
--- a/packages/direct/tests/test_retry_budgets.py
+++ b/packages/direct/tests/test_retry_budgets.py
@@ -13,7 +13,7 @@
 
 
 def test_retries_are_a_tenth_of_recent_requests(budget):
-    """Guards against load that retries add to an overload."""
+    """Guards against retries that make an overload worse."""
     for _ in range(1000):
         budget.record_request(5.0)
     assert sum(budget.try_spend(5.5) for _ in range(500)) == 100
@@ -21,15 +21,15 @@
 
 
 def test_old_requests_and_retries_no_longer_count(budget):
-    """Guards against a budget saved up in quiet hours."""
+    """Guards against a budget that accumulates over quiet hours."""
     for _ in range(1000):
         budget.record_request(5.0)
     assert sum(budget.try_spend(16.0) for _ in range(500)) == 3
     assert sum(budget.try_spend(27.0) for _ in range(500)) == 3
 
 
-def test_requests_without_retries_take_no_memory(budget):
-    """Guards against a host that grows as long as nothing fails."""
+def test_requests_without_retries_use_bounded_memory(budget):
+    """Guards against memory that grows while no request fails."""
     for second in range(100):
         budget.record_request(float(second))
     size = len(pickle.dumps(budget))
--- a/packages/direct/tests/test_revocations.py
+++ b/packages/direct/tests/test_revocations.py
@@ -1,4 +1,4 @@
-"""Releases at owners that lost their keys without answering."""
+"""Revocations of keys from owners that lost them without answering."""
 
 import dataclasses
 import itertools
@@ -34,7 +34,7 @@
     revocations.add(build(number).run, keys, 0.0, owns_nothing=owns_nothing)
 
 
-# Guards against an upstream that is reached again and never told.
+# Guards against an upstream that becomes reachable again but gets no release.
 def test_a_release_is_repeated_until_it_is_answered(revocations):
     lose(revocations, 0, 5, 9)
     now = 0.0
@@ -55,9 +55,9 @@
     assert not revocations.list_due(now + 1.0)
 
 
-# Guards against a coordinator that is busy with connections to a failure
-# domain that is cut off, and against slow releases once the cut has ended.
-def test_an_answer_lets_all_others_be_tried(revocations):
+# Guards against a coordinator that spends its time on connections to a
+# partitioned failure domain, and against slow releases after the partition.
+def test_an_answer_makes_all_other_releases_due(revocations):
     for number in range(20):
         lose(revocations, number, 0, 9)
     first = revocations.list_due(0.0)
@@ -67,8 +67,8 @@
     assert len(revocations.list_due(0.2)) == 20 - len(first)
 
 
-# Guards against a late grant of one range while the release of another one
-# waits for the work on it.
+# Guards against a late grant of one range while the release of another range
+# waits for the requests on that range to finish.
 def test_an_owner_without_other_keys_gets_one_release(revocations):
     lose(revocations, 0, 0, 9, owns_nothing=False)
     (release,) = revocations.list_due(0.0)
@@ -92,8 +92,9 @@
     return tracker
 
 
-# Guards against upstreams that get no keys because they refuse releases.
-def test_an_upstream_that_lost_nothing_is_not_kept_waiting(revocations):
+# Guards against healthy upstreams that get no keys for a long time because
+# releases to them fail.
+def test_an_upstream_that_lost_no_keys_is_given_up_early(revocations):
     successor = build_successor()
     run = build(0).run
     (release,) = successor.list_due(0.0)
@@ -106,8 +107,9 @@
     assert revocations.is_pending(run)
 
 
-# Guards against a release of an ended run that takes the keys of the next one.
-def test_a_later_run_gets_no_release_of_the_one_before(revocations):
+# Guards against a release for an ended run that makes the next run release its
+# keys.
+def test_a_later_run_gets_no_release_of_an_earlier_run(revocations):
     lose(revocations, 0, 0, 9)
     later = dataclasses.replace(build(0), started_ms=2)
     revocations.update_upstreams({later.run: later}, {later.run}, 1.0)
--- a/packages/direct/tests/test_routes.py
+++ b/packages/direct/tests/test_routes.py
@@ -1,4 +1,4 @@
-"""Routes by host and longest prefix, and weighted splits."""
+"""Lookup of routes by host and longest prefix, and weighted splits."""
 
 import collections
 
@@ -23,7 +23,7 @@
 
 @pytest.fixture
 def table():
-    """Routes that begin each other."""
+    """A table with routes whose prefixes are prefixes of others."""
     return sycamoreloft_direct.RouteTable(
         [
             build("/"),
@@ -50,7 +50,7 @@
     assert table.find("race.example", path).prefix == prefix
 
 
-def test_hosts_are_told_apart_and_ports_ignored(table):
+def test_routes_depend_on_the_host_name_but_not_the_port(table):
     assert table.find("other.example:80", "/x/y").prefix == "/x/"
     assert table.find("OTHER.example", "/x/").prefix == "/x/"
     assert table.find("other.example", "/a/") is None
--- a/packages/direct/tests/test_upstream_pool.py
+++ b/packages/direct/tests/test_upstream_pool.py
@@ -1,4 +1,4 @@
-"""Choice of upstreams by observation."""
+"""Choice of upstreams by observed latencies and failures."""
 
 import collections
 import dataclasses
@@ -14,7 +14,7 @@
 
 @pytest.fixture
 def pool():
-    """A book of a host in domain "a", with a fixed seed."""
+    """A pool of a host in failure domain "a", with a fixed seed."""
     return sycamoreloft_direct.UpstreamPool("a", random.Random(1))
 
 
@@ -80,13 +80,13 @@
     assert count_choices(pool, 0.5)["u1"] == 2_000
 
 
-def test_an_upstream_that_hangs_is_avoided_before_its_deadline(pool):
+def test_a_stalled_upstream_is_avoided_before_the_deadline(pool):
     pool.update([build("u1"), build("u2")], 0.0)
     pool.begin(find(pool, "u1"), object(), 0.0)
     assert count_choices(pool, 2.0)["u1"] < 20
 
 
-def test_an_upstream_with_failures_behind_a_good_probe_gets_less(pool):
+def test_an_upstream_that_fails_half_of_its_requests_gets_fewer(pool):
     pool.update([build("u1"), build("u2")], 0.0)
     for number in range(40):
         result = RESULT.FAILED if number % 2 else RESULT.ANSWERED
@@ -96,13 +96,13 @@
     assert counts["u2"] > 2 * counts["u1"]
 
 
-def test_large_bodies_stay_in_the_failure_domain(pool):
+def test_large_bodies_prefer_the_failure_domain_more(pool):
     pool.update([build("u1", "a"), build("u2", "b")], 0.0)
     near = count_choices(pool, 0.0, True)["u1"]
     assert near > count_choices(pool, 0.0, False)["u1"] > 1_000
 
 
-def test_a_silent_owner_gets_a_share_that_comes_back(pool):
+def test_the_share_of_a_silent_owner_shrinks_and_recovers(pool):
     pool.update([build("u1")], 0.0)
     record = find(pool, "u1")
     for _ in range(10):
@@ -114,7 +114,7 @@
     assert all(pool.admit(record) for _ in range(100))
 
 
-def test_a_new_run_starts_without_a_record(pool):
+def test_a_new_run_starts_with_a_new_record(pool):
     pool.update([build("u1")], 0.0)
     finish(pool, find(pool, "u1"), RESULT.UNREACHABLE, 0.0)
     pool.update([build("u1", started_ms=2)], 0.1)
@@ -122,7 +122,7 @@
     assert not pool.is_avoided(record, 0.2)
 
 
-# Guards against a book that is built anew at each change of one entry.
+# Guards against creating all records anew whenever one entry changes.
 def test_an_entry_that_did_not_change_keeps_its_record():
     pool = sycamoreloft_direct.UpstreamPool("z", random.Random(1))
     entries = [
@@ -143,9 +143,9 @@
     assert after[1].leaving_since == float("inf")
 
 
-# Guards against a choice that looks closer at each upstream than it needs to:
-# it is made with every request, and services are large.
-def test_upstreams_without_requests_are_not_asked_whether_they_hang(
+# Guards against needless work per upstream. An upstream is chosen for every
+# request, and services have many upstreams.
+def test_upstreams_without_requests_are_not_checked_for_stalls(
     pool, monkeypatch
 ):
     checked = []
