--- a/packages/decisions/sycamoreloft_decisions/_balancing.py
+++ b/packages/decisions/sycamoreloft_decisions/_balancing.py
@@ -1,30 +1,31 @@
-"""State of the upstreams of a group, and the choice between them."""
+"""State of the upstreams of a group, and the choice among them."""
 
 from collections import abc
 import random
 
 from sycamoreloft_decisions import _concurrency
 
-#: Failures in a row after which an upstream is ejected for a while.
-EJECTION_FAILURES = 5
+#: Number of successive failures after which an upstream is ejected for a time.
+FAILURES_TO_EJECT = 5
 
-#: Seconds of the first ejection; each further one is twice as long.
-EJECTION_S = 5.0
+#: Duration of the first ejection, in seconds. It doubles with each further
+#: one.
+FIRST_EJECTION_S = 5.0
 
-#: Longest ejection, in seconds.
-LONGEST_EJECTION_S = 60.0
+#: Maximum duration of an ejection, in seconds.
+MAXIMUM_EJECTION_S = 60.0
 
-#: Ejections in a row that are counted; more of them made the computation of
-#: the duration overflow.
-MOST_EJECTIONS = 10
+#: Maximum number of successive ejections that are counted. Without this limit,
+#: the computation of the duration overflowed.
+MAXIMUM_COUNTED_EJECTIONS = 10
 
-#: Seconds after which the latency of an idle upstream is no longer trusted,
-#: so that an upstream that was slow once is tried again.
-STALE_S = 5.0
+#: Seconds after which the observed latency of an idle upstream is ignored, so
+#: that an upstream that was slow in the past is tried again.
+STALE_LATENCY_S = 5.0
 
 
 class UpstreamState:
-    """What the desk knows of one upstream."""
+    """State of one upstream at the permit issuer."""
 
     __slots__ = (
         "_accounted",
@@ -43,34 +44,44 @@
     )
 
     def __init__(self, name: str, recovering: bool) -> None:
-        """Starts without slots; `recovering` as after a takeover."""
-        #: Name of the upstream.
+        """Creates an unavailable upstream without slots.
+
+        Args:
+            name: Name of the upstream.
+            recovering: Whether this holder is recovering after a takeover.
+        """
         self.name = name
-        #: Requests that it runs at once.
+        #: Number of requests that the upstream can run concurrently.
         self.slots = 0
-        #: Requests that may be queued for it.
+        #: Maximum number of requests that are queued for it.
         self.queue = 0
         #: Whether it may get new permits.
         self.available = False
-        #: Permits that have not ended.
+        #: Number of its permits that have not ended.
         self.in_use = 0
-        #: Permits that may be in use at once.
+        #: Maximum number of permits that may be in use.
         self.capacity = 0
         #: Whether an earlier holder may have issued permits for it that no
         #: host has reported yet.
         self.recovering = recovering
-        #: Limit below the slots.
+        #: Concurrency limit, which may be below the slots.
         self.limiter = _concurrency.ConcurrencyLimit(0, False)
-        #: Time until which other upstreams are preferred.
+        #: Time until which other upstreams are preferred, in seconds.
         self.ejected_until = 0.0
-        #: Time of the last completed request.
+        #: When a request last completed, in seconds.
         self.observed_at = 0.0
         self._accounted = 0
         self._failures = 0
         self._ejections = 0
 
-    def open(self, slots: int, queue: int, cold: bool) -> None:
-        """Makes the upstream available with the given limits."""
+    def mark_available(self, slots: int, queue: int, cold: bool) -> None:
+        """Makes the upstream available with the given limits.
+
+        Args:
+            slots: Number of requests that it can run concurrently.
+            queue: Maximum number of queued requests; 0 for twice the slots.
+            cold: Whether it has just started.
+        """
         if cold or not self.slots:
             self.limiter = _concurrency.ConcurrencyLimit(slots, cold)
         elif slots != self.slots:
@@ -80,27 +91,32 @@
         self.available = True
         self.update_capacity()
 
-    def account(self, unlapsed: bool) -> None:
-        """Counts a permit of an earlier holder that a host reported."""
+    def add_reported_permit(self, unlapsed: bool) -> None:
+        """Counts a permit that an earlier holder issued and a host reported.
+
+        Args:
+            unlapsed: Whether the permit cannot have lapsed, as in
+                `ReportedPermit`.
+        """
         self.in_use += 1
         self._accounted += unlapsed
         self.update_capacity()
 
     def update_capacity(self) -> None:
-        """Computes the capacity after one of its parts changed."""
+        """Recomputes the capacity after one of its inputs changed."""
         capacity = int(self.limiter.limit)
         if self.recovering:
-            # Only a slot whose unlapsed permit was reported, and then
-            # returned, is known to be free.
+            # A slot is known to be free only if its unlapsed permit was
+            # reported and then returned.
             capacity = min(capacity, self._accounted)
         self.capacity = min(capacity, self.slots)
 
     def is_free(self) -> bool:
-        """Tells whether a permit can be issued now."""
+        """Returns whether a permit can be issued now."""
         return self.available and self.in_use < self.capacity
 
     def observe_success(self, latency_s: float, now: float) -> bool:
-        """Counts a completed request; returns whether the capacity changed."""
+        """Records a completed request; returns whether the capacity changed."""
         self._failures = 0
         if self.ejected_until <= now:
             self._ejections = 0
@@ -112,33 +128,35 @@
         return True
 
     def observe_unfinished(self, latency_s: float) -> None:
-        """Counts a request that was given up after some time.
+        """Records a request that was abandoned after some time.
 
-        Its service time would have been longer, so it is a sample only if it
-        is above the mean.
+        Its latency would have been at least as long, so the time is used as a
+        sample only if it exceeds the recent mean.
         """
         if latency_s > self.limiter.recent_s > 0:
             self.limiter.observe(latency_s)
             self.update_capacity()
 
     def observe_failure(self, now: float) -> None:
-        """Counts a refusal or a lost connection."""
+        """Records a refused request or a lost connection."""
         self.limiter.decrease()
         self.update_capacity()
         self._failures += 1
-        # A keyed upstream is used while it is ejected, which must not make
-        # its ejection longer.
-        if self._failures < EJECTION_FAILURES or self.ejected_until > now:
+        # Owners of keys get requests even while they are ejected. Failures of
+        # these must not extend the ejection.
+        if self._failures < FAILURES_TO_EJECT or self.ejected_until > now:
             return
-        # One more failure after the ejection is enough for the next one.
-        self._failures = EJECTION_FAILURES - 1
-        duration_s = min(EJECTION_S * 2.0**self._ejections, LONGEST_EJECTION_S)
-        self._ejections = min(self._ejections + 1, MOST_EJECTIONS)
+        # After the ejection, a single failure causes the next one.
+        self._failures = FAILURES_TO_EJECT - 1
+        duration_s = min(
+            FIRST_EJECTION_S * 2.0**self._ejections, MAXIMUM_EJECTION_S
+        )
+        self._ejections = min(self._ejections + 1, MAXIMUM_COUNTED_EJECTIONS)
         self.ejected_until = now + duration_s
 
     def compute_score(self, now: float) -> float:
-        """Returns the expected delay of one more request; less is better."""
-        if self.in_use == 0 and self.observed_at + STALE_S < now:
+        """Returns the expected latency of one more request, in seconds."""
+        if self.in_use == 0 and self.observed_at + STALE_LATENCY_S < now:
             return 0.0
         return (self.in_use + 1) * self.limiter.recent_s
 
@@ -148,11 +166,15 @@
     generator: random.Random,
     now: float,
 ) -> UpstreamState | None:
-    """Chooses a free upstream: the better one of two random candidates.
+    """Chooses the better of two random candidates that have a free slot.
+
+    Ejected upstreams are chosen only if no other upstream is available, so
+    that ejections never leave a service without upstreams. They are not chosen
+    when the others are merely full: an upstream that fails quickly would
+    otherwise attract all excess requests.
 
-    Ejected upstreams are used only when no other one is available; ejection
-    therefore never empties the set. They are not used when the others are
-    full, because an upstream that fails fast would attract what overflows.
+    Returns:
+        The upstream, or None if no suitable one has a free slot.
     """
     count = len(candidates)
     if count == 1:
--- a/packages/decisions/sycamoreloft_decisions/_claim_events.py
+++ b/packages/decisions/sycamoreloft_decisions/_claim_events.py
@@ -1,4 +1,7 @@
-"""Events and commands of the claim book; times are seconds of one clock."""
+"""Events and commands of the claim registry.
+
+Times are seconds on the clock of the holder.
+"""
 
 from collections import abc
 import dataclasses
@@ -6,47 +9,47 @@
 
 
 class Verdict(enum.StrEnum):
-    """Answers to a claim, as in the message `ClaimAnswer`."""
+    """Answer to a claim, with the values of the message `ClaimAnswer`."""
 
-    #: The attempt may send the request, once.
+    #: The attempt may send the request once.
     CLAIMED = "claimed"
-    #: An earlier attempt has the claim.
+    #: An earlier attempt has claimed the request id.
     REPEATED = "repeated"
-    #: The id was claimed for a request with another body.
+    #: The request id was claimed for a request with another body.
     CONFLICT = "conflict"
-    #: The claim could not be made durable; the attempt must not send.
+    #: The claim could not be stored, so the attempt must not send.
     UNAVAILABLE = "unavailable"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimRequested:
-    """An attempt asks for the claim of a request id."""
+    """An attempt requests the claim of a request id."""
 
     #: Hash of fleet, service and request id.
     id_hash: bytes
-    #: Fingerprint of the request.
+    #: Fingerprint of the request, to detect a request id that is reused.
     fingerprint: bytes
-    #: Identifier of the attempt, never used for a second send.
+    #: Identifier of the attempt. Each send has a new one.
     attempt: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimResultReported:
-    """An attempt reports what became of it, also if it gave up waiting."""
+    """An attempt reports its outcome, even if it gave up on the claim."""
 
-    #: As in the claim.
+    #: As in `ClaimRequested`.
     id_hash: bytes
-    #: As in the claim.
+    #: As in `ClaimRequested`.
     attempt: str
-    #: "completed", "did-not-run" (frees the claim) or "unknown".
+    #: "completed", "did-not-run" (which frees the request id) or "unknown".
     outcome: str
-    #: HTTP status when completed.
+    #: HTTP status of a completed request.
     status: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimEntry:
-    """What a row says of one attempt: its claim, or what became of it."""
+    """An entry of a stored row: the claim or the outcome of an attempt."""
 
     #: Hash of fleet, service and request id.
     id_hash: bytes
@@ -56,13 +59,13 @@
     attempt: str
     #: Empty for a claim; otherwise "completed", "did-not-run" or "unknown".
     outcome: str = ""
-    #: HTTP status when completed.
+    #: HTTP status of a completed request.
     status: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BatchStored:
-    """The store acknowledged a batch."""
+    """The store acknowledged the write of a batch."""
 
     #: Sequence number of the batch.
     sequence: int
@@ -70,7 +73,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BatchRefused:
-    """The store refused a batch because the epoch of the group is over."""
+    """The store refused a batch because the group has a later epoch."""
 
     #: Sequence number of the batch.
     sequence: int
@@ -78,7 +81,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BatchOutcomeUnknown:
-    """A write or read of a batch failed; the write may have taken effect."""
+    """A write or read of a batch failed. The write may have taken effect."""
 
     #: Sequence number of the batch.
     sequence: int
@@ -86,34 +89,34 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BatchRead:
-    """The store was read to settle a batch whose answer was lost."""
+    """Result of reading the row of a batch with an unknown outcome."""
 
     #: Sequence number of the batch.
     sequence: int
-    #: Request id that the row keeps; empty if there is no row.
+    #: Request id of the write that created the row; empty if there is no row.
     request: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RowsLoaded:
-    """All claim rows of the window, in any order, were read.
+    """All claim rows of the window were read.
 
     The read must have started after the write of the group row that made
-    this host the holder, so that no earlier holder can add rows any more.
+    this host the holder, so that no earlier holder can add rows afterwards.
     """
 
-    #: Entries of the rows.
+    #: Entries of all rows, in any order.
     entries: abc.Sequence[ClaimEntry]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GroupsChanged:
-    """A generation changed the set of groups: rows must be loaded again."""
+    """A new generation changed the groups, so rows must be loaded again."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimTick:
-    """Time passes; sent about every 5 ms while claims are waiting."""
+    """Periodic event for timeouts, sent every 5 ms while claims wait."""
 
 
 ClaimEvent = (
@@ -131,25 +134,25 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerClaim:
-    """Answers an attempt."""
+    """Answers the claim of an attempt."""
 
     #: Identifier of the attempt.
     attempt: str
-    #: Answer.
+    #: The answer.
     verdict: Verdict
-    #: For "repeated": outcome of the first attempt.
+    #: Outcome of the first attempt if the verdict is "repeated".
     outcome: str = ""
-    #: For "repeated" and completed: HTTP status of the first answer.
+    #: HTTP status of the first attempt if it completed.
     status: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WriteBatch:
-    """Writes one row, on condition that it is absent and of the epoch."""
+    """Writes one row, if it does not exist and the epoch is still current."""
 
-    #: Sequence number, unique in the epoch.
+    #: Sequence number of the batch, unique in the epoch.
     sequence: int
-    #: Request id of the write, alike when the write is repeated.
+    #: Request id of the write. It stays the same if the write is repeated.
     request: str
     #: Contents of the row.
     entries: tuple[ClaimEntry, ...]
@@ -157,9 +160,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadBatch:
-    """Reads the row of a batch whose answer was lost."""
+    """Reads the row of a batch with an unknown outcome."""
 
-    #: Sequence number.
+    #: Sequence number of the batch.
     sequence: int
 
 
@@ -168,23 +171,27 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimOptions:
-    """Limits of a claim book."""
+    """Limits of a claim registry."""
 
     #: Seconds for which claims are collected before they are written.
     collect_s: float = 0.010
-    #: Claims in one row.
+    #: Maximum number of entries in one row.
     batch_entries: int = 256
-    #: Seconds after which an attempt without a durable claim is refused.
-    patience_s: float = 1.0
-    #: Batches whose write has not been settled; more claims wait.
+    #: Seconds after which an attempt is refused if its claim is not stored.
+    claim_timeout_s: float = 1.0
+    #: Maximum number of batches with an unknown outcome. More claims have to
+    #: wait.
     unsettled_batches: int = 16
-    #: Attempts that wait for rows, for room in a batch or for another attempt.
+    #: Maximum number of attempts that wait for the rows to be loaded, for a
+    #: place in a batch, or for another attempt; the limit applies to each.
     waiting: int = 8192
     #: Seconds for which a claim is remembered.
     window_s: float = 600.0
-    #: Claims in memory; more are refused, never forgotten inside the window.
+    #: Maximum number of claims in memory. Further claims are refused; none is
+    #: dropped within the window.
     remembered: int = 1_000_000
-    #: Seconds after which results are written without further claims.
+    #: Seconds after which outcomes are written even if there are no new
+    #: claims.
     results_s: float = 1.0
-    #: Seconds before a batch that could not be settled is tried again.
-    settle_again_s: float = 0.100
+    #: Seconds before the row of a batch is read again after a failed read.
+    settle_retry_s: float = 0.100
--- a/packages/decisions/sycamoreloft_decisions/_claim_rows.py
+++ b/packages/decisions/sycamoreloft_decisions/_claim_rows.py
@@ -1,4 +1,4 @@
-"""What the stored rows say of each request id."""
+"""Derives the state of each request id from the stored claim rows."""
 
 from collections import abc
 
@@ -8,12 +8,12 @@
 def reduce_entries(
     entries: abc.Iterable[_claim_events.ClaimEntry],
 ) -> list[_claim_events.ClaimEntry]:
-    """Returns one entry for each id that may have run.
+    """Returns one entry for each request id that may have run.
 
-    The order of the rows does not matter, because rows of several groups and
-    epochs have no common order. An id is free only if every attempt that
-    claimed it is known not to have run. A completed attempt is preferred over
-    one of which nothing is known.
+    The result does not depend on the order of the entries, because the rows of
+    different groups and epochs have no common order. A request id is free only
+    if all attempts that claimed it are known not to have run. A completed
+    attempt takes precedence over one with an unknown outcome.
     """
     attempts: dict[bytes, dict[str, _claim_events.ClaimEntry]] = {}
     for entry in entries:
--- a/packages/decisions/sycamoreloft_decisions/_claims.py
+++ b/packages/decisions/sycamoreloft_decisions/_claims.py
@@ -1,8 +1,9 @@
-"""Claim book: at-most-once operations, durable before they are answered.
+"""Claim registry, which lets each request id be sent at most once.
 
-An attempt may send its request only after its claim was stored. An attempt
-that was told "unavailable" never sends, so a claim of it that is stored after
-all is free again; other attempts of the same id wait until that is settled.
+A claim is stored durably before it is answered, and an attempt sends its
+request only after its claim was stored. An attempt that got the answer
+"unavailable" never sends. If its claim is stored nevertheless, the request id
+is free again. Until that is known, other attempts with the same id wait.
 """
 
 from collections import abc
@@ -11,8 +12,8 @@
 
 from sycamoreloft_decisions import _claim_events, _claim_rows
 
-# The events and commands belong to the interface of this module; they are in
-# a file of their own because of its length.
+# The events and commands belong to the interface of this module, but are in a
+# separate file to limit the length of this one.
 AnswerClaim = _claim_events.AnswerClaim
 BatchRead = _claim_events.BatchRead
 BatchRefused = _claim_events.BatchRefused
@@ -36,43 +37,44 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Claim:
-    """The latest claim of one id."""
+    """The latest claim of one request id."""
 
-    asked: ClaimRequested
-    at: float
+    request: ClaimRequested
+    requested_at: float
     durable: bool = False
-    #: Whether the attempt certainly does not send: it was told so, or it
+    #: Whether the attempt is certain not to send, because it was refused or
     #: reported that it gave up.
     void: bool = False
     outcome: str = ""
     status: int = 0
-    #: Batch that contains the claim, 0 while it is being collected.
+    #: Sequence number of the batch with the claim; 0 while it is collected.
     sequence: int = 0
-    #: Attempts of the same id that wait until the claim is settled.
+    #: Attempts with the same request id that wait until the claim is stored
+    #: or freed, each with the time of its request.
     followers: list[tuple[ClaimRequested, float]] = dataclasses.field(
         default_factory=list
     )
-    #: Claim of another group that holds the id once this one is void.
+    #: Claim by another group, which applies once this one is found void.
     successor: "_Claim | None" = None
 
 
 @dataclasses.dataclass(slots=True)
 class _Batch:
-    """A batch whose write has not been settled."""
+    """A batch whose write has no known outcome yet."""
 
     command: WriteBatch
     claims: list[_Claim]
     written_at: float
     reading: bool = False
-    #: Time of the next read, if one has failed.
+    #: Time of the next read in seconds, if one has failed.
     read_at: float | None = None
 
 
 class ClaimRegistry:
-    """Claims of one holder in one epoch."""
+    """Claims of one group, while this host holds it in one epoch."""
 
     def __init__(self, epoch: int, options: ClaimOptions | None = None) -> None:
-        """Starts a book that answers nothing before `RowsLoaded`."""
+        """Creates a registry that answers nothing before `RowsLoaded`."""
         self._epoch = epoch
         self._options = options or ClaimOptions()
         self._loaded = False
@@ -83,15 +85,15 @@
         self._results: list[ClaimEntry] = []
         self._results_since = 0.0
         self._batches: dict[int, _Batch] = {}
-        self._early: list[tuple[ClaimRequested, float]] = []
+        self._early_requests: list[tuple[ClaimRequested, float]] = []
         self._follower_count = 0
 
     def count_claims(self) -> int:
-        """Returns the number of ids in memory."""
+        """Returns the number of request ids in memory."""
         return len(self._claims)
 
     def is_closed(self) -> bool:
-        """Tells whether the epoch is over."""
+        """Returns whether a later epoch has replaced this one."""
         return self._closed
 
     def handle(
@@ -109,11 +111,11 @@
         raise TypeError(f"unknown event {type(event).__name__}")
 
     @_handle.register
-    def _handle_asked(
+    def _handle_requested(
         self, event: _claim_events.ClaimRequested, now: float
     ) -> abc.Sequence[ClaimCommand]:
         commands: _Commands = []
-        self._ask(event, now, now, commands)
+        self._process_request(event, now, now, commands)
         return commands
 
     @_handle.register
@@ -122,7 +124,7 @@
     ) -> abc.Sequence[ClaimCommand]:
         commands: _Commands = []
         claim = self._claims.get(event.id_hash)
-        if claim is None or claim.asked.attempt != event.attempt:
+        if claim is None or claim.request.attempt != event.attempt:
             return commands
         if event.outcome == "did-not-run":
             if not claim.outcome:
@@ -147,8 +149,8 @@
             if claim.void:
                 self._settle_void(claim, now, commands)
                 continue
-            commands.append(AnswerClaim(claim.asked.attempt, Verdict.CLAIMED))
-            self._ask_followers(claim, now, commands)
+            commands.append(AnswerClaim(claim.request.attempt, Verdict.CLAIMED))
+            self._process_followers(claim, now, commands)
         return commands
 
     @_handle.register
@@ -169,7 +171,7 @@
             return ()
         if batch.reading:
             batch.reading = False
-            batch.read_at = now + self._options.settle_again_s
+            batch.read_at = now + self._options.settle_retry_s
             return ()
         batch.reading = True
         return (ReadBatch(event.sequence),)
@@ -186,27 +188,27 @@
             return self._handle_stored(BatchStored(event.sequence), now)
         if event.request:
             return self._handle_refused(BatchRefused(event.sequence), now)
-        # The first write may still arrive. Both have the same contents and
-        # request id, and the row can only be created once.
+        # Write again. The first write may still arrive, but both have the same
+        # contents and request id, and only one of them can create the row.
         return (batch.command,)
 
     @_handle.register
     def _handle_loaded(
         self, event: _claim_events.RowsLoaded, now: float
     ) -> abc.Sequence[ClaimCommand]:
-        # What became of an attempt that is known here is known better here.
+        # This holder knows more about its own attempts than the rows contain.
         known_attempts = {
-            claim.asked.attempt for claim in self._claims.values()
+            claim.request.attempt for claim in self._claims.values()
         }
         for entry in _claim_rows.reduce_entries(
             entry
             for entry in event.entries
             if entry.attempt not in known_attempts
         ):
-            asked = ClaimRequested(
+            request = ClaimRequested(
                 entry.id_hash, entry.fingerprint, entry.attempt
             )
-            claim = _Claim(asked, now, durable=True)
+            claim = _Claim(request, now, durable=True)
             claim.outcome = entry.outcome
             claim.status = entry.status
             known = self._claims.get(entry.id_hash)
@@ -215,20 +217,20 @@
             else:
                 known.successor = claim
         self._loaded = True
-        early, self._early = self._early, []
+        early, self._early_requests = self._early_requests, []
         commands: _Commands = []
-        for asked, asked_at in early:
-            self._ask(asked, asked_at, now, commands)
+        for request, requested_at in early:
+            self._process_request(request, requested_at, now, commands)
         return commands
 
     @_handle.register
     def _handle_groups(
         self, event: _claim_events.GroupsChanged, now: float
     ) -> abc.Sequence[ClaimCommand]:
-        """Stops answering until the rows of the other groups are known.
+        """Stops answering until the rows of the other groups are loaded.
 
-        A claim that is being written may have been given by another group,
-        so its attempt is told that it must not send.
+        Another group may have granted a claim that is being written here, so
+        attempts without a stored claim are refused.
         """
         commands: _Commands = []
         self._loaded = False
@@ -246,7 +248,7 @@
         self._expire(now)
         if self._collected:
             first = next(iter(self._collected))
-            if first.at + self._options.collect_s <= now:
+            if first.requested_at + self._options.collect_s <= now:
                 self._write(now, commands)
         elif (
             self._results
@@ -260,53 +262,53 @@
                 commands.append(ReadBatch(batch.command.sequence))
         return commands
 
-    def _ask(
+    def _process_request(
         self,
-        asked: ClaimRequested,
-        asked_at: float,
+        request: ClaimRequested,
+        requested_at: float,
         now: float,
         commands: _Commands,
     ) -> None:
         if self._closed:
-            commands.append(_answer_unavailable(asked))
+            commands.append(_answer_unavailable(request))
         elif not self._loaded:
-            if len(self._early) >= self._options.waiting:
-                commands.append(_answer_unavailable(asked))
+            if len(self._early_requests) >= self._options.waiting:
+                commands.append(_answer_unavailable(request))
             else:
-                self._early.append((asked, asked_at))
+                self._early_requests.append((request, requested_at))
         else:
-            claim = self._claims.get(asked.id_hash)
+            claim = self._claims.get(request.id_hash)
             if claim is None:
-                self._start(asked, asked_at, now, commands)
+                self._start(request, requested_at, now, commands)
             else:
-                self._ask_again(claim, asked, asked_at, commands)
+                self._answer_claimed_id(claim, request, requested_at, commands)
 
-    def _ask_again(
+    def _answer_claimed_id(
         self,
         claim: _Claim,
-        asked: ClaimRequested,
-        asked_at: float,
+        request: ClaimRequested,
+        requested_at: float,
         commands: _Commands,
     ) -> None:
-        """Answers an attempt whose id has a claim."""
-        same_attempt = claim.asked.attempt == asked.attempt
+        """Answers an attempt whose request id has a claim, or lets it wait."""
+        same_attempt = claim.request.attempt == request.attempt
         if not claim.durable and same_attempt:
             if claim.void:
-                commands.append(_answer_unavailable(asked))
+                commands.append(_answer_unavailable(request))
         elif not claim.durable:
             if self._follower_count >= self._options.waiting:
-                commands.append(_answer_unavailable(asked))
+                commands.append(_answer_unavailable(request))
                 return
             self._follower_count += 1
-            claim.followers.append((asked, asked_at))
-        elif claim.asked.fingerprint != asked.fingerprint:
-            commands.append(AnswerClaim(asked.attempt, Verdict.CONFLICT))
+            claim.followers.append((request, requested_at))
+        elif claim.request.fingerprint != request.fingerprint:
+            commands.append(AnswerClaim(request.attempt, Verdict.CONFLICT))
         elif same_attempt and not claim.outcome:
-            commands.append(AnswerClaim(asked.attempt, Verdict.CLAIMED))
+            commands.append(AnswerClaim(request.attempt, Verdict.CLAIMED))
         else:
             commands.append(
                 AnswerClaim(
-                    asked.attempt,
+                    request.attempt,
                     Verdict.REPEATED,
                     claim.outcome or "unknown",
                     claim.status,
@@ -315,48 +317,48 @@
 
     def _start(
         self,
-        asked: ClaimRequested,
-        asked_at: float,
+        request: ClaimRequested,
+        requested_at: float,
         now: float,
         commands: _Commands,
     ) -> None:
-        """Collects a new claim, unless it would be refused anyway."""
-        patience = self._options.patience_s
+        """Collects a new claim, or refuses it if it could not be stored."""
+        timeout_s = self._options.claim_timeout_s
         oldest = next(iter(self._batches.values()), None)
         if (
             len(self._claims) >= self._options.remembered
             or len(self._collected) >= self._options.waiting
-            or asked_at + patience <= now
-            # The store has not answered for as long as an attempt waits.
-            or (oldest is not None and oldest.written_at + patience <= now)
+            or requested_at + timeout_s <= now
+            # The store has not answered for the time that attempts wait.
+            or (oldest is not None and oldest.written_at + timeout_s <= now)
         ):
-            commands.append(_answer_unavailable(asked))
+            commands.append(_answer_unavailable(request))
             return
-        claim = _Claim(asked, asked_at)
-        self._claims[asked.id_hash] = claim
+        claim = _Claim(request, requested_at)
+        self._claims[request.id_hash] = claim
         self._collected[claim] = None
         if len(self._collected) >= self._options.batch_entries:
             self._write(now, commands)
 
     def _write(self, now: float, commands: _Commands) -> None:
-        """Writes one row: results first, then claims."""
+        """Writes one row with outcomes first and claims after them."""
         if len(self._batches) >= self._options.unsettled_batches:
             return
         room = self._options.batch_entries
         claims = list(self._collected)[:room]
         for claim in claims:
             del self._collected[claim]
-        # Results take the room that claims leave, and at least a quarter of
-        # the row, so that they are written under a steady load as well.
+        # Outcomes fill the space that claims leave, and get at least a quarter
+        # of the row, so that they are also written under constant load.
         count = max(room - len(claims), room // 4)
         results, self._results = self._results[:count], self._results[count:]
         self._results_since = now
         self._sequence += 1
         entries = [
             ClaimEntry(
-                claim.asked.id_hash,
-                claim.asked.fingerprint,
-                claim.asked.attempt,
+                claim.request.id_hash,
+                claim.request.fingerprint,
+                claim.request.attempt,
             )
             for claim in claims
         ]
@@ -371,104 +373,113 @@
         commands.append(command)
 
     def _refuse(self, claim: _Claim, now: float, commands: _Commands) -> None:
-        """Tells an attempt that it must not send."""
+        """Refuses an attempt, which must not send its request then."""
         if not claim.void:
             claim.void = True
-            commands.append(_answer_unavailable(claim.asked))
+            commands.append(_answer_unavailable(claim.request))
             self._settle_void(claim, now, commands)
 
     def _settle_void(
         self, claim: _Claim, now: float, commands: _Commands
     ) -> None:
-        """Frees the id of a void claim once it is known where it is."""
+        """Frees the request id of a void claim, unless it is being written."""
         if not claim.durable and claim.sequence:
             return
         if claim.durable:
             claim.outcome = "did-not-run"
             self._add_result(claim, now)
         self._collected.pop(claim, None)
-        del self._claims[claim.asked.id_hash]
+        del self._claims[claim.request.id_hash]
         if claim.successor is not None:
-            self._claims[claim.asked.id_hash] = claim.successor
-        self._ask_followers(claim, now, commands)
+            self._claims[claim.request.id_hash] = claim.successor
+        self._process_followers(claim, now, commands)
 
-    def _ask_followers(
+    def _process_followers(
         self, claim: _Claim, now: float, commands: _Commands
     ) -> None:
         followers, claim.followers = claim.followers, []
         self._follower_count -= len(followers)
-        for asked, asked_at in followers:
-            self._ask(asked, asked_at, now, commands)
+        for request, requested_at in followers:
+            self._process_request(request, requested_at, now, commands)
 
     def _add_result(self, claim: _Claim, now: float) -> None:
         if not self._results:
             self._results_since = now
-        # A result that is not stored only makes later answers less precise,
-        # so results are dropped when the store cannot take them.
+        # Outcomes are dropped when the store is too slow. A missing outcome
+        # only makes later answers less precise.
         if len(self._results) < self._options.waiting:
             self._results.append(
                 ClaimEntry(
-                    claim.asked.id_hash,
-                    claim.asked.fingerprint,
-                    claim.asked.attempt,
+                    claim.request.id_hash,
+                    claim.request.fingerprint,
+                    claim.request.attempt,
                     claim.outcome,
                     claim.status,
                 )
             )
 
     def _refuse_late(self, now: float, commands: _Commands) -> None:
-        due = now - self._options.patience_s
-        late = [asked for asked, at in self._early if at <= due]
-        self._early = [item for item in self._early if item[1] > due]
+        oldest_allowed = now - self._options.claim_timeout_s
+        late = [
+            request
+            for request, requested_at in self._early_requests
+            if requested_at <= oldest_allowed
+        ]
+        self._early_requests = [
+            item for item in self._early_requests if item[1] > oldest_allowed
+        ]
         commands += map(_answer_unavailable, late)
         pending = list(self._collected)
         for batch in self._batches.values():
             pending += batch.claims
         for claim in pending:
             if claim.followers:
-                self._refuse_followers(claim, due, commands)
-            if claim.at <= due:
+                self._refuse_followers(claim, oldest_allowed, commands)
+            if claim.requested_at <= oldest_allowed:
                 self._refuse(claim, now, commands)
 
     def _refuse_followers(
-        self, claim: _Claim, due: float, commands: _Commands
+        self, claim: _Claim, oldest_allowed: float, commands: _Commands
     ) -> None:
         kept = []
-        for asked, at in claim.followers:
-            if at <= due:
+        for request, requested_at in claim.followers:
+            if requested_at <= oldest_allowed:
                 self._follower_count -= 1
-                commands.append(_answer_unavailable(asked))
+                commands.append(_answer_unavailable(request))
             else:
-                kept.append((asked, at))
+                kept.append((request, requested_at))
         claim.followers = kept
 
     def _expire(self, now: float) -> None:
         while self._claims:
             claim = next(iter(self._claims.values()))
-            if not claim.durable or claim.at + self._options.window_s > now:
+            if (
+                not claim.durable
+                or claim.requested_at + self._options.window_s > now
+            ):
                 return
-            del self._claims[claim.asked.id_hash]
+            del self._claims[claim.request.id_hash]
 
     def _close(self, commands: _Commands) -> None:
-        """Ends the book: another holder may take claims from now on."""
+        """Refuses all attempts, since a later holder may accept claims now."""
         self._closed = True
-        waiting = [asked for asked, _ in self._early]
+        waiting = [request for request, _ in self._early_requests]
         for claim in self._claims.values():
-            waiting += [asked for asked, _ in claim.followers]
+            waiting += [request for request, _ in claim.followers]
             if not claim.durable and not claim.void:
-                waiting.append(claim.asked)
+                waiting.append(claim.request)
         commands += map(_answer_unavailable, waiting)
-        self._early = []
+        self._early_requests = []
         self._claims = {}
         self._collected = {}
         self._batches = {}
         self._results = []
 
 
-def _answer_unavailable(asked: ClaimRequested) -> AnswerClaim:
-    return AnswerClaim(asked.attempt, Verdict.UNAVAILABLE)
+def _answer_unavailable(request: ClaimRequested) -> AnswerClaim:
+    return AnswerClaim(request.attempt, Verdict.UNAVAILABLE)
 
 
-# An access to a singledispatchmethod builds a new function and took 2 to 4 us;
-# a look-up in its table took 0.3 us.
+# Accessing a singledispatchmethod creates a new function each time, which took
+# 2 to 4 us. Looking up the handler in its dispatch table took 0.3 us.
 _find_handler = vars(ClaimRegistry)["_handle"].dispatcher.dispatch
--- a/packages/decisions/sycamoreloft_decisions/_explanations.py
+++ b/packages/decisions/sycamoreloft_decisions/_explanations.py
@@ -1,24 +1,24 @@
-"""Sentences about decisions, for the operator's question why."""
+"""Explanations of recent decisions, which operators can query."""
 
 import collections
 from collections import abc
 
-#: Sentences kept for each group; the oldest is dropped.
+#: Number of explanations kept for each group. The oldest are dropped.
 MAXIMUM_EXPLANATIONS = 256
 
 
 class Explanations:
-    """A bounded list of sentences, oldest first."""
+    """The latest explanations of one group, in bounded memory."""
 
     def __init__(self) -> None:
-        self._sentences: collections.deque[str] = collections.deque(
+        self._texts: collections.deque[str] = collections.deque(
             maxlen=MAXIMUM_EXPLANATIONS
         )
 
-    def add(self, sentence: str) -> None:
-        """Keeps a sentence."""
-        self._sentences.append(sentence)
+    def add(self, text: str) -> None:
+        """Adds an explanation in the form of a sentence."""
+        self._texts.append(text)
 
     def list_all(self) -> abc.Sequence[str]:
-        """Lists the sentences, oldest first."""
-        return tuple(self._sentences)
+        """Returns the explanations, oldest first."""
+        return tuple(self._texts)
--- a/packages/decisions/sycamoreloft_decisions/_fair_queue.py
+++ b/packages/decisions/sycamoreloft_decisions/_fair_queue.py
@@ -1,4 +1,4 @@
-"""Queue that is fair between fleets, services and callers."""
+"""Queue that shares its output fairly between fleets, services and callers."""
 
 from collections import abc
 import typing
@@ -7,7 +7,11 @@
 
 
 class _Flow(typing.Generic[Item]):
-    """A node of the tree of flows; a leaf holds items in order of arrival."""
+    """A node of the tree of flows.
+
+    Only leaves have items. Each item is stored with its cost, in the order of
+    arrival.
+    """
 
     __slots__ = ("children", "credit", "items", "size")
 
@@ -18,28 +22,30 @@
         self.size = 0
 
 
-#: Costs are relative to a mean request; a turn never takes more than
-#: `1 / LEAST_COST` requests, and a flow waits at most `GREATEST_COST` rounds.
-LEAST_COST = 0.1
-GREATEST_COST = 10.0
+#: Limits of the cost of an item, relative to the mean. They ensure that a flow
+#: gets at most `1 / MINIMUM_COST` items per turn and waits for at most
+#: `MAXIMUM_COST` rounds.
+MINIMUM_COST = 0.1
+MAXIMUM_COST = 10.0
 
 
 class FairQueue(typing.Generic[Item]):
     """Deficit round robin over a tree of flows.
 
-    A flow is charged after its request was taken, and waits until further
-    rounds have made up for its debt. A flow that becomes empty starts anew.
+    The cost of an item is charged to its flow when the item is removed. A flow
+    with a negative balance waits until further rounds have compensated for
+    it. A flow that becomes empty loses its balance.
     """
 
     def __init__(self) -> None:
-        """Starts an empty queue."""
+        """Creates an empty queue."""
         self._root: _Flow[Item] = _Flow()
 
     def __len__(self) -> int:
         return self._root.size
 
     def __iter__(self) -> abc.Iterator[Item]:
-        return self._iterate(self._root)
+        return self._iterate_flow(self._root)
 
     def push(
         self, path: abc.Sequence[str], item: Item, cost: float = 1.0
@@ -47,10 +53,10 @@
         """Adds an item at the end of its flow.
 
         Args:
-            path: Names of the flow from the outermost level inwards; all
-                paths of a queue have the same length.
+            path: Names of the flows from the root to the leaf. All paths of a
+                queue have the same length.
             item: The item, unique in the queue.
-            cost: Cost relative to a mean request.
+            cost: Cost relative to that of a mean item.
         """
         flow = self._root
         flow.size += 1
@@ -61,17 +67,24 @@
                 child.credit = 1.0
             child.size += 1
             flow = child
-        flow.items[item] = min(max(cost, LEAST_COST), GREATEST_COST)
+        flow.items[item] = min(max(cost, MINIMUM_COST), MAXIMUM_COST)
 
     def pop(
         self, accept: abc.Callable[[Item], bool] | None = None
     ) -> Item | None:
-        """Removes the next item in fair order that is acceptable, if any."""
-        taken = self._pop(self._root, accept)
-        return None if taken is None else taken[0]
+        """Removes and returns the next item in fair order.
+
+        Args:
+            accept: Returns whether an item may be removed; None for all items.
+
+        Returns:
+            The item, or None if no item is acceptable.
+        """
+        popped = self._pop(self._root, accept)
+        return None if popped is None else popped[0]
 
     def remove(self, path: abc.Sequence[str], item: Item) -> None:
-        """Removes an item that was pushed with this path."""
+        """Removes an item that was added with this path."""
         flows = [self._root]
         for name in path:
             flows.append(flows[-1].children[name])
@@ -84,7 +97,7 @@
                 break
 
     def evict(self) -> Item | None:
-        """Removes the newest item of the longest flow."""
+        """Removes and returns the newest item of the longest flow, if any."""
         if not self._root.size:
             return None
         path: list[str] = []
@@ -99,23 +112,27 @@
         return item
 
     def count_ahead(self, path: abc.Sequence[str]) -> int:
-        """Estimates how many items are taken before a new one of a flow."""
+        """Estimates how many items leave the queue before a new one would.
+
+        Args:
+            path: Path of the flow that the new item would be added to.
+        """
         flow = self._root
-        rivals = 0
+        competitors = 0
         backlog = 0
         for name in path:
             child = flow.children.get(name)
-            rivals += len(flow.children) - (child is not None)
+            competitors += len(flow.children) - (child is not None)
             backlog = child.size if child is not None else 0
             if child is None:
                 break
             flow = child
-        return min(self._root.size, backlog + (backlog + 1) * rivals)
+        return min(self._root.size, backlog + (backlog + 1) * competitors)
 
-    def _iterate(self, flow: _Flow[Item]) -> abc.Iterator[Item]:
+    def _iterate_flow(self, flow: _Flow[Item]) -> abc.Iterator[Item]:
         yield from flow.items
         for child in flow.children.values():
-            yield from self._iterate(child)
+            yield from self._iterate_flow(child)
 
     def _pop(
         self, flow: _Flow[Item], accept: abc.Callable[[Item], bool] | None
@@ -129,19 +146,19 @@
                 child.credit += 1.0
                 self._move_to_end(flow, name, child)
                 continue
-            taken = self._pop(child, accept)
-            if taken is None:
+            popped = self._pop(child, accept)
+            if popped is None:
                 unacceptable += 1
                 self._move_to_end(flow, name, child)
                 continue
             flow.size -= 1
-            child.credit -= taken[1]
+            child.credit -= popped[1]
             if child.size == 0:
                 del flow.children[name]
             elif child.credit <= 0:
                 child.credit += 1.0
                 self._move_to_end(flow, name, child)
-            return taken
+            return popped
         return None
 
     def _pop_leaf(
--- a/packages/decisions/sycamoreloft_decisions/_loads.py
+++ b/packages/decisions/sycamoreloft_decisions/_loads.py
@@ -7,14 +7,14 @@
 from sycamoreloft_decisions import _ownership, _sketch
 
 #: Time after which an observed request has half its weight, in seconds. The
-#: hottest keys change within minutes; with 30 s the imbalance of the traces
-#: was higher (0.28 against 0.22 for Sledworks).
+#: hottest keys change within minutes. With 30 s, the imbalance of the traces
+#: was higher (0.28 instead of 0.22 for Sledworks).
 HALF_LIFE_S = 10.0
 #: Load of a unit without requests, as a share of the mean. Without it, all
-#: partitions that nobody has asked for yet would fall to one upstream.
+#: partitions that have had no requests yet would be placed on one upstream.
 BASE_LOAD = 0.25
-#: Requests of a service below which its loads count as equal; a few requests
-#: say nothing of the load to come.
+#: Number of recent requests of a service below which all its partitions are
+#: assumed to have the same load, since a few requests don't predict the load.
 MINIMUM_REQUESTS = 200.0
 
 
@@ -34,7 +34,8 @@
         self._fleet = fleet
         self._service = service
         self._partitions = partitions
-        #: Partitions of the service in the group; the mean is taken of them.
+        #: Number of the service's partitions in the group, over which the mean
+        #: load is computed.
         self.unit_count = partitions
         self._sketch = _sketch.SpaceSavingSketch()
         self._counts: dict[int, float] = {}
@@ -42,7 +43,7 @@
         self._decayed_at = now
 
     def observe(self, counts: abc.Mapping[str, int], now: float) -> None:
-        """Counts requests by key."""
+        """Adds numbers of requests, by key."""
         self._decay(now)
         for key, count in counts.items():
             partition = sycamoreloft_config.find_partition(
@@ -53,17 +54,18 @@
             self._total += count
 
     def is_known(self) -> bool:
-        """Tells whether enough requests were seen to compare loads."""
+        """Returns whether there were enough requests to compare loads."""
         return self._total >= MINIMUM_REQUESTS
 
     def get_load(
         self, unit: _ownership.Unit, hot_keys: abc.Iterable[str] = ()
     ) -> float:
-        """Returns the load of a unit; the mean of all partitions is about 1.
+        """Returns the load of a unit, relative to the mean of all partitions.
 
         Args:
             unit: Partition or hot key.
-            hot_keys: Keys of the partition that have an owner of their own.
+            hot_keys: Keys of the partition that are placed individually. Their
+                load is not part of the partition's.
         """
         if not self.is_known():
             return 0.0 if unit.key else 1.0
@@ -86,8 +88,8 @@
         ]
 
     def _decay(self, now: float) -> None:
-        # Counts are scaled once a second at most, since each scaling visits
-        # every counter.
+        # Counts are scaled at most once a second, since scaling visits all
+        # counters.
         passed = now - self._decayed_at
         if passed < 1.0:
             return
--- a/packages/decisions/sycamoreloft_decisions/_outcomes.py
+++ b/packages/decisions/sycamoreloft_decisions/_outcomes.py
@@ -1,22 +1,23 @@
-"""What a caller is told of one attempt, decided from observed events.
+"""Determines the outcome of an attempt to send a request to an upstream.
 
-An attempt did not run if no connection was made, if the upstream refused it
-by contract, or if it got no permit or claim. As soon as a connection exists,
-bytes may have reached the upstream, and everything but a whole answer or a
-refusal by contract is unknown.
+A request did not run if the attempt got no permit or claim, if no connection
+was made, or if the upstream refused the request with `Sycamoreloft-Refused`.
+As soon as a connection exists, bytes may have reached the upstream. Unless the
+upstream then refuses the request or answers it completely, the outcome is
+unknown.
 """
 
 import dataclasses
 import enum
 import functools
 
-#: Values of `Sycamoreloft-Refused` by which an upstream says that it did not
-#: run the request, and the statuses that come with them.
+#: Values of the header `Sycamoreloft-Refused` by which an upstream states that
+#: it did not run the request, and the HTTP statuses of such answers.
 REFUSALS = frozenset({"not-owner", "shed", "draining", "expired"})
 REFUSAL_STATUSES = frozenset({421, 503})
 
-#: Reasons after which another attempt would fail in the same way, or would
-#: add load to what refused because of load.
+#: Reasons after which no other attempt is made, because it would fail for the
+#: same reason or add load to an overloaded upstream.
 FINAL_REASONS = frozenset(
     {
         "caller-gone",
@@ -29,32 +30,33 @@
     }
 )
 
-#: HTTP statuses by reason; others are 503 for did-not-run, 502 for unknown.
+#: HTTP statuses for callers, by reason. With any other reason, the status is
+#: 503 if the request did not run and 502 if the outcome is unknown.
 STATUSES = {"conflict": 422, "deadline": 504, "expired": 504, "repeated": 409}
 
 
 class Outcome(enum.StrEnum):
-    """What is known of a request."""
+    """Whether a request ran, as far as is known."""
 
     #: The whole answer arrived.
     COMPLETED = "completed"
-    #: Nothing of the request ran.
+    #: The upstream did not begin to run the request.
     DID_NOT_RUN = "did-not-run"
-    #: It may have run.
+    #: The request may have run.
     UNKNOWN = "unknown"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PermitReceived:
-    """The holder gave a permit."""
+    """The holder issued a permit."""
 
-    #: Time until which the attempt may start to send.
+    #: Time until which the attempt may start to send, in seconds.
     valid_until: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PermitDenied:
-    """The holder refused, or no holder could be reached."""
+    """The holder refused a permit, or no holder could be reached."""
 
     #: Stable reason, as in the message `PermitRefusal`.
     reason: str
@@ -62,26 +64,27 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimAnswered:
-    """The claim holder answered; "unavailable" if it could not be reached."""
+    """The claim holder answered, or could not be reached."""
 
-    #: Verdict, as in the message `ClaimAnswer`.
+    #: Verdict, as in the message `ClaimAnswer`; "unavailable" if the holder
+    #: could not be reached.
     verdict: str
-    #: Outcome of the first attempt, for "repeated".
+    #: Outcome of the first attempt if the verdict is "repeated".
     outcome: str = ""
-    #: HTTP status of the first answer, for "repeated" and completed.
+    #: HTTP status of the first attempt if it completed.
     status: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConnectionMade:
-    """A connection is ready; from now on bytes may reach the upstream."""
+    """A connection was made. From now on, bytes may reach the upstream."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BytesSent:
-    """Bytes of the request were handed to the connection."""
+    """Bytes of the request were written to the connection."""
 
-    #: Whether the whole request could be sent again from memory.
+    #: Whether the whole request is in memory, so that it can be sent again.
     replayable: bool
 
 
@@ -91,13 +94,13 @@
 
     #: HTTP status.
     status: int
-    #: Value of `Sycamoreloft-Refused`, empty without that header.
+    #: Value of the header `Sycamoreloft-Refused`; empty if there is none.
     refused: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BodyPartReceived:
-    """A part of the answer's body arrived and was passed to the caller."""
+    """A part of the answer's body arrived and was sent to the caller."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,43 +140,50 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Decision:
-    """The end of one attempt."""
+    """Outcome of one attempt, and what follows from it."""
 
-    #: What is known.
     outcome: Outcome
-    #: Stable reason, for `Sycamoreloft-Reason`.
+    #: Stable reason, for the header `Sycamoreloft-Reason`.
     reason: str
-    #: HTTP status for the caller if no answer of the upstream was passed on.
+    #: HTTP status for the caller. If an answer of the upstream was passed on,
+    #: its status.
     status: int
-    #: Whether another attempt may be made, if budget and deadline allow it.
+    #: Whether another attempt may follow, if retry budget and deadline allow.
     retry_allowed: bool
-    #: Whether the caller's connection must be closed without the last chunk.
+    #: Whether the caller's connection must be closed before the last chunk,
+    #: because the answer that was being passed on is incomplete.
     close_caller: bool
-    #: Whether the connection to the upstream may serve another request, if
-    #: the whole request was sent on it.
+    #: Whether the connection to the upstream may serve another request,
+    #: provided that the whole request was sent on it.
     reuse_connection: bool
-    #: Outcome to report to the claim holder; empty if no claim was asked.
+    #: Outcome to report to the claim holder; empty if there is nothing to
+    #: report.
     claim_result: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptRules:
-    """What the declared operation allows."""
+    """Properties of the operation that limit its attempts."""
 
     #: Whether the operation must run at most once for a request id.
     at_most_once: bool = False
     #: Whether the operation is idempotent.
     repeatable: bool = False
-    #: Whether upstreams deduplicate by request id themselves, so that an
-    #: attempt may be sent while claims are unavailable.
+    #: Whether the upstreams deduplicate by request id, so that an attempt may
+    #: be sent even if claims are unavailable.
     deduplicates: bool = False
 
 
 class Attempt:
-    """Observes one attempt of a request until it is decided."""
+    """State machine that determines the outcome of one attempt."""
 
     def __init__(self, rules: AttemptRules, deadline: float) -> None:
-        """Starts an attempt that must end before the deadline."""
+        """Starts an attempt.
+
+        Args:
+            rules: Properties of the operation.
+            deadline: Deadline of the request, in seconds.
+        """
         self._rules = rules
         self._deadline = deadline
         self._valid_until: float | None = None
@@ -185,7 +195,7 @@
         self._decided = False
 
     def may_send(self, now: float) -> bool:
-        """Tells whether a connection to the upstream may be made now."""
+        """Returns whether a connection to the upstream may be made now."""
         return (
             not self._decided
             and now < self._deadline
@@ -195,7 +205,12 @@
         )
 
     def handle(self, event: AttemptEvent, now: float) -> Decision | None:
-        """Applies an event; returns the decision once, when it is known."""
+        """Applies an event.
+
+        Returns:
+            The decision if the event leads to it, which happens once; None
+            for all other events.
+        """
         decision: Decision | None
         decision = _find_handler(type(event))(self, event, now)
         return decision
@@ -253,7 +268,7 @@
     def _handle_headers(
         self, event: HeadersReceived, now: float
     ) -> Decision | None:
-        # An interim answer (1xx) says nothing about the request.
+        # Interim answers (1xx) don't determine the outcome.
         if event.status < 200 or self._status:
             return None
         self._status = event.status
@@ -298,7 +313,7 @@
         )
 
     def _end_early(self, reason: str, now: float) -> Decision | None:
-        """Decides an attempt whose answer did not arrive as a whole."""
+        """Decides on an attempt whose answer did not arrive completely."""
         if self._refused:
             return self._decide(Outcome.DID_NOT_RUN, self._refused, now)
         if self._connected:
@@ -324,11 +339,11 @@
             reason=reason,
             status=status,
             retry_allowed=self._may_retry(outcome, reason, now),
-            # Headers were passed on, so only closing tells the caller that
-            # the answer is not whole.
+            # The headers were passed on, so only closing the connection shows
+            # the caller that the answer is incomplete.
             close_caller=answered and outcome is Outcome.UNKNOWN,
             reuse_connection=reuse_connection,
-            claim_result=self._find_claim_result(outcome),
+            claim_result=self._get_claim_result(outcome),
         )
 
     def _may_retry(self, outcome: Outcome, reason: str, now: float) -> bool:
@@ -340,7 +355,7 @@
             return False
         if outcome is Outcome.DID_NOT_RUN:
             return True
-        # Headers that were passed on cannot be taken back.
+        # Once headers were passed on, another answer cannot replace them.
         return (
             outcome is Outcome.UNKNOWN
             and reason != "repeated"
@@ -349,11 +364,11 @@
             and not self._status
         )
 
-    def _find_claim_result(self, outcome: Outcome) -> str:
-        """Returns what the claim holder must learn.
+    def _get_claim_result(self, outcome: Outcome) -> str:
+        """Returns the outcome to report to the claim holder, if any.
 
-        An attempt without an answer from the claim holder reports as well,
-        because its claim may become durable later.
+        An attempt that got no answer from the claim holder reports its outcome
+        too, because its claim may still be stored later.
         """
         if not self._rules.at_most_once:
             return ""
@@ -362,6 +377,6 @@
         return ""
 
 
-# An access to a singledispatchmethod builds a new function and took 2 to 4 us;
-# a look-up in its table took 0.3 us.
+# Accessing a singledispatchmethod creates a new function each time, which took
+# 2 to 4 us. Looking up the handler in its dispatch table took 0.3 us.
 _find_handler = vars(Attempt)["_handle"].dispatcher.dispatch
--- a/packages/decisions/sycamoreloft_decisions/_permit_admission.py
+++ b/packages/decisions/sycamoreloft_decisions/_permit_admission.py
@@ -1,4 +1,4 @@
-"""Admission of requests: issue, queue, hold back or refuse."""
+"""Admission control: whether a request gets a permit, waits or is refused."""
 
 import random
 
@@ -13,26 +13,28 @@
 
 Commands = list[_permit_events.PermitCommand]
 
-#: Permits whose end is remembered, so that a late report does not bring them
-#: back.
-ENDED_PERMITS = 8192
+#: Number of ended permits that are remembered, so that a late report does not
+#: add them again.
+REMEMBERED_ENDED_PERMITS = 8192
 
-#: Requests queued for an upstream whose limits are not known yet.
-FIRST_QUEUE = 16
+#: Maximum number of requests that are queued for an upstream whose limits are
+#: not known yet.
+DEFAULT_QUEUE_LENGTH = 16
 
-#: Sets of candidates whose upstreams are looked up once.
-CANDIDATE_SETS = 1024
+#: Maximum number of candidate sets whose upstreams are cached.
+CACHED_CANDIDATE_SETS = 1024
 
-#: Copies of a request that may be in flight, or may have frozen an upstream,
-#: before one of them has completed. Each may take down an upstream.
-UNTRIED_COPIES = 2
+#: Maximum number of copies of a request that are in flight or may have frozen
+#: an upstream, before one of them has completed. Each copy may crash an
+#: upstream.
+MAXIMUM_UNTRIED_COPIES = 2
 
-#: Least time after which a refused request is worth repeating, in seconds.
-LEAST_RETRY_AFTER_S = 0.05
+#: Minimum delay that is suggested for retrying a refused request, in seconds.
+MINIMUM_RETRY_AFTER_S = 0.05
 
 
 class Admission:
-    """State of a permit desk, and the steps that several events share."""
+    """State of a permit issuer, and steps that several events share."""
 
     def __init__(
         self,
@@ -42,14 +44,14 @@
         fresh: bool = False,
         options: _permit_events.PermitOptions | None = None,
     ) -> None:
-        """Starts a desk.
+        """Creates the state at a takeover of the group.
 
         Args:
-            generator: Source of the random choices.
-            now: Time of the takeover.
-            fresh: Whether no holder can have issued permits before, so that
-                nothing has to be learned from reports.
-            options: Limits.
+            generator: Source of randomness.
+            now: Time of the takeover, in seconds.
+            fresh: Whether no earlier holder can have issued permits, so that
+                the recovery from reports of the hosts is skipped.
+            options: Limits; None for the defaults.
         """
         self._generator = generator
         self._options = options or _permit_events.PermitOptions()
@@ -61,9 +63,9 @@
             tuple[str, ...], list[_balancing.UpstreamState]
         ] = {}
         self._permits: dict[str, _permit_records.Permit] = {}
-        self._ended = _recent_set.RecentSet[str](ENDED_PERMITS)
-        # A permit that was learned twice would count as two slots that are
-        # accounted for.
+        self._ended = _recent_set.RecentSet[str](REMEMBERED_ENDED_PERMITS)
+        # During recovery, no ended permit may be forgotten: a permit that is
+        # reported again after its end would be counted as a second known slot.
         self._ended.unbounded = self._recovering
         self._running: dict[bytes, list[str]] = {}
         self._quarantine = _quarantine.Quarantine(self._options)
@@ -79,137 +81,153 @@
         return len(self._waiting.tickets)
 
     def is_recovering(self) -> bool:
-        """Tells whether permits of an earlier holder may be unknown."""
+        """Returns whether permits of an earlier holder may be unreported."""
         return self._recovering
 
     def _admit(
         self,
-        asked: _permit_events.PermitRequested,
+        request: _permit_events.PermitRequested,
         now: float,
         commands: Commands,
     ) -> None:
-        if asked.deadline <= now:
+        if request.deadline <= now:
             commands.append(
-                refuse(asked, _permit_events.RefusalReason.DEADLINE)
+                refuse(request, _permit_events.RefusalReason.DEADLINE)
             )
             return
-        if self._waiting.holds:
-            hold = self._waiting.find_hold(asked)
-            if hold is not None:
-                self._wait_for_hold(asked, hold, commands)
+        if self._waiting.paused_partitions:
+            paused = self._waiting.find_paused_partition(request)
+            if paused is not None:
+                self._wait_for_resume(request, paused, commands)
                 return
-        candidates = self._find_candidates(asked)
-        if asked.fingerprint in self._running or not (
+        candidates = self._get_candidates(request)
+        if request.fingerprint in self._running or not (
             self._quarantine.is_empty()
         ):
-            allowed = self._restrict(asked, candidates, now, commands)
+            allowed = self._filter_candidates(
+                request, candidates, now, commands
+            )
             if allowed is None:
                 return
             candidates = allowed
         upstream = _balancing.choose_upstream(candidates, self._generator, now)
         if upstream is None:
-            self._enqueue(asked, candidates, now, commands)
+            self._enqueue(request, candidates, now, commands)
         else:
-            self._issue(asked, upstream, now, commands)
+            self._issue(request, upstream, now, commands)
 
-    def _restrict(
+    def _filter_candidates(
         self,
-        asked: _permit_events.PermitRequested,
+        request: _permit_events.PermitRequested,
         candidates: list[_balancing.UpstreamState],
         now: float,
         commands: Commands,
     ) -> list[_balancing.UpstreamState] | None:
-        """Returns where a request may run; None if it waits or is refused."""
-        standing = self._quarantine.judge(asked.fingerprint, now)
-        if standing is _quarantine.Standing.GUILTY:
+        """Returns the candidates that the quarantine allows for a request.
+
+        Returns:
+            None if the request has to wait or is refused. It has then been
+            added to the waiting requests, or refused by a command.
+        """
+        suspicion = self._quarantine.classify(request.fingerprint, now)
+        if suspicion is _quarantine.Suspicion.GUILTY:
             commands.append(
-                refuse(asked, _permit_events.RefusalReason.QUARANTINED)
+                refuse(request, _permit_events.RefusalReason.QUARANTINED)
             )
             return None
-        if standing is _quarantine.Standing.UNRESOLVED or (
-            standing is _quarantine.Standing.SUSPECT
+        if suspicion is _quarantine.Suspicion.UNRESOLVED or (
+            suspicion is _quarantine.Suspicion.SUSPECT
             and any(map(self._quarantine.is_suspect, self._running))
         ):
-            self._wait_as_suspect(asked, commands)
+            self._wait_as_suspect(request, commands)
             return None
-        if self._quarantine.is_known_good(asked.fingerprint):
+        if self._quarantine.is_known_good(request.fingerprint):
             return candidates
-        running = self._running.get(asked.fingerprint, ())
-        doubtful = self._quarantine.list_doubtful(asked.fingerprint, now)
-        if len(running) + len(doubtful) >= UNTRIED_COPIES:
-            self._wait_as_suspect(asked, commands)
+        running = self._running.get(request.fingerprint, ())
+        possibly_frozen = self._quarantine.list_possibly_frozen(
+            request.fingerprint, now
+        )
+        if len(running) + len(possibly_frozen) >= MAXIMUM_UNTRIED_COPIES:
+            self._wait_as_suspect(request, commands)
             return None
         others = [
-            upstream for upstream in candidates if upstream.name not in doubtful
+            upstream
+            for upstream in candidates
+            if upstream.name not in possibly_frozen
         ]
         return others or candidates
 
     def _wait_as_suspect(
-        self, asked: _permit_events.PermitRequested, commands: Commands
+        self, request: _permit_events.PermitRequested, commands: Commands
     ) -> None:
-        if not self._waiting.add_suspect(asked):
+        if not self._waiting.add_suspect(request):
             commands.append(
-                refuse(asked, _permit_events.RefusalReason.OVERLOADED)
+                refuse(request, _permit_events.RefusalReason.OVERLOADED)
             )
 
-    def _wait_for_hold(
+    def _wait_for_resume(
         self,
-        asked: _permit_events.PermitRequested,
-        hold: _permit_records.Hold,
+        request: _permit_events.PermitRequested,
+        paused: _permit_records.PausedPartition,
         commands: Commands,
     ) -> None:
-        if not self._waiting.add_held(asked, hold):
+        if not self._waiting.add_paused(request, paused):
             commands.append(
-                refuse(asked, _permit_events.RefusalReason.OVERLOADED)
+                refuse(request, _permit_events.RefusalReason.OVERLOADED)
             )
 
     def _enqueue(
         self,
-        asked: _permit_events.PermitRequested,
+        request: _permit_events.PermitRequested,
         candidates: list[_balancing.UpstreamState],
         now: float,
         commands: Commands,
     ) -> None:
-        # A keyed request waits for its owner, which may come back or pass its
-        # partition on; an unkeyed one needs an upstream that works now. After
-        # a takeover, upstreams that have not answered yet are about to.
+        # A keyed request waits for its owner, which may recover or lose the
+        # partition to another owner. An unkeyed one needs an available
+        # upstream. After a takeover, upstreams that have not answered this
+        # holder yet are expected to do so soon.
         usable = [
             upstream
             for upstream in candidates
             if upstream.available
-            or asked.partition >= 0
+            or request.partition >= 0
             or (self._recovering and not upstream.slots)
         ]
         if not usable:
             commands.append(
-                refuse(asked, _permit_events.RefusalReason.NO_UPSTREAM)
+                refuse(request, _permit_events.RefusalReason.NO_UPSTREAM)
             )
             return
-        lane = self._waiting.find_lane(asked)
-        bound = sum(upstream.queue or FIRST_QUEUE for upstream in usable)
-        wait_s = self._waiting.estimate_wait(lane, asked, usable)
+        lane = self._waiting.get_lane(request)
+        bound = sum(
+            upstream.queue or DEFAULT_QUEUE_LENGTH for upstream in usable
+        )
+        wait_s = self._waiting.estimate_wait(lane, request, usable)
         if self._recovering:
-            wait_s = max(wait_s, self._find_recovery_wait(usable, now))
+            wait_s = max(wait_s, self._compute_recovery_wait(usable, now))
         reason = None
-        if now + wait_s >= asked.deadline:
+        if now + wait_s >= request.deadline:
             reason = _permit_events.RefusalReason.DEADLINE
         elif lane.size >= bound:
-            victim = lane.evict_below(asked.priority)
-            if victim is None:
+            evicted = lane.evict_below(request.priority)
+            if evicted is None:
                 reason = _permit_events.RefusalReason.OVERLOADED
             else:
-                del self._waiting.tickets[victim.asked.permit]
+                del self._waiting.tickets[evicted.request.permit]
                 commands.append(
                     refuse(
-                        victim.asked, _permit_events.RefusalReason.SHED, wait_s
+                        evicted.request,
+                        _permit_events.RefusalReason.SHED,
+                        wait_s,
                     )
                 )
         if reason is None:
-            self._waiting.add_queued(asked, lane)
+            self._waiting.add_queued(request, lane)
         else:
-            commands.append(refuse(asked, reason, wait_s))
+            commands.append(refuse(request, reason, wait_s))
 
-    def _find_recovery_wait(
+    def _compute_recovery_wait(
         self, upstreams: list[_balancing.UpstreamState], now: float
     ) -> float:
         if any(upstream.capacity for upstream in upstreams):
@@ -218,87 +236,93 @@
 
     def _issue(
         self,
-        asked: _permit_events.PermitRequested,
+        request: _permit_events.PermitRequested,
         upstream: _balancing.UpstreamState,
         now: float,
         commands: Commands,
     ) -> None:
-        self._permits[asked.permit] = _permit_records.Permit(
-            asked, upstream, now, self._quarantine.order
+        self._permits[request.permit] = _permit_records.Permit(
+            request, upstream, now, self._quarantine.mark_count
         )
         upstream.in_use += 1
-        running = self._running.get(asked.fingerprint)
+        running = self._running.get(request.fingerprint)
         if running is None:
-            self._running[asked.fingerprint] = [upstream.name]
+            self._running[request.fingerprint] = [upstream.name]
         else:
             running.append(upstream.name)
-        commands.append(self._grant(asked, upstream))
+        commands.append(self._grant(request, upstream))
 
     def _grant(
         self,
-        asked: _permit_events.PermitRequested,
+        request: _permit_events.PermitRequested,
         upstream: _balancing.UpstreamState,
     ) -> _permit_events.IssuePermit:
         return _permit_events.IssuePermit(
-            asked.permit, asked.host, upstream.name, self._options.validity_s
+            request.permit,
+            request.host,
+            upstream.name,
+            self._options.validity_s,
         )
 
-    def _drain(
+    def _start_queued(
         self,
         upstream: _balancing.UpstreamState,
         now: float,
         commands: Commands,
     ) -> None:
-        """Starts queued requests while the upstream has free slots."""
-        # Others serve what waits for several upstreams, unless all are ejected.
+        """Issues permits to queued requests while the upstream has slots."""
+        # Requests for several upstreams are left to the others while this one
+        # is ejected, unless all are.
         own_only = upstream.ejected_until > now and any(
             each.available and each.ejected_until <= now
             for each in self._upstreams.values()
         )
         while upstream.is_free():
-            ticket = self._waiting.take_next(upstream.name, own_only)
+            ticket = self._waiting.pop_next(upstream.name, own_only)
             if ticket is None:
                 return
-            asked = ticket.asked
-            if now + self._waiting.find_service_time(asked) > asked.deadline:
+            request = ticket.request
+            if now + self._waiting.get_service_time(request) > request.deadline:
                 commands.append(
-                    refuse(asked, _permit_events.RefusalReason.DEADLINE)
+                    refuse(request, _permit_events.RefusalReason.DEADLINE)
                 )
                 continue
-            if asked.fingerprint in self._running or not (
+            if request.fingerprint in self._running or not (
                 self._quarantine.is_empty()
             ):
-                allowed = self._restrict(asked, [upstream], now, commands)
+                allowed = self._filter_candidates(
+                    request, [upstream], now, commands
+                )
                 if not allowed:
                     continue
-            self._issue(asked, upstream, now, commands)
+            self._issue(request, upstream, now, commands)
 
-    def _end(
+    def _end_permit(
         self,
         permit: _permit_records.Permit,
         now: float,
         commands: Commands,
     ) -> None:
-        """Ends a permit, and starts what has waited for its end."""
-        name = permit.asked.permit
+        """Ends a permit, and admits requests that waited for its end."""
+        name = permit.request.permit
         del self._permits[name]
         self._ended.add(name)
-        self._stop_running(permit)
+        self._clear_running(permit)
         upstream = permit.upstream
         upstream.in_use -= 1
-        if self._waiting.holds:
+        if self._waiting.paused_partitions:
             self._waiting.end_permit(name)
-            self._tell_drained(commands)
+            self._report_drained(commands)
         if self._waiting.suspects:
-            self._retry_waiting(now, commands)
+            self._retry_suspects(now, commands)
         if self._waiting.tickets:
-            self._drain(upstream, now, commands)
+            self._start_queued(upstream, now, commands)
 
-    def _stop_running(self, permit: _permit_records.Permit) -> None:
+    def _clear_running(self, permit: _permit_records.Permit) -> None:
         if not permit.running:
             return
         permit.running = False
-        fingerprint = permit.asked.fingerprint
+        fingerprint = permit.request.fingerprint
         running = self._running[fingerprint]
         if len(running) == 1:
             del self._running[fingerprint]
@@ -311,33 +335,37 @@
         connection_lost: bool,
         now: float,
     ) -> None:
-        fingerprint = permit.asked.fingerprint
+        fingerprint = permit.request.fingerprint
         upstream = permit.upstream.name
         if connection_lost:
             self._quarantine.record_break(
-                fingerprint, upstream, permit.order, now
+                fingerprint, upstream, permit.mark_count, now
             )
         else:
             self._quarantine.record_unknown(
-                fingerprint, upstream, permit.order, now
+                fingerprint, upstream, permit.mark_count, now
             )
 
-    def _learn(
+    def _add_reported_permit(
         self, used: _permit_events.ReportedPermit, host: str, now: float
     ) -> None:
-        asked = _permit_records.describe_learned(
+        request = _permit_records.build_inherited_request(
             used, host, now + self._options.longest_deadline_s
         )
-        upstream = self._find_upstream(used.upstream)
+        upstream = self._get_upstream(used.upstream)
         permit = _permit_records.Permit(
-            asked, upstream, now, self._quarantine.order, learned=True
+            request,
+            upstream,
+            now,
+            self._quarantine.mark_count,
+            is_inherited=True,
         )
         self._permits[used.permit] = permit
-        upstream.account(used.unlapsed)
+        upstream.add_reported_permit(used.unlapsed)
         self._running.setdefault(used.fingerprint, []).append(used.upstream)
-        for hold in self._waiting.holds:
-            if hold.concerns(permit):
-                hold.outstanding.add(used.permit)
+        for paused in self._waiting.paused_partitions:
+            if paused.waits_for(permit):
+                paused.outstanding.add(used.permit)
 
     def _finish_recovery(self, now: float, commands: Commands) -> None:
         self._recovering = False
@@ -345,28 +373,31 @@
         for upstream in self._upstreams.values():
             upstream.recovering = False
             upstream.update_capacity()
-            self._drain(upstream, now, commands)
-        for asked in self._waiting.take_unkeyed():
-            self._admit(asked, now, commands)
-        self._tell_drained(commands)
+            self._start_queued(upstream, now, commands)
+        for request in self._waiting.pop_unkeyed():
+            self._admit(request, now, commands)
+        self._report_drained(commands)
 
-    def _retry_waiting(self, now: float, commands: Commands) -> None:
-        for asked in self._waiting.take_suspects():
-            self._admit(asked, now, commands)
+    def _retry_suspects(self, now: float, commands: Commands) -> None:
+        for request in self._waiting.pop_suspects():
+            self._admit(request, now, commands)
 
-    def _tell_drained(self, commands: Commands) -> None:
+    def _report_drained(self, commands: Commands) -> None:
         if self._recovering:
             return
-        for hold in self._waiting.holds:
-            if not hold.outstanding and not hold.told:
-                hold.told = True
+        for paused in self._waiting.paused_partitions:
+            if not paused.outstanding and not paused.is_drained_reported:
+                paused.is_drained_reported = True
                 commands.append(
                     _permit_events.PartitionDrained(
-                        hold.fleet, hold.service, hold.partition, hold.key
+                        paused.fleet,
+                        paused.service,
+                        paused.partition,
+                        paused.key,
                     )
                 )
 
-    def _find_upstream(self, name: str) -> _balancing.UpstreamState:
+    def _get_upstream(self, name: str) -> _balancing.UpstreamState:
         upstream = self._upstreams.get(name)
         if upstream is None:
             upstream = _balancing.UpstreamState(name, self._recovering)
@@ -374,35 +405,42 @@
             self._candidates.clear()
         return upstream
 
-    def _find_candidates(
-        self, asked: _permit_events.PermitRequested
+    def _get_candidates(
+        self, request: _permit_events.PermitRequested
     ) -> list[_balancing.UpstreamState]:
-        names = asked.candidates
-        found = self._candidates.get(names)
-        if found is None or len(found) < len(names):
-            if asked.partition >= 0 or self._recovering:
+        names = request.candidates
+        states = self._candidates.get(names)
+        if states is None or len(states) < len(names):
+            if request.partition >= 0 or self._recovering:
                 for name in names:
-                    self._find_upstream(name)
-            found = [
+                    self._get_upstream(name)
+            states = [
                 self._upstreams[name]
                 for name in names
                 if name in self._upstreams
             ]
-            if len(self._candidates) >= CANDIDATE_SETS:
+            if len(self._candidates) >= CACHED_CANDIDATE_SETS:
                 self._candidates.clear()
-            self._candidates[names] = found
-        return found
+            self._candidates[names] = states
+        return states
 
 
 def refuse(
-    asked: _permit_events.PermitRequested,
+    request: _permit_events.PermitRequested,
     reason: _permit_events.RefusalReason,
-    retry_after_s: float = LEAST_RETRY_AFTER_S,
+    retry_after_s: float = MINIMUM_RETRY_AFTER_S,
 ) -> _permit_events.RefusePermit:
-    """Returns the refusal of a request."""
+    """Returns the command that refuses a request.
+
+    Args:
+        request: The request.
+        reason: Why it is refused.
+        retry_after_s: Suggested delay before a retry, in seconds. It is
+            raised to `MINIMUM_RETRY_AFTER_S`.
+    """
     return _permit_events.RefusePermit(
-        asked.permit,
-        asked.host,
+        request.permit,
+        request.host,
         reason,
-        max(retry_after_s, LEAST_RETRY_AFTER_S),
+        max(retry_after_s, MINIMUM_RETRY_AFTER_S),
     )
--- a/packages/decisions/sycamoreloft_decisions/_permit_records.py
+++ b/packages/decisions/sycamoreloft_decisions/_permit_records.py
@@ -1,4 +1,4 @@
-"""Records of the permit desk: permits, waiting requests, holds and lanes."""
+"""State of the permit issuer: permits, waiting requests and their queues."""
 
 from collections import abc
 import dataclasses
@@ -11,11 +11,11 @@
     """A permit that has not ended."""
 
     __slots__ = (
-        "asked",
+        "request",
         "blamed",
         "issued_at",
-        "learned",
-        "order",
+        "is_inherited",
+        "mark_count",
         "renewed_at",
         "running",
         "upstream",
@@ -23,70 +23,74 @@
 
     def __init__(
         self,
-        asked: _permit_events.PermitRequested,
+        request: _permit_events.PermitRequested,
         upstream: _balancing.UpstreamState,
         now: float,
-        order: int,
-        learned: bool = False,
+        mark_count: int,
+        is_inherited: bool = False,
     ) -> None:
-        """Starts a permit that is issued or learned now."""
-        #: The request.
-        self.asked = asked
-        #: Upstream that runs it.
+        """Creates a permit that was issued or first reported now."""
+        #: The request that has the permit.
+        self.request = request
+        #: Upstream that runs the request.
         self.upstream = upstream
-        #: Time of the issue.
+        #: When the permit was issued or first reported, in seconds.
         self.issued_at = now
-        #: Order of the quarantine at the issue.
-        self.order = order
-        #: Time of the last report that contains it.
+        #: Value of `Quarantine.mark_count` when the permit was issued.
+        self.mark_count = mark_count
+        #: When a host last reported the permit, in seconds; at first the time
+        #: of the issue.
         self.renewed_at = now
-        #: Whether another holder issued it, so that its key is not known.
-        self.learned = learned
-        #: Whether a loss of its upstream has been counted against it.
+        #: Whether an earlier holder issued the permit. Its key is unknown then.
+        self.is_inherited = is_inherited
+        #: Whether the quarantine has already counted the loss of the upstream
+        #: against the request.
         self.blamed = False
-        #: Whether the request may still take down an upstream.
+        #: Whether the request may still run and crash an upstream.
         self.running = True
 
     def has_lapsed(
         self, options: _permit_events.PermitOptions, now: float
     ) -> bool:
-        """Tells whether its host may no longer start to send."""
+        """Returns whether the host may no longer start to send."""
         valid_s = options.validity_s * (1 + options.clock_drift)
         return self.renewed_at + valid_s <= now
 
     def has_started(
         self, options: _permit_events.PermitOptions, now: float
     ) -> bool:
-        """Tells whether its request has started, if it ever does.
+        """Returns whether the request has started if it ever will.
 
-        A host gives up a permit that it has not used within the validity.
+        A host discards a permit that it has not used within the validity.
         """
         valid_s = options.validity_s * (1 + options.clock_drift)
         return self.issued_at + valid_s <= now
 
     def compute_end(self, options: _permit_events.PermitOptions) -> float:
-        """Returns the time from which a silent host cannot use it any more.
-
-        A host starts to send while the permit is valid, and never after the
-        deadline of the request. The upstream stops the request when the time
-        left, which the host states when it sends, has passed since the
-        upstream received it. The request therefore ends by the deadline plus
-        the transit time. The transit is bounded by one more validity, and
-        clocks may differ in speed.
+        """Returns when the request has ended even if its host is silent.
+
+        A host starts to send only while the permit is valid and before the
+        deadline of the request. With the request it sends the time left until
+        the deadline, and the upstream stops the request when this time has
+        passed since the request arrived. The request therefore ends by the
+        deadline plus the time in transit. One more validity is allowed for
+        the transit, and all of it is extended by the clock drift.
         """
-        latest = max(self.renewed_at + options.validity_s, self.asked.deadline)
+        latest = max(
+            self.renewed_at + options.validity_s, self.request.deadline
+        )
         span = latest + options.validity_s - self.renewed_at
         return self.renewed_at + span * (1 + options.clock_drift)
 
 
 class Lane:
-    """Requests that wait for a slot, by class and then in fair order."""
+    """Requests that wait for a slot, by priority and then in fair order."""
 
     __slots__ = ("_queues", "shared", "size")
 
     def __init__(self, shared: bool) -> None:
-        """Starts an empty lane of one upstream, or shared by several."""
-        #: Whether requests for several upstreams wait here.
+        """Creates an empty lane for one upstream, or shared by several."""
+        #: Whether the requests of this lane may run on several upstreams.
         self.shared = shared
         #: Number of waiting requests.
         self.size = 0
@@ -100,54 +104,62 @@
             yield from queue
 
     def push(self, ticket: "Ticket", cost: float) -> None:
-        """Adds a request."""
-        queue = self._queues[ticket.asked.priority]
-        queue.push(list_flow(ticket.asked), ticket, cost)
+        """Adds a request.
+
+        Args:
+            ticket: The request.
+            cost: Expected service time relative to the mean of all requests.
+        """
+        queue = self._queues[ticket.request.priority]
+        queue.push(get_flow_path(ticket.request), ticket, cost)
         ticket.lane = self
         self.size += 1
 
     def pop(self, upstream: str) -> "Ticket | None":
-        """Removes the next request that the upstream may run."""
+        """Removes and returns the next request that the upstream may run."""
         for queue in self._queues.values():
             if not queue:
                 continue
             ticket = queue.pop(
-                (lambda item: upstream in item.asked.candidates)
+                (lambda item: upstream in item.request.candidates)
                 if self.shared
                 else None
             )
             if ticket is not None:
-                return self._take(ticket)
+                return self._detach(ticket)
         return None
 
     def remove(self, ticket: "Ticket") -> None:
-        """Removes a request from any place."""
-        queue = self._queues[ticket.asked.priority]
-        queue.remove(list_flow(ticket.asked), ticket)
-        self._take(ticket)
+        """Removes a request from any position."""
+        queue = self._queues[ticket.request.priority]
+        queue.remove(get_flow_path(ticket.request), ticket)
+        self._detach(ticket)
 
     def evict_below(
         self, priority: sycamoreloft_config.Priority
     ) -> "Ticket | None":
-        """Removes a request of the lowest class below the given one."""
+        """Removes and returns a request of the lowest priority in the lane.
+
+        Returns None if no request has a priority below the given one.
+        """
         for each in sorted(self._queues):
             if each >= priority:
                 return None
             ticket = self._queues[each].evict()
             if ticket is not None:
-                return self._take(ticket)
+                return self._detach(ticket)
         return None
 
-    def count_ahead(self, asked: _permit_events.PermitRequested) -> int:
-        """Estimates how many requests are started before a new one."""
+    def count_ahead(self, request: _permit_events.PermitRequested) -> int:
+        """Estimates how many requests start before a new one would."""
         ahead = 0
         for priority, queue in self._queues.items():
-            if priority == asked.priority:
-                return ahead + queue.count_ahead(list_flow(asked))
+            if priority == request.priority:
+                return ahead + queue.count_ahead(get_flow_path(request))
             ahead += len(queue)
         return ahead
 
-    def _take(self, ticket: "Ticket") -> "Ticket":
+    def _detach(self, ticket: "Ticket") -> "Ticket":
         ticket.lane = None
         self.size -= 1
         return ticket
@@ -156,71 +168,79 @@
 class Ticket:
     """A request that waits for its permit."""
 
-    __slots__ = ("asked", "hold", "lane")
+    __slots__ = ("request", "paused", "lane")
 
-    def __init__(self, asked: _permit_events.PermitRequested) -> None:
-        """Starts a ticket that waits nowhere yet."""
-        #: The request.
-        self.asked = asked
-        #: Lane in which it waits.
+    def __init__(self, request: _permit_events.PermitRequested) -> None:
+        """Creates a ticket that is not in a queue yet."""
+        #: The request that waits.
+        self.request = request
+        #: Lane in which the request is queued, if any.
         self.lane: Lane | None = None
-        #: Hold for which it waits.
-        self.hold: Hold | None = None
+        #: Paused partition for which the request waits, if any. A request with
+        #: neither waits because of the quarantine.
+        self.paused: PausedPartition | None = None
 
 
 @dataclasses.dataclass(slots=True, eq=False)
-class Hold:
-    """A held partition or key."""
+class PausedPartition:
+    """A paused partition or key, with the requests that wait for it."""
 
     #: Fleet of the service.
     fleet: str
     #: Name of the service.
     service: str
-    #: Partition.
+    #: Number of the partition.
     partition: int
     #: Key; empty for the whole partition.
     key: str
-    #: Permits that have not ended.
+    #: Identifiers of permits that have to end before it is drained.
     outstanding: set[str]
     #: Waiting requests, in order of arrival.
     tickets: dict[Ticket, None]
-    #: Whether the end of the last permit was told.
-    told: bool = False
+    #: Whether `PartitionDrained` was returned.
+    is_drained_reported: bool = False
 
-    def covers(self, asked: _permit_events.PermitRequested) -> bool:
-        """Tells whether a request must wait for this hold."""
+    def covers(self, request: _permit_events.PermitRequested) -> bool:
+        """Returns whether the pause applies to a request."""
         return (
-            self.partition == asked.partition
-            and self.service == asked.service
-            and self.fleet == asked.fleet
-            and self.key in ("", asked.key)
+            self.partition == request.partition
+            and self.service == request.service
+            and self.fleet == request.fleet
+            and self.key in ("", request.key)
         )
 
-    def concerns(self, permit: Permit) -> bool:
-        """Tells whether a permit must end before the hold is drained."""
-        asked = permit.asked
-        return self.covers(asked) or (
-            permit.learned
-            and self.partition == asked.partition
-            and self.service == asked.service
-            and self.fleet == asked.fleet
+    def waits_for(self, permit: Permit) -> bool:
+        """Returns whether a permit must end before the partition is drained.
+
+        The keys of inherited permits are unknown, so a paused key waits for
+        all inherited permits of its partition.
+        """
+        request = permit.request
+        return self.covers(request) or (
+            permit.is_inherited
+            and self.partition == request.partition
+            and self.service == request.service
+            and self.fleet == request.fleet
         )
 
 
-def list_flow(asked: _permit_events.PermitRequested) -> tuple[str, str, str]:
-    """Returns the path of a request in a fair queue."""
-    return asked.fleet, asked.service, asked.caller
+def get_flow_path(
+    request: _permit_events.PermitRequested,
+) -> tuple[str, str, str]:
+    """Returns the path of a request's flow in a fair queue."""
+    return request.fleet, request.service, request.caller
 
 
-def describe_learned(
-    used: _permit_events.ReportedPermit, host: str, longest: float
+def build_inherited_request(
+    used: _permit_events.ReportedPermit, host: str, latest_deadline: float
 ) -> _permit_events.PermitRequested:
-    """Returns the request of a permit that another holder issued.
+    """Returns the request of a permit that an earlier holder issued.
 
     Args:
-        used: What the host reports.
+        used: The permit as reported by its host.
         host: Name of the host.
-        longest: Deadline that is assumed if the report does not tell it.
+        latest_deadline: Deadline that is assumed if the report has none, in
+            seconds.
     """
     return _permit_events.PermitRequested(
         permit=used.permit,
@@ -232,6 +252,6 @@
         fingerprint=used.fingerprint,
         caller="",
         priority=sycamoreloft_config.Priority.NORMAL,
-        deadline=longest if used.deadline is None else used.deadline,
+        deadline=latest_deadline if used.deadline is None else used.deadline,
         candidates=(used.upstream,),
     )
--- a/packages/decisions/sycamoreloft_decisions/_permit_waiting.py
+++ b/packages/decisions/sycamoreloft_decisions/_permit_waiting.py
@@ -1,4 +1,4 @@
-"""Requests that wait for a permit: queued, held or suspect."""
+"""Requests that wait for a permit: queued, paused or suspect."""
 
 from collections import abc
 
@@ -9,35 +9,35 @@
     _permit_records,
 )
 
-#: Weight of a new sample in the mean service time of a kind of request.
+#: Weight of a new sample in the moving average of service times.
 SERVICE_TIME_WEIGHT = 0.1
 
-_Kind = tuple[str, str, sycamoreloft_config.Priority]
+_RequestKind = tuple[str, str, sycamoreloft_config.Priority]
 
 
 class WaitingRequests:
-    """Every request that has neither a permit nor a refusal yet."""
+    """All requests that have been neither permitted nor refused yet."""
 
     def __init__(self, options: _permit_events.PermitOptions) -> None:
-        """Starts without requests."""
+        """Creates an empty set of waiting requests."""
         self._options = options
         #: Waiting requests by permit.
         self.tickets: dict[str, _permit_records.Ticket] = {}
-        #: Held partitions and keys.
-        self.holds: list[_permit_records.Hold] = []
+        #: Paused partitions and keys.
+        self.paused_partitions: list[_permit_records.PausedPartition] = []
         #: Requests that wait because of the quarantine.
         self.suspects: dict[_permit_records.Ticket, None] = {}
-        self._held_count = 0
+        self._paused_count = 0
         self._lanes: dict[tuple[str, ...], _permit_records.Lane] = {}
         self._lanes_of: dict[str, list[_permit_records.Lane]] = {}
-        self._service_times: dict[_Kind, float] = {}
+        self._service_times: dict[_RequestKind, float] = {}
         self._mean_service_time = 0.0
 
-    def observe(
-        self, asked: _permit_events.PermitRequested, latency_s: float
+    def record_service_time(
+        self, request: _permit_events.PermitRequested, latency_s: float
     ) -> None:
-        """Learns the service time of a kind of request."""
-        kind = (asked.fleet, asked.service, asked.priority)
+        """Adds a sample to the mean service time of a kind of request."""
+        kind = (request.fleet, request.service, request.priority)
         known = self._service_times.get(kind, latency_s)
         self._service_times[kind] = known + SERVICE_TIME_WEIGHT * (
             latency_s - known
@@ -46,87 +46,104 @@
             latency_s - self._mean_service_time
         )
 
-    def find_service_time(self, asked: _permit_events.PermitRequested) -> float:
-        """Returns the mean service time of such requests; 0 if not known."""
-        kind = (asked.fleet, asked.service, asked.priority)
+    def get_service_time(
+        self, request: _permit_events.PermitRequested
+    ) -> float:
+        """Returns the mean service time of similar requests, in seconds.
+
+        Similar requests have the same service and priority. The result is 0 if
+        none has completed.
+        """
+        kind = (request.fleet, request.service, request.priority)
         return self._service_times.get(kind, 0.0)
 
     def estimate_wait(
         self,
         lane: _permit_records.Lane,
-        asked: _permit_events.PermitRequested,
+        request: _permit_events.PermitRequested,
         upstreams: abc.Iterable[_balancing.UpstreamState],
     ) -> float:
-        """Estimates the seconds until a new request could start."""
+        """Estimates the seconds until a new request could start.
+
+        Returns 0 if the throughput of the upstreams is not known.
+        """
         rate = 0.0
         for upstream in upstreams:
             if upstream.available and upstream.limiter.recent_s:
                 rate += upstream.capacity / upstream.limiter.recent_s
-        return (lane.count_ahead(asked) + 1) / rate if rate else 0.0
+        return (lane.count_ahead(request) + 1) / rate if rate else 0.0
 
-    def find_lane(
-        self, asked: _permit_events.PermitRequested
+    def get_lane(
+        self, request: _permit_events.PermitRequested
     ) -> _permit_records.Lane:
-        """Returns the lane of a request: of its owner, or of its service."""
-        shared = len(asked.candidates) > 1
-        key = (asked.fleet, asked.service) if shared else asked.candidates
+        """Returns the lane of a request.
+
+        Requests with a single candidate share the lane of that upstream,
+        others the lane of their service.
+        """
+        shared = len(request.candidates) > 1
+        key = (request.fleet, request.service) if shared else request.candidates
         lane = self._lanes.get(key)
         if lane is None:
             lane = self._lanes[key] = _permit_records.Lane(shared)
         return lane
 
     def add_queued(
-        self, asked: _permit_events.PermitRequested, lane: _permit_records.Lane
+        self,
+        request: _permit_events.PermitRequested,
+        lane: _permit_records.Lane,
     ) -> None:
-        """Queues a request; the caller has checked the bound of the lane."""
+        """Queues a request. The caller has checked the limit of the lane."""
         mean = self._mean_service_time
-        cost = self.find_service_time(asked) / mean if mean else 1.0
-        lane.push(self._add(asked), cost)
-        for name in asked.candidates:
+        cost = self.get_service_time(request) / mean if mean else 1.0
+        lane.push(self._add(request), cost)
+        for name in request.candidates:
             lanes = self._lanes_of.setdefault(name, [])
             if lane not in lanes:
                 lanes.append(lane)
 
-    def add_suspect(self, asked: _permit_events.PermitRequested) -> bool:
-        """Lets a request wait for the quarantine; False if it is full."""
+    def add_suspect(self, request: _permit_events.PermitRequested) -> bool:
+        """Makes a request wait for the quarantine; False if too many do."""
         if len(self.suspects) >= self._options.waiting_suspects:
             return False
-        self.suspects[self._add(asked)] = None
+        self.suspects[self._add(request)] = None
         return True
 
-    def add_held(
-        self, asked: _permit_events.PermitRequested, hold: _permit_records.Hold
+    def add_paused(
+        self,
+        request: _permit_events.PermitRequested,
+        paused: _permit_records.PausedPartition,
     ) -> bool:
-        """Lets a request wait for a hold; False if too many do."""
-        if self._held_count >= self._options.held_requests:
+        """Makes a request wait for a paused partition; False if too many do."""
+        if self._paused_count >= self._options.paused_requests:
             return False
-        self._held_count += 1
-        ticket = self._add(asked)
-        ticket.hold = hold
-        hold.tickets[ticket] = None
+        self._paused_count += 1
+        ticket = self._add(request)
+        ticket.paused = paused
+        paused.tickets[ticket] = None
         return True
 
     def discard(self, ticket: _permit_records.Ticket) -> None:
         """Removes a request from wherever it waits."""
-        del self.tickets[ticket.asked.permit]
+        del self.tickets[ticket.request.permit]
         if ticket.lane is not None:
             ticket.lane.remove(ticket)
-        elif ticket.hold is not None:
-            del ticket.hold.tickets[ticket]
-            self._held_count -= 1
+        elif ticket.paused is not None:
+            del ticket.paused.tickets[ticket]
+            self._paused_count -= 1
         else:
             del self.suspects[ticket]
 
-    def take_next(
+    def pop_next(
         self, upstream: str, own_only: bool
     ) -> _permit_records.Ticket | None:
-        """Removes the next queued request for an upstream.
+        """Removes and returns the next queued request for an upstream.
 
         Lanes that share an upstream are served in turn.
 
         Args:
             upstream: Name of the upstream.
-            own_only: Whether requests that others may run are left to them.
+            own_only: Whether to skip requests that other upstreams may run.
         """
         lanes = self._lanes_of.get(upstream, [])
         for index, lane in enumerate(lanes):
@@ -135,96 +152,109 @@
             ticket = lane.pop(upstream)
             if ticket is not None:
                 lanes.append(lanes.pop(index))
-                del self.tickets[ticket.asked.permit]
+                del self.tickets[ticket.request.permit]
                 return ticket
         return None
 
-    def take_late(self, now: float) -> list[_permit_events.PermitRequested]:
-        """Removes the requests whose deadline has passed."""
+    def pop_expired(self, now: float) -> list[_permit_events.PermitRequested]:
+        """Removes and returns the requests whose deadline has passed."""
         late = [
             ticket
             for ticket in self.tickets.values()
-            if ticket.asked.deadline <= now
+            if ticket.request.deadline <= now
         ]
         for ticket in late:
             self.discard(ticket)
-        return [ticket.asked for ticket in late]
+        return [ticket.request for ticket in late]
 
-    def take_unkeyed(self) -> list[_permit_events.PermitRequested]:
-        """Removes the queued requests of unkeyed services."""
+    def pop_unkeyed(self) -> list[_permit_events.PermitRequested]:
+        """Removes and returns the queued requests of unkeyed services."""
         tickets = [
             ticket
             for ticket in self.tickets.values()
-            if ticket.lane is not None and ticket.asked.partition < 0
+            if ticket.lane is not None and ticket.request.partition < 0
         ]
         for ticket in tickets:
             self.discard(ticket)
-        return [ticket.asked for ticket in tickets]
+        return [ticket.request for ticket in tickets]
 
-    def take_suspects(self) -> list[_permit_events.PermitRequested]:
-        """Removes the requests that wait because of the quarantine."""
+    def pop_suspects(self) -> list[_permit_events.PermitRequested]:
+        """Removes and returns the requests that wait for the quarantine."""
         tickets = list(self.suspects)
         for ticket in tickets:
             self.discard(ticket)
-        return [ticket.asked for ticket in tickets]
-
-    def find_hold(
-        self, asked: _permit_events.PermitRequested
-    ) -> _permit_records.Hold | None:
-        """Returns the hold for which a request must wait, if any."""
-        for hold in self.holds:
-            if hold.covers(asked):
-                return hold
+        return [ticket.request for ticket in tickets]
+
+    def find_paused_partition(
+        self, request: _permit_events.PermitRequested
+    ) -> _permit_records.PausedPartition | None:
+        """Returns the paused partition that a request must wait for, if any."""
+        for paused in self.paused_partitions:
+            if paused.covers(request):
+                return paused
         return None
 
-    def add_hold(self, hold: _permit_records.Hold) -> _permit_records.Hold:
-        """Adds a hold, and moves the queued requests that it covers to it."""
-        for known in self.holds:
-            if (known.fleet, known.service, known.partition, known.key) == (
-                hold.fleet,
-                hold.service,
-                hold.partition,
-                hold.key,
+    def add_paused_partition(
+        self, paused: _permit_records.PausedPartition
+    ) -> _permit_records.PausedPartition:
+        """Adds a paused partition unless it is paused already.
+
+        Queued requests of the partition are moved to it.
+
+        Returns:
+            The paused partition, which is the existing one if there is one.
+        """
+        for existing in self.paused_partitions:
+            if (
+                existing.fleet,
+                existing.service,
+                existing.partition,
+                existing.key,
+            ) == (
+                paused.fleet,
+                paused.service,
+                paused.partition,
+                paused.key,
             ):
-                return known
-        self.holds.append(hold)
+                return existing
+        self.paused_partitions.append(paused)
         for ticket in list(self.tickets.values()):
-            if ticket.hold is None and hold.covers(ticket.asked):
+            if ticket.paused is None and paused.covers(ticket.request):
                 self.discard(ticket)
-                # These requests were admitted, so the bound on new ones does
-                # not apply.
-                moved = self._add(ticket.asked)
-                moved.hold = hold
-                hold.tickets[moved] = None
-                self._held_count += 1
-        return hold
-
-    def remove_hold(
-        self, released: _permit_events.PartitionResumed
+                # These requests were admitted before the pause, so the limit
+                # on waiting requests does not apply to them.
+                moved = self._add(ticket.request)
+                moved.paused = paused
+                paused.tickets[moved] = None
+                self._paused_count += 1
+        return paused
+
+    def remove_paused_partition(
+        self, resumed: _permit_events.PartitionResumed
     ) -> list[_permit_events.PermitRequested]:
-        """Ends a hold and returns the requests that waited for it."""
-        for hold in self.holds:
-            if (hold.fleet, hold.service, hold.partition, hold.key) == (
-                released.fleet,
-                released.service,
-                released.partition,
-                released.key,
+        """Removes a paused partition and returns the requests that waited."""
+        for paused in self.paused_partitions:
+            if (paused.fleet, paused.service, paused.partition, paused.key) == (
+                resumed.fleet,
+                resumed.service,
+                resumed.partition,
+                resumed.key,
             ):
-                self.holds.remove(hold)
-                tickets = list(hold.tickets)
+                self.paused_partitions.remove(paused)
+                tickets = list(paused.tickets)
                 for ticket in tickets:
                     self.discard(ticket)
-                return [ticket.asked for ticket in tickets]
+                return [ticket.request for ticket in tickets]
         return []
 
     def end_permit(self, permit: str) -> None:
-        """Tells the holds that a permit has ended."""
-        for hold in self.holds:
-            hold.outstanding.discard(permit)
+        """Removes an ended permit from the paused partitions."""
+        for paused in self.paused_partitions:
+            paused.outstanding.discard(permit)
 
     def _add(
-        self, asked: _permit_events.PermitRequested
+        self, request: _permit_events.PermitRequested
     ) -> _permit_records.Ticket:
-        ticket = _permit_records.Ticket(asked)
-        self.tickets[asked.permit] = ticket
+        ticket = _permit_records.Ticket(request)
+        self.tickets[request.permit] = ticket
         return ticket
--- a/packages/decisions/sycamoreloft_decisions/_permits.py
+++ b/packages/decisions/sycamoreloft_decisions/_permits.py
@@ -1,15 +1,15 @@
-"""Permit desk of one group: decides which request may go to which upstream.
+"""Permit issuer of one group: decides which upstream may run which request.
 
-The desk holds four invariants:
+It maintains four invariants:
 
 * An upstream never has more permits than slots. After a takeover, a slot is
-  free only once its permit was reported and returned, or when the validity
-  of permits has passed.
-* A permit ends when it is returned, or when a silent host cannot use it any
-  more (`_permit_records.Permit`).
-* A request that may crash upstreams never runs on more than two of them, as
-  long as the upstreams belong to one desk.
-* A queue never holds more requests than its bound.
+  free only once its permit was reported and returned, or after the validity of
+  permits has passed.
+* A permit ends when it is returned, or when its request has ended even though
+  its host is silent (`_permit_records.Permit.compute_end`).
+* A request that may crash upstreams never runs on more than two upstreams of
+  the same group.
+* A queue never holds more requests than its limit.
 """
 
 from collections import abc
@@ -41,7 +41,7 @@
         raise TypeError(f"unknown event {type(event).__name__}")
 
     @_handle.register
-    def _handle_asked(
+    def _handle_requested(
         self, event: _permit_events.PermitRequested, now: float
     ) -> abc.Sequence[_permit_events.PermitCommand]:
         permit = event.permit
@@ -72,12 +72,12 @@
                 self._waiting.discard(ticket)
             return ()
         upstream = permit.upstream
-        asked = permit.asked
-        grown = False
+        request = permit.request
+        is_capacity_changed = False
         if event.outcome == "completed":
-            self._quarantine.record_completion(asked.fingerprint)
-            grown = upstream.observe_success(event.latency_s, now)
-            self._waiting.observe(asked, event.latency_s)
+            self._quarantine.record_completion(request.fingerprint)
+            is_capacity_changed = upstream.observe_success(event.latency_s, now)
+            self._waiting.record_service_time(request, event.latency_s)
         elif event.refused or event.connection_lost:
             upstream.observe_failure(now)
         else:
@@ -85,12 +85,13 @@
         if event.outcome == "unknown" and not permit.blamed:
             self._record_unknown(permit, event.connection_lost, now)
         commands: _permit_admission.Commands = []
-        self._end(permit, now, commands)
-        if grown:
-            self._drain(upstream, now, commands)
+        self._end_permit(permit, now, commands)
+        if is_capacity_changed:
+            self._start_queued(upstream, now, commands)
         if event.connection_lost:
-            # The next holder must know of the break, if this one is lost too.
-            commands += self._quarantine.take_unshared()
+            # Share the broken connection at once, so that the next holder
+            # knows of it even if this one is lost.
+            commands += self._quarantine.pop_unshared()
         return commands
 
     @_handle.register
@@ -102,31 +103,31 @@
             if permit is not None:
                 permit.renewed_at = now
             elif used.permit not in self._ended:
-                self._learn(used, event.host, now)
+                self._add_reported_permit(used, event.host, now)
         return ()
 
     @_handle.register
     def _handle_available(
         self, event: _permit_events.UpstreamAvailable, now: float
     ) -> abc.Sequence[_permit_events.PermitCommand]:
-        upstream = self._find_upstream(event.upstream)
-        upstream.open(event.slots, event.queue, event.cold)
+        upstream = self._get_upstream(event.upstream)
+        upstream.mark_available(event.slots, event.queue, event.cold)
         commands: _permit_admission.Commands = []
-        self._drain(upstream, now, commands)
+        self._start_queued(upstream, now, commands)
         return commands
 
     @_handle.register
     def _handle_unavailable(
         self, event: _permit_events.UpstreamUnavailable, now: float
     ) -> abc.Sequence[_permit_events.PermitCommand]:
-        self._find_upstream(event.upstream).available = False
+        self._get_upstream(event.upstream).available = False
         return ()
 
     @_handle.register
     def _handle_lost(
         self, event: _permit_events.UpstreamLost, now: float
     ) -> abc.Sequence[_permit_events.PermitCommand]:
-        upstream = self._find_upstream(event.upstream)
+        upstream = self._get_upstream(event.upstream)
         upstream.available = False
         permits = [
             permit
@@ -136,7 +137,7 @@
         self._quarantine.record_loss(
             event.upstream,
             [
-                (permit.asked.fingerprint, permit.order)
+                (permit.request.fingerprint, permit.mark_count)
                 for permit in permits
                 if not permit.blamed
             ],
@@ -146,49 +147,52 @@
         for permit in permits:
             permit.blamed = True
             if permit.has_started(self._options, now):
-                self._stop_running(permit)
-            # What had started has ended. A permit that is still valid may yet
-            # be used for the restarted upstream, so it keeps its slot.
+                self._clear_running(permit)
+            # Requests that had started have ended. A permit that is still
+            # valid may yet be used on the restarted upstream, so it keeps its
+            # slot.
             if event.ended and permit.has_lapsed(self._options, now):
-                self._end(permit, now, commands)
-        self._retry_waiting(now, commands)
-        commands += self._quarantine.take_unshared()
+                self._end_permit(permit, now, commands)
+        self._retry_suspects(now, commands)
+        commands += self._quarantine.pop_unshared()
         return commands
 
     @_handle.register
-    def _handle_held(
+    def _handle_paused(
         self, event: _permit_events.PartitionPaused, now: float
     ) -> abc.Sequence[_permit_events.PermitCommand]:
-        hold = _permit_records.Hold(
+        paused = _permit_records.PausedPartition(
             event.fleet, event.service, event.partition, event.key, set(), {}
         )
-        hold = self._waiting.add_hold(hold)
-        hold.told = False
-        hold.outstanding = {
-            permit.asked.permit
+        paused = self._waiting.add_paused_partition(paused)
+        paused.is_drained_reported = False
+        paused.outstanding = {
+            permit.request.permit
             for permit in self._permits.values()
-            if hold.concerns(permit)
+            if paused.waits_for(permit)
         }
         commands: _permit_admission.Commands = []
-        self._tell_drained(commands)
+        self._report_drained(commands)
         return commands
 
     @_handle.register
-    def _handle_released(
+    def _handle_resumed(
         self, event: _permit_events.PartitionResumed, now: float
     ) -> abc.Sequence[_permit_events.PermitCommand]:
         commands: _permit_admission.Commands = []
-        for asked in self._waiting.remove_hold(event):
+        for request in self._waiting.remove_paused_partition(event):
             if event.upstream:
-                asked = dataclasses.replace(asked, candidates=(event.upstream,))
-            self._admit(asked, now, commands)
+                request = dataclasses.replace(
+                    request, candidates=(event.upstream,)
+                )
+            self._admit(request, now, commands)
         return commands
 
     @_handle.register
     def _handle_suspects(
         self, event: _permit_events.SuspectsReported, now: float
     ) -> abc.Sequence[_permit_events.PermitCommand]:
-        self._quarantine.learn(event.fingerprints, event.guilty, now)
+        self._quarantine.add_reported(event.fingerprints, event.guilty, now)
         return ()
 
     @_handle.register
@@ -201,7 +205,7 @@
             self._waiting.discard(ticket)
             commands.append(
                 _permit_admission.refuse(
-                    ticket.asked, _permit_events.RefusalReason.NOT_HOLDER
+                    ticket.request, _permit_events.RefusalReason.NOT_HOLDER
                 )
             )
         return commands
@@ -211,26 +215,26 @@
         self, event: _permit_events.PermitTick, now: float
     ) -> abc.Sequence[_permit_events.PermitCommand]:
         commands: _permit_admission.Commands = []
-        for ticket in self._waiting.take_late(now):
+        for request in self._waiting.pop_expired(now):
             commands.append(
                 _permit_admission.refuse(
-                    ticket, _permit_events.RefusalReason.DEADLINE
+                    request, _permit_events.RefusalReason.DEADLINE
                 )
             )
         for permit in list(self._permits.values()):
             if permit.compute_end(self._options) <= now:
-                self._end(permit, now, commands)
+                self._end_permit(permit, now, commands)
             elif permit.blamed and permit.has_started(self._options, now):
-                self._stop_running(permit)
+                self._clear_running(permit)
         if self._recovering and now >= self._recovered_at:
             self._finish_recovery(now, commands)
         if not self._quarantine.is_empty():
             self._quarantine.expire(now)
-        self._retry_waiting(now, commands)
-        commands += self._quarantine.take_unshared()
+        self._retry_suspects(now, commands)
+        commands += self._quarantine.pop_unshared()
         return commands
 
 
-# An access to a singledispatchmethod builds a new function and took 2 to 4 us;
-# a look-up in its table took 0.3 us.
+# Accessing a singledispatchmethod creates a new function each time, which took
+# 2 to 4 us. Looking up the handler in its dispatch table took 0.3 us.
 _find_handler = vars(PermitIssuer)["_handle"].dispatcher.dispatch
--- a/packages/decisions/sycamoreloft_decisions/_recent_set.py
+++ b/packages/decisions/sycamoreloft_decisions/_recent_set.py
@@ -1,4 +1,4 @@
-"""Bounded memory of the values that were added last."""
+"""Set that remembers only the latest values, in bounded memory."""
 
 from collections import abc
 import typing
@@ -7,20 +7,21 @@
 
 
 class RecentSet(typing.Generic[Value]):
-    """Remembers between `size` and twice `size` of the latest values.
+    """Remembers the latest values, at least `size` and at most twice as many.
 
-    Values are kept in two generations, because removing the oldest entry of a
-    dict one at a time takes time proportional to the entries removed before.
+    Values are kept in two sets, of which the older one is dropped at once.
+    Removing the oldest entries of a dict one by one would be slow: each
+    removal takes time proportional to the number of entries removed before.
     """
 
     __slots__ = ("_current", "_previous", "_size", "unbounded")
 
     def __init__(self, size: int) -> None:
-        """Starts empty."""
+        """Creates an empty set."""
         self._size = size
         self._current: set[Value] = set()
         self._previous: set[Value] = set()
-        #: Whether nothing is forgotten for now.
+        #: Whether all values are kept for now, without a limit.
         self.unbounded = False
 
     def __contains__(self, value: Value) -> bool:
@@ -30,7 +31,7 @@
         return len(self._current | self._previous)
 
     def add(self, value: Value) -> None:
-        """Adds a value, which is then the latest one."""
+        """Adds a value, or makes it the latest one."""
         current = self._current
         current.add(value)
         if len(current) >= self._size and not self.unbounded:
--- a/packages/decisions/sycamoreloft_decisions/_retries.py
+++ b/packages/decisions/sycamoreloft_decisions/_retries.py
@@ -1,31 +1,34 @@
-"""The delay before a retry."""
+"""Exponential backoff with jitter for retries."""
 
 import random
 
-#: Delay before the first retry, in seconds; each further one is twice as long.
+#: Maximum delay before the first retry, in seconds. It doubles with each
+#: further retry.
 FIRST_DELAY_S = 0.010
 
-#: Longest delay before a retry, in seconds.
-LONGEST_DELAY_S = 1.0
+#: Maximum delay before any retry, in seconds.
+MAXIMUM_DELAY_S = 1.0
 
-#: Least time that must be left after the delay, in seconds: a request costs
-#: at least a round trip to the holder and one to the upstream.
-LEAST_LEFT_S = 0.010
+#: Minimum time that must be left after the delay, in seconds. A request takes
+#: at least one round trip to the holder and one to the upstream.
+MINIMUM_LEFT_S = 0.010
 
 
 def compute_backoff(
     attempt: int, now: float, deadline: float, generator: random.Random
 ) -> float | None:
-    """Returns the seconds to wait before a retry, None if it is too late.
+    """Returns the delay before a retry in seconds, or None if it is too late.
 
     Args:
         attempt: Number of attempts made so far, at least 1.
-        now: Time.
-        deadline: Deadline of the request.
-        generator: Source of the jitter.
+        now: Time, in seconds.
+        deadline: Deadline of the request, in seconds.
+        generator: Source of randomness for the jitter.
     """
-    longest = min(FIRST_DELAY_S * 2.0 ** min(attempt - 1, 10), LONGEST_DELAY_S)
-    # Between half of the delay and all of it: clients that failed together
-    # spread out, and no retry follows at once.
-    delay = longest * (0.5 + 0.5 * generator.random())
-    return delay if now + delay + LEAST_LEFT_S < deadline else None
+    longest_delay = min(
+        FIRST_DELAY_S * 2.0 ** min(attempt - 1, 10), MAXIMUM_DELAY_S
+    )
+    # The jitter is at most half of the delay: requests that failed at the same
+    # time are spread out, but no retry follows immediately.
+    delay = longest_delay * (0.5 + 0.5 * generator.random())
+    return delay if now + delay + MINIMUM_LEFT_S < deadline else None
--- a/packages/decisions/sycamoreloft_decisions/_sketch.py
+++ b/packages/decisions/sycamoreloft_decisions/_sketch.py
@@ -3,16 +3,17 @@
 from collections import abc
 import heapq
 
-#: Counters of one sketch. A key with more than 1/256 of the requests is
-#: certain to have a counter.
+#: Default number of counters. With it, a key with more than 1/256 of the
+#: requests is certain to have a counter.
 COUNTERS = 256
 
 
 class SpaceSavingSketch:
-    """The space-saving sketch: a fixed number of counters of keys.
+    """Space-saving sketch, which counts keys with a fixed number of counters.
 
-    A key that has no counter takes over the smallest one with its count, so
-    a count is never too small, and too large by at most that count.
+    A key without a counter takes over the smallest counter together with its
+    count. Counts are therefore never too small, and too large by at most the
+    count that was taken over.
 
     Args:
         counters: Number of counters.
@@ -22,12 +23,12 @@
         self._counters = counters
         self._counts: dict[str, float] = {}
         self._errors: dict[str, float] = {}
-        # Entries (count, key); an entry that does not match the present
-        # count is stale and is skipped.
+        # Pairs of count and key. A pair that does not match the current count
+        # of its key is outdated and is skipped.
         self._heap: list[tuple[float, str]] = []
 
     def add(self, key: str, count: float = 1.0) -> None:
-        """Counts occurrences of a key."""
+        """Adds occurrences of a key."""
         if key in self._counts:
             self._set(key, self._counts[key] + count)
         elif len(self._counts) < self._counters:
@@ -39,7 +40,7 @@
             self._set(key, smallest + count)
 
     def scale(self, factor: float) -> None:
-        """Multiplies all counts, so that old occurrences lose weight."""
+        """Multiplies all counts by a factor, so that old ones lose weight."""
         self._counts = {
             key: count * factor for key, count in self._counts.items()
         }
@@ -50,11 +51,11 @@
         heapq.heapify(self._heap)
 
     def get_certain_count(self, key: str) -> float:
-        """Returns a count that the key has certainly reached."""
+        """Returns a lower bound of the count of a key."""
         return self._counts.get(key, 0.0) - self._errors.get(key, 0.0)
 
     def list_largest(self) -> abc.Sequence[tuple[str, float]]:
-        """Lists keys with their certain counts, largest first."""
+        """Returns keys with the lower bounds of their counts, largest first."""
         return sorted(
             ((key, self.get_certain_count(key)) for key in self._counts),
             key=lambda item: (-item[1], item[0]),
--- a/packages/decisions/tests/test_claims.py
+++ b/packages/decisions/tests/test_claims.py
@@ -13,13 +13,15 @@
     """Drives one book; the store does what the test says."""
 
     def __init__(self, loaded=True, **options):
-        self.book = _claims.ClaimRegistry(3, _claims.ClaimOptions(**options))
+        self.registry = _claims.ClaimRegistry(
+            3, _claims.ClaimOptions(**options)
+        )
         self.now = 0.0
         if loaded:
             self.send(_claims.RowsLoaded([]))
 
     def send(self, event):
-        return list(self.book.handle(event, self.now))
+        return list(self.registry.handle(event, self.now))
 
     def ask(self, attempt, id_hash=ID, body=BODY):
         return self.send(_claims.ClaimRequested(id_hash, body, attempt))
@@ -239,7 +241,7 @@
     driver.tick(599.0)
     assert list_answers(driver.ask("c")) == [("c", "repeated", "unknown")]
     driver.tick(2.0)
-    assert driver.book.count_claims() == 0
+    assert driver.registry.count_claims() == 0
 
 
 def test_results_are_written_without_further_claims(claimed):
--- a/packages/decisions/tests/test_permit_fuzz.py
+++ b/packages/decisions/tests/test_permit_fuzz.py
@@ -22,7 +22,7 @@
     def __init__(self, name, epoch):
         self.name = name
         self.epoch = epoch
-        self.to_desk = collections.deque()
+        self.to_issuer = collections.deque()
         self.to_host = collections.deque()
         self.asked = {}
         self.held = {}
@@ -37,7 +37,7 @@
     actions = {
         "ask": 6,
         "deliver_everything": 5,
-        "deliver_to_desk": 3,
+        "deliver_to_issuer": 3,
         "deliver_to_host": 3,
         "start": 6,
         "finish": 3,
@@ -64,18 +64,18 @@
         self.partitions = {}
         self.hosts = [Host(f"h{number}", 1) for number in range(3)]
         self.lost_hosts = []
-        self.open_desk(fresh=True)
+        self.create_issuer(fresh=True)
 
-    def open_desk(self, fresh):
+    def create_issuer(self, fresh):
         self.opened_at = self.now
-        self.desk = _permits.PermitIssuer(
+        self.issuer = _permits.PermitIssuer(
             random.Random(5), self.now, fresh=fresh
         )
         for name, slots in SLOTS.items():
             self.send(events.UpstreamAvailable(name, slots))
 
     def send(self, event):
-        for command in self.desk.handle(event, self.now):
+        for command in self.issuer.handle(event, self.now):
             if isinstance(command, events.IssuePermit):
                 for host in self.hosts:
                     if host.name == command.host:
@@ -110,7 +110,7 @@
             candidates=candidates,
         )
         host.asked[permit] = (self.now, asked.deadline)
-        host.to_desk.append(asked)
+        host.to_issuer.append(asked)
 
     def report(self, generator):
         self.report_host(_random_histories.choose(self.hosts, generator))
@@ -135,14 +135,14 @@
             )
             for permit, upstream in (usable | host.running).items()
         ]
-        host.to_desk.append((self.now, used))
+        host.to_issuer.append((self.now, used))
 
-    def deliver_to_desk(self, generator):
-        ready = [h for h in self.hosts if h.to_desk and h.epoch == self.epoch]
+    def deliver_to_issuer(self, generator):
+        ready = [h for h in self.hosts if h.to_issuer and h.epoch == self.epoch]
         host = _random_histories.choose(ready, generator)
         if host is None:
             return
-        message = host.to_desk.popleft()
+        message = host.to_issuer.popleft()
         if not isinstance(message, tuple):
             self.send(message)
             return
@@ -173,7 +173,7 @@
         valid_from = max(asked_at, host.valid_from)
         usable_until = min(valid_from + VALIDITY_S, deadline)
         if epoch != host.epoch or usable_until <= self.now:
-            host.to_desk.append(events.PermitReturned(permit, "did-not-run"))
+            host.to_issuer.append(events.PermitReturned(permit, "did-not-run"))
             return
         self.issued += 1
         host.held[permit] = message.upstream
@@ -183,8 +183,8 @@
 
     def deliver_everything(self, generator):
         """Models a quiet network, so that histories get far."""
-        while any(h.to_desk and h.epoch == self.epoch for h in self.hosts):
-            self.deliver_to_desk(generator)
+        while any(h.to_issuer and h.epoch == self.epoch for h in self.hosts):
+            self.deliver_to_issuer(generator)
         while any(h.to_host for h in self.hosts):
             self.deliver_to_host(generator)
 
@@ -209,7 +209,7 @@
         host.held.pop(permit, None)
         self.oracle.end(permit)
         outcome = "completed" if ran else "did-not-run"
-        host.to_desk.append(events.PermitReturned(permit, outcome, 0.01))
+        host.to_issuer.append(events.PermitReturned(permit, outcome, 0.01))
 
     def advance(self, generator):
         self.now += generator.choice([0.02, 0.1, 0.3, 1.0])
@@ -229,7 +229,7 @@
 
     def take_over(self, generator):
         self.epoch = self.oracle.change_holder()
-        self.open_desk(fresh=not self.takeover_waits)
+        self.create_issuer(fresh=not self.takeover_waits)
 
     def hold(self, generator):
         number = generator.choice([1, 2])
@@ -244,7 +244,7 @@
         host = _random_histories.choose(late, generator)
         if host is not None:
             host.epoch = self.epoch
-            host.to_desk.clear()
+            host.to_issuer.clear()
             host.valid_from = -10.0
             self.report_host(host)
 
@@ -301,7 +301,7 @@
         self.count = 0
         self.completed = 0
         self.oracle = _request_oracle.LossOracle()
-        self.desk = _permits.PermitIssuer(random.Random(2), 0.0, fresh=True)
+        self.issuer = _permits.PermitIssuer(random.Random(2), 0.0, fresh=True)
         self.open = {}
         self.broken = {}
         self.down = {}
@@ -311,7 +311,7 @@
             self.send(events.UpstreamAvailable(name, 2))
 
     def send(self, event):
-        for command in self.desk.handle(event, self.now):
+        for command in self.issuer.handle(event, self.now):
             if isinstance(command, events.IssuePermit):
                 fingerprint = self.waiting.pop(command.permit)
                 self.open[command.permit] = (fingerprint, command.upstream)
@@ -319,9 +319,9 @@
             elif isinstance(command, events.RefusePermit):
                 fingerprint = self.waiting.pop(command.permit)
                 if command.reason is events.RefusalReason.QUARANTINED:
-                    self.judge_refusal(fingerprint)
+                    self.check_refusal(fingerprint)
 
-    def judge_refusal(self, fingerprint):
+    def check_refusal(self, fingerprint):
         """Copies in flight at once hide which request was the cause."""
 
     def ask(self, fingerprint):
@@ -423,7 +423,7 @@
     repeats_early = False
     freezes = False
 
-    def judge_refusal(self, fingerprint):
+    def check_refusal(self, fingerprint):
         self.oracle.refuse(fingerprint, fingerprint == b"crash")
 
 
@@ -433,7 +433,7 @@
     actions = LossMachine.actions | {"forgive": 2}
 
     def forgive(self, generator):
-        self.desk._quarantine.record_completion(b"crash")
+        self.issuer._quarantine.record_completion(b"crash")
 
 
 @pytest.mark.parametrize("machine", [LossMachine, BystanderMachine])
--- a/packages/decisions/tests/test_permits.py
+++ b/packages/decisions/tests/test_permits.py
@@ -13,12 +13,12 @@
     """Drives one desk and collects its commands."""
 
     def __init__(self, *, fresh=True):
-        self.desk = _permits.PermitIssuer(random.Random(7), 0.0, fresh=fresh)
+        self.issuer = _permits.PermitIssuer(random.Random(7), 0.0, fresh=fresh)
         self.now = 0.0
         self.count = 0
 
     def send(self, event):
-        return list(self.desk.handle(event, self.now))
+        return list(self.issuer.handle(event, self.now))
 
     def open(self, *names, slots=2, queue=0, cold=False):
         for name in names:
@@ -87,7 +87,7 @@
     assert [len(list_issued(driver.ask("a"))) for _ in range(4)] == [1, 1, 0, 0]
     assert list_issued(driver.end("h/1")) == ["h/3"]
     assert driver.end("h/1") == []
-    assert driver.desk.count_in_use("a") == 2
+    assert driver.issuer.count_in_use("a") == 2
 
 
 def test_full_queue_refuses_and_sheds_the_lowest_class(driver):
@@ -151,7 +151,7 @@
     for _ in range(20):
         driver.send(events.PermitsReported("h", [used("h/1")]))
         driver.tick(0.5)
-    assert driver.desk.count_in_use("a") == 1
+    assert driver.issuer.count_in_use("a") == 1
 
 
 def test_takeover_issues_only_slots_that_are_accounted_for():
@@ -162,7 +162,7 @@
     driver.send(events.PermitsReported("x", [used("x/1")]))
     assert list_issued(driver.end("x/1")) == ["h/1"]
     driver.send(events.PermitsReported("x", [used("x/1")]))
-    assert driver.desk.count_in_use("a") == 1
+    assert driver.issuer.count_in_use("a") == 1
     driver.ask("a")
     assert list_issued(driver.tick(0.9)) == []
     assert list_issued(driver.tick(0.2)) == ["h/2"]
@@ -300,8 +300,8 @@
     for _ in range(12):
         driver.ask("a")
         driver.ask("a")
-        in_use.append(driver.desk.count_in_use("a"))
-        driver.end(next(iter(driver.desk._permits)))
+        in_use.append(driver.issuer.count_in_use("a"))
+        driver.end(next(iter(driver.issuer._permits)))
     assert (in_use[0], max(in_use)) == (1, 4)
 
 
@@ -328,7 +328,7 @@
         driver.now += 0.1
     driver.ask("b", deadline=driver.now + 10.0)
     assert list_issued(driver.ask("a", "b", fingerprint=b"g")) == []
-    driver.now += 2 * _balancing.LONGEST_EJECTION_S
+    driver.now += 2 * _balancing.MAXIMUM_EJECTION_S
     asked = driver.ask("a", "b", deadline=driver.now + 1.0, fingerprint=b"h")
     assert [command.upstream for command in asked] == ["a"]
 
@@ -337,7 +337,7 @@
     """Guards against refusing everybody when every upstream fails."""
     driver.open("a", "b", slots=1)
     for name in ("a", "b"):
-        for _ in range(_balancing.EJECTION_FAILURES):
+        for _ in range(_balancing.FAILURES_TO_EJECT):
             permit = list_issued(driver.ask(name))[0]
             driver.end(permit, "did-not-run", refused=True)
         if name == "a":
--- a/packages/decisions/tests/test_request_fuzz.py
+++ b/packages/decisions/tests/test_request_fuzz.py
@@ -43,8 +43,8 @@
         "change_groups": 0.3,
         "advance": 5,
     }
-    make_book = _claims.ClaimRegistry
-    make_attempt = _outcomes.Attempt
+    registry_class = _claims.ClaimRegistry
+    attempt_class = _outcomes.Attempt
     loads_rows = True
     sends_again = False
 
@@ -59,21 +59,21 @@
         self.answers = []
         self.results = []
         self.calls = []
-        self.books = []
-        self.open_book()
+        self.registries = []
+        self.create_registry()
         self.send(0, _claims.RowsLoaded([]))
 
-    def open_book(self):
-        self.books.append(self.make_book(self.store.epoch))
+    def create_registry(self):
+        self.registries.append(self.registry_class(self.store.epoch))
         if not self.loads_rows:
-            self.send(len(self.books) - 1, _claims.RowsLoaded([]))
+            self.send(len(self.registries) - 1, _claims.RowsLoaded([]))
 
-    def choose_book(self, generator):
+    def choose_registry(self, generator):
         """Returns the present holder's book, or sometimes the one before."""
-        return max(0, len(self.books) - generator.choice([1, 1, 1, 2]))
+        return max(0, len(self.registries) - generator.choice([1, 1, 1, 2]))
 
     def send(self, index, event):
-        for command in self.books[index].handle(event, self.now):
+        for command in self.registries[index].handle(event, self.now):
             if isinstance(command, _claims.AnswerClaim):
                 self.answers.append(command)
             else:
@@ -85,7 +85,7 @@
         number = self.count // 8 + generator.choice([0, 1])
         id_hash = number.to_bytes(4, "big")
         rules = _outcomes.AttemptRules(at_most_once=True)
-        attempt = self.make_attempt(rules, self.now + 5.0)
+        attempt = self.attempt_class(rules, self.now + 5.0)
         permit = _outcomes.PermitReceived(self.now + 5.0)
         attempt.handle(permit, self.now)
         name = f"t{self.count}"
@@ -95,7 +95,7 @@
     def deliver_ask(self, generator):
         ask = _random_histories.take(self.asks, generator)
         if ask is not None:
-            self.send(self.choose_book(generator), ask)
+            self.send(self.choose_registry(generator), ask)
             if generator.random() < 0.1:
                 self.asks.append(ask)
 
@@ -112,7 +112,7 @@
     def deliver_result(self, generator):
         result = _random_histories.take(self.results, generator)
         if result is not None:
-            self.send(self.choose_book(generator), result)
+            self.send(self.choose_registry(generator), result)
 
     def observe(self, name, *observed):
         if name not in self.attempts:
@@ -196,7 +196,7 @@
         """Models a quiet network and store, so that histories get far."""
         self.load_rows(generator)
         while self.asks:
-            self.send(len(self.books) - 1, self.asks.pop())
+            self.send(len(self.registries) - 1, self.asks.pop())
         self.advance(generator)
         while self.calls:
             self.work_store(generator, "answered")
@@ -208,19 +208,21 @@
             entry for row in self.store.rows.values() for entry in row.entries
         ]
         if self.loads_rows:
-            self.send(len(self.books) - 1, _claims.RowsLoaded(entries))
+            self.send(len(self.registries) - 1, _claims.RowsLoaded(entries))
 
     def take_over(self, generator):
         self.store.epoch += 1
-        self.open_book()
+        self.create_registry()
 
     def change_groups(self, generator):
         if self.loads_rows:
-            self.send(len(self.books) - 1, _claims.GroupsChanged())
+            self.send(len(self.registries) - 1, _claims.GroupsChanged())
 
     def advance(self, generator):
         self.now += generator.choice([0.02, 0.02, 0.3, 1.0])
-        for index in range(max(0, len(self.books) - 2), len(self.books)):
+        for index in range(
+            max(0, len(self.registries) - 2), len(self.registries)
+        ):
             self.send(index, _claims.ClaimTick())
 
 
@@ -266,7 +268,7 @@
 class HopefulOutcome(ClaimMachine):
     """Hosts with the fault of `HopefulAttempt`."""
 
-    make_attempt = HopefulAttempt
+    attempt_class = HopefulAttempt
 
 
 def test_an_id_is_sent_at_most_once_and_outcomes_are_true():
