Say in the tests of permits, claims and quarantine what each guards against

The docstrings were terse or figurative (a stuck desk, a quarantine that forgives); they now name the failure and, where needed, how it comes about.

--- a/packages/decisions/tests/test_outcomes.py
+++ b/packages/decisions/tests/test_outcomes.py
@@ -5,19 +5,19 @@
 from sycamoreloft_decisions import _outcomes
 
 PERMIT = _outcomes.PermitReceived(1.0)
-MADE = _outcomes.ConnectionMade()
+CONNECTED = _outcomes.ConnectionMade()
 SENT = _outcomes.BytesSent(replayable=True)
 BROKEN = _outcomes.ConnectionBroken()
 HEADERS = _outcomes.HeadersReceived(200)
-PART = _outcomes.BodyPartReceived()
+BODY_PART = _outcomes.BodyPartReceived()
 END = _outcomes.AnswerEnded()
 REPEATABLE = _outcomes.AttemptRules(repeatable=True)
-ONCE = _outcomes.AttemptRules(at_most_once=True, repeatable=True)
+AT_MOST_ONCE = _outcomes.AttemptRules(at_most_once=True, repeatable=True)
 CLAIMED = _outcomes.ClaimAnswered("claimed")
 
 
 def decide(*events, rules=REPEATABLE, now=0.5):
-    """Returns the only decision, which the last event must lead to."""
+    """Returns the decision, which only the last event may lead to."""
     attempt = _outcomes.Attempt(rules, 10.0)
     decisions = [attempt.handle(event, now) for event in events]
     assert all(decision is None for decision in decisions[:-1])
@@ -25,8 +25,8 @@
 
 
 def test_whole_answer_is_completed():
-    """Guards against reporting a whole answer as anything else."""
-    decision = decide(PERMIT, MADE, SENT, HEADERS, PART, END)
+    """Guards against reporting a complete answer as another outcome."""
+    decision = decide(PERMIT, CONNECTED, SENT, HEADERS, BODY_PART, END)
     assert decision.outcome is _outcomes.Outcome.COMPLETED
     assert decision.reuse_connection
     assert not decision.retry_allowed
@@ -42,13 +42,23 @@
         ([PERMIT, _outcomes.DeadlinePassed()], "deadline", False),
         ([PERMIT, _outcomes.CallerGone()], "caller-gone", False),
         (
-            [PERMIT, MADE, SENT, _outcomes.HeadersReceived(421, "not-owner")]
+            [
+                PERMIT,
+                CONNECTED,
+                SENT,
+                _outcomes.HeadersReceived(421, "not-owner"),
+            ]
             + [END],
             "not-owner",
             True,
         ),
         (
-            [PERMIT, MADE, SENT, _outcomes.HeadersReceived(503, "draining")]
+            [
+                PERMIT,
+                CONNECTED,
+                SENT,
+                _outcomes.HeadersReceived(503, "draining"),
+            ]
             + [BROKEN],
             "draining",
             True,
@@ -56,7 +66,7 @@
     ],
 )
 def test_did_not_run(events, reason, retry):
-    """Guards against "unknown" for what certainly did not run."""
+    """Guards against "unknown" for requests that certainly did not run."""
     decision = decide(*events)
     assert decision.outcome is _outcomes.Outcome.DID_NOT_RUN
     assert (decision.reason, decision.retry_allowed) == (reason, retry)
@@ -65,45 +75,59 @@
 @pytest.mark.parametrize(
     "events",
     [
-        [PERMIT, MADE, BROKEN],
-        [PERMIT, MADE, SENT, BROKEN],
+        [PERMIT, CONNECTED, BROKEN],
+        [PERMIT, CONNECTED, SENT, BROKEN],
         [PERMIT, SENT, _outcomes.DeadlinePassed()],
-        [PERMIT, MADE, SENT, _outcomes.CallerGone()],
-        [PERMIT, MADE, SENT, HEADERS, PART, BROKEN],
-        [PERMIT, MADE, SENT, END],
-        [PERMIT, MADE, SENT, _outcomes.HeadersReceived(503), BROKEN],
-        [PERMIT, MADE, SENT, _outcomes.HeadersReceived(200, "shed"), BROKEN],
-        [PERMIT, MADE, SENT, _outcomes.HeadersReceived(503, "odd"), BROKEN],
+        [PERMIT, CONNECTED, SENT, _outcomes.CallerGone()],
+        [PERMIT, CONNECTED, SENT, HEADERS, BODY_PART, BROKEN],
+        [PERMIT, CONNECTED, SENT, END],
+        [PERMIT, CONNECTED, SENT, _outcomes.HeadersReceived(503), BROKEN],
+        [
+            PERMIT,
+            CONNECTED,
+            SENT,
+            _outcomes.HeadersReceived(200, "shed"),
+            BROKEN,
+        ],
+        [
+            PERMIT,
+            CONNECTED,
+            SENT,
+            _outcomes.HeadersReceived(503, "odd"),
+            BROKEN,
+        ],
     ],
 )
 def test_unknown(events):
-    """Guards against "did not run" once a connection was made."""
+    """Guards against "did-not-run" after a connection was made."""
     decision = decide(*events)
     assert decision.outcome is _outcomes.Outcome.UNKNOWN
     assert not decision.reuse_connection
 
 
 def test_unknown_is_retried_only_if_repeatable_and_nothing_was_passed_on():
-    """Guards against running an operation twice, and mixed answers."""
-    broken = [PERMIT, MADE, SENT, BROKEN]
+    """Guards against running an operation twice, and mixing two answers."""
+    broken = [PERMIT, CONNECTED, SENT, BROKEN]
     assert decide(*broken).retry_allowed
     assert not decide(*broken, rules=_outcomes.AttemptRules()).retry_allowed
-    assert not decide(PERMIT, CLAIMED, MADE, BROKEN, rules=ONCE).retry_allowed
-    decision = decide(PERMIT, MADE, SENT, HEADERS, BROKEN)
+    assert not decide(
+        PERMIT, CLAIMED, CONNECTED, BROKEN, rules=AT_MOST_ONCE
+    ).retry_allowed
+    decision = decide(PERMIT, CONNECTED, SENT, HEADERS, BROKEN)
     assert (decision.retry_allowed, decision.close_caller) == (False, True)
 
 
 def test_consumed_body_or_passed_deadline_forbids_a_retry():
-    """Guards against sending a part of a body, and against late retries."""
+    """Guards against retries with an incomplete body or after the deadline."""
     consumed = _outcomes.BytesSent(replayable=False)
-    assert not decide(PERMIT, MADE, consumed, BROKEN).retry_allowed
+    assert not decide(PERMIT, CONNECTED, consumed, BROKEN).retry_allowed
     assert not decide(PERMIT, BROKEN, now=10.0).retry_allowed
 
 
 def test_interim_answer_decides_nothing():
-    """Guards against taking status 100 for the answer."""
+    """Guards against treating status 100 as the final answer."""
     interim = _outcomes.HeadersReceived(100)
-    decision = decide(PERMIT, MADE, interim, SENT, HEADERS, END)
+    decision = decide(PERMIT, CONNECTED, interim, SENT, HEADERS, END)
     assert decision.status == 200
 
 
@@ -127,16 +151,18 @@
         (("stale-generation",), "did-not-run", 503, ""),
     ],
 )
-def test_claim_that_is_not_given(answer, outcome, status, result):
-    """Guards against sending without a claim and against wrong answers."""
-    decision = decide(PERMIT, _outcomes.ClaimAnswered(*answer), rules=ONCE)
-    found = (decision.outcome, decision.status, decision.claim_result)
-    assert found == (outcome, status, result)
+def test_outcome_without_a_claim(answer, outcome, status, result):
+    """Guards against sending without a claim, and against wrong answers."""
+    decision = decide(
+        PERMIT, _outcomes.ClaimAnswered(*answer), rules=AT_MOST_ONCE
+    )
+    actual = (decision.outcome, decision.status, decision.claim_result)
+    assert actual == (outcome, status, result)
 
 
 def test_sending_needs_permit_claim_and_time():
     """Guards against a send with an expired permit or without a claim."""
-    attempt = _outcomes.Attempt(ONCE, 10.0)
+    attempt = _outcomes.Attempt(AT_MOST_ONCE, 10.0)
     assert not attempt.may_send(0.0)
     attempt.handle(PERMIT, 0.0)
     assert not attempt.may_send(0.0)
@@ -147,7 +173,7 @@
 
 
 def test_upstream_that_deduplicates_needs_no_claim_in_an_outage():
-    """Guards against refusing what cannot run twice anyway."""
+    """Guards against refusing requests that upstreams never run twice."""
     rules = _outcomes.AttemptRules(at_most_once=True, deduplicates=True)
     attempt = _outcomes.Attempt(rules, 10.0)
     attempt.handle(PERMIT, 0.0)
--- a/packages/decisions/tests/test_permit_fuzz.py
+++ b/packages/decisions/tests/test_permit_fuzz.py
@@ -1,4 +1,4 @@
-"""Random histories of permits and crashing requests."""
+"""Tests of permits and the quarantine with random histories."""
 
 import collections
 import random
@@ -17,14 +17,17 @@
 
 
 class Host:
-    """An entry host; its two links to a holder keep the order of messages."""
+    """A host that requests permits.
+
+    Its two queues of messages, to and from the holder, keep their order.
+    """
 
     def __init__(self, name, epoch):
         self.name = name
         self.epoch = epoch
         self.to_issuer = collections.deque()
         self.to_host = collections.deque()
-        self.asked = {}
+        self.requested = {}
         self.held = {}
         self.running = {}
         self.valid_from = -10.0
@@ -96,7 +99,7 @@
         patience_s = generator.choice([0.5, 2.0, 5.0])
         candidates = generator.choice(list(PARTITIONS))
         self.partitions[permit] = PARTITIONS[candidates]
-        asked = events.PermitRequested(
+        requested = events.PermitRequested(
             permit=permit,
             host=host.name,
             fleet="sledworks",
@@ -109,18 +112,18 @@
             deadline=self.now + patience_s,
             candidates=candidates,
         )
-        host.asked[permit] = (self.now, asked.deadline)
-        host.to_issuer.append(asked)
+        host.requested[permit] = (self.now, requested.deadline)
+        host.to_issuer.append(requested)
 
     def report(self, generator):
         self.report_host(_random_histories.choose(self.hosts, generator))
 
     def report_host(self, host):
-        # A host gives up a permit that lapsed before it was used.
+        # A host discards a permit that lapsed before it was used.
         usable = {
             permit: upstream
             for permit, upstream in host.held.items()
-            if host.asked[permit][0] > self.now
+            if host.requested[permit][0] > self.now
         }
         used = [
             events.ReportedPermit(
@@ -169,8 +172,8 @@
                 host.renewed_at.update(dict.fromkeys(permits, sent_at))
             return
         permit = message.permit
-        asked_at, deadline = host.asked.pop(permit, (-10.0, -10.0))
-        valid_from = max(asked_at, host.valid_from)
+        requested_at, deadline = host.requested.pop(permit, (-10.0, -10.0))
+        valid_from = max(requested_at, host.valid_from)
         usable_until = min(valid_from + VALIDITY_S, deadline)
         if epoch != host.epoch or usable_until <= self.now:
             host.to_issuer.append(events.PermitReturned(permit, "did-not-run"))
@@ -178,11 +181,11 @@
         self.issued += 1
         host.held[permit] = message.upstream
         host.renewed_at[permit] = valid_from
-        host.asked[permit] = (usable_until, deadline)
+        host.requested[permit] = (usable_until, deadline)
         self.oracle.receive(permit, message.upstream, usable_until, epoch)
 
     def deliver_everything(self, generator):
-        """Models a quiet network, so that histories get far."""
+        """Delivers all messages, so that histories make progress."""
         while any(h.to_issuer and h.epoch == self.epoch for h in self.hosts):
             self.deliver_to_issuer(generator)
         while any(h.to_host for h in self.hosts):
@@ -195,7 +198,7 @@
         permit = (
             _random_histories.choose(host.held, generator) if host else None
         )
-        if permit is not None and host.asked[permit][0] > self.now:
+        if permit is not None and host.requested[permit][0] > self.now:
             host.running[permit] = host.held.pop(permit)
             self.oracle.start(permit, self.now)
 
@@ -215,7 +218,7 @@
         self.now += generator.choice([0.02, 0.1, 0.3, 1.0])
         for host in self.hosts + self.lost_hosts:
             for permit in host.running:
-                if host.asked[permit][1] <= self.now:
+                if host.requested[permit][1] <= self.now:
                     self.oracle.end(permit)
 
     def tick(self, generator):
@@ -255,32 +258,37 @@
         self.count += 1
         number = self.hosts.index(lost)
         self.hosts[number] = Host(f"h{number}-{self.count}", self.epoch)
-        # The upstream goes on with what runs until the deadline.
+        # The upstream continues to run the requests until their deadlines.
         self.lost_hosts.append(lost)
 
     def check(self):
         self.oracle.check(self.now)
 
 
-class HastyTakeover(PermitMachine):
-    """Fault: the new holder issues slots that it cannot account for."""
+class TakeoverWithoutWaiting(PermitMachine):
+    """Fault: a new holder issues permits for slots that may be in use."""
 
     takeover_waits = False
 
 
 def test_no_upstream_ever_has_more_permits_than_slots():
-    """Guards the bound across takeovers, pauses, losses and late reports."""
+    """Guards against exceeding the slots of an upstream.
+
+    The histories contain takeovers, pauses, losses and late reports.
+    """
     _random_histories.run_histories(PermitMachine, 150, 20)
 
 
 def test_fuzzer_finds_a_takeover_without_waiting():
-    """Guards against a fuzzer that cannot see an early reuse of slots."""
+    """Guards against a fuzzer that does not detect early reuse of slots."""
     with pytest.raises(_request_oracle.OracleError):
-        _random_histories.run_histories(HastyTakeover, 60, 20, shrink=False)
+        _random_histories.run_histories(
+            TakeoverWithoutWaiting, 60, 20, shrink=False
+        )
 
 
 class LossMachine(_random_histories.Machine):
-    """A caller repeats a request that takes down each upstream it runs on."""
+    """A caller repeats a request that crashes each upstream that runs it."""
 
     actions = {
         "ask_crasher": 3,
@@ -322,7 +330,11 @@
                     self.check_refusal(fingerprint)
 
     def check_refusal(self, fingerprint):
-        """Copies in flight at once hide which request was the cause."""
+        """Accepts all refusals.
+
+        If copies are in flight concurrently, it cannot be determined which
+        request caused a loss.
+        """
 
     def ask(self, fingerprint):
         self.count += 1
@@ -356,14 +368,14 @@
         self.ask(b"%d" % self.count)
 
     def progress(self, generator):
-        """Lets a request reach its upstream, and end or crash it."""
+        """Makes a request arrive at its upstream, and complete or crash it."""
         permit = _random_histories.choose(self.open, generator)
         if permit is None:
             return
         fingerprint, upstream = self.open[permit]
         lapsed = self.issued_at[permit] + VALIDITY_S <= self.now
         if lapsed or upstream in self.down:
-            # The host does not send, or the connection is refused.
+            # The host does not send, or the upstream refuses the connection.
             del self.open[permit]
             self.send(
                 events.PermitReturned(
@@ -401,7 +413,7 @@
             self.send(events.UpstreamLost(name, ended=False))
 
     def restart(self, generator):
-        # A restart takes longer than a permit is valid.
+        # A restart takes longer than the validity of a permit.
         name = _random_histories.choose(self.down, generator)
         if name and self.down[name] + VALIDITY_S < self.now:
             del self.down[name]
@@ -411,14 +423,17 @@
     def advance(self, generator):
         self.now += generator.choice([0.05, 0.3])
         for name, at in self.down.items():
-            # The holder notices a loss within the lifetime of a grant.
+            # The holder detects a loss within the validity of a permit.
             if at + VALIDITY_S <= self.now:
                 self.send(events.UpstreamLost(name, ended=False))
         self.send(events.PermitTick())
 
 
-class BystanderMachine(LossMachine):
-    """The caller repeats its request only after a connection broke."""
+class HarmlessRequestMachine(LossMachine):
+    """The caller repeats its request only after its connection broke.
+
+    Harmless requests must not be refused then.
+    """
 
     repeats_early = False
     freezes = False
@@ -427,8 +442,8 @@
         self.oracle.refuse(fingerprint, fingerprint == b"crash")
 
 
-class SecondLossForgiven(LossMachine):
-    """Fault: the quarantine refuses only after a third loss."""
+class SecondLossCleared(LossMachine):
+    """Fault: the quarantine clears the crashing request at random times."""
 
     actions = LossMachine.actions | {"forgive": 2}
 
@@ -436,15 +451,15 @@
         self.issuer._quarantine.record_completion(b"crash")
 
 
-@pytest.mark.parametrize("machine", [LossMachine, BystanderMachine])
+@pytest.mark.parametrize("machine", [LossMachine, HarmlessRequestMachine])
 def test_at_most_two_upstreams_are_lost_to_one_request(machine):
-    """Guards the bound, and bystanders, whatever the order of events."""
+    """Guards against a third loss, and against refusing harmless requests."""
     _random_histories.run_histories(machine, 150, 20)
 
 
-def test_fuzzer_finds_a_quarantine_that_forgives():
-    """Guards against a fuzzer that cannot see a third loss."""
+def test_fuzzer_finds_a_quarantine_that_clears_guilty_requests():
+    """Guards against a fuzzer that does not detect a third loss."""
     with pytest.raises(_request_oracle.OracleError):
         _random_histories.run_histories(
-            SecondLossForgiven, 100, 20, shrink=False
+            SecondLossCleared, 100, 20, shrink=False
         )
--- a/packages/decisions/tests/test_quarantine.py
+++ b/packages/decisions/tests/test_quarantine.py
@@ -1,4 +1,4 @@
-"""Tests of the quarantine, alone and inside the permit desk."""
+"""Tests of the quarantine, alone and inside the permit issuer."""
 
 import random
 
@@ -8,12 +8,12 @@
 from sycamoreloft_decisions import _permit_events as events
 from sycamoreloft_decisions import _permits, _quarantine
 
-CRASHER = b"c" * 16
-BYSTANDER = b"b" * 16
+CRASHING = b"c" * 16
+HARMLESS = b"b" * 16
 NAMES = ("u1", "u2", "u3", "u4")
 
 
-def ask(issuer, permit, fingerprint, now=0.0, candidates=NAMES):
+def request_permit(issuer, permit, fingerprint, now=0.0, candidates=NAMES):
     return list(
         issuer.handle(
             events.PermitRequested(
@@ -50,32 +50,35 @@
 
 
 @pytest.fixture
-def record():
+def quarantine():
     return _quarantine.Quarantine(events.PermitOptions(suspects=4))
 
 
 def test_request_lost_on_two_upstreams_is_refused(issuer):
-    """Guards against a third upstream lost to one request."""
+    """Guards against a request that crashes a third upstream."""
     for number in range(2):
-        (issued,) = ask(issuer, f"p{number}", CRASHER)
+        (issued,) = request_permit(issuer, f"p{number}", CRASHING)
         commands = issuer.handle(
             events.UpstreamLost(issued.upstream, True), 0.0
         )
         break_connection(issuer, f"p{number}")
-        expected = events.ShareSuspects((CRASHER,), number == 1)
+        expected = events.ShareSuspects((CRASHING,), number == 1)
         assert expected in commands
-    (refused,) = ask(issuer, "p2", CRASHER)
+    (refused,) = request_permit(issuer, "p2", CRASHING)
     assert refused.reason is events.RefusalReason.QUARANTINED
 
 
 def test_broken_connections_count_before_the_loss_is_confirmed(issuer):
-    """Guards against a fast caller that repeats a crash in milliseconds."""
+    """Guards against a caller that repeats a crashing request quickly.
+
+    Further upstreams would crash before the first loss is confirmed.
+    """
     upstreams = []
     for number in range(2):
-        (issued,) = ask(issuer, f"p{number}", CRASHER)
+        (issued,) = request_permit(issuer, f"p{number}", CRASHING)
         upstreams.append(issued.upstream)
         break_connection(issuer, f"p{number}")
-    assert ask(issuer, "p2", CRASHER) == []
+    assert request_permit(issuer, "p2", CRASHING) == []
     commands = []
     for upstream in upstreams:
         commands += issuer.handle(events.UpstreamLost(upstream, True), 0.9)
@@ -85,11 +88,11 @@
 
 
 def test_broken_connections_of_live_upstreams_are_forgotten(issuer):
-    """Guards against refusing a request for faults of the network."""
+    """Guards against refusing a request because of network faults."""
     for number in range(2):
-        ask(issuer, f"p{number}", BYSTANDER)
+        request_permit(issuer, f"p{number}", HARMLESS)
         break_connection(issuer, f"p{number}")
-    assert ask(issuer, "p2", BYSTANDER) == []
+    assert request_permit(issuer, "p2", HARMLESS) == []
     commands = issuer.handle(
         events.PermitTick(), _quarantine.CONFIRMATION_S + 0.1
     )
@@ -97,103 +100,108 @@
 
 
 def test_copies_in_flight_reach_at_most_two_upstreams(issuer):
-    """Guards against copies of an untried request on many upstreams."""
+    """Guards against many upstreams lost to concurrent copies of a request."""
     commands = []
     for number in range(20):
-        commands += ask(issuer, f"p{number}", CRASHER)
+        commands += request_permit(issuer, f"p{number}", CRASHING)
     assert len(commands) == 2
 
 
 def test_a_request_that_completes_may_use_every_upstream(issuer):
-    """Guards against throttling a popular request."""
-    ask(issuer, "p", BYSTANDER)
+    """Guards against limiting concurrent copies of a harmless request."""
+    request_permit(issuer, "p", HARMLESS)
     issuer.handle(events.PermitReturned("p", "completed", 0.01), 0.0)
     upstreams = {
         command.upstream
         for number in range(16)
-        for command in ask(issuer, f"p{number}", BYSTANDER)
+        for command in request_permit(issuer, f"p{number}", HARMLESS)
     }
     assert upstreams == set(NAMES)
 
 
 def test_suspects_run_one_at_a_time_and_bystanders_are_cleared(issuer):
-    """Guards against two suspects on one upstream, which hides the cause."""
-    ask(issuer, "p1", CRASHER, candidates=("u1",))
-    ask(issuer, "p2", BYSTANDER, candidates=("u1",))
+    """Guards against running two suspects at once.
+
+    If an upstream were lost then, it would be unclear which one caused it.
+    """
+    request_permit(issuer, "p1", CRASHING, candidates=("u1",))
+    request_permit(issuer, "p2", HARMLESS, candidates=("u1",))
     issuer.handle(events.UpstreamLost("u1", True), 0.0)
     break_connection(issuer, "p1")
     break_connection(issuer, "p2")
-    assert len(ask(issuer, "p3", BYSTANDER)) == 1
-    assert ask(issuer, "p4", CRASHER) == []
+    assert len(request_permit(issuer, "p3", HARMLESS)) == 1
+    assert request_permit(issuer, "p4", CRASHING) == []
     commands = issuer.handle(
         events.PermitReturned("p3", "completed", 0.01), 0.1
     )
     assert [command.permit for command in commands] == ["p4"]
-    assert len(ask(issuer, "p5", BYSTANDER, 0.1)) == 1
+    assert len(request_permit(issuer, "p5", HARMLESS, 0.1)) == 1
 
 
-def test_suspect_waits_while_a_permit_of_it_may_yet_be_used(issuer):
-    """Guards against a late copy that meets the restarted upstream."""
-    ask(issuer, "p1", CRASHER, candidates=("u1",))
+def test_suspect_waits_while_another_permit_for_it_may_still_be_used(issuer):
+    """Guards against a late copy that runs on the restarted upstream."""
+    request_permit(issuer, "p1", CRASHING, candidates=("u1",))
     issuer.handle(events.UpstreamLost("u1", True), 0.5)
-    assert ask(issuer, "p2", CRASHER, 0.9) == []
+    assert request_permit(issuer, "p2", CRASHING, 0.9) == []
     (issued,) = issuer.handle(events.PermitTick(), 1.1)
     assert issued.permit == "p2"
 
 
-def test_guilt_is_learned_from_other_groups(issuer):
-    """Guards against each group losing its own two upstreams."""
-    issuer.handle(events.SuspectsReported([CRASHER], True), 0.0)
-    (refused,) = ask(issuer, "p", CRASHER)
+def test_guilty_requests_reported_by_other_groups_are_refused(issuer):
+    """Guards against losing two upstreams in each group."""
+    issuer.handle(events.SuspectsReported([CRASHING], True), 0.0)
+    (refused,) = request_permit(issuer, "p", CRASHING)
     assert refused.reason is events.RefusalReason.QUARANTINED
 
 
-def test_losses_at_an_earlier_holder_count_after_a_takeover(issuer):
-    """Guards against a third loss when the holder changes after the second."""
+def test_losses_reported_by_an_earlier_holder_count_after_a_takeover(issuer):
+    """Guards against a third loss if the holder changes after the second."""
     for _ in range(2):
-        issuer.handle(events.SuspectsReported([CRASHER], False), 0.0)
-    assert ask(issuer, "p", CRASHER) == []
+        issuer.handle(events.SuspectsReported([CRASHING], False), 0.0)
+    assert request_permit(issuer, "p", CRASHING) == []
     (refused, _) = issuer.handle(events.UpstreamLost("u1", False), 0.5)
     assert refused.reason is events.RefusalReason.QUARANTINED
 
 
-def test_breaks_are_shared_at_once(issuer):
-    """Guards against a holder that is lost before it tells of a break."""
-    ask(issuer, "p", CRASHER)
-    assert events.ShareSuspects((CRASHER,), False) in break_connection(
+def test_broken_connections_are_shared_with_other_groups_at_once(issuer):
+    """Guards against a holder that is lost before it reports the break."""
+    request_permit(issuer, "p", CRASHING)
+    assert events.ShareSuspects((CRASHING,), False) in break_connection(
         issuer, "p"
     )
 
 
-def test_popular_request_on_two_lost_upstreams_is_spared(record):
-    """Guards against blaming a request that completes all the time."""
-    record.record_completion(BYSTANDER)
+def test_completed_request_on_two_lost_upstreams_is_not_guilty(quarantine):
+    """Guards against quarantining a request that usually completes."""
+    quarantine.record_completion(HARMLESS)
     for name in NAMES[:2]:
-        record.record_loss(name, [(BYSTANDER, 0), (CRASHER, 0)], 0.0)
-    assert record.classify(BYSTANDER, 0.0) is _quarantine.Suspicion.SUSPECT
-    assert record.classify(CRASHER, 0.0) is _quarantine.Suspicion.GUILTY
-
-
-def test_timeouts_on_frozen_upstreams_count_once_they_are_lost(record):
-    """Guards against a request that freezes upstreams instead."""
-    record.record_unknown(CRASHER, "u1", 0, 0.0)
-    assert record.classify(CRASHER, 0.0) is _quarantine.Suspicion.CLEAR
-    record.record_unknown(CRASHER, "u2", 0, 0.5)
-    assert record.classify(CRASHER, 0.6) is _quarantine.Suspicion.UNRESOLVED
-    record.record_loss("u1", [], 1.0)
-    record.record_loss("u2", [], 1.5)
-    assert record.classify(CRASHER, 1.5) is _quarantine.Suspicion.GUILTY
-
-
-def test_record_is_bounded_and_ends_by_time(record):
-    """Guards against a record that grows, or refuses for ever."""
-    record.record_loss("u1", [(CRASHER, 0)], 0.0)
-    record.record_loss("u2", [(CRASHER, 0)], 0.0)
+        quarantine.record_loss(name, [(HARMLESS, 0), (CRASHING, 0)], 0.0)
+    assert quarantine.classify(HARMLESS, 0.0) is _quarantine.Suspicion.SUSPECT
+    assert quarantine.classify(CRASHING, 0.0) is _quarantine.Suspicion.GUILTY
+
+
+def test_timeouts_on_frozen_upstreams_count_once_they_are_lost(quarantine):
+    """Guards against requests that freeze upstreams and don't crash them."""
+    quarantine.record_unknown(CRASHING, "u1", 0, 0.0)
+    assert quarantine.classify(CRASHING, 0.0) is _quarantine.Suspicion.CLEAR
+    quarantine.record_unknown(CRASHING, "u2", 0, 0.5)
+    assert (
+        quarantine.classify(CRASHING, 0.6) is _quarantine.Suspicion.UNRESOLVED
+    )
+    quarantine.record_loss("u1", [], 1.0)
+    quarantine.record_loss("u2", [], 1.5)
+    assert quarantine.classify(CRASHING, 1.5) is _quarantine.Suspicion.GUILTY
+
+
+def test_quarantine_is_bounded_and_records_expire(quarantine):
+    """Guards against unbounded memory, and refusing a request forever."""
+    quarantine.record_loss("u1", [(CRASHING, 0)], 0.0)
+    quarantine.record_loss("u2", [(CRASHING, 0)], 0.0)
     for number in range(10):
-        record.record_loss("u1", [(bytes([number]), 0)], 1.0)
-    assert len(record._records) == 4
-    assert record.classify(CRASHER, 1.0) is _quarantine.Suspicion.GUILTY
-    record.expire(600.5)
-    assert record.classify(CRASHER, 600.5) is _quarantine.Suspicion.CLEAR
-    record.expire(700.0)
-    assert record.is_empty()
+        quarantine.record_loss("u1", [(bytes([number]), 0)], 1.0)
+    assert len(quarantine._records) == 4
+    assert quarantine.classify(CRASHING, 1.0) is _quarantine.Suspicion.GUILTY
+    quarantine.expire(600.5)
+    assert quarantine.classify(CRASHING, 600.5) is _quarantine.Suspicion.CLEAR
+    quarantine.expire(700.0)
+    assert quarantine.is_empty()
--- a/packages/decisions/tests/test_request_fuzz.py
+++ b/packages/decisions/tests/test_request_fuzz.py
@@ -1,4 +1,4 @@
-"""Random histories of claims and outcomes."""
+"""Tests of claims and outcomes with random histories."""
 
 import dataclasses
 
@@ -9,7 +9,7 @@
 
 
 class Store:
-    """Rows that exist once, written only under the latest epoch."""
+    """Store in which each row is written once, and only in the latest epoch."""
 
     def __init__(self):
         self.epoch = 1
@@ -26,7 +26,10 @@
 
 
 class ClaimMachine(_random_histories.Machine):
-    """Callers that repeat ids, hosts that forget, holders and a store."""
+    """Callers that repeat request ids, hosts, holders and a store.
+
+    Hosts may lose their attempts, and messages may be lost or delayed.
+    """
 
     actions = {
         "call": 5,
@@ -69,7 +72,7 @@
             self.send(len(self.registries) - 1, _claims.RowsLoaded([]))
 
     def choose_registry(self, generator):
-        """Returns the present holder's book, or sometimes the one before."""
+        """Returns the index of the current or, rarely, the previous holder."""
         return max(0, len(self.registries) - generator.choice([1, 1, 1, 2]))
 
     def send(self, index, event):
@@ -81,7 +84,7 @@
 
     def call(self, generator):
         self.count += 1
-        # Ids are used for a while and then left, as most of them end.
+        # Each request id is repeated for a while and then no longer used.
         number = self.count // 8 + generator.choice([0, 1])
         id_hash = number.to_bytes(4, "big")
         rules = _outcomes.AttemptRules(at_most_once=True)
@@ -193,7 +196,7 @@
                 self.send(index, _claims.BatchRefused(sequence))
 
     def work_smoothly(self, generator):
-        """Models a quiet network and store, so that histories get far."""
+        """Delivers all messages without faults, so histories make progress."""
         self.load_rows(generator)
         while self.asks:
             self.send(len(self.registries) - 1, self.asks.pop())
@@ -227,7 +230,7 @@
 
 
 class EarlyAnswer(ClaimMachine):
-    """Fault: claims are answered when their write is only under way."""
+    """Fault: claims are answered before their write has completed."""
 
     def send(self, index, event):
         before = len(self.calls)
@@ -242,20 +245,20 @@
                     )
 
 
-class ForgetfulTakeover(ClaimMachine):
-    """Fault: a new claim holder does not read the rows."""
+class TakeoverWithoutRows(ClaimMachine):
+    """Fault: a new holder does not load the stored rows."""
 
     loads_rows = False
 
 
 class SecondSend(ClaimMachine):
-    """Fault: an attempt is sent again after it was sent."""
+    """Fault: an attempt sends its request twice."""
 
     sends_again = True
 
 
-class HopefulAttempt(_outcomes.Attempt):
-    """Fault: unknown is reported as did-not-run."""
+class UnknownAsDidNotRun(_outcomes.Attempt):
+    """Fault: an unknown outcome is reported as did-not-run."""
 
     def handle(self, event, now):
         decision = super().handle(event, now)
@@ -265,21 +268,24 @@
         return decision
 
 
-class HopefulOutcome(ClaimMachine):
-    """Hosts with the fault of `HopefulAttempt`."""
+class WrongOutcome(ClaimMachine):
+    """Fault: hosts use `UnknownAsDidNotRun`."""
+
+    attempt_class = UnknownAsDidNotRun
 
-    attempt_class = HopefulAttempt
 
+def test_an_id_is_sent_at_most_once_and_reported_outcomes_are_correct():
+    """Guards against repeated sends and wrong outcomes.
 
-def test_an_id_is_sent_at_most_once_and_outcomes_are_true():
-    """Guards claims across takeovers, lost answers and store outages."""
+    The histories contain takeovers, lost answers and store outages.
+    """
     _random_histories.run_histories(ClaimMachine, 300, 20)
 
 
 @pytest.mark.parametrize(
-    "machine", [EarlyAnswer, ForgetfulTakeover, SecondSend, HopefulOutcome]
+    "machine", [EarlyAnswer, TakeoverWithoutRows, SecondSend, WrongOutcome]
 )
-def test_fuzzer_finds_planted_faults_of_claims(machine):
-    """Guards against a fuzzer that cannot see a second run or a lie."""
+def test_fuzzer_finds_injected_faults_of_claims(machine):
+    """Guards against a fuzzer that misses second runs or wrong outcomes."""
     with pytest.raises(_request_oracle.OracleError):
         _random_histories.run_histories(machine, 150, 20, shrink=False)
--- a/packages/decisions/tests/test_retries.py
+++ b/packages/decisions/tests/test_retries.py
@@ -6,7 +6,7 @@
 
 
 def test_backoff_grows_has_jitter_and_stays_inside_the_deadline():
-    """Guards against synchronised retries and retries after the deadline."""
+    """Guards against synchronized retries, and retries after the deadline."""
     generator = random.Random(1)
     for attempt in range(1, 12):
         longest = min(0.01 * 2 ** (attempt - 1), 1.0)
--- a/packages/decisions/tests/test_sketch.py
+++ b/packages/decisions/tests/test_sketch.py
@@ -6,7 +6,7 @@
 
 
 def test_frequent_keys_are_found_among_many():
-    """Guards against a hot key that rare keys push out of the sketch."""
+    """Guards against rare keys that replace a hot key in the sketch."""
     source = random.Random(5)
     sketch = _sketch.SpaceSavingSketch(64)
     for index in range(20_000):
@@ -18,7 +18,7 @@
 
 
 def test_certain_count_never_exceeds_the_true_one():
-    """Guards against a rare key that inherits a count and looks hot."""
+    """Guards against a rare key that seems hot because it took over a count."""
     source = random.Random(6)
     sketch = _sketch.SpaceSavingSketch(8)
     true_counts = {}
