Name waiting attempts of a claim, order numbers and assumed deadlines plainly

Followers of a claim were confused with the follower of an upstream's run; the coordinator's order counters now say which of the two they are.

--- a/packages/decisions/sycamoreloft_decisions/_claims.py
+++ b/packages/decisions/sycamoreloft_decisions/_claims.py
@@ -51,7 +51,7 @@
     sequence: int = 0
     #: Attempts with the same request id that wait until the claim is stored
     #: or freed, each with the time of its request.
-    followers: list[tuple[ClaimRequested, float]] = dataclasses.field(
+    waiters: list[tuple[ClaimRequested, float]] = dataclasses.field(
         default_factory=list
     )
     #: Claim by another group, which applies once this one is found void.
@@ -86,7 +86,7 @@
         self._results_since = 0.0
         self._batches: dict[int, _Batch] = {}
         self._early_requests: list[tuple[ClaimRequested, float]] = []
-        self._follower_count = 0
+        self._waiter_count = 0
 
     def count_claims(self) -> int:
         """Returns the number of request ids in memory."""
@@ -150,7 +150,7 @@
                 self._settle_void(claim, now, commands)
                 continue
             commands.append(AnswerClaim(claim.request.attempt, Verdict.CLAIMED))
-            self._process_followers(claim, now, commands)
+            self._process_waiters(claim, now, commands)
         return commands
 
     @_handle.register
@@ -279,7 +279,7 @@
         else:
             claim = self._claims.get(request.id_hash)
             if claim is None:
-                self._start(request, requested_at, now, commands)
+                self._collect(request, requested_at, now, commands)
             else:
                 self._answer_claimed_id(claim, request, requested_at, commands)
 
@@ -296,11 +296,11 @@
             if claim.void:
                 commands.append(_answer_unavailable(request))
         elif not claim.durable:
-            if self._follower_count >= self._options.waiting:
+            if self._waiter_count >= self._options.waiting:
                 commands.append(_answer_unavailable(request))
                 return
-            self._follower_count += 1
-            claim.followers.append((request, requested_at))
+            self._waiter_count += 1
+            claim.waiters.append((request, requested_at))
         elif claim.request.fingerprint != request.fingerprint:
             commands.append(AnswerClaim(request.attempt, Verdict.CONFLICT))
         elif same_attempt and not claim.outcome:
@@ -315,7 +315,7 @@
                 )
             )
 
-    def _start(
+    def _collect(
         self,
         request: ClaimRequested,
         requested_at: float,
@@ -392,14 +392,14 @@
         del self._claims[claim.request.id_hash]
         if claim.successor is not None:
             self._claims[claim.request.id_hash] = claim.successor
-        self._process_followers(claim, now, commands)
+        self._process_waiters(claim, now, commands)
 
-    def _process_followers(
+    def _process_waiters(
         self, claim: _Claim, now: float, commands: _Commands
     ) -> None:
-        followers, claim.followers = claim.followers, []
-        self._follower_count -= len(followers)
-        for request, requested_at in followers:
+        waiters, claim.waiters = claim.waiters, []
+        self._waiter_count -= len(waiters)
+        for request, requested_at in waiters:
             self._process_request(request, requested_at, now, commands)
 
     def _add_result(self, claim: _Claim, now: float) -> None:
@@ -433,22 +433,22 @@
         for batch in self._batches.values():
             pending += batch.claims
         for claim in pending:
-            if claim.followers:
-                self._refuse_followers(claim, oldest_allowed, commands)
+            if claim.waiters:
+                self._refuse_waiters(claim, oldest_allowed, commands)
             if claim.requested_at <= oldest_allowed:
                 self._refuse(claim, now, commands)
 
-    def _refuse_followers(
+    def _refuse_waiters(
         self, claim: _Claim, oldest_allowed: float, commands: _Commands
     ) -> None:
         kept = []
-        for request, requested_at in claim.followers:
+        for request, requested_at in claim.waiters:
             if requested_at <= oldest_allowed:
-                self._follower_count -= 1
+                self._waiter_count -= 1
                 commands.append(_answer_unavailable(request))
             else:
                 kept.append((request, requested_at))
-        claim.followers = kept
+        claim.waiters = kept
 
     def _expire(self, now: float) -> None:
         while self._claims:
@@ -465,7 +465,7 @@
         self._closed = True
         waiting = [request for request, _ in self._early_requests]
         for claim in self._claims.values():
-            waiting += [request for request, _ in claim.followers]
+            waiting += [request for request, _ in claim.waiters]
             if not claim.durable and not claim.void:
                 waiting.append(claim.request)
         commands += map(_answer_unavailable, waiting)
--- a/packages/decisions/sycamoreloft_decisions/_permit_admission.py
+++ b/packages/decisions/sycamoreloft_decisions/_permit_admission.py
@@ -350,7 +350,7 @@
         self, used: _permit_events.ReportedPermit, host: str, now: float
     ) -> None:
         request = _permit_records.build_inherited_request(
-            used, host, now + self._options.longest_deadline_s
+            used, host, now + self._options.maximum_deadline_s
         )
         upstream = self._get_upstream(used.upstream)
         permit = _permit_records.Permit(
--- a/packages/decisions/sycamoreloft_decisions/_permit_events.py
+++ b/packages/decisions/sycamoreloft_decisions/_permit_events.py
@@ -90,7 +90,7 @@
     #: Fingerprint of the request.
     fingerprint: bytes
     #: Deadline of the request on the clock of the holder. None if the report
-    #: does not contain it; `longest_deadline_s` of the options applies then.
+    #: does not contain it; `maximum_deadline_s` of the options applies then.
     deadline: float | None = None
     #: Whether the permit has not lapsed since its host was last in contact
     #: with a holder: less than the validity has passed from the sending of the
@@ -288,7 +288,7 @@
     clock_drift: float = 0.02
     #: Maximum time to the deadline of a request, in seconds. It is assumed for
     #: reported permits without a deadline.
-    longest_deadline_s: float = 60.0
+    maximum_deadline_s: float = 60.0
     #: Maximum number of requests that wait because of the quarantine.
     waiting_suspects: int = 256
     #: Maximum number of requests that wait because their partition is paused.
--- a/packages/decisions/sycamoreloft_decisions/_permit_records.py
+++ b/packages/decisions/sycamoreloft_decisions/_permit_records.py
@@ -232,14 +232,14 @@
 
 
 def build_inherited_request(
-    used: _permit_events.ReportedPermit, host: str, latest_deadline: float
+    used: _permit_events.ReportedPermit, host: str, assumed_deadline: float
 ) -> _permit_events.PermitRequested:
     """Returns the request of a permit that an earlier holder issued.
 
     Args:
         used: The permit as reported by its host.
         host: Name of the host.
-        latest_deadline: Deadline that is assumed if the report has none, in
+        assumed_deadline: Deadline that is used if the report has none, in
             seconds.
     """
     return _permit_events.PermitRequested(
@@ -252,6 +252,6 @@
         fingerprint=used.fingerprint,
         caller="",
         priority=sycamoreloft_config.Priority.NORMAL,
-        deadline=latest_deadline if used.deadline is None else used.deadline,
+        deadline=assumed_deadline if used.deadline is None else used.deadline,
         candidates=(used.upstream,),
     )
--- a/packages/decisions/sycamoreloft_decisions/_permit_waiting.py
+++ b/packages/decisions/sycamoreloft_decisions/_permit_waiting.py
@@ -29,7 +29,7 @@
         self.suspects: dict[_permit_records.Ticket, None] = {}
         self._paused_count = 0
         self._lanes: dict[tuple[str, ...], _permit_records.Lane] = {}
-        self._lanes_of: dict[str, list[_permit_records.Lane]] = {}
+        self._lanes_by_upstream: dict[str, list[_permit_records.Lane]] = {}
         self._service_times: dict[_RequestKind, float] = {}
         self._mean_service_time = 0.0
 
@@ -98,7 +98,7 @@
         cost = self.get_service_time(request) / mean if mean else 1.0
         lane.push(self._add(request), cost)
         for name in request.candidates:
-            lanes = self._lanes_of.setdefault(name, [])
+            lanes = self._lanes_by_upstream.setdefault(name, [])
             if lane not in lanes:
                 lanes.append(lane)
 
@@ -145,7 +145,7 @@
             upstream: Name of the upstream.
             own_only: Whether to skip requests that other upstreams may run.
         """
-        lanes = self._lanes_of.get(upstream, [])
+        lanes = self._lanes_by_upstream.get(upstream, [])
         for index, lane in enumerate(lanes):
             if not lane.size or (own_only and lane.shared):
                 continue
--- a/packages/direct/sycamoreloft_direct/_key_coordinator.py
+++ b/packages/direct/sycamoreloft_direct/_key_coordinator.py
@@ -74,14 +74,14 @@
         )
         self._revocations = _revocations.Revocations(
             self._table.create_fence,
-            self._count_order,
+            self._next_order,
             has_predecessor=self._epoch > FIRST_EPOCH,
         )
         self._rebalancer = _key_rebalancing.Rebalancer(
             self._table, now, self._revocations.is_pending
         )
-        self._order = 0
-        self._orders: dict[int, _key_segments.Segment] = {}
+        self._last_order = 0
+        self._open_orders: dict[int, _key_segments.Segment] = {}
         self._upstreams: dict[_model.UpstreamRun, _model.Upstream] = {}
         self._latest_start: abc.Mapping[str, int] = {}
         for keys in key_map.services.values():
@@ -135,8 +135,8 @@
         now: float,
         earlier_until: float,
     ) -> None:
-        # Keys without an owner may have been held by an earlier one. The
-        # earlier coordinator waited for that lease before recording the loss.
+        # Keys without an owner need no wait: if an owner lost them, the
+        # earlier coordinator waited for its lease before recording the loss.
         segment = _key_segments.Segment(
             service, key_range.first, key_range.last, _PHASE.VACANT
         )
@@ -222,7 +222,7 @@
         """
         may_have_arrived = result in _key_commands.POSSIBLY_DELIVERED_RESULTS
         self._leases.close_call(order, now, may_have_arrived)
-        segment = self._orders.pop(order)
+        segment = self._open_orders.pop(order)
         if segment.order != order:
             return False
         segment.order = 0
@@ -257,7 +257,7 @@
         """
         if self._revocations.finish(order, handover is not None, now):
             return
-        segment = self._orders.pop(order, None)
+        segment = self._open_orders.pop(order, None)
         if segment is None or segment.order != order:
             return
         segment.order = 0
@@ -370,7 +370,7 @@
         assert segment.owner is not None
         if segment.fence == 0:
             segment.fence = self._table.create_fence()
-        segment.order = self._create_order(segment)
+        segment.order = self._register_order(segment)
         command = _key_commands.SendGrant(
             segment.order,
             segment.owner,
@@ -392,7 +392,7 @@
         # The release needs a new token, so that the upstream refuses grants
         # with the previous token that are still in transit.
         segment.fence = self._table.create_fence()
-        segment.order = self._create_order(segment)
+        segment.order = self._register_order(segment)
         segment.due_at = now
         return _key_commands.SendRelease(
             segment.order,
@@ -489,11 +489,11 @@
         )
         return _key_commands.WriteMap(self._pending_map)
 
-    def _count_order(self) -> int:
-        self._order += 1
-        return self._order
+    def _next_order(self) -> int:
+        self._last_order += 1
+        return self._last_order
 
-    def _create_order(self, segment: _key_segments.Segment) -> int:
-        order = self._count_order()
-        self._orders[order] = segment
+    def _register_order(self, segment: _key_segments.Segment) -> int:
+        order = self._next_order()
+        self._open_orders[order] = segment
         return order
--- a/packages/direct/sycamoreloft_direct/_key_planning.py
+++ b/packages/direct/sycamoreloft_direct/_key_planning.py
@@ -93,7 +93,7 @@
         self._work = dict.fromkeys(self._capacity, 0.0)
 
     def add_work(self, owned_ranges: abc.Iterable[OwnedRange]) -> None:
-        """Adds the work of pieces to their owners."""
+        """Adds the work on ranges of keys to their owners."""
         for owned_range in owned_ranges:
             if owned_range.owner in self._work:
                 self._work[owned_range.owner] += self._profile.sum(
@@ -186,7 +186,7 @@
     def _plan_hot_key_move(
         self, owned_ranges: abc.Sequence[OwnedRange]
     ) -> PlannedMove | None:
-        """Moves a key that uses up its owner to a much faster upstream."""
+        """Proposes to move a key that fills its owner to a faster upstream."""
         fastest = max(self._capacity, key=self._capacity.__getitem__)
         for owned_range in owned_ranges:
             owner = owned_range.owner
--- a/packages/direct/sycamoreloft_direct/_key_rebalancing.py
+++ b/packages/direct/sycamoreloft_direct/_key_rebalancing.py
@@ -14,8 +14,8 @@
 #: Seconds between two plans.
 PLAN_INTERVAL_S = 0.25
 
-#: Length of the window that the decayed loads cover in the steady state, in
-#: seconds: the sum of the geometric series of decay factors.
+#: Length of the window that the decayed loads represent in the steady state,
+#: in seconds.
 LOAD_WINDOW_S = PLAN_INTERVAL_S / (1 - _key_loads.DECAY)
 
 #: Number of segments of one service in transit at which rebalancing starts no
--- a/packages/direct/sycamoreloft_direct/_lease_ends.py
+++ b/packages/direct/sycamoreloft_direct/_lease_ends.py
@@ -74,7 +74,7 @@
         self._open: dict[int, tuple[_Claim, float]] = {}
         self._ends: dict[_Claim, _LeaseEnd] = {}
         self._ended_runs: set[_model.UpstreamRun] = set()
-        self._sweep_at = 0.0
+        self._next_cleanup_at = 0.0
 
     def assume_earlier_grants(
         self,
@@ -129,8 +129,8 @@
             known = self._ends.get(claim)
             if known is None or known.ends_at <= end:
                 self._ends[claim] = _LeaseEnd(end, now)
-        if now >= self._sweep_at:
-            self._sweep_at = now + self._times.hold_s
+        if now >= self._next_cleanup_at:
+            self._next_cleanup_at = now + self._times.hold_s
             self._drop_ended(now)
 
     def end_run(self, run: _model.UpstreamRun) -> None:
