--- a/packages/decisions/tests/test_group_holder.py
+++ b/packages/decisions/tests/test_group_holder.py
@@ -134,7 +134,7 @@
 
 def _find_owner(world, holder, key, partitions=12):
     host = world.hosts[holder]
-    partition = sycamoreloft_config.find_partition(
+    partition = sycamoreloft_config.compute_partition(
         "f", "board", key, partitions
     )
     owner = host.machine.find_owner(
@@ -250,7 +250,7 @@
     world.change_generation(generation)
     world.run(3.0)
     for service, partition, _ in world.store.list_records():
-        group = sycamoreloft_decisions.find_partition_group(
+        group = sycamoreloft_decisions.compute_partition_group(
             generation, "f", service, partition
         )
         assert group == GROUP
--- a/packages/router/sycamoreloft_router/_backend.py
+++ b/packages/router/sycamoreloft_router/_backend.py
@@ -110,10 +110,10 @@
                     ["the service has no keys; any of its upstreams serves"],
                 )
             )
-        partition = sycamoreloft_config.find_partition(
+        partition = sycamoreloft_config.compute_partition(
             reference.fleet, reference.service, key, definition.partitions
         )
-        group = self._names.find_partition_group(
+        group = self._names.compute_partition_group(
             reference.fleet, reference.service, partition
         )
         return result.Success(
@@ -191,7 +191,7 @@
 
 
 def _present_answer(
-    answer: acceptance.Answer,
+    answer: acceptance.SubmissionResult,
 ) -> result.Result[_admin.SubmissionAnswer, _admin.AdminProblem]:
     if answer.verdict is acceptance.Verdict.CONFLICT:
         return result.Failure(
--- a/packages/router/sycamoreloft_router/_table_follower.py
+++ b/packages/router/sycamoreloft_router/_table_follower.py
@@ -47,7 +47,7 @@
     def __init__(
         self,
         name: str,
-        table: _direct_ports.Watched[typing.Any],
+        table: _direct_ports.WatchedTable[typing.Any],
         on_read: abc.Callable[[abc.Mapping[str, typing.Any]], None],
         on_changes: abc.Callable[[abc.Mapping[str, typing.Any]], None],
         spread_s: abc.Callable[[], float] = lambda: 0.0,
@@ -96,7 +96,7 @@
             self._log_read(answer, read_at)
             if answer.values and not self._is_reading:
                 # While a long answer was loading, changes were collected.
-                loading_s = read_at - self._progress.first_at
+                loading_s = read_at - self._progress.first_byte_at
                 await asyncio.sleep(
                     max(0.0, COLLECT_S + self._spread_s() - loading_s)
                 )
@@ -173,12 +173,12 @@
 
     def _log_read(
         self,
-        answer: _direct_ports.Changes[typing.Any],
+        answer: _direct_ports.TableEntries[typing.Any],
         read_at: float,
     ) -> None:
         """Tells how long each part of a full or slow read took."""
         progress = self._progress
-        loading_s = progress.last_at - progress.first_at
+        loading_s = progress.last_byte_at - progress.first_byte_at
         if not self._is_reading and loading_s < SLOW_LOAD_S:
             return
         now = asyncio.get_running_loop().time()
@@ -191,9 +191,9 @@
             newest=self.newest,
             rows=len(answer.values),
             bytes=progress.bytes,
-            waited_s=round(progress.first_at - progress.began_at, 3),
+            waited_s=round(progress.first_byte_at - progress.began_at, 3),
             loading_s=round(loading_s, 3),
-            decoding_s=round(read_at - progress.last_at, 3),
+            decoding_s=round(read_at - progress.last_byte_at, 3),
             applying_s=round(now - read_at, 3),
         )
 
--- a/packages/router/tests/test_table_follower.py
+++ b/packages/router/tests/test_table_follower.py
@@ -33,12 +33,12 @@
     async def _load(self, progress):
         """Answers with what there is now, in a hundred parts."""
         problem = self.problem
-        answer = _direct_ports.Changes(
+        answer = _direct_ports.TableEntries(
             dict(self.values), self.version, self.newest
         )
         for _ in range(100):
             await asyncio.sleep(self.load_s / 100)
-            progress.note(1, asyncio.get_running_loop().time())
+            progress.record_bytes(1, asyncio.get_running_loop().time())
         return problem or answer
 
     def put(self, key, value):
