--- a/packages/decisions/tests/test_quarantine.py
+++ b/packages/decisions/tests/test_quarantine.py
@@ -119,7 +119,7 @@
     assert upstreams == set(NAMES)
 
 
-def test_suspects_run_one_at_a_time_and_bystanders_are_cleared(issuer):
+def test_suspects_run_one_at_a_time_and_are_cleared_on_completion(issuer):
     """Guards against running two suspects at once.
 
     If an upstream were lost then, it would be unclear which one caused it.
--- a/packages/decisions/tests/test_request_fuzz.py
+++ b/packages/decisions/tests/test_request_fuzz.py
@@ -58,7 +58,7 @@
         self.oracle = _request_oracle.RunOracle()
         self.store = Store()
         self.attempts = {}
-        self.asks = []
+        self.claim_requests = []
         self.answers = []
         self.results = []
         self.calls = []
@@ -93,14 +93,14 @@
         attempt.handle(permit, self.now)
         name = f"t{self.count}"
         self.attempts[name] = (id_hash, attempt)
-        self.asks.append(_claims.ClaimRequested(id_hash, b"f", name))
+        self.claim_requests.append(_claims.ClaimRequested(id_hash, b"f", name))
 
     def deliver_ask(self, generator):
-        ask = _random_histories.take(self.asks, generator)
-        if ask is not None:
-            self.send(self.choose_registry(generator), ask)
+        claim_request = _random_histories.take(self.claim_requests, generator)
+        if claim_request is not None:
+            self.send(self.choose_registry(generator), claim_request)
             if generator.random() < 0.1:
-                self.asks.append(ask)
+                self.claim_requests.append(claim_request)
 
     def deliver_answer(self, generator, lost_share=0.1):
         answer = _random_histories.take(self.answers, generator)
@@ -198,8 +198,8 @@
     def work_smoothly(self, generator):
         """Delivers all messages without faults, so histories make progress."""
         self.load_rows(generator)
-        while self.asks:
-            self.send(len(self.registries) - 1, self.asks.pop())
+        while self.claim_requests:
+            self.send(len(self.registries) - 1, self.claim_requests.pop())
         self.advance(generator)
         while self.calls:
             self.work_store(generator, "answered")
