--- a/packages/decisions/tests/test_permit_fuzz.py
+++ b/packages/decisions/tests/test_permit_fuzz.py
@@ -429,7 +429,7 @@
         self.send(events.PermitTick())
 
 
-class HarmlessRequestMachine(LossMachine):
+class BystanderMachine(LossMachine):
     """The caller repeats its request only after its connection broke.
 
     Harmless requests must not be refused then.
@@ -451,7 +451,7 @@
         self.issuer._quarantine.record_completion(b"crash")
 
 
-@pytest.mark.parametrize("machine", [LossMachine, HarmlessRequestMachine])
+@pytest.mark.parametrize("machine", [LossMachine, BystanderMachine])
 def test_at_most_two_upstreams_are_lost_to_one_request(machine):
     """Guards against a third loss, and against refusing harmless requests."""
     _random_histories.run_histories(machine, 150, 20)
