--- a/packages/decisions/sycamoreloft_decisions/_concurrency.py
+++ b/packages/decisions/sycamoreloft_decisions/_concurrency.py
@@ -54,7 +54,8 @@
         """Starts with the limit at `slots`, or at 1 for a cold upstream."""
         #: Number of requests that the upstream can run concurrently.
         self.slots = slots
-        #: Number of requests that may be sent to it concurrently; a fraction.
+        #: Number of requests that may be sent to it concurrently; may be a
+        #: fraction.
         self.limit = 1.0 if cold else float(slots)
         #: Mean latency of recent requests, in seconds; 0 before any sample.
         self.recent_s = 0.0
--- a/packages/direct/sycamoreloft_direct/_key_planning.py
+++ b/packages/direct/sycamoreloft_direct/_key_planning.py
@@ -239,7 +239,7 @@
         owned_ranges: abc.Sequence[OwnedRange],
         amount: float,
     ) -> OwnedRange | None:
-        """Returns a part of an owner's ranges that has about some work.
+        """Returns a part of an owner's ranges with about an amount of work.
 
         The ranges are searched from the one with the most work down. Of the
         suitable parts of a range, the one with the fewest keys is returned;
@@ -266,7 +266,7 @@
     def _propose_parts(
         self, owned_range: OwnedRange, amount: float
     ) -> abc.Iterator[OwnedRange]:
-        """Yields parts of a range that have about some work."""
+        """Yields parts of a range that may have about an amount of work."""
         first, last, owner = (
             owned_range.first,
             owned_range.last,
