--- a/packages/router/sycamoreloft_router/_coordinator_election.py
+++ b/packages/router/sycamoreloft_router/_coordinator_election.py
@@ -1,4 +1,4 @@
-"""Asks the store who is the coordinator, and takes the duty if nobody is."""
+"""Election of the coordinator through a lease record in the store."""
 
 from collections import abc
 import dataclasses
@@ -14,53 +14,54 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Seconds for which a host watches the ended lease of a coordinator that
-#: still sends heartbeats: if the store was away for all, the coordinator
-#: renews the lease within this time.
-CONFIRM_BLIND_S = 2.0
+#: Seconds for which a host leaves an expired lease alone while the coordinator
+#: still sends heartbeats. After an outage of the store for all hosts, the
+#: coordinator renews the lease within this time.
+BLIND_CONFIRMATION_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Unreached:
-    """The store did not answer, or its records cannot be read."""
+class StoreUnavailable:
+    """The store did not answer, or its records are malformed."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Deferred:
-    """The duty is another host's, or may be."""
+class NotElected:
+    """Another host holds the coordinator lease, or may be about to."""
 
-    #: The map of keys as it is recorded.
+    #: The map of keys in the store.
     key_map: sycamoreloft_direct.KeyMap
-    #: Address of the coordinator, as "ip:port"; empty if it is not sure.
+    #: Address of the coordinator, as "ip:port"; empty if unknown.
     peer_address: str = ""
-    #: Seconds until the duty may be nobody's; 0 if that is not known.
+    #: Seconds until the lease may be free; 0 if unknown.
     wait_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Won:
-    """This host is the coordinator now."""
+class Elected:
+    """This host has become the coordinator."""
 
-    #: The map of keys as it was recorded before.
+    #: The map of keys that the store held before the election.
     key_map: sycamoreloft_direct.KeyMap
-    #: The records that it wrote.
-    taken: _tenure.TakenRecords
-    #: Lease of the coordinator before, None for the first one.
+    #: The records that this host wrote to become the coordinator.
+    acquired: _tenure.AcquiredRecords
+    #: Lease of the previous coordinator; None for the first coordinator.
     before: _coordinator_lease.Lease | None
 
 
-Outcome = Unreached | Deferred | Won
+ElectionResult = StoreUnavailable | NotElected | Elected
 
 
 class CoordinatorElection:
-    """Bids for the duty, and remembers which ended lease it watches.
+    """Acquires the coordinator lease for this host when it is free.
 
     Args:
         settings: Settings of the host.
-        records: Records of the store.
-        blind_s: Seconds for which a coordinator renews leases of keys without
-            the store.
-        yield_s: Seconds for which this host leaves an ended lease to others.
+        records: Record store that holds the lease and the map of keys.
+        blind_s: Seconds for which a coordinator that is cut off from the store
+            goes on renewing key leases.
+        election_delay_s: Seconds after the end of a lease for which this host
+            lets other hosts acquire it first.
         clock: Clock that also runs while the host is suspended, in seconds.
     """
 
@@ -69,30 +70,31 @@
         settings: _direct_ports.HostSettings,
         records: _direct_ports.RecordStore,
         blind_s: float,
-        yield_s: float,
+        election_delay_s: float,
         clock: abc.Callable[[], float],
     ) -> None:
         self._settings = settings
         self._records = records
         self._blind_s = blind_s
-        self._yield_s = yield_s
+        self._election_delay_s = election_delay_s
         self._clock = clock
-        self._ended_version = -1
-        self._ended_since = 0.0
-        #: Epoch of the last bid that was not seen to win; nobody acts in it.
-        self._unwon_epoch = 0
+        self._expired_version = -1
+        self._expired_since = 0.0
+        #: Epoch of the last write that was not confirmed, 0 for none. This
+        #: host sends no orders in that epoch.
+        self._unconfirmed_epoch = 0
 
-    async def make(self, hears_blind: bool) -> Outcome:
-        """Asks the store, and takes the duty if it is nobody's.
+    async def attempt(self, has_blind_peer: bool) -> ElectionResult:
+        """Reads the store, and acquires the lease if it is free.
 
         Args:
-            hears_blind: Whether a coordinator is there that the store does
-                not answer.
+            has_blind_peer: Whether this host receives heartbeats of a
+                coordinator that the store does not answer.
         """
         now = self._clock()
         records = await self._records.read()
         if isinstance(records, _direct_ports.ReadProblem):
-            return Unreached()
+            return StoreUnavailable()
         lease_record = records.records.get(_coordinator_lease.LEASE_KEY)
         map_record = records.records.get(_coordinator_lease.MAP_KEY)
         key_map = sycamoreloft_direct.KeyMap(0, 0, {})
@@ -103,19 +105,21 @@
             if lease_record is not None:
                 lease = _coordinator_lease.decode_lease(lease_record.value)
         except ValueError as error:
-            # Who has the duty or the keys is not known: to take them could
-            # give keys a second owner.
+            # Without knowing the coordinator and the owners of keys, a new
+            # coordinator could give keys a second owner.
             _logs.log_event(
                 _LOGGER, logging.ERROR, "record-malformed", error=str(error)
             )
-            return Unreached()
+            return StoreUnavailable()
         if lease_record is not None and lease is not None:
-            wait_s = lease.expires_at + self._yield_s - records.clock_s
+            wait_s = lease.expires_at + self._election_delay_s - records.clock_s
             if wait_s > 0 and lease.peer_address != self._settings.peer_address:
-                return Deferred(key_map, lease.peer_address, wait_s)
-            watch_s = self._find_watch_s(lease_record.version, now)
-            if hears_blind and watch_s > 0:
-                return Deferred(key_map, wait_s=watch_s)
+                return NotElected(key_map, lease.peer_address, wait_s)
+            remaining_watch_s = self._compute_remaining_watch_s(
+                lease_record.version, now
+            )
+            if has_blind_peer and remaining_watch_s > 0:
+                return NotElected(key_map, wait_s=remaining_watch_s)
         versions = {
             _coordinator_lease.LEASE_KEY: lease_record.version
             if lease_record
@@ -123,25 +127,30 @@
             _coordinator_lease.MAP_KEY: map_record.version if map_record else 0,
         }
         reference = _coordinator_lease.ClockReference(now, records.clock_s)
-        return await self._take(reference, lease, key_map, versions)
+        return await self._acquire(reference, lease, key_map, versions)
+
+    def _compute_remaining_watch_s(self, version: int, now: float) -> float:
+        """Returns for how many more seconds to leave an expired lease alone.
 
-    def _find_watch_s(self, version: int, now: float) -> float:
-        """Returns for how much longer an ended lease is to be watched."""
-        if version != self._ended_version:
-            self._ended_version = version
-            self._ended_since = now
-        return self._ended_since + CONFIRM_BLIND_S - now
+        Args:
+            version: Version of the lease record.
+            now: Time on the boot clock, in seconds.
+        """
+        if version != self._expired_version:
+            self._expired_version = version
+            self._expired_since = now
+        return self._expired_since + BLIND_CONFIRMATION_S - now
 
-    async def _take(
+    async def _acquire(
         self,
         reference: _coordinator_lease.ClockReference,
         before: _coordinator_lease.Lease | None,
         key_map: sycamoreloft_direct.KeyMap,
         versions: abc.Mapping[str, int],
-    ) -> Outcome:
+    ) -> ElectionResult:
         epoch = max(before.epoch if before else 0, key_map.epoch) + 1
         sent_at = self._clock()
-        earlier_until = self._find_earlier_until(before)
+        earlier_until = self._compute_earlier_until(before)
         lease = _coordinator_lease.Lease(
             self._settings.name,
             self._settings.peer_address,
@@ -149,15 +158,15 @@
             reference.estimate(sent_at) + _coordinator_lease.LEASE_S,
             earlier_until,
         )
-        self._unwon_epoch = epoch
+        self._unconfirmed_epoch = epoch
         new_map = dataclasses.replace(key_map, epoch=epoch, revision=1)
         outcome = await self._records.write(
             {
                 _coordinator_lease.LEASE_KEY: _coordinator_lease.encode_lease(
                     lease
                 ),
-                # Writing the map as well makes writes of an earlier
-                # coordinator fail that are still on their way.
+                # Changing the version of the map makes delayed writes of an
+                # earlier coordinator fail.
                 _coordinator_lease.MAP_KEY: sycamoreloft_direct.encode_key_map(
                     new_map
                 ),
@@ -165,25 +174,34 @@
             versions,
         )
         if outcome.result is not _direct_ports.WriteResult.WRITTEN:
-            return Deferred(key_map)
-        self._unwon_epoch = 0
-        return Won(
+            return NotElected(key_map)
+        self._unconfirmed_epoch = 0
+        return Elected(
             key_map,
-            _tenure.TakenRecords(
+            _tenure.AcquiredRecords(
                 lease, new_map, outcome.version, reference, sent_at
             ),
             before,
         )
 
-    def _find_earlier_until(
+    def _compute_earlier_until(
         self, lease: _coordinator_lease.Lease | None
     ) -> float:
-        """Returns until when, on the store's clock, others may renew keys."""
+        """Returns until when earlier coordinators may renew key leases.
+
+        Args:
+            lease: Lease of the previous coordinator; None if there was none.
+
+        Returns:
+            Time on the store's clock, in seconds.
+        """
         if lease is None:
             return 0.0
         is_own = lease.peer_address == self._settings.peer_address
-        if lease.is_resigned or (is_own and lease.epoch == self._unwon_epoch):
+        if lease.is_resigned or (
+            is_own and lease.epoch == self._unconfirmed_epoch
+        ):
             return lease.earlier_until
-        # That also holds for an earlier process of this host: it has ended,
-        # but a cut may hold up what it sent.
+        # This includes an earlier process of this host: it has ended, but a
+        # network partition may delay the grants that it sent.
         return max(lease.earlier_until, lease.expires_at + self._blind_s)
--- a/packages/router/sycamoreloft_router/_coordinator_lease.py
+++ b/packages/router/sycamoreloft_router/_coordinator_lease.py
@@ -1,43 +1,43 @@
-"""The store's record of which host is the coordinator."""
+"""The record in the store that says which host is the coordinator."""
 
 import dataclasses
 import time
 
 import msgpack
 
-#: Key of the record of the coordinator.
+#: Key of the record that holds the coordinator lease.
 LEASE_KEY = "coordinator"
 
-#: Key of the record of the map of keys.
+#: Key of the record that holds the map of keys.
 MAP_KEY = "key-map"
 
 #: Duration of the coordinator's lease, in seconds of the store's clock.
 LEASE_S = 1.6
 
 #: Seconds between two renewals of the lease.
-RENEW_S = 0.5
+RENEW_INTERVAL_S = 0.5
 
-#: Seconds before the end of the lease at which the coordinator itself stops
-#: changing anything: time for an order to leave the process.
-SAFETY_S = 0.2
+#: Seconds before the end of the lease at which the coordinator stops changing
+#: owners of keys. An order that was decided before leaves the process in time.
+SAFETY_MARGIN_S = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lease:
-    """Who is the coordinator, and until when."""
+    """The lease of a coordinator."""
 
     #: Name of the host.
     host: str
     #: Address of the host for datagrams, as "ip:port".
     peer_address: str
-    #: Epoch of the coordinator.
+    #: Epoch of the coordinator; grows with each change of the coordinator.
     epoch: int
     #: End of the lease on the store's clock, in seconds.
     expires_at: float
-    #: Time on the store's clock until which earlier coordinators, cut off
-    #: from the store, may still renew leases of keys.
+    #: Time on the store's clock, in seconds, until which earlier coordinators
+    #: that are cut off from the store may still renew key leases.
     earlier_until: float = 0.0
-    #: Whether the coordinator stopped and renews nothing any more.
+    #: Whether the coordinator stopped and sends no more orders.
     is_resigned: bool = False
 
 
@@ -45,13 +45,17 @@
 class ClockReference:
     """Relates the store's clock to the boot clock of this host."""
 
-    #: When a call to the store was sent, on the boot clock.
+    #: When a call to the store was sent, in seconds of the boot clock.
     sent_at: float
-    #: The store's clock in the answer to the call.
+    #: The store's clock in the answer to that call, in seconds.
     clock_s: float
 
     def estimate(self, now: float) -> float:
-        """Returns the latest that the store's clock may show at a time."""
+        """Returns the latest time that the store's clock may show.
+
+        Args:
+            now: Time on the boot clock, in seconds.
+        """
         return self.clock_s + (now - self.sent_at)
 
 
@@ -90,7 +94,7 @@
 def read_boot_clock() -> float:
     """Returns the time since the boot of the host, in seconds.
 
-    Unlike the monotonic clock, it counts the time for which the host was
-    suspended, and leases end meanwhile.
+    Unlike the monotonic clock, it includes the time for which the host was
+    suspended: leases expire during a suspension.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/packages/router/sycamoreloft_router/_coordinator_logs.py
+++ b/packages/router/sycamoreloft_router/_coordinator_logs.py
@@ -1,4 +1,4 @@
-"""Log lines about who is the coordinator."""
+"""Log lines about changes of the coordinator."""
 
 import logging
 
@@ -8,23 +8,25 @@
 
 
 class FollowedCoordinator:
-    """Logs when the heartbeats come from another coordinator than before."""
+    """Logs when this host starts to follow another coordinator."""
 
     def __init__(self) -> None:
         self._epoch = 0
         self._sender: _datagrams.Address | None = None
-        self._heard_at: float | None = None
+        self._heartbeat_at: float | None = None
 
-    def note(self, epoch: int, sender: _datagrams.Address, now: float) -> None:
-        """Takes a heartbeat that this host follows.
+    def observe_heartbeat(
+        self, epoch: int, sender: _datagrams.Address, now: float
+    ) -> None:
+        """Records a heartbeat, and logs it if its sender or epoch is new.
 
         Args:
             epoch: Epoch of the coordinator.
-            sender: Its address.
+            sender: Address of the coordinator.
             now: Time on the boot clock, in seconds.
         """
         if epoch != self._epoch or sender != self._sender:
-            heard_at = self._heard_at
+            heartbeat_at = self._heartbeat_at
             _logs.log_event(
                 _LOGGER,
                 logging.INFO,
@@ -34,27 +36,30 @@
                 epoch_before=self._epoch,
                 peer_before=self._sender[0] if self._sender else "",
                 heard_ago_s=None
-                if heard_at is None
-                else round(now - heard_at, 3),
+                if heartbeat_at is None
+                else round(now - heartbeat_at, 3),
             )
-        self._epoch, self._sender, self._heard_at = epoch, sender, now
+        self._epoch, self._sender, self._heartbeat_at = epoch, sender, now
 
 
-def log_beginning(won: _coordinator_election.Won, own_address: str) -> None:
-    """Logs that this host is the coordinator.
+def log_tenure_start(
+    elected: _coordinator_election.Elected, own_address: str
+) -> None:
+    """Logs that this host became the coordinator.
 
     Args:
-        won: The records before and after.
+        elected: The records before and after the election.
         own_address: Address of this host for datagrams.
     """
-    taken, before = won.taken, won.before
-    # Times of the store's clock, so that lines of several hosts compare.
-    clock_s = taken.reference.clock_s
+    acquired, before = elected.acquired, elected.before
+    # Times are on the store's clock, so that lines of several hosts can be
+    # compared.
+    clock_s = acquired.reference.clock_s
     _logs.log_event(
         _LOGGER,
         logging.INFO,
         "coordinator-began",
-        epoch=taken.lease.epoch,
+        epoch=acquired.lease.epoch,
         before=before.host if before else "",
         before_epoch=before.epoch if before else 0,
         before_resigned=before.is_resigned if before else False,
@@ -63,19 +68,19 @@
         before_expires_at=round(before.expires_at, 3) if before else None,
         before_earlier_until=round(before.earlier_until, 3) if before else None,
         store_clock_s=round(clock_s, 3),
-        earlier_until=round(taken.lease.earlier_until, 3),
-        earlier_s=round(max(0.0, taken.lease.earlier_until - clock_s), 3),
+        earlier_until=round(acquired.lease.earlier_until, 3),
+        earlier_s=round(max(0.0, acquired.lease.earlier_until - clock_s), 3),
         ranges=sum(
-            len(keys.ranges) for keys in taken.key_map.services.values()
+            len(keys.ranges) for keys in acquired.key_map.services.values()
         ),
     )
 
 
-def log_unconfirmed(heard: int, recorded: int) -> None:
-    """Logs that the store does not know the coordinator that was heard.
+def log_unconfirmed_epoch(heard: int, recorded: int) -> None:
+    """Logs that heartbeats carry a newer epoch than the store.
 
     Args:
-        heard: Epoch of its heartbeats.
+        heard: Epoch of the heartbeats.
         recorded: Epoch in the store.
     """
     _logs.log_event(
@@ -88,7 +93,7 @@
 
 
 def log_ignored_changes(sender: _datagrams.Address, error: ValueError) -> None:
-    """Logs that changes or a part of the map of keys cannot be used."""
+    """Logs that changes or a part of the map of keys were rejected."""
     _logs.log_event(
         _LOGGER,
         logging.WARNING,
--- a/packages/router/sycamoreloft_router/_coordinator_role.py
+++ b/packages/router/sycamoreloft_router/_coordinator_role.py
@@ -1,4 +1,4 @@
-"""Becomes the coordinator when there is none, and does its work."""
+"""Part of a host that follows the coordinator, or acts as it."""
 
 import asyncio
 from collections import abc
@@ -27,60 +27,62 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Seconds between two looks at what is due.
+#: Seconds between two checks for due work while this host is the coordinator.
 TICK_S = 0.05
 
-#: Seconds between two heartbeats.
-HEARTBEAT_S = 0.4
+#: Seconds between two heartbeats of the coordinator.
+HEARTBEAT_INTERVAL_S = 0.4
 
-#: Seconds between two reports of a host.
-REPORT_S = 0.25
+#: Seconds between two reports of a host to the coordinator.
+REPORT_INTERVAL_S = 0.25
 
-#: Seconds without a heartbeat after which a host asks the store.
-HEARTBEAT_LOST_S = 1.1
+#: Seconds without a heartbeat after which a host tries to become the
+#: coordinator.
+LOST_AFTER_S = 1.1
 
-#: Time by which a host waits longer before it asks, in seconds times its
-#: bandwidth in megabits a second. The coordinator talks to every host and to
-#: every owner of keys, so hosts with wide links go first.
-YIELD_S_MBPS = 5.0
+#: Delay of a host before an election, in seconds times the bandwidth of its
+#: link in Mbit/s. The coordinator sends to every host and to every owner of
+#: keys, so hosts with wide links go first.
+ELECTION_DELAY_S_MBPS = 5.0
 
-#: Longest such time, in seconds.
-LONGEST_YIELD_S = 0.5
+#: Upper bound of that delay, in seconds.
+MAXIMUM_ELECTION_DELAY_S = 0.5
 
-#: Longest random time besides, in seconds: hosts with links alike do not ask
-#: together.
-ASK_JITTER_S = 0.2
+#: Upper bound of a random delay on top of it, in seconds, so that hosts with
+#: equal links do not read the store at the same moment.
+MAXIMUM_ELECTION_JITTER_S = 0.2
 
-#: Seconds since the store answered the coordinator from which on hosts that
-#: reach the store take its place: its lease has ended by then.
+#: Seconds since the store last answered the coordinator after which hosts that
+#: reach the store try to replace it: its lease has expired by then.
 BLIND_COORDINATOR_S = 2.5
 
-#: Factor for the time until a host asks again that did not reach the store
-#: itself, while the coordinator still renews the leases of keys.
-BLIND_ASK_FACTOR = 4.0
+#: Factor for the retry delay of a host that does not reach the store either,
+#: while the coordinator still renews key leases.
+BLIND_RETRY_FACTOR = 4.0
 
-#: Seconds between two such questions, at least and at most: hosts that lost
-#: the coordinator together do not ask together.
-LEAST_ASK_S = 0.25
-MOST_ASK_S = 1.2
+#: Bounds of the random delay between two elections of a host, in seconds, so
+#: that hosts that lost the coordinator together do not read the store together.
+MINIMUM_RETRY_S = 0.25
+MAXIMUM_RETRY_S = 1.2
 
 
 class CoordinatorRole:
-    """Runs beside the requests of a host.
+    """Elects and follows the coordinator, and acts as it when elected.
 
     Args:
         settings: Settings of the host.
         platform: The platform.
-        states: Desired state.
-        upstreams: Upstreams.
-        directory: Map of keys that requests use.
+        states: Desired state that names the sharded services.
+        upstreams: Upstreams that may own keys.
+        directory: Map of keys; updated from the store and from heartbeats.
         metrics: Metrics of the process.
-        times: Durations of key leases.
-        freshness: Tells and hears how new the copies of tables are.
+        times: Durations of key leases; None for the defaults.
+        freshness: Provides the table versions of this host for datagrams, and
+            receives those of other hosts; None ignores them.
         clock: Clock that also runs while the host is suspended, in seconds.
-        socket: Sends datagrams; None for a socket of the settings' address.
-        generator: Source of random choices.
-        guard: Requests that crash upstreams.
+        socket: Sends datagrams; None for a socket at the settings' address.
+        generator: Source of random choices; None for a new one.
+        guard: Counts crashes of upstreams by request; None for a new one.
     """
 
     def __init__(
@@ -94,7 +96,7 @@
         times: sycamoreloft_direct.LeaseTimes | None = None,
         freshness: _freshness.Freshness | None = None,
         clock: abc.Callable[[], float] = _coordinator_lease.read_boot_clock,
-        socket: _direct_peers.Sender | None = None,
+        socket: _direct_peers.DatagramSender | None = None,
         generator: random.Random | None = None,
         guard: sycamoreloft_direct.CrashGuard | None = None,
     ) -> None:
@@ -107,52 +109,53 @@
         self._times = times or sycamoreloft_direct.LeaseTimes()
         self._clock = clock
         freshness = freshness or _freshness.Freshness()
-        self._seen = freshness.read
-        self._on_seen = freshness.hear
-        self._on_hosts = freshness.hear_hosts
-        self._on_store_age = freshness.hear_store
+        self._read_seen = freshness.read_versions
+        self._observe_peer = freshness.observe_peer
+        self._observe_host_count = freshness.observe_host_count
+        self._observe_store_age = freshness.observe_store_age
         self._generator = generator or random.Random()
-        self._guard = guard or sycamoreloft_direct.CrashGuard()
+        self._crash_guard = guard or sycamoreloft_direct.CrashGuard()
         self._socket = socket or _direct_peers.PeerSocket(
             settings.peer_address, self.receive
         )
         self._tenure: _tenure.Tenure | None = None
-        self._yield_s = min(
-            LONGEST_YIELD_S, YIELD_S_MBPS / max(settings.link_mbps, 0.1)
+        self._election_delay_s = min(
+            MAXIMUM_ELECTION_DELAY_S,
+            ELECTION_DELAY_S_MBPS / max(settings.link_mbps, 0.1),
         )
         self._assembler = _map_parts.MapAssembler()
         self._roster = _host_roster.HostRoster(self._socket, directory)
-        self._bid = _coordinator_election.CoordinatorElection(
+        self._election = _coordinator_election.CoordinatorElection(
             settings,
             platform.records,
             self._times.blind_s,
-            self._yield_s,
+            self._election_delay_s,
             clock,
         )
         self._coordinator_address: _datagrams.Address | None = None
         self._followed = _coordinator_logs.FollowedCoordinator()
-        self._heard_at = -1e9
-        self._blind_heard_at = -1e9
-        self._ask_at = self._clock() + self._yield_s
-        self._beat_at = 0.0
-        self._report_at = 0.0
+        self._heartbeat_at = -1e9
+        self._blind_heartbeat_at = -1e9
+        self._next_election_at = self._clock() + self._election_delay_s
+        self._next_heartbeat_at = 0.0
+        self._next_report_at = 0.0
         self._ticks = _ticks.TickTimer(TICK_S)
         self._reports = _host_reports.HostReports(
-            settings.name, directory, self._seen, self._guard
+            settings.name, directory, self._read_seen, self._crash_guard
         )
         self._is_stopping = False
-        self._moving: tuple[_key_directory.MovingKeys, ...] = ()
+        self._moving_keys: tuple[_key_directory.MovingKeys, ...] = ()
 
     @property
     def is_coordinator(self) -> bool:
-        """Whether this host acts as the coordinator."""
+        """Whether this host is the coordinator."""
         return self._tenure is not None
 
     def count_unheld_keys(self) -> int:
         """Counts the keys that no upstream is known to hold.
 
         Returns:
-            The number; 0 if this host is not the coordinator.
+            Number of keys; 0 if this host is not the coordinator.
         """
         return self._tenure.count_unheld_keys() if self._tenure else 0
 
@@ -161,14 +164,20 @@
         self._reports.observe_request(service, key)
 
     def observe_answer(self, upstream: str, seconds: float) -> None:
-        """Counts an answer of an upstream that owns keys."""
+        """Records an answer of an upstream that owns keys.
+
+        Args:
+            upstream: Identifier of the upstream.
+            seconds: Time from the request to the answer.
+        """
         self._reports.observe_answer(upstream, seconds)
 
     def observe_replacement(self, run: sycamoreloft_direct.UpstreamRun) -> None:
-        """Takes that another upstream answers at the address of a run.
+        """Ends a run because another upstream answered at its address.
 
-        Addresses are assigned again after their upstreams have ended. Only
-        what this host saw itself counts: a datagram could be forged.
+        The platform assigns an address to another upstream only after the
+        previous one has ended. Other hosts do not report replacements, since
+        a datagram could be forged.
         """
         if self._tenure is not None:
             self._tenure.end_run(run)
@@ -181,61 +190,61 @@
         await self._socket.open()
 
     async def run(self) -> None:
-        """Does what is due until it is cancelled."""
+        """Does due work until cancelled."""
         while True:
             await self.step()
-            await self._ticks.sleep(self._find_due() - self._clock())
+            await self._ticks.sleep(self._compute_due_at() - self._clock())
 
-    def _find_due(self) -> float:
-        """Returns when something is due, unless a datagram changes it."""
+    def _compute_due_at(self) -> float:
+        """Returns when `step` has work to do, unless a datagram arrives."""
         if self._tenure is not None:
             return 0.0
-        lost_at = self._heard_at + HEARTBEAT_LOST_S + self._yield_s
-        return min(self._report_at, max(lost_at, self._ask_at))
+        lost_at = self._heartbeat_at + LOST_AFTER_S + self._election_delay_s
+        return min(self._next_report_at, max(lost_at, self._next_election_at))
 
-    def _report_soon(self) -> None:
-        self._report_at = 0.0
+    def _request_report(self) -> None:
+        self._next_report_at = 0.0
         self._ticks.wake()
 
     async def stop(self) -> None:
-        """Gives the duty up, so that another host takes it at once."""
+        """Resigns as the coordinator, so that another host takes over."""
         self._is_stopping = True
         tenure = self._tenure
         if tenure is None:
             return
         self._tenure = None
         await tenure.resign()
-        beat = _datagrams.Heartbeat(
-            tenure.epoch, tenure.key_map.revision, True, (), self._seen()
+        heartbeat = _datagrams.Heartbeat(
+            tenure.epoch, tenure.key_map.revision, True, (), self._read_seen()
         )
-        self._roster.tell_leaving(beat)
+        self._roster.send_leaving(heartbeat)
 
     def close(self) -> None:
         """Closes the socket."""
         self._socket.close()
 
     async def step(self) -> None:
-        """Does what is due now."""
+        """Does the work that is due now."""
         now = self._clock()
-        if now >= self._report_at:
-            self._report_at = now + REPORT_S
-            self._report()
+        if now >= self._next_report_at:
+            self._next_report_at = now + REPORT_INTERVAL_S
+            self._send_report()
         if self._tenure is not None:
-            self._act(self._tenure, now)
+            self._advance_tenure(self._tenure, now)
         elif (
             not self._is_stopping
-            and self._has_sharded()
-            and now > self._heard_at + HEARTBEAT_LOST_S + self._yield_s
-            and now >= self._ask_at
+            and self._has_sharded_services()
+            and now > self._heartbeat_at + LOST_AFTER_S + self._election_delay_s
+            and now >= self._next_election_at
         ):
-            hears_blind = now <= self._blind_heard_at + HEARTBEAT_LOST_S
-            pause_s = await self._ask(hears_blind)
-            self._ask_at = self._clock() + pause_s
+            has_blind_peer = now <= self._blind_heartbeat_at + LOST_AFTER_S
+            pause_s = await self._attempt_election(has_blind_peer)
+            self._next_election_at = self._clock() + pause_s
 
-    def _has_sharded(self) -> bool:
-        return bool(self._list_sharded())
+    def _has_sharded_services(self) -> bool:
+        return bool(self._list_sharded_services())
 
-    def _list_sharded(self) -> set[str]:
+    def _list_sharded_services(self) -> set[str]:
         state = self._states.state
         if state is None:
             return set()
@@ -245,119 +254,124 @@
             if service.is_sharded
         }
 
-    # Becoming the coordinator.
+    # Election.
 
-    async def _ask(self, hears_blind: bool) -> float:
-        """Asks the store who is the coordinator, and takes over if nobody.
+    async def _attempt_election(self, has_blind_peer: bool) -> float:
+        """Tries to become the coordinator.
 
         Args:
-            hears_blind: Whether a coordinator is there that the store does
-                not answer.
+            has_blind_peer: Whether this host receives heartbeats of a
+                coordinator that the store does not answer.
 
         Returns:
-            Seconds until this host may ask again.
+            Seconds until the next attempt.
         """
-        heard = self._directory.key_map.version
-        outcome = await self._bid.make(hears_blind)
-        pause_s = self._generator.uniform(LEAST_ASK_S, MOST_ASK_S)
-        if isinstance(outcome, _coordinator_election.Unreached):
-            return pause_s * BLIND_ASK_FACTOR if hears_blind else pause_s
-        if outcome.key_map.epoch < heard[0]:
-            _coordinator_logs.log_unconfirmed(heard[0], outcome.key_map.epoch)
+        known_version = self._directory.key_map.version
+        outcome = await self._election.attempt(has_blind_peer)
+        pause_s = self._generator.uniform(MINIMUM_RETRY_S, MAXIMUM_RETRY_S)
+        if isinstance(outcome, _coordinator_election.StoreUnavailable):
+            return pause_s * BLIND_RETRY_FACTOR if has_blind_peer else pause_s
+        if outcome.key_map.epoch < known_version[0]:
+            _coordinator_logs.log_unconfirmed_epoch(
+                known_version[0], outcome.key_map.epoch
+            )
             self._directory.replace(outcome.key_map)
-        self._directory.take(outcome.key_map)
-        if isinstance(outcome, _coordinator_election.Won):
-            self._begin(outcome)
+        self._directory.update(outcome.key_map)
+        if isinstance(outcome, _coordinator_election.Elected):
+            self._start_tenure(outcome)
             if self._is_stopping:
-                # The stop came while the store was asked.
+                # The stop was requested during the calls to the store.
                 await self.stop()
             return pause_s
         if outcome.peer_address:
             self._coordinator_address = _direct_peers.parse_address(
                 outcome.peer_address
             )
-            self._report()
+            self._send_report()
         if outcome.wait_s:
-            # All hosts see the same end; those with wide links come first.
-            jitter_s = self._generator.uniform(0.0, ASK_JITTER_S)
+            # The jitter separates hosts, which all wait for the same time.
+            jitter_s = self._generator.uniform(0.0, MAXIMUM_ELECTION_JITTER_S)
             return outcome.wait_s + jitter_s
         return pause_s
 
-    def _begin(self, won: _coordinator_election.Won) -> None:
-        """Begins to act as the coordinator."""
-        taken, before = won.taken, won.before
+    def _start_tenure(self, elected: _coordinator_election.Elected) -> None:
+        """Starts the tenure of this host as the coordinator."""
+        acquired, before = elected.acquired, elected.before
         self._tenure = _tenure.Tenure(
             self._platform,
             self._upstreams,
             self._metrics,
-            taken,
+            acquired,
             self._times,
             self._clock,
-            self._take_map,
+            self._apply_recorded_map,
         )
         self._coordinator_address = None
         if before is not None and not before.is_resigned:
-            # It may be there still, and know hosts that miss the store.
+            # The previous coordinator may be alive and know hosts that do not
+            # reach the store. It answers a heartbeat with their addresses.
             self._roster.add(
                 (_direct_peers.parse_address(before.peer_address),),
                 self._clock(),
             )
-        self._directory.take(taken.key_map)
-        self._beat_at = 0.0
-        _coordinator_logs.log_beginning(won, self._settings.peer_address)
+        self._directory.update(acquired.key_map)
+        self._next_heartbeat_at = 0.0
+        _coordinator_logs.log_tenure_start(elected, self._settings.peer_address)
 
-    def _take_map(self, key_map: sycamoreloft_direct.KeyMap) -> None:
-        self._directory.take(key_map)
-        self._beat_at = 0.0
+    def _apply_recorded_map(self, key_map: sycamoreloft_direct.KeyMap) -> None:
+        self._directory.update(key_map)
+        self._next_heartbeat_at = 0.0
 
-    def _act(self, tenure: _tenure.Tenure, now: float) -> None:
-        """Acts as the coordinator, and tells the other hosts."""
+    def _advance_tenure(self, tenure: _tenure.Tenure, now: float) -> None:
+        """Advances the tenure, and sends a heartbeat if one is due."""
         try:
-            tenure.act(now, self._list_sharded())
+            tenure.tick(now, self._list_sharded_services())
         except Exception as error:  # noqa: BLE001
-            # It would go on renewing its lease, and no leases of keys.
+            # Otherwise this host would go on renewing the coordinator lease
+            # but no key leases.
             tenure.fail(error)
         if tenure.is_over:
             self._tenure = None
             return
         moving = tuple(
-            _key_directory.MovingKeys(service, item.first, item.last)
-            for service, item in tenure.list_moving()
+            _key_directory.MovingKeys(service, key_range.first, key_range.last)
+            for service, key_range in tenure.list_moving()
         )
-        if moving != self._moving or now >= self._beat_at:
-            self._moving = moving
-            self._beat(tenure, now)
+        if moving != self._moving_keys or now >= self._next_heartbeat_at:
+            self._moving_keys = moving
+            self._send_heartbeat(tenure, now)
 
-    def _beat(self, tenure: _tenure.Tenure, now: float) -> None:
-        self._beat_at = now + HEARTBEAT_S
+    def _send_heartbeat(self, tenure: _tenure.Tenure, now: float) -> None:
+        self._next_heartbeat_at = now + HEARTBEAT_INTERVAL_S
         key_map = tenure.key_map
-        order = key_map.version
-        # Hints only: requests for further moving keys wait at their owners.
-        moving = self._moving[: _datagrams.MOST_MOVING]
+        version = key_map.version
+        # These are hints: requests for moving keys beyond the maximum wait at
+        # their owners instead.
+        moving = self._moving_keys[: _datagrams.MAXIMUM_MOVING_RANGES]
         loop_time = asyncio.get_running_loop().time()
-        self._directory.take_notice(key_map.epoch, self._moving, loop_time)
+        self._directory.set_moving(key_map.epoch, self._moving_keys, loop_time)
         count = len(self._roster.addresses) + 1
         store_age_s = tenure.read_store_age(now)
-        self._on_hosts(count)
-        self._on_store_age(store_age_s)
-        beat = _datagrams.Heartbeat(
-            *order,
+        self._observe_host_count(count)
+        self._observe_store_age(store_age_s)
+        heartbeat = _datagrams.Heartbeat(
+            *version,
             False,
             moving,
-            self._seen(),
+            self._read_seen(),
             count,
             store_age_s,
-            self._guard.list_stopped(loop_time),
+            self._crash_guard.list_stopped(loop_time),
         )
-        self._roster.tell(beat, now)
+        self._roster.send_heartbeat(heartbeat, now)
 
     # Datagrams.
 
     def receive(
         self, message: _datagrams.Datagram, sender: _datagrams.Address
     ) -> None:
-        """Takes a datagram of another host."""
-        self._on_seen(message.seen)
+        """Handles a datagram of another host."""
+        self._observe_peer(message.seen)
         if isinstance(message, _datagrams.Report):
             self._receive_report(message, sender)
         elif isinstance(message, _datagrams.Introduction):
@@ -375,85 +389,93 @@
         if self._tenure is not None:
             if message.epoch <= self._tenure.epoch:
                 return
-            if self._tenure.is_confirmed(self._clock()):
-                # Nobody can have taken the duty yet, as far as is known.
-                self._tenure.doubt(self._clock())
+            if self._tenure.is_lease_valid(self._clock()):
+                # As far as this host knows, no other host can be the
+                # coordinator while the own lease is valid. The store decides.
+                self._tenure.renew_soon(self._clock())
                 return
-            self._yield_to(sender)
+            self._yield_to_successor(sender)
         if message.is_leaving:
-            self._heard_at = -1e9
-            self._ask_at = self._clock() + self._yield_s
+            self._heartbeat_at = -1e9
+            self._next_election_at = self._clock() + self._election_delay_s
             self._coordinator_address = None
             self._ticks.wake()
             return
         try:
-            is_newer = self._take_owners(message)
+            is_newer = self._apply_key_changes(message)
         except ValueError as error:
-            # The coordinator does not know that this host has started anew,
-            # or took another map; the report tells it.
+            # The coordinator does not know yet that this host restarted or
+            # has another map; the next report says so.
             is_newer = True
             _coordinator_logs.log_ignored_changes(sender, error)
         if is_newer:
-            self._report_soon()
+            self._request_report()
         if message.store_age_s > BLIND_COORDINATOR_S:
-            self._blind_heard_at = self._clock()
+            self._blind_heartbeat_at = self._clock()
         else:
-            self._heard_at = self._clock()
-        self._followed.note(message.epoch, sender, self._clock())
+            self._heartbeat_at = self._clock()
+        self._followed.observe_heartbeat(message.epoch, sender, self._clock())
         self._coordinator_address = sender
-        self._on_hosts(message.hosts)
-        self._on_store_age(message.store_age_s)
+        self._observe_host_count(message.hosts)
+        self._observe_store_age(message.store_age_s)
         loop_time = asyncio.get_running_loop().time()
-        self._guard.add_stopped(message.stopped, loop_time)
-        self._directory.take_notice(message.epoch, message.moving, loop_time)
+        self._crash_guard.add_stopped(message.stopped, loop_time)
+        self._directory.set_moving(message.epoch, message.moving, loop_time)
 
     def _receive_map_part(
         self, part: _datagrams.MapPart, sender: _datagrams.Address
     ) -> None:
-        """Takes a part of the map of the coordinator."""
-        order = (part.epoch, part.revision)
-        if self._tenure is not None or order <= self._directory.key_map.version:
+        """Adds a part of the coordinator's map of keys."""
+        version = (part.epoch, part.revision)
+        if (
+            self._tenure is not None
+            or version <= self._directory.key_map.version
+        ):
             return
         try:
             key_map = self._assembler.add(part)
         except ValueError as error:
             _coordinator_logs.log_ignored_changes(sender, error)
             return
-        if key_map is not None and self._directory.take(key_map):
-            self._report_soon()
+        if key_map is not None and self._directory.update(key_map):
+            self._request_report()
 
-    def _yield_to(self, successor: _datagrams.Address) -> None:
-        """Ends the own duty because another host has it by now."""
+    def _yield_to_successor(self, successor: _datagrams.Address) -> None:
+        """Ends the own tenure, and sends the known hosts to the successor."""
         if self._tenure is not None:
             self._tenure.end("superseded")
             self._tenure = None
         hosts = tuple(
-            item for item in self._roster.addresses if item != successor
+            host for host in self._roster.addresses if host != successor
         )
         self._roster.clear()
         step = _datagrams.HOSTS_PER_INTRODUCTION
         for start in range(0, len(hosts), step):
             part = hosts[start : start + step]
             self._socket.send(
-                _datagrams.Introduction(self._seen(), part), successor
+                _datagrams.Introduction(self._read_seen(), part), successor
             )
 
     def _receive_introduction(self, message: _datagrams.Introduction) -> None:
-        """Tells hosts of another coordinator that this host replaced it."""
+        """Adds hosts of the previous coordinator, and sends a heartbeat."""
         if self._tenure is None:
             return
         self._roster.add(message.hosts, self._clock())
-        self._beat_at = 0.0
+        self._next_heartbeat_at = 0.0
+
+    def _apply_key_changes(self, message: _datagrams.Heartbeat) -> bool:
+        """Applies the key changes of a heartbeat.
 
-    def _take_owners(self, message: _datagrams.Heartbeat) -> bool:
-        """Takes the changes of a heartbeat; tells whether the map is newer.
+        Returns:
+            Whether the map is newer than before.
 
         Raises:
-            ValueError: It is malformed, or changes another map.
+            ValueError: The changes are malformed, or based on a map that this
+                host does not have.
         """
         if not message.key_changes:
             return False
-        return self._directory.take_changes(message.key_changes)
+        return self._directory.apply_encoded_changes(message.key_changes)
 
     def _receive_report(
         self, message: _datagrams.Report, sender: _datagrams.Address
@@ -461,17 +483,17 @@
         tenure = self._tenure
         if tenure is None:
             return
-        order = (message.epoch, message.revision)
-        if self._roster.note_report(sender, order, self._clock()):
-            self._beat_at = 0.0
-        tenure.take_observations(message)
-        self._guard.record_report(
+        version = (message.epoch, message.revision)
+        if self._roster.record_report(sender, version, self._clock()):
+            self._next_heartbeat_at = 0.0
+        tenure.record_observations(message)
+        self._crash_guard.record_report(
             message.host, message.crashes, asyncio.get_running_loop().time()
         )
 
-    def _report(self) -> None:
-        report = self._reports.take()
+    def _send_report(self) -> None:
+        report = self._reports.create_report()
         if self._tenure is not None:
-            self._tenure.take_observations(report)
+            self._tenure.record_observations(report)
         elif self._coordinator_address is not None:
             self._socket.send(report, self._coordinator_address)
--- a/packages/router/sycamoreloft_router/_crash_watch.py
+++ b/packages/router/sycamoreloft_router/_crash_watch.py
@@ -1,4 +1,4 @@
-"""Watches whether one request crashes the upstreams that begin to run it."""
+"""Detects requests that crash the upstreams that run them."""
 
 import logging
 
@@ -17,12 +17,12 @@
 
 
 class CrashWatch:
-    """Tells the guard of the process how the attempts of a request ended.
+    """Reports the attempts of one request to the process's crash guard.
 
     Args:
-        services: What all requests share.
+        services: Objects that all requests share.
         request: The request.
-        received: Its body.
+        received: Body of the request.
     """
 
     __slots__ = ("_received", "_request", "_services")
@@ -38,37 +38,37 @@
         self._received = received
 
     def is_stopped(self) -> bool:
-        """Tells whether the request must not be sent any more."""
+        """Returns whether the request must not be sent to an upstream."""
         guard = self._services.guard
         return not guard.is_idle and guard.is_stopped(
-            self._identify(), self._services.loop.time()
+            self._compute_fingerprint(), self._services.loop.time()
         )
 
-    def take(
+    def record_result(
         self,
         result: sycamoreloft_direct.AttemptResult,
         transfer: _transfers.Transfer | None,
         now: float,
     ) -> None:
-        """Takes how an attempt ended.
+        """Records the result of an attempt.
 
-        An answer that is cut short or malformed is no crash: the upstream was
-        there to send it.
+        A truncated or malformed answer does not count as a crash, since the
+        upstream lived to send it.
 
         Args:
-            result: How it ended.
-            transfer: The transfer, if it began.
-            now: Time, in seconds.
+            result: How the attempt ended.
+            transfer: The transfer; None if it was not started.
+            now: Time on the clock of the event loop, in seconds.
         """
         guard = self._services.guard
         if result is _RESULT.BROKEN:
             if transfer is not None and transfer.head.status == 0:
-                self._note_crash(now)
+                self._record_crash(now)
         elif result in (_RESULT.ANSWERED, _RESULT.FAILED) and not guard.is_idle:
-            guard.record_answer(self._identify())
+            guard.record_answer(self._compute_fingerprint())
 
-    def _note_crash(self, now: float) -> None:
-        fingerprint = self._identify()
+    def _record_crash(self, now: float) -> None:
+        fingerprint = self._compute_fingerprint()
         guard = self._services.guard
         guard.record_crash(fingerprint, now)
         _logs.log_event(
@@ -81,7 +81,7 @@
             quarantined=guard.is_stopped(fingerprint, now),
         )
 
-    def _identify(self) -> int:
+    def _compute_fingerprint(self) -> int:
         return sycamoreloft_direct.identify_request(
             self._request.method,
             self._request.target,
--- a/packages/router/sycamoreloft_router/_datagram_codec.py
+++ b/packages/router/sycamoreloft_router/_datagram_codec.py
@@ -1,6 +1,6 @@
-"""Encodes datagrams between hosts, and decodes them into checked types.
+"""Encodes datagrams between hosts, and decodes them into validated types.
 
-A datagram may come from a host of another release, from a faulty one or from
+A datagram may come from a host of another release, from a faulty host or from
 anything else that sends to the port. No field is used before its type and its
 bounds are checked.
 """
@@ -17,46 +17,45 @@
 import sycamoreloft_direct
 from sycamoreloft_router import _datagrams, _key_directory
 
-#: Version of the encoding; other versions are refused.
+#: Version of the encoding; other versions are rejected.
 _VERSION = 4
 
-#: Bounds of numbers: of epochs and revisions, of versions of rows, of
-#: identifiers of requests, of hosts, of requests and answers in a report.
-_MOST_ORDER = (1 << 31) - 1
-_MOST_VERSION = (1 << 63) - 1
-_MOST_REQUEST = (1 << 64) - 1
-_MOST_HOSTS = 1_000_000
-_MOST_COUNT = 1_000_000
+#: Maximum of epochs and revisions, of versions of rows, of fingerprints of
+#: requests, of the number of hosts, and of the counts in a report.
+_MAXIMUM_EPOCH_OR_REVISION = (1 << 31) - 1
+_MAXIMUM_ROW_VERSION = (1 << 63) - 1
+_MAXIMUM_FINGERPRINT = (1 << 64) - 1
+_MAXIMUM_HOSTS = 1_000_000
+_MAXIMUM_COUNT = 1_000_000
 
-#: Longest time in a datagram, in seconds.
-_MOST_SECONDS = 1e6
+#: Longest duration in a datagram, in seconds.
+_MAXIMUM_DURATION_S = 1e6
 
 #: Longest name, in characters.
-_MOST_CHARACTERS = 200
+_MAXIMUM_NAME_CHARACTERS = 200
 
-#: Largest port.
-_MOST_PORT = 65_535
+_MAXIMUM_PORT = 65_535
 
 
 class DatagramError(ValueError):
-    """Bytes that are no datagram of this release.
+    """Bytes that are not a valid datagram of this release.
 
     Args:
-        kind: Kind that the datagram claims to be, empty if none is known.
-        reason: What is wrong with it.
+        kind: Kind that the datagram names; empty if it could not be read.
+        reason: Why the datagram was rejected.
     """
 
     def __init__(self, kind: str, reason: str) -> None:
         super().__init__(f"not a datagram of the kind {kind!r}: {reason}")
-        #: Kind that the datagram claims to be, empty if none is known.
+        #: Kind that the datagram names; empty if it could not be read.
         self.kind = kind
-        #: What is wrong with it.
+        #: Why the datagram was rejected.
         self.reason = reason
 
 
 @functools.singledispatch
 def _list_fields(message: typing.Any) -> tuple[typing.Any, ...]:
-    """Returns the kind of a datagram, and its fields in the order sent."""
+    """Returns the kind of a datagram and its fields, in encoded order."""
     raise TypeError(f"{type(message).__name__} is not a datagram")
 
 
@@ -117,19 +116,25 @@
     """Decodes a datagram.
 
     Raises:
-        DatagramError: The bytes are no datagram, or a field is out of bounds.
+        DatagramError: The bytes are not a valid datagram, or a field is out of
+            bounds.
     """
     kind = ""
     try:
         if len(data) > _datagrams.MAXIMUM_DATAGRAM_BYTES:
-            raise ValueError(f"it has {len(data)} bytes")
+            raise ValueError(
+                f"{len(data)} bytes are longer than the maximum of"
+                f" {_datagrams.MAXIMUM_DATAGRAM_BYTES} bytes"
+            )
         version, name, *fields = msgpack.unpackb(data, strict_map_key=False)
         if version != _VERSION:
-            raise ValueError(f"the version is not {_VERSION}")
-        kind = _check_text(name)
+            raise ValueError(
+                f"encoded in version {version!r:.40}, expected {_VERSION}"
+            )
+        kind = _check_string(name)
         decoder = _DECODERS.get(kind)
         if decoder is None:
-            raise ValueError("the kind is unknown")
+            raise ValueError("unknown kind of datagram")
         return decoder(*fields)
     except (
         ValueError,
@@ -152,17 +157,17 @@
     key_changes: typing.Any,
 ) -> _datagrams.Heartbeat:
     if not isinstance(is_leaving, bool):
-        raise ValueError("whether the sender leaves is not a truth value")
+        raise ValueError("is_leaving is not a boolean")
     return _datagrams.Heartbeat(
-        _check_number(epoch, 0, _MOST_ORDER),
-        _check_number(revision, 0, _MOST_ORDER),
+        _check_integer(epoch, 0, _MAXIMUM_EPOCH_OR_REVISION),
+        _check_integer(revision, 0, _MAXIMUM_EPOCH_OR_REVISION),
         is_leaving,
         tuple(_decode_moving(*item) for item in _check_list(moving)),
         _decode_seen(seen),
-        _check_number(hosts, 0, _MOST_HOSTS),
-        _check_seconds(store_age_s),
+        _check_integer(hosts, 0, _MAXIMUM_HOSTS),
+        _check_duration(store_age_s),
         tuple(
-            _check_number(item, 0, _MOST_REQUEST)
+            _check_integer(item, 0, _MAXIMUM_FINGERPRINT)
             for item in _check_list(stopped)
         ),
         _check_bytes(key_changes),
@@ -186,12 +191,12 @@
     count: typing.Any,
     data: typing.Any,
 ) -> _datagrams.MapPart:
-    parts = _check_number(count, 1, _datagrams.MOST_MAP_PARTS)
+    parts = _check_integer(count, 1, _datagrams.MAXIMUM_MAP_PARTS)
     return _datagrams.MapPart(
         _decode_seen(seen),
-        _check_number(epoch, 0, _MOST_ORDER),
-        _check_number(revision, 0, _MOST_ORDER),
-        _check_number(index, 0, parts - 1),
+        _check_integer(epoch, 0, _MAXIMUM_EPOCH_OR_REVISION),
+        _check_integer(revision, 0, _MAXIMUM_EPOCH_OR_REVISION),
+        _check_integer(index, 0, parts - 1),
         parts,
         _check_bytes(data),
     )
@@ -207,31 +212,31 @@
     crashes: typing.Any,
 ) -> _datagrams.Report:
     return _datagrams.Report(
-        _check_text(host),
-        _check_number(epoch, 0, _MOST_ORDER),
-        _check_number(revision, 0, _MOST_ORDER),
+        _check_string(host),
+        _check_integer(epoch, 0, _MAXIMUM_EPOCH_OR_REVISION),
+        _check_integer(revision, 0, _MAXIMUM_EPOCH_OR_REVISION),
         _decode_seen(seen),
         {
-            _check_text(service): {
-                _check_key(key): _check_number(count, 0, _MOST_COUNT)
-                for key, count in _check_map(keys).items()
+            _check_string(service): {
+                _check_key(key): _check_integer(count, 0, _MAXIMUM_COUNT)
+                for key, count in _check_mapping(keys).items()
             }
-            for service, keys in _check_map(requests).items()
+            for service, keys in _check_mapping(requests).items()
         },
         {
-            _check_text(upstream): _decode_answers(*pair)
-            for upstream, pair in _check_map(answers).items()
+            _check_string(upstream): _decode_answers(*pair)
+            for upstream, pair in _check_mapping(answers).items()
         },
         {
-            _check_number(request, 0, _MOST_REQUEST): _check_number(
-                count, 0, _MOST_COUNT
+            _check_integer(request, 0, _MAXIMUM_FINGERPRINT): _check_integer(
+                count, 0, _MAXIMUM_COUNT
             )
-            for request, count in _check_map(crashes).items()
+            for request, count in _check_mapping(crashes).items()
         },
     )
 
 
-#: What decodes the fields of each kind.
+#: Decoder of the fields of each kind.
 _DECODERS: abc.Mapping[str, abc.Callable[..., _datagrams.Datagram]] = {
     "heartbeat": _decode_heartbeat,
     "introduction": _decode_introduction,
@@ -245,54 +250,56 @@
 ) -> _key_directory.MovingKeys:
     keys = (_check_key(first), _check_key(last))
     if keys[0] > keys[1]:
-        raise ValueError(f"the keys {first} to {last} are in the wrong order")
-    return _key_directory.MovingKeys(_check_text(service), *keys)
+        raise ValueError(f"first key {first} is greater than last key {last}")
+    return _key_directory.MovingKeys(_check_string(service), *keys)
 
 
 def _decode_seen(seen: typing.Any) -> _datagrams.SeenVersions:
     state, upstreams = _check_list(seen)
     return _datagrams.SeenVersions(
-        _check_number(state, 0, _MOST_VERSION),
-        _check_number(upstreams, 0, _MOST_VERSION),
+        _check_integer(state, 0, _MAXIMUM_ROW_VERSION),
+        _check_integer(upstreams, 0, _MAXIMUM_ROW_VERSION),
     )
 
 
 def _decode_answers(
     count: typing.Any, seconds: typing.Any
 ) -> tuple[int, float]:
-    return _check_number(count, 0, _MOST_COUNT), _check_seconds(seconds)
+    return _check_integer(count, 0, _MAXIMUM_COUNT), _check_duration(seconds)
 
 
 def _decode_address(ip: typing.Any, port: typing.Any) -> _datagrams.Address:
-    address = ipaddress.IPv4Address(_check_text(ip))
-    return str(address), _check_number(port, 1, _MOST_PORT)
+    address = ipaddress.IPv4Address(_check_string(ip))
+    return str(address), _check_integer(port, 1, _MAXIMUM_PORT)
 
 
 def _check_key(value: typing.Any) -> int:
-    return _check_number(value, 0, sycamoreloft_direct.KEY_COUNT - 1)
+    return _check_integer(value, 0, sycamoreloft_direct.KEY_COUNT - 1)
 
 
-def _check_number(value: typing.Any, least: int, most: int) -> int:
+def _check_integer(value: typing.Any, minimum: int, maximum: int) -> int:
     if not isinstance(value, int) or isinstance(value, bool):
-        raise ValueError(f"{value!r:.40} is not a whole number")
-    if not least <= value <= most:
-        raise ValueError(f"{value} is not between {least} and {most}")
+        raise ValueError(f"{value!r:.40} is not an integer")
+    if not minimum <= value <= maximum:
+        raise ValueError(f"{value} is not between {minimum} and {maximum}")
     return value
 
 
-def _check_seconds(value: typing.Any) -> float:
+def _check_duration(value: typing.Any) -> float:
     if not isinstance(value, int | float) or isinstance(value, bool):
         raise ValueError(f"{value!r:.40} is not a number of seconds")
-    if not math.isfinite(value) or not 0 <= value <= _MOST_SECONDS:
-        raise ValueError(f"{value} s is not between 0 and {_MOST_SECONDS} s")
+    if not math.isfinite(value) or not 0 <= value <= _MAXIMUM_DURATION_S:
+        raise ValueError(
+            f"{value} s is not between 0 and {_MAXIMUM_DURATION_S} s"
+        )
     return float(value)
 
 
-def _check_text(value: typing.Any) -> str:
-    if not isinstance(value, str) or len(value) > _MOST_CHARACTERS:
+def _check_string(value: typing.Any) -> str:
+    if not isinstance(value, str) or len(value) > _MAXIMUM_NAME_CHARACTERS:
         raise ValueError(
-            f"{value!r:.40} is not a text of {_MOST_CHARACTERS} characters"
-            " at most"
+            f"{value!r:.40} is not a string of at most"
+            f" {_MAXIMUM_NAME_CHARACTERS} characters"
         )
     return value
 
@@ -309,7 +316,7 @@
     return value
 
 
-def _check_map(value: typing.Any) -> dict[typing.Any, typing.Any]:
+def _check_mapping(value: typing.Any) -> dict[typing.Any, typing.Any]:
     if not isinstance(value, dict):
         raise ValueError(f"{value!r:.40} is not a map")
     return value
--- a/packages/router/sycamoreloft_router/_datagrams.py
+++ b/packages/router/sycamoreloft_router/_datagrams.py
@@ -1,7 +1,7 @@
-"""Datagrams between hosts: heartbeats of the coordinator, reports to it.
+"""Datagrams between hosts, such as heartbeats of the coordinator.
 
-The datagrams carry hints and copies only. What a host acts on alone, such as
-being the coordinator, it learns from the store.
+Datagrams carry only hints and copies of what the store holds. The store alone
+decides which host is the coordinator.
 """
 
 from collections import abc
@@ -12,30 +12,30 @@
 #: Longest datagram that is sent, in bytes.
 MAXIMUM_DATAGRAM_BYTES = 60_000
 
-#: Hosts that one introduction names at most, so that it fits a datagram.
+#: Maximum number of hosts in one introduction, so that it fits a datagram.
 HOSTS_PER_INTRODUCTION = 1_000
 
-#: Moving ranges that a heartbeat names at most, so that it fits a datagram.
-MOST_MOVING = 1_000
+#: Maximum number of moving ranges in a heartbeat, so that it fits a datagram.
+MAXIMUM_MOVING_RANGES = 1_000
 
-#: Longest changes of a map that a heartbeat carries, in bytes.
-MOST_CHANGES_BYTES = 16_384
+#: Maximum length of the encoded map changes in a heartbeat, in bytes.
+MAXIMUM_CHANGES_BYTES = 16_384
 
-#: Encoded bytes of a map in one part of it.
+#: Length of one part of a compressed map, in bytes.
 MAP_PART_BYTES = 16_384
 
-#: Parts that one map has at most.
-MOST_MAP_PARTS = 256
+#: Maximum number of parts of one map.
+MAXIMUM_MAP_PARTS = 256
 
 Address = tuple[str, int]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SeenVersions:
-    """How new a host's copies of the platform's tables are.
+    """Versions of the platform's tables that a host has read.
 
-    A host that hears of a newer version reads the table again: its own call
-    that waits for changes may hang.
+    A host that learns of a newer version reads the table again, because its
+    own call for changes may hang.
     """
 
     #: Version of the newest row of a desired state.
@@ -46,56 +46,57 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """The coordinator tells the other hosts that it is alive."""
+    """Sent by the coordinator to the other hosts while it is alive."""
 
     #: Epoch of the coordinator.
     epoch: int
-    #: Revision of the recorded map.
+    #: Revision of the map of keys in the store.
     revision: int
-    #: Whether the coordinator is about to stop.
+    #: Whether the coordinator has resigned and is about to stop.
     is_leaving: bool
-    #: Keys that are being moved.
+    #: Keys that are moving to another owner.
     moving: tuple[_key_directory.MovingKeys, ...]
-    #: What the sender has read of the platform's tables.
+    #: Versions of the platform's tables that the sender has read.
     seen: SeenVersions
-    #: Hosts that the coordinator knows, itself among them.
+    #: Number of hosts that the coordinator knows, including itself.
     hosts: int = 0
-    #: Seconds since the store answered the coordinator.
+    #: Seconds since the store last answered the coordinator.
     store_age_s: float = 3600.0
-    #: Requests that crash upstreams and must not be sent.
+    #: Fingerprints of requests that crash upstreams and must not be sent.
     stopped: tuple[int, ...] = ()
-    #: What changed since the receiver's map, encoded; empty if it needs
-    #: nothing or the whole map, which comes in parts.
+    #: Encoded changes since the receiver's map; empty if its map is current, or
+    #: if it needs the whole map, which is sent in parts.
     key_changes: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
-    """A host tells the coordinator what it observed."""
+    """Sent by a host to the coordinator: load, answers and crashes."""
 
-    #: Name of the host.
+    #: Name of the sender.
     host: str
-    #: Epoch and revision of the map that the host has.
+    #: Epoch and revision of the map that the sender has.
     epoch: int
     revision: int
-    #: What the sender has read of the platform's tables.
+    #: Versions of the platform's tables that the sender has read.
     seen: SeenVersions
-    #: Requests by service and key.
+    #: Number of requests by service and key since the previous report.
     requests: abc.Mapping[str, abc.Mapping[int, int]]
-    #: Answers and their summed time in seconds, by upstream.
+    #: Number of answers and the sum of their times in seconds, by upstream.
     answers: abc.Mapping[str, tuple[int, float]]
-    #: Recent connections that broke before an answer, by request.
+    #: Number of recent connections that broke before an answer, by fingerprint
+    #: of the request.
     crashes: abc.Mapping[int, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Introduction:
-    """A coordinator that was replaced tells its successor of the hosts.
+    """Sent by a superseded coordinator to its successor: the known hosts.
 
-    Hosts that do not reach the store hear of the successor in no other way.
+    Hosts that do not reach the store cannot learn of the successor otherwise.
     """
 
-    #: What the sender has read of the platform's tables.
+    #: Versions of the platform's tables that the sender has read.
     seen: SeenVersions
     #: Addresses of the hosts that reported to the sender.
     hosts: tuple[Address, ...]
@@ -105,15 +106,15 @@
 class MapPart:
     """A part of the map of keys, for a host that needs the whole map."""
 
-    #: What the sender has read of the platform's tables.
+    #: Versions of the platform's tables that the sender has read.
     seen: SeenVersions
     #: Epoch and revision of the map.
     epoch: int
     revision: int
-    #: Number of the part, from 0, and of all parts.
+    #: Index of the part, from 0, and the number of parts.
     index: int
     count: int
-    #: Bytes of the encoded map.
+    #: Bytes of the compressed map.
     data: bytes
 
 
--- a/packages/router/sycamoreloft_router/_direct_answers.py
+++ b/packages/router/sycamoreloft_router/_direct_answers.py
@@ -1,4 +1,4 @@
-"""A direct host's own answers to callers."""
+"""Answers to callers that a direct host creates itself."""
 
 from sycamoreloft_router import _answers
 
@@ -7,8 +7,8 @@
 )
 
 
-def refuse(reason: str, retry_after_ms: int) -> _answers.Refusal:
-    """Answers a request that did not run and will not."""
+def build_refusal(reason: str, retry_after_ms: int) -> _answers.Refusal:
+    """Creates the answer to a request that no upstream ran."""
     return _answers.Refusal(
         503,
         reason,
@@ -19,8 +19,8 @@
     )
 
 
-def answer_unknown(reason: str) -> _answers.Refusal:
-    """Answers a request whose upstream gave no whole answer."""
+def build_unknown_outcome(reason: str) -> _answers.Refusal:
+    """Creates the answer to a request whose upstream sent no full answer."""
     return _answers.Refusal(
         502,
         reason,
@@ -30,8 +30,8 @@
     )
 
 
-def answer_late() -> _answers.Refusal:
-    """Answers a request whose time ended while an upstream had it."""
+def build_deadline_passed() -> _answers.Refusal:
+    """Creates the answer to a request whose deadline passed at an upstream."""
     return _answers.Refusal(
         504,
         "deadline",
@@ -41,8 +41,11 @@
     )
 
 
-def answer_gone(may_have_run: bool) -> _answers.Refusal:
-    """Notes the end of a request whose caller left; nobody reads it."""
+def build_caller_gone(may_have_run: bool) -> _answers.Refusal:
+    """Creates the result of a request whose caller closed its connection.
+
+    It is used for logs and metrics only.
+    """
     return _answers.Refusal(
         499,
         "caller-gone",
--- a/packages/router/sycamoreloft_router/_direct_run.py
+++ b/packages/router/sycamoreloft_router/_direct_execution.py
@@ -1,4 +1,4 @@
-"""Runs one request of a caller on a direct host."""
+"""Serves one request of a caller on a direct host."""
 
 import asyncio
 
@@ -23,25 +23,27 @@
 _STOP = _exchange.StopReason
 _RESULT = sycamoreloft_direct.AttemptResult
 
-#: Statuses by which an upstream may say that a request did not run.
+#: Statuses with which an upstream may refuse a request that did not run.
 REFUSAL_STATUSES = frozenset((400, 421, 429, 503))
 
-#: Refusals that say so without the header: the request reached the wrong
-#: upstream.
+#: Status of an upstream that a request reached by mistake. It means that the
+#: request did not run, also without the header that says so.
 MISDIRECTED = 421
 
-#: Time after which a caller may try again, in milliseconds, at least and at
-#: most: callers that were refused together should not return together.
-LEAST_RETRY_MS = 150
-MOST_RETRY_MS = 450
+#: Bounds of the random time after which a refused caller may retry, in
+#: milliseconds, so that callers that were refused together do not return
+#: together.
+MINIMUM_RETRY_AFTER_MS = 150
+MAXIMUM_RETRY_AFTER_MS = 450
 
-#: The same where the owner of the key is lost: its lease has to end before
-#: another upstream gets the key.
-LEAST_LOST_RETRY_MS = 500
-MOST_LOST_RETRY_MS = 1_000
+#: Bounds of that time if the owner of the key is lost: its lease has to end
+#: before another upstream gets the key.
+MINIMUM_LOST_OWNER_RETRY_MS = 500
+MAXIMUM_LOST_OWNER_RETRY_MS = 1_000
 
-#: Attempts that did not reach any upstream, or were refused, in one request.
-MAXIMUM_TRIES = 5
+#: Maximum number of attempts of one request, including those that did not reach
+#: an upstream or were refused.
+MAXIMUM_ATTEMPTS = 5
 
 
 class DirectPath:
@@ -52,13 +54,13 @@
     """
 
     def __init__(self, services: _direct_services.DirectServices) -> None:
-        #: What all requests share.
+        #: Objects that all requests share.
         self.services = services
         #: Metrics of the process.
         self.metrics = services.metrics
         #: Finds the routes of requests.
         self.parser = _direct_requests.DirectParser(
-            services.states, services.names
+            services.states, services.header_names
         )
 
     def create_execution(
@@ -67,13 +69,13 @@
         received: _exchange.ReceivedRequest,
         fields: _headers.RequestFields,
         sink: _exchange.AnswerSink,
-    ) -> "DirectRun":
+    ) -> "DirectExecution":
         """Creates the run of a request."""
         del fields
-        return DirectRun(self, request, received, sink)
+        return DirectExecution(self, request, received, sink)
 
 
-class DirectRun:
+class DirectExecution:
     """Runs one request.
 
     Args:
@@ -98,7 +100,7 @@
         "_stop_reason",
         "_task",
         "_transfer",
-        "_tries",
+        "_attempt_count",
     )
 
     def __init__(
@@ -126,7 +128,7 @@
         self._stop_reason: _exchange.StopReason | None = None
         self._task: asyncio.Task[None] | None = None
         self._transfer: _transfers.Transfer | None = None
-        self._tries = 0
+        self._attempt_count = 0
 
     @property
     def _is_idempotent(self) -> bool:
@@ -137,8 +139,8 @@
     def stop(self, reason: _exchange.StopReason) -> None:
         """Stops the request because of its deadline or its caller.
 
-        A request that must not be repeated runs on without its caller: to
-        break it off would leave its effect unknown.
+        A non-idempotent request at an upstream continues without its caller:
+        if it were cancelled, its effect would be unknown.
         """
         if self._stop_reason is not None:
             return
@@ -172,26 +174,26 @@
             if self._stop_reason is None:
                 raise
         if self._stop_reason is not None:
-            refusal = self._end_stopped()
-        self._log(refusal)
+            refusal = self._build_stopped_refusal()
+        self._log_request(refusal)
         return refusal
 
     async def _run_attempts(self) -> _answers.Refusal | None:
         while True:
-            record = await self._choice.find()
+            record = await self._choice.choose_upstream()
             if record is None:
-                return self._refuse()
+                return self._build_refusal()
             if self._crash_watch.is_stopped():
                 self._choice.reason = "quarantined"
-                return self._refuse()
-            self._tries += 1
+                return self._build_refusal()
+            self._attempt_count += 1
             result = await self._attempt(record)
             if result is None:
                 return None
-            # For a failure of the upstream, the attempt has decided: without
-            # another attempt its answer would have been passed on.
+            # For an answer that reports a failure, the attempt has already
+            # decided on a retry: otherwise it would have passed the answer on.
             if result is not _RESULT.FAILED and not self._may_retry(result):
-                return self._refuse()
+                return self._build_refusal()
             self._services.metrics.count("sycamoreloft_retries_total")
 
     # One attempt.
@@ -205,11 +207,11 @@
             None if the upstream's answer was passed on, else how the attempt
             ended.
         """
-        begun = self._services.loop.time()
+        started_at = self._services.loop.time()
         result = _RESULT.CANCELLED
-        self._services.book.begin(record, self, begun)
+        self._services.pool.begin(record, self, started_at)
         try:
-            transfer = self._start(record.entry, begun)
+            transfer = self._start_transfer(record.entry, started_at)
             await transfer.wait(_body_streams.PREFIX_BYTES)
             result = self._classify(transfer)
             if result not in (_RESULT.ANSWERED, _RESULT.FAILED):
@@ -217,18 +219,18 @@
             self._may_have_run = True
             if result is _RESULT.FAILED and self._may_retry(result):
                 return result
-            await self._pass_on(transfer)
+            await self._forward_answer(transfer)
             return None
         finally:
-            self._settle(record, result, begun)
+            self._finish_attempt(record, result, started_at)
 
-    def _settle(
+    def _finish_attempt(
         self,
         record: sycamoreloft_direct.UpstreamRecord,
         result: sycamoreloft_direct.AttemptResult,
-        begun: float,
+        started_at: float,
     ) -> None:
-        """Ends the transfer and notes how the attempt went."""
+        """Ends the transfer, and records the result of the attempt."""
         services = self._services
         now = services.loop.time()
         transfer = self._transfer
@@ -237,37 +239,38 @@
                 self._may_have_run = True
             if not transfer.ended:
                 transfer.cancel()
-        if result is _RESULT.CANCELLED and self._was_silent(now - begun):
+        if result is _RESULT.CANCELLED and self._was_silent(now - started_at):
             result = _RESULT.SILENT
-        services.book.finish(record, self, result, now)
-        self._crash_watch.take(result, transfer, now)
+        services.pool.finish(record, self, result, now)
+        self._crash_watch.record_result(result, transfer, now)
         if result is _RESULT.REPLACED:
             services.coordinator_role.observe_replacement(record.entry.run)
         if result is _RESULT.ANSWERED:
             services.metrics.observe(
-                "sycamoreloft_upstream_seconds", now - begun
+                "sycamoreloft_upstream_seconds", now - started_at
             )
             if self._request.key >= 0:
                 services.coordinator_role.observe_answer(
-                    record.entry.id, now - begun
+                    record.entry.id, now - started_at
                 )
         elif result is not _RESULT.CANCELLED:
             self._log_attempt(record, result, now)
 
     def _was_silent(self, elapsed_s: float) -> bool:
-        """Tells whether the deadline ended an attempt without an answer."""
+        """Returns whether the deadline ended an attempt without an answer."""
         return (
             elapsed_s > sycamoreloft_direct.MINIMUM_STALL_S
             and self._stop_reason is _STOP.DEADLINE_PASSED
         )
 
-    def _start(
+    def _start_transfer(
         self, upstream: sycamoreloft_direct.Upstream, now: float
     ) -> _transfers.Transfer:
         request = self._request
-        left_s = self._received.deadline - now
-        # A second copy of the refusal before bears the same identifier, and
-        # would tell of an attempt that runs that it did not.
+        remaining_s = self._received.deadline - now
+        # A duplicate of the earlier refusal on a reused connection carries the
+        # same identifier. It would report that this attempt did not run,
+        # although it runs.
         needs_new_connection = (
             upstream.id in self._choice.tried and not self._is_idempotent
         )
@@ -278,11 +281,11 @@
                 request.method,
                 request.target,
                 self._path.parser.build_lines(
-                    request, upstream.id, max(1, int(left_s * 1000))
+                    request, upstream.id, max(1, int(remaining_s * 1000))
                 ),
                 self._received.body,
                 self._received.length,
-                max(left_s, 0.001),
+                max(remaining_s, 0.001),
                 request.request_id,
                 needs_new_connection=needs_new_connection,
             )
@@ -298,10 +301,10 @@
         if head.complete and self._is_refusal(head):
             self._choice.reason = f"upstream-refused-{head.status}"
             is_misdirected = head.status == MISDIRECTED
-            self._choice.misdirected = (
+            self._choice.misdirected_upstream = (
                 self._choice.tried[-1] if is_misdirected else ""
             )
-            if is_misdirected and self._is_from_another(head):
+            if is_misdirected and self._is_from_other_upstream(head):
                 return _RESULT.REPLACED
             return _RESULT.REFUSED
         failure = transfer.failure
@@ -320,16 +323,18 @@
     def _is_refusal(self, head: _answer_heads.AnswerHead) -> bool:
         if head.problem or head.status not in REFUSAL_STATUSES:
             return False
-        name = self._services.names.not_executed.lower().encode("latin1")
+        name = self._services.header_names.not_executed.lower().encode("latin1")
         return head.status == MISDIRECTED or head.get_header(name) != b""
 
-    def _is_from_another(self, head: _answer_heads.AnswerHead) -> bool:
-        """Tells whether an answer names another upstream than was asked."""
-        name = self._services.names.answering_upstream.lower().encode("latin1")
+    def _is_from_other_upstream(self, head: _answer_heads.AnswerHead) -> bool:
+        """Returns whether another upstream than the intended one answered."""
+        name = self._services.header_names.answering_upstream.lower().encode(
+            "latin1"
+        )
         answering = head.get_header(name)
         return answering not in (b"", self._choice.tried[-1].encode("latin1"))
 
-    async def _pass_on(self, transfer: _transfers.Transfer) -> None:
+    async def _forward_answer(self, transfer: _transfers.Transfer) -> None:
         head = transfer.head
         answer = _answers.UpstreamAnswer(
             head.status_line,
@@ -357,24 +362,29 @@
     # After an attempt.
 
     def _may_retry(self, result: sycamoreloft_direct.AttemptResult) -> bool:
-        """Decides whether another attempt is made."""
-        self._obstacle = self._find_obstacle(result)
+        """Returns whether to make another attempt, and stores why not."""
+        self._obstacle = self._find_retry_obstacle(result)
         return self._obstacle == ""
 
-    def _find_obstacle(self, result: sycamoreloft_direct.AttemptResult) -> str:
-        """Tells what keeps a request from another attempt; empty if nothing."""
+    def _find_retry_obstacle(
+        self, result: sycamoreloft_direct.AttemptResult
+    ) -> str:
+        """Returns what prevents another attempt; empty if nothing does."""
         now = self._services.loop.time()
-        if now + _upstream_choice.LEAST_LEFT_S >= self._received.deadline:
+        if (
+            now + _upstream_choice.MINIMUM_REMAINING_S
+            >= self._received.deadline
+        ):
             return "time"
-        if self._tries >= MAXIMUM_TRIES:
+        if self._attempt_count >= MAXIMUM_ATTEMPTS:
             return "tries"
         if not self._is_replayable():
             return "body-sent"
         if result is _RESULT.UNREACHABLE:
-            # Nothing was sent, so that it costs the upstreams nothing.
+            # Nothing was sent, so that a retry adds no load on upstreams.
             return ""
-        is_unrun = result in (_RESULT.REFUSED, _RESULT.REPLACED)
-        if not is_unrun and (
+        did_not_run = result in (_RESULT.REFUSED, _RESULT.REPLACED)
+        if not did_not_run and (
             result not in (_RESULT.BROKEN, _RESULT.FAILED)
             or not self._is_idempotent
         ):
@@ -396,31 +406,33 @@
             body.bytes_read == 0 and not body.broken
         )
 
-    def _refuse(self) -> _answers.Refusal:
-        """Returns the router's own answer after the last attempt."""
+    def _build_refusal(self) -> _answers.Refusal:
+        """Creates the router's own answer after the last attempt."""
         if self._may_have_run:
-            return _direct_answers.answer_unknown(self._choice.reason)
-        return _direct_answers.refuse(
-            self._choice.reason, self._choose_retry_ms()
+            return _direct_answers.build_unknown_outcome(self._choice.reason)
+        return _direct_answers.build_refusal(
+            self._choice.reason, self._choose_retry_after_ms()
         )
 
-    def _end_stopped(self) -> _answers.Refusal:
+    def _build_stopped_refusal(self) -> _answers.Refusal:
         if self._stop_reason is _STOP.CALLER_GONE:
-            return _direct_answers.answer_gone(self._may_have_run)
+            return _direct_answers.build_caller_gone(self._may_have_run)
         if not self._may_have_run:
             self._choice.reason = "deadline-before-start"
-            return self._refuse()
-        return _direct_answers.answer_late()
+            return self._build_refusal()
+        return _direct_answers.build_deadline_passed()
 
-    def _choose_retry_ms(self) -> int:
+    def _choose_retry_after_ms(self) -> int:
         generator = self._services.generator
         if self._choice.is_owner_lost:
-            return generator.randint(LEAST_LOST_RETRY_MS, MOST_LOST_RETRY_MS)
-        return generator.randint(LEAST_RETRY_MS, MOST_RETRY_MS)
+            return generator.randint(
+                MINIMUM_LOST_OWNER_RETRY_MS, MAXIMUM_LOST_OWNER_RETRY_MS
+            )
+        return generator.randint(MINIMUM_RETRY_AFTER_MS, MAXIMUM_RETRY_AFTER_MS)
 
     # Metrics and logs.
 
-    def _measure(self, refusal: _answers.Refusal | None) -> None:
+    def _record_metrics(self, refusal: _answers.Refusal | None) -> None:
         services, request = self._services, self._request
         outcome = "completed"
         if refusal is not None:
@@ -445,7 +457,7 @@
         self._services.metrics.count(
             "sycamoreloft_upstream_failures_total", result.value
         )
-        _direct_logs.log_attempt(
+        _direct_logs.log_failed_attempt(
             self._request,
             record.entry,
             result,
@@ -454,9 +466,9 @@
             now - self._began_at,
         )
 
-    def _log(self, refusal: _answers.Refusal | None) -> None:
+    def _log_request(self, refusal: _answers.Refusal | None) -> None:
         services = self._services
-        self._measure(refusal)
+        self._record_metrics(refusal)
         _direct_logs.log_request(
             self._request,
             self._choice.tried,
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -1,4 +1,4 @@
-"""A host that chooses upstreams itself, with all its parts."""
+"""The process of a direct host, which chooses upstreams itself."""
 
 import asyncio
 from collections import abc
@@ -17,8 +17,8 @@
     _connection_rules,
     _coordinator_role,
     _datagrams,
+    _direct_execution,
     _direct_ports,
-    _direct_run,
     _direct_services,
     _direct_views,
     _freshness,
@@ -37,57 +37,61 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Seconds between two looks at what time alone changes, at least and at most.
-SWEEP_S = 0.2
-LONGEST_SWEEP_S = 1.0
+#: Bounds of the time between two sweeps of expired entries, in seconds.
+MINIMUM_SWEEP_S = 0.2
+MAXIMUM_SWEEP_S = 1.0
 
-#: Seconds after a request to stop in which the load balancer notices that the
-#: host is not ready: two misses of a probe each second, and one to spare.
-UNREADY_S = 2.6
+#: Seconds after a stop request within which the load balancer notices that the
+#: host is not ready: it needs two failed probes, one each second; the rest is
+#: a margin.
+UNREADY_NOTICE_S = 2.6
 
-#: Seconds that are left of the grace period when the host ends.
+#: Seconds before the end of the grace period at which the host stops waiting
+#: for requests.
 GRACE_RESERVE_S = 0.4
 
-#: Seconds within which an upstream accepts a connection; one inside a region
-#: takes a few milliseconds.
+#: Timeout of a connection to an upstream, in seconds; a connection within a
+#: region takes a few milliseconds.
 CONNECT_TIMEOUT_S = 0.3
 
-#: Seconds for which an idle connection to an upstream is reused. Upstreams
-#: close theirs after a few seconds more.
-IDLE_CONNECTION_S = 8
+#: Seconds for which an idle connection to an upstream may be reused. Upstreams
+#: close idle connections a few seconds later.
+IDLE_CONNECTION_TIMEOUT_S = 8
 
-#: Seconds without an acknowledgement after which a connection is given up.
-SILENCE_S = 2.0
+#: Seconds without a TCP acknowledgement after which a connection is closed.
+ACK_TIMEOUT_S = 2.0
 
-#: Connections of this host to one upstream. Upstreams accept some hundreds
-#: from all hosts together.
+#: Maximum number of connections of this host to one upstream. An upstream
+#: accepts some hundreds of connections from all hosts together.
 CONNECTIONS_PER_UPSTREAM = 10
 
-#: Share of the drain bound for which the owner of keys gets requests after it
-#: was seen to leave. The rest is for hearing of it, and for the way.
+#: Share of the drain time for which a leaving owner still gets requests for
+#: its keys. The rest covers the delay until a host learns that the upstream
+#: leaves, and the way of the last requests.
 LEAVING_SHARE = 0.4
 
-#: Share of the platform's retry budget that hosts use. Their window counts
-#: whole seconds, one of which may be missing; and an upstream that repeats a
-#: call of its own draws on the same budget.
-BUDGET_SHARE = 0.75
+#: Share of the platform's retry budget that hosts use. The hosts count in
+#: whole seconds, so that one second of the window may be missing, and retries
+#: by upstreams of their own calls draw on the same budget.
+RETRY_BUDGET_SHARE = 0.75
 
-#: Share of the slack of that budget that hosts use. The rest is for the time
-#: until a host hears how many hosts there are.
-SLACK_SHARE = 0.4
+#: Share of the slack of that budget that hosts use. The rest covers the time
+#: until a host learns the number of hosts.
+RETRY_SLACK_SHARE = 0.4
 
-#: Calls to the store of each host that a change brings: one for each table.
-READS_OF_A_CHANGE = 2
+#: Calls to the store that each host makes after a change: one for each table.
+READS_PER_CHANGE = 2
 
-#: Share of the store's rate of reads that hosts use after a change.
-READ_SHARE = 0.5
+#: Share of the store's limit on reads that hosts use after a change.
+STORE_READ_SHARE = 0.5
 
-#: Longest time by which a host calls the store later than it might, in
-#: seconds: with what it collects, and with the time for which a leaving owner
-#: still gets requests, it stays below the bound of 2 s.
-LONGEST_SPREAD_S = 0.6
+#: Upper bound of the random delay of a call to the store after a change, in
+#: seconds. Together with the collection of changes and the time for which a
+#: leaving owner still gets requests, it stays below the drain time of 2 s.
+MAXIMUM_SPREAD_S = 0.6
 
-#: Settings that a running host takes; the others need a restart.
+#: Names of the settings that a running host can change; the others need a
+#: restart.
 RELOADABLE = frozenset(
     (
         "drain_s",
@@ -122,16 +126,16 @@
         self._is_stopping = False
         generator = random.Random()
         self._states = _direct_views.StateView()
-        self._book = sycamoreloft_direct.UpstreamPool(
+        self._pool = sycamoreloft_direct.UpstreamPool(
             settings.failure_domain, generator
         )
         self._upstreams = _direct_views.UpstreamView(
-            settings.reuse_after_s, self._update_book
+            settings.reuse_after_s, self._update_pool
         )
-        self._sweeps = _ticks.TickTimer(SWEEP_S)
+        self._sweep_timer = _ticks.TickTimer(MINIMUM_SWEEP_S)
         self._directory = _key_directory.KeyDirectory()
-        self._witness = _store_availability.StoreAvailability()
-        #: Requests that crash upstreams.
+        self._availability = _store_availability.StoreAvailability()
+        #: Counts crashes of upstreams by request, and stops such requests.
         self.crash_guard = sycamoreloft_direct.CrashGuard()
         self._role = _coordinator_role.CoordinatorRole(
             settings,
@@ -140,24 +144,24 @@
             self._upstreams,
             self._directory,
             metrics,
-            times=_choose_times(settings),
+            times=_build_lease_times(settings),
             freshness=_HostFreshness(self),
             guard=self.crash_guard,
         )
-        #: Follows the desired state.
+        #: Follows the table of desired states.
         self.state_follower = _table_follower.TableFollower(
             "states",
             platform.states,
-            self._take_states,
-            self._take_states,
+            self._apply_states,
+            self._apply_states,
             self._choose_spread_s,
         )
-        #: Follows the upstreams.
+        #: Follows the table of upstreams.
         self.upstream_follower = _table_follower.TableFollower(
             "upstreams",
             platform.upstreams,
-            self._take_all_upstreams,
-            self._take_upstreams,
+            self._replace_upstreams,
+            self._apply_upstream_changes,
             self._choose_spread_s,
         )
         client = _upstream_client.UpstreamClient(
@@ -168,20 +172,20 @@
                     platform.headers.request_id.lower().encode("latin1"), True
                 ),
                 CONNECT_TIMEOUT_S,
-                IDLE_CONNECTION_S,
+                IDLE_CONNECTION_TIMEOUT_S,
                 True,
-                SILENCE_S,
+                ACK_TIMEOUT_S,
                 resets_on_close=True,
             ),
         )
         self._budgets = sycamoreloft_direct.ServiceRetryBudgets(
-            *_choose_budget(settings)
+            *_compute_retry_limits(settings)
         )
         self._services = _direct_services.DirectServices(
             settings.name,
             self._states,
             self._upstreams,
-            self._book,
+            self._pool,
             self._directory,
             settings.drain_s * LEAVING_SHARE,
             self._role,
@@ -194,7 +198,7 @@
             generator,
         )
         self._server = _caller_server.CallerServer(
-            _direct_run.DirectPath(self._services), client
+            _direct_execution.DirectPath(self._services), client
         )
         self._supervisor = _supervisor.Supervisor()
         self._http_servers: list[httpserver.HTTPServer] = []
@@ -210,35 +214,35 @@
 
     @property
     def known_host_count(self) -> int:
-        """Hosts that there were at most, as the coordinators told; 0 before."""
+        """Highest number of hosts in a heartbeat; 0 before the first one."""
         return self._budgets.host_count
 
     def apply_settings(self, settings: _direct_ports.HostSettings) -> None:
-        """Puts the reloadable ones of changed settings into force."""
+        """Applies the reloadable settings, and ignores the others."""
         self._settings = dataclasses.replace(
             self._settings,
             **{name: getattr(settings, name) for name in RELOADABLE},
         )
         self._services.leaving_s = settings.drain_s * LEAVING_SHARE
         self._upstreams.keep_s = settings.reuse_after_s
-        self._budgets.set_limits(*_choose_budget(settings))
+        self._budgets.set_limits(*_compute_retry_limits(settings))
 
     async def run(
         self,
         stop_requested: asyncio.Event,
-        watch: _settings_watch.SettingsWatcher[typing.Any] | None = None,
+        watcher: _settings_watch.SettingsWatcher[typing.Any] | None = None,
     ) -> None:
         """Serves until a stop is requested, then drains.
 
         Args:
             stop_requested: Set to request a stop.
-            watch: Takes changed settings, if they can change.
+            watcher: Reloads changed settings; None if settings cannot change.
 
         Raises:
-            OSError: A port is in use.
+            OSError: A port of the settings is in use.
             SupervisorFailed: A task that the process needs keeps failing.
         """
-        await self._start(watch)
+        await self._start(watcher)
         failure = self._loop.create_task(self._supervisor.wait_for_failure())
         stop = self._loop.create_task(stop_requested.wait())
         await asyncio.wait((failure, stop), return_when=asyncio.FIRST_COMPLETED)
@@ -249,7 +253,7 @@
         await self._stop()
 
     async def _start(
-        self, watch: _settings_watch.SettingsWatcher[typing.Any] | None
+        self, watcher: _settings_watch.SettingsWatcher[typing.Any] | None
     ) -> None:
         await self._role.open()
         self._server.listen(self._settings.caller_address)
@@ -261,15 +265,16 @@
             ("coordinator", self._role.run),
             ("sweep", self._sweep),
         ):
-            # What makes one of them fail, a row of the store for example,
-            # reaches every host: all would end. Requests go on without it.
+            # These tasks are restarted without limit. The cause of a failure,
+            # such as a row of the store, reaches every host: otherwise all
+            # hosts would end. Requests are served without the task meanwhile.
             self._supervisor.start(
                 _supervisor.ChildSpecification(name, run, always_restarts=True)
             )
-        if watch is not None:
+        if watcher is not None:
             self._supervisor.start(
                 _supervisor.ChildSpecification(
-                    "settings", watch.run, always_restarts=True
+                    "settings", watcher.run, always_restarts=True
                 )
             )
         _logs.log_event(
@@ -291,9 +296,11 @@
         )
         self._server.announce_stop()
         await self._role.stop()
-        await asyncio.sleep(started + UNREADY_S - self._loop.time())
-        left = started + self._settings.grace_s - self._loop.time()
-        cut_off = await self._server.drain(max(0.1, left - GRACE_RESERVE_S))
+        await asyncio.sleep(started + UNREADY_NOTICE_S - self._loop.time())
+        remaining_s = started + self._settings.grace_s - self._loop.time()
+        cut_off = await self._server.drain(
+            max(0.1, remaining_s - GRACE_RESERVE_S)
+        )
         await self._supervisor.stop_all()
         self._role.close()
         for server in self._http_servers:
@@ -314,21 +321,21 @@
 
     async def _sweep(self) -> None:
         while True:
-            lag_s = await self._sweeps.sleep(
+            lag_s = await self._sweep_timer.sleep(
                 min(
-                    self._upstreams.find_due() - self._loop.time(),
-                    LONGEST_SWEEP_S,
+                    self._upstreams.compute_next_expiry() - self._loop.time(),
+                    MAXIMUM_SWEEP_S,
                 )
             )
             self._metrics.observe("sycamoreloft_loop_lag_seconds", lag_s)
             self._upstreams.sweep(self._loop.time())
 
-    def _plan_sweep(self, now: float) -> None:
-        if self._upstreams.find_due() < now + LONGEST_SWEEP_S:
-            self._sweeps.wake()
+    def _schedule_sweep(self, now: float) -> None:
+        if self._upstreams.compute_next_expiry() < now + MAXIMUM_SWEEP_S:
+            self._sweep_timer.wake()
 
     def _render_metrics(self) -> bytes:
-        """Renders all metrics, and sets before what is read only then."""
+        """Updates the gauges that are set only here; renders all metrics."""
         metrics, now = self._metrics, self._loop.time()
         _process_measures.update(metrics)
         metrics.set(
@@ -356,31 +363,35 @@
                 table,
                 value=now - follower.answered_at,
             )
-        for service, left in self._budgets.list_remaining(now).items():
-            metrics.set("sycamoreloft_retries_left", service, value=left)
+        for service, remaining in self._budgets.list_remaining(now).items():
+            metrics.set("sycamoreloft_retries_left", service, value=remaining)
         return metrics.render()
 
     def _choose_spread_s(self) -> float:
-        """Draws how much later than others this host calls the store."""
+        """Draws a random delay before a call to the store, in seconds."""
         reads_per_s = max(self._settings.store_reads_per_s, 1.0)
-        needed_s = READS_OF_A_CHANGE * self.known_host_count / reads_per_s
+        needed_s = READS_PER_CHANGE * self.known_host_count / reads_per_s
         return self._services.generator.uniform(
-            0.0, min(needed_s / READ_SHARE, LONGEST_SPREAD_S)
+            0.0, min(needed_s / STORE_READ_SHARE, MAXIMUM_SPREAD_S)
         )
 
-    def note_store(self, answered_ago_s: float) -> None:
-        """Notes that the store answered the coordinator some time ago."""
-        if self._witness.hear(answered_ago_s, self._loop.time()):
+    def record_store_age(self, store_age_s: float) -> None:
+        """Records the store age of the coordinator's heartbeat.
+
+        Args:
+            store_age_s: Seconds since the store last answered the coordinator.
+        """
+        if self._availability.observe_store_age(store_age_s, self._loop.time()):
             _logs.log_event(_LOGGER, logging.INFO, "store-back")
-            self.state_follower.ask_again()
-            self.upstream_follower.ask_again()
+            self.state_follower.restart_call()
+            self.upstream_follower.restart_call()
 
-    def note_hosts(self, count: int) -> None:
-        """Notes how many hosts there are."""
+    def update_host_count(self, count: int) -> None:
+        """Records how many hosts the coordinator knows."""
         self._budgets.update_host_count(count)
 
-    def _take_states(self, values: abc.Mapping[str, object]) -> None:
-        self._states.take(values)
+    def _apply_states(self, values: abc.Mapping[str, object]) -> None:
+        self._states.apply_entries(values)
         state = self._states.state
         if state is not None:
             self._server.limit_callers(
@@ -393,65 +404,65 @@
                 value=float(state.version),
             )
 
-    def _take_all_upstreams(self, values: abc.Mapping[str, object]) -> None:
+    def _replace_upstreams(self, values: abc.Mapping[str, object]) -> None:
         returned_at = self.upstream_follower.returned_at
         if returned_at:
             self._upstreams.extend_grace(
-                self._witness.find_return(returned_at)
+                self._availability.compute_return_time(returned_at)
                 + _direct_views.RETURN_GRACE_S
             )
         now = self._loop.time()
-        self._upstreams.take_all(values, now)
-        self._plan_sweep(now)
+        self._upstreams.replace_all(values, now)
+        self._schedule_sweep(now)
 
-    def _take_upstreams(self, values: abc.Mapping[str, object]) -> None:
+    def _apply_upstream_changes(self, values: abc.Mapping[str, object]) -> None:
         now = self._loop.time()
-        self._upstreams.take_changes(values, now)
-        self._plan_sweep(now)
+        self._upstreams.apply_changes(values, now)
+        self._schedule_sweep(now)
 
-    def _update_book(self) -> None:
-        self._book.update(self._upstreams.list_all(), self._loop.time())
+    def _update_pool(self) -> None:
+        self._pool.update(self._upstreams.list_all(), self._loop.time())
 
 
-def _choose_times(
+def _build_lease_times(
     settings: _direct_ports.HostSettings,
 ) -> sycamoreloft_direct.LeaseTimes:
-    """Returns durations of leases that upstreams accept."""
+    """Returns durations of key leases, limited to what upstreams accept."""
     times = sycamoreloft_direct.LeaseTimes()
     return dataclasses.replace(
         times, hold_s=min(times.hold_s, settings.longest_hold_s)
     )
 
 
-def _choose_budget(
+def _compute_retry_limits(
     settings: _direct_ports.HostSettings,
 ) -> tuple[float, int, float]:
     """Returns the share, window and slack of the retry budgets."""
     return (
-        settings.retry_share * BUDGET_SHARE,
+        settings.retry_share * RETRY_BUDGET_SHARE,
         int(settings.retry_window_s),
-        settings.retry_slack * SLACK_SHARE,
+        settings.retry_slack * RETRY_SLACK_SHARE,
     )
 
 
 class _HostFreshness(_freshness.Freshness):
-    """Versions of the tables that a host follows."""
+    """Connects the coordinator role with the tables of a direct host."""
 
     def __init__(self, host: DirectHost) -> None:
         self._host = host
 
-    def read(self) -> _datagrams.SeenVersions:
+    def read_versions(self) -> _datagrams.SeenVersions:
         return _datagrams.SeenVersions(
             self._host.state_follower.newest,
             self._host.upstream_follower.newest,
         )
 
-    def hear(self, seen: _datagrams.SeenVersions) -> None:
-        self._host.state_follower.hear(seen.state)
-        self._host.upstream_follower.hear(seen.upstreams)
+    def observe_peer(self, seen: _datagrams.SeenVersions) -> None:
+        self._host.state_follower.observe_peer(seen.state)
+        self._host.upstream_follower.observe_peer(seen.upstreams)
 
-    def hear_hosts(self, count: int) -> None:
-        self._host.note_hosts(count)
+    def observe_host_count(self, count: int) -> None:
+        self._host.update_host_count(count)
 
-    def hear_store(self, answered_ago_s: float) -> None:
-        self._host.note_store(answered_ago_s)
+    def observe_store_age(self, store_age_s: float) -> None:
+        self._host.record_store_age(store_age_s)
--- a/packages/router/sycamoreloft_router/_direct_logs.py
+++ b/packages/router/sycamoreloft_router/_direct_logs.py
@@ -9,34 +9,34 @@
 from sycamoreloft_router import _answers, _logs, _transfers
 
 if typing.TYPE_CHECKING:
-    # It logs rejected requests here.
+    # A module cycle: that module logs rejected requests with this one.
     from sycamoreloft_router import _direct_requests
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Characters of an identifier or path of a rejected request that are kept.
-MAXIMUM_IDENTIFIER = 200
+#: Maximum length of the identifier and the path of a rejected request in logs.
+MAXIMUM_LOGGED_CHARACTERS = 200
 
-#: One in this many requests that were served in time leaves a line.
-SAMPLE = 256
+#: Of the requests that were served in time, one in this many is logged.
+SAMPLE_INTERVAL = 256
 
 
-def log_attempt(
+def log_failed_attempt(
     request: "_direct_requests.DirectRequest",
     upstream: sycamoreloft_direct.Upstream,
     result: sycamoreloft_direct.AttemptResult,
     transfer: _transfers.Transfer | None,
-    map_order: tuple[int, int],
+    map_version: tuple[int, int],
     elapsed_s: float,
 ) -> None:
-    """Logs an attempt that no answer was passed on from.
+    """Logs an attempt whose answer was not passed on to the caller.
 
     Args:
         request: The request.
-        upstream: The upstream that it was sent to.
+        upstream: The upstream of the attempt.
         result: How the attempt ended.
-        transfer: The transfer, if it began.
-        map_order: Epoch and revision of the map of keys.
+        transfer: The transfer; None if it was not started.
+        map_version: Epoch and revision of the map of keys.
         elapsed_s: Seconds since the request began.
     """
     failure = transfer.failure if transfer is not None else None
@@ -51,7 +51,7 @@
         status=transfer.head.status if transfer is not None else 0,
         detail=failure.text if failure is not None else "",
         key=request.key,
-        map=map_order,
+        map=map_version,
         elapsed_s=round(elapsed_s, 4),
     )
 
@@ -62,10 +62,10 @@
     version: int,
     refusal: _answers.Refusal,
 ) -> None:
-    """Logs a request that was refused by its head alone.
+    """Logs a request that was refused because of its head.
 
     Args:
-        request_id: Identifier that the caller sent; may be anything.
+        request_id: Identifier that the caller sent, not validated.
         target: Path and query.
         version: Version of the desired state, 0 before the first.
         refusal: The answer.
@@ -74,8 +74,8 @@
         _LOGGER,
         logging.WARNING,
         "request-rejected",
-        request=request_id[:MAXIMUM_IDENTIFIER],
-        target=target[:MAXIMUM_IDENTIFIER],
+        request=request_id[:MAXIMUM_LOGGED_CHARACTERS],
+        target=target[:MAXIMUM_LOGGED_CHARACTERS],
         version=version,
         status=refusal.status,
         reason=refusal.reason,
@@ -93,14 +93,15 @@
 ) -> None:
     """Logs the end of a request.
 
-    Refused, failed and late requests leave a line each, within the limit of
-    lines of an event; of the others only a sample does.
+    Refused, failed and late requests are all logged, within the rate limit of
+    an event; of the other requests only a sample is.
 
     Args:
         request: The request.
-        tried: Identifiers of the upstreams that it was sent to.
-        refusal: The router's own answer, None for an upstream's.
-        obstacle: What kept it from another attempt; empty if nothing did.
+        tried: Identifiers of the upstreams of its attempts.
+        refusal: The router's own answer; None if an upstream's answer was
+            passed on.
+        obstacle: What prevented another attempt; empty if nothing did.
         elapsed_s: Seconds since the request began.
         generator: Draws the sample.
     """
@@ -116,7 +117,7 @@
         }
     elif elapsed_s > request.route.latency_target_s:
         event = "request-late"
-    elif generator.randrange(SAMPLE):
+    elif generator.randrange(SAMPLE_INTERVAL):
         return
     _logs.log_event(
         _LOGGER,
--- a/packages/router/sycamoreloft_router/_direct_peers.py
+++ b/packages/router/sycamoreloft_router/_direct_peers.py
@@ -9,26 +9,26 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Seconds between two lines about bad datagrams of a kind and a peer.
-LOG_PAUSE_S = 1.0
+#: Seconds between two log lines about malformed datagrams of one kind and peer.
+LOG_INTERVAL_S = 1.0
 
-#: Kinds and peers that are remembered for this.
-MOST_LOGGED_SOURCES = 1_000
+#: Maximum number of pairs of kind and peer that are kept to limit these lines.
+MAXIMUM_LOGGED_SOURCES = 1_000
 
 
-class Sender(typing.Protocol):
+class DatagramSender(typing.Protocol):
     """Sends datagrams to other hosts."""
 
     async def open(self) -> None:
-        """Makes the sender ready."""
+        """Opens the sender."""
 
     def send(
         self, message: _datagrams.Datagram, *addresses: _datagrams.Address
     ) -> None:
-        """Sends a message to some hosts; it may be lost."""
+        """Sends a message to hosts; it may be lost."""
 
     def close(self) -> None:
-        """Lets the sender go."""
+        """Closes the sender."""
 
 
 class PeerSocket(asyncio.DatagramProtocol):
@@ -49,7 +49,7 @@
         self._address = address
         self._on_message = on_message
         self._transport: asyncio.DatagramTransport | None = None
-        self._log_again_at: dict[tuple[str, str], float] = {}
+        self._next_log_at: dict[tuple[str, str], float] = {}
 
     async def open(self) -> None:
         """Binds the socket."""
@@ -61,7 +61,7 @@
     def send(
         self, message: _datagrams.Datagram, *addresses: _datagrams.Address
     ) -> None:
-        """Sends a message to some hosts; it may be lost."""
+        """Sends a message to hosts; it may be lost."""
         if self._transport is None or self._transport.is_closing():
             return
         data = _datagram_codec.encode(message)
@@ -84,11 +84,11 @@
             self._transport.close()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keeps the transport."""
+        """Stores the transport."""
         self._transport = typing.cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: typing.Any) -> None:
-        """Passes a message on."""
+        """Decodes a datagram and passes it on; a malformed one is ignored."""
         try:
             message = _datagram_codec.decode(data)
         except _datagram_codec.DatagramError as error:
@@ -99,14 +99,14 @@
     def _log_ignored(
         self, peer: str, error: _datagram_codec.DatagramError, size: int
     ) -> None:
-        """Logs a bad datagram, one line a second for each kind and peer."""
+        """Logs a malformed datagram, once a second for each kind and peer."""
         now = asyncio.get_running_loop().time()
         source = (peer, error.kind)
-        if now < self._log_again_at.get(source, now):
+        if now < self._next_log_at.get(source, now):
             return
-        if len(self._log_again_at) >= MOST_LOGGED_SOURCES:
-            self._log_again_at.clear()
-        self._log_again_at[source] = now + LOG_PAUSE_S
+        if len(self._next_log_at) >= MAXIMUM_LOGGED_SOURCES:
+            self._next_log_at.clear()
+        self._next_log_at[source] = now + LOG_INTERVAL_S
         _logs.log_event(
             _LOGGER,
             logging.WARNING,
@@ -118,13 +118,13 @@
         )
 
     def error_received(self, exc: Exception) -> None:
-        """Logs an error; a host that is gone answers with one."""
+        """Logs an error of the socket, such as an unreachable host."""
         _logs.log_event(
             _LOGGER, logging.DEBUG, "datagram-failed", error=str(exc)
         )
 
 
 def parse_address(address: str) -> _datagrams.Address:
-    """Splits "ip:port"."""
+    """Parses an address of the form "ip:port"."""
     ip, _, port = address.rpartition(":")
     return ip, int(port)
--- a/packages/router/sycamoreloft_router/_direct_ports.py
+++ b/packages/router/sycamoreloft_router/_direct_ports.py
@@ -1,4 +1,4 @@
-"""What a direct host needs from the platform that it runs on.
+"""Interfaces between a direct host and the platform that it runs on.
 
 Each protocol class has one implementation in the platform's adapter and one
 in the tests. All calls are made on the event loop of the process.
@@ -16,74 +16,82 @@
 
 
 class ReadProblem(enum.Enum):
-    """Why a read of the store gave nothing."""
+    """Why a read of the store failed."""
 
-    #: No answer, or the store refused for now.
+    #: The store did not answer, or refused the call for now.
     UNAVAILABLE = "unavailable"
-    #: The changes asked for are no longer kept; read everything again.
+    #: The store no longer keeps the requested changes; read all entries.
     HISTORY_LOST = "history-lost"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TableEntries(typing.Generic[Value]):
-    """Entries of a watched table."""
+    """Entries of a table: all of them, or those that changed."""
 
-    #: Values by key; None for an entry that was removed or cannot be used.
+    #: Values by key; None for an entry that was removed or is malformed.
     values: abc.Mapping[str, Value | None]
-    #: Version up to which the changes are complete.
+    #: Version of the table up to which these entries are complete.
     version: int
     #: Version of the newest of these entries, 0 if there are none.
     newest: int = 0
 
 
 class WatchedTable(typing.Protocol[Value]):
-    """A table that others write and this process follows."""
+    """A table of the store that the host reads and follows."""
 
     async def read(
         self, progress: _call_progress.CallProgress
     ) -> TableEntries[Value] | ReadProblem:
-        """Reads all entries."""
+        """Reads all entries.
+
+        Args:
+            progress: Records when the bytes of the answer arrive.
+        """
 
     async def follow(
         self, version: int, progress: _call_progress.CallProgress
     ) -> TableEntries[Value] | ReadProblem:
         """Waits for changes after a version.
 
+        Args:
+            version: Version up to which the caller knows all changes.
+            progress: Records when the bytes of the answer arrive.
+
         Returns:
-            The changes; without any if none came for some seconds.
+            The changed entries; none if there was no change for some seconds.
         """
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Record:
-    """A record of this project in the store."""
+    """A record that the coordinators write to the store."""
 
-    #: Content.
+    #: Encoded content.
     value: bytes
-    #: Version that a conditional write must name.
+    #: Version that a conditional write has to expect.
     version: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RecordSnapshot:
-    """All records of this project at one moment."""
+    """All records at one moment."""
 
     #: Records by key.
     records: abc.Mapping[str, Record]
-    #: The store's steady clock, in seconds.
+    #: The store's monotonic clock at the read, in seconds.
     clock_s: float
 
 
 class WriteResult(enum.Enum):
     """How a conditional write ended."""
 
-    #: It took effect.
+    #: The write took effect.
     WRITTEN = "written"
-    #: A condition did not hold; nothing was written.
+    #: A record did not have the expected version; nothing was written.
     CONFLICT = "conflict"
-    #: The store refused; nothing was written.
+    #: The store refused the call; nothing was written.
     REFUSED = "refused"
-    #: No answer: it may have taken effect, or take effect later.
+    #: No answer: the write may have taken effect, or may take effect later.
     UNKNOWN = "unknown"
 
 
@@ -91,16 +99,17 @@
 class WriteOutcome:
     """Result of a conditional write."""
 
-    #: How it ended.
+    #: Whether the write took effect, as far as known.
     result: WriteResult
-    #: Version of the written records, 0 if nothing is known.
+    #: New version of the written records; 0 unless they were written.
     version: int = 0
-    #: The store's steady clock, in seconds; 0 if nothing is known.
+    #: The store's monotonic clock at the write, in seconds; 0 unless the
+    #: records were written.
     clock_s: float = 0.0
 
 
 class RecordStore(typing.Protocol):
-    """Records of this project in the store."""
+    """Records in the store, written on conditions."""
 
     async def read(self) -> RecordSnapshot | ReadProblem:
         """Reads all records."""
@@ -114,27 +123,28 @@
 
         Args:
             values: New content by key.
-            expected: Version that each named record must have; 0 for none.
+            expected: Version that each named record must have; 0 if the record
+                must not exist.
         """
 
 
 class OrderTrace:
-    """How the call of an order went; the client of orders fills it for logs."""
+    """Details of an order's call, which the client records for logs."""
 
     __slots__ = ("connection", "error", "status")
 
     def __init__(self) -> None:
-        #: Status of the answer; 0 if no call was made.
+        #: HTTP status of the answer; 0 without an answer.
         self.status = 0
-        #: What went wrong; empty if nothing.
+        #: Description of the failure; empty without one.
         self.error = ""
-        #: "new", "reused", "resent" for a new one after a reused one broke,
-        #: or "none".
+        #: Connection of the call: "new", "reused", "resent" for a new one after
+        #: a reused one broke, or "none".
         self.connection = "none"
 
 
 class KeyOrderClient(typing.Protocol):
-    """Orders about keys to upstreams."""
+    """Sends orders about keys to upstreams."""
 
     async def grant(
         self,
@@ -142,7 +152,13 @@
         order: sycamoreloft_direct.SendGrant,
         trace: OrderTrace,
     ) -> sycamoreloft_direct.GrantResult:
-        """Grants keys."""
+        """Sends a grant.
+
+        Args:
+            address: Address of the upstream, as "ip:port".
+            order: The grant.
+            trace: Filled with details of the call.
+        """
 
     async def release(
         self,
@@ -150,45 +166,56 @@
         order: sycamoreloft_direct.SendRelease,
         trace: OrderTrace,
     ) -> str | None:
-        """Takes keys back; returns the handover, None without an answer."""
+        """Sends a release.
+
+        Args:
+            address: Address of the upstream, as "ip:port".
+            order: The release.
+            trace: Filled with details of the call.
+
+        Returns:
+            The handover that the upstream sent for the next owner; None
+            without an answer.
+        """
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeaderNames:
-    """Names of the protocol with callers and upstreams.
+    """Names of headers and paths between callers, hosts and upstreams.
 
-    Headers are in usual case.
+    Headers are spelled in their usual case.
     """
 
-    #: Identifier of the request; each attempt of a caller has its own.
+    #: Header with the request's identifier; each attempt of a caller has its
+    #: own.
     request_id: str
-    #: Milliseconds that the sender will wait.
+    #: Header with the milliseconds for which the sender waits for an answer.
     deadline_ms: str
-    #: Upstream that a request is meant for; any other one refuses it.
+    #: Header with the upstream that may serve the request; others refuse it.
     expected_upstream: str
-    #: Upstream that refuses a request meant for another one.
+    #: Header with the upstream that refuses a request meant for another one.
     answering_upstream: str
-    #: Present in a refusal of an upstream that did not run the request.
+    #: Header in the refusal of an upstream that did not run the request.
     not_executed: str
-    #: Key of a request for a sharded service.
+    #: Header with the key of a request for a sharded service.
     key: str
-    #: Start of the paths of orders to upstreams; callers may not use them.
+    #: Prefix of the paths of orders to upstreams; callers must not use them.
     orders_path: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Platform:
-    """The platform as a whole."""
+    """All interfaces of the platform."""
 
-    #: Desired states by a fixed key; at most one entry.
+    #: Table of the desired state: at most one entry, under a fixed key.
     states: WatchedTable[sycamoreloft_direct.DesiredState]
-    #: Upstreams by identifier.
+    #: Table of upstreams by identifier.
     upstreams: WatchedTable[sycamoreloft_direct.Upstream]
-    #: Records of this project.
+    #: Records of the coordinators.
     records: RecordStore
-    #: Orders about keys.
+    #: Client for orders to upstreams.
     orders: KeyOrderClient
-    #: Headers of the protocol with callers and upstreams.
+    #: Headers and paths between callers, hosts and upstreams.
     headers: HeaderNames
 
 
@@ -196,35 +223,35 @@
 class HostSettings:
     """Settings of a direct host."""
 
-    #: Name of this host.
+    #: Unique name of this host, for logs and reports.
     name: str
-    #: Failure domain of this host.
+    #: Failure domain of this host; its upstreams are preferred.
     failure_domain: str
-    #: Address for callers, as "ip:port".
+    #: TCP address on which callers are served, as "ip:port".
     caller_address: str
-    #: Address for the load balancer's readiness probe.
+    #: TCP address of the load balancer's readiness probe, as "ip:port".
     readiness_address: str
-    #: Address for metrics.
+    #: TCP address of the metrics, as "ip:port".
     metrics_address: str
-    #: UDP address for other hosts.
+    #: UDP address for datagrams of other hosts, as "ip:port".
     peer_address: str
-    #: Seconds between a request to stop and the end of the process.
+    #: Seconds between a stop request and the end of the process.
     grace_s: float
     #: Seconds after which a leaving upstream must get no new requests.
     drain_s: float
-    #: Seconds after which a gone upstream's address may be used by another.
+    #: Seconds after the end of an upstream before its address is reused.
     reuse_after_s: float
-    #: Longest lease of keys that upstreams accept, in seconds.
+    #: Longest key lease that upstreams accept, in seconds.
     longest_hold_s: float
     #: Retries that the platform allows, as a share of the requests.
     retry_share: float
-    #: Retries that it allows besides, for all hosts together.
+    #: Retries that the platform allows in addition, for all hosts together.
     retry_slack: float = 0.0
-    #: Window in which it counts requests and retries, in seconds.
+    #: Window in which the platform counts requests and retries, in seconds.
     retry_window_s: float = 10.0
-    #: Bandwidth of this host's link, in megabits a second.
+    #: Bandwidth of this host's link, in Mbit/s.
     link_mbps: float = 1_000.0
-    #: Reads that the store allows all hosts together in a second.
+    #: Reads per second that the store allows, for all hosts together.
     store_reads_per_s: float = 1_000.0
-    #: Least level of log lines.
+    #: Lowest level of log lines that are written.
     log_level: str = "info"
--- a/packages/router/sycamoreloft_router/_direct_requests.py
+++ b/packages/router/sycamoreloft_router/_direct_requests.py
@@ -1,4 +1,4 @@
-"""Requests of callers on a direct host: their route and their headers."""
+"""Parses requests of callers on a direct host."""
 
 from collections import abc
 import dataclasses
@@ -16,50 +16,51 @@
     _request_lines,
 )
 
-#: Longest time that a caller may ask for, in milliseconds.
+#: Longest deadline that a caller may send, in milliseconds.
 MAXIMUM_DEADLINE_MS = 3_600_000
 
-#: Time that a caller waits if it does not say, in milliseconds.
+#: Deadline of a request without a deadline header, in milliseconds.
 DEFAULT_DEADLINE_MS = 10_000
 
-#: Time after which a caller may try again while no desired state is known.
-STATE_RETRY_MS = 400
+#: Milliseconds after which a caller may retry while the host has no desired
+#: state.
+STATE_RETRY_AFTER_MS = 400
 
 _IDENTIFIER = re.compile(r"[!-~]{1,200}", re.ASCII)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DirectRequest:
-    """A request whose route is known."""
+    """A request with its route."""
 
-    #: HTTP method.
+    #: HTTP method, as received.
     method: str
     #: Path and query, as received.
     target: str
-    #: Route of the request.
+    #: Route that the host and the path match.
     route: sycamoreloft_direct.Route
     #: Version of the desired state that the route is from.
     version: int
-    #: Service that takes the request.
+    #: Target service, drawn from the targets of the route.
     service: str
     #: Key of the request, -1 if the service is not sharded.
     key: int
-    #: Identifier of the request.
+    #: Identifier that the caller sent.
     request_id: str
-    #: Time from the headers to the deadline, in milliseconds.
+    #: Milliseconds from the arrival of the headers to the deadline.
     deadline_ms: int
     #: Address of the caller.
     caller: str
-    #: Header lines that are sent on, without those of the system.
+    #: Header lines that are forwarded, without those that the router sets.
     header_lines: list[bytes]
 
 
 class DirectParser:
-    """Parses requests against the desired state in force.
+    """Parses requests, and routes them by the current desired state.
 
     Args:
         states: The desired state.
-        names: Headers of the protocol.
+        names: Names of headers and paths.
     """
 
     def __init__(
@@ -69,7 +70,7 @@
     ) -> None:
         self._states = states
         self._names = names
-        self._replaced = tuple(
+        self._replaced_prefixes = tuple(
             f"{name}:".lower().encode("latin1")
             for name in (
                 names.deadline_ms,
@@ -77,7 +78,7 @@
                 names.not_executed,
             )
         )
-        self._single = tuple(
+        self._single_prefixes = tuple(
             f"{name}:".lower().encode("latin1")
             for name in (names.request_id, names.key)
         )
@@ -90,19 +91,19 @@
         caller: str,
     ) -> result.Result[DirectRequest, _answers.Refusal]:
         """Parses the head of a request; see `_exchange.RequestParser`."""
-        found = self._find(method, target, fields, caller)
-        if isinstance(found, _answers.Refusal):
+        parsed = self._parse_head(method, target, fields, caller)
+        if isinstance(parsed, _answers.Refusal):
             state = self._states.state
             _direct_logs.log_rejection(
                 fields.values.get(self._names.request_id, ""),
                 target,
                 state.version if state is not None else 0,
-                found,
+                parsed,
             )
-            return result.Failure(found)
-        return result.Success(found)
+            return result.Failure(parsed)
+        return result.Success(parsed)
 
-    def _find(
+    def _parse_head(
         self,
         method: str,
         target: str,
@@ -116,10 +117,10 @@
                 "no-desired-state",
                 "this host has not read the desired state yet",
                 "send the request again after the given time",
-                retry_after_ms=STATE_RETRY_MS,
+                retry_after_ms=STATE_RETRY_AFTER_MS,
                 allows_fractions=True,
             )
-        problem = self._check(method, target, fields)
+        problem = self._check_head(method, target, fields)
         if problem is not None:
             return problem
         values = fields.values
@@ -134,13 +135,13 @@
         service = self._states.routes.choose_target(route)
         key = -1
         if service in state.services and state.services[service].is_sharded:
-            key = _read_number(values.get(self._names.key, ""), -1)
+            key = _parse_number(values.get(self._names.key, ""), -1)
             if not 0 <= key < sycamoreloft_direct.KEY_COUNT:
                 return _refuse_header(
                     self._names.key,
                     f"a number from 0 to {sycamoreloft_direct.KEY_COUNT - 1}",
                 )
-        deadline_ms = _read_number(
+        deadline_ms = _parse_number(
             values.get(self._names.deadline_ms, str(DEFAULT_DEADLINE_MS)), -1
         )
         if not 0 <= deadline_ms <= MAXIMUM_DEADLINE_MS:
@@ -157,10 +158,10 @@
             values[self._names.request_id],
             min(deadline_ms, round(route.timeout_s * 1000)),
             caller,
-            self._choose_lines(fields),
+            self._select_lines(fields),
         )
 
-    def _check(
+    def _check_head(
         self,
         method: str,
         target: str,
@@ -176,7 +177,7 @@
             return _refuse_header(
                 self._names.request_id, "1 to 200 visible characters"
             )
-        if fields.repeated or self._is_repeated(fields.lines):
+        if fields.repeated or self._has_repeated_line(fields.lines):
             return _answers.Refusal(
                 400,
                 "repeated-header",
@@ -185,43 +186,43 @@
             )
         return None
 
-    def _is_repeated(self, lines: abc.Iterable[bytes]) -> bool:
+    def _has_repeated_line(self, lines: abc.Iterable[bytes]) -> bool:
         seen = [
             name
             for line in lines
-            for name in self._single
+            for name in self._single_prefixes
             if line[: len(name)].lower() == name
         ]
         return len(seen) != len(set(seen))
 
-    def _choose_lines(self, fields: _headers.RequestFields) -> list[bytes]:
+    def _select_lines(self, fields: _headers.RequestFields) -> list[bytes]:
         lines = [
             line
             for line in fields.lines
-            if not line.lower().startswith(self._replaced)
+            if not line.lower().startswith(self._replaced_prefixes)
         ]
         host = fields.values.get("Host", "")
         lines.append(f"Host: {host}".encode("latin1"))
         return lines
 
     def build_lines(
-        self, request: DirectRequest, upstream: str, left_ms: int
+        self, request: DirectRequest, upstream: str, remaining_ms: int
     ) -> list[bytes]:
-        """Returns the header lines of one attempt.
+        """Builds the header lines of one attempt.
 
         Args:
             request: The request.
-            upstream: Identifier of the upstream.
-            left_ms: Milliseconds until the deadline.
+            upstream: Identifier of the upstream of the attempt.
+            remaining_ms: Milliseconds until the deadline.
         """
         return [
             *request.header_lines,
-            f"{self._names.deadline_ms}: {left_ms}".encode("latin1"),
+            f"{self._names.deadline_ms}: {remaining_ms}".encode("latin1"),
             f"{self._names.expected_upstream}: {upstream}".encode("latin1"),
         ]
 
 
-def _read_number(text: str, default: int) -> int:
+def _parse_number(text: str, default: int) -> int:
     if text.isascii() and text.isdigit() and len(text) <= 15:
         return int(text)
     return default
--- a/packages/router/sycamoreloft_router/_direct_services.py
+++ b/packages/router/sycamoreloft_router/_direct_services.py
@@ -1,4 +1,4 @@
-"""What all requests of a direct host share."""
+"""Objects that all requests of a direct host share."""
 
 import asyncio
 import dataclasses
@@ -17,31 +17,31 @@
 
 @dataclasses.dataclass(slots=True)
 class DirectServices:
-    """What all requests of the process share."""
+    """Objects that all requests of the process share."""
 
     #: Name of this host.
     host: str
     #: The desired state.
     states: _direct_views.StateView
-    #: Upstreams.
+    #: Listed and departed upstreams.
     upstreams: _direct_views.UpstreamView
-    #: What was observed of each upstream.
-    book: sycamoreloft_direct.UpstreamPool
-    #: Owners of keys.
+    #: Load and failures of each upstream; chooses upstreams.
+    pool: sycamoreloft_direct.UpstreamPool
+    #: Map of the owners of keys.
     directory: _key_directory.KeyDirectory
-    #: Seconds after which an upstream that is seen to leave gets no requests
-    #: for the keys that it still owns.
+    #: Seconds for which a leaving upstream still gets requests for the keys
+    #: that it owns, counted from when this host learned that it leaves.
     leaving_s: float
-    #: Counts requests and answers for the coordinator.
+    #: Counts requests and answers, to report them to the coordinator.
     coordinator_role: _coordinator_role.CoordinatorRole
-    #: Retries that are allowed.
+    #: Budgets of retries by service.
     budgets: sycamoreloft_direct.ServiceRetryBudgets
-    #: Requests that crash upstreams.
+    #: Counts crashes of upstreams by request, and stops such requests.
     guard: sycamoreloft_direct.CrashGuard
-    #: Runs the transfers.
+    #: HTTP client for requests to upstreams.
     client: _upstream_client.UpstreamClient
-    #: Headers of the protocol.
-    names: _direct_ports.HeaderNames
+    #: Names of headers and paths.
+    header_names: _direct_ports.HeaderNames
     #: Metrics of the process.
     metrics: _metrics.Metrics
     #: Event loop of the process.
--- a/packages/router/sycamoreloft_router/_direct_views.py
+++ b/packages/router/sycamoreloft_router/_direct_views.py
@@ -1,4 +1,4 @@
-"""What a direct host currently believes of the platform's tables."""
+"""The platform's tables as a direct host knows them."""
 
 from collections import abc
 import itertools
@@ -11,7 +11,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Seconds after the store's return for which a missing entry may come back.
+#: Seconds after an outage of the store within which a missing entry may return.
 RETURN_GRACE_S = 2.2
 
 
@@ -19,13 +19,13 @@
     """The newest desired state."""
 
     def __init__(self) -> None:
-        #: The desired state in force; None before the first.
+        #: The newest desired state; None before the first one.
         self.state: sycamoreloft_direct.DesiredState | None = None
-        #: Routes of the state in force.
+        #: Routes of that state.
         self.routes = sycamoreloft_direct.RouteTable(())
 
-    def take(self, values: abc.Mapping[str, typing.Any]) -> None:
-        """Takes entries of the table of desired states."""
+    def apply_entries(self, values: abc.Mapping[str, typing.Any]) -> None:
+        """Applies entries of the table of desired states."""
         for state in values.values():
             if isinstance(state, sycamoreloft_direct.DesiredState):
                 self._apply(state)
@@ -47,20 +47,20 @@
 
 
 class UpstreamView:
-    """Upstreams that discovery lists, or listed until a moment ago.
+    """Upstreams that discovery lists, or listed until recently.
 
-    An upstream whose entry is gone may still serve what it has and hold keys.
-    It is kept as draining until its address may belong to another upstream.
+    An upstream without an entry may still serve requests and hold keys. It is
+    kept as draining until its address may belong to another upstream.
 
     Args:
-        keep_s: Seconds for which a gone upstream is kept as draining.
+        keep_s: Seconds for which a departed upstream is kept as draining.
         on_change: Called after each change.
     """
 
     def __init__(
         self, keep_s: float, on_change: abc.Callable[[], None]
     ) -> None:
-        #: Seconds for which a gone upstream is kept as draining.
+        #: Seconds for which a departed upstream is kept as draining.
         self.keep_s = keep_s
         self._on_change = on_change
         self._listed: dict[str, sycamoreloft_direct.Upstream] = {}
@@ -85,41 +85,41 @@
         return upstream if upstream and upstream.run == run else None
 
     def extend_grace(self, until: float) -> None:
-        """Keeps entries that a full read lacks as they were until a time."""
+        """Keeps entries that a full read lacks until at least a given time."""
         self._grace_until = max(self._grace_until, until)
 
-    def take_all(
+    def replace_all(
         self, values: abc.Mapping[str, typing.Any], now: float
     ) -> None:
-        """Takes a full read of the table."""
+        """Applies all entries of the table."""
         for key in self._listed:
             if key not in values:
-                # It may have lapsed while the store was away.
+                # It may have expired during an outage of the store.
                 self._missing.setdefault(key, max(self._grace_until, now))
-        self.take_changes(values, now)
+        self.apply_changes(values, now)
 
-    def take_changes(
+    def apply_changes(
         self, values: abc.Mapping[str, typing.Any], now: float
     ) -> None:
-        """Takes changed entries of the table."""
+        """Applies changed entries of the table; None removes an entry."""
         for key, upstream in values.items():
             if upstream is None:
                 self._missing[key] = now
             else:
                 self._missing.pop(key, None)
-                self._note_listed(key, upstream)
+                self._add_listed(key, upstream)
         self.sweep(now)
         self._on_change()
 
-    def find_due(self) -> float:
-        """Returns when the time of an entry is over; infinite for never."""
+    def compute_next_expiry(self) -> float:
+        """Returns when `sweep` will drop the next entry; infinite for never."""
         departed = (until for _, until in self._departed.values())
         return min(
             itertools.chain(self._missing.values(), departed), default=math.inf
         )
 
     def sweep(self, now: float) -> None:
-        """Drops entries whose time is over; call it now and then."""
+        """Drops entries whose time is over; call it regularly."""
         is_changed = False
         for key, until in list(self._missing.items()):
             if now < until:
@@ -127,7 +127,7 @@
             del self._missing[key]
             upstream = self._listed.pop(key, None)
             if upstream is not None:
-                self._depart(upstream, now)
+                self._mark_departed(upstream, now)
                 is_changed = True
         for key, (_, until) in list(self._departed.items()):
             if now >= until:
@@ -136,7 +136,7 @@
         if is_changed:
             self._on_change()
 
-    def _note_listed(
+    def _add_listed(
         self, key: str, upstream: sycamoreloft_direct.Upstream
     ) -> None:
         known = self._listed.get(key)
@@ -158,7 +158,7 @@
                 draining=upstream.is_draining,
             )
 
-    def _depart(
+    def _mark_departed(
         self, upstream: sycamoreloft_direct.Upstream, now: float
     ) -> None:
         _logs.log_event(
--- a/packages/router/sycamoreloft_router/_freshness.py
+++ b/packages/router/sycamoreloft_router/_freshness.py
@@ -1,20 +1,23 @@
-"""How new a host's copies of the platform's tables are."""
+"""Interface for the table versions that hosts exchange in datagrams."""
 
 from sycamoreloft_router import _datagrams
 
 
 class Freshness:
-    """How new this host's copies of the platform's tables are."""
+    """Provides own table versions and receives those of other hosts.
 
-    def read(self) -> _datagrams.SeenVersions:
-        """Returns the versions that this host has."""
+    This base class has no tables, and ignores what it receives.
+    """
+
+    def read_versions(self) -> _datagrams.SeenVersions:
+        """Returns the versions of the tables that this host has read."""
         return _datagrams.SeenVersions()
 
-    def hear(self, seen: _datagrams.SeenVersions) -> None:
-        """Takes the versions that another host has."""
+    def observe_peer(self, seen: _datagrams.SeenVersions) -> None:
+        """Handles the versions that another host has read."""
 
-    def hear_hosts(self, count: int) -> None:
-        """Takes how many hosts the coordinator knows."""
+    def observe_host_count(self, count: int) -> None:
+        """Handles the number of hosts that the coordinator knows."""
 
-    def hear_store(self, answered_ago_s: float) -> None:
-        """Takes how long ago the store answered the coordinator."""
+    def observe_store_age(self, store_age_s: float) -> None:
+        """Handles the seconds since the store last answered the coordinator."""
--- a/packages/router/sycamoreloft_router/_host_reports.py
+++ b/packages/router/sycamoreloft_router/_host_reports.py
@@ -1,4 +1,4 @@
-"""What a host observes of requests, until it reports to the coordinator."""
+"""Collects what a host observes of requests, and builds reports."""
 
 import asyncio
 from collections import abc
@@ -8,25 +8,26 @@
 
 
 class HostReports:
-    """Collects observations and makes reports of them.
+    """Collects observations between two reports to the coordinator.
 
     Args:
         host: Name of this host.
         directory: The map of keys that this host knows.
-        seen: Returns what this host has read of the platform's tables.
-        guard: Requests that crash upstreams.
+        read_versions: Returns the versions of the platform's tables that this
+            host has read.
+        guard: Counts crashes of upstreams by request.
     """
 
     def __init__(
         self,
         host: str,
         directory: _key_directory.KeyDirectory,
-        seen: abc.Callable[[], _datagrams.SeenVersions],
+        read_versions: abc.Callable[[], _datagrams.SeenVersions],
         guard: sycamoreloft_direct.CrashGuard,
     ) -> None:
         self._host = host
         self._directory = directory
-        self._seen = seen
+        self._read_versions = read_versions
         self._guard = guard
         self._requests: list[tuple[str, int]] = []
         self._answers: dict[str, tuple[int, float]] = {}
@@ -36,16 +37,21 @@
         self._requests.append((service, key))
 
     def observe_answer(self, upstream: str, seconds: float) -> None:
-        """Counts an answer of an upstream that owns keys."""
+        """Records an answer of an upstream that owns keys.
+
+        Args:
+            upstream: Identifier of the upstream.
+            seconds: Time from the request to the answer.
+        """
         count, total = self._answers.get(upstream, (0, 0.0))
         self._answers[upstream] = (count + 1, total + seconds)
 
-    def take(self) -> _datagrams.Report:
-        """Returns a report of what was observed since the last one."""
+    def create_report(self) -> _datagrams.Report:
+        """Creates a report of the observations since the last report."""
         report = _datagrams.Report(
             self._host,
             *self._directory.key_map.version,
-            self._seen(),
+            self._read_versions(),
             _datagrams.summarize_requests(self._requests),
             self._answers,
             self._guard.list_own_crashes(asyncio.get_running_loop().time()),
--- a/packages/router/sycamoreloft_router/_key_directory.py
+++ b/packages/router/sycamoreloft_router/_key_directory.py
@@ -1,4 +1,4 @@
-"""Who owns which key, as this host knows it, and waiting for a change."""
+"""The owners of keys as this host knows them."""
 
 import asyncio
 from collections import abc
@@ -6,71 +6,79 @@
 
 import sycamoreloft_direct
 
-#: Seconds for which a coordinator's notice holds; it is repeated with each
-#: heartbeat, and the coordinator may be gone.
-NOTICE_S = 1.2
+#: Seconds for which moving keys count as moving without a further heartbeat:
+#: the coordinator repeats them with each heartbeat, and may have failed.
+MOVING_TIMEOUT_S = 1.2
 
 
-#: Earlier maps that a host keeps: those that others may have, or that changes
-#: under way apply to.
-KEPT_MAPS = 32
+#: Maximum number of earlier maps that a host keeps. Other hosts may still have
+#: one of them, or changes in flight may be based on it.
+MAXIMUM_EARLIER_MAPS = 32
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MovingKeys:
-    """Keys whose owner is giving them up at present."""
+    """A range of keys that is moving from its owner to another upstream."""
 
-    #: Name of the service.
+    #: Name of the sharded service.
     service: str
-    #: First key.
+    #: First key of the range.
     first: int
-    #: Last key, inclusive.
+    #: Last key of the range, inclusive.
     last: int
 
 
 class KeyDirectory:
-    """The newest known map of keys."""
+    """The newest known map of keys, and the keys that are moving."""
 
     def __init__(self) -> None:
-        #: The map.
+        #: The newest map; epoch and revision 0 before the first one.
         self.key_map = sycamoreloft_direct.KeyMap(0, 0, {})
         self._earlier: dict[tuple[int, int], sycamoreloft_direct.KeyMap] = {}
         self._moving: tuple[MovingKeys, ...] = ()
         self._moving_epoch = 0
-        self._notice_until = 0.0
+        self._moving_until = 0.0
         self._waiters: set[asyncio.Future[None]] = set()
         self._missing_since: dict[sycamoreloft_direct.UpstreamRun, float] = {}
 
-    def take(self, key_map: sycamoreloft_direct.KeyMap) -> bool:
-        """Takes a map; an older one is ignored."""
+    def update(self, key_map: sycamoreloft_direct.KeyMap) -> bool:
+        """Replaces the map unless it is as new.
+
+        Returns:
+            Whether the map was replaced.
+        """
         if key_map.version <= self.key_map.version:
             return False
         self._earlier[self.key_map.version] = self.key_map
-        if len(self._earlier) > KEPT_MAPS:
+        if len(self._earlier) > MAXIMUM_EARLIER_MAPS:
             del self._earlier[min(self._earlier)]
         self.key_map = key_map
         self._missing_since.clear()
-        self._wake()
+        self._wake_waiters()
         return True
 
     def replace(self, key_map: sycamoreloft_direct.KeyMap) -> None:
-        """Takes the map that is recorded in place of one that never was."""
+        """Replaces a newer map that the store never recorded.
+
+        Such a map comes from forged heartbeats, or from a coordinator whose
+        records were lost.
+        """
         self._earlier.clear()
         self._moving = ()
         self._moving_epoch = key_map.epoch
         self.key_map = key_map
-        self._wake()
+        self._wake_waiters()
 
-    def encode_since(self, order: tuple[int, int]) -> bytes:
-        """Encodes what changed since the map of another host.
+    def encode_since(self, version: tuple[int, int]) -> bytes:
+        """Encodes the changes since the map of another host.
 
         Args:
-            order: Epoch and revision of its map.
+            version: Epoch and revision of the other host's map.
 
         Returns:
-            The changes; nothing if they are not known.
+            The encoded changes; empty if that map is not kept here.
         """
-        old = self._earlier.get(order)
+        old = self._earlier.get(version)
         changes = (
             sycamoreloft_direct.compute_changes(old, self.key_map)
             if old is not None
@@ -80,84 +88,89 @@
             return b""
         return sycamoreloft_direct.encode_changes(changes)
 
-    def take_changes(self, data: bytes) -> bool:
-        """Takes the changes since a map that this host has, or had.
+    def apply_encoded_changes(self, data: bytes) -> bool:
+        """Applies encoded changes to a map that this host has or had.
 
         Returns:
-            Whether the map is a newer one now.
+            Whether the map is newer than before.
 
         Raises:
-            ValueError: The changes are malformed, or for another map.
+            ValueError: The changes are malformed, or based on a map that this
+                host does not keep.
         """
         changes = sycamoreloft_direct.decode_changes(data)
         if changes.version <= self.key_map.version:
             return False
         base = self._earlier.get(changes.base_version, self.key_map)
-        return self.take(sycamoreloft_direct.apply_changes(base, changes))
+        return self.update(sycamoreloft_direct.apply_changes(base, changes))
 
-    def take_notice(
+    def set_moving(
         self,
         epoch: int,
         moving: abc.Iterable[MovingKeys],
         now: float,
     ) -> None:
-        """Takes what a coordinator tells with its heartbeat.
+        """Replaces the moving keys by those of a heartbeat.
 
         Args:
-            epoch: Epoch of the coordinator.
-            moving: Ranges that it is moving.
-            now: Time, in seconds.
+            epoch: Epoch of the coordinator; an older one is ignored.
+            moving: Ranges that the coordinator is moving.
+            now: Time on the clock of the event loop, in seconds.
         """
         if epoch < self._moving_epoch:
             return
-        self._notice_until = now + NOTICE_S
+        self._moving_until = now + MOVING_TIMEOUT_S
         self._moving_epoch = epoch
         changed = tuple(moving)
         if changed != self._moving:
             self._moving = changed
-            self._wake()
+            self._wake_waiters()
 
     def is_moving(self, service: str, key: int, now: float) -> bool:
-        """Tells whether the owner of a key is giving it up."""
-        return now < self._notice_until and any(
-            item.service == service and item.first <= key <= item.last
-            for item in self._moving
+        """Returns whether a key is moving to another owner."""
+        return now < self._moving_until and any(
+            keys.service == service and keys.first <= key <= keys.last
+            for keys in self._moving
         )
 
     def find_owner(
         self, service: str, key: int, now: float
     ) -> sycamoreloft_direct.UpstreamRun | None:
-        """Returns the owner, or None if there is none or it is changing."""
+        """Returns the owner of a key, or None if it has none or is moving."""
         if self.is_moving(service, key, now):
             return None
         return self.key_map.find_owner(service, key)
 
-    def note_missing(
+    def record_missing(
         self, owner: sycamoreloft_direct.UpstreamRun, now: float
     ) -> float:
-        """Notes that an owner is not there to take requests.
+        """Records that an owner is not available for requests.
 
         Returns:
-            Seconds since this was noted first for the present map, or since
-            it was there last.
+            Seconds for which the owner has been missing: since the first such
+            record for the current map, or since it was last available.
         """
         return now - self._missing_since.setdefault(owner, now)
 
-    def note_found(self, owner: sycamoreloft_direct.UpstreamRun) -> None:
-        """Notes that an owner is there to take requests."""
+    def record_available(self, owner: sycamoreloft_direct.UpstreamRun) -> None:
+        """Records that an owner is available for requests."""
         if self._missing_since:
             self._missing_since.pop(owner, None)
 
-    async def wait_for_change(self, seconds: float) -> None:
-        """Waits for the next change, at most some seconds."""
+    async def wait_for_change(self, timeout_s: float) -> None:
+        """Waits for the next change of the map or of the moving keys.
+
+        Args:
+            timeout_s: Maximum time to wait, in seconds.
+        """
         waiter = asyncio.get_running_loop().create_future()
         self._waiters.add(waiter)
         try:
-            await asyncio.wait([waiter], timeout=seconds)
+            await asyncio.wait([waiter], timeout=timeout_s)
         finally:
             self._waiters.discard(waiter)
 
-    def _wake(self) -> None:
+    def _wake_waiters(self) -> None:
         for waiter in self._waiters:
             if not waiter.done():
                 waiter.set_result(None)
--- a/packages/router/sycamoreloft_router/_map_parts.py
+++ b/packages/router/sycamoreloft_router/_map_parts.py
@@ -1,6 +1,7 @@
-"""The map of keys in parts, for hosts that need the whole map.
+"""Splits the map of keys into datagrams, and reassembles it.
 
-A map grows with the upstreams and the moved keys, and a datagram does not.
+A map grows with the upstreams and the moved keys, so that it may be longer
+than one datagram.
 """
 
 import zlib
@@ -8,33 +9,35 @@
 import sycamoreloft_direct
 from sycamoreloft_router import _datagrams
 
-#: Longest encoded map that is taken from a peer, in bytes.
-MOST_MAP_BYTES = 16 << 20
+#: Longest encoded map that hosts accept, in bytes before compression.
+MAXIMUM_MAP_BYTES = 16 << 20
 
-#: Level of compression: maps are sent at once, and rarely.
+#: Compression level of zlib. Level 1 is the fastest: maps are sent rarely, but
+#: must be sent at once.
 _COMPRESSION_LEVEL = 1
 
 
 def split_map(
     key_map: sycamoreloft_direct.KeyMap, seen: _datagrams.SeenVersions
 ) -> tuple[_datagrams.MapPart, ...]:
-    """Returns the parts of a map, for datagrams.
+    """Splits a map into parts that fit datagrams.
 
     Args:
         key_map: The map.
-        seen: What this host has read of the platform's tables.
+        seen: Versions of the platform's tables that this host has read.
 
     Raises:
-        ValueError: The map is too long for hosts to take it.
+        ValueError: The map is longer than other hosts accept.
     """
     encoded = sycamoreloft_direct.encode_key_map(key_map)
     data = zlib.compress(encoded, _COMPRESSION_LEVEL)
     size = _datagrams.MAP_PART_BYTES
     count = -(-len(data) // size)
-    if count > _datagrams.MOST_MAP_PARTS or len(encoded) > MOST_MAP_BYTES:
+    if count > _datagrams.MAXIMUM_MAP_PARTS or len(encoded) > MAXIMUM_MAP_BYTES:
         raise ValueError(
-            f"the map of keys has {len(encoded)} bytes, and {len(data)} when"
-            " compressed; merge ranges or raise the bounds of its parts"
+            f"the map of keys is too long to send ({len(encoded)} bytes,"
+            f" {len(data)} compressed); merge ranges or raise MAXIMUM_MAP_BYTES"
+            " and MAXIMUM_MAP_PARTS"
         )
     return tuple(
         _datagrams.MapPart(
@@ -49,49 +52,55 @@
 
 
 class MapAssembler:
-    """Puts the parts of the newest map together."""
+    """Reassembles the newest map from its parts."""
 
     def __init__(self) -> None:
-        self._order = (0, 0)
+        self._version = (0, 0)
         self._count = 0
         self._parts: dict[int, bytes] = {}
 
     def add(
         self, part: _datagrams.MapPart
     ) -> sycamoreloft_direct.KeyMap | None:
-        """Takes a part.
+        """Adds a part; parts may arrive in any order.
 
         Returns:
-            The map if this was its last part, else None.
+            The map if it is complete, else None.
 
         Raises:
-            ValueError: The parts together are no map.
+            ValueError: The parts do not form a valid map.
         """
-        order = (part.epoch, part.revision)
-        if order < self._order:
+        version = (part.epoch, part.revision)
+        if version < self._version:
             return None
-        if order > self._order or part.count != self._count:
-            self._order = order
+        if version > self._version or part.count != self._count:
+            self._version = version
             self._count = part.count
             self._parts = {}
         self._parts[part.index] = part.data
         if len(self._parts) < self._count:
             return None
         data = b"".join(self._parts[index] for index in range(self._count))
-        self._order = (0, 0)
+        self._version = (0, 0)
         self._parts = {}
         key_map = sycamoreloft_direct.decode_key_map(_decompress(data))
-        if key_map.version != order:
-            raise ValueError(f"the map {key_map.version} came as {order}")
+        if key_map.version != version:
+            raise ValueError(
+                f"the parts of version {version} contain the map of keys of"
+                f" version {key_map.version}"
+            )
         return key_map
 
 
 def _decompress(data: bytes) -> bytes:
     stream = zlib.decompressobj()
     try:
-        encoded = stream.decompress(data, MOST_MAP_BYTES)
+        encoded = stream.decompress(data, MAXIMUM_MAP_BYTES)
     except zlib.error as error:
         raise ValueError(f"not a compressed map of keys: {error}") from error
     if not stream.eof:
-        raise ValueError("the map of keys is cut off, or too long")
+        raise ValueError(
+            "the compressed map of keys is truncated or has more than"
+            f" {MAXIMUM_MAP_BYTES} bytes"
+        )
     return encoded
--- a/packages/router/sycamoreloft_router/_map_record.py
+++ b/packages/router/sycamoreloft_router/_map_record.py
@@ -10,12 +10,13 @@
 
 
 class MapRecord:
-    """Writes the map while it is this coordinator's to write.
+    """Writes the map of keys until another coordinator writes it.
 
     Args:
-        records: Records of the store.
-        epoch: Epoch of the coordinator.
-        version: Version of the record as the coordinator wrote it last.
+        records: Record store.
+        epoch: Epoch of this coordinator.
+        version: Version of the record after the last write of this
+            coordinator.
         on_superseded: Called when another coordinator wrote the record.
     """
 
@@ -32,7 +33,11 @@
         self._on_superseded = on_superseded
 
     async def write(self, key_map: sycamoreloft_direct.KeyMap) -> bool:
-        """Writes a map; tells whether it is recorded."""
+        """Writes a map.
+
+        Returns:
+            Whether the store has recorded the map.
+        """
         key = _coordinator_lease.MAP_KEY
         outcome = await self._records.write(
             {key: sycamoreloft_direct.encode_key_map(key_map)},
@@ -42,12 +47,18 @@
         if is_written:
             self._version = outcome.version
         elif outcome.result is _direct_ports.WriteResult.CONFLICT:
-            is_written = await self._resolve(key_map)
+            is_written = await self._resolve_conflict(key_map)
         _log_write(key_map, outcome.result, is_written)
         return is_written
 
-    async def _resolve(self, key_map: sycamoreloft_direct.KeyMap) -> bool:
-        """Tells whether an earlier, unanswered write recorded the map."""
+    async def _resolve_conflict(
+        self, key_map: sycamoreloft_direct.KeyMap
+    ) -> bool:
+        """Reads the record after a conflict, to find out who wrote it.
+
+        Returns:
+            Whether an earlier, unanswered write had recorded the map.
+        """
         records = await self._records.read()
         if isinstance(records, _direct_ports.ReadProblem):
             return False
@@ -65,7 +76,8 @@
         if stored.epoch != self._epoch:
             self._on_superseded()
             return False
-        # The next write builds on what is stored.
+        # An earlier write of this coordinator took effect; the next write
+        # replaces its version.
         self._version = record.version
         return stored == key_map
 
--- a/packages/router/sycamoreloft_router/_order_logs.py
+++ b/packages/router/sycamoreloft_router/_order_logs.py
@@ -1,7 +1,8 @@
 """Log lines about orders to upstreams and changes of owner.
 
-Together they tell how keys came to have two owners; docs/OPERATIONS.md says
-how to read them. Renewals leave no line.
+If keys ever have two owners, these lines show how it came about;
+docs/OPERATIONS.md explains how to read them. Successful renewals are not
+logged.
 """
 
 from collections import abc
@@ -14,13 +15,13 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Grants that the line of one change of owner describes.
-MAXIMUM_CLAIMS = 4
+#: Maximum number of grants that the line of one change of owner describes.
+MAXIMUM_LOGGED_CLAIMS = 4
 
 _CAUSE = sycamoreloft_direct.ChangeCause
 
-#: Levels and events of changes of owner that no loss caused.
-_EVENTS = {
+#: Levels and events of changes of owner that were not caused by a loss.
+_EXPECTED_CHANGE_EVENTS = {
     _CAUSE.RELEASED: (logging.INFO, "keys-moved"),
     _CAUSE.UNOWNED: (logging.INFO, "owner-changed"),
 }
@@ -32,19 +33,19 @@
 class OrderCall:
     """The call of an order; times are on the boot clock, in seconds."""
 
-    #: Epoch of the coordinator.
+    #: Epoch of the coordinator that sent the order.
     epoch: int
-    #: Address that it was sent to; empty if the upstream was not known.
+    #: Address that the order was sent to; empty if the upstream is unknown.
     address: str
-    #: When the coordinator decided for the order.
+    #: When the coordinator decided on the order.
     decided_at: float
-    #: When it was handed to the client for sending.
+    #: When the order was passed to the HTTP client.
     sent_at: float
     #: When the call ended.
     ended_at: float
-    #: How the call went.
+    #: Details of the call that the HTTP client recorded.
     trace: _direct_ports.OrderTrace
-    #: Seconds since a call that the store answered was sent.
+    #: Age of the last call that the store answered, in seconds.
     store_age_s: float
     #: Whether the coordinator's tenure was over when the call ended.
     is_tenure_over: bool
@@ -55,7 +56,7 @@
     result: sycamoreloft_direct.GrantResult,
     call: OrderCall,
 ) -> None:
-    """Logs a grant that ended."""
+    """Logs the result of a grant."""
     level, event = logging.WARNING, "grant-failed"
     if result is sycamoreloft_direct.GrantResult.ACCEPTED:
         level, event = logging.INFO, "grant-accepted"
@@ -67,9 +68,10 @@
     is_answered: bool,
     call: OrderCall,
 ) -> None:
-    """Logs a release that ended.
+    """Logs the result of a release.
 
-    Revocations have events of their own, since many are tried in a cut.
+    Revocations have events of their own, because they are retried many times
+    during a network partition.
     """
     name = "revocation" if release.is_revocation else "release"
     level, event, result = logging.WARNING, f"{name}-failed", "no answer"
@@ -89,22 +91,24 @@
 ) -> None:
     """Logs that keys get another owner, and why they were free.
 
-    Planned moves have an event of their own, so that many of them do not use
-    up the lines of the others.
+    Planned moves have an event of their own, so that they do not use up the
+    rate limit of the lines about other changes.
 
     Args:
         change: The change.
-        list_claims: Lists the grants that may have given away the keys. It
-            is called only if the line is written.
+        list_claims: Lists the grants under which other upstreams may hold the
+            keys. Called only if the line is written.
         epoch: Epoch of the coordinator.
         now: Time of the decision on the boot clock, in seconds.
     """
-    level, event = _EVENTS.get(change.cause, (logging.WARNING, "owner-changed"))
+    level, event = _EXPECTED_CHANGE_EVENTS.get(
+        change.cause, (logging.WARNING, "owner-changed")
+    )
     _logs.log_event_lazily(
         _LOGGER,
         level,
         event,
-        lambda: _build_change(change, list_claims(change), epoch, now),
+        lambda: _build_change_fields(change, list_claims(change), epoch, now),
     )
 
 
@@ -141,7 +145,7 @@
     )
 
 
-def _build_change(
+def _build_change_fields(
     change: sycamoreloft_direct.OwnerChange,
     claims: abc.Sequence[sycamoreloft_direct.LeaseClaim],
     epoch: int,
@@ -164,13 +168,14 @@
         "refused_fence": change.refused_fence,
         "lease_over_s": round(now - lease_end, 3) if lease_end else None,
         "claims": [
-            _build_claim(claim, now) for claim in claims[:MAXIMUM_CLAIMS]
+            _build_claim_fields(claim, now)
+            for claim in claims[:MAXIMUM_LOGGED_CLAIMS]
         ],
-        "claims_left_out": max(0, len(claims) - MAXIMUM_CLAIMS),
+        "claims_left_out": max(0, len(claims) - MAXIMUM_LOGGED_CLAIMS),
     }
 
 
-def _build_claim(
+def _build_claim_fields(
     claim: sycamoreloft_direct.LeaseClaim, now: float
 ) -> dict[str, typing.Any]:
     closed_at, end = claim.closed_at, claim.end
--- a/packages/router/sycamoreloft_router/_parked_requests.py
+++ b/packages/router/sycamoreloft_router/_parked_requests.py
@@ -7,12 +7,12 @@
 from sycamoreloft_router import _peer_server
 import sycamoreloft_wire
 
-#: Longest wait, in seconds. Staging in all groups takes about a second; a
-#: failure domain that is cut off can keep a generation pending for long, and
-#: callers should then be told.
-LONGEST_WAIT_S = 2.0
+#: Maximum wait, in seconds. Staging a generation in all groups takes about one
+#: second. A failure domain that is cut off can keep a generation pending for
+#: long; callers should then get an error instead of waiting.
+MAXIMUM_WAIT_S = 2.0
 
-#: Requests that wait; more are refused at once.
+#: Maximum number of parked requests; further requests are refused at once.
 MAXIMUM_PARKED = 4_096
 
 
@@ -21,11 +21,11 @@
     message: sycamoreloft_wire.PermitRequest
     reply: _peer_server.Reply
     deadline: float
-    until: float
+    wait_until: float
 
 
 class ParkedRequests:
-    """Keeps requests for a short time instead of refusing them."""
+    """Holds requests for a short time instead of refusing them."""
 
     def __init__(self) -> None:
         self._parked: list[_Parked] = []
@@ -35,17 +35,21 @@
         message: sycamoreloft_wire.PermitRequest,
         reply: _peer_server.Reply,
     ) -> bool:
-        """Keeps a request; tells whether there was room for it."""
+        """Parks a request.
+
+        Returns:
+            Whether there was room for the request.
+        """
         if len(self._parked) >= MAXIMUM_PARKED:
             return False
         now = time.monotonic()
         deadline = now + message.remaining_ms / 1000
-        until = min(deadline, now + LONGEST_WAIT_S)
-        self._parked.append(_Parked(message, reply, deadline, until))
+        wait_until = min(deadline, now + MAXIMUM_WAIT_S)
+        self._parked.append(_Parked(message, reply, deadline, wait_until))
         return True
 
     def discard(self, permit: str) -> None:
-        """Drops a request whose host has given up."""
+        """Drops a request that its host no longer waits for."""
         if self._parked:
             self._parked = [
                 parked
@@ -72,12 +76,12 @@
             return
         parked, self._parked = self._parked, []
         now = time.monotonic()
-        for item in parked:
-            if now < item.until and must_wait(item.message):
-                self._parked.append(item)
+        for request in parked:
+            if now < request.wait_until and must_wait(request.message):
+                self._parked.append(request)
                 continue
-            left_ms = max(int((item.deadline - now) * 1000), 0)
+            left_ms = max(int((request.deadline - now) * 1000), 0)
             resubmit(
-                dataclasses.replace(item.message, remaining_ms=left_ms),
-                item.reply,
+                dataclasses.replace(request.message, remaining_ms=left_ms),
+                request.reply,
             )
--- a/packages/router/sycamoreloft_router/_probe_server.py
+++ b/packages/router/sycamoreloft_router/_probe_server.py
@@ -1,7 +1,7 @@
-"""Answers the load balancer's probes, and the reader of metrics.
+"""HTTP server for the load balancer's readiness probes and for metrics.
 
-It has one path and one method, for which the parts of tornado that make up
-web applications are not needed; they take time to import in every process.
+It does not use the web framework of tornado, which takes time to import in
+every process: there are only two kinds of paths and one method.
 """
 
 from collections import abc
@@ -17,13 +17,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Answer:
-    """An answer to a probe."""
+    """An answer to a probe or to a scrape of metrics."""
 
-    #: Status.
+    #: HTTP status, one of `_PHRASES`.
     status: int
-    #: Type of the body, empty for none.
+    #: Content type of the body; empty to send none.
     content_type: str = ""
-    #: Body.
     body: bytes = b""
 
 
@@ -34,7 +33,7 @@
     """Creates a server that answers probes and renders metrics.
 
     Args:
-        is_ready: Tells whether the load balancer may send new connections.
+        is_ready: Returns whether the load balancer may send new connections.
         render_metrics: Returns all metrics in the Prometheus text format.
     """
 
--- a/packages/router/sycamoreloft_router/_settings_watch.py
+++ b/packages/router/sycamoreloft_router/_settings_watch.py
@@ -1,4 +1,4 @@
-"""Takes changed settings while the process runs."""
+"""Reloads changed settings while the process runs."""
 
 import asyncio
 from collections import abc
@@ -14,35 +14,35 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Seconds between two looks at the file. Whoever changes it may send SIGHUP,
-#: and need not.
-LOOK_S = 2.0
+#: Seconds between two checks of the settings file. SIGHUP causes an earlier
+#: reload, but is not required.
+CHECK_INTERVAL_S = 2.0
 
 Settings = typing.TypeVar("Settings")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SettingsSource(typing.Generic[Settings]):
-    """Where settings come from, and where they go."""
+    """The settings file, and how to load and apply it."""
 
-    #: The file.
+    #: Settings file; a change of its time, size or inode causes a reload.
     path: pathlib.Path
-    #: Reads and checks the file; a failure holds everything that is wrong.
+    #: Reads and validates the file; a failure holds all problems.
     load: abc.Callable[[], result.Result[Settings, abc.Sequence[object]]]
     #: Returns the values of settings by name.
     describe: abc.Callable[[Settings], abc.Mapping[str, object]]
-    #: Names of the values that `apply` takes; the others need a restart.
+    #: Names of the values that `apply` changes; the others need a restart.
     reloadable: abc.Set[str]
-    #: Puts settings into force.
+    #: Applies the reloadable values of settings.
     apply: abc.Callable[[Settings], None]
 
 
 class SettingsWatcher(typing.Generic[Settings]):
-    """Loads the settings again when asked to, or when the file changes.
+    """Reloads the settings on request, or when the file changes.
 
     Args:
-        source: Where settings come from.
-        settings: The settings in force.
+        source: The settings file, and how to load and apply it.
+        settings: The settings that the process started with.
     """
 
     def __init__(
@@ -50,28 +50,28 @@
     ) -> None:
         self._source = source
         self._values = dict(source.describe(settings))
-        self._asked = asyncio.Event()
+        self._reload_requested = asyncio.Event()
         self._signature = (0, 0, 0)
         self._signature = self._read_signature()
 
     def request_reload(self) -> None:
-        """Asks for a reload, as SIGHUP does."""
-        self._asked.set()
+        """Requests a reload, also of an unchanged file; used for SIGHUP."""
+        self._reload_requested.set()
 
     async def run(self) -> None:
-        """Watches until it is cancelled."""
+        """Watches the file until cancelled."""
         while True:
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(LOOK_S):
-                    await self._asked.wait()
-            self.look()
+                async with asyncio.timeout(CHECK_INTERVAL_S):
+                    await self._reload_requested.wait()
+            self.check_file()
 
-    def look(self) -> None:
-        """Reloads if that was asked for or the file is another one."""
+    def check_file(self) -> None:
+        """Reloads the settings if that was requested or the file changed."""
         signature = self._read_signature()
-        if not self._asked.is_set() and signature == self._signature:
+        if not self._reload_requested.is_set() and signature == self._signature:
             return
-        self._asked.clear()
+        self._reload_requested.clear()
         self._signature = signature
         self._reload()
 
@@ -110,6 +110,6 @@
         try:
             status = self._source.path.stat()
         except OSError:
-            # A missing file is no other file: the settings stay in force.
+            # A missing file does not count as a change: the settings stay.
             return self._signature
         return (status.st_mtime_ns, status.st_size, status.st_ino)
--- a/packages/router/sycamoreloft_router/_store_availability.py
+++ b/packages/router/sycamoreloft_router/_store_availability.py
@@ -1,61 +1,70 @@
-"""Tells from the coordinator's heartbeats since when the store answers.
+"""Infers outages of the store from the coordinator's heartbeats.
 
-An upstream's entry lapses while the store is away for all, and comes back
-soon after the store does. While only this host is cut off from the store,
-entries do not lapse: one that is missing afterwards is gone.
+During an outage of the store for all hosts, entries of upstreams expire, and
+return soon after the store does. While only this host is cut off from the
+store, upstreams keep their entries: one that is missing afterwards has gone.
 """
 
-#: Longest time without a heartbeat of a coordinator that reaches the store,
-#: in seconds, within which the store counts as there: two heartbeats may be
-#: lost.
-GAP_S = 1.3
+#: Seconds since the last heartbeat of a coordinator that reaches the store
+#: within which the store counts as available: two heartbeats may be lost.
+MAXIMUM_GAP_S = 1.3
 
-#: Age of the coordinator's last call that the store answered, in seconds, up
-#: to which the store counts as there. It renews its lease more often.
-FRESH_S = 1.0
+#: Maximum age of the coordinator's last answered call to the store, in
+#: seconds, with which the store counts as available. The coordinator renews
+#: its lease more often.
+AVAILABLE_AGE_S = 1.0
 
-#: Age of that call from which the store counts as away, in seconds: the
-#: coordinator's lease has ended by then.
-AWAY_S = 2.0
+#: Age of that call above which the store counts as unavailable, in seconds:
+#: the coordinator's lease has expired by then.
+UNAVAILABLE_AGE_S = 2.0
 
-#: Time without such a heartbeat after which the store may have been away, in
-#: seconds: longer than a change of the coordinator.
-LONG_GAP_S = 4.0
+#: Seconds without a heartbeat of a coordinator that reaches the store after
+#: which an outage is assumed. Longer than a change of the coordinator takes.
+OUTAGE_GAP_S = 4.0
 
 
 class StoreAvailability:
-    """What the coordinators told of the store."""
+    """Tracks whether the store answers the coordinator."""
 
     def __init__(self) -> None:
-        self._is_away = False
-        self._since = 0.0
-        self._heard_at = -GAP_S - 1.0
+        self._is_unavailable = False
+        self._available_since = 0.0
+        self._observed_at = -MAXIMUM_GAP_S - 1.0
 
-    def hear(self, answered_ago_s: float, now: float) -> bool:
-        """Takes a heartbeat, and tells whether the store is back with it.
+    def observe_store_age(self, store_age_s: float, now: float) -> bool:
+        """Records the store age of a heartbeat.
 
         Args:
-            answered_ago_s: Seconds since the store answered the coordinator.
-            now: Time, in seconds.
+            store_age_s: Seconds since the store last answered the coordinator.
+            now: Time on the clock of the event loop, in seconds.
+
+        Returns:
+            Whether this heartbeat is the first one after an outage.
         """
-        if answered_ago_s > FRESH_S:
-            self._is_away = self._is_away or answered_ago_s > AWAY_S
+        if store_age_s > AVAILABLE_AGE_S:
+            self._is_unavailable = (
+                self._is_unavailable or store_age_s > UNAVAILABLE_AGE_S
+            )
             return False
-        is_back = self._is_away or (
-            self._since > 0.0 and now > self._heard_at + LONG_GAP_S
+        is_return = self._is_unavailable or (
+            self._available_since > 0.0
+            and now > self._observed_at + OUTAGE_GAP_S
         )
-        if now > self._heard_at + GAP_S:
-            self._since = now
-        self._is_away = False
-        self._heard_at = now
-        return is_back
+        if now > self._observed_at + MAXIMUM_GAP_S:
+            self._available_since = now
+        self._is_unavailable = False
+        self._observed_at = now
+        return is_return
 
-    def find_return(self, own_return: float) -> float:
-        """Returns since when the store has answered.
+    def compute_return_time(self, own_return_at: float) -> float:
+        """Returns since when the store has been available to any host.
 
         Args:
-            own_return: When it answered this host again, in seconds.
+            own_return_at: When the store answered this host again.
+
+        Returns:
+            Time on the clock of the event loop, in seconds.
         """
-        if own_return > self._heard_at + GAP_S:
-            return own_return
-        return min(self._since, own_return)
+        if own_return_at > self._observed_at + MAXIMUM_GAP_S:
+            return own_return_at
+        return min(self._available_since, own_return_at)
--- a/packages/router/sycamoreloft_router/_table_follower.py
+++ b/packages/router/sycamoreloft_router/_table_follower.py
@@ -1,4 +1,4 @@
-"""Keeps what a host knows of one table of the store current."""
+"""Follows a table of the store, and passes its entries on."""
 
 import asyncio
 from collections import abc
@@ -9,38 +9,40 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Seconds before a failed read is tried again, at first; doubles.
-FIRST_RETRY_S = 0.1
+#: Base of the delay before a failed call is retried, in seconds; doubles with
+#: each failure.
+BASE_RETRY_S = 0.1
 
-#: Longest such time, in seconds: an entry that is back in the store has to
-#: be known again within 2 s.
-LONGEST_RETRY_S = 0.5
+#: Upper bound of that delay, in seconds: an entry that returns to the store
+#: has to be known within 2 s.
+MAXIMUM_RETRY_S = 0.5
 
-#: Seconds from a change on in which further changes are collected before the
-#: table is read again. Each change wakes every host, and calls are limited.
-COLLECT_S = 0.4
+#: Seconds after a change before the next call for changes, so that further
+#: changes are collected: each change wakes every host, and the store limits
+#: the rate of calls.
+COLLECT_INTERVAL_S = 0.4
 
-#: Seconds after which a host that heard of a newer version, and got nothing
-#: from the store, reads the table again: longer than it collects changes, and
-#: well within the bounds for desired states and leaving upstreams.
-BEHIND_S = 0.5
+#: Seconds after which a host reads the whole table if another host has a newer
+#: version and the store has not sent it. Longer than changes are collected,
+#: and well within the time limits for desired states and leaving upstreams.
+LAG_TIMEOUT_S = 0.5
 
-#: Seconds of loading an answer from which on it leaves a log line.
+#: Seconds of loading from which on an answer with changes is logged.
 SLOW_LOAD_S = 0.25
 
-#: Failed calls in a row after which the store counts as lost.
-FAILURES_TO_LOSE = 2
+#: Number of consecutive failed calls after which the store counts as lost.
+FAILURES_UNTIL_LOST = 2
 
 
 class TableFollower:
-    """Follows one table and keeps what its owner needs current.
+    """Follows one table, and calls back with its entries.
 
     Args:
-        name: Name for logs.
+        name: Name of the table in logs.
         table: The table.
         on_read: Called with all entries after a full read.
-        on_changes: Called with the changed entries.
-        spread_s: Returns how long a host waits besides after a change, in
+        on_changes: Called with the changed entries, None for a removed one.
+        choose_spread_s: Returns an additional delay after a change, in
             seconds, so that not all hosts call the store at once.
     """
 
@@ -50,81 +52,94 @@
         table: _direct_ports.WatchedTable[typing.Any],
         on_read: abc.Callable[[abc.Mapping[str, typing.Any]], None],
         on_changes: abc.Callable[[abc.Mapping[str, typing.Any]], None],
-        spread_s: abc.Callable[[], float] = lambda: 0.0,
+        choose_spread_s: abc.Callable[[], float] = lambda: 0.0,
     ) -> None:
-        self._spread_s = spread_s
+        self._choose_spread_s = choose_spread_s
         self._name = name
         self._table = table
         self._on_read = on_read
         self._on_changes = on_changes
         self._failures = 0
-        #: Version up to which the changes are known.
+        #: Version up to which this host knows all changes; -1 before the first
+        #: read.
         self._version = -1
-        #: Whether the next call reads the whole table.
+        #: Whether the next call reads the whole table instead of changes.
         self._must_read = True
-        self._is_reading = False
+        self._is_full_read = False
         self._call: asyncio.Task[typing.Any] | None = None
         self._progress = _call_progress.CallProgress(0.0)
-        self._behind: asyncio.TimerHandle | None = None
-        #: Version of the newest entry that was read.
+        self._lag_timer: asyncio.TimerHandle | None = None
+        #: Version of the newest entry that was read; 0 before the first one.
         self.newest = 0
-        #: When the store answered last, on the clock of the event loop.
+        #: When the store last answered, on the clock of the event loop.
         self.answered_at = 0.0
-        #: When the store came back last.
+        #: When the store last answered again after failed or abandoned calls,
+        #: on the clock of the event loop; 0 if that never happened.
         self.returned_at = 0.0
 
     @property
-    def is_lost(self) -> bool:
-        """Whether the store does not answer at present."""
-        return self._failures >= FAILURES_TO_LOSE
+    def is_store_lost(self) -> bool:
+        """Whether the last calls to the store failed."""
+        return self._failures >= FAILURES_UNTIL_LOST
 
     async def run(self) -> None:
-        """Follows the table until it is cancelled."""
+        """Follows the table until cancelled."""
         while True:
-            answer = await self._ask()
+            answer = await self._call_store()
             if isinstance(answer, _direct_ports.ReadProblem):
                 await self._handle_problem(answer)
                 continue
-            self._note_answer()
+            self._record_answer()
             self._version = answer.version
             self.newest = max(self.newest, answer.newest)
             read_at = asyncio.get_running_loop().time()
-            if self._is_reading:
+            if self._is_full_read:
                 self._on_read(answer.values)
             elif answer.values:
                 self._on_changes(answer.values)
             self._log_read(answer, read_at)
-            if answer.values and not self._is_reading:
-                # While a long answer was loading, changes were collected.
+            if answer.values and not self._is_full_read:
+                # Changes were already collected while the answer was loading.
                 loading_s = read_at - self._progress.first_byte_at
                 await asyncio.sleep(
-                    max(0.0, COLLECT_S + self._spread_s() - loading_s)
+                    max(
+                        0.0,
+                        COLLECT_INTERVAL_S
+                        + self._choose_spread_s()
+                        - loading_s,
+                    )
                 )
 
-    def hear(self, newest: int) -> None:
-        """Takes the version that another host has.
+    def observe_peer(self, newest: int) -> None:
+        """Records the version of the newest entry that another host has.
 
-        If the store says nothing to this host for a while, the call that
-        waits for changes hangs: it is given up, and the table is read again.
+        If it is newer and the store does not send it within `LAG_TIMEOUT_S`,
+        the pending call is assumed to hang: it is cancelled, and the whole
+        table is read.
+
+        Args:
+            newest: Version of the newest entry of the other host.
         """
-        if newest <= self.newest or self._behind is not None:
+        if newest <= self.newest or self._lag_timer is not None:
             return
         loop = asyncio.get_running_loop()
-        self._behind = loop.call_later(BEHIND_S, self._check_behind, newest)
+        self._lag_timer = loop.call_later(
+            LAG_TIMEOUT_S, self._check_lag, newest
+        )
 
-    def ask_again(self) -> None:
-        """Gives a call up that began before the store was away.
+    def restart_call(self) -> None:
+        """Abandons a call that began before an outage of the store.
 
-        The store may never answer it; and what lapsed meanwhile may come
-        back, as after a loss that this host noticed itself.
+        The store may never answer it. Entries that expired during the outage
+        may return, as after an outage that this host noticed itself.
         """
-        if self._call is None or self._is_reading:
+        if self._call is None or self._is_full_read:
             return
         self.returned_at = asyncio.get_running_loop().time()
-        self._read_again()
+        self._request_full_read()
 
-    def _check_behind(self, newest: int) -> None:
-        self._behind = None
+    def _check_lag(self, newest: int) -> None:
+        self._lag_timer = None
         if newest <= self.newest or self._call is None or self._is_loading:
             return
         _logs.log_event(
@@ -138,48 +153,55 @@
                 asyncio.get_running_loop().time() - self._progress.began_at, 3
             ),
         )
-        self._read_again()
+        self._request_full_read()
 
     @property
     def _is_loading(self) -> bool:
-        """Whether the store is answering: silence ends such a call by itself.
+        """Whether the call must not be cancelled because its answer is loading.
 
-        An answer to a read that is late is no different, since a new read
-        would have to wait as long.
+        If an answer stalls, the idle timeout of the call ends it. A full read
+        that has not begun to answer is not cancelled either, since another
+        read would wait as long.
         """
-        return self._is_reading or self._progress.bytes > 0
+        return self._is_full_read or self._progress.bytes > 0
+
+    def _request_full_read(self) -> None:
+        """Makes the next call a full read.
 
-    def _read_again(self) -> None:
-        """Lets a full read follow the present call, at once if it is silent."""
+        The pending call is cancelled unless its answer is loading.
+        """
         self._must_read = True
         if self._call is not None and not self._is_loading:
             self._call.cancel()
 
-    async def _ask(self) -> typing.Any:
-        """Reads or follows the table; a call that is behind is repeated."""
+    async def _call_store(self) -> typing.Any:
+        """Reads the table or waits for changes, until a call is answered.
+
+        A call that is cancelled because it hangs is followed by another one.
+        """
         while True:
             loop = asyncio.get_running_loop()
             self._progress = _call_progress.CallProgress(loop.time())
-            self._is_reading, self._must_read = self._must_read, False
-            if self._is_reading:
+            self._is_full_read, self._must_read = self._must_read, False
+            if self._is_full_read:
                 call = self._table.read(self._progress)
             else:
                 call = self._table.follow(self._version, self._progress)
             self._call = loop.create_task(call)
             await asyncio.wait([self._call])
-            ended, self._call = self._call, None
-            if not ended.cancelled():
-                return ended.result()
+            ended_call, self._call = self._call, None
+            if not ended_call.cancelled():
+                return ended_call.result()
 
     def _log_read(
         self,
         answer: _direct_ports.TableEntries[typing.Any],
         read_at: float,
     ) -> None:
-        """Tells how long each part of a full or slow read took."""
+        """Logs how long each phase of a full or slow read took."""
         progress = self._progress
         loading_s = progress.last_byte_at - progress.first_byte_at
-        if not self._is_reading and loading_s < SLOW_LOAD_S:
+        if not self._is_full_read and loading_s < SLOW_LOAD_S:
             return
         now = asyncio.get_running_loop().time()
         _logs.log_event(
@@ -187,7 +209,7 @@
             logging.INFO,
             "table-read",
             table=self._name,
-            call="read" if self._is_reading else "follow",
+            call="read" if self._is_full_read else "follow",
             newest=self.newest,
             rows=len(answer.values),
             bytes=progress.bytes,
@@ -204,22 +226,23 @@
             )
             self._must_read = True
             return
-        # A full read answers at once, which tells when the store is back.
+        # Unlike a call for changes, a full read is answered at once, which
+        # shows when the store is available again.
         self._must_read = True
         self._failures += 1
-        if self._failures == FAILURES_TO_LOSE:
+        if self._failures == FAILURES_UNTIL_LOST:
             _logs.log_event(
                 _LOGGER, logging.WARNING, "store-lost", table=self._name
             )
         await asyncio.sleep(
-            min(FIRST_RETRY_S * 2 ** min(self._failures, 5), LONGEST_RETRY_S)
+            min(BASE_RETRY_S * 2 ** min(self._failures, 5), MAXIMUM_RETRY_S)
         )
 
-    def _note_answer(self) -> None:
+    def _record_answer(self) -> None:
         now = asyncio.get_running_loop().time()
         if self._failures:
             self.returned_at = now
-        if self.is_lost:
+        if self.is_store_lost:
             _logs.log_event(
                 _LOGGER, logging.INFO, "store-regained", table=self._name
             )
