--- a/packages/router/sycamoreloft_router/_tenure.py
+++ b/packages/router/sycamoreloft_router/_tenure.py
@@ -1,4 +1,4 @@
-"""A host's time as the coordinator: its lease, its orders, its records."""
+"""A host's tenure as the coordinator: its lease, orders and records."""
 
 import asyncio
 from collections import abc
@@ -22,40 +22,40 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Seconds that orders under way may take when the duty ends.
-STOP_S = 0.5
+#: Seconds for which a resigning coordinator waits for orders in flight.
+RESIGN_TIMEOUT_S = 0.5
 
-#: Seconds before a write that the store refused is tried again.
-RETRY_S = 0.2
+#: Seconds before a failed call to the store is retried.
+RETRY_DELAY_S = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class TakenRecords:
-    """The records as the host wrote them when it became the coordinator."""
+class AcquiredRecords:
+    """The records that a host wrote when it became the coordinator."""
 
-    #: The lease.
+    #: Lease of this host.
     lease: _coordinator_lease.Lease
-    #: The map of keys.
+    #: The map of keys, with the epoch of this host.
     key_map: sycamoreloft_direct.KeyMap
     #: Version of both records.
     version: int
-    #: Relates the store's clock to the boot clock.
+    #: Store's clock at the read before the write.
     reference: _coordinator_lease.ClockReference
     #: When the write was sent, on the boot clock.
     sent_at: float
 
 
 class Tenure:
-    """Acts as the coordinator until another host took over.
+    """Acts as the coordinator until it resigns, fails or is superseded.
 
     Args:
         platform: The platform.
-        upstreams: Upstreams.
+        upstreams: Upstreams that may own keys.
         metrics: Metrics of the process.
-        taken: The records as written.
+        acquired: The records that this host wrote to become the coordinator.
         times: Durations of key leases.
         clock: Clock that also runs while the host is suspended, in seconds.
-        on_map: Called with each map that was recorded.
+        on_map_recorded: Called with each map that the store recorded.
     """
 
     def __init__(
@@ -63,55 +63,58 @@
         platform: _direct_ports.Platform,
         upstreams: _direct_views.UpstreamView,
         metrics: _metrics.Metrics,
-        taken: TakenRecords,
+        acquired: AcquiredRecords,
         times: sycamoreloft_direct.LeaseTimes,
         clock: abc.Callable[[], float],
-        on_map: abc.Callable[[sycamoreloft_direct.KeyMap], None],
+        on_map_recorded: abc.Callable[[sycamoreloft_direct.KeyMap], None],
     ) -> None:
         self._platform = platform
         self._upstreams = upstreams
         self._metrics = metrics
         self._times = times
         self._clock = clock
-        self._on_map = on_map
-        self._lease = taken.lease
-        self._lease_version = taken.version
+        self._on_map_recorded = on_map_recorded
+        self._lease = acquired.lease
+        self._lease_version = acquired.version
         self._map_record = _map_record.MapRecord(
             platform.records,
-            taken.lease.epoch,
-            taken.version,
+            acquired.lease.epoch,
+            acquired.version,
             lambda: self.end("superseded"),
         )
-        self._reference = taken.reference
+        self._reference = acquired.reference
         self._is_renewing = False
         self._renew_at = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
-        # Orders under way and until when they may give an upstream keys.
-        self._arrivals: dict[int, float] = {}
+        # When each order in flight reaches its upstream at the latest.
+        self._latest_arrivals: dict[int, float] = {}
         self._answer_times = _answer_times.AnswerTimes()
-        self._set_valid(taken.sent_at)
+        self._set_validity(acquired.sent_at)
         now = clock()
         self._coordinator = sycamoreloft_direct.KeyCoordinator(
-            taken.key_map,
+            acquired.key_map,
             now,
-            now + max(0.0, taken.lease.earlier_until - taken.reference.clock_s),
+            now
+            + max(
+                0.0, acquired.lease.earlier_until - acquired.reference.clock_s
+            ),
             times,
         )
-        #: Whether this host is the coordinator no more.
+        #: Whether this tenure has ended.
         self.is_over = False
 
     @property
     def epoch(self) -> int:
-        """Epoch of this host as the coordinator."""
+        """Epoch of this tenure."""
         return self._lease.epoch
 
     @property
     def key_map(self) -> sycamoreloft_direct.KeyMap:
-        """The map as it is recorded."""
+        """The map of keys as recorded in the store."""
         return self._coordinator.key_map
 
     def read_store_age(self, now: float) -> float:
-        """Returns the seconds since a call that the store answered was sent.
+        """Returns the seconds since the last answered store call was sent.
 
         Args:
             now: Time on the boot clock, in seconds.
@@ -121,11 +124,13 @@
     def list_moving(
         self,
     ) -> abc.Sequence[tuple[str, sycamoreloft_direct.KeyRange]]:
-        """Lists services and ranges that are on their way to an owner."""
+        """Lists the services and ranges of keys that are moving."""
         return self._coordinator.list_moving()
 
-    def act(self, now: float, sharded: set[str]) -> None:
-        """Sends what is due.
+    def tick(self, now: float, sharded: set[str]) -> None:
+        """Renews the lease, and executes the commands that are due.
+
+        Ends the tenure once key leases may no longer be renewed.
 
         Args:
             now: Time on the boot clock, in seconds.
@@ -135,35 +140,35 @@
             self._is_renewing = True
             self._spawn(self._renew_lease())
         blind_until = (
-            self._valid_until + _coordinator_lease.SAFETY_S
+            self._valid_until + _coordinator_lease.SAFETY_MARGIN_S
         ) + self._times.blind_s
         if now >= blind_until:
             self.end("lease-lost")
             return
         self._coordinator.update_upstreams(
             [
-                item
-                for item in self._upstreams.list_all()
-                if item.service in sharded
+                upstream
+                for upstream in self._upstreams.list_all()
+                if upstream.service in sharded
             ],
             sharded,
             now,
         )
         self._coordinator.update_speeds(self._answer_times.compute_speeds())
-        self._send_due(now)
+        self._execute_due_commands(now)
 
-    def _send_due(self, now: float) -> None:
+    def _execute_due_commands(self, now: float) -> None:
         if self.is_over:
             return
         may_change = now < self._valid_until
         commands = self._coordinator.tick(now, may_change, True)
         for change in self._coordinator.owner_changes:
-            self._note_change(change, now)
+            self._record_owner_change(change, now)
         for command in commands:
-            self._note_order(command, now)
+            self._track_order(command, now)
             self._spawn(self._execute(command, now))
 
-    def _note_change(
+    def _record_owner_change(
         self, change: sycamoreloft_direct.OwnerChange, now: float
     ) -> None:
         self._metrics.count(
@@ -173,41 +178,43 @@
             change, self._coordinator.list_claims, self.epoch, now
         )
 
-    def _note_order(
+    def _track_order(
         self, command: sycamoreloft_direct.Command, now: float
     ) -> None:
         if isinstance(command, sycamoreloft_direct.SendGrant):
-            self._arrivals[command.order] = now + self._times.grant_travel_s
+            self._latest_arrivals[command.order] = (
+                now + self._times.grant_travel_s
+            )
         elif isinstance(command, sycamoreloft_direct.SendRelease):
-            self._arrivals[command.order] = now
+            self._latest_arrivals[command.order] = now
 
     def count_unheld_keys(self) -> int:
         """Counts the keys that no upstream is known to hold."""
         return self._coordinator.count_unheld()
 
-    def is_confirmed(self, now: float) -> bool:
-        """Tells whether the store's lease is this host's at a time."""
+    def is_lease_valid(self, now: float) -> bool:
+        """Returns whether the coordinator lease is valid at a time."""
         return now < self._valid_until
 
-    def doubt(self, now: float) -> None:
-        """Asks the store soon whether this host is the coordinator.
+    def renew_soon(self, now: float) -> None:
+        """Renews the lease early, to detect whether another host holds it.
 
         Args:
             now: Time on the boot clock, in seconds.
         """
-        self._renew_at = min(self._renew_at, now + RETRY_S)
+        self._renew_at = min(self._renew_at, now + RETRY_DELAY_S)
 
     def end(self, reason: str) -> None:
-        """Stops acting."""
+        """Ends the tenure, and logs the reason."""
         if self.is_over:
             return
         self.is_over = True
         self._log_end(logging.WARNING, "coordinator-ended", reason=reason)
 
     async def resign(self) -> None:
-        """Stops acting and lets another host take over at once."""
+        """Ends the tenure, and frees the lease for another host at once."""
         self.is_over = True
-        await self._end_tasks()
+        await self._finish_tasks()
         lease = dataclasses.replace(
             self._lease, is_resigned=True, expires_at=0.0
         )
@@ -221,41 +228,42 @@
 
     def _log_end(self, level: int, event: str, **fields: str) -> None:
         now = self._clock()
-        lease_end = self._valid_until + _coordinator_lease.SAFETY_S
-        latest = max(self._arrivals.values(), default=now)
+        lease_end = self._valid_until + _coordinator_lease.SAFETY_MARGIN_S
+        latest = max(self._latest_arrivals.values(), default=now)
         _logs.log_event(
             _LOGGER,
             level,
             event,
             epoch=self.epoch,
             lease_s=round(lease_end - now, 3),
-            orders=len(self._arrivals),
+            orders=len(self._latest_arrivals),
             last_arrival_s=round(max(0.0, latest - now), 3),
             **fields,
         )
 
-    async def _end_tasks(self) -> None:
-        """Waits for what is under way, and cancels what takes longer.
+    async def _finish_tasks(self) -> None:
+        """Waits for calls in flight, and cancels those that take too long.
 
-        An order that is cancelled closes its connection, so that nothing of
-        it arrives once a successor counts the leases of keys.
+        Cancelling an order closes its connection, so that it cannot arrive
+        once a successor computes the ends of key leases.
         """
         if not self._tasks:
             return
-        _, late = await asyncio.wait(self._tasks, timeout=STOP_S)
-        for task in late:
+        _, overdue = await asyncio.wait(self._tasks, timeout=RESIGN_TIMEOUT_S)
+        for task in overdue:
             task.cancel()
-        if late:
-            await asyncio.wait(late)
+        if overdue:
+            await asyncio.wait(overdue)
 
     def end_run(self, run: sycamoreloft_direct.UpstreamRun) -> None:
-        """Takes all keys from a run of an upstream that has ended."""
+        """Frees all keys of a run that has ended."""
         self._coordinator.end_run(run)
 
-    def take_observations(self, report: _datagrams.Report) -> None:
-        """Takes what a host observed."""
+    def record_observations(self, report: _datagrams.Report) -> None:
+        """Records the load and the answer times that a host observed."""
         for upstream, (count, total) in report.answers.items():
-            # Answers of a busy upstream tell its queue and not its speed.
+            # At a busy upstream, the answer time reflects its queue and not
+            # its speed.
             if count > 0 and not self._coordinator.is_busy(upstream):
                 self._answer_times.record_mean(upstream, total / count)
         for service, keys in report.requests.items():
@@ -268,24 +276,24 @@
             )
 
     def _spawn(self, work: abc.Coroutine[typing.Any, typing.Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(self._perform(work))
+        task = asyncio.get_running_loop().create_task(self._run_task(work))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _perform(
+    async def _run_task(
         self, work: abc.Coroutine[typing.Any, typing.Any, None]
     ) -> None:
-        """Does a part of the duty, and ends the duty if it fails."""
+        """Awaits a task of the tenure, and ends the tenure if it fails."""
         try:
             await work
         except Exception as error:  # noqa: BLE001
             self.fail(error)
 
     def fail(self, error: Exception) -> None:
-        """Stops acting after an unexpected error.
+        """Ends the tenure after an unexpected error.
 
-        An order or a write would stay open for ever, and its keys with it.
-        The next coordinator begins with what is recorded.
+        Otherwise an order or a write could stay open for ever, and its keys
+        without an owner. The next coordinator starts from the records.
         """
         _logs.log_event(
             _LOGGER,
@@ -307,18 +315,18 @@
         outcome = await self._write_lease(lease)
         self._is_renewing = False
         now = self._clock()
-        self._renew_at = sent_at + _coordinator_lease.RENEW_S
+        self._renew_at = sent_at + _coordinator_lease.RENEW_INTERVAL_S
         if outcome.result is _direct_ports.WriteResult.WRITTEN:
             self._lease = lease
             self._lease_version = outcome.version
             self._reference = _coordinator_lease.ClockReference(
                 sent_at, outcome.clock_s
             )
-            self._set_valid(sent_at)
+            self._set_validity(sent_at)
         elif outcome.result is _direct_ports.WriteResult.CONFLICT:
-            await self._check_conflict()
+            await self._resolve_conflict()
         else:
-            self._renew_at = max(self._renew_at, now + RETRY_S)
+            self._renew_at = max(self._renew_at, now + RETRY_DELAY_S)
 
     async def _write_lease(
         self, lease: _coordinator_lease.Lease
@@ -329,18 +337,28 @@
             {key: self._lease_version},
         )
 
-    def _set_valid(self, sent_at: float) -> None:
-        """Notes until when the lease is valid that was written at a time."""
-        self._renew_at = sent_at + _coordinator_lease.RENEW_S
+    def _set_validity(self, sent_at: float) -> None:
+        """Computes validity and next renewal of a lease that was written.
+
+        Args:
+            sent_at: When the write was sent, on the boot clock.
+        """
+        self._renew_at = sent_at + _coordinator_lease.RENEW_INTERVAL_S
         self._valid_until = (
-            sent_at + _coordinator_lease.LEASE_S - _coordinator_lease.SAFETY_S
+            sent_at
+            + _coordinator_lease.LEASE_S
+            - _coordinator_lease.SAFETY_MARGIN_S
         )
 
-    async def _check_conflict(self) -> None:
-        """Finds out whether an own earlier write or another host's won."""
+    async def _resolve_conflict(self) -> None:
+        """Ends the tenure if another host wrote the lease.
+
+        A conflict also arises if an earlier write of this host took effect
+        without an answer. The lease in the store is then kept.
+        """
         records = await self._platform.records.read()
         if isinstance(records, _direct_ports.ReadProblem):
-            self._renew_at = self._clock() + RETRY_S
+            self._renew_at = self._clock() + RETRY_DELAY_S
             return
         record = records.records.get(_coordinator_lease.LEASE_KEY)
         try:
@@ -350,7 +368,7 @@
                 else None
             )
         except ValueError as error:
-            # Somebody else wrote it, so it is not this host's lease.
+            # This host writes no malformed lease: another writer replaced it.
             _logs.log_event(
                 _LOGGER, logging.ERROR, "record-malformed", error=str(error)
             )
@@ -372,27 +390,32 @@
         command: sycamoreloft_direct.Command,
         decided_at: float,
     ) -> None:
-        follows = True
+        has_next_command = True
         if isinstance(command, sycamoreloft_direct.WriteMap):
             await self._write_map(command.key_map)
         elif isinstance(command, sycamoreloft_direct.SendGrant):
-            follows = await self._send_grant(command, decided_at)
+            has_next_command = await self._send_grant(command, decided_at)
         else:
             await self._send_release(command, decided_at)
-        if follows:
-            self._send_due(self._clock())
+        if has_next_command:
+            self._execute_due_commands(self._clock())
 
     def _is_stale(self, decided_at: float) -> bool:
-        """Tells whether the process slept since it decided for an order.
+        """Returns whether an order was decided too long ago to be sent.
 
-        What the order was based on may have changed meanwhile.
+        This happens when the process was suspended: the state on which the
+        decision was based may have changed.
         """
         return self._clock() > decided_at + self._times.dispatch_s
 
     async def _send_grant(
         self, command: sycamoreloft_direct.SendGrant, decided_at: float
     ) -> bool:
-        """Sends a grant; tells whether another step follows at once."""
+        """Sends a grant.
+
+        Returns:
+            Whether the coordinator has further commands to execute at once.
+        """
         upstream = self._upstreams.find(command.run)
         trace = _direct_ports.OrderTrace()
         sent_at = self._clock()
@@ -407,7 +430,7 @@
                 "sycamoreloft_grant_seconds", self._clock() - sent_at
             )
         self._metrics.count("sycamoreloft_grants_total", result.value)
-        del self._arrivals[command.order]
+        del self._latest_arrivals[command.order]
         if (
             result is not sycamoreloft_direct.GrantResult.ACCEPTED
             or self.is_over
@@ -432,7 +455,7 @@
             handover = await self._platform.orders.release(
                 address, command, trace
             )
-        del self._arrivals[command.order]
+        del self._latest_arrivals[command.order]
         call = self._describe_call(address, decided_at, sent_at, trace)
         _order_logs.log_release(command, handover is not None, call)
         self._coordinator.finish_release(command.order, handover, self._clock())
@@ -459,7 +482,7 @@
     async def _write_map(self, key_map: sycamoreloft_direct.KeyMap) -> None:
         written = await self._map_record.write(key_map)
         if written:
-            self._on_map(key_map)
+            self._on_map_recorded(key_map)
         else:
-            await asyncio.sleep(RETRY_S)
+            await asyncio.sleep(RETRY_DELAY_S)
         self._coordinator.finish_write(written)
--- a/packages/router/sycamoreloft_router/_ticks.py
+++ b/packages/router/sycamoreloft_router/_ticks.py
@@ -1,18 +1,18 @@
-"""Sleep that ends at a tick at which something is due."""
+"""A sleep that ends at the first tick at which something is due."""
 
 import asyncio
 import math
 
-#: Part of a tick that two readings of a clock may differ by.
+#: Tolerance for rounding errors of the clock, as a share of a tick.
 _TOLERANCE = 1e-6
 
 
 class TickTimer:
-    """Lets one task sleep over the ticks at which nothing is due.
+    """Lets one task sleep through the ticks at which nothing is due.
 
-    Ticks are counted from the beginning of each sleep. Hosts begin at
-    different times, so that they do not act at the same moment on what all of
-    them hear at once.
+    Ticks are counted from the start of each sleep. Hosts start at different
+    times, so that they do not react at the same moment to an event that all of
+    them receive at once.
 
     Args:
         tick_s: Seconds between two ticks.
@@ -26,11 +26,11 @@
         self._timer: asyncio.TimerHandle | None = None
 
     async def sleep(self, seconds: float) -> float:
-        """Sleeps until the first tick after some seconds.
+        """Sleeps until the first tick at or after a given time.
 
         Args:
-            seconds: Seconds until something is due; the sleep takes one tick
-                at least.
+            seconds: Seconds until something is due; the sleep takes at least
+                one tick.
 
         Returns:
             Seconds by which the sleep ended later than the tick.
@@ -49,7 +49,7 @@
                 self._timer = None
 
     def wake(self) -> None:
-        """Ends the sleep at the next tick, if there is one."""
+        """Ends the current sleep, if any, at its next tick."""
         if self._waiter is not None:
             self._set_timer(self._waiter.get_loop().time())
 
@@ -63,8 +63,8 @@
                 return
             self._timer.cancel()
         self._due_at = when
-        self._timer = self._waiter.get_loop().call_at(when, self._end)
+        self._timer = self._waiter.get_loop().call_at(when, self._end_sleep)
 
-    def _end(self) -> None:
+    def _end_sleep(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
--- a/packages/router/sycamoreloft_router/_upstream_choice.py
+++ b/packages/router/sycamoreloft_router/_upstream_choice.py
@@ -1,34 +1,34 @@
-"""Finds the upstream for each attempt of a request."""
+"""Chooses the upstream for each attempt of a request."""
 
 import asyncio
 
 import sycamoreloft_direct
 from sycamoreloft_router import _direct_requests, _direct_services, _exchange
 
-#: Longest wait for an owner of the key, in seconds: a move of keys takes
-#: less, and a loss takes longer than most callers wait.
-OWNER_WAIT_S = 0.6
+#: Maximum wait for an owner of the key, in seconds. A move of keys takes less;
+#: the loss of an owner takes longer than most callers wait.
+MAXIMUM_OWNER_WAIT_S = 0.6
 
-#: Longest wait before an owner is asked again that did not have the key, in
-#: seconds: it may just be getting it.
-MISDIRECTED_WAIT_S = 0.15
+#: Maximum wait before a retry at an owner that refused the request because it
+#: did not hold the key, in seconds: its grant may be on the way.
+MAXIMUM_MISDIRECTED_WAIT_S = 0.15
 
-#: Wait before a full owner is asked again, in seconds, at least and at most:
-#: about the time of one request at a fast upstream.
-LEAST_SHED_WAIT_S = 0.06
-MOST_SHED_WAIT_S = 0.12
+#: Bounds of the random wait before a retry at a full owner, in seconds: about
+#: the time of one request at a fast upstream.
+MINIMUM_FULL_OWNER_WAIT_S = 0.06
+MAXIMUM_FULL_OWNER_WAIT_S = 0.12
 
-#: Least time left for another attempt, in seconds.
-LEAST_LEFT_S = 0.03
+#: Minimum time to the deadline for another attempt, in seconds.
+MINIMUM_REMAINING_S = 0.03
 
 
 class UpstreamChoice:
-    """What the attempts of one request tell about the next one.
+    """Chooses the upstreams of one request from its earlier attempts.
 
     Args:
-        services: What all requests share.
+        services: Objects that all requests share.
         request: The request.
-        received: Its deadline.
+        received: Deadline of the request.
     """
 
     __slots__ = (
@@ -36,7 +36,7 @@
         "_request",
         "_services",
         "is_owner_lost",
-        "misdirected",
+        "misdirected_upstream",
         "reason",
         "tried",
     )
@@ -50,25 +50,27 @@
         self._services = services
         self._request = request
         self._received = received
-        #: Upstream that did not have the key at the last attempt.
-        self.misdirected = ""
-        #: Why the last attempt failed, or there is no upstream.
+        #: Upstream that did not hold the key at the last attempt, or empty.
+        self.misdirected_upstream = ""
+        #: Why the last attempt failed, or why no upstream was chosen.
         self.reason = "no-upstream"
-        #: Whether the owner has been gone for longer than a move takes.
+        #: Whether the owner has been missing for longer than a move takes.
         self.is_owner_lost = False
-        #: Upstreams of the attempts so far, in their order.
+        #: Identifiers of the upstreams of the attempts so far, in order.
         self.tried: list[str] = []
 
-    async def find(self) -> sycamoreloft_direct.UpstreamRecord | None:
-        """Finds the upstream for the next attempt.
+    async def choose_upstream(
+        self,
+    ) -> sycamoreloft_direct.UpstreamRecord | None:
+        """Chooses the upstream for the next attempt.
 
         Returns:
-            Its record, or None if there is none; `reason` then says why.
+            Record of the upstream, or None without one; `reason` then says why.
         """
         now = self._services.loop.time()
         if self._request.key >= 0:
-            return await self._find_owner(now)
-        record = self._services.book.choose(
+            return await self._wait_for_owner(now)
+        record = self._services.pool.choose(
             self._request.service,
             now,
             self._request.route.kind is sycamoreloft_direct.RouteKind.UPLOAD,
@@ -78,53 +80,59 @@
             self.reason = "no-upstream"
         return record
 
-    async def _find_owner(
+    async def _wait_for_owner(
         self, now: float
     ) -> sycamoreloft_direct.UpstreamRecord | None:
-        """Finds the owner of the key, and waits a little if it changes."""
+        """Returns the owner of the key; waits a short time if it changes."""
         services, request = self._services, self._request
-        until = min(now + OWNER_WAIT_S, self._received.deadline - LEAST_LEFT_S)
-        if self.tried and not self.misdirected:
-            # The owner is full: what it has may end soon.
+        give_up_at = min(
+            now + MAXIMUM_OWNER_WAIT_S,
+            self._received.deadline - MINIMUM_REMAINING_S,
+        )
+        if self.tried and not self.misdirected_upstream:
+            # The owner was full: one of its requests may end soon.
             await asyncio.sleep(
-                services.generator.uniform(LEAST_SHED_WAIT_S, MOST_SHED_WAIT_S)
+                services.generator.uniform(
+                    MINIMUM_FULL_OWNER_WAIT_S, MAXIMUM_FULL_OWNER_WAIT_S
+                )
             )
             now = services.loop.time()
         while True:
             owner = services.directory.find_owner(
                 request.service, request.key, now
             )
-            record = services.book.find(owner) if owner is not None else None
-            if record is not None and services.book.is_replaced(record, now):
-                # Nobody can take the key until its lease has ended.
+            record = services.pool.find(owner) if owner is not None else None
+            if record is not None and services.pool.is_replaced(record, now):
+                # No other upstream gets the key until this owner's lease ends.
                 self.reason = "owner-replaced"
                 return None
             if record is not None and self._may_send(record, now):
-                services.directory.note_found(record.entry.run)
+                services.directory.record_available(record.entry.run)
                 return self._admit(record, now)
             self.reason = "no-owner"
-            if owner is not None and owner.id != self.misdirected:
-                missing_s = services.directory.note_missing(owner, now)
-                self.is_owner_lost = missing_s > OWNER_WAIT_S
-            if self.is_owner_lost or now >= until:
+            if owner is not None and owner.id != self.misdirected_upstream:
+                missing_s = services.directory.record_missing(owner, now)
+                self.is_owner_lost = missing_s > MAXIMUM_OWNER_WAIT_S
+            if self.is_owner_lost or now >= give_up_at:
                 return None
             await services.directory.wait_for_change(
-                min(until - now, MISDIRECTED_WAIT_S)
+                min(give_up_at - now, MAXIMUM_MISDIRECTED_WAIT_S)
             )
-            # The same owner may have the keys by now.
-            self.misdirected = ""
+            # The same owner may have received its grant by now.
+            self.misdirected_upstream = ""
             now = services.loop.time()
 
     def _admit(
         self, record: sycamoreloft_direct.UpstreamRecord, now: float
     ) -> sycamoreloft_direct.UpstreamRecord | None:
         """Returns the owner if the request should be sent there now."""
-        book = self._services.book
-        if not self.tried and not book.admit(record):
+        pool = self._services.pool
+        if not self.tried and not pool.admit(record):
             self.reason = "owner-full"
             return None
-        if book.is_avoided(record, now):
-            # It is known not to answer; a probe goes through.
+        if pool.is_avoided(record, now):
+            # The owner does not answer: only one request at a time is sent, as
+            # a probe.
             self.reason = "owner-silent"
             if record.in_flight:
                 return None
@@ -133,7 +141,7 @@
     def _may_send(
         self, record: sycamoreloft_direct.UpstreamRecord, now: float
     ) -> bool:
-        """Tells whether the owner of a key may get the request."""
-        if record.entry.id == self.misdirected:
+        """Returns whether the request may be sent to the owner of its key."""
+        if record.entry.id == self.misdirected_upstream:
             return False
         return now - record.leaving_since < self._services.leaving_s
--- a/packages/router/sycamoreloft_router/_upstream_monitor.py
+++ b/packages/router/sycamoreloft_router/_upstream_monitor.py
@@ -5,30 +5,30 @@
 import sycamoreloft_config
 import sycamoreloft_decisions
 
-#: Time without a grant answer after which an upstream counts as lost, in
-#: seconds. It leaves one renewal of 0.2 s to fail by chance.
+#: Time without an answer to a grant after which an upstream counts as lost, in
+#: seconds. One renewal, sent every 0.2 s, may fail by chance.
 LOST_AFTER_S = 0.5
 
-#: Time for which an upstream must have counted as lost before its requests
-#: are given up, in seconds. With `LOST_AFTER_S` these are the 1,000 ms and
-#: 2 % after which its grants have expired, so that a short pause of an
+#: Time for which an upstream must have counted as lost before its requests are
+#: abandoned, in seconds. Together with `LOST_AFTER_S`, this is the 1,000 ms
+#: plus 2 % after which grants have expired, so that a short pause of an
 #: upstream turns no request into an unknown outcome.
-GIVE_UP_AFTER_S = 0.52
+ABANDON_AFTER_S = 0.52
 
 
 @dataclasses.dataclass(slots=True)
-class _Watched:
+class _TrackedUpstream:
     incarnation: str
-    heard_at: float
+    answered_at: float
     status: str
     lost_at: float = 0.0
 
 
 class UpstreamMonitor:
-    """Follows the upstreams of one held group."""
+    """Tracks the upstreams of one group that this host holds."""
 
     def __init__(self) -> None:
-        self._watched: dict[str, _Watched] = {}
+        self._tracked: dict[str, _TrackedUpstream] = {}
 
     def observe_answer(
         self,
@@ -39,23 +39,23 @@
     ) -> list[sycamoreloft_decisions.PermitEvent]:
         """Takes a grant answer and returns events for the permit desk."""
         events: list[sycamoreloft_decisions.PermitEvent] = []
-        watched = self._watched.get(upstream.name)
+        tracked = self._tracked.get(upstream.name)
         restarted = (
-            watched is not None and watched.incarnation != answer.incarnation
+            tracked is not None and tracked.incarnation != answer.incarnation
         )
         if restarted:
             events.append(
                 sycamoreloft_decisions.UpstreamLost(upstream.name, ended=True)
             )
-        if watched is None or restarted:
-            watched = _Watched(answer.incarnation, now, "")
-            self._watched[upstream.name] = watched
-        watched.heard_at = now
+        if tracked is None or restarted:
+            tracked = _TrackedUpstream(answer.incarnation, now, "")
+            self._tracked[upstream.name] = tracked
+        tracked.answered_at = now
         status = "available"
         if upstream.leaving or answer.draining:
             status = "leaving"
-        if status != watched.status:
-            watched.status = status
+        if status != tracked.status:
+            tracked.status = status
             events.append(
                 sycamoreloft_decisions.UpstreamAvailable(
                     upstream.name, upstream.slots, queue, cold=restarted
@@ -68,39 +68,39 @@
     def list_losses(
         self, now: float
     ) -> list[sycamoreloft_decisions.PermitEvent]:
-        """Returns a loss for each upstream that has gone silent."""
+        """Returns an event for each upstream that newly counts as lost."""
         events: list[sycamoreloft_decisions.PermitEvent] = []
-        for name, watched in self._watched.items():
-            silent = now - watched.heard_at > LOST_AFTER_S
-            if silent and watched.status != "lost":
-                watched.status = "lost"
-                watched.lost_at = now
+        for name, tracked in self._tracked.items():
+            silent = now - tracked.answered_at > LOST_AFTER_S
+            if silent and tracked.status != "lost":
+                tracked.status = "lost"
+                tracked.lost_at = now
                 events.append(
                     sycamoreloft_decisions.UpstreamLost(name, ended=False)
                 )
         return events
 
     def is_abandoned(self, name: str, now: float) -> bool:
-        """Tells whether requests on an upstream no longer get an answer.
+        """Returns whether requests at an upstream are no longer waited for.
 
         The time counts from when the loss was noticed and not from the last
-        answer: after a pause of this process, the answers of all upstreams
+        answer: after a pause of this process, the last answers of all upstreams
         are old.
         """
-        watched = self._watched.get(name)
+        tracked = self._tracked.get(name)
         return (
-            watched is not None
-            and watched.status == "lost"
-            and now - watched.lost_at >= GIVE_UP_AFTER_S
+            tracked is not None
+            and tracked.status == "lost"
+            and now - tracked.lost_at >= ABANDON_AFTER_S
         )
 
     def list_states(self, now: float) -> dict[str, dict[str, object]]:
         """Returns the state of each upstream for the state dump."""
         return {
             name: {
-                "status": watched.status,
-                "incarnation": watched.incarnation,
-                "silent_s": round(now - watched.heard_at, 3),
+                "status": tracked.status,
+                "incarnation": tracked.incarnation,
+                "silent_s": round(now - tracked.answered_at, 3),
             }
-            for name, watched in self._watched.items()
+            for name, tracked in self._tracked.items()
         }
--- a/packages/router/tests/domain_hosts.py
+++ b/packages/router/tests/domain_hosts.py
@@ -357,7 +357,7 @@
             if now > self._reached_at + 1.0:
                 self.view.extend_grace(now + _direct_views.RETURN_GRACE_S)
             self._reached_at = now
-            self.view.take_all(dict(world.entries), now)
+            self.view.replace_all(dict(world.entries), now)
         self.view.sweep(now)
 
     def end(self):
--- a/packages/router/tests/key_world.py
+++ b/packages/router/tests/key_world.py
@@ -342,7 +342,9 @@
         while True:
             await self.pause()
             if not self.cut_from_store and not self.world.store.down:
-                self.view.take_all(self.world.list_entries(), self.world.now())
+                self.view.replace_all(
+                    self.world.list_entries(), self.world.now()
+                )
             self.view.sweep(self.world.now())
             await coordinator_role.step()
             await asyncio.sleep(_coordinator_role.TICK_S)
--- a/packages/router/tests/test_coordinator_changes.py
+++ b/packages/router/tests/test_coordinator_changes.py
@@ -35,7 +35,7 @@
         cut = others[0]
         blind.cut_from_store = cut.cut_from_store = True
         ages = []
-        cut.coordinator_role._on_store_age = ages.append
+        cut.coordinator_role._observe_store_age = ages.append
         await asyncio.sleep(TAKEOVER_S)
         ages.clear()
         await asyncio.sleep(2.0)
--- a/packages/router/tests/test_coordinator_stops.py
+++ b/packages/router/tests/test_coordinator_stops.py
@@ -25,7 +25,7 @@
 def _hold_writes(host):
     """Delays the host's writes until the returned event is set."""
     released = asyncio.Event()
-    records = host.coordinator_role._bid._records
+    records = host.coordinator_role._election._records
     write = records.write
 
     async def write_later(values, expected):
@@ -67,7 +67,7 @@
             del address, trace
             under_way.add(order.order)
             try:
-                await asyncio.sleep(_tenure.STOP_S + 3.0)
+                await asyncio.sleep(_tenure.RESIGN_TIMEOUT_S + 3.0)
             finally:
                 under_way.discard(order.order)
             return key_world.RESULT.UNKNOWN
--- a/packages/router/tests/test_direct_peers.py
+++ b/packages/router/tests/test_direct_peers.py
@@ -84,7 +84,7 @@
 
 def test_a_notice_of_moving_keys_lapses():
     directory = _key_directory.KeyDirectory()
-    directory.take_notice(1, HEARTBEAT.moving, 10.0)
+    directory.set_moving(1, HEARTBEAT.moving, 10.0)
     assert directory.is_moving("boards", 7, 10.5)
     assert not directory.is_moving("boards", 10, 10.5)
     assert not directory.is_moving("boards", 7, 12.0)
--- a/packages/router/tests/test_direct_views.py
+++ b/packages/router/tests/test_direct_views.py
@@ -14,8 +14,8 @@
 
 def test_a_gone_upstream_is_kept_as_leaving_for_a_time():
     view = _direct_views.UpstreamView(2.0, lambda: None)
-    view.take_all({"u1": build_upstream()}, 0.0)
-    view.take_changes({"u1": None}, 5.0)
+    view.replace_all({"u1": build_upstream()}, 0.0)
+    view.apply_changes({"u1": None}, 5.0)
     assert [item.is_draining for item in view.list_all()] == [True]
     view.sweep(6.9)
     assert view.find(build_upstream().run) is not None
@@ -25,9 +25,9 @@
 
 def test_entries_that_lapsed_in_an_outage_may_come_back():
     view = _direct_views.UpstreamView(2.0, lambda: None)
-    view.take_all({"u1": build_upstream()}, 0.0)
+    view.replace_all({"u1": build_upstream()}, 0.0)
     view.extend_grace(12.0)
-    view.take_all({}, 10.0)
+    view.replace_all({}, 10.0)
     assert [item.is_draining for item in view.list_all()] == [False]
     view.sweep(12.1)
     assert [item.is_draining for item in view.list_all()] == [True]
@@ -35,8 +35,8 @@
 
 def test_a_new_run_replaces_the_old_one_at_once():
     view = _direct_views.UpstreamView(2.0, lambda: None)
-    view.take_all({"u1": build_upstream(started_ms=1)}, 0.0)
-    view.take_changes({"u1": build_upstream(started_ms=9)}, 1.0)
+    view.replace_all({"u1": build_upstream(started_ms=1)}, 0.0)
+    view.apply_changes({"u1": build_upstream(started_ms=9)}, 1.0)
     assert [item.started_ms for item in view.list_all()] == [9]
     assert view.find(sycamoreloft_direct.UpstreamRun("u1", 1)) is None
 
@@ -45,7 +45,7 @@
     view = _direct_views.StateView()
     bounds = sycamoreloft_direct.CallerLimits(1, 1, 1.0)
     for version in (7, 5, 6):
-        view.take(
+        view.apply_entries(
             {
                 "config": sycamoreloft_direct.DesiredState(
                     version, (), {}, bounds
@@ -57,10 +57,10 @@
 
 def test_an_entry_removed_after_the_store_came_back_is_gone_at_once():
     view = _direct_views.UpstreamView(2.0, lambda: None)
-    view.take_all({"u1": build_upstream(), "u2": build_upstream("u2")}, 0.0)
+    view.replace_all({"u1": build_upstream(), "u2": build_upstream("u2")}, 0.0)
     view.extend_grace(12.0)
-    view.take_all({"u1": build_upstream()}, 10.0)
-    view.take_changes({"u1": None}, 10.2)
+    view.replace_all({"u1": build_upstream()}, 10.0)
+    view.apply_changes({"u1": None}, 10.2)
     leaving = {item.id: item.is_draining for item in view.list_all()}
     assert leaving == {"u1": True, "u2": False}
 
@@ -68,16 +68,16 @@
 def test_a_view_tells_when_the_time_of_an_entry_is_over():
     """Guards against sweeps for nothing, and against those that are late."""
     view = _direct_views.UpstreamView(2.0, lambda: None)
-    view.take_all({"u1": build_upstream(), "u2": build_upstream("u2")}, 0.0)
-    assert view.find_due() == math.inf
-    view.take_changes({"u1": None}, 5.0)
-    assert view.find_due() == 7.0
+    view.replace_all({"u1": build_upstream(), "u2": build_upstream("u2")}, 0.0)
+    assert view.compute_next_expiry() == math.inf
+    view.apply_changes({"u1": None}, 5.0)
+    assert view.compute_next_expiry() == 7.0
     view.extend_grace(6.5)
-    view.take_all({}, 6.0)
-    assert view.find_due() == 6.5
+    view.replace_all({}, 6.0)
+    assert view.compute_next_expiry() == 6.5
     view.sweep(6.5)
-    assert view.find_due() == 7.0
+    assert view.compute_next_expiry() == 7.0
     view.sweep(7.0)
-    assert view.find_due() == 8.5
+    assert view.compute_next_expiry() == 8.5
     view.sweep(8.5)
-    assert view.find_due() == math.inf
+    assert view.compute_next_expiry() == math.inf
--- a/packages/router/tests/test_host_roster.py
+++ b/packages/router/tests/test_host_roster.py
@@ -9,7 +9,7 @@
 
 SERVICE = "boards"
 HOSTS = 195
-BEAT = _datagrams.Heartbeat(1, 3, False, (), _datagrams.SeenVersions())
+HEARTBEAT = _datagrams.Heartbeat(1, 3, False, (), _datagrams.SeenVersions())
 
 
 @dataclasses.dataclass
@@ -35,27 +35,29 @@
     for revision in range(1, 4):
         owner = sycamoreloft_direct.UpstreamRun(f"u{revision}", 1)
         keys = keys.assign(0, 9, owner)
-        directory.take(sycamoreloft_direct.KeyMap(1, revision, {SERVICE: keys}))
+        directory.update(
+            sycamoreloft_direct.KeyMap(1, revision, {SERVICE: keys})
+        )
     return _host_roster.HostRoster(socket, directory)
 
 
-def add_hosts(roster, order, count=HOSTS, offset=0):
+def add_hosts(roster, version, count=HOSTS, offset=0):
     for number in range(offset, offset + count):
         address = (f"10.0.{number // 256}.{number % 256}", 7500)
-        roster.note_report(address, order, 0.0)
+        roster.record_report(address, version, 0.0)
 
 
 # Guards against a heartbeat that is encoded once for each host.
 def test_hosts_with_the_same_map_get_one_message(roster, socket):
     add_hosts(roster, (1, 3))
-    roster.tell(BEAT, 1.0)
+    roster.send_heartbeat(HEARTBEAT, 1.0)
     assert [len(addresses) for _, addresses in socket.sent] == [HOSTS]
 
 
 def test_hosts_that_are_behind_get_what_they_lack(roster, socket):
     add_hosts(roster, (1, 3))
     add_hosts(roster, (1, 2), 5, HOSTS)
-    roster.tell(BEAT, 1.0)
+    roster.send_heartbeat(HEARTBEAT, 1.0)
     counts = {
         bool(message.key_changes): len(addresses)
         for message, addresses in socket.sent
@@ -67,7 +69,7 @@
 def test_a_host_that_starts_gets_the_whole_map_once_in_a_while(roster, socket):
     add_hosts(roster, _host_roster.NO_MAP, 30)
     for step in range(8):
-        roster.tell(BEAT, 1.0 + step * 0.05)
+        roster.send_heartbeat(HEARTBEAT, 1.0 + step * 0.05)
     parts = [
         message
         for message, _ in socket.sent
@@ -78,6 +80,6 @@
 
 def test_hosts_that_report_no_more_are_forgotten(roster, socket):
     add_hosts(roster, (1, 3), 3)
-    roster.tell(BEAT, _host_roster.FORGET_HOST_S + 0.1)
+    roster.send_heartbeat(HEARTBEAT, _host_roster.HOST_TIMEOUT_S + 0.1)
     assert not roster.addresses
     assert not socket.sent
--- a/packages/router/tests/test_order_logs.py
+++ b/packages/router/tests/test_order_logs.py
@@ -234,7 +234,7 @@
         # Calls take up to 0.84 s; a coordinator that stops waits for 0.5 s and
         # gives up those that take longer.
         world.slow_share = 1.0
-        while not first.coordinator_role._tenure._arrivals:
+        while not first.coordinator_role._tenure._latest_arrivals:
             await asyncio.sleep(0.01)
         await first.coordinator_role.stop()
         (resigned,) = recorder.list("coordinator-resigned")
@@ -288,8 +288,8 @@
     lines = recorder.list("owner-changed")
     assert len(described) == len(lines)
     assert _logs.BURST <= len(lines) < _logs.BURST * 2
-    assert lines[0]["claims_left_out"] == 50 - _order_logs.MAXIMUM_CLAIMS
-    assert len(lines[0]["claims"]) == _order_logs.MAXIMUM_CLAIMS
+    assert lines[0]["claims_left_out"] == 50 - _order_logs.MAXIMUM_LOGGED_CLAIMS
+    assert len(lines[0]["claims"]) == _order_logs.MAXIMUM_LOGGED_CLAIMS
     assert _logs.LIMITER.suppressed_total == 10_000 - len(lines)
 
 
--- a/packages/router/tests/test_parked_requests.py
+++ b/packages/router/tests/test_parked_requests.py
@@ -48,7 +48,7 @@
     """Guards against callers that hang while a generation stays pending."""
     parked = _parked_requests.ParkedRequests()
     parked.add(make_request("p1"), print)
-    clock[0] += _parked_requests.LONGEST_WAIT_S
+    clock[0] += _parked_requests.MAXIMUM_WAIT_S
     assert retry(parked, True) == [("p1", 3_000)]
 
 
--- a/packages/router/tests/test_settings_watch.py
+++ b/packages/router/tests/test_settings_watch.py
@@ -26,7 +26,7 @@
         self.applied = []
         self.stamp = 0
         self.write("6 a:1")
-        self.watch = _settings_watch.SettingsWatcher(
+        self.watcher = _settings_watch.SettingsWatcher(
             _settings_watch.SettingsSource(
                 path,
                 self.load,
@@ -66,11 +66,11 @@
 
 def test_a_changed_file_is_taken_without_a_signal(file, caplog):
     caplog.set_level(logging.INFO)
-    file.watch.look()
+    file.watcher.check_file()
     assert not file.applied
     file.write("9 b:2")
-    file.watch.look()
-    file.watch.look()
+    file.watcher.check_file()
+    file.watcher.check_file()
     assert file.applied == [Settings(9.0, "b:2")]
     assert list_events(caplog) == [
         (
@@ -82,8 +82,8 @@
 
 def test_a_signal_reloads_an_unchanged_file(file, caplog):
     caplog.set_level(logging.INFO)
-    file.watch.request_reload()
-    file.watch.look()
+    file.watcher.request_reload()
+    file.watcher.check_file()
     assert file.applied == [Settings(6.0, "a:1")]
     assert list_events(caplog) == [
         ("settings-reloaded", {"applied": {}, "needs_restart": []})
@@ -92,16 +92,16 @@
 
 def test_bad_settings_leave_the_old_ones_in_force(file, caplog):
     file.write("nonsense")
-    file.watch.look()
+    file.watcher.check_file()
     assert not file.applied
     ((event, fields),) = list_events(caplog)
     assert event == "settings-rejected" and len(fields["problems"]) == 1
     file.write("7 a:1")
-    file.watch.look()
+    file.watcher.check_file()
     assert file.applied == [Settings(7.0, "a:1")]
 
 
 def test_a_missing_file_changes_nothing(file, caplog):
     file.path.unlink()
-    file.watch.look()
+    file.watcher.check_file()
     assert not file.applied and not list_events(caplog)
--- a/packages/router/tests/test_table_follower.py
+++ b/packages/router/tests/test_table_follower.py
@@ -47,12 +47,12 @@
         self.values[key] = value
 
 
-def follow(scenario, spread_s=0.0):
+def follow(scenario, choose_spread_s=0.0):
     async def main():
         table = FakeTable()
         seen = {}
         follower = _table_follower.TableFollower(
-            "t", table, seen.update, seen.update, lambda: spread_s
+            "t", table, seen.update, seen.update, lambda: choose_spread_s
         )
         task = asyncio.get_running_loop().create_task(follower.run())
         await asyncio.sleep(0.1)
@@ -68,7 +68,7 @@
     async def scenario(table, follower, seen):
         table.hangs = True
         table.put("a", 7)
-        follower.hear(table.newest)
+        follower.observe_peer(table.newest)
         await asyncio.sleep(1.5)
         assert seen == {"a": 7}
 
@@ -78,7 +78,7 @@
 async def tell_of_newest(table, follower, seconds):
     """Tells a follower what others have, four times a second."""
     for _ in range(round(seconds / 0.25)):
-        follower.hear(table.newest)
+        follower.observe_peer(table.newest)
         await asyncio.sleep(0.25)
 
 
@@ -121,7 +121,7 @@
         table.put("a", 7)
         await asyncio.sleep(8.0)
         assert seen == {}
-        follower.ask_again()
+        follower.restart_call()
         await asyncio.sleep(0.5)
         assert seen == {"a": 7} and follower.returned_at > 0
 
@@ -132,7 +132,7 @@
     async def scenario(table, follower, seen):
         table.put("a", 7)
         await asyncio.sleep(0.5)
-        follower.hear(table.newest)
+        follower.observe_peer(table.newest)
         await asyncio.sleep(3.0)
         assert seen == {"a": 7} and table.reads == 1
 
@@ -149,7 +149,7 @@
         await asyncio.sleep(0.4)
         assert seen == {"a": 2}
 
-    follow(scenario, spread_s=0.5)
+    follow(scenario, choose_spread_s=0.5)
 
 
 def test_lost_history_is_read_again():
@@ -159,7 +159,7 @@
         table.problem = None
         table.put("a", 1)
         await asyncio.sleep(1.0)
-        assert seen == {"a": 1} and not follower.is_lost
+        assert seen == {"a": 1} and not follower.is_store_lost
 
     follow(scenario)
 
@@ -168,10 +168,10 @@
     async def scenario(table, follower, seen):
         table.problem = _direct_ports.ReadProblem.UNAVAILABLE
         await asyncio.sleep(2.0)
-        assert follower.is_lost
+        assert follower.is_store_lost
         table.problem = None
         await asyncio.sleep(1.0)
-        assert not follower.is_lost
+        assert not follower.is_store_lost
         assert follower.returned_at > 0
 
     follow(scenario)
@@ -184,7 +184,7 @@
     async def scenario(table, follower, _seen):
         table.hangs = True
         table.put("a", 7)
-        follower.hear(table.newest)
+        follower.observe_peer(table.newest)
         await asyncio.sleep(1.5)
 
     follow(scenario)
@@ -205,7 +205,7 @@
         table.load_s = 2.0
         table.put("a", 7)
         await asyncio.sleep(1.0)
-        follower.ask_again()
+        follower.restart_call()
         await asyncio.sleep(0.9)
         assert table.reads == 1
         await asyncio.sleep(0.4)
@@ -227,4 +227,4 @@
         await asyncio.sleep(1.8)
         assert seen == {"a": 2}
 
-    follow(scenario, spread_s=0.1)
+    follow(scenario, choose_spread_s=0.1)
--- a/packages/router/tests/test_ticks.py
+++ b/packages/router/tests/test_ticks.py
@@ -93,14 +93,14 @@
         )
         steps = run_by_itself(second)
         await asyncio.sleep(4.0)
-        assert 4.0 / _coordinator_role.REPORT_S * 0.7 < len(steps) < 24
+        assert 4.0 / _coordinator_role.REPORT_INTERVAL_S * 0.7 < len(steps) < 24
         assert (
             first.coordinator_role.is_coordinator
             and not second.coordinator_role.is_coordinator
         )
         await first.coordinator_role.stop()
         first.kill()
-        await asyncio.sleep(_coordinator_role.LONGEST_YIELD_S + 0.5)
+        await asyncio.sleep(_coordinator_role.MAXIMUM_ELECTION_DELAY_S + 0.5)
         assert second.coordinator_role.is_coordinator
         # A coordinator looks at each tick.
         steps.clear()
--- a/packages/router/tests/test_upstream_choice.py
+++ b/packages/router/tests/test_upstream_choice.py
@@ -37,12 +37,12 @@
         ),
     )
     keys = sycamoreloft_direct.ServiceKeys(SERVICE, ranges)
-    directory.take(sycamoreloft_direct.KeyMap(1, 1, {SERVICE: keys}))
+    directory.update(sycamoreloft_direct.KeyMap(1, 1, {SERVICE: keys}))
     generator = random.Random(1)
     return types.SimpleNamespace(
         directory=directory,
         generator=generator,
-        book=sycamoreloft_direct.UpstreamPool("z", generator),
+        pool=sycamoreloft_direct.UpstreamPool("z", generator),
         leaving_s=1.0,
         loop=None,
     )
@@ -54,7 +54,7 @@
     began = services.loop.time()
     received = _exchange.ReceivedRequest(None, 0, b"", began + deadline_s)
     choice = _upstream_choice.UpstreamChoice(services, Request(), received)
-    record = await choice.find()
+    record = await choice.choose_upstream()
     return record, choice, services.loop.time() - began
 
 
@@ -63,7 +63,7 @@
     async def main():
         _, _, first_s = await _find(services)
         _, choice, second_s = await _find(services)
-        assert first_s >= _upstream_choice.OWNER_WAIT_S
+        assert first_s >= _upstream_choice.MAXIMUM_OWNER_WAIT_S
         assert second_s == 0.0
         assert choice.is_owner_lost
         assert choice.reason == "no-owner"
@@ -75,9 +75,9 @@
     async def main():
         await _find(services)
         changed = dataclasses.replace(services.directory.key_map, revision=2)
-        services.directory.take(changed)
+        services.directory.update(changed)
         _, _, seconds = await _find(services)
-        assert seconds >= _upstream_choice.OWNER_WAIT_S
+        assert seconds >= _upstream_choice.MAXIMUM_OWNER_WAIT_S
 
     virtual_time.run(main())
 
@@ -89,7 +89,7 @@
         entry = sycamoreloft_direct.Upstream(
             "u0", 1, "10.0.0.1:1", SERVICE, "z", 6, False
         )
-        services.book.update([entry], now)
+        services.pool.update([entry], now)
         record, _, seconds = await _find(services)
         assert record.entry == entry
         assert seconds == 0.0
@@ -104,10 +104,10 @@
         entry = sycamoreloft_direct.Upstream(
             "u0", 1, "10.0.0.1:1", SERVICE, "z", 6, False
         )
-        services.book.update([entry], services.loop.time())
+        services.pool.update([entry], services.loop.time())
         await _find(services)
-        services.book.update([], services.loop.time())
+        services.pool.update([], services.loop.time())
         _, _, seconds = await _find(services)
-        assert seconds >= _upstream_choice.OWNER_WAIT_S
+        assert seconds >= _upstream_choice.MAXIMUM_OWNER_WAIT_S
 
     virtual_time.run(main())
