--- a/packages/router/sycamoreloft_router/_coordinator_election.py
+++ b/packages/router/sycamoreloft_router/_coordinator_election.py
@@ -89,7 +89,7 @@
 
         Args:
             has_blind_peer: Whether this host receives heartbeats of a
-                coordinator that the store does not answer.
+                coordinator that does not reach the store.
         """
         now = self._clock()
         records = await self._records.read()
--- a/packages/router/sycamoreloft_router/_coordinator_role.py
+++ b/packages/router/sycamoreloft_router/_coordinator_role.py
@@ -40,15 +40,15 @@
 #: coordinator.
 LOST_AFTER_S = 1.1
 
-#: Delay of a host before an election, in seconds times the bandwidth of its
-#: link in Mbit/s. The coordinator sends to every host and to every owner of
-#: keys, so hosts with wide links go first.
+#: Product of a host's delay before it tries to become the coordinator, in
+#: seconds, and its bandwidth, in Mbit/s. The coordinator sends to every host
+#: and to every owner of keys, so hosts with wide links go first.
 ELECTION_DELAY_S_MBPS = 5.0
 
 #: Upper bound of that delay, in seconds.
 MAXIMUM_ELECTION_DELAY_S = 0.5
 
-#: Upper bound of a random delay on top of it, in seconds, so that hosts with
+#: Upper bound of a random additional delay, in seconds, so that hosts with
 #: equal links do not read the store at the same moment.
 MAXIMUM_ELECTION_JITTER_S = 0.2
 
@@ -261,7 +261,7 @@
 
         Args:
             has_blind_peer: Whether this host receives heartbeats of a
-                coordinator that the store does not answer.
+                coordinator that does not reach the store.
 
         Returns:
             Seconds until the next attempt.
@@ -289,7 +289,7 @@
             )
             self._send_report()
         if outcome.wait_s:
-            # The jitter separates hosts, which all wait for the same time.
+            # All hosts wait for the end of the same lease.
             jitter_s = self._generator.uniform(0.0, MAXIMUM_ELECTION_JITTER_S)
             return outcome.wait_s + jitter_s
         return pause_s
@@ -484,7 +484,7 @@
         if tenure is None:
             return
         version = (message.epoch, message.revision)
-        if self._roster.record_report(sender, version, self._clock()):
+        if self._roster.add_report(sender, version, self._clock()):
             self._next_heartbeat_at = 0.0
         tenure.record_observations(message)
         self._crash_guard.record_report(
--- a/packages/router/sycamoreloft_router/_datagram_codec.py
+++ b/packages/router/sycamoreloft_router/_datagram_codec.py
@@ -20,12 +20,19 @@
 #: Version of the encoding; other versions are rejected.
 _VERSION = 4
 
-#: Maximum of epochs and revisions, of versions of rows, of fingerprints of
-#: requests, of the number of hosts, and of the counts in a report.
+#: Maximum epoch or revision of a map of keys.
 _MAXIMUM_EPOCH_OR_REVISION = (1 << 31) - 1
+
+#: Maximum version of a row of the platform's tables.
 _MAXIMUM_ROW_VERSION = (1 << 63) - 1
+
+#: Maximum fingerprint of a request.
 _MAXIMUM_FINGERPRINT = (1 << 64) - 1
+
+#: Maximum number of hosts in a heartbeat.
 _MAXIMUM_HOSTS = 1_000_000
+
+#: Maximum number of requests, answers or crashes in an entry of a report.
 _MAXIMUM_COUNT = 1_000_000
 
 #: Longest duration in a datagram, in seconds.
@@ -122,15 +129,10 @@
     kind = ""
     try:
         if len(data) > _datagrams.MAXIMUM_DATAGRAM_BYTES:
-            raise ValueError(
-                f"{len(data)} bytes are longer than the maximum of"
-                f" {_datagrams.MAXIMUM_DATAGRAM_BYTES} bytes"
-            )
+            raise ValueError(f"a length of {len(data)} bytes is too long")
         version, name, *fields = msgpack.unpackb(data, strict_map_key=False)
         if version != _VERSION:
-            raise ValueError(
-                f"encoded in version {version!r:.40}, expected {_VERSION}"
-            )
+            raise ValueError(f"unsupported version, expected {_VERSION}")
         kind = _check_string(name)
         decoder = _DECODERS.get(kind)
         if decoder is None:
@@ -250,7 +252,7 @@
 ) -> _key_directory.MovingKeys:
     keys = (_check_key(first), _check_key(last))
     if keys[0] > keys[1]:
-        raise ValueError(f"first key {first} is greater than last key {last}")
+        raise ValueError(f"the range of keys {first} to {last} is reversed")
     return _key_directory.MovingKeys(_check_string(service), *keys)
 
 
--- a/packages/router/sycamoreloft_router/_direct_execution.py
+++ b/packages/router/sycamoreloft_router/_direct_execution.py
@@ -26,8 +26,8 @@
 #: Statuses with which an upstream may refuse a request that did not run.
 REFUSAL_STATUSES = frozenset((400, 421, 429, 503))
 
-#: Status of an upstream that a request reached by mistake. It means that the
-#: request did not run, also without the header that says so.
+#: Status of an upstream that received a request meant for another one. The
+#: request did not run, even if the header that says so is missing.
 MISDIRECTED = 421
 
 #: Bounds of the random time after which a refused caller may retry, in
@@ -47,10 +47,10 @@
 
 
 class DirectPath:
-    """Creates the runs of requests; see `_exchange.RequestPath`.
+    """Creates the executions of requests; see `_exchange.RequestPath`.
 
     Args:
-        services: What all requests share.
+        services: Objects that all requests share.
     """
 
     def __init__(self, services: _direct_services.DirectServices) -> None:
@@ -58,7 +58,7 @@
         self.services = services
         #: Metrics of the process.
         self.metrics = services.metrics
-        #: Finds the routes of requests.
+        #: Parses and routes requests.
         self.parser = _direct_requests.DirectParser(
             services.states, services.header_names
         )
@@ -70,22 +70,23 @@
         fields: _headers.RequestFields,
         sink: _exchange.AnswerSink,
     ) -> "DirectExecution":
-        """Creates the run of a request."""
+        """Creates the execution of a request."""
         del fields
         return DirectExecution(self, request, received, sink)
 
 
 class DirectExecution:
-    """Runs one request.
+    """Serves one request with one or more attempts at upstreams.
 
     Args:
-        path: What all requests share.
+        path: Parser and objects that all requests share.
         request: The request.
-        received: Body and deadline.
-        sink: Where the answer goes.
+        received: Body and deadline of the request.
+        sink: Receives the answer.
     """
 
     __slots__ = (
+        "_attempt_count",
         "_began_at",
         "_choice",
         "_crash_watch",
@@ -100,7 +101,6 @@
         "_stop_reason",
         "_task",
         "_transfer",
-        "_attempt_count",
     )
 
     def __init__(
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -67,7 +67,7 @@
 
 #: Share of the drain time for which a leaving owner still gets requests for
 #: its keys. The rest covers the delay until a host learns that the upstream
-#: leaves, and the way of the last requests.
+#: leaves, and the transfer of the last requests.
 LEAVING_SHARE = 0.4
 
 #: Share of the platform's retry budget that hosts use. The hosts count in
--- a/packages/router/sycamoreloft_router/_direct_logs.py
+++ b/packages/router/sycamoreloft_router/_direct_logs.py
@@ -9,7 +9,7 @@
 from sycamoreloft_router import _answers, _logs, _transfers
 
 if typing.TYPE_CHECKING:
-    # A module cycle: that module logs rejected requests with this one.
+    # For annotations only: that module imports this one.
     from sycamoreloft_router import _direct_requests
 
 _LOGGER = logging.getLogger(__name__)
--- a/packages/router/sycamoreloft_router/_direct_ports.py
+++ b/packages/router/sycamoreloft_router/_direct_ports.py
@@ -134,7 +134,8 @@
     __slots__ = ("connection", "error", "status")
 
     def __init__(self) -> None:
-        #: HTTP status of the answer; 0 without an answer.
+        #: HTTP status of the answer; `NO_ANSWER` if the call was not answered,
+        #: 0 if no call was made.
         self.status = 0
         #: Description of the failure; empty without one.
         self.error = ""
--- a/packages/router/sycamoreloft_router/_host_roster.py
+++ b/packages/router/sycamoreloft_router/_host_roster.py
@@ -39,8 +39,8 @@
 class _MapNeeds:
     """What the hosts need to have the current map."""
 
-    #: Addresses of all hosts by the encoded changes that they need; empty for
-    #: none, or for the whole map instead.
+    #: Addresses of all hosts by the encoded changes that they need. Hosts that
+    #: need no changes, or the whole map, are under the empty string.
     changes: dict[bytes, list[_datagrams.Address]]
     #: Addresses of the hosts that need the whole map.
     whole: list[_datagrams.Address]
@@ -69,7 +69,7 @@
         """Addresses of the known hosts."""
         return tuple(self._hosts)
 
-    def record_report(
+    def add_report(
         self, address: _datagrams.Address, version: tuple[int, int], now: float
     ) -> bool:
         """Records the report of a host.
--- a/packages/router/sycamoreloft_router/_key_directory.py
+++ b/packages/router/sycamoreloft_router/_key_directory.py
@@ -42,10 +42,10 @@
         self._missing_since: dict[sycamoreloft_direct.UpstreamRun, float] = {}
 
     def update(self, key_map: sycamoreloft_direct.KeyMap) -> bool:
-        """Replaces the map unless it is as new.
+        """Replaces the map by a newer one; an older one is ignored.
 
         Returns:
-            Whether the map was replaced.
+            Whether the given map was newer.
         """
         if key_map.version <= self.key_map.version:
             return False
@@ -58,10 +58,9 @@
         return True
 
     def replace(self, key_map: sycamoreloft_direct.KeyMap) -> None:
-        """Replaces a newer map that the store never recorded.
+        """Replaces the map by the recorded one, although that one is older.
 
-        Such a map comes from forged heartbeats, or from a coordinator whose
-        records were lost.
+        The present map then has an epoch that the store does not know.
         """
         self._earlier.clear()
         self._moving = ()
--- a/packages/router/sycamoreloft_router/_map_parts.py
+++ b/packages/router/sycamoreloft_router/_map_parts.py
@@ -86,8 +86,8 @@
         key_map = sycamoreloft_direct.decode_key_map(_decompress(data))
         if key_map.version != version:
             raise ValueError(
-                f"the parts of version {version} contain the map of keys of"
-                f" version {key_map.version}"
+                f"the map of keys has version {key_map.version}, but its parts"
+                f" have version {version}"
             )
         return key_map
 
@@ -99,8 +99,5 @@
     except zlib.error as error:
         raise ValueError(f"not a compressed map of keys: {error}") from error
     if not stream.eof:
-        raise ValueError(
-            "the compressed map of keys is truncated or has more than"
-            f" {MAXIMUM_MAP_BYTES} bytes"
-        )
+        raise ValueError("the compressed map of keys is truncated or too long")
     return encoded
--- a/packages/router/sycamoreloft_router/_table_follower.py
+++ b/packages/router/sycamoreloft_router/_table_follower.py
@@ -128,10 +128,11 @@
         )
 
     def restart_call(self) -> None:
-        """Abandons a call that began before an outage of the store.
+        """Abandons a call for changes that began before an outage of the store.
 
-        The store may never answer it. Entries that expired during the outage
-        may return, as after an outage that this host noticed itself.
+        The store may never answer it. The whole table is read instead, and
+        entries that expired during the outage may return, as after an outage
+        that this host noticed itself.
         """
         if self._call is None or self._is_full_read:
             return
@@ -157,11 +158,11 @@
 
     @property
     def _is_loading(self) -> bool:
-        """Whether the call must not be cancelled because its answer is loading.
+        """Whether the pending call must not be cancelled.
 
-        If an answer stalls, the idle timeout of the call ends it. A full read
-        that has not begun to answer is not cancelled either, since another
-        read would wait as long.
+        If an answer stalls while it is loading, the idle timeout of the call
+        ends it. A full read is not cancelled before its answer begins either,
+        since another read would have to wait as long.
         """
         return self._is_full_read or self._progress.bytes > 0
 
--- a/packages/router/sycamoreloft_router/_tenure.py
+++ b/packages/router/sycamoreloft_router/_tenure.py
@@ -39,7 +39,8 @@
     key_map: sycamoreloft_direct.KeyMap
     #: Version of both records.
     version: int
-    #: Store's clock at the read before the write.
+    #: Relates the store's clock to the boot clock, by the read before the
+    #: write.
     reference: _coordinator_lease.ClockReference
     #: When the write was sent, on the boot clock.
     sent_at: float
@@ -86,7 +87,7 @@
         self._is_renewing = False
         self._renew_at = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
-        # When each order in flight reaches its upstream at the latest.
+        # Latest arrival of each order in flight at its upstream, by number.
         self._latest_arrivals: dict[int, float] = {}
         self._answer_times = _answer_times.AnswerTimes()
         self._set_validity(acquired.sent_at)
@@ -353,8 +354,8 @@
     async def _resolve_conflict(self) -> None:
         """Ends the tenure if another host wrote the lease.
 
-        A conflict also arises if an earlier write of this host took effect
-        without an answer. The lease in the store is then kept.
+        If an earlier write of this host took effect without an answer, it is
+        this host's lease that is in the store. The tenure then continues.
         """
         records = await self._platform.records.read()
         if isinstance(records, _direct_ports.ReadProblem):
--- a/packages/router/sycamoreloft_router/_upstream_monitor.py
+++ b/packages/router/sycamoreloft_router/_upstream_monitor.py
@@ -1,4 +1,4 @@
-"""Turns grant answers into what the permit desk knows of upstreams."""
+"""Tracks upstreams by their answers to grants, for the permit issuer."""
 
 import dataclasses
 
@@ -37,7 +37,15 @@
         answer: sycamoreloft_decisions.GrantAnswered,
         now: float,
     ) -> list[sycamoreloft_decisions.PermitEvent]:
-        """Takes a grant answer and returns events for the permit desk."""
+        """Records an answer to a grant, and returns events for the issuer.
+
+        Args:
+            upstream: The upstream that answered.
+            queue: Maximum number of requests queued for the upstream; 0 means
+                twice its slots.
+            answer: The answer.
+            now: Time of the answer, in seconds.
+        """
         events: list[sycamoreloft_decisions.PermitEvent] = []
         tracked = self._tracked.get(upstream.name)
         restarted = (
@@ -83,6 +91,8 @@
     def is_abandoned(self, name: str, now: float) -> bool:
         """Returns whether requests at an upstream are no longer waited for.
 
+        That is so once the grants of a lost upstream have expired.
+
         The time counts from when the loss was noticed and not from the last
         answer: after a pause of this process, the last answers of all upstreams
         are old.
--- a/packages/router/tests/test_host_roster.py
+++ b/packages/router/tests/test_host_roster.py
@@ -44,7 +44,7 @@
 def add_hosts(roster, version, count=HOSTS, offset=0):
     for number in range(offset, offset + count):
         address = (f"10.0.{number // 256}.{number % 256}", 7500)
-        roster.record_report(address, version, 0.0)
+        roster.add_report(address, version, 0.0)
 
 
 # Guards against a heartbeat that is encoded once for each host.
