--- a/packages/router/tests/domain_faults.py
+++ b/packages/router/tests/domain_faults.py
@@ -1,4 +1,4 @@
-"""Faults of the world with failure domains, and patterns of them."""
+"""Faults for the simulated failure domains, and patterns that combine them."""
 
 import asyncio
 
@@ -14,7 +14,7 @@
 
 
 async def stop_in_turn(world, gap_s=1.5):
-    """Stops all hosts in turn, as a rolling restart does."""
+    """Stops all hosts in turn, like a rolling restart."""
     hosts = list(world.hosts.values())
     world.generator.shuffle(hosts)
     stops = []
@@ -26,7 +26,7 @@
 
 
 async def stop_coordinators(world, count=3):
-    """Stops the host that is the coordinator, and its successors."""
+    """Stops the coordinator, then its successors."""
     stops = []
     for _ in range(count):
         for host in world.find_coordinators():
@@ -36,8 +36,8 @@
     await asyncio.gather(*stops)
 
 
-async def stop_bidders(world, seconds=6.0):
-    """Stops the coordinator, and then hosts that bid for its duty."""
+async def stop_candidates(world, seconds=6.0):
+    """Stops the coordinator, then each host that tries to replace it."""
     stops = []
     ends_at = world.now() + seconds
     for host in world.find_coordinators():
@@ -46,11 +46,11 @@
     while world.now() < ends_at:
         for host in world.hosts.values():
             if (
-                host.process.is_bidding
+                host.process.is_candidate
                 and not host.is_coordinator
                 and not host.is_stopping
             ):
-                world.log(f"stop {host.name} (bids)")
+                world.log(f"stop {host.name} (candidate)")
                 stops.append(world.loop.create_task(host.stop()))
                 await asyncio.sleep(world.generator.uniform(0.0, 1.5))
         await asyncio.sleep(0.004)
@@ -70,7 +70,7 @@
 
 
 async def freeze_hosts(world):
-    """Lets a host stand still, often the coordinator."""
+    """Freezes a host, often the coordinator."""
     hosts = world.find_coordinators()
     if not hosts or world.generator.random() < 0.3:
         hosts = [world.generator.choice(list(world.hosts.values()))]
@@ -81,23 +81,30 @@
     await asyncio.sleep(seconds)
 
 
-async def starve_hosts(world):
-    """Lets timers of all hosts fire late, and orders leave late."""
+async def delay_timers(world):
+    """Delays timers and the sending of orders on all hosts."""
     world.log("starve")
     world.dispatch_delay_s = key_world.DISPATCH_LIMIT_S
     for host in world.hosts.values():
-        host.timer_lag_s = world.generator.choice((0.0, 0.3, 1.0))
+        host.timer_delay_s = world.generator.choice((0.0, 0.3, 1.0))
     await asyncio.sleep(world.generator.uniform(2.0, 10.0))
     world.dispatch_delay_s = 0.0
     for host in world.hosts.values():
-        host.timer_lag_s = 0.0
+        host.timer_delay_s = 0.0
 
 
 # Links.
 
 
 async def cut_domain(world, seconds=None, ways=None, domain=None):
-    """Cuts a domain from the store and all other domains."""
+    """Partitions a domain from the store and all other domains.
+
+    Args:
+        world: The simulation.
+        seconds: Duration; None draws one.
+        ways: Direction, "in", "out" or "both"; None draws one.
+        domain: Name of the domain; None draws one, often the coordinator's.
+    """
     coordinators = world.find_coordinators()
     if domain is None:
         domain = world.generator.choice(world.domains)
@@ -113,7 +120,7 @@
 
 
 async def cut_host(world):
-    """Cuts a host from the store, some upstreams, or both."""
+    """Partitions a host from some of the store, upstreams and other hosts."""
     generator = world.generator
     hosts = world.find_coordinators() or list(world.hosts.values())
     host = generator.choice(hosts)
@@ -134,7 +141,7 @@
 
 
 async def cut_upstream(world):
-    """Cuts an upstream from all hosts and the store."""
+    """Partitions an upstream from all hosts and the store."""
     upstream = world.generator.choice(world.list_up())
     others = [*world.domains, "store"]
     world.log(f"cut {upstream.name}")
@@ -147,7 +154,7 @@
 
 
 async def lose_segments(world):
-    """Loses some bytes from and to a domain."""
+    """Drops a share of the segments and datagrams from and to a domain."""
     domain = world.generator.choice(world.domains)
     world.log(f"lossy {domain}")
     world.links.loss[domain] = world.generator.choice((0.05, 0.2, 0.5))
@@ -159,7 +166,7 @@
 
 
 async def disturb_store(world):
-    """Takes the store away, loses answers, delays them, or turns hosts away."""
+    """Stops the store, drops or delays its answers, or refuses some hosts."""
     generator, store = world.generator, world.store
     seconds = generator.uniform(0.5, 9.0)
     kind = generator.choice(("down", "lose", "slow", "refuse"))
@@ -175,20 +182,20 @@
         world.store_delay_s = generator.choice((0.3, 1.2, 2.0))
     else:
         for host in (*refused, *world.find_coordinators()):
-            host.is_turned_away = True
+            host.is_refused_by_store = True
     await asyncio.sleep(seconds)
     store.down = False
     store.lose_share = 0.0
     world.store_delay_s = 0.0
     for host in world.hosts.values():
-        host.is_turned_away = False
+        host.is_refused_by_store = False
 
 
 # Upstreams.
 
 
 def _choose_upstream(world):
-    """Chooses an upstream that no other fault ends."""
+    """Chooses an upstream that no other fault is about to end."""
     upstream = world.generator.choice(
         [item for item in world.list_up() if not item.is_ending]
     )
@@ -197,7 +204,11 @@
 
 
 async def restart_upstream(world):
-    """Crashes an upstream; it returns at its address, elsewhere, or renamed."""
+    """Crashes an upstream and starts it again.
+
+    It returns under its name at the same or another address, or under another
+    name at the same address.
+    """
     generator = world.generator
     upstream = _choose_upstream(world)
     kind = generator.choice(("same", "same", "moved", "renamed"))
@@ -215,7 +226,7 @@
 
 
 async def drain_upstream(world):
-    """Lets an upstream leave; another one takes its place or address."""
+    """Drains an upstream; another one replaces it, often at its address."""
     generator = world.generator
     upstream = _choose_upstream(world)
     reports = generator.random() < 0.6
@@ -231,19 +242,19 @@
     world.start_upstream(name, upstream.domain, address)
 
 
-async def apply_late(world):
-    """Lets upstreams carry grants out seconds later, without an answer."""
+async def delay_grants(world):
+    """Makes upstreams apply some grants seconds late, without an answer."""
     world.log("late orders")
-    world.late_share = world.generator.choice((0.1, 0.3, 0.5))
+    world.delayed_share = world.generator.choice((0.1, 0.3, 0.5))
     await asyncio.sleep(world.generator.uniform(1.0, 9.0))
-    world.late_share = 0.0
+    world.delayed_share = 0.0
 
 
 # Load.
 
 
 async def send_requests(world):
-    """Sends requests through all hosts; the busy keys change."""
+    """Sends requests through all hosts; the hot keys change over time."""
     generator = world.generator
     first = 0
     while True:
@@ -264,7 +275,7 @@
     entry = process.view.find(owner) if owner is not None else None
     if entry is None:
         return
-    upstream = world.find_at(entry.address)
+    upstream = world.find_upstream_at(entry.address)
     if upstream is None or not world.links.is_open(
         host.labels, upstream.labels
     ):
@@ -280,7 +291,7 @@
 
 
 async def _cut_while_rolling(world):
-    """The pattern of the incident: hosts are stopped in turn around a cut."""
+    """Partitions a domain during a rolling restart, as in a past incident."""
     generator = world.generator
 
     async def cut():
@@ -306,7 +317,7 @@
     )
 
 
-async def _cut_while_bidders_stop(world):
+async def _cut_while_candidates_stop(world):
     generator = world.generator
 
     async def cut():
@@ -315,7 +326,7 @@
         await cut_domain(world, generator.uniform(2.5, 6.0), "both", domain)
 
     world.store_delay_s = generator.choice((0.0, 0.1, 0.4))
-    await asyncio.gather(stop_bidders(world), cut())
+    await asyncio.gather(stop_candidates(world), cut())
 
 
 async def _cut_while_coordinators_are_killed(world):
@@ -333,8 +344,8 @@
 
 
 async def _change_coordinators(world):
-    """Coordinators end in all ways while upstreams come and go."""
-    await _overlap(
+    """Ends coordinators in all ways while upstreams restart and drain."""
+    await _run_overlapping(
         world,
         (
             stop_coordinators,
@@ -351,14 +362,14 @@
 
 
 async def _mix(world):
-    await _overlap(
+    await _run_overlapping(
         world,
         (
             stop_in_turn,
             stop_coordinators,
             kill_hosts,
             freeze_hosts,
-            starve_hosts,
+            delay_timers,
             cut_domain,
             cut_domain,
             cut_host,
@@ -367,22 +378,22 @@
             disturb_store,
             restart_upstream,
             drain_upstream,
-            apply_late,
+            delay_grants,
         ),
         7,
     )
 
 
 async def _stop_beside_store_faults(world):
-    await _overlap(
+    await _run_overlapping(
         world,
-        (stop_coordinators, stop_in_turn, disturb_store, starve_hosts),
+        (stop_coordinators, stop_in_turn, disturb_store, delay_timers),
         5,
     )
 
 
 async def _restart_upstreams_beside_changes(world):
-    await _overlap(
+    await _run_overlapping(
         world,
         (
             stop_coordinators,
@@ -396,7 +407,7 @@
     )
 
 
-async def _overlap(world, faults, count):
+async def _run_overlapping(world, faults, count):
     running = []
     for _ in range(count):
         fault = world.generator.choice(faults)
@@ -408,7 +419,7 @@
 PATTERNS = {
     "cut-while-rolling": _cut_while_rolling,
     "cut-while-coordinators-stop": _cut_while_coordinators_stop,
-    "cut-while-bidders-stop": _cut_while_bidders_stop,
+    "cut-while-bidders-stop": _cut_while_candidates_stop,
     "cut-while-coordinators-are-killed": _cut_while_coordinators_are_killed,
     "coordinator-changes": _change_coordinators,
     "mix": _mix,
@@ -417,20 +428,23 @@
 }
 
 
-async def play(seed, pattern, exit_resets=True):
-    """Plays a pattern, and returns the world after it.
+async def run_pattern(seed, pattern, exit_resets=True):
+    """Runs a pattern of faults, and waits until all keys should be held again.
 
     Args:
-        seed: Seed of all choices.
-        pattern: Name of the pattern.
+        seed: Seed of all random choices.
+        pattern: Name of the pattern, a key of `PATTERNS`.
         exit_resets: Whether the end of a process drops the bytes that it sent
-            and that a cut holds up.
+            and that a partition delays.
+
+    Returns:
+        The simulation, to read its problems and events.
     """
     world = domain_world.World(seed, exit_resets=exit_resets)
     await asyncio.sleep(START_S)
     load = world.loop.create_task(send_requests(world))
     await PATTERNS[pattern](world)
-    world.calm()
+    world.end_faults()
     load.cancel()
     await asyncio.sleep(key_world.RECOVERY_S)
     return world
--- a/packages/router/tests/domain_hosts.py
+++ b/packages/router/tests/domain_hosts.py
@@ -1,4 +1,4 @@
-"""Hosts of the world with failure domains: processes, store, orders, links."""
+"""Simulated hosts in failure domains, with their calls and datagrams."""
 
 import asyncio
 import random
@@ -14,19 +14,19 @@
     _metrics,
 )
 
-#: Seconds within which the store has to answer.
+#: Timeout of a call to the store, in seconds.
 STORE_LIMIT_S = 1.5
 
-#: Seconds within which an upstream has to accept a connection.
+#: Timeout of a connection to an upstream, in seconds.
 CONNECT_LIMIT_S = 0.3
 
-#: Seconds within which an upstream has to answer a release.
+#: Timeout of a release, in seconds.
 RELEASE_LIMIT_S = 3.0
 
-#: Shortest and longest time from a stop to the end of the process, seconds.
-LEAST_STOP_S, MOST_STOP_S = 2.6, 5.6
+#: Bounds of the time from a stop request to the end of the process, in seconds.
+MINIMUM_STOP_S, MAXIMUM_STOP_S = 2.6, 5.6
 
-#: Seconds for which an address of an upstream is not used again.
+#: Seconds after which the address of an upstream may be reused.
 REUSE_AFTER_S = 2.0
 
 RESULT = key_world.RESULT
@@ -34,24 +34,29 @@
 
 
 class HostStore:
-    """The store as one process reaches it."""
+    """The store as seen by one process."""
 
     def __init__(self, process):
         self.process = process
         self.world = process.world
 
     async def _reach(self):
-        """Carries a call; tells whether it arrives, and if not, if it may."""
+        """Carries a call to the store.
+
+        Returns:
+            None if the call arrives. REFUSED if it certainly does not, UNKNOWN
+            if it may arrive later.
+        """
         world, process = self.world, self.process
         await process.pause()
-        if process.host.is_turned_away:
+        if process.host.is_refused_by_store:
             await asyncio.sleep(0.004)
             return WRITE.REFUSED
         limit = world.now() + STORE_LIMIT_S
         arrived = await world.links.carry(
             process.host.labels,
             world.store.labels,
-            lambda: world.now() < process.extend(limit),
+            lambda: world.now() < process.extend_limit(limit),
         )
         if not arrived:
             return WRITE.UNKNOWN
@@ -59,14 +64,18 @@
             return world.generator.choice((WRITE.REFUSED, WRITE.UNKNOWN))
         return None
 
-    async def _return(self, limit):
-        """Carries an answer back; tells whether it arrives in time."""
+    async def _carry_answer(self, limit):
+        """Carries an answer to the process.
+
+        Returns:
+            Whether it arrives before the time limit.
+        """
         world, process = self.world, self.process
         await asyncio.sleep(world.draw_delay(world.store_delay_s))
         arrived = await world.links.carry(
             world.store.labels,
             process.host.labels,
-            lambda: world.now() < process.extend(limit),
+            lambda: world.now() < process.extend_limit(limit),
         )
         await process.pause()
         return arrived
@@ -82,18 +91,18 @@
         records = _direct_ports.RecordSnapshot(
             dict(self.world.store.records), self.world.now()
         )
-        if not await self._return(limit):
+        if not await self._carry_answer(limit):
             await self.process.wait_until(limit)
             return _direct_ports.ReadProblem.UNAVAILABLE
         return records
 
     async def write(self, values, expected):
         """Writes records, all or none."""
-        self.process.is_bidding = len(values) > 1
+        self.process.is_candidate = len(values) > 1
         try:
             return await self._write(values, expected)
         finally:
-            self.process.is_bidding = False
+            self.process.is_candidate = False
 
     async def _write(self, values, expected):
         world, store = self.world, self.world.store
@@ -110,14 +119,14 @@
             await self.process.wait_until(limit)
             return _direct_ports.WriteOutcome(WRITE.UNKNOWN)
         outcome = store.apply(values, expected)
-        if not await self._return(limit):
+        if not await self._carry_answer(limit):
             await self.process.wait_until(limit)
             return _direct_ports.WriteOutcome(WRITE.UNKNOWN)
         return outcome
 
 
 class _Call:
-    """A call whose bytes are lost when its connection is reset."""
+    """A call over a connection, whose bytes are lost when it is reset."""
 
     def __init__(self, process, limit):
         self.process = process
@@ -125,21 +134,24 @@
         self.is_closed = False
 
     def is_open(self):
-        """Tells whether bytes that are held up are still sent again."""
+        """Returns whether delayed bytes of the call are still retransmitted."""
         if self.is_closed:
             return False
         if self.process.is_over:
             return True
-        return self.process.world.now() < self.process.extend(self.limit)
+        return self.process.world.now() < self.process.extend_limit(self.limit)
 
     def close(self):
-        """Closes the connection; the end of a process may leave it open."""
+        """Closes the connection.
+
+        Without `World.exit_resets`, the end of the process leaves it open.
+        """
         world = self.process.world
         self.is_closed = not self.process.is_over or world.exit_resets
 
 
 class HostOrders:
-    """Orders of one process to upstreams, on kept and new connections."""
+    """Sends orders of one process, over reused and new connections."""
 
     def __init__(self, process):
         self.process = process
@@ -147,9 +159,13 @@
         self._connected = {}
 
     async def _connect(self, address):
-        """Makes a connection; returns the run at the address, or None."""
+        """Connects to an address.
+
+        Returns:
+            The run that accepted the connection, or None.
+        """
         world, process = self.world, self.process
-        upstream = world.find_at(address)
+        upstream = world.find_upstream_at(address)
         if upstream is not None and self._connected.get(address) is upstream:
             return upstream
         self._connected.pop(address, None)
@@ -162,7 +178,7 @@
             (upstream.labels, process.host.labels),
         ):
             if not await world.links.carry(
-                *ends, lambda: world.now() < process.extend(limit)
+                *ends, lambda: world.now() < process.extend_limit(limit)
             ):
                 await process.wait_until(limit)
                 return None
@@ -179,10 +195,10 @@
         if upstream is None:
             await process.pause()
             return RESULT.UNREACHED
-        late_s = world.draw_delay(process.host.timer_lag_s)
+        late_s = world.draw_delay(process.host.timer_delay_s)
         call = _Call(process, limit + late_s)
         ends = (process.host.labels, upstream.labels)
-        # Bytes on their way may outlive the process.
+        # Bytes in flight may outlive the process.
         delivery = world.loop.create_task(
             self._carry(call, upstream, order, was_frozen)
         )
@@ -200,30 +216,30 @@
         return RESULT.UNKNOWN
 
     async def _carry(self, call, upstream, order, was_frozen):
-        """Carries a grant; None if it does not arrive or is not answered."""
+        """Carries a grant; returns None if it is lost or not answered."""
         ends = (self.process.host.labels, upstream.labels)
         if not await self.world.links.carry(*ends, call.is_open):
             return None
         return self._deliver(upstream, order, was_frozen)
 
     def _deliver(self, upstream, order, was_frozen):
-        """Hands a grant to the run at its address; None for no answer."""
+        """Delivers a grant to the run at its address; None for no answer."""
         world = self.world
         if upstream.name != order.run.id or not upstream.up:
             return None
-        excused = was_frozen or self.process.is_thawed_lately
+        is_exempt = was_frozen or self.process.was_frozen_recently
         draw = world.generator.random()
-        if draw < world.late_share:
+        if draw < world.delayed_share:
             world.loop.call_later(
                 world.generator.uniform(2, 12),
                 upstream.grant,
                 order,
                 world.now(),
-                excused,
+                is_exempt,
             )
             return None
-        result = upstream.grant(order, world.now(), excused)
-        return None if draw < world.late_share * 2 else result
+        result = upstream.grant(order, world.now(), is_exempt)
+        return None if draw < world.delayed_share * 2 else result
 
     async def release(self, address, order, trace=None):
         """Takes keys back."""
@@ -236,13 +252,13 @@
         ends = (process.host.labels, upstream.labels)
 
         def is_open():
-            return world.now() < process.extend(limit)
+            return world.now() < process.extend_limit(limit)
 
         if (
             await world.links.carry(*ends, is_open)
             and upstream.name == order.run.id
             and await upstream.release(order)
-            and world.generator.random() >= world.late_share
+            and world.generator.random() >= world.delayed_share
             and await world.links.carry(*reversed(ends), is_open)
         ):
             await process.pause()
@@ -253,7 +269,7 @@
 
 
 class HostSocket:
-    """Datagrams of one process."""
+    """Datagram socket of one process."""
 
     def __init__(self, process):
         self.process = process
@@ -285,7 +301,7 @@
 
 
 class Process:
-    """One run of the program on a host, and all it knows."""
+    """One process of the router on a host, with all its state."""
 
     def __init__(self, host):
         self.host = host
@@ -324,8 +340,9 @@
             generator=random.Random(world.generator.random()),
         )
         self.tenures = set()
-        #: Whether it bids for the duty at present: a bid writes two records.
-        self.is_bidding = False
+        #: Whether an election is in progress: it is the only write of two
+        #: records.
+        self.is_candidate = False
         #: Whether the process has ended.
         self.is_over = False
         self.task = world.loop.create_task(self._run())
@@ -335,10 +352,10 @@
             await self.pause()
             self._follow_upstreams()
             await self.coordinator_role.step()
-            self._note_tenure()
+            self._record_tenure()
             await asyncio.sleep(_coordinator_role.TICK_S)
 
-    def _note_tenure(self):
+    def _record_tenure(self):
         tenure = self.coordinator_role._tenure
         if tenure is not None and tenure not in self.tenures:
             self.tenures.add(tenure)
@@ -350,7 +367,7 @@
         ways = (self.host.labels, world.store.labels)
         if (
             not world.store.down
-            and not self.host.is_turned_away
+            and not self.host.is_refused_by_store
             and world.links.is_open(*ways)
             and world.links.is_open(*reversed(ways))
         ):
@@ -361,7 +378,7 @@
         self.view.sweep(now)
 
     def end(self):
-        """Ends the process; its sockets are reset."""
+        """Ends the process, which resets its sockets."""
         self.world.log(f"end of {self.host.name}")
         self.is_over = True
         self.task.cancel()
@@ -370,35 +387,39 @@
                 task.cancel()
 
     @property
-    def is_thawed_lately(self):
-        """Whether the host stood still until a moment ago."""
+    def was_frozen_recently(self):
+        """Whether the host was frozen until a moment ago."""
         now = self.world.now()
         return (
             self.host.frozen_until <= now
-            and now < self.host.frozen_until + key_world.THAW_S
+            and now < self.host.frozen_until + key_world.THAW_GRACE_S
         )
 
-    def extend(self, limit):
-        """Returns until when a call is open: in a freeze no timer fires."""
+    def extend_limit(self, limit):
+        """Extends a time limit by a freeze, during which no timer fires."""
         frozen_until = self.host.frozen_until
         return max(limit, frozen_until) if frozen_until else limit
 
     async def wait_until(self, limit):
-        """Waits until a time limit, and while the host stands still."""
+        """Waits until a time limit, and while the host is frozen."""
         await asyncio.sleep(max(0.0, limit - self.world.now()))
         await self.pause()
 
     async def pause(self):
-        """Waits while the host stands still; tells whether it did."""
+        """Waits while the host is frozen.
+
+        Returns:
+            Whether it was frozen now or until a moment ago.
+        """
         was_frozen = False
         while self.world.now() < self.host.frozen_until:
             was_frozen = True
             await asyncio.sleep(self.host.frozen_until - self.world.now())
-        return was_frozen or self.is_thawed_lately
+        return was_frozen or self.was_frozen_recently
 
 
 class Host:
-    """A machine; its processes follow each other at one address."""
+    """A host, on which one process follows another at the same address."""
 
     def __init__(self, world, name, domain):
         self.world = world
@@ -407,9 +428,9 @@
         self.labels = (name, domain)
         self.frozen_until = 0.0
         #: Whether the store refuses this host.
-        self.is_turned_away = False
-        #: Longest time by which timers fire late, in seconds.
-        self.timer_lag_s = 0.0
+        self.is_refused_by_store = False
+        #: Maximum delay of timers, in seconds.
+        self.timer_delay_s = 0.0
         self.is_stopping = False
         self.process = Process(self)
 
@@ -419,7 +440,7 @@
         return self.process.coordinator_role.is_coordinator
 
     def receive(self, message, sender):
-        """Takes a datagram."""
+        """Delivers a datagram, unless the host is frozen or has no process."""
         if (
             self.world.now() >= self.frozen_until
             and not self.process.task.done()
@@ -427,13 +448,13 @@
             self.process.coordinator_role.receive(message, sender)
 
     async def stop(self):
-        """Stops the process as SIGTERM does, and starts the next one."""
+        """Stops the process as SIGTERM does, then starts the next one."""
         if self.is_stopping:
             return
         self.is_stopping = True
         process, generator = self.process, self.world.generator
         ends_at = self.world.now() + generator.uniform(
-            LEAST_STOP_S, MOST_STOP_S
+            MINIMUM_STOP_S, MAXIMUM_STOP_S
         )
         await process.pause()
         await process.coordinator_role.stop()
@@ -444,7 +465,7 @@
         self.is_stopping = False
 
     async def kill(self, seconds):
-        """Ends the process at once, and starts the next one later."""
+        """Kills the process, and starts the next one after some seconds."""
         if self.is_stopping:
             return
         self.is_stopping = True
@@ -453,11 +474,11 @@
         self.process = Process(self)
         self.is_stopping = False
 
-    def calm(self):
+    def end_faults(self):
         """Ends the faults of this host."""
-        self.is_turned_away = False
-        self.timer_lag_s = 0.0
+        self.is_refused_by_store = False
+        self.timer_delay_s = 0.0
 
 
-#: The store as an end of links.
+#: Labels of the store as an end of links.
 STORE_LABELS = (domain_links.STORE,)
--- a/packages/router/tests/domain_links.py
+++ b/packages/router/tests/domain_links.py
@@ -1,40 +1,45 @@
-"""Links between failure domains: cuts, one-way cuts, loss, and late bytes."""
+"""Simulated links with partitions, one-way partitions, loss and delays."""
 
 import asyncio
 import itertools
 
-#: Longest time without a fault from the sending of bytes to their arrival.
+#: Maximum delay of bytes on a link without a fault, in seconds.
 DELAY_S = 0.005
 
-#: Time after which a lost segment is sent again, in seconds.
+#: Time after which a lost segment is retransmitted, in seconds.
 RESEND_S = 0.2
 
-#: Longest time after a cut until bytes that it held up arrive, in seconds.
+#: Maximum time from the end of a partition to the arrival of bytes that it
+#: delayed, in seconds.
 HEALED_RESEND_S = 0.7
 
-#: Seconds between two looks whether a link is open again.
+#: Seconds between two checks of a blocked link.
 POLL_S = 0.02
 
-#: Name of the store as an end of links.
+#: Label of the store as an end of links.
 STORE = "store"
 
 
 class Links:
-    """Directed links; each end is named by labels, such as its domain."""
+    """Directed links between ends, which have labels such as their domain.
+
+    A link is blocked if any label of its source is blocked towards any label
+    of its target.
+    """
 
     def __init__(self, loop, generator):
         self._loop = loop
         self._generator = generator
         self._blocked = set()
-        #: Share of segments and datagrams that are lost, by label.
+        #: Share of segments and datagrams that are lost, by label of an end.
         self.loss = {}
 
     def block(self, sources, targets):
-        """Blocks the way from some labels to others."""
+        """Blocks all links from ends with some labels to others."""
         self._blocked |= set(itertools.product(sources, targets))
 
     def unblock(self, sources, targets):
-        """Ends what `block` began."""
+        """Reverts a call of `block`."""
         self._blocked -= set(itertools.product(sources, targets))
 
     def heal(self):
@@ -43,7 +48,7 @@
         self.loss.clear()
 
     def is_open(self, source, target):
-        """Tells whether bytes of one end reach another one."""
+        """Returns whether the link between two ends is not blocked."""
         return not any(
             pair in self._blocked for pair in itertools.product(source, target)
         )
@@ -54,10 +59,18 @@
         return self._generator.random() < share
 
     async def carry(self, source, target, is_awaited):
-        """Carries bytes; tells whether they arrive while they are awaited.
+        """Carries bytes of a connection.
+
+        The sender resets the connection when it no longer waits, which drops
+        bytes in flight.
+
+        Args:
+            source: Labels of the sender.
+            target: Labels of the receiver.
+            is_awaited: Returns whether the connection is still open.
 
-        The sender resets the connection when it no longer waits, and what is
-        under way then is lost.
+        Returns:
+            Whether the bytes arrive while the connection is open.
         """
         await asyncio.sleep(self._generator.uniform(0.001, DELAY_S))
         while self.is_lost(source, target):
--- a/packages/router/tests/domain_upstreams.py
+++ b/packages/router/tests/domain_upstreams.py
@@ -1,4 +1,4 @@
-"""Upstreams that hold keys, work on requests, and register in discovery."""
+"""Simulated upstreams that hold keys, serve requests and are discovered."""
 
 import asyncio
 import dataclasses
@@ -7,13 +7,13 @@
 
 import sycamoreloft_direct
 
-#: Seconds between two heartbeats of an upstream to the store.
+#: Mean time between two heartbeats of an upstream to the store, in seconds.
 HEARTBEAT_S = 0.87
 
-#: Seconds without a heartbeat after which an entry lapses.
-LAPSE_S = 2.6
+#: Seconds without a heartbeat after which an entry expires.
+EXPIRY_S = 2.6
 
-#: Seconds for which a leaving upstream goes on serving, at least.
+#: Minimum time for which a leaving upstream goes on serving, in seconds.
 DRAIN_S = 2.0
 
 RESULT = key_world.RESULT
@@ -21,11 +21,11 @@
 
 @dataclasses.dataclass
 class Work:
-    """A request at which an upstream works."""
+    """A request that an upstream is serving."""
 
     key: int
     ends_at: float
-    #: End of the lease under which it began; renewals move it.
+    #: End of the key lease that covers the request; renewals extend it.
     lease_end: float
 
 
@@ -37,64 +37,72 @@
         self.domain = domain
         self.labels = (name, domain)
         self.address = address
-        self.works = []
-        #: Whether a fault ends this run.
+        self.work_items = []
+        #: Whether a fault is about to end this run.
         self.is_ending = False
         self.task = world.loop.create_task(self._register())
 
     @property
     def run(self):
-        """Names this run."""
+        """Identifier and start of this run."""
         return sycamoreloft_direct.UpstreamRun(self.name, self.started_ms)
 
-    def grant(self, order, arrived_at, excused):
-        """Takes a grant that arrived at a time; it may be carried out late."""
-        result = super().grant(order, arrived_at, excused)
+    def grant(self, order, arrived_at, is_exempt):
+        """Applies a grant; see `key_world.FakeUpstream.grant`."""
+        result = super().grant(order, arrived_at, is_exempt)
         if result is RESULT.ACCEPTED:
-            until = arrived_at + order.hold_s * self.slow
-            for work in self.works:
+            until = arrived_at + order.hold_s * self.clock_factor
+            for work in self.work_items:
                 if order.first <= work.key <= order.last:
                     work.lease_end = until
         return result
 
     async def release(self, order):
-        """Stops new work on keys, and waits for what is running."""
-        self.cut(order.first, order.last)
+        """Stops new work on keys, and waits for running requests.
+
+        Returns:
+            Whether this run is still up.
+        """
+        self.remove_keys(order.first, order.last)
         self.released.append((order.first, order.last, order.fence))
-        works = [
+        work_items = [
             work
-            for work in self.list_works()
+            for work in self.list_running_work()
             if order.first <= work.key <= order.last
         ]
-        while any(self._is_running(work) for work in works):
+        while any(self._is_running(work) for work in work_items):
             await asyncio.sleep(0.02)
         return self.up
 
     def begin_work(self, key, seconds):
-        """Begins to work on a request; tells whether it holds the key."""
+        """Begins to work on a request if this upstream holds its key.
+
+        Returns:
+            Whether it holds the key.
+        """
         now = self.world.now()
-        for hold in self.list_live():
+        for hold in self.list_live_holds():
             if hold.first <= key <= hold.last:
-                self.works = self.list_works()
-                self.works.append(Work(key, now + seconds, hold.until))
+                self.work_items = self.list_running_work()
+                self.work_items.append(Work(key, now + seconds, hold.until))
                 self.world.check_work(self, key, hold)
                 return True
         return False
 
-    def list_works(self):
-        """Lists the requests at which it works."""
-        return [work for work in self.works if self._is_running(work)]
+    def list_running_work(self):
+        """Lists the requests that this upstream is serving."""
+        return [work for work in self.work_items if self._is_running(work)]
 
     def _is_running(self, work):
         return self.up and self.world.now() < min(work.ends_at, work.lease_end)
 
     def stop(self):
-        """Ends the run at once."""
+        """Ends this run at once."""
         self.up = False
         self.task.cancel()
 
     async def _register(self):
-        """Writes the entry, and again after each heartbeat interval."""
+        """Writes the upstream's entry at each heartbeat, if the store is up."""
         while True:
             world = self.world
             if (
@@ -103,7 +111,7 @@
                 and world.links.is_open(self.labels, world.store.labels)
             ):
                 world.entries[self.name] = self._build_entry()
-                world.heard_at[self.name] = world.now()
+                world.heartbeat_at[self.name] = world.now()
             await asyncio.sleep(HEARTBEAT_S * world.generator.uniform(0.9, 1.1))
 
     def _build_entry(self):
@@ -118,27 +126,34 @@
         )
 
 
-async def drop_lapsed(world):
-    """Removes entries of upstreams that are silent, as the store does."""
+async def drop_expired(world):
+    """Removes expired entries, as the store does."""
     while True:
-        for name, heard_at in list(world.heard_at.items()):
-            if world.now() > heard_at + LAPSE_S:
-                del world.heard_at[name]
+        for name, heartbeat_at in list(world.heartbeat_at.items()):
+            if world.now() > heartbeat_at + EXPIRY_S:
+                del world.heartbeat_at[name]
                 world.entries.pop(name, None)
         await asyncio.sleep(0.1)
 
 
 async def drain(world, upstream, reports):
-    """Lets an upstream leave; some never report it."""
+    """Drains an upstream and stops it.
+
+    Args:
+        world: The simulation.
+        upstream: The upstream.
+        reports: Whether its entry says that it is draining; otherwise it
+            removes its entry at once.
+    """
     upstream.draining = reports
     upstream.listed = reports
     if reports:
         world.entries[upstream.name] = upstream._build_entry()
     else:
         world.entries.pop(upstream.name, None)
-        world.heard_at.pop(upstream.name, None)
+        world.heartbeat_at.pop(upstream.name, None)
     await asyncio.sleep(DRAIN_S + world.generator.choice((0.1, 0.5, 3.0)))
     upstream.stop()
     if world.entries.get(upstream.name) is not None:
         world.entries.pop(upstream.name)
-        world.heard_at.pop(upstream.name, None)
+        world.heartbeat_at.pop(upstream.name, None)
--- a/packages/router/tests/domain_world.py
+++ b/packages/router/tests/domain_world.py
@@ -1,9 +1,9 @@
-"""A world of failure domains with several hosts and upstreams each.
+"""Simulated failure domains with several hosts and upstreams each.
 
-Unlike the world of `key_world`, a cut lets the hosts inside reach the
-upstreams inside, entries lapse and come back, processes drain after a stop
-while their tasks run on, connections are kept or made anew, and upstreams
-work on requests. The oracle looks at what upstreams hold and work on.
+Unlike in `key_world`, hosts and upstreams in a partitioned domain reach each
+other, entries expire and return, processes drain after a stop while their
+tasks continue, connections are reused or opened, and upstreams work on
+requests. The oracle checks which keys upstreams hold and work on.
 """
 
 import asyncio
@@ -18,25 +18,34 @@
 
 
 class World:
-    """Everything, and the oracle."""
+    """The simulation, with its faults and its oracle.
+
+    Args:
+        seed: Seed of all random choices.
+        domains: Number of failure domains.
+        hosts: Number of hosts in each domain.
+        upstreams: Number of upstreams in each domain.
+        exit_resets: Whether the end of a process drops the bytes that it sent
+            and that a partition delays.
+    """
 
     def __init__(self, seed, domains=3, hosts=3, upstreams=3, exit_resets=True):
         self.loop = asyncio.get_running_loop()
         self.generator = random.Random(seed)
         self.links = domain_links.Links(self.loop, self.generator)
-        self.late_share = 0.0
+        self.delayed_share = 0.0
         self.dispatch_delay_s = 0.0
         self.store_delay_s = 0.0
-        #: Whether the end of a process drops the bytes that it sent and that
-        #: a cut holds up.
+        #: Whether the end of a process drops the bytes that it sent and that a
+        #: partition delays.
         self.exit_resets = exit_resets
         self.problems = []
         self.events = []
         self.store = key_world.FakeStore(self)
         self.store.labels = domain_hosts.STORE_LABELS
         self.entries = {}
-        self.heard_at = {}
-        #: The last run at each address.
+        self.heartbeat_at = {}
+        #: The most recent run at each address.
         self.at_address = {}
         self.all_runs = []
         self.state = sycamoreloft_direct.DesiredState(
@@ -59,18 +68,18 @@
             for domain in self.domains:
                 name = f"h{domain[1:]}{number}"
                 self.hosts[name] = domain_hosts.Host(self, name, domain)
-        self.loop.create_task(domain_upstreams.drop_lapsed(self))
+        self.loop.create_task(domain_upstreams.drop_expired(self))
 
     def now(self):
-        """Returns the time, which is also the hosts' boot clock."""
+        """Returns the simulated time, also used as the hosts' boot clock."""
         return self.loop.time()
 
     def log(self, text):
-        """Notes an event for the report of a failure."""
+        """Records an event for the report of a failure."""
         self.events.append(f"{self.now():.3f} {text}")
 
     def draw_delay(self, limit_s):
-        """Draws a delay: often none, often the longest."""
+        """Draws a delay: often zero, often the maximum."""
         if limit_s == 0.0:
             return 0.0
         share = self.generator.choice((0.0, 1.0, self.generator.random()))
@@ -83,8 +92,8 @@
         self.all_runs.append(upstream)
         return upstream
 
-    def find_at(self, address):
-        """Returns the run that answers at an address, or None."""
+    def find_upstream_at(self, address):
+        """Returns the running upstream at an address, or None."""
         upstream = self.at_address.get(address)
         return upstream if upstream is not None and upstream.up else None
 
@@ -93,13 +102,18 @@
         return [item for item in self.at_address.values() if item.up]
 
     def find_coordinators(self):
-        """Lists the hosts that act as the coordinator."""
+        """Lists the hosts that consider themselves the coordinator."""
         return [host for host in self.hosts.values() if host.is_coordinator]
 
     # Faults that several scenarios use.
 
     def cut_domain(self, domain, ways="both"):
-        """Cuts a domain from the store and from all other domains."""
+        """Partitions a domain from the store and all other domains.
+
+        Args:
+            domain: Name of the domain.
+            ways: Direction in which bytes are blocked: "in", "out" or "both".
+        """
         others = [item for item in self.domains if item != domain]
         others.append(domain_links.STORE)
         if ways in ("both", "out"):
@@ -108,76 +122,77 @@
             self.links.block(others, [domain])
 
     def heal_domain(self, domain):
-        """Ends a cut of a domain."""
+        """Ends the partition of a domain."""
         others = [item for item in self.domains if item != domain]
         others.append(domain_links.STORE)
         self.links.unblock([domain], others)
         self.links.unblock(others, [domain])
 
-    def calm(self):
+    def end_faults(self):
         """Ends all faults."""
-        self.late_share = 0.0
+        self.delayed_share = 0.0
         self.dispatch_delay_s = 0.0
         self.store_delay_s = 0.0
         self.store.down = False
         self.store.lose_share = 0.0
         self.links.heal()
         for host in self.hosts.values():
-            host.calm()
+            host.end_faults()
 
     # The oracle.
 
-    def check(self, taker, hold):
-        """Runs whenever an upstream takes keys."""
-        if hold.excused:
+    def check_hold(self, holder, hold):
+        """Checks keys that an upstream begins to hold against all others."""
+        if hold.is_exempt:
             return
         for other in self.all_runs:
-            if other is taker:
+            if other is holder:
                 continue
-            for held in other.list_live():
-                if _overlaps(held, hold) and not held.excused:
-                    self._note_problem(
-                        f"{taker.name} and {other.name} hold {_show(hold)}"
-                        f" and {_show(held)}"
+            for held in other.list_live_holds():
+                if _overlaps(held, hold) and not held.is_exempt:
+                    self._record_problem(
+                        f"{holder.name} and {other.name} hold"
+                        f" {_format_hold(hold)} and {_format_hold(held)}"
                     )
-            for first, last, fence in other.seen:
+            for first, last, fence in other.granted:
                 if (
                     first <= hold.last
                     and hold.first <= last
                     and fence >= hold.fence
                 ):
-                    self._note_problem(
-                        f"{taker.name} takes {_show(hold)}, {other.name} had"
-                        f" {first}-{last} {_show_fence(fence)}"
+                    self._record_problem(
+                        f"{holder.name} takes {_format_hold(hold)},"
+                        f" {other.name} had {first}-{last}"
+                        f" {_format_fence(fence)}"
                     )
-            for work in other.list_works():
+            for work in other.list_running_work():
                 if hold.first <= work.key <= hold.last:
-                    self._note_problem(
-                        f"{taker.name} takes {_show(hold)} while {other.name}"
-                        f" works on {work.key}"
+                    self._record_problem(
+                        f"{holder.name} takes {_format_hold(hold)} while"
+                        f" {other.name} works on {work.key}"
                     )
 
     def check_work(self, worker, key, hold):
-        """Runs whenever an upstream begins to work on a request."""
+        """Checks that no other upstream works on the same key."""
         for other in self.all_runs:
-            if other is worker or hold.excused:
+            if other is worker or hold.is_exempt:
                 continue
-            if any(work.key == key for work in other.list_works()):
-                self._note_problem(
-                    f"{worker.name} works on {key} under {_show(hold)}, so"
-                    f" does {other.name}"
+            if any(work.key == key for work in other.list_running_work()):
+                self._record_problem(
+                    f"{worker.name} works on {key} under {_format_hold(hold)},"
+                    f" so does {other.name}"
                 )
 
-    def _note_problem(self, text):
+    def _record_problem(self, text):
         self.log(text)
         self.problems.append(f"{self.now():.3f}: {text}")
 
     def count_served(self):
-        """Returns the keys that some upstream holds."""
+        """Counts the keys that upstreams hold."""
         return sum(
             hold.last - hold.first + 1
             for upstream in self.all_runs
-            for hold in upstream.list_live()
+            for hold in upstream.list_live_holds()
         )
 
 
@@ -185,9 +200,9 @@
     return left.first <= right.last and right.first <= left.last
 
 
-def _show(hold):
-    return f"{hold.first}-{hold.last} {_show_fence(hold.fence)}"
+def _format_hold(hold):
+    return f"{hold.first}-{hold.last} {_format_fence(hold.fence)}"
 
 
-def _show_fence(fence):
+def _format_fence(fence):
     return f"{fence >> 24}/{fence & 0xFFFFFF}"
--- a/packages/router/tests/hunt_keys.py
+++ b/packages/router/tests/hunt_keys.py
@@ -1,7 +1,8 @@
-"""Plays many seeds of a pattern by hand: hunt_keys.py PATTERN FIRST LAST.
+"""Runs many seeds of a fault pattern: hunt_keys.py PATTERN FIRST LAST.
 
-With -v it prints what happened; with -x bytes outlive the process that sent
-them, as where the end of a process does not reset its connections.
+FIRST is inclusive, LAST is exclusive. With -v it prints all events. With -x,
+bytes in flight survive the process that sent them, as on hosts where the end
+of a process does not reset its connections.
 """
 
 import sys
@@ -11,12 +12,12 @@
 
 
 def main():
-    """Prints what breaks, and how many seeds were played."""
+    """Prints the seeds that violate the oracle, and their number."""
     pattern, first, last = sys.argv[1], int(sys.argv[2]), int(sys.argv[3])
     broken = 0
     for seed in range(first, last):
         world = virtual_time.run(
-            domain_faults.play(seed, pattern, "-x" not in sys.argv)
+            domain_faults.run_pattern(seed, pattern, "-x" not in sys.argv)
         )
         served = world.count_served()
         if world.problems or served != 65_536:
--- a/packages/router/tests/key_world.py
+++ b/packages/router/tests/key_world.py
@@ -1,8 +1,8 @@
-"""Upstreams, a store and hosts for the fuzz of key ownership.
+"""Simulated upstreams, store and hosts for fuzz tests of key ownership.
 
-The world applies orders late, loses answers, freezes and kills hosts, crashes
-upstreams and brings them back under their identifier. The oracle looks at
-what the upstreams hold, not at what any host believes.
+The simulation applies orders late, loses answers, freezes and kills hosts,
+crashes upstreams and restarts them under the same identifier. The oracle
+checks the keys that upstreams hold, not the owners that hosts assume.
 """
 
 import asyncio
@@ -20,22 +20,24 @@
 
 SERVICE = "boards"
 
-#: How much longer than granted an upstream with a slow clock holds keys.
-SLOWEST_CLOCK = 1.02
+#: Factor by which an upstream with a slow clock holds keys longer than granted.
+SLOWEST_CLOCK_FACTOR = 1.02
 
-#: Time after a thaw in which an order that was on its way may arrive.
-THAW_S = 0.3
+#: Seconds after a freeze of a host within which an order that was in flight
+#: may arrive.
+THAW_GRACE_S = 0.3
 
-#: Time limit of a grant, in seconds; it may arrive until then.
+#: Timeout of a grant, in seconds, until which the grant may arrive.
 GRANT_LIMIT_S = 0.6
 
-#: Longest time after the last fault until all keys are held again, seconds.
+#: Maximum time from the last fault until all keys are held, in seconds.
 RECOVERY_S = 20.0
 
-#: When a grant that a cut held up is delivered after the cut, in seconds.
+#: Bounds of the time from the end of a partition to the delivery of a grant
+#: that it delayed, in seconds.
 HELD_UP_S = (0.6, 2.0)
 
-#: Longest time between the decision for an order and its sending, in seconds.
+#: Maximum time from the decision on an order to its sending, in seconds.
 DISPATCH_LIMIT_S = 0.24
 
 RESULT = sycamoreloft_direct.GrantResult
@@ -44,48 +46,52 @@
 
 @dataclasses.dataclass
 class Hold:
-    """Keys that an upstream holds under one grant."""
+    """Keys that an upstream holds under one grant.
+
+    The oracle ignores exempt holds. Their grants were sent by a process that
+    had just been frozen.
+    """
 
     first: int
     last: int
     fence: int
     until: float
-    excused: bool
+    is_exempt: bool
 
 
 class FakeUpstream:
-    """One run of an upstream with the rules of grants."""
+    """One run of an upstream that applies the rules for grants."""
 
     def __init__(self, world, name, started_ms):
         self.world = world
         self.name = name
         self.started_ms = started_ms
-        self.slow = world.generator.choice((1.0, SLOWEST_CLOCK))
+        self.clock_factor = world.generator.choice((1.0, SLOWEST_CLOCK_FACTOR))
         self.up = True
         self.listed = True
         self.draining = False
         self.holds = []
-        self.seen = []
-        #: Keys and tokens of releases, which count as seen.
+        self.granted = []
+        #: Keys and fencing tokens of releases, which fence older grants.
         self.released = []
 
-    def grant(self, order, arrived_at, excused):
+    def grant(self, order, arrived_at, is_exempt):
         if not self.up:
             return RESULT.UNKNOWN
-        for first, last, fence in [*self.seen, *self.released]:
+        for first, last, fence in [*self.granted, *self.released]:
             overlaps = first <= order.last and order.first <= last
             if overlaps and fence > order.fence:
                 return RESULT.FENCED
-        self.cut(order.first, order.last)
-        self.seen.append((order.first, order.last, order.fence))
-        until = arrived_at + order.hold_s * self.slow
+        self.remove_keys(order.first, order.last)
+        self.granted.append((order.first, order.last, order.fence))
+        until = arrived_at + order.hold_s * self.clock_factor
         if until > self.world.now():
-            hold = Hold(order.first, order.last, order.fence, until, excused)
+            hold = Hold(order.first, order.last, order.fence, until, is_exempt)
             self.holds.append(hold)
-            self.world.check(self, hold)
+            self.world.check_hold(self, hold)
         return RESULT.ACCEPTED
 
-    def cut(self, first, last):
+    def remove_keys(self, first, last):
         rest = []
         for hold in self.holds:
             if hold.first < first:
@@ -98,13 +104,13 @@
                 )
         self.holds = rest
 
-    def list_live(self):
+    def list_live_holds(self):
         now = self.world.now()
         return [hold for hold in self.holds if self.up and hold.until > now]
 
 
 class FakeStore:
-    """Rows under conditions, with outages and lost answers."""
+    """Records with conditional writes, outages and lost answers."""
 
     def __init__(self, world):
         self.world = world
@@ -127,7 +133,7 @@
 
 
 class HostStore:
-    """The store as one host reaches it."""
+    """The store as seen by one host."""
 
     def __init__(self, world, host):
         self.world = world
@@ -162,7 +168,7 @@
 
 
 class HostOrders:
-    """Orders of one host to upstreams."""
+    """Sends orders of one host to upstreams."""
 
     def __init__(self, world, host):
         self.world = world
@@ -190,7 +196,7 @@
             return RESULT.UNKNOWN
         arrived_at = world.now()
         draw = world.generator.random()
-        if draw < world.late_share:
+        if draw < world.delayed_share:
             world.loop.call_later(
                 world.generator.uniform(2, 12),
                 upstream.grant,
@@ -201,16 +207,16 @@
             await asyncio.sleep(GRANT_LIMIT_S)
             return RESULT.UNKNOWN
         result = upstream.grant(order, arrived_at, was_frozen)
-        if draw < world.late_share * 2:
+        if draw < world.delayed_share * 2:
             await asyncio.sleep(GRANT_LIMIT_S)
             return RESULT.UNKNOWN
         return result
 
     async def _grant_slowly(self, order, was_frozen):
-        """Delivers a grant at any time up to its limit; a reply may be lost.
+        """Delivers a grant at a random time before its timeout.
 
-        Bytes that a cut holds up arrive when it ends, if that is within the
-        limit: the connection is closed then, and drops them.
+        The answer may be lost. A partition delays the grant; if it lasts
+        longer than the timeout, the closed connection drops the grant.
         """
         world = self.world
         await asyncio.sleep(world.draw_delay(DISPATCH_LIMIT_S))
@@ -224,7 +230,7 @@
             or upstream is None
             or not upstream.up
         ):
-            if world.generator.random() < world.held_share:
+            if world.generator.random() < world.held_up_share:
                 world.loop.create_task(self._deliver_after_cut(order))
             await asyncio.sleep(max(0.0, deadline - world.now()))
             return RESULT.UNKNOWN
@@ -235,7 +241,7 @@
         return result
 
     async def _deliver_after_cut(self, order):
-        """Delivers a grant that was on its way when a cut began."""
+        """Delivers a grant some time after the partition that delayed it."""
         world = self.world
         upstream = world.upstreams.get(order.run.id)
         while order.run.id in self.host.unreachable:
@@ -249,16 +255,16 @@
         upstream = await self._reach(order.run)
         if upstream is None:
             return None
-        upstream.cut(order.first, order.last)
+        upstream.remove_keys(order.first, order.last)
         upstream.released.append((order.first, order.last, order.fence))
         await asyncio.sleep(self.world.generator.uniform(0.0, 0.3))
-        if self.world.generator.random() < self.world.late_share:
+        if self.world.generator.random() < self.world.delayed_share:
             return None
         return "handover"
 
 
 class HostSocket:
-    """Datagrams between the hosts of the world."""
+    """Datagram socket of one host."""
 
     def __init__(self, world, host):
         self.world = world
@@ -285,14 +291,15 @@
 
 
 class Host:
-    """One host; a restart replaces its process and all it knew."""
+    """One host; a restart replaces its process and all its state."""
 
     def __init__(self, world, name):
         self.world = world
         self.name = name
         self.frozen_until = 0.0
         self.cut_from_store = False
-        #: Whether the host is on the far side of a cut.
+        #: Whether a partition separates this host from those that are not
+        #: isolated.
         self.is_isolated = False
         self.unreachable = set()
         self.task = None
@@ -363,25 +370,36 @@
             self.coordinator_role.receive(message, sender)
 
     async def pause(self):
-        """Waits while the host is frozen; tells whether it was."""
+        """Waits while the host is frozen.
+
+        Returns:
+            Whether it was frozen now or until a moment ago.
+        """
         was_frozen = False
         while self.world.now() < self.frozen_until:
             was_frozen = True
             await asyncio.sleep(self.frozen_until - self.world.now())
-        return was_frozen or self.world.now() < self.frozen_until + THAW_S
+        return was_frozen or self.world.now() < self.frozen_until + THAW_GRACE_S
 
 
 class World:
-    """Everything, and the oracle."""
+    """The simulation, with its faults and its oracle.
+
+    Args:
+        seed: Seed of all random choices.
+        upstreams: Number of upstreams.
+        hosts: Number of hosts.
+        links: Bandwidth of links in Mbit/s, by name of the host.
+    """
 
     def __init__(self, seed, upstreams=5, hosts=3, links=()):
         self.links = dict(links)
         self.loop = asyncio.get_running_loop()
         self.generator = random.Random(seed)
-        self.late_share = 0.0
+        self.delayed_share = 0.0
         self.slow_share = 0.0
-        #: Share of the grants into a cut that are delivered when it ends.
-        self.held_share = 0.0
+        #: Share of the grants into a partition that arrive after its end.
+        self.held_up_share = 0.0
         self.problems = []
         self.store = FakeStore(self)
         self.upstreams = {}
@@ -403,7 +421,7 @@
         return self.loop.time()
 
     def draw_delay(self, limit_s):
-        """Draws a delay of an order: often none, often the longest."""
+        """Draws the delay of an order: often zero, often the maximum."""
         share = self.generator.choice((0.0, 1.0, self.generator.random()))
         return share * limit_s
 
@@ -427,41 +445,41 @@
             if item.listed
         }
 
-    def check(self, taker, hold):
-        """The oracle: runs whenever an upstream takes keys."""
+    def check_hold(self, holder, hold):
+        """Checks keys that an upstream begins to hold against all others."""
         for other in self.all_runs:
-            if other is taker:
+            if other is holder:
                 continue
-            for held in other.list_live():
+            for held in other.list_live_holds():
                 overlaps = held.first <= hold.last and hold.first <= held.last
-                if overlaps and not (held.excused or hold.excused):
+                if overlaps and not (held.is_exempt or hold.is_exempt):
                     self.problems.append(
-                        f"{self.now():.2f}: {taker.name} and {other.name} hold"
+                        f"{self.now():.2f}: {holder.name} and {other.name} hold"
                         f" {hold.first}-{hold.last} {hold.fence}"
                         f" and {held.first}-{held.last} {held.fence}"
                     )
-            for first, last, fence in other.seen:
+            for first, last, fence in other.granted:
                 overlaps = first <= hold.last and hold.first <= last
-                if overlaps and fence >= hold.fence and not hold.excused:
+                if overlaps and fence >= hold.fence and not hold.is_exempt:
                     self.problems.append(
-                        f"{self.now():.2f}: {taker.name} takes {hold.first}-"
+                        f"{self.now():.2f}: {holder.name} takes {hold.first}-"
                         f"{hold.last} with {hold.fence}, {other.name} had"
                         f" {fence}"
                     )
 
     def count_served(self):
-        """Returns the keys that some upstream holds."""
+        """Counts the keys that upstreams hold."""
         return sum(
             hold.last - hold.first + 1
             for upstream in self.upstreams.values()
-            for hold in upstream.list_live()
+            for hold in upstream.list_live_holds()
         )
 
-    def calm(self):
+    def end_faults(self):
         """Ends all faults."""
-        self.late_share = 0.0
+        self.delayed_share = 0.0
         self.slow_share = 0.0
-        self.held_share = 0.0
+        self.held_up_share = 0.0
         self.store.down = False
         self.store.lose_share = 0.0
         for host in self.hosts.values():
--- a/packages/router/tests/test_coordinator_changes.py
+++ b/packages/router/tests/test_coordinator_changes.py
@@ -1,4 +1,4 @@
-"""Who replaces a coordinator that is lost, or cut off from the store."""
+"""Replacement of a coordinator that is lost or cut off from the store."""
 
 import asyncio
 
@@ -9,8 +9,9 @@
 import sycamoreloft_direct
 from sycamoreloft_router import _coordinator_lease
 
-#: Seconds within which a host that reaches the store has to take over. The
-#: coordinator itself gives up after 12 s, and cuts take some seconds.
+#: Seconds within which a host that reaches the store has to take over:
+#: partitions last some seconds, and less than the 12 s after which the
+#: coordinator itself gives up.
 TAKEOVER_S = 8.0
 
 
@@ -24,7 +25,11 @@
 
 @pytest.mark.parametrize("seed", range(5))
 def test_a_blind_coordinator_is_replaced_also_for_hosts_that_are_cut(seed):
-    """Guards against hosts that take the coordinator's cut for an outage."""
+    """Guards against mistaking a partition of the coordinator for an outage.
+
+    A coordinator that alone is cut off from the store goes on sending
+    heartbeats. Hosts that reach the store have to replace it nevertheless.
+    """
 
     async def main():
         world = key_world.World(seed, hosts=5)
@@ -41,9 +46,9 @@
         await asyncio.sleep(2.0)
         assert not blind.coordinator_role.is_coordinator
         assert find_coordinator(world).coordinator_role._tenure.epoch > epoch
-        assert ages, "the cut host hears nobody"
-        assert max(ages) < 1.0, "the cut host takes the store for away"
-        world.calm()
+        assert ages, "the cut host receives no heartbeats"
+        assert max(ages) < 1.0, "the cut host assumes an outage of the store"
+        world.end_faults()
         await asyncio.sleep(6.0)
         assert not world.problems, world.problems[:3]
         assert world.count_served() == sycamoreloft_direct.KEY_COUNT
@@ -52,8 +57,8 @@
 
 
 @pytest.mark.parametrize("seed", range(5))
-def test_a_coordinator_keeps_its_duty_through_an_outage_for_all(seed):
-    """Guards against a new coordinator at each return of the store."""
+def test_a_coordinator_keeps_its_role_through_an_outage_for_all(seed):
+    """Guards against a change of the coordinator after each outage."""
 
     async def main():
         world = key_world.World(seed, hosts=5)
@@ -71,7 +76,7 @@
 
 @pytest.mark.parametrize("seed", range(5))
 def test_a_host_with_a_wide_link_replaces_a_lost_coordinator(seed):
-    """Guards against coordinators whose link cannot carry their heartbeats."""
+    """Guards against coordinators whose link is too narrow for heartbeats."""
 
     async def main():
         links = {f"h{number}": 10.0 for number in range(8)} | {"h5": 200.0}
@@ -95,7 +100,7 @@
     virtual_time.run(main())
 
 
-# Guards against hosts that end because of a record that they cannot read.
+# Guards against hosts whose process ends because of a malformed record.
 @pytest.mark.parametrize(
     "key", [_coordinator_lease.LEASE_KEY, _coordinator_lease.MAP_KEY]
 )
--- a/packages/router/tests/test_coordinator_failures.py
+++ b/packages/router/tests/test_coordinator_failures.py
@@ -1,4 +1,4 @@
-"""Unexpected errors in the duty of the coordinator."""
+"""Unexpected errors in the work of the coordinator."""
 
 import asyncio
 
@@ -22,7 +22,7 @@
 
 
 def fail_once(target, name):
-    """Lets the next call of a method raise."""
+    """Makes the next call of a method raise an error."""
     method = getattr(target, name)
 
     def fail_now(*arguments):
@@ -33,7 +33,7 @@
 
 
 async def check_recovery(world):
-    """Fails if not all keys are held again, also those of a lost owner."""
+    """Asserts that all keys are held again, also after the loss of an owner."""
     await asyncio.sleep(key_world.RECOVERY_S)
     assert world.count_served() == sycamoreloft_direct.KEY_COUNT
     world.upstreams["u0"].up = world.upstreams["u0"].listed = False
@@ -45,7 +45,10 @@
 @pytest.mark.parametrize("port", ["grant", "release", "write"])
 @pytest.mark.parametrize("seed", range(3))
 def test_an_error_in_a_call_leaves_no_keys_without_an_owner(port, seed):
-    """Guards against orders and writes that stay open for ever."""
+    """Guards against orders and writes that are never finished after an error.
+
+    Their keys would stay without an owner.
+    """
 
     async def main():
         world = key_world.World(seed, hosts=3)
@@ -58,7 +61,7 @@
                 else platform.records
             )
             fail_once(target, port)
-        # Keys move, so that every port is used.
+        # Makes keys move, so that every port is called.
         world.start_upstream("u9")
         world.upstreams["u1"].draining = True
         await check_recovery(world)
@@ -68,7 +71,7 @@
 
 @pytest.mark.parametrize("seed", range(3))
 def test_a_coordinator_that_cannot_decide_is_replaced(seed):
-    """Guards against hosts that end because of one state of the keys."""
+    """Guards against processes that end when a decision about keys fails."""
 
     async def main():
         world = key_world.World(seed, hosts=3)
--- a/packages/router/tests/test_coordinator_stops.py
+++ b/packages/router/tests/test_coordinator_stops.py
@@ -1,4 +1,4 @@
-"""Hosts that stop while they are the coordinator, or are about to be."""
+"""Hosts that stop while they are or become the coordinator."""
 
 import asyncio
 
@@ -36,9 +36,9 @@
     return released
 
 
-# Guards against a stopping host that becomes the coordinator and never
-# resigns: its successor then waits 12 s longer for owners that are silent.
-def test_host_that_stops_during_its_bid_resigns():
+# Guards against a stopping host that is elected and does not resign: its
+# successor would wait 12 s longer before it replaces silent owners.
+def test_host_that_stops_during_its_election_resigns():
     async def main():
         world = key_world.World(1, hosts=1)
         host = world.hosts["h0"]
@@ -54,8 +54,8 @@
     virtual_time.run(main())
 
 
-# Guards against orders that arrive after their coordinator has resigned: its
-# successor counts the leases of keys from then on.
+# Guards against orders that arrive after their coordinator has resigned. The
+# successor assumes that no further grant of its predecessor arrives.
 def test_resigned_coordinator_has_no_order_under_way():
     async def main():
         world = key_world.World(1)
@@ -82,8 +82,8 @@
     virtual_time.run(main())
 
 
-# Guards against grants of a killed process that a cut holds up: its successor
-# at the same address has to wait for them like any other successor.
+# Guards against grants of a killed process that a partition delays: a successor
+# at the same address has to wait for their leases like any other successor.
 def test_killed_coordinator_is_waited_for_at_its_own_address():
     async def main():
         world = key_world.World(1, hosts=1)
@@ -101,8 +101,9 @@
     virtual_time.run(main())
 
 
-# Guards against a long wait for a coordinator that there never was.
-def test_unanswered_bid_is_not_waited_for():
+# Guards against a long wait for the leases of a coordinator that never was one:
+# the host itself wrote the lease, but did not receive the answer.
+def test_unanswered_election_is_not_waited_for():
     async def main():
         world = key_world.World(1, hosts=1)
         world.store.lose_share = 1.0
--- a/packages/router/tests/test_datagram_fuzz.py
+++ b/packages/router/tests/test_datagram_fuzz.py
@@ -1,4 +1,4 @@
-"""Datagrams that no host of this release would send, or not in this order."""
+"""Datagrams that are malformed, or arrive in any order."""
 
 import asyncio
 import random
@@ -37,7 +37,7 @@
     "map-part": _datagrams.MapPart(SEEN, 3, 9, 0, 1, b"data"),
 }
 
-#: Fields of the datagrams above by position, after version and kind.
+#: Kind, position of a field after version and kind, and an invalid value.
 BAD_FIELDS = [
     ("heartbeat", 0, float("inf")),
     ("heartbeat", 0, -1),
@@ -74,14 +74,14 @@
 
 
 def _repack(message, change):
-    """Encodes a message with its fields changed."""
+    """Encodes a message after changing the list of its encoded fields."""
     data = _datagram_codec.encode(message)
     fields = msgpack.unpackb(data, strict_map_key=False)
     change(fields)
     return msgpack.packb(fields)
 
 
-# Guards against fields of a datagram that are used without a look at them.
+# Guards against fields of a datagram that are used without validation.
 @pytest.mark.parametrize(("kind", "position", "value"), BAD_FIELDS)
 def test_fields_out_of_bounds_are_refused(kind, position, value):
     def change(fields):
@@ -147,8 +147,8 @@
         assert isinstance(decoded, _datagrams.Datagram)
 
 
-async def _play_any_order(seed):
-    """Sends hosts what others sent: late, again, of other epochs, changed."""
+async def _send_in_any_order(seed):
+    """Sends mutated datagrams of other epochs to random hosts."""
     world = key_world.World(seed)
     generator = random.Random(seed)
     await asyncio.sleep(6.0)
@@ -174,17 +174,17 @@
 
 
 # Guards against heartbeats of an epoch that the store does not know: they must
-# not end the coordinator's duty, and hosts must not stay with their map.
+# not end the coordinator's tenure, and hosts must not keep their map.
 @pytest.mark.parametrize("seed", range(6))
-def test_hosts_take_datagrams_in_any_order(seed):
-    is_coordinator, epoch, world = virtual_time.run(_play_any_order(seed))
+def test_hosts_accept_datagrams_in_any_order(seed):
+    is_coordinator, epoch, world = virtual_time.run(_send_in_any_order(seed))
     assert is_coordinator
     for host in world.hosts.values():
         assert host.coordinator_role._directory.key_map.epoch == epoch
 
 
 def _build_map(ranges, revision=2):
-    """Builds a map with many ranges, each with an owner of its own."""
+    """Builds a map with many ranges, each with its own owner."""
     width = sycamoreloft_direct.KEY_COUNT // ranges
     keys = sycamoreloft_direct.create_unowned(key_world.SERVICE)
     items = []
@@ -198,7 +198,7 @@
     return sycamoreloft_direct.KeyMap(4, revision, {keys.service: keys})
 
 
-# Guards against whole maps that no datagram carries and no host ever gets.
+# Guards against whole maps that do not fit a datagram and never reach a host.
 def test_a_long_map_arrives_in_parts_in_any_order():
     key_map = _build_map(8_000)
     parts = list(_map_parts.split_map(key_map, SEEN))
--- a/packages/router/tests/test_direct_peers.py
+++ b/packages/router/tests/test_direct_peers.py
@@ -1,4 +1,4 @@
-"""Datagrams between hosts, the coordinator's record, non-blocking logs."""
+"""Encoding of datagrams and leases, moving keys, and non-blocking logs."""
 
 import logging
 import os
@@ -48,7 +48,7 @@
 
 
 @pytest.mark.parametrize("message", [HEARTBEAT, REPORT, INTRODUCTION, MAP_PART])
-def test_messages_survive_the_way(message):
+def test_messages_survive_encoding(message):
     data = _datagram_codec.encode(message)
     assert _datagram_codec.decode(data) == message
     assert len(data) < _datagrams.MAXIMUM_DATAGRAM_BYTES
@@ -70,7 +70,7 @@
         _datagram_codec.decode(data)
 
 
-def test_a_lease_survives_the_store():
+def test_a_lease_survives_encoding():
     lease = _coordinator_lease.Lease("h", "10.0.0.1:1", 4, 7.5, 3.25, True)
     data = _coordinator_lease.encode_lease(lease)
     assert _coordinator_lease.decode_lease(data) == lease
@@ -82,7 +82,7 @@
         _coordinator_lease.decode_lease(data)
 
 
-def test_a_notice_of_moving_keys_lapses():
+def test_moving_keys_expire():
     directory = _key_directory.KeyDirectory()
     directory.set_moving(1, HEARTBEAT.moving, 10.0)
     assert directory.is_moving("boards", 7, 10.5)
--- a/packages/router/tests/test_direct_views.py
+++ b/packages/router/tests/test_direct_views.py
@@ -1,4 +1,4 @@
-"""Views of the platform's tables."""
+"""Views of the platform's tables: expiry, grace periods and versions."""
 
 import math
 
@@ -65,8 +65,8 @@
     assert leaving == {"u1": True, "u2": False}
 
 
-def test_a_view_tells_when_the_time_of_an_entry_is_over():
-    """Guards against sweeps for nothing, and against those that are late."""
+def test_a_view_computes_its_next_expiry():
+    """Guards against unnecessary sweeps and against late ones."""
     view = _direct_views.UpstreamView(2.0, lambda: None)
     view.replace_all({"u1": build_upstream(), "u2": build_upstream("u2")}, 0.0)
     assert view.compute_next_expiry() == math.inf
--- a/packages/router/tests/test_host_roster.py
+++ b/packages/router/tests/test_host_roster.py
@@ -1,4 +1,4 @@
-"""What the coordinator sends to many hosts."""
+"""Heartbeats and maps that the coordinator sends to many hosts."""
 
 import dataclasses
 
@@ -14,7 +14,7 @@
 
 @dataclasses.dataclass
 class RecordingSocket:
-    """Notes each message and its receivers."""
+    """Records each message and its receivers."""
 
     sent: list = dataclasses.field(default_factory=list)
 
@@ -29,7 +29,7 @@
 
 @pytest.fixture
 def roster(socket):
-    """A roster with a directory that knows the maps 1 to 3."""
+    """A roster whose directory keeps the maps of the revisions 1 to 3."""
     directory = _key_directory.KeyDirectory()
     keys = sycamoreloft_direct.create_unowned(SERVICE)
     for revision in range(1, 4):
@@ -47,7 +47,7 @@
         roster.add_report(address, version, 0.0)
 
 
-# Guards against a heartbeat that is encoded once for each host.
+# Guards against encoding a heartbeat separately for each host.
 def test_hosts_with_the_same_map_get_one_message(roster, socket):
     add_hosts(roster, (1, 3))
     roster.send_heartbeat(HEARTBEAT, 1.0)
@@ -65,7 +65,8 @@
     assert counts == {False: HOSTS, True: 5}
 
 
-# Guards against whole maps at each heartbeat to hosts that start.
+# Guards against sending the whole map with each heartbeat to a host that has
+# just started.
 def test_a_host_that_starts_gets_the_whole_map_once_in_a_while(roster, socket):
     add_hosts(roster, _host_roster.NO_MAP, 30)
     for step in range(8):
--- a/packages/router/tests/test_key_fuzz.py
+++ b/packages/router/tests/test_key_fuzz.py
@@ -1,4 +1,4 @@
-"""Fuzz of key ownership: real duties of hosts against a hostile world."""
+"""Fuzz tests of key ownership with real coordinators and random faults."""
 
 import asyncio
 
@@ -16,7 +16,7 @@
     upstream.listed = False
     await asyncio.sleep(max(0.0, seconds - 2.6))
     if world.upstreams.get(upstream.name) is not upstream:
-        # Another fault replaced it meanwhile.
+        # Another fault has replaced the upstream meanwhile.
         return
     del world.upstreams[upstream.name]
     world.start_upstream(f"{upstream.name}x" if gone else upstream.name)
@@ -73,10 +73,10 @@
     world.store.lose_share = 0.0
 
 
-async def _apply_late(world, seconds):
-    world.late_share = world.generator.choice((0.1, 0.3, 0.5))
+async def _delay_grants(world, seconds):
+    world.delayed_share = world.generator.choice((0.1, 0.3, 0.5))
     await asyncio.sleep(seconds)
-    world.late_share = 0.0
+    world.delayed_share = 0.0
 
 
 def _choose_fault(world):
@@ -92,13 +92,13 @@
             lambda: _freeze_host(world, seconds),
             lambda: _kill_hosts(world, generator.choice((0.3, 1.0)), 0.8),
             lambda: _lose_writes(world, seconds),
-            lambda: _apply_late(world, seconds),
+            lambda: _delay_grants(world, seconds),
         )
     )()
 
 
 async def _load_keys(world):
-    """Makes some keys hot, so that the coordinator moves them."""
+    """Makes changing keys hot, so that the coordinator moves keys."""
     hot = 0
     while True:
         if world.generator.random() < 0.02:
@@ -111,7 +111,7 @@
         await asyncio.sleep(0.1)
 
 
-async def _play(seed, faults):
+async def _run_faults(seed, faults):
     world = key_world.World(seed)
     await asyncio.sleep(6.0)
     assert world.count_served() == sycamoreloft_direct.KEY_COUNT
@@ -121,7 +121,7 @@
         running.append(world.loop.create_task(_choose_fault(world)))
         await asyncio.sleep(world.generator.uniform(0.0, 5.0))
     await asyncio.gather(*running)
-    world.calm()
+    world.end_faults()
     load.cancel()
     await asyncio.sleep(key_world.RECOVERY_S)
     assert not world.problems, world.problems[:3]
@@ -130,4 +130,4 @@
 
 @pytest.mark.parametrize("seed", range(40))
 def test_keys_never_have_two_owners(seed):
-    virtual_time.run(_play(seed, 6))
+    virtual_time.run(_run_faults(seed, 6))
--- a/packages/router/tests/test_key_lease_ends.py
+++ b/packages/router/tests/test_key_lease_ends.py
@@ -1,7 +1,8 @@
-"""Ends of key leases, where orders arrive as late as their limits allow.
+"""Ends of key leases when orders arrive as late as their timeouts allow.
 
-A lease counts from the arrival of its order. Who takes the keys of a silent
-owner has to wait from the latest moment at which an order may have arrived.
+A lease counts from the arrival of its grant. Before it gives the keys of a
+silent owner to another, a coordinator has to wait for the end of a lease that
+began at the latest possible arrival of a grant.
 """
 
 import asyncio
@@ -12,7 +13,7 @@
 
 
 async def _lose_owner(world):
-    """Cuts an upstream from all hosts; it lives on, and its entry lapses."""
+    """Partitions an upstream from all hosts; its entry may expire meanwhile."""
     name = world.generator.choice(sorted(world.upstreams))
     upstream = world.upstreams[name]
     for host in world.hosts.values():
@@ -27,7 +28,7 @@
 
 
 async def _cut_briefly(world):
-    """Cuts the way to an upstream for less than the limit of an order."""
+    """Partitions an upstream from all hosts for about an order's timeout."""
     name = world.generator.choice(sorted(world.upstreams))
     for host in world.hosts.values():
         host.unreachable = host.unreachable | {name}
@@ -60,7 +61,7 @@
 
 
 async def _roll(world):
-    """Stops and starts the hosts in turn, each gracefully."""
+    """Restarts the hosts in turn, each gracefully."""
     for host in list(world.hosts.values()):
         await host.coordinator_role.stop()
         await asyncio.sleep(world.generator.uniform(0.1, 0.6))
@@ -70,7 +71,7 @@
 
 
 async def _cut_failure_domain(world, with_coordinator=True):
-    """Cuts a host and two upstreams from the store and from all others."""
+    """Partitions a host and two upstreams from the store and all others."""
     hosts = list(world.hosts.values())
     inside = [host for host in hosts if host.coordinator_role.is_coordinator][
         :1
@@ -96,7 +97,7 @@
 
 
 async def _move_keys(world):
-    """Makes keys of all upstreams hot in turn, so that keys move."""
+    """Makes changing keys hot, so that the coordinator moves keys."""
     while True:
         first = world.generator.randrange(64_000)
         for _ in range(20):
@@ -109,7 +110,7 @@
             await asyncio.sleep(0.1)
 
 
-async def _play(seed, faults):
+async def _run_faults(seed, faults):
     world = key_world.World(seed)
     await asyncio.sleep(6.0)
     world.slow_share = 0.3
@@ -117,14 +118,14 @@
     for fault in faults:
         await fault(world)
         await asyncio.sleep(world.generator.uniform(0.0, 3.0))
-    world.calm()
+    world.end_faults()
     load.cancel()
     await asyncio.sleep(key_world.RECOVERY_S)
     assert not world.problems, world.problems[:3]
 
 
-# Guards against keys with two owners, since the wait for a lost owner counted
-# from the decision for its last grant and not from the latest arrival.
+# Guards against two owners of a key: the wait for a lost owner once counted
+# from the decision on its last grant and not from the grant's latest arrival.
 @pytest.mark.parametrize(
     "fault",
     [
@@ -139,4 +140,4 @@
 )
 @pytest.mark.parametrize("seed", range(8))
 def test_late_orders_give_keys_no_second_owner(seed, fault):
-    virtual_time.run(_play(seed, (fault,) * 4))
+    virtual_time.run(_run_faults(seed, (fault,) * 4))
--- a/packages/router/tests/test_order_logs.py
+++ b/packages/router/tests/test_order_logs.py
@@ -1,7 +1,7 @@
-"""Log lines that tell how keys came to have two owners.
+"""Log lines about orders and changes of owner.
 
-The lines of whole hosts in the virtual world, compared with what its upstreams
-saw.
+The lines of simulated hosts are compared with the grants that the simulated
+upstreams received.
 """
 
 import asyncio
@@ -13,10 +13,10 @@
 import sycamoreloft_direct
 from sycamoreloft_router import _logs, _order_logs
 
-#: Seconds until the first owners hold their keys.
+#: Seconds until all keys are held after the start.
 SETTLE_S = 6.0
 
-#: Events that a change of owner may write.
+#: Events that are logged about orders, owners and coordinators.
 EVENTS = (
     "grant-accepted",
     "grant-failed",
@@ -31,8 +31,8 @@
 
 
 @pytest.fixture
-def play():
-    """Runs a scenario in a world whose first owners hold their keys."""
+def run_in_world():
+    """Runs a scenario in a simulation once all keys are held."""
 
     def run_scenario(scenario, **options):
         async def main():
@@ -54,11 +54,11 @@
 
 
 def list_seen(world):
-    """Lists the upstreams and tokens that grants brought."""
+    """Lists the upstreams and fencing tokens of all grants that arrived."""
     return {
         (upstream.name, fence)
         for upstream in world.all_runs
-        for _, _, fence in upstream.seen
+        for _, _, fence in upstream.granted
     }
 
 
@@ -75,18 +75,18 @@
     return world.loop.create_task(request())
 
 
-# Guards against a log that grows with each renewal.
-def test_renewals_leave_no_lines(play, recorder):
+# Guards against a log line for each renewal.
+def test_renewals_leave_no_lines(run_in_world, recorder):
     async def scenario(world):
         recorder.lines.clear()
         await asyncio.sleep(20.0)
         assert not recorder.list(*EVENTS)
 
-    play(scenario)
+    run_in_world(scenario)
 
 
-# Guards against owners whose first grant nobody can find in the logs.
-def test_first_grants_name_token_run_and_times(play, recorder):
+# Guards against first grants that are missing in the logs.
+def test_first_grants_name_token_run_and_times(run_in_world, recorder):
     async def scenario(world):
         lines = recorder.list("grant-accepted")
         seen = {(line["upstream"], line["fence"]) for line in lines}
@@ -105,13 +105,13 @@
             assert not line["tenure_over"]
         assert len({line["order"] for line in lines}) == len(lines)
 
-    play(scenario)
+    run_in_world(scenario)
 
 
-# Guards against a lost owner whose keys were given away for a reason that the
-# logs do not tell.
+# Guards against logs that do not show why the keys of a lost owner were given
+# to another one.
 def test_keys_of_a_silent_owner_name_the_grant_that_was_waited_for(
-    play, recorder
+    run_in_world, recorder
 ):
     async def scenario(world):
         lost = world.upstreams["u1"]
@@ -153,11 +153,11 @@
         assert count == len(changes)
         assert find_coordinator(world).coordinator_role.count_unheld_keys() == 0
 
-    play(scenario)
+    run_in_world(scenario)
 
 
-# Guards against planned moves that cannot be followed from token to token.
-def test_a_move_is_told_by_its_tokens(play, recorder):
+# Guards against planned moves whose lines cannot be linked by fencing tokens.
+def test_a_move_is_logged_with_its_tokens(run_in_world, recorder):
     async def scenario(world):
         load = make_keys_hot(world)
         await asyncio.sleep(6.0)
@@ -180,11 +180,12 @@
             states = {item["state"] for item in line["claims"]}
             assert states <= {"refused"}
 
-    play(scenario)
+    run_in_world(scenario)
 
 
-# Guards against a change of the coordinator whose wait cannot be recomputed.
-def test_a_lost_coordinator_and_its_successor_tell_their_times(play, recorder):
+# Guards against logs from which the successor's wait after a change of the
+# coordinator cannot be recomputed.
+def test_loss_of_a_coordinator_is_logged_with_times(run_in_world, recorder):
     async def scenario(world):
         lost = find_coordinator(world)
         (first,) = recorder.list("coordinator-began")
@@ -224,15 +225,16 @@
             assert line["epoch"] == began["epoch"]
             assert 0.0 < line["heard_ago_s"] < 8.0
 
-    play(scenario)
+    run_in_world(scenario)
 
 
-# Guards against a successor whose predecessor's last orders nobody knows.
-def test_a_coordinator_that_resigns_tells_what_is_under_way(play, recorder):
+# Guards against logs that do not show which orders were in flight when a
+# coordinator resigned.
+def test_a_resignation_is_logged_with_orders_in_flight(run_in_world, recorder):
     async def scenario(world):
         first = find_coordinator(world)
-        # Calls take up to 0.84 s; a coordinator that stops waits for 0.5 s and
-        # gives up those that take longer.
+        # Calls take up to 0.84 s. A coordinator that stops waits for 0.5 s, and
+        # cancels calls that take longer.
         world.slow_share = 1.0
         while not first.coordinator_role._tenure._latest_arrivals:
             await asyncio.sleep(0.01)
@@ -245,17 +247,17 @@
         assert resigned["orders"] > 0
         assert not recorder.list("grant-accepted", "grant-failed")
         first.kill()
-        world.calm()
+        world.end_faults()
         await asyncio.sleep(3.0)
         (began,) = recorder.list("coordinator-began")
         assert began["before"] == first.name
         assert began["before_resigned"]
 
-    play(scenario)
+    run_in_world(scenario)
 
 
-# Guards against a loss of many owners that fills the log or takes the time to
-# describe what is not written.
+# Guards against a loss of many owners that floods the log, and against
+# building fields of lines that the rate limit suppresses.
 def test_lines_of_many_changes_are_bounded(recorder):
     described = []
 
@@ -293,7 +295,7 @@
     assert _logs.LIMITER.suppressed_total == 10_000 - len(lines)
 
 
-# Guards against the infinite end of an open call, which JSON does not have.
+# Guards against an infinite end of an open call, which JSON cannot represent.
 def test_an_open_call_has_no_end(recorder):
     run = sycamoreloft_direct.UpstreamRun("u0", 1)
     change = sycamoreloft_direct.OwnerChange(
@@ -325,8 +327,8 @@
     assert line["claims"][0]["over_s"] is None
 
 
-# Guards against tries during a cut that use up the lines of other orders.
-def test_revocations_have_events_of_their_own(play, recorder):
+# Guards against retried revocations that use up the rate limit of other orders.
+def test_revocations_have_events_of_their_own(run_in_world, recorder):
     async def scenario(world):
         name = min(world.upstreams)
         for host in world.hosts.values():
@@ -335,9 +337,9 @@
         tries = recorder.list("revocation-failed")
         assert {line["upstream"] for line in tries} == {name}
         recorder.lines.clear()
-        world.calm()
+        world.end_faults()
         await asyncio.sleep(2.0)
         (answered,) = recorder.list("revocation-answered")
         assert answered["upstream"] == name
 
-    play(scenario)
+    run_in_world(scenario)
--- a/packages/router/tests/test_probe_server.py
+++ b/packages/router/tests/test_probe_server.py
@@ -1,4 +1,4 @@
-"""Answers to probes and to the reader of metrics."""
+"""Answers to readiness probes and to reads of metrics."""
 
 import asyncio
 
@@ -8,8 +8,12 @@
 from sycamoreloft_router import _probe_server
 
 
-async def ask(port, *requests):
-    """Sends requests on one connection; returns status and body of each."""
+async def send_requests(port, *requests):
+    """Sends requests on one connection.
+
+    Returns:
+        Status and body of each answer.
+    """
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     answers = []
     for request in requests:
@@ -22,8 +26,7 @@
     return answers
 
 
-# Guards against a load balancer that is told the wrong state, and against
-# readers that get no metrics.
+# Guards against wrong answers to the load balancer and missing metrics.
 @pytest.mark.parametrize(("is_ready", "status"), [(True, 200), (False, 503)])
 def test_probes_and_metrics_are_answered_on_one_connection(is_ready, status):
     async def main():
@@ -31,7 +34,7 @@
         sockets = netutil.bind_sockets(0, "127.0.0.1")
         server.add_sockets(sockets)
         try:
-            return await ask(
+            return await send_requests(
                 sockets[0].getsockname()[1],
                 "GET /",
                 "GET /metrics",
--- a/packages/router/tests/test_settings_watch.py
+++ b/packages/router/tests/test_settings_watch.py
@@ -12,14 +12,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Settings:
-    """Two settings, one of which needs a restart."""
+    """A reloadable setting, and one that needs a restart."""
 
     grace_s: float
     address: str
 
 
 class File:
-    """A settings file, and what was taken from it."""
+    """A settings file with a watcher, and the settings that it applied."""
 
     def __init__(self, path):
         self.path = path
@@ -52,7 +52,7 @@
 
 @pytest.fixture
 def file(tmp_path):
-    """A settings file with good content."""
+    """A settings file with valid content."""
     return File(tmp_path / "settings")
 
 
@@ -64,7 +64,7 @@
     ]
 
 
-def test_a_changed_file_is_taken_without_a_signal(file, caplog):
+def test_a_changed_file_is_applied_without_a_signal(file, caplog):
     caplog.set_level(logging.INFO)
     file.watcher.check_file()
     assert not file.applied
--- a/packages/router/tests/test_store_availability.py
+++ b/packages/router/tests/test_store_availability.py
@@ -1,4 +1,4 @@
-"""Since when the store answers, as far as a host can tell."""
+"""Outages of the store, inferred from the coordinator's heartbeats."""
 
 import sycamoreloft_direct
 from sycamoreloft_router import _direct_views, _store_availability
@@ -13,24 +13,24 @@
         now += 0.4
 
 
-def test_a_host_that_was_cut_off_alone_knows_that_the_store_was_there():
+def test_a_partition_of_one_host_is_no_outage():
     availability = _store_availability.StoreAvailability()
     send_heartbeats(availability, 0.0, 15.0)
     assert availability.compute_return_time(15.0) == 0.0
 
 
-def test_without_a_coordinator_the_own_return_counts():
+def test_without_heartbeats_the_own_return_counts():
     availability = _store_availability.StoreAvailability()
     assert availability.compute_return_time(15.0) == 15.0
     send_heartbeats(availability, 0.0, 4.0)
     assert availability.compute_return_time(15.0) == 15.0
 
 
-def test_an_outage_for_all_is_none_of_this_host_alone():
+def test_an_outage_for_all_hosts_is_detected():
     availability = _store_availability.StoreAvailability()
     send_heartbeats(availability, 0.0, 4.0)
     for second in range(5, 15):
-        # The coordinator renews leases of keys without the store.
+        # The coordinator renews key leases without the store.
         availability.observe_store_age(second - 4.0, float(second))
     assert availability.compute_return_time(14.5) == 14.5
     send_heartbeats(availability, 14.2, 16.0)
@@ -45,7 +45,11 @@
 
 
 def test_an_upstream_that_left_meanwhile_is_gone_at_the_return():
-    """As hunted: cut off from 1 s to 13 s, the upstream gone at 7 s."""
+    """Guards against requests to an upstream that left during a partition.
+
+    The host was cut off from the store from 1 s to 13 s, and the upstream left
+    at 7 s. The host must not keep its entry as if the store had been down.
+    """
     availability = _store_availability.StoreAvailability()
     send_heartbeats(availability, 0.0, 14.6)
     view = _direct_views.UpstreamView(2.0, lambda: None)
@@ -59,7 +63,7 @@
     assert left.is_draining
 
 
-def test_the_return_of_the_store_is_told_once():
+def test_a_return_of_the_store_is_reported_once():
     availability = _store_availability.StoreAvailability()
     assert not availability.observe_store_age(0.2, 1.0)
     assert not availability.observe_store_age(0.6, 1.4)
--- a/packages/router/tests/test_table_follower.py
+++ b/packages/router/tests/test_table_follower.py
@@ -1,4 +1,4 @@
-"""Followers of the platform's tables."""
+"""Followers of the platform's tables, with calls that hang or load slowly."""
 
 import asyncio
 import logging
@@ -10,7 +10,7 @@
 
 
 class FakeTable:
-    """A table whose calls for changes may hang."""
+    """A table whose calls for changes may hang or fail."""
 
     def __init__(self):
         self.values = {}
@@ -31,7 +31,7 @@
         return await self._load(progress)
 
     async def _load(self, progress):
-        """Answers with what there is now, in a hundred parts."""
+        """Answers with the current entries, in 100 parts over `load_s`."""
         problem = self.problem
         answer = _direct_ports.TableEntries(
             dict(self.values), self.version, self.newest
@@ -50,122 +50,128 @@
 def follow(scenario, choose_spread_s=0.0):
     async def main():
         table = FakeTable()
-        seen = {}
+        entries = {}
         follower = _table_follower.TableFollower(
-            "t", table, seen.update, seen.update, lambda: choose_spread_s
+            "t", table, entries.update, entries.update, lambda: choose_spread_s
         )
         task = asyncio.get_running_loop().create_task(follower.run())
         await asyncio.sleep(0.1)
         try:
-            await scenario(table, follower, seen)
+            await scenario(table, follower, entries)
         finally:
             task.cancel()
 
     virtual_time.run(main())
 
 
-def test_a_call_that_hangs_is_given_up_when_another_host_knows_more():
-    async def scenario(table, follower, seen):
+def test_a_hanging_call_is_replaced_when_another_host_has_newer_entries():
+    async def scenario(table, follower, entries):
         table.hangs = True
         table.put("a", 7)
         follower.observe_peer(table.newest)
         await asyncio.sleep(1.5)
-        assert seen == {"a": 7}
+        assert entries == {"a": 7}
 
     follow(scenario)
 
 
-async def tell_of_newest(table, follower, seconds):
-    """Tells a follower what others have, four times a second."""
+async def announce_newest(table, follower, seconds):
+    """Announces the newest version to a follower, four times a second."""
     for _ in range(round(seconds / 0.25)):
         follower.observe_peer(table.newest)
         await asyncio.sleep(0.25)
 
 
 @pytest.mark.parametrize("load_s", [0.8, 2.0, 6.0])
-def test_a_long_change_arrives_while_others_have_it(load_s):
-    """Guards against a long desired state that is loaded anew for ever."""
+def test_a_long_change_completes_while_others_have_it(load_s):
+    """Guards against restarting a long load for ever.
 
-    async def scenario(table, follower, seen):
+    Other hosts announce the version while this host is still loading it.
+    """
+
+    async def scenario(table, follower, entries):
         table.load_s = load_s
         table.put("a", 7)
-        await tell_of_newest(table, follower, load_s + 1.0)
-        assert seen == {"a": 7}
+        await announce_newest(table, follower, load_s + 1.0)
+        assert entries == {"a": 7}
         assert table.reads == 1
 
     follow(scenario)
 
 
 @pytest.mark.parametrize("load_s", [0.8, 2.0])
-def test_a_long_read_arrives_while_others_know_more(load_s):
-    """Guards against the same after a start, with changes all the while."""
+def test_a_long_read_completes_while_others_have_newer_entries(load_s):
+    """Guards against the same for a full read at the start, amid changes."""
 
-    async def scenario(table, follower, seen):
+    async def scenario(table, follower, entries):
         table.load_s = load_s
         table.hangs = True
         for value in range(8):
             table.put("a", value)
-            await tell_of_newest(table, follower, 0.5)
+            await announce_newest(table, follower, 0.5)
         table.hangs = False
-        await tell_of_newest(table, follower, 3 * load_s + 1.0)
-        assert seen == {"a": 7}
+        await announce_newest(table, follower, 3 * load_s + 1.0)
+        assert entries == {"a": 7}
 
     follow(scenario)
 
 
-def test_a_call_that_hangs_is_given_up_when_the_store_is_back():
-    """As hunted: the store never answers the calls of before its outage."""
+def test_a_hanging_call_is_replaced_when_the_store_is_back():
+    """Guards against waiting for a call from before an outage of the store.
+
+    The store never answers such a call.
+    """
 
-    async def scenario(table, follower, seen):
+    async def scenario(table, follower, entries):
         table.hangs = True
         table.put("a", 7)
         await asyncio.sleep(8.0)
-        assert seen == {}
+        assert entries == {}
         follower.restart_call()
         await asyncio.sleep(0.5)
-        assert seen == {"a": 7} and follower.returned_at > 0
+        assert entries == {"a": 7} and follower.returned_at > 0
 
     follow(scenario)
 
 
-def test_hearing_of_what_is_known_reads_nothing():
-    async def scenario(table, follower, seen):
+def test_a_known_version_causes_no_read():
+    async def scenario(table, follower, entries):
         table.put("a", 7)
         await asyncio.sleep(0.5)
         follower.observe_peer(table.newest)
         await asyncio.sleep(3.0)
-        assert seen == {"a": 7} and table.reads == 1
+        assert entries == {"a": 7} and table.reads == 1
 
     follow(scenario)
 
 
 def test_hosts_call_the_store_at_different_times_after_a_change():
-    async def scenario(table, follower, seen):
+    async def scenario(table, follower, entries):
         table.put("a", 1)
         await asyncio.sleep(0.2)
         table.put("a", 2)
         await asyncio.sleep(0.7)
-        assert seen == {"a": 1}
+        assert entries == {"a": 1}
         await asyncio.sleep(0.4)
-        assert seen == {"a": 2}
+        assert entries == {"a": 2}
 
     follow(scenario, choose_spread_s=0.5)
 
 
-def test_lost_history_is_read_again():
-    async def scenario(table, follower, seen):
+def test_lost_history_causes_a_full_read():
+    async def scenario(table, follower, entries):
         table.problem = _direct_ports.ReadProblem.HISTORY_LOST
         await asyncio.sleep(0.3)
         table.problem = None
         table.put("a", 1)
         await asyncio.sleep(1.0)
-        assert seen == {"a": 1} and not follower.is_store_lost
+        assert entries == {"a": 1} and not follower.is_store_lost
 
     follow(scenario)
 
 
-def test_an_outage_is_noticed_and_its_end_as_well():
-    async def scenario(table, follower, seen):
+def test_an_outage_and_its_end_are_detected():
+    async def scenario(table, follower, entries):
         table.problem = _direct_ports.ReadProblem.UNAVAILABLE
         await asyncio.sleep(2.0)
         assert follower.is_store_lost
@@ -177,8 +183,8 @@
     follow(scenario)
 
 
-def test_a_call_that_is_given_up_says_how_long_it_waited(caplog):
-    """Guards against lines that do not tell waiting from loading."""
+def test_a_cancelled_call_is_logged_with_its_age(caplog):
+    """Guards against lines that mix the time of waiting and of loading."""
     caplog.set_level(logging.INFO)
 
     async def scenario(table, follower, _seen):
@@ -193,15 +199,15 @@
         for record in caplog.records
         if record.getMessage() in ("table-behind", "table-read")
     ][-2:]
-    assert "bytes" not in behind, "only calls without an answer are given up"
+    assert "bytes" not in behind, "only calls without an answer are cancelled"
     assert behind["age_s"] == pytest.approx(0.6, abs=0.05)
     assert (read["call"], read["rows"]) == ("read", 1)
 
 
 def test_a_load_goes_on_when_the_store_is_back():
-    """Guards against a long change that is given up at the store's return."""
+    """Guards against cancelling a long load at the return of the store."""
 
-    async def scenario(table, follower, seen):
+    async def scenario(table, follower, entries):
         table.load_s = 2.0
         table.put("a", 7)
         await asyncio.sleep(1.0)
@@ -209,22 +215,22 @@
         await asyncio.sleep(0.9)
         assert table.reads == 1
         await asyncio.sleep(0.4)
-        assert seen == {"a": 7}
+        assert entries == {"a": 7}
         await asyncio.sleep(2.5)
-        assert table.reads == 2, "entries that came back are read in full"
+        assert table.reads == 2, "entries that returned need a full read"
 
     follow(scenario)
 
 
 def test_a_change_during_a_long_load_is_loaded_right_after_it():
-    """Guards against long states that are late by a wait for more changes."""
+    """Guards against a further delay to collect changes after a long load."""
 
-    async def scenario(table, follower, seen):
+    async def scenario(table, follower, entries):
         table.load_s = 1.0
         table.put("a", 1)
         await asyncio.sleep(0.5)
         table.put("a", 2)
         await asyncio.sleep(1.8)
-        assert seen == {"a": 2}
+        assert entries == {"a": 2}
 
     follow(scenario, choose_spread_s=0.1)
--- a/packages/router/tests/test_ticks.py
+++ b/packages/router/tests/test_ticks.py
@@ -1,4 +1,4 @@
-"""Sleep over ticks at which nothing is due."""
+"""Sleeps that end at ticks, and hosts that wake only for due work."""
 
 import asyncio
 
@@ -10,13 +10,19 @@
 
 
 async def measure_sleep(ticks, seconds, wake_after=None):
-    """Returns how long a sleep takes that may be woken."""
+    """Returns the duration of a sleep, in seconds.
+
+    Args:
+        ticks: The timer.
+        seconds: Time until something is due.
+        wake_after: Time after which to wake the sleep; None to let it end.
+    """
     loop = asyncio.get_running_loop()
-    began = loop.time()
+    started_at = loop.time()
     if wake_after is not None:
         loop.call_later(wake_after, ticks.wake)
     await ticks.sleep(seconds)
-    return loop.time() - began
+    return loop.time() - started_at
 
 
 @pytest.mark.parametrize(
@@ -32,13 +38,13 @@
     ],
 )
 def test_a_sleep_ends_at_a_tick(seconds, wake_after, expected):
-    """Guards against reactions later than those of a tick each time."""
+    """Guards against sleeps that end later than the next tick."""
     ticks = _ticks.TickTimer(0.05)
-    took = virtual_time.run(measure_sleep(ticks, seconds, wake_after))
-    assert took == pytest.approx(expected)
+    elapsed_s = virtual_time.run(measure_sleep(ticks, seconds, wake_after))
+    assert elapsed_s == pytest.approx(expected)
 
 
-def test_a_sleep_tells_how_late_it_ended():
+def test_a_sleep_returns_how_late_it_ended():
     async def main():
         ticks = _ticks.TickTimer(0.05)
         loop = asyncio.get_running_loop()
@@ -59,8 +65,8 @@
     assert virtual_time.run(main()) == pytest.approx(0.2)
 
 
-def run_by_itself(host):
-    """Lets a host of the world wake by its own timers; counts its steps."""
+def run_by_timers(host):
+    """Runs a simulated host on its own timers, and records its steps."""
     steps = []
     step = host.coordinator_role.step
 
@@ -78,10 +84,9 @@
 
 @pytest.mark.parametrize("seed", range(3))
 def test_a_host_wakes_only_for_what_is_due(seed):
-    """Guards against idle hosts that use processor time for nothing.
+    """Guards against idle hosts that wake at each tick.
 
-    Also against a host that sleeps when the coordinator is lost, or when it
-    leaves.
+    Also guards against a host that sleeps on after the coordinator resigns.
     """
 
     async def main():
@@ -91,7 +96,7 @@
             world.hosts.values(),
             key=lambda host: not host.coordinator_role.is_coordinator,
         )
-        steps = run_by_itself(second)
+        steps = run_by_timers(second)
         await asyncio.sleep(4.0)
         assert 4.0 / _coordinator_role.REPORT_INTERVAL_S * 0.7 < len(steps) < 24
         assert (
@@ -102,7 +107,7 @@
         first.kill()
         await asyncio.sleep(_coordinator_role.MAXIMUM_ELECTION_DELAY_S + 0.5)
         assert second.coordinator_role.is_coordinator
-        # A coordinator looks at each tick.
+        # A coordinator wakes at each tick.
         steps.clear()
         await asyncio.sleep(2.0)
         assert len(steps) > 2.0 / _coordinator_role.TICK_S * 0.8
--- a/packages/router/tests/test_upstream_choice.py
+++ b/packages/router/tests/test_upstream_choice.py
@@ -1,4 +1,4 @@
-"""Which upstream gets a request, and how long a request waits for an owner."""
+"""Choice of the owner for a request, and the wait for an owner."""
 
 import asyncio
 import dataclasses
@@ -29,7 +29,7 @@
 
 @pytest.fixture
 def services():
-    """What requests share, with a map whose only owner is not listed."""
+    """Shared services whose map has a single owner, which is not listed."""
     directory = _key_directory.KeyDirectory()
     ranges = (
         sycamoreloft_direct.KeyRange(
@@ -48,21 +48,25 @@
     )
 
 
-async def _find(services, deadline_s=5.0):
-    """Finds an upstream; returns it, the choice and the seconds it took."""
+async def _choose_upstream(services, deadline_s=5.0):
+    """Chooses an upstream.
+
+    Returns:
+        Its record, the choice, and the seconds that the choice took.
+    """
     services.loop = asyncio.get_running_loop()
-    began = services.loop.time()
-    received = _exchange.ReceivedRequest(None, 0, b"", began + deadline_s)
+    started_at = services.loop.time()
+    received = _exchange.ReceivedRequest(None, 0, b"", started_at + deadline_s)
     choice = _upstream_choice.UpstreamChoice(services, Request(), received)
     record = await choice.choose_upstream()
-    return record, choice, services.loop.time() - began
+    return record, choice, services.loop.time() - started_at
 
 
-# Guards against requests that are held though nobody can serve them soon.
+# Guards against requests that wait although no upstream can serve them soon.
 def test_a_request_for_a_lost_owner_is_refused_at_once(services):
     async def main():
-        _, _, first_s = await _find(services)
-        _, choice, second_s = await _find(services)
+        _, _, first_s = await _choose_upstream(services)
+        _, choice, second_s = await _choose_upstream(services)
         assert first_s >= _upstream_choice.MAXIMUM_OWNER_WAIT_S
         assert second_s == 0.0
         assert choice.is_owner_lost
@@ -73,10 +77,10 @@
 
 def test_a_change_of_the_map_lets_requests_wait_again(services):
     async def main():
-        await _find(services)
+        await _choose_upstream(services)
         changed = dataclasses.replace(services.directory.key_map, revision=2)
         services.directory.update(changed)
-        _, _, seconds = await _find(services)
+        _, _, seconds = await _choose_upstream(services)
         assert seconds >= _upstream_choice.MAXIMUM_OWNER_WAIT_S
 
     virtual_time.run(main())
@@ -84,30 +88,30 @@
 
 def test_an_owner_that_is_listed_again_gets_requests(services):
     async def main():
-        await _find(services)
+        await _choose_upstream(services)
         now = services.loop.time()
         entry = sycamoreloft_direct.Upstream(
             "u0", 1, "10.0.0.1:1", SERVICE, "z", 6, False
         )
         services.pool.update([entry], now)
-        record, _, seconds = await _find(services)
+        record, _, seconds = await _choose_upstream(services)
         assert record.entry == entry
         assert seconds == 0.0
 
     virtual_time.run(main())
 
 
-# Guards against a second loss that counts from the first one.
+# Guards against a second loss of an owner that counts from the first one.
 def test_an_owner_that_is_lost_again_is_waited_for_again(services):
     async def main():
-        await _find(services)
+        await _choose_upstream(services)
         entry = sycamoreloft_direct.Upstream(
             "u0", 1, "10.0.0.1:1", SERVICE, "z", 6, False
         )
         services.pool.update([entry], services.loop.time())
-        await _find(services)
+        await _choose_upstream(services)
         services.pool.update([], services.loop.time())
-        _, _, seconds = await _find(services)
+        _, _, seconds = await _choose_upstream(services)
         assert seconds >= _upstream_choice.MAXIMUM_OWNER_WAIT_S
 
     virtual_time.run(main())
--- a/packages/router/tests/virtual_time.py
+++ b/packages/router/tests/virtual_time.py
@@ -1,11 +1,11 @@
-"""An event loop whose clock jumps to the next timer."""
+"""An event loop with virtual time: its clock jumps to the next timer."""
 
 import asyncio
 import selectors
 
 
 class _JumpingSelector(selectors.DefaultSelector):
-    """Never waits; adds the time that it would have waited."""
+    """Advances its clock by the timeout instead of waiting."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -19,7 +19,7 @@
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
-    """Runs timers in order without waiting for them."""
+    """Runs timers in order, without waiting in real time."""
 
     def __init__(self) -> None:
         self._jumping = _JumpingSelector()
@@ -30,7 +30,7 @@
 
 
 def run(main):
-    """Runs a coroutine on a virtual loop."""
+    """Runs a coroutine on a loop with virtual time, and returns its result."""
     loop = VirtualLoop()
     try:
         return loop.run_until_complete(main)
