--- a/packages/router/sycamoreloft_router/_direct_execution.py
+++ b/packages/router/sycamoreloft_router/_direct_execution.py
@@ -362,7 +362,7 @@
     # After an attempt.
 
     def _may_retry(self, result: sycamoreloft_direct.AttemptResult) -> bool:
-        """Returns whether to make another attempt, and stores why not."""
+        """Returns whether to make another attempt; records what prevents it."""
         self._obstacle = self._find_retry_obstacle(result)
         return self._obstacle == ""
 
--- a/packages/router/tests/domain_faults.py
+++ b/packages/router/tests/domain_faults.py
@@ -97,7 +97,7 @@
 
 
 async def cut_domain(world, seconds=None, ways=None, domain=None):
-    """Partitions a domain from the store and all other domains.
+    """Cuts a domain off from the store and all other domains.
 
     Args:
         world: The simulation.
@@ -120,11 +120,11 @@
 
 
 async def cut_host(world):
-    """Partitions a host from some of the store, upstreams and other hosts."""
+    """Cuts a host off from some upstreams, and perhaps the store and hosts."""
     generator = world.generator
     hosts = world.find_coordinators() or list(world.hosts.values())
     host = generator.choice(hosts)
-    labels = [item.name for item in world.list_up()]
+    labels = [upstream.name for upstream in world.list_up()]
     targets = generator.sample(labels, min(3, len(labels)))
     if generator.random() < 0.7:
         targets.append("store")
@@ -141,7 +141,7 @@
 
 
 async def cut_upstream(world):
-    """Partitions an upstream from all hosts and the store."""
+    """Cuts an upstream off from all hosts and the store."""
     upstream = world.generator.choice(world.list_up())
     others = [*world.domains, "store"]
     world.log(f"cut {upstream.name}")
@@ -197,7 +197,7 @@
 def _choose_upstream(world):
     """Chooses an upstream that no other fault is about to end."""
     upstream = world.generator.choice(
-        [item for item in world.list_up() if not item.is_ending]
+        [candidate for candidate in world.list_up() if not candidate.is_ending]
     )
     upstream.is_ending = True
     return upstream
@@ -291,7 +291,7 @@
 
 
 async def _cut_while_rolling(world):
-    """Partitions a domain during a rolling restart, as in a past incident."""
+    """Cuts a domain off during a rolling restart, as in a past incident."""
     generator = world.generator
 
     async def cut():
@@ -435,7 +435,7 @@
         seed: Seed of all random choices.
         pattern: Name of the pattern, a key of `PATTERNS`.
         exit_resets: Whether the end of a process drops the bytes that it sent
-            and that a partition delays.
+            and that a blocked link delays.
 
     Returns:
         The simulation, to read its problems and events.
--- a/packages/router/tests/domain_links.py
+++ b/packages/router/tests/domain_links.py
@@ -1,4 +1,4 @@
-"""Simulated links with partitions, one-way partitions, loss and delays."""
+"""Simulated links that can be blocked in one or both directions, or lossy."""
 
 import asyncio
 import itertools
@@ -9,7 +9,7 @@
 #: Time after which a lost segment is retransmitted, in seconds.
 RESEND_S = 0.2
 
-#: Maximum time from the end of a partition to the arrival of bytes that it
+#: Maximum time from the unblocking of a link to the arrival of bytes that were
 #: delayed, in seconds.
 HEALED_RESEND_S = 0.7
 
--- a/packages/router/tests/domain_upstreams.py
+++ b/packages/router/tests/domain_upstreams.py
@@ -48,7 +48,13 @@
         return sycamoreloft_direct.UpstreamRun(self.name, self.started_ms)
 
     def grant(self, order, arrived_at, is_exempt):
-        """Applies a grant; see `key_world.FakeUpstream.grant`."""
+        """Applies a grant, possibly long after it arrived.
+
+        Args:
+            order: The grant.
+            arrived_at: When the grant arrived; its lease begins then.
+            is_exempt: Whether the oracle ignores keys held under this grant.
+        """
         result = super().grant(order, arrived_at, is_exempt)
         if result is RESULT.ACCEPTED:
             until = arrived_at + order.hold_s * self.clock_factor
--- a/packages/router/tests/domain_world.py
+++ b/packages/router/tests/domain_world.py
@@ -1,7 +1,7 @@
 """Simulated failure domains with several hosts and upstreams each.
 
-Unlike in `key_world`, hosts and upstreams in a partitioned domain reach each
-other, entries expire and return, processes drain after a stop while their
+Unlike in `key_world`, hosts and upstreams in a domain that is cut off reach
+each other, entries expire and return, processes drain after a stop while their
 tasks continue, connections are reused or opened, and upstreams work on
 requests. The oracle checks which keys upstreams hold and work on.
 """
@@ -26,7 +26,7 @@
         hosts: Number of hosts in each domain.
         upstreams: Number of upstreams in each domain.
         exit_resets: Whether the end of a process drops the bytes that it sent
-            and that a partition delays.
+            and that a blocked link delays.
     """
 
     def __init__(self, seed, domains=3, hosts=3, upstreams=3, exit_resets=True):
@@ -37,7 +37,7 @@
         self.dispatch_delay_s = 0.0
         self.store_delay_s = 0.0
         #: Whether the end of a process drops the bytes that it sent and that a
-        #: partition delays.
+        #: blocked link delays.
         self.exit_resets = exit_resets
         self.problems = []
         self.events = []
@@ -99,7 +99,9 @@
 
     def list_up(self):
         """Lists the runs that are up."""
-        return [item for item in self.at_address.values() if item.up]
+        return [
+            upstream for upstream in self.at_address.values() if upstream.up
+        ]
 
     def find_coordinators(self):
         """Lists the hosts that consider themselves the coordinator."""
@@ -108,13 +110,13 @@
     # Faults that several scenarios use.
 
     def cut_domain(self, domain, ways="both"):
-        """Partitions a domain from the store and all other domains.
+        """Cuts a domain off from the store and all other domains.
 
         Args:
             domain: Name of the domain.
             ways: Direction in which bytes are blocked: "in", "out" or "both".
         """
-        others = [item for item in self.domains if item != domain]
+        others = [other for other in self.domains if other != domain]
         others.append(domain_links.STORE)
         if ways in ("both", "out"):
             self.links.block([domain], others)
@@ -122,8 +124,8 @@
             self.links.block(others, [domain])
 
     def heal_domain(self, domain):
-        """Ends the partition of a domain."""
-        others = [item for item in self.domains if item != domain]
+        """Reverts `cut_domain` for a domain."""
+        others = [other for other in self.domains if other != domain]
         others.append(domain_links.STORE)
         self.links.unblock([domain], others)
         self.links.unblock(others, [domain])
--- a/packages/router/tests/key_world.py
+++ b/packages/router/tests/key_world.py
@@ -33,8 +33,8 @@
 #: Maximum time from the last fault until all keys are held, in seconds.
 RECOVERY_S = 20.0
 
-#: Bounds of the time from the end of a partition to the delivery of a grant
-#: that it delayed, in seconds.
+#: Bounds of the time from the end of a network partition to the delivery of a
+#: grant that it delayed, in seconds.
 HELD_UP_S = (0.6, 2.0)
 
 #: Maximum time from the decision on an order to its sending, in seconds.
@@ -48,8 +48,8 @@
 class Hold:
     """Keys that an upstream holds under one grant.
 
-    The oracle ignores exempt holds. Their grants were sent by a process that
-    had just been frozen.
+    The oracle ignores exempt holds, whose grants were in flight when their
+    sender was frozen.
     """
 
     first: int
@@ -215,8 +215,8 @@
     async def _grant_slowly(self, order, was_frozen):
         """Delivers a grant at a random time before its timeout.
 
-        The answer may be lost. A partition delays the grant; if it lasts
-        longer than the timeout, the closed connection drops the grant.
+        The answer may be lost. A network partition delays the grant; if it
+        lasts longer than the timeout, the closed connection drops the grant.
         """
         world = self.world
         await asyncio.sleep(world.draw_delay(DISPATCH_LIMIT_S))
@@ -241,7 +241,7 @@
         return result
 
     async def _deliver_after_cut(self, order):
-        """Delivers a grant some time after the partition that delayed it."""
+        """Delivers a grant after the network partition that delayed it."""
         world = self.world
         upstream = world.upstreams.get(order.run.id)
         while order.run.id in self.host.unreachable:
@@ -298,8 +298,8 @@
         self.name = name
         self.frozen_until = 0.0
         self.cut_from_store = False
-        #: Whether a partition separates this host from those that are not
-        #: isolated.
+        #: Whether datagrams are lost between this host and all hosts that are
+        #: not isolated.
         self.is_isolated = False
         self.unreachable = set()
         self.task = None
@@ -398,7 +398,8 @@
         self.generator = random.Random(seed)
         self.delayed_share = 0.0
         self.slow_share = 0.0
-        #: Share of the grants into a partition that arrive after its end.
+        #: Share of the grants to unreachable upstreams that arrive once the
+        #: network partition has ended.
         self.held_up_share = 0.0
         self.problems = []
         self.store = FakeStore(self)
@@ -432,17 +433,17 @@
 
     def list_entries(self):
         return {
-            item.name: sycamoreloft_direct.Upstream(
-                item.name,
-                item.started_ms,
-                f"{item.name}:1",
+            upstream.name: sycamoreloft_direct.Upstream(
+                upstream.name,
+                upstream.started_ms,
+                f"{upstream.name}:1",
                 SERVICE,
                 "z",
                 4,
-                item.draining,
+                upstream.draining,
             )
-            for item in self.upstreams.values()
-            if item.listed
+            for upstream in self.upstreams.values()
+            if upstream.listed
         }
 
     def check_hold(self, holder, hold):
--- a/packages/router/tests/test_coordinator_changes.py
+++ b/packages/router/tests/test_coordinator_changes.py
@@ -10,7 +10,7 @@
 from sycamoreloft_router import _coordinator_lease
 
 #: Seconds within which a host that reaches the store has to take over:
-#: partitions last some seconds, and less than the 12 s after which the
+#: network partitions last some seconds, and less than the 12 s after which the
 #: coordinator itself gives up.
 TAKEOVER_S = 8.0
 
@@ -25,7 +25,7 @@
 
 @pytest.mark.parametrize("seed", range(5))
 def test_a_blind_coordinator_is_replaced_also_for_hosts_that_are_cut(seed):
-    """Guards against mistaking a partition of the coordinator for an outage.
+    """Guards against mistaking a cut-off coordinator for an outage.
 
     A coordinator that alone is cut off from the store goes on sending
     heartbeats. Hosts that reach the store have to replace it nevertheless.
@@ -36,7 +36,7 @@
         await asyncio.sleep(6.0)
         blind = find_coordinator(world)
         epoch = blind.coordinator_role._tenure.epoch
-        others = [item for item in world.hosts.values() if item is not blind]
+        others = [host for host in world.hosts.values() if host is not blind]
         cut = others[0]
         blind.cut_from_store = cut.cut_from_store = True
         ages = []
--- a/packages/router/tests/test_coordinator_stops.py
+++ b/packages/router/tests/test_coordinator_stops.py
@@ -82,8 +82,8 @@
     virtual_time.run(main())
 
 
-# Guards against grants of a killed process that a partition delays: a successor
-# at the same address has to wait for their leases like any other successor.
+# Guards against grants of a killed process that a network partition delays: a
+# successor at the same address has to wait for their leases like any other.
 def test_killed_coordinator_is_waited_for_at_its_own_address():
     async def main():
         world = key_world.World(1, hosts=1)
--- a/packages/router/tests/test_direct_views.py
+++ b/packages/router/tests/test_direct_views.py
@@ -16,7 +16,7 @@
     view = _direct_views.UpstreamView(2.0, lambda: None)
     view.replace_all({"u1": build_upstream()}, 0.0)
     view.apply_changes({"u1": None}, 5.0)
-    assert [item.is_draining for item in view.list_all()] == [True]
+    assert [upstream.is_draining for upstream in view.list_all()] == [True]
     view.sweep(6.9)
     assert view.find(build_upstream().run) is not None
     view.sweep(7.1)
@@ -28,16 +28,16 @@
     view.replace_all({"u1": build_upstream()}, 0.0)
     view.extend_grace(12.0)
     view.replace_all({}, 10.0)
-    assert [item.is_draining for item in view.list_all()] == [False]
+    assert [upstream.is_draining for upstream in view.list_all()] == [False]
     view.sweep(12.1)
-    assert [item.is_draining for item in view.list_all()] == [True]
+    assert [upstream.is_draining for upstream in view.list_all()] == [True]
 
 
 def test_a_new_run_replaces_the_old_one_at_once():
     view = _direct_views.UpstreamView(2.0, lambda: None)
     view.replace_all({"u1": build_upstream(started_ms=1)}, 0.0)
     view.apply_changes({"u1": build_upstream(started_ms=9)}, 1.0)
-    assert [item.started_ms for item in view.list_all()] == [9]
+    assert [upstream.started_ms for upstream in view.list_all()] == [9]
     assert view.find(sycamoreloft_direct.UpstreamRun("u1", 1)) is None
 
 
@@ -61,7 +61,9 @@
     view.extend_grace(12.0)
     view.replace_all({"u1": build_upstream()}, 10.0)
     view.apply_changes({"u1": None}, 10.2)
-    leaving = {item.id: item.is_draining for item in view.list_all()}
+    leaving = {
+        upstream.id: upstream.is_draining for upstream in view.list_all()
+    }
     assert leaving == {"u1": True, "u2": False}
 
 
--- a/packages/router/tests/test_held_up_grants.py
+++ b/packages/router/tests/test_held_up_grants.py
@@ -6,16 +6,16 @@
 import pytest
 import virtual_time
 
-#: Duration of a partition, in seconds: longer than the wait for the lease of a
-#: silent owner.
+#: Duration of a network partition, in seconds: longer than the wait for the
+#: lease of a silent owner.
 CUT_S = 6.0
 
-#: Seconds after a partition within which all delayed grants are delivered.
+#: Seconds after a network partition within which delayed grants are delivered.
 DELIVERED_S = 4.0
 
 
 async def _cut_off(world, names):
-    """Partitions upstreams from all hosts and from the store."""
+    """Cuts upstreams off from all hosts and from the store."""
     for host in world.hosts.values():
         host.unreachable = set(names)
     await asyncio.sleep(2.6)
@@ -54,15 +54,15 @@
     assert not world.problems, world.problems[:3]
 
 
-# Guards against two owners of a key: a grant that was sent before a partition
-# reaches an upstream after it, when the keys have another owner.
+# Guards against two owners of a key: a grant that was sent before a network
+# partition reaches an upstream after it, when the keys have another owner.
 @pytest.mark.parametrize("seed", range(10))
 def test_a_grant_that_a_cut_held_up_gives_no_second_owner(seed):
     virtual_time.run(_run_faults(seed, replaces_coordinator=False))
 
 
 # Guards against the same failure if the coordinator that gave the keys to
-# another owner was replaced before the end of the partition.
+# another owner was replaced before the end of the network partition.
 @pytest.mark.parametrize("seed", range(10))
 def test_a_new_coordinator_fences_upstreams_without_keys(seed):
     virtual_time.run(_run_faults(seed, replaces_coordinator=True))
--- a/packages/router/tests/test_key_domains.py
+++ b/packages/router/tests/test_key_domains.py
@@ -8,8 +8,8 @@
 
 
 # Guards against two owners of a key: a process was elected while it stopped,
-# ended without resigning, and left grants that a partition delayed. The next
-# process of the host gave the keys to others before the grants arrived.
+# ended without resigning, and left grants that a network partition delayed. The
+# next process of the host gave the keys to others before the grants arrived.
 @pytest.mark.parametrize("seed", [6, 98])
 def test_orders_of_a_stopped_process_give_keys_no_second_owner(seed):
     world = virtual_time.run(
--- a/packages/router/tests/test_key_lease_ends.py
+++ b/packages/router/tests/test_key_lease_ends.py
@@ -13,7 +13,7 @@
 
 
 async def _lose_owner(world):
-    """Partitions an upstream from all hosts; its entry may expire meanwhile."""
+    """Cuts an upstream off from all hosts; its entry may expire meanwhile."""
     name = world.generator.choice(sorted(world.upstreams))
     upstream = world.upstreams[name]
     for host in world.hosts.values():
@@ -28,7 +28,7 @@
 
 
 async def _cut_briefly(world):
-    """Partitions an upstream from all hosts for about an order's timeout."""
+    """Cuts an upstream off from all hosts for about an order's timeout."""
     name = world.generator.choice(sorted(world.upstreams))
     for host in world.hosts.values():
         host.unreachable = host.unreachable | {name}
@@ -71,7 +71,7 @@
 
 
 async def _cut_failure_domain(world, with_coordinator=True):
-    """Partitions a host and two upstreams from the store and all others."""
+    """Cuts a host and two upstreams off from the store and all others."""
     hosts = list(world.hosts.values())
     inside = [host for host in hosts if host.coordinator_role.is_coordinator][
         :1
--- a/packages/router/tests/test_order_logs.py
+++ b/packages/router/tests/test_order_logs.py
@@ -53,7 +53,7 @@
     )
 
 
-def list_seen(world):
+def list_granted(world):
     """Lists the upstreams and fencing tokens of all grants that arrived."""
     return {
         (upstream.name, fence)
@@ -90,7 +90,7 @@
     async def scenario(world):
         lines = recorder.list("grant-accepted")
         seen = {(line["upstream"], line["fence"]) for line in lines}
-        assert seen == list_seen(world)
+        assert seen == list_granted(world)
         assert len(lines) == len(seen)
         for line in lines:
             upstream = world.upstreams[line["upstream"]]
@@ -138,7 +138,7 @@
             assert line["cause"] == "lease-over"
             assert line["level"] == "warning"
             assert line["old_upstream"] == lost.name != line["upstream"]
-            assert (line["upstream"], line["fence"]) in list_seen(world)
+            assert (line["upstream"], line["fence"]) in list_granted(world)
             assert line["lease_over_s"] >= 0.0
             claim = line["claims"][0]
             assert claim["upstream"] == lost.name
--- a/packages/router/tests/test_store_availability.py
+++ b/packages/router/tests/test_store_availability.py
@@ -13,7 +13,7 @@
         now += 0.4
 
 
-def test_a_partition_of_one_host_is_no_outage():
+def test_a_host_that_is_cut_off_alone_sees_no_outage():
     availability = _store_availability.StoreAvailability()
     send_heartbeats(availability, 0.0, 15.0)
     assert availability.compute_return_time(15.0) == 0.0
@@ -45,7 +45,7 @@
 
 
 def test_an_upstream_that_left_meanwhile_is_gone_at_the_return():
-    """Guards against requests to an upstream that left during a partition.
+    """Guards against requests to an upstream that left during a cut.
 
     The host was cut off from the store from 1 s to 13 s, and the upstream left
     at 7 s. The host must not keep its entry as if the store had been down.
--- a/packages/router/tests/test_table_follower.py
+++ b/packages/router/tests/test_table_follower.py
@@ -101,7 +101,10 @@
 
 @pytest.mark.parametrize("load_s", [0.8, 2.0])
 def test_a_long_read_completes_while_others_have_newer_entries(load_s):
-    """Guards against the same for a full read at the start, amid changes."""
+    """Guards against restarting a full read for ever.
+
+    Entries keep changing while this host loads the table after its start.
+    """
 
     async def scenario(table, follower, entries):
         table.load_s = load_s
