--- a/packages/router/tests/key_world.py
+++ b/packages/router/tests/key_world.py
@@ -48,8 +48,8 @@
 class Hold:
     """Keys that an upstream holds under one grant.
 
-    The oracle ignores exempt holds, whose grants were in flight when their
-    sender was frozen.
+    The oracle ignores exempt holds, whose grants were sent during or right
+    after a freeze of the sender.
     """
 
     first: int
