--- a/packages/router/tests/domain_world.py
+++ b/packages/router/tests/domain_world.py
@@ -33,8 +33,11 @@
         self.loop = asyncio.get_running_loop()
         self.generator = random.Random(seed)
         self.links = domain_links.Links(self.loop, self.generator)
+        #: Share of the grants that upstreams apply seconds late.
         self.delayed_share = 0.0
+        #: Maximum time from the decision on an order to its sending, in s.
         self.dispatch_delay_s = 0.0
+        #: Maximum delay of the store's answers, in seconds.
         self.store_delay_s = 0.0
         #: Whether the end of a process drops the bytes that it sent and that a
         #: blocked link delays.
--- a/packages/router/tests/key_world.py
+++ b/packages/router/tests/key_world.py
@@ -71,6 +71,7 @@
         self.listed = True
         self.draining = False
         self.holds = []
+        #: Keys and fencing tokens of all grants that were accepted.
         self.granted = []
         #: Keys and fencing tokens of releases, which fence older grants.
         self.released = []
@@ -396,7 +397,10 @@
         self.links = dict(links)
         self.loop = asyncio.get_running_loop()
         self.generator = random.Random(seed)
+        #: Share of the grants that upstreams apply seconds late.
         self.delayed_share = 0.0
+        #: Share of lost answers while grants take up to their timeout; 0 for
+        #: fast grants.
         self.slow_share = 0.0
         #: Share of the grants to unreachable upstreams that arrive once the
         #: network partition has ended.
