--- a/packages/router/sycamoreloft_router/_probe_server.py
+++ b/packages/router/sycamoreloft_router/_probe_server.py
@@ -23,6 +23,7 @@
     status: int
     #: Content type of the body; empty to send none.
     content_type: str = ""
+    #: Body; empty for probes.
     body: bytes = b""
 
 
