--- a/packages/decisions/sycamoreloft_decisions/_owners.py
+++ b/packages/decisions/sycamoreloft_decisions/_owners.py
@@ -1,4 +1,4 @@
-"""The recorded owners of one group and the rows that change with them."""
+"""Recorded owners of one group and the encoding of their rows."""
 
 from collections import abc
 import typing
@@ -6,17 +6,18 @@
 import sycamoreloft_config
 from sycamoreloft_decisions import _ownership, _rows
 
-#: Changed owners by unit; None removes the record.
+#: New owners by unit; None deletes the record of the unit.
 Changes = abc.Mapping[_ownership.Unit, _rows.Assignment | None]
 
 
-class OwnerBook:
-    """What the store records as the owners of one group.
+class OwnerRecords:
+    """The owners of one group's units as the store has recorded them.
 
     Args:
         group: The group.
         tables: Assignments of all groups of the fleet.
-        generation: The accepted generation, for the partitions of hot keys.
+        generation: The accepted generation. It gives the number of
+            partitions, to which hot keys are hashed, and the lost domains.
     """
 
     def __init__(
@@ -33,84 +34,89 @@
         self._by_upstream: dict[str, set[_ownership.Unit]] = {}
         self._rows: dict[str, dict[typing.Any, _rows.Assignment]] = {}
         self._last_fence = 0
-        self._foreign: dict[
+        # Records of other groups: the group and the fence of each unit.
+        self._foreign_records: dict[
             _ownership.Unit, tuple[sycamoreloft_config.GroupName, int]
         ] = {}
         self._foreign_partitions: set[tuple[str, int]] = set()
         own = tables.get(group, _rows.EMPTY_TABLE)
         self.apply(self._list_units(own))
-        self.learn_foreign(tables, generation)
+        self.set_foreign_records(tables, generation)
 
-    def learn_foreign(
+    def set_foreign_records(
         self,
         tables: abc.Mapping[
             sycamoreloft_config.GroupName, _rows.AssignmentTable
         ],
         generation: sycamoreloft_config.Generation,
     ) -> None:
-        """Notes what the other groups of the fleet record.
+        """Replaces what is known of the records of other groups.
 
-        Records of a domain that a file declares lost do not count.
+        Records of groups in a failure domain that is declared lost are
+        ignored, since their owners no longer run.
         """
         self._generation = generation
         fleet = generation.fleets.get(self._group.fleet)
-        self._foreign = {}
+        self._foreign_records = {}
         self._foreign_partitions = set()
         for group, table in tables.items():
             if group == self._group:
                 continue
             units = self._list_units(table)
-            fences = [item.fence for item in units.values()]
+            fences = [record.fence for record in units.values()]
             self._last_fence = max([self._last_fence, *fences])
             domain = fleet and fleet.failure_domains.get(group.failure_domain)
             if domain and domain.lost:
                 continue
             for unit, assignment in units.items():
-                self._foreign[unit] = (group, assignment.fence)
+                self._foreign_records[unit] = (group, assignment.fence)
                 self._foreign_partitions.add((unit.service, unit.partition))
 
     def list_superseded(self) -> list[_ownership.Unit]:
-        """Lists own records that another group replaced.
+        """Lists units of this group that another group has recorded since.
 
-        That happens while this group's domain is declared lost; the later
-        record has the higher fence.
+        Another group takes them over while this group's failure domain is
+        declared lost. The later of the two records has the higher fence.
         """
         return [
             unit
-            for unit, (_, fence) in self._foreign.items()
+            for unit, (_, fence) in self._foreign_records.items()
             if unit in self._owners and self._owners[unit].fence < fence
         ]
 
-    def is_foreign(self, unit: _ownership.Unit) -> bool:
-        """Tells whether another group records a partition or its hot keys."""
+    def has_foreign_record(self, unit: _ownership.Unit) -> bool:
+        """Returns whether another group has recorded the unit's partition.
+
+        A record of any hot key of the partition counts as well.
+        """
         return (unit.service, unit.partition) in self._foreign_partitions
 
     def get(self, unit: _ownership.Unit) -> _rows.Assignment | None:
-        """Returns the recorded owner of a unit."""
+        """Returns the recorded owner of a unit, None if there is none."""
         return self._owners.get(unit)
 
     def list_upstreams(self) -> list[str]:
-        """Lists the upstreams that own something."""
+        """Lists the upstreams that own at least one unit."""
         return [name for name, units in self._by_upstream.items() if units]
 
     def list_owned(self, upstream: str) -> abc.Set[_ownership.Unit]:
-        """Lists the units of one upstream."""
+        """Returns the units that an upstream owns."""
         return self._by_upstream.get(upstream, set())
 
-    def list_all(self) -> abc.Mapping[_ownership.Unit, _rows.Assignment]:
-        """Returns all records."""
+    def get_records(self) -> abc.Mapping[_ownership.Unit, _rows.Assignment]:
+        """Returns the recorded owners by unit."""
         return self._owners
 
-    def choose_fence(self) -> int:
-        """Returns a fence above all recorded ones of the fleet."""
+    def allocate_fence(self) -> int:
+        """Returns a fence higher than all recorded ones of the fleet."""
         self._last_fence += 1
         return self._last_fence
 
     def build_puts(self, changes: Changes) -> dict[str, dict[str, typing.Any]]:
-        """Encodes the rows as they are after the changes."""
+        """Encodes each row that the changes affect, with all its owners."""
         rows: dict[str, dict[typing.Any, _rows.Assignment]] = {}
         for unit, assignment in changes.items():
-            key = self._format_key(unit)
+            key = self._format_row_key(unit)
             if key not in rows:
                 rows[key] = dict(self._rows.get(key, {}))
             name: typing.Any = unit.key or unit.partition
@@ -121,10 +127,10 @@
         return {key: _rows.encode_chunk(row) for key, row in rows.items()}
 
     def apply(self, changes: Changes) -> None:
-        """Applies changes that the store has acknowledged."""
+        """Applies changes that the store has committed."""
         for unit, assignment in changes.items():
             old = self._owners.pop(unit, None)
-            row = self._rows.setdefault(self._format_key(unit), {})
+            row = self._rows.setdefault(self._format_row_key(unit), {})
             row.pop(unit.key or unit.partition, None)
             if old:
                 self._by_upstream[old.upstream].discard(unit)
@@ -136,7 +142,7 @@
             owned.add(unit)
             self._last_fence = max(self._last_fence, assignment.fence)
 
-    def _format_key(self, unit: _ownership.Unit) -> str:
+    def _format_row_key(self, unit: _ownership.Unit) -> str:
         if unit.key:
             return _rows.format_hot_keys_key(self._group, unit.service)
         return _rows.format_partition_key(
@@ -157,10 +163,10 @@
         return units
 
     def make_hot_unit(self, service: str, key: str) -> _ownership.Unit:
-        """Builds the unit of a hot key."""
+        """Builds the unit of a hot key from the partition that it hashes to."""
         fleet = self._generation.fleets.get(self._group.fleet)
-        found = fleet.services.get(service) if fleet else None
-        count = found.partitions if found else 1
+        definition = fleet.services.get(service) if fleet else None
+        count = definition.partitions if definition else 1
         partition = sycamoreloft_config.compute_partition(
             self._group.fleet, service, key, count
         )
--- a/packages/router/sycamoreloft_router/_peer_server.py
+++ b/packages/router/sycamoreloft_router/_peer_server.py
@@ -15,14 +15,15 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Time for the handshake, in seconds.
+#: Timeout of the handshake of an accepted connection, in seconds.
 HANDSHAKE_TIMEOUT_S = 2.0
 
+#: Sends the answer to a message; does nothing if the sender expects none.
 Reply = abc.Callable[[sycamoreloft_wire.Message], None]
 
 
 class MessageHandler(typing.Protocol):
-    """Acts on messages of other hosts."""
+    """Handles messages of other hosts."""
 
     def handle_message(
         self,
@@ -30,11 +31,24 @@
         message: sycamoreloft_wire.Message,
         reply: Reply,
     ) -> None:
-        """Acts on a message; `reply` may be called later, at most once."""
+        """Handles a message of another host.
+
+        Args:
+            sender: Name of the host that sent the message.
+            message: The message.
+            reply: Sends the answer. It may be called at most once, also after
+                this method has returned.
+        """
 
 
 class PeerServer(tcpserver.TCPServer):
-    """Accepts connections of hosts that prove a shared key."""
+    """Accepts connections of hosts that prove knowledge of a shared key.
+
+    Args:
+        identity: Name and keys of this host.
+        handler: Handles the messages that other hosts send.
+        server_tls: TLS settings of accepted connections, None for plain TCP.
+    """
 
     def __init__(
         self,
@@ -116,7 +130,7 @@
         try:
             while True:
                 data = await stream.read_bytes(
-                    _peer_links.READ_BYTES, partial=True
+                    _peer_links.MAXIMUM_READ_BYTES, partial=True
                 )
                 self.traffic.received += len(data)
                 for frame in decoder.feed(data):
@@ -130,16 +144,22 @@
     def _dispatch(
         self, stream: iostream.IOStream, sender: str, frame: bytes
     ) -> bool:
-        """Passes one message on; tells whether the connection is usable."""
+        """Decodes one message and passes it to the handler.
+
+        Returns:
+            Whether the connection is still usable.
+        """
         envelope = sycamoreloft_wire.decode_message(frame)
         if not pipeline.is_successful(envelope):
             _log_bad_frame(sender, str(envelope.failure()))
             return False
-        correlation = envelope.unwrap().correlation_id
+        correlation_id = envelope.unwrap().correlation_id
 
         def reply(message: sycamoreloft_wire.Message) -> None:
-            if correlation and not stream.closed():
-                content = sycamoreloft_wire.encode_message(correlation, message)
+            if correlation_id and not stream.closed():
+                content = sycamoreloft_wire.encode_message(
+                    correlation_id, message
+                )
                 self.traffic.sent += len(content) + 4
                 future = stream.write(sycamoreloft_wire.encode_frame(content))
                 future.add_done_callback(lambda done: done.exception())
