--- a/packages/decisions/sycamoreloft_decisions/_planning.py
+++ b/packages/decisions/sycamoreloft_decisions/_planning.py
@@ -1,4 +1,4 @@
-"""Decides which units must or should move."""
+"""Decides which units move to another owner, and starts their moves."""
 
 from collections import abc
 
@@ -12,56 +12,57 @@
     _timing,
 )
 
-#: Planned moves of one group under way at once. Each holds back the requests
-#: of its unit for a moment.
-MAXIMUM_PLANNED = 16
-#: Individually placed keys of one service in one group.
+#: Maximum number of concurrent planned moves in one group. Each of them makes
+#: the requests for its unit wait for a moment.
+MAXIMUM_PLANNED_MOVES = 16
+#: Maximum number of separately placed hot keys of one service in one group.
 MAXIMUM_HOT_KEYS = 256
-#: Load of a key, in shares of the mean load of an upstream, above which it is
-#: placed by itself.
-HOT_SHARE = 0.25
-#: Share of that load below which the key returns to its partition; the gap
-#: keeps a key from going back and forth.
-COLD_SHARE = 0.25
+#: Load above which a hot key is placed separately from its partition, as a
+#: share of the mean load of an upstream.
+HOT_KEY_LOAD_SHARE = 0.25
+#: Load below which a hot key is merged into its partition again, as a share of
+#: the load at which it is split. The gap keeps a key from being split and
+#: merged repeatedly.
+COLD_KEY_LOAD_SHARE = 0.25
 
 Commands = list[_ownership.Command]
 
 
 def plan_forced(state: _holding_state.HoldingState, now: float) -> Commands:
-    """Starts the moves that a loss, a file or a leaving upstream forces."""
+    """Starts moves away from lost, removed and leaving upstreams."""
     commands: Commands = []
     for name in state.owners.list_upstreams():
-        book = state.books[name]
-        if state.is_vouched_lost(name):
-            commands += _start_forced(state, name, "a file declares it lost")
+        grants = state.grants_by_upstream[name]
+        if state.is_declared_lost(name):
+            commands += _start_forced(state, name, "a file declares it as lost")
         elif name not in state.upstreams:
             commands += _start_forced(
-                state, name, "no accepted file has it in this group"
+                state, name, "no accepted file lists it in this group"
             )
-        elif not book.is_reachable(now):
+        elif not grants.is_reachable(now):
             commands += _start_forced(state, name, "it does not answer")
         elif state.is_leaving(name):
-            commands += _start_leaving(state, name)
+            commands += _start_draining(state, name)
     return commands
 
 
 def _start_forced(
     state: _holding_state.HoldingState, name: str, cause: str
 ) -> Commands:
-    """Takes the units of an upstream that cannot be drained.
+    """Moves all units away from an upstream that cannot be drained.
 
-    A move that was waiting for the drain goes on without it: the permits of
-    a lost upstream end with its connections.
+    Moves that wait for permits to end continue without waiting: the permits
+    of a lost upstream end with its connections.
     """
     commands: Commands = []
     removed = []
-    is_vouched = state.is_vouched_lost(name)
+    is_owner_lost = state.is_declared_lost(name)
     for unit in sorted(state.owners.list_owned(name)):
         move = state.moves.get(unit)
         if move is None:
             move = _moves.Move(
                 unit,
-                _moves.Kind.ANYWHERE,
+                _moves.Kind.ANY_UPSTREAM,
                 _moves.Phase.RELEASING,
                 state.owners.get(unit),
             )
@@ -70,9 +71,9 @@
         elif move.phase is _moves.Phase.DRAINING:
             move.phase = _moves.Phase.RELEASING
         elif move.kind is _moves.Kind.REFENCE:
-            commands += _abandon_refence(state, move)
+            commands += _cancel_refence(state, move)
             continue
-        move.is_vouched = is_vouched
+        move.is_owner_lost = is_owner_lost
     if removed:
         commands.append(
             state.explain(
@@ -82,16 +83,16 @@
     return commands
 
 
-def _abandon_refence(
+def _cancel_refence(
     state: _holding_state.HoldingState, move: _moves.Move
 ) -> Commands:
-    """Gives up taking out hot keys of a partition whose owner is lost."""
+    """Cancels the split of hot keys from a partition whose owner is lost."""
     if move.phase is not _moves.Phase.READY:
         return []
     commands: Commands = list(state.moves.finish(move))
     for other in state.moves.list_all():
         if (
-            other.kind is _moves.Kind.TAKE_OUT
+            other.kind is _moves.Kind.SPLIT_KEY
             and other.unit.service == move.unit.service
             and other.unit.partition == move.unit.partition
         ):
@@ -99,21 +100,25 @@
     return commands
 
 
-def _start_leaving(state: _holding_state.HoldingState, name: str) -> Commands:
-    """Moves all units of a leaving upstream at once, with draining.
+def _start_draining(state: _holding_state.HoldingState, name: str) -> Commands:
+    """Moves all units away from a leaving upstream, draining them first.
 
-    There is no bound on the number, because holding a unit back is what
-    keeps new work away from the upstream.
+    The number of these moves is not limited, because pausing the permits of a
+    unit is what keeps new work away from the upstream.
     """
     commands: Commands = []
     started = 0
     for unit in sorted(state.owners.list_owned(name)):
         if state.moves.get(unit) is None and not _is_key_moving(state, unit):
-            commands += _start_planned(state, unit, _moves.Kind.ANYWHERE, "")
+            commands += _start_planned(
+                state, unit, _moves.Kind.ANY_UPSTREAM, ""
+            )
             started += 1
     if started:
         commands.append(
-            state.explain(f"{started} units leave upstream {name}: it leaves.")
+            state.explain(
+                f"{started} units leave upstream {name}: it is leaving."
+            )
         )
     return commands
 
@@ -129,71 +134,84 @@
     return list(state.moves.add(move))
 
 
-def plan_away(state: _holding_state.HoldingState) -> Commands:
-    """Starts the release of units that belong to another group now."""
+def plan_transfers(state: _holding_state.HoldingState) -> Commands:
+    """Starts to release the units that now belong to another group."""
     commands: Commands = []
     started = 0
-    for unit in list(state.owners.list_all()):
+    for unit in list(state.owners.get_records()):
         move = state.moves.get(unit)
         if move is not None:
-            _redirect(move, state.belongs(unit))
-        elif not state.belongs(unit) and not _is_key_moving(state, unit):
-            commands += _start_planned(state, unit, _moves.Kind.AWAY, "")
+            _update_target(move, state.belongs_to_group(unit))
+        elif not state.belongs_to_group(unit) and not _is_key_moving(
+            state, unit
+        ):
+            commands += _start_planned(state, unit, _moves.Kind.OTHER_GROUP, "")
             started += 1
     if started:
         commands.append(
             state.explain(
-                f"{started} units leave the group: the accepted files give"
+                f"{started} units leave the group: the accepted files assign"
                 " them to another group."
             )
         )
     return commands
 
 
-def _redirect(move: _moves.Move, belongs: bool) -> None:
-    """Adapts a move whose unit changed its group before it was written."""
+def _update_target(move: _moves.Move, belongs_to_group: bool) -> None:
+    """Changes the target of a move if its unit changed its group.
+
+    A move whose record is already being written is left alone.
+    """
     if move.phase in (_moves.Phase.WRITING, _moves.Phase.GRANTING):
         return
-    if belongs and move.kind is _moves.Kind.AWAY:
-        move.kind = _moves.Kind.ANYWHERE
-    elif not belongs and move.kind in (
-        _moves.Kind.ANYWHERE,
-        _moves.Kind.CHOSEN,
+    if belongs_to_group and move.kind is _moves.Kind.OTHER_GROUP:
+        move.kind = _moves.Kind.ANY_UPSTREAM
+    elif not belongs_to_group and move.kind in (
+        _moves.Kind.ANY_UPSTREAM,
+        _moves.Kind.CHOSEN_UPSTREAM,
     ):
-        move.kind = _moves.Kind.AWAY
+        move.kind = _moves.Kind.OTHER_GROUP
 
 
 def plan_unassigned(state: _holding_state.HoldingState) -> None:
-    """Starts the assignment of partitions that have no recorded owner."""
-    if not state.is_foreign_known or not state.is_generation_current():
+    """Starts to assign owners to partitions without a recorded owner."""
+    if (
+        not state.are_foreign_records_current
+        or not state.is_generation_current()
+    ):
         return
     for unit in sorted(state.unassigned):
-        if state.moves.get(unit) or state.owners.is_foreign(unit):
+        if state.moves.get(unit) or state.owners.has_foreign_record(unit):
             continue
-        if not state.belongs_in_pending(unit):
+        if not state.belongs_in_pending_generation(unit):
             continue
         state.moves.add(
-            _moves.Move(unit, _moves.Kind.ANYWHERE, _moves.Phase.READY, None)
+            _moves.Move(
+                unit, _moves.Kind.ANY_UPSTREAM, _moves.Phase.READY, None
+            )
         )
 
 
-def make_view(
+def build_load_view(
     state: _holding_state.HoldingState, service: str, now: float
 ) -> _placement.LoadView:
-    """Sums up the loads of a service's upstreams."""
+    """Computes the loads of a service's upstreams.
+
+    Units that move count for their new owner once it is planned.
+    """
     loads = state.get_loads(service)
     owned = [
         (unit, assignment.upstream)
-        for unit, assignment in state.owners.list_all().items()
+        for unit, assignment in state.owners.get_records().items()
         if unit.service == service
     ]
     loads.unit_count = max(1, sum(not unit.key for unit, _ in owned))
-    hot = list_hot_by_partition(state, service)
+    hot = list_hot_keys_by_partition(state, service)
     sums: dict[str, float] = {}
     for unit, name in owned:
         move = state.moves.get(unit)
-        if move and move.planned:
-            name = move.planned.upstream
+        if move and move.new_assignment:
+            name = move.new_assignment.upstream
         load = loads.get_load(
             unit, () if unit.key else hot.get(unit.partition, ())
         )
@@ -210,34 +228,37 @@
 
 
 def _get_move_time(upstream: sycamoreloft_config.Upstream) -> float:
-    """Returns how long a planned move away from an upstream takes.
+    """Returns the expected time of a planned move, in seconds.
 
-    One that checks no fences is released only by the end of its grant.
+    An upstream that checks no fences is released only when its grant expires.
     """
     if upstream.checks_fences:
         return _placement.PLANNED_MOVE_S
     return _timing.GRANT_CERTAIN_END_S
 
 
-def list_hot_by_partition(
+def list_hot_keys_by_partition(
     state: _holding_state.HoldingState, service: str
 ) -> dict[int, list[str]]:
-    """Lists the individually placed keys of each partition."""
-    found: dict[int, list[str]] = {}
-    for unit in state.owners.list_all():
+    """Returns the separately placed keys of a service, by partition."""
+    keys_by_partition: dict[int, list[str]] = {}
+    for unit in state.owners.get_records():
         if unit.key and unit.service == service:
-            found.setdefault(unit.partition, []).append(unit.key)
-    return found
+            keys_by_partition.setdefault(unit.partition, []).append(unit.key)
+    return keys_by_partition
 
 
 def plan_placement(state: _holding_state.HoldingState, now: float) -> Commands:
-    """Starts the moves that lower the cost of the placement."""
+    """Starts moves that lower the cost of the placement.
+
+    Does nothing while other moves are in progress.
+    """
     if len(state.moves):
         return []
     commands: Commands = []
     services = {item.service for item in state.upstreams.values()}
     for service in sorted(services):
-        view = make_view(state, service, now)
+        view = build_load_view(state, service, now)
         commands += _plan_hot_keys(state, service, view)
         commands += _plan_rebalance(state, service, view)
     return commands
@@ -250,19 +271,19 @@
 ) -> Commands:
     commands: Commands = []
     loads = state.get_loads(service)
-    hot = list_hot_by_partition(state, service)
-    for _ in range(MAXIMUM_PLANNED - len(state.moves)):
-        proposal, load = _find_best(state, service, view, hot)
+    hot = list_hot_keys_by_partition(state, service)
+    for _ in range(MAXIMUM_PLANNED_MOVES - len(state.moves)):
+        proposal, load = _choose_best_move(state, service, view, hot)
         if proposal is None:
             break
         view.move(proposal, load)
         commands += _start_planned(
-            state, proposal.unit, _moves.Kind.CHOSEN, proposal.target
+            state, proposal.unit, _moves.Kind.CHOSEN_UPSTREAM, proposal.target
         )
         commands.append(
             state.explain(
                 f"{describe_unit(proposal.unit)} moves from"
-                f" {proposal.source} to {proposal.target}: it lowers the cost"
+                f" {proposal.source} to {proposal.target}: this lowers the cost"
                 f" by {proposal.gain:.5f} at load"
                 f" {loads.get_load(proposal.unit):.2f}."
             )
@@ -270,13 +291,17 @@
     return commands
 
 
-def _find_best(
+def _choose_best_move(
     state: _holding_state.HoldingState,
     service: str,
     view: _placement.LoadView,
     hot: abc.Mapping[int, abc.Sequence[str]],
 ) -> tuple[_placement.Proposal | None, float]:
-    """Finds the move from the most loaded upstream that pays best."""
+    """Chooses the move from the most loaded upstream with the largest gain.
+
+    Returns:
+        The proposal, None if no move has a gain, and the load of its unit.
+    """
     loads = state.get_loads(service)
     best: _placement.Proposal | None = None
     best_load = 0.0
@@ -287,7 +312,7 @@
             load = loads.get_load(
                 unit, () if unit.key else hot.get(unit.partition, ())
             )
-            proposal = view.propose(unit, source, load)
+            proposal = view.propose_move(unit, source, load)
             if proposal and (best is None or proposal.gain > best.gain):
                 best, best_load = proposal, load
     return best, best_load
@@ -304,23 +329,23 @@
     upstreams = sum(
         item.service == service for item in state.upstreams.values()
     )
-    threshold = HOT_SHARE * loads.unit_count / max(1, upstreams)
-    return _give_back_cold_keys(
-        state, service, threshold * COLD_SHARE
-    ) + _take_out_hot_keys(state, service, view, threshold)
+    threshold = HOT_KEY_LOAD_SHARE * loads.unit_count / max(1, upstreams)
+    return _merge_cold_keys(
+        state, service, threshold * COLD_KEY_LOAD_SHARE
+    ) + _split_hot_keys(state, service, view, threshold)
 
 
-def _give_back_cold_keys(
+def _merge_cold_keys(
     state: _holding_state.HoldingState, service: str, threshold: float
 ) -> Commands:
     commands: Commands = []
     loads = state.get_loads(service)
-    for unit in list(state.owners.list_all()):
+    for unit in list(state.owners.get_records()):
         if not unit.key or unit.service != service:
             continue
         if loads.get_load(unit) >= threshold or state.moves.get(unit):
             continue
-        commands += _start_planned(state, unit, _moves.Kind.GIVE_BACK, "")
+        commands += _start_planned(state, unit, _moves.Kind.MERGE_KEY, "")
         commands.append(
             state.explain(
                 f"{describe_unit(unit)} returns to its partition: its load"
@@ -330,7 +355,7 @@
     return commands
 
 
-def _take_out_hot_keys(
+def _split_hot_keys(
     state: _holding_state.HoldingState,
     service: str,
     view: _placement.LoadView,
@@ -340,7 +365,7 @@
     loads = state.get_loads(service)
     placed = sum(
         bool(unit.key) and unit.service == service
-        for unit in state.owners.list_all()
+        for unit in state.owners.get_records()
     )
     for key, load in loads.list_hot_keys():
         if load < threshold or placed >= MAXIMUM_HOT_KEYS:
@@ -352,16 +377,16 @@
             continue
         if state.moves.get(partition) or _is_key_moving(state, partition):
             continue
-        # An owner that compares no fences would still run requests of the
-        # key that were issued before it was taken out.
-        if not state.books[owner.upstream].checks_fences:
+        # An owner that checks no fences would still run requests for the key
+        # that were sent before the split.
+        if not state.grants_by_upstream[owner.upstream].checks_fences:
             continue
-        proposal = view.propose(unit, owner.upstream, load)
+        proposal = view.propose_move(unit, owner.upstream, load)
         if proposal is None:
             continue
         view.move(proposal, load)
         placed += 1
-        commands += _start_take_out(state, unit, owner, proposal.target)
+        commands += _start_split(state, unit, owner, proposal.target)
         commands.append(
             state.explain(
                 f"{describe_unit(unit)} is placed by itself on"
@@ -372,14 +397,14 @@
     return commands
 
 
-def _start_take_out(
+def _start_split(
     state: _holding_state.HoldingState,
     unit: _ownership.Unit,
     owner: _rows.Assignment,
     target: str,
 ) -> Commands:
     move = _moves.Move(
-        unit, _moves.Kind.TAKE_OUT, _moves.Phase.DRAINING, owner, target
+        unit, _moves.Kind.SPLIT_KEY, _moves.Phase.DRAINING, owner, target
     )
     return list(state.moves.add(move))
 
@@ -387,7 +412,7 @@
 def _is_key_moving(
     state: _holding_state.HoldingState, unit: _ownership.Unit
 ) -> bool:
-    """Tells whether a hot key of the same partition is under way."""
+    """Returns whether a hot key of the unit's partition is moving."""
     return any(
         move.unit.key
         and move.unit.service == unit.service
@@ -397,7 +422,7 @@
 
 
 def describe_unit(unit: _ownership.Unit) -> str:
-    """Names a unit in a sentence."""
+    """Returns a description of a unit for the beginning of a sentence."""
     if unit.key:
         return f"Hot key {unit.key!r} of {unit.service}"
     return f"Partition {unit.partition} of {unit.service}"
