--- a/packages/proof/sycamoreloft_proof/_bench_claims.py
+++ b/packages/proof/sycamoreloft_proof/_bench_claims.py
@@ -81,9 +81,7 @@
         sent_at = time.perf_counter()
         answer = await self._client.fetch(request, raise_error=False)
         if answer.headers.get("Sycamoreloft-Outcome") != "completed":
-            raise RuntimeError(
-                f"POST {path} did not complete: status {answer.code}"
-            )
+            raise RuntimeError(f"{path} did not complete: status {answer.code}")
         return time.perf_counter() - sent_at
 
     async def _post_until(self, path: str, run_ends_at: float) -> list[float]:
--- a/packages/proof/sycamoreloft_proof/_bench_control.py
+++ b/packages/proof/sycamoreloft_proof/_bench_control.py
@@ -165,8 +165,8 @@
                 folder, group, [FLEET], hosts, 1
             )
             await deployment.start()
-            router = deployment.children[deployment.hosts[0].router.name]
-            empty_mb = read_memory_mb(router.pid)
+            first_router = deployment.children[deployment.hosts[0].router.name]
+            empty_mb = read_memory_mb(first_router.pid)
             await deployment.submit(FLEET)
             await asyncio.sleep(5.0)
             costs = await measure_costs(deployment)
--- a/packages/proof/sycamoreloft_proof/_bench_forward.py
+++ b/packages/proof/sycamoreloft_proof/_bench_forward.py
@@ -215,7 +215,7 @@
     for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
         if line.startswith("VmHWM:"):
             return int(line.split()[1]) * 1024 / 1e6
-    raise RuntimeError(f"/proc/{pid}/status has no VmHWM line")
+    raise RuntimeError("the kernel reports no peak resident memory (VmHWM)")
 
 
 @_bench_registry.register("upload")
@@ -255,7 +255,7 @@
         answer = connection.recv(65_536)
     if not answer.startswith(b"HTTP/1.1 200"):
         raise RuntimeError(
-            f"expected status 200 from {address}, got {answer[:80]!r}"
+            f"expected status 200 from the router, got {answer[:80]!r}"
         )
 
 
--- a/packages/proof/sycamoreloft_proof/_bench_recovery.py
+++ b/packages/proof/sycamoreloft_proof/_bench_recovery.py
@@ -210,7 +210,7 @@
         return recovery_s
 
     async def kill_holder(self) -> float:
-        """Kills the holder of a group and sends requests to another host.
+        """Kills the host that holds a group and sends requests to another host.
 
         Returns:
             The recovery time of keys of the group, in seconds.
--- a/packages/proof/sycamoreloft_proof/_bench_registry.py
+++ b/packages/proof/sycamoreloft_proof/_bench_registry.py
@@ -70,7 +70,7 @@
 
     def add(benchmark: Benchmark) -> Benchmark:
         if name in BENCHMARKS:
-            raise ValueError(f"benchmark {name!r} is already registered")
+            raise ValueError(f"a benchmark is already registered as {name!r}")
         BENCHMARKS[name] = benchmark
         return benchmark
 
--- a/packages/proof/sycamoreloft_proof/_bench_upstream.py
+++ b/packages/proof/sycamoreloft_proof/_bench_upstream.py
@@ -55,9 +55,9 @@
             value = head.split(_ATTEMPT, 1)[1].split(b"\r\n", 1)[0]
             attempt = b"%b%b" % (_ATTEMPT, value)
         self._answer = b"HTTP/1.1 200 OK%b\r\n%b" % (attempt, self._answer_tail)
-        lower_head = head.lower()
-        if b"content-length:" in lower_head:
-            value = lower_head.split(b"content-length:", 1)[1]
+        lower = head.lower()
+        if b"content-length:" in lower:
+            value = lower.split(b"content-length:", 1)[1]
             self._body_bytes_left = int(value.split(b"\r\n", 1)[0])
 
     def _send_answer(self) -> None:
--- a/packages/proof/sycamoreloft_proof/_quarantine_trace.py
+++ b/packages/proof/sycamoreloft_proof/_quarantine_trace.py
@@ -169,14 +169,14 @@
     def _share_suspects(
         self, domain: int, command: sycamoreloft_decisions.ShareSuspects
     ) -> None:
-        notice = sycamoreloft_decisions.SuspectsReported(
+        suspects = sycamoreloft_decisions.SuspectsReported(
             command.fingerprints, command.guilty
         )
         for other in range(self._scenario.domains):
             if other != domain:
                 self._queue.call_at(
                     self._queue.now + GOSSIP_DELAY_S,
-                    functools.partial(self._handle, other, notice),
+                    functools.partial(self._handle, other, suspects),
                 )
 
     def _tick(self) -> None:
@@ -208,7 +208,7 @@
             if self._queue.now >= self._scenario.seconds:
                 return
             self._counts["crashing sends"] += 1
-            # The platform's load balancer spreads repeated requests.
+            # The platform's load balancer picks any domain for a repetition.
             request.domain = self._generator.randrange(self._scenario.domains)
         request.sends += 1
         permit = f"p{next(self._numbers)}"
--- a/packages/proof/sycamoreloft_proof/bench.py
+++ b/packages/proof/sycamoreloft_proof/bench.py
@@ -25,7 +25,7 @@
 )
 
 #: Results file, relative to the working directory. Each run replaces it.
-RESULTS_PATH = pathlib.Path("bench/results.jsonl")
+RESULTS = pathlib.Path("bench/results.jsonl")
 
 
 def run_benchmark(name: str) -> abc.Sequence[_bench_registry.Measure]:
@@ -68,8 +68,8 @@
             is_ok = is_ok and measure.is_ok
             lines.append(measure.encode())
             print(lines[-1], flush=True)
-    RESULTS_PATH.parent.mkdir(exist_ok=True)
-    RESULTS_PATH.write_text("\n".join(lines) + "\n")
+    RESULTS.parent.mkdir(exist_ok=True)
+    RESULTS.write_text("\n".join(lines) + "\n")
     return 0 if is_ok else 1
 
 
--- a/packages/proof/tests/test_bench.py
+++ b/packages/proof/tests/test_bench.py
@@ -48,11 +48,9 @@
     benchmarks = {"bad": fail, "good": lambda: [measure]}
     monkeypatch.setattr(_bench_registry, "BENCHMARKS", benchmarks)
     monkeypatch.setattr(bench, "MODULES", ())
-    monkeypatch.setattr(
-        bench, "RESULTS_PATH", tmp_path / "bench" / "results.jsonl"
-    )
+    monkeypatch.setattr(bench, "RESULTS", tmp_path / "bench" / "results.jsonl")
     assert bench.main([]) == 1
-    lines = bench.RESULTS_PATH.read_text().splitlines()
+    lines = bench.RESULTS.read_text().splitlines()
     assert lines == capsys.readouterr().out.splitlines()
     assert [json.loads(line)["ok"] for line in lines] == [False, True]
     assert bench.main(["good"]) == 0
