--- a/packages/decisions/tests/test_request_fuzz.py
+++ b/packages/decisions/tests/test_request_fuzz.py
@@ -1,4 +1,4 @@
-"""Random histories of claims and outcomes."""
+"""Tests of claims and outcomes with random histories."""
 
 import dataclasses
 
@@ -9,7 +9,7 @@
 
 
 class Store:
-    """Rows that exist once, written only under the latest epoch."""
+    """Store in which each row is written once, and only in the latest epoch."""
 
     def __init__(self):
         self.epoch = 1
@@ -26,7 +26,10 @@
 
 
 class ClaimMachine(_random_histories.Machine):
-    """Callers that repeat ids, hosts that forget, holders and a store."""
+    """Callers that repeat request ids, hosts, holders and a store.
+
+    Hosts may lose their attempts, and messages may be lost or delayed.
+    """
 
     actions = {
         "call": 5,
@@ -43,8 +46,8 @@
         "change_groups": 0.3,
         "advance": 5,
     }
-    make_book = _claims.ClaimRegistry
-    make_attempt = _outcomes.Attempt
+    registry_class = _claims.ClaimRegistry
+    attempt_class = _outcomes.Attempt
     loads_rows = True
     sends_again = False
 
@@ -55,25 +58,25 @@
         self.oracle = _request_oracle.RunOracle()
         self.store = Store()
         self.attempts = {}
-        self.asks = []
+        self.claim_requests = []
         self.answers = []
         self.results = []
         self.calls = []
-        self.books = []
-        self.open_book()
+        self.registries = []
+        self.create_registry()
         self.send(0, _claims.RowsLoaded([]))
 
-    def open_book(self):
-        self.books.append(self.make_book(self.store.epoch))
+    def create_registry(self):
+        self.registries.append(self.registry_class(self.store.epoch))
         if not self.loads_rows:
-            self.send(len(self.books) - 1, _claims.RowsLoaded([]))
+            self.send(len(self.registries) - 1, _claims.RowsLoaded([]))
 
-    def choose_book(self, generator):
-        """Returns the present holder's book, or sometimes the one before."""
-        return max(0, len(self.books) - generator.choice([1, 1, 1, 2]))
+    def choose_registry(self, generator):
+        """Returns the index of the current or, rarely, the previous holder."""
+        return max(0, len(self.registries) - generator.choice([1, 1, 1, 2]))
 
     def send(self, index, event):
-        for command in self.books[index].handle(event, self.now):
+        for command in self.registries[index].handle(event, self.now):
             if isinstance(command, _claims.AnswerClaim):
                 self.answers.append(command)
             else:
@@ -81,23 +84,23 @@
 
     def call(self, generator):
         self.count += 1
-        # Ids are used for a while and then left, as most of them end.
+        # Each request id is repeated for a while and then no longer used.
         number = self.count // 8 + generator.choice([0, 1])
         id_hash = number.to_bytes(4, "big")
         rules = _outcomes.AttemptRules(at_most_once=True)
-        attempt = self.make_attempt(rules, self.now + 5.0)
+        attempt = self.attempt_class(rules, self.now + 5.0)
         permit = _outcomes.PermitReceived(self.now + 5.0)
         attempt.handle(permit, self.now)
         name = f"t{self.count}"
         self.attempts[name] = (id_hash, attempt)
-        self.asks.append(_claims.ClaimRequested(id_hash, b"f", name))
+        self.claim_requests.append(_claims.ClaimRequested(id_hash, b"f", name))
 
     def deliver_ask(self, generator):
-        ask = _random_histories.take(self.asks, generator)
-        if ask is not None:
-            self.send(self.choose_book(generator), ask)
+        claim_request = _random_histories.take(self.claim_requests, generator)
+        if claim_request is not None:
+            self.send(self.choose_registry(generator), claim_request)
             if generator.random() < 0.1:
-                self.asks.append(ask)
+                self.claim_requests.append(claim_request)
 
     def deliver_answer(self, generator, lost_share=0.1):
         answer = _random_histories.take(self.answers, generator)
@@ -112,7 +115,7 @@
     def deliver_result(self, generator):
         result = _random_histories.take(self.results, generator)
         if result is not None:
-            self.send(self.choose_book(generator), result)
+            self.send(self.choose_registry(generator), result)
 
     def observe(self, name, *observed):
         if name not in self.attempts:
@@ -193,10 +196,10 @@
                 self.send(index, _claims.BatchRefused(sequence))
 
     def work_smoothly(self, generator):
-        """Models a quiet network and store, so that histories get far."""
+        """Delivers all messages without faults, so histories make progress."""
         self.load_rows(generator)
-        while self.asks:
-            self.send(len(self.books) - 1, self.asks.pop())
+        while self.claim_requests:
+            self.send(len(self.registries) - 1, self.claim_requests.pop())
         self.advance(generator)
         while self.calls:
             self.work_store(generator, "answered")
@@ -208,24 +211,26 @@
             entry for row in self.store.rows.values() for entry in row.entries
         ]
         if self.loads_rows:
-            self.send(len(self.books) - 1, _claims.RowsLoaded(entries))
+            self.send(len(self.registries) - 1, _claims.RowsLoaded(entries))
 
     def take_over(self, generator):
         self.store.epoch += 1
-        self.open_book()
+        self.create_registry()
 
     def change_groups(self, generator):
         if self.loads_rows:
-            self.send(len(self.books) - 1, _claims.GroupsChanged())
+            self.send(len(self.registries) - 1, _claims.GroupsChanged())
 
     def advance(self, generator):
         self.now += generator.choice([0.02, 0.02, 0.3, 1.0])
-        for index in range(max(0, len(self.books) - 2), len(self.books)):
+        for index in range(
+            max(0, len(self.registries) - 2), len(self.registries)
+        ):
             self.send(index, _claims.ClaimTick())
 
 
 class EarlyAnswer(ClaimMachine):
-    """Fault: claims are answered when their write is only under way."""
+    """Fault: claims are answered before their write has completed."""
 
     def send(self, index, event):
         before = len(self.calls)
@@ -240,20 +245,20 @@
                     )
 
 
-class ForgetfulTakeover(ClaimMachine):
-    """Fault: a new claim holder does not read the rows."""
+class TakeoverWithoutRows(ClaimMachine):
+    """Fault: a new holder does not load the stored rows."""
 
     loads_rows = False
 
 
 class SecondSend(ClaimMachine):
-    """Fault: an attempt is sent again after it was sent."""
+    """Fault: an attempt sends its request twice."""
 
     sends_again = True
 
 
-class HopefulAttempt(_outcomes.Attempt):
-    """Fault: unknown is reported as did-not-run."""
+class UnknownAsDidNotRun(_outcomes.Attempt):
+    """Fault: an unknown outcome is reported as did-not-run."""
 
     def handle(self, event, now):
         decision = super().handle(event, now)
@@ -263,21 +268,24 @@
         return decision
 
 
-class HopefulOutcome(ClaimMachine):
-    """Hosts with the fault of `HopefulAttempt`."""
+class WrongOutcome(ClaimMachine):
+    """Fault: hosts use `UnknownAsDidNotRun`."""
+
+    attempt_class = UnknownAsDidNotRun
 
-    make_attempt = HopefulAttempt
 
+def test_an_id_is_sent_at_most_once_and_reported_outcomes_are_correct():
+    """Guards against repeated sends and wrong outcomes.
 
-def test_an_id_is_sent_at_most_once_and_outcomes_are_true():
-    """Guards claims across takeovers, lost answers and store outages."""
+    The histories contain takeovers, lost answers and store outages.
+    """
     _random_histories.run_histories(ClaimMachine, 300, 20)
 
 
 @pytest.mark.parametrize(
-    "machine", [EarlyAnswer, ForgetfulTakeover, SecondSend, HopefulOutcome]
+    "machine", [EarlyAnswer, TakeoverWithoutRows, SecondSend, WrongOutcome]
 )
-def test_fuzzer_finds_planted_faults_of_claims(machine):
-    """Guards against a fuzzer that cannot see a second run or a lie."""
+def test_fuzzer_finds_injected_faults_of_claims(machine):
+    """Guards against a fuzzer that misses second runs or wrong outcomes."""
     with pytest.raises(_request_oracle.OracleError):
         _random_histories.run_histories(machine, 150, 20, shrink=False)
