Reword sycamoreloftctl and name its request diagnosis

The module that infers why a request failed called its result a story and its functions judged and told; it now diagnoses and classifies. Field comments say what the names leave out.

--- a/packages/ctl/sycamoreloft_ctl/__init__.py
+++ b/packages/ctl/sycamoreloft_ctl/__init__.py
@@ -1,1 +1,1 @@
-"""The operators command."""
+"""Command line tool for operators."""
--- a/packages/ctl/sycamoreloft_ctl/_client.py
+++ b/packages/ctl/sycamoreloft_ctl/_client.py
@@ -1,4 +1,4 @@
-"""Calls of the admin port."""
+"""HTTP client of a host's admin port."""
 
 import asyncio
 from collections import abc
@@ -13,13 +13,14 @@
 
 from sycamoreloft_ctl import _problems
 
-#: Time to connect and time of a call beyond its own wait, in seconds. The
-#: admin port gives a call up after 15 s itself.
-CONNECT_LIMIT_S = 5.0
-CALL_LIMIT_S = 20.0
+#: Maximum time to connect.
+CONNECT_TIMEOUT_S = 5.0
+#: Maximum time of a call, without the time that a submission asks the host to
+#: wait. The admin port itself aborts a call after 15 s.
+CALL_TIMEOUT_S = 20.0
 
-#: Errors of curl before any byte of the request was sent.
-_NOT_SENT = (
+#: curl errors that occur before any byte of the request is sent.
+_NOT_SENT_ERRORS = (
     pycurl.E_URL_MALFORMAT,
     pycurl.E_COULDNT_RESOLVE_HOST,
     pycurl.E_COULDNT_CONNECT,
@@ -35,20 +36,26 @@
     "outcome-unknown": _problems.ExitCode.UNKNOWN,
 }
 
-#: Codes of answers to a submission that leave its outcome open.
-_OPEN_CODES = ("timed-out", "internal-error", "store-unavailable", "")
+#: Error codes after which a submission may or may not have been recorded; the
+#: empty code stands for a broken connection or an answer of another server.
+_UNKNOWN_OUTCOME_CODES = (
+    "timed-out",
+    "internal-error",
+    "store-unavailable",
+    "",
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Target:
     """The admin port that a command calls."""
 
-    #: URL of the admin port.
+    #: Base URL, such as "http://IP:PORT".
     url: str
     #: Bearer token; never printed.
     token: str = dataclasses.field(repr=False)
-    #: Path of the authorities that sign its certificate, empty for the
-    #: system's.
+    #: File of certificate authorities that the host's certificate is verified
+    #: against; empty for those of the system.
     ca: str = ""
 
 
@@ -58,16 +65,19 @@
     fields: abc.Mapping[str, type],
     arguments: abc.Mapping[str, str] | None = None,
 ) -> result.Result[typing.Any, _problems.Problem]:
-    """Reads a path of the admin port.
+    """Sends a GET request to the admin port and checks the answer.
 
     Args:
         target: The admin port.
-        path: The path.
-        fields: Types of the fields that the answer must have; the values of
-            a dict must be texts.
-        arguments: Arguments of the query.
+        path: Path of the request.
+        fields: Required fields of the answer and their types; the values of
+            a dict must be strings.
+        arguments: Query arguments.
+
+    Returns:
+        The JSON object of the answer.
     """
-    # Arguments that are not UTF-8 are sent as they are; the host refuses them.
+    # Arguments that are not UTF-8 are sent unchanged; the host rejects them.
     query = parse.urlencode(arguments or {}, errors="surrogateescape")
     request = _make_request(target, f"{path}?{query}" if query else path)
     return (
@@ -80,31 +90,44 @@
 def _check_fields(
     value: abc.Mapping[str, typing.Any], fields: abc.Mapping[str, type]
 ) -> result.Result[typing.Any, _problems.Problem]:
-    for name, kind in fields.items():
-        found = value.get(name)
-        items = found.values() if isinstance(found, dict) else ()
-        if not isinstance(found, kind) or not all(
+    for name, expected_type in fields.items():
+        field_value = value.get(name)
+        items = field_value.values() if isinstance(field_value, dict) else ()
+        if not isinstance(field_value, expected_type) or not all(
             isinstance(item, str) for item in items
         ):
-            return result.Failure(_describe_answer(200, None))
+            return result.Failure(_build_answer_problem(200, None))
     return result.Success(value)
 
 
 def post_submission(
     target: Target, submission: abc.Mapping[str, typing.Any]
 ) -> result.Result[typing.Any, _problems.Problem]:
-    """Submits files; an error says whether they can have been recorded."""
+    """Submits files.
+
+    Args:
+        target: The admin port.
+        submission: JSON body of the request.
+
+    Returns:
+        The JSON object of the answer. A problem has the exit code
+        UNKNOWN if the files may have been recorded.
+    """
     request = _make_request(
         target,
         "/v1/files",
         method="POST",
         body=json.dumps(submission),
-        request_timeout=CALL_LIMIT_S + submission["wait_s"],
+        request_timeout=CALL_TIMEOUT_S + submission["wait_s"],
     )
     return (
         _check_target(target)
         .bind(lambda _: _call(request))
-        .alt(lambda problem: _mark_open(problem, submission["request"]))
+        .alt(
+            lambda problem: _mark_outcome_unknown(
+                problem, submission["request"]
+            )
+        )
     )
 
 
@@ -136,7 +159,7 @@
 
 
 def _is_header_text(text: str) -> bool:
-    """Tells whether a text can be sent in the head of a request."""
+    """Returns whether a text can be sent in the head of a request."""
     return text.isascii() and text.isprintable() and " " not in text
 
 
@@ -146,12 +169,12 @@
     return httpclient.HTTPRequest(
         target.url.rstrip("/") + path,
         headers={"Authorization": f"Bearer {target.token}"},
-        connect_timeout=CONNECT_LIMIT_S,
-        # A redirect would take the token to another server.
+        connect_timeout=CONNECT_TIMEOUT_S,
+        # Following a redirect would send the token to another server.
         follow_redirects=False,
         ca_certs=target.ca or None,
         prepare_curl_callback=_disable_proxy,
-        **{"request_timeout": CALL_LIMIT_S, **options},
+        **{"request_timeout": CALL_TIMEOUT_S, **options},
     )
 
 
@@ -173,20 +196,20 @@
     try:
         response = asyncio.run(fetch())
     except curl_httpclient.CurlError as error:
-        return result.Failure(_describe_curl(error, request.url))
+        return result.Failure(_build_curl_problem(error, request.url))
     try:
         value = json.loads(response.body)
     except ValueError:
         value = None
     if response.code == 200 and isinstance(value, dict):
         return result.Success(value)
-    return result.Failure(_describe_answer(response.code, value))
+    return result.Failure(_build_answer_problem(response.code, value))
 
 
-def _describe_curl(
+def _build_curl_problem(
     error: curl_httpclient.CurlError, url: str
 ) -> _problems.Problem:
-    if error.errno in _NOT_SENT:
+    if error.errno in _NOT_SENT_ERRORS:
         return _problems.Problem(
             _problems.ExitCode.FAILED,
             "unreachable",
@@ -201,8 +224,11 @@
     )
 
 
-def _describe_answer(status: int, value: typing.Any) -> _problems.Problem:
-    """Returns the typed error of an answer, whoever gave it."""
+def _build_answer_problem(status: int, value: typing.Any) -> _problems.Problem:
+    """Returns the problem that an error answer reports.
+
+    An answer without an error code comes from another kind of server.
+    """
     if not isinstance(value, dict) or not isinstance(value.get("code"), str):
         return _problems.Problem(
             _problems.ExitCode.FAILED,
@@ -220,10 +246,15 @@
     )
 
 
-def _mark_open(problem: _problems.Problem, request: str) -> _problems.Problem:
-    """Says so if a failed submission can have been recorded."""
-    is_open = problem.code in _OPEN_CODES
-    if not is_open and problem.exit_code is not _problems.ExitCode.UNKNOWN:
+def _mark_outcome_unknown(
+    problem: _problems.Problem, request: str
+) -> _problems.Problem:
+    """Adds to a failed submission's problem that it may have been recorded."""
+    is_outcome_unknown = problem.code in _UNKNOWN_OUTCOME_CODES
+    if (
+        not is_outcome_unknown
+        and problem.exit_code is not _problems.ExitCode.UNKNOWN
+    ):
         return problem
     return _problems.Problem(
         _problems.ExitCode.UNKNOWN,
--- a/packages/ctl/sycamoreloft_ctl/_files.py
+++ b/packages/ctl/sycamoreloft_ctl/_files.py
@@ -1,4 +1,4 @@
-"""Files that the operator names on the command line."""
+"""Reads and checks the files that the operator passes to a command."""
 
 from collections import abc
 import dataclasses
@@ -9,32 +9,35 @@
 import sycamoreloft_config
 from sycamoreloft_ctl import _problems
 
-#: The reader refuses more than 1 MiB; one byte more is enough to see it.
-_READ_BYTES = 1024 * 1024 + 1
+#: The parser rejects files over 1 MiB; one byte more makes it do so.
+_MAXIMUM_READ_BYTES = 1024 * 1024 + 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LocalFile:
-    """A file that has been read and checked by itself."""
+    """A configuration file that was read and parsed."""
 
-    #: Path as the operator named it.
+    #: Path as given on the command line.
     path: str
-    #: Content.
+    #: Content as it is submitted.
     text: str
-    #: Name in a generation, "fleet/<name>" or "merge".
+    #: Name inside a generation, "fleet/<name>" or "merge".
     name: str
 
 
 def load_files(
     paths: abc.Sequence[pathlib.Path],
 ) -> result.Result[abc.Sequence[LocalFile], _problems.Problem]:
-    """Reads files and checks each of them by itself."""
+    """Reads files and checks each one alone.
+
+    A failure lists the problems of all files, not just of the first.
+    """
     files: list[LocalFile] = []
     problems: list[str] = []
     for path in paths:
         match _load_file(path):
-            case result.Failure(found):
-                problems += found
+            case result.Failure(file_problems):
+                problems += file_problems
             case result.Success(file):
                 problems += [
                     f"{file.path}: {other.path} contains {file.name!r} as"
@@ -53,9 +56,10 @@
 ) -> result.Result[LocalFile, abc.Sequence[str]]:
     try:
         with path.open("rb") as file:
-            text = file.read(_READ_BYTES).decode()
+            text = file.read(_MAXIMUM_READ_BYTES).decode()
     except (OSError, ValueError) as error:
-        # A wrong encoding and a null byte in the path are value errors.
+        # A ValueError is raised for a wrong encoding and for a null byte in
+        # the path.
         return result.Failure(
             [f"{path}: the file cannot be read: {error}; check its path"]
         )
@@ -63,35 +67,36 @@
         case result.Success(node):
             name = sycamoreloft_config.build_file_name(node)
             return result.Success(LocalFile(str(path), text, name))
-        case result.Failure(found):
-            return result.Failure([str(item) for item in found])
+        case result.Failure(parse_problems):
+            return result.Failure([str(problem) for problem in parse_problems])
     raise AssertionError("a result is a success or a failure")
 
 
 def check_together(
     files: abc.Sequence[LocalFile], accepted: abc.Mapping[str, str]
 ) -> result.Result[sycamoreloft_config.Generation, _problems.Problem]:
-    """Checks files against each other and against accepted texts.
+    """Checks files against each other and against the accepted files.
 
     Args:
         files: New files.
-        accepted: Texts by name that stay unless a new file replaces them.
+        accepted: Texts of the accepted files by name; a new file replaces
+            the accepted file of the same name.
     """
     texts = {**accepted, **{file.name: file.text for file in files}}
     paths = {file.name: file.path for file in files}
-    built = sycamoreloft_config.build_generation(1, texts)
-    return built.alt(
-        lambda found: _problems.make_file_problem(
+    generation = sycamoreloft_config.build_generation(1, texts)
+    return generation.alt(
+        lambda problems: _problems.make_file_problem(
             [
                 str(
                     dataclasses.replace(
-                        item,
+                        problem,
                         file_name=paths.get(
-                            item.file_name, f"accepted {item.file_name}"
+                            problem.file_name, f"accepted {problem.file_name}"
                         ),
                     )
                 )
-                for item in found
+                for problem in problems
             ]
         )
     )
--- a/packages/ctl/sycamoreloft_ctl/_log_lines.py
+++ b/packages/ctl/sycamoreloft_ctl/_log_lines.py
@@ -1,4 +1,4 @@
-"""Reads the log lines of hosts."""
+"""Parses the log files of hosts."""
 
 from collections import abc
 import dataclasses
@@ -10,24 +10,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LogLine:
-    """One event of a host."""
+    """One log event of a host."""
 
-    #: Name of the host.
+    #: Host that logged the event.
     host: str
-    #: Time on the host's clock, in seconds since 1970.
+    #: When it was logged by the host's clock, in seconds since 1970.
     time_s: float
-    #: Name of the event.
+    #: Event name, such as "request-refused".
     event: str
-    #: All fields of the line.
+    #: All fields of the line, with `time` and `event`.
     fields: abc.Mapping[str, typing.Any]
 
     def get_text(self, name: str) -> str:
-        """Returns a field as text, empty if there is none."""
+        """Returns a field as text, or an empty text if it is missing."""
         value = self.fields.get(name)
         return "" if value is None else str(value)
 
     def get_number(self, name: str, default: float = 0.0) -> float:
-        """Returns a field that is a number."""
+        """Returns a field, or the default if it is not a number."""
         value = self.fields.get(name)
         if isinstance(value, int | float) and not isinstance(value, bool):
             return float(value)
@@ -36,26 +36,26 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LogFiles:
-    """What was read from log files."""
+    """Events that were read from log files."""
 
-    #: All events in the order of their times.
+    #: Events of all files in order of time.
     lines: abc.Sequence[LogLine]
-    #: Lines that are no events.
-    unreadable: int
+    #: Number of lines that are not blank and not events.
+    unreadable_count: int
 
 
 def read_files(paths: abc.Iterable[pathlib.Path]) -> LogFiles:
     """Reads log files of several hosts.
 
-    What stands before the object of a line, as collectors of logs put it
-    there, is skipped; its last word names the host. Without it the file's
-    name does.
+    Log collectors put a prefix before the JSON object of a line; its last
+    word is the name of the host. Lines without a prefix belong to the host
+    that the file is named after.
 
     Raises:
         OSError: A file cannot be read.
     """
     lines: list[LogLine] = []
-    unreadable = 0
+    unreadable_count = 0
     for path in paths:
         with path.open(encoding="utf-8", errors="replace") as file:
             for text in file:
@@ -63,28 +63,28 @@
                 if line is not None:
                     lines.append(line)
                 elif text.strip():
-                    unreadable += 1
+                    unreadable_count += 1
     lines.sort(key=lambda line: line.time_s)
-    return LogFiles(lines, unreadable)
+    return LogFiles(lines, unreadable_count)
 
 
 def parse_line(text: str, host: str) -> LogLine | None:
-    """Parses a line; None if it is no event.
+    """Parses a log line; returns None if it is not an event.
 
     Args:
         text: The line.
-        host: Host of a line that does not name it.
+        host: Name of the host, for a line without a prefix.
     """
     prefix, brace, rest = text.partition("{")
     if not brace:
         return None
     try:
         fields = json.loads(brace + rest)
-        moment = datetime.datetime.fromisoformat(fields["time"])
+        logged_at = datetime.datetime.fromisoformat(fields["time"])
         event = fields["event"]
     except (ValueError, KeyError, TypeError):
         return None
     words = prefix.split()
     return LogLine(
-        words[-1] if words else host, moment.timestamp(), str(event), fields
+        words[-1] if words else host, logged_at.timestamp(), str(event), fields
     )
--- a/packages/ctl/sycamoreloft_ctl/_problems.py
+++ b/packages/ctl/sycamoreloft_ctl/_problems.py
@@ -1,4 +1,4 @@
-"""Errors of the command and its exit codes."""
+"""Errors and exit codes of the command."""
 
 from collections import abc
 import dataclasses
@@ -9,14 +9,15 @@
     """Exit codes, listed in the help text and in docs/operators.md."""
 
     DONE = 0
-    #: The host cannot be reached, or it refused the call for another reason.
+    #: The host is unreachable, or refused the call for a reason without an
+    #: exit code of its own.
     FAILED = 1
-    #: Wrong options; the command line parser uses this code as well.
+    #: Wrong options; the command line parser exits with this code as well.
     USAGE = 2
     INVALID_FILES = 3
     #: The base is not the newest generation; nothing was recorded.
     CONFLICT = 4
-    #: Recorded, but not accepted in the given time.
+    #: Recorded, but not accepted within the time of `--wait`.
     NOT_ACCEPTED = 5
     #: Not known whether the submission was recorded.
     UNKNOWN = 6
@@ -25,22 +26,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Problem:
-    """Why the command did not do what it was asked."""
+    """Why the command failed."""
 
-    #: Exit code of the command.
+    #: Code that the process exits with.
     exit_code: ExitCode
-    #: Stable code, such as "conflict".
+    #: Stable code for programs, such as "conflict"; empty for a broken
+    #: connection or an answer of another server.
     code: str
     #: What is wrong.
     message: str
     #: What the operator can do about it.
     remedy: str
-    #: Further lines.
+    #: Further lines for the operator, such as one for each wrong file.
     details: abc.Sequence[str] = ()
 
 
 def make_file_problem(details: abc.Sequence[str]) -> Problem:
-    """Returns the problem of files that are wrong."""
+    """Returns the problem for files that are unreadable or invalid."""
     return Problem(
         ExitCode.INVALID_FILES,
         "invalid-files",
--- a/packages/ctl/sycamoreloft_ctl/_request_causes.py
+++ b/packages/ctl/sycamoreloft_ctl/_request_causes.py
@@ -1,4 +1,4 @@
-"""Why requests fail, with what an operator can do about it."""
+"""Causes of failed requests and their remedies."""
 
 import enum
 
@@ -6,7 +6,7 @@
 class Cause(enum.Enum):
     """Why a request was not served in time.
 
-    Each value holds a stable name, the meaning, and the remedy.
+    Each value holds the code, the meaning and the remedy.
     """
 
     NOT_FOUND = (
@@ -18,7 +18,7 @@
     SERVED = (
         "served",
         "the request was answered in time",
-        "look at the caller and at the way to it",
+        "look at the caller and at the network path to it",
     )
     LATE = (
         "slow-upstream",
@@ -53,7 +53,7 @@
     )
     SERVICE_FULL = (
         "service-full",
-        "the upstreams that were asked had no room",
+        "the upstreams that were tried had no room",
         "add upstreams to the service, or send it fewer requests",
     )
     UPSTREAM_LOST = (
@@ -74,18 +74,20 @@
     )
     CONNECTION_BROKE = (
         "connection-broke",
-        "the connection to an upstream that goes on broke",
+        "the connection broke, but the upstream is still running",
         "look at the network, and at the upstream's limit of connections",
     )
     ANSWER_SPOILED = (
         "answer-spoiled",
-        "the upstream's answer was not a valid one of this request",
+        "the upstream's answer was not a valid answer to this request",
         "look at the upstream; `detail` of the attempt says what was wrong",
     )
     ADDRESS_REUSED = (
         "address-reused",
-        "another upstream has the address of the one that was asked",
-        "nothing: the keys move when the lease of the former one has ended",
+        "another upstream has taken over the address of the upstream that was"
+        " tried",
+        "nothing to do: the keys move when the lease of the former upstream has"
+        " ended",
     )
     COORDINATOR_CHANGED = (
         "coordinator-changed",
@@ -94,13 +96,12 @@
     )
     OWNER_UNREACHABLE = (
         "owner-unreachable",
-        "the owner did not take the coordinator's orders, so that its lease"
-        " ended",
-        "look at the way from the coordinator to the upstream",
+        "the owner did not accept the coordinator's orders, so its lease ended",
+        "look at the network path from the coordinator to the upstream",
     )
     KEY_MOVED = (
         "key-moved",
-        "the key was changing its owner",
+        "the key was moving to another owner",
         "look at key-map-recorded: moves take some tenths of a second",
     )
     QUARANTINED = (
@@ -110,7 +111,7 @@
     )
     NO_UPSTREAM = (
         "no-upstream",
-        "no upstream of the service was listed and not leaving",
+        "the service had no listed upstream that was not leaving",
         "look for upstream-gone of the service",
     )
     HOST_STOPPED = (
@@ -120,9 +121,9 @@
     )
 
     def __init__(self, code: str, meaning: str, remedy: str) -> None:
-        #: Stable name.
+        #: Stable name, printed and written as `cause` in JSON.
         self.code = code
-        #: What it means.
+        #: One sentence for the operator.
         self.meaning = meaning
-        #: What an operator can do.
+        #: What the operator can do, or where to look next.
         self.remedy = remedy
--- a/packages/ctl/sycamoreloft_ctl/_request_explanation.py
+++ b/packages/ctl/sycamoreloft_ctl/_request_explanation.py
@@ -1,4 +1,4 @@
-"""The command that explains one request from log files."""
+"""Reads log files, diagnoses one request and prints the result."""
 
 from collections import abc
 import pathlib
@@ -6,16 +6,17 @@
 
 from returns import result
 
-from sycamoreloft_ctl import _log_lines, _output, _problems, _request_story
+from sycamoreloft_ctl import _log_lines, _output, _problems, _request_diagnosis
 
-#: Fields of a line that every line has; they are not printed again.
+#: Fields that are left out of the column of fields, because they are equal in
+#: all lines, of no use, or printed in a column of their own.
 _COMMON_FIELDS = frozenset(("event", "level", "logger", "request", "time"))
 
 
 def explain(
     request: str, paths: abc.Sequence[pathlib.Path]
-) -> result.Result[_request_story.Story, _problems.Problem]:
-    """Reads log files and finds why a request failed."""
+) -> result.Result[_request_diagnosis.Diagnosis, _problems.Problem]:
+    """Reads log files and diagnoses why a request failed."""
     try:
         files = _log_lines.read_files(paths)
     except OSError as error:
@@ -25,35 +26,43 @@
     if not files.lines:
         return result.Failure(
             _problems.make_file_problem(
-                [f"none of {files.unreadable} lines is an event of a host"]
+                [
+                    f"none of {files.unreadable_count} lines is an event"
+                    " of a host"
+                ]
             )
         )
-    return result.Success(_request_story.tell(request, files.lines))
+    return result.Success(_request_diagnosis.diagnose(request, files.lines))
 
 
-def convert_to_json(story: _request_story.Story) -> dict[str, typing.Any]:
-    """Returns a story as a JSON value."""
+def convert_to_json(
+    diagnosis: _request_diagnosis.Diagnosis,
+) -> dict[str, typing.Any]:
+    """Returns a diagnosis as a JSON value."""
     return {
-        "request": story.request,
-        "cause": story.cause.code,
-        "meaning": story.cause.meaning,
-        "remedy": story.cause.remedy,
-        "evidence": story.evidence,
-        "lines": [_convert_line(line) for line in story.own],
-        "around": [_convert_line(line) for line in story.around],
+        "request": diagnosis.request,
+        "cause": diagnosis.cause.code,
+        "meaning": diagnosis.cause.meaning,
+        "remedy": diagnosis.cause.remedy,
+        "evidence": diagnosis.evidence,
+        "lines": [_convert_line(line) for line in diagnosis.request_lines],
+        "around": [_convert_line(line) for line in diagnosis.related_lines],
     }
 
 
-def print_story(story: _request_story.Story) -> None:
-    """Prints a story for people."""
-    own = set(map(id, story.own))
-    lines = sorted([*story.own, *story.around], key=lambda line: line.time_s)
+def print_diagnosis(diagnosis: _request_diagnosis.Diagnosis) -> None:
+    """Prints a diagnosis as a table, with the request's own lines marked."""
+    request_lines = set(map(id, diagnosis.request_lines))
+    lines = sorted(
+        [*diagnosis.request_lines, *diagnosis.related_lines],
+        key=lambda line: line.time_s,
+    )
     if lines:
         _output.print_table(
             ("", "time", "host", "event", "fields"),
             [
                 (
-                    "*" if id(line) in own else "",
+                    "*" if id(line) in request_lines else "",
                     line.get_text("time"),
                     line.host,
                     line.event,
@@ -65,9 +74,9 @@
     _output.print_lines(
         [
             "",
-            f"cause: {story.cause.code}: {story.cause.meaning}",
-            f"evidence: {story.evidence or '-'}",
-            f"remedy: {story.cause.remedy}",
+            f"cause: {diagnosis.cause.code}: {diagnosis.cause.meaning}",
+            f"evidence: {diagnosis.evidence or '-'}",
+            f"remedy: {diagnosis.cause.remedy}",
         ]
     )
 
--- a/packages/ctl/sycamoreloft_ctl/main.py
+++ b/packages/ctl/sycamoreloft_ctl/main.py
@@ -1,4 +1,4 @@
-"""The operators' command."""
+"""Command line interface of sycamoreloftctl."""
 
 import pathlib
 import typing
@@ -60,7 +60,7 @@
     bool, typer.Option("--json", help="Print JSON instead of tables.")
 ]
 
-#: Fields of the answers of the admin port that the commands print.
+#: Required fields of the admin port's answers, with their types.
 _GENERATION = {
     "accepted": int,
     "files": dict,
@@ -93,16 +93,16 @@
     raise AssertionError("a result is a success or a failure")
 
 
-def _list_examples(*lines: str) -> str:
-    """Returns the epilog of a command."""
-    # The backspace tells the help formatter to keep the line breaks.
+def _format_examples(*lines: str) -> str:
+    """Returns the help text of a command's examples."""
+    # A backspace makes the help formatter keep the line breaks.
     return "\n".join(
         ["\b", "Examples:", *(f"  sycamoreloftctl {line}" for line in lines)]
     )
 
 
 @application.command(
-    epilog=_list_examples(
+    epilog=_format_examples(
         "check sledworks.toml",
         "check sledworks.toml isuku.toml merge.toml",
         "check --against-accepted merge.toml",
@@ -162,7 +162,7 @@
 
 
 @application.command(
-    epilog=_list_examples(
+    epilog=_format_examples(
         "submit --base 0 sledworks.toml",
         "submit --base 7 isuku.toml merge.toml",
         "submit --base 7 --request 5f1c... isuku.toml merge.toml",
@@ -213,7 +213,7 @@
 def _report_submission(
     answer: typing.Mapping[str, typing.Any], as_json: bool
 ) -> None:
-    """Prints a recorded submission; exits with a code unless accepted."""
+    """Prints the state of a submission; exits with a code unless accepted."""
     status, number = answer.get("status"), answer.get("number")
     waiting = answer.get("waiting_domains") or []
     if as_json:
@@ -243,7 +243,7 @@
 
 
 @application.command(
-    epilog=_list_examples(
+    epilog=_format_examples(
         "show",
         "show --file fleet/isuku > isuku.toml",
     )
@@ -309,7 +309,7 @@
 
 
 @application.command(
-    epilog=_list_examples(
+    epilog=_format_examples(
         "explain tally-board heat-7 --fleet sledworks",
         "explain mat-status mat-1041",
     )
@@ -329,7 +329,7 @@
 ) -> None:
     """Explain which upstream owns a key, and why."""
     arguments = {"fleet": fleet, "service": service, "key": key}
-    found = _unwrap(
+    explanation = _unwrap(
         _client.get_json(
             _client.Target(admin, token, ca),
             "/v1/explain",
@@ -339,19 +339,19 @@
         as_json,
     )
     if as_json:
-        _output.print_json(found)
+        _output.print_json(explanation)
         return
     columns = ("fleet", "service", "key", "partition", "group")
-    _output.print_table(columns, [[found[name] for name in columns]])
+    _output.print_table(columns, [[explanation[name] for name in columns]])
     _output.print_table(
         ("holder", "upstream"),
-        [[found["holder"] or "-", found["upstream"] or "-"]],
+        [[explanation["holder"] or "-", explanation["upstream"] or "-"]],
     )
-    _output.print_lines(["", *found["reasons"]])
+    _output.print_lines(["", *explanation["reasons"]])
 
 
 @application.command(
-    epilog=_list_examples(
+    epilog=_format_examples(
         "dump",
         "dump --json > state.json",
     )
@@ -373,7 +373,7 @@
 
 @application.command(
     "explain-request",
-    epilog=_list_examples(
+    epilog=_format_examples(
         "explain-request 5bb33f7b0b5e entry-*.log",
         "explain-request --json 5bb33f7b0b5e entry-*.log",
     ),
@@ -390,15 +390,15 @@
 ) -> None:
     """Explain from log files why a request failed.
 
-    Lists what touched the request (*) and what happened around it, and names
-    the cause. Exits with 1 if no line names the request.
+    Lists the log lines of the request (*) and related ones near it in time,
+    and names the cause. Exits with 1 if no line names the request.
     """
-    story = _unwrap(_request_explanation.explain(request, paths), as_json)
+    diagnosis = _unwrap(_request_explanation.explain(request, paths), as_json)
     if as_json:
-        _output.print_json(_request_explanation.convert_to_json(story))
+        _output.print_json(_request_explanation.convert_to_json(diagnosis))
     else:
-        _request_explanation.print_story(story)
-    if not story.own:
+        _request_explanation.print_diagnosis(diagnosis)
+    if not diagnosis.request_lines:
         raise typer.Exit(int(_problems.ExitCode.FAILED))
 
 
--- a/packages/ctl/tests/test_command.py
+++ b/packages/ctl/tests/test_command.py
@@ -1,4 +1,4 @@
-"""Tests of the operators' command against a real admin port."""
+"""Tests of sycamoreloftctl against a real admin port."""
 
 import asyncio
 import json
@@ -22,7 +22,7 @@
 
 
 class Backend:
-    """Answers as a test sets."""
+    """Admin backend that returns what a test has set."""
 
     def __init__(self):
         self.submissions = []
@@ -55,7 +55,7 @@
 
 @pytest.fixture
 def backend():
-    """A backend whose answers a test sets."""
+    """Returns a backend whose answers a test can set."""
     return Backend()
 
 
@@ -118,7 +118,7 @@
 
 
 def test_check_against_accepted_files(call):
-    """Guards against a merge that names what nobody has submitted."""
+    """Guards against a merge of files that were never submitted."""
     alone = call("check", MERGE)
     assert (alone.exit_code, alone.stderr.count("no accepted")) == (3, 2)
     together = call("check", "--against-accepted", ISUKU, MERGE)
@@ -137,7 +137,7 @@
 
 
 def test_submit_needs_a_base(call, backend):
-    """Guards against an operator who overwrites what he has not seen."""
+    """Guards against overwriting a generation that the operator never saw."""
     assert call("submit", ISUKU).exit_code == 2
     assert not backend.submissions
 
@@ -177,7 +177,7 @@
 def test_answers_have_their_own_exit_codes(
     call, backend, answer, exit_code, text
 ):
-    """Guards against a script that takes one outcome for another."""
+    """Guards against outcomes that a script cannot tell apart."""
     backend.answer = answer
     outcome = call("submit", "--base", "4", "--request", "id-7", ISUKU)
     assert outcome.exit_code == exit_code
@@ -187,7 +187,7 @@
     assert json.loads(as_json.stdout)
 
 
-def test_a_broken_connection_leaves_the_outcome_open(call):
+def test_a_broken_connection_leaves_the_outcome_unknown(call):
     """Guards against a recorded submission that is reported as refused."""
     with socket.create_server(("127.0.0.1", 0)) as listener:
 
@@ -208,7 +208,7 @@
 
 
 def test_a_refused_connection_means_that_nothing_was_recorded(call):
-    """Guards against an operator who searches for a recorded submission."""
+    """Guards against reporting an unknown outcome when nothing was sent."""
     with socket.socket() as unused:
         unused.bind(("127.0.0.1", 0))
         url = f"http://127.0.0.1:{unused.getsockname()[1]}"
@@ -227,7 +227,7 @@
 
 
 def test_show_names_what_is_pending_and_what_it_waits_for(call):
-    """Guards against output that the terminal or the table changes."""
+    """Guards against names that control the terminal or act as table markup."""
     text = call("show").stdout
     assert "fleet isuku: added" in text
     assert "  sledworks/[x]\\x1b" in text
