--- a/packages/standins/sycamoreloft_standins/__init__.py
+++ b/packages/standins/sycamoreloft_standins/__init__.py
@@ -1,7 +1,7 @@
 """Stand-ins of the platform and of upstreams for tests.
 
-`sycamoreloft_standins.platform` and `sycamoreloft_standins.upstream` are the
-two processes; both can also be served inside a test by `make_application`.
+`sycamoreloft_standins.platform` and `sycamoreloft_standins.upstream` run as
+processes; a test can also serve them itself with their `make_application`.
 """
 
 from sycamoreloft_standins._echo import (
--- a/packages/standins/sycamoreloft_standins/_control_handlers.py
+++ b/packages/standins/sycamoreloft_standins/_control_handlers.py
@@ -1,4 +1,4 @@
-"""Grants, hints and controls of an upstream."""
+"""HTTP handlers of an upstream for grants, hints and test controls."""
 
 import dataclasses
 import json
@@ -11,13 +11,13 @@
 
 
 class _Handler(tornado.web.RequestHandler):
-    """Common parts; a frozen upstream answers none of its endpoints."""
+    """Base of the handlers; a frozen upstream does not answer any of them."""
 
     def initialize(self, state: _upstream_state.UpstreamState) -> None:
         self.state = state
 
     async def prepare(self) -> None:
-        await self.state.pass_gate()
+        await self.state.wait_while_frozen()
 
     def write_error(self, status_code: int, **kwargs: typing.Any) -> None:
         self.finish({"error": self._reason, "status": status_code})
@@ -59,21 +59,21 @@
 
 
 class HealthHandler(_Handler):
-    """`GET /_sycamoreloft/health`: a hint that lags and may mislead."""
+    """`GET /_sycamoreloft/health`: a hint that may be old or wrong."""
 
     def get(self) -> None:
-        """Answers whether the upstream claims to be healthy."""
-        self.state.observe()
+        """Answers whether the upstream is healthy, or what the fault claims."""
+        self.state.observe_load()
         claimed = self.state.faults.health
         self.finish({"healthy": True if claimed is None else claimed})
 
 
 class LoadHandler(_Handler):
-    """`GET /_sycamoreloft/load`: a hint that lags and may mislead."""
+    """`GET /_sycamoreloft/load`: a hint that may be old or wrong."""
 
     def get(self) -> None:
-        """Answers the share of slots that the upstream claims are taken."""
-        hint = self.state.observe()
+        """Answers the share of slots in use, or what the fault claims."""
+        hint = self.state.observe_load()
         claimed = self.state.faults.load
         load = hint.running / self.state.spec.slots
         self.finish(
@@ -86,10 +86,10 @@
 
 
 class FaultsHandler(_Handler):
-    """`POST /_standin/faults`: changes the misbehaviours."""
+    """`POST /_standin/faults`: changes the injected faults."""
 
     async def prepare(self) -> None:
-        """Does not wait: a driver may change a frozen upstream."""
+        """Does not wait: a test driver may change a frozen upstream."""
 
     def post(self) -> None:
         """Changes the fields that the JSON body names."""
@@ -105,13 +105,13 @@
 
 
 class FreezeHandler(FaultsHandler):
-    """`POST /_standin/freeze`: stops all answers for a while."""
+    """`POST /_standin/freeze`: delays all answers."""
 
     def post(self) -> None:
-        """Freezes for `seconds`.
+        """Freezes the upstream for `seconds` of the JSON body.
 
         With `"process": true` the whole process sleeps, which also freezes
-        the other upstreams in it.
+        the other upstreams that it serves.
         """
         body = json.loads(self.request.body)
         seconds = float(body["seconds"])
@@ -123,7 +123,7 @@
 
 
 class StateHandler(FaultsHandler):
-    """`GET /_standin/state`: shows the upstream to a driver."""
+    """`GET /_standin/state`: shows the state to a test driver."""
 
     def get(self) -> None:
         """Answers with counters, faults and the incarnation."""
@@ -131,8 +131,8 @@
             {
                 "upstream": self.state.identity,
                 "incarnation": self.state.incarnation,
-                "running": self.state.desk.running,
-                "waiting": self.state.desk.waiting,
+                "running": self.state.slot_pool.running,
+                "waiting": self.state.slot_pool.waiting,
                 "faults": dataclasses.asdict(self.state.faults),
             }
         )
--- a/packages/standins/sycamoreloft_standins/_echo.py
+++ b/packages/standins/sycamoreloft_standins/_echo.py
@@ -1,25 +1,25 @@
-"""Bodies of answers, which a caller can compute and compare."""
+"""Answer bodies that a caller can compute itself and compare."""
 
 from collections import abc
 import hashlib
 import json
 import typing
 
-#: Bytes written at a time.
+#: Maximum size of one part of a streamed answer.
 PART_BYTES = 65_536
 
 
 def hash_bytes(body: bytes) -> str:
-    """Returns the SHA-256 of a body, as answers give it."""
+    """Returns the SHA-256 of a body in hex, as the answers contain it."""
     return hashlib.sha256(body).hexdigest()
 
 
 def make_echo(
     request: str, caller: str, fleet: str, service: str, key: str
 ) -> dict[str, typing.Any]:
-    """Returns what an upstream must answer to a request.
+    """Returns the fields that the answer to a request must contain.
 
-    The upstream adds its name, the bytes that it received and their SHA-256.
+    The upstream adds its name, the number of bytes received and their SHA-256.
     """
     return {
         "request": request,
@@ -33,8 +33,8 @@
 def make_stream(request: str, upstream: str, size: int) -> abc.Iterator[bytes]:
     """Yields the parts of a streamed answer of exactly `size` bytes.
 
-    The pattern depends on the request, so that bytes of another request's
-    answer are noticed.
+    The content depends on the request and the upstream, so that the answer to
+    another request is detected.
     """
     seed = f"{request}\0{upstream}".encode()
     block = b"".join(
@@ -48,7 +48,7 @@
 
 
 def check_stream(request: str, upstream: str, size: int, digest: str) -> bool:
-    """Tells whether a SHA-256 is that of the streamed answer."""
+    """Returns whether a digest is the SHA-256 of the streamed answer."""
     expected = hashlib.sha256()
     for part in make_stream(request, upstream, size):
         expected.update(part)
@@ -58,7 +58,13 @@
 def check_echo(
     body: bytes, echo: abc.Mapping[str, typing.Any], upload: bytes
 ) -> bool:
-    """Tells whether a JSON answer belongs to a request with this upload."""
+    """Returns whether a JSON answer belongs to a request.
+
+    Args:
+        body: Body of the answer.
+        echo: Fields that the answer must contain, from `make_echo`.
+        upload: Body of the request.
+    """
     try:
         answer = json.loads(body)
     except ValueError:
--- a/packages/standins/sycamoreloft_standins/_grants.py
+++ b/packages/standins/sycamoreloft_standins/_grants.py
@@ -1,4 +1,7 @@
-"""Grants as an upstream keeps them: section 12.1, without I/O."""
+"""Grants that an upstream has accepted, without I/O.
+
+Section 12.1 of the design page gives the rules.
+"""
 
 from collections import abc
 import dataclasses
@@ -11,26 +14,28 @@
 class GrantCall:
     """The fields of one grant message."""
 
-    #: Group as "fleet/domain/index".
+    #: Group that the sender holds, as "fleet/domain/index".
     group: str
-    #: Epoch of the holder.
+    #: Epoch of the sender as holder of the group.
     epoch: int
-    #: Version of the content, grows inside an epoch.
+    #: Version of the fences, increases inside an epoch.
     version: int
-    #: Incarnation that the holder believes in, "" in its first call.
+    #: Upstream incarnation last known to the sender, "" in its first call.
     incarnation: str
-    #: Reading of this upstream's clock, None in the first call.
+    #: Reading of the upstream's clock in seconds from its answer to an earlier
+    #: call, None in the first call.
     clock_reading: float | None
-    #: Lifetime, counted from the reading.
+    #: How long the grant is in force after the clock reading.
     lifetime_ms: float
-    #: Fences by service and partition; None for "as in `version`".
+    #: Fences by service and partition; None if unchanged since the accepted
+    #: grant of the same version.
     partitions: abc.Mapping[str, abc.Mapping[int, int]] | None
-    #: Fences by service and hot key; None for "as in `version`".
+    #: Fences by service and hot key; None if unchanged, as above.
     hot_keys: abc.Mapping[str, abc.Mapping[str, int]] | None
 
 
 def parse_grant_call(body: abc.Mapping[str, typing.Any]) -> GrantCall:
-    """Reads the JSON body of a grant message.
+    """Parses the JSON body of a grant message.
 
     Raises:
         KeyError, TypeError, ValueError: The body is malformed.
@@ -48,14 +53,16 @@
         partitions=None
         if partitions is None
         else {
-            service: {int(number): int(fence) for number, fence in held.items()}
-            for service, held in partitions.items()
+            service: {
+                int(number): int(fence) for number, fence in fences.items()
+            }
+            for service, fences in partitions.items()
         },
         hot_keys=None
         if hot_keys is None
         else {
-            service: {str(key): int(fence) for key, fence in held.items()}
-            for service, held in hot_keys.items()
+            service: {str(key): int(fence) for key, fence in fences.items()}
+            for service, fences in hot_keys.items()
         },
     )
 
@@ -69,7 +76,13 @@
 def check_signature(
     keys: abc.Mapping[str, str], header: str, body: bytes
 ) -> bool:
-    """Tells whether the signature was made with one of the keys."""
+    """Returns whether a signature header was made with one of the keys.
+
+    Args:
+        keys: Secrets by key id.
+        header: Value of the signature header.
+        body: Body of the message.
+    """
     key_id = header.partition(":")[0]
     if key_id not in keys:
         return False
@@ -79,13 +92,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Grant:
-    """A grant of one group that the upstream accepted last."""
+    """The grant that the upstream accepted last from a group."""
 
-    #: Epoch of the holder.
+    #: Epoch of the holder that sent it.
     epoch: int
-    #: Version of the content.
+    #: Version of the fences.
     version: int
-    #: Time on the upstream's own clock at which it ends.
+    #: Its end on the upstream's own clock, in seconds.
     until: float
     #: Fences by service and partition.
     partitions: abc.Mapping[str, abc.Mapping[int, int]]
@@ -93,23 +106,35 @@
     hot_keys: abc.Mapping[str, abc.Mapping[str, int]]
 
 
-def _make_grant(call: GrantCall, known: Grant | None) -> Grant | None:
-    """Builds the grant of a call; None if it refers to unknown content."""
+def _make_grant(call: GrantCall, current: Grant | None) -> Grant | None:
+    """Builds the grant of a call.
+
+    Returns None if the call omits fences and the version is not the current
+    one, so that they are unknown.
+    """
     until = call.clock_reading or 0.0
     until += call.lifetime_ms / 1000.0
     partitions, hot_keys = call.partitions, call.hot_keys
-    if known and (known.epoch, known.version) == (call.epoch, call.version):
-        # Renewals that overtake each other must not shorten the grant.
-        until = max(until, known.until)
-        partitions = known.partitions if partitions is None else partitions
-        hot_keys = known.hot_keys if hot_keys is None else hot_keys
+    if current and (current.epoch, current.version) == (
+        call.epoch,
+        call.version,
+    ):
+        # A renewal that arrives after a later one must not shorten the grant.
+        until = max(until, current.until)
+        partitions = current.partitions if partitions is None else partitions
+        hot_keys = current.hot_keys if hot_keys is None else hot_keys
     if partitions is None or hot_keys is None:
         return None
     return Grant(call.epoch, call.version, until, partitions, hot_keys)
 
 
-class GrantBook:
-    """Grants of one upstream process, by group."""
+class GrantRegistry:
+    """Grants that one upstream has accepted, by group.
+
+    Args:
+        incarnation: Identifier of the current run of the upstream.
+        checks_fences: Whether old epochs, versions and fences are rejected.
+    """
 
     def __init__(self, incarnation: str, checks_fences: bool) -> None:
         self.incarnation = incarnation
@@ -118,7 +143,7 @@
         self._highest_epochs: dict[str, int] = {}
 
     def get_highest_epoch(self, group: str) -> int:
-        """Returns the highest epoch seen of a group, 0 for none."""
+        """Returns the highest epoch received from a group, 0 for none."""
         return self._highest_epochs.get(group, 0)
 
     def get_version(self, group: str) -> int:
@@ -134,39 +159,41 @@
         """Accepts or rejects a grant; returns whether it was accepted.
 
         Args:
-            call: Message.
+            call: The grant message.
             clock: Reading of the upstream's own clock.
         """
         highest = self.get_highest_epoch(call.group)
         self._highest_epochs[call.group] = max(highest, call.epoch)
         if call.incarnation != self.incarnation or call.clock_reading is None:
             return False
-        # A reading from the future cannot come from this process's clock.
+        # A reading later than now cannot come from this process's clock.
         if call.clock_reading > clock:
             return False
-        known = self._grants.get(call.group)
-        if self.checks_fences and not self._is_current(call, highest, known):
+        current = self._grants.get(call.group)
+        if self.checks_fences and not self._is_current(call, highest, current):
             return False
-        grant = _make_grant(call, known)
+        grant = _make_grant(call, current)
         if grant is not None:
             self._grants[call.group] = grant
         return grant is not None
 
     def _is_current(
-        self, call: GrantCall, highest: int, known: Grant | None
+        self, call: GrantCall, highest: int, current: Grant | None
     ) -> bool:
         if call.epoch < highest:
             return False
-        # Inside an epoch, a delayed grant must not bring back a partition
-        # whose release was acknowledged with a later version.
+        # In the same epoch, a delayed grant must not restore a partition whose
+        # release was acknowledged with a later version.
         return not (
-            known and known.epoch == call.epoch and call.version < known.version
+            current
+            and current.epoch == call.epoch
+            and call.version < current.version
         )
 
-    def find_fence(
+    def get_fence(
         self, group: str, service: str, key: str, partition: int, clock: float
     ) -> int | None:
-        """Returns the fence under which a key is owned, None if it is not."""
+        """Returns the fence under which a key is owned, None if not owned."""
         grant = self._grants.get(group)
         if grant is None or clock >= grant.until:
             return None
@@ -184,8 +211,8 @@
         fence: int,
         clock: float,
     ) -> bool:
-        """Tells whether a request may start to run now."""
-        held = self.find_fence(group, service, key, partition, clock)
-        if held is None:
+        """Returns whether a request with this fence may start to run now."""
+        owned_fence = self.get_fence(group, service, key, partition, clock)
+        if owned_fence is None:
             return False
-        return not self.checks_fences or fence == held
+        return not self.checks_fences or fence == owned_fence
--- a/packages/standins/sycamoreloft_standins/_platform_faults.py
+++ b/packages/standins/sycamoreloft_standins/_platform_faults.py
@@ -7,17 +7,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlatformFaults:
-    """Faults in force; a `POST /faults` changes the fields that it names."""
+    """Injected faults; `POST /faults` changes the fields in its body."""
 
     #: Whether table and object store answer 503 without effect.
     down: bool = False
-    #: Whether table and object store leave requests without an answer.
+    #: Whether table and object store leave requests unanswered, without effect.
     silent: bool = False
     #: Delay before a request to table or object store takes effect.
     delay_ms: float = 0.0
     #: Share of writes whose answer is lost after they took effect, 0 to 1.
     lose_answers: float = 0.0
-    #: Hosts whose connections are closed, as if cut off from the platform.
+    #: Hosts whose connections are closed, to simulate a network partition.
     rejected_hosts: abc.Sequence[str] = ()
     #: Whether the host list answers 503.
     hosts_down: bool = False
@@ -26,7 +26,7 @@
 
 
 class UnknownFaultError(ValueError):
-    """A fault request names a field that does not exist."""
+    """A request to change faults names a fault that does not exist."""
 
 
 def change_faults(
@@ -35,7 +35,7 @@
     """Returns the faults with some fields changed.
 
     Raises:
-        UnknownFaultError: A field does not exist; the message lists all.
+        UnknownFaultError: A fault does not exist; the message lists all.
     """
     known = {field.name for field in dataclasses.fields(PlatformFaults)}
     unknown = sorted(set(changes) - known)
@@ -48,11 +48,11 @@
 
 @dataclasses.dataclass(slots=True)
 class PlatformCounters:
-    """Requests that the platform served, since its start."""
+    """Numbers of requests since the start of the platform."""
 
     #: Transactions that were applied.
     writes: int = 0
-    #: Transactions that a condition refused.
+    #: Transactions without effect, because a condition failed.
     conflicts: int = 0
     #: Reads of the table.
     reads: int = 0
@@ -66,5 +66,5 @@
     failed: int = 0
     #: Answers lost after the write took effect.
     lost_answers: int = 0
-    #: Table reads and writes by the name of the host.
+    #: Requests to table and object store by name of the host, "" for none.
     by_host: dict[str, int] = dataclasses.field(default_factory=dict)
--- a/packages/standins/sycamoreloft_standins/_serving.py
+++ b/packages/standins/sycamoreloft_standins/_serving.py
@@ -1,4 +1,4 @@
-"""Serves the handlers of a stand-in on a free port."""
+"""Starts the HTTP server of a stand-in on a free port."""
 
 from collections import abc
 import typing
@@ -15,8 +15,8 @@
     """Serves handlers on a free port of the loopback interface.
 
     Args:
-        handlers: Patterns of paths and their handlers.
-        arguments: What each handler is initialized with.
+        handlers: Path patterns and their handlers.
+        arguments: Keyword arguments of each handler's `initialize`.
 
     Returns:
         The server, and its address as "ip:port".
--- a/packages/standins/sycamoreloft_standins/_slots.py
+++ b/packages/standins/sycamoreloft_standins/_slots.py
@@ -1,11 +1,16 @@
-"""Slots of an upstream and its short queue."""
+"""Slots of an upstream and its bounded queue."""
 
 import asyncio
 import collections
 
 
-class SlotDesk:
-    """Gives out slots in order of arrival; sheds beyond the queue."""
+class SlotPool:
+    """Slots that requests acquire in order of arrival.
+
+    Args:
+        slots: Maximum number of requests that run at once.
+        queue: Maximum number of requests that wait; further ones are shed.
+    """
 
     def __init__(self, slots: int, queue: int) -> None:
         self._slots = slots
@@ -21,34 +26,36 @@
         """Number of requests that wait for a slot."""
         return len(self._waiting)
 
-    async def take(self, timeout_s: float) -> bool | None:
+    async def acquire(self, timeout_s: float) -> bool | None:
         """Waits for a slot.
 
         Returns:
-            True with a slot, False when the queue is full, None when the
-            time is over.
+            True with a slot, False if the queue is full, None after the
+            timeout.
         """
         if self.running < self._slots and not self._waiting:
             self.running += 1
             return True
         if len(self._waiting) >= self._queue:
             return False
-        turn: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-        self._waiting.append(turn)
+        waiter: asyncio.Future[bool] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiting.append(waiter)
         try:
-            return await asyncio.wait_for(turn, timeout_s)
+            return await asyncio.wait_for(waiter, timeout_s)
         except TimeoutError:
             return None
         finally:
-            if turn in self._waiting:
-                self._waiting.remove(turn)
+            if waiter in self._waiting:
+                self._waiting.remove(waiter)
 
-    def give_back(self) -> None:
-        """Frees a slot for the first request that waits."""
+    def release(self) -> None:
+        """Frees a slot and passes it to the first waiting request."""
         self.running -= 1
         while self._waiting:
-            turn = self._waiting.popleft()
-            if not turn.done():
+            waiter = self._waiting.popleft()
+            if not waiter.done():
                 self.running += 1
-                turn.set_result(True)
+                waiter.set_result(True)
                 return
--- a/packages/standins/sycamoreloft_standins/_specs.py
+++ b/packages/standins/sycamoreloft_standins/_specs.py
@@ -1,4 +1,4 @@
-"""Settings of stand-in upstreams, given by argument."""
+"""Settings and faults of stand-in upstreams."""
 
 import argparse
 from collections import abc
@@ -8,10 +8,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamFaults:
-    """Misbehaviours; `POST /_standin/faults` changes the fields it names.
+    """Injected faults; `POST /_standin/faults` changes the fields in its body.
 
-    A share is a number from 0 to 1; times are seconds or milliseconds as the
-    name says.
+    A share is a probability from 0 to 1.
     """
 
     #: Added to the service time of each request.
@@ -22,19 +21,19 @@
     reset_after_share: float = 0.0
     #: Share of answers that end in the middle of the body.
     truncate_share: float = 0.0
-    #: Share of answers that come late, after the slot is free.
+    #: Share of answers that are delayed, with the slot freed before the delay.
     late_share: float = 0.0
     #: Delay of a late answer.
     late_ms: float = 0.0
     #: Share of answers that are sent twice on the connection.
     twice_share: float = 0.0
-    #: Age of what the health and load endpoints show.
+    #: Minimum age of the load that the load endpoint reports.
     hints_lag_s: float = 0.0
-    #: What the health endpoint claims, None for the truth.
+    #: What the health endpoint reports, None for the true state.
     health: bool | None = None
-    #: What the load endpoint claims, None for the truth.
+    #: What the load endpoint reports, None for the true load.
     load: float | None = None
-    #: Whether new work is refused as draining.
+    #: Whether new requests are refused with 503 "draining".
     draining: bool = False
 
 
@@ -63,44 +62,45 @@
     name: str
     #: Port on loopback.
     port: int
-    #: Requests that it runs at once.
+    #: Maximum number of requests that it runs at once.
     slots: int
-    #: Fleet; with the name it identifies the upstream in the log.
+    #: Fleet; "fleet/name" identifies the upstream in the log.
     fleet: str = ""
-    #: Whether a request must bring a partition that a grant covers.
+    #: Whether it runs only requests whose key is covered by a grant.
     keyed: bool = True
-    #: Requests that wait for a slot; further ones are shed.
+    #: Maximum number of requests that wait for a slot; further ones are shed.
     queue: int = 4
-    #: Service time of a request that names none.
+    #: Service time of a request without X-Standin-Work-Ms.
     work_ms: float = 2.0
     #: Whether it rejects old epochs, versions and fences.
     checks_fences: bool = True
     #: Whether it verifies the signature of a grant.
     checks_sender: bool = True
-    #: Whether answers repeat the Sycamoreloft-Attempt of their request.
+    #: Whether answers repeat the Sycamoreloft-Attempt header of the request.
     echoes_attempt: bool = False
     #: Speed of its own clock relative to the machine's.
     clock_rate: float = 1.0
-    #: Time after the start during which it is cold.
+    #: How long it is slower after its start.
     cold_s: float = 0.0
-    #: Added to the service time while it is cold.
+    #: Added to the service time during `cold_s`.
     cold_ms: float = 0.0
 
 
-def _parse_value(text: str, present: typing.Any) -> typing.Any:
-    """Converts an option to the type of its present value."""
-    if isinstance(present, bool):
+def _parse_value(text: str, default: typing.Any) -> typing.Any:
+    """Converts the text of an option to the type of its default."""
+    if isinstance(default, bool):
         if text not in ("0", "1"):
             raise ValueError(f"{text!r} is neither 0 nor 1")
         return text == "1"
-    return type(present)(text)
+    return type(default)(text)
 
 
 def parse_spec(text: str) -> UpstreamSpec:
-    """Reads "name:port:slots[:option=value[:option=value...]]".
+    """Parses "name:port:slots[:option=value[:option=value...]]".
 
     Raises:
-        argparse.ArgumentTypeError: The text is malformed; says how.
+        argparse.ArgumentTypeError: The text is malformed; the message says
+            how and lists the options.
     """
     try:
         name, port, slots, *options = text.split(":")
@@ -119,11 +119,11 @@
 
 
 def format_spec(spec: UpstreamSpec) -> str:
-    """Writes settings so that `parse_spec` reads them back."""
+    """Formats settings in the form that `parse_spec` parses."""
     parts = [spec.name, str(spec.port), str(spec.slots)]
     for field in dataclasses.fields(UpstreamSpec)[3:]:
         value = getattr(spec, field.name)
         if value != field.default:
-            shown = int(value) if isinstance(value, bool) else value
-            parts.append(f"{field.name}={shown}")
+            text = int(value) if isinstance(value, bool) else value
+            parts.append(f"{field.name}={text}")
     return ":".join(parts)
--- a/packages/standins/sycamoreloft_standins/_table.py
+++ b/packages/standins/sycamoreloft_standins/_table.py
@@ -1,4 +1,4 @@
-"""Transactional table of the stand-in platform, in memory."""
+"""In-memory transactional table of the stand-in platform."""
 
 from collections import abc
 import dataclasses
@@ -9,11 +9,12 @@
 class Row:
     """One row of the table."""
 
-    #: Grows with each write of the key, also across a delete, from 1.
+    #: Starts at 1 and increases with each write of the key, also after a
+    #: delete.
     version: int
-    #: JSON object.
+    #: A JSON object.
     value: abc.Mapping[str, typing.Any]
-    #: Request id of the transaction that wrote the row.
+    #: Request identifier of the transaction that wrote the row.
     request: str
 
 
@@ -29,12 +30,12 @@
 class Conflicted:
     """A condition failed; the transaction had no effect."""
 
-    #: Present version of each row whose condition failed, 0 for absent.
+    #: Current version of each row whose condition failed, 0 if absent.
     conflicts: abc.Mapping[str, int]
 
 
 class Table:
-    """Rows with versions; each call is one serial transaction."""
+    """Rows with versions; each call is a transaction, in serial order."""
 
     def __init__(self) -> None:
         self._rows: dict[str, Row] = {}
@@ -52,14 +53,15 @@
         """Applies all puts and deletes if all conditions hold.
 
         Args:
-            request: Id that each row which is put keeps.
-            conditions: Keys with the version that they must have; 0 for
-                absent.
-            puts: Keys with their new value.
-            deletes: Keys to remove; an absent key is no error.
+            request: Identifier that is stored in each row that is put.
+            conditions: Keys with the version that they must have; 0 means
+                that the row must be absent.
+            puts: Keys with their new values.
+            deletes: Keys to remove; an absent key is not an error.
 
         Returns:
-            The new versions, or the versions that did not match.
+            The new versions, or the current versions of the rows whose
+            condition failed.
         """
         conflicts = {
             key: self.get_version(key)
--- a/packages/standins/sycamoreloft_standins/instances.py
+++ b/packages/standins/sycamoreloft_standins/instances.py
@@ -1,6 +1,6 @@
-"""Stand-in of an instance of the users' services: requests and keys.
+"""Stand-in of a service instance that holds keys and runs requests.
 
-It speaks the published protocol: grants and releases of key ranges with
+It implements the published protocol: grants and releases of key ranges with
 fences, `Expected-Instance`, `Not-Executed`, a signature on each answer.
 """
 
@@ -18,12 +18,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeldKeys:
-    """Keys held under one grant."""
+    """A range of keys held under one grant."""
 
-    #: First and last key, inclusive.
+    #: First and last key of the range, inclusive.
     first: int
     last: int
-    #: Fencing token.
+    #: Fencing token of the grant.
     fence: int
     #: End of the lease on the monotonic clock, in seconds.
     until: float
@@ -33,8 +33,8 @@
     """State of one run of an instance.
 
     Args:
-        name: Identifier.
-        is_sharded: Whether it runs requests for keys that it holds only.
+        name: Identifier; requests that expect another one are refused.
+        is_sharded: Whether it only runs requests for keys that it holds.
     """
 
     def __init__(self, name: str, is_sharded: bool = False) -> None:
@@ -55,10 +55,10 @@
         self.most_active = 0
 
     def grant(self, body: typing.Any) -> bool:
-        """Takes a grant; False if a higher fence was seen."""
+        """Accepts a grant, or returns False if a key had a higher fence."""
         first, last, fence = body["from"], body["to"], body["fence"]
-        for low, high, known in self.seen:
-            if low <= last and first <= high and known > fence:
+        for seen_first, seen_last, seen_fence in self.seen:
+            if seen_first <= last and first <= seen_last and seen_fence > fence:
                 return False
         self.release(first, last)
         self.seen.append((first, last, fence))
@@ -67,36 +67,36 @@
         return True
 
     def release(self, first: int, last: int) -> None:
-        """Gives keys up."""
-        rest = []
-        for item in self.held:
-            if item.first < first:
-                rest.append(
-                    dataclasses.replace(item, last=min(item.last, first - 1))
+        """Releases the keys from `first` to `last`, inclusive."""
+        remaining = []
+        for keys in self.held:
+            if keys.first < first:
+                remaining.append(
+                    dataclasses.replace(keys, last=min(keys.last, first - 1))
                 )
-            if item.last > last:
-                rest.append(
-                    dataclasses.replace(item, first=max(item.first, last + 1))
+            if keys.last > last:
+                remaining.append(
+                    dataclasses.replace(keys, first=max(keys.first, last + 1))
                 )
-        self.held = rest
+        self.held = remaining
 
     def holds(self, key: int) -> bool:
-        """Tells whether the instance holds a key now."""
+        """Returns whether the instance holds a key now."""
         now = time.monotonic()
         return any(
-            item.first <= key <= item.last and item.until > now
-            for item in self.held
+            keys.first <= key <= keys.last and keys.until > now
+            for keys in self.held
         )
 
 
 class _Handler(tornado.web.RequestHandler):
-    """Common parts."""
+    """Base of the handlers; refuses requests meant for another instance."""
 
     def initialize(self, instance: Instance) -> None:
         self.instance = instance
 
     def refuse(self, status: int) -> None:
-        """Answers that the request did not run."""
+        """Answers with a status and that the request did not run."""
         self.set_header("Not-Executed", "1")
         self.echo_id()
         self.set_status(status)
--- a/packages/standins/sycamoreloft_standins/platform.py
+++ b/packages/standins/sycamoreloft_standins/platform.py
@@ -1,8 +1,8 @@
-"""Table service, object store and host list in one process.
+"""Stand-in of the platform: table, object store and host list.
 
 Run as `python -m sycamoreloft_standins.platform --port P`. Section 12.2 of
-the design page gives the protocol. `POST /hosts` and `GET /stats` are for
-drivers only.
+the design page gives the protocol. `POST /hosts`, `/faults` and `GET
+/stats` are for test drivers only.
 """
 
 import argparse
@@ -22,13 +22,14 @@
 from sycamoreloft_standins import _platform_faults, _table
 
 _LOGGER = logging.getLogger(__name__)
-#: A silent request is dropped after this time, to bound open connections.
-_SILENCE_S = 120.0
+#: With the fault `silent`, a connection is closed after this time to bound the
+#: number of open connections.
+_SILENT_REQUEST_TIMEOUT_S = 120.0
 _MAXIMUM_BODY_BYTES = 256 * 1024 * 1024
 
 
 class PlatformState:
-    """What all handlers of one platform share."""
+    """State that the handlers of one platform share."""
 
     def __init__(self, seed: int = 0) -> None:
         self.table = _table.Table()
@@ -39,21 +40,26 @@
         self._host_lists: list[tuple[float, list[typing.Any]]] = [(0.0, [])]
 
     def set_hosts(self, hosts: list[typing.Any], now: float) -> None:
-        """Changes the host list; it shows after the configured lag."""
+        """Changes the host list; the change is visible after `hosts_lag_s`.
+
+        Args:
+            hosts: New list.
+            now: Monotonic time in seconds.
+        """
         visible_at = now + self.faults.hosts_lag_s
         self._host_lists.append((visible_at, hosts))
 
     def get_hosts(self, now: float) -> list[typing.Any]:
-        """Returns the host list as it is visible now."""
-        visible = [item for item in self._host_lists if item[0] <= now]
+        """Returns the host list that is visible at this monotonic time."""
+        visible = [entry for entry in self._host_lists if entry[0] <= now]
         current = visible[-1]
-        later = [item for item in self._host_lists if item[0] > now]
-        self._host_lists = [current, *later]
+        pending = [entry for entry in self._host_lists if entry[0] > now]
+        self._host_lists = [current, *pending]
         return current[1]
 
 
 class _Handler(tornado.web.RequestHandler):
-    """Common parts of all handlers."""
+    """Base of all handlers."""
 
     def initialize(self, state: PlatformState) -> None:
         self.state = state
@@ -78,7 +84,7 @@
 
 
 class _StoreHandler(_Handler):
-    """Handler to which the faults of the store apply."""
+    """Base of the handlers that the faults of the stores apply to."""
 
     async def prepare(self) -> None:
         host = self.request.headers.get("Sycamoreloft-Host", "")
@@ -90,7 +96,7 @@
         faults = self.state.faults
         if faults.silent:
             counters.failed += 1
-            await asyncio.sleep(_SILENCE_S)
+            await asyncio.sleep(_SILENT_REQUEST_TIMEOUT_S)
             self.drop_connection()
         elif host and host in faults.rejected_hosts:
             counters.failed += 1
@@ -101,7 +107,7 @@
             self.finish({"error": "the store is down"})
 
     def finish_write(self, status: int, body: dict[str, typing.Any]) -> None:
-        """Answers a write, or loses the answer."""
+        """Answers a write, or drops the answer by the fault `lose_answers`."""
         if self.state.random.random() < self.state.faults.lose_answers:
             self.state.counters.lost_answers += 1
             self.drop_connection()
@@ -113,8 +119,8 @@
 class _TransactHandler(_StoreHandler):
     def post(self) -> None:
         body = self.read_body()
-        # No await between the check and the change: one loop on one thread
-        # makes transactions strictly serial.
+        # Transactions are serial, because there is no await between the check
+        # and the change and a single event loop runs them all.
         try:
             result = self.state.table.transact(
                 str(body["request"]),
@@ -144,7 +150,11 @@
             body.get("keys", []), body.get("prefixes", [])
         )
         self.finish(
-            {"rows": {k: dataclasses.asdict(row) for k, row in rows.items()}}
+            {
+                "rows": {
+                    key: dataclasses.asdict(row) for key, row in rows.items()
+                }
+            }
         )
 
 
@@ -208,7 +218,7 @@
     """Builds the application of a platform.
 
     Args:
-        state: Shared state, to inspect it from a test; new if omitted.
+        state: Shared state that a test can inspect; a new one if omitted.
     """
     settings = {"state": state or PlatformState()}
     routes: abc.Sequence[tuple[str, type[_Handler]]] = (
@@ -226,7 +236,7 @@
 
 
 async def serve(port: int, seed: int) -> None:
-    """Serves the platform on loopback until the process ends."""
+    """Serves the platform on the loopback interface until the process ends."""
     server = tornado.httpserver.HTTPServer(
         make_application(PlatformState(seed)),
         max_buffer_size=_MAXIMUM_BODY_BYTES,
@@ -237,7 +247,7 @@
 
 
 def main() -> None:
-    """Reads the arguments and serves."""
+    """Parses the arguments and serves the platform."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--seed", type=int, default=0)
--- a/packages/standins/sycamoreloft_standins/rows.py
+++ b/packages/standins/sycamoreloft_standins/rows.py
@@ -1,7 +1,7 @@
-"""Stand-in of the users' platform store: rows, transactions and changes.
+"""Stand-in of a platform store with rows, transactions and a change feed.
 
-It speaks the published protocol (rows-tx, rows-get, rows-feed). `RowStore` is
-the state; tests change rows and faults directly.
+It implements the published protocol (rows-tx, rows-get, rows-feed). `RowStore`
+is the state; tests change its rows and faults directly.
 """
 
 import asyncio
@@ -16,33 +16,34 @@
 
 from sycamoreloft_standins import _serving
 
-#: Longest wait of a call for changes, in milliseconds.
-_LONGEST_WAIT_MS = 30_000
+#: Maximum wait of a call for changes.
+_MAXIMUM_WAIT_MS = 30_000
 
-#: Rows in one answer.
-_PAGE_ROWS = 500
+#: Maximum number of rows in one answer.
+_MAXIMUM_PAGE_ROWS = 500
 
+#: Table, part and key.
 _RowId = tuple[str, str, str]
 
 
 @dataclasses.dataclass(slots=True)
 class RowFaults:
-    """What goes wrong at present."""
+    """Injected faults; tests change the fields."""
 
-    #: Status that every call gets, 0 for none.
+    #: HTTP status that every call is answered with, 0 for no fault.
     status: int = 0
-    #: Whether writes take effect and are not answered.
+    #: Whether transactions take effect but are not answered.
     loses_answers: bool = False
-    #: Seconds added to each answer.
+    #: Delay before each call is handled.
     delay_s: float = 0.0
-    #: Bytes of an answer that are sent at once, 0 for all of them.
+    #: Size of the parts in which an answer is sent, 0 to send it as a whole.
     part_bytes: int = 0
-    #: Seconds between two parts of an answer.
+    #: Pause between two parts of an answer.
     part_pause_s: float = 0.0
 
 
 class RowStore:
-    """Rows with one counter of versions."""
+    """Rows that share one version counter."""
 
     def __init__(self) -> None:
         self.rows: dict[_RowId, tuple[bytes, int]] = {}
@@ -51,12 +52,12 @@
         self.oldest = 0
         self.faults = RowFaults()
         self.calls: dict[str, int] = {}
-        #: Calls whose callers still wait, by name.
+        #: Names of the calls that are not answered yet, one entry for each.
         self.waiting: list[str] = []
         self._changed = asyncio.Event()
 
     def put(self, table: str, key: str, value: bytes | None) -> None:
-        """Writes or, with None, removes a row, as another writer."""
+        """Writes a row, or removes it if the value is None."""
         self._apply([((table, "", key), value)])
 
     def put_json(self, table: str, key: str, value: typing.Any) -> None:
@@ -64,80 +65,96 @@
         self.put(table, key, json.dumps(value).encode())
 
     def forget_history(self) -> None:
-        """Drops the history of changes."""
+        """Drops the history of changes; earlier versions get status 410."""
         self.oldest = self.version
         self.changes.clear()
-        self._wake()
+        self._notify_waiters()
 
     def transact(self, body: typing.Any) -> tuple[int, typing.Any]:
-        """Applies a transaction; returns status and answer."""
+        """Applies a transaction; returns the status and body of the answer."""
         for row in body.get("expect", ()):
-            known = self.rows.get(_read_id(row))
-            if (known[1] if known else 0) != row["ver"]:
-                return 412, {"rows": [], **self.describe()}
+            current = self.rows.get(_read_id(row))
+            if (current[1] if current else 0) != row["ver"]:
+                return 412, {"rows": [], **self.describe_version()}
         changes: list[tuple[_RowId, bytes | None]] = [
             (_read_id(row), base64.b64decode(row["value"]))
             for row in body.get("writes", ())
         ]
         changes += [(_read_id(row), None) for row in body.get("remove", ())]
         self._apply(changes)
-        return 200, self.describe()
+        return 200, self.describe_version()
 
-    def describe(self) -> dict[str, typing.Any]:
-        """Returns what every answer about rows contains."""
+    def describe_version(self) -> dict[str, typing.Any]:
+        """Returns the version and time that every answer contains."""
         return {"ver": self.version, "nowS": time.monotonic()}
 
     def list_rows(
         self, table: str, start: str, limit: int
     ) -> tuple[list[typing.Any], bool]:
-        """Returns rows of a table from a key on, and whether there are more."""
-        found = sorted(
-            item for item in self.rows if item[0] == table and item[2] >= start
+        """Returns one page of a table's rows and whether there are more.
+
+        Args:
+            table: Name of the table.
+            start: Lowest key.
+            limit: Maximum number of rows.
+        """
+        row_ids = sorted(
+            row_id
+            for row_id in self.rows
+            if row_id[0] == table and row_id[2] >= start
+        )
+        page = row_ids[: min(limit, _MAXIMUM_PAGE_ROWS)]
+        return [self._encode(row_id) for row_id in page], len(page) < len(
+            row_ids
         )
-        page = found[: min(limit, _PAGE_ROWS)]
-        return [self._encode(item) for item in page], len(page) < len(found)
 
     async def wait_for_changes(
         self, table: str, after: int, wait_ms: int
     ) -> list[typing.Any]:
-        """Waits for changes of a table; empty if none came."""
-        deadline = time.monotonic() + min(wait_ms, _LONGEST_WAIT_MS) / 1000
+        """Waits for changes of a table; returns none after the wait.
+
+        Args:
+            table: Name of the table.
+            after: Version after which changes are returned.
+            wait_ms: Maximum time to wait.
+        """
+        deadline = time.monotonic() + min(wait_ms, _MAXIMUM_WAIT_MS) / 1000
         while True:
-            found = {
-                item: None
-                for version, item in self.changes
-                if version > after and item[0] == table
+            row_ids = {
+                row_id: None
+                for version, row_id in self.changes
+                if version > after and row_id[0] == table
             }
-            left = deadline - time.monotonic()
-            if found or left <= 0 or after < self.oldest:
-                return [self._encode(item) for item in found]
+            remaining_s = deadline - time.monotonic()
+            if row_ids or remaining_s <= 0 or after < self.oldest:
+                return [self._encode(row_id) for row_id in row_ids]
             self._changed.clear()
             try:
-                await asyncio.wait_for(self._changed.wait(), left)
+                await asyncio.wait_for(self._changed.wait(), remaining_s)
             except TimeoutError:
                 return []
 
     def _apply(self, changes: list[tuple[_RowId, bytes | None]]) -> None:
         self.version += 1
-        for item, value in changes:
+        for row_id, value in changes:
             if value is None:
-                self.rows.pop(item, None)
+                self.rows.pop(row_id, None)
             else:
-                self.rows[item] = (value, self.version)
-            self.changes.append((self.version, item))
-        self._wake()
+                self.rows[row_id] = (value, self.version)
+            self.changes.append((self.version, row_id))
+        self._notify_waiters()
 
-    def _wake(self) -> None:
+    def _notify_waiters(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def _encode(self, item: _RowId) -> dict[str, typing.Any]:
-        table, part, key = item
+    def _encode(self, row_id: _RowId) -> dict[str, typing.Any]:
+        table, part, key = row_id
         row = {"table": table, "part": part, "key": key}
-        known = self.rows.get(item)
-        if known is None:
+        current = self.rows.get(row_id)
+        if current is None:
             return {**row, "deleted": True, "ver": self.version}
-        value, version = known
+        value, version = current
         return {
             **row,
             "value": base64.b64encode(value).decode(),
@@ -150,7 +167,7 @@
 
 
 class _Handler(tornado.web.RequestHandler):
-    """Common parts: faults and counters."""
+    """Base of the handlers: applies faults and counts calls."""
 
     def initialize(self, store: RowStore) -> None:
         self.store = store
@@ -166,7 +183,7 @@
             self.finish()
 
     async def answer(self, fields: dict[str, typing.Any]) -> None:
-        """Sends an answer, in parts if the faults say so."""
+        """Sends an answer, in parts if that fault is set."""
         faults = self.store.faults
         body = json.dumps(fields).encode()
         self.set_header("Content-Type", "application/json")
@@ -180,12 +197,12 @@
         self.finish()
 
     def on_finish(self) -> None:
-        self._leave()
+        self._remove_waiting()
 
     def on_connection_close(self) -> None:
-        self._leave()
+        self._remove_waiting()
 
-    def _leave(self) -> None:
+    def _remove_waiting(self) -> None:
         if self._waiting:
             self.store.waiting.remove(self._waiting)
             self._waiting = ""
@@ -206,15 +223,15 @@
     """GET rows-get."""
 
     async def get(self) -> None:
-        # tornado's own reader of arguments takes control characters out.
+        # get_query_argument of Tornado removes control characters.
         start = self.request.query_arguments.get("from", [b""])[0].decode()
         rows, has_more = self.store.list_rows(
             self.get_query_argument("table"),
             start,
-            int(self.get_query_argument("limit", str(_PAGE_ROWS))),
+            int(self.get_query_argument("limit", str(_MAXIMUM_PAGE_ROWS))),
         )
         await self.answer(
-            {"rows": rows, "hasMore": has_more, **self.store.describe()}
+            {"rows": rows, "hasMore": has_more, **self.store.describe_version()}
         )
 
 
@@ -232,7 +249,7 @@
             self.set_status(410)
             self.finish()
             return
-        await self.answer({"rows": rows, **self.store.describe()})
+        await self.answer({"rows": rows, **self.store.describe_version()})
 
 
 def serve(store: RowStore) -> tuple[tornado.httpserver.HTTPServer, str]:
--- a/packages/standins/sycamoreloft_standins/upstream.py
+++ b/packages/standins/sycamoreloft_standins/upstream.py
@@ -1,8 +1,8 @@
-"""Upstreams that accept fenced grants and run requests.
+"""Stand-in upstreams that accept fenced grants and run requests.
 
 Run as `python -m sycamoreloft_standins.upstream --spec name:port:slots ...`
 with one `--spec` for each upstream of the process. Section 12.1 of the design
-page gives the protocol. Paths under `/_standin/` are for drivers only.
+page gives the protocol. Paths under `/_standin/` are for test drivers only.
 """
 
 import argparse
@@ -57,11 +57,12 @@
     state: _upstream_state.UpstreamState,
     sockets: list[socket.socket] | None = None,
 ) -> tornado.httpserver.HTTPServer:
-    """Starts to serve one upstream in the running loop.
+    """Starts to serve one upstream in the running event loop.
 
     Args:
-        state: The upstream.
-        sockets: Bound sockets; the spec's port on loopback if omitted.
+        state: State of the upstream.
+        sockets: Bound sockets; the port of the spec on the loopback
+            interface if omitted.
     """
     server = tornado.httpserver.HTTPServer(
         make_application(state), max_body_size=_MAXIMUM_BODY_BYTES
@@ -80,7 +81,7 @@
     log: _upstream_state.RunLog,
     seed: int,
 ) -> None:
-    """Serves upstreams on loopback until the process ends."""
+    """Serves upstreams on the loopback interface until the process ends."""
     for spec in specs:
         start_server(_upstream_state.UpstreamState(spec, keys, log, seed))
         _LOGGER.info("upstream %s ready on port %d", spec.name, spec.port)
@@ -88,7 +89,7 @@
 
 
 def main() -> None:
-    """Reads the arguments and serves."""
+    """Parses the arguments and serves the upstreams."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument(
         "--spec",
--- a/packages/standins/tests/test_platform.py
+++ b/packages/standins/tests/test_platform.py
@@ -15,7 +15,7 @@
 
 
 async def call(port, method, path, body=None, headers=None):
-    """Sends one request and returns (status, body); 599 if it broke."""
+    """Sends a request; returns status and body, 599 for a closed connection."""
     try:
         answer = await tornado.httpclient.AsyncHTTPClient().fetch(
             f"http://127.0.0.1:{port}{path}",
@@ -47,7 +47,7 @@
 
 
 def test_transaction_is_all_or_nothing():
-    """Guards against a put that stays although a condition failed."""
+    """Guards against a put that takes effect although a condition failed."""
     table = sycamoreloft_standins.Table()
     table.transact("a", [("x", 0)], [("x", {"v": 1})], [])
     result = table.transact(
@@ -88,7 +88,7 @@
     run_with_platform(scenario)
 
 
-def test_outage_and_cut_have_no_effect_on_the_table():
+def test_failed_writes_have_no_effect_on_the_table():
     """Guards against writes that take effect while the store is down."""
 
     async def scenario(port):
@@ -125,7 +125,7 @@
 
 
 def test_host_list_lags():
-    """Guards against a list that shows a change at once despite the lag."""
+    """Guards against a host list that ignores the configured lag."""
     state = platform.PlatformState()
     state.faults = sycamoreloft_standins.PlatformFaults(hosts_lag_s=5.0)
     state.set_hosts(["h1"], now=100.0)
@@ -134,7 +134,7 @@
 
 
 def test_unknown_fault_is_refused():
-    """Guards against a misspelt fault that silently tests nothing."""
+    """Guards against a misspelt fault that is silently ignored."""
     with pytest.raises(sycamoreloft_standins.UnknownFaultError, match="donw"):
         sycamoreloft_standins.change_faults(
             sycamoreloft_standins.PlatformFaults(), {"donw": True}
--- a/packages/standins/tests/test_upstream.py
+++ b/packages/standins/tests/test_upstream.py
@@ -32,26 +32,26 @@
     return _grants.parse_grant_call({**fields, **changes})
 
 
-def owns(book, clock, fence=5, partition=7, key="heat-1"):
-    """Tells whether the book lets a request run."""
-    return book.may_run(GROUP, "tally-board", key, partition, fence, clock)
+def owns(registry, clock, fence=5, partition=7, key="heat-1"):
+    """Returns whether the registry lets a request run."""
+    return registry.may_run(GROUP, "tally-board", key, partition, fence, clock)
 
 
 @pytest.fixture
-def book():
-    """Returns a book that has accepted partition 7 until 101."""
-    grants = _grants.GrantBook("i", checks_fences=True)
+def registry():
+    """Returns a registry with a grant of partition 7 until reading 101."""
+    grants = _grants.GrantRegistry("i", checks_fences=True)
     assert grants.accept(make_call(), 100.1)
     return grants
 
 
-def test_grant_ends_by_the_upstreams_clock(book):
+def test_grant_ends_by_the_upstreams_clock(registry):
     """Guards against a lifetime counted from the arrival of the grant."""
-    assert owns(book, 100.99)
-    assert not owns(book, 101.0)
+    assert owns(registry, 100.99)
+    assert not owns(registry, 101.0)
     # A grant that was delayed until it expired is accepted but harmless.
-    assert book.accept(make_call(version=2), 200.0)
-    assert not owns(book, 200.0)
+    assert registry.accept(make_call(version=2), 200.0)
+    assert not owns(registry, 200.0)
 
 
 @pytest.mark.parametrize(
@@ -65,42 +65,42 @@
         {"version": 2, "partitions": None},
     ],
 )
-def test_stale_or_unproven_grant_is_rejected(book, changes):
-    """Guards against an old holder or a restarted upstream keeping keys."""
-    assert not book.accept(make_call(**changes), 100.2)
-    assert owns(book, 100.5)
+def test_stale_or_unproven_grant_is_rejected(registry, changes):
+    """Guards against accepting a grant of an old holder or an old run."""
+    assert not registry.accept(make_call(**changes), 100.2)
+    assert owns(registry, 100.5)
 
 
-def test_rejected_call_still_fences_its_epoch(book):
-    """Guards against an old holder after the new one's first call."""
-    assert not book.accept(make_call(epoch=9, incarnation=""), 100.2)
-    assert book.get_highest_epoch(GROUP) == 9
-    assert not book.accept(make_call(version=2), 100.3)
+def test_rejected_call_still_fences_its_epoch(registry):
+    """Guards against an old holder that renews after a new holder's call."""
+    assert not registry.accept(make_call(epoch=9, incarnation=""), 100.2)
+    assert registry.get_highest_epoch(GROUP) == 9
+    assert not registry.accept(make_call(version=2), 100.3)
 
 
-def test_renewal_keeps_content_and_release_takes_it(book):
+def test_renewal_keeps_content_and_release_removes_it(registry):
     """Guards against renewals that lose, or releases that keep, partitions."""
-    assert book.accept(
+    assert registry.accept(
         make_call(clock_reading=100.2, partitions=None, hot_keys=None), 100.3
     )
-    assert owns(book, 101.1)
-    assert book.accept(make_call(version=2, partitions={}), 100.4)
-    assert not owns(book, 100.5)
+    assert owns(registry, 101.1)
+    assert registry.accept(make_call(version=2, partitions={}), 100.4)
+    assert not owns(registry, 100.5)
 
 
-def test_fence_and_hot_key_decide(book):
+def test_fence_and_hot_key_decide(registry):
     """Guards against a run under the fence of an earlier owner."""
-    assert not owns(book, 100.5, fence=4)
+    assert not owns(registry, 100.5, fence=4)
     hot = {"tally-board": {"heat-1": 9}}
-    assert book.accept(make_call(version=2, hot_keys=hot), 100.2)
-    assert owns(book, 100.5, fence=9, partition=200)
-    assert not owns(book, 100.5, fence=5)
-    assert owns(book, 100.5, fence=5, key="heat-2")
+    assert registry.accept(make_call(version=2, hot_keys=hot), 100.2)
+    assert owns(registry, 100.5, fence=9, partition=200)
+    assert not owns(registry, 100.5, fence=5)
+    assert owns(registry, 100.5, fence=5, key="heat-2")
 
 
-def test_upstream_without_fences_takes_old_epochs():
-    """Guards against a stand-in that is safer than it claims to be."""
-    grants = _grants.GrantBook("i", checks_fences=False)
+def test_upstream_without_fences_accepts_old_epochs():
+    """Guards against fence checks although checks_fences is off."""
+    grants = _grants.GrantRegistry("i", checks_fences=False)
     assert grants.accept(make_call(), 100.1)
     assert grants.accept(make_call(epoch=1, version=0), 100.2)
     assert owns(grants, 100.5, fence=99)
@@ -118,8 +118,8 @@
             sycamoreloft_standins.parse_spec(wrong)
 
 
-class Client:
-    """Talks to one upstream as a holder and a router would."""
+class UpstreamClient:
+    """Sends grants like a holder and requests like a router."""
 
     def __init__(self, state, port):
         self.state = state
@@ -128,7 +128,7 @@
     async def send(self, path="/heats", headers=None, **options):
         """Sends a request for partition 7 and returns the response.
 
-        A broken connection or a timeout is shown as status 599.
+        A broken connection or a timeout is returned as status 599.
         """
         headers = {
             "Sycamoreloft-Group": GROUP,
@@ -201,7 +201,7 @@
         bound, port = tornado.testing.bind_unused_port()
         server = upstream.start_server(state, [bound])
         try:
-            await scenario(Client(state, port))
+            await scenario(UpstreamClient(state, port))
         finally:
             server.stop()
 
@@ -210,7 +210,7 @@
 
 
 def test_request_runs_only_under_a_grant(tmp_path):
-    """Guards against runs without ownership and echoes of nobody's."""
+    """Guards against runs without ownership and a wrong echo."""
 
     async def scenario(client):
         refused = await client.send()
@@ -240,7 +240,7 @@
 
 
 def test_wrong_signature_is_refused(tmp_path):
-    """Guards against an upstream that takes orders from anyone."""
+    """Guards against accepting grants from an unknown sender."""
 
     async def scenario(client):
         answer = await client.post("/_sycamoreloft/grant", {})
@@ -265,7 +265,7 @@
 
 
 def test_cancellation_frees_the_slot(tmp_path):
-    """Guards against a slot that a departed sender keeps."""
+    """Guards against a slot that stays in use after a cancelled request."""
 
     async def scenario(client):
         answer = await client.send(
@@ -280,7 +280,7 @@
 
 
 def test_streamed_answer_belongs_to_its_request(tmp_path):
-    """Guards against streams that a caller cannot tell apart."""
+    """Guards against equal streams for different requests."""
 
     async def scenario(client):
         answer = await client.send(headers={"X-Standin-Size": "200001"})
@@ -302,7 +302,7 @@
     ],
 )
 def test_broken_answers(tmp_path, fault, runs):
-    """Guards against faults that the caller sees as a whole answer."""
+    """Guards against injected faults after which the answer is complete."""
 
     async def scenario(client):
         await client.post("/_standin/faults", {fault: 1.0})
@@ -313,7 +313,7 @@
 
 
 def test_answer_sent_twice_reaches_the_next_reader(tmp_path):
-    """Guards against a fault that a pooled connection would not show."""
+    """Guards against a second answer that never reaches the connection."""
 
     async def scenario(client):
         await client.post("/_standin/faults", {"twice_share": 1.0})
@@ -328,8 +328,8 @@
     run_with_upstream(scenario, tmp_path, keyed=False)
 
 
-def test_frozen_upstream_goes_on_with_requests_in_hand(tmp_path):
-    """Guards against a freeze that drops or answers requests."""
+def test_frozen_upstream_completes_requests_after_unfreezing(tmp_path):
+    """Guards against requests that are answered or lost during a freeze."""
 
     async def scenario(client):
         await client.grant()
@@ -337,7 +337,7 @@
         pending = asyncio.create_task(client.send())
         await asyncio.sleep(0.05)
         assert not pending.done()
-        client.state.thaw()
+        client.state.unfreeze()
         answer = await pending
         assert answer.code == 200
 
@@ -345,7 +345,7 @@
 
 
 def test_hints_lag_and_mislead(tmp_path):
-    """Guards against health and load that always tell the truth."""
+    """Guards against hints that ignore the faults set for them."""
 
     async def scenario(client):
         await client.post("/_standin/faults", {"health": False, "load": 0.25})
@@ -356,14 +356,14 @@
         client.state.faults = sycamoreloft_standins.UpstreamFaults(
             hints_lag_s=60.0
         )
-        client.state.desk.running = 1
-        assert client.state.observe().running == 0
+        client.state.slot_pool.running = 1
+        assert client.state.observe_load().running == 0
 
     run_with_upstream(scenario, tmp_path)
 
 
 def test_crash_request_ends_the_process(tmp_path):
-    """Guards against a crash that leaves no trace of what ran."""
+    """Guards against a crash whose run is missing in the log."""
     log = tmp_path / "log"
     bound, port = tornado.testing.bind_unused_port()
     bound.close()
@@ -382,7 +382,9 @@
             if log.exists() and log.read_text():
                 break
             await asyncio.sleep(0.01)
-        answer = await Client(None, port).send(headers={"X-Standin-Crash": "1"})
+        answer = await UpstreamClient(None, port).send(
+            headers={"X-Standin-Crash": "1"}
+        )
         assert answer.code == 599
 
     try:
