--- a/packages/ctl/sycamoreloft_ctl/_client.py
+++ b/packages/ctl/sycamoreloft_ctl/_client.py
@@ -29,6 +29,7 @@
     pycurl.E_PEER_FAILED_VERIFICATION,
 )
 
+#: Exit codes for error codes of the admin port; FAILED for all others.
 _EXIT_CODES: abc.Mapping[str, _problems.ExitCode] = {
     "unauthorized": _problems.ExitCode.UNAUTHORIZED,
     "conflict": _problems.ExitCode.CONFLICT,
--- a/packages/ctl/sycamoreloft_ctl/_request_explanation.py
+++ b/packages/ctl/sycamoreloft_ctl/_request_explanation.py
@@ -8,8 +8,7 @@
 
 from sycamoreloft_ctl import _log_lines, _output, _problems, _request_diagnosis
 
-#: Fields that are left out of the column of fields, because they are equal in
-#: all lines, of no use, or printed in a column of their own.
+#: Fields of every line; the column of event-specific fields leaves them out.
 _COMMON_FIELDS = frozenset(("event", "level", "logger", "request", "time"))
 
 
--- a/packages/ctl/sycamoreloft_ctl/main.py
+++ b/packages/ctl/sycamoreloft_ctl/main.py
@@ -61,14 +61,14 @@
 ]
 
 #: Required fields of the admin port's answers, with their types.
-_GENERATION = {
+_GENERATION_FIELDS = {
     "accepted": int,
     "files": dict,
     "pending": int,
     "differences": list,
     "waiting_domains": list,
 }
-_EXPLANATION = {
+_EXPLANATION_FIELDS = {
     "fleet": str,
     "service": str,
     "key": str,
@@ -127,7 +127,8 @@
     if against_accepted:
         target = _client.Target(admin, token, ca)
         view = _unwrap(
-            _client.get_json(target, "/v1/generation", _GENERATION), as_json
+            _client.get_json(target, "/v1/generation", _GENERATION_FIELDS),
+            as_json,
         )
         accepted = view["files"]
     generation = _unwrap(_files.check_together(files, accepted), as_json)
@@ -263,7 +264,7 @@
     """Show the accepted and the pending generation."""
     target = _client.Target(admin, token, ca)
     view = _unwrap(
-        _client.get_json(target, "/v1/generation", _GENERATION), as_json
+        _client.get_json(target, "/v1/generation", _GENERATION_FIELDS), as_json
     )
     if file:
         _show_file(view["files"], file, as_json)
@@ -333,7 +334,7 @@
         _client.get_json(
             _client.Target(admin, token, ca),
             "/v1/explain",
-            _EXPLANATION,
+            _EXPLANATION_FIELDS,
             arguments,
         ),
         as_json,
--- a/packages/standins/sycamoreloft_standins/_grants.py
+++ b/packages/standins/sycamoreloft_standins/_grants.py
@@ -139,6 +139,7 @@
     def __init__(self, incarnation: str, checks_fences: bool) -> None:
         self.incarnation = incarnation
         self.checks_fences = checks_fences
+        # The grant accepted last from each group.
         self._grants: dict[str, Grant] = {}
         self._highest_epochs: dict[str, int] = {}
 
--- a/packages/standins/sycamoreloft_standins/_specs.py
+++ b/packages/standins/sycamoreloft_standins/_specs.py
@@ -124,6 +124,6 @@
     for field in dataclasses.fields(UpstreamSpec)[3:]:
         value = getattr(spec, field.name)
         if value != field.default:
-            text = int(value) if isinstance(value, bool) else value
-            parts.append(f"{field.name}={text}")
+            option_value = int(value) if isinstance(value, bool) else value
+            parts.append(f"{field.name}={option_value}")
     return ":".join(parts)
--- a/packages/standins/sycamoreloft_standins/_upstream_state.py
+++ b/packages/standins/sycamoreloft_standins/_upstream_state.py
@@ -122,9 +122,9 @@
         grant = self.grants.get_grant(group)
         if grant is None:
             return
-        content = (grant.epoch, grant.version)
-        changed = self._logged_versions.get(group) != content
-        self._logged_versions[group] = content
+        content_version = (grant.epoch, grant.version)
+        changed = self._logged_versions.get(group) != content_version
+        self._logged_versions[group] = content_version
         self.record(
             "grant",
             at=self.convert_to_machine_clock(clock),
--- a/packages/standins/sycamoreloft_standins/instances.py
+++ b/packages/standins/sycamoreloft_standins/instances.py
@@ -40,17 +40,29 @@
     def __init__(self, name: str, is_sharded: bool = False) -> None:
         self.name = name
         self.is_sharded = is_sharded
+        #: Ranges of granted keys, also those whose lease has ended.
         self.held: list[HeldKeys] = []
+        #: First key, last key and fence of each accepted grant.
         self.seen: list[tuple[int, int, int]] = []
+        #: Identifiers and bodies of the requests that started to run.
         self.ran: list[str] = []
         self.bodies: list[bytes] = []
+        #: Service time of a request.
         self.work_s = 0.0
+        #: Whether requests are refused with 503.
         self.sheds = False
+        #: Whether requests run and are answered with 500.
         self.fails = False
+        #: Whether requests run and are not answered.
         self.hangs = False
+        #: Path of requests that close the connection, to simulate a crash; ""
+        #: for none.
         self.crashing_path = ""
+        #: Number of requests for `crashing_path`.
         self.crashes = 0
+        #: Number of requests that expected another instance.
         self.misdirected_requests = 0
+        #: Number of running requests, now and at most.
         self.active = 0
         self.most_active = 0
 
@@ -69,14 +81,18 @@
     def release(self, first: int, last: int) -> None:
         """Releases the keys from `first` to `last`, inclusive."""
         remaining = []
-        for keys in self.held:
-            if keys.first < first:
+        for key_range in self.held:
+            if key_range.first < first:
                 remaining.append(
-                    dataclasses.replace(keys, last=min(keys.last, first - 1))
+                    dataclasses.replace(
+                        key_range, last=min(key_range.last, first - 1)
+                    )
                 )
-            if keys.last > last:
+            if key_range.last > last:
                 remaining.append(
-                    dataclasses.replace(keys, first=max(keys.first, last + 1))
+                    dataclasses.replace(
+                        key_range, first=max(key_range.first, last + 1)
+                    )
                 )
         self.held = remaining
 
@@ -84,8 +100,8 @@
         """Returns whether the instance holds a key now."""
         now = time.monotonic()
         return any(
-            keys.first <= key <= keys.last and keys.until > now
-            for keys in self.held
+            key_range.first <= key <= key_range.last and key_range.until > now
+            for key_range in self.held
         )
 
 
--- a/packages/standins/sycamoreloft_standins/platform.py
+++ b/packages/standins/sycamoreloft_standins/platform.py
@@ -37,6 +37,7 @@
         self.faults = _platform_faults.PlatformFaults()
         self.counters = _platform_faults.PlatformCounters()
         self.random = random.Random(seed)
+        # Each list with the monotonic time from which it is visible.
         self._host_lists: list[tuple[float, list[typing.Any]]] = [(0.0, [])]
 
     def set_hosts(self, hosts: list[typing.Any], now: float) -> None:
--- a/packages/standins/sycamoreloft_standins/rows.py
+++ b/packages/standins/sycamoreloft_standins/rows.py
@@ -46,11 +46,16 @@
     """Rows that share one version counter."""
 
     def __init__(self) -> None:
+        #: Value and version of each row.
         self.rows: dict[_RowId, tuple[bytes, int]] = {}
+        #: Version and row of each write or removal, oldest first.
         self.changes: list[tuple[int, _RowId]] = []
+        #: Version of the last transaction.
         self.version = 0
+        #: Changes up to this version are no longer in `changes`.
         self.oldest = 0
         self.faults = RowFaults()
+        #: Number of calls by name, such as "rows-get".
         self.calls: dict[str, int] = {}
         #: Names of the calls that are not answered yet, one entry for each.
         self.waiting: list[str] = []
@@ -73,14 +78,16 @@
     def transact(self, body: typing.Any) -> tuple[int, typing.Any]:
         """Applies a transaction; returns the status and body of the answer."""
         for row in body.get("expect", ()):
-            current = self.rows.get(_read_id(row))
+            current = self.rows.get(_parse_row_id(row))
             if (current[1] if current else 0) != row["ver"]:
                 return 412, {"rows": [], **self.describe_version()}
         changes: list[tuple[_RowId, bytes | None]] = [
-            (_read_id(row), base64.b64decode(row["value"]))
+            (_parse_row_id(row), base64.b64decode(row["value"]))
             for row in body.get("writes", ())
         ]
-        changes += [(_read_id(row), None) for row in body.get("remove", ())]
+        changes += [
+            (_parse_row_id(row), None) for row in body.get("remove", ())
+        ]
         self._apply(changes)
         return 200, self.describe_version()
 
@@ -104,7 +111,7 @@
             if row_id[0] == table and row_id[2] >= start
         )
         page = row_ids[: min(limit, _MAXIMUM_PAGE_ROWS)]
-        return [self._encode(row_id) for row_id in page], len(page) < len(
+        return [self._encode_row(row_id) for row_id in page], len(page) < len(
             row_ids
         )
 
@@ -127,7 +134,7 @@
             }
             remaining_s = deadline - time.monotonic()
             if row_ids or remaining_s <= 0 or after < self.oldest:
-                return [self._encode(row_id) for row_id in row_ids]
+                return [self._encode_row(row_id) for row_id in row_ids]
             self._changed.clear()
             try:
                 await asyncio.wait_for(self._changed.wait(), remaining_s)
@@ -148,7 +155,7 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def _encode(self, row_id: _RowId) -> dict[str, typing.Any]:
+    def _encode_row(self, row_id: _RowId) -> dict[str, typing.Any]:
         table, part, key = row_id
         row = {"table": table, "part": part, "key": key}
         current = self.rows.get(row_id)
@@ -162,7 +169,7 @@
         }
 
 
-def _read_id(row: typing.Any) -> _RowId:
+def _parse_row_id(row: typing.Any) -> _RowId:
     return row["table"], row.get("part", ""), row["key"]
 
 
--- a/packages/standins/tests/test_upstream.py
+++ b/packages/standins/tests/test_upstream.py
@@ -40,9 +40,9 @@
 @pytest.fixture
 def registry():
     """Returns a registry with a grant of partition 7 until reading 101."""
-    grants = _grants.GrantRegistry("i", checks_fences=True)
-    assert grants.accept(make_call(), 100.1)
-    return grants
+    registry = _grants.GrantRegistry("i", checks_fences=True)
+    assert registry.accept(make_call(), 100.1)
+    return registry
 
 
 def test_grant_ends_by_the_upstreams_clock(registry):
@@ -100,10 +100,10 @@
 
 def test_upstream_without_fences_accepts_old_epochs():
     """Guards against fence checks although checks_fences is off."""
-    grants = _grants.GrantRegistry("i", checks_fences=False)
-    assert grants.accept(make_call(), 100.1)
-    assert grants.accept(make_call(epoch=1, version=0), 100.2)
-    assert owns(grants, 100.5, fence=99)
+    registry = _grants.GrantRegistry("i", checks_fences=False)
+    assert registry.accept(make_call(), 100.1)
+    assert registry.accept(make_call(epoch=1, version=0), 100.2)
+    assert owns(registry, 100.5, fence=99)
 
 
 def test_spec_round_trip_and_errors():
