--- a/packages/standins/tests/test_upstream.py
+++ b/packages/standins/tests/test_upstream.py
@@ -40,9 +40,9 @@
 @pytest.fixture
 def registry():
     """Returns a registry with a grant of partition 7 until reading 101."""
-    registry = _grants.GrantRegistry("i", checks_fences=True)
-    assert registry.accept(make_call(), 100.1)
-    return registry
+    grants = _grants.GrantRegistry("i", checks_fences=True)
+    assert grants.accept(make_call(), 100.1)
+    return grants
 
 
 def test_grant_ends_by_the_upstreams_clock(registry):
