--- a/packages/decisions/sycamoreloft_decisions/_group_holder.py
+++ b/packages/decisions/sycamoreloft_decisions/_group_holder.py
@@ -1,4 +1,4 @@
-"""The part of one host in the life of one group."""
+"""State machine of one host for one group."""
 
 from collections import abc
 import functools
@@ -17,12 +17,14 @@
 
 
 class GroupHolder:
-    """Watches a group, serves as its standby, or holds it.
+    """Decides whether this host holds a group, and acts as its holder.
 
-    Every host of the group's failure domain runs one machine for the group.
+    Every host of the group's failure domain runs one such state machine for
+    the group. A host either watches the holder, serves as the standby, or is
+    the holder itself.
 
     Args:
-        host: Name of this host; no two live hosts have the same name.
+        host: Name of this host; no two live hosts may have the same name.
         incarnation: Random identifier of this process.
         group: The group.
         generation: The accepted generation.
@@ -43,7 +45,7 @@
         self._pending: sycamoreloft_config.Generation | None = None
         self._calls = itertools.count(1)
         self._explanations = _explanations.Explanations()
-        self._standby = _standby.StandbyDesk(host)
+        self._standby = _standby.StandbyPromises(host)
         self._takeover = _takeover.Takeover(
             host, incarnation, group, self._standby, self._calls, now
         )
@@ -51,32 +53,32 @@
         self._holding: _holding.Holding | None = None
         self._members = _ownership.MembersObserved({}, {})
         self._is_stopping = False
-        # Epochs below this one have ended for this host. The answer to a
-        # write that took an earlier epoch may still arrive.
-        self._ended_below = 0
+        # This host has agreed not to act in epochs below this one. It may still
+        # receive the answer to a takeover write for such an epoch.
+        self._minimum_epoch = 0
 
     def handle(
         self, event: _ownership.Event, now: float
     ) -> abc.Sequence[_ownership.Command]:
-        """Handles an event and returns what to do, in order."""
+        """Handles an event and returns commands to perform in this order."""
         commands = self._dispatch(event, now)
         if self._holding:
             commands += self._holding.advance_after(event, now)
-            commands += self._notice_end(now)
+            commands += self._report_end(now)
         return commands
 
     def may_act(self, now: float) -> bool:
-        """Tells whether this host may send grants and issue permits now."""
+        """Returns whether this host may send grants and issue permits now."""
         return self._holding is not None and self._holding.may_act(now)
 
     def find_owner(
         self, service: str, key: str, partition: int, now: float
     ) -> _ownership.Owner | _ownership.NoOwner:
-        """Returns the owner of a key, or why it has none now.
+        """Returns the owner of a key, or why it has none.
 
         Args:
-            service: Name of the service.
-            key: The key, empty to ask for the whole partition.
+            service: Service of the group's fleet.
+            key: The key; empty for the owner of the whole partition.
             partition: Partition that the key hashes to.
             now: Clock reading in seconds.
         """
@@ -86,16 +88,16 @@
         return self._holding.find_owner(unit, now)
 
     def get_epoch(self) -> int:
-        """Returns the epoch in which this host holds the group, 0 if not."""
+        """Returns the epoch in which this host holds the group, else 0."""
         return self._holding.get_epoch() if self._holding else 0
 
     def list_explanations(self) -> abc.Sequence[str]:
-        """Lists the sentences of the latest decisions, oldest first."""
+        """Lists the latest decisions as sentences, oldest first."""
         return self._explanations.list_all()
 
     @functools.singledispatchmethod
     def _dispatch(self, event: object, now: float) -> Commands:
-        """Passes an event to the part that it concerns."""
+        """Handles an event; those not registered here are for the holder."""
         if self._holding:
             return self._holding.handle(event, now)
         return []
@@ -114,30 +116,30 @@
     def _(self, event: _ownership.Event, now: float) -> Commands:
         if self._holding:
             if isinstance(event, _ownership.RowsRead):
-                self._takeover.note_row(event, now)
+                self._takeover.record_row(event, now)
             return self._holding.handle(event, now)
-        taken, commands = self._takeover.receive(event, now)
-        if taken is None or taken.row.epoch < self._ended_below:
+        takeover, commands = self._takeover.handle_answer(event, now)
+        if takeover is None or takeover.row.epoch < self._minimum_epoch:
             return list(commands)
-        return self._begin_holding(taken, now)
+        return self._begin_holding(takeover, now)
 
     @_dispatch.register
     def _(self, event: _ownership.PromiseRequested, now: float) -> Commands:
         if event.epoch <= self.get_epoch():
             return [_ownership.AnswerPromise(False)]
-        return [self._standby.answer(event, now)]
+        return [self._standby.answer_request(event, now)]
 
     @_dispatch.register
     def _(self, event: _ownership.StepDownRequested, now: float) -> Commands:
         if self._holding and self._holding.get_epoch() < event.epoch:
             self._holding.end(f"epoch {event.epoch} has begun")
-        self._ended_below = max(self._ended_below, event.epoch)
+        self._minimum_epoch = max(self._minimum_epoch, event.epoch)
         return [_ownership.AnswerStepDown(True)]
 
     @_dispatch.register
     def _(self, event: _ownership.MembersObserved, now: float) -> Commands:
         self._members = event
-        self._takeover.observe(event)
+        self._takeover.record_members(event)
         return self._holding.handle(event, now) if self._holding else []
 
     @_dispatch.register
@@ -153,10 +155,12 @@
         self._standby.resign()
         return self._holding.handle(event, now) if self._holding else []
 
-    def _begin_holding(self, taken: _takeover.Taken, now: float) -> Commands:
+    def _begin_holding(
+        self, takeover: _takeover.TakeoverResult, now: float
+    ) -> Commands:
         self._holding = _holding.Holding(
             self._host,
-            taken,
+            takeover,
             self._generation,
             self._pending,
             self._calls,
@@ -167,15 +171,15 @@
         if self._is_stopping:
             self._holding.handle(_ownership.StopRequested(), now)
         sentence = (
-            f"{self._host} holds {self._group} in epoch {taken.row.epoch}."
+            f"{self._host} holds {self._group} in epoch {takeover.row.epoch}."
         )
         self._explanations.add(sentence)
         return [
-            _ownership.BecomeHolder(taken.row.epoch),
+            _ownership.BecomeHolder(takeover.row.epoch),
             _ownership.RecordDecision(sentence),
         ]
 
-    def _notice_end(self, now: float) -> Commands:
+    def _report_end(self, now: float) -> Commands:
         if self._holding is None or not self._holding.get_end_reason():
             return []
         epoch = self._holding.get_epoch()
--- a/packages/decisions/sycamoreloft_decisions/acceptance.py
+++ b/packages/decisions/sycamoreloft_decisions/acceptance.py
@@ -1,9 +1,11 @@
-"""Acceptance of configuration: one row, one winner, no revert.
-
-`config/head` names the accepted generation and at most one pending one. Every
-group holder records in its group row that it has staged the pending
-generation. One conditional transaction over the head and all group rows then
-makes the pending generation the accepted one.
+"""State machine that records submitted configuration and accepts it.
+
+The row `config/head` has the accepted generation and at most one pending
+generation. Every group holder records in its group row that it has staged the
+pending generation. One conditional transaction over the head and all group
+rows then makes the pending generation the accepted one. The conditions ensure
+that of two concurrent submissions only one is recorded, and that an accepted
+generation is never replaced by an older one.
 """
 
 from collections import abc
@@ -13,41 +15,41 @@
 import sycamoreloft_config
 from sycamoreloft_decisions import _acceptance_events, _acceptance_rows
 
-#: Time between two reads while a submission of this host is open.
+#: Time between two reads while a submission to this host is open.
 SUBMISSION_POLL_S = 0.25
 
-#: Time between two reads while a generation is pending. It grows with the
-#: age of the generation, because an unreachable failure domain can keep it
-#: pending for hours, while all group holders read.
+#: Minimum and maximum time between two reads while a generation is pending. The
+#: time grows with the age of the generation, because all group holders read and
+#: an unreachable failure domain can keep a generation pending for hours.
 PENDING_POLL_S = 0.5
-LONGEST_PENDING_POLL_S = 2.0
+MAXIMUM_PENDING_POLL_S = 2.0
 
-#: Time between two reads of a group holder when nothing is pending.
+#: Time between two reads of a group holder while no generation is pending.
 IDLE_POLL_S = 1.0
 
-#: Least time between two reads. Answered writes ask for a read at once, and
-#: a write that always fails must not read in a loop.
+#: Minimum time between two reads. The answer to a write makes a read due at
+#: once, so a write that always fails would otherwise cause a busy loop.
 MINIMUM_POLL_S = 0.1
 
-#: Age of a pending generation at which hosts without a submission try to
-#: accept it too, in case the host of the submitter is lost.
+#: Age of a pending generation at which other hosts try to accept it, too, in
+#: case the host that received the submission is lost.
 ASSIST_AFTER_S = 2.0
 
-#: Hosts start to assist at different times within this span, so that they do
+#: Range over which hosts spread the start of their assistance, so that they do
 #: not all send the same transaction.
 ASSIST_SPREAD_S = 4.0
 
-#: Time after which a write counts as lost if it was not settled. All of them
-#: are conditional, so repeating one is harmless.
-WRITE_LIMIT_S = 5.0
+#: Time after which an unanswered write is repeated. All writes are conditional,
+#: so a repeated write is harmless.
+WRITE_TIMEOUT_S = 5.0
 
-#: Time to record a submission, however short its operator wants to wait for
-#: acceptance.
-RECORDING_S = 3.0
+#: Minimum time for recording a submission, even if the operator waits for its
+#: acceptance only briefly.
+MINIMUM_RECORDING_S = 3.0
 
 
-# The names of this module are its interface; the classes are defined in the
-# two modules that it builds on.
+# Rows, events and commands are defined in two private modules; these names are
+# their public interface.
 GenerationRecord = _acceptance_rows.GenerationRecord
 PastSubmission = _acceptance_rows.PastSubmission
 HeadRow = _acceptance_rows.HeadRow
@@ -73,23 +75,24 @@
 
 @dataclasses.dataclass(slots=True)
 class _Submission:
-    """An open submission of this host."""
+    """A submission that was received by this host and is not answered yet."""
 
     event: FileSubmitted
-    #: Clock reading of the submission.
+    #: Clock reading when the submission was last received, in seconds.
     started: float
-    #: Whether the head was read since the submission.
-    is_fresh: bool = False
-    #: Version on which a write is in flight or was refused, None for none.
+    #: Whether the head was read since the submission was received.
+    is_head_read: bool = False
+    #: Head version on which the latest write was conditional, whether that
+    #: write is in flight or was refused; None if a new write may be sent.
     written_version: int | None = None
-    #: Clock reading of that write.
+    #: Clock reading when that write was sent, in seconds.
     written_at: float = 0.0
-    #: Whether any write was sent.
+    #: Whether a write was ever sent for this submission.
     was_sent: bool = False
 
 
 class Acceptance:
-    """Drives submissions, staging and acceptance on one host.
+    """Records, stages and accepts generations on one host.
 
     Args:
         host: Name of this host.
@@ -103,60 +106,65 @@
         self._make_request_id = make_request_id
         self._version = -1
         self._row = EMPTY_HEAD
-        self._used = (-1, -1)
+        self._applied_numbers = (-1, -1)
         self._rows: abc.Mapping[str, GroupRow] = {}
         self._held: abc.Collection[str] | None = None
         self._submissions: dict[str, _Submission] = {}
-        # Request id and start of each stage or accept write in flight.
+        # Request id and send time of each stage or accept write in flight, by
+        # a text that identifies its content.
         self._in_flight: dict[str, tuple[str, float]] = {}
         self._pending_since = 0.0
         self._last_read = float("-inf")
         self._wants_read = True
 
     def handle(self, event: Event, now: float) -> abc.Sequence[Command]:
-        """Takes an event at a clock reading and returns what to do."""
-        commands = [*self._take(event, now), *self._advance(now)]
+        """Handles an event and returns commands to perform in this order."""
+        commands = [*self._dispatch(event, now), *self._advance(now)]
         if self._should_read(now):
             self._last_read, self._wants_read = now, False
-            commands.append(ReadRows(self._needs_groups(now)))
+            commands.append(ReadRows(self._needs_group_rows(now)))
         return commands
 
     def list_waiting_domains(self) -> abc.Sequence[str]:
-        """Lists "fleet/domain" that have not staged the pending generation."""
+        """Lists failure domains that have not staged the pending generation.
+
+        Returns:
+            The domains as "fleet/domain".
+        """
         groups = _acceptance_rows.list_waiting_groups(self._row, self._rows)
         return sorted({group.rsplit("/", 1)[0] for group in groups})
 
     @functools.singledispatchmethod
-    def _take(self, event: Event, now: float) -> abc.Sequence[Command]:
+    def _dispatch(self, event: Event, now: float) -> abc.Sequence[Command]:
         raise TypeError(f"unknown event {type(event).__name__}")
 
-    @_take.register
+    @_dispatch.register
     def _(self, event: Tick, now: float) -> abc.Sequence[Command]:
         return ()
 
-    @_take.register
+    @_dispatch.register
     def _(self, event: HeldGroupsChanged, now: float) -> abc.Sequence[Command]:
         self._held = frozenset(event.groups)
         self._wants_read = True
         return ()
 
-    @_take.register
+    @_dispatch.register
     def _(self, event: FileSubmitted, now: float) -> abc.Sequence[Command]:
-        known = self._submissions.get(event.request)
-        if known is not None:
-            known.started = now
+        previous = self._submissions.get(event.request)
+        if previous is not None:
+            previous.started = now
         else:
             self._submissions[event.request] = _Submission(event, now)
         self._wants_read = True
         return ()
 
-    @_take.register
+    @_dispatch.register
     def _(self, event: HeadRead, now: float) -> abc.Sequence[Command]:
         row = event.row or EMPTY_HEAD
-        # Answers of concurrent reads can arrive out of order.
+        # The answers of concurrent reads can arrive out of order.
         if event.version < self._version:
             return ()
-        self._mark_fresh()
+        self._mark_head_read()
         is_known = event.version == self._version
         if is_known or row.accepted.number < self._row.accepted.number:
             return ()
@@ -166,60 +174,60 @@
         self._version, self._row = event.version, row
         pending = row.pending.number if row.pending else 0
         numbers = (row.accepted.number, pending)
-        if numbers == self._used:
+        if numbers == self._applied_numbers:
             return ()
-        self._used = numbers
+        self._applied_numbers = numbers
         return (ApplyGenerations(*numbers),)
 
-    @_take.register
+    @_dispatch.register
     def _(self, event: GroupRowsRead, now: float) -> abc.Sequence[Command]:
         if event.head_version != self._version:
             return ()
-        self._mark_fresh()
+        self._mark_head_read()
         self._rows = event.rows
         return (*self._stage(now), *self._accept(now))
 
-    @_take.register
+    @_dispatch.register
     def _(self, event: WriteFinished, now: float) -> abc.Sequence[Command]:
         for subject, (request, _) in list(self._in_flight.items()):
             if request == event.request:
                 del self._in_flight[subject]
         submission = self._submissions.get(event.request)
         if submission and event.result is WriteResult.UNKNOWN:
-            # The write is repeated on the same version, so that at most one
-            # of the two can take effect.
+            # The write is repeated with the same condition, so that at most
+            # one of the attempts can be committed.
             submission.written_version = None
-            submission.is_fresh = False
+            submission.is_head_read = False
         if self._submissions or event.result is WriteResult.APPLIED:
             self._wants_read = True
         return ()
 
-    def _mark_fresh(self) -> None:
+    def _mark_head_read(self) -> None:
         for submission in self._submissions.values():
-            submission.is_fresh = True
+            submission.is_head_read = True
 
     def _stage(self, now: float) -> abc.Iterator[Command]:
-        """Stages the pending generation in the rows of this host's groups."""
+        """Stages the pending generation in the rows of held groups."""
         pending = self._row.pending
         if pending is None:
             return
         for group, row in self._rows.items():
             is_staged = row.staged >= pending.number
             if row.holder == self._host and not is_staged:
-                request = self._start(f"{group} {pending.number}", now)
+                request = self._start_write(f"{group} {pending.number}", now)
                 if request:
                     yield StageGeneration(
                         request, group, row.version, pending.number
                     )
 
     def _accept(self, now: float) -> abc.Iterator[Command]:
-        """Accepts the pending generation once every group has staged it."""
+        """Accepts the pending generation once all groups have staged it."""
         row = self._row
         if row.pending is None:
             return
         if _acceptance_rows.list_waiting_groups(row, self._rows):
             return
-        request = self._start(f"head {self._version}", now)
+        request = self._start_write(f"head {self._version}", now)
         if request:
             versions = {
                 group: self._rows[group].version if group in self._rows else 0
@@ -228,25 +236,33 @@
             accepted = HeadRow(row.pending, None, row.history)
             yield AcceptGeneration(request, self._version, versions, accepted)
 
-    def _start(self, subject: str, now: float) -> str:
-        """Returns a request id, or empty while such a write is in flight."""
+    def _start_write(self, subject: str, now: float) -> str:
+        """Registers a write in flight.
+
+        Args:
+            subject: Identifies the content of the write.
+            now: Clock reading in seconds.
+
+        Returns:
+            The request id; empty if the same write is already in flight.
+        """
         if subject in self._in_flight:
             _, started = self._in_flight[subject]
-            if now < started + WRITE_LIMIT_S:
+            if now < started + WRITE_TIMEOUT_S:
                 return ""
         request = self._make_request_id()
         self._in_flight[subject] = (request, now)
         return request
 
     def _advance(self, now: float) -> abc.Iterator[Command]:
-        """Writes or answers the open submissions."""
+        """Sends writes for open submissions, or their results."""
         for submission in list(self._submissions.values()):
-            verdict = self._judge(submission) or self._judge_late(
-                submission, now
-            )
+            verdict = self._compute_verdict(
+                submission
+            ) or self._compute_late_verdict(submission, now)
             if verdict is not None:
                 del self._submissions[submission.event.request]
-                yield self._answer(submission, verdict)
+                yield self._make_result(submission, verdict)
             elif self._may_write(submission, now):
                 submission.written_version = self._version
                 submission.written_at = now
@@ -255,49 +271,49 @@
                     submission.event.request,
                     self._version,
                     _acceptance_rows.record_candidate(
-                        self._row, _make_entry(submission.event)
+                        self._row, _make_record(submission.event)
                     ),
                 )
 
     def _may_write(self, submission: _Submission, now: float) -> bool:
         is_written = (
             submission.written_version == self._version
-            and now < submission.written_at + WRITE_LIMIT_S
+            and now < submission.written_at + WRITE_TIMEOUT_S
         )
         return (
-            submission.is_fresh
+            submission.is_head_read
             and not is_written
             and _acceptance_rows.is_based_on_newest(
                 self._row, submission.event.base
             )
         )
 
-    def _find_recorded(self, number: int) -> PastSubmission | None:
+    def _get_past_submission(self, number: int) -> PastSubmission | None:
         for item in self._row.history:
             if item.number == number:
                 return item
         return None
 
     def _is_recorded(self, submission: _Submission) -> bool:
-        recorded = self._find_recorded(submission.event.base + 1)
+        recorded = self._get_past_submission(submission.event.base + 1)
         return (
             recorded is not None
             and recorded.request == submission.event.request
         )
 
-    def _judge(self, submission: _Submission) -> Verdict | None:
-        """Returns the verdict as far as the head row decides it."""
+    def _compute_verdict(self, submission: _Submission) -> Verdict | None:
+        """Returns the verdict that follows from the head row, if any."""
         base = submission.event.base
-        if not submission.is_fresh or _acceptance_rows.is_based_on_newest(
+        if not submission.is_head_read or _acceptance_rows.is_based_on_newest(
             self._row, base
         ):
             return None
-        recorded = self._find_recorded(base + 1)
-        if _acceptance_rows.find_newest(self._row).number < base:
+        recorded = self._get_past_submission(base + 1)
+        if _acceptance_rows.get_newest(self._row).number < base:
             return Verdict.CONFLICT
         if recorded is None:
-            # The history no longer reaches back to the submission, which
-            # may be the repetition of one that was recorded.
+            # The history is too short to tell: this may be a retry of a
+            # submission that was recorded long ago.
             return Verdict.UNKNOWN
         if recorded.request != submission.event.request:
             return Verdict.CONFLICT
@@ -306,29 +322,29 @@
         is_accepted = self._row.accepted.number > base
         return Verdict.ACCEPTED if is_accepted else None
 
-    def _judge_late(
+    def _compute_late_verdict(
         self, submission: _Submission, now: float
     ) -> Verdict | None:
-        """Returns the verdict of a submission whose time has passed."""
+        """Returns the verdict if the time limit has passed, else None."""
         limit = submission.event.wait_s
         if self._is_recorded(submission):
             is_late = now >= submission.started + limit
             return Verdict.PENDING if is_late else None
-        if now < submission.started + max(limit, RECORDING_S):
+        if now < submission.started + max(limit, MINIMUM_RECORDING_S):
             return None
         return Verdict.UNKNOWN if submission.was_sent else Verdict.UNAVAILABLE
 
-    def _answer(
+    def _make_result(
         self, submission: _Submission, verdict: Verdict
     ) -> SubmissionResult:
         base = submission.event.base
-        newest = _acceptance_rows.find_newest(self._row)
+        newest = _acceptance_rows.get_newest(self._row)
         waiting: abc.Sequence[str] = ()
         if verdict is Verdict.PENDING:
             waiting = self.list_waiting_domains()
         changed: abc.Sequence[str] = ()
         if verdict is Verdict.CONFLICT:
-            past = self._find_recorded(base)
+            past = self._get_past_submission(base)
             files = past.files if past else {}
             changed = sorted(
                 name
@@ -344,8 +360,8 @@
             changed,
         )
 
-    def _needs_groups(self, now: float) -> bool:
-        """Tells whether the next read should include the group rows."""
+    def _needs_group_rows(self, now: float) -> bool:
+        """Returns whether the next read must include the group rows."""
         pending = self._row.pending
         if self._submissions or pending is None:
             return bool(self._submissions)
@@ -378,12 +394,12 @@
         if self._row.pending is None:
             return age >= IDLE_POLL_S
         return age >= min(
-            LONGEST_PENDING_POLL_S,
+            MAXIMUM_PENDING_POLL_S,
             max(PENDING_POLL_S, (now - self._pending_since) / 10),
         )
 
 
-def _make_entry(event: FileSubmitted) -> _acceptance_rows.GenerationRecord:
+def _make_record(event: FileSubmitted) -> _acceptance_rows.GenerationRecord:
     return GenerationRecord(
         event.base + 1,
         event.request,
--- a/packages/router/tests/test_settings_watch.py
+++ b/packages/router/tests/test_settings_watch.py
@@ -12,21 +12,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class Settings:
-    """Two settings, one of which needs a restart."""
+    """A reloadable setting, and one that needs a restart."""
 
     grace_s: float
     address: str
 
 
 class File:
-    """A settings file, and what was taken from it."""
+    """A settings file with a watcher, and the settings that it applied."""
 
     def __init__(self, path):
         self.path = path
         self.applied = []
         self.stamp = 0
         self.write("6 a:1")
-        self.watch = _settings_watch.SettingsWatcher(
+        self.watcher = _settings_watch.SettingsWatcher(
             _settings_watch.SettingsSource(
                 path,
                 self.load,
@@ -52,7 +52,7 @@
 
 @pytest.fixture
 def file(tmp_path):
-    """A settings file with good content."""
+    """A settings file with valid content."""
     return File(tmp_path / "settings")
 
 
@@ -64,13 +64,13 @@
     ]
 
 
-def test_a_changed_file_is_taken_without_a_signal(file, caplog):
+def test_a_changed_file_is_applied_without_a_signal(file, caplog):
     caplog.set_level(logging.INFO)
-    file.watch.look()
+    file.watcher.check_file()
     assert not file.applied
     file.write("9 b:2")
-    file.watch.look()
-    file.watch.look()
+    file.watcher.check_file()
+    file.watcher.check_file()
     assert file.applied == [Settings(9.0, "b:2")]
     assert list_events(caplog) == [
         (
@@ -82,8 +82,8 @@
 
 def test_a_signal_reloads_an_unchanged_file(file, caplog):
     caplog.set_level(logging.INFO)
-    file.watch.request_reload()
-    file.watch.look()
+    file.watcher.request_reload()
+    file.watcher.check_file()
     assert file.applied == [Settings(6.0, "a:1")]
     assert list_events(caplog) == [
         ("settings-reloaded", {"applied": {}, "needs_restart": []})
@@ -92,16 +92,16 @@
 
 def test_bad_settings_leave_the_old_ones_in_force(file, caplog):
     file.write("nonsense")
-    file.watch.look()
+    file.watcher.check_file()
     assert not file.applied
     ((event, fields),) = list_events(caplog)
     assert event == "settings-rejected" and len(fields["problems"]) == 1
     file.write("7 a:1")
-    file.watch.look()
+    file.watcher.check_file()
     assert file.applied == [Settings(7.0, "a:1")]
 
 
 def test_a_missing_file_changes_nothing(file, caplog):
     file.path.unlink()
-    file.watch.look()
+    file.watcher.check_file()
     assert not file.applied and not list_events(caplog)
