--- a/packages/standins/sycamoreloft_standins/rows.py
+++ b/packages/standins/sycamoreloft_standins/rows.py
@@ -62,7 +62,7 @@
         self._changed = asyncio.Event()
 
     def put(self, table: str, key: str, value: bytes | None) -> None:
-        """Writes a row, or removes it if the value is None."""
+        """Writes a row as another writer would; a value of None removes it."""
         self._apply([((table, "", key), value)])
 
     def put_json(self, table: str, key: str, value: typing.Any) -> None:
