--- a/packages/standins/sycamoreloft_standins/instances.py
+++ b/packages/standins/sycamoreloft_standins/instances.py
@@ -1,6 +1,6 @@
-"""Stand-in of an instance of the users' services: requests and keys.
+"""Stand-in of a service instance that holds keys and runs requests.
 
-It speaks the published protocol: grants and releases of key ranges with
+It implements the published protocol: grants and releases of key ranges with
 fences, `Expected-Instance`, `Not-Executed`, a signature on each answer.
 """
 
@@ -18,12 +18,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeldKeys:
-    """Keys held under one grant."""
+    """A range of keys held under one grant."""
 
-    #: First and last key, inclusive.
+    #: First and last key of the range, inclusive.
     first: int
     last: int
-    #: Fencing token.
+    #: Fencing token of the grant.
     fence: int
     #: End of the lease on the monotonic clock, in seconds.
     until: float
@@ -33,32 +33,44 @@
     """State of one run of an instance.
 
     Args:
-        name: Identifier.
-        is_sharded: Whether it runs requests for keys that it holds only.
+        name: Identifier; requests that expect another one are refused.
+        is_sharded: Whether it only runs requests for keys that it holds.
     """
 
     def __init__(self, name: str, is_sharded: bool = False) -> None:
         self.name = name
         self.is_sharded = is_sharded
+        #: Ranges of granted keys, also those whose lease has ended.
         self.held: list[HeldKeys] = []
+        #: First key, last key and fence of each accepted grant.
         self.seen: list[tuple[int, int, int]] = []
+        #: Identifiers and bodies of the requests that started to run.
         self.ran: list[str] = []
         self.bodies: list[bytes] = []
+        #: Service time of a request.
         self.work_s = 0.0
+        #: Whether requests are refused with 503.
         self.sheds = False
+        #: Whether requests run and are answered with 500.
         self.fails = False
+        #: Whether requests run and are not answered.
         self.hangs = False
+        #: Path of requests that close the connection, to simulate a crash; ""
+        #: for none.
         self.crashing_path = ""
+        #: Number of requests for `crashing_path`.
         self.crashes = 0
+        #: Number of requests that expected another instance.
         self.misdirected_requests = 0
+        #: Number of running requests, now and at most.
         self.active = 0
         self.most_active = 0
 
     def grant(self, body: typing.Any) -> bool:
-        """Takes a grant; False if a higher fence was seen."""
+        """Accepts a grant, or returns False if a key had a higher fence."""
         first, last, fence = body["from"], body["to"], body["fence"]
-        for low, high, known in self.seen:
-            if low <= last and first <= high and known > fence:
+        for seen_first, seen_last, seen_fence in self.seen:
+            if seen_first <= last and first <= seen_last and seen_fence > fence:
                 return False
         self.release(first, last)
         self.seen.append((first, last, fence))
@@ -67,36 +79,40 @@
         return True
 
     def release(self, first: int, last: int) -> None:
-        """Gives keys up."""
-        rest = []
-        for item in self.held:
-            if item.first < first:
-                rest.append(
-                    dataclasses.replace(item, last=min(item.last, first - 1))
+        """Releases the keys from `first` to `last`, inclusive."""
+        remaining = []
+        for key_range in self.held:
+            if key_range.first < first:
+                remaining.append(
+                    dataclasses.replace(
+                        key_range, last=min(key_range.last, first - 1)
+                    )
                 )
-            if item.last > last:
-                rest.append(
-                    dataclasses.replace(item, first=max(item.first, last + 1))
+            if key_range.last > last:
+                remaining.append(
+                    dataclasses.replace(
+                        key_range, first=max(key_range.first, last + 1)
+                    )
                 )
-        self.held = rest
+        self.held = remaining
 
     def holds(self, key: int) -> bool:
-        """Tells whether the instance holds a key now."""
+        """Returns whether the instance holds a key now."""
         now = time.monotonic()
         return any(
-            item.first <= key <= item.last and item.until > now
-            for item in self.held
+            key_range.first <= key <= key_range.last and key_range.until > now
+            for key_range in self.held
         )
 
 
 class _Handler(tornado.web.RequestHandler):
-    """Common parts."""
+    """Base of the handlers; refuses requests meant for another instance."""
 
     def initialize(self, instance: Instance) -> None:
         self.instance = instance
 
     def refuse(self, status: int) -> None:
-        """Answers that the request did not run."""
+        """Answers with a status and that the request did not run."""
         self.set_header("Not-Executed", "1")
         self.echo_id()
         self.set_status(status)
