--- a/packages/proof/sycamoreloft_proof/_history.py
+++ b/packages/proof/sycamoreloft_proof/_history.py
@@ -1,7 +1,7 @@
-"""Typed events of a run, as callers, upstreams, operators and routers saw it.
+"""Typed events of one test run, recorded by callers, upstreams and drivers.
 
-All times are seconds of the monotonic clock that the processes of one machine
-share. An event says only what its own source saw.
+All times are in seconds of the monotonic clock that the processes of one
+machine share. Each event holds only what its own source observed.
 """
 
 from collections import abc
@@ -10,7 +10,7 @@
 
 
 class Outcome(enum.StrEnum):
-    """What a caller was told about a request."""
+    """Outcome of a request as reported to its caller."""
 
     COMPLETED = "completed"
     DID_NOT_RUN = "did-not-run"
@@ -20,37 +20,37 @@
 class Ending(enum.StrEnum):
     """How the connection of a request ended for the caller."""
 
-    #: The answer arrived whole by the rules of HTTP.
+    #: The answer was complete according to its HTTP framing.
     WHOLE = "whole"
-    #: No connection was made.
+    #: The connection could not be established.
     NOT_CONNECTED = "not-connected"
-    #: The connection ended before the whole answer.
+    #: The connection ended before the answer was complete.
     CUT = "cut"
-    #: The caller gave up waiting.
+    #: The caller stopped waiting.
     TIMED_OUT = "timed-out"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestSent:
-    """A caller started one request."""
+    """A caller sent one request."""
 
-    #: Time.
+    #: When the caller began to send.
     at: float
-    #: Unique per sending; the upstream logs and echoes it.
+    #: Identifier, new for each retry; the upstream logs and echoes it.
     request: str
-    #: Identity of the operation, the same when it is sent again; may be "".
+    #: Value of the Idempotency-Key header, the same for retries; "" for none.
     idempotency_key: str
-    #: Whether the fleet's file declares the operation at most once.
+    #: Whether the fleet file declares that the operation runs at most once.
     at_most_once: bool
-    #: Router that the request was sent to.
+    #: Name of the router that received the request.
     router: str
     #: Fleet of the service.
     fleet: str
-    #: Service.
+    #: Name of the service inside its fleet.
     service: str
     #: Key, "" for an unkeyed service.
     key: str
-    #: Caller.
+    #: Name that the caller sends in its headers.
     caller: str
 
 
@@ -58,17 +58,17 @@
 class AnswerReceived:
     """A request ended for its caller."""
 
-    #: Time.
+    #: When the caller had the answer or gave up.
     at: float
-    #: Request.
+    #: Identifier of the request, as in `RequestSent`.
     request: str
-    #: How the connection ended.
+    #: Whether the answer was complete, and if not, why.
     ending: Ending
-    #: What the caller was told; unknown if the connection was cut.
+    #: Outcome that the router reported; unknown if the connection was cut.
     outcome: Outcome
     #: HTTP status, 0 for none.
     status: int
-    #: Reason that the router gave.
+    #: Reason that the router stated, or the text of the connection error.
     reason: str
     #: Whether the body must be the upstream's echo of this request.
     echo_expected: bool
@@ -78,23 +78,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamStarted:
-    """A process of an upstream began; it remembers no grant."""
+    """A process of an upstream started, without any grant."""
 
-    #: Time.
+    #: When the upstream logged its start.
     at: float
     #: Upstream as "fleet/name".
     upstream: str
-    #: Identifier of the process.
+    #: Identifier of the run of the upstream, new for each process.
     incarnation: str
-    #: Requests that it runs at once.
+    #: Maximum number of requests that it processes concurrently.
     slots: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamEnded:
-    """A process of an upstream ended; a driver or the log says so."""
+    """A process of an upstream ended, by its log or its driver."""
 
-    #: Time.
+    #: When the process had ended.
     at: float
     #: Upstream as "fleet/name".
     upstream: str
@@ -102,79 +102,79 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GrantAccepted:
-    """An upstream accepted a grant, which replaces its group's earlier one."""
+    """An upstream accepted a grant, which replaces the group's earlier one."""
 
-    #: Time.
+    #: When the upstream accepted the grant.
     at: float
     #: Upstream as "fleet/name".
     upstream: str
     #: Group as "fleet/domain/index".
     group: str
-    #: Epoch of the holder.
+    #: Epoch of the holder that sent it.
     epoch: int
     #: Version of the content.
     version: int
-    #: Time until which the grant is in force by the upstream's own clock.
+    #: When the grant expires, by the upstream's own clock.
     until: float
-    #: Fences by service ("fleet/service") and partition; None: as before.
+    #: Fences by service ("fleet/service") and partition; None if unchanged.
     partitions: abc.Mapping[str, abc.Mapping[int, int]] | None
-    #: Fences by service ("fleet/service") and hot key; None: as before.
+    #: Fences by service ("fleet/service") and hot key; None if unchanged.
     hot_keys: abc.Mapping[str, abc.Mapping[str, int]] | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunStarted:
-    """An upstream started to run a request."""
+    """An upstream started to process a request."""
 
-    #: Time.
+    #: When the upstream began to process it.
     at: float
-    #: Time at which the request arrived.
+    #: When the upstream received the request.
     arrived_at: float
     #: Upstream as "fleet/name".
     upstream: str
-    #: Identifies the run among those of the upstream's process.
+    #: Identifier of this execution, unique inside the upstream's process.
     run: str
-    #: Request that the caller named.
+    #: Identifier of the request, as in `RequestSent`.
     request: str
-    #: Identity of the operation, "" for none.
+    #: Value of the Idempotency-Key header, "" for none.
     idempotency_key: str
-    #: Service ("fleet/service").
+    #: Service as "fleet/service".
     service: str
     #: Key, "" for an unkeyed service.
     key: str
     #: Partition, -1 for an unkeyed service.
     partition: int
-    #: Fence with which the request came, 0 for none.
+    #: Fence that the router sent with the request, 0 for none.
     fence: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunEnded:
-    """An upstream finished a run and freed its slot."""
+    """An upstream finished processing a request and freed its slot."""
 
-    #: Time.
+    #: When the slot was free again.
     at: float
     #: Upstream as "fleet/name".
     upstream: str
-    #: Run.
+    #: Identifier of the execution, as in `RunStarted`.
     run: str
     #: Whether the sender closed the connection before the end.
     cancelled: bool
-    #: Whether the upstream broke its answer on purpose.
+    #: Whether an injected fault damaged the answer.
     broken: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FileAccepted:
-    """An operator read that its file became an accepted generation."""
+    """An operator learned that its file became an accepted generation."""
 
-    #: Time.
+    #: When an operator first saw it as accepted.
     at: float
-    #: Time at which the operator submitted the file.
+    #: When the operator submitted the file.
     submitted_at: float
-    #: Accepted generation.
+    #: Number of the accepted generation.
     generation: int
-    #: Upstreams ("fleet/name") that are leaving in this generation.
+    #: Upstreams ("fleet/name") that this generation declares as leaving.
     leaving: abc.Set[str] = frozenset()
 
 
@@ -182,45 +182,46 @@
 class GenerationRead:
     """An operator read the accepted generation of a ready router."""
 
-    #: Time at which the question was sent.
+    #: When the read request was sent.
     asked_at: float
-    #: Time of the answer.
+    #: When the answer arrived.
     at: float
-    #: Router.
+    #: Name of the router that answered.
     router: str
-    #: Accepted generation that it has in force.
+    #: Number of the generation that the router applies.
     generation: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AssignmentsRead:
-    """A driver read all assignments from the table."""
+    """A driver read all assignments from the platform's table."""
 
-    #: Time at which the question was sent.
+    #: When the read request was sent.
     at: float
-    #: Upstream ("fleet/name") and fence by (service, partition or hot key).
+    #: Upstream ("fleet/name") and fence, by service ("fleet/service") and
+    #: partition number or hot key.
     owners: abc.Mapping[tuple[str, int | str], tuple[str, int]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopBegan:
-    """A planned stop of a router began."""
+    """A driver began a planned stop of a router."""
 
-    #: Time.
+    #: When the driver sent the stop signal.
     at: float
-    #: Router.
+    #: Name of the router's host.
     router: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopEnded:
-    """The process of a router that was stopped as planned ended."""
+    """A router process exited after a planned stop."""
 
-    #: Time.
+    #: When the driver saw the process end.
     at: float
-    #: Router.
+    #: Name of the router's host.
     router: str
-    #: Exit code.
+    #: Exit code; 0 for a clean stop.
     exit_code: int
 
 
@@ -241,7 +242,7 @@
 
 
 class Condition(enum.StrEnum):
-    """Conditions of section 1.1, as the checker reports them."""
+    """Conditions of section 1.1 of the design that the checker verifies."""
 
     ONE_OWNER = "one-owner"
     ASSIGNMENT_SURVIVES = "assignment-survives"
@@ -256,11 +257,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Violation:
-    """A condition did not hold."""
+    """An observation that contradicts a condition."""
 
-    #: Condition.
+    #: Condition that did not hold.
     condition: Condition
-    #: Time at which it was broken.
+    #: When it was violated.
     at: float
-    #: What was seen, with names.
+    #: Description for people, with the requests and upstreams involved.
     detail: str
--- a/packages/proof/sycamoreloft_proof/_history_checks.py
+++ b/packages/proof/sycamoreloft_proof/_history_checks.py
@@ -1,4 +1,4 @@
-"""Checks a history against the conditions of section 1.1."""
+"""Checks a history against the conditions of section 1.1 of the design."""
 
 import collections
 from collections import abc
@@ -7,9 +7,11 @@
 
 from sycamoreloft_proof import _history, _ownership_checks
 
-#: Time after which a leaving upstream receives no new work (section 1.1).
+#: A leaving upstream receives no new requests after this time (section 1.1 of
+#: the design).
 LEAVING_BOUND_S = 3.0
-#: Time within which an accepted file is in force everywhere (section 1.6).
+#: All ready routers apply an accepted file within this time (section 1.6 of
+#: the design).
 IN_FORCE_BOUND_S = 7.0
 
 _Events = abc.Sequence[_history.Event]
@@ -19,10 +21,11 @@
 def check_history(
     events: abc.Iterable[_history.Event],
 ) -> list[_history.Violation]:
-    """Lists every violation that the events show, in order of time.
+    """Returns all violations that the events show, ordered by time.
 
     Args:
-        events: Events of one whole run, from all sources, in any order.
+        events: Events of one complete test run, from all sources, in any
+            order.
     """
     ordered = sorted(events, key=lambda event: event.at)
     intervals = _ownership_checks.find_intervals(ordered)
@@ -41,10 +44,10 @@
     return sorted(violations, key=lambda violation: violation.at)
 
 
-def _find_runs(
+def _group_runs_by_request(
     events: _Events,
 ) -> dict[str, list[_history.RunStarted]]:
-    """Returns the runs by the request that they ran."""
+    """Returns the runs, grouped by request."""
     runs = collections.defaultdict(list)
     for event in events:
         if isinstance(event, _history.RunStarted):
@@ -52,8 +55,10 @@
     return dict(runs)
 
 
-def _find_operations(events: _Events) -> dict[str, tuple[str, str]]:
-    """Returns the identities of at-most-once operations by request."""
+def _list_at_most_once_operations(
+    events: _Events,
+) -> dict[str, tuple[str, str]]:
+    """Returns fleet and idempotency key of at-most-once requests."""
     return {
         event.request: (event.fleet, event.idempotency_key)
         for event in events
@@ -62,9 +67,9 @@
 
 
 def _check_answers(events: _Events) -> _Violations:
-    """Compares each answer with what the upstreams ran."""
-    runs = _find_runs(events)
-    operations = _find_operations(events)
+    """Checks each answer against the runs that the upstreams logged."""
+    runs = _group_runs_by_request(events)
+    operations = _list_at_most_once_operations(events)
     ran_operations = {operations[name] for name in runs if name in operations}
     for event in events:
         if not isinstance(event, _history.AnswerReceived):
@@ -94,7 +99,8 @@
                 f"{event.request} counts as completed, but its answer"
                 f" ended as {event.ending}",
             )
-        # A repeated operation is answered with what its first run brought.
+        # A retried operation gets the result of its first run, so it needs no
+        # run of its own.
         elif not ran and operations.get(event.request) not in ran_operations:
             yield _history.Violation(
                 _history.Condition.OWN_WHOLE_ANSWER,
@@ -105,8 +111,8 @@
 
 
 def _check_at_most_once(events: _Events) -> _Violations:
-    """Counts the runs of each operation that must not be repeated."""
-    operations = _find_operations(events)
+    """Finds at-most-once operations that ran more than once."""
+    operations = _list_at_most_once_operations(events)
     first_runs: dict[tuple[str, str], _history.RunStarted] = {}
     for event in events:
         if not isinstance(event, _history.RunStarted):
@@ -126,7 +132,7 @@
 
 
 def _check_leaving(events: _Events) -> _Violations:
-    """Finds requests that came to an upstream long after it was leaving."""
+    """Finds requests that a leaving upstream received after the bound."""
     leaving_since: dict[str, float] = {}
     for event in events:
         if isinstance(event, _history.FileAccepted):
@@ -146,7 +152,7 @@
 
 
 def _find_faulty_requests(events: _Events) -> set[str]:
-    """Returns requests whose answer an upstream broke or never finished."""
+    """Returns requests whose answer an upstream damaged or never finished."""
     requests = {}
     for event in events:
         if isinstance(event, _history.RunStarted):
@@ -156,10 +162,10 @@
     return set(requests.values())
 
 
-def _find_stops(
+def _list_planned_stops(
     events: _Events,
 ) -> dict[str, list[tuple[float, float]]]:
-    """Returns the begin and end of each planned stop by router."""
+    """Returns start and end of each planned stop, by router."""
     stops: dict[str, list[tuple[float, float]]] = collections.defaultdict(list)
     for event in events:
         if isinstance(event, _history.StopBegan):
@@ -171,8 +177,8 @@
 
 
 def _check_planned_stops(events: _Events) -> _Violations:
-    """Finds requests that were cut while their router stopped as planned."""
-    stops = _find_stops(events)
+    """Finds requests that were cut during a planned stop of their router."""
+    stops = _list_planned_stops(events)
     faulty = _find_faulty_requests(events)
     sent: dict[str, _history.RequestSent] = {}
     for event in events:
@@ -197,14 +203,14 @@
                 yield _history.Violation(
                     _history.Condition.PLANNED_STOP,
                     event.at,
-                    f"{event.request}, sent {request.at - began:+.3f} s from"
-                    f" the begin of the planned stop of {request.router},"
-                    " was cut",
+                    f"{event.request} was cut; it was sent"
+                    f" {request.at - began:+.3f} s from the start of the"
+                    f" planned stop of {request.router}",
                 )
 
 
 def _check_files(events: _Events) -> _Violations:
-    """Finds hosts that lag behind an accepted file or go back."""
+    """Finds routers that apply a file too late or return to an older one."""
     accepted: list[_history.FileAccepted] = []
     read: dict[str, _history.GenerationRead] = {}
     for event in events:
@@ -234,10 +240,10 @@
 
 
 def _check_slots(events: _Events) -> _Violations:
-    """Finds moments with more requests in hand than the upstream has slots.
+    """Finds upstreams that had more requests than slots.
 
-    Cancelled requests are left out, because an upstream may learn of a
-    cancellation after the next request has arrived.
+    Cancelled requests are not counted, because an upstream may learn of a
+    cancellation only after the next request has arrived.
     """
     ends = {
         event.run: event
@@ -245,19 +251,19 @@
         if isinstance(event, _history.RunEnded)
     }
     slots: dict[str, int] = {}
-    in_hand: dict[str, list[float]] = collections.defaultdict(list)
+    end_times: dict[str, list[float]] = collections.defaultdict(list)
     arrivals = []
     for event in events:
         if isinstance(event, _history.UpstreamStarted):
             slots[event.upstream] = event.slots
         elif isinstance(event, _history.RunStarted):
             arrivals.append(event)
-    for event in sorted(arrivals, key=lambda item: item.arrived_at):
+    for event in sorted(arrivals, key=lambda run: run.arrived_at):
         end = ends.get(event.run)
-        # A run without an end was lost with its process.
+        # A run without an end was lost when its process ended.
         if end is None or end.cancelled:
             continue
-        running = in_hand[event.upstream]
+        running = end_times[event.upstream]
         while running and running[0] <= event.arrived_at:
             heapq.heappop(running)
         heapq.heappush(running, end.at)
--- a/packages/proof/sycamoreloft_proof/_ownership_adapter.py
+++ b/packages/proof/sycamoreloft_proof/_ownership_adapter.py
@@ -1,4 +1,4 @@
-"""Hosts in virtual time, and the adapter that performs their commands."""
+"""Simulated hosts in virtual time, and the execution of their commands."""
 
 from collections import abc
 import dataclasses
@@ -11,47 +11,48 @@
 import sycamoreloft_decisions
 from sycamoreloft_proof import _ownership_fakes, _ownership_oracle
 
-#: Time between two ticks of a host, in seconds.
+#: Interval between two ticks of a host, by the host's own clock.
 TICK_S = 0.05
-#: Time after which the adapter reports a call without an answer, in seconds.
+#: Calls without an answer are reported as failed after this time.
 CALL_TIMEOUT_S = 0.5
-#: Largest ratio of the rates of two clocks.
+#: Maximum ratio of the rates of two clocks.
 MAXIMUM_RATE = 1.02
 
 
 @dataclasses.dataclass(slots=True)
 class Host:
-    """A host with its machine, its clock and its unsent commands."""
+    """A simulated host with its state machine and its clock."""
 
-    #: Name of the host.
+    #: Name of the host, kept across restarts.
     name: str
-    #: Machine; replaced at a restart.
+    #: State machine of the host; replaced at a restart.
     machine: sycamoreloft_decisions.GroupHolder
-    #: Rate of its clock against true time.
+    #: Rate of its clock relative to true time.
     rate: float
-    #: Reading of its clock at true time 0.
+    #: Reading of its clock at true time 0, in seconds.
     offset: float
-    #: Number of the process; answers to an earlier process are dropped.
+    #: Counts the restarts; answers to an earlier process are dropped.
     process: int = 1
-    #: Whether it runs.
+    #: Whether its process exists; a paused host is alive.
     is_alive: bool = True
-    #: True time until which it is paused.
+    #: True time at which its pause ends, in seconds.
     paused_until: float = 0.0
-    #: Whether it was asked to stop as planned.
+    #: Whether a planned stop was requested.
     is_stopping: bool = False
-    #: Numbers of the accepted and the pending generation that it applies.
+    #: Numbers of the accepted and the pending generation that it applies; 0
+    #: for none.
     head: tuple[int, int] = (0, 0)
 
 
 class OwnershipAdapter:
-    """One group with several hosts, upstreams, a store and a network.
+    """Simulated group with several hosts, upstreams, a store and a network.
 
     Args:
         generation: The accepted generation.
-        group: The group.
+        group: The group to simulate.
         host_names: Hosts of the group's failure domain.
         seed: Seed of delays and clocks.
-        store: Store that other groups use too, None for an own one.
+        store: Store shared with other groups, None for a store of its own.
     """
 
     def __init__(
@@ -72,21 +73,23 @@
             _ownership_oracle.OwnershipOracle()
         )
         self.oracle = self.store.oracle
-        #: Longest one-way delay of the network, in seconds.
+        #: Maximum one-way delay of the network, in seconds.
         self.maximum_delay_s = 0.002
         #: Share of messages that are lost.
         self.drop_share = 0.0
-        #: Pairs of names that cannot reach each other.
+        #: Pairs of hosts, upstreams or "store" that cannot reach each other.
         self.cuts: set[frozenset[str]] = set()
-        #: Longest delays that differ, by source and target, in seconds.
+        #: Maximum delays of single links, by source and target, in seconds.
         self.link_delays: dict[tuple[str, str], float] = {}
-        #: Time between a machine's decision and the sending of its command.
+        #: Maximum time from a machine's decision to the sending of its
+        #: command, in seconds.
         self.send_delay_s = 0.001
         self._queue: list[tuple[float, int, abc.Callable[[], None]]] = []
         self._order = itertools.count()
-        # True time at which a host was heard last, by listener and host.
-        self._heard: dict[tuple[str, str], float] = {}
-        # Records that a host learns with the answer to a write.
+        # True time of the last contact, by observing and observed host.
+        self._last_contacts: dict[tuple[str, str], float] = {}
+        # Stored owners that a host learns from the answer to a write, by host,
+        # process and call.
         self._expected: dict[
             tuple[str, int, int], _ownership_fakes.Records
         ] = {}
@@ -100,7 +103,7 @@
             self._start_host(name)
 
     def add_upstream(self, upstream: sycamoreloft_config.Upstream) -> None:
-        """Starts an upstream that does not run yet."""
+        """Adds an upstream unless it exists already."""
         if upstream.name in self.upstreams:
             return
         fake = _ownership_fakes.FakeUpstream(
@@ -134,13 +137,13 @@
         self.schedule(self.random.uniform(0, TICK_S), lambda: self._tick(host))
 
     def schedule(self, delay: float, action: abc.Callable[[], None]) -> None:
-        """Runs an action after a delay of true time."""
+        """Runs an action after a delay in seconds of true time."""
         heapq.heappush(
             self._queue, (self.now + delay, next(self._order), action)
         )
 
     def run(self, duration: float) -> None:
-        """Lets true time pass."""
+        """Advances true time by `duration` seconds."""
         end = self.now + duration
         while self._queue and self._queue[0][0] <= end:
             self.now, _, action = heapq.heappop(self._queue)
@@ -162,7 +165,7 @@
         self.schedule(TICK_S / host.rate, lambda: self._tick(host))
 
     def _when_running(self, host: Host, action: abc.Callable[[], None]) -> None:
-        """Runs an action now, or when the pause of the host ends."""
+        """Runs an action now, or when the host's pause ends."""
         if not host.is_alive:
             return
         if host.paused_until > self.now:
@@ -176,24 +179,24 @@
     def _observe_members(
         self, host: Host
     ) -> sycamoreloft_decisions.MembersObserved:
-        heard = {}
+        contacts = {}
         claims = {}
         for other in self.hosts.values():
             if other is host or self.is_cut(host.name, other.name):
                 continue
             if other.is_alive and other.paused_until <= self.now:
-                self._heard[host.name, other.name] = self.now
+                self._last_contacts[host.name, other.name] = self.now
                 claims[other.name] = other.machine.get_epoch()
         for other in self.hosts.values():
-            at = self._heard.get((host.name, other.name))
-            if at is not None and other is not host:
-                heard[other.name] = at * host.rate + host.offset
+            contact = self._last_contacts.get((host.name, other.name))
+            if contact is not None and other is not host:
+                contacts[other.name] = contact * host.rate + host.offset
         return sycamoreloft_decisions.MembersObserved(
-            heard, {name: epoch for name, epoch in claims.items() if epoch}
+            contacts, {name: epoch for name, epoch in claims.items() if epoch}
         )
 
     def deliver(self, host: Host, event: sycamoreloft_decisions.Event) -> None:
-        """Lets a host handle an event and send its commands later."""
+        """Delivers an event to a host and schedules its commands."""
         if isinstance(event, sycamoreloft_decisions.GenerationChanged):
             pending = event.pending.number if event.pending else 0
             head = (event.generation.number, pending)
@@ -203,7 +206,7 @@
         if isinstance(event, sycamoreloft_decisions.WriteStored):
             key = (host.name, host.process, event.call)
             for unit, (_, fence) in self._expected.pop(key, {}).items():
-                self.oracle.note_acknowledged(unit, fence)
+                self.oracle.record_acknowledgement(unit, fence)
         commands = host.machine.handle(event, self.read_clock(host))
         for command in commands:
             delay = self.random.uniform(0, self.send_delay_s)
@@ -223,7 +226,7 @@
         )
 
     def is_cut(self, left: str, right: str) -> bool:
-        """Tells whether two names cannot reach each other."""
+        """Returns whether the two cannot reach each other."""
         return frozenset((left, right)) in self.cuts
 
     def transmit(
@@ -240,7 +243,7 @@
     def _answer(
         self, source: str, host: Host, event: sycamoreloft_decisions.Event
     ) -> None:
-        """Sends an answer to the process that asked."""
+        """Sends an answer to the host that made the call."""
 
         def arrive() -> None:
             self._when_running(host, lambda: self.deliver(host, event))
@@ -258,9 +261,9 @@
             case sycamoreloft_decisions.WriteRows():
                 self._write_rows(command, host)
             case sycamoreloft_decisions.RequestPromise():
-                self._ask_promise(command, host)
+                self._request_promise(command, host)
             case sycamoreloft_decisions.RequestStepDown():
-                self._ask_step_down(command, host)
+                self._request_step_down(command, host)
             case sycamoreloft_decisions.PauseUnit(unit):
                 self.schedule(0.01, lambda: self._drain(host, unit))
             case _:
@@ -328,7 +331,8 @@
             if self.store.is_down:
                 return
             version = None
-            # Taking a group is conditional on the generations, too.
+            # The first write of a holder is also conditional on the
+            # generations being unchanged.
             if command.row.heartbeat > 1 or head == self.get_head():
                 version = self.store.write(
                     command.row_key, command.row_version, puts
@@ -381,47 +385,47 @@
     def _report_later(
         self, host: Host, event: sycamoreloft_decisions.Event
     ) -> None:
-        """Reports a call as unanswered; its answer may still come later."""
+        """Reports a call as unanswered; its answer may still arrive."""
         self.schedule(
             CALL_TIMEOUT_S,
             lambda: self._when_running(host, lambda: self.deliver(host, event)),
         )
 
-    def _ask_promise(
+    def _request_promise(
         self, command: sycamoreloft_decisions.RequestPromise, host: Host
     ) -> None:
-        asked = sycamoreloft_decisions.PromiseRequested(
+        request = sycamoreloft_decisions.PromiseRequested(
             host.name, command.epoch, command.duration_ms
         )
 
         def handle(target: Host) -> None:
-            for answer in self._take_answer(
-                target, asked, sycamoreloft_decisions.AnswerPromise
+            for answer in self._handle_request(
+                target, request, sycamoreloft_decisions.AnswerPromise
             ):
                 event = sycamoreloft_decisions.PromiseAnswered(
                     command.call, target.name, answer.promised, answer.final
                 )
                 self._answer(target.name, host, event)
 
-        self._ask_host(host, command.host, handle)
+        self._send_to_host(host, command.host, handle)
 
-    def _ask_step_down(
+    def _request_step_down(
         self, command: sycamoreloft_decisions.RequestStepDown, host: Host
     ) -> None:
-        asked = sycamoreloft_decisions.StepDownRequested(command.epoch)
+        request = sycamoreloft_decisions.StepDownRequested(command.epoch)
 
         def handle(target: Host) -> None:
-            for answer in self._take_answer(
-                target, asked, sycamoreloft_decisions.AnswerStepDown
+            for answer in self._handle_request(
+                target, request, sycamoreloft_decisions.AnswerStepDown
             ):
                 event = sycamoreloft_decisions.StepDownAnswered(
                     target.name, command.epoch, answer.stopped
                 )
                 self._answer(target.name, host, event)
 
-        self._ask_host(host, command.host, handle)
+        self._send_to_host(host, command.host, handle)
 
-    def _ask_host(
+    def _send_to_host(
         self, host: Host, name: str, handle: abc.Callable[[Host], None]
     ) -> None:
         def arrive() -> None:
@@ -431,13 +435,13 @@
 
         self.transmit(host.name, name, arrive)
 
-    def _take_answer(
+    def _handle_request(
         self,
         host: Host,
         event: sycamoreloft_decisions.Event,
         answer_type: type[typing.Any],
     ) -> list[typing.Any]:
-        """Lets a host handle a request and returns its answer."""
+        """Delivers a request to a host and returns its answers."""
         commands = host.machine.handle(event, self.read_clock(host))
         answers = []
         for command in commands:
--- a/packages/proof/sycamoreloft_proof/_ownership_checks.py
+++ b/packages/proof/sycamoreloft_proof/_ownership_checks.py
@@ -1,4 +1,4 @@
-"""Checks who owned which key, by the upstreams' own acceptance."""
+"""Checks the ownership of keys by the grants that upstreams accepted."""
 
 import collections
 from collections import abc
@@ -9,22 +9,22 @@
 from sycamoreloft_proof import _history
 
 #: A partition number or a hot key, inside a service ("fleet/service").
-_Subject = tuple[str, int | str]
+_Unit = tuple[str, int | str]
 
 
 @dataclasses.dataclass(slots=True)
 class _Segment:
-    """Time for which one upstream held the same content of one group."""
+    """Interval in which one upstream held unchanged fences of one group."""
 
     start: float
     end: float
     upstream: str
-    fences: abc.Mapping[_Subject, int]
+    fences: abc.Mapping[_Unit, int]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Interval:
-    """Time for which one upstream held one subject."""
+    """Interval in which one upstream held one partition or hot key."""
 
     start: float
     end: float
@@ -32,9 +32,9 @@
     fence: int
 
 
-def _flatten(grant: _history.GrantAccepted) -> dict[_Subject, int]:
+def _flatten(grant: _history.GrantAccepted) -> dict[_Unit, int]:
     """Returns the fences of a grant that states its content."""
-    fences: dict[_Subject, int] = {}
+    fences: dict[_Unit, int] = {}
     for service, partitions in (grant.partitions or {}).items():
         fences.update(((service, n), f) for n, f in partitions.items())
     for service, keys in (grant.hot_keys or {}).items():
@@ -43,7 +43,7 @@
 
 
 class _Segments:
-    """Builds the segments of all upstreams from events in order of time."""
+    """Builds the segments of all upstreams from events ordered by time."""
 
     def __init__(self) -> None:
         self.finished: list[_Segment] = []
@@ -51,19 +51,19 @@
 
     @functools.singledispatchmethod
     def add(self, event: object) -> None:
-        """Adds one event; others than those below change nothing."""
+        """Adds one event; types without a handler below are ignored."""
 
     @add.register
     def _add_grant(self, event: _history.GrantAccepted) -> None:
-        place = (event.upstream, event.group)
-        known = self._open.get(place)
+        source = (event.upstream, event.group)
+        known = self._open.get(source)
         unchanged = event.partitions is None or event.hot_keys is None
         if known and unchanged and event.at <= known.end:
             known.end = event.until
             return
         fences = known.fences if known and unchanged else _flatten(event)
-        self._close(place, event.at)
-        self._open[place] = _Segment(
+        self._close(source, event.at)
+        self._open[source] = _Segment(
             event.at, event.until, event.upstream, fences
         )
 
@@ -71,57 +71,57 @@
     def _add_end(
         self, event: _history.UpstreamEnded | _history.UpstreamStarted
     ) -> None:
-        for place in list(self._open):
-            if place[0] == event.upstream:
-                self._close(place, event.at)
+        for source in list(self._open):
+            if source[0] == event.upstream:
+                self._close(source, event.at)
 
-    def _close(self, place: tuple[str, str], at: float) -> None:
-        segment = self._open.pop(place, None)
+    def _close(self, source: tuple[str, str], at: float) -> None:
+        segment = self._open.pop(source, None)
         if segment is not None:
             segment.end = min(segment.end, at)
             if segment.start < segment.end:
                 self.finished.append(segment)
 
     def finish(self) -> list[_Segment]:
-        """Returns all segments; the open ones last until they expire."""
-        for place, segment in list(self._open.items()):
-            self._close(place, segment.end)
+        """Returns all segments; open ones end when their grant expires."""
+        for source, segment in list(self._open.items()):
+            self._close(source, segment.end)
         return self.finished
 
 
 def find_intervals(
     events: abc.Iterable[_history.Event],
-) -> dict[_Subject, list[_Interval]]:
-    """Returns when each partition and hot key was held, in order of time."""
+) -> dict[_Unit, list[_Interval]]:
+    """Returns the intervals of each partition and hot key, ordered by time."""
     segments = _Segments()
     for event in events:
         segments.add(event)
-    intervals: dict[_Subject, list[_Interval]] = collections.defaultdict(list)
+    intervals: dict[_Unit, list[_Interval]] = collections.defaultdict(list)
     for segment in sorted(segments.finish(), key=lambda item: item.start):
-        for subject, fence in segment.fences.items():
-            intervals[subject].append(
+        for unit, fence in segment.fences.items():
+            intervals[unit].append(
                 _Interval(segment.start, segment.end, segment.upstream, fence)
             )
     return dict(intervals)
 
 
 def count_moved_keys(events: abc.Iterable[_history.Event]) -> tuple[int, int]:
-    """Counts partitions that changed owner, and hot keys placed apart."""
+    """Counts moves of partitions, and hot keys with an own assignment."""
     intervals = find_intervals(events)
     moved = sum(
         first.upstream != second.upstream
-        for subject, held in intervals.items()
-        if isinstance(subject[1], int)
+        for unit, held in intervals.items()
+        if isinstance(unit[1], int)
         for first, second in itertools.pairwise(held)
     )
-    return moved, sum(isinstance(subject[1], str) for subject in intervals)
+    return moved, sum(isinstance(unit[1], str) for unit in intervals)
 
 
 def check_overlaps(
-    intervals: abc.Mapping[_Subject, abc.Sequence[_Interval]],
+    intervals: abc.Mapping[_Unit, abc.Sequence[_Interval]],
 ) -> abc.Iterator[_history.Violation]:
-    """Finds subjects that two upstreams held at one moment."""
-    for subject, held in intervals.items():
+    """Finds partitions and hot keys that two upstreams held concurrently."""
+    for unit, held in intervals.items():
         latest = held[0]
         for interval in held[1:]:
             if (
@@ -131,7 +131,7 @@
                 yield _history.Violation(
                     _history.Condition.ONE_OWNER,
                     interval.start,
-                    f"{subject}: {interval.upstream} accepted fence"
+                    f"{unit}: {interval.upstream} accepted fence"
                     f" {interval.fence} while {latest.upstream} held fence"
                     f" {latest.fence} for another"
                     f" {latest.end - interval.start:.3f} s",
@@ -141,15 +141,15 @@
 
 
 def check_fences(
-    intervals: abc.Mapping[_Subject, abc.Sequence[_Interval]],
+    intervals: abc.Mapping[_Unit, abc.Sequence[_Interval]],
 ) -> abc.Iterator[_history.Violation]:
-    """Finds partitions whose fence fell or named two upstreams.
+    """Finds partitions whose fence fell or was granted to two upstreams.
 
-    Either means that an acknowledged assignment was lost. Hot keys are left
-    out: placing a hot key, removing it and placing it again may begin anew.
+    Both mean that an acknowledged assignment was lost. Hot keys are not
+    checked: if one is removed and placed again, its fences may restart.
     """
-    for subject, held in intervals.items():
-        if isinstance(subject[1], str):
+    for unit, held in intervals.items():
+        if isinstance(unit[1], str):
             continue
         for first, second in itertools.pairwise(held):
             moved = first.upstream != second.upstream
@@ -159,7 +159,7 @@
                 yield _history.Violation(
                     _history.Condition.ASSIGNMENT_SURVIVES,
                     second.start,
-                    f"{subject}: {second.upstream} accepted fence"
+                    f"{unit}: {second.upstream} accepted fence"
                     f" {second.fence} after {first.upstream} held"
                     f" {first.fence}",
                 )
@@ -167,9 +167,9 @@
 
 def check_runs(
     events: abc.Iterable[_history.Event],
-    intervals: abc.Mapping[_Subject, abc.Sequence[_Interval]],
+    intervals: abc.Mapping[_Unit, abc.Sequence[_Interval]],
 ) -> abc.Iterator[_history.Violation]:
-    """Finds runs of a key that the upstream did not own alone."""
+    """Finds runs on an upstream that did not own the key."""
     for event in events:
         if not isinstance(event, _history.RunStarted) or event.partition < 0:
             continue
@@ -190,38 +190,38 @@
 
 
 def _find_holders(
-    intervals: abc.Mapping[_Subject, abc.Sequence[_Interval]],
-    subject: _Subject,
+    intervals: abc.Mapping[_Unit, abc.Sequence[_Interval]],
+    unit: _Unit,
     at: float,
 ) -> set[str]:
     return {
         item.upstream
-        for item in intervals.get(subject, ())
+        for item in intervals.get(unit, ())
         if item.start <= at < item.end
     }
 
 
 def check_stored_assignments(
     events: abc.Sequence[_history.Event],
-    intervals: abc.Mapping[_Subject, abc.Sequence[_Interval]],
+    intervals: abc.Mapping[_Unit, abc.Sequence[_Interval]],
 ) -> abc.Iterator[_history.Violation]:
-    """Compares what the store recorded over time and with the grants."""
-    latest: dict[_Subject, tuple[str, int]] = {}
+    """Finds stored assignments that were lost or contradict a grant."""
+    latest: dict[_Unit, tuple[str, int]] = {}
     for event in events:
         if not isinstance(event, _history.AssignmentsRead):
             continue
-        for subject, (upstream, fence) in event.owners.items():
-            known = latest.get(subject, (upstream, fence))
-            if isinstance(subject[1], int) and (
+        for unit, (upstream, fence) in event.owners.items():
+            known = latest.get(unit, (upstream, fence))
+            if isinstance(unit[1], int) and (
                 fence < known[1] or (fence == known[1] and upstream != known[0])
             ):
                 yield _history.Violation(
                     _history.Condition.ASSIGNMENT_SURVIVES,
                     event.at,
-                    f"{subject}: the store recorded {known}, later"
+                    f"{unit}: the store recorded {known}, later"
                     f" {(upstream, fence)}",
                 )
-            for item in intervals.get(subject, ()):
+            for item in intervals.get(unit, ()):
                 # The store must record a grant before it is sent.
                 forgotten = item.start <= event.at and item.fence > fence
                 other = item.fence == fence and item.upstream != upstream
@@ -229,7 +229,7 @@
                     yield _history.Violation(
                         _history.Condition.ASSIGNMENT_SURVIVES,
                         item.start,
-                        f"{subject}: {item.upstream} was granted fence"
+                        f"{unit}: {item.upstream} was granted fence"
                         f" {item.fence}, but the store recorded"
                         f" {(upstream, fence)} at {event.at:.3f}",
                     )
--- a/packages/proof/sycamoreloft_proof/_ownership_fakes.py
+++ b/packages/proof/sycamoreloft_proof/_ownership_fakes.py
@@ -1,4 +1,4 @@
-"""Fake upstreams and a fake store for the proof of ownership."""
+"""Fake upstreams and a fake store for tests of ownership."""
 
 from collections import abc
 import dataclasses
@@ -8,10 +8,10 @@
 import sycamoreloft_decisions
 from sycamoreloft_proof import _ownership_oracle
 
-#: Recorded upstreams and fences by unit.
+#: Stored owner and fence by unit.
 Records = dict[_ownership_oracle.UnitName, tuple[str, int]]
 
-#: Longest one-way delay of the store without faults, in seconds.
+#: Maximum one-way delay of the store without faults.
 STORE_DELAY_S = 0.005
 
 
@@ -24,21 +24,22 @@
 
 
 class FakeUpstream:
-    """An upstream that follows the protocol of section 12.1.
+    """An upstream that follows the protocol of section 12.1 of the design.
 
     Args:
         name: Name of the upstream.
         checks_fences: Whether it rejects old epochs and compares fences.
-        oracle: Oracle to report to.
-        rate: Rate of its clock against true time.
-        offset: Reading of its clock at true time 0.
+        oracle: Oracle that checks the accepted grants and the runs.
+        rate: Rate of its clock relative to true time.
+        offset: Reading of its clock at true time 0, in seconds.
     """
 
-    #: Whether a grant is counted from its arrival instead of the reading; a
-    #: planted fault.
+    #: Whether the lifetime of a grant starts at its arrival instead of at the
+    #: clock reading that it carries; a fault that tests plant.
     counts_from_arrival = False
-    #: Whether it rejects a lower version inside an epoch. The page demands
-    #: this of epochs only, so the machines must not depend on it.
+    #: Whether it rejects a lower version of the same epoch. The protocol
+    #: requires only the check of epochs, so the machines must not depend on
+    #: this one.
     checks_versions = True
 
     def __init__(
@@ -62,13 +63,13 @@
         self._grant: _Grant | None = None
 
     def crash(self) -> None:
-        """Ends the process, which forgets everything."""
+        """Ends the process, which loses its grant."""
         self.is_alive = False
         self._grant = None
-        self._oracle.note_nothing(self.name)
+        self._oracle.record_no_grant(self.name)
 
     def restart(self) -> None:
-        """Starts a new process; its clock is the machine's clock."""
+        """Starts a new process; its clock continues across the restart."""
         self.crash()
         self.is_alive = True
         self.frozen_until = 0.0
@@ -78,12 +79,20 @@
     def receive_grant(
         self, call: sycamoreloft_decisions.SendGrant, now: float
     ) -> tuple[bool, str, float, int, int, bool]:
-        """Accepts or rejects a grant and returns the answer's fields."""
+        """Accepts or rejects a grant.
+
+        Returns:
+            The fields of the answer: whether the grant was accepted, the
+            incarnation, the clock reading in seconds, the highest epoch, the
+            version of the content, and whether the upstream is draining.
+        """
         clock = now * self._rate + self._offset
         accepted = self._accept(call, clock)
         if accepted and self._grant:
             until = (self._grant.until - self._offset) / self._rate
-            self._oracle.note_grant(self.name, self._grant.content, now, until)
+            self._oracle.record_grant(
+                self.name, self._grant.content, now, until
+            )
         self._highest_epoch = max(self._highest_epoch, call.epoch)
         return (
             accepted,
@@ -97,7 +106,7 @@
     def run(
         self, service: str, key: str, partition: int, fence: int, now: float
     ) -> bool:
-        """Starts a request if the grant allows it."""
+        """Starts a request and returns whether the grant permits it."""
         clock = now * self._rate + self._offset
         if self._grant is None or clock >= self._grant.until:
             return False
@@ -107,7 +116,7 @@
         )
         if held is None or (self.checks_fences and held != fence):
             return False
-        self._oracle.note_run(service, key, fence, self.checks_fences)
+        self._oracle.record_run(service, key, fence, self.checks_fences)
         return True
 
     def _accept(
@@ -150,16 +159,16 @@
             content[service, partition, ""] = fence
     for service, keys in call.hot_keys.items():
         for key, fence in keys.items():
-            # The partition of a hot key does not matter to the upstream.
+            # An upstream finds a hot key without its partition.
             content[service, -1, key] = fence
     return content
 
 
 class FakeStore:
-    """A table with serial transactions and the faults of the platform.
+    """A table with serial transactions and the platform's faults.
 
     Args:
-        oracle: Oracle to report to.
+        oracle: Oracle that checks the stored owners.
     """
 
     def __init__(self, oracle: _ownership_oracle.OwnershipOracle) -> None:
@@ -179,7 +188,7 @@
     def read(
         self, row_key: str, prefix: str
     ) -> tuple[typing.Any, int, dict[str, typing.Any]]:
-        """Reads a row with its version, and all rows with a prefix."""
+        """Returns a row, its version, and all rows with a prefix."""
         version, row = self._rows.get(row_key, (0, None))
         rows = {
             key: value
@@ -194,21 +203,25 @@
         row_version: int,
         puts: abc.Mapping[str, typing.Any],
     ) -> int | None:
-        """Puts rows if the version matches; returns the new version."""
+        """Stores rows if the version of a row matches.
+
+        Returns:
+            The new version of that row, None if its version differed.
+        """
         if self._rows.get(row_key, (0, None))[0] != row_version:
             return None
         for key, value in puts.items():
             self._rows[key] = (next(self._versions), value)
         for unit, (upstream, fence) in self.list_records().items():
-            self.oracle.note_record(unit, upstream, fence)
+            self.oracle.record_assignment(unit, upstream, fence)
         return self._rows[row_key][0]
 
     def put(self, key: str, value: typing.Any) -> None:
-        """Puts a row as another group's holder would."""
+        """Stores a row unconditionally, as another group's holder would."""
         self._rows[key] = (next(self._versions), value)
 
     def list_records(self) -> Records:
-        """Lists the recorded owners and fences by unit."""
+        """Returns the stored owners and fences by unit."""
         records: Records = {}
         for key, (_, value) in self._rows.items():
             if not key.startswith("assign/"):
--- a/packages/proof/sycamoreloft_proof/_ownership_fleet.py
+++ b/packages/proof/sycamoreloft_proof/_ownership_fleet.py
@@ -1,4 +1,4 @@
-"""Several groups of one fleet in virtual time, with one store."""
+"""Simulation of all groups of a fleet in virtual time, with one store."""
 
 from collections import abc
 
@@ -9,19 +9,19 @@
     _ownership_world,
 )
 
-#: Time by which the groups advance in turn, in seconds.
+#: The groups are simulated in turn, each for this step of true time.
 STEP_S = 0.005
-#: Time for which a pending generation waits for all groups, in seconds.
+#: Maximum time for all groups to stage a pending generation.
 STAGING_S = 20.0
 
 
 class OwnershipFleet:
-    """All groups of a fleet; upstream and host names differ between them.
+    """All groups of a fleet, each with its own hosts and upstreams.
 
     Args:
         generation: The accepted generation.
         fleet: Name of the fleet.
-        host_count: Hosts of each group.
+        host_count: Number of hosts of each group.
         seed: Seed of delays and clocks.
     """
 
@@ -48,7 +48,7 @@
         ]
 
     def run(self, duration: float) -> None:
-        """Lets true time pass for all groups."""
+        """Advances all groups by `duration` seconds of true time."""
         for _ in range(round(duration / STEP_S)):
             for world in self.worlds:
                 world.run(STEP_S)
@@ -59,8 +59,8 @@
         """Stages a generation in all groups and then accepts it.
 
         Returns:
-            Whether every group staged it in time; if not, it stays pending
-            until the next one replaces it.
+            Whether every group staged it in time. If not, it stays pending
+            until the next change replaces it.
         """
         self._announce(self.generation, generation)
         for _ in range(round(STAGING_S / 0.25)):
@@ -72,7 +72,7 @@
         return False
 
     def list_unserved(self) -> abc.Set[tuple[str, int, str]]:
-        """Lists partitions that no group serves."""
+        """Returns partitions that no group serves."""
         unserved = [set(world.list_unserved()) for world in self.worlds]
         return set.intersection(*unserved)
 
--- a/packages/proof/sycamoreloft_proof/_ownership_oracle.py
+++ b/packages/proof/sycamoreloft_proof/_ownership_oracle.py
@@ -1,21 +1,24 @@
-"""Judges what upstreams accept; shares no code with the state machines."""
+"""Oracle for ownership: checks that each key has one owner at a time.
+
+It shares no code with the state machines that it checks.
+"""
 
 from collections import abc
 import dataclasses
 
-#: A partition, or a hot key, as (service, partition, key).
+#: A partition as (service, partition, "") or a hot key as (service, -1, key).
 UnitName = tuple[str, int, str]
 
 
 class OwnershipViolation(AssertionError):
-    """A promise of ownership was broken."""
+    """A guarantee about ownership was violated."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Acceptance:
-    """An upstream accepts requests for a unit during an interval."""
+    """Interval in which an upstream accepts requests for a unit."""
 
-    #: Name of the upstream.
+    #: Name of the upstream, unique inside the fleet.
     upstream: str
     #: Fence under which it accepts.
     fence: int
@@ -24,7 +27,7 @@
 
 
 class OwnershipOracle:
-    """Checks acceptance intervals, records and runs, all in true time."""
+    """Checks acceptance intervals, stored owners and runs, all in true time."""
 
     def __init__(self) -> None:
         self._accepting: dict[UnitName, dict[str, Acceptance]] = {}
@@ -37,22 +40,22 @@
         #: Number of requests that upstreams ran.
         self.run_count = 0
 
-    def note_grant(
+    def record_grant(
         self,
         upstream: str,
         content: abc.Mapping[UnitName, int],
         now: float,
         until: float,
     ) -> None:
-        """Notes that an upstream replaced what it accepts.
+        """Records that an upstream accepted a grant, which replaces the last.
 
         Args:
             upstream: Name of the upstream.
             content: Fences by unit.
-            now: True time.
-            until: True time at which the grant ends.
+            now: True time, in seconds.
+            until: True time at which the grant expires, in seconds.
         """
-        self.note_nothing(upstream)
+        self.record_no_grant(upstream)
         if until <= now:
             return
         for unit, fence in content.items():
@@ -67,39 +70,42 @@
                     )
             others[upstream] = Acceptance(upstream, fence, until)
 
-    def note_nothing(self, upstream: str) -> None:
-        """Notes that an upstream accepts nothing, as after its restart."""
+    def record_no_grant(self, upstream: str) -> None:
+        """Records that an upstream holds no grant, as after a restart."""
         for accepting in self._accepting.values():
             accepting.pop(upstream, None)
 
-    def note_record(self, unit: UnitName, upstream: str, fence: int) -> None:
-        """Notes that the store recorded an owner."""
+    def record_assignment(
+        self, unit: UnitName, upstream: str, fence: int
+    ) -> None:
+        """Records that the store contains an owner of a unit."""
         if fence < self._last_fence.get(unit, 0):
             raise OwnershipViolation(
-                f"{unit}: fence {fence} is recorded after"
+                f"{unit}: fence {fence} was recorded after the higher fence"
                 f" {self._last_fence[unit]}"
             )
         self._last_fence[unit] = fence
         self._recorded.add((unit, upstream, fence))
 
-    def note_acknowledged(self, unit: UnitName, fence: int) -> None:
-        """Notes that a host learned that an assignment was stored."""
+    def record_acknowledgement(self, unit: UnitName, fence: int) -> None:
+        """Records that a host learned that an assignment was stored."""
         known = self._acknowledged.get(unit, 0)
         self._acknowledged[unit] = max(known, fence)
 
-    def note_run(
-        self, service: str, key: str, fence: int, is_compared: bool
+    def record_run(
+        self, service: str, key: str, fence: int, compares_fences: bool
     ) -> None:
-        """Notes that an upstream started a request.
+        """Records that an upstream started to process a request.
 
         Args:
             service: Name of the service.
             key: Key of the request.
-            fence: Fence in the request.
-            is_compared: Whether the upstream compares fences.
+            fence: Fence that the request carries.
+            compares_fences: Whether the upstream compares fences; if not, the
+                fences of a key may fall.
         """
         self.run_count += 1
-        if not is_compared:
+        if not compares_fences:
             return
         highest = self._run_fences.get((service, key), 0)
         if fence < highest:
@@ -122,8 +128,8 @@
                     " is no longer recorded"
                 )
 
-    def find_accepting(self, unit: UnitName, now: float) -> Acceptance | None:
-        """Returns who accepts requests for a unit at a moment."""
+    def find_acceptance(self, unit: UnitName, now: float) -> Acceptance | None:
+        """Returns the acceptance of a unit at `now`, None if nobody accepts."""
         for acceptance in self._accepting.get(unit, {}).values():
             if acceptance.until > now:
                 return acceptance
--- a/packages/proof/sycamoreloft_proof/_ownership_world.py
+++ b/packages/proof/sycamoreloft_proof/_ownership_world.py
@@ -1,4 +1,4 @@
-"""One group in virtual time, with faults, requests and questions."""
+"""Simulation of one group in virtual time: faults, requests and queries."""
 
 from collections import abc
 import functools
@@ -11,41 +11,41 @@
 
 
 class OwnershipWorld(_ownership_adapter.OwnershipAdapter):
-    """One group with several hosts, upstreams, a store and a network."""
+    """Simulated group whose faults and requests a test controls."""
 
     def crash_upstream(self, name: str) -> None:
-        """Ends an upstream."""
+        """Crashes an upstream."""
         self.upstreams[name].crash()
 
     def restart_upstream(self, name: str) -> None:
-        """Starts an upstream again, without memory of its grants."""
+        """Restarts an upstream, which loses its grants."""
         self.upstreams[name].restart()
 
     def freeze_upstream(self, name: str, duration: float) -> None:
-        """Freezes an upstream, whose clock goes on."""
+        """Freezes an upstream for `duration` seconds; its clock still runs."""
         self.upstreams[name].frozen_until = self.now + duration
 
     def kill_host(self, name: str) -> None:
-        """Ends a host."""
+        """Kills a host."""
         self.hosts[name].is_alive = False
 
     def restart_host(self, name: str) -> None:
-        """Starts a host again, without memory."""
+        """Restarts a host, which loses its state."""
         self.hosts[name].is_alive = False
         self._start_host(name)
 
     def pause_host(self, name: str, duration: float) -> None:
-        """Pauses a host; its unsent commands are sent afterwards."""
+        """Pauses a host for `duration` seconds; its commands are sent later."""
         self.hosts[name].paused_until = self.now + duration
 
     def cut_off_holder(
         self, upstreams: abc.Set[str], with_standby: bool
     ) -> None:
-        """Cuts the holder off from the other hosts and from the store.
+        """Partitions the holder from the other hosts and from the store.
 
         Args:
             upstreams: Upstreams that only the cut-off hosts can reach.
-            with_standby: Whether the standby stays with the holder.
+            with_standby: Whether the holder can still reach the standby.
         """
         inside = {self.find_holder()}
         if with_standby:
@@ -67,7 +67,7 @@
     def change_generation(
         self, generation: sycamoreloft_config.Generation
     ) -> None:
-        """Brings a generation into force on hosts that reach the store."""
+        """Applies a generation on all hosts that can reach the store."""
         self.adopt_generation(generation, None)
         event = sycamoreloft_decisions.GenerationChanged(generation)
         for host in self.hosts.values():
@@ -79,7 +79,12 @@
         generation: sycamoreloft_config.Generation,
         pending: sycamoreloft_config.Generation | None,
     ) -> None:
-        """Makes a generation the one that hosts start with."""
+        """Sets the generations that starting hosts apply.
+
+        Args:
+            generation: The accepted generation.
+            pending: The pending generation, None for none.
+        """
         self.generation = generation
         self.pending = pending
         self.fleet = generation.fleets[self.group.fleet]
@@ -89,7 +94,7 @@
             self.add_upstream(upstream)
 
     def announce_generation(self, longest_delay_s: float) -> None:
-        """Tells each host of the generations, at a time of its own."""
+        """Delivers the generations to each host after a random delay."""
         event = sycamoreloft_decisions.GenerationChanged(
             self.generation, self.pending
         )
@@ -105,7 +110,7 @@
         self._when_running(host, lambda: self.deliver(host, event))
 
     def heal(self) -> None:
-        """Ends all faults, except that frozen and paused ones go on."""
+        """Ends all faults except freezes and pauses."""
         self.cuts.clear()
         self.link_delays.clear()
         self.drop_share = 0.0
@@ -120,7 +125,7 @@
                 self.restart_host(host.name)
 
     def recover(self) -> None:
-        """Ends all faults; every host and upstream runs and goes on."""
+        """Ends all faults, including freezes, pauses and planned stops."""
         self.heal()
         for upstream in self.upstreams.values():
             upstream.frozen_until = self.now
@@ -130,7 +135,7 @@
                 self.restart_host(host.name)
 
     def send_request(self, name: str, service: str, key: str) -> None:
-        """Lets a host ask its machine for the owner and send a request."""
+        """Routes a request from a host to the owner that its machine names."""
         host = self.hosts[name]
         if not host.is_alive or host.paused_until > self.now:
             return
@@ -159,14 +164,14 @@
         )
 
     def observe_keys(self, service: str, counts: abc.Mapping[str, int]) -> None:
-        """Tells every running host of requests by key."""
+        """Delivers request counts by key to every running host."""
         event = sycamoreloft_decisions.KeysObserved(service, counts)
         for host in self.hosts.values():
             if host.is_alive and host.paused_until <= self.now:
                 self.deliver(host, event)
 
     def find_owner(self, service: str, key: str) -> str:
-        """Returns the upstream that the holder names, empty for none."""
+        """Returns the owner of a key by the holder's state, "" for none."""
         host = self.hosts.get(self.find_holder())
         if host is None:
             return ""
@@ -181,14 +186,14 @@
         return ""
 
     def list_fences(self) -> dict[_ownership_oracle.UnitName, int]:
-        """Lists the fences that the store records."""
+        """Returns the stored fences by unit."""
         return {
             unit: fence
             for unit, (_, fence) in self.store.list_records().items()
         }
 
     def list_unserved(self) -> list[tuple[str, int, str]]:
-        """Lists partitions that no host can route to an accepting owner."""
+        """Returns partitions that no host can route to an accepting owner."""
         return [
             (service.name, partition, "")
             for service in self.fleet.services.values()
@@ -198,7 +203,7 @@
         ]
 
     def _is_served(self, service: str, partition: int) -> bool:
-        accepting = self.oracle.find_accepting(
+        accepting = self.oracle.find_acceptance(
             (service, partition, ""), self.now
         )
         if accepting is None:
@@ -223,12 +228,12 @@
         return False
 
     def find_standby(self) -> str:
-        """Returns the host that the store names as standby, or none."""
+        """Returns the standby that the store names, "" for none."""
         row, _, _ = self.store.read(f"group/{self.group}", "-")
         return str(row["standby"]) if row else ""
 
     def find_holder(self) -> str:
-        """Returns the live holder with the highest epoch, empty for none."""
+        """Returns the live holder with the highest epoch, "" for none."""
         held = [
             (host.machine.get_epoch(), host.name)
             for host in self.hosts.values()
--- a/packages/router/tests/test_alias_releases.py
+++ b/packages/router/tests/test_alias_releases.py
@@ -91,7 +91,7 @@
         self.lost = set()
         self._grants = {}
 
-    def note_grant(self, name, content, now, until):
+    def record_grant(self, name, content, now, until):
         self._grants[name] = (content, until)
 
     async def send_grant(self, address, group, command):
