--- a/packages/decisions/tests/test_permit_fuzz.py
+++ b/packages/decisions/tests/test_permit_fuzz.py
@@ -371,7 +371,7 @@
                 )
             )
         elif fingerprint == b"crash":
-            self.oracle.lose(fingerprint)
+            self.oracle.record_loss(fingerprint)
             self.down[upstream] = self.now
             frozen = self.freezes and generator.random() < 0.3
             for name, item in list(self.open.items()):
--- a/packages/decisions/tests/test_request_fuzz.py
+++ b/packages/decisions/tests/test_request_fuzz.py
@@ -129,7 +129,7 @@
                     )
                 )
             if decision.reason != "repeated":
-                self.oracle.tell(name, str(decision.outcome))
+                self.oracle.report_outcome(name, str(decision.outcome))
 
     def send_request(self, generator):
         ready = [
--- a/packages/proof/sycamoreloft_proof/_history_checks.py
+++ b/packages/proof/sycamoreloft_proof/_history_checks.py
@@ -203,9 +203,9 @@
                 yield _history.Violation(
                     _history.Condition.PLANNED_STOP,
                     event.at,
-                    f"{event.request} was cut; it was sent"
-                    f" {request.at - began:+.3f} s from the start of the"
-                    f" planned stop of {request.router}",
+                    f"{event.request}, sent {request.at - began:+.3f} s from"
+                    f" the start of the planned stop of {request.router},"
+                    " was cut",
                 )
 
 
@@ -258,7 +258,7 @@
             slots[event.upstream] = event.slots
         elif isinstance(event, _history.RunStarted):
             arrivals.append(event)
-    for event in sorted(arrivals, key=lambda run: run.arrived_at):
+    for event in sorted(arrivals, key=lambda arrival: arrival.arrived_at):
         end = ends.get(event.run)
         # A run without an end was lost when its process ended.
         if end is None or end.cancelled:
--- a/packages/proof/sycamoreloft_proof/_random_histories.py
+++ b/packages/proof/sycamoreloft_proof/_random_histories.py
@@ -1,4 +1,4 @@
-"""Random histories for state machines, with fixed seeds."""
+"""Random sequences of actions on state machines, with fixed seeds."""
 
 from collections import abc
 import random
@@ -7,36 +7,38 @@
 import hypothesis
 from hypothesis import stateful, strategies
 
-#: Actions in one burst. The library chooses single actions so that few of
-#: them work together: 107 histories of 60 actions issued 31 permits in all.
-BURST = 20
+#: Hypothesis chooses single actions in a way that few of them build on each
+#: other: 107 histories of 60 single actions issued only 31 permits in total.
+#: Bursts of weighted actions reach more states.
+ACTIONS_PER_BURST = 20
 
 
 class Machine(stateful.RuleBasedStateMachine):
-    """Takes weighted actions, one by one or in bursts."""
+    """Performs weighted actions, one by one or in bursts."""
 
-    #: Names of methods that take a generator, with their weights.
+    #: Weights of the actions by method name; each method has one parameter, a
+    #: random generator.
     actions: typing.ClassVar[abc.Mapping[str, float]] = {}
 
     @stateful.rule(seed=strategies.integers(0, 2**32))
-    def act_often(self, seed: int) -> None:
-        """Takes a burst of actions."""
+    def run_burst(self, seed: int) -> None:
+        """Performs a burst of actions."""
         generator = random.Random(seed)
         names = list(self.actions)
         weights = list(self.actions.values())
-        for name in generator.choices(names, weights, k=BURST):
+        for name in generator.choices(names, weights, k=ACTIONS_PER_BURST):
             getattr(self, name)(generator)
             self.check()
 
     @stateful.rule(data=strategies.data())
-    def act_once(self, data: strategies.DataObject) -> None:
-        """Takes one action."""
+    def run_single_action(self, data: strategies.DataObject) -> None:
+        """Performs one action."""
         name = data.draw(strategies.sampled_from(list(self.actions)))
         getattr(self, name)(data.draw(strategies.randoms()))
         self.check()
 
     def check(self) -> None:
-        """Raises if a promise is broken; called after each action."""
+        """Raises if a guarantee is violated; called after each action."""
 
 
 def run_histories(
@@ -46,13 +48,15 @@
     *,
     shrink: bool = True,
 ) -> None:
-    """Runs a machine; raises the error of the first bad history.
+    """Runs random histories of a state machine.
+
+    Raises the error of the first history that fails.
 
     Args:
-        machine: The machine.
+        machine: The state machine to run.
         examples: Number of histories.
-        steps: Single actions or bursts in one history.
-        shrink: Whether to look for a shorter bad history, which takes long.
+        steps: Number of rules, single actions or bursts, in one history.
+        shrink: Whether to search for a shorter failing history, which is slow.
     """
     phases = [hypothesis.Phase.generate]
     if shrink:
@@ -74,11 +78,11 @@
 def choose(
     items: abc.Iterable[typing.Any], generator: random.Random
 ) -> typing.Any:
-    """Returns a random item, None if there is none."""
+    """Returns a random item, None if there are no items."""
     listed = list(items)
     return generator.choice(listed) if listed else None
 
 
 def take(items: list[typing.Any], generator: random.Random) -> typing.Any:
-    """Removes and returns a random item, None if there is none."""
+    """Removes and returns a random item, None if there are no items."""
     return items.pop(generator.randrange(len(items))) if items else None
--- a/packages/proof/sycamoreloft_proof/_request_oracle.py
+++ b/packages/proof/sycamoreloft_proof/_request_oracle.py
@@ -1,8 +1,8 @@
-"""Oracles of request decisions: what hosts and upstreams really did.
+"""Oracles for request decisions, based on what hosts and upstreams did.
 
-The oracles use nothing of the machines that they judge. They are told what
-happens at hosts and upstreams, and raise `OracleError` when a promise of the
-design is broken.
+The oracles share no code with the state machines that they check. Tests report
+to them what happens at hosts and upstreams; they raise `OracleError` if a
+guarantee of the design is violated.
 """
 
 import collections
@@ -11,12 +11,12 @@
 
 
 class OracleError(AssertionError):
-    """A promise of the design was broken."""
+    """A guarantee of the design was violated."""
 
 
 @dataclasses.dataclass(slots=True)
-class _Use:
-    """A permit in the hands of a host, or the request that runs under it."""
+class _PermitUse:
+    """A permit that a host holds, or the request that runs under it."""
 
     upstream: str
     epoch: int
@@ -26,51 +26,52 @@
 
 
 class SlotOracle:
-    """Counts what runs, and what may still start, on each upstream.
+    """Checks that permits and running requests never exceed the slots.
 
     A request that runs under a permit of an earlier holder is counted only
-    if its host renewed the permit with the present holder in time. Otherwise
+    if its host renewed the permit with the current holder in time. Otherwise
     the permit has lapsed, and the design lets the holder reuse the slot.
     """
 
     def __init__(self, slots: abc.Mapping[str, int]) -> None:
-        """Starts with idle upstreams and their slots."""
+        """Initializes idle upstreams with their numbers of slots."""
         self._slots = slots
-        self._uses: dict[str, _Use] = {}
+        self._uses: dict[str, _PermitUse] = {}
         self._epoch = 1
-        #: Requests that ran under a lapsed permit of an earlier holder.
+        #: Maximum number of requests that ran at one time under lapsed permits
+        #: of earlier holders.
         self.lapsed = 0
 
     def change_holder(self) -> int:
-        """Starts the epoch of another holder and returns it."""
+        """Starts the epoch of a new holder and returns the epoch."""
         self._epoch += 1
         return self._epoch
 
     def receive(
         self, permit: str, upstream: str, usable_until: float, epoch: int
     ) -> None:
-        """A host received a grant that it may use until some time."""
-        self._uses[permit] = _Use(
+        """Records that a host received a permit with its expiry time."""
+        self._uses[permit] = _PermitUse(
             upstream, epoch, usable_until, renewed_epoch=epoch
         )
 
     def renew(self, permit: str, epoch: int) -> None:
-        """The holder got a report of the permit in time."""
+        """Records that the holder got a report of the permit in time."""
         use = self._uses.get(permit)
         if use is not None:
             use.renewed_epoch = epoch
 
     def start(self, permit: str, now: float) -> None:
-        """An upstream started the request."""
+        """Records that an upstream started the request."""
         self._uses[permit].running = True
         self.check(now)
 
     def end(self, permit: str) -> None:
-        """The request ended, or the host dropped the permit unused."""
+        """Records that the request ended or the permit was dropped unused."""
         self._uses.pop(permit, None)
 
     def crash(self, upstream: str) -> None:
-        """An upstream lost everything that ran on it."""
+        """Records that an upstream crashed and lost its running requests."""
         for permit, use in list(self._uses.items()):
             if use.upstream == upstream and use.running:
                 del self._uses[permit]
@@ -111,34 +112,38 @@
 
 
 class RunOracle:
-    """Counts the runs of each request id, and compares what callers hear."""
+    """Checks that each id runs at most once and outcomes are true."""
 
     def __init__(self) -> None:
-        """Starts without runs."""
+        """Initializes an oracle without runs."""
         self._runs: collections.Counter[bytes] = collections.Counter()
         self._sends: collections.Counter[bytes] = collections.Counter()
         self._refusals: collections.Counter[bytes] = collections.Counter()
         self._ran: set[str] = set()
 
     def send(self, id_hash: bytes) -> None:
-        """A host sent the request; it must not have been sent in doubt."""
+        """Records that a host sent the request.
+
+        Raises:
+            OracleError: An earlier sending was not refused, so it may have run.
+        """
         self._sends[id_hash] += 1
         if self._sends[id_hash] - self._refusals[id_hash] > 1:
             raise OracleError(f"the id {id_hash!r} was sent twice")
 
     def refuse(self, id_hash: bytes) -> None:
-        """The upstream refused the request by contract."""
+        """Records that the upstream refused the request without running it."""
         self._refusals[id_hash] += 1
 
     def run(self, id_hash: bytes, attempt: str) -> None:
-        """The upstream ran the request."""
+        """Records that the upstream ran the request."""
         self._runs[id_hash] += 1
         self._ran.add(attempt)
         if self._runs[id_hash] > 1:
             raise OracleError(f"the id {id_hash!r} ran twice")
 
-    def tell(self, attempt: str, outcome: str) -> None:
-        """A caller was told the outcome of an attempt."""
+    def report_outcome(self, attempt: str, outcome: str) -> None:
+        """Records the outcome of an attempt as reported to its caller."""
         if outcome == "did-not-run" and attempt in self._ran:
             raise OracleError(
                 f"the attempt {attempt} ran, but its caller was told that it"
@@ -146,20 +151,20 @@
             )
 
     def count_runs(self) -> int:
-        """Returns the number of runs of all ids."""
+        """Returns the total number of runs."""
         return sum(self._runs.values())
 
 
 class LossOracle:
-    """Counts the upstreams that each crashing request took down."""
+    """Checks how many upstreams each crashing request took down."""
 
     def __init__(self, bound: int = 2) -> None:
-        """Starts without losses; `bound` upstreams may be lost."""
+        """Initializes an oracle; a request may crash `bound` upstreams."""
         self._bound = bound
         self._losses: collections.Counter[bytes] = collections.Counter()
 
-    def lose(self, fingerprint: bytes) -> None:
-        """An upstream went down because it ran the request."""
+    def record_loss(self, fingerprint: bytes) -> None:
+        """Records that an upstream crashed because it ran the request."""
         self._losses[fingerprint] += 1
         if self._losses[fingerprint] > self._bound:
             raise OracleError(
@@ -168,7 +173,7 @@
             )
 
     def refuse(self, fingerprint: bytes, crashes: bool) -> None:
-        """A request was refused as quarantined."""
+        """Records that a request was refused as quarantined."""
         if not crashes:
             raise OracleError(
                 f"the harmless request {fingerprint!r} was quarantined"
--- a/packages/proof/sycamoreloft_proof/_run_logs.py
+++ b/packages/proof/sycamoreloft_proof/_run_logs.py
@@ -9,7 +9,7 @@
 
 
 def _qualify(group: str, service: str) -> str:
-    """Returns a service as "fleet/service", by the fleet of the group."""
+    """Returns "fleet/service", with the fleet of the group if it has none."""
     return service if "/" in service else f"{group.partition('/')[0]}/{service}"
 
 
@@ -86,12 +86,12 @@
 
 
 def read_run_log(path: pathlib.Path) -> list[_history.Event]:
-    """Reads the log of one process of upstreams.
+    """Reads the log of one stand-in process, which may run several upstreams.
 
-    A last line that a kill cut in the middle is left out.
+    An incomplete last line is ignored: the process was killed while it wrote.
 
     Raises:
-        ValueError: A line other than the last is damaged.
+        ValueError: A line other than the last is not valid JSON.
     """
     events = []
     lines = path.read_text().split("\n")
--- a/packages/proof/sycamoreloft_proof/_summary.py
+++ b/packages/proof/sycamoreloft_proof/_summary.py
@@ -1,4 +1,4 @@
-"""Counts of a history, for the tables of the demo and the soak."""
+"""Counts and tables that the demo and the soak print about a history."""
 
 import collections
 from collections import abc
@@ -9,21 +9,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Summary:
-    """What a run did, in numbers."""
+    """Counts of one test run."""
 
-    #: Requests that callers sent, each sending counted.
+    #: Requests that callers sent, retries included.
     requests_sent: int
-    #: Requests answered whole, by the upstream or for a repeated operation.
+    #: Requests answered as completed, retries of finished operations included.
     whole_answers: int
-    #: Requests whose caller was told that they did not run.
+    #: Requests whose reported outcome is did-not-run.
     did_not_run: int
     #: Requests whose caller does not know whether they ran.
     unknown: int
-    #: Runs on upstreams.
+    #: Requests that upstreams started to process.
     runs: int
-    #: Partitions that changed their owner.
+    #: Changes of owner, summed over all partitions.
     partitions_moved: int
-    #: Hot keys that were placed apart from their partition.
+    #: Hot keys that got an assignment apart from their partition.
     hot_keys_placed: int
     #: Violations by condition.
     violations: abc.Mapping[_history.Condition, int]
@@ -32,7 +32,7 @@
 
     @property
     def wrong_answers(self) -> int:
-        """Answers that were not the caller's own and whole."""
+        """Answers with content of another request or without all content."""
         return self.violations.get(_history.Condition.OWN_WHOLE_ANSWER, 0)
 
     @property
@@ -42,12 +42,12 @@
 
     @property
     def false_did_not_run(self) -> int:
-        """Requests that ran although their caller was told otherwise."""
+        """Requests that ran although their outcome was did-not-run."""
         return self.violations.get(_history.Condition.DID_NOT_RUN, 0)
 
     @property
     def slots_exceeded(self) -> int:
-        """Requests that came to an upstream whose slots were all taken."""
+        """Requests that reached an upstream without a free slot."""
         return self.violations.get(_history.Condition.SLOTS, 0)
 
 
@@ -55,7 +55,7 @@
     events: abc.Iterable[_history.Event],
     violations: abc.Iterable[_history.Violation],
 ) -> Summary:
-    """Counts what a history shows."""
+    """Counts the events and violations of a history."""
     ordered = sorted(events, key=lambda event: event.at)
     kinds = collections.Counter(type(event) for event in ordered)
     outcomes = collections.Counter(
@@ -88,10 +88,10 @@
 def describe_violations(
     violations: abc.Iterable[_history.Violation], examples: int = 3
 ) -> str:
-    """Lists the number and the first few violations of each condition.
+    """Formats the number and first few violations of each condition.
 
-    One fault may break a condition hundreds of times, which must not hide
-    the other conditions.
+    One fault may violate a condition hundreds of times; the limit keeps the
+    other conditions visible.
     """
     by_condition = collections.defaultdict(list)
     for violation in violations:
@@ -104,7 +104,7 @@
 
 
 def format_table(rows: abc.Iterable[tuple[str, object]]) -> str:
-    """Formats rows of a name and a value as aligned lines."""
+    """Formats pairs of name and value as aligned lines."""
     listed = [(name, str(value)) for name, value in rows]
     name_width = max(len(name) for name, _ in listed)
     value_width = max(len(value) for _, value in listed)
@@ -115,7 +115,7 @@
 
 
 def list_rows(summary: Summary) -> list[tuple[str, object]]:
-    """Returns the rows that every table has."""
+    """Returns the rows that the tables of demo and soak share."""
     return [
         ("requests sent", summary.requests_sent),
         ("whole answers", summary.whole_answers),
