--- a/packages/proof/sycamoreloft_proof/_callers.py
+++ b/packages/proof/sycamoreloft_proof/_callers.py
@@ -1,4 +1,4 @@
-"""Callers of both fleets: real HTTP traffic and what they were told."""
+"""Callers that send HTTP traffic to routers and record the answers."""
 
 import asyncio
 from collections import abc
@@ -15,84 +15,84 @@
 from sycamoreloft_proof import _fleets, _history
 import sycamoreloft_standins
 
-#: Longest time that a caller waits, in seconds; longer than any deadline.
+#: Maximum time that a caller waits; longer than any request deadline.
 _CALLER_TIMEOUT_S = 20.0
 _CONNECT_TIMEOUT_S = 3.0
-#: Sendings of one operation, the first included.
-_MAXIMUM_SENDINGS = 4
+#: Maximum number of attempts of one operation, the first included.
+_MAXIMUM_ATTEMPTS = 4
 _PAUSE_BEFORE_RESEND_S = 0.1
-_SHORTEST_UPLOAD_BYTES = 64
+_MINIMUM_UPLOAD_BYTES = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
-    """One operation that a caller wants done."""
+    """One operation on a key that a caller sends, possibly several times."""
 
-    #: Fleet.
+    #: Fleet of the service.
     fleet: str
-    #: Service.
+    #: Name of the service inside its fleet.
     service: str
-    #: Operation.
+    #: Method, path and sizes of the request.
     operation: _fleets.OperationPlan
     #: Key, "" for an unkeyed service.
     key: str
-    #: Caller.
+    #: Name that the caller sends in its headers.
     caller: str
-    #: Identity of an operation that runs at most once, else "".
+    #: Idempotency-Key of an at-most-once operation, else "".
     idempotency_key: str
-    #: What the upload is made of; sending a call again sends the same body,
-    #: and two calls with the same body look like one to the router.
+    #: Seed of the upload body. A retry sends the same body; the router treats
+    #: calls with equal bodies as the same request.
     content: str = ""
-    #: Further headers.
+    #: Additional request headers.
     headers: abc.Mapping[str, str] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Router:
-    """A router as its callers see it."""
+    """Name and address of a router, as callers use them."""
 
-    #: Name.
+    #: Name of its host.
     name: str
     #: Address for callers, as "ip:port".
     caller_address: str
 
 
 class Balancer:
-    """The platform's load balancer: chooses among routers that are ready."""
+    """Load balancer of the platform: picks a random router that is ready."""
 
     def __init__(self, seed: int) -> None:
         self._random = random.Random(seed)
         self._ready: list[Router] = []
 
     def set_ready(self, routers: abc.Iterable[Router]) -> None:
-        """Replaces the routers to choose from."""
+        """Replaces the routers that are ready."""
         self._ready = list(routers)
 
     def count_ready(self) -> int:
-        """Returns the number of routers to choose from."""
+        """Returns the number of routers that are ready."""
         return len(self._ready)
 
     def choose(self) -> Router | None:
-        """Returns a router, None if none is ready."""
+        """Returns a random ready router, None if none is ready."""
         return self._random.choice(self._ready) if self._ready else None
 
 
 class Sender:
-    """Sends single requests and records what their caller saw."""
+    """Sends single requests and records them with their answers."""
 
     def __init__(self, history: list[_history.Event]) -> None:
         self._history = history
         #: Requests sent so far.
         self.sent = 0
         self._sent_operations: set[str] = set()
-        # A connection is made for each request, so that a broken one can
-        # belong to no other request.
+        # Opens a connection for each request, so that a broken connection
+        # affects only its own request.
         self._client = tornado.simple_httpclient.SimpleAsyncHTTPClient(
             force_instance=True, max_clients=10_000
         )
 
     async def send(self, call: Call, router: Router) -> _history.AnswerReceived:
-        """Sends one request to one router."""
+        """Sends one request to one router and returns its recorded answer."""
         self.sent += 1
         request = f"{call.caller}-{self.sent}"
         upload = _make_upload(call)
@@ -156,7 +156,7 @@
 
 
 def classify_ending(error: Exception) -> _history.Ending:
-    """Tells how a connection ended that brought no whole answer."""
+    """Returns how a connection without a complete answer ended."""
     if isinstance(error, ConnectionRefusedError):
         return _history.Ending.NOT_CONNECTED
     if isinstance(error, tornado.simple_httpclient.HTTPTimeoutError):
@@ -167,10 +167,10 @@
 
 
 def _make_upload(call: Call) -> bytes:
-    """Returns the body of a call, empty for a GET."""
+    """Returns the upload body of a call, empty for a GET."""
     if call.operation.method == "GET":
         return b""
-    size = max(call.operation.upload_bytes, _SHORTEST_UPLOAD_BYTES)
+    size = max(call.operation.upload_bytes, _MINIMUM_UPLOAD_BYTES)
     block = hashlib.sha256(call.content.encode()).digest()
     return (block * (size // len(block) + 1))[:size]
 
@@ -201,16 +201,16 @@
     repeats: bool,
     response: tornado.httpclient.HTTPResponse,
 ) -> _history.AnswerReceived:
-    """Compares a whole answer with the one that the request must get.
+    """Compares a complete answer with the expected one.
 
     Args:
-        at: Time of the answer.
-        call: What was sent.
-        request: Name of the sending.
+        at: Monotonic time of the answer, in seconds.
+        call: Call that was sent.
+        request: Identifier of this attempt.
         upload: Body that was sent.
         repeats: Whether the operation was sent before; only then may the
-            answer say just what became of the first sending.
-        response: The answer.
+            answer state the outcome of the first attempt without an echo.
+        response: Complete HTTP answer.
     """
     reason = response.headers.get("Sycamoreloft-Reason", "")
     try:
@@ -258,7 +258,7 @@
 
 
 class Traffic:
-    """Callers of one fleet that send requests until they are stopped."""
+    """Traffic of one fleet: operations that its callers send until stopped."""
 
     def __init__(
         self,
@@ -274,7 +274,7 @@
         self._balancer = balancer
         self._random = random.Random(f"{seed}/{fleet.name}")
         self._keys = keys
-        #: Share of keyed requests that ask for the hot key.
+        #: Share of keyed requests, 0 to 1, that use the hot key.
         self.hot_share = hot_share
         self._operations = [
             (service, operation)
@@ -286,7 +286,7 @@
         self._stopping = False
 
     def choose_call(self, caller: str) -> Call:
-        """Returns the next operation of a caller."""
+        """Returns a random call of a caller, by the weights of operations."""
         service, operation = self._random.choices(
             self._operations, self._weights
         )[0]
@@ -310,20 +310,19 @@
         return f"{service.key_prefix}{self._random.randrange(self._keys)}"
 
     async def run_caller(self, number: int, pause_s: float) -> None:
-        """Sends operations one after the other until stopped."""
+        """Sends operations sequentially until stopped."""
         caller = f"{self._fleet.name}-caller-{number}"
         while not self._stopping:
             await self.finish_call(self.choose_call(caller))
             await asyncio.sleep(pause_s * (0.5 + self._random.random()))
 
     async def finish_call(self, call: Call) -> None:
-        """Sends an operation, again if it did not run or is unknown.
+        """Sends an operation and retries it if it was not completed.
 
-        Sending an unknown operation again is what callers do; one that must
-        not be repeated carries its identity, and one of neither kind is
-        given up.
+        After an unknown outcome, it is retried only if it is repeatable or
+        carries an idempotency key (at most once).
         """
-        for _ in range(_MAXIMUM_SENDINGS):
+        for _ in range(_MAXIMUM_ATTEMPTS):
             router = self._balancer.choose()
             if router is None:
                 await asyncio.sleep(_PAUSE_BEFORE_RESEND_S)
@@ -338,7 +337,7 @@
             await asyncio.sleep(_PAUSE_BEFORE_RESEND_S)
 
     def stop(self) -> None:
-        """Makes each caller stop after its present operation."""
+        """Makes each caller stop after its current operation."""
         self._stopping = True
 
 
@@ -348,13 +347,13 @@
     pause_s: float,
     until: abc.Coroutine[typing.Any, typing.Any, None],
 ) -> None:
-    """Runs callers of several fleets while a scenario runs.
+    """Runs the callers of several fleets until a scenario ends.
 
     Args:
-        traffics: One for each fleet.
-        callers: Callers of each fleet.
-        pause_s: Mean pause of a caller between two operations.
-        until: The scenario; its error ends the callers too.
+        traffics: One traffic for each fleet.
+        callers: Number of callers of each fleet.
+        pause_s: Mean pause of a caller between two operations, in seconds.
+        until: The scenario; if it raises, the callers are cancelled.
     """
     running = list(traffics)
     async with asyncio.TaskGroup() as group:
--- a/packages/proof/sycamoreloft_proof/_processes.py
+++ b/packages/proof/sycamoreloft_proof/_processes.py
@@ -1,4 +1,4 @@
-"""Child processes of a driver, which end with it."""
+"""Child processes that end when the driver that started them ends."""
 
 import asyncio
 from collections import abc
@@ -13,22 +13,22 @@
 import time
 import typing
 
-#: Option of prctl that names the signal sent when the parent ends.
+#: prctl option that sets the signal sent to a process when its parent ends.
 _PR_SET_PDEATHSIG = 1
-#: Ports below the range from which the system takes those of clients.
+#: Candidate ports, below the range of ephemeral ports of the system.
 _PORTS = range(12_000, 30_000)
 _POLL_S = 0.02
 
-# Loaded before any fork, because a child may not load libraries safely.
+# Loaded before any fork: loading a library between fork and exec is unsafe.
 _LIBRARY = ctypes.CDLL(None, use_errno=True)
 
 
 class ProcessError(RuntimeError):
-    """A child process did not do what the driver needs; says what to check."""
+    """A child process or a port did not reach the state that was required."""
 
 
 def _end_with_parent(parent: int) -> None:
-    """Asks the system to kill this process when its parent ends."""
+    """Makes the system kill this process when its parent ends."""
     _LIBRARY.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL, 0, 0, 0)
     if os.getppid() != parent:
         # The parent ended before the call took effect.
@@ -40,8 +40,8 @@
 ) -> subprocess.Popen[bytes]:
     """Starts a process that ends when this one ends, even by SIGKILL.
 
-    Call it on the main thread: the system counts the end of the thread that
-    started the child as the end of the parent.
+    Must be called on the main thread, because the system treats the end of the
+    thread that started the child as the end of the parent.
     """
     parent = os.getpid()
     return subprocess.Popen(
@@ -54,12 +54,12 @@
 
 
 def find_free_ports(count: int, seed: int | None = None) -> list[int]:
-    """Finds loopback ports that are free now.
+    """Returns loopback ports that are currently free.
 
     Args:
         count: Number of ports.
-        seed: Start of the search; the process id if omitted, so that drivers
-            that run at once look in different places.
+        seed: Seed of the search order; the process id if omitted, so that
+            concurrent drivers search in different orders.
     """
     candidates = list(_PORTS)
     random.Random(os.getpid() if seed is None else seed).shuffle(candidates)
@@ -78,15 +78,15 @@
 
 @dataclasses.dataclass(slots=True)
 class Child:
-    """One process of a driver."""
+    """One child process of a driver."""
 
-    #: Name in messages.
+    #: Name in error messages and of the output file.
     name: str
-    #: The process.
+    #: Handle of the process, which may have ended.
     process: subprocess.Popen[bytes]
-    #: File with what it printed.
+    #: File with its standard output and standard error.
     output: pathlib.Path
-    #: Ports on which it listens; ready when all accept connections.
+    #: Ports on which it listens once it is ready.
     ports: abc.Sequence[int]
 
     @property
@@ -100,7 +100,7 @@
         return self.process.poll() is None
 
     def read_output_end(self, lines: int = 15) -> str:
-        """Returns the last lines that it printed."""
+        """Returns the last lines of its output."""
         text = self.output.read_text(errors="replace")
         return "\n".join(text.splitlines()[-lines:])
 
@@ -110,28 +110,28 @@
             self.process.send_signal(number)
 
     def terminate(self) -> None:
-        """Asks for a planned stop."""
+        """Requests a planned stop with SIGTERM."""
         self.send(signal.SIGTERM)
 
     def kill(self) -> float:
-        """Kills the process; returns the time when it had ended."""
+        """Kills the process and returns the monotonic time after its end."""
         self.send(signal.SIGKILL)
         self.process.wait()
         return time.monotonic()
 
     def freeze(self) -> None:
-        """Stops the process where it is."""
+        """Suspends the process with SIGSTOP."""
         self.send(signal.SIGSTOP)
 
     def resume(self) -> None:
-        """Lets a frozen process go on."""
+        """Resumes a suspended process with SIGCONT."""
         self.send(signal.SIGCONT)
 
     async def wait_ended(self, timeout_s: float) -> int:
-        """Waits for the end and returns the exit code.
+        """Waits until the process ends and returns its exit code.
 
         Raises:
-            ProcessError: It still runs.
+            ProcessError: The process still runs after the timeout.
         """
         deadline = time.monotonic() + timeout_s
         while (code := self.process.poll()) is None:
@@ -147,7 +147,8 @@
         """Waits until all ports accept connections.
 
         Raises:
-            ProcessError: It ended, or a port stays closed.
+            ProcessError: The process ended, or a port is still closed after
+                the timeout.
         """
         deadline = time.monotonic() + timeout_s
         for port in self.ports:
@@ -171,7 +172,7 @@
 
 
 class ProcessGroup:
-    """The children of a driver; leaving the context ends them by id."""
+    """Context manager that kills all children of a driver on exit."""
 
     def __init__(self, folder: pathlib.Path) -> None:
         self._folder = folder
@@ -192,9 +193,9 @@
         arguments: abc.Sequence[str],
         ports: abc.Sequence[int] = (),
     ) -> Child:
-        """Starts a child; what it prints goes to a file of the folder.
+        """Starts a child whose output goes to a file in the folder.
 
-        A child that is started again under its name appends to the file.
+        A child that is restarted under the same name appends to its file.
         """
         output = self._folder / f"{name}.out"
         with output.open("ab") as file:
