--- a/packages/proof/sycamoreloft_proof/fuzz.py
+++ b/packages/proof/sycamoreloft_proof/fuzz.py
@@ -1,8 +1,8 @@
-"""Runs every stateful fuzzer of the repository with fresh seeds.
+"""Runs every stateful fuzzer of the repository with new seeds.
 
-Run by `make fuzz SECONDS=60 SEED=1`. The tests run the same machines with
-fixed seeds; this program finds the machines by recording what the tests run,
-so a new fuzzer needs no entry here.
+Run by `make fuzz SECONDS=60 SEED=1`. The tests run the same state machines
+with fixed seeds. This program runs the tests and records their machines, so a
+new fuzzer needs no registration.
 """
 
 import argparse
@@ -20,17 +20,18 @@
 from hypothesis import stateful
 import pytest
 
-#: Histories of one run. All fuzzers take their turn every few seconds, and a
-#: run is repeated as a whole.
-HISTORIES = 10
+#: Small, because fuzzers run in turn every few seconds, and reproducing a
+#: failure repeats its whole run.
+HISTORIES_PER_RUN = 10
 
-#: Words by which a test file is known to run a state machine.
+#: A test file that contains one of these names runs a state machine.
 _MARKS = ("run_state_machine_as_test", "run_histories")
 
-#: The tests of this program, which would run it again without end.
+#: Tests of this program; running them from here would recurse endlessly.
 _OWN_TESTS = "test_fuzz.py"
 
-#: Tests of planted faults, which have to fail, have this word in their names.
+#: Part of the names of tests whose machines contain a planted fault and must
+#: fail.
 _PLANTED = "finds"
 
 Machine = type[stateful.RuleBasedStateMachine]
@@ -40,31 +41,31 @@
 class Fuzzer:
     """A state machine with the settings of its test."""
 
-    #: Name of the test file and of the machine.
+    #: Name as "test file.machine".
     name: str
-    #: The machine.
+    #: Class of the state machine.
     machine: Machine
-    #: Settings that its test uses.
+    #: Hypothesis settings of its test; `run_fuzzer` overrides some.
     settings: hypothesis.settings
 
 
 class _Recorder:
-    """Plugin that records machines instead of running them."""
+    """Pytest plugin that records state machines instead of running them."""
 
     def __init__(self) -> None:
         self.found: dict[str, Fuzzer] = {}
         self._file = ""
 
     def pytest_collection_modifyitems(self, items: list[pytest.Item]) -> None:
-        """Leaves the tests of planted faults out."""
+        """Deselects the tests of planted faults."""
         items[:] = [item for item in items if _PLANTED not in item.name]
 
     def pytest_runtest_setup(self, item: pytest.Item) -> None:
-        """Notes the file of the test that runs next."""
+        """Records the file of the test that runs next."""
         self._file = item.path.stem
 
     def record(self, machine: Machine, *, settings: typing.Any = None) -> None:
-        """Takes the place of `run_state_machine_as_test`."""
+        """Replaces `run_state_machine_as_test` and records its machine."""
         name = f"{self._file}.{machine.__name__}"
         self.found[name] = Fuzzer(
             name, machine, settings or machine.TestCase.settings
@@ -72,7 +73,7 @@
 
 
 def find_files(root: pathlib.Path) -> abc.Sequence[pathlib.Path]:
-    """Lists the test files that run state machines."""
+    """Returns the test files that run state machines."""
     return [
         path
         for path in sorted(root.glob("packages/*/tests/test_*.py"))
@@ -84,10 +85,10 @@
 def collect_fuzzers(
     files: abc.Sequence[pathlib.Path],
 ) -> abc.Sequence[Fuzzer]:
-    """Returns the fuzzers of some test files, in a fixed order.
+    """Returns the fuzzers of the test files, ordered by name.
 
     Raises:
-        RuntimeError: A file cannot be read as a test file.
+        RuntimeError: Pytest could not collect the files.
     """
     if not files:
         return []
@@ -112,27 +113,28 @@
 
 
 def choose_seed(seed: int, name: str, number: int) -> int:
-    """Returns the seed of the numbered run of a fuzzer."""
+    """Derives the seed of one numbered run of a fuzzer."""
     text = f"{seed}/{name}/{number}"
     return int.from_bytes(hashlib.sha256(text.encode()).digest()[:4])
 
 
 def run_fuzzer(fuzzer: Fuzzer, run_seed: int) -> str:
-    """Runs histories of one seed.
+    """Runs the histories of one seed.
 
     Returns:
-        The violation with the history that shows it, empty if there is none.
+        The traceback with the failing history, "" if no history failed.
     """
-    # The seed is kept in the class, so each run gets its own.
+    # Hypothesis stores the seed in the class, so each run needs a new class.
     machine = type(fuzzer.machine.__name__, (fuzzer.machine,), {})
     settings = hypothesis.settings(
         fuzzer.settings,
-        max_examples=HISTORIES,
+        max_examples=HISTORIES_PER_RUN,
         derandomize=False,
         database=None,
         deadline=None,
         print_blob=False,
-        # Shrinking can take minutes, and the command repeats the failure.
+        # No shrinking: it can take minutes, and the printed command reproduces
+        # the failure.
         phases=(hypothesis.Phase.generate,),
         suppress_health_check=list(hypothesis.HealthCheck),
     )
@@ -146,7 +148,7 @@
 
 
 def format_command(fuzzer: Fuzzer, run_seed: int) -> str:
-    """Returns the command that repeats exactly one run."""
+    """Returns the command that reproduces one run."""
     return (
         "python -m sycamoreloft_proof.fuzz"
         f" --only {fuzzer.name} --run-seed {run_seed}"
@@ -162,13 +164,13 @@
     """Runs fuzzers in turn, each at least once, and prints the result.
 
     Args:
-        fuzzers: The fuzzers.
-        seed: Seed from which those of the runs are derived.
-        has_time: Tells whether another run may begin.
-        run_seed: Seed of a single run to repeat, None for fresh ones.
+        fuzzers: Fuzzers to run.
+        seed: Seed from which the seeds of the runs are derived.
+        has_time: Returns whether another run may start.
+        run_seed: Seed of a single run to reproduce, None for new seeds.
 
     Returns:
-        Exit code: 0 if no promise was broken, else 1.
+        Exit code: 0 if no history failed, else 1.
     """
     counts = dict.fromkeys((fuzzer.name for fuzzer in fuzzers), 0)
     number = 0
@@ -194,7 +196,7 @@
 
 def _print_counts(counts: abc.Mapping[str, int]) -> None:
     for name, count in counts.items():
-        print(f"{name:45} {count:5} runs of {HISTORIES} histories")
+        print(f"{name:45} {count:5} runs of {HISTORIES_PER_RUN} histories")
     print(f"{sum(counts.values())} runs in all", flush=True)
 
 
@@ -235,9 +237,9 @@
 
 
 def _fix_hashes() -> None:
-    """Starts this program afresh with a fixed order of sets.
+    """Restarts this program with hash randomization disabled.
 
-    Otherwise a seed would not repeat a history exactly.
+    Sets have a fixed order then, so a seed reproduces a history exactly.
     """
     if os.environ.get("PYTHONHASHSEED") != "0":
         os.execve(
