--- a/packages/proof/sycamoreloft_proof/_fleets.py
+++ b/packages/proof/sycamoreloft_proof/_fleets.py
@@ -1,8 +1,8 @@
-"""The two fleets of the drivers: plans, fleet files and router settings.
+"""The two fleets of demo and soak: their plans and fleet files.
 
-Services and failure domains are those of section 1.3, scaled to one machine.
-Both fleets also have a service "bookings" with the same keys for different
-things.
+Services and failure domains are those of section 1.3 of the design, scaled to
+one machine. Both fleets also have a service "bookings" whose equal keys must
+not be confused between the fleets.
 """
 
 from collections import abc
@@ -12,9 +12,9 @@
 
 import sycamoreloft_standins
 
-#: Name of the service that both fleets have.
+#: Name of the service that exists in both fleets.
 SHARED_SERVICE = "bookings"
-#: Key that the callers ask for most.
+#: Most requested key, by fleet.
 HOT_KEYS: abc.Mapping[str, str] = {
     "sledworks": "heat-finals",
     "isuku": "mat-market",
@@ -23,21 +23,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OperationPlan:
-    """One operation of a service, and how callers use it."""
+    """One operation of a service and its share of the traffic."""
 
-    #: HTTP method.
+    #: HTTP method, in capital letters.
     method: str
-    #: Path prefix.
+    #: Path that callers request and path prefix in the fleet file.
     path: str
-    #: Whether it must run at most once for an id.
+    #: Whether it runs at most once for each Idempotency-Key.
     at_most_once: bool = False
-    #: Whether it may be repeated.
+    #: Whether it may run again after an unknown outcome.
     repeatable: bool = False
-    #: Priority in the fleet file.
+    #: Value of "class" in the fleet file.
     priority: str = "normal"
-    #: Bytes that a request uploads.
+    #: Size of the upload; 0 for the minimum that callers send.
     upload_bytes: int = 0
-    #: Bytes of a streamed answer; 0 for the echo.
+    #: Size of a streamed answer; 0 for an echo of the request.
     answer_bytes: int = 0
     #: Share of the fleet's requests, relative to the other operations.
     weight: float = 1.0
@@ -45,62 +45,62 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServicePlan:
-    """One service."""
+    """One service of a fleet and its operations."""
 
-    #: Name.
+    #: Name, unique inside the fleet.
     name: str
     #: Whether each key has one owner.
     keyed: bool
-    #: Instances in each failure domain.
+    #: Number of upstreams in each failure domain.
     instances: int
-    #: Slots of each instance.
+    #: Slots of each upstream.
     slots: int
-    #: Operations; the first match applies.
+    #: Operations in the order of the fleet file; the first match applies.
     operations: abc.Sequence[OperationPlan]
-    #: Prefix of its keys.
+    #: Prefix of the keys that callers use; "" for an unkeyed service.
     key_prefix: str = ""
-    #: Whether each instance is a process of its own, so that it may crash.
+    #: Whether each upstream has its own process, so that it can crash alone.
     crashes: bool = False
-    #: Default deadline of a request.
+    #: Deadline of requests that state none.
     deadline_ms: int = 5_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FleetPlan:
-    """One fleet."""
+    """One fleet with its services."""
 
-    #: Name.
+    #: Name in the fleet file.
     name: str
-    #: Failure domains.
+    #: Names of the failure domains.
     domains: abc.Sequence[str]
-    #: Services.
+    #: Services in the order of the fleet file.
     services: abc.Sequence[ServicePlan]
-    #: Weights of the placement cost by name.
+    #: Weights of the terms of the placement cost, by name.
     weights: abc.Mapping[str, float]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamPlan:
-    """One upstream with its port."""
+    """One upstream and its port."""
 
-    #: Fleet.
+    #: Fleet of the upstream.
     fleet: FleetPlan
-    #: Service.
+    #: Service that the upstream runs.
     service: ServicePlan
-    #: Failure domain.
+    #: Name of its failure domain.
     domain: str
     #: Name, unique inside the fleet.
     name: str
-    #: Port on loopback.
+    #: Port on the loopback address.
     port: int
 
     @property
     def identity(self) -> str:
-        """Name as "fleet/name"."""
+        """Identity as "fleet/name"."""
         return f"{self.fleet.name}/{self.name}"
 
     def make_spec(self) -> sycamoreloft_standins.UpstreamSpec:
-        """Returns the settings of the stand-in."""
+        """Returns the settings of the stand-in for this upstream."""
         return sycamoreloft_standins.UpstreamSpec(
             self.name,
             self.port,
@@ -169,7 +169,8 @@
                     priority="critical",
                     weight=2.0,
                 ),
-                # Neither repeatable nor at most once.
+                # Covers an operation that is neither repeatable nor at most
+                # once.
                 OperationPlan("POST", "/remarks", weight=1.0),
             ),
             key_prefix="heat-",
@@ -239,7 +240,7 @@
 
 
 def count_upstreams(fleets: abc.Iterable[FleetPlan]) -> int:
-    """Returns the number of upstreams of the fleets."""
+    """Returns the total number of upstreams of the fleets."""
     return sum(
         service.instances * len(fleet.domains)
         for fleet in fleets
@@ -250,8 +251,8 @@
 def plan_upstreams(
     fleets: abc.Iterable[FleetPlan], ports: abc.Iterable[int]
 ) -> list[UpstreamPlan]:
-    """Names all upstreams of the fleets and gives each a port."""
-    free = iter(ports)
+    """Returns all upstreams of the fleets, each with a port."""
+    free_ports = iter(ports)
     plans = []
     for fleet in fleets:
         for service in fleet.services:
@@ -261,13 +262,15 @@
                     number += 1
                     name = f"{service.name}-{number:02d}"
                     plans.append(
-                        UpstreamPlan(fleet, service, domain, name, next(free))
+                        UpstreamPlan(
+                            fleet, service, domain, name, next(free_ports)
+                        )
                     )
     return plans
 
 
 def format_value(value: typing.Any) -> str:
-    """Writes a TOML value; JSON strings, numbers and lists are TOML too."""
+    """Formats a TOML value; JSON strings and numbers are valid TOML."""
     if isinstance(value, abc.Mapping):
         fields = ", ".join(
             f"{name} = {format_value(item)}" for name, item in value.items()
@@ -283,11 +286,11 @@
     upstreams: abc.Iterable[UpstreamPlan],
     leaving: abc.Set[str] = frozenset(),
 ) -> str:
-    """Writes the TOML file of a fleet.
+    """Returns the TOML text of a fleet file.
 
     Args:
-        fleet: The fleet.
-        upstreams: Upstreams of any fleet; those of others are left out.
+        fleet: Fleet to describe.
+        upstreams: Upstreams; those of other fleets are ignored.
         leaving: Upstreams ("fleet/name") to declare as leaving.
     """
     document = {
@@ -330,7 +333,7 @@
 
 
 def write_document(document: abc.Mapping[str, typing.Any]) -> str:
-    """Writes a TOML document with one line for each top-level field."""
+    """Returns a TOML document with one line for each top-level field."""
     return "".join(
         f"{name} = {format_value(value)}\n" for name, value in document.items()
     )
