--- a/packages/decisions/tests/test_ownership_fuzz.py
+++ b/packages/decisions/tests/test_ownership_fuzz.py
@@ -1,4 +1,4 @@
-"""Fuzzes the group holder of several hosts against an independent oracle."""
+"""Fuzzes `GroupHolder` on several hosts against an independent oracle."""
 
 import dataclasses
 
@@ -23,11 +23,11 @@
 HOSTS = ("h0", "h1", "h2", "h3")
 UPSTREAMS = ("u0", "u1", "u2", "u3")
 NODES = (*HOSTS, *UPSTREAMS, "store")
-# Faults that hit the same upstream again find more than faults that are spread
-# evenly, so half of the choices fall on one upstream of each example.
+# Repeated faults of the same upstream find more violations than faults that are
+# spread evenly, so half of the choices select one upstream of each example.
 NAMES = strategies.sampled_from(("focus",) * 4 + UPSTREAMS)
-#: Time in which a group recovers from any faults: the offline limit with its
-#: wait, and the silence after which hosts take a group.
+#: Maximum time in which a group recovers from any faults: the offline limit,
+#: the expiry of grants, and the silence after which hosts take over a group.
 RECOVERY_S = 11.0
 SETTINGS = hypothesis.settings(
     derandomize=True,
@@ -116,7 +116,7 @@
 
     @stateful.rule()
     def cut_off_holder_with_slow_answers(self):
-        """Lets promises reach the holder late, then cuts it off."""
+        """Delays promises to the holder, then disconnects it."""
         self.world.heal()
         self.world.run(1.0)
         link = (self.world.find_standby(), self.world.find_holder())
@@ -127,7 +127,7 @@
 
     @stateful.rule(is_restarted=strategies.booleans())
     def split_and_leave(self, is_restarted):
-        """Moves units while the holder that was replaced goes on."""
+        """Moves units while the replaced holder continues to act."""
         self.world.heal()
         self.set_leaving(self.focus, False)
         self.world.run(1.0)
@@ -143,7 +143,7 @@
         is_answer=strategies.booleans(),
     )
     def slow_promises(self, delay, is_answer):
-        """Slows requests for promises, or the answers."""
+        """Delays either the requests for promises or the answers."""
         link = (self.world.find_holder(), self.world.find_standby())
         self.world.link_delays[link[::-1] if is_answer else link] = delay
         self.world.run(0.6)
@@ -169,7 +169,7 @@
         self.set_leaving(self.choose(name), is_leaving)
 
     def set_leaving(self, name, is_leaving):
-        """Changes the file on every host that can reach the store."""
+        """Changes the generation on every host that can reach the store."""
         self.number += 1
         changes = {name: {"leaving": is_leaving}}
         self.world.change_generation(
@@ -275,7 +275,7 @@
 
     @stateful.rule(is_hot=strategies.booleans())
     def change_load(self, is_hot):
-        """Makes keys of one upstream hot, so that they are taken out."""
+        """Makes keys of one upstream hot, so that they are split off."""
         usual = 20 if is_hot else 400
         counts = {f"other-{index}": usual for index in range(40)}
         if is_hot:
@@ -309,12 +309,12 @@
 
 
 def test_ownership_never_overlaps_when_the_group_is_split():
-    """Guards against two holders that both have their grants accepted."""
+    """Guards against two holders whose grants are both accepted."""
     run_fuzz(SplitMachine, 25, 10)
 
 
 def choose_rules(machine, *names):
-    """Leaves only some rules, so that few examples reach the fault."""
+    """Restricts a machine to some rules, so that few examples reach a fault."""
     every = [
         name
         for name in dir(machine)
@@ -326,7 +326,7 @@
 
 
 def find_violation(machine, seed):
-    """Runs the fuzz without shrinking until it finds a violation."""
+    """Runs the fuzz without shrinking and returns the violation it finds."""
     settings = hypothesis.settings(
         SETTINGS,
         max_examples=150,
@@ -341,7 +341,7 @@
 
 
 def test_fuzz_finds_a_skipped_fence_check(monkeypatch):
-    """Guards against a fuzz that is blind to upstreams that skip fences."""
+    """Guards against a fuzz that misses upstreams without fence checks."""
     accept = _ownership_fakes.FakeUpstream._accept
 
     def accept_any_epoch(self, call, clock):
@@ -356,7 +356,7 @@
 
 
 def test_fuzz_finds_grants_without_a_clock_reading(monkeypatch):
-    """Guards against a fuzz that is blind to grants counted from arrival."""
+    """Guards against a fuzz that misses grants counted from their arrival."""
     monkeypatch.setattr(
         _ownership_fakes.FakeUpstream, "counts_from_arrival", True
     )
@@ -367,14 +367,14 @@
 
 
 def test_fuzz_finds_a_shortened_wait(monkeypatch):
-    """Guards against a fuzz that is blind to a wait that is too short."""
+    """Guards against a fuzz that misses a wait shorter than a grant."""
     monkeypatch.setattr(_timing, "GRANT_CERTAIN_END_S", 0.5)
     machine = choose_rules(SplitMachine, "cut_off_holder_with_slow_answers")
     assert "accepts" in find_violation(machine, 2)
 
 
 def test_fuzz_finds_a_grant_before_the_record(monkeypatch):
-    """Guards against a fuzz that is blind to unrecorded grants."""
+    """Guards against a fuzz that misses grants without a committed record."""
     start_write = _holding.Holding._start_write
 
     def start_and_apply(self, now):
@@ -389,42 +389,52 @@
 
 
 def test_fuzz_finds_a_promise_counted_from_the_answer(monkeypatch):
-    """Guards against a fuzz that is blind to promises that last too long."""
-    receive = _authority.Authority.receive
+    """Guards against a fuzz that misses promises counted for too long."""
+    record_promise = _authority.Authority.record_promise
 
-    def receive_late(self, event, now):
+    def record_late_promise(self, event, now):
         peer = self._peers.get(event.host)
         if peer and event.call in peer.requests:
             peer.requests[event.call] = now
-        receive(self, event, now)
+        record_promise(self, event, now)
 
-    monkeypatch.setattr(_authority.Authority, "receive", receive_late)
+    monkeypatch.setattr(
+        _authority.Authority, "record_promise", record_late_promise
+    )
     machine = choose_rules(SplitMachine, "cut_off_holder_with_slow_answers")
     assert "accepts" in find_violation(machine, 0)
 
 
 def test_fuzz_finds_a_missing_confirmation(monkeypatch):
-    """Guards against grants of a replaced holder to a restarted upstream."""
-    meet = _grants.GrantBook._meet_incarnation
+    """Guards against a fuzz that misses grants to an unconfirmed incarnation.
 
-    def meet_and_confirm(self, incarnation):
-        meet(self, incarnation)
+    A restarted upstream has forgotten the highest epoch, so it accepts grants
+    of a holder that was replaced.
+    """
+    reset = _grants.UpstreamGrants._reset_for_incarnation
+
+    def reset_and_confirm(self, incarnation):
+        reset(self, incarnation)
         self._is_confirmed = True
 
     monkeypatch.setattr(
-        _grants.GrantBook, "_meet_incarnation", meet_and_confirm
+        _grants.UpstreamGrants, "_reset_for_incarnation", reset_and_confirm
     )
     machine = choose_rules(SplitMachine, "split_and_leave")
     assert "accepts" in find_violation(machine, 0)
 
 
 def test_fuzz_finds_trust_in_an_upstream_without_fences(monkeypatch):
-    """Guards against moves that believe an upstream that checks no fences."""
-    create = _grants.GrantBook.__init__
+    """Guards against a fuzz that misses moves without waiting for the grant.
+
+    An upstream that checks no fences may still run requests for a unit that it
+    has acknowledged as removed.
+    """
+    create = _grants.UpstreamGrants.__init__
 
     def create_trusting(self, upstream, checks_fences, *rest):
         create(self, upstream, True, *rest)
 
-    monkeypatch.setattr(_grants.GrantBook, "__init__", create_trusting)
+    monkeypatch.setattr(_grants.UpstreamGrants, "__init__", create_trusting)
     machine = choose_rules(SplitMachine, "split_and_leave")
     assert "accepts" in find_violation(machine, 0)
--- a/packages/decisions/tests/test_placement.py
+++ b/packages/decisions/tests/test_placement.py
@@ -1,4 +1,4 @@
-"""Tests of the division among groups and of placement inside a group."""
+"""Tests of assigning partitions to groups, and of placement in a group."""
 
 import collections
 import dataclasses
@@ -14,7 +14,7 @@
 
 
 def make_generation(slots, **changes):
-    """Makes a fleet with one domain and two upstreams for each number."""
+    """Makes a fleet with two upstreams in each domain, by their slots."""
     upstreams = {
         f"{domain}{index}": sycamoreloft_config.Upstream(
             f"{domain}{index}", "board", domain, "127.0.0.1:1", count
@@ -39,7 +39,7 @@
     return sycamoreloft_config.Generation(1, {"f": fleet})
 
 
-def divide(generation):
+def list_partition_domains(generation):
     directory = sycamoreloft_decisions.PartitionDirectory(generation)
     return [
         directory.get_group("f", "board", partition).failure_domain
@@ -48,16 +48,18 @@
 
 
 def test_groups_share_partitions_by_slots():
-    """Guards against a small group that is given as much as a large one."""
-    counts = collections.Counter(divide(make_generation({"a": 2, "b": 6})))
+    """Guards against small groups that get as many partitions as large ones."""
+    counts = collections.Counter(
+        list_partition_domains(make_generation({"a": 2, "b": 6}))
+    )
     assert counts["a"] / 2_000 == pytest.approx(0.25, abs=0.03)
 
 
 def test_lost_upstreams_move_only_the_share_of_their_group():
-    """Guards against churn between groups that a file does not touch."""
+    """Guards against moves between groups that a file does not change."""
     slots = {"a": 4, "b": 4, "c": 4}
-    before = divide(make_generation(slots))
-    after = divide(make_generation(slots, a0={"lost": True}))
+    before = list_partition_domains(make_generation(slots))
+    after = list_partition_domains(make_generation(slots, a0={"lost": True}))
     changed = [
         (old, new) for old, new in zip(before, after, strict=True) if old != new
     ]
@@ -66,18 +68,18 @@
 
 
 def test_group_without_usable_upstreams_gets_no_partitions():
-    """Guards against partitions that wait for a group that cannot serve."""
+    """Guards against partitions in groups that cannot serve them."""
     lost = {"lost": True}
     generation = make_generation(
         {"a": 4, "b": 4}, a0=lost, a1={"leaving": True}
     )
-    assert set(divide(generation)) == {"b"}
+    assert set(list_partition_domains(generation)) == {"b"}
     find = sycamoreloft_decisions.compute_partition_group
     assert find(generation, "f", "film", 0) is None
 
 
 def test_alias_of_a_merged_service_has_no_partitions():
-    """Guards against two owners of a key that two names denote."""
+    """Guards against two owners of a key, one by each service name."""
     merge = sycamoreloft_config.Merge(
         (sycamoreloft_config.SameService("g/board", "f/board"),)
     )
@@ -96,7 +98,7 @@
 
 
 def test_units_without_owner_go_to_the_least_loaded():
-    """Guards against a loss that overloads one survivor."""
+    """Guards against overloading one upstream after another is lost."""
     view = make_view({"a": 5.0, "b": 1.0, "c": 4.0})
     unit = sycamoreloft_decisions.Unit("board", 1)
     chosen = [view.choose_target(unit, 1.0) for _ in range(5)]
@@ -105,28 +107,28 @@
 
 
 def test_move_must_lower_the_cost_by_a_margin():
-    """Guards against units that go back and forth between near-equals."""
+    """Guards against units that move back and forth between upstreams."""
     unit = sycamoreloft_decisions.Unit("board", 1)
     even = make_view({"a": 10.5, "b": 9.5})
-    assert even.propose(unit, "a", 1.0) is None
+    assert even.propose_move(unit, "a", 1.0) is None
     uneven = make_view({"a": 18.0, "b": 2.0})
-    proposal = uneven.propose(unit, "a", 1.0)
+    proposal = uneven.propose_move(unit, "a", 1.0)
     assert proposal.target == "b"
     uneven.move(proposal, 1.0)
-    assert uneven.propose(unit, "b", 1.0) is None
+    assert uneven.propose_move(unit, "b", 1.0) is None
 
 
 def test_weight_of_churn_keeps_units_in_place():
-    """Guards against weights of a file that have no effect."""
+    """Guards against configured weights without effect."""
     unit = sycamoreloft_decisions.Unit("board", 1)
     loads = {"a": 13.0, "b": 7.0}
     calm = sycamoreloft_config.Weights(1.0, 8.0, 1.0)
-    assert make_view(loads).propose(unit, "a", 1.0)
-    assert make_view(loads, calm).propose(unit, "a", 1.0) is None
+    assert make_view(loads).propose_move(unit, "a", 1.0)
+    assert make_view(loads, calm).propose_move(unit, "a", 1.0) is None
 
 
 def test_few_requests_say_nothing_of_loads():
-    """Guards against moves that a handful of requests cause."""
+    """Guards against moves that a few requests cause."""
     loads = _loads.ServiceLoads("f", "board", 8, 0.0)
     unit = sycamoreloft_decisions.Unit("board", 3)
     loads.observe({"key": 50}, 0.1)
--- a/packages/direct/tests/test_lost_owners.py
+++ b/packages/direct/tests/test_lost_owners.py
@@ -1,8 +1,8 @@
-"""Keys of owners that are gone, and what shortens the wait for them.
+"""Reassignment of the keys of lost owners by a new coordinator.
 
-The pattern: the coordinator and some owners are lost together, so that the
-successor waits for what the predecessor may have granted, and all requests for
-the keys of these owners are refused meanwhile.
+If the coordinator and some owners are lost together, the successor has to wait
+for leases that the predecessor may have granted, and requests for the keys are
+refused meanwhile. Knowing that an owner's run has ended shortens the wait.
 """
 
 import pytest
@@ -12,8 +12,8 @@
 SERVICE = "boards"
 TICK_S = 0.05
 
-#: Time for which an earlier coordinator may renew, in seconds.
-EARLIER_S = 12.0
+#: Time for which the predecessor may still renew leases, in seconds.
+PREDECESSOR_S = 12.0
 
 
 def build(number):
@@ -23,7 +23,7 @@
 
 
 class Succession:
-    """A coordinator that succeeds a lost one; the first owner is gone."""
+    """A coordinator that replaces a lost one; the first owner is lost too."""
 
     def __init__(self):
         self.upstreams = [build(number) for number in range(4)]
@@ -40,12 +40,12 @@
         self.coordinator = sycamoreloft_direct.KeyCoordinator(
             sycamoreloft_direct.KeyMap(2, 1, {SERVICE: keys}),
             self.now,
-            self.now + EARLIER_S,
+            self.now + PREDECESSOR_S,
             sycamoreloft_direct.LeaseTimes(),
         )
 
     def run(self, seconds):
-        """Answers all orders but those to the lost owner."""
+        """Runs ticks; answers all orders except those to the lost owner."""
         until = self.now + seconds
         results = sycamoreloft_direct.GrantResult
         while self.now < until:
@@ -61,8 +61,8 @@
                 result = results.UNREACHED if is_lost else results.ACCEPTED
                 self.coordinator.finish_grant(command.order, result, self.now)
 
-    def is_lost_recorded(self):
-        """Tells whether the lost owner still has the first key."""
+    def is_lost_owner_recorded(self):
+        """Returns whether the lost owner is still recorded for key 0."""
         owner = self.coordinator.key_map.find_owner(SERVICE, 0)
         return owner == self.lost
 
@@ -73,14 +73,14 @@
 
 
 def test_keys_of_a_silent_owner_wait_for_the_predecessor(succession):
-    succession.run(EARLIER_S)
-    assert succession.is_lost_recorded()
+    succession.run(PREDECESSOR_S)
+    assert succession.is_lost_owner_recorded()
     succession.run(6.0)
-    assert not succession.is_lost_recorded()
+    assert not succession.is_lost_owner_recorded()
 
 
 def test_keys_of_an_owner_that_surely_ended_do_not_wait(succession):
     succession.run(1.0)
     succession.coordinator.end_run(succession.lost)
     succession.run(1.0)
-    assert not succession.is_lost_recorded()
+    assert not succession.is_lost_owner_recorded()
