Keep the logger names of three renamed modules

The field `logger` of a log line had followed the renames of the modules. Readers of logs filter by it, so each logger has its former name again.

--- a/packages/router/sycamoreloft_router/_coordinator_election.py
+++ b/packages/router/sycamoreloft_router/_coordinator_election.py
@@ -12,7 +12,8 @@
     _tenure,
 )
 
-_LOGGER = logging.getLogger(__name__)
+# The logger keeps the module's former name: readers of logs filter by it.
+_LOGGER = logging.getLogger("sycamoreloft_router._coordinator_bid")
 
 #: Seconds for which a host leaves an expired lease alone while the coordinator
 #: still sends heartbeats. After an outage of the store for all hosts, the
--- a/packages/router/sycamoreloft_router/_coordinator_logs.py
+++ b/packages/router/sycamoreloft_router/_coordinator_logs.py
@@ -4,7 +4,8 @@
 
 from sycamoreloft_router import _coordinator_election, _datagrams, _logs
 
-_LOGGER = logging.getLogger(__name__)
+# The logger keeps the module's former name: readers of logs filter by it.
+_LOGGER = logging.getLogger("sycamoreloft_router._duty_logs")
 
 
 class FollowedCoordinator:
--- a/packages/router/sycamoreloft_router/_coordinator_role.py
+++ b/packages/router/sycamoreloft_router/_coordinator_role.py
@@ -25,7 +25,8 @@
     _ticks,
 )
 
-_LOGGER = logging.getLogger(__name__)
+# The logger keeps the module's former name: readers of logs filter by it.
+_LOGGER = logging.getLogger("sycamoreloft_router._coordinator_duty")
 
 #: Seconds between two checks for due work while this host is the coordinator.
 TICK_S = 0.05
