Clarify texts and names in ten modules

Comments referred to things by "it", "that" or "one" and left out what a method returns for invalid input; they now name the constant, field or cause.

--- a/packages/config/sycamoreloft_config/_fields.py
+++ b/packages/config/sycamoreloft_config/_fields.py
@@ -23,7 +23,8 @@
     " a digit"
 )
 
-#: Maximum number of reported problems of a file; one more counts the others.
+#: Maximum number of problems reported for one file. If there are more, one
+#: additional entry says how many are not shown.
 MAXIMUM_PROBLEMS = 200
 
 Table: typing.TypeAlias = abc.Mapping[str, typing.Any]
@@ -33,7 +34,7 @@
     """Collects the problems of one file.
 
     Args:
-        file_name: Name of the file in the problems.
+        file_name: File name that the reported problems contain.
     """
 
     def __init__(self, file_name: str) -> None:
@@ -42,7 +43,13 @@
         self._omitted = 0
 
     def add(self, path: str, problem: str, remedy: str) -> None:
-        """Records a problem."""
+        """Records a problem.
+
+        Args:
+            path: Path of the field inside the file; empty for the whole file.
+            problem: What is wrong.
+            remedy: How to correct it.
+        """
         if len(self._problems) >= MAXIMUM_PROBLEMS:
             self._omitted += 1
             return
@@ -68,7 +75,7 @@
 def load_toml(
     text: str, file_name: str
 ) -> result.Result[Table, abc.Sequence[_problems.FileProblem]]:
-    """Parses TOML text, up to the maximum length of a file."""
+    """Parses TOML text of at most `MAXIMUM_FILE_BYTES` bytes."""
     problems = ProblemList(file_name)
     size = len(text.encode(errors="surrogatepass"))
     if size > MAXIMUM_FILE_BYTES:
@@ -86,7 +93,7 @@
         problems.add(
             "",
             f"the file is not valid TOML: {error}",
-            "correct the syntax at that place",
+            "correct the syntax at the reported position",
         )
         return result.Failure(problems.list_all())
 
@@ -110,7 +117,7 @@
         self._known_fields: list[str] = []
 
     def report_problem(self, name: str, problem: str, remedy: str) -> None:
-        """Records a problem of a field, or of the table for an empty name."""
+        """Records a problem of a field; an empty name means the whole table."""
         self._problems.add(self._format_path(name), problem, remedy)
 
     def has_field(self, name: str) -> bool:
@@ -164,7 +171,11 @@
         return ""
 
     def read_address(self, name: str) -> str:
-        """Reads an IP address and port; returns the canonical form."""
+        """Reads an IP address and port.
+
+        Returns:
+            The canonical form, or an empty string if the address is invalid.
+        """
         text = self.read_text(name)
         address = _addresses.normalize_address(text)
         if not address and isinstance(self._table.get(name), str):
@@ -179,14 +190,14 @@
     def read_integer(
         self, name: str, low: int, high: int, default: int | None = None
     ) -> int:
-        """Reads an integer from `low` to `high`."""
+        """Reads an integer in a range; returns `low` if it is invalid."""
         value = self._read_value(name, int, "an integer", default)
         return int(self._check_range(name, value, low, high))
 
     def read_number(
         self, name: str, low: float, high: float, default: float | None = None
     ) -> float:
-        """Reads a finite number from `low` to `high`."""
+        """Reads a finite number in a range; returns `low` if it is invalid."""
         value = self._read_value(name, (int, float), "a number", default)
         return float(self._check_range(name, value, low, high))
 
@@ -197,7 +208,7 @@
     def read_choice(
         self, name: str, choices: abc.Sequence[str], default: str | None = None
     ) -> str:
-        """Reads one of several strings; returns the first if it is invalid."""
+        """Reads one of `choices`; returns the first choice if it is invalid."""
         value = self.read_text(name, default)
         if value in choices:
             return value
@@ -228,14 +239,14 @@
         return tuple(value)
 
     def read_table(self, name: str) -> "TableReader":
-        """Reads a table; a missing one is empty."""
+        """Reads a table; a missing table is read as empty."""
         value = self._read_value(name, dict, "a table", {})
         return TableReader(value or {}, self._format_path(name), self._problems)
 
     def read_tables(
         self, name: str, maximum: int
     ) -> abc.Sequence["TableReader"]:
-        """Reads an array of tables; a missing one is empty."""
+        """Reads an array of tables; a missing array is read as empty."""
         value = self._read_value(name, list, "an array of tables", [])
         if value is None or not self._check_length(name, value, maximum):
             return ()
@@ -250,7 +261,7 @@
                 )
         return readers
 
-    def read_text_map(self, name: str, maximum: int) -> abc.Mapping[str, str]:
+    def read_name_map(self, name: str, maximum: int) -> abc.Mapping[str, str]:
         """Reads a table whose values are all names."""
         reader = self.read_table(name)
         fields = list(reader._table)
@@ -286,7 +297,7 @@
         description: str,
         default: typing.Any,
     ) -> typing.Any:
-        """Returns a value of the expected type, or the default."""
+        """Returns the value; the default if it is missing or mistyped."""
         self._known_fields.append(name)
         if name not in self._table:
             if default is None:
@@ -309,15 +320,16 @@
     def _check_range(
         self, name: str, value: float | None, low: float, high: float
     ) -> float:
+        """Returns the value, or `low` if it is missing or out of range."""
         if value is None:
             return low
         # Also rejects NaN. An integer may be too large for a float, so it is
         # compared without a conversion.
         if not low <= value <= high:
-            shown = str(value)[:40] if abs(value) < 1e18 else "the value"
+            value_text = str(value)[:40] if abs(value) < 1e18 else "the value"
             self.report_problem(
                 name,
-                f"{shown} is out of range",
+                f"{value_text} is out of range",
                 f"use a number from {low} to {high}",
             )
             return low
--- a/packages/config/sycamoreloft_config/_loading.py
+++ b/packages/config/sycamoreloft_config/_loading.py
@@ -150,7 +150,7 @@
 
 
 def _read_domains(reader: _fields.TableReader) -> abc.Mapping[str, str]:
-    domains = reader.read_text_map("failure_domains", MAXIMUM_ITEMS)
+    domains = reader.read_name_map("failure_domains", MAXIMUM_ITEMS)
     if not domains:
         reader.report_problem(
             "failure_domains",
--- a/packages/decisions/sycamoreloft_decisions/_claim_events.py
+++ b/packages/decisions/sycamoreloft_decisions/_claim_events.py
@@ -9,7 +9,7 @@
 
 
 class Verdict(enum.StrEnum):
-    """Answer to a claim, with the values of the message `ClaimAnswer`."""
+    """Answer to a claim. The values are those of `ClaimAnswer` messages."""
 
     #: The attempt may send the request once.
     CLAIMED = "claimed"
@@ -35,7 +35,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimResultReported:
-    """An attempt reports its outcome, even if it gave up on the claim."""
+    """An attempt reports its outcome.
+
+    An attempt that stopped waiting for the answer to its claim reports too.
+    """
 
     #: As in `ClaimRequested`.
     id_hash: bytes
@@ -93,13 +96,14 @@
 
     #: Sequence number of the batch.
     sequence: int
-    #: Request id of the write that created the row; empty if there is no row.
+    #: `WriteBatch.request` of the write that created the row; empty if there is
+    #: no row.
     request: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RowsLoaded:
-    """All claim rows of the window were read.
+    """All claim rows of the last `ClaimOptions.window_s` seconds were read.
 
     The read must have started after the write of the group row that made
     this host the holder, so that no earlier holder can add rows afterwards.
@@ -134,11 +138,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerClaim:
-    """Answers the claim of an attempt."""
+    """Sends the answer to a claim to the attempt that requested it."""
 
     #: Identifier of the attempt.
     attempt: str
-    #: The answer.
+    #: Whether the attempt may send its request, and otherwise why not.
     verdict: Verdict
     #: Outcome of the first attempt if the verdict is "repeated".
     outcome: str = ""
@@ -152,7 +156,8 @@
 
     #: Sequence number of the batch, unique in the epoch.
     sequence: int
-    #: Request id of the write. It stays the same if the write is repeated.
+    #: Identifier of the write, which is not the request id of a claim. A
+    #: repeated write has the same identifier.
     request: str
     #: Contents of the row.
     entries: tuple[ClaimEntry, ...]
@@ -179,11 +184,11 @@
     batch_entries: int = 256
     #: Seconds after which an attempt is refused if its claim is not stored.
     claim_timeout_s: float = 1.0
-    #: Maximum number of batches with an unknown outcome. More claims have to
-    #: wait.
+    #: Maximum number of batches whose outcome is not known yet. Further claims
+    #: wait until one of these outcomes is known.
     unsettled_batches: int = 16
-    #: Maximum number of attempts that wait for the rows to be loaded, for a
-    #: place in a batch, or for another attempt; the limit applies to each.
+    #: Maximum length of each queue: attempts that wait for the rows to be
+    #: loaded, for a place in a batch, or for the claim of another attempt.
     waiting: int = 8192
     #: Seconds for which a claim is remembered.
     window_s: float = 600.0
--- a/packages/decisions/sycamoreloft_decisions/_explanations.py
+++ b/packages/decisions/sycamoreloft_decisions/_explanations.py
@@ -16,7 +16,7 @@
         )
 
     def add(self, text: str) -> None:
-        """Adds an explanation in the form of a sentence."""
+        """Adds an explanation, which is a sentence that operators read."""
         self._texts.append(text)
 
     def list_all(self) -> abc.Sequence[str]:
--- a/packages/decisions/sycamoreloft_decisions/_placement_groups.py
+++ b/packages/decisions/sycamoreloft_decisions/_placement_groups.py
@@ -9,9 +9,9 @@
     """The group of each partition in one generation.
 
     Every host computes the same result from the generation alone, by
-    rendezvous hashing. Groups are weighted by the slots of their usable
-    upstreams of the service, so that a change of one group only moves
-    partitions from or to this group.
+    rendezvous hashing, so a change of one group only moves partitions from or
+    to this group. The weight of a group is the number of slots of its usable
+    upstreams of the service.
 
     Args:
         generation: The generation.
@@ -32,29 +32,31 @@
         """Returns the group of a partition, None if no group can serve it.
 
         A service that the merge file declares as an alias has no partitions
-        of its own; the holders of its groups release those that they recorded.
+        of its own. The holders of its groups release the partitions that they
+        assigned before the declaration.
         """
         key = (fleet, service, partition)
         if key not in self._groups:
-            self._groups[key] = self._choose(fleet, service, partition)
+            self._groups[key] = self._choose_group(fleet, service, partition)
         return self._groups[key]
 
-    def _choose(
+    def _choose_group(
         self, fleet: str, service: str, partition: int
     ) -> sycamoreloft_config.GroupName | None:
         best: tuple[float, sycamoreloft_config.GroupName] | None = None
-        for group, slots in self._list_weights(fleet, service):
-            drawn = sycamoreloft_config.hash_text(
+        for group, slots in self._get_weights(fleet, service):
+            hash_value = sycamoreloft_config.hash_text(
                 service, str(partition), str(group)
             )
-            # Among exponential variables with the rates `slots`, each is the
-            # smallest with a probability proportional to its rate.
-            draw = -math.log((drawn + 1) / (2**64 + 1)) / slots
+            # Turns the hash into an exponential variable with the rate `slots`.
+            # A group has the smallest draw with a probability proportional to
+            # its rate.
+            draw = -math.log((hash_value + 1) / (2**64 + 1)) / slots
             if best is None or (draw, group) < best:
                 best = (draw, group)
         return best[1] if best else None
 
-    def _list_weights(
+    def _get_weights(
         self, fleet: str, service: str
     ) -> list[tuple[sycamoreloft_config.GroupName, int]]:
         if (fleet, service) not in self._weights:
@@ -87,8 +89,8 @@
 
     def _is_alias(self, fleet: str, service: str) -> bool:
         return any(
-            item.alias == f"{fleet}/{service}"
-            for item in self._generation.merge.same_services
+            same_service.alias == f"{fleet}/{service}"
+            for same_service in self._generation.merge.same_services
         )
 
 
--- a/packages/decisions/sycamoreloft_decisions/_table_writer.py
+++ b/packages/decisions/sycamoreloft_decisions/_table_writer.py
@@ -11,13 +11,13 @@
 
 
 class WriteStatus(enum.Enum):
-    """What is known of a write."""
+    """What is known about the outcome of a write."""
 
-    #: Not known yet.
+    #: It is not known whether the write was or will be committed.
     PENDING = "pending"
     #: The write was committed.
     STORED = "stored"
-    #: The write was not committed and no longer can be.
+    #: The write was not committed, and its condition can't be met any more.
     LOST = "lost"
 
 
@@ -28,22 +28,23 @@
     row: _rows.GroupRow
     row_version: int
     puts: abc.Mapping[str, abc.Mapping[str, typing.Any]]
-    #: Send time of the first attempt. Deadlines that follow from a success
-    #: count from it, because any of the attempts may have been committed.
+    #: Send time of the first attempt. Deadlines that start with a committed
+    #: write are computed from it, because the committed attempt is not known.
     first_sent_at: float
     last_sent_at: float
     calls: set[int]
-    #: Identifier and send time of the read that finds out the outcome.
+    #: Identifier and send time of the read that determines the outcome; None if
+    #: no read is outstanding.
     read: tuple[int, float] | None = None
 
 
 class TableWriter:
-    """Keeps at most one write in flight and finds out its outcome.
+    """Keeps at most one write in flight and determines its outcome.
 
     Every write contains the group row and is conditional on the version of
-    that row. If the answer is lost, the row is read to find out whether the
+    that row. If no answer arrives, the row is read to determine whether the
     write was committed. If it was not, the same content is sent again with the
-    same condition: at most one attempt can be committed, no matter which.
+    same condition, so that at most one of the attempts can be committed.
 
     Args:
         group: The group.
@@ -94,19 +95,19 @@
         self._write = None
 
     def owns_call(self, call: int) -> bool:
-        """Returns whether an identifier is that of the write in flight."""
+        """Returns whether a call is an attempt of the write in flight."""
         return self._write is not None and call in self._write.calls
 
     def owns_read(self, call: int) -> bool:
-        """Returns whether an identifier is that of this writer's read."""
+        """Returns whether a call is the outstanding read of this writer."""
         write = self._write
         return bool(write and write.read and write.read[0] == call)
 
     def read(self, now: float) -> abc.Sequence[_ownership.ReadRows]:
-        """Reads the row to find out the outcome of the write.
+        """Reads the row to determine the outcome of the write.
 
-        Needed after a refusal, too: an earlier attempt of the same write may
-        have been committed and caused it.
+        A refused attempt requires a read, too: if an earlier attempt of the
+        same write was committed, it changed the version of the row.
         """
         if self._write is None or self._write.read is not None:
             return ()
@@ -129,8 +130,10 @@
         return ()
 
     def fail_read(self, call: int, now: float) -> None:
-        """Schedules a retry of the read, which was not answered."""
+        """Schedules a retry of a read that failed."""
         if self.owns_read(call) and self._write is not None:
+            # No call has the identifier -1. `tick` repeats the read when the
+            # timeout of this placeholder ends, which is at `retry_at`.
             retry_at = now + _timing.READ_INTERVAL_S
             self._write.read = (-1, retry_at - _timing.TABLE_TIMEOUT_S)
 
--- a/packages/direct/sycamoreloft_direct/_revocations.py
+++ b/packages/direct/sycamoreloft_direct/_revocations.py
@@ -1,4 +1,4 @@
-"""Revokes keys from owners that lost them without answering.
+"""Releases for upstreams whose keys were reassigned without their answer.
 
 If a network partition begins while a grant is in transit, the grant may arrive
 when the partition ends, long after the coordinator waited for its lease. The
@@ -18,26 +18,28 @@
 #: can.
 RETRY_S = 0.1
 
-#: Seconds for which attempts follow at this short interval. Most partitions
-#: and restarts are over by then.
+#: Seconds after the loss of keys during which attempts are `RETRY_S` apart.
+#: Most network partitions and restarts are shorter.
 FAST_RETRY_PERIOD_S = 10.0
 
-#: Seconds between two attempts after that.
+#: Seconds between two attempts after `FAST_RETRY_PERIOD_S`.
 SLOW_RETRY_S = 1.0
 
-#: Maximum number of concurrent releases, unless an upstream has just answered.
+#: Maximum number of concurrent releases. It does not apply during
+#: `RECENT_ANSWER_S`.
 MAXIMUM_OPEN_ORDERS = 8
 
-#: Seconds after an answer during which all upstreams are tried without that
-#: limit: a partition that ended for one upstream has likely ended for others.
+#: Seconds after an answer during which `MAXIMUM_OPEN_ORDERS` does not apply: a
+#: network partition that ended for one upstream has likely ended for others.
 RECENT_ANSWER_S = 1.0
 
 #: Seconds after which the coordinator gives up on an upstream that lost keys
 #: and never answered.
 GIVE_UP_S = 600.0
 
-#: The same for an upstream that is not known to have lost keys. It is shorter
-#: because the upstream gets no keys until then, although it may be healthy.
+#: Like `GIVE_UP_S`, for an upstream that is not known to have lost keys. It is
+#: shorter because the upstream gets no keys until then, although it may be
+#: healthy.
 PRECAUTION_GIVE_UP_S = 5.0
 
 
@@ -57,7 +59,7 @@
 class _Revocation:
     """Keys that one upstream still has to release."""
 
-    #: The last entry of the upstream in service discovery.
+    #: The most recent entry of the upstream in service discovery.
     upstream: _model.Upstream
     #: When the upstream last lost keys, in seconds.
     lost_at: float
@@ -65,7 +67,8 @@
     give_up_at: float
     #: When the next attempt is due, in seconds.
     due_at: float
-    #: Keys that the upstream has not released. An order releases the first.
+    #: Keys that the upstream has not released. Each order releases the first
+    #: item of the list.
     keys: list[LostKeys]
     #: Number of the outstanding order; 0 for none.
     order: int = 0
@@ -95,7 +98,7 @@
         self._entries: dict[_model.UpstreamRun, _model.Upstream] = {}
         self._listed: abc.Set[_model.UpstreamRun] = frozenset()
         self._pending: dict[_model.UpstreamRun, _Revocation] = {}
-        self._answered_until = 0.0
+        self._unlimited_until = 0.0
 
     def update_upstreams(
         self,
@@ -146,23 +149,23 @@
             run: Run that owned the keys.
             keys: The lost keys.
             now: Time, in seconds.
-            owns_nothing: Whether the run owns no other keys. A single release
-                of all keys suffices then.
+            owns_nothing: Whether the run owns no other keys. If so, a single
+                release of all keys replaces the separate releases.
         """
         entry = self._entries.get(run)
         if entry is None:
-            # The owner is known from the map only: it was not listed since
-            # this coordinator took over, so its address is unknown.
+            # The owner has not been listed since this coordinator took over, so
+            # only the map of keys contains it and its address is unknown.
             return
-        pending = self._pending.setdefault(
+        revocation = self._pending.setdefault(
             run, _Revocation(entry, now, now, now, [])
         )
-        pending.lost_at, pending.give_up_at = now, now + GIVE_UP_S
+        revocation.lost_at, revocation.give_up_at = now, now + GIVE_UP_S
         if owns_nothing:
             keys = _build_all_keys(keys.service)
-            # Keep the first keys if an outstanding order is releasing them.
-            del pending.keys[1 if pending.order else 0 :]
-        pending.keys.append(keys)
+            # An outstanding order releases the first item, so it stays.
+            del revocation.keys[1 if revocation.order else 0 :]
+        revocation.keys.append(keys)
 
     def is_pending(self, run: _model.UpstreamRun) -> bool:
         """Returns whether a run has not yet released keys that it lost."""
@@ -186,7 +189,7 @@
             for revocation in self._pending.values()
             if revocation.order == 0 and now >= revocation.due_at
         ]
-        if now >= self._answered_until:
+        if now >= self._unlimited_until:
             open_count = sum(
                 revocation.order != 0 for revocation in self._pending.values()
             )
@@ -203,7 +206,7 @@
             now: Time, in seconds.
 
         Returns:
-            Whether the order is a revocation. Otherwise nothing changes.
+            Whether the order is one of these releases. If not, nothing changes.
         """
         revocation = next(
             (
@@ -227,7 +230,7 @@
         return True
 
     def _make_all_due(self, now: float) -> None:
-        self._answered_until = now + RECENT_ANSWER_S
+        self._unlimited_until = now + RECENT_ANSWER_S
         for revocation in self._pending.values():
             revocation.due_at = min(revocation.due_at, now)
 
--- a/packages/router/sycamoreloft_router/_coordinator_lease.py
+++ b/packages/router/sycamoreloft_router/_coordinator_lease.py
@@ -18,7 +18,8 @@
 RENEW_INTERVAL_S = 0.5
 
 #: Seconds before the end of the lease at which the coordinator stops changing
-#: owners of keys. An order that was decided before leaves the process in time.
+#: owners of keys. It gives orders that were decided earlier the time to be sent
+#: before the lease ends.
 SAFETY_MARGIN_S = 0.2
 
 
@@ -37,7 +38,8 @@
     #: Time on the store's clock, in seconds, until which earlier coordinators
     #: that are cut off from the store may still renew key leases.
     earlier_until: float = 0.0
-    #: Whether the coordinator stopped and sends no more orders.
+    #: Whether the coordinator resigned before the end of the lease; it sends no
+    #: more orders.
     is_resigned: bool = False
 
 
@@ -45,13 +47,16 @@
 class ClockReference:
     """Relates the store's clock to the boot clock of this host."""
 
-    #: When a call to the store was sent, in seconds of the boot clock.
+    #: Time on the boot clock, in seconds, when a call to the store was sent.
     sent_at: float
-    #: The store's clock in the answer to that call, in seconds.
+    #: Time on the store's clock, in seconds, in the answer to that call.
     clock_s: float
 
     def estimate(self, now: float) -> float:
-        """Returns the latest time that the store's clock may show.
+        """Returns an upper bound of the current time on the store's clock.
+
+        The store read its clock after the call was sent, so the time that the
+        answer contains belongs to a moment after `sent_at`.
 
         Args:
             now: Time on the boot clock, in seconds.
--- a/packages/router/sycamoreloft_router/_direct_peers.py
+++ b/packages/router/sycamoreloft_router/_direct_peers.py
@@ -9,10 +9,12 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-#: Seconds between two log lines about malformed datagrams of one kind and peer.
+#: Minimum seconds between two log lines about malformed datagrams with the same
+#: peer and kind of error.
 LOG_INTERVAL_S = 1.0
 
-#: Maximum number of pairs of kind and peer that are kept to limit these lines.
+#: Maximum number of pairs of peer and kind of error for which the time of the
+#: next log line is stored.
 MAXIMUM_LOGGED_SOURCES = 1_000
 
 
@@ -20,7 +22,7 @@
     """Sends datagrams to other hosts."""
 
     async def open(self) -> None:
-        """Opens the sender."""
+        """Prepares for sending; messages sent earlier are dropped."""
 
     def send(
         self, message: _datagrams.Datagram, *addresses: _datagrams.Address
@@ -28,7 +30,7 @@
         """Sends a message to hosts; it may be lost."""
 
     def close(self) -> None:
-        """Closes the sender."""
+        """Stops sending; messages sent later are dropped."""
 
 
 class PeerSocket(asyncio.DatagramProtocol):
@@ -99,7 +101,7 @@
     def _log_ignored(
         self, peer: str, error: _datagram_codec.DatagramError, size: int
     ) -> None:
-        """Logs a malformed datagram, once a second for each kind and peer."""
+        """Logs a malformed datagram, limited by `LOG_INTERVAL_S`."""
         now = asyncio.get_running_loop().time()
         source = (peer, error.kind)
         if now < self._next_log_at.get(source, now):
--- a/packages/router/sycamoreloft_router/_transfers.py
+++ b/packages/router/sycamoreloft_router/_transfers.py
@@ -1,4 +1,4 @@
-"""Transfers: one request to an upstream each, and its streamed answer."""
+"""Transfers, each of one request to an upstream and its streamed answer."""
 
 import asyncio
 import typing
@@ -31,7 +31,7 @@
         """Lets a paused transfer continue."""
 
     def remove(self, handle: typing.Any) -> None:
-        """Removes a running handle from the multi handle."""
+        """Removes the handle of a running transfer from the multi handle."""
 
 
 class Transfer:
@@ -67,6 +67,7 @@
         self._deadline = client.read_clock() + request.timeout_s
         self._handle: typing.Any = None
         self._paused = False
+        # Number of buffered bytes at which `wait` returns.
         self._threshold = 0
         self._waiter: asyncio.Future[None] | None = None
         #: The request, as passed to the client.
@@ -134,7 +135,7 @@
             )
 
     def check_expired(self) -> bool:
-        """Returns whether it is too late to send the request."""
+        """Sets and returns whether it is too late to send the request."""
         self.is_expired = self._client.read_clock() > self.request.send_by
         return self.is_expired
 
@@ -209,11 +210,11 @@
         error == pycurl.E_OPERATION_TIMEDOUT
         and transfer.request.timeout_s < transfer.connect_timeout_s
     ):
-        # The time left was less than a connection may take, so the upstream
-        # is not at fault.
+        # The request had less time left than opening a connection may take, so
+        # the timeout doesn't mean that the upstream is unreachable.
         return _transfer_types.Failure(_KIND.DEADLINE, message)
     if transfer.opened_socket:
         return _transfer_types.Failure(_KIND.CONNECT, message)
-    # libcurl opened no socket: the transfer waited until its timeout for one
-    # of the connections to the upstream.
+    # libcurl opened no socket, so the transfer waited for a free connection to
+    # the upstream until it timed out.
     return _transfer_types.Failure(_KIND.LIMIT, message)
--- a/packages/router/tests/domain_faults.py
+++ b/packages/router/tests/domain_faults.py
@@ -29,7 +29,7 @@
     """Stops the coordinator, then its successors."""
     stops = []
     for _ in range(count):
-        for host in world.find_coordinators():
+        for host in world.list_coordinators():
             world.log(f"stop {host.name} (leads)")
             stops.append(world.loop.create_task(host.stop()))
         await asyncio.sleep(world.generator.uniform(0.05, 3.0))
@@ -40,7 +40,7 @@
     """Stops the coordinator, then each host that tries to replace it."""
     stops = []
     ends_at = world.now() + seconds
-    for host in world.find_coordinators():
+    for host in world.list_coordinators():
         world.log(f"stop {host.name} (leads)")
         stops.append(world.loop.create_task(host.stop()))
     while world.now() < ends_at:
@@ -59,7 +59,7 @@
 
 async def kill_hosts(world):
     """Kills some hosts, often the coordinator."""
-    hosts = world.find_coordinators()
+    hosts = world.list_coordinators()
     if not hosts or world.generator.random() < 0.3:
         hosts = world.generator.sample(list(world.hosts.values()), 3)
     for host in hosts:
@@ -71,7 +71,7 @@
 
 async def freeze_hosts(world):
     """Freezes a host, often the coordinator."""
-    hosts = world.find_coordinators()
+    hosts = world.list_coordinators()
     if not hosts or world.generator.random() < 0.3:
         hosts = [world.generator.choice(list(world.hosts.values()))]
     seconds = world.generator.uniform(0.3, 9.0)
@@ -105,7 +105,7 @@
         ways: Direction, "in", "out" or "both"; None draws one.
         domain: Name of the domain; None draws one, often the coordinator's.
     """
-    coordinators = world.find_coordinators()
+    coordinators = world.list_coordinators()
     if domain is None:
         domain = world.generator.choice(world.domains)
         if coordinators and world.generator.random() < 0.5:
@@ -122,9 +122,9 @@
 async def cut_host(world):
     """Cuts a host off from some upstreams, and perhaps the store and hosts."""
     generator = world.generator
-    hosts = world.find_coordinators() or list(world.hosts.values())
+    hosts = world.list_coordinators() or list(world.hosts.values())
     host = generator.choice(hosts)
-    labels = [upstream.name for upstream in world.list_up()]
+    labels = [upstream.name for upstream in world.list_running_upstreams()]
     targets = generator.sample(labels, min(3, len(labels)))
     if generator.random() < 0.7:
         targets.append("store")
@@ -142,7 +142,7 @@
 
 async def cut_upstream(world):
     """Cuts an upstream off from all hosts and the store."""
-    upstream = world.generator.choice(world.list_up())
+    upstream = world.generator.choice(world.list_running_upstreams())
     others = [*world.domains, "store"]
     world.log(f"cut {upstream.name}")
     world.links.block([upstream.name], others)
@@ -181,7 +181,7 @@
     elif kind == "slow":
         world.store_delay_s = generator.choice((0.3, 1.2, 2.0))
     else:
-        for host in (*refused, *world.find_coordinators()):
+        for host in (*refused, *world.list_coordinators()):
             host.is_refused_by_store = True
     await asyncio.sleep(seconds)
     store.down = False
@@ -197,7 +197,11 @@
 def _choose_upstream(world):
     """Chooses an upstream that no other fault is about to end."""
     upstream = world.generator.choice(
-        [candidate for candidate in world.list_up() if not candidate.is_ending]
+        [
+            candidate
+            for candidate in world.list_running_upstreams()
+            if not candidate.is_ending
+        ]
     )
     upstream.is_ending = True
     return upstream
@@ -275,7 +279,7 @@
     entry = process.view.find(owner) if owner is not None else None
     if entry is None:
         return
-    upstream = world.find_upstream_at(entry.address)
+    upstream = world.get_running_upstream(entry.address)
     if upstream is None or not world.links.is_open(
         host.labels, upstream.labels
     ):
@@ -336,7 +340,7 @@
         cut_domain(world, generator.uniform(2.0, 6.0), "both", domain)
     )
     await asyncio.sleep(generator.uniform(0.3, 2.0))
-    for host in world.find_coordinators():
+    for host in world.list_coordinators():
         if host.domain != domain:
             world.log(f"kill {host.name}")
             await host.kill(generator.uniform(0.2, 0.9))
--- a/packages/router/tests/domain_hosts.py
+++ b/packages/router/tests/domain_hosts.py
@@ -165,7 +165,7 @@
             The run that accepted the connection, or None.
         """
         world, process = self.world, self.process
-        upstream = world.find_upstream_at(address)
+        upstream = world.get_running_upstream(address)
         if upstream is not None and self._connected.get(address) is upstream:
             return upstream
         self._connected.pop(address, None)
--- a/packages/router/tests/domain_world.py
+++ b/packages/router/tests/domain_world.py
@@ -1,9 +1,10 @@
 """Simulated failure domains with several hosts and upstreams each.
 
-Unlike in `key_world`, hosts and upstreams in a domain that is cut off reach
-each other, entries expire and return, processes drain after a stop while their
-tasks continue, connections are reused or opened, and upstreams work on
-requests. The oracle checks which keys upstreams hold and work on.
+It simulates what `key_world` does not: hosts and upstreams in a domain that is
+cut off reach each other, entries in service discovery expire and return, a
+stopped process drains while its tasks continue, connections are reused or
+opened, and upstreams work on requests. The oracle checks that no two upstreams
+hold the same key or work on it.
 """
 
 import asyncio
@@ -33,9 +34,9 @@
         self.loop = asyncio.get_running_loop()
         self.generator = random.Random(seed)
         self.links = domain_links.Links(self.loop, self.generator)
-        #: Share of the grants that upstreams apply seconds late.
+        #: Share of the grants, from 0 to 1, that upstreams apply seconds late.
         self.delayed_share = 0.0
-        #: Maximum time from the decision on an order to its sending, in s.
+        #: Maximum time from the decision on an order to its send, in s.
         self.dispatch_delay_s = 0.0
         #: Maximum delay of the store's answers, in seconds.
         self.store_delay_s = 0.0
@@ -49,7 +50,7 @@
         self.entries = {}
         self.heartbeat_at = {}
         #: The most recent run at each address.
-        self.at_address = {}
+        self.latest_run_by_address = {}
         self.all_runs = []
         self.state = sycamoreloft_direct.DesiredState(
             1,
@@ -78,11 +79,11 @@
         return self.loop.time()
 
     def log(self, text):
-        """Records an event for the report of a failure."""
+        """Records an event for the diagnosis of a failed run."""
         self.events.append(f"{self.now():.3f} {text}")
 
     def draw_delay(self, limit_s):
-        """Draws a delay: often zero, often the maximum."""
+        """Draws a delay in seconds: zero, the maximum, or one in between."""
         if limit_s == 0.0:
             return 0.0
         share = self.generator.choice((0.0, 1.0, self.generator.random()))
@@ -91,22 +92,24 @@
     def start_upstream(self, name, domain, address):
         """Starts a run of an upstream."""
         upstream = domain_upstreams.Upstream(self, name, domain, address)
-        self.at_address[address] = upstream
+        self.latest_run_by_address[address] = upstream
         self.all_runs.append(upstream)
         return upstream
 
-    def find_upstream_at(self, address):
+    def get_running_upstream(self, address):
         """Returns the running upstream at an address, or None."""
-        upstream = self.at_address.get(address)
+        upstream = self.latest_run_by_address.get(address)
         return upstream if upstream is not None and upstream.up else None
 
-    def list_up(self):
+    def list_running_upstreams(self):
         """Lists the runs that are up."""
         return [
-            upstream for upstream in self.at_address.values() if upstream.up
+            upstream
+            for upstream in self.latest_run_by_address.values()
+            if upstream.up
         ]
 
-    def find_coordinators(self):
+    def list_coordinators(self):
         """Lists the hosts that consider themselves the coordinator."""
         return [host for host in self.hosts.values() if host.is_coordinator]
 
@@ -147,7 +150,7 @@
     # The oracle.
 
     def check_hold(self, holder, hold):
-        """Checks keys that an upstream begins to hold against all others."""
+        """Checks that no other upstream holds or works on newly held keys."""
         if hold.is_exempt:
             return
         for other in self.all_runs:
@@ -210,4 +213,5 @@
 
 
 def _format_fence(fence):
+    # The low 24 bits are a counter within the epoch.
     return f"{fence >> 24}/{fence & 0xFFFFFF}"
