Name the planted fault that the fuzz command must not collect as it is named now

Cause: the class HastyTakeover of test_permit_fuzz was renamed to TakeoverWithoutWaiting, and the check that the fuzz command leaves planted faults out went on looking for the former name, so that it could not fail any more. Change: the check looks for the present name; nothing else differs. Shown: with the filter of planted faults disabled, the check passed before this commit and fails after it; with the filter in place it passes.

--- a/packages/proof/tests/test_fuzz.py
+++ b/packages/proof/tests/test_fuzz.py
@@ -68,7 +68,7 @@
         "test_request_fuzz.ClaimMachine",
     }
     names = "".join(item.name for item in found)
-    assert "HastyTakeover" not in names
+    assert "TakeoverWithoutWaiting" not in names
 
 
 def test_runs_without_a_violation_succeed(write_fuzzer, capsys):
