--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -18,6 +18,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path[:0] = [str(ROOT / "target/deps"), str(ROOT / "packages/standins")]
@@ -520,7 +521,9 @@
         try:
             async with asyncio.timeout(114):
                 problems = await scenario(lab, is_disrupted)
-        except (CouldNotRun, TimeoutError, OSError) as error:
+        except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001
+            # Python's own exit code for an exception is that of a broken rule.
+            traceback.print_exc()
             lab.record.write("could-not-run", error=repr(error))
             print(f"could not run: {error!r}")
             return COULD_NOT_RUN
