Number the cases of the review by their gravity

No new case: REFUSED is now 2, BUDGET (crashing request) 3, GONE 4 and BUDGET (pause) 5, so 5, 2, 3 and 4 before.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,10 @@
-"""A request that crashes instances comes again every quarter of a minute."""
+"""An instance runs requests, fails some of them with 503, and says no more."""
 
 import asyncio
+import collections
 import contextlib
 import pathlib
+import random
 import sys
 import time
 
@@ -11,111 +13,105 @@
 
 import lab as lab_module  # noqa: E402
 
-HOSTS = 2
 INSTANCES = 3
 
-#: Seconds between two times at which the request comes.
-INTERVAL_S = 15.5
-
-#: Number of times: three crashes, and the retries after them.
-TIMES = 7
-
-#: Retries of the request that may reach instances, sent later than
-#: `stableWindowS` after it has crashed the third.
-MAXIMUM_RETRIES = 3
-CRASHES = 3
-
-#: Seconds after which a crashed instance is back, and until its old entry goes.
-RESTART_S = 3.0
-
-#: Seconds between two sound requests, to show that the service is up.
-SOUND_INTERVAL_S = 0.5
+#: Share of its requests that one instance fails, and for how long, in seconds:
+#: the dose of `srv_grey` in the site file.
+FAILED_SHARE = 0.45
+GREY_S = 6.5
 
+WORK_S = 0.05
+ENTRIES = 120
+INTERVAL_S = 0.05
 BUDGET_MS = 2_500
-PATH = "/enter/heat-7"
-SOUND_PATH = "/enter/heat-8"
-BODY = b"team=42&fee=1"
+
+#: Statuses that promise that a request has not run, after which consumers send
+#: it again, and how often they do.
+PROMISES = (408, 421, 429, 503)
+RETRIES = 2
 
 
 class Ledger:
-    """The instances of the service, which restart after a crash."""
+    """The instances of the service, and what they have run."""
 
-    def __init__(self, lab, is_crashing):
+    def __init__(self, lab):
         self._lab = lab
-        self._is_crashing = is_crashing
-        self._count = 0
-        self._tasks = set()
-        #: Time of each arrival of the request, in seconds.
-        self.arrivals = []
-
-    async def start_instance(self):
-        """Starts and registers an instance, each time with a new identifier."""
-        self._count += 1
-        await self._lab.add_instance(
-            f"i-ledger-{self._count}", "ledger", self._answer
+        self._generator = random.Random(1)
+        #: Until when the first instance fails requests, in seconds.
+        self.grey_until = 0.0
+        #: Identifiers of the attempts that ran.
+        self.ran = set()
+        #: Number of runs by entry.
+        self.runs = collections.Counter()
+
+    async def answer(self, instance, head, body, writer):
+        """Runs a request, and answers 200, or 503 without `Not-Executed`."""
+        request_id = head.values["request-id"]
+        await asyncio.sleep(WORK_S)
+        self.ran.add(request_id)
+        self.runs[body.decode()] += 1
+        is_grey = (
+            instance.name == "i-ledger-0"
+            and time.monotonic() < self.grey_until
+            and self._generator.random() < FAILED_SHARE
+        )
+        status = "503 Service Unavailable" if is_grey else "200 OK"
+        self._lab.record.write(
+            "ran", id=request_id, instance=instance.name, answer=status
+        )
+        instance.send(
+            writer,
+            head,
+            status,
+            b"the receipt could not be written" if is_grey else b"done",
+            [f"Response-Signature: {instance.name}.{request_id}"],
         )
 
-    async def _answer(self, instance, head, body, writer):
-        if head.start.split(" ")[1] == PATH:
-            self.arrivals.append(time.monotonic())
-            self._lab.record.write(
-                "arrived",
-                id=head.values["request-id"],
-                instance=instance.name,
-                number=len(self.arrivals),
-            )
-            if self._is_crashing:
-                self._lab.record.write("instance-crashed", name=instance.name)
-                task = asyncio.create_task(self._crash(instance))
-                self._tasks.add(task)
-                await asyncio.sleep(60)
-        await instance.answer_ok(head, body, writer)
-
-    async def _crash(self, instance):
-        """Ends an instance as a crash does, and starts it again later."""
-        instance.close()
-        await asyncio.sleep(RESTART_S)
-        self._lab.store.put("servers", instance.name, None)
-        await self.start_instance()
-
-
-async def send(lab, host, path):
-    """Sends a request and returns the status of the answer; 0 for none."""
+
+async def attempt(lab, host, entry, budget_ms):
+    """Sends an attempt; returns its identifier, status and Retry-After."""
     request_id = lab.create_id()
-    with contextlib.suppress(OSError, TimeoutError, EOFError):
-        async with asyncio.timeout(BUDGET_MS / 1000):
-            reader, writer = await asyncio.open_connection(
-                host.ip, host.front, local_addr=("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection(host.ip, host.front)
+    with contextlib.closing(writer):
+        writer.write(
+            lab.build_request(
+                request_id, "POST", "/enter/1", budget_ms, entry.encode()
             )
-            with contextlib.closing(writer):
-                writer.write(
-                    lab.build_request(request_id, "POST", path, BUDGET_MS, BODY)
-                )
-                head = lab_module.Head(await reader.readuntil(b"\r\n\r\n"))
-                status = int(head.start.split(" ")[1])
-                lab.record.write(
-                    "answered",
-                    id=request_id,
-                    host=host.name,
-                    path=path,
-                    status=status,
-                    reason=head.values.get("sycamoreloft-reason", ""),
-                )
-                return status
-    lab.record.write("not-answered", id=request_id, path=path)
-    return 0
-
-
-async def send_sound_requests(lab, statuses):
-    """Sends sound requests until cancelled, to all hosts in turn."""
-    while True:
-        for host in lab.hosts:
-            statuses.append(await send(lab, host, SOUND_PATH))
-            await asyncio.sleep(SOUND_INTERVAL_S)
+        )
+        lab.record.write("sent", id=request_id, entry=entry)
+        async with asyncio.timeout(budget_ms / 1000):
+            head = lab_module.Head((await reader.readuntil(b"\r\n\r\n"))[:-4])
+        status = int(head.start.split(" ")[1])
+        lab.record.write(
+            "answered",
+            id=request_id,
+            status=status,
+            not_executed=head.values.get("not-executed", "no header"),
+        )
+        return request_id, status, float(head.values.get("retry-after", 0.2))
+
+
+async def enter(lab, host, entry, promised):
+    """Sends an entry, and again after a promise that it has not run."""
+    ends_at = time.monotonic() + BUDGET_MS / 1000
+    for _ in range(1 + RETRIES):
+        left_ms = round((ends_at - time.monotonic()) * 1000)
+        if left_ms <= 0:
+            return
+        try:
+            request_id, status, wait_s = await attempt(
+                lab, host, entry, left_ms
+            )
+        except (OSError, EOFError, TimeoutError):
+            return
+        if status not in PROMISES:
+            return
+        promised[request_id] = status
+        await asyncio.sleep(min(wait_s, left_ms / 3000))
 
 
 async def scenario(lab, is_disrupted):
-    """Sends the request again and again; returns what broke the rule."""
+    """Sends entries while an instance is grey; returns the false promises."""
     lab.store.put_json(
         "op",
         "config",
@@ -125,37 +121,27 @@
             ["ledger", "keyed"],
         ),
     )
-    ledger = Ledger(lab, is_disrupted)
-    for _ in range(INSTANCES):
-        await ledger.start_instance()
+    ledger = Ledger(lab)
+    for number in range(INSTANCES):
+        await lab.add_instance(f"i-ledger-{number}", "ledger", ledger.answer)
     await lab.add_instance("i-keyed-1", "keyed")
-    await lab.start_hosts(HOSTS)
-    # The hosts find the coordinator, which tells all hosts what to stop.
-    await asyncio.sleep(2.0)
-    statuses = []
-    sound = asyncio.create_task(send_sound_requests(lab, statuses))
-    began_at = time.monotonic()
-    for number in range(TIMES):
-        await asyncio.sleep(began_at + number * INTERVAL_S - time.monotonic())
-        lab.record.write("sent", number=number + 1, path=PATH)
-        await send(lab, lab.hosts[number % HOSTS], PATH)
-    sound.cancel()
-    served = statuses.count(200)
-    lab.record.write("sound-requests", sent=len(statuses), served=served)
-    if not is_disrupted or len(ledger.arrivals) < CRASHES:
-        return []
-    counted_from = (
-        ledger.arrivals[CRASHES - 1] + (lab_module.BOUNDS["stableWindowS"])
-    )
-    retries = [at for at in ledger.arrivals if at > counted_from]
-    lab.record.write(
-        "retries", after_third_crash=len(retries), allowed=MAXIMUM_RETRIES
-    )
-    if len(retries) <= MAXIMUM_RETRIES:
-        return []
+    await lab.start_hosts(1)
+    (host,) = lab.hosts
+    await asyncio.sleep(1.0)
+    if is_disrupted:
+        ledger.grey_until = time.monotonic() + GREY_S
+        lab.record.write("srv-grey", instance="i-ledger-0", for_s=GREY_S)
+    promised = {}
+    async with asyncio.TaskGroup() as group:
+        for number in range(ENTRIES):
+            group.create_task(enter(lab, host, f"team-{number}", promised))
+            await asyncio.sleep(INTERVAL_S)
+    doubled = [entry for entry, count in ledger.runs.items() if count > 1]
+    lab.record.write("summary", promised=len(promised), doubled=len(doubled))
     return [
-        f"{len(retries)} retries reached instances after the request had"
-        f" crashed {CRASHES}; {MAXIMUM_RETRIES} may"
+        f"{request_id} was answered {status} and has run"
+        for request_id, status in promised.items()
+        if request_id in ledger.ran
     ]
 
 
