--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -2,8 +2,8 @@
 
 The store is the project's own stand-in (`sycamoreloft_standins.rows`). The
 instances and consumers are small stand-ins that follow the pages of the users.
-Everything listens on loopback addresses: host N on 127.77.0.N, since the port
-of the metrics is fixed.
+Everything listens on loopback addresses. Each host has one of its own, since the
+port of its metrics is fixed.
 """
 
 import asyncio
@@ -12,6 +12,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -49,6 +50,9 @@
     "thawS": 0.3,
 }
 
+#: Port of the metrics of each host, which the deploy file fixes.
+METRICS_PORT = 9464
+
 #: Seconds for the hosts to become ready.
 READY_TIMEOUT_S = 30.0
 
@@ -72,6 +76,17 @@
         self._file.flush()
 
 
+def find_ip(port):
+    """Returns a random loopback address on which a port is free."""
+    while True:
+        ip = ".".join(["127", *(str(random.randint(1, 250)) for _ in range(3))])
+        with (
+            contextlib.suppress(OSError),
+            socket.create_server((ip, port), reuse_port=False),
+        ):
+            return ip
+
+
 def find_port(ip="127.0.0.1", kind=socket.SOCK_STREAM):
     """Returns a free port of an address."""
     with socket.socket(type=kind) as listener:
@@ -293,7 +308,7 @@
     def __init__(self, lab, number):
         self.lab = lab
         self.name = f"edge-{number}"
-        self.ip = f"127.77.{os.getpid() % 200 + 1}.{number}"
+        self.ip = find_ip(METRICS_PORT)
         self.front = find_port(self.ip)
         self.ready = find_port(self.ip)
         self.peer = find_port(self.ip, socket.SOCK_DGRAM)
