--- a/packages/router/sycamoreloft_router/_crash_watch.py
+++ b/packages/router/sycamoreloft_router/_crash_watch.py
@@ -15,6 +15,9 @@
 
 _RESULT = sycamoreloft_direct.AttemptResult
 
+#: Maximum length of the path and query of a request in logs.
+MAXIMUM_LOGGED_CHARACTERS = 200
+
 
 class CrashWatch:
     """Reports the attempts of one request to the process's crash guard.
@@ -48,6 +51,7 @@
         self,
         result: sycamoreloft_direct.AttemptResult,
         transfer: _transfers.Transfer | None,
+        upstream: str,
         now: float,
     ) -> None:
         """Records the result of an attempt.
@@ -58,16 +62,17 @@
         Args:
             result: How the attempt ended.
             transfer: The transfer; None if it was not started.
+            upstream: Identifier of the upstream.
             now: Time on the clock of the event loop, in seconds.
         """
         guard = self._services.guard
         if result is _RESULT.BROKEN:
             if transfer is not None and transfer.head.status == 0:
-                self._record_crash(now)
+                self._record_crash(upstream, now)
         elif result in (_RESULT.ANSWERED, _RESULT.FAILED) and not guard.is_idle:
             guard.record_answer(self._compute_fingerprint())
 
-    def _record_crash(self, now: float) -> None:
+    def _record_crash(self, upstream: str, now: float) -> None:
         fingerprint = self._compute_fingerprint()
         guard = self._services.guard
         guard.record_crash(fingerprint, now)
@@ -77,6 +82,12 @@
             "crash-suspected",
             request=self._request.request_id,
             fingerprint=f"{fingerprint:016x}",
+            upstream=upstream,
+            method=self._request.method,
+            target=self._request.target[:MAXIMUM_LOGGED_CHARACTERS],
+            caller=self._request.caller,
+            key=self._request.key,
+            body_bytes=len(self._received.prefix),
             crashes=guard.list_own_crashes(now).get(fingerprint, 0),
             quarantined=guard.is_stopped(fingerprint, now),
         )
