Recognize a crashing request from any address and with any query

Cause, as far as the record shows: the fingerprint held the query and the caller's address, so that repetitions from elsewhere began a count of their own. A request now also has an identity of method, path and body only.

That identity is shared with innocent callers of the path, so crashes are counted with more care. Hosts report single crashes with their times in place of numbers. Requests that were at an upstream at once count one crash; a crash that broke several callers' requests of one path counts for none of them together. An answer on any host clears a request on all of them: the coordinator names the requests with two crashes, and hosts report answers to these.

The coordinator adds up what it is told, where an empty report of a restarted host used to replace what that host had seen; a test shows that.

The tests of CrashGuard are as strict as before: the counts by host are gone, and single crashes take their place.

--- a/packages/direct/sycamoreloft_direct/__init__.py
+++ b/packages/direct/sycamoreloft_direct/__init__.py
@@ -4,7 +4,11 @@
 time, in seconds.
 """
 
-from sycamoreloft_direct._crash_guard import CrashGuard, identify_request
+from sycamoreloft_direct._crash_guard import (
+    CrashGuard,
+    CrashReport,
+    ReportedCrash,
+)
 from sycamoreloft_direct._departures import (
     ANNOUNCED,
     MAXIMUM_TOLD_DEPARTURES,
@@ -64,6 +68,7 @@
     LeaseClaim,
     OwnerChange,
 )
+from sycamoreloft_direct._request_identity import identify_request
 from sycamoreloft_direct._retry_budgets import (
     RetryBudget,
     ServiceRetryBudgets,
@@ -97,6 +102,7 @@
     "ClaimState",
     "Command",
     "CrashGuard",
+    "CrashReport",
     "Departure",
     "DepartureLog",
     "DesiredState",
@@ -112,6 +118,7 @@
     "MapCheck",
     "MapTrust",
     "OwnerChange",
+    "ReportedCrash",
     "RetryBudget",
     "Route",
     "RouteKind",
--- a/packages/direct/sycamoreloft_direct/_crash_guard.py
+++ b/packages/direct/sycamoreloft_direct/_crash_guard.py
@@ -3,107 +3,245 @@
 When an upstream crashes, the connections of all its requests break, not only
 that of the request that caused the crash. Other requests are answered when
 callers repeat them, but the crashing request never is. A request is therefore
-stopped (rejected without being sent) once its connections broke several times
-without an answer. Crashes are counted over all hosts: each host reports its
-own to the coordinator, which distributes the list of stopped requests.
+stopped (rejected without being sent) once it came several times, one after the
+other, and each time its connection broke without an answer. Hosts report such
+crashes to the coordinator, which tells all hosts which requests are suspected
+and which are stopped.
 """
 
 from collections import abc
-import hashlib
+import dataclasses
+import math
+import random
 import typing
 
-#: Number of broken connections after which a request is stopped. The
+#: Number of crashes, one after the other, after which a request is stopped. The
 #: requirement is that one request crashes at most three upstreams.
 CRASHES_BEFORE_STOP = 3
 
-#: Seconds for which a broken connection counts as evidence. Callers repeat a
-#: request within their time budget, which is shorter.
-CRASH_WINDOW_S = 30.0
+#: Number of crashes from which on all hosts watch for an answer to a request.
+CRASHES_TO_SUSPECT = 2
+
+#: Seconds for which a crash counts. Callers repeat a request within their time
+#: budget, which is shorter.
+CRASH_MEMORY_S = 30.0
 
 #: Seconds for which a request is stopped.
 STOP_DURATION_S = 600.0
 
-#: Maximum number of requests that are remembered for each host, and maximum
-#: number that are stopped. The oldest entries are dropped first, because a
-#: request that was not seen for a long time is the least likely to come again.
-MAXIMUM_REQUESTS = 128
+#: Seconds for which a request counts as suspected after the coordinator last
+#: named it, which it does with each heartbeat.
+SUSPICION_S = 3.0
 
+#: Number of times that a crash or an answer is reported to the coordinator,
+#: since datagrams get lost.
+REPORT_COUNT = 8
 
-def identify_request(method: str, target: str, caller: str, body: bytes) -> int:
-    """Returns a number that is equal for all repetitions of a request.
+#: Maximum number of requests that are remembered, and maximum number that are
+#: stopped. Requests with one crash are dropped first, the oldest before others.
+MAXIMUM_REQUESTS = 256
 
-    Args:
-        method: HTTP method.
-        target: Path and query.
-        caller: Address of the caller.
-        body: The body, or the part of it that has been received.
+#: Maximum number of crashes that are remembered for each request.
+MAXIMUM_CRASHES = 8
+
+#: Maximum number of crashes that no longer count, and are remembered so that a
+#: repeated report does not count them again.
+MAXIMUM_FORGIVEN = 4_096
+
+_Entry = typing.TypeVar("_Entry")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crash:
+    """An attempt whose connection broke before any answer.
+
+    Times are seconds on the clock of the host that uses the object.
     """
-    digest = hashlib.blake2b(body, digest_size=8)
-    for part in (method, target, caller):
-        digest.update(b"\0" + part.encode("utf-8", "replace"))
-    return int.from_bytes(digest.digest())
+
+    #: Random number that identifies the crash in repeated reports.
+    number: int
+    #: First identity of the request, which names its caller.
+    origin: int
+    #: When the attempt began.
+    started_at: float
+    #: When its connection broke.
+    ended_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportedCrash:
+    """A crash as another host tells of it, without a shared clock."""
+
+    #: Random number that identifies the crash in repeated reports.
+    number: int
+    #: First identity of the request, which names its caller.
+    origin: int
+    #: Seconds from the begin of the attempt to the report.
+    started_ago_s: float
+    #: Seconds from the break of its connection to the report.
+    ended_ago_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashReport:
+    """What a host tells the coordinator of crashes."""
+
+    #: Crashes by request.
+    crashes: abc.Mapping[int, tuple[ReportedCrash, ...]]
+    #: Requests that were answered, so that earlier crashes do not count.
+    answered: tuple[int, ...] = ()
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether there is nothing to tell."""
+        return not self.crashes and not self.answered
 
 
 class CrashGuard:
     """Tracks crashing and stopped requests on one host.
 
-    On the coordinator, it also merges the reports of the other hosts.
+    On the coordinator, it also has the crashes that the other hosts report.
+
+    Args:
+        generator: Draws the numbers of crashes; None for a new one.
     """
 
-    def __init__(self) -> None:
-        self._own_crashes: dict[int, list[float]] = {}
-        self._reports: dict[str, tuple[abc.Mapping[int, int], float]] = {}
+    def __init__(self, generator: random.Random | None = None) -> None:
+        self._generator = generator or random.Random()
+        #: Crashes by request and number, of the requests touched last at the
+        #: end.
+        self._crashes: dict[int, dict[int, Crash]] = {}
+        #: Time until which each request is stopped.
         self._stopped: dict[int, float] = {}
+        #: Time until which each request counts as suspected.
+        self._suspected: dict[int, float] = {}
+        #: Numbers of crashes that no longer count.
+        self._forgiven: dict[int, None] = {}
+        #: Requests whose crashes, or whose answer, are still to be reported,
+        #: with the number of reports.
+        self._crash_reports: dict[int, int] = {}
+        self._answer_reports: dict[int, int] = {}
 
     @property
     def is_idle(self) -> bool:
-        """Whether this host has recorded no crash and stops no request."""
-        return not self._own_crashes and not self._stopped
-
-    def record_crash(self, request: int, now: float) -> None:
-        """Records that a request's connection broke before any answer."""
-        times = self._own_crashes.pop(request, [])
-        self._own_crashes[request] = [*times, now]
-        _drop_oldest(self._own_crashes)
-        if len(self._list_recent(request, now)) >= CRASHES_BEFORE_STOP:
-            self._stop(request, now)
+        """Whether this host knows of no crash and stops no request."""
+        return not (self._crashes or self._stopped or self._suspected)
+
+    # What this host sees.
 
-    def record_answer(self, request: int) -> None:
-        """Records that a request was answered, which clears it."""
-        self._own_crashes.pop(request, None)
-
-    def is_stopped(self, request: int, now: float) -> bool:
-        """Returns whether a request must not be sent."""
-        return now < self._stopped.get(request, now)
-
-    def list_own_crashes(self, now: float) -> dict[int, int]:
-        """Returns the recent crashes seen by this host, counted by request."""
-        counts = {}
-        for request in list(self._own_crashes):
-            count = len(self._list_recent(request, now))
-            if count:
-                counts[request] = count
-            else:
-                del self._own_crashes[request]
-        return counts
-
-    def record_report(
-        self, host: str, crashes: abc.Mapping[int, int], now: float
+    def record_crash(
+        self, requests: abc.Sequence[int], started_at: float, now: float
     ) -> None:
-        """Records the crashes that another host reports to the coordinator.
+        """Records that the connection of an attempt broke before any answer.
 
         Args:
-            host: Name of the reporting host.
-            crashes: Its recent crashes, counted by request. They replace
-                those of its previous report.
+            requests: Identities of the request; see `identify_request`.
+            started_at: When the attempt began, in seconds.
             now: Time, in seconds.
         """
-        self._reports.pop(host, None)
-        if crashes:
-            self._reports[host] = (crashes, now)
-        for request in crashes:
-            if self._count(request, now) >= CRASHES_BEFORE_STOP:
-                self._stop(request, now)
+        crash = Crash(
+            self._generator.getrandbits(63), requests[0], started_at, now
+        )
+        for request in requests:
+            self._add(request, crash, now)
+            self._crash_reports[request] = REPORT_COUNT
+        _drop_oldest(self._crash_reports, MAXIMUM_REQUESTS)
+
+    def record_answer(self, requests: abc.Iterable[int]) -> None:
+        """Records that a request was answered, which clears it everywhere."""
+        for request in requests:
+            if request in self._crashes or request in self._suspected:
+                self._clear(request)
+                self._answer_reports[request] = REPORT_COUNT
+        _drop_oldest(self._answer_reports, MAXIMUM_REQUESTS)
+
+    def is_stopped(self, requests: abc.Iterable[int], now: float) -> bool:
+        """Returns whether a request must not be sent.
+
+        Args:
+            requests: Identities of the request.
+            now: Time, in seconds.
+        """
+        return any(now < self._stopped.get(item, now) for item in requests)
+
+    def count_crashes(self, request: int, now: float) -> int:
+        """Counts the known crashes that came one after the other.
+
+        Requests that are at an upstream at once are all broken by one crash, so
+        only an attempt that began after an earlier crash counts once more. A
+        crash that broke requests of several callers with the same path and body
+        does not count for them together: many callers use that path.
+        """
+        ended_at = -math.inf
+        origins: list[set[int]] = []
+        crashes = self._crashes.get(request, {}).values()
+        for crash in sorted(crashes, key=lambda item: item.ended_at):
+            if now >= crash.ended_at + CRASH_MEMORY_S:
+                continue
+            if crash.started_at >= ended_at:
+                origins.append(set())
+                ended_at = crash.ended_at
+            origins[-1].add(crash.origin)
+        return sum(len(callers) == 1 for callers in origins)
+
+    # What hosts tell each other.
+
+    def take_report(self, now: float) -> CrashReport:
+        """Returns what is to be reported to the coordinator now."""
+        self._forget(now)
+        crashes = {
+            request: _describe(self._crashes[request].values(), now)
+            for request in _take_turn(self._crash_reports)
+            if request in self._crashes
+        }
+        return CrashReport(crashes, tuple(_take_turn(self._answer_reports)))
+
+    def repeat_reports(self) -> None:
+        """Reports all known crashes again, to another coordinator."""
+        self._crash_reports = dict.fromkeys(self._crashes, REPORT_COUNT)
+
+    def merge(self, report: CrashReport, now: float) -> list[int]:
+        """Adds what another host reports.
+
+        Returns:
+            The requests that are stopped because of it.
+        """
+        for request in report.answered:
+            self._clear(request)
+        known = set(self._stopped)
+        for request, crashes in report.crashes.items():
+            for crash in crashes:
+                self._add(
+                    request,
+                    Crash(
+                        crash.number,
+                        crash.origin,
+                        now - crash.started_ago_s,
+                        now - crash.ended_ago_s,
+                    ),
+                    now,
+                )
+        return [request for request in self._stopped if request not in known]
+
+    def list_suspected(self, now: float) -> tuple[int, ...]:
+        """Returns the requests for whose answers all hosts should watch."""
+        self._forget(now)
+        return tuple(
+            request
+            for request in self._crashes
+            if self.count_crashes(request, now) >= CRASHES_TO_SUSPECT
+        )
+
+    def add_suspected(self, requests: abc.Iterable[int], now: float) -> None:
+        """Watches for answers to requests that the coordinator suspects."""
+        self._suspected = {
+            request: until
+            for request, until in self._suspected.items()
+            if now < until
+        }
+        for request in requests:
+            self._suspected[request] = now + SUSPICION_S
+        _drop_oldest(self._suspected, MAXIMUM_REQUESTS)
 
     def list_stopped(self, now: float) -> tuple[int, ...]:
         """Returns the requests that are stopped."""
@@ -118,26 +256,73 @@
             if request not in self._stopped:
                 self._stop(request, now)
 
+    def _add(self, request: int, crash: Crash, now: float) -> None:
+        if crash.number in self._forgiven:
+            return
+        crashes = self._crashes.pop(request, {})
+        crashes.setdefault(crash.number, crash)
+        _drop_oldest(crashes, MAXIMUM_CRASHES)
+        self._crashes[request] = crashes
+        if len(self._crashes) > MAXIMUM_REQUESTS:
+            self._drop_request()
+        if self.count_crashes(request, now) >= CRASHES_BEFORE_STOP:
+            self._stop(request, now)
+
+    def _drop_request(self) -> None:
+        """Drops the request that is the least likely to be crashing."""
+        single = (
+            request
+            for request, crashes in self._crashes.items()
+            if len(crashes) == 1
+        )
+        del self._crashes[next(single, next(iter(self._crashes)))]
+
+    def _clear(self, request: int) -> None:
+        crashes = self._crashes.pop(request, {})
+        self._forgiven.update(dict.fromkeys(crashes))
+        _drop_oldest(self._forgiven, MAXIMUM_FORGIVEN)
+        self._suspected.pop(request, None)
+        self._crash_reports.pop(request, None)
+
+    def _forget(self, now: float) -> None:
+        """Drops the crashes that no longer count."""
+        for request, crashes in list(self._crashes.items()):
+            if all(
+                now >= crash.ended_at + CRASH_MEMORY_S
+                for crash in crashes.values()
+            ):
+                del self._crashes[request]
+
     def _stop(self, request: int, now: float) -> None:
         self._stopped.pop(request, None)
         self._stopped[request] = now + STOP_DURATION_S
-        _drop_oldest(self._stopped)
-
-    def _list_recent(self, request: int, now: float) -> list[float]:
-        return [
-            time
-            for time in self._own_crashes.get(request, ())
-            if now < time + CRASH_WINDOW_S
-        ]
-
-    def _count(self, request: int, now: float) -> int:
-        return len(self._list_recent(request, now)) + sum(
-            crashes.get(request, 0)
-            for crashes, reported_at in self._reports.values()
-            if now < reported_at + CRASH_WINDOW_S
+        _drop_oldest(self._stopped, MAXIMUM_REQUESTS)
+
+
+def _describe(
+    crashes: abc.Iterable[Crash], now: float
+) -> tuple[ReportedCrash, ...]:
+    return tuple(
+        ReportedCrash(
+            crash.number,
+            crash.origin,
+            max(0.0, now - crash.started_at),
+            max(0.0, now - crash.ended_at),
         )
+        for crash in crashes
+    )
+
+
+def _take_turn(counts: dict[int, int]) -> list[int]:
+    """Returns the keys, and counts each of them down."""
+    requests = list(counts)
+    for request in requests:
+        counts[request] -= 1
+        if not counts[request]:
+            del counts[request]
+    return requests
 
 
-def _drop_oldest(entries: abc.MutableMapping[int, typing.Any]) -> None:
-    while len(entries) > MAXIMUM_REQUESTS:
+def _drop_oldest(entries: dict[int, _Entry], maximum: int) -> None:
+    while len(entries) > maximum:
         del entries[next(iter(entries))]
--- a/packages/direct/tests/test_crash_guard.py
+++ b/packages/direct/tests/test_crash_guard.py
@@ -1,81 +1,208 @@
 """Requests that crash upstreams."""
 
+import random
+
 import sycamoreloft_direct
 
+#: Identities of a request that crashes upstreams.
 CRASHING_REQUEST = sycamoreloft_direct.identify_request(
     "GET", "/bad", "10.0.0.1", b""
 )
 
+#: Seconds from the begin of an attempt to the crash.
+RUN_S = 0.1
+
+
+def _create_guard(seed=1):
+    return sycamoreloft_direct.CrashGuard(random.Random(seed))
+
+
+def _crash(guard, now, request=CRASHING_REQUEST):
+    guard.record_crash(request, now - RUN_S, now)
+
+
+def _count_crashes(guard, now):
+    return guard.count_crashes(CRASHING_REQUEST[0], now)
 
-def test_repetitions_of_a_request_get_the_same_number():
+
+def test_repetitions_of_a_request_get_the_same_identities():
     again = sycamoreloft_direct.identify_request("GET", "/bad", "10.0.0.1", b"")
     other_requests = {
-        sycamoreloft_direct.identify_request(*parts)
+        sycamoreloft_direct.identify_request(*parts)[0]
         for parts in (
             ("PUT", "/bad", "10.0.0.1", b""),
             ("GET", "/ba", "d10.0.0.1", b""),
+            ("GET", "/bad?page=2", "10.0.0.1", b""),
             ("GET", "/bad", "10.0.0.2", b""),
             ("GET", "/bad", "10.0.0.1", b"x"),
         )
     }
     assert again == CRASHING_REQUEST
-    assert CRASHING_REQUEST not in other_requests and len(other_requests) == 4
+    assert (
+        CRASHING_REQUEST[0] not in other_requests and len(other_requests) == 5
+    )
+
+
+# Guards against a count that begins anew with each query or address of the
+# caller (BUDGET).
+def test_path_and_body_identify_a_request_from_any_caller():
+    similar = sycamoreloft_direct.identify_request(
+        "GET", "/bad?page=2", "10.0.0.2", b""
+    )
+    assert similar[1] == CRASHING_REQUEST[1]
+    others = {
+        sycamoreloft_direct.identify_request(*parts)[1]
+        for parts in (
+            ("PUT", "/bad", "10.0.0.1", b""),
+            ("GET", "/bad/", "10.0.0.1", b""),
+            ("GET", "/bad", "10.0.0.1", b"x"),
+        )
+    }
+    assert CRASHING_REQUEST[1] not in others and len(others) == 3
 
 
 def test_the_third_crash_on_one_host_stops_a_request():
-    guard = sycamoreloft_direct.CrashGuard()
+    guard = _create_guard()
     for now in (1.0, 2.0):
-        guard.record_crash(CRASHING_REQUEST, now)
+        _crash(guard, now)
         assert not guard.is_stopped(CRASHING_REQUEST, now)
-    guard.record_crash(CRASHING_REQUEST, 3.0)
+    _crash(guard, 3.0)
     assert guard.is_stopped(CRASHING_REQUEST, 3.0)
     assert guard.is_stopped(CRASHING_REQUEST, 500.0)
 
 
 def test_crashes_on_different_hosts_stop_a_request_everywhere():
-    hosts = [sycamoreloft_direct.CrashGuard() for _ in range(4)]
+    hosts = [_create_guard(number) for number in range(4)]
     coordinator = hosts[3]
     for number, host in enumerate(hosts[:3]):
-        host.record_crash(CRASHING_REQUEST, 1.0)
+        _crash(host, 1.0 + number)
         for _ in range(5):
-            # A repeated report replaces the previous one.
-            coordinator.record_report(
-                str(number), host.list_own_crashes(2.0), 2.0
-            )
-        assert coordinator.is_stopped(CRASHING_REQUEST, 2.0) == (number == 2)
+            # A repeated report adds nothing.
+            coordinator.merge(host.take_report(4.0), 4.0)
+        assert coordinator.is_stopped(CRASHING_REQUEST, 4.0) == (number == 2)
     for host in hosts:
-        host.add_stopped(coordinator.list_stopped(3.0), 3.0)
-        assert host.is_stopped(CRASHING_REQUEST, 3.0)
+        host.add_stopped(coordinator.list_stopped(5.0), 5.0)
+        assert host.is_stopped(CRASHING_REQUEST, 5.0)
+
+
+# Guards against a count that is lost with the process of a host.
+def test_crashes_of_hosts_that_ended_still_count():
+    coordinator = _create_guard()
+    for number in range(3):
+        host = _create_guard(number + 2)
+        _crash(host, 1.0 + number)
+        coordinator.merge(host.take_report(1.1 + number), 1.1 + number)
+        restarted = _create_guard(number + 12)
+        assert restarted.take_report(1.2 + number).is_empty
+        coordinator.merge(restarted.take_report(1.2 + number), 1.2 + number)
+    assert coordinator.is_stopped(CRASHING_REQUEST, 4.0)
+
+
+# Guards against a request that is stopped because one crash broke it on many
+# connections.
+def test_requests_that_one_crash_breaks_count_once():
+    hosts = [_create_guard(number) for number in range(9)]
+    coordinator = hosts[0]
+    for number, host in enumerate(hosts):
+        host.record_crash(CRASHING_REQUEST, 0.5, 1.0 + 0.01 * number)
+        coordinator.merge(host.take_report(1.2), 1.2)
+    assert _count_crashes(coordinator, 1.2) == 1
+
+
+# Guards against a path that is stopped for all its callers, because they were
+# at an upstream when a request of somebody else crashed it.
+def test_a_path_of_many_callers_is_not_stopped():
+    guard = _create_guard()
+    requests = [
+        sycamoreloft_direct.identify_request("GET", "/heat", address, b"")
+        for address in ("10.0.0.1", "10.0.0.2")
+    ]
+    for crash in range(6):
+        for request in requests:
+            now = 1.0 + crash
+            guard.record_crash(
+                (request[0] + crash, request[1]), now - RUN_S, now
+            )
+    assert not any(guard.is_stopped(request, 7.0) for request in requests)
 
 
 def test_requests_that_are_answered_when_repeated_are_not_stopped():
-    guard = sycamoreloft_direct.CrashGuard()
+    guard = _create_guard()
     for now in range(10):
-        guard.record_crash(CRASHING_REQUEST, float(now))
+        _crash(guard, float(now))
         guard.record_answer(CRASHING_REQUEST)
     assert not guard.is_stopped(CRASHING_REQUEST, 10.0)
     assert guard.is_idle
 
 
+# Guards against a request that is stopped although another host had an answer.
+def test_an_answer_on_any_host_clears_a_suspected_request():
+    first, second, coordinator = map(_create_guard, range(3))
+    for number in range(5):
+        now = 1.0 + number
+        _crash(first, now)
+        report = first.take_report(now)
+        coordinator.merge(report, now)
+        second.add_suspected(coordinator.list_suspected(now), now)
+        second.record_answer(CRASHING_REQUEST)
+        coordinator.merge(second.take_report(now), now)
+        # A late copy of the report does not count again.
+        coordinator.merge(report, now)
+    assert not coordinator.is_stopped(CRASHING_REQUEST, 6.0)
+
+
 def test_old_crashes_do_not_count():
-    guard = sycamoreloft_direct.CrashGuard()
+    guard = _create_guard()
     for now in (0.0, 100.0, 200.0, 300.0):
-        guard.record_crash(CRASHING_REQUEST, now)
+        _crash(guard, now)
     assert not guard.is_stopped(CRASHING_REQUEST, 300.0)
-    assert guard.list_own_crashes(400.0) == {}
+    assert _count_crashes(guard, 400.0) == 0
+    guard.take_report(400.0)
+    assert guard.is_idle
 
 
 def test_a_new_coordinator_keeps_requests_stopped():
-    successor = sycamoreloft_direct.CrashGuard()
-    successor.add_stopped([CRASHING_REQUEST], 1.0)
-    assert successor.list_stopped(2.0) == (CRASHING_REQUEST,)
+    successor = _create_guard()
+    successor.add_stopped(CRASHING_REQUEST, 1.0)
+    assert successor.list_stopped(2.0) == CRASHING_REQUEST
+
+
+# Guards against crashes that are lost with the coordinator.
+def test_a_new_coordinator_hears_of_earlier_crashes():
+    host, successor = map(_create_guard, range(2))
+    for now in (1.0, 2.0):
+        _crash(host, now)
+    for _ in range(100):
+        host.take_report(3.0)
+    assert host.take_report(3.0).is_empty
+    host.repeat_reports()
+    successor.merge(host.take_report(3.0), 3.0)
+    assert _count_crashes(successor, 3.0) == 2
 
 
 def test_the_number_of_remembered_requests_is_bounded():
-    guard = sycamoreloft_direct.CrashGuard()
+    guard = _create_guard()
     for request in range(10_000):
-        guard.record_crash(request, 1.0)
+        guard.record_crash((request, request + 1), 0.9, 1.0)
         guard.add_stopped([request], 1.0)
-    assert len(guard.list_own_crashes(1.0)) <= 128
-    assert len(guard.list_stopped(1.0)) <= 128
-    assert guard.is_stopped(9_999, 1.0)
+    assert len(guard.take_report(1.0).crashes) <= 256
+    assert len(guard.list_stopped(1.0)) <= 256
+    assert guard.is_stopped([9_999], 1.0)
+
+
+# Guards against a request that other broken requests push out of the memory.
+def test_requests_with_a_single_crash_are_forgotten_first():
+    guard = _create_guard()
+    for now in (1.0, 2.0):
+        _crash(guard, now)
+    for request in range(1_000):
+        guard.record_crash((request, request), 2.0, 2.1)
+    _crash(guard, 3.0)
+    assert guard.is_stopped(CRASHING_REQUEST, 3.0)
+
+
+def test_the_number_of_crashes_of_a_request_is_bounded():
+    guard = _create_guard()
+    for _ in range(1_000):
+        guard.record_crash(CRASHING_REQUEST, 0.5, 1.0)
+    assert len(guard.take_report(1.0).crashes[CRASHING_REQUEST[0]]) == 8
--- a/packages/router/sycamoreloft_router/_coordinator_role.py
+++ b/packages/router/sycamoreloft_router/_coordinator_role.py
@@ -141,7 +141,7 @@
         self._next_report_at = 0.0
         self._ticks = _ticks.TickTimer(TICK_S)
         self._reports = _host_reports.HostReports(
-            settings.name, directory, self._read_seen, self._crash_guard
+            settings.name, directory, self._read_seen
         )
         self._is_stopping = False
         self._moving_keys: tuple[_key_directory.MovingKeys, ...] = ()
@@ -488,9 +488,6 @@
         if self._roster.add_report(sender, version, self._clock()):
             self._next_heartbeat_at = 0.0
         tenure.record_observations(message)
-        self._crash_guard.record_report(
-            message.host, message.crashes, asyncio.get_running_loop().time()
-        )
 
     def _send_report(self) -> None:
         report = self._reports.create_report()
--- a/packages/router/sycamoreloft_router/_crash_watch.py
+++ b/packages/router/sycamoreloft_router/_crash_watch.py
@@ -28,7 +28,7 @@
         received: Body of the request.
     """
 
-    __slots__ = ("_received", "_request", "_services")
+    __slots__ = ("_identities", "_received", "_request", "_services")
 
     def __init__(
         self,
@@ -39,12 +39,13 @@
         self._services = services
         self._request = request
         self._received = received
+        self._identities: tuple[int, ...] = ()
 
     def is_stopped(self) -> bool:
         """Returns whether the request must not be sent to an upstream."""
         guard = self._services.guard
         return not guard.is_idle and guard.is_stopped(
-            self._compute_fingerprint(), self._services.loop.time()
+            self._identify(), self._services.loop.time()
         )
 
     def record_result(
@@ -52,6 +53,7 @@
         result: sycamoreloft_direct.AttemptResult,
         transfer: _transfers.Transfer | None,
         upstream: str,
+        started_at: float,
         now: float,
     ) -> None:
         """Records the result of an attempt.
@@ -63,39 +65,43 @@
             result: How the attempt ended.
             transfer: The transfer; None if it was not started.
             upstream: Identifier of the upstream.
+            started_at: When the attempt began, in seconds.
             now: Time on the clock of the event loop, in seconds.
         """
         guard = self._services.guard
         if result is _RESULT.BROKEN:
             if transfer is not None and transfer.head.status == 0:
-                self._record_crash(upstream, now)
+                guard.record_crash(self._identify(), started_at, now)
+                self._log_crash(upstream, now)
         elif result in (_RESULT.ANSWERED, _RESULT.FAILED) and not guard.is_idle:
-            guard.record_answer(self._compute_fingerprint())
+            guard.record_answer(self._identify())
 
-    def _record_crash(self, upstream: str, now: float) -> None:
-        fingerprint = self._compute_fingerprint()
+    def _log_crash(self, upstream: str, now: float) -> None:
         guard = self._services.guard
-        guard.record_crash(fingerprint, now)
+        identities = self._identify()
         _logs.log_event(
             _LOGGER,
             logging.WARNING,
             "crash-suspected",
             request=self._request.request_id,
-            fingerprint=f"{fingerprint:016x}",
+            fingerprints=[f"{item:016x}" for item in identities],
             upstream=upstream,
             method=self._request.method,
             target=self._request.target[:MAXIMUM_LOGGED_CHARACTERS],
             caller=self._request.caller,
             key=self._request.key,
             body_bytes=len(self._received.prefix),
-            crashes=guard.list_own_crashes(now).get(fingerprint, 0),
-            quarantined=guard.is_stopped(fingerprint, now),
+            crashes=[guard.count_crashes(item, now) for item in identities],
+            quarantined=guard.is_stopped(identities, now),
         )
 
-    def _compute_fingerprint(self) -> int:
-        return sycamoreloft_direct.identify_request(
-            self._request.method,
-            self._request.target,
-            self._request.caller,
-            self._received.prefix,
-        )
+    def _identify(self) -> tuple[int, ...]:
+        """Returns the identities of the request; computed once, if needed."""
+        if not self._identities:
+            self._identities = sycamoreloft_direct.identify_request(
+                self._request.method,
+                self._request.target,
+                self._request.caller,
+                self._received.prefix,
+            )
+        return self._identities
--- a/packages/router/sycamoreloft_router/_datagram_codec.py
+++ b/packages/router/sycamoreloft_router/_datagram_codec.py
@@ -84,6 +84,27 @@
     )
 
 
+@_list_fields.register
+def _(message: _datagrams.CrashNews) -> tuple[typing.Any, ...]:
+    return (
+        "crash-news",
+        _encode_seen(message.seen),
+        {
+            request: [
+                (item.number, item.origin, item.started_ago_s, item.ended_ago_s)
+                for item in crashes
+            ]
+            for request, crashes in message.report.crashes.items()
+        },
+        message.report.answered,
+    )
+
+
+@_list_fields.register
+def _(message: _datagrams.CrashSuspects) -> tuple[typing.Any, ...]:
+    return ("crash-suspects", _encode_seen(message.seen), message.requests)
+
+
 @_list_fields.register
 def _(message: _datagrams.Departures) -> tuple[typing.Any, ...]:
     return (
@@ -188,14 +209,50 @@
         _decode_seen(seen),
         _check_integer(hosts, 0, _MAXIMUM_HOSTS),
         _check_duration(store_age_s),
-        tuple(
-            _check_integer(item, 0, _MAXIMUM_FINGERPRINT)
-            for item in _check_list(stopped)
-        ),
+        _check_fingerprints(stopped),
         _check_bytes(key_changes),
     )
 
 
+def _decode_crash_news(
+    seen: typing.Any, crashes: typing.Any, answered: typing.Any
+) -> _datagrams.CrashNews:
+    return _datagrams.CrashNews(
+        _decode_seen(seen),
+        sycamoreloft_direct.CrashReport(
+            {
+                _check_fingerprint(request): tuple(
+                    _decode_crash(*item) for item in _check_list(items)
+                )
+                for request, items in _check_mapping(crashes).items()
+            },
+            _check_fingerprints(answered),
+        ),
+    )
+
+
+def _decode_crash(
+    number: typing.Any,
+    origin: typing.Any,
+    started_ago_s: typing.Any,
+    ended_ago_s: typing.Any,
+) -> sycamoreloft_direct.ReportedCrash:
+    return sycamoreloft_direct.ReportedCrash(
+        _check_fingerprint(number),
+        _check_fingerprint(origin),
+        _check_duration(started_ago_s),
+        _check_duration(ended_ago_s),
+    )
+
+
+def _decode_crash_suspects(
+    seen: typing.Any, requests: typing.Any
+) -> _datagrams.CrashSuspects:
+    return _datagrams.CrashSuspects(
+        _decode_seen(seen), _check_fingerprints(requests)
+    )
+
+
 def _decode_departures(
     seen: typing.Any, departures: typing.Any
 ) -> _datagrams.Departures:
@@ -283,7 +340,7 @@
             for upstream, pair in _check_mapping(answers).items()
         },
         {
-            _check_integer(request, 0, _MAXIMUM_FINGERPRINT): _check_integer(
+            _check_fingerprint(request): _check_integer(
                 count, 0, _MAXIMUM_COUNT
             )
             for request, count in _check_mapping(crashes).items()
@@ -293,6 +350,8 @@
 
 #: Decoder of the fields of each kind.
 _DECODERS: abc.Mapping[str, abc.Callable[..., _datagrams.Datagram]] = {
+    "crash-news": _decode_crash_news,
+    "crash-suspects": _decode_crash_suspects,
     "departures": _decode_departures,
     "heartbeat": _decode_heartbeat,
     "introduction": _decode_introduction,
@@ -341,6 +400,14 @@
     return str(address), _check_integer(port, 1, _MAXIMUM_PORT)
 
 
+def _check_fingerprint(value: typing.Any) -> int:
+    return _check_integer(value, 0, _MAXIMUM_FINGERPRINT)
+
+
+def _check_fingerprints(value: typing.Any) -> tuple[int, ...]:
+    return tuple(_check_fingerprint(item) for item in _check_list(value))
+
+
 def _check_key(value: typing.Any) -> int:
     return _check_integer(value, 0, sycamoreloft_direct.KEY_COUNT - 1)
 
--- a/packages/router/sycamoreloft_router/_datagrams.py
+++ b/packages/router/sycamoreloft_router/_datagrams.py
@@ -93,8 +93,8 @@
     requests: abc.Mapping[str, abc.Mapping[int, int]]
     #: Number of answers and the sum of their times in seconds, by upstream.
     answers: abc.Mapping[str, tuple[int, float]]
-    #: Number of recent connections that broke before an answer, by fingerprint
-    #: of the request.
+    #: Number of crashes by fingerprint of the request. Earlier releases send
+    #: it; this one uses `CrashNews` instead.
     crashes: abc.Mapping[int, int] = dataclasses.field(default_factory=dict)
 
 
@@ -137,7 +137,35 @@
     departures: tuple[sycamoreloft_direct.Departure, ...]
 
 
-Datagram = Heartbeat | Report | Introduction | MapPart | Departures
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashNews:
+    """Sent beside a report if the sender knows of new crashes or answers."""
+
+    #: Versions of the platform's tables that the sender has read.
+    seen: SeenVersions
+    #: Crashes of upstreams, and answers to suspected requests.
+    report: sycamoreloft_direct.CrashReport
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashSuspects:
+    """Sent beside a heartbeat while requests are suspected of crashes."""
+
+    #: Versions of the platform's tables that the sender has read.
+    seen: SeenVersions
+    #: Fingerprints of the requests for whose answers to watch.
+    requests: tuple[int, ...]
+
+
+Datagram = (
+    Heartbeat
+    | Report
+    | Introduction
+    | MapPart
+    | Departures
+    | CrashNews
+    | CrashSuspects
+)
 
 
 def summarize_requests(
--- a/packages/router/sycamoreloft_router/_direct_execution.py
+++ b/packages/router/sycamoreloft_router/_direct_execution.py
@@ -231,7 +231,9 @@
         if result is _RESULT.CANCELLED and self._was_silent(now - started_at):
             result = _RESULT.SILENT
         services.pool.finish(record, self, result, now)
-        self._crash_watch.record_result(result, transfer, record.entry.id, now)
+        self._crash_watch.record_result(
+            result, transfer, record.entry.id, started_at, now
+        )
         if result is _RESULT.REPLACED:
             services.coordinator_role.observe_replacement(record.entry.run)
         if result is _RESULT.ANSWERED:
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -16,6 +16,7 @@
     _caller_server,
     _connection_rules,
     _coordinator_role,
+    _crash_exchange,
     _datagrams,
     _departure_exchange,
     _direct_execution,
@@ -176,6 +177,9 @@
             freshness.read_versions,
         )
         self._upstreams.recorder = self._departures
+        self._crashes = _crash_exchange.CrashExchange(
+            self._departures, self.crash_guard
+        )
         self._role = _coordinator_role.CoordinatorRole(
             settings,
             dataclasses.replace(
@@ -193,7 +197,7 @@
             self._upstreams,
             self._directory,
             metrics,
-            socket=self._departures,
+            socket=self._crashes,
             times=_direct_limits.build_lease_times(settings),
             freshness=freshness,
             guard=self.crash_guard,
@@ -469,6 +473,11 @@
 
     def _receive_datagram(
         self, message: _datagrams.Datagram, sender: _datagrams.Address
+    ) -> None:
+        self._crashes.receive(message, sender, self._receive_other)
+
+    def _receive_other(
+        self, message: _datagrams.Datagram, sender: _datagrams.Address
     ) -> None:
         self._departures.receive(message, sender, self._role.receive)
 
--- a/packages/router/sycamoreloft_router/_host_reports.py
+++ b/packages/router/sycamoreloft_router/_host_reports.py
@@ -1,9 +1,7 @@
 """Collects what a host observes of requests, and builds reports."""
 
-import asyncio
 from collections import abc
 
-import sycamoreloft_direct
 from sycamoreloft_router import _datagrams, _key_directory
 
 
@@ -15,7 +13,6 @@
         directory: The map of keys that this host knows.
         read_versions: Returns the versions of the platform's tables that this
             host has read.
-        guard: Counts crashes of upstreams by request.
     """
 
     def __init__(
@@ -23,12 +20,10 @@
         host: str,
         directory: _key_directory.KeyDirectory,
         read_versions: abc.Callable[[], _datagrams.SeenVersions],
-        guard: sycamoreloft_direct.CrashGuard,
     ) -> None:
         self._host = host
         self._directory = directory
         self._read_versions = read_versions
-        self._guard = guard
         self._requests: list[tuple[str, int]] = []
         self._answers: dict[str, tuple[int, float]] = {}
 
@@ -54,7 +49,6 @@
             self._read_versions(),
             _datagrams.summarize_requests(self._requests),
             self._answers,
-            self._guard.list_own_crashes(asyncio.get_running_loop().time()),
         )
         self._requests = []
         self._answers = {}
--- a/packages/router/tests/test_datagram_fuzz.py
+++ b/packages/router/tests/test_datagram_fuzz.py
@@ -35,6 +35,13 @@
     ),
     "introduction": _datagrams.Introduction(SEEN, (("10.0.0.1", 7500),)),
     "map-part": _datagrams.MapPart(SEEN, 3, 9, 0, 1, b"data"),
+    "crash-news": _datagrams.CrashNews(
+        SEEN,
+        sycamoreloft_direct.CrashReport(
+            {7: (sycamoreloft_direct.ReportedCrash(8, 9, 0.5, 0.25),)}, (5, 6)
+        ),
+    ),
+    "crash-suspects": _datagrams.CrashSuspects(SEEN, (5, 6)),
     "departures": _datagrams.Departures(
         SEEN,
         (
@@ -87,6 +94,18 @@
     ("map-part", 4, 0),
     ("map-part", 4, 1 << 40),
     ("map-part", 5, None),
+    ("crash-news", 1, []),
+    ("crash-news", 1, {7: 2}),
+    ("crash-news", 1, {-7: [(8, 9, 0.5, 0.25)]}),
+    ("crash-news", 1, {7: [(8, 9, 0.5)]}),
+    ("crash-news", 1, {7: [(8, -9, 0.5, 0.25)]}),
+    ("crash-news", 1, {7: [("8", 9, 0.5, 0.25)]}),
+    ("crash-news", 1, {7: [(8, 9, float("inf"), 0.25)]}),
+    ("crash-news", 1, {7: [(8, 9, 0.5, -0.25)]}),
+    ("crash-news", 2, None),
+    ("crash-news", 2, [True]),
+    ("crash-suspects", 1, [0.5]),
+    ("crash-suspects", 1, [-1]),
     ("departures", 1, None),
     ("departures", 1, [("u1", 1, True, 1)]),
     ("departures", 1, [("u1", -1, True, 1, 7)]),
