Count crashes of a request for an hour

A caller may send it again at any time.

Crashes count for an hour. The longer memory stops no innocent request that is answered in between, since an answer on any host clears it. A request is still stopped for ten minutes only; the next crash stops it again at once.

--- a/packages/direct/sycamoreloft_direct/_crash_guard.py
+++ b/packages/direct/sycamoreloft_direct/_crash_guard.py
@@ -22,9 +22,9 @@
 #: Number of crashes from which on all hosts watch for an answer to a request.
 CRASHES_TO_SUSPECT = 2
 
-#: Seconds for which a crash counts. Callers repeat a request within their time
-#: budget, which is shorter.
-CRASH_MEMORY_S = 30.0
+#: Seconds for which a crash counts. A caller may send a request again at any
+#: time, so this is far longer than deadlines.
+CRASH_MEMORY_S = 3_600.0
 
 #: Seconds for which a request is stopped.
 STOP_DURATION_S = 600.0
