Keep the count of crashes when an upstream answers with an error

An upstream answers 504 when the deadline of a request passes, and 500 when its lease ends, also for a request that would have crashed it a moment later. Only an answer below 500 clears a request.

--- a/packages/router/sycamoreloft_router/_crash_watch.py
+++ b/packages/router/sycamoreloft_router/_crash_watch.py
@@ -59,7 +59,8 @@
         """Records the result of an attempt.
 
         A truncated or malformed answer does not count as a crash, since the
-        upstream lived to send it.
+        upstream lived to send it. An error answer does not clear a request: the
+        upstream may have ended it at its deadline, before the crash.
 
         Args:
             result: How the attempt ended.
@@ -73,7 +74,7 @@
             if transfer is not None and transfer.head.status == 0:
                 guard.record_crash(self._identify(), started_at, now)
                 self._log_crash(upstream, now)
-        elif result in (_RESULT.ANSWERED, _RESULT.FAILED) and not guard.is_idle:
+        elif result is _RESULT.ANSWERED and not guard.is_idle:
             guard.record_answer(self._identify())
 
     def _log_crash(self, upstream: str, now: float) -> None:
