Refuse a stopped request before an upstream is chosen

A request that is stopped because it crashes upstreams waited up to 0.6 s for the owner of its key, which may have crashed under it, and was then refused for that. It is known not to be servable, so it is refused at once, and again if it is stopped while it waits. The test failed before: "no-upstream" in place of "quarantined".

--- a/packages/router/sycamoreloft_router/_direct_execution.py
+++ b/packages/router/sycamoreloft_router/_direct_execution.py
@@ -167,11 +167,11 @@
 
     async def _run_attempts(self) -> _answers.Refusal | None:
         while True:
-            record = await self._choice.choose_upstream()
-            if record is None:
+            if self._is_quarantined():
                 return self._build_refusal()
-            if self._crash_watch.is_stopped():
-                self._choice.reason = "quarantined"
+            record = await self._choice.choose_upstream()
+            # The coordinator may have stopped it while it waited for its owner.
+            if record is None or self._is_quarantined():
                 return self._build_refusal()
             self._attempt_count += 1
             result = await self._attempt(record)
@@ -183,6 +183,12 @@
                 return self._build_refusal()
             self._services.metrics.count("sycamoreloft_retries_total")
 
+    def _is_quarantined(self) -> bool:
+        if not self._crash_watch.is_stopped():
+            return False
+        self._choice.reason = "quarantined"
+        return True
+
     # One attempt.
 
     async def _attempt(
