Keep crashes in the store, where they outlive all processes

The coordinator now writes the crashes to a record beside the map of keys, at most one write a second and only when they changed. Whoever reads these records, which a host does before it becomes or finds a coordinator, takes the crashes from there, so nothing is read more often. Their age is kept on the store's clock.

Reports and the record are bounded to what a datagram and a row hold. Copies of a request that one crash breaks are kept once, so that they do not push its earlier crashes out, and a full memory has room for a request that crashes now.

--- a/packages/direct/sycamoreloft_direct/__init__.py
+++ b/packages/direct/sycamoreloft_direct/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from sycamoreloft_direct._crash_guard import (
+    REPORT_COUNT,
     CrashGuard,
     CrashReport,
     ReportedCrash,
@@ -95,6 +96,7 @@
     "MAXIMUM_TOLD_DEPARTURES",
     "MINIMUM_STALL_S",
     "NO_NOTICE",
+    "REPORT_COUNT",
     "VOUCHED_WAIT_S",
     "AttemptResult",
     "CallerLimits",
--- a/packages/direct/sycamoreloft_direct/_crash_guard.py
+++ b/packages/direct/sycamoreloft_direct/_crash_guard.py
@@ -38,12 +38,17 @@
 REPORT_COUNT = 8
 
 #: Maximum number of requests that are remembered, and maximum number that are
-#: stopped. Requests with one crash are dropped first, the oldest before others.
+#: stopped. Old requests with one crash are dropped before others.
 MAXIMUM_REQUESTS = 256
 
 #: Maximum number of crashes that are remembered for each request.
 MAXIMUM_CRASHES = 8
 
+#: Maximum number of requests in a report, so that it fits a datagram, and of
+#: requests that are saved, so that they fit a record of the store.
+MAXIMUM_REPORTED = 64
+MAXIMUM_SAVED = 128
+
 #: Maximum number of crashes that no longer count, and are remembered so that a
 #: repeated report does not count them again.
 MAXIMUM_FORGIVEN = 4_096
@@ -121,6 +126,8 @@
         #: with the number of reports.
         self._crash_reports: dict[int, int] = {}
         self._answer_reports: dict[int, int] = {}
+        #: Increases with each change that is worth saving.
+        self.revision = 0
 
     @property
     def is_idle(self) -> bool:
@@ -196,13 +203,35 @@
         }
         return CrashReport(crashes, tuple(_take_turn(self._answer_reports)))
 
+    def describe_all(self, now: float) -> CrashReport:
+        """Returns the crashes of the requests that crashed most often."""
+        self._forget(now)
+        requests = sorted(
+            self._crashes,
+            key=lambda request: self.count_crashes(request, now),
+            reverse=True,
+        )
+        return CrashReport(
+            {
+                request: _describe(self._crashes[request].values(), now)
+                for request in requests[:MAXIMUM_SAVED]
+            }
+        )
+
     def repeat_reports(self) -> None:
         """Reports all known crashes again, to another coordinator."""
         self._crash_reports = dict.fromkeys(self._crashes, REPORT_COUNT)
 
-    def merge(self, report: CrashReport, now: float) -> list[int]:
+    def merge(
+        self, report: CrashReport, reported_at: float, now: float
+    ) -> list[int]:
         """Adds what another host reports.
 
+        Args:
+            report: The report.
+            reported_at: When it was made, in seconds.
+            now: Time, in seconds.
+
         Returns:
             The requests that are stopped because of it.
         """
@@ -216,8 +245,8 @@
                     Crash(
                         crash.number,
                         crash.origin,
-                        now - crash.started_ago_s,
-                        now - crash.ended_ago_s,
+                        reported_at - crash.started_ago_s,
+                        reported_at - crash.ended_ago_s,
                     ),
                     now,
                 )
@@ -260,7 +289,9 @@
         if crash.number in self._forgiven:
             return
         crashes = self._crashes.pop(request, {})
-        crashes.setdefault(crash.number, crash)
+        if not any(_is_same_crash(crash, known) for known in crashes.values()):
+            crashes[crash.number] = crash
+            self.revision += 1
         _drop_oldest(crashes, MAXIMUM_CRASHES)
         self._crashes[request] = crashes
         if len(self._crashes) > MAXIMUM_REQUESTS:
@@ -269,16 +300,19 @@
             self._stop(request, now)
 
     def _drop_request(self) -> None:
-        """Drops the request that is the least likely to be crashing."""
-        single = (
-            request
-            for request, crashes in self._crashes.items()
-            if len(crashes) == 1
-        )
-        del self._crashes[next(single, next(iter(self._crashes)))]
+        """Drops the request that is the least likely to be crashing.
+
+        It is chosen from the half that was touched least recently, so that a
+        full memory has room for a request that crashes now.
+        """
+        older = list(self._crashes)[: MAXIMUM_REQUESTS // 2]
+        single = (item for item in older if len(self._crashes[item]) == 1)
+        del self._crashes[next(single, older[0])]
 
     def _clear(self, request: int) -> None:
         crashes = self._crashes.pop(request, {})
+        if len(crashes) >= CRASHES_TO_SUSPECT:
+            self.revision += 1
         self._forgiven.update(dict.fromkeys(crashes))
         _drop_oldest(self._forgiven, MAXIMUM_FORGIVEN)
         self._suspected.pop(request, None)
@@ -299,6 +333,15 @@
         _drop_oldest(self._stopped, MAXIMUM_REQUESTS)
 
 
+def _is_same_crash(crash: Crash, other: Crash) -> bool:
+    """Returns whether a request of one caller was broken twice at once."""
+    return (
+        crash.origin == other.origin
+        and crash.started_at < other.ended_at
+        and other.started_at < crash.ended_at
+    )
+
+
 def _describe(
     crashes: abc.Iterable[Crash], now: float
 ) -> tuple[ReportedCrash, ...]:
@@ -314,8 +357,8 @@
 
 
 def _take_turn(counts: dict[int, int]) -> list[int]:
-    """Returns the keys, and counts each of them down."""
-    requests = list(counts)
+    """Returns some of the keys, and counts each of them down."""
+    requests = list(counts)[:MAXIMUM_REPORTED]
     for request in requests:
         counts[request] -= 1
         if not counts[request]:
--- a/packages/direct/tests/test_crash_guard.py
+++ b/packages/direct/tests/test_crash_guard.py
@@ -80,7 +80,7 @@
         _crash(host, 1.0 + number)
         for _ in range(5):
             # A repeated report adds nothing.
-            coordinator.merge(host.take_report(4.0), 4.0)
+            coordinator.merge(host.take_report(4.0), 4.0, 4.0)
         assert coordinator.is_stopped(CRASHING_REQUEST, 4.0) == (number == 2)
     for host in hosts:
         host.add_stopped(coordinator.list_stopped(5.0), 5.0)
@@ -93,10 +93,14 @@
     for number in range(3):
         host = _create_guard(number + 2)
         _crash(host, 1.0 + number)
-        coordinator.merge(host.take_report(1.1 + number), 1.1 + number)
+        coordinator.merge(
+            host.take_report(1.1 + number), 1.1 + number, 1.1 + number
+        )
         restarted = _create_guard(number + 12)
         assert restarted.take_report(1.2 + number).is_empty
-        coordinator.merge(restarted.take_report(1.2 + number), 1.2 + number)
+        coordinator.merge(
+            restarted.take_report(1.2 + number), 1.2 + number, 1.2 + number
+        )
     assert coordinator.is_stopped(CRASHING_REQUEST, 4.0)
 
 
@@ -107,7 +111,7 @@
     coordinator = hosts[0]
     for number, host in enumerate(hosts):
         host.record_crash(CRASHING_REQUEST, 0.5, 1.0 + 0.01 * number)
-        coordinator.merge(host.take_report(1.2), 1.2)
+        coordinator.merge(host.take_report(1.2), 1.2, 1.2)
     assert _count_crashes(coordinator, 1.2) == 1
 
 
@@ -144,12 +148,12 @@
         now = 1.0 + number
         _crash(first, now)
         report = first.take_report(now)
-        coordinator.merge(report, now)
+        coordinator.merge(report, now, now)
         second.add_suspected(coordinator.list_suspected(now), now)
         second.record_answer(CRASHING_REQUEST)
-        coordinator.merge(second.take_report(now), now)
+        coordinator.merge(second.take_report(now), now, now)
         # A late copy of the report does not count again.
-        coordinator.merge(report, now)
+        coordinator.merge(report, now, now)
     assert not coordinator.is_stopped(CRASHING_REQUEST, 6.0)
 
 
@@ -199,7 +203,7 @@
         host.take_report(3.0)
     assert host.take_report(3.0).is_empty
     host.repeat_reports()
-    successor.merge(host.take_report(3.0), 3.0)
+    successor.merge(host.take_report(3.0), 3.0, 3.0)
     assert _count_crashes(successor, 3.0) == 2
 
 
@@ -226,6 +230,39 @@
 
 def test_the_number_of_crashes_of_a_request_is_bounded():
     guard = _create_guard()
-    for _ in range(1_000):
-        guard.record_crash(CRASHING_REQUEST, 0.5, 1.0)
-    assert len(guard.take_report(1.0).crashes[CRASHING_REQUEST[0]]) == 8
+    for number in range(1_000):
+        _crash(guard, float(number))
+    assert len(guard.take_report(1_000.0).crashes[CRASHING_REQUEST[0]]) == 8
+
+
+# Guards against copies of a request, broken at once, that push its earlier
+# crashes out of the memory.
+def test_copies_of_a_request_do_not_hide_its_earlier_crashes():
+    guard = _create_guard()
+    for now in (1.0, 2.0, 3.0):
+        for _ in range(100):
+            _crash(guard, now)
+    assert guard.is_stopped(CRASHING_REQUEST, 3.0)
+
+
+# Guards against a request that is not remembered while the memory is full of
+# others that crashed twice.
+def test_a_full_memory_takes_a_request_that_crashes_now():
+    guard = _create_guard()
+    for request in range(300):
+        for now in (1.0, 2.0):
+            _crash(guard, now, (request, request))
+    for now in (3.0, 4.0, 5.0):
+        _crash(guard, now)
+    assert guard.is_stopped(CRASHING_REQUEST, 5.0)
+
+
+# Guards against reports that are too long for a datagram, or a record that is
+# too long for a row of the store.
+def test_reports_are_bounded():
+    guard = _create_guard()
+    for request in range(1_000):
+        for now in range(10):
+            guard.record_crash((request, request), now + 0.1, now + 0.2)
+    assert len(guard.take_report(20.0).crashes) == 64
+    assert len(guard.describe_all(20.0).crashes) == 128
--- a/packages/router/sycamoreloft_router/_crash_exchange.py
+++ b/packages/router/sycamoreloft_router/_crash_exchange.py
@@ -10,7 +10,7 @@
 import logging
 
 import sycamoreloft_direct
-from sycamoreloft_router import _datagrams, _direct_peers, _logs
+from sycamoreloft_router import _crash_record, _datagrams, _direct_peers, _logs
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -25,15 +25,18 @@
     Args:
         socket: Sends the datagrams.
         guard: Counts crashes of upstreams by request.
+        record: Saves the crashes that the coordinator knows of.
     """
 
     def __init__(
         self,
         socket: _direct_peers.DatagramSender,
         guard: sycamoreloft_direct.CrashGuard,
+        record: _crash_record.CrashRecord,
     ) -> None:
         self._socket = socket
         self._guard = guard
+        self._record = record
         self._coordinator: _datagrams.Address | None = None
 
     async def open(self) -> None:
@@ -53,6 +56,7 @@
             self._send_news(message, *addresses)
         elif isinstance(message, _datagrams.Heartbeat):
             self._coordinator = None
+            self._record.request_save()
             self._send_suspects(message, *addresses)
 
     def _send_news(
@@ -93,13 +97,14 @@
             forward: Receives messages that are not about crashes.
         """
         if isinstance(message, _datagrams.CrashNews):
-            for request in self._guard.merge(message.report, _read_clock()):
+            now = _read_clock()
+            for request in self._guard.merge(message.report, now, now):
                 _logs.log_event(
                     _LOGGER,
                     logging.WARNING,
                     "request-quarantined",
                     fingerprint=f"{request:016x}",
-                    crashes=self._guard.count_crashes(request, _read_clock()),
+                    crashes=self._guard.count_crashes(request, now),
                     peer=f"{sender[0]}:{sender[1]}",
                 )
         elif isinstance(message, _datagrams.CrashSuspects):
--- a/packages/router/sycamoreloft_router/_datagram_codec.py
+++ b/packages/router/sycamoreloft_router/_datagram_codec.py
@@ -89,13 +89,7 @@
     return (
         "crash-news",
         _encode_seen(message.seen),
-        {
-            request: [
-                (item.number, item.origin, item.started_ago_s, item.ended_ago_s)
-                for item in crashes
-            ]
-            for request, crashes in message.report.crashes.items()
-        },
+        encode_crashes(message.report.crashes),
         message.report.answered,
     )
 
@@ -155,6 +149,36 @@
     )
 
 
+def encode_crashes(
+    crashes: abc.Mapping[int, abc.Iterable[sycamoreloft_direct.ReportedCrash]],
+) -> dict[int, list[tuple[int, int, float, float]]]:
+    """Returns crashes by request in a form that msgpack encodes."""
+    return {
+        request: [
+            (item.number, item.origin, item.started_ago_s, item.ended_ago_s)
+            for item in items
+        ]
+        for request, items in crashes.items()
+    }
+
+
+def decode_crashes(
+    crashes: typing.Any,
+) -> dict[int, tuple[sycamoreloft_direct.ReportedCrash, ...]]:
+    """Validates crashes that `encode_crashes` encoded.
+
+    Raises:
+        TypeError: A crash has another number of fields.
+        ValueError: A field has the wrong type, or is out of bounds.
+    """
+    return {
+        _check_fingerprint(request): tuple(
+            _decode_crash(*item) for item in _check_list(items)
+        )
+        for request, items in _check_mapping(crashes).items()
+    }
+
+
 def encode(message: _datagrams.Datagram) -> bytes:
     """Encodes a datagram."""
     return bytes(msgpack.packb((_VERSION, *_list_fields(message))))
@@ -220,13 +244,7 @@
     return _datagrams.CrashNews(
         _decode_seen(seen),
         sycamoreloft_direct.CrashReport(
-            {
-                _check_fingerprint(request): tuple(
-                    _decode_crash(*item) for item in _check_list(items)
-                )
-                for request, items in _check_mapping(crashes).items()
-            },
-            _check_fingerprints(answered),
+            decode_crashes(crashes), _check_fingerprints(answered)
         ),
     )
 
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -17,6 +17,7 @@
     _connection_rules,
     _coordinator_role,
     _crash_exchange,
+    _crash_record,
     _datagrams,
     _departure_exchange,
     _direct_execution,
@@ -177,16 +178,20 @@
             freshness.read_versions,
         )
         self._upstreams.recorder = self._departures
+        self._crash_record = _crash_record.CrashRecord(
+            _store_eras.EraObservingRecords(
+                platform.records, self._observe_era
+            ),
+            self.crash_guard,
+        )
         self._crashes = _crash_exchange.CrashExchange(
-            self._departures, self.crash_guard
+            self._departures, self.crash_guard, self._crash_record
         )
         self._role = _coordinator_role.CoordinatorRole(
             settings,
             dataclasses.replace(
                 platform,
-                records=_store_eras.EraObservingRecords(
-                    platform.records, self._observe_era
-                ),
+                records=self._crash_record,
                 orders=_upstream_notices.ObservedOrders(
                     platform.orders,
                     notices,
@@ -302,6 +307,7 @@
             ("states", self.state_follower.run),
             ("upstreams", self.upstream_follower.run),
             ("coordinator", self._role.run),
+            ("crash-record", self._crash_record.run),
             ("sweep", self._sweep),
         ):
             # These tasks are restarted without limit. The cause of a failure,
