--- a/packages/router/sycamoreloft_router/_caller_exchange.py
+++ b/packages/router/sycamoreloft_router/_caller_exchange.py
@@ -1,7 +1,6 @@
 """Handles one request of a caller: reads it, runs it and sends the answer."""
 
 import asyncio
-from collections import abc
 import logging
 import typing
 
@@ -15,6 +14,7 @@
     _exchange,
     _headers,
     _logs,
+    _request_framing,
 )
 
 _LOGGER = logging.getLogger(__name__)
@@ -118,7 +118,7 @@
         self._head_only = False
         self._fields: _headers.RequestFields | None = None
         self._is_rejected = False
-        self._length = -1
+        self._length = _request_framing.UNKNOWN_LENGTH
         self._prefix: list[bytes] = []
         self._prefix_size = 0
         self._received_at = 0.0
@@ -148,12 +148,17 @@
         self._connection.set_close_callback(self._on_caller_gone)
         if self._server_state.is_draining:
             self._connection.close_after_answer()
-        problem = self._check_load() or self._check_framing(
-            start_line, fields.values
-        )
+        problem = self._check_load()
         if problem is not None:
             self._refuse(problem, True)
             return
+        length = _request_framing.read_length(
+            start_line, fields.values, self._server_state.body_bytes
+        )
+        if isinstance(length, result.Failure):
+            self._refuse(length.failure(), True)
+            return
+        self._length = length.unwrap()
         parsed = self._path.parser.parse(
             start_line.method,
             start_line.path,
@@ -236,60 +241,6 @@
             retry_after_ms=1_000,
         )
 
-    def _check_framing(
-        self,
-        start_line: httputil.RequestStartLine,
-        headers: abc.Mapping[str, str],
-    ) -> _answers.Refusal | None:
-        """Checks the HTTP version and the headers that delimit the body."""
-        if start_line.version != "HTTP/1.1":
-            # HTTP/1.0 has no chunked encoding, so the caller could not tell a
-            # truncated answer from a complete one.
-            return _answers.Refusal(
-                505,
-                "old-http-version",
-                f"the version {start_line.version} is not supported",
-                "use HTTP/1.1",
-            )
-        encoding = headers.get("Transfer-Encoding")
-        text = headers.get("Content-Length")
-        if encoding is not None and (
-            text is not None or encoding.lower() != "chunked"
-        ):
-            return _answers.Refusal(
-                400,
-                "bad-framing",
-                "the transfer encoding is unsupported, or a length is given"
-                " as well",
-                "send either Content-Length or Transfer-Encoding: chunked",
-            )
-        if text is not None:
-            if not (text.isascii() and text.isdigit()) or len(text) > 15:
-                return _answers.Refusal(
-                    400,
-                    "bad-framing",
-                    "Content-Length is not one whole number",
-                    "send the length of the body in bytes, once",
-                )
-            self._length = int(text)
-        elif encoding is None:
-            self._length = 0
-        if self._length > self._server_state.body_bytes:
-            return _answers.Refusal(
-                413,
-                "long-body",
-                f"the body has {self._length} bytes",
-                f"send at most {self._server_state.body_bytes} bytes",
-            )
-        if self._head_only and self._length != 0:
-            return _answers.Refusal(
-                400,
-                "bad-framing",
-                "a HEAD request has a body",
-                "send HEAD without a body",
-            )
-        return None
-
     def _join_prefix(self) -> bytes | None:
         if self._prefix_size:
             return b"".join(self._prefix)
--- a/packages/router/tests/test_caller_server.py
+++ b/packages/router/tests/test_caller_server.py
@@ -1,4 +1,4 @@
-"""Tests of the caller server: parsing, limits, streaming and draining."""
+"""Tests of the caller server: parsing, limits and streaming."""
 
 import asyncio
 import gc
@@ -332,94 +332,6 @@
     serve(scenario)
 
 
-def test_drain_completes_requests_in_flight(serve):
-    """Guards against requests that a planned stop cancels."""
-
-    async def script(request, writer, _reader):
-        await asyncio.sleep(0.1)
-        writer.write(raw_peers.answer(b"whole"))
-
-    async def scenario(harness, upstream):
-        idle = await harness.connect()
-        assert (await idle.send(build_head())).body == b"whole"
-        caller = await harness.connect()
-        caller.writer.write(build_head())
-        await raw_peers.wait_until(lambda: len(upstream.requests) == 2)
-        draining = asyncio.ensure_future(harness.server.drain(5.0))
-        await asyncio.sleep(0)
-        with pytest.raises(ConnectionError):
-            await harness.connect()
-        # A request on an idle connection may still be on its way.
-        late = await idle.send(build_head())
-        assert (late.body, late.get_header("Connection")) == (b"whole", "close")
-        answer = await caller.read()
-        assert (answer.body, answer.get_header("Connection")) == (
-            b"whole",
-            "close",
-        )
-        assert await draining == 0
-
-    serve(scenario, script)
-
-
-def test_drain_closes_idle_connections_while_others_work(serve):
-    """Guards against new requests that the end of the drain cancels."""
-    held = asyncio.Event()
-
-    async def script(request, writer, _reader):
-        if b" /slow " in request.head:
-            await held.wait()
-        writer.write(raw_peers.answer(b"whole"))
-
-    async def scenario(harness, upstream):
-        idle = await harness.connect()
-        assert (await idle.send(build_head())).body == b"whole"
-        slow = await harness.connect()
-        slow.writer.write(build_head(target="/slow"))
-        await raw_peers.wait_until(lambda: len(upstream.requests) == 2)
-        draining = asyncio.ensure_future(harness.server.drain(20.0))
-        async with asyncio.timeout(10.0):
-            assert await idle.reader.read() == b""
-        assert not draining.done()
-        held.set()
-        assert (await slow.read()).body == b"whole"
-        assert await draining == 0
-
-    serve(scenario, script)
-
-
-def test_drain_answers_connections_that_are_not_yet_accepted(serve):
-    """Guards against a reset of connections in the listening socket."""
-
-    async def scenario(harness, upstream):
-        host, port = harness.address.split(":")
-        with socket.create_connection((host, int(port)), 5) as caller:
-            # The event loop has not run since the connection was opened.
-            caller.sendall(build_head())
-            assert await harness.server.drain(5.0) == 0
-            assert caller.recv(100).startswith(b"HTTP/1.1 200")
-
-    serve(scenario)
-
-
-def test_drain_is_bounded_and_reports_what_it_cut(serve):
-    """Guards against a stop that never ends."""
-
-    async def script(request, writer, _reader):
-        await asyncio.sleep(30)
-
-    async def scenario(harness, upstream):
-        caller = await harness.connect()
-        caller.writer.write(build_head())
-        await raw_peers.wait_until(lambda: upstream.requests)
-        assert await harness.server.drain(0.05) == 1
-        with pytest.raises(asyncio.IncompleteReadError):
-            await caller.read()
-        assert harness.sources.returned[0].outcome == "unknown"
-
-    serve(scenario, script)
-
-
 def test_a_new_connection_is_not_idle(serve):
     """Guards against a reset of a connection that was just accepted.
 
