Refuse late requests that may outlast a planned stop

It could happen here on a connection on which a head had begun before the drain: it is not idle, and its request was passed on whatever its deadline was.

From 0.4 s after the host stopped listening, a request whose deadline lies after the end of the drain gets 503 host-stopping, which is true: it did not run.

--- a/packages/router/sycamoreloft_router/_caller_exchange.py
+++ b/packages/router/sycamoreloft_router/_caller_exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import typing
 
 from returns import result
@@ -28,6 +29,16 @@
 _BODILESS_METHODS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
 
 
+#: Answer to a request that the stop of this host might cut off.
+_HOST_STOPPING = _answers.Refusal(
+    503,
+    "host-stopping",
+    "this host ends before the deadline of the request",
+    "send the request again, to another host",
+    retry_after_ms=1_000,
+)
+
+
 class ServerState:
     """State that all exchanges of a caller server share.
 
@@ -54,6 +65,9 @@
         #: Whether the server is stopping: each answer then closes its
         #: connection.
         self.is_draining = False
+        #: Requests with a later deadline are refused, since the drain may end
+        #: before them; infinite while the server is not about to end.
+        self.latest_deadline = math.inf
 
     async def cancel_all(self) -> None:
         """Cancels all requests and waits until they have ended."""
@@ -171,8 +185,12 @@
                 fields.repeated != "" or "Expect" in fields.values,
             )
             return
-        self._request = parsed.unwrap()
-        self._deadline = self._received_at + self._request.deadline_ms / 1000
+        request = parsed.unwrap()
+        self._deadline = self._received_at + request.deadline_ms / 1000
+        if self._deadline > self._server_state.latest_deadline:
+            self._refuse(_HOST_STOPPING, "Expect" in fields.values)
+            return
+        self._request = request
         self._timer = loop.call_at(self._deadline, self._on_deadline)
 
     def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
--- a/packages/router/sycamoreloft_router/_caller_server.py
+++ b/packages/router/sycamoreloft_router/_caller_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import logging
+import math
 import ssl
 
 from tornado import httputil, netutil
@@ -27,6 +28,10 @@
 #: A request that the caller has sent may still be on its way.
 DRAIN_IDLE_S = 0.05
 
+#: Seconds after the begin of the drain for which all requests are taken: they
+#: were on their way when the host stopped accepting connections.
+LATE_ARRIVAL_S = 0.4
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerLimits:
@@ -106,6 +111,11 @@
         """Returns the number of requests in flight."""
         return len(self._server_state.exchanges)
 
+    @property
+    def refuses_late_requests(self) -> bool:
+        """Whether requests that may outlast the drain are refused."""
+        return self._server_state.latest_deadline < math.inf
+
     def stop_accepting(self) -> None:
         """Closes the listening sockets; connections stay open.
 
@@ -127,11 +137,14 @@
         """
         self.stop_accepting()
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + bound_s
+        started_at = loop.time()
+        deadline = started_at + bound_s
         await asyncio.sleep(min(DRAIN_IDLE_S, bound_s))
         while loop.time() < deadline:
             if self._server is None:
                 break
+            if loop.time() >= started_at + LATE_ARRIVAL_S:
+                self._server_state.latest_deadline = deadline
             # Closes idle connections also while requests are in flight: they
             # would bring further requests until the end of the drain, which
             # would then be cancelled.
--- a/packages/router/tests/test_caller_drains.py
+++ b/packages/router/tests/test_caller_drains.py
@@ -80,6 +80,35 @@
     serve(scenario)
 
 
+@pytest.mark.parametrize(
+    ("deadline_ms", "status"), [("20000", 503), ("1000", 200)]
+)
+def test_a_late_request_that_may_outlast_the_drain_is_refused(
+    serve, deadline_ms, status
+):
+    """Guards against requests that are taken late and then cut (LOST)."""
+
+    async def scenario(harness, upstream):
+        caller = await harness.connect()
+        head = build_head(Sycamoreloft_Deadline_Ms=deadline_ms)
+        # A connection on which a head has begun is not idle.
+        caller.writer.write(head[:-2])
+        await asyncio.sleep(0.1)
+        draining = asyncio.ensure_future(harness.server.drain(5.0))
+        await raw_peers.wait_until(lambda: harness.server.refuses_late_requests)
+        answer = await caller.send(head[-2:])
+        assert answer.status == status
+        assert len(upstream.requests) == (status == 200)
+        assert answer.get_header("Connection") == "close"
+        if status == 503:
+            assert answer.reason == "host-stopping"
+            assert answer.outcome == "did-not-run"
+            assert answer.get_header("Retry-After")
+        assert await draining == 0
+
+    serve(scenario)
+
+
 def test_drain_is_bounded_and_reports_what_it_cut(serve):
     """Guards against a stop that never ends."""
 
