Count crashes of a path by copies from several addresses

Copies from several addresses wait at several hosts for the owner of their key and are broken by one crash. Such a crash counted for none of them, by a rule that protected paths which many callers use.

These paths are now told apart by what shows that they are innocent: each host remembers for a minute which paths were answered, in a filter of bits. The crash of a path in use counts for the address of its caller only, as it did before; of any other path it counts for all callers together.

--- a/packages/direct/sycamoreloft_direct/__init__.py
+++ b/packages/direct/sycamoreloft_direct/__init__.py
@@ -4,6 +4,7 @@
 time, in seconds.
 """
 
+from sycamoreloft_direct._answered_paths import AnsweredPaths
 from sycamoreloft_direct._crash_guard import (
     REPORT_COUNT,
     CrashGuard,
@@ -98,6 +99,7 @@
     "NO_NOTICE",
     "REPORT_COUNT",
     "VOUCHED_WAIT_S",
+    "AnsweredPaths",
     "AttemptResult",
     "CallerLimits",
     "ChangeCause",
--- a/packages/direct/sycamoreloft_direct/_crash_guard.py
+++ b/packages/direct/sycamoreloft_direct/_crash_guard.py
@@ -65,8 +65,6 @@
 
     #: Random number that identifies the crash in repeated reports.
     number: int
-    #: First identity of the request, which names its caller.
-    origin: int
     #: When the attempt began.
     started_at: float
     #: When its connection broke.
@@ -79,8 +77,6 @@
 
     #: Random number that identifies the crash in repeated reports.
     number: int
-    #: First identity of the request, which names its caller.
-    origin: int
     #: Seconds from the begin of the attempt to the report.
     started_ago_s: float
     #: Seconds from the break of its connection to the report.
@@ -137,18 +133,17 @@
     # What this host sees.
 
     def record_crash(
-        self, requests: abc.Sequence[int], started_at: float, now: float
+        self, requests: abc.Iterable[int], started_at: float, now: float
     ) -> None:
         """Records that the connection of an attempt broke before any answer.
 
         Args:
-            requests: Identities of the request; see `identify_request`.
+            requests: Identities of the request that may be to blame; see
+                `identify_request` and `AnsweredPaths`.
             started_at: When the attempt began, in seconds.
             now: Time, in seconds.
         """
-        crash = Crash(
-            self._generator.getrandbits(63), requests[0], started_at, now
-        )
+        crash = Crash(self._generator.getrandbits(63), started_at, now)
         for request in requests:
             self._add(request, crash, now)
             self._crash_reports[request] = REPORT_COUNT
@@ -174,22 +169,17 @@
     def count_crashes(self, request: int, now: float) -> int:
         """Counts the known crashes that came one after the other.
 
-        Requests that are at an upstream at once are all broken by one crash, so
-        only an attempt that began after an earlier crash counts once more. A
-        crash that broke requests of several callers with the same path and body
-        does not count for them together: many callers use that path.
+        Copies of a request that are at an upstream at once are all broken by
+        one crash, so only an attempt that began after an earlier crash counts.
         """
-        ended_at = -math.inf
-        origins: list[set[int]] = []
+        count, ended_at = 0, -math.inf
         crashes = self._crashes.get(request, {}).values()
         for crash in sorted(crashes, key=lambda item: item.ended_at):
-            if now >= crash.ended_at + CRASH_MEMORY_S:
-                continue
-            if crash.started_at >= ended_at:
-                origins.append(set())
+            is_recent = now < crash.ended_at + CRASH_MEMORY_S
+            if is_recent and crash.started_at >= ended_at:
+                count += 1
                 ended_at = crash.ended_at
-            origins[-1].add(crash.origin)
-        return sum(len(callers) == 1 for callers in origins)
+        return count
 
     # What hosts tell each other.
 
@@ -244,7 +234,6 @@
                     request,
                     Crash(
                         crash.number,
-                        crash.origin,
                         reported_at - crash.started_ago_s,
                         reported_at - crash.ended_ago_s,
                     ),
@@ -334,11 +323,9 @@
 
 
 def _is_same_crash(crash: Crash, other: Crash) -> bool:
-    """Returns whether a request of one caller was broken twice at once."""
+    """Returns whether two copies of a request were broken at once."""
     return (
-        crash.origin == other.origin
-        and crash.started_at < other.ended_at
-        and other.started_at < crash.ended_at
+        crash.started_at < other.ended_at and other.started_at < crash.ended_at
     )
 
 
@@ -348,7 +335,6 @@
     return tuple(
         ReportedCrash(
             crash.number,
-            crash.origin,
             max(0.0, now - crash.started_at),
             max(0.0, now - crash.ended_at),
         )
--- a/packages/router/sycamoreloft_router/_crash_watch.py
+++ b/packages/router/sycamoreloft_router/_crash_watch.py
@@ -69,17 +69,26 @@
             started_at: When the attempt began, in seconds.
             now: Time on the clock of the event loop, in seconds.
         """
+        guard, request = self._services.guard, self._request
+        paths = self._services.answered_paths
+        if result is _RESULT.ANSWERED:
+            paths.record(request.method, request.target, now)
+            if not guard.is_idle:
+                guard.record_answer(self._identify())
+        elif (
+            result is _RESULT.BROKEN
+            and transfer is not None
+            and transfer.head.status == 0
+        ):
+            is_path_in_use = paths.contains(request.method, request.target, now)
+            identities = self._identify()[: 1 if is_path_in_use else None]
+            guard.record_crash(identities, started_at, now)
+            self._log_crash(identities, upstream, now)
+
+    def _log_crash(
+        self, identities: tuple[int, ...], upstream: str, now: float
+    ) -> None:
         guard = self._services.guard
-        if result is _RESULT.BROKEN:
-            if transfer is not None and transfer.head.status == 0:
-                guard.record_crash(self._identify(), started_at, now)
-                self._log_crash(upstream, now)
-        elif result is _RESULT.ANSWERED and not guard.is_idle:
-            guard.record_answer(self._identify())
-
-    def _log_crash(self, upstream: str, now: float) -> None:
-        guard = self._services.guard
-        identities = self._identify()
         _logs.log_event(
             _LOGGER,
             logging.WARNING,
--- a/packages/router/sycamoreloft_router/_datagram_codec.py
+++ b/packages/router/sycamoreloft_router/_datagram_codec.py
@@ -151,11 +151,11 @@
 
 def encode_crashes(
     crashes: abc.Mapping[int, abc.Iterable[sycamoreloft_direct.ReportedCrash]],
-) -> dict[int, list[tuple[int, int, float, float]]]:
+) -> dict[int, list[tuple[int, float, float]]]:
     """Returns crashes by request in a form that msgpack encodes."""
     return {
         request: [
-            (item.number, item.origin, item.started_ago_s, item.ended_ago_s)
+            (item.number, item.started_ago_s, item.ended_ago_s)
             for item in items
         ]
         for request, items in crashes.items()
@@ -251,13 +251,11 @@
 
 def _decode_crash(
     number: typing.Any,
-    origin: typing.Any,
     started_ago_s: typing.Any,
     ended_ago_s: typing.Any,
 ) -> sycamoreloft_direct.ReportedCrash:
     return sycamoreloft_direct.ReportedCrash(
         _check_fingerprint(number),
-        _check_fingerprint(origin),
         _check_duration(started_ago_s),
         _check_duration(ended_ago_s),
     )
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -234,6 +234,7 @@
             self._role,
             self._budgets,
             self.crash_guard,
+            sycamoreloft_direct.AnsweredPaths(),
             client,
             platform.headers,
             notices,
--- a/packages/router/sycamoreloft_router/_direct_services.py
+++ b/packages/router/sycamoreloft_router/_direct_services.py
@@ -39,6 +39,8 @@
     budgets: sycamoreloft_direct.ServiceRetryBudgets
     #: Counts crashes of upstreams by request, and stops such requests.
     guard: sycamoreloft_direct.CrashGuard
+    #: Paths that upstreams answered on this host.
+    answered_paths: sycamoreloft_direct.AnsweredPaths
     #: HTTP client for requests to upstreams.
     client: _upstream_client.UpstreamClient
     #: Names of headers and paths.
--- a/packages/router/tests/notice_world.py
+++ b/packages/router/tests/notice_world.py
@@ -85,6 +85,7 @@
             role,
             sycamoreloft_direct.ServiceRetryBudgets(0.5, 10, 20.0),
             sycamoreloft_direct.CrashGuard(),
+            sycamoreloft_direct.AnsweredPaths(),
             client,
             notice_upstreams.NAMES,
             notices,
