Never send a second answer after one that has begun

It is now a property of the exchange, whatever ends the execution: once a head was sent, a refusal closes the connection without the last chunk, and so does an execution that returns without having ended its answer. The count of cut answers leaves out callers that had left.

--- a/packages/router/sycamoreloft_router/_caller_exchange.py
+++ b/packages/router/sycamoreloft_router/_caller_exchange.py
@@ -97,6 +97,7 @@
         "_ended",
         "_execution",
         "_fields",
+        "_has_begun",
         "_head_only",
         "_is_rejected",
         "_length",
@@ -132,6 +133,8 @@
         self._head_only = False
         self._fields: _headers.RequestFields | None = None
         self._is_rejected = False
+        # Whether the head of a streamed answer has been sent.
+        self._has_begun = False
         self._length = _request_framing.UNKNOWN_LENGTH
         self._prefix: list[bytes] = []
         self._prefix_size = 0
@@ -325,6 +328,8 @@
         finally:
             if refusal is not None and not self._ended:
                 self._refuse(refusal, False)
+            elif self._has_begun:
+                self.abort()
             self._end("completed", "")
 
     def _on_deadline(self) -> None:
@@ -363,6 +368,7 @@
 
     async def begin(self, answer: _answers.UpstreamAnswer) -> None:
         """Sends the head of an answer that is streamed."""
+        self._has_begun = True
         await self._write(answer.encode_head(self._decide_keep_open()))
 
     async def write(self, chunk: bytes) -> None:
@@ -377,7 +383,8 @@
     def abort(self) -> None:
         """Closes the connection without the last chunk of the answer."""
         if not self._ended:
-            self._path.metrics.count("sycamoreloft_answers_cut_total")
+            if not self._connection.stream.closed():
+                self._path.metrics.count("sycamoreloft_answers_cut_total")
             self._end(_answers.UNKNOWN, "broken-answer")
             self._connection.close()
 
@@ -397,11 +404,17 @@
     def _refuse(self, refusal: _answers.Refusal, close_now: bool) -> None:
         """Sends an answer of the router itself.
 
+        If another answer has begun, the connection is closed instead: the
+        caller would read this one as a part of that.
+
         Args:
             refusal: The answer.
             close_now: Whether to close the connection without reading the
                 rest of the body.
         """
+        if self._has_begun:
+            self.abort()
+            return
         if close_now:
             self._connection.close_after_answer()
         data = refusal.encode(self._decide_keep_open(), not self._head_only)
