Begin no attempt for a caller that has left

A request that isn't idempotent goes on at its upstream when its caller leaves, since its effect would be unknown otherwise.

--- a/packages/router/sycamoreloft_router/_direct_execution.py
+++ b/packages/router/sycamoreloft_router/_direct_execution.py
@@ -75,6 +75,7 @@
         "_began_at",
         "_choice",
         "_crash_watch",
+        "_is_caller_gone",
         "_may_have_run",
         "_obstacle",
         "_path",
@@ -109,6 +110,8 @@
         )
         # Addresses of the upstreams of the attempts so far.
         self._addresses: set[str] = set()
+        # Whether the caller left while an attempt continues without it.
+        self._is_caller_gone = False
         self._may_have_run = False
         self._obstacle = ""
         self._sent_to: set[str] = set()
@@ -127,7 +130,8 @@
         """Stops the request because of its deadline or its caller.
 
         A non-idempotent request at an upstream continues without its caller:
-        if it were cancelled, its effect would be unknown.
+        if it were cancelled, its effect would be unknown. No other attempt
+        follows it.
         """
         if self._stop_reason is not None:
             return
@@ -137,6 +141,7 @@
             and is_running
             and not self._is_idempotent
         ):
+            self._is_caller_gone = True
             return
         self._stop_reason = reason
         if self._task is not None:
@@ -380,6 +385,8 @@
     ) -> str:
         """Returns what prevents another attempt; empty if nothing does."""
         now = self._services.loop.time()
+        if self._is_caller_gone:
+            return "caller-gone"
         if (
             now + _upstream_choice.MINIMUM_REMAINING_S
             >= self._received.deadline
