--- a/packages/router/sycamoreloft_router/_answer_checks.py
+++ b/packages/router/sycamoreloft_router/_answer_checks.py
@@ -9,6 +9,9 @@
 #: request did not run, even if the header that says so is missing.
 MISDIRECTED = 421
 
+#: Statuses with which callers are promised that their request did not run.
+PROMISING_STATUSES = frozenset((408, 421, 429, 503))
+
 
 def is_refusal(
     head: _answer_heads.AnswerHead, names: _direct_ports.HeaderNames
--- a/packages/router/sycamoreloft_router/_direct_execution.py
+++ b/packages/router/sycamoreloft_router/_direct_execution.py
@@ -6,6 +6,7 @@
 import sycamoreloft_direct
 from sycamoreloft_router import (
     _answer_checks,
+    _answer_forwarding,
     _answer_heads,
     _answers,
     _body_streams,
@@ -219,7 +220,7 @@
             self._may_have_run = True
             if result is _RESULT.FAILED and self._may_retry(result):
                 return result
-            await self._forward_answer(transfer)
+            await _answer_forwarding.forward(transfer, self._sink)
             return None
         finally:
             self._finish_attempt(record, result, started_at)
@@ -330,6 +331,10 @@
                 return _RESULT.REPLACED
             return _RESULT.REFUSED
         failure = transfer.failure
+        if failure is None and self._is_unproven_refusal(head.status):
+            self._choice.reason = "unproven-refusal"
+            self._may_have_run = True
+            return _RESULT.BROKEN
         if failure is None and _answer_checks.is_foreign(head):
             self._choice.reason = "foreign-answer"
             self._may_have_run = True
@@ -348,30 +353,16 @@
             return _RESULT.SILENT
         return _RESULT.BROKEN
 
-    async def _forward_answer(self, transfer: _transfers.Transfer) -> None:
-        head = transfer.head
-        answer = _answers.UpstreamAnswer(
-            head.status_line,
-            head.status,
-            _headers.filter_answer_lines(head.lines),
-            head.get_header(b"content-length")
-            if transfer.request.method == "HEAD"
-            else b"",
+    def _is_unproven_refusal(self, status: int) -> bool:
+        """Returns whether passing a status on would promise too much.
+
+        Callers send a request again that did not run. Without the upstream's
+        word for it, a request that isn't idempotent might run twice.
+        """
+        return (
+            not self._is_idempotent
+            and status in _answer_checks.PROMISING_STATUSES
         )
-        if transfer.ended:
-            self._sink.send_complete(answer, transfer.read_available())
-            return
-        await self._sink.begin(answer)
-        while transfer.failure is None:
-            chunk = transfer.read_available()
-            if chunk:
-                await self._sink.write(chunk)
-            elif transfer.ended:
-                self._sink.end()
-                return
-            else:
-                await transfer.wait(1)
-        self._sink.abort()
 
     # After an attempt.
 
