Bound what heartbeats say of crashes, and drop old answers

A host that was the coordinator kept answers to report, and told the next coordinator of them at any later time, which cleared crashes that came after them.

test_a_new_coordinator_hears_of_no_earlier_answers and the bounds in test_reports_are_bounded failed before.

--- a/packages/direct/sycamoreloft_direct/_crash_guard.py
+++ b/packages/direct/sycamoreloft_direct/_crash_guard.py
@@ -37,15 +37,18 @@
 #: since datagrams get lost.
 REPORT_COUNT = 8
 
-#: Maximum number of requests that are remembered, and maximum number that are
-#: stopped. Old requests with one crash are dropped before others.
+#: Maximum number of requests that are remembered. Old requests with one crash
+#: are dropped before others.
 MAXIMUM_REQUESTS = 256
 
+#: Maximum number of requests that are stopped; each heartbeat names them.
+MAXIMUM_STOPPED = 128
+
 #: Maximum number of crashes that are remembered for each request.
 MAXIMUM_CRASHES = 8
 
-#: Maximum number of requests in a report, so that it fits a datagram, and of
-#: requests that are saved, so that they fit a record of the store.
+#: Maximum number of requests in a datagram, and of requests that are saved, so
+#: that they fit a record of the store.
 MAXIMUM_REPORTED = 64
 MAXIMUM_SAVED = 128
 
@@ -209,7 +212,11 @@
         )
 
     def repeat_reports(self) -> None:
-        """Reports all known crashes again, to another coordinator."""
+        """Reports all known crashes again, to another coordinator.
+
+        Answers are not: it may know of crashes that came after them.
+        """
+        self._answer_reports.clear()
         self._crash_reports = dict.fromkeys(self._crashes, REPORT_COUNT)
 
     def merge(
@@ -244,11 +251,12 @@
     def list_suspected(self, now: float) -> tuple[int, ...]:
         """Returns the requests for whose answers all hosts should watch."""
         self._forget(now)
-        return tuple(
+        suspected = tuple(
             request
             for request in self._crashes
             if self.count_crashes(request, now) >= CRASHES_TO_SUSPECT
         )
+        return suspected[-MAXIMUM_REPORTED:]
 
     def add_suspected(self, requests: abc.Iterable[int], now: float) -> None:
         """Watches for answers to requests that the coordinator suspects."""
@@ -319,7 +327,7 @@
     def _stop(self, request: int, now: float) -> None:
         self._stopped.pop(request, None)
         self._stopped[request] = now + STOP_DURATION_S
-        _drop_oldest(self._stopped, MAXIMUM_REQUESTS)
+        _drop_oldest(self._stopped, MAXIMUM_STOPPED)
 
 
 def _is_same_crash(crash: Crash, other: Crash) -> bool:
--- a/packages/direct/tests/test_crash_guard.py
+++ b/packages/direct/tests/test_crash_guard.py
@@ -205,13 +205,25 @@
     assert _count_crashes(successor, 3.0) == 2
 
 
+# Guards against an answer from long ago that clears later crashes, where the
+# host was the coordinator and then reports to another one.
+def test_a_new_coordinator_hears_of_no_earlier_answers():
+    former, successor = map(_create_guard, range(2))
+    _crash(former, 1.0)
+    former.record_answer(CRASHING_REQUEST)
+    _crash(successor, 100.0)
+    former.repeat_reports()
+    successor.merge(former.take_report(101.0), 101.0, 101.0)
+    assert _count_crashes(successor, 101.0) == 1
+
+
 def test_the_number_of_remembered_requests_is_bounded():
     guard = _create_guard()
     for request in range(10_000):
         guard.record_crash((request, request + 1), 0.9, 1.0)
         guard.add_stopped([request], 1.0)
     assert len(guard.take_report(1.0).crashes) <= 256
-    assert len(guard.list_stopped(1.0)) <= 256
+    assert len(guard.list_stopped(1.0)) <= 128
     assert guard.is_stopped([9_999], 1.0)
 
 
@@ -264,3 +276,4 @@
             guard.record_crash((request, request), now + 0.1, now + 0.2)
     assert len(guard.take_report(20.0).crashes) == 64
     assert len(guard.describe_all(20.0).crashes) == 128
+    assert len(guard.list_suspected(20.0)) == 64
