Mend what a reading of the crash guard found

- Both identities of a request had one number for a crash.
An answer to another caller of the path cleared it for this caller's request as well, if its report came later.
- A stop that had ended stayed in the table of a host, which then took no second stop, and looked at each request for ever.
An answer is now reported for two seconds.

test_an_answer_to_another_caller_clears_the_path_only and test_a_stop_that_has_ended_leaves_nothing failed before.

--- a/packages/direct/sycamoreloft_direct/_crash_guard.py
+++ b/packages/direct/sycamoreloft_direct/_crash_guard.py
@@ -33,10 +33,13 @@
 #: named it, which it does with each heartbeat.
 SUSPICION_S = 3.0
 
-#: Number of times that a crash or an answer is reported to the coordinator,
-#: since datagrams get lost.
+#: Number of times that a crash is reported to the coordinator, since datagrams
+#: get lost.
 REPORT_COUNT = 8
 
+#: Seconds for which an answer is reported to the coordinator.
+ANSWER_REPORT_S = 2.0
+
 #: Maximum number of requests that are remembered. Old requests with one crash
 #: are dropped before others.
 MAXIMUM_REQUESTS = 256
@@ -121,10 +124,10 @@
         self._suspected: dict[int, float] = {}
         #: Numbers of crashes that no longer count.
         self._forgiven: dict[int, None] = {}
-        #: Requests whose crashes, or whose answer, are still to be reported,
-        #: with the number of reports.
+        #: Number of reports still to be made of a request's crashes.
         self._crash_reports: dict[int, int] = {}
-        self._answer_reports: dict[int, int] = {}
+        #: Time until which the answer to a request is reported.
+        self._answers: dict[int, float] = {}
         #: Increases with each change that is worth saving.
         self.revision = 0
 
@@ -146,19 +149,20 @@
             started_at: When the attempt began, in seconds.
             now: Time, in seconds.
         """
-        crash = Crash(self._generator.getrandbits(63), started_at, now)
         for request in requests:
-            self._add(request, crash, now)
+            # An answer may clear one identity of the request and not the other.
+            number = self._generator.getrandbits(63)
+            self._add(request, Crash(number, started_at, now), now)
             self._crash_reports[request] = REPORT_COUNT
         _drop_oldest(self._crash_reports, MAXIMUM_REQUESTS)
 
-    def record_answer(self, requests: abc.Iterable[int]) -> None:
+    def record_answer(self, requests: abc.Iterable[int], now: float) -> None:
         """Records that a request was answered, which clears it everywhere."""
         for request in requests:
             if request in self._crashes or request in self._suspected:
                 self._clear(request)
-                self._answer_reports[request] = REPORT_COUNT
-        _drop_oldest(self._answer_reports, MAXIMUM_REQUESTS)
+                self._answers[request] = now + ANSWER_REPORT_S
+        _drop_oldest(self._answers, MAXIMUM_REPORTED)
 
     def is_stopped(self, requests: abc.Iterable[int], now: float) -> bool:
         """Returns whether a request must not be sent.
@@ -194,7 +198,7 @@
             for request in _take_turn(self._crash_reports)
             if request in self._crashes
         }
-        return CrashReport(crashes, tuple(_take_turn(self._answer_reports)))
+        return CrashReport(crashes, tuple(self._answers))
 
     def describe_all(self, now: float) -> CrashReport:
         """Returns the crashes of the requests that crashed most often."""
@@ -212,11 +216,7 @@
         )
 
     def repeat_reports(self) -> None:
-        """Reports all known crashes again, to another coordinator.
-
-        Answers are not: it may know of crashes that came after them.
-        """
-        self._answer_reports.clear()
+        """Reports all known crashes again, to another coordinator."""
         self._crash_reports = dict.fromkeys(self._crashes, REPORT_COUNT)
 
     def merge(
@@ -234,7 +234,7 @@
         """
         for request in report.answered:
             self._clear(request)
-        known = set(self._stopped)
+        known = set(self.list_stopped(now))
         for request, crashes in report.crashes.items():
             for crash in crashes:
                 self._add(
@@ -260,24 +260,18 @@
 
     def add_suspected(self, requests: abc.Iterable[int], now: float) -> None:
         """Watches for answers to requests that the coordinator suspects."""
-        self._suspected = {
-            request: until
-            for request, until in self._suspected.items()
-            if now < until
-        }
         for request in requests:
             self._suspected[request] = now + SUSPICION_S
         _drop_oldest(self._suspected, MAXIMUM_REQUESTS)
 
     def list_stopped(self, now: float) -> tuple[int, ...]:
         """Returns the requests that are stopped."""
-        for request, until in list(self._stopped.items()):
-            if now >= until:
-                del self._stopped[request]
+        _drop_expired(self._stopped, now)
         return tuple(self._stopped)
 
     def add_stopped(self, requests: abc.Iterable[int], now: float) -> None:
         """Stops the requests that the coordinator has listed as stopped."""
+        _drop_expired(self._stopped, now)
         for request in requests:
             if request not in self._stopped:
                 self._stop(request, now)
@@ -316,7 +310,11 @@
         self._crash_reports.pop(request, None)
 
     def _forget(self, now: float) -> None:
-        """Drops the crashes that no longer count."""
+        """Drops what no longer counts."""
+        _drop_expired(self._stopped, now)
+        _drop_expired(self._suspected, now)
+        # A later crash must not be cleared by an answer from before.
+        _drop_expired(self._answers, now)
         for request, crashes in list(self._crashes.items()):
             if all(
                 now >= crash.ended_at + CRASH_MEMORY_S
@@ -360,6 +358,11 @@
     return requests
 
 
+def _drop_expired(until: dict[int, float], now: float) -> None:
+    for request in [item for item, end in until.items() if now >= end]:
+        del until[request]
+
+
 def _drop_oldest(entries: dict[int, _Entry], maximum: int) -> None:
     while len(entries) > maximum:
         del entries[next(iter(entries))]
--- a/packages/direct/tests/test_crash_guard.py
+++ b/packages/direct/tests/test_crash_guard.py
@@ -134,11 +134,41 @@
     guard = _create_guard()
     for now in range(10):
         _crash(guard, float(now))
-        guard.record_answer(CRASHING_REQUEST)
+        guard.record_answer(CRASHING_REQUEST, float(now))
     assert not guard.is_stopped(CRASHING_REQUEST, 10.0)
     assert guard.is_idle
 
 
+# Guards against a count that is lost because other callers of the path were
+# answered.
+def test_an_answer_to_another_caller_clears_the_path_only():
+    host, coordinator = map(_create_guard, range(2))
+    other = sycamoreloft_direct.identify_request("GET", "/bad", "10.9.9.9", b"")
+    for now in (1.0, 2.0, 3.0):
+        _crash(host, now)
+        report = host.take_report(now)
+        for request in (CRASHING_REQUEST[1], CRASHING_REQUEST[0]):
+            part = sycamoreloft_direct.CrashReport(
+                {request: report.crashes[request]}
+            )
+            coordinator.merge(part, now, now)
+            coordinator.record_answer(other, now)
+    assert coordinator.is_stopped(CRASHING_REQUEST, 3.0)
+    assert not coordinator.is_stopped(other, 3.0)
+
+
+# Guards against hosts that take no second stop after the first one has ended,
+# and that look at each request for ever.
+def test_a_stop_that_has_ended_leaves_nothing():
+    host = _create_guard()
+    for now in (1.0, 701.0):
+        host.add_stopped(CRASHING_REQUEST, now)
+        host.add_suspected(CRASHING_REQUEST, now)
+        assert host.is_stopped(CRASHING_REQUEST, now + 1.0)
+    host.take_report(1_400.0)
+    assert host.is_idle
+
+
 # Guards against a request that is stopped although another host had an answer.
 def test_an_answer_on_any_host_clears_a_suspected_request():
     first, second, coordinator = map(_create_guard, range(3))
@@ -148,7 +178,7 @@
         report = first.take_report(now)
         coordinator.merge(report, now, now)
         second.add_suspected(coordinator.list_suspected(now), now)
-        second.record_answer(CRASHING_REQUEST)
+        second.record_answer(CRASHING_REQUEST, now)
         coordinator.merge(second.take_report(now), now, now)
         # A late copy of the report does not count again.
         coordinator.merge(report, now, now)
@@ -210,7 +240,7 @@
 def test_a_new_coordinator_hears_of_no_earlier_answers():
     former, successor = map(_create_guard, range(2))
     _crash(former, 1.0)
-    former.record_answer(CRASHING_REQUEST)
+    former.record_answer(CRASHING_REQUEST, 1.0)
     _crash(successor, 100.0)
     former.repeat_reports()
     successor.merge(former.take_report(101.0), 101.0, 101.0)
--- a/packages/router/sycamoreloft_router/_crash_watch.py
+++ b/packages/router/sycamoreloft_router/_crash_watch.py
@@ -74,7 +74,7 @@
         if result is _RESULT.ANSWERED:
             paths.record(request.method, request.target, now)
             if not guard.is_idle:
-                guard.record_answer(self._identify())
+                guard.record_answer(self._identify(), now)
         elif (
             result is _RESULT.BROKEN
             and transfer is not None
--- a/packages/router/tests/test_crash_record.py
+++ b/packages/router/tests/test_crash_record.py
@@ -213,7 +213,8 @@
             await asyncio.sleep(1.0)
         coordinator.exchange.send(HEARTBEAT, ("10.0.0.1", 1))
         _deliver(coordinator, host)
-        host.guard.record_answer(REQUEST)
+        now = asyncio.get_running_loop().time()
+        host.guard.record_answer(REQUEST, now)
         host.exchange.send(
             _datagrams.Report("h", 1, 1, SEEN, {}, {}), ("10.0.0.2", 1)
         )
