Forward answers in one place in both modes

Moving the direct mode's forwarding to _answer_forwarding.py left the permit mode with the same head and the same loop in _attempts.py. Both now call build_answer and stream; what each decides afterwards stays where it was. No behaviour changes.

Run: the tests of the exchange, of callers, of begun, cut and endless answers and of unproven refusals (195 cases), the linter and the type checker. The whole suite was not run on this commit.

--- a/packages/router/sycamoreloft_router/_answer_forwarding.py
+++ b/packages/router/sycamoreloft_router/_answer_forwarding.py
@@ -3,17 +3,14 @@
 from sycamoreloft_router import _answers, _exchange, _headers, _transfers
 
 
-async def forward(
-    transfer: _transfers.Transfer, sink: _exchange.AnswerSink
-) -> None:
-    """Passes an answer on: as a whole if it has ended, else in parts.
+def build_answer(transfer: _transfers.Transfer) -> _answers.UpstreamAnswer:
+    """Returns the head to send to the caller.
 
     Args:
         transfer: The transfer, whose answer has a complete head.
-        sink: Receives the answer.
     """
     head = transfer.head
-    answer = _answers.UpstreamAnswer(
+    return _answers.UpstreamAnswer(
         head.status_line,
         head.status,
         _headers.filter_answer_lines(head.lines),
@@ -21,9 +18,20 @@
         if transfer.request.method == "HEAD"
         else b"",
     )
-    if transfer.ended:
-        sink.send_complete(answer, transfer.read_available())
-        return
+
+
+async def stream(
+    transfer: _transfers.Transfer,
+    answer: _answers.UpstreamAnswer,
+    sink: _exchange.AnswerSink,
+) -> None:
+    """Passes an answer on while it arrives; aborts it if the transfer fails.
+
+    Args:
+        transfer: The transfer.
+        answer: Head of the answer.
+        sink: Receives the answer.
+    """
     await sink.begin(answer)
     while transfer.failure is None:
         chunk = transfer.read_available()
@@ -35,3 +43,19 @@
         else:
             await transfer.wait(1)
     sink.abort()
+
+
+async def forward(
+    transfer: _transfers.Transfer, sink: _exchange.AnswerSink
+) -> None:
+    """Passes an answer on: as a whole if it has ended, else in parts.
+
+    Args:
+        transfer: The transfer, whose answer has a complete head.
+        sink: Receives the answer.
+    """
+    answer = build_answer(transfer)
+    if transfer.ended:
+        sink.send_complete(answer, transfer.read_available())
+    else:
+        await stream(transfer, answer, sink)
--- a/packages/router/sycamoreloft_router/_attempts.py
+++ b/packages/router/sycamoreloft_router/_attempts.py
@@ -8,12 +8,12 @@
 import sycamoreloft_config
 import sycamoreloft_decisions
 from sycamoreloft_router import (
+    _answer_forwarding,
     _answer_heads,
     _answers,
     _body_streams,
     _caller_requests,
     _exchange,
-    _headers,
     _metrics,
     _permit_ports,
     _transfer_types,
@@ -306,14 +306,7 @@
             # A refusal is never forwarded, whatever its length.
             transfer.cancel()
             return self._decide(_ANSWER_ENDED)
-        answer = _answers.UpstreamAnswer(
-            head.status_line,
-            head.status,
-            _headers.filter_answer_lines(head.lines),
-            head.get_header(b"content-length")
-            if transfer.request.method == "HEAD"
-            else b"",
-        )
+        answer = _answer_forwarding.build_answer(transfer)
         if not transfer.ended:
             return await self._stream(transfer, answer)
         decision = self._decide(_ANSWER_ENDED)
@@ -326,19 +319,10 @@
         transfer: _transfers.Transfer,
         answer: _answers.UpstreamAnswer,
     ) -> sycamoreloft_decisions.Decision:
-        sink = self._input.sink
         self.answered = True
-        await sink.begin(answer)
-        while transfer.failure is None:
-            chunk = transfer.read_available()
-            if chunk:
-                await sink.write(chunk)
-            elif transfer.ended:
-                sink.end()
-                return self._decide(_ANSWER_ENDED)
-            else:
-                await transfer.wait(1)
-        sink.abort()
+        await _answer_forwarding.stream(transfer, answer, self._input.sink)
+        if transfer.failure is None:
+            return self._decide(_ANSWER_ENDED)
         return self._decide_failure(transfer.failure)
 
     def _decide_failure(
