Use one length for logged paths, and allocate filters when needed

CrashWatch had its own copy of MAXIMUM_LOGGED_CHARACTERS of _direct_logs.py, and AnsweredPaths allocated a filter at each rotation that it mostly dropped. No behaviour changes. Run: test_answered_paths.py, test_crashing_requests.py, the linter and the type checker.

--- a/packages/direct/sycamoreloft_direct/_answered_paths.py
+++ b/packages/direct/sycamoreloft_direct/_answered_paths.py
@@ -17,8 +17,8 @@
     """
 
     def __init__(self) -> None:
-        self._current = bytearray(_BIT_COUNT // 8)
-        self._previous = bytearray(_BIT_COUNT // 8)
+        self._current = _create_filter()
+        self._previous = _create_filter()
         self._rotates_at = 0.0
 
     def record(self, method: str, target: str, now: float) -> None:
@@ -43,12 +43,15 @@
         if now < self._rotates_at:
             return
         is_recent = now < self._rotates_at + GENERATION_S
-        empty = bytearray(_BIT_COUNT // 8)
-        self._previous = self._current if is_recent else empty
-        self._current = bytearray(_BIT_COUNT // 8)
+        self._previous = self._current if is_recent else _create_filter()
+        self._current = _create_filter()
         self._rotates_at = now + GENERATION_S
 
 
+def _create_filter() -> bytearray:
+    return bytearray(_BIT_COUNT // 8)
+
+
 def _locate(method: str, target: str) -> tuple[int, int]:
     """Returns the byte and the bit of a method and path."""
     path, _, _ = target.partition("?")
--- a/packages/router/sycamoreloft_router/_crash_watch.py
+++ b/packages/router/sycamoreloft_router/_crash_watch.py
@@ -4,6 +4,7 @@
 
 import sycamoreloft_direct
 from sycamoreloft_router import (
+    _direct_logs,
     _direct_requests,
     _direct_services,
     _exchange,
@@ -15,9 +16,6 @@
 
 _RESULT = sycamoreloft_direct.AttemptResult
 
-#: Maximum length of the path and query of a request in logs.
-MAXIMUM_LOGGED_CHARACTERS = 200
-
 
 class CrashWatch:
     """Reports the attempts of one request to the process's crash guard.
@@ -97,7 +95,9 @@
             fingerprints=[f"{item:016x}" for item in identities],
             upstream=upstream,
             method=self._request.method,
-            target=self._request.target[:MAXIMUM_LOGGED_CHARACTERS],
+            target=self._request.target[
+                : _direct_logs.MAXIMUM_LOGGED_CHARACTERS
+            ],
             caller=self._request.caller,
             key=self._request.key,
             body_bytes=len(self._received.prefix),
