--- a/packages/router/sycamoreloft_router/_request_path.py
+++ b/packages/router/sycamoreloft_router/_request_path.py
@@ -11,6 +11,7 @@
 import sycamoreloft_decisions
 import sycamoreloft_direct
 from sycamoreloft_router import (
+    _answer_checks,
     _answers,
     _attempts,
     _body_streams,
@@ -53,8 +54,6 @@
     _exchange.StopReason.CALLER_GONE: sycamoreloft_decisions.CallerGone(),
 }
 
-_DID_NOT_RUN = sycamoreloft_decisions.Outcome.DID_NOT_RUN
-
 _DID_NOT_RUN_REMEDY = "nothing ran; send the request again"
 
 _UNKNOWN_REMEDY = (
@@ -311,13 +310,14 @@
         self._refresh_count += 1
         known = self._input.request.generation.number
         if self._refresh_count > MAXIMUM_REFRESHES:
-            return _answers.Refusal(
-                503,
-                "stale-generation",
-                "this host does not get the generation in force",
-                _DID_NOT_RUN_REMEDY,
-                self._combine_outcomes(_DID_NOT_RUN),
-                1_000,
+            return self._qualify(
+                _answers.Refusal(
+                    503,
+                    "stale-generation",
+                    "this host does not get the generation in force",
+                    self._choose_remedy(_answers.DID_NOT_RUN),
+                    retry_after_ms=1_000,
+                )
             )
         names = self._path.services.names
         try:
@@ -334,34 +334,38 @@
                 self._input = dataclasses.replace(self._input, request=request)
                 return None
             case result.Failure(refusal):
-                outcome = self._combine_outcomes(_DID_NOT_RUN)
-                changed: _answers.Refusal = dataclasses.replace(
-                    refusal, outcome=outcome
-                )
-                return changed
+                return self._qualify(refusal)
             case _:
                 raise TypeError("the parser did not return a Result")
 
-    def _combine_outcomes(self, outcome: sycamoreloft_decisions.Outcome) -> str:
-        """Returns the outcome of the request, given that of its last attempt.
+    def _qualify(self, refusal: _answers.Refusal) -> _answers.Refusal:
+        """Returns a refusal of the last attempt as one of the whole request.
 
-        It is unknown if an earlier attempt may have run.
+        If an earlier attempt may have run, the answer must not invite the
+        caller to send the request again.
         """
-        if self._may_have_run and outcome is _DID_NOT_RUN:
-            return _answers.UNKNOWN
-        return outcome.value
+        if not self._may_have_run or refusal.outcome == _answers.COMPLETED:
+            return refusal
+        is_promise = refusal.status in _answer_checks.PROMISING_STATUSES
+        return dataclasses.replace(
+            refusal,
+            status=502 if is_promise else refusal.status,
+            outcome=_answers.UNKNOWN,
+            retry_after_ms=0,
+        )
+
+    def _choose_remedy(self, outcome: str) -> str:
+        """Returns the remedy for reasons that have none of their own."""
+        if outcome == _answers.DID_NOT_RUN and not self._may_have_run:
+            return _DID_NOT_RUN_REMEDY
+        return _UNKNOWN_REMEDY
 
     def _refuse(
         self,
         attempt: _attempts.AttemptExecution,
         decision: sycamoreloft_decisions.Decision,
     ) -> _answers.Refusal:
-        outcome = self._combine_outcomes(decision.outcome)
-        default = (
-            _DID_NOT_RUN_REMEDY
-            if outcome == _answers.DID_NOT_RUN
-            else _UNKNOWN_REMEDY
-        )
+        outcome = decision.outcome.value
         retry_after_ms = 0
         if attempt.refusal is not None:
             retry_after_ms = attempt.refusal.retry_after_ms
@@ -372,12 +376,14 @@
         ):
             status, reason = 400, failure.kind.value
         claim = attempt.claim_answer
-        return _answers.Refusal(
-            status or 503,
-            reason,
-            f"the request ended with {outcome}: {reason}",
-            _REMEDIES.get(reason, default),
-            outcome,
-            retry_after_ms,
-            claim.status if claim is not None else 0,
+        return self._qualify(
+            _answers.Refusal(
+                status or 503,
+                reason,
+                f"the last attempt ended with {outcome}: {reason}",
+                _REMEDIES.get(reason) or self._choose_remedy(outcome),
+                outcome,
+                retry_after_ms,
+                claim.status if claim is not None else 0,
+            )
         )
