--- a/packages/router/sycamoreloft_router/_coordinator_role.py
+++ b/packages/router/sycamoreloft_router/_coordinator_role.py
@@ -233,7 +233,9 @@
             self._advance_tenure(self._tenure, now)
         elif (
             not self._is_stopping
-            and self._list_sharded_services()
+            # Also without sharded services: hosts learn from the coordinator
+            # which requests crash upstreams, and how many hosts share budgets.
+            and self._states.state is not None
             and now > self._heartbeat_at + LOST_AFTER_S + self._election_delay_s
             and now >= self._next_election_at
         ):
