--- a/packages/router/tests/test_exchange.py
+++ b/packages/router/tests/test_exchange.py
@@ -12,12 +12,13 @@
 WAGER = fake_sources.WAGER
 
 
-def get_closed_address():
-    """Returns an address that refuses connections."""
+@pytest.fixture
+def closed_address():
+    """An address that refuses connections, and that nobody else can take."""
     with socket.socket() as unused:
         unused.bind(("127.0.0.1", 0))
         host, port = unused.getsockname()
-        return f"{host}:{port}"
+        yield f"{host}:{port}"
 
 
 def test_refused_permit_is_did_not_run(serve):
@@ -37,11 +38,11 @@
     serve(scenario)
 
 
-def test_no_connection_is_did_not_run(serve):
+def test_no_connection_is_did_not_run(serve, closed_address):
     """Guards against the outcome `unknown` if nothing was sent."""
 
     async def scenario(harness, upstream):
-        harness.sources.address = get_closed_address()
+        harness.sources.address = closed_address
         answer = await harness.send(WAGER, b"1")
         assert answer.outcome == "did-not-run"
         returned = harness.sources.returned[0]
@@ -411,12 +412,14 @@
     serve(scenario, script)
 
 
-def test_streamed_body_is_sent_whole_after_a_refused_connection(serve):
+def test_streamed_body_is_sent_whole_after_a_refused_connection(
+    serve, closed_address
+):
     """Guards against a shortened body when an attempt never connected."""
     body = bytes(range(256)) * 4_000
 
     async def scenario(harness, upstream):
-        harness.sources.addresses = [get_closed_address()]
+        harness.sources.addresses = [closed_address]
         caller = await harness.connect()
         head = build_head("PUT", Content_Length=str(len(body)))
         assert (await caller.send(head, body)).status == 200
--- a/packages/router/tests/test_peers.py
+++ b/packages/router/tests/test_peers.py
@@ -118,10 +118,11 @@
 
     async def run():
         with socket.socket() as closed:
+            # Nobody else can listen there as long as the socket is bound.
             closed.bind(("127.0.0.1", 0))
             address = f"127.0.0.1:{closed.getsockname()[1]}"
-        links = _peer_links.PeerLinks(_peer_links.PeerIdentity("c", [KEY]))
-        answer = await links.call(address, make_claim("1"), 60)
+            links = _peer_links.PeerLinks(_peer_links.PeerIdentity("c", [KEY]))
+            answer = await links.call(address, make_claim("1"), 60)
         assert not answer.failure().sent
         links.close()
 
