--- a/packages/router/sycamoreloft_router/_caller_exchange.py
+++ b/packages/router/sycamoreloft_router/_caller_exchange.py
@@ -12,6 +12,7 @@
     _answers,
     _body_streams,
     _caller_connections,
+    _caller_streams,
     _exchange,
     _headers,
     _logs,
@@ -99,6 +100,7 @@
         "_fields",
         "_has_begun",
         "_head_only",
+        "_is_caller_gone",
         "_is_rejected",
         "_length",
         "_path",
@@ -132,6 +134,7 @@
         self._ended = False
         self._head_only = False
         self._fields: _headers.RequestFields | None = None
+        self._is_caller_gone = False
         self._is_rejected = False
         # Whether the head of a streamed answer has been sent.
         self._has_begun = False
@@ -349,7 +352,7 @@
     def _on_caller_gone(self) -> None:
         if self._ended:
             return
-        self._path.metrics.count("sycamoreloft_callers_gone_total")
+        self._count_caller_gone()
         if self._upload is not None and not self._body_ended:
             self._upload.fail()
         if self._execution is None:
@@ -357,8 +360,24 @@
         else:
             self._execution.stop(_exchange.StopReason.CALLER_GONE)
 
+    def _count_caller_gone(self) -> None:
+        if not self._is_caller_gone:
+            self._is_caller_gone = True
+            self._path.metrics.count("sycamoreloft_callers_gone_total")
+
     # Sending the answer; see `_exchange.AnswerSink`.
 
+    def has_caller_left(self) -> bool:
+        """See `_exchange.AnswerSink`."""
+        stream = self._connection.stream
+        if isinstance(stream, _caller_streams.CallerStream):
+            has_left = stream.is_hung_up()
+        else:
+            has_left = stream.closed()
+        if has_left:
+            self._count_caller_gone()
+        return has_left
+
     def send_complete(
         self, answer: _answers.UpstreamAnswer, body: bytes
     ) -> None:
--- a/packages/router/sycamoreloft_router/_caller_streams.py
+++ b/packages/router/sycamoreloft_router/_caller_streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 import typing
 
@@ -67,6 +68,18 @@
         except OSError:
             return False
 
+    def is_hung_up(self) -> bool:
+        """Returns whether the caller has closed its side of the connection.
+
+        The event loop of a busy host handles a close long after it arrived, so
+        this asks the operating system.
+        """
+        if self.closed():
+            return True
+        poll = select.poll()
+        poll.register(self.socket, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def close(self, exc_info: typing.Any = False) -> None:
         """Closes the stream; see the base class."""
         if (
--- a/packages/router/sycamoreloft_router/_direct_execution.py
+++ b/packages/router/sycamoreloft_router/_direct_execution.py
@@ -179,6 +179,8 @@
             # The coordinator may have stopped it while it waited for its owner.
             if record is None or self._is_quarantined():
                 return self._build_refusal()
+            if self._sink.has_caller_left():
+                return _direct_answers.build_caller_gone(self._may_have_run)
             self._attempt_count += 1
             result = await self._attempt(record)
             if result is None:
@@ -299,6 +301,10 @@
         return self._transfer
 
     def _may_send(self, record: sycamoreloft_direct.UpstreamRecord) -> bool:
+        """Returns whether the request may still be sent to an upstream."""
+        # The caller may have left while the request waited for a connection.
+        if self._sink.has_caller_left():
+            return False
         services = self._services
         return services.pool.may_send(
             record, services.loop.time(), services.leaving_s
--- a/packages/router/sycamoreloft_router/_exchange.py
+++ b/packages/router/sycamoreloft_router/_exchange.py
@@ -16,6 +16,13 @@
 class AnswerSink(typing.Protocol):
     """Sends the answer to a caller."""
 
+    def has_caller_left(self) -> bool:
+        """Returns whether the caller has closed its connection.
+
+        It has no effect on the request, and may be called while a transfer
+        starts.
+        """
+
     def send_complete(
         self, answer: _answers.UpstreamAnswer, body: bytes
     ) -> None:
--- a/packages/router/tests/notice_world.py
+++ b/packages/router/tests/notice_world.py
@@ -345,6 +345,9 @@
 class _Sink:
     """Receives an answer and drops it."""
 
+    def has_caller_left(self):
+        return False
+
     def send_complete(self, answer, body):
         pass
 
