--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,9 @@
 BIN := $(VENV)/bin
 PACKAGES := config decisions direct wire router ctl standins proof
 SOURCES := $(wildcard packages/*/sycamoreloft_*) platform/sycamoreloft_platform
+# Processes that run tests. Most tests wait, so that a machine with fewer cores
+# bears as many.
+WORKERS ?= 5
 SECONDS ?= 60
 SEED ?= 1
 
@@ -22,7 +25,7 @@
 	$(BIN)/python -m sycamoreloft_proof.demo
 
 test: lint
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest --numprocesses $(WORKERS) --dist worksteal
 
 lint: install
 	$(BIN)/ruff format --check packages platform deploy tools conftest.py
