--- a/packages/router/sycamoreloft_router/_caller_exchange.py
+++ b/packages/router/sycamoreloft_router/_caller_exchange.py
@@ -371,7 +371,7 @@
         """See `_exchange.AnswerSink`."""
         stream = self._connection.stream
         if isinstance(stream, _caller_streams.CallerStream):
-            has_left = stream.is_hung_up()
+            has_left = stream.has_peer_closed()
         else:
             has_left = stream.closed()
         if has_left:
--- a/packages/router/sycamoreloft_router/_caller_streams.py
+++ b/packages/router/sycamoreloft_router/_caller_streams.py
@@ -68,7 +68,7 @@
         except OSError:
             return False
 
-    def is_hung_up(self) -> bool:
+    def has_peer_closed(self) -> bool:
         """Returns whether the caller has closed its side of the connection.
 
         The event loop of a busy host handles a close long after it arrived, so
--- a/packages/router/sycamoreloft_router/_coordinator_role.py
+++ b/packages/router/sycamoreloft_router/_coordinator_role.py
@@ -234,7 +234,8 @@
         elif (
             not self._is_stopping
             # Also without sharded services: hosts learn from the coordinator
-            # which requests crash upstreams, and how many hosts share budgets.
+            # which requests crash upstreams, and how many hosts share the
+            # retry budgets.
             and self._states.state is not None
             and now > self._heartbeat_at + LOST_AFTER_S + self._election_delay_s
             and now >= self._next_election_at
