--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := config decisions direct wire router ctl standins proof
+PACKAGES := config decisions direct load wire router ctl standins proof
 SOURCES := $(wildcard packages/*/sycamoreloft_*) platform/sycamoreloft_platform
 # Processes that run tests. Most tests wait, so that a machine with fewer cores
 # bears as many.
--- a/deploy/router.py
+++ b/deploy/router.py
@@ -13,7 +13,12 @@
 
 # Appended, not prepended: imports of the standard library are found first,
 # without a search in these folders.
-for _folder in ("packages/direct", "packages/router", "platform"):
+for _folder in (
+    "packages/direct",
+    "packages/load",
+    "packages/router",
+    "platform",
+):
     sys.path.append(str(_ROOT / _folder))
 
 from sycamoreloft_platform import main  # noqa: E402
--- a/packages/direct/sycamoreloft_direct/__init__.py
+++ b/packages/direct/sycamoreloft_direct/__init__.py
@@ -81,12 +81,6 @@
     LeavingRuns,
     UpstreamNotice,
 )
-from sycamoreloft_direct._upstream_pool import (
-    MINIMUM_STALL_S,
-    AttemptResult,
-    UpstreamPool,
-    UpstreamRecord,
-)
 
 __all__ = [
     "ANNOUNCED",
@@ -95,12 +89,10 @@
     "KEY_COUNT",
     "MAXIMUM_EPOCH_OR_REVISION",
     "MAXIMUM_TOLD_DEPARTURES",
-    "MINIMUM_STALL_S",
     "NO_NOTICE",
     "REPORT_COUNT",
     "VOUCHED_WAIT_S",
     "AnsweredPaths",
-    "AttemptResult",
     "CallerLimits",
     "ChangeCause",
     "ClaimState",
@@ -136,8 +128,6 @@
     "Target",
     "Upstream",
     "UpstreamNotice",
-    "UpstreamPool",
-    "UpstreamRecord",
     "UpstreamRun",
     "WriteMap",
     "apply_changes",
--- a/packages/load/sycamoreloft_load/_upstream_pool.py
+++ b/packages/load/sycamoreloft_load/_upstream_pool.py
@@ -6,7 +6,8 @@
 import math
 import random
 
-from sycamoreloft_direct import _model, _remembered_runs
+import sycamoreloft_direct
+from sycamoreloft_load import _remembered_runs
 
 #: Weight of a new observation in a moving average.
 MOVING_AVERAGE_GAIN = 0.15
@@ -105,7 +106,7 @@
     """
 
     #: The entry in service discovery.
-    entry: _model.Upstream
+    entry: sycamoreloft_direct.Upstream
     #: When this host first saw the entry.
     seen_at: float
     #: When this host first saw that the upstream is draining; infinite if it
@@ -157,7 +158,7 @@
         self._remembered = _remembered_runs.RememberedRuns()
 
     def update(
-        self, upstreams: abc.Iterable[_model.Upstream], now: float
+        self, upstreams: abc.Iterable[sycamoreloft_direct.Upstream], now: float
     ) -> None:
         """Replaces the entries of service discovery.
 
@@ -183,7 +184,10 @@
             del self._service_latencies[service]
 
     def _create_record(
-        self, key: tuple[str, int], entry: _model.Upstream, now: float
+        self,
+        key: tuple[str, int],
+        entry: sycamoreloft_direct.Upstream,
+        now: float,
     ) -> UpstreamRecord:
         """Creates a record with what is remembered of its run."""
         record = UpstreamRecord(entry, now)
@@ -201,7 +205,9 @@
         if record.leaving_since <= now:
             self._remembered.add_leaving(key, record.leaving_since)
 
-    def find(self, run: _model.UpstreamRun) -> UpstreamRecord | None:
+    def find(
+        self, run: sycamoreloft_direct.UpstreamRun
+    ) -> UpstreamRecord | None:
         """Returns the record of a run, or None if it is not listed."""
         return self._records.get((run.id, run.started_ms))
 
@@ -264,7 +270,7 @@
 
     def record_pause(
         self,
-        run: _model.UpstreamRun,
+        run: sycamoreloft_direct.UpstreamRun,
         pause_s: float,
         now: float,
         answered_ms: int,
@@ -294,7 +300,9 @@
         record.paused_until = max(record.paused_until, now + pause_s)
         return is_first
 
-    def _find_later_run(self, run: _model.UpstreamRun) -> UpstreamRecord | None:
+    def _find_later_run(
+        self, run: sycamoreloft_direct.UpstreamRun
+    ) -> UpstreamRecord | None:
         """Returns the record of a later run with the same identifier.
 
         A request that was sent to the earlier run may be answered by the later
@@ -456,7 +464,7 @@
 
 
 def _update_entry(
-    record: UpstreamRecord, entry: _model.Upstream, now: float
+    record: UpstreamRecord, entry: sycamoreloft_direct.Upstream, now: float
 ) -> None:
     if entry.address != record.entry.address:
         record.replaced_until = 0.0
--- a/packages/load/tests/test_upstream_pool.py
+++ b/packages/load/tests/test_upstream_pool.py
@@ -7,15 +7,16 @@
 import pytest
 
 import sycamoreloft_direct
-from sycamoreloft_direct import _remembered_runs, _upstream_pool
+import sycamoreloft_load
+from sycamoreloft_load import _remembered_runs, _upstream_pool
 
-RESULT = sycamoreloft_direct.AttemptResult
+RESULT = sycamoreloft_load.AttemptResult
 
 
 @pytest.fixture
 def pool():
     """A pool of a host in failure domain "a", with a fixed seed."""
-    return sycamoreloft_direct.UpstreamPool("a", random.Random(1))
+    return sycamoreloft_load.UpstreamPool("a", random.Random(1))
 
 
 def build(name, domain="a", **changes):
@@ -140,7 +141,7 @@
 
 # Guards against creating all records anew whenever one entry changes.
 def test_an_entry_that_did_not_change_keeps_its_record():
-    pool = sycamoreloft_direct.UpstreamPool("z", random.Random(1))
+    pool = sycamoreloft_load.UpstreamPool("z", random.Random(1))
     entries = [
         sycamoreloft_direct.Upstream(
             f"u{number}", 1, f"10.0.0.{number}:1", "boards", "z", 6, False
--- a/packages/router/sycamoreloft_router/_crash_watch.py
+++ b/packages/router/sycamoreloft_router/_crash_watch.py
@@ -3,6 +3,7 @@
 import logging
 
 import sycamoreloft_direct
+import sycamoreloft_load
 from sycamoreloft_router import (
     _direct_logs,
     _direct_requests,
@@ -14,7 +15,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-_RESULT = sycamoreloft_direct.AttemptResult
+_RESULT = sycamoreloft_load.AttemptResult
 
 
 class CrashWatch:
@@ -48,7 +49,7 @@
 
     def record_result(
         self,
-        result: sycamoreloft_direct.AttemptResult,
+        result: sycamoreloft_load.AttemptResult,
         transfer: _transfers.Transfer | None,
         upstream: str,
         started_at: float,
--- a/packages/router/sycamoreloft_router/_direct_execution.py
+++ b/packages/router/sycamoreloft_router/_direct_execution.py
@@ -4,6 +4,7 @@
 import functools
 
 import sycamoreloft_direct
+import sycamoreloft_load
 from sycamoreloft_router import (
     _answer_checks,
     _answer_forwarding,
@@ -24,7 +25,7 @@
 
 _KIND = _transfer_types.FailureKind
 _STOP = _exchange.StopReason
-_RESULT = sycamoreloft_direct.AttemptResult
+_RESULT = sycamoreloft_load.AttemptResult
 
 #: Maximum number of attempts of one request, including those that did not reach
 #: an upstream or were refused.
@@ -200,8 +201,8 @@
     # One attempt.
 
     async def _attempt(
-        self, record: sycamoreloft_direct.UpstreamRecord
-    ) -> sycamoreloft_direct.AttemptResult | None:
+        self, record: sycamoreloft_load.UpstreamRecord
+    ) -> sycamoreloft_load.AttemptResult | None:
         """Sends the request to an upstream.
 
         Returns:
@@ -229,8 +230,8 @@
 
     def _finish_attempt(
         self,
-        record: sycamoreloft_direct.UpstreamRecord,
-        result: sycamoreloft_direct.AttemptResult,
+        record: sycamoreloft_load.UpstreamRecord,
+        result: sycamoreloft_load.AttemptResult,
         started_at: float,
     ) -> None:
         """Ends the transfer, and records the result of the attempt."""
@@ -264,12 +265,12 @@
     def _was_silent(self, elapsed_s: float) -> bool:
         """Returns whether the deadline ended an attempt without an answer."""
         return (
-            elapsed_s > sycamoreloft_direct.MINIMUM_STALL_S
+            elapsed_s > sycamoreloft_load.MINIMUM_STALL_S
             and self._stop_reason is _STOP.DEADLINE_PASSED
         )
 
     def _start_transfer(
-        self, record: sycamoreloft_direct.UpstreamRecord, now: float
+        self, record: sycamoreloft_load.UpstreamRecord, now: float
     ) -> _transfers.Transfer:
         request, upstream = self._request, record.entry
         remaining_s = self._received.deadline - now
@@ -300,7 +301,7 @@
         )
         return self._transfer
 
-    def _may_send(self, record: sycamoreloft_direct.UpstreamRecord) -> bool:
+    def _may_send(self, record: sycamoreloft_load.UpstreamRecord) -> bool:
         """Returns whether the request may still be sent to an upstream."""
         # The caller may have left while the request waited for a connection.
         if self._sink.has_caller_left():
@@ -312,7 +313,7 @@
 
     def _observe_head(
         self,
-        record: sycamoreloft_direct.UpstreamRecord,
+        record: sycamoreloft_load.UpstreamRecord,
         head: _answer_heads.AnswerHead,
     ) -> None:
         if not _answer_checks.is_from_other_upstream(
@@ -324,7 +325,7 @@
 
     def _classify(
         self, transfer: _transfers.Transfer
-    ) -> sycamoreloft_direct.AttemptResult:
+    ) -> sycamoreloft_load.AttemptResult:
         head, names = transfer.head, self._services.header_names
         if transfer.maybe_sent:
             self._sent_to.add(self._choice.tried[-1])
@@ -372,13 +373,13 @@
 
     # After an attempt.
 
-    def _may_retry(self, result: sycamoreloft_direct.AttemptResult) -> bool:
+    def _may_retry(self, result: sycamoreloft_load.AttemptResult) -> bool:
         """Returns whether to make another attempt; records what prevents it."""
         self._obstacle = self._find_retry_obstacle(result)
         return self._obstacle == ""
 
     def _find_retry_obstacle(
-        self, result: sycamoreloft_direct.AttemptResult
+        self, result: sycamoreloft_load.AttemptResult
     ) -> str:
         """Returns what prevents another attempt; empty if nothing does."""
         now = self._services.loop.time()
@@ -459,8 +460,8 @@
 
     def _log_attempt(
         self,
-        record: sycamoreloft_direct.UpstreamRecord,
-        result: sycamoreloft_direct.AttemptResult,
+        record: sycamoreloft_load.UpstreamRecord,
+        result: sycamoreloft_load.AttemptResult,
         now: float,
     ) -> None:
         self._services.metrics.count(
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -10,6 +10,7 @@
 from tornado import httpserver, netutil
 
 import sycamoreloft_direct
+import sycamoreloft_load
 from sycamoreloft_router import (
     _answer_heads,
     _caller_connections,
@@ -124,7 +125,7 @@
         self._is_stopping = False
         generator = random.Random()
         self._states = _direct_views.StateView()
-        self._pool = sycamoreloft_direct.UpstreamPool(
+        self._pool = sycamoreloft_load.UpstreamPool(
             settings.failure_domain, generator
         )
         self._upstreams = _direct_views.UpstreamView(
--- a/packages/router/sycamoreloft_router/_direct_logs.py
+++ b/packages/router/sycamoreloft_router/_direct_logs.py
@@ -6,6 +6,7 @@
 import typing
 
 import sycamoreloft_direct
+import sycamoreloft_load
 from sycamoreloft_router import _answers, _logs, _transfers
 
 if typing.TYPE_CHECKING:
@@ -24,7 +25,7 @@
 def log_failed_attempt(
     request: "_direct_requests.DirectRequest",
     upstream: sycamoreloft_direct.Upstream,
-    result: sycamoreloft_direct.AttemptResult,
+    result: sycamoreloft_load.AttemptResult,
     transfer: _transfers.Transfer | None,
     map_version: tuple[int, int],
     elapsed_s: float,
--- a/packages/router/sycamoreloft_router/_direct_services.py
+++ b/packages/router/sycamoreloft_router/_direct_services.py
@@ -5,6 +5,7 @@
 import random
 
 import sycamoreloft_direct
+import sycamoreloft_load
 from sycamoreloft_router import (
     _coordinator_role,
     _direct_ports,
@@ -27,7 +28,7 @@
     #: Listed and departed upstreams.
     upstreams: _direct_views.UpstreamView
     #: Load and failures of each upstream; chooses upstreams.
-    pool: sycamoreloft_direct.UpstreamPool
+    pool: sycamoreloft_load.UpstreamPool
     #: Map of the owners of keys.
     directory: _key_directory.KeyDirectory
     #: Seconds for which a leaving upstream still gets requests for the keys
--- a/packages/router/sycamoreloft_router/_upstream_choice.py
+++ b/packages/router/sycamoreloft_router/_upstream_choice.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import sycamoreloft_direct
+import sycamoreloft_load
 from sycamoreloft_router import _direct_requests, _direct_services, _exchange
 
 #: Maximum wait for an owner of the key, in seconds. A move of keys takes less;
@@ -105,7 +106,7 @@
 
     async def choose_upstream(
         self,
-    ) -> sycamoreloft_direct.UpstreamRecord | None:
+    ) -> sycamoreloft_load.UpstreamRecord | None:
         """Chooses the upstream for the next attempt.
 
         Returns:
@@ -170,7 +171,7 @@
 
     async def _wait_for_owner(
         self, now: float
-    ) -> sycamoreloft_direct.UpstreamRecord | None:
+    ) -> sycamoreloft_load.UpstreamRecord | None:
         """Returns the owner of the key; waits a short time if it changes."""
         services, request = self._services, self._request
         give_up_at = min(
@@ -214,8 +215,8 @@
             now = services.loop.time()
 
     def _admit(
-        self, record: sycamoreloft_direct.UpstreamRecord, now: float
-    ) -> sycamoreloft_direct.UpstreamRecord | None:
+        self, record: sycamoreloft_load.UpstreamRecord, now: float
+    ) -> sycamoreloft_load.UpstreamRecord | None:
         """Returns the owner if the request should be sent there now."""
         pool = self._services.pool
         if self.is_owner_paused(now):
@@ -232,7 +233,7 @@
         return record
 
     def _may_send(
-        self, record: sycamoreloft_direct.UpstreamRecord, now: float
+        self, record: sycamoreloft_load.UpstreamRecord, now: float
     ) -> bool:
         """Returns whether the request may be sent to the owner of its key."""
         if record.entry.id == self.misdirected_upstream:
--- a/packages/router/sycamoreloft_router/_upstream_notices.py
+++ b/packages/router/sycamoreloft_router/_upstream_notices.py
@@ -5,6 +5,7 @@
 import time
 
 import sycamoreloft_direct
+import sycamoreloft_load
 from sycamoreloft_router import (
     _answer_heads,
     _direct_ports,
@@ -34,7 +35,7 @@
         self,
         read_notice: _direct_ports.NoticeReader,
         upstreams: _direct_views.UpstreamView,
-        pool: sycamoreloft_direct.UpstreamPool,
+        pool: sycamoreloft_load.UpstreamPool,
         metrics: _metrics.Metrics,
         read_clock: abc.Callable[[], float],
         on_pause: abc.Callable[[], object],
@@ -50,7 +51,7 @@
 
     def observe_head(
         self,
-        record: sycamoreloft_direct.UpstreamRecord,
+        record: sycamoreloft_load.UpstreamRecord,
         request_id: str,
         head: _answer_heads.AnswerHead,
     ) -> None:
--- a/packages/router/tests/notice_world.py
+++ b/packages/router/tests/notice_world.py
@@ -14,6 +14,7 @@
 import notice_upstreams
 
 import sycamoreloft_direct
+import sycamoreloft_load
 from sycamoreloft_router import (
     _datagrams,
     _departure_exchange,
@@ -50,7 +51,7 @@
         self.seen = _datagrams.SeenVersions()
         self.is_cut_off = False
         generator = random.Random(world.generator.random())
-        pool = sycamoreloft_direct.UpstreamPool("z", generator)
+        pool = sycamoreloft_load.UpstreamPool("z", generator)
         self.view = _direct_views.UpstreamView(
             DRAIN_S, lambda: pool.update(self.view.list_all(), world.now())
         )
--- a/packages/router/tests/test_notice_fuzz.py
+++ b/packages/router/tests/test_notice_fuzz.py
@@ -6,7 +6,7 @@
 import pytest
 import virtual_time
 
-import sycamoreloft_direct
+import sycamoreloft_load
 from sycamoreloft_router import _direct_views
 from sycamoreloft_standins import notice_oracle
 
@@ -47,14 +47,14 @@
 
 def test_the_oracle_finds_ignored_pauses(monkeypatch):
     monkeypatch.setattr(
-        sycamoreloft_direct.UpstreamPool, "record_pause", lambda *_: False
+        sycamoreloft_load.UpstreamPool, "record_pause", lambda *_: False
     )
     assert list_kinds(play(1)) == {"pause"}
 
 
 def test_the_oracle_finds_requests_that_waited_for_a_connection(monkeypatch):
     monkeypatch.setattr(
-        sycamoreloft_direct.UpstreamPool, "may_send", lambda *_: True
+        sycamoreloft_load.UpstreamPool, "may_send", lambda *_: True
     )
     kinds = set().union(*(list_kinds(play(seed)) for seed in range(4)))
     assert "pause" in kinds
--- a/packages/router/tests/test_upstream_choice.py
+++ b/packages/router/tests/test_upstream_choice.py
@@ -9,6 +9,7 @@
 import virtual_time
 
 import sycamoreloft_direct
+import sycamoreloft_load
 from sycamoreloft_router import (
     _exchange,
     _key_directory,
@@ -43,7 +44,7 @@
     return types.SimpleNamespace(
         directory=directory,
         generator=generator,
-        pool=sycamoreloft_direct.UpstreamPool("z", generator),
+        pool=sycamoreloft_load.UpstreamPool("z", generator),
         leaving_s=1.0,
         loop=None,
     )
