Move keys only for differences that are not random

An upstream with a few long requests in the load window often exceeds the mean by a quarter of its slots by chance. Each move makes its keys unavailable until the running requests have ended.

The excess over the mean now has to be two standard deviations of the random arrivals as well. Where upstreams get many short requests nothing changes.

--- a/packages/direct/sycamoreloft_direct/_key_commands.py
+++ b/packages/direct/sycamoreloft_direct/_key_commands.py
@@ -161,3 +161,5 @@
     service: str
     #: Time that upstreams spent on requests, in seconds by key.
     work_s: abc.Mapping[int, float]
+    #: Mean time of one of these requests, in seconds; 0 if it is unknown.
+    request_s: float = 0.0
--- a/packages/direct/sycamoreloft_direct/_key_loads.py
+++ b/packages/direct/sycamoreloft_direct/_key_loads.py
@@ -25,9 +25,19 @@
 
     def __init__(self) -> None:
         self._work: dict[int, float] = {}
+        self._request_s = 0.0
 
-    def add(self, work_s: abc.Mapping[int, float]) -> None:
-        """Adds the work that a host observed, in seconds by key."""
+    def add(
+        self, work_s: abc.Mapping[int, float], request_s: float = 0.0
+    ) -> None:
+        """Adds the work that a host observed.
+
+        Args:
+            work_s: Work in seconds, by key.
+            request_s: Mean work of one request, in seconds; 0 if it is
+                unknown.
+        """
+        self._request_s = request_s or self._request_s
         for key, seconds in work_s.items():
             self._work[key] = self._work.get(key, 0.0) + seconds
 
@@ -41,7 +51,7 @@
 
     def create_profile(self) -> "LoadProfile":
         """Returns the current loads in a form for planning."""
-        return LoadProfile(self._work)
+        return LoadProfile(self._work, self._request_s)
 
 
 class LoadProfile:
@@ -49,15 +59,20 @@
 
     Args:
         work_s: Observed work in seconds, by key.
+        request_s: Mean work of one request, in seconds; 0 if it is unknown.
     """
 
-    def __init__(self, work_s: abc.Mapping[int, float]) -> None:
+    def __init__(
+        self, work_s: abc.Mapping[int, float], request_s: float = 0.0
+    ) -> None:
         self._keys = sorted(work_s)
         self._sums = [0.0]
         for key in self._keys:
             self._sums.append(self._sums[-1] + work_s[key])
         uniform = max(self._sums[-1] * UNIFORM_SHARE, MINIMUM_UNIFORM_WORK_S)
         self._density = uniform / _model.KEY_COUNT
+        #: Mean work of one request, in seconds; 0 if it is unknown.
+        self.request_s = request_s
         #: Work on all keys, with the evenly spread part, in seconds.
         self.total = self._sums[-1] + uniform
 
--- a/packages/direct/sycamoreloft_direct/_key_planning.py
+++ b/packages/direct/sycamoreloft_direct/_key_planning.py
@@ -6,14 +6,20 @@
 
 from collections import abc
 import dataclasses
+import math
 
 from sycamoreloft_direct import _key_loads, _model
 
 #: How far the utilization of an upstream must exceed the mean for its keys to
-#: move. A smaller difference may be random, because an upstream gets only
-#: some tens of requests in the window.
+#: move, at least.
 IMBALANCE_THRESHOLD = 0.25
 
+#: How many standard deviations of its random arrivals the work of an upstream
+#: must exceed the mean by. An upstream with few but long requests in the window
+#: shows large differences that the next window does not have, and a move makes
+#: its keys unavailable until the running requests have ended.
+SIGNIFICANT_DEVIATIONS = 2.0
+
 #: Utilization below which no keys move off an upstream.
 MINIMUM_UTILIZATION = 0.55
 
@@ -162,7 +168,8 @@
         ):
             utilization = self._get_utilization(busiest)
             is_busy = utilization >= max(
-                mean + IMBALANCE_THRESHOLD, MINIMUM_UTILIZATION
+                mean + self._compute_threshold(busiest, mean),
+                MINIMUM_UTILIZATION,
             )
             if busiest == least_busy or not (is_busy or is_new):
                 return None
@@ -204,6 +211,22 @@
                 return PlannedMove(key, key, fastest)
         return None
 
+    def _compute_threshold(self, run: _model.UpstreamRun, mean: float) -> float:
+        """Returns the excess over the mean utilization that is not random.
+
+        Arrivals are taken as a Poisson process: of `n` expected requests in
+        the window, the standard deviation is the square root of `n`.
+
+        Args:
+            run: Run of the upstream.
+            mean: Mean utilization of all upstreams.
+        """
+        capacity = self._capacity[run]
+        deviation_s = math.sqrt(mean * capacity * self._profile.request_s)
+        return max(
+            IMBALANCE_THRESHOLD, SIGNIFICANT_DEVIATIONS * deviation_s / capacity
+        )
+
     def _compute_amount(
         self,
         busiest: _model.UpstreamRun,
--- a/packages/direct/sycamoreloft_direct/_key_rebalancing.py
+++ b/packages/direct/sycamoreloft_direct/_key_rebalancing.py
@@ -85,7 +85,7 @@
 
     def record_load(self, load: _key_commands.KeyLoad) -> None:
         """Adds the load that a host observed."""
-        self._get_loads(load.service).add(load.work_s)
+        self._get_loads(load.service).add(load.work_s, load.request_s)
 
     def update_speeds(self, speeds: abc.Mapping[str, float]) -> None:
         """Replaces the relative speeds of upstreams, by identifier."""
--- a/packages/direct/tests/test_hot_keys.py
+++ b/packages/direct/tests/test_hot_keys.py
@@ -19,7 +19,9 @@
 class Simulation:
     """A coordinator, and upstreams that accept every order at once."""
 
-    def __init__(self, upstream_count=18, seed=1):
+    def __init__(self, upstream_count=18, seed=1, slots=SLOTS, work_s=WORK_S):
+        self.slots = slots
+        self.work_s = work_s
         self.generator = random.Random(seed)
         self.now = 0.0
         self.upstreams = [
@@ -36,7 +38,13 @@
 
     def build(self, number):
         return sycamoreloft_direct.Upstream(
-            f"u{number}", 1, f"10.0.0.{number}:1", SERVICE, "z", SLOTS, False
+            f"u{number}",
+            1,
+            f"10.0.0.{number}:1",
+            SERVICE,
+            "z",
+            self.slots,
+            False,
         )
 
     def draw_key(self):
@@ -53,9 +61,9 @@
             work = {}
             for _ in range(count):
                 key = self.draw_key()
-                work[key] = work.get(key, 0.0) + WORK_S
+                work[key] = work.get(key, 0.0) + self.work_s
             self.coordinator.record_load(
-                sycamoreloft_direct.KeyLoad(SERVICE, work)
+                sycamoreloft_direct.KeyLoad(SERVICE, work, self.work_s)
             )
             self.coordinator.update_upstreams(
                 self.upstreams, {SERVICE}, self.now
@@ -80,7 +88,7 @@
         for _ in range(samples):
             busy[keys.find(self.draw_key()).owner] += 1
         return {
-            run: count / samples * rate * WORK_S / SLOTS
+            run: count / samples * rate * self.work_s / self.slots
             for run, count in busy.items()
         }
 
@@ -123,6 +131,20 @@
     assert simulation.moved < sycamoreloft_direct.KEY_COUNT / 20
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_few_long_requests_move_few_keys(seed):
+    """Guards against moves that follow the noise of the arrivals.
+
+    Each upstream gets three requests in a window, so that its work in the
+    window often differs from the mean by half of its slots.
+    """
+    simulation = Simulation(10, seed, slots=4, work_s=0.4)
+    simulation.run(4.0, 40)
+    simulation.moved = 0
+    simulation.run(10.0, 40)
+    assert simulation.moved < sycamoreloft_direct.KEY_COUNT / 4
+
+
 def test_new_upstreams_take_a_share():
     simulation = Simulation()
     simulation.run(4.0, 550)
--- a/packages/router/sycamoreloft_router/_tenure.py
+++ b/packages/router/sycamoreloft_router/_tenure.py
@@ -267,13 +267,11 @@
             # its speed.
             if count > 0 and not self._coordinator.is_busy(upstream):
                 self._answer_times.record_mean(upstream, total / count)
+        request_s = self._answer_times.mean_s
         for service, keys in report.requests.items():
-            work_s = {
-                key: count * self._answer_times.mean_s
-                for key, count in keys.items()
-            }
+            work_s = {key: count * request_s for key, count in keys.items()}
             self._coordinator.record_load(
-                sycamoreloft_direct.KeyLoad(service, work_s)
+                sycamoreloft_direct.KeyLoad(service, work_s, request_s)
             )
 
     def _spawn(self, work: abc.Coroutine[typing.Any, typing.Any, None]) -> None:
