--- a/packages/direct/sycamoreloft_direct/_key_planning.py
+++ b/packages/direct/sycamoreloft_direct/_key_planning.py
@@ -264,27 +264,19 @@
     ) -> OwnedRange | None:
         """Returns a part of an owner's ranges with about an amount of work.
 
-        The ranges are searched from the one with the most work down. Of the
-        suitable parts of a range, the one with the fewest keys is returned;
-        None if there is none.
+        Of all suitable parts, the one with the fewest keys is returned: the
+        cost of a move grows with its keys. None if there is none.
         """
         least = amount * MINIMUM_PART
-        owned = [
-            owned_range
+        parts = [
+            part
             for owned_range in owned_ranges
             if owned_range.owner == owner
+            and self._get_work(owned_range) >= least
+            for part in self._propose_parts(owned_range, amount)
+            if least <= self._get_work(part) <= amount * MAXIMUM_PART
         ]
-        for owned_range in sorted(owned, key=self._get_work, reverse=True):
-            if self._get_work(owned_range) < least:
-                return None
-            parts = [
-                part
-                for part in self._propose_parts(owned_range, amount)
-                if least <= self._get_work(part) <= amount * MAXIMUM_PART
-            ]
-            if parts:
-                return min(parts, key=lambda part: part.last - part.first)
-        return None
+        return min(parts, key=lambda part: part.last - part.first, default=None)
 
     def _propose_parts(
         self, owned_range: OwnedRange, amount: float
--- a/packages/direct/tests/test_planned_moves.py
+++ b/packages/direct/tests/test_planned_moves.py
@@ -10,6 +10,7 @@
 import pytest
 
 import sycamoreloft_direct
+from sycamoreloft_direct import _key_loads, _key_planning
 
 SERVICE = "boards"
 TICK_S = 0.05
@@ -162,3 +163,28 @@
                 now + (0.6 if is_lost else 0.0),
             )
     assert renewals > 20
+
+
+def test_a_move_takes_the_narrowest_range_with_enough_work():
+    """Guards against moving wide ranges where a hot key alone would do."""
+    runs = [sycamoreloft_direct.UpstreamRun(name, 1) for name in "ab"]
+    planner = _key_planning.Planner(
+        [
+            sycamoreloft_direct.Upstream(
+                run.id, 1, "10.0.0.1:1", SERVICE, "z", 4, False
+            )
+            for run in runs
+        ],
+        _key_loads.LoadProfile({1_000: 3.0, 30_000: 2.0}),
+        1.0,
+        {},
+    )
+    ranges = [
+        _key_planning.OwnedRange(0, 20_000, runs[0]),
+        _key_planning.OwnedRange(30_000, 30_009, runs[0]),
+        _key_planning.OwnedRange(30_010, 65_535, runs[1]),
+    ]
+    planner.add_work(ranges)
+    move = planner.plan_move(ranges)
+    assert move is not None
+    assert 30_000 <= move.first <= move.last <= 30_009
