Move the choice for requests without a key to a module of its own

_upstream_pool.py kept both what the host observed and the decision that uses it, and had no room for loads that upstreams report. The choice is now in _choice.py and the record of a run in _upstream_records.py. Nothing behaves differently; the test of needless work checks the moved function.

--- a/packages/load/sycamoreloft_load/_upstream_pool.py
+++ b/packages/load/sycamoreloft_load/_upstream_pool.py
@@ -1,26 +1,16 @@
 """Chooses upstreams by the latencies and failures that this host observed."""
 
 from collections import abc
-import dataclasses
 import enum
 import math
 import random
 
 import sycamoreloft_direct
-from sycamoreloft_load import _remembered_runs
+from sycamoreloft_load import _choice, _remembered_runs, _upstream_records
 
 #: Weight of a new observation in a moving average.
 MOVING_AVERAGE_GAIN = 0.15
 
-#: Latency that is assumed for an upstream without answers if no upstream of
-#: its service has answered yet, in seconds.
-DEFAULT_LATENCY_S = 0.15
-
-#: Minimum latency in seconds, and minimum share of successes, that the weight
-#: of an upstream is computed with.
-MINIMUM_LATENCY_S = 0.001
-MINIMUM_SUCCESS_SHARE = 0.05
-
 #: Number of successive failures after which an upstream is ejected, so that it
 #: gets hardly any requests for a time.
 FAILURES_TO_EJECT = 2
@@ -32,38 +22,10 @@
 #: Maximum duration of an ejection, in seconds.
 MAXIMUM_EJECTION_S = 4.0
 
-#: Factor of the weight of upstreams in the failure domain of this host.
-LOCAL_PREFERENCE = 2.0
-
-#: The same for requests with large bodies, which cost more to send between
-#: failure domains.
-LOCAL_UPLOAD_PREFERENCE = 6.0
-
-#: An upstream is considered stalled if its oldest request is older than this
-#: multiple of its mean latency and it has answered nothing since.
-STALL_FACTOR = 5.0
-
-#: Minimum age of the oldest request of a stalled upstream, in seconds.
-MINIMUM_STALL_S = 0.6
-
 #: Seconds for which an upstream is not used after another upstream answered at
 #: its address. Its outdated entry expires in service discovery meanwhile.
 REPLACED_ADDRESS_S = 4.0
 
-#: Factor of the weight of an upstream that is stalled or ejected. The number of
-#: its slots is ignored.
-AVOIDED_WEIGHT = 0.001
-
-#: Factor of the weight while an upstream warms up.
-WARM_UP_WEIGHT = 0.5
-
-#: Seconds for which a refused request lowers the weight of an upstream.
-REFUSAL_MEMORY_S = 0.5
-
-#: Factor of the weight of an upstream during this time.
-REFUSAL_WEIGHT = 0.3
-
-
 #: Adjustments to the share of requests that an owner of keys gets: each request
 #: without an answer multiplies the share, and each answer adds to it. Refused
 #: requests don't change it, because a refusal is quick and shows that the
@@ -98,46 +60,6 @@
     CANCELLED = "cancelled"
 
 
-@dataclasses.dataclass(slots=True)
-class UpstreamRecord:
-    """Observations of this host about one run of an upstream.
-
-    Times are seconds on the clock of this host.
-    """
-
-    #: The entry in service discovery.
-    entry: sycamoreloft_direct.Upstream
-    #: When this host first saw the entry.
-    seen_at: float
-    #: When this host first saw that the upstream is draining; infinite if it
-    #: is not.
-    leaving_since: float = math.inf
-    #: Start times of the requests in flight, by attempt, oldest first.
-    in_flight: dict[object, float] = dataclasses.field(default_factory=dict)
-    #: Moving average of the latency, in seconds.
-    latency_s: float = DEFAULT_LATENCY_S
-    #: Number of answers in that average.
-    answers: int = 0
-    #: Moving average of the share of failed attempts.
-    failure_share: float = 0.0
-    #: Number of successive unreachable, broken or silent attempts.
-    failures: int = 0
-    #: Time until which the upstream is ejected.
-    ejected_until: float = 0.0
-    #: Time until which another upstream is assumed to use the address.
-    replaced_until: float = 0.0
-    #: Time until which the upstream wants no requests from this host.
-    paused_until: float = 0.0
-    #: Duration of the last ejection, in seconds; 0 after an answer.
-    ejection_s: float = 0.0
-    #: When the upstream last answered or refused a request.
-    answered_at: float = 0.0
-    #: Share of the requests for its keys that is sent to the upstream.
-    share: float = 1.0
-    #: When the upstream last refused a request.
-    refused_at: float = -1e9
-
-
 class UpstreamPool:
     """The upstreams of all services, with the observations of this host.
 
@@ -147,12 +69,14 @@
     """
 
     def __init__(self, failure_domain: str, generator: random.Random) -> None:
-        self._failure_domain = failure_domain
+        self._choice = _choice.Choice(failure_domain, generator)
         self._generator = generator
         #: Records by identifier and start time, since hashing an `UpstreamRun`
         #: is much slower.
-        self._records: dict[tuple[str, int], UpstreamRecord] = {}
-        self._by_service: dict[str, list[UpstreamRecord]] = {}
+        self._records: dict[
+            tuple[str, int], _upstream_records.UpstreamRecord
+        ] = {}
+        self._by_service: dict[str, list[_upstream_records.UpstreamRecord]] = {}
         #: Moving average of the latency of each service, in seconds.
         self._service_latencies: dict[str, float] = {}
         self._remembered = _remembered_runs.RememberedRuns()
@@ -165,8 +89,8 @@
         An entry that is the same object as before is skipped quickly: updates
         are frequent, but change few entries.
         """
-        records: dict[tuple[str, int], UpstreamRecord] = {}
-        by_service: dict[str, list[UpstreamRecord]] = {}
+        records: dict[tuple[str, int], _upstream_records.UpstreamRecord] = {}
+        by_service: dict[str, list[_upstream_records.UpstreamRecord]] = {}
         for entry in upstreams:
             key = (entry.id, entry.started_ms)
             record = self._records.get(key)
@@ -188,16 +112,19 @@
         key: tuple[str, int],
         entry: sycamoreloft_direct.Upstream,
         now: float,
-    ) -> UpstreamRecord:
+    ) -> _upstream_records.UpstreamRecord:
         """Creates a record with what is remembered of its run."""
-        record = UpstreamRecord(entry, now)
+        record = _upstream_records.UpstreamRecord(entry, now)
         record.paused_until = self._remembered.take_pause(key)
         record.leaving_since = self._remembered.take_leaving(key)
         _update_leaving_since(record, now)
         return record
 
     def _remember(
-        self, key: tuple[str, int], record: UpstreamRecord, now: float
+        self,
+        key: tuple[str, int],
+        record: _upstream_records.UpstreamRecord,
+        now: float,
     ) -> None:
         """Keeps what must still hold if the missing entry returns."""
         if record.paused_until > now:
@@ -207,7 +134,7 @@
 
     def find(
         self, run: sycamoreloft_direct.UpstreamRun
-    ) -> UpstreamRecord | None:
+    ) -> _upstream_records.UpstreamRecord | None:
         """Returns the record of a run, or None if it is not listed."""
         return self._records.get((run.id, run.started_ms))
 
@@ -217,7 +144,7 @@
         now: float,
         is_upload: bool,
         excluded: abc.Container[str] = (),
-    ) -> UpstreamRecord | None:
+    ) -> _upstream_records.UpstreamRecord | None:
         """Chooses an upstream for a request without a key.
 
         Draws two upstreams by weight and returns the less busy one. Hosts
@@ -233,40 +160,18 @@
         Returns:
             The record of the upstream, or None if there is none to choose.
         """
-        candidates: list[UpstreamRecord] = []
-        weights: list[float] = []
         # An upstream that looked slow before its first answer would never be
         # chosen beside faster ones.
         unknown_latency_s = self._service_latencies.get(
-            service, DEFAULT_LATENCY_S
+            service, _upstream_records.DEFAULT_LATENCY_S
         )
-        for record in self._by_service.get(service, ()):
-            entry = record.entry
-            if (
-                not entry.is_draining
-                and now >= record.replaced_until
-                and now >= record.paused_until
-                and entry.id not in excluded
-            ):
-                candidates.append(record)
-                latency_s = (
-                    record.latency_s if record.answers else unknown_latency_s
-                )
-                weights.append(
-                    self._compute_weight(record, latency_s, now, is_upload)
-                )
-        if not candidates:
-            return None
-        first, second = self._generator.choices(
-            range(len(candidates)), weights, k=2
+        return self._choice.choose(
+            self._by_service.get(service, ()),
+            now,
+            is_upload,
+            excluded,
+            unknown_latency_s,
         )
-        best = min(
-            (first, second),
-            key=lambda index: (
-                (len(candidates[index].in_flight) + 1) / weights[index]
-            ),
-        )
-        return candidates[best]
 
     def record_pause(
         self,
@@ -302,7 +207,7 @@
 
     def _find_later_run(
         self, run: sycamoreloft_direct.UpstreamRun
-    ) -> UpstreamRecord | None:
+    ) -> _upstream_records.UpstreamRecord | None:
         """Returns the record of a later run with the same identifier.
 
         A request that was sent to the earlier run may be answered by the later
@@ -313,7 +218,9 @@
                 return record
         return None
 
-    def compute_pause_s(self, record: UpstreamRecord, now: float) -> float:
+    def compute_pause_s(
+        self, record: _upstream_records.UpstreamRecord, now: float
+    ) -> float:
         """Returns for how long an upstream wants no requests; 0 for none."""
         return max(0.0, record.paused_until - now)
 
@@ -334,7 +241,10 @@
         )
 
     def may_send(
-        self, record: UpstreamRecord, now: float, leaving_s: float
+        self,
+        record: _upstream_records.UpstreamRecord,
+        now: float,
+        leaving_s: float,
     ) -> bool:
         """Returns whether a request may be sent that was assigned earlier.
 
@@ -352,15 +262,21 @@
             and now - current.leaving_since < leaving_s
         )
 
-    def is_replaced(self, record: UpstreamRecord, now: float) -> bool:
+    def is_replaced(
+        self, record: _upstream_records.UpstreamRecord, now: float
+    ) -> bool:
         """Returns whether another upstream is assumed to use the address."""
         return now < record.replaced_until
 
-    def is_avoided(self, record: UpstreamRecord, now: float) -> bool:
+    def is_avoided(
+        self, record: _upstream_records.UpstreamRecord, now: float
+    ) -> bool:
         """Returns whether an upstream is ejected or stalled."""
-        return now < record.ejected_until or _is_stalled(record, now)
+        return now < record.ejected_until or _upstream_records.is_stalled(
+            record, now
+        )
 
-    def admit(self, record: UpstreamRecord) -> bool:
+    def admit(self, record: _upstream_records.UpstreamRecord) -> bool:
         """Decides at random whether the owner of a key gets a request.
 
         An owner that silently drops requests when it is overloaded would
@@ -369,14 +285,17 @@
         return record.share >= 1.0 or self._generator.random() < record.share
 
     def begin(
-        self, record: UpstreamRecord, attempt: object, now: float
+        self,
+        record: _upstream_records.UpstreamRecord,
+        attempt: object,
+        now: float,
     ) -> None:
         """Records that an attempt begins to send a request."""
         record.in_flight[attempt] = now
 
     def finish(
         self,
-        record: UpstreamRecord,
+        record: _upstream_records.UpstreamRecord,
         attempt: object,
         result: AttemptResult,
         now: float,
@@ -421,7 +340,9 @@
             )
             record.ejected_until = now + record.ejection_s
 
-    def _record_latency(self, record: UpstreamRecord, seconds: float) -> None:
+    def _record_latency(
+        self, record: _upstream_records.UpstreamRecord, seconds: float
+    ) -> None:
         record.answers += 1
         gain = max(MOVING_AVERAGE_GAIN, 1 / record.answers)
         record.latency_s += gain * (seconds - record.latency_s)
@@ -431,40 +352,11 @@
             seconds - mean_s
         )
 
-    def _compute_weight(
-        self,
-        record: UpstreamRecord,
-        latency_s: float,
-        now: float,
-        is_upload: bool,
-    ) -> float:
-        # This runs for each upstream of the service at every request, so
-        # factors that do not apply must cost almost nothing.
-        entry = record.entry
-        slots = entry.slots if entry.slots > 1 else 1
-        weight = slots / (
-            latency_s if latency_s > MINIMUM_LATENCY_S else MINIMUM_LATENCY_S
-        )
-        if entry.failure_domain == self._failure_domain:
-            weight *= LOCAL_UPLOAD_PREFERENCE if is_upload else LOCAL_PREFERENCE
-        if record.failure_share:
-            weight *= (
-                max(1.0 - record.failure_share, MINIMUM_SUCCESS_SHARE) ** 2
-            )
-        if entry.warm_up_s > now - record.seen_at:
-            weight *= WARM_UP_WEIGHT
-        if now - record.refused_at < REFUSAL_MEMORY_S:
-            weight *= REFUSAL_WEIGHT
-        if now < record.ejected_until or (
-            record.in_flight and _is_stalled(record, now)
-        ):
-            # The slots of an upstream that does not answer are of no use.
-            weight *= AVOIDED_WEIGHT / slots
-        return weight
-
 
 def _update_entry(
-    record: UpstreamRecord, entry: sycamoreloft_direct.Upstream, now: float
+    record: _upstream_records.UpstreamRecord,
+    entry: sycamoreloft_direct.Upstream,
+    now: float,
 ) -> None:
     if entry.address != record.entry.address:
         record.replaced_until = 0.0
@@ -472,22 +364,18 @@
     _update_leaving_since(record, now)
 
 
-def _update_leaving_since(record: UpstreamRecord, now: float) -> None:
+def _update_leaving_since(
+    record: _upstream_records.UpstreamRecord, now: float
+) -> None:
     if not record.entry.is_draining:
         record.leaving_since = math.inf
     elif record.leaving_since > now:
         record.leaving_since = now
 
 
-def _is_stalled(record: UpstreamRecord, now: float) -> bool:
-    if not record.in_flight:
-        return False
-    oldest = next(iter(record.in_flight.values()))
-    limit = max(MINIMUM_STALL_S, STALL_FACTOR * record.latency_s)
-    return now - max(oldest, record.answered_at) > limit
-
-
-def _update_share(record: UpstreamRecord, result: AttemptResult) -> None:
+def _update_share(
+    record: _upstream_records.UpstreamRecord, result: AttemptResult
+) -> None:
     if result is AttemptResult.SILENT:
         record.share = max(MINIMUM_SHARE, record.share * SHARE_BACK_OFF)
     elif result is AttemptResult.ANSWERED:
--- a/packages/load/tests/test_upstream_pool.py
+++ b/packages/load/tests/test_upstream_pool.py
@@ -8,7 +8,7 @@
 
 import sycamoreloft_direct
 import sycamoreloft_load
-from sycamoreloft_load import _remembered_runs, _upstream_pool
+from sycamoreloft_load import _remembered_runs, _upstream_records
 
 RESULT = sycamoreloft_load.AttemptResult
 
@@ -171,7 +171,7 @@
         checked.append(record.entry.id)
         return False
 
-    monkeypatch.setattr(_upstream_pool, "_is_stalled", is_stalled)
+    monkeypatch.setattr(_upstream_records, "is_stalled", is_stalled)
     pool.update([build(f"u{n}") for n in range(100)], 0.0)
     pool.begin(find(pool, "u7"), object(), 0.0)
     assert pool.choose("ledger", 0.1, False) is not None
