Keep the loads that upstreams report, and estimate backlogs from them

A host can't tell from its own requests how busy an upstream is that 100 other hosts use. UpstreamPool.record_load keeps the latest report of each run, estimate_backlog lets it drain with age and adds the requests that this host sent since, and take_loads returns what this host heard itself. Nothing uses the estimate yet.

--- a/packages/load/sycamoreloft_load/_upstream_pool.py
+++ b/packages/load/sycamoreloft_load/_upstream_pool.py
@@ -6,7 +6,12 @@
 import random
 
 import sycamoreloft_direct
-from sycamoreloft_load import _choice, _remembered_runs, _upstream_records
+from sycamoreloft_load import (
+    _choice,
+    _remembered_runs,
+    _reported_loads,
+    _upstream_records,
+)
 
 #: Weight of a new observation in a moving average.
 MOVING_AVERAGE_GAIN = 0.15
@@ -80,6 +85,12 @@
         #: Moving average of the latency of each service, in seconds.
         self._service_latencies: dict[str, float] = {}
         self._remembered = _remembered_runs.RememberedRuns()
+        self._work_times = _reported_loads.WorkTimes()
+        #: Records of the runs whose latest report this host heard itself, and
+        #: that `take_loads` has not returned yet.
+        self._heard: dict[
+            tuple[str, int], _upstream_records.UpstreamRecord
+        ] = {}
 
     def update(
         self, upstreams: abc.Iterable[sycamoreloft_direct.Upstream], now: float
@@ -102,10 +113,12 @@
             by_service.setdefault(entry.service, []).append(record)
         for key in self._records.keys() - records.keys():
             self._remember(key, self._records[key], now)
+            self._heard.pop(key, None)
         self._records = records
         self._by_service = by_service
         for service in self._service_latencies.keys() - by_service.keys():
             del self._service_latencies[service]
+        self._work_times.forget_all_but(by_service)
 
     def _create_record(
         self,
@@ -173,6 +186,83 @@
             unknown_latency_s,
         )
 
+    def record_load(
+        self,
+        run: sycamoreloft_direct.UpstreamRun,
+        load: _reported_loads.ReportedLoad,
+        observed_at: float,
+        is_heard: bool = False,
+    ) -> bool:
+        """Records the load of an upstream, unless a later report is known.
+
+        Args:
+            run: Run of the upstream.
+            load: The reported load.
+            observed_at: Time of the report, in seconds.
+            is_heard: Whether the upstream reported it to this host, rather than
+                to another one. `take_loads` returns only such reports.
+
+        Returns:
+            Whether the report was recorded.
+        """
+        key = run.id, run.started_ms
+        record = self._records.get(key)
+        if record is None or (
+            record.report is not None
+            and observed_at < record.report.observed_at
+        ):
+            return False
+        record.report = _reported_loads.LoadReport(load, observed_at)
+        if is_heard:
+            self._heard[key] = record
+        else:
+            self._heard.pop(key, None)
+        return True
+
+    def take_loads(self, now: float) -> list[_reported_loads.HeardLoad]:
+        """Returns the loads that this host heard since the last call.
+
+        Only the latest report of each run is returned, and none that is too
+        old to count.
+        """
+        heard = [
+            _reported_loads.HeardLoad(
+                record.entry.run, report.load, now - report.observed_at
+            )
+            for record in self._heard.values()
+            if (report := record.report) is not None
+            and now - report.observed_at < _reported_loads.MAXIMUM_AGE_S
+        ]
+        self._heard.clear()
+        return heard
+
+    def estimate_backlog(
+        self, record: _upstream_records.UpstreamRecord, now: float
+    ) -> float | None:
+        """Estimates how many requests an upstream works on or queues.
+
+        Returns:
+            The number of requests; None if the upstream has reported nothing
+            that still counts.
+        """
+        report = record.report
+        if not _reported_loads.compute_weight(report, now) or report is None:
+            return None
+        work_s = self.get_work_s(record.entry.service)
+        return _reported_loads.estimate_backlog(
+            report, record.in_flight, work_s, now
+        )
+
+    def get_work_s(self, service: str) -> float:
+        """Returns the mean time of a request without its wait, in seconds.
+
+        The time is that of an upstream at its usual speed. If upstreams report
+        no load, it contains their queues.
+        """
+        return self._work_times.get(
+            service, _upstream_records.DEFAULT_LATENCY_S
+        )
+
     def record_pause(
         self,
         run: sycamoreloft_direct.UpstreamRun,
@@ -327,7 +417,7 @@
             record.ejection_s = 0.0
             record.ejected_until = 0.0
             if not is_bad:
-                self._record_latency(record, now - started_at)
+                self._record_latency(record, started_at, now)
             return
         record.failures += 1
         if (
@@ -341,8 +431,12 @@
             record.ejected_until = now + record.ejection_s
 
     def _record_latency(
-        self, record: _upstream_records.UpstreamRecord, seconds: float
+        self,
+        record: _upstream_records.UpstreamRecord,
+        started_at: float,
+        now: float,
     ) -> None:
+        seconds = now - started_at
         record.answers += 1
         gain = max(MOVING_AVERAGE_GAIN, 1 / record.answers)
         record.latency_s += gain * (seconds - record.latency_s)
@@ -351,6 +445,10 @@
         self._service_latencies[service] = mean_s + MOVING_AVERAGE_GAIN * (
             seconds - mean_s
         )
+        report = record.report
+        if report is not None and report.observed_at < started_at:
+            report = None
+        self._work_times.record(service, seconds, report)
 
 
 def _update_entry(
--- a/packages/load/sycamoreloft_load/_upstream_records.py
+++ b/packages/load/sycamoreloft_load/_upstream_records.py
@@ -4,6 +4,7 @@
 import math
 
 import sycamoreloft_direct
+from sycamoreloft_load import _reported_loads
 
 #: Latency that is assumed for an upstream without answers if no upstream of
 #: its service has answered yet, in seconds.
@@ -55,6 +56,8 @@
     share: float = 1.0
     #: When the upstream last refused a request.
     refused_at: float = -1e9
+    #: The latest load that the upstream reported, or None.
+    report: _reported_loads.LoadReport | None = None
 
 
 def is_stalled(record: UpstreamRecord, now: float) -> bool:
