Read the loads that upstreams report in their answers

Upstreams of some deployments report running and waiting requests, slots and their speed in Instance-Load.

--- a/packages/direct/sycamoreloft_direct/__init__.py
+++ b/packages/direct/sycamoreloft_direct/__init__.py
@@ -79,6 +79,7 @@
 from sycamoreloft_direct._upstream_notices import (
     NO_NOTICE,
     LeavingRuns,
+    ReportedLoad,
     UpstreamNotice,
 )
 
@@ -115,6 +116,7 @@
     "MapTrust",
     "OwnerChange",
     "ReportedCrash",
+    "ReportedLoad",
     "RetryBudget",
     "Route",
     "RouteKind",
--- a/packages/direct/sycamoreloft_direct/_upstream_notices.py
+++ b/packages/direct/sycamoreloft_direct/_upstream_notices.py
@@ -9,6 +9,20 @@
 MAXIMUM_LEAVING_RUNS = 4096
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportedLoad:
+    """How busy an upstream is, by its own report."""
+
+    #: Number of requests that it works on.
+    running: int
+    #: Number of requests in its queue.
+    waiting: int
+    #: Number of requests that it can work on concurrently.
+    slots: int
+    #: How long work takes there now: 100 is usual, 200 is twice as long.
+    percent: int = 100
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamNotice:
     """An announcement in the headers of an upstream's answer."""
@@ -18,6 +32,8 @@
     #: Seconds for which the upstream wants no requests from this host; 0 if it
     #: did not ask for a pause.
     pause_s: float = 0.0
+    #: Load of the upstream, or None if it reported none.
+    load: ReportedLoad | None = None
 
 
 #: Notice of an answer without an announcement.
--- a/packages/load/sycamoreloft_load/_reported_loads.py
+++ b/packages/load/sycamoreloft_load/_reported_loads.py
@@ -19,18 +19,8 @@
 USUAL_PERCENT = 100
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReportedLoad:
-    """How busy an upstream is, by its own report."""
-
-    #: Number of requests that it works on.
-    running: int
-    #: Number of requests in its queue.
-    waiting: int
-    #: Number of requests that it can work on concurrently.
-    slots: int
-    #: How long work takes there now: 200 is twice as long as usual.
-    percent: int = USUAL_PERCENT
+#: Public here too: callers of this package create loads.
+ReportedLoad = sycamoreloft_direct.ReportedLoad
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/router/sycamoreloft_router/_metrics.py
+++ b/packages/router/sycamoreloft_router/_metrics.py
@@ -100,6 +100,12 @@
         "Announcements of upstreams about themselves in their answers",
         ("notice",),
     ),
+    Definition(
+        "sycamoreloft_load_reports_total",
+        Kind.COUNTER,
+        "Loads that upstreams reported in their answers to this host",
+        ("result",),
+    ),
     Definition(
         "sycamoreloft_retries_total", Kind.COUNTER, "Attempts after the first"
     ),
--- a/packages/router/sycamoreloft_router/_upstream_notices.py
+++ b/packages/router/sycamoreloft_router/_upstream_notices.py
@@ -79,6 +79,14 @@
             source: What the upstream answered, for the log.
         """
         now = self._read_clock()
+        if notice.load is not None:
+            is_recorded = self._pool.record_load(
+                run, notice.load, now, is_heard=True
+            )
+            self._metrics.count(
+                "sycamoreloft_load_reports_total",
+                "recorded" if is_recorded else "unlisted",
+            )
         if notice.is_leaving and self._upstreams.record_leaving(run, now):
             self._metrics.count(
                 "sycamoreloft_upstream_notices_total", "leaving"
