Let the share of a started or recovered upstream rise with its answers

Upstreams that a host sees with its first entries, and that aren't cold by their entry, get no pace: they may have started long ago.

--- a/packages/load/sycamoreloft_load/__init__.py
+++ b/packages/load/sycamoreloft_load/__init__.py
@@ -5,8 +5,12 @@
 """
 
 from sycamoreloft_load._reported_loads import HeardLoad, ReportedLoad
-from sycamoreloft_load._upstream_pool import AttemptResult, UpstreamPool
-from sycamoreloft_load._upstream_records import MINIMUM_STALL_S, UpstreamRecord
+from sycamoreloft_load._upstream_pool import UpstreamPool
+from sycamoreloft_load._upstream_records import (
+    MINIMUM_STALL_S,
+    AttemptResult,
+    UpstreamRecord,
+)
 
 __all__ = [
     "MINIMUM_STALL_S",
--- a/packages/load/sycamoreloft_load/_choice.py
+++ b/packages/load/sycamoreloft_load/_choice.py
@@ -3,7 +3,7 @@
 from collections import abc
 import random
 
-from sycamoreloft_load import _upstream_records
+from sycamoreloft_load import _pace, _upstream_records
 
 #: Minimum latency in seconds, and minimum share of successes, that the weight
 #: of an upstream is computed with.
@@ -21,15 +21,6 @@
 #: its slots is ignored.
 AVOIDED_WEIGHT = 0.001
 
-#: Factor of the weight while an upstream warms up.
-WARM_UP_WEIGHT = 0.5
-
-#: Seconds for which a refused request lowers the weight of an upstream.
-REFUSAL_MEMORY_S = 0.5
-
-#: Factor of the weight of an upstream during this time.
-REFUSAL_WEIGHT = 0.3
-
 
 class Choice:
     """Chooses upstreams for requests without a key.
@@ -63,6 +54,7 @@
         """
         candidates: list[_upstream_records.UpstreamRecord] = []
         weights: list[float] = []
+        paced: list[int] = []
         for record in records:
             entry = record.entry
             if (
@@ -71,6 +63,8 @@
                 and now >= record.paused_until
                 and entry.id not in excluded
             ):
+                if record.pace is not None:
+                    paced.append(len(candidates))
                 candidates.append(record)
                 latency_s = (
                     record.latency_s if record.answers else unknown_latency_s
@@ -80,13 +74,16 @@
                 )
         if not candidates:
             return None
+        shares = _compute_shares(candidates, paced, now) if paced else {}
+        for index, share in shares.items():
+            weights[index] *= share
         first, second = self._generator.choices(
             range(len(candidates)), weights, k=2
         )
         best = min(
             (first, second),
-            key=lambda index: (
-                (len(candidates[index].in_flight) + 1) / weights[index]
+            key=lambda index: _compute_cost(
+                candidates[index], weights[index], shares.get(index, 1.0)
             ),
         )
         return candidates[best]
@@ -111,13 +108,48 @@
             weight *= (
                 max(1.0 - record.failure_share, MINIMUM_SUCCESS_SHARE) ** 2
             )
-        if entry.warm_up_s > now - record.seen_at:
-            weight *= WARM_UP_WEIGHT
-        if now - record.refused_at < REFUSAL_MEMORY_S:
-            weight *= REFUSAL_WEIGHT
         if now < record.ejected_until or (
             record.in_flight and _upstream_records.is_stalled(record, now)
         ):
             # The slots of an upstream that does not answer are of no use.
             weight *= AVOIDED_WEIGHT / slots
         return weight
+
+
+def _compute_shares(
+    candidates: list[_upstream_records.UpstreamRecord],
+    paced: list[int],
+    now: float,
+) -> dict[int, float]:
+    """Returns the share of each candidate that does not get its whole load.
+
+    Ends the paces that have risen to the whole.
+    """
+    shares: dict[int, float] = {}
+    for index in paced:
+        pace = candidates[index].pace
+        if pace is not None:
+            share = _pace.compute_share(pace, now)
+            if share < 1.0:
+                shares[index] = share
+            else:
+                candidates[index].pace = None
+    floor = _pace.compute_floor(len(shares), len(candidates))
+    if floor:
+        for index, share in shares.items():
+            shares[index] = max(share, floor)
+    return shares
+
+
+def _compute_cost(
+    record: _upstream_records.UpstreamRecord, weight: float, share: float
+) -> float:
+    """Returns the cost of one more request, by what this host observed.
+
+    The draw already applied the share. It applies again only to an upstream
+    that has as many requests of this host as its pace allows.
+    """
+    in_flight = len(record.in_flight)
+    if share < 1.0 and in_flight < max(1.0, share * record.entry.slots):
+        weight /= share
+    return (in_flight + 1) / weight
--- a/packages/load/sycamoreloft_load/_upstream_pool.py
+++ b/packages/load/sycamoreloft_load/_upstream_pool.py
@@ -1,18 +1,22 @@
 """Chooses upstreams by the latencies and failures that this host observed."""
 
 from collections import abc
-import enum
 import math
 import random
+import typing
 
 import sycamoreloft_direct
 from sycamoreloft_load import (
     _choice,
+    _pace,
     _remembered_runs,
     _reported_loads,
     _upstream_records,
 )
 
+_RESULT = _upstream_records.AttemptResult
+_Record: typing.TypeAlias = _upstream_records.UpstreamRecord
+
 #: Weight of a new observation in a moving average.
 MOVING_AVERAGE_GAIN = 0.15
 
@@ -42,29 +46,6 @@
 MINIMUM_SHARE = 0.2
 
 
-class AttemptResult(enum.Enum):
-    """Result of sending a request to an upstream."""
-
-    #: The upstream answered the request.
-    ANSWERED = "answered"
-    #: The upstream answered with an error of its own.
-    FAILED = "failed"
-    #: The upstream refused the request, which did not run.
-    REFUSED = "refused"
-    #: Another upstream answered at the address. The request did not run.
-    REPLACED = "replaced"
-    #: The upstream stopped accepting requests before this one was sent.
-    WITHDRAWN = "withdrawn"
-    #: No connection could be made.
-    UNREACHABLE = "unreachable"
-    #: The connection broke, or the answer was malformed.
-    BROKEN = "broken"
-    #: No answer arrived in time.
-    SILENT = "silent"
-    #: The attempt ended early, for example because the caller disconnected.
-    CANCELLED = "cancelled"
-
-
 class UpstreamPool:
     """The upstreams of all services, with the observations of this host.
 
@@ -78,19 +59,15 @@
         self._generator = generator
         #: Records by identifier and start time, since hashing an `UpstreamRun`
         #: is much slower.
-        self._records: dict[
-            tuple[str, int], _upstream_records.UpstreamRecord
-        ] = {}
-        self._by_service: dict[str, list[_upstream_records.UpstreamRecord]] = {}
+        self._records: dict[tuple[str, int], _Record] = {}
+        self._by_service: dict[str, list[_Record]] = {}
         #: Moving average of the latency of each service, in seconds.
         self._service_latencies: dict[str, float] = {}
         self._remembered = _remembered_runs.RememberedRuns()
         self._work_times = _reported_loads.WorkTimes()
         #: Records of the runs whose latest report this host heard itself, and
         #: that `take_loads` has not returned yet.
-        self._heard: dict[
-            tuple[str, int], _upstream_records.UpstreamRecord
-        ] = {}
+        self._heard: dict[tuple[str, int], _Record] = {}
 
     def update(
         self, upstreams: abc.Iterable[sycamoreloft_direct.Upstream], now: float
@@ -100,8 +77,8 @@
         An entry that is the same object as before is skipped quickly: updates
         are frequent, but change few entries.
         """
-        records: dict[tuple[str, int], _upstream_records.UpstreamRecord] = {}
-        by_service: dict[str, list[_upstream_records.UpstreamRecord]] = {}
+        records: dict[tuple[str, int], _Record] = {}
+        by_service: dict[str, list[_Record]] = {}
         for entry in upstreams:
             key = (entry.id, entry.started_ms)
             record = self._records.get(key)
@@ -125,19 +102,20 @@
         key: tuple[str, int],
         entry: sycamoreloft_direct.Upstream,
         now: float,
-    ) -> _upstream_records.UpstreamRecord:
+    ) -> _Record:
         """Creates a record with what is remembered of its run."""
-        record = _upstream_records.UpstreamRecord(entry, now)
+        record = _Record(entry, now)
         record.paused_until = self._remembered.take_pause(key)
         record.leaving_since = self._remembered.take_leaving(key)
         _update_leaving_since(record, now)
+        if entry.warm_up_s or entry.service in self._by_service:
+            # Upstreams that this host sees with its first entries of a service
+            # may have started long ago.
+            record.pace = _pace.begin(now, entry.warm_up_s)
         return record
 
     def _remember(
-        self,
-        key: tuple[str, int],
-        record: _upstream_records.UpstreamRecord,
-        now: float,
+        self, key: tuple[str, int], record: _Record, now: float
     ) -> None:
         """Keeps what must still hold if the missing entry returns."""
         if record.paused_until > now:
@@ -145,9 +123,19 @@
         if record.leaving_since <= now:
             self._remembered.add_leaving(key, record.leaving_since)
 
-    def find(
-        self, run: sycamoreloft_direct.UpstreamRun
-    ) -> _upstream_records.UpstreamRecord | None:
+    def begin_pace(self, record: _Record, now: float) -> None:
+        """Lets the share of an upstream rise from the lowest, as at a start."""
+        record.pace = _pace.begin(now)
+
+    def count_paced(self, now: float) -> int:
+        """Returns the number of upstreams that don't get their whole load."""
+        return sum(
+            record.pace is not None
+            and _pace.compute_share(record.pace, now) < 1.0
+            for record in self._records.values()
+        )
+
+    def find(self, run: sycamoreloft_direct.UpstreamRun) -> _Record | None:
         """Returns the record of a run, or None if it is not listed."""
         return self._records.get((run.id, run.started_ms))
 
@@ -157,7 +145,7 @@
         now: float,
         is_upload: bool,
         excluded: abc.Container[str] = (),
-    ) -> _upstream_records.UpstreamRecord | None:
+    ) -> _Record | None:
         """Chooses an upstream for a request without a key.
 
         Draws two upstreams by weight and returns the less busy one. Hosts
@@ -236,9 +224,7 @@
         self._heard.clear()
         return heard
 
-    def estimate_backlog(
-        self, record: _upstream_records.UpstreamRecord, now: float
-    ) -> float | None:
+    def estimate_backlog(self, record: _Record, now: float) -> float | None:
         """Estimates how many requests an upstream works on or queues.
 
         Returns:
@@ -297,7 +283,7 @@
 
     def _find_later_run(
         self, run: sycamoreloft_direct.UpstreamRun
-    ) -> _upstream_records.UpstreamRecord | None:
+    ) -> _Record | None:
         """Returns the record of a later run with the same identifier.
 
         A request that was sent to the earlier run may be answered by the later
@@ -308,9 +294,7 @@
                 return record
         return None
 
-    def compute_pause_s(
-        self, record: _upstream_records.UpstreamRecord, now: float
-    ) -> float:
+    def compute_pause_s(self, record: _Record, now: float) -> float:
         """Returns for how long an upstream wants no requests; 0 for none."""
         return max(0.0, record.paused_until - now)
 
@@ -330,12 +314,7 @@
             default=0.0,
         )
 
-    def may_send(
-        self,
-        record: _upstream_records.UpstreamRecord,
-        now: float,
-        leaving_s: float,
-    ) -> bool:
+    def may_send(self, record: _Record, now: float, leaving_s: float) -> bool:
         """Returns whether a request may be sent that was assigned earlier.
 
         Args:
@@ -352,21 +331,17 @@
             and now - current.leaving_since < leaving_s
         )
 
-    def is_replaced(
-        self, record: _upstream_records.UpstreamRecord, now: float
-    ) -> bool:
+    def is_replaced(self, record: _Record, now: float) -> bool:
         """Returns whether another upstream is assumed to use the address."""
         return now < record.replaced_until
 
-    def is_avoided(
-        self, record: _upstream_records.UpstreamRecord, now: float
-    ) -> bool:
+    def is_avoided(self, record: _Record, now: float) -> bool:
         """Returns whether an upstream is ejected or stalled."""
         return now < record.ejected_until or _upstream_records.is_stalled(
             record, now
         )
 
-    def admit(self, record: _upstream_records.UpstreamRecord) -> bool:
+    def admit(self, record: _Record) -> bool:
         """Decides at random whether the owner of a key gets a request.
 
         An owner that silently drops requests when it is overloaded would
@@ -374,67 +349,72 @@
         """
         return record.share >= 1.0 or self._generator.random() < record.share
 
-    def begin(
-        self,
-        record: _upstream_records.UpstreamRecord,
-        attempt: object,
-        now: float,
-    ) -> None:
+    def begin(self, record: _Record, attempt: object, now: float) -> None:
         """Records that an attempt begins to send a request."""
         record.in_flight[attempt] = now
 
     def finish(
-        self,
-        record: _upstream_records.UpstreamRecord,
-        attempt: object,
-        result: AttemptResult,
-        now: float,
+        self, record: _Record, attempt: object, result: _RESULT, now: float
     ) -> None:
         """Records the result of an attempt."""
+        # Before the first answer, it is not known how long answers take.
+        was_stalled = record.answers > 0 and _upstream_records.is_stalled(
+            record, now
+        )
         started_at = record.in_flight.pop(attempt, now)
-        if result in (AttemptResult.CANCELLED, AttemptResult.WITHDRAWN):
+        if result in (
+            _RESULT.CANCELLED,
+            _RESULT.WITHDRAWN,
+        ):
             return
-        if result is AttemptResult.REPLACED:
+        if result is _RESULT.REPLACED:
             record.replaced_until = now + REPLACED_ADDRESS_S
             return
         _update_share(record, result)
-        if result is AttemptResult.REFUSED:
-            record.refused_at = now
+        if result is _RESULT.REFUSED:
             record.answered_at = now
             record.failures = 0
+            record.pace = _pace.record_setback(
+                record.pace, now, record.paused_until
+            )
             return
-        is_bad = result is not AttemptResult.ANSWERED
-        if result is not AttemptResult.UNREACHABLE:
+        is_bad = result is not _RESULT.ANSWERED
+        if result is not _RESULT.UNREACHABLE:
             # This share is for upstreams that fail some of the requests that
             # they accept. An unreachable upstream accepts none; it is ejected,
             # and keeps its share for the time after.
             record.failure_share += MOVING_AVERAGE_GAIN * (
                 is_bad - record.failure_share
             )
-        if result in (AttemptResult.ANSWERED, AttemptResult.FAILED):
+        if result in (
+            _RESULT.ANSWERED,
+            _RESULT.FAILED,
+        ):
             record.answered_at = now
             record.failures = 0
             record.ejection_s = 0.0
             record.ejected_until = 0.0
+            if is_bad or was_stalled:
+                record.pace = _pace.record_setback(record.pace, now)
             if not is_bad:
                 self._record_latency(record, started_at, now)
             return
         record.failures += 1
         if (
             record.failures >= FAILURES_TO_EJECT
-            or result is AttemptResult.UNREACHABLE
+            or result is _RESULT.UNREACHABLE
         ):
             record.ejection_s = min(
                 MAXIMUM_EJECTION_S,
                 max(FIRST_EJECTION_S, record.ejection_s * 2),
             )
             record.ejected_until = now + record.ejection_s
+        record.pace = _pace.record_setback(
+            record.pace, now, record.ejected_until
+        )
 
     def _record_latency(
-        self,
-        record: _upstream_records.UpstreamRecord,
-        started_at: float,
-        now: float,
+        self, record: _Record, started_at: float, now: float
     ) -> None:
         seconds = now - started_at
         record.answers += 1
@@ -442,6 +422,10 @@
         record.latency_s += gain * (seconds - record.latency_s)
         service = record.entry.service
         mean_s = self._service_latencies.setdefault(service, seconds)
+        if record.pace is not None:
+            record.pace = _pace.record_answer(
+                record.pace, seconds, mean_s, record.entry.slots, now
+            )
         self._service_latencies[service] = mean_s + MOVING_AVERAGE_GAIN * (
             seconds - mean_s
         )
@@ -452,19 +436,20 @@
 
 
 def _update_entry(
-    record: _upstream_records.UpstreamRecord,
+    record: _Record,
     entry: sycamoreloft_direct.Upstream,
     now: float,
 ) -> None:
     if entry.address != record.entry.address:
         record.replaced_until = 0.0
+    if entry.warm_up_s and not record.entry.warm_up_s:
+        # The run became cold again.
+        record.pace = _pace.begin(now, entry.warm_up_s)
     record.entry = entry
     _update_leaving_since(record, now)
 
 
-def _update_leaving_since(
-    record: _upstream_records.UpstreamRecord, now: float
-) -> None:
+def _update_leaving_since(record: _Record, now: float) -> None:
     if not record.entry.is_draining:
         record.leaving_since = math.inf
     elif record.leaving_since > now:
@@ -472,9 +457,10 @@
 
 
 def _update_share(
-    record: _upstream_records.UpstreamRecord, result: AttemptResult
+    record: _Record,
+    result: _RESULT,
 ) -> None:
-    if result is AttemptResult.SILENT:
+    if result is _RESULT.SILENT:
         record.share = max(MINIMUM_SHARE, record.share * SHARE_BACK_OFF)
-    elif result is AttemptResult.ANSWERED:
+    elif result is _RESULT.ANSWERED:
         record.share = min(1.0, record.share + SHARE_RECOVERY)
--- a/packages/load/sycamoreloft_load/_upstream_records.py
+++ b/packages/load/sycamoreloft_load/_upstream_records.py
@@ -1,10 +1,11 @@
 """Observations of this host about one run of an upstream."""
 
 import dataclasses
+import enum
 import math
 
 import sycamoreloft_direct
-from sycamoreloft_load import _reported_loads
+from sycamoreloft_load import _pace, _reported_loads
 
 #: Latency that is assumed for an upstream without answers if no upstream of
 #: its service has answered yet, in seconds.
@@ -18,6 +19,29 @@
 MINIMUM_STALL_S = 0.6
 
 
+class AttemptResult(enum.Enum):
+    """Result of sending a request to an upstream."""
+
+    #: The upstream answered the request.
+    ANSWERED = "answered"
+    #: The upstream answered with an error of its own.
+    FAILED = "failed"
+    #: The upstream refused the request, which did not run.
+    REFUSED = "refused"
+    #: Another upstream answered at the address. The request did not run.
+    REPLACED = "replaced"
+    #: The upstream stopped accepting requests before this one was sent.
+    WITHDRAWN = "withdrawn"
+    #: No connection could be made.
+    UNREACHABLE = "unreachable"
+    #: The connection broke, or the answer was malformed.
+    BROKEN = "broken"
+    #: No answer arrived in time.
+    SILENT = "silent"
+    #: The attempt ended early, for example because the caller disconnected.
+    CANCELLED = "cancelled"
+
+
 @dataclasses.dataclass(slots=True)
 class UpstreamRecord:
     """Observations of this host about one run of an upstream.
@@ -54,8 +78,8 @@
     answered_at: float = 0.0
     #: Share of the requests for its keys that is sent to the upstream.
     share: float = 1.0
-    #: When the upstream last refused a request.
-    refused_at: float = -1e9
+    #: Pace after a start or a setback; None if there is no limit.
+    pace: _pace.Pace | None = None
     #: The latest load that the upstream reported, or None.
     report: _reported_loads.LoadReport | None = None
 
