Repeat requests at an owner that reset them when full

Upstreams that reset the connection when full turned idempotent requests with a key into 502 after one attempt: a request that may have run at the owner was never sent there again.

Tell a reset before any byte of an answer from other breaks, by looking at the socket before libcurl reads it: libcurl reports neither a reset of a reused connection nor a part of a status line. An idempotent request is then repeated at the same run of the owner, after a random wait, within the retry budget, for up to 1 s, if each map since the first attempt is known and names that run, the key was not moving, and heartbeats arrive. A second reset by one run is not counted as a crash.

--- a/packages/load/sycamoreloft_load/_upstream_pool.py
+++ b/packages/load/sycamoreloft_load/_upstream_pool.py
@@ -92,6 +92,9 @@
     UNREACHABLE = "unreachable"
     #: The connection broke, or the answer was malformed.
     BROKEN = "broken"
+    #: The upstream reset the connection before any byte of an answer, as
+    #: some upstreams do when they are full.
+    RESET = "reset"
     #: No answer arrived in time.
     SILENT = "silent"
     #: The attempt ended early, for example because the caller disconnected.
--- a/packages/router/sycamoreloft_router/_connection_rules.py
+++ b/packages/router/sycamoreloft_router/_connection_rules.py
@@ -1,9 +1,12 @@
 """Rules for opening, reusing and closing connections to other processes."""
 
 import dataclasses
+import fcntl
 import select
 import socket
 import struct
+import termios
+import typing
 
 from sycamoreloft_router import _answer_heads
 
@@ -20,6 +23,10 @@
 #: takes about 1 ms.
 CONNECT_TIMEOUT_S = 1.0
 
+#: State of a TCP socket without a connection (TCP_CLOSE of Linux). After an
+#: orderly close by the peer, a socket is in another state.
+_TCP_CLOSE = 7
+
 #: IP addresses and ports of the peer and of this host, as libcurl reports them.
 Endpoints = tuple[str | int, ...]
 
@@ -46,6 +53,17 @@
     resets_on_close: bool = False
 
 
+class SocketUser(typing.Protocol):
+    """A request that was sent on a connection."""
+
+    #: Whether the request has ended.
+    ended: bool
+    #: Whether a byte of an answer arrived, or the peer closed the connection.
+    has_input: bool
+    #: Whether the connection was reset before that.
+    was_reset: bool
+
+
 class PooledSockets:
     """Sockets of pooled connections, to check for unexpected input.
 
@@ -60,6 +78,8 @@
         # again or it is the least recently used one. It is never looked up in
         # between, because libcurl does not reuse it.
         self._descriptors: dict[Endpoints, int] = {}
+        #: The latest user of each socket, by descriptor.
+        self.users: dict[int, SocketUser] = {}
 
     def add(self, endpoints: Endpoints, descriptor: int) -> None:
         """Records the socket of a new connection."""
@@ -68,6 +88,12 @@
         if len(self._descriptors) > MAXIMUM_SOCKETS:
             del self._descriptors[next(iter(self._descriptors))]
 
+    def set_user(self, endpoints: Endpoints, user: SocketUser) -> None:
+        """Records that a request is about to be sent on a connection."""
+        descriptor = self._descriptors.get(endpoints)
+        if descriptor is not None:
+            self.users[descriptor] = user
+
     def is_readable(self, endpoints: Endpoints) -> bool:
         """Returns whether the peer has sent bytes or closed the connection."""
         descriptor = self._descriptors.pop(endpoints, None)
@@ -79,6 +105,36 @@
         return bool(poll.poll(0))
 
 
+def observe_input(descriptor: int, is_readable: bool, user: SocketUser) -> None:
+    """Records the first input of a connection, or that it was reset.
+
+    Neither system call takes bytes or the error from the socket.
+
+    Args:
+        descriptor: File descriptor of the socket.
+        is_readable: Whether the socket was reported as readable.
+        user: The request that was sent on the connection.
+    """
+    queued = fcntl.ioctl(descriptor, termios.FIONREAD, bytes(4))
+    if any(queued):
+        user.has_input = True
+        return
+    connection = socket.socket(
+        socket.AF_INET,
+        socket.SOCK_STREAM,
+        socket.IPPROTO_TCP,
+        fileno=descriptor,
+    )
+    try:
+        state = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+    finally:
+        connection.detach()
+    if state == _TCP_CLOSE:
+        user.was_reset = True
+    elif is_readable:
+        user.has_input = True
+
+
 def set_socket_options(descriptor: int, rules: ConnectionRules) -> None:
     """Sets the options of a new socket.
 
--- a/packages/router/sycamoreloft_router/_crash_watch.py
+++ b/packages/router/sycamoreloft_router/_crash_watch.py
@@ -27,7 +27,13 @@
         received: Body of the request.
     """
 
-    __slots__ = ("_identities", "_received", "_request", "_services")
+    __slots__ = (
+        "_identities",
+        "_received",
+        "_request",
+        "_reset_upstreams",
+        "_services",
+    )
 
     def __init__(
         self,
@@ -39,6 +45,8 @@
         self._request = request
         self._received = received
         self._identities: tuple[int, ...] = ()
+        # Identifiers of the upstreams that reset the request.
+        self._reset_upstreams: set[str] = set()
 
     def is_stopped(self) -> bool:
         """Returns whether the request must not be sent to an upstream."""
@@ -59,7 +67,9 @@
 
         A truncated or malformed answer does not count as a crash, since the
         upstream lived to send it. An error answer does not clear a request: the
-        upstream may have ended it at its deadline, before the crash.
+        upstream may have ended it at its deadline, before the crash. Only the
+        same run gets a request again after a reset, so an upstream that resets
+        it again is full and did not crash.
 
         Args:
             result: How the attempt ended.
@@ -68,6 +78,10 @@
             started_at: When the attempt began, in seconds.
             now: Time on the clock of the event loop, in seconds.
         """
+        if result is _RESULT.RESET:
+            if upstream in self._reset_upstreams:
+                return
+            self._reset_upstreams.add(upstream)
         guard, request = self._services.guard, self._request
         paths = self._services.answered_paths
         if result is _RESULT.ANSWERED:
@@ -75,7 +89,7 @@
             if not guard.is_idle:
                 guard.record_answer(self._identify(), now)
         elif (
-            result is _RESULT.BROKEN
+            result in (_RESULT.BROKEN, _RESULT.RESET)
             and transfer is not None
             and transfer.head.status == 0
         ):
--- a/packages/router/sycamoreloft_router/_direct_execution.py
+++ b/packages/router/sycamoreloft_router/_direct_execution.py
@@ -218,6 +218,8 @@
             result = self._classify(transfer)
             if result in (_RESULT.BROKEN, _RESULT.FAILED):
                 self._choice.record_possible_run(record.entry.id)
+            elif result is _RESULT.RESET:
+                self._choice.record_reset(record.entry.id)
             if result not in (_RESULT.ANSWERED, _RESULT.FAILED):
                 return result
             self._may_have_run = True
@@ -358,7 +360,7 @@
             return _RESULT.CANCELLED
         if failure.kind is _KIND.DEADLINE:
             return _RESULT.SILENT
-        return _RESULT.BROKEN
+        return _RESULT.RESET if failure.is_reset else _RESULT.BROKEN
 
     def _is_unproven_refusal(self, status: int) -> bool:
         """Returns whether passing a status on would promise too much.
@@ -399,7 +401,7 @@
             return ""
         did_not_run = result in (_RESULT.REFUSED, _RESULT.REPLACED)
         if not did_not_run and (
-            result not in (_RESULT.BROKEN, _RESULT.FAILED)
+            result not in (_RESULT.BROKEN, _RESULT.FAILED, _RESULT.RESET)
             or not self._is_idempotent
         ):
             return "may-have-run"
@@ -407,7 +409,10 @@
             return "owner-may-have-run"
         if self._choice.is_owner_paused(now):
             return "owner-paused"
-        is_full_owner = result is _RESULT.REFUSED and self._request.key >= 0
+        is_full_owner = (
+            result in (_RESULT.REFUSED, _RESULT.RESET)
+            and self._request.key >= 0
+        )
         if (
             len(self._sent_to) >= self._request.route.attempts
             and not is_full_owner
--- a/packages/router/sycamoreloft_router/_key_directory.py
+++ b/packages/router/sycamoreloft_router/_key_directory.py
@@ -11,6 +11,10 @@
 MOVING_TIMEOUT_S = 1.2
 
 
+#: Seconds for which a range is remembered after it has moved. Requests are
+#: repeated at an owner only within a shorter time.
+MOVED_MEMORY_S = 2.0
+
 #: Maximum number of earlier maps that a host keeps. Other hosts may still have
 #: one of them, or changes in flight may be based on it.
 MAXIMUM_EARLIER_MAPS = 32
@@ -38,6 +42,8 @@
         self._moving: tuple[MovingKeys, ...] = ()
         self._moving_epoch = 0
         self._moving_until = 0.0
+        #: Ranges that were moving, and when that was last known.
+        self._moved: list[tuple[float, MovingKeys]] = []
         self._waiters: set[asyncio.Future[None]] = set()
         self._missing_since: dict[sycamoreloft_direct.UpstreamRun, float] = {}
 
@@ -122,16 +128,53 @@
         self._moving_epoch = epoch
         changed = tuple(moving)
         if changed != self._moving:
+            self._moved = [
+                item for item in self._moved if item[0] > now - MOVED_MEMORY_S
+            ] + [(now, keys) for keys in self._moving if keys not in changed]
             self._moving = changed
             self._wake_waiters()
 
     def is_moving(self, service: str, key: int, now: float) -> bool:
         """Returns whether a key is moving to another owner."""
         return now < self._moving_until and any(
-            keys.service == service and keys.first <= key <= keys.last
-            for keys in self._moving
+            _contains(keys, service, key) for keys in self._moving
         )
 
+    def has_kept_owner(
+        self,
+        service: str,
+        key: int,
+        version: tuple[int, int],
+        since: float,
+        now: float,
+    ) -> bool:
+        """Returns whether a key is known to have had the same owner throughout.
+
+        Maps that this host did not receive, and times without a heartbeat,
+        may hide a move away and back.
+
+        Args:
+            service: Name of the sharded service.
+            key: The key.
+            version: Version of the map at the beginning of the time.
+            since: Beginning of the time, in seconds.
+            now: End of the time, in seconds.
+        """
+        if now >= self._moving_until or any(
+            moved_at >= since and _contains(keys, service, key)
+            for moved_at, keys in self._moved
+        ):
+            return False
+        owner = self.find_owner(service, key, now)
+        epoch, revision = self.key_map.version
+        if owner is None or epoch != version[0] or revision < version[1]:
+            return False
+        for number in range(version[1], revision):
+            earlier = self._earlier.get((epoch, number))
+            if earlier is None or earlier.find_owner(service, key) != owner:
+                return False
+        return True
+
     def find_owner(
         self, service: str, key: int, now: float
     ) -> sycamoreloft_direct.UpstreamRun | None:
@@ -173,3 +216,7 @@
         for waiter in self._waiters:
             if not waiter.done():
                 waiter.set_result(None)
+
+
+def _contains(keys: MovingKeys, service: str, key: int) -> bool:
+    return keys.service == service and keys.first <= key <= keys.last
--- a/packages/router/sycamoreloft_router/_transfer_types.py
+++ b/packages/router/sycamoreloft_router/_transfer_types.py
@@ -39,6 +39,8 @@
     kind: FailureKind
     #: Description for logs: message of libcurl, or of the check that failed.
     text: str
+    #: Whether the upstream reset the connection before any byte of an answer.
+    is_reset: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/router/sycamoreloft_router/_transfers.py
+++ b/packages/router/sycamoreloft_router/_transfers.py
@@ -56,6 +56,7 @@
         "body",
         "ended",
         "failure",
+        "has_input",
         "head",
         "is_expired",
         "is_withdrawn",
@@ -63,6 +64,7 @@
         "opened_socket",
         "request",
         "send_count",
+        "was_reset",
     )
 
     def __init__(
@@ -88,6 +90,11 @@
         self.maybe_sent = False
         #: Number of connections on which libcurl sent the request.
         self.send_count = 0
+        #: Whether the connection delivered a byte of an answer, or was closed
+        #: in order.
+        self.has_input = False
+        #: Whether the connection was reset before that.
+        self.was_reset = False
         #: Whether libcurl opened a new socket for the transfer.
         self.opened_socket = False
         #: Whether the permit expired before a connection was ready.
@@ -229,7 +236,11 @@
         kind = _KIND.BROKEN
         if error == pycurl.E_OPERATION_TIMEDOUT:
             kind = _KIND.DEADLINE
-        return _transfer_types.Failure(kind, transfer.head.problem or message)
+        return _transfer_types.Failure(
+            kind,
+            transfer.head.problem or message,
+            transfer.was_reset and not transfer.head.status,
+        )
     if transfer.is_withdrawn:
         return _transfer_types.Failure(
             _KIND.WITHDRAWN,
--- a/packages/router/sycamoreloft_router/_upstream_choice.py
+++ b/packages/router/sycamoreloft_router/_upstream_choice.py
@@ -1,6 +1,7 @@
 """Chooses the upstream for each attempt of a request."""
 
 import asyncio
+import dataclasses
 
 import sycamoreloft_direct
 import sycamoreloft_load
@@ -19,6 +20,16 @@
 MINIMUM_FULL_OWNER_WAIT_S = 0.06
 MAXIMUM_FULL_OWNER_WAIT_S = 0.12
 
+#: Seconds after its first attempt within which a request is repeated at an
+#: owner that reset it; see docs/design/full-upstreams.md.
+MAXIMUM_RESET_AGE_S = 1.0
+
+#: Bounds of the random wait before a repeat at an owner that reset the request,
+#: as multiples of the time in which the owner ends a request. The wait doubles
+#: with each further reset.
+MINIMUM_RESET_WAIT_SHARE = 0.5
+MAXIMUM_RESET_WAIT_SHARE = 1.5
+
 #: Bounds of the random time after which a refused caller may retry, in
 #: milliseconds, so that callers that were refused together do not return
 #: together.
@@ -38,6 +49,18 @@
 MINIMUM_REMAINING_S = 0.03
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _FirstOwner:
+    """The owner of the key at the first attempt of a request."""
+
+    #: Run of the owner.
+    run: sycamoreloft_direct.UpstreamRun
+    #: Version of the map of keys.
+    version: tuple[int, int]
+    #: When the attempt began, in seconds.
+    began_at: float
+
+
 class UpstreamChoice:
     """Chooses the upstreams of one request from its earlier attempts.
 
@@ -48,9 +71,12 @@
     """
 
     __slots__ = (
+        "_first_owner",
         "_possible_runs",
         "_received",
         "_request",
+        "_reset_count",
+        "_reset_runs",
         "_services",
         "is_owner_lost",
         "misdirected_upstream",
@@ -69,6 +95,10 @@
         self._received = received
         # Identifiers of the upstreams at which the request may have run.
         self._possible_runs: set[str] = set()
+        # The same for attempts whose connection was reset before any answer.
+        self._reset_runs: set[str] = set()
+        self._reset_count = 0
+        self._first_owner: _FirstOwner | None = None
         #: Upstream that did not hold the key at the last attempt, or empty.
         self.misdirected_upstream = ""
         #: Why the last attempt failed, or why no upstream was chosen.
@@ -86,6 +116,15 @@
         """
         self._possible_runs.add(upstream)
 
+    def record_reset(self, upstream: str) -> None:
+        """Records that an upstream reset the connection before any answer.
+
+        Args:
+            upstream: Identifier of the upstream.
+        """
+        self._reset_runs.add(upstream)
+        self._reset_count += 1
+
     def may_have_run_at_owner(self, now: float) -> bool:
         """Returns whether the request may have run at the owner of its key.
 
@@ -95,6 +134,8 @@
         earlier work has ended. The upstream would then work on one request
         under two leases. A later run under the same identifier is excluded as
         well, since the host may have heard of that run only after the attempt.
+        A request that the owner reset without any byte of an answer is repeated
+        at the same run, for a short time in which the key has not moved.
 
         Args:
             now: Time on the clock of the event loop, in seconds.
@@ -102,7 +143,29 @@
         owner = self._services.directory.find_owner(
             self._request.service, self._request.key, now
         )
-        return owner is not None and owner.id in self._possible_runs
+        return owner is not None and self._may_have_run_at(owner, now)
+
+    def _may_have_run_at(
+        self, owner: sycamoreloft_direct.UpstreamRun, now: float
+    ) -> bool:
+        """Returns whether the owner must not get the request again."""
+        if owner.id in self._possible_runs:
+            return True
+        if owner.id not in self._reset_runs:
+            return False
+        first = self._first_owner
+        return (
+            first is None
+            or first.run != owner
+            or now - first.began_at >= MAXIMUM_RESET_AGE_S
+            or not self._services.directory.has_kept_owner(
+                self._request.service,
+                self._request.key,
+                first.version,
+                first.began_at,
+                now,
+            )
+        )
 
     async def choose_upstream(
         self,
@@ -114,7 +177,14 @@
         """
         now = self._services.loop.time()
         if self._request.key >= 0:
-            return await self._wait_for_owner(now)
+            record = await self._wait_for_owner(now)
+            if record is not None and self._first_owner is None:
+                self._first_owner = _FirstOwner(
+                    record.entry.run,
+                    self._services.directory.key_map.version,
+                    self._services.loop.time(),
+                )
+            return record
         record = self._services.pool.choose(
             self._request.service,
             now,
@@ -180,11 +250,7 @@
         )
         if self.tried and not self.misdirected_upstream:
             # The owner was full: one of its requests may end soon.
-            await asyncio.sleep(
-                services.generator.uniform(
-                    MINIMUM_FULL_OWNER_WAIT_S, MAXIMUM_FULL_OWNER_WAIT_S
-                )
-            )
+            await asyncio.sleep(self._draw_full_owner_wait_s(now))
             now = services.loop.time()
         while True:
             owner = services.directory.find_owner(
@@ -195,7 +261,7 @@
                 # No other upstream gets the key until this owner's lease ends.
                 self.reason = "owner-replaced"
                 return None
-            if owner is not None and owner.id in self._possible_runs:
+            if owner is not None and self._may_have_run_at(owner, now):
                 self.reason = "owner-changed"
                 return None
             if record is not None and self._may_send(record, now):
@@ -214,6 +280,25 @@
             self.misdirected_upstream = ""
             now = services.loop.time()
 
+    def _draw_full_owner_wait_s(self, now: float) -> float:
+        """Draws the wait before a retry at an owner that was full."""
+        generator = self._services.generator
+        if not self._reset_count:
+            return generator.uniform(
+                MINIMUM_FULL_OWNER_WAIT_S, MAXIMUM_FULL_OWNER_WAIT_S
+            )
+        owner = self._services.directory.find_owner(
+            self._request.service, self._request.key, now
+        )
+        record = self._services.pool.find(owner) if owner is not None else None
+        if record is None:
+            return 0.0
+        share = generator.uniform(
+            MINIMUM_RESET_WAIT_SHARE, MAXIMUM_RESET_WAIT_SHARE
+        )
+        slot_s = record.latency_s / max(1, record.entry.slots)
+        return share * slot_s * 2.0 ** (self._reset_count - 1)
+
     def _admit(
         self, record: sycamoreloft_load.UpstreamRecord, now: float
     ) -> sycamoreloft_load.UpstreamRecord | None:
--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -16,7 +16,7 @@
 import typing
 
 import pycurl
-from tornado import curl_httpclient
+from tornado import curl_httpclient, ioloop
 
 from sycamoreloft_router import (
     _body_streams,
@@ -213,6 +213,7 @@
             return int(pycurl.PREREQFUNC_ABORT)
         transfer.maybe_sent = True
         transfer.send_count += 1
+        self.sockets.set_user(endpoints, transfer)
         transfer.head.needs_echo = (
             bool(self.rules.answers.echo_header) and not self.is_connection_new
         )
@@ -384,6 +385,23 @@
             spare.clear()
         super().close()
 
+    def _handle_events(self, fd: int, events: int) -> None:
+        """Lets libcurl handle the events of a socket.
+
+        Overrides the method of tornado to look at the socket first: libcurl
+        reports neither whether a reused connection was reset or closed, nor
+        the first bytes of an incomplete status line.
+        """
+        transfer = self._sockets.users.get(fd)
+        if transfer is not None:
+            if transfer.ended:
+                del self._sockets.users[fd]
+            elif not (transfer.has_input or transfer.was_reset):
+                _connection_rules.observe_input(
+                    fd, bool(events & ioloop.IOLoop.READ), transfer
+                )
+        super()._handle_events(fd, events)
+
     def _set_timeout(self, msecs: int) -> None:
         """Schedules libcurl's next timeout.
 
--- a/packages/router/tests/test_upstream_choice.py
+++ b/packages/router/tests/test_upstream_choice.py
@@ -204,6 +204,107 @@
     virtual_time.run(main())
 
 
+@pytest.fixture
+def reset_choice(services):
+    """Returns a function that creates a choice after OWNER reset an attempt."""
+
+    async def create(has_heartbeat=True):
+        loop = services.loop = asyncio.get_running_loop()
+        entries = [build_entry(run) for run in (OWNER, OTHER)]
+        services.pool.update(entries, loop.time())
+        if has_heartbeat:
+            services.directory.set_moving(1, [], loop.time())
+        received = _exchange.ReceivedRequest(None, 0, b"", loop.time() + 5.0)
+        choice = _upstream_choice.UpstreamChoice(services, Request(), received)
+        assert (await choice.choose_upstream()).entry.run == OWNER
+        choice.tried.append(OWNER.id)
+        choice.record_reset(OWNER.id)
+        return choice
+
+    return create
+
+
+# Guards against a 502 for an idempotent request that its owner reset because it
+# was full.
+@pytest.mark.parametrize("maps", [(), ((2, OWNER),)])
+def test_a_request_that_its_owner_reset_is_sent_there_again(
+    services, reset_choice, maps
+):
+    async def main():
+        choice = await reset_choice()
+        for changed in maps:
+            services.directory.update(build_map(*changed))
+        started_at = services.loop.time()
+        assert not choice.may_have_run_at_owner(started_at)
+        assert (await choice.choose_upstream()).entry.run == OWNER
+        assert 0.0 < services.loop.time() - started_at < 0.1
+
+    virtual_time.run(main())
+
+
+# Guards against two runs of a request under two leases of its key.
+@pytest.mark.parametrize(
+    "maps",
+    [
+        ((2, OTHER), (3, OWNER)),
+        ((2, None), (3, OWNER)),
+        ((3, OWNER),),
+        ((1, OWNER, 2),),
+        ((2, sycamoreloft_direct.UpstreamRun(OWNER.id, 2)),),
+    ],
+    ids=[
+        "moved and back",
+        "without owner",
+        "unknown map",
+        "epoch",
+        "later run",
+    ],
+)
+def test_a_request_is_not_repeated_if_its_key_may_have_moved(
+    services, reset_choice, maps
+):
+    async def main():
+        choice = await reset_choice()
+        for changed in maps:
+            services.directory.update(build_map(*changed))
+        assert choice.may_have_run_at_owner(services.loop.time())
+        assert await choice.choose_upstream() is None
+        assert choice.reason == "owner-changed"
+
+    virtual_time.run(main())
+
+
+# Guards against a repeat although a move began, or may have begun unheard of.
+def test_a_request_is_not_repeated_without_knowledge_of_moves(
+    services, reset_choice
+):
+    async def main():
+        choice = await reset_choice(has_heartbeat=False)
+        assert choice.may_have_run_at_owner(services.loop.time())
+        choice = await reset_choice()
+        now = services.loop.time()
+        keys = _key_directory.MovingKeys(SERVICE, 0, 9)
+        services.directory.set_moving(1, [keys], now)
+        assert not choice.may_have_run_at_owner(now)
+        services.directory.set_moving(1, [], now + 0.1)
+        assert choice.may_have_run_at_owner(now + 0.1)
+
+    virtual_time.run(main())
+
+
+def test_a_request_is_not_repeated_at_its_owner_after_a_second(
+    services, reset_choice
+):
+    async def main():
+        choice = await reset_choice()
+        now = services.loop.time()
+        services.directory.set_moving(1, [], now + 0.9)
+        assert not choice.may_have_run_at_owner(now + 0.9)
+        assert choice.may_have_run_at_owner(now + 1.0)
+
+    virtual_time.run(main())
+
+
 # Guards against a request that is worked on twice because its key was moving
 # when the first attempt failed, and came back.
 @pytest.mark.parametrize("owner", [OWNER, OTHER])
