Choose between two drawn upstreams by the load that they report

With 110 hosts, the requests in flight of one host say little about an upstream. If either of the two drawn upstreams has reported its load within 2 s, the one with the lower expected finish is chosen: estimated backlog, reported speed and mean work time. One without a report counts as busy as the mean. Without reports, nothing changes.

--- a/packages/load/sycamoreloft_load/_reported_loads.py
+++ b/packages/load/sycamoreloft_load/_reported_loads.py
@@ -9,6 +9,10 @@
 #: their speed several times a second.
 MAXIMUM_AGE_S = 2.0
 
+#: Latency that is assumed for an upstream without answers if no upstream of
+#: its service has answered yet, in seconds.
+DEFAULT_LATENCY_S = 0.15
+
 #: Minimum time that a request is assumed to take, in seconds.
 MINIMUM_WORK_S = 0.001
 
@@ -80,19 +84,17 @@
     return max(0.0, load.running + load.waiting - ended) + sent
 
 
-class WorkTimes:
-    """Estimates the mean time that the work of a request takes.
-
-    The latency of a request contains its wait in the queue of the upstream.
-    """
+class ServiceLoads:
+    """Mean work time and mean backlog of the upstreams of each service."""
 
     def __init__(self) -> None:
-        self._means: dict[str, float] = {}
+        self._work_s: dict[str, float] = {}
+        self._backlogs: dict[str, float] = {}
 
-    def record(
+    def record_answer(
         self, service: str, latency_s: float, report: LoadReport | None
     ) -> None:
-        """Records the latency of a request.
+        """Records the latency of a request, which contains its wait in a queue.
 
         Args:
             service: Name of the service.
@@ -107,14 +109,31 @@
             work_s /= (1.0 + load.waiting / max(1, load.slots)) * (
                 max(1, load.percent) / USUAL_PERCENT
             )
-        mean_s = self._means.setdefault(service, work_s)
-        self._means[service] = mean_s + _GAIN * (work_s - mean_s)
+        _update_mean(self._work_s, service, work_s)
 
-    def get(self, service: str, default_s: float) -> float:
-        """Returns the mean of a service, in seconds, or the default."""
-        return self._means.get(service, default_s)
+    def record_load(self, service: str, load: ReportedLoad) -> None:
+        """Records a load that an upstream of a service reported."""
+        backlog = (load.running + load.waiting) / max(1, load.slots)
+        _update_mean(self._backlogs, service, backlog)
+
+    def get_work_s(self, service: str) -> float:
+        """Returns the mean time of a request without its wait, in seconds.
+
+        The time is that of an upstream at its usual speed.
+        """
+        return max(MINIMUM_WORK_S, self._work_s.get(service, DEFAULT_LATENCY_S))
+
+    def get_backlog_per_slot(self, service: str) -> float:
+        """Returns the mean reported backlog of a slot; 0 without reports."""
+        return self._backlogs.get(service, 0.0)
 
     def forget_all_but(self, services: abc.Container[str]) -> None:
         """Forgets the services that are not listed any more."""
-        for service in [name for name in self._means if name not in services]:
-            del self._means[service]
+        for means in (self._work_s, self._backlogs):
+            for service in [name for name in means if name not in services]:
+                del means[service]
+
+
+def _update_mean(means: dict[str, float], service: str, value: float) -> None:
+    mean = means.setdefault(service, value)
+    means[service] = mean + _GAIN * (value - mean)
--- a/packages/load/sycamoreloft_load/_upstream_pool.py
+++ b/packages/load/sycamoreloft_load/_upstream_pool.py
@@ -55,7 +55,8 @@
     """
 
     def __init__(self, failure_domain: str, generator: random.Random) -> None:
-        self._choice = _choice.Choice(failure_domain, generator)
+        self._loads = _reported_loads.ServiceLoads()
+        self._choice = _choice.Choice(failure_domain, generator, self._loads)
         self._generator = generator
         #: Records by identifier and start time, since hashing an `UpstreamRun`
         #: is much slower.
@@ -64,7 +65,6 @@
         #: Moving average of the latency of each service, in seconds.
         self._service_latencies: dict[str, float] = {}
         self._remembered = _remembered_runs.RememberedRuns()
-        self._work_times = _reported_loads.WorkTimes()
         #: Records of the runs whose latest report this host heard itself, and
         #: that `take_loads` has not returned yet.
         self._heard: dict[tuple[str, int], _Record] = {}
@@ -95,7 +95,7 @@
         self._by_service = by_service
         for service in self._service_latencies.keys() - by_service.keys():
             del self._service_latencies[service]
-        self._work_times.forget_all_but(by_service)
+        self._loads.forget_all_but(by_service)
 
     def _create_record(
         self,
@@ -164,9 +164,10 @@
         # An upstream that looked slow before its first answer would never be
         # chosen beside faster ones.
         unknown_latency_s = self._service_latencies.get(
-            service, _upstream_records.DEFAULT_LATENCY_S
+            service, _reported_loads.DEFAULT_LATENCY_S
         )
         return self._choice.choose(
+            service,
             self._by_service.get(service, ()),
             now,
             is_upload,
@@ -203,6 +204,7 @@
         record.report = _reported_loads.LoadReport(load, observed_at)
         if is_heard:
             self._heard[key] = record
+            self._loads.record_load(record.entry.service, load)
         else:
             self._heard.pop(key, None)
         return True
@@ -245,9 +247,7 @@
         The time is that of an upstream at its usual speed. If upstreams report
         no load, it contains their queues.
         """
-        return self._work_times.get(
-            service, _upstream_records.DEFAULT_LATENCY_S
-        )
+        return self._loads.get_work_s(service)
 
     def record_pause(
         self,
@@ -432,7 +432,7 @@
         report = record.report
         if report is not None and report.observed_at < started_at:
             report = None
-        self._work_times.record(service, seconds, report)
+        self._loads.record_answer(service, seconds, report)
 
 
 def _update_entry(
--- a/packages/load/sycamoreloft_load/_upstream_records.py
+++ b/packages/load/sycamoreloft_load/_upstream_records.py
@@ -7,10 +7,6 @@
 import sycamoreloft_direct
 from sycamoreloft_load import _pace, _reported_loads
 
-#: Latency that is assumed for an upstream without answers if no upstream of
-#: its service has answered yet, in seconds.
-DEFAULT_LATENCY_S = 0.15
-
 #: An upstream is considered stalled if its oldest request is older than this
 #: multiple of its mean latency and it has answered nothing since.
 STALL_FACTOR = 5.0
@@ -59,7 +55,7 @@
     #: Start times of the requests in flight, by attempt, oldest first.
     in_flight: dict[object, float] = dataclasses.field(default_factory=dict)
     #: Moving average of the latency, in seconds.
-    latency_s: float = DEFAULT_LATENCY_S
+    latency_s: float = _reported_loads.DEFAULT_LATENCY_S
     #: Number of answers in that average.
     answers: int = 0
     #: Moving average of the share of failed attempts.
