Report the paces of upstreams as a metric and a log line

Nothing showed that a host held upstreams back. sycamoreloft_upstreams_paced gives their number by service, and upstreams-paced logs it at most once in 5 s, since it changes several times a second under overload.

--- a/packages/load/sycamoreloft_load/_upstream_pool.py
+++ b/packages/load/sycamoreloft_load/_upstream_pool.py
@@ -127,13 +127,14 @@
         """Lets the share of an upstream rise from the lowest, as at a start."""
         record.pace = _pace.begin(now)
 
-    def count_paced(self, now: float) -> int:
-        """Returns the number of upstreams that don't get their whole load."""
-        return sum(
-            record.pace is not None
-            and _pace.compute_share(record.pace, now) < 1.0
-            for record in self._records.values()
-        )
+    def count_paced(self, now: float) -> dict[str, int]:
+        """Returns how many upstreams of each service have a limited share."""
+        counts: dict[str, int] = {}
+        for service, records in self._by_service.items():
+            count = sum(_has_limited_share(record, now) for record in records)
+            if count:
+                counts[service] = count
+        return counts
 
     def find(self, run: sycamoreloft_direct.UpstreamRun) -> _Record | None:
         """Returns the record of a run, or None if it is not listed."""
@@ -456,6 +457,11 @@
         record.leaving_since = now
 
 
+def _has_limited_share(record: _Record, now: float) -> bool:
+    pace = record.pace
+    return pace is not None and _pace.compute_share(pace, now) < 1.0
+
+
 def _update_share(
     record: _Record,
     result: _RESULT,
--- a/packages/load/tests/test_pace.py
+++ b/packages/load/tests/test_pace.py
@@ -52,7 +52,7 @@
     start(pool, world.entries, 0, 2.0)
     assert count(pool, {"u0"}, 2.0) < 0.4
     assert count(pool, {"u0"}, 3.6) > 0.8
-    assert pool.count_paced(3.6) == 0
+    assert pool.count_paced(3.6) == {}
 
 
 # Fast from the first response.
@@ -79,7 +79,7 @@
     assert _pace.compute_share(record.pace, 4.9) < 0.3
     for number in range(30):
         answer(pool, record, 1.0, 5.1 + number / 10)
-    assert pool.count_paced(8.0) == 0
+    assert pool.count_paced(8.0) == {}
 
 
 # A recovery after an ejection, and after a refusal.
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -42,6 +42,7 @@
     _upstream_client,
     _upstream_notices,
 )
+from sycamoreloft_router.load import _pace_reports
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -128,6 +129,7 @@
         self._pool = sycamoreloft_load.UpstreamPool(
             settings.failure_domain, generator
         )
+        self._pace_reports = _pace_reports.PaceReports(self._pool, metrics)
         self._upstreams = _direct_views.UpstreamView(
             settings.reuse_after_s, self._update_pool
         )
@@ -377,6 +379,7 @@
             self._metrics.observe("sycamoreloft_loop_lag_seconds", lag_s)
             self._upstreams.sweep(self._loop.time())
             self._states.sweep(self._loop.time())
+            self._pace_reports.update(self._loop.time())
 
     def _schedule_sweep(self, now: float) -> None:
         if self._upstreams.compute_next_expiry() < now + MAXIMUM_SWEEP_S:
--- a/packages/router/sycamoreloft_router/_metrics.py
+++ b/packages/router/sycamoreloft_router/_metrics.py
@@ -248,6 +248,12 @@
         Kind.GAUGE,
         "Upstreams that discovery lists, leaving ones among them",
     ),
+    Definition(
+        "sycamoreloft_upstreams_paced",
+        Kind.GAUGE,
+        "Upstreams whose share of requests is limited",
+        ("service",),
+    ),
     Definition(
         "sycamoreloft_loop_lag_seconds",
         Kind.HISTOGRAM,
