--- a/packages/standins/sycamoreloft_standins/instances.py
+++ b/packages/standins/sycamoreloft_standins/instances.py
@@ -92,6 +92,8 @@
         self.shed_requests = 0
         #: Whether all answers say that the instance is shutting down.
         self.is_leaving = False
+        #: Load that all answers report, as in their header; "" for none.
+        self.load = ""
         #: Path of requests that close the connection, to simulate a crash; ""
         #: for none.
         self.crashing_path = ""
@@ -166,6 +168,8 @@
         """Ends the answer, with the headers that all answers have."""
         if self.instance.is_leaving:
             self.set_header("Server-Leaving", "1")
+        if self.instance.load:
+            self.set_header("Instance-Load", self.instance.load)
         return super().finish(chunk)
 
     def echo_id(self) -> None:
