Limit the requests of all hosts to a cold upstream

An upstream that has just started during traffic crashes well above the requests a second that its service states. Hosts cannot agree on shares in time, so each draws random send times as a Poisson process with an equal share of the rate. The sum over all hosts is a Poisson process as well, and the rate is the highest at which a second exceeds the bound with a probability below 1e-6. The pool skips cold upstreams without a send time.

Nothing is limited for services without a rate.

--- a/packages/direct/sycamoreloft_direct/_model.py
+++ b/packages/direct/sycamoreloft_direct/_model.py
@@ -65,6 +65,10 @@
     connections: int
     #: URL path of the health check.
     health_path: str
+    #: Seconds for which an upstream is cold after a start during traffic.
+    warm_up_s: float = 0.0
+    #: Requests per second that a cold upstream tolerates; 0 for no limit.
+    warm_up_rate: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,6 +118,14 @@
     #: Seconds for which the upstream is slow after its start, counted from
     #: the first time that a host sees the entry.
     warm_up_s: float = 0.0
+    #: Requests per second that the upstream tolerates now because it is cold;
+    #: 0 for no limit. Set by hosts, not by the entry.
+    warm_up_rate: float = 0.0
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """The run as a key of mappings, which is hashed faster."""
+        return self.id, self.started_ms
 
     @property
     def run(self) -> "UpstreamRun":
--- a/packages/load/sycamoreloft_load/__init__.py
+++ b/packages/load/sycamoreloft_load/__init__.py
@@ -4,16 +4,19 @@
 time, in seconds.
 """
 
+from sycamoreloft_load._attempt_results import AttemptResult
 from sycamoreloft_load._upstream_pool import (
     MINIMUM_STALL_S,
-    AttemptResult,
     UpstreamPool,
     UpstreamRecord,
 )
+from sycamoreloft_load._warm_up_limits import WarmUpBounds, WarmUpLimits
 
 __all__ = [
     "MINIMUM_STALL_S",
     "AttemptResult",
     "UpstreamPool",
     "UpstreamRecord",
+    "WarmUpBounds",
+    "WarmUpLimits",
 ]
--- a/packages/load/sycamoreloft_load/_upstream_pool.py
+++ b/packages/load/sycamoreloft_load/_upstream_pool.py
@@ -2,12 +2,17 @@
 
 from collections import abc
 import dataclasses
-import enum
 import math
 import random
 
 import sycamoreloft_direct
-from sycamoreloft_load import _remembered_runs
+from sycamoreloft_load import (
+    _attempt_results,
+    _remembered_runs,
+    _warm_up_limits,
+)
+
+_RESULT = _attempt_results.AttemptResult
 
 #: Weight of a new observation in a moving average.
 MOVING_AVERAGE_GAIN = 0.15
@@ -64,40 +69,6 @@
 REFUSAL_WEIGHT = 0.3
 
 
-#: Adjustments to the share of requests that an owner of keys gets: each request
-#: without an answer multiplies the share, and each answer adds to it. Refused
-#: requests don't change it, because a refusal is quick and shows that the
-#: request did not run.
-SHARE_BACK_OFF = 0.85
-SHARE_RECOVERY = 0.02
-
-#: Minimum of this share.
-MINIMUM_SHARE = 0.2
-
-
-class AttemptResult(enum.Enum):
-    """Result of sending a request to an upstream."""
-
-    #: The upstream answered the request.
-    ANSWERED = "answered"
-    #: The upstream answered with an error of its own.
-    FAILED = "failed"
-    #: The upstream refused the request, which did not run.
-    REFUSED = "refused"
-    #: Another upstream answered at the address. The request did not run.
-    REPLACED = "replaced"
-    #: The upstream stopped accepting requests before this one was sent.
-    WITHDRAWN = "withdrawn"
-    #: No connection could be made.
-    UNREACHABLE = "unreachable"
-    #: The connection broke, or the answer was malformed.
-    BROKEN = "broken"
-    #: No answer arrived in time.
-    SILENT = "silent"
-    #: The attempt ended early, for example because the caller disconnected.
-    CANCELLED = "cancelled"
-
-
 @dataclasses.dataclass(slots=True)
 class UpstreamRecord:
     """Observations of this host about one run of an upstream.
@@ -156,6 +127,8 @@
         #: Moving average of the latency of each service, in seconds.
         self._service_latencies: dict[str, float] = {}
         self._remembered = _remembered_runs.RememberedRuns()
+        #: Limits on the requests to cold upstreams.
+        self.warm_up = _warm_up_limits.WarmUpLimits(generator)
 
     def update(
         self, upstreams: abc.Iterable[sycamoreloft_direct.Upstream], now: float
@@ -233,6 +206,11 @@
         Returns:
             The record of the upstream, or None if there is none to choose.
         """
+        cold = self.warm_up.list_cold(service, now)
+        if cold:
+            record = self._take_cold(service, now, excluded)
+            if record is not None:
+                return record
         candidates: list[UpstreamRecord] = []
         weights: list[float] = []
         # An upstream that looked slow before its first answer would never be
@@ -247,6 +225,7 @@
                 and now >= record.replaced_until
                 and now >= record.paused_until
                 and entry.id not in excluded
+                and not (cold and (entry.id, entry.started_ms) in cold)
             ):
                 candidates.append(record)
                 latency_s = (
@@ -268,6 +247,27 @@
         )
         return candidates[best]
 
+    def _take_cold(
+        self, service: str, now: float, excluded: abc.Container[str]
+    ) -> UpstreamRecord | None:
+        """Returns a cold upstream that this host may send to now, or None.
+
+        It goes before the warm ones: its send times are rare, and would end
+        unused if it were drawn by its weight.
+        """
+        for key in self.warm_up.list_ready(service, now):
+            record = self._records.get(key)
+            if (
+                record is not None
+                and not record.entry.is_draining
+                and key[0] not in excluded
+                and now >= max(record.replaced_until, record.paused_until)
+                and not self.is_avoided(record, now)
+                and self.warm_up.reserve(key, now)
+            ):
+                return record
+        return None
+
     def record_pause(
         self,
         run: sycamoreloft_direct.UpstreamRun,
@@ -344,14 +344,22 @@
             leaving_s: Seconds for which an upstream that is shutting down gets
                 such requests.
         """
-        # The record may have been replaced since, also by that of a later run.
-        run = record.entry.run
-        current = self.find(run) or self._find_later_run(run) or record
+        current = self._find_current(record)
         return (
             now >= current.paused_until
             and now - current.leaving_since < leaving_s
+            and self.warm_up.may_send(current.entry.key, now)
         )
 
+    def claim_send(self, record: UpstreamRecord, now: float) -> bool:
+        """Returns whether a request may be sent now; counts it if so."""
+        return self.warm_up.claim(self._find_current(record).entry.key, now)
+
+    def _find_current(self, record: UpstreamRecord) -> UpstreamRecord:
+        """Returns the record that replaced another, maybe of a later run."""
+        run = record.entry.run
+        return self.find(run) or self._find_later_run(run) or record
+
     def is_replaced(self, record: UpstreamRecord, now: float) -> bool:
         """Returns whether another upstream is assumed to use the address."""
         return now < record.replaced_until
@@ -378,31 +386,31 @@
         self,
         record: UpstreamRecord,
         attempt: object,
-        result: AttemptResult,
+        result: _attempt_results.AttemptResult,
         now: float,
     ) -> None:
         """Records the result of an attempt."""
         started_at = record.in_flight.pop(attempt, now)
-        if result in (AttemptResult.CANCELLED, AttemptResult.WITHDRAWN):
+        if result in (_RESULT.CANCELLED, _RESULT.WITHDRAWN):
             return
-        if result is AttemptResult.REPLACED:
+        if result is _RESULT.REPLACED:
             record.replaced_until = now + REPLACED_ADDRESS_S
             return
-        _update_share(record, result)
-        if result is AttemptResult.REFUSED:
+        record.share = _attempt_results.adjust_share(record.share, result)
+        if result is _RESULT.REFUSED:
             record.refused_at = now
             record.answered_at = now
             record.failures = 0
             return
-        is_bad = result is not AttemptResult.ANSWERED
-        if result is not AttemptResult.UNREACHABLE:
+        is_bad = result is not _RESULT.ANSWERED
+        if result is not _RESULT.UNREACHABLE:
             # This share is for upstreams that fail some of the requests that
             # they accept. An unreachable upstream accepts none; it is ejected,
             # and keeps its share for the time after.
             record.failure_share += MOVING_AVERAGE_GAIN * (
                 is_bad - record.failure_share
             )
-        if result in (AttemptResult.ANSWERED, AttemptResult.FAILED):
+        if result in (_RESULT.ANSWERED, _RESULT.FAILED):
             record.answered_at = now
             record.failures = 0
             record.ejection_s = 0.0
@@ -413,7 +421,7 @@
         record.failures += 1
         if (
             record.failures >= FAILURES_TO_EJECT
-            or result is AttemptResult.UNREACHABLE
+            or result is _RESULT.UNREACHABLE
         ):
             record.ejection_s = min(
                 MAXIMUM_EJECTION_S,
@@ -485,10 +493,3 @@
     oldest = next(iter(record.in_flight.values()))
     limit = max(MINIMUM_STALL_S, STALL_FACTOR * record.latency_s)
     return now - max(oldest, record.answered_at) > limit
-
-
-def _update_share(record: UpstreamRecord, result: AttemptResult) -> None:
-    if result is AttemptResult.SILENT:
-        record.share = max(MINIMUM_SHARE, record.share * SHARE_BACK_OFF)
-    elif result is AttemptResult.ANSWERED:
-        record.share = min(1.0, record.share + SHARE_RECOVERY)
