Plan few keys for upstreams that are limited while cold

Hosts draw their own send times for a cold upstream, so that most requests for its keys arrive at a host without one and are refused. The coordinator plans a tenth of the rate that the upstream tolerates, and moves the other keys to warm upstreams.

--- a/packages/direct/sycamoreloft_direct/_key_coordinator.py
+++ b/packages/direct/sycamoreloft_direct/_key_coordinator.py
@@ -20,6 +20,7 @@
     _epochs,
     _key_commands,
     _key_map,
+    _key_planning,
     _key_rebalancing,
     _key_segments,
     _lease_ends,
@@ -179,9 +180,13 @@
         """Adds the load that a host observed."""
         self._rebalancer.record_load(load)
 
-    def update_speeds(self, speeds: abc.Mapping[str, float]) -> None:
-        """Replaces the relative speeds of upstreams, by identifier."""
-        self._rebalancer.update_speeds(speeds)
+    def update_speeds(
+        self,
+        speeds: abc.Mapping[str, float],
+        request_s: float = _key_planning.DEFAULT_REQUEST_S,
+    ) -> None:
+        """Replaces the speeds by identifier, and the work of a request."""
+        self._rebalancer.update_speeds(speeds, request_s)
 
     def end_run(self, run: _model.UpstreamRun) -> None:
         """Vacates all keys of a run that is certain to have ended."""
--- a/packages/direct/sycamoreloft_direct/_key_planning.py
+++ b/packages/direct/sycamoreloft_direct/_key_planning.py
@@ -35,6 +35,14 @@
 #: Capacity of an upstream that declares a warm-up, relative to its full one.
 WARM_UP_CAPACITY = 0.5
 
+#: Share of the rate of a cold upstream that is planned for its keys. Each host
+#: draws its own times for sending to a cold upstream, so that most requests for
+#: its keys arrive at a host without such a time and are refused.
+COLD_KEY_SHARE = 0.1
+
+#: Mean work of a request that is assumed before any answer, in seconds.
+DEFAULT_REQUEST_S = 0.1
+
 #: Maximum number of parts into which the keys of one lost or leaving upstream
 #: are divided, unless they span more parts of average width.
 USUAL_MAXIMUM_PARTS = 4
@@ -73,6 +81,7 @@
         window_s: Length of the window that the profile covers, in seconds.
         speeds: Relative speed of upstreams, by identifier. It is 1.0 for an
             upstream that is not in the mapping.
+        request_s: Mean work of a request, in seconds.
     """
 
     def __init__(
@@ -81,13 +90,14 @@
         profile: _key_loads.LoadProfile,
         window_s: float,
         speeds: abc.Mapping[str, float],
+        request_s: float = DEFAULT_REQUEST_S,
     ) -> None:
         self._profile = profile
         self._capacity = {
-            upstream.run: max(upstream.slots, 1)
-            * window_s
-            * speeds.get(upstream.id, 1.0)
-            * (WARM_UP_CAPACITY if upstream.warm_up_s > 0 else 1.0)
+            upstream.run: window_s
+            * _compute_capacity(
+                upstream, speeds.get(upstream.id, 1.0), request_s
+            )
             for upstream in upstreams
         }
         self._work = dict.fromkeys(self._capacity, 0.0)
@@ -298,3 +308,14 @@
 
     def _get_work(self, owned_range: OwnedRange) -> float:
         return self._profile.sum(owned_range.first, owned_range.last)
+
+
+def _compute_capacity(
+    upstream: _model.Upstream, speed: float, request_s: float
+) -> float:
+    """Returns the work that an upstream can do for its keys per second."""
+    capacity = max(upstream.slots, 1) * speed
+    if upstream.warm_up_rate > 0:
+        cold = upstream.warm_up_rate * request_s * COLD_KEY_SHARE
+        return min(cold, capacity * WARM_UP_CAPACITY)
+    return capacity * (WARM_UP_CAPACITY if upstream.warm_up_s > 0 else 1.0)
--- a/packages/direct/sycamoreloft_direct/_key_rebalancing.py
+++ b/packages/direct/sycamoreloft_direct/_key_rebalancing.py
@@ -67,6 +67,7 @@
         self._has_pending_revocation = has_pending_revocation
         self._loads: dict[str, _key_loads.KeyLoads] = {}
         self._speeds: abc.Mapping[str, float] = {}
+        self._request_s = _key_planning.DEFAULT_REQUEST_S
         self._silent_until: dict[_model.UpstreamRun, float] = {}
         self._upstreams: abc.Mapping[_model.UpstreamRun, _model.Upstream] = {}
         self._busy: set[str] = set()
@@ -87,9 +88,17 @@
         """Adds the load that a host observed."""
         self._get_loads(load.service).add(load.work_s)
 
-    def update_speeds(self, speeds: abc.Mapping[str, float]) -> None:
-        """Replaces the relative speeds of upstreams, by identifier."""
+    def update_speeds(
+        self, speeds: abc.Mapping[str, float], request_s: float
+    ) -> None:
+        """Replaces the relative speeds of upstreams, by identifier.
+
+        Args:
+            speeds: The speeds.
+            request_s: Mean work of a request, in seconds.
+        """
         self._speeds = speeds
+        self._request_s = request_s
 
     def record_silence(self, run: _model.UpstreamRun, now: float) -> None:
         """Records that an upstream did not answer an order."""
@@ -152,6 +161,7 @@
             self._get_loads(service).create_profile(),
             LOAD_WINDOW_S,
             self._speeds,
+            self._request_s,
         )
         segments = self._table.list_service(service)
         planner.add_work(
--- a/packages/direct/tests/test_hot_keys.py
+++ b/packages/direct/tests/test_hot_keys.py
@@ -4,6 +4,7 @@
 spreads the load, not how it deals with lost or late orders.
 """
 
+import dataclasses
 import random
 
 import pytest
@@ -179,3 +180,21 @@
     grant = kinds.index("SendGrant", first_write)
     assert all(moving for _, moving in states[: grant + 1])
     assert not simulation.coordinator.list_moving()
+
+
+# Guards against keys at a cold upstream whose requests are refused.
+def test_an_upstream_with_a_limited_rate_loses_most_of_its_keys():
+    simulation = Simulation()
+    simulation.run(10.0, 400)
+    warm = simulation.upstreams[0]
+    before = count_keys(simulation, warm.run)
+    simulation.upstreams[0] = dataclasses.replace(warm, warm_up_rate=5.0)
+    simulation.run(5.0, 400)
+    assert count_keys(simulation, warm.run) < before / 4
+
+
+def count_keys(simulation, run):
+    keys = simulation.coordinator.key_map.services[SERVICE]
+    return sum(
+        item.last - item.first + 1 for item in keys.ranges if item.owner == run
+    )
--- a/packages/router/sycamoreloft_router/_tenure.py
+++ b/packages/router/sycamoreloft_router/_tenure.py
@@ -48,7 +48,7 @@
     def __init__(
         self,
         platform: _direct_ports.Platform,
-        upstreams: _direct_views.UpstreamView,
+        upstreams: _direct_views.UpstreamSource,
         metrics: _metrics.Metrics,
         acquired: _acquired_records.AcquiredRecords,
         times: sycamoreloft_direct.LeaseTimes,
@@ -148,7 +148,9 @@
             sharded,
             now,
         )
-        self._coordinator.update_speeds(self._answer_times.compute_speeds())
+        self._coordinator.update_speeds(
+            self._answer_times.compute_speeds(), self._answer_times.mean_s
+        )
         self._execute_due_commands(now)
 
     def _execute_due_commands(self, now: float) -> None:
