Apply the limits on cold upstreams on hosts

Hosts read the warm-up time and rate of services from the desired state, and the bounds from the settings. Owners of keys refuse with owner-cold. Each send to a cold run uses up a send time right before its bytes leave, since a request may wait for a connection; requests that wait when an upstream becomes cold are withdrawn.

--- a/packages/router/sycamoreloft_router/__init__.py
+++ b/packages/router/sycamoreloft_router/__init__.py
@@ -13,7 +13,8 @@
     Connection,
 )
 from sycamoreloft_router._call_progress import CallProgress
-from sycamoreloft_router._direct_host import RELOADABLE, DirectHost
+from sycamoreloft_router._direct_host import DirectHost
+from sycamoreloft_router._direct_limits import RELOADABLE
 from sycamoreloft_router._direct_ports import (
     UNKNOWN_ERA,
     HeaderNames,
--- a/packages/router/sycamoreloft_router/_coordinator_role.py
+++ b/packages/router/sycamoreloft_router/_coordinator_role.py
@@ -92,7 +92,7 @@
         settings: _direct_ports.HostSettings,
         platform: _direct_ports.Platform,
         states: _direct_views.StateView,
-        upstreams: _direct_views.UpstreamView,
+        upstreams: _direct_views.UpstreamSource,
         directory: _key_directory.KeyDirectory,
         metrics: _metrics.Metrics,
         socket: _direct_peers.DatagramSender,
--- a/packages/router/sycamoreloft_router/_direct_execution.py
+++ b/packages/router/sycamoreloft_router/_direct_execution.py
@@ -296,6 +296,7 @@
                 request.request_id,
                 needs_new_connection=needs_new_connection,
                 may_send=functools.partial(self._may_send, record),
+                claim_send=functools.partial(self._claim_send, record),
                 on_head=functools.partial(self._observe_head, record),
             )
         )
@@ -311,6 +312,12 @@
             record, services.loop.time(), services.leaving_s
         )
 
+    def _claim_send(self, record: sycamoreloft_load.UpstreamRecord) -> bool:
+        """Returns whether the bytes may leave now; see `claim_send`."""
+        return self._services.pool.claim_send(
+            record, self._services.loop.time()
+        )
+
     def _observe_head(
         self,
         record: sycamoreloft_load.UpstreamRecord,
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -42,6 +42,7 @@
     _upstream_client,
     _upstream_notices,
 )
+from sycamoreloft_router.load import _pool_updates
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -89,20 +90,6 @@
 #: leaving owner still gets requests, it stays below the drain time of 2 s.
 MAXIMUM_SPREAD_S = 0.6
 
-#: Names of the settings that a running host can change; the others need a
-#: restart.
-RELOADABLE = frozenset(
-    (
-        "drain_s",
-        "grace_s",
-        "reuse_after_s",
-        "store_reads_per_s",
-        "retry_share",
-        "retry_slack",
-        "retry_window_s",
-    )
-)
-
 
 class DirectHost:
     """Runs the process of a direct host.
@@ -129,8 +116,15 @@
             settings.failure_domain, generator
         )
         self._upstreams = _direct_views.UpstreamView(
-            settings.reuse_after_s, self._update_pool
+            settings.reuse_after_s, lambda: self._pool_updates.update()
         )
+        self._pool_updates = _pool_updates.PoolUpdates(
+            self._pool,
+            self._upstreams,
+            self._loop.time,
+            lambda: self._loop.call_soon(client.withdraw_unsent),
+        )
+        self._pool_updates.apply_settings(settings)
         notices = _upstream_notices.UpstreamNotices(
             platform.read_notice,
             self._upstreams,
@@ -200,7 +194,7 @@
                 ),
             ),
             self._states,
-            self._upstreams,
+            self._pool_updates,
             self._directory,
             metrics,
             socket=self._crashes,
@@ -267,10 +261,14 @@
         """Applies the reloadable settings, and ignores the others."""
         self._settings = dataclasses.replace(
             self._settings,
-            **{name: getattr(settings, name) for name in RELOADABLE},
+            **{
+                name: getattr(settings, name)
+                for name in _direct_limits.RELOADABLE
+            },
         )
         self._services.leaving_s = settings.drain_s * LEAVING_SHARE
         self._upstreams.keep_s = settings.reuse_after_s
+        self._pool_updates.apply_settings(settings)
         self._budgets.set_limits(*_direct_limits.compute_retry_limits(settings))
 
     async def run(
@@ -402,6 +400,7 @@
             "sycamoreloft_upstreams_listed",
             value=float(len(self._upstreams.list_all())),
         )
+        self._pool_updates.record_metrics(metrics)
         for table, follower in (
             ("states", self.state_follower),
             ("upstreams", self.upstream_follower),
@@ -445,11 +444,13 @@
     def _update_host_count(self, count: int) -> None:
         """Records how many hosts the coordinator knows."""
         self._budgets.update_host_count(count)
+        self._pool_updates.update_host_count(count)
 
     def _apply_states(self, values: abc.Mapping[str, object]) -> None:
         self._states.apply_entries(values)
         state = self._states.state
         if state is not None:
+            self._pool_updates.apply_state(state)
             self._server.limit_callers(
                 state.bounds.header_bytes,
                 state.bounds.body_bytes,
@@ -488,6 +489,3 @@
         self, message: _datagrams.Datagram, sender: _datagrams.Address
     ) -> None:
         self._departures.receive(message, sender, self._role.receive)
-
-    def _update_pool(self) -> None:
-        self._pool.update(self._upstreams.list_all(), self._loop.time())
--- a/packages/router/sycamoreloft_router/_direct_limits.py
+++ b/packages/router/sycamoreloft_router/_direct_limits.py
@@ -14,6 +14,22 @@
 #: until a host learns the number of hosts.
 RETRY_SLACK_SHARE = 0.4
 
+#: Names of the settings that a running host can change; the others need a
+#: restart.
+RELOADABLE = frozenset(
+    (
+        "drain_s",
+        "grace_s",
+        "reuse_after_s",
+        "store_reads_per_s",
+        "retry_share",
+        "retry_slack",
+        "retry_window_s",
+        "warm_up_overage",
+        "warm_up_slack",
+    )
+)
+
 
 def build_lease_times(
     settings: _direct_ports.HostSettings,
--- a/packages/router/sycamoreloft_router/_direct_ports.py
+++ b/packages/router/sycamoreloft_router/_direct_ports.py
@@ -307,3 +307,7 @@
     store_reads_per_s: float = 1_000.0
     #: Lowest level of log lines that are written.
     log_level: str = "info"
+    #: Bound on the requests that a cold upstream gets in a second: this factor
+    #: of the rate that it tolerates, and a number of requests in addition.
+    warm_up_overage: float = 1.5
+    warm_up_slack: float = 8.0
--- a/packages/router/sycamoreloft_router/_direct_views.py
+++ b/packages/router/sycamoreloft_router/_direct_views.py
@@ -127,6 +127,18 @@
         return False
 
 
+class UpstreamSource(typing.Protocol):
+    """Upstreams that may own keys."""
+
+    def list_all(self) -> list[sycamoreloft_direct.Upstream]:
+        """Returns all upstreams; those that must lose keys as draining."""
+
+    def find(
+        self, run: sycamoreloft_direct.UpstreamRun
+    ) -> sycamoreloft_direct.Upstream | None:
+        """Returns the entry of a run."""
+
+
 class UpstreamView:
     """Upstreams that discovery lists, or listed until recently.
 
--- a/packages/router/sycamoreloft_router/_metrics.py
+++ b/packages/router/sycamoreloft_router/_metrics.py
@@ -242,6 +242,11 @@
         Kind.GAUGE,
         "Upstreams that discovery lists, leaving ones among them",
     ),
+    Definition(
+        "sycamoreloft_upstreams_cold",
+        Kind.GAUGE,
+        "Upstreams whose requests are limited because they are cold",
+    ),
     Definition(
         "sycamoreloft_loop_lag_seconds",
         Kind.HISTOGRAM,
--- a/packages/router/sycamoreloft_router/_transfer_types.py
+++ b/packages/router/sycamoreloft_router/_transfer_types.py
@@ -74,6 +74,9 @@
     #: Returns whether the upstream still accepts the request. Called before
     #: each send, since a transfer may wait for a connection for seconds.
     may_send: abc.Callable[[], bool] | None = None
+    #: Called right before each send; returns whether the request may be sent,
+    #: and counts it if so.
+    claim_send: abc.Callable[[], bool] | None = None
     #: Called with the head of the answer as soon as it is complete; the body
     #: may take seconds longer. It must not start or end transfers.
     on_head: abc.Callable[[_answer_heads.AnswerHead], None] | None = None
--- a/packages/router/sycamoreloft_router/_transfers.py
+++ b/packages/router/sycamoreloft_router/_transfers.py
@@ -154,6 +154,12 @@
         self.is_withdrawn = may_send is not None and not may_send()
         return self.is_withdrawn
 
+    def claim_send(self) -> bool:
+        """Returns whether the request may be sent now; counts it if so."""
+        claim = self.request.claim_send
+        self.is_withdrawn = claim is not None and not claim()
+        return not self.is_withdrawn
+
     def attach(self, handle: typing.Any) -> None:
         """Sets the handle that runs the transfer."""
         self._handle = handle
--- a/packages/router/sycamoreloft_router/_upstream_choice.py
+++ b/packages/router/sycamoreloft_router/_upstream_choice.py
@@ -30,6 +30,10 @@
 MINIMUM_LOST_OWNER_RETRY_MS = 500
 MAXIMUM_LOST_OWNER_RETRY_MS = 1_000
 
+#: Maximum time that counts of the rest of a warm-up, in seconds: the keys of a
+#: cold owner move to a warm one in about this time.
+MAXIMUM_COLD_RETRY_S = 2.0
+
 #: Share of the rest of a pause over which the callers that were refused
 #: because of it return after its end.
 PAUSE_SPREAD_SHARE = 0.5
@@ -38,6 +42,10 @@
 MINIMUM_REMAINING_S = 0.03
 
 
+#: Reasons of refusals because upstreams are cold.
+_COLD_REASONS = frozenset(("owner-cold", "upstreams-cold"))
+
+
 class UpstreamChoice:
     """Chooses the upstreams of one request from its earlier attempts.
 
@@ -122,10 +130,15 @@
             self.tried,
         )
         if record is None:
-            pause_s = self._compute_pause_s(now)
-            self.reason = "upstreams-paused" if pause_s else "no-upstream"
+            self.reason = self._find_missing_reason(now)
         return record
 
+    def _find_missing_reason(self, now: float) -> str:
+        """Returns why there is no upstream for a request without a key."""
+        if self._compute_pause_s(now):
+            return "upstreams-paused"
+        return "upstreams-cold" if self._compute_cold_s(now) else "no-upstream"
+
     def is_owner_paused(self, now: float) -> bool:
         """Returns whether the owner of the key wants no requests for now.
 
@@ -151,10 +164,24 @@
             return 0.0
         return services.pool.compute_pause_s(record, now)
 
+    def _compute_cold_s(self, now: float) -> float:
+        """Returns for how long each possible upstream stays cold."""
+        services, request = self._services, self._request
+        warm_up = services.pool.warm_up
+        if request.key < 0:
+            return warm_up.compute_service_cold_s(request.service, now)
+        owner = services.directory.find_owner(request.service, request.key, now)
+        if owner is None:
+            return 0.0
+        return warm_up.compute_cold_s((owner.id, owner.started_ms), now)
+
     def choose_retry_after_ms(self) -> int:
         """Draws the time after which a refused caller should return."""
         generator = self._services.generator
-        pause_s = self._compute_pause_s(self._services.loop.time())
+        now = self._services.loop.time()
+        pause_s = self._compute_pause_s(now)
+        if not pause_s and self.reason in _COLD_REASONS:
+            pause_s = min(self._compute_cold_s(now), MAXIMUM_COLD_RETRY_S)
         if pause_s:
             pause_ms = round(pause_s * 1000)
             return pause_ms + generator.randint(
@@ -230,6 +257,9 @@
             self.reason = "owner-silent"
             if record.in_flight:
                 return None
+        if not pool.warm_up.reserve(record.entry.key, now):
+            self.reason = "owner-cold"
+            return None
         return record
 
     def _may_send(
--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -211,6 +211,8 @@
         elif self.sockets.is_readable(endpoints):
             self.has_unread_bytes = True
             return int(pycurl.PREREQFUNC_ABORT)
+        if not transfer.claim_send():
+            return int(pycurl.PREREQFUNC_ABORT)
         transfer.maybe_sent = True
         transfer.send_count += 1
         transfer.head.needs_echo = (
--- /dev/null
+++ b/packages/router/tests/test_pool_updates.py
@@ -0,0 +1,71 @@
+"""Passes the entries of the store to the pool and to the coordinator."""
+
+import random
+
+import pytest
+
+import sycamoreloft_direct
+import sycamoreloft_load
+from sycamoreloft_router import _direct_views, _metrics
+from sycamoreloft_router.load import _pool_updates
+
+SERVICE = sycamoreloft_direct.Service("ledger", True, 0, "", 20.0, 5.0)
+BOUNDS = sycamoreloft_direct.CallerLimits(1, 1, 1.0)
+
+
+def build(name, domain="a", **changes):
+    return sycamoreloft_direct.Upstream(
+        name, 1, f"{name}:1", "ledger", domain, 4, False, **changes
+    )
+
+
+class Host:
+    """The parts of a host that pass entries on."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.withdrawals = 0
+        self.pool = sycamoreloft_load.UpstreamPool("a", random.Random(1))
+        self.view = _direct_views.UpstreamView(
+            2.0, lambda: self.updates.update()
+        )
+        self.updates = _pool_updates.PoolUpdates(
+            self.pool,
+            self.view,
+            lambda: self.now,
+            self._count_withdrawal,
+            lambda: 1e9 + self.now,
+        )
+
+    def _count_withdrawal(self):
+        self.withdrawals += 1
+
+    def apply_service(self, service=SERVICE):
+        state = sycamoreloft_direct.DesiredState(
+            1, (), {"ledger": service}, BOUNDS
+        )
+        self.updates.apply_state(state)
+
+
+@pytest.fixture
+def host():
+    return Host()
+
+
+# Guards against requests that wait for a connection to an upstream that has
+# become cold, and against keys that it cannot serve.
+def test_a_cold_upstream_is_withdrawn_from_and_planned_with_its_rate(host):
+    host.view.replace_all({"u1": build("u1"), "u2": build("u2")}, 0.0)
+    host.apply_service()
+    assert [item.warm_up_rate for item in host.updates.list_all()] == [0, 0]
+    assert host.withdrawals == 0
+    host.now = 5.0
+    host.view.apply_changes({"u1": build("u1", warm_up_s=3.0)}, 5.0)
+    assert host.withdrawals == 1
+    rates = {item.id: item.warm_up_rate for item in host.updates.list_all()}
+    assert rates == {"u1": 5.0, "u2": 0.0}
+    metrics = _metrics.Metrics()
+    host.updates.record_metrics(metrics)
+    assert b"sycamoreloft_upstreams_cold 1" in metrics.render()
+    host.now = 26.0
+    assert not any(item.warm_up_rate for item in host.updates.list_all())
--- a/packages/router/tests/test_upstream_choice.py
+++ b/packages/router/tests/test_upstream_choice.py
@@ -265,6 +265,34 @@
     )
 
 
+# Guards against requests for keys beyond what a cold owner can bear, and
+# against callers that wait for them.
+def test_a_request_for_a_cold_owner_without_a_send_time_is_refused(services):
+    async def main():
+        now = asyncio.get_running_loop().time()
+        service = sycamoreloft_direct.Service(SERVICE, True, 0, "", 9.0, 5.0)
+        warm_up = services.pool.warm_up
+        warm_up.set_services({SERVICE: service}, now)
+        entries = [build_entry(warm_up_s=30.0), build_entry(OTHER)]
+        warm_up.update(entries, now, 0.0)
+        services.pool.update(entries, now)
+        record, choice, seconds = await _choose_upstream(services)
+        assert (record, seconds) == (None, 0.0)
+        assert choice.reason == "owner-cold"
+        times = {choice.choose_retry_after_ms() for _ in range(50)}
+        assert min(times) > 2_000
+        assert max(times) < 3_500
+        warm_up.update_host_count(1, now)
+        await asyncio.sleep(8.0)
+        results = []
+        for _ in range(40):
+            results.append((await _choose_upstream(services))[0])
+            await asyncio.sleep(0.5)
+        assert 0 < results.count(None) < 40
+
+    virtual_time.run(main())
+
+
 # Guards against callers that are told to wait for the end of a long pause,
 # though the keys of a leaving upstream move within a second, and against
 # requests within that pause.
