Decide on requests to evacuated failure domains

Operators need to empty a failure domain without stopping its upstreams. Evacuated upstreams do not count as warm ones when cold ones are limited.

--- a/packages/load/sycamoreloft_load/__init__.py
+++ b/packages/load/sycamoreloft_load/__init__.py
@@ -5,16 +5,21 @@
 """
 
 from sycamoreloft_load._attempt_results import AttemptResult
-from sycamoreloft_load._upstream_pool import (
-    MINIMUM_STALL_S,
-    UpstreamPool,
-    UpstreamRecord,
+from sycamoreloft_load._evacuations import (
+    EvacuationChange,
+    EvacuationEvent,
+    Evacuations,
 )
+from sycamoreloft_load._upstream_pool import MINIMUM_STALL_S, UpstreamPool
+from sycamoreloft_load._upstream_records import UpstreamRecord
 from sycamoreloft_load._warm_up_limits import WarmUpBounds, WarmUpLimits
 
 __all__ = [
     "MINIMUM_STALL_S",
     "AttemptResult",
+    "EvacuationChange",
+    "EvacuationEvent",
+    "Evacuations",
     "UpstreamPool",
     "UpstreamRecord",
     "WarmUpBounds",
--- a/packages/load/sycamoreloft_load/_upstream_pool.py
+++ b/packages/load/sycamoreloft_load/_upstream_pool.py
@@ -1,14 +1,14 @@
 """Chooses upstreams by the latencies and failures that this host observed."""
 
 from collections import abc
-import dataclasses
-import math
 import random
 
 import sycamoreloft_direct
 from sycamoreloft_load import (
     _attempt_results,
+    _evacuations,
     _remembered_runs,
+    _upstream_records,
     _warm_up_limits,
 )
 
@@ -17,10 +17,6 @@
 #: Weight of a new observation in a moving average.
 MOVING_AVERAGE_GAIN = 0.15
 
-#: Latency that is assumed for an upstream without answers if no upstream of
-#: its service has answered yet, in seconds.
-DEFAULT_LATENCY_S = 0.15
-
 #: Minimum latency in seconds, and minimum share of successes, that the weight
 #: of an upstream is computed with.
 MINIMUM_LATENCY_S = 0.001
@@ -69,46 +65,6 @@
 REFUSAL_WEIGHT = 0.3
 
 
-@dataclasses.dataclass(slots=True)
-class UpstreamRecord:
-    """Observations of this host about one run of an upstream.
-
-    Times are seconds on the clock of this host.
-    """
-
-    #: The entry in service discovery.
-    entry: sycamoreloft_direct.Upstream
-    #: When this host first saw the entry.
-    seen_at: float
-    #: When this host first saw that the upstream is draining; infinite if it
-    #: is not.
-    leaving_since: float = math.inf
-    #: Start times of the requests in flight, by attempt, oldest first.
-    in_flight: dict[object, float] = dataclasses.field(default_factory=dict)
-    #: Moving average of the latency, in seconds.
-    latency_s: float = DEFAULT_LATENCY_S
-    #: Number of answers in that average.
-    answers: int = 0
-    #: Moving average of the share of failed attempts.
-    failure_share: float = 0.0
-    #: Number of successive unreachable, broken or silent attempts.
-    failures: int = 0
-    #: Time until which the upstream is ejected.
-    ejected_until: float = 0.0
-    #: Time until which another upstream is assumed to use the address.
-    replaced_until: float = 0.0
-    #: Time until which the upstream wants no requests from this host.
-    paused_until: float = 0.0
-    #: Duration of the last ejection, in seconds; 0 after an answer.
-    ejection_s: float = 0.0
-    #: When the upstream last answered or refused a request.
-    answered_at: float = 0.0
-    #: Share of the requests for its keys that is sent to the upstream.
-    share: float = 1.0
-    #: When the upstream last refused a request.
-    refused_at: float = -1e9
-
-
 class UpstreamPool:
     """The upstreams of all services, with the observations of this host.
 
@@ -122,13 +78,17 @@
         self._generator = generator
         #: Records by identifier and start time, since hashing an `UpstreamRun`
         #: is much slower.
-        self._records: dict[tuple[str, int], UpstreamRecord] = {}
-        self._by_service: dict[str, list[UpstreamRecord]] = {}
+        self._records: dict[
+            tuple[str, int], _upstream_records.UpstreamRecord
+        ] = {}
+        self._by_service: dict[str, list[_upstream_records.UpstreamRecord]] = {}
         #: Moving average of the latency of each service, in seconds.
         self._service_latencies: dict[str, float] = {}
         self._remembered = _remembered_runs.RememberedRuns()
+        #: Failure domains whose upstreams get no requests.
+        self.evacuations = _evacuations.Evacuations()
         #: Limits on the requests to cold upstreams.
-        self.warm_up = _warm_up_limits.WarmUpLimits(generator)
+        self.warm_up = _warm_up_limits.WarmUpLimits(generator, self.evacuations)
 
     def update(
         self, upstreams: abc.Iterable[sycamoreloft_direct.Upstream], now: float
@@ -138,15 +98,15 @@
         An entry that is the same object as before is skipped quickly: updates
         are frequent, but change few entries.
         """
-        records: dict[tuple[str, int], UpstreamRecord] = {}
-        by_service: dict[str, list[UpstreamRecord]] = {}
+        records: dict[tuple[str, int], _upstream_records.UpstreamRecord] = {}
+        by_service: dict[str, list[_upstream_records.UpstreamRecord]] = {}
         for entry in upstreams:
             key = (entry.id, entry.started_ms)
             record = self._records.get(key)
             if record is None:
                 record = self._create_record(key, entry, now)
             elif record.entry is not entry:
-                _update_entry(record, entry, now)
+                _upstream_records.update_entry(record, entry, now)
             records[key] = record
             by_service.setdefault(entry.service, []).append(record)
         for key in self._records.keys() - records.keys():
@@ -161,16 +121,19 @@
         key: tuple[str, int],
         entry: sycamoreloft_direct.Upstream,
         now: float,
-    ) -> UpstreamRecord:
+    ) -> _upstream_records.UpstreamRecord:
         """Creates a record with what is remembered of its run."""
-        record = UpstreamRecord(entry, now)
+        record = _upstream_records.UpstreamRecord(entry, now)
         record.paused_until = self._remembered.take_pause(key)
         record.leaving_since = self._remembered.take_leaving(key)
-        _update_leaving_since(record, now)
+        _upstream_records.update_leaving_since(record, now)
         return record
 
     def _remember(
-        self, key: tuple[str, int], record: UpstreamRecord, now: float
+        self,
+        key: tuple[str, int],
+        record: _upstream_records.UpstreamRecord,
+        now: float,
     ) -> None:
         """Keeps what must still hold if the missing entry returns."""
         if record.paused_until > now:
@@ -180,7 +143,7 @@
 
     def find(
         self, run: sycamoreloft_direct.UpstreamRun
-    ) -> UpstreamRecord | None:
+    ) -> _upstream_records.UpstreamRecord | None:
         """Returns the record of a run, or None if it is not listed."""
         return self._records.get((run.id, run.started_ms))
 
@@ -190,7 +153,7 @@
         now: float,
         is_upload: bool,
         excluded: abc.Container[str] = (),
-    ) -> UpstreamRecord | None:
+    ) -> _upstream_records.UpstreamRecord | None:
         """Chooses an upstream for a request without a key.
 
         Draws two upstreams by weight and returns the less busy one. Hosts
@@ -206,17 +169,18 @@
         Returns:
             The record of the upstream, or None if there is none to choose.
         """
+        evacuated = self.evacuations
         cold = self.warm_up.list_cold(service, now)
         if cold:
             record = self._take_cold(service, now, excluded)
             if record is not None:
                 return record
-        candidates: list[UpstreamRecord] = []
+        candidates: list[_upstream_records.UpstreamRecord] = []
         weights: list[float] = []
         # An upstream that looked slow before its first answer would never be
         # chosen beside faster ones.
         unknown_latency_s = self._service_latencies.get(
-            service, DEFAULT_LATENCY_S
+            service, _upstream_records.DEFAULT_LATENCY_S
         )
         for record in self._by_service.get(service, ()):
             entry = record.entry
@@ -225,7 +189,8 @@
                 and now >= record.replaced_until
                 and now >= record.paused_until
                 and entry.id not in excluded
-                and not (cold and (entry.id, entry.started_ms) in cold)
+                and not (cold and entry.key in cold)
+                and not (evacuated and entry.failure_domain in evacuated)
             ):
                 candidates.append(record)
                 latency_s = (
@@ -249,7 +214,7 @@
 
     def _take_cold(
         self, service: str, now: float, excluded: abc.Container[str]
-    ) -> UpstreamRecord | None:
+    ) -> _upstream_records.UpstreamRecord | None:
         """Returns a cold upstream that this host may send to now, or None.
 
         It goes before the warm ones: its send times are rare, and would end
@@ -262,6 +227,7 @@
                 and not record.entry.is_draining
                 and key[0] not in excluded
                 and now >= max(record.replaced_until, record.paused_until)
+                and record.entry.failure_domain not in self.evacuations
                 and not self.is_avoided(record, now)
                 and self.warm_up.reserve(key, now)
             ):
@@ -302,7 +268,7 @@
 
     def _find_later_run(
         self, run: sycamoreloft_direct.UpstreamRun
-    ) -> UpstreamRecord | None:
+    ) -> _upstream_records.UpstreamRecord | None:
         """Returns the record of a later run with the same identifier.
 
         A request that was sent to the earlier run may be answered by the later
@@ -313,7 +279,9 @@
                 return record
         return None
 
-    def compute_pause_s(self, record: UpstreamRecord, now: float) -> float:
+    def compute_pause_s(
+        self, record: _upstream_records.UpstreamRecord, now: float
+    ) -> float:
         """Returns for how long an upstream wants no requests; 0 for none."""
         return max(0.0, record.paused_until - now)
 
@@ -334,7 +302,11 @@
         )
 
     def may_send(
-        self, record: UpstreamRecord, now: float, leaving_s: float
+        self,
+        record: _upstream_records.UpstreamRecord,
+        now: float,
+        leaving_s: float,
+        has_key: bool = True,
     ) -> bool:
         """Returns whether a request may be sent that was assigned earlier.
 
@@ -343,32 +315,55 @@
             now: Time, in seconds.
             leaving_s: Seconds for which an upstream that is shutting down gets
                 such requests.
+            has_key: Whether the request is for a key.
         """
         current = self._find_current(record)
         return (
             now >= current.paused_until
             and now - current.leaving_since < leaving_s
+            and self.evacuations.may_send(
+                current.entry.failure_domain, now, has_key=has_key
+            )
             and self.warm_up.may_send(current.entry.key, now)
         )
 
-    def claim_send(self, record: UpstreamRecord, now: float) -> bool:
+    def claim_send(
+        self, record: _upstream_records.UpstreamRecord, now: float
+    ) -> bool:
         """Returns whether a request may be sent now; counts it if so."""
         return self.warm_up.claim(self._find_current(record).entry.key, now)
 
-    def _find_current(self, record: UpstreamRecord) -> UpstreamRecord:
+    def _find_current(
+        self, record: _upstream_records.UpstreamRecord
+    ) -> _upstream_records.UpstreamRecord:
         """Returns the record that replaced another, maybe of a later run."""
         run = record.entry.run
         return self.find(run) or self._find_later_run(run) or record
 
-    def is_replaced(self, record: UpstreamRecord, now: float) -> bool:
+    def is_service_evacuated(self, service: str) -> bool:
+        """Returns whether only evacuated upstreams of a service are left."""
+        domains = {
+            record.entry.failure_domain
+            for record in self._by_service.get(service, ())
+            if not record.entry.is_draining
+        }
+        return bool(domains) and all(
+            domain in self.evacuations for domain in domains
+        )
+
+    def is_replaced(
+        self, record: _upstream_records.UpstreamRecord, now: float
+    ) -> bool:
         """Returns whether another upstream is assumed to use the address."""
         return now < record.replaced_until
 
-    def is_avoided(self, record: UpstreamRecord, now: float) -> bool:
+    def is_avoided(
+        self, record: _upstream_records.UpstreamRecord, now: float
+    ) -> bool:
         """Returns whether an upstream is ejected or stalled."""
         return now < record.ejected_until or _is_stalled(record, now)
 
-    def admit(self, record: UpstreamRecord) -> bool:
+    def admit(self, record: _upstream_records.UpstreamRecord) -> bool:
         """Decides at random whether the owner of a key gets a request.
 
         An owner that silently drops requests when it is overloaded would
@@ -377,14 +372,17 @@
         return record.share >= 1.0 or self._generator.random() < record.share
 
     def begin(
-        self, record: UpstreamRecord, attempt: object, now: float
+        self,
+        record: _upstream_records.UpstreamRecord,
+        attempt: object,
+        now: float,
     ) -> None:
         """Records that an attempt begins to send a request."""
         record.in_flight[attempt] = now
 
     def finish(
         self,
-        record: UpstreamRecord,
+        record: _upstream_records.UpstreamRecord,
         attempt: object,
         result: _attempt_results.AttemptResult,
         now: float,
@@ -429,7 +427,9 @@
             )
             record.ejected_until = now + record.ejection_s
 
-    def _record_latency(self, record: UpstreamRecord, seconds: float) -> None:
+    def _record_latency(
+        self, record: _upstream_records.UpstreamRecord, seconds: float
+    ) -> None:
         record.answers += 1
         gain = max(MOVING_AVERAGE_GAIN, 1 / record.answers)
         record.latency_s += gain * (seconds - record.latency_s)
@@ -441,7 +441,7 @@
 
     def _compute_weight(
         self,
-        record: UpstreamRecord,
+        record: _upstream_records.UpstreamRecord,
         latency_s: float,
         now: float,
         is_upload: bool,
@@ -471,23 +471,7 @@
         return weight
 
 
-def _update_entry(
-    record: UpstreamRecord, entry: sycamoreloft_direct.Upstream, now: float
-) -> None:
-    if entry.address != record.entry.address:
-        record.replaced_until = 0.0
-    record.entry = entry
-    _update_leaving_since(record, now)
-
-
-def _update_leaving_since(record: UpstreamRecord, now: float) -> None:
-    if not record.entry.is_draining:
-        record.leaving_since = math.inf
-    elif record.leaving_since > now:
-        record.leaving_since = now
-
-
-def _is_stalled(record: UpstreamRecord, now: float) -> bool:
+def _is_stalled(record: _upstream_records.UpstreamRecord, now: float) -> bool:
     if not record.in_flight:
         return False
     oldest = next(iter(record.in_flight.values()))
--- a/packages/load/sycamoreloft_load/_warm_up_limits.py
+++ b/packages/load/sycamoreloft_load/_warm_up_limits.py
@@ -140,10 +140,14 @@
 
     Args:
         generator: Source of randomness.
+        evacuated: Failure domains whose upstreams get no requests.
     """
 
-    def __init__(self, generator: random.Random) -> None:
+    def __init__(
+        self, generator: random.Random, evacuated: abc.Container[str] = ()
+    ) -> None:
         self._generator = generator
+        self._evacuated = evacuated
         self._bounds = WarmUpBounds()
         self._services: abc.Mapping[str, sycamoreloft_direct.Service] = {}
         #: Rates of the send times of all hosts, of the limited services.
@@ -265,7 +269,14 @@
         cold = self.list_cold(service, now)
         if not cold or self._has_warm(service, now):
             return 0.0
-        return min(self._runs[key].until - now for key in cold)
+        return min(
+            (
+                self._runs[key].until - now
+                for key in cold
+                if self._is_usable(self._runs[key])
+            ),
+            default=0.0,
+        )
 
     def reserve(self, key: RunKey, now: float) -> bool:
         """Reserves a send time for a request that is about to be sent.
@@ -367,10 +378,16 @@
 
     def _has_warm(self, service: str, now: float) -> bool:
         return any(
-            run.until <= now and not run.entry.is_draining
+            run.until <= now and self._is_usable(run)
             for run in self._listed.get(service, ())
         )
 
+    def _is_usable(self, run: _Run) -> bool:
+        return (
+            not run.entry.is_draining
+            and run.entry.failure_domain not in self._evacuated
+        )
+
     def _compute_rate(self, run: _Run, now: float) -> float:
         """Returns the rate of the send times of this host for a run."""
         service = run.entry.service
