Apply the evacuations that the operator orders

Rows evacuate/ZONE beside the desired state were logged as ignored. Hosts now send nothing more to the upstreams of such a domain until the row is removed, and the coordinator moves their keys as from draining ones. The entries of discovery stay as they are, so that other hosts are not told that the upstreams leave.

--- a/packages/direct/sycamoreloft_direct/_model.py
+++ b/packages/direct/sycamoreloft_direct/_model.py
@@ -96,6 +96,14 @@
     bounds: CallerLimits
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evacuation:
+    """The operator's order to send nothing to a failure domain."""
+
+    #: Name of the failure domain.
+    failure_domain: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Upstream:
     """An entry in service discovery, written by the upstream itself."""
--- a/packages/router/sycamoreloft_router/_direct_execution.py
+++ b/packages/router/sycamoreloft_router/_direct_execution.py
@@ -309,7 +309,10 @@
             return False
         services = self._services
         return services.pool.may_send(
-            record, services.loop.time(), services.leaving_s
+            record,
+            services.loop.time(),
+            services.leaving_s,
+            self._request.key >= 0,
         )
 
     def _claim_send(self, record: sycamoreloft_load.UpstreamRecord) -> bool:
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -144,7 +144,7 @@
         self.state_follower = _table_follower.TableFollower(
             "states",
             platform.states,
-            self._apply_states,
+            self._replace_states,
             self._apply_states,
             self._choose_spread_s,
             self._observe_era,
@@ -446,7 +446,12 @@
         self._budgets.update_host_count(count)
         self._pool_updates.update_host_count(count)
 
+    def _replace_states(self, values: abc.Mapping[str, object]) -> None:
+        self._pool_updates.evacuations.replace_all(values)
+        self._apply_states(values)
+
     def _apply_states(self, values: abc.Mapping[str, object]) -> None:
+        self._pool_updates.evacuations.apply_changes(values)
         self._states.apply_entries(values)
         state = self._states.state
         if state is not None:
--- a/packages/router/sycamoreloft_router/_direct_limits.py
+++ b/packages/router/sycamoreloft_router/_direct_limits.py
@@ -27,6 +27,7 @@
         "retry_window_s",
         "warm_up_overage",
         "warm_up_slack",
+        "evacuate_s",
     )
 )
 
--- a/packages/router/sycamoreloft_router/_direct_ports.py
+++ b/packages/router/sycamoreloft_router/_direct_ports.py
@@ -257,8 +257,11 @@
 class Platform:
     """All interfaces of the platform."""
 
-    #: Table of the desired state: at most one entry, under a fixed key.
-    states: WatchedTable[sycamoreloft_direct.DesiredState]
+    #: Table of the desired state: at most one entry under a fixed key, and the
+    #: evacuations of failure domains.
+    states: WatchedTable[
+        sycamoreloft_direct.DesiredState | sycamoreloft_direct.Evacuation
+    ]
     #: Table of upstreams by identifier.
     upstreams: WatchedTable[sycamoreloft_direct.Upstream]
     #: Records of the coordinators.
@@ -311,3 +314,5 @@
     #: of the rate that it tolerates, and a number of requests in addition.
     warm_up_overage: float = 1.5
     warm_up_slack: float = 8.0
+    #: Seconds from the operator's evacuation of a failure domain to its effect.
+    evacuate_s: float = 5.0
--- a/packages/router/sycamoreloft_router/_metrics.py
+++ b/packages/router/sycamoreloft_router/_metrics.py
@@ -242,6 +242,11 @@
         Kind.GAUGE,
         "Upstreams that discovery lists, leaving ones among them",
     ),
+    Definition(
+        "sycamoreloft_evacuations",
+        Kind.GAUGE,
+        "Evacuations of failure domains that the operator ordered",
+    ),
     Definition(
         "sycamoreloft_upstreams_cold",
         Kind.GAUGE,
--- a/packages/router/sycamoreloft_router/_upstream_choice.py
+++ b/packages/router/sycamoreloft_router/_upstream_choice.py
@@ -137,6 +137,8 @@
         """Returns why there is no upstream for a request without a key."""
         if self._compute_pause_s(now):
             return "upstreams-paused"
+        if self._services.pool.is_service_evacuated(self._request.service):
+            return "evacuated"
         return "upstreams-cold" if self._compute_cold_s(now) else "no-upstream"
 
     def is_owner_paused(self, now: float) -> bool:
@@ -228,6 +230,10 @@
             if record is not None and self._may_send(record, now):
                 services.directory.record_available(record.entry.run)
                 return self._admit(record, now)
+            if services.pool.is_service_evacuated(request.service):
+                # The keys have nowhere to move to.
+                self.reason = "evacuated"
+                return None
             self.reason = "no-owner"
             if owner is not None and owner.id != self.misdirected_upstream:
                 missing_s = services.directory.record_missing(owner, now)
@@ -269,6 +275,9 @@
         if record.entry.id == self.misdirected_upstream:
             return False
         # `_admit` checks the pause of an owner that is not shutting down.
-        return not record.entry.is_draining or self._services.pool.may_send(
-            record, now, self._services.leaving_s
-        )
+        pool, entry = self._services.pool, record.entry
+        if not entry.is_draining:
+            return pool.evacuations.may_send(
+                entry.failure_domain, now, has_key=True
+            )
+        return pool.may_send(record, now, self._services.leaving_s)
--- a/packages/router/sycamoreloft_router/load/_pool_updates.py
+++ b/packages/router/sycamoreloft_router/load/_pool_updates.py
@@ -7,6 +7,7 @@
 import sycamoreloft_direct
 import sycamoreloft_load
 from sycamoreloft_router import _direct_ports, _direct_views, _metrics
+from sycamoreloft_router.load import _evacuation_rows
 
 
 class PoolUpdates:
@@ -18,8 +19,8 @@
         pool: The upstreams that the host chooses from.
         upstreams: Upstreams that discovery lists.
         read_clock: Returns the time of the event loop, in seconds.
-        on_cold: Called when an upstream became cold, to withdraw the requests
-            that wait for a connection to it.
+        on_limit: Called when an upstream became cold or was evacuated, to
+            withdraw the requests that wait for a connection to it.
         read_wall_clock: Returns the time since 1970, in seconds.
     """
 
@@ -28,14 +29,18 @@
         pool: sycamoreloft_load.UpstreamPool,
         upstreams: _direct_views.UpstreamView,
         read_clock: abc.Callable[[], float],
-        on_cold: abc.Callable[[], object],
+        on_limit: abc.Callable[[], object],
         read_wall_clock: abc.Callable[[], float] = time.time,
     ) -> None:
         self._pool = pool
         self._upstreams = upstreams
         self._read_clock = read_clock
-        self._on_cold = on_cold
+        self._on_limit = on_limit
         self._read_wall_clock = read_wall_clock
+        #: The operator's evacuations.
+        self.evacuations = _evacuation_rows.EvacuationRows(
+            pool.evacuations, read_clock, self._apply_evacuations
+        )
         self._services: abc.Mapping[str, sycamoreloft_direct.Service] = {}
 
     def update(self) -> None:
@@ -45,8 +50,9 @@
             upstreams, now, self._read_wall_clock()
         )
         self._pool.update(upstreams, now)
+        self.evacuations.log_events(upstreams)
         if has_new:
-            self._on_cold()
+            self._on_limit()
 
     def apply_settings(self, settings: _direct_ports.HostSettings) -> None:
         """Applies the bounds of the settings."""
@@ -55,6 +61,7 @@
                 settings.warm_up_overage, settings.warm_up_slack
             )
         )
+        self._pool.evacuations.bound_s = settings.evacuate_s
 
     def apply_state(self, state: sycamoreloft_direct.DesiredState) -> None:
         """Applies the services of the desired state."""
@@ -69,14 +76,29 @@
         """Updates the gauges of what this host knows of upstreams."""
         cold = self._pool.warm_up.count_cold(self._read_clock())
         metrics.set("sycamoreloft_upstreams_cold", value=float(cold))
+        metrics.set(
+            "sycamoreloft_evacuations", value=float(len(self._pool.evacuations))
+        )
 
     def list_all(self) -> list[sycamoreloft_direct.Upstream]:
-        """Returns all upstreams, cold ones with the rate that they tolerate."""
-        now = self._read_clock()
-        return [
+        """Returns all upstreams as the coordinator should plan with them.
+
+        Cold ones have the rate that they tolerate, and evacuated ones are
+        draining: they lose their keys in the same way.
+        """
+        now, evacuations = self._read_clock(), self._pool.evacuations
+        upstreams = [
             self._add_rate(upstream, now)
             for upstream in self._upstreams.list_all()
         ]
+        if not evacuations:
+            return upstreams
+        return [
+            dataclasses.replace(upstream, is_draining=True)
+            if upstream.failure_domain in evacuations
+            else upstream
+            for upstream in upstreams
+        ]
 
     def find(
         self, run: sycamoreloft_direct.UpstreamRun
@@ -84,6 +106,10 @@
         """Returns the entry of a run."""
         return self._upstreams.find(run)
 
+    def _apply_evacuations(self) -> None:
+        self.evacuations.log_events(self._upstreams.list_all())
+        self._on_limit()
+
     def _add_rate(
         self, upstream: sycamoreloft_direct.Upstream, now: float
     ) -> sycamoreloft_direct.Upstream:
--- a/packages/router/tests/test_pool_updates.py
+++ b/packages/router/tests/test_pool_updates.py
@@ -1,5 +1,6 @@
 """Passes the entries of the store to the pool and to the coordinator."""
 
+import logging
 import random
 
 import pytest
@@ -13,6 +14,9 @@
 BOUNDS = sycamoreloft_direct.CallerLimits(1, 1, 1.0)
 
 
+EVACUATION = sycamoreloft_direct.Evacuation("a")
+
+
 def build(name, domain="a", **changes):
     return sycamoreloft_direct.Upstream(
         name, 1, f"{name}:1", "ledger", domain, 4, False, **changes
@@ -69,3 +73,35 @@
     assert b"sycamoreloft_upstreams_cold 1" in metrics.render()
     host.now = 26.0
     assert not any(item.warm_up_rate for item in host.updates.list_all())
+
+
+# Guards against an evacuation that takes the upstreams for leaving ones, of
+# which other hosts are told, and against one that does not end.
+def test_an_evacuation_frees_the_upstreams_and_ends_with_its_row(host, caplog):
+    caplog.set_level(logging.INFO)
+    rows = host.updates.evacuations
+    rows.apply_changes({"evacuate/a": EVACUATION})
+    host.view.replace_all({"u1": build("u1"), "u2": build("u2", "b")}, 0.0)
+    draining = {item.id for item in host.updates.list_all() if item.is_draining}
+    assert draining == {"u1"}
+    assert not any(item.is_draining for item in host.view.list_all())
+    assert host.pool.choose("ledger", 0.0, False).entry.id == "u2"
+    metrics = _metrics.Metrics()
+    host.updates.record_metrics(metrics)
+    assert b"sycamoreloft_evacuations 1" in metrics.render()
+    # A full read replaces all evacuations; a change removes one.
+    rows.apply_changes({"evacuate/x": sycamoreloft_direct.Evacuation("x")})
+    rows.apply_changes({"evacuate/a": None, "config": None})
+    assert not any(item.is_draining for item in host.updates.list_all())
+    rows.replace_all({"evacuate/a": EVACUATION})
+    rows.replace_all({"config": None})
+    assert not any(item.is_draining for item in host.updates.list_all())
+    assert [record.getMessage() for record in caplog.records] == [
+        "upstream-listed",
+        "upstream-listed",
+        "evacuation-began",
+        "evacuation-unknown-domain",
+        "evacuation-ended",
+        "evacuation-began",
+        "evacuation-ended",
+    ]
--- a/packages/router/tests/test_upstream_choice.py
+++ b/packages/router/tests/test_upstream_choice.py
@@ -265,6 +265,23 @@
     )
 
 
+# Guards against an owner that gets requests when it should be free, and against
+# requests that wait for keys that cannot move.
+def test_an_evacuated_owner_is_used_until_its_keys_should_have_moved(services):
+    async def main():
+        now = asyncio.get_running_loop().time()
+        services.pool.update([build_entry()], now)
+        services.pool.evacuations.replace(["z"], now)
+        record, _, _ = await _choose_upstream(services)
+        assert record.entry.run == OWNER
+        await asyncio.sleep(3.0)
+        record, choice, seconds = await _choose_upstream(services)
+        assert (record, seconds) == (None, 0.0)
+        assert choice.reason == "evacuated"
+
+    virtual_time.run(main())
+
+
 # Guards against requests for keys beyond what a cold owner can bear, and
 # against callers that wait for them.
 def test_a_request_for_a_cold_owner_without_a_send_time_is_refused(services):
