Treat late upstreams as cold on hosts without traffic

A host that handled no request for long cannot know whether other hosts have traffic, so a run that it first sees then counts as started during traffic. The common rate of the cold runs of a service is computed once for each request, and runs without a send time are skipped: with 64 cold upstreams each request visited them all at full cost. sycamoreloftctl names the causes of refusals because of cold and evacuated upstreams.

--- a/packages/ctl/sycamoreloft_ctl/_request_causes.py
+++ b/packages/ctl/sycamoreloft_ctl/_request_causes.py
@@ -126,6 +126,16 @@
         "the service had no listed upstream that was not leaving",
         "look for upstream-gone of the service",
     )
+    EVACUATED = (
+        "evacuated",
+        "all failure domains with upstreams of the service were evacuated",
+        "remove a row evacuate/ZONE from the operator's table",
+    )
+    UPSTREAM_COLD = (
+        "upstream-cold",
+        "the owner of the key, or each upstream, was cold and had no room",
+        "look for upstream-listed: upstreams started, or became cold again",
+    )
     HOST_STOPPED = (
         "host-stopped",
         "the host ended while it had the request",
--- a/packages/ctl/sycamoreloft_ctl/_request_diagnosis.py
+++ b/packages/ctl/sycamoreloft_ctl/_request_diagnosis.py
@@ -210,9 +210,12 @@
             "caller-gone": _CAUSE.CALLER_LEFT,
             "no-desired-state": _CAUSE.NO_STATE,
             "no-upstream": _CAUSE.NO_UPSTREAM,
+            "evacuated": _CAUSE.EVACUATED,
+            "owner-cold": _CAUSE.UPSTREAM_COLD,
             "owner-paused": _CAUSE.UPSTREAM_PAUSED,
             "owner-replaced": _CAUSE.ADDRESS_REUSED,
             "quarantined": _CAUSE.QUARANTINED,
+            "upstreams-cold": _CAUSE.UPSTREAM_COLD,
             "upstreams-paused": _CAUSE.UPSTREAM_PAUSED,
             "withdrawn": _CAUSE.UPSTREAM_PAUSED,
         }
--- a/packages/ctl/tests/test_request_diagnosis.py
+++ b/packages/ctl/tests/test_request_diagnosis.py
@@ -83,6 +83,8 @@
         ([build_refusal("no-owner", key=50), GONE], CAUSE.UPSTREAM_LOST),
         ([LEAVING, build_refusal("no-owner")], CAUSE.UPSTREAM_LEFT),
         ([build_refusal("owner-full")], CAUSE.OWNER_FULL),
+        ([build_refusal("owner-cold")], CAUSE.UPSTREAM_COLD),
+        ([build_refusal("evacuated")], CAUSE.EVACUATED),
         ([build_refusal("owner-full"), *build_refusals(5)], CAUSE.HOT_KEY),
         (
             [build_refusal("owner-full"), *build_refusals(9, key=8)],
--- a/packages/load/sycamoreloft_load/_warm_up_limits.py
+++ b/packages/load/sycamoreloft_load/_warm_up_limits.py
@@ -39,6 +39,10 @@
 #: has just started counts the hosts whose reports arrived, one every 0.25 s.
 COUNT_SETTLING_S = 3.0
 
+#: Seconds after the first read of the table in which upstreams may be starting
+#: together with this host, as long as it has handled no request.
+COMMON_START_S = 10.0
+
 #: Number of hosts that is assumed while it is unknown and all upstreams of a
 #: service are cold: the number that the product is designed for.
 ASSUMED_HOSTS = 4_100
@@ -157,7 +161,7 @@
         self._listed: dict[str, list[_Run]] = {}
         #: Runs of limited services that are cold or were until recently.
         self._cold: dict[str, dict[RunKey, _Run]] = {}
-        self._has_read = False
+        self._first_read_at = math.inf
         self._has_traffic = False
         self._host_count = 0
         self._count_heard_at = math.inf
@@ -222,7 +226,8 @@
             if key not in listed and self._compute_until(run) > now
         ]
         self._runs = dict(remembered[-MAXIMUM_REMEMBERED_RUNS:]) | listed
-        self._has_read = self._has_read or bool(listed)
+        if listed:
+            self._first_read_at = min(self._first_read_at, now)
         self._select_cold(now)
         return any(
             key not in cold for runs in self._cold.values() for key in runs
@@ -252,9 +257,13 @@
     def list_ready(self, service: str, now: float) -> list[RunKey]:
         """Returns the cold runs of a service with a send time now."""
         ready = []
-        for key in self.list_cold(service, now):
+        cold = self.list_cold(service, now)
+        rate = self._compute_rate(service, now) if cold else 0.0
+        for key in cold:
             run = self._runs[key]
-            self._draw(run, now)
+            # Most runs have no send time: this is called for each request.
+            if run.ready or run.next_at <= now or run.rate != rate:
+                self._draw(run, now, rate)
             if run.ready:
                 ready.append(key)
         return ready
@@ -331,9 +340,12 @@
         run = _Run(key, entry)
         if entry.warm_up_s > 0.0:
             run.said_until = now + entry.warm_up_s
-        # Before this host has sent a request, all upstreams may be starting
-        # together without traffic; their entries tell whether they are cold.
-        if self._has_read and self._has_traffic:
+        # Without traffic all upstreams may be starting together; their entries
+        # tell whether they are cold.
+        common_end = self._first_read_at
+        if not self._has_traffic:
+            common_end += COMMON_START_S
+        if now >= common_end:
             run.began_at = now
             run.hold_until = now + HOLD_OFF_S
             if entry.started_ms > 0:
@@ -388,9 +400,8 @@
             and run.entry.failure_domain not in self._evacuated
         )
 
-    def _compute_rate(self, run: _Run, now: float) -> float:
-        """Returns the rate of the send times of this host for a run."""
-        service = run.entry.service
+    def _compute_rate(self, service: str, now: float) -> float:
+        """Returns the rate of the send times of this host for a cold run."""
         safe_rate = self._safe_rates[service]
         if now - self._count_heard_at >= COUNT_SETTLING_S:
             return safe_rate / self._host_count
@@ -398,9 +409,16 @@
             return 0.0
         return safe_rate / max(ASSUMED_HOSTS, self._host_count)
 
-    def _draw(self, run: _Run, now: float) -> None:
-        """Draws the send times until now, and drops those that expired."""
-        rate = self._compute_rate(run, now)
+    def _draw(self, run: _Run, now: float, rate: float | None = None) -> None:
+        """Draws the send times until now, and drops those that expired.
+
+        Args:
+            run: The run.
+            now: Time, in seconds.
+            rate: Rate of the send times; None if it is not computed yet.
+        """
+        if rate is None:
+            rate = self._compute_rate(run.entry.service, now)
         oldest = now - EXPIRY_S
         if rate != run.rate:
             # The wait for the next time has no memory, so it may be drawn
--- a/packages/load/tests/test_warm_up_limits.py
+++ b/packages/load/tests/test_warm_up_limits.py
@@ -173,7 +173,10 @@
 def test_upstreams_that_start_together_before_the_traffic_are_warm():
     pool = build_pool(1, build("u2"))
     update(pool, [build("u2"), build()], 0.5)
-    assert not pool.warm_up.list_cold("ledger", 0.5)
+    assert not pool.warm_up.count_cold(0.5)
+    # A host that has no traffic for long cannot know whether others have.
+    update(pool, [build("u2"), build(), build("u3")], 11.0)
+    assert pool.warm_up.count_cold(11.0) == 1
 
 
 # Guards against a change for deployments without `warmupPerS`.
