Merge the limits on cold upstreams and the evacuation

The differences between upstreams that count as random don't apply to one whose rate is limited while it is cold: what exceeds its rate is refused at once.

--- a/packages/load/sycamoreloft_load/_upstream_pool.py
+++ b/packages/load/sycamoreloft_load/_upstream_pool.py
@@ -1,20 +1,22 @@
 """Chooses upstreams by the latencies and failures that this host observed."""
 
 from collections import abc
-import math
 import random
 import typing
 
 import sycamoreloft_direct
 from sycamoreloft_load import (
+    _attempt_results,
     _choice,
+    _evacuations,
     _pace,
     _remembered_runs,
     _reported_loads,
     _upstream_records,
+    _warm_up_limits,
 )
 
-_RESULT = _upstream_records.AttemptResult
+_RESULT = _attempt_results.AttemptResult
 _Record: typing.TypeAlias = _upstream_records.UpstreamRecord
 
 #: Weight of a new observation in a moving average.
@@ -35,16 +37,6 @@
 #: its address. Its outdated entry expires in service discovery meanwhile.
 REPLACED_ADDRESS_S = 4.0
 
-#: Adjustments to the share of requests that an owner of keys gets: each request
-#: without an answer multiplies the share, and each answer adds to it. Refused
-#: requests don't change it, because a refusal is quick and shows that the
-#: request did not run.
-SHARE_BACK_OFF = 0.85
-SHARE_RECOVERY = 0.02
-
-#: Minimum of this share.
-MINIMUM_SHARE = 0.2
-
 
 class UpstreamPool:
     """The upstreams of all services, with the observations of this host.
@@ -68,6 +60,10 @@
         #: Records of the runs whose latest report this host heard itself, and
         #: that `take_loads` has not returned yet.
         self._heard: dict[tuple[str, int], _Record] = {}
+        #: Failure domains whose upstreams get no requests.
+        self.evacuations = _evacuations.Evacuations()
+        #: Limits on the requests to cold upstreams.
+        self.warm_up = _warm_up_limits.WarmUpLimits(generator, self.evacuations)
 
     def update(
         self, upstreams: abc.Iterable[sycamoreloft_direct.Upstream], now: float
@@ -85,7 +81,7 @@
             if record is None:
                 record = self._create_record(key, entry, now)
             elif record.entry is not entry:
-                _update_entry(record, entry, now)
+                _upstream_records.update_entry(record, entry, now)
             records[key] = record
             by_service.setdefault(entry.service, []).append(record)
         for key in self._records.keys() - records.keys():
@@ -107,7 +103,7 @@
         record = _Record(entry, now)
         record.paused_until = self._remembered.take_pause(key)
         record.leaving_since = self._remembered.take_leaving(key)
-        _update_leaving_since(record, now)
+        _upstream_records.update_leaving_since(record, now)
         if entry.warm_up_s or entry.service in self._by_service:
             # Upstreams that this host sees with its first entries of a service
             # may have started long ago.
@@ -167,15 +163,50 @@
         unknown_latency_s = self._service_latencies.get(
             service, _reported_loads.DEFAULT_LATENCY_S
         )
+        records: abc.Sequence[_Record] = self._by_service.get(service, ())
+        cold = self.warm_up.list_cold(service, now)
+        if cold:
+            record = self._take_cold(service, now, excluded)
+            if record is not None:
+                return record
+        if cold or self.evacuations:
+            records = [
+                record
+                for record in records
+                if record.entry.key not in cold
+                and record.entry.failure_domain not in self.evacuations
+            ]
         return self._choice.choose(
             service,
-            self._by_service.get(service, ()),
+            records,
             now,
             is_upload,
             excluded,
             unknown_latency_s,
         )
 
+    def _take_cold(
+        self, service: str, now: float, excluded: abc.Container[str]
+    ) -> _Record | None:
+        """Returns a cold upstream that this host may send to now, or None.
+
+        It goes before the warm ones: its send times are rare, and would end
+        unused if it were drawn by its weight.
+        """
+        for key in self.warm_up.list_ready(service, now):
+            record = self._records.get(key)
+            if (
+                record is not None
+                and not record.entry.is_draining
+                and key[0] not in excluded
+                and now >= max(record.replaced_until, record.paused_until)
+                and record.entry.failure_domain not in self.evacuations
+                and not self.is_avoided(record, now)
+                and self.warm_up.reserve(key, now)
+            ):
+                return record
+        return None
+
     def record_load(
         self,
         run: sycamoreloft_direct.UpstreamRun,
@@ -315,7 +346,13 @@
             default=0.0,
         )
 
-    def may_send(self, record: _Record, now: float, leaving_s: float) -> bool:
+    def may_send(
+        self,
+        record: _Record,
+        now: float,
+        leaving_s: float,
+        has_key: bool = True,
+    ) -> bool:
         """Returns whether a request may be sent that was assigned earlier.
 
         Args:
@@ -323,13 +360,36 @@
             now: Time, in seconds.
             leaving_s: Seconds for which an upstream that is shutting down gets
                 such requests.
+            has_key: Whether the request is for a key.
         """
-        # The record may have been replaced since, also by that of a later run.
-        run = record.entry.run
-        current = self.find(run) or self._find_later_run(run) or record
+        current = self._find_current(record)
         return (
             now >= current.paused_until
             and now - current.leaving_since < leaving_s
+            and self.evacuations.may_send(
+                current.entry.failure_domain, now, has_key=has_key
+            )
+            and self.warm_up.may_send(current.entry.key, now)
+        )
+
+    def claim_send(self, record: _Record, now: float) -> bool:
+        """Returns whether a request may be sent now; counts it if so."""
+        return self.warm_up.claim(self._find_current(record).entry.key, now)
+
+    def _find_current(self, record: _Record) -> _Record:
+        """Returns the record that replaced another, maybe of a later run."""
+        run = record.entry.run
+        return self.find(run) or self._find_later_run(run) or record
+
+    def is_service_evacuated(self, service: str) -> bool:
+        """Returns whether only evacuated upstreams of a service are left."""
+        domains = {
+            record.entry.failure_domain
+            for record in self._by_service.get(service, ())
+            if not record.entry.is_draining
+        }
+        return bool(domains) and all(
+            domain in self.evacuations for domain in domains
         )
 
     def is_replaced(self, record: _Record, now: float) -> bool:
@@ -363,15 +423,12 @@
             record, now
         )
         started_at = record.in_flight.pop(attempt, now)
-        if result in (
-            _RESULT.CANCELLED,
-            _RESULT.WITHDRAWN,
-        ):
+        if result in (_RESULT.CANCELLED, _RESULT.WITHDRAWN):
             return
         if result is _RESULT.REPLACED:
             record.replaced_until = now + REPLACED_ADDRESS_S
             return
-        _update_share(record, result)
+        record.share = _attempt_results.adjust_share(record.share, result)
         if result is _RESULT.REFUSED:
             record.answered_at = now
             record.failures = 0
@@ -387,10 +444,7 @@
             record.failure_share += MOVING_AVERAGE_GAIN * (
                 is_bad - record.failure_share
             )
-        if result in (
-            _RESULT.ANSWERED,
-            _RESULT.FAILED,
-        ):
+        if result in (_RESULT.ANSWERED, _RESULT.FAILED):
             record.answered_at = now
             record.failures = 0
             record.ejection_s = 0.0
@@ -436,37 +490,6 @@
         self._loads.record_answer(service, seconds, report)
 
 
-def _update_entry(
-    record: _Record,
-    entry: sycamoreloft_direct.Upstream,
-    now: float,
-) -> None:
-    if entry.address != record.entry.address:
-        record.replaced_until = 0.0
-    if entry.warm_up_s and not record.entry.warm_up_s:
-        # The run became cold again.
-        record.pace = _pace.begin(now, entry.warm_up_s)
-    record.entry = entry
-    _update_leaving_since(record, now)
-
-
-def _update_leaving_since(record: _Record, now: float) -> None:
-    if not record.entry.is_draining:
-        record.leaving_since = math.inf
-    elif record.leaving_since > now:
-        record.leaving_since = now
-
-
 def _has_limited_share(record: _Record, now: float) -> bool:
     pace = record.pace
     return pace is not None and _pace.compute_share(pace, now) < 1.0
-
-
-def _update_share(
-    record: _Record,
-    result: _RESULT,
-) -> None:
-    if result is _RESULT.SILENT:
-        record.share = max(MINIMUM_SHARE, record.share * SHARE_BACK_OFF)
-    elif result is _RESULT.ANSWERED:
-        record.share = min(1.0, record.share + SHARE_RECOVERY)
--- a/packages/load/sycamoreloft_load/_upstream_records.py
+++ b/packages/load/sycamoreloft_load/_upstream_records.py
@@ -1,7 +1,6 @@
 """Observations of this host about one run of an upstream."""
 
 import dataclasses
-import enum
 import math
 
 import sycamoreloft_direct
@@ -15,32 +14,6 @@
 MINIMUM_STALL_S = 0.6
 
 
-class AttemptResult(enum.Enum):
-    """Result of sending a request to an upstream."""
-
-    #: The upstream answered the request.
-    ANSWERED = "answered"
-    #: The upstream answered with an error of its own.
-    FAILED = "failed"
-    #: The upstream refused the request, which did not run.
-    REFUSED = "refused"
-    #: Another upstream answered at the address. The request did not run.
-    REPLACED = "replaced"
-    #: The upstream stopped accepting requests before this one was sent.
-    WITHDRAWN = "withdrawn"
-    #: No connection could be made.
-    UNREACHABLE = "unreachable"
-    #: The connection broke, or the answer was malformed.
-    BROKEN = "broken"
-    #: The upstream reset the connection before any byte of an answer, as
-    #: some upstreams do when they are full.
-    RESET = "reset"
-    #: No answer arrived in time.
-    SILENT = "silent"
-    #: The attempt ended early, for example because the caller disconnected.
-    CANCELLED = "cancelled"
-
-
 @dataclasses.dataclass(slots=True)
 class UpstreamRecord:
     """Observations of this host about one run of an upstream.
@@ -90,3 +63,24 @@
     oldest = next(iter(record.in_flight.values()))
     limit = max(MINIMUM_STALL_S, STALL_FACTOR * record.latency_s)
     return now - max(oldest, record.answered_at) > limit
+
+
+def update_entry(
+    record: UpstreamRecord, entry: sycamoreloft_direct.Upstream, now: float
+) -> None:
+    """Replaces the entry of a run."""
+    if entry.address != record.entry.address:
+        record.replaced_until = 0.0
+    if entry.warm_up_s and not record.entry.warm_up_s:
+        # The run became cold again.
+        record.pace = _pace.begin(now, entry.warm_up_s)
+    record.entry = entry
+    update_leaving_since(record, now)
+
+
+def update_leaving_since(record: UpstreamRecord, now: float) -> None:
+    """Sets since when a run is draining."""
+    if not record.entry.is_draining:
+        record.leaving_since = math.inf
+    elif record.leaving_since > now:
+        record.leaving_since = now
--- a/packages/router/sycamoreloft_router/_body_streams.py
+++ b/packages/router/sycamoreloft_router/_body_streams.py
@@ -113,6 +113,13 @@
         self._room_waiter = None
 
 
+def is_replayable(body: object) -> bool:
+    """Returns whether a request body can be sent from its beginning again."""
+    return not isinstance(body, UploadBuffer) or (
+        body.bytes_read == 0 and not body.broken
+    )
+
+
 class DownloadBuffer:
     """Carries an answer body from libcurl to the caller's connection.
 
--- a/packages/router/sycamoreloft_router/_direct_execution.py
+++ b/packages/router/sycamoreloft_router/_direct_execution.py
@@ -298,6 +298,7 @@
                 request.request_id,
                 needs_new_connection=needs_new_connection,
                 may_send=functools.partial(self._may_send, record),
+                claim_send=functools.partial(self._claim_send, record),
                 on_head=functools.partial(self._observe_head, record),
             )
         )
@@ -310,7 +311,16 @@
             return False
         services = self._services
         return services.pool.may_send(
-            record, services.loop.time(), services.leaving_s
+            record,
+            services.loop.time(),
+            services.leaving_s,
+            self._request.key >= 0,
+        )
+
+    def _claim_send(self, record: sycamoreloft_load.UpstreamRecord) -> bool:
+        """Returns whether the bytes may leave now; see `claim_send`."""
+        return self._services.pool.claim_send(
+            record, self._services.loop.time()
         )
 
     def _observe_head(
@@ -394,7 +404,7 @@
             return "time"
         if self._attempt_count >= MAXIMUM_ATTEMPTS:
             return "tries"
-        if not self._is_replayable():
+        if not _body_streams.is_replayable(self._received.body):
             return "body-sent"
         if result in (_RESULT.UNREACHABLE, _RESULT.WITHDRAWN):
             # Nothing was sent, so that a retry adds no load on upstreams.
@@ -423,12 +433,6 @@
             return "retry-budget"
         return ""
 
-    def _is_replayable(self) -> bool:
-        body = self._received.body
-        return not isinstance(body, _body_streams.UploadBuffer) or (
-            body.bytes_read == 0 and not body.broken
-        )
-
     def _build_refusal(self) -> _answers.Refusal:
         """Creates the router's own answer after the last attempt."""
         if self._may_have_run:
--- a/packages/router/sycamoreloft_router/_metrics.py
+++ b/packages/router/sycamoreloft_router/_metrics.py
@@ -254,6 +254,16 @@
         "Upstreams whose share of requests is limited",
         ("service",),
     ),
+    Definition(
+        "sycamoreloft_evacuations",
+        Kind.GAUGE,
+        "Evacuations of failure domains that the operator ordered",
+    ),
+    Definition(
+        "sycamoreloft_upstreams_cold",
+        Kind.GAUGE,
+        "Upstreams whose requests are limited because they are cold",
+    ),
     Definition(
         "sycamoreloft_loop_lag_seconds",
         Kind.HISTOGRAM,
