Limit new upstreams on hosts that have just restarted

A host without requests took each upstream that registered within 10 s of its first read of the table for one that starts together with all others. The exception now applies only if all upstreams of the first read are young.

--- a/packages/load/sycamoreloft_load/_warm_up_limits.py
+++ b/packages/load/sycamoreloft_load/_warm_up_limits.py
@@ -43,6 +43,10 @@
 #: together with this host, as long as it has handled no request.
 COMMON_START_S = 10.0
 
+#: Maximum age of the upstreams in that read, in seconds. An older one shows
+#: that other hosts may have traffic.
+COMMON_START_AGE_S = 30.0
+
 #: Number of hosts that is assumed while it is unknown and all upstreams of a
 #: service are cold: the number that the product is designed for.
 ASSUMED_HOSTS = 4_100
@@ -161,7 +165,9 @@
         self._listed: dict[str, list[_Run]] = {}
         #: Runs of limited services that are cold or were until recently.
         self._cold: dict[str, dict[RunKey, _Run]] = {}
-        self._first_read_at = math.inf
+        self._has_read = False
+        #: Time until which upstreams may be starting without traffic.
+        self._common_until = math.inf
         self._has_traffic = False
         self._host_count = 0
         self._count_heard_at = math.inf
@@ -226,8 +232,13 @@
             if key not in listed and self._compute_until(run) > now
         ]
         self._runs = dict(remembered[-MAXIMUM_REMEMBERED_RUNS:]) | listed
-        if listed:
-            self._first_read_at = min(self._first_read_at, now)
+        self._has_read = True
+        if listed and self._common_until == math.inf:
+            is_start = all(
+                _compute_age_s(run.entry, wall_clock_s) <= COMMON_START_AGE_S
+                for run in listed.values()
+            )
+            self._common_until = now + (COMMON_START_S if is_start else 0.0)
         self._select_cold(now)
         return any(
             key not in cold for runs in self._cold.values() for key in runs
@@ -342,14 +353,11 @@
             run.said_until = now + entry.warm_up_s
         # Without traffic all upstreams may be starting together; their entries
         # tell whether they are cold.
-        common_end = self._first_read_at
-        if not self._has_traffic:
-            common_end += COMMON_START_S
-        if now >= common_end:
+        if self._has_read and (self._has_traffic or now >= self._common_until):
             run.began_at = now
             run.hold_until = now + HOLD_OFF_S
             if entry.started_ms > 0:
-                run.age_s = wall_clock_s - entry.started_ms / 1000
+                run.age_s = _compute_age_s(entry, wall_clock_s)
         return run
 
     def _update_entry(
@@ -436,3 +444,10 @@
 
     def _draw_gap_s(self, rate: float) -> float:
         return self._generator.expovariate(rate) if rate > 0.0 else math.inf
+
+
+def _compute_age_s(
+    entry: sycamoreloft_direct.Upstream, wall_clock_s: float
+) -> float:
+    """Returns the seconds since the start of a run, by its own clock."""
+    return wall_clock_s - entry.started_ms / 1000
--- a/packages/load/tests/test_warm_up_limits.py
+++ b/packages/load/tests/test_warm_up_limits.py
@@ -174,6 +174,10 @@
     pool = build_pool(1, build("u2"))
     update(pool, [build("u2"), build()], 0.5)
     assert not pool.warm_up.count_cold(0.5)
+    # An old upstream shows that other hosts may have traffic.
+    running = build_pool(1, build("u2", age_s=500.0))
+    update(running, [build("u2", age_s=500.0), build()], 0.5)
+    assert running.warm_up.count_cold(0.5) == 1
     # A host that has no traffic for long cannot know whether others have.
     update(pool, [build("u2"), build(), build("u3")], 11.0)
     assert pool.warm_up.count_cold(11.0) == 1
