Give no time to owners in evacuations older than the host

A host that restarted during an evacuation would have sent requests for keys to the evacuated domain for another 3 s. Callers that are refused because all domains are evacuated return later than after a full queue.

--- a/packages/load/sycamoreloft_load/_evacuations.py
+++ b/packages/load/sycamoreloft_load/_evacuations.py
@@ -53,10 +53,16 @@
     def __len__(self) -> int:
         return len(self._since)
 
-    def replace(self, domains: abc.Iterable[str], now: float) -> None:
-        """Replaces the set of evacuated failure domains."""
+    def replace(self, domains: abc.Iterable[str], since: float) -> None:
+        """Replaces the set of evacuated failure domains.
+
+        Args:
+            domains: The failure domains.
+            since: When this host learned of those that are new; minus infinity
+                if they may have been evacuated long before.
+        """
         self._since = {
-            domain: self._since.get(domain, now) for domain in domains
+            domain: self._since.get(domain, since) for domain in domains
         }
 
     def list_events(self, known: abc.Container[str]) -> list[EvacuationEvent]:
--- a/packages/router/sycamoreloft_router/_upstream_choice.py
+++ b/packages/router/sycamoreloft_router/_upstream_choice.py
@@ -192,7 +192,7 @@
                     MAXIMUM_RETRY_AFTER_MS, round(pause_ms * PAUSE_SPREAD_SHARE)
                 ),
             )
-        if self.is_owner_lost:
+        if self.is_owner_lost or self.reason == "evacuated":
             return generator.randint(
                 MINIMUM_LOST_OWNER_RETRY_MS, MAXIMUM_LOST_OWNER_RETRY_MS
             )
--- a/packages/router/sycamoreloft_router/load/_evacuation_rows.py
+++ b/packages/router/sycamoreloft_router/load/_evacuation_rows.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import logging
+import math
 
 import sycamoreloft_direct
 import sycamoreloft_load
@@ -30,6 +31,7 @@
         self._on_change = on_change
         #: Evacuated failure domains by the key of the row.
         self._domains: dict[str, str] = {}
+        self._has_read = False
 
     def replace_all(self, values: abc.Mapping[str, object]) -> None:
         """Applies all entries of the table."""
@@ -40,6 +42,7 @@
                 if isinstance(value, sycamoreloft_direct.Evacuation)
             }
         )
+        self._has_read = True
 
     def apply_changes(self, values: abc.Mapping[str, object]) -> None:
         """Applies changed entries of the table; None removes an entry."""
@@ -82,5 +85,8 @@
         if domains == self._domains:
             return
         self._domains = domains
-        self._evacuations.replace(domains.values(), self._read_clock())
+        # An evacuation that is older than this process may have been in force
+        # for long, so that the owners of keys get no further time.
+        since = self._read_clock() if self._has_read else -math.inf
+        self._evacuations.replace(domains.values(), since)
         self._on_change()
--- a/packages/router/tests/test_pool_updates.py
+++ b/packages/router/tests/test_pool_updates.py
@@ -80,6 +80,7 @@
 def test_an_evacuation_frees_the_upstreams_and_ends_with_its_row(host, caplog):
     caplog.set_level(logging.INFO)
     rows = host.updates.evacuations
+    rows.replace_all({})
     rows.apply_changes({"evacuate/a": EVACUATION})
     host.view.replace_all({"u1": build("u1"), "u2": build("u2", "b")}, 0.0)
     draining = {item.id for item in host.updates.list_all() if item.is_draining}
@@ -105,3 +106,15 @@
         "evacuation-began",
         "evacuation-ended",
     ]
+
+
+# Guards against a host that sends to an evacuated owner after its restart.
+@pytest.mark.parametrize("is_known", [False, True])
+def test_an_evacuation_that_is_older_than_the_host_is_in_force(host, is_known):
+    rows = host.updates.evacuations
+    host.view.replace_all({"u1": build("u1")}, 0.0)
+    if is_known:
+        rows.replace_all({})
+    rows.replace_all({"evacuate/a": EVACUATION})
+    record = host.pool.find(build("u1").run)
+    assert host.pool.may_send(record, 0.0, 0.8) == is_known
