--- a/packages/router/tests/test_upstream_client.py
+++ b/packages/router/tests/test_upstream_client.py
@@ -486,3 +486,15 @@
             assert upstream.connections == 4
 
     run(scenario)
+
+
+# Guards against a request that is sent though its time to be sent has passed.
+def test_a_request_that_may_not_leave_is_withdrawn_unsent(run):
+    async def scenario(client):
+        script = make_script(raw_peers.answer(b"x"))
+        async with raw_peers.RawUpstream(script) as upstream:
+            no, _ = await fetch(client, upstream, claim_send=lambda: False)
+            assert (no.failure.kind, no.maybe_sent) == (KIND.WITHDRAWN, False)
+            assert not upstream.requests
+
+    run(scenario)
