Lower the cost of paces in the choice

With 64 upstreams that all had a pace, a choice took 114 us in place of 39 without paces, which is most under overload. A pace now keeps when it is over, and shares are computed in one pass, or not at all if all candidates have a pace.

--- a/packages/load/sycamoreloft_load/_choice.py
+++ b/packages/load/sycamoreloft_load/_choice.py
@@ -69,7 +69,7 @@
         """
         candidates: list[_upstream_records.UpstreamRecord] = []
         weights: list[float] = []
-        paced: list[int] = []
+        paces: dict[int, _pace.Pace] = {}
         for record in records:
             entry = record.entry
             if (
@@ -78,8 +78,12 @@
                 and now >= record.paused_until
                 and entry.id not in excluded
             ):
-                if record.pace is not None:
-                    paced.append(len(candidates))
+                pace = record.pace
+                if pace is not None:
+                    if now < pace.full_at:
+                        paces[len(candidates)] = pace
+                    else:
+                        record.pace = None
                 candidates.append(record)
                 latency_s = (
                     record.latency_s if record.answers else unknown_latency_s
@@ -89,7 +93,9 @@
                 )
         if not candidates:
             return None
-        shares = _compute_shares(candidates, paced, now) if paced else {}
+        shares = (
+            _pace.compute_shares(paces, len(candidates), now) if paces else {}
+        )
         for index, share in shares.items():
             weights[index] *= share
         first, second = self._generator.choices(
@@ -167,31 +173,6 @@
         return weight
 
 
-def _compute_shares(
-    candidates: list[_upstream_records.UpstreamRecord],
-    paced: list[int],
-    now: float,
-) -> dict[int, float]:
-    """Returns the share of each candidate that does not get its whole load.
-
-    Ends the paces that have risen to the whole.
-    """
-    shares: dict[int, float] = {}
-    for index in paced:
-        pace = candidates[index].pace
-        if pace is not None:
-            share = _pace.compute_share(pace, now)
-            if share < 1.0:
-                shares[index] = share
-            else:
-                candidates[index].pace = None
-    floor = _pace.compute_floor(len(shares), len(candidates))
-    if floor:
-        for index, share in shares.items():
-            shares[index] = max(share, floor)
-    return shares
-
-
 def _compute_reliability(
     record: _upstream_records.UpstreamRecord, now: float
 ) -> float:
--- a/packages/load/sycamoreloft_load/_pace.py
+++ b/packages/load/sycamoreloft_load/_pace.py
@@ -7,6 +7,7 @@
 upstream is excluded by it.
 """
 
+from collections import abc
 import dataclasses
 import math
 
@@ -44,6 +45,8 @@
     share: float
     #: Time from which the share doubles without answers.
     rises_from: float
+    #: Time at which the share reaches 1 without answers, and the pace is over.
+    full_at: float
     #: End of the time for which the upstream said that it is cold.
     cold_until: float
     #: Time until which slow answers lower the share.
@@ -59,16 +62,24 @@
             rises only with answers meanwhile.
     """
     cold_until = now + cold_s
-    return Pace(MINIMUM_SHARE, cold_until, cold_until, cold_until + JUDGED_S)
+    pace = Pace(0.0, 0.0, 0.0, cold_until, cold_until + JUDGED_S)
+    _set_share(pace, MINIMUM_SHARE, cold_until)
+    return pace
+
+
+def _set_share(pace: Pace, share: float, rises_from: float) -> None:
+    pace.share = share
+    pace.rises_from = rises_from
+    pace.full_at = rises_from - DOUBLING_S * math.log2(share)
 
 
 def compute_share(pace: Pace, now: float) -> float:
     """Returns the share, from `MINIMUM_SHARE` to 1; at 1 the pace is over."""
     if now <= pace.rises_from:
         return pace.share
-    # 2 ** 3 reaches 1 from the lowest share; the exponent must not overflow.
-    doublings = min(8.0, (now - pace.rises_from) / DOUBLING_S)
-    return min(1.0, pace.share * math.pow(2.0, doublings))
+    if now >= pace.full_at:
+        return 1.0
+    return math.pow(2.0, (now - pace.full_at) / DOUBLING_S)
 
 
 def record_answer(
@@ -97,8 +108,7 @@
         share += min(share, 1.0 / max(1, slots))
         if share >= 1.0:
             return None
-        pace.share = share
-        pace.rises_from = max(now, pace.cold_until)
+        _set_share(pace, share, max(now, pace.cold_until))
     return pace
 
 
@@ -118,22 +128,41 @@
         pace = begin(now)
     else:
         share = compute_share(pace, now)
-    pace.share = max(MINIMUM_SHARE, share * SETBACK_FACTOR)
-    pace.rises_from = max(now, pace.cold_until, resumes_at)
+    _set_share(
+        pace,
+        max(MINIMUM_SHARE, share * SETBACK_FACTOR),
+        max(now, pace.cold_until, resumes_at),
+    )
     return pace
 
 
-def compute_floor(paced: int, candidates: int) -> float:
-    """Returns the share that each upstream gets at least.
+def compute_shares(
+    paces: abc.Mapping[int, Pace], candidates: int, now: float
+) -> dict[int, float]:
+    """Returns the shares of candidates that don't get their whole load.
 
     If few upstreams are warm, the load that the others don't get would
-    overload them. With a share of `f` upstreams that have a pace, the floor
-    `2f - 1` keeps the load of a warm upstream at most at twice its load without
-    paces, as `1 - f + f(2f - 1)` is at least a half. If all have a pace, none
-    is held back.
+    overload them. With a part `f` of the candidates that have a pace, a lowest
+    share of `2f - 1` keeps the load of a warm upstream at most at twice its
+    load without paces, as `1 - f + f(2f - 1)` is at least a half. If all have
+    a pace, none is held back.
 
     Args:
-        paced: Number of candidates with a pace.
+        paces: Paces that are not over, by index of the candidate.
         candidates: Number of all candidates.
+        now: Time, in seconds.
     """
-    return max(0.0, 2.0 * paced / candidates - 1.0)
+    floor = max(0.0, 2.0 * len(paces) / candidates - 1.0)
+    if floor >= 1.0:
+        return {}
+    return {
+        # This runs for every request, so a share that does not rise now must
+        # cost almost nothing.
+        index: max(
+            floor,
+            pace.share
+            if now <= pace.rises_from
+            else math.pow(2.0, (now - pace.full_at) / DOUBLING_S),
+        )
+        for index, pace in paces.items()
+    }
