--- a/packages/router/sycamoreloft_router/_datagram_codec.py
+++ b/packages/router/sycamoreloft_router/_datagram_codec.py
@@ -9,13 +9,16 @@
 import dataclasses
 import functools
 import ipaddress
-import math
 import typing
 
 import msgpack
 
 import sycamoreloft_direct
-from sycamoreloft_router import _datagrams, _key_directory
+from sycamoreloft_router import (
+    _datagram_checks,
+    _datagrams,
+    _key_directory,
+)
 
 #: Version of the encoding; other versions are rejected.
 _VERSION = 4
@@ -28,21 +31,12 @@
 _SEEN_FIELDS = len(dataclasses.fields(_datagrams.SeenVersions))
 _SEEN_FIELDS_WITHOUT_ERAS = 2
 
-#: Maximum fingerprint of a request.
-_MAXIMUM_FINGERPRINT = (1 << 64) - 1
-
 #: Maximum number of hosts in a heartbeat.
 _MAXIMUM_HOSTS = 1_000_000
 
 #: Maximum number of requests, answers or crashes in an entry of a report.
 _MAXIMUM_COUNT = 1_000_000
 
-#: Longest duration in a datagram, in seconds.
-_MAXIMUM_DURATION_S = 1e6
-
-#: Longest name, in characters.
-_MAXIMUM_NAME_CHARACTERS = 200
-
 _MAXIMUM_PORT = 65_535
 
 
@@ -172,10 +166,10 @@
         ValueError: A field has the wrong type, or is out of bounds.
     """
     return {
-        _check_fingerprint(request): tuple(
-            _decode_crash(*item) for item in _check_list(items)
+        _datagram_checks.check_fingerprint(request): tuple(
+            _decode_crash(*item) for item in _datagram_checks.check_list(items)
         )
-        for request, items in _check_mapping(crashes).items()
+        for request, items in _datagram_checks.check_mapping(crashes).items()
     }
 
 
@@ -198,7 +192,7 @@
         version, name, *fields = msgpack.unpackb(data, strict_map_key=False)
         if version != _VERSION:
             raise ValueError(f"unsupported version, expected {_VERSION}")
-        kind = _check_string(name)
+        kind = _datagram_checks.check_string(name)
         decoder = _DECODERS.get(kind)
         if decoder is None:
             raise ValueError("unknown kind of datagram")
@@ -226,15 +220,18 @@
     if not isinstance(is_leaving, bool):
         raise ValueError("is_leaving is not a boolean")
     return _datagrams.Heartbeat(
-        _check_version_part(epoch),
-        _check_version_part(revision),
+        _datagram_checks.check_version_part(epoch),
+        _datagram_checks.check_version_part(revision),
         is_leaving,
-        tuple(_decode_moving(*item) for item in _check_list(moving)),
+        tuple(
+            _decode_moving(*item)
+            for item in _datagram_checks.check_list(moving)
+        ),
         _decode_seen(seen),
-        _check_integer(hosts, 0, _MAXIMUM_HOSTS),
-        _check_duration(store_age_s),
-        _check_fingerprints(stopped),
-        _check_bytes(key_changes),
+        _datagram_checks.check_integer(hosts, 0, _MAXIMUM_HOSTS),
+        _datagram_checks.check_duration(store_age_s),
+        _datagram_checks.check_fingerprints(stopped),
+        _datagram_checks.check_bytes(key_changes),
     )
 
 
@@ -244,7 +241,8 @@
     return _datagrams.CrashNews(
         _decode_seen(seen),
         sycamoreloft_direct.CrashReport(
-            decode_crashes(crashes), _check_fingerprints(answered)
+            decode_crashes(crashes),
+            _datagram_checks.check_fingerprints(answered),
         ),
     )
 
@@ -255,9 +253,9 @@
     ended_ago_s: typing.Any,
 ) -> sycamoreloft_direct.ReportedCrash:
     return sycamoreloft_direct.ReportedCrash(
-        _check_fingerprint(number),
-        _check_duration(started_ago_s),
-        _check_duration(ended_ago_s),
+        _datagram_checks.check_fingerprint(number),
+        _datagram_checks.check_duration(started_ago_s),
+        _datagram_checks.check_duration(ended_ago_s),
     )
 
 
@@ -265,14 +263,14 @@
     seen: typing.Any, requests: typing.Any
 ) -> _datagrams.CrashSuspects:
     return _datagrams.CrashSuspects(
-        _decode_seen(seen), _check_fingerprints(requests)
+        _decode_seen(seen), _datagram_checks.check_fingerprints(requests)
     )
 
 
 def _decode_departures(
     seen: typing.Any, departures: typing.Any
 ) -> _datagrams.Departures:
-    items = _check_list(departures)
+    items = _datagram_checks.check_list(departures)
     if len(items) > sycamoreloft_direct.MAXIMUM_TOLD_DEPARTURES:
         raise ValueError(f"{len(items)} departures are too many")
     return _datagrams.Departures(
@@ -291,13 +289,13 @@
         raise ValueError("is_final is not a boolean")
     return sycamoreloft_direct.Departure(
         sycamoreloft_direct.UpstreamRun(
-            _check_string(upstream),
-            _check_integer(started_ms, 0, _MAXIMUM_ROW_VERSION),
+            _datagram_checks.check_string(upstream),
+            _datagram_checks.check_integer(started_ms, 0, _MAXIMUM_ROW_VERSION),
         ),
         is_final,
         sycamoreloft_direct.TableVersion(
-            _check_integer(era, 0, _MAXIMUM_ROW_VERSION),
-            _check_integer(version, 0, _MAXIMUM_ROW_VERSION),
+            _datagram_checks.check_integer(era, 0, _MAXIMUM_ROW_VERSION),
+            _datagram_checks.check_integer(version, 0, _MAXIMUM_ROW_VERSION),
         ),
     )
 
@@ -307,7 +305,10 @@
 ) -> _datagrams.Introduction:
     return _datagrams.Introduction(
         _decode_seen(seen),
-        tuple(_decode_address(*item) for item in _check_list(hosts)),
+        tuple(
+            _decode_address(*item)
+            for item in _datagram_checks.check_list(hosts)
+        ),
     )
 
 
@@ -319,14 +320,16 @@
     count: typing.Any,
     data: typing.Any,
 ) -> _datagrams.MapPart:
-    parts = _check_integer(count, 1, _datagrams.MAXIMUM_MAP_PARTS)
+    parts = _datagram_checks.check_integer(
+        count, 1, _datagrams.MAXIMUM_MAP_PARTS
+    )
     return _datagrams.MapPart(
         _decode_seen(seen),
-        _check_version_part(epoch),
-        _check_version_part(revision),
-        _check_integer(index, 0, parts - 1),
+        _datagram_checks.check_version_part(epoch),
+        _datagram_checks.check_version_part(revision),
+        _datagram_checks.check_integer(index, 0, parts - 1),
         parts,
-        _check_bytes(data),
+        _datagram_checks.check_bytes(data),
     )
 
 
@@ -340,26 +343,34 @@
     crashes: typing.Any,
 ) -> _datagrams.Report:
     return _datagrams.Report(
-        _check_string(host),
-        _check_version_part(epoch),
-        _check_version_part(revision),
+        _datagram_checks.check_string(host),
+        _datagram_checks.check_version_part(epoch),
+        _datagram_checks.check_version_part(revision),
         _decode_seen(seen),
         {
-            _check_string(service): {
-                _check_key(key): _check_integer(count, 0, _MAXIMUM_COUNT)
-                for key, count in _check_mapping(keys).items()
+            _datagram_checks.check_string(service): {
+                _datagram_checks.check_key(key): _datagram_checks.check_integer(
+                    count, 0, _MAXIMUM_COUNT
+                )
+                for key, count in _datagram_checks.check_mapping(keys).items()
             }
-            for service, keys in _check_mapping(requests).items()
+            for service, keys in _datagram_checks.check_mapping(
+                requests
+            ).items()
         },
         {
-            _check_string(upstream): _decode_answers(*pair)
-            for upstream, pair in _check_mapping(answers).items()
+            _datagram_checks.check_string(upstream): _decode_answers(*pair)
+            for upstream, pair in _datagram_checks.check_mapping(
+                answers
+            ).items()
         },
         {
-            _check_fingerprint(request): _check_integer(
-                count, 0, _MAXIMUM_COUNT
-            )
-            for request, count in _check_mapping(crashes).items()
+            _datagram_checks.check_fingerprint(
+                request
+            ): _datagram_checks.check_integer(count, 0, _MAXIMUM_COUNT)
+            for request, count in _datagram_checks.check_mapping(
+                crashes
+            ).items()
         },
     )
 
@@ -379,10 +390,12 @@
 def _decode_moving(
     service: typing.Any, first: typing.Any, last: typing.Any
 ) -> _key_directory.MovingKeys:
-    keys = (_check_key(first), _check_key(last))
+    keys = (_datagram_checks.check_key(first), _datagram_checks.check_key(last))
     if keys[0] > keys[1]:
         raise ValueError(f"the range of keys {first} to {last} is reversed")
-    return _key_directory.MovingKeys(_check_string(service), *keys)
+    return _key_directory.MovingKeys(
+        _datagram_checks.check_string(service), *keys
+    )
 
 
 def _encode_seen(seen: _datagrams.SeenVersions) -> list[int]:
@@ -397,83 +410,25 @@
 
 
 def _decode_seen(seen: typing.Any) -> _datagrams.SeenVersions:
-    values = _check_list(seen)
+    values = _datagram_checks.check_list(seen)
     if len(values) not in (_SEEN_FIELDS_WITHOUT_ERAS, _SEEN_FIELDS):
         raise ValueError(f"{len(values)} versions of tables")
     return _datagrams.SeenVersions(
-        *(_check_integer(value, 0, _MAXIMUM_ROW_VERSION) for value in values)
+        *(
+            _datagram_checks.check_integer(value, 0, _MAXIMUM_ROW_VERSION)
+            for value in values
+        )
     )
 
 
 def _decode_answers(
     count: typing.Any, seconds: typing.Any
 ) -> tuple[int, float]:
-    return _check_integer(count, 0, _MAXIMUM_COUNT), _check_duration(seconds)
+    return _datagram_checks.check_integer(
+        count, 0, _MAXIMUM_COUNT
+    ), _datagram_checks.check_duration(seconds)
 
 
 def _decode_address(ip: typing.Any, port: typing.Any) -> _datagrams.Address:
-    address = ipaddress.IPv4Address(_check_string(ip))
-    return str(address), _check_integer(port, 1, _MAXIMUM_PORT)
-
-
-def _check_fingerprint(value: typing.Any) -> int:
-    return _check_integer(value, 0, _MAXIMUM_FINGERPRINT)
-
-
-def _check_fingerprints(value: typing.Any) -> tuple[int, ...]:
-    return tuple(_check_fingerprint(item) for item in _check_list(value))
-
-
-def _check_key(value: typing.Any) -> int:
-    return _check_integer(value, 0, sycamoreloft_direct.KEY_COUNT - 1)
-
-
-def _check_version_part(value: typing.Any) -> int:
-    return _check_integer(
-        value, 0, sycamoreloft_direct.MAXIMUM_EPOCH_OR_REVISION
-    )
-
-
-def _check_integer(value: typing.Any, minimum: int, maximum: int) -> int:
-    if not isinstance(value, int) or isinstance(value, bool):
-        raise ValueError(f"{value!r:.40} is not an integer")
-    if not minimum <= value <= maximum:
-        raise ValueError(f"{value} is not between {minimum} and {maximum}")
-    return value
-
-
-def _check_duration(value: typing.Any) -> float:
-    if not isinstance(value, int | float) or isinstance(value, bool):
-        raise ValueError(f"{value!r:.40} is not a number of seconds")
-    if not math.isfinite(value) or not 0 <= value <= _MAXIMUM_DURATION_S:
-        raise ValueError(
-            f"{value} s is not between 0 and {_MAXIMUM_DURATION_S} s"
-        )
-    return float(value)
-
-
-def _check_string(value: typing.Any) -> str:
-    if not isinstance(value, str) or len(value) > _MAXIMUM_NAME_CHARACTERS:
-        raise ValueError(
-            f"{value!r:.40} is not a string of at most"
-            f" {_MAXIMUM_NAME_CHARACTERS} characters"
-        )
-    return value
-
-
-def _check_bytes(value: typing.Any) -> bytes:
-    if not isinstance(value, bytes):
-        raise ValueError(f"{value!r:.40} is not bytes")
-    return value
-
-
-def _check_list(value: typing.Any) -> list[typing.Any]:
-    if not isinstance(value, list):
-        raise ValueError(f"{value!r:.40} is not a list")
-    return value
-
-
-def _check_mapping(value: typing.Any) -> dict[typing.Any, typing.Any]:
-    if not isinstance(value, dict):
-        raise ValueError(f"{value!r:.40} is not a map")
-    return value
+    address = ipaddress.IPv4Address(_datagram_checks.check_string(ip))
+    return str(address), _datagram_checks.check_integer(port, 1, _MAXIMUM_PORT)
