Decide which hosts follow the table of upstreams

Each change of the table wakes every host, which calls the store for it. Three modules without I/O prepare that the coordinator passes changes on: what it knows of recent changes, which host of each failure domain is a witness, and when a host has to follow the store itself.

--- a/packages/direct/sycamoreloft_direct/__init__.py
+++ b/packages/direct/sycamoreloft_direct/__init__.py
@@ -76,14 +76,24 @@
     ServiceRetryBudgets,
 )
 from sycamoreloft_direct._routes import RouteTable
+from sycamoreloft_direct._table_log import TableChanges, TableLog
+from sycamoreloft_direct._table_relay import (
+    COMMON_CAUSES,
+    CoordinatorState,
+    FollowCause,
+    Offer,
+    TableRelay,
+)
 from sycamoreloft_direct._upstream_notices import (
     NO_NOTICE,
     LeavingRuns,
     UpstreamNotice,
 )
+from sycamoreloft_direct._witnesses import WitnessRoster
 
 __all__ = [
     "ANNOUNCED",
+    "COMMON_CAUSES",
     "FIRST_ERA",
     "GRANT_CALL_S",
     "KEY_COUNT",
@@ -97,11 +107,13 @@
     "ChangeCause",
     "ClaimState",
     "Command",
+    "CoordinatorState",
     "CrashGuard",
     "CrashReport",
     "Departure",
     "DepartureLog",
     "DesiredState",
+    "FollowCause",
     "GrantResult",
     "KeyChanges",
     "KeyCoordinator",
@@ -113,6 +125,7 @@
     "LeavingRuns",
     "MapCheck",
     "MapTrust",
+    "Offer",
     "OwnerChange",
     "ReportedCrash",
     "RetryBudget",
@@ -124,11 +137,15 @@
     "Service",
     "ServiceKeys",
     "ServiceRetryBudgets",
+    "TableChanges",
+    "TableLog",
+    "TableRelay",
     "TableVersion",
     "Target",
     "Upstream",
     "UpstreamNotice",
     "UpstreamRun",
+    "WitnessRoster",
     "WriteMap",
     "apply_changes",
     "check_integer",
