Add datagrams that pass on changes of the table of upstreams

A heartbeat with another field would not decode in the earlier release, so the request of a host, the offer that answers it and the changes are kinds of their own. Entries are checked field by field; a wrong one drops the datagram.

--- a/packages/router/sycamoreloft_router/_datagram_checks.py
+++ b/packages/router/sycamoreloft_router/_datagram_checks.py
@@ -4,10 +4,20 @@
 field has another type or is out of bounds.
 """
 
+import dataclasses
 import math
 import typing
 
 import sycamoreloft_direct
+from sycamoreloft_router import _datagrams
+
+#: Maximum version of a row of the platform's tables, and maximum era.
+MAXIMUM_ROW_VERSION = (1 << 63) - 1
+
+#: Number of fields of `SeenVersions`, and in the release before eras. Such a
+#: host sends no era, which counts as unknown.
+_SEEN_FIELDS = len(dataclasses.fields(_datagrams.SeenVersions))
+_SEEN_FIELDS_WITHOUT_ERAS = 2
 
 #: Maximum fingerprint of a request.
 _MAXIMUM_FINGERPRINT = (1 << 64) - 1
@@ -85,8 +95,41 @@
     return value
 
 
+def check_version(value: typing.Any) -> int:
+    """Checks the version of a row, or an era."""
+    return check_integer(value, 0, MAXIMUM_ROW_VERSION)
+
+
+def check_boolean(value: typing.Any, name: str) -> bool:
+    """Checks a boolean."""
+    if not isinstance(value, bool):
+        raise ValueError(f"{name} is not a boolean")
+    return value
+
+
 def check_mapping(value: typing.Any) -> dict[typing.Any, typing.Any]:
     """Checks that a field is a map."""
     if not isinstance(value, dict):
         raise ValueError(f"{value!r:.40} is not a map")
     return value
+
+
+def encode_seen(seen: _datagrams.SeenVersions) -> list[int]:
+    """Returns the fields, limited to what can be encoded.
+
+    The store may return a number of any size.
+    """
+    return [
+        min(max(value, 0), MAXIMUM_ROW_VERSION)
+        for value in dataclasses.astuple(seen)
+    ]
+
+
+def decode_seen(seen: typing.Any) -> _datagrams.SeenVersions:
+    """Checks the versions that `encode_seen` encoded."""
+    values = check_list(seen)
+    if len(values) not in (_SEEN_FIELDS_WITHOUT_ERAS, _SEEN_FIELDS):
+        raise ValueError(f"{len(values)} versions of tables")
+    return _datagrams.SeenVersions(
+        *(check_integer(value, 0, MAXIMUM_ROW_VERSION) for value in values)
+    )
--- a/packages/router/sycamoreloft_router/_datagram_codec.py
+++ b/packages/router/sycamoreloft_router/_datagram_codec.py
@@ -6,7 +6,6 @@
 """
 
 from collections import abc
-import dataclasses
 import functools
 import ipaddress
 import typing
@@ -18,19 +17,12 @@
     _datagram_checks,
     _datagrams,
     _key_directory,
+    _relay_codec,
 )
 
 #: Version of the encoding; other versions are rejected.
 _VERSION = 4
 
-#: Maximum version of a row of the platform's tables, and maximum era.
-_MAXIMUM_ROW_VERSION = (1 << 63) - 1
-
-#: Number of fields of `SeenVersions`, and in the release before eras. Such a
-#: host sends no era, which counts as unknown.
-_SEEN_FIELDS = len(dataclasses.fields(_datagrams.SeenVersions))
-_SEEN_FIELDS_WITHOUT_ERAS = 2
-
 #: Maximum number of hosts in a heartbeat.
 _MAXIMUM_HOSTS = 1_000_000
 
@@ -70,7 +62,7 @@
         message.revision,
         message.is_leaving,
         [(item.service, item.first, item.last) for item in message.moving],
-        _encode_seen(message.seen),
+        _datagram_checks.encode_seen(message.seen),
         message.hosts,
         message.store_age_s,
         message.stopped,
@@ -82,7 +74,7 @@
 def _(message: _datagrams.CrashNews) -> tuple[typing.Any, ...]:
     return (
         "crash-news",
-        _encode_seen(message.seen),
+        _datagram_checks.encode_seen(message.seen),
         encode_crashes(message.report.crashes),
         message.report.answered,
     )
@@ -90,14 +82,18 @@
 
 @_list_fields.register
 def _(message: _datagrams.CrashSuspects) -> tuple[typing.Any, ...]:
-    return ("crash-suspects", _encode_seen(message.seen), message.requests)
+    return (
+        "crash-suspects",
+        _datagram_checks.encode_seen(message.seen),
+        message.requests,
+    )
 
 
 @_list_fields.register
 def _(message: _datagrams.Departures) -> tuple[typing.Any, ...]:
     return (
         "departures",
-        _encode_seen(message.seen),
+        _datagram_checks.encode_seen(message.seen),
         [
             (
                 departure.run.id,
@@ -113,14 +109,18 @@
 
 @_list_fields.register
 def _(message: _datagrams.Introduction) -> tuple[typing.Any, ...]:
-    return ("introduction", _encode_seen(message.seen), message.hosts)
+    return (
+        "introduction",
+        _datagram_checks.encode_seen(message.seen),
+        message.hosts,
+    )
 
 
 @_list_fields.register
 def _(message: _datagrams.MapPart) -> tuple[typing.Any, ...]:
     return (
         "map-part",
-        _encode_seen(message.seen),
+        _datagram_checks.encode_seen(message.seen),
         message.epoch,
         message.revision,
         message.index,
@@ -136,13 +136,28 @@
         message.host,
         message.epoch,
         message.revision,
-        _encode_seen(message.seen),
+        _datagram_checks.encode_seen(message.seen),
         message.requests,
         message.answers,
         message.crashes,
     )
 
 
+@_list_fields.register
+def _(message: _datagrams.RelayRequest) -> tuple[typing.Any, ...]:
+    return _relay_codec.list_request_fields(message)
+
+
+@_list_fields.register
+def _(message: _datagrams.RelayOffer) -> tuple[typing.Any, ...]:
+    return _relay_codec.list_offer_fields(message)
+
+
+@_list_fields.register
+def _(message: _datagrams.RelayedChanges) -> tuple[typing.Any, ...]:
+    return _relay_codec.list_changes_fields(message)
+
+
 def encode_crashes(
     crashes: abc.Mapping[int, abc.Iterable[sycamoreloft_direct.ReportedCrash]],
 ) -> dict[int, list[tuple[int, float, float]]]:
@@ -227,7 +242,7 @@
             _decode_moving(*item)
             for item in _datagram_checks.check_list(moving)
         ),
-        _decode_seen(seen),
+        _datagram_checks.decode_seen(seen),
         _datagram_checks.check_integer(hosts, 0, _MAXIMUM_HOSTS),
         _datagram_checks.check_duration(store_age_s),
         _datagram_checks.check_fingerprints(stopped),
@@ -239,7 +254,7 @@
     seen: typing.Any, crashes: typing.Any, answered: typing.Any
 ) -> _datagrams.CrashNews:
     return _datagrams.CrashNews(
-        _decode_seen(seen),
+        _datagram_checks.decode_seen(seen),
         sycamoreloft_direct.CrashReport(
             decode_crashes(crashes),
             _datagram_checks.check_fingerprints(answered),
@@ -263,7 +278,8 @@
     seen: typing.Any, requests: typing.Any
 ) -> _datagrams.CrashSuspects:
     return _datagrams.CrashSuspects(
-        _decode_seen(seen), _datagram_checks.check_fingerprints(requests)
+        _datagram_checks.decode_seen(seen),
+        _datagram_checks.check_fingerprints(requests),
     )
 
 
@@ -274,7 +290,8 @@
     if len(items) > sycamoreloft_direct.MAXIMUM_TOLD_DEPARTURES:
         raise ValueError(f"{len(items)} departures are too many")
     return _datagrams.Departures(
-        _decode_seen(seen), tuple(_decode_departure(*item) for item in items)
+        _datagram_checks.decode_seen(seen),
+        tuple(_decode_departure(*item) for item in items),
     )
 
 
@@ -290,12 +307,18 @@
     return sycamoreloft_direct.Departure(
         sycamoreloft_direct.UpstreamRun(
             _datagram_checks.check_string(upstream),
-            _datagram_checks.check_integer(started_ms, 0, _MAXIMUM_ROW_VERSION),
+            _datagram_checks.check_integer(
+                started_ms, 0, _datagram_checks.MAXIMUM_ROW_VERSION
+            ),
         ),
         is_final,
         sycamoreloft_direct.TableVersion(
-            _datagram_checks.check_integer(era, 0, _MAXIMUM_ROW_VERSION),
-            _datagram_checks.check_integer(version, 0, _MAXIMUM_ROW_VERSION),
+            _datagram_checks.check_integer(
+                era, 0, _datagram_checks.MAXIMUM_ROW_VERSION
+            ),
+            _datagram_checks.check_integer(
+                version, 0, _datagram_checks.MAXIMUM_ROW_VERSION
+            ),
         ),
     )
 
@@ -304,7 +327,7 @@
     seen: typing.Any, hosts: typing.Any
 ) -> _datagrams.Introduction:
     return _datagrams.Introduction(
-        _decode_seen(seen),
+        _datagram_checks.decode_seen(seen),
         tuple(
             _decode_address(*item)
             for item in _datagram_checks.check_list(hosts)
@@ -324,7 +347,7 @@
         count, 1, _datagrams.MAXIMUM_MAP_PARTS
     )
     return _datagrams.MapPart(
-        _decode_seen(seen),
+        _datagram_checks.decode_seen(seen),
         _datagram_checks.check_version_part(epoch),
         _datagram_checks.check_version_part(revision),
         _datagram_checks.check_integer(index, 0, parts - 1),
@@ -346,7 +369,7 @@
         _datagram_checks.check_string(host),
         _datagram_checks.check_version_part(epoch),
         _datagram_checks.check_version_part(revision),
-        _decode_seen(seen),
+        _datagram_checks.decode_seen(seen),
         {
             _datagram_checks.check_string(service): {
                 _datagram_checks.check_key(key): _datagram_checks.check_integer(
@@ -383,7 +406,10 @@
     "heartbeat": _decode_heartbeat,
     "introduction": _decode_introduction,
     "map-part": _decode_map_part,
+    "relay-offer": _relay_codec.decode_offer,
+    "relay-request": _relay_codec.decode_request,
     "report": _decode_report,
+    "table-changes": _relay_codec.decode_changes,
 }
 
 
@@ -398,29 +424,6 @@
     )
 
 
-def _encode_seen(seen: _datagrams.SeenVersions) -> list[int]:
-    """Returns the fields, limited to what can be encoded.
-
-    The store may return a number of any size.
-    """
-    return [
-        min(max(value, 0), _MAXIMUM_ROW_VERSION)
-        for value in dataclasses.astuple(seen)
-    ]
-
-
-def _decode_seen(seen: typing.Any) -> _datagrams.SeenVersions:
-    values = _datagram_checks.check_list(seen)
-    if len(values) not in (_SEEN_FIELDS_WITHOUT_ERAS, _SEEN_FIELDS):
-        raise ValueError(f"{len(values)} versions of tables")
-    return _datagrams.SeenVersions(
-        *(
-            _datagram_checks.check_integer(value, 0, _MAXIMUM_ROW_VERSION)
-            for value in values
-        )
-    )
-
-
 def _decode_answers(
     count: typing.Any, seconds: typing.Any
 ) -> tuple[int, float]:
--- a/packages/router/sycamoreloft_router/_datagrams.py
+++ b/packages/router/sycamoreloft_router/_datagrams.py
@@ -157,6 +157,36 @@
     requests: tuple[int, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayRequest:
+    """Asks the coordinator to pass on changes of the table of upstreams."""
+
+    #: Versions of the platform's tables that the sender has read.
+    seen: SeenVersions
+    #: Number that the offer repeats.
+    number: int
+    #: Failure domain of the sender.
+    failure_domain: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayOffer:
+    """Answers a `RelayRequest`."""
+
+    #: Versions of the platform's tables that the sender has read.
+    seen: SeenVersions
+    offer: sycamoreloft_direct.Offer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayedChanges:
+    """Changes of the table of upstreams, for a host that lacks them."""
+
+    #: Versions of the platform's tables that the sender has read.
+    seen: SeenVersions
+    changes: sycamoreloft_direct.TableChanges
+
+
 Datagram = (
     Heartbeat
     | Report
@@ -165,6 +195,9 @@
     | Departures
     | CrashNews
     | CrashSuspects
+    | RelayRequest
+    | RelayOffer
+    | RelayedChanges
 )
 
 
--- a/packages/router/tests/test_datagram_fuzz.py
+++ b/packages/router/tests/test_datagram_fuzz.py
@@ -1,6 +1,7 @@
 """Datagrams that are malformed, or arrive in any order."""
 
 import asyncio
+import dataclasses
 import random
 
 import key_world
@@ -54,6 +55,24 @@
     ),
 }
 
+ENTRY = ["u1", 1, "10.0.0.9:80", "boards", "z1", 4, True, 1.5]
+
+MESSAGES |= {
+    "relay-request": _datagrams.RelayRequest(SEEN, 5, "z1"),
+    "relay-offer": _datagrams.RelayOffer(
+        SEEN,
+        sycamoreloft_direct.Offer(
+            3, 5, True, sycamoreloft_direct.TableVersion(2, 7), 8, 9
+        ),
+    ),
+    "table-changes": _datagrams.RelayedChanges(
+        SEEN,
+        sycamoreloft_direct.TableChanges(
+            2, 7, 9, {"u1": sycamoreloft_direct.Upstream(*ENTRY), "u2": None}
+        ),
+    ),
+}
+
 #: Kind, position of a field after version and kind, and an invalid value.
 BAD_FIELDS = [
     ("heartbeat", 0, float("inf")),
@@ -113,8 +132,44 @@
     ("departures", 1, [("u1", 1, True, 1, 1 << 63)]),
     ("departures", 1, [(b"u1", 1, True, 1, 7)]),
     ("departures", 1, [("u1", 1, True, 1, 7)] * 65),
+    ("relay-request", 1, -1),
+    ("relay-request", 2, ""),
+    ("relay-offer", 1, -1),
+    ("relay-offer", 3, 1),
+    ("relay-offer", 5, 9),
+    ("relay-offer", 6, 1 << 63),
+    ("table-changes", 1, 0),
+    ("table-changes", 2, 9),
+    ("table-changes", 4, {"u1": None}),
+    ("table-changes", 4, [["u 1"]]),
+    ("table-changes", 4, [ENTRY[:-1]]),
+    ("table-changes", 4, [[*ENTRY, 1]]),
+    ("table-changes", 4, [["u1"]] * 1_025),
 ]
 
+#: An entry with one wrong field each.
+BAD_FIELDS += [
+    ("table-changes", 4, [[*ENTRY[:index], value, *ENTRY[index + 1 :]]])
+    for index, value in (
+        (0, ""),
+        (1, -1),
+        (2, "host:80"),
+        (2, "10.0.0.9:0"),
+        (2, "0.0.0.0:80"),
+        (3, "a\n"),
+        (4, 7),
+        (5, 10_001),
+        (5, True),
+        (6, 1),
+        (7, float("nan")),
+    )
+]
+
+
+def test_each_field_of_an_entry_is_passed_on():
+    """Guards against a new field of entries that hosts do not get."""
+    assert len(dataclasses.fields(sycamoreloft_direct.Upstream)) == len(ENTRY)
+
 
 def _repack(message, change):
     """Encodes a message after changing the list of its encoded fields."""
