Let a follower of a table wait while changes are passed on

While the coordinator passes changes on, the follower makes no calls for them; afterwards it asks for the changes after the last one. Changes are not applied during a call, whose answer may be older. restart_call now also reads the table when no call is pending, since entries may have expired. The log line of a read moves to a module of its own for its length.

--- a/packages/router/sycamoreloft_router/_call_progress.py
+++ b/packages/router/sycamoreloft_router/_call_progress.py
@@ -22,6 +22,11 @@
         #: Time at which the latest byte arrived; 0 if none has arrived.
         self.last_byte_at = 0.0
 
+    @property
+    def loading_s(self) -> float:
+        """Seconds from the first to the latest byte; 0 without bytes."""
+        return self.last_byte_at - self.first_byte_at
+
     def record_bytes(self, size: int, now: float) -> None:
         """Records that a part of the answer arrived.
 
--- a/packages/router/sycamoreloft_router/_table_follower.py
+++ b/packages/router/sycamoreloft_router/_table_follower.py
@@ -5,7 +5,13 @@
 import logging
 import typing
 
-from sycamoreloft_router import _call_progress, _direct_ports, _logs
+import sycamoreloft_direct
+from sycamoreloft_router import (
+    _call_progress,
+    _direct_ports,
+    _logs,
+    _table_logs,
+)
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -97,6 +103,12 @@
         self._unreached: dict[tuple[int, int], tuple[float, float]] = {}
         #: Era and version because of which the next full read is made.
         self._heard: tuple[int, int] | None = None
+        #: Whether the coordinator passes the changes of the table on, so that
+        #: no calls for changes are made.
+        self._is_relayed = False
+        #: Delay of the first call after that, in seconds.
+        self._return_delay_s = 0.0
+        self._wake = asyncio.Event()
         #: When the store last answered, on the clock of the event loop.
         self.answered_at = 0.0
         #: When the store last answered again after failed or abandoned calls,
@@ -111,6 +123,13 @@
         """Whether the last calls to the store failed."""
         return self._failures >= FAILURES_UNTIL_LOST
 
+    @property
+    def known_version(self) -> sycamoreloft_direct.TableVersion:
+        """Version up to which this host knows all changes; era 0 if unread."""
+        if self.era is None:
+            return sycamoreloft_direct.TableVersion(0, 0)
+        return sycamoreloft_direct.TableVersion(self.era, self._version)
+
     async def run(self) -> None:
         """Follows the table until cancelled."""
         while True:
@@ -140,7 +159,15 @@
             self._update_newest(0 if is_restored else self.newest, answer)
             read_at = asyncio.get_running_loop().time()
             self._apply_answer(answer)
-            self._log_read(answer, read_at)
+            if self._is_full_read or self._progress.loading_s >= SLOW_LOAD_S:
+                _table_logs.log_read(
+                    self._name,
+                    "read" if self._is_full_read else "follow",
+                    self.newest,
+                    len(answer.values),
+                    self._progress,
+                    read_at,
+                )
             if answer.values and not self._is_full_read:
                 # Changes were already collected while the answer was loading.
                 loading_s = read_at - self._progress.first_byte_at
@@ -231,11 +258,85 @@
         entries that expired during the outage may return, as after an outage
         that this host noticed itself.
         """
-        if self._call is None or self._is_full_read:
+        is_reading = self._call is not None and self._is_full_read
+        if is_reading or self.era is None:
             return
         self.returned_at = asyncio.get_running_loop().time()
         self._request_full_read()
 
+    # Changes that the coordinator passes on.
+
+    def set_relayed(self, is_relayed: bool, return_delay_s: float) -> None:
+        """Sets whether the coordinator passes the changes of the table on.
+
+        While it does, no calls for changes are made, and a pending one is
+        cancelled unless its answer is loading. Afterwards the next call asks
+        for the changes after the last one that was passed on.
+
+        Args:
+            is_relayed: Whether changes are passed on.
+            return_delay_s: Delay of the first call afterwards, in seconds.
+        """
+        if is_relayed == self._is_relayed:
+            return
+        self._is_relayed = is_relayed
+        self._return_delay_s = 0.0 if is_relayed else return_delay_s
+        self._wake.set()
+        if is_relayed and self._call is not None and not self._is_loading:
+            self._call.cancel()
+
+    def apply_relayed(self, changes: sycamoreloft_direct.TableChanges) -> bool:
+        """Applies changes that the coordinator passes on.
+
+        They are ignored during a call to the store, whose answer may be older.
+
+        Returns:
+            Whether this host knows all these changes now.
+        """
+        if (
+            self._call is not None
+            or self._must_read
+            or changes.era != self.era
+            or changes.before > self._version
+        ):
+            return False
+        if not changes.values:
+            return True
+        is_news = changes.after > self._version
+        self._version = max(self._version, changes.after)
+        self._set_newest(max(self.newest, changes.after))
+        if is_news:
+            try:
+                self._on_changes(changes.values)
+            except Exception:
+                self._request_full_read()
+                raise
+        return True
+
+    def skip_unchanged(self, head: int, version: int) -> None:
+        """Records that the table did not change between two versions.
+
+        The store keeps a limited history, so that a call after an old version
+        would cause a full read.
+
+        Args:
+            head: Version of the last change.
+            version: Version up to which there were no further changes.
+        """
+        if self._call is None and head <= self._version < version:
+            self._version = version
+
+    async def _wait_while_relayed(self) -> None:
+        """Waits until a call to the store is needed."""
+        while True:
+            while self._is_relayed and not self._must_read:
+                self._wake.clear()
+                await self._wake.wait()
+            delay_s, self._return_delay_s = self._return_delay_s, 0.0
+            if not delay_s:
+                return
+            await asyncio.sleep(delay_s)
+
     def _check_lag(self, newest: int, era: int) -> None:
         self._lag_timer = None
         if (
@@ -276,6 +377,7 @@
         The pending call is cancelled unless its answer is loading.
         """
         self._must_read = True
+        self._wake.set()
         if self._call is not None and not self._is_loading:
             self._call.cancel()
 
@@ -285,6 +387,7 @@
         A call that is cancelled because it hangs is followed by another one.
         """
         while True:
+            await self._wait_while_relayed()
             loop = asyncio.get_running_loop()
             self._progress = _call_progress.CallProgress(loop.time())
             self._is_full_read, self._must_read = self._must_read, False
@@ -309,9 +412,7 @@
         may reach the version later, a change of the table ends the delay.
         """
         newest = max(before, answer.newest)
-        if newest != self.newest or len(self._unreached) > MAXIMUM_UNREACHED:
-            self._unreached.clear()
-        self.newest = newest
+        self._set_newest(newest)
         if not self._is_full_read or self._heard is None:
             return
         if self._heard > (answer.era, newest):
@@ -323,6 +424,11 @@
             self._unreached[self._heard] = retry_at, delay_s
         self._heard = None
 
+    def _set_newest(self, newest: int) -> None:
+        if newest != self.newest or len(self._unreached) > MAXIMUM_UNREACHED:
+            self._unreached.clear()
+        self.newest = newest
+
     def _is_restored(
         self, answer: _direct_ports.TableEntries[typing.Any]
     ) -> bool:
@@ -361,32 +467,6 @@
                 last_answer_age_s=round(now - self.answered_at, 3),
             )
 
-    def _log_read(
-        self,
-        answer: _direct_ports.TableEntries[typing.Any],
-        read_at: float,
-    ) -> None:
-        """Logs how long each phase of a full or slow read took."""
-        progress = self._progress
-        loading_s = progress.last_byte_at - progress.first_byte_at
-        if not self._is_full_read and loading_s < SLOW_LOAD_S:
-            return
-        now = asyncio.get_running_loop().time()
-        _logs.log_event(
-            _LOGGER,
-            logging.INFO,
-            "table-read",
-            table=self._name,
-            call="read" if self._is_full_read else "follow",
-            newest=self.newest,
-            rows=len(answer.values),
-            bytes=progress.bytes,
-            waited_s=round(progress.first_byte_at - progress.began_at, 3),
-            loading_s=round(loading_s, 3),
-            decoding_s=round(read_at - progress.last_byte_at, 3),
-            applying_s=round(now - read_at, 3),
-        )
-
     async def _handle_problem(self, problem: _direct_ports.ReadProblem) -> None:
         if problem is _direct_ports.ReadProblem.HISTORY_LOST:
             _logs.log_event(
