Pass changes of the table of upstreams on to hosts

From 40 hosts on, the coordinator and one witness in each failure domain follow the table at the store; the others get its changes beside the heartbeats, and follow the store themselves as soon as they cannot rely on that.

--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -28,11 +28,12 @@
     _direct_services,
     _direct_views,
     _host_freshness,
+    _host_gauges,
     _key_directory,
     _logs,
     _metrics,
     _probe_server,
-    _process_measures,
+    _relay_exchange,
     _settings_watch,
     _store_availability,
     _store_eras,
@@ -89,6 +90,10 @@
 #: leaving owner still gets requests, it stays below the drain time of 2 s.
 MAXIMUM_SPREAD_S = 0.6
 
+#: Share of that delay for hosts that lose the coordinator: they call the store
+#: for one table only, and have waited for a heartbeat before.
+RETURN_SPREAD_SHARE = 0.5
+
 #: Names of the settings that a running host can change; the others need a
 #: restart.
 RELOADABLE = frozenset(
@@ -161,7 +166,7 @@
             platform.upstreams,
             self._replace_upstreams,
             self._apply_upstream_changes,
-            self._choose_spread_s,
+            lambda: 0.0 if self._relay.is_source else self._choose_spread_s(),
             self._observe_era,
         )
         freshness = _host_freshness.HostFreshness(
@@ -171,10 +176,21 @@
             self._update_host_count,
             self._record_store_age,
         )
-        self._departures = _departure_exchange.DepartureExchange(
+        self._relay = _relay_exchange.RelayExchange(
             _direct_peers.PeerSocket(
                 settings.peer_address, self._receive_datagram
             ),
+            self.upstream_follower,
+            settings,
+            freshness.read_versions,
+            lambda: self._directory.key_map.epoch,
+            lambda: self._role.is_coordinator,
+            lambda: RETURN_SPREAD_SHARE * self._choose_spread_s(),
+            metrics,
+            generator.getrandbits(32),
+        )
+        self._departures = _departure_exchange.DepartureExchange(
+            self._relay,
             self._upstreams,
             freshness.read_versions,
         )
@@ -385,35 +401,15 @@
     def _render_metrics(self) -> bytes:
         """Updates the gauges that are set only here; renders all metrics."""
         metrics, now = self._metrics, self._loop.time()
-        _process_measures.update(metrics)
-        metrics.set(
-            "sycamoreloft_is_coordinator",
-            value=float(self._role.is_coordinator),
-        )
-        metrics.set(
-            "sycamoreloft_keys_without_owner",
-            value=float(self._role.count_unheld_keys()),
-        )
-        metrics.set(
-            "sycamoreloft_key_map_revision",
-            value=float(self._directory.key_map.revision),
-        )
-        metrics.set(
-            "sycamoreloft_upstreams_listed",
-            value=float(len(self._upstreams.list_all())),
+        _host_gauges.update(
+            metrics,
+            now,
+            self._role,
+            self._directory,
+            self._upstreams,
+            self.state_follower,
+            self.upstream_follower,
         )
-        for table, follower in (
-            ("states", self.state_follower),
-            ("upstreams", self.upstream_follower),
-        ):
-            metrics.set(
-                "sycamoreloft_store_silence_seconds",
-                table,
-                value=now - follower.answered_at,
-            )
-            metrics.set(
-                "sycamoreloft_store_era", table, value=float(follower.era or 0)
-            )
         for service, remaining in self._budgets.list_remaining(now).items():
             metrics.set("sycamoreloft_retries_left", service, value=remaining)
         return metrics.render()
@@ -473,11 +469,15 @@
         now = self._loop.time()
         self._upstreams.replace_all(values, now)
         self._schedule_sweep(now)
+        self._relay.record_read()
 
-    def _apply_upstream_changes(self, values: abc.Mapping[str, object]) -> None:
+    def _apply_upstream_changes(
+        self, values: abc.Mapping[str, typing.Any]
+    ) -> None:
         now = self._loop.time()
         self._upstreams.apply_changes(values, now)
         self._schedule_sweep(now)
+        self._relay.record_changes(values)
 
     def _receive_datagram(
         self, message: _datagrams.Datagram, sender: _datagrams.Address
@@ -487,7 +487,12 @@
     def _receive_other(
         self, message: _datagrams.Datagram, sender: _datagrams.Address
     ) -> None:
-        self._departures.receive(message, sender, self._role.receive)
+        self._departures.receive(message, sender, self._receive_last)
+
+    def _receive_last(
+        self, message: _datagrams.Datagram, sender: _datagrams.Address
+    ) -> None:
+        self._relay.receive(message, sender, self._role.receive)
 
     def _update_pool(self) -> None:
         self._pool.update(self._upstreams.list_all(), self._loop.time())
--- a/packages/router/sycamoreloft_router/_direct_ports.py
+++ b/packages/router/sycamoreloft_router/_direct_ports.py
@@ -305,5 +305,9 @@
     link_mbps: float = 1_000.0
     #: Reads per second that the store allows, for all hosts together.
     store_reads_per_s: float = 1_000.0
+    #: Number of hosts from which on the coordinator passes changes of the table
+    #: of upstreams on. With few hosts, their calls to the store cost less than
+    #: the datagrams.
+    relay_minimum_hosts: int = 40
     #: Lowest level of log lines that are written.
     log_level: str = "info"
--- a/packages/router/sycamoreloft_router/_metrics.py
+++ b/packages/router/sycamoreloft_router/_metrics.py
@@ -242,6 +242,23 @@
         Kind.GAUGE,
         "Upstreams that discovery lists, leaving ones among them",
     ),
+    Definition(
+        "sycamoreloft_table_relayed",
+        Kind.GAUGE,
+        "Whether the coordinator passes the table of upstreams on to this host",
+    ),
+    Definition(
+        "sycamoreloft_relay_ends_total",
+        Kind.COUNTER,
+        "Times that this host began to follow the table of upstreams itself",
+        ("cause",),
+    ),
+    Definition(
+        "sycamoreloft_relayed_changes_total",
+        Kind.COUNTER,
+        "Messages with changes of the table of upstreams, by receiver",
+        ("direction",),
+    ),
     Definition(
         "sycamoreloft_loop_lag_seconds",
         Kind.HISTOGRAM,
