--- a/packages/direct/sycamoreloft_direct/__init__.py
+++ b/packages/direct/sycamoreloft_direct/__init__.py
@@ -87,6 +87,7 @@
 from sycamoreloft_direct._upstream_notices import (
     NO_NOTICE,
     LeavingRuns,
+    ReportedLoad,
     UpstreamNotice,
 )
 from sycamoreloft_direct._witnesses import WitnessRoster
@@ -128,6 +129,7 @@
     "Offer",
     "OwnerChange",
     "ReportedCrash",
+    "ReportedLoad",
     "RetryBudget",
     "Route",
     "RouteKind",
--- a/packages/load/sycamoreloft_load/__init__.py
+++ b/packages/load/sycamoreloft_load/__init__.py
@@ -4,16 +4,19 @@
 time, in seconds.
 """
 
-from sycamoreloft_load._upstream_pool import (
+from sycamoreloft_load._reported_loads import HeardLoad, ReportedLoad
+from sycamoreloft_load._upstream_pool import UpstreamPool
+from sycamoreloft_load._upstream_records import (
     MINIMUM_STALL_S,
     AttemptResult,
-    UpstreamPool,
     UpstreamRecord,
 )
 
 __all__ = [
     "MINIMUM_STALL_S",
     "AttemptResult",
+    "HeardLoad",
+    "ReportedLoad",
     "UpstreamPool",
     "UpstreamRecord",
 ]
--- a/packages/load/sycamoreloft_load/_upstream_pool.py
+++ b/packages/load/sycamoreloft_load/_upstream_pool.py
@@ -1,26 +1,25 @@
 """Chooses upstreams by the latencies and failures that this host observed."""
 
 from collections import abc
-import dataclasses
-import enum
 import math
 import random
+import typing
 
 import sycamoreloft_direct
-from sycamoreloft_load import _remembered_runs
+from sycamoreloft_load import (
+    _choice,
+    _pace,
+    _remembered_runs,
+    _reported_loads,
+    _upstream_records,
+)
+
+_RESULT = _upstream_records.AttemptResult
+_Record: typing.TypeAlias = _upstream_records.UpstreamRecord
 
 #: Weight of a new observation in a moving average.
 MOVING_AVERAGE_GAIN = 0.15
 
-#: Latency that is assumed for an upstream without answers if no upstream of
-#: its service has answered yet, in seconds.
-DEFAULT_LATENCY_S = 0.15
-
-#: Minimum latency in seconds, and minimum share of successes, that the weight
-#: of an upstream is computed with.
-MINIMUM_LATENCY_S = 0.001
-MINIMUM_SUCCESS_SHARE = 0.05
-
 #: Number of successive failures after which an upstream is ejected, so that it
 #: gets hardly any requests for a time.
 FAILURES_TO_EJECT = 2
@@ -32,38 +31,10 @@
 #: Maximum duration of an ejection, in seconds.
 MAXIMUM_EJECTION_S = 4.0
 
-#: Factor of the weight of upstreams in the failure domain of this host.
-LOCAL_PREFERENCE = 2.0
-
-#: The same for requests with large bodies, which cost more to send between
-#: failure domains.
-LOCAL_UPLOAD_PREFERENCE = 6.0
-
-#: An upstream is considered stalled if its oldest request is older than this
-#: multiple of its mean latency and it has answered nothing since.
-STALL_FACTOR = 5.0
-
-#: Minimum age of the oldest request of a stalled upstream, in seconds.
-MINIMUM_STALL_S = 0.6
-
 #: Seconds for which an upstream is not used after another upstream answered at
 #: its address. Its outdated entry expires in service discovery meanwhile.
 REPLACED_ADDRESS_S = 4.0
 
-#: Factor of the weight of an upstream that is stalled or ejected. The number of
-#: its slots is ignored.
-AVOIDED_WEIGHT = 0.001
-
-#: Factor of the weight while an upstream warms up.
-WARM_UP_WEIGHT = 0.5
-
-#: Seconds for which a refused request lowers the weight of an upstream.
-REFUSAL_MEMORY_S = 0.5
-
-#: Factor of the weight of an upstream during this time.
-REFUSAL_WEIGHT = 0.3
-
-
 #: Adjustments to the share of requests that an owner of keys gets: each request
 #: without an answer multiplies the share, and each answer adds to it. Refused
 #: requests don't change it, because a refusal is quick and shows that the
@@ -75,69 +46,6 @@
 MINIMUM_SHARE = 0.2
 
 
-class AttemptResult(enum.Enum):
-    """Result of sending a request to an upstream."""
-
-    #: The upstream answered the request.
-    ANSWERED = "answered"
-    #: The upstream answered with an error of its own.
-    FAILED = "failed"
-    #: The upstream refused the request, which did not run.
-    REFUSED = "refused"
-    #: Another upstream answered at the address. The request did not run.
-    REPLACED = "replaced"
-    #: The upstream stopped accepting requests before this one was sent.
-    WITHDRAWN = "withdrawn"
-    #: No connection could be made.
-    UNREACHABLE = "unreachable"
-    #: The connection broke, or the answer was malformed.
-    BROKEN = "broken"
-    #: No answer arrived in time.
-    SILENT = "silent"
-    #: The attempt ended early, for example because the caller disconnected.
-    CANCELLED = "cancelled"
-
-
-@dataclasses.dataclass(slots=True)
-class UpstreamRecord:
-    """Observations of this host about one run of an upstream.
-
-    Times are seconds on the clock of this host.
-    """
-
-    #: The entry in service discovery.
-    entry: sycamoreloft_direct.Upstream
-    #: When this host first saw the entry.
-    seen_at: float
-    #: When this host first saw that the upstream is draining; infinite if it
-    #: is not.
-    leaving_since: float = math.inf
-    #: Start times of the requests in flight, by attempt, oldest first.
-    in_flight: dict[object, float] = dataclasses.field(default_factory=dict)
-    #: Moving average of the latency, in seconds.
-    latency_s: float = DEFAULT_LATENCY_S
-    #: Number of answers in that average.
-    answers: int = 0
-    #: Moving average of the share of failed attempts.
-    failure_share: float = 0.0
-    #: Number of successive unreachable, broken or silent attempts.
-    failures: int = 0
-    #: Time until which the upstream is ejected.
-    ejected_until: float = 0.0
-    #: Time until which another upstream is assumed to use the address.
-    replaced_until: float = 0.0
-    #: Time until which the upstream wants no requests from this host.
-    paused_until: float = 0.0
-    #: Duration of the last ejection, in seconds; 0 after an answer.
-    ejection_s: float = 0.0
-    #: When the upstream last answered or refused a request.
-    answered_at: float = 0.0
-    #: Share of the requests for its keys that is sent to the upstream.
-    share: float = 1.0
-    #: When the upstream last refused a request.
-    refused_at: float = -1e9
-
-
 class UpstreamPool:
     """The upstreams of all services, with the observations of this host.
 
@@ -147,15 +55,19 @@
     """
 
     def __init__(self, failure_domain: str, generator: random.Random) -> None:
-        self._failure_domain = failure_domain
+        self._loads = _reported_loads.ServiceLoads()
+        self._choice = _choice.Choice(failure_domain, generator, self._loads)
         self._generator = generator
         #: Records by identifier and start time, since hashing an `UpstreamRun`
         #: is much slower.
-        self._records: dict[tuple[str, int], UpstreamRecord] = {}
-        self._by_service: dict[str, list[UpstreamRecord]] = {}
+        self._records: dict[tuple[str, int], _Record] = {}
+        self._by_service: dict[str, list[_Record]] = {}
         #: Moving average of the latency of each service, in seconds.
         self._service_latencies: dict[str, float] = {}
         self._remembered = _remembered_runs.RememberedRuns()
+        #: Records of the runs whose latest report this host heard itself, and
+        #: that `take_loads` has not returned yet.
+        self._heard: dict[tuple[str, int], _Record] = {}
 
     def update(
         self, upstreams: abc.Iterable[sycamoreloft_direct.Upstream], now: float
@@ -165,8 +77,8 @@
         An entry that is the same object as before is skipped quickly: updates
         are frequent, but change few entries.
         """
-        records: dict[tuple[str, int], UpstreamRecord] = {}
-        by_service: dict[str, list[UpstreamRecord]] = {}
+        records: dict[tuple[str, int], _Record] = {}
+        by_service: dict[str, list[_Record]] = {}
         for entry in upstreams:
             key = (entry.id, entry.started_ms)
             record = self._records.get(key)
@@ -178,26 +90,32 @@
             by_service.setdefault(entry.service, []).append(record)
         for key in self._records.keys() - records.keys():
             self._remember(key, self._records[key], now)
+            self._heard.pop(key, None)
         self._records = records
         self._by_service = by_service
         for service in self._service_latencies.keys() - by_service.keys():
             del self._service_latencies[service]
+        self._loads.forget_all_but(by_service)
 
     def _create_record(
         self,
         key: tuple[str, int],
         entry: sycamoreloft_direct.Upstream,
         now: float,
-    ) -> UpstreamRecord:
+    ) -> _Record:
         """Creates a record with what is remembered of its run."""
-        record = UpstreamRecord(entry, now)
+        record = _Record(entry, now)
         record.paused_until = self._remembered.take_pause(key)
         record.leaving_since = self._remembered.take_leaving(key)
         _update_leaving_since(record, now)
+        if entry.warm_up_s or entry.service in self._by_service:
+            # Upstreams that this host sees with its first entries of a service
+            # may have started long ago.
+            record.pace = _pace.begin(now, entry.warm_up_s)
         return record
 
     def _remember(
-        self, key: tuple[str, int], record: UpstreamRecord, now: float
+        self, key: tuple[str, int], record: _Record, now: float
     ) -> None:
         """Keeps what must still hold if the missing entry returns."""
         if record.paused_until > now:
@@ -205,9 +123,20 @@
         if record.leaving_since <= now:
             self._remembered.add_leaving(key, record.leaving_since)
 
-    def find(
-        self, run: sycamoreloft_direct.UpstreamRun
-    ) -> UpstreamRecord | None:
+    def begin_pace(self, record: _Record, now: float) -> None:
+        """Lets the share of an upstream rise from the lowest, as at a start."""
+        record.pace = _pace.begin(now)
+
+    def count_paced(self, now: float) -> dict[str, int]:
+        """Returns how many upstreams of each service have a limited share."""
+        counts: dict[str, int] = {}
+        for service, records in self._by_service.items():
+            count = sum(_has_limited_share(record, now) for record in records)
+            if count:
+                counts[service] = count
+        return counts
+
+    def find(self, run: sycamoreloft_direct.UpstreamRun) -> _Record | None:
         """Returns the record of a run, or None if it is not listed."""
         return self._records.get((run.id, run.started_ms))
 
@@ -217,7 +146,7 @@
         now: float,
         is_upload: bool,
         excluded: abc.Container[str] = (),
-    ) -> UpstreamRecord | None:
+    ) -> _Record | None:
         """Chooses an upstream for a request without a key.
 
         Draws two upstreams by weight and returns the less busy one. Hosts
@@ -233,40 +162,93 @@
         Returns:
             The record of the upstream, or None if there is none to choose.
         """
-        candidates: list[UpstreamRecord] = []
-        weights: list[float] = []
         # An upstream that looked slow before its first answer would never be
         # chosen beside faster ones.
         unknown_latency_s = self._service_latencies.get(
-            service, DEFAULT_LATENCY_S
+            service, _reported_loads.DEFAULT_LATENCY_S
         )
-        for record in self._by_service.get(service, ()):
-            entry = record.entry
-            if (
-                not entry.is_draining
-                and now >= record.replaced_until
-                and now >= record.paused_until
-                and entry.id not in excluded
-            ):
-                candidates.append(record)
-                latency_s = (
-                    record.latency_s if record.answers else unknown_latency_s
-                )
-                weights.append(
-                    self._compute_weight(record, latency_s, now, is_upload)
-                )
-        if not candidates:
-            return None
-        first, second = self._generator.choices(
-            range(len(candidates)), weights, k=2
+        return self._choice.choose(
+            service,
+            self._by_service.get(service, ()),
+            now,
+            is_upload,
+            excluded,
+            unknown_latency_s,
         )
-        best = min(
-            (first, second),
-            key=lambda index: (
-                (len(candidates[index].in_flight) + 1) / weights[index]
-            ),
+
+    def record_load(
+        self,
+        run: sycamoreloft_direct.UpstreamRun,
+        load: _reported_loads.ReportedLoad,
+        observed_at: float,
+        is_heard: bool = False,
+    ) -> bool:
+        """Records the load of an upstream, unless a later report is known.
+
+        Args:
+            run: Run of the upstream.
+            load: The reported load.
+            observed_at: Time of the report, in seconds.
+            is_heard: Whether the upstream reported it to this host, rather than
+                to another one. `take_loads` returns only such reports.
+
+        Returns:
+            Whether the report was recorded.
+        """
+        key = run.id, run.started_ms
+        record = self._records.get(key)
+        if record is None or (
+            record.report is not None
+            and observed_at < record.report.observed_at
+        ):
+            return False
+        record.report = _reported_loads.LoadReport(load, observed_at)
+        if is_heard:
+            self._heard[key] = record
+            self._loads.record_load(record.entry.service, load)
+        else:
+            self._heard.pop(key, None)
+        return True
+
+    def take_loads(self, now: float) -> list[_reported_loads.HeardLoad]:
+        """Returns the loads that this host heard since the last call.
+
+        Only the latest report of each run is returned, and none that is too
+        old to count.
+        """
+        heard = [
+            _reported_loads.HeardLoad(
+                record.entry.run, report.load, now - report.observed_at
+            )
+            for record in self._heard.values()
+            if (report := record.report) is not None
+            and now - report.observed_at < _reported_loads.MAXIMUM_AGE_S
+        ]
+        self._heard.clear()
+        return heard
+
+    def estimate_backlog(self, record: _Record, now: float) -> float | None:
+        """Estimates how many requests an upstream works on or queues.
+
+        Returns:
+            The number of requests; None if the upstream has reported nothing
+            that still counts.
+        """
+        report = record.report
+        if not _reported_loads.compute_weight(report, now) or report is None:
+            return None
+        work_s = self.get_work_s(record.entry.service)
+        return _reported_loads.estimate_backlog(
+            report, record.in_flight, work_s, now
         )
-        return candidates[best]
+
+    def get_work_s(self, service: str) -> float:
+        """Returns the mean time of a request without its wait, in seconds.
+
+        The time is that of an upstream at its usual speed. If upstreams report
+        no load, it contains their queues.
+        """
+        return self._loads.get_work_s(service)
 
     def record_pause(
         self,
@@ -302,7 +284,7 @@
 
     def _find_later_run(
         self, run: sycamoreloft_direct.UpstreamRun
-    ) -> UpstreamRecord | None:
+    ) -> _Record | None:
         """Returns the record of a later run with the same identifier.
 
         A request that was sent to the earlier run may be answered by the later
@@ -313,7 +295,7 @@
                 return record
         return None
 
-    def compute_pause_s(self, record: UpstreamRecord, now: float) -> float:
+    def compute_pause_s(self, record: _Record, now: float) -> float:
         """Returns for how long an upstream wants no requests; 0 for none."""
         return max(0.0, record.paused_until - now)
 
@@ -333,9 +315,7 @@
             default=0.0,
         )
 
-    def may_send(
-        self, record: UpstreamRecord, now: float, leaving_s: float
-    ) -> bool:
+    def may_send(self, record: _Record, now: float, leaving_s: float) -> bool:
         """Returns whether a request may be sent that was assigned earlier.
 
         Args:
@@ -352,15 +332,17 @@
             and now - current.leaving_since < leaving_s
         )
 
-    def is_replaced(self, record: UpstreamRecord, now: float) -> bool:
+    def is_replaced(self, record: _Record, now: float) -> bool:
         """Returns whether another upstream is assumed to use the address."""
         return now < record.replaced_until
 
-    def is_avoided(self, record: UpstreamRecord, now: float) -> bool:
+    def is_avoided(self, record: _Record, now: float) -> bool:
         """Returns whether an upstream is ejected or stalled."""
-        return now < record.ejected_until or _is_stalled(record, now)
+        return now < record.ejected_until or _upstream_records.is_stalled(
+            record, now
+        )
 
-    def admit(self, record: UpstreamRecord) -> bool:
+    def admit(self, record: _Record) -> bool:
         """Decides at random whether the owner of a key gets a request.
 
         An owner that silently drops requests when it is overloaded would
@@ -368,127 +350,123 @@
         """
         return record.share >= 1.0 or self._generator.random() < record.share
 
-    def begin(
-        self, record: UpstreamRecord, attempt: object, now: float
-    ) -> None:
+    def begin(self, record: _Record, attempt: object, now: float) -> None:
         """Records that an attempt begins to send a request."""
         record.in_flight[attempt] = now
 
     def finish(
-        self,
-        record: UpstreamRecord,
-        attempt: object,
-        result: AttemptResult,
-        now: float,
+        self, record: _Record, attempt: object, result: _RESULT, now: float
     ) -> None:
         """Records the result of an attempt."""
+        # Before the first answer, it is not known how long answers take.
+        was_stalled = record.answers > 0 and _upstream_records.is_stalled(
+            record, now
+        )
         started_at = record.in_flight.pop(attempt, now)
-        if result in (AttemptResult.CANCELLED, AttemptResult.WITHDRAWN):
+        if result in (
+            _RESULT.CANCELLED,
+            _RESULT.WITHDRAWN,
+        ):
             return
-        if result is AttemptResult.REPLACED:
+        if result is _RESULT.REPLACED:
             record.replaced_until = now + REPLACED_ADDRESS_S
             return
         _update_share(record, result)
-        if result is AttemptResult.REFUSED:
-            record.refused_at = now
+        if result is _RESULT.REFUSED:
             record.answered_at = now
             record.failures = 0
+            record.pace = _pace.record_setback(
+                record.pace, now, record.paused_until
+            )
             return
-        is_bad = result is not AttemptResult.ANSWERED
-        if result is not AttemptResult.UNREACHABLE:
+        is_bad = result is not _RESULT.ANSWERED
+        if result is not _RESULT.UNREACHABLE:
             # This share is for upstreams that fail some of the requests that
             # they accept. An unreachable upstream accepts none; it is ejected,
             # and keeps its share for the time after.
             record.failure_share += MOVING_AVERAGE_GAIN * (
                 is_bad - record.failure_share
             )
-        if result in (AttemptResult.ANSWERED, AttemptResult.FAILED):
+        if result in (
+            _RESULT.ANSWERED,
+            _RESULT.FAILED,
+        ):
             record.answered_at = now
             record.failures = 0
             record.ejection_s = 0.0
             record.ejected_until = 0.0
+            if is_bad or was_stalled:
+                record.pace = _pace.record_setback(record.pace, now)
             if not is_bad:
-                self._record_latency(record, now - started_at)
+                self._record_latency(record, started_at, now)
             return
         record.failures += 1
         if (
             record.failures >= FAILURES_TO_EJECT
-            or result is AttemptResult.UNREACHABLE
+            or result is _RESULT.UNREACHABLE
         ):
             record.ejection_s = min(
                 MAXIMUM_EJECTION_S,
                 max(FIRST_EJECTION_S, record.ejection_s * 2),
             )
             record.ejected_until = now + record.ejection_s
+        record.pace = _pace.record_setback(
+            record.pace, now, record.ejected_until
+        )
 
-    def _record_latency(self, record: UpstreamRecord, seconds: float) -> None:
+    def _record_latency(
+        self, record: _Record, started_at: float, now: float
+    ) -> None:
+        seconds = now - started_at
         record.answers += 1
         gain = max(MOVING_AVERAGE_GAIN, 1 / record.answers)
         record.latency_s += gain * (seconds - record.latency_s)
         service = record.entry.service
         mean_s = self._service_latencies.setdefault(service, seconds)
+        if record.pace is not None:
+            record.pace = _pace.record_answer(
+                record.pace, seconds, mean_s, record.entry.slots, now
+            )
         self._service_latencies[service] = mean_s + MOVING_AVERAGE_GAIN * (
             seconds - mean_s
         )
-
-    def _compute_weight(
-        self,
-        record: UpstreamRecord,
-        latency_s: float,
-        now: float,
-        is_upload: bool,
-    ) -> float:
-        # This runs for each upstream of the service at every request, so
-        # factors that do not apply must cost almost nothing.
-        entry = record.entry
-        slots = entry.slots if entry.slots > 1 else 1
-        weight = slots / (
-            latency_s if latency_s > MINIMUM_LATENCY_S else MINIMUM_LATENCY_S
-        )
-        if entry.failure_domain == self._failure_domain:
-            weight *= LOCAL_UPLOAD_PREFERENCE if is_upload else LOCAL_PREFERENCE
-        if record.failure_share:
-            weight *= (
-                max(1.0 - record.failure_share, MINIMUM_SUCCESS_SHARE) ** 2
-            )
-        if entry.warm_up_s > now - record.seen_at:
-            weight *= WARM_UP_WEIGHT
-        if now - record.refused_at < REFUSAL_MEMORY_S:
-            weight *= REFUSAL_WEIGHT
-        if now < record.ejected_until or (
-            record.in_flight and _is_stalled(record, now)
-        ):
-            # The slots of an upstream that does not answer are of no use.
-            weight *= AVOIDED_WEIGHT / slots
-        return weight
+        report = record.report
+        if report is not None and report.observed_at < started_at:
+            report = None
+        self._loads.record_answer(service, seconds, report)
 
 
 def _update_entry(
-    record: UpstreamRecord, entry: sycamoreloft_direct.Upstream, now: float
+    record: _Record,
+    entry: sycamoreloft_direct.Upstream,
+    now: float,
 ) -> None:
     if entry.address != record.entry.address:
         record.replaced_until = 0.0
+    if entry.warm_up_s and not record.entry.warm_up_s:
+        # The run became cold again.
+        record.pace = _pace.begin(now, entry.warm_up_s)
     record.entry = entry
     _update_leaving_since(record, now)
 
 
-def _update_leaving_since(record: UpstreamRecord, now: float) -> None:
+def _update_leaving_since(record: _Record, now: float) -> None:
     if not record.entry.is_draining:
         record.leaving_since = math.inf
     elif record.leaving_since > now:
         record.leaving_since = now
 
 
-def _is_stalled(record: UpstreamRecord, now: float) -> bool:
-    if not record.in_flight:
-        return False
-    oldest = next(iter(record.in_flight.values()))
-    limit = max(MINIMUM_STALL_S, STALL_FACTOR * record.latency_s)
-    return now - max(oldest, record.answered_at) > limit
+def _has_limited_share(record: _Record, now: float) -> bool:
+    pace = record.pace
+    return pace is not None and _pace.compute_share(pace, now) < 1.0
 
 
-def _update_share(record: UpstreamRecord, result: AttemptResult) -> None:
-    if result is AttemptResult.SILENT:
+def _update_share(
+    record: _Record,
+    result: _RESULT,
+) -> None:
+    if result is _RESULT.SILENT:
         record.share = max(MINIMUM_SHARE, record.share * SHARE_BACK_OFF)
-    elif result is AttemptResult.ANSWERED:
+    elif result is _RESULT.ANSWERED:
         record.share = min(1.0, record.share + SHARE_RECOVERY)
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -27,6 +27,7 @@
     _direct_ports,
     _direct_services,
     _direct_views,
+    _exchange_chain,
     _host_freshness,
     _host_gauges,
     _key_directory,
@@ -43,6 +44,7 @@
     _upstream_client,
     _upstream_notices,
 )
+from sycamoreloft_router.load import _pace_reports
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -133,6 +135,7 @@
         self._pool = sycamoreloft_load.UpstreamPool(
             settings.failure_domain, generator
         )
+        self._pace_reports = _pace_reports.PaceReports(self._pool, metrics)
         self._upstreams = _direct_views.UpstreamView(
             settings.reuse_after_s, self._update_pool
         )
@@ -393,6 +396,7 @@
             self._metrics.observe("sycamoreloft_loop_lag_seconds", lag_s)
             self._upstreams.sweep(self._loop.time())
             self._states.sweep(self._loop.time())
+            self._pace_reports.update(self._loop.time())
 
     def _schedule_sweep(self, now: float) -> None:
         if self._upstreams.compute_next_expiry() < now + MAXIMUM_SWEEP_S:
@@ -482,17 +486,12 @@
     def _receive_datagram(
         self, message: _datagrams.Datagram, sender: _datagrams.Address
     ) -> None:
-        self._crashes.receive(message, sender, self._receive_other)
-
-    def _receive_other(
-        self, message: _datagrams.Datagram, sender: _datagrams.Address
-    ) -> None:
-        self._departures.receive(message, sender, self._receive_last)
-
-    def _receive_last(
-        self, message: _datagrams.Datagram, sender: _datagrams.Address
-    ) -> None:
-        self._relay.receive(message, sender, self._role.receive)
+        _exchange_chain.receive(
+            (self._crashes, self._departures, self._relay),
+            self._role.receive,
+            message,
+            sender,
+        )
 
     def _update_pool(self) -> None:
         self._pool.update(self._upstreams.list_all(), self._loop.time())
--- a/packages/router/sycamoreloft_router/_metrics.py
+++ b/packages/router/sycamoreloft_router/_metrics.py
@@ -100,6 +100,12 @@
         "Announcements of upstreams about themselves in their answers",
         ("notice",),
     ),
+    Definition(
+        "sycamoreloft_load_reports_total",
+        Kind.COUNTER,
+        "Loads that upstreams reported in their answers to this host",
+        ("result",),
+    ),
     Definition(
         "sycamoreloft_retries_total", Kind.COUNTER, "Attempts after the first"
     ),
@@ -259,6 +265,12 @@
         "Messages with changes of the table of upstreams, by receiver",
         ("direction",),
     ),
+    Definition(
+        "sycamoreloft_upstreams_paced",
+        Kind.GAUGE,
+        "Upstreams whose share of requests is limited",
+        ("service",),
+    ),
     Definition(
         "sycamoreloft_loop_lag_seconds",
         Kind.HISTOGRAM,
