Share the loads of overloaded upstreams between hosts

A host knows only the loads that upstreams reported to itself, and draws upstreams that others know to be full. Hosts tell the coordinator what they heard, and it sends hosts the newest loads of upstreams with more work than slots, within the budgets of hosts and of its link. Nothing is sent where upstreams report no load.

--- a/packages/router/sycamoreloft_router/_datagram_codec.py
+++ b/packages/router/sycamoreloft_router/_datagram_codec.py
@@ -17,6 +17,7 @@
     _datagram_checks,
     _datagrams,
     _key_directory,
+    _load_codec,
     _relay_codec,
 )
 
@@ -158,6 +159,16 @@
     return _relay_codec.list_changes_fields(message)
 
 
+@_list_fields.register
+def _(message: _datagrams.ObservedLoads) -> tuple[typing.Any, ...]:
+    return _load_codec.list_fields("observed-loads", message)
+
+
+@_list_fields.register
+def _(message: _datagrams.UpstreamLoads) -> tuple[typing.Any, ...]:
+    return _load_codec.list_fields("upstream-loads", message)
+
+
 def encode_crashes(
     crashes: abc.Mapping[int, abc.Iterable[sycamoreloft_direct.ReportedCrash]],
 ) -> dict[int, list[tuple[int, float, float]]]:
@@ -406,10 +417,12 @@
     "heartbeat": _decode_heartbeat,
     "introduction": _decode_introduction,
     "map-part": _decode_map_part,
+    "observed-loads": _load_codec.decode_observed,
     "relay-offer": _relay_codec.decode_offer,
     "relay-request": _relay_codec.decode_request,
     "report": _decode_report,
     "table-changes": _relay_codec.decode_changes,
+    "upstream-loads": _load_codec.decode_upstream,
 }
 
 
--- a/packages/router/sycamoreloft_router/_datagrams.py
+++ b/packages/router/sycamoreloft_router/_datagrams.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 import sycamoreloft_direct
+import sycamoreloft_load
 from sycamoreloft_router import _key_directory
 
 #: Longest datagram that is sent, in bytes.
@@ -187,6 +188,24 @@
     changes: sycamoreloft_direct.TableChanges
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ObservedLoads:
+    """Sent beside a report: loads that upstreams reported to the sender."""
+
+    #: Versions of the platform's tables that the sender has read.
+    seen: SeenVersions
+    loads: tuple[sycamoreloft_load.SharedLoad, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamLoads:
+    """Sent beside a heartbeat: loads of upstreams with more work than slots."""
+
+    #: Versions of the platform's tables that the sender has read.
+    seen: SeenVersions
+    loads: tuple[sycamoreloft_load.SharedLoad, ...]
+
+
 Datagram = (
     Heartbeat
     | Report
@@ -198,6 +217,8 @@
     | RelayRequest
     | RelayOffer
     | RelayedChanges
+    | ObservedLoads
+    | UpstreamLoads
 )
 
 
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -7,13 +7,12 @@
 import random
 import typing
 
-from tornado import httpserver, netutil
+from tornado import httpserver
 
 import sycamoreloft_direct
 import sycamoreloft_load
 from sycamoreloft_router import (
     _answer_heads,
-    _caller_connections,
     _caller_server,
     _connection_rules,
     _coordinator_role,
@@ -44,7 +43,7 @@
     _upstream_client,
     _upstream_notices,
 )
-from sycamoreloft_router.load import _pace_reports
+from sycamoreloft_router.load import _load_exchange, _pace_reports
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -192,8 +191,16 @@
             metrics,
             generator.getrandbits(32),
         )
-        self._departures = _departure_exchange.DepartureExchange(
+        self._loads = _load_exchange.LoadExchange(
             self._relay,
+            self._pool,
+            self._upstreams,
+            settings.link_mbps,
+            metrics,
+            self._loop.time,
+        )
+        self._departures = _departure_exchange.DepartureExchange(
+            self._loads,
             self._upstreams,
             freshness.read_versions,
         )
@@ -322,8 +329,15 @@
     ) -> None:
         await self._role.open()
         self._server.listen(self._settings.caller_address)
-        self._listen(self._settings.readiness_address)
-        self._listen(self._settings.metrics_address)
+        self._http_servers = [
+            _probe_server.listen(
+                address, lambda: self.is_ready, self._render_metrics
+            )
+            for address in (
+                self._settings.readiness_address,
+                self._settings.metrics_address,
+            )
+        ]
         for name, run in (
             ("states", self.state_follower.run),
             ("upstreams", self.upstream_follower.run),
@@ -373,18 +387,6 @@
             server.stop()
         _logs.log_event(_LOGGER, logging.INFO, "host-stopped", requests=cut_off)
 
-    def _listen(self, address: str) -> None:
-        ip, _, port = address.rpartition(":")
-        server = _probe_server.create_server(
-            lambda: self.is_ready, self._render_metrics
-        )
-        server.add_sockets(
-            netutil.bind_sockets(
-                int(port), ip, backlog=_caller_connections.MAXIMUM_PENDING
-            )
-        )
-        self._http_servers.append(server)
-
     async def _sweep(self) -> None:
         while True:
             lag_s = await self._sweep_timer.sleep(
@@ -487,7 +489,7 @@
         self, message: _datagrams.Datagram, sender: _datagrams.Address
     ) -> None:
         _exchange_chain.receive(
-            (self._crashes, self._departures, self._relay),
+            (self._crashes, self._departures, self._loads, self._relay),
             self._role.receive,
             message,
             sender,
@@ -495,3 +497,4 @@
 
     def _update_pool(self) -> None:
         self._pool.update(self._upstreams.list_all(), self._loop.time())
+        self._loads.forget_runs()
--- a/packages/router/sycamoreloft_router/_metrics.py
+++ b/packages/router/sycamoreloft_router/_metrics.py
@@ -265,6 +265,12 @@
         "Messages with changes of the table of upstreams, by receiver",
         ("direction",),
     ),
+    Definition(
+        "sycamoreloft_shared_loads_total",
+        Kind.COUNTER,
+        "Loads of upstreams in messages between hosts",
+        ("direction",),
+    ),
     Definition(
         "sycamoreloft_upstreams_paced",
         Kind.GAUGE,
--- a/packages/router/sycamoreloft_router/_probe_server.py
+++ b/packages/router/sycamoreloft_router/_probe_server.py
@@ -7,7 +7,9 @@
 from collections import abc
 import dataclasses
 
-from tornado import httpserver, httputil
+from tornado import httpserver, httputil, netutil
+
+from sycamoreloft_router import _caller_connections
 
 #: Path of the metrics; every other path is a probe.
 METRICS_PATH = "/metrics"
@@ -52,6 +54,31 @@
     return httpserver.HTTPServer(answer)
 
 
+def listen(
+    address: str,
+    is_ready: abc.Callable[[], bool],
+    render_metrics: abc.Callable[[], bytes],
+) -> httpserver.HTTPServer:
+    """Creates a server, and listens.
+
+    Args:
+        address: TCP address, as "ip:port".
+        is_ready: Returns whether the load balancer may send new connections.
+        render_metrics: Returns all metrics in the Prometheus text format.
+
+    Raises:
+        OSError: The port is in use.
+    """
+    ip, _, port = address.rpartition(":")
+    server = create_server(is_ready, render_metrics)
+    server.add_sockets(
+        netutil.bind_sockets(
+            int(port), ip, backlog=_caller_connections.MAXIMUM_PENDING
+        )
+    )
+    return server
+
+
 def _send(request: httputil.HTTPServerRequest, answer: _Answer) -> None:
     headers = httputil.HTTPHeaders({"Content-Length": str(len(answer.body))})
     if answer.content_type:
--- a/packages/router/tests/test_datagram_fuzz.py
+++ b/packages/router/tests/test_datagram_fuzz.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import random
+import struct
 
 import key_world
 import msgpack
@@ -10,6 +11,7 @@
 import virtual_time
 
 import sycamoreloft_direct
+import sycamoreloft_load
 from sycamoreloft_router import (
     _datagram_codec,
     _datagrams,
@@ -73,6 +75,22 @@
     ),
 }
 
+LOADS = (
+    sycamoreloft_load.SharedLoad(
+        7, sycamoreloft_direct.ReportedLoad(4, 9, 4, 250), 0.41
+    ),
+)
+
+MESSAGES |= {
+    "observed-loads": _datagrams.ObservedLoads(SEEN, LOADS),
+    "upstream-loads": _datagrams.UpstreamLoads(SEEN, LOADS),
+}
+
+
+def pack_load(running=1, waiting=1, slots=1, percent=100):
+    return struct.pack(">IHHHHB", 7, running, waiting, slots, percent, 5)
+
+
 #: Kind, position of a field after version and kind, and an invalid value.
 BAD_FIELDS = [
     ("heartbeat", 0, float("inf")),
@@ -147,6 +165,21 @@
     ("table-changes", 4, [["u1"]] * 1_025),
 ]
 
+BAD_FIELDS += [
+    (kind, 1, value)
+    for kind in ("observed-loads", "upstream-loads")
+    for value in (
+        [],
+        pack_load()[:-1],
+        pack_load(running=10_001),
+        pack_load(waiting=10_001),
+        pack_load(slots=10_001),
+        pack_load(percent=0),
+        pack_load(percent=10_001),
+        pack_load() * 257,
+    )
+]
+
 #: An entry with one wrong field each.
 BAD_FIELDS += [
     ("table-changes", 4, [[*ENTRY[:index], value, *ENTRY[index + 1 :]]])
