Merge relayed tables and shared loads

The rate of a cold upstream is set by each host from the desired state, so that the test of relayed fields leaves it out.

--- a/packages/direct/sycamoreloft_direct/__init__.py
+++ b/packages/direct/sycamoreloft_direct/__init__.py
@@ -77,15 +77,25 @@
     ServiceRetryBudgets,
 )
 from sycamoreloft_direct._routes import RouteTable
+from sycamoreloft_direct._table_log import TableChanges, TableLog
+from sycamoreloft_direct._table_relay import (
+    COMMON_CAUSES,
+    CoordinatorState,
+    FollowCause,
+    Offer,
+    TableRelay,
+)
 from sycamoreloft_direct._upstream_notices import (
     NO_NOTICE,
     LeavingRuns,
     ReportedLoad,
     UpstreamNotice,
 )
+from sycamoreloft_direct._witnesses import WitnessRoster
 
 __all__ = [
     "ANNOUNCED",
+    "COMMON_CAUSES",
     "FIRST_ERA",
     "GRANT_CALL_S",
     "KEY_COUNT",
@@ -99,12 +109,14 @@
     "ChangeCause",
     "ClaimState",
     "Command",
+    "CoordinatorState",
     "CrashGuard",
     "CrashReport",
     "Departure",
     "DepartureLog",
     "DesiredState",
     "Evacuation",
+    "FollowCause",
     "GrantResult",
     "KeyChanges",
     "KeyCoordinator",
@@ -116,6 +128,7 @@
     "LeavingRuns",
     "MapCheck",
     "MapTrust",
+    "Offer",
     "OwnerChange",
     "ReportedCrash",
     "ReportedLoad",
@@ -128,11 +141,15 @@
     "Service",
     "ServiceKeys",
     "ServiceRetryBudgets",
+    "TableChanges",
+    "TableLog",
+    "TableRelay",
     "TableVersion",
     "Target",
     "Upstream",
     "UpstreamNotice",
     "UpstreamRun",
+    "WitnessRoster",
     "WriteMap",
     "apply_changes",
     "check_integer",
--- a/packages/load/sycamoreloft_load/__init__.py
+++ b/packages/load/sycamoreloft_load/__init__.py
@@ -11,6 +11,16 @@
     Evacuations,
 )
 from sycamoreloft_load._reported_loads import HeardLoad, ReportedLoad
+from sycamoreloft_load._shared_loads import (
+    ENCODED_BYTES,
+    MAXIMUM_SHARED_LOADS,
+    LoadTeller,
+    SharedLoad,
+    SharedLoads,
+    compute_message_limit,
+    compute_run_number,
+    index_runs,
+)
 from sycamoreloft_load._upstream_pool import UpstreamPool
 from sycamoreloft_load._upstream_records import (
     MINIMUM_STALL_S,
@@ -19,15 +29,23 @@
 from sycamoreloft_load._warm_up_limits import WarmUpBounds, WarmUpLimits
 
 __all__ = [
+    "ENCODED_BYTES",
+    "MAXIMUM_SHARED_LOADS",
     "MINIMUM_STALL_S",
     "AttemptResult",
     "EvacuationChange",
     "EvacuationEvent",
     "Evacuations",
     "HeardLoad",
+    "LoadTeller",
     "ReportedLoad",
+    "SharedLoad",
+    "SharedLoads",
     "UpstreamPool",
     "UpstreamRecord",
     "WarmUpBounds",
     "WarmUpLimits",
+    "compute_message_limit",
+    "compute_run_number",
+    "index_runs",
 ]
--- a/packages/router/sycamoreloft_router/_datagrams.py
+++ b/packages/router/sycamoreloft_router/_datagrams.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 import sycamoreloft_direct
+import sycamoreloft_load
 from sycamoreloft_router import _key_directory
 
 #: Longest datagram that is sent, in bytes.
@@ -157,6 +158,54 @@
     requests: tuple[int, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayRequest:
+    """Asks the coordinator to pass on changes of the table of upstreams."""
+
+    #: Versions of the platform's tables that the sender has read.
+    seen: SeenVersions
+    #: Number that the offer repeats.
+    number: int
+    #: Failure domain of the sender.
+    failure_domain: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayOffer:
+    """Answers a `RelayRequest`."""
+
+    #: Versions of the platform's tables that the sender has read.
+    seen: SeenVersions
+    offer: sycamoreloft_direct.Offer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayedChanges:
+    """Changes of the table of upstreams, for a host that lacks them."""
+
+    #: Versions of the platform's tables that the sender has read.
+    seen: SeenVersions
+    changes: sycamoreloft_direct.TableChanges
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ObservedLoads:
+    """Sent beside a report: loads that upstreams reported to the sender."""
+
+    #: Versions of the platform's tables that the sender has read.
+    seen: SeenVersions
+    loads: tuple[sycamoreloft_load.SharedLoad, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamLoads:
+    """Sent beside a heartbeat: loads of upstreams with more work than slots."""
+
+    #: Versions of the platform's tables that the sender has read.
+    seen: SeenVersions
+    loads: tuple[sycamoreloft_load.SharedLoad, ...]
+
+
 Datagram = (
     Heartbeat
     | Report
@@ -165,6 +214,11 @@
     | Departures
     | CrashNews
     | CrashSuspects
+    | RelayRequest
+    | RelayOffer
+    | RelayedChanges
+    | ObservedLoads
+    | UpstreamLoads
 )
 
 
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -7,15 +7,12 @@
 import random
 import typing
 
-from tornado import httpserver, netutil
+from tornado import httpserver
 
 import sycamoreloft_direct
 import sycamoreloft_load
 from sycamoreloft_router import (
-    _answer_heads,
-    _caller_connections,
     _caller_server,
-    _connection_rules,
     _coordinator_role,
     _crash_exchange,
     _crash_record,
@@ -27,12 +24,14 @@
     _direct_ports,
     _direct_services,
     _direct_views,
+    _exchange_chain,
     _host_freshness,
+    _host_gauges,
     _key_directory,
     _logs,
     _metrics,
     _probe_server,
-    _process_measures,
+    _relay_exchange,
     _settings_watch,
     _store_availability,
     _store_eras,
@@ -42,7 +41,11 @@
     _upstream_client,
     _upstream_notices,
 )
-from sycamoreloft_router.load import _pace_reports, _pool_updates
+from sycamoreloft_router.load import (
+    _load_exchange,
+    _pace_reports,
+    _pool_updates,
+)
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -59,17 +62,6 @@
 #: for requests.
 GRACE_RESERVE_S = 0.4
 
-#: Timeout of a connection to an upstream, in seconds; a connection within a
-#: region takes a few milliseconds.
-CONNECT_TIMEOUT_S = 0.3
-
-#: Seconds for which an idle connection to an upstream may be reused. Upstreams
-#: close idle connections a few seconds later.
-IDLE_CONNECTION_TIMEOUT_S = 8
-
-#: Seconds without a TCP acknowledgement after which a connection is closed.
-ACK_TIMEOUT_S = 2.0
-
 #: Maximum number of connections of this host to one upstream. An upstream
 #: accepts some hundreds of connections from all hosts together.
 CONNECTIONS_PER_UPSTREAM = 10
@@ -90,6 +82,10 @@
 #: leaving owner still gets requests, it stays below the drain time of 2 s.
 MAXIMUM_SPREAD_S = 0.6
 
+#: Share of that delay for hosts that lose the coordinator: they call the store
+#: for one table only, and have waited for a heartbeat before.
+RETURN_SPREAD_SHARE = 0.5
+
 
 class DirectHost:
     """Runs the process of a direct host.
@@ -117,7 +113,7 @@
         )
         self._pace_reports = _pace_reports.PaceReports(self._pool, metrics)
         self._upstreams = _direct_views.UpstreamView(
-            settings.reuse_after_s, lambda: self._pool_updates.update()
+            settings.reuse_after_s, self._update_pool
         )
         self._pool_updates = _pool_updates.PoolUpdates(
             self._pool,
@@ -156,7 +152,7 @@
             platform.upstreams,
             self._replace_upstreams,
             self._apply_upstream_changes,
-            self._choose_spread_s,
+            lambda: 0.0 if self._relay.is_source else self._choose_spread_s(),
             self._observe_era,
         )
         freshness = _host_freshness.HostFreshness(
@@ -166,10 +162,29 @@
             self._update_host_count,
             self._record_store_age,
         )
-        self._departures = _departure_exchange.DepartureExchange(
+        self._relay = _relay_exchange.RelayExchange(
             _direct_peers.PeerSocket(
                 settings.peer_address, self._receive_datagram
             ),
+            self.upstream_follower,
+            settings,
+            freshness.read_versions,
+            lambda: self._directory.key_map.epoch,
+            lambda: self._role.is_coordinator,
+            lambda: RETURN_SPREAD_SHARE * self._choose_spread_s(),
+            metrics,
+            generator.getrandbits(32),
+        )
+        self._loads = _load_exchange.LoadExchange(
+            self._relay,
+            self._pool,
+            self._upstreams,
+            settings.link_mbps,
+            metrics,
+            self._loop.time,
+        )
+        self._departures = _departure_exchange.DepartureExchange(
+            self._loads,
             self._upstreams,
             freshness.read_versions,
         )
@@ -206,16 +221,7 @@
         client = _upstream_client.UpstreamClient(
             force_instance=True,
             connections_per_upstream=CONNECTIONS_PER_UPSTREAM,
-            rules=_connection_rules.ConnectionRules(
-                _answer_heads.AnswerRules(
-                    platform.headers.request_id.lower().encode("latin1"), True
-                ),
-                CONNECT_TIMEOUT_S,
-                IDLE_CONNECTION_TIMEOUT_S,
-                True,
-                ACK_TIMEOUT_S,
-                resets_on_close=True,
-            ),
+            rules=_direct_limits.build_connection_rules(platform.headers),
         )
         self._budgets = sycamoreloft_direct.ServiceRetryBudgets(
             *_direct_limits.compute_retry_limits(settings)
@@ -302,8 +308,15 @@
     ) -> None:
         await self._role.open()
         self._server.listen(self._settings.caller_address)
-        self._listen(self._settings.readiness_address)
-        self._listen(self._settings.metrics_address)
+        self._http_servers = [
+            _probe_server.listen(
+                address, lambda: self.is_ready, self._render_metrics
+            )
+            for address in (
+                self._settings.readiness_address,
+                self._settings.metrics_address,
+            )
+        ]
         for name, run in (
             ("states", self.state_follower.run),
             ("upstreams", self.upstream_follower.run),
@@ -353,18 +366,6 @@
             server.stop()
         _logs.log_event(_LOGGER, logging.INFO, "host-stopped", requests=cut_off)
 
-    def _listen(self, address: str) -> None:
-        ip, _, port = address.rpartition(":")
-        server = _probe_server.create_server(
-            lambda: self.is_ready, self._render_metrics
-        )
-        server.add_sockets(
-            netutil.bind_sockets(
-                int(port), ip, backlog=_caller_connections.MAXIMUM_PENDING
-            )
-        )
-        self._http_servers.append(server)
-
     async def _sweep(self) -> None:
         while True:
             lag_s = await self._sweep_timer.sleep(
@@ -385,36 +386,16 @@
     def _render_metrics(self) -> bytes:
         """Updates the gauges that are set only here; renders all metrics."""
         metrics, now = self._metrics, self._loop.time()
-        _process_measures.update(metrics)
-        metrics.set(
-            "sycamoreloft_is_coordinator",
-            value=float(self._role.is_coordinator),
-        )
-        metrics.set(
-            "sycamoreloft_keys_without_owner",
-            value=float(self._role.count_unheld_keys()),
-        )
-        metrics.set(
-            "sycamoreloft_key_map_revision",
-            value=float(self._directory.key_map.revision),
-        )
-        metrics.set(
-            "sycamoreloft_upstreams_listed",
-            value=float(len(self._upstreams.list_all())),
+        _host_gauges.update(
+            metrics,
+            now,
+            self._role,
+            self._directory,
+            self._upstreams,
+            self.state_follower,
+            self.upstream_follower,
         )
         self._pool_updates.record_metrics(metrics)
-        for table, follower in (
-            ("states", self.state_follower),
-            ("upstreams", self.upstream_follower),
-        ):
-            metrics.set(
-                "sycamoreloft_store_silence_seconds",
-                table,
-                value=now - follower.answered_at,
-            )
-            metrics.set(
-                "sycamoreloft_store_era", table, value=float(follower.era or 0)
-            )
         for service, remaining in self._budgets.list_remaining(now).items():
             metrics.set("sycamoreloft_retries_left", service, value=remaining)
         return metrics.render()
@@ -481,18 +462,26 @@
         now = self._loop.time()
         self._upstreams.replace_all(values, now)
         self._schedule_sweep(now)
+        self._relay.record_read()
 
-    def _apply_upstream_changes(self, values: abc.Mapping[str, object]) -> None:
+    def _apply_upstream_changes(
+        self, values: abc.Mapping[str, typing.Any]
+    ) -> None:
         now = self._loop.time()
         self._upstreams.apply_changes(values, now)
         self._schedule_sweep(now)
+        self._relay.record_changes(values)
 
     def _receive_datagram(
         self, message: _datagrams.Datagram, sender: _datagrams.Address
     ) -> None:
-        self._crashes.receive(message, sender, self._receive_other)
+        _exchange_chain.receive(
+            (self._crashes, self._departures, self._loads, self._relay),
+            self._role.receive,
+            message,
+            sender,
+        )
 
-    def _receive_other(
-        self, message: _datagrams.Datagram, sender: _datagrams.Address
-    ) -> None:
-        self._departures.receive(message, sender, self._role.receive)
+    def _update_pool(self) -> None:
+        self._pool_updates.update()
+        self._loads.forget_runs()
--- a/packages/router/sycamoreloft_router/_direct_limits.py
+++ b/packages/router/sycamoreloft_router/_direct_limits.py
@@ -3,7 +3,22 @@
 import dataclasses
 
 import sycamoreloft_direct
-from sycamoreloft_router import _direct_ports
+from sycamoreloft_router import (
+    _answer_heads,
+    _connection_rules,
+    _direct_ports,
+)
+
+#: Timeout of a connection to an upstream, in seconds; a connection within a
+#: region takes a few milliseconds.
+CONNECT_TIMEOUT_S = 0.3
+
+#: Seconds for which an idle connection to an upstream may be reused. Upstreams
+#: close idle connections a few seconds later.
+IDLE_CONNECTION_TIMEOUT_S = 8
+
+#: Seconds without a TCP acknowledgement after which a connection is closed.
+ACK_TIMEOUT_S = 2.0
 
 #: Share of the platform's retry budget that hosts use. The hosts count in
 #: whole seconds, so that one second of the window may be missing, and retries
@@ -51,3 +66,19 @@
         int(settings.retry_window_s),
         settings.retry_slack * RETRY_SLACK_SHARE,
     )
+
+
+def build_connection_rules(
+    names: _direct_ports.HeaderNames,
+) -> _connection_rules.ConnectionRules:
+    """Returns the rules for connections to upstreams."""
+    return _connection_rules.ConnectionRules(
+        _answer_heads.AnswerRules(
+            names.request_id.lower().encode("latin1"), True
+        ),
+        CONNECT_TIMEOUT_S,
+        IDLE_CONNECTION_TIMEOUT_S,
+        True,
+        ACK_TIMEOUT_S,
+        resets_on_close=True,
+    )
--- a/packages/router/sycamoreloft_router/_metrics.py
+++ b/packages/router/sycamoreloft_router/_metrics.py
@@ -248,6 +248,29 @@
         Kind.GAUGE,
         "Upstreams that discovery lists, leaving ones among them",
     ),
+    Definition(
+        "sycamoreloft_table_relayed",
+        Kind.GAUGE,
+        "Whether the coordinator passes the table of upstreams on to this host",
+    ),
+    Definition(
+        "sycamoreloft_relay_ends_total",
+        Kind.COUNTER,
+        "Times that this host began to follow the table of upstreams itself",
+        ("cause",),
+    ),
+    Definition(
+        "sycamoreloft_relayed_changes_total",
+        Kind.COUNTER,
+        "Messages with changes of the table of upstreams, by receiver",
+        ("direction",),
+    ),
+    Definition(
+        "sycamoreloft_shared_loads_total",
+        Kind.COUNTER,
+        "Loads of upstreams in messages between hosts",
+        ("direction",),
+    ),
     Definition(
         "sycamoreloft_upstreams_paced",
         Kind.GAUGE,
--- a/packages/router/tests/test_datagram_fuzz.py
+++ b/packages/router/tests/test_datagram_fuzz.py
@@ -1,7 +1,9 @@
 """Datagrams that are malformed, or arrive in any order."""
 
 import asyncio
+import dataclasses
 import random
+import struct
 
 import key_world
 import msgpack
@@ -9,6 +11,7 @@
 import virtual_time
 
 import sycamoreloft_direct
+import sycamoreloft_load
 from sycamoreloft_router import (
     _datagram_codec,
     _datagrams,
@@ -54,6 +57,40 @@
     ),
 }
 
+ENTRY = ["u1", 1, "10.0.0.9:80", "boards", "z1", 4, True, 1.5]
+
+MESSAGES |= {
+    "relay-request": _datagrams.RelayRequest(SEEN, 5, "z1"),
+    "relay-offer": _datagrams.RelayOffer(
+        SEEN,
+        sycamoreloft_direct.Offer(
+            3, 5, True, sycamoreloft_direct.TableVersion(2, 7), 8, 9
+        ),
+    ),
+    "table-changes": _datagrams.RelayedChanges(
+        SEEN,
+        sycamoreloft_direct.TableChanges(
+            2, 7, 9, {"u1": sycamoreloft_direct.Upstream(*ENTRY), "u2": None}
+        ),
+    ),
+}
+
+LOADS = (
+    sycamoreloft_load.SharedLoad(
+        7, sycamoreloft_direct.ReportedLoad(4, 9, 4, 250), 0.41
+    ),
+)
+
+MESSAGES |= {
+    "observed-loads": _datagrams.ObservedLoads(SEEN, LOADS),
+    "upstream-loads": _datagrams.UpstreamLoads(SEEN, LOADS),
+}
+
+
+def pack_load(running=1, waiting=1, slots=1, percent=100):
+    return struct.pack(">IHHHHB", 7, running, waiting, slots, percent, 5)
+
+
 #: Kind, position of a field after version and kind, and an invalid value.
 BAD_FIELDS = [
     ("heartbeat", 0, float("inf")),
@@ -113,9 +150,65 @@
     ("departures", 1, [("u1", 1, True, 1, 1 << 63)]),
     ("departures", 1, [(b"u1", 1, True, 1, 7)]),
     ("departures", 1, [("u1", 1, True, 1, 7)] * 65),
+    ("relay-request", 1, -1),
+    ("relay-request", 2, ""),
+    ("relay-offer", 1, -1),
+    ("relay-offer", 3, 1),
+    ("relay-offer", 5, 9),
+    ("relay-offer", 6, 1 << 63),
+    ("table-changes", 1, 0),
+    ("table-changes", 2, 9),
+    ("table-changes", 4, {"u1": None}),
+    ("table-changes", 4, [["u 1"]]),
+    ("table-changes", 4, [ENTRY[:-1]]),
+    ("table-changes", 4, [[*ENTRY, 1]]),
+    ("table-changes", 4, [["u1"]] * 1_025),
+]
+
+BAD_FIELDS += [
+    (kind, 1, value)
+    for kind in ("observed-loads", "upstream-loads")
+    for value in (
+        [],
+        pack_load()[:-1],
+        pack_load(running=10_001),
+        pack_load(waiting=10_001),
+        pack_load(slots=10_001),
+        pack_load(percent=0),
+        pack_load(percent=10_001),
+        pack_load() * 257,
+    )
+]
+
+#: An entry with one wrong field each.
+BAD_FIELDS += [
+    ("table-changes", 4, [[*ENTRY[:index], value, *ENTRY[index + 1 :]]])
+    for index, value in (
+        (0, ""),
+        (1, -1),
+        (2, "host:80"),
+        (2, "10.0.0.9:0"),
+        (2, "0.0.0.0:80"),
+        (3, "a\n"),
+        (4, 7),
+        (5, 10_001),
+        (5, True),
+        (6, 1),
+        (7, float("nan")),
+    )
 ]
 
 
+def test_each_field_of_an_entry_is_passed_on():
+    """Guards against a new field of entries that hosts do not get."""
+    names = {
+        field.name for field in dataclasses.fields(sycamoreloft_direct.Upstream)
+    }
+    # Each host sets the rate from the desired state.
+    names.remove("warm_up_rate")
+    assert len(names) == len(ENTRY)
+
+
 def _repack(message, change):
     """Encodes a message after changing the list of its encoded fields."""
     data = _datagram_codec.encode(message)
