Pass changes on while the store names no era

The era 0 now counts as an era, and an unread table has one of its own. After a restore that no era shows, the coordinator offers nothing any more.

The test that a store without eras is followed by all becomes two: a restored one is, and one that was never restored is not.

--- a/packages/direct/sycamoreloft_direct/__init__.py
+++ b/packages/direct/sycamoreloft_direct/__init__.py
@@ -77,7 +77,11 @@
     ServiceRetryBudgets,
 )
 from sycamoreloft_direct._routes import RouteTable
-from sycamoreloft_direct._table_log import TableChanges, TableLog
+from sycamoreloft_direct._table_log import (
+    UNREAD_ERA,
+    TableChanges,
+    TableLog,
+)
 from sycamoreloft_direct._table_relay import (
     COMMON_CAUSES,
     CoordinatorState,
@@ -103,6 +107,7 @@
     "MAXIMUM_TOLD_DEPARTURES",
     "NO_NOTICE",
     "REPORT_COUNT",
+    "UNREAD_ERA",
     "VOUCHED_WAIT_S",
     "AnsweredPaths",
     "CallerLimits",
--- a/packages/direct/sycamoreloft_direct/_table_log.py
+++ b/packages/direct/sycamoreloft_direct/_table_log.py
@@ -6,6 +6,9 @@
 
 from sycamoreloft_direct import _departures, _model
 
+#: Era of a table that has not been read.
+UNREAD_ERA = -1
+
 #: Maximum number of changed entries that are kept; a host that lacks older
 #: ones reads the table itself.
 MAXIMUM_KEPT_ENTRIES = 1_024
@@ -40,8 +43,9 @@
     """Keeps recent changes of the table, without a gap between them."""
 
     def __init__(self) -> None:
-        #: Era of the store; 0 if it is unknown, and nothing is passed on.
-        self.era = 0
+        #: Era of the store; `UNREAD_ERA` if nothing can be passed on. A store
+        #: that names no era has the era 0 until it is restored.
+        self.era = UNREAD_ERA
         #: Version after which changes are known. A host whose copy is older
         #: has to read the table itself.
         self.base = 0
@@ -60,7 +64,7 @@
             version: Version up to which the read is complete.
         """
         is_encodable = max(version.era, version.version) <= MAXIMUM_VERSION
-        self.era = version.era if is_encodable else 0
+        self.era = version.era if is_encodable else UNREAD_ERA
         self.base = self.head = version.version
         self._changes.clear()
         self._count = 0
--- a/packages/direct/sycamoreloft_direct/_table_relay.py
+++ b/packages/direct/sycamoreloft_direct/_table_relay.py
@@ -4,7 +4,7 @@
 import enum
 import math
 
-from sycamoreloft_direct import _departures
+from sycamoreloft_direct import _departures, _table_log
 
 #: Seconds without a heartbeat after which a host follows the store itself. An
 #: upstream's shutdown must be known within 1.2 s: its drain time of 2 s less
@@ -43,7 +43,7 @@
 class FollowCause(enum.Enum):
     """Why a host follows the table at the store itself."""
 
-    #: It has not read the table yet, or the store names no era.
+    #: It has not read the table yet.
     UNREAD = "unread"
     #: It is the coordinator.
     COORDINATOR = "coordinator"
@@ -257,8 +257,8 @@
         """Returns why this host has to follow the store itself.
 
         Args:
-            own: Version up to which this host knows all changes. Its era is 0
-                before the first read.
+            own: Version up to which this host knows all changes. Its era is
+                `UNREAD_ERA` before the first read.
             now: Time, in seconds.
             is_coordinator: Whether this host is the coordinator.
 
@@ -269,7 +269,7 @@
         self._update_lacking(own)
         if is_coordinator:
             return FollowCause.COORDINATOR
-        if own.era == 0:
+        if own.era == _table_log.UNREAD_ERA:
             return FollowCause.UNREAD
         state, offer = self._state, self._offer
         if state is None or self._is_silent(now):
--- a/packages/direct/tests/test_table_relay.py
+++ b/packages/direct/tests/test_table_relay.py
@@ -32,7 +32,7 @@
     ("cause", "fields", "own"),
     [
         (None, {}, (1, 9)),
-        (CAUSE.UNREAD, {}, (0, 0)),
+        (CAUSE.UNREAD, {}, (sycamoreloft_direct.UNREAD_ERA, 0)),
         (CAUSE.FEW_HOSTS, {"hosts": 39}, (1, 9)),
         (CAUSE.STORE, {"store_age_s": 1.01}, (1, 9)),
         (CAUSE.ERA, {"version": VERSION(2, 3)}, (1, 9)),
--- a/packages/router/sycamoreloft_router/_relay_codec.py
+++ b/packages/router/sycamoreloft_router/_relay_codec.py
@@ -153,7 +153,7 @@
         _datagram_checks.decode_seen(seen),
         sycamoreloft_direct.TableChanges(
             _datagram_checks.check_integer(
-                era, 1, _datagram_checks.MAXIMUM_ROW_VERSION
+                era, 0, _datagram_checks.MAXIMUM_ROW_VERSION
             ),
             first,
             last,
--- a/packages/router/sycamoreloft_router/_relay_exchange.py
+++ b/packages/router/sycamoreloft_router/_relay_exchange.py
@@ -174,8 +174,19 @@
         return (
             self._is_coordinator()
             and self._hosts >= self._settings.relay_minimum_hosts
-            and self._log.era != _direct_ports.UNKNOWN_ERA
+            and self._log.era != sycamoreloft_direct.UNREAD_ERA
             and self._log.era == self._follower.known_version.era
+            and not self._is_restore_hidden()
+        )
+
+    def _is_restore_hidden(self) -> bool:
+        """Returns whether other hosts could not tell that a restore happened.
+
+        Versions of a restored store that names no era may have two meanings.
+        """
+        return (
+            self._follower.era == _direct_ports.UNKNOWN_ERA
+            and self._follower.restored_at > 0.0
         )
 
     def _send_changes(self, seen: _datagrams.SeenVersions) -> None:
--- a/packages/router/sycamoreloft_router/_table_follower.py
+++ b/packages/router/sycamoreloft_router/_table_follower.py
@@ -125,9 +125,14 @@
 
     @property
     def known_version(self) -> sycamoreloft_direct.TableVersion:
-        """Version up to which this host knows all changes; era 0 if unread."""
+        """Version up to which this host knows all changes.
+
+        Its era is `sycamoreloft_direct.UNREAD_ERA` before the first read.
+        """
         if self.era is None:
-            return sycamoreloft_direct.TableVersion(0, 0)
+            return sycamoreloft_direct.TableVersion(
+                sycamoreloft_direct.UNREAD_ERA, 0
+            )
         return sycamoreloft_direct.TableVersion(self.era, self._version)
 
     async def run(self) -> None:
--- a/packages/router/tests/relay_world.py
+++ b/packages/router/tests/relay_world.py
@@ -172,8 +172,9 @@
 class World:
     """Hosts in some failure domains, one of them the coordinator."""
 
-    def __init__(self, count=45, domains=3):
+    def __init__(self, count=45, domains=3, era=1):
         self.table = fake_table.FakeTable()
+        self.table.era = era
         self.count = count
         self.epoch = 1
         self.spread_s = 0.0
--- a/packages/router/tests/test_datagram_fuzz.py
+++ b/packages/router/tests/test_datagram_fuzz.py
@@ -156,7 +156,7 @@
     ("relay-offer", 3, 1),
     ("relay-offer", 5, 9),
     ("relay-offer", 6, 1 << 63),
-    ("table-changes", 1, 0),
+    ("table-changes", 1, -1),
     ("table-changes", 2, 9),
     ("table-changes", 4, {"u1": None}),
     ("table-changes", 4, [["u 1"]]),
--- a/packages/router/tests/test_table_relay.py
+++ b/packages/router/tests/test_table_relay.py
@@ -14,6 +14,9 @@
 
 KNOWN_WITHIN_S = 1.2
 
+#: Longer than an offer of the coordinator is valid.
+OFFER_LAPSES_S = 7.5
+
 
 async def await_shutdown(world, key, hosts=None):
     """Lets an upstream drain, and checks that hosts know it in time."""
@@ -218,7 +221,7 @@
     relay_world.play(scenario)
 
 
-def test_a_store_without_eras_is_followed_by_all():
+def test_a_restored_store_without_eras_is_followed_by_all():
     """Guards against a restore that no era shows to hosts without calls."""
 
     async def scenario(world):
@@ -226,7 +229,18 @@
         for host in world.hosts.values():
             host.follower.era = _direct_ports.UNKNOWN_ERA
         world.table.era = _direct_ports.UNKNOWN_ERA
-        await asyncio.sleep(2.0)
+        world.coordinator.follower.restored_at = 1.0
+        await asyncio.sleep(OFFER_LAPSES_S)
         assert not world.list_relayed()
 
     relay_world.play(scenario)
+
+
+def test_changes_of_a_store_that_was_never_restored_are_relayed():
+    """Guards against hosts that all follow a store that names no era yet."""
+
+    async def scenario(world):
+        await asyncio.sleep(OFFER_LAPSES_S)
+        assert world.list_relayed()
+
+    relay_world.play(scenario, era=_direct_ports.UNKNOWN_ERA)
