Make three tests of the relay fail without what they guard

In a scratch copy, the tests still passed without the bound on the age of the store's answer, the check for gaps, the check for a pending call, and the notice after a full read. The store now fails all calls of a coordinator that is cut off, the notice has to arrive before the next offer, and a test applies changes to a follower directly.

--- a/packages/router/tests/test_table_relay.py
+++ b/packages/router/tests/test_table_relay.py
@@ -7,9 +7,11 @@
 import asyncio
 import random
 
+import fake_table
 import pytest
 import relay_world
 
+import sycamoreloft_direct
 from sycamoreloft_router import _direct_ports
 
 KNOWN_WITHIN_S = 1.2
@@ -64,7 +66,7 @@
 
 
 def cut_from_store(world):
-    world.coordinator.table.hangs = True
+    world.coordinator.table.problem = _direct_ports.ReadProblem.UNAVAILABLE
     world.coordinator.store_age_s = 1.2
 
 
@@ -202,7 +204,8 @@
 
     async def scenario(world):
         world.put("u4")
-        await asyncio.sleep(1.0)
+        # Offers, which tell it too, are 2 s apart; the next one is late.
+        await asyncio.sleep(2.0)
         newest = world.table.newest
         world.coordinator.table.problem = _direct_ports.ReadProblem.UNAVAILABLE
         await asyncio.sleep(0.2)
@@ -211,7 +214,7 @@
         world.table.newest = newest
         relayed = world.list_relayed()
         world.coordinator.table.problem = None
-        await asyncio.sleep(2.0)
+        await asyncio.sleep(KNOWN_WITHIN_S)
         assert relayed
         assert all("u1" not in host.entries for host in relayed)
 
@@ -230,3 +233,25 @@
         assert not world.list_relayed()
 
     relay_world.play(scenario)
+
+
+def test_a_follower_applies_only_changes_without_a_gap_or_a_pending_call():
+    """Guards against an older answer, or a lost change, that goes unnoticed."""
+
+    async def scenario(table, follower, entries):
+        changes = sycamoreloft_direct.TableChanges(1, 1, 3, {"a": 7})
+        later = sycamoreloft_direct.TableChanges(1, 2, 4, {"b": 8})
+        assert not follower.apply_relayed(changes), "a call is pending"
+        follower.set_relayed(True, 0.0)
+        await asyncio.sleep(0.1)
+        assert not follower.apply_relayed(later)
+        assert follower.apply_relayed(changes)
+        assert follower.apply_relayed(later)
+        assert follower.apply_relayed(changes), "it is known already"
+        assert entries == {"a": 7, "b": 8}
+        assert follower.known_version.version == 4
+        follower.set_relayed(False, 0.0)
+        await asyncio.sleep(0.1)
+        assert table.followed[-1] == 4 and table.reads == 1
+
+    fake_table.follow(scenario)
