Limit the ports of probes and metrics

The server of the readiness probe and of the metrics had the defaults of tornado: bodies of up to 100 MB, idle connections for an hour, and any number of connections. At the limit of open files, accepting raised an exception in each iteration of the event loop.

Each of the two ports now keeps 48 connections, closes the oldest beyond them, and takes heads of 8 KiB and bodies of 4 KiB.

--- a/packages/router/sycamoreloft_router/_probe_server.py
+++ b/packages/router/sycamoreloft_router/_probe_server.py
@@ -6,12 +6,32 @@
 
 from collections import abc
 import dataclasses
+import socket
+import typing
 
-from tornado import httpserver, httputil
+from tornado import http1connection, httpserver, httputil, iostream
+
+from sycamoreloft_router.load import _accepting
 
 #: Path of the metrics; every other path is a probe.
 METRICS_PATH = "/metrics"
 
+#: Maximum number of open connections. A load balancer and a collector of
+#: metrics use a few; callers must not take the descriptors of the host here.
+MAXIMUM_CONNECTIONS = 48
+
+#: Maximum sizes of a head and of a body, in bytes. tornado collects bodies of
+#: up to 100 MB by default.
+MAXIMUM_HEAD_BYTES = 8_192
+MAXIMUM_BODY_BYTES = 4_096
+
+#: Maximum time between two requests, and for a body, in seconds. Collectors of
+#: metrics keep a connection for the next minute.
+IDLE_TIMEOUT_S = 75.0
+
+#: Maximum number of bytes per read.
+_READ_BYTES = 16_384
+
 _PHRASES = {200: "OK", 405: "Method Not Allowed", 503: "Service Unavailable"}
 
 
@@ -27,6 +47,44 @@
     body: bytes = b""
 
 
+class _ProbeServer(httpserver.HTTPServer):
+    """Closes the oldest connection when there are too many."""
+
+    def initialize(self, *arguments: typing.Any, **options: typing.Any) -> None:
+        """Creates the server; called by the constructor of `Configurable`."""
+        super().initialize(*arguments, **options)
+        # Open connections in the order in which they were accepted.
+        self._streams: dict[iostream.IOStream, None] = {}
+
+    def add_sockets(self, sockets: abc.Iterable[socket.socket]) -> None:
+        """Starts accepting connections on listening sockets."""
+        for listener in sockets:
+            descriptor = listener.fileno()
+            self._sockets[descriptor] = listener
+            self._handlers[descriptor] = _accepting.Acceptor(
+                listener, self._handle_connection, lambda: None
+            ).stop
+
+    def handle_stream(
+        self, stream: iostream.IOStream, address: tuple[typing.Any, ...]
+    ) -> None:
+        """Serves a new connection."""
+        self._streams[stream] = None
+        super().handle_stream(stream, address)
+        if len(self._streams) > MAXIMUM_CONNECTIONS:
+            oldest = next(iter(self._streams))
+            del self._streams[oldest]
+            oldest.close()
+
+    def on_close(self, server_conn: object) -> None:
+        """Forgets a closed connection."""
+        super().on_close(server_conn)
+        connection = typing.cast(
+            http1connection.HTTP1ServerConnection, server_conn
+        )
+        self._streams.pop(connection.stream, None)
+
+
 def create_server(
     is_ready: abc.Callable[[], bool],
     render_metrics: abc.Callable[[], bytes],
@@ -49,7 +107,15 @@
         else:
             _send(request, _Answer(200 if is_ready() else 503))
 
-    return httpserver.HTTPServer(answer)
+    return _ProbeServer(
+        answer,
+        idle_connection_timeout=IDLE_TIMEOUT_S,
+        body_timeout=IDLE_TIMEOUT_S,
+        max_header_size=MAXIMUM_HEAD_BYTES,
+        max_body_size=MAXIMUM_BODY_BYTES,
+        max_buffer_size=2 * _READ_BYTES,
+        chunk_size=_READ_BYTES,
+    )
 
 
 def _send(request: httputil.HTTPServerRequest, answer: _Answer) -> None:
--- a/packages/router/tests/test_probe_server.py
+++ b/packages/router/tests/test_probe_server.py
@@ -52,3 +52,30 @@
         (405, b""),
         (status, b""),
     ]
+
+
+# Guards against a port of probes that takes the descriptors of the host, or
+# that idle connections keep from answering.
+def test_idle_connections_do_not_keep_a_probe_from_its_answer():
+    async def main():
+        server = _probe_server.create_server(lambda: True, lambda: b"")
+        sockets = netutil.bind_sockets(0, "127.0.0.1")
+        server.add_sockets(sockets)
+        port = sockets[0].getsockname()[1]
+        opened = [
+            await asyncio.open_connection("127.0.0.1", port)
+            for _ in range(_probe_server.MAXIMUM_CONNECTIONS + 20)
+        ]
+        try:
+            return (
+                await send_requests(port, "GET /"),
+                len(server._connections) <= _probe_server.MAXIMUM_CONNECTIONS,
+                await opened[0][0].read(),
+            )
+        finally:
+            server.stop()
+            await server.close_all_connections()
+            for _, writer in opened:
+                writer.close()
+
+    assert asyncio.run(main()) == ([(200, b"")], True, b"")
