Reject answers whose status is outside 100 to 599

Statuses 600, 700 and 999, and the four digits 2000, were passed on to callers, who cannot tell from them what has run.

--- a/packages/router/sycamoreloft_router/_answer_heads.py
+++ b/packages/router/sycamoreloft_router/_answer_heads.py
@@ -12,6 +12,12 @@
 BODILESS_STATUSES = frozenset((204, 304))
 
 
+#: Lowest and highest status, those of interim answers included. The meaning
+#: of others is not defined, so that a caller cannot tell what has run.
+MINIMUM_STATUS = 100
+MAXIMUM_STATUS = 599
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerRules:
     """Rules by which the answers of a protocol are checked."""
@@ -143,8 +149,13 @@
         self._framed = False
         self._length = b""
         self.status_line = line.partition(b" ")[2].strip()
-        code = self.status_line[:3]
-        if code.isdigit() and b"\r" not in self.status_line:
+        code = self.status_line.partition(b" ")[0]
+        if (
+            len(code) == 3
+            and code.isdigit()
+            and MINIMUM_STATUS <= int(code) <= MAXIMUM_STATUS
+            and b"\r" not in self.status_line
+        ):
             self.status = int(code)
         else:
             self.problem = "the answer's status line is malformed"
--- a/packages/router/tests/test_headers.py
+++ b/packages/router/tests/test_headers.py
@@ -94,3 +94,11 @@
         (b"connection", b"Connection:"),
     ]
     assert _headers.filter_answer_lines(lines) == [b"X-Other: 3"]
+
+
+# Guards against statuses without a meaning, in the permit mode as well.
+@pytest.mark.parametrize("status", [b"000", b"099", b"600", b"700", b"2000"])
+def test_a_status_outside_the_defined_range_is_rejected(status):
+    head = _answer_heads.AnswerHead("GET", "a")
+    assert not head.add_line(b"HTTP/1.1 " + status + b" No\r\n")
+    assert head.problem
