Lower the limit of connections when descriptors run out

The settings may name more descriptors than the system allows, or none. The ledger then lowers the limit to nine tenths of the open connections, at least 128, and names unused ones to close.

--- a/packages/load/sycamoreloft_load/_caller_quotas.py
+++ b/packages/load/sycamoreloft_load/_caller_quotas.py
@@ -45,6 +45,11 @@
 #: Minimum numbers of connections, for hosts with very low limits.
 MINIMUM_CONNECTIONS = 16
 
+#: Part of the connections that remains when the system has no descriptor left,
+#: and the number below which the limit is not lowered.
+EXHAUSTED_SHARE = 0.9
+EXHAUSTED_MINIMUM = 128
+
 #: Minimum limit of held bytes: a single request whose body and answer are
 #: streamed is always served.
 MINIMUM_HELD_BYTES = 4_000_000
@@ -207,6 +212,36 @@
             return self.choose_unused(account) or account
         return None
 
+    def record_exhaustion(self) -> abc.Iterator[Account]:
+        """Lowers the limit of connections: the system has no descriptor left.
+
+        The limit stays lower, since the host has fewer descriptors than its
+        settings say, or they do not say how many it has.
+
+        Yields:
+            Connections to close; each has to be closed before the next.
+        """
+        quotas = self.quotas
+        limit = min(
+            quotas.connections,
+            max(
+                EXHAUSTED_MINIMUM, int(self.connection_count * EXHAUSTED_SHARE)
+            ),
+        )
+        self.quotas = dataclasses.replace(
+            quotas,
+            connections=limit,
+            connections_per_caller=min(
+                quotas.connections_per_caller, _take_caller_share(limit)
+            ),
+        )
+        unused = self.choose_unused()
+        while unused is not None:
+            yield unused
+            if self.connection_count <= limit:
+                return
+            unused = self.choose_unused()
+
     def choose_unused(self, spared: Account | None = None) -> Account | None:
         """Chooses a connection that runs no request, so that it may be closed.
 
--- a/packages/load/tests/test_caller_quotas.py
+++ b/packages/load/tests/test_caller_quotas.py
@@ -60,6 +60,23 @@
     assert ledger.choose_surplus(newest) is newest
 
 
+def test_the_limit_of_connections_falls_when_descriptors_run_out():
+    """Guards against callers that take each descriptor that becomes free."""
+    ledger = build_ledger()
+    accounts = [ledger.open("a", number) for number in range(300)]
+    ledger.admit(accounts[0], 1)
+    for account in ledger.record_exhaustion():
+        assert account is not accounts[0]
+        ledger.close(account)
+    assert ledger.connection_count == ledger.quotas.connections == 270
+    assert ledger.choose_surplus(ledger.open("b", 300)) is accounts[31]
+    for account in accounts[1:200]:
+        ledger.close(account)
+    # A few connections are not the cause; one of them makes room.
+    assert len(list(ledger.record_exhaustion())) == 1
+    assert ledger.quotas.connections == 128
+
+
 def test_bytes_are_freed_from_unread_answers_of_the_heaviest_caller():
     """Guards against a host that closes callers which read their answers."""
     ledger = build_ledger(held_bytes=1_000, held_bytes_per_caller=800)
