Limit what callers hold of a host of the direct mode

The caller server now counts what each connection holds, at what it may hold at most, and applies the limits that the ledger decides: 503 host-memory-full before a body is read, and a close of connections whose answers are not read, those of the address that holds most first. Answers without progress for the idle timeout end their connection. The system's buffers of both sides are limited, libcurl keeps a bounded number of connections, and a read takes no more than the rest of a body, so that less of the following requests waits.

--- a/packages/router/sycamoreloft_router/_caller_connections.py
+++ b/packages/router/sycamoreloft_router/_caller_connections.py
@@ -5,12 +5,15 @@
 import contextlib
 import logging
 import re
+import socket
 import ssl
 import typing
 
 from tornado import http1connection, httpserver, httputil, iostream
 
+import sycamoreloft_load
 from sycamoreloft_router import _answers, _caller_streams, _logs
+from sycamoreloft_router.load import _accepting, _caller_guard
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -22,6 +25,10 @@
 #: Maximum number of bytes that tornado buffers for a connection.
 READ_BUFFER_BYTES = 4 * 65_536
 
+#: Maximum number of bytes per read of a body, and per read of a head.
+READ_CHUNK_BYTES = 65_536
+READ_HEAD_BYTES = 16_384
+
 #: Error message of tornado for a chunked body that exceeds the limit.
 _LONG_BODY_MESSAGE = "chunked body too large"
 
@@ -189,6 +196,26 @@
     #: Maximum length of request line and headers, in bytes; set by the server.
     header_bytes = READ_HEADER_BYTES
 
+    #: Counts what the connection holds; both are set by the server.
+    guard: _caller_guard.CallerGuard
+    account: sycamoreloft_load.Account
+
+    def read_ahead(self, length: int) -> None:
+        """Sets how much the next reads take from the connection.
+
+        A read takes no more than the rest of the body, so that few bytes of
+        the requests that follow wait in the memory of the process.
+
+        Args:
+            length: Bytes that are known to follow; -1 if unknown.
+        """
+        if length < 0:
+            self.stream.read_chunk_size = READ_CHUNK_BYTES
+        else:
+            self.stream.read_chunk_size = min(
+                max(length, READ_HEAD_BYTES), READ_CHUNK_BYTES
+            )
+
     def is_idle(self, waiting_before: float) -> bool:
         """Returns whether the connection has waited since before a time.
 
@@ -221,6 +248,7 @@
         try:
             while True:
                 self.is_waiting = True
+                self.read_ahead(0)
                 self.waiting_since = loop.time()
                 connection = CallerConnection(
                     self.stream, False, self.params, self.context
@@ -229,6 +257,7 @@
                 request = delegate.start_request(self, connection)
                 if not await connection.read_response(request):
                     return
+                self.guard.release(self.account)
                 # Lets other connections run between two requests.
                 await asyncio.sleep(0)
         except ConnectionRejected:
@@ -260,6 +289,7 @@
         header_bytes: Maximum length of request line and headers, in bytes.
         body_bytes: Maximum length of a request body, in bytes.
         tls: TLS context of the server, or None for plain TCP.
+        guard: Limits the connections and what they hold.
     """
 
     def initialize(  # type: ignore[override]
@@ -268,21 +298,38 @@
         header_bytes: int,
         body_bytes: int,
         tls: ssl.SSLContext | None,
+        guard: _caller_guard.CallerGuard,
     ) -> None:
         """Sets the limits; called by the constructor of `Configurable`."""
         super().initialize(
             delegate,
             ssl_options=tls,
-            chunk_size=65_536,
+            chunk_size=READ_CHUNK_BYTES,
             max_header_size=READ_HEADER_BYTES,
             max_body_size=body_bytes,
             max_buffer_size=READ_BUFFER_BYTES,
         )
         self._header_bytes = header_bytes
+        self._guard = guard
         # tornado would start a timer for the head of each request; instead,
         # the server closes idle connections periodically.
         self.conn_params.header_timeout = None
 
+    def add_sockets(self, sockets: abc.Iterable[socket.socket]) -> None:
+        """Starts accepting connections on listening sockets."""
+        for listener in sockets:
+            self._guard.prepare(listener)
+            descriptor = listener.fileno()
+            self._sockets[descriptor] = listener
+            self._handlers[descriptor] = _accepting.Acceptor(
+                listener, self._handle_connection, self._guard.record_exhaustion
+            ).stop
+
+    def on_close(self, server_conn: object) -> None:
+        """Forgets a closed connection."""
+        super().on_close(server_conn)
+        self._guard.close(typing.cast(ServerConnection, server_conn).account)
+
     def handle_stream(
         self, stream: iostream.IOStream, address: tuple[typing.Any, ...]
     ) -> None:
@@ -297,6 +344,8 @@
             )
         connection = ServerConnection(stream, self.conn_params, address[0])
         connection.header_bytes = self._header_bytes
+        connection.guard = self._guard
+        connection.account = self._guard.open(connection, address[0])
         # The task that serves the connection starts in the next iteration of
         # the event loop. Without a start time, a sweep in between closed the
         # connection as idle.
@@ -348,3 +397,11 @@
         for connection in self.list_connections():
             if connection.is_idle(waiting_before):
                 connection.stream.close()
+
+    def close_stalled(self, timeout_s: float) -> None:
+        """Closes connections whose answers were not read for some time.
+
+        Args:
+            timeout_s: Time without a byte that the system took, in seconds.
+        """
+        self._guard.close_stalled(timeout_s)
--- a/packages/router/sycamoreloft_router/_caller_exchange.py
+++ b/packages/router/sycamoreloft_router/_caller_exchange.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import math
 import typing
 
 from returns import result
@@ -12,6 +11,7 @@
     _answers,
     _body_streams,
     _caller_connections,
+    _caller_server_state,
     _caller_streams,
     _exchange,
     _headers,
@@ -40,48 +40,6 @@
 )
 
 
-class ServerState:
-    """State that all exchanges of a caller server share.
-
-    Args:
-        path: Parses and serves the requests.
-        body_bytes: Maximum length of a request body, in bytes.
-        max_requests: Maximum number of requests in flight.
-    """
-
-    def __init__(
-        self, path: _exchange.RequestPath, body_bytes: int, max_requests: int
-    ) -> None:
-        #: Parses and serves the requests.
-        self.path = path
-        #: Looked up once: on Python 3.11, each call of get_running_loop costs
-        #: a system call.
-        self.loop = asyncio.get_running_loop()
-        #: Maximum length of a request body, in bytes.
-        self.body_bytes = body_bytes
-        #: Maximum number of requests in flight.
-        self.max_requests = max_requests
-        #: Requests in flight: from the headers to the end of the answer.
-        self.exchanges: set[CallerExchange] = set()
-        #: Whether the server is stopping: each answer then closes its
-        #: connection.
-        self.is_draining = False
-        #: Requests with a later deadline are refused, since the drain may end
-        #: before them; infinite while the server is not about to end.
-        self.latest_deadline = math.inf
-
-    async def cancel_all(self) -> None:
-        """Cancels all requests and waits until they have ended."""
-        tasks = [
-            exchange.task
-            for exchange in self.exchanges
-            if exchange.task is not None
-        ]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-
 class CallerExchange(httputil.HTTPMessageDelegate):
     """Reads a request, runs it, and sends the answer.
 
@@ -92,12 +50,14 @@
     """
 
     __slots__ = (
+        "_account",
         "_body_ended",
         "_connection",
         "_deadline",
         "_ended",
         "_execution",
         "_fields",
+        "_guard",
         "_has_begun",
         "_head_only",
         "_is_caller_gone",
@@ -117,7 +77,7 @@
 
     def __init__(
         self,
-        server_state: ServerState,
+        server_state: _caller_server_state.ServerState,
         server_connection: object,
         connection: httputil.HTTPConnection,
     ) -> None:
@@ -129,6 +89,8 @@
         self._connection = typing.cast(
             _caller_connections.CallerConnection, connection
         )
+        self._account = self._server_connection.account
+        self._guard = server_state.guard
         self._body_ended = False
         self._deadline = 0.0
         self._ended = False
@@ -168,7 +130,7 @@
         self._connection.set_close_callback(self._on_caller_gone)
         if self._server_state.is_draining:
             self._connection.close_after_answer()
-        problem = self._check_load()
+        problem = self._server_state.check_load()
         if problem is not None:
             self._refuse(problem, True)
             return
@@ -196,6 +158,11 @@
         if self._deadline > self._server_state.latest_deadline:
             self._refuse(_HOST_STOPPING, "Expect" in fields.values)
             return
+        full = self._guard.admit(self._account, self._length)
+        if full is not None:
+            self._refuse(full, "Expect" in fields.values)
+            return
+        self._server_connection.read_ahead(self._length)
         self._request = request
         self._timer = loop.call_at(self._deadline, self._on_deadline)
 
@@ -213,6 +180,10 @@
         self._prefix_size += len(chunk)
         if self._prefix_size < _body_streams.PREFIX_BYTES:
             return None
+        full = self._guard.admit_stream(self._account, self._length)
+        if full is not None:
+            self._refuse(full, True)
+            return None
         self._upload = _body_streams.UploadBuffer()
         room = None
         for part in self._prefix:
@@ -225,6 +196,7 @@
     def finish(self) -> None:
         """Handles the end of the body."""
         self._body_ended = True
+        self._server_connection.read_ahead(0)
         if self._ended:
             self._connection.finish()
         elif self._upload is not None:
@@ -253,18 +225,6 @@
             self._refuse(refusal, True)
         return self.task
 
-    def _check_load(self) -> _answers.Refusal | None:
-        if len(self._server_state.exchanges) <= self._server_state.max_requests:
-            return None
-        return _answers.Refusal(
-            503,
-            "host-overloaded",
-            f"this host has {self._server_state.max_requests} requests in"
-            " flight",
-            "send the request again, to another host if there is one",
-            retry_after_ms=1_000,
-        )
-
     def _join_prefix(self) -> bytes | None:
         if self._prefix_size:
             return b"".join(self._prefix)
@@ -417,8 +377,12 @@
     async def _write(self, data: bytes) -> None:
         # An operation that must not be cancelled goes on when its caller has
         # closed the connection; its answer is dropped.
-        if not self._connection.stream.closed():
-            await self._connection.write(data)
+        stream = self._connection.stream
+        if not stream.closed():
+            written = self._connection.write(data)
+            self._guard.hold_answer(self._account, stream, True)
+            await written
+            self._guard.release_answer(self._account)
 
     def _refuse(self, refusal: _answers.Refusal, close_now: bool) -> None:
         """Sends an answer of the router itself.
@@ -452,6 +416,7 @@
             self._log_closed("answer-dropped")
             return
         connection.write(data)
+        self._guard.hold_answer(self._account, connection.stream, False)
         if self._body_ended or close_now or self._is_rejected:
             connection.finish()
         else:
--- a/packages/router/sycamoreloft_router/_caller_server.py
+++ b/packages/router/sycamoreloft_router/_caller_server.py
@@ -8,13 +8,16 @@
 
 from tornado import httputil, netutil
 
+import sycamoreloft_load
 from sycamoreloft_router import (
     _caller_connections,
     _caller_exchange,
+    _caller_server_state,
     _exchange,
     _logs,
     _upstream_client,
 )
+from sycamoreloft_router.load import _caller_guard
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -49,6 +52,8 @@
     #: Maximum number of connections to one upstream, idle ones included. The
     #: 300 connections of an upstream, divided among 24 hosts, are 12 each.
     connections_per_upstream: int = 12
+    #: Limits on what callers hold of the host.
+    quotas: sycamoreloft_load.CallerQuotas = sycamoreloft_load.CallerQuotas()
 
 
 class CallerServer(httputil.HTTPServerConnectionDelegate):
@@ -69,8 +74,11 @@
         self._limits = limits or CallerLimits()
         self._idle_s = self._limits.idle_connection_s
         self._client = client
-        self._server_state = _caller_exchange.ServerState(
-            path, self._limits.body_bytes, self._limits.requests
+        self._guard = _caller_guard.CallerGuard(
+            self._limits.quotas, path.metrics
+        )
+        self._server_state = _caller_server_state.ServerState(
+            path, self._limits.body_bytes, self._limits.requests, self._guard
         )
         self._server: _caller_connections.ConnectionServer | None = None
         self._sweep_timer: asyncio.TimerHandle | None = None
@@ -93,7 +101,11 @@
             backlog=_caller_connections.MAXIMUM_PENDING,
         )
         self._server = _caller_connections.ConnectionServer(
-            self, self._limits.header_bytes, self._limits.body_bytes, tls
+            self,
+            self._limits.header_bytes,
+            self._limits.body_bytes,
+            tls,
+            self._guard,
         )
         self._server.add_sockets(sockets)
         self._close_idle()
@@ -111,6 +123,10 @@
         """Returns the number of requests in flight."""
         return len(self._server_state.exchanges)
 
+    def update_metrics(self) -> None:
+        """Updates the gauges of connections, before they are rendered."""
+        self._guard.update_metrics()
+
     @property
     def refuses_late_requests(self) -> bool:
         """Whether requests that may outlast the drain are refused."""
@@ -208,4 +224,5 @@
         loop = asyncio.get_running_loop()
         if self._server is not None:
             self._server.close_idle(loop.time() - self._idle_s)
+            self._server.close_stalled(self._idle_s)
         self._sweep_timer = loop.call_later(SWEEP_INTERVAL_S, self._close_idle)
--- a/packages/router/sycamoreloft_router/_connection_rules.py
+++ b/packages/router/sycamoreloft_router/_connection_rules.py
@@ -6,6 +6,7 @@
 import struct
 
 from sycamoreloft_router import _answer_heads
+from sycamoreloft_router.load import _socket_buffers
 
 #: Maximum idle time of a connection that is reused, in seconds. An upstream
 #: that closes idle connections earlier would give the next request an unknown
@@ -44,6 +45,10 @@
     #: Whether closing a connection resets it and drops undelivered data, so
     #: that an abandoned request cannot arrive later.
     resets_on_close: bool = False
+    #: Maximum number of connections to all upstreams together; 0 for no limit.
+    total_connections: int = 0
+    #: Whether the system's buffers of a connection are limited.
+    limits_buffers: bool = False
 
 
 class PooledSockets:
@@ -91,7 +96,9 @@
         descriptor: File descriptor of the socket.
         rules: Rules for its connection.
     """
-    if not (rules.ack_timeout_s or rules.resets_on_close):
+    if not (
+        rules.ack_timeout_s or rules.resets_on_close or rules.limits_buffers
+    ):
         return
     # Each argument that is left out would cost a system call.
     connection = socket.socket(
@@ -105,6 +112,8 @@
             connection.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
             )
+        if rules.limits_buffers:
+            _socket_buffers.limit(connection)
         if rules.ack_timeout_s:
             _set_ack_timeout(connection, rules.ack_timeout_s)
     finally:
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -12,10 +12,8 @@
 import sycamoreloft_direct
 import sycamoreloft_load
 from sycamoreloft_router import (
-    _answer_heads,
     _caller_connections,
     _caller_server,
-    _connection_rules,
     _coordinator_role,
     _crash_exchange,
     _crash_record,
@@ -58,17 +56,6 @@
 #: for requests.
 GRACE_RESERVE_S = 0.4
 
-#: Timeout of a connection to an upstream, in seconds; a connection within a
-#: region takes a few milliseconds.
-CONNECT_TIMEOUT_S = 0.3
-
-#: Seconds for which an idle connection to an upstream may be reused. Upstreams
-#: close idle connections a few seconds later.
-IDLE_CONNECTION_TIMEOUT_S = 8
-
-#: Seconds without a TCP acknowledgement after which a connection is closed.
-ACK_TIMEOUT_S = 2.0
-
 #: Maximum number of connections of this host to one upstream. An upstream
 #: accepts some hundreds of connections from all hosts together.
 CONNECTIONS_PER_UPSTREAM = 10
@@ -211,15 +198,8 @@
         client = _upstream_client.UpstreamClient(
             force_instance=True,
             connections_per_upstream=CONNECTIONS_PER_UPSTREAM,
-            rules=_connection_rules.ConnectionRules(
-                _answer_heads.AnswerRules(
-                    platform.headers.request_id.lower().encode("latin1"), True
-                ),
-                CONNECT_TIMEOUT_S,
-                IDLE_CONNECTION_TIMEOUT_S,
-                True,
-                ACK_TIMEOUT_S,
-                resets_on_close=True,
+            rules=_direct_limits.build_connection_rules(
+                settings, platform.headers.request_id
             ),
         )
         self._budgets = sycamoreloft_direct.ServiceRetryBudgets(
@@ -244,7 +224,9 @@
             generator,
         )
         self._server = _caller_server.CallerServer(
-            _direct_execution.DirectPath(self._services), client
+            _direct_execution.DirectPath(self._services),
+            client,
+            _direct_limits.build_caller_limits(settings),
         )
         self._supervisor = _supervisor.Supervisor()
         self._http_servers: list[httpserver.HTTPServer] = []
@@ -386,6 +368,7 @@
         """Updates the gauges that are set only here; renders all metrics."""
         metrics, now = self._metrics, self._loop.time()
         _process_measures.update(metrics)
+        self._server.update_metrics()
         metrics.set(
             "sycamoreloft_is_coordinator",
             value=float(self._role.is_coordinator),
--- a/packages/router/sycamoreloft_router/_direct_limits.py
+++ b/packages/router/sycamoreloft_router/_direct_limits.py
@@ -3,7 +3,24 @@
 import dataclasses
 
 import sycamoreloft_direct
-from sycamoreloft_router import _direct_ports
+import sycamoreloft_load
+from sycamoreloft_router import (
+    _answer_heads,
+    _caller_server,
+    _connection_rules,
+    _direct_ports,
+)
+
+#: Timeout of a connection to an upstream, in seconds; a connection within a
+#: region takes a few milliseconds.
+CONNECT_TIMEOUT_S = 0.3
+
+#: Seconds for which an idle connection to an upstream may be reused. Upstreams
+#: close idle connections a few seconds later.
+IDLE_CONNECTION_TIMEOUT_S = 8
+
+#: Seconds without a TCP acknowledgement after which a connection is closed.
+ACK_TIMEOUT_S = 2.0
 
 #: Share of the platform's retry budget that hosts use. The hosts count in
 #: whole seconds, so that one second of the window may be missing, and retries
@@ -25,6 +42,44 @@
     )
 
 
+def compute_quotas(
+    settings: _direct_ports.HostSettings,
+) -> sycamoreloft_load.CallerQuotas:
+    """Returns the limits on what callers hold."""
+    return sycamoreloft_load.compute_quotas(
+        settings.memory_mb * 1e6, settings.descriptors
+    )
+
+
+def build_caller_limits(
+    settings: _direct_ports.HostSettings,
+) -> _caller_server.CallerLimits:
+    """Returns the limits of the caller server."""
+    return _caller_server.CallerLimits(quotas=compute_quotas(settings))
+
+
+def build_connection_rules(
+    settings: _direct_ports.HostSettings, request_id: str
+) -> _connection_rules.ConnectionRules:
+    """Returns the rules for connections to upstreams.
+
+    Args:
+        settings: Settings of the host.
+        request_id: Name of the header with the identifier of a request.
+    """
+    quotas = compute_quotas(settings)
+    return _connection_rules.ConnectionRules(
+        _answer_heads.AnswerRules(request_id.lower().encode("latin1"), True),
+        CONNECT_TIMEOUT_S,
+        IDLE_CONNECTION_TIMEOUT_S,
+        True,
+        ACK_TIMEOUT_S,
+        resets_on_close=True,
+        total_connections=quotas.upstream_connections,
+        limits_buffers=quotas.limits_memory,
+    )
+
+
 def compute_retry_limits(
     settings: _direct_ports.HostSettings,
 ) -> tuple[float, int, float]:
--- a/packages/router/sycamoreloft_router/_direct_ports.py
+++ b/packages/router/sycamoreloft_router/_direct_ports.py
@@ -303,6 +303,10 @@
     retry_window_s: float = 10.0
     #: Bandwidth of this host's link, in Mbit/s.
     link_mbps: float = 1_000.0
+    #: Memory of this host, in megabytes; 0 if unknown, for no limits from it.
+    memory_mb: float = 0.0
+    #: Maximum number of open files of this process; 0 if unknown.
+    descriptors: int = 0
     #: Reads per second that the store allows, for all hosts together.
     store_reads_per_s: float = 1_000.0
     #: Lowest level of log lines that are written.
--- a/packages/router/sycamoreloft_router/_metrics.py
+++ b/packages/router/sycamoreloft_router/_metrics.py
@@ -118,6 +118,22 @@
         Kind.COUNTER,
         "Requests whose caller closed the connection before the answer",
     ),
+    Definition(
+        "sycamoreloft_caller_limits_total",
+        Kind.COUNTER,
+        "Connections closed and requests refused at a limit on callers",
+        ("limit",),
+    ),
+    Definition(
+        "sycamoreloft_caller_connections",
+        Kind.GAUGE,
+        "Open connections of callers",
+    ),
+    Definition(
+        "sycamoreloft_caller_held_bytes",
+        Kind.GAUGE,
+        "Bytes that requests and answers of callers hold at most",
+    ),
     Definition(
         "sycamoreloft_request_body_bytes_total",
         Kind.COUNTER,
--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -267,6 +267,10 @@
             pycurl.M_MAX_HOST_CONNECTIONS, connections_per_upstream
         )
         self._multi.setopt(pycurl.M_MAXCONNECTS, MAXIMUM_CONNECTIONS)
+        # Idle connections are closed for new ones when it is reached.
+        self._multi.setopt(
+            pycurl.M_MAX_TOTAL_CONNECTIONS, self.rules.total_connections
+        )
         # Disables pipelining and multiplexing: each connection carries one
         # request at a time.
         self._multi.setopt(pycurl.M_PIPELINING, 0)
--- a/packages/router/tests/test_caller_server.py
+++ b/packages/router/tests/test_caller_server.py
@@ -341,7 +341,7 @@
 
     async def scenario(harness, upstream):
         server = _caller_connections.ConnectionServer(
-            harness.server, 16_384, 1_000, None
+            harness.server, 16_384, 1_000, None, harness.server._guard
         )
         near, far = socket.socketpair()
         with far:
