--- a/packages/load/sycamoreloft_load/_caller_quotas.py
+++ b/packages/load/sycamoreloft_load/_caller_quotas.py
@@ -249,12 +249,18 @@
             spared: Account that is not chosen.
 
         Returns:
-            The oldest of the address with the most connections, or None.
+            The oldest of the address with the most connections; one of another
+            address if that one uses all of its own; or None.
         """
         if not self._callers:
             return None
-        heaviest = max(self._callers.values(), key=lambda c: len(c.accounts))
-        return _choose_unused(heaviest, spared)
+        callers = self._callers.values()
+        heaviest = max(callers, key=lambda caller: len(caller.accounts))
+        found = _choose_unused(heaviest, spared)
+        if found is None:
+            others = (_choose_unused(caller, spared) for caller in callers)
+            found = next(filter(None, others), None)
+        return found
 
     def admit(self, account: Account, size: int) -> bool:
         """Admits a request if there is room for it, and counts its bytes.
--- a/packages/load/tests/test_caller_quotas.py
+++ b/packages/load/tests/test_caller_quotas.py
@@ -56,8 +56,11 @@
     assert ledger.choose_surplus(newest) is heavy[2]
     for account in heavy[2].caller.accounts:
         ledger.admit(account, 10)
-    # All others run a request.
+    # All others of the address run a request.
     assert ledger.choose_surplus(newest) is newest
+    ledger.close(newest)
+    last = ledger.open("last", 7)
+    assert ledger.choose_surplus(last).caller.address == "light"
 
 
 def test_the_limit_of_connections_falls_when_descriptors_run_out():
