--- a/packages/direct/sycamoreloft_direct/__init__.py
+++ b/packages/direct/sycamoreloft_direct/__init__.py
@@ -79,6 +79,7 @@
 from sycamoreloft_direct._routes import RouteTable
 from sycamoreloft_direct._table_log import (
     UNREAD_ERA,
+    UNREAD_VERSION,
     TableChanges,
     TableLog,
 )
@@ -108,6 +109,7 @@
     "NO_NOTICE",
     "REPORT_COUNT",
     "UNREAD_ERA",
+    "UNREAD_VERSION",
     "VOUCHED_WAIT_S",
     "AnsweredPaths",
     "CallerLimits",
--- a/packages/direct/sycamoreloft_direct/_table_log.py
+++ b/packages/direct/sycamoreloft_direct/_table_log.py
@@ -9,6 +9,9 @@
 #: Era of a table that has not been read.
 UNREAD_ERA = -1
 
+#: Version of such a table.
+UNREAD_VERSION = _departures.TableVersion(UNREAD_ERA, 0)
+
 #: Maximum number of changed entries that are kept; a host that lacks older
 #: ones reads the table itself.
 MAXIMUM_KEPT_ENTRIES = 1_024
--- a/packages/load/sycamoreloft_load/__init__.py
+++ b/packages/load/sycamoreloft_load/__init__.py
@@ -5,6 +5,12 @@
 """
 
 from sycamoreloft_load._attempt_results import AttemptResult
+from sycamoreloft_load._caller_quotas import (
+    Account,
+    CallerLedger,
+    CallerQuotas,
+    compute_quotas,
+)
 from sycamoreloft_load._evacuations import (
     EvacuationChange,
     EvacuationEvent,
@@ -32,7 +38,10 @@
     "ENCODED_BYTES",
     "MAXIMUM_SHARED_LOADS",
     "MINIMUM_STALL_S",
+    "Account",
     "AttemptResult",
+    "CallerLedger",
+    "CallerQuotas",
     "EvacuationChange",
     "EvacuationEvent",
     "Evacuations",
@@ -46,6 +55,7 @@
     "WarmUpBounds",
     "WarmUpLimits",
     "compute_message_limit",
+    "compute_quotas",
     "compute_run_number",
     "index_runs",
 ]
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -221,7 +221,9 @@
         client = _upstream_client.UpstreamClient(
             force_instance=True,
             connections_per_upstream=CONNECTIONS_PER_UPSTREAM,
-            rules=_direct_limits.build_connection_rules(platform.headers),
+            rules=_direct_limits.build_connection_rules(
+                settings, platform.headers.request_id
+            ),
         )
         self._budgets = sycamoreloft_direct.ServiceRetryBudgets(
             *_direct_limits.compute_retry_limits(settings)
@@ -245,7 +247,9 @@
             generator,
         )
         self._server = _caller_server.CallerServer(
-            _direct_execution.DirectPath(self._services), client
+            _direct_execution.DirectPath(self._services),
+            client,
+            _direct_limits.build_caller_limits(settings),
         )
         self._supervisor = _supervisor.Supervisor()
         self._http_servers: list[httpserver.HTTPServer] = []
@@ -395,6 +399,7 @@
             self.state_follower,
             self.upstream_follower,
         )
+        self._server.update_metrics()
         self._pool_updates.record_metrics(metrics)
         for service, remaining in self._budgets.list_remaining(now).items():
             metrics.set("sycamoreloft_retries_left", service, value=remaining)
--- a/packages/router/sycamoreloft_router/_direct_limits.py
+++ b/packages/router/sycamoreloft_router/_direct_limits.py
@@ -3,8 +3,10 @@
 import dataclasses
 
 import sycamoreloft_direct
+import sycamoreloft_load
 from sycamoreloft_router import (
     _answer_heads,
+    _caller_server,
     _connection_rules,
     _direct_ports,
 )
@@ -57,28 +59,50 @@
     )
 
 
-def compute_retry_limits(
+def compute_quotas(
     settings: _direct_ports.HostSettings,
-) -> tuple[float, int, float]:
-    """Returns the share, window and slack of the retry budgets."""
-    return (
-        settings.retry_share * RETRY_BUDGET_SHARE,
-        int(settings.retry_window_s),
-        settings.retry_slack * RETRY_SLACK_SHARE,
+) -> sycamoreloft_load.CallerQuotas:
+    """Returns the limits on what callers hold."""
+    return sycamoreloft_load.compute_quotas(
+        settings.memory_mb * 1e6, settings.descriptors
     )
 
 
+def build_caller_limits(
+    settings: _direct_ports.HostSettings,
+) -> _caller_server.CallerLimits:
+    """Returns the limits of the caller server."""
+    return _caller_server.CallerLimits(quotas=compute_quotas(settings))
+
+
 def build_connection_rules(
-    names: _direct_ports.HeaderNames,
+    settings: _direct_ports.HostSettings, request_id: str
 ) -> _connection_rules.ConnectionRules:
-    """Returns the rules for connections to upstreams."""
+    """Returns the rules for connections to upstreams.
+
+    Args:
+        settings: Settings of the host.
+        request_id: Name of the header with the identifier of a request.
+    """
+    quotas = compute_quotas(settings)
     return _connection_rules.ConnectionRules(
-        _answer_heads.AnswerRules(
-            names.request_id.lower().encode("latin1"), True
-        ),
+        _answer_heads.AnswerRules(request_id.lower().encode("latin1"), True),
         CONNECT_TIMEOUT_S,
         IDLE_CONNECTION_TIMEOUT_S,
         True,
         ACK_TIMEOUT_S,
         resets_on_close=True,
+        total_connections=quotas.upstream_connections,
+        limits_buffers=quotas.limits_memory,
+    )
+
+
+def compute_retry_limits(
+    settings: _direct_ports.HostSettings,
+) -> tuple[float, int, float]:
+    """Returns the share, window and slack of the retry budgets."""
+    return (
+        settings.retry_share * RETRY_BUDGET_SHARE,
+        int(settings.retry_window_s),
+        settings.retry_slack * RETRY_SLACK_SHARE,
     )
--- a/packages/router/sycamoreloft_router/_table_follower.py
+++ b/packages/router/sycamoreloft_router/_table_follower.py
@@ -125,14 +125,9 @@
 
     @property
     def known_version(self) -> sycamoreloft_direct.TableVersion:
-        """Version up to which this host knows all changes.
-
-        Its era is `sycamoreloft_direct.UNREAD_ERA` before the first read.
-        """
+        """Version up to which this host knows all changes."""
         if self.era is None:
-            return sycamoreloft_direct.TableVersion(
-                sycamoreloft_direct.UNREAD_ERA, 0
-            )
+            return sycamoreloft_direct.UNREAD_VERSION
         return sycamoreloft_direct.TableVersion(self.era, self._version)
 
     async def run(self) -> None:
