--- a/packages/load/tests/test_pace.py
+++ b/packages/load/tests/test_pace.py
@@ -95,6 +95,15 @@
     assert _pace.compute_share(record.pace, back_at + 1.0) == 1.0
 
 
+# Guards against a share that rises during a pause, when it proves nothing.
+def test_the_share_does_not_rise_while_the_upstream_pauses(world):
+    pool = world.pools[0]
+    record = pool.find(world.entries[0].run)
+    pool.record_pause(record.entry.run, 60.0, 2.0, 0)
+    answer(pool, record, 0.0, 2.0, RESULT.REFUSED)
+    assert _pace.compute_share(record.pace, 62.0) == 0.25
+
+
 # A domain that returns whole. Guards against a burst to it by many hosts, and
 # against one to the others while it is held back.
 def test_a_domain_that_returns_gets_its_load_step_by_step():
