Make two tests of choice and pace fail without what they guard

The slow upstream now has peers that answer in the second half too, so that the mean stays theirs. The failing upstream now fails half of its requests, so that it is drawn often enough for the comparison of the two draws to matter.

--- a/packages/load/tests/test_choice.py
+++ b/packages/load/tests/test_choice.py
@@ -98,14 +98,18 @@
 
 
 # Guards against requests to upstreams that fail, because they report no work.
-def test_an_idle_upstream_that_fails_is_avoided():
-    world = load_world.World(1, [100] * 2, False)
+def test_an_idle_upstream_that_fails_half_of_its_requests_gets_few():
+    world = load_world.World(1, [100] * 2, False, domains="a")
     pool = world.pools[0]
-    record = pool.find(world.entries[0].run)
-    pool.begin(record, 1, 0.0)
-    pool.finish(record, 1, load_world.RESULT.UNREACHABLE, 0.0)
-    for entry, waiting in zip(world.entries, (0, 16), strict=True):
+    failing = pool.find(world.entries[0].run)
+    for number in range(40):
+        pool.begin(failing, number, 0.0)
+        result = load_world.RESULT.ANSWERED
+        if number % 2:
+            result = load_world.RESULT.FAILED
+        pool.finish(failing, number, result, 0.1)
+    for entry, waiting in zip(world.entries, (0, 8), strict=True):
         load = sycamoreloft_load.ReportedLoad(0, waiting, 4)
-        pool.record_load(entry.run, load, 0.0)
-    chosen = [pool.choose("s", 0.1, False) for _ in range(500)]
-    assert chosen.count(record) < 10
+        pool.record_load(entry.run, load, 9.0)
+    chosen = [pool.choose("s", 9.0, False) for _ in range(500)]
+    assert 0 < chosen.count(failing) < 100
--- a/packages/load/tests/test_pace.py
+++ b/packages/load/tests/test_pace.py
@@ -72,13 +72,17 @@
     pool = world.pools[0]
     record = start(pool, world.entries, 0, 2.0)
     peer = pool.find(world.entries[1].run)
-    for number in range(30):
-        answer(pool, record, 1.0, 2.0 + number / 10)
-        for _ in range(5):
-            answer(pool, peer, 0.2, 2.0 + number / 10)
+
+    def answer_slowly(began_at):
+        for number in range(30):
+            now = began_at + number / 10
+            answer(pool, record, 1.0, now)
+            for _ in range(5):
+                answer(pool, peer, 0.2, now)
+
+    answer_slowly(2.0)
     assert _pace.compute_share(record.pace, 4.9) < 0.3
-    for number in range(30):
-        answer(pool, record, 1.0, 5.1 + number / 10)
+    answer_slowly(5.1)
     assert pool.count_paced(8.0) == {}
 
 
