--- a/packages/load/tests/test_pace.py
+++ b/packages/load/tests/test_pace.py
@@ -72,13 +72,17 @@
     pool = world.pools[0]
     record = start(pool, world.entries, 0, 2.0)
     peer = pool.find(world.entries[1].run)
-    for number in range(30):
-        answer(pool, record, 1.0, 2.0 + number / 10)
-        for _ in range(5):
-            answer(pool, peer, 0.2, 2.0 + number / 10)
+
+    def answer_slowly(began_at):
+        for number in range(30):
+            now = began_at + number / 10
+            answer(pool, record, 1.0, now)
+            for _ in range(5):
+                answer(pool, peer, 0.2, now)
+
+    answer_slowly(2.0)
     assert _pace.compute_share(record.pace, 4.9) < 0.3
-    for number in range(30):
-        answer(pool, record, 1.0, 5.1 + number / 10)
+    answer_slowly(5.1)
     assert pool.count_paced(8.0) == {}
 
 
@@ -95,6 +99,15 @@
     assert _pace.compute_share(record.pace, back_at + 1.0) == 1.0
 
 
+# Guards against a share that rises during a pause, when it proves nothing.
+def test_the_share_does_not_rise_while_the_upstream_pauses(world):
+    pool = world.pools[0]
+    record = pool.find(world.entries[0].run)
+    pool.record_pause(record.entry.run, 60.0, 2.0, 0)
+    answer(pool, record, 0.0, 2.0, RESULT.REFUSED)
+    assert _pace.compute_share(record.pace, 62.0) == 0.25
+
+
 # A domain that returns whole. Guards against a burst to it by many hosts, and
 # against one to the others while it is held back.
 def test_a_domain_that_returns_gets_its_load_step_by_step():
