Hold requests at the host until their upstream has room

Owners' queues filled with history reads, so that urgent work orders came late, and hosts kept sending to upstreams that had just reset the connection.

A gate decides on each request before it is sent: it is sent, waits at the host in the order of priority, or is refused with 503 and the reason. A reset by an upstream that is known to reset when full counts as a refusal in the pool, so that the upstream is not ejected. Retry-After follows the rate of answers for services whose load is known; the fixed ranges apply else.

Waiting requests leave at once when the caller leaves, at the deadline, and when the host stops.

The fixture of test_upstream_choice gets a gate that knows of no load.

--- a/packages/router/sycamoreloft_router/_direct_execution.py
+++ b/packages/router/sycamoreloft_router/_direct_execution.py
@@ -247,7 +247,12 @@
                 transfer.cancel()
         if result is _RESULT.CANCELLED and self._was_silent(now - started_at):
             result = _RESULT.SILENT
-        services.pool.finish(record, self, result, now)
+        services.pool.finish(
+            record,
+            self,
+            self._choice.record_result(record, result, now - started_at),
+            now,
+        )
         self._crash_watch.record_result(
             result, transfer, record.entry.id, started_at, now
         )
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -42,6 +42,7 @@
     _upstream_client,
     _upstream_notices,
 )
+from sycamoreloft_router.load import _admission_gate
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -242,6 +243,9 @@
             metrics,
             self._loop,
             generator,
+            _admission_gate.create_gate(
+                self._states, self._pool, generator, metrics
+            ),
         )
         self._server = _caller_server.CallerServer(
             _direct_execution.DirectPath(self._services), client
@@ -342,6 +346,7 @@
             requests=self._server.count_requests(),
         )
         self._server.announce_stop()
+        self._services.gate.stop()
         await self._role.stop()
         await asyncio.sleep(started + UNREADY_NOTICE_S - self._loop.time())
         remaining_s = started + self._settings.grace_s - self._loop.time()
--- a/packages/router/sycamoreloft_router/_direct_services.py
+++ b/packages/router/sycamoreloft_router/_direct_services.py
@@ -15,6 +15,7 @@
     _upstream_client,
     _upstream_notices,
 )
+from sycamoreloft_router.load import _admission_gate
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,3 +55,5 @@
     loop: asyncio.AbstractEventLoop
     #: Source of random choices.
     generator: random.Random
+    #: Holds requests until their upstream has room.
+    gate: _admission_gate.AdmissionGate
--- a/packages/router/sycamoreloft_router/_metrics.py
+++ b/packages/router/sycamoreloft_router/_metrics.py
@@ -203,6 +203,17 @@
         "Requests that the host answered itself",
         ("service", "reason"),
     ),
+    Definition(
+        "sycamoreloft_admission_waiting",
+        Kind.GAUGE,
+        "Requests that wait at this host until an upstream has room",
+    ),
+    Definition(
+        "sycamoreloft_admission_wait_seconds",
+        Kind.HISTOGRAM,
+        "Time for which requests waited at this host",
+        ("service", "route"),
+    ),
     Definition(
         "sycamoreloft_store_call_seconds",
         Kind.HISTOGRAM,
--- a/packages/router/sycamoreloft_router/_upstream_choice.py
+++ b/packages/router/sycamoreloft_router/_upstream_choice.py
@@ -41,6 +41,19 @@
 MINIMUM_LOST_OWNER_RETRY_MS = 500
 MAXIMUM_LOST_OWNER_RETRY_MS = 1_000
 
+#: Reasons of refusals after which callers return at the rate at which work is
+#: done.
+_LOAD_REASONS = frozenset(
+    (
+        "backlog",
+        "owner-full",
+        "past-deadline",
+        "queue-full",
+        "upstream-full",
+        "upstream-refused-503",
+    )
+)
+
 #: Share of the rest of a pause over which the callers that were refused
 #: because of it return after its end.
 PAUSE_SPREAD_SHARE = 0.5
@@ -71,6 +84,8 @@
     """
 
     __slots__ = (
+        "_demand",
+        "_expected_wait_s",
         "_first_owner",
         "_possible_runs",
         "_received",
@@ -99,6 +114,9 @@
         self._reset_runs: set[str] = set()
         self._reset_count = 0
         self._first_owner: _FirstOwner | None = None
+        # What the request asks for; None before the first choice.
+        self._demand: sycamoreloft_load.Demand | None = None
+        self._expected_wait_s = 0.0
         #: Upstream that did not hold the key at the last attempt, or empty.
         self.misdirected_upstream = ""
         #: Why the last attempt failed, or why no upstream was chosen.
@@ -176,8 +194,41 @@
             Record of the upstream, or None without one; `reason` then says why.
         """
         now = self._services.loop.time()
+        gate = self._services.gate
+        if self._demand is None:
+            self._demand = gate.create_demand(
+                self._request, self._received, now
+            )
+        record = await self._choose_with_room(now, self._demand)
+        if record is not None:
+            now = self._services.loop.time()
+            self._expected_wait_s = gate.estimate_wait_s(record, now)
+            if not self.tried:
+                gate.record_sent(self._demand, now)
+        return record
+
+    def record_result(
+        self,
+        record: sycamoreloft_load.UpstreamRecord,
+        result: sycamoreloft_load.AttemptResult,
+        latency_s: float,
+    ) -> sycamoreloft_load.AttemptResult:
+        """Records how an attempt ended; call it before the pool's `finish`.
+
+        Returns:
+            The result to record in the pool.
+        """
+        if self._demand is None:
+            return result
+        return self._services.gate.record_result(
+            self._demand, record, result, latency_s, self._expected_wait_s
+        )
+
+    async def _choose_with_room(
+        self, now: float, demand: sycamoreloft_load.Demand
+    ) -> sycamoreloft_load.UpstreamRecord | None:
         if self._request.key >= 0:
-            record = await self._wait_for_owner(now)
+            record = await self._wait_for_owner(now, demand)
             if record is not None and self._first_owner is None:
                 self._first_owner = _FirstOwner(
                     record.entry.run,
@@ -185,16 +236,57 @@
                     self._services.loop.time(),
                 )
             return record
-        record = self._services.pool.choose(
-            self._request.service,
-            now,
-            self._request.route.kind is sycamoreloft_direct.RouteKind.UPLOAD,
-            self.tried,
+        while True:
+            record = self._choose_any(now)
+            if record is None:
+                pause_s = self._compute_pause_s(now)
+                self.reason = "upstreams-paused" if pause_s else "no-upstream"
+                return None
+            if self._services.gate.may_enter(demand, record, now):
+                return record
+            if not await self._wait_for_room(demand, record):
+                return None
+            now = self._services.loop.time()
+            pool = self._services.pool
+            if pool.may_send(record, now, 0.0) and not pool.is_replaced(
+                record, now
+            ):
+                return record
+
+    def _choose_any(
+        self, now: float
+    ) -> sycamoreloft_load.UpstreamRecord | None:
+        """Chooses an upstream, a full one only if all are full."""
+        services, service = self._services, self._request.service
+        is_upload = (
+            self._request.route.kind is sycamoreloft_direct.RouteKind.UPLOAD
         )
-        if record is None:
-            pause_s = self._compute_pause_s(now)
-            self.reason = "upstreams-paused" if pause_s else "no-upstream"
-        return record
+        full = services.gate.limits.list_full(service, now)
+        if full:
+            excluded = full.union(self.tried)
+            record = services.pool.choose(service, now, is_upload, excluded)
+            if record is not None:
+                return record
+        return services.pool.choose(service, now, is_upload, self.tried)
+
+    async def _wait_for_room(
+        self,
+        demand: sycamoreloft_load.Demand,
+        record: sycamoreloft_load.UpstreamRecord,
+    ) -> bool:
+        """Waits at this host; returns whether the request is to be sent."""
+        first = self._first_owner
+        if self._reset_count and first is not None:
+            # It ends as unknown anyway, so that a longer wait costs nothing.
+            demand = dataclasses.replace(
+                demand, give_up_at=first.began_at + MAXIMUM_RESET_AGE_S
+            )
+        reason = await self._services.gate.wait(
+            demand, record, self._request.request_id
+        )
+        if reason:
+            self.reason = reason
+        return not reason
 
     def is_owner_paused(self, now: float) -> bool:
         """Returns whether the owner of the key wants no requests for now.
@@ -237,10 +329,16 @@
             return generator.randint(
                 MINIMUM_LOST_OWNER_RETRY_MS, MAXIMUM_LOST_OWNER_RETRY_MS
             )
+        if self._demand is not None and self.reason in _LOAD_REASONS:
+            retry_ms = self._services.gate.choose_retry_after_ms(
+                self._demand, self._request.caller
+            )
+            if retry_ms is not None:
+                return retry_ms
         return generator.randint(MINIMUM_RETRY_AFTER_MS, MAXIMUM_RETRY_AFTER_MS)
 
     async def _wait_for_owner(
-        self, now: float
+        self, now: float, demand: sycamoreloft_load.Demand
     ) -> sycamoreloft_load.UpstreamRecord | None:
         """Returns the owner of the key; waits a short time if it changes."""
         services, request = self._services, self._request
@@ -252,6 +350,7 @@
             # The owner was full: one of its requests may end soon.
             await asyncio.sleep(self._draw_full_owner_wait_s(now))
             now = services.loop.time()
+        entered: sycamoreloft_load.UpstreamRecord | None = None
         while True:
             owner = services.directory.find_owner(
                 request.service, request.key, now
@@ -266,7 +365,17 @@
                 return None
             if record is not None and self._may_send(record, now):
                 services.directory.record_available(record.entry.run)
-                return self._admit(record, now)
+                if not self._admit(record, now, record is entered):
+                    return None
+                if record is entered or services.gate.may_enter(
+                    demand, record, now
+                ):
+                    return record
+                if not await self._wait_for_room(demand, record):
+                    return None
+                # The key may have moved meanwhile.
+                entered, now = record, services.loop.time()
+                continue
             self.reason = "no-owner"
             if owner is not None and owner.id != self.misdirected_upstream:
                 missing_s = services.directory.record_missing(owner, now)
@@ -300,22 +409,24 @@
         return share * slot_s * 2.0 ** (self._reset_count - 1)
 
     def _admit(
-        self, record: sycamoreloft_load.UpstreamRecord, now: float
-    ) -> sycamoreloft_load.UpstreamRecord | None:
-        """Returns the owner if the request should be sent there now."""
+        self,
+        record: sycamoreloft_load.UpstreamRecord,
+        now: float,
+        has_waited: bool,
+    ) -> bool:
+        """Returns whether the request should be sent to its owner now."""
         pool = self._services.pool
         if self.is_owner_paused(now):
-            return None
-        if not self.tried and not pool.admit(record):
+            return False
+        if not self.tried and not has_waited and not pool.admit(record):
             self.reason = "owner-full"
-            return None
+            return False
         if pool.is_avoided(record, now):
             # The owner does not answer: only one request at a time is sent, as
             # a probe.
             self.reason = "owner-silent"
-            if record.in_flight:
-                return None
-        return record
+            return not record.in_flight
+        return True
 
     def _may_send(
         self, record: sycamoreloft_load.UpstreamRecord, now: float
--- a/packages/router/tests/test_upstream_choice.py
+++ b/packages/router/tests/test_upstream_choice.py
@@ -11,10 +11,13 @@
 import sycamoreloft_direct
 import sycamoreloft_load
 from sycamoreloft_router import (
+    _direct_views,
     _exchange,
     _key_directory,
+    _metrics,
     _upstream_choice,
 )
+from sycamoreloft_router.load import _admission_gate
 
 SERVICE = "boards"
 OWNER = sycamoreloft_direct.UpstreamRun("u0", 1)
@@ -27,6 +30,19 @@
 
     service: str = SERVICE
     key: int = 7
+    caller: str = "10.0.0.9"
+    request_id: str = "r1"
+    route: sycamoreloft_direct.Route = sycamoreloft_direct.Route(
+        "reads",
+        "race.example",
+        "/",
+        (sycamoreloft_direct.Target(SERVICE, 1),),
+        sycamoreloft_direct.RouteKind.IDEMPOTENT,
+        timeout_s=4.0,
+        latency_target_s=2.0,
+        attempts=2,
+        priority=1,
+    )
 
 
 @pytest.fixture
@@ -41,12 +57,22 @@
     keys = sycamoreloft_direct.ServiceKeys(SERVICE, ranges)
     directory.update(sycamoreloft_direct.KeyMap(1, 1, {SERVICE: keys}))
     generator = random.Random(1)
+    pool = sycamoreloft_load.UpstreamPool("z", generator)
+    gate = _admission_gate.AdmissionGate(
+        _direct_views.StateView(),
+        sycamoreloft_load.ResetLimits(generator),
+        sycamoreloft_load.RetryTimes(generator),
+        lambda record, now: None,
+        _metrics.Metrics(),
+        None,
+    )
     return types.SimpleNamespace(
         directory=directory,
         generator=generator,
-        pool=sycamoreloft_load.UpstreamPool("z", generator),
+        pool=pool,
         leaving_s=1.0,
         loop=None,
+        gate=gate,
     )
 
 
