Give the hosts of the notice fuzzer an admission gate

The gate became an argument of the shared services, and the fuzzer builds those itself, so that 10 of its tests failed with a TypeError. Its hosts get a gate that knows of no load, as hosts have whose upstreams report none.

--- a/packages/router/tests/notice_world.py
+++ b/packages/router/tests/notice_world.py
@@ -27,6 +27,7 @@
     _metrics,
     _upstream_notices,
 )
+from sycamoreloft_router.load import _admission_gate
 from sycamoreloft_standins import notice_oracle
 
 #: Seconds for which an upstream serves after it announced its shutdown.
@@ -76,9 +77,18 @@
             observe_answer=lambda *_: None,
             observe_replacement=lambda *_: None,
         )
+        states = _direct_views.StateView()
+        gate = _admission_gate.AdmissionGate(
+            states,
+            sycamoreloft_load.ResetLimits(generator),
+            sycamoreloft_load.RetryTimes(generator),
+            lambda record, now: None,
+            metrics,
+            world.loop,
+        )
         services = _direct_services.DirectServices(
             name,
-            _direct_views.StateView(),
+            states,
             self.view,
             pool,
             self.directory,
@@ -93,6 +103,7 @@
             metrics,
             world.loop,
             generator,
+            gate,
         )
         self.path = _direct_execution.DirectPath(services)
 
