--- a/packages/load/sycamoreloft_load/_upstream_pool.py
+++ b/packages/load/sycamoreloft_load/_upstream_pool.py
@@ -6,7 +6,6 @@
 
 import sycamoreloft_direct
 from sycamoreloft_load import (
-    _attempt_results,
     _choice,
     _evacuations,
     _pace,
@@ -16,7 +15,7 @@
     _warm_up_limits,
 )
 
-_RESULT = _attempt_results.AttemptResult
+_RESULT = _upstream_records.AttemptResult
 _Record: typing.TypeAlias = _upstream_records.UpstreamRecord
 
 #: Weight of a new observation in a moving average.
@@ -428,7 +427,7 @@
         if result is _RESULT.REPLACED:
             record.replaced_until = now + REPLACED_ADDRESS_S
             return
-        record.share = _attempt_results.adjust_share(record.share, result)
+        record.share = _upstream_records.adjust_share(record.share, result)
         if result is _RESULT.REFUSED:
             record.answered_at = now
             record.failures = 0
--- a/packages/router/sycamoreloft_router/_direct_execution.py
+++ b/packages/router/sycamoreloft_router/_direct_execution.py
@@ -151,14 +151,12 @@
 
     async def run(self) -> _answers.Refusal | None:
         """Runs the attempts; see `_exchange.RequestExecution`."""
-        services = self._services
+        services, request = self._services, self._request
         self._task = asyncio.current_task(services.loop)
-        services.budgets.record_request(
-            self._request.service, services.loop.time()
-        )
-        if self._request.key >= 0:
+        services.budgets.record_request(request.service, services.loop.time())
+        if request.key >= 0:
             services.coordinator_role.observe_request(
-                self._request.service, self._request.key
+                request.service, request.key
             )
         refusal: _answers.Refusal | None = None
         try:
@@ -247,7 +245,8 @@
                 transfer.cancel()
         if result is _RESULT.CANCELLED and self._was_silent(now - started_at):
             result = _RESULT.SILENT
-        services.pool.finish(record, self, result, now)
+        recorded = self._choice.record_result(record, result, now - started_at)
+        services.pool.finish(record, self, recorded, now)
         self._crash_watch.record_result(
             result, transfer, record.entry.id, started_at, now
         )
