Check the fields of upstreams in one place

The decoder of relayed entries repeated the checks of identifiers, texts and addresses that the platform's decoder of service discovery has. Both now call the same functions; the checks are unchanged, and the relay still bounds the length of each text first. A rejected relayed entry names the field that is wrong.

--- a/packages/direct/sycamoreloft_direct/__init__.py
+++ b/packages/direct/sycamoreloft_direct/__init__.py
@@ -90,6 +90,12 @@
     Offer,
     TableRelay,
 )
+from sycamoreloft_direct._upstream_fields import (
+    MAXIMUM_SLOTS,
+    check_address,
+    check_text,
+    is_identifier,
+)
 from sycamoreloft_direct._upstream_notices import (
     NO_NOTICE,
     LeavingRuns,
@@ -105,6 +111,7 @@
     "GRANT_CALL_S",
     "KEY_COUNT",
     "MAXIMUM_EPOCH_OR_REVISION",
+    "MAXIMUM_SLOTS",
     "MAXIMUM_TOLD_DEPARTURES",
     "NO_NOTICE",
     "REPORT_COUNT",
@@ -159,7 +166,9 @@
     "WitnessRoster",
     "WriteMap",
     "apply_changes",
+    "check_address",
     "check_integer",
+    "check_text",
     "compute_changes",
     "compute_next_epoch",
     "create_unowned",
@@ -169,5 +178,6 @@
     "encode_key_map",
     "find_era",
     "identify_request",
+    "is_identifier",
     "limit_era",
 ]
--- a/packages/router/sycamoreloft_router/_relay_codec.py
+++ b/packages/router/sycamoreloft_router/_relay_codec.py
@@ -1,7 +1,5 @@
 """Fields of the datagrams that pass on changes of the table of upstreams."""
 
-import ipaddress
-import re
 import typing
 
 import sycamoreloft_direct
@@ -10,22 +8,9 @@
 #: Maximum number of changed entries in a datagram.
 _MAXIMUM_ENTRIES = 1_024
 
-#: Maximum number of slots of an upstream.
-_MAXIMUM_SLOTS = 10_000
-
 #: Largest number of a request.
 _MAXIMUM_NUMBER = (1 << 63) - 1
 
-#: Characters that are safe in headers and URLs, to which identifiers are
-#: restricted.
-_IDENTIFIER = re.compile(r"[!-~]{1,200}", re.ASCII)
-
-#: IPv4 address, or IPv6 address in brackets, and port. Names are not looked
-#: up.
-_ADDRESS = re.compile(
-    r"(?:([0-9.]{7,15})|\[([0-9A-Fa-f:.]{2,45})\]):([0-9]{1,5})", re.ASCII
-)
-
 
 def list_request_fields(
     message: _datagrams.RelayRequest,
@@ -46,7 +31,7 @@
     return _datagrams.RelayRequest(
         _datagram_checks.decode_seen(seen),
         _datagram_checks.check_integer(number, 0, _MAXIMUM_NUMBER),
-        _check_text(failure_domain),
+        _check_text(failure_domain, "failure_domain"),
     )
 
 
@@ -176,9 +161,11 @@
         identifier,
         _datagram_checks.check_version(started_ms),
         _check_address(address),
-        _check_text(service),
-        _check_text(failure_domain),
-        _datagram_checks.check_integer(slots, 0, _MAXIMUM_SLOTS),
+        _check_text(service, "service"),
+        _check_text(failure_domain, "failure_domain"),
+        _datagram_checks.check_integer(
+            slots, 0, sycamoreloft_direct.MAXIMUM_SLOTS
+        ),
         _datagram_checks.check_boolean(is_draining, "is_draining"),
         _datagram_checks.check_duration(warm_up_s),
     )
@@ -186,30 +173,18 @@
 
 def _check_identifier(value: typing.Any) -> str:
     text = _datagram_checks.check_string(value)
-    if not _IDENTIFIER.fullmatch(text):
+    if not sycamoreloft_direct.is_identifier(text):
         raise ValueError(f"{text!r:.40} is not an identifier")
     return text
 
 
-def _check_text(value: typing.Any) -> str:
-    text = _datagram_checks.check_string(value)
-    if text == "" or not text.isprintable():
-        raise ValueError(f"{text!r:.40} is not a printable text")
-    return text
+def _check_text(value: typing.Any, name: str) -> str:
+    return sycamoreloft_direct.check_text(
+        _datagram_checks.check_string(value), name
+    )
 
 
 def _check_address(value: typing.Any) -> str:
-    text = _datagram_checks.check_string(value)
-    match = _ADDRESS.fullmatch(text)
-    if match is None:
-        raise ValueError(f"{text!r:.40} is not an IP and port")
-    version_4, version_6, port = match.groups()
-    address = (
-        ipaddress.IPv4Address(version_4)
-        if version_4
-        else ipaddress.IPv6Address(version_6)
+    return sycamoreloft_direct.check_address(
+        _datagram_checks.check_string(value)
     )
-    if address.is_unspecified or address.is_multicast:
-        raise ValueError(f"the address {text} names no process")
-    _datagram_checks.check_integer(int(port), 1, 65_535)
-    return text
