Remove what the merge of the parts left twice

A full read of desired states applied its evacuations twice, as all entries and again as changes; changes have a callback of their own now. Exchanges of datagrams share the type of the receiver, and the admission uses the key of an entry instead of building it. UpstreamPool.begin_pace was never called: an upstream that returns from an evacuation has no pace of its own. The size of a request without a known body length is no longer computed before it is needed. No decision changes.

--- a/packages/load/sycamoreloft_load/_reset_limits.py
+++ b/packages/load/sycamoreloft_load/_reset_limits.py
@@ -169,4 +169,4 @@
     def _find(
         self, record: _upstream_records.UpstreamRecord
     ) -> _RunLimit | None:
-        return self._runs.get((record.entry.id, record.entry.started_ms))
+        return self._runs.get(record.entry.key)
--- a/packages/load/sycamoreloft_load/_upstream_pool.py
+++ b/packages/load/sycamoreloft_load/_upstream_pool.py
@@ -118,10 +118,6 @@
         if record.leaving_since <= now:
             self._remembered.add_leaving(key, record.leaving_since)
 
-    def begin_pace(self, record: _Record, now: float) -> None:
-        """Lets the share of an upstream rise from the lowest, as at a start."""
-        record.pace = _pace.begin(now)
-
     def count_paced(self, now: float) -> dict[str, int]:
         """Returns how many upstreams of each service have a limited share."""
         counts: dict[str, int] = {}
--- a/packages/router/sycamoreloft_router/_crash_exchange.py
+++ b/packages/router/sycamoreloft_router/_crash_exchange.py
@@ -6,15 +6,20 @@
 """
 
 import asyncio
-from collections import abc
 import logging
 
 import sycamoreloft_direct
-from sycamoreloft_router import _crash_record, _datagrams, _direct_peers, _logs
+from sycamoreloft_router import (
+    _crash_record,
+    _datagrams,
+    _direct_peers,
+    _exchange_chain,
+    _logs,
+)
 
 _LOGGER = logging.getLogger(__name__)
 
-_Receiver = abc.Callable[[_datagrams.Datagram, _datagrams.Address], None]
+_Receiver = _exchange_chain.Receiver
 
 
 class CrashExchange:
--- a/packages/router/sycamoreloft_router/_departure_exchange.py
+++ b/packages/router/sycamoreloft_router/_departure_exchange.py
@@ -13,6 +13,7 @@
     _datagrams,
     _direct_peers,
     _direct_views,
+    _exchange_chain,
     _logs,
 )
 
@@ -21,7 +22,7 @@
 #: Maximum number of hosts whose table versions are remembered.
 MAXIMUM_HOSTS = 16_384
 
-_Receiver = abc.Callable[[_datagrams.Datagram, _datagrams.Address], None]
+_Receiver = _exchange_chain.Receiver
 
 
 class DepartureExchange(_direct_views.DepartureRecorder):
--- a/packages/router/sycamoreloft_router/_direct_host.py
+++ b/packages/router/sycamoreloft_router/_direct_host.py
@@ -143,7 +143,7 @@
             "states",
             platform.states,
             self._replace_states,
-            self._apply_states,
+            self._change_states,
             self._choose_spread_s,
             self._observe_era,
         )
@@ -443,8 +443,11 @@
         self._pool_updates.evacuations.replace_all(values)
         self._apply_states(values)
 
-    def _apply_states(self, values: abc.Mapping[str, object]) -> None:
+    def _change_states(self, values: abc.Mapping[str, object]) -> None:
         self._pool_updates.evacuations.apply_changes(values)
+        self._apply_states(values)
+
+    def _apply_states(self, values: abc.Mapping[str, object]) -> None:
         self._states.apply_entries(values)
         state = self._states.state
         if state is not None:
--- a/packages/router/sycamoreloft_router/_relay_exchange.py
+++ b/packages/router/sycamoreloft_router/_relay_exchange.py
@@ -14,6 +14,7 @@
     _datagrams,
     _direct_peers,
     _direct_ports,
+    _exchange_chain,
     _logs,
     _metrics,
     _table_follower,
@@ -29,7 +30,7 @@
 #: fires.
 TIMER_MARGIN_S = 0.002
 
-_Receiver = abc.Callable[[_datagrams.Datagram, _datagrams.Address], None]
+_Receiver = _exchange_chain.Receiver
 
 
 class RelayExchange:
--- a/packages/router/sycamoreloft_router/_upstream_choice.py
+++ b/packages/router/sycamoreloft_router/_upstream_choice.py
@@ -45,6 +45,9 @@
 #: cold owner move to a warm one in about this time.
 MAXIMUM_COLD_RETRY_S = 2.0
 
+#: Reasons of refusals because upstreams are cold.
+_COLD_REASONS = frozenset(("owner-cold", "upstreams-cold"))
+
 #: Reasons of refusals after which callers return at the rate at which work is
 #: done.
 _LOAD_REASONS = frozenset(
@@ -78,10 +81,6 @@
     began_at: float
 
 
-#: Reasons of refusals because upstreams are cold.
-_COLD_REASONS = frozenset(("owner-cold", "upstreams-cold"))
-
-
 class UpstreamChoice:
     """Chooses the upstreams of one request from its earlier attempts.
 
--- a/packages/router/sycamoreloft_router/load/_admission_gate.py
+++ b/packages/router/sycamoreloft_router/load/_admission_gate.py
@@ -122,7 +122,7 @@
         ):
             # Nothing is known of the upstream; most deployments end here.
             return True
-        run = (record.entry.id, record.entry.started_ms)
+        run = record.entry.key
         return (
             not self._line.is_overtaken(demand, run, now)
             and self._decide(demand, record, now).verdict is _VERDICT.SEND
@@ -161,7 +161,7 @@
             Why the request is refused; empty if it is to be sent.
         """
         began_at = self._loop.time()
-        run = (record.entry.id, record.entry.started_ms)
+        run = record.entry.key
         decision = self._decide(demand, record, began_at)
         if decision.verdict is not _VERDICT.REFUSE:
             decision = await self._wait_in_line(demand, record, run, began_at)
@@ -235,7 +235,7 @@
             self.retry_times.record_answer(demand.service, now)
             self._admission.record_answer(demand, latency_s, wait_s)
         if self._line:
-            run = (record.entry.id, record.entry.started_ms)
+            run = record.entry.key
             self._loop.call_soon(self._check, run)
         return self.limits.record_result(record, result, now)
 
--- a/packages/router/sycamoreloft_router/load/_caller_guard.py
+++ b/packages/router/sycamoreloft_router/load/_caller_guard.py
@@ -117,17 +117,14 @@
         Returns:
             None, or the answer to a request that is refused.
         """
-        # The body and its first part are two copies. A body of unknown length
-        # counts as a streamed one when it turns out to be long.
-        size = (
-            REQUEST_BYTES + SEND_BUFFER_BYTES + 2 * _body_streams.PREFIX_BYTES
-        )
+        size = REQUEST_BYTES
         if length > _body_streams.PREFIX_BYTES:
-            size = REQUEST_BYTES + STREAMED_BODY_BYTES
-        elif length > 0:
-            size = REQUEST_BYTES + SEND_BUFFER_BYTES + 2 * length
-        elif length == 0:
-            size = REQUEST_BYTES
+            size += STREAMED_BODY_BYTES
+        elif length != 0:
+            # The body and its first part are two copies. A body of unknown
+            # length counts as a streamed one when it turns out to be long.
+            body_bytes = length if length > 0 else _body_streams.PREFIX_BYTES
+            size += SEND_BUFFER_BYTES + 2 * body_bytes
         return self._admit_bytes(account, size)
 
     def admit_stream(
