review: case 7, additional bytes after a refusal make a request run twice

A full instance refuses a request and keeps the connection. Late, when the next answer is due, it sends a second copy of the refusal that breaks off after 'Not-Executed: 1', and then the answer to the next request, which it has run. The host reads one refusal with the right id and sends the request, which is not idempotent, to another instance.

At fault: is_refusal in _answer_checks.py takes any value that is not empty, and _answer_heads.py accepts a status line inside a header value.

--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -55,6 +55,10 @@
 }
 
 
+#: Requests that an instance queues besides those that it works on.
+QUEUE = 24
+
+
 class Record:
     """Writes what was sent, answered and run, with the time of the run."""
 
@@ -169,14 +173,17 @@
 class Instance:
     """A sound instance: runs requests, holds keys, says who it is."""
 
-    def __init__(self, case, name, service, sharded=False, slots=6, work_s=0.02):
+    def __init__(self, case, name, service, sharded=False, slots=6, work_s=0.02, queue=QUEUE):
         self.case = case
         self.name, self.service, self.sharded = name, service, sharded
         self.slots, self.work_s = slots, work_s
         self.born = int(time.time() * 1000)
         self.held = []  # first, last, fence, until
         self.seen = []  # first, last, fence
-        self.active = 0
+        self.queue = queue
+        #: Requests that wait for one of the slots.
+        self.waiting = 0
+        self.free_slots = asyncio.Semaphore(slots)
         self.runs = []  # time, request id, method, target, body
         self.sequence = 0
         self.state = "ready"
@@ -184,6 +191,10 @@
         #: the bytes to send, or None for the usual answer.
         self.on_request = None
         self.is_leaving = False
+        #: Called with the instance and an answer; returns the bytes that are
+        #: sent late after it.
+        self.spoil = None
+        self.late_bytes = {}
 
     async def open(self, ip=None):
         self.ip = ip or self.case.next_ip()
@@ -251,9 +262,20 @@
                     for name, _, value in (f.partition(":") for f in fields)
                 }
                 body = await self._read_body(reader, headers)
+                late = self.late_bytes.pop(writer, b"")
+                if late:
+                    self.case.record.write(
+                        f"late     {self.name} sends {late!r} before it answers"
+                        f" {headers.get('request-id')}"
+                    )
+                    writer.write(late)
+                    await writer.drain()
                 answer = await self._handle(method, target, headers, body, writer)
                 if answer is None:
                     break
+                if self.spoil is not None:
+                    # Bytes that follow this answer when the next one is due.
+                    self.late_bytes[writer] = self.spoil(self, answer)
                 writer.write(answer)
                 await writer.drain()
 
@@ -294,15 +316,23 @@
                 return handled
         if self.sharded and not self.holds(int(headers.get("shard-key", "-1"))):
             return encode(421, [*echo, "Not-Executed: 1"])
-        if self.active >= self.slots:
-            return encode(503, [*echo, "Not-Executed: 1"])
-        self.active += 1
+        if self.free_slots.locked() and self.waiting >= self.queue:
+            self.case.record.write(f"shed     {self.name} {headers['request-id']}")
+            return encode(503, ["Not-Executed: 1", *echo])
+        self.waiting += 1
+        try:
+            await self.free_slots.acquire()
+        finally:
+            self.waiting -= 1
+        if self.sharded and not self.holds(int(headers.get("shard-key", "-1"))):
+            self.free_slots.release()
+            return encode(421, [*echo, "Not-Executed: 1"])
         self.runs.append((time.monotonic(), headers["request-id"], method, target, body))
         self.case.record.write(f"run      {self.name} ({self.service}) {headers['request-id']}")
         try:
             await asyncio.sleep(self.work_s)
         finally:
-            self.active -= 1
+            self.free_slots.release()
         signature = f"Response-Signature: {self.name}.{headers['request-id']}"
         return encode(200, [*echo, signature], f"{self.name} {target}".encode())
 
