--- a/review/7/case.py
+++ b/review/7/case.py
@@ -20,9 +20,14 @@
 #: place where it breaks off.
 BROKEN_OFF = b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1"
 
+#: Seconds after the first request at which instances begin to spoil answers,
+#: and for how long they do; the site file plays 5 s.
+SPOILED_FROM_S = 4.0
+SPOILED_FOR_S = 5.0
+
 #: Consumers, each with one request after the other, and for how long.
-CONSUMERS = 12
-DURATION_S = 30.0
+CONSUMERS = 26
+DURATION_S = 12.0
 
 
 async def play(case):
@@ -33,13 +38,16 @@
         "op", "config", harness.build_state(1, [rule], {"ledger": False})
     )
     instances = [
-        await case.add_instance(f"i-l{n}", "ledger", slots=2, work_s=0.13, queue=2)
+        await case.add_instance(f"i-l{n}", "ledger", slots=4, work_s=0.13, queue=2)
         for n in range(1, 5)
     ]
     answered = [0]
     spoiled = [0]
 
     def spoil(instance, answer):
+        since_s = case.record.now() - began_at
+        if not SPOILED_FROM_S <= since_s <= SPOILED_FROM_S + SPOILED_FOR_S:
+            return b""
         answered[0] += 1
         if not answer.startswith(b"HTTP/1.1 503"):
             return b""
@@ -57,7 +65,8 @@
     await case.wait_ready()
     await asyncio.sleep(3.0)
     answers = {}
-    ends_at = case.record.now() + DURATION_S
+    began_at = case.record.now()
+    ends_at = began_at + DURATION_S
 
     async def consume(number):
         count = 0
