review: case 8, a request that crashes instances while they answer is never stopped

The instance sends the head and a part of the body, and crashes. Only attempts without any byte of an answer count as crashes, so that the request is not quarantined and reaches instance after instance.

At fault: CrashWatch.record_result in _crash_watch.py.

--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -14,6 +14,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -195,6 +196,7 @@
         #: sent late after it.
         self.spoil = None
         self.late_bytes = {}
+        self._writers = set()
 
     async def open(self, ip=None):
         self.ip = ip or self.case.next_ip()
@@ -250,6 +252,13 @@
         self.held = rest
 
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        try:
+            await self._serve_requests(reader, writer)
+        finally:
+            self._writers.discard(writer)
+
+    async def _serve_requests(self, reader, writer):
         with contextlib.closing(writer), contextlib.suppress(
             ConnectionError, asyncio.IncompleteReadError, asyncio.LimitOverrunError
         ):
@@ -336,8 +345,16 @@
         signature = f"Response-Signature: {self.name}.{headers['request-id']}"
         return encode(200, [*echo, signature], f"{self.name} {target}".encode())
 
-    async def close(self):
+    def crash(self):
+        """Ends the process: its connections are reset, its port closes."""
+        self.case.record.write(f"crash    {self.name}")
         self.server.close()
+        for writer in self._writers:
+            connection = writer.get_extra_info("socket")
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            writer.transport.abort()
 
 
 def encode(status, lines, body=b""):
