review: case 9, instances that leave get requests beyond the drain time

The coordinator is cut from the store for 4 s. Its return is taken for the return of the store, so that all hosts keep entries that a full read lacks for 2.2 s. Instances whose entries are removed in the moment before get requests for up to 2.4 s, with a drain time of 2 s.

At fault: StoreAvailability and DirectHost._replace_upstreams.

--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -144,6 +144,61 @@
         await super().answer(fields)
 
 
+class Proxy:
+    """Passes connections on to the store, unless it is cut."""
+
+    def __init__(self, target):
+        self._target = target
+        self._writers = set()
+        #: Called for each transaction that passes.
+        self.on_write = lambda: None
+        self.is_cut = False
+
+    async def open(self, ip):
+        self._server = await asyncio.start_server(self._serve, ip, 0)
+        self.address = f"{ip}:{self._server.sockets[0].getsockname()[1]}"
+        return self.address
+
+    async def _serve(self, reader, writer):
+        ip, _, port = self._target.rpartition(":")
+        with contextlib.closing(writer), contextlib.suppress(ConnectionError):
+            while self.is_cut:
+                await asyncio.sleep(0.02)
+            peer_reader, peer_writer = await asyncio.open_connection(ip, int(port))
+            self._writers |= {writer, peer_writer}
+            with contextlib.closing(peer_writer):
+                passes = [
+                    asyncio.create_task(self._pass(*pair))
+                    for pair in ((reader, peer_writer), (peer_reader, writer))
+                ]
+                try:
+                    await asyncio.wait(passes, return_when=asyncio.FIRST_COMPLETED)
+                finally:
+                    for task in passes:
+                        task.cancel()
+                    self._writers -= {writer, peer_writer}
+
+    async def _pass(self, reader, writer):
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(65536):
+                while self.is_cut:
+                    await asyncio.sleep(0.02)
+                if b"/rows-tx " in data[:40]:
+                    self.on_write()
+                writer.write(data)
+                await writer.drain()
+
+    def cut(self):
+        """Delivers nothing any more, in both directions."""
+        self.is_cut = True
+
+    def heal(self):
+        """Ends the cut; bytes whose sender has closed are dropped."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+        self.is_cut = False
+
+
 class Store(rows.RowStore):
     """The platform's store."""
 
@@ -185,6 +240,7 @@
         #: Requests that wait for one of the slots.
         self.waiting = 0
         self.free_slots = asyncio.Semaphore(slots)
+        self.arrivals = []  # time, request id
         self.runs = []  # time, request id, method, target, body
         self.sequence = 0
         self.state = "ready"
@@ -319,6 +375,7 @@
             return encode(200, [*echo, f"Instance-Id: {self.name}"])
         if "request-id" not in headers:
             return encode(400, [*echo, "Not-Executed: 1"])
+        self.arrivals.append((time.monotonic(), headers["request-id"]))
         if self.on_request is not None:
             handled = await self.on_request(self, method, target, headers, body, writer)
             if handled is not True:
@@ -366,12 +423,15 @@
 class Host:
     """A host process, started with the command of the deploy file."""
 
-    def __init__(self, case, name, zone="zone-a", memory_mb=222, **changes):
+    def __init__(
+        self, case, name, zone="zone-a", memory_mb=222, store="", **changes
+    ):
         self.case, self.name, self.zone = case, name, zone
         self.ip = case.next_ip()
         self.front = f"{self.ip}:{find_port(self.ip)}"
         self.ready = f"{self.ip}:{find_port(self.ip)}"
         self.memory_mb = memory_mb
+        self.store_address = store or case.store.address
         self.first_port = find_port(self.ip, socket.SOCK_DGRAM)
         self.path = case.folder / f"{name}.toml"
         self.bounds = {**BOUNDS, **changes}
@@ -412,7 +472,7 @@
 entry = "virtual_ip"
 heartbeatS = 0.87
 [platform.platform]
-address = "{self.case.store.address}"
+address = "{self.store_address}"
 form = "table"
 writesPerS = 400
 readsPerS = 2000
@@ -595,11 +655,19 @@
         limit_s: Maximum duration.
     """
     case = Case(folder)
+    # Sockets that the garbage collector closes after the loop are of no use.
+    sys.unraisablehook = lambda *arguments: None
     case.record.write(f"trouble  {int(TROUBLE)}")
 
     async def play():
         async with asyncio.timeout(limit_s):
-            return await scenario(case)
+            broken = await scenario(case)
+        # The stand-ins and consumers that are left end here.
+        rest = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in rest:
+            task.cancel()
+        await asyncio.gather(*rest, return_exceptions=True)
+        return broken
 
     try:
         broken = asyncio.run(play())
