--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -467,6 +467,8 @@
 ready = "{self.ready}"
 [network.zones]
 zone-a = "region-a"
+zone-b = "region-a"
+zone-c = "region-a"
 [platform]
 discovery = "platform"
 entry = "virtual_ip"
@@ -608,7 +610,7 @@
                     await asyncio.sleep(0.1)
 
     async def send(self, host, method, name, target, key=None, body=b"",
-                   deadline_ms=2000, lines=(), timeout_s=None):
+                   deadline_ms=2000, lines=(), timeout_s=None, local=None):
         """Sends a request of a consumer, and records the answer."""
         self._count += 1
         request_id = f"{self._count:016x}"
@@ -623,7 +625,7 @@
         self.record.write(f"send     {host.name} {request_id} {method} {name}{target} key {key}")
         try:
             async with asyncio.timeout(timeout_s or deadline_ms / 1000 + 1):
-                answer = await call(host.front, method, target, fields, body)
+                answer = await call(host.front, method, target, fields, body, local)
         except (OSError, TimeoutError) as error:
             answer = Answer(0, {}, repr(error).encode(), False)
         self.record.write(
