--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -671,14 +671,16 @@
         await asyncio.gather(*rest, return_exceptions=True)
         return broken
 
+    # A timeout of the caller ends this process with SIGTERM.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     try:
         broken = asyncio.run(play())
     except Exception as error:  # noqa: BLE001
         case.record.write(f"not run  {error!r}")
         print(f"the case could not run: {error!r}", file=sys.stderr)
-        case.close()
         sys.exit(2)
-    case.close()
+    finally:
+        case.close()
     for line in broken:
         case.record.write(f"BROKEN   {line}")
     print(*broken[:3], sep="\n")
