Reject header lines of answers that the grammar does not allow

What callers saw: an answer with a blank, a control byte or another byte that no token holds in the name of a header, or with no name at all, came through as a complete answer, with that line passed on. If the spoilt name was that of the length or the coding, the bytes until the close of the connection were passed on as the whole body, chunk lines included. Control bytes in values were passed on as well.

Cause: libcurl hands on any header line with a colon and skips those whose names it doesn't know; AnswerHead only looked for a colon, a leading blank and a carriage return. A spoilt "Content-Length" thus left the answer without a length, which the direct mode reads until the close.

Why it works: each line is matched whole against the grammar of RFC 9110, sections 5.1, 5.5 and 5.6.2, before anything is read from it. The problem quotes the line, so that the log line of the attempt has the reason; the transfer fails as broken, which counts as a request that may have run.

--- a/packages/router/sycamoreloft_router/_answer_heads.py
+++ b/packages/router/sycamoreloft_router/_answer_heads.py
@@ -2,9 +2,14 @@
 
 import dataclasses
 
+from sycamoreloft_router import _message_grammar
+
 #: Maximum length of the status line and headers together, in bytes.
 MAXIMUM_HEAD_BYTES = 65_536
 
+#: Maximum length of the part of a malformed line that a problem quotes.
+MAXIMUM_QUOTED_BYTES = 64
+
 #: Header in which an upstream repeats the identifier of the attempt.
 ECHO_HEADER = b"sycamoreloft-attempt"
 
@@ -105,12 +110,10 @@
             self.problem = "the answer ended within a line of its head"
         elif line.startswith(b"HTTP/"):
             self._start(line)
+        elif line.rstrip(b"\r\n"):
+            self._add_header(line)
         else:
-            line = line.rstrip(b"\r\n")
-            if line:
-                self._add_header(line)
-            else:
-                self._end()
+            self._end()
         return not self.problem
 
     def get_header(self, name: bytes) -> bytes:
@@ -161,20 +164,24 @@
             self.problem = "the answer's status line is malformed"
 
     def _add_header(self, line: bytes) -> None:
-        name, colon, value = line.partition(b":")
-        if not colon or line[:1] in (b" ", b"\t") or b"\r" in line:
-            self.problem = "a header line of the answer is malformed"
+        match = _message_grammar.HEADER_LINE.fullmatch(line)
+        if match is None:
+            self.problem = "a header line of the answer is malformed: " + repr(
+                line[:MAXIMUM_QUOTED_BYTES]
+            )
             return
-        name = name.lower()
+        line = line.rstrip(b"\r\n")
+        name = match[1].lower()
+        value = line[match.end(1) + 1 :].strip()
         self.lines.append((name, line))
         if name == b"content-length":
-            self._check_length(value.strip())
+            self._check_length(value)
         elif name == b"transfer-encoding":
             self._framed = True
-            if value.strip().lower() != b"chunked":
+            if value.lower() != b"chunked":
                 self.problem = "the answer's transfer encoding is unsupported"
         elif name == self._rules.echo_header:
-            self._check_attempt(value.strip())
+            self._check_attempt(value)
 
     def _check_length(self, length: bytes) -> None:
         self._framed = True
--- /dev/null
+++ b/packages/router/sycamoreloft_router/_message_grammar.py
@@ -0,0 +1,21 @@
+"""Grammar of HTTP/1.1 messages (RFC 9110 and RFC 9112) for answers.
+
+libcurl accepts more than the grammar allows: it skips header lines whose names
+it does not know, for example one that is spoilt from "Content-Length".
+"""
+
+import re
+
+#: A token, such as the name of a header (RFC 9110, section 5.6.2).
+_TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
+
+#: Bytes of a header value: visible ones, blanks and those above ASCII
+#: (RFC 9110, section 5.5).
+_VALUE = rb"[\t\x20-\x7e\x80-\xff]*"
+
+#: End of a line in a head. A recipient may accept a line feed alone (RFC 9112,
+#: section 2.2).
+_LINE_END = rb"\r?\n"
+
+#: A header line with its line end; the group is the name.
+HEADER_LINE = re.compile(rb"(%b):%b%b" % (_TOKEN, _VALUE, _LINE_END))
