Accept a status line only where one is due, and only as HTTP defines it

What callers saw: an answer 200 with a line "HTTP/1.1 503 Full: 1" and "Not-Executed: 1" among its headers was taken for a refusal. Its request had run, and the caller was told 503, which promises that it had not; with a route that allows it, the request was sent again. The same line with 200 turned an instance's 500 into a success. Status lines with a control byte in the reason phrase, or with HTTP/2.0, were passed on.

Cause: AnswerHead began a new answer at each line that starts with "HTTP/", while libcurl takes such a line for a header if it has a colon. The version and the reason phrase were not checked; libcurl checks neither "2.0" nor control bytes other than NUL and carriage return.

Evidence: a stand-in sends 35 heads with such lines.

Why it works: a status line is expected once, as the first line and again after an interim answer, and is matched whole. Everywhere else a line has to be a header, and "HTTP/1.1 503 Full" is no token.

--- a/packages/router/sycamoreloft_router/_answer_heads.py
+++ b/packages/router/sycamoreloft_router/_answer_heads.py
@@ -17,12 +17,6 @@
 BODILESS_STATUSES = frozenset((204, 304))
 
 
-#: Lowest and highest status, those of interim answers included. The meaning
-#: of others is not defined, so that a caller cannot tell what has run.
-MINIMUM_STATUS = 100
-MAXIMUM_STATUS = 599
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerRules:
     """Rules by which the answers of a protocol are checked."""
@@ -48,6 +42,7 @@
     __slots__ = (
         "_attempt",
         "_framed",
+        "_is_started",
         "_length",
         "_method",
         "_rules",
@@ -71,6 +66,8 @@
         self._method = method
         self._attempt = attempt.encode("latin1")
         self._framed = False
+        # Whether the status line of the present head has arrived.
+        self._is_started = False
         self._length = b""
         self._size = 0
         #: Whether all headers of the final answer have arrived.
@@ -108,12 +105,12 @@
             # that has arrived. A blank line that is cut between CR and LF
             # would complete the head.
             self.problem = "the answer ended within a line of its head"
-        elif line.startswith(b"HTTP/"):
+        elif not self._is_started:
             self._start(line)
-        elif line.rstrip(b"\r\n"):
-            self._add_header(line)
-        else:
+        elif not line.rstrip(b"\r\n"):
             self._end()
+        else:
+            self._add_header(line)
         return not self.problem
 
     def get_header(self, name: bytes) -> bytes:
@@ -147,28 +144,22 @@
     def _start(self, line: bytes) -> None:
         # Parses "HTTP/1.1 200 OK". The status line of the final answer follows
         # the headers of an interim answer (1xx), which are dropped.
+        match = _message_grammar.STATUS_LINE.fullmatch(line)
+        if match is None:
+            self._reject_line("the answer's status line is malformed", line)
+            return
         self.lines = []
         self.echoed = False
         self._framed = False
         self._length = b""
+        self._is_started = True
+        self.status = int(match[1])
         self.status_line = line.partition(b" ")[2].strip()
-        code = self.status_line.partition(b" ")[0]
-        if (
-            len(code) == 3
-            and code.isdigit()
-            and MINIMUM_STATUS <= int(code) <= MAXIMUM_STATUS
-            and b"\r" not in self.status_line
-        ):
-            self.status = int(code)
-        else:
-            self.problem = "the answer's status line is malformed"
 
     def _add_header(self, line: bytes) -> None:
         match = _message_grammar.HEADER_LINE.fullmatch(line)
         if match is None:
-            self.problem = "a header line of the answer is malformed: " + repr(
-                line[:MAXIMUM_QUOTED_BYTES]
-            )
+            self._reject_line("a header line of the answer is malformed", line)
             return
         line = line.rstrip(b"\r\n")
         name = match[1].lower()
@@ -183,6 +174,9 @@
         elif name == self._rules.echo_header:
             self._check_attempt(value)
 
+    def _reject_line(self, problem: str, line: bytes) -> None:
+        self.problem = f"{problem}: {line[:MAXIMUM_QUOTED_BYTES]!r}"
+
     def _check_length(self, length: bytes) -> None:
         self._framed = True
         if self._length not in (b"", length) or not length.isdigit():
@@ -204,3 +198,5 @@
                 )
         elif self.status == 101:
             self.problem = "the upstream switched protocols unasked"
+        else:
+            self._is_started = False
--- a/packages/router/sycamoreloft_router/_message_grammar.py
+++ b/packages/router/sycamoreloft_router/_message_grammar.py
@@ -17,5 +17,12 @@
 #: section 2.2).
 _LINE_END = rb"\r?\n"
 
+#: A status line with its line end (RFC 9112, section 4); the group is the
+#: status. The meaning of others is not defined, so that a caller could not tell
+#: what has run. Many servers leave out the blank before an empty reason phrase.
+STATUS_LINE = re.compile(
+    rb"HTTP/1\.[01] ([1-5][0-9]{2})(?: %b)?%b" % (_VALUE, _LINE_END)
+)
+
 #: A header line with its line end; the group is the name.
 HEADER_LINE = re.compile(rb"(%b):%b%b" % (_TOKEN, _VALUE, _LINE_END))
--- a/packages/standins/sycamoreloft_standins/broken_answers.py
+++ b/packages/standins/sycamoreloft_standins/broken_answers.py
@@ -89,6 +89,62 @@
     "line-end": _START + b"X-Note: a\r\r\n" + _LENGTH + _END,
 }
 
+_REST = ECHO + _LENGTH + _END
+
+#: Answers whose status line is none, or not the first line of the head.
+STATUS_LINES = {
+    name: line + b"\r\n" + _REST
+    for name, line in {
+        "status-000": b"HTTP/1.1 000 OK",
+        "status-099": b"HTTP/1.1 099 OK",
+        "status-600": b"HTTP/1.1 600 OK",
+        "status-999": b"HTTP/1.1 999 OK",
+        "two-digits": b"HTTP/1.1 20 OK",
+        "four-digits": b"HTTP/1.1 2000 OK",
+        "letter-in-status": b"HTTP/1.1 20x OK",
+        "letter-after-status": b"HTTP/1.1 200x OK",
+        "signed-status": b"HTTP/1.1 +20 OK",
+        "no-status": b"HTTP/1.1",
+        "blank-status": b"HTTP/1.1  OK",
+        "lower-case": b"http/1.1 200 OK",
+        "other-protocol": b"ICY 200 OK",
+        "no-version": b"HTTP/ 200 OK",
+        "version-0.9": b"HTTP/0.9 200 OK",
+        "version-1.2": b"HTTP/1.2 200 OK",
+        "version-1.10": b"HTTP/1.10 200 OK",
+        "version-2": b"HTTP/2 200 OK",
+        "version-2.0": b"HTTP/2.0 200 OK",
+        "version-3": b"HTTP/3 200 OK",
+        "tab-after-version": b"HTTP/1.1\t200 OK",
+        "two-blanks": b"HTTP/1.1  200 OK",
+        "tab-after-status": b"HTTP/1.1 200\tOK",
+        "control-after-status": b"HTTP/1.1 200\x0bOK",
+        "control-in-reason": b"HTTP/1.1 200 O\x01K",
+        "delete-in-reason": b"HTTP/1.1 200 O\x7fK",
+        "nul-in-reason": b"HTTP/1.1 200 O\0K",
+        "carriage-return-in-reason": b"HTTP/1.1 200 O\rK",
+        "line-end": b"HTTP/1.1 200 OK\r",
+        "blank-before": b" HTTP/1.1 200 OK",
+        "noise-before": b"noise HTTP/1.1 200 OK",
+        "empty-line-before": b"\r\nHTTP/1.1 200 OK",
+        # Was taken for the start of the answer that counts.
+        "second-refusal": b"HTTP/1.1 200 OK\r\n"
+        b"HTTP/1.1 503 Full: 1\r\nNot-Executed: 1",
+        "second-success": b"HTTP/1.1 500 Failed\r\nHTTP/1.1 200 OK: 1",
+        "header-first": b"X-Note: 1\r\nHTTP/1.1 200 OK",
+    }.items()
+}
+
+#: Answers whose head ends with something else than an empty line.
+HEAD_ENDS = {
+    "two-carriage-returns": _START + _LENGTH + b"\r\r\n" + BODY,
+    "carriage-return-before-header": _START
+    + _LENGTH
+    + b"\rX-Note: 1\r\n"
+    + _END,
+    "carriage-returns": (_START + _LENGTH + b"\r\n").replace(b"\n", b"") + BODY,
+}
+
 #: Sound answers, with the bodies that callers get.
 SOUND = {
     "length": (_START + _LENGTH + _END, BODY),
@@ -99,7 +155,10 @@
         b"HTTP/1.0 200 OK\r\n" + ECHO + _LENGTH + _END,
         BODY,
     ),
-    "no-reason": (b"HTTP/1.1 200 \r\n" + ECHO + _LENGTH + _END, BODY),
+    "no-reason": (b"HTTP/1.1 200 \r\n" + _REST, BODY),
+    # Many servers leave out the blank as well.
+    "no-blank": (b"HTTP/1.1 200\r\n" + _REST, BODY),
+    "reason-bytes": (b"HTTP/1.1 200 A\tok: (\xe9)\r\n" + _REST, BODY),
     "token-bytes": (
         _START + b"!#$%&'*+-.^_`|~09Az: 1\r\n" + _LENGTH + _END,
         BODY,
