Reject heads that end with carriage returns

What callers saw: an answer whose head ended with CR CR LF in place of an empty line came through as a complete answer.

Cause: libcurl ends a head at the first line that begins with a carriage return. AnswerHead stripped any number of them before it looked whether the line was empty.

Why it works: only CR LF, or LF alone, ends a head; any other line has to be a header.

--- a/packages/router/sycamoreloft_router/_answer_heads.py
+++ b/packages/router/sycamoreloft_router/_answer_heads.py
@@ -107,7 +107,7 @@
             self.problem = "the answer ended within a line of its head"
         elif not self._is_started:
             self._start(line)
-        elif not line.rstrip(b"\r\n"):
+        elif line in _message_grammar.EMPTY_LINES:
             self._end()
         else:
             self._add_header(line)
--- a/packages/router/sycamoreloft_router/_message_grammar.py
+++ b/packages/router/sycamoreloft_router/_message_grammar.py
@@ -17,6 +17,9 @@
 #: section 2.2).
 _LINE_END = rb"\r?\n"
 
+#: Lines that end a head.
+EMPTY_LINES = frozenset((b"\r\n", b"\n"))
+
 #: A status line with its line end (RFC 9112, section 4); the group is the
 #: status. The meaning of others is not defined, so that a caller could not tell
 #: what has run. Many servers leave out the blank before an empty reason phrase.
--- a/packages/router/tests/test_broken_answers.py
+++ b/packages/router/tests/test_broken_answers.py
@@ -28,7 +28,7 @@
 
 BROKEN = [
     pytest.param(data, id=f"{group}-{name}")
-    for group in ("names", "values", "status_lines")
+    for group in ("names", "values", "status_lines", "head_ends")
     for name, data in getattr(broken_answers, group.upper()).items()
 ]
 
