Reject lengths of answers that no body can have

Cause: libcurl reads a length that does not fit into 63 bits as no length, and the body until the close. AnswerHead took any digits for a length.

Long numbers with zeros in front stay served.

Why it works: a length above the largest that libcurl counts is a problem of the head, before any of the body is read.

--- a/packages/router/sycamoreloft_router/_answer_heads.py
+++ b/packages/router/sycamoreloft_router/_answer_heads.py
@@ -7,6 +7,10 @@
 #: Maximum length of the status line and headers together, in bytes.
 MAXIMUM_HEAD_BYTES = 65_536
 
+#: Maximum length of a body. libcurl reads a body with a longer one until the
+#: close of the connection.
+MAXIMUM_BODY_BYTES = 2**63 - 1
+
 #: Maximum length of the part of a malformed line that a problem quotes.
 MAXIMUM_QUOTED_BYTES = 64
 
@@ -181,6 +185,8 @@
         self._framed = True
         if self._length not in (b"", length) or not length.isdigit():
             self.problem = "the answer's Content-Length is ambiguous"
+        elif _is_longer(length, MAXIMUM_BODY_BYTES):
+            self.problem = "the answer's Content-Length is too large"
         self._length = length
 
     def _check_attempt(self, attempt: bytes) -> None:
@@ -200,3 +206,13 @@
             self.problem = "the upstream switched protocols unasked"
         else:
             self._is_started = False
+
+
+def _is_longer(digits: bytes, maximum: int) -> bool:
+    """Returns whether a decimal number is above a maximum.
+
+    Python converts only numbers of a few thousand digits.
+    """
+    digits = digits.lstrip(b"0")
+    maximum_digits = str(maximum).encode()
+    return (len(digits), digits) > (len(maximum_digits), maximum_digits)
--- a/packages/router/tests/test_broken_answers.py
+++ b/packages/router/tests/test_broken_answers.py
@@ -28,8 +28,8 @@
 
 BROKEN = [
     pytest.param(data, id=f"{group}-{name}")
-    for group in ("names", "values", "status_lines", "head_ends")
-    for name, data in getattr(broken_answers, group.upper()).items()
+    for group, answers in broken_answers.BROKEN.items()
+    for name, data in answers.items()
 ]
 
 
@@ -60,7 +60,7 @@
             await asyncio.sleep(0)
         return False
 
-    async def fetch(self, data, method="POST", may_continue=False):
+    async def fetch(self, data, method="POST"):
         """Returns the transfer and the body of an answer."""
         self._data = data
         client = _upstream_client.UpstreamClient(
@@ -86,7 +86,7 @@
 
 async def _transfer(client, upstream, target, method="POST"):
     """Runs a transfer to its end; returns it and the body of its answer."""
-    body = b"film"
+    body = None if method == "HEAD" else b"film"
     if method == "PUT":
         body = _body_streams.UploadBuffer()
         body.feed(b"film")
@@ -143,3 +143,18 @@
         assert body == expected
 
     read_in_all_ways(check, data)
+
+
+@pytest.mark.parametrize("group", ["lengths"])
+def test_a_broken_answer_to_head_is_a_failure(group):
+    """Guards against lengths that callers of HEAD are told unchecked."""
+
+    async def main():
+        for name, data in broken_answers.BROKEN[group].items():
+            for rules in RULES.values():
+                head = data.partition(b"\r\n\r\n")[0] + b"\r\n\r\n"
+                transfer, _ = await Reader(rules).fetch(head, "HEAD")
+                assert transfer.failure is not None, name
+                assert transfer.failure.kind is KIND.BROKEN
+
+    asyncio.run(main())
--- a/packages/standins/sycamoreloft_standins/broken_answers.py
+++ b/packages/standins/sycamoreloft_standins/broken_answers.py
@@ -145,10 +145,84 @@
     "carriage-returns": (_START + _LENGTH + b"\r\n").replace(b"\n", b"") + BODY,
 }
 
+#: Answers whose length is none, or none that a body can have.
+LENGTHS = {
+    name: _START + lines + _END
+    for name, lines in {
+        "above-64-bits": b"Content-Length: 18446744073709551618\r\n",
+        "above-63-bits": b"Content-Length: 9223372036854775808\r\n",
+        "twenty-digits": b"Content-Length: 99999999999999999999\r\n",
+        "many-digits": b"Content-Length: " + b"9" * 5_000 + b"\r\n",
+        "plus": b"Content-Length: +2\r\n",
+        "minus": b"Content-Length: -2\r\n",
+        "hexadecimal": b"Content-Length: 0x2\r\n",
+        "letter": b"Content-Length: 2x\r\n",
+        "fraction": b"Content-Length: 2.0\r\n",
+        "blank": b"Content-Length: 2 2\r\n",
+        "list": b"Content-Length: 2, 2\r\n",
+        "quoted": b'Content-Length: "2"\r\n',
+        "empty": b"Content-Length:\r\n",
+        "high-byte": b"Content-Length: \xb2\r\n",
+        "two-lengths": b"Content-Length: 2\r\nContent-Length: 3\r\n",
+    }.items()
+}
+
+_CODING = b"Transfer-Encoding: chunked\r\n"
+
+#: Answers with another coding than one "chunked", or with a length as well.
+CODINGS = {
+    name: _START + lines + _CHUNKS
+    for name, lines in {
+        "twice": _CODING + _CODING,
+        "list": b"Transfer-Encoding: chunked, chunked\r\n",
+        "compressed": b"Transfer-Encoding: gzip, chunked\r\n",
+        "other": b"Transfer-Encoding: gzip\r\n",
+        "unknown": b"Transfer-Encoding: chunke\r\n",
+        "identity": b"Transfer-Encoding: identity\r\n",
+        "identity-after": _CODING + b"Transfer-Encoding: identity\r\n",
+        "parameter": b"Transfer-Encoding: chunked;a=b\r\n",
+        "quoted": b'Transfer-Encoding: "chunked"\r\n',
+        "empty": b"Transfer-Encoding:\r\n",
+        "length-before": b"Content-Length: 12\r\n" + _CODING,
+        "length-after": _CODING + b"Content-Length: 12\r\n",
+    }.items()
+} | {
+    "http-1.0": b"HTTP/1.0 200 OK\r\n" + ECHO + _CODING + _CHUNKS,
+}
+
+#: Answers after an interim answer that is broken, or that is no interim answer.
+INTERIM = {
+    name: lines + b"\r\n" + _START + _LENGTH + _END
+    for name, lines in {
+        "length": b"HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n",
+        "no-body": b"HTTP/1.1 103 Hints\r\nContent-Length: 0\r\n",
+        "coding": b"HTTP/1.1 103 Hints\r\n" + _CODING,
+        "other-length": b"HTTP/1.1 100 Continue\r\nContent-Length: 9\r\n",
+        "name": b"HTTP/1.1 103 Hints\r\nX Note: 1\r\n",
+        "empty-name": b"HTTP/1.1 103 Hints\r\n: 1\r\n",
+        "value": b"HTTP/1.1 103 Hints\r\nX-Note: \x01\r\n",
+        "no-colon": b"HTTP/1.1 103 Hints\r\nX-Note\r\n",
+        "status-line": b"HTTP/1.1 1000 Continue\r\n",
+        "switch": b"HTTP/1.1 101 Switching Protocols\r\n",
+        "body": b"HTTP/1.1 100 Continue\r\n\r\nok",
+        "empty-line": b"HTTP/1.1 100 Continue\r\n\r\n",
+        "second-status": b"HTTP/1.1 100 Continue\r\nHTTP/1.1 103 A: b\r\n",
+    }.items()
+}
+
+#: All broken answers, by group and name.
+BROKEN = {
+    "names": NAMES,
+    "values": VALUES,
+    "status-lines": STATUS_LINES,
+    "head-ends": HEAD_ENDS,
+    "lengths": LENGTHS,
+}
+
 #: Sound answers, with the bodies that callers get.
 SOUND = {
     "length": (_START + _LENGTH + _END, BODY),
-    "chunks": (_START + b"Transfer-Encoding: chunked\r\n" + _CHUNKS, BODY),
+    "chunks": (_START + _CODING + _CHUNKS, BODY),
     "until-close": (_START + _END, BODY),
     "close": (_START + b"Connection: close\r\n" + _LENGTH + _END, BODY),
     "http-1.0": (
@@ -169,6 +243,21 @@
     ),
     "empty-value": (_START + b"X-Note:\r\n" + _LENGTH + _END, BODY),
     "empty-body": (_START + b"Content-Length: 0\r\n\r\n", b""),
+    "long-zeros": (
+        _START + b"Content-Length: " + b"0" * 30 + b"2\r\n" + _END,
+        BODY,
+    ),
+    "coding-in-capitals": (
+        _START + b"TRANSFER-ENCODING:CHUNKED \r\n" + _CHUNKS,
+        BODY,
+    ),
+    "interim": (
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nLink: <a>\r\n\r\n"
+        + _START
+        + _LENGTH
+        + _END,
+        BODY,
+    ),
     "line-feeds": (
         (_START + _LENGTH).replace(b"\r\n", b"\n") + b"\n" + BODY,
         BODY,
