Reject answers with two codings, or with a length beside a coding

What callers saw: an answer with both Content-Length and Transfer-Encoding, with "chunked" twice, or with chunks from a server of HTTP/1.0 came through as a complete answer, whichever of its two ends was the right one.

Cause: libcurl lets the coding win, ignores a second one and decodes chunks of any version. AnswerHead checked each line by itself.

"CHUNKED" with blanks around stays served.

Why it works: the head is checked as a whole when it ends. RFC 9112, sections 6.1 and 6.3, forbids senders such heads, tells recipients to treat chunks of HTTP/1.0 as faulty, and to handle a length beside a coding as an error. The head does not count as complete then.

--- a/packages/router/sycamoreloft_router/_answer_heads.py
+++ b/packages/router/sycamoreloft_router/_answer_heads.py
@@ -45,7 +45,7 @@
 
     __slots__ = (
         "_attempt",
-        "_framed",
+        "_is_http_1_0",
         "_is_started",
         "_length",
         "_method",
@@ -53,6 +53,7 @@
         "_size",
         "complete",
         "echoed",
+        "is_chunked",
         "lines",
         "needs_echo",
         "problem",
@@ -69,7 +70,7 @@
         self._rules = rules
         self._method = method
         self._attempt = attempt.encode("latin1")
-        self._framed = False
+        self._is_http_1_0 = False
         # Whether the status line of the present head has arrived.
         self._is_started = False
         self._length = b""
@@ -78,6 +79,8 @@
         self.complete = False
         #: Whether the answer repeats the identifier of the attempt.
         self.echoed = False
+        #: Whether the body arrives in chunks.
+        self.is_chunked = False
         #: Whether an answer without the identifier is rejected. Set for a
         #: reused connection, where it may be a second answer to an earlier
         #: request.
@@ -128,6 +131,11 @@
                 return line.partition(b":")[2].strip()
         return b""
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the head tells where the body ends."""
+        return self.is_chunked or self._length != b""
+
     def describe_problem(self) -> str:
         """Returns why an answer that ended is invalid or incomplete.
 
@@ -137,7 +145,7 @@
         if self.problem or not self.complete:
             return self.problem or "the answer has no headers"
         if (
-            self._framed
+            self.is_framed
             or self._rules.accepts_close_delimited
             or self._method == "HEAD"
             or self.status in BODILESS_STATUSES
@@ -154,9 +162,10 @@
             return
         self.lines = []
         self.echoed = False
-        self._framed = False
+        self.is_chunked = False
         self._length = b""
         self._is_started = True
+        self._is_http_1_0 = line.startswith(b"HTTP/1.0")
         self.status = int(match[1])
         self.status_line = line.partition(b" ")[2].strip()
 
@@ -172,9 +181,7 @@
         if name == b"content-length":
             self._check_length(value)
         elif name == b"transfer-encoding":
-            self._framed = True
-            if value.lower() != b"chunked":
-                self.problem = "the answer's transfer encoding is unsupported"
+            self._check_coding(value)
         elif name == self._rules.echo_header:
             self._check_attempt(value)
 
@@ -182,19 +189,34 @@
         self.problem = f"{problem}: {line[:MAXIMUM_QUOTED_BYTES]!r}"
 
     def _check_length(self, length: bytes) -> None:
-        self._framed = True
         if self._length not in (b"", length) or not length.isdigit():
             self.problem = "the answer's Content-Length is ambiguous"
         elif _is_longer(length, MAXIMUM_BODY_BYTES):
             self.problem = "the answer's Content-Length is too large"
         self._length = length
 
+    def _check_coding(self, coding: bytes) -> None:
+        if self.is_chunked or coding.lower() != b"chunked":
+            self.problem = "the answer's transfer encoding is unsupported"
+        self.is_chunked = True
+
+    def _check_framing(self) -> None:
+        # Two parsers might find different ends of such an answer (RFC 9112,
+        # section 6.3).
+        if self.is_chunked and self._length:
+            self.problem = "the answer has both a length and a coding"
+        elif self.is_chunked and self._is_http_1_0:
+            self.problem = "an answer of HTTP/1.0 has no coding"
+
     def _check_attempt(self, attempt: bytes) -> None:
         self.echoed = True
         if attempt != self._attempt:
             self.problem = "the answer belongs to another request"
 
     def _end(self) -> None:
+        self._check_framing()
+        if self.problem:
+            return
         if self.status >= 200:
             self.complete = True
             if self.needs_echo and not self.echoed:
--- a/packages/router/tests/test_broken_answers.py
+++ b/packages/router/tests/test_broken_answers.py
@@ -145,7 +145,7 @@
     read_in_all_ways(check, data)
 
 
-@pytest.mark.parametrize("group", ["lengths"])
+@pytest.mark.parametrize("group", ["lengths", "codings"])
 def test_a_broken_answer_to_head_is_a_failure(group):
     """Guards against lengths that callers of HEAD are told unchecked."""
 
--- a/packages/standins/sycamoreloft_standins/broken_answers.py
+++ b/packages/standins/sycamoreloft_standins/broken_answers.py
@@ -217,6 +217,7 @@
     "status-lines": STATUS_LINES,
     "head-ends": HEAD_ENDS,
     "lengths": LENGTHS,
+    "codings": CODINGS,
 }
 
 #: Sound answers, with the bodies that callers get.
