Reject interim answers that announce a body

What callers saw: an answer after "100 Continue" with a length or a coding came through as a complete answer, even if that line was the one of the final answer whose head was torn apart.

Cause: AnswerHead drops the headers of interim answers unchecked, and libcurl ignores a length and a coding there.

Interim answers with sound headers stay served.

Why it works: RFC 9110, section 8.6, and RFC 9112, section 6.1, forbid both headers there, so that a head with one of them is a spoilt one.

--- a/packages/router/sycamoreloft_router/_answer_heads.py
+++ b/packages/router/sycamoreloft_router/_answer_heads.py
@@ -17,6 +17,9 @@
 #: Header in which an upstream repeats the identifier of the attempt.
 ECHO_HEADER = b"sycamoreloft-attempt"
 
+#: Lowest status of an answer that is not an interim one.
+MINIMUM_FINAL_STATUS = 200
+
 #: Statuses whose answers have no body, and thus no Content-Length.
 BODILESS_STATUSES = frozenset((204, 304))
 
@@ -207,6 +210,8 @@
             self.problem = "the answer has both a length and a coding"
         elif self.is_chunked and self._is_http_1_0:
             self.problem = "an answer of HTTP/1.0 has no coding"
+        elif self.is_framed and self.status < MINIMUM_FINAL_STATUS:
+            self.problem = "an interim answer has no body"
 
     def _check_attempt(self, attempt: bytes) -> None:
         self.echoed = True
@@ -217,7 +222,7 @@
         self._check_framing()
         if self.problem:
             return
-        if self.status >= 200:
+        if self.status >= MINIMUM_FINAL_STATUS:
             self.complete = True
             if self.needs_echo and not self.echoed:
                 self.problem = (
--- a/packages/standins/sycamoreloft_standins/broken_answers.py
+++ b/packages/standins/sycamoreloft_standins/broken_answers.py
@@ -218,6 +218,7 @@
     "head-ends": HEAD_ENDS,
     "lengths": LENGTHS,
     "codings": CODINGS,
+    "interim": INTERIM,
 }
 
 #: Sound answers, with the bodies that callers get.
