Do not believe a refusal of the permit mode whose head was rejected

What callers saw: "did not run" for a request that may have run. On a kept connection, a refusal without the identifier of the attempt, such as a late copy of one to an earlier request, was rejected as an answer and still believed as a refusal.

Cause: the head is complete when its empty line arrives, and the missing identifier is found at the same moment. The direct mode looks for the problem of the head before it believes a refusal; AttemptExecution did not.

Evidence: a stand-in answers the third request on a connection with such a refusal. On the code before, the caller got "did-not-run: shed"; it gets "unknown" now. All broken heads of the stand-in give "unknown" in the permit mode too, each run once, with the reason in the log.

Why it works: a refusal counts only if the head has no problem.

--- a/packages/router/sycamoreloft_router/_attempts.py
+++ b/packages/router/sycamoreloft_router/_attempts.py
@@ -446,11 +446,13 @@
 def _is_refused(head: _answer_heads.AnswerHead) -> bool:
     """Returns whether the upstream refused the request without executing it.
 
-    Such an answer has a refusal status and names its reason in a header.
+    Such an answer has a refusal status and names its reason in a header. One
+    that was rejected proves nothing: it may belong to another request.
     """
     return (
         head.status in sycamoreloft_decisions.REFUSAL_STATUSES
         and head.complete
+        and not head.problem
         and _read_head(head).refused in sycamoreloft_decisions.REFUSALS
     )
 
