Reject answers with folded header lines

What callers saw: an answer in which the first byte of "Content-Length" or "Transfer-Encoding" was spoilt to a blank came through as a complete answer with the bytes until the close as its body, chunk lines included. Any other line that began with a blank came through as part of the header before it.

Cause: libcurl joins a line that begins with a blank to the line before and hands on one line that looks sound (obsolete line folding). It swallows a header that way, and neither a header nor an option shows it. The check of AnswerHead for a leading blank only saw the first header of a head.

Why it works: before libcurl reads from a socket, the client looks at the bytes that wait there (it looked at their number already) and compares each line that libcurl delivers with the line that arrived. If a line that isn't empty is followed by a blank, it was joined. RFC 9112, section 5.2, leaves a gateway the choice to reject such an answer. If bytes arrive between the look and the read, the lines of that head are not compared, and the answer is judged by its other lines.

What remains: libcurl also reads while it sends an upload.

--- a/packages/router/sycamoreloft_router/_answer_heads.py
+++ b/packages/router/sycamoreloft_router/_answer_heads.py
@@ -47,6 +47,7 @@
     """
 
     __slots__ = (
+        "_arrived",
         "_attempt",
         "_is_http_1_0",
         "_is_started",
@@ -70,6 +71,8 @@
         attempt: str,
         rules: AnswerRules = AnswerRules(),
     ) -> None:
+        # Bytes of the head as they arrived, from the next line on.
+        self._arrived = b""
         self._rules = rules
         self._method = method
         self._attempt = attempt.encode("latin1")
@@ -98,6 +101,15 @@
         #: Status and reason phrase, as "200 OK".
         self.status_line = b""
 
+    def observe(self, data: bytes) -> None:
+        """Records bytes that have arrived and that libcurl is about to parse.
+
+        libcurl joins a line that begins with a blank to the line before, which
+        only these bytes show.
+        """
+        if len(self._arrived) < MAXIMUM_HEAD_BYTES:
+            self._arrived += data
+
     def add_line(self, line: bytes) -> bool:
         """Adds a line of the head; called by libcurl.
 
@@ -115,6 +127,8 @@
             # that has arrived. A blank line that is cut between CR and LF
             # would complete the head.
             self.problem = "the answer ended within a line of its head"
+        elif self._is_joined(line):
+            self._reject_line("a header line of the answer is folded", line)
         elif not self._is_started:
             self._start(line)
         elif line in _message_grammar.EMPTY_LINES:
@@ -156,6 +170,20 @@
             return ""
         return "the answer has no length, so that its end cannot be checked"
 
+    def _is_joined(self, line: bytes) -> bool:
+        """Returns whether libcurl made a line out of several ones.
+
+        If bytes arrived unobserved, the lines of this head can't be compared.
+        """
+        end = self._arrived.find(b"\n") + 1
+        first, self._arrived = self._arrived[:end], self._arrived[end:]
+        if not line.startswith(first.rstrip()):
+            self._arrived = b""
+        return (
+            self._arrived[:1] in (b" ", b"\t")
+            and line not in _message_grammar.EMPTY_LINES
+        )
+
     def _start(self, line: bytes) -> None:
         # Parses "HTTP/1.1 200 OK". The status line of the final answer follows
         # the headers of an interim answer (1xx), which are dropped.
@@ -224,6 +252,7 @@
             return
         if self.status >= MINIMUM_FINAL_STATUS:
             self.complete = True
+            self._arrived = b""
             if self.needs_echo and not self.echoed:
                 self.problem = (
                     "the answer on a reused connection does not repeat "
--- a/packages/router/sycamoreloft_router/_connection_rules.py
+++ b/packages/router/sycamoreloft_router/_connection_rules.py
@@ -5,6 +5,7 @@
 import select
 import socket
 import struct
+import sys
 import termios
 import typing
 
@@ -61,6 +62,8 @@
 class SocketUser(typing.Protocol):
     """A request that was sent on a connection."""
 
+    #: Descriptor of the connection's socket; -1 before the request is sent.
+    descriptor: int
     #: Whether the request has ended.
     ended: bool
     #: Whether a byte of an answer arrived, or the peer closed the connection.
@@ -68,6 +71,13 @@
     #: Whether the connection was reset before that.
     was_reset: bool
 
+    @property
+    def is_observed(self) -> bool:
+        """Whether the input of the connection is still to be observed."""
+
+    def observe_head(self, data: bytes) -> None:
+        """Records bytes that have arrived, until the head is complete."""
+
 
 class PooledSockets:
     """Sockets of pooled connections, to check for unexpected input.
@@ -97,6 +107,7 @@
         """Records that a request is about to be sent on a connection."""
         descriptor = self._descriptors.get(endpoints)
         if descriptor is not None:
+            user.descriptor = descriptor
             self.users[descriptor] = user
 
     def is_readable(self, endpoints: Endpoints) -> bool:
@@ -111,9 +122,9 @@
 
 
 def observe_input(descriptor: int, is_readable: bool, user: SocketUser) -> None:
-    """Records the first input of a connection, or that it was reset.
+    """Records the input that libcurl is about to read, or a reset.
 
-    Neither system call takes bytes or the error from the socket.
+    No system call takes bytes or the error from the socket.
 
     Args:
         descriptor: File descriptor of the socket.
@@ -121,9 +132,7 @@
         user: The request that was sent on the connection.
     """
     queued = fcntl.ioctl(descriptor, termios.FIONREAD, bytes(4))
-    if any(queued):
-        user.has_input = True
-        return
+    size = int.from_bytes(queued, sys.byteorder)
     connection = socket.socket(
         socket.AF_INET,
         socket.SOCK_STREAM,
@@ -131,9 +140,21 @@
         fileno=descriptor,
     )
     try:
-        state = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        if size:
+            user.has_input = True
+            size = min(size, _answer_heads.MAXIMUM_HEAD_BYTES)
+            user.observe_head(connection.recv(size, socket.MSG_PEEK))
+        elif not user.has_input:
+            _observe_end(connection, is_readable, user)
     finally:
         connection.detach()
+
+
+def _observe_end(
+    connection: socket.socket, is_readable: bool, user: SocketUser
+) -> None:
+    """Records whether a connection without input was reset or closed."""
+    state = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
     if state == _TCP_CLOSE:
         user.was_reset = True
     elif is_readable:
--- a/packages/router/sycamoreloft_router/_transfers.py
+++ b/packages/router/sycamoreloft_router/_transfers.py
@@ -54,6 +54,7 @@
         "_threshold",
         "_waiter",
         "body",
+        "descriptor",
         "ended",
         "failure",
         "has_input",
@@ -88,6 +89,9 @@
         #: Whether a byte of the request may have reached the upstream; set as
         #: soon as libcurl has a connection for the request.
         self.maybe_sent = False
+        #: Descriptor of the socket on which libcurl sent the request; -1
+        #: before that.
+        self.descriptor = -1
         #: Number of connections on which libcurl sent the request.
         self.send_count = 0
         #: Whether the connection delivered a byte of an answer, or was closed
@@ -171,6 +175,16 @@
         """Sets the handle that runs the transfer."""
         self._handle = handle
 
+    @property
+    def is_observed(self) -> bool:
+        """Whether the input of the connection is still to be observed."""
+        return not (self.was_reset or (self.has_input and self.head.complete))
+
+    def observe_head(self, data: bytes) -> None:
+        """Records bytes that have arrived, until the head is complete."""
+        if not self.head.complete:
+            self.head.observe(data)
+
     def receive_head_line(self, line: bytes) -> bool:
         """Adds a line of the answer's head; called by libcurl.
 
--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -85,6 +85,8 @@
         #: the attempt.
         self._echoes: dict[str, bool] = {}
         self._keeps_idle = True
+        # Descriptors of the transfers that `resume` has continued.
+        self._resumed: set[int] = set()
         self._sockets = _connection_rules.PooledSockets()
 
     def limit_connections(self, connections: int, keeps_idle: bool) -> None:
@@ -162,6 +164,7 @@
         if handle.upload is not None and handle.upload.broken:
             handle.transfer.cancel(_KIND.UPLOAD)
             return
+        self._resumed.add(handle.transfer.descriptor)
         try:
             handle.curl.pause(pycurl.PAUSE_CONT)
         except pycurl.error as error:
@@ -198,18 +201,33 @@
 
         Overrides the method of tornado to look at the socket first: libcurl
         reports neither whether a reused connection was reset or closed, nor
-        the first bytes of an incomplete status line.
+        the first bytes of an incomplete status line, nor folded lines.
         """
-        transfer = self._sockets.users.get(fd)
-        if transfer is not None:
-            if transfer.ended:
-                del self._sockets.users[fd]
-            elif not (transfer.has_input or transfer.was_reset):
-                _connection_rules.observe_input(
-                    fd, bool(events & ioloop.IOLoop.READ), transfer
-                )
+        self._observe(fd, bool(events & ioloop.IOLoop.READ))
         super()._handle_events(fd, events)
 
+    def _handle_timeout(self) -> None:
+        """Lets libcurl handle the timers that are due.
+
+        Overrides the method of tornado to look at the sockets of resumed
+        transfers first: libcurl continues them here, and reads as well.
+        """
+        for descriptor in self._resumed:
+            if descriptor in self._fds:
+                self._observe(descriptor, False)
+        self._resumed.clear()
+        super()._handle_timeout()
+
+    def _observe(self, descriptor: int, is_readable: bool) -> None:
+        """Looks at the input of a socket before libcurl reads it."""
+        transfer = self._sockets.users.get(descriptor)
+        if transfer is None:
+            return
+        if transfer.ended:
+            del self._sockets.users[descriptor]
+        elif transfer.is_observed:
+            _connection_rules.observe_input(descriptor, is_readable, transfer)
+
     def _set_timeout(self, msecs: int) -> None:
         """Schedules libcurl's next timeout.
 
--- a/packages/standins/sycamoreloft_standins/broken_answers.py
+++ b/packages/standins/sycamoreloft_standins/broken_answers.py
@@ -210,6 +210,37 @@
     }.items()
 }
 
+#: Answers with a line that begins with a blank. Recipients may join it to the
+#: line before, which swallows a header whose first byte is spoilt.
+FOLDED = {
+    name: _START + lines + (_CHUNKS if b"chunked" in lines else _END)
+    for name, lines in {
+        "length": b"X-Note: 1\r\n ontent-Length: 2\r\n",
+        "length-tab": b"X-Note: 1\r\n\tontent-Length: 2\r\n",
+        "coding": b"X-Note: 1\r\n ransfer-Encoding: chunked\r\n",
+        "header": b"X-Note: 1\r\n -Other: 2\r\n" + _LENGTH,
+        "no-header": b"X-Note: 1\r\n noise\r\n" + _LENGTH,
+        "blanks": b"X-Note: 1\r\n  \r\n" + _LENGTH,
+        "blanks-after-blank": b"X-Note: 1 \r\n \r\n" + _LENGTH,
+        "last": b"X-Note: 1\r\n" + _LENGTH + b" X-Other: 2\r\n",
+        "value-of-length": b"Content-Length:\r\n 2\r\n",
+        "value-of-coding": b"Transfer-Encoding:\r\n chunked\r\n",
+        "line-feeds": b"X-Note: 1\n ontent-Length: 2\n",
+        "after-identifier": b" ontent-Length: 2\r\n",
+    }.items()
+} | {
+    "first": b"HTTP/1.1 200 OK\r\n X-Note: 1\r\n" + _REST,
+    "interim": b"HTTP/1.1 103 Hints\r\nX-Note: 1\r\n 2\r\n\r\n"
+    + _START
+    + _LENGTH
+    + _END,
+    "after-interim": b"HTTP/1.1 103 Hints\r\nX-Note: 1\r\n\r\n"
+    + _START
+    + b"X-Note: 1\r\n 2\r\n"
+    + _LENGTH
+    + _END,
+}
+
 #: All broken answers, by group and name.
 BROKEN = {
     "names": NAMES,
@@ -219,6 +250,7 @@
     "lengths": LENGTHS,
     "codings": CODINGS,
     "interim": INTERIM,
+    "folded": FOLDED,
 }
 
 #: Sound answers, with the bodies that callers get.
@@ -260,6 +292,10 @@
         + _END,
         BODY,
     ),
+    "blanks-in-body": (
+        _START + b"Content-Length: 12\r\n\r\n a: b\r\n c: d",
+        b" a: b\r\n c: d",
+    ),
     "line-feeds": (
         (_START + _LENGTH).replace(b"\r\n", b"\n") + b"\n" + BODY,
         BODY,
