Decode chunks as the grammar says, trailers included

What callers saw: an answer in chunks came through as a complete answer although a line before a chunk held a blank, a control byte or other bytes behind the size, ended without a carriage return, or although a trailer was no header. The body was cut at the wrong places or was not the upstream's.

Cause: libcurl reads the hexadecimal digits of a chunk's size and skips the rest of the line, skips any number of carriage returns, and hands on trailers as headers, which AnswerHead ignored after the head.

Extensions, quoted ones, trailers, zeros in sizes, and bytes after the end stay served.

Why it works: libcurl hands on the raw body and still finds its end. If bytes follow the last chunk, the answer is complete and the connection is closed, as before. If an answer that has begun breaks, its stream is cut.

--- a/packages/router/sycamoreloft_router/_answer_heads.py
+++ b/packages/router/sycamoreloft_router/_answer_heads.py
@@ -153,6 +153,11 @@
         """Whether the head tells where the body ends."""
         return self.is_chunked or self._length != b""
 
+    @property
+    def has_body(self) -> bool:
+        """Whether a body follows the head."""
+        return self._method != "HEAD" and self.status not in BODILESS_STATUSES
+
     def describe_problem(self) -> str:
         """Returns why an answer that ended is invalid or incomplete.
 
@@ -164,8 +169,7 @@
         if (
             self.is_framed
             or self._rules.accepts_close_delimited
-            or self._method == "HEAD"
-            or self.status in BODILESS_STATUSES
+            or not self.has_body
         ):
             return ""
         return "the answer has no length, so that its end cannot be checked"
--- a/packages/router/sycamoreloft_router/_message_grammar.py
+++ b/packages/router/sycamoreloft_router/_message_grammar.py
@@ -29,3 +29,17 @@
 
 #: A header line with its line end; the group is the name.
 HEADER_LINE = re.compile(rb"(%b):%b%b" % (_TOKEN, _VALUE, _LINE_END))
+
+_QUOTED = rb'"(?:[\t\x20\x21\x23-\x5b\x5d-\x7e\x80-\xff]|\\%b)*"' % (
+    rb"[\t\x20-\x7e\x80-\xff]"
+)
+
+_EXTENSION = rb"[ \t]*;[ \t]*%b(?:[ \t]*=[ \t]*(?:%b|%b))?" % (
+    _TOKEN,
+    _TOKEN,
+    _QUOTED,
+)
+
+#: The line before the data of a chunk (RFC 9112, section 7.1); the group is the
+#: size. A line feed alone does not end it.
+CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]+)(?:%b)*\r\n" % _EXTENSION)
--- a/packages/router/sycamoreloft_router/_transfer_handles.py
+++ b/packages/router/sycamoreloft_router/_transfer_handles.py
@@ -142,6 +142,9 @@
         curl.setopt(pycurl.PROTOCOLS, pycurl.PROTO_HTTP)
         curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
         curl.setopt(pycurl.PATH_AS_IS, 1)
+        # Transfers decode chunks, more strictly than libcurl, which only finds
+        # the end of the last one.
+        curl.setopt(pycurl.HTTP_TRANSFER_DECODING, 0)
         curl.setopt(
             pycurl.CONNECTTIMEOUT_MS, round(self.rules.connect_timeout_s * 1000)
         )
--- a/packages/router/sycamoreloft_router/_transfers.py
+++ b/packages/router/sycamoreloft_router/_transfers.py
@@ -8,6 +8,7 @@
 from sycamoreloft_router import (
     _answer_heads,
     _body_streams,
+    _chunked_bodies,
     _connection_rules,
     _transfer_types,
 )
@@ -47,6 +48,7 @@
     """
 
     __slots__ = (
+        "_chunked_body",
         "_client",
         "_deadline",
         "_handle",
@@ -75,6 +77,8 @@
         self._deadline = client.read_clock() + request.timeout_s
         self._handle: typing.Any = None
         self._paused = False
+        # Decodes the body of an answer in chunks.
+        self._chunked_body = _chunked_bodies.ChunkedBody()
         # Number of buffered bytes at which `wait` returns.
         self._threshold = 0
         self._waiter: asyncio.Future[None] | None = None
@@ -204,15 +208,47 @@
 
         Returns:
             `WRITEFUNC_PAUSE` if the buffer is full; libcurl then delivers the
-            same part again after the transfer is resumed. None otherwise.
+            same part again after the transfer is resumed. -1 ends the transfer
+            and closes the connection. None otherwise.
         """
         if self.body.is_full():
             self._paused = True
             return int(pycurl.WRITEFUNC_PAUSE)
-        self.body.add(chunk)
+        if self.head.is_chunked:
+            chunk = self._chunked_body.decode(chunk)
+            if self._chunked_body.problem:
+                return -1
+        if chunk:
+            self.body.add(chunk)
         if self._waiter is not None and self.body.size >= self._threshold:
             self._wake()
-        return None
+        return -1 if self._chunked_body.has_excess else None
+
+    @property
+    def problem(self) -> str:
+        """Why the answer is rejected; empty as long as it is valid."""
+        return self.head.problem or self._chunked_body.problem
+
+    @property
+    def has_excess(self) -> bool:
+        """Whether bytes follow an answer that is complete."""
+        return self._chunked_body.has_excess
+
+    def describe_problem(self) -> str:
+        """Returns why an answer that ended is invalid or incomplete.
+
+        Returns:
+            A description for logs, or an empty string for a complete answer.
+        """
+        problem = self.problem or self.head.describe_problem()
+        if (
+            not problem
+            and self.head.is_chunked
+            and self.head.has_body
+            and not self._chunked_body.is_complete
+        ):
+            return "the answer has no last chunk"
+        return problem
 
     def end(self, failure: _transfer_types.Failure | None) -> None:
         """Marks the transfer as ended and wakes up `wait`.
@@ -246,8 +282,8 @@
     Returns:
         Why the answer is incomplete, or None if it is complete.
     """
-    if not error:
-        problem = transfer.head.describe_problem()
+    if not error or (error == pycurl.E_WRITE_ERROR and transfer.has_excess):
+        problem = transfer.describe_problem()
         return (
             _transfer_types.Failure(_KIND.BROKEN, problem) if problem else None
         )
@@ -258,7 +294,7 @@
             kind = _KIND.DEADLINE
         return _transfer_types.Failure(
             kind,
-            transfer.head.problem or message,
+            transfer.problem or message,
             transfer.was_reset and not transfer.head.status,
         )
     if transfer.is_withdrawn:
--- a/packages/standins/sycamoreloft_standins/broken_answers.py
+++ b/packages/standins/sycamoreloft_standins/broken_answers.py
@@ -241,6 +241,68 @@
     + _END,
 }
 
+_CHUNKED = _START + _CODING + b"\r\n"
+
+#: Answers whose chunks are not framed as the grammar says.
+CHUNKS = {
+    name: _CHUNKED + chunks
+    for name, chunks in {
+        "letters-after-size": b"2zz\r\nok\r\n0\r\n\r\n",
+        "blank-in-size": b"2 0\r\nok\r\n0\r\n\r\n",
+        "blank-after-size": b"2 \r\nok\r\n0\r\n\r\n",
+        "blank-before-size": b" 2\r\nok\r\n0\r\n\r\n",
+        "control-after-size": b"2\x01\r\nok\r\n0\r\n\r\n",
+        "point-in-size": b"2.0\r\nok\r\n0\r\n\r\n",
+        "comma-after-size": b"2,a\r\nok\r\n0\r\n\r\n",
+        "plus": b"+2\r\nok\r\n0\r\n\r\n",
+        "minus": b"-2\r\nok\r\n0\r\n\r\n",
+        "prefix": b"0x2\r\nok\r\n0\r\n\r\n",
+        "no-size": b"\r\nok\r\n0\r\n\r\n",
+        "extension-without-size": b";a\r\nok\r\n0\r\n\r\n",
+        "above-64-bits": b"10000000000000002\r\nok\r\n0\r\n\r\n",
+        "above-63-bits": b"8000000000000002\r\nok\r\n0\r\n\r\n",
+        "empty-extension": b"2;\r\nok\r\n0\r\n\r\n",
+        "control-in-extension": b"2;a\x01\r\nok\r\n0\r\n\r\n",
+        "nul-in-extension": b"2;a\0\r\nok\r\n0\r\n\r\n",
+        "carriage-return-in-extension": b"2;a\rb\r\nok\r\n0\r\n\r\n",
+        "open-quote-in-extension": b'2;a="b\r\nok\r\n0\r\n\r\n',
+        "size-ends-with-line-feed": b"2\nok\r\n0\r\n\r\n",
+        "size-ends-with-two-returns": b"2\r\r\nok\r\n0\r\n\r\n",
+        "data-ends-with-line-feed": b"2\r\nok\n0\r\n\r\n",
+        "data-ends-with-two-returns": b"2\r\nok\r\r\n0\r\n\r\n",
+        "data-ends-with-return": b"2\r\nok\r0\r\n\r\n",
+        "data-without-end": b"2\r\nok0\r\n\r\n",
+        "longer-data": b"2\r\noks\r\n0\r\n\r\n",
+        "letters-after-last-size": b"2\r\nok\r\n0zz\r\n\r\n",
+        "last-size-ends-with-line-feed": b"2\r\nok\r\n0\n\r\n",
+        "long-extension": b"2;" + b"a" * 70_000 + b"\r\nok\r\n0\r\n\r\n",
+    }.items()
+}
+
+#: Answers in chunks whose trailer section holds a line that is no header.
+TRAILERS = {
+    name: _CHUNKED + b"2\r\nok\r\n0\r\n" + lines + b"\r\n"
+    for name, lines in {
+        "blank-in-name": b"X Note: 1\r\n",
+        "control-in-name": b"X\x01Note: 1\r\n",
+        "delete-in-name": b"X\x7fNote: 1\r\n",
+        "high-byte-in-name": b"X\xe9Note: 1\r\n",
+        "nul-in-name": b"X\0Note: 1\r\n",
+        "blank-after-name": b"X-Note : 1\r\n",
+        "empty-name": b": 1\r\n",
+        "no-colon": b"X-Note\r\n",
+        "control-in-value": b"X-Note: \x01\r\n",
+        "carriage-return-in-value": b"X-Note: a\rb\r\n",
+        "carriage-return-before": b"\rX-Note: 1\r\n",
+        "two-carriage-returns": b"X-Note: 1\r\r\n",
+        "folded": b"X-Note: 1\r\n 2: 3\r\n",
+        "folded-first": b" X-Note: 1\r\n",
+        "status-line": b"HTTP/1.1 200 OK: 1\r\n",
+        "next-answer": b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+        "endless": b"X-Note: 1\r\n" * 7_000,
+    }.items()
+}
+
 #: All broken answers, by group and name.
 BROKEN = {
     "names": NAMES,
@@ -251,6 +313,8 @@
     "codings": CODINGS,
     "interim": INTERIM,
     "folded": FOLDED,
+    "chunks": CHUNKS,
+    "trailers": TRAILERS,
 }
 
 #: Sound answers, with the bodies that callers get.
@@ -285,6 +349,36 @@
         _START + b"TRANSFER-ENCODING:CHUNKED \r\n" + _CHUNKS,
         BODY,
     ),
+    "no-chunk": (_CHUNKED + b"0\r\n\r\n", b""),
+    "two-chunks": (
+        _CHUNKED + b"00A\r\n" + b"x" * 10 + b"\r\nb\r\n0\r\n\r\n123456\r\n"
+        b"00\r\n\r\n",
+        b"x" * 10 + b"0\r\n\r\n123456",
+    ),
+    "zeros-in-size": (
+        _CHUNKED + b"0" * 14 + b"2\r\nok\r\n0\r\n\r\n",
+        BODY,
+    ),
+    "extensions": (
+        _CHUNKED + b'2;a ; b=c;d = "e;\\"\t\xe9"\r\nok\r\n0;f\r\n\r\n',
+        BODY,
+    ),
+    "trailers": (
+        _CHUNKED + b"2\r\nok\r\n0\r\nX-Sum: 1\r\nX-Empty:\r\n\r\n",
+        BODY,
+    ),
+    "line-feeds-in-trailers": (
+        _CHUNKED + b"2\r\nok\r\n0\r\nX-Sum: 1\n\n",
+        BODY,
+    ),
+    "bytes-after-chunks": (
+        _CHUNKED + b"2\r\nok\r\n0\r\n\r\nHTTP/1.1 500 No\r\n\r\n",
+        BODY,
+    ),
+    "bytes-after-length": (
+        _START + _LENGTH + _END + b"HTTP/1.1 500 No\r\n\r\n",
+        BODY,
+    ),
     "interim": (
         b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nLink: <a>\r\n\r\n"
         + _START
