Take the close for the end of an answer only once the request is sent

What callers saw: an instance answered a long upload at once with a 200 without a length, sent a part of its body and ended the connection while the upload was still being written. The part came through as a complete answer.

Cause, traced with strace: an instance that has read all that has arrived and then closes sends a FIN first; the next part of the upload is answered with a reset. Once a socket has got the FIN, reading finds the end in order whatever comes later (recv gives 0), so that only sending shows the reset, and libcurl reads first: it takes the end for that of the answer and gives up the rest of the upload ("abort upload after having sent 140000 bytes").

An answer that ends with its connection after the whole request has been sent stays served.

Why it works: if the head tells no length, the end of the connection counts as the end of the answer only if libcurl has sent the whole body. Otherwise the attempt fails as broken, and the request may have run. The choice also turns away an instance that ends a complete answer early with a half-closed connection and reads on: it looks the same until the upload is sent, and such an answer can say its length.

--- a/packages/router/sycamoreloft_router/_answer_heads.py
+++ b/packages/router/sycamoreloft_router/_answer_heads.py
@@ -153,6 +153,11 @@
         """Whether the head tells where the body ends."""
         return self.is_chunked or self._length != b""
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the close of the connection marks the end of the body."""
+        return self.has_body and not self.is_framed
+
     @property
     def has_body(self) -> bool:
         """Whether a body follows the head."""
@@ -167,12 +172,11 @@
         if self.problem or not self.complete:
             return self.problem or "the answer has no headers"
         if (
-            self.is_framed
-            or self._rules.accepts_close_delimited
-            or not self.has_body
+            self.ends_with_connection
+            and not self._rules.accepts_close_delimited
         ):
-            return ""
-        return "the answer has no length, so that its end cannot be checked"
+            return "the answer has no length, so that its end cannot be checked"
+        return ""
 
     def _is_joined(self, line: bytes) -> bool:
         """Returns whether libcurl made a line out of several ones.
--- a/packages/router/sycamoreloft_router/_body_streams.py
+++ b/packages/router/sycamoreloft_router/_body_streams.py
@@ -52,6 +52,11 @@
         """Number of buffered bytes."""
         return self._size
 
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether libcurl has read the whole body."""
+        return self._finished and not self._chunks and not self.broken
+
     def set_on_change(self, on_change: abc.Callable[[], None] | None) -> None:
         """Sets the callback for new bytes, and for the end of the body."""
         self._on_change = on_change
--- a/packages/router/sycamoreloft_router/_transfer_handles.py
+++ b/packages/router/sycamoreloft_router/_transfer_handles.py
@@ -129,6 +129,21 @@
         # For libcurl, 0 means no timeout.
         self.curl.setopt(pycurl.TIMEOUT_MS, max(1, round(seconds * 1000)))
 
+    def has_sent_body(self) -> bool:
+        """Returns whether the whole body of the request has been sent."""
+        if self.transfer is None or self.transfer.request.body is None:
+            return True
+        request = self.transfer.request
+        if isinstance(request.body, bytes):
+            size = len(request.body)
+        elif request.length >= 0:
+            size = request.length
+        elif self.upload is not None and self.upload.is_exhausted:
+            size = self.upload.bytes_read
+        else:
+            return False
+        return bool(self.curl.getinfo(pycurl.SIZE_UPLOAD_T) >= size)
+
     def release(self) -> None:
         """Drops the references to the ended request."""
         self.transfer = None
--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -37,6 +37,13 @@
 
 _KIND = _transfer_types.FailureKind
 
+#: The upstream may have reset the connection: if it did so after the close,
+#: sending fails, and reading still finds the end in order.
+_EARLY_END_MESSAGE = (
+    "the answer has no length, and its connection ended while the request was"
+    " being sent"
+)
+
 
 class UpstreamClient(curl_httpclient.CurlAsyncHTTPClient):
     """Runs transfers to upstreams.
@@ -272,14 +279,21 @@
             handle.prepare_again(transfer.compute_remaining_s())
             self._multi.add_handle(curl)
             return
+        if transfer is None:
+            self._recycle(handle)
+            return
+        failure = _transfers.classify_failure(
+            transfer, curl_error, curl_message or ""
+        )
+        if (
+            failure is None
+            and transfer.head.ends_with_connection
+            and not handle.has_sent_body()
+        ):
+            failure = _transfer_types.Failure(_KIND.BROKEN, _EARLY_END_MESSAGE)
         self._recycle(handle)
-        if transfer is not None:
-            self._record_echo(transfer)
-            transfer.end(
-                _transfers.classify_failure(
-                    transfer, curl_error, curl_message or ""
-                )
-            )
+        self._record_echo(transfer)
+        transfer.end(failure)
 
     def _record_echo(self, transfer: _transfers.Transfer) -> None:
         if not self.rules.answers.echo_header or not transfer.head.complete:
--- a/packages/router/tests/test_broken_answers.py
+++ b/packages/router/tests/test_broken_answers.py
@@ -158,3 +158,52 @@
                 assert transfer.failure.kind is KIND.BROKEN
 
     asyncio.run(main())
+
+
+# Guards against a part of an answer that passes as a whole one: the upstream
+# has gone, and only sending the rest of the request would show it.
+@pytest.mark.parametrize("length", [9, -1], ids=["length", "chunks"])
+@pytest.mark.parametrize("is_sent", [False, True], ids=["cut", "sent"])
+def test_an_answer_ends_with_its_connection_once_the_request_is_sent(
+    length, is_sent
+):
+    async def serve(reader, writer):
+        await reader.readuntil(b"film")
+        if is_sent:
+            await reader.readuntil(b"-last")
+        writer.write(b"HTTP/1.1 200 OK\r\nRequest-Id: a1\r\n\r\npart")
+        writer.close()
+
+    async def main():
+        client = raw_peers.create_client()
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        ip, port = server.sockets[0].getsockname()
+        upload = _body_streams.UploadBuffer()
+        upload.feed(b"film")
+        if is_sent:
+            upload.feed(b"-last")
+            upload.finish()
+        transfer = client.start(
+            _transfer_types.UpstreamRequest(
+                f"{ip}:{port}",
+                "PUT",
+                "/",
+                [b"Expect:", b"Request-Id: a1"],
+                upload,
+                length,
+                5.0,
+                "a1",
+            )
+        )
+        while not transfer.ended:
+            await transfer.wait(1 << 20)
+        client.close()
+        server.close()
+        return transfer
+
+    transfer = asyncio.run(main())
+    if is_sent:
+        assert transfer.failure is None
+    else:
+        assert transfer.failure.kind is KIND.BROKEN
+        assert "being sent" in transfer.failure.text
