Log why an answer broke after a part of it was passed on

What operators saw: nothing. If a long answer broke after the host had begun to pass it on, the caller's connection was cut, and a metric counted it; no log line told the request, the upstream or the reason.

Cause: an attempt of the direct mode counts as answered as soon as its head and the first 64 KB are sound, and only attempts that are not passed on were logged. The permit mode logs both.

Evidence: an upstream sends 80 KB of an answer in chunks, and then a broken chunk, a broken trailer or a part of a chunk.

--- a/packages/router/sycamoreloft_router/_answer_checks.py
+++ b/packages/router/sycamoreloft_router/_answer_checks.py
@@ -23,6 +23,15 @@
     return head.status == MISDIRECTED or head.get_header(name) != b""
 
 
+def is_unproven_refusal(head: _answer_heads.AnswerHead) -> bool:
+    """Returns whether passing a status on would promise too much.
+
+    Callers send a request again that did not run. If it may not run twice, the
+    upstream's word that it did not run is needed; see `is_refusal`.
+    """
+    return head.status in PROMISING_STATUSES
+
+
 def is_from_other_upstream(
     head: _answer_heads.AnswerHead,
     upstream_id: str,
--- a/packages/router/sycamoreloft_router/_direct_execution.py
+++ b/packages/router/sycamoreloft_router/_direct_execution.py
@@ -224,6 +224,10 @@
             if result is _RESULT.FAILED and self._may_retry(result):
                 return result
             await _answer_forwarding.forward(transfer, self._sink)
+            if transfer.failure is not None:
+                _direct_logs.log_cut_answer(
+                    self._request, record.entry, transfer.failure
+                )
             return None
         finally:
             self._finish_attempt(record, result, started_at)
@@ -349,7 +353,11 @@
                 return _RESULT.REPLACED
             return _RESULT.REFUSED
         failure = transfer.failure
-        if failure is None and self._is_unproven_refusal(head.status):
+        if (
+            failure is None
+            and not self._is_idempotent
+            and _answer_checks.is_unproven_refusal(head)
+        ):
             self._choice.reason = "unproven-refusal"
             self._may_have_run = True
             return _RESULT.BROKEN
@@ -371,17 +379,6 @@
             return _RESULT.SILENT
         return _RESULT.RESET if failure.is_reset else _RESULT.BROKEN
 
-    def _is_unproven_refusal(self, status: int) -> bool:
-        """Returns whether passing a status on would promise too much.
-
-        Callers send a request again that did not run. Without the upstream's
-        word for it, a request that isn't idempotent might run twice.
-        """
-        return (
-            not self._is_idempotent
-            and status in _answer_checks.PROMISING_STATUSES
-        )
-
     # After an attempt.
 
     def _may_retry(self, result: sycamoreloft_load.AttemptResult) -> bool:
--- a/packages/router/sycamoreloft_router/_direct_logs.py
+++ b/packages/router/sycamoreloft_router/_direct_logs.py
@@ -7,7 +7,7 @@
 
 import sycamoreloft_direct
 import sycamoreloft_load
-from sycamoreloft_router import _answers, _logs, _transfers
+from sycamoreloft_router import _answers, _logs, _transfer_types, _transfers
 
 if typing.TYPE_CHECKING:
     # For annotations only: that module imports this one.
@@ -57,6 +57,30 @@
     )
 
 
+def log_cut_answer(
+    request: "_direct_requests.DirectRequest",
+    upstream: sycamoreloft_direct.Upstream,
+    failure: _transfer_types.Failure,
+) -> None:
+    """Logs an answer that broke after a part of it was passed on.
+
+    Args:
+        request: The request.
+        upstream: The upstream that answered.
+        failure: Why the answer is incomplete.
+    """
+    _logs.log_event(
+        _LOGGER,
+        logging.WARNING,
+        "answer-cut",
+        request=request.request_id,
+        upstream=upstream.id,
+        address=upstream.address,
+        kind=failure.kind.value,
+        detail=failure.text,
+    )
+
+
 def log_rejection(
     request_id: str,
     target: str,
