Keep the blank of a status line without a reason phrase

What callers saw: "HTTP/1.1 200" without the blank that RFC 9112, section 4, requires behind the status, for each answer without a reason phrase, also if the upstream had sent the blank. A caller that splits the line at blanks failed to read it; a script of ours did while it compared answers.

Cause: the status line was stripped as a whole before it was passed on.

Why it works: status and reason phrase are taken from the grammar's groups and joined by one blank.

--- a/packages/router/sycamoreloft_router/_answer_heads.py
+++ b/packages/router/sycamoreloft_router/_answer_heads.py
@@ -98,7 +98,7 @@
         self.problem = ""
         #: HTTP status; 0 before the status line has arrived.
         self.status = 0
-        #: Status and reason phrase, as "200 OK".
+        #: Status and reason phrase, as "200 OK", or "200 " without a phrase.
         self.status_line = b""
 
     def observe(self, data: bytes) -> None:
@@ -206,7 +206,7 @@
         self._is_started = True
         self._is_http_1_0 = line.startswith(b"HTTP/1.0")
         self.status = int(match[1])
-        self.status_line = line.partition(b" ")[2].strip()
+        self.status_line = b"%b %b" % (match[1], (match[2] or b"").strip())
 
     def _add_header(self, line: bytes) -> None:
         match = _message_grammar.HEADER_LINE.fullmatch(line)
--- a/packages/router/sycamoreloft_router/_message_grammar.py
+++ b/packages/router/sycamoreloft_router/_message_grammar.py
@@ -20,20 +20,23 @@
 #: Lines that end a head.
 EMPTY_LINES = frozenset((b"\r\n", b"\n"))
 
-#: A status line with its line end (RFC 9112, section 4); the group is the
-#: status. The meaning of others is not defined, so that a caller could not tell
-#: what has run. Many servers leave out the blank before an empty reason phrase.
+#: A status line with its line end (RFC 9112, section 4); the groups are the
+#: status and the reason phrase. The meaning of other statuses is not defined,
+#: so that a caller could not tell what has run. Many servers leave out the
+#: blank before an empty reason phrase.
 STATUS_LINE = re.compile(
-    rb"HTTP/1\.[01] ([1-5][0-9]{2})(?: %b)?%b" % (_VALUE, _LINE_END)
+    rb"HTTP/1\.[01] ([1-5][0-9]{2})(?: (%b))?%b" % (_VALUE, _LINE_END)
 )
 
 #: A header line with its line end; the group is the name.
 HEADER_LINE = re.compile(rb"(%b):%b%b" % (_TOKEN, _VALUE, _LINE_END))
 
+#: A quoted string (RFC 9110, section 5.6.4).
 _QUOTED = rb'"(?:[\t\x20\x21\x23-\x5b\x5d-\x7e\x80-\xff]|\\%b)*"' % (
     rb"[\t\x20-\x7e\x80-\xff]"
 )
 
+#: An extension of a chunk (RFC 9112, section 7.1.1).
 _EXTENSION = rb"[ \t]*;[ \t]*%b(?:[ \t]*=[ \t]*(?:%b|%b))?" % (
     _TOKEN,
     _TOKEN,
--- a/packages/router/tests/test_headers.py
+++ b/packages/router/tests/test_headers.py
@@ -102,3 +102,12 @@
     head = _answer_heads.AnswerHead("GET", "a")
     assert not head.add_line(b"HTTP/1.1 " + status + b" No\r\n")
     assert head.problem
+
+
+# Guards against a status line without its second blank, which callers need to
+# tell the status from the reason phrase.
+@pytest.mark.parametrize("line", [b"HTTP/1.1 200 \r\n", b"HTTP/1.0 200\r\n"])
+def test_a_status_without_a_reason_keeps_its_blank(line):
+    head = _answer_heads.AnswerHead("GET", "a")
+    assert head.add_line(line)
+    assert head.status_line == b"200 "
