Reject encoded bodies in the direct mode

What callers saw: an answer with "Content-Encoding: gzip" came through with that header, over bytes of any kind. Callers there only ask for bodies without an encoding, and the users' pages say that a body with one is not the instance's.

Cause: nothing looked at the header.

In the permit mode, callers negotiate encodings with upstreams, so that they stay allowed there.

--- a/packages/router/sycamoreloft_router/_answer_heads.py
+++ b/packages/router/sycamoreloft_router/_answer_heads.py
@@ -34,6 +34,9 @@
     #: Whether the close of the connection may mark the end of an answer. Such
     #: an answer cannot be distinguished from a truncated one.
     accepts_close_delimited: bool = False
+    #: Whether a body may be encoded, for example compressed. If callers only
+    #: ask for bodies that are not, an encoded one is not the upstream's body.
+    accepts_content_codings: bool = True
 
 
 class AnswerHead:
@@ -221,6 +224,9 @@
             self._check_length(value)
         elif name == b"transfer-encoding":
             self._check_coding(value)
+        elif name == b"content-encoding":
+            if not self._rules.accepts_content_codings:
+                self.problem = "the answer's body is encoded"
         elif name == self._rules.echo_header:
             self._check_attempt(value)
 
--- a/packages/router/sycamoreloft_router/_direct_limits.py
+++ b/packages/router/sycamoreloft_router/_direct_limits.py
@@ -86,7 +86,11 @@
     """
     quotas = compute_quotas(settings)
     return _connection_rules.ConnectionRules(
-        _answer_heads.AnswerRules(request_id.lower().encode("latin1"), True),
+        _answer_heads.AnswerRules(
+            request_id.lower().encode("latin1"),
+            accepts_close_delimited=True,
+            accepts_content_codings=False,
+        ),
         CONNECT_TIMEOUT_S,
         IDLE_CONNECTION_TIMEOUT_S,
         True,
