See a reset that sending has met before an answer without a length ends

What callers would see: a part of an answer as a whole one, if the upstream closes its side before the last part of an upload arrives. That part is then sent in full, and answered with a reset that reading doesn't show.

Cause: the client looked for resets only until the first byte of an answer.

Evidence: after a close of the other side, a send and the reset that answers it, the look at the socket found no reset on the code before if bytes had arrived earlier (test_a_reset_after_the_close_is_seen); it does now. No play with real hosts has shown such an answer: the time for it is that of one send.

Why it works: while the close would mark the end of the answer, the client looks at the state of the connection before each read, and takes an end after a reset for a broken answer. The error of the socket is not taken.

--- a/packages/router/sycamoreloft_router/_connection_rules.py
+++ b/packages/router/sycamoreloft_router/_connection_rules.py
@@ -68,15 +68,19 @@
     ended: bool
     #: Whether a byte of an answer arrived, or the peer closed the connection.
     has_input: bool
-    #: Whether the connection was reset before that.
+    #: Whether the connection was reset.
     was_reset: bool
 
     @property
     def is_observed(self) -> bool:
         """Whether the input of the connection is still to be observed."""
 
+    @property
+    def is_head_open(self) -> bool:
+        """Whether the head of the answer has not arrived completely."""
+
     def observe_head(self, data: bytes) -> None:
-        """Records bytes that have arrived, until the head is complete."""
+        """Records bytes of the head that have arrived."""
 
 
 class PooledSockets:
@@ -142,23 +146,21 @@
     try:
         if size:
             user.has_input = True
-            size = min(size, _answer_heads.MAXIMUM_HEAD_BYTES)
-            user.observe_head(connection.recv(size, socket.MSG_PEEK))
-        elif not user.has_input:
-            _observe_end(connection, is_readable, user)
+            if user.is_head_open:
+                size = min(size, _answer_heads.MAXIMUM_HEAD_BYTES)
+                user.observe_head(connection.recv(size, socket.MSG_PEEK))
+        elif _is_closed(connection):
+            user.was_reset = True
+        elif is_readable:
+            user.has_input = True
     finally:
         connection.detach()
 
 
-def _observe_end(
-    connection: socket.socket, is_readable: bool, user: SocketUser
-) -> None:
-    """Records whether a connection without input was reset or closed."""
+def _is_closed(connection: socket.socket) -> bool:
+    """Returns whether a socket has no connection any more."""
     state = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
-    if state == _TCP_CLOSE:
-        user.was_reset = True
-    elif is_readable:
-        user.has_input = True
+    return state == _TCP_CLOSE
 
 
 def set_socket_options(descriptor: int, rules: ConnectionRules) -> None:
--- a/packages/router/sycamoreloft_router/_transfers.py
+++ b/packages/router/sycamoreloft_router/_transfers.py
@@ -101,7 +101,7 @@
         #: Whether the connection delivered a byte of an answer, or was closed
         #: in order.
         self.has_input = False
-        #: Whether the connection was reset before that.
+        #: Whether the connection was reset.
         self.was_reset = False
         #: Whether libcurl opened a new socket for the transfer.
         self.opened_socket = False
@@ -181,13 +181,27 @@
 
     @property
     def is_observed(self) -> bool:
-        """Whether the input of the connection is still to be observed."""
-        return not (self.was_reset or (self.has_input and self.head.complete))
+        """Whether the input of the connection is still to be observed.
+
+        If the connection marks the end of the answer, a reset that sending has
+        met may look like the end.
+        """
+        if self.was_reset:
+            return False
+        return (
+            not self.has_input
+            or self.is_head_open
+            or self.head.ends_with_connection
+        )
+
+    @property
+    def is_head_open(self) -> bool:
+        """Whether the head of the answer has not arrived completely."""
+        return not self.head.complete
 
     def observe_head(self, data: bytes) -> None:
-        """Records bytes that have arrived, until the head is complete."""
-        if not self.head.complete:
-            self.head.observe(data)
+        """Records bytes of the head that have arrived."""
+        self.head.observe(data)
 
     def receive_head_line(self, line: bytes) -> bool:
         """Adds a line of the answer's head; called by libcurl.
@@ -295,7 +309,8 @@
         return _transfer_types.Failure(
             kind,
             transfer.problem or message,
-            transfer.was_reset and not transfer.head.status,
+            transfer.was_reset
+            and not (transfer.has_input or transfer.head.status),
         )
     if transfer.is_withdrawn:
         return _transfer_types.Failure(
--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -37,11 +37,11 @@
 
 _KIND = _transfer_types.FailureKind
 
-#: The upstream may have reset the connection: if it did so after the close,
-#: sending fails, and reading still finds the end in order.
+#: The upstream may have reset the connection after it closed its side: sending
+#: fails then, and reading still finds the end in order.
 _EARLY_END_MESSAGE = (
-    "the answer has no length, and its connection ended while the request was"
-    " being sent"
+    "the answer has no length, and its connection was reset, or ended while the"
+    " request was being sent"
 )
 
 
@@ -288,7 +288,7 @@
         if (
             failure is None
             and transfer.head.ends_with_connection
-            and not handle.has_sent_body()
+            and (transfer.was_reset or not handle.has_sent_body())
         ):
             failure = _transfer_types.Failure(_KIND.BROKEN, _EARLY_END_MESSAGE)
         self._recycle(handle)
--- a/packages/router/tests/test_broken_answers.py
+++ b/packages/router/tests/test_broken_answers.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import socket
+from unittest import mock
 
 import pytest
 import raw_peers
@@ -207,3 +209,22 @@
     else:
         assert transfer.failure.kind is KIND.BROKEN
         assert "being sent" in transfer.failure.text
+
+
+# Guards against a reset that looks like the end of an answer: after the close
+# of the other side, reading finds the end whatever comes later.
+@pytest.mark.parametrize("resets", [False, True], ids=["close", "reset"])
+def test_a_reset_after_the_close_is_seen(resets):
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        connection = socket.create_connection(listener.getsockname())
+        with connection:
+            upstream, _ = listener.accept()
+            upstream.shutdown(socket.SHUT_WR)
+            if resets:
+                upstream.close()
+                connection.send(b"film")
+            user = mock.Mock(was_reset=False, has_input=True)
+            _connection_rules.observe_input(connection.fileno(), True, user)
+            assert user.was_reset == resets
+            assert connection.recv(1) == b""
+            upstream.close()
