Believe no refusal whose chunks or trailers are rejected

What callers saw: 503, or "did not run" in the permit mode, for a request whose refusal had a sound head and a spoilt body. An upstream in trouble that sends bytes that are no answer proves nothing with them.

Cause: both modes looked for a problem of the head only.

A refusal with an endless body, or one that is cut, is believed as before: its head came whole.

Why it works: whether an answer was rejected is asked of the transfer, which knows its head and its body.

--- a/packages/router/sycamoreloft_router/_answer_checks.py
+++ b/packages/router/sycamoreloft_router/_answer_checks.py
@@ -1,6 +1,6 @@
 """Checks what the head of an answer says about the upstream that sent it."""
 
-from sycamoreloft_router import _answer_heads, _direct_ports
+from sycamoreloft_router import _answer_heads, _direct_ports, _transfers
 
 #: Statuses with which an upstream may refuse a request that did not run.
 REFUSAL_STATUSES = frozenset((400, 421, 429, 503))
@@ -14,10 +14,16 @@
 
 
 def is_refusal(
-    head: _answer_heads.AnswerHead, names: _direct_ports.HeaderNames
+    transfer: _transfers.Transfer, names: _direct_ports.HeaderNames
 ) -> bool:
-    """Returns whether an answer says that the request did not run."""
-    if head.problem or head.status not in REFUSAL_STATUSES:
+    """Returns whether an answer says that the request did not run.
+
+    An answer that was rejected proves nothing.
+    """
+    head = transfer.head
+    if not head.complete or transfer.problem:
+        return False
+    if head.status not in REFUSAL_STATUSES:
         return False
     name = names.not_executed.lower().encode("latin1")
     return head.status == MISDIRECTED or head.get_header(name) != b""
--- a/packages/router/sycamoreloft_router/_answer_heads.py
+++ b/packages/router/sycamoreloft_router/_answer_heads.py
@@ -7,13 +7,6 @@
 #: Maximum length of the status line and headers together, in bytes.
 MAXIMUM_HEAD_BYTES = 65_536
 
-#: Maximum length of a body. libcurl reads a body with a longer one until the
-#: close of the connection.
-MAXIMUM_BODY_BYTES = 2**63 - 1
-
-#: Maximum length of the part of a malformed line that a problem quotes.
-MAXIMUM_QUOTED_BYTES = 64
-
 #: Header in which an upstream repeats the identifier of the attempt.
 ECHO_HEADER = b"sycamoreloft-attempt"
 
@@ -120,7 +113,7 @@
             False if the answer is rejected; `problem` then says why.
         """
         if self.complete:
-            # Lines after the head are trailers, which are not forwarded.
+            # Lines after the head would be trailers, which are not forwarded.
             return True
         self._size += len(line)
         if self._size > MAXIMUM_HEAD_BYTES:
@@ -182,9 +175,9 @@
         return ""
 
     def _is_joined(self, line: bytes) -> bool:
-        """Returns whether libcurl made a line out of several ones.
+        """Returns whether libcurl joined several lines into this one.
 
-        If bytes arrived unobserved, the lines of this head can't be compared.
+        If bytes arrived unobserved, the rest of the head can't be compared.
         """
         end = self._arrived.find(b"\n") + 1
         first, self._arrived = self._arrived[:end], self._arrived[end:]
@@ -231,12 +224,12 @@
             self._check_attempt(value)
 
     def _reject_line(self, problem: str, line: bytes) -> None:
-        self.problem = f"{problem}: {line[:MAXIMUM_QUOTED_BYTES]!r}"
+        self.problem = _message_grammar.describe_line(problem, line)
 
     def _check_length(self, length: bytes) -> None:
         if self._length not in (b"", length) or not length.isdigit():
             self.problem = "the answer's Content-Length is ambiguous"
-        elif _is_longer(length, MAXIMUM_BODY_BYTES):
+        elif _is_longer(length, _message_grammar.MAXIMUM_BODY_BYTES):
             self.problem = "the answer's Content-Length is too large"
         self._length = length
 
--- a/packages/router/sycamoreloft_router/_attempts.py
+++ b/packages/router/sycamoreloft_router/_attempts.py
@@ -244,7 +244,7 @@
         await transfer.wait(_body_streams.PREFIX_BYTES)
         self._record_sent(transfer)
         if transfer.failure is not None:
-            if _is_refused(transfer.head):
+            if _is_refused(transfer):
                 self._handle(_read_head(transfer.head))
             return self._decide_failure(transfer.failure)
         return await self._forward(transfer)
@@ -302,7 +302,7 @@
         """Forwards an answer that is complete, or longer than the prefix."""
         head = transfer.head
         self._handle(_read_head(head))
-        if _is_refused(head):
+        if _is_refused(transfer):
             # A refusal is never forwarded, whatever its length.
             transfer.cancel()
             return self._decide(_ANSWER_ENDED)
@@ -443,16 +443,17 @@
         return decision
 
 
-def _is_refused(head: _answer_heads.AnswerHead) -> bool:
+def _is_refused(transfer: _transfers.Transfer) -> bool:
     """Returns whether the upstream refused the request without executing it.
 
     Such an answer has a refusal status and names its reason in a header. One
     that was rejected proves nothing: it may belong to another request.
     """
+    head = transfer.head
     return (
         head.status in sycamoreloft_decisions.REFUSAL_STATUSES
         and head.complete
-        and not head.problem
+        and not transfer.problem
         and _read_head(head).refused in sycamoreloft_decisions.REFUSALS
     )
 
--- a/packages/router/sycamoreloft_router/_chunked_bodies.py
+++ b/packages/router/sycamoreloft_router/_chunked_bodies.py
@@ -18,9 +18,6 @@
 #: Maximum number of digits of a chunk's size, as in libcurl.
 MAXIMUM_SIZE_DIGITS = 16
 
-#: Maximum length of the part of a malformed line that a problem quotes.
-MAXIMUM_QUOTED_BYTES = 64
-
 
 class _Part(enum.Enum):
     """What the next bytes of a body are."""
@@ -116,6 +113,9 @@
             self._reject_line("a chunk of the answer has no size", line)
             return
         self._remaining = int(match[1], 16)
+        if self._remaining > _message_grammar.MAXIMUM_BODY_BYTES:
+            self._reject_line("a chunk of the answer is too large", line)
+            return
         self._part = _Part.DATA if self._remaining else _Part.TRAILER
 
     def _add_trailer(self, line: bytes) -> None:
@@ -128,4 +128,4 @@
             self._reject_line("a trailer of the answer is malformed", line)
 
     def _reject_line(self, problem: str, line: bytes) -> None:
-        self.problem = f"{problem}: {line[:MAXIMUM_QUOTED_BYTES]!r}"
+        self.problem = _message_grammar.describe_line(problem, line)
--- a/packages/router/sycamoreloft_router/_direct_execution.py
+++ b/packages/router/sycamoreloft_router/_direct_execution.py
@@ -344,7 +344,7 @@
         head, names = transfer.head, self._services.header_names
         if transfer.maybe_sent:
             self._sent_to.add(self._choice.tried[-1])
-        if head.complete and _answer_checks.is_refusal(head, names):
+        if _answer_checks.is_refusal(transfer, names):
             self._choice.reason = f"upstream-refused-{head.status}"
             tried = self._choice.tried[-1]
             is_misdirected = head.status == _answer_checks.MISDIRECTED
--- a/packages/router/sycamoreloft_router/_message_grammar.py
+++ b/packages/router/sycamoreloft_router/_message_grammar.py
@@ -6,6 +6,13 @@
 
 import re
 
+#: Maximum length of a body. libcurl reads a body with a longer one until the
+#: close of the connection.
+MAXIMUM_BODY_BYTES = 2**63 - 1
+
+#: Maximum length of the part of a malformed line that a problem quotes.
+MAXIMUM_QUOTED_BYTES = 64
+
 #: A token, such as the name of a header (RFC 9110, section 5.6.2).
 _TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 
@@ -46,3 +53,8 @@
 #: The line before the data of a chunk (RFC 9112, section 7.1); the group is the
 #: size. A line feed alone does not end it.
 CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]+)(?:%b)*\r\n" % _EXTENSION)
+
+
+def describe_line(problem: str, line: bytes) -> str:
+    """Returns a description of a problem that quotes the start of a line."""
+    return f"{problem}: {line[:MAXIMUM_QUOTED_BYTES]!r}"
--- a/packages/router/tests/test_broken_permit_answers.py
+++ b/packages/router/tests/test_broken_permit_answers.py
@@ -10,6 +10,9 @@
 #: Head of a request that is not sent again once it may have run.
 DELETE = fake_sources.build_head("DELETE")
 
+#: Header line of a refusal.
+SHED = b"Sycamoreloft-Refused: shed\r\n"
+
 
 class BrokenUpstream:
     """Answers requests with prepared bytes, and then closes the connection."""
@@ -28,14 +31,20 @@
         return False
 
 
+@pytest.mark.parametrize("refuses", [False, True], ids=["200", "refusal"])
 @pytest.mark.parametrize("group", list(broken_answers.BROKEN))
-def test_callers_get_no_broken_answer(serve, recorder, monkeypatch, group):
+def test_callers_get_no_broken_answer(
+    serve, recorder, monkeypatch, group, refuses
+):
     """Guards against a spoilt answer that reaches a caller as a success."""
     monkeypatch.setattr(_logs.LIMITER, "admit", lambda *_: 0)
     upstream = BrokenUpstream()
 
     async def scenario(harness, _):
-        for name, upstream.data in broken_answers.BROKEN[group].items():
+        for name, data in broken_answers.BROKEN[group].items():
+            upstream.data = data
+            if refuses:
+                upstream.data = broken_answers.turn_into_refusal(data, SHED)
             ran_before = upstream.ran
             recorder.lines.clear()
             answer = await harness.send(DELETE)
--- a/packages/standins/sycamoreloft_standins/broken_answers.py
+++ b/packages/standins/sycamoreloft_standins/broken_answers.py
@@ -395,3 +395,15 @@
         BODY,
     ),
 }
+
+
+def turn_into_refusal(
+    data: bytes, line: bytes = b"Not-Executed: 1\r\n"
+) -> bytes:
+    """Returns an answer that refuses the request, with the same fault.
+
+    Args:
+        data: An answer.
+        line: Header line that says that the request did not run.
+    """
+    return data.replace(b"200 OK", b"503 Full").replace(ECHO, ECHO + line)
