Test that answers in chunks keep their connection

The decoder of chunks replaced that of libcurl, which closed a connection with bytes behind the last chunk. The test shows that such a connection is still closed, and that one without such bytes is reused.

--- a/packages/router/tests/test_broken_answers.py
+++ b/packages/router/tests/test_broken_answers.py
@@ -228,3 +228,29 @@
             assert user.was_reset == resets
             assert connection.recv(1) == b""
             upstream.close()
+
+
+# Guards against a new connection for each request after an answer in chunks,
+# and against bytes of no answer that are read as the next one.
+@pytest.mark.parametrize(
+    ("name", "connections"), [("trailers", 1), ("bytes-after-chunks", 3)]
+)
+def test_a_connection_is_reused_unless_bytes_follow_the_chunks(
+    name, connections
+):
+    data, body = broken_answers.SOUND[name]
+
+    async def script(_request, writer, _reader):
+        writer.write(data.replace(broken_answers.ECHO, b"Request-Id: a1\r\n"))
+        await writer.drain()
+
+    async def main():
+        client = raw_peers.create_client()
+        async with raw_peers.RawUpstream(script) as upstream:
+            for _ in range(3):
+                transfer, received = await _transfer(client, upstream, "/")
+                assert transfer.failure is None and received == body
+            client.close()
+            assert upstream.connections == connections
+
+    asyncio.run(main())
