Look at the socket right before an upload continues

What callers saw: answers with a folded header line, sent in the middle of an upload, still came through with the line joined to the one before. With ten uploads at a time that was most of them.

Cause: a part of a body marks its transfer, and libcurl continues all marked transfers the next time that it runs, whatever for. The look at the sockets came before the timers only, and for all transfers at once, so that each send of the others lay between the look and the read.

Evidence: hunt_folded_heads.py, an upstream process that answers as soon as it has read 100 KB of an upload of 2 MB, 1,000 answers.

Why it works: the client looks at the one socket, continues its upload and lets libcurl run at once.

--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -92,8 +92,6 @@
         #: the attempt.
         self._echoes: dict[str, bool] = {}
         self._keeps_idle = True
-        # Descriptors of the transfers that `resume` has continued.
-        self._resumed: set[int] = set()
         self._sockets = _connection_rules.PooledSockets()
 
     def limit_connections(self, connections: int, keeps_idle: bool) -> None:
@@ -135,7 +133,7 @@
         transfer.attach(handle)
         self._active.add(handle)
         if isinstance(request.body, _body_streams.UploadBuffer):
-            request.body.set_on_change(lambda: self.resume(handle))
+            request.body.set_on_change(lambda: self._continue_upload(handle))
         self._multi.add_handle(handle.curl)
         self._process_now()
         return transfer
@@ -171,7 +169,6 @@
         if handle.upload is not None and handle.upload.broken:
             handle.transfer.cancel(_KIND.UPLOAD)
             return
-        self._resumed.add(handle.transfer.descriptor)
         try:
             handle.curl.pause(pycurl.PAUSE_CONT)
         except pycurl.error as error:
@@ -181,6 +178,17 @@
                 "cannot resume a paused transfer: %s", error
             )
 
+    def _continue_upload(self, handle: _transfer_handles.Handle) -> None:
+        """Lets libcurl send new bytes of a request body.
+
+        libcurl reads as well when it does so, hence the look at the socket.
+        """
+        transfer = handle.transfer
+        if transfer is not None and transfer.descriptor in self._fds:
+            self._observe(transfer.descriptor, False)
+        self.resume(handle)
+        self._process_now()
+
     def remove(self, handle: _transfer_handles.Handle | None) -> None:
         """Removes a running handle from the multi handle.
 
@@ -213,18 +221,6 @@
         self._observe(fd, bool(events & ioloop.IOLoop.READ))
         super()._handle_events(fd, events)
 
-    def _handle_timeout(self) -> None:
-        """Lets libcurl handle the timers that are due.
-
-        Overrides the method of tornado to look at the sockets of resumed
-        transfers first: libcurl continues them here, and reads as well.
-        """
-        for descriptor in self._resumed:
-            if descriptor in self._fds:
-                self._observe(descriptor, False)
-        self._resumed.clear()
-        super()._handle_timeout()
-
     def _observe(self, descriptor: int, is_readable: bool) -> None:
         """Looks at the input of a socket before libcurl reads it."""
         transfer = self._sockets.users.get(descriptor)
