--- a/packages/router/sycamoreloft_router/_upstream_client.py
+++ b/packages/router/sycamoreloft_router/_upstream_client.py
@@ -139,7 +139,7 @@
         return transfer
 
     def _process_now(self) -> None:
-        """Starts new transfers in the current iteration of the event loop.
+        """Starts or continues transfers in this iteration of the event loop.
 
         libcurl requests that with a timeout of 0, which would otherwise be
         handled in the next iteration.
